Fix the interfaces between the crates

The workspace, the shared identifiers, the published protocol of the back ends, the messages between processes and the commands of the replicated state machines come first, so that the parts behind them can be built side by side. Nothing runs yet.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load generator, experiment runner and scale experiment.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The molespan command line.
--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! A replicated log as a pure state machine.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The molespand daemon: gateway and replica roles composed.
--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for engines, application back ends, the platform list and the weight store.
--- /dev/null
+++ b/crates/replica/src/lib.rs
@@ -0,0 +1,1 @@
+//! A replica of many groups: consensus, storage and state driven together.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, limits, queueing, engine choice, retries, batch ownership and preemption.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checked settings of the daemon.
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Write-ahead log, snapshots, payload log and disk identity.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and decision events.
--- /dev/null
+++ b/crates/types/src/identifier.rs
@@ -0,0 +1,163 @@
+//! Identifiers. Numeric where they travel often, text where people choose them.
+
+use derive_more::{Display, From};
+use minicbor::{Decode, Encode};
+use serde::{Deserialize, Serialize};
+
+/// Declares a numeric identifier that is encoded as a bare integer.
+macro_rules! numeric_identifier {
+    ($(#[$meta:meta])* $name:ident($inner:ty)) => {
+        $(#[$meta])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From,
+            Encode, Decode, Serialize, Deserialize,
+        )]
+        #[cbor(transparent)]
+        #[serde(transparent)]
+        pub struct $name(#[n(0)] pub $inner);
+
+        impl $name {
+            /// The identifier that follows this one.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+    };
+}
+
+/// Declares a name chosen by people, encoded as text.
+macro_rules! text_identifier {
+    ($(#[$meta:meta])* $name:ident) => {
+        $(#[$meta])*
+        #[derive(
+            Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From,
+            Encode, Decode, Serialize, Deserialize,
+        )]
+        #[cbor(transparent)]
+        #[serde(transparent)]
+        pub struct $name(#[n(0)] pub String);
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(text.to_owned())
+            }
+        }
+
+        impl $name {
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+    };
+}
+
+numeric_identifier! {
+    /// A `molespand` process, as numbered in its settings file.
+    NodeId(u32)
+}
+numeric_identifier! {
+    /// An engine or application back end, as numbered by the platform list.
+    BackendId(u32)
+}
+numeric_identifier! {
+    /// One life of a back end or node. It rises with every restart.
+    Incarnation(u64)
+}
+numeric_identifier! {
+    /// A replicated group. Group 0 holds configuration; the others hold jobs.
+    GroupId(u32)
+}
+numeric_identifier! {
+    /// The position of an item in its job, from 0.
+    ItemIndex(u32)
+}
+numeric_identifier! {
+    /// A lease on a range of items, unique within its group.
+    LeaseId(u64)
+}
+numeric_identifier! {
+    /// The version of the configuration. It rises by one with every accepted change.
+    ConfigVersion(u64)
+}
+numeric_identifier! {
+    /// A number that rises with every order; a back end refuses a lower one.
+    FencingToken(u64)
+}
+
+text_identifier! {
+    /// A tenant, the unit of rate limits and fair shares.
+    TenantId
+}
+text_identifier! {
+    /// A service that callers address.
+    ServiceName
+}
+text_identifier! {
+    /// A model that engines serve.
+    ModelName
+}
+text_identifier! {
+    /// A zone, the unit that is cut off as a whole.
+    ZoneName
+}
+
+impl GroupId {
+    /// The group that holds configuration, nodes and placement.
+    pub const CONTROL: GroupId = GroupId(0);
+}
+
+/// A batch job, derived from the tenant and the job key so that a resubmission
+/// through any gateway names the same job.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Encode, Decode,
+)]
+#[display("job-{_0:016x}")]
+#[cbor(transparent)]
+pub struct JobId(#[n(0)] pub u64);
+
+impl JobId {
+    /// Prefix of the text form.
+    const PREFIX: &'static str = "job-";
+
+    /// The identifier of the job that `tenant` submits under `key`.
+    #[must_use]
+    pub fn from_key(tenant: &TenantId, key: &str) -> Self {
+        let joined = format!("{}\n{}", tenant.0, key);
+        Self(xxhash_rust::xxh3::xxh3_64(joined.as_bytes()))
+    }
+
+    /// Parses the text form, `job-` and 16 hexadecimal digits.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let digits = text.strip_prefix(Self::PREFIX)?;
+        u64::from_str_radix(digits, 16).ok().map(Self)
+    }
+
+    /// The group, of `job_groups` numbered from 1, that holds this job.
+    ///
+    /// # Panics
+    /// When `job_groups` is 0; settings refuse that.
+    #[must_use]
+    pub fn group(self, job_groups: u32) -> GroupId {
+        let slot = self.0 % u64::from(job_groups);
+        GroupId(1 + slot as u32)
+    }
+}
+
+/// One attempt at running a request on a back end. Engines echo it, and a
+/// response that carries another one is refused as crossed.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Encode, Decode,
+)]
+#[display("{node:x}-{sequence:x}")]
+pub struct AttemptId {
+    /// The node that started the attempt and its life: a restart changes it.
+    #[n(0)]
+    pub node: u64,
+    /// Counts attempts of that node.
+    #[n(1)]
+    pub sequence: u64,
+}
