Add the storage crate

One write-ahead log per process for all groups, in segments. All changes since the last sync go into one frame with one checksum, written and synced before the next is begun. So the rest of an unfinished write can only be the very last thing in the log: it is cut, while a bad frame with a whole one behind it, a bad frame in an older segment, a missing segment or a gap in the frame numbers stops with the file and offset. The checksum covers the frame's place, so stale bytes are never taken for a frame.

A reserve file gives its room to the writes under way when the disk fills; with the reserve spent too, a sync is refused as full and the log is as before.

--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,1 +1,27 @@
-//! Write-ahead log, snapshots, payload log and disk identity.
+//! What a replica keeps on disk: the write-ahead log, snapshots, the payload
+//! logs and the identity of the disk.
+//!
+//! Everything goes through the [`Disk`] trait, so that the daemon's
+//! [`RealDisk`] and the [`SimulatedDisk`] of tests run the same code. A write
+//! counts only once it was synced; after a failed sync nothing that was
+//! written since the last good one may be relied on.
+
+mod checked_file;
+mod disk;
+mod error;
+mod identity;
+mod log;
+mod payload;
+mod real;
+mod simulated;
+mod snapshot;
+
+pub use checked_file::{read_checked, write_checked};
+pub use disk::Disk;
+pub use error::StorageError;
+pub use identity::DiskIdentity;
+pub use log::{GroupRecovery, LogEntry, LogSettings, Recovery, SnapshotMark, WriteAheadLog};
+pub use payload::FilePayloadLog;
+pub use real::RealDisk;
+pub use simulated::{SimulatedDisk, SimulatedDiskCounters};
+pub use snapshot::{Snapshot, SnapshotStore};
--- /dev/null
+++ b/crates/storage/src/log/frame.rs
@@ -0,0 +1,92 @@
+//! The unit that is written and synced at once.
+
+use crate::StorageError;
+
+/// Marks the start of a frame.
+const MAGIC: u32 = 0x6d6f_6c77;
+/// Bytes of magic, length, checksum and sequence.
+pub(super) const HEADER_BYTES: usize = 20;
+/// Longest body. A longer length can only be damage.
+pub(super) const MAX_BODY_BYTES: usize = 1 << 30;
+
+/// Where a frame lies. The checksum covers it, so that old bytes that turn up
+/// elsewhere are never taken for a frame.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Place {
+    pub segment: u64,
+    pub offset: u64,
+}
+
+/// A frame as it was read.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Frame<'a> {
+    /// Number of the frame in the whole log.
+    pub sequence: u64,
+    pub body: &'a [u8],
+}
+
+impl Frame<'_> {
+    /// Bytes of the whole frame.
+    pub fn length(&self) -> u64 {
+        (HEADER_BYTES + self.body.len()) as u64
+    }
+}
+
+/// The header of a frame with this body.
+pub(super) fn header(place: Place, sequence: u64, body: &[u8]) -> [u8; HEADER_BYTES] {
+    let mut header = [0; HEADER_BYTES];
+    header[..4].copy_from_slice(&MAGIC.to_le_bytes());
+    header[4..8].copy_from_slice(&(body.len() as u32).to_le_bytes());
+    header[8..12].copy_from_slice(&checksum(place, sequence, body).to_le_bytes());
+    header[12..].copy_from_slice(&sequence.to_le_bytes());
+    header
+}
+
+fn checksum(place: Place, sequence: u64, body: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&place.segment.to_le_bytes());
+    hasher.update(&place.offset.to_le_bytes());
+    hasher.update(&sequence.to_le_bytes());
+    hasher.update(&(body.len() as u32).to_le_bytes());
+    hasher.update(body);
+    hasher.finalize()
+}
+
+/// The frame at the start of `bytes`, which lie at `place`, if it is whole.
+pub(super) fn parse(place: Place, bytes: &[u8]) -> Option<Frame<'_>> {
+    let (header, rest) = bytes.split_first_chunk::<HEADER_BYTES>()?;
+    let word = |at: usize| u32::from_le_bytes([0, 1, 2, 3].map(|byte| header[at + byte]));
+    if word(0) != MAGIC {
+        return None;
+    }
+    let length = word(4) as usize;
+    if length > MAX_BODY_BYTES {
+        return None;
+    }
+    let body = rest.get(..length)?;
+    let sequence = u64::from(word(12)) | u64::from(word(16)) << 32;
+    let fits = checksum(place, sequence, body) == word(8);
+    fits.then_some(Frame { sequence, body })
+}
+
+/// Where the first whole frame behind `place` lies, if there is one.
+pub(super) fn find_later(place: Place, bytes: &[u8]) -> Option<u64> {
+    (1..bytes.len()).find_map(|skipped| {
+        let later = Place {
+            segment: place.segment,
+            offset: place.offset + skipped as u64,
+        };
+        parse(later, &bytes[skipped..]).map(|_| later.offset)
+    })
+}
+
+/// Refuses a body that no reader would take back.
+pub(super) fn check_length(file: &str, body: &[u8]) -> Result<(), StorageError> {
+    if body.len() <= MAX_BODY_BYTES {
+        return Ok(());
+    }
+    Err(StorageError::Io {
+        file: file.to_owned(),
+        message: format!("a batch of {} bytes is too long", body.len()),
+    })
+}
--- /dev/null
+++ b/crates/storage/src/log/recovery.rs
@@ -0,0 +1,168 @@
+//! Reading the log back after a restart.
+
+use std::collections::BTreeMap;
+
+use molespan_types::GroupId;
+
+use super::frame::{self, Frame, Place};
+use super::record::{self, Record};
+use super::track::Track;
+use super::{DIRECTORY, LogEntry, SnapshotMark, segment_path};
+use crate::{Disk, StorageError};
+
+/// What the log holds of one group.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GroupRecovery {
+    /// Latest hard state.
+    pub hard_state: Option<Vec<u8>>,
+    /// Latest snapshot.
+    pub snapshot: Option<SnapshotMark>,
+    /// Entries behind that snapshot, without a gap.
+    pub entries: Vec<LogEntry>,
+}
+
+/// What the log holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Recovery {
+    /// By group.
+    pub groups: BTreeMap<GroupId, GroupRecovery>,
+    /// Bytes of an unfinished write that were cut from the end.
+    pub torn_bytes: u64,
+}
+
+impl GroupRecovery {
+    fn apply(&mut self, record: Record<'_>) {
+        match record {
+            Record::Entry { index, body, .. } => {
+                self.cut(index);
+                let bytes = body.to_vec();
+                self.entries.push(LogEntry { index, bytes });
+            }
+            Record::HardState { body, .. } => self.hard_state = Some(body.to_vec()),
+            Record::Snapshot { index, body, .. } => {
+                let bytes = body.to_vec();
+                self.snapshot = Some(SnapshotMark { index, bytes });
+            }
+            Record::Truncate { from, .. } => self.cut(from),
+        }
+    }
+
+    fn cut(&mut self, from: u64) {
+        let kept = self.entries.partition_point(|entry| entry.index < from);
+        self.entries.truncate(kept);
+    }
+
+    /// Drops what the snapshot covers; says the first missing index, if any.
+    fn settle(&mut self) -> Option<u64> {
+        let covered = self.snapshot.as_ref().map_or(0, |mark| mark.index);
+        self.entries.retain(|entry| entry.index > covered);
+        let expected = (covered + 1)..;
+        let mut pairs = self.entries.iter().zip(expected);
+        pairs.find_map(|(entry, expected)| (entry.index != expected).then_some(expected))
+    }
+}
+
+/// Reads segments one after the other.
+pub(super) struct Reader<'a, D> {
+    disk: &'a D,
+    pub recovery: Recovery,
+    pub tracks: BTreeMap<GroupId, Track>,
+    /// Number of the last frame.
+    pub sequence: Option<u64>,
+    /// Length of each segment.
+    pub segments: BTreeMap<u64, u64>,
+}
+
+impl<'a, D: Disk> Reader<'a, D> {
+    pub fn new(disk: &'a D) -> Self {
+        Self {
+            disk,
+            recovery: Recovery::default(),
+            tracks: BTreeMap::new(),
+            sequence: None,
+            segments: BTreeMap::new(),
+        }
+    }
+
+    /// Reads every segment and cuts a torn tail.
+    pub fn run(&mut self, segments: &[u64]) -> Result<(), StorageError> {
+        for (position, &segment) in segments.iter().enumerate() {
+            let follows = position == 0 || segments[position - 1] + 1 == segment;
+            if !follows {
+                let missing = segment_path(segments[position - 1] + 1);
+                return Err(StorageError::corrupt(&missing, 0, "segment is missing"));
+            }
+            let last = position + 1 == segments.len();
+            self.read_segment(segment, last)?;
+        }
+        self.check_entries()
+    }
+
+    fn read_segment(&mut self, segment: u64, last: bool) -> Result<(), StorageError> {
+        let path = segment_path(segment);
+        let bytes = self.disk.read(&path)?.unwrap_or_default();
+        let mut offset = 0;
+        while (offset as usize) < bytes.len() {
+            let place = Place { segment, offset };
+            let rest = &bytes[offset as usize..];
+            let Some(frame) = frame::parse(place, rest) else {
+                self.cut_torn_tail(place, rest, last)?;
+                break;
+            };
+            self.read_frame(place, frame)?;
+            offset += frame.length();
+        }
+        self.segments.insert(segment, offset);
+        Ok(())
+    }
+
+    fn read_frame(&mut self, place: Place, frame: Frame<'_>) -> Result<(), StorageError> {
+        let path = segment_path(place.segment);
+        let expected = self.sequence.map(|sequence| sequence + 1);
+        if expected.is_some_and(|expected| expected != frame.sequence) {
+            let reason = format!("write {} is missing", expected.unwrap_or(0));
+            return Err(StorageError::corrupt(&path, place.offset, reason));
+        }
+        self.sequence = Some(frame.sequence);
+        let recovery = &mut self.recovery.groups;
+        let tracks = &mut self.tracks;
+        record::read_all(frame.body, |record| {
+            let group = record.group();
+            tracks
+                .entry(group)
+                .or_default()
+                .note(&record, place.segment);
+            recovery.entry(group).or_default().apply(record);
+        })
+        .map_err(|error| StorageError::corrupt(&path, place.offset, error.to_string()))
+    }
+
+    /// Decides whether bytes that are no whole frame are the rest of a write
+    /// that a crash cut short. A frame is begun only after the one before it
+    /// was synced: so the rest of an unfinished write is the very last thing
+    /// in the log, and with anything whole behind it, it is damage.
+    fn cut_torn_tail(&mut self, place: Place, rest: &[u8], last: bool) -> Result<(), StorageError> {
+        let path = segment_path(place.segment);
+        if !last {
+            let reason = "damaged write in an older segment";
+            return Err(StorageError::corrupt(&path, place.offset, reason));
+        }
+        if let Some(later) = frame::find_later(place, rest) {
+            let reason = format!("damaged write before a whole one at offset {later}");
+            return Err(StorageError::corrupt(&path, place.offset, reason));
+        }
+        self.recovery.torn_bytes = rest.len() as u64;
+        self.disk.truncate(&path, place.offset)?;
+        self.disk.sync(&path)
+    }
+
+    fn check_entries(&mut self) -> Result<(), StorageError> {
+        for (group, recovery) in &mut self.recovery.groups {
+            if let Some(missing) = recovery.settle() {
+                let reason = format!("entry {missing} of group {group} is missing");
+                return Err(StorageError::corrupt(DIRECTORY, 0, reason));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/storage/src/log/track.rs
@@ -0,0 +1,84 @@
+//! Which segments still hold something that a group needs.
+
+use std::collections::BTreeMap;
+
+use molespan_types::GroupId;
+
+use super::SnapshotMark;
+use super::record::Record;
+
+/// What the log knows of one group without its entries.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Track {
+    hard_state: Option<Vec<u8>>,
+    snapshot: Option<SnapshotMark>,
+    /// First and last live entry in each segment.
+    entries: BTreeMap<u64, (u64, u64)>,
+}
+
+impl Track {
+    /// Takes note of a record that lies in `segment`.
+    pub fn note(&mut self, record: &Record<'_>, segment: u64) {
+        match *record {
+            Record::Entry { index, .. } => self.note_entry(index, segment),
+            Record::HardState { body, .. } => self.hard_state = Some(body.to_vec()),
+            Record::Snapshot { index, body, .. } => {
+                let bytes = body.to_vec();
+                self.snapshot = Some(SnapshotMark { index, bytes });
+            }
+            Record::Truncate { from, .. } => self.cut(from),
+        }
+    }
+
+    fn note_entry(&mut self, index: u64, segment: u64) {
+        self.cut(index);
+        let (_, last) = self.entries.entry(segment).or_insert((index, index));
+        *last = index;
+    }
+
+    /// Forgets entries from `from` on.
+    fn cut(&mut self, from: u64) {
+        while let Some(mut newest) = self.entries.last_entry() {
+            let (first, last) = *newest.get();
+            if last < from {
+                return;
+            }
+            if first < from {
+                *newest.get_mut() = (first, from - 1);
+                return;
+            }
+            newest.remove();
+        }
+    }
+
+    /// Whether `segment` holds an entry that no snapshot covers.
+    pub fn needs(&self, segment: u64) -> bool {
+        let covered = self.snapshot.as_ref().map_or(0, |mark| mark.index);
+        let entries = self.entries.get(&segment);
+        entries.is_some_and(|&(_, last)| last > covered)
+    }
+
+    /// The oldest segment that is still needed.
+    pub fn oldest_needed(&self) -> Option<u64> {
+        let mut segments = self.entries.keys().copied();
+        segments.find(|&segment| self.needs(segment))
+    }
+
+    /// Forgets segments before `segment`, which are gone.
+    pub fn forget_before(&mut self, segment: u64) {
+        self.entries = self.entries.split_off(&segment);
+    }
+
+    /// Writes what a new segment must repeat, since older ones will go.
+    pub fn write_checkpoint(&self, group: GroupId, buffer: &mut Vec<u8>) {
+        if let Some(body) = &self.hard_state {
+            let body = body.as_slice().into();
+            Record::HardState { group, body }.write(buffer);
+        }
+        if let Some(mark) = &self.snapshot {
+            let index = mark.index;
+            let body = mark.bytes.as_slice().into();
+            Record::Snapshot { group, index, body }.write(buffer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/storage/tests/files.rs
@@ -0,0 +1,143 @@
+//! Snapshots, payload logs and the disk's identity, on both kinds of disk.
+
+use molespan_state::{PayloadError, PayloadLog};
+use molespan_storage::{
+    Disk, DiskIdentity, FilePayloadLog, RealDisk, SimulatedDisk, SnapshotStore, StorageError,
+};
+use molespan_types::{GroupId, NodeId};
+
+const GROUP: GroupId = GroupId(3);
+
+#[test]
+fn identity_counts_starts_and_changes_with_the_disk() {
+    let disk = SimulatedDisk::new();
+    let node = NodeId(4);
+    let first = DiskIdentity::open(&disk, node, 11).unwrap();
+    let second = DiskIdentity::open(&disk, node, 12).unwrap();
+    assert_eq!((first.incarnation, first.boot), (11, 1));
+    assert_eq!((second.incarnation, second.boot), (11, 2));
+    disk.lose();
+    let third = DiskIdentity::open(&disk, node, 13).unwrap();
+    assert_eq!((third.incarnation, third.boot), (13, 1));
+    let foreign = DiskIdentity::open(&disk, NodeId(5), 14);
+    assert!(matches!(foreign, Err(StorageError::Corrupt { .. })));
+}
+
+#[test]
+fn snapshot_is_whole_or_absent_after_any_crash() {
+    for seed in 0..100 {
+        let disk = SimulatedDisk::new();
+        let store = SnapshotStore::open(disk.clone(), GROUP).unwrap();
+        store.save(5, b"header", b"first").unwrap();
+        disk.fail_syncs(1);
+        store.save(9, b"header", b"second").expect_err("sync fails");
+        disk.crash(seed);
+        let store = SnapshotStore::open(disk.clone(), GROUP).unwrap();
+        assert_eq!(store.indexes().unwrap(), [5]);
+        assert_eq!(store.load(5).unwrap().unwrap().machine, b"first");
+    }
+}
+
+#[test]
+fn damaged_snapshot_is_refused_at_every_byte() {
+    let disk = SimulatedDisk::new();
+    let store = SnapshotStore::open(disk.clone(), GROUP).unwrap();
+    store.save(5, b"header", b"machine").unwrap();
+    let file = "snapshot/3/00000000000000000005.snapshot";
+    for offset in 0..disk.length(file).unwrap().unwrap() {
+        disk.flip(file, offset);
+        assert!(matches!(store.load(5), Err(StorageError::Corrupt { .. })));
+        disk.flip(file, offset);
+    }
+    assert!(store.load(5).is_ok());
+}
+
+#[test]
+fn the_latest_two_snapshots_are_kept() {
+    let store = SnapshotStore::open(SimulatedDisk::new(), GROUP).unwrap();
+    for index in 1..=5 {
+        store.save(index, b"", b"machine").unwrap();
+    }
+    store.remove_older(4).unwrap();
+    assert_eq!(store.indexes().unwrap(), [3, 4, 5]);
+}
+
+/// Runs on one kind of disk what must hold on both.
+fn payload_log_behaves<D: Disk>(disk: &D) {
+    let mut log = FilePayloadLog::open(disk.clone(), GROUP, 0).unwrap();
+    let first = log.append(b"first").unwrap();
+    let waiting = log.append(b"second").unwrap();
+    assert_eq!(log.read(waiting).unwrap(), b"second");
+    log.sync().unwrap();
+    let length = log.length();
+    let third = log.append(b"third").unwrap();
+    log.flush().unwrap();
+    assert_eq!(log.read(third).unwrap(), b"third");
+
+    let mut log = FilePayloadLog::open(disk.clone(), GROUP, length).unwrap();
+    assert_eq!(log.read(first).unwrap(), b"first");
+    let missing = log.read(third).unwrap_err();
+    assert!(matches!(missing, PayloadError::Missing { .. }));
+    assert_eq!(log.append(b"third").unwrap(), third);
+    log.sync().unwrap();
+
+    let raw = log.read_raw(0, log.length() as usize).unwrap();
+    let mut copy = FilePayloadLog::open(disk.clone(), GroupId(9), 0).unwrap();
+    let (head, tail) = raw.split_at(7);
+    copy.append_raw(head).unwrap();
+    copy.append_raw(tail).unwrap();
+    assert_eq!(copy.read(third).unwrap(), b"third");
+}
+
+#[test]
+fn payload_log_on_a_simulated_disk() {
+    payload_log_behaves(&SimulatedDisk::new());
+}
+
+#[test]
+fn payload_log_on_a_real_disk() {
+    let folder = tempfile::tempdir().unwrap();
+    payload_log_behaves(&RealDisk::open(folder.path()).unwrap());
+}
+
+#[test]
+fn damaged_payload_is_told() {
+    let disk = SimulatedDisk::new();
+    let mut log = FilePayloadLog::open(disk.clone(), GROUP, 0).unwrap();
+    let location = log.append(b"payload").unwrap();
+    log.sync().unwrap();
+    let file = &disk.files()[0];
+    for offset in 0..disk.length(file).unwrap().unwrap() {
+        disk.flip(file, offset);
+        let error = log.read(location).unwrap_err();
+        assert!(matches!(error, PayloadError::Corrupt { .. }));
+        disk.flip(file, offset);
+    }
+}
+
+#[test]
+fn full_disk_keeps_payloads_waiting() {
+    let disk = SimulatedDisk::new();
+    let mut log = FilePayloadLog::open(disk.clone(), GROUP, 0).unwrap();
+    for free in 0..20 {
+        disk.set_free(free);
+        let location = log.append(b"a payload that is too long").unwrap();
+        assert!(log.flush().unwrap_err().is_full());
+        assert!(log.waiting_bytes() > 0);
+        disk.set_full(false);
+        log.sync().unwrap();
+        assert_eq!(log.read(location).unwrap(), b"a payload that is too long");
+    }
+}
+
+#[test]
+fn payload_log_shorter_than_its_snapshot_stops() {
+    let disk = SimulatedDisk::new();
+    let mut log = FilePayloadLog::open(disk.clone(), GROUP, 0).unwrap();
+    log.append(b"payload").unwrap();
+    log.flush().unwrap();
+    let length = log.length();
+    disk.crash_clean();
+    let error = FilePayloadLog::open(disk, GROUP, length).unwrap_err();
+    assert!(matches!(error, StorageError::Corrupt { .. }));
+}
--- /dev/null
+++ b/crates/storage/tests/write_ahead_log.rs
@@ -0,0 +1,353 @@
+//! The write-ahead log under crashes, damage and full disks.
+
+use molespan_storage::{
+    Disk, GroupRecovery, LogSettings, Recovery, SimulatedDisk, StorageError, WriteAheadLog,
+};
+use molespan_types::GroupId;
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+
+const GROUP: GroupId = GroupId(1);
+const OTHER: GroupId = GroupId(2);
+const FIRST_SEGMENT: &str = "log/00000000000000000001.segment";
+
+fn settings() -> LogSettings {
+    LogSettings {
+        segment_bytes: 256,
+        reserve_bytes: 512,
+    }
+}
+
+fn open(disk: &SimulatedDisk) -> (WriteAheadLog<SimulatedDisk>, Recovery) {
+    WriteAheadLog::open(disk.clone(), settings()).expect("opens")
+}
+
+fn indexes(recovery: &Recovery, group: GroupId) -> Vec<u64> {
+    let entries = recovery.groups.get(&group).map(|group| &group.entries);
+    entries.map_or(Vec::new(), |entries| {
+        entries.iter().map(|entry| entry.index).collect()
+    })
+}
+
+/// Three synced frames; returns the lengths of the segment after each.
+fn three_frames(disk: &SimulatedDisk) -> Vec<u64> {
+    let (mut log, _) = open(disk);
+    (1..=3)
+        .map(|index| {
+            log.append_entry(GROUP, index, b"body");
+            log.set_hard_state(OTHER, &[index as u8]);
+            log.sync().expect("syncs");
+            disk.length(FIRST_SEGMENT).unwrap().unwrap()
+        })
+        .collect()
+}
+
+#[test]
+fn reads_back_what_was_synced() {
+    let disk = SimulatedDisk::new();
+    three_frames(&disk);
+    let (log, recovery) = open(&disk);
+    assert_eq!(indexes(&recovery, GROUP), [1, 2, 3]);
+    let other = &recovery.groups[&OTHER];
+    assert_eq!(other.hard_state, Some(vec![3]));
+    assert_eq!(log.sequence(), 3);
+}
+
+#[test]
+fn one_sync_serves_all_groups() {
+    let disk = SimulatedDisk::new();
+    let (mut log, _) = open(&disk);
+    let before = disk.counters().syncs;
+    for group in 0..100 {
+        log.append_entry(GroupId(group), 1, b"body");
+    }
+    log.sync().expect("syncs");
+    assert_eq!(disk.counters().syncs, before + 1);
+}
+
+#[test]
+fn torn_tail_is_cut_at_every_byte() {
+    let disk = SimulatedDisk::new();
+    let ends = three_frames(&disk);
+    for length in ends[1]..ends[2] {
+        let copy = SimulatedDisk::new();
+        copy.roll_back(&disk.backup());
+        copy.truncate(FIRST_SEGMENT, length).unwrap();
+        let (mut log, recovery) = open(&copy);
+        assert_eq!(indexes(&recovery, GROUP), [1, 2], "cut at {length}");
+        assert_eq!(recovery.torn_bytes, length - ends[1]);
+        log.append_entry(GROUP, 3, b"again");
+        log.sync().expect("goes on behind the cut");
+        assert_eq!(indexes(&open(&copy).1, GROUP), [1, 2, 3]);
+    }
+}
+
+#[test]
+fn damage_at_every_byte_before_a_whole_frame_stops() {
+    let disk = SimulatedDisk::new();
+    let ends = three_frames(&disk);
+    for offset in 0..ends[1] {
+        let copy = SimulatedDisk::new();
+        copy.roll_back(&disk.backup());
+        assert!(copy.flip(FIRST_SEGMENT, offset));
+        let error = WriteAheadLog::open(copy, settings()).expect_err("stops");
+        let start = if offset < ends[0] { 0 } else { ends[0] };
+        match error {
+            StorageError::Corrupt { file, offset, .. } => {
+                assert_eq!((file.as_str(), offset), (FIRST_SEGMENT, start));
+            }
+            other => panic!("{other}"),
+        }
+    }
+}
+
+#[test]
+fn damage_in_an_older_segment_stops() {
+    let disk = SimulatedDisk::new();
+    let (mut log, _) = open(&disk);
+    for index in 1..=20 {
+        log.append_entry(GROUP, index, &[0; 64]);
+        log.sync().expect("syncs");
+    }
+    let length = disk.length(FIRST_SEGMENT).unwrap().unwrap();
+    disk.truncate(FIRST_SEGMENT, length - 1).unwrap();
+    let error = WriteAheadLog::open(disk, settings()).expect_err("stops");
+    assert!(matches!(error, StorageError::Corrupt { ref file, .. } if file == FIRST_SEGMENT));
+}
+
+#[test]
+fn missing_segment_stops() {
+    let disk = SimulatedDisk::new();
+    let (mut log, _) = open(&disk);
+    for index in 1..=20 {
+        log.append_entry(GROUP, index, &[0; 64]);
+        log.sync().expect("syncs");
+    }
+    disk.remove("log/00000000000000000002.segment").unwrap();
+    let error = WriteAheadLog::open(disk, settings()).expect_err("stops");
+    assert!(matches!(error, StorageError::Corrupt { .. }));
+}
+
+#[test]
+fn overwritten_and_truncated_entries_are_gone() {
+    let disk = SimulatedDisk::new();
+    let (mut log, _) = open(&disk);
+    for index in 1..=5 {
+        log.append_entry(GROUP, index, b"old");
+    }
+    log.sync().unwrap();
+    log.append_entry(GROUP, 3, b"new");
+    log.sync().unwrap();
+    assert_eq!(indexes(&open(&disk).1, GROUP), [1, 2, 3]);
+    log.truncate(GROUP, 2);
+    log.sync().unwrap();
+    assert_eq!(indexes(&open(&disk).1, GROUP), [1]);
+}
+
+#[test]
+fn snapshots_let_old_segments_go() {
+    let disk = SimulatedDisk::new();
+    let (mut log, _) = open(&disk);
+    log.set_hard_state(GROUP, b"vote");
+    for index in 1..=40 {
+        log.append_entry(GROUP, index, &[0; 64]);
+        log.sync().unwrap();
+    }
+    let before = log.size();
+    log.mark_snapshot(GROUP, 38, b"mark");
+    log.sync().unwrap();
+    log.remove_obsolete().unwrap();
+    assert!(log.size() < before / 4, "{} of {before}", log.size());
+    let (_, recovery) = open(&disk);
+    let group = &recovery.groups[&GROUP];
+    assert_eq!(group.hard_state.as_deref(), Some(&b"vote"[..]));
+    assert_eq!(group.snapshot.as_ref().unwrap().index, 38);
+    assert_eq!(indexes(&recovery, GROUP), [39, 40]);
+}
+
+#[test]
+fn a_lagging_group_is_written_again() {
+    let disk = SimulatedDisk::new();
+    let (mut log, _) = open(&disk);
+    log.append_entry(OTHER, 1, b"lone entry");
+    for index in 1..=40 {
+        log.append_entry(GROUP, index, &[0; 64]);
+        log.sync().unwrap();
+    }
+    log.mark_snapshot(GROUP, 40, b"mark");
+    log.sync().unwrap();
+    log.remove_obsolete().unwrap();
+    assert_eq!(log.lagging_group(4), Some(OTHER));
+    log.append_entry(OTHER, 1, b"lone entry");
+    log.sync().unwrap();
+    log.remove_obsolete().unwrap();
+    assert_eq!(log.lagging_group(4), None);
+    assert_eq!(indexes(&open(&disk).1, OTHER), [1]);
+}
+
+#[test]
+fn full_disk_is_carried_by_the_reserve_then_refused_whole() {
+    let disk = SimulatedDisk::new();
+    let (mut log, _) = open(&disk);
+    log.append_entry(GROUP, 1, b"first");
+    log.sync().unwrap();
+    disk.set_full(true);
+    log.append_entry(GROUP, 2, &[0; 100]);
+    log.sync().expect("the reserve carries it");
+    assert!(log.is_low());
+    assert!(!log.restore_reserve().unwrap());
+    log.append_entry(GROUP, 3, &[0; 2_000]);
+    let error = log.sync().expect_err("no room is left");
+    assert!(error.is_full());
+    assert_eq!(indexes(&open(&disk).1, GROUP), [1, 2]);
+    disk.set_full(false);
+    log.sync().expect("waits for room and goes on");
+    assert!(log.restore_reserve().unwrap());
+    assert_eq!(indexes(&open(&disk).1, GROUP), [1, 2, 3]);
+}
+
+#[test]
+fn full_disk_at_every_byte_leaves_a_readable_log() {
+    for free in 0..700 {
+        let disk = SimulatedDisk::new();
+        disk.set_free(free);
+        let (mut log, _) = open(&disk);
+        let mut synced = 0;
+        for index in 1..=6 {
+            log.append_entry(GROUP, index, &[7; 60]);
+            match log.sync() {
+                Ok(_) => synced = index,
+                Err(error) => assert!(error.is_full(), "{error}"),
+            }
+        }
+        disk.crash(free);
+        let read = indexes(&open(&disk).1, GROUP);
+        assert_eq!(read, (1..=synced).collect::<Vec<_>>(), "{free} bytes free");
+    }
+}
+
+#[test]
+fn failed_sync_is_final() {
+    let disk = SimulatedDisk::new();
+    let (mut log, _) = open(&disk);
+    disk.fail_syncs(1);
+    log.append_entry(GROUP, 1, b"body");
+    log.sync().expect_err("the sync fails");
+    let again = log.sync().expect_err("it is not tried again");
+    assert!(matches!(again, StorageError::Poisoned { .. }));
+}
+
+/// A step of the model test.
+#[derive(Clone, Debug)]
+enum Step {
+    Append {
+        group: u32,
+        back: u64,
+        length: usize,
+    },
+    HardState {
+        group: u32,
+        value: u8,
+    },
+    Snapshot {
+        group: u32,
+        back: u64,
+    },
+    Sync,
+    Crash(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..3u32, 0..3u64, 0..90usize)
+            .prop_map(|(group, back, length)| Step::Append { group, back, length }),
+        1 => (0..3u32, any::<u8>()).prop_map(|(group, value)| Step::HardState { group, value }),
+        1 => (0..3u32, 0..3u64).prop_map(|(group, back)| Step::Snapshot { group, back }),
+        3 => Just(Step::Sync),
+        1 => any::<u64>().prop_map(Step::Crash),
+    ]
+}
+
+type Model = std::collections::BTreeMap<GroupId, GroupRecovery>;
+
+fn change(model: &mut Model, log: &mut WriteAheadLog<SimulatedDisk>, step: &Step) {
+    match *step {
+        Step::Append {
+            group,
+            back,
+            length,
+        } => {
+            let group = GroupId(group);
+            let state = model.entry(group).or_default();
+            let covered = state.snapshot.as_ref().map_or(0, |mark| mark.index);
+            let last = covered + state.entries.len() as u64;
+            let index = (last + 1).saturating_sub(back).max(covered + 1);
+            let bytes = vec![index as u8; length];
+            log.append_entry(group, index, &bytes);
+            state.entries.truncate((index - covered - 1) as usize);
+            state
+                .entries
+                .push(molespan_storage::LogEntry { index, bytes });
+        }
+        Step::HardState { group, value } => {
+            log.set_hard_state(GroupId(group), &[value]);
+            model.entry(GroupId(group)).or_default().hard_state = Some(vec![value]);
+        }
+        Step::Snapshot { group, back } => {
+            let Some(state) = model.get_mut(&GroupId(group)) else {
+                return;
+            };
+            let Some(last) = state.entries.last().map(|entry| entry.index) else {
+                return;
+            };
+            let first = state.entries[0].index;
+            let index = last.saturating_sub(back).max(first);
+            log.mark_snapshot(GroupId(group), index, b"mark");
+            state.entries.retain(|entry| entry.index > index);
+            let bytes = b"mark".to_vec();
+            state.snapshot = Some(molespan_storage::SnapshotMark { index, bytes });
+        }
+        Step::Sync | Step::Crash(_) => {}
+    }
+}
+
+#[test]
+fn any_crash_leaves_the_synced_state_or_the_one_under_way() {
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let config = ProptestConfig {
+        cases: 200,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let steps = proptest::collection::vec(step(), 1..80);
+    let mut runner = TestRunner::new_with_rng(config, random);
+    let result = runner.run(&steps, |steps| {
+        let disk = SimulatedDisk::new();
+        let (mut log, _) = open(&disk);
+        let (mut model, mut synced) = (Model::new(), Model::new());
+        for step in &steps {
+            change(&mut model, &mut log, step);
+            match step {
+                Step::Sync => {
+                    log.sync().expect("syncs");
+                    log.remove_obsolete().expect("removes");
+                    synced.clone_from(&model);
+                }
+                Step::Crash(seed) => {
+                    disk.fail_syncs(1);
+                    let _ = log.sync();
+                    disk.crash(*seed);
+                    let recovery;
+                    (log, recovery) = open(&disk);
+                    let known = [&synced, &model].contains(&&recovery.groups);
+                    prop_assert!(known, "{:?}", recovery.groups);
+                    synced = recovery.groups;
+                    model.clone_from(&synced);
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    });
+    result.unwrap();
+}
