Add the replicated log as a pure state machine

Jobs and configuration must survive the loss of any one machine, so each group keeps its commands in a log replicated by Raft. The state machine has no socket, clock or disk: a driver feeds ticks, messages and proposals, and takes work from a Ready. What must be synced before a reply goes out is kept apart from what may be sent while the disk writes.

--- /dev/null
+++ b/crates/consensus/src/entry.rs
@@ -0,0 +1,56 @@
+//! Log entries.
+
+use minicbor::{Decode, Encode};
+
+use crate::{Index, Membership, Term};
+
+/// Bytes that an entry takes beside its command, in memory and in a message.
+const ENTRY_OVERHEAD_BYTES: usize = 32;
+
+/// Bytes that each member of a membership entry takes.
+const MEMBER_BYTES: usize = 10;
+
+/// What an entry carries.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Encode, Decode)]
+pub enum EntryKind {
+    /// Nothing: a leader starts its term with such an entry.
+    #[n(0)]
+    Empty,
+    /// A command of the replicated state machine.
+    #[n(1)]
+    Command(
+        #[n(0)]
+        #[cbor(with = "minicbor::bytes")]
+        Vec<u8>,
+    ),
+    /// The members of the group, in force from the moment of appending.
+    #[n(2)]
+    Membership(#[n(0)] Membership),
+}
+
+/// One entry of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Encode, Decode)]
+pub struct Entry {
+    /// Term of the leader that appended the entry.
+    #[n(0)]
+    pub term: Term,
+    /// Position in the log.
+    #[n(1)]
+    pub index: Index,
+    /// Content.
+    #[n(2)]
+    pub kind: EntryKind,
+}
+
+impl Entry {
+    /// Approximate size in bytes, in memory and in a message.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        let content = match &self.kind {
+            EntryKind::Empty => 0,
+            EntryKind::Command(command) => command.len(),
+            EntryKind::Membership(membership) => membership.members().len() * MEMBER_BYTES,
+        };
+        ENTRY_OVERHEAD_BYTES + content
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/replica/election.rs
@@ -0,0 +1,174 @@
+//! Elections: pre-vote, vote, and the way into and out of leadership.
+
+use std::collections::BTreeSet;
+
+use super::leadership::Leadership;
+use super::{Replica, RoleState};
+use crate::{EntryKind, Index, Message, ReplicaId, Term, VoteRequest, VoteResponse};
+
+impl Replica {
+    /// Stands for election now, as when the election timeout has passed.
+    /// Does nothing on a leader, or on a replica without a vote.
+    pub fn campaign(&mut self) {
+        self.timer.restart();
+        if matches!(self.role, RoleState::Leader(_)) || !self.is_voter() {
+            return;
+        }
+        if self.config.pre_vote {
+            self.start_pre_vote();
+        } else {
+            self.start_election(false);
+        }
+    }
+
+    /// Asks whether an election could succeed, without touching the term.
+    fn start_pre_vote(&mut self) {
+        self.leader = None;
+        self.role = RoleState::PreCandidate {
+            granted: BTreeSet::new(),
+        };
+        let request = self.vote_request(self.term.next(), false);
+        for voter in self.other_voters() {
+            self.send(voter, Message::PreVoteRequest(request.clone()));
+        }
+        self.count_pre_vote(self.config.id);
+    }
+
+    /// Enters a new term and asks for votes.
+    pub(super) fn start_election(&mut self, transfer: bool) {
+        self.timer.restart();
+        self.term = self.term.next();
+        self.vote = Some(self.config.id);
+        self.leader = None;
+        // The own vote is counted once it is synced; see `persisted`.
+        self.role = RoleState::Candidate {
+            granted: BTreeSet::new(),
+        };
+        let request = self.vote_request(self.term, transfer);
+        for voter in self.other_voters() {
+            self.send_after_sync(voter, Message::VoteRequest(request.clone()));
+        }
+    }
+
+    fn vote_request(&self, term: Term, transfer: bool) -> VoteRequest {
+        VoteRequest {
+            term,
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            transfer,
+        }
+    }
+
+    fn other_voters(&self) -> BTreeSet<ReplicaId> {
+        let mut voters = self.log.membership().all_voters();
+        voters.remove(&self.config.id);
+        voters
+    }
+
+    pub(super) fn handle_pre_vote_request(&mut self, from: ReplicaId, request: &VoteRequest) {
+        let granted = request.term > self.term
+            && self
+                .log
+                .is_up_to_date(request.last_index, request.last_term);
+        let response = VoteResponse {
+            term: if granted { request.term } else { self.term },
+            granted,
+        };
+        // The answer promises nothing, but names a term: it waits for the sync.
+        self.send_after_sync(from, Message::PreVoteResponse(response));
+    }
+
+    pub(super) fn handle_pre_vote_response(&mut self, from: ReplicaId, response: &VoteResponse) {
+        if response.granted && response.term == self.term.next() {
+            self.count_pre_vote(from);
+        }
+    }
+
+    fn count_pre_vote(&mut self, from: ReplicaId) {
+        let membership = self.log.membership();
+        let RoleState::PreCandidate { granted } = &mut self.role else {
+            return;
+        };
+        granted.insert(from);
+        if membership.is_quorum(|id| granted.contains(&id)) {
+            self.start_election(false);
+        }
+    }
+
+    pub(super) fn handle_vote_request(&mut self, from: ReplicaId, request: &VoteRequest) {
+        let free = match self.vote {
+            Some(candidate) => candidate == from,
+            None => self.leader.is_none(),
+        };
+        let granted = free
+            && self
+                .log
+                .is_up_to_date(request.last_index, request.last_term);
+        if granted {
+            self.vote = Some(from);
+            self.timer.restart();
+        }
+        let response = VoteResponse {
+            term: self.term,
+            granted,
+        };
+        self.send_after_sync(from, Message::VoteResponse(response));
+    }
+
+    pub(super) fn handle_vote_response(&mut self, from: ReplicaId, response: &VoteResponse) {
+        if response.granted {
+            self.count_vote(from);
+        }
+    }
+
+    pub(super) fn count_vote(&mut self, from: ReplicaId) {
+        let membership = self.log.membership();
+        let RoleState::Candidate { granted } = &mut self.role else {
+            return;
+        };
+        granted.insert(from);
+        // The own vote must be among them even if others suffice, since the
+        // leader's messages rest on its synced term.
+        let own_synced = granted.contains(&self.config.id);
+        if own_synced && membership.is_quorum(|id| granted.contains(&id)) {
+            self.become_leader();
+        }
+    }
+
+    fn become_leader(&mut self) {
+        let first_uncommitted = self.log.commit().next();
+        let last_index = self.log.last_index();
+        let uncommitted_bytes = self.log.bytes_between(first_uncommitted, last_index);
+        let term_start = last_index.next();
+        self.leader = Some(self.config.id);
+        self.role = RoleState::Leader(Box::new(Leadership::new(term_start, uncommitted_bytes)));
+        self.follow_members(term_start);
+        // Entries of earlier terms are committed along with one of this term.
+        self.append(EntryKind::Empty);
+        self.send_heartbeats();
+    }
+
+    /// Brings the followers in line with the membership in force.
+    pub(super) fn follow_members(&mut self, next_index: Index) {
+        let membership = self.log.membership();
+        if let RoleState::Leader(leadership) = &mut self.role {
+            leadership.follow_members(self.config.id, membership, next_index);
+        }
+    }
+
+    /// Follows `leader`, or nobody yet, in `term`.
+    pub(super) fn become_follower(&mut self, term: Term, leader: Option<ReplicaId>) {
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+        }
+        let previous = std::mem::replace(&mut self.role, RoleState::Follower);
+        if let RoleState::Leader(leadership) = previous {
+            self.output
+                .failed_reads
+                .extend(leadership.reads.into_contexts());
+        }
+        self.leader = leader;
+        self.timer.restart();
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/replica/output.rs
@@ -0,0 +1,154 @@
+//! What waits to be handed to the driver, and the order of disk and network.
+
+use molespan_types::mechanism::{Mechanism, enabled};
+
+use super::{Replica, RoleState};
+use crate::{
+    Fault, HardState, Index, Message, Outgoing, ReadReady, Ready, ReplicaId, SnapshotOffer, Term,
+};
+
+/// What waits for the next [`Ready`].
+#[derive(Clone, Debug, Hash)]
+pub(crate) struct Output {
+    /// May go before a sync.
+    messages: Vec<Outgoing>,
+    /// Must wait until the disk holds the state at the time of the message.
+    messages_after_sync: Vec<Outgoing>,
+    pub(crate) reads: Vec<ReadReady>,
+    pub(crate) failed_reads: Vec<u64>,
+    pub(crate) snapshot_offer: Option<SnapshotOffer>,
+    pub(crate) fault: Option<Fault>,
+    /// Term, vote and commit index last handed to the disk.
+    term: Term,
+    vote: Option<ReplicaId>,
+    commit: Index,
+    /// What the disk is writing.
+    writing: Option<Writing>,
+}
+
+/// State that a `Ready` has handed to the disk.
+#[derive(Clone, Debug, Hash)]
+struct Writing {
+    term: Term,
+    vote: Option<ReplicaId>,
+    last_index: Index,
+    last_term: Term,
+}
+
+impl Output {
+    pub(crate) fn new(term: Term, vote: Option<ReplicaId>) -> Self {
+        Self {
+            messages: Vec::new(),
+            messages_after_sync: Vec::new(),
+            reads: Vec::new(),
+            failed_reads: Vec::new(),
+            snapshot_offer: None,
+            fault: None,
+            term,
+            vote,
+            commit: Index::ZERO,
+            writing: None,
+        }
+    }
+
+    pub(crate) fn discard_messages(&mut self) {
+        self.messages.clear();
+        self.messages_after_sync.clear();
+    }
+}
+
+impl Replica {
+    /// Work for the driver, or nothing.
+    ///
+    /// While the disk writes an earlier `Ready`, that is until
+    /// [`Replica::persisted`] is called, a further one holds nothing that has
+    /// to be synced.
+    pub fn ready(&mut self) -> Option<Ready> {
+        self.start_read_round();
+        self.send_appends();
+        let mut ready = Ready::default();
+        if self.output.writing.is_none() && self.fault.is_none() {
+            self.hand_to_disk(&mut ready);
+        }
+        ready.messages.append(&mut self.output.messages);
+        ready.committed = self.log.take_committed(self.config.max_committed_bytes);
+        ready.reads.append(&mut self.output.reads);
+        ready.failed_reads.append(&mut self.output.failed_reads);
+        ready.snapshot_offer = self.output.snapshot_offer.take();
+        ready.fault = self.output.fault.take();
+        if !enabled(Mechanism::SyncBeforeReply) {
+            ready.messages.append(&mut ready.messages_after_sync);
+            self.persisted();
+        }
+        Some(ready).filter(|ready| !ready.is_empty())
+    }
+
+    /// Notes that the last `Ready` that needed a sync is synced.
+    pub fn persisted(&mut self) {
+        let Some(writing) = self.output.writing.take() else {
+            return;
+        };
+        self.log
+            .mark_persisted(writing.last_index, writing.last_term);
+        if writing.term != self.term || self.fault.is_some() {
+            return;
+        }
+        match &self.role {
+            // A candidate's vote for itself counts once it is synced.
+            RoleState::Candidate { .. } if writing.vote == Some(self.config.id) => {
+                self.count_vote(self.config.id);
+            }
+            // So do a leader's own entries.
+            RoleState::Leader(_) => self.advance_commit(),
+            _ => {}
+        }
+    }
+
+    fn hand_to_disk(&mut self, ready: &mut Ready) {
+        ready.entries = self.log.take_unsynced();
+        ready.hard_state = self.take_hard_state(!ready.entries.is_empty());
+        ready
+            .messages_after_sync
+            .append(&mut self.output.messages_after_sync);
+        if ready.needs_sync() {
+            self.output.writing = Some(Writing {
+                term: self.term,
+                vote: self.vote,
+                last_index: self.log.last_index(),
+                last_term: self.log.last_term(),
+            });
+        }
+    }
+
+    /// The hard state, if term or vote changed. The commit index alone is not
+    /// worth a sync; it goes along with other data.
+    fn take_hard_state(&mut self, entries: bool) -> Option<HardState> {
+        let commit = self.log.commit();
+        let changed = (self.term, self.vote) != (self.output.term, self.output.vote);
+        let commit_goes_along = entries && commit != self.output.commit;
+        if !changed && !commit_goes_along {
+            return None;
+        }
+        self.output.term = self.term;
+        self.output.vote = self.vote;
+        self.output.commit = commit;
+        let durable_vote = enabled(Mechanism::DurableVote);
+        Some(HardState {
+            term: self.term,
+            vote: self.vote.filter(|_| durable_vote),
+            commit,
+        })
+    }
+
+    /// Sends a message that rests on nothing unsynced.
+    pub(super) fn send(&mut self, to: ReplicaId, message: Message) {
+        self.output.messages.push(Outgoing { to, message });
+    }
+
+    /// Sends a message once all that came before it is synced.
+    pub(super) fn send_after_sync(&mut self, to: ReplicaId, message: Message) {
+        self.output
+            .messages_after_sync
+            .push(Outgoing { to, message });
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/replica/progress.rs
@@ -0,0 +1,198 @@
+//! A leader's view of one follower.
+
+use std::collections::VecDeque;
+
+use crate::{FollowerState, FollowerStatus, Index};
+
+/// How entries are sent to a follower.
+#[derive(Clone, Debug, Hash)]
+enum State {
+    /// One request at a time; `waiting` while one is out.
+    Probe { waiting: bool },
+    /// Requests ahead of the answers. Holds the last entry of each request that
+    /// is out.
+    Replicate { in_flight: VecDeque<Index> },
+    /// The follower has to fetch a snapshot. Counts the heartbeats it answered
+    /// since the offer.
+    Snapshot { heartbeats: u32 },
+}
+
+/// A leader's view of one follower.
+#[derive(Clone, Debug, Hash)]
+pub(crate) struct Progress {
+    match_index: Index,
+    next_index: Index,
+    state: State,
+    /// Whether a request is due even without entries, to find out about a loss.
+    poke: bool,
+    recently_active: bool,
+    /// The last round of read confirmation that it answered.
+    confirmed_round: u64,
+}
+
+impl Progress {
+    pub(crate) fn new(next_index: Index) -> Self {
+        Self {
+            match_index: Index::ZERO,
+            next_index,
+            state: State::Probe { waiting: false },
+            poke: false,
+            recently_active: false,
+            confirmed_round: 0,
+        }
+    }
+
+    pub(crate) fn match_index(&self) -> Index {
+        self.match_index
+    }
+
+    pub(crate) fn next_index(&self) -> Index {
+        self.next_index
+    }
+
+    pub(crate) fn confirmed_round(&self) -> u64 {
+        self.confirmed_round
+    }
+
+    pub(crate) fn confirm_round(&mut self, round: u64) {
+        self.confirmed_round = self.confirmed_round.max(round);
+    }
+
+    pub(crate) fn note_activity(&mut self) {
+        self.recently_active = true;
+    }
+
+    /// Whether the follower was heard of since the last call.
+    pub(crate) fn take_activity(&mut self) -> bool {
+        std::mem::take(&mut self.recently_active)
+    }
+
+    pub(crate) fn is_replicating(&self) -> bool {
+        matches!(self.state, State::Replicate { .. })
+    }
+
+    /// Whether a request may and should go out.
+    pub(crate) fn wants_append(&self, last_index: Index, max_in_flight: usize) -> bool {
+        let due = self.poke || self.next_index <= last_index;
+        let free = match &self.state {
+            State::Probe { waiting } => !waiting,
+            State::Replicate { in_flight } => in_flight.len() < max_in_flight,
+            State::Snapshot { .. } => false,
+        };
+        due && free
+    }
+
+    /// Notes a request whose last entry is `last`, or one without entries.
+    pub(crate) fn sent(&mut self, last: Option<Index>) {
+        self.poke = false;
+        match (&mut self.state, last) {
+            (State::Probe { waiting }, _) => *waiting = true,
+            (State::Replicate { in_flight }, Some(last)) => {
+                in_flight.push_back(last);
+                self.next_index = last.next();
+            }
+            (State::Replicate { .. } | State::Snapshot { .. }, _) => {}
+        }
+    }
+
+    /// Notes that a snapshot was offered.
+    pub(crate) fn snapshot_offered(&mut self) {
+        self.poke = false;
+        self.state = State::Snapshot { heartbeats: 0 };
+    }
+
+    /// Notes an accepted request. `reachable` says whether the log still holds
+    /// the entries behind `match_index`.
+    pub(crate) fn accepted(&mut self, match_index: Index, reachable: bool) {
+        self.match_index = self.match_index.max(match_index);
+        self.next_index = self.next_index.max(self.match_index.next());
+        match &mut self.state {
+            State::Probe { .. } => self.start_replicating(),
+            State::Replicate { in_flight } => {
+                while in_flight.front().is_some_and(|last| *last <= match_index) {
+                    in_flight.pop_front();
+                }
+            }
+            State::Snapshot { .. } => {
+                if reachable {
+                    self.start_replicating();
+                }
+            }
+        }
+    }
+
+    fn start_replicating(&mut self) {
+        self.next_index = self.match_index.next();
+        self.state = State::Replicate {
+            in_flight: VecDeque::new(),
+        };
+    }
+
+    /// Notes a rejected request; the logs may agree at `agreement`.
+    pub(crate) fn rejected(&mut self, previous_index: Index, agreement: Index) {
+        let stale = match self.state {
+            State::Probe { .. } => previous_index != self.next_index.previous(),
+            State::Replicate { .. } => previous_index <= self.match_index,
+            State::Snapshot { .. } => true,
+        };
+        if stale {
+            return;
+        }
+        let next = agreement.next().min(previous_index);
+        self.next_index = next.max(self.match_index.next());
+        self.state = State::Probe { waiting: false };
+        self.poke = true;
+    }
+
+    /// Notes a heartbeat response. A follower that lacks entries may have
+    /// missed a request, so that one is sent again.
+    pub(crate) fn heartbeat_answered(
+        &mut self,
+        last_index: Index,
+        max_in_flight: usize,
+        snapshot_retry_heartbeats: u32,
+    ) {
+        match &mut self.state {
+            State::Probe { waiting } => *waiting = false,
+            State::Replicate { in_flight } => {
+                if in_flight.len() >= max_in_flight {
+                    in_flight.pop_front();
+                }
+            }
+            State::Snapshot { heartbeats } => {
+                *heartbeats += 1;
+                if *heartbeats >= snapshot_retry_heartbeats {
+                    self.probe();
+                }
+                return;
+            }
+        }
+        self.poke = self.match_index < last_index;
+    }
+
+    /// Goes back to one request at a time.
+    pub(crate) fn probe(&mut self) {
+        self.next_index = self.match_index.next();
+        self.state = State::Probe { waiting: false };
+    }
+
+    /// Notes that the follower cannot be reached.
+    pub(crate) fn unreachable(&mut self) {
+        if self.is_replicating() {
+            self.probe();
+        }
+    }
+
+    pub(crate) fn status(&self) -> FollowerStatus {
+        FollowerStatus {
+            match_index: self.match_index,
+            next_index: self.next_index,
+            state: match self.state {
+                State::Probe { .. } => FollowerState::Probe,
+                State::Replicate { .. } => FollowerState::Replicate,
+                State::Snapshot { .. } => FollowerState::Snapshot,
+            },
+            recently_active: self.recently_active,
+        }
+    }
+}
