--- /dev/null
+++ b/crates/replica/src/settings.rs
@@ -0,0 +1,67 @@
+//! Settings of a replica process.
+
+use std::time::Duration;
+
+use molespan_storage::LogSettings;
+use molespan_types::NodeId;
+
+/// Settings of one replica process.
+#[derive(Clone, Debug)]
+pub struct ReplicaSettings {
+    /// This node.
+    pub node: NodeId,
+    /// Every node that holds a replica, this one included. It must be the same
+    /// list on each of them.
+    pub peers: Vec<NodeId>,
+    /// Job groups beside the control group.
+    pub job_groups: u32,
+    /// How long a lease outlives its last renewal on the leader's clock.
+    pub lease_length: Duration,
+    /// A snapshot of a group is taken after as many applied entries.
+    pub snapshot_every_entries: u64,
+    /// A snapshot of a group is taken after as many bytes of applied commands.
+    pub snapshot_every_bytes: u64,
+    /// Time between two ticks of consensus.
+    pub tick: Duration,
+    /// Ticks without a leader before an election; the actual number is drawn
+    /// from this up to twice as many.
+    pub election_ticks: u32,
+    /// Ticks between two heartbeats of a leader.
+    pub heartbeat_ticks: u32,
+    /// How long the fate of a proposal may stay open before it is reported as
+    /// unknown.
+    pub proposal_timeout: Duration,
+    /// Most proposals of one group whose fate is open.
+    pub max_pending_proposals: usize,
+    /// Bytes of a snapshot that are sent at once.
+    pub chunk_bytes: usize,
+    /// Sizes of the write-ahead log.
+    pub log: LogSettings,
+    /// Seed of everything random. A blank disk draws its identity from it, so
+    /// it must be fresh at each start: from the operating system in a daemon,
+    /// from the run's generator in a simulation.
+    pub seed: u64,
+}
+
+impl ReplicaSettings {
+    /// Settings with the defaults for `node` among `peers`.
+    #[must_use]
+    pub fn new(node: NodeId, peers: Vec<NodeId>, seed: u64) -> Self {
+        Self {
+            node,
+            peers,
+            job_groups: 4,
+            lease_length: Duration::from_secs(10),
+            snapshot_every_entries: 20_000,
+            snapshot_every_bytes: 64 << 20,
+            tick: Duration::from_millis(50),
+            election_ticks: 10,
+            heartbeat_ticks: 2,
+            proposal_timeout: Duration::from_secs(5),
+            max_pending_proposals: 10_000,
+            chunk_bytes: 256 << 10,
+            log: LogSettings::default(),
+            seed,
+        }
+    }
+}
