Build the control and job state machines

Both machines apply committed commands to plain data, without a clock or randomness. The control machine plans and confirms intents, keeps the node registry and issues fenced orders. The job machine takes submissions, leases items fairly between tenants, records results once and keeps claims.

Small additions to the fixed interface: a confirmation whose number lies below those remembered is answered `TooOld`; drain and removal of an unknown node `NodeUnknown`; a settlement by an attempt that does not hold the claim `ClaimNotHeld`; `SetWeight` sets the weight of a tenant's jobs.

--- a/crates/state/src/control/command.rs
+++ b/crates/state/src/control/command.rs
@@ -193,6 +193,14 @@
         #[n(0)]
         problems: Vec<super::query::PlanProblem>,
     },
+    /// The number lies below those that are still remembered. Nothing was run
+    /// now; what became of an earlier sending is no longer known.
+    #[n(4)]
+    TooOld {
+        /// The lowest number that is still taken.
+        #[n(0)]
+        floor: IntentNumber,
+    },
 }
 
 /// Reply to a command of the control group.
@@ -228,4 +236,7 @@
     /// The command's bytes could not be read; nothing changed.
     #[n(5)]
     Malformed,
+    /// No such life of the node is registered; nothing changed.
+    #[n(6)]
+    NodeUnknown,
 }
--- /dev/null
+++ b/crates/state/src/control/confirmations.rs
@@ -0,0 +1,108 @@
+//! The memory of confirmed intents.
+//!
+//! A confirmation takes about 60 bytes. The memory keeps the
+//! [`REMEMBERED_CONFIRMATIONS`] highest numbers; a lower one is refused as too
+//! old and never run, whether it was confirmed once or not. Operators whose
+//! numbers rise, as counters and dates do, notice nothing of it.
+
+use std::collections::BTreeMap;
+
+use minicbor::{Decode, Encode};
+use molespan_types::{ConfigVersion, Digest};
+
+use super::command::{ConfirmIntent, ConfirmReply, IntentNumber};
+
+/// Confirmations remembered: eleven days of 12,000 changes a day.
+pub(crate) const REMEMBERED_CONFIRMATIONS: usize = 131_072;
+
+/// What a confirmed intent is recognised by, and the version it produced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+struct Confirmation {
+    /// Position in the list of operators.
+    #[n(0)]
+    operator: u32,
+    #[n(1)]
+    digest: Digest,
+    #[n(2)]
+    base_version: ConfigVersion,
+    #[n(3)]
+    version: ConfigVersion,
+}
+
+/// Confirmed intents by number.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Confirmations {
+    /// Names of operators, each once.
+    #[n(0)]
+    operators: Vec<String>,
+    #[n(1)]
+    by_number: BTreeMap<IntentNumber, Confirmation>,
+    /// The lowest number that is taken.
+    #[n(2)]
+    floor: IntentNumber,
+}
+
+impl Confirmations {
+    /// The answer to an intent whose number was used or is too old.
+    pub(crate) fn find(&self, intent: &ConfirmIntent, digest: Digest) -> Option<ConfirmReply> {
+        if intent.number < self.floor {
+            return Some(ConfirmReply::TooOld { floor: self.floor });
+        }
+        let first = self.by_number.get(&intent.number)?;
+        let operator = self.operator(first.operator);
+        let resent = operator == intent.operator
+            && first.digest == digest
+            && first.base_version == intent.base_version;
+        if resent {
+            return Some(ConfirmReply::Confirmed {
+                version: first.version,
+            });
+        }
+        Some(ConfirmReply::NumberTaken {
+            winner: operator.to_owned(),
+            version: first.version,
+            digest: first.digest,
+        })
+    }
+
+    /// Remembers that `intent` produced `version`.
+    pub(crate) fn remember(
+        &mut self,
+        intent: &ConfirmIntent,
+        digest: Digest,
+        version: ConfigVersion,
+    ) {
+        let confirmation = Confirmation {
+            operator: self.operator_position(&intent.operator),
+            digest,
+            base_version: intent.base_version,
+            version,
+        };
+        self.by_number.insert(intent.number, confirmation);
+        if self.by_number.len() > REMEMBERED_CONFIRMATIONS {
+            self.by_number.pop_first();
+        }
+        if self.by_number.len() == REMEMBERED_CONFIRMATIONS
+            && let Some((&lowest, _)) = self.by_number.first_key_value()
+        {
+            self.floor = lowest;
+        }
+    }
+
+    /// Name of the operator at `position`.
+    fn operator(&self, position: u32) -> &str {
+        self.operators
+            .get(position as usize)
+            .map_or("", String::as_str)
+    }
+
+    /// Position of an operator's name, which is added if it is new.
+    fn operator_position(&mut self, name: &str) -> u32 {
+        let known = self.operators.iter().position(|operator| operator == name);
+        let position = known.unwrap_or_else(|| {
+            self.operators.push(name.to_owned());
+            self.operators.len() - 1
+        });
+        position as u32
+    }
+}
--- a/crates/state/src/control/mod.rs
+++ b/crates/state/src/control/mod.rs
@@ -2,6 +2,13 @@
 
 mod command;
 mod configuration;
+mod confirmations;
+mod effects;
+mod machine;
+mod nodes;
+mod orders;
+mod plan;
+mod problems;
 mod query;
 
 pub use command::{
@@ -11,6 +18,8 @@
 pub use configuration::{
     Adapter, Change, Configuration, Model, Policy, Service, ServiceKind, TenantLimits,
 };
+pub use machine::ControlMachine;
+pub use plan::{apply_changes, digest_of_changes, plan};
 pub use query::{
     ControlAnswer, ControlQuery, IssuedOrder, Plan, PlanLine, PlanProblem, VersionsInForce,
 };
--- /dev/null
+++ b/crates/state/src/job/active.rs
@@ -0,0 +1,147 @@
+//! A job that is not finished.
+
+use minicbor::{Decode, Encode};
+use molespan_types::mechanism::{Mechanism, enabled};
+
+use super::command::{BeginJob, ItemOutcome};
+use super::items::ItemTable;
+use super::query::{JobPhase, JobStatus};
+use super::range_set::RangeSet;
+use crate::payload::PayloadLocation;
+
+/// Results by outcome.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct OutcomeCounts {
+    #[n(0)]
+    completed: u32,
+    #[n(1)]
+    failed: u32,
+    #[n(2)]
+    unknown: u32,
+}
+
+impl OutcomeCounts {
+    /// Counts one more result.
+    fn add(&mut self, outcome: ItemOutcome) {
+        match outcome {
+            ItemOutcome::Completed => self.completed += 1,
+            ItemOutcome::Failed => self.failed += 1,
+            ItemOutcome::Unknown => self.unknown += 1,
+        }
+    }
+
+    /// Results of every outcome.
+    fn total(self) -> u32 {
+        self.completed + self.failed + self.unknown
+    }
+}
+
+/// A job that is being submitted, running or being cancelled.
+///
+/// Invariant: an item is in `free`, held by exactly one lease, or has a result.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct ActiveJob {
+    /// The submission that opened it.
+    #[n(0)]
+    pub(crate) submission: BeginJob,
+    /// Its number among the jobs of the group, in the order they were begun.
+    #[n(1)]
+    pub(crate) sequence: u64,
+    /// Where it stands.
+    #[n(2)]
+    pub(crate) phase: JobPhase,
+    /// Its items.
+    #[n(3)]
+    pub(crate) items: ItemTable,
+    /// Items that wait for a lease.
+    #[n(4)]
+    pub(crate) free: RangeSet,
+    /// Leases that are out.
+    #[n(5)]
+    pub(crate) leases: u32,
+    /// Items held by those leases.
+    #[n(6)]
+    pub(crate) leased: u32,
+    /// Results so far.
+    #[n(7)]
+    pub(crate) counts: OutcomeCounts,
+}
+
+impl ActiveJob {
+    /// A job that was just opened.
+    pub(crate) fn open(submission: BeginJob, sequence: u64) -> Self {
+        Self {
+            submission,
+            sequence,
+            phase: JobPhase::Submitting,
+            items: ItemTable::default(),
+            free: RangeSet::default(),
+            leases: 0,
+            leased: 0,
+            counts: OutcomeCounts::default(),
+        }
+    }
+
+    /// Whether its items may be handed out.
+    pub(crate) fn leases_items(&self) -> bool {
+        match self.phase {
+            JobPhase::Running => true,
+            JobPhase::Cancelling => !enabled(Mechanism::CancelStopsLeasing),
+            _ => false,
+        }
+    }
+
+    /// Whether a lease would get an item.
+    pub(crate) fn has_work(&self) -> bool {
+        self.leases_items() && !self.free.is_empty()
+    }
+
+    /// Whether all items have arrived.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.items.len() == self.submission.item_count
+    }
+
+    /// Starts running it.
+    pub(crate) fn start(&mut self) {
+        self.phase = JobPhase::Running;
+        self.items.shrink();
+        self.free = RangeSet::up_to(self.items.len());
+    }
+
+    /// Stores the result of an item.
+    pub(crate) fn set_result(&mut self, item: u32, outcome: ItemOutcome, at: PayloadLocation) {
+        self.items.set_result(item, outcome, at);
+        self.counts.add(outcome);
+    }
+
+    /// The phase that it should be finished in, if it should be.
+    pub(crate) fn final_phase(&self) -> Option<JobPhase> {
+        let no_lease_out = self.leases == 0 || !enabled(Mechanism::CancelWaitsForLeases);
+        match self.phase {
+            JobPhase::Running if self.counts.total() >= self.submission.item_count => {
+                Some(JobPhase::Completed)
+            }
+            JobPhase::Cancelling if no_lease_out => Some(JobPhase::Cancelled),
+            _ => None,
+        }
+    }
+
+    /// Its summary.
+    pub(crate) fn status(&self) -> JobStatus {
+        let submission = &self.submission;
+        JobStatus {
+            job: submission.job,
+            tenant: submission.tenant.clone(),
+            key: submission.key.clone(),
+            service: submission.service.clone(),
+            phase: self.phase,
+            item_count: submission.item_count,
+            received: self.items.len(),
+            completed: self.counts.completed,
+            failed: self.counts.failed,
+            unknown: self.counts.unknown,
+            leased: self.leased,
+            deadline_unix_seconds: submission.deadline_unix_seconds,
+        }
+    }
+}
--- a/crates/state/src/job/command.rs
+++ b/crates/state/src/job/command.rs
@@ -221,6 +221,18 @@
     /// Records how a claimed request ended.
     #[n(10)]
     Settle(#[n(0)] SettleClaim),
+    /// Sets the weight of a tenant's jobs against those of others.
+    #[n(11)]
+    #[from(skip)]
+    SetWeight {
+        /// Tenant.
+        #[n(0)]
+        tenant: TenantId,
+        /// Weight; 0 counts as 1, which is also the weight of a tenant that
+        /// has none set.
+        #[n(1)]
+        weight: u32,
+    },
 }
 
 /// An item handed out under a lease.
@@ -324,6 +336,13 @@
     /// The command's bytes could not be read; nothing changed.
     #[n(9)]
     Malformed,
+    /// The settlement is of an attempt that does not hold the claim; nothing
+    /// changed.
+    #[n(10)]
+    ClaimNotHeld,
+    /// The weight is set.
+    #[n(11)]
+    WeightSet,
 }
 
 /// A lease and its items.
--- /dev/null
+++ b/crates/state/src/job/payloads.rs
@@ -0,0 +1,31 @@
+//! Storing payloads, where an empty one takes no room.
+
+use crate::payload::{PayloadError, PayloadLocation, PayloadLog};
+
+/// Where an empty payload lies.
+pub(crate) const NOWHERE: PayloadLocation = PayloadLocation {
+    offset: 0,
+    length: 0,
+};
+
+/// Appends `payload` unless it is empty.
+pub(crate) fn store(
+    payload: &[u8],
+    payloads: &mut dyn PayloadLog,
+) -> Result<PayloadLocation, PayloadError> {
+    if payload.is_empty() {
+        return Ok(NOWHERE);
+    }
+    payloads.append(payload)
+}
+
+/// Reads a payload that [`store`] put somewhere.
+pub(crate) fn read(
+    location: PayloadLocation,
+    payloads: &dyn PayloadLog,
+) -> Result<Vec<u8>, PayloadError> {
+    if location.length == 0 {
+        return Ok(Vec::new());
+    }
+    payloads.read(location)
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -12,8 +12,13 @@
 
 mod codec;
 pub mod control;
+mod error;
 pub mod job;
+mod machine;
 mod payload;
+mod snapshot;
 
 pub use codec::{DecodeError, decode, encode};
+pub use error::StateError;
+pub use machine::Machine;
 pub use payload::{MemoryPayloadLog, PayloadError, PayloadLocation, PayloadLog};
--- /dev/null
+++ b/crates/state/src/machine.rs
@@ -0,0 +1,107 @@
+//! One enum over both machines, as the replica driver uses them.
+
+use molespan_types::GroupId;
+
+use crate::codec::{decode, encode};
+use crate::control::{ControlAnswer, ControlMachine, ControlReply};
+use crate::error::StateError;
+use crate::job::{JobAnswer, JobMachine, JobReply, LeaseRecord};
+use crate::payload::{PayloadError, PayloadLog};
+
+/// The state machine of a group.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Machine {
+    /// Of the control group.
+    Control(ControlMachine),
+    /// Of a job group.
+    Job(JobMachine),
+}
+
+impl Machine {
+    /// The empty machine of `group`.
+    #[must_use]
+    pub fn for_group(group: GroupId) -> Self {
+        if group == GroupId::CONTROL {
+            Self::Control(ControlMachine::new())
+        } else {
+            Self::Job(JobMachine::new())
+        }
+    }
+
+    /// Applies a committed command and gives the encoded reply. Bytes that are
+    /// no command change nothing and are replied to as malformed.
+    ///
+    /// # Errors
+    /// When the payload log fails. The machine and its log may then disagree
+    /// with other replicas: drop both and restore them from a snapshot.
+    pub fn apply_bytes(
+        &mut self,
+        command: &[u8],
+        payloads: &mut dyn PayloadLog,
+    ) -> Result<Vec<u8>, PayloadError> {
+        match self {
+            Self::Control(machine) => {
+                let reply = match decode(command) {
+                    Ok(command) => machine.apply(&command),
+                    Err(_) => ControlReply::Malformed,
+                };
+                Ok(encode(&reply))
+            }
+            Self::Job(machine) => {
+                let reply = match decode(command) {
+                    Ok(command) => machine.apply(&command, payloads)?,
+                    Err(_) => JobReply::Malformed,
+                };
+                Ok(encode(&reply))
+            }
+        }
+    }
+
+    /// Answers an encoded query.
+    #[must_use]
+    pub fn query_bytes(&self, query: &[u8], payloads: &dyn PayloadLog) -> Vec<u8> {
+        match self {
+            Self::Control(machine) => encode(&match decode(query) {
+                Ok(query) => machine.query(&query),
+                Err(_) => ControlAnswer::Malformed,
+            }),
+            Self::Job(machine) => encode(&match decode(query) {
+                Ok(query) => machine.query(&query, payloads),
+                Err(error) => JobAnswer::Failed {
+                    message: error.to_string(),
+                },
+            }),
+        }
+    }
+
+    /// The machine's own bytes. A snapshot is these and the payload log as
+    /// long as it is now.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<u8> {
+        match self {
+            Self::Control(machine) => machine.snapshot(),
+            Self::Job(machine) => machine.snapshot(),
+        }
+    }
+
+    /// Reads a snapshot of the machine of `group`.
+    ///
+    /// # Errors
+    /// When the bytes are damaged or of another format.
+    pub fn restore(group: GroupId, bytes: &[u8]) -> Result<Self, StateError> {
+        if group == GroupId::CONTROL {
+            ControlMachine::restore(bytes).map(Self::Control)
+        } else {
+            JobMachine::restore(bytes).map(Self::Job)
+        }
+    }
+
+    /// Leases that are out; none in the control group.
+    pub fn leases(&self) -> impl Iterator<Item = LeaseRecord> {
+        let job = match self {
+            Self::Control(_) => None,
+            Self::Job(machine) => Some(machine),
+        };
+        job.into_iter().flat_map(JobMachine::leases)
+    }
+}
