Add membership: directory, gateway set, ownership, subset and planned stop

The directory merges the platform list, reports, probes and results of work into one view per back end, by incarnation. The rest are the cores that the gateway drives for batch ownership, engine subsets and planned stops.

--- /dev/null
+++ b/crates/membership/src/directory/health.rs
@@ -0,0 +1,153 @@
+//! Signs of health of one back end: failures in a row, latency, probes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use molespan_types::{BackendId, ServiceName, Timestamp};
+
+use super::DirectorySettings;
+use super::record::{BackendState, Entry};
+
+/// Weight of the newest answer in the smoothed latency.
+const LATENCY_WEIGHT: f64 = 0.1;
+/// Answers needed before a latency may be called an outlier.
+const FEWEST_ANSWERS: u32 = 20;
+/// Back ends of a service needed before its median means anything.
+const FEWEST_PEERS: usize = 3;
+/// Doublings after which the probe delay no longer grows.
+const MOST_DOUBLINGS: u32 = 16;
+/// Time after which an unanswered probe no longer holds back the next.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Signs of health within one incarnation.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Health {
+    /// Failures since the last answer.
+    failures: u32,
+    /// Answers since the last failure.
+    pub(super) successes: u32,
+    /// Ejections that are not forgotten yet.
+    ejections: u32,
+    /// Smoothed time to the first byte, in microseconds.
+    latency_micros: f64,
+    /// Answers that went into it.
+    answers: u32,
+    /// When the next probe is due.
+    next_probe: Timestamp,
+    /// When the outstanding probe was sent.
+    probing_since: Option<Timestamp>,
+    /// Whether this incarnation was ever seen leaving.
+    pub(super) was_leaving: bool,
+}
+
+impl Health {
+    pub(super) fn answered(&mut self, latency: Duration) {
+        self.failures = 0;
+        self.successes = self.successes.saturating_add(1);
+        let micros = latency.as_micros() as f64;
+        if self.answers == 0 {
+            self.latency_micros = micros;
+        }
+        self.latency_micros += LATENCY_WEIGHT * (micros - self.latency_micros);
+        self.answers = self.answers.saturating_add(1);
+    }
+
+    pub(super) fn failed(&mut self) {
+        self.successes = 0;
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// A back end on trial after an ejection is ejected by its next failure,
+    /// which bounds flapping by the growing probe delay.
+    pub(super) fn must_eject(&self, settings: &DirectorySettings) -> bool {
+        let on_trial = self.ejections > 0;
+        on_trial || self.failures >= settings.failures_to_eject
+    }
+
+    /// Schedules the next probe, twice as far away as the one before.
+    pub(super) fn back_off(&mut self, now: Timestamp, settings: &DirectorySettings) {
+        let doublings = self.ejections.min(MOST_DOUBLINGS);
+        let delay = settings.first_probe_delay * (1 << doublings);
+        self.next_probe = now + delay.min(settings.longest_probe_delay);
+        self.ejections = self.ejections.saturating_add(1);
+        self.answers = 0;
+    }
+
+    pub(super) fn forget_ejections(&mut self) {
+        self.ejections = 0;
+    }
+
+    pub(super) fn probe_ended(&mut self) {
+        self.probing_since = None;
+    }
+
+    /// Whether to probe now; notes the probe as sent when it says yes.
+    pub(super) fn probe_due(
+        &mut self,
+        now: Timestamp,
+        state: BackendState,
+        settings: &DirectorySettings,
+    ) -> bool {
+        let wanted = matches!(
+            state,
+            BackendState::Unknown | BackendState::Suspect | BackendState::Ejected
+        );
+        let outstanding = self
+            .probing_since
+            .is_some_and(|since| now.since(since) < PROBE_TIMEOUT);
+        if !wanted || outstanding || now < self.next_probe {
+            return false;
+        }
+        self.probing_since = Some(now);
+        if state != BackendState::Ejected {
+            self.next_probe = now + settings.discovery_interval;
+        }
+        true
+    }
+}
+
+/// Healthy back ends whose latency stands out among their service's, slowest
+/// first, no more than the allowed share of the service.
+pub(super) fn find_outliers(
+    entries: &BTreeMap<BackendId, Entry>,
+    settings: &DirectorySettings,
+) -> Vec<BackendId> {
+    let mut by_service: BTreeMap<&ServiceName, Vec<&Entry>> = BTreeMap::new();
+    for entry in entries.values() {
+        by_service
+            .entry(&entry.backend.service)
+            .or_default()
+            .push(entry);
+    }
+    by_service
+        .into_values()
+        .flat_map(|peers| outliers_of_service(&peers, settings))
+        .collect()
+}
+
+fn outliers_of_service(peers: &[&Entry], settings: &DirectorySettings) -> Vec<BackendId> {
+    let mut measured: Vec<&&Entry> = peers
+        .iter()
+        .filter(|entry| entry.backend.state == BackendState::Healthy)
+        .filter(|entry| entry.health.answers >= FEWEST_ANSWERS)
+        .collect();
+    if measured.len() < FEWEST_PEERS {
+        return Vec::new();
+    }
+    measured.sort_by(|a, b| {
+        let (a, b) = (a.health.latency_micros, b.health.latency_micros);
+        b.total_cmp(&a)
+    });
+    let median = measured[measured.len() / 2].health.latency_micros;
+    let ejected = peers
+        .iter()
+        .filter(|entry| entry.backend.state == BackendState::Ejected)
+        .count();
+    let allowed = (peers.len() as f64 * settings.largest_outlier_share) as usize;
+    measured
+        .into_iter()
+        .take_while(|entry| entry.health.latency_micros > median * settings.outlier_factor)
+        .take(allowed.saturating_sub(ejected))
+        .map(|entry| entry.backend.id)
+        .collect()
+}
--- /dev/null
+++ b/crates/membership/src/gateway_set.rs
@@ -0,0 +1,140 @@
+//! The live gateways, as replicas report them from heartbeats.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use molespan_types::mechanism::{Mechanism, enabled};
+use molespan_types::{BackendId, Incarnation, NodeId, Timestamp, ZoneName};
+
+use crate::rendezvous;
+
+/// Bounds of the gateway set.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySetSettings {
+    /// Silence after which a gateway no longer counts as live.
+    pub live_for: Duration,
+    /// Silence after which its incarnation is forgotten.
+    pub forget_after: Duration,
+}
+
+impl Default for GatewaySetSettings {
+    fn default() -> Self {
+        Self {
+            live_for: Duration::from_secs(3),
+            forget_after: Duration::from_secs(600),
+        }
+    }
+}
+
+/// A gateway as a replica reports it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewayRecord {
+    /// Node.
+    pub node: NodeId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Where it stands.
+    pub zone: ZoneName,
+    /// Whether it is stopping as planned.
+    pub draining: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    record: GatewayRecord,
+    last_seen: Timestamp,
+}
+
+/// The gateways that are alive.
+#[derive(Clone, Debug)]
+pub struct GatewaySet {
+    settings: GatewaySetSettings,
+    members: BTreeMap<NodeId, Member>,
+    /// Non-draining live gateways by zone; rebuilt with every change.
+    by_zone: BTreeMap<ZoneName, Vec<NodeId>>,
+}
+
+impl GatewaySet {
+    /// An empty set.
+    #[must_use]
+    pub fn new(settings: GatewaySetSettings) -> Self {
+        Self {
+            settings,
+            members: BTreeMap::new(),
+            by_zone: BTreeMap::new(),
+        }
+    }
+
+    /// Merges what a replica said just now. Returns whether the set of
+    /// gateways that may own back ends changed.
+    pub fn update(&mut self, now: Timestamp, records: Vec<GatewayRecord>) -> bool {
+        for record in records {
+            self.merge(now, record);
+        }
+        self.expire(now)
+    }
+
+    /// Drops gateways that fell silent. Returns whether the set changed.
+    pub fn expire(&mut self, now: Timestamp) -> bool {
+        let forget_after = self.settings.forget_after;
+        self.members
+            .retain(|_, member| now.since(member.last_seen) < forget_after);
+        let mut by_zone: BTreeMap<ZoneName, Vec<NodeId>> = BTreeMap::new();
+        for member in self.members.values() {
+            let silent = now.since(member.last_seen) >= self.settings.live_for;
+            if silent || member.record.draining {
+                continue;
+            }
+            by_zone
+                .entry(member.record.zone.clone())
+                .or_default()
+                .push(member.record.node);
+        }
+        let changed = by_zone != self.by_zone;
+        self.by_zone = by_zone;
+        changed
+    }
+
+    fn merge(&mut self, now: Timestamp, mut record: GatewayRecord) {
+        if let Some(known) = self.members.get(&record.node) {
+            let known = &known.record;
+            let older = record.incarnation < known.incarnation;
+            if older && enabled(Mechanism::IncarnationOrder) {
+                return;
+            }
+            // Replicas lag differently, so a planned stop must not be undone
+            // by one that has not heard of it.
+            if record.incarnation == known.incarnation && enabled(Mechanism::StickyLeaving) {
+                record.draining |= known.draining;
+            }
+        }
+        let node = record.node;
+        let last_seen = now;
+        self.members.insert(node, Member { record, last_seen });
+    }
+
+    /// Live gateways that are not draining, by zone.
+    #[must_use]
+    pub fn by_zone(&self) -> &BTreeMap<ZoneName, Vec<NodeId>> {
+        &self.by_zone
+    }
+
+    /// Every live gateway that is not draining.
+    pub fn nodes(&self) -> impl Iterator<Item = NodeId> + '_ {
+        self.by_zone.values().flatten().copied()
+    }
+
+    /// What is known of a gateway, live or not.
+    #[must_use]
+    pub fn record(&self, node: NodeId) -> Option<&GatewayRecord> {
+        self.members.get(&node).map(|member| &member.record)
+    }
+
+    /// The gateway that should own the batch work of `backend`: the highest
+    /// weight among those of its zone, or of all when its zone has none.
+    #[must_use]
+    pub fn owner_of(&self, backend: BackendId, zone: &ZoneName) -> Option<NodeId> {
+        let in_zone = self.by_zone.get(zone).into_iter().flatten().copied();
+        rendezvous::highest(in_zone, backend).or_else(|| rendezvous::highest(self.nodes(), backend))
+    }
+}
--- /dev/null
+++ b/crates/membership/src/subset.rs
@@ -0,0 +1,106 @@
+//! Which engines one gateway routes to.
+//!
+//! Each gateway takes the engines with its highest rendezvous weights, most of
+//! them in its own zone and a share elsewhere to spill to. On top, it takes the
+//! engines of its zone for which it is among the few highest gateways, so that
+//! none is left with too few gateways by chance.
+
+use molespan_types::{BackendId, NodeId, ZoneName};
+
+use crate::GatewaySet;
+use crate::rendezvous::weight;
+
+/// Size of a subset.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SubsetSettings {
+    /// Engines that a gateway takes by its own weights.
+    pub size: usize,
+    /// Of these, how many stand in other zones.
+    pub spill: usize,
+    /// Fewest gateways of its zone that each engine gets.
+    pub cover: usize,
+}
+
+impl Default for SubsetSettings {
+    fn default() -> Self {
+        Self {
+            size: 64,
+            spill: 12,
+            cover: 3,
+        }
+    }
+}
+
+/// A back end as far as the subset is concerned.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SubsetBackend {
+    /// Back end.
+    pub id: BackendId,
+    /// Where it stands.
+    pub zone: ZoneName,
+}
+
+/// The back ends, of one service, that `node` in `zone` routes to; sorted.
+#[must_use]
+pub fn subset(
+    node: NodeId,
+    zone: &ZoneName,
+    gateways: &GatewaySet,
+    backends: &[SubsetBackend],
+    settings: &SubsetSettings,
+) -> Vec<BackendId> {
+    if backends.len() <= settings.size {
+        return sorted(backends.iter().map(|backend| backend.id).collect());
+    }
+    let (near, far): (Vec<BackendId>, Vec<BackendId>) = split_by_zone(backends, zone);
+    let spill = settings.spill.min(far.len());
+    let near_count = (settings.size - spill).min(near.len());
+    let far_count = settings.size - near_count;
+    let mut chosen = highest_weights(node, &near, near_count);
+    chosen.extend(highest_weights(node, &far, far_count));
+    chosen.extend(covered_by(node, zone, gateways, &near, settings.cover));
+    sorted(chosen)
+}
+
+fn sorted(mut chosen: Vec<BackendId>) -> Vec<BackendId> {
+    chosen.sort_unstable();
+    chosen.dedup();
+    chosen
+}
+
+fn split_by_zone(backends: &[SubsetBackend], zone: &ZoneName) -> (Vec<BackendId>, Vec<BackendId>) {
+    let (near, far): (Vec<&SubsetBackend>, Vec<&SubsetBackend>) =
+        backends.iter().partition(|backend| backend.zone == *zone);
+    let ids = |side: Vec<&SubsetBackend>| side.into_iter().map(|backend| backend.id).collect();
+    (ids(near), ids(far))
+}
+
+fn highest_weights(node: NodeId, backends: &[BackendId], count: usize) -> Vec<BackendId> {
+    let mut weighted: Vec<(u64, BackendId)> = backends
+        .iter()
+        .map(|backend| (weight(node, *backend), *backend))
+        .collect();
+    weighted.sort_unstable_by(|a, b| b.cmp(a));
+    weighted.truncate(count);
+    weighted.into_iter().map(|(_, backend)| backend).collect()
+}
+
+/// Back ends for which fewer than `cover` gateways of the zone outrank `node`.
+fn covered_by<'a>(
+    node: NodeId,
+    zone: &ZoneName,
+    gateways: &'a GatewaySet,
+    near: &'a [BackendId],
+    cover: usize,
+) -> impl Iterator<Item = BackendId> + 'a {
+    let peers: &[NodeId] = gateways.by_zone().get(zone).map_or(&[], Vec::as_slice);
+    near.iter().copied().filter(move |backend| {
+        let own = weight(node, *backend);
+        let outranking = peers
+            .iter()
+            .filter(|peer| **peer != node && weight(**peer, *backend) > own)
+            .take(cover)
+            .count();
+        outranking < cover
+    })
+}
