Add admission and engine choice

Admission refuses at once whatever cannot get its turn in time, and queues the rest fairly between tenants. Engine choice goes by zone, prefix affinity bounded by load, then the better of two, on reports corrected by own requests.

--- /dev/null
+++ b/crates/routing/src/admission/mod.rs
@@ -0,0 +1,324 @@
+//! Whether an online request may go on now, waits in a bounded queue, or is
+//! refused at once.
+//!
+//! A refusal is final and means that the request did not run. It is given as
+//! soon as it is foreseeable: a request whose turn cannot come before its
+//! deadline is refused on arrival, or as soon as the queue slows down, and is
+//! never held until the deadline.
+
+mod bucket;
+mod queue;
+mod refusal;
+mod service;
+mod tenant;
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use molespan_types::{ServiceName, TenantId, Timestamp};
+
+pub use refusal::{Refusal, RefusalCode};
+pub use service::ServiceLimits;
+pub use tenant::TenantPolicy;
+
+use service::{Service, Waiting};
+use tenant::Tenant;
+
+/// Bounds of admission.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdmissionSettings {
+    /// Policy of a tenant that has none of its own.
+    pub default_policy: TenantPolicy,
+    /// Service time that is assumed before the first completion.
+    pub assumed_service_time: Duration,
+    /// Shortest Retry-After.
+    pub shortest_retry_after: Duration,
+    /// Longest Retry-After.
+    pub longest_retry_after: Duration,
+    /// Time between sweeps for idle tenants.
+    pub sweep_interval: Duration,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self {
+            default_policy: TenantPolicy::default(),
+            assumed_service_time: Duration::from_millis(500),
+            shortest_retry_after: Duration::from_millis(50),
+            longest_retry_after: Duration::from_secs(60),
+            sweep_interval: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Names a request that is admitted or queued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// What happens to a request on arrival.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// It may go on; release the ticket when it has ended.
+    Admitted(Ticket),
+    /// It waits; an [`AdmissionOutput`] tells how that ends.
+    Queued {
+        /// The request.
+        ticket: Ticket,
+        /// Requests of the service that wait, with this one.
+        queue_length: usize,
+        /// How long its turn is expected to take.
+        expected_wait: Duration,
+    },
+    /// It is refused for good and did not run.
+    Refused(Refusal),
+}
+
+/// How the wait of a queued request ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AdmissionOutput {
+    /// Its turn came; release the ticket when it has ended.
+    Admitted(Ticket),
+    /// It is refused for good and did not run.
+    Refused(Ticket, Refusal),
+}
+
+/// Who holds an admitted ticket.
+#[derive(Clone, Debug)]
+struct Permit {
+    tenant: TenantId,
+    service: ServiceName,
+    admitted: Timestamp,
+}
+
+/// The admission of one gateway.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    settings: AdmissionSettings,
+    policies: BTreeMap<TenantId, TenantPolicy>,
+    tenants: HashMap<TenantId, Tenant>,
+    services: BTreeMap<ServiceName, Service>,
+    permits: HashMap<Ticket, Permit>,
+    last_ticket: u64,
+    last_sweep: Timestamp,
+}
+
+impl Admission {
+    /// Knows no service yet.
+    #[must_use]
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            settings,
+            policies: BTreeMap::new(),
+            tenants: HashMap::new(),
+            services: BTreeMap::new(),
+            permits: HashMap::new(),
+            last_ticket: 0,
+            last_sweep: Timestamp::ZERO,
+        }
+    }
+
+    /// Puts services and tenant policies in force. Requests that wait for a
+    /// service that is no longer there are refused.
+    pub fn configure(
+        &mut self,
+        now: Timestamp,
+        services: BTreeMap<ServiceName, ServiceLimits>,
+        policies: BTreeMap<TenantId, TenantPolicy>,
+    ) -> Vec<AdmissionOutput> {
+        self.policies = policies;
+        for (tenant, state) in &mut self.tenants {
+            let policy = self.policies.get(tenant);
+            state.set_policy(now, policy.unwrap_or(&self.settings.default_policy));
+        }
+        let mut outputs = Vec::new();
+        self.services.retain(|name, service| {
+            let kept = services.contains_key(name);
+            if !kept {
+                outputs.extend(service.refuse_all(RefusalCode::UnknownService));
+            }
+            kept
+        });
+        let assumed = self.settings.assumed_service_time;
+        for (name, limits) in services {
+            self.services
+                .entry(name)
+                .or_insert_with(|| Service::new(limits.clone(), assumed))
+                .set_limits(limits);
+        }
+        self.note_queue_exits(&outputs);
+        outputs
+    }
+
+    /// Sets how many requests of `service` its engines can take from this
+    /// gateway, as learnt by [`crate::pick`]; the lower of this and the
+    /// configured limit counts.
+    pub fn set_capacity(&mut self, service: &ServiceName, capacity: u32) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.set_capacity(capacity);
+        }
+    }
+
+    /// Decides about a new request.
+    pub fn offer(
+        &mut self,
+        now: Timestamp,
+        tenant: &TenantId,
+        service_name: &ServiceName,
+    ) -> Decision {
+        let Some(service) = self.services.get_mut(service_name) else {
+            return Decision::Refused(Refusal::permanent(RefusalCode::UnknownService));
+        };
+        let policy = self.policies.get(tenant);
+        let policy = policy.unwrap_or(&self.settings.default_policy);
+        let state = self
+            .tenants
+            .entry(tenant.clone())
+            .or_insert_with(|| Tenant::new(now, policy));
+        if let Err(refusal) = service.has_room_for(now, tenant) {
+            return Decision::Refused(refusal.bounded(&self.settings));
+        }
+        if let Err(refusal) = state.take(now, service.mean_service_time()) {
+            return Decision::Refused(refusal.bounded(&self.settings));
+        }
+        let ticket = Ticket(self.last_ticket + 1);
+        self.last_ticket = ticket.0;
+        if service.can_start() {
+            service.start();
+            self.permits.insert(
+                ticket,
+                Permit {
+                    tenant: tenant.clone(),
+                    service: service_name.clone(),
+                    admitted: now,
+                },
+            );
+            return Decision::Admitted(ticket);
+        }
+        let weight = state.weight();
+        service.enqueue(now, ticket, tenant, weight)
+    }
+
+    /// An admitted request ended. `ran` is false when it never reached a back
+    /// end, so that its time says nothing about the service.
+    pub fn release(&mut self, now: Timestamp, ticket: Ticket, ran: bool) -> Vec<AdmissionOutput> {
+        let Some(permit) = self.permits.remove(&ticket) else {
+            return Vec::new();
+        };
+        if let Some(tenant) = self.tenants.get_mut(&permit.tenant) {
+            tenant.release();
+        }
+        let Some(service) = self.services.get_mut(&permit.service) else {
+            return Vec::new();
+        };
+        let took = ran.then(|| now.since(permit.admitted));
+        service.finish(took);
+        self.start_waiting(now, &permit.service)
+    }
+
+    /// The caller of a queued request went away.
+    pub fn abandon(&mut self, ticket: Ticket) {
+        for service in self.services.values_mut() {
+            if let Some(waiting) = service.remove(ticket) {
+                if let Some(tenant) = self.tenants.get_mut(&waiting.tenant) {
+                    tenant.release();
+                }
+                return;
+            }
+        }
+    }
+
+    /// Starts requests for which room appeared, refuses those whose turn no
+    /// longer comes in time, and drops idle tenants. Send one every few
+    /// milliseconds while anything waits.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<AdmissionOutput> {
+        let names: Vec<ServiceName> = self.services.keys().cloned().collect();
+        let mut outputs = Vec::new();
+        for name in names {
+            outputs.extend(self.start_waiting(now, &name));
+        }
+        if now.since(self.last_sweep) >= self.settings.sweep_interval {
+            self.last_sweep = now;
+            // A full bucket is the same as none, so an idle tenant is nothing
+            // but memory.
+            self.tenants.retain(|_, tenant| !tenant.is_idle(now));
+        }
+        outputs
+    }
+
+    /// Refuses everything that waits, for a node that turned unready.
+    pub fn refuse_waiting(&mut self, code: RefusalCode) -> Vec<AdmissionOutput> {
+        let mut outputs = Vec::new();
+        for service in self.services.values_mut() {
+            outputs.extend(service.refuse_all(code));
+        }
+        self.note_queue_exits(&outputs);
+        outputs
+    }
+
+    /// Requests admitted and not ended.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.permits.len()
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.services.values().map(Service::queue_length).sum()
+    }
+
+    /// Tenants that take memory now.
+    #[must_use]
+    pub fn tracked_tenants(&self) -> usize {
+        self.tenants.len()
+    }
+
+    fn start_waiting(&mut self, now: Timestamp, name: &ServiceName) -> Vec<AdmissionOutput> {
+        let Some(service) = self.services.get_mut(name) else {
+            return Vec::new();
+        };
+        let mut outputs = Vec::new();
+        for (waiting, refusal) in service.refuse_hopeless(now) {
+            if let Some(tenant) = self.tenants.get_mut(&waiting.tenant) {
+                tenant.release();
+            }
+            let refusal = refusal.bounded(&self.settings);
+            outputs.push(AdmissionOutput::Refused(waiting.ticket, refusal));
+        }
+        while let Some(waiting) = service.start_next() {
+            outputs.push(AdmissionOutput::Admitted(waiting.ticket));
+            self.permits
+                .insert(waiting.ticket, permit_of(now, name, waiting));
+        }
+        outputs
+    }
+
+    /// Tells tenants about requests that left a queue by refusal.
+    fn note_queue_exits(&mut self, outputs: &[AdmissionOutput]) {
+        // The queues hold the tenant; after a bulk refusal the counts are
+        // rebuilt, which is rare and exact.
+        if outputs.is_empty() {
+            return;
+        }
+        let mut held: HashMap<&TenantId, u32> = HashMap::new();
+        for permit in self.permits.values() {
+            *held.entry(&permit.tenant).or_default() += 1;
+        }
+        for service in self.services.values() {
+            for tenant in service.waiting_tenants() {
+                *held.entry(tenant).or_default() += 1;
+            }
+        }
+        for (tenant, state) in &mut self.tenants {
+            state.set_in_flight(held.get(tenant).copied().unwrap_or(0));
+        }
+    }
+}
+
+fn permit_of(now: Timestamp, service: &ServiceName, waiting: Waiting) -> Permit {
+    Permit {
+        tenant: waiting.tenant,
+        service: service.clone(),
+        admitted: now,
+    }
+}
--- /dev/null
+++ b/crates/routing/src/admission/queue.rs
@@ -0,0 +1,117 @@
+//! A queue that serves tenants by deficit round robin.
+//!
+//! Every request costs one unit. A tenant whose turn it is gets its weight in
+//! units and keeps its turn until they are used up or it has nothing waiting.
+
+use std::collections::{HashMap, VecDeque};
+
+use molespan_types::TenantId;
+
+use super::service::Waiting;
+
+#[derive(Clone, Debug)]
+struct Lane {
+    waiting: VecDeque<Waiting>,
+    weight: u32,
+    credit: u32,
+}
+
+/// Waiting requests by tenant.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FairQueue {
+    lanes: HashMap<TenantId, Lane>,
+    /// Tenants with something waiting; the front one has its turn.
+    turns: VecDeque<TenantId>,
+    length: usize,
+}
+
+impl FairQueue {
+    pub(super) fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Requests that are expected to be served before a new one of `tenant`:
+    /// for each of its own that wait, one of every other waiting tenant. That
+    /// is exact for equal weights and full lanes, and never above the length.
+    pub(super) fn ahead_of_new(&self, tenant: &TenantId) -> usize {
+        let own = self.lanes.get(tenant).map_or(0, |lane| lane.waiting.len());
+        self.ahead(own)
+    }
+
+    fn ahead(&self, own_ahead: usize) -> usize {
+        let tenants = self.turns.len().max(1);
+        (own_ahead + 1).saturating_mul(tenants).min(self.length)
+    }
+
+    pub(super) fn push(&mut self, waiting: Waiting, weight: u32) {
+        let tenant = waiting.tenant.clone();
+        let lane = self.lanes.entry(tenant.clone()).or_insert_with(|| {
+            self.turns.push_back(tenant);
+            Lane {
+                waiting: VecDeque::new(),
+                weight,
+                credit: 0,
+            }
+        });
+        lane.weight = weight;
+        lane.waiting.push_back(waiting);
+        self.length += 1;
+    }
+
+    pub(super) fn pop(&mut self) -> Option<Waiting> {
+        let tenant = self.turns.front()?.clone();
+        let lane = self.lanes.get_mut(&tenant)?;
+        if lane.credit == 0 {
+            lane.credit = lane.weight;
+        }
+        lane.credit -= 1;
+        let turn_over = lane.credit == 0;
+        let next = lane.waiting.pop_front()?;
+        self.length -= 1;
+        if lane.waiting.is_empty() {
+            self.lanes.remove(&tenant);
+            self.turns.pop_front();
+        } else if turn_over {
+            self.turns.rotate_left(1);
+        }
+        Some(next)
+    }
+
+    /// Removes the requests for which `hopeless` holds, given how many are
+    /// expected to be served before each.
+    pub(super) fn remove_where(
+        &mut self,
+        mut hopeless: impl FnMut(&Waiting, usize) -> bool,
+    ) -> Vec<Waiting> {
+        let mut removed = Vec::new();
+        let (tenants, length) = (self.turns.len().max(1), self.length);
+        for lane in self.lanes.values_mut() {
+            let mut kept = VecDeque::with_capacity(lane.waiting.len());
+            for waiting in lane.waiting.drain(..) {
+                // Only what stays ahead of it counts.
+                let ahead = (kept.len() * tenants).min(length);
+                if hopeless(&waiting, ahead) {
+                    removed.push(waiting);
+                } else {
+                    kept.push_back(waiting);
+                }
+            }
+            lane.waiting = kept;
+        }
+        self.length -= removed.len();
+        self.drop_empty_lanes();
+        // The map's order is not fixed; callers must see the same each run.
+        removed.sort_by_key(|waiting| waiting.ticket);
+        removed
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        self.lanes.values().flat_map(|lane| lane.waiting.iter())
+    }
+
+    fn drop_empty_lanes(&mut self) {
+        self.lanes.retain(|_, lane| !lane.waiting.is_empty());
+        let lanes = &self.lanes;
+        self.turns.retain(|tenant| lanes.contains_key(tenant));
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,8 @@
 //! Admission, limits, queueing, engine choice, retries, batch ownership and preemption.
+//!
+//! Every part is a pure core: callers pass the time in and carry the outputs
+//! out. Random choices come from a generator seeded by the caller.
+
+pub mod admission;
+
+pub mod pick;
--- /dev/null
+++ b/crates/routing/src/pick/engine_load.rs
@@ -0,0 +1,178 @@
+//! Load of one engine: its report, corrected by own requests since.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use molespan_engine_api::LoadReport;
+use molespan_types::{BackendId, Incarnation, Timestamp};
+
+use super::limit::{AdaptiveLimit, LimitSettings};
+use super::{Candidate, Finish};
+
+/// Own requests whose end is remembered until a report covers it.
+const MOST_REMEMBERED_ENDS: usize = 1_024;
+
+/// The load of an engine as it was at `observed`, on this node's clock.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LoadSample {
+    /// Engine.
+    pub backend: BackendId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Rises with every report.
+    pub sequence: u64,
+    /// When it was so: arrival less the report's age and half the round trip.
+    pub observed: Timestamp,
+    /// Online requests running and waiting.
+    pub online: u32,
+    /// Of these, how many wait.
+    pub online_waiting: u32,
+    /// Batch requests running and waiting.
+    pub batch: u32,
+    /// Of these, how many run.
+    pub batch_running: u32,
+    /// Most requests in the running batch; 0 when the source does not say.
+    pub max_running: u32,
+    /// Share of KV memory in use, 0.0 to 1.0.
+    pub kv_used: f64,
+    /// Mean duration of the latest steps.
+    pub step: Duration,
+}
+
+impl LoadSample {
+    /// A sample from a direct report that was observed at `observed`.
+    #[must_use]
+    pub fn from_report(report: &LoadReport, observed: Timestamp) -> Self {
+        Self {
+            backend: report.backend,
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            observed,
+            online: report.online_running + report.online_waiting,
+            online_waiting: report.online_waiting,
+            batch: report.batch_running + report.batch_waiting,
+            batch_running: report.batch_running,
+            max_running: report.max_running,
+            kv_used: report.kv_used,
+            step: Duration::from_micros(u64::from(report.step_micros)),
+        }
+    }
+}
+
+/// What is known of one engine.
+#[derive(Clone, Debug)]
+pub(super) struct EngineLoad {
+    candidate: Candidate,
+    report: Option<LoadSample>,
+    /// When own requests in flight were started, oldest first.
+    in_flight: VecDeque<Timestamp>,
+    /// Start and end of own requests that a report may still count.
+    ended: VecDeque<(Timestamp, Timestamp)>,
+    limit: AdaptiveLimit,
+}
+
+impl EngineLoad {
+    pub(super) fn new(limit: &LimitSettings) -> Self {
+        Self {
+            candidate: Candidate {
+                backend: BackendId::default(),
+                incarnation: Incarnation::default(),
+                zone: Default::default(),
+                suspect: false,
+            },
+            report: None,
+            in_flight: VecDeque::new(),
+            ended: VecDeque::new(),
+            limit: AdaptiveLimit::new(limit),
+        }
+    }
+
+    pub(super) fn set_candidate(&mut self, candidate: Candidate) {
+        self.candidate = candidate;
+    }
+
+    pub(super) fn candidate(&self) -> &Candidate {
+        &self.candidate
+    }
+
+    pub(super) fn incarnation(&self) -> Incarnation {
+        self.candidate.incarnation
+    }
+
+    pub(super) fn own_in_flight(&self) -> u32 {
+        self.in_flight.len() as u32
+    }
+
+    pub(super) fn limit(&self) -> u32 {
+        self.limit.current()
+    }
+
+    /// Online requests in the last report; 0 without one.
+    pub(super) fn reported(&self) -> u32 {
+        self.report.as_ref().map_or(0, |report| report.online)
+    }
+
+    /// Takes a report unless an equal or later one is known.
+    pub(super) fn observe(&mut self, sample: LoadSample, settings: &LimitSettings) {
+        if sample.incarnation != self.candidate.incarnation {
+            return;
+        }
+        let newer = self
+            .report
+            .as_ref()
+            .is_none_or(|known| sample.sequence > known.sequence);
+        if !newer {
+            return;
+        }
+        self.limit.observe_report(&sample, settings);
+        let observed = sample.observed;
+        self.ended.retain(|(_, ended)| *ended > observed);
+        self.report = Some(sample);
+    }
+
+    pub(super) fn started(&mut self, now: Timestamp) {
+        self.in_flight.push_back(now);
+    }
+
+    pub(super) fn finished(
+        &mut self,
+        now: Timestamp,
+        started: Timestamp,
+        finish: Finish,
+        settings: &LimitSettings,
+    ) {
+        let position = self.in_flight.iter().position(|at| *at == started);
+        let Some(position) = position else {
+            return;
+        };
+        self.in_flight.remove(position);
+        if self.ended.len() == MOST_REMEMBERED_ENDS {
+            self.ended.pop_front();
+        }
+        self.ended.push_back((started, now));
+        self.limit.observe_finish(now, finish, settings);
+    }
+
+    /// Online requests there: the report, plus own ones started since it was
+    /// observed, minus own ones that it counted and that have ended since. A
+    /// report that is too old is replaced by the own requests alone.
+    pub(super) fn load(&self, now: Timestamp, valid_for: Duration) -> f64 {
+        let own = self.in_flight.len() as f64;
+        let Some(report) = &self.report else {
+            return own;
+        };
+        if now.since(report.observed) > valid_for {
+            return own;
+        }
+        let observed = report.observed;
+        let started_since = self.in_flight.iter().rev();
+        let started_since = started_since.take_while(|at| **at > observed).count();
+        let ended_since = self
+            .ended
+            .iter()
+            .filter(|(started, ended)| *started <= observed && *ended > observed)
+            .count();
+        let estimate = f64::from(report.online) + started_since as f64 - ended_since as f64;
+        estimate.max(own)
+    }
+}
--- /dev/null
+++ b/crates/routing/src/pick/mod.rs
@@ -0,0 +1,260 @@
+//! Which engine gets an online request.
+//!
+//! The order of the rules is: engines of the own zone, unless that zone is
+//! loaded and others are not; among these the one that holds the longest part
+//! of the prompt in its cache, as long as its load stays near the least; else
+//! the less loaded of two drawn at random.
+//!
+//! Load is what the engine last reported, corrected by what this gateway
+//! started and finished there since: reports lag, own requests are known.
+
+mod engine_load;
+mod limit;
+mod policy;
+mod prefix;
+mod reason;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use molespan_engine_api::CacheEventPage;
+use molespan_types::{BackendId, Incarnation, Timestamp, ZoneName};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+pub use engine_load::LoadSample;
+pub use limit::LimitSettings;
+pub use policy::PickPolicy;
+pub use prefix::PrefixSettings;
+pub use reason::{Considered, Pick, PickError, PickReason, PickRule};
+
+use engine_load::EngineLoad;
+use prefix::PrefixIndex;
+
+/// Bounds of engine choice.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PickSettings {
+    /// How engines are chosen.
+    pub policy: PickPolicy,
+    /// Load per unit of limit in the own zone from which others are used too.
+    pub spill_at: f64,
+    /// By how much a remote engine's load per limit must be lower to be used.
+    pub spill_margin: f64,
+    /// An engine with the prompt's prefix is taken if its load is at most the
+    /// least load times this factor, plus the slack.
+    pub affinity_factor: f64,
+    /// Slack of that rule, in requests.
+    pub affinity_slack: f64,
+    /// Age after which a load report no longer counts.
+    pub report_valid_for: Duration,
+    /// Adaptive concurrency limit of each engine.
+    pub limit: LimitSettings,
+    /// Bounds of the prefix index.
+    pub prefix: PrefixSettings,
+}
+
+impl Default for PickSettings {
+    fn default() -> Self {
+        Self {
+            policy: PickPolicy::Affinity,
+            spill_at: 0.75,
+            spill_margin: 0.25,
+            affinity_factor: 1.25,
+            affinity_slack: 2.0,
+            report_valid_for: Duration::from_secs(2),
+            limit: LimitSettings::default(),
+            prefix: PrefixSettings::default(),
+        }
+    }
+}
+
+/// An engine that may be chosen, as the directory has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Back end.
+    pub backend: BackendId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Where it stands.
+    pub zone: ZoneName,
+    /// Whether it is in doubt; used only when no other engine may be.
+    pub suspect: bool,
+}
+
+/// What is known of the request to place.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PickRequest<'a> {
+    /// Hashes of the prompt's prefixes, shortest first, as engines hash them.
+    pub prefix_hashes: &'a [u64],
+    /// Engines that must not be chosen, since they failed this request.
+    pub exclude: &'a [BackendId],
+}
+
+/// How a request that was placed ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finish {
+    /// It answered, with this time to the first byte.
+    Answered {
+        /// Time from sending to the first byte.
+        first_byte: Duration,
+    },
+    /// The engine refused it for its load.
+    Overloaded,
+    /// It ended otherwise; nothing is learnt of the engine's load.
+    Other,
+}
+
+/// Chooses engines of one service for one gateway.
+#[derive(Clone, Debug)]
+pub struct Picker {
+    settings: PickSettings,
+    zone: ZoneName,
+    engines: BTreeMap<BackendId, EngineLoad>,
+    prefixes: PrefixIndex,
+    rng: ChaCha8Rng,
+    turn: usize,
+}
+
+impl Picker {
+    /// A picker for a gateway in `zone`. The seed decides every random choice.
+    #[must_use]
+    pub fn new(zone: ZoneName, settings: PickSettings, seed: u64) -> Self {
+        let prefixes = PrefixIndex::new(settings.prefix.clone());
+        Self {
+            settings,
+            zone,
+            engines: BTreeMap::new(),
+            prefixes,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            turn: 0,
+        }
+    }
+
+    /// Replaces the engines that may be chosen. What is known of those that
+    /// stay is kept; a new life starts with nothing known.
+    pub fn set_engines(&mut self, candidates: Vec<Candidate>) {
+        let mut engines = BTreeMap::new();
+        for candidate in candidates {
+            let known = self
+                .engines
+                .remove(&candidate.backend)
+                .filter(|engine| engine.incarnation() == candidate.incarnation);
+            if known.is_none() {
+                self.prefixes.drop_engine(candidate.backend);
+            }
+            let mut engine = known.unwrap_or_else(|| EngineLoad::new(&self.settings.limit));
+            let backend = candidate.backend;
+            engine.set_candidate(candidate);
+            engines.insert(backend, engine);
+        }
+        for backend in self.engines.keys() {
+            self.prefixes.drop_engine(*backend);
+        }
+        self.engines = engines;
+    }
+
+    /// Takes a load report, direct or passed on as a digest.
+    pub fn observe_load(&mut self, sample: LoadSample) {
+        if let Some(engine) = self.engines.get_mut(&sample.backend) {
+            engine.observe(sample, &self.settings.limit);
+        }
+    }
+
+    /// Takes cache events, which may be late and have gaps.
+    pub fn observe_cache(&mut self, backend: BackendId, page: &CacheEventPage) {
+        let current = self
+            .engines
+            .get(&backend)
+            .is_some_and(|engine| engine.incarnation() == page.incarnation);
+        if current {
+            self.prefixes.apply_events(backend, &page.events);
+        }
+    }
+
+    /// Chooses an engine. The caller reports with [`Picker::started`] when it
+    /// sends the request there.
+    ///
+    /// # Errors
+    /// When no engine is there, all are excluded, or all are at their limit.
+    pub fn pick(&mut self, now: Timestamp, request: PickRequest<'_>) -> Result<Pick, PickError> {
+        let mut open = policy::open_engines(&self.engines, now, request.exclude, &self.settings)?;
+        if self.settings.policy == PickPolicy::RoundRobin {
+            self.turn = self.turn.wrapping_add(1);
+            return Ok(policy::round_robin(&open, self.turn));
+        }
+        if self.settings.policy == PickPolicy::LeastReported {
+            return Ok(policy::least_reported(&open, &self.engines));
+        }
+        let spilled = policy::keep_zone(&mut open, &self.zone, &self.settings);
+        let affine = self.settings.policy == PickPolicy::Affinity;
+        if affine && !request.prefix_hashes.is_empty() {
+            let holders = self.prefixes.longest_match(request.prefix_hashes);
+            if let Some(pick) = policy::affinity(&open, holders, spilled, &self.settings) {
+                return Ok(pick);
+            }
+        }
+        Ok(policy::better_of_two(&open, spilled, &mut self.rng))
+    }
+
+    /// A request was sent to `backend`; its prefixes will be cached there.
+    pub fn started(&mut self, now: Timestamp, backend: BackendId, prefix_hashes: &[u64]) {
+        if let Some(engine) = self.engines.get_mut(&backend) {
+            engine.started(now);
+            self.prefixes.expect(backend, prefix_hashes);
+        }
+    }
+
+    /// A request that was sent to `backend` at `started` ended.
+    pub fn finished(
+        &mut self,
+        now: Timestamp,
+        backend: BackendId,
+        started: Timestamp,
+        finish: Finish,
+    ) {
+        if let Some(engine) = self.engines.get_mut(&backend) {
+            engine.finished(now, started, finish, &self.settings.limit);
+        }
+    }
+
+    /// Own requests in flight on `backend`.
+    #[must_use]
+    pub fn own_in_flight(&self, backend: BackendId) -> u32 {
+        self.engines
+            .get(&backend)
+            .map_or(0, EngineLoad::own_in_flight)
+    }
+
+    /// Load of `backend` as a choice made now would see it, in requests.
+    #[must_use]
+    pub fn load(&self, now: Timestamp, backend: BackendId) -> Option<f64> {
+        let engine = self.engines.get(&backend)?;
+        Some(engine.load(now, self.settings.report_valid_for))
+    }
+
+    /// Adaptive limit of `backend`, in online requests of all gateways.
+    #[must_use]
+    pub fn limit(&self, backend: BackendId) -> Option<u32> {
+        self.engines.get(&backend).map(EngineLoad::limit)
+    }
+
+    /// Requests that this gateway may have in flight now: its own plus the
+    /// room below the limits of all engines. For admission's capacity.
+    #[must_use]
+    pub fn capacity(&self, now: Timestamp) -> u32 {
+        let valid_for = self.settings.report_valid_for;
+        self.engines
+            .values()
+            .map(|engine| {
+                let room = f64::from(engine.limit()) - engine.load(now, valid_for);
+                engine.own_in_flight() + room.max(0.0) as u32
+            })
+            .sum()
+    }
+
+    /// Prefixes that take memory now.
+    #[must_use]
+    pub fn indexed_prefixes(&self) -> usize {
+        self.prefixes.len()
+    }
+}
--- /dev/null
+++ b/crates/routing/src/pick/policy.rs
@@ -0,0 +1,182 @@
+//! The rules of engine choice, one function each.
+
+use std::collections::BTreeMap;
+
+use molespan_types::{BackendId, Timestamp, ZoneName};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::PickSettings;
+use super::engine_load::EngineLoad;
+use super::prefix::PrefixMatch;
+use super::reason::{Considered, Pick, PickError, PickReason, PickRule};
+
+/// How engines are chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PickPolicy {
+    /// Zone, prefix affinity, better of two.
+    Affinity,
+    /// Zone and better of two, without affinity.
+    BetterOfTwo,
+    /// One after the other; a baseline.
+    RoundRobin,
+    /// The lowest last report; a baseline.
+    LeastReported,
+}
+
+/// An engine that may be chosen now.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Open<'a> {
+    backend: BackendId,
+    zone: &'a ZoneName,
+    load: f64,
+    limit: u32,
+}
+
+impl Open<'_> {
+    /// Load per unit of limit.
+    fn pressure(&self) -> f64 {
+        self.load / f64::from(self.limit)
+    }
+
+    fn considered(&self) -> Considered {
+        Considered {
+            backend: self.backend,
+            load: self.load,
+            limit: self.limit,
+        }
+    }
+}
+
+/// Engines below their limits, healthy ones if there are any.
+pub(super) fn open_engines<'a>(
+    engines: &'a BTreeMap<BackendId, EngineLoad>,
+    now: Timestamp,
+    exclude: &[BackendId],
+    settings: &PickSettings,
+) -> Result<Vec<Open<'a>>, PickError> {
+    if engines.is_empty() {
+        return Err(PickError::NoEngine);
+    }
+    let mut allowed = 0;
+    let mut healthy = Vec::with_capacity(engines.len());
+    let mut suspect = Vec::new();
+    for (backend, engine) in engines {
+        if exclude.contains(backend) {
+            continue;
+        }
+        allowed += 1;
+        let open = Open {
+            backend: *backend,
+            zone: &engine.candidate().zone,
+            load: engine.load(now, settings.report_valid_for),
+            limit: engine.limit(),
+        };
+        if open.load >= f64::from(open.limit) {
+            continue;
+        }
+        if engine.candidate().suspect {
+            suspect.push(open);
+        } else {
+            healthy.push(open);
+        }
+    }
+    match (allowed, healthy.is_empty(), suspect.is_empty()) {
+        (0, _, _) => Err(PickError::AllExcluded),
+        (_, true, true) => Err(PickError::AllAtLimit),
+        (_, true, false) => Ok(suspect),
+        _ => Ok(healthy),
+    }
+}
+
+/// Keeps the engines of `zone`, and adds clearly less loaded remote ones when
+/// the zone is loaded. Returns whether remote ones were kept.
+pub(super) fn keep_zone(
+    open: &mut Vec<Open<'_>>,
+    zone: &ZoneName,
+    settings: &PickSettings,
+) -> bool {
+    let own = open.iter().filter(|engine| engine.zone == zone);
+    let least_own = own.map(Open::pressure).fold(f64::INFINITY, f64::min);
+    if least_own == f64::INFINITY {
+        return true;
+    }
+    let loaded = least_own >= settings.spill_at;
+    let most_remote = least_own - settings.spill_margin;
+    open.retain(|engine| engine.zone == zone || (loaded && engine.pressure() <= most_remote));
+    open.iter().any(|engine| engine.zone != zone)
+}
+
+/// The holder of the longest matched prefix, if its load is near the least.
+pub(super) fn affinity(
+    open: &[Open<'_>],
+    holders: Option<PrefixMatch<'_>>,
+    spilled: bool,
+    settings: &PickSettings,
+) -> Option<Pick> {
+    let holders = holders?;
+    let least = least_load(open);
+    let most = least * settings.affinity_factor + settings.affinity_slack;
+    let chosen = open
+        .iter()
+        .filter(|engine| holders.contains(engine.backend))
+        .filter(|engine| engine.load <= most)
+        .min_by(|a, b| a.load.total_cmp(&b.load))?;
+    let mut pick = pick_of(open, PickRule::Affinity, spilled, &[*chosen]);
+    pick.reason.matched_blocks = holders.blocks;
+    Some(pick)
+}
+
+/// The engine with the lower pressure of two drawn at random.
+pub(super) fn better_of_two(open: &[Open<'_>], spilled: bool, rng: &mut ChaCha8Rng) -> Pick {
+    if let [only] = open {
+        return pick_of(open, PickRule::OnlyEngine, spilled, &[*only]);
+    }
+    let first = rng.random_range(0..open.len());
+    let mut second = rng.random_range(0..open.len() - 1);
+    if second >= first {
+        second += 1;
+    }
+    let (first, second) = (open[first], open[second]);
+    let ordered = if second.pressure() < first.pressure() {
+        [second, first]
+    } else {
+        [first, second]
+    };
+    pick_of(open, PickRule::BetterOfTwo, spilled, &ordered)
+}
+
+/// The engine whose turn it is.
+pub(super) fn round_robin(open: &[Open<'_>], turn: usize) -> Pick {
+    let chosen = open[turn % open.len()];
+    pick_of(open, PickRule::RoundRobin, true, &[chosen])
+}
+
+/// The engine whose last report was the lowest, own requests left aside.
+pub(super) fn least_reported(open: &[Open<'_>], engines: &BTreeMap<BackendId, EngineLoad>) -> Pick {
+    let reported = |open: &&Open<'_>| engines.get(&open.backend).map_or(0, EngineLoad::reported);
+    let chosen = open.iter().min_by_key(reported).copied();
+    let chosen = chosen.unwrap_or(open[0]);
+    pick_of(open, PickRule::LeastReported, true, &[chosen])
+}
+
+fn least_load(open: &[Open<'_>]) -> f64 {
+    open.iter()
+        .map(|engine| engine.load)
+        .fold(f64::INFINITY, f64::min)
+}
+
+/// The pick of the first of `compared`, with its reason.
+fn pick_of(open: &[Open<'_>], rule: PickRule, spilled: bool, compared: &[Open<'_>]) -> Pick {
+    Pick {
+        backend: compared[0].backend,
+        reason: PickReason {
+            rule,
+            spilled,
+            open: open.len() as u32,
+            least_load: least_load(open),
+            matched_blocks: 0,
+            considered: compared.iter().map(Open::considered).collect(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/routing/src/pick/prefix.rs
@@ -0,0 +1,265 @@
+//! Which engine holds which prompt prefix, from cache events and own routing.
+//!
+//! Events come late and with gaps, and own routing only says what an engine
+//! will probably cache. An entry is therefore either confirmed by an event or
+//! expected. A gap drops the engine's expected entries, and once the events
+//! missed reach a share of its confirmed entries, those as well: at most that
+//! share can be wrong, and a wrong entry costs one prefill, never an answer.
+
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+
+use molespan_engine_api::{CacheEvent, CacheEventKind};
+use molespan_types::BackendId;
+
+/// Bounds of the index.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PrefixSettings {
+    /// Most prefixes remembered.
+    pub most_prefixes: usize,
+    /// Most engines remembered for one prefix.
+    pub most_holders: usize,
+    /// Share of an engine's confirmed entries that may be in doubt through
+    /// missed events before all are dropped.
+    pub tolerated_doubt: f64,
+}
+
+impl Default for PrefixSettings {
+    fn default() -> Self {
+        Self {
+            most_prefixes: 50_000,
+            most_holders: 4,
+            tolerated_doubt: 0.25,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    backend: BackendId,
+    confirmed: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Entry {
+    holders: Vec<Holder>,
+    /// Set on use; gives the entry a second chance when memory runs out.
+    used: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct EngineEvents {
+    last_sequence: Option<u64>,
+    missed: u64,
+    confirmed: u64,
+}
+
+/// The longest part of a prompt that some engine holds.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PrefixMatch<'a> {
+    holders: &'a [Holder],
+    /// Leading blocks of the prompt.
+    pub(super) blocks: u32,
+}
+
+impl PrefixMatch<'_> {
+    pub(super) fn contains(&self, backend: BackendId) -> bool {
+        self.holders.iter().any(|holder| holder.backend == backend)
+    }
+}
+
+/// Prefix hash to engines.
+#[derive(Clone, Debug)]
+pub(super) struct PrefixIndex {
+    settings: PrefixSettings,
+    entries: HashMap<u64, Entry>,
+    /// Hashes in the order of their entry, for eviction; may name dropped ones.
+    order: VecDeque<u64>,
+    engines: BTreeMap<BackendId, EngineEvents>,
+}
+
+impl PrefixIndex {
+    pub(super) fn new(settings: PrefixSettings) -> Self {
+        Self {
+            settings,
+            entries: HashMap::new(),
+            order: VecDeque::new(),
+            engines: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// The longest of `hashes`, shortest first, that any engine holds.
+    pub(super) fn longest_match(&mut self, hashes: &[u64]) -> Option<PrefixMatch<'_>> {
+        let position = hashes
+            .iter()
+            .rposition(|hash| self.entries.contains_key(hash))?;
+        let entry = self.entries.get_mut(&hashes[position])?;
+        entry.used = true;
+        Some(PrefixMatch {
+            holders: &entry.holders,
+            blocks: position as u32 + 1,
+        })
+    }
+
+    /// A prompt with these prefixes was sent to `backend`.
+    pub(super) fn expect(&mut self, backend: BackendId, hashes: &[u64]) {
+        for hash in hashes {
+            self.add(*hash, backend, false);
+        }
+    }
+
+    pub(super) fn apply_events(&mut self, backend: BackendId, events: &[CacheEvent]) {
+        for event in events {
+            if !self.advance(backend, event.sequence) {
+                continue;
+            }
+            match event.kind {
+                CacheEventKind::Stored => self.add(event.prefix_hash, backend, true),
+                CacheEventKind::Evicted => self.remove(event.prefix_hash, backend),
+            }
+        }
+    }
+
+    /// Forgets everything about an engine that left or restarted.
+    pub(super) fn drop_engine(&mut self, backend: BackendId) {
+        if self.engines.remove(&backend).is_some() {
+            self.retain_holders(|holder| holder.backend != backend);
+        }
+    }
+
+    /// Notes an event's sequence number and deals with a gap before it.
+    /// Returns false for an event that was already applied.
+    fn advance(&mut self, backend: BackendId, sequence: u64) -> bool {
+        let engine = self.engines.entry(backend).or_default();
+        let Some(last) = engine.last_sequence else {
+            engine.last_sequence = Some(sequence);
+            return true;
+        };
+        if sequence <= last {
+            return false;
+        }
+        engine.last_sequence = Some(sequence);
+        let missed = sequence - last - 1;
+        if missed == 0 {
+            return true;
+        }
+        engine.missed += missed;
+        let tolerated = engine.confirmed as f64 * self.settings.tolerated_doubt;
+        let drop_all = engine.missed as f64 > tolerated;
+        if drop_all {
+            engine.missed = 0;
+            engine.confirmed = 0;
+        }
+        self.retain_holders(|holder| {
+            let doubtful = drop_all || !holder.confirmed;
+            holder.backend != backend || !doubtful
+        });
+        true
+    }
+
+    fn add(&mut self, hash: u64, backend: BackendId, confirmed: bool) {
+        let engine = self.engines.entry(backend).or_default();
+        let most_holders = self.settings.most_holders;
+        let order = &mut self.order;
+        let entry = self.entries.entry(hash).or_insert_with(|| {
+            order.push_back(hash);
+            Entry::default()
+        });
+        let known = entry
+            .holders
+            .iter_mut()
+            .find(|holder| holder.backend == backend);
+        match known {
+            Some(holder) => {
+                let newly = confirmed && !holder.confirmed;
+                holder.confirmed |= confirmed;
+                engine.confirmed += u64::from(newly);
+            }
+            None => {
+                engine.confirmed += u64::from(confirmed);
+                let oldest = (entry.holders.len() == most_holders).then(|| entry.holders.remove(0));
+                entry.holders.push(Holder { backend, confirmed });
+                if let Some(holder) = oldest {
+                    uncount(&mut self.engines, holder);
+                }
+            }
+        }
+        self.evict();
+    }
+
+    fn remove(&mut self, hash: u64, backend: BackendId) {
+        let Some(entry) = self.entries.get_mut(&hash) else {
+            return;
+        };
+        let position = entry
+            .holders
+            .iter()
+            .position(|holder| holder.backend == backend);
+        let Some(position) = position else {
+            return;
+        };
+        let holder = entry.holders.remove(position);
+        if entry.holders.is_empty() {
+            self.entries.remove(&hash);
+        }
+        uncount(&mut self.engines, holder);
+    }
+
+    fn retain_holders(&mut self, keep: impl Fn(&Holder) -> bool) {
+        self.entries.retain(|_, entry| {
+            entry.holders.retain(&keep);
+            !entry.holders.is_empty()
+        });
+        let entries = &self.entries;
+        self.order.retain(|hash| entries.contains_key(hash));
+    }
+
+    /// Evicts the oldest entries that were not used since they were last
+    /// passed over, until the index is within its bound.
+    fn evict(&mut self) {
+        while self.entries.len() > self.settings.most_prefixes {
+            let Some(hash) = self.order.pop_front() else {
+                return;
+            };
+            let Some(entry) = self.entries.get_mut(&hash) else {
+                continue;
+            };
+            if entry.used {
+                entry.used = false;
+                self.order.push_back(hash);
+                continue;
+            }
+            let holders = std::mem::take(&mut entry.holders);
+            self.entries.remove(&hash);
+            for holder in holders {
+                uncount(&mut self.engines, holder);
+            }
+        }
+        self.compact_order();
+    }
+
+    /// Evictions by events leave their hashes behind in the order, twice if
+    /// they are stored again.
+    fn compact_order(&mut self) {
+        if self.order.len() <= 2 * self.settings.most_prefixes {
+            return;
+        }
+        let mut seen = HashSet::with_capacity(self.entries.len());
+        let entries = &self.entries;
+        self.order
+            .retain(|hash| entries.contains_key(hash) && seen.insert(*hash));
+    }
+}
+
+/// Takes a dropped holder out of its engine's count.
+fn uncount(engines: &mut BTreeMap<BackendId, EngineEvents>, holder: Holder) {
+    if !holder.confirmed {
+        return;
+    }
+    if let Some(engine) = engines.get_mut(&holder.backend) {
+        engine.confirmed = engine.confirmed.saturating_sub(1);
+    }
+}
