Add the HTTP server, connection pool and event streams

async-h1 parses and encodes; this crate bounds memory and time around it, says whether a request left before it failed, checks that an answer is whole, and tells handlers when their client left. A streamed response whose writer is dropped is cut, so that no client takes half an answer for a whole one.

--- /dev/null
+++ b/crates/http/src/body.rs
@@ -0,0 +1,76 @@
+//! A body whose end is checked against its declared length.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use futures_lite::io::{AsyncBufRead, AsyncRead};
+use http_types::{Body, Response};
+
+/// Reader behind a [`Body`].
+pub(crate) type BodyReader = Box<dyn AsyncBufRead + Unpin + Send + Sync>;
+
+/// Fails with `UnexpectedEof` where the inner reader ends before `remaining`
+/// reached zero.
+pub(crate) struct LengthChecked {
+    reader: BodyReader,
+    remaining: Option<usize>,
+}
+
+impl LengthChecked {
+    /// Wraps `reader`; without a `length` only the reader's own framing counts.
+    pub(crate) fn new(reader: BodyReader, length: Option<usize>) -> Self {
+        Self {
+            reader,
+            remaining: length,
+        }
+    }
+}
+
+impl AsyncBufRead for LengthChecked {
+    fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        let available = ready!(Pin::new(&mut this.reader).poll_fill_buf(context))?;
+        match this.remaining {
+            Some(remaining) if available.is_empty() && remaining > 0 => {
+                Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()))
+            }
+            Some(remaining) => Poll::Ready(Ok(&available[..available.len().min(remaining)])),
+            None => Poll::Ready(Ok(available)),
+        }
+    }
+
+    fn consume(mut self: Pin<&mut Self>, amount: usize) {
+        if let Some(remaining) = &mut self.remaining {
+            *remaining = remaining.saturating_sub(amount);
+        }
+        Pin::new(&mut self.reader).consume(amount);
+    }
+}
+
+impl AsyncRead for LengthChecked {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        target: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let available = ready!(self.as_mut().poll_fill_buf(context))?;
+        let count = available.len().min(target.len());
+        target[..count].copy_from_slice(&available[..count]);
+        self.consume(count);
+        Poll::Ready(Ok(count))
+    }
+}
+
+/// Makes a response whose body ends early break its connection, in place of a
+/// short body that the next response would be taken into.
+pub(crate) fn check_declared_length(response: &mut Response) {
+    let body = response.take_body();
+    let length = body.len();
+    if length.is_none() {
+        response.set_body(body);
+        return;
+    }
+    let checked = LengthChecked::new(body.into_reader(), length);
+    response.set_body(Body::from_reader(checked, length));
+}
--- /dev/null
+++ b/crates/http/src/events/writer.rs
@@ -0,0 +1,158 @@
+//! Writes server-sent events into a response.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use async_channel::{Receiver, Sender};
+use derive_more::{Display, Error};
+use futures_lite::Stream;
+use futures_lite::io::{AsyncBufRead, AsyncRead};
+use http_types::{Body, Response, StatusCode};
+
+use super::ServerEvent;
+
+/// Media type of server-sent events.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// The client is gone, or its response was cut short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[display("the client is gone")]
+pub struct StreamClosed;
+
+/// One step of a streamed body.
+enum Piece {
+    Bytes(Vec<u8>),
+    End,
+}
+
+/// The writing end of a streamed response.
+///
+/// Dropping it without [`EventWriter::finish`] cuts the response, so that the
+/// client sees that it is not whole.
+#[derive(Debug)]
+pub struct EventWriter(Sender<Piece>);
+
+impl EventWriter {
+    /// Sends one event; waits while the client is slower than the writer.
+    ///
+    /// # Errors
+    /// When the client is gone.
+    pub async fn send(&self, event: &ServerEvent) -> Result<(), StreamClosed> {
+        self.send_bytes(event.encode()).await
+    }
+
+    /// Sends raw bytes; waits while the client is slower than the writer.
+    ///
+    /// # Errors
+    /// When the client is gone.
+    pub async fn send_bytes(&self, bytes: Vec<u8>) -> Result<(), StreamClosed> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        let sent = self.0.send(Piece::Bytes(bytes)).await;
+        sent.map_err(|_| StreamClosed)
+    }
+
+    /// Sends one event if there is room for it right now; returns whether it
+    /// was taken.
+    ///
+    /// # Errors
+    /// When the client is gone.
+    pub fn try_send(&self, event: &ServerEvent) -> Result<bool, StreamClosed> {
+        match self.0.try_send(Piece::Bytes(event.encode())) {
+            Ok(()) => Ok(true),
+            Err(async_channel::TrySendError::Full(_)) => Ok(false),
+            Err(async_channel::TrySendError::Closed(_)) => Err(StreamClosed),
+        }
+    }
+
+    /// Ends the response whole.
+    ///
+    /// # Errors
+    /// When the client is gone.
+    pub async fn finish(self) -> Result<(), StreamClosed> {
+        self.0.send(Piece::End).await.map_err(|_| StreamClosed)
+    }
+
+    /// Sends the `[DONE]` event and ends the response whole.
+    ///
+    /// # Errors
+    /// When the client is gone.
+    pub async fn finish_with_terminator(self) -> Result<(), StreamClosed> {
+        self.send(&ServerEvent::data(ServerEvent::DONE)).await?;
+        self.finish().await
+    }
+
+    /// Resolves once the client is gone.
+    pub async fn closed(&self) {
+        self.0.closed().await;
+    }
+
+    /// Whether the client is gone.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+}
+
+/// A response that streams what is written to the returned writer. At most
+/// `capacity` pieces wait in memory.
+#[must_use]
+pub fn event_response(capacity: usize) -> (EventWriter, Response) {
+    let (sender, receiver) = async_channel::bounded(capacity.max(1));
+    let reader = PieceReader {
+        receiver: Box::pin(receiver),
+        current: Vec::new(),
+        consumed: 0,
+        ended: false,
+    };
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(Body::from_reader(reader, None));
+    response.insert_header("content-type", EVENT_STREAM);
+    response.insert_header("cache-control", "no-cache");
+    (EventWriter(sender), response)
+}
+
+/// The reading end, as a response body.
+struct PieceReader {
+    receiver: Pin<Box<Receiver<Piece>>>,
+    current: Vec<u8>,
+    consumed: usize,
+    ended: bool,
+}
+
+impl AsyncBufRead for PieceReader {
+    fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        while this.consumed == this.current.len() && !this.ended {
+            match ready!(this.receiver.as_mut().poll_next(context)) {
+                Some(Piece::Bytes(bytes)) => {
+                    this.current = bytes;
+                    this.consumed = 0;
+                }
+                Some(Piece::End) => this.ended = true,
+                None => return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into())),
+            }
+        }
+        Poll::Ready(Ok(&this.current[this.consumed..]))
+    }
+
+    fn consume(mut self: Pin<&mut Self>, amount: usize) {
+        self.consumed += amount;
+    }
+}
+
+impl AsyncRead for PieceReader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        target: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let available = ready!(self.as_mut().poll_fill_buf(context))?;
+        let count = available.len().min(target.len());
+        target[..count].copy_from_slice(&available[..count]);
+        self.consume(count);
+        Poll::Ready(Ok(count))
+    }
+}
--- /dev/null
+++ b/crates/http/src/server/intake.rs
@@ -0,0 +1,232 @@
+//! Reads one whole request within the limits.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use futures_lite::io::AsyncReadExt;
+use http_types::headers::TRANSFER_ENCODING;
+use http_types::{Body, Request, Response, StatusCode};
+use molespan_types::RunOutcome;
+
+use super::handle::{CountGuard, Shared};
+use crate::net::{SharedStream, within};
+use crate::reply::error_response;
+use crate::source::{HeadError, MAX_HEAD_BYTES, Source, read_head, read_some};
+
+/// When a client should come back to a server that is full.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Bytes read from a body at a time.
+const BODY_READ_BYTES: usize = 16 * 1024;
+
+/// Why a request did not reach the handler.
+#[derive(Debug, Display, Error)]
+pub(crate) enum Rejection {
+    /// The connection ended between requests; there is nobody to answer.
+    #[display("connection ended")]
+    Ended,
+    /// The head took too long.
+    #[display("the head did not arrive in time")]
+    SlowHead,
+    /// The body took too long.
+    #[display("the body did not arrive in time")]
+    SlowBody,
+    /// The head is too long.
+    #[display("the head is longer than {MAX_HEAD_BYTES} bytes")]
+    HeadTooLong,
+    /// The body is too long.
+    #[display("the body is longer than {limit} bytes")]
+    BodyTooLong {
+        /// Longest body in bytes.
+        limit: usize,
+    },
+    /// Not an HTTP/1.1 request.
+    #[display("malformed request: {reason}")]
+    Malformed {
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// The client closed within the request.
+    #[display("the request was cut short")]
+    CutShort,
+    /// Bodies of other requests fill the memory set aside for them.
+    #[display("too many request bodies in memory")]
+    MemoryFull,
+    /// Too many connections.
+    #[display("too many connections")]
+    TooManyConnections,
+}
+
+impl Rejection {
+    /// The response that tells the client; `None` when nobody listens.
+    pub(crate) fn response(&self) -> Option<Response> {
+        let (status, code, retry_after) = match self {
+            Self::Ended => return None,
+            Self::SlowHead | Self::SlowBody => {
+                (StatusCode::RequestTimeout, "request_timeout", None)
+            }
+            Self::HeadTooLong => (
+                StatusCode::RequestHeaderFieldsTooLarge,
+                "headers_too_large",
+                None,
+            ),
+            Self::BodyTooLong { .. } => (StatusCode::PayloadTooLarge, "body_too_large", None),
+            Self::Malformed { .. } => (StatusCode::BadRequest, "malformed_request", None),
+            Self::CutShort => (StatusCode::BadRequest, "request_cut_short", None),
+            Self::MemoryFull => (
+                StatusCode::ServiceUnavailable,
+                "server_busy",
+                Some(FULL_RETRY_AFTER),
+            ),
+            Self::TooManyConnections => (
+                StatusCode::ServiceUnavailable,
+                "too_many_connections",
+                Some(FULL_RETRY_AFTER),
+            ),
+        };
+        let message = self.to_string();
+        Some(error_response(
+            status,
+            code,
+            message,
+            RunOutcome::NotRun,
+            retry_after,
+        ))
+    }
+}
+
+/// A request whose body lies in memory.
+pub(crate) struct WholeRequest {
+    /// The request.
+    pub(crate) request: Request,
+    /// Bytes that came behind it.
+    pub(crate) leftover: Vec<u8>,
+    /// Whether another request may follow on the connection.
+    pub(crate) reusable: bool,
+    /// Holds the body's share of the memory bound.
+    pub(crate) memory: CountGuard,
+}
+
+/// Waits for the first byte of a request, unless some came already.
+pub(crate) async fn await_first_byte(
+    stream: &SharedStream,
+    buffer: &mut Vec<u8>,
+    shared: &Shared,
+) -> Result<(), Rejection> {
+    if !buffer.is_empty() {
+        return Ok(());
+    }
+    let waiting = futures_lite::future::or(
+        async {
+            read_some(stream, buffer)
+                .await
+                .map_err(|_| Rejection::Ended)
+        },
+        async {
+            shared.idle_must_close().await;
+            Err(Rejection::Ended)
+        },
+    );
+    within(shared.limits.idle_timeout, waiting)
+        .await
+        .unwrap_or(Err(Rejection::Ended))
+}
+
+/// Reads the request that `buffer` begins with.
+pub(crate) async fn read_request(
+    stream: &SharedStream,
+    mut buffer: Vec<u8>,
+    shared: &Arc<Shared>,
+) -> Result<WholeRequest, Rejection> {
+    let head_length = within(shared.limits.head_timeout, read_head(stream, &mut buffer))
+        .await
+        .ok_or(Rejection::SlowHead)?
+        .map_err(reject_head)?;
+    let source = Source::new(stream.clone(), buffer, head_length);
+    let decoded = async_h1::server::decode(source.clone()).await;
+    let (mut request, _unread) = decoded
+        .map_err(|error| Rejection::Malformed {
+            reason: error.to_string(),
+        })?
+        .ok_or(Rejection::CutShort)?;
+    let mut memory = CountGuard::add(shared, |shared| &shared.buffered, 0);
+    let chunked = request.header(TRANSFER_ENCODING).is_some();
+    let body = within(
+        shared.limits.body_timeout,
+        read_body(&mut request, &source, shared, &mut memory),
+    )
+    .await
+    .ok_or(Rejection::SlowBody)??;
+    restore_body(&mut request, body);
+    Ok(WholeRequest {
+        request,
+        leftover: source.take_leftover(),
+        // async-h1 may have read beyond a chunked body, into the next request.
+        reusable: !chunked,
+        memory,
+    })
+}
+
+/// Reads the whole body within the bounds of its path and of the server.
+async fn read_body(
+    request: &mut Request,
+    source: &Source,
+    shared: &Shared,
+    memory: &mut CountGuard,
+) -> Result<Vec<u8>, Rejection> {
+    let limit = shared.limits.max_body_of(request.url().path());
+    let declared = request.len();
+    match declared {
+        Some(length) if length > limit => return Err(Rejection::BodyTooLong { limit }),
+        Some(length) => source.extend(length as u64),
+        None => source.unbound(),
+    }
+    let mut reader = request.take_body().into_reader();
+    let mut body = Vec::new();
+    loop {
+        let filled = body.len();
+        body.resize(filled + BODY_READ_BYTES, 0);
+        let read = reader
+            .read(&mut body[filled..])
+            .await
+            .map_err(|_| Rejection::CutShort)?;
+        body.truncate(filled + read);
+        if read == 0 {
+            break;
+        }
+        if body.len() > limit {
+            return Err(Rejection::BodyTooLong { limit });
+        }
+        if !memory.grow_within(read, shared.limits.max_buffered_bytes) {
+            return Err(Rejection::MemoryFull);
+        }
+    }
+    match declared {
+        Some(length) if body.len() < length => Err(Rejection::CutShort),
+        _ => Ok(body),
+    }
+}
+
+/// Puts a body that was read into memory back into its request, keeping the
+/// client's own content type or its absence.
+fn restore_body(request: &mut Request, bytes: Vec<u8>) {
+    let content_type = request.header("content-type").cloned();
+    request.set_body(Body::from_bytes(bytes));
+    match content_type {
+        Some(values) => {
+            request.insert_header("content-type", &values);
+        }
+        None => {
+            request.remove_header("content-type");
+        }
+    }
+}
+
+/// The rejection for a head that could not be read.
+fn reject_head(error: HeadError) -> Rejection {
+    match error {
+        HeadError::Closed | HeadError::Socket(_) => Rejection::Ended,
+        HeadError::ClosedWithin => Rejection::CutShort,
+        HeadError::TooLong => Rejection::HeadTooLong,
+    }
+}
--- /dev/null
+++ b/crates/http/src/server/output.rs
@@ -0,0 +1,86 @@
+//! Writes one response, as soon as its bytes come and in few writes.
+
+use std::future::Future;
+use std::io;
+use std::pin::{Pin, pin};
+use std::task::Poll;
+use std::time::Duration;
+
+use async_h1::server::Encoder;
+use derive_more::{Display, Error, From};
+use futures_lite::future;
+use futures_lite::io::{AsyncRead, AsyncWriteExt};
+
+use crate::net::{SharedStream, within};
+
+/// Bytes gathered before a write.
+const BUFFER_BYTES: usize = 16 * 1024;
+/// Room that the chunk encoder is given at least; it cannot frame a chunk in
+/// less than six bytes.
+const LEAST_ROOM: usize = 512;
+
+/// Why a response was cut short.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum OutputError {
+    /// The client is gone.
+    #[display("the client is gone")]
+    #[from(skip)]
+    ClientGone,
+    /// The client does not take the response.
+    #[display("the client does not take the response")]
+    #[from(skip)]
+    TooSlow,
+    /// The body failed or the socket did.
+    Failed(io::Error),
+}
+
+/// Gathers what `encoder` has at this moment, at least one byte unless it
+/// ended. Returns the number of bytes.
+async fn gather(encoder: &mut Encoder, buffer: &mut [u8]) -> io::Result<usize> {
+    let mut filled = 0;
+    future::poll_fn(|context| {
+        while buffer.len() - filled >= LEAST_ROOM {
+            match Pin::new(&mut *encoder).poll_read(context, &mut buffer[filled..]) {
+                Poll::Ready(Ok(0)) => break,
+                Poll::Ready(Ok(count)) => filled += count,
+                // What came before the failure is still owed to the client.
+                Poll::Ready(Err(_)) if filled > 0 => break,
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                Poll::Pending if filled == 0 => return Poll::Pending,
+                Poll::Pending => break,
+            }
+        }
+        Poll::Ready(Ok(filled))
+    })
+    .await
+}
+
+/// Writes the whole response, unless `gone` resolves between two writes.
+///
+/// # Errors
+/// When the client is gone or too slow, or the body fails. The connection is
+/// of no use then.
+pub(crate) async fn write_response(
+    stream: &SharedStream,
+    mut encoder: Encoder,
+    write_timeout: Duration,
+    gone: impl Future<Output = ()>,
+) -> Result<(), OutputError> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    let mut gone = pin!(gone);
+    loop {
+        let gathered = async { Ok(gather(&mut encoder, &mut buffer).await?) };
+        let left = async {
+            gone.as_mut().await;
+            Err(OutputError::ClientGone)
+        };
+        let count = future::or(gathered, left).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        let mut writer = &**stream;
+        within(write_timeout, writer.write_all(&buffer[..count]))
+            .await
+            .ok_or(OutputError::TooSlow)??;
+    }
+}
