--- a/crates/engine-api/src/lib.rs
+++ b/crates/engine-api/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod headers;
 mod platform;
+mod prefix;
 mod weights;
 
 pub use completion::{
@@ -23,6 +24,7 @@
     PRIORITY_HEADER, REPEATABLE_HEADER, RESUME_OFFSET_HEADER, TENANT_HEADER,
 };
 pub use platform::{Machine, MachineKind, MachineList, MachineState};
+pub use prefix::{BLOCK_TOKENS, block_hashes, token_ends};
 pub use weights::WeightManifest;
 
 /// Path of text completions.
--- /dev/null
+++ b/crates/engine-api/src/prefix.rs
@@ -0,0 +1,52 @@
+//! Tokens and block hashes as the protocol counts them.
+//!
+//! A client computes the same hashes as an engine from the prompt text alone,
+//! so that cache events and KV exports can be matched with prompts.
+
+use xxhash_rust::xxh3::Xxh3;
+
+/// Tokens in one block of the prefix cache.
+pub const BLOCK_TOKENS: u32 = 16;
+/// Longest run of characters that counts as one token.
+const TOKEN_CHARACTERS: u32 = 4;
+
+/// Byte offsets at which the tokens of `text` end. A token is a word or, of a
+/// longer word, a piece of four characters; white space joins the next token.
+#[must_use]
+pub fn token_ends(text: &str) -> Vec<usize> {
+    let mut ends = Vec::with_capacity(text.len() / TOKEN_CHARACTERS as usize + 1);
+    let mut characters = 0;
+    for (position, character) in text.char_indices() {
+        if character.is_whitespace() {
+            if characters > 0 {
+                ends.push(position);
+                characters = 0;
+            }
+            continue;
+        }
+        characters += 1;
+        if characters == TOKEN_CHARACTERS {
+            ends.push(position + character.len_utf8());
+            characters = 0;
+        }
+    }
+    if characters > 0 {
+        ends.push(text.len());
+    }
+    ends
+}
+
+/// For each whole block of `text`, the xxh3 hash of the text up to its end.
+#[must_use]
+pub fn block_hashes(text: &str, ends: &[usize]) -> Vec<u64> {
+    let mut hasher = Xxh3::new();
+    let mut start = 0;
+    let mut hashes = Vec::with_capacity(ends.len() / BLOCK_TOKENS as usize);
+    for block in ends.chunks_exact(BLOCK_TOKENS as usize) {
+        let Some(&end) = block.last() else { break };
+        hasher.update(&text.as_bytes()[start..end]);
+        hashes.push(hasher.digest());
+        start = end;
+    }
+    hashes
+}
