Emulate an engine as a sans-IO core

Continuous batching with chunked prefill, KV memory with a prefix cache, priorities with preemption, pause, resume and cancel, fenced orders, lagging load reports and cache events. Generated text derives from the prompt, so a checker can verify an answer. Executions are counted across crashes.

--- /dev/null
+++ b/crates/emulator/src/engine/cache_events.rs
@@ -0,0 +1,73 @@
+//! Publication of cache changes, late and with gaps.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use molespan_engine_api::{CacheEvent, CacheEventKind};
+use molespan_types::Timestamp;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+/// Most events kept for readers; older ones become a gap.
+const KEPT_EVENTS: usize = 8_192;
+/// Most events in one answer.
+const PAGE_EVENTS: usize = 1_024;
+
+/// Events that readers may see, each from its own time on.
+#[derive(Clone, Debug)]
+pub struct CacheEventLog {
+    delay: Duration,
+    loss: f64,
+    sequence: u64,
+    events: VecDeque<(Timestamp, CacheEvent)>,
+}
+
+impl CacheEventLog {
+    /// An empty log. `loss` is the share of events that are never published.
+    #[must_use]
+    pub fn new(delay: Duration, loss: f64) -> Self {
+        Self {
+            delay,
+            loss: loss.clamp(0.0, 1.0),
+            sequence: 0,
+            events: VecDeque::new(),
+        }
+    }
+
+    /// Records a change that happened at `now`.
+    pub fn record(
+        &mut self,
+        now: Timestamp,
+        kind: CacheEventKind,
+        prefix_hash: u64,
+        random: &mut ChaCha8Rng,
+    ) {
+        self.sequence += 1;
+        if random.random_bool(self.loss) {
+            return;
+        }
+        let event = CacheEvent {
+            sequence: self.sequence,
+            kind,
+            prefix_hash,
+        };
+        self.events.push_back((now + self.delay, event));
+        if self.events.len() > KEPT_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// The events behind sequence number `after` that are visible at `now`.
+    #[must_use]
+    pub fn after(&self, now: Timestamp, after: u64) -> Vec<CacheEvent> {
+        let start = self
+            .events
+            .partition_point(|(_, event)| event.sequence <= after);
+        self.events
+            .range(start..)
+            .take_while(|(visible_at, _)| *visible_at <= now)
+            .take(PAGE_EVENTS)
+            .map(|(_, event)| event.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/engine/core.rs
@@ -0,0 +1,465 @@
+//! The calls that an engine takes.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use molespan_engine_api::{
+    BLOCK_TOKENS, CacheEventKind, CacheEventPage, KvBlockExport, LoadReport, Order, OrderReply,
+    RequestState, RequestStatus,
+};
+use molespan_types::{BackendId, Incarnation, RunOutcome, Timestamp};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::step::StepInProgress;
+use super::{
+    AnswerText, AttemptKey, CacheEventLog, EngineModel, ExecutionLog, FinishedAttempt,
+    FinishedAttempts, LoadMonitor, Loaded, Observation, OrderBook, Output, Recollection, Refusal,
+    Scheduler, Sequence, SequenceId, Submission, WeightsNeeded,
+};
+use crate::faults::EngineFaults;
+
+/// Who an engine is and how it behaves.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineSettings {
+    /// Number in the platform's list.
+    pub backend: BackendId,
+    /// First life.
+    pub incarnation: Incarnation,
+    /// Costs and limits.
+    pub model: EngineModel,
+    /// Models ready at the start of each life, in version 1.
+    pub models: Vec<String>,
+}
+
+/// One emulated engine.
+#[derive(Clone, Debug)]
+pub struct EngineCore {
+    pub(super) settings: EngineSettings,
+    pub(super) random: ChaCha8Rng,
+    pub(super) incarnation: Incarnation,
+    pub(super) faults: EngineFaults,
+    pub(super) scheduler: Scheduler,
+    pub(super) live: HashMap<AttemptKey, SequenceId>,
+    pub(super) finished: FinishedAttempts,
+    pub(super) orders: OrderBook,
+    pub(super) cache_events: CacheEventLog,
+    pub(super) load: LoadMonitor,
+    pub(super) executions: ExecutionLog,
+    pub(super) step: Option<StepInProgress>,
+    pub(super) step_micros: u32,
+    pub(super) outputs: Vec<Output>,
+}
+
+impl EngineCore {
+    /// An idle engine that starts at `now`. Random choices depend on `seed`.
+    #[must_use]
+    pub fn new(settings: EngineSettings, seed: u64, now: Timestamp) -> Self {
+        let model = &settings.model;
+        let incarnation = settings.incarnation;
+        Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            incarnation,
+            faults: EngineFaults::default(),
+            scheduler: Scheduler::new(model),
+            live: HashMap::new(),
+            finished: finished_attempts(model),
+            orders: OrderBook::new(incarnation, &settings.models),
+            cache_events: cache_event_log(model),
+            load: load_monitor(model, now),
+            executions: ExecutionLog::default(),
+            step: None,
+            step_micros: 0,
+            outputs: Vec::new(),
+            settings,
+        }
+    }
+
+    /// The life that this is.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// The model it was built with.
+    #[must_use]
+    pub fn model(&self) -> &EngineModel {
+        &self.settings.model
+    }
+
+    /// What is loaded, the role, and whether it is leaving.
+    #[must_use]
+    pub fn loaded(&self) -> &Loaded {
+        self.orders.loaded()
+    }
+
+    /// Executions so far, those of earlier lives included.
+    #[must_use]
+    pub fn executions(&self) -> &ExecutionLog {
+        &self.executions
+    }
+
+    /// Faults in force.
+    #[must_use]
+    pub fn faults(&self) -> &EngineFaults {
+        &self.faults
+    }
+
+    /// Sequences by class and state at this moment, without the report's lag.
+    #[must_use]
+    pub fn counts(&self) -> super::Counts {
+        self.scheduler.counts()
+    }
+
+    /// KV memory at this moment.
+    #[must_use]
+    pub fn memory(&self) -> &super::KvMemory {
+        self.scheduler.memory()
+    }
+
+    /// Whether nothing waits, runs or is paused.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.scheduler.is_empty()
+    }
+
+    /// Takes a completion.
+    ///
+    /// # Errors
+    /// A [`Refusal`]; its outcome says whether the request ran.
+    pub fn submit(&mut self, now: Timestamp, submission: Submission) -> Result<(), Refusal> {
+        self.observe_load(now);
+        self.check_unseen(now, &submission.attempt)?;
+        self.check_admissible(&submission)?;
+        let attempt = submission.attempt.clone();
+        let sequence = Sequence::new(submission);
+        self.check_size(&sequence)?;
+        let id = self.scheduler.add(sequence);
+        self.live.insert(attempt, id);
+        self.start_step(now);
+        Ok(())
+    }
+
+    /// Where an attempt stands.
+    ///
+    /// # Errors
+    /// [`Refusal::NeverSeen`] or [`Refusal::Forgotten`].
+    pub fn status(&mut self, now: Timestamp, attempt: &str) -> Result<RequestStatus, Refusal> {
+        self.finished.forget_old(now);
+        let (state, generated) = match self.live_sequence(attempt) {
+            Some(sequence) => (sequence.state, sequence.generated),
+            None => {
+                let finished = self.recall(attempt)?;
+                (finished.state, finished.usage.completion_tokens)
+            }
+        };
+        Ok(RequestStatus {
+            id: attempt.to_owned(),
+            state,
+            generated,
+            incarnation: self.incarnation,
+        })
+    }
+
+    /// The text of an attempt and its status, to resume a stream or to fetch
+    /// the answer. The text is valid up to `generated` tokens.
+    ///
+    /// # Errors
+    /// [`Refusal::NeverSeen`] or [`Refusal::Forgotten`].
+    pub fn answer(
+        &mut self,
+        now: Timestamp,
+        attempt: &str,
+    ) -> Result<(AnswerText, RequestStatus), Refusal> {
+        let status = self.status(now, attempt)?;
+        let text = match self.live_sequence(attempt) {
+            Some(sequence) => sequence.text,
+            None => self.recall(attempt)?.text,
+        };
+        Ok((text, status))
+    }
+
+    /// The record of an ended attempt, if its answer is still there.
+    ///
+    /// # Errors
+    /// [`Refusal::NeverSeen`] or [`Refusal::Forgotten`].
+    pub fn finished(&self, attempt: &str) -> Result<FinishedAttempt, Refusal> {
+        self.recall(attempt)
+    }
+
+    /// Announces each further token of an attempt, as for a streamed one.
+    pub fn announce_tokens(&mut self, attempt: &str) {
+        if let Some(id) = self.live.get(attempt) {
+            self.scheduler.set_stream(*id);
+        }
+    }
+
+    /// Holds an attempt back.
+    ///
+    /// # Errors
+    /// [`Refusal::NeverSeen`] or [`Refusal::Forgotten`].
+    pub fn pause(&mut self, now: Timestamp, attempt: &str) -> Result<RequestStatus, Refusal> {
+        self.observe_load(now);
+        if let Some(id) = self.live.get(attempt) {
+            self.scheduler.pause(*id);
+        }
+        self.status(now, attempt)
+    }
+
+    /// Lets a paused attempt go on.
+    ///
+    /// # Errors
+    /// [`Refusal::NeverSeen`] or [`Refusal::Forgotten`].
+    pub fn resume(&mut self, now: Timestamp, attempt: &str) -> Result<RequestStatus, Refusal> {
+        self.observe_load(now);
+        if let Some(id) = self.live.get(attempt) {
+            self.scheduler.resume(*id);
+        }
+        self.start_step(now);
+        self.status(now, attempt)
+    }
+
+    /// Stops an attempt: it generates no further token. One that has ended
+    /// already stays as it ended.
+    ///
+    /// # Errors
+    /// [`Refusal::NeverSeen`] or [`Refusal::Forgotten`].
+    pub fn cancel(&mut self, now: Timestamp, attempt: &str) -> Result<RequestStatus, Refusal> {
+        self.observe_load(now);
+        if let Some(id) = self.live.remove(attempt)
+            && let Some(sequence) = self.scheduler.remove(id)
+        {
+            self.finish_cancelled(now, sequence);
+        }
+        self.status(now, attempt)
+    }
+
+    /// The load report, as old as the model says.
+    pub fn load_report(&mut self, now: Timestamp) -> LoadReport {
+        self.observe_load(now);
+        let (seen, age, sequence) = self.load.serve(now);
+        let loaded = self.orders.loaded();
+        let scale = self.faults.load_scale;
+        let scaled = |count: u32| (f64::from(count) * scale) as u32;
+        LoadReport {
+            backend: self.settings.backend,
+            incarnation: self.incarnation,
+            sequence,
+            age_ms: age.as_millis() as u32,
+            online_running: scaled(seen.counts.online_running),
+            online_waiting: scaled(seen.counts.online_waiting),
+            batch_running: scaled(seen.counts.batch_running),
+            batch_waiting: scaled(seen.counts.batch_waiting),
+            max_running: self.settings.model.max_running,
+            kv_used: (seen.kv_used * scale).min(1.0),
+            step_micros: seen.step_micros,
+            models: loaded.models.keys().cloned().collect(),
+            adapters: loaded.adapters.iter().cloned().collect(),
+            role: loaded.role,
+            leaving: loaded.leaving,
+        }
+    }
+
+    /// Cache events behind sequence number `after`.
+    #[must_use]
+    pub fn cache_events(&self, now: Timestamp, after: u64) -> CacheEventPage {
+        CacheEventPage {
+            incarnation: self.incarnation,
+            events: self.cache_events.after(now, after),
+        }
+    }
+
+    /// Takes or refuses an order.
+    pub fn order(&mut self, order: Order) -> OrderReply {
+        let (reply, needed) = self.orders.take(order);
+        if let Some(weights) = needed {
+            self.outputs.push(Output::FetchWeights(weights));
+        }
+        reply
+    }
+
+    /// Weights that were asked for are there.
+    pub fn weights_arrived(&mut self, weights: &WeightsNeeded) {
+        self.orders.weights_arrived(weights);
+    }
+
+    /// Whether weights are still wanted, so that a fetch may stop.
+    #[must_use]
+    pub fn wants_weights(&self, weights: &WeightsNeeded) -> bool {
+        self.orders.wants(weights)
+    }
+
+    /// The cached blocks along the prefix that ends in `prefix_hash`.
+    #[must_use]
+    pub fn kv_export(&self, prefix_hash: u64) -> KvBlockExport {
+        KvBlockExport {
+            prefix_hashes: self.scheduler.memory().chain(prefix_hash),
+            block_tokens: BLOCK_TOKENS,
+        }
+    }
+
+    /// Puts exported blocks into the cache. Returns how many are new.
+    pub fn kv_import(&mut self, now: Timestamp, blocks: &KvBlockExport) -> u32 {
+        if blocks.block_tokens != BLOCK_TOKENS {
+            return 0;
+        }
+        let mut parent = None;
+        let mut stored = 0;
+        for &hash in &blocks.prefix_hashes {
+            if self.scheduler.memory_mut().import(hash, parent) {
+                stored += 1;
+                self.record_cache(now, CacheEventKind::Stored, hash);
+            }
+            parent = Some(hash);
+        }
+        self.record_evictions(now);
+        stored
+    }
+
+    /// Puts faults in force. A thawed engine goes on where it stood.
+    pub fn set_faults(&mut self, now: Timestamp, faults: EngineFaults) {
+        let thawed = self.faults.frozen && !faults.frozen;
+        self.faults = faults;
+        if thawed {
+            self.step = None;
+            self.start_step(now);
+        }
+    }
+
+    /// Turns engine priority on or off.
+    pub fn set_priority(&mut self, on: bool) {
+        self.settings.model.priority = on;
+        self.scheduler.set_priority(on);
+    }
+
+    /// Dies and starts its next life at `now`: attempts, cache and orders are
+    /// lost. The count of executions stays, for checkers.
+    pub fn crash(&mut self, now: Timestamp) {
+        let model = &self.settings.model;
+        self.incarnation = self.incarnation.next();
+        self.scheduler = Scheduler::new(model);
+        self.live.clear();
+        self.finished = finished_attempts(model);
+        self.orders = OrderBook::new(self.incarnation, &self.settings.models);
+        self.cache_events = cache_event_log(model);
+        self.load = load_monitor(model, now);
+        self.step = None;
+        self.outputs.clear();
+    }
+
+    pub(super) fn observe_load(&mut self, now: Timestamp) {
+        if self.load.is_due(now) {
+            let memory = self.scheduler.memory();
+            let observation = Observation {
+                at: now,
+                counts: self.scheduler.counts(),
+                kv_used: f64::from(memory.held()) / f64::from(memory.capacity().max(1)),
+                step_micros: self.step_micros,
+            };
+            self.load.record(now, observation);
+        }
+    }
+
+    pub(super) fn record_cache(&mut self, now: Timestamp, kind: CacheEventKind, hash: u64) {
+        self.cache_events.record(now, kind, hash, &mut self.random);
+    }
+
+    pub(super) fn record_evictions(&mut self, now: Timestamp) {
+        for hash in self.scheduler.memory_mut().take_evicted() {
+            self.record_cache(now, CacheEventKind::Evicted, hash);
+        }
+    }
+
+    fn live_sequence(&self, attempt: &str) -> Option<&Sequence> {
+        let id = self.live.get(attempt)?;
+        self.scheduler.sequence(*id)
+    }
+
+    fn recall(&self, attempt: &str) -> Result<FinishedAttempt, Refusal> {
+        match self.finished.recall(attempt) {
+            Recollection::Finished(finished) => Ok(finished),
+            Recollection::Forgotten => Err(Refusal::Forgotten),
+            Recollection::NeverSeen => Err(Refusal::NeverSeen),
+        }
+    }
+
+    /// Invariant: one attempt identifier runs at most once in a life.
+    fn check_unseen(&mut self, now: Timestamp, attempt: &str) -> Result<(), Refusal> {
+        match self.status(now, attempt) {
+            Ok(status) => Err(Refusal::Duplicate {
+                state: status.state,
+            }),
+            Err(Refusal::Forgotten) if self.finished.knows(attempt) => Err(Refusal::Forgotten),
+            Err(_) => Ok(()),
+        }
+    }
+
+    fn check_admissible(&self, submission: &Submission) -> Result<(), Refusal> {
+        let loaded = self.orders.loaded();
+        if self.faults.refuse {
+            return Err(Refusal::Refusing);
+        }
+        if loaded.leaving {
+            return Err(Refusal::Leaving);
+        }
+        if !loaded.models.contains_key(&submission.model) {
+            return Err(Refusal::ModelNotLoaded {
+                model: submission.model.clone(),
+            });
+        }
+        if let Some(adapter) = &submission.adapter
+            && !loaded.adapters.contains(adapter)
+        {
+            return Err(Refusal::AdapterNotLoaded {
+                adapter: adapter.clone(),
+            });
+        }
+        if self.scheduler.waiting() >= self.settings.model.max_waiting as usize {
+            return Err(Refusal::QueueFull);
+        }
+        Ok(())
+    }
+
+    fn check_size(&self, sequence: &Sequence) -> Result<(), Refusal> {
+        let needed = sequence.most_blocks();
+        let capacity = self.scheduler.memory().capacity();
+        if needed > capacity {
+            return Err(Refusal::TooLarge { needed, capacity });
+        }
+        Ok(())
+    }
+
+    fn finish_cancelled(&mut self, now: Timestamp, sequence: Sequence) {
+        let outcome = match sequence.started {
+            true => RunOutcome::Unknown,
+            false => RunOutcome::NotRun,
+        };
+        let finished = FinishedAttempt {
+            state: RequestState::Cancelled,
+            text: sequence.text,
+            usage: sequence.usage(),
+        };
+        self.finished
+            .insert(now, sequence.attempt.clone(), finished);
+        self.outputs.push(Output::Cancelled {
+            attempt: sequence.attempt,
+            outcome,
+        });
+    }
+}
+
+fn finished_attempts(model: &EngineModel) -> FinishedAttempts {
+    let retention = Duration::from_micros(model.retention_micros);
+    FinishedAttempts::new(retention, model.retention_attempts)
+}
+
+fn cache_event_log(model: &EngineModel) -> CacheEventLog {
+    let delay = Duration::from_micros(model.cache_event_delay_micros);
+    CacheEventLog::new(delay, model.cache_event_loss)
+}
+
+fn load_monitor(model: &EngineModel, now: Timestamp) -> LoadMonitor {
+    let interval = Duration::from_micros(model.load_interval_micros);
+    let delay = Duration::from_micros(model.load_delay_micros);
+    LoadMonitor::new(interval, delay, now)
+}
--- /dev/null
+++ b/crates/emulator/src/engine/mod.rs
@@ -0,0 +1,36 @@
+//! The emulated engine as a sans-IO core.
+//!
+//! [`EngineCore`] takes calls with the time of the caller's clock and announces
+//! what happened through [`Output`]s. Processes and the simulator drive it
+//! alike. It keeps no clock, socket, thread or unseeded random number.
+
+mod cache;
+mod cache_events;
+mod core;
+mod executions;
+mod finished;
+mod load_monitor;
+mod message;
+mod model;
+mod order_book;
+mod scheduler;
+mod sequence;
+mod step;
+mod text;
+
+pub use self::core::{EngineCore, EngineSettings};
+pub use cache::KvMemory;
+pub use executions::{ExecutionCount, ExecutionLog};
+pub use finished::FinishedAttempt;
+pub use message::{AttemptKey, Output, Refusal, Submission, WeightsNeeded};
+pub use model::EngineModel;
+pub use order_book::Loaded;
+pub use scheduler::Counts;
+pub use text::{AnswerText, chat_prompt, expected_answer};
+
+use cache_events::CacheEventLog;
+use finished::{FinishedAttempts, Recollection};
+use load_monitor::{LoadMonitor, Observation};
+use order_book::OrderBook;
+use scheduler::{Scheduler, StepPlan};
+use sequence::{Sequence, SequenceId};
--- /dev/null
+++ b/crates/emulator/src/engine/sequence.rs
@@ -0,0 +1,174 @@
+//! One attempt while it is waiting, running or paused.
+
+use molespan_engine_api::{BLOCK_TOKENS, RequestState, Usage, block_hashes, token_ends};
+use molespan_types::Priority;
+
+use super::{AnswerText, AttemptKey, KvMemory, Submission};
+
+/// Number of a sequence in the order of arrival.
+pub type SequenceId = u64;
+
+/// Blocks that hold `tokens` tokens.
+#[must_use]
+pub fn blocks_for(tokens: u32) -> u32 {
+    tokens.div_ceil(BLOCK_TOKENS)
+}
+
+/// State of a sequence and the memory it holds.
+#[derive(Clone, Debug)]
+pub struct Sequence {
+    /// Attempt.
+    pub attempt: AttemptKey,
+    /// Class.
+    pub priority: Priority,
+    /// Source of the generated text.
+    pub text: AnswerText,
+    /// Whether tokens are announced.
+    pub stream: bool,
+    /// `Waiting`, `Running` or `Paused`.
+    pub state: RequestState,
+    /// Whether it ever entered the running batch.
+    pub started: bool,
+    /// Tokens generated.
+    pub generated: u32,
+    max_tokens: u32,
+    prompt_tokens: u32,
+    hashes: Vec<u64>,
+    cached_tokens: u32,
+    computed: u32,
+    shared_blocks: u32,
+    private_blocks: u32,
+}
+
+impl Sequence {
+    /// A sequence that waits.
+    #[must_use]
+    pub fn new(submission: Submission) -> Self {
+        let ends = token_ends(&submission.prompt);
+        Self {
+            text: AnswerText::of_prompt(&submission.prompt),
+            hashes: block_hashes(&submission.prompt, &ends),
+            prompt_tokens: (ends.len() as u32).max(1),
+            max_tokens: submission.max_tokens.max(1),
+            attempt: submission.attempt,
+            priority: submission.priority,
+            stream: submission.stream,
+            state: RequestState::Waiting,
+            started: false,
+            generated: 0,
+            cached_tokens: 0,
+            computed: 0,
+            shared_blocks: 0,
+            private_blocks: 0,
+        }
+    }
+
+    /// Blocks needed when the last token is generated.
+    #[must_use]
+    pub fn most_blocks(&self) -> u32 {
+        blocks_for(self.prompt_tokens.saturating_add(self.max_tokens))
+    }
+
+    /// Tokens still to be processed before the next one can be generated.
+    #[must_use]
+    pub fn prefill_left(&self) -> u32 {
+        (self.prompt_tokens + self.generated).saturating_sub(self.computed)
+    }
+
+    /// Whether it holds memory.
+    #[must_use]
+    pub fn holds_memory(&self) -> bool {
+        self.shared_blocks + self.private_blocks > 0
+    }
+
+    /// Whether all tokens are generated.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.generated >= self.max_tokens
+    }
+
+    /// Token counts so far.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        Usage {
+            prompt_tokens: self.prompt_tokens,
+            completion_tokens: self.generated,
+            cached_tokens: self.cached_tokens,
+        }
+    }
+
+    /// Takes memory for everything known so far and one more token, sharing
+    /// the cached prefix. On failure it holds nothing and the blocks that are
+    /// missing are returned.
+    ///
+    /// # Errors
+    /// The number of private blocks that must be free.
+    pub fn reserve(&mut self, memory: &mut KvMemory) -> Result<(), u32> {
+        let context = self.prompt_tokens + self.generated;
+        let shared = memory.acquire_prefix(&self.hashes);
+        let private = blocks_for(context + 1).saturating_sub(shared);
+        if !memory.allocate(private) {
+            memory.release(&self.hashes[..shared as usize]);
+            return Err(private);
+        }
+        self.shared_blocks = shared;
+        self.private_blocks = private;
+        // At least one token is processed to generate the next.
+        self.computed = (shared * BLOCK_TOKENS).min(context - 1);
+        if !self.started {
+            self.cached_tokens = self.computed;
+        }
+        Ok(())
+    }
+
+    /// Gives all memory back; what was processed must be processed again.
+    pub fn release(&mut self, memory: &mut KvMemory) {
+        memory.release(&self.hashes[..self.shared_blocks as usize]);
+        memory.free(self.private_blocks);
+        self.shared_blocks = 0;
+        self.private_blocks = 0;
+        self.computed = 0;
+    }
+
+    /// Counts `tokens` as processed.
+    pub fn advance_prefill(&mut self, tokens: u32) {
+        self.computed += tokens;
+    }
+
+    /// Puts the whole blocks of the prompt into the cache. Returns the new ones.
+    pub fn publish_prompt(&mut self, memory: &mut KvMemory) -> Vec<u64> {
+        let mut stored = Vec::new();
+        while (self.shared_blocks as usize) < self.hashes.len() {
+            let position = self.shared_blocks as usize;
+            let hash = self.hashes[position];
+            let parent = position.checked_sub(1).map(|before| self.hashes[before]);
+            if memory.publish(hash, parent) {
+                stored.push(hash);
+            }
+            self.private_blocks = self.private_blocks.saturating_sub(1);
+            self.shared_blocks += 1;
+        }
+        stored
+    }
+
+    /// Counts one generated token.
+    pub fn advance_generation(&mut self) {
+        self.computed = self.prompt_tokens + self.generated;
+        self.generated += 1;
+    }
+
+    /// Takes memory for one more token, if it does not fit the blocks held.
+    /// Returns false when there is no room.
+    pub fn grow(&mut self, memory: &mut KvMemory) -> bool {
+        let needed = blocks_for(self.prompt_tokens + self.generated + 1);
+        let held = self.shared_blocks + self.private_blocks;
+        if needed <= held {
+            return true;
+        }
+        if !memory.allocate(needed - held) {
+            return false;
+        }
+        self.private_blocks += needed - held;
+        true
+    }
+}
