Drive many groups over one disk in ReplicaCore

A proposal is said not to have run only before anything was appended, or when another term's entry is committed in its place; otherwise its fate is unknown after a time.

--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -1,18 +1,40 @@
 //! The replica process as its driver sees it.
 
-use molespan_storage::{Disk, DiskIdentity};
-use molespan_types::{RunOutcome, Timestamp};
+use std::collections::BTreeMap;
 
-use crate::{Input, Output, Refusal, ReplicaError, ReplicaSettings, ReplicaStatus, Ticket};
+use molespan_consensus::ReplicaId;
+use molespan_storage::{Disk, DiskIdentity, Recovery, WriteAheadLog};
+use molespan_types::{GroupId, NodeId, Timestamp};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::bootstrap::{group_ids, open_groups};
+use crate::fleet::{Fleet, FleetChange};
+use crate::group::{Group, Progress};
+use crate::identity::node_of;
+use crate::message::{GroupPayload, Hello, PeerMessage, Standing};
+use crate::shared::Shared;
+use crate::turn::not_run;
+use crate::{
+    Input, Output, ReplicaError, ReplicaEvent, ReplicaSettings, ReplicaStatus, Ticket, records,
+};
+
+/// When to come back to a replica that does not take part yet, in milliseconds.
+const NOT_READY_RETRY_MS: u32 = 500;
 
 /// A replica process.
 #[derive(Debug)]
 pub struct ReplicaCore<D> {
     disk: D,
-    settings: ReplicaSettings,
-    identity: DiskIdentity,
-    outputs: Vec<Output>,
+    random: ChaCha8Rng,
+    fleet: Fleet<D>,
+    shared: Shared<D>,
+    /// What the log held, until the groups are opened with it.
+    recovery: Option<Recovery>,
+    groups: BTreeMap<GroupId, Group<D>>,
     next_tick: Timestamp,
+    /// An error that came up while an input was taken in.
+    failure: Option<ReplicaError>,
 }
 
 impl<D: Disk> ReplicaCore<D> {
@@ -21,37 +43,215 @@
     /// # Errors
     /// When the settings cannot work, or the disk refuses or is damaged.
     pub fn open(disk: D, settings: ReplicaSettings, now: Timestamp) -> Result<Self, ReplicaError> {
-        let identity = DiskIdentity::open(&disk, settings.node, settings.seed as u32)?;
-        Ok(Self {
+        settings.check()?;
+        let random = ChaCha8Rng::seed_from_u64(settings.seed);
+        Self::load(disk, settings, random, now)
+    }
+
+    fn load(
+        disk: D,
+        settings: ReplicaSettings,
+        mut random: ChaCha8Rng,
+        now: Timestamp,
+    ) -> Result<Self, ReplicaError> {
+        records::finish_emptying(&disk, group_ids(&settings))?;
+        let fresh = random.random_range(1..=u32::MAX);
+        let identity = DiskIdentity::open(&disk, settings.node, fresh)?;
+        let session = random.random();
+        let (fleet, changes) = Fleet::open(disk.clone(), identity, &settings.peers, session, now)?;
+        let (log, recovery) = WriteAheadLog::open(disk.clone(), settings.log)?;
+        let shared = Shared::new(settings, fleet.own_id(), log);
+        let mut core = Self {
             disk,
-            settings,
-            identity,
-            outputs: Vec::new(),
+            random,
+            fleet,
+            shared,
+            recovery: Some(recovery),
+            groups: BTreeMap::new(),
             next_tick: now,
-        })
+            failure: None,
+        };
+        if core.fleet.record().standing != Standing::Blank {
+            core.open_groups()?;
+        }
+        core.follow(now, changes)?;
+        Ok(core)
+    }
+
+    fn open_groups(&mut self) -> Result<(), ReplicaError> {
+        let Some(recovery) = self.recovery.take() else {
+            return Ok(());
+        };
+        self.shared.own = self.fleet.own_id();
+        self.groups = open_groups(&self.disk, &mut self.fleet, &mut self.shared, recovery)?;
+        Ok(())
     }
 
     /// Takes an input in. Its outputs come from the next [`ReplicaCore::poll`].
-    pub fn handle(&mut self, _now: Timestamp, input: Input) {
-        match input {
+    pub fn handle(&mut self, now: Timestamp, input: Input) {
+        let result = match input {
+            Input::Message { from, group, bytes } => self.receive(now, from, group, &bytes),
+            request => {
+                self.request(now, request);
+                Ok(())
+            }
+        };
+        if let Err(error) = result {
+            self.failure.get_or_insert(error);
+        }
+    }
+
+    fn request(&mut self, now: Timestamp, request: Input) {
+        let (ticket, group) = match &request {
+            Input::Message { .. } => return,
+            Input::Propose { ticket, group, .. }
+            | Input::Query { ticket, group, .. }
+            | Input::ReplaceReplica { ticket, group, .. }
+            | Input::TransferLeadership { ticket, group, .. } => (*ticket, *group),
+        };
+        if !self.fleet.takes_part() {
+            return self.refuse(ticket, "the replica does not take part yet");
+        }
+        let joining = self.fleet.joining(now);
+        let Some(group) = self.groups.get_mut(&group) else {
+            return self.refuse(ticket, "there is no such group");
+        };
+        let turn = &mut self.shared.turn(now);
+        match request {
             Input::Message { .. } => {}
-            Input::Propose { ticket, .. }
-            | Input::Query { ticket, .. }
-            | Input::ReplaceReplica { ticket, .. }
-            | Input::TransferLeadership { ticket, .. } => self.refuse(ticket),
+            Input::Propose { command, .. } => group.propose(turn, ticket, command),
+            Input::Query {
+                consistency, query, ..
+            } => group.query(turn, ticket, consistency, query),
+            Input::ReplaceReplica { lost, .. } => {
+                group.report_replacement(turn, ticket, lost, &joining);
+            }
+            Input::TransferLeadership { to, .. } => group.transfer_leadership(turn, ticket, to),
+        }
+    }
+
+    fn refuse(&mut self, ticket: Ticket, message: &str) {
+        let result = Err(not_run(message, NOT_READY_RETRY_MS));
+        self.shared.outputs.push(Output::Reply { ticket, result });
+    }
+
+    /// Takes a message in. What cannot be read is as good as lost.
+    fn receive(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        group: GroupId,
+        bytes: &[u8],
+    ) -> Result<(), ReplicaError> {
+        match molespan_state::decode(bytes) {
+            Ok(PeerMessage::Hello(hello)) if node_of(hello.replica) == from => {
+                self.receive_hello(now, hello)
+            }
+            Ok(PeerMessage::Group {
+                from: sender,
+                to,
+                sequence,
+                payload,
+            }) if node_of(sender) == from && to == self.fleet.own_id() => {
+                self.fleet.saw_sequence(sender, sequence);
+                self.receive_group(now, sender, group, payload)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn receive_hello(&mut self, now: Timestamp, hello: Hello) -> Result<(), ReplicaError> {
+        let to = node_of(hello.replica);
+        let sequence = self.shared.log.sequence();
+        let (changes, reply) = self.fleet.receive(now, hello, sequence)?;
+        if let Some(reply) = reply {
+            self.send_hello(to, reply);
+        }
+        self.follow(now, changes)
+    }
+
+    fn receive_group(
+        &mut self,
+        now: Timestamp,
+        from: ReplicaId,
+        group: GroupId,
+        payload: GroupPayload,
+    ) -> Result<(), ReplicaError> {
+        if !self.fleet.takes_part() {
+            return Ok(());
+        }
+        let Some(group) = self.groups.get_mut(&group) else {
+            return Ok(());
+        };
+        let turn = &mut self.shared.turn(now);
+        match payload {
+            GroupPayload::Consensus(message) => group.step(from, message),
+            GroupPayload::Pull(pull) => group.serve(turn, from, &pull)?,
+            GroupPayload::Chunk(chunk) => group.receive_chunk(turn, from, &chunk)?,
+        }
+        Ok(())
+    }
+
+    /// Carries out what the fleet's bookkeeping led to.
+    fn follow(&mut self, now: Timestamp, changes: Vec<FleetChange>) -> Result<(), ReplicaError> {
+        for change in changes {
+            match change {
+                FleetChange::Formed => {
+                    self.open_groups()?;
+                    self.report_founding();
+                }
+                FleetChange::TakesPart => {
+                    self.next_tick = now;
+                    let incarnation = self.fleet.identity().incarnation;
+                    self.shared.event(ReplicaEvent::TakesPart { incarnation });
+                }
+                FleetChange::Outdated { by } => {
+                    let reason = format!("node {by} knows a later state of this disk");
+                    return self.renew(now, reason);
+                }
+                FleetChange::Contradiction { with } => {
+                    let message = format!("node {with} has other first voters");
+                    self.shared.event(ReplicaEvent::Fault { message });
+                }
+            }
         }
+        Ok(())
     }
 
-    fn refuse(&mut self, ticket: Ticket) {
-        let refusal = Refusal::Refused {
-            outcome: RunOutcome::NotRun,
-            message: "the replica does not take part yet".to_owned(),
-            retry_after_ms: 1_000,
+    fn report_founding(&mut self) {
+        let record = self.fleet.record();
+        let event = if record.standing == Standing::Founder {
+            let founders = record.founders.iter();
+            ReplicaEvent::Founded {
+                nodes: founders.map(|&founder| node_of(founder)).collect(),
+            }
+        } else {
+            ReplicaEvent::NewIncarnation {
+                incarnation: self.fleet.identity().incarnation,
+                reason: "the disk was blank".to_owned(),
+            }
         };
-        self.outputs.push(Output::Reply {
-            ticket,
-            result: Err(refusal),
+        self.shared.event(event);
+    }
+
+    /// Ends this life of the disk and begins another one without a past.
+    fn renew(&mut self, now: Timestamp, reason: String) -> Result<(), ReplicaError> {
+        for group in self.groups.values_mut() {
+            group.abandon_all(&mut self.shared.turn(now));
+        }
+        let settings = self.shared.settings.clone();
+        records::empty(&self.disk, self.fleet.record(), group_ids(&settings))?;
+        let outputs = std::mem::take(&mut self.shared.outputs);
+        let random = ChaCha8Rng::from_rng(&mut self.random);
+        *self = Self::load(self.disk.clone(), settings, random, now)?;
+        let later = std::mem::replace(&mut self.shared.outputs, outputs);
+        let incarnation = self.fleet.identity().incarnation;
+        self.shared.event(ReplicaEvent::NewIncarnation {
+            incarnation,
+            reason,
         });
+        self.shared.outputs.extend(later);
+        Ok(())
     }
 
     /// Does all work that is due: call it after a batch of inputs and at
@@ -60,28 +260,158 @@
     /// # Errors
     /// Every error is final; the core must be dropped.
     pub fn poll(&mut self, now: Timestamp) -> Result<Vec<Output>, ReplicaError> {
-        self.next_tick = now + self.settings.tick;
-        Ok(std::mem::take(&mut self.outputs))
+        if let Some(failure) = self.failure.take() {
+            return Err(failure);
+        }
+        self.greet(now);
+        if self.fleet.takes_part() {
+            let ticked = self.tick(now);
+            self.run(now)?;
+            if ticked {
+                self.maintain(now)?;
+                self.run(now)?;
+            }
+            self.conclude(now)?;
+        }
+        Ok(std::mem::take(&mut self.shared.outputs))
+    }
+
+    fn greet(&mut self, now: Timestamp) {
+        let sequence = self.shared.log.sequence();
+        for (node, hello) in self.fleet.hellos_due(now, sequence) {
+            self.send_hello(node, hello);
+        }
+    }
+
+    fn send_hello(&mut self, to: NodeId, hello: Hello) {
+        self.shared.outputs.push(Output::Send {
+            to,
+            group: GroupId::CONTROL,
+            bytes: molespan_state::encode(&PeerMessage::Hello(hello)),
+        });
+    }
+
+    /// Ticks every group as often as is due; says whether any was. After a
+    /// long pause more ticks than an election takes would tell nothing new.
+    fn tick(&mut self, now: Timestamp) -> bool {
+        let most = 2 * self.shared.settings.election_ticks;
+        let mut ticks = 0;
+        while self.next_tick <= now && ticks < most {
+            self.next_tick = self.next_tick + self.shared.settings.tick;
+            ticks += 1;
+            for group in self.groups.values_mut() {
+                group.tick();
+            }
+        }
+        if self.next_tick <= now {
+            self.next_tick = now + self.shared.settings.tick;
+        }
+        if ticks > 0 {
+            self.shared.note_tick();
+        }
+        ticks > 0
+    }
+
+    /// Lets every group work until nothing is left, with one sync for all of
+    /// them in each round.
+    fn run(&mut self, now: Timestamp) -> Result<(), ReplicaError> {
+        loop {
+            let mut worked = false;
+            for group in self.groups.values_mut() {
+                match group.take_ready(&mut self.shared.turn(now))? {
+                    Progress::Idle => {}
+                    Progress::Worked => worked = true,
+                    Progress::RolledBack => {
+                        let reason = "acknowledged entries are missing".to_owned();
+                        return self.renew(now, reason);
+                    }
+                }
+            }
+            if !self.shared.sync()? {
+                return Ok(());
+            }
+            for group in self.groups.values_mut() {
+                group.after_sync(&mut self.shared.turn(now));
+            }
+            if !worked {
+                return Ok(());
+            }
+        }
+    }
+
+    /// What is due once a tick.
+    fn maintain(&mut self, now: Timestamp) -> Result<(), ReplicaError> {
+        self.shared.watch_space(now)?;
+        let joining = self.fleet.joining(now);
+        for group in self.groups.values_mut() {
+            let turn = &mut self.shared.turn(now);
+            group.apply(turn)?;
+            group.time_out_proposals(turn);
+            group.expire_leases(turn);
+            group.replace_lost(&joining);
+            group.drive_transfer(turn);
+            group.drop_idle_serving(now);
+        }
+        self.take_a_snapshot(now)?;
+        self.shared.log.remove_obsolete()?;
+        Ok(())
+    }
+
+    /// Takes at most one snapshot, and only when the mark of the one before is
+    /// durable: the log must never refer to a snapshot that was removed.
+    fn take_a_snapshot(&mut self, now: Timestamp) -> Result<(), ReplicaError> {
+        if self.shared.log.has_unsynced() {
+            return Ok(());
+        }
+        let segments = self.shared.settings.most_segments();
+        let lagging = self.shared.log.lagging_group(segments);
+        for (&id, group) in &mut self.groups {
+            let turn = &mut self.shared.turn(now);
+            if group.snapshot_if_due(turn, lagging == Some(id))? {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    /// Tells what changed, and notes what must outlive a restart.
+    fn conclude(&mut self, now: Timestamp) -> Result<(), ReplicaError> {
+        for group in self.groups.values_mut() {
+            group.report_leader(&mut self.shared.turn(now));
+        }
+        let replaced = std::mem::take(&mut self.shared.replaced);
+        self.fleet.note_replaced(&replaced)?;
+        let joining = self.fleet.record().standing == Standing::Joining;
+        if joining && self.groups.values().all(Group::is_settled_voter) {
+            self.fleet.note_member()?;
+        }
+        Ok(())
     }
 
     /// When to poll again if no input comes before.
     #[must_use]
     pub fn next_deadline(&self) -> Timestamp {
-        self.next_tick
+        let hello = self.fleet.next_hello();
+        if self.fleet.takes_part() {
+            hello.min(self.next_tick)
+        } else {
+            hello
+        }
     }
 
     /// What operators and metrics show.
     #[must_use]
     pub fn status(&self) -> ReplicaStatus {
+        let identity = self.fleet.identity();
         ReplicaStatus {
-            node: self.settings.node,
-            incarnation: self.identity.incarnation,
-            boot: self.identity.boot,
-            takes_part: false,
-            disk_full: false,
-            log_bytes: self.disk.length("log").ok().flatten().unwrap_or(0),
-            log_syncs: 0,
-            groups: Vec::new(),
+            node: identity.node,
+            incarnation: identity.incarnation,
+            boot: identity.boot,
+            takes_part: self.fleet.takes_part(),
+            disk_full: self.shared.log.is_low(),
+            log_bytes: self.shared.log.size(),
+            log_syncs: self.shared.syncs,
+            groups: self.groups.values().map(Group::status).collect(),
         }
     }
 }
--- a/crates/replica/src/error.rs
+++ b/crates/replica/src/error.rs
@@ -2,7 +2,7 @@
 
 use derive_more::{Display, Error, From};
 use molespan_consensus::{ConsensusError, Fault};
-use molespan_state::PayloadError;
+use molespan_state::{PayloadError, StateError};
 use molespan_storage::StorageError;
 use molespan_types::GroupId;
 
@@ -38,6 +38,15 @@
         /// What was found.
         source: Fault,
     },
+    /// A stored snapshot cannot be read.
+    #[display("group {group}: {source}")]
+    #[from(skip)]
+    State {
+        /// Group.
+        group: GroupId,
+        /// What was found.
+        source: StateError,
+    },
     /// A command could not be applied, since a payload cannot be read.
     #[display("group {group}: {source}")]
     #[from(skip)]
--- /dev/null
+++ b/crates/replica/src/fleet.rs
@@ -0,0 +1,374 @@
+//! Which lives of which disks exist: founding, joining, and telling a rolled
+//! back disk from one that merely restarted.
+//!
+//! The rules and their argument stand in
+//! `docs/decisions/0003-replica-identity.md`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use molespan_consensus::ReplicaId;
+use molespan_storage::{Disk, DiskIdentity, StorageError};
+use molespan_types::mechanism::{Mechanism, enabled};
+use molespan_types::{NodeId, Timestamp};
+
+use crate::identity::{node_of, replica_id};
+use crate::message::{Hello, Standing, Verdict};
+use crate::records::{BootRecord, FleetRecord};
+
+/// Time between two hellos while something is still open.
+const EAGER_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two hellos otherwise.
+const CALM_INTERVAL: Duration = Duration::from_secs(5);
+/// A process that said nothing for longer is not counted on.
+const PRESENCE: Duration = Duration::from_secs(3);
+
+/// Something that follows from a hello.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum FleetChange {
+    /// This replica knows its standing now, and its groups can be opened.
+    Formed,
+    /// This replica may take part.
+    TakesPart,
+    /// This disk is outdated, and this must become a new replica.
+    Outdated {
+        /// Who said so.
+        by: NodeId,
+    },
+    /// Two processes disagree on who the first voters are.
+    Contradiction {
+        /// The other one.
+        with: NodeId,
+    },
+}
+
+/// The latest hello of another process.
+#[derive(Clone, Debug)]
+struct Presence {
+    at: Timestamp,
+    hello: Hello,
+    outdated: bool,
+    /// It answered this very start of ours, so it was sent after it.
+    answered: bool,
+}
+
+/// What this process knows of the others.
+#[derive(Debug)]
+pub(crate) struct Fleet<D> {
+    disk: D,
+    identity: DiskIdentity,
+    session: u64,
+    record: FleetRecord,
+    others: BTreeSet<NodeId>,
+    present: BTreeMap<NodeId, Presence>,
+    /// Highest synced write seen of each life since this start.
+    sequences: BTreeMap<ReplicaId, u64>,
+    confirmed: BTreeSet<NodeId>,
+    takes_part: bool,
+    next_hello: Timestamp,
+}
+
+impl<D: Disk> Fleet<D> {
+    /// Reads the records back. A process without others founds at once.
+    pub fn open(
+        disk: D,
+        identity: DiskIdentity,
+        peers: &[NodeId],
+        session: u64,
+        now: Timestamp,
+    ) -> Result<(Self, Vec<FleetChange>), StorageError> {
+        let record = FleetRecord::load(&disk)?;
+        let mut others: BTreeSet<NodeId> = peers.iter().copied().collect();
+        others.remove(&identity.node);
+        let mut fleet = Self {
+            disk,
+            identity,
+            session,
+            record,
+            others,
+            present: BTreeMap::new(),
+            sequences: BTreeMap::new(),
+            confirmed: BTreeSet::new(),
+            takes_part: false,
+            next_hello: now,
+        };
+        let mut changes = Vec::new();
+        fleet.found_if_all_are_blank(now, &mut changes)?;
+        fleet.check_confirmations(&mut changes);
+        Ok((fleet, changes))
+    }
+
+    /// This life of this disk.
+    pub fn own_id(&self) -> ReplicaId {
+        replica_id(self.identity.node, self.identity.incarnation)
+    }
+
+    pub fn identity(&self) -> DiskIdentity {
+        self.identity
+    }
+
+    pub fn record(&self) -> &FleetRecord {
+        &self.record
+    }
+
+    /// Whether enough others confirmed that this disk was not rolled back.
+    pub fn takes_part(&self) -> bool {
+        self.takes_part
+    }
+
+    pub fn next_hello(&self) -> Timestamp {
+        self.next_hello
+    }
+
+    /// Notes how far the log of another life was synced.
+    pub fn saw_sequence(&mut self, replica: ReplicaId, sequence: u64) {
+        let highest = self.sequences.entry(replica).or_default();
+        *highest = sequence.max(*highest);
+    }
+
+    /// Hellos to send now, if any are due.
+    pub fn hellos_due(&mut self, now: Timestamp, sequence: u64) -> Vec<(NodeId, Hello)> {
+        if now < self.next_hello {
+            return Vec::new();
+        }
+        let settled = self.takes_part && self.record.standing.is_voter();
+        let interval = if settled {
+            CALM_INTERVAL
+        } else {
+            EAGER_INTERVAL
+        };
+        self.next_hello = now + interval;
+        let others = self.others.iter();
+        others
+            .map(|&node| (node, self.hello(node, sequence, true)))
+            .collect()
+    }
+
+    fn hello(&self, to: NodeId, sequence: u64, wants_reply: bool) -> Hello {
+        let verdict = self.present.get(&to).map(|presence| Verdict {
+            session: presence.hello.session,
+            outdated: presence.outdated,
+        });
+        Hello {
+            replica: self.own_id(),
+            boot: self.identity.boot,
+            session: self.session,
+            sequence,
+            standing: self.record.standing,
+            founders: self.record.founders.clone(),
+            verdict,
+            wants_reply,
+        }
+    }
+
+    /// Takes a hello in. Returns what follows and the hello to answer with.
+    pub fn receive(
+        &mut self,
+        now: Timestamp,
+        hello: Hello,
+        sequence: u64,
+    ) -> Result<(Vec<FleetChange>, Option<Hello>), StorageError> {
+        let from = node_of(hello.replica);
+        let mut changes = Vec::new();
+        if !self.others.contains(&from) {
+            return Ok((changes, None));
+        }
+        let outdated = self.judge(&hello)?;
+        let verdict = hello.verdict;
+        let answered = verdict.is_some_and(|verdict| verdict.session == self.session);
+        let wants_reply = hello.wants_reply;
+        let standing = hello.standing;
+        let founders = hello.founders.clone();
+        let presence = Presence {
+            at: now,
+            hello,
+            outdated,
+            answered,
+        };
+        self.present.insert(from, presence);
+        if !outdated {
+            self.compare_founders(from, founders, &mut changes)?;
+        }
+        self.found_if_all_are_blank(now, &mut changes)?;
+        if let Some(verdict) = verdict.filter(|_| answered) {
+            self.take_verdict(from, verdict, standing, &mut changes);
+        }
+        let reply = wants_reply.then(|| self.hello(from, sequence, false));
+        Ok((changes, reply))
+    }
+
+    /// Whether the sender's disk is behind what is known of it. A delayed
+    /// hello of an earlier start is judged so too, which harms nobody: the
+    /// verdict names that start.
+    fn judge(&mut self, hello: &Hello) -> Result<bool, StorageError> {
+        if !enabled(Mechanism::NewIncarnation) {
+            return Ok(false);
+        }
+        if self.record.replaced.contains(&hello.replica) {
+            return Ok(true);
+        }
+        let presence = self.present.get(&node_of(hello.replica));
+        if let Some(presence) = presence.filter(|known| known.hello.session == hello.session) {
+            return Ok(presence.outdated);
+        }
+        if let Some(known) = self.record.boots.get(&hello.replica) {
+            if known.session == hello.session {
+                return Ok(false);
+            }
+            let seen = self.sequences.get(&hello.replica).copied().unwrap_or(0);
+            if hello.boot <= known.boot || hello.sequence < seen {
+                return Ok(true);
+            }
+        }
+        let boot = BootRecord {
+            boot: hello.boot,
+            session: hello.session,
+        };
+        self.record.boots.insert(hello.replica, boot);
+        self.record.store(&self.disk)?;
+        Ok(false)
+    }
+
+    /// Learns who the first voters are, or finds a contradiction.
+    fn compare_founders(
+        &mut self,
+        from: NodeId,
+        founders: BTreeSet<ReplicaId>,
+        changes: &mut Vec<FleetChange>,
+    ) -> Result<(), StorageError> {
+        if founders.is_empty() || founders == self.record.founders {
+            return Ok(());
+        }
+        let known = !self.record.founders.is_empty();
+        if known || !self.is_of_all_nodes(&founders) {
+            changes.push(FleetChange::Contradiction { with: from });
+            return Ok(());
+        }
+        if !enabled(Mechanism::NewIncarnation) {
+            self.take_old_identity(&founders)?;
+        }
+        let founder = founders.contains(&self.own_id());
+        self.record.founders = founders;
+        self.record.standing = if founder {
+            Standing::Founder
+        } else {
+            Standing::Joining
+        };
+        self.record.store(&self.disk)?;
+        self.next_hello = Timestamp::ZERO;
+        changes.push(FleetChange::Formed);
+        Ok(())
+    }
+
+    /// What a blank disk must never do; only mutation runs come here.
+    fn take_old_identity(&mut self, founders: &BTreeSet<ReplicaId>) -> Result<(), StorageError> {
+        let node = self.identity.node;
+        if let Some(&old) = founders.iter().find(|&&founder| node_of(founder) == node) {
+            self.identity.incarnation = crate::identity::incarnation_of(old);
+            self.identity.store(&self.disk)?;
+        }
+        Ok(())
+    }
+
+    /// Whether the founders are one life of each node in the settings.
+    fn is_of_all_nodes(&self, founders: &BTreeSet<ReplicaId>) -> bool {
+        let nodes: BTreeSet<NodeId> = founders.iter().map(|&founder| node_of(founder)).collect();
+        let mut expected = self.others.clone();
+        expected.insert(self.identity.node);
+        nodes == expected && founders.len() == expected.len()
+    }
+
+    /// Founds the groups, on the lowest node and only when every other one has
+    /// answered this very start with a blank disk of its own.
+    fn found_if_all_are_blank(
+        &mut self,
+        now: Timestamp,
+        changes: &mut Vec<FleetChange>,
+    ) -> Result<(), StorageError> {
+        let lowest = self.others.iter().all(|&other| other > self.identity.node);
+        if self.record.standing != Standing::Blank || !lowest {
+            return Ok(());
+        }
+        let mut founders = BTreeSet::from([self.own_id()]);
+        for node in &self.others {
+            let Some(presence) = self.present.get(node) else {
+                return Ok(());
+            };
+            let blank = presence.hello.standing == Standing::Blank;
+            if !blank || !presence.answered || now.since(presence.at) > PRESENCE {
+                return Ok(());
+            }
+            founders.insert(presence.hello.replica);
+        }
+        self.record.founders = founders;
+        self.record.standing = Standing::Founder;
+        self.record.store(&self.disk)?;
+        self.next_hello = Timestamp::ZERO;
+        changes.push(FleetChange::Formed);
+        Ok(())
+    }
+
+    fn take_verdict(
+        &mut self,
+        from: NodeId,
+        verdict: Verdict,
+        standing: Standing,
+        changes: &mut Vec<FleetChange>,
+    ) {
+        if verdict.outdated && enabled(Mechanism::NewIncarnation) {
+            changes.push(FleetChange::Outdated { by: from });
+            return;
+        }
+        if standing.is_voter() {
+            self.confirmed.insert(from);
+        }
+        self.check_confirmations(changes);
+    }
+
+    /// A replica takes part once it makes up a majority of the nodes together
+    /// with those that confirmed it.
+    fn check_confirmations(&mut self, changes: &mut Vec<FleetChange>) {
+        let majority = self.others.len().div_ceil(2);
+        let formed = self.record.standing != Standing::Blank;
+        if !self.takes_part && formed && self.confirmed.len() >= majority {
+            self.takes_part = true;
+            changes.push(FleetChange::TakesPart);
+        }
+    }
+
+    /// Lives that wait to become voters and were heard lately.
+    pub fn joining(&self, now: Timestamp) -> Vec<ReplicaId> {
+        let waiting = self.present.values().filter(|presence| {
+            let joining = presence.hello.standing == Standing::Joining;
+            joining && !presence.outdated && now.since(presence.at) <= PRESENCE
+        });
+        waiting.map(|presence| presence.hello.replica).collect()
+    }
+
+    /// Notes that lives lost their vote to their successors, for good.
+    pub fn note_replaced(&mut self, replaced: &BTreeSet<ReplicaId>) -> Result<(), StorageError> {
+        let mut changed = false;
+        for &replica in replaced {
+            changed |= self.record.replaced.insert(replica);
+            self.record.boots.remove(&replica);
+        }
+        if changed {
+            self.record.store(&self.disk)?;
+        }
+        Ok(())
+    }
+
+    /// Notes that the first voters' common first entry is in the log.
+    pub fn note_bootstrapped(&mut self) -> Result<(), StorageError> {
+        self.record.bootstrapped = true;
+        self.record.store(&self.disk)
+    }
+
+    /// Notes that this life votes in every group.
+    pub fn note_member(&mut self) -> Result<(), StorageError> {
+        self.record.standing = Standing::Member;
+        self.record.store(&self.disk)?;
+        self.next_hello = Timestamp::ZERO;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/replica/src/group/apply.rs
@@ -0,0 +1,95 @@
+//! Applying committed entries to the machine.
+
+use std::collections::BTreeSet;
+
+use molespan_consensus::{Entry, EntryKind, Membership, ReplicaId};
+use molespan_state::Machine;
+use molespan_storage::{Disk, StorageError};
+use molespan_types::ConfigVersion;
+
+use super::Group;
+use crate::identity::node_of;
+use crate::turn::Turn;
+use crate::{Output, ReplicaError, ReplicaEvent};
+
+/// Payload bytes that may wait in memory before they go to the disk.
+const MAX_WAITING_BYTES: usize = 1 << 20;
+
+impl<D: Disk> Group<D> {
+    /// Applies what is committed, as far as the payload log has room, and
+    /// answers the proposals and reads that this settles.
+    pub fn apply(&mut self, turn: &mut Turn<'_, D>) -> Result<(), ReplicaError> {
+        let version = self.configuration_version();
+        while let Some(entry) = self.to_apply.pop_front() {
+            let crowded = self.payloads.waiting_bytes() > MAX_WAITING_BYTES;
+            if crowded && !self.flush_payloads()? {
+                self.to_apply.push_front(entry);
+                break;
+            }
+            self.apply_entry(turn, entry)?;
+        }
+        self.flush_payloads()?;
+        let newer = self.configuration_version();
+        if newer != version {
+            let version = newer;
+            turn.outputs.push(Output::ConfigurationChanged { version });
+        }
+        self.answer_reads(turn);
+        Ok(())
+    }
+
+    /// Hands payloads to the disk; says whether there was room.
+    fn flush_payloads(&mut self) -> Result<bool, StorageError> {
+        match self.payloads.flush() {
+            Ok(()) => Ok(true),
+            Err(error) if error.is_full() => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn apply_entry(&mut self, turn: &mut Turn<'_, D>, entry: Entry) -> Result<(), ReplicaError> {
+        self.policy.note_applied(&entry);
+        self.applied = entry.index;
+        match entry.kind {
+            EntryKind::Command(command) => {
+                let reply = self
+                    .machine
+                    .apply_bytes(&command, &mut self.payloads)
+                    .map_err(|source| ReplicaError::Payload {
+                        group: self.id,
+                        source,
+                    })?;
+                self.settle_proposal(turn, entry.index, entry.term, || reply);
+            }
+            EntryKind::Membership(membership) => {
+                self.note_membership(turn, &membership);
+                self.settle_proposal(turn, entry.index, entry.term, Vec::new);
+            }
+            EntryKind::Empty => self.settle_proposal(turn, entry.index, entry.term, Vec::new),
+        }
+        Ok(())
+    }
+
+    /// Notes which lives lost their vote by a committed change.
+    pub(super) fn note_membership(&mut self, turn: &mut Turn<'_, D>, membership: &Membership) {
+        let present = membership.members();
+        let before = self.membership.all_voters();
+        let gone: BTreeSet<ReplicaId> = before.difference(&present).copied().collect();
+        for &replica in &gone {
+            turn.event(ReplicaEvent::ReplicaReplaced {
+                group: self.id,
+                node: node_of(replica),
+            });
+        }
+        turn.replaced.extend(gone);
+        self.membership.clone_from(membership);
+    }
+
+    /// The version of the configuration; zero in a job group.
+    fn configuration_version(&self) -> ConfigVersion {
+        match &self.machine {
+            Machine::Control(machine) => machine.configuration().version,
+            Machine::Job(_) => ConfigVersion::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/replica/src/group/members.rs
@@ -0,0 +1,101 @@
+//! Replacing lost replicas by the new lives of their nodes.
+
+use molespan_consensus::{Membership, MembershipChange, ReplicaId};
+use molespan_storage::Disk;
+use molespan_types::NodeId;
+
+use super::Group;
+use super::proposals::refusal_of;
+use crate::Ticket;
+use crate::identity::{node_of, replica_id};
+use crate::turn::{Turn, not_run};
+
+/// When to look again at a replacement that is under way, in milliseconds.
+const RETRY_MS: u32 = 500;
+
+impl<D: Disk> Group<D> {
+    /// Brings the new lives in `joining` one step further: first a learner,
+    /// then, once it has caught up durably, the voter in its old life's place.
+    /// Consensus refuses a step that comes too early.
+    pub fn replace_lost(&mut self, joining: &[ReplicaId]) {
+        if !self.leads() {
+            return;
+        }
+        for &replacement in joining {
+            if let Some(change) = self.next_change(replacement) {
+                let _ = self.replica.change_membership(change);
+            }
+        }
+    }
+
+    fn next_change(&self, replacement: ReplicaId) -> Option<MembershipChange> {
+        let membership = self.replica.membership();
+        if membership.is_joint() || membership.voters.contains(&replacement) {
+            return None;
+        }
+        let lost = voter_of(membership, node_of(replacement))?;
+        if lost == self.replica.id() || self.is_active(lost) {
+            return None;
+        }
+        if membership.learners.contains(&replacement) {
+            return Some(MembershipChange::Replace { lost, replacement });
+        }
+        let mut learners = membership.learners.iter().copied();
+        let other_life = learners.find(|&learner| node_of(learner) == node_of(replacement));
+        Some(match other_life {
+            Some(learner) => MembershipChange::RemoveLearner(learner),
+            None => MembershipChange::AddLearner(replacement),
+        })
+    }
+
+    /// Whether a voter was heard of lately; then two processes claim to be one
+    /// node, and neither is replaced.
+    fn is_active(&self, replica: ReplicaId) -> bool {
+        let status = self.replica.status();
+        let follower = status.followers.get(&replica);
+        follower.is_some_and(|follower| follower.recently_active)
+    }
+
+    /// Tells an operator how far the replacement of a node is.
+    pub fn report_replacement(
+        &mut self,
+        turn: &mut Turn<'_, D>,
+        ticket: Ticket,
+        lost: NodeId,
+        joining: &[ReplicaId],
+    ) {
+        let result = if !self.leads() {
+            let leader = self.leader();
+            Err(crate::Refusal::NotLeader { leader })
+        } else if let Some(&replacement) = joining.iter().find(|&&one| node_of(one) == lost) {
+            match self.next_change(replacement) {
+                Some(change) => match self.replica.change_membership(change) {
+                    Ok(_) => Ok(Vec::new()),
+                    Err(error) => Err(refusal_of(&error)),
+                },
+                None => Ok(Vec::new()),
+            }
+        } else {
+            let message = "no new incarnation of that node was heard of";
+            Err(not_run(message, RETRY_MS))
+        };
+        turn.reply(ticket, result);
+    }
+
+    /// Hands the leadership over to `to`.
+    pub fn transfer_leadership(&mut self, turn: &mut Turn<'_, D>, ticket: Ticket, to: NodeId) {
+        let voter = voter_of(self.replica.membership(), to);
+        let target = voter.unwrap_or(replica_id(to, 0));
+        let result = match self.replica.transfer_leadership(target) {
+            Ok(()) => Ok(Vec::new()),
+            Err(error) => Err(refusal_of(&error)),
+        };
+        turn.reply(ticket, result);
+    }
+}
+
+/// The life of `node` that votes.
+fn voter_of(membership: &Membership, node: NodeId) -> Option<ReplicaId> {
+    let mut voters = membership.voters.iter().copied();
+    voters.find(|&voter| node_of(voter) == node)
+}
--- /dev/null
+++ b/crates/replica/src/group/proposals.rs
@@ -0,0 +1,135 @@
+//! Proposals whose fate is open.
+
+use std::collections::BTreeMap;
+
+use molespan_consensus::{Index, ProposeError, Term};
+use molespan_storage::Disk;
+use molespan_types::Timestamp;
+
+use super::Group;
+use crate::identity::node_of;
+use crate::turn::{Turn, not_run, unknown};
+use crate::{Refusal, Ticket};
+
+/// When to come back after a refusal that passes soon, in milliseconds.
+const SHORT_RETRY_MS: u32 = 50;
+/// When to come back while the disk is full, in milliseconds.
+const FULL_RETRY_MS: u32 = 1_000;
+
+#[derive(Debug)]
+struct Pending {
+    ticket: Ticket,
+    term: Term,
+    deadline: Timestamp,
+}
+
+/// Proposals of this replica by log position.
+#[derive(Debug, Default)]
+pub(super) struct Proposals {
+    pending: BTreeMap<Index, Pending>,
+}
+
+impl Proposals {
+    fn take(&mut self, index: Index) -> Option<Pending> {
+        self.pending.remove(&index)
+    }
+
+    /// Removes the proposals up to `index`.
+    fn take_through(&mut self, index: Index) -> BTreeMap<Index, Pending> {
+        let later = self.pending.split_off(&index.next());
+        std::mem::replace(&mut self.pending, later)
+    }
+
+    /// Removes the proposals whose time is up.
+    fn take_late(&mut self, now: Timestamp) -> Vec<Ticket> {
+        let late = self.pending.extract_if(.., |_, one| one.deadline <= now);
+        late.map(|(_, one)| one.ticket).collect()
+    }
+}
+
+impl<D: Disk> Group<D> {
+    /// Appends a command to the log. `not-run` is said only here, before
+    /// anything was appended, and where another entry took its place.
+    pub fn propose(&mut self, turn: &mut Turn<'_, D>, ticket: Ticket, command: Vec<u8>) {
+        if let Some(refusal) = self.refusal(turn) {
+            return turn.reply(ticket, Err(refusal));
+        }
+        match self.replica.propose(command) {
+            Ok(index) => {
+                let pending = Pending {
+                    ticket,
+                    term: self.replica.term(),
+                    deadline: turn.now + turn.settings.proposal_timeout,
+                };
+                self.proposals.pending.insert(index, pending);
+            }
+            Err(error) => turn.reply(ticket, Err(refusal_of(&error))),
+        }
+    }
+
+    /// Why nothing new can be taken in now, if so.
+    fn refusal(&self, turn: &Turn<'_, D>) -> Option<Refusal> {
+        let leader = self.leader();
+        if !self.leads() {
+            return Some(Refusal::NotLeader { leader });
+        }
+        if turn.log.is_low() || !self.to_apply.is_empty() {
+            return Some(not_run("the disk is full", FULL_RETRY_MS));
+        }
+        let crowded = self.proposals.pending.len() >= turn.settings.max_pending_proposals;
+        crowded.then(|| not_run("too many proposals are under way", SHORT_RETRY_MS))
+    }
+
+    /// Answers the proposal at an entry that was applied.
+    pub(super) fn settle_proposal(
+        &mut self,
+        turn: &mut Turn<'_, D>,
+        index: Index,
+        term: Term,
+        reply: impl FnOnce() -> Vec<u8>,
+    ) {
+        let Some(pending) = self.proposals.take(index) else {
+            return;
+        };
+        // An entry of another term at its place: ours can never be committed.
+        let result = if pending.term == term {
+            Ok(reply())
+        } else {
+            Err(not_run("another leader took over", SHORT_RETRY_MS))
+        };
+        turn.reply(pending.ticket, result);
+    }
+
+    /// Proposals whose entries a snapshot has covered: whether they are among
+    /// the committed ones can no longer be seen.
+    pub(super) fn abandon_proposals_through(&mut self, turn: &mut Turn<'_, D>, index: Index) {
+        for pending in self.proposals.take_through(index).into_values() {
+            turn.reply(pending.ticket, Err(unknown("the log was replaced")));
+        }
+    }
+
+    /// Proposals that took too long.
+    pub fn time_out_proposals(&mut self, turn: &mut Turn<'_, D>) {
+        for ticket in self.proposals.take_late(turn.now) {
+            turn.reply(ticket, Err(unknown("not committed in time")));
+        }
+    }
+
+    /// Answers everything that is open, since this life of the disk ends.
+    pub fn abandon_all(&mut self, turn: &mut Turn<'_, D>) {
+        for pending in std::mem::take(&mut self.proposals.pending).into_values() {
+            turn.reply(pending.ticket, Err(unknown("the replica starts anew")));
+        }
+        self.fail_all_reads(turn);
+    }
+}
+
+/// The refusal that a driver sees. Consensus refuses before it appends.
+pub(super) fn refusal_of(error: &ProposeError) -> Refusal {
+    match error {
+        ProposeError::NotLeader { leader } => Refusal::NotLeader {
+            leader: leader.map(node_of),
+        },
+        other => not_run(other, SHORT_RETRY_MS),
+    }
+}
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -7,10 +7,18 @@
 //! again at [`ReplicaCore::next_deadline`] when nothing comes in before.
 
 mod api;
+mod bootstrap;
 mod core;
 mod error;
+mod fleet;
+mod group;
+mod identity;
+mod message;
+mod records;
 mod settings;
+mod shared;
 mod status;
+mod turn;
 
 pub use api::{Consistency, Input, Output, Refusal, ReplicaEvent, Ticket};
 pub use core::ReplicaCore;
--- a/crates/replica/src/settings.rs
+++ b/crates/replica/src/settings.rs
@@ -1,10 +1,13 @@
 //! Settings of a replica process.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use molespan_storage::LogSettings;
 use molespan_types::NodeId;
 
+use crate::ReplicaError;
+
 /// Settings of one replica process.
 #[derive(Clone, Debug)]
 pub struct ReplicaSettings {
@@ -65,3 +68,47 @@
         }
     }
 }
+
+impl ReplicaSettings {
+    /// Checks that the settings can work together.
+    pub(crate) fn check(&self) -> Result<(), ReplicaError> {
+        let rules = [
+            (
+                self.peers.contains(&self.node),
+                "peers must name the node itself",
+            ),
+            (
+                self.peers.iter().collect::<BTreeSet<_>>().len() == self.peers.len(),
+                "peers names a node twice",
+            ),
+            (!self.tick.is_zero(), "tick must not be zero"),
+            (self.chunk_bytes > 0, "chunk_bytes must not be zero"),
+            (
+                self.snapshot_every_entries > 0,
+                "snapshot_every_entries must not be zero",
+            ),
+            (
+                self.snapshot_every_bytes > 0,
+                "snapshot_every_bytes must not be zero",
+            ),
+            (
+                self.log.segment_bytes > 0,
+                "log.segment_bytes must not be zero",
+            ),
+        ];
+        let broken = rules.iter().filter(|(holds, _)| !holds);
+        let problems: Vec<String> = broken.map(|(_, problem)| (*problem).to_owned()).collect();
+        match problems.is_empty() {
+            true => Ok(()),
+            false => Err(ReplicaError::Settings { problems }),
+        }
+    }
+
+    /// Segments of the log beyond which a group that keeps the oldest alive
+    /// takes a snapshot before its time.
+    pub(crate) fn most_segments(&self) -> usize {
+        const SPARE: u64 = 2;
+        let bytes = self.snapshot_every_bytes.saturating_mul(2);
+        (bytes / self.log.segment_bytes + SPARE) as usize
+    }
+}
--- /dev/null
+++ b/crates/replica/src/shared.rs
@@ -0,0 +1,97 @@
+//! What all groups of a process share.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use molespan_consensus::ReplicaId;
+use molespan_storage::{Disk, StorageError, WriteAheadLog};
+use molespan_types::Timestamp;
+use molespan_types::mechanism::{Mechanism, enabled};
+
+use crate::turn::Turn;
+use crate::{Output, ReplicaEvent, ReplicaSettings};
+
+/// Time between two attempts to set the log's reserve aside again.
+const RESERVE_RETRY: Duration = Duration::from_secs(1);
+
+/// What all groups of a process share.
+#[derive(Debug)]
+pub(crate) struct Shared<D> {
+    pub settings: ReplicaSettings,
+    pub own: ReplicaId,
+    pub log: WriteAheadLog<D>,
+    pub outputs: Vec<Output>,
+    pub replaced: BTreeSet<ReplicaId>,
+    pub syncs: u64,
+    /// Whether operators were told that the disk is full.
+    told_full: bool,
+    next_reserve: Timestamp,
+    /// Set at each tick; only mutation runs look at it.
+    lazy_sync_due: bool,
+}
+
+impl<D: Disk> Shared<D> {
+    pub fn new(settings: ReplicaSettings, own: ReplicaId, log: WriteAheadLog<D>) -> Self {
+        Self {
+            settings,
+            own,
+            log,
+            outputs: Vec::new(),
+            replaced: BTreeSet::new(),
+            syncs: 0,
+            told_full: false,
+            next_reserve: Timestamp::ZERO,
+            lazy_sync_due: false,
+        }
+    }
+
+    pub fn turn(&mut self, now: Timestamp) -> Turn<'_, D> {
+        Turn {
+            now,
+            settings: &self.settings,
+            own: self.own,
+            log: &mut self.log,
+            outputs: &mut self.outputs,
+            replaced: &mut self.replaced,
+        }
+    }
+
+    pub fn event(&mut self, event: ReplicaEvent) {
+        self.outputs.push(Output::Event(event));
+    }
+
+    pub fn note_tick(&mut self) {
+        self.lazy_sync_due = true;
+    }
+
+    /// One sync for all groups. Says whether replies may rest on it: on a full
+    /// disk the changes wait, and so do the replies.
+    pub fn sync(&mut self) -> Result<bool, StorageError> {
+        if !enabled(Mechanism::SyncBeforeReply) && !std::mem::take(&mut self.lazy_sync_due) {
+            return Ok(true);
+        }
+        let unsynced = self.log.has_unsynced();
+        match self.log.sync() {
+            Ok(_) => {
+                self.syncs += u64::from(unsynced);
+                Ok(true)
+            }
+            Err(error) if error.is_full() => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Tells operators when the disk fills or has room again.
+    pub fn watch_space(&mut self, now: Timestamp) -> Result<(), StorageError> {
+        if self.log.is_low() && now >= self.next_reserve && !self.log.has_unsynced() {
+            self.next_reserve = now + RESERVE_RETRY;
+            self.log.restore_reserve()?;
+        }
+        let full = self.log.is_low();
+        if full != self.told_full {
+            self.told_full = full;
+            self.event(ReplicaEvent::DiskFull { full });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/replica/src/turn.rs
@@ -0,0 +1,66 @@
+//! What a group works with during one call of the driver.
+
+use std::collections::BTreeSet;
+
+use molespan_consensus::ReplicaId;
+use molespan_storage::{Disk, WriteAheadLog};
+use molespan_types::{GroupId, RunOutcome, Timestamp};
+
+use crate::identity::node_of;
+use crate::message::{GroupPayload, PeerMessage};
+use crate::{Output, Refusal, ReplicaEvent, ReplicaSettings, Ticket};
+
+/// What a group works with during one call of the driver.
+pub(crate) struct Turn<'a, D> {
+    pub now: Timestamp,
+    pub settings: &'a ReplicaSettings,
+    /// This life of this replica.
+    pub own: ReplicaId,
+    pub log: &'a mut WriteAheadLog<D>,
+    pub outputs: &'a mut Vec<Output>,
+    /// Lives that lost their vote during this turn.
+    pub replaced: &'a mut BTreeSet<ReplicaId>,
+}
+
+impl<D: Disk> Turn<'_, D> {
+    /// Sends a message to another replica of `group`.
+    pub fn send(&mut self, group: GroupId, to: ReplicaId, payload: GroupPayload) {
+        let message = PeerMessage::Group {
+            from: self.own,
+            to,
+            sequence: self.log.sequence(),
+            payload,
+        };
+        self.outputs.push(Output::Send {
+            to: node_of(to),
+            group,
+            bytes: molespan_state::encode(&message),
+        });
+    }
+
+    pub fn reply(&mut self, ticket: Ticket, result: Result<Vec<u8>, Refusal>) {
+        self.outputs.push(Output::Reply { ticket, result });
+    }
+
+    pub fn event(&mut self, event: ReplicaEvent) {
+        self.outputs.push(Output::Event(event));
+    }
+}
+
+/// A refusal of something that will never take effect.
+pub(crate) fn not_run(message: impl ToString, retry_after_ms: u32) -> Refusal {
+    Refusal::Refused {
+        outcome: RunOutcome::NotRun,
+        message: message.to_string(),
+        retry_after_ms,
+    }
+}
+
+/// The answer to something that may have taken effect, or may yet.
+pub(crate) fn unknown(message: impl ToString) -> Refusal {
+    Refusal::Refused {
+        outcome: RunOutcome::Unknown,
+        message: message.to_string(),
+        retry_after_ms: 0,
+    }
+}
--- a/crates/storage/src/identity.rs
+++ b/crates/storage/src/identity.rs
@@ -5,8 +5,7 @@
 
 use crate::{Disk, StorageError, read_checked, write_checked};
 
-/// File that holds the identity.
-const FILE: &str = "identity";
+use crate::layout::IDENTITY as FILE;
 
 /// The identity of a data folder. A blank folder gets a new one, so that a
 /// replica whose disk was lost is never taken for its former self.
--- /dev/null
+++ b/crates/storage/src/layout.rs
@@ -0,0 +1,50 @@
+//! Where things lie in the data folder.
+
+use molespan_types::GroupId;
+
+use crate::checked_file::join;
+use crate::{Disk, StorageError};
+
+/// File of the disk's identity.
+pub(crate) const IDENTITY: &str = "identity";
+/// Directory of the write-ahead log.
+pub(crate) const LOG: &str = "log";
+
+/// Directory of a group's snapshots.
+pub(crate) fn snapshots(group: GroupId) -> String {
+    format!("snapshot/{group}")
+}
+
+/// Directory of a group's payload log.
+pub(crate) fn payloads(group: GroupId) -> String {
+    format!("payload/{group}")
+}
+
+/// Removes the identity, the write-ahead log and everything of `groups`. It
+/// may be cut short and is then to be called again.
+///
+/// # Errors
+/// When the disk refuses.
+pub fn remove_everything<D: Disk>(
+    disk: &D,
+    groups: impl IntoIterator<Item = GroupId>,
+) -> Result<(), StorageError> {
+    remove_files(disk, LOG)?;
+    for group in groups {
+        remove_files(disk, &snapshots(group))?;
+        remove_files(disk, &payloads(group))?;
+    }
+    disk.remove(IDENTITY)?;
+    disk.sync_dir("")
+}
+
+fn remove_files<D: Disk>(disk: &D, directory: &str) -> Result<(), StorageError> {
+    let names = disk.list(directory)?;
+    for name in &names {
+        disk.remove(&join(directory, name))?;
+    }
+    if names.is_empty() {
+        return Ok(());
+    }
+    disk.sync_dir(directory)
+}
--- a/crates/storage/src/log/mod.rs
+++ b/crates/storage/src/log/mod.rs
@@ -19,8 +19,7 @@
 use reserve::Reserve;
 use track::Track;
 
-/// Directory of the log.
-const DIRECTORY: &str = "log";
+use crate::layout::LOG as DIRECTORY;
 /// Suffix of a segment's file.
 const SUFFIX: &str = ".segment";
 
--- a/crates/storage/src/payload.rs
+++ b/crates/storage/src/payload.rs
@@ -6,6 +6,7 @@
 use molespan_types::GroupId;
 
 use crate::checked_file::join;
+use crate::layout;
 use crate::{Disk, StorageError};
 
 /// Bytes after which a new segment is begun.
@@ -44,7 +45,7 @@
     /// # Errors
     /// [`StorageError::Corrupt`] when the log is shorter than that.
     pub fn open(disk: D, group: GroupId, length: u64) -> Result<Self, StorageError> {
-        let directory = format!("payload/{group}");
+        let directory = layout::payloads(group);
         disk.create_dir(&directory)?;
         let mut log = Self {
             disk,
--- a/crates/storage/src/snapshot.rs
+++ b/crates/storage/src/snapshot.rs
@@ -3,6 +3,7 @@
 use molespan_types::GroupId;
 
 use crate::checked_file::{TEMPORARY_SUFFIX, join};
+use crate::layout;
 use crate::{Disk, StorageError, read_checked, write_checked};
 
 /// Snapshots kept of each group.
@@ -35,7 +36,7 @@
     /// # Errors
     /// When the disk refuses.
     pub fn open(disk: D, group: GroupId) -> Result<Self, StorageError> {
-        let directory = format!("snapshot/{group}");
+        let directory = layout::snapshots(group);
         disk.create_dir(&directory)?;
         for name in disk.list(&directory)? {
             if name.ends_with(TEMPORARY_SUFFIX) {
