Keep settled claims for ever, in sorted runs on disk

A settled claim that is forgotten would let a request that is resent late run twice, and one that stays in memory costs some 60 bytes for ever. Weighed: a retention by count (breaks at-most-once for late resends), refusing new keys when full (safe, but a service that stops), and a filter of fixed size (refuses ever more fresh keys).

The record of a settled claim carries tenant and key, so that two keys with one hash are told apart.

--- a/crates/state/src/job/claims.rs
+++ b/crates/state/src/job/claims.rs
@@ -1,15 +1,23 @@
 //! Claims on non-repeatable requests.
+//!
+//! A claim is open from its grant until it is settled, and a settled one is
+//! remembered for ever: the newest in memory, the rest in the
+//! [`ClaimArchive`]. `NotRun` frees a claim instead of settling it.
 
 use std::collections::BTreeMap;
 
-use minicbor::bytes::ByteVec;
 use minicbor::{Decode, Encode};
 use molespan_types::mechanism::{Mechanism, enabled};
 use molespan_types::{AttemptId, Digest, RunOutcome, TenantId};
 
+use super::claim_archive::ClaimArchive;
+use super::claim_entry::{ClaimHash, SettledClaim, SettledRecord};
 use super::command::{ClaimReply, ClaimRequest, JobReply, SettleClaim};
-use super::payloads::{read, store};
-use crate::payload::{PayloadError, PayloadLocation, PayloadLog};
+use crate::codec::{decode, encode};
+use crate::payload::{PayloadError, PayloadLog};
+
+/// Settled claims kept in memory before they are written to the archive.
+const RECENT_CLAIMS: usize = 8_192;
 
 /// Names a claim.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
@@ -20,33 +28,25 @@
     key: String,
 }
 
-/// How a claimed request ended.
+/// A claim whose request may be running.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
-struct Settlement {
-    #[n(0)]
-    outcome: RunOutcome,
-    #[n(1)]
-    answer: PayloadLocation,
-}
-
-/// A claim that was granted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
-struct Claim {
+struct OpenClaim {
     #[n(0)]
     digest: Digest,
     /// Attempt that it was granted to.
     #[n(1)]
     attempt: AttemptId,
-    /// How it ended; `None` while it may be running.
-    #[n(2)]
-    settlement: Option<Settlement>,
 }
 
 /// The claims of a group.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub(crate) struct Claims {
     #[n(0)]
-    claims: BTreeMap<ClaimKey, Claim>,
+    open: BTreeMap<ClaimKey, OpenClaim>,
+    #[n(1)]
+    recent: BTreeMap<ClaimHash, SettledClaim>,
+    #[n(2)]
+    archive: ClaimArchive,
 }
 
 impl Claims {
@@ -56,31 +56,55 @@
         request: &ClaimRequest,
         payloads: &dyn PayloadLog,
     ) -> Result<ClaimReply, PayloadError> {
+        let earlier = if enabled(Mechanism::ClaimBeforeDispatch) {
+            self.find(request, payloads)?
+        } else {
+            None
+        };
+        if let Some(reply) = earlier {
+            return Ok(reply);
+        }
         let key = ClaimKey {
             tenant: request.tenant.clone(),
             key: request.key.clone(),
         };
-        let Some(claim) = self.claims.get(&key).filter(|_| claims_bind()) else {
-            let claim = Claim {
-                digest: request.digest,
-                attempt: request.attempt,
-                settlement: None,
-            };
-            self.claims.insert(key, claim);
-            return Ok(ClaimReply::Granted);
+        let claim = OpenClaim {
+            digest: request.digest,
+            attempt: request.attempt,
         };
-        if claim.digest != request.digest {
-            return Ok(ClaimReply::KeyConflict);
+        self.open.insert(key, claim);
+        Ok(ClaimReply::Granted)
+    }
+
+    /// What became of an earlier claim of the same key, if there was one.
+    fn find(
+        &self,
+        request: &ClaimRequest,
+        payloads: &dyn PayloadLog,
+    ) -> Result<Option<ClaimReply>, PayloadError> {
+        let key = ClaimKey {
+            tenant: request.tenant.clone(),
+            key: request.key.clone(),
+        };
+        if let Some(claim) = self.open.get(&key) {
+            return Ok(Some(reply_open(claim, request)));
+        }
+        match self.find_settled(&key, payloads)? {
+            None => Ok(None),
+            Some(claim) => reply_settled(&claim, request, payloads).map(Some),
         }
-        match claim.settlement {
-            None if claim.attempt == request.attempt => Ok(ClaimReply::Granted),
-            None => Ok(ClaimReply::Held {
-                attempt: claim.attempt,
-            }),
-            Some(settlement) => Ok(ClaimReply::Settled {
-                outcome: settlement.outcome,
-                answer: ByteVec::from(read(settlement.answer, payloads)?),
-            }),
+    }
+
+    /// Finds a settled claim.
+    fn find_settled(
+        &self,
+        key: &ClaimKey,
+        payloads: &dyn PayloadLog,
+    ) -> Result<Option<SettledClaim>, PayloadError> {
+        let hash = ClaimHash::of(&key.tenant, &key.key);
+        match self.recent.get(&hash) {
+            Some(claim) => Ok(Some(*claim)),
+            None => self.archive.find(hash, payloads),
         }
     }
 
@@ -94,41 +118,98 @@
             tenant: settle.tenant.clone(),
             key: settle.key.clone(),
         };
-        let Some(claim) = self.claims.get_mut(&key) else {
-            return Ok(settle_without_claim(settle.outcome));
+        let Some(claim) = self.open.get(&key).copied() else {
+            return self.reply_not_open(&key, settle.outcome, payloads);
         };
-        if let Some(settlement) = claim.settlement {
-            return Ok(JobReply::Settled {
-                outcome: settlement.outcome,
-            });
-        }
         if claim.attempt != settle.attempt {
             return Ok(JobReply::ClaimNotHeld);
         }
-        if settle.outcome == RunOutcome::NotRun {
-            self.claims.remove(&key);
-        } else {
-            claim.settlement = Some(Settlement {
-                outcome: settle.outcome,
-                answer: store(&settle.answer, payloads)?,
-            });
+        self.open.remove(&key);
+        if settle.outcome != RunOutcome::NotRun {
+            self.keep_settled(key, claim.digest, settle, payloads)?;
         }
         Ok(JobReply::Settled {
             outcome: settle.outcome,
         })
     }
+
+    /// The reply to a settlement that finds no open claim. A resent `NotRun`
+    /// is one, since the first freed the claim.
+    fn reply_not_open(
+        &self,
+        key: &ClaimKey,
+        outcome: RunOutcome,
+        payloads: &dyn PayloadLog,
+    ) -> Result<JobReply, PayloadError> {
+        if let Some(settled) = self.find_settled(key, payloads)? {
+            return Ok(JobReply::Settled {
+                outcome: settled.outcome,
+            });
+        }
+        Ok(match outcome {
+            RunOutcome::NotRun => JobReply::Settled { outcome },
+            RunOutcome::Completed | RunOutcome::Unknown => JobReply::ClaimNotHeld,
+        })
+    }
+
+    /// Remembers a settled claim for ever.
+    fn keep_settled(
+        &mut self,
+        key: ClaimKey,
+        digest: Digest,
+        settle: &SettleClaim,
+        payloads: &mut dyn PayloadLog,
+    ) -> Result<(), PayloadError> {
+        let hash = ClaimHash::of(&key.tenant, &key.key);
+        let record = SettledRecord {
+            tenant: key.tenant,
+            key: key.key,
+            answer: settle.answer.clone(),
+        };
+        let claim = SettledClaim {
+            digest,
+            outcome: settle.outcome,
+            record: payloads.append(&encode(&record))?,
+        };
+        self.recent.insert(hash, claim);
+        if self.recent.len() >= RECENT_CLAIMS {
+            let full = std::mem::take(&mut self.recent);
+            self.archive.add(&full, payloads)?;
+        }
+        Ok(())
+    }
 }
 
-/// Whether a granted claim keeps other attempts out.
-fn claims_bind() -> bool {
-    enabled(Mechanism::ClaimBeforeDispatch)
+/// The reply to a request whose key is claimed and may be running.
+fn reply_open(claim: &OpenClaim, request: &ClaimRequest) -> ClaimReply {
+    if claim.digest != request.digest {
+        return ClaimReply::KeyConflict;
+    }
+    if claim.attempt == request.attempt {
+        return ClaimReply::Granted;
+    }
+    ClaimReply::Held {
+        attempt: claim.attempt,
+    }
 }
 
-/// The reply to a settlement that finds no claim. A resent `NotRun` is one,
-/// since the first freed the claim.
-fn settle_without_claim(outcome: RunOutcome) -> JobReply {
-    match outcome {
-        RunOutcome::NotRun => JobReply::Settled { outcome },
-        RunOutcome::Completed | RunOutcome::Unknown => JobReply::ClaimNotHeld,
+/// The reply to a request whose key was settled.
+fn reply_settled(
+    claim: &SettledClaim,
+    request: &ClaimRequest,
+    payloads: &dyn PayloadLog,
+) -> Result<ClaimReply, PayloadError> {
+    let bytes = payloads.read(claim.record)?;
+    let record: SettledRecord = decode(&bytes).map_err(|_| PayloadError::Corrupt {
+        offset: claim.record.offset,
+    })?;
+    // Two keys may have one hash: never show one tenant the answer of another.
+    let same_key = record.tenant == request.tenant && record.key == request.key;
+    if !same_key || claim.digest != request.digest {
+        return Ok(ClaimReply::KeyConflict);
     }
+    Ok(ClaimReply::Settled {
+        outcome: claim.outcome,
+        answer: record.answer,
+    })
 }
--- a/crates/state/src/job/mod.rs
+++ b/crates/state/src/job/mod.rs
@@ -1,6 +1,8 @@
 //! Job groups: jobs, items, leases, results and claims.
 
 mod active;
+mod claim_archive;
+mod claim_entry;
 mod claims;
 mod command;
 mod finished;
--- /dev/null
+++ b/crates/state/tests/claims.rs
@@ -0,0 +1,113 @@
+//! Claims on non-repeatable requests.
+
+mod support;
+
+use minicbor::bytes::ByteVec;
+use molespan_state::job::{ClaimReply, JobReply};
+use molespan_types::{AttemptId, Digest, RunOutcome};
+use support::{Group, claim, settle};
+
+/// The reply to a claim that ended with an answer.
+fn completed(answer: &str) -> ClaimReply {
+    ClaimReply::Settled {
+        outcome: RunOutcome::Completed,
+        answer: ByteVec::from(answer.as_bytes().to_vec()),
+    }
+}
+
+/// The reply to a settlement.
+fn settled(outcome: RunOutcome) -> JobReply {
+    JobReply::Settled { outcome }
+}
+
+#[test]
+fn second_attempt_is_held_off_until_the_first_ended() {
+    let mut group = Group::default();
+    assert_eq!(group.claim("bill", 1), ClaimReply::Granted);
+    assert_eq!(group.claim("bill", 1), ClaimReply::Granted, "resent");
+    let attempt = AttemptId {
+        node: 1,
+        sequence: 1,
+    };
+    assert_eq!(group.claim("bill", 2), ClaimReply::Held { attempt });
+    group.apply(settle("bill", 1, RunOutcome::Completed, "paid"));
+    assert_eq!(group.claim("bill", 2), completed("paid"));
+    assert_eq!(group.claim("bill", 1), completed("paid"));
+}
+
+#[test]
+fn key_used_for_another_body_conflicts() {
+    let mut group = Group::default();
+    let mut other = claim("bill", 2);
+    other.digest = Digest(8);
+    let conflict = JobReply::Claim(ClaimReply::KeyConflict);
+    group.claim("bill", 1);
+    assert_eq!(group.apply(other.clone()), conflict);
+    group.apply(settle("bill", 1, RunOutcome::Completed, "paid"));
+    assert_eq!(group.apply(other), conflict);
+}
+
+#[test]
+fn not_run_frees_the_claim() {
+    let mut group = Group::default();
+    group.claim("bill", 1);
+    let not_run = settle("bill", 1, RunOutcome::NotRun, "");
+    assert_eq!(group.apply(not_run.clone()), settled(RunOutcome::NotRun));
+    assert_eq!(group.apply(not_run.clone()), settled(RunOutcome::NotRun));
+    assert_eq!(group.claim("bill", 2), ClaimReply::Granted);
+    assert_eq!(
+        group.apply(not_run),
+        JobReply::ClaimNotHeld,
+        "late duplicate"
+    );
+    assert_ne!(group.claim("bill", 3), ClaimReply::Granted);
+}
+
+#[test]
+fn unknown_end_is_final() {
+    let mut group = Group::default();
+    group.claim("bill", 1);
+    group.apply(settle("bill", 1, RunOutcome::Unknown, ""));
+    let late = settle("bill", 1, RunOutcome::Completed, "late");
+    assert_eq!(group.apply(late), settled(RunOutcome::Unknown));
+    let not_run = settle("bill", 1, RunOutcome::NotRun, "");
+    assert_eq!(group.apply(not_run), settled(RunOutcome::Unknown));
+    let reply = ClaimReply::Settled {
+        outcome: RunOutcome::Unknown,
+        answer: ByteVec::from(Vec::new()),
+    };
+    assert_eq!(group.claim("bill", 2), reply);
+}
+
+#[test]
+fn attempt_without_the_claim_settles_nothing() {
+    let mut group = Group::default();
+    let stranger = settle("bill", 2, RunOutcome::Completed, "other");
+    assert_eq!(group.apply(stranger.clone()), JobReply::ClaimNotHeld);
+    group.claim("bill", 1);
+    assert_eq!(group.apply(stranger), JobReply::ClaimNotHeld);
+    group.apply(settle("bill", 1, RunOutcome::Completed, "paid"));
+    assert_eq!(group.claim("bill", 2), completed("paid"));
+}
+
+#[test]
+fn settled_claim_is_never_granted_again_after_many_others() {
+    let mut group = Group::default();
+    const CLAIMS: u64 = 8_192 * 9 + 5;
+    for number in 0..CLAIMS {
+        let key = format!("bill {number}");
+        assert_eq!(group.claim(&key, number), ClaimReply::Granted);
+        group.apply(settle(&key, number, RunOutcome::Completed, &key));
+    }
+    let mut restored = group.restored();
+    for number in (0..CLAIMS).step_by(97).chain([8_191, 8_192, CLAIMS - 1]) {
+        let key = format!("bill {number}");
+        assert_eq!(restored.claim(&key, CLAIMS), completed(&key));
+        let late = settle(&key, CLAIMS, RunOutcome::NotRun, "");
+        assert_eq!(restored.apply(late), settled(RunOutcome::Completed));
+    }
+    let mut other = claim("bill 3", 1);
+    other.digest = Digest(8);
+    let conflict = JobReply::Claim(ClaimReply::KeyConflict);
+    assert_eq!(restored.apply(other), conflict);
+}
--- /dev/null
+++ b/crates/state/tests/control.rs
@@ -0,0 +1,255 @@
+//! Confirmations, node registry and orders.
+
+use molespan_state::control::{
+    Change, ConfirmIntent, ConfirmReply, ControlAnswer, ControlCommand, ControlMachine,
+    ControlQuery, ControlReply, IntentNumber, IssueOrder, Model, RegisterNode, digest_of_changes,
+};
+use molespan_types::{
+    BackendId, ConfigVersion, FencingToken, Incarnation, ModelName, NodeId, ZoneName,
+};
+
+/// An intent that puts one model.
+fn intent(number: u64, operator: &str, base: u64, version: u32) -> ConfirmIntent {
+    ConfirmIntent {
+        number: IntentNumber(number),
+        operator: operator.to_owned(),
+        base_version: ConfigVersion(base),
+        changes: vec![Change::PutModel {
+            name: ModelName::from("caption"),
+            model: Model { version },
+        }],
+    }
+}
+
+/// Confirms an intent.
+fn confirm(machine: &mut ControlMachine, intent: ConfirmIntent) -> ConfirmReply {
+    match machine.apply(&intent.into()) {
+        ControlReply::Confirm(reply) => reply,
+        other => panic!("not a reply to a confirmation: {other:?}"),
+    }
+}
+
+/// The reply that version `version` is in force.
+fn confirmed(version: u64) -> ConfirmReply {
+    let version = ConfigVersion(version);
+    ConfirmReply::Confirmed { version }
+}
+
+/// The machine as restored from its own snapshot.
+fn restored(machine: &ControlMachine) -> ControlMachine {
+    ControlMachine::restore(&machine.snapshot()).expect("a snapshot just taken")
+}
+
+#[test]
+fn resent_confirmation_gets_the_first_answer_after_many_changes_and_a_restart() {
+    let mut machine = ControlMachine::new();
+    let first = intent(1, "abebe", 0, 1);
+    assert_eq!(confirm(&mut machine, first.clone()), confirmed(1));
+    for later in 1..1_000 {
+        let change = intent(later + 1, "ilona", later, later as u32);
+        assert_eq!(confirm(&mut machine, change), confirmed(later + 1));
+    }
+    let mut machine = restored(&machine);
+    assert_eq!(confirm(&mut machine, first), confirmed(1));
+    assert_eq!(machine.configuration().version, ConfigVersion(1_000));
+}
+
+#[test]
+fn rival_with_the_same_number_is_told_the_winner() {
+    let mut machine = ControlMachine::new();
+    let winner = intent(1, "abebe", 0, 1);
+    confirm(&mut machine, winner.clone());
+    let taken = ConfirmReply::NumberTaken {
+        winner: "abebe".to_owned(),
+        version: ConfigVersion(1),
+        digest: digest_of_changes(&winner.changes),
+    };
+    let rivals = [
+        intent(1, "ilona", 0, 2),
+        intent(1, "ilona", 0, 1),
+        intent(1, "abebe", 0, 2),
+        intent(1, "abebe", 1, 1),
+    ];
+    let mut machine = restored(&machine);
+    for rival in rivals {
+        assert_eq!(confirm(&mut machine, rival), taken);
+    }
+    assert_eq!(machine.configuration().version, ConfigVersion(1));
+}
+
+#[test]
+fn stale_base_changes_nothing() {
+    let mut machine = ControlMachine::new();
+    confirm(&mut machine, intent(1, "abebe", 0, 1));
+    let current = ConfigVersion(1);
+    let stale = intent(2, "ilona", 0, 2);
+    assert_eq!(
+        confirm(&mut machine, stale),
+        ConfirmReply::BaseMoved { current }
+    );
+    let again = intent(2, "ilona", 1, 2);
+    assert_eq!(
+        confirm(&mut machine, again),
+        confirmed(2),
+        "number still free"
+    );
+}
+
+#[test]
+fn invalid_intent_takes_neither_number_nor_version() {
+    let mut machine = ControlMachine::new();
+    let mut empty = intent(1, "abebe", 0, 1);
+    empty.changes.clear();
+    let reply = confirm(&mut machine, empty);
+    assert!(matches!(reply, ConfirmReply::Invalid { .. }), "{reply:?}");
+    assert_eq!(
+        confirm(&mut machine, intent(1, "ilona", 0, 1)),
+        confirmed(1)
+    );
+}
+
+#[test]
+fn number_below_the_memory_is_refused_and_never_run() {
+    const REMEMBERED: u64 = 131_072;
+    let mut machine = ControlMachine::new();
+    for version in 0..REMEMBERED + 10 {
+        confirm(&mut machine, intent(version + 100, "abebe", version, 1));
+    }
+    let floor = IntentNumber(110);
+    let version = REMEMBERED + 10;
+    let mut machine = restored(&machine);
+    let forgotten = confirm(&mut machine, intent(105, "abebe", 5, 1));
+    assert_eq!(forgotten, ConfirmReply::TooOld { floor });
+    let unused = confirm(&mut machine, intent(7, "ilona", version, 2));
+    assert_eq!(unused, ConfirmReply::TooOld { floor });
+    let kept = confirm(&mut machine, intent(110, "abebe", 10, 1));
+    assert_eq!(kept, confirmed(11));
+    assert_eq!(machine.configuration().version, ConfigVersion(version));
+}
+
+/// The announcement of one life of node 1.
+fn register(incarnation: u64) -> ControlCommand {
+    ControlCommand::Register(RegisterNode {
+        node: NodeId(1),
+        incarnation: Incarnation(incarnation),
+        name: "gateway-1".to_owned(),
+        zone: ZoneName::from("hall-a"),
+        internal_address: "127.0.0.1:1".to_owned(),
+        http_address: "127.0.0.1:2".to_owned(),
+        roles: Vec::new(),
+    })
+}
+
+/// Marks one life of node 1.
+fn drain(incarnation: u64) -> ControlCommand {
+    ControlCommand::Drain {
+        node: NodeId(1),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+/// Removes one life of node 1.
+fn remove(incarnation: u64) -> ControlCommand {
+    ControlCommand::Remove {
+        node: NodeId(1),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+/// Life and draining mark of each registered node.
+fn nodes(machine: &ControlMachine) -> Vec<(u64, bool)> {
+    match machine.query(&ControlQuery::Nodes) {
+        ControlAnswer::Nodes(nodes) => nodes
+            .iter()
+            .map(|record| (record.registration.incarnation.0, record.draining))
+            .collect(),
+        other => panic!("not the nodes: {other:?}"),
+    }
+}
+
+#[test]
+fn late_commands_about_an_earlier_life_of_a_node_are_refused() {
+    let mut machine = ControlMachine::new();
+    let registered = Incarnation(3);
+    let stale = ControlReply::NodeStale { registered };
+    assert_eq!(machine.apply(&register(3)), ControlReply::NodeAccepted);
+    for late in [register(2), drain(2), remove(2)] {
+        assert_eq!(machine.apply(&late), stale);
+    }
+    assert_eq!(machine.apply(&drain(4)), ControlReply::NodeUnknown);
+    assert_eq!(nodes(&machine), [(3, false)]);
+}
+
+#[test]
+fn resent_registration_keeps_the_drain_mark_and_a_new_life_loses_it() {
+    let mut machine = ControlMachine::new();
+    machine.apply(&register(3));
+    machine.apply(&drain(3));
+    machine.apply(&register(3));
+    assert_eq!(nodes(&machine), [(3, true)]);
+    machine.apply(&register(4));
+    assert_eq!(nodes(&machine), [(4, false)]);
+}
+
+#[test]
+fn removed_life_does_not_come_back_as_an_earlier_one() {
+    let mut machine = ControlMachine::new();
+    machine.apply(&register(3));
+    assert_eq!(machine.apply(&remove(3)), ControlReply::NodeAccepted);
+    assert_eq!(
+        machine.apply(&remove(3)),
+        ControlReply::NodeAccepted,
+        "resent"
+    );
+    let registered = Incarnation(3);
+    let mut machine = restored(&machine);
+    assert_eq!(
+        machine.apply(&register(2)),
+        ControlReply::NodeStale { registered }
+    );
+    assert_eq!(
+        machine.apply(&register(3)),
+        ControlReply::NodeAccepted,
+        "was cut off"
+    );
+    assert_eq!(nodes(&machine), [(3, false)]);
+}
+
+/// An order to a back end.
+fn order(backend: u32, action: &str, expected_token: u64) -> ControlCommand {
+    ControlCommand::Issue(IssueOrder {
+        backend: BackendId(backend),
+        incarnation: Incarnation(1),
+        action: action.to_owned(),
+        expected_token: FencingToken(expected_token),
+    })
+}
+
+/// The reply that carries a token.
+fn issued(token: u64) -> ControlReply {
+    let token = FencingToken(token);
+    ControlReply::OrderIssued { token }
+}
+
+#[test]
+fn tokens_rise_over_all_back_ends_and_never_come_twice() {
+    let mut machine = ControlMachine::new();
+    assert_eq!(machine.apply(&order(1, "load", 0)), issued(1));
+    assert_eq!(machine.apply(&order(2, "load", 0)), issued(2));
+    let mut machine = restored(&machine);
+    assert_eq!(machine.apply(&order(1, "unload", 1)), issued(3));
+}
+
+#[test]
+fn resent_order_keeps_its_token_and_a_rival_conflicts() {
+    let mut machine = ControlMachine::new();
+    machine.apply(&order(1, "load", 0));
+    assert_eq!(machine.apply(&order(1, "load", 0)), issued(1));
+    let current = FencingToken(1);
+    let conflict = ControlReply::OrderConflict { current };
+    assert_eq!(machine.apply(&order(1, "unload", 0)), conflict);
+    machine.apply(&order(1, "unload", 1));
+    let current = FencingToken(2);
+    let superseded = ControlReply::OrderConflict { current };
+    assert_eq!(machine.apply(&order(1, "load", 0)), superseded);
+}
--- /dev/null
+++ b/crates/state/tests/sharing.rs
@@ -0,0 +1,109 @@
+//! Whose items are leased next, and how much at once.
+
+mod support;
+
+use minicbor::bytes::ByteVec;
+use molespan_state::job::{AppendItems, BeginJob, JobCommand};
+use molespan_types::{ItemIndex, JobId, ServiceName, TenantId};
+use support::{Group, positions, request, submission};
+
+/// A submission of 1,000 items by `tenant`.
+fn of_tenant(tenant: &str, key: &str, deadline: u64) -> BeginJob {
+    let tenant = TenantId::from(tenant);
+    BeginJob {
+        job: JobId::from_key(&tenant, key),
+        tenant,
+        deadline_unix_seconds: deadline,
+        ..submission(key, 1_000)
+    }
+}
+
+/// Leases `count` times ten items and counts those of `job`.
+fn leases_of(group: &mut Group, sequences: std::ops::Range<u64>, job: JobId) -> usize {
+    sequences
+        .map(|sequence| group.lease(1, sequence, 10))
+        .filter(|lease| lease.job == job)
+        .count()
+}
+
+#[test]
+fn earliest_deadline_of_a_tenant_goes_first() {
+    let mut group = Group::default();
+    group.submit(&of_tenant("archive", "later", 200));
+    let sooner = group.submit(&of_tenant("archive", "sooner", 100));
+    assert_eq!(group.lease(1, 1, 10).job, sooner);
+}
+
+#[test]
+fn tenant_with_early_deadlines_does_not_starve_another() {
+    let mut group = Group::default();
+    group.submit(&of_tenant("archive", "soon", 1));
+    let late = group.submit(&of_tenant("lab", "late", 9_999));
+    assert_eq!(leases_of(&mut group, 0..20, late), 10);
+}
+
+#[test]
+fn weight_of_a_tenant_counts() {
+    let mut group = Group::default();
+    group.apply(JobCommand::SetWeight {
+        tenant: TenantId::from("lab"),
+        weight: 3,
+    });
+    group.submit(&of_tenant("archive", "album", 1));
+    let heavy = group.submit(&of_tenant("lab", "grades", 1));
+    assert_eq!(leases_of(&mut group, 0..40, heavy), 30);
+}
+
+#[test]
+fn tenant_that_comes_back_does_not_make_up_for_its_pause() {
+    let mut group = Group::default();
+    group.submit(&of_tenant("archive", "album", 1));
+    for sequence in 0..50 {
+        group.lease(1, sequence, 10);
+    }
+    let newcomer = group.submit(&of_tenant("lab", "grades", 1));
+    assert_eq!(leases_of(&mut group, 50..70, newcomer), 10);
+}
+
+#[test]
+fn items_given_back_are_not_held_against_their_tenant() {
+    let mut group = Group::default();
+    group.submit(&of_tenant("archive", "album", 1));
+    let other = group.submit(&of_tenant("lab", "grades", 1));
+    for sequence in 0..10 {
+        let lease = group.lease(1, sequence, 10);
+        if lease.job == other {
+            group.give_back(lease.lease);
+        }
+    }
+    let taken = leases_of(&mut group, 10..30, other);
+    assert!(taken >= 10, "{taken} of 20");
+}
+
+#[test]
+fn other_services_get_nothing() {
+    let mut group = Group::default();
+    group.submit(&submission("album", 5));
+    let mut elsewhere = request(1, 1, 5);
+    elsewhere.service = ServiceName::from("tutor");
+    assert_eq!(group.try_lease(elsewhere), None);
+}
+
+#[test]
+fn lease_is_bounded_in_items_and_bytes() {
+    const MEBIBYTE: usize = 1 << 20;
+    let mut group = Group::default();
+    let large = submission("large", 10);
+    group.apply(large.clone());
+    group.apply(AppendItems {
+        job: large.job,
+        first: ItemIndex(0),
+        inputs: vec![ByteVec::from(vec![0; MEBIBYTE]); 10],
+    });
+    group.apply(JobCommand::Accept { job: large.job });
+    assert_eq!(positions(&group.lease(1, 1, 10)), [0, 1, 2, 3]);
+
+    let mut group = Group::default();
+    group.submit(&submission("many", 2_000));
+    assert_eq!(group.lease(1, 1, u32::MAX).items.len(), 1_024);
+}
