Explore leases and claims exhaustively

From the empty machine every command of a small domain (two owners, one job of two items, one claim key, three attempts) is applied in every reachable state, breadth first, with resends, late duplicates and expiry at any point. Beside the machine runs a record of what its replies promised.

The explorer interns payloads, so that states which differ only in the order of appended payloads count once. Leases and claims share no state in the machine and are explored apart.

With the feature `mutants` a test switches each mechanism off: the search finds a violation for all six that guard jobs and claims, and the two of the control group show their effect.

--- /dev/null
+++ b/crates/state/src/explore/claim_model.rs
@@ -0,0 +1,185 @@
+//! One key, three attempts, two bodies, every end at any point.
+
+use minicbor::bytes::ByteVec;
+use minicbor::{Decode, Encode};
+use molespan_types::{AttemptId, Digest, RunOutcome, TenantId};
+
+use super::Model;
+use super::interned_log::InternedLog;
+use crate::codec::encode;
+use crate::job::{ClaimReply, ClaimRequest, JobCommand, JobMachine, JobReply, SettleClaim};
+
+/// Attempts that race for the claim.
+const ATTEMPTS: u64 = 3;
+/// The body that is sent, and another one under the same key.
+const BODIES: [Digest; 2] = [Digest(1), Digest(2)];
+const OUTCOMES: [RunOutcome; 3] = [
+    RunOutcome::Completed,
+    RunOutcome::NotRun,
+    RunOutcome::Unknown,
+];
+
+/// Explores a claim.
+#[derive(Debug, Default)]
+pub struct ClaimModel;
+
+/// What the replies promised.
+#[derive(Clone, Debug, Default, Encode, Decode)]
+struct Promises {
+    /// Who may run the request, and its body.
+    #[n(0)]
+    holder: Option<(AttemptId, Digest)>,
+    /// How it ended, and the answer.
+    #[n(1)]
+    end: Option<(RunOutcome, ByteVec)>,
+}
+
+/// The machine and its promises.
+#[derive(Clone, Debug)]
+pub struct ClaimState {
+    machine: JobMachine,
+    payloads: InternedLog,
+    promises: Promises,
+}
+
+impl Model for ClaimModel {
+    type State = ClaimState;
+
+    fn initial(&self) -> ClaimState {
+        ClaimState {
+            machine: JobMachine::new(),
+            payloads: InternedLog::default(),
+            promises: Promises::default(),
+        }
+    }
+
+    fn commands(&self, _state: &ClaimState) -> Vec<JobCommand> {
+        let mut commands = Vec::new();
+        for number in 1..=ATTEMPTS {
+            let attempt = AttemptId {
+                node: number,
+                sequence: 1,
+            };
+            for digest in BODIES {
+                commands.push(claim(attempt, digest));
+            }
+            for outcome in OUTCOMES {
+                commands.push(settle(attempt, outcome));
+            }
+        }
+        commands
+    }
+
+    fn step(&self, state: &ClaimState, command: &JobCommand) -> Result<ClaimState, &'static str> {
+        let mut after = state.clone();
+        let reply = after
+            .machine
+            .apply(command, &mut after.payloads)
+            .map_err(|_| "a payload is lost")?;
+        match (command, reply) {
+            (JobCommand::Claim(request), JobReply::Claim(reply)) => {
+                after.promises.check_claim(request, reply)?;
+            }
+            (JobCommand::Settle(settle), JobReply::Settled { outcome }) => {
+                after.promises.check_settled(settle, outcome)?;
+            }
+            (JobCommand::Settle(_), JobReply::ClaimNotHeld) => {}
+            _ => return Err("the reply does not fit the command"),
+        }
+        Ok(after)
+    }
+
+    fn key(&self, state: &ClaimState) -> Vec<u8> {
+        let mut key = state.machine.snapshot();
+        key.extend(encode(&state.promises));
+        key
+    }
+}
+
+impl Promises {
+    /// Judges the reply to a claim.
+    fn check_claim(
+        &mut self,
+        request: &ClaimRequest,
+        reply: ClaimReply,
+    ) -> Result<(), &'static str> {
+        match reply {
+            ClaimReply::Granted => {
+                if self.end.is_some() {
+                    return Err("a claim is granted after the request ended");
+                }
+                let claimed = (request.attempt, request.digest);
+                if self.holder.is_some_and(|holder| holder != claimed) {
+                    return Err("a claim is granted to two attempts");
+                }
+                self.holder = Some(claimed);
+                Ok(())
+            }
+            ClaimReply::Held { attempt } => match self.holder {
+                Some((holder, digest)) if holder == attempt && digest == request.digest => Ok(()),
+                _ => Err("a claim is said to be held by another than its holder"),
+            },
+            ClaimReply::Settled { outcome, answer } => {
+                if self.end == Some((outcome, answer)) {
+                    Ok(())
+                } else {
+                    Err("a settled claim changes its answer")
+                }
+            }
+            ClaimReply::KeyConflict => match self.holder {
+                Some((_, digest)) if digest != request.digest => Ok(()),
+                _ => Err("a key conflicts with itself"),
+            },
+        }
+    }
+
+    /// Judges the reply to a settlement.
+    fn check_settled(
+        &mut self,
+        settle: &SettleClaim,
+        outcome: RunOutcome,
+    ) -> Result<(), &'static str> {
+        if let Some((first, _)) = &self.end {
+            if *first == outcome {
+                return Ok(());
+            }
+            return Err("a second settlement replaces the first");
+        }
+        let by_holder = self
+            .holder
+            .is_some_and(|(holder, _)| holder == settle.attempt);
+        match (by_holder, outcome) {
+            (true, RunOutcome::NotRun) => {
+                self.holder = None;
+                Ok(())
+            }
+            (true, _) => {
+                self.end = Some((outcome, settle.answer.clone()));
+                Ok(())
+            }
+            (false, RunOutcome::NotRun) if self.holder.is_none() => Ok(()),
+            (false, _) => Err("an attempt settles a claim that it does not hold"),
+        }
+    }
+}
+
+/// A claim of the key.
+fn claim(attempt: AttemptId, digest: Digest) -> JobCommand {
+    JobCommand::Claim(ClaimRequest {
+        tenant: TenantId::default(),
+        key: String::new(),
+        digest,
+        attempt,
+    })
+}
+
+/// An end of `attempt`; its answer names the attempt.
+fn settle(attempt: AttemptId, outcome: RunOutcome) -> JobCommand {
+    JobCommand::Settle(SettleClaim {
+        tenant: TenantId::default(),
+        key: String::new(),
+        attempt,
+        outcome,
+        answer: ByteVec::from(encode(&attempt)),
+    })
+}
--- /dev/null
+++ b/crates/state/src/explore/lease_model.rs
@@ -0,0 +1,326 @@
+//! Two owners, one job of two items, every command at any point.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use minicbor::bytes::ByteVec;
+use minicbor::{Decode, Encode};
+use molespan_types::{BackendId, Digest, ItemIndex, JobId, LeaseId, NodeId, ServiceName, TenantId};
+
+use super::Model;
+use super::interned_log::InternedLog;
+use crate::codec::encode;
+use crate::job::{
+    AppendItems, BeginJob, GrantedLease, ItemOutcome, ItemResult, JobAnswer, JobCommand,
+    JobMachine, JobPhase, JobQuery, JobReply, LeaseRequest,
+};
+
+const JOB: JobId = JobId(1);
+const ITEMS: u32 = 2;
+const OWNERS: u32 = 2;
+/// Most items wanted by the requests of an owner, in the order of sequences.
+const REQUESTS: [u32; 2] = [1, 2];
+/// Renewals after which a lease is renewed no more.
+const MAX_RENEWALS: u64 = 1;
+
+/// Explores leases of one job.
+#[derive(Debug)]
+pub struct LeaseModel {
+    /// Whether items may run again when their run was cut short.
+    pub repeatable: bool,
+}
+
+/// What the replies promised.
+#[derive(Clone, Debug, Default, Encode, Decode)]
+struct Promises {
+    #[n(0)]
+    accepted: bool,
+    #[n(1)]
+    cancelled: bool,
+    /// Items that each lease holds.
+    #[n(2)]
+    held: BTreeMap<LeaseId, BTreeSet<u32>>,
+    /// The one result of each item.
+    #[n(3)]
+    results: BTreeMap<u32, Vec<u8>>,
+}
+
+/// The machine and its promises.
+#[derive(Clone, Debug)]
+pub struct LeaseState {
+    machine: JobMachine,
+    payloads: InternedLog,
+    promises: Promises,
+}
+
+impl Model for LeaseModel {
+    type State = LeaseState;
+
+    fn initial(&self) -> LeaseState {
+        LeaseState {
+            machine: JobMachine::new(),
+            payloads: InternedLog::default(),
+            promises: Promises::default(),
+        }
+    }
+
+    fn commands(&self, state: &LeaseState) -> Vec<JobCommand> {
+        let mut commands = vec![
+            begin(self.repeatable),
+            append(),
+            JobCommand::Accept { job: JOB },
+            JobCommand::Cancel { job: JOB },
+        ];
+        for owner in 1..=OWNERS {
+            for (sequence, &max_items) in REQUESTS.iter().enumerate() {
+                commands.push(request(owner, sequence as u64, max_items));
+            }
+        }
+        for &lease in state.promises.held.keys() {
+            commands.extend(commands_of(lease, state));
+        }
+        commands
+    }
+
+    fn step(&self, state: &LeaseState, command: &JobCommand) -> Result<LeaseState, &'static str> {
+        let mut after = state.clone();
+        let before_renewals = renewals(&state.machine, command);
+        let reply = after
+            .machine
+            .apply(command, &mut after.payloads)
+            .map_err(|_| "a payload is lost")?;
+        match (command, reply) {
+            (JobCommand::Lease(_), JobReply::Leased(Some(lease))) => {
+                after.promises.check_lease(&lease)?;
+            }
+            (JobCommand::Record { lease, results }, JobReply::Recorded { taken, .. }) => {
+                after.promises.check_record(*lease, results, taken)?;
+            }
+            (JobCommand::Return { lease, .. }, JobReply::Recorded { .. }) => {
+                after.promises.release(*lease);
+            }
+            (JobCommand::Expire { lease, renewals }, JobReply::Recorded { .. })
+                if before_renewals == Some(*renewals) =>
+            {
+                after.promises.expire(*lease, self.repeatable);
+            }
+            (JobCommand::Accept { .. }, JobReply::Job(_)) => after.promises.accepted = true,
+            (JobCommand::Cancel { .. }, JobReply::Job(status)) => {
+                after.promises.cancelled |= status.phase != JobPhase::Completed;
+            }
+            _ => {}
+        }
+        after.check_status()?;
+        after.check_results()?;
+        Ok(after)
+    }
+
+    fn key(&self, state: &LeaseState) -> Vec<u8> {
+        let mut key = state.machine.snapshot();
+        key.extend(encode(&state.promises));
+        key
+    }
+}
+
+impl Promises {
+    /// Judges a lease that was handed out.
+    fn check_lease(&mut self, granted: &GrantedLease) -> Result<(), &'static str> {
+        if !self.accepted {
+            return Err("a job that was not accepted runs");
+        }
+        if self.cancelled {
+            return Err("a cancelled job leases items");
+        }
+        let items: BTreeSet<u32> = granted.items.iter().map(|leased| leased.item.0).collect();
+        for item in &items {
+            if self.results.contains_key(item) {
+                return Err("an item that has a result is leased again");
+            }
+            let elsewhere = self
+                .held
+                .iter()
+                .any(|(lease, held)| *lease != granted.lease && held.contains(item));
+            if elsewhere {
+                return Err("an item is held by two leases");
+            }
+        }
+        let known = self.held.get(&granted.lease);
+        if known.is_some_and(|held| *held != items) {
+            return Err("a resent request gets other items");
+        }
+        self.held.insert(granted.lease, items);
+        Ok(())
+    }
+
+    /// Judges how many results of a record were taken.
+    fn check_record(
+        &mut self,
+        lease: LeaseId,
+        results: &[ItemResult],
+        taken: u32,
+    ) -> Result<(), &'static str> {
+        let held = self.held.entry(lease).or_default();
+        let mut expected = 0;
+        for result in results {
+            if held.remove(&result.item.0) {
+                expected += 1;
+                let payload = result.payload.to_vec();
+                self.results.insert(result.item.0, payload);
+            }
+        }
+        if taken > expected {
+            return Err("an item gets a second result");
+        }
+        if taken < expected {
+            return Err("the result of a held item is dropped");
+        }
+        Ok(())
+    }
+
+    /// Notes that a lease was given back.
+    fn release(&mut self, lease: LeaseId) {
+        self.held.entry(lease).or_default().clear();
+    }
+
+    /// Notes that a lease ended in silence. Its items may have run, so those
+    /// of a non-repeatable job have ended too.
+    fn expire(&mut self, lease: LeaseId, repeatable: bool) {
+        let held = std::mem::take(self.held.entry(lease).or_default());
+        if !repeatable {
+            let unknown = held.into_iter().map(|item| (item, Vec::new()));
+            self.results.extend(unknown);
+        }
+    }
+
+    /// Whether some lease holds an item.
+    fn lease_is_out(&self) -> bool {
+        self.held.values().any(|held| !held.is_empty())
+    }
+}
+
+impl LeaseState {
+    /// Judges what the job says of itself.
+    fn check_status(&self) -> Result<(), &'static str> {
+        let query = JobQuery::Status { job: JOB };
+        let status = match self.machine.query(&query, &self.payloads) {
+            JobAnswer::Status(Some(status)) => status,
+            JobAnswer::Status(None) if !self.promises.accepted => return Ok(()),
+            _ => return Err("a job is lost"),
+        };
+        if self.promises.accepted && status.phase == JobPhase::Submitting {
+            return Err("an accepted job is forgotten");
+        }
+        let results = status.completed + status.failed + status.unknown;
+        if results as usize != self.promises.results.len() {
+            return Err("the count of results is wrong");
+        }
+        match status.phase {
+            JobPhase::Completed if results != ITEMS => Err("a job completes without every result"),
+            JobPhase::Cancelled if self.promises.lease_is_out() => {
+                Err("a job is cancelled while a lease is out")
+            }
+            JobPhase::Running if self.promises.cancelled => Err("a cancelled job runs on"),
+            _ => Ok(()),
+        }
+    }
+
+    /// Judges whether each result can be read and is the first one.
+    fn check_results(&self) -> Result<(), &'static str> {
+        let query = JobQuery::Results {
+            job: JOB,
+            first: ItemIndex(0),
+            limit: ITEMS,
+        };
+        let JobAnswer::Results { results, .. } = self.machine.query(&query, &self.payloads) else {
+            return Err("results cannot be read");
+        };
+        let read: BTreeMap<u32, Vec<u8>> = results
+            .into_iter()
+            .map(|record| (record.item.0, record.payload.into()))
+            .collect();
+        if read == self.promises.results {
+            Ok(())
+        } else {
+            Err("a result is lost or replaced")
+        }
+    }
+}
+
+/// Renewals of the lease that an expiry names.
+fn renewals(machine: &JobMachine, command: &JobCommand) -> Option<u64> {
+    let JobCommand::Expire { lease, .. } = command else {
+        return None;
+    };
+    let record = machine.leases().find(|record| record.lease == *lease);
+    record.map(|record| record.renewals)
+}
+
+/// Commands about a lease that was handed out, whether it is still out or not.
+fn commands_of(lease: LeaseId, state: &LeaseState) -> Vec<JobCommand> {
+    let mut commands = vec![JobCommand::Return {
+        lease,
+        items: Vec::new(),
+    }];
+    for item in 0..ITEMS {
+        commands.push(record(lease, item));
+    }
+    for renewals in 0..=MAX_RENEWALS {
+        commands.push(JobCommand::Expire { lease, renewals });
+    }
+    let renewable = state
+        .machine
+        .leases()
+        .any(|record| record.lease == lease && record.renewals < MAX_RENEWALS);
+    if renewable {
+        let leases = vec![lease];
+        commands.push(JobCommand::Renew { leases });
+    }
+    commands
+}
+
+/// The result of `item` under `lease`; its payload names the lease.
+fn record(lease: LeaseId, item: u32) -> JobCommand {
+    let result = ItemResult {
+        item: ItemIndex(item),
+        outcome: ItemOutcome::Completed,
+        payload: ByteVec::from(encode(&lease)),
+    };
+    JobCommand::Record {
+        lease,
+        results: vec![result],
+    }
+}
+
+/// Opens the job.
+fn begin(repeatable: bool) -> JobCommand {
+    JobCommand::Begin(BeginJob {
+        job: JOB,
+        tenant: TenantId::default(),
+        key: String::new(),
+        digest: Digest(1),
+        service: ServiceName::default(),
+        item_count: ITEMS,
+        repeatable,
+        deadline_unix_seconds: 0,
+    })
+}
+
+/// Adds all items.
+fn append() -> JobCommand {
+    JobCommand::Append(AppendItems {
+        job: JOB,
+        first: ItemIndex(0),
+        inputs: vec![ByteVec::from(vec![0]); ITEMS as usize],
+    })
+}
+
+/// Asks for items.
+fn request(owner: u32, sequence: u64, max_items: u32) -> JobCommand {
+    JobCommand::Lease(LeaseRequest {
+        owner: NodeId(owner),
+        owner_incarnation: 1,
+        sequence,
+        service: ServiceName::default(),
+        backend: BackendId(owner),
+        max_items,
+    })
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -13,6 +13,7 @@
 mod codec;
 pub mod control;
 mod error;
+pub mod explore;
 pub mod job;
 mod machine;
 mod payload;
--- /dev/null
+++ b/crates/state/tests/mutants.rs
@@ -0,0 +1,85 @@
+//! Each mechanism switched off breaks an invariant that the exploration finds.
+
+use molespan_state::control::{
+    Change, ConfirmIntent, ControlCommand, ControlMachine, ControlReply, IntentNumber, IssueOrder,
+    Policy,
+};
+use molespan_state::explore::{ClaimModel, LeaseModel, Model, explore};
+use molespan_types::mechanism::{Mechanism, disable};
+use molespan_types::{BackendId, ConfigVersion, FencingToken, Incarnation};
+
+const MAX_STATES: usize = 1_000_000;
+
+/// The invariant that breaks without `mechanism`.
+fn broken(model: &impl Model, mechanism: Mechanism) -> Option<&'static str> {
+    disable(Some(mechanism));
+    let exploration = explore(model, MAX_STATES);
+    disable(None);
+    exploration.violation.map(|violation| violation.invariant)
+}
+
+#[test]
+fn exploration_notices_each_missing_mechanism_of_jobs() {
+    let repeatable = LeaseModel { repeatable: true };
+    let once = LeaseModel { repeatable: false };
+    let cases = [
+        (&repeatable, Mechanism::JobKeyDedupe),
+        (&repeatable, Mechanism::FirstResultWins),
+        (&repeatable, Mechanism::CancelStopsLeasing),
+        (&repeatable, Mechanism::CancelWaitsForLeases),
+        (&once, Mechanism::NoRetryAfterAmbiguity),
+    ];
+    for (model, mechanism) in cases {
+        let invariant = broken(model, mechanism);
+        println!("without {mechanism}: {invariant:?}");
+        assert!(invariant.is_some(), "nothing breaks without {mechanism}");
+    }
+}
+
+#[test]
+fn exploration_notices_missing_claims() {
+    let invariant = broken(&ClaimModel, Mechanism::ClaimBeforeDispatch);
+    println!("without claims: {invariant:?}");
+    assert!(invariant.is_some());
+}
+
+#[test]
+fn second_intent_under_one_number_passes_without_the_memory() {
+    let intent = |base: u64, tail_protection: u8| {
+        ControlCommand::Confirm(ConfirmIntent {
+            number: IntentNumber(1),
+            operator: "abebe".to_owned(),
+            base_version: ConfigVersion(base),
+            changes: vec![Change::PutPolicy {
+                policy: Policy { tail_protection },
+            }],
+        })
+    };
+    disable(Some(Mechanism::ConfirmationMemory));
+    let mut machine = ControlMachine::new();
+    machine.apply(&intent(0, 10));
+    machine.apply(&intent(1, 20));
+    disable(None);
+    assert_eq!(machine.configuration().version, ConfigVersion(2));
+}
+
+#[test]
+fn tokens_do_not_rise_without_fencing() {
+    let order = |action: &str| {
+        ControlCommand::Issue(IssueOrder {
+            backend: BackendId(1),
+            incarnation: Incarnation(1),
+            action: action.to_owned(),
+            expected_token: FencingToken(0),
+        })
+    };
+    disable(Some(Mechanism::FencingTokens));
+    let mut machine = ControlMachine::new();
+    let first = machine.apply(&order("load"));
+    let second = machine.apply(&order("unload"));
+    disable(None);
+    let same = ControlReply::OrderIssued {
+        token: FencingToken(0),
+    };
+    assert_eq!((first, second), (same.clone(), same));
+}
