--- /dev/null
+++ b/crates/wire/src/client/connection.rs
@@ -0,0 +1,164 @@
+//! One connection of a client: a writer, a reader and a watch on silence.
+
+use std::net::TcpStream;
+use std::sync::atomic::Ordering;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_io::{Async, Timer};
+use futures_lite::future;
+use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
+
+use super::Shared;
+use crate::frame::{FrameDecoder, encode_frame};
+use crate::message::Envelope;
+use crate::net::within;
+
+/// Bytes asked from the socket at a time.
+const READ_BYTES: usize = 64 * 1024;
+/// How often silence is checked within its limit.
+const CHECKS_PER_SILENCE_LIMIT: u32 = 4;
+
+/// When bytes last went each way on a connection.
+struct Activity(Mutex<ActivityTimes>);
+
+#[derive(Clone, Copy)]
+struct ActivityTimes {
+    /// First write that nothing was read after.
+    unanswered_since: Option<Instant>,
+    last_write: Instant,
+    any_read: bool,
+}
+
+impl Activity {
+    fn new() -> Self {
+        Self(Mutex::new(ActivityTimes {
+            unanswered_since: None,
+            last_write: Instant::now(),
+            any_read: false,
+        }))
+    }
+
+    fn wrote(&self) {
+        let now = Instant::now();
+        let mut times = self.lock();
+        times.last_write = now;
+        times.unanswered_since.get_or_insert(now);
+    }
+
+    fn read(&self) {
+        let mut times = self.lock();
+        times.any_read = true;
+        times.unanswered_since = None;
+    }
+
+    fn times(&self) -> ActivityTimes {
+        *self.lock()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ActivityTimes> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Serves the connection until it breaks, falls silent or is idle. Returns
+/// whether the peer ever answered on it.
+pub(crate) async fn run_connection(shared: &Shared, stream: &Async<TcpStream>) -> bool {
+    let activity = Activity::new();
+    let transfer = future::or(
+        write_frames(shared, stream, &activity),
+        read_frames(shared, stream, &activity),
+    );
+    future::or(transfer, watch(shared, &activity)).await;
+    // An idle end without any answer is no failure of the peer.
+    let times = activity.times();
+    times.any_read || times.unanswered_since.is_none()
+}
+
+/// Writes what is queued, many frames at once. Ends when the socket fails.
+async fn write_frames(shared: &Shared, stream: &Async<TcpStream>, activity: &Activity) {
+    let mut batch = Vec::new();
+    loop {
+        shared.outgoing.wait().await;
+        batch.clear();
+        shared.outgoing.take_batch(&mut batch);
+        if batch.is_empty() {
+            continue;
+        }
+        activity.wrote();
+        let mut writer = stream;
+        let writing = writer.write_all(&batch);
+        match within(shared.limits.write_timeout, writing).await {
+            Some(Ok(())) => {}
+            _ => return,
+        }
+        let written = batch.len() as u64;
+        shared
+            .counters
+            .bytes_written
+            .fetch_add(written, Ordering::Relaxed);
+    }
+}
+
+/// Reads responses. Ends when the peer closes or breaks the protocol.
+async fn read_frames(shared: &Shared, stream: &Async<TcpStream>, activity: &Activity) {
+    let mut decoder = FrameDecoder::new(shared.limits.max_frame_bytes);
+    let mut buffer = vec![0; READ_BYTES];
+    loop {
+        let mut reader = stream;
+        let count = match reader.read(&mut buffer).await {
+            Ok(0) | Err(_) => return,
+            Ok(count) => count,
+        };
+        activity.read();
+        shared
+            .counters
+            .bytes_read
+            .fetch_add(count as u64, Ordering::Relaxed);
+        decoder.push(&buffer[..count]);
+        loop {
+            match decoder.next_message() {
+                Ok(Some(Envelope::Response { number, response })) => {
+                    if !shared.calls.answer(number, response) {
+                        shared
+                            .counters
+                            .late_responses
+                            .fetch_add(1, Ordering::Relaxed);
+                    }
+                }
+                Ok(Some(Envelope::Pong)) => {}
+                Ok(None) => break,
+                // A server sends nothing else.
+                Ok(Some(_)) | Err(_) => return,
+            }
+        }
+    }
+}
+
+/// Ends when the peer fell silent or the connection is idle. Pings a peer that
+/// was written to, since one-way messages have no response.
+async fn watch(shared: &Shared, activity: &Activity) {
+    let limits = &shared.limits;
+    let interval = limits.silence_limit / CHECKS_PER_SILENCE_LIMIT;
+    let ping = ping_frame();
+    loop {
+        Timer::after(interval.max(Duration::from_millis(1))).await;
+        let times = activity.times();
+        if let Some(since) = times.unanswered_since {
+            if since.elapsed() >= limits.silence_limit {
+                return;
+            }
+            shared.outgoing.push_control(&ping);
+        } else if times.last_write.elapsed() >= limits.idle_limit && !shared.calls.any_waiting() {
+            return;
+        }
+    }
+}
+
+/// The frame of a ping.
+fn ping_frame() -> Vec<u8> {
+    let mut frame = Vec::new();
+    let encoded = encode_frame(&Envelope::Ping, usize::MAX, &mut frame);
+    debug_assert!(encoded.is_ok(), "a ping is a few bytes long");
+    frame
+}
--- /dev/null
+++ b/crates/wire/src/client/queue.rs
@@ -0,0 +1,190 @@
+//! What waits to be written to a peer.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use async_channel::{Receiver, Sender};
+
+use super::ClientLimits;
+use super::call::{Call, CallError, CallFailure};
+
+/// Bytes written together, unless a single frame is longer.
+const BATCH_BYTES: usize = 64 * 1024;
+
+/// Which one-way message gives way when there are too many.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum DropPolicy {
+    /// The one that waited longest: for messages that later ones supersede.
+    #[default]
+    Oldest,
+    /// The new one: for messages of which the first ones matter most.
+    Newest,
+}
+
+/// Whether a one-way message was queued, and how many gave way.
+pub(crate) struct Pushed {
+    pub(crate) queued: bool,
+    pub(crate) dropped: u64,
+}
+
+/// Frames that wait for the writer.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    max_messages: usize,
+    max_bytes: usize,
+    policy: DropPolicy,
+    state: Mutex<QueueState>,
+    wake: Sender<()>,
+    woken: Receiver<()>,
+}
+
+#[derive(Debug, Default)]
+struct QueueState {
+    calls: VecDeque<(Vec<u8>, Arc<Call>)>,
+    messages: VecDeque<Vec<u8>>,
+    message_bytes: usize,
+    /// Frames of the connection itself, such as a ping.
+    control: Vec<u8>,
+    /// Set while the peer cannot be reached; nothing is queued then.
+    unreachable: bool,
+}
+
+impl QueueState {
+    fn is_empty(&self) -> bool {
+        self.calls.is_empty() && self.messages.is_empty() && self.control.is_empty()
+    }
+
+    fn pop_message(&mut self) -> Option<Vec<u8>> {
+        let frame = self.messages.pop_front()?;
+        self.message_bytes -= frame.len();
+        Some(frame)
+    }
+}
+
+impl Outgoing {
+    pub(crate) fn new(limits: &ClientLimits) -> Self {
+        let (wake, woken) = async_channel::bounded(1);
+        Self {
+            max_messages: limits.max_queued_messages,
+            max_bytes: limits.max_queued_bytes,
+            policy: limits.drop_policy,
+            state: Mutex::default(),
+            wake,
+            woken,
+        }
+    }
+
+    /// Queues a call.
+    pub(crate) fn push_call(&self, frame: Vec<u8>, call: Arc<Call>) -> Result<(), CallError> {
+        let mut state = self.lock();
+        if state.unreachable {
+            return Err(CallError::NotSent(CallFailure::Unreachable));
+        }
+        state.calls.push_back((frame, call));
+        drop(state);
+        self.wake_writer();
+        Ok(())
+    }
+
+    /// Queues a one-way message, or drops one.
+    pub(crate) fn push_message(&self, frame: Vec<u8>) -> Pushed {
+        let mut state = self.lock();
+        let mut dropped = 0;
+        let refused = state.unreachable || frame.len() > self.max_bytes;
+        while !refused && self.is_full_for(&state, frame.len()) {
+            if self.policy == DropPolicy::Newest || state.pop_message().is_none() {
+                break;
+            }
+            dropped += 1;
+        }
+        if refused || self.is_full_for(&state, frame.len()) {
+            return Pushed {
+                queued: false,
+                dropped: dropped + 1,
+            };
+        }
+        state.message_bytes += frame.len();
+        state.messages.push_back(frame);
+        drop(state);
+        self.wake_writer();
+        Pushed {
+            queued: true,
+            dropped,
+        }
+    }
+
+    /// Queues a frame of the connection itself.
+    pub(crate) fn push_control(&self, frame: &[u8]) {
+        self.lock().control.extend_from_slice(frame);
+        self.wake_writer();
+    }
+
+    /// Waits until something is queued.
+    pub(crate) async fn wait(&self) {
+        while self.lock().is_empty() {
+            // The sender lives beside the receiver, so this cannot fail.
+            let _woken = self.woken.recv().await;
+        }
+    }
+
+    /// Moves queued frames into `batch`, calls first. Calls whose callers gave
+    /// up are left out.
+    pub(crate) fn take_batch(&self, batch: &mut Vec<u8>) {
+        let mut state = self.lock();
+        batch.append(&mut state.control);
+        while batch.len() < BATCH_BYTES {
+            let Some((frame, call)) = state.calls.pop_front() else {
+                break;
+            };
+            if call.begin_write() {
+                batch.extend_from_slice(&frame);
+            }
+        }
+        while batch.len() < BATCH_BYTES {
+            let Some(frame) = state.pop_message() else {
+                break;
+            };
+            batch.extend_from_slice(&frame);
+        }
+    }
+
+    /// Throws away everything, tells the callers, and refuses more until
+    /// [`Outgoing::reopen`]. Returns the number of one-way messages dropped.
+    pub(crate) fn close_unreachable(&self) -> u64 {
+        let state = {
+            let mut state = self.lock();
+            let unreachable = QueueState {
+                unreachable: true,
+                ..QueueState::default()
+            };
+            std::mem::replace(&mut *state, unreachable)
+        };
+        for (_, call) in &state.calls {
+            call.answer(Err(CallError::NotSent(CallFailure::Unreachable)));
+        }
+        state.messages.len() as u64
+    }
+
+    /// Takes frames again.
+    pub(crate) fn reopen(&self) {
+        self.lock().unreachable = false;
+    }
+
+    /// Throws away frames that belonged to a connection which broke.
+    pub(crate) fn clear_control(&self) {
+        self.lock().control.clear();
+    }
+
+    fn is_full_for(&self, state: &QueueState, length: usize) -> bool {
+        state.messages.len() >= self.max_messages || state.message_bytes + length > self.max_bytes
+    }
+
+    fn wake_writer(&self) {
+        // When the channel is full, a wake-up is already under way.
+        let _already_woken = self.wake.try_send(());
+    }
+
+    fn lock(&self) -> MutexGuard<'_, QueueState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/client/task.rs
@@ -0,0 +1,75 @@
+//! The background task of a client: connects, and pauses after failures.
+
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use async_channel::Receiver;
+use async_io::{Async, Timer};
+use futures_lite::future;
+
+use super::Shared;
+use super::connection::run_connection;
+use crate::backoff::Backoff;
+use crate::net::within;
+
+/// Serves the queue until the client is dropped.
+pub(crate) async fn run(shared: Arc<Shared>, ended: Receiver<()>, seed: u64) {
+    let client_dropped = async {
+        let _closed = ended.recv().await;
+    };
+    future::or(serve(&shared, seed), client_dropped).await;
+    shared.calls.fail_written();
+    shared.outgoing.close_unreachable();
+}
+
+/// Connects whenever there is something to send.
+async fn serve(shared: &Shared, seed: u64) {
+    let limits = &shared.limits;
+    let mut backoff = Backoff::new(limits.first_pause, limits.longest_pause, seed);
+    loop {
+        shared.outgoing.wait().await;
+        let was_useful = match connect(shared).await {
+            Some(stream) => {
+                let was_useful = run_connection(shared, &stream).await;
+                shared.calls.fail_written();
+                shared.outgoing.clear_control();
+                was_useful
+            }
+            None => {
+                shared
+                    .counters
+                    .failed_connections
+                    .fetch_add(1, Ordering::Relaxed);
+                false
+            }
+        };
+        if was_useful {
+            backoff.reset();
+        } else {
+            pause(shared, &mut backoff).await;
+        }
+    }
+}
+
+/// Refuses everything for a while, so that nobody waits for a lost peer.
+async fn pause(shared: &Shared, backoff: &mut Backoff) {
+    let dropped = shared.outgoing.close_unreachable();
+    shared
+        .counters
+        .dropped
+        .fetch_add(dropped, Ordering::Relaxed);
+    Timer::after(backoff.pause()).await;
+    shared.outgoing.reopen();
+}
+
+/// Opens a connection, or `None` when the peer cannot be reached.
+async fn connect(shared: &Shared) -> Option<Async<TcpStream>> {
+    let connecting = Async::<TcpStream>::connect(shared.address);
+    let stream = within(shared.limits.connect_timeout, connecting)
+        .await?
+        .ok()?;
+    stream.get_ref().set_nodelay(true).ok()?;
+    shared.counters.connections.fetch_add(1, Ordering::Relaxed);
+    Some(stream)
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -33,6 +33,12 @@
     /// A message that nobody waits for.
     #[n(2)]
     OneWay(#[n(0)] Request),
+    /// Asks for a [`Envelope::Pong`], to tell a silent peer from a lost one.
+    #[n(3)]
+    Ping,
+    /// To [`Envelope::Ping`].
+    #[n(4)]
+    Pong,
 }
 
 /// How fresh a read must be.
--- /dev/null
+++ b/crates/wire/src/net.rs
@@ -0,0 +1,16 @@
+//! Small helpers around sockets and timers.
+
+use std::future::Future;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future;
+
+/// The output of `future`, or `None` when `limit` passed first.
+pub(crate) async fn within<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
+    let timeout = async {
+        Timer::after(limit).await;
+        None
+    };
+    future::or(async { Some(future.await) }, timeout).await
+}
