--- /dev/null
+++ b/crates/telemetry/src/log.rs
@@ -0,0 +1,182 @@
+//! The root logger.
+
+use std::{fmt, io};
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+use slog::{Drain, Level, LevelFilter, Logger, o};
+use slog_async::{Async, AsyncGuard, OverflowStrategy};
+use slog_term::{PlainDecorator, TermDecorator};
+
+use crate::terminal::TerminalFormat;
+
+/// Key under which a logger carries the name of its part.
+pub(crate) const PART_KEY: &str = "part";
+/// Log lines that wait for the writer; further ones are dropped and counted in
+/// the log itself, so that a slow terminal never delays the work.
+const QUEUED_LINES: usize = 8192;
+
+/// How log lines look.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    /// One line for people, with the part in front of the message.
+    #[default]
+    #[display("terminal")]
+    Terminal,
+    /// One JSON object a line, with the part under `part`.
+    #[display("json")]
+    Json,
+}
+
+/// The least important level that is logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Something failed that an operator must look at.
+    #[display("error")]
+    Error,
+    /// Something is wrong that the system lives with.
+    #[display("warning")]
+    Warning,
+    /// What an operator wants to know of an ordinary day.
+    #[default]
+    #[display("info")]
+    Info,
+    /// What a developer wants to know.
+    #[display("debug")]
+    Debug,
+}
+
+/// A name that is no format or level.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[display("{name} is none of {expected}")]
+pub struct UnknownName {
+    name: String,
+    expected: &'static str,
+}
+
+impl std::str::FromStr for LogFormat {
+    type Err = UnknownName;
+
+    fn from_str(name: &str) -> Result<Self, UnknownName> {
+        match name {
+            "terminal" => Ok(Self::Terminal),
+            "json" => Ok(Self::Json),
+            _ => Err(UnknownName {
+                name: name.to_owned(),
+                expected: "terminal, json",
+            }),
+        }
+    }
+}
+
+impl std::str::FromStr for LogLevel {
+    type Err = UnknownName;
+
+    fn from_str(name: &str) -> Result<Self, UnknownName> {
+        match name {
+            "error" => Ok(Self::Error),
+            "warning" => Ok(Self::Warning),
+            "info" => Ok(Self::Info),
+            "debug" => Ok(Self::Debug),
+            _ => Err(UnknownName {
+                name: name.to_owned(),
+                expected: "error, warning, info, debug",
+            }),
+        }
+    }
+}
+
+impl From<LogLevel> for Level {
+    fn from(level: LogLevel) -> Self {
+        match level {
+            LogLevel::Error => Level::Error,
+            LogLevel::Warning => Level::Warning,
+            LogLevel::Info => Level::Info,
+            LogLevel::Debug => Level::Debug,
+        }
+    }
+}
+
+/// Flushes the log when dropped. Keep it until the process ends.
+pub struct LogGuard {
+    /// Joins the writing thread when dropped.
+    _queue: AsyncGuard,
+}
+
+impl fmt::Debug for LogGuard {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("LogGuard").finish_non_exhaustive()
+    }
+}
+
+/// A root logger and its guard.
+#[derive(Debug)]
+pub struct Log {
+    /// The root logger; parts take a child of it, see [`part_logger`].
+    pub logger: Logger,
+    /// Flushes the log when dropped.
+    pub guard: LogGuard,
+}
+
+impl Log {
+    /// Logs to standard error, in colour on a terminal.
+    #[must_use]
+    pub fn to_stderr(format: LogFormat, level: LogLevel) -> Self {
+        match format {
+            LogFormat::Terminal => {
+                let decorator = TermDecorator::new().stderr().build();
+                Self::start(TerminalFormat::new(decorator), level)
+            }
+            LogFormat::Json => Self::start(json(io::stderr()), level),
+        }
+    }
+
+    /// Logs to `writer`, without colours.
+    #[must_use]
+    pub fn to_writer(
+        writer: impl io::Write + Send + 'static,
+        format: LogFormat,
+        level: LogLevel,
+    ) -> Self {
+        match format {
+            LogFormat::Terminal => {
+                Self::start(TerminalFormat::new(PlainDecorator::new(writer)), level)
+            }
+            LogFormat::Json => Self::start(json(writer), level),
+        }
+    }
+
+    /// Puts a queue and the level filter before `drain`.
+    fn start<D>(drain: D, level: LogLevel) -> Self
+    where
+        D: Drain<Ok = (), Err = io::Error> + Send + 'static,
+    {
+        // A log that cannot be written must not stop the work.
+        let (queue, guard) = Async::new(drain.ignore_res())
+            .chan_size(QUEUED_LINES)
+            .overflow_strategy(OverflowStrategy::DropAndReport)
+            .build_with_guard();
+        let filter = LevelFilter::new(queue, level.into()).ignore_res();
+        Self {
+            logger: Logger::root(filter, o!()),
+            guard: LogGuard { _queue: guard },
+        }
+    }
+}
+
+/// The JSON drain.
+fn json<W: io::Write>(writer: W) -> impl Drain<Ok = (), Err = io::Error> + use<W> {
+    slog_json::Json::default(writer)
+}
+
+/// The logger of one part, such as `gateway`.
+pub fn part_logger(parent: &Logger, part: &'static str) -> Logger {
+    parent.new(o!(PART_KEY => part))
+}
+
+/// A logger that drops everything, for tests and embedding.
+pub fn discard_logger() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
