Add the batch owner

It leases items for the engines that a gateway owns, runs them in the headroom that it learns, makes them yield before an online request is sent, journals results in batches and stops at the end of a lease on its own clock.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -16,5 +16,5 @@
 };
 pub use drain::{DrainInput, DrainOutput, DrainPhase, DrainPlan, DrainSettings};
 pub use gateway_set::{GatewayRecord, GatewaySet, GatewaySetSettings};
-pub use ownership::{Ownership, OwnershipChange, OwnershipSettings};
+pub use ownership::{Ownership, OwnershipChange, OwnershipSettings, STOP_SHARE};
 pub use subset::{SubsetBackend, SubsetSettings, subset};
--- /dev/null
+++ b/crates/routing/src/batch/asking.rs
@@ -0,0 +1,292 @@
+//! Requests to job groups: asking for items, renewing, resending, and when.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use molespan_state::job::ItemResult;
+use molespan_types::{BackendId, GroupId, ItemIndex, LeaseId, ServiceName, Timestamp};
+
+use super::engine::Allowance;
+use super::lease::LeaseKey;
+use super::message::{BatchOutput, RequestNumber};
+use super::owner::BatchOwner;
+
+/// An engine asks for more items when it lacks this share of its limit.
+const REFILL_SHARE: u32 = 4;
+
+/// A request that is out.
+#[derive(Clone, Debug)]
+pub(super) enum Request {
+    /// For items.
+    Lease {
+        group: GroupId,
+        service: ServiceName,
+        backend: BackendId,
+        max_items: u32,
+        /// When it was first sent; the lease counts from then.
+        sent: Timestamp,
+    },
+    /// Keeping leases.
+    Renew { group: GroupId, sent: Timestamp },
+    /// Results.
+    Record {
+        key: LeaseKey,
+        results: Vec<ItemResult>,
+    },
+    /// Items given back.
+    Return {
+        key: LeaseKey,
+        items: Vec<ItemIndex>,
+    },
+}
+
+/// When to ask for items of a service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ServicePoll {
+    /// Group to ask next, counted from 0.
+    turn: u32,
+    /// Groups in a row that had nothing.
+    empty: u32,
+    /// Wait after the next round without items.
+    wait: Duration,
+    /// Not before.
+    next: Timestamp,
+}
+
+impl ServicePoll {
+    /// A group had items, or was said to have some.
+    pub(super) fn found(&mut self, now: Timestamp) {
+        self.empty = 0;
+        self.wait = Duration::ZERO;
+        self.next = now;
+    }
+
+    /// A group had nothing; after a whole round, wait longer each time.
+    pub(super) fn found_nothing(
+        &mut self,
+        now: Timestamp,
+        groups: u32,
+        shortest: Duration,
+        longest: Duration,
+    ) {
+        self.empty += 1;
+        if self.empty < groups {
+            return;
+        }
+        self.empty = 0;
+        self.wait = (self.wait * 2).clamp(shortest, longest);
+        self.next = now + self.wait;
+    }
+
+    /// Whether the last round found nothing, so that one engine asks for all.
+    fn is_probing(&self) -> bool {
+        !self.wait.is_zero()
+    }
+}
+
+impl BatchOwner {
+    /// Sends lease requests and renewals that are due.
+    pub(super) fn send_requests(&mut self, now: Timestamp, outputs: &mut Vec<BatchOutput>) {
+        self.renew(now, outputs);
+        if self.draining {
+            return;
+        }
+        let backends: Vec<BackendId> = self.engines.keys().copied().collect();
+        for backend in backends {
+            self.ask(now, backend, outputs);
+        }
+    }
+
+    /// Asks for items for an engine that has room and too few waiting.
+    fn ask(&mut self, now: Timestamp, backend: BackendId, outputs: &mut Vec<BatchOutput>) {
+        let wanted = self.items_wanted(now, backend);
+        let Some(engine) = self.engines.get(&backend) else {
+            return;
+        };
+        if wanted == 0 {
+            return;
+        }
+        let service = engine.owned.service.clone();
+        let poll = self.polls.entry(service.clone()).or_default();
+        let waiting = poll.next > now;
+        let probing = poll.is_probing() && is_asked(&self.requests, &service);
+        if waiting || probing {
+            return;
+        }
+        let group = GroupId(1 + poll.turn % self.settings.job_groups);
+        poll.turn = poll.turn.wrapping_add(1);
+        let request = self.next_request();
+        if let Some(engine) = self.engines.get_mut(&backend) {
+            engine.asking = Some(request);
+        }
+        self.send(
+            request,
+            Request::Lease {
+                group,
+                service,
+                backend,
+                max_items: wanted,
+                sent: now,
+            },
+            outputs,
+        );
+    }
+
+    /// Items that an engine should lease now: up to its limit and half as many
+    /// again, so that a stream that ends is followed at once.
+    fn items_wanted(&self, now: Timestamp, backend: BackendId) -> u32 {
+        let Some(engine) = self.engines.get(&backend) else {
+            return 0;
+        };
+        let no_room = engine.allowance(now, &self.policy) == Allowance::UpTo(0);
+        let busy = engine.asking.is_some() || !engine.open || engine.hold_until > now;
+        if no_room || busy {
+            return 0;
+        }
+        let limit = engine.limit();
+        let pending: usize = self
+            .leases
+            .values()
+            .filter(|lease| lease.backend == backend)
+            .map(|lease| lease.pending.len())
+            .sum();
+        let have = (engine.streams.len() + pending) as u32;
+        let wanted = (limit + limit.div_ceil(2)).saturating_sub(have);
+        let worth_it = wanted >= limit.div_ceil(REFILL_SHARE);
+        if worth_it { wanted } else { 0 }
+    }
+
+    /// Renews the leases of each group at a steady interval.
+    fn renew(&mut self, now: Timestamp, outputs: &mut Vec<BatchOutput>) {
+        let mut by_group: BTreeMap<GroupId, Vec<LeaseId>> = BTreeMap::new();
+        for (key, lease) in &self.leases {
+            if !lease.revoked {
+                by_group.entry(key.group).or_default().push(key.lease);
+            }
+        }
+        self.renewed.retain(|group, _| by_group.contains_key(group));
+        for (group, leases) in by_group {
+            let last = *self.renewed.entry(group).or_insert(now);
+            if now.since(last) < self.settings.renew_interval {
+                continue;
+            }
+            self.renewed.insert(group, now);
+            let request = self.next_request();
+            self.requests
+                .insert(request, Request::Renew { group, sent: now });
+            outputs.push(BatchOutput::Renew {
+                request,
+                group,
+                leases,
+            });
+        }
+    }
+
+    /// Sends a request and remembers it until its reply.
+    pub(super) fn send(
+        &mut self,
+        number: RequestNumber,
+        request: Request,
+        outputs: &mut Vec<BatchOutput>,
+    ) {
+        outputs.extend(output_of(number, &request));
+        self.requests.insert(number, request);
+    }
+
+    /// Sends failed requests again once their wait is over.
+    pub(super) fn resend(&mut self, now: Timestamp, outputs: &mut Vec<BatchOutput>) {
+        let due: Vec<RequestNumber> = self
+            .resends
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(number, _)| *number)
+            .collect();
+        for number in due {
+            self.resends.remove(&number);
+            if let Some(request) = self.requests.get(&number) {
+                outputs.extend(output_of(number, request));
+            }
+        }
+    }
+
+    pub(super) fn work_available(&mut self, now: Timestamp, service: &ServiceName) {
+        self.polls.entry(service.clone()).or_default().found(now);
+    }
+
+    /// When the next [`super::BatchInput::Tick`] is due at the latest.
+    #[must_use]
+    pub fn next_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
+        let journals = self
+            .leases
+            .values()
+            .filter_map(|lease| lease.journal.due_at(&self.settings.journal));
+        let expiries = self
+            .leases
+            .values()
+            .filter(|lease| !lease.revoked)
+            .map(|lease| lease.valid_until);
+        let renewals = self
+            .renewed
+            .values()
+            .map(|last| *last + self.settings.renew_interval);
+        let quiet = self.engines.values().filter_map(|engine| {
+            let until = engine.online.quiet_until(self.policy.quiet_factor);
+            until.filter(|until| *until > now)
+        });
+        let held = self.engines.values().map(|engine| engine.hold_until);
+        let unused = self.engines.values().filter_map(|engine| {
+            let since = engine.no_room_since?;
+            Some(since + self.settings.return_after)
+        });
+        let polls = self.polls.values().map(|poll| poll.next);
+        let resends = self.resends.values().copied();
+        let future = held.chain(unused).chain(polls).filter(|at| *at > now);
+        journals
+            .chain(expiries)
+            .chain(renewals)
+            .chain(quiet)
+            .chain(resends)
+            .chain(future)
+            .min()
+    }
+}
+
+/// Whether a request for items of `service` is out.
+fn is_asked(requests: &BTreeMap<RequestNumber, Request>, service: &ServiceName) -> bool {
+    requests
+        .values()
+        .any(|request| matches!(request, Request::Lease { service: asked, .. } if asked == service))
+}
+
+/// The output that sends a request; renewals are never sent again.
+fn output_of(number: RequestNumber, request: &Request) -> Option<BatchOutput> {
+    let request = request.clone();
+    match request {
+        Request::Lease {
+            group,
+            service,
+            backend,
+            max_items,
+            ..
+        } => Some(BatchOutput::LeaseItems {
+            request: number,
+            group,
+            service,
+            backend,
+            max_items,
+        }),
+        Request::Record { key, results } => Some(BatchOutput::Record {
+            request: number,
+            group: key.group,
+            lease: key.lease,
+            results,
+        }),
+        Request::Return { key, items } => Some(BatchOutput::Return {
+            request: number,
+            group: key.group,
+            lease: key.lease,
+            items,
+        }),
+        Request::Renew { .. } => None,
+    }
+}
--- /dev/null
+++ b/crates/routing/src/batch/fill.rs
@@ -0,0 +1,252 @@
+//! Filling an engine with batch streams, and making them yield.
+
+use molespan_types::{BackendId, Timestamp};
+
+use super::engine::Allowance;
+use super::lease::LeaseKey;
+use super::message::{BatchDecision, BatchOutput, Preemption, StreamId};
+use super::owner::BatchOwner;
+use super::stream::{Stream, StreamState};
+
+impl BatchOwner {
+    pub(super) fn balance_all(&mut self, now: Timestamp, outputs: &mut Vec<BatchOutput>) {
+        let backends: Vec<BackendId> = self.engines.keys().copied().collect();
+        for backend in backends {
+            self.balance(now, backend, outputs);
+        }
+    }
+
+    /// Brings the running streams of an engine to what is allowed there now.
+    pub(super) fn balance(
+        &mut self,
+        now: Timestamp,
+        backend: BackendId,
+        outputs: &mut Vec<BatchOutput>,
+    ) {
+        let Some(engine) = self.engines.get_mut(&backend) else {
+            return;
+        };
+        let allowance = engine.allowance(now, &self.policy);
+        if allowance == Allowance::UpTo(0) {
+            engine.no_room_since.get_or_insert(now);
+        } else {
+            engine.no_room_since = None;
+        }
+        let Allowance::UpTo(allowed) = allowance else {
+            return;
+        };
+        let running = self.running(backend);
+        if running.len() as u32 > allowed {
+            self.preempt(backend, allowed, running, outputs);
+        } else {
+            self.fill(now, backend, allowed, running, outputs);
+        }
+    }
+
+    /// Streams that run on an engine, those with the least progress first.
+    fn running(&self, backend: BackendId) -> Vec<StreamId> {
+        self.by_progress(backend, Stream::is_running)
+    }
+
+    fn by_progress(&self, backend: BackendId, wanted: impl Fn(&Stream) -> bool) -> Vec<StreamId> {
+        let Some(engine) = self.engines.get(&backend) else {
+            return Vec::new();
+        };
+        let streams = engine.streams.iter();
+        let mut found: Vec<(u32, StreamId)> = streams
+            .filter_map(|id| Some((*id, self.streams.get(id)?)))
+            .filter(|(_, stream)| wanted(stream))
+            .map(|(id, stream)| (stream.tokens, id))
+            .collect();
+        found.sort_unstable();
+        found.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Holds back all but `allowed` streams. Those with the most progress stay,
+    /// since they free their memory first.
+    fn preempt(
+        &mut self,
+        backend: BackendId,
+        allowed: u32,
+        running: Vec<StreamId>,
+        outputs: &mut Vec<BatchOutput>,
+    ) {
+        let excess = running.len() - allowed as usize;
+        for id in &running[..excess] {
+            if let Some(stream) = self.streams.get_mut(id) {
+                stream.state = StreamState::Paused;
+                outputs.push(BatchOutput::Pause(*id));
+            }
+        }
+        self.decide_preempted(backend, allowed, excess as u32, 0, outputs);
+    }
+
+    fn decide_preempted(
+        &self,
+        backend: BackendId,
+        allowed: u32,
+        paused: u32,
+        cancelled: u32,
+        outputs: &mut Vec<BatchOutput>,
+    ) {
+        let engine = self.engines.get(&backend);
+        let preemption = Preemption {
+            backend,
+            online: engine.map_or(0, |engine| engine.online.total()),
+            allowed,
+            paused,
+            cancelled,
+        };
+        outputs.push(BatchOutput::Decision(BatchDecision::Preempted(preemption)));
+    }
+
+    /// Cancels the held-back stream with the least progress when the engine
+    /// runs out of KV memory while online work is there. One for each report,
+    /// so that its effect is seen before the next.
+    pub(super) fn relieve_memory(
+        &mut self,
+        now: Timestamp,
+        backend: BackendId,
+        outputs: &mut Vec<BatchOutput>,
+    ) {
+        let Some(engine) = self.engines.get(&backend) else {
+            return;
+        };
+        let short = engine.kv_used >= self.settings.kv_pressure;
+        if !short || engine.online.total() == 0 {
+            return;
+        }
+        let held_back = self.by_progress(backend, |stream| {
+            stream.repeatable && stream.state == StreamState::Paused
+        });
+        let Some(id) = held_back.first() else {
+            return;
+        };
+        if let Some(stream) = self.forget_stream(*id) {
+            outputs.push(BatchOutput::Cancel(*id));
+            self.requeue_unrun(now, stream);
+            self.decide_preempted(backend, 0, 0, 1, outputs);
+        }
+    }
+
+    /// Puts an item back whose stream the owner itself stopped; that does not
+    /// count as a failed run.
+    fn requeue_unrun(&mut self, _now: Timestamp, mut stream: Stream) {
+        stream.runs = stream.runs.saturating_sub(1);
+        self.requeue(stream);
+    }
+
+    /// Lets held-back streams go on, those with the most progress first, then
+    /// starts new ones.
+    fn fill(
+        &mut self,
+        now: Timestamp,
+        backend: BackendId,
+        allowed: u32,
+        running: Vec<StreamId>,
+        outputs: &mut Vec<BatchOutput>,
+    ) {
+        let mut room = allowed - running.len() as u32;
+        let held_back = self.by_progress(backend, |stream| stream.state == StreamState::Paused);
+        let mut resumed = 0;
+        for id in held_back.into_iter().rev().take(room as usize) {
+            self.resume(id, outputs);
+            resumed += 1;
+        }
+        room -= resumed;
+        let started = self.start(now, backend, room, outputs);
+        if resumed + started == 0 {
+            return;
+        }
+        let engine = self.engines.get(&backend);
+        outputs.push(BatchOutput::Decision(BatchDecision::Filled {
+            backend,
+            online: engine.map_or(0, |engine| engine.online.total()),
+            allowed,
+            resumed,
+            started,
+        }));
+    }
+
+    fn resume(&mut self, id: StreamId, outputs: &mut Vec<BatchOutput>) {
+        if let Some(stream) = self.streams.get_mut(&id) {
+            stream.state = if stream.tokens == 0 {
+                StreamState::Prefill
+            } else {
+                StreamState::Decoding
+            };
+            outputs.push(BatchOutput::Resume(id));
+        }
+    }
+
+    /// Starts up to `room` streams, as many as may process their prompts.
+    fn start(
+        &mut self,
+        now: Timestamp,
+        backend: BackendId,
+        room: u32,
+        outputs: &mut Vec<BatchOutput>,
+    ) -> u32 {
+        let Some(engine) = self.engines.get(&backend) else {
+            return 0;
+        };
+        if !engine.open || self.draining || engine.hold_until > now {
+            return 0;
+        }
+        let most_prefills = engine.prefills(now, &self.policy);
+        let prefills = self.by_progress(backend, |stream| stream.state == StreamState::Prefill);
+        let room = room.min(most_prefills.saturating_sub(prefills.len() as u32));
+        let mut started = 0;
+        for key in self.leases_of(backend) {
+            while started < room && self.start_one(backend, key, outputs) {
+                started += 1;
+            }
+        }
+        started
+    }
+
+    fn start_one(
+        &mut self,
+        backend: BackendId,
+        key: LeaseKey,
+        outputs: &mut Vec<BatchOutput>,
+    ) -> bool {
+        let id = self.next_stream();
+        let Some(lease) = self.leases.get_mut(&key) else {
+            return false;
+        };
+        let Some(engine) = self.engines.get_mut(&backend) else {
+            return false;
+        };
+        if lease.revoked {
+            return false;
+        }
+        let Some(pending) = lease.pending.pop_front() else {
+            return false;
+        };
+        lease.streams.insert(id);
+        engine.streams.insert(id);
+        outputs.push(BatchOutput::Dispatch {
+            stream: id,
+            backend,
+            incarnation: engine.owned.incarnation,
+            service: engine.owned.service.clone(),
+            job: lease.job,
+            item: pending.leased.item,
+            repeatable: lease.repeatable,
+            input: pending.leased.input.clone(),
+        });
+        let stream = Stream {
+            lease: key,
+            item: pending.leased.item,
+            input: pending.leased.input,
+            backend,
+            repeatable: lease.repeatable,
+            state: StreamState::Prefill,
+            tokens: 0,
+            runs: pending.runs + 1,
+        };
+        self.streams.insert(id, stream);
+        true
+    }
+}
--- /dev/null
+++ b/crates/routing/src/batch/step_cost.rs
@@ -0,0 +1,77 @@
+//! The learnt duration of an engine step as a line over the running requests.
+
+use std::time::Duration;
+
+/// Share of the past that each new observation leaves in force.
+const FORGETTING: f64 = 0.98;
+/// Observations needed, by their weight.
+const FEWEST: f64 = 5.0;
+/// Spread of the running requests needed for a slope.
+const LEAST_VARIANCE: f64 = 0.5;
+
+/// Exponentially forgotten moments of (running requests, step in seconds).
+#[derive(Clone, Debug, Default)]
+pub(super) struct StepCost {
+    weight: f64,
+    running: f64,
+    step: f64,
+    running_squared: f64,
+    product: f64,
+}
+
+/// A fitted line.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Line {
+    /// Step without requests, in seconds.
+    pub(super) base: f64,
+    /// Added by each running request, in seconds.
+    pub(super) per_request: f64,
+}
+
+impl StepCost {
+    pub(super) fn observe(&mut self, running: u32, step: Duration) {
+        if step.is_zero() || running == 0 {
+            return;
+        }
+        let (running, step) = (f64::from(running), step.as_secs_f64());
+        self.weight = self.weight * FORGETTING + 1.0;
+        self.running = self.running * FORGETTING + running;
+        self.step = self.step * FORGETTING + step;
+        self.running_squared = self.running_squared * FORGETTING + running * running;
+        self.product = self.product * FORGETTING + running * step;
+    }
+
+    /// The line, once it rests on enough and different observations.
+    pub(super) fn line(&self) -> Option<Line> {
+        if self.weight < FEWEST {
+            return None;
+        }
+        let mean_running = self.running / self.weight;
+        let mean_step = self.step / self.weight;
+        let variance = self.running_squared / self.weight - mean_running * mean_running;
+        if variance < LEAST_VARIANCE {
+            return None;
+        }
+        let covariance = self.product / self.weight - mean_running * mean_step;
+        let per_request = (covariance / variance).max(0.0);
+        let base = (mean_step - per_request * mean_running).max(0.0);
+        Some(Line { base, per_request })
+    }
+
+    /// Step of an engine that runs one request.
+    pub(super) fn base_step(&self) -> Option<Duration> {
+        let line = self.line()?;
+        let seconds = line.base + line.per_request;
+        (seconds > 0.0).then(|| Duration::from_secs_f64(seconds))
+    }
+
+    /// Most running requests that keep the step within `target`.
+    pub(super) fn most_running(&self, target: Duration) -> Option<u32> {
+        let line = self.line()?;
+        if line.per_request <= 0.0 {
+            return None;
+        }
+        let room = (target.as_secs_f64() - line.base) / line.per_request;
+        Some(room.max(0.0) as u32)
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,5 +4,5 @@
 //! out. Random choices come from a generator seeded by the caller.
 
 pub mod admission;
-
+pub mod batch;
 pub mod pick;
