Add retries, response checks, readiness and placement

The configuration holder never steps back and turns unready past the currency bound. The planner proposes fenced orders, few at once, and keeps the last copy of a model in service.

--- a/crates/routing/src/batch/owner.rs
+++ b/crates/routing/src/batch/owner.rs
@@ -111,10 +111,10 @@
     pub fn handle(&mut self, now: Timestamp, input: BatchInput) -> Vec<BatchOutput> {
         let mut outputs = Vec::new();
         // By far the most frequent input, and the one that changes the least.
-        if let BatchInput::Progress { stream, tokens } = input {
-            if !self.progressed(stream, tokens) {
-                return outputs;
-            }
+        if let BatchInput::Progress { stream, tokens } = input
+            && !self.progressed(stream, tokens)
+        {
+            return outputs;
         }
         self.take(now, input, &mut outputs);
         self.expire_leases(now, &mut outputs);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,3 +6,6 @@
 pub mod admission;
 pub mod batch;
 pub mod pick;
+pub mod placement;
+pub mod readiness;
+pub mod retry;
--- /dev/null
+++ b/crates/routing/src/placement/planner.rs
@@ -0,0 +1,499 @@
+//! The planner of orders.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use derive_more::Display;
+use molespan_engine_api::{EngineRole, OrderAction};
+use molespan_state::control::{Configuration, IssueOrder};
+use molespan_types::{BackendId, FencingToken, Incarnation, ServiceName, Timestamp, ZoneName};
+
+use super::wanted::{Copy, WANTED_ROLE, Wanted, copy_of, shows_effect, split_version, wanted_by};
+
+/// Bounds of placement.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacementSettings {
+    /// Most loads from the weight store at once.
+    pub most_loads: usize,
+    /// Most orders in one step.
+    pub most_orders: usize,
+    /// Time for which a load counts as running at least, since an engine that
+    /// reports no versions shows no difference when it starts one.
+    pub shortest_load: Duration,
+    /// Time without effect after which an order is proposed again.
+    pub resend_after: Duration,
+}
+
+impl Default for PlacementSettings {
+    fn default() -> Self {
+        Self {
+            most_loads: 2,
+            most_orders: 4,
+            shortest_load: Duration::from_secs(1),
+            resend_after: Duration::from_secs(20),
+        }
+    }
+}
+
+/// An engine as the directory has it, and its latest order's token.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineState {
+    /// Engine.
+    pub backend: BackendId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Where it stands.
+    pub zone: ZoneName,
+    /// Service that it is meant for.
+    pub service: ServiceName,
+    /// Whether it may get new work.
+    pub in_service: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Models ready.
+    pub models: Vec<String>,
+    /// Adapters ready.
+    pub adapters: Vec<String>,
+    /// Role in force.
+    pub role: EngineRole,
+    /// Highest token issued to it.
+    pub token: FencingToken,
+    /// Its latest order, if that was for this life of it.
+    pub last_order: Option<OrderAction>,
+}
+
+/// Why an order is proposed.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum PlacementReason {
+    /// The service has fewer ready copies than it should.
+    #[display("service {service} has {ready} of {wanted} copies; zone {zone} has the fewest")]
+    TooFewCopies {
+        /// Service.
+        service: ServiceName,
+        /// Copies ready or being loaded.
+        ready: usize,
+        /// Copies wanted.
+        wanted: usize,
+        /// Zone that was chosen for the next copy.
+        zone: ZoneName,
+    },
+    /// The engine runs another version; enough other copies stay in service.
+    #[display("service {service} moves to version {version}; {others} other copies stay")]
+    OtherVersion {
+        /// Service.
+        service: ServiceName,
+        /// Wanted version.
+        version: u32,
+        /// Copies that stay in service meanwhile.
+        others: usize,
+    },
+    /// The engine has the model but lacks an adapter of the service.
+    #[display("service {service} needs adapter {adapter}")]
+    MissingAdapter {
+        /// Service.
+        service: ServiceName,
+        /// Adapter.
+        adapter: String,
+    },
+    /// The engine is in another role than its service needs.
+    #[display("service {service} needs role mixed")]
+    WrongRole {
+        /// Service.
+        service: ServiceName,
+    },
+    /// No service wants this model on this engine any more.
+    #[display("no service wants model {model} there")]
+    UnwantedModel {
+        /// Model.
+        model: String,
+    },
+    /// An earlier order shows no effect yet.
+    #[display("no effect of the order with token {token} yet")]
+    NoEffectYet {
+        /// Token under which it was to be issued.
+        token: FencingToken,
+    },
+}
+
+/// A proposed order and its reason; also a decision event.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacementDecision {
+    /// Input for the control group.
+    pub order: IssueOrder,
+    /// The action in it.
+    pub action: OrderAction,
+    /// Why.
+    pub reason: PlacementReason,
+}
+
+#[derive(Clone, Debug)]
+struct Outstanding {
+    incarnation: Incarnation,
+    action: OrderAction,
+    proposed: Timestamp,
+    token: FencingToken,
+}
+
+/// Proposes orders until every engine holds what it should.
+#[derive(Clone, Debug)]
+pub struct PlacementPlanner {
+    settings: PlacementSettings,
+    outstanding: BTreeMap<BackendId, Outstanding>,
+    /// Model versions that orders of this planner loaded, by engine life.
+    ordered: BTreeMap<(BackendId, Incarnation), BTreeMap<String, u32>>,
+}
+
+/// What one step works on.
+struct Step<'a> {
+    now: Timestamp,
+    engines: &'a [EngineState],
+    decisions: Vec<PlacementDecision>,
+}
+
+impl PlacementPlanner {
+    /// Nothing is outstanding.
+    #[must_use]
+    pub fn new(settings: PlacementSettings) -> Self {
+        Self {
+            settings,
+            outstanding: BTreeMap::new(),
+            ordered: BTreeMap::new(),
+        }
+    }
+
+    /// Proposes the next orders. Call it after changes and once a second.
+    pub fn plan(
+        &mut self,
+        now: Timestamp,
+        configuration: &Configuration,
+        engines: &[EngineState],
+    ) -> Vec<PlacementDecision> {
+        self.learn_versions(engines);
+        self.settle(now, engines);
+        let mut step = Step {
+            now,
+            engines,
+            decisions: Vec::new(),
+        };
+        self.resend(&mut step);
+        let wanted = wanted_by(configuration);
+        for service in &wanted {
+            self.update_versions(&mut step, service);
+            self.add_copies(&mut step, service);
+            self.complete_engines(&mut step, service);
+        }
+        self.unload_unwanted(&mut step, &wanted);
+        step.decisions
+    }
+
+    /// Learns which versions were ordered before this planner took over.
+    fn learn_versions(&mut self, engines: &[EngineState]) {
+        for engine in engines {
+            let Some(OrderAction::LoadModel { model, version }) = &engine.last_order else {
+                continue;
+            };
+            if self.is_busy(engine) {
+                continue;
+            }
+            let key = (engine.backend, engine.incarnation);
+            let versions = self.ordered.entry(key).or_default();
+            versions.insert(model.clone(), *version);
+        }
+    }
+
+    /// Forgets orders whose effect is reported or whose engine is another.
+    fn settle(&mut self, now: Timestamp, engines: &[EngineState]) {
+        let shortest_load = self.settings.shortest_load;
+        let by_id: BTreeMap<BackendId, &EngineState> = engines
+            .iter()
+            .map(|engine| (engine.backend, engine))
+            .collect();
+        let ordered = &mut self.ordered;
+        self.outstanding.retain(|backend, order| {
+            let Some(engine) = by_id.get(backend) else {
+                return false;
+            };
+            if engine.incarnation != order.incarnation {
+                return false;
+            }
+            // The token rises when the order is issued; an effect that was
+            // there before says nothing about it.
+            let issued = engine.token > order.token;
+            let old_enough = now.since(order.proposed) >= shortest_load;
+            let effective = issued && old_enough && shows_effect(engine, &order.action);
+            if let (true, OrderAction::LoadModel { model, version }) = (effective, &order.action) {
+                let key = (engine.backend, engine.incarnation);
+                let versions: &mut BTreeMap<String, u32> = ordered.entry(key).or_default();
+                versions.insert(model.clone(), *version);
+            }
+            !effective
+        });
+        self.ordered.retain(|(backend, incarnation), _| {
+            let engine = by_id.get(backend);
+            engine.is_some_and(|engine| engine.incarnation == *incarnation)
+        });
+    }
+
+    fn resend(&mut self, step: &mut Step<'_>) {
+        for engine in step.engines {
+            let Some(order) = self.outstanding.get(&engine.backend) else {
+                continue;
+            };
+            if step.now.since(order.proposed) < self.settings.resend_after {
+                continue;
+            }
+            let token = order.token;
+            let action = order.action.clone();
+            self.propose(step, engine, action, PlacementReason::NoEffectYet { token });
+        }
+    }
+
+    /// Moves engines with another version over, one after the other, while
+    /// enough copies stay in service.
+    fn update_versions(&mut self, step: &mut Step<'_>, wanted: &Wanted) {
+        for engine in engines_of(step.engines, wanted) {
+            if self.copy(engine, wanted) != Copy::OtherVersion || !self.may_order_load(step) {
+                continue;
+            }
+            let others = self.copies_in_service(step.engines, wanted, engine.backend);
+            let enough = others >= wanted.replicas.saturating_sub(1).max(1);
+            if !enough || self.is_busy(engine) {
+                continue;
+            }
+            let action = OrderAction::LoadModel {
+                model: wanted.model.clone(),
+                version: wanted.version,
+            };
+            let reason = PlacementReason::OtherVersion {
+                service: wanted.service.clone(),
+                version: wanted.version,
+                others,
+            };
+            self.propose(step, engine, action, reason);
+        }
+    }
+
+    /// Loads the model on further engines, each in the zone with the fewest
+    /// copies so far.
+    fn add_copies(&mut self, step: &mut Step<'_>, wanted: &Wanted) {
+        loop {
+            let ready = self.copies(step.engines, wanted).count();
+            if ready >= wanted.replicas || !self.may_order_load(step) {
+                return;
+            }
+            let Some(engine) = self.best_for_copy(step.engines, wanted) else {
+                return;
+            };
+            let reason = PlacementReason::TooFewCopies {
+                service: wanted.service.clone(),
+                ready,
+                wanted: wanted.replicas,
+                zone: engine.zone.clone(),
+            };
+            let action = OrderAction::LoadModel {
+                model: wanted.model.clone(),
+                version: wanted.version,
+            };
+            self.propose(step, engine, action, reason);
+        }
+    }
+
+    fn best_for_copy<'a>(
+        &self,
+        engines: &'a [EngineState],
+        wanted: &'a Wanted,
+    ) -> Option<&'a EngineState> {
+        let mut by_zone: BTreeMap<&ZoneName, usize> = BTreeMap::new();
+        for engine in self.copies(engines, wanted) {
+            *by_zone.entry(&engine.zone).or_default() += 1;
+        }
+        engines_of(engines, wanted)
+            .filter(|engine| engine.in_service && !engine.leaving)
+            .filter(|engine| !self.is_busy(engine))
+            .filter(|engine| self.copy(engine, wanted) == Copy::None)
+            .min_by_key(|engine| {
+                let copies = by_zone.get(&engine.zone).copied().unwrap_or(0);
+                (copies, engine.models.len(), engine.backend)
+            })
+    }
+
+    /// Completes engines that have the model: role, then adapters.
+    fn complete_engines(&mut self, step: &mut Step<'_>, wanted: &Wanted) {
+        for engine in engines_of(step.engines, wanted) {
+            let unfit = engine.leaving || !engine.in_service || self.is_busy(engine);
+            if unfit || self.copy(engine, wanted) == Copy::None {
+                continue;
+            }
+            if engine.role != WANTED_ROLE {
+                let reason = PlacementReason::WrongRole {
+                    service: wanted.service.clone(),
+                };
+                self.propose(
+                    step,
+                    engine,
+                    OrderAction::SetRole { role: WANTED_ROLE },
+                    reason,
+                );
+                continue;
+            }
+            let mut lacking = wanted.adapters.iter();
+            let lacking = lacking.find(|adapter| !engine.adapters.contains(adapter));
+            let Some(adapter) = lacking.filter(|_| self.may_order_load(step)) else {
+                continue;
+            };
+            let reason = PlacementReason::MissingAdapter {
+                service: wanted.service.clone(),
+                adapter: adapter.clone(),
+            };
+            let adapter = adapter.clone();
+            self.propose(step, engine, OrderAction::LoadAdapter { adapter }, reason);
+        }
+    }
+
+    /// Unloads models that no service wants on their engine, but only where
+    /// the engine already serves what is wanted: old models stay until then.
+    fn unload_unwanted(&mut self, step: &mut Step<'_>, wanted: &[Wanted]) {
+        for engine in step.engines {
+            let here = wanted.iter().find(|one| one.service == engine.service);
+            let Some(here) = here else {
+                continue;
+            };
+            let ready = self.copy(engine, here) == Copy::Ready;
+            if !ready || self.is_busy(engine) || engine.leaving {
+                continue;
+            }
+            let loaded = engine.models.iter().map(|loaded| split_version(loaded).0);
+            let unwanted = loaded.into_iter().find(|name| *name != here.model);
+            let Some(model) = unwanted else {
+                continue;
+            };
+            let last_copy = is_last_copy(step.engines, engine, model, wanted);
+            if last_copy {
+                continue;
+            }
+            let model = model.to_owned();
+            let reason = PlacementReason::UnwantedModel {
+                model: model.clone(),
+            };
+            self.propose(step, engine, OrderAction::UnloadModel { model }, reason);
+        }
+    }
+
+    fn copy(&self, engine: &EngineState, wanted: &Wanted) -> Copy {
+        let empty = BTreeMap::new();
+        let key = (engine.backend, engine.incarnation);
+        copy_of(engine, self.ordered.get(&key).unwrap_or(&empty), wanted)
+    }
+
+    /// Engines that hold the model in some version or are loading it.
+    fn copies<'a>(
+        &'a self,
+        engines: &'a [EngineState],
+        wanted: &'a Wanted,
+    ) -> impl Iterator<Item = &'a EngineState> + 'a {
+        engines_of(engines, wanted)
+            .filter(|engine| engine.in_service && !engine.leaving)
+            .filter(|engine| {
+                let loading = self.outstanding.get(&engine.backend).is_some_and(|order| {
+                    matches!(&order.action, OrderAction::LoadModel { model, .. }
+                        if *model == wanted.model)
+                });
+                loading || self.copy(engine, wanted) != Copy::None
+            })
+    }
+
+    /// Copies that serve now, leaving `except` and those being changed aside.
+    fn copies_in_service(
+        &self,
+        engines: &[EngineState],
+        wanted: &Wanted,
+        except: BackendId,
+    ) -> usize {
+        engines_of(engines, wanted)
+            .filter(|engine| engine.backend != except)
+            .filter(|engine| engine.in_service && !engine.leaving)
+            .filter(|engine| !self.is_busy(engine))
+            .filter(|engine| self.copy(engine, wanted) != Copy::None)
+            .count()
+    }
+
+    fn is_busy(&self, engine: &EngineState) -> bool {
+        self.outstanding.contains_key(&engine.backend)
+    }
+
+    /// Whether another load keeps within the weight store's limit.
+    fn may_order_load(&self, step: &Step<'_>) -> bool {
+        let loads = self.outstanding.values().filter(|order| {
+            matches!(
+                order.action,
+                OrderAction::LoadModel { .. } | OrderAction::LoadAdapter { .. }
+            )
+        });
+        loads.count() < self.settings.most_loads && self.may_order(step)
+    }
+
+    fn may_order(&self, step: &Step<'_>) -> bool {
+        step.decisions.len() < self.settings.most_orders
+    }
+
+    fn propose(
+        &mut self,
+        step: &mut Step<'_>,
+        engine: &EngineState,
+        action: OrderAction,
+        reason: PlacementReason,
+    ) {
+        if !self.may_order(step) {
+            return;
+        }
+        let Ok(encoded) = serde_json::to_string(&action) else {
+            return;
+        };
+        self.outstanding.insert(
+            engine.backend,
+            Outstanding {
+                incarnation: engine.incarnation,
+                action: action.clone(),
+                proposed: step.now,
+                token: engine.token,
+            },
+        );
+        step.decisions.push(PlacementDecision {
+            order: IssueOrder {
+                backend: engine.backend,
+                incarnation: engine.incarnation,
+                action: encoded,
+                expected_token: engine.token,
+            },
+            action,
+            reason,
+        });
+    }
+}
+
+fn engines_of<'a>(
+    engines: &'a [EngineState],
+    wanted: &'a Wanted,
+) -> impl Iterator<Item = &'a EngineState> + 'a {
+    engines
+        .iter()
+        .filter(|engine| engine.service == wanted.service)
+}
+
+/// Whether `engine` holds the last copy of a model that some service wants.
+fn is_last_copy(
+    engines: &[EngineState],
+    engine: &EngineState,
+    model: &str,
+    wanted: &[Wanted],
+) -> bool {
+    let is_wanted = wanted.iter().any(|one| one.model == model);
+    let others = engines
+        .iter()
+        .filter(|other| other.backend != engine.backend && other.in_service)
+        .filter(|other| {
+            let mut names = other.models.iter().map(|loaded| split_version(loaded).0);
+            names.any(|name| name == model)
+        });
+    is_wanted && others.count() == 0
+}
--- /dev/null
+++ b/crates/routing/src/retry/budget.rs
@@ -0,0 +1,65 @@
+//! The retry budget of a service.
+
+use molespan_types::Timestamp;
+
+/// Bounds of a retry budget.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RetryBudgetSettings {
+    /// Retries allowed for each first attempt.
+    pub ratio: f64,
+    /// Retries a second that are always allowed, for services with few requests.
+    pub reserve_per_second: f64,
+    /// Most retries that can be saved up.
+    pub most_saved: f64,
+}
+
+impl Default for RetryBudgetSettings {
+    fn default() -> Self {
+        Self {
+            ratio: 0.1,
+            reserve_per_second: 1.0,
+            most_saved: 20.0,
+        }
+    }
+}
+
+/// Tokens for retries: earned by first attempts, spent by retries.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    settings: RetryBudgetSettings,
+    tokens: f64,
+    updated: Timestamp,
+}
+
+impl RetryBudget {
+    /// A full budget.
+    #[must_use]
+    pub fn new(settings: RetryBudgetSettings) -> Self {
+        Self {
+            tokens: settings.most_saved,
+            settings,
+            updated: Timestamp::ZERO,
+        }
+    }
+
+    /// A first attempt was made.
+    pub fn earn(&mut self) {
+        self.add(self.settings.ratio);
+    }
+
+    /// Takes a token for a retry; false when there is none.
+    pub fn spend(&mut self, now: Timestamp) -> bool {
+        let passed = now.since(self.updated).as_secs_f64();
+        self.updated = self.updated.max(now);
+        self.add(passed * self.settings.reserve_per_second);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    fn add(&mut self, tokens: f64) {
+        self.tokens = (self.tokens + tokens).min(self.settings.most_saved);
+    }
+}
