--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,5 +4,8 @@
 //! out. Random choices come from a generator seeded by the caller.
 
 pub mod admission;
-
+pub mod batch;
 pub mod pick;
+pub mod placement;
+pub mod readiness;
+pub mod retry;
