Serve the stand-ins over HTTP, with a switch for each fault

Engines, application back ends, the platform list and the weight store listen on loopback, one by one or as a whole fleet in one process that can be embedded. The accept loop drives async-h1 directly, since a stand-in must be able to cut, repeat or cross every byte of a connection.

--- a/crates/emulator/src/engine/core.rs
+++ b/crates/emulator/src/engine/core.rs
@@ -13,7 +13,7 @@
 
 use super::step::StepInProgress;
 use super::{
-    AnswerText, AttemptKey, CacheEventLog, EngineModel, ExecutionLog, FinishedAttempt,
+    Answer, AttemptKey, CacheEventLog, EngineModel, ExecutionLog, FinishedAttempt,
     FinishedAttempts, LoadMonitor, Loaded, Observation, OrderBook, Output, Recollection, Refusal,
     Scheduler, Sequence, SequenceId, Submission, WeightsNeeded,
 };
@@ -162,21 +162,25 @@
     }
 
     /// The text of an attempt and its status, to resume a stream or to fetch
-    /// the answer. The text is valid up to `generated` tokens.
+    /// the answer. The text is valid up to `status.generated` tokens.
     ///
     /// # Errors
     /// [`Refusal::NeverSeen`] or [`Refusal::Forgotten`].
-    pub fn answer(
-        &mut self,
-        now: Timestamp,
-        attempt: &str,
-    ) -> Result<(AnswerText, RequestStatus), Refusal> {
+    pub fn answer(&mut self, now: Timestamp, attempt: &str) -> Result<Answer, Refusal> {
         let status = self.status(now, attempt)?;
-        let text = match self.live_sequence(attempt) {
-            Some(sequence) => sequence.text,
-            None => self.recall(attempt)?.text,
+        let (text, max_tokens, usage) = match self.live_sequence(attempt) {
+            Some(sequence) => (sequence.text, sequence.max_tokens(), sequence.usage()),
+            None => {
+                let finished = self.recall(attempt)?;
+                (finished.text, finished.max_tokens, finished.usage)
+            }
         };
-        Ok((text, status))
+        Ok(Answer {
+            text,
+            status,
+            max_tokens,
+            usage,
+        })
     }
 
     /// The record of an ended attempt, if its answer is still there.
@@ -437,6 +441,7 @@
         let finished = FinishedAttempt {
             state: RequestState::Cancelled,
             text: sequence.text,
+            max_tokens: sequence.max_tokens(),
             usage: sequence.usage(),
         };
         self.finished
--- a/crates/emulator/src/engine/finished.rs
+++ b/crates/emulator/src/engine/finished.rs
@@ -18,6 +18,8 @@
     pub state: RequestState,
     /// Source of the answer's text.
     pub text: AnswerText,
+    /// Tokens that were asked for.
+    pub max_tokens: u32,
     /// Token counts.
     pub usage: Usage,
 }
--- a/crates/emulator/src/engine/message.rs
+++ b/crates/emulator/src/engine/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use derive_more::{Display, Error};
-use molespan_engine_api::{RequestState, Usage};
+use molespan_engine_api::{RequestState, RequestStatus, Usage};
 use molespan_types::{Priority, RunOutcome};
 
 use super::AnswerText;
@@ -62,6 +62,19 @@
     FetchWeights(WeightsNeeded),
 }
 
+/// What is known of the answer of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Source of its text.
+    pub text: AnswerText,
+    /// Where the attempt stands.
+    pub status: RequestStatus,
+    /// Tokens it has when it is whole.
+    pub max_tokens: u32,
+    /// Token counts so far.
+    pub usage: Usage,
+}
+
 /// Weights that an order asked for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WeightsNeeded {
--- a/crates/emulator/src/engine/mod.rs
+++ b/crates/emulator/src/engine/mod.rs
@@ -22,7 +22,7 @@
 pub use cache::KvMemory;
 pub use executions::{ExecutionCount, ExecutionLog};
 pub use finished::FinishedAttempt;
-pub use message::{AttemptKey, Output, Refusal, Submission, WeightsNeeded};
+pub use message::{Answer, AttemptKey, Output, Refusal, Submission, WeightsNeeded};
 pub use model::EngineModel;
 pub use order_book::Loaded;
 pub use scheduler::Counts;
@@ -30,7 +30,7 @@
 
 use cache_events::CacheEventLog;
 use finished::{FinishedAttempts, Recollection};
-use load_monitor::{LoadMonitor, Observation};
+pub use load_monitor::{LoadMonitor, Observation};
 use order_book::OrderBook;
 use scheduler::{Scheduler, StepPlan};
 use sequence::{Sequence, SequenceId};
--- a/crates/emulator/src/engine/sequence.rs
+++ b/crates/emulator/src/engine/sequence.rs
@@ -63,6 +63,12 @@
         }
     }
 
+    /// Tokens to generate.
+    #[must_use]
+    pub fn max_tokens(&self) -> u32 {
+        self.max_tokens
+    }
+
     /// Blocks needed when the last token is generated.
     #[must_use]
     pub fn most_blocks(&self) -> u32 {
--- a/crates/emulator/src/engine/step.rs
+++ b/crates/emulator/src/engine/step.rs
@@ -31,6 +31,12 @@
         self.step.as_ref().map(|step| step.ends_at)
     }
 
+    /// Whether a call left something for [`step`](Self::step) to return.
+    #[must_use]
+    pub fn has_outputs(&self) -> bool {
+        !self.outputs.is_empty()
+    }
+
     /// Finishes the steps that end by `now` and begins the next. Returns all
     /// that happened since the last call, also through other calls.
     pub fn step(&mut self, now: Timestamp) -> Vec<Output> {
@@ -136,6 +142,7 @@
         let finished = FinishedAttempt {
             state: RequestState::Completed,
             text: sequence.text,
+            max_tokens: sequence.max_tokens(),
             usage,
         };
         let attempt = sequence.attempt;
--- /dev/null
+++ b/crates/emulator/src/engine_server/answers.rs
@@ -0,0 +1,295 @@
+//! Completions: taken, waited for and answered.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use async_channel::Receiver;
+use http_types::{Body, Request, Response, StatusCode};
+use molespan_engine_api::{
+    ATTEMPT_HEADER, ChatCompletionRequest, ChatMessage, CompletionChoice, CompletionRequest,
+    CompletionResponse, FinishReason, INCARNATION_HEADER, PRIORITY_HEADER, RESUME_OFFSET_HEADER,
+};
+use molespan_types::{Incarnation, Priority, RunOutcome};
+
+use super::EngineServer;
+use super::state::ended_events;
+use crate::engine::{Answer, AttemptKey, Refusal, Submission, chat_prompt};
+use crate::faults::AnswerFault;
+use crate::server::{
+    EventBody, StreamEnd, StreamEvent, StreamFaults, error_reply, header, json_reply, read_json,
+};
+
+/// Numbers attempts that come without an identifier.
+static ANONYMOUS: AtomicU64 = AtomicU64::new(0);
+
+/// Form of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerForm {
+    /// Text completion.
+    Text,
+    /// Chat completion.
+    Chat,
+}
+
+/// A completion as it was asked for.
+struct Asked {
+    submission: Submission,
+    form: AnswerForm,
+    model: String,
+}
+
+impl EngineServer {
+    /// Runs one completion.
+    pub(super) async fn complete(
+        self: Arc<Self>,
+        mut request: Request,
+        form: AnswerForm,
+        fault: Option<AnswerFault>,
+    ) -> http_types::Result<Response> {
+        let attempt = attempt_of(&request);
+        let asked = match read_asked(&mut request, form, &attempt).await? {
+            Ok(asked) => asked,
+            Err(reply) => return Ok(self.stamp(reply, &attempt)),
+        };
+        let stream = asked.submission.stream;
+        let max_tokens = asked.submission.max_tokens.max(1);
+        let model = asked.model.clone();
+        let events = match self.submit(asked.submission) {
+            Ok(events) => events,
+            Err(refusal) => return Ok(self.refuse(&refusal, &attempt)),
+        };
+        if fault == Some(AnswerFault::AcceptThenDie) {
+            return Err(broken());
+        }
+        if stream {
+            return self.stream_answer(&attempt, events, fault, max_tokens);
+        }
+        match wait_for_end(&events).await {
+            Some(StreamEnd::Completed(_)) => self.plain_answer(&attempt, model, asked.form, fault),
+            Some(StreamEnd::Cancelled(outcome)) => Ok(self.cancelled(&attempt, outcome)),
+            // The engine crashed.
+            None => Err(broken()),
+        }
+    }
+
+    /// Streams the answer of an earlier attempt from `offset` on.
+    pub(super) fn resume_stream(
+        &self,
+        attempt: &str,
+        offset: u32,
+        fault: Option<AnswerFault>,
+    ) -> http_types::Result<Response> {
+        let now = self.now();
+        let listened = self.lock().listen_again(now, attempt);
+        let (answer, events) = match listened {
+            Ok(listened) => listened,
+            Err(refusal) => return Ok(self.refuse(&refusal, attempt)),
+        };
+        if answer.status.state == molespan_engine_api::RequestState::Cancelled {
+            return Ok(self.cancelled(attempt, RunOutcome::Unknown));
+        }
+        if offset >= answer.max_tokens {
+            let message = "the offset lies behind the end of the answer";
+            let reply = error_reply(400, "bad_offset", message, RunOutcome::Unknown, None);
+            return Ok(self.stamp(reply, attempt));
+        }
+        let faults = stream_faults(fault, answer.max_tokens);
+        Ok(self.event_reply(&answer, offset, events, faults))
+    }
+
+    /// A refusal as a typed error.
+    pub(super) fn refuse(&self, refusal: &Refusal, attempt: &str) -> Response {
+        let reply = error_reply(
+            refusal.status(),
+            refusal.code(),
+            &refusal.to_string(),
+            refusal.outcome(),
+            refusal.retry_after_ms(),
+        );
+        self.stamp(reply, attempt)
+    }
+
+    /// Adds the headers that every response carries.
+    pub(super) fn stamp(&self, mut response: Response, attempt: &str) -> Response {
+        let Incarnation(life) = self.lock().core.incarnation();
+        response.insert_header(INCARNATION_HEADER, life.to_string());
+        if !attempt.is_empty() {
+            response.insert_header(ATTEMPT_HEADER, attempt);
+        }
+        response
+    }
+
+    fn submit(&self, submission: Submission) -> Result<Receiver<StreamEvent>, Refusal> {
+        let attempt = submission.attempt.clone();
+        let mut state = self.lock();
+        let before = state.core.next_step_at();
+        state.core.submit(self.now(), submission)?;
+        let events = state.listen(&attempt);
+        let changed = before != state.core.next_step_at();
+        drop(state);
+        if changed {
+            let _ = self.wake.try_send(());
+        }
+        Ok(events)
+    }
+
+    fn plain_answer(
+        &self,
+        attempt: &str,
+        model: String,
+        form: AnswerForm,
+        fault: Option<AnswerFault>,
+    ) -> http_types::Result<Response> {
+        let now = self.now();
+        let mut state = self.lock();
+        let answer = match fault {
+            Some(AnswerFault::Crossed) => state.other_answer(attempt),
+            _ => state.core.answer(now, attempt).map_err(|_| broken())?,
+        };
+        drop(state);
+        let body = CompletionResponse {
+            id: answer.status.id.clone(),
+            model,
+            choices: vec![choice(&answer, form)],
+            usage: answer.usage,
+        };
+        Ok(self.stamp(json_reply(200, &body), &answer.status.id))
+    }
+
+    fn stream_answer(
+        &self,
+        attempt: &str,
+        events: Receiver<StreamEvent>,
+        fault: Option<AnswerFault>,
+        max_tokens: u32,
+    ) -> http_types::Result<Response> {
+        if fault == Some(AnswerFault::Crossed) {
+            let other = self.lock().other_answer(attempt);
+            let end = ended_events(StreamEnd::Completed(other.usage));
+            return Ok(self.event_reply(&other, 0, end, StreamFaults::default()));
+        }
+        let now = self.now();
+        let answer = self.lock().core.answer(now, attempt);
+        let answer = answer.map_err(|_| broken())?;
+        let faults = stream_faults(fault, max_tokens);
+        Ok(self.event_reply(&answer, 0, events, faults))
+    }
+
+    fn event_reply(
+        &self,
+        answer: &Answer,
+        offset: u32,
+        events: Receiver<StreamEvent>,
+        faults: StreamFaults,
+    ) -> Response {
+        let body = EventBody::new(answer, offset, events, faults);
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(Body::from_reader(body, None));
+        response.insert_header("content-type", "text/event-stream");
+        response.insert_header(RESUME_OFFSET_HEADER, offset.to_string());
+        self.stamp(response, &answer.status.id)
+    }
+
+    fn cancelled(&self, attempt: &str, outcome: RunOutcome) -> Response {
+        let message = "the attempt was cancelled";
+        let reply = error_reply(409, "cancelled", message, outcome, None);
+        self.stamp(reply, attempt)
+    }
+}
+
+/// Faults that concern the events of a stream of `tokens` tokens.
+fn stream_faults(fault: Option<AnswerFault>, tokens: u32) -> StreamFaults {
+    let middle = tokens / 2;
+    StreamFaults {
+        break_before: (fault == Some(AnswerFault::Truncated)).then_some(middle),
+        repeat: (fault == Some(AnswerFault::DuplicatedEvent)).then_some(middle),
+    }
+}
+
+fn choice(answer: &Answer, form: AnswerForm) -> CompletionChoice {
+    let text = answer.text.first(answer.status.generated);
+    let (text, message) = match form {
+        AnswerForm::Text => (Some(text), None),
+        AnswerForm::Chat => (None, Some(assistant_message(text))),
+    };
+    CompletionChoice {
+        index: 0,
+        text,
+        message,
+        finish_reason: Some(FinishReason::Length),
+    }
+}
+
+fn assistant_message(content: String) -> ChatMessage {
+    ChatMessage {
+        role: "assistant".to_owned(),
+        content,
+    }
+}
+
+async fn wait_for_end(events: &Receiver<StreamEvent>) -> Option<StreamEnd> {
+    loop {
+        match events.recv().await {
+            Ok(StreamEvent::Generated(_)) => {}
+            Ok(StreamEvent::Ended(end)) => return Some(end),
+            Err(_) => return None,
+        }
+    }
+}
+
+async fn read_asked(
+    request: &mut Request,
+    form: AnswerForm,
+    attempt: &str,
+) -> http_types::Result<Result<Asked, Response>> {
+    let priority = match header(request, PRIORITY_HEADER).as_deref() {
+        Some("batch") => Priority::Batch,
+        _ => Priority::Online,
+    };
+    let body = match form {
+        AnswerForm::Text => read_json::<CompletionRequest>(request).await?,
+        AnswerForm::Chat => {
+            let chat = read_json::<ChatCompletionRequest>(request).await?;
+            chat.map(completion_of_chat)
+        }
+    };
+    Ok(body.map(|body| Asked {
+        model: body.model.clone(),
+        form,
+        submission: submission(body, priority, attempt.into()),
+    }))
+}
+
+fn completion_of_chat(chat: ChatCompletionRequest) -> CompletionRequest {
+    CompletionRequest {
+        model: chat.model,
+        prompt: chat_prompt(&chat.messages),
+        max_tokens: chat.max_tokens,
+        stream: chat.stream,
+        adapter: None,
+    }
+}
+
+fn submission(body: CompletionRequest, priority: Priority, attempt: AttemptKey) -> Submission {
+    Submission {
+        attempt,
+        priority,
+        model: body.model,
+        adapter: body.adapter,
+        prompt: body.prompt,
+        max_tokens: body.max_tokens,
+        stream: body.stream,
+    }
+}
+
+fn attempt_of(request: &Request) -> String {
+    header(request, ATTEMPT_HEADER).unwrap_or_else(|| {
+        let number = ANONYMOUS.fetch_add(1, Ordering::Relaxed);
+        format!("anonymous-{number}")
+    })
+}
+
+/// Closes the connection without an answer.
+fn broken() -> http_types::Error {
+    http_types::Error::from_str(StatusCode::InternalServerError, "connection broken")
+}
--- /dev/null
+++ b/crates/emulator/src/engine_server/driver.rs
@@ -0,0 +1,71 @@
+//! Steps the core when it asks for it; an idle engine costs nothing.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use async_executor::Executor;
+use async_io::Timer;
+use futures_lite::FutureExt;
+
+use super::{EngineServer, weights};
+
+/// Drives the core until the stand-in is stopped.
+pub async fn drive(
+    server: Arc<EngineServer>,
+    executor: Arc<Executor<'static>>,
+    woken: Receiver<()>,
+) {
+    let switches = server.switches.clone();
+    let driving = async {
+        while let Some(next) = advance(&server, &executor) {
+            wait(next, &woken).await;
+        }
+    };
+    driving.or(switches.until_stopped()).await;
+}
+
+/// Advances the core. Returns when to come back, or `None` when stopped.
+fn advance(server: &Arc<EngineServer>, executor: &Arc<Executor<'static>>) -> Option<Wait> {
+    if server.switches.is_stopped() {
+        return None;
+    }
+    let now = server.now();
+    let mut state = server.lock();
+    let needed = state.advance(now);
+    let next = state.core.next_step_at();
+    drop(state);
+    for needed in needed {
+        executor
+            .spawn(weights::fetch(server.clone(), needed))
+            .detach();
+    }
+    Some(match next {
+        Some(at) => Wait::Until(server.clock_start + Duration::from_micros(at.0)),
+        None => Wait::ForCall,
+    })
+}
+
+/// What the driver waits for.
+enum Wait {
+    /// A time, or a call that changes the next step.
+    Until(Instant),
+    /// A call.
+    ForCall,
+}
+
+async fn wait(next: Wait, woken: &Receiver<()>) {
+    let called = async {
+        // The sender lives as long as the server.
+        let _ = woken.recv().await;
+    };
+    match next {
+        Wait::Until(at) => {
+            let due = async {
+                Timer::at(at).await;
+            };
+            called.or(due).await;
+        }
+        Wait::ForCall => called.await,
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/engine_server/mod.rs
@@ -0,0 +1,127 @@
+//! An emulated engine as an HTTP server around the engine core.
+
+mod answers;
+mod driver;
+mod routes;
+mod state;
+mod weights;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_executor::Executor;
+use molespan_http::{Pool, PoolLimits};
+use molespan_types::Timestamp;
+
+use crate::engine::{EngineCore, EngineSettings, ExecutionLog};
+use crate::faults::FaultSettings;
+use crate::server::{Running, Switches, start};
+use state::EngineState;
+
+/// How an engine process is started.
+#[derive(Clone, Debug)]
+pub struct EngineServerSettings {
+    /// The engine.
+    pub engine: EngineSettings,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where the weight store is; without one, weights arrive at once.
+    pub weights: Option<SocketAddr>,
+    /// Rate at which weights are loaded, in bytes per second.
+    pub load_bytes_per_second: u64,
+    /// Seed of its random choices.
+    pub seed: u64,
+    /// Time that each request spends on the network, both ways.
+    pub round_trip: Duration,
+    /// Faults in force from the start.
+    pub faults: FaultSettings,
+}
+
+/// An engine that serves.
+pub struct EngineServer {
+    state: Mutex<EngineState>,
+    switches: Arc<Switches>,
+    wake: Sender<()>,
+    clock_start: Instant,
+    weights: Option<SocketAddr>,
+    load_bytes_per_second: u64,
+    pool: Pool,
+}
+
+impl EngineServer {
+    /// Starts an engine on `executor`.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub fn start(
+        executor: &Arc<Executor<'static>>,
+        settings: EngineServerSettings,
+    ) -> io::Result<(Arc<Self>, Running)> {
+        let switches = Arc::new(Switches::new(settings.seed, settings.round_trip));
+        let core = EngineCore::new(settings.engine, settings.seed, Timestamp::ZERO);
+        let (wake, woken) = async_channel::bounded(1);
+        let server = Arc::new(Self {
+            state: Mutex::new(EngineState::new(core)),
+            switches: switches.clone(),
+            wake,
+            clock_start: Instant::now(),
+            weights: settings.weights,
+            load_bytes_per_second: settings.load_bytes_per_second.max(1),
+            pool: Pool::new(PoolLimits::default()),
+        });
+        server.set_faults(settings.faults);
+        let running = start(executor, settings.listen, switches, server.clone())?;
+        server.spawn_driver(executor, woken);
+        Ok((server, running))
+    }
+
+    /// Puts faults in force, in place of those before.
+    pub fn set_faults(&self, faults: FaultSettings) {
+        let engine = faults.engine.clone();
+        self.switches.set(faults);
+        self.with_core(|core, now| core.set_faults(now, engine));
+    }
+
+    /// Dies and starts its next life after `down`.
+    pub fn crash(&self, down: Duration) {
+        let now = self.now();
+        self.lock().crash(now);
+        self.switches.crash(down);
+    }
+
+    /// The count of executions.
+    #[must_use]
+    pub fn executions(&self) -> ExecutionLog {
+        self.lock().core.executions().clone()
+    }
+
+    /// Calls the core and lets the driver see to what follows.
+    pub fn with_core<T>(&self, call: impl FnOnce(&mut EngineCore, Timestamp) -> T) -> T {
+        let mut state = self.lock();
+        let before = state.core.next_step_at();
+        let result = call(&mut state.core, self.now());
+        let changed = before != state.core.next_step_at() || state.core.has_outputs();
+        drop(state);
+        if changed {
+            // A wake-up that is pending already is enough.
+            let _ = self.wake.try_send(());
+        }
+        result
+    }
+
+    fn spawn_driver(self: &Arc<Self>, executor: &Arc<Executor<'static>>, woken: Receiver<()>) {
+        let driver = driver::drive(self.clone(), executor.clone(), woken);
+        executor.spawn(driver).detach();
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp(self.clock_start.elapsed().as_micros() as u64)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/engine_server/state.rs
@@ -0,0 +1,159 @@
+//! The engine core and those who wait for its outputs.
+
+use std::collections::{HashMap, VecDeque};
+
+use async_channel::{Receiver, Sender};
+use molespan_engine_api::{RequestState, RequestStatus, Usage};
+use molespan_types::{RunOutcome, Timestamp};
+
+use crate::engine::{Answer, AnswerText, AttemptKey, EngineCore, Output, Refusal, WeightsNeeded};
+use crate::server::{StreamEnd, StreamEvent};
+
+/// Answers kept to be given to the wrong request.
+const RECENT_ANSWERS: usize = 8;
+/// Attempt named by a crossed answer when no other attempt has ended yet.
+const OTHER_ATTEMPT: &str = "0-0";
+
+/// What a lock guards.
+pub struct EngineState {
+    /// The core.
+    pub core: EngineCore,
+    listeners: HashMap<AttemptKey, Vec<Sender<StreamEvent>>>,
+    recent: VecDeque<Answer>,
+}
+
+impl EngineState {
+    /// Nobody waits.
+    pub fn new(core: EngineCore) -> Self {
+        Self {
+            core,
+            listeners: HashMap::new(),
+            recent: VecDeque::new(),
+        }
+    }
+
+    /// Loses everything, as the core does.
+    pub fn crash(&mut self, now: Timestamp) {
+        self.core.crash(now);
+        self.listeners.clear();
+    }
+
+    /// Advances the core and tells those who wait. Returns weights to fetch.
+    pub fn advance(&mut self, now: Timestamp) -> Vec<WeightsNeeded> {
+        let mut weights = Vec::new();
+        for output in self.core.step(now) {
+            match output {
+                Output::Token {
+                    attempt, offset, ..
+                } => self.tell(&attempt, StreamEvent::Generated(offset + 1)),
+                Output::Completed { attempt, usage, .. } => {
+                    self.remember(now, &attempt);
+                    self.tell_end(&attempt, StreamEnd::Completed(usage));
+                }
+                Output::Cancelled { attempt, outcome } => {
+                    self.tell_end(&attempt, StreamEnd::Cancelled(outcome));
+                }
+                Output::FetchWeights(needed) => weights.push(needed),
+            }
+        }
+        weights
+    }
+
+    /// Events of an attempt that was just submitted.
+    pub fn listen(&mut self, attempt: &AttemptKey) -> Receiver<StreamEvent> {
+        let (sender, receiver) = async_channel::unbounded();
+        let listeners = self.listeners.entry(attempt.clone()).or_default();
+        listeners.push(sender);
+        receiver
+    }
+
+    /// Events of an attempt that may have ended.
+    ///
+    /// # Errors
+    /// When the attempt is not known.
+    pub fn listen_again(
+        &mut self,
+        now: Timestamp,
+        attempt: &str,
+    ) -> Result<(Answer, Receiver<StreamEvent>), Refusal> {
+        let answer = self.core.answer(now, attempt)?;
+        let attempt: AttemptKey = attempt.into();
+        if let Some(end) = end_of(&answer) {
+            return Ok((answer, ended_events(end)));
+        }
+        self.core.announce_tokens(&attempt);
+        let events = self.listen(&attempt);
+        if let Some(sender) = self.listeners.get(&attempt).and_then(|list| list.last()) {
+            let _ = sender.try_send(StreamEvent::Generated(answer.status.generated));
+        }
+        Ok((answer, events))
+    }
+
+    /// The whole answer of an attempt other than `attempt`.
+    pub fn other_answer(&self, attempt: &str) -> Answer {
+        let other = self
+            .recent
+            .iter()
+            .rev()
+            .find(|answer| answer.status.id != attempt);
+        other.cloned().unwrap_or_else(|| self.invented_answer())
+    }
+
+    fn invented_answer(&self) -> Answer {
+        let usage = Usage {
+            prompt_tokens: 1,
+            completion_tokens: 4,
+            cached_tokens: 0,
+        };
+        Answer {
+            text: AnswerText::of_prompt(OTHER_ATTEMPT),
+            status: RequestStatus {
+                id: OTHER_ATTEMPT.to_owned(),
+                state: RequestState::Completed,
+                generated: usage.completion_tokens,
+                incarnation: self.core.incarnation(),
+            },
+            max_tokens: usage.completion_tokens,
+            usage,
+        }
+    }
+
+    fn remember(&mut self, now: Timestamp, attempt: &str) {
+        let Ok(answer) = self.core.answer(now, attempt) else {
+            return;
+        };
+        self.recent.push_back(answer);
+        if self.recent.len() > RECENT_ANSWERS {
+            self.recent.pop_front();
+        }
+    }
+
+    fn tell(&mut self, attempt: &AttemptKey, event: StreamEvent) {
+        if let Some(listeners) = self.listeners.get_mut(attempt) {
+            // One that has gone away takes no more events.
+            listeners.retain(|listener| listener.try_send(event.clone()).is_ok());
+        }
+    }
+
+    fn tell_end(&mut self, attempt: &AttemptKey, end: StreamEnd) {
+        for listener in self.listeners.remove(attempt).unwrap_or_default() {
+            let _ = listener.try_send(StreamEvent::Ended(end));
+        }
+    }
+}
+
+/// How an attempt ended, if it did.
+fn end_of(answer: &Answer) -> Option<StreamEnd> {
+    match answer.status.state {
+        RequestState::Completed => Some(StreamEnd::Completed(answer.usage)),
+        RequestState::Cancelled => Some(StreamEnd::Cancelled(RunOutcome::Unknown)),
+        _ => None,
+    }
+}
+
+/// Events that consist of the end alone.
+pub fn ended_events(end: StreamEnd) -> Receiver<StreamEvent> {
+    let (sender, receiver) = async_channel::bounded(1);
+    let _ = sender.try_send(StreamEvent::Ended(end));
+    receiver
+}
--- /dev/null
+++ b/crates/emulator/src/main.rs
@@ -0,0 +1,17 @@
+//! `molespan-emulator`: the stand-ins as processes.
+
+mod commands;
+mod flags;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let flags = flags::MolespanEmulator::from_env_or_exit();
+    match commands::run(flags) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("emulator: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/server/reply.rs
@@ -0,0 +1,102 @@
+//! Requests and replies in JSON.
+
+use std::time::Duration;
+
+use http_types::{Request, Response, StatusCode};
+use molespan_http::{error_response, json_response};
+use molespan_types::RunOutcome;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Largest request body that a stand-in takes.
+const LARGEST_BODY: usize = 8 * 1024 * 1024;
+
+/// A reply that carries `value`.
+#[must_use]
+pub fn json_reply(status: u16, value: &impl Serialize) -> Response {
+    json_response(status_code(status), value)
+}
+
+/// A typed error.
+#[must_use]
+pub fn error_reply(
+    status: u16,
+    code: &str,
+    message: &str,
+    outcome: RunOutcome,
+    retry_after_ms: Option<u64>,
+) -> Response {
+    let retry_after = retry_after_ms.map(Duration::from_millis);
+    error_response(status_code(status), code, message, outcome, retry_after)
+}
+
+/// The reply to a path that the stand-in does not have.
+#[must_use]
+pub fn not_found() -> Response {
+    let message = "there is no such path here";
+    error_reply(404, "not_found", message, RunOutcome::NotRun, None)
+}
+
+/// A header of the request, if present.
+#[must_use]
+pub fn header(request: &Request, name: &str) -> Option<String> {
+    request
+        .header(name)
+        .map(|values| values.as_str().to_owned())
+}
+
+/// A query parameter.
+#[must_use]
+pub fn query_text(request: &Request, name: &str) -> Option<String> {
+    let mut pairs = request.url().query_pairs();
+    pairs
+        .find(|(key, _)| key == name)
+        .map(|(_, value)| value.into_owned())
+}
+
+/// A query parameter that is a number.
+#[must_use]
+pub fn query_number(request: &Request, name: &str) -> Option<u64> {
+    query_text(request, name)?.parse().ok()
+}
+
+/// The whole body of a request.
+///
+/// # Errors
+/// A broken connection, also when the body ends early. The connection must
+/// then be closed and nothing may run.
+pub async fn read_body(request: &mut Request) -> http_types::Result<Vec<u8>> {
+    let expected = request.len();
+    if expected.is_some_and(|length| length > LARGEST_BODY) {
+        return Err(bad_body("the request body is too large"));
+    }
+    let bytes = request.body_bytes().await?;
+    if expected.is_some_and(|length| length != bytes.len()) {
+        return Err(bad_body("the request body is not whole"));
+    }
+    Ok(bytes)
+}
+
+/// The body of a request as JSON; the inner error is the reply for one that
+/// cannot be read.
+///
+/// # Errors
+/// As [`read_body`].
+pub async fn read_json<T: DeserializeOwned>(
+    request: &mut Request,
+) -> http_types::Result<Result<T, Response>> {
+    let bytes = read_body(request).await?;
+    let value = serde_json::from_slice(&bytes).map_err(|error| {
+        let message = format!("the body cannot be read: {error}");
+        error_reply(400, "malformed", &message, RunOutcome::NotRun, None)
+    });
+    Ok(value)
+}
+
+fn bad_body(message: &'static str) -> http_types::Error {
+    http_types::Error::from_str(StatusCode::BadRequest, message)
+}
+
+fn status_code(status: u16) -> StatusCode {
+    StatusCode::try_from(status).unwrap_or(StatusCode::InternalServerError)
+}
--- /dev/null
+++ b/crates/emulator/src/server/switches.rs
@@ -0,0 +1,168 @@
+//! Switches of one stand-in: its faults and its lives.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+
+use crate::faults::{AnswerFault, EngineFaults, FaultPlan, FaultSettings};
+
+/// Ends when a stand-in crashes or thaws.
+pub struct Signal(Receiver<()>);
+
+impl Signal {
+    /// Waits for it.
+    pub async fn ended(self) {
+        // Nothing is ever sent; the channel closes with its sender.
+        let _ = self.0.recv().await;
+    }
+}
+
+/// A signal and the sender that ends it when dropped.
+struct SignalSource {
+    _sender: Sender<()>,
+    receiver: Receiver<()>,
+}
+
+impl SignalSource {
+    fn new() -> Self {
+        let (sender, receiver) = async_channel::bounded(1);
+        Self {
+            _sender: sender,
+            receiver,
+        }
+    }
+
+    fn signal(&self) -> Signal {
+        Signal(self.receiver.clone())
+    }
+}
+
+struct State {
+    settings: FaultSettings,
+    plan: FaultPlan,
+    life: SignalSource,
+    frozen: Option<SignalSource>,
+    running: Option<SignalSource>,
+    restart_at: Option<Instant>,
+    network_delay: Duration,
+}
+
+/// Switches of one stand-in.
+pub struct Switches {
+    state: Mutex<State>,
+}
+
+impl Switches {
+    /// No fault. The choice among answer faults depends on `seed`. Each request
+    /// takes `round_trip` longer, as over a network.
+    #[must_use]
+    pub fn new(seed: u64, round_trip: Duration) -> Self {
+        let state = State {
+            settings: FaultSettings::default(),
+            plan: FaultPlan::new(seed),
+            life: SignalSource::new(),
+            frozen: None,
+            running: Some(SignalSource::new()),
+            restart_at: None,
+            network_delay: round_trip,
+        };
+        Self {
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Faults in force.
+    #[must_use]
+    pub fn faults(&self) -> FaultSettings {
+        self.lock().settings.clone()
+    }
+
+    /// Faults of the process in force.
+    #[must_use]
+    pub fn engine_faults(&self) -> EngineFaults {
+        self.lock().settings.engine.clone()
+    }
+
+    /// Replaces the faults in force.
+    pub fn set(&self, settings: FaultSettings) {
+        let mut state = self.lock();
+        state.plan.set(settings.answers.clone());
+        match (settings.engine.frozen, state.frozen.is_some()) {
+            (true, false) => state.frozen = Some(SignalSource::new()),
+            (false, true) => state.frozen = None,
+            _ => {}
+        }
+        state.settings = settings;
+    }
+
+    /// Drops every connection and stops listening for `down`.
+    pub fn crash(&self, down: Duration) {
+        let mut state = self.lock();
+        state.restart_at = Some(Instant::now() + down);
+        state.life = SignalSource::new();
+    }
+
+    /// Ends the stand-in for good.
+    pub fn stop(&self) {
+        let mut state = self.lock();
+        state.running = None;
+        state.life = SignalSource::new();
+    }
+
+    /// Whether it was ended for good.
+    #[must_use]
+    pub fn is_stopped(&self) -> bool {
+        self.lock().running.is_none()
+    }
+
+    /// Ends when the stand-in is ended for good.
+    pub async fn until_stopped(&self) {
+        let running = self.lock().running.as_ref().map(SignalSource::signal);
+        if let Some(signal) = running {
+            signal.ended().await;
+        }
+    }
+
+    /// Ends with the present life.
+    #[must_use]
+    pub fn life(&self) -> Signal {
+        self.lock().life.signal()
+    }
+
+    /// Waits until the process that crashed is started again. Returns false
+    /// when it was stopped for good.
+    pub async fn until_restart(&self) -> bool {
+        let restart_at = self.lock().restart_at.take();
+        if let Some(at) = restart_at {
+            Timer::at(at).await;
+        }
+        !self.is_stopped()
+    }
+
+    /// Waits while frozen, then for the network.
+    pub async fn before_request(&self) {
+        loop {
+            let frozen = self.lock().frozen.as_ref().map(SignalSource::signal);
+            match frozen {
+                Some(thawed) => thawed.ended().await,
+                None => break,
+            }
+        }
+        let delay = self.lock().network_delay;
+        if !delay.is_zero() {
+            Timer::after(delay).await;
+        }
+    }
+
+    /// The fault of the next request.
+    #[must_use]
+    pub fn choose_fault(&self) -> Option<AnswerFault> {
+        self.lock().plan.choose()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/emulator/tests/engine_core.rs
+++ b/crates/emulator/tests/engine_core.rs
@@ -98,9 +98,9 @@
         }
     }
     assert_eq!(text, expected_answer("a red barn", 5));
-    let (source, status) = engine.answer(now, "a").unwrap();
-    assert_eq!(status.state, RequestState::Completed);
-    assert_eq!(source.first(status.generated), text);
+    let answer = engine.answer(now, "a").unwrap();
+    assert_eq!(answer.status.state, RequestState::Completed);
+    assert_eq!(answer.text.first(answer.status.generated), text);
     assert_ne!(text, expected_answer("a red bar", 5));
 }
 
