--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,251 @@
+//! Contradictions between values that are sound one by one.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use molespan_types::NodeId;
+
+use crate::duration::format_duration;
+use crate::model::{Peer, Role, Settings};
+use crate::section::Report;
+
+/// Heartbeats that may be lost before a lease ends.
+const HEARTBEATS_A_LEASE: u32 = 3;
+/// Confirmations that may be lost before a node turns unready.
+const WATCHES_A_BOUND: u32 = 2;
+/// Ticks below which an election timeout cannot be told from a delay.
+const TICKS_AN_ELECTION: u32 = 4;
+
+/// Reports contradictions and removes this node's own entry from the peers.
+pub(crate) fn check(report: &Report<'_>, mut settings: Settings) -> Settings {
+    check_timing(report, &settings);
+    check_limits(report, &settings);
+    check_platform(report, &settings);
+    check_own_addresses(report, &settings);
+    check_peers(report, &settings);
+    check_replicas(report, &settings);
+    let own = settings.node.id;
+    settings.peers.retain(|peer| peer.id != own);
+    settings.peers.sort_by_key(|peer| peer.id);
+    settings
+}
+
+/// One duration that must be so many times as long as another one.
+struct Ratio<'a> {
+    long_key: &'a str,
+    long: Duration,
+    times: u32,
+    short_key: &'a str,
+    short: Duration,
+    reason: &'a str,
+}
+
+fn check_ratio(report: &Report<'_>, ratio: &Ratio<'_>) {
+    if !report.is_sound(ratio.long_key) || !report.is_sound(ratio.short_key) {
+        return;
+    }
+    if ratio.long >= ratio.short * ratio.times {
+        return;
+    }
+    let message = format!(
+        "{} is less than {} times {} ({}); {}",
+        format_duration(ratio.long),
+        ratio.times,
+        ratio.short_key,
+        format_duration(ratio.short),
+        ratio.reason,
+    );
+    report.add_at(ratio.long_key, message);
+}
+
+fn check_timing(report: &Report<'_>, settings: &Settings) {
+    let timing = &settings.timing;
+    let ratios = [
+        Ratio {
+            long_key: "timing.lease",
+            long: timing.lease,
+            times: HEARTBEATS_A_LEASE,
+            short_key: "timing.heartbeat",
+            short: timing.heartbeat,
+            reason: "a lost heartbeat would cost the lease",
+        },
+        Ratio {
+            long_key: "timing.currency_bound",
+            long: timing.currency_bound,
+            times: WATCHES_A_BOUND,
+            short_key: "timing.config_watch",
+            short: timing.config_watch,
+            reason: "a lost watch would turn the node unready",
+        },
+        Ratio {
+            long_key: "timing.election_timeout",
+            long: timing.election_timeout,
+            times: TICKS_AN_ELECTION,
+            short_key: "timing.tick",
+            short: timing.tick,
+            reason: "a late tick would start an election",
+        },
+        Ratio {
+            long_key: "timing.currency_bound",
+            long: timing.currency_bound,
+            times: 2,
+            short_key: "timing.election_timeout",
+            short: timing.election_timeout,
+            reason: "an election would turn the node unready",
+        },
+        Ratio {
+            long_key: "timing.request_timeout",
+            long: timing.request_timeout,
+            times: 1,
+            short_key: "timing.connect_timeout",
+            short: timing.connect_timeout,
+            reason: "a request includes its connection",
+        },
+    ];
+    for ratio in &ratios {
+        check_ratio(report, ratio);
+    }
+}
+
+fn check_limits(report: &Report<'_>, settings: &Settings) {
+    const BUFFERED: &str = "limits.max_buffered_bytes";
+    let limits = &settings.limits;
+    let bodies = [
+        ("limits.max_body_bytes", limits.max_body_bytes),
+        ("limits.max_job_bytes", limits.max_job_bytes),
+    ];
+    for (key, bytes) in bodies {
+        let sound = report.is_sound(key) && report.is_sound(BUFFERED);
+        if sound && bytes > limits.max_buffered_bytes {
+            let message = format!(
+                "{bytes} is more than {BUFFERED} ({}); such a body would never fit",
+                limits.max_buffered_bytes
+            );
+            report.add_at(key, message);
+        }
+    }
+}
+
+fn check_platform(report: &Report<'_>, settings: &Settings) {
+    const LIST: &str = "platform.list_address";
+    let missing = settings.platform.list_address.is_none();
+    if settings.has_role(Role::Gateway) && missing && report.is_sound(LIST) {
+        let message = "is missing; a gateway finds its back ends there".to_owned();
+        report.add_at(LIST, message);
+    }
+}
+
+fn check_own_addresses(report: &Report<'_>, settings: &Settings) {
+    const HTTP: &str = "node.http_address";
+    const INTERNAL: &str = "node.internal_address";
+    if !report.is_sound(HTTP) || !report.is_sound(INTERNAL) {
+        return;
+    }
+    let node = &settings.node;
+    if node.internal_address == node.http_address && node.http_address.port() != 0 {
+        let message = format!("{} is taken by {HTTP}", node.internal_address);
+        report.add_at(INTERNAL, message);
+    }
+    if settings.has_role(Role::Replica) && node.internal_address.port() == 0 {
+        let message = "a replica needs a fixed port; port 0 is a new one after each start";
+        report.add_at(INTERNAL, message.to_owned());
+    }
+}
+
+fn check_peers(report: &Report<'_>, settings: &Settings) {
+    let own = settings.as_peer();
+    let mut ids: BTreeMap<NodeId, String> = BTreeMap::new();
+    let mut addresses: BTreeMap<SocketAddr, String> = BTreeMap::new();
+    if report.is_sound("node.internal_address") {
+        addresses.insert(own.internal_address, "node.internal_address".to_owned());
+    }
+    for (position, peer) in settings.peers.iter().enumerate() {
+        let id_key = format!("peers[{position}].id");
+        let address_key = format!("peers[{position}].internal_address");
+        if report.is_sound(&id_key) {
+            check_id(report, &mut ids, peer, id_key);
+        }
+        if peer.id == own.id {
+            check_own_entry(report, &own, peer, position);
+        } else if report.is_sound(&address_key) {
+            check_address(report, &mut addresses, peer, address_key);
+        }
+    }
+}
+
+fn check_id(report: &Report<'_>, ids: &mut BTreeMap<NodeId, String>, peer: &Peer, key: String) {
+    match ids.get(&peer.id) {
+        Some(other) => report.add_at(&key, format!("{} is taken by {other}", peer.id)),
+        None => {
+            ids.insert(peer.id, key);
+        }
+    }
+}
+
+fn check_address(
+    report: &Report<'_>,
+    addresses: &mut BTreeMap<SocketAddr, String>,
+    peer: &Peer,
+    key: String,
+) {
+    let address = peer.internal_address;
+    if address.port() == 0 {
+        report.add_at(&key, "port 0 cannot be connected to".to_owned());
+        return;
+    }
+    match addresses.get(&address) {
+        Some(other) => report.add_at(&key, format!("{address} is taken by {other}")),
+        None => {
+            addresses.insert(address, key);
+        }
+    }
+}
+
+/// A peer with this node's number must say the same as `[node]`.
+fn check_own_entry(report: &Report<'_>, own: &Peer, peer: &Peer, position: usize) {
+    let fields = [
+        ("zone", own.zone == peer.zone),
+        (
+            "internal_address",
+            own.internal_address == peer.internal_address,
+        ),
+        ("roles", own.roles == peer.roles),
+    ];
+    for (field, agrees) in fields {
+        let key = format!("peers[{position}].{field}");
+        let node_key = format!("node.{field}");
+        if !agrees && report.is_sound(&key) && report.is_sound(&node_key) {
+            report.add_at(&key, format!("is this node, yet differs from {node_key}"));
+        }
+    }
+}
+
+fn check_replicas(report: &Report<'_>, settings: &Settings) {
+    const REPLICAS: &str = "cluster.replicas";
+    let expected = settings.cluster.replicas;
+    if !report.is_sound(REPLICAS) || !report.is_sound("node.roles") || !report.is_sound("peers") {
+        return;
+    }
+    if expected.is_multiple_of(2) {
+        let message = format!("{expected} is even; take 1, 3, 5 or 7, so that a majority stays");
+        report.add_at(REPLICAS, message);
+        return;
+    }
+    let mut numbers: Vec<NodeId> = settings.replicas().iter().map(|peer| peer.id).collect();
+    numbers.dedup();
+    if numbers.len() == expected as usize {
+        return;
+    }
+    let listed: Vec<String> = numbers.iter().map(NodeId::to_string).collect();
+    let listed = if listed.is_empty() {
+        "none".to_owned()
+    } else {
+        format!("by number: {}", listed.join(", "))
+    };
+    let message = format!(
+        "the file names {} of {expected} replicas ({listed}); list each other one under [[peers]]",
+        numbers.len(),
+    );
+    report.add_at("peers", message);
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,24 @@
 //! Checked settings of the daemon.
+//!
+//! [`Settings::load`] reads a TOML file. Every fault of the file is collected
+//! as a [`Finding`] with its line and key, and all of them are reported
+//! together; a file with a finding gives no settings. [`Settings::to_toml`]
+//! writes a file that reads back as the same settings.
+
+mod check;
+mod duration;
+mod finding;
+mod model;
+mod place;
+mod read;
+mod section;
+mod value;
+mod write;
+
+pub use duration::{DurationError, format_duration, parse_duration};
+pub use finding::{Finding, Findings};
+pub use model::{
+    ClusterSettings, DrainSettings, LimitSettings, LogSettings, NodeSettings, Peer,
+    PlatformSettings, PolicySettings, Role, Settings, TimingSettings,
+};
+pub use molespan_telemetry::{LogFormat, LogLevel};
--- /dev/null
+++ b/crates/settings/src/read.rs
@@ -0,0 +1,224 @@
+//! From the text of a file to settings.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use molespan_types::{NodeId, ZoneName};
+use toml::de::DeTable;
+
+use crate::check;
+use crate::finding::Findings;
+use crate::model::{
+    ClusterSettings, DrainSettings, LimitSettings, LogSettings, NodeSettings, Peer,
+    PlatformSettings, PolicySettings, Role, Settings, TimingSettings,
+};
+use crate::place::is_header;
+use crate::section::{Report, Section};
+
+/// Stands in for an address that could not be read.
+const NO_ADDRESS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+/// Most job groups.
+const MAX_JOB_GROUPS: u32 = 1024;
+/// Most replicas of a group.
+const MAX_REPLICAS: u32 = 7;
+/// Longest body that may be allowed.
+const MAX_BYTES: u64 = 16 * 1024 * 1024 * 1024;
+
+const fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+const fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+/// Reads and checks the text of a file.
+pub(crate) fn parse(text: &str) -> Result<Settings, Findings> {
+    let report = Report::new(text);
+    let (table, errors) = DeTable::parse_recoverable(text);
+    let mut misplaced = false;
+    for error in &errors {
+        let line = error.span().map(|span| report.line_at(span.start));
+        let message = error.message().replace('\n', ", ");
+        report.add_syntax(line, format!("syntax error: {message}"));
+        misplaced |= line.is_none_or(|line| is_header(text, line));
+    }
+    if misplaced {
+        // Keys below a broken table header were read into another table, and
+        // findings about them would mislead.
+        return Err(Findings::new(report.into_findings()));
+    }
+    let settings = read_all(Section::root(&report, table.get_ref()));
+    let settings = check::check(&report, settings);
+    let findings = report.into_findings();
+    if findings.is_empty() {
+        Ok(settings)
+    } else {
+        Err(Findings::new(findings))
+    }
+}
+
+fn read_all(mut root: Section<'_, '_, '_>) -> Settings {
+    let settings = Settings {
+        node: read_node(root.section("node")),
+        cluster: read_cluster(root.section("cluster")),
+        peers: root.sections("peers").into_iter().map(read_peer).collect(),
+        platform: read_platform(root.section("platform")),
+        limits: read_limits(root.section("limits")),
+        timing: read_timing(root.section("timing")),
+        log: read_log(root.section("log")),
+        policy: read_policy(root.section("policy")),
+    };
+    root.finish();
+    settings
+}
+
+fn read_node(mut section: Section<'_, '_, '_>) -> NodeSettings {
+    let id = section.required("id", NodeId::default());
+    let node = NodeSettings {
+        id,
+        name: section.or("name", format!("node-{id}")),
+        zone: section.required("zone", ZoneName::default()),
+        roles: section.required("roles", Vec::new()),
+        http_address: section.required("http_address", NO_ADDRESS),
+        internal_address: section.required("internal_address", NO_ADDRESS),
+        data_folder: section.required("data_folder", PathBuf::new()),
+    };
+    section.finish();
+    node
+}
+
+fn read_cluster(mut section: Section<'_, '_, '_>) -> ClusterSettings {
+    let default = ClusterSettings::default();
+    let cluster = ClusterSettings {
+        job_groups: section.within("job_groups", default.job_groups, 1..=MAX_JOB_GROUPS),
+        replicas: section.within("replicas", default.replicas, 1..=MAX_REPLICAS),
+    };
+    section.finish();
+    cluster
+}
+
+fn read_peer(mut section: Section<'_, '_, '_>) -> Peer {
+    let id = section.required("id", NodeId::default());
+    let peer = Peer {
+        id,
+        name: section.or("name", format!("node-{id}")),
+        zone: section.required("zone", ZoneName::default()),
+        internal_address: section.required("internal_address", NO_ADDRESS),
+        roles: section.or("roles", vec![Role::Replica]),
+    };
+    section.finish();
+    peer
+}
+
+fn read_platform(mut section: Section<'_, '_, '_>) -> PlatformSettings {
+    let default = PlatformSettings::default();
+    let polls = millis(50)..=seconds(3);
+    let platform = PlatformSettings {
+        list_address: section.optional("list_address"),
+        list_poll: section.within("list_poll", default.list_poll, polls),
+        weight_store_address: section.optional("weight_store_address"),
+    };
+    section.finish();
+    platform
+}
+
+fn read_limits(mut section: Section<'_, '_, '_>) -> LimitSettings {
+    const KIBIBYTE: u64 = 1024;
+    const MILLION: u32 = 1_000_000;
+    let default = LimitSettings::default();
+    let bytes = KIBIBYTE..=MAX_BYTES;
+    let rates = 1..=MILLION;
+    let limits = LimitSettings {
+        max_connections: section.within("max_connections", default.max_connections, 1..=MILLION),
+        max_body_bytes: section.within("max_body_bytes", default.max_body_bytes, bytes.clone()),
+        max_job_bytes: section.within("max_job_bytes", default.max_job_bytes, bytes.clone()),
+        max_job_items: section.within("max_job_items", default.max_job_items, 1..=110_000),
+        max_buffered_bytes: section.within(
+            "max_buffered_bytes",
+            default.max_buffered_bytes,
+            bytes.clone(),
+        ),
+        event_buffer: section.within("event_buffer", default.event_buffer, 16..=MILLION),
+        tenant_requests_per_second: section.within(
+            "tenant_requests_per_second",
+            default.tenant_requests_per_second,
+            rates.clone(),
+        ),
+        tenant_burst: section.within("tenant_burst", default.tenant_burst, rates.clone()),
+        tenant_concurrency: section.within("tenant_concurrency", default.tenant_concurrency, rates),
+        log_segment_bytes: section.within("log_segment_bytes", default.log_segment_bytes, bytes),
+    };
+    section.finish();
+    limits
+}
+
+fn read_timing(mut section: Section<'_, '_, '_>) -> TimingSettings {
+    let default = TimingSettings::default();
+    let timing = TimingSettings {
+        lease: section.within("lease", default.lease, seconds(1)..=seconds(300)),
+        currency_bound: section.within(
+            "currency_bound",
+            default.currency_bound,
+            seconds(1)..=seconds(9),
+        ),
+        config_watch: section.within(
+            "config_watch",
+            default.config_watch,
+            millis(100)..=seconds(8),
+        ),
+        heartbeat: section.within("heartbeat", default.heartbeat, millis(50)..=seconds(30)),
+        tick: section.within("tick", default.tick, millis(5)..=seconds(1)),
+        election_timeout: section.within(
+            "election_timeout",
+            default.election_timeout,
+            millis(50)..=seconds(30),
+        ),
+        load_poll: section.within("load_poll", default.load_poll, millis(5)..=seconds(5)),
+        connect_timeout: section.within(
+            "connect_timeout",
+            default.connect_timeout,
+            millis(10)..=seconds(30),
+        ),
+        request_timeout: section.within(
+            "request_timeout",
+            default.request_timeout,
+            millis(100)..=seconds(3600),
+        ),
+        drain: read_drain(section.section("drain")),
+    };
+    section.finish();
+    timing
+}
+
+fn read_drain(mut section: Section<'_, '_, '_>) -> DrainSettings {
+    let default = DrainSettings::default();
+    let waits = Duration::ZERO..=seconds(3600);
+    let drain = DrainSettings {
+        unready_wait: section.within("unready_wait", default.unready_wait, waits.clone()),
+        finish_within: section.within("finish_within", default.finish_within, waits.clone()),
+        hand_over_within: section.within("hand_over_within", default.hand_over_within, waits),
+    };
+    section.finish();
+    drain
+}
+
+fn read_log(mut section: Section<'_, '_, '_>) -> LogSettings {
+    let default = LogSettings::default();
+    let log = LogSettings {
+        level: section.or("level", default.level),
+        format: section.or("format", default.format),
+    };
+    section.finish();
+    log
+}
+
+fn read_policy(mut section: Section<'_, '_, '_>) -> PolicySettings {
+    let default = PolicySettings::default();
+    let policy = PolicySettings {
+        tail_protection: section.within("tail_protection", default.tail_protection, 0..=100),
+    };
+    section.finish();
+    policy
+}
