--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -70,6 +70,14 @@
             short: timing.heartbeat,
             reason: "a lost heartbeat would cost the lease",
         },
+        Ratio {
+            long_key: "timing.owner_lease",
+            long: timing.owner_lease,
+            times: HEARTBEATS_A_LEASE,
+            short_key: "timing.heartbeat",
+            short: timing.heartbeat,
+            reason: "a lost heartbeat would cost the engine",
+        },
         Ratio {
             long_key: "timing.currency_bound",
             long: timing.currency_bound,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -18,7 +18,7 @@
 pub use duration::{DurationError, format_duration, parse_duration};
 pub use finding::{Finding, Findings};
 pub use model::{
-    ClusterSettings, DrainSettings, LimitSettings, LogSettings, NodeSettings, Peer,
-    PlatformSettings, PolicySettings, Role, Settings, TimingSettings,
+    ClusterSettings, DrainSettings, EngineChoice, LimitSettings, LogSettings, NodeSettings, Peer,
+    PlatformSettings, PolicySettings, Preemption, Role, Settings, TimingSettings,
 };
 pub use molespan_telemetry::{LogFormat, LogLevel};
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -163,9 +163,11 @@
 /// Durations: `[timing]`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TimingSettings {
-    /// Length of a lease on items or an engine. A lost owner's work goes to
-    /// another one after it.
+    /// Length of a lease on items. A lost owner's items go to another one
+    /// after it.
     pub lease: Duration,
+    /// Length of a gateway's ownership of an engine's batch work.
+    pub owner_lease: Duration,
     /// A node that has not confirmed its configuration for this long turns
     /// unready and refuses new work as not run.
     pub currency_bound: Duration,
@@ -191,6 +193,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_secs(10),
+            owner_lease: Duration::from_secs(3),
             currency_bound: Duration::from_secs(8),
             config_watch: Duration::from_secs(2),
             heartbeat: Duration::from_secs(1),
@@ -213,19 +216,50 @@
     pub format: LogFormat,
 }
 
-/// Policy until a configuration was read: `[policy]`.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PolicySettings {
-    /// 0 fills engines with batch work, 100 guards the online tail above all.
-    pub tail_protection: u8,
+/// How batch work makes way for online work. All but the first are baselines
+/// for measurements.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
+pub enum Preemption {
+    /// Batch streams are held back as soon as online work arrives.
+    #[default]
+    #[display("on-arrival")]
+    OnArrival,
+    /// Nothing is held back; engines are told which work is batch work.
+    #[display("engine-priority-only")]
+    EnginePriorityOnly,
+    /// Nothing is held back, and engines take batch work for online work.
+    #[display("none")]
+    None,
 }
 
-impl Default for PolicySettings {
-    fn default() -> Self {
-        Self {
-            tail_protection: 50,
-        }
-    }
+/// How a gateway chooses the engine of an online request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
+pub enum EngineChoice {
+    /// Zone, prefix affinity, better of two.
+    #[default]
+    #[display("affinity")]
+    Affinity,
+    /// Zone and better of two, without affinity.
+    #[display("better-of-two")]
+    BetterOfTwo,
+    /// One after the other; a baseline for measurements.
+    #[display("round-robin")]
+    RoundRobin,
+    /// The lowest last report; a baseline for measurements.
+    #[display("least-reported")]
+    LeastReported,
+}
+
+/// Ways in which this node decides: `[policy]`.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PolicySettings {
+    /// Overrides the knob of the configuration: 0 fills engines with batch
+    /// work, 100 guards the online tail above all.
+    pub tail_protection: Option<u8>,
+    /// How batch work makes way for online work.
+    pub preemption: Preemption,
+    /// How the engine of an online request is chosen.
+    pub engine_choice: EngineChoice,
 }
 
 /// The settings of one `molespand`.
@@ -245,7 +279,7 @@
     pub timing: TimingSettings,
     /// Logs.
     pub log: LogSettings,
-    /// Policy until a configuration was read.
+    /// Ways in which this node decides.
     pub policy: PolicySettings,
 }
 
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -158,6 +158,11 @@
     let default = TimingSettings::default();
     let timing = TimingSettings {
         lease: section.within("lease", default.lease, seconds(1)..=seconds(300)),
+        owner_lease: section.within(
+            "owner_lease",
+            default.owner_lease,
+            seconds(1)..=seconds(300),
+        ),
         currency_bound: section.within(
             "currency_bound",
             default.currency_bound,
@@ -217,7 +222,9 @@
 fn read_policy(mut section: Section<'_, '_, '_>) -> PolicySettings {
     let default = PolicySettings::default();
     let policy = PolicySettings {
-        tail_protection: section.within("tail_protection", default.tail_protection, 0..=100),
+        tail_protection: section.optional_within("tail_protection", 0..=100),
+        preemption: section.or("preemption", default.preemption),
+        engine_choice: section.or("engine_choice", default.engine_choice),
     };
     section.finish();
     policy
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -224,13 +224,23 @@
         default: T,
         range: RangeInclusive<T>,
     ) -> T {
-        let value = self.or(key, default);
+        self.optional_within(key, range).unwrap_or(default)
+    }
+
+    /// The value under `key`, if it stands in the file; one outside of `range`
+    /// is a finding.
+    pub(crate) fn optional_within<T: Value + PartialOrd>(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<T>,
+    ) -> Option<T> {
+        let value = self.optional(key)?;
         if !range.contains(&value) {
             let (low, high) = (range.start().show(), range.end().show());
             let message = format!("{} is outside of {low} to {high}", value.show());
             self.report.add_at(&self.dotted(key), message);
         }
-        value
+        Some(value)
     }
 
     /// Reports keys that nobody asked for and required ones that are missing.
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -9,7 +9,7 @@
 use toml::de::{DeInteger, DeValue};
 
 use crate::duration::{format_duration, parse_duration};
-use crate::model::Role;
+use crate::model::{EngineChoice, Preemption, Role};
 
 /// A type that a settings file can hold.
 pub(crate) trait Value: Sized {
@@ -186,6 +186,58 @@
     }
 }
 
+impl std::str::FromStr for Preemption {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "on-arrival" => Ok(Self::OnArrival),
+            "engine-priority-only" => Ok(Self::EnginePriorityOnly),
+            "none" => Ok(Self::None),
+            _ => Err(format!("{text:?} is no way of preemption")),
+        }
+    }
+}
+
+impl Value for Preemption {
+    const EXPECTED: &'static str = "one of \"on-arrival\", \"engine-priority-only\", \"none\"";
+
+    fn read(value: &DeValue<'_>) -> Result<Self, String> {
+        named(value)
+    }
+
+    fn show(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl std::str::FromStr for EngineChoice {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "affinity" => Ok(Self::Affinity),
+            "better-of-two" => Ok(Self::BetterOfTwo),
+            "round-robin" => Ok(Self::RoundRobin),
+            "least-reported" => Ok(Self::LeastReported),
+            _ => Err(format!("{text:?} is no way to choose engines")),
+        }
+    }
+}
+
+impl Value for EngineChoice {
+    const EXPECTED: &'static str =
+        "one of \"affinity\", \"better-of-two\", \"round-robin\", \"least-reported\"";
+
+    fn read(value: &DeValue<'_>) -> Result<Self, String> {
+        named(value)
+    }
+
+    fn show(&self) -> String {
+        self.to_string()
+    }
+}
+
 impl std::str::FromStr for Role {
     type Err = String;
 
--- a/crates/settings/src/write.rs
+++ b/crates/settings/src/write.rs
@@ -29,11 +29,11 @@
     put_text(&mut log, "format", settings.log.format);
     root.insert("log", Item::Table(log));
     let mut policy = Table::new();
-    put_number(
-        &mut policy,
-        "tail_protection",
-        settings.policy.tail_protection,
-    );
+    if let Some(tail_protection) = settings.policy.tail_protection {
+        put_number(&mut policy, "tail_protection", tail_protection);
+    }
+    put_text(&mut policy, "preemption", settings.policy.preemption);
+    put_text(&mut policy, "engine_choice", settings.policy.engine_choice);
     root.insert("policy", Item::Table(policy));
     document.to_string()
 }
@@ -109,6 +109,7 @@
 fn timing(timing: &TimingSettings) -> Table {
     let mut table = Table::new();
     put_duration(&mut table, "lease", timing.lease);
+    put_duration(&mut table, "owner_lease", timing.owner_lease);
     put_duration(&mut table, "currency_bound", timing.currency_bound);
     put_duration(&mut table, "config_watch", timing.config_watch);
     put_duration(&mut table, "heartbeat", timing.heartbeat);
--- a/crates/settings/tests/parse.rs
+++ b/crates/settings/tests/parse.rs
@@ -40,7 +40,14 @@
 
 #[test]
 fn what_is_written_reads_back() {
-    for text in [EXAMPLE, SMALLEST] {
+    let policy = r#"
+        [policy]
+        tail_protection = 10
+        preemption = "engine-priority-only"
+        engine_choice = "round-robin"
+    "#;
+    let unusual = format!("{SMALLEST}{policy}");
+    for text in [EXAMPLE, SMALLEST, &unusual] {
         let settings = Settings::parse(text).expect("sound");
         assert_eq!(Settings::parse(&settings.to_toml()), Ok(settings));
     }
@@ -61,7 +68,7 @@
         .replace("max_job_items", "max_job_itmes")
         .replace("\"8s\"", "8")
         .replace("lease = \"10s\"", "lease = \"2s\"")
-        .replace("tail_protection = 50", "tail_protection = 101");
+        .replace("engine_choice = \"affinity\"", "tail_protection = 101");
     check_findings(
         &text,
         &expect![[r#"
