--- /dev/null
+++ b/crates/cli/src/commands/jobs/follow.rs
@@ -0,0 +1,110 @@
+//! Waiting for a job.
+
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+
+use super::{JOBS_PATH, JobView};
+use crate::client::{Call, Client};
+use crate::console::Console;
+use crate::error::CliError;
+
+/// Time between two looks at a job.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two lines of progress.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
+/// For how long gateways may be away before waiting is given up.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Waits until a job has ended, with its progress on the way.
+///
+/// # Errors
+/// When the job is unknown, or no gateway answers for too long.
+pub(crate) async fn follow(
+    client: &Client,
+    id: &str,
+    console: &mut Console,
+) -> Result<JobView, CliError> {
+    let call = Call::get(format!("{JOBS_PATH}/{id}"));
+    let mut progress = Progress::start();
+    let mut answered = Instant::now();
+    loop {
+        match client.json::<JobView>(&call).await {
+            Ok(job) => {
+                answered = Instant::now();
+                progress.report(&job, console);
+                if job.has_ended() {
+                    return Ok(job);
+                }
+            }
+            Err(error) if is_lasting(&error) || answered.elapsed() > PATIENCE => {
+                return Err(error);
+            }
+            Err(error) => progress.trouble(&error, console),
+        }
+        Timer::after(POLL_INTERVAL).await;
+    }
+}
+
+/// Whether asking again would give the same error.
+fn is_lasting(error: &CliError) -> bool {
+    match error {
+        CliError::Unanswered(_) => false,
+        CliError::Refused(detail) => detail.retry_after_ms.is_none(),
+        _ => true,
+    }
+}
+
+/// What was last said about the progress.
+struct Progress {
+    started: Instant,
+    items_at_start: Option<u32>,
+    last_line: Option<Instant>,
+    last_ended: u32,
+}
+
+impl Progress {
+    fn start() -> Self {
+        Self {
+            started: Instant::now(),
+            items_at_start: None,
+            last_line: None,
+            last_ended: 0,
+        }
+    }
+
+    /// Says how far the job is, if that is news.
+    fn report(&mut self, job: &JobView, console: &mut Console) {
+        let ended = job.ended_items();
+        let at_start = *self.items_at_start.get_or_insert(ended);
+        let recent = self
+            .last_line
+            .is_some_and(|line| line.elapsed() < PROGRESS_INTERVAL);
+        let first = self.last_line.is_none();
+        let news = first || ended != self.last_ended || job.has_ended();
+        if !news || (recent && !job.has_ended()) {
+            return;
+        }
+        self.last_line = Some(Instant::now());
+        self.last_ended = ended;
+        let mut text = job.summary();
+        let seconds = self.started.elapsed().as_secs_f64();
+        let rate = f64::from(ended - at_start) / seconds.max(f64::EPSILON);
+        if !job.has_ended() && ended > at_start {
+            let left = f64::from(job.items.saturating_sub(ended)) / rate;
+            text.push_str(&format!(", {rate:.1} items/s, about {left:.0} s left"));
+        }
+        console.progress(text);
+    }
+
+    /// Says why there is no news, at most as often as progress.
+    fn trouble(&mut self, error: &CliError, console: &mut Console) {
+        let recent = self
+            .last_line
+            .is_some_and(|line| line.elapsed() < PROGRESS_INTERVAL);
+        if !recent {
+            self.last_line = Some(Instant::now());
+            console.progress(format!("still waiting: {error}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,51 @@
+//! The commands, one module each.
+
+mod apply;
+mod get;
+mod jobs;
+mod plan;
+mod settings;
+mod watch;
+
+use std::env;
+
+use crate::client::Client;
+use crate::console::Console;
+use crate::error::{CliError, ExitStatus};
+use crate::flags::{Molespan, MolespanCmd, SettingsCmd};
+use crate::gateways::{GATEWAY_VARIABLE, gateway_addresses};
+
+/// Environment variable that names the operator when no flag does.
+const USER_VARIABLE: &str = "USER";
+/// Name of an operator whom nothing names.
+const UNNAMED_OPERATOR: &str = "operator";
+
+/// Runs one command.
+pub(crate) async fn run(flags: Molespan, console: &mut Console) -> Result<ExitStatus, CliError> {
+    let gateway = flags.gateway;
+    let client = || connect(gateway.as_deref());
+    match flags.subcommand {
+        MolespanCmd::Plan(flags) => plan::run(&client()?, flags, console).await,
+        MolespanCmd::Apply(flags) => apply::run(&client()?, flags, console).await,
+        MolespanCmd::Get(flags) => get::run(&client()?, &flags.kind, console).await,
+        MolespanCmd::Jobs(flags) => jobs::run(client()?, flags, console).await,
+        MolespanCmd::Watch(flags) => watch::run(&client()?, flags, console).await,
+        MolespanCmd::Settings(flags) => match flags.subcommand {
+            SettingsCmd::Check(flags) => settings::check(&flags.file, console),
+        },
+        MolespanCmd::Demo(_) => Err(CliError::Failed("the demo is not built yet".to_owned())),
+    }
+}
+
+/// A client of the gateways that the flag or the environment names.
+fn connect(flag: Option<&str>) -> Result<Client, CliError> {
+    let variable = env::var(GATEWAY_VARIABLE).ok();
+    let gateways = gateway_addresses(flag, variable.as_deref())?;
+    Ok(Client::new(gateways))
+}
+
+/// The operator that the flag or the environment names.
+fn operator(flag: Option<String>) -> String {
+    flag.or_else(|| env::var(USER_VARIABLE).ok())
+        .unwrap_or_else(|| UNNAMED_OPERATOR.to_owned())
+}
--- /dev/null
+++ b/crates/cli/src/commands/watch.rs
@@ -0,0 +1,216 @@
+//! `molespan watch`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use molespan_telemetry::{Event, EventKind, Watched};
+use serde_json::json;
+
+use crate::client::{Call, Client};
+use crate::console::Console;
+use crate::error::{CliError, ExitStatus};
+use crate::flags::Watch;
+
+/// Path of the event stream.
+const EVENTS_PATH: &str = "/admin/events";
+/// First wait before a lost stream is opened again.
+const FIRST_RETRY: Duration = Duration::from_millis(250);
+/// Longest such wait.
+const LONGEST_RETRY: Duration = Duration::from_secs(5);
+/// Events that wait for the output; a slower output shows as a gap, because
+/// the stream is then read more slowly than events arise.
+const QUEUED: usize = 256;
+
+/// What the stream of one gateway brings.
+#[derive(Debug)]
+enum News {
+    /// An event or a gap.
+    Watched(SocketAddr, Watched),
+    /// The stream broke and is opened again. Events may be missing.
+    Lost(SocketAddr, String),
+    /// The stream is open.
+    Following(SocketAddr),
+}
+
+/// Follows the decisions of every given gateway.
+pub(crate) async fn run(
+    client: &Client,
+    flags: Watch,
+    console: &mut Console,
+) -> Result<ExitStatus, CliError> {
+    let call = subscription(&flags)?;
+    let (sender, receiver) = async_channel::bounded(QUEUED);
+    let executor = LocalExecutor::new();
+    for gateway in client.gateways() {
+        let follower = follow(client.clone(), *gateway, call.clone(), sender.clone());
+        executor.spawn(follower).detach();
+    }
+    drop(sender);
+    executor.run(print(receiver, flags.count, console)).await
+}
+
+/// The call that opens the stream.
+fn subscription(flags: &Watch) -> Result<Call, CliError> {
+    let unknown: Vec<&str> = flags
+        .kind
+        .iter()
+        .map(String::as_str)
+        .filter(|kind| kind.parse::<EventKind>().is_err())
+        .collect();
+    if !unknown.is_empty() {
+        let known: Vec<String> = EventKind::ALL.iter().map(EventKind::to_string).collect();
+        let message = format!(
+            "there is no kind {}; kinds are {}",
+            unknown.join(", "),
+            known.join(", ")
+        );
+        return Err(CliError::Usage(message));
+    }
+    let mut call = Call::get(EVENTS_PATH);
+    if !flags.kind.is_empty() {
+        call = call.query("kind", flags.kind.join(","));
+    }
+    if let Some(subject) = &flags.subject {
+        call = call.query("subject", subject);
+    }
+    Ok(call)
+}
+
+/// Keeps the stream of one gateway open until nobody listens.
+async fn follow(client: Client, gateway: SocketAddr, call: Call, news: Sender<News>) {
+    let mut wait = FIRST_RETRY;
+    while !news.is_closed() {
+        let reason = match read_stream(&client, gateway, &call, &news, &mut wait).await {
+            Ok(()) => "the gateway ended the stream".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        if news.send(News::Lost(gateway, reason)).await.is_err() {
+            return;
+        }
+        Timer::after(wait).await;
+        wait = (wait * 2).min(LONGEST_RETRY);
+    }
+}
+
+/// Reads one stream to its end.
+async fn read_stream(
+    client: &Client,
+    gateway: SocketAddr,
+    call: &Call,
+    news: &Sender<News>,
+    wait: &mut Duration,
+) -> Result<(), CliError> {
+    let mut stream = client.send_to(gateway, call).await?.events();
+    *wait = FIRST_RETRY;
+    if news.send(News::Following(gateway)).await.is_err() {
+        return Ok(());
+    }
+    let broken = |what: String| CliError::Unexpected {
+        gateway: gateway.to_string(),
+        what,
+    };
+    loop {
+        let event = stream.next_raw().await;
+        let Some(event) = event.map_err(|error| broken(error.to_string()))? else {
+            return Ok(());
+        };
+        let watched = serde_json::from_str(&event.data);
+        let watched = watched.map_err(|error| broken(error.to_string()))?;
+        if news.send(News::Watched(gateway, watched)).await.is_err() {
+            return Ok(());
+        }
+    }
+}
+
+/// Prints news until enough events were seen.
+async fn print(
+    news: Receiver<News>,
+    count: Option<u64>,
+    console: &mut Console,
+) -> Result<ExitStatus, CliError> {
+    let mut seen = 0;
+    while let Ok(item) = news.recv().await {
+        if matches!(item, News::Watched(_, Watched::Event(_))) {
+            seen += 1;
+        }
+        if console.is_json() {
+            print_json(item, console)?;
+        } else {
+            print_text(item, console)?;
+        }
+        if count.is_some_and(|count| seen >= count) {
+            break;
+        }
+    }
+    Ok(ExitStatus::Success)
+}
+
+fn print_json(news: News, console: &mut Console) -> Result<(), CliError> {
+    match news {
+        News::Watched(gateway, Watched::Event(event)) => {
+            console.json_line(&json!({ "gateway": gateway, "event": event }))
+        }
+        News::Watched(gateway, Watched::Gap(gap)) => {
+            console.json_line(&json!({ "gateway": gateway, "gap": gap, "lost": gap.lost() }))
+        }
+        News::Lost(gateway, reason) => {
+            console.json_line(&json!({ "gateway": gateway, "disconnected": reason }))
+        }
+        News::Following(gateway) => {
+            console.json_line(&json!({ "gateway": gateway, "connected": true }))
+        }
+    }
+}
+
+fn print_text(news: News, console: &mut Console) -> Result<(), CliError> {
+    match news {
+        News::Watched(_, Watched::Event(event)) => console.line(event_text(&event)),
+        News::Watched(gateway, Watched::Gap(gap)) => console.line(format!(
+            "---- gap: {} events of {gateway} were lost ----",
+            gap.lost()
+        )),
+        News::Lost(gateway, reason) => {
+            console.progress(format!(
+                "---- {gateway}: {reason}; events may be missing, connecting again ----"
+            ));
+            Ok(())
+        }
+        News::Following(gateway) => {
+            console.progress(format!("---- following {gateway} ----"));
+            Ok(())
+        }
+    }
+}
+
+/// One event on one line.
+fn event_text(event: &Event) -> String {
+    let inputs: Vec<String> = event
+        .inputs
+        .iter()
+        .map(|input| format!("{}={}", input.name, input.value))
+        .collect();
+    let mut text = format!(
+        "{} node {} {:<13} {}: {}",
+        clock_text(event.at_unix_ms),
+        event.node,
+        event.kind.to_string(),
+        event.subject,
+        event.reason
+    );
+    if !inputs.is_empty() {
+        text.push_str(&format!(" [{}]", inputs.join(" ")));
+    }
+    text
+}
+
+/// Time of day in UTC.
+fn clock_text(at_unix_ms: u64) -> String {
+    const DAY: u64 = 86_400_000;
+    let millis = at_unix_ms % DAY;
+    let (seconds, rest) = (millis / 1000, millis % 1000);
+    let (hours, minutes) = (seconds / 3600, seconds / 60 % 60);
+    format!("{hours:02}:{minutes:02}:{:02}.{rest:03}", seconds % 60)
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,54 @@
-//! The molespan command line.
+//! The `molespan` command line, for operators and callers.
+//!
+//! Every command talks to the HTTP interface of a gateway. Nothing it sends is
+//! harmed by sending it again: plans change nothing, confirmations are known
+//! by their number and jobs by their key. So a call whose answer is lost goes
+//! to the next gateway of the list.
+
+mod client;
+mod commands;
+mod console;
+mod error;
+mod flags;
+mod gateways;
+mod intent;
+mod rows;
+mod table;
+
+use std::process::ExitCode;
+
+use async_io::block_on;
+
+pub use client::{Call, Client};
+pub use console::Console;
+pub use error::{CliError, ExitStatus};
+pub use flags::Molespan;
+pub use gateways::{GATEWAY_VARIABLE, gateway_addresses};
+pub use intent::{Edit, Intent, apply_edits, parse_intent};
+pub use rows::{kind_columns, table_of};
+pub use table::Table;
+
+/// Runs the command that the process was started with.
+#[must_use]
+pub fn run_from_environment() -> ExitCode {
+    let flags = match Molespan::from_env() {
+        Ok(flags) => flags,
+        Err(error) if error.is_help() => {
+            println!("{error}");
+            return ExitStatus::Success.into();
+        }
+        Err(error) => {
+            eprintln!("molespan: {error}");
+            eprintln!("molespan --help names every command");
+            return ExitStatus::Usage.into();
+        }
+    };
+    let mut console = Console::standard(flags.json);
+    match block_on(commands::run(flags, &mut console)) {
+        Ok(status) => status.into(),
+        Err(error) => {
+            eprintln!("molespan: {error}");
+            error.status().into()
+        }
+    }
+}
