--- /dev/null
+++ b/crates/bench/src/run/load/batch.rs
@@ -0,0 +1,268 @@
+//! Submits heaps of batch jobs and follows their progress.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+
+use super::job_client::{JobClient, JobSummary};
+use super::online::LoadContext;
+use super::schedule::JobArrival;
+use crate::run::account::{CallOutcome, JobItems, JobResults, ResultLine};
+
+/// Time between two looks at the progress of all jobs.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause before a submission or read is made again.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Times that a submission or read is made.
+const MAX_TRIES: u32 = 40;
+
+/// Items completed by a moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ProgressSample {
+    /// Moment since the start of the load.
+    pub at: Duration,
+    /// Items of all jobs that have their answer.
+    pub completed: u64,
+}
+
+/// A job that was accepted.
+#[derive(Clone)]
+struct SubmittedJob {
+    id: String,
+    zone: usize,
+    items: Arc<JobItems>,
+    completed: u64,
+    ended: bool,
+    cancelled: bool,
+}
+
+#[derive(Default)]
+struct BatchState {
+    jobs: Vec<SubmittedJob>,
+    samples: Vec<ProgressSample>,
+    incidents: Vec<String>,
+}
+
+/// All batch jobs of an arm.
+pub struct BatchLoad {
+    context: Arc<LoadContext>,
+    client: JobClient,
+    state: Mutex<BatchState>,
+}
+
+/// What remains of a batch load at its end.
+#[derive(Default)]
+pub struct BatchReport {
+    /// Results of each job, checked.
+    pub jobs: Vec<JobResults>,
+    /// Progress over time.
+    pub samples: Vec<ProgressSample>,
+    /// What went wrong outside of single items.
+    pub incidents: Vec<String>,
+}
+
+impl BatchLoad {
+    /// A load without jobs.
+    #[must_use]
+    pub fn new(context: Arc<LoadContext>, client: JobClient) -> Self {
+        Self {
+            context,
+            client,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Submits jobs at their times.
+    pub async fn submit_all(&self, arrivals: Vec<JobArrival>) {
+        for (number, arrival) in arrivals.into_iter().enumerate() {
+            Timer::at(self.context.start + arrival.at).await;
+            self.submit(&arrival, number as u64).await;
+        }
+    }
+
+    /// Looks at the progress of all jobs for ever.
+    pub async fn keep_watching(&self) {
+        loop {
+            self.look().await;
+            Timer::after(PROGRESS_INTERVAL).await;
+        }
+    }
+
+    /// Waits until every job has ended, at most until `deadline`; then cancels
+    /// those that are left and waits for the cancellations. Reads and checks
+    /// all results.
+    pub async fn finish(self, deadline: Instant, cancel_deadline: Instant) -> BatchReport {
+        self.wait_for_end(deadline).await;
+        for position in self.open_jobs() {
+            self.cancel(position).await;
+        }
+        self.wait_for_end(cancel_deadline).await;
+        let mut report = BatchReport::default();
+        let jobs = self.lock().jobs.clone();
+        for job in jobs {
+            let lines = self.results(&job).await;
+            let cancelled = job.cancelled;
+            let items = Arc::unwrap_or_clone(job.items);
+            report
+                .jobs
+                .push(JobResults::check(items, &lines, cancelled));
+        }
+        let mut state = self.lock();
+        report.samples = std::mem::take(&mut state.samples);
+        report.incidents = std::mem::take(&mut state.incidents);
+        report
+    }
+
+    /// Submits one job until a gateway accepts it, always under the same key.
+    async fn submit(&self, arrival: &JobArrival, number: u64) {
+        let items = Arc::new(self.items(arrival, number));
+        let key = self.context.prompts.key("job", number);
+        let service = self.context.profile.fleet.service.as_str();
+        for attempt in 0..MAX_TRIES {
+            let gateway = self
+                .context
+                .steering
+                .gateway(arrival.zone + attempt as usize);
+            match self.client.submit(gateway, service, &key, &items).await {
+                Ok(summary) => return self.accepted(summary, arrival.zone, items),
+                Err(outcome) => self.incident("job submission", &outcome),
+            }
+            Timer::after(RETRY_PAUSE).await;
+        }
+        self.lock()
+            .incidents
+            .push("job was never accepted".to_owned());
+    }
+
+    fn items(&self, arrival: &JobArrival, number: u64) -> JobItems {
+        let load = &self.context.profile.batch;
+        let kind = format!("job {number} item");
+        let prompts = (0..arrival.items).map(|item| {
+            let prompts = &self.context.prompts;
+            prompts.single(&kind, u64::from(item), load.prompt_tokens)
+        });
+        JobItems {
+            prompts: prompts.collect(),
+            answer_tokens: load.answer_tokens,
+            repeatable: arrival.repeatable,
+        }
+    }
+
+    fn accepted(&self, summary: JobSummary, zone: usize, items: Arc<JobItems>) {
+        self.lock().jobs.push(SubmittedJob {
+            id: summary.id,
+            zone,
+            items,
+            completed: 0,
+            ended: false,
+            cancelled: false,
+        });
+    }
+
+    /// Reads the progress of every open job and records the sum.
+    async fn look(&self) {
+        for position in self.open_jobs() {
+            let (id, zone) = self.job(position);
+            let gateway = self.context.steering.gateway(zone);
+            if let Ok(summary) = self.client.status(gateway, &id).await {
+                let mut state = self.lock();
+                let job = &mut state.jobs[position];
+                job.completed = job.completed.max(summary.completed);
+                job.ended = summary.has_ended();
+            }
+        }
+        let mut state = self.lock();
+        let completed = state.jobs.iter().map(|job| job.completed).sum();
+        let at = self.context.start.elapsed();
+        state.samples.push(ProgressSample { at, completed });
+    }
+
+    async fn wait_for_end(&self, deadline: Instant) {
+        loop {
+            self.look().await;
+            if self.open_jobs().is_empty() || Instant::now() >= deadline {
+                return;
+            }
+            Timer::after(PROGRESS_INTERVAL).await;
+        }
+    }
+
+    async fn cancel(&self, position: usize) {
+        let (id, zone) = self.job(position);
+        for attempt in 0..MAX_TRIES {
+            let gateway = self.context.steering.gateway(zone + attempt as usize);
+            match self.client.cancel(gateway, &id).await {
+                Ok(_) => {
+                    self.lock().jobs[position].cancelled = true;
+                    return;
+                }
+                Err(outcome) => self.incident("job cancellation", &outcome),
+            }
+            Timer::after(RETRY_PAUSE).await;
+        }
+    }
+
+    /// All results of a job, read from another gateway than it was submitted
+    /// to.
+    async fn results(&self, job: &SubmittedJob) -> Vec<ResultLine> {
+        for attempt in 0..MAX_TRIES {
+            let zone = job.zone + 1 + attempt as usize;
+            let gateway = self.context.steering.gateway(zone);
+            match self.client.results(gateway, &job.id).await {
+                Ok(lines) => return lines,
+                Err(outcome) => self.incident("job results", &outcome),
+            }
+            Timer::after(RETRY_PAUSE).await;
+        }
+        Vec::new()
+    }
+
+    fn open_jobs(&self) -> Vec<usize> {
+        let state = self.lock();
+        let jobs = state.jobs.iter().enumerate();
+        jobs.filter(|(_, job)| !job.ended)
+            .map(|(position, _)| position)
+            .collect()
+    }
+
+    fn job(&self, position: usize) -> (String, usize) {
+        let state = self.lock();
+        let job = &state.jobs[position];
+        (job.id.clone(), job.zone)
+    }
+
+    fn incident(&self, what: &str, outcome: &CallOutcome) {
+        let text = format!("{what} {}, made again", outcome.label());
+        self.lock().incidents.push(text);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BatchState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Items completed a second between `from` and `until`, interpolated between
+/// the samples around both.
+#[must_use]
+pub fn items_per_second(samples: &[ProgressSample], from: Duration, until: Duration) -> f64 {
+    let length = until.saturating_sub(from).as_secs_f64();
+    if length <= 0.0 {
+        return 0.0;
+    }
+    (completed_at(samples, until) - completed_at(samples, from)) / length
+}
+
+fn completed_at(samples: &[ProgressSample], at: Duration) -> f64 {
+    let position = samples.partition_point(|sample| sample.at <= at);
+    let before = position.checked_sub(1).map(|before| samples[before]);
+    match (before, samples.get(position)) {
+        (None, _) => 0.0,
+        (Some(last), None) => last.completed as f64,
+        (Some(before), Some(after)) => {
+            let span = (after.at - before.at).as_secs_f64();
+            let share = (at - before.at).as_secs_f64() / span.max(f64::MIN_POSITIVE);
+            before.completed as f64 + share * (after.completed - before.completed) as f64
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/run/load/caller.rs
@@ -0,0 +1,311 @@
+//! One call over HTTP, timed and checked.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use futures_lite::future;
+use molespan_emulator::application::{EchoBody, echo_digest};
+use molespan_emulator::engine::AnswerText;
+use molespan_engine_api::{
+    COMPLETIONS_PATH, CompletionChunk, CompletionRequest, ErrorBody, IDEMPOTENCY_KEY_HEADER,
+    REPEATABLE_HEADER, TENANT_HEADER,
+};
+use molespan_http::{
+    BodyError, ClientResponse, EventError, Method, Pool, Request, SendError, json_body, new_request,
+};
+use molespan_types::{Digest, RunOutcome, digest_of};
+
+use crate::run::account::CallOutcome;
+
+/// Longest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+/// A caller that has no final answer by then counts its request as lost.
+const CALLER_PATIENCE: Duration = Duration::from_secs(60);
+
+/// A streamed completion to ask for.
+#[derive(Clone, Debug)]
+pub struct CompletionCall {
+    /// Service towards a gateway, or model towards an engine.
+    pub model: String,
+    /// Prompt.
+    pub prompt: String,
+    /// Tokens of the answer.
+    pub max_tokens: u32,
+    /// Tenant of the caller.
+    pub tenant: String,
+    /// Key of a request that may not be repeated.
+    pub once_key: Option<String>,
+}
+
+/// An application call.
+#[derive(Clone, Debug)]
+pub struct ApplicationCall {
+    /// What stands before the application's own path; empty for a direct call.
+    pub prefix: String,
+    /// The application's own path.
+    pub path: String,
+    /// Body.
+    pub body: String,
+    /// Tenant of the caller.
+    pub tenant: String,
+}
+
+impl ApplicationCall {
+    /// Digest under which the back end records the run.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        echo_digest("POST", &self.path, self.body.as_bytes())
+    }
+}
+
+/// A call that ended. Times count from the intended time of the call.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    /// Digest under which the back ends record the run.
+    pub prompt: Digest,
+    /// When the first token came, for completions.
+    pub first_token: Option<Duration>,
+    /// When the end came.
+    pub whole: Duration,
+    /// Gaps between tokens.
+    pub token_gaps: Vec<Duration>,
+    /// How it ended.
+    pub outcome: CallOutcome,
+}
+
+/// What a stream brought so far.
+#[derive(Default)]
+struct StreamProgress {
+    first_token: Option<Duration>,
+    last_token: Option<Instant>,
+    token_gaps: Vec<Duration>,
+    next_offset: u32,
+}
+
+/// Makes calls over a pool of connections.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    pool: Pool,
+}
+
+impl Caller {
+    /// A caller over `pool`.
+    #[must_use]
+    pub fn new(pool: Pool) -> Self {
+        Self { pool }
+    }
+
+    /// Streams a completion from `address`; `intended` is when the call should
+    /// have begun.
+    pub async fn stream(
+        &self,
+        address: SocketAddr,
+        call: &CompletionCall,
+        intended: Instant,
+    ) -> CallRecord {
+        let mut progress = StreamProgress::default();
+        let streaming = self.stream_into(address, call, intended, &mut progress);
+        let outcome = patiently(streaming).await;
+        CallRecord {
+            prompt: digest_of(call.prompt.as_bytes()),
+            first_token: progress.first_token,
+            whole: intended.elapsed(),
+            token_gaps: progress.token_gaps,
+            outcome,
+        }
+    }
+
+    /// Calls an application at `address`.
+    pub async fn application(
+        &self,
+        address: SocketAddr,
+        call: &ApplicationCall,
+        intended: Instant,
+    ) -> CallRecord {
+        let outcome = patiently(self.application_outcome(address, call)).await;
+        CallRecord {
+            prompt: call.digest(),
+            first_token: None,
+            whole: intended.elapsed(),
+            token_gaps: Vec::new(),
+            outcome,
+        }
+    }
+
+    async fn stream_into(
+        &self,
+        address: SocketAddr,
+        call: &CompletionCall,
+        intended: Instant,
+        progress: &mut StreamProgress,
+    ) -> CallOutcome {
+        let request = match completion_request(address, call) {
+            Ok(request) => request,
+            Err(error) => return unsent(&error),
+        };
+        let response = match self.pool.send(address, request).await {
+            Ok(response) => response,
+            Err(error) => return unsent(&error),
+        };
+        if !response.status().is_success() {
+            return refusal(response).await;
+        }
+        let answer = AnswerText::of_prompt(&call.prompt);
+        let mut events = response.events();
+        loop {
+            match events.next().await {
+                Ok(Some(event)) => {
+                    let checked =
+                        check_event(&event.data, answer, call.max_tokens, progress.next_offset);
+                    if let Err(outcome) = checked {
+                        return outcome;
+                    }
+                    progress.token(intended);
+                }
+                Ok(None) if progress.next_offset == call.max_tokens => {
+                    return CallOutcome::Completed;
+                }
+                Ok(None) => return corrupted("the stream ended as whole before its last token"),
+                Err(error) => return broken_stream(&error),
+            }
+        }
+    }
+
+    async fn application_outcome(
+        &self,
+        address: SocketAddr,
+        call: &ApplicationCall,
+    ) -> CallOutcome {
+        let path = format!("{}{}", call.prefix, call.path);
+        let mut request = match new_request(Method::Post, address, &path) {
+            Ok(request) => request,
+            Err(error) => return unsent(&error),
+        };
+        request.insert_header(TENANT_HEADER, &call.tenant);
+        request.set_body(call.body.as_str());
+        let response = match self.pool.send(address, request).await {
+            Ok(response) => response,
+            Err(error) => return unsent(&error),
+        };
+        if !response.status().is_success() {
+            return refusal(response).await;
+        }
+        match response.json::<EchoBody>(MAX_ANSWER_BYTES).await {
+            Ok(echo) if echo.digest == call.digest() => CallOutcome::Completed,
+            Ok(_) => corrupted("the answer echoes another request"),
+            Err(BodyError::Json(_)) => corrupted("the answer is not an echo"),
+            Err(error) => lost(&error),
+        }
+    }
+}
+
+impl StreamProgress {
+    fn token(&mut self, intended: Instant) {
+        let now = Instant::now();
+        match self.last_token {
+            Some(last) => self.token_gaps.push(now - last),
+            None => self.first_token = Some(now - intended),
+        }
+        self.last_token = Some(now);
+        self.next_offset += 1;
+    }
+}
+
+/// The HTTP request of a completion.
+fn completion_request(address: SocketAddr, call: &CompletionCall) -> Result<Request, SendError> {
+    let mut request = new_request(Method::Post, address, COMPLETIONS_PATH)?;
+    request.insert_header(TENANT_HEADER, &call.tenant);
+    if let Some(key) = &call.once_key {
+        request.insert_header(REPEATABLE_HEADER, "false");
+        request.insert_header(IDEMPOTENCY_KEY_HEADER, key);
+    }
+    request.set_body(json_body(&CompletionRequest {
+        model: call.model.clone(),
+        prompt: call.prompt.clone(),
+        max_tokens: call.max_tokens,
+        stream: true,
+        adapter: None,
+    }));
+    Ok(request)
+}
+
+/// Checks one event of a stream: the next token of the right answer, or a
+/// typed error that ends the stream.
+fn check_event(
+    data: &str,
+    answer: AnswerText,
+    max_tokens: u32,
+    next_offset: u32,
+) -> Result<(), CallOutcome> {
+    if let Ok(error) = serde_json::from_str::<ErrorBody>(data) {
+        return Err(CallOutcome::Refused {
+            code: error.error.code,
+            outcome: error.error.outcome,
+        });
+    }
+    let Ok(chunk) = serde_json::from_str::<CompletionChunk>(data) else {
+        return Err(corrupted("an event is not a chunk of an answer"));
+    };
+    if chunk.offset != next_offset || next_offset >= max_tokens {
+        return Err(corrupted("a token came twice or is missing"));
+    }
+    if chunk.text != answer.token(chunk.offset) {
+        return Err(corrupted("a token belongs to another prompt"));
+    }
+    Ok(())
+}
+
+/// The outcome behind a response that is not a success.
+pub(super) async fn refusal(response: ClientResponse) -> CallOutcome {
+    let status = u16::from(response.status());
+    match response.json::<ErrorBody>(MAX_ANSWER_BYTES).await {
+        Ok(body) => CallOutcome::Refused {
+            code: body.error.code,
+            outcome: body.error.outcome,
+        },
+        Err(BodyError::Json(_)) => CallOutcome::Refused {
+            code: format!("untyped status {status}"),
+            outcome: RunOutcome::Unknown,
+        },
+        Err(error) => lost(&error),
+    }
+}
+
+/// The outcome behind a request without a response.
+pub(super) fn unsent(error: &SendError) -> CallOutcome {
+    match error {
+        SendError::NotSent(cause) => CallOutcome::NotSent {
+            cause: cause.to_string(),
+        },
+        SendError::Ambiguous(cause) => lost(cause),
+    }
+}
+
+fn broken_stream(error: &EventError) -> CallOutcome {
+    match error {
+        EventError::Malformed => corrupted("an event is malformed"),
+        other => lost(other),
+    }
+}
+
+fn lost(cause: &impl std::fmt::Display) -> CallOutcome {
+    CallOutcome::Lost {
+        cause: cause.to_string(),
+    }
+}
+
+fn corrupted(detail: &str) -> CallOutcome {
+    CallOutcome::Corrupted {
+        detail: detail.to_owned(),
+    }
+}
+
+/// The outcome of `call`, or `Lost` when the caller's patience ends first.
+async fn patiently(call: impl Future<Output = CallOutcome>) -> CallOutcome {
+    let patience = async {
+        Timer::after(CALLER_PATIENCE).await;
+        lost(&"no final answer within the caller's patience")
+    };
+    future::or(call, patience).await
+}
--- /dev/null
+++ b/crates/bench/src/run/load/schedule.rs
@@ -0,0 +1,170 @@
+//! Arrival times, fixed before the load starts.
+//!
+//! The load is an open loop: an arrival waits for no answer. Each latency is
+//! measured from the intended time of the arrival, so that a generator or
+//! server that falls behind shows in the figures (coordinated omission).
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::run::profile::{ApplicationLoad, BatchLoad, OnlineLoad};
+
+/// Offset of the seeds of the separate streams, so that a change of one does
+/// not move the others.
+const APPLICATION_STREAM: u64 = 1;
+const BATCH_STREAM: u64 = 2;
+
+/// Kind of an online request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OnlineKind {
+    /// One picture or hint: a short prompt.
+    Short,
+    /// A whole album or practical: a prompt that begins with the prefix of
+    /// that number.
+    Album(u32),
+}
+
+/// One online request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OnlineArrival {
+    /// Intended time since the start of the load.
+    pub at: Duration,
+    /// Kind.
+    pub kind: OnlineKind,
+    /// Zone of the caller, by position.
+    pub zone: usize,
+    /// Whether it may be repeated.
+    pub repeatable: bool,
+}
+
+/// One application call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ApplicationArrival {
+    /// Intended time since the start of the load.
+    pub at: Duration,
+    /// Zone of the caller, by position.
+    pub zone: usize,
+}
+
+/// One batch job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobArrival {
+    /// Intended time since the start of the load.
+    pub at: Duration,
+    /// Zone of the submitter, by position.
+    pub zone: usize,
+    /// Items.
+    pub items: u32,
+    /// Whether its items may be repeated.
+    pub repeatable: bool,
+}
+
+/// The online requests of `length`, in the order of their times.
+#[must_use]
+pub fn online_arrivals(
+    load: &OnlineLoad,
+    zones: usize,
+    length: Duration,
+    seed: u64,
+) -> Vec<OnlineArrival> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut times = poisson_times(load.steady_per_second, length, &mut random);
+    times.extend(burst_times(load, length, &mut random));
+    times.sort_unstable();
+    times
+        .into_iter()
+        .map(|at| OnlineArrival {
+            at,
+            kind: online_kind(load, &mut random),
+            zone: random.random_range(0..zones),
+            repeatable: !random.random_bool(load.unrepeatable_share),
+        })
+        .collect()
+}
+
+/// The application calls of `length`, in the order of their times.
+#[must_use]
+pub fn application_arrivals(
+    load: &ApplicationLoad,
+    zones: usize,
+    length: Duration,
+    seed: u64,
+) -> Vec<ApplicationArrival> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.wrapping_add(APPLICATION_STREAM));
+    poisson_times(load.per_second, length, &mut random)
+        .into_iter()
+        .map(|at| ApplicationArrival {
+            at,
+            zone: random.random_range(0..zones),
+        })
+        .collect()
+}
+
+/// The batch jobs of `length`: a heap at once, then one every interval.
+#[must_use]
+pub fn job_arrivals(
+    load: &BatchLoad,
+    items_per_job: u32,
+    zones: usize,
+    length: Duration,
+    seed: u64,
+) -> Vec<JobArrival> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.wrapping_add(BATCH_STREAM));
+    let mut jobs = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < length {
+        for _ in 0..load.jobs_per_heap {
+            jobs.push(JobArrival {
+                at,
+                zone: random.random_range(0..zones),
+                items: items_per_job,
+                repeatable: !random.random_bool(load.unrepeatable_share),
+            });
+        }
+        at += load.heap_every;
+    }
+    jobs
+}
+
+/// Times of a Poisson process.
+fn poisson_times(per_second: f64, length: Duration, random: &mut ChaCha8Rng) -> Vec<Duration> {
+    let mut times = Vec::new();
+    if per_second <= 0.0 {
+        return times;
+    }
+    let mut at = 0.0;
+    loop {
+        let uniform: f64 = random.random();
+        at -= (1.0 - uniform).ln() / per_second;
+        if at >= length.as_secs_f64() {
+            return times;
+        }
+        times.push(Duration::from_secs_f64(at));
+    }
+}
+
+/// Times within bursts.
+fn burst_times(load: &OnlineLoad, length: Duration, random: &mut ChaCha8Rng) -> Vec<Duration> {
+    let mut times = Vec::new();
+    let mut start = load.burst_every.mul_f64(random.random_range(0.2..0.7));
+    while start < length {
+        for _ in 0..load.burst_requests {
+            let at = start + load.burst_within.mul_f64(random.random());
+            if at < length {
+                times.push(at);
+            }
+        }
+        start += load.burst_every.mul_f64(random.random_range(0.5..1.5));
+    }
+    times
+}
+
+fn online_kind(load: &OnlineLoad, random: &mut ChaCha8Rng) -> OnlineKind {
+    if random.random_bool(load.album_share) {
+        OnlineKind::Album(random.random_range(0..load.albums))
+    } else {
+        OnlineKind::Short
+    }
+}
--- a/crates/bench/src/run/mod.rs
+++ b/crates/bench/src/run/mod.rs
@@ -1,5 +1,9 @@
 //! The experiment: a fleet of real processes under load, in several arms.
 
+pub mod account;
+pub mod load;
+pub mod profile;
+
 use std::path::PathBuf;
 
 use crate::BenchError;
