--- /dev/null
+++ b/crates/routing/tests/check.rs
@@ -0,0 +1,199 @@
+//! Answers that are late, crossed, truncated or doubled.
+
+use molespan_engine_api::{CompletionChunk, FinishReason};
+use molespan_routing::retry::{ResponseError, StreamCheck, check_attempt, check_length};
+use molespan_types::AttemptId;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const OWN: AttemptId = AttemptId {
+    node: 1,
+    sequence: 10,
+};
+const OTHER: AttemptId = AttemptId {
+    node: 1,
+    sequence: 11,
+};
+
+fn chunk(id: AttemptId, offset: u32, last: bool) -> CompletionChunk {
+    CompletionChunk {
+        id: id.to_string(),
+        offset,
+        text: format!(" w{offset}"),
+        finish_reason: last.then_some(FinishReason::Length),
+        usage: None,
+    }
+}
+
+fn answer(tokens: u32, from: u32) -> Vec<CompletionChunk> {
+    (from..tokens)
+        .map(|offset| chunk(OWN, offset, offset + 1 == tokens))
+        .collect()
+}
+
+/// Chunks that may be passed on, and how the stream ended.
+fn follow(
+    chunks: &[CompletionChunk],
+    from: u32,
+    terminated: bool,
+) -> (usize, Result<(), ResponseError>) {
+    let mut check = StreamCheck::new(OWN, from);
+    for (position, chunk) in chunks.iter().enumerate() {
+        if let Err(error) = check.chunk(chunk) {
+            return (position, Err(error));
+        }
+    }
+    if terminated {
+        check.terminator();
+    }
+    (chunks.len(), check.end())
+}
+
+#[test]
+fn attempts_and_lengths() {
+    let own = OWN.to_string();
+    let other = OTHER.to_string();
+    assert_eq!(check_attempt(OWN, Some(&own)), Ok(()));
+    assert_eq!(check_attempt(OWN, None), Err(ResponseError::NoAttempt));
+    let crossed = ResponseError::CrossedAttempt {
+        echoed: other.clone(),
+    };
+    assert_eq!(check_attempt(OWN, Some(&other)), Err(crossed));
+    // A longer text that begins with the attempt is another attempt.
+    assert!(check_attempt(OWN, Some(&format!("{own}0"))).is_err());
+
+    let wrong = |declared, received| Err(ResponseError::WrongLength { declared, received });
+    let cases = [
+        (Some(5), 5, false, Ok(())),
+        (Some(5), 4, true, wrong(5, 4)),
+        (Some(5), 6, true, wrong(5, 6)),
+        (Some(0), 0, false, Ok(())),
+        (None, 9, true, Ok(())),
+        (None, 9, false, Err(ResponseError::NoEnd { tokens: 0 })),
+    ];
+    for (declared, received, terminated, expected) in cases {
+        assert_eq!(check_length(declared, received, terminated), expected);
+    }
+}
+
+#[test]
+fn streams_and_their_faults() {
+    let whole = answer(4, 0);
+    let without = |position: usize| {
+        let mut chunks = whole.clone();
+        chunks.remove(position);
+        chunks
+    };
+    let doubled = [&whole[..2], &whole[1..]].concat();
+    let after_end = [&whole[..], &whole[3..]].concat();
+    let crossed = [&whole[..2], &[chunk(OTHER, 2, false)]].concat();
+    let gap = |expected, offset| ResponseError::WrongOffset { expected, offset };
+    let no_end = |tokens| ResponseError::NoEnd { tokens };
+    let cases = [
+        ("first lost", without(0), true, 0, gap(0, 1)),
+        ("one lost", without(2), true, 2, gap(2, 3)),
+        ("last lost", without(3), true, 3, no_end(3)),
+        ("cut off", whole[..2].to_vec(), false, 2, no_end(2)),
+        ("end not marked", whole.clone(), false, 4, no_end(4)),
+        ("doubled", doubled, true, 2, gap(2, 1)),
+        ("goes on", after_end, true, 4, ResponseError::AfterEnd),
+        (
+            "crossed",
+            crossed,
+            true,
+            2,
+            ResponseError::CrossedAttempt {
+                echoed: OTHER.to_string(),
+            },
+        ),
+        ("nothing", Vec::new(), true, 0, no_end(0)),
+    ];
+    for (name, chunks, terminated, passed, error) in cases {
+        let expected = (passed, Err(error));
+        assert_eq!(follow(&chunks, 0, terminated), expected, "{name}");
+    }
+    assert_eq!(follow(&whole, 0, true), (4, Ok(())));
+}
+
+#[test]
+fn a_resumed_stream_starts_where_it_was_left() {
+    let mut check = StreamCheck::new(OWN, 2);
+    assert!(check.chunk(&chunk(OWN, 1, false)).is_err());
+    assert!(check.chunk(&chunk(OWN, 2, false)).is_ok());
+    assert_eq!(check.next_offset(), 3);
+    assert!(check.chunk(&chunk(OWN, 3, true)).is_ok());
+    check.terminator();
+    assert_eq!(
+        check.chunk(&chunk(OWN, 4, false)),
+        Err(ResponseError::AfterEnd)
+    );
+    assert_eq!(check.end(), Ok(()));
+}
+
+/// What goes wrong with a stream on its way.
+#[derive(Clone, Debug)]
+enum Fault {
+    Drop(usize),
+    Double(usize),
+    Swap(usize),
+    Cross(usize),
+    Cut(usize),
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let position = 0_usize..16;
+    prop_oneof![
+        position.clone().prop_map(Fault::Drop),
+        position.clone().prop_map(Fault::Double),
+        position.clone().prop_map(Fault::Swap),
+        position.clone().prop_map(Fault::Cross),
+        position.prop_map(Fault::Cut),
+    ]
+}
+
+fn apply(chunks: &mut Vec<CompletionChunk>, fault: &Fault) {
+    let length = chunks.len();
+    if length == 0 {
+        return;
+    }
+    match fault {
+        Fault::Drop(position) => drop(chunks.remove(position % length)),
+        Fault::Double(position) => {
+            chunks.insert(position % length, chunks[position % length].clone())
+        }
+        Fault::Swap(position) => chunks.swap(position % length, (position + 1) % length),
+        Fault::Cross(position) => chunks[position % length].id = OTHER.to_string(),
+        Fault::Cut(position) => chunks.truncate(position % length),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(3),
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever happens on the way, what is passed on is a prefix of the
+    /// answer, and only the whole answer counts as whole.
+    #[test]
+    fn only_the_own_answer_is_passed_on(
+        tokens in 1_u32..12,
+        skipped in 0_u32..12,
+        faults in prop::collection::vec(fault(), 0..3),
+        terminated: bool,
+    ) {
+        let from = skipped.min(tokens - 1);
+        let truth = answer(tokens, from);
+        let mut chunks = truth.clone();
+        for fault in &faults {
+            apply(&mut chunks, fault);
+        }
+        let (passed, end) = follow(&chunks, from, terminated);
+        prop_assert!(passed <= truth.len());
+        prop_assert_eq!(&chunks[..passed], &truth[..passed]);
+        let whole = chunks == truth && terminated;
+        prop_assert_eq!(end.is_ok(), whole);
+    }
+}
