Never take a failed resume or "never seen" for proof of not run

Cause: once an attempt had broken after bytes of it left, a try to resume it that was not sent, or that a restarted engine answered with "not run", led to a second dispatch, also of a request that may run once, and a failure after that was called not run. "Never seen" was taken as proof as well, though the bytes may still lie in the engine's socket (a frozen engine answers the question before it reads them).

Ruled out: trusting "never seen" after a pause; a freeze has no bound.

Change: an attempt whose bytes may have left is in doubt until its answer comes. A resume that was not sent counts as broken, "not run" in answer to a resume as ambiguous, "never seen" is asked again and then ambiguous. The outcome is unknown while an attempt is out.

--- a/crates/routing/src/retry/request_state.rs
+++ b/crates/routing/src/retry/request_state.rs
@@ -230,10 +230,9 @@
                 self.phase = Phase::Ended;
                 NextStep::Done
             }
-            AttemptEnd::NotSent | AttemptEnd::DeclaredNotRun => self.not_run(now, budget),
-            AttemptEnd::Broken if self.resumes > 0 && !self.can_resume() => {
-                self.ambiguous(now, budget)
-            }
+            AttemptEnd::NotSent if self.was_sent() => self.broken(now, budget),
+            AttemptEnd::DeclaredNotRun if self.was_sent() => self.ambiguous(now, budget),
+            AttemptEnd::NotSent | AttemptEnd::DeclaredNotRun => self.retry(now, budget),
             AttemptEnd::Broken => self.broken(now, budget),
             AttemptEnd::Lost => self.ambiguous(now, budget),
         }
@@ -248,7 +247,8 @@
     ) -> NextStep {
         match answer {
             StatusAnswer::Present => self.resume().unwrap_or_else(|| self.fail_unknown()),
-            StatusAnswer::NeverSeen => self.not_run(now, budget),
+            // Its bytes may still be on their way, so this is no proof.
+            StatusAnswer::NeverSeen => self.ask().unwrap_or_else(|| self.ambiguous(now, budget)),
             StatusAnswer::Cancelled | StatusAnswer::OtherLife => self.ambiguous(now, budget),
             StatusAnswer::NoAnswer => self.ask().unwrap_or_else(|| self.fail_unknown()),
         }
@@ -257,20 +257,18 @@
     /// Whether the request ran, as far as is known now.
     #[must_use]
     pub fn outcome(&self) -> RunOutcome {
-        if self.may_have_run {
+        let in_doubt = matches!(self.phase, Phase::Dispatched | Phase::Asking);
+        if self.may_have_run || in_doubt {
             RunOutcome::Unknown
         } else {
             RunOutcome::NotRun
         }
     }
 
-    /// The attempt did not run. A resumed one that had tokens did, whatever is
-    /// said of it now.
-    fn not_run(&mut self, now: Timestamp, budget: &mut RetryBudget) -> NextStep {
-        if self.passed > 0 {
-            return self.ambiguous(now, budget);
-        }
-        self.retry(now, budget)
+    /// Whether bytes of the current attempt may have left, so that a failure to
+    /// reach its answer says nothing about whether it ran.
+    fn was_sent(&self) -> bool {
+        self.passed > 0 || self.resumes > 0 || self.questions > 0
     }
 
     /// The attempt may have run.
@@ -279,6 +277,10 @@
         if !enabled(Mechanism::TruthfulNotRun) {
             return self.retry(now, budget);
         }
+        self.may_have_run = true;
+        if self.resumes > 0 && !self.can_resume() {
+            return self.ambiguous(now, budget);
+        }
         let asks_first = !self.kind.repeatable && self.passed == 0;
         let next = if asks_first {
             self.ask()
