--- a/crates/routing/src/admission/mod.rs
+++ b/crates/routing/src/admission/mod.rs
@@ -134,15 +134,17 @@
         self.services.retain(|name, service| {
             let kept = services.contains_key(name);
             if !kept {
-                outputs.extend(service.refuse_all(RefusalCode::UnknownService));
+                outputs.extend(service.refuse_all(RefusalCode::UnknownService, &self.settings));
             }
             kept
         });
         let assumed = self.settings.assumed_service_time;
         for (name, limits) in services {
+            let permits = self.permits.values();
+            let running = permits.filter(|permit| permit.service == name).count();
             self.services
                 .entry(name)
-                .or_insert_with(|| Service::new(limits.clone(), assumed))
+                .or_insert_with(|| Service::new(limits.clone(), assumed, running as u32))
                 .set_limits(limits);
         }
         self.note_queue_exits(&outputs);
@@ -183,7 +185,7 @@
         let ticket = Ticket(self.last_ticket + 1);
         self.last_ticket = ticket.0;
         if service.can_start() {
-            service.start();
+            service.start(now);
             self.permits.insert(
                 ticket,
                 Permit {
@@ -211,7 +213,7 @@
             return Vec::new();
         };
         let took = ran.then(|| now.since(permit.admitted));
-        service.finish(took);
+        service.finish(now, took);
         self.start_waiting(now, &permit.service)
     }
 
@@ -249,7 +251,7 @@
     pub fn refuse_waiting(&mut self, code: RefusalCode) -> Vec<AdmissionOutput> {
         let mut outputs = Vec::new();
         for service in self.services.values_mut() {
-            outputs.extend(service.refuse_all(code));
+            outputs.extend(service.refuse_all(code, &self.settings));
         }
         self.note_queue_exits(&outputs);
         outputs
@@ -285,7 +287,7 @@
             let refusal = refusal.bounded(&self.settings);
             outputs.push(AdmissionOutput::Refused(waiting.ticket, refusal));
         }
-        while let Some(waiting) = service.start_next() {
+        while let Some(waiting) = service.start_next(now) {
             outputs.push(AdmissionOutput::Admitted(waiting.ticket));
             self.permits
                 .insert(waiting.ticket, permit_of(now, name, waiting));
--- a/crates/routing/src/admission/queue.rs
+++ b/crates/routing/src/admission/queue.rs
@@ -34,13 +34,14 @@
     /// for each of its own that wait, one of every other waiting tenant. That
     /// is exact for equal weights and full lanes, and never above the length.
     pub(super) fn ahead_of_new(&self, tenant: &TenantId) -> usize {
-        let own = self.lanes.get(tenant).map_or(0, |lane| lane.waiting.len());
-        self.ahead(own)
+        let tenants = self.turns.len().max(1);
+        let rounds = self.len_of(tenant) + 1;
+        rounds.saturating_mul(tenants).min(self.length)
     }
 
-    fn ahead(&self, own_ahead: usize) -> usize {
-        let tenants = self.turns.len().max(1);
-        (own_ahead + 1).saturating_mul(tenants).min(self.length)
+    /// Requests of `tenant` that wait.
+    pub(super) fn len_of(&self, tenant: &TenantId) -> usize {
+        self.lanes.get(tenant).map_or(0, |lane| lane.waiting.len())
     }
 
     pub(super) fn push(&mut self, waiting: Waiting, weight: u32) {
--- a/crates/routing/src/admission/refusal.rs
+++ b/crates/routing/src/admission/refusal.rs
@@ -6,6 +6,8 @@
 
 use super::AdmissionSettings;
 
+const NANOS_PER_MILLI: u128 = 1_000_000;
+
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
 pub enum RefusalCode {
@@ -63,11 +65,17 @@
         }
     }
 
-    /// The same with its time within the configured bounds.
+    /// The same with its time within the configured bounds, in whole
+    /// milliseconds; rounded up, so that nobody comes back too early.
     pub(super) fn bounded(self, settings: &AdmissionSettings) -> Self {
         let (shortest, longest) = (settings.shortest_retry_after, settings.longest_retry_after);
+        let retry_after = self.retry_after.map(|after| {
+            let millis = after.as_nanos().div_ceil(NANOS_PER_MILLI);
+            let whole = Duration::from_millis(u64::try_from(millis).unwrap_or(u64::MAX));
+            whole.clamp(shortest, longest)
+        });
         Self {
-            retry_after: self.retry_after.map(|after| after.clamp(shortest, longest)),
+            retry_after,
             ..self
         }
     }
--- a/crates/routing/src/admission/service.rs
+++ b/crates/routing/src/admission/service.rs
@@ -6,10 +6,13 @@
 
 use super::queue::FairQueue;
 use super::refusal::{Refusal, RefusalCode};
-use super::{AdmissionOutput, Decision, Ticket};
+use super::{AdmissionOutput, AdmissionSettings, Decision, Ticket};
 
 /// Weight of the newest completion in the smoothed service time.
 const SERVICE_TIME_WEIGHT: f64 = 0.05;
+/// Service times without any completion, while no more may start, after which
+/// the service counts as stalled.
+const STALLED_AFTER: f64 = 2.0;
 
 /// Limits of a service at one gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,16 +41,24 @@
     in_flight: u32,
     queue: FairQueue,
     service_seconds: f64,
+    /// Latest start or end of a request.
+    last_change: Timestamp,
 }
 
 impl Service {
-    pub(super) fn new(limits: ServiceLimits, assumed_service_time: Duration) -> Self {
+    /// `in_flight` requests still run from a time when it was configured before.
+    pub(super) fn new(
+        limits: ServiceLimits,
+        assumed_service_time: Duration,
+        in_flight: u32,
+    ) -> Self {
         Self {
             limits,
             capacity: u32::MAX,
-            in_flight: 0,
+            in_flight,
             queue: FairQueue::default(),
             service_seconds: assumed_service_time.as_secs_f64(),
+            last_change: Timestamp::ZERO,
         }
     }
 
@@ -82,20 +93,38 @@
         Duration::from_secs_f64(requests as f64 / per_second)
     }
 
+    /// Time lost to a stall: how long nothing ended although all that may run
+    /// did; zero unless that is far longer than a request takes.
+    fn stall(&self, now: Timestamp) -> Duration {
+        let silent = now.since(self.last_change);
+        let full = self.in_flight >= self.concurrency();
+        let stalled = full && silent.as_secs_f64() > STALLED_AFTER * self.service_seconds;
+        if stalled { silent } else { Duration::ZERO }
+    }
+
+    /// Time until a newcomer of `tenant` gets its turn.
+    fn expected_wait(&self, now: Timestamp, tenant: &TenantId) -> Duration {
+        let served_until_then = self.queue.ahead_of_new(tenant) + 1;
+        self.time_to_serve(served_until_then) + self.stall(now)
+    }
+
     pub(super) fn can_start(&self) -> bool {
         self.in_flight < self.concurrency() && self.queue.len() == 0
     }
 
-    /// Refuses a newcomer that cannot get its turn in time.
-    pub(super) fn has_room_for(&self, _now: Timestamp, tenant: &TenantId) -> Result<(), Refusal> {
+    /// Refuses a newcomer that cannot get its turn in time. A tenant may hold
+    /// as many places in the queue as are still free, so that there are always
+    /// some left for others.
+    pub(super) fn has_room_for(&self, now: Timestamp, tenant: &TenantId) -> Result<(), Refusal> {
         if self.can_start() {
             return Ok(());
         }
-        if self.queue.len() >= self.limits.max_queue as usize {
-            let wait = self.time_to_serve(self.queue.len());
+        let free = (self.limits.max_queue as usize).saturating_sub(self.queue.len());
+        if self.queue.len_of(tenant) >= free {
+            let wait = self.time_to_serve(self.queue.len()) + self.stall(now);
             return Err(Refusal::after(RefusalCode::QueueFull, wait));
         }
-        let wait = self.time_to_serve(self.queue.ahead_of_new(tenant));
+        let wait = self.expected_wait(now, tenant);
         if wait > self.limits.queue_timeout {
             let excess = wait - self.limits.queue_timeout;
             return Err(Refusal::after(RefusalCode::DeadlineUnreachable, excess));
@@ -103,8 +132,9 @@
         Ok(())
     }
 
-    pub(super) fn start(&mut self) {
+    pub(super) fn start(&mut self, now: Timestamp) {
         self.in_flight += 1;
+        self.last_change = self.last_change.max(now);
     }
 
     pub(super) fn enqueue(
@@ -114,7 +144,7 @@
         tenant: &TenantId,
         weight: u32,
     ) -> Decision {
-        let expected_wait = self.time_to_serve(self.queue.ahead_of_new(tenant));
+        let expected_wait = self.expected_wait(now, tenant);
         let waiting = Waiting {
             ticket,
             tenant: tenant.clone(),
@@ -128,8 +158,9 @@
         }
     }
 
-    pub(super) fn finish(&mut self, took: Option<Duration>) {
+    pub(super) fn finish(&mut self, now: Timestamp, took: Option<Duration>) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.last_change = self.last_change.max(now);
         if let Some(took) = took {
             let difference = took.as_secs_f64() - self.service_seconds;
             self.service_seconds += SERVICE_TIME_WEIGHT * difference;
@@ -142,11 +173,12 @@
             return Vec::new();
         }
         let per_request = self.time_to_serve(1);
+        let stall = self.stall(now);
         let removed = self.queue.remove_where(|waiting, ahead| {
-            let wait = per_request.mul_f64(ahead as f64);
+            let wait = per_request.mul_f64(ahead as f64) + stall;
             now + wait > waiting.deadline || now >= waiting.deadline
         });
-        let retry_after = self.time_to_serve(self.queue.len());
+        let retry_after = self.time_to_serve(self.queue.len()) + stall;
         let refusal = Refusal::after(RefusalCode::DeadlineUnreachable, retry_after);
         removed
             .into_iter()
@@ -155,12 +187,12 @@
     }
 
     /// Takes the next request out of the queue if there is room for it.
-    pub(super) fn start_next(&mut self) -> Option<Waiting> {
+    pub(super) fn start_next(&mut self, now: Timestamp) -> Option<Waiting> {
         if self.in_flight >= self.concurrency() {
             return None;
         }
         let waiting = self.queue.pop()?;
-        self.in_flight += 1;
+        self.start(now);
         Some(waiting)
     }
 
@@ -170,11 +202,15 @@
             .pop()
     }
 
-    pub(super) fn refuse_all(&mut self, code: RefusalCode) -> Vec<AdmissionOutput> {
+    pub(super) fn refuse_all(
+        &mut self,
+        code: RefusalCode,
+        settings: &AdmissionSettings,
+    ) -> Vec<AdmissionOutput> {
         let retry_after = self.time_to_serve(self.queue.len());
         let refusal = match code {
             RefusalCode::UnknownService => Refusal::permanent(code),
-            _ => Refusal::after(code, retry_after),
+            _ => Refusal::after(code, retry_after).bounded(settings),
         };
         self.queue
             .remove_where(|_, _| true)
