Use a shorter prefix when the longest is held by a loaded engine

Cause: only the engines that hold the longest known prefix were looked at. When they were loaded, closed or gone, the request went to a random engine although another held most of the prompt. The new test of it failed (left: None, right: Some((1, 2))).

Change: the longest prefix that is held by an engine near the least load.

--- a/crates/routing/src/pick/mod.rs
+++ b/crates/routing/src/pick/mod.rs
@@ -188,8 +188,14 @@
         let spilled = policy::keep_zone(&mut open, &self.zone, &self.settings);
         let affine = self.settings.policy == PickPolicy::Affinity;
         if affine && !request.prefix_hashes.is_empty() {
-            let holders = self.prefixes.longest_match(request.prefix_hashes);
-            if let Some(pick) = policy::affinity(&open, holders, spilled, &self.settings) {
+            let pick = policy::affinity(
+                &open,
+                &mut self.prefixes,
+                request.prefix_hashes,
+                spilled,
+                &self.settings,
+            );
+            if let Some(pick) = pick {
                 return Ok(pick);
             }
         }
--- a/crates/routing/src/pick/policy.rs
+++ b/crates/routing/src/pick/policy.rs
@@ -8,7 +8,7 @@
 
 use super::PickSettings;
 use super::engine_load::EngineLoad;
-use super::prefix::PrefixMatch;
+use super::prefix::PrefixIndex;
 use super::reason::{Considered, Pick, PickError, PickReason, PickRule};
 
 /// How engines are chosen.
@@ -107,22 +107,24 @@
     open.iter().any(|engine| engine.zone != zone)
 }
 
-/// The holder of the longest matched prefix, if its load is near the least.
+/// The holder of the longest part of the prompt among the engines whose load
+/// is near the least.
 pub(super) fn affinity(
     open: &[Open<'_>],
-    holders: Option<PrefixMatch<'_>>,
+    prefixes: &mut PrefixIndex,
+    hashes: &[u64],
     spilled: bool,
     settings: &PickSettings,
 ) -> Option<Pick> {
-    let holders = holders?;
-    let least = least_load(open);
-    let most = least * settings.affinity_factor + settings.affinity_slack;
-    let chosen = open
+    let most = least_load(open) * settings.affinity_factor + settings.affinity_slack;
+    let near: Vec<&Open<'_>> = open.iter().filter(|engine| engine.load <= most).collect();
+    let is_near = |backend| near.iter().any(|engine| engine.backend == backend);
+    let holders = prefixes.longest_match(hashes, is_near)?;
+    let chosen = near
         .iter()
         .filter(|engine| holders.contains(engine.backend))
-        .filter(|engine| engine.load <= most)
         .min_by(|a, b| a.load.total_cmp(&b.load))?;
-    let mut pick = pick_of(open, PickRule::Affinity, spilled, &[*chosen]);
+    let mut pick = pick_of(open, PickRule::Affinity, spilled, &[**chosen]);
     pick.reason.matched_blocks = holders.blocks;
     Some(pick)
 }
--- a/crates/routing/src/pick/prefix.rs
+++ b/crates/routing/src/pick/prefix.rs
@@ -91,11 +91,17 @@
         self.entries.len()
     }
 
-    /// The longest of `hashes`, shortest first, that any engine holds.
-    pub(super) fn longest_match(&mut self, hashes: &[u64]) -> Option<PrefixMatch<'_>> {
-        let position = hashes
-            .iter()
-            .rposition(|hash| self.entries.contains_key(hash))?;
+    /// The longest of `hashes`, shortest first, that some engine holds for
+    /// which `usable` says yes.
+    pub(super) fn longest_match(
+        &mut self,
+        hashes: &[u64],
+        usable: impl Fn(BackendId) -> bool,
+    ) -> Option<PrefixMatch<'_>> {
+        let position = hashes.iter().rposition(|hash| {
+            let entry = self.entries.get(hash);
+            entry.is_some_and(|entry| entry.holders.iter().any(|holder| usable(holder.backend)))
+        })?;
         let entry = self.entries.get_mut(&hashes[position])?;
         entry.used = true;
         Some(PrefixMatch {
