Count own requests on engines that are ejected meanwhile

Cause: an engine that was ejected and admitted again, or left with streams running, lost its count of own requests. Its load looked too low, and the count that its batch owner is told (Picker::own_in_flight) was wrong.

Change: an engine that may not be chosen is set aside until its last own request ended.

--- a/crates/routing/src/pick/mod.rs
+++ b/crates/routing/src/pick/mod.rs
@@ -110,6 +110,8 @@
     settings: PickSettings,
     zone: ZoneName,
     engines: BTreeMap<BackendId, EngineLoad>,
+    /// Engines that may not be chosen now and still run own requests.
+    set_aside: BTreeMap<BackendId, EngineLoad>,
     prefixes: PrefixIndex,
     rng: ChaCha8Rng,
     turn: usize,
@@ -124,6 +126,7 @@
             settings,
             zone,
             engines: BTreeMap::new(),
+            set_aside: BTreeMap::new(),
             prefixes,
             rng: ChaCha8Rng::seed_from_u64(seed),
             turn: 0,
@@ -135,22 +138,30 @@
     pub fn set_engines(&mut self, candidates: Vec<Candidate>) {
         let mut engines = BTreeMap::new();
         for candidate in candidates {
-            let known = self
-                .engines
-                .remove(&candidate.backend)
-                .filter(|engine| engine.incarnation() == candidate.incarnation);
-            if known.is_none() {
-                self.prefixes.drop_engine(candidate.backend);
+            let engine = self.engine_for(&candidate);
+            engines.insert(candidate.backend, engine);
+        }
+        let gone = std::mem::replace(&mut self.engines, engines);
+        for (backend, engine) in gone {
+            self.prefixes.drop_engine(backend);
+            if engine.own_in_flight() > 0 {
+                self.set_aside.insert(backend, engine);
             }
-            let mut engine = known.unwrap_or_else(|| EngineLoad::new(&self.settings.limit));
-            let backend = candidate.backend;
-            engine.set_candidate(candidate);
-            engines.insert(backend, engine);
         }
-        for backend in self.engines.keys() {
-            self.prefixes.drop_engine(*backend);
+    }
+
+    /// What is known of this life of an engine, with its new description.
+    fn engine_for(&mut self, candidate: &Candidate) -> EngineLoad {
+        let backend = candidate.backend;
+        let same_life = |engine: &EngineLoad| engine.incarnation() == candidate.incarnation;
+        let known = self.engines.remove(&backend).filter(same_life);
+        if known.is_none() {
+            self.prefixes.drop_engine(backend);
         }
-        self.engines = engines;
+        let known = known.or_else(|| self.set_aside.remove(&backend).filter(same_life));
+        let mut engine = known.unwrap_or_else(|| EngineLoad::new(&self.settings.limit));
+        engine.set_candidate(candidate.clone());
+        engine
     }
 
     /// Takes a load report, direct or passed on as a digest.
@@ -218,17 +229,23 @@
         started: Timestamp,
         finish: Finish,
     ) {
+        let settings = &self.settings.limit;
         if let Some(engine) = self.engines.get_mut(&backend) {
-            engine.finished(now, started, finish, &self.settings.limit);
+            engine.finished(now, started, finish, settings);
+        } else if let Some(engine) = self.set_aside.get_mut(&backend) {
+            engine.finished(now, started, finish, settings);
+            if engine.own_in_flight() == 0 {
+                self.set_aside.remove(&backend);
+            }
         }
     }
 
     /// Own requests in flight on `backend`.
     #[must_use]
     pub fn own_in_flight(&self, backend: BackendId) -> u32 {
-        self.engines
-            .get(&backend)
-            .map_or(0, EngineLoad::own_in_flight)
+        let engine = self.engines.get(&backend);
+        let engine = engine.or_else(|| self.set_aside.get(&backend));
+        engine.map_or(0, EngineLoad::own_in_flight)
     }
 
     /// Load of `backend` as a choice made now would see it, in requests.
