Compare first-byte times with prompts of the same size

Cause: the adaptive limit compared every time to the first byte with the best of all. An album takes eight times as long as a caption, so that a mix of both was a bad sign every 250 ms: the limit fell on an engine without any crowd, and the next burst was queued at the gateway.

Weighed, not tried: counting the sign only while the limit is in use; the limit would still fall in a mix that uses half of it.

Change: the best is kept by class of uncached prompt blocks, doubling per class, and what is smoothed is the ratio to it.

--- a/crates/routing/src/pick/engine_load.rs
+++ b/crates/routing/src/pick/engine_load.rs
@@ -59,13 +59,21 @@
     }
 }
 
+/// An own request in flight.
+#[derive(Clone, Copy, Debug)]
+struct InFlight {
+    started: Timestamp,
+    /// Blocks of its prompt that the engine had to process.
+    blocks: u32,
+}
+
 /// What is known of one engine.
 #[derive(Clone, Debug)]
 pub(super) struct EngineLoad {
     candidate: Candidate,
     report: Option<LoadSample>,
-    /// When own requests in flight were started, oldest first.
-    in_flight: VecDeque<Timestamp>,
+    /// Own requests in flight, oldest first.
+    in_flight: VecDeque<InFlight>,
     /// Start and end of own requests that a report may still count.
     ended: VecDeque<(Timestamp, Timestamp)>,
     limit: AdaptiveLimit,
@@ -130,8 +138,10 @@
         self.report = Some(sample);
     }
 
-    pub(super) fn started(&mut self, now: Timestamp) {
-        self.in_flight.push_back(now);
+    /// A request was sent of whose prompt `blocks` are not cached there.
+    pub(super) fn started(&mut self, now: Timestamp, blocks: u32) {
+        let started = now;
+        self.in_flight.push_back(InFlight { started, blocks });
     }
 
     pub(super) fn finished(
@@ -141,16 +151,17 @@
         finish: Finish,
         settings: &LimitSettings,
     ) {
-        let position = self.in_flight.iter().position(|at| *at == started);
-        let Some(position) = position else {
+        let mut in_flight = self.in_flight.iter();
+        let position = in_flight.position(|request| request.started == started);
+        let Some(request) = position.and_then(|position| self.in_flight.remove(position)) else {
             return;
         };
-        self.in_flight.remove(position);
         if self.ended.len() == MOST_REMEMBERED_ENDS {
             self.ended.pop_front();
         }
         self.ended.push_back((started, now));
-        self.limit.observe_finish(now, finish, settings);
+        self.limit
+            .observe_finish(now, request.blocks, finish, settings);
     }
 
     /// Online requests there: the report, plus own ones started since it was
@@ -166,7 +177,9 @@
         }
         let observed = report.observed;
         let started_since = self.in_flight.iter().rev();
-        let started_since = started_since.take_while(|at| **at > observed).count();
+        let started_since = started_since
+            .take_while(|request| request.started > observed)
+            .count();
         let ended_since = self
             .ended
             .iter()
--- a/crates/routing/src/pick/limit.rs
+++ b/crates/routing/src/pick/limit.rs
@@ -2,8 +2,8 @@
 //! multiplicative decrease.
 //!
 //! The limit falls when online requests wait inside the engine, when the time
-//! to the first byte rises far above the best that was seen, or when the engine
-//! refuses for its load. It rises by a fraction with each good report while the
+//! to the first byte rises far above the best that was seen for prompts of that
+//! size, or when the engine refuses for its load. It rises by a fraction with each good report while the
 //! limit is in use. An engine's own maximum bounds it.
 
 use std::time::Duration;
@@ -13,10 +13,14 @@
 use super::Finish;
 use super::engine_load::LoadSample;
 
-/// Weight of the newest first-byte time in its smoothed value.
-const FIRST_BYTE_WEIGHT: f64 = 0.2;
+/// Weight of the newest answer in the smoothed slowness.
+const SLOWNESS_WEIGHT: f64 = 0.2;
+/// Classes of prompts by the blocks to process, each twice as long as the last.
+const PROMPT_CLASSES: usize = 14;
 /// Rate at which the best first-byte time forgets, per answer.
-const BEST_DRIFT: f64 = 0.002;
+const BEST_DRIFT: f32 = 0.002;
+/// Shortest first-byte time that is told apart, in seconds.
+const SHORTEST_FIRST_BYTE: f32 = 1e-6;
 
 /// Bounds of the limit.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,7 +35,8 @@
     pub increase: f64,
     /// Factor on a bad sign.
     pub decrease: f64,
-    /// Smoothed first-byte time over the best from which it is a bad sign.
+    /// Smoothed ratio of first-byte times to the best of their class from which
+    /// it is a bad sign.
     pub slow_factor: f64,
     /// Shortest time between two decreases: one crowd is one bad sign.
     pub decrease_interval: Duration,
@@ -57,8 +62,10 @@
     limit: f64,
     engine_maximum: Option<u32>,
     load: u32,
-    best_first_byte: f64,
-    first_byte: f64,
+    /// Best time to the first byte in seconds by class of prompt; 0 unknown.
+    best_first_byte: [f32; PROMPT_CLASSES],
+    /// Smoothed ratio of first-byte times to the best of their class.
+    slowness: f64,
     last_decrease: Timestamp,
 }
 
@@ -68,8 +75,8 @@
             limit: f64::from(settings.initial),
             engine_maximum: None,
             load: 0,
-            best_first_byte: 0.0,
-            first_byte: 0.0,
+            best_first_byte: [0.0; PROMPT_CLASSES],
+            slowness: 1.0,
             last_decrease: Timestamp::ZERO,
         }
     }
@@ -96,14 +103,15 @@
     pub(super) fn observe_finish(
         &mut self,
         now: Timestamp,
+        blocks: u32,
         finish: Finish,
         settings: &LimitSettings,
     ) {
         match finish {
             Finish::Overloaded => self.decrease(now, settings),
             Finish::Answered { first_byte } => {
-                self.learn_first_byte(first_byte.as_secs_f64());
-                if self.first_byte > self.best_first_byte * settings.slow_factor {
+                self.learn_first_byte(blocks, first_byte.as_secs_f32());
+                if self.slowness > settings.slow_factor {
                     self.decrease(now, settings);
                 }
             }
@@ -111,15 +119,16 @@
         }
     }
 
-    fn learn_first_byte(&mut self, seconds: f64) {
-        if self.best_first_byte == 0.0 {
-            self.best_first_byte = seconds;
-            self.first_byte = seconds;
+    fn learn_first_byte(&mut self, blocks: u32, seconds: f32) {
+        let seconds = seconds.max(SHORTEST_FIRST_BYTE);
+        let best = &mut self.best_first_byte[class_of(blocks)];
+        if *best == 0.0 {
+            *best = seconds;
         }
-        self.first_byte += FIRST_BYTE_WEIGHT * (seconds - self.first_byte);
         // The best creeps up, so that one lucky answer does not rule forever.
-        let drifted = self.best_first_byte * (1.0 + BEST_DRIFT);
-        self.best_first_byte = drifted.min(seconds.max(1e-6));
+        *best = (*best * (1.0 + BEST_DRIFT)).min(seconds);
+        let ratio = f64::from(seconds / *best);
+        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness);
     }
 
     fn increase(&mut self, settings: &LimitSettings) {
@@ -137,3 +146,8 @@
         self.limit = (self.limit * settings.decrease).max(f64::from(settings.lowest));
     }
 }
+
+fn class_of(blocks: u32) -> usize {
+    let class = (blocks + 1).ilog2() as usize;
+    class.min(PROMPT_CLASSES - 1)
+}
--- a/crates/routing/src/pick/mod.rs
+++ b/crates/routing/src/pick/mod.rs
@@ -216,7 +216,8 @@
     /// A request was sent to `backend`; its prefixes will be cached there.
     pub fn started(&mut self, now: Timestamp, backend: BackendId, prefix_hashes: &[u64]) {
         if let Some(engine) = self.engines.get_mut(&backend) {
-            engine.started(now);
+            let held = self.prefixes.held_by(backend, prefix_hashes);
+            engine.started(now, (prefix_hashes.len() - held) as u32);
             self.prefixes.expect(backend, prefix_hashes);
         }
     }
--- a/crates/routing/src/pick/prefix.rs
+++ b/crates/routing/src/pick/prefix.rs
@@ -110,6 +110,15 @@
         })
     }
 
+    /// Leading blocks of a prompt that `backend` holds.
+    pub(super) fn held_by(&self, backend: BackendId, hashes: &[u64]) -> usize {
+        let held = hashes.iter().rposition(|hash| {
+            let entry = self.entries.get(hash);
+            entry.is_some_and(|entry| entry.holders.iter().any(|held| held.backend == backend))
+        });
+        held.map_or(0, |position| position + 1)
+    }
+
     /// A prompt with these prefixes was sent to `backend`.
     pub(super) fn expect(&mut self, backend: BackendId, hashes: &[u64]) {
         for hash in hashes {
--- a/crates/routing/tests/pick.rs
+++ b/crates/routing/tests/pick.rs
@@ -351,6 +351,42 @@
     );
 }
 
+/// The limit after 400 answers, of which every fourth has a prompt of 250
+/// blocks that takes `long_millis` to its first byte.
+fn limit_after(long_millis: u64) -> u32 {
+    let short = [1, 2];
+    let mut picker = picker(PickPolicy::Affinity, vec![engine(10, 1)]);
+    for number in 0..400 {
+        let album = number % 4 == 0;
+        let long: Vec<u64> = (0..250).map(|block| 1_000 * number + block).collect();
+        let (hashes, first_byte) = if album {
+            (&long[..], if number < 40 { 80 } else { long_millis })
+        } else {
+            (&short[..], 10)
+        };
+        let started = at(100 * number);
+        let ended = at(100 * number + first_byte);
+        picker.started(started, BackendId(10), hashes);
+        let first_byte = Duration::from_millis(first_byte);
+        picker.finished(
+            ended,
+            BackendId(10),
+            started,
+            Finish::Answered { first_byte },
+        );
+        picker.observe_load(sample(10, number + 1, 100 * number, 0));
+    }
+    picker.limit(BackendId(10)).unwrap()
+}
+
+#[test]
+fn long_prompts_among_short_ones_are_no_sign_of_a_crowd() {
+    let initial = PickSettings::default().limit.initial;
+    assert_eq!(limit_after(80), initial);
+    // Ten times slower than the same prompts were is one.
+    assert!(limit_after(800) < initial);
+}
+
 #[test]
 fn capacity_is_the_room_below_all_limits() {
     let mut picker = picker(PickPolicy::Affinity, vec![engine(10, 1), engine(20, 2)]);
--- a/crates/routing/tests/prefix.rs
+++ b/crates/routing/tests/prefix.rs
@@ -91,7 +91,8 @@
 
 #[test]
 fn events_and_what_is_known_after_them() {
-    let cases: &[(&str, Vec<CacheEvent>, Option<(u32, u32)>)] = &[
+    type Case = (&'static str, Vec<CacheEvent>, Option<(u32, u32)>);
+    let cases: &[Case] = &[
         ("nothing", vec![], None),
         (
             "whole prompt",
