--- /dev/null
+++ b/crates/daemon/src/replica/mod.rs
@@ -0,0 +1,20 @@
+//! The replica role: a thread that drives the groups, and the service around
+//! it.
+//!
+//! The thread owns the disk and all groups; everything else hands it orders
+//! over a bounded queue. It takes in whatever has queued up and then works
+//! once, so that one sync of the log serves them all.
+
+mod driver;
+mod feed;
+mod heartbeats;
+mod leaders;
+mod metrics;
+mod options;
+mod outbox;
+mod role;
+mod service;
+mod versions;
+
+pub use options::{ReplicaContext, ReplicaOptions, ReplicaPeer};
+pub use role::{HandOver, ReplicaRole};
--- /dev/null
+++ b/crates/daemon/src/replica/options.rs
@@ -0,0 +1,88 @@
+//! What a replica role is started with.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::Executor;
+use molespan_replica::ReplicaSettings;
+use molespan_telemetry::Metrics;
+use molespan_types::NodeId;
+use slog::Logger;
+
+/// A node that holds a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaPeer {
+    /// Node.
+    pub node: NodeId,
+    /// Its internal address.
+    pub address: SocketAddr,
+}
+
+/// Settings of a replica role.
+#[derive(Clone, Debug)]
+pub struct ReplicaOptions {
+    /// This node.
+    pub node: NodeId,
+    /// Every node that holds a replica, this one included.
+    pub peers: Vec<ReplicaPeer>,
+    /// Folder of the replica's files; nothing else may write there.
+    pub data_folder: PathBuf,
+    /// Job groups beside the control group.
+    pub job_groups: u32,
+    /// How long a lease outlives its last renewal.
+    pub lease: Duration,
+    /// Time between two ticks of consensus.
+    pub tick: Duration,
+    /// Shortest time without a leader before an election.
+    pub election_timeout: Duration,
+    /// Time between two heartbeats of a node to the control leader.
+    pub node_heartbeat: Duration,
+    /// Longest time that handing the leaderships over may take at a stop.
+    pub hand_over_within: Duration,
+}
+
+impl ReplicaOptions {
+    /// Options with the defaults for `node` among `peers`.
+    #[must_use]
+    pub fn new(node: NodeId, peers: Vec<ReplicaPeer>, data_folder: PathBuf) -> Self {
+        Self {
+            node,
+            peers,
+            data_folder,
+            job_groups: 4,
+            lease: Duration::from_secs(10),
+            tick: Duration::from_millis(50),
+            election_timeout: Duration::from_millis(500),
+            node_heartbeat: Duration::from_secs(1),
+            hand_over_within: Duration::from_secs(3),
+        }
+    }
+
+    /// The settings of the replica's core.
+    pub(super) fn core_settings(&self, seed: u64) -> ReplicaSettings {
+        let nodes = self.peers.iter().map(|peer| peer.node).collect();
+        let ticks = self.election_timeout.as_micros() / self.tick.as_micros().max(1);
+        ReplicaSettings {
+            job_groups: self.job_groups,
+            lease_length: self.lease,
+            tick: self.tick,
+            election_ticks: u32::try_from(ticks).unwrap_or(u32::MAX).max(3),
+            ..ReplicaSettings::new(self.node, nodes, seed)
+        }
+    }
+}
+
+/// What a replica role works with.
+#[derive(Clone, Debug)]
+pub struct ReplicaContext {
+    /// Settings.
+    pub options: ReplicaOptions,
+    /// Where its tasks run.
+    pub executor: Arc<Executor<'static>>,
+    /// Parent of its logger.
+    pub logger: Logger,
+    /// Where its metrics are registered.
+    pub metrics: Metrics,
+}
--- /dev/null
+++ b/crates/daemon/src/replica/role.rs
@@ -0,0 +1,209 @@
+//! Starting and stopping the replica role.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use async_executor::Task;
+use async_io::Timer;
+use molespan_replica::{ReplicaCore, ReplicaError, ReplicaStatus};
+use molespan_storage::RealDisk;
+use molespan_telemetry::part_logger;
+use molespan_types::{GroupId, NodeId};
+use molespan_wire::{Request, Response};
+use slog::{Logger, error, info, warn};
+
+use super::driver::{Call, Clock, Driver, DriverHandle, Surroundings};
+use super::feed::{ConfigurationFeed, nudge};
+use super::heartbeats::Heartbeats;
+use super::leaders::Leaders;
+use super::metrics::ReplicaMetrics;
+use super::outbox::Outbox;
+use super::service::Service;
+use super::versions::VersionsInForce;
+use super::{ReplicaContext, ReplicaOptions};
+use crate::DaemonError;
+
+/// Time that a chosen successor gets before another one is asked.
+const SUCCESSOR_PATIENCE: Duration = Duration::from_millis(600);
+/// Time between two looks at whether a leadership has moved.
+const HAND_OVER_POLL: Duration = Duration::from_millis(10);
+
+/// What became of the leaderships at a planned stop.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HandOver {
+    /// Groups that another replica leads now.
+    pub handed_over: Vec<GroupId>,
+    /// Groups still led when the time was up; they elect a leader by
+    /// themselves.
+    pub kept: Vec<GroupId>,
+}
+
+/// A running replica role.
+#[derive(Debug)]
+pub struct ReplicaRole {
+    options: ReplicaOptions,
+    driver: DriverHandle,
+    leaders: Arc<Leaders>,
+    service: Service,
+    logger: Logger,
+    /// Closed once the thread has ended; holds its error, if any.
+    ended: Receiver<ReplicaError>,
+    _feed_work: Task<()>,
+}
+
+impl ReplicaRole {
+    /// Opens the data folder and starts the thread. This blocks for the time
+    /// of reading the log back.
+    ///
+    /// # Errors
+    /// When the settings cannot work, or the disk refuses or is damaged.
+    pub fn start(context: ReplicaContext) -> Result<Self, DaemonError> {
+        let ReplicaContext {
+            options,
+            executor,
+            logger,
+            metrics,
+        } = context;
+        let logger = part_logger(&logger, "replica");
+        let seed = rand::random();
+        let clock = Clock::start();
+        let disk = RealDisk::open(&options.data_folder)?;
+        let core = ReplicaCore::open(disk, options.core_settings(seed), clock.now())?;
+        let outbox = Arc::new(Outbox::new(&options, &executor, seed));
+        let leaders = Arc::new(Leaders::new(options.node));
+        let (nudge, nudged) = nudge();
+        let surroundings = Surroundings {
+            outbox: outbox.clone(),
+            leaders: leaders.clone(),
+            nudge,
+            metrics: ReplicaMetrics::new(&metrics),
+            logger: logger.clone(),
+        };
+        let (driver, handle) = Driver::new(core, clock, surroundings);
+        let (feed, feed_work) = ConfigurationFeed::new(handle.clone(), outbox.clone(), nudged);
+        let service = Service {
+            driver: handle.clone(),
+            outbox,
+            leaders: leaders.clone(),
+            feed,
+            heartbeats: Heartbeats::new(options.node_heartbeat),
+            versions: VersionsInForce::default(),
+        };
+        let ended = spawn(driver, &logger)?;
+        Ok(Self {
+            options,
+            driver: handle,
+            leaders,
+            service,
+            logger,
+            ended,
+            _feed_work: executor.spawn(feed_work.run()),
+        })
+    }
+
+    /// Answers a request of another process.
+    pub async fn handle_peer(&self, request: Request) -> Response {
+        self.service.handle(request).await
+    }
+
+    /// Takes a message that nobody waits for. This does not block.
+    pub fn notify(&self, request: Request) {
+        self.service.notify(request);
+    }
+
+    /// The replica's view of itself; `None` once it has stopped.
+    pub async fn status(&self) -> Option<ReplicaStatus> {
+        self.driver.status().await
+    }
+
+    /// Groups that this replica leads.
+    #[must_use]
+    pub fn leads(&self) -> Vec<GroupId> {
+        self.leaders.led()
+    }
+
+    /// Waits until the thread has ended; gives the error that ended it.
+    pub async fn ended(&self) -> Option<ReplicaError> {
+        self.ended.recv().await.ok()
+    }
+
+    /// Hands every leadership over, within the time of the options, and ends
+    /// the thread.
+    pub async fn stop(&self) -> HandOver {
+        let hand_over = self.hand_over().await;
+        let driver = self.driver.clone();
+        blocking::unblock(move || driver.stop()).await;
+        let _closed = self.ended.recv().await;
+        info!(self.logger, "stopped";
+            "handed_over" => hand_over.handed_over.len(), "kept" => hand_over.kept.len());
+        hand_over
+    }
+
+    async fn hand_over(&self) -> HandOver {
+        let deadline = Instant::now() + self.options.hand_over_within;
+        let led = self.leaders.led();
+        let mut attempt = 0;
+        while !self.leaders.led().is_empty() && Instant::now() < deadline {
+            let asked = self.ask_successors(attempt).await;
+            if asked == 0 && self.options.peers.len() < 2 {
+                break;
+            }
+            self.wait_for_successors(deadline).await;
+            attempt += 1;
+        }
+        let kept = self.leaders.led();
+        let moved = led.iter().copied().filter(|group| !kept.contains(group));
+        let handed_over = moved.collect();
+        if !kept.is_empty() {
+            warn!(self.logger, "some leaderships could not be handed over"; "groups" => kept.len());
+        }
+        HandOver { handed_over, kept }
+    }
+
+    /// Asks one voter of each led group to take over; a later attempt asks
+    /// another one. Says how many were asked.
+    async fn ask_successors(&self, attempt: usize) -> usize {
+        let Some(status) = self.status().await else {
+            return 0;
+        };
+        let mut asked = 0;
+        for group in status.groups.iter().filter(|group| group.leads) {
+            let voters = group.voters.iter().map(|&(node, _)| node);
+            let others: Vec<NodeId> = voters.filter(|&node| node != status.node).collect();
+            if others.is_empty() {
+                continue;
+            }
+            let to = others[(attempt + group.group.0 as usize) % others.len()];
+            let group = group.group;
+            let call = Call::TransferLeadership { group, to };
+            if self.driver.call(call).await.is_ok() {
+                asked += 1;
+            }
+        }
+        asked
+    }
+
+    async fn wait_for_successors(&self, deadline: Instant) {
+        let patience = deadline.min(Instant::now() + SUCCESSOR_PATIENCE);
+        while !self.leaders.led().is_empty() && Instant::now() < patience {
+            Timer::after(HAND_OVER_POLL).await;
+        }
+    }
+}
+
+/// Runs the driver on a thread of its own.
+fn spawn(driver: Driver, logger: &Logger) -> Result<Receiver<ReplicaError>, DaemonError> {
+    let (sender, ended) = async_channel::bounded(1);
+    let logger = logger.clone();
+    let work = move || {
+        if let Err(failure) = driver.run() {
+            error!(logger, "cannot go on"; "error" => %failure);
+            let _nobody_waits = sender.try_send(failure);
+        }
+    };
+    let builder = thread::Builder::new().name("replica".to_owned());
+    builder.spawn(work).map_err(DaemonError::Thread)?;
+    Ok(ended)
+}
--- /dev/null
+++ b/crates/daemon/src/replica/service.rs
@@ -0,0 +1,155 @@
+//! Answering the requests of other processes.
+
+use std::sync::Arc;
+
+use molespan_replica::{Consistency, Refusal};
+use molespan_types::{GroupId, RunOutcome};
+use molespan_wire::{Consistency as WireConsistency, GroupMessage, Request, Response};
+
+use super::driver::{Answer, Call, DriverHandle};
+use super::feed::ConfigurationFeed;
+use super::heartbeats::{Heartbeats, NodeHeartbeat};
+use super::leaders::Leaders;
+use super::outbox::Outbox;
+use super::versions::VersionsInForce;
+
+/// Answers the requests of other processes.
+#[derive(Debug)]
+pub(super) struct Service {
+    pub driver: DriverHandle,
+    pub outbox: Arc<Outbox>,
+    pub leaders: Arc<Leaders>,
+    pub feed: Arc<ConfigurationFeed>,
+    pub heartbeats: Heartbeats,
+    pub versions: VersionsInForce,
+}
+
+impl Service {
+    /// Answers a request.
+    pub async fn handle(&self, request: Request) -> Response {
+        match request {
+            Request::Consensus { .. } => {
+                self.notify(request);
+                Response::Acknowledged
+            }
+            Request::Propose { group, command } => {
+                let command = command.into();
+                let call = Call::Propose { group, command };
+                self.proposed(self.driver.call(call).await)
+            }
+            Request::Query {
+                group,
+                consistency,
+                query,
+            } => {
+                let call = Call::Query {
+                    group,
+                    consistency: core_consistency(consistency),
+                    query: query.into(),
+                };
+                self.answered(self.driver.call(call).await)
+            }
+            Request::Watch(watch) => {
+                self.versions.note(&watch);
+                self.feed.watch(&watch).await
+            }
+            Request::VersionsInForce => Response::VersionsInForce {
+                versions: self.versions.list(),
+            },
+            Request::Heartbeat {
+                node,
+                incarnation,
+                zone,
+                draining,
+                owned: _,
+            } => self.heartbeat(NodeHeartbeat {
+                node,
+                incarnation,
+                zone,
+                draining,
+            }),
+            Request::Status | Request::OnlineArrival(_) | Request::Loads { .. } => {
+                not_run("a replica does not answer this".to_owned(), 0)
+            }
+        }
+    }
+
+    /// Takes a message that nobody waits for.
+    pub fn notify(&self, request: Request) {
+        if let Request::Consensus { from, messages } = request {
+            for GroupMessage { group, message } in messages {
+                self.driver.message(from, group, message.into());
+            }
+        }
+    }
+
+    /// Notes a node's heartbeat and tells it who else is alive. Only the leader
+    /// of the control group does, and a new one listens for a while first: a
+    /// list with gaps would move ownership to and fro.
+    fn heartbeat(&self, heartbeat: NodeHeartbeat) -> Response {
+        let Some(led_for) = self.leaders.led_for(GroupId::CONTROL) else {
+            return self.not_leader(self.leaders.of(GroupId::CONTROL));
+        };
+        self.heartbeats.note(heartbeat);
+        let left = self.heartbeats.warm_up_left(led_for);
+        if left.is_zero() {
+            let nodes = self.heartbeats.live();
+            return Response::LiveNodes { nodes };
+        }
+        let message = "the leader is new and does not know yet who is alive";
+        not_run(message.to_owned(), left.as_millis() as u32 + 1)
+    }
+
+    fn proposed(&self, answer: Answer) -> Response {
+        match answer {
+            Ok(reply) => Response::Proposed {
+                reply: reply.into(),
+            },
+            Err(refusal) => self.refused(refusal),
+        }
+    }
+
+    fn answered(&self, answer: Answer) -> Response {
+        match answer {
+            Ok(answer) => Response::Answered {
+                answer: answer.into(),
+            },
+            Err(refusal) => self.refused(refusal),
+        }
+    }
+
+    fn refused(&self, refusal: Refusal) -> Response {
+        match refusal {
+            Refusal::NotLeader { leader } => self.not_leader(leader),
+            Refusal::Refused {
+                outcome,
+                message,
+                retry_after_ms,
+            } => Response::Refused {
+                outcome,
+                message,
+                retry_after_ms,
+            },
+        }
+    }
+
+    fn not_leader(&self, leader: Option<molespan_types::NodeId>) -> Response {
+        let leader = leader.and_then(|node| self.outbox.hint(node));
+        Response::NotLeader { leader }
+    }
+}
+
+fn core_consistency(consistency: WireConsistency) -> Consistency {
+    match consistency {
+        WireConsistency::Linearizable => Consistency::Linearizable,
+        WireConsistency::Local => Consistency::Local,
+    }
+}
+
+fn not_run(message: String, retry_after_ms: u32) -> Response {
+    Response::Refused {
+        outcome: RunOutcome::NotRun,
+        message,
+        retry_after_ms,
+    }
+}
