--- a/crates/replica/tests/cluster/mod.rs
+++ b/crates/replica/tests/cluster/mod.rs
@@ -22,6 +22,15 @@
 /// How a request ended.
 pub type Answer = Result<Vec<u8>, Refusal>;
 
+/// A message on its way.
+struct Packet {
+    from: NodeId,
+    to: NodeId,
+    group: GroupId,
+    bytes: Vec<u8>,
+}
+
+/// The nodes, their disks and the network between them.
 pub struct Cluster {
     pub now: Timestamp,
     pub random: ChaCha8Rng,
@@ -34,7 +43,7 @@
     pub cut: BTreeSet<(NodeId, NodeId)>,
     pub loss: f64,
     pub bytes_sent: u64,
-    network: BTreeMap<(Timestamp, u64), (NodeId, NodeId, GroupId, Vec<u8>)>,
+    network: BTreeMap<(Timestamp, u64), Packet>,
     last_ticket: u64,
     last_message: u64,
     job_groups: u32,
@@ -173,7 +182,13 @@
         self.last_message += 1;
         let delay = Duration::from_micros(self.random.random_range(300..2_000));
         let key = (self.now + delay, self.last_message);
-        self.network.insert(key, (from, to, group, bytes));
+        let packet = Packet {
+            from,
+            to,
+            group,
+            bytes,
+        };
+        self.network.insert(key, packet);
     }
 
     /// Lets one thing happen: a message arrives or a timer runs out.
@@ -190,13 +205,18 @@
         };
         self.now = self.now.max(at);
         if arrival == Some(at) {
-            let Some((_, (from, to, group, bytes))) = self.network.pop_first() else {
+            let Some((_, packet)) = self.network.pop_first() else {
                 return false;
             };
-            if self.cut.contains(&(from, to)) {
+            if self.cut.contains(&(packet.from, packet.to)) {
                 return true;
             }
-            self.input(to, Input::Message { from, group, bytes });
+            let message = Input::Message {
+                from: packet.from,
+                group: packet.group,
+                bytes: packet.bytes,
+            };
+            self.input(packet.to, message);
         } else if let Some((_, node)) = timer {
             self.poll(node);
         }
