--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -1,13 +1,26 @@
 //! The one error type of this crate.
 
+use std::io;
+use std::path::PathBuf;
+
 use derive_more::{Display, Error, From};
 use molespan_replica::ReplicaError;
 use molespan_storage::StorageError;
-use molespan_wire::ServerError;
 
 /// Why a node cannot start or go on.
 #[derive(Debug, Display, Error, From)]
 pub enum DaemonError {
+    /// Another process uses the data folder.
+    #[display("data folder: another process uses {}", folder.display())]
+    #[from(skip)]
+    FolderInUse {
+        /// The folder.
+        folder: PathBuf,
+    },
+    /// The data folder cannot be locked.
+    #[display("data folder: cannot be locked: {_0}")]
+    #[from(skip)]
+    FolderLock(io::Error),
     /// The data folder refuses or is damaged.
     #[display("data folder: {_0}")]
     Storage(StorageError),
@@ -16,8 +29,16 @@
     Replica(ReplicaError),
     /// The internal interface cannot listen.
     #[display("internal interface: {_0}")]
-    Listen(ServerError),
+    InternalInterface(molespan_wire::ServerError),
+    /// The HTTP interface cannot listen.
+    #[display("HTTP interface: {_0}")]
+    HttpInterface(molespan_http::ServerError),
     /// The system gave no thread.
     #[display("cannot start a thread: {_0}")]
-    Thread(std::io::Error),
+    #[from(skip)]
+    Thread(io::Error),
+    /// The system gave no signals.
+    #[display("cannot wait for signals: {_0}")]
+    #[from(skip)]
+    Signals(io::Error),
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,8 +1,12 @@
 //! The molespan daemon: the gateway and replica roles of a node.
 
 mod error;
+mod folder_lock;
 pub mod incarnation;
+pub mod node;
+mod peer_handler;
 pub mod replica;
+mod status_server;
 pub mod wall_clock;
 
 pub use error::DaemonError;
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -7,17 +7,16 @@
 
 use async_channel::Sender;
 use molespan_replica::{
-    Consistency, Input, Output, Refusal, ReplicaCore, ReplicaError, ReplicaEvent, ReplicaStatus,
-    Ticket,
+    Consistency, Input, Output, Refusal, ReplicaCore, ReplicaError, ReplicaStatus, Ticket,
 };
 use molespan_storage::RealDisk;
 use molespan_types::{GroupId, NodeId, RunOutcome, Timestamp};
-use slog::{Logger, info, warn};
 
 use super::feed::Nudge;
 use super::leaders::Leaders;
 use super::metrics::ReplicaMetrics;
 use super::outbox::Outbox;
+use super::reporter::Reporter;
 
 /// Orders that wait for the thread; beyond that requests are refused and
 /// messages dropped.
@@ -146,7 +145,7 @@
     pub leaders: Arc<Leaders>,
     pub nudge: Nudge,
     pub metrics: ReplicaMetrics,
-    pub logger: Logger,
+    pub reporter: Reporter,
 }
 
 /// The clock of the thread, which begins at its start.
@@ -260,14 +259,13 @@
                 }
                 Output::LeaderChanged { group, leader } => {
                     surroundings.leaders.note(group, leader);
-                    info!(surroundings.logger, "leader changed";
-                        "group" => group.0, "leader" => leader.map(|node| node.0));
+                    surroundings.reporter.leader(group, leader);
                 }
                 Output::ConfigurationChanged { version } => {
-                    info!(surroundings.logger, "configuration changed"; "version" => version.0);
+                    surroundings.reporter.configuration(version);
                     surroundings.nudge.now();
                 }
-                Output::Event(event) => report(&surroundings.logger, &event),
+                Output::Event(event) => surroundings.reporter.event(&event),
             }
         }
         bundle.finish();
@@ -281,12 +279,3 @@
         }
     }
 }
-
-fn report(logger: &Logger, event: &ReplicaEvent) {
-    match event {
-        ReplicaEvent::Fault { .. } | ReplicaEvent::DiskFull { full: true } => {
-            warn!(logger, "{}", event);
-        }
-        _ => info!(logger, "{}", event),
-    }
-}
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -12,6 +12,7 @@
 mod metrics;
 mod options;
 mod outbox;
+mod reporter;
 mod role;
 mod service;
 mod versions;
--- a/crates/daemon/src/replica/options.rs
+++ b/crates/daemon/src/replica/options.rs
@@ -7,7 +7,8 @@
 
 use async_executor::Executor;
 use molespan_replica::ReplicaSettings;
-use molespan_telemetry::Metrics;
+use molespan_storage::LogSettings;
+use molespan_telemetry::{EventBuffer, Metrics};
 use molespan_types::NodeId;
 use slog::Logger;
 
@@ -41,6 +42,8 @@
     pub node_heartbeat: Duration,
     /// Longest time that handing the leaderships over may take at a stop.
     pub hand_over_within: Duration,
+    /// Bytes after which a segment of the log is closed.
+    pub segment_bytes: u64,
 }
 
 impl ReplicaOptions {
@@ -57,6 +60,7 @@
             election_timeout: Duration::from_millis(500),
             node_heartbeat: Duration::from_secs(1),
             hand_over_within: Duration::from_secs(3),
+            segment_bytes: LogSettings::default().segment_bytes,
         }
     }
 
@@ -69,6 +73,10 @@
             lease_length: self.lease,
             tick: self.tick,
             election_ticks: u32::try_from(ticks).unwrap_or(u32::MAX).max(3),
+            log: LogSettings {
+                segment_bytes: self.segment_bytes,
+                ..LogSettings::default()
+            },
             ..ReplicaSettings::new(self.node, nodes, seed)
         }
     }
@@ -85,4 +93,6 @@
     pub logger: Logger,
     /// Where its metrics are registered.
     pub metrics: Metrics,
+    /// Where what operators should see is recorded.
+    pub events: EventBuffer,
 }
--- /dev/null
+++ b/crates/daemon/src/replica/reporter.rs
@@ -0,0 +1,57 @@
+//! What the replica tells people: log lines and events.
+
+use molespan_replica::ReplicaEvent;
+use molespan_telemetry::{EventBuffer, EventKind};
+use molespan_types::{ConfigVersion, GroupId, NodeId};
+use slog::{Logger, info, warn};
+
+use crate::wall_clock::unix_millis;
+
+/// What the replica tells people: log lines and events.
+#[derive(Debug)]
+pub(super) struct Reporter {
+    logger: Logger,
+    events: EventBuffer,
+}
+
+impl Reporter {
+    /// Writes to `logger` and `events`.
+    pub fn new(logger: Logger, events: EventBuffer) -> Self {
+        Self { logger, events }
+    }
+
+    /// Another node leads a group.
+    pub fn leader(&self, group: GroupId, leader: Option<NodeId>) {
+        let message = match leader {
+            Some(node) => format!("node {node} leads"),
+            None => "no leader is known".to_owned(),
+        };
+        info!(self.logger, "{}", message; "group" => group.0);
+        self.record(format!("group {group}"), message);
+    }
+
+    /// A newer configuration was applied here.
+    pub fn configuration(&self, version: ConfigVersion) {
+        info!(self.logger, "configuration applied"; "version" => version.0);
+    }
+
+    /// Something that operators should see.
+    pub fn event(&self, event: &ReplicaEvent) {
+        let worrying = matches!(
+            event,
+            ReplicaEvent::Fault { .. } | ReplicaEvent::DiskFull { full: true }
+        );
+        if worrying {
+            warn!(self.logger, "{}", event);
+        } else {
+            info!(self.logger, "{}", event);
+        }
+        self.record("replica".to_owned(), event.to_string());
+    }
+
+    fn record(&self, subject: String, reason: String) {
+        let kind = EventKind::Replication;
+        self.events
+            .record(unix_millis(), kind, subject, reason, Vec::new());
+    }
+}
--- a/crates/daemon/src/replica/role.rs
+++ b/crates/daemon/src/replica/role.rs
@@ -20,6 +20,7 @@
 use super::leaders::Leaders;
 use super::metrics::ReplicaMetrics;
 use super::outbox::Outbox;
+use super::reporter::Reporter;
 use super::service::Service;
 use super::versions::VersionsInForce;
 use super::{ReplicaContext, ReplicaOptions};
@@ -65,6 +66,7 @@
             executor,
             logger,
             metrics,
+            events,
         } = context;
         let logger = part_logger(&logger, "replica");
         let seed = rand::random();
@@ -79,7 +81,7 @@
             leaders: leaders.clone(),
             nudge,
             metrics: ReplicaMetrics::new(&metrics),
-            logger: logger.clone(),
+            reporter: Reporter::new(logger.clone(), events),
         };
         let (driver, handle) = Driver::new(core, clock, surroundings);
         let (feed, feed_work) = ConfigurationFeed::new(handle.clone(), outbox.clone(), nudged);
@@ -118,6 +120,15 @@
         self.driver.status().await
     }
 
+    /// Whether the replica takes part and knows a leader of each group.
+    pub async fn is_ready(&self) -> bool {
+        let Some(status) = self.status().await else {
+            return false;
+        };
+        let led = status.groups.iter().all(|group| group.leader.is_some());
+        status.takes_part && led
+    }
+
     /// Groups that this replica leads.
     #[must_use]
     pub fn leads(&self) -> Vec<GroupId> {
--- /dev/null
+++ b/crates/daemon/tests/processes/control.rs
@@ -0,0 +1,149 @@
+//! Talking to the control group over the internal protocol.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use molespan_state::control::{
+    Change, ConfirmIntent, ConfirmReply, ControlAnswer, ControlCommand, ControlQuery, ControlReply,
+    IntentNumber, Policy,
+};
+use molespan_types::{ConfigVersion, GroupId, NodeId};
+use molespan_wire::{Client, ClientLimits, Consistency, Request, Response};
+
+use super::cluster::Cluster;
+use super::eventually;
+
+/// Longest wait for one answer.
+const CALL: Duration = Duration::from_secs(2);
+
+/// A client of the control group.
+pub struct Control {
+    clients: BTreeMap<NodeId, Client>,
+    /// Who is taken for the leader.
+    leader: Mutex<NodeId>,
+}
+
+impl Control {
+    /// A client of the replicas of `cluster`.
+    pub fn of(cluster: &Cluster) -> Self {
+        let replicas = cluster.replicas();
+        let limits = ClientLimits {
+            longest_pause: Duration::from_millis(20),
+            ..ClientLimits::default()
+        };
+        let clients = replicas.iter().map(|&node| {
+            let address = cluster.internal_address(node);
+            let seed = u64::from(node.0);
+            let client = Client::new(&cluster.executor, address, limits.clone(), seed);
+            (node, client)
+        });
+        Self {
+            clients: clients.collect(),
+            leader: Mutex::new(replicas[0]),
+        }
+    }
+
+    /// Sends a request to one replica.
+    pub async fn ask(&self, node: NodeId, request: Request) -> Option<Response> {
+        self.clients[&node].call(request, CALL).await.ok()
+    }
+
+    /// One attempt at the replica that is taken for the leader.
+    async fn attempt(&self, request: &Request) -> Option<Response> {
+        let asked = self.presumed_leader();
+        match self.ask(asked, request.clone()).await {
+            Some(Response::NotLeader { leader: Some(hint) }) => self.presume(hint.node),
+            None | Some(Response::NotLeader { leader: None }) => self.presume(self.after(asked)),
+            Some(Response::Refused { .. }) => {}
+            Some(response) => return Some(response),
+        }
+        None
+    }
+
+    fn presumed_leader(&self) -> NodeId {
+        *self.leader.lock().unwrap()
+    }
+
+    fn presume(&self, node: NodeId) {
+        *self.leader.lock().unwrap() = node;
+    }
+
+    fn after(&self, node: NodeId) -> NodeId {
+        let later = self.clients.keys().find(|&&other| other > node);
+        let first = self.clients.keys().next();
+        later.or(first).copied().unwrap_or(node)
+    }
+
+    /// Sends a request until the leader answers it.
+    pub async fn ask_leader(&self, request: &Request) -> Response {
+        eventually("the control leader answers", || self.attempt(request)).await
+    }
+
+    /// The node that leads.
+    pub async fn leader(&self) -> NodeId {
+        self.version().await;
+        self.presumed_leader()
+    }
+
+    /// The version that a linearizable read shows.
+    pub async fn version(&self) -> u64 {
+        let query = molespan_state::encode(&ControlQuery::Configuration);
+        let request = Request::Query {
+            group: GroupId::CONTROL,
+            consistency: Consistency::Linearizable,
+            query: query.into(),
+        };
+        let Response::Answered { answer } = self.ask_leader(&request).await else {
+            panic!("no answer to a query");
+        };
+        version_of(&answer)
+    }
+
+    /// Confirms an intent that raises the version by one from `base`. Sending
+    /// it again is harmless.
+    pub async fn confirm(&self, base: u64) -> ConfirmReply {
+        let change = Change::PutPolicy {
+            policy: Policy {
+                tail_protection: (base % 100) as u8,
+            },
+        };
+        self.confirm_changes(base, vec![change]).await
+    }
+
+    /// Confirms an intent with these changes.
+    pub async fn confirm_changes(&self, base: u64, changes: Vec<Change>) -> ConfirmReply {
+        let command = ControlCommand::Confirm(ConfirmIntent {
+            number: IntentNumber(base + 1),
+            operator: "test".to_owned(),
+            base_version: ConfigVersion(base),
+            changes,
+        });
+        let request = Request::Propose {
+            group: GroupId::CONTROL,
+            command: molespan_state::encode(&command).into(),
+        };
+        let Response::Proposed { reply } = self.ask_leader(&request).await else {
+            panic!("no reply to a proposal");
+        };
+        match molespan_state::decode(&reply).unwrap() {
+            ControlReply::Confirm(reply) => reply,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// The version in an encoded answer.
+pub fn version_of(answer: &[u8]) -> u64 {
+    match molespan_state::decode(answer).unwrap() {
+        ControlAnswer::Configuration(Some(configuration)) => configuration.version.0,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// The reply to a confirmation that took effect.
+pub fn confirmed(version: u64) -> ConfirmReply {
+    ConfirmReply::Confirmed {
+        version: ConfigVersion(version),
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/processes/daemon.rs
@@ -0,0 +1,148 @@
+//! One `molespand` process.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
+use std::sync::mpsc;
+use std::thread;
+
+use molespan_settings::Settings;
+use molespan_types::NodeId;
+
+use super::{LIMIT, eventually};
+
+/// What is sent with `kill`.
+#[derive(Clone, Copy, Debug)]
+pub enum Signal {
+    /// Asks for a planned stop.
+    Terminate,
+    /// Ends it at once.
+    Kill,
+    /// Freezes it.
+    Stop,
+    /// Lets it go on.
+    Continue,
+}
+
+impl Signal {
+    fn flag(self) -> &'static str {
+        match self {
+            Self::Terminate => "-TERM",
+            Self::Kill => "-KILL",
+            Self::Stop => "-STOP",
+            Self::Continue => "-CONT",
+        }
+    }
+}
+
+/// A running process, killed when dropped.
+pub struct Daemon {
+    child: Child,
+    /// Where callers reach it.
+    pub http: SocketAddr,
+    log: PathBuf,
+}
+
+impl Daemon {
+    /// Starts a node and waits until it listens.
+    pub fn start(settings: &Settings, folder: &Path) -> Self {
+        let name = settings.node.id;
+        let log = log_file(folder, name);
+        let output = File::options().create(true).append(true).open(&log);
+        let mut command = command(settings, folder);
+        command.stdout(Stdio::piped()).stderr(output.unwrap());
+        let mut child = command.spawn().unwrap();
+        let http = ready_line(&mut child);
+        let mut daemon = Self {
+            child,
+            http: settings.node.http_address,
+            log,
+        };
+        match http {
+            Some(http) => daemon.http = http,
+            None => panic!(
+                "node {name} is not ready in time; its log: {}",
+                daemon.log()
+            ),
+        }
+        daemon
+    }
+
+    /// Runs a process that is expected to end by itself.
+    pub fn run(settings: &Settings, folder: &Path) -> Output {
+        command(settings, folder).output().unwrap()
+    }
+
+    fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) {
+        let mut kill = Command::new("kill");
+        kill.arg(signal.flag()).arg(self.child.id().to_string());
+        assert!(kill.status().unwrap().success());
+    }
+
+    /// Ends it at once and waits until it is gone.
+    pub fn kill(mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Stops it as planned and waits until it is gone.
+    pub async fn stop(mut self) -> ExitStatus {
+        self.signal(Signal::Terminate);
+        let child = &mut self.child;
+        eventually("the process ends", || {
+            let status = child.try_wait().unwrap();
+            async move { status }
+        })
+        .await
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // It may be gone already.
+        let _gone = self.child.kill();
+        let _gone = self.child.wait();
+        if thread::panicking() {
+            eprintln!("--- {}\n{}", self.log.display(), self.log());
+        }
+    }
+}
+
+/// Where a node's log is kept.
+pub fn log_file(folder: &Path, node: NodeId) -> PathBuf {
+    folder.join(format!("node-{node}.log"))
+}
+
+/// A process with `settings` in a file in `folder`.
+fn command(settings: &Settings, folder: &Path) -> Command {
+    let file = folder.join(format!("node-{}.toml", settings.node.id));
+    std::fs::write(&file, settings.to_toml()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_molespand"));
+    command.arg("--settings").arg(&file);
+    command
+}
+
+/// The HTTP address in the line that a node prints once it listens.
+fn ready_line(child: &mut Child) -> Option<SocketAddr> {
+    let output = child.stdout.take()?;
+    let (sender, line) = mpsc::channel();
+    // Ends with the process, which closes its output.
+    thread::spawn(move || {
+        let mut first = String::new();
+        if BufReader::new(output).read_line(&mut first).is_ok() {
+            let _late = sender.send(first);
+        }
+    });
+    let line = line.recv_timeout(LIMIT).ok()?;
+    let http = line
+        .split_whitespace()
+        .find_map(|word| word.strip_prefix("http="));
+    http?.parse().ok()
+}
--- /dev/null
+++ b/crates/daemon/tests/processes_replicas.rs
@@ -0,0 +1,101 @@
+//! Replica processes that are killed, frozen, stopped and that lose disks.
+
+mod processes;
+
+use std::time::Duration;
+
+use async_io::{Timer, block_on};
+use molespan_state::control::ControlQuery;
+use molespan_types::{GroupId, NodeId};
+use molespan_wire::{Consistency, Request, Response};
+use processes::cluster::Cluster;
+use processes::control::{Control, confirmed, version_of};
+use processes::daemon::Signal;
+
+fn start() -> (Cluster, Control) {
+    let mut cluster = Cluster::of_replicas();
+    cluster.start_all();
+    let control = Control::of(&cluster);
+    (cluster, control)
+}
+
+#[test]
+fn a_killed_leader_loses_nothing() {
+    let (mut cluster, control) = start();
+    block_on(async {
+        for version in 1..=5 {
+            let leader = control.leader().await;
+            assert_eq!(control.confirm(version - 1).await, confirmed(version));
+            cluster.kill(leader);
+            assert_eq!(control.version().await, version);
+            cluster.start(leader);
+        }
+    });
+}
+
+#[test]
+fn a_lost_disk_is_replaced_before_the_next_loss() {
+    let (mut cluster, control) = start();
+    block_on(async {
+        assert_eq!(control.confirm(0).await, confirmed(1));
+        let lost = NodeId(1);
+        cluster.kill(lost);
+        cluster.lose_disk(lost);
+        assert_eq!(control.confirm(1).await, confirmed(2));
+        cluster.start(lost);
+        cluster.wait_until_replaced(lost).await;
+        cluster.kill(NodeId(2));
+        assert_eq!(control.version().await, 2);
+        assert_eq!(control.confirm(2).await, confirmed(3));
+    });
+}
+
+#[test]
+fn a_frozen_leader_gives_no_stale_answer() {
+    let (cluster, control) = start();
+    block_on(async {
+        assert_eq!(control.confirm(0).await, confirmed(1));
+        let frozen = control.leader().await;
+        cluster.signal(frozen, Signal::Stop);
+        assert_eq!(control.confirm(1).await, confirmed(2));
+        // Asked while it is frozen, so that it finds the question first.
+        let query = Request::Query {
+            group: GroupId::CONTROL,
+            consistency: Consistency::Linearizable,
+            query: molespan_state::encode(&ControlQuery::Configuration).into(),
+        };
+        let asked = cluster.executor.spawn({
+            let client = Control::of(&cluster);
+            async move { client.ask(frozen, query).await }
+        });
+        Timer::after(Duration::from_millis(300)).await;
+        cluster.signal(frozen, Signal::Continue);
+        if let Some(Response::Answered { answer }) = asked.await {
+            assert_eq!(version_of(&answer), 2);
+        }
+        assert_eq!(control.confirm(2).await, confirmed(3));
+    });
+}
+
+#[test]
+fn a_planned_stop_hands_every_leadership_over() {
+    let (mut cluster, control) = start();
+    block_on(async {
+        assert_eq!(control.confirm(0).await, confirmed(1));
+        let leader = control.leader().await;
+        let status = cluster.stop(leader).await;
+        assert!(status.success(), "{status}");
+        let log = cluster.log(leader);
+        assert!(log.contains("kept: []"), "{log}");
+        assert_eq!(control.confirm(1).await, confirmed(2));
+    });
+}
+
+#[test]
+fn a_folder_in_use_is_refused() {
+    let (cluster, _) = start();
+    let second = cluster.start_twice(NodeId(1));
+    assert!(!second.status.success());
+    let log = String::from_utf8_lossy(&second.stderr).into_owned();
+    assert!(log.contains("another process uses"), "{log}");
+}
--- a/crates/daemon/tests/replicas/mod.rs
+++ b/crates/daemon/tests/replicas/mod.rs
@@ -14,7 +14,7 @@
     Change, ConfirmIntent, ConfirmReply, ControlAnswer, ControlCommand, ControlQuery, ControlReply,
     IntentNumber, Policy,
 };
-use molespan_telemetry::{Metrics, discard_logger};
+use molespan_telemetry::{EventBuffer, Metrics, discard_logger};
 use molespan_types::{ConfigVersion, GroupId, Incarnation, NodeId};
 use molespan_wire::{
     Client, ClientLimits, Consistency, Handler, Request, Response, Server, ServerHandle,
@@ -26,6 +26,8 @@
 pub const LIMIT: Duration = Duration::from_secs(30);
 /// Pause between two looks at a condition.
 const PAUSE: Duration = Duration::from_millis(10);
+/// Decision events that are kept.
+const KEPT_EVENTS: usize = 64;
 /// Threads that run the executor.
 const THREADS: usize = 3;
 
@@ -110,6 +112,7 @@
             executor: self.executor.clone(),
             logger: discard_logger(),
             metrics: Metrics::default(),
+            events: EventBuffer::new(node, KEPT_EVENTS),
         };
         let role = Arc::new(ReplicaRole::start(context).unwrap());
         let address = server.local_address();
