--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_types::{Method, Request, Url};
+use http_types::{Method, Request, StatusCode, Url};
 use molespan_engine_api::{ErrorBody, TENANT_HEADER};
 use molespan_http::{BodyError, ClientResponse, FailureCause, Pool, PoolLimits, SendError};
 use serde::de::DeserializeOwned;
@@ -28,6 +28,7 @@
     body: Vec<u8>,
     content_type: &'static str,
     headers: Vec<(&'static str, String)>,
+    answers: &'static [StatusCode],
 }
 
 impl Call {
@@ -41,6 +42,7 @@
             body: Vec::new(),
             content_type: "application/json",
             headers: Vec::new(),
+            answers: &[],
         }
     }
 
@@ -75,6 +77,13 @@
         self
     }
 
+    /// Statuses besides success that come with a whole answer.
+    #[must_use]
+    pub fn answered_with(mut self, answers: &'static [StatusCode]) -> Self {
+        self.answers = answers;
+        self
+    }
+
     /// The request of this call at `gateway`.
     fn request(&self, gateway: SocketAddr) -> Result<Request, SendError> {
         let invalid = |what: String| SendError::NotSent(FailureCause::Invalid(what));
@@ -131,6 +140,15 @@
         self
     }
 
+    /// The same client of one gateway only.
+    #[must_use]
+    pub fn only(&self, gateway: SocketAddr) -> Self {
+        Self {
+            gateways: vec![gateway],
+            ..self.clone()
+        }
+    }
+
     /// The gateways in the order in which they are tried.
     #[must_use]
     pub fn gateways(&self) -> &[SocketAddr] {
@@ -167,7 +185,8 @@
         }
         let response = self.pool.send(gateway, request).await;
         let response = response.map_err(CliError::Unanswered)?;
-        if response.status().is_success() {
+        let status = response.status();
+        if status.is_success() || call.answers.contains(&status) {
             return Ok(response);
         }
         Err(refusal(gateway, response).await)
--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -4,7 +4,8 @@
 use std::io::{self, IsTerminal};
 use std::path::Path;
 
-use molespan_state::control::{Configuration, ConfirmReply, IntentNumber};
+use http_types::StatusCode;
+use molespan_state::control::{Configuration, ConfirmIntent, ConfirmReply, IntentNumber};
 
 use super::plan::{complete, request_plan, show};
 use crate::client::{Call, Client};
@@ -13,20 +14,33 @@
 use crate::flags;
 use crate::intent::parse_intent;
 
+/// Code of a refusal because the configuration moved on.
+const BASE_MOVED: &str = "base_moved";
+/// Code of a refusal because the number was not planned at this gateway.
+const UNKNOWN_PLAN: &str = "unknown_plan";
+/// Statuses of confirmations that did not come into force.
+const REFUSING_REPLIES: &[StatusCode] = &[
+    StatusCode::Conflict,
+    StatusCode::UnprocessableEntity,
+    StatusCode::Gone,
+];
+
 /// Confirms a plan by its number, or plans and confirms an intent file.
 pub(crate) async fn run(
     client: &Client,
     flags: flags::Apply,
     console: &mut Console,
 ) -> Result<ExitStatus, CliError> {
-    let number = match flags.plan.parse() {
-        Ok(number) => IntentNumber(number),
+    let (number, reply) = match flags.plan.parse() {
+        Ok(number) => {
+            let number = IntentNumber(number);
+            (number, confirm_planned(client, number).await?)
+        }
         Err(_) => match plan_file(client, &flags, console).await? {
-            Some(number) => number,
+            Some(intent) => (intent.number, confirm(client, &intent).await?),
             None => return Ok(ExitStatus::Findings),
         },
     };
-    let reply = confirm(client, number).await?;
     if console.is_json() {
         console.json_line(&reply)?;
     } else {
@@ -45,21 +59,32 @@
     client: &Client,
     flags: &flags::Apply,
     console: &mut Console,
-) -> Result<Option<IntentNumber>, CliError> {
+) -> Result<Option<ConfirmIntent>, CliError> {
     let file = Path::new(&flags.plan);
     let mut intent = parse_intent(&fs::read_to_string(file)?)?;
     intent.operator = flags.operator.clone().or(intent.operator);
+    let is_whole = intent.number.is_some() && intent.base_version.is_some();
     let configuration: Configuration = client.json(&Call::get("/admin/configuration")).await?;
     let intent = complete(&configuration, intent);
-    let plan = request_plan(client, &intent).await?;
-    show(&plan, console)?;
-    if !plan.problems.is_empty() {
-        return Ok(None);
-    }
-    if !flags.yes {
-        ask(console)?;
+    match request_plan(client, &intent).await {
+        Ok(plan) => {
+            show(&plan, console)?;
+            if !plan.problems.is_empty() {
+                return Ok(None);
+            }
+            if !flags.yes {
+                ask(console)?;
+            }
+            Ok(Some(intent))
+        }
+        // It may be this very intent, confirmed before, that moved the
+        // configuration on. The confirmation tells, and changes nothing if not.
+        Err(CliError::Refused(detail)) if detail.code == BASE_MOVED && is_whole => {
+            console.progress(format!("{}; asking for the outcome", detail.message));
+            Ok(Some(intent))
+        }
+        Err(error) => Err(error),
     }
-    Ok(Some(plan.number))
 }
 
 /// Asks on the terminal; without one, only `--yes` confirms.
@@ -77,10 +102,32 @@
     }
 }
 
-/// Confirms a plan. A resend gets the first answer again.
-async fn confirm(client: &Client, number: IntentNumber) -> Result<ConfirmReply, CliError> {
-    let path = format!("/admin/plans/{number}/confirm");
-    client.json(&Call::post(path, Vec::new())).await
+/// Confirms an intent at any gateway. A resend gets the first answer again.
+async fn confirm(client: &Client, intent: &ConfirmIntent) -> Result<ConfirmReply, CliError> {
+    let body = serde_json::to_vec(intent).map_err(io::Error::from)?;
+    client.json(&confirmation(intent.number, body)).await
+}
+
+/// Confirms what was planned under a number, at the gateway that knows it.
+async fn confirm_planned(client: &Client, number: IntentNumber) -> Result<ConfirmReply, CliError> {
+    let call = confirmation(number, Vec::new());
+    let mut last = None;
+    for gateway in client.gateways() {
+        match client.only(*gateway).json(&call).await {
+            Err(CliError::Refused(detail)) if detail.code == UNKNOWN_PLAN => {
+                last = Some(CliError::Refused(detail));
+            }
+            Err(CliError::Unanswered(error)) => {
+                last.get_or_insert(CliError::Unanswered(error));
+            }
+            answer => return answer,
+        }
+    }
+    Err(last.unwrap_or(CliError::Declined))
+}
+
+fn confirmation(number: IntentNumber, body: Vec<u8>) -> Call {
+    Call::post(format!("/admin/plans/{number}/confirm"), body).answered_with(REFUSING_REPLIES)
 }
 
 /// A reply for people.
--- a/crates/cli/src/commands/get.rs
+++ b/crates/cli/src/commands/get.rs
@@ -8,10 +8,12 @@
 use crate::rows::table_of;
 
 /// What can be shown.
-const KINDS: [&str; 10] = [
+const KINDS: [&str; 12] = [
     "services",
     "models",
     "adapters",
+    "tenants",
+    "policy",
     "versions",
     "backends",
     "nodes",
--- a/crates/cli/src/commands/plan.rs
+++ b/crates/cli/src/commands/plan.rs
@@ -23,6 +23,10 @@
     intent.operator = flags.operator.or(intent.operator);
     let intent = complete(&configuration, intent);
     let plan = request_plan(client, &intent).await?;
+    if let Some(target) = &flags.save {
+        let text = serde_json::to_string_pretty(&intent).map_err(std::io::Error::from)?;
+        fs::write(target, text)?;
+    }
     show(&plan, console)?;
     if !plan.problems.is_empty() {
         return Ok(ExitStatus::Findings);
--- a/crates/cli/src/commands/watch.rs
+++ b/crates/cli/src/commands/watch.rs
@@ -6,6 +6,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use molespan_http::ServerEvent;
 use molespan_telemetry::{Event, EventKind, Watched};
 use serde_json::json;
 
@@ -16,6 +17,8 @@
 
 /// Path of the event stream.
 const EVENTS_PATH: &str = "/admin/events";
+/// Name of a server-sent event that stands for lost ones.
+const GAP_EVENT: &str = "gap";
 /// First wait before a lost stream is opened again.
 const FIRST_RETRY: Duration = Duration::from_millis(250);
 /// Longest such wait.
@@ -76,6 +79,9 @@
     if let Some(subject) = &flags.subject {
         call = call.query("subject", subject);
     }
+    if let Some(history) = flags.history {
+        call = call.query("history", history);
+    }
     Ok(call)
 }
 
@@ -117,14 +123,21 @@
         let Some(event) = event.map_err(|error| broken(error.to_string()))? else {
             return Ok(());
         };
-        let watched = serde_json::from_str(&event.data);
-        let watched = watched.map_err(|error| broken(error.to_string()))?;
+        let watched = read_event(&event).map_err(|error| broken(error.to_string()))?;
         if news.send(News::Watched(gateway, watched)).await.is_err() {
             return Ok(());
         }
     }
 }
 
+/// An event of the stream as it was decided.
+fn read_event(event: &ServerEvent) -> Result<Watched, serde_json::Error> {
+    if event.name == GAP_EVENT {
+        return serde_json::from_str(&event.data).map(Watched::Gap);
+    }
+    serde_json::from_str(&event.data).map(Watched::Event)
+}
+
 /// Prints news until enough events were seen.
 async fn print(
     news: Receiver<News>,
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -34,12 +34,14 @@
             optional --number number: u64
             /// Who intends it; default: $USER.
             optional --operator name: String
+            /// File to write the whole intent to, for molespan apply FILE.
+            optional --save target: PathBuf
         }
 
         /// Confirms a plan. Sending it again is safe.
         cmd apply {
-            /// Number of a plan, or the JSON file of an intent, which is
-            /// planned, shown and confirmed.
+            /// Number of a plan made at one of the gateways, or the JSON file
+            /// of an intent, which is planned, shown and confirmed.
             required plan: String
             /// Confirms without asking.
             optional -y, --yes
@@ -47,8 +49,8 @@
             optional --operator name: String
         }
 
-        /// Shows services, models, adapters, versions, backends, nodes, jobs,
-        /// orders, placement or configuration.
+        /// Shows services, models, adapters, tenants, policy, versions,
+        /// backends, nodes, jobs, orders, placement or configuration.
         cmd get {
             /// What to show.
             required kind: String
@@ -110,6 +112,8 @@
             repeated --kind kind: String
             /// Only subjects that contain this text.
             optional --subject text: String
+            /// Starts with so many earlier events of each gateway.
+            optional --history events: u64
             /// Ends after so many events.
             optional --count events: u64
         }
--- a/crates/cli/src/rows.rs
+++ b/crates/cli/src/rows.rs
@@ -8,23 +8,37 @@
 
 /// Columns that come first, by kind. Further fields follow in the order of the
 /// alphabet, so that a newer gateway's fields are shown as well.
-const COLUMNS: [(&str, &[&str]); 9] = [
+const COLUMNS: [(&str, &[&str]); 10] = [
     (
         "services",
         &["name", "kind", "model", "adapters", "replicas", "batch"],
     ),
     ("models", &["name", "version"]),
     ("adapters", &["name", "model", "version"]),
+    (
+        "tenants",
+        &["name", "requests_per_second", "burst", "batch_weight"],
+    ),
     ("versions", &["node", "version"]),
     (
         "backends",
         &[
-            "id", "kind", "service", "zone", "state", "health", "address",
+            "id", "kind", "service", "zone", "state", "models", "adapters", "owner", "load",
+            "address",
         ],
     ),
     (
         "nodes",
-        &["id", "name", "zone", "roles", "draining", "http_address"],
+        &[
+            "registration.node",
+            "registration.name",
+            "registration.zone",
+            "registration.roles",
+            "draining",
+            "version_in_force",
+            "registration.http_address",
+            "registration.internal_address",
+        ],
     ),
     (
         "jobs",
@@ -36,12 +50,27 @@
             "items",
             "completed",
             "failed",
+            "unknown",
+            "leased",
         ],
     ),
-    ("orders", &["backend", "token", "action"]),
-    ("placement", &["service", "backend", "model", "state"]),
+    (
+        "orders",
+        &["backend", "token", "incarnation", "action.action"],
+    ),
+    ("placement", &["service", "wanted", "ready", "others"]),
 ];
 
+/// Parts of a path that titles do without.
+const SILENT_PREFIXES: [&str; 2] = ["registration.", "action."];
+
+fn title(column: &str) -> String {
+    let silent = SILENT_PREFIXES
+        .iter()
+        .find_map(|prefix| column.strip_prefix(prefix));
+    silent.unwrap_or(column).to_owned()
+}
+
 /// The columns that come first for `kind`.
 #[must_use]
 pub fn kind_columns(kind: &str) -> &'static [&'static str] {
@@ -65,7 +94,7 @@
     if columns.is_empty() {
         columns = kind_columns(kind).to_vec();
     }
-    let mut table = Table::new(columns.iter().map(|column| (*column).to_owned()).collect());
+    let mut table = Table::new(columns.iter().map(|column| title(column)).collect());
     for row in &rows {
         let cells = columns.iter().map(|column| row.get(*column).map(cell));
         table.push(cells.map(Option::unwrap_or_default).collect());
