--- a/crates/routing/src/pick/mod.rs
+++ b/crates/routing/src/pick/mod.rs
@@ -110,6 +110,8 @@
     settings: PickSettings,
     zone: ZoneName,
     engines: BTreeMap<BackendId, EngineLoad>,
+    /// Engines that may not be chosen now and still run own requests.
+    set_aside: BTreeMap<BackendId, EngineLoad>,
     prefixes: PrefixIndex,
     rng: ChaCha8Rng,
     turn: usize,
@@ -124,6 +126,7 @@
             settings,
             zone,
             engines: BTreeMap::new(),
+            set_aside: BTreeMap::new(),
             prefixes,
             rng: ChaCha8Rng::seed_from_u64(seed),
             turn: 0,
@@ -135,22 +138,30 @@
     pub fn set_engines(&mut self, candidates: Vec<Candidate>) {
         let mut engines = BTreeMap::new();
         for candidate in candidates {
-            let known = self
-                .engines
-                .remove(&candidate.backend)
-                .filter(|engine| engine.incarnation() == candidate.incarnation);
-            if known.is_none() {
-                self.prefixes.drop_engine(candidate.backend);
+            let engine = self.engine_for(&candidate);
+            engines.insert(candidate.backend, engine);
+        }
+        let gone = std::mem::replace(&mut self.engines, engines);
+        for (backend, engine) in gone {
+            self.prefixes.drop_engine(backend);
+            if engine.own_in_flight() > 0 {
+                self.set_aside.insert(backend, engine);
             }
-            let mut engine = known.unwrap_or_else(|| EngineLoad::new(&self.settings.limit));
-            let backend = candidate.backend;
-            engine.set_candidate(candidate);
-            engines.insert(backend, engine);
         }
-        for backend in self.engines.keys() {
-            self.prefixes.drop_engine(*backend);
+    }
+
+    /// What is known of this life of an engine, with its new description.
+    fn engine_for(&mut self, candidate: &Candidate) -> EngineLoad {
+        let backend = candidate.backend;
+        let same_life = |engine: &EngineLoad| engine.incarnation() == candidate.incarnation;
+        let known = self.engines.remove(&backend).filter(same_life);
+        if known.is_none() {
+            self.prefixes.drop_engine(backend);
         }
-        self.engines = engines;
+        let known = known.or_else(|| self.set_aside.remove(&backend).filter(same_life));
+        let mut engine = known.unwrap_or_else(|| EngineLoad::new(&self.settings.limit));
+        engine.set_candidate(candidate.clone());
+        engine
     }
 
     /// Takes a load report, direct or passed on as a digest.
@@ -188,8 +199,14 @@
         let spilled = policy::keep_zone(&mut open, &self.zone, &self.settings);
         let affine = self.settings.policy == PickPolicy::Affinity;
         if affine && !request.prefix_hashes.is_empty() {
-            let holders = self.prefixes.longest_match(request.prefix_hashes);
-            if let Some(pick) = policy::affinity(&open, holders, spilled, &self.settings) {
+            let pick = policy::affinity(
+                &open,
+                &mut self.prefixes,
+                request.prefix_hashes,
+                spilled,
+                &self.settings,
+            );
+            if let Some(pick) = pick {
                 return Ok(pick);
             }
         }
@@ -199,7 +216,8 @@
     /// A request was sent to `backend`; its prefixes will be cached there.
     pub fn started(&mut self, now: Timestamp, backend: BackendId, prefix_hashes: &[u64]) {
         if let Some(engine) = self.engines.get_mut(&backend) {
-            engine.started(now);
+            let held = self.prefixes.held_by(backend, prefix_hashes);
+            engine.started(now, (prefix_hashes.len() - held) as u32);
             self.prefixes.expect(backend, prefix_hashes);
         }
     }
@@ -212,17 +230,23 @@
         started: Timestamp,
         finish: Finish,
     ) {
+        let settings = &self.settings.limit;
         if let Some(engine) = self.engines.get_mut(&backend) {
-            engine.finished(now, started, finish, &self.settings.limit);
+            engine.finished(now, started, finish, settings);
+        } else if let Some(engine) = self.set_aside.get_mut(&backend) {
+            engine.finished(now, started, finish, settings);
+            if engine.own_in_flight() == 0 {
+                self.set_aside.remove(&backend);
+            }
         }
     }
 
     /// Own requests in flight on `backend`.
     #[must_use]
     pub fn own_in_flight(&self, backend: BackendId) -> u32 {
-        self.engines
-            .get(&backend)
-            .map_or(0, EngineLoad::own_in_flight)
+        let engine = self.engines.get(&backend);
+        let engine = engine.or_else(|| self.set_aside.get(&backend));
+        engine.map_or(0, EngineLoad::own_in_flight)
     }
 
     /// Load of `backend` as a choice made now would see it, in requests.
