--- /dev/null
+++ b/crates/bench/src/run/direct.rs
@@ -0,0 +1,315 @@
+//! What a gateway adds: the same calls made directly and through it, in turn.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use async_executor::Executor;
+use molespan_engine_api::MachineKind;
+use molespan_settings::Role;
+use serde::{Deserialize, Serialize};
+
+use super::account::{CallOutcome, EndedCall};
+use super::fleet::Fleet;
+use super::load::caller::{ApplicationCall, CallRecord, Caller, CompletionCall};
+use super::load::prompts::Prompts;
+use super::measure::latency::{Durations, Quantiles};
+use super::measure::machine::processor_seconds;
+use super::profile::Profile;
+
+/// Zone, by position, whose gateway and back ends are measured.
+const ZONE: usize = 0;
+/// Share of the time for pairs of completions, then of application calls.
+const PAIRS_SHARE: f64 = 0.35;
+/// Share of the time in which the gateway is kept busy.
+const BUSY_SHARE: f64 = 0.3;
+/// Calls kept in flight while the gateway is kept busy.
+const BUSY_LANES: usize = 64;
+/// Tokens of a completion's prompt.
+const PROMPT_TOKENS: u32 = 8;
+/// Tenant of these calls.
+const TENANT: &str = "residents";
+
+/// Times of the same call, direct and through a gateway.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PairFigures {
+    /// Direct calls.
+    pub direct: Quantiles,
+    /// Calls through the gateway.
+    pub through: Quantiles,
+    /// Difference of the medians, in milliseconds.
+    pub added_p50_ms: f64,
+    /// Difference of the 99th percentiles, in milliseconds.
+    pub added_p99_ms: f64,
+}
+
+/// What a gateway adds and how much it carries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DirectFigures {
+    /// Time to the first token.
+    pub completion: PairFigures,
+    /// Time to the whole answer.
+    pub application: PairFigures,
+    /// Calls a second while the gateway is kept busy.
+    pub busy_requests_per_second: f64,
+    /// Calls in a second of its processor time.
+    pub requests_per_core_second: f64,
+}
+
+/// What the direct arm needs.
+#[derive(Clone)]
+pub struct DirectContext {
+    /// Runs the calls.
+    pub executor: Arc<Executor<'static>>,
+    /// Makes them.
+    pub caller: Caller,
+    /// Makes the prompts.
+    pub prompts: Prompts,
+    /// Sizes.
+    pub profile: Profile,
+    /// Calls made so far.
+    pub numbers: Arc<AtomicU64>,
+}
+
+/// Direct figures and the calls behind them.
+pub struct DirectReport {
+    /// Figures.
+    pub figures: DirectFigures,
+    /// Calls of completions.
+    pub completions: Vec<EndedCall>,
+    /// Application calls.
+    pub applications: Vec<EndedCall>,
+}
+
+/// What is measured.
+#[derive(Clone, Copy, Debug)]
+pub struct Targets {
+    gateway: SocketAddr,
+    gateway_process: u32,
+    engine: SocketAddr,
+    application: SocketAddr,
+}
+
+/// Measures for `length`; nothing without targets.
+pub async fn measure(
+    context: &DirectContext,
+    targets: Option<Targets>,
+    length: Duration,
+) -> DirectReport {
+    let mut report = DirectReport {
+        figures: DirectFigures::default(),
+        completions: Vec::new(),
+        applications: Vec::new(),
+    };
+    let Some(targets) = targets else {
+        return report;
+    };
+    let pairs = length.mul_f64(PAIRS_SHARE);
+    let calls = completion_pairs(context, &targets, pairs).await;
+    report.figures.completion = pair_figures(&calls, |call| call.first_token);
+    report.completions = ended(calls);
+    let calls = application_pairs(context, &targets, pairs).await;
+    report.figures.application = pair_figures(&calls, |call| Some(call.whole));
+    report.applications = ended(calls);
+    let busy = keep_busy(context, &targets, length.mul_f64(BUSY_SHARE)).await;
+    report.figures.busy_requests_per_second = busy.per_second;
+    report.figures.requests_per_core_second = busy.per_core_second;
+    report.applications.extend(busy.calls);
+    report
+}
+
+/// A gateway and back ends of one zone.
+#[must_use]
+pub fn targets(fleet: &Fleet) -> Option<Targets> {
+    let mut gateways = fleet.nodes_of(Role::Gateway);
+    let gateway = gateways.find(|node| node.place.zone == ZONE)?;
+    let backend = |kind| {
+        let mut backends = fleet.backends.iter();
+        backends.find(|backend| backend.machine.kind == kind && backend.zone == ZONE)
+    };
+    Some(Targets {
+        gateway: gateway.place.http,
+        gateway_process: gateway.process.id(),
+        engine: backend(MachineKind::Engine)?.address,
+        application: backend(MachineKind::Application)?.address,
+    })
+}
+
+/// Makes the first calls of a gateway. Returns how one of them ended, unless
+/// both completed.
+pub async fn first_calls(
+    caller: &Caller,
+    gateway: SocketAddr,
+    prompts: &Prompts,
+    profile: &Profile,
+    number: u64,
+) -> Option<String> {
+    let fleet = &profile.fleet;
+    let completion = CompletionCall {
+        model: fleet.service.as_str().to_owned(),
+        prompt: prompts.single("completion", number, PROMPT_TOKENS),
+        max_tokens: 1,
+        tenant: TENANT.to_owned(),
+        once_key: None,
+    };
+    let application = ApplicationCall {
+        prefix: format!("/services/{}", fleet.application_service),
+        path: "/first".to_owned(),
+        body: prompts.single("application", number, PROMPT_TOKENS),
+        tenant: TENANT.to_owned(),
+    };
+    let completed = caller.stream(gateway, &completion, Instant::now()).await;
+    let answered = caller
+        .application(gateway, &application, Instant::now())
+        .await;
+    let mut outcomes = [completed.outcome, answered.outcome].into_iter();
+    let missing = outcomes.find(|outcome| *outcome != CallOutcome::Completed);
+    missing.map(|outcome| outcome.label())
+}
+
+/// A call and whether it went through the gateway.
+struct PairedCall {
+    through: bool,
+    record: CallRecord,
+}
+
+async fn completion_pairs(
+    context: &DirectContext,
+    targets: &Targets,
+    length: Duration,
+) -> Vec<PairedCall> {
+    let fleet = &context.profile.fleet;
+    let end = Instant::now() + length;
+    let mut calls = Vec::new();
+    while Instant::now() < end {
+        for through in [false, true] {
+            let number = context.numbers.fetch_add(1, Ordering::Relaxed);
+            let (address, model) = match through {
+                true => (targets.gateway, fleet.service.as_str()),
+                false => (targets.engine, fleet.model.as_str()),
+            };
+            let call = CompletionCall {
+                model: model.to_owned(),
+                prompt: context.prompts.single("pair", number, PROMPT_TOKENS),
+                max_tokens: 1,
+                tenant: TENANT.to_owned(),
+                once_key: None,
+            };
+            let record = context.caller.stream(address, &call, Instant::now()).await;
+            calls.push(PairedCall { through, record });
+        }
+    }
+    calls
+}
+
+async fn application_pairs(
+    context: &DirectContext,
+    targets: &Targets,
+    length: Duration,
+) -> Vec<PairedCall> {
+    let end = Instant::now() + length;
+    let mut calls = Vec::new();
+    while Instant::now() < end {
+        for through in [false, true] {
+            let address = match through {
+                true => targets.gateway,
+                false => targets.application,
+            };
+            let call = application_call(context, through);
+            let calling = context.caller.application(address, &call, Instant::now());
+            let record = calling.await;
+            calls.push(PairedCall { through, record });
+        }
+    }
+    calls
+}
+
+fn application_call(context: &DirectContext, through: bool) -> ApplicationCall {
+    let number = context.numbers.fetch_add(1, Ordering::Relaxed);
+    let service = context.profile.fleet.application_service.as_str();
+    ApplicationCall {
+        prefix: match through {
+            true => format!("/services/{service}"),
+            false => String::new(),
+        },
+        path: format!("/albums/{number}"),
+        body: context.prompts.single("pair", number, PROMPT_TOKENS),
+        tenant: TENANT.to_owned(),
+    }
+}
+
+fn pair_figures(
+    calls: &[PairedCall],
+    time: impl Fn(&CallRecord) -> Option<Duration>,
+) -> PairFigures {
+    let quantiles = |through| {
+        let calls = calls.iter().filter(|call| call.through == through);
+        let completed = calls.filter(|call| call.record.outcome == CallOutcome::Completed);
+        Durations::of(completed.filter_map(|call| time(&call.record))).quantiles()
+    };
+    let (direct, through) = (quantiles(false), quantiles(true));
+    PairFigures {
+        added_p50_ms: through.p50_ms - direct.p50_ms,
+        added_p99_ms: through.p99_ms - direct.p99_ms,
+        direct,
+        through,
+    }
+}
+
+/// What came of keeping the gateway busy.
+struct Busy {
+    per_second: f64,
+    per_core_second: f64,
+    calls: Vec<EndedCall>,
+}
+
+async fn keep_busy(context: &DirectContext, targets: &Targets, length: Duration) -> Busy {
+    let start = Instant::now();
+    let processor = processor_seconds(targets.gateway_process);
+    let end = start + length;
+    let mut lanes = Vec::with_capacity(BUSY_LANES);
+    for _ in 0..BUSY_LANES {
+        let lane = busy_lane(context.clone(), targets.gateway, end);
+        lanes.push(context.executor.spawn(lane));
+    }
+    let mut calls = Vec::new();
+    for lane in lanes {
+        calls.extend(lane.await);
+    }
+    let used = processor_seconds(targets.gateway_process) - processor;
+    let completed = calls.iter();
+    let completed = completed.filter(|call| call.outcome == CallOutcome::Completed);
+    let completed = completed.count() as f64;
+    Busy {
+        per_second: completed / start.elapsed().as_secs_f64(),
+        per_core_second: if used > 0.0 { completed / used } else { 0.0 },
+        calls,
+    }
+}
+
+/// Makes one call after the other until `end`.
+async fn busy_lane(context: DirectContext, gateway: SocketAddr, end: Instant) -> Vec<EndedCall> {
+    let mut calls = Vec::new();
+    while Instant::now() < end {
+        let call = application_call(&context, true);
+        let calling = context.caller.application(gateway, &call, Instant::now());
+        calls.push(ended_call(calling.await));
+    }
+    calls
+}
+
+fn ended(calls: Vec<PairedCall>) -> Vec<EndedCall> {
+    calls
+        .into_iter()
+        .map(|call| ended_call(call.record))
+        .collect()
+}
+
+fn ended_call(record: CallRecord) -> EndedCall {
+    EndedCall {
+        prompt: record.prompt,
+        repeatable: true,
+        outcome: record.outcome,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/run/faults.rs
@@ -0,0 +1,202 @@
+//! A schedule of faults under load.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use molespan_emulator::platform::{SET_STATE_PATH, StateChange};
+use molespan_emulator::switch_api::{CRASH_PATH, CrashRequest};
+use molespan_engine_api::MachineState;
+use molespan_http::Pool;
+use molespan_types::BackendId;
+use serde::{Deserialize, Serialize};
+
+use super::fleet::Fleet;
+use super::measure::engines::{execution_log, post_switch};
+
+/// Moments of the faults, as shares of the measured time.
+const ENGINE_KILLED_AT: f64 = 0.10;
+const ENGINE_LEAVES_AT: f64 = 0.25;
+const GATEWAY_STOPS_AT: f64 = 0.45;
+const ZONE_CUT_AT: f64 = 0.70;
+/// Time until a killed engine is started again.
+const ENGINE_DOWN: Duration = Duration::from_secs(3);
+/// Length of the cut of a zone.
+const ZONE_CUT_FOR: Duration = Duration::from_secs(4);
+/// Zones, by position, that the faults hit.
+const KILLED_ENGINE_ZONE: usize = 0;
+const LEAVING_ENGINE_ZONE: usize = 1;
+const STOPPED_GATEWAY_ZONE: usize = 1;
+const CUT_ZONE: usize = 2;
+/// Longest wait for a gateway that was asked to stop.
+const STOP_PATIENCE: Duration = Duration::from_secs(75);
+/// Time between two readings of what a leaving engine has started.
+const LEAVING_POLL: Duration = Duration::from_millis(100);
+/// How long a leaving engine is watched.
+const LEAVING_WATCH: Duration = Duration::from_secs(8);
+/// Time between two looks at whether a gateway has ended.
+const EXIT_POLL: Duration = Duration::from_millis(50);
+
+/// What the faults showed.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FaultFigures {
+    /// Time from the platform's note that an engine leaves to the last request
+    /// that it started, in seconds. The note is visible in the list only after
+    /// the list's own lag.
+    pub leaving_last_request_s: Option<f64>,
+    /// Requests that the leaving engine started in the time it was watched.
+    pub leaving_requests: u64,
+    /// Time that the planned stop of a gateway took, in seconds.
+    pub gateway_stop_s: Option<f64>,
+    /// Whether the gateway ended by itself and without an error.
+    pub gateway_stop_clean: bool,
+    /// Faults that could not be made.
+    pub problems: Vec<String>,
+}
+
+/// Makes the faults.
+pub struct FaultDriver {
+    fleet: Arc<Mutex<Fleet>>,
+    pool: Pool,
+    start: Instant,
+    length: Duration,
+    figures: Mutex<FaultFigures>,
+}
+
+impl FaultDriver {
+    /// Faults within `length` from `start` on.
+    #[must_use]
+    pub fn new(fleet: Arc<Mutex<Fleet>>, pool: Pool, start: Instant, length: Duration) -> Self {
+        Self {
+            fleet,
+            pool,
+            start,
+            length,
+            figures: Mutex::default(),
+        }
+    }
+
+    /// Makes every fault at its time and waits for its end.
+    pub async fn run(&self) -> FaultFigures {
+        let engines = futures_lite::future::zip(self.kill_engine(), self.leave_engine());
+        let nodes = futures_lite::future::zip(self.stop_gateway(), self.cut_zone());
+        futures_lite::future::zip(engines, nodes).await;
+        let figures = self.figures.lock().unwrap_or_else(PoisonError::into_inner);
+        figures.clone()
+    }
+
+    async fn until(&self, share: f64) {
+        Timer::at(self.start + self.length.mul_f64(share)).await;
+    }
+
+    /// Kills an engine; its record of executions outlives it.
+    async fn kill_engine(&self) {
+        self.until(ENGINE_KILLED_AT).await;
+        let Some((_, engine)) = self.engine_in(KILLED_ENGINE_ZONE, 0) else {
+            return self.problem("no engine to kill");
+        };
+        let crash = CrashRequest {
+            down_ms: ENGINE_DOWN.as_millis() as u64,
+        };
+        // The answer is lost with the connection.
+        post_switch(&self.pool, engine, CRASH_PATH, &crash).await;
+    }
+
+    /// Marks an engine as leaving in every list and watches what it starts.
+    async fn leave_engine(&self) {
+        self.until(ENGINE_LEAVES_AT).await;
+        let Some((id, engine)) = self.engine_in(LEAVING_ENGINE_ZONE, 0) else {
+            return self.problem("no engine to leave");
+        };
+        let change = StateChange {
+            id,
+            state: MachineState::Leaving,
+        };
+        let marked = Instant::now();
+        for platform in self.platforms() {
+            if !post_switch(&self.pool, platform, SET_STATE_PATH, &change).await {
+                self.problem("a platform list did not take the change");
+            }
+        }
+        self.watch_leaving(engine, marked).await;
+    }
+
+    async fn watch_leaving(&self, engine: SocketAddr, marked: Instant) {
+        let mut first = None;
+        let mut last = 0;
+        let mut last_at = Duration::ZERO;
+        while marked.elapsed() < LEAVING_WATCH {
+            if let Some(log) = execution_log(&self.pool, engine).await {
+                let started = log.attempts.len() as u64;
+                first.get_or_insert(started);
+                if started > last {
+                    last = started;
+                    last_at = marked.elapsed();
+                }
+            }
+            Timer::after(LEAVING_POLL).await;
+        }
+        let mut figures = self.lock();
+        figures.leaving_last_request_s = first.map(|_| last_at.as_secs_f64());
+        figures.leaving_requests = last - first.unwrap_or(last);
+    }
+
+    /// Stops a gateway in plan, waits for its end and starts it again.
+    async fn stop_gateway(&self) {
+        self.until(GATEWAY_STOPS_AT).await;
+        let asked = Instant::now();
+        let sent = self.with_fleet(|fleet| fleet.ask_gateway_to_stop(STOPPED_GATEWAY_ZONE));
+        if let Err(error) = sent {
+            return self.problem(&error.to_string());
+        }
+        while asked.elapsed() < STOP_PATIENCE {
+            let exit = self.with_fleet(|fleet| fleet.gateway_exit(STOPPED_GATEWAY_ZONE));
+            if let Some(clean) = exit {
+                let mut figures = self.lock();
+                figures.gateway_stop_s = Some(asked.elapsed().as_secs_f64());
+                figures.gateway_stop_clean = clean;
+                break;
+            }
+            Timer::after(EXIT_POLL).await;
+        }
+        let restarted = self.with_fleet(|fleet| fleet.restart_gateway(STOPPED_GATEWAY_ZONE));
+        if let Err(error) = restarted {
+            self.problem(&error.to_string());
+        }
+    }
+
+    /// Cuts a zone off from the others for a while.
+    async fn cut_zone(&self) {
+        self.until(ZONE_CUT_AT).await;
+        self.with_fleet(|fleet| fleet.network.set_cut(CUT_ZONE, true));
+        Timer::after(ZONE_CUT_FOR).await;
+        self.with_fleet(|fleet| fleet.network.set_cut(CUT_ZONE, false));
+    }
+
+    /// The engine of that position within a zone.
+    fn engine_in(&self, zone: usize, position: usize) -> Option<(BackendId, SocketAddr)> {
+        self.with_fleet(|fleet| {
+            let engines = fleet.engines().filter(|engine| engine.zone == zone);
+            let mut engines = engines.map(|engine| (engine.machine.id, engine.address));
+            engines.nth(position)
+        })
+    }
+
+    fn platforms(&self) -> Vec<SocketAddr> {
+        self.with_fleet(|fleet| fleet.platforms.clone())
+    }
+
+    fn with_fleet<T>(&self, call: impl FnOnce(&mut Fleet) -> T) -> T {
+        let mut fleet = self.fleet.lock().unwrap_or_else(PoisonError::into_inner);
+        call(&mut fleet)
+    }
+
+    fn problem(&self, text: &str) {
+        self.lock().problems.push(text.to_owned());
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, FaultFigures> {
+        self.figures.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/run/fleet/operator.rs
@@ -0,0 +1,137 @@
+//! What an operator does to a new fleet: one intent, planned and confirmed.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use molespan_http::{Method, Pool, json_body, new_request};
+use molespan_state::control::{
+    Change, ConfirmIntent, IntentNumber, Model, Policy, Service, ServiceKind, TenantLimits,
+};
+use molespan_types::{ConfigVersion, ModelName, TenantId};
+
+use crate::BenchError;
+use crate::run::profile::Profile;
+
+/// Number of the intent that sets the fleet up.
+const SET_UP_INTENT: u64 = 1;
+/// Time for a new fleet to elect its leaders and take the intent.
+const SET_UP_PATIENCE: Duration = Duration::from_secs(30);
+/// Pause before a call is made again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Requests of a service in flight at one gateway.
+const MAX_CONCURRENCY: u32 = 4_096;
+/// Requests of a service that wait at one gateway.
+const MAX_QUEUE: u32 = 4_096;
+/// Longest wait there.
+const QUEUE_TIMEOUT_MS: u32 = 10_000;
+/// Rate and burst of the tenants of the load.
+const TENANT_RATE: u32 = 100_000;
+/// Tenants of the load.
+const TENANTS: [&str; 2] = ["residents", "clerks"];
+/// Longest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+
+/// The intent that creates the services of `profile`.
+#[must_use]
+pub fn set_up_intent(profile: &Profile) -> ConfirmIntent {
+    let fleet = &profile.fleet;
+    let model = ModelName::from(fleet.model.as_str());
+    let mut changes = vec![
+        Change::PutModel {
+            name: model.clone(),
+            model: Model { version: 1 },
+        },
+        Change::PutService {
+            name: fleet.service.clone(),
+            service: service(ServiceKind::Completion, Some(model)),
+        },
+        Change::PutService {
+            name: fleet.application_service.clone(),
+            service: service(ServiceKind::Application, None),
+        },
+        Change::PutPolicy {
+            policy: Policy {
+                tail_protection: profile.tail_protection,
+            },
+        },
+    ];
+    changes.extend(TENANTS.map(|tenant| Change::PutTenant {
+        name: TenantId::from(tenant),
+        limits: TenantLimits {
+            requests_per_second: TENANT_RATE,
+            burst: TENANT_RATE,
+            batch_weight: 1,
+        },
+    }));
+    ConfirmIntent {
+        number: IntentNumber(SET_UP_INTENT),
+        operator: "bench".to_owned(),
+        base_version: ConfigVersion(0),
+        changes,
+    }
+}
+
+fn service(kind: ServiceKind, model: Option<ModelName>) -> Service {
+    Service {
+        kind,
+        batch: kind == ServiceKind::Completion,
+        model,
+        adapters: Vec::new(),
+        max_concurrency: MAX_CONCURRENCY,
+        max_queue: MAX_QUEUE,
+        queue_timeout_ms: QUEUE_TIMEOUT_MS,
+        replicas: 0,
+    }
+}
+
+/// Plans and confirms the intent at a gateway; both are made again until the
+/// fleet takes them.
+///
+/// # Errors
+///
+/// When the fleet does not take them in time.
+pub async fn set_up(pool: &Pool, gateway: SocketAddr, profile: &Profile) -> Result<(), BenchError> {
+    let intent = set_up_intent(profile);
+    let confirm = format!("/admin/plans/{}/confirm", intent.number);
+    let deadline = Instant::now() + SET_UP_PATIENCE;
+    loop {
+        let planned = post(pool, gateway, "/admin/plans", Some(&intent)).await;
+        let confirmed = match planned {
+            Ok(()) => post(pool, gateway, &confirm, None).await,
+            Err(reason) => Err(reason),
+        };
+        match confirmed {
+            Ok(()) => return Ok(()),
+            Err(reason) if Instant::now() >= deadline => {
+                return Err(BenchError::SetUp { reason });
+            }
+            Err(_) => {
+                Timer::after(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn post(
+    pool: &Pool,
+    gateway: SocketAddr,
+    path: &str,
+    body: Option<&ConfirmIntent>,
+) -> Result<(), String> {
+    let request = new_request(Method::Post, gateway, path);
+    let mut request = request.map_err(|error| error.to_string())?;
+    if let Some(body) = body {
+        request.set_body(json_body(body));
+    }
+    let response = pool.send(gateway, request).await;
+    let response = response.map_err(|error| error.to_string())?;
+    let status = response.status();
+    let answer = response.bytes(MAX_ANSWER_BYTES).await;
+    let answer = answer.map_err(|error| error.to_string())?;
+    if status.is_success() {
+        return Ok(());
+    }
+    let answer = String::from_utf8_lossy(&answer);
+    Err(format!("{path} answered {status}: {answer}"))
+}
--- /dev/null
+++ b/crates/bench/src/run/fleet/programs.rs
@@ -0,0 +1,102 @@
+//! Finds the programs that a run starts.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+use crate::BenchError;
+
+/// The daemon.
+pub const DAEMON: &str = "molespand";
+/// The stand-ins.
+pub const EMULATOR: &str = "molespan-emulator";
+/// Variable in which cargo names itself to what it runs.
+const CARGO_VARIABLE: &str = "CARGO";
+/// Packages and binaries that are built when a program is missing.
+const BUILD_ARGUMENTS: [&str; 10] = [
+    "build",
+    "--release",
+    "-p",
+    "molespan-daemon",
+    "-p",
+    "molespan-emulator",
+    "--bin",
+    DAEMON,
+    "--bin",
+    EMULATOR,
+];
+
+/// Paths of the programs.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The daemon.
+    pub daemon: PathBuf,
+    /// The stand-ins.
+    pub emulator: PathBuf,
+}
+
+impl Programs {
+    /// The programs beside this one, built first when one is missing and
+    /// cargo runs the bench.
+    ///
+    /// # Errors
+    ///
+    /// When one is missing and cannot be built.
+    pub fn find() -> Result<Self, BenchError> {
+        let folder = own_folder()?;
+        let programs = Self::beside(&folder);
+        if programs.missing().is_some() {
+            build()?;
+        }
+        match programs.missing() {
+            Some(missing) => Err(BenchError::ProgramMissing {
+                path: missing.to_owned(),
+                command: build_command(),
+            }),
+            None => Ok(programs),
+        }
+    }
+
+    fn beside(folder: &Path) -> Self {
+        let suffix = std::env::consts::EXE_SUFFIX;
+        Self {
+            daemon: folder.join(format!("{DAEMON}{suffix}")),
+            emulator: folder.join(format!("{EMULATOR}{suffix}")),
+        }
+    }
+
+    fn missing(&self) -> Option<&Path> {
+        let mut programs = [&self.daemon, &self.emulator].into_iter();
+        programs.find(|path| !path.is_file()).map(PathBuf::as_path)
+    }
+}
+
+fn own_folder() -> Result<PathBuf, BenchError> {
+    let program = std::env::current_exe().map_err(|source| BenchError::File {
+        path: PathBuf::from("the running program"),
+        source,
+    })?;
+    Ok(program.parent().map(Path::to_owned).unwrap_or_default())
+}
+
+fn build_command() -> String {
+    format!("cargo {}", BUILD_ARGUMENTS.join(" "))
+}
+
+/// Builds both programs where cargo runs the bench.
+fn build() -> Result<(), BenchError> {
+    let Some(cargo) = std::env::var_os(CARGO_VARIABLE) else {
+        return Ok(());
+    };
+    eprintln!("bench: building {DAEMON} and {EMULATOR}");
+    let status = Command::new(cargo).args(BUILD_ARGUMENTS).status();
+    let status = status.map_err(|source| BenchError::Start {
+        program: build_command(),
+        source,
+    })?;
+    if status.success() {
+        return Ok(());
+    }
+    Err(BenchError::BuildFailed {
+        command: build_command(),
+    })
+}
--- /dev/null
+++ b/crates/bench/src/run/fleet/relay.rs
@@ -0,0 +1,140 @@
+//! Relays on the loopback that stand for the network between zones.
+//!
+//! A relay listens for the nodes of one zone and forwards to one address of
+//! another zone. It delays every byte by the one-way time, and while the link
+//! is cut it forwards nothing and says nothing, like a network that drops
+//! packets. Links between nodes of one zone have no relay.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
+
+/// Bytes read at once.
+const READ_BYTES: usize = 64 * 1024;
+/// Pieces on their way in one direction of one connection.
+const IN_FLIGHT: usize = 256;
+/// Time between two looks at whether a cut link is whole again.
+const CUT_POLL: Duration = Duration::from_millis(10);
+
+/// A switch of the links of one zone.
+#[derive(Clone, Debug, Default)]
+pub struct ZoneLink {
+    cut: Arc<AtomicBool>,
+}
+
+impl ZoneLink {
+    /// Cuts the zone off, or joins it again.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::Relaxed);
+    }
+
+    fn is_cut(&self) -> bool {
+        self.cut.load(Ordering::Relaxed)
+    }
+}
+
+/// How a relay carries bytes.
+#[derive(Clone, Debug)]
+pub struct RelayLink {
+    /// Delay of every byte, one way.
+    pub one_way: Duration,
+    /// The zones at both ends; cutting either cuts the relay.
+    pub ends: [ZoneLink; 2],
+}
+
+impl RelayLink {
+    async fn until_whole(&self) {
+        while self.ends.iter().any(ZoneLink::is_cut) {
+            Timer::after(CUT_POLL).await;
+        }
+    }
+}
+
+/// Starts a relay to `target` and returns where it listens.
+///
+/// # Errors
+///
+/// When no address can be bound.
+pub fn start_relay(
+    executor: &Arc<Executor<'static>>,
+    target: SocketAddr,
+    link: RelayLink,
+) -> io::Result<SocketAddr> {
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
+    let address = listener.get_ref().local_addr()?;
+    let spawner = executor.clone();
+    let accepting = async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let relaying = relay(stream, target, link.clone());
+            spawner.spawn(relaying).detach();
+        }
+    };
+    executor.spawn(accepting).detach();
+    Ok(address)
+}
+
+/// Carries one connection until either side ends it.
+async fn relay(near: Async<TcpStream>, target: SocketAddr, link: RelayLink) {
+    link.until_whole().await;
+    let Ok(far) = Async::<TcpStream>::connect(target).await else {
+        return;
+    };
+    for stream in [&near, &far] {
+        // Without it small messages wait for acknowledgements.
+        let _ = stream.get_ref().set_nodelay(true);
+    }
+    let there = carry(&near, &far, &link);
+    let back = carry(&far, &near, &link);
+    future::zip(there, back).await;
+}
+
+/// Bytes and the time at which they arrive.
+struct Piece {
+    arrives: Instant,
+    bytes: Vec<u8>,
+}
+
+/// Carries one direction until its sender ends it, then ends it at the
+/// receiver.
+async fn carry(from: &Async<TcpStream>, to: &Async<TcpStream>, link: &RelayLink) {
+    let (sender, receiver) = async_channel::bounded(IN_FLIGHT);
+    let reading = read_pieces(from, sender, link);
+    let writing = write_pieces(to, receiver, link);
+    future::zip(reading, writing).await;
+    // The peer may have closed both directions already.
+    let _ = to.get_ref().shutdown(std::net::Shutdown::Write);
+}
+
+async fn read_pieces(mut from: &Async<TcpStream>, sender: Sender<Piece>, link: &RelayLink) {
+    let mut buffer = vec![0; READ_BYTES];
+    while let Ok(count) = from.read(&mut buffer).await {
+        if count == 0 {
+            return;
+        }
+        let piece = Piece {
+            arrives: Instant::now() + link.one_way,
+            bytes: buffer[..count].to_vec(),
+        };
+        if sender.send(piece).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn write_pieces(mut to: &Async<TcpStream>, receiver: Receiver<Piece>, link: &RelayLink) {
+    while let Ok(piece) = receiver.recv().await {
+        Timer::at(piece.arrives).await;
+        link.until_whole().await;
+        if to.write_all(&piece.bytes).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/bench/src/run/load/batch.rs
+++ b/crates/bench/src/run/load/batch.rs
@@ -92,7 +92,7 @@
     /// Waits until every job has ended, at most until `deadline`; then cancels
     /// those that are left and waits for the cancellations. Reads and checks
     /// all results.
-    pub async fn finish(self, deadline: Instant, cancel_deadline: Instant) -> BatchReport {
+    pub async fn finish(&self, deadline: Instant, cancel_deadline: Instant) -> BatchReport {
         self.wait_for_end(deadline).await;
         for position in self.open_jobs() {
             self.cancel(position).await;
@@ -103,7 +103,7 @@
         for job in jobs {
             let lines = self.results(&job).await;
             let cancelled = job.cancelled;
-            let items = Arc::unwrap_or_clone(job.items);
+            let items = JobItems::clone(&job.items);
             report
                 .jobs
                 .push(JobResults::check(items, &lines, cancelled));
--- a/crates/bench/src/run/mod.rs
+++ b/crates/bench/src/run/mod.rs
@@ -1,13 +1,47 @@
 //! The experiment: a fleet of real processes under load, in several arms.
+//!
+//! Each arm runs on a fresh fleet under the same arrivals, drawn from the seed;
+//! all arms of a run are run one after the other on the same machine.
 
 pub mod account;
+pub mod arms;
+pub mod direct;
+pub mod experiment;
+pub mod faults;
+pub mod figures;
+pub mod fleet;
 pub mod load;
+pub mod measure;
 pub mod profile;
+pub mod report;
 
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
 
+use async_executor::Executor;
+use molespan_http::{Pool, PoolLimits};
+
+use self::arms::Arm;
+use self::experiment::{Experiment, run_on_threads};
+use self::figures::RunFigures;
+use self::fleet::create_folder;
+use self::fleet::programs::Programs;
+use self::profile::Profile;
 use crate::BenchError;
 
+/// Measured seconds of an arm when not given; a whole run then takes about
+/// four minutes.
+const DEFAULT_SECONDS: u64 = 16;
+/// Seed when not given.
+const DEFAULT_SEED: u64 = 1;
+/// Threads that run the load, besides the first.
+const LOAD_THREADS: usize = 3;
+/// Most connections of the load to one address.
+const MAX_CONNECTIONS: usize = 4_096;
+/// Longest wait of a caller for the head of an answer.
+const RESPONSE_PATIENCE: Duration = Duration::from_secs(60);
+
 /// What the command line asks of a run.
 #[derive(Clone, Debug)]
 pub struct RunOptions {
@@ -23,11 +57,62 @@
     pub arms: Option<String>,
 }
 
-/// Runs the experiment and prints its figures.
+/// Runs the experiment, writes its report and prints its figures as one line
+/// of JSON.
 ///
 /// # Errors
 ///
-/// When a flag is unknown, or the fleet cannot be started.
-pub fn run(_options: &RunOptions) -> Result<(), BenchError> {
-    Err(BenchError::NotBuilt { subcommand: "run" })
+/// When a flag is unknown, the fleet cannot be started, or the report cannot
+/// be written.
+pub fn run(options: &RunOptions) -> Result<(), BenchError> {
+    let profile = Profile::named(&options.profile)?;
+    let arms = match &options.arms {
+        Some(list) => Arm::parse_list(list)?,
+        None => Arm::ALL.to_vec(),
+    };
+    let programs = Programs::find()?;
+    create_folder(&options.out)?;
+    let experiment = Experiment {
+        programs,
+        profile,
+        length: Duration::from_secs(options.seconds.unwrap_or(DEFAULT_SECONDS)),
+        seed: options.seed.unwrap_or(DEFAULT_SEED),
+        executor: Arc::new(Executor::new()),
+        pool: load_pool(),
+    };
+    let figures = run_arms(&experiment, &arms, options)?;
+    report::write(&figures, &options.out)?;
+    let summary = serde_json::to_string(&figures.summary());
+    println!("{}", summary.unwrap_or_default());
+    Ok(())
+}
+
+fn run_arms(
+    experiment: &Experiment,
+    arms: &[Arm],
+    options: &RunOptions,
+) -> Result<RunFigures, BenchError> {
+    let mut figures = RunFigures {
+        profile: experiment.profile.name.to_owned(),
+        seed: experiment.seed,
+        throughput_weight: experiment.profile.throughput_weight,
+        ..RunFigures::default()
+    };
+    for arm in arms {
+        eprintln!("bench: arm {}", arm.name());
+        let folder = options.out.join("fleet").join(arm.name());
+        let running = experiment.run_arm(*arm, &folder);
+        let arm_figures = run_on_threads(&experiment.executor, LOAD_THREADS, running)?;
+        figures.arms.insert(arm.name().to_owned(), arm_figures);
+    }
+    Ok(figures)
+}
+
+fn load_pool() -> Pool {
+    Pool::new(PoolLimits {
+        max_connections_per_address: MAX_CONNECTIONS,
+        response_timeout: RESPONSE_PATIENCE,
+        body_timeout: RESPONSE_PATIENCE,
+        ..PoolLimits::default()
+    })
 }
--- /dev/null
+++ b/crates/bench/src/run/report/plots.rs
@@ -0,0 +1,196 @@
+//! Plots as PNG files.
+//!
+//! The plotting library draws text only with a font, and the bench carries
+//! none: it has lines of a font of its own, see [`super::lettering`].
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use super::lettering::write_text;
+use crate::BenchError;
+use crate::run::figures::{ArmFigures, RunFigures};
+
+/// Size of a plot in pixels.
+const SIZE: (u32, u32) = (1_000, 640);
+/// Pixels around the drawing area: left, right, top, bottom.
+const LEFT: i32 = 90;
+const RIGHT: i32 = 210;
+const TOP: i32 = 50;
+const BOTTOM: i32 = 60;
+/// Lines of the grid in each direction.
+const GRID: i32 = 5;
+/// Height of text in pixels.
+const TITLE_HEIGHT: i32 = 18;
+const TEXT_HEIGHT: i32 = 12;
+
+/// One line of a plot.
+struct Series<'a> {
+    name: &'a str,
+    points: Vec<(f64, f64)>,
+}
+
+/// A plot before it is drawn.
+struct Plot<'a> {
+    title: String,
+    across: &'a str,
+    up: &'a str,
+    series: Vec<Series<'a>>,
+}
+
+/// The distribution of the time to the first token in each arm.
+///
+/// # Errors
+///
+/// When the file cannot be written.
+pub fn first_token(figures: &RunFigures, path: &Path) -> Result<(), BenchError> {
+    let points = |arm: &ArmFigures| {
+        let curve = &arm.first_token_curve_ms;
+        let count = curve.len().max(1) as f64;
+        let share = |position: usize| (position + 1) as f64 / count * 100.0;
+        let values = curve.iter().enumerate();
+        values
+            .map(|(position, value)| (share(position), *value))
+            .collect()
+    };
+    let plot = Plot {
+        title: format!("{}: time to first token", figures.profile),
+        across: "percent of requests",
+        up: "ms",
+        series: series(figures, points),
+    };
+    plot.draw(path)
+}
+
+/// Batch items completed over time in each arm.
+///
+/// # Errors
+///
+/// When the file cannot be written.
+pub fn batch_progress(figures: &RunFigures, path: &Path) -> Result<(), BenchError> {
+    let points = |arm: &ArmFigures| {
+        let progress = arm.batch_progress.iter();
+        progress
+            .map(|point| (point.at_s, point.completed as f64))
+            .collect()
+    };
+    let plot = Plot {
+        title: format!("{}: batch items completed", figures.profile),
+        across: "seconds",
+        up: "items",
+        series: series(figures, points),
+    };
+    plot.draw(path)
+}
+
+/// A line for each arm that has points.
+fn series(
+    figures: &RunFigures,
+    points: impl Fn(&ArmFigures) -> Vec<(f64, f64)>,
+) -> Vec<Series<'_>> {
+    let arms = figures.arms.iter().map(|(name, arm)| Series {
+        name,
+        points: points(arm),
+    });
+    arms.filter(|series| series.points.len() > 1 && series.largest().1 > 0.0)
+        .collect()
+}
+
+impl Series<'_> {
+    /// The largest value in both directions.
+    fn largest(&self) -> (f64, f64) {
+        let larger =
+            |so_far: (f64, f64), point: &(f64, f64)| (so_far.0.max(point.0), so_far.1.max(point.1));
+        self.points.iter().fold((0.0, 0.0), larger)
+    }
+}
+
+impl Plot<'_> {
+    fn draw(&self, path: &Path) -> Result<(), BenchError> {
+        let area = BitMapBackend::new(path, SIZE).into_drawing_area();
+        let drawn = self.draw_on(&area);
+        let drawn = drawn.and_then(|()| area.present());
+        drawn.map_err(|error| BenchError::Plot {
+            path: path.to_owned(),
+            reason: error.to_string(),
+        })
+    }
+
+    fn draw_on(&self, area: &Area<'_>) -> Result<(), DrawError> {
+        area.fill(&WHITE)?;
+        let largest = self.largest();
+        self.draw_grid(area, largest)?;
+        for (position, series) in self.series.iter().enumerate() {
+            let color = Palette99::pick(position).to_rgba();
+            let points = series.points.iter().map(|point| place(*point, largest));
+            area.draw(&PathElement::new(
+                points.collect::<Vec<_>>(),
+                color.stroke_width(2),
+            ))?;
+            self.draw_legend(area, position as i32, series.name, color)?;
+        }
+        write_text(area, &self.title, (LEFT, 16), TITLE_HEIGHT)?;
+        let bottom = SIZE.1 as i32 - 22;
+        write_text(area, self.across, (LEFT, bottom), TEXT_HEIGHT)?;
+        write_text(area, self.up, (10, TOP - 4), TEXT_HEIGHT)
+    }
+
+    fn draw_grid(&self, area: &Area<'_>, largest: (f64, f64)) -> Result<(), DrawError> {
+        let grey = BLACK.mix(0.2);
+        for step in 0..=GRID {
+            let share = f64::from(step) / f64::from(GRID);
+            let (x, y) = (largest.0 * share, largest.1 * share);
+            let across = vec![place((0.0, y), largest), place((largest.0, y), largest)];
+            let up = vec![place((x, 0.0), largest), place((x, largest.1), largest)];
+            area.draw(&PathElement::new(across, grey))?;
+            area.draw(&PathElement::new(up, grey))?;
+            let (left, bottom) = (place((0.0, y), largest), place((x, 0.0), largest));
+            write_text(area, &tick(y), (10, left.1 - 6), TEXT_HEIGHT)?;
+            write_text(area, &tick(x), (bottom.0 - 10, bottom.1 + 10), TEXT_HEIGHT)?;
+        }
+        Ok(())
+    }
+
+    fn draw_legend(
+        &self,
+        area: &Area<'_>,
+        position: i32,
+        name: &str,
+        color: RGBAColor,
+    ) -> Result<(), DrawError> {
+        let x = SIZE.0 as i32 - RIGHT + 15;
+        let y = TOP + 10 + position * 24;
+        let mark = vec![(x, y + 6), (x + 24, y + 6)];
+        area.draw(&PathElement::new(mark, color.stroke_width(3)))?;
+        write_text(area, name, (x + 32, y), TEXT_HEIGHT)
+    }
+
+    fn largest(&self) -> (f64, f64) {
+        let series = self.series.iter().map(Series::largest);
+        series.fold((1.0, 1.0), |so_far, largest| {
+            (so_far.0.max(largest.0), so_far.1.max(largest.1))
+        })
+    }
+}
+
+/// What plots are drawn on.
+pub type Area<'a> = DrawingArea<BitMapBackend<'a>, plotters::coord::Shift>;
+/// Why a plot could not be drawn.
+pub type DrawError = DrawingAreaErrorKind<<BitMapBackend<'static> as DrawingBackend>::ErrorType>;
+
+/// The pixel of a point.
+fn place(point: (f64, f64), largest: (f64, f64)) -> (i32, i32) {
+    let width = f64::from(SIZE.0 as i32 - LEFT - RIGHT);
+    let height = f64::from(SIZE.1 as i32 - TOP - BOTTOM);
+    let x = f64::from(LEFT) + point.0 / largest.0 * width;
+    let y = f64::from(TOP) + (1.0 - point.1 / largest.1) * height;
+    (x.round() as i32, y.round() as i32)
+}
+
+/// A value beside the grid.
+fn tick(value: f64) -> String {
+    match value {
+        value if value >= 100.0 => format!("{value:.0}"),
+        value => format!("{value:.1}"),
+    }
+}
