--- /dev/null
+++ b/crates/daemon/src/cluster/calls.rs
@@ -0,0 +1,195 @@
+//! Calls to a group's leader, with attempts until the deadline.
+
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use molespan_state::{decode, encode};
+use molespan_types::{GroupId, NodeId, RunOutcome};
+use molespan_wire::{CallError, Consistency, LeaderHint, Request, Response};
+
+use super::{Cluster, ClusterError};
+
+/// One call with its attempts.
+struct Attempts<'a> {
+    cluster: &'a Cluster,
+    group: GroupId,
+    ends: Instant,
+    pause: Duration,
+    /// Position among the replicas of the next one to ask.
+    turn: usize,
+    /// Whether an attempt may have taken effect.
+    ambiguous: bool,
+    reason: String,
+}
+
+impl Cluster {
+    /// Proposes a command to `group` and decodes its reply.
+    ///
+    /// # Errors
+    /// When no leader committed it before the deadline.
+    pub(super) async fn propose<C, R>(&self, group: GroupId, command: &C) -> Result<R, ClusterError>
+    where
+        C: minicbor::Encode<()>,
+        R: for<'b> minicbor::Decode<'b, ()>,
+    {
+        let command = encode(command);
+        let request = || Request::Propose {
+            group,
+            command: command.clone().into(),
+        };
+        match self
+            .call_leader(group, request, self.limits.deadline)
+            .await?
+        {
+            Response::Proposed { reply } => decode_reply(&reply),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    /// Reads from `group` what every acknowledged write led to.
+    ///
+    /// # Errors
+    /// When no leader answered before the deadline.
+    pub(super) async fn query<Q, A>(&self, group: GroupId, query: &Q) -> Result<A, ClusterError>
+    where
+        Q: minicbor::Encode<()>,
+        A: for<'b> minicbor::Decode<'b, ()>,
+    {
+        let query = encode(query);
+        let request = || Request::Query {
+            group,
+            consistency: Consistency::Linearizable,
+            query: query.clone().into(),
+        };
+        match self
+            .call_leader(group, request, self.limits.deadline)
+            .await?
+        {
+            Response::Answered { answer } => decode_reply(&answer),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    /// Sends a request to the leader of `group`, whoever that is, until it is
+    /// answered or `deadline` passed. The request must be safe to send again.
+    pub(super) async fn call_leader(
+        &self,
+        group: GroupId,
+        request: impl Fn() -> Request,
+        deadline: Duration,
+    ) -> Result<Response, ClusterError> {
+        let mut attempts = Attempts {
+            cluster: self,
+            group,
+            ends: Instant::now() + deadline,
+            pause: self.limits.first_pause,
+            turn: 0,
+            ambiguous: false,
+            reason: "there are no replicas".to_owned(),
+        };
+        attempts.run(request).await
+    }
+}
+
+impl Attempts<'_> {
+    async fn run(&mut self, request: impl Fn() -> Request) -> Result<Response, ClusterError> {
+        loop {
+            let remaining = self.ends.saturating_duration_since(Instant::now());
+            let Some(node) = self.target().filter(|_| !remaining.is_zero()) else {
+                return Err(self.failure());
+            };
+            let timeout = self.cluster.limits.call_timeout.min(remaining);
+            let call = self.cluster.transport.call(node, request(), timeout);
+            match call.await {
+                Ok(Response::NotLeader { leader }) => self.follow(node, leader).await,
+                Ok(Response::Refused {
+                    outcome,
+                    message,
+                    retry_after_ms,
+                }) => {
+                    self.ambiguous |= outcome == RunOutcome::Unknown;
+                    self.reason = message;
+                    self.try_next(node);
+                    let wait = Duration::from_millis(u64::from(retry_after_ms));
+                    self.pause_at_least(wait).await;
+                }
+                Ok(response) => {
+                    self.cluster.leaders.set(self.group, node);
+                    return Ok(response);
+                }
+                Err(error) => {
+                    self.ambiguous |= matches!(error, CallError::Ambiguous(_));
+                    self.reason = format!("node {node}: {error}");
+                    self.try_next(node);
+                    self.pause_at_least(Duration::ZERO).await;
+                }
+            }
+        }
+    }
+
+    /// The known leader, else the replica whose turn it is.
+    fn target(&self) -> Option<NodeId> {
+        let known = self.cluster.leaders.get(self.group);
+        let replicas = &self.cluster.replicas;
+        known.or_else(|| replicas.get(self.turn % replicas.len().max(1)).copied())
+    }
+
+    async fn follow(&mut self, asked: NodeId, leader: Option<LeaderHint>) {
+        self.reason = "no leader is known".to_owned();
+        match leader {
+            Some(hint) if hint.node != asked => {
+                self.cluster.transport.learn(hint.node, &hint.address);
+                let went_back = self.cluster.leaders.get(self.group) == Some(hint.node);
+                self.cluster.leaders.set(self.group, hint.node);
+                if went_back {
+                    self.pause_at_least(Duration::ZERO).await;
+                }
+            }
+            _ => {
+                self.try_next(asked);
+                self.pause_at_least(Duration::ZERO).await;
+            }
+        }
+    }
+
+    fn try_next(&mut self, failed: NodeId) {
+        self.cluster.leaders.forget(self.group, failed);
+        self.turn = self.turn.wrapping_add(1);
+    }
+
+    async fn pause_at_least(&mut self, least: Duration) {
+        let longest = self.cluster.limits.longest_pause;
+        let pause = self.pause.max(least).min(longest);
+        let remaining = self.ends.saturating_duration_since(Instant::now());
+        self.pause = (self.pause * 2).min(longest);
+        Timer::after(pause.min(remaining)).await;
+    }
+
+    fn failure(&self) -> ClusterError {
+        let outcome = if self.ambiguous {
+            RunOutcome::Unknown
+        } else {
+            RunOutcome::NotRun
+        };
+        ClusterError::Unavailable {
+            outcome,
+            reason: self.reason.clone(),
+        }
+    }
+}
+
+fn decode_reply<R>(bytes: &[u8]) -> Result<R, ClusterError>
+where
+    R: for<'b> minicbor::Decode<'b, ()>,
+{
+    decode(bytes).map_err(|error| ClusterError::Unexpected {
+        reason: error.to_string(),
+    })
+}
+
+/// A reply of the wrong kind.
+pub(super) fn unexpected(reply: &impl std::fmt::Debug) -> ClusterError {
+    ClusterError::Unexpected {
+        reason: format!("{reply:?}"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cluster/transport.rs
@@ -0,0 +1,103 @@
+//! How requests reach other nodes.
+
+use std::collections::HashMap;
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_executor::Executor;
+use futures_lite::FutureExt;
+use futures_lite::future::Boxed;
+use molespan_types::NodeId;
+use molespan_wire::{CallError, CallFailure, Client, ClientLimits, Request, Response};
+
+/// The pending outcome of a call.
+pub type PeerCall = Boxed<Result<Response, CallError>>;
+
+/// Carries requests to other nodes; tests put a local one in its place.
+pub trait PeerTransport: Debug + Send + Sync + 'static {
+    /// Sends `request` to `node` and waits for its response.
+    fn call(&self, node: NodeId, request: Request, timeout: Duration) -> PeerCall;
+
+    /// Sends a message that nobody waits for; returns whether it was queued.
+    fn send(&self, node: NodeId, request: Request) -> bool;
+
+    /// Learns where a node can be reached, from its registration or a hint.
+    fn learn(&self, node: NodeId, address: &str);
+}
+
+/// Calls over the internal protocol.
+#[derive(Debug)]
+pub struct WireTransport {
+    executor: Arc<Executor<'static>>,
+    limits: ClientLimits,
+    seed: u64,
+    clients: Mutex<HashMap<NodeId, Client>>,
+}
+
+impl WireTransport {
+    /// A transport that knows the nodes at `addresses`. The seed feeds the
+    /// jitter of reconnection pauses.
+    #[must_use]
+    pub fn new(
+        executor: Arc<Executor<'static>>,
+        addresses: impl IntoIterator<Item = (NodeId, SocketAddr)>,
+        limits: ClientLimits,
+        seed: u64,
+    ) -> Self {
+        let transport = Self {
+            executor,
+            limits,
+            seed,
+            clients: Mutex::new(HashMap::new()),
+        };
+        for (node, address) in addresses {
+            transport.set_address(node, address);
+        }
+        transport
+    }
+
+    /// Sets where `node` can be reached.
+    pub fn set_address(&self, node: NodeId, address: SocketAddr) {
+        let mut clients = self.lock();
+        let known = clients.get(&node).map(Client::address);
+        if known == Some(address) {
+            return;
+        }
+        let seed = self.seed.wrapping_add(u64::from(node.0));
+        let client = Client::new(&self.executor, address, self.limits.clone(), seed);
+        clients.insert(node, client);
+    }
+
+    fn client(&self, node: NodeId) -> Option<Client> {
+        self.lock().get(&node).cloned()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<NodeId, Client>> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl PeerTransport for WireTransport {
+    fn call(&self, node: NodeId, request: Request, timeout: Duration) -> PeerCall {
+        let client = self.client(node);
+        async move {
+            let Some(client) = client else {
+                return Err(CallError::NotSent(CallFailure::Unreachable));
+            };
+            client.call(request, timeout).await
+        }
+        .boxed()
+    }
+
+    fn send(&self, node: NodeId, request: Request) -> bool {
+        self.client(node).is_some_and(|client| client.send(request))
+    }
+
+    fn learn(&self, node: NodeId, address: &str) {
+        if let Ok(address) = address.parse() {
+            self.set_address(node, address);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/admin/view.rs
@@ -0,0 +1,174 @@
+//! What there is, by kind.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use http_types::StatusCode;
+use molespan_engine_api::{MachineKind, OrderAction};
+use molespan_http::{Request, Response, json_response};
+use molespan_membership::Backend;
+use molespan_state::control::NodeRecord;
+use molespan_types::{
+    BackendId, ConfigVersion, FencingToken, Incarnation, NodeId, ServiceName, ZoneName,
+};
+use serde::Serialize;
+
+use super::super::batch_api;
+use super::super::error::ApiError;
+use super::super::state::GatewayState;
+
+/// A back end as this gateway sees it.
+#[derive(Clone, Debug, Serialize)]
+struct BackendView {
+    id: BackendId,
+    incarnation: Incarnation,
+    kind: MachineKind,
+    address: String,
+    zone: ZoneName,
+    service: ServiceName,
+    state: String,
+    models: Vec<String>,
+    adapters: Vec<String>,
+    /// Gateway that owns its batch work, as far as known here.
+    owner: Option<NodeId>,
+    /// Online requests of this gateway there.
+    load: Option<f64>,
+}
+
+/// A registered node and what is in force there.
+#[derive(Clone, Debug, Serialize)]
+struct NodeView {
+    #[serde(flatten)]
+    record: NodeRecord,
+    version_in_force: Option<ConfigVersion>,
+}
+
+/// The version in force on one node.
+#[derive(Clone, Debug, Serialize)]
+struct VersionView {
+    node: NodeId,
+    version: ConfigVersion,
+}
+
+/// The latest order of a back end.
+#[derive(Clone, Debug, Serialize)]
+struct OrderView {
+    backend: BackendId,
+    token: FencingToken,
+    incarnation: Incarnation,
+    action: Option<OrderAction>,
+}
+
+/// Where a service's model is.
+#[derive(Clone, Debug, Default, Serialize)]
+struct PlacementView {
+    service: ServiceName,
+    wanted: u32,
+    /// Engines with the model ready that take new work.
+    ready: Vec<BackendId>,
+    /// Engines of the service without it.
+    others: Vec<BackendId>,
+}
+
+/// Answers `GET /admin/KIND`.
+pub(super) async fn get(
+    state: &Arc<GatewayState>,
+    request: &Request,
+    kind: &str,
+) -> Result<Response, ApiError> {
+    match kind {
+        "configuration" => Ok(json(&state.cluster.configuration().await?)),
+        "services" => Ok(json(&state.cluster.configuration().await?.services)),
+        "models" => Ok(json(&state.cluster.configuration().await?.models)),
+        "adapters" => Ok(json(&state.cluster.configuration().await?.adapters)),
+        "tenants" => Ok(json(&state.cluster.configuration().await?.tenants)),
+        "policy" => Ok(json(&state.cluster.configuration().await?.policy)),
+        "backends" => Ok(json(&backends(state))),
+        "nodes" => Ok(json(&nodes(state).await?)),
+        "jobs" => batch_api::list(state, request).await,
+        "versions" => Ok(json(&versions(state).await)),
+        "orders" => Ok(json(&orders(state).await?)),
+        "placement" => Ok(json(&placement(state).await?)),
+        _ => Err(ApiError::not_found(
+            "unknown_kind",
+            "the kinds are configuration, services, models, adapters, tenants, policy, backends, \
+             nodes, jobs, versions, orders and placement",
+        )),
+    }
+}
+
+fn json(value: &impl Serialize) -> Response {
+    json_response(StatusCode::Ok, value)
+}
+
+fn backends(state: &GatewayState) -> Vec<BackendView> {
+    let known: Vec<Backend> = state.directory().backends().cloned().collect();
+    let now = state.clock.now();
+    known
+        .into_iter()
+        .map(|backend| BackendView {
+            owner: state.gateways().owner_of(backend.id, &backend.zone),
+            load: state.pickers.load(now, &backend.service, backend.id),
+            id: backend.id,
+            incarnation: backend.incarnation,
+            kind: backend.kind,
+            address: backend.address,
+            zone: backend.zone,
+            service: backend.service,
+            state: backend.state.to_string(),
+            models: backend.loaded.models,
+            adapters: backend.loaded.adapters,
+        })
+        .collect()
+}
+
+async fn nodes(state: &GatewayState) -> Result<Vec<NodeView>, ApiError> {
+    let records = state.cluster.nodes().await?;
+    let versions = state.cluster.versions_in_force().await;
+    let views = records.into_iter().map(|record| NodeView {
+        version_in_force: versions.get(&record.registration.node).copied(),
+        record,
+    });
+    Ok(views.collect())
+}
+
+async fn versions(state: &GatewayState) -> Vec<VersionView> {
+    let versions = state.cluster.versions_in_force().await;
+    let views = versions.into_iter();
+    views
+        .map(|(node, version)| VersionView { node, version })
+        .collect()
+}
+
+async fn orders(state: &GatewayState) -> Result<Vec<OrderView>, ApiError> {
+    let orders = state.cluster.orders().await?;
+    let views = orders.into_iter().map(|(backend, issued)| OrderView {
+        backend,
+        token: issued.token,
+        incarnation: issued.order.incarnation,
+        action: serde_json::from_str(&issued.order.action).ok(),
+    });
+    Ok(views.collect())
+}
+
+async fn placement(state: &GatewayState) -> Result<Vec<PlacementView>, ApiError> {
+    let configuration = state.cluster.configuration().await?;
+    let known: Vec<Backend> = state.directory().backends().cloned().collect();
+    let mut by_service: BTreeMap<ServiceName, PlacementView> = BTreeMap::new();
+    for (name, service) in &configuration.services {
+        let mut view = PlacementView {
+            service: name.clone(),
+            wanted: service.replicas,
+            ..PlacementView::default()
+        };
+        for backend in known.iter().filter(|backend| backend.service == *name) {
+            if super::super::directory::can_serve(backend, service) {
+                view.ready.push(backend.id);
+            } else {
+                view.others.push(backend.id);
+            }
+        }
+        by_service.insert(name.clone(), view);
+    }
+    Ok(by_service.into_values().collect())
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/admin/watch.rs
@@ -0,0 +1,84 @@
+//! Decisions as they happen, as server-sent events.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use molespan_http::{EventWriter, Request, Response, ServerEvent, event_response};
+use molespan_telemetry::{EventFilter, EventKind, EventSubscription, Watched};
+
+use super::super::error::ApiError;
+use super::super::state::GatewayState;
+use super::super::validation::{query_number, query_text};
+
+/// Events that wait in memory for a slow watcher; the rest waits in the ring.
+const PIECES: usize = 16;
+/// Earlier events that a watcher gets first, unless it says otherwise.
+const HISTORY: u64 = 0;
+/// Time between two comments that keep a silent stream alive.
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
+/// A comment, which readers of events skip.
+const COMMENT: &[u8] = b": alive\n\n";
+
+/// Streams events from now on, after `?history=N` earlier ones, of the kinds
+/// in `?kind=A,B` and with `?subject=TEXT` in their subject.
+pub(super) fn events(state: &Arc<GatewayState>, request: &Request) -> Result<Response, ApiError> {
+    let filter = EventFilter {
+        kinds: kinds(request)?,
+        subject: query_text(request, "subject"),
+    };
+    let history = query_number(request, "history")?.unwrap_or(HISTORY);
+    let subscription = state
+        .events
+        .buffer()
+        .subscribe(filter, usize::try_from(history).unwrap_or(usize::MAX));
+    let (writer, response) = event_response(PIECES);
+    state.spawn_background(stream(subscription, writer));
+    Ok(response)
+}
+
+fn kinds(request: &Request) -> Result<Vec<EventKind>, ApiError> {
+    let Some(names) = query_text(request, "kind") else {
+        return Ok(Vec::new());
+    };
+    let names = names.split(',').filter(|name| !name.is_empty());
+    names
+        .map(|name| {
+            let kind: Result<EventKind, _> = name.parse();
+            kind.map_err(|error| ApiError::bad_request("bad_query", error.to_string()))
+        })
+        .collect()
+}
+
+async fn stream(mut subscription: EventSubscription, writer: EventWriter) {
+    loop {
+        let next = async { Some(subscription.next().await) };
+        let silence = async {
+            Timer::after(KEEP_ALIVE).await;
+            None
+        };
+        let sent = match futures_lite::future::or(next, silence).await {
+            Some(watched) => writer.send(&server_event(&watched)).await,
+            None => writer.send_bytes(COMMENT.to_vec()).await,
+        };
+        if sent.is_err() {
+            return;
+        }
+    }
+}
+
+fn server_event(watched: &Watched) -> ServerEvent {
+    let (name, id, data) = match watched {
+        Watched::Event(event) => (
+            "event",
+            event.sequence.to_string(),
+            serde_json::to_string(event),
+        ),
+        Watched::Gap(gap) => ("gap", String::new(), serde_json::to_string(gap)),
+    };
+    ServerEvent {
+        name: name.to_owned(),
+        id,
+        data: data.unwrap_or_default(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/admission.rs
@@ -0,0 +1,234 @@
+//! Admission of online requests: drives the core and wakes those who wait.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use async_channel::{Receiver, Sender};
+use molespan_http::ClientPresence;
+use molespan_routing::admission::{
+    Admission, AdmissionOutput, AdmissionSettings, Decision, Refusal, RefusalCode, ServiceLimits,
+    TenantPolicy, Ticket,
+};
+use molespan_telemetry::EventKind;
+use molespan_types::{ServiceName, TenantId};
+
+use super::state::GatewayState;
+
+/// How the wait of a queued request ended.
+type WaitEnd = Result<(), Refusal>;
+
+/// The admission core and those who wait for it.
+#[derive(Debug)]
+pub(super) struct AdmissionDesk {
+    desk: Mutex<Desk>,
+}
+
+#[derive(Debug)]
+struct Desk {
+    core: Admission,
+    waiting: HashMap<Ticket, Sender<WaitEnd>>,
+}
+
+impl Desk {
+    fn wake(&mut self, outputs: Vec<AdmissionOutput>) {
+        for output in outputs {
+            let (ticket, end) = match output {
+                AdmissionOutput::Admitted(ticket) => (ticket, Ok(())),
+                AdmissionOutput::Refused(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            if let Some(waiter) = self.waiting.remove(&ticket) {
+                // The channel has room for the one message that is ever sent.
+                let _sent = waiter.try_send(end);
+            }
+        }
+    }
+}
+
+/// Why a request was not admitted.
+#[derive(Debug)]
+pub(super) enum NotAdmitted {
+    /// It is refused for good and did not run.
+    Refused(Refusal),
+    /// Its caller went away while it waited.
+    CallerGone,
+}
+
+/// The right of one request to run. Dropping it gives the place back.
+#[derive(Debug)]
+pub(super) struct Permit<'a> {
+    state: &'a GatewayState,
+    ticket: Ticket,
+    ran: bool,
+}
+
+impl Permit<'_> {
+    /// Notes that the request reached a back end.
+    pub(super) fn note_run(&mut self) {
+        self.ran = true;
+    }
+}
+
+impl Drop for Permit<'_> {
+    fn drop(&mut self) {
+        let mut desk = self.state.admission.lock();
+        let outputs = desk
+            .core
+            .release(self.state.clock.now(), self.ticket, self.ran);
+        desk.wake(outputs);
+    }
+}
+
+impl AdmissionDesk {
+    pub(super) fn new(settings: AdmissionSettings) -> Self {
+        let desk = Desk {
+            core: Admission::new(settings),
+            waiting: HashMap::new(),
+        };
+        Self {
+            desk: Mutex::new(desk),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Desk> {
+        self.desk.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl GatewayState {
+    /// Puts services and tenant policies in force.
+    pub(super) fn configure_admission(
+        &self,
+        services: BTreeMap<ServiceName, ServiceLimits>,
+        policies: BTreeMap<TenantId, TenantPolicy>,
+    ) {
+        let mut desk = self.admission.lock();
+        let outputs = desk.core.configure(self.clock.now(), services, policies);
+        desk.wake(outputs);
+    }
+
+    /// Refuses everything that waits.
+    pub(super) fn refuse_waiting(&self, code: RefusalCode) {
+        let mut desk = self.admission.lock();
+        let outputs = desk.core.refuse_waiting(code);
+        desk.wake(outputs);
+    }
+
+    /// Takes capacities over from engine choice and lets time pass.
+    pub(super) fn tick_admission(&self) {
+        let now = self.clock.now();
+        let capacities = self.pickers.capacities(now);
+        let mut desk = self.admission.lock();
+        for (service, capacity) in capacities {
+            desk.core.set_capacity(&service, capacity);
+        }
+        let outputs = desk.core.tick(now);
+        desk.wake(outputs);
+    }
+
+    /// Admits a request now, after a wait in the queue, or not at all.
+    pub(super) async fn admit(
+        &self,
+        tenant: &TenantId,
+        service: &ServiceName,
+        presence: Option<&ClientPresence>,
+    ) -> Result<Permit<'_>, NotAdmitted> {
+        let (ticket, wait) = self.offer(tenant, service)?;
+        let Some(wait) = wait else {
+            return Ok(self.permit(ticket));
+        };
+        let gone = async {
+            match presence {
+                Some(presence) => presence.gone().await,
+                None => futures_lite::future::pending().await,
+            }
+            None
+        };
+        let turn = async { wait.recv().await.ok() };
+        match futures_lite::future::or(turn, gone).await {
+            Some(Ok(())) => Ok(self.permit(ticket)),
+            Some(Err(refusal)) => {
+                self.note_refusal(tenant, service, &refusal);
+                Err(NotAdmitted::Refused(refusal))
+            }
+            None => {
+                self.abandon(ticket, &wait);
+                Err(NotAdmitted::CallerGone)
+            }
+        }
+    }
+
+    fn permit(&self, ticket: Ticket) -> Permit<'_> {
+        Permit {
+            state: self,
+            ticket,
+            ran: false,
+        }
+    }
+
+    /// Offers a request to the core; a receiver comes with one that waits.
+    fn offer(
+        &self,
+        tenant: &TenantId,
+        service: &ServiceName,
+    ) -> Result<(Ticket, Option<Receiver<WaitEnd>>), NotAdmitted> {
+        let mut desk = self.admission.lock();
+        match desk.core.offer(self.clock.now(), tenant, service) {
+            Decision::Admitted(ticket) => Ok((ticket, None)),
+            Decision::Queued {
+                ticket,
+                queue_length,
+                expected_wait,
+            } => {
+                let (sender, receiver) = async_channel::bounded(1);
+                desk.waiting.insert(ticket, sender);
+                drop(desk);
+                self.events.record(
+                    EventKind::Queue,
+                    format!("service {service}"),
+                    "every place of the service is taken",
+                    [
+                        ("tenant", tenant.as_str().into()),
+                        ("queue_length", queue_length.into()),
+                        (
+                            "expected_wait_ms",
+                            (expected_wait.as_millis() as u64).into(),
+                        ),
+                    ],
+                );
+                Ok((ticket, Some(receiver)))
+            }
+            Decision::Refused(refusal) => {
+                drop(desk);
+                self.note_refusal(tenant, service, &refusal);
+                Err(NotAdmitted::Refused(refusal))
+            }
+        }
+    }
+
+    /// Takes a request whose caller left out of the queue. Its turn may have
+    /// come in the same moment; then its place is given back.
+    fn abandon(&self, ticket: Ticket, wait: &Receiver<WaitEnd>) {
+        let mut desk = self.admission.lock();
+        desk.waiting.remove(&ticket);
+        if let Ok(Ok(())) = wait.try_recv() {
+            let outputs = desk.core.release(self.clock.now(), ticket, false);
+            desk.wake(outputs);
+            return;
+        }
+        desk.core.abandon(ticket);
+    }
+
+    pub(super) fn note_refusal(&self, tenant: &TenantId, service: &ServiceName, refusal: &Refusal) {
+        self.metrics.refused(&refusal.code.to_string());
+        let retry_after = refusal.retry_after.unwrap_or_default();
+        self.events.record(
+            EventKind::Refuse,
+            format!("service {service}"),
+            refusal.code.to_string(),
+            [
+                ("tenant", tenant.as_str().into()),
+                ("retry_after_ms", (retry_after.as_millis() as u64).into()),
+            ],
+        );
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/application.rs
@@ -0,0 +1,406 @@
+//! Application services: any request, passed through as ordinary HTTP.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_types::StatusCode;
+use molespan_engine_api::{ATTEMPT_HEADER, OUTCOME_HEADER, TENANT_HEADER};
+use molespan_http::{Body, ClientPresence, ClientResponse, Method, Request, Response, new_request};
+use molespan_routing::pick::PickRequest;
+use molespan_routing::retry::{
+    AttemptEnd, ClaimAnswer, NextStep, RequestKind, RequestState, check_attempt,
+};
+use molespan_state::job::ClaimReply;
+use molespan_types::{AttemptId, BackendId, Digest, RunOutcome, ServiceName, TenantId, digest_of};
+
+use super::admission::NotAdmitted;
+use super::claims::Claim;
+use super::dispatch::InFlight;
+use super::engine_client::{AttemptFailure, failure_of};
+use super::error::ApiError;
+use super::state::GatewayState;
+use super::validation::{Repeatability, repeatability_of, tenant_of};
+
+/// First part of the path of every application service.
+pub(super) const SERVICES_PREFIX: &str = "/services/";
+/// Longest answer that is held in memory; longer ones are refused.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// When to come back while no back end takes work.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// When to come back for the answer of a request that another arrival runs.
+const HELD_RETRY: Duration = Duration::from_secs(1);
+/// Headers that concern one connection only, or that the gateway sets itself.
+const OWN_HEADERS: [&str; 7] = [
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "transfer-encoding",
+    "x-request-id",
+];
+
+/// A request to an application service.
+#[derive(Debug)]
+struct Asked {
+    service: ServiceName,
+    tenant: TenantId,
+    repeatability: Repeatability,
+    method: Method,
+    /// Path and query at the back end.
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+impl Asked {
+    fn read(request: &Request, body: Vec<u8>) -> Result<Self, ApiError> {
+        let url = request.url();
+        let rest = &url.path()[SERVICES_PREFIX.len()..];
+        let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+        let query = url.query().map(|query| format!("?{query}"));
+        let headers = request.iter().filter_map(|(name, values)| {
+            let name = name.as_str();
+            let own = OWN_HEADERS.contains(&name);
+            (!own).then(|| (name.to_owned(), values.last().as_str().to_owned()))
+        });
+        Ok(Self {
+            service: ServiceName::from(service),
+            tenant: tenant_of(request)?,
+            repeatability: repeatability_of(request, is_repeatable(request.method()))?,
+            method: request.method(),
+            path: format!("/{path}{}", query.unwrap_or_default()),
+            headers: headers.collect(),
+            body,
+        })
+    }
+
+    /// Digest of everything that makes it the same request.
+    fn digest(&self) -> Digest {
+        let mut content =
+            format!("{}\n{}\n{}\n", self.service, self.method, self.path).into_bytes();
+        content.extend_from_slice(&self.body);
+        digest_of(&content)
+    }
+}
+
+/// Whether a method may be repeated by the rules of HTTP.
+fn is_repeatable(method: Method) -> bool {
+    matches!(
+        method,
+        Method::Get | Method::Head | Method::Put | Method::Delete | Method::Options | Method::Trace
+    )
+}
+
+/// A whole answer of a back end.
+struct WholeAnswer {
+    head: Response,
+    body: Vec<u8>,
+}
+
+/// Passes a request through to a back end of its service.
+pub(super) async fn serve_application(
+    state: &Arc<GatewayState>,
+    request: &Request,
+    body: Vec<u8>,
+    presence: Option<ClientPresence>,
+) -> Response {
+    let asked = match Asked::read(request, body) {
+        Ok(asked) => asked,
+        Err(error) => return error.response(),
+    };
+    match admitted(state, &asked, presence).await {
+        Ok(response) => {
+            state.metrics.request_ended("completed");
+            response
+        }
+        Err(error) => {
+            state.metrics.request_ended(&error.outcome.to_string());
+            error.response()
+        }
+    }
+}
+
+async fn admitted(
+    state: &Arc<GatewayState>,
+    asked: &Asked,
+    presence: Option<ClientPresence>,
+) -> Result<Response, ApiError> {
+    state.check_application(&asked.service).map_err(|refusal| {
+        state.note_refusal(&asked.tenant, &asked.service, &refusal);
+        ApiError::from(refusal)
+    })?;
+    let admitted = state.admit(&asked.tenant, &asked.service, presence.as_ref());
+    let mut permit = admitted.await.map_err(|refused| match refused {
+        NotAdmitted::Refused(refusal) => ApiError::from(refusal),
+        NotAdmitted::CallerGone => ApiError::not_run(
+            StatusCode::ServiceUnavailable,
+            "caller_gone",
+            "the caller went away",
+        ),
+    })?;
+    permit.note_run();
+    let mut run = Run::new(state, asked);
+    let answer = run.steps_until_end().await;
+    run.settle(&answer).await;
+    answer.map(|answer| run.response(answer))
+}
+
+/// One request.
+struct Run<'a> {
+    state: &'a Arc<GatewayState>,
+    asked: &'a Asked,
+    steps: RequestState,
+    claim: Option<Claim>,
+    claim_error: Option<ApiError>,
+    recorded: Vec<u8>,
+    answer: Option<WholeAnswer>,
+    last_attempt: Option<AttemptId>,
+    cause: String,
+}
+
+impl<'a> Run<'a> {
+    fn new(state: &'a Arc<GatewayState>, asked: &'a Asked) -> Self {
+        Self {
+            state,
+            asked,
+            steps: RequestState::new(RequestKind {
+                repeatable: asked.repeatability == Repeatability::Repeatable,
+                resumable: false,
+            }),
+            claim: None,
+            claim_error: None,
+            recorded: Vec::new(),
+            answer: None,
+            last_attempt: None,
+            cause: "no back end takes work".to_owned(),
+        }
+    }
+
+    async fn steps_until_end(&mut self) -> Result<WholeAnswer, ApiError> {
+        let mut next = self.steps.begin();
+        loop {
+            next = match next {
+                NextStep::Claim => self.claim().await,
+                NextStep::Dispatch => {
+                    let service = &self.asked.service;
+                    self.state
+                        .pickers
+                        .with_budget(service, |budget| budget.earn());
+                    self.dispatch(&[]).await
+                }
+                NextStep::Retry { exclude } => {
+                    self.state.metrics.retried();
+                    self.dispatch(&exclude).await
+                }
+                NextStep::Replay { outcome } => return self.replay(outcome),
+                NextStep::Done => match self.answer.take() {
+                    Some(answer) => return Ok(answer),
+                    None => return Err(self.failure(RunOutcome::Unknown)),
+                },
+                NextStep::Fail { outcome } => return Err(self.failure(outcome)),
+                // Application back ends keep no answers.
+                NextStep::Resume { .. } | NextStep::AskStatus { .. } => {
+                    return Err(self.failure(RunOutcome::Unknown));
+                }
+            };
+        }
+    }
+
+    async fn claim(&mut self) -> NextStep {
+        let Repeatability::Once { key } = &self.asked.repeatability else {
+            return self.steps.claim_answered(ClaimAnswer::Granted);
+        };
+        let claim = self.state.claim_for(&self.asked.tenant, key);
+        let reply = self.state.ask_claim(&claim, self.asked.digest()).await;
+        let answer = match reply {
+            Ok(ClaimReply::Granted) => {
+                self.claim = Some(claim);
+                ClaimAnswer::Granted
+            }
+            Ok(ClaimReply::Held { attempt }) => {
+                let message = format!("attempt {attempt} holds the claim on this key");
+                self.claim_error = Some(
+                    ApiError::not_run(StatusCode::Conflict, "request_in_progress", message)
+                        .with_outcome(RunOutcome::Unknown)
+                        .with_retry_after(HELD_RETRY),
+                );
+                ClaimAnswer::Held
+            }
+            Ok(ClaimReply::Settled { outcome, answer }) => {
+                self.recorded = answer.into();
+                ClaimAnswer::Settled(outcome)
+            }
+            Ok(ClaimReply::KeyConflict) => {
+                let message = "the idempotency key was used for another request";
+                let error = ApiError::not_run(StatusCode::Conflict, "key_conflict", message);
+                self.claim_error = Some(error);
+                ClaimAnswer::KeyConflict
+            }
+            Err(error) => {
+                let state = self.state.clone();
+                self.state.spawn(async move {
+                    state
+                        .settle_claim(&claim, RunOutcome::NotRun, Vec::new())
+                        .await;
+                });
+                let error = ApiError::from(error).with_outcome(RunOutcome::NotRun);
+                self.claim_error = Some(error);
+                ClaimAnswer::Failed
+            }
+        };
+        self.steps.claim_answered(answer)
+    }
+
+    async fn dispatch(&mut self, exclude: &[BackendId]) -> NextStep {
+        let now = self.state.clock.now();
+        let request = PickRequest {
+            prefix_hashes: &[],
+            exclude,
+        };
+        let service = &self.asked.service;
+        let chosen = match self.state.pickers.pick(now, service, request) {
+            Ok(pick) => {
+                self.state.note_pick(service, &self.asked.tenant, &pick);
+                self.state.chosen(pick.backend)
+            }
+            Err(error) => {
+                self.cause = error.to_string();
+                None
+            }
+        };
+        let Some(chosen) = chosen else {
+            return self.steps.no_backend();
+        };
+        let attempt = self.state.next_attempt();
+        let target = chosen.target;
+        if !self.steps.dispatched(target.attempt(attempt)) {
+            return self.steps.no_backend();
+        }
+        self.last_attempt = Some(attempt);
+        let mut in_flight = InFlight::begin(self.state, service, chosen, attempt, &[], 1);
+        let end = match self.exchange(&mut in_flight, attempt).await {
+            Ok(answer) => {
+                in_flight.answered();
+                self.answer = Some(answer);
+                AttemptEnd::Completed
+            }
+            Err(failure) => {
+                self.cause.clone_from(&failure.cause);
+                let end = failure.end;
+                in_flight.failed(&failure);
+                end
+            }
+        };
+        let now = self.state.clock.now();
+        let steps = &mut self.steps;
+        self.state
+            .pickers
+            .with_budget(service, |budget| steps.ended(now, end, budget))
+    }
+
+    /// Sends the request and reads its whole answer.
+    async fn exchange(
+        &self,
+        in_flight: &mut InFlight,
+        attempt: AttemptId,
+    ) -> Result<WholeAnswer, AttemptFailure> {
+        let target = in_flight.target();
+        let request = self.request(target.address, attempt)?;
+        let response = self.state.engines.forward(&target, request).await?;
+        in_flight.first_byte();
+        check_attempt(attempt, response.header(ATTEMPT_HEADER)).map_err(AttemptFailure::broken)?;
+        if says_not_run(&response) {
+            return Err(failure_of(response).await);
+        }
+        let head = response.head().clone();
+        let body = response.bytes(MAX_ANSWER_BYTES).await;
+        let body = body.map_err(AttemptFailure::broken)?;
+        Ok(WholeAnswer { head, body })
+    }
+
+    fn request(
+        &self,
+        address: std::net::SocketAddr,
+        attempt: AttemptId,
+    ) -> Result<Request, AttemptFailure> {
+        let request = new_request(self.asked.method, address, &self.asked.path);
+        let mut request = request.map_err(|error| AttemptFailure {
+            end: AttemptEnd::NotSent,
+            cause: error.to_string(),
+            refusal: None,
+        })?;
+        request.set_body(Body::from_bytes(self.asked.body.clone()));
+        for (name, value) in &self.asked.headers {
+            request.insert_header(name.as_str(), value.as_str());
+        }
+        request.insert_header(TENANT_HEADER, self.asked.tenant.as_str());
+        request.insert_header(ATTEMPT_HEADER, attempt.to_string());
+        Ok(request)
+    }
+
+    fn replay(&mut self, outcome: RunOutcome) -> Result<WholeAnswer, ApiError> {
+        if outcome == RunOutcome::Completed {
+            return Ok(WholeAnswer {
+                head: Response::new(StatusCode::Ok),
+                body: std::mem::take(&mut self.recorded),
+            });
+        }
+        let message = "the request under this key ended before without an answer";
+        let error = ApiError::not_run(StatusCode::Conflict, "outcome_on_record", message);
+        Err(error.with_outcome(outcome))
+    }
+
+    async fn settle(&mut self, answer: &Result<WholeAnswer, ApiError>) {
+        let Some(claim) = self.claim.take() else {
+            return;
+        };
+        let (outcome, body) = match answer {
+            Ok(answer) => (RunOutcome::Completed, answer.body.clone()),
+            Err(error) => (error.outcome, Vec::new()),
+        };
+        self.state.settle_claim(&claim, outcome, body).await;
+    }
+
+    fn failure(&mut self, outcome: RunOutcome) -> ApiError {
+        if let Some(error) = self.claim_error.take() {
+            return error;
+        }
+        let cause = &self.cause;
+        let error = match outcome {
+            RunOutcome::NotRun => {
+                let message = format!("no back end took the request: {cause}");
+                ApiError::not_run(StatusCode::ServiceUnavailable, "no_backend", message)
+                    .with_retry_after(RETRY_AFTER)
+            }
+            _ => {
+                let message = format!("the request may have run and its answer is lost: {cause}");
+                ApiError::not_run(StatusCode::BadGateway, "answer_lost", message)
+                    .with_outcome(outcome)
+            }
+        };
+        ApiError {
+            attempt: self.last_attempt.map(|id| id.to_string()),
+            ..error
+        }
+    }
+
+    fn response(&self, answer: WholeAnswer) -> Response {
+        let mut response = answer.head;
+        for name in ["connection", "transfer-encoding", "content-length"] {
+            response.remove_header(name);
+        }
+        let content_type = response.header("content-type").cloned();
+        response.set_body(Body::from_bytes(answer.body));
+        if let Some(content_type) = content_type {
+            response.insert_header("content-type", &content_type);
+        }
+        response.insert_header(OUTCOME_HEADER, RunOutcome::Completed.to_string());
+        response
+    }
+}
+
+/// Whether a back end itself says that it did not run the request.
+fn says_not_run(response: &ClientResponse) -> bool {
+    response.header(OUTCOME_HEADER) == Some("not-run") && !response.status().is_success()
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/batch_driver.rs
@@ -0,0 +1,360 @@
+//! Drives the batch owner: hands inputs in, carries outputs out in order.
+//!
+//! Outputs are carried out under the core's lock, so that those of two inputs
+//! never cross. None of them waits there: streams and calls run as tasks.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_io::Timer;
+use molespan_routing::batch::{
+    BatchDecision, BatchInput, BatchOutput, BatchOwner, BatchSettings, OwnedEngine, StreamId,
+};
+use molespan_state::control::Configuration;
+use molespan_telemetry::EventKind;
+use molespan_types::BackendId;
+
+use super::batch_stream::{BatchItem, StreamCommand};
+use super::directory::can_serve;
+use super::engine_client::Target;
+use super::options::{GatewayOptions, PreemptionPolicy};
+use super::state::GatewayState;
+
+/// Tail protection until a configuration is in force.
+const INITIAL_TAIL_PROTECTION: u8 = 50;
+/// Share of an item lease between two renewals.
+const RENEWALS_IN_LEASE: u32 = 5;
+/// Longest and shortest time between two looks at what is due.
+const LONGEST_TICK: Duration = Duration::from_millis(50);
+const SHORTEST_TICK: Duration = Duration::from_millis(1);
+
+/// The batch owner and its streams.
+#[derive(Debug)]
+pub(super) struct BatchDriver {
+    inner: Mutex<Inner>,
+    preemption: PreemptionPolicy,
+    drained: AtomicBool,
+}
+
+#[derive(Debug)]
+struct Inner {
+    owner: BatchOwner,
+    streams: HashMap<StreamId, Sender<StreamCommand>>,
+    /// Engines as the owner was told of them.
+    announced: BTreeMap<BackendId, Announced>,
+    /// The gateway, for tasks that outputs start.
+    state: Weak<GatewayState>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Announced {
+    owned: OwnedEngine,
+    open: bool,
+}
+
+impl BatchDriver {
+    pub(super) fn new(options: &GatewayOptions) -> Self {
+        let settings = BatchSettings {
+            job_groups: options.job_groups,
+            lease: options.item_lease,
+            renew_interval: options.item_lease / RENEWALS_IN_LEASE,
+            ..BatchSettings::default()
+        };
+        let knob = options.policy.tail_protection;
+        let owner = BatchOwner::new(settings, knob.unwrap_or(INITIAL_TAIL_PROTECTION));
+        Self {
+            inner: Mutex::new(Inner {
+                owner,
+                streams: HashMap::new(),
+                announced: BTreeMap::new(),
+                state: Weak::new(),
+            }),
+            preemption: options.policy.preemption,
+            drained: AtomicBool::new(false),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The gateway, while it lives.
+    pub(super) fn gateway(&self) -> Option<Arc<GatewayState>> {
+        self.lock().state.upgrade()
+    }
+
+    /// Leases on items that a planned stop must still hand over; at least one
+    /// until every request to a job group is answered.
+    pub(super) fn left_to_return(&self) -> usize {
+        if self.drained.load(Ordering::SeqCst) {
+            return 0;
+        }
+        self.lock().owner.leases_held().max(1)
+    }
+
+    /// Whether an input is left out by a baseline without preemption.
+    fn ignores(&self, input: &BatchInput) -> bool {
+        let online = matches!(
+            input,
+            BatchInput::OnlineStarted { .. }
+                | BatchInput::OnlineFirstToken { .. }
+                | BatchInput::OnlineFinished { .. }
+                | BatchInput::Foreign(_)
+        );
+        online && self.preemption != PreemptionPolicy::OnArrival
+    }
+
+    /// The same input without online work, for a baseline without preemption.
+    fn adjusted(&self, input: BatchInput) -> BatchInput {
+        match input {
+            BatchInput::Load(mut sample) if self.preemption != PreemptionPolicy::OnArrival => {
+                sample.online = 0;
+                sample.online_waiting = 0;
+                BatchInput::Load(sample)
+            }
+            input => input,
+        }
+    }
+}
+
+impl GatewayState {
+    /// Lets the batch driver start tasks of this gateway.
+    pub(super) fn connect_batch(self: &Arc<Self>) {
+        self.batch.lock().state = Arc::downgrade(self);
+    }
+
+    /// Hands an input to the batch owner and carries its outputs out.
+    pub(super) fn batch_input(&self, input: BatchInput) {
+        if self.batch.ignores(&input) {
+            return;
+        }
+        let input = self.batch.adjusted(input);
+        let mut inner = self.batch.lock();
+        let outputs = inner.owner.handle(self.clock.now(), input);
+        let Some(state) = inner.state.upgrade() else {
+            return;
+        };
+        for output in outputs {
+            inner.carry_out(&state, output);
+        }
+    }
+
+    /// Lets time pass for the batch owner until the gateway stops.
+    pub(super) async fn tick_batch(self: Arc<Self>) {
+        loop {
+            self.batch_input(BatchInput::Tick);
+            let now = self.clock.now();
+            let next = self.batch.lock().owner.next_wakeup(now);
+            let wait = next.map_or(LONGEST_TICK, |next| next.since(now));
+            Timer::after(wait.clamp(SHORTEST_TICK, LONGEST_TICK)).await;
+        }
+    }
+
+    /// Tells the batch owner which engines it has and which of them take work.
+    pub(super) fn refresh_owned_engines(&self, configuration: &Configuration) {
+        let wanted = self.owned_engines(configuration);
+        let inputs = {
+            let mut inner = self.batch.lock();
+            let inputs = changes(&inner.announced, &wanted);
+            inner.announced = wanted;
+            inputs
+        };
+        for input in inputs {
+            self.batch_input(input);
+        }
+    }
+
+    fn owned_engines(&self, configuration: &Configuration) -> BTreeMap<BackendId, Announced> {
+        let owned: Vec<BackendId> = self.ownership().owned().collect();
+        let directory = self.directory();
+        let engines = owned.into_iter().filter_map(|id| {
+            let backend = directory.backend(id)?;
+            let service = configuration.services.get(&backend.service);
+            let open = service.is_some_and(|service| service.batch && can_serve(backend, service));
+            let owned = OwnedEngine {
+                backend: id,
+                incarnation: backend.incarnation,
+                service: backend.service.clone(),
+            };
+            Some((id, Announced { owned, open }))
+        });
+        engines.collect()
+    }
+}
+
+/// What the owner must be told.
+fn changes(
+    before: &BTreeMap<BackendId, Announced>,
+    after: &BTreeMap<BackendId, Announced>,
+) -> Vec<BatchInput> {
+    let mut inputs = Vec::new();
+    for (backend, engine) in after {
+        let known = before.get(backend);
+        if known == Some(engine) {
+            continue;
+        }
+        if engine.open {
+            inputs.push(BatchInput::Acquired(engine.owned.clone()));
+        } else if known.is_some_and(|known| known.open) {
+            inputs.push(BatchInput::Closed(*backend));
+        }
+    }
+    let released = before.keys().filter(|backend| !after.contains_key(backend));
+    inputs.extend(released.map(|backend| BatchInput::Released(*backend)));
+    inputs
+}
+
+impl Inner {
+    fn carry_out(&mut self, state: &Arc<GatewayState>, output: BatchOutput) {
+        match output {
+            BatchOutput::Pause(stream) => self.command(stream, StreamCommand::Pause),
+            BatchOutput::Resume(stream) => self.command(stream, StreamCommand::Resume),
+            BatchOutput::Cancel(stream) => {
+                self.command(stream, StreamCommand::Cancel);
+                self.streams.remove(&stream);
+            }
+            BatchOutput::Dispatch { .. } => self.dispatch(state, output),
+            BatchOutput::Decision(decision) => state.note_batch_decision(&decision),
+            BatchOutput::Drained => {
+                state.batch.drained.store(true, Ordering::SeqCst);
+            }
+            BatchOutput::LeaseItems { .. }
+            | BatchOutput::Renew { .. }
+            | BatchOutput::Record { .. }
+            | BatchOutput::Return { .. } => {
+                let state = state.clone();
+                state
+                    .clone()
+                    .spawn(async move { state.call_group(output).await });
+            }
+        }
+    }
+
+    fn command(&mut self, stream: StreamId, command: StreamCommand) {
+        if let Some(commands) = self.streams.get(&stream) {
+            // A stream that ended takes no commands, and that is all right.
+            let _ended = commands.try_send(command);
+        }
+    }
+
+    fn dispatch(&mut self, state: &Arc<GatewayState>, output: BatchOutput) {
+        let BatchOutput::Dispatch {
+            stream,
+            backend,
+            incarnation,
+            service,
+            job,
+            item,
+            repeatable,
+            input,
+        } = output
+        else {
+            return;
+        };
+        let (sender, commands) = async_channel::unbounded();
+        self.streams.retain(|_, sender| !sender.is_closed());
+        self.streams.insert(stream, sender);
+        let target = state.address_of(backend).map(|address| Target {
+            backend,
+            incarnation,
+            address,
+        });
+        let item = BatchItem {
+            stream,
+            target,
+            service,
+            job,
+            item,
+            repeatable,
+            input: input.into(),
+        };
+        let state = state.clone();
+        state
+            .clone()
+            .spawn(async move { state.run_batch_item(item, commands).await });
+    }
+}
+
+impl GatewayState {
+    fn note_batch_decision(&self, decision: &BatchDecision) {
+        match decision {
+            BatchDecision::Preempted(preemption) => {
+                self.metrics
+                    .preempted(preemption.paused + preemption.cancelled);
+                self.events.record(
+                    EventKind::Preempt,
+                    format!("engine {}", preemption.backend),
+                    "batch streams make way for online work",
+                    [
+                        ("online", preemption.online.into()),
+                        ("allowed", preemption.allowed.into()),
+                        ("paused", preemption.paused.into()),
+                        ("cancelled", preemption.cancelled.into()),
+                    ],
+                );
+            }
+            BatchDecision::Filled {
+                backend,
+                online,
+                allowed,
+                resumed,
+                started,
+            } => self.events.record(
+                EventKind::Resume,
+                format!("engine {backend}"),
+                "batch streams go on or start",
+                [
+                    ("online", (*online).into()),
+                    ("allowed", (*allowed).into()),
+                    ("resumed", (*resumed).into()),
+                    ("started", (*started).into()),
+                ],
+            ),
+            BatchDecision::LimitChanged {
+                backend,
+                from,
+                to,
+                step,
+                target,
+            } => self.events.record(
+                EventKind::Preempt,
+                format!("engine {backend}"),
+                "the limit of batch streams changed",
+                [
+                    ("from", (*from).into()),
+                    ("to", (*to).into()),
+                    ("step_us", (step.as_micros() as u64).into()),
+                    ("target_us", (target.as_micros() as u64).into()),
+                ],
+            ),
+            BatchDecision::LeaseRanOut {
+                group,
+                lease,
+                stopped,
+            } => self.events.record(
+                EventKind::Lease,
+                format!("lease {lease} of group {group}"),
+                "it ran out on this node's clock",
+                [("stopped", (*stopped).into())],
+            ),
+            BatchDecision::LeaseRevoked {
+                group,
+                lease,
+                stopped,
+                cancelled,
+            } => self.events.record(
+                EventKind::Lease,
+                format!("lease {lease} of group {group}"),
+                if *cancelled {
+                    "its job was cancelled"
+                } else {
+                    "it is no longer held"
+                },
+                [("stopped", (*stopped).into())],
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/batch_stream.rs
@@ -0,0 +1,312 @@
+//! One batch item on its way at an engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_io::Timer;
+use molespan_engine_api::COMPLETIONS_PATH;
+use molespan_membership::{DirectoryInput, WorkResult};
+use molespan_routing::batch::{BatchInput, ItemEnd, StreamId};
+use molespan_routing::retry::{
+    AttemptEnd, AttemptRef, ClaimAnswer, NextStep, RequestKind, RequestState, RetryBudget,
+    RetryBudgetSettings,
+};
+use molespan_types::{AttemptId, ItemIndex, JobId, Priority, RunOutcome, ServiceName};
+
+use super::engine_client::{AnswerStream, AttemptFailure, Target};
+use super::options::PreemptionPolicy;
+use super::state::GatewayState;
+use super::validation::{engine_body, max_tokens_of, parse_fields};
+
+/// Pause between questions about an attempt.
+const QUESTION_PAUSE: Duration = Duration::from_millis(50);
+/// Pause before an engine that does not know a stream yet is told again to
+/// hold it back.
+const HOLD_PAUSE: Duration = Duration::from_millis(3);
+/// The owner hears of every so many tokens of a stream.
+const TOKENS_PER_REPORT: u32 = 16;
+/// Times that it is told.
+const MOST_HOLDS: u32 = 100;
+
+/// What the batch owner wants of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StreamCommand {
+    /// Hold it back.
+    Pause,
+    /// Let it go on.
+    Resume,
+    /// Stop it; nothing more is expected of it.
+    Cancel,
+}
+
+/// A batch item that was handed out to run.
+#[derive(Clone, Debug)]
+pub(super) struct BatchItem {
+    pub(super) stream: StreamId,
+    /// Where it runs; `None` when the engine is no longer known.
+    pub(super) target: Option<Target>,
+    pub(super) service: ServiceName,
+    pub(super) job: JobId,
+    pub(super) item: ItemIndex,
+    pub(super) repeatable: bool,
+    pub(super) input: Vec<u8>,
+}
+
+/// How a stream ended for the owner; `None` after a cancel.
+type StreamEnd = Option<ItemEnd>;
+
+impl GatewayState {
+    /// Runs an item to its end, unless it is cancelled first.
+    pub(super) async fn run_batch_item(
+        self: Arc<Self>,
+        item: BatchItem,
+        commands: Receiver<StreamCommand>,
+    ) {
+        let Some(end) = self.run_item(&item, &commands).await else {
+            self.metrics.batch_item("cancelled");
+            return;
+        };
+        // No further command is taken from here on.
+        commands.close();
+        let label = match &end {
+            ItemEnd::Completed(_) => "completed",
+            ItemEnd::Refused(_) => "refused",
+            ItemEnd::NotRun => "not-run",
+            ItemEnd::Unknown => "unknown",
+        };
+        self.metrics.batch_item(label);
+        self.batch_input(BatchInput::Ended {
+            stream: item.stream,
+            end,
+        });
+    }
+
+    async fn run_item(&self, item: &BatchItem, commands: &Receiver<StreamCommand>) -> StreamEnd {
+        let Some(target) = item.target else {
+            return Some(ItemEnd::NotRun);
+        };
+        let fields = match parse_fields(&item.input) {
+            Ok(fields) => fields,
+            Err(error) => return Some(ItemEnd::Refused(error.message.into_bytes().into())),
+        };
+        let Ok(model) = self.batch_model(&item.service) else {
+            return Some(ItemEnd::NotRun);
+        };
+        let most_tokens = max_tokens_of(&fields);
+        let mut run = ItemRun {
+            state: self,
+            item,
+            target,
+            attempt: self.next_attempt(),
+            body: engine_body(fields, &model),
+            text: String::with_capacity(most_tokens.min(4_096) as usize),
+            tokens: 0,
+        };
+        let attempt = run.attempt;
+        let running = async { Some(run.steps_until_end().await) };
+        let commanded = async {
+            self.obey(target, attempt, commands).await;
+            None
+        };
+        futures_lite::future::or(running, commanded).await
+    }
+
+    /// The model of a service, whether or not this node may take new work:
+    /// leased items are accepted work.
+    fn batch_model(&self, service: &ServiceName) -> Result<String, ()> {
+        let configuration = self.configuration.in_force().ok_or(())?;
+        let service = configuration.services.get(service).ok_or(())?;
+        let model = service.model.as_ref().ok_or(())?;
+        Ok(model.0.clone())
+    }
+
+    /// Carries commands out in their order; returns after a cancel.
+    async fn obey(&self, target: Target, attempt: AttemptId, commands: &Receiver<StreamCommand>) {
+        while let Ok(command) = commands.recv().await {
+            match command {
+                StreamCommand::Pause => self.hold(target, attempt, true, commands).await,
+                StreamCommand::Resume => self.hold(target, attempt, false, commands).await,
+                StreamCommand::Cancel => {
+                    let batch = Priority::Batch;
+                    self.engines.cancel(batch, target.address, attempt).await;
+                    return;
+                }
+            }
+        }
+        // The owner forgot the stream, which is as good as a cancel.
+        let batch = Priority::Batch;
+        self.engines.cancel(batch, target.address, attempt).await;
+    }
+
+    /// Tells the engine to hold a stream back or let it go on. One that the
+    /// engine does not know yet is on its way there, so it is told again,
+    /// unless the owner changes its mind.
+    async fn hold(
+        &self,
+        target: Target,
+        attempt: AttemptId,
+        held: bool,
+        commands: &Receiver<StreamCommand>,
+    ) {
+        for _ in 0..MOST_HOLDS {
+            let status = self.engines.hold(target.address, attempt, held).await;
+            let settled = status.is_some_and(|status| status != 404);
+            if settled || !commands.is_empty() || !held {
+                return;
+            }
+            Timer::after(HOLD_PAUSE).await;
+        }
+    }
+}
+
+/// One item.
+struct ItemRun<'a> {
+    state: &'a GatewayState,
+    item: &'a BatchItem,
+    target: Target,
+    attempt: AttemptId,
+    body: Vec<u8>,
+    text: String,
+    tokens: u32,
+}
+
+impl ItemRun<'_> {
+    async fn steps_until_end(&mut self) -> ItemEnd {
+        let mut steps = RequestState::new(RequestKind {
+            repeatable: self.item.repeatable,
+            resumable: true,
+        });
+        // Runs elsewhere are the owner's to decide.
+        let mut budget = RetryBudget::new(RetryBudgetSettings {
+            ratio: 0.0,
+            reserve_per_second: 0.0,
+            most_saved: 0.0,
+        });
+        let mut next = steps.begin();
+        loop {
+            let now = self.state.clock.now();
+            next = match next {
+                // The lease on the item is the claim on it.
+                NextStep::Claim => steps.claim_answered(ClaimAnswer::Granted),
+                NextStep::Dispatch => {
+                    let attempt = self.target.attempt(self.attempt);
+                    if !steps.dispatched(attempt) {
+                        return ItemEnd::NotRun;
+                    }
+                    let started = self.start().await;
+                    match self.follow(started).await {
+                        Ok(end) => steps.ended(self.state.clock.now(), end, &mut budget),
+                        Err(reason) => return ItemEnd::Refused(reason.into_bytes().into()),
+                    }
+                }
+                NextStep::Resume { attempt, .. } => {
+                    let resumed = self.resume(attempt).await;
+                    match self.follow(resumed).await {
+                        Ok(end) => steps.ended(self.state.clock.now(), end, &mut budget),
+                        Err(_) => steps.ended(now, AttemptEnd::Lost, &mut budget),
+                    }
+                }
+                NextStep::AskStatus { attempt } => {
+                    Timer::after(QUESTION_PAUSE).await;
+                    let address = self.target.address;
+                    let answer = self.state.engines.status(address, &attempt).await;
+                    steps.status(self.state.clock.now(), answer, &mut budget)
+                }
+                NextStep::Done => {
+                    let text = std::mem::take(&mut self.text);
+                    return ItemEnd::Completed(text.into_bytes().into());
+                }
+                NextStep::Retry { .. } | NextStep::Replay { .. } => return ItemEnd::NotRun,
+                NextStep::Fail { outcome } => {
+                    return match outcome {
+                        RunOutcome::NotRun => ItemEnd::NotRun,
+                        _ => ItemEnd::Unknown,
+                    };
+                }
+            };
+        }
+    }
+
+    async fn start(&self) -> Result<AnswerStream, AttemptFailure> {
+        let priority = match self.state.options.policy.preemption {
+            PreemptionPolicy::None => Priority::Online,
+            _ => Priority::Batch,
+        };
+        let path = COMPLETIONS_PATH;
+        let body = self.body.clone();
+        self.state
+            .engines
+            .start(priority, &self.target, self.attempt, path, body)
+            .await
+    }
+
+    async fn resume(&self, attempt: AttemptRef) -> Result<AnswerStream, AttemptFailure> {
+        self.state.metrics.resumed();
+        // The last token comes again, so that there is one also when only the
+        // end of the stream was lost.
+        let offset = self.tokens.saturating_sub(1);
+        let address = self.target.address;
+        self.state.engines.resume(address, &attempt, offset).await
+    }
+
+    /// Collects the answer; an error is the reason of a final refusal.
+    async fn follow(
+        &mut self,
+        answer: Result<AnswerStream, AttemptFailure>,
+    ) -> Result<AttemptEnd, String> {
+        let ended = match answer {
+            Ok(mut answer) => self.collect(&mut answer).await,
+            Err(failure) => Err(failure),
+        };
+        match ended {
+            Ok(()) => Ok(AttemptEnd::Completed),
+            Err(failure) => self.failed(failure),
+        }
+    }
+
+    async fn collect(&mut self, answer: &mut AnswerStream) -> Result<(), AttemptFailure> {
+        while let Some(token) = answer.next().await? {
+            if token.chunk.offset < self.tokens {
+                continue;
+            }
+            self.text.push_str(&token.chunk.text);
+            self.tokens = token.chunk.offset + 1;
+            // The owner acts on the first token and compares the rest roughly.
+            if self.tokens % TOKENS_PER_REPORT == 1 {
+                self.state.batch_input(BatchInput::Progress {
+                    stream: self.item.stream,
+                    tokens: self.tokens,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn failed(&self, failure: AttemptFailure) -> Result<AttemptEnd, String> {
+        let said = failure.refusal.as_ref();
+        if said.is_some_and(|refusal| refusal.is_final() && self.tokens == 0) {
+            return Err(failure.cause);
+        }
+        if said.is_none() {
+            self.state.note_batch_failure(&self.target);
+        }
+        slog::debug!(self.state.logger, "A batch stream failed.";
+            "job" => %self.item.job, "item" => self.item.item.0, "cause" => failure.cause);
+        Ok(failure.end)
+    }
+}
+
+impl GatewayState {
+    /// A batch stream broke by no word of the engine.
+    fn note_batch_failure(&self, target: &Target) {
+        let input = DirectoryInput::Work {
+            backend: target.backend,
+            incarnation: target.incarnation,
+            result: WorkResult::Failed,
+        };
+        if let Some(state) = self.batch.gateway() {
+            state.directory_input(input);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/configuration.rs
@@ -0,0 +1,259 @@
+//! The configuration in force here: fetched by a long poll, never an older one
+//! than before, kept on disk, and confirmed by a quorum again and again.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+use async_io::Timer;
+use molespan_routing::admission::{Refusal, RefusalCode, ServiceLimits, TenantPolicy};
+use molespan_routing::batch::BatchInput;
+use molespan_routing::readiness::{ConfigurationChange, ConfigurationHolder, Readiness};
+use molespan_state::control::{Configuration, Service, ServiceKind};
+use molespan_state::{decode, encode};
+use molespan_storage::{Disk, RealDisk, StorageError, read_checked, write_checked};
+use molespan_telemetry::EventKind;
+use molespan_types::{ConfigVersion, ServiceName, TenantId, Timestamp};
+use molespan_wire::WatchConfiguration;
+use slog::{info, warn};
+
+use super::state::GatewayState;
+
+/// Part of the data folder that belongs to the gateway.
+const FOLDER: &str = "gateway";
+/// The last configuration that was in force here.
+const FILE: &str = "configuration";
+/// A long poll waits for this share of the currency bound at most, so that
+/// several fit into it.
+const POLL_SHARE: u32 = 8;
+/// Pause after a replica that did not answer.
+const FAILURE_PAUSE: Duration = Duration::from_millis(50);
+/// When to come back to a node without a current configuration.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The configuration in force.
+#[derive(Debug)]
+pub(super) struct ConfigurationDesk {
+    holder: RwLock<ConfigurationHolder>,
+}
+
+impl ConfigurationDesk {
+    pub(super) fn new(bound: Duration) -> Self {
+        Self {
+            holder: RwLock::new(ConfigurationHolder::new(bound)),
+        }
+    }
+
+    /// The configuration in force; `None` before the first.
+    pub(super) fn in_force(&self) -> Option<Arc<Configuration>> {
+        self.read(|holder| holder.in_force().cloned())
+    }
+
+    /// Version in force; 0 without a configuration.
+    pub(super) fn version(&self) -> ConfigVersion {
+        self.read(ConfigurationHolder::version)
+    }
+
+    /// Whether the node may take new work.
+    pub(super) fn readiness(&self, now: Timestamp) -> Readiness {
+        self.read(|holder| holder.readiness(now))
+    }
+
+    fn read<T>(&self, read: impl FnOnce(&ConfigurationHolder) -> T) -> T {
+        read(&self.holder.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn write<T>(&self, write: impl FnOnce(&mut ConfigurationHolder) -> T) -> T {
+        write(&mut self.holder.write().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl GatewayState {
+    /// A service that may take new work now.
+    pub(super) fn service_in_force(&self, name: &ServiceName) -> Result<Service, Refusal> {
+        if self.configuration.readiness(self.clock.now()) != Readiness::Ready {
+            let code = RefusalCode::ConfigurationNotCurrent;
+            return Err(Refusal::after(code, RETRY_AFTER));
+        }
+        let configuration = self.configuration.in_force();
+        let service = configuration
+            .as_ref()
+            .and_then(|configuration| configuration.services.get(name));
+        service
+            .cloned()
+            .ok_or(Refusal::permanent(RefusalCode::UnknownService))
+    }
+
+    /// The model that a completion service runs.
+    pub(super) fn model_of(&self, name: &ServiceName) -> Result<String, Refusal> {
+        let service = self.service_in_force(name)?;
+        match (service.kind, service.model) {
+            (ServiceKind::Completion, Some(model)) => Ok(model.0),
+            _ => Err(Refusal::permanent(RefusalCode::UnknownService)),
+        }
+    }
+
+    /// Whether an application service may take new work now.
+    pub(super) fn check_application(&self, name: &ServiceName) -> Result<(), Refusal> {
+        match self.service_in_force(name)?.kind {
+            ServiceKind::Application => Ok(()),
+            ServiceKind::Completion => Err(Refusal::permanent(RefusalCode::UnknownService)),
+        }
+    }
+
+    /// Puts the configuration on disk in force, if there is one. It counts as
+    /// current only once a quorum confirms it.
+    pub(super) async fn restore_configuration(&self) {
+        let folder = self.options.data_folder.clone();
+        match blocking::unblock(move || load(&folder)).await {
+            Ok(Some(configuration)) => self.put_in_force(configuration, "restored from disk"),
+            Ok(None) => {}
+            Err(error) => {
+                warn!(self.logger, "The stored configuration cannot be read."; "error" => %error);
+            }
+        }
+    }
+
+    /// Watches for newer configurations until the gateway stops.
+    pub(super) async fn watch_configuration(self: Arc<Self>) {
+        let mut turn = 0;
+        let mut was = Readiness::NoConfiguration;
+        loop {
+            let replicas = self.cluster.replicas();
+            let Some(replica) = replicas.get(turn % replicas.len().max(1)).copied() else {
+                return;
+            };
+            let wait = self.options.currency_bound / POLL_SHARE;
+            let watch = WatchConfiguration {
+                node: self.options.node,
+                incarnation: self.options.incarnation,
+                in_force: self.configuration.version(),
+                wait_ms: wait.as_millis() as u32,
+            };
+            let sent = self.clock.now();
+            match self.cluster.watch(replica, watch).await {
+                Ok(watched) => {
+                    if let Some(newer) = watched.newer {
+                        self.take_configuration(newer).await;
+                    }
+                    let current = watched.current;
+                    self.configuration
+                        .write(|holder| holder.confirm(sent, current));
+                }
+                Err(_) => {
+                    turn += 1;
+                    Timer::after(FAILURE_PAUSE).await;
+                }
+            }
+            self.note_readiness(&mut was);
+        }
+    }
+
+    /// Tells of a change of readiness; a node that turned unready refuses what
+    /// waits.
+    pub(super) fn note_readiness(&self, was: &mut Readiness) {
+        let is = self.configuration.readiness(self.clock.now());
+        if is == *was {
+            return;
+        }
+        *was = is;
+        info!(self.logger, "Readiness changed."; "readiness" => %is);
+        self.events.record(
+            EventKind::Configuration,
+            format!("node {}", self.options.node),
+            is.to_string(),
+            [("version", self.configuration.version().0.into())],
+        );
+        if is != Readiness::Ready {
+            self.refuse_waiting(RefusalCode::ConfigurationNotCurrent);
+        }
+    }
+
+    /// Keeps a newer configuration on disk, then puts it in force.
+    async fn take_configuration(&self, newer: Configuration) {
+        if newer.version <= self.configuration.version() && newer.version.0 > 0 {
+            return;
+        }
+        let folder = self.options.data_folder.clone();
+        let bytes = encode(&newer);
+        let stored = blocking::unblock(move || store(&folder, &bytes)).await;
+        if let Err(error) = stored {
+            // It still counts: replicas hold it, only a restart starts older.
+            warn!(self.logger, "The configuration cannot be stored."; "error" => %error);
+        }
+        self.put_in_force(newer, "accepted by a quorum");
+    }
+
+    fn put_in_force(&self, configuration: Configuration, reason: &str) {
+        let change = self
+            .configuration
+            .write(|holder| holder.offer(configuration));
+        let ConfigurationChange::InForce { from, to } = change else {
+            return;
+        };
+        let Some(configuration) = self.configuration.in_force() else {
+            return;
+        };
+        self.configure_admission(
+            service_limits(&configuration),
+            tenant_policies(&configuration, &self.options.admission.default_policy),
+        );
+        let knob = self.options.policy.tail_protection;
+        let tail_protection = knob.unwrap_or(configuration.policy.tail_protection);
+        self.batch_input(BatchInput::Policy { tail_protection });
+        self.refresh_engines();
+        info!(self.logger, "A configuration is in force."; "version" => to.0);
+        self.events.record(
+            EventKind::Configuration,
+            format!("version {to}"),
+            reason,
+            [("from", from.0.into()), ("to", to.0.into())],
+        );
+    }
+}
+
+fn service_limits(configuration: &Configuration) -> BTreeMap<ServiceName, ServiceLimits> {
+    let services = configuration.services.iter();
+    services
+        .map(|(name, service)| {
+            let limits = ServiceLimits {
+                max_concurrency: service.max_concurrency,
+                max_queue: service.max_queue,
+                queue_timeout: Duration::from_millis(u64::from(service.queue_timeout_ms)),
+            };
+            (name.clone(), limits)
+        })
+        .collect()
+}
+
+fn tenant_policies(
+    configuration: &Configuration,
+    default: &TenantPolicy,
+) -> BTreeMap<TenantId, TenantPolicy> {
+    let tenants = configuration.tenants.iter();
+    tenants
+        .map(|(name, limits)| {
+            let policy = TenantPolicy {
+                requests_per_second: limits.requests_per_second,
+                burst: limits.burst,
+                ..default.clone()
+            };
+            (name.clone(), policy)
+        })
+        .collect()
+}
+
+fn load(folder: &std::path::Path) -> Result<Option<Configuration>, StorageError> {
+    let disk = RealDisk::open(folder)?;
+    let Some(bytes) = read_checked(&disk, FOLDER, FILE)? else {
+        return Ok(None);
+    };
+    // One of another format is as good as none: replicas have the newest.
+    Ok(decode(&bytes).ok())
+}
+
+fn store(folder: &std::path::Path, bytes: &[u8]) -> Result<(), StorageError> {
+    let disk = RealDisk::open(folder)?;
+    disk.create_dir(FOLDER)?;
+    write_checked(&disk, FOLDER, FILE, &[bytes])
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/directory.rs
@@ -0,0 +1,236 @@
+//! Which back ends there are: the platform list, reports and probes go into
+//! the directory; candidates for requests and batch work come out.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use molespan_engine_api::MachineKind;
+use molespan_membership::{
+    Backend, BackendState, DirectoryInput, DirectoryOutput, StateChange, SubsetBackend,
+    SubsetSettings, WorkResult, subset,
+};
+use molespan_routing::pick::{Candidate, Pick};
+use molespan_state::control::{Configuration, Service, ServiceKind};
+use molespan_telemetry::EventKind;
+use molespan_types::{BackendId, ServiceName, TenantId};
+use slog::{info, warn};
+
+use super::dispatch::ChosenBackend;
+use super::engine_client::Target;
+use super::state::GatewayState;
+
+/// Time between two ticks of the directory.
+const TICK: Duration = Duration::from_millis(100);
+/// Separates a model's name from its version in an engine's report.
+const VERSION_SEPARATOR: char = '@';
+
+impl GatewayState {
+    /// Reads the platform list until the gateway stops. While it cannot be
+    /// read, what is known stays in force.
+    pub(super) async fn poll_machines(self: Arc<Self>) {
+        let mut failing = false;
+        loop {
+            match self.engines.machines(self.options.platform_address).await {
+                Ok(list) => {
+                    failing = false;
+                    self.directory_input(DirectoryInput::List(list));
+                }
+                Err(error) if !failing => {
+                    failing = true;
+                    warn!(self.logger, "The platform list cannot be read."; "error" => error);
+                }
+                Err(_) => {}
+            }
+            Timer::after(self.options.list_poll).await;
+        }
+    }
+
+    /// Lets time pass for the directory until the gateway stops.
+    pub(super) async fn tick_directory(self: Arc<Self>) {
+        loop {
+            self.directory_input(DirectoryInput::Tick);
+            Timer::after(TICK).await;
+        }
+    }
+
+    /// Hands an input to the directory and carries the outputs out.
+    pub(super) fn directory_input(self: &Arc<Self>, input: DirectoryInput) {
+        let now = self.clock.now();
+        let outputs = self.directory().handle(now, input);
+        let mut changed = false;
+        for output in outputs {
+            match output {
+                DirectoryOutput::Changed(change) => {
+                    changed = true;
+                    self.note_change(&change);
+                }
+                DirectoryOutput::Probe { backend, address } => self.probe(backend, &address),
+            }
+        }
+        if changed {
+            self.refresh_engines();
+        }
+    }
+
+    fn note_change(&self, change: &StateChange) {
+        info!(self.logger, "A back end changed its state.";
+            "backend" => change.backend.0, "from" => %change.from, "to" => %change.to,
+            "reason" => %change.reason);
+        self.events.record(
+            EventKind::Membership,
+            format!("backend {}", change.backend),
+            change.reason.to_string(),
+            [
+                ("incarnation", change.incarnation.0.into()),
+                ("from", change.from.to_string().into()),
+                ("to", change.to.to_string().into()),
+            ],
+        );
+        let gone = matches!(change.to, BackendState::Gone | BackendState::Unknown);
+        let address = self.address_of(change.backend).filter(|_| gone);
+        if let Some(address) = address {
+            self.engines.forget(address);
+        }
+    }
+
+    fn probe(self: &Arc<Self>, backend: BackendId, address: &str) {
+        let Ok(address) = address.parse() else {
+            return;
+        };
+        let state = self.clone();
+        self.spawn(async move {
+            let sent = state.clock.now();
+            let answer = state.engines.probe(address).await;
+            let took = state.clock.now().since(sent);
+            let (incarnation, result) = match answer {
+                Ok(incarnation) => (incarnation, WorkResult::Answered(took)),
+                Err(_) => (None, WorkResult::Failed),
+            };
+            state.directory_input(DirectoryInput::Probe {
+                backend,
+                incarnation,
+                result,
+            });
+        });
+    }
+
+    /// Where a back end is.
+    pub(super) fn address_of(&self, backend: BackendId) -> Option<SocketAddr> {
+        let directory = self.directory();
+        directory.backend(backend)?.address.parse().ok()
+    }
+
+    /// A back end that was chosen, unless it takes no new work any more.
+    pub(super) fn chosen(&self, backend: BackendId) -> Option<ChosenBackend> {
+        let directory = self.directory();
+        let known = directory.backend(backend)?;
+        if !known.state.accepts_new_work() {
+            return None;
+        }
+        Some(ChosenBackend {
+            target: Target {
+                backend,
+                incarnation: known.incarnation,
+                address: known.address.parse().ok()?,
+            },
+            zone: known.zone.clone(),
+        })
+    }
+
+    /// Brings candidates for requests and for batch work to what directory,
+    /// configuration and gateway set say now.
+    pub(super) fn refresh_engines(&self) {
+        let Some(configuration) = self.configuration.in_force() else {
+            return;
+        };
+        let candidates = self.candidates(&configuration);
+        self.pickers.set_candidates(candidates);
+        self.refresh_owned_engines(&configuration);
+    }
+
+    fn candidates(&self, configuration: &Configuration) -> BTreeMap<ServiceName, Vec<Candidate>> {
+        let gateways = self.gateways().clone();
+        let directory = self.directory();
+        let services = configuration.services.iter();
+        services
+            .map(|(name, service)| {
+                let backends: Vec<SubsetBackend> = directory
+                    .backends()
+                    .filter(|backend| backend.service == *name)
+                    .map(|backend| SubsetBackend {
+                        id: backend.id,
+                        zone: backend.zone.clone(),
+                    })
+                    .collect();
+                let chosen = subset(
+                    self.options.node,
+                    &self.options.zone,
+                    &gateways,
+                    &backends,
+                    &SubsetSettings::default(),
+                );
+                let candidates = chosen
+                    .into_iter()
+                    .filter_map(|id| directory.backend(id))
+                    .filter(|backend| can_serve(backend, service))
+                    .map(candidate);
+                (name.clone(), candidates.collect())
+            })
+            .collect()
+    }
+
+    /// Records which back end was chosen and why.
+    pub(super) fn note_pick(&self, service: &ServiceName, tenant: &TenantId, pick: &Pick) {
+        let reason = &pick.reason;
+        let load = reason.considered.first().map_or(0.0, |one| one.load);
+        self.events.record(
+            EventKind::Route,
+            format!("service {service}"),
+            reason.rule.to_string(),
+            [
+                ("backend", pick.backend.0.into()),
+                ("tenant", tenant.as_str().into()),
+                ("load", load.into()),
+                ("least_load", reason.least_load.into()),
+                ("matched_blocks", reason.matched_blocks.into()),
+                ("open", reason.open.into()),
+                ("spilled", reason.spilled.into()),
+            ],
+        );
+    }
+}
+
+/// Whether a back end may get new work of a service.
+pub(super) fn can_serve(backend: &Backend, service: &Service) -> bool {
+    if !backend.state.accepts_new_work() {
+        return false;
+    }
+    match (service.kind, backend.kind) {
+        (ServiceKind::Application, MachineKind::Application) => true,
+        (ServiceKind::Completion, MachineKind::Engine) => service
+            .model
+            .as_ref()
+            .is_some_and(|model| has_model(backend, &model.0)),
+        _ => false,
+    }
+}
+
+/// Whether a back end reported the model as ready, in whatever version.
+fn has_model(backend: &Backend, model: &str) -> bool {
+    backend.loaded.models.iter().any(|loaded| {
+        let name = loaded.split_once(VERSION_SEPARATOR);
+        name.map_or(loaded.as_str(), |(name, _)| name) == model
+    })
+}
+
+fn candidate(backend: &Backend) -> Candidate {
+    Candidate {
+        backend: backend.id,
+        incarnation: backend.incarnation,
+        zone: backend.zone.clone(),
+        suspect: backend.state == BackendState::Suspect,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/drain.rs
@@ -0,0 +1,105 @@
+//! The planned stop: unready first, then no new connections, then what is in
+//! flight finishes, then leases are handed over.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_io::Timer;
+use molespan_http::ServerHandle;
+use molespan_membership::{DrainInput, DrainOutput, DrainPlan, DrainSettings};
+use molespan_routing::batch::BatchInput;
+use molespan_telemetry::EventKind;
+use slog::info;
+
+use super::state::GatewayState;
+
+/// Time between two looks at what is left.
+const LOOK: Duration = Duration::from_millis(20);
+/// Time for which requests on open connections are answered once no new
+/// connections are taken.
+const IDLE_GRACE: Duration = Duration::from_millis(500);
+
+/// How a planned stop went.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DrainReport {
+    /// Requests that were cut off since the time bound passed.
+    pub cut_off: u32,
+    /// Leases that others must wait out.
+    pub left_behind: u32,
+}
+
+/// Carries a planned stop out.
+pub(super) async fn drain(state: &Arc<GatewayState>, server: &ServerHandle) -> DrainReport {
+    let bounds = &state.options.drain;
+    let mut plan = DrainPlan::new(DrainSettings {
+        unready_wait: bounds.unready_wait,
+        finish_within: bounds.finish_within,
+        hand_over_within: bounds.hand_over_within,
+    });
+    let mut report = DrainReport::default();
+    let mut input = DrainInput::Begin;
+    loop {
+        let now = state.clock.now();
+        let in_flight = server.counters().requests_in_flight as u32;
+        let held = state.batch.left_to_return() as u32;
+        let mut outputs = plan.handle(now, DrainInput::InFlight(in_flight));
+        outputs.extend(plan.handle(now, DrainInput::Held(held)));
+        outputs.extend(plan.handle(now, input));
+        input = DrainInput::Tick;
+        for output in outputs {
+            note(state, &output, in_flight, held);
+            match output {
+                DrainOutput::SayUnready => say_unready(state),
+                DrainOutput::ReturnBatchItems => return_batch_items(state),
+                DrainOutput::RefuseNew => refuse_new(state, server),
+                DrainOutput::HandOver => state.release_ownership(),
+                DrainOutput::CutOff { in_flight } => report.cut_off = in_flight,
+                DrainOutput::LeftBehind { held } => report.left_behind = held,
+                DrainOutput::Exit => {
+                    // Idle connections are closed; nothing else is left, or
+                    // the bound passed.
+                    server.shutdown(Duration::ZERO, Duration::ZERO).await;
+                    return report;
+                }
+            }
+        }
+        Timer::after(LOOK).await;
+    }
+}
+
+fn say_unready(state: &Arc<GatewayState>) {
+    state.draining.store(true, Ordering::SeqCst);
+    let telling = state.clone();
+    state.spawn(async move {
+        let (node, incarnation) = (telling.options.node, telling.options.incarnation);
+        // The heartbeats say it too, should this fail.
+        let _unreachable = telling.cluster.drain_node(node, incarnation).await;
+        let sent = telling.clock.now();
+        let _unreachable = telling.heartbeat(sent).await;
+    });
+}
+
+fn return_batch_items(state: &Arc<GatewayState>) {
+    state.batch_input(BatchInput::Drain);
+}
+
+fn refuse_new(state: &Arc<GatewayState>, server: &ServerHandle) {
+    let server = server.clone();
+    let bounds = state.options.drain.clone();
+    state.spawn(async move {
+        let deadline = bounds.finish_within + bounds.hand_over_within;
+        server.shutdown(IDLE_GRACE, deadline).await;
+    });
+}
+
+fn note(state: &GatewayState, output: &DrainOutput, in_flight: u32, held: u32) {
+    info!(state.logger, "The planned stop goes on.";
+        "step" => ?output, "in_flight" => in_flight, "leases" => held);
+    state.events.record(
+        EventKind::Drain,
+        format!("node {}", state.options.node),
+        format!("{output:?}"),
+        [("in_flight", in_flight.into()), ("leases", held.into())],
+    );
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/engine_client.rs
@@ -0,0 +1,418 @@
+//! Calls to back ends and the platform, over pools of their own for online,
+//! batch and control traffic, so that none of them waits for another.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_types::headers::CONTENT_TYPE;
+use molespan_engine_api::{
+    ATTEMPT_HEADER, CACHE_EVENTS_PATH, CacheEventPage, CompletionChunk, ErrorBody, ErrorDetail,
+    HEALTH_PATH, INCARNATION_HEADER, LOAD_PATH, LoadReport, MACHINES_PATH, MachineList,
+    ORDERS_PATH, Order, OrderReply, PRIORITY_HEADER, REQUESTS_PATH, RequestState, RequestStatus,
+};
+use molespan_http::{
+    Body, ClientResponse, EventStream, Method, Pool, PoolLimits, Request, SendError, json_body,
+    new_request,
+};
+use molespan_routing::retry::{AttemptEnd, AttemptRef, StatusAnswer, StreamCheck, check_attempt};
+use molespan_types::{AttemptId, BackendId, Incarnation, Priority, RunOutcome};
+
+use super::options::BackendTimeouts;
+
+/// Longest error body or report that is read.
+const MAX_REPORT_BYTES: usize = 1024 * 1024;
+/// Longest platform list that is read.
+const MAX_LIST_BYTES: usize = 32 * 1024 * 1024;
+
+/// A back end's life and where it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Target {
+    pub(super) backend: BackendId,
+    pub(super) incarnation: Incarnation,
+    pub(super) address: SocketAddr,
+}
+
+impl Target {
+    /// This attempt on this back end.
+    pub(super) fn attempt(&self, attempt: AttemptId) -> AttemptRef {
+        AttemptRef {
+            attempt,
+            backend: self.backend,
+            incarnation: self.incarnation,
+        }
+    }
+}
+
+/// Why an attempt, or a try to resume it, has no whole answer.
+#[derive(Clone, Debug)]
+pub(super) struct AttemptFailure {
+    /// What is known of its run.
+    pub(super) end: AttemptEnd,
+    /// One sentence for people.
+    pub(super) cause: String,
+    /// What the back end itself said, if it answered.
+    pub(super) refusal: Option<BackendRefusal>,
+}
+
+/// A typed error of a back end.
+#[derive(Clone, Debug)]
+pub(super) struct BackendRefusal {
+    pub(super) status: u16,
+    pub(super) detail: ErrorDetail,
+}
+
+impl BackendRefusal {
+    /// Whether it was refused for the back end's load.
+    pub(super) fn is_overload(&self) -> bool {
+        matches!(self.status, 429 | 503) && self.detail.outcome == RunOutcome::NotRun
+    }
+
+    /// Whether every back end would refuse the request in the same way.
+    pub(super) fn is_final(&self) -> bool {
+        matches!(self.status, 400 | 413 | 422) && self.detail.outcome == RunOutcome::NotRun
+    }
+}
+
+impl AttemptFailure {
+    pub(super) fn broken(cause: impl ToString) -> Self {
+        Self {
+            end: AttemptEnd::Broken,
+            cause: cause.to_string(),
+            refusal: None,
+        }
+    }
+
+    fn of_send(error: &SendError) -> Self {
+        let end = match error.outcome() {
+            RunOutcome::NotRun => AttemptEnd::NotSent,
+            _ => AttemptEnd::Broken,
+        };
+        Self {
+            end,
+            cause: error.to_string(),
+            refusal: None,
+        }
+    }
+}
+
+/// A token of an answer as it came.
+#[derive(Debug)]
+pub(super) struct Token {
+    pub(super) chunk: CompletionChunk,
+    /// The event's data, to be passed on unchanged.
+    pub(super) data: String,
+}
+
+/// The checked answer of one attempt.
+#[derive(Debug)]
+pub(super) struct AnswerStream {
+    events: EventStream,
+    check: StreamCheck,
+}
+
+impl AnswerStream {
+    /// The next token; `None` once the answer is whole.
+    pub(super) async fn next(&mut self) -> Result<Option<Token>, AttemptFailure> {
+        let event = self.events.next().await.map_err(AttemptFailure::broken)?;
+        let Some(event) = event else {
+            self.check.terminator();
+            self.check.end().map_err(AttemptFailure::broken)?;
+            return Ok(None);
+        };
+        let chunk: CompletionChunk =
+            serde_json::from_str(&event.data).map_err(AttemptFailure::broken)?;
+        self.check.chunk(&chunk).map_err(AttemptFailure::broken)?;
+        Ok(Some(Token {
+            chunk,
+            data: event.data,
+        }))
+    }
+}
+
+/// Calls to back ends and the platform.
+#[derive(Clone, Debug)]
+pub(super) struct EngineClient {
+    online: Pool,
+    batch: Pool,
+    resume: Pool,
+    control: Pool,
+    batch_control: Pool,
+}
+
+impl EngineClient {
+    pub(super) fn new(timeouts: &BackendTimeouts) -> Self {
+        let limits = |response: Duration, stall: Duration| PoolLimits {
+            connect_timeout: timeouts.connect,
+            response_timeout: response,
+            body_timeout: stall,
+            ..PoolLimits::default()
+        };
+        let control = limits(timeouts.control, timeouts.control);
+        Self {
+            online: Pool::new(limits(timeouts.response, timeouts.stall)),
+            batch: Pool::new(limits(timeouts.batch_stall, timeouts.batch_stall)),
+            resume: Pool::new(limits(timeouts.control, timeouts.stall)),
+            control: Pool::new(control.clone()),
+            batch_control: Pool::new(control),
+        }
+    }
+
+    /// Closes resting connections to a back end that left.
+    pub(super) fn forget(&self, address: SocketAddr) {
+        for pool in [
+            &self.online,
+            &self.batch,
+            &self.resume,
+            &self.control,
+            &self.batch_control,
+        ] {
+            pool.forget(address);
+        }
+    }
+
+    /// Sends a completion and waits for the head of its streamed answer.
+    pub(super) async fn start(
+        &self,
+        priority: Priority,
+        target: &Target,
+        attempt: AttemptId,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<AnswerStream, AttemptFailure> {
+        let request = new_request(Method::Post, target.address, path);
+        let mut request = request.map_err(|error| AttemptFailure::of_send(&error))?;
+        request.set_body(Body::from_bytes(body));
+        request.insert_header(CONTENT_TYPE, "application/json");
+        request.insert_header(ATTEMPT_HEADER, attempt.to_string());
+        request.insert_header(PRIORITY_HEADER, priority.to_string());
+        let pool = match priority {
+            Priority::Online => &self.online,
+            Priority::Batch => &self.batch,
+        };
+        let response = pool.send(target.address, request).await;
+        let response = response.map_err(|error| AttemptFailure::of_send(&error))?;
+        answer_stream(response, attempt, 0).await
+    }
+
+    /// Fetches the answer of an earlier attempt from token `offset` on.
+    pub(super) async fn resume(
+        &self,
+        address: SocketAddr,
+        attempt: &AttemptRef,
+        offset: u32,
+    ) -> Result<AnswerStream, AttemptFailure> {
+        let path = format!("{REQUESTS_PATH}/{}/stream?offset={offset}", attempt.attempt);
+        let request = new_request(Method::Get, address, &path);
+        let request = request.map_err(AttemptFailure::broken)?;
+        let response = self.resume.send(address, request).await;
+        let response = response.map_err(AttemptFailure::broken)?;
+        if named_incarnation(&response).is_some_and(|named| named != attempt.incarnation) {
+            return Err(AttemptFailure {
+                end: AttemptEnd::Lost,
+                cause: "another life of the engine answered".to_owned(),
+                refusal: None,
+            });
+        }
+        let answer = answer_stream(response, attempt.attempt, offset).await;
+        // What an engine says about a try to resume concerns the try alone.
+        answer.map_err(|failure| match failure.refusal {
+            Some(_) => AttemptFailure {
+                end: AttemptEnd::Lost,
+                ..failure
+            },
+            None => failure,
+        })
+    }
+
+    /// Asks what became of an attempt.
+    pub(super) async fn status(&self, address: SocketAddr, attempt: &AttemptRef) -> StatusAnswer {
+        let path = format!("{REQUESTS_PATH}/{}", attempt.attempt);
+        let Ok(request) = new_request(Method::Get, address, &path) else {
+            return StatusAnswer::NoAnswer;
+        };
+        let Ok(response) = self.control.send(address, request).await else {
+            return StatusAnswer::NoAnswer;
+        };
+        if named_incarnation(&response) != Some(attempt.incarnation) {
+            return StatusAnswer::OtherLife;
+        }
+        let status = u16::from(response.status());
+        if status == 404 {
+            return match refusal_of(response).await {
+                Some(refusal) if refusal.detail.outcome == RunOutcome::NotRun => {
+                    StatusAnswer::NeverSeen
+                }
+                _ => StatusAnswer::NoAnswer,
+            };
+        }
+        if status == 410 {
+            return StatusAnswer::Cancelled;
+        }
+        match response.json::<RequestStatus>(MAX_REPORT_BYTES).await {
+            Ok(status) if status.id != attempt.attempt.to_string() => StatusAnswer::NoAnswer,
+            Ok(status) if status.state == RequestState::Cancelled => StatusAnswer::Cancelled,
+            Ok(_) => StatusAnswer::Present,
+            Err(_) => StatusAnswer::NoAnswer,
+        }
+    }
+
+    /// Stops an attempt; returns whether the engine said so.
+    pub(super) async fn cancel(
+        &self,
+        priority: Priority,
+        address: SocketAddr,
+        attempt: AttemptId,
+    ) -> bool {
+        let path = format!("{REQUESTS_PATH}/{attempt}");
+        let status = self.act(priority, Method::Delete, address, &path).await;
+        status.is_some_and(|status| status == 200)
+    }
+
+    /// Holds a batch attempt back, or lets it go on; gives the status.
+    pub(super) async fn hold(
+        &self,
+        address: SocketAddr,
+        attempt: AttemptId,
+        held: bool,
+    ) -> Option<u16> {
+        let action = if held { "pause" } else { "resume" };
+        let path = format!("{REQUESTS_PATH}/{attempt}/{action}");
+        self.act(Priority::Batch, Method::Post, address, &path)
+            .await
+    }
+
+    async fn act(
+        &self,
+        priority: Priority,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+    ) -> Option<u16> {
+        let pool = match priority {
+            Priority::Online => &self.control,
+            Priority::Batch => &self.batch_control,
+        };
+        let request = new_request(method, address, path).ok()?;
+        let response = pool.send(address, request).await.ok()?;
+        let status = u16::from(response.status());
+        // Reading the body whole frees the connection for the next call.
+        let _body = response.bytes(MAX_REPORT_BYTES).await;
+        Some(status)
+    }
+
+    /// The load report of a back end.
+    pub(super) async fn load(&self, address: SocketAddr) -> Option<LoadReport> {
+        let request = new_request(Method::Get, address, LOAD_PATH).ok()?;
+        let response = self.control.send(address, request).await.ok()?;
+        response.json(MAX_REPORT_BYTES).await.ok()
+    }
+
+    /// Cache events behind sequence number `after`.
+    pub(super) async fn cache_events(
+        &self,
+        address: SocketAddr,
+        after: u64,
+    ) -> Option<CacheEventPage> {
+        let path = format!("{CACHE_EVENTS_PATH}?after={after}");
+        let request = new_request(Method::Get, address, &path).ok()?;
+        let response = self.control.send(address, request).await.ok()?;
+        response.json(MAX_REPORT_BYTES).await.ok()
+    }
+
+    /// The incarnation that answers a probe; an error when none does.
+    pub(super) async fn probe(&self, address: SocketAddr) -> Result<Option<Incarnation>, String> {
+        let request = new_request(Method::Get, address, HEALTH_PATH);
+        let request = request.map_err(|error| error.to_string())?;
+        let response = self.control.send(address, request).await;
+        let response = response.map_err(|error| error.to_string())?;
+        if !response.status().is_success() {
+            return Err(format!("status {}", response.status()));
+        }
+        let incarnation = named_incarnation(&response);
+        let whole = response.bytes(MAX_REPORT_BYTES).await;
+        whole.map_err(|error| error.to_string())?;
+        Ok(incarnation)
+    }
+
+    /// Sends a fenced order.
+    pub(super) async fn order(
+        &self,
+        address: SocketAddr,
+        order: &Order,
+    ) -> Result<OrderReply, String> {
+        let request = new_request(Method::Post, address, ORDERS_PATH);
+        let mut request = request.map_err(|error| error.to_string())?;
+        request.set_body(json_body(order));
+        let response = self.control.send(address, request).await;
+        let response = response.map_err(|error| error.to_string())?;
+        let reply = response.json(MAX_REPORT_BYTES).await;
+        reply.map_err(|error| error.to_string())
+    }
+
+    /// The platform list.
+    pub(super) async fn machines(&self, address: SocketAddr) -> Result<MachineList, String> {
+        let request = new_request(Method::Get, address, MACHINES_PATH);
+        let request = request.map_err(|error| error.to_string())?;
+        let response = self.control.send(address, request).await;
+        let response = response.map_err(|error| error.to_string())?;
+        let list = response.json(MAX_LIST_BYTES).await;
+        list.map_err(|error| error.to_string())
+    }
+
+    /// Passes any request on to an application back end.
+    pub(super) async fn forward(
+        &self,
+        target: &Target,
+        request: Request,
+    ) -> Result<ClientResponse, AttemptFailure> {
+        let response = self.online.send(target.address, request).await;
+        response.map_err(|error| AttemptFailure::of_send(&error))
+    }
+}
+
+/// The answer in a response, or what the back end said instead.
+async fn answer_stream(
+    response: ClientResponse,
+    attempt: AttemptId,
+    offset: u32,
+) -> Result<AnswerStream, AttemptFailure> {
+    check_attempt(attempt, response.header(ATTEMPT_HEADER)).map_err(AttemptFailure::broken)?;
+    if !response.status().is_success() {
+        return Err(failure_of(response).await);
+    }
+    Ok(AnswerStream {
+        events: response.events(),
+        check: StreamCheck::new(attempt, offset),
+    })
+}
+
+/// The failure that an error response tells of. Its attempt was checked.
+pub(super) async fn failure_of(response: ClientResponse) -> AttemptFailure {
+    let status = response.status();
+    let Some(refusal) = refusal_of(response).await else {
+        return AttemptFailure::broken(format!("status {status} without a typed error"));
+    };
+    let end = match refusal.detail.outcome {
+        RunOutcome::NotRun => AttemptEnd::DeclaredNotRun,
+        _ => AttemptEnd::Broken,
+    };
+    AttemptFailure {
+        end,
+        cause: refusal.detail.message.clone(),
+        refusal: Some(refusal),
+    }
+}
+
+async fn refusal_of(response: ClientResponse) -> Option<BackendRefusal> {
+    let status = u16::from(response.status());
+    let body = response.json::<ErrorBody>(MAX_REPORT_BYTES).await.ok()?;
+    Some(BackendRefusal {
+        status,
+        detail: body.error,
+    })
+}
+
+fn named_incarnation(response: &ClientResponse) -> Option<Incarnation> {
+    let named = response.header(INCARNATION_HEADER)?;
+    named.parse().ok().map(Incarnation)
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/events.rs
@@ -0,0 +1,45 @@
+//! Decisions as events: what, why and from which inputs.
+
+use molespan_telemetry::{EventBuffer, EventInput, EventKind, EventValue, inputs};
+
+use super::clock::unix_millis;
+
+/// Records the decisions of one gateway.
+#[derive(Clone, Debug)]
+pub(super) struct Events {
+    buffer: EventBuffer,
+}
+
+impl Events {
+    pub(super) fn new(buffer: EventBuffer) -> Self {
+        Self { buffer }
+    }
+
+    /// The buffer that operators watch.
+    pub(super) fn buffer(&self) -> &EventBuffer {
+        &self.buffer
+    }
+
+    /// Records one decision.
+    pub(super) fn record<const COUNT: usize>(
+        &self,
+        kind: EventKind,
+        subject: impl Into<String>,
+        reason: impl Into<String>,
+        pairs: [(&'static str, EventValue); COUNT],
+    ) {
+        self.record_inputs(kind, subject, reason, inputs(pairs));
+    }
+
+    /// Records one decision with inputs of any number.
+    pub(super) fn record_inputs(
+        &self,
+        kind: EventKind,
+        subject: impl Into<String>,
+        reason: impl Into<String>,
+        inputs: Vec<EventInput>,
+    ) {
+        self.buffer
+            .record(unix_millis(), kind, subject, reason, inputs);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/loads.rs
@@ -0,0 +1,249 @@
+//! Load reports: the owner of an engine polls it often and passes digests on;
+//! others ask rarely, for what digests do not carry.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_io::Timer;
+use molespan_engine_api::{LoadReport, MachineKind};
+use molespan_membership::rendezvous::weight;
+use molespan_membership::{BackendReport, BackendState, DirectoryInput};
+use molespan_routing::batch::BatchInput;
+use molespan_routing::pick::LoadSample;
+use molespan_types::{BackendId, Incarnation, NodeId, Timestamp};
+use molespan_wire::{LoadDigest, Request};
+
+use super::state::GatewayState;
+
+/// Time between two reports of a back end that another gateway owns.
+const FOREIGN_POLL: Duration = Duration::from_secs(1);
+/// Time between two reports of a back end of which nothing is known yet.
+const DISCOVERY_POLL: Duration = Duration::from_millis(100);
+/// Time between two reads of an owned engine's cache events.
+const CACHE_POLL: Duration = Duration::from_millis(250);
+/// Time after which an unanswered poll no longer holds back the next.
+const POLL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Most gateways that an engine's digests go to.
+const MOST_LISTENERS: usize = 16;
+/// Steps of the share of KV memory in a digest.
+const KV_STEPS: f64 = 255.0;
+/// Unit of the step in a digest.
+const STEP_MICROS: u64 = 100;
+
+/// When each back end was asked, and what is to be passed on.
+#[derive(Debug, Default)]
+pub(super) struct LoadDesk {
+    polls: Mutex<BTreeMap<BackendId, Poll>>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Poll {
+    incarnation: Incarnation,
+    next: Timestamp,
+    outstanding_until: Timestamp,
+    next_cache: Timestamp,
+    cache_sequence: u64,
+}
+
+/// A back end to be asked now.
+#[derive(Clone, Copy, Debug)]
+struct Due {
+    backend: BackendId,
+    address: SocketAddr,
+    /// Sequence behind which cache events are wanted, if they are.
+    cache_after: Option<u64>,
+}
+
+impl LoadDesk {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<BackendId, Poll>> {
+        self.polls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl GatewayState {
+    /// Asks back ends for their load until the gateway stops.
+    pub(super) async fn poll_loads(self: Arc<Self>) {
+        loop {
+            for due in self.polls_due() {
+                let state = self.clone();
+                self.spawn(async move { state.poll_one(due).await });
+            }
+            Timer::after(self.options.load_poll / 2).await;
+        }
+    }
+
+    fn polls_due(&self) -> Vec<Due> {
+        let now = self.clock.now();
+        let owned: BTreeSet<BackendId> = self.ownership().owned().collect();
+        let directory = self.directory();
+        let mut polls = self.loads.lock();
+        polls.retain(|backend, _| directory.backend(*backend).is_some());
+        let mut due = Vec::new();
+        for backend in directory.backends() {
+            let Ok(address) = backend.address.parse() else {
+                continue;
+            };
+            let poll = polls.entry(backend.id).or_default();
+            if poll.incarnation != backend.incarnation {
+                *poll = Poll {
+                    incarnation: backend.incarnation,
+                    ..Poll::default()
+                };
+            }
+            if poll.next > now || poll.outstanding_until > now {
+                continue;
+            }
+            let is_owned = owned.contains(&backend.id);
+            let is_known =
+                backend.kind == MachineKind::Application || !backend.loaded.models.is_empty();
+            let interval = match backend.state {
+                BackendState::Unknown | BackendState::Ejected => FOREIGN_POLL,
+                _ if is_owned => self.options.load_poll,
+                _ if is_known => FOREIGN_POLL,
+                _ => DISCOVERY_POLL,
+            };
+            poll.next = now + interval;
+            poll.outstanding_until = now + POLL_TIMEOUT;
+            let wants_cache = backend.kind == MachineKind::Engine && poll.next_cache <= now;
+            if wants_cache {
+                poll.next_cache = now + CACHE_POLL;
+            }
+            due.push(Due {
+                backend: backend.id,
+                address,
+                cache_after: wants_cache.then_some(poll.cache_sequence),
+            });
+        }
+        due
+    }
+
+    async fn poll_one(self: Arc<Self>, due: Due) {
+        let sent = self.clock.now();
+        let report = self.engines.load(due.address).await;
+        if let Some(poll) = self.loads.lock().get_mut(&due.backend) {
+            poll.outstanding_until = Timestamp::ZERO;
+        }
+        let Some(report) = report.filter(|report| report.backend == due.backend) else {
+            return;
+        };
+        self.take_report(sent, &report);
+        if let Some(after) = due.cache_after {
+            self.read_cache_events(due, after).await;
+        }
+    }
+
+    async fn read_cache_events(&self, due: Due, after: u64) {
+        let Some(page) = self.engines.cache_events(due.address, after).await else {
+            return;
+        };
+        self.pickers.observe_cache(due.backend, &page);
+        let last = page.events.iter().map(|event| event.sequence).max();
+        if let Some(poll) = self.loads.lock().get_mut(&due.backend)
+            && poll.incarnation == page.incarnation
+        {
+            poll.cache_sequence = poll.cache_sequence.max(last.unwrap_or(0));
+        }
+    }
+
+    /// Takes a direct report that was asked for at `sent`.
+    fn take_report(self: &Arc<Self>, sent: Timestamp, report: &LoadReport) {
+        let now = self.clock.now();
+        let half_way = now.since(sent) / 2;
+        let age = Duration::from_millis(u64::from(report.age_ms)) + half_way;
+        let observed = Timestamp(now.0.saturating_sub(age.as_micros() as u64));
+        let before = self.loaded(report.backend);
+        self.directory_input(DirectoryInput::Report(BackendReport::from(report)));
+        if before != self.loaded(report.backend) {
+            self.refresh_engines();
+        }
+        let sample = LoadSample::from_report(report, observed);
+        self.pickers.observe_load(&sample);
+        if self.ownership().owns(report.backend) {
+            self.pass_on(report);
+            self.batch_input(BatchInput::Load(sample));
+        }
+    }
+
+    fn loaded(&self, backend: BackendId) -> Option<molespan_membership::Loaded> {
+        let directory = self.directory();
+        directory.backend(backend).map(|known| known.loaded.clone())
+    }
+
+    /// Sends the digest of an owned engine's report to the gateways that are
+    /// the most likely to route there.
+    fn pass_on(&self, report: &LoadReport) {
+        let digest = digest_of(report);
+        for node in self.listeners(report.backend) {
+            let request = Request::Loads {
+                from: self.options.node,
+                digests: vec![digest.clone()],
+            };
+            let _queued = self.cluster.transport().send(node, request);
+        }
+    }
+
+    fn listeners(&self, backend: BackendId) -> Vec<NodeId> {
+        let own = self.options.node;
+        let gateways = self.gateways();
+        let mut nodes: Vec<NodeId> = gateways.nodes().filter(|node| *node != own).collect();
+        if nodes.len() > MOST_LISTENERS {
+            nodes.sort_by_key(|node| std::cmp::Reverse(weight(*node, backend)));
+            nodes.truncate(MOST_LISTENERS);
+        }
+        nodes
+    }
+
+    /// Takes digests that an owner passed on.
+    pub(super) fn take_digests(self: &Arc<Self>, digests: Vec<LoadDigest>) {
+        let now = self.clock.now();
+        for digest in digests {
+            self.directory_input(DirectoryInput::Report(BackendReport {
+                backend: digest.backend,
+                incarnation: digest.incarnation,
+                leaving: digest.leaving,
+                loaded: None,
+            }));
+            let observed = now
+                .0
+                .saturating_sub(self.options.load_poll.as_micros() as u64);
+            self.pickers
+                .observe_load(&sample_of(&digest, Timestamp(observed)));
+        }
+    }
+}
+
+fn digest_of(report: &LoadReport) -> LoadDigest {
+    let clamp = |count: u32| u16::try_from(count).unwrap_or(u16::MAX);
+    let step = u64::from(report.step_micros) / STEP_MICROS;
+    LoadDigest {
+        backend: report.backend,
+        incarnation: report.incarnation,
+        sequence: report.sequence,
+        online: clamp(report.online_running + report.online_waiting),
+        batch: clamp(report.batch_running + report.batch_waiting),
+        kv_used: (report.kv_used.clamp(0.0, 1.0) * KV_STEPS) as u8,
+        step: u16::try_from(step).unwrap_or(u16::MAX),
+        leaving: report.leaving,
+    }
+}
+
+/// The sample of a digest. How old it is nobody says; with the owner's polling
+/// interval as its age, own requests sent meanwhile are overrated rather than
+/// missed.
+fn sample_of(digest: &LoadDigest, observed: Timestamp) -> LoadSample {
+    LoadSample {
+        backend: digest.backend,
+        incarnation: digest.incarnation,
+        sequence: digest.sequence,
+        observed,
+        online: u32::from(digest.online),
+        online_waiting: 0,
+        batch: u32::from(digest.batch),
+        batch_running: 0,
+        max_running: 0,
+        kv_used: f64::from(digest.kv_used) / KV_STEPS,
+        step: Duration::from_micros(u64::from(digest.step) * STEP_MICROS),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/mod.rs
@@ -0,0 +1,226 @@
+//! The gateway role: takes requests of callers and operators, chooses where
+//! they run, owns the batch work of engines, and places models.
+//!
+//! A request's way can be followed by the names of the modules: `routes`,
+//! `validation`, `admission`, `pick`, `route`, `dispatch`, `engine_client`,
+//! `stream`. Every decision is made by a core of the crates `routing`,
+//! `membership` and `state`; the modules here hand in what happens and carry
+//! out what is decided.
+
+mod admin;
+mod admission;
+mod application;
+mod batch_api;
+mod batch_driver;
+mod batch_groups;
+mod batch_stream;
+mod claims;
+mod clock;
+mod configuration;
+mod directory;
+mod dispatch;
+mod drain;
+mod engine_client;
+mod error;
+mod events;
+mod heartbeat;
+mod loads;
+mod metrics;
+mod options;
+mod pick;
+mod placement;
+mod route;
+mod routes;
+mod state;
+mod stream;
+mod validation;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_io::Timer;
+use molespan_http::{LargeBody, Server, ServerError, ServerLimits};
+use molespan_routing::batch::{BatchInput, Foreign};
+use molespan_routing::readiness::Readiness;
+use molespan_telemetry::{EventBuffer, Metrics, part_logger};
+use molespan_types::RunOutcome;
+use molespan_wire::{NodeStatus, Request, Response};
+use slog::Logger;
+
+pub use batch_api::{JobView, ResultLine};
+pub use drain::DrainReport;
+pub use options::{BackendTimeouts, DrainBounds, GatewayOptions, GatewayPolicy, PreemptionPolicy};
+
+use crate::cluster::Cluster;
+use state::GatewayState;
+
+/// Longest body of a job's submission in bytes.
+const MAX_SUBMISSION_BYTES: usize = 256 * 1024 * 1024;
+/// Bytes of all request bodies in memory together.
+const MAX_BUFFERED_BYTES: usize = 384 * 1024 * 1024;
+/// Time between two looks at the admission queues.
+const ADMISSION_TICK: Duration = Duration::from_millis(5);
+
+/// What a gateway is made of.
+#[derive(Debug)]
+pub struct GatewayContext {
+    /// Options.
+    pub options: GatewayOptions,
+    /// Runs its tasks.
+    pub executor: Arc<Executor<'static>>,
+    /// Parent of its logger.
+    pub logger: Logger,
+    /// Registry of the process's metrics.
+    pub metrics: Metrics,
+    /// Client of the replica groups.
+    pub cluster: Arc<Cluster>,
+    /// The process's decision events.
+    pub events: EventBuffer,
+}
+
+/// A gateway. Clones are the same gateway.
+#[derive(Clone, Debug)]
+pub struct Gateway {
+    state: Arc<GatewayState>,
+}
+
+/// A gateway that listens and does not serve yet.
+#[derive(Debug)]
+pub struct BoundGateway {
+    gateway: Gateway,
+    server: Server,
+}
+
+impl Gateway {
+    /// Listens on the HTTP address.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub fn bind(mut context: GatewayContext) -> Result<BoundGateway, ServerError> {
+        let limits = ServerLimits {
+            large_body: Some(LargeBody {
+                path: batch_api::BATCHES_PATH.to_owned(),
+                max_body_bytes: MAX_SUBMISSION_BYTES,
+            }),
+            max_buffered_bytes: MAX_BUFFERED_BYTES,
+            ..ServerLimits::default()
+        };
+        let server = Server::bind(context.options.http_address, limits)?;
+        context.options.http_address = server.local_address();
+        context.logger = part_logger(&context.logger, "gateway");
+        let state = Arc::new(GatewayState::new(context));
+        state.connect_batch();
+        Ok(BoundGateway {
+            gateway: Gateway { state },
+            server,
+        })
+    }
+
+    /// Answers a request of another node that concerns gateways.
+    #[must_use]
+    pub fn handle_peer(&self, request: Request) -> Response {
+        let state = &self.state;
+        match request {
+            Request::OnlineArrival(arrival) => {
+                state.batch_input(BatchInput::Foreign(Foreign {
+                    from: arrival.from,
+                    backend: arrival.backend,
+                    in_flight: arrival.in_flight,
+                    prompt_tokens: arrival.prompt_tokens,
+                }));
+                Response::Acknowledged
+            }
+            Request::Loads { digests, .. } => {
+                state.take_digests(digests);
+                Response::Acknowledged
+            }
+            Request::Status => Response::Status(self.status()),
+            _ => Response::Refused {
+                outcome: RunOutcome::NotRun,
+                message: "a gateway does not answer this".to_owned(),
+                retry_after_ms: 0,
+            },
+        }
+    }
+
+    /// What this gateway says of itself.
+    #[must_use]
+    pub fn status(&self) -> NodeStatus {
+        let state = &self.state;
+        let configuration = state.configuration.in_force();
+        let services = configuration.map(|held| held.services.keys().cloned().collect());
+        NodeStatus {
+            node: state.options.node,
+            incarnation: state.options.incarnation,
+            in_force: state.configuration.version(),
+            ready: self.is_ready(),
+            leads: Vec::new(),
+            services: services.unwrap_or_default(),
+        }
+    }
+
+    /// Whether it takes new work.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let now = self.state.clock.now();
+        !self.state.is_draining() && self.state.configuration.readiness(now) == Readiness::Ready
+    }
+}
+
+impl BoundGateway {
+    /// The gateway.
+    #[must_use]
+    pub fn gateway(&self) -> Gateway {
+        self.gateway.clone()
+    }
+
+    /// The bound address, with the port that the system chose for port 0.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.local_address()
+    }
+
+    /// Serves until `stop` resolves, then stops as planned.
+    pub async fn serve(self, stop: impl Future<Output = ()>) -> DrainReport {
+        let state = self.gateway.state.clone();
+        state.restore_configuration().await;
+        start_background(&state);
+        let handle = self.server.handle();
+        let executor = state.executor.clone();
+        let serving = state.clone();
+        let server = self.server;
+        let served = executor.spawn(async move {
+            let executor = serving.executor.clone();
+            let handler = move |request| routes::serve(serving.clone(), request);
+            server.serve(executor, handler).await;
+        });
+        stop.await;
+        let report = drain::drain(&state, &handle).await;
+        served.cancel().await;
+        state.stop_background().await;
+        report
+    }
+}
+
+/// Starts everything that runs beside requests.
+fn start_background(state: &Arc<GatewayState>) {
+    state.spawn_background(state.clone().register());
+    state.spawn_background(state.clone().watch_configuration());
+    state.spawn_background(state.clone().poll_machines());
+    state.spawn_background(state.clone().tick_directory());
+    state.spawn_background(state.clone().poll_loads());
+    state.spawn_background(state.clone().send_heartbeats());
+    state.spawn_background(state.clone().tick_ownership());
+    state.spawn_background(state.clone().tick_batch());
+    state.spawn_background(state.clone().run_placement());
+    state.spawn_background(tick_admission(state.clone()));
+}
+
+async fn tick_admission(state: Arc<GatewayState>) {
+    loop {
+        state.tick_admission();
+        Timer::after(ADMISSION_TICK).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/options.rs
@@ -0,0 +1,169 @@
+//! What a gateway is told at its start.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use molespan_routing::admission::AdmissionSettings;
+use molespan_routing::pick::PickSettings;
+use molespan_state::control::NodeRole;
+use molespan_types::{Incarnation, NodeId, ZoneName};
+
+/// Bounds of a planned stop.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DrainBounds {
+    /// Time from saying unready until new connections are refused.
+    pub unready_wait: Duration,
+    /// Longest time for requests in flight to finish after that.
+    pub finish_within: Duration,
+    /// Longest time for leases to be handed over after that.
+    pub hand_over_within: Duration,
+}
+
+impl Default for DrainBounds {
+    fn default() -> Self {
+        Self {
+            unready_wait: Duration::from_secs(2),
+            finish_within: Duration::from_secs(60),
+            hand_over_within: Duration::from_secs(10),
+        }
+    }
+}
+
+/// How batch work makes way for online work. All but the first are baselines
+/// for measurements.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PreemptionPolicy {
+    /// Batch streams are held back as soon as online work arrives.
+    #[default]
+    OnArrival,
+    /// Nothing is held back; engines are told which work is batch work.
+    EnginePriorityOnly,
+    /// Nothing is held back, and engines take batch work for online work.
+    None,
+}
+
+/// Ways in which a gateway decides.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GatewayPolicy {
+    /// How batch work makes way for online work.
+    pub preemption: PreemptionPolicy,
+    /// Overrides the knob of the configuration: 0 fills engines with batch
+    /// work, 100 guards the online tail above all.
+    pub tail_protection: Option<u8>,
+}
+
+/// Bounds of calls to back ends and the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackendTimeouts {
+    /// Longest time to connect.
+    pub connect: Duration,
+    /// Longest time until the head of an online answer.
+    pub response: Duration,
+    /// Longest silence within an online answer.
+    pub stall: Duration,
+    /// Longest silence within a batch answer, which may be held back.
+    pub batch_stall: Duration,
+    /// Longest time of a question about an attempt, a probe or a report.
+    pub control: Duration,
+}
+
+impl Default for BackendTimeouts {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_secs(1),
+            response: Duration::from_secs(5),
+            stall: Duration::from_secs(10),
+            batch_stall: Duration::from_secs(300),
+            control: Duration::from_secs(1),
+        }
+    }
+}
+
+/// What a gateway is told at its start.
+#[derive(Clone, Debug)]
+pub struct GatewayOptions {
+    /// This node.
+    pub node: NodeId,
+    /// Its life; it rises with every start.
+    pub incarnation: Incarnation,
+    /// Name for people.
+    pub name: String,
+    /// Roles of the whole process, as it registers them.
+    pub roles: Vec<NodeRole>,
+    /// Where it stands.
+    pub zone: ZoneName,
+    /// Where callers and operators reach it.
+    pub http_address: SocketAddr,
+    /// Where other nodes reach it.
+    pub internal_address: SocketAddr,
+    /// Folder for what outlives a restart.
+    pub data_folder: PathBuf,
+    /// Platform list.
+    pub platform_address: SocketAddr,
+    /// Weight store, if there is one.
+    pub weight_store: Option<SocketAddr>,
+    /// Number of job groups.
+    pub job_groups: u32,
+    /// Longest time without confirmation of the configuration.
+    pub currency_bound: Duration,
+    /// Length of a lease on items.
+    pub item_lease: Duration,
+    /// Length of a lease on a back end's batch work.
+    pub owner_lease: Duration,
+    /// Time between two heartbeats.
+    pub heartbeat: Duration,
+    /// Time between two reads of the platform list.
+    pub list_poll: Duration,
+    /// Time between two load reports of an owned engine.
+    pub load_poll: Duration,
+    /// Bounds of a planned stop.
+    pub drain: DrainBounds,
+    /// Engine choice.
+    pub pick: PickSettings,
+    /// Admission.
+    pub admission: AdmissionSettings,
+    /// Ways in which it decides.
+    pub policy: GatewayPolicy,
+    /// Bounds of calls to back ends and the platform.
+    pub timeouts: BackendTimeouts,
+}
+
+impl GatewayOptions {
+    /// Options with the defaults for everything that is not an identity, an
+    /// address or a place.
+    #[must_use]
+    pub fn new(
+        node: NodeId,
+        incarnation: Incarnation,
+        zone: ZoneName,
+        data_folder: PathBuf,
+        platform_address: SocketAddr,
+    ) -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            node,
+            incarnation,
+            name: format!("gateway-{node}"),
+            roles: vec![NodeRole::Gateway],
+            zone,
+            http_address: any_port,
+            internal_address: any_port,
+            data_folder,
+            platform_address,
+            weight_store: None,
+            job_groups: 1,
+            currency_bound: Duration::from_secs(8),
+            item_lease: Duration::from_secs(10),
+            owner_lease: Duration::from_secs(3),
+            heartbeat: Duration::from_millis(500),
+            list_poll: Duration::from_millis(500),
+            load_poll: Duration::from_millis(50),
+            drain: DrainBounds::default(),
+            pick: PickSettings::default(),
+            admission: AdmissionSettings::default(),
+            policy: GatewayPolicy::default(),
+            timeouts: BackendTimeouts::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/placement.rs
@@ -0,0 +1,171 @@
+//! Placement: one gateway a service plans which engine should hold what, has
+//! each order fenced by the control group, and sends it to the engine.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_io::Timer;
+use molespan_engine_api::{MachineKind, Order, OrderAction};
+use molespan_membership::rendezvous::highest;
+use molespan_routing::placement::{
+    EngineState, PlacementDecision, PlacementPlanner, PlacementSettings,
+};
+use molespan_state::control::{Configuration, ControlReply, IssuedOrder};
+use molespan_telemetry::EventKind;
+use molespan_types::{BackendId, FencingToken, ServiceName, digest_of};
+use slog::{info, warn};
+
+use super::state::GatewayState;
+
+/// Time between two looks at what is placed.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// The planner of the services that this gateway places.
+#[derive(Debug)]
+pub(super) struct PlacementDesk {
+    planner: Mutex<PlacementPlanner>,
+}
+
+impl Default for PlacementDesk {
+    fn default() -> Self {
+        Self {
+            planner: Mutex::new(PlacementPlanner::new(PlacementSettings::default())),
+        }
+    }
+}
+
+impl GatewayState {
+    /// Places models until the gateway stops.
+    pub(super) async fn run_placement(self: Arc<Self>) {
+        loop {
+            Timer::after(INTERVAL).await;
+            if self.is_draining() {
+                continue;
+            }
+            let Some(configuration) = self.configuration.in_force() else {
+                continue;
+            };
+            let mine = self.placed_here(&configuration);
+            if mine.services.is_empty() {
+                continue;
+            }
+            // Tokens are needed only where something may be ordered.
+            let Ok(orders) = self.cluster.orders().await else {
+                continue;
+            };
+            let engines = self.engine_states(&mine, &orders);
+            let now = self.clock.now();
+            let decisions = {
+                let planner = &self.placement.planner;
+                let mut planner = planner.lock().unwrap_or_else(PoisonError::into_inner);
+                planner.plan(now, &mine, &engines)
+            };
+            for decision in decisions {
+                self.carry_out_order(decision).await;
+            }
+        }
+    }
+
+    /// The configuration with only the services that this gateway places: the
+    /// one with the highest weight for a service's name among the live ones.
+    fn placed_here(&self, configuration: &Configuration) -> Configuration {
+        let gateways = self.gateways();
+        let own = self.options.node;
+        let mut mine = configuration.clone();
+        mine.services.retain(|name, service| {
+            let key = BackendId(digest_of(name.0.as_bytes()).0 as u32);
+            service.model.is_some() && highest(gateways.nodes(), key) == Some(own)
+        });
+        mine
+    }
+
+    fn engine_states(
+        &self,
+        configuration: &Configuration,
+        orders: &BTreeMap<BackendId, IssuedOrder>,
+    ) -> Vec<EngineState> {
+        let directory = self.directory();
+        let engines = directory.backends().filter(|backend| {
+            let placed: &BTreeMap<ServiceName, _> = &configuration.services;
+            backend.kind == MachineKind::Engine && placed.contains_key(&backend.service)
+        });
+        engines
+            .map(|engine| {
+                let issued = orders.get(&engine.id);
+                let current = issued.filter(|one| one.order.incarnation == engine.incarnation);
+                EngineState {
+                    backend: engine.id,
+                    incarnation: engine.incarnation,
+                    zone: engine.zone.clone(),
+                    service: engine.service.clone(),
+                    in_service: engine.state.accepts_new_work(),
+                    leaving: engine.state == molespan_membership::BackendState::Leaving,
+                    models: engine.loaded.models.clone(),
+                    adapters: engine.loaded.adapters.clone(),
+                    role: engine.loaded.role,
+                    token: issued.map(|one| one.token).unwrap_or_default(),
+                    last_order: current
+                        .and_then(|one| serde_json::from_str(&one.order.action).ok()),
+                }
+            })
+            .collect()
+    }
+
+    /// Has an order fenced and sends it.
+    async fn carry_out_order(&self, decision: PlacementDecision) {
+        let backend = decision.order.backend;
+        self.events.record(
+            EventKind::Place,
+            format!("engine {backend}"),
+            decision.reason.to_string(),
+            [
+                ("action", decision.order.action.as_str().into()),
+                ("expected_token", decision.order.expected_token.0.into()),
+            ],
+        );
+        let order = decision.order.clone();
+        match self.cluster.issue_order(order).await {
+            Ok(ControlReply::OrderIssued { token }) => {
+                self.send_order(&decision, token).await;
+            }
+            Ok(reply) => {
+                info!(self.logger, "An order was not issued.";
+                    "engine" => backend.0, "reply" => ?reply);
+            }
+            Err(error) => {
+                warn!(self.logger, "An order could not be issued.";
+                    "engine" => backend.0, "error" => %error);
+            }
+        }
+    }
+
+    async fn send_order(&self, decision: &PlacementDecision, token: FencingToken) {
+        let backend = decision.order.backend;
+        let Some(address) = self.address_of(backend) else {
+            return;
+        };
+        let action: OrderAction = decision.action.clone();
+        let order = Order {
+            token,
+            incarnation: decision.order.incarnation,
+            action,
+        };
+        let said = match self.engines.order(address, &order).await {
+            Ok(reply) if reply.accepted => "the engine took it".to_owned(),
+            Ok(reply) => format!("the engine knows token {}", reply.highest_token),
+            Err(error) => error,
+        };
+        info!(self.logger, "An order was sent.";
+            "engine" => backend.0, "token" => token.0, "said" => &said);
+        self.events.record(
+            EventKind::Order,
+            format!("engine {backend}"),
+            said,
+            [
+                ("token", token.0.into()),
+                ("action", decision.order.action.as_str().into()),
+            ],
+        );
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/stream.rs
@@ -0,0 +1,237 @@
+//! Where the tokens of an answer go: into one plain answer, or on to the
+//! caller as server-sent events.
+
+use async_channel::Sender;
+use http_types::StatusCode;
+use molespan_engine_api::{
+    ATTEMPT_HEADER, ChatMessage, CompletionChoice, CompletionChunk, CompletionResponse,
+    FinishReason, OUTCOME_HEADER, Usage,
+};
+use molespan_http::{EventWriter, Response, ServerEvent, event_response, json_response};
+use molespan_types::{AttemptId, RunOutcome, ServiceName};
+
+use super::engine_client::Token;
+use super::error::ApiError;
+use super::validation::CompletionForm;
+
+/// Events that wait in memory for a slow caller.
+const STREAM_CAPACITY: usize = 64;
+/// Name of the event that ends a stream early.
+const ERROR_EVENT: &str = "error";
+
+/// The caller went away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct CallerGone;
+
+/// Where the tokens of an answer go.
+#[derive(Debug)]
+pub(super) struct AnswerSink {
+    form: CompletionForm,
+    service: ServiceName,
+    attempt: Option<AttemptId>,
+    /// Text so far; kept for plain answers and for claims.
+    text: Option<String>,
+    tokens: u32,
+    finish_reason: Option<FinishReason>,
+    usage: Option<Usage>,
+    live: Option<LiveStream>,
+}
+
+/// A caller that reads events as they come.
+#[derive(Debug)]
+struct LiveStream {
+    /// Takes the response with its head, once.
+    head: Sender<Response>,
+    writer: Option<EventWriter>,
+}
+
+impl AnswerSink {
+    /// Collects one plain answer.
+    pub(super) fn plain(form: CompletionForm, service: &ServiceName) -> Self {
+        Self {
+            form,
+            service: service.clone(),
+            attempt: None,
+            text: Some(String::new()),
+            tokens: 0,
+            finish_reason: None,
+            usage: None,
+            live: None,
+        }
+    }
+
+    /// Passes tokens on. The response goes to `head` with the first of them,
+    /// so that an earlier failure can still have its own status. The text is
+    /// kept as well if `keep_text`.
+    pub(super) fn streamed(
+        form: CompletionForm,
+        service: &ServiceName,
+        head: Sender<Response>,
+        keep_text: bool,
+    ) -> Self {
+        Self {
+            text: keep_text.then(String::new),
+            live: Some(LiveStream { head, writer: None }),
+            ..Self::plain(form, service)
+        }
+    }
+
+    /// Tokens that were taken; where a broken answer must go on.
+    pub(super) fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
+    /// Tokens that the caller has seen. A plain answer is seen as a whole.
+    pub(super) fn passed(&self) -> u32 {
+        match self.live {
+            Some(_) => self.tokens,
+            None => 0,
+        }
+    }
+
+    /// Names the attempt that answers.
+    pub(super) fn name(&mut self, attempt: AttemptId) {
+        self.attempt = Some(attempt);
+    }
+
+    /// Forgets what was taken, for an attempt that answers from the start.
+    pub(super) fn restart(&mut self) {
+        self.tokens = 0;
+        if let Some(text) = &mut self.text {
+            text.clear();
+        }
+    }
+
+    /// Takes the next token.
+    pub(super) async fn token(&mut self, token: Token) -> Result<(), CallerGone> {
+        self.note(&token.chunk);
+        let Some(live) = &mut self.live else {
+            return Ok(());
+        };
+        let writer = match &live.writer {
+            Some(writer) => writer,
+            None => {
+                let (writer, response) = event_response(STREAM_CAPACITY);
+                let response = with_attempt(response, self.attempt);
+                live.head.try_send(response).map_err(|_| CallerGone)?;
+                live.writer.insert(writer)
+            }
+        };
+        let event = ServerEvent::data(token.data);
+        writer.send(&event).await.map_err(|_| CallerGone)
+    }
+
+    fn note(&mut self, chunk: &CompletionChunk) {
+        if let Some(text) = &mut self.text {
+            text.push_str(&chunk.text);
+        }
+        self.tokens = chunk.offset + 1;
+        self.finish_reason = chunk.finish_reason;
+        self.usage = chunk.usage;
+    }
+
+    /// The whole answer in its plain form.
+    pub(super) fn plain_answer(&self) -> CompletionResponse {
+        let text = self.text.clone().unwrap_or_default();
+        let (text, message) = match self.form {
+            CompletionForm::Text => (Some(text), None),
+            CompletionForm::Chat => (None, Some(assistant_message(text))),
+        };
+        CompletionResponse {
+            id: self.attempt.map(|id| id.to_string()).unwrap_or_default(),
+            model: self.service.0.clone(),
+            choices: vec![CompletionChoice {
+                index: 0,
+                text,
+                message,
+                finish_reason: self.finish_reason,
+            }],
+            usage: self.usage.unwrap_or_default(),
+        }
+    }
+
+    /// Ends a whole answer; a plain one gives its response.
+    pub(super) async fn finish(self) -> Option<Response> {
+        if self.live.is_none() {
+            let response = json_response(StatusCode::Ok, &self.plain_answer());
+            let response = with_attempt(response, self.attempt);
+            return Some(with_completed(response));
+        }
+        if let Some(writer) = self.live.and_then(|live| live.writer) {
+            let _caller_gone = writer.finish_with_terminator().await;
+        }
+        None
+    }
+
+    /// Ends with an error: as a response of its own while nothing was passed
+    /// on, else as an event behind which the stream is cut.
+    pub(super) async fn fail(self, error: &ApiError) -> Option<Response> {
+        let Some(live) = self.live else {
+            return Some(error.response());
+        };
+        let Some(writer) = live.writer else {
+            let _caller_gone = live.head.try_send(error.response());
+            return None;
+        };
+        let event = ServerEvent {
+            name: ERROR_EVENT.to_owned(),
+            data: serde_json::to_string(&error.body()).unwrap_or_default(),
+            ..ServerEvent::default()
+        };
+        let _caller_gone = writer.send(&event).await;
+        let _caller_gone = writer.finish().await;
+        None
+    }
+
+    /// Passes the recorded answer of an earlier arrival on.
+    pub(super) async fn replay(self, recorded: &[u8]) -> Option<Response> {
+        let Some(live) = self.live else {
+            let mut response = Response::new(StatusCode::Ok);
+            response.set_body(recorded.to_vec());
+            response.insert_header("content-type", "application/json");
+            return Some(with_completed(response));
+        };
+        let (writer, response) = event_response(STREAM_CAPACITY);
+        if live.head.try_send(response).is_ok() {
+            if let Some(event) = replayed_event(recorded) {
+                let _caller_gone = writer.send(&event).await;
+            }
+            let _caller_gone = writer.finish_with_terminator().await;
+        }
+        None
+    }
+}
+
+/// A recorded plain answer as the one event of a stream.
+fn replayed_event(recorded: &[u8]) -> Option<ServerEvent> {
+    let answer: CompletionResponse = serde_json::from_slice(recorded).ok()?;
+    let choice = answer.choices.into_iter().next()?;
+    let message = choice.message.map(|message| message.content);
+    let chunk = CompletionChunk {
+        id: answer.id,
+        offset: 0,
+        text: choice.text.or(message).unwrap_or_default(),
+        finish_reason: choice.finish_reason,
+        usage: Some(answer.usage),
+    };
+    serde_json::to_string(&chunk).ok().map(ServerEvent::data)
+}
+
+fn assistant_message(content: String) -> ChatMessage {
+    ChatMessage {
+        role: "assistant".to_owned(),
+        content,
+    }
+}
+
+fn with_attempt(mut response: Response, attempt: Option<AttemptId>) -> Response {
+    if let Some(attempt) = attempt {
+        response.insert_header(ATTEMPT_HEADER, attempt.to_string());
+    }
+    response
+}
+
+fn with_completed(mut response: Response) -> Response {
+    response.insert_header(OUTCOME_HEADER, RunOutcome::Completed.to_string());
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/validation.rs
@@ -0,0 +1,262 @@
+//! What a caller asked for, checked as far as possible without any state.
+
+use http_types::headers::HeaderName;
+use molespan_engine_api::{
+    CHAT_COMPLETIONS_PATH, COMPLETIONS_PATH, ChatMessage, IDEMPOTENCY_KEY_HEADER,
+    REPEATABLE_HEADER, TENANT_HEADER, block_hashes, token_ends,
+};
+use molespan_http::Request;
+use molespan_types::{Digest, ServiceName, TenantId, digest_of};
+use serde_json::{Map, Value};
+
+use super::error::ApiError;
+
+/// Tenant of a request that names none.
+const DEFAULT_TENANT: &str = "default";
+/// Longest tenant name or idempotency key in bytes.
+const MAX_NAME_BYTES: usize = 256;
+/// Most tokens that may be asked for.
+const MAX_TOKENS: u64 = 1_000_000;
+/// Tokens generated when the request does not say, as engines have it.
+const DEFAULT_MAX_TOKENS: u64 = 16;
+
+/// Form of a completion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CompletionForm {
+    /// Text completion.
+    Text,
+    /// Chat completion.
+    Chat,
+}
+
+impl CompletionForm {
+    /// Path of the form at engines and callers.
+    pub(super) fn path(self) -> &'static str {
+        match self {
+            Self::Text => COMPLETIONS_PATH,
+            Self::Chat => CHAT_COMPLETIONS_PATH,
+        }
+    }
+}
+
+/// Whether a request may run more than once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Repeatability {
+    /// It may.
+    Repeatable,
+    /// It runs at most once under this key, whoever sends it.
+    Once {
+        /// The caller's key.
+        key: String,
+    },
+    /// This arrival runs at most once; nothing is known of others.
+    OnceHere,
+}
+
+/// A completion that a caller asked for.
+#[derive(Clone, Debug)]
+pub(super) struct CompletionAsked {
+    pub(super) form: CompletionForm,
+    pub(super) service: ServiceName,
+    pub(super) tenant: TenantId,
+    pub(super) repeatability: Repeatability,
+    /// Whether the caller wants server-sent events.
+    pub(super) stream: bool,
+    /// Hashes of the prompt's prefixes, as engines hash them.
+    pub(super) prefix_hashes: Vec<u64>,
+    /// Tokens of the prompt, as estimated.
+    pub(super) prompt_tokens: u32,
+    /// Digest of the body as it came.
+    pub(super) digest: Digest,
+    body: Map<String, Value>,
+}
+
+impl CompletionAsked {
+    /// Checks headers and body of a completion.
+    pub(super) fn read(
+        form: CompletionForm,
+        request: &Request,
+        body: &[u8],
+    ) -> Result<Self, ApiError> {
+        let tenant = tenant_of(request)?;
+        let repeatability = repeatability_of(request, true)?;
+        let fields = parse_fields(body)?;
+        let service = text_field(&fields, "model")?.to_owned();
+        let stream = flag_field(&fields, "stream")?;
+        check_max_tokens(&fields)?;
+        let prompt = match form {
+            CompletionForm::Text => text_field(&fields, "prompt")?.to_owned(),
+            CompletionForm::Chat => chat_prompt(&fields)?,
+        };
+        let ends = token_ends(&prompt);
+        Ok(Self {
+            form,
+            service: ServiceName(service),
+            tenant,
+            repeatability,
+            stream,
+            prefix_hashes: block_hashes(&prompt, &ends),
+            prompt_tokens: ends.len().max(1) as u32,
+            digest: digest_of(body),
+            body: fields,
+        })
+    }
+
+    /// The body for an engine that runs `model`. Answers are always streamed
+    /// between engine and gateway, so that a broken one can be taken up again.
+    pub(super) fn engine_body(&self, model: &str) -> Vec<u8> {
+        engine_body(self.body.clone(), model)
+    }
+}
+
+/// The body of one request to an engine.
+pub(super) fn engine_body(mut fields: Map<String, Value>, model: &str) -> Vec<u8> {
+    fields.insert("model".to_owned(), Value::from(model));
+    fields.insert("stream".to_owned(), Value::Bool(true));
+    // Maps with text keys always serialize.
+    serde_json::to_vec(&fields).unwrap_or_default()
+}
+
+/// The fields of a JSON object.
+pub(super) fn parse_fields(body: &[u8]) -> Result<Map<String, Value>, ApiError> {
+    serde_json::from_slice(body).map_err(|error| {
+        ApiError::bad_request(
+            "malformed_body",
+            format!("the body is no JSON object: {error}"),
+        )
+    })
+}
+
+/// Checks the fields of one batch item.
+pub(super) fn check_item(line: &[u8]) -> Result<(), String> {
+    let fields = parse_fields(line).map_err(|error| error.message)?;
+    text_field(&fields, "prompt").map_err(|error| error.message)?;
+    check_max_tokens(&fields).map_err(|error| error.message)
+}
+
+fn check_max_tokens(fields: &Map<String, Value>) -> Result<(), ApiError> {
+    let asked = match fields.get("max_tokens") {
+        None => return Ok(()),
+        Some(asked) => asked.as_u64(),
+    };
+    match asked {
+        Some(1..=MAX_TOKENS) => Ok(()),
+        _ => Err(ApiError::bad_request(
+            "bad_max_tokens",
+            format!("`max_tokens` must be a whole number from 1 to {MAX_TOKENS}"),
+        )),
+    }
+}
+
+/// Tokens that an item asks for.
+pub(super) fn max_tokens_of(fields: &Map<String, Value>) -> u64 {
+    let asked = fields.get("max_tokens").and_then(Value::as_u64);
+    asked.unwrap_or(DEFAULT_MAX_TOKENS)
+}
+
+fn text_field<'a>(fields: &'a Map<String, Value>, name: &str) -> Result<&'a str, ApiError> {
+    fields.get(name).and_then(Value::as_str).ok_or_else(|| {
+        ApiError::bad_request("missing_field", format!("the field `{name}` must be text"))
+    })
+}
+
+fn flag_field(fields: &Map<String, Value>, name: &str) -> Result<bool, ApiError> {
+    match fields.get(name) {
+        None => Ok(false),
+        Some(Value::Bool(flag)) => Ok(*flag),
+        Some(_) => Err(ApiError::bad_request(
+            "malformed_body",
+            format!("the field `{name}` must be true or false"),
+        )),
+    }
+}
+
+/// The text that an engine derives from a conversation.
+fn chat_prompt(fields: &Map<String, Value>) -> Result<String, ApiError> {
+    let messages = fields.get("messages").cloned().unwrap_or_default();
+    let messages: Vec<ChatMessage> = serde_json::from_value(messages).map_err(|error| {
+        ApiError::bad_request(
+            "missing_field",
+            format!("the field `messages` must be a list of messages: {error}"),
+        )
+    })?;
+    if messages.is_empty() {
+        let message = "the field `messages` must not be empty";
+        return Err(ApiError::bad_request("missing_field", message));
+    }
+    let mut prompt = String::new();
+    for message in &messages {
+        prompt.push_str(&message.role);
+        prompt.push_str(": ");
+        prompt.push_str(&message.content);
+        prompt.push('\n');
+    }
+    Ok(prompt)
+}
+
+/// The tenant that a request names.
+pub(super) fn tenant_of(request: &Request) -> Result<TenantId, ApiError> {
+    let named = header(request, TENANT_HEADER).unwrap_or_else(|| DEFAULT_TENANT.to_owned());
+    if named.is_empty() || named.len() > MAX_NAME_BYTES {
+        let message = format!("the header {TENANT_HEADER} must have 1 to {MAX_NAME_BYTES} bytes");
+        return Err(ApiError::bad_request("bad_tenant", message));
+    }
+    Ok(TenantId(named))
+}
+
+/// Whether a request may run more than once; `by_nature` when no header says.
+pub(super) fn repeatability_of(
+    request: &Request,
+    by_nature: bool,
+) -> Result<Repeatability, ApiError> {
+    let repeatable = match header(request, REPEATABLE_HEADER).as_deref() {
+        None if by_nature => return Ok(Repeatability::Repeatable),
+        None => return Ok(Repeatability::OnceHere),
+        Some("true") => true,
+        Some("false") => false,
+        Some(_) => {
+            let message = format!("the header {REPEATABLE_HEADER} must be true or false");
+            return Err(ApiError::bad_request("bad_repeatable", message));
+        }
+    };
+    if repeatable {
+        return Ok(Repeatability::Repeatable);
+    }
+    match header(request, IDEMPOTENCY_KEY_HEADER) {
+        Some(key) if !key.is_empty() && key.len() <= MAX_NAME_BYTES => {
+            Ok(Repeatability::Once { key })
+        }
+        _ => Err(ApiError::bad_request(
+            "missing_idempotency_key",
+            format!(
+                "a request that may not be repeated needs the header {IDEMPOTENCY_KEY_HEADER} \
+                 of 1 to {MAX_NAME_BYTES} bytes"
+            ),
+        )),
+    }
+}
+
+/// The last value of a header.
+pub(super) fn header(request: &Request, name: &str) -> Option<String> {
+    let name: HeaderName = name.parse().ok()?;
+    let values = request.header(name)?;
+    Some(values.last().as_str().to_owned())
+}
+
+/// The value of a query parameter.
+pub(super) fn query_text(request: &Request, name: &str) -> Option<String> {
+    let mut pairs = request.url().query_pairs();
+    let found = pairs.find(|(key, _)| key == name);
+    found.map(|(_, value)| value.into_owned())
+}
+
+/// The value of a numeric query parameter.
+pub(super) fn query_number(request: &Request, name: &str) -> Result<Option<u64>, ApiError> {
+    let Some(text) = query_text(request, name) else {
+        return Ok(None);
+    };
+    text.parse().map(Some).map_err(|_| {
+        let message = format!("the query parameter `{name}` must be a whole number");
+        ApiError::bad_request("bad_query", message)
+    })
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,4 @@
 //! The molespand daemon: gateway and replica roles composed.
+
+pub mod cluster;
+pub mod gateway;
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,267 @@
+//! Gateways in process, over one local replica and a fleet of stand-ins.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub mod client;
+pub mod replica;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use async_executor::{Executor, Task};
+use futures_lite::future::block_on;
+use molespan_daemon::cluster::{Cluster, ClusterLimits};
+use molespan_daemon::gateway::{DrainBounds, DrainReport, Gateway, GatewayContext, GatewayOptions};
+use molespan_emulator::fleet::{Fleet, FleetSettings};
+use molespan_state::control::{
+    Change, ConfirmIntent, ConfirmReply, IntentNumber, Model, Service, ServiceKind,
+};
+use molespan_telemetry::{EventBuffer, Metrics, discard_logger};
+use molespan_types::{ConfigVersion, Incarnation, ModelName, NodeId, ServiceName};
+
+use replica::{LocalReplica, LocalTransport};
+
+/// Longest wait for something that must happen.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+/// The node that holds the replica.
+pub const REPLICA: NodeId = NodeId(1);
+/// Threads that run a test's gateways and stand-ins.
+const THREADS: usize = 3;
+
+/// Changes the options of a gateway before it starts.
+pub type Tune = fn(&mut GatewayOptions);
+
+/// A fleet, a replica, and gateways that are started one by one.
+pub struct World {
+    pub executor: Arc<Executor<'static>>,
+    pub fleet: Fleet,
+    pub replica: Arc<LocalReplica>,
+    pub transport: Arc<LocalTransport>,
+    folder: tempfile::TempDir,
+    _threads: Sender<()>,
+}
+
+/// A gateway that serves.
+pub struct RunningGateway {
+    pub gateway: Gateway,
+    pub address: SocketAddr,
+    pub events: EventBuffer,
+    stop: Sender<()>,
+    served: Option<Task<DrainReport>>,
+}
+
+impl RunningGateway {
+    /// Begins a planned stop.
+    pub fn begin_stop(&self) {
+        self.stop.close();
+    }
+
+    /// Stops as planned and waits for the report.
+    pub fn stop(mut self) -> DrainReport {
+        self.stop.close();
+        block_on(self.served.take().unwrap())
+    }
+
+    /// Dies at once, without any notice.
+    pub fn kill(mut self) {
+        drop(self.served.take());
+    }
+}
+
+/// A small fleet: two engines and one application back end.
+pub fn small_fleet() -> FleetSettings {
+    FleetSettings {
+        engines: 2,
+        applications: 1,
+        platform_lag_ms: 0,
+        ..FleetSettings::archive()
+    }
+}
+
+impl World {
+    /// Starts a fleet and a replica, and puts the fleet's services in force.
+    pub fn start(settings: &FleetSettings) -> Self {
+        let executor = Arc::new(Executor::new());
+        let (threads, stopped) = async_channel::bounded::<()>(1);
+        for _ in 0..THREADS {
+            let executor = executor.clone();
+            let stopped = stopped.clone();
+            std::thread::spawn(move || {
+                let _closed = async_io::block_on(executor.run(stopped.recv()));
+            });
+        }
+        let fleet = Fleet::start(&executor, settings).unwrap();
+        let replica = LocalReplica::start(REPLICA, 2);
+        let transport = LocalTransport::new(replica.clone());
+        let world = Self {
+            executor,
+            fleet,
+            replica,
+            transport,
+            folder: tempfile::tempdir().unwrap(),
+            _threads: threads,
+        };
+        world.configure(settings);
+        world
+    }
+
+    /// A client of the replica.
+    pub fn cluster(&self) -> Arc<Cluster> {
+        let limits = ClusterLimits::default();
+        let transport = self.transport.clone();
+        Arc::new(Cluster::new(transport, vec![REPLICA], limits))
+    }
+
+    fn configure(&self, settings: &FleetSettings) {
+        let changes = vec![
+            Change::PutModel {
+                name: ModelName(settings.model.clone()),
+                model: Model { version: 1 },
+            },
+            Change::PutService {
+                name: settings.service.clone(),
+                service: completion_service(settings),
+            },
+            Change::PutService {
+                name: settings.application_service.clone(),
+                service: application_service(),
+            },
+        ];
+        let reply = self.confirm(1, 0, changes);
+        assert!(matches!(reply, ConfirmReply::Confirmed { .. }), "{reply:?}");
+    }
+
+    /// Confirms an intent straight at the replica.
+    pub fn confirm(&self, number: u64, base: u64, changes: Vec<Change>) -> ConfirmReply {
+        let intent = ConfirmIntent {
+            number: IntentNumber(number),
+            operator: "test".to_owned(),
+            base_version: ConfigVersion(base),
+            changes,
+        };
+        block_on(self.cluster().confirm_intent(intent)).unwrap()
+    }
+
+    /// Starts a gateway and waits until it is ready.
+    pub fn gateway(&self, node: u32) -> RunningGateway {
+        self.tuned_gateway(node, |_| {})
+    }
+
+    /// Starts a gateway with other options.
+    pub fn tuned_gateway(
+        &self,
+        node: u32,
+        tune: impl FnOnce(&mut GatewayOptions),
+    ) -> RunningGateway {
+        let gateway = self.unready_gateway(node, tune);
+        wait_for("a ready gateway", || gateway.gateway.is_ready());
+        let members = self.fleet.members.len();
+        wait_for("known back ends", || {
+            let backends = client::get(gateway.address, "/admin/backends").json_value();
+            let backends = backends.as_array().cloned().unwrap_or_default();
+            let ready = backends.iter().filter(|backend| {
+                let engine = backend["kind"] == "engine";
+                let loaded = backend["models"]
+                    .as_array()
+                    .is_some_and(|all| !all.is_empty());
+                backend["state"] == "healthy" && (!engine || loaded)
+            });
+            ready.count() >= members
+        });
+        gateway
+    }
+
+    /// Starts a gateway and does not wait.
+    pub fn unready_gateway(
+        &self,
+        node: u32,
+        tune: impl FnOnce(&mut GatewayOptions),
+    ) -> RunningGateway {
+        let node = NodeId(node);
+        let mut options = GatewayOptions::new(
+            node,
+            Incarnation(self.replica.next_incarnation()),
+            self.fleet.members[0].machine.zone.clone(),
+            self.folder.path().join(format!("node-{node}")),
+            self.fleet.platform_address,
+        );
+        options.job_groups = self.replica.job_groups;
+        options.owner_lease = Duration::from_millis(400);
+        options.heartbeat = Duration::from_millis(40);
+        options.list_poll = Duration::from_millis(40);
+        options.load_poll = Duration::from_millis(20);
+        options.drain = DrainBounds {
+            unready_wait: Duration::from_millis(100),
+            ..DrainBounds::default()
+        };
+        tune(&mut options);
+        let events = EventBuffer::new(node, 65_536);
+        let bound = Gateway::bind(GatewayContext {
+            options,
+            executor: self.executor.clone(),
+            logger: discard_logger(),
+            metrics: Metrics::default(),
+            cluster: self.cluster(),
+            events: events.clone(),
+        })
+        .unwrap();
+        let gateway = bound.gateway();
+        self.transport.add_gateway(node, gateway.clone());
+        let address = bound.address();
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let served = self.executor.spawn(bound.serve(async move {
+            let _closed = stopped.recv().await;
+        }));
+        RunningGateway {
+            gateway,
+            address,
+            events,
+            stop,
+            served: Some(served),
+        }
+    }
+}
+
+/// The completion service of a fleet.
+pub fn completion_service(settings: &FleetSettings) -> Service {
+    Service {
+        kind: ServiceKind::Completion,
+        model: Some(ModelName(settings.model.clone())),
+        adapters: Vec::new(),
+        max_concurrency: 256,
+        max_queue: 256,
+        queue_timeout_ms: 5_000,
+        batch: true,
+        replicas: settings.engines,
+    }
+}
+
+/// An application service.
+pub fn application_service() -> Service {
+    Service {
+        kind: ServiceKind::Application,
+        model: None,
+        adapters: Vec::new(),
+        max_concurrency: 64,
+        max_queue: 64,
+        queue_timeout_ms: 5_000,
+        batch: false,
+        replicas: 0,
+    }
+}
+
+/// The name of the archive's completion service.
+pub fn caption() -> ServiceName {
+    ServiceName::from("caption")
+}
+
+/// Waits until `check` holds; panics after [`PATIENCE`].
+pub fn wait_for(what: &str, mut check: impl FnMut() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !check() {
+        assert!(Instant::now() < deadline, "no {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
