--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,4 +1,10 @@
-//! The molespand daemon: gateway and replica roles composed.
+//! The molespan daemon: the gateway and replica roles of a node.
 
 pub mod cluster;
+mod error;
 pub mod gateway;
+pub mod incarnation;
+pub mod replica;
+pub mod wall_clock;
+
+pub use error::DaemonError;
