--- a/crates/daemon/src/gateway/admin/plans.rs
+++ b/crates/daemon/src/gateway/admin/plans.rs
@@ -5,7 +5,7 @@
 
 use http_types::StatusCode;
 use molespan_http::{Response, json_response};
-use molespan_state::control::{Change, ConfirmIntent, ConfirmReply, IntentNumber, Plan};
+use molespan_state::control::{Change, ConfirmIntent, ConfirmReply, IntentNumber};
 use molespan_telemetry::EventKind;
 use molespan_types::ConfigVersion;
 use serde::Deserialize;
@@ -79,15 +79,13 @@
         base_version: plan.base_version,
         changes: intent.changes,
     });
-    Ok(plan_response(&plan))
-}
-
-fn plan_response(plan: &Plan) -> Response {
-    json_response(StatusCode::Ok, plan)
+    Ok(json_response(StatusCode::Ok, &plan))
 }
 
 /// Puts a planned intent in force. The body carries the intent, so that any
 /// gateway can take it; an empty one means what was planned at this gateway.
+/// Every decision of the control group is a successful answer whose `result`
+/// says what was decided.
 pub(super) async fn confirm(
     state: &Arc<GatewayState>,
     number: &str,
@@ -112,7 +110,7 @@
             ("base_version", base_version.0.into()),
         ],
     );
-    Ok(json_response(status_of(&reply), &reply))
+    Ok(json_response(StatusCode::Ok, &reply))
 }
 
 fn intent_to_confirm(
@@ -158,16 +156,6 @@
     )
 }
 
-/// A confirmation is successful, a conflict, or not possible at all.
-fn status_of(reply: &ConfirmReply) -> StatusCode {
-    match reply {
-        ConfirmReply::Confirmed { .. } => StatusCode::Ok,
-        ConfirmReply::NumberTaken { .. } | ConfirmReply::BaseMoved { .. } => StatusCode::Conflict,
-        ConfirmReply::Invalid { .. } => StatusCode::UnprocessableEntity,
-        ConfirmReply::TooOld { .. } => StatusCode::Gone,
-    }
-}
-
 fn said(reply: &ConfirmReply) -> String {
     match reply {
         ConfirmReply::Confirmed { version } => format!("confirmed as version {version}"),
--- a/crates/daemon/src/gateway/admin/view.rs
+++ b/crates/daemon/src/gateway/admin/view.rs
@@ -1,19 +1,19 @@
 //! What there is, by kind.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use http_types::StatusCode;
-use molespan_engine_api::{MachineKind, OrderAction};
+use molespan_engine_api::MachineKind;
 use molespan_http::{Request, Response, json_response};
 use molespan_membership::Backend;
-use molespan_state::control::NodeRecord;
+use molespan_state::control::NodeRole;
 use molespan_types::{
-    BackendId, ConfigVersion, FencingToken, Incarnation, NodeId, ServiceName, ZoneName,
+    BackendId, ConfigVersion, FencingToken, Incarnation, ModelName, NodeId, ServiceName, ZoneName,
 };
 use serde::Serialize;
 
 use super::super::batch_api;
+use super::super::directory::can_serve;
 use super::super::error::ApiError;
 use super::super::state::GatewayState;
 
@@ -38,8 +38,14 @@
 /// A registered node and what is in force there.
 #[derive(Clone, Debug, Serialize)]
 struct NodeView {
-    #[serde(flatten)]
-    record: NodeRecord,
+    id: NodeId,
+    incarnation: Incarnation,
+    name: String,
+    zone: ZoneName,
+    roles: Vec<NodeRole>,
+    draining: bool,
+    http_address: String,
+    internal_address: String,
     version_in_force: Option<ConfigVersion>,
 }
 
@@ -54,20 +60,22 @@
 #[derive(Clone, Debug, Serialize)]
 struct OrderView {
     backend: BackendId,
-    token: FencingToken,
     incarnation: Incarnation,
-    action: Option<OrderAction>,
+    token: FencingToken,
+    /// The action as JSON text.
+    action: String,
 }
 
-/// Where a service's model is.
-#[derive(Clone, Debug, Default, Serialize)]
+/// What one engine holds for its service.
+#[derive(Clone, Debug, Serialize)]
 struct PlacementView {
     service: ServiceName,
+    backend: BackendId,
+    model: Option<ModelName>,
+    /// Copies that the service wants on all of its engines together.
     wanted: u32,
-    /// Engines with the model ready that take new work.
-    ready: Vec<BackendId>,
-    /// Engines of the service without it.
-    others: Vec<BackendId>,
+    /// `ready`, `without-model`, or the engine's state when it takes no work.
+    state: String,
 }
 
 /// Answers `GET /admin/KIND`.
@@ -125,9 +133,19 @@
 async fn nodes(state: &GatewayState) -> Result<Vec<NodeView>, ApiError> {
     let records = state.cluster.nodes().await?;
     let versions = state.cluster.versions_in_force().await;
-    let views = records.into_iter().map(|record| NodeView {
-        version_in_force: versions.get(&record.registration.node).copied(),
-        record,
+    let views = records.into_iter().map(|record| {
+        let node = record.registration;
+        NodeView {
+            id: node.node,
+            incarnation: node.incarnation,
+            name: node.name,
+            zone: node.zone,
+            roles: node.roles,
+            draining: record.draining,
+            http_address: node.http_address,
+            internal_address: node.internal_address,
+            version_in_force: versions.get(&node.node).copied(),
+        }
     });
     Ok(views.collect())
 }
@@ -144,31 +162,35 @@
     let orders = state.cluster.orders().await?;
     let views = orders.into_iter().map(|(backend, issued)| OrderView {
         backend,
-        token: issued.token,
         incarnation: issued.order.incarnation,
-        action: serde_json::from_str(&issued.order.action).ok(),
+        token: issued.token,
+        action: issued.order.action,
     });
     Ok(views.collect())
 }
 
 async fn placement(state: &GatewayState) -> Result<Vec<PlacementView>, ApiError> {
     let configuration = state.cluster.configuration().await?;
-    let known: Vec<Backend> = state.directory().backends().cloned().collect();
-    let mut by_service: BTreeMap<ServiceName, PlacementView> = BTreeMap::new();
-    for (name, service) in &configuration.services {
-        let mut view = PlacementView {
-            service: name.clone(),
-            wanted: service.replicas,
-            ..PlacementView::default()
+    let directory = state.directory();
+    let engines = directory
+        .backends()
+        .filter(|backend| backend.kind == MachineKind::Engine);
+    let views = engines.filter_map(|engine| {
+        let service = configuration.services.get(&engine.service)?;
+        let state = if can_serve(engine, service) {
+            "ready".to_owned()
+        } else if engine.state.accepts_new_work() {
+            "without-model".to_owned()
+        } else {
+            engine.state.to_string()
         };
-        for backend in known.iter().filter(|backend| backend.service == *name) {
-            if super::super::directory::can_serve(backend, service) {
-                view.ready.push(backend.id);
-            } else {
-                view.others.push(backend.id);
-            }
-        }
-        by_service.insert(name.clone(), view);
-    }
-    Ok(by_service.into_values().collect())
+        Some(PlacementView {
+            service: engine.service.clone(),
+            backend: engine.id,
+            model: service.model.clone(),
+            wanted: service.replicas,
+            state,
+        })
+    });
+    Ok(views.collect())
 }
--- a/crates/daemon/src/gateway/admin/watch.rs
+++ b/crates/daemon/src/gateway/admin/watch.rs
@@ -67,18 +67,16 @@
     }
 }
 
+/// An event or a gap, as `{"event":…}` or `{"gap":…}`.
 fn server_event(watched: &Watched) -> ServerEvent {
-    let (name, id, data) = match watched {
-        Watched::Event(event) => (
-            "event",
-            event.sequence.to_string(),
-            serde_json::to_string(event),
-        ),
-        Watched::Gap(gap) => ("gap", String::new(), serde_json::to_string(gap)),
+    let (name, id) = match watched {
+        Watched::Event(event) => ("event", event.sequence.to_string()),
+        Watched::Gap(_) => ("gap", String::new()),
     };
     ServerEvent {
         name: name.to_owned(),
         id,
-        data: data.unwrap_or_default(),
+        // Plain fields always serialize.
+        data: serde_json::to_string(watched).unwrap_or_default(),
     }
 }
--- a/crates/daemon/src/gateway/batch_api.rs
+++ b/crates/daemon/src/gateway/batch_api.rs
@@ -21,8 +21,6 @@
 
 /// Path of batch jobs.
 pub(super) const BATCHES_PATH: &str = "/v1/batches";
-/// Most items in one job.
-pub(super) const MOST_ITEMS: usize = 110_000;
 /// Longest job key in bytes.
 const MAX_KEY_BYTES: usize = 256;
 /// Items and bytes in one command of a submission.
@@ -200,7 +198,7 @@
         let message = format!("the service {} takes no batch work", submission.service);
         return Err(ApiError::bad_request("no_batch_service", message));
     }
-    let items = items_of(body)?;
+    let items = items_of(body, state.options.intake.max_job_items)?;
     let status = state.submit_job(&submission, &items).await?;
     state.events.record(
         EventKind::Job,
@@ -217,7 +215,7 @@
 }
 
 /// The lines of a submission, all checked; findings are told together.
-fn items_of(body: &[u8]) -> Result<Vec<&[u8]>, ApiError> {
+fn items_of(body: &[u8], most: usize) -> Result<Vec<&[u8]>, ApiError> {
     let lines = body.split(|byte| *byte == b'\n');
     let mut items = Vec::new();
     let mut findings = Vec::new();
@@ -233,8 +231,8 @@
             findings.push(format!("line {}: {problem}", number + 1));
         }
     }
-    if items.len() > MOST_ITEMS {
-        let message = format!("{} items; a job may have {MOST_ITEMS}", items.len());
+    if items.len() > most {
+        let message = format!("{} items; a job may have {most}", items.len());
         let status = StatusCode::PayloadTooLarge;
         return Err(ApiError::not_run(status, "too_many_items", message));
     }
--- a/crates/daemon/src/gateway/configuration.rs
+++ b/crates/daemon/src/gateway/configuration.rs
@@ -25,7 +25,7 @@
 const FILE: &str = "configuration";
 /// A long poll waits for this share of the currency bound at most, so that
 /// several fit into it.
-const POLL_SHARE: u32 = 8;
+const POLL_SHARE: u32 = 4;
 /// Pause after a replica that did not answer.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
 /// When to come back to a node without a current configuration.
@@ -123,7 +123,8 @@
             let Some(replica) = replicas.get(turn % replicas.len().max(1)).copied() else {
                 return;
             };
-            let wait = self.options.currency_bound / POLL_SHARE;
+            let longest = self.options.currency_bound / POLL_SHARE;
+            let wait = self.options.config_watch.min(longest);
             let watch = WatchConfiguration {
                 node: self.options.node,
                 incarnation: self.options.incarnation,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -51,15 +51,13 @@
 
 pub use batch_api::{JobView, ResultLine};
 pub use drain::DrainReport;
-pub use options::{BackendTimeouts, DrainBounds, GatewayOptions, GatewayPolicy, PreemptionPolicy};
+pub use options::{
+    BackendTimeouts, DrainBounds, GatewayOptions, GatewayPolicy, IntakeBounds, PreemptionPolicy,
+};
 
 use crate::cluster::Cluster;
 use state::GatewayState;
 
-/// Longest body of a job's submission in bytes.
-const MAX_SUBMISSION_BYTES: usize = 256 * 1024 * 1024;
-/// Bytes of all request bodies in memory together.
-const MAX_BUFFERED_BYTES: usize = 384 * 1024 * 1024;
 /// Time between two looks at the admission queues.
 const ADMISSION_TICK: Duration = Duration::from_millis(5);
 
@@ -99,14 +97,7 @@
     /// # Errors
     /// When the address cannot be bound.
     pub fn bind(mut context: GatewayContext) -> Result<BoundGateway, ServerError> {
-        let limits = ServerLimits {
-            large_body: Some(LargeBody {
-                path: batch_api::BATCHES_PATH.to_owned(),
-                max_body_bytes: MAX_SUBMISSION_BYTES,
-            }),
-            max_buffered_bytes: MAX_BUFFERED_BYTES,
-            ..ServerLimits::default()
-        };
+        let limits = server_limits(&context.options.intake);
         let server = Server::bind(context.options.http_address, limits)?;
         context.options.http_address = server.local_address();
         context.logger = part_logger(&context.logger, "gateway");
@@ -218,6 +209,19 @@
     state.spawn_background(tick_admission(state.clone()));
 }
 
+fn server_limits(intake: &IntakeBounds) -> ServerLimits {
+    ServerLimits {
+        max_connections: intake.max_connections,
+        max_body_bytes: intake.max_body_bytes,
+        large_body: Some(LargeBody {
+            path: batch_api::BATCHES_PATH.to_owned(),
+            max_body_bytes: intake.max_job_bytes,
+        }),
+        max_buffered_bytes: intake.max_buffered_bytes,
+        ..ServerLimits::default()
+    }
+}
+
 async fn tick_admission(state: Arc<GatewayState>) {
     loop {
         state.tick_admission();
--- a/crates/daemon/src/gateway/options.rs
+++ b/crates/daemon/src/gateway/options.rs
@@ -4,8 +4,9 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use molespan_routing::admission::AdmissionSettings;
-use molespan_routing::pick::PickSettings;
+use molespan_routing::admission::{AdmissionSettings, TenantPolicy};
+use molespan_routing::pick::{PickPolicy, PickSettings};
+use molespan_settings::{EngineChoice, LimitSettings, Preemption, Role, Settings};
 use molespan_state::control::NodeRole;
 use molespan_types::{Incarnation, NodeId, ZoneName};
 
@@ -80,6 +81,27 @@
     }
 }
 
+/// Bounds of what is taken in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IntakeBounds {
+    /// Most HTTP connections.
+    pub max_connections: usize,
+    /// Longest request body in bytes, except of a job.
+    pub max_body_bytes: usize,
+    /// Longest body of a job in bytes.
+    pub max_job_bytes: usize,
+    /// Most items of a job.
+    pub max_job_items: usize,
+    /// Bytes of request bodies in memory together.
+    pub max_buffered_bytes: usize,
+}
+
+impl Default for IntakeBounds {
+    fn default() -> Self {
+        intake_bounds(&LimitSettings::default())
+    }
+}
+
 /// What a gateway is told at its start.
 #[derive(Clone, Debug)]
 pub struct GatewayOptions {
@@ -107,6 +129,8 @@
     pub job_groups: u32,
     /// Longest time without confirmation of the configuration.
     pub currency_bound: Duration,
+    /// Longest time that a watch of the configuration is held open.
+    pub config_watch: Duration,
     /// Length of a lease on items.
     pub item_lease: Duration,
     /// Length of a lease on a back end's batch work.
@@ -127,6 +151,8 @@
     pub policy: GatewayPolicy,
     /// Bounds of calls to back ends and the platform.
     pub timeouts: BackendTimeouts,
+    /// Bounds of what is taken in.
+    pub intake: IntakeBounds,
 }
 
 impl GatewayOptions {
@@ -154,6 +180,7 @@
             weight_store: None,
             job_groups: 1,
             currency_bound: Duration::from_secs(8),
+            config_watch: Duration::from_secs(1),
             item_lease: Duration::from_secs(10),
             owner_lease: Duration::from_secs(3),
             heartbeat: Duration::from_millis(500),
@@ -164,6 +191,101 @@
             admission: AdmissionSettings::default(),
             policy: GatewayPolicy::default(),
             timeouts: BackendTimeouts::default(),
+            intake: IntakeBounds::default(),
         }
     }
 }
+
+impl GatewayOptions {
+    /// The options that `settings` ask for; `None` without a platform list,
+    /// which settings with the gateway role always name.
+    #[must_use]
+    pub fn from_settings(settings: &Settings, incarnation: Incarnation) -> Option<Self> {
+        let node = &settings.node;
+        let (timing, limits) = (&settings.timing, &settings.limits);
+        let platform_address = settings.platform.list_address?;
+        let folder = node.data_folder.clone();
+        let zone = node.zone.clone();
+        Some(Self {
+            name: node.name.clone(),
+            roles: node.roles.iter().map(node_role).collect(),
+            http_address: node.http_address,
+            internal_address: node.internal_address,
+            weight_store: settings.platform.weight_store_address,
+            job_groups: settings.cluster.job_groups,
+            currency_bound: timing.currency_bound,
+            config_watch: timing.config_watch,
+            item_lease: timing.lease,
+            owner_lease: timing.owner_lease,
+            heartbeat: timing.heartbeat,
+            list_poll: settings.platform.list_poll,
+            load_poll: timing.load_poll,
+            drain: DrainBounds {
+                unready_wait: timing.drain.unready_wait,
+                finish_within: timing.drain.finish_within,
+                hand_over_within: timing.drain.hand_over_within,
+            },
+            pick: PickSettings {
+                policy: pick_policy(settings.policy.engine_choice),
+                ..PickSettings::default()
+            },
+            admission: admission_settings(limits),
+            policy: GatewayPolicy {
+                preemption: preemption_policy(settings.policy.preemption),
+                tail_protection: settings.policy.tail_protection,
+            },
+            timeouts: BackendTimeouts {
+                connect: timing.connect_timeout,
+                ..BackendTimeouts::default()
+            },
+            intake: intake_bounds(limits),
+            ..Self::new(node.id, incarnation, zone, folder, platform_address)
+        })
+    }
+}
+
+fn node_role(role: &Role) -> NodeRole {
+    match role {
+        Role::Gateway => NodeRole::Gateway,
+        Role::Replica => NodeRole::Replica,
+    }
+}
+
+fn pick_policy(choice: EngineChoice) -> PickPolicy {
+    match choice {
+        EngineChoice::Affinity => PickPolicy::Affinity,
+        EngineChoice::BetterOfTwo => PickPolicy::BetterOfTwo,
+        EngineChoice::RoundRobin => PickPolicy::RoundRobin,
+        EngineChoice::LeastReported => PickPolicy::LeastReported,
+    }
+}
+
+fn preemption_policy(preemption: Preemption) -> PreemptionPolicy {
+    match preemption {
+        Preemption::OnArrival => PreemptionPolicy::OnArrival,
+        Preemption::EnginePriorityOnly => PreemptionPolicy::EnginePriorityOnly,
+        Preemption::None => PreemptionPolicy::None,
+    }
+}
+
+fn admission_settings(limits: &LimitSettings) -> AdmissionSettings {
+    AdmissionSettings {
+        default_policy: TenantPolicy {
+            requests_per_second: limits.tenant_requests_per_second,
+            burst: limits.tenant_burst,
+            max_concurrency: limits.tenant_concurrency,
+            ..TenantPolicy::default()
+        },
+        ..AdmissionSettings::default()
+    }
+}
+
+fn intake_bounds(limits: &LimitSettings) -> IntakeBounds {
+    IntakeBounds {
+        max_connections: limits.max_connections as usize,
+        max_body_bytes: limits.max_body_bytes as usize,
+        max_job_bytes: limits.max_job_bytes as usize,
+        max_job_items: limits.max_job_items as usize,
+        max_buffered_bytes: limits.max_buffered_bytes as usize,
+    }
+}
