--- a/crates/bench/tests/report.rs
+++ b/crates/bench/tests/report.rs
@@ -25,12 +25,14 @@
 }
 
 fn arm(p99_ms: f64, items: f64) -> ArmFigures {
-    let mut account = Account::default();
-    account.online = Counts {
-        offered: 100,
-        completed: 99,
-        refused: 1,
-        ..Counts::default()
+    let mut account = Account {
+        online: Counts {
+            offered: 100,
+            completed: 99,
+            refused: 1,
+            ..Counts::default()
+        },
+        ..Account::default()
     };
     account.note("online refused busy (not-run)");
     ArmFigures {
