Measure the slopes of hollow nodes in the scale experiment

Each experiment steps one quantity in a process of its own and prints a JSON line a step; a least-squares line with its standard error is fitted to every measure. Replicas run the real core on real disks with a thread each, gateways and engines run their cores in one thread.

--- a/crates/bench/src/flags.rs
+++ b/crates/bench/src/flags.rs
@@ -25,6 +25,8 @@
         cmd scale {
             /// Folder for the measured steps and the fitted slopes.
             required --out out: PathBuf
+            /// Runs one experiment alone, by its name, and writes no files.
+            optional --only only: String
         }
     }
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -19,7 +19,11 @@
         })
         .map_err(Into::into),
         MolespanBenchCmd::Scale(command) => {
-            scale::run(&scale::ScaleOptions { out: command.out }).map_err(Into::into)
+            let options = scale::ScaleOptions {
+                out: command.out,
+                only: command.only,
+            };
+            scale::run(&options).map_err(Into::into)
         }
     };
     match outcome {
--- /dev/null
+++ b/crates/bench/src/scale/hollow/cluster.rs
@@ -0,0 +1,303 @@
+//! Three hollow replicas in one process, and a client that keeps a number of
+//! requests in flight.
+
+use std::collections::BTreeMap;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use molespan_replica::{Input, ReplicaSettings, Ticket};
+use molespan_types::{GroupId, NodeId};
+use tempfile::TempDir;
+
+use super::counting_disk::CountingDisk;
+use super::replica_thread::{Answer, ReplicaInput, ReplicaThread, ReplicaUse};
+use crate::scale::ScaleError;
+
+/// Replicas of each group.
+pub const REPLICAS: u32 = 3;
+/// Longest wait for anything.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
+/// Time between two looks at something that is waited for.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// Rounds of resending refused requests.
+const MOST_ROUNDS: u32 = 100;
+
+/// A command for a group's leader.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Proposal {
+    /// Group.
+    pub group: GroupId,
+    /// The command, encoded.
+    pub command: Vec<u8>,
+}
+
+/// What a cluster used in some time.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ClusterUse {
+    /// Wall time.
+    pub elapsed: Duration,
+    /// Processor time of the busiest replica, which leads the most groups.
+    pub leader: Duration,
+    /// Processor time of all replicas.
+    pub all: Duration,
+    /// Bytes that one replica wrote, on average.
+    pub disk_bytes: f64,
+    /// Syncs of one replica, on average.
+    pub syncs: f64,
+    /// Frames between replicas, of all of them.
+    pub frames: f64,
+    /// Bytes of those frames.
+    pub frame_bytes: f64,
+}
+
+struct Member {
+    inputs: Sender<ReplicaInput>,
+    thread: JoinHandle<Result<(), ScaleError>>,
+    disk: CountingDisk,
+}
+
+/// Hollow replicas under one temporary folder.
+pub struct Cluster {
+    folder: TempDir,
+    started: Instant,
+    members: BTreeMap<NodeId, Member>,
+    answers: Receiver<Answer>,
+    leaders: BTreeMap<GroupId, NodeId>,
+    job_groups: u32,
+    last_ticket: u64,
+}
+
+impl Cluster {
+    /// Starts replicas that hold the control group and `job_groups` job groups,
+    /// and waits until each group has a leader.
+    ///
+    /// # Errors
+    /// When the disk refuses or no leader is elected.
+    pub fn start(job_groups: u32) -> Result<Self, ScaleError> {
+        let folder = tempfile::tempdir().map_err(|source| ScaleError::File {
+            path: std::env::temp_dir(),
+            source,
+        })?;
+        let (answer, answers) = channel();
+        let mut cluster = Self {
+            folder,
+            started: Instant::now(),
+            members: BTreeMap::new(),
+            answers,
+            leaders: BTreeMap::new(),
+            job_groups,
+            last_ticket: 0,
+        };
+        cluster.start_members(answer)?;
+        cluster.await_leaders()?;
+        Ok(cluster)
+    }
+
+    fn start_members(&mut self, answers: Sender<Answer>) -> Result<(), ScaleError> {
+        let nodes: Vec<NodeId> = (1..=REPLICAS).map(NodeId).collect();
+        let mut senders = BTreeMap::new();
+        let mut receivers = BTreeMap::new();
+        for &node in &nodes {
+            let (sender, receiver) = channel();
+            senders.insert(node, sender);
+            receivers.insert(node, receiver);
+        }
+        for (node, inputs) in receivers {
+            let seed = u64::from(node.0);
+            let mut settings = ReplicaSettings::new(node, nodes.clone(), seed);
+            settings.job_groups = self.job_groups;
+            let disk = CountingDisk::open(&self.data_folder(node))?;
+            let replica = ReplicaThread {
+                disk: disk.clone(),
+                settings,
+                peers: senders.clone(),
+                inputs,
+                answers: answers.clone(),
+                started: self.started,
+            };
+            let thread = std::thread::spawn(move || replica.run());
+            let inputs = senders[&node].clone();
+            self.members.insert(
+                node,
+                Member {
+                    inputs,
+                    thread,
+                    disk,
+                },
+            );
+        }
+        Ok(())
+    }
+
+    fn data_folder(&self, node: NodeId) -> std::path::PathBuf {
+        self.folder.path().join(format!("replica-{node}"))
+    }
+
+    /// What each replica used since its start.
+    ///
+    /// # Errors
+    /// When a replica stopped.
+    pub fn report(&self) -> Result<Vec<ReplicaUse>, ScaleError> {
+        let mut reports = Vec::new();
+        for member in self.members.values() {
+            let (sender, receiver) = channel();
+            let what = "report of a replica";
+            let _stopped = member.inputs.send(ReplicaInput::Report(sender));
+            let report = receiver.recv_timeout(LONGEST_WAIT);
+            reports.push(report.map_err(|_| ScaleError::Timeout { what })??);
+        }
+        Ok(reports)
+    }
+
+    /// Waits until every group has a leader that its members agree on.
+    ///
+    /// # Errors
+    /// When that takes too long.
+    pub fn await_leaders(&mut self) -> Result<(), ScaleError> {
+        let end = Instant::now() + LONGEST_WAIT;
+        while Instant::now() < end {
+            self.leaders.clear();
+            for report in self.report()? {
+                let led = report
+                    .status
+                    .leads()
+                    .map(|group| (group, report.status.node));
+                self.leaders.extend(led.collect::<Vec<_>>());
+            }
+            if self.leaders.len() as u32 > self.job_groups {
+                return Ok(());
+            }
+            std::thread::sleep(LOOK_AGAIN);
+        }
+        Err(ScaleError::Timeout { what: "election" })
+    }
+
+    /// Runs `requests` with at most `window` in flight; gives the answers in
+    /// the order of the requests. What a replica refuses is sent again.
+    ///
+    /// # Errors
+    /// When requests stay unanswered or are refused again and again.
+    pub fn run(
+        &mut self,
+        requests: Vec<Proposal>,
+        window: usize,
+    ) -> Result<Vec<Vec<u8>>, ScaleError> {
+        let mut answers: Vec<Option<Vec<u8>>> = vec![None; requests.len()];
+        let mut open: Vec<usize> = (0..requests.len()).collect();
+        for _ in 0..MOST_ROUNDS {
+            open = self.run_once(&requests, &open, window, &mut answers)?;
+            if open.is_empty() {
+                return Ok(answers.into_iter().flatten().collect());
+            }
+            self.await_leaders()?;
+        }
+        Err(ScaleError::Timeout { what: "requests" })
+    }
+
+    /// Sends each of `open` once; gives those that were refused.
+    fn run_once(
+        &mut self,
+        requests: &[Proposal],
+        open: &[usize],
+        window: usize,
+        answers: &mut [Option<Vec<u8>>],
+    ) -> Result<Vec<usize>, ScaleError> {
+        let mut in_flight = BTreeMap::new();
+        let mut refused = Vec::new();
+        let mut waiting = open.iter().copied();
+        loop {
+            while in_flight.len() < window {
+                let Some(index) = waiting.next() else {
+                    break;
+                };
+                in_flight.insert(self.send(requests[index].clone()), index);
+            }
+            if in_flight.is_empty() {
+                return Ok(refused);
+            }
+            let answer = self.answers.recv_timeout(LONGEST_WAIT);
+            let what = "answer of a replica";
+            let (_, ticket, result) = answer.map_err(|_| ScaleError::Timeout { what })?;
+            let Some(index) = in_flight.remove(&ticket) else {
+                continue;
+            };
+            match result {
+                Ok(bytes) => answers[index] = Some(bytes),
+                Err(_) => refused.push(index),
+            }
+        }
+    }
+
+    fn send(&mut self, proposal: Proposal) -> Ticket {
+        let Proposal { group, command } = proposal;
+        self.last_ticket += 1;
+        let ticket = Ticket(self.last_ticket);
+        let input = Input::Propose {
+            ticket,
+            group,
+            command,
+        };
+        if let Some(member) = self
+            .leaders
+            .get(&group)
+            .and_then(|node| self.members.get(node))
+        {
+            let _stopped = member.inputs.send(ReplicaInput::Request(input));
+        }
+        ticket
+    }
+
+    /// Runs `work` and says what the replicas used meanwhile.
+    ///
+    /// # Errors
+    /// As `work` does, or when a replica stopped.
+    pub fn measure<T>(
+        &mut self,
+        work: impl FnOnce(&mut Self) -> Result<T, ScaleError>,
+    ) -> Result<(T, ClusterUse), ScaleError> {
+        let before = self.report()?;
+        let began = Instant::now();
+        let result = work(self)?;
+        let elapsed = began.elapsed();
+        let after = self.report()?;
+        Ok((result, difference(elapsed, &before, &after)))
+    }
+
+    /// Stops every replica; gives the folder with their data.
+    ///
+    /// # Errors
+    /// When a replica had stopped by itself.
+    pub fn stop(self) -> Result<TempDir, ScaleError> {
+        for member in self.members.values() {
+            let _stopped = member.inputs.send(ReplicaInput::Stop);
+        }
+        for member in self.members.into_values() {
+            drop(member.disk);
+            let what = "end of a replica";
+            member
+                .thread
+                .join()
+                .map_err(|_| ScaleError::Timeout { what })??;
+        }
+        Ok(self.folder)
+    }
+}
+
+fn difference(elapsed: Duration, before: &[ReplicaUse], after: &[ReplicaUse]) -> ClusterUse {
+    let mut used = ClusterUse {
+        elapsed,
+        ..ClusterUse::default()
+    };
+    let count = after.len() as f64;
+    for (before, after) in before.iter().zip(after) {
+        let processor = after.processor.saturating_sub(before.processor);
+        used.leader = used.leader.max(processor);
+        used.all += processor;
+        used.disk_bytes += (after.disk.bytes - before.disk.bytes) as f64 / count;
+        used.syncs += (after.disk.syncs - before.disk.syncs) as f64 / count;
+        used.frames += (after.frames - before.frames) as f64;
+        used.frame_bytes += (after.frame_bytes - before.frame_bytes) as f64;
+    }
+    used
+}
--- a/crates/bench/src/scale/mod.rs
+++ b/crates/bench/src/scale/mod.rs
@@ -1,23 +1,20 @@
-//! The scale experiment: hollow nodes and engines in growing numbers.
+//! The scale experiment: steps the size of the fleet, measures what each role
+//! needs, and fits the slopes that `docs/CAPACITY.md` is worked out from.
+//!
+//! Each experiment runs in a process of its own, one after the other, so that
+//! memory and processor time of one do not show up in another.
 
-use std::path::PathBuf;
+pub mod clock;
+mod error;
+mod experiments;
+pub mod fit;
+pub mod fleet;
+mod hollow;
+mod plot;
+mod record;
+mod report;
+mod run;
 
-use crate::BenchError;
-
-/// What the command line asks of the scale experiment.
-#[derive(Clone, Debug)]
-pub struct ScaleOptions {
-    /// Folder for the measured steps and the fitted slopes.
-    pub out: PathBuf,
-}
-
-/// Runs the scale experiment and prints a JSON line a step.
-///
-/// # Errors
-///
-/// When a step cannot be measured.
-pub fn run(_options: &ScaleOptions) -> Result<(), BenchError> {
-    Err(BenchError::NotBuilt {
-        subcommand: "scale",
-    })
-}
+pub use error::ScaleError;
+pub use record::{Point, Recorder};
+pub use run::{ScaleOptions, run};
