--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -27,6 +27,9 @@
     /// The replica cannot start or go on.
     #[display("replica: {_0}")]
     Replica(ReplicaError),
+    /// The gateway role was asked for without a platform list.
+    #[display("a gateway needs the address of the platform list")]
+    NoPlatformList,
     /// The internal interface cannot listen.
     #[display("internal interface: {_0}")]
     InternalInterface(molespan_wire::ServerError),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 mod folder_lock;
 pub mod gateway;
 pub mod incarnation;
+mod local_transport;
 pub mod node;
 mod peer_handler;
 pub mod replica;
--- /dev/null
+++ b/crates/daemon/src/local_transport.rs
@@ -0,0 +1,43 @@
+//! Reaches the node's own replica without a socket.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::{FutureExt, future};
+use molespan_types::NodeId;
+use molespan_wire::{CallError, CallFailure, Request};
+
+use crate::cluster::{PeerCall, PeerTransport, WireTransport};
+use crate::replica::ReplicaRole;
+
+/// Calls the own replica directly and other nodes over the internal protocol.
+#[derive(Debug)]
+pub(crate) struct LocalTransport {
+    pub own: NodeId,
+    pub replica: Arc<ReplicaRole>,
+    pub others: WireTransport,
+}
+
+impl PeerTransport for LocalTransport {
+    fn call(&self, node: NodeId, request: Request, timeout: Duration) -> PeerCall {
+        if node != self.own {
+            return self.others.call(node, request, timeout);
+        }
+        let replica = self.replica.clone();
+        let answer = async move { Ok(replica.handle_peer(request).await) };
+        let late = async move {
+            Timer::after(timeout).await;
+            Err(CallError::Ambiguous(CallFailure::Timeout))
+        };
+        future::or(answer, late).boxed()
+    }
+
+    fn send(&self, node: NodeId, request: Request) -> bool {
+        self.others.send(node, request)
+    }
+
+    fn learn(&self, node: NodeId, address: &str) {
+        self.others.learn(node, address);
+    }
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,16 +3,21 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use async_channel::Sender;
 use async_executor::{Executor, Task};
 use molespan_replica::ReplicaError;
-use molespan_settings::{Role, Settings};
+use molespan_settings::{Peer, Role, Settings};
 use molespan_telemetry::{EventBuffer, Metrics, part_logger};
-use molespan_wire::{Server, ServerHandle, ServerLimits};
+use molespan_types::Incarnation;
+use molespan_wire::{ClientLimits, Server, ServerHandle, ServerLimits};
 use slog::{Logger, info};
 
 use crate::DaemonError;
+use crate::cluster::{Cluster, ClusterLimits, PeerTransport, WireTransport};
 use crate::folder_lock::FolderLock;
+use crate::gateway::{BoundGateway, DrainReport, Gateway, GatewayContext, GatewayOptions};
 use crate::incarnation::begin_life;
+use crate::local_transport::LocalTransport;
 use crate::peer_handler::PeerHandler;
 use crate::replica::{HandOver, ReplicaContext, ReplicaOptions, ReplicaPeer, ReplicaRole};
 use crate::status_server::StatusServer;
@@ -20,10 +25,12 @@
 /// Folder of the replica's files within the data folder.
 const REPLICA_FOLDER: &str = "replica";
 
-/// How a planned stop went.
+/// How a planned stop went; a part is missing without its role.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StopReport {
-    /// What became of the leaderships; `None` without the replica role.
+    /// What became of the gateway's requests and leases.
+    pub gateway: Option<DrainReport>,
+    /// What became of the replica's leaderships.
     pub replica: Option<HandOver>,
 }
 
@@ -31,22 +38,30 @@
 #[derive(Debug)]
 pub struct Node {
     logger: Logger,
-    http_address: SocketAddr,
     internal_address: SocketAddr,
     internal: ServerHandle,
     replica: Option<Arc<ReplicaRole>>,
-    status: StatusServer,
+    http: HttpInterface,
     _serving: Task<()>,
     _lock: FolderLock,
 }
 
-/// What the roles of a node share.
-struct Common<'a> {
-    settings: &'a Settings,
-    executor: &'a Arc<Executor<'static>>,
-    logger: &'a Logger,
-    metrics: Metrics,
-    events: EventBuffer,
+/// Who serves the HTTP address.
+#[derive(Debug)]
+enum HttpInterface {
+    /// The gateway role.
+    Gateway(RunningGateway),
+    /// Only health, readiness and metrics.
+    Status(StatusServer),
+}
+
+/// A gateway that serves.
+#[derive(Debug)]
+struct RunningGateway {
+    address: SocketAddr,
+    /// Closed to begin its planned stop.
+    stop: Sender<()>,
+    served: Task<DrainReport>,
 }
 
 impl Node {
@@ -65,46 +80,46 @@
         let internal = Server::bind(settings.node.internal_address, ServerLimits::default())?;
         let internal_address = internal.local_address();
         let internal_handle = internal.handle();
-        let common = Common {
+        let starter = Starter {
             settings,
             executor,
             logger,
+            incarnation,
+            internal_address,
             metrics: Metrics::default(),
             events: EventBuffer::new(settings.node.id, settings.limits.event_buffer as usize),
         };
-        let replica = common.start_replica()?;
+        let replica = starter.start_replica()?;
+        let (http, gateway) = starter.start_http(replica.as_ref())?;
         let handler = PeerHandler {
             node: settings.node.id,
             incarnation,
             replica: replica.clone(),
+            gateway,
         };
-        let status = StatusServer::start(
-            settings.node.http_address,
-            executor,
-            replica.clone(),
-            common.metrics.clone(),
-        )?;
         let serving = executor.spawn(internal.serve(executor.clone(), Arc::new(handler)));
-        let node = Self {
-            logger: part_logger(logger, "node"),
-            http_address: status.address(),
+        let logger = part_logger(logger, "node");
+        info!(logger, "started";
+            "node" => settings.node.id.0, "incarnation" => incarnation.0,
+            "zone" => %settings.node.zone);
+        Ok(Self {
+            logger,
             internal_address,
             internal: internal_handle,
             replica,
-            status,
+            http,
             _serving: serving,
             _lock: lock,
-        };
-        info!(node.logger, "started";
-            "node" => settings.node.id.0, "incarnation" => incarnation.0,
-            "zone" => %settings.node.zone);
-        Ok(node)
+        })
     }
 
     /// Where callers and operators reach it.
     #[must_use]
     pub fn http_address(&self) -> SocketAddr {
-        self.http_address
+        match &self.http {
+            HttpInterface::Gateway(gateway) => gateway.address,
+            HttpInterface::Status(server) => server.address(),
+        }
     }
 
     /// Where other nodes reach it.
@@ -123,19 +138,41 @@
 
     /// Stops as planned: no request is cut off within the bounds of the
     /// settings, and what was left at their end is reported.
+    ///
+    /// The gateway goes first, since it returns its leases to the groups.
     pub async fn stop(self) -> StopReport {
         info!(self.logger, "stopping");
-        let hand_over = match &self.replica {
+        let gateway = match self.http {
+            HttpInterface::Gateway(gateway) => {
+                gateway.stop.close();
+                Some(gateway.served.await)
+            }
+            HttpInterface::Status(server) => {
+                server.stop().await;
+                None
+            }
+        };
+        let replica = match &self.replica {
             Some(replica) => Some(replica.stop().await),
             None => None,
         };
-        self.status.stop().await;
         self.internal.stop();
-        StopReport { replica: hand_over }
+        StopReport { gateway, replica }
     }
 }
 
-impl Common<'_> {
+/// What the roles of a node are started with.
+struct Starter<'a> {
+    settings: &'a Settings,
+    executor: &'a Arc<Executor<'static>>,
+    logger: &'a Logger,
+    incarnation: Incarnation,
+    internal_address: SocketAddr,
+    metrics: Metrics,
+    events: EventBuffer,
+}
+
+impl Starter<'_> {
     fn start_replica(&self) -> Result<Option<Arc<ReplicaRole>>, DaemonError> {
         if !self.settings.has_role(Role::Replica) {
             return Ok(None);
@@ -149,6 +186,83 @@
         };
         Ok(Some(Arc::new(ReplicaRole::start(context)?)))
     }
+
+    /// Starts whoever serves the HTTP address.
+    fn start_http(
+        &self,
+        replica: Option<&Arc<ReplicaRole>>,
+    ) -> Result<(HttpInterface, Option<Gateway>), DaemonError> {
+        if self.settings.has_role(Role::Gateway) {
+            let bound = self.bind_gateway(replica)?;
+            let gateway = bound.gateway();
+            let running = self.run_gateway(bound);
+            return Ok((HttpInterface::Gateway(running), Some(gateway)));
+        }
+        let address = self.settings.node.http_address;
+        let metrics = self.metrics.clone();
+        let server = StatusServer::start(address, self.executor, replica.cloned(), metrics)?;
+        Ok((HttpInterface::Status(server), None))
+    }
+
+    fn bind_gateway(
+        &self,
+        replica: Option<&Arc<ReplicaRole>>,
+    ) -> Result<BoundGateway, DaemonError> {
+        let options = GatewayOptions::from_settings(self.settings, self.incarnation);
+        let mut options = options.ok_or(DaemonError::NoPlatformList)?;
+        options.internal_address = self.internal_address;
+        let context = GatewayContext {
+            options,
+            executor: self.executor.clone(),
+            logger: self.logger.clone(),
+            metrics: self.metrics.clone(),
+            cluster: Arc::new(self.cluster(replica)),
+            events: self.events.clone(),
+        };
+        Ok(Gateway::bind(context)?)
+    }
+
+    fn run_gateway(&self, bound: BoundGateway) -> RunningGateway {
+        let (stop, stopping) = async_channel::bounded::<()>(1);
+        let address = bound.address();
+        let serving = bound.serve(async move {
+            let _closed = stopping.recv().await;
+        });
+        RunningGateway {
+            address,
+            stop,
+            served: self.executor.spawn(serving),
+        }
+    }
+
+    fn cluster(&self, replica: Option<&Arc<ReplicaRole>>) -> Cluster {
+        let peers = self.settings.peers.iter();
+        let addresses = peers.map(|peer| (peer.id, peer.internal_address));
+        let limits = ClientLimits {
+            connect_timeout: self.settings.timing.connect_timeout,
+            ..ClientLimits::default()
+        };
+        let wire = WireTransport::new(self.executor.clone(), addresses, limits, rand::random());
+        let transport: Arc<dyn PeerTransport> = match replica {
+            Some(replica) => Arc::new(LocalTransport {
+                own: self.settings.node.id,
+                replica: replica.clone(),
+                others: wire,
+            }),
+            None => Arc::new(wire),
+        };
+        let replicas = replicas_by_distance(self.settings);
+        let nodes = replicas.iter().map(|peer| peer.id).collect();
+        Cluster::new(transport, nodes, ClusterLimits::default())
+    }
+}
+
+/// The replicas, with the own one and those of the own zone first.
+fn replicas_by_distance(settings: &Settings) -> Vec<Peer> {
+    let mut replicas = settings.replicas();
+    let own = &settings.node;
+    replicas.sort_by_key(|peer| (peer.id != own.id, peer.zone != own.zone, peer.id));
+    replicas
 }
 
 fn replica_options(settings: &Settings) -> ReplicaOptions {
--- a/crates/daemon/src/peer_handler.rs
+++ b/crates/daemon/src/peer_handler.rs
@@ -5,6 +5,7 @@
 use molespan_types::{ConfigVersion, Incarnation, NodeId, RunOutcome};
 use molespan_wire::{Handler, NodeStatus, Request, Response};
 
+use crate::gateway::Gateway;
 use crate::replica::ReplicaRole;
 
 /// Brings the requests of other processes to the role that answers them.
@@ -13,13 +14,17 @@
     pub node: NodeId,
     pub incarnation: Incarnation,
     pub replica: Option<Arc<ReplicaRole>>,
+    pub gateway: Option<Gateway>,
 }
 
 impl Handler for PeerHandler {
     async fn call(&self, request: Request) -> Response {
         match request {
-            Request::Status => self.status().await,
-            Request::OnlineArrival(_) | Request::Loads { .. } => no_such_role("gateway"),
+            Request::Status => Response::Status(self.status().await),
+            Request::OnlineArrival(_) | Request::Loads { .. } => match &self.gateway {
+                Some(gateway) => gateway.handle_peer(request),
+                None => no_such_role("gateway"),
+            },
             _ => match &self.replica {
                 Some(replica) => replica.handle_peer(request).await,
                 None => no_such_role("replica"),
@@ -28,26 +33,43 @@
     }
 
     fn notify(&self, request: Request) {
-        if let Some(replica) = &self.replica {
-            replica.notify(request);
+        match (&request, &self.replica, &self.gateway) {
+            (Request::Consensus { .. }, Some(replica), _) => replica.notify(request),
+            (Request::OnlineArrival(_) | Request::Loads { .. }, _, Some(gateway)) => {
+                let _nobody_waits = gateway.handle_peer(request);
+            }
+            _ => {}
         }
     }
 }
 
 impl PeerHandler {
-    async fn status(&self) -> Response {
-        let (ready, leads) = match &self.replica {
-            Some(replica) => (replica.is_ready().await, replica.leads()),
-            None => (true, Vec::new()),
+    /// What the node says of itself: the gateway's words, and what the replica
+    /// leads.
+    async fn status(&self) -> NodeStatus {
+        let mut status = match &self.gateway {
+            Some(gateway) => gateway.status(),
+            None => self.status_without_gateway().await,
+        };
+        if let Some(replica) = &self.replica {
+            status.leads = replica.leads();
+        }
+        status
+    }
+
+    async fn status_without_gateway(&self) -> NodeStatus {
+        let ready = match &self.replica {
+            Some(replica) => replica.is_ready().await,
+            None => false,
         };
-        Response::Status(NodeStatus {
+        NodeStatus {
             node: self.node,
             incarnation: self.incarnation,
             in_force: ConfigVersion::default(),
             ready,
-            leads,
+            leads: Vec::new(),
             services: Vec::new(),
-        })
+        }
     }
 }
 
