--- a/crates/daemon/tests/processes/cluster.rs
+++ b/crates/daemon/tests/processes/cluster.rs
@@ -17,7 +17,7 @@
 use super::ports::free_address;
 
 /// Threads of the test's own executor.
-const THREADS: usize = 2;
+const THREADS: usize = 3;
 /// Zones of the nodes, in turn.
 const ZONES: [&str; 3] = ["hall-1", "hall-2", "hall-3"];
 /// Number of the first gateway.
@@ -35,8 +35,12 @@
 impl Cluster {
     /// Three replicas, none started yet.
     pub fn of_replicas() -> Self {
+        Self::on(executor())
+    }
+
+    fn on(executor: Arc<Executor<'static>>) -> Self {
         let mut cluster = Self {
-            executor: executor(),
+            executor,
             folder: tempfile::tempdir().unwrap(),
             settings: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -50,8 +54,8 @@
 
     /// Three replicas and three gateways before the platform at `platform`,
     /// none started yet.
-    pub fn with_gateways(platform: SocketAddr) -> Self {
-        let mut cluster = Self::of_replicas();
+    pub fn with_gateways(executor: Arc<Executor<'static>>, platform: SocketAddr) -> Self {
+        let mut cluster = Self::on(executor);
         for (number, zone) in (FIRST_GATEWAY..).zip(ZONES) {
             let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
             cluster.add(NodeId(number), zone, Role::Gateway, any);
@@ -203,7 +207,7 @@
 }
 
 /// An executor whose threads end with the test's process.
-fn executor() -> Arc<Executor<'static>> {
+pub fn executor() -> Arc<Executor<'static>> {
     let executor = Arc::new(Executor::new());
     for _ in 0..THREADS {
         let executor = executor.clone();
--- a/crates/daemon/tests/processes/control.rs
+++ b/crates/daemon/tests/processes/control.rs
@@ -86,6 +86,22 @@
         self.presumed_leader()
     }
 
+    /// The replica that says it leads `group`.
+    pub async fn leader_of(&self, group: GroupId) -> NodeId {
+        eventually("a replica leads the group", async || {
+            for &node in self.clients.keys() {
+                let status = self.ask(node, Request::Status).await;
+                if let Some(Response::Status(status)) = status
+                    && status.leads.contains(&group)
+                {
+                    return Some(node);
+                }
+            }
+            None
+        })
+        .await
+    }
+
     /// The version that a linearizable read shows.
     pub async fn version(&self) -> u64 {
         let query = molespan_state::encode(&ControlQuery::Configuration);
--- /dev/null
+++ b/crates/daemon/tests/processes/fleet.rs
@@ -0,0 +1,181 @@
+//! Replicas and gateways as processes before stand-ins in the test's own one.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use molespan_emulator::expected_answer;
+use molespan_emulator::fleet::{Fleet, FleetSettings};
+use molespan_types::NodeId;
+use serde_json::{Value, json};
+
+use super::client::{Answer, call, get, post};
+use super::cluster::{Cluster, executor};
+use super::wait_for;
+
+/// Tokens of the answer to an item of a job.
+const ITEM_TOKENS: u32 = 3;
+
+/// Everything that serves.
+pub struct RunningFleet {
+    pub cluster: Cluster,
+    pub backends: Fleet,
+}
+
+impl RunningFleet {
+    /// Starts three replicas, three gateways, four engines and one application
+    /// back end, and puts their services in force.
+    pub fn start() -> Self {
+        let executor = executor();
+        let settings = FleetSettings {
+            engines: 4,
+            applications: 1,
+            platform_lag_ms: 0,
+            ..FleetSettings::archive()
+        };
+        let backends = Fleet::start(&executor, &settings).unwrap();
+        let mut cluster = Cluster::with_gateways(executor, backends.platform_address);
+        cluster.start_all();
+        let fleet = Self { cluster, backends };
+        fleet.put_in_force(&settings);
+        for gateway in fleet.cluster.gateways() {
+            fleet.wait_until_serving(gateway);
+        }
+        fleet
+    }
+
+    /// Plans and confirms the fleet's services, as an operator does.
+    fn put_in_force(&self, settings: &FleetSettings) {
+        let gateway = self.address(self.cluster.gateways()[0]);
+        let service = |kind: &str, model: Option<&str>, batch: bool| {
+            json!({
+                "kind": kind, "model": model, "max_concurrency": 256, "max_queue": 256,
+                "queue_timeout_ms": 5_000, "batch": batch, "replicas": 0,
+            })
+        };
+        let model = settings.model.as_str();
+        let changes = json!([
+            {"change": "put_model", "name": model, "model": {"version": 1}},
+            {"change": "put_service", "name": settings.service,
+             "service": service("completion", Some(model), true)},
+            {"change": "put_service", "name": settings.application_service,
+             "service": service("application", None, false)},
+        ]);
+        let mut intent = json!({"number": 1, "operator": "test", "changes": changes});
+        let mut plan = Value::Null;
+        wait_for("a plan", || {
+            plan = post(gateway, "/admin/plans", &intent.to_string()).json_value();
+            plan["base_version"].is_number()
+        });
+        assert_eq!(plan["problems"], json!([]), "{plan}");
+        intent["base_version"] = plan["base_version"].clone();
+        wait_for("a confirmed plan", || {
+            let answer = post(gateway, "/admin/plans/1/confirm", &intent.to_string());
+            answer.json_value()["result"] == "confirmed"
+        });
+    }
+
+    /// Waits until a gateway is ready and takes every back end for healthy.
+    pub fn wait_until_serving(&self, gateway: NodeId) {
+        let address = self.address(gateway);
+        wait_for("a ready gateway", || {
+            let ready = get(address, "/ready");
+            ready.status == 200 && ready.json_value()["version"].as_u64() >= Some(1)
+        });
+        let members = self.backends.members.len();
+        wait_for("known back ends", || {
+            let backends = get(address, "/admin/backends").json_value();
+            let backends = backends.as_array().cloned().unwrap_or_default();
+            let usable = |backend: &&Value| {
+                let loaded = backend["models"]
+                    .as_array()
+                    .is_some_and(|all| !all.is_empty());
+                backend["state"] == "healthy" && (backend["kind"] != "engine" || loaded)
+            };
+            backends.iter().filter(usable).count() >= members
+        });
+    }
+
+    /// Where callers reach a gateway.
+    pub fn address(&self, gateway: NodeId) -> SocketAddr {
+        self.cluster.http_address(gateway)
+    }
+
+    /// Submits a job until a gateway accepts it; gives its identifier.
+    pub fn submit(&self, gateway: NodeId, key: &str, items: u32) -> String {
+        let path = format!("/v1/batches?service=caption&key={key}");
+        let body: String = (0..items).map(item_line).collect();
+        let mut id = String::new();
+        wait_for("an accepted job", || {
+            let answer = post(self.address(gateway), &path, &body);
+            id = answer.json_value()["id"]
+                .as_str()
+                .unwrap_or_default()
+                .to_owned();
+            answer.status == 202
+        });
+        id
+    }
+
+    /// A job as a gateway shows it.
+    pub fn job(&self, gateway: NodeId, id: &str) -> Value {
+        get(self.address(gateway), &format!("/v1/batches/{id}")).json_value()
+    }
+
+    /// Waits until as many items of a job are completed.
+    pub fn wait_for_items(&self, gateway: NodeId, id: &str, count: u64) {
+        wait_for("completed items", || {
+            self.job(gateway, id)["completed"].as_u64() >= Some(count)
+        });
+    }
+
+    /// Waits for a job's end and checks that each item has its own answer once.
+    pub fn check_job(&self, gateway: NodeId, id: &str, items: u32) {
+        wait_for("a completed job", || {
+            self.job(gateway, id)["state"] == "completed"
+        });
+        let job = self.job(gateway, id);
+        assert_eq!(job["completed"], items, "{job}");
+        let answer = get(self.address(gateway), &format!("/v1/batches/{id}/results"));
+        assert!(answer.whole, "{answer:?}");
+        let results = read_results(&answer);
+        assert_eq!(results.len(), items as usize);
+        for (item, text) in results {
+            assert_eq!(text, expected_answer(&item_prompt(item), ITEM_TOKENS));
+        }
+    }
+
+    /// Sends a completion that may be repeated nowhere.
+    pub fn complete_once(&self, gateway: NodeId, key: &str, prompt: &str) -> Answer {
+        let headers = [("x-repeatable", "false"), ("idempotency-key", key)];
+        let body = json!({"model": "caption", "prompt": prompt, "max_tokens": 4}).to_string();
+        call(
+            self.address(gateway),
+            "POST",
+            "/v1/completions",
+            &headers,
+            &body,
+        )
+    }
+}
+
+fn item_prompt(item: u32) -> String {
+    format!("photo {item}")
+}
+
+fn item_line(item: u32) -> String {
+    let prompt = item_prompt(item);
+    format!("{{\"prompt\":\"{prompt}\",\"max_tokens\":{ITEM_TOKENS}}}\n")
+}
+
+/// Texts by item; an item that comes twice is a fault.
+fn read_results(answer: &Answer) -> BTreeMap<u32, String> {
+    let mut results = BTreeMap::new();
+    for line in answer.body.lines() {
+        let line: Value = serde_json::from_str(line).unwrap();
+        assert_eq!(line["outcome"], "completed", "{line}");
+        let item = line["item"].as_u64().unwrap() as u32;
+        let text = line["text"].as_str().unwrap().to_owned();
+        assert!(results.insert(item, text).is_none(), "item {item} twice");
+    }
+    results
+}
--- a/crates/daemon/tests/processes/mod.rs
+++ b/crates/daemon/tests/processes/mod.rs
@@ -2,9 +2,12 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+#[path = "../support/client.rs"]
+pub mod client;
 pub mod cluster;
 pub mod control;
 pub mod daemon;
+pub mod fleet;
 pub mod ports;
 
 use std::future::Future;
@@ -14,6 +17,8 @@
 
 /// Longest wait for a condition.
 pub const LIMIT: Duration = Duration::from_secs(30);
+/// The same, as the HTTP client calls it.
+pub const PATIENCE: Duration = LIMIT;
 /// Pause between two looks at a condition.
 const PAUSE: Duration = Duration::from_millis(10);
 
@@ -31,3 +36,12 @@
         Timer::after(PAUSE).await;
     }
 }
+
+/// Waits until `check` holds.
+pub fn wait_for(what: &str, mut check: impl FnMut() -> bool) {
+    let deadline = Instant::now() + LIMIT;
+    while !check() {
+        assert!(Instant::now() < deadline, "not in time: {what}");
+        std::thread::sleep(PAUSE);
+    }
+}
