End every connection of a stand-in's life with that life

Cause: a connection accepted just after a crash, by the listener of the ended life, was tied to the next life, and the engine core had already begun that next life. Ruled out: the engine core (it forgets the attempt at once) and the test's waiting (it waits by condition). Change: the listener hands its own life to the connections it accepts, the end of the life is looked at before the work, and connections end before the core begins its next life.

--- a/crates/emulator/src/application.rs
+++ b/crates/emulator/src/application.rs
@@ -133,8 +133,9 @@
 
     /// Dies and starts its next life after `down`.
     pub fn crash(&self, down: Duration) {
-        self.incarnation.fetch_add(1, Ordering::Relaxed);
+        // Connections end first, so that none of them sees the next life.
         self.switches.crash(down);
+        self.incarnation.fetch_add(1, Ordering::Relaxed);
     }
 
     /// The count of executions.
--- a/crates/emulator/src/engine_server/mod.rs
+++ b/crates/emulator/src/engine_server/mod.rs
@@ -87,9 +87,10 @@
 
     /// Dies and starts its next life after `down`.
     pub fn crash(&self, down: Duration) {
+        // Connections end first, so that none of them sees the next life.
+        self.switches.crash(down);
         let now = self.now();
         self.lock().crash(now);
-        self.switches.crash(down);
     }
 
     /// The count of executions.
--- a/crates/emulator/src/server/mod.rs
+++ b/crates/emulator/src/server/mod.rs
@@ -25,6 +25,7 @@
 pub use reply::{
     error_reply, header, json_reply, not_found, query_number, query_text, read_body, read_json,
 };
+use switches::Signal;
 pub use switches::Switches;
 
 /// Pause before another try to bind or accept.
@@ -89,7 +90,7 @@
         let mut listener = first;
         loop {
             let life = self.switches.life();
-            self.accept(&listener).or(life.ended()).await;
+            life.clone().ended().or(self.accept(&listener, &life)).await;
             drop(listener);
             if !self.switches.until_restart().await {
                 return;
@@ -98,10 +99,10 @@
         }
     }
 
-    async fn accept(&self, listener: &Async<TcpListener>) {
+    async fn accept(&self, listener: &Async<TcpListener>, life: &Signal) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => self.spawn_connection(stream),
+                Ok((stream, _)) => self.spawn_connection(stream, life.clone()),
                 // For example too many open files: others may close.
                 Err(_) => {
                     Timer::after(RETRY_PAUSE).await;
@@ -121,12 +122,12 @@
         }
     }
 
-    fn spawn_connection(&self, stream: Async<TcpStream>) {
+    /// Serves `stream` for as long as the life that accepted it.
+    fn spawn_connection(&self, stream: Async<TcpStream>, life: Signal) {
         // Small writes follow each other; without this they wait for acks.
         let _ = stream.get_ref().set_nodelay(true);
-        let life = self.switches.life();
         let connection = FaultyStream::new(stream, self.switches.clone(), self.service.clone());
         let served = connection::serve(connection, self.service.clone());
-        self.executor.spawn(served.or(life.ended())).detach();
+        self.executor.spawn(life.ended().or(served)).detach();
     }
 }
--- a/crates/emulator/src/server/switches.rs
+++ b/crates/emulator/src/server/switches.rs
@@ -9,6 +9,7 @@
 use crate::faults::{AnswerFault, EngineFaults, FaultPlan, FaultSettings};
 
 /// Ends when a stand-in crashes or thaws.
+#[derive(Clone)]
 pub struct Signal(Receiver<()>);
 
 impl Signal {
