--- a/crates/daemon/src/gateway/route.rs
+++ b/crates/daemon/src/gateway/route.rs
@@ -10,7 +10,7 @@
 use molespan_routing::admission::{Refusal, RefusalCode};
 use molespan_routing::pick::{PickError, PickRequest};
 use molespan_routing::retry::{
-    AttemptEnd, AttemptRef, ClaimAnswer, NextStep, RequestKind, RequestState,
+    AttemptEnd, AttemptRef, ClaimAnswer, NextStep, RequestKind, RequestState, StatusAnswer,
 };
 use molespan_state::job::ClaimReply;
 use molespan_telemetry::EventKind;
@@ -422,6 +422,9 @@
         } else if let (Some(in_flight), Some(failure)) =
             (self.in_flight.take(), self.last_failure.as_ref())
         {
+            if end != AttemptEnd::NotSent && end != AttemptEnd::DeclaredNotRun {
+                self.state.abandon_attempt(&in_flight);
+            }
             in_flight.failed(failure);
         }
         Ok(next)
@@ -441,7 +444,7 @@
         let target = self.in_flight.as_ref().map(InFlight::target);
         let answer = match target {
             Some(target) => self.state.engines.status(target.address, &attempt).await,
-            None => molespan_routing::retry::StatusAnswer::NoAnswer,
+            None => StatusAnswer::NoAnswer,
         };
         self.state.events.record(
             EventKind::Resume,
@@ -483,22 +486,14 @@
     /// Stops the attempt of a caller that left.
     fn caller_gone(&mut self) -> Ending {
         if let Some(in_flight) = self.in_flight.take() {
-            let target = in_flight.target();
-            let attempt = in_flight.attempt;
-            let state = self.state.clone();
-            state.metrics.cancelled();
-            state.events.record(
+            self.state.metrics.cancelled();
+            self.state.events.record(
                 EventKind::Refuse,
-                format!("request {attempt}"),
+                format!("request {}", in_flight.attempt),
                 "cancelled: its caller left",
-                [("engine", target.backend.0.into())],
+                [("engine", in_flight.target().backend.0.into())],
             );
-            self.state.spawn(async move {
-                state
-                    .engines
-                    .cancel(Priority::Online, target.address, attempt)
-                    .await;
-            });
+            self.state.abandon_attempt(&in_flight);
         }
         Ending::CallerGone
     }
@@ -614,6 +609,18 @@
     }
 }
 
+impl GatewayState {
+    /// Stops an attempt whose answer nobody will read.
+    fn abandon_attempt(self: &Arc<Self>, in_flight: &InFlight) {
+        let (target, attempt) = (in_flight.target(), in_flight.attempt);
+        let state = self.clone();
+        self.spawn(async move {
+            let online = Priority::Online;
+            state.engines.cancel(online, target.address, attempt).await;
+        });
+    }
+}
+
 /// The answer while another arrival of the same request runs.
 fn held(attempt: AttemptId) -> ApiError {
     let message = format!("attempt {attempt} holds the claim on this key and has not ended");
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -18,7 +18,7 @@
 use molespan_state::control::{
     Change, ConfirmIntent, ConfirmReply, IntentNumber, Model, Service, ServiceKind,
 };
-use molespan_telemetry::{EventBuffer, Metrics, discard_logger};
+use molespan_telemetry::{EventBuffer, EventFilter, Metrics, Watched, discard_logger};
 use molespan_types::{ConfigVersion, Incarnation, ModelName, NodeId, ServiceName};
 
 use replica::{LocalReplica, LocalTransport};
@@ -53,6 +53,25 @@
 }
 
 impl RunningGateway {
+    /// The decisions so far, one a line, for messages of tests.
+    pub fn decisions(&self) -> String {
+        let mut subscription = self.events.subscribe(EventFilter::default(), usize::MAX);
+        let mut lines = String::new();
+        while let Some(Watched::Event(event)) = subscription.try_next() {
+            let inputs = event.inputs.iter();
+            let inputs: Vec<String> = inputs
+                .map(|input| format!("{}={}", input.name, input.value))
+                .collect();
+            let (kind, subject) = (event.kind, event.subject);
+            let reason = event.reason;
+            lines.push_str(&format!(
+                "{kind} {subject}: {reason} {}\n",
+                inputs.join(" ")
+            ));
+        }
+        lines
+    }
+
     /// Begins a planned stop.
     pub fn begin_stop(&self) {
         self.stop.close();
@@ -157,20 +176,24 @@
     ) -> RunningGateway {
         let gateway = self.unready_gateway(node, tune);
         wait_for("a ready gateway", || gateway.gateway.is_ready());
+        self.wait_until_healthy(&gateway);
+        gateway
+    }
+
+    /// Waits until a gateway may use every back end.
+    pub fn wait_until_healthy(&self, gateway: &RunningGateway) {
         let members = self.fleet.members.len();
-        wait_for("known back ends", || {
+        wait_for("healthy back ends", || {
             let backends = client::get(gateway.address, "/admin/backends").json_value();
             let backends = backends.as_array().cloned().unwrap_or_default();
             let ready = backends.iter().filter(|backend| {
                 let engine = backend["kind"] == "engine";
-                let loaded = backend["models"]
-                    .as_array()
-                    .is_some_and(|all| !all.is_empty());
+                let models = backend["models"].as_array();
+                let loaded = models.is_some_and(|all| !all.is_empty());
                 backend["state"] == "healthy" && (!engine || loaded)
             });
             ready.count() >= members
         });
-        gateway
     }
 
     /// Starts a gateway and does not wait.
