--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -103,7 +103,10 @@
 }
 
 /// Confirms an intent at any gateway. A resend gets the first answer again.
-async fn confirm(client: &Client, intent: &ConfirmIntent) -> Result<ConfirmReply, CliError> {
+pub(crate) async fn confirm(
+    client: &Client,
+    intent: &ConfirmIntent,
+) -> Result<ConfirmReply, CliError> {
     let body = serde_json::to_vec(intent).map_err(io::Error::from)?;
     client.json(&confirmation(intent.number, body)).await
 }
@@ -131,7 +134,7 @@
 }
 
 /// A reply for people.
-fn reply_text(number: IntentNumber, reply: &ConfirmReply) -> String {
+pub(crate) fn reply_text(number: IntentNumber, reply: &ConfirmReply) -> String {
     match reply {
         ConfirmReply::Confirmed { version } => {
             format!("Plan {number} is in force as version {version}.")
--- a/crates/cli/src/commands/jobs/mod.rs
+++ b/crates/cli/src/commands/jobs/mod.rs
@@ -99,7 +99,11 @@
     let mut chunk = vec![0; RESULT_CHUNK_BYTES];
     let mut lines = 0;
     loop {
-        let read = body.read(&mut chunk).await?;
+        let read = body.read(&mut chunk).await;
+        let read = read.map_err(|error| CliError::Unexpected {
+            gateway: "the gateway".to_owned(),
+            what: format!("the results are cut short after {lines} lines: {error}"),
+        })?;
         if read == 0 {
             break;
         }
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,16 +1,17 @@
 //! The commands, one module each.
 
-mod apply;
+pub(crate) mod apply;
 mod get;
-mod jobs;
-mod plan;
+pub(crate) mod jobs;
+pub(crate) mod plan;
 mod settings;
-mod watch;
+pub(crate) mod watch;
 
 use std::env;
 
 use crate::client::Client;
 use crate::console::Console;
+use crate::demo;
 use crate::error::{CliError, ExitStatus};
 use crate::flags::{Molespan, MolespanCmd, SettingsCmd};
 use crate::gateways::{GATEWAY_VARIABLE, gateway_addresses};
@@ -33,7 +34,7 @@
         MolespanCmd::Settings(flags) => match flags.subcommand {
             SettingsCmd::Check(flags) => settings::check(&flags.file, console),
         },
-        MolespanCmd::Demo(_) => Err(CliError::Failed("the demo is not built yet".to_owned())),
+        MolespanCmd::Demo(_) => demo::run(console).await,
     }
 }
 
--- a/crates/cli/src/commands/plan.rs
+++ b/crates/cli/src/commands/plan.rs
@@ -58,7 +58,7 @@
 }
 
 /// Fills in what the operator left open.
-pub(super) fn complete(configuration: &Configuration, intent: Intent) -> ConfirmIntent {
+pub(crate) fn complete(configuration: &Configuration, intent: Intent) -> ConfirmIntent {
     let next = configuration.version.next().0;
     ConfirmIntent {
         number: IntentNumber(intent.number.unwrap_or(next)),
@@ -69,7 +69,7 @@
 }
 
 /// Asks a gateway for the plan of an intent.
-pub(super) async fn request_plan(
+pub(crate) async fn request_plan(
     client: &Client,
     intent: &ConfirmIntent,
 ) -> Result<Plan, CliError> {
@@ -86,7 +86,7 @@
 }
 
 /// A plan for people.
-fn plan_text(plan: &Plan) -> String {
+pub(crate) fn plan_text(plan: &Plan) -> String {
     let mut text = format!("Plan {} against version {}", plan.number, plan.base_version);
     for line in &plan.lines {
         text.push_str(&format!("\n  {} {}", line.action, line.subject));
--- a/crates/cli/src/commands/watch.rs
+++ b/crates/cli/src/commands/watch.rs
@@ -16,7 +16,7 @@
 use crate::flags::Watch;
 
 /// Path of the event stream.
-const EVENTS_PATH: &str = "/admin/events";
+pub(crate) const EVENTS_PATH: &str = "/admin/events";
 /// Name of a server-sent event that stands for lost ones.
 const GAP_EVENT: &str = "gap";
 /// First wait before a lost stream is opened again.
@@ -131,7 +131,7 @@
 }
 
 /// An event of the stream as it was decided.
-fn read_event(event: &ServerEvent) -> Result<Watched, serde_json::Error> {
+pub(crate) fn read_event(event: &ServerEvent) -> Result<Watched, serde_json::Error> {
     if event.name == GAP_EVENT {
         return serde_json::from_str(&event.data).map(Watched::Gap);
     }
@@ -199,7 +199,7 @@
 }
 
 /// One event on one line.
-fn event_text(event: &Event) -> String {
+pub(crate) fn event_text(event: &Event) -> String {
     let inputs: Vec<String> = event
         .inputs
         .iter()
--- /dev/null
+++ b/crates/cli/src/demo/fleet.rs
@@ -0,0 +1,240 @@
+//! The fleet of the tour: emulated back ends, replicas and gateways.
+
+use std::fs;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use async_executor::Executor;
+use async_io::block_on;
+use molespan_daemon::node::Node;
+use molespan_emulator::{Fleet, FleetSettings};
+use molespan_settings::{LogFormat, LogLevel, NodeSettings, Peer, Role, Settings};
+use molespan_telemetry::Log;
+use molespan_types::{NodeId, ZoneName};
+use slog::Logger;
+use tempfile::TempDir;
+
+use super::guide::Guide;
+use crate::client::Client;
+use crate::error::CliError;
+
+/// Nodes of each role: one in each zone.
+const NODES_A_ROLE: usize = 3;
+/// Groups that jobs are divided over.
+const JOB_GROUPS: u32 = 2;
+/// Threads that run the whole fleet.
+const THREADS: usize = 4;
+/// Delay of the platform's machine list.
+const PLATFORM_LAG_MS: u64 = 500;
+
+/// Threads that run an executor until this is dropped.
+struct Threads {
+    _stop: Sender<()>,
+}
+
+impl Threads {
+    fn start(executor: &Arc<Executor<'static>>) -> io::Result<Self> {
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        for number in 0..THREADS {
+            let executor = executor.clone();
+            let stopped = stopped.clone();
+            let serve = move || {
+                // Ends with an error once the sender is dropped.
+                let _ = block_on(executor.run(stopped.recv()));
+            };
+            let name = format!("demo-{number}");
+            thread::Builder::new().name(name).spawn(serve)?;
+        }
+        Ok(Self { _stop: stop })
+    }
+}
+
+/// One running node.
+pub(super) struct DemoNode {
+    pub(super) name: String,
+    pub(super) node: Node,
+}
+
+/// The whole fleet. Its files are removed when it is dropped.
+pub(super) struct DemoFleet {
+    pub(super) executor: Arc<Executor<'static>>,
+    pub(super) gateways: Vec<DemoNode>,
+    pub(super) replicas: Vec<DemoNode>,
+    pub(super) back_ends: Fleet,
+    pub(super) started: Instant,
+    _threads: Threads,
+    _log: Log,
+    _folder: TempDir,
+}
+
+impl DemoFleet {
+    /// Starts everything. The nodes listen once this returns.
+    pub(super) fn start(guide: &mut Guide<'_>) -> Result<Self, CliError> {
+        let started = Instant::now();
+        guide.chapter("A fleet starts");
+        let executor = Arc::new(Executor::new());
+        let threads = Threads::start(&executor)?;
+        let log = Log::to_stderr(LogFormat::Terminal, LogLevel::Error);
+        let back_ends = start_back_ends(&executor, guide)?;
+        let folder = TempDir::with_prefix("molespan-demo-")?;
+        let mut plans = node_settings(folder.path(), &back_ends)?.into_iter();
+        let mut start = |role: &str| start_nodes(role, &mut plans, &executor, &log.logger);
+        let replicas = start("replica")?;
+        let gateways = start("gateway")?;
+        guide.say(format!(
+            "{} replicas hold the state on synced disks below {}",
+            replicas.len(),
+            folder.path().display()
+        ));
+        for gateway in &gateways {
+            guide.say(format!(
+                "{} takes requests at http://{}",
+                gateway.name,
+                gateway.node.http_address()
+            ));
+        }
+        Ok(Self {
+            executor,
+            gateways,
+            replicas,
+            back_ends,
+            started,
+            _threads: threads,
+            _log: log,
+            _folder: folder,
+        })
+    }
+
+    /// Where the gateways listen.
+    pub(super) fn gateway_addresses(&self) -> Vec<SocketAddr> {
+        let addresses = self
+            .gateways
+            .iter()
+            .map(|gateway| gateway.node.http_address());
+        addresses.collect()
+    }
+
+    /// A client of every gateway.
+    pub(super) fn client(&self) -> Client {
+        Client::new(self.gateway_addresses())
+    }
+
+    /// A client of one gateway; numbers beyond the last start again.
+    pub(super) fn client_of(&self, number: usize) -> Client {
+        let addresses = self.gateway_addresses();
+        Client::new(vec![addresses[number % addresses.len()]])
+    }
+}
+
+fn start_back_ends(
+    executor: &Arc<Executor<'static>>,
+    guide: &mut Guide<'_>,
+) -> Result<Fleet, CliError> {
+    let settings = FleetSettings {
+        platform_lag_ms: PLATFORM_LAG_MS,
+        ..FleetSettings::archive()
+    };
+    let fleet = Fleet::start(executor, &settings)?;
+    guide.say(format!(
+        "{} emulated engines and {} application back ends stand in {} zones",
+        settings.engines,
+        settings.applications,
+        settings.zones.len()
+    ));
+    Ok(fleet)
+}
+
+/// Starts the next nodes of the plan.
+fn start_nodes(
+    role: &str,
+    plans: &mut impl Iterator<Item = Settings>,
+    executor: &Arc<Executor<'static>>,
+    logger: &Logger,
+) -> Result<Vec<DemoNode>, CliError> {
+    let mut nodes = Vec::new();
+    for settings in plans.take(NODES_A_ROLE) {
+        let node = Node::start(&settings, executor, logger);
+        let node = node.map_err(|error| {
+            CliError::Failed(format!(
+                "{role} {} did not start: {error}",
+                settings.node.name
+            ))
+        })?;
+        let name = settings.node.name;
+        nodes.push(DemoNode { name, node });
+    }
+    Ok(nodes)
+}
+
+/// Settings of the replicas, then of the gateways, as read from the files that
+/// were written for them.
+fn node_settings(folder: &Path, back_ends: &Fleet) -> Result<Vec<Settings>, CliError> {
+    let zones = FleetSettings::archive().zones;
+    let addresses = free_addresses(2 * NODES_A_ROLE)?;
+    let roles = [Role::Replica, Role::Gateway];
+    let mut nodes = Vec::new();
+    for (number, internal_address) in addresses.into_iter().enumerate() {
+        let role = roles[number / NODES_A_ROLE];
+        let zone = zones[number % zones.len()].clone();
+        nodes.push(node(folder, number, role, zone, internal_address));
+    }
+    let peers: Vec<Peer> = nodes
+        .iter()
+        .map(|node| Settings::new(node.clone()).as_peer())
+        .collect();
+    nodes
+        .into_iter()
+        .map(|node| write_settings(folder, node, &peers, back_ends))
+        .collect()
+}
+
+fn node(
+    folder: &Path,
+    number: usize,
+    role: Role,
+    zone: ZoneName,
+    internal_address: SocketAddr,
+) -> NodeSettings {
+    let name = format!("{role}-{zone}");
+    NodeSettings {
+        id: NodeId(1 + number as u32),
+        data_folder: folder.join(&name),
+        name,
+        zone,
+        roles: vec![role],
+        http_address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        internal_address,
+    }
+}
+
+fn write_settings(
+    folder: &Path,
+    node: NodeSettings,
+    peers: &[Peer],
+    back_ends: &Fleet,
+) -> Result<Settings, CliError> {
+    let file = folder.join(format!("{}.toml", node.name));
+    let mut settings = Settings::new(node);
+    settings.cluster.job_groups = JOB_GROUPS;
+    settings.peers = peers.to_vec();
+    settings.platform.list_address = Some(back_ends.platform_address);
+    settings.platform.weight_store_address = Some(back_ends.weights_address);
+    settings.timing.drain.unready_wait = Duration::from_millis(300);
+    settings.timing.drain.finish_within = Duration::from_secs(10);
+    fs::write(&file, settings.to_toml())?;
+    Settings::load(&file).map_err(|findings| CliError::Failed(findings.to_string()))
+}
+
+/// Addresses of the loopback interface that nobody listens on.
+fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
+    // Every listener stays open until all are, so that no port comes twice.
+    let bound: io::Result<Vec<TcpListener>> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0"))
+        .collect();
+    bound?.iter().map(TcpListener::local_addr).collect()
+}
--- /dev/null
+++ b/crates/cli/src/demo/guide.rs
@@ -0,0 +1,53 @@
+//! What the tour says.
+
+use std::fmt::Display;
+use std::time::Instant;
+
+use crate::console::Console;
+
+/// Says what happens: as the output for people, as progress beside JSON.
+#[derive(Debug)]
+pub(super) struct Guide<'c> {
+    console: &'c mut Console,
+    started: Instant,
+    chapters: u32,
+}
+
+impl<'c> Guide<'c> {
+    pub(super) fn new(console: &'c mut Console) -> Self {
+        Self {
+            console,
+            started: Instant::now(),
+            chapters: 0,
+        }
+    }
+
+    /// Begins a chapter.
+    pub(super) fn chapter(&mut self, title: &str) {
+        self.chapters += 1;
+        let seconds = self.started.elapsed().as_secs_f64();
+        let chapter = self.chapters;
+        self.write(format!("\n{chapter}. {title}  ({seconds:.1} s)"));
+    }
+
+    /// Says one thing, on one line or more.
+    pub(super) fn say(&mut self, text: impl Display) {
+        for line in text.to_string().lines() {
+            self.write(format!("   {line}"));
+        }
+    }
+
+    fn write(&mut self, line: String) {
+        if self.console.is_json() {
+            self.console.progress(line);
+        } else {
+            // A reader who has gone away does not end the tour.
+            let _ = self.console.line(line);
+        }
+    }
+
+    /// The console, for commands that write to it themselves.
+    pub(super) fn console(&mut self) -> &mut Console {
+        self.console
+    }
+}
--- /dev/null
+++ b/crates/cli/src/demo/mod.rs
@@ -0,0 +1,55 @@
+//! A small fleet in one process, as a tour of the system.
+//!
+//! Replicas, gateways and emulated back ends run on the loopback interface and
+//! in a temporary folder, with synced disks, and everything the tour does goes
+//! through the same HTTP interfaces that callers and operators use.
+
+mod batch;
+mod fleet;
+mod guide;
+mod online;
+mod operator;
+mod report;
+mod stop;
+mod watching;
+
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future;
+
+use crate::console::Console;
+use crate::error::{CliError, ExitStatus};
+use fleet::DemoFleet;
+use guide::Guide;
+use report::DemoReport;
+
+/// Longest time of the whole tour.
+const TIME_LIMIT: Duration = Duration::from_secs(55);
+
+/// Runs the tour. The last line of the output is its report.
+pub(crate) async fn run(console: &mut Console) -> Result<ExitStatus, CliError> {
+    let tour = tour(console);
+    let limit = async {
+        Timer::after(TIME_LIMIT).await;
+        let seconds = TIME_LIMIT.as_secs();
+        Err(CliError::Failed(format!(
+            "the demo took longer than {seconds} s"
+        )))
+    };
+    future::or(tour, limit).await
+}
+
+async fn tour(console: &mut Console) -> Result<ExitStatus, CliError> {
+    let mut guide = Guide::new(console);
+    let mut report = DemoReport::default();
+    let mut fleet = DemoFleet::start(&mut guide)?;
+    operator::create_services(&fleet, &mut guide).await?;
+    online::serve(&fleet, &mut guide, &mut report).await?;
+    batch::run_job(&fleet, &mut guide, &mut report).await?;
+    watching::show_decisions(&fleet, &mut guide, &mut report).await?;
+    stop::stop_gateway_under_load(&mut fleet, &mut guide, &mut report).await?;
+    stop::stop_all(fleet, &mut guide, &mut report).await?;
+    report.show(console)?;
+    Ok(report.exit_status())
+}
--- /dev/null
+++ b/crates/cli/src/demo/online.rs
@@ -0,0 +1,240 @@
+//! Online requests: plain, streamed, chat and to the application.
+
+use std::time::{Duration, Instant};
+
+use async_executor::Task;
+use async_io::Timer;
+use molespan_emulator::engine::chat_prompt;
+use molespan_emulator::expected_answer;
+use molespan_engine_api::{
+    CHAT_COMPLETIONS_PATH, COMPLETIONS_PATH, ChatCompletionRequest, ChatMessage, CompletionChunk,
+    CompletionRequest, CompletionResponse,
+};
+use molespan_types::RunOutcome;
+
+use super::fleet::DemoFleet;
+use super::guide::Guide;
+use super::operator::{ALBUM_SERVICE, CAPTION_SERVICE};
+use super::report::DemoReport;
+use crate::client::{Call, Client};
+use crate::error::CliError;
+
+/// Requests of each form.
+const REQUESTS_A_FORM: u32 = 10;
+/// Tokens of each answer.
+const TOKENS: u32 = 32;
+/// For how long a request that was refused as not run is sent again.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Wait before another try when the refusal names none.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// Form of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Form {
+    /// A completion in one piece.
+    Plain,
+    /// A completion as server-sent events.
+    Streamed,
+    /// A chat completion in one piece.
+    Chat,
+}
+
+/// What became of one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Outcome {
+    form: Form,
+    /// Refusals before the answer.
+    refusals: u32,
+    /// Whether the answer is whole and the request's own.
+    right: bool,
+}
+
+impl Outcome {
+    /// Whether the answer is whole and the request's own.
+    pub(super) fn is_right(&self) -> bool {
+        self.right
+    }
+}
+
+/// Sends requests of every form to every gateway.
+pub(super) async fn serve(
+    fleet: &DemoFleet,
+    guide: &mut Guide<'_>,
+    report: &mut DemoReport,
+) -> Result<(), CliError> {
+    guide.chapter("Callers send online requests");
+    let started = Instant::now();
+    let mut tasks = Vec::new();
+    for form in [Form::Plain, Form::Streamed, Form::Chat] {
+        tasks.extend(send_all(fleet, form, REQUESTS_A_FORM, "photograph"));
+    }
+    count(tasks, report).await?;
+    guide.say(format!(
+        "{} of {} completed through {} gateways in {} ms, {} of them streamed; each answer was \
+         compared with the one it must be",
+        report.online_completed,
+        report.online_requests,
+        fleet.gateways.len(),
+        started.elapsed().as_millis(),
+        report.online_streamed
+    ));
+    ask_application(fleet, report).await?;
+    guide.say(format!(
+        "{} requests went through to the application service {ALBUM_SERVICE}",
+        report.application_completed
+    ));
+    Ok(())
+}
+
+/// Sends `number` requests at once, spread over the gateways.
+pub(super) fn send_all(
+    fleet: &DemoFleet,
+    form: Form,
+    number: u32,
+    subject: &str,
+) -> Vec<Task<Result<Outcome, CliError>>> {
+    let send = |position: u32| {
+        let client = fleet.client_of(position as usize);
+        let prompt = format!("{form:?} request about {subject} {position} of the family archive");
+        fleet.executor.spawn(ask(client, form, prompt, TOKENS))
+    };
+    (0..number).map(send).collect()
+}
+
+/// Waits for the outcomes and counts them. Gives how many were right.
+pub(super) async fn count(
+    tasks: Vec<Task<Result<Outcome, CliError>>>,
+    report: &mut DemoReport,
+) -> Result<u32, CliError> {
+    let mut right = 0;
+    for task in tasks {
+        report.online_requests += 1;
+        let outcome = task.await?;
+        report.online_refusals += outcome.refusals;
+        if !outcome.right {
+            report.online_wrong += 1;
+            continue;
+        }
+        right += 1;
+        report.online_completed += 1;
+        if outcome.form == Form::Streamed {
+            report.online_streamed += 1;
+        }
+    }
+    Ok(right)
+}
+
+/// Asks once, and again as long as the request is refused as not run.
+pub(super) async fn ask(
+    client: Client,
+    form: Form,
+    prompt: String,
+    tokens: u32,
+) -> Result<Outcome, CliError> {
+    let started = Instant::now();
+    let mut refusals = 0;
+    loop {
+        match ask_once(&client, form, &prompt, tokens).await {
+            Ok(right) => {
+                return Ok(Outcome {
+                    form,
+                    refusals,
+                    right,
+                });
+            }
+            Err(CliError::Refused(detail))
+                if detail.outcome == RunOutcome::NotRun && started.elapsed() < PATIENCE =>
+            {
+                refusals += 1;
+                let wait = detail.retry_after_ms.map(Duration::from_millis);
+                Timer::after(wait.unwrap_or(RETRY_AFTER)).await;
+            }
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// Sends one request and compares the answer with the one it must be.
+async fn ask_once(
+    client: &Client,
+    form: Form,
+    prompt: &str,
+    tokens: u32,
+) -> Result<bool, CliError> {
+    match form {
+        Form::Plain => ask_plain(client, prompt, tokens).await,
+        Form::Streamed => ask_streamed(client, prompt, tokens).await,
+        Form::Chat => ask_chat(client, prompt, tokens).await,
+    }
+}
+
+fn completion(prompt: &str, tokens: u32, stream: bool) -> Result<Call, CliError> {
+    let request = CompletionRequest {
+        model: CAPTION_SERVICE.to_owned(),
+        prompt: prompt.to_owned(),
+        max_tokens: tokens,
+        stream,
+        adapter: None,
+    };
+    let body = serde_json::to_vec(&request).map_err(std::io::Error::from)?;
+    Ok(Call::post(COMPLETIONS_PATH, body))
+}
+
+async fn ask_plain(client: &Client, prompt: &str, tokens: u32) -> Result<bool, CliError> {
+    let call = completion(prompt, tokens, false)?;
+    let response: CompletionResponse = client.json(&call).await?;
+    let text = response
+        .choices
+        .first()
+        .and_then(|choice| choice.text.as_deref());
+    Ok(text == Some(expected_answer(prompt, tokens).as_str()))
+}
+
+async fn ask_streamed(client: &Client, prompt: &str, tokens: u32) -> Result<bool, CliError> {
+    let call = completion(prompt, tokens, true)?;
+    let mut events = client.send(&call).await?.events();
+    let broken = |what: String| CliError::Unexpected {
+        gateway: "the gateway".to_owned(),
+        what,
+    };
+    let mut text = String::new();
+    while let Some(event) = events
+        .next()
+        .await
+        .map_err(|error| broken(error.to_string()))?
+    {
+        let chunk: CompletionChunk = serde_json::from_str(&event.data)
+            .map_err(|error| broken(format!("{error} in {}", event.data)))?;
+        text.push_str(&chunk.text);
+    }
+    Ok(text == expected_answer(prompt, tokens))
+}
+
+async fn ask_chat(client: &Client, prompt: &str, tokens: u32) -> Result<bool, CliError> {
+    let request = ChatCompletionRequest {
+        model: CAPTION_SERVICE.to_owned(),
+        messages: vec![ChatMessage {
+            role: "user".to_owned(),
+            content: prompt.to_owned(),
+        }],
+        max_tokens: tokens,
+        stream: false,
+    };
+    let body = serde_json::to_vec(&request).map_err(std::io::Error::from)?;
+    let call = Call::post(CHAT_COMPLETIONS_PATH, body);
+    let response: CompletionResponse = client.json(&call).await?;
+    let choice = response.choices.first();
+    let message = choice.and_then(|choice| choice.message.as_ref());
+    let expected = expected_answer(&chat_prompt(&request.messages), tokens);
+    Ok(message.is_some_and(|message| message.content == expected))
+}
+
+/// Reads from the application service through every gateway.
+async fn ask_application(fleet: &DemoFleet, report: &mut DemoReport) -> Result<(), CliError> {
+    for number in 0..fleet.gateways.len() {
+        let path = format!("/services/{ALBUM_SERVICE}/albums/{number}");
+        fleet.client_of(number).text(&Call::get(path)).await?;
+        report.application_completed += 1;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/demo/operator.rs
@@ -0,0 +1,159 @@
+//! An operator creates the services: intent, plan, confirmation.
+
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use http_types::StatusCode;
+use molespan_state::control::{Configuration, ConfirmIntent, ConfirmReply};
+use molespan_types::ConfigVersion;
+use serde::Deserialize;
+
+use super::fleet::DemoFleet;
+use super::guide::Guide;
+use crate::client::{Call, Client};
+use crate::commands::{apply, plan};
+use crate::error::CliError;
+use crate::intent::{Edit, Intent, apply_edits};
+
+/// Service that the engines serve.
+pub(super) const CAPTION_SERVICE: &str = "caption";
+/// Service that the application back ends serve.
+pub(super) const ALBUM_SERVICE: &str = "albums";
+/// Longest time until every gateway is ready or has a version in force.
+const SETTLE_LIMIT: Duration = Duration::from_secs(30);
+/// Time between two looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// What the operator types.
+const EDITS: [&str; 5] = [
+    "model.caption.version=1",
+    "service.caption.model=caption",
+    "service.caption.replicas=8",
+    "service.albums.kind=application",
+    "tenant.hall-1.batch_weight=2",
+];
+
+/// Answer of `GET /ready`.
+#[derive(Clone, Debug, Deserialize)]
+struct Ready {
+    ready: bool,
+    reason: String,
+    version: ConfigVersion,
+}
+
+/// Creates the services and waits until they are in force everywhere.
+pub(super) async fn create_services(
+    fleet: &DemoFleet,
+    guide: &mut Guide<'_>,
+) -> Result<(), CliError> {
+    wait_until_in_force(fleet, ConfigVersion(0)).await?;
+    guide.say("every gateway has confirmed the configuration and is ready");
+    guide.chapter("An operator states an intent, reads the plan and confirms it");
+    let client = fleet.client();
+    let before: Configuration = client.json(&Call::get("/admin/configuration")).await?;
+    let intent = intent(&before, "ana")?;
+    let plan = plan::request_plan(&client, &intent).await?;
+    guide.say(plan::plan_text(&plan));
+    if !plan.problems.is_empty() {
+        return Err(CliError::Failed("the plan has problems".to_owned()));
+    }
+    check_unchanged(&client, &before).await?;
+    guide.say("so far nothing has changed");
+    let version = confirm_twice(fleet, guide, &intent).await?;
+    show_rival(fleet, guide, &before, &intent).await?;
+    let confirmed = Instant::now();
+    wait_until_in_force(fleet, version).await?;
+    guide.say(format!(
+        "version {version} is in force at every gateway, seen {} ms after the confirmation",
+        confirmed.elapsed().as_millis()
+    ));
+    Ok(())
+}
+
+fn intent(configuration: &Configuration, operator: &str) -> Result<ConfirmIntent, CliError> {
+    let edits = EDITS.map(|edit| Edit::Set(edit.to_owned()));
+    let intent = Intent {
+        operator: Some(operator.to_owned()),
+        changes: apply_edits(configuration, &edits)?,
+        ..Intent::default()
+    };
+    Ok(plan::complete(configuration, intent))
+}
+
+async fn check_unchanged(client: &Client, before: &Configuration) -> Result<(), CliError> {
+    let now: Configuration = client.json(&Call::get("/admin/configuration")).await?;
+    if now == *before {
+        return Ok(());
+    }
+    Err(CliError::Failed(
+        "a plan changed the configuration".to_owned(),
+    ))
+}
+
+/// Confirms, and confirms again through another gateway as if the answer had
+/// been lost.
+async fn confirm_twice(
+    fleet: &DemoFleet,
+    guide: &mut Guide<'_>,
+    intent: &ConfirmIntent,
+) -> Result<ConfigVersion, CliError> {
+    let first = apply::confirm(&fleet.client_of(0), intent).await?;
+    guide.say(apply::reply_text(intent.number, &first));
+    let again = apply::confirm(&fleet.client_of(1), intent).await?;
+    guide.say("confirmed again at another gateway, as after a lost answer: the same reply");
+    match (first, again) {
+        (ConfirmReply::Confirmed { version }, ConfirmReply::Confirmed { version: second })
+            if version == second =>
+        {
+            Ok(version)
+        }
+        (first, again) => Err(CliError::Failed(format!(
+            "a confirmation gave {first:?}, and sent again {again:?}"
+        ))),
+    }
+}
+
+/// Another operator uses the same number for something else.
+async fn show_rival(
+    fleet: &DemoFleet,
+    guide: &mut Guide<'_>,
+    before: &Configuration,
+    winner: &ConfirmIntent,
+) -> Result<(), CliError> {
+    let edits = [Edit::Set("policy.tail_protection=90".to_owned())];
+    let rival = ConfirmIntent {
+        operator: "berhane".to_owned(),
+        changes: apply_edits(before, &edits)?,
+        ..winner.clone()
+    };
+    let reply = apply::confirm(&fleet.client_of(2), &rival).await?;
+    if !matches!(reply, ConfirmReply::NumberTaken { .. }) {
+        return Err(CliError::Failed(format!("a rival's intent gave {reply:?}")));
+    }
+    guide.say("a rival with the same number:");
+    guide.say(apply::reply_text(rival.number, &reply));
+    Ok(())
+}
+
+/// Waits until every gateway is ready with at least `version`.
+async fn wait_until_in_force(fleet: &DemoFleet, version: ConfigVersion) -> Result<(), CliError> {
+    let started = Instant::now();
+    let call = Call::get("/ready").answered_with(&[StatusCode::ServiceUnavailable]);
+    for gateway in fleet.gateway_addresses() {
+        let client = Client::new(vec![gateway]);
+        loop {
+            let ready: Ready = client.json(&call).await?;
+            if ready.ready && ready.version >= version {
+                break;
+            }
+            if started.elapsed() > SETTLE_LIMIT {
+                let message = format!(
+                    "gateway {gateway} is at version {} and not ready for {version}: {}",
+                    ready.version, ready.reason
+                );
+                return Err(CliError::Failed(message));
+            }
+            Timer::after(LOOK_INTERVAL).await;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/demo/stop.rs
@@ -0,0 +1,101 @@
+//! Planned stops: one gateway under load, then everything.
+
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+
+use super::fleet::{DemoFleet, DemoNode};
+use super::guide::Guide;
+use super::online::{Form, ask};
+use super::report::DemoReport;
+use crate::client::Client;
+use crate::error::CliError;
+
+/// Streams in flight when the gateway is told to stop.
+const STREAMS: u32 = 8;
+/// Tokens of each of them: about a second.
+const TOKENS: u32 = 200;
+/// Time for the streams to begin.
+const HEAD_START: Duration = Duration::from_millis(200);
+
+/// Stops one gateway as planned while streams run through it.
+pub(super) async fn stop_gateway_under_load(
+    fleet: &mut DemoFleet,
+    guide: &mut Guide<'_>,
+    report: &mut DemoReport,
+) -> Result<(), CliError> {
+    let Some(gateway) = fleet.gateways.pop() else {
+        return Ok(());
+    };
+    guide.chapter("A gateway stops as planned");
+    let client = Client::new(vec![gateway.node.http_address()]);
+    let mut streams = Vec::new();
+    for number in 0..STREAMS {
+        let prompt = format!("A long walk through album {number}");
+        let stream = ask(client.clone(), Form::Streamed, prompt, TOKENS);
+        streams.push(fleet.executor.spawn(stream));
+    }
+    Timer::after(HEAD_START).await;
+    let name = gateway.name.clone();
+    guide.say(format!(
+        "{name} is told to stop with {STREAMS} streams in flight"
+    ));
+    let started = Instant::now();
+    stop_node(fleet, gateway).await;
+    guide.say(format!(
+        "{name} stopped after {} ms",
+        started.elapsed().as_millis()
+    ));
+    for stream in streams {
+        report.online_requests += 1;
+        match stream.await {
+            Ok(outcome) if outcome.is_right() => {
+                report.online_completed += 1;
+                report.online_streamed += 1;
+            }
+            _ => report.cut_off_by_stop += 1,
+        }
+    }
+    guide.say(format!(
+        "{} of {STREAMS} streams were cut off",
+        report.cut_off_by_stop
+    ));
+    Ok(())
+}
+
+/// Stops the other gateways, then the replicas, then the back ends.
+pub(super) async fn stop_all(
+    mut fleet: DemoFleet,
+    guide: &mut Guide<'_>,
+    report: &mut DemoReport,
+) -> Result<(), CliError> {
+    guide.chapter("Everything stops");
+    let gateways = std::mem::take(&mut fleet.gateways);
+    stop_together(&fleet, gateways).await;
+    let replicas = std::mem::take(&mut fleet.replicas);
+    for replica in replicas {
+        stop_node(&fleet, replica).await;
+    }
+    fleet.back_ends.stop();
+    report.elapsed_ms = fleet.started.elapsed().as_millis() as u64;
+    guide.say("all nodes have stopped and their files are removed");
+    Ok(())
+}
+
+async fn stop_together(fleet: &DemoFleet, nodes: Vec<DemoNode>) {
+    let stopping: Vec<_> = nodes
+        .into_iter()
+        .map(|node| {
+            fleet
+                .executor
+                .spawn(async move { drop(node.node.stop().await) })
+        })
+        .collect();
+    for stopped in stopping {
+        stopped.await;
+    }
+}
+
+async fn stop_node(fleet: &DemoFleet, node: DemoNode) {
+    stop_together(fleet, vec![node]).await;
+}
--- /dev/null
+++ b/crates/cli/src/demo/watching.rs
@@ -0,0 +1,68 @@
+//! What was decided so far, as `molespan watch` would have shown it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future;
+use molespan_telemetry::{Event, EventKind, Watched};
+
+use super::fleet::DemoFleet;
+use super::guide::Guide;
+use super::report::DemoReport;
+use crate::client::{Call, Client};
+use crate::commands::watch::{EVENTS_PATH, event_text, read_event};
+use crate::error::CliError;
+
+/// Earlier events that are asked for.
+const HISTORY: u32 = 100_000;
+/// Silence after which the history counts as read.
+const SILENCE: Duration = Duration::from_millis(300);
+/// Longest time of reading; decisions go on being made.
+const LIMIT: Duration = Duration::from_secs(3);
+
+/// Counts the decisions of every gateway by kind, with an example of each.
+pub(super) async fn show_decisions(
+    fleet: &DemoFleet,
+    guide: &mut Guide<'_>,
+    report: &mut DemoReport,
+) -> Result<(), CliError> {
+    guide.chapter("Every decision could be watched");
+    let mut by_kind: BTreeMap<EventKind, Vec<Event>> = BTreeMap::new();
+    for gateway in fleet.gateway_addresses() {
+        for event in read_history(&fleet.client(), gateway).await? {
+            report.decisions_watched += 1;
+            by_kind.entry(event.kind).or_default().push(event);
+        }
+    }
+    for (kind, events) in &by_kind {
+        guide.say(format!("{:>5} of kind {kind}, such as", events.len()));
+        if let Some(event) = events.last() {
+            guide.say(format!("      {}", event_text(event)));
+        }
+    }
+    guide.say("molespan watch --kind route follows them as they are made");
+    Ok(())
+}
+
+/// The events that a gateway still has.
+async fn read_history(client: &Client, gateway: SocketAddr) -> Result<Vec<Event>, CliError> {
+    let call = Call::get(EVENTS_PATH).query("history", HISTORY);
+    let mut stream = client.send_to(gateway, &call).await?.events();
+    let mut events = Vec::new();
+    let mut limit = Timer::after(LIMIT);
+    loop {
+        let next = async { stream.next_raw().await.ok().flatten() };
+        let silence = async {
+            future::or(async { Timer::after(SILENCE).await }, &mut limit).await;
+            None
+        };
+        let Some(event) = future::or(next, silence).await else {
+            return Ok(events);
+        };
+        if let Ok(Watched::Event(event)) = read_event(&event) {
+            events.push(event);
+        }
+    }
+}
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -21,7 +21,7 @@
     Findings = 3,
     /// No gateway answered and nothing was sent.
     Unreachable = 4,
-    /// The answer was lost; sending the same command again is safe and tells.
+    /// The answer was lost or makes no sense; sending the same command again is safe and tells.
     Unknown = 5,
     /// The job ended with items that did not complete.
     Incomplete = 6,
@@ -88,7 +88,9 @@
             Self::Findings(_) => ExitStatus::Findings,
             Self::Refused(detail) if detail.outcome == RunOutcome::Unknown => ExitStatus::Unknown,
             Self::Unanswered(SendError::NotSent(_)) => ExitStatus::Unreachable,
-            Self::Unanswered(SendError::Ambiguous(_)) => ExitStatus::Unknown,
+            Self::Unanswered(SendError::Ambiguous(_)) | Self::Unexpected { .. } => {
+                ExitStatus::Unknown
+            }
             _ => ExitStatus::Refused,
         }
     }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -8,6 +8,7 @@
 mod client;
 mod commands;
 mod console;
+mod demo;
 mod error;
 mod flags;
 mod gateways;
--- a/crates/cli/tests/binary.rs
+++ b/crates/cli/tests/binary.rs
@@ -1,26 +1,13 @@
 //! The binary: exit codes, and where it writes what.
 
-use std::path::Path;
-use std::process::{Command, Output};
+mod support;
 
 use expect_test::expect;
+use support::{molespan, text};
 use tempfile::TempDir;
 
 const EXAMPLE: &str = include_str!("../../../docs/examples/molespand.toml");
 
-fn molespan(folder: &Path, arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_molespan"))
-        .args(arguments)
-        .current_dir(folder)
-        .env_remove("MOLESPAN_GATEWAY")
-        .output()
-        .expect("the binary runs")
-}
-
-fn text(bytes: &[u8]) -> String {
-    String::from_utf8_lossy(bytes).into_owned()
-}
-
 #[test]
 fn five_faults_give_five_findings_and_exit_code_3() {
     let folder = TempDir::new().expect("a folder");
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -21,12 +21,16 @@
 fn plans_take_a_file_or_edits() {
     check(
         "plan intent.json --number 7 --operator ana",
-        &expect![[r#"Molespan { gateway: None, json: false, subcommand: Plan(Plan { file: Some("intent.json"), set: [], delete: [], number: Some(7), operator: Some("ana"), save: None }) }"#]],
+        &expect![[
+            r#"Molespan { gateway: None, json: false, subcommand: Plan(Plan { file: Some("intent.json"), set: [], delete: [], number: Some(7), operator: Some("ana"), save: None }) }"#
+        ]],
     );
     check(
         "--json plan --set policy.tail_protection=80 --set model.caption.version=2 \
          --delete service.old",
-        &expect![[r#"Molespan { gateway: None, json: true, subcommand: Plan(Plan { file: None, set: ["policy.tail_protection=80", "model.caption.version=2"], delete: ["service.old"], number: None, operator: None, save: None }) }"#]],
+        &expect![[
+            r#"Molespan { gateway: None, json: true, subcommand: Plan(Plan { file: None, set: ["policy.tail_protection=80", "model.caption.version=2"], delete: ["service.old"], number: None, operator: None, save: None }) }"#
+        ]],
     );
 }
 
--- /dev/null
+++ b/crates/cli/tests/support/mod.rs
@@ -0,0 +1,87 @@
+//! A gateway with prepared answers, and runs of the binary against it.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Command, Output};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+
+use async_channel::Sender;
+use async_executor::Executor;
+use async_io::block_on;
+use molespan_http::{Request, Response, Server, ServerLimits};
+
+/// A server that answers as a test says and notes what it was asked.
+pub struct PreparedGateway {
+    /// Where it listens.
+    pub address: SocketAddr,
+    asked: Arc<Mutex<Vec<String>>>,
+    _stop: Sender<()>,
+}
+
+impl PreparedGateway {
+    /// Serves until it is dropped. `answer` gets the request and its body.
+    pub fn start(answer: impl Fn(&Request, &str) -> Response + Send + Sync + 'static) -> Self {
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::bind(address, ServerLimits::default()).expect("an address");
+        let address = server.local_address();
+        let asked: Arc<Mutex<Vec<String>>> = Arc::default();
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let noted = asked.clone();
+        let answer = Arc::new(answer);
+        let handler = move |mut request: Request| {
+            let (noted, answer) = (noted.clone(), answer.clone());
+            async move {
+                let body = request.body_string().await.unwrap_or_default();
+                let mut line = format!("{} {}", request.method(), request.url().path());
+                if let Some(query) = request.url().query() {
+                    line.push_str(&format!("?{query}"));
+                }
+                noted
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .push(line);
+                answer(&request, &body)
+            }
+        };
+        thread::spawn(move || {
+            let executor = Arc::new(Executor::new());
+            executor
+                .spawn(server.serve(executor.clone(), handler))
+                .detach();
+            let _ = block_on(executor.run(stopped.recv()));
+        });
+        Self {
+            address,
+            asked,
+            _stop: stop,
+        }
+    }
+
+    /// Method, path and query of each request so far.
+    pub fn asked(&self) -> Vec<String> {
+        self.asked
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
+
+/// Runs the binary in `folder`.
+pub fn molespan(folder: &Path, arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_molespan"))
+        .args(arguments)
+        .current_dir(folder)
+        .env_remove("MOLESPAN_GATEWAY")
+        .env_remove("MOLESPAN_TENANT")
+        .env("USER", "ana")
+        .output()
+        .expect("the binary runs")
+}
+
+/// Output as text.
+pub fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
--- a/crates/cli/tests/tables.rs
+++ b/crates/cli/tests/tables.rs
@@ -57,16 +57,24 @@
         "draining": false,
         "version_in_force": 12,
     }]);
-    check("nodes", &listing, &expect![[r#"
+    check(
+        "nodes",
+        &listing,
+        &expect![[r#"
         NODE  NAME      ZONE    ROLES             DRAINING  VERSION_IN_FORCE  HTTP_ADDRESS    INTERNAL_ADDRESS  INCARNATION
-        1     hall-1-a  hall-1  gateway, replica  no        12                127.0.0.1:7780  127.0.0.1:7790    3"#]]);
+        1     hall-1-a  hall-1  gateway, replica  no        12                127.0.0.1:7780  127.0.0.1:7790    3"#]],
+    );
     let listing = json!([{
         "backend": 4, "token": 9, "incarnation": 1,
         "action": {"action": "load_model", "model": "caption", "version": 2},
     }]);
-    check("orders", &listing, &expect![[r#"
+    check(
+        "orders",
+        &listing,
+        &expect![[r#"
         BACKEND  TOKEN  INCARNATION  ACTION      MODEL    VERSION
-        4        9      1            load_model  caption  2"#]]);
+        4        9      1            load_model  caption  2"#]],
+    );
 }
 
 #[test]
@@ -86,7 +94,9 @@
     check(
         "nodes",
         &json!([]),
-        &expect!["NODE  NAME  ZONE  ROLES  DRAINING  VERSION_IN_FORCE  HTTP_ADDRESS  INTERNAL_ADDRESS"],
+        &expect![
+            "NODE  NAME  ZONE  ROLES  DRAINING  VERSION_IN_FORCE  HTTP_ADDRESS  INTERNAL_ADDRESS"
+        ],
     );
     check("models", &json!({}), &expect!["NAME  VERSION"]);
 }
