--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,7 +1,9 @@
 //! The molespan daemon: the gateway and replica roles of a node.
 
+pub mod cluster;
 mod error;
 mod folder_lock;
+pub mod gateway;
 pub mod incarnation;
 pub mod node;
 mod peer_handler;
