--- /dev/null
+++ b/crates/sim/src/address.rs
@@ -0,0 +1,60 @@
+//! Who takes part in a simulation.
+
+use derive_more::Display;
+use molespan_types::{BackendId, NodeId};
+
+/// Added to a gateway's number to get its node, so that nodes differ from
+/// those of replicas.
+const FIRST_GATEWAY_NODE: u32 = 100;
+
+/// A participant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+pub enum Address {
+    /// A replica process.
+    #[display("replica {_0}")]
+    Replica(u32),
+    /// A gateway process.
+    #[display("gateway {_0}")]
+    Gateway(u32),
+    /// A model engine.
+    #[display("engine {_0}")]
+    Engine(u32),
+    /// The platform with its machine list.
+    #[display("platform")]
+    Platform,
+    /// A caller with one piece of work.
+    #[display("client {_0}")]
+    Client(u32),
+    /// An operator with one intent or order.
+    #[display("operator {_0}")]
+    Operator(u32),
+}
+
+impl Address {
+    /// The address of a node.
+    #[must_use]
+    pub fn of_node(node: NodeId) -> Self {
+        match node.0.checked_sub(FIRST_GATEWAY_NODE) {
+            Some(gateway) => Self::Gateway(gateway),
+            None => Self::Replica(node.0),
+        }
+    }
+
+    /// The address of a back end.
+    #[must_use]
+    pub fn of_backend(backend: BackendId) -> Self {
+        Self::Engine(backend.0)
+    }
+}
+
+/// The node of a replica.
+#[must_use]
+pub fn replica_node(replica: u32) -> NodeId {
+    NodeId(replica)
+}
+
+/// The node of a gateway.
+#[must_use]
+pub fn gateway_node(gateway: u32) -> NodeId {
+    NodeId(FIRST_GATEWAY_NODE + gateway)
+}
--- /dev/null
+++ b/crates/sim/src/apply.rs
@@ -0,0 +1,233 @@
+//! Making faults of the schedule begin and end in the world.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use molespan_engine_api::MachineState;
+use molespan_types::{BackendId, NodeId};
+
+use crate::address::Address;
+use crate::event::Event;
+use crate::fault::{Fault, FaultKind};
+use crate::history::LeavingRecord;
+use crate::world::World;
+
+/// Time after which a disk fault that has to wait is tried again.
+const TRY_AGAIN_AFTER: Duration = Duration::from_millis(100);
+
+impl World {
+    pub(crate) fn begin_fault(&mut self, position: usize) {
+        let Some(fault) = self.scenario.faults[position].clone() else {
+            return;
+        };
+        if self.must_wait(&fault) {
+            let again = self.context.now + TRY_AGAIN_AFTER;
+            if again < self.scenario.faults_end() {
+                let event = Event::FaultBegins(position);
+                self.context.queue.push(again, event);
+            }
+            return;
+        }
+        let now = self.context.now;
+        self.context.history.note(now, format!("{}", fault.kind));
+        let ends = (now + fault.duration()).min(self.scenario.faults_end());
+        let ends = ends.max(now);
+        self.context.queue.push(ends, Event::FaultEnds(position));
+        self.apply(position, &fault);
+    }
+
+    /// Whether a fault that takes a disk away has to wait: before it, every
+    /// replica must vote with its present disk, since what a majority of disks
+    /// lost cannot be kept.
+    fn must_wait(&self, fault: &Fault) -> bool {
+        matches!(fault.kind, FaultKind::LoseDisk(_)) && !self.replicas_are_whole()
+    }
+
+    /// Whether every replica runs and votes with its present life.
+    pub(crate) fn replicas_are_whole(&self) -> bool {
+        let statuses: Vec<_> = self.replicas.values().map(|one| one.status()).collect();
+        let running: Vec<_> = statuses.iter().flatten().collect();
+        if running.len() < statuses.len() {
+            return false;
+        }
+        let lives: BTreeSet<(NodeId, u32)> = running
+            .iter()
+            .map(|status| (status.node, status.incarnation))
+            .collect();
+        running.iter().all(|status| {
+            let whole = status.groups.iter().all(|group| {
+                let voters: BTreeSet<(NodeId, u32)> = group.voters.iter().copied().collect();
+                voters == lives
+            });
+            status.takes_part && whole
+        })
+    }
+
+    fn apply(&mut self, position: usize, fault: &Fault) {
+        let context = &mut self.context;
+        match &fault.kind {
+            FaultKind::Disturb(disturbance) => context.network.disturb(position, *disturbance),
+            FaultKind::Cut(cuts) => context.network.cut(position, cuts.clone()),
+            FaultKind::Kill(addresses) => {
+                for address in addresses.clone() {
+                    self.kill(address);
+                }
+            }
+            FaultKind::Freeze(address) => {
+                self.frozen.entry(*address).or_default().0 += 1;
+            }
+            FaultKind::LoseDisk(replica) => {
+                self.kill(Address::Replica(*replica));
+                if let Some(replica) = self.replicas.get_mut(replica) {
+                    replica.disk.lose();
+                }
+            }
+            FaultKind::RollBackDisk(replica) => {
+                if let Some(replica) = self.replicas.get(replica) {
+                    self.backups.insert(position, replica.disk.backup());
+                }
+            }
+            FaultKind::FillDisk(replica) => {
+                if let Some(replica) = self.replicas.get_mut(replica) {
+                    replica.disk.set_full(true);
+                    replica.disk_full = true;
+                }
+            }
+            FaultKind::FailSync(replica) => {
+                if let Some(replica) = self.replicas.get_mut(replica) {
+                    replica.disk.fail_syncs(1);
+                    replica.may_stop = true;
+                }
+            }
+            FaultKind::Answers {
+                engine,
+                fault,
+                percent,
+            } => {
+                if let Some(engine) = self.engines.get_mut(engine) {
+                    engine.spoil(context, position, *fault, *percent);
+                }
+            }
+            FaultKind::Leave(engine) => self.leave(*engine),
+            FaultKind::OldLists => self.platform.go_back(position),
+            FaultKind::PlannedStop(gateway) => {
+                let address = Address::Gateway(*gateway);
+                *self.down.entry(address).or_default() += 1;
+                if let Some(gateway) = self.gateways.get_mut(gateway) {
+                    gateway.stop(context);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn end_fault(&mut self, position: usize) {
+        let Some(fault) = self.scenario.faults[position].clone() else {
+            return;
+        };
+        let now = self.context.now;
+        self.context
+            .history
+            .note(now, format!("end of: {}", fault.kind));
+        match &fault.kind {
+            FaultKind::Disturb(_) | FaultKind::Cut(_) => self.context.network.heal(position),
+            FaultKind::Kill(addresses) => {
+                for address in addresses.clone() {
+                    self.bring_up(address);
+                }
+            }
+            FaultKind::Freeze(address) => self.thaw(*address),
+            FaultKind::LoseDisk(replica) => self.bring_up(Address::Replica(*replica)),
+            FaultKind::RollBackDisk(replica) => self.roll_back(position, *replica),
+            FaultKind::FillDisk(replica) => {
+                if let Some(replica) = self.replicas.get_mut(replica) {
+                    replica.disk.set_full(false);
+                    replica.disk_full = false;
+                }
+            }
+            FaultKind::FailSync(replica) => {
+                if let Some(replica) = self.replicas.get_mut(replica) {
+                    replica.disk.fail_syncs(0);
+                    replica.may_stop = false;
+                }
+            }
+            FaultKind::Answers { engine, .. } => {
+                if let Some(engine) = self.engines.get_mut(engine) {
+                    engine.spare(&mut self.context, position);
+                }
+            }
+            FaultKind::Leave(engine) => {
+                let address = Address::Engine(*engine);
+                self.kill(address);
+                self.bring_up(address);
+            }
+            FaultKind::OldLists => self.platform.go_on(position),
+            FaultKind::PlannedStop(gateway) => self.bring_up(Address::Gateway(*gateway)),
+        }
+    }
+
+    /// Kills a process and keeps it down.
+    fn kill(&mut self, address: Address) {
+        *self.down.entry(address).or_default() += 1;
+        self.discard_held(address);
+        let context = &mut self.context;
+        match address {
+            Address::Replica(number) => {
+                if let Some(replica) = self.replicas.get_mut(&number) {
+                    replica.kill(context);
+                }
+            }
+            Address::Gateway(number) => {
+                if let Some(gateway) = self.gateways.get_mut(&number) {
+                    gateway.kill(context);
+                }
+            }
+            Address::Engine(number) => {
+                if let Some(engine) = self.engines.get_mut(&number) {
+                    engine.kill(context);
+                }
+            }
+            Address::Platform | Address::Client(_) | Address::Operator(_) => {}
+        }
+    }
+
+    /// Ends what kept a process down, and starts it unless something else does.
+    fn bring_up(&mut self, address: Address) {
+        let holders = self.down.entry(address).or_default();
+        *holders = holders.saturating_sub(1);
+        self.start_process(address);
+    }
+
+    fn roll_back(&mut self, position: usize, number: u32) {
+        let Some(backup) = self.backups.remove(&position) else {
+            return;
+        };
+        // A rolled back disk is a lost one, and bound by the same rule.
+        if !self.replicas_are_whole() {
+            return;
+        }
+        let address = Address::Replica(number);
+        self.kill(address);
+        if let Some(replica) = self.replicas.get_mut(&number) {
+            replica.disk.roll_back(&backup);
+        }
+        self.bring_up(address);
+    }
+
+    fn leave(&mut self, number: u32) {
+        let now = self.context.now;
+        let Some(engine) = self.engines.get_mut(&number) else {
+            return;
+        };
+        if !engine.is_alive() {
+            return;
+        }
+        engine.leave();
+        let life = engine.incarnation();
+        self.context.history.leaving.push(LeavingRecord {
+            at: now,
+            backend: BackendId(number),
+            incarnation: life,
+        });
+        self.platform.set(now, number, life, MachineState::Leaving);
+    }
+}
--- /dev/null
+++ b/crates/sim/src/checkers/mod.rs
@@ -0,0 +1,141 @@
+//! Checkers: what must hold in every run, judged from outside the cores.
+
+mod cancel;
+mod configuration;
+mod exactly_once;
+mod fencing;
+mod leaving;
+mod liveness;
+mod once;
+mod online_latency;
+mod stops;
+mod truth;
+
+use crate::history::Violation;
+use crate::replica_node::{REPLICA_STOPPED, SINGLE_LEADER};
+use crate::world::World;
+
+/// A checker.
+pub struct Checker {
+    /// Name.
+    pub name: &'static str,
+    /// What must hold, in one sentence.
+    pub promise: &'static str,
+    /// Looks at a finished run; `None` when it watches while the run goes on.
+    pub check: Option<fn(&World, &mut Findings)>,
+}
+
+/// Where a checker puts what it finds.
+#[derive(Debug, Default)]
+pub struct Findings {
+    name: &'static str,
+    found: Vec<Violation>,
+}
+
+impl Findings {
+    /// Adds a violation that was seen at `at`.
+    pub fn add(&mut self, at: molespan_types::Timestamp, message: String) {
+        let checker = self.name;
+        self.found.push(Violation {
+            at,
+            checker,
+            message,
+        });
+    }
+}
+
+/// Every checker.
+pub const CHECKERS: &[Checker] = &[
+    Checker {
+        name: "exactly-once",
+        promise: "every accepted item has one whole result that stays readable",
+        check: Some(exactly_once::check),
+    },
+    Checker {
+        name: "cancel-stops",
+        promise: "no item is sent out once its job is reported cancelled, nor long after the \
+                  cancellation is acknowledged",
+        check: Some(cancel::check),
+    },
+    Checker {
+        name: "at-most-once",
+        promise: "a non-repeatable request or item runs at most once",
+        check: Some(once::check),
+    },
+    Checker {
+        name: "true-not-run",
+        promise: "what is refused as not run never runs",
+        check: Some(truth::check_not_run),
+    },
+    Checker {
+        name: "whole-answer",
+        promise: "an answer is the whole answer to its own request",
+        check: Some(truth::check_answers),
+    },
+    Checker {
+        name: "configuration",
+        promise: "the configuration in force never goes back and lags by no more than the \
+                  currency bound where work is taken in",
+        check: Some(configuration::check),
+    },
+    Checker {
+        name: "committed",
+        promise: "what was confirmed stays confirmed, by one winner for each number, and \
+                  every later read sees it",
+        check: Some(configuration::check_committed),
+    },
+    Checker {
+        name: SINGLE_LEADER,
+        promise: "a group has one leader a term",
+        check: None,
+    },
+    Checker {
+        name: REPLICA_STOPPED,
+        promise: "a replica stops by itself only after a disk fault",
+        check: None,
+    },
+    Checker {
+        name: "fencing",
+        promise: "orders to an engine have rising tokens and never go back",
+        check: Some(fencing::check),
+    },
+    Checker {
+        name: "leaving",
+        promise: "a leaving engine gets nothing new from who knows, and from nobody in calm \
+                  times, after its bound",
+        check: Some(leaving::check),
+    },
+    Checker {
+        name: "planned-stop",
+        promise: "a planned stop cuts off no request without reporting it",
+        check: Some(stops::check),
+    },
+    Checker {
+        name: "online-latency",
+        promise: "in calm times an online request does not wait behind batch work",
+        check: Some(online_latency::check),
+    },
+    Checker {
+        name: "liveness",
+        promise: "after the faults everything accepted finishes and every machine is used again",
+        check: Some(liveness::check),
+    },
+];
+
+/// Every violation in a finished run, the earliest first.
+#[must_use]
+pub fn check_all(world: &World) -> Vec<Violation> {
+    let mut findings = Findings {
+        name: "",
+        found: world.context.history.violations.clone(),
+    };
+    for checker in CHECKERS {
+        if let Some(check) = checker.check {
+            findings.name = checker.name;
+            check(world, &mut findings);
+        }
+    }
+    let mut found = findings.found;
+    found.sort();
+    found
+}
--- /dev/null
+++ b/crates/sim/src/client/mod.rs
@@ -0,0 +1,24 @@
+//! Callers, each with one job or one online request. They wait only so long,
+//! and send again through any gateway.
+
+mod job;
+mod online;
+
+pub use job::JobClient;
+pub use online::OnlineClient;
+
+use rand::Rng;
+
+use crate::address::Address;
+use crate::context::Context;
+use crate::message::{ClientRequest, Message};
+
+/// Sends a request to any gateway. Returns the arrival and the gateway.
+fn send(context: &mut Context, client: u32, gateways: u32, request: ClientRequest) -> (u64, u32) {
+    let arrival = context.fresh();
+    let gateway = context.random.random_range(1..=gateways);
+    let own = Address::Client(client);
+    let message = Message::Client { arrival, request };
+    context.send(own, Address::Gateway(gateway), message);
+    (arrival, gateway)
+}
--- /dev/null
+++ b/crates/sim/src/client/online.rs
@@ -0,0 +1,187 @@
+//! A caller with an online request.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use molespan_types::{RunOutcome, Timestamp};
+
+use crate::address::Address;
+use crate::context::Context;
+use crate::history::{ArrivalEnd, ArrivalRecord};
+use crate::message::{ClientReply, ClientRequest, Message};
+use crate::node::Node;
+use crate::workload::OnlinePlan;
+
+/// Time for an answer, after which the request is sent elsewhere.
+const ANSWER_WITHIN: Duration = Duration::from_secs(15);
+/// Wait after a failure.
+const AGAIN_AFTER: Duration = Duration::from_millis(200);
+/// Unknown outcomes of a non-repeatable request that are taken as final.
+const UNKNOWN_IS_FINAL: u32 = 3;
+
+/// A caller with an online request.
+#[derive(Debug)]
+pub struct OnlineClient {
+    number: u32,
+    gateways: u32,
+    plan: Arc<OnlinePlan>,
+    done: bool,
+    unknown: u32,
+    arrivals: u32,
+    next: Option<Timestamp>,
+    /// Text that came so far, by arrival, and when it was sent.
+    waiting: BTreeMap<u64, (Timestamp, String)>,
+    impatient_at: Option<Timestamp>,
+}
+
+impl OnlineClient {
+    /// A caller that has not begun.
+    #[must_use]
+    pub fn new(number: u32, gateways: u32, plan: Arc<OnlinePlan>) -> Self {
+        Self {
+            number,
+            gateways,
+            plan,
+            done: false,
+            unknown: 0,
+            arrivals: 0,
+            next: None,
+            waiting: BTreeMap::new(),
+            impatient_at: None,
+        }
+    }
+
+    /// Whether it has an answer, or knows that none can be had.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.done && self.waiting.is_empty()
+    }
+
+    /// Begins.
+    pub fn begin(&mut self, context: &mut Context) {
+        let resend_after = self.plan.resend_after;
+        self.impatient_at = resend_after.map(|after| context.now + after);
+        self.send(context);
+    }
+
+    fn send(&mut self, context: &mut Context) {
+        self.next = None;
+        self.arrivals += 1;
+        let mut plan = (*self.plan).clone();
+        if plan.key.is_none() {
+            // Each sending of a repeatable request has a prompt of its own, so
+            // that what engines ran tells the sendings apart.
+            plan.prompt = format!("{} sending {}", plan.prompt, self.arrivals);
+        }
+        let plan = Arc::new(plan);
+        let request = ClientRequest::Online(Arc::clone(&plan));
+        let (arrival, gateway) = super::send(context, self.number, self.gateways, request);
+        self.waiting.insert(arrival, (context.now, String::new()));
+        let record = ArrivalRecord {
+            sent: context.now,
+            client: self.number,
+            gateway,
+            plan,
+            first_token: None,
+            end: None,
+        };
+        context.history.arrivals.insert(arrival, record);
+    }
+
+    fn ended(&mut self, context: &mut Context, arrival: u64, end: ArrivalEnd) {
+        self.waiting.remove(&arrival);
+        let keyed = self.plan.key.is_some();
+        match &end {
+            ArrivalEnd::Answered(_) => self.done = true,
+            ArrivalEnd::Refused(RunOutcome::Unknown) if keyed => {
+                self.unknown += 1;
+                self.done |= self.unknown >= UNKNOWN_IS_FINAL;
+            }
+            _ => {}
+        }
+        if !self.done && self.waiting.is_empty() {
+            self.next = Some(context.now + AGAIN_AFTER);
+        }
+        let now = context.now;
+        if let Some(record) = context.history.arrivals.get_mut(&arrival) {
+            record.end = Some((now, end));
+        }
+    }
+
+    fn saw_token(&self, context: &mut Context, arrival: u64) {
+        let now = context.now;
+        if let Some(record) = context.history.arrivals.get_mut(&arrival) {
+            record.first_token.get_or_insert(now);
+        }
+    }
+}
+
+impl Node for OnlineClient {
+    fn receive(&mut self, context: &mut Context, _from: Address, message: Message) {
+        let Message::Reply { arrival, reply } = message else {
+            return;
+        };
+        let Some((_, text)) = self.waiting.get_mut(&arrival) else {
+            return;
+        };
+        match reply {
+            ClientReply::Chunk { text: more, .. } => {
+                text.push_str(&more);
+                self.saw_token(context, arrival);
+            }
+            ClientReply::End => {
+                let text = std::mem::take(text);
+                self.ended(context, arrival, ArrivalEnd::Answered(text));
+            }
+            ClientReply::Whole(text) => {
+                self.saw_token(context, arrival);
+                self.ended(context, arrival, ArrivalEnd::Answered(text));
+            }
+            ClientReply::Refused { outcome, .. } => {
+                self.ended(context, arrival, ArrivalEnd::Refused(outcome));
+            }
+            ClientReply::ConnectionRefused => {
+                // Nobody took it, which is as good as said by the other side.
+                self.ended(context, arrival, ArrivalEnd::Refused(RunOutcome::NotRun));
+            }
+            ClientReply::Broken { planned_stop } => {
+                self.ended(context, arrival, ArrivalEnd::Broken { planned_stop });
+            }
+            ClientReply::Job(_) | ClientReply::Results { .. } => {}
+        }
+    }
+
+    fn wake(&mut self, context: &mut Context) {
+        let now = context.now;
+        if self.impatient_at.is_some_and(|at| at <= now) {
+            self.impatient_at = None;
+            if !self.done {
+                self.send(context);
+            }
+        }
+        let late: Vec<u64> = self
+            .waiting
+            .iter()
+            .filter(|(_, (sent, _))| now.since(*sent) >= ANSWER_WITHIN)
+            .map(|(arrival, _)| *arrival)
+            .collect();
+        for arrival in late {
+            self.ended(context, arrival, ArrivalEnd::GivenUp);
+        }
+        if self.next.is_some_and(|next| next <= now) {
+            self.next = None;
+            if !self.done {
+                self.send(context);
+            }
+        }
+    }
+
+    fn next_wakeup(&self) -> Option<Timestamp> {
+        let late = self.waiting.values();
+        late.map(|(sent, _)| *sent + ANSWER_WITHIN)
+            .chain(self.next)
+            .chain(self.impatient_at)
+            .min()
+    }
+}
--- /dev/null
+++ b/crates/sim/src/commands.rs
@@ -0,0 +1,262 @@
+//! What each command does.
+
+use std::fmt::Write as _;
+use std::io::{self, Write};
+
+use derive_more::{Display, Error, From};
+use molespan_sim::checkers::CHECKERS;
+use molespan_sim::fault::FaultClass;
+use molespan_sim::report::{Request, failure};
+use molespan_sim::run::{Outcome, disable, has_mutants, in_order, run_scenario};
+use molespan_sim::scenario::Scenario;
+use molespan_state::explore::{ClaimModel, Exploration, LeaseModel, explore};
+use molespan_types::mechanism::Mechanism;
+
+use crate::flags::{Explore, MolespanSim, MolespanSimCmd, Mutants, Run};
+
+/// Seeds when not given.
+const SEEDS: u64 = 200;
+/// Seeds tried for each mechanism when not given.
+const MUTANT_SEEDS: u64 = 400;
+/// States of each explored model when not given.
+const STATES: usize = 1_000_000;
+
+/// Why a command cannot be carried out.
+#[derive(Debug, Display, Error, From)]
+pub enum CommandError {
+    /// Standard output.
+    #[display("{_0}")]
+    Io(io::Error),
+    /// A class of faults.
+    #[display("there is no class of faults {name}; see molespan-sim list")]
+    #[from(skip)]
+    UnknownClass {
+        /// As given.
+        name: String,
+    },
+    /// A mechanism.
+    #[display("there is no mechanism {name}; see molespan-sim list")]
+    #[from(skip)]
+    UnknownMechanism {
+        /// As given.
+        name: String,
+    },
+    /// A number.
+    #[display("not a list of numbers: {text}")]
+    #[from(skip)]
+    NotNumbers {
+        /// As given.
+        text: String,
+    },
+    /// A build without the feature.
+    #[display("this build cannot switch mechanisms off; build it with --features mutants")]
+    NoMutants,
+}
+
+/// Carries a command out. Returns whether everything passed.
+///
+/// # Errors
+/// When the command line makes no sense or nothing can be printed.
+pub fn run(flags: MolespanSim) -> Result<bool, CommandError> {
+    match flags.subcommand {
+        MolespanSimCmd::Run(flags) if flags.list => list(),
+        MolespanSimCmd::Run(flags) => run_seeds(&flags),
+        MolespanSimCmd::List(_) => list(),
+        MolespanSimCmd::Explore(flags) => explore_models(&flags),
+        MolespanSimCmd::Mutants(flags) => run_mutants(&flags),
+    }
+}
+
+fn list() -> Result<bool, CommandError> {
+    let mut text = String::from("classes of faults:\n");
+    // Writing to a string cannot fail.
+    for class in FaultClass::ALL {
+        let _ = writeln!(text, "  {class}: {}", class.description());
+    }
+    text.push_str("checkers:\n");
+    for checker in CHECKERS {
+        let _ = writeln!(text, "  {}: {}", checker.name, checker.promise);
+    }
+    text.push_str("mechanisms:\n");
+    for mechanism in Mechanism::ALL {
+        let _ = writeln!(text, "  {mechanism}");
+    }
+    io::stdout().write_all(text.as_bytes())?;
+    Ok(true)
+}
+
+fn threads(asked: Option<usize>) -> usize {
+    let available = std::thread::available_parallelism();
+    asked.unwrap_or_else(|| available.map_or(1, usize::from))
+}
+
+fn classes(text: Option<&str>) -> Result<Vec<FaultClass>, CommandError> {
+    match text.unwrap_or("all") {
+        "all" => Ok(FaultClass::ALL.to_vec()),
+        "none" => Ok(Vec::new()),
+        names => names
+            .split(',')
+            .map(|name| {
+                FaultClass::parse(name).ok_or_else(|| CommandError::UnknownClass {
+                    name: name.to_owned(),
+                })
+            })
+            .collect(),
+    }
+}
+
+fn mechanism(name: &str) -> Result<Mechanism, CommandError> {
+    if !has_mutants() {
+        return Err(CommandError::NoMutants);
+    }
+    Mechanism::parse(name).ok_or_else(|| CommandError::UnknownMechanism {
+        name: name.to_owned(),
+    })
+}
+
+fn numbers(text: Option<&str>) -> Result<Option<Vec<usize>>, CommandError> {
+    match text {
+        None => Ok(None),
+        Some("none") => Ok(Some(Vec::new())),
+        Some(text) => {
+            let numbers = text.split(',').map(str::parse);
+            let numbers: Result<Vec<usize>, _> = numbers.collect();
+            let not_numbers = |_| CommandError::NotNumbers {
+                text: text.to_owned(),
+            };
+            numbers.map(Some).map_err(not_numbers)
+        }
+    }
+}
+
+fn run_seeds(flags: &Run) -> Result<bool, CommandError> {
+    let classes = classes(flags.faults.as_deref())?;
+    let without = flags.without.as_deref().map(mechanism).transpose()?;
+    let keep_faults = numbers(flags.keep_faults.as_deref())?;
+    let keep_work = numbers(flags.keep_work.as_deref())?;
+    let request = Request {
+        classes: classes.clone(),
+        without: flags.without.clone(),
+        shrink: !flags.no_shrink && keep_faults.is_none() && keep_work.is_none(),
+    };
+    let first = flags.seed.unwrap_or(1);
+    let scenario = |task: usize| {
+        let scenario = Scenario::of_seed(first + task as u64, &classes);
+        scenario.only(keep_faults.as_deref(), keep_work.as_deref())
+    };
+    let seeds = flags.seeds.unwrap_or(SEEDS) as usize;
+    let (mut passed, mut failed) = (0, 0);
+    let mut result = Ok(());
+    let work = |task: usize| {
+        disable(without);
+        let scenario = scenario(task);
+        let outcome = run_scenario(scenario.clone());
+        if outcome.violations.is_empty() {
+            return None;
+        }
+        Some(failure(&request, &scenario, &outcome))
+    };
+    in_order(seeds, threads(flags.threads), work, |_, report| {
+        match report {
+            None => passed += 1,
+            Some(report) => {
+                failed += 1;
+                result = io::stdout().write_all(report.as_bytes());
+            }
+        }
+        result.is_ok()
+    });
+    result?;
+    writeln!(io::stdout(), "{passed} passed, {failed} failed")?;
+    Ok(failed == 0)
+}
+
+fn explore_models(flags: &Explore) -> Result<bool, CommandError> {
+    let states = flags.states.unwrap_or(STATES);
+    let explorations = [
+        (
+            "leases of a repeatable job",
+            explore(&LeaseModel { repeatable: true }, states),
+        ),
+        (
+            "leases of a non-repeatable job",
+            explore(&LeaseModel { repeatable: false }, states),
+        ),
+        ("claims", explore(&ClaimModel, states)),
+    ];
+    let mut passed = 0;
+    for (name, exploration) in &explorations {
+        let holds = exploration.violation.is_none();
+        passed += usize::from(holds);
+        writeln!(io::stdout(), "{name}: {}", describe(exploration))?;
+    }
+    let failed = explorations.len() - passed;
+    writeln!(io::stdout(), "{passed} passed, {failed} failed")?;
+    Ok(failed == 0)
+}
+
+fn describe(exploration: &Exploration) -> String {
+    let extent = if exploration.exhausted {
+        "every state"
+    } else {
+        "bounded"
+    };
+    let mut text = format!(
+        "{} states, {} transitions, {extent}",
+        exploration.states, exploration.transitions
+    );
+    if let Some(violation) = &exploration.violation {
+        // Writing to a string cannot fail.
+        let _ = write!(text, "; {} broken by:", violation.invariant);
+        for command in &violation.trace {
+            let _ = write!(text, "\n  {command:?}");
+        }
+    }
+    text
+}
+
+fn run_mutants(flags: &Mutants) -> Result<bool, CommandError> {
+    if !has_mutants() {
+        return Err(CommandError::NoMutants);
+    }
+    let chosen = match flags.only.as_deref() {
+        Some(name) => vec![mechanism(name)?],
+        None => Mechanism::ALL.to_vec(),
+    };
+    let seeds = flags.seeds.unwrap_or(MUTANT_SEEDS);
+    let (mut passed, mut failed) = (0, 0);
+    for mechanism in chosen {
+        let line = match find_violation(mechanism, seeds, threads(flags.threads)) {
+            Some((seed, outcome)) => {
+                passed += 1;
+                let violation = &outcome.violations[0];
+                format!("{mechanism}: found by seed {seed}: {violation}")
+            }
+            None => {
+                failed += 1;
+                format!("{mechanism}: not found in {seeds} seeds")
+            }
+        };
+        writeln!(io::stdout(), "{line}")?;
+    }
+    writeln!(io::stdout(), "{passed} passed, {failed} failed")?;
+    Ok(failed == 0)
+}
+
+/// The first seed that fails without `mechanism`.
+fn find_violation(mechanism: Mechanism, seeds: u64, threads: usize) -> Option<(u64, Outcome)> {
+    let mut found = None;
+    let work = |task: usize| {
+        disable(Some(mechanism));
+        let seed = task as u64 + 1;
+        (seed, run_scenario(Scenario::of_seed(seed, FaultClass::ALL)))
+    };
+    in_order(seeds as usize, threads, work, |_, (seed, outcome)| {
+        if outcome.violations.is_empty() {
+            return true;
+        }
+        found = Some((seed, outcome));
+        false
+    });
+    found
+}
--- /dev/null
+++ b/crates/sim/src/gateway/mod.rs
@@ -0,0 +1,173 @@
+//! A gateway process: the cores of membership and routing, and the glue that
+//! carries their outputs out.
+
+mod batch;
+mod configuration;
+mod drain;
+mod jobs;
+mod machines;
+mod online;
+mod process;
+
+use std::fmt;
+use std::time::Duration;
+
+use molespan_state::control::Configuration;
+use molespan_types::{Incarnation, NodeId, Timestamp};
+
+use crate::address::{Address, gateway_node};
+use crate::clock::NodeClock;
+use crate::context::Context;
+use crate::event::Event;
+use crate::message::{ClientReply, Message};
+use crate::node::Node;
+use process::Process;
+
+/// Time after a planned stop at which the process is started again, unless the
+/// schedule keeps it down for longer.
+const RESTART_AFTER: Duration = Duration::from_millis(100);
+
+/// A gateway and what outlives its process.
+#[derive(Debug)]
+pub struct GatewayNode {
+    number: u32,
+    replicas: u32,
+    clock: NodeClock,
+    life: u64,
+    /// The configuration on its disk.
+    stored: Option<Configuration>,
+    process: Option<Process>,
+}
+
+/// Who a gateway process is.
+#[derive(Clone, Debug)]
+pub(crate) struct Identity {
+    pub number: u32,
+    pub life: u64,
+    pub replicas: u32,
+    pub zone: u32,
+    pub clock: NodeClock,
+}
+
+impl Identity {
+    pub fn address(&self) -> Address {
+        Address::Gateway(self.number)
+    }
+
+    pub fn node(&self) -> NodeId {
+        gateway_node(self.number)
+    }
+
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation(self.life)
+    }
+}
+
+impl fmt::Display for Identity {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "gateway {} (life {})", self.number, self.life)
+    }
+}
+
+impl GatewayNode {
+    /// A gateway that was never started.
+    #[must_use]
+    pub fn new(number: u32, replicas: u32, clock: NodeClock) -> Self {
+        Self {
+            number,
+            replicas,
+            clock,
+            life: 0,
+            stored: None,
+            process: None,
+        }
+    }
+
+    /// Starts its next life.
+    pub fn start(&mut self, context: &mut Context) {
+        if self.process.is_some() {
+            return;
+        }
+        self.life += 1;
+        let identity = Identity {
+            number: self.number,
+            life: self.life,
+            replicas: self.replicas,
+            zone: context
+                .network
+                .zone(Address::Gateway(self.number))
+                .unwrap_or_default(),
+            clock: self.clock,
+        };
+        self.process = Some(Process::start(context, identity, self.stored.clone()));
+    }
+
+    /// Kills the process; its connections break.
+    pub fn kill(&mut self, context: &mut Context) {
+        if let Some(process) = self.process.take() {
+            process.break_connections(context, false);
+        }
+    }
+
+    /// Asks the process to stop as planned.
+    pub fn stop(&mut self, context: &mut Context) {
+        if let Some(process) = &mut self.process {
+            process.begin_stop(context);
+        }
+        self.settle(context);
+    }
+
+    /// Version in force, while it runs.
+    #[must_use]
+    pub fn process(&self) -> Option<&Process> {
+        self.process.as_ref()
+    }
+
+    /// Stores what must outlive the process, and ends one that has stopped.
+    fn settle(&mut self, context: &mut Context) {
+        let Some(process) = &mut self.process else {
+            return;
+        };
+        if let Some(newer) = process.take_to_store() {
+            self.stored = Some(newer);
+        }
+        if process.has_stopped()
+            && let Some(process) = self.process.take()
+        {
+            process.break_connections(context, true);
+            let text = format!("gateway {} has stopped", self.number);
+            context.history.note(context.now, text);
+            let address = Address::Gateway(self.number);
+            let at = context.now + RESTART_AFTER;
+            context.queue.push(at, Event::Restart(address));
+        }
+    }
+}
+
+impl Node for GatewayNode {
+    fn receive(&mut self, context: &mut Context, from: Address, message: Message) {
+        match &mut self.process {
+            Some(process) => process.receive(context, from, message),
+            None => {
+                if let Message::Client { arrival, .. } = message {
+                    let reply = ClientReply::ConnectionRefused;
+                    let own = Address::Gateway(self.number);
+                    context.send(own, from, Message::Reply { arrival, reply });
+                }
+            }
+        }
+        self.settle(context);
+    }
+
+    fn wake(&mut self, context: &mut Context) {
+        if let Some(process) = &mut self.process {
+            process.tick(context);
+        }
+        self.settle(context);
+    }
+
+    fn next_wakeup(&self) -> Option<Timestamp> {
+        let process = self.process.as_ref()?;
+        Some(self.clock.world(process.next_tick()))
+    }
+}
--- /dev/null
+++ b/crates/sim/src/gateway/online.rs
@@ -0,0 +1,629 @@
+//! Online requests: admission, claims, choice of an engine, answers, retries.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use molespan_emulator::engine::Submission;
+use molespan_engine_api::RequestState as EngineRequestState;
+use molespan_membership::WorkResult;
+use molespan_routing::admission::{AdmissionOutput, Decision, Ticket};
+use molespan_routing::batch::{BatchInput, Foreign};
+use molespan_routing::pick::{Finish, PickRequest};
+use molespan_routing::retry::{
+    AttemptEnd, AttemptRef, ClaimAnswer, NextStep, RequestKind, RequestState, StatusAnswer,
+    StreamCheck, check_attempt, check_length,
+};
+use molespan_state::job::{ClaimReply, ClaimRequest, JobCommand, JobReply, SettleClaim};
+use molespan_types::{AttemptId, BackendId, JobId, Priority, RunOutcome, Timestamp, digest_of};
+
+use super::process::{Process, Tag, Use};
+use crate::address::Address;
+use crate::context::Context;
+use crate::message::{AnswerForm, ClientReply, ConnectionId, EngineAnswer, EngineCall, Message};
+use crate::replica_node::JOB_GROUPS;
+use crate::scenario::MODEL;
+use crate::workload::OnlinePlan;
+
+/// Time for a claim.
+const CLAIM_WITHIN: Duration = Duration::from_secs(2);
+/// Time for a settlement, which is sent again until then.
+const SETTLE_WITHIN: Duration = Duration::from_secs(20);
+/// Silence of an attempt after which its connection is given up.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Time for a question about an attempt.
+const QUESTION_WITHIN: Duration = Duration::from_millis(500);
+
+/// Names an online request within a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct OnlineId(u64);
+
+/// An attempt, or a question about it, that is out.
+#[derive(Debug)]
+struct Exchange {
+    attempt: AttemptRef,
+    connection: ConnectionId,
+    check: StreamCheck,
+    question: bool,
+    resumed: bool,
+    active: Timestamp,
+}
+
+/// An online request.
+#[derive(Debug)]
+pub(super) struct Online {
+    pub client: Address,
+    pub arrival: u64,
+    plan: Arc<OnlinePlan>,
+    state: RequestState,
+    ticket: Ticket,
+    claim: Option<AttemptId>,
+    exchange: Option<Exchange>,
+    /// The engine that counts this request as in flight, and since when.
+    placed: Option<(BackendId, Timestamp)>,
+    answered: bool,
+    text: String,
+}
+
+impl Process {
+    pub(super) fn take_online(
+        &mut self,
+        context: &mut Context,
+        client: Address,
+        arrival: u64,
+        plan: Arc<OnlinePlan>,
+    ) {
+        let refusal = |reason| ClientReply::Refused {
+            outcome: RunOutcome::NotRun,
+            reason,
+        };
+        if !self.takes_new_work(context) {
+            return self.reply(context, client, arrival, refusal("not ready"));
+        }
+        let now = self.now(context);
+        let decision = self.admission.offer(now, &plan.tenant, &plan.service);
+        let (ticket, begins) = match decision {
+            Decision::Admitted(ticket) => (ticket, true),
+            Decision::Queued { ticket, .. } => (ticket, false),
+            Decision::Refused(_) => {
+                return self.reply(context, client, arrival, refusal("not admitted"));
+            }
+        };
+        self.last_online += 1;
+        let id = OnlineId(self.last_online);
+        let kind = RequestKind {
+            repeatable: plan.key.is_none(),
+            resumable: true,
+        };
+        let online = Online {
+            client,
+            arrival,
+            plan,
+            state: RequestState::new(kind),
+            ticket,
+            claim: None,
+            exchange: None,
+            placed: None,
+            answered: false,
+            text: String::new(),
+        };
+        self.online.insert(id, online);
+        self.tickets.insert(ticket, id);
+        if begins {
+            self.begin_online(context, id);
+        }
+    }
+
+    fn begin_online(&mut self, context: &mut Context, id: OnlineId) {
+        self.budget.earn();
+        if let Some(online) = self.online.get_mut(&id) {
+            let step = online.state.begin();
+            self.go_on(context, id, step);
+        }
+    }
+
+    pub(super) fn admission_changed(
+        &mut self,
+        context: &mut Context,
+        outputs: Vec<AdmissionOutput>,
+    ) {
+        for output in outputs {
+            match output {
+                AdmissionOutput::Admitted(ticket) => {
+                    if let Some(id) = self.tickets.get(&ticket).copied() {
+                        self.begin_online(context, id);
+                    }
+                }
+                AdmissionOutput::Refused(ticket, _) => {
+                    let id = self.tickets.remove(&ticket);
+                    if let Some(online) = id.and_then(|id| self.online.remove(&id)) {
+                        let reply = ClientReply::Refused {
+                            outcome: RunOutcome::NotRun,
+                            reason: "not admitted",
+                        };
+                        self.reply(context, online.client, online.arrival, reply);
+                    }
+                }
+            }
+        }
+    }
+
+    fn go_on(&mut self, context: &mut Context, id: OnlineId, step: NextStep) {
+        match step {
+            NextStep::Claim => self.claim(context, id),
+            NextStep::Dispatch => self.dispatch(context, id, &[]),
+            NextStep::Retry { exclude } => self.dispatch(context, id, &exclude),
+            NextStep::Resume { attempt, offset } => self.resume(context, id, attempt, offset),
+            NextStep::AskStatus { attempt } => self.ask(context, id, attempt),
+            NextStep::Replay { outcome } => self.replay(context, id, outcome),
+            NextStep::Done => self.finish(context, id, RunOutcome::Completed),
+            NextStep::Fail { outcome } => self.finish(context, id, outcome),
+        }
+    }
+
+    fn claim(&mut self, context: &mut Context, id: OnlineId) {
+        let attempt = self.next_attempt();
+        let Some(online) = self.online.get_mut(&id) else {
+            return;
+        };
+        online.claim = Some(attempt);
+        let plan = Arc::clone(&online.plan);
+        let Some(key) = plan.key.clone() else {
+            return;
+        };
+        let request = ClaimRequest {
+            tenant: plan.tenant.clone(),
+            key: key.clone(),
+            digest: digest_of(plan.prompt.as_bytes()),
+            attempt,
+        };
+        let group = JobId::from_key(&plan.tenant, &key).group(JOB_GROUPS);
+        let command = JobCommand::Claim(request);
+        self.propose(context, group, &command, CLAIM_WITHIN, Tag::Claim(id));
+    }
+
+    pub(super) fn claim_replied(
+        &mut self,
+        context: &mut Context,
+        id: OnlineId,
+        answer: Option<&[u8]>,
+    ) {
+        let Some(online) = self.online.get_mut(&id) else {
+            return;
+        };
+        let reply = answer.map(molespan_state::decode);
+        let answer = match reply {
+            Some(Ok(JobReply::Claim(ClaimReply::Granted))) => ClaimAnswer::Granted,
+            Some(Ok(JobReply::Claim(ClaimReply::Held { .. }))) => ClaimAnswer::Held,
+            Some(Ok(JobReply::Claim(ClaimReply::KeyConflict))) => ClaimAnswer::KeyConflict,
+            Some(Ok(JobReply::Claim(ClaimReply::Settled { outcome, answer }))) => {
+                online.text = String::from_utf8(answer.to_vec()).unwrap_or_default();
+                ClaimAnswer::Settled(outcome)
+            }
+            _ => ClaimAnswer::Failed,
+        };
+        // Another's claim is not this request's to settle.
+        if !matches!(answer, ClaimAnswer::Granted | ClaimAnswer::Failed) {
+            online.claim = None;
+        }
+        let step = online.state.claim_answered(answer);
+        self.go_on(context, id, step);
+    }
+
+    fn dispatch(&mut self, context: &mut Context, id: OnlineId, exclude: &[BackendId]) {
+        let now = self.now(context);
+        let Some(online) = self.online.get_mut(&id) else {
+            return;
+        };
+        let plan = Arc::clone(&online.plan);
+        let request = PickRequest {
+            prefix_hashes: &[],
+            exclude,
+        };
+        let picker = self.pickers.get_mut(&plan.service);
+        let pick = picker.and_then(|picker| picker.pick(now, request).ok());
+        let found = pick.and_then(|pick| self.directory.backend(pick.backend));
+        let Some(found) = found else {
+            let step = online.state.no_backend();
+            return self.go_on(context, id, step);
+        };
+        let (backend, incarnation) = (found.id, found.incarnation);
+        let attempt = AttemptRef {
+            attempt: self.next_attempt(),
+            backend,
+            incarnation,
+        };
+        let Some(online) = self.online.get_mut(&id) else {
+            return;
+        };
+        if !online.state.dispatched(attempt) {
+            return;
+        }
+        online.placed = Some((backend, now));
+        if let Some(picker) = self.pickers.get_mut(&plan.service) {
+            picker.started(now, backend, &[]);
+        }
+        self.batch_input(context, BatchInput::OnlineStarted { backend });
+        let prompt_tokens = plan.prompt.len() as u32;
+        self.notify_owner(context, &plan, backend, prompt_tokens);
+        self.note_dispatch(context, attempt, &plan.prompt);
+        let submission = Submission {
+            attempt: attempt.attempt.to_string().into(),
+            priority: Priority::Online,
+            model: MODEL.to_owned(),
+            adapter: None,
+            prompt: plan.prompt.clone(),
+            max_tokens: plan.tokens,
+            stream: plan.stream,
+        };
+        let call = EngineCall::Submit {
+            submission,
+            form: form(&plan),
+        };
+        self.exchange(context, id, attempt, call, 0);
+    }
+
+    /// Tells the batch owner of an engine about online work there.
+    fn notify_owner(
+        &self,
+        context: &mut Context,
+        plan: &OnlinePlan,
+        backend: BackendId,
+        prompt_tokens: u32,
+    ) {
+        let owner = self.owner_of(backend);
+        let Some(owner) = owner.filter(|owner| *owner != self.identity.node()) else {
+            return;
+        };
+        let picker = self.pickers.get(&plan.service);
+        let notice = Foreign {
+            from: self.identity.node(),
+            backend,
+            in_flight: picker.map_or(0, |picker| picker.own_in_flight(backend)),
+            prompt_tokens,
+        };
+        let own = self.identity.address();
+        context.send(own, Address::of_node(owner), Message::Notice(notice));
+    }
+
+    fn exchange(
+        &mut self,
+        context: &mut Context,
+        id: OnlineId,
+        attempt: AttemptRef,
+        call: EngineCall,
+        offset: u32,
+    ) {
+        let question = matches!(call, EngineCall::Status(_));
+        let resumed = matches!(call, EngineCall::Fetch { .. });
+        let connection = self.call_engine(context, attempt.backend, call);
+        let now = self.now(context);
+        let Some(online) = self.online.get_mut(&id) else {
+            return;
+        };
+        let exchange = Exchange {
+            attempt,
+            connection,
+            check: StreamCheck::new(attempt.attempt, offset),
+            question,
+            resumed,
+            active: now,
+        };
+        if let Some(old) = online.exchange.replace(exchange) {
+            self.connections.remove(&old.connection);
+        }
+        self.connections.insert(connection, Use::Online(id));
+    }
+
+    fn resume(&mut self, context: &mut Context, id: OnlineId, attempt: AttemptRef, offset: u32) {
+        let Some(online) = self.online.get_mut(&id) else {
+            return;
+        };
+        let offset = if online.plan.stream { offset } else { 0 };
+        let call = EngineCall::Fetch {
+            attempt: attempt.attempt,
+            offset,
+            form: form(&online.plan),
+        };
+        self.exchange(context, id, attempt, call, offset);
+    }
+
+    fn ask(&mut self, context: &mut Context, id: OnlineId, attempt: AttemptRef) {
+        let call = EngineCall::Status(attempt.attempt);
+        self.exchange(context, id, attempt, call, 0);
+    }
+
+    pub(super) fn online_answered(
+        &mut self,
+        context: &mut Context,
+        id: OnlineId,
+        connection: ConnectionId,
+        answer: EngineAnswer,
+    ) {
+        let now = self.now(context);
+        let Some(online) = self.online.get_mut(&id) else {
+            return;
+        };
+        let Some(exchange) = online.exchange.as_mut() else {
+            return;
+        };
+        if exchange.connection != connection {
+            return;
+        }
+        exchange.active = now;
+        if exchange.question {
+            let attempt = exchange.attempt;
+            let status = status_answer(attempt, &answer);
+            return self.status_answered(context, id, status);
+        }
+        if let Some(end) = self.attempt_answered(context, id, answer) {
+            self.attempt_ended(context, id, end);
+        }
+    }
+
+    /// Takes an answer on the connection of an attempt. Returns how the
+    /// attempt ended, if it did.
+    fn attempt_answered(
+        &mut self,
+        context: &mut Context,
+        id: OnlineId,
+        answer: EngineAnswer,
+    ) -> Option<AttemptEnd> {
+        let online = self.online.get_mut(&id)?;
+        let exchange = online.exchange.as_mut()?;
+        let expected = exchange.attempt;
+        match answer {
+            EngineAnswer::Chunk(chunk) => {
+                if exchange.check.chunk(&chunk).is_err() {
+                    return Some(AttemptEnd::Broken);
+                }
+                online.text.push_str(&chunk.text);
+                online.state.passed(chunk.offset + 1);
+                let (client, arrival) = (online.client, online.arrival);
+                let reply = ClientReply::Chunk {
+                    offset: chunk.offset,
+                    text: chunk.text,
+                };
+                self.reply(context, client, arrival, reply);
+                self.first_answer(context, id);
+                None
+            }
+            EngineAnswer::Terminator => {
+                exchange.check.terminator();
+                Some(stream_end(exchange))
+            }
+            EngineAnswer::Closed => Some(stream_end(exchange)),
+            EngineAnswer::Whole {
+                attempt,
+                declared,
+                text,
+            } => {
+                let own = check_attempt(expected.attempt, Some(&attempt));
+                let whole = check_length(Some(declared), text.len() as u64, true);
+                if own.is_err() || whole.is_err() {
+                    return Some(AttemptEnd::Broken);
+                }
+                online.text = text;
+                self.first_answer(context, id);
+                Some(AttemptEnd::Completed)
+            }
+            EngineAnswer::Refused {
+                attempt, outcome, ..
+            } => {
+                let own = check_attempt(expected.attempt, Some(&attempt));
+                Some(match outcome {
+                    _ if own.is_err() => AttemptEnd::Broken,
+                    _ if exchange.resumed => AttemptEnd::Lost,
+                    RunOutcome::NotRun => AttemptEnd::DeclaredNotRun,
+                    RunOutcome::Completed | RunOutcome::Unknown => AttemptEnd::Broken,
+                })
+            }
+            EngineAnswer::ConnectionRefused if !exchange.resumed => Some(AttemptEnd::NotSent),
+            EngineAnswer::ConnectionRefused | EngineAnswer::Broken => Some(AttemptEnd::Broken),
+            EngineAnswer::Status { .. } => None,
+        }
+    }
+
+    /// Notes the first part of an answer.
+    fn first_answer(&mut self, context: &mut Context, id: OnlineId) {
+        let now = self.now(context);
+        let Some(online) = self.online.get_mut(&id) else {
+            return;
+        };
+        let first = !std::mem::replace(&mut online.answered, true);
+        let Some((backend, since)) = online.placed.filter(|_| first) else {
+            return;
+        };
+        let incarnation = online.exchange.as_ref().map(|one| one.attempt.incarnation);
+        let after = now.since(since);
+        self.batch_input(context, BatchInput::OnlineFirstToken { backend, after });
+        if let Some(incarnation) = incarnation {
+            self.worked(context, backend, incarnation, WorkResult::Answered(after));
+        }
+    }
+
+    fn attempt_ended(&mut self, context: &mut Context, id: OnlineId, end: AttemptEnd) {
+        let now = self.now(context);
+        let Some(online) = self.online.get_mut(&id) else {
+            return;
+        };
+        let exchange = online.exchange.take();
+        let step = online.state.ended(now, end, &mut self.budget);
+        if let Some(exchange) = exchange {
+            self.connections.remove(&exchange.connection);
+            if end != AttemptEnd::Completed && end != AttemptEnd::DeclaredNotRun {
+                let AttemptRef {
+                    backend,
+                    incarnation,
+                    ..
+                } = exchange.attempt;
+                self.worked(context, backend, incarnation, WorkResult::Failed);
+            }
+        }
+        if !matches!(step, NextStep::Resume { .. } | NextStep::AskStatus { .. }) {
+            self.leave_engine(context, id);
+        }
+        self.go_on(context, id, step);
+    }
+
+    /// The request no longer counts as in flight on its engine.
+    fn leave_engine(&mut self, context: &mut Context, id: OnlineId) {
+        let now = self.now(context);
+        let Some(online) = self.online.get_mut(&id) else {
+            return;
+        };
+        online.answered = false;
+        let Some((backend, since)) = online.placed.take() else {
+            return;
+        };
+        let plan = Arc::clone(&online.plan);
+        if let Some(picker) = self.pickers.get_mut(&plan.service) {
+            picker.finished(now, backend, since, Finish::Other);
+        }
+        self.batch_input(context, BatchInput::OnlineFinished { backend });
+        self.notify_owner(context, &plan, backend, 0);
+    }
+
+    fn status_answered(&mut self, context: &mut Context, id: OnlineId, answer: StatusAnswer) {
+        let now = self.now(context);
+        let Some(online) = self.online.get_mut(&id) else {
+            return;
+        };
+        if let Some(exchange) = online.exchange.take() {
+            self.connections.remove(&exchange.connection);
+        }
+        let step = online.state.status(now, answer, &mut self.budget);
+        if !matches!(step, NextStep::Resume { .. } | NextStep::AskStatus { .. }) {
+            self.leave_engine(context, id);
+        }
+        self.go_on(context, id, step);
+    }
+
+    /// Passes the recorded answer of a claimed request on.
+    fn replay(&mut self, context: &mut Context, id: OnlineId, outcome: RunOutcome) {
+        let Some(online) = self.online.get(&id) else {
+            return;
+        };
+        if outcome == RunOutcome::Completed && online.plan.stream {
+            let (client, arrival) = (online.client, online.arrival);
+            let text = online.text.clone();
+            self.reply(
+                context,
+                client,
+                arrival,
+                ClientReply::Chunk { offset: 0, text },
+            );
+        }
+        self.finish(context, id, outcome);
+    }
+
+    fn finish(&mut self, context: &mut Context, id: OnlineId, outcome: RunOutcome) {
+        let now = self.now(context);
+        let Some(online) = self.online.remove(&id) else {
+            return;
+        };
+        self.tickets.remove(&online.ticket);
+        let reply = match outcome {
+            RunOutcome::Completed if online.plan.stream => ClientReply::End,
+            RunOutcome::Completed => ClientReply::Whole(online.text.clone()),
+            outcome => ClientReply::Refused {
+                outcome,
+                reason: "failed",
+            },
+        };
+        self.reply(context, online.client, online.arrival, reply);
+        self.settle(context, &online, outcome);
+        let ran = outcome == RunOutcome::Completed;
+        let outputs = self.admission.release(now, online.ticket, ran);
+        self.admission_changed(context, outputs);
+    }
+
+    fn settle(&mut self, context: &mut Context, online: &Online, outcome: RunOutcome) {
+        let (Some(attempt), Some(key)) = (online.claim, online.plan.key.clone()) else {
+            return;
+        };
+        let tenant = online.plan.tenant.clone();
+        let group = JobId::from_key(&tenant, &key).group(JOB_GROUPS);
+        let answer = match outcome {
+            RunOutcome::Completed => online.text.clone().into_bytes(),
+            RunOutcome::NotRun | RunOutcome::Unknown => Vec::new(),
+        };
+        let settle = SettleClaim {
+            tenant,
+            key,
+            attempt,
+            outcome,
+            answer: answer.into(),
+        };
+        let command = JobCommand::Settle(settle);
+        self.propose(context, group, &command, SETTLE_WITHIN, Tag::Settle);
+    }
+
+    pub(super) fn tick_online(&mut self, context: &mut Context) {
+        let now = self.now(context);
+        let outputs = self.admission.tick(now);
+        self.admission_changed(context, outputs);
+        let silent: Vec<(OnlineId, bool)> = self
+            .online
+            .iter()
+            .filter_map(|(id, online)| {
+                let exchange = online.exchange.as_ref()?;
+                let limit = if exchange.question {
+                    QUESTION_WITHIN
+                } else {
+                    SILENCE
+                };
+                let silent = now.since(exchange.active) >= limit;
+                silent.then_some((*id, exchange.question))
+            })
+            .collect();
+        for (id, question) in silent {
+            if question {
+                self.status_answered(context, id, StatusAnswer::NoAnswer);
+            } else {
+                self.attempt_ended(context, id, AttemptEnd::Broken);
+            }
+        }
+    }
+}
+
+fn form(plan: &OnlinePlan) -> AnswerForm {
+    if plan.stream {
+        AnswerForm::Chunks
+    } else {
+        AnswerForm::Whole
+    }
+}
+
+/// How a stream that the engine closed ended.
+fn stream_end(exchange: &Exchange) -> AttemptEnd {
+    match exchange.check.end() {
+        Ok(()) => AttemptEnd::Completed,
+        Err(_) => AttemptEnd::Broken,
+    }
+}
+
+/// What an engine's answer says about an attempt that was sent to one life.
+fn status_answer(attempt: AttemptRef, answer: &EngineAnswer) -> StatusAnswer {
+    match answer {
+        EngineAnswer::Status { incarnation, .. } if *incarnation != attempt.incarnation => {
+            StatusAnswer::OtherLife
+        }
+        EngineAnswer::Status {
+            state: EngineRequestState::Cancelled,
+            ..
+        } => StatusAnswer::Cancelled,
+        EngineAnswer::Status { .. } => StatusAnswer::Present,
+        EngineAnswer::Refused {
+            unknown_to: Some(life),
+            outcome: RunOutcome::NotRun,
+            ..
+        } => {
+            if *life == attempt.incarnation {
+                StatusAnswer::NeverSeen
+            } else {
+                StatusAnswer::OtherLife
+            }
+        }
+        _ => StatusAnswer::NoAnswer,
+    }
+}
--- /dev/null
+++ b/crates/sim/src/group_client.rs
@@ -0,0 +1,215 @@
+//! A client of the replica groups: finds leaders and sends again.
+//!
+//! Every command that it carries can be sent twice without harm, so that it
+//! sends again after an unknown outcome too.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use molespan_replica::Refusal;
+use molespan_types::{GroupId, RunOutcome, Timestamp};
+use rand::Rng;
+
+use crate::address::Address;
+use crate::context::Context;
+use crate::message::{Message, Operation};
+
+/// Time without an answer after which a call goes to the next replica.
+const ANSWER_WITHIN: Duration = Duration::from_millis(600);
+/// Wait before a call is sent again after a refusal.
+const AGAIN_AFTER: Duration = Duration::from_millis(30);
+
+#[derive(Debug)]
+struct Pending<T> {
+    tag: T,
+    group: GroupId,
+    operation: Operation,
+    target: u32,
+    started: Timestamp,
+    deadline: Timestamp,
+    next_send: Timestamp,
+    waits: bool,
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub struct Ended<T> {
+    /// What it was about.
+    pub tag: T,
+    /// When it was begun, on the caller's clock.
+    pub started: Timestamp,
+    /// The answer; `None` when its time ran out.
+    pub answer: Option<Vec<u8>>,
+}
+
+/// A client of the replica groups.
+#[derive(Debug)]
+pub struct GroupClient<T> {
+    own: Address,
+    replicas: u32,
+    leaders: BTreeMap<GroupId, u32>,
+    calls: BTreeMap<u64, Pending<T>>,
+}
+
+impl<T> GroupClient<T> {
+    /// A client that knows no leader.
+    #[must_use]
+    pub fn new(own: Address, replicas: u32) -> Self {
+        Self {
+            own,
+            replicas,
+            leaders: BTreeMap::new(),
+            calls: BTreeMap::new(),
+        }
+    }
+
+    /// Starts a call that goes to the leader.
+    pub fn call(
+        &mut self,
+        context: &mut Context,
+        now: Timestamp,
+        group: GroupId,
+        operation: Operation,
+        within: Duration,
+        tag: T,
+    ) {
+        let any = context.random.random_range(1..=self.replicas);
+        let target = *self.leaders.entry(group).or_insert(any);
+        self.call_at(context, now, (group, target), operation, within, tag);
+    }
+
+    /// Starts a call that goes to any replica.
+    pub fn call_any(
+        &mut self,
+        context: &mut Context,
+        now: Timestamp,
+        group: GroupId,
+        operation: Operation,
+        within: Duration,
+        tag: T,
+    ) {
+        let target = context.random.random_range(1..=self.replicas);
+        self.call_at(context, now, (group, target), operation, within, tag);
+    }
+
+    fn call_at(
+        &mut self,
+        context: &mut Context,
+        now: Timestamp,
+        (group, target): (GroupId, u32),
+        operation: Operation,
+        within: Duration,
+        tag: T,
+    ) {
+        let call = context.fresh();
+        let pending = Pending {
+            tag,
+            group,
+            operation,
+            target,
+            started: now,
+            deadline: now + within,
+            next_send: now + ANSWER_WITHIN,
+            waits: true,
+        };
+        self.send(context, call, &pending);
+        self.calls.insert(call, pending);
+    }
+
+    fn send(&self, context: &mut Context, call: u64, pending: &Pending<T>) {
+        let message = Message::Call {
+            call,
+            group: pending.group,
+            operation: pending.operation.clone(),
+        };
+        context.send(self.own, Address::Replica(pending.target), message);
+    }
+
+    /// Takes an answer. Returns how the call ended, if it did.
+    pub fn replied(
+        &mut self,
+        now: Timestamp,
+        call: u64,
+        result: Result<Vec<u8>, Refusal>,
+    ) -> Option<Ended<T>> {
+        let refusal = match result {
+            Ok(answer) => {
+                let pending = self.calls.remove(&call)?;
+                self.leaders.insert(pending.group, pending.target);
+                return Some(Ended {
+                    tag: pending.tag,
+                    started: pending.started,
+                    answer: Some(answer),
+                });
+            }
+            Err(refusal) => refusal,
+        };
+        let replicas = self.replicas;
+        let pending = self.calls.get_mut(&call)?;
+        pending.waits = false;
+        pending.next_send = now + AGAIN_AFTER;
+        match refusal {
+            Refusal::NotLeader { leader } => {
+                let next = 1 + pending.target % replicas;
+                pending.target = leader.map_or(next, |leader| leader.0);
+                self.leaders.insert(pending.group, pending.target);
+            }
+            Refusal::Refused {
+                outcome,
+                retry_after_ms,
+                ..
+            } => {
+                if outcome == RunOutcome::NotRun {
+                    let after = Duration::from_millis(u64::from(retry_after_ms));
+                    pending.next_send = now + after.min(ANSWER_WITHIN);
+                }
+                pending.target = 1 + pending.target % replicas;
+            }
+        }
+        None
+    }
+
+    /// Sends again what is due, and gives up what ran out of time.
+    pub fn tick(&mut self, context: &mut Context, now: Timestamp) -> Vec<Ended<T>> {
+        let due: Vec<u64> = self
+            .calls
+            .iter()
+            .filter(|(_, pending)| pending.next_send <= now)
+            .map(|(call, _)| *call)
+            .collect();
+        let mut ended = Vec::new();
+        for call in due {
+            let Some(mut pending) = self.calls.remove(&call) else {
+                continue;
+            };
+            if pending.deadline <= now {
+                ended.push(Ended {
+                    tag: pending.tag,
+                    started: pending.started,
+                    answer: None,
+                });
+                continue;
+            }
+            if pending.waits {
+                pending.target = 1 + pending.target % self.replicas;
+                self.leaders.insert(pending.group, pending.target);
+            }
+            pending.waits = true;
+            pending.next_send = now + ANSWER_WITHIN;
+            self.send(context, call, &pending);
+            self.calls.insert(call, pending);
+        }
+        ended
+    }
+
+    /// When [`GroupClient::tick`] is due.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        self.calls.values().map(|pending| pending.next_send).min()
+    }
+
+    /// Calls that are open.
+    pub fn open(&self) -> impl Iterator<Item = &T> {
+        self.calls.values().map(|pending| &pending.tag)
+    }
+}
--- /dev/null
+++ b/crates/sim/src/network.rs
@@ -0,0 +1,211 @@
+//! The simulated network: delays, loss, duplicates, reordering and cuts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use molespan_types::Timestamp;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::address::Address;
+use crate::message::Transport;
+
+/// Delay within a zone, in microseconds.
+const DELAY_IN_ZONE: std::ops::Range<u64> = 50..200;
+/// Delay between zones, in microseconds.
+const DELAY_BETWEEN_ZONES: std::ops::Range<u64> = 500..1_500;
+/// Delay to and from callers, operators and the platform, in microseconds.
+const DELAY_OUTSIDE: std::ops::Range<u64> = 2_000..4_000;
+
+/// Time after which a connection sends lost bytes again, in microseconds.
+const RESENT_AFTER: u64 = 200_000;
+
+/// Some of the participants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Endpoint {
+    /// One.
+    One(Address),
+    /// Those of a zone.
+    Zone(u32),
+    /// Those outside a zone that are in another one.
+    OutsideZone(u32),
+    /// Every replica.
+    Replicas,
+    /// Every one.
+    Any,
+}
+
+impl std::fmt::Display for Endpoint {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Endpoint::One(address) => write!(formatter, "{address}"),
+            Endpoint::Zone(zone) => write!(formatter, "zone {zone}"),
+            Endpoint::OutsideZone(zone) => write!(formatter, "other zones than {zone}"),
+            Endpoint::Replicas => write!(formatter, "every replica"),
+            Endpoint::Any => write!(formatter, "anyone"),
+        }
+    }
+}
+
+/// Messages that do not arrive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cut {
+    /// Their senders.
+    pub from: Endpoint,
+    /// Their receivers.
+    pub to: Endpoint,
+}
+
+/// A link that works badly.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Disturbance {
+    /// Whose messages, sent or received, are hit.
+    pub at: Endpoint,
+    /// Share of messages lost.
+    pub loss: f64,
+    /// Share of datagrams that arrive twice.
+    pub duplicates: f64,
+    /// Longest additional delay, which also lets datagrams overtake others.
+    pub longest_delay: Duration,
+}
+
+/// The network.
+#[derive(Debug, Default)]
+pub struct Network {
+    zones: BTreeMap<Address, u32>,
+    cuts: BTreeMap<usize, Vec<Cut>>,
+    disturbances: BTreeMap<usize, Disturbance>,
+    /// Latest arrival on each connection.
+    latest: BTreeMap<Direction, Timestamp>,
+    /// Connections on which a message was held up for good.
+    dead: BTreeSet<Direction>,
+}
+
+/// One direction of a connection.
+type Direction = (Address, Address, u64);
+
+impl Network {
+    /// A network without faults; who is missing in `zones` is outside.
+    #[must_use]
+    pub fn new(zones: BTreeMap<Address, u32>) -> Self {
+        Self {
+            zones,
+            ..Self::default()
+        }
+    }
+
+    /// Zone of a participant.
+    #[must_use]
+    pub fn zone(&self, address: Address) -> Option<u32> {
+        self.zones.get(&address).copied()
+    }
+
+    /// Begins the cuts of fault `fault`.
+    pub fn cut(&mut self, fault: usize, cuts: Vec<Cut>) {
+        self.cuts.insert(fault, cuts);
+    }
+
+    /// Begins the disturbance of fault `fault`.
+    pub fn disturb(&mut self, fault: usize, disturbance: Disturbance) {
+        self.disturbances.insert(fault, disturbance);
+    }
+
+    /// Ends what fault `fault` began.
+    pub fn heal(&mut self, fault: usize) {
+        self.cuts.remove(&fault);
+        self.disturbances.remove(&fault);
+    }
+
+    /// Whether messages from one to the other are held up.
+    #[must_use]
+    pub fn is_cut(&self, from: Address, to: Address) -> bool {
+        let cuts = self.cuts.values().flatten();
+        let mut cuts = cuts.filter(|cut| self.matches(cut.from, from));
+        cuts.any(|cut| self.matches(cut.to, to))
+    }
+
+    /// Whether a message that arrives now gets through. On a connection nothing
+    /// follows what did not.
+    pub fn gets_through(&mut self, from: Address, to: Address, transport: Transport) -> bool {
+        let cut = self.is_cut(from, to);
+        let Transport::Stream(connection) = transport else {
+            return !cut;
+        };
+        let direction = (from, to, connection);
+        if cut {
+            self.dead.insert(direction);
+        }
+        !self.dead.contains(&direction)
+    }
+
+    /// When copies of a message that is sent now arrive; none when it is lost.
+    /// What is lost on a connection is sent again, later.
+    pub fn arrivals(
+        &mut self,
+        random: &mut ChaCha8Rng,
+        now: Timestamp,
+        link: (Address, Address),
+        transport: Transport,
+    ) -> Vec<Timestamp> {
+        let (from, to) = link;
+        if !self.gets_through(from, to, transport) {
+            return Vec::new();
+        }
+        let mut delay = random.random_range(self.usual_delay(from, to));
+        let mut copies = 1;
+        for disturbance in self.disturbances.values() {
+            let hit = self.matches(disturbance.at, from) || self.matches(disturbance.at, to);
+            if !hit {
+                continue;
+            }
+            if random.random_bool(disturbance.loss) {
+                if transport == Transport::Datagram {
+                    return Vec::new();
+                }
+                delay += RESENT_AFTER;
+            }
+            delay += random.random_range(0..=disturbance.longest_delay.as_micros() as u64);
+            let doubled = random.random_bool(disturbance.duplicates);
+            copies += usize::from(doubled && transport == Transport::Datagram);
+        }
+        let mut arrivals = Vec::with_capacity(copies);
+        for copy in 0..copies as u64 {
+            let at = Timestamp(now.0 + delay * (copy + 1));
+            arrivals.push(self.in_order(at, link, transport));
+        }
+        arrivals
+    }
+
+    fn in_order(
+        &mut self,
+        at: Timestamp,
+        link: (Address, Address),
+        transport: Transport,
+    ) -> Timestamp {
+        let Transport::Stream(connection) = transport else {
+            return at;
+        };
+        let key = (link.0, link.1, connection);
+        let latest = self.latest.entry(key).or_default();
+        *latest = at.max(Timestamp(latest.0 + 1));
+        *latest
+    }
+
+    fn usual_delay(&self, from: Address, to: Address) -> std::ops::Range<u64> {
+        match (self.zone(from), self.zone(to)) {
+            (Some(one), Some(other)) if one == other => DELAY_IN_ZONE,
+            (Some(_), Some(_)) => DELAY_BETWEEN_ZONES,
+            _ => DELAY_OUTSIDE,
+        }
+    }
+
+    fn matches(&self, endpoint: Endpoint, address: Address) -> bool {
+        match endpoint {
+            Endpoint::One(one) => one == address,
+            Endpoint::Zone(zone) => self.zone(address) == Some(zone),
+            Endpoint::OutsideZone(zone) => self.zone(address).is_some_and(|other| other != zone),
+            Endpoint::Replicas => matches!(address, Address::Replica(_)),
+            Endpoint::Any => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sim/src/report.rs
@@ -0,0 +1,111 @@
+//! What is printed of runs.
+
+use std::fmt::Write;
+
+use crate::fault::FaultClass;
+use crate::run::{Outcome, run_scenario};
+use crate::scenario::Scenario;
+use crate::shrink::{Shrunk, shrink};
+
+/// Violations of one run that are printed.
+const MOST_VIOLATIONS: usize = 5;
+/// Happenings of one run that are printed.
+const MOST_NOTES: usize = 60;
+
+/// How a run was asked for, to ask for it again.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Classes of faults.
+    pub classes: Vec<FaultClass>,
+    /// Mechanism that is off.
+    pub without: Option<String>,
+    /// Whether a failing run is made small.
+    pub shrink: bool,
+}
+
+impl Request {
+    fn faults(&self) -> String {
+        if self.classes.len() == FaultClass::ALL.len() {
+            return "all".to_owned();
+        }
+        if self.classes.is_empty() {
+            return "none".to_owned();
+        }
+        let names: Vec<String> = self.classes.iter().map(ToString::to_string).collect();
+        names.join(",")
+    }
+}
+
+/// The report of a failed run: its violations, the smallest part of it that
+/// still fails, and how to run that again.
+#[must_use]
+pub fn failure(request: &Request, scenario: &Scenario, outcome: &Outcome) -> String {
+    let mut text = String::new();
+    // Writing to a string cannot fail.
+    let _ = writeln!(text, "seed {} failed", scenario.seed);
+    for violation in outcome.violations.iter().take(MOST_VIOLATIONS) {
+        let _ = writeln!(text, "  {violation}");
+    }
+    let Some(first) = outcome.violations.first() else {
+        return text;
+    };
+    if !request.shrink {
+        let _ = writeln!(text, "  run again: {}", command(request, scenario, None));
+        return text;
+    }
+    let shrunk = shrink(scenario, first.checker);
+    let small = scenario.clone();
+    let small = small.only(Some(&shrunk.faults), Some(&shrunk.work));
+    trace(&mut text, &small, first.checker);
+    let again = command(request, scenario, Some(&shrunk));
+    let _ = writeln!(text, "  run again: {again}");
+    text
+}
+
+fn trace(text: &mut String, small: &Scenario, checker: &str) {
+    let _ = writeln!(text, "  the smallest part found that still fails:");
+    for fault in small.faults.iter().flatten() {
+        let _ = writeln!(text, "    fault {fault}");
+    }
+    for work in small.work.iter().flatten() {
+        let _ = writeln!(text, "    work {work}");
+    }
+    let outcome = run_scenario(small.clone());
+    let mut found = outcome.violations.iter();
+    let Some(violation) = found.find(|violation| violation.checker == checker) else {
+        return;
+    };
+    let _ = writeln!(text, "  what happens there:");
+    let before = outcome.notes.iter().filter(|(at, _)| *at <= violation.at);
+    let before: Vec<_> = before.collect();
+    let skipped = before.len().saturating_sub(MOST_NOTES);
+    for (at, note) in &before[skipped..] {
+        let _ = writeln!(text, "    {} ms {note}", at.0 / 1_000);
+    }
+    let _ = writeln!(text, "    {violation}");
+}
+
+fn command(request: &Request, scenario: &Scenario, shrunk: Option<&Shrunk>) -> String {
+    let mut command = format!(
+        "molespan-sim run --seeds 1 --seed {} --faults {}",
+        scenario.seed,
+        request.faults()
+    );
+    if let Some(mechanism) = &request.without {
+        let _ = write!(command, " --without {mechanism}");
+    }
+    if let Some(shrunk) = shrunk {
+        let faults = list(&shrunk.faults);
+        let work = list(&shrunk.work);
+        let _ = write!(command, " --keep-faults {faults} --keep-work {work}");
+    }
+    command
+}
+
+fn list(numbers: &[usize]) -> String {
+    if numbers.is_empty() {
+        return "none".to_owned();
+    }
+    let numbers: Vec<String> = numbers.iter().map(ToString::to_string).collect();
+    numbers.join(",")
+}
--- /dev/null
+++ b/crates/sim/src/scenario.rs
@@ -0,0 +1,116 @@
+//! Everything that decides a run: participants, clocks, faults and work.
+
+use std::time::Duration;
+
+use molespan_types::Timestamp;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::clock::TRUE_RATE;
+use crate::fault::{Fault, FaultClass, Topology, schedule};
+use crate::workload::{PlannedWork, workload};
+
+/// Services of every run. Engine 1 alone serves the second one.
+pub const SERVICES: [&str; 2] = ["captions", "hints"];
+/// Model of every engine.
+pub const MODEL: &str = "model";
+/// Length of a lease, as replicas count it.
+pub const LEASE: Duration = Duration::from_secs(4);
+/// Currency bound of gateways.
+pub const CURRENCY_BOUND: Duration = Duration::from_secs(3);
+/// Time after the last fault at which the calm job begins.
+pub const CALM_JOB_AFTER: Duration = Duration::from_secs(10);
+/// Time after the last fault at which the burst over it begins.
+pub const CALM_BURST_AFTER: Duration = Duration::from_secs(12);
+/// Time after the last fault at which clients and operators read back what was
+/// promised.
+pub const AUDIT_AFTER: Duration = Duration::from_secs(14);
+/// Time after the last fault by which everything must have finished.
+pub const FINISHED_AFTER: Duration = Duration::from_secs(75);
+
+/// First work and first fault.
+const BEGIN: Timestamp = Timestamp::from_millis(4_000);
+/// Last fault.
+const FAULTS_END: Timestamp = Timestamp::from_millis(22_000);
+/// Zones.
+const ZONES: u32 = 3;
+/// Slowest and fastest clock, in thousandths. A lease holder stops at 0.6 of
+/// its lease, so that these stay well within what is tolerated.
+const CLOCK_RATES: std::ops::RangeInclusive<u64> = 850..=1_150;
+
+/// Everything that decides a run.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    /// Seed.
+    pub seed: u64,
+    /// Participants and times.
+    pub topology: Topology,
+    /// Rates of the clocks of replicas, then of gateways, in thousandths.
+    pub clock_rates: Vec<u64>,
+    /// Faults; `None` where one was left out.
+    pub faults: Vec<Option<Fault>>,
+    /// Work; `None` where a piece was left out.
+    pub work: Vec<Option<PlannedWork>>,
+}
+
+impl Scenario {
+    /// The scenario of a seed with faults of `classes`.
+    #[must_use]
+    pub fn of_seed(seed: u64, classes: &[FaultClass]) -> Self {
+        // Work and faults have generators of their own, so that the work of a
+        // seed stays the same when classes are left out.
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let topology = Topology {
+            replicas: if random.random_bool(0.7) { 3 } else { 5 },
+            gateways: 3,
+            engines: 4,
+            zones: ZONES,
+            faults_begin: BEGIN,
+            faults_end: FAULTS_END,
+        };
+        let work = workload(&mut random, BEGIN, FAULTS_END, topology.engines);
+        let mut random = ChaCha8Rng::seed_from_u64(seed ^ u64::MAX);
+        let clocks = topology.replicas + topology.gateways;
+        let clock_rates = (0..clocks).map(|_| random.random_range(CLOCK_RATES));
+        let clock_rates: Vec<u64> = clock_rates.collect();
+        let faults = schedule(&mut random, &topology, classes);
+        let skewed = classes.contains(&FaultClass::Clocks);
+        Self {
+            seed,
+            clock_rates: if skewed {
+                clock_rates
+            } else {
+                vec![TRUE_RATE; clocks as usize]
+            },
+            topology,
+            faults: faults.into_iter().map(Some).collect(),
+            work: work.into_iter().map(Some).collect(),
+        }
+    }
+
+    /// Leaves out every fault and piece of work that is not named.
+    #[must_use]
+    pub fn only(mut self, faults: Option<&[usize]>, work: Option<&[usize]>) -> Self {
+        if let Some(kept) = faults {
+            leave_out(&mut self.faults, kept);
+        }
+        if let Some(kept) = work {
+            leave_out(&mut self.work, kept);
+        }
+        self
+    }
+
+    /// When the last fault has ended.
+    #[must_use]
+    pub fn faults_end(&self) -> Timestamp {
+        self.topology.faults_end
+    }
+}
+
+fn leave_out<T>(entries: &mut [Option<T>], kept: &[usize]) {
+    for (position, entry) in entries.iter_mut().enumerate() {
+        if !kept.contains(&position) {
+            *entry = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sim/src/workload.rs
@@ -0,0 +1,307 @@
+//! The work of callers and operators, drawn from a seed.
+
+use std::ops::Range;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use molespan_emulator::expected_answer;
+use molespan_types::{Digest, JobId, ServiceName, TenantId, Timestamp, digest_of};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::scenario::{CALM_BURST_AFTER, CALM_JOB_AFTER, SERVICES};
+
+/// Jobs during the faults.
+const JOBS: Range<usize> = 4..8;
+/// Online requests during the faults.
+const ONLINE: Range<usize> = 40..90;
+/// Intents of operators.
+const INTENTS: Range<u64> = 10..24;
+/// Fenced orders.
+const ORDERS: Range<usize> = 6..14;
+/// Online requests of the burst after the faults.
+const BURST: u64 = 12;
+/// Time between two of them.
+const BURST_GAP: Duration = Duration::from_millis(15);
+
+/// A job that a caller submits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobPlan {
+    /// Tenant.
+    pub tenant: TenantId,
+    /// Key.
+    pub key: String,
+    /// Service.
+    pub service: ServiceName,
+    /// Items.
+    pub items: u32,
+    /// Tokens of each item.
+    pub tokens: u32,
+    /// Whether items may run again.
+    pub repeatable: bool,
+    /// Time from the submission to a wish to cancel.
+    pub cancel_after: Option<Duration>,
+    /// Times from the submission at which it is submitted again elsewhere.
+    pub resubmit_after: Vec<Duration>,
+}
+
+impl JobPlan {
+    /// Its identifier.
+    #[must_use]
+    pub fn id(&self) -> JobId {
+        JobId::from_key(&self.tenant, &self.key)
+    }
+
+    /// Prompt of an item.
+    #[must_use]
+    pub fn prompt(&self, item: u32) -> String {
+        format!("{} item {item}", self.key)
+    }
+
+    /// Request body of an item: tokens, a line break, the prompt.
+    #[must_use]
+    pub fn input(&self, item: u32) -> Vec<u8> {
+        format!("{}\n{}", self.tokens, self.prompt(item)).into_bytes()
+    }
+
+    /// The answer that an item must get.
+    #[must_use]
+    pub fn answer(&self, item: u32) -> String {
+        expected_answer(&self.prompt(item), self.tokens)
+    }
+
+    /// Digest of the whole submission.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        digest_of(format!("{}/{}/{}", self.key, self.items, self.tokens).as_bytes())
+    }
+}
+
+/// Tokens and prompt of an item's request body.
+#[must_use]
+pub fn read_input(input: &[u8]) -> Option<(u32, String)> {
+    let text = std::str::from_utf8(input).ok()?;
+    let (tokens, prompt) = text.split_once('\n')?;
+    Some((tokens.parse().ok()?, prompt.to_owned()))
+}
+
+/// An online request that a caller makes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OnlinePlan {
+    /// Tenant.
+    pub tenant: TenantId,
+    /// Service.
+    pub service: ServiceName,
+    /// Prompt.
+    pub prompt: String,
+    /// Tokens.
+    pub tokens: u32,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Key of a request that may run only once.
+    pub key: Option<String>,
+    /// Times after which an impatient caller asks another gateway as well.
+    pub resend_after: Option<Duration>,
+}
+
+/// An intent of an operator.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IntentPlan {
+    /// Number, which two operators may pick alike.
+    pub number: u64,
+    /// Operator.
+    pub operator: String,
+    /// What the policy is set to.
+    pub tail_protection: u8,
+}
+
+/// A fenced order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderPlan {
+    /// Engine.
+    pub engine: u32,
+    /// Version of the model to load.
+    pub version: u32,
+    /// Time between getting a token and sending the order.
+    pub send_after: Duration,
+}
+
+/// One piece of work.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum Work {
+    /// A job.
+    #[display(
+        "job {} of {} {} items for {}{}",
+        _0.key,
+        _0.items,
+        if _0.repeatable { "repeatable" } else { "non-repeatable" },
+        _0.service,
+        if _0.cancel_after.is_some() { ", cancelled later" } else { "" }
+    )]
+    Job(Arc<JobPlan>),
+    /// An online request.
+    #[display(
+        "{}{} request for {}: {}",
+        if _0.key.is_some() { "non-repeatable " } else { "" },
+        if _0.stream { "streamed" } else { "plain" },
+        _0.service,
+        _0.prompt
+    )]
+    Online(Arc<OnlinePlan>),
+    /// An intent.
+    #[display("intent {} of {}", _0.number, _0.operator)]
+    Intent(IntentPlan),
+    /// An order.
+    #[display("order to engine {}: load version {}", _0.engine, _0.version)]
+    Order(OrderPlan),
+}
+
+/// A piece of work and when it begins.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+#[display("{} ms: {work}", begins.0 / 1_000)]
+pub struct PlannedWork {
+    /// When it begins.
+    pub begins: Timestamp,
+    /// What is done.
+    pub work: Work,
+}
+
+/// Draws the work of a run with faults between `begin` and `end`.
+#[must_use]
+pub fn workload(
+    random: &mut ChaCha8Rng,
+    begin: Timestamp,
+    end: Timestamp,
+    engines: u32,
+) -> Vec<PlannedWork> {
+    let mut work = Vec::new();
+    let mut add = |begins: Timestamp, one: Work| {
+        work.push(PlannedWork { begins, work: one });
+    };
+    for number in 0..random.random_range(JOBS) {
+        add(draw_time(random, begin, end), job(random, number));
+    }
+    for number in 0..random.random_range(ONLINE) {
+        add(draw_time(random, begin, end), online(random, number));
+    }
+    let intents = random.random_range(INTENTS);
+    for number in 1..=intents {
+        let at = draw_time(random, begin, end);
+        add(at, intent(random, number, "first"));
+        if random.random_bool(0.4) {
+            let after = Duration::from_millis(random.random_range(0..300));
+            add(at + after, intent(random, number, "second"));
+        }
+    }
+    for _ in 0..random.random_range(ORDERS) {
+        add(draw_time(random, begin, end), order(random, engines));
+    }
+    after_the_faults(random, end, engines, &mut add);
+    work.sort_by_key(|one| one.begins);
+    work
+}
+
+fn draw_time(random: &mut ChaCha8Rng, begin: Timestamp, end: Timestamp) -> Timestamp {
+    Timestamp(random.random_range(begin.0..end.0))
+}
+
+fn service(random: &mut ChaCha8Rng) -> ServiceName {
+    SERVICES[random.random_range(0..SERVICES.len())].into()
+}
+
+fn job(random: &mut ChaCha8Rng, number: usize) -> Work {
+    let long = random.random_bool(0.5);
+    let resubmissions = random.random_range(0..3);
+    Work::Job(Arc::new(JobPlan {
+        tenant: format!("tenant {}", number % 2).as_str().into(),
+        key: format!("job {number}"),
+        service: service(random),
+        items: random.random_range(if long { 60..160 } else { 3..30 }),
+        tokens: random.random_range(if long { 20..80 } else { 2..20 }),
+        repeatable: random.random_bool(0.6),
+        cancel_after: random
+            .random_bool(0.4)
+            .then(|| Duration::from_millis(random.random_range(200..4_000))),
+        resubmit_after: (0..resubmissions)
+            .map(|_| Duration::from_millis(random.random_range(0..9_000)))
+            .collect(),
+    }))
+}
+
+fn online(random: &mut ChaCha8Rng, number: usize) -> Work {
+    let non_repeatable = random.random_bool(0.4);
+    Work::Online(Arc::new(OnlinePlan {
+        tenant: format!("tenant {}", number % 3).as_str().into(),
+        service: service(random),
+        prompt: format!("online {number}"),
+        tokens: random.random_range(1..40),
+        stream: random.random(),
+        key: non_repeatable.then(|| format!("online {number}")),
+        resend_after: random
+            .random_bool(0.3)
+            .then(|| Duration::from_millis(random.random_range(1..400))),
+    }))
+}
+
+fn intent(random: &mut ChaCha8Rng, number: u64, operator: &str) -> Work {
+    Work::Intent(IntentPlan {
+        number,
+        operator: operator.to_owned(),
+        tail_protection: random.random_range(50..=100),
+    })
+}
+
+fn order(random: &mut ChaCha8Rng, engines: u32) -> Work {
+    Work::Order(OrderPlan {
+        engine: random.random_range(1..=engines),
+        version: random.random_range(2..9),
+        send_after: Duration::from_millis(random.random_range(0..2_000)),
+    })
+}
+
+/// Work in calm times: a job that fills the engines, online requests that must
+/// not wait behind it, an intent, and an order to each engine.
+fn after_the_faults(
+    random: &mut ChaCha8Rng,
+    end: Timestamp,
+    engines: u32,
+    add: &mut impl FnMut(Timestamp, Work),
+) {
+    let calm = end + CALM_JOB_AFTER;
+    for service in SERVICES {
+        let filler = JobPlan {
+            tenant: "calm".into(),
+            key: format!("calm {service}"),
+            service: service.into(),
+            items: 100,
+            tokens: 120,
+            repeatable: true,
+            cancel_after: None,
+            resubmit_after: Vec::new(),
+        };
+        add(calm, Work::Job(Arc::new(filler)));
+    }
+    for number in 0..BURST {
+        let plan = OnlinePlan {
+            tenant: "calm".into(),
+            service: service(random),
+            prompt: format!("burst {number}"),
+            tokens: 5,
+            stream: true,
+            key: None,
+            resend_after: None,
+        };
+        let at = end + CALM_BURST_AFTER + BURST_GAP * number as u32;
+        add(at, Work::Online(Arc::new(plan)));
+    }
+    add(calm, intent(random, 1_000, "calm"));
+    for engine in 1..=engines {
+        let order = OrderPlan {
+            engine,
+            version: 10,
+            send_after: Duration::ZERO,
+        };
+        add(calm, Work::Order(order));
+    }
+}
--- /dev/null
+++ b/crates/sim/src/world.rs
@@ -0,0 +1,370 @@
+//! The simulated world: it lets events happen, one after the other.
+
+use std::collections::BTreeMap;
+
+use molespan_engine_api::MachineState;
+use molespan_storage::SimulatedDisk;
+use molespan_types::Timestamp;
+use rand::Rng;
+
+use crate::address::Address;
+use crate::client::{JobClient, OnlineClient};
+use crate::clock::NodeClock;
+use crate::context::Context;
+use crate::engine_node::EngineNode;
+use crate::event::{Envelope, Event};
+use crate::gateway::GatewayNode;
+use crate::message::{Message, Transport};
+use crate::network::Network;
+use crate::node::Node;
+use crate::operator::{Goal, Operator};
+use crate::platform_node::PlatformNode;
+use crate::replica_node::ReplicaNode;
+use crate::scenario::{AUDIT_AFTER, FINISHED_AFTER, Scenario};
+use crate::workload::Work;
+
+/// Greatest difference between the starts of two clocks, in microseconds.
+const CLOCK_SPREAD: u64 = 10_000_000;
+/// Time between two looks at whether everything has finished.
+const LOOK_INTERVAL_MS: u64 = 500;
+
+/// A caller.
+#[derive(Debug)]
+pub enum Client {
+    /// With a job.
+    Job(JobClient),
+    /// With an online request.
+    Online(OnlineClient),
+}
+
+impl Client {
+    /// Whether it got what it wanted.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        match self {
+            Client::Job(client) => client.is_done(),
+            Client::Online(client) => client.is_done(),
+        }
+    }
+}
+
+/// The simulated world.
+#[derive(Debug)]
+pub struct World {
+    /// Time, chance, network and records.
+    pub context: Context,
+    /// What decides the run.
+    pub scenario: Scenario,
+    pub(crate) replicas: BTreeMap<u32, ReplicaNode>,
+    pub(crate) gateways: BTreeMap<u32, GatewayNode>,
+    pub(crate) engines: BTreeMap<u32, EngineNode>,
+    pub(crate) platform: PlatformNode,
+    pub(crate) clients: BTreeMap<u32, Client>,
+    pub(crate) operators: BTreeMap<u32, Operator>,
+    wake_at: BTreeMap<Address, Timestamp>,
+    /// Messages that wait for a process that stands still, and how many faults
+    /// hold it.
+    pub(crate) frozen: BTreeMap<Address, (u32, Vec<Envelope>)>,
+    /// Faults that keep a process down.
+    pub(crate) down: BTreeMap<Address, u32>,
+    pub(crate) backups: BTreeMap<usize, SimulatedDisk>,
+}
+
+impl World {
+    /// A world in which nothing was started yet.
+    #[must_use]
+    pub fn new(scenario: Scenario) -> Self {
+        let topology = &scenario.topology;
+        let zones = topology.zones;
+        let replicas = (1..=topology.replicas).map(|one| (Address::Replica(one), one % zones));
+        let gateways = (1..=topology.gateways).map(|one| (Address::Gateway(one), one % zones));
+        let engines = (1..=topology.engines).map(|one| (Address::Engine(one), one % zones));
+        let network = Network::new(replicas.chain(gateways).chain(engines).collect());
+        let mut context = Context::new(scenario.seed, network);
+        let mut clock = |position: u32| {
+            let offset = context.random.random_range(0..CLOCK_SPREAD);
+            NodeClock::new(offset, scenario.clock_rates[position as usize])
+        };
+        let count = topology.replicas;
+        let replicas = (1..=count).map(|one| (one, ReplicaNode::new(one, count, clock(one - 1))));
+        let replicas = replicas.collect();
+        let gateways = (1..=topology.gateways).map(|one| {
+            let clock = clock(count + one - 1);
+            (one, GatewayNode::new(one, count, clock))
+        });
+        let gateways = gateways.collect();
+        let engines = (1..=topology.engines).map(|one| {
+            let seed = context.fresh();
+            (one, EngineNode::new(one, seed, &mut context))
+        });
+        Self {
+            replicas,
+            gateways,
+            engines: engines.collect(),
+            platform: PlatformNode::new(topology.engines, zones),
+            clients: BTreeMap::new(),
+            operators: BTreeMap::new(),
+            wake_at: BTreeMap::new(),
+            frozen: BTreeMap::new(),
+            down: BTreeMap::new(),
+            backups: BTreeMap::new(),
+            context,
+            scenario,
+        }
+    }
+
+    /// Starts every process and runs until everything has finished, or until
+    /// it should have.
+    pub fn run(&mut self) {
+        self.start();
+        let audit_at = self.scenario.faults_end() + AUDIT_AFTER;
+        self.run_until(audit_at);
+        let deadline = self.scenario.faults_end() + FINISHED_AFTER;
+        self.run_until_done(deadline);
+        self.audit();
+        self.run_until_done(deadline);
+    }
+
+    fn start(&mut self) {
+        for replica in self.replicas.keys().copied().collect::<Vec<_>>() {
+            self.start_process(Address::Replica(replica));
+        }
+        for gateway in self.gateways.keys().copied().collect::<Vec<_>>() {
+            self.start_process(Address::Gateway(gateway));
+        }
+        self.add_operator(0, Goal::DefineServices);
+        for (position, fault) in self.scenario.faults.iter().enumerate() {
+            if let Some(fault) = fault {
+                let event = Event::FaultBegins(position);
+                self.context.queue.push(fault.begins, event);
+            }
+        }
+        for (position, work) in self.scenario.work.iter().enumerate() {
+            if let Some(work) = work {
+                let event = Event::WorkBegins(position);
+                self.context.queue.push(work.begins, event);
+            }
+        }
+    }
+
+    fn run_until(&mut self, end: Timestamp) {
+        while let Some((at, event)) = self.context.queue.pop(end) {
+            self.context.now = at;
+            self.happen(event);
+        }
+        self.context.now = end;
+    }
+
+    fn run_until_done(&mut self, deadline: Timestamp) {
+        while self.context.now < deadline && !self.is_done() {
+            let look = Timestamp::from_millis(LOOK_INTERVAL_MS).0;
+            let next = Timestamp(self.context.now.0 + look);
+            self.run_until(next.min(deadline));
+        }
+    }
+
+    /// Whether every caller and operator got what it wanted.
+    fn is_done(&self) -> bool {
+        self.clients.values().all(Client::is_done) && self.operators.values().all(Operator::is_done)
+    }
+
+    /// Lets everyone ask again for what was promised before.
+    fn audit(&mut self) {
+        for (number, client) in &mut self.clients {
+            if let Client::Job(client) = client {
+                client.audit(&mut self.context);
+                let address = Address::Client(*number);
+                schedule(&mut self.context, &mut self.wake_at, address, client);
+            }
+        }
+        for (number, operator) in &mut self.operators {
+            operator.ask_again(&mut self.context);
+            let address = Address::Operator(*number);
+            schedule(&mut self.context, &mut self.wake_at, address, operator);
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Deliver(envelope) => self.deliver(envelope),
+            Event::Wake(address) => {
+                if self.wake_at.get(&address) == Some(&self.context.now) {
+                    self.wake_at.remove(&address);
+                    if !self.frozen.contains_key(&address) {
+                        self.with(address, |node, context| node.wake(context));
+                    }
+                }
+            }
+            Event::FaultBegins(position) => self.begin_fault(position),
+            Event::FaultEnds(position) => self.end_fault(position),
+            Event::WorkBegins(position) => self.begin_work(position),
+            Event::Restart(address) => self.start_process(address),
+        }
+    }
+
+    fn deliver(&mut self, envelope: Envelope) {
+        let transport = envelope.message.transport();
+        let network = &mut self.context.network;
+        if !network.gets_through(envelope.from, envelope.to, transport) {
+            return;
+        }
+        if let Some((_, held)) = self.frozen.get_mut(&envelope.to) {
+            held.push(envelope);
+            return;
+        }
+        let Envelope { from, to, message } = envelope;
+        self.with(to, |node, context| node.receive(context, from, message));
+    }
+
+    /// Lets a participant act and notes when it wants to be woken.
+    pub(crate) fn with(&mut self, address: Address, act: impl FnOnce(&mut dyn Node, &mut Context)) {
+        let node: Option<&mut dyn Node> = match address {
+            Address::Replica(number) => self.replicas.get_mut(&number).map(|node| node as _),
+            Address::Gateway(number) => self.gateways.get_mut(&number).map(|node| node as _),
+            Address::Engine(number) => self.engines.get_mut(&number).map(|node| node as _),
+            Address::Platform => Some(&mut self.platform),
+            Address::Client(number) => match self.clients.get_mut(&number) {
+                Some(Client::Job(client)) => Some(client),
+                Some(Client::Online(client)) => Some(client),
+                None => None,
+            },
+            Address::Operator(number) => self.operators.get_mut(&number).map(|node| node as _),
+        };
+        if let Some(node) = node {
+            act(node, &mut self.context);
+            schedule(&mut self.context, &mut self.wake_at, address, node);
+        }
+    }
+
+    /// Wakes a participant now, whatever it waited for.
+    pub(crate) fn wake(&mut self, address: Address) {
+        self.wake_at.remove(&address);
+        self.with(address, |node, context| node.wake(context));
+    }
+
+    /// Starts a process, unless some fault keeps it down.
+    pub(crate) fn start_process(&mut self, address: Address) {
+        if self.down.get(&address).copied().unwrap_or(0) > 0 {
+            return;
+        }
+        let context = &mut self.context;
+        match address {
+            Address::Replica(number) => {
+                if let Some(replica) = self.replicas.get_mut(&number) {
+                    replica.start(context);
+                }
+            }
+            Address::Gateway(number) => {
+                if let Some(gateway) = self.gateways.get_mut(&number) {
+                    gateway.start(context);
+                }
+            }
+            Address::Engine(number) => {
+                if let Some(engine) = self.engines.get_mut(&number) {
+                    engine.start(context);
+                    let life = engine.incarnation();
+                    let live = MachineState::Live;
+                    self.platform.set(context.now, number, life, live);
+                }
+            }
+            _ => {}
+        }
+        self.wake(address);
+    }
+
+    fn begin_work(&mut self, position: usize) {
+        let Some(planned) = self.scenario.work[position].clone() else {
+            return;
+        };
+        let number = position as u32 + 1;
+        let gateways = self.scenario.topology.gateways;
+        let client = match planned.work {
+            Work::Job(plan) => {
+                let mut client = JobClient::new(number, gateways, plan);
+                client.begin(&mut self.context);
+                Client::Job(client)
+            }
+            Work::Online(plan) => {
+                let mut client = OnlineClient::new(number, gateways, plan);
+                client.begin(&mut self.context);
+                Client::Online(client)
+            }
+            Work::Intent(plan) => return self.add_operator(number, Goal::Intent(plan)),
+            Work::Order(plan) => return self.add_operator(number, Goal::Order(plan)),
+        };
+        self.clients.insert(number, client);
+        self.wake(Address::Client(number));
+    }
+
+    fn add_operator(&mut self, number: u32, goal: Goal) {
+        let mut operator = Operator::new(number, self.scenario.topology.replicas, goal);
+        operator.begin(&mut self.context);
+        self.operators.insert(number, operator);
+        self.wake(Address::Operator(number));
+    }
+
+    /// Lets a process that stood still go on. Its connections are served in
+    /// any order.
+    pub(crate) fn thaw(&mut self, address: Address) {
+        let Some((holders, _)) = self.frozen.get_mut(&address) else {
+            return;
+        };
+        *holders -= 1;
+        if *holders > 0 {
+            return;
+        }
+        let Some((_, held)) = self.frozen.remove(&address) else {
+            return;
+        };
+        let timers_first = self.context.random.random();
+        if timers_first {
+            self.wake(address);
+        }
+        for envelope in self.shuffled(held) {
+            self.deliver(envelope);
+        }
+        self.wake(address);
+    }
+
+    /// The messages in any order that keeps each connection's own.
+    fn shuffled(&mut self, held: Vec<Envelope>) -> Vec<Envelope> {
+        let mut ranks: BTreeMap<u64, u64> = BTreeMap::new();
+        let mut ranked: Vec<(u64, Envelope)> = Vec::with_capacity(held.len());
+        for envelope in held {
+            let fresh = self.context.fresh();
+            let rank = match envelope.message.transport() {
+                Transport::Stream(connection) => *ranks.entry(connection).or_insert(fresh),
+                Transport::Datagram => fresh,
+            };
+            ranked.push((rank, envelope));
+        }
+        ranked.sort_by_key(|(rank, _)| *rank);
+        ranked.into_iter().map(|(_, envelope)| envelope).collect()
+    }
+
+    /// Discards what waits for a process that was killed while it stood still.
+    pub(crate) fn discard_held(&mut self, address: Address) {
+        if let Some((_, held)) = self.frozen.get_mut(&address) {
+            held.retain(|envelope| !matches!(envelope.message, Message::Peer { .. }));
+            held.clear();
+        }
+    }
+}
+
+/// Notes when a participant wants to be woken.
+fn schedule(
+    context: &mut Context,
+    wake_at: &mut BTreeMap<Address, Timestamp>,
+    address: Address,
+    node: &dyn Node,
+) {
+    let wanted = node.next_wakeup().map(|at| at.max(context.now));
+    let Some(at) = wanted else {
+        wake_at.remove(&address);
+        return;
+    };
+    if wake_at.get(&address) != Some(&at) {
+        wake_at.insert(address, at);
+        context.queue.push(at, Event::Wake(address));
+    }
+}
