--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,14 @@
-//! The molespand daemon: gateway and replica roles composed.
+//! The molespan daemon: the gateway and replica roles of a node.
+
+pub mod cluster;
+mod error;
+mod folder_lock;
+pub mod gateway;
+pub mod incarnation;
+pub mod node;
+mod peer_handler;
+pub mod replica;
+mod status_server;
+pub mod wall_clock;
+
+pub use error::DaemonError;
