Compare replayed membership changes with the membership before them

It compared each of them with the latest membership in its log, so that a change from before later replacements seemed to remove the lives that came with those. They were noted as replaced, told so by hello, and emptied their disks.

The regression test fails before the change with "leaders" never reached, and passes after it.

--- a/crates/replica/src/group/mod.rs
+++ b/crates/replica/src/group/mod.rs
@@ -84,13 +84,16 @@
         let payloads = FilePayloadLog::open(disk.clone(), id, payload_length)?;
         let meta = header.map(|header| header.meta);
         let applied = meta.as_ref().map_or(Index::ZERO, |meta| meta.index);
+        // Later changes are applied anew: compared with the latest membership,
+        // those would seem to remove the lives that came after them.
+        let membership = meta.as_ref().map(|meta| meta.membership.clone());
         let persisted = persisted(id, &recovery, meta)?;
         let replica = Replica::new(config, persisted)
             .map_err(|source| ReplicaError::Consensus { group: id, source })?;
         Ok(Self {
             id,
             disk: disk.clone(),
-            membership: replica.membership().clone(),
+            membership: membership.unwrap_or_default(),
             replica,
             machine,
             payloads,
