Explore a small group of replicas exhaustively

molespan_consensus::explore visits breadth first every order of deliveries, losses, repetitions, timeouts, proposals, syncs and restarts within bounds, and checks election safety, log matching, leader completeness, state machine safety, that committed entries are synced on a quorum, and that what was synced is a whole log.

--- /dev/null
+++ b/crates/consensus/src/explore/check.rs
@@ -0,0 +1,117 @@
+//! Invariants of a group, and the record of what they rest on.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+
+use super::world::Node;
+use crate::{Entry, Index, ReplicaId, Role, Term};
+
+/// What must hold in every state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
+pub enum Invariant {
+    /// A term has at most one leader.
+    #[display("election safety")]
+    ElectionSafety,
+    /// Logs that agree in an entry agree in all before it.
+    #[display("log matching")]
+    LogMatching,
+    /// A leader holds every entry committed before its term.
+    #[display("leader completeness")]
+    LeaderCompleteness,
+    /// Replicas apply the same entry at the same position.
+    #[display("state machine safety")]
+    StateMachineSafety,
+    /// A committed entry is synced on a quorum.
+    #[display("committed entries stay")]
+    CommittedStay,
+    /// What was synced is a whole log.
+    #[display("whole log")]
+    WholeLog,
+    /// No replica finds a contradiction in what it is told.
+    #[display("no contradiction")]
+    NoContradiction,
+}
+
+/// What was seen on the way to a state.
+#[derive(Clone, Debug, Default, Hash)]
+pub(super) struct Record {
+    leaders: BTreeMap<Term, ReplicaId>,
+    /// Entries that some replica applied, by index.
+    applied: BTreeMap<Index, Entry>,
+}
+
+impl Record {
+    /// Notes an entry that a replica applies.
+    pub(super) fn apply(&mut self, entry: Entry) -> Result<(), Invariant> {
+        let first = self
+            .applied
+            .entry(entry.index)
+            .or_insert_with(|| entry.clone());
+        check(*first == entry, Invariant::StateMachineSafety)
+    }
+
+    /// Judges a state.
+    pub(super) fn check(&mut self, nodes: &BTreeMap<ReplicaId, Node>) -> Result<(), Invariant> {
+        for (id, node) in nodes {
+            let status = node.replica.status();
+            check(status.fault.is_none(), Invariant::NoContradiction)?;
+            if status.role == Role::Leader {
+                self.check_leader(*id, node)?;
+            }
+        }
+        self.check_logs(nodes)?;
+        self.check_committed(nodes)
+    }
+
+    fn check_leader(&mut self, id: ReplicaId, node: &Node) -> Result<(), Invariant> {
+        let first = *self.leaders.entry(node.replica.term()).or_insert(id);
+        check(first == id, Invariant::ElectionSafety)?;
+        let term = node.replica.term();
+        let complete = self
+            .applied
+            .values()
+            .filter(|entry| entry.term <= term)
+            .all(|entry| node.replica.term_at(entry.index) == Some(entry.term));
+        check(complete, Invariant::LeaderCompleteness)
+    }
+
+    fn check_logs(&self, nodes: &BTreeMap<ReplicaId, Node>) -> Result<(), Invariant> {
+        let logs: Vec<&[Entry]> = nodes.values().map(Node::synced_entries).collect();
+        for (position, left) in logs.iter().enumerate() {
+            for right in &logs[position + 1..] {
+                check(match_each_other(left, right), Invariant::LogMatching)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn check_committed(&self, nodes: &BTreeMap<ReplicaId, Node>) -> Result<(), Invariant> {
+        for entry in self.applied.values() {
+            let holders = nodes
+                .values()
+                .filter(|node| node.synced_entries().contains(entry))
+                .count();
+            check(holders * 2 > nodes.len(), Invariant::CommittedStay)?;
+        }
+        Ok(())
+    }
+}
+
+/// Whether the logs are the same up to the last entry that they share.
+fn match_each_other(left: &[Entry], right: &[Entry]) -> bool {
+    let mut pairs = left.iter().zip(right).rev();
+    let agreement = pairs.find(|(one, other)| one.term == other.term);
+    let Some((last, _)) = agreement else {
+        return true;
+    };
+    let up_to_last = |log: &[Entry]| -> Vec<Entry> {
+        let entries = log.iter().take_while(|entry| entry.index <= last.index);
+        entries.cloned().collect()
+    };
+    up_to_last(left) == up_to_last(right)
+}
+
+fn check(holds: bool, invariant: Invariant) -> Result<(), Invariant> {
+    if holds { Ok(()) } else { Err(invariant) }
+}
--- /dev/null
+++ b/crates/consensus/src/explore/world.rs
@@ -0,0 +1,289 @@
+//! A group, its disks and its network in one state.
+
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use super::check::{Invariant, Record};
+use super::{Action, Bounds, Start};
+use crate::{Config, Entry, Membership, Message, Outgoing, Persisted, Ready, Replica, ReplicaId};
+
+/// A tick is an election timeout, so that paths stay short.
+const TICKS: u32 = 1;
+
+/// One replica and its disk.
+#[derive(Clone, Debug, Hash)]
+pub(super) struct Node {
+    pub(super) replica: Replica,
+    /// What is synced.
+    disk: Persisted,
+    /// What is written but not synced.
+    writing: Option<Ready>,
+}
+
+/// A message on its way.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Envelope {
+    from: ReplicaId,
+    to: ReplicaId,
+    message: Message,
+}
+
+/// What is left of the bounds.
+#[derive(Clone, Copy, Debug, Hash)]
+struct Budget {
+    ticks: u32,
+    proposals: u32,
+    restarts: u32,
+    repetitions: u32,
+}
+
+/// A state of the group.
+#[derive(Clone, Debug)]
+pub(super) struct World {
+    nodes: BTreeMap<ReplicaId, Node>,
+    network: Vec<Envelope>,
+    record: Record,
+    budget: Budget,
+    bounds: Bounds,
+}
+
+impl World {
+    /// The state where the search starts.
+    ///
+    /// # Errors
+    /// When the way there breaks an invariant.
+    pub(super) fn new(bounds: &Bounds) -> Result<Self, Invariant> {
+        let ids = (1..=bounds.replicas).map(ReplicaId);
+        let disk = Persisted::bootstrap(Membership::of_voters(ids.clone()));
+        let mut nodes = BTreeMap::new();
+        for id in ids {
+            nodes.insert(id, Node::start(id, disk.clone(), bounds.pre_vote)?);
+        }
+        let mut world = Self {
+            nodes,
+            network: Vec::new(),
+            record: Record::default(),
+            budget: Budget {
+                ticks: bounds.ticks,
+                proposals: bounds.proposals,
+                restarts: bounds.restarts,
+                repetitions: bounds.repetitions,
+            },
+            bounds: *bounds,
+        };
+        if bounds.start == Start::Led {
+            world.elect_first()?;
+        }
+        Ok(world)
+    }
+
+    /// Lets replica 1 win an election without a fault.
+    fn elect_first(&mut self) -> Result<(), Invariant> {
+        let budget = self.budget;
+        let bounds = self.bounds;
+        self.budget.ticks = 1;
+        self.bounds.slow_disk = false;
+        self.bounds.max_in_flight = usize::MAX;
+        let mut next = Some(Action::Tick(ReplicaId(1)));
+        while let Some(action) = next {
+            self.act(&action)?;
+            next = self.network.first().map(|envelope| envelope.arrival(false));
+        }
+        self.budget = budget;
+        self.bounds = bounds;
+        Ok(())
+    }
+
+    /// A hash over all that decides what can follow.
+    pub(super) fn fingerprint(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.nodes.hash(&mut hasher);
+        self.record.hash(&mut hasher);
+        self.budget.hash(&mut hasher);
+        // The order in which messages were sent does not matter.
+        let mut messages: Vec<u64> = self.network.iter().map(hash_of).collect();
+        messages.sort_unstable();
+        messages.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// Steps that can come next.
+    pub(super) fn actions(&self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (id, node) in &self.nodes {
+            if self.budget.ticks > 0 {
+                actions.push(Action::Tick(*id));
+            }
+            if self.budget.proposals > 0 && node.replica.leader() == Some(*id) {
+                actions.push(Action::Propose(*id));
+            }
+            if self.budget.restarts > 0 {
+                actions.push(Action::Restart(*id));
+            }
+            if node.writing.is_some() {
+                actions.push(Action::Sync(*id));
+            }
+        }
+        for envelope in &self.network {
+            actions.push(envelope.arrival(false));
+            if self.budget.repetitions > 0 {
+                actions.push(envelope.arrival(true));
+            }
+        }
+        actions
+    }
+
+    /// Takes one step, and checks the state after it.
+    pub(super) fn act(&mut self, action: &Action) -> Result<(), Invariant> {
+        let id = self.input(action)?;
+        self.work(id)?;
+        self.record.check(&self.nodes)
+    }
+
+    /// Gives a replica its input; returns the replica.
+    fn input(&mut self, action: &Action) -> Result<ReplicaId, Invariant> {
+        let id = match action {
+            Action::Tick(id) => {
+                self.budget.ticks -= 1;
+                self.node(*id).replica.tick();
+                *id
+            }
+            Action::Propose(id) => {
+                self.budget.proposals -= 1;
+                let command = self.budget.proposals.to_be_bytes().to_vec();
+                // A refusal is a step that changes nothing.
+                let _ = self.node(*id).replica.propose(command);
+                *id
+            }
+            Action::Sync(id) => {
+                self.sync(*id);
+                *id
+            }
+            Action::Restart(id) => {
+                self.budget.restarts -= 1;
+                let pre_vote = self.bounds.pre_vote;
+                let node = self.node(*id);
+                *node = Node::start(*id, node.disk.clone(), pre_vote)?;
+                *id
+            }
+            Action::Deliver {
+                from,
+                to,
+                message,
+                repeated,
+            } => {
+                self.take(*from, *to, message, *repeated);
+                self.node(*to).replica.step(*from, message.clone());
+                *to
+            }
+        };
+        Ok(id)
+    }
+
+    fn node(&mut self, id: ReplicaId) -> &mut Node {
+        let Some(node) = self.nodes.get_mut(&id) else {
+            unreachable!("messages go to members only")
+        };
+        node
+    }
+
+    /// Takes a message off the network, unless it will come once more.
+    fn take(&mut self, from: ReplicaId, to: ReplicaId, message: &Message, repeated: bool) {
+        if repeated {
+            self.budget.repetitions -= 1;
+            return;
+        }
+        let arrived = |envelope: &Envelope| {
+            envelope.from == from && envelope.to == to && envelope.message == *message
+        };
+        if let Some(position) = self.network.iter().position(arrived) {
+            self.network.remove(position);
+        }
+    }
+
+    /// Does the work that a replica hands out.
+    fn work(&mut self, id: ReplicaId) -> Result<(), Invariant> {
+        while let Some(mut ready) = self.node(id).replica.ready() {
+            self.send(id, std::mem::take(&mut ready.messages));
+            for entry in std::mem::take(&mut ready.committed) {
+                self.record.apply(entry)?;
+            }
+            if ready.needs_sync() {
+                self.node(id).writing = Some(ready);
+                if !self.bounds.slow_disk {
+                    self.sync(id);
+                }
+            } else {
+                self.send(id, ready.messages_after_sync);
+            }
+        }
+        Ok(())
+    }
+
+    /// Syncs what a replica has written, and sends what waited for it.
+    fn sync(&mut self, id: ReplicaId) {
+        let node = self.node(id);
+        let Some(ready) = node.writing.take() else {
+            return;
+        };
+        node.store(ready.hard_state, &ready.entries);
+        node.replica.persisted();
+        self.send(id, ready.messages_after_sync);
+    }
+
+    fn send(&mut self, from: ReplicaId, messages: Vec<Outgoing>) {
+        for Outgoing { to, message } in messages {
+            if self.network.len() < self.bounds.max_in_flight {
+                self.network.push(Envelope { from, to, message });
+            }
+        }
+    }
+}
+
+impl Node {
+    fn start(id: ReplicaId, disk: Persisted, pre_vote: bool) -> Result<Self, Invariant> {
+        let config = Config {
+            election_ticks: TICKS,
+            heartbeat_ticks: TICKS,
+            pre_vote,
+            ..Config::new(id)
+        };
+        let replica = Replica::new(config, disk.clone()).map_err(|_| Invariant::WholeLog)?;
+        Ok(Self {
+            replica,
+            disk,
+            writing: None,
+        })
+    }
+
+    pub(super) fn synced_entries(&self) -> &[Entry] {
+        &self.disk.entries
+    }
+
+    fn store(&mut self, hard_state: Option<crate::HardState>, entries: &[Entry]) {
+        if let Some(hard_state) = hard_state {
+            self.disk.hard_state = hard_state;
+        }
+        if let Some(first) = entries.first() {
+            self.disk.entries.retain(|entry| entry.index < first.index);
+            self.disk.entries.extend_from_slice(entries);
+        }
+    }
+}
+
+impl Envelope {
+    fn arrival(&self, repeated: bool) -> Action {
+        Action::Deliver {
+            from: self.from,
+            to: self.to,
+            message: self.message.clone(),
+            repeated,
+        }
+    }
+}
+
+fn hash_of(envelope: &Envelope) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    envelope.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -16,6 +16,7 @@
 mod config;
 mod entry;
 mod error;
+pub mod explore;
 mod identifier;
 mod membership;
 mod message;
