Prove consensus under random faults; keep a stopped replica silent

Fault found by reading: campaign() did not look at the fault, so a replica that had stopped because of a contradiction still asked for pre-votes when told to stand for election. stopped_replica_is_silent failed before the fix.

--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -8,10 +8,12 @@
 
 impl Replica {
     /// Stands for election now, as when the election timeout has passed.
-    /// Does nothing on a leader, or on a replica without a vote.
+    /// Does nothing on a leader, on a replica without a vote, or on one that has
+    /// stopped because of a contradiction.
     pub fn campaign(&mut self) {
         self.timer.restart();
-        if matches!(self.role, RoleState::Leader(_)) || !self.is_voter() {
+        let leads = matches!(self.role, RoleState::Leader(_));
+        if leads || !self.is_voter() || self.fault.is_some() {
             return;
         }
         if self.config.pre_vote {
--- a/crates/consensus/tests/election.rs
+++ b/crates/consensus/tests/election.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use molespan_consensus::{
-    Config, EntryKind, Membership, Outgoing, Persisted, Replica, ReplicaId, Role,
+    AppendOutcome, AppendResponse, Config, Entry, EntryKind, Index, Membership, Message, Outgoing,
+    Persisted, Replica, ReplicaId, Role, Term, VoteResponse,
 };
 
 #[test]
@@ -55,3 +56,53 @@
         assert_eq!(commands[&id], vec![b"first".to_vec()]);
     }
 }
+
+/// Has a replica elected by replica 2, with an entry of an earlier term that
+/// was never committed.
+fn leader_with_an_old_entry() -> Replica {
+    let mut persisted = Persisted::bootstrap(Membership::of_voters([1, 2, 3].map(ReplicaId)));
+    persisted.hard_state.term = Term(2);
+    persisted.entries.push(Entry {
+        term: Term(2),
+        index: Index(2),
+        kind: EntryKind::Command(b"old".to_vec()),
+    });
+    let config = Config {
+        pre_vote: false,
+        ..Config::new(ReplicaId(1))
+    };
+    let mut replica = Replica::new(config, persisted).unwrap();
+    replica.campaign();
+    work(&mut replica);
+    let vote = VoteResponse {
+        term: Term(3),
+        granted: true,
+    };
+    replica.step(ReplicaId(2), Message::VoteResponse(vote));
+    work(&mut replica);
+    replica
+}
+
+fn work(replica: &mut Replica) {
+    while replica.ready().is_some() {
+        replica.persisted();
+    }
+}
+
+fn accept(replica: &mut Replica, match_index: Index) {
+    let response = AppendResponse {
+        term: Term(3),
+        outcome: AppendOutcome::Accepted { match_index },
+    };
+    replica.step(ReplicaId(2), Message::AppendResponse(response));
+}
+
+#[test]
+fn entry_of_an_earlier_term_is_committed_only_along_with_one_of_the_leaders_own() {
+    let mut replica = leader_with_an_old_entry();
+    assert_eq!(replica.role(), Role::Leader);
+    accept(&mut replica, Index(2));
+    assert_eq!(replica.status().commit, Index(1));
+    accept(&mut replica, Index(3));
+    assert_eq!(replica.status().commit, Index(3));
+}
--- /dev/null
+++ b/crates/consensus/tests/faults/cluster.rs
@@ -0,0 +1,349 @@
+//! A group of nodes on virtual time.
+
+use std::collections::BTreeMap;
+
+use molespan_consensus::{
+    Config, Index, Membership, Outgoing, Persisted, ReadReady, ReplicaId, Role,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::checker::Checker;
+use crate::network::{Network, Packet};
+use crate::node::{Disk, Node, Writing};
+
+/// Ticks after which a part of a snapshot is asked for again.
+const PULL_AGAIN: u64 = 4;
+
+/// Bound on waiting for a condition, in ticks.
+const PATIENCE: u64 = 3_000;
+
+pub struct Cluster {
+    pub nodes: BTreeMap<ReplicaId, Node>,
+    pub network: Network,
+    pub checker: Checker,
+    pub random: ChaCha8Rng,
+    pub now: u64,
+    /// Longest time of a sync in ticks.
+    pub sync_ticks: u64,
+    /// Applied entries between two snapshots; none are taken at zero.
+    pub compact_every: u64,
+    configure: fn(&mut Config),
+    proposals: u64,
+    reads: u64,
+}
+
+impl Cluster {
+    pub fn new(voters: u64, seed: u64) -> Self {
+        Self::with_config(voters, seed, |_| {})
+    }
+
+    pub fn with_config(voters: u64, seed: u64, configure: fn(&mut Config)) -> Self {
+        let ids: Vec<ReplicaId> = (1..=voters).map(ReplicaId).collect();
+        let disk = Disk {
+            persisted: Persisted::bootstrap(Membership::of_voters(ids.iter().copied())),
+            snapshot_commands: Vec::new(),
+        };
+        let mut cluster = Self {
+            nodes: BTreeMap::new(),
+            network: Network::default(),
+            checker: Checker::default(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            now: 0,
+            sync_ticks: 0,
+            compact_every: 0,
+            configure,
+            proposals: 0,
+            reads: 0,
+        };
+        for id in ids {
+            cluster.start(id, disk.clone());
+        }
+        cluster
+    }
+
+    pub fn start(&mut self, id: ReplicaId, disk: Disk) {
+        let mut config = Config::new(id);
+        config.seed = self.random.random();
+        (self.configure)(&mut config);
+        self.nodes.insert(id, Node::start(config, disk));
+    }
+
+    pub fn node(&mut self, id: ReplicaId) -> &mut Node {
+        self.nodes.get_mut(&id).unwrap()
+    }
+
+    pub fn crash(&mut self, id: ReplicaId) {
+        self.node(id).running = None;
+    }
+
+    pub fn restart(&mut self, id: ReplicaId) {
+        self.node(id).restart();
+    }
+
+    /// The leader of the latest term that runs.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        let replicas = self.nodes.values().filter_map(|node| node.running.as_ref());
+        replicas
+            .map(|running| &running.replica)
+            .filter(|replica| replica.role() == Role::Leader)
+            .max_by_key(|replica| replica.term())
+            .map(|replica| replica.id())
+    }
+
+    pub fn elect(&mut self) -> ReplicaId {
+        self.wait("a leader", |cluster| cluster.leader().is_some());
+        self.leader().unwrap()
+    }
+
+    /// Proposes a new command on `id`; says whether it was taken.
+    pub fn propose(&mut self, id: ReplicaId) -> bool {
+        self.proposals += 1;
+        let command = self.proposals.to_be_bytes().to_vec();
+        let taken = self.node(id).replica().propose(command).is_ok();
+        self.work(id);
+        taken
+    }
+
+    /// Asks `id` for a read; says whether it was taken.
+    pub fn read(&mut self, id: ReplicaId) -> bool {
+        self.reads += 1;
+        let (context, committed) = (self.reads, self.checker.last());
+        let running = self.node(id).running.as_mut().unwrap();
+        let taken = running.replica.read_index(context).is_ok();
+        if taken {
+            running.reads.insert(context, committed);
+        }
+        self.work(id);
+        taken
+    }
+
+    pub fn run(&mut self, ticks: u64) {
+        for _ in 0..ticks {
+            self.tick();
+        }
+    }
+
+    pub fn wait(&mut self, what: &str, holds: impl Fn(&Self) -> bool) {
+        let end = self.now + PATIENCE;
+        while !holds(self) {
+            assert!(self.now < end, "no {what} within {PATIENCE} ticks");
+            self.tick();
+        }
+    }
+
+    pub fn tick(&mut self) {
+        self.now += 1;
+        let running: Vec<ReplicaId> = self.running();
+        for id in running {
+            self.node(id).replica().tick();
+            self.finish_sync(id);
+            self.pull(id);
+            self.work(id);
+        }
+        while let Some((from, to, packet)) = self.network.arrival(self.now) {
+            self.receive(from, to, packet);
+        }
+    }
+
+    pub fn running(&self) -> Vec<ReplicaId> {
+        let nodes = self.nodes.iter();
+        nodes
+            .filter(|(_, node)| node.running.is_some())
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    fn receive(&mut self, from: ReplicaId, to: ReplicaId, packet: Packet) {
+        let Some(node) = self.nodes.get_mut(&to) else {
+            return;
+        };
+        if node.running.is_none() {
+            return;
+        }
+        match packet {
+            Packet::Consensus(message) => node.replica().step(from, message),
+            Packet::Pull { snapshot, position } => self.serve(to, from, snapshot, position),
+            Packet::Chunk {
+                meta,
+                position,
+                total,
+                command,
+            } => {
+                let fetch = node.running.as_mut().unwrap().fetch.as_mut();
+                let Some(fetch) = fetch.filter(|fetch| fetch.meta == meta) else {
+                    return;
+                };
+                if fetch.commands.len() == position {
+                    fetch.commands.extend(command);
+                    fetch.asked_at = 0;
+                }
+                if fetch.commands.len() == total {
+                    let fetch = node.running.as_mut().unwrap().fetch.take().unwrap();
+                    assert_eq!(fetch.commands, self.checker.commands(meta.index));
+                    node.install(&meta, fetch.commands);
+                }
+                self.pull(to);
+            }
+        }
+        self.work(to);
+    }
+
+    /// Sends a command of the stored snapshot.
+    fn serve(&mut self, id: ReplicaId, to: ReplicaId, snapshot: Index, position: usize) {
+        let disk = &self.nodes[&id].disk;
+        let Some(meta) = disk.persisted.snapshot.clone() else {
+            return;
+        };
+        if meta.index != snapshot {
+            return;
+        }
+        let chunk = Packet::Chunk {
+            meta,
+            position,
+            total: disk.snapshot_commands.len(),
+            command: disk.snapshot_commands.get(position).cloned(),
+        };
+        self.send(id, to, chunk);
+    }
+
+    /// Asks for the next command of a snapshot, if that is due.
+    fn pull(&mut self, id: ReplicaId) {
+        let now = self.now;
+        let Some(running) = self.node(id).running.as_mut() else {
+            return;
+        };
+        let Some(fetch) = running.fetch.as_mut() else {
+            return;
+        };
+        if fetch.asked_at + PULL_AGAIN > now && fetch.asked_at > 0 {
+            return;
+        }
+        fetch.asked_at = now;
+        let (to, snapshot, position) = (fetch.from, fetch.meta.index, fetch.commands.len());
+        self.send(id, to, Packet::Pull { snapshot, position });
+    }
+
+    fn send(&mut self, from: ReplicaId, to: ReplicaId, packet: Packet) {
+        self.network
+            .send(self.now, &mut self.random, (from, to), packet);
+    }
+
+    fn send_all(&mut self, from: ReplicaId, messages: Vec<Outgoing>) {
+        for Outgoing { to, message } in messages {
+            self.send(from, to, Packet::Consensus(message));
+        }
+    }
+
+    /// Does the work that a replica hands out.
+    pub fn work(&mut self, id: ReplicaId) {
+        while let Some(running) = self.node(id).running.as_mut() {
+            let Some(mut ready) = running.replica.ready() else {
+                break;
+            };
+            assert_eq!(ready.fault, None, "replica {id} stopped");
+            if let Some(offer) = ready.snapshot_offer.take() {
+                running.consider(offer);
+            }
+            for entry in std::mem::take(&mut ready.committed) {
+                self.checker.applies(id, &entry);
+                self.node(id).running.as_mut().unwrap().apply(entry);
+            }
+            self.answer(id, &ready.reads, &ready.failed_reads);
+            self.send_all(id, std::mem::take(&mut ready.messages));
+            if ready.needs_sync() {
+                let done_at = self.now + self.random.random_range(0..=self.sync_ticks);
+                self.node(id).running.as_mut().unwrap().writing = Some(Writing { ready, done_at });
+                self.finish_sync(id);
+            } else {
+                self.send_all(id, ready.messages_after_sync);
+            }
+        }
+        self.check(id);
+    }
+
+    fn answer(&mut self, id: ReplicaId, reads: &[ReadReady], failed: &[u64]) {
+        let running = self.node(id).running.as_mut().unwrap();
+        for read in reads {
+            let committed = running.reads.remove(&read.context).unwrap();
+            assert!(read.index >= committed, "replica {id} answers a stale read");
+            running.answered_reads += 1;
+        }
+        running.failed_reads += failed.len();
+    }
+
+    fn finish_sync(&mut self, id: ReplicaId) {
+        let now = self.now;
+        let node = self.node(id);
+        let Some(running) = node.running.as_mut() else {
+            return;
+        };
+        if running
+            .writing
+            .as_ref()
+            .is_none_or(|writing| writing.done_at > now)
+        {
+            return;
+        }
+        let Writing { ready, .. } = running.writing.take().unwrap();
+        node.disk.store(ready.hard_state, &ready.entries);
+        node.replica().persisted();
+        self.send_all(id, ready.messages_after_sync);
+    }
+
+    fn check(&mut self, id: ReplicaId) {
+        let compact_every = self.compact_every;
+        let Some(running) = self.node(id).running.as_ref() else {
+            return;
+        };
+        let status = running.replica.status();
+        let due = running.applied.0 >= status.snapshot_index.0 + compact_every;
+        if compact_every > 0 && due {
+            self.node(id).compact();
+        }
+        if status.role == Role::Leader {
+            self.checker.leads(id, status.term);
+        }
+    }
+
+    /// Ends all faults, and expects the members to agree and to go on.
+    pub fn settle(&mut self) {
+        self.network.heal();
+        self.network.weather = crate::network::Weather::default();
+        for id in self.nodes.keys().copied().collect::<Vec<_>>() {
+            if self.node(id).running.is_none() {
+                self.restart(id);
+            }
+        }
+        let before = self.checker.last();
+        // Transfers that are under way end, one way or the other.
+        self.run(100);
+        let leader = self.elect();
+        assert!(self.propose(leader), "the leader refuses a command");
+        self.wait("agreement", |cluster| {
+            let last = cluster.checker.last();
+            let members = cluster.members();
+            let all_applied = members.iter().all(|id| cluster.applied(*id) == last);
+            last > before && all_applied
+        });
+        let last = self.checker.last();
+        let commands = self.checker.commands(last);
+        for id in self.members() {
+            assert_eq!(self.node(id).running.as_ref().unwrap().commands, commands);
+        }
+    }
+
+    /// Members by the view of the leader; nobody without one.
+    pub fn members(&self) -> Vec<ReplicaId> {
+        let Some(leader) = self.leader() else {
+            return Vec::new();
+        };
+        let running = self.nodes[&leader].running.as_ref().unwrap();
+        running.replica.membership().members().into_iter().collect()
+    }
+
+    pub fn applied(&self, id: ReplicaId) -> Index {
+        let running = self.nodes[&id].running.as_ref();
+        running.map_or(Index::ZERO, |running| running.applied)
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/faults/network.rs
@@ -0,0 +1,101 @@
+//! A network that loses, doubles, delays and reorders, and can be cut.
+
+use std::collections::BTreeSet;
+
+use molespan_consensus::{Index, Message, ReplicaId, SnapshotMeta};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+/// What goes from one replica to another.
+#[derive(Clone, Debug)]
+pub enum Packet {
+    Consensus(Message),
+    /// Asks for a command of a snapshot.
+    Pull {
+        snapshot: Index,
+        position: usize,
+    },
+    /// One command of a snapshot.
+    Chunk {
+        meta: SnapshotMeta,
+        position: usize,
+        total: usize,
+        command: Option<Vec<u8>>,
+    },
+}
+
+/// Rates in a hundred, and the longest delay in ticks.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Weather {
+    pub loss: u32,
+    pub repetition: u32,
+    pub max_delay: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Flying {
+    due: u64,
+    from: ReplicaId,
+    to: ReplicaId,
+    packet: Packet,
+}
+
+#[derive(Debug, Default)]
+pub struct Network {
+    pub weather: Weather,
+    flying: Vec<Flying>,
+    /// Directions that nothing gets through.
+    cuts: BTreeSet<(ReplicaId, ReplicaId)>,
+}
+
+impl Network {
+    pub fn send(
+        &mut self,
+        now: u64,
+        random: &mut ChaCha8Rng,
+        (from, to): (ReplicaId, ReplicaId),
+        packet: Packet,
+    ) {
+        let mut copies = 1;
+        if random.random_range(0..100) < self.weather.repetition {
+            copies += 1;
+        }
+        for _ in 0..copies {
+            if random.random_range(0..100) < self.weather.loss {
+                continue;
+            }
+            let due = now + random.random_range(0..=self.weather.max_delay);
+            let packet = packet.clone();
+            self.flying.push(Flying {
+                due,
+                from,
+                to,
+                packet,
+            });
+        }
+    }
+
+    /// The next packet that arrives by `now`.
+    pub fn arrival(&mut self, now: u64) -> Option<(ReplicaId, ReplicaId, Packet)> {
+        loop {
+            let position = self.flying.iter().position(|one| one.due <= now)?;
+            let one = self.flying.remove(position);
+            if !self.cuts.contains(&(one.from, one.to)) {
+                return Some((one.from, one.to, one.packet));
+            }
+        }
+    }
+
+    pub fn cut_one_way(&mut self, from: ReplicaId, to: ReplicaId) {
+        self.cuts.insert((from, to));
+    }
+
+    pub fn cut(&mut self, one: ReplicaId, other: ReplicaId) {
+        self.cut_one_way(one, other);
+        self.cut_one_way(other, one);
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+}
