--- a/crates/bench/src/run/fleet/mod.rs
+++ b/crates/bench/src/run/fleet/mod.rs
@@ -11,7 +11,6 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
-use std::time::Duration;
 
 use molespan_engine_api::{Machine, MachineKind};
 use molespan_settings::Role;
@@ -40,15 +39,6 @@
     pub process: Process,
 }
 
-/// How a node ended after a planned stop.
-#[derive(Clone, Debug)]
-pub struct PlannedStop {
-    /// Whether it ended by itself, without an error.
-    pub clean: bool,
-    /// Time from the signal to its end.
-    pub took: Duration,
-}
-
 /// A fleet that runs until it is dropped.
 pub struct Fleet {
     /// Engines, then application back ends, in the order of their numbers.
@@ -66,7 +56,8 @@
 }
 
 impl Fleet {
-    /// Starts every process of `profile`, with files and logs in `folder`.
+    /// Starts every process of `profile`, with files and logs in `folder`,
+    /// which is emptied first.
     ///
     /// # Errors
     ///
@@ -78,7 +69,7 @@
         seed: u64,
         folder: &Path,
     ) -> Result<Self, BenchError> {
-        create_folder(folder)?;
+        clear_folder(folder)?;
         let zones = profile.fleet.zones.len();
         let starter = BackendStarter {
             program: &programs.emulator,
@@ -231,6 +222,22 @@
     command
 }
 
+/// Removes what an earlier run left in a folder, so that nodes begin with
+/// blank disks.
+fn clear_folder(path: &Path) -> Result<(), BenchError> {
+    match std::fs::remove_dir_all(path) {
+        Ok(()) => {}
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => {}
+        Err(source) => {
+            return Err(BenchError::File {
+                path: path.to_owned(),
+                source,
+            });
+        }
+    }
+    create_folder(path)
+}
+
 /// Creates a folder and those above it.
 ///
 /// # Errors
--- a/crates/bench/src/run/fleet/operator.rs
+++ b/crates/bench/src/run/fleet/operator.rs
@@ -6,13 +6,16 @@
 use async_io::Timer;
 use molespan_http::{Method, Pool, json_body, new_request};
 use molespan_state::control::{
-    Change, ConfirmIntent, IntentNumber, Model, Policy, Service, ServiceKind, TenantLimits,
+    Change, ConfirmIntent, ConfirmReply, IntentNumber, Model, Policy, Service, ServiceKind,
+    TenantLimits,
 };
 use molespan_types::{ConfigVersion, ModelName, TenantId};
 
 use crate::BenchError;
 use crate::run::profile::Profile;
 
+/// Path of plans.
+const PLANS_PATH: &str = "/admin/plans";
 /// Number of the intent that sets the fleet up.
 const SET_UP_INTENT: u64 = 1;
 /// Time for a new fleet to elect its leaders and take the intent.
@@ -90,19 +93,18 @@
 ///
 /// # Errors
 ///
-/// When the fleet does not take them in time.
+/// When the fleet does not take them in time, or refuses them.
 pub async fn set_up(pool: &Pool, gateway: SocketAddr, profile: &Profile) -> Result<(), BenchError> {
     let intent = set_up_intent(profile);
-    let confirm = format!("/admin/plans/{}/confirm", intent.number);
     let deadline = Instant::now() + SET_UP_PATIENCE;
     loop {
-        let planned = post(pool, gateway, "/admin/plans", Some(&intent)).await;
-        let confirmed = match planned {
-            Ok(()) => post(pool, gateway, &confirm, None).await,
-            Err(reason) => Err(reason),
-        };
-        match confirmed {
-            Ok(()) => return Ok(()),
+        match plan_and_confirm(pool, gateway, &intent).await {
+            Ok(ConfirmReply::Confirmed { .. }) => return Ok(()),
+            Ok(other) => {
+                return Err(BenchError::SetUp {
+                    reason: format!("the intent was answered with {other:?}"),
+                });
+            }
             Err(reason) if Instant::now() >= deadline => {
                 return Err(BenchError::SetUp { reason });
             }
@@ -113,12 +115,24 @@
     }
 }
 
+async fn plan_and_confirm(
+    pool: &Pool,
+    gateway: SocketAddr,
+    intent: &ConfirmIntent,
+) -> Result<ConfirmReply, String> {
+    post(pool, gateway, PLANS_PATH, Some(intent)).await?;
+    let path = format!("{PLANS_PATH}/{}/confirm", intent.number);
+    let answer = post(pool, gateway, &path, None).await?;
+    serde_json::from_slice(&answer).map_err(|error| format!("{path}: {error}"))
+}
+
+/// Posts to `path` and returns the body of a successful answer.
 async fn post(
     pool: &Pool,
     gateway: SocketAddr,
     path: &str,
     body: Option<&ConfirmIntent>,
-) -> Result<(), String> {
+) -> Result<Vec<u8>, String> {
     let request = new_request(Method::Post, gateway, path);
     let mut request = request.map_err(|error| error.to_string())?;
     if let Some(body) = body {
@@ -130,7 +144,7 @@
     let answer = response.bytes(MAX_ANSWER_BYTES).await;
     let answer = answer.map_err(|error| error.to_string())?;
     if status.is_success() {
-        return Ok(());
+        return Ok(answer);
     }
     let answer = String::from_utf8_lossy(&answer);
     Err(format!("{path} answered {status}: {answer}"))
