--- a/crates/bench/src/scale/clock.rs
+++ b/crates/bench/src/scale/clock.rs
@@ -88,6 +88,25 @@
     Ok(spent / calls.saturating_mul(2))
 }
 
+/// Processor time of the threads that are alive now and whose names begin
+/// with one of `prefixes`.
+///
+/// # Errors
+/// When the system does not say.
+pub fn named_time(prefixes: &[&str]) -> Result<Duration, ScaleError> {
+    let unreadable = || ScaleError::Account { file: THREADS };
+    let mut total = Duration::ZERO;
+    for thread in fs::read_dir(THREADS).map_err(|_| unreadable())? {
+        let path = thread.map_err(|_| unreadable())?.path();
+        let name = fs::read_to_string(path.join("comm")).unwrap_or_default();
+        if prefixes.iter().any(|prefix| name.starts_with(prefix)) {
+            let text = fs::read_to_string(path.join("schedstat")).unwrap_or_default();
+            total += Duration::from_nanos(first_number(&text).unwrap_or(0));
+        }
+    }
+    Ok(total)
+}
+
 /// The first number of a line.
 fn first_number(text: &str) -> Option<u64> {
     text.split_whitespace().next()?.parse().ok()
--- a/crates/bench/src/scale/experiments/configuration.rs
+++ b/crates/bench/src/scale/experiments/configuration.rs
@@ -100,7 +100,7 @@
 }
 
 /// The confirmation that leads on from `version`.
-fn command(version: u64, changes: Vec<Change>) -> ControlCommand {
+pub(super) fn command(version: u64, changes: Vec<Change>) -> ControlCommand {
     ControlCommand::Confirm(ConfirmIntent {
         number: IntentNumber(version + 1),
         operator: "operator".to_owned(),
@@ -110,7 +110,7 @@
 }
 
 /// What creates the configuration of the fleet.
-fn initial_changes() -> Vec<Change> {
+pub(super) fn initial_changes() -> Vec<Change> {
     let whole = configuration(TENANTS);
     let models = whole.models.into_iter();
     let models = models.map(|(name, model)| Change::PutModel { name, model });
@@ -122,7 +122,7 @@
 }
 
 /// A change of one tenant's limits.
-fn limits_change(number: u32) -> Vec<Change> {
+pub(super) fn limits_change(number: u32) -> Vec<Change> {
     vec![Change::PutTenant {
         name: tenant_name(number % TENANTS),
         limits: tenant_limits(number.wrapping_mul(7) + 1),
--- a/crates/bench/src/scale/experiments/mod.rs
+++ b/crates/bench/src/scale/experiments/mod.rs
@@ -10,6 +10,7 @@
 mod nodes;
 mod routing;
 mod sockets;
+mod watch;
 
 use super::{Recorder, ScaleError};
 
@@ -135,6 +136,10 @@
         name: "restart",
         run: consensus::restart,
     },
+    Experiment {
+        name: "watch-sockets",
+        run: watch::watch,
+    },
     Experiment {
         name: "messages-sockets",
         run: sockets::messages,
--- a/crates/bench/src/scale/hollow/mod.rs
+++ b/crates/bench/src/scale/hollow/mod.rs
@@ -2,7 +2,13 @@
 
 mod cluster;
 mod counting_disk;
+mod node;
+mod replica_addresses;
 mod replica_thread;
+mod roles;
 
 pub use cluster::{Cluster, ClusterUse, Proposal};
 pub use counting_disk::CountingDisk;
+pub use node::HollowNode;
+pub use replica_addresses::ReplicaAddresses;
+pub use roles::{REPLICA_THREADS, Roles, named_threads};
