Test preemption and mend the owner's view of online work

Causes, each with a test that failed before: - A report made the owner forget the notices of other gateways, so that the end of foreign work was seen only in the next report, up to 250 ms later, and the engine idled. Notices are now kept, and a report adds only what was not known when it was observed, with 20 ms for the difference between the ways to the engine and to the owner. A report of no online work drops notices whose end was lost. - A new life of an engine began with no online work: requests to the earlier life that failed then were taken off those to the new one, and batch ran beside them. Own requests stay counted until each has ended.

--- a/crates/routing/src/batch/engine.rs
+++ b/crates/routing/src/batch/engine.rs
@@ -71,13 +71,14 @@
         }
     }
 
-    /// Starts anew for a later life, keeping streams whose ends will be told.
+    /// Starts anew for a later life, keeping streams and own online requests,
+    /// whose ends will be told.
     pub(super) fn restart(&mut self, owned: OwnedEngine, initial: u32) {
-        let streams = std::mem::take(&mut self.streams);
-        let asking = self.asking;
-        *self = Self::new(owned, initial, self.most);
-        self.streams = streams;
-        self.asking = asking;
+        let before = std::mem::replace(self, Self::new(owned, initial, self.most));
+        self.streams = before.streams;
+        self.asking = before.asking;
+        self.online = before.online;
+        self.online.restarted();
     }
 
     /// Most batch streams when there is no online work.
--- a/crates/routing/src/batch/online.rs
+++ b/crates/routing/src/batch/online.rs
@@ -1,4 +1,9 @@
 //! Online work at one engine, from own sends, notices and reports.
+//!
+//! Own sends and the notices of other gateways are exact and come at once, but
+//! a notice can be lost. A report comes late and counts everything. What a
+//! report counts beyond that which was known when it was observed is work
+//! whose notice was lost; it stands until the next report.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -17,8 +22,11 @@
 const FIRST_TOKEN_WEIGHT: f64 = 0.1;
 /// Time to the first token before any was seen.
 const INITIAL_FIRST_TOKEN: Duration = Duration::from_millis(200);
-/// Changes of the own count that are kept to match late reports.
+/// Changes of the known count that are kept to match late reports.
 const MOST_CHANGES: usize = 256;
+/// How far apart an engine and this gateway may learn of the same request, and
+/// how wrong the time of an observation may be.
+const SKEW: Duration = Duration::from_millis(20);
 
 #[derive(Clone, Copy, Debug)]
 struct Notice {
@@ -31,10 +39,11 @@
 pub(super) struct OnlineView {
     own: u32,
     own_waiting: u32,
-    /// Own count after each change, oldest first.
-    own_changes: VecDeque<(Timestamp, u32)>,
     notices: BTreeMap<NodeId, Notice>,
-    reported_foreign: u32,
+    /// Own and noticed requests after each change, oldest first.
+    known_changes: VecDeque<(Timestamp, u32)>,
+    /// Requests of the latest report that neither own sends nor notices explain.
+    unexplained: u32,
     last_foreign_arrival: Option<Timestamp>,
     last_activity: Option<Timestamp>,
     first_token_seconds: f64,
@@ -46,9 +55,9 @@
         Self {
             own: 0,
             own_waiting: 0,
-            own_changes: VecDeque::new(),
             notices: BTreeMap::new(),
-            reported_foreign: 0,
+            known_changes: VecDeque::new(),
+            unexplained: 0,
             last_foreign_arrival: None,
             last_activity: None,
             first_token_seconds: INITIAL_FIRST_TOKEN.as_secs_f64(),
@@ -56,16 +65,29 @@
         }
     }
 
+    /// The engine restarted. Own requests to its earlier life still end one by
+    /// one; what others had there is gone.
+    pub(super) fn restarted(&mut self) {
+        self.notices.clear();
+        self.known_changes.clear();
+        self.unexplained = 0;
+    }
+
     /// Online requests there, as far as is known.
     pub(super) fn total(&self) -> u32 {
+        self.known() + self.unexplained
+    }
+
+    fn known(&self) -> u32 {
         let noticed: u32 = self.notices.values().map(|notice| notice.in_flight).sum();
-        self.own + self.reported_foreign.max(noticed)
+        self.own + noticed
     }
 
     pub(super) fn started(&mut self, now: Timestamp) {
         self.quiet.arrived(now);
         self.own_waiting += 1;
-        self.set_own(now, self.own + 1);
+        self.own += 1;
+        self.note_change(now);
     }
 
     pub(super) fn first_token(&mut self, after: Duration) {
@@ -76,8 +98,9 @@
 
     pub(super) fn finished(&mut self, now: Timestamp) {
         let before = self.total();
-        self.set_own(now, self.own.saturating_sub(1));
+        self.own = self.own.saturating_sub(1);
         self.own_waiting = self.own_waiting.min(self.own);
+        self.note_change(now);
         self.note_idle(now, before);
     }
 
@@ -87,32 +110,31 @@
             in_flight: foreign.in_flight,
             at: now,
         };
-        let earlier = self.notices.insert(foreign.from, notice);
-        self.last_activity = Some(now);
+        self.notices.insert(foreign.from, notice);
+        self.note_change(now);
         if foreign.prompt_tokens > 0 {
             self.quiet.arrived(now);
             self.last_foreign_arrival = Some(now);
             return;
         }
-        // A request ended that the last report may still count.
-        let ended = earlier.map_or(0, |earlier| {
-            earlier.in_flight.saturating_sub(foreign.in_flight)
-        });
-        self.reported_foreign = self.reported_foreign.saturating_sub(ended);
         self.note_idle(now, before);
     }
 
     /// Takes the online requests that the engine counted at `observed`.
     pub(super) fn reported(&mut self, now: Timestamp, observed: Timestamp, online: u32) {
         let before = self.total();
+        // Once an engine counts nothing, the end of what was noticed well
+        // before got lost.
         self.notices.retain(|_, notice| {
             let fresh = now.since(notice.at) < NOTICE_VALID_FOR;
-            notice.at > observed && fresh
+            let contradicted = online == 0 && notice.at + SKEW <= observed;
+            fresh && !contradicted
         });
-        self.reported_foreign = online.saturating_sub(self.own_at(observed));
+        self.unexplained = online.saturating_sub(self.known_near(observed));
         if self.total() > 0 {
             self.last_activity = Some(now);
         }
+        self.note_known(now);
         self.note_idle(now, before);
     }
 
@@ -137,19 +159,35 @@
         self.quiet.over_at(factor)
     }
 
-    fn set_own(&mut self, now: Timestamp, own: u32) {
-        self.own = own;
+    fn note_change(&mut self, now: Timestamp) {
         self.last_activity = Some(now);
-        if self.own_changes.len() == MOST_CHANGES {
-            self.own_changes.pop_front();
+        self.note_known(now);
+    }
+
+    fn note_known(&mut self, now: Timestamp) {
+        let known = self.known();
+        if self.known_changes.back().map(|(_, last)| *last) == Some(known) {
+            return;
         }
-        self.own_changes.push_back((now, own));
+        if self.known_changes.len() == MOST_CHANGES {
+            self.known_changes.pop_front();
+        }
+        self.known_changes.push_back((now, known));
     }
 
-    fn own_at(&self, observed: Timestamp) -> u32 {
-        let earlier = self.own_changes.iter().rev();
-        let mut earlier = earlier.skip_while(|(at, _)| *at > observed);
-        earlier.next().map_or(0, |(_, own)| *own)
+    /// The most requests that were known of around `observed`.
+    fn known_near(&self, observed: Timestamp) -> u32 {
+        let mut most = 0;
+        for (at, known) in self.known_changes.iter().rev() {
+            if *at > observed + SKEW {
+                continue;
+            }
+            most = most.max(*known);
+            if *at + SKEW <= observed {
+                break;
+            }
+        }
+        most
     }
 
     fn note_idle(&mut self, now: Timestamp, before: u32) {
--- a/crates/routing/tests/batch/main.rs
+++ b/crates/routing/tests/batch/main.rs
@@ -2,3 +2,4 @@
 
 mod harness;
 mod leases;
+mod preemption;
--- /dev/null
+++ b/crates/routing/tests/batch/preemption.rs
@@ -0,0 +1,270 @@
+//! When batch streams yield, and when they go on.
+
+use std::time::Duration;
+
+use molespan_routing::batch::{BatchDecision, BatchInput, BatchOutput, BatchSettings, GroupReply};
+use molespan_routing::pick::LoadSample;
+use molespan_types::Incarnation;
+
+use super::harness::{ENGINE, EVEN, Harness, StreamFate, lease, load, notice, owned};
+
+/// Knob that fills engines: batch work runs beside online work.
+const FILL: u8 = 0;
+/// Longest wait after a burst.
+const QUIET_MILLIS: u64 = 20;
+
+fn started() -> BatchInput {
+    BatchInput::OnlineStarted { backend: ENGINE }
+}
+
+fn finished() -> BatchInput {
+    BatchInput::OnlineFinished { backend: ENGINE }
+}
+
+fn first_token(millis: u64) -> BatchInput {
+    BatchInput::OnlineFirstToken {
+        backend: ENGINE,
+        after: Duration::from_millis(millis),
+    }
+}
+
+#[test]
+fn an_arrival_holds_every_stream_back_in_the_same_step() {
+    for knob in [EVEN, 75, 100] {
+        let mut owner = Harness::running(knob, lease(1, 0..8));
+        let running = owner.count(&StreamFate::Running);
+        assert!(running > 0);
+        let outputs = owner.at(1_000).feed(started());
+        let pauses = outputs
+            .iter()
+            .filter(|output| matches!(output, BatchOutput::Pause(_)));
+        assert_eq!(pauses.count(), running, "knob {knob}");
+        let Some(BatchDecision::Preempted(preemption)) = owner.decisions.last() else {
+            panic!("{:?}", owner.decisions);
+        };
+        assert_eq!((preemption.online, preemption.allowed), (1, 0));
+        // Nothing is started while it is there.
+        owner.tick(1_500);
+        assert_eq!(owner.count(&StreamFate::Running), 0);
+    }
+}
+
+#[test]
+fn streams_go_on_once_the_engine_was_quiet() {
+    let mut owner = Harness::running(100, lease(1, 0..8));
+    let running = owner.count(&StreamFate::Running);
+    owner.at(1_000).feed(started());
+    owner.at(1_050).feed(finished());
+    assert_eq!(owner.count(&StreamFate::Running), 0, "a burst may go on");
+    let wakeup = owner
+        .owner
+        .next_wakeup(molespan_types::Timestamp::from_millis(1_050));
+    assert!(wakeup.is_some_and(|at| at.0 <= 1_000 * (1_050 + QUIET_MILLIS)));
+    owner.tick(1_050 + QUIET_MILLIS);
+    owner.progress_all(1);
+    assert_eq!(owner.count(&StreamFate::Running), running);
+    assert_eq!(owner.count(&StreamFate::Paused), 0);
+}
+
+#[test]
+fn work_of_another_gateway_counts_like_own() {
+    let mut owner = Harness::running(EVEN, lease(1, 0..8));
+    owner.at(1_000).feed(notice(3, 1, 400));
+    assert_eq!(owner.count(&StreamFate::Running), 0);
+    owner.at(1_100).feed(notice(3, 0, 0));
+    owner.tick(1_100 + QUIET_MILLIS);
+    assert!(owner.count(&StreamFate::Running) > 0);
+}
+
+#[test]
+fn a_report_in_between_does_not_hide_the_end_of_foreign_work() {
+    let mut owner = Harness::running(EVEN, lease(1, 0..8));
+    owner.at(1_000).feed(notice(3, 1, 400));
+    // The report counts the request; its end is known before the next one.
+    owner.at(1_200).feed(BatchInput::Load(load(1, 1_150, 1, 0)));
+    assert_eq!(owner.count(&StreamFate::Running), 0);
+    owner.at(1_210).feed(notice(3, 0, 0));
+    owner.tick(1_210 + QUIET_MILLIS);
+    assert!(owner.count(&StreamFate::Running) > 0);
+}
+
+#[test]
+fn a_report_from_before_the_notice_does_not_undo_it() {
+    let mut owner = Harness::running(EVEN, lease(1, 0..8));
+    owner.at(1_000).feed(notice(3, 1, 400));
+    owner.at(1_010).feed(BatchInput::Load(load(1, 900, 0, 8)));
+    owner.tick(1_010 + QUIET_MILLIS);
+    assert_eq!(owner.count(&StreamFate::Running), 0);
+}
+
+#[test]
+fn a_lost_notice_is_made_up_for_by_the_next_report() {
+    let mut owner = Harness::running(EVEN, lease(1, 0..8));
+    owner.at(1_000).feed(BatchInput::Load(load(1, 900, 2, 8)));
+    assert_eq!(owner.count(&StreamFate::Running), 0);
+    owner.at(1_100).feed(BatchInput::Load(load(2, 1_000, 0, 0)));
+    owner.tick(1_100 + QUIET_MILLIS);
+    assert!(owner.count(&StreamFate::Running) > 0);
+}
+
+#[test]
+fn a_lost_end_of_foreign_work_is_made_up_for_by_a_report() {
+    let mut owner = Harness::running(EVEN, lease(1, 0..8));
+    owner.at(1_000).feed(notice(3, 2, 400));
+    owner.at(1_500).feed(BatchInput::Load(load(1, 1_400, 0, 0)));
+    owner.tick(1_500 + QUIET_MILLIS);
+    assert!(owner.count(&StreamFate::Running) > 0);
+}
+
+#[test]
+fn own_requests_in_a_late_report_are_not_counted_twice() {
+    let mut owner = Harness::running(EVEN, lease(1, 0..8));
+    owner.at(1_000).feed(started());
+    owner.at(1_100).feed(finished());
+    // The engine still had it when this was observed.
+    owner.at(1_110).feed(BatchInput::Load(load(1, 1_050, 1, 0)));
+    owner.tick(1_110 + QUIET_MILLIS);
+    assert!(owner.count(&StreamFate::Running) > 0);
+}
+
+#[test]
+fn requests_to_an_earlier_life_do_not_hide_those_to_the_next() {
+    let mut owner = Harness::running(EVEN, lease(1, 0..8));
+    owner.at(1_000).feed(started());
+    owner.feed(started());
+    owner.at(1_100).feed(BatchInput::Acquired(owned(ENGINE, 2)));
+    owner.feed(started());
+    // The two to the earlier life fail now.
+    owner.at(1_200).feed(finished());
+    owner.feed(finished());
+    owner.tick(1_200 + QUIET_MILLIS);
+    assert_eq!(owner.count(&StreamFate::Running), 0);
+    owner.at(1_300).feed(finished());
+    owner.tick(1_300 + QUIET_MILLIS);
+    assert!(owner.count(&StreamFate::Running) > 0);
+}
+
+#[test]
+fn the_fill_end_of_the_knob_runs_beside_generation_but_not_beside_a_first_token() {
+    let mut owner = Harness::running(FILL, lease(1, 0..8));
+    let running = owner.count(&StreamFate::Running);
+    owner.at(1_000).feed(started());
+    assert_eq!(owner.count(&StreamFate::Running), 0);
+    owner.at(1_040).feed(first_token(40));
+    assert!(owner.count(&StreamFate::Running) > 0);
+    assert!(owner.count(&StreamFate::Running) <= running);
+    // The next one waits for its token again.
+    owner.at(1_050).feed(started());
+    assert_eq!(owner.count(&StreamFate::Running), 0);
+}
+
+#[test]
+fn the_streams_with_the_most_progress_stay() {
+    let mut owner = Harness::running(FILL, lease(1, 0..8));
+    let streams = owner.with_fate(&StreamFate::Running);
+    for (position, stream) in streams.iter().enumerate() {
+        let tokens = 10 + position as u32;
+        let stream = *stream;
+        owner.feed(BatchInput::Progress { stream, tokens });
+    }
+    owner.at(1_000).feed(started());
+    owner.at(1_040).feed(first_token(40));
+    let kept = owner.with_fate(&StreamFate::Running);
+    assert!(!kept.is_empty() && kept.len() < streams.len());
+    assert_eq!(kept, streams[streams.len() - kept.len()..]);
+}
+
+#[test]
+fn memory_short_of_room_costs_one_held_back_stream_a_report() {
+    let mut owner = Harness::running(EVEN, lease(1, 0..8));
+    let running = owner.count(&StreamFate::Running);
+    owner.at(1_000).feed(started());
+    let short = |sequence: u64| LoadSample {
+        kv_used: 0.95,
+        ..load(sequence, 1_000 + 100 * sequence, 1, 0)
+    };
+    for reports in 1..=3_u64 {
+        owner.at(1_050 + 100 * reports);
+        owner.feed(BatchInput::Load(short(reports)));
+        assert_eq!(owner.count(&StreamFate::Cancelled), reports as usize);
+    }
+    // Their items are run again later.
+    owner.at(1_500).feed(finished());
+    owner.tick(1_500 + QUIET_MILLIS);
+    owner.progress_all(1);
+    assert_eq!(owner.count(&StreamFate::Running), running);
+    assert!(owner.returns.is_empty());
+}
+
+#[test]
+fn items_that_found_no_room_are_given_back() {
+    let mut owner = Harness::running(EVEN, lease(1, 0..12));
+    let running = owner.count(&StreamFate::Running);
+    owner.at(1_000).feed(started());
+    owner.tick(1_999);
+    assert!(owner.returns.is_empty());
+    owner.tick(2_000);
+    // What was never started goes to others; what runs stays, held back.
+    assert_eq!(owner.returned().len(), 12 - running);
+    assert_eq!(owner.count(&StreamFate::Paused), running);
+}
+
+#[test]
+fn the_limit_grows_while_steps_are_short_and_falls_when_they_are_long() {
+    let mut owner = Harness::running(EVEN, lease(1, 0..100));
+    let before = owner.count(&StreamFate::Running);
+    let mut sequence = 0;
+    let mut report = |owner: &mut Harness, step: u64| {
+        sequence += 1;
+        let running = owner.count(&StreamFate::Running) as u32;
+        let sample = LoadSample {
+            step: Duration::from_millis(step),
+            ..load(sequence, 100 * sequence, 0, running)
+        };
+        owner.at(100 * sequence).feed(BatchInput::Load(sample));
+        owner.progress_all(1);
+        if let Some(ask) = owner.asks.pop() {
+            owner.reply(ask.request, GroupReply::Leased(None));
+        }
+        let (running, _) = owner.owner.streams_on(ENGINE);
+        running
+    };
+    let mut grown = 0;
+    for _ in 0..5 {
+        grown = report(&mut owner, 5);
+    }
+    assert!(grown as usize > before, "{grown}");
+    // The engine's own maximum is the most.
+    for _ in 0..20 {
+        grown = report(&mut owner, 5);
+    }
+    assert!(grown <= 32, "{grown}");
+    let mut cut = grown;
+    for _ in 0..5 {
+        cut = report(&mut owner, 80);
+    }
+    assert!(cut < grown, "{cut}");
+}
+
+#[test]
+fn reports_of_another_life_change_nothing() {
+    let mut owner = Harness::running(EVEN, lease(1, 0..8));
+    let other = LoadSample {
+        incarnation: Incarnation(2),
+        ..load(1, 900, 3, 0)
+    };
+    owner.at(1_000).feed(BatchInput::Load(other));
+    assert!(owner.count(&StreamFate::Running) > 0);
+}
+
+#[test]
+fn turning_the_knob_takes_effect_at_once() {
+    let mut owner = Harness::running(FILL, lease(1, 0..8));
+    owner.at(1_000).feed(started());
+    owner.at(1_040).feed(first_token(40));
+    assert!(owner.count(&StreamFate::Running) > 0);
+    owner.at(1_050).feed(BatchInput::Policy {
+        tail_protection: 100,
+    });
+    assert_eq!(owner.count(&StreamFate::Running), 0);
+}
