--- /dev/null
+++ b/crates/routing/tests/batch/main.rs
@@ -0,0 +1,5 @@
+//! The batch owner: leases, preemption, hand-over.
+
+mod harness;
+mod leases;
+mod preemption;
