--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -4,7 +4,6 @@
 use std::io::{self, IsTerminal};
 use std::path::Path;
 
-use http_types::StatusCode;
 use molespan_state::control::{Configuration, ConfirmIntent, ConfirmReply, IntentNumber};
 
 use super::plan::{complete, request_plan, show};
@@ -18,12 +17,6 @@
 const BASE_MOVED: &str = "base_moved";
 /// Code of a refusal because the number was not planned at this gateway.
 const UNKNOWN_PLAN: &str = "unknown_plan";
-/// Statuses of confirmations that did not come into force.
-const REFUSING_REPLIES: &[StatusCode] = &[
-    StatusCode::Conflict,
-    StatusCode::UnprocessableEntity,
-    StatusCode::Gone,
-];
 
 /// Confirms a plan by its number, or plans and confirms an intent file.
 pub(crate) async fn run(
@@ -130,7 +123,7 @@
 }
 
 fn confirmation(number: IntentNumber, body: Vec<u8>) -> Call {
-    Call::post(format!("/admin/plans/{number}/confirm"), body).answered_with(REFUSING_REPLIES)
+    Call::post(format!("/admin/plans/{number}/confirm"), body)
 }
 
 /// A reply for people.
--- a/crates/cli/src/commands/watch.rs
+++ b/crates/cli/src/commands/watch.rs
@@ -17,8 +17,6 @@
 
 /// Path of the event stream.
 pub(crate) const EVENTS_PATH: &str = "/admin/events";
-/// Name of a server-sent event that stands for lost ones.
-const GAP_EVENT: &str = "gap";
 /// First wait before a lost stream is opened again.
 const FIRST_RETRY: Duration = Duration::from_millis(250);
 /// Longest such wait.
@@ -130,12 +128,9 @@
     }
 }
 
-/// An event of the stream as it was decided.
+/// An event of the stream, or a gap in it.
 pub(crate) fn read_event(event: &ServerEvent) -> Result<Watched, serde_json::Error> {
-    if event.name == GAP_EVENT {
-        return serde_json::from_str(&event.data).map(Watched::Gap);
-    }
-    serde_json::from_str(&event.data).map(Watched::Event)
+    serde_json::from_str(&event.data)
 }
 
 /// Prints news until enough events were seen.
--- a/crates/cli/src/rows.rs
+++ b/crates/cli/src/rows.rs
@@ -30,14 +30,15 @@
     (
         "nodes",
         &[
-            "registration.node",
-            "registration.name",
-            "registration.zone",
-            "registration.roles",
+            "id",
+            "name",
+            "zone",
+            "roles",
             "draining",
             "version_in_force",
-            "registration.http_address",
-            "registration.internal_address",
+            "http_address",
+            "internal_address",
+            "incarnation",
         ],
     ),
     (
@@ -54,23 +55,13 @@
             "leased",
         ],
     ),
+    ("orders", &["backend", "token", "incarnation", "action"]),
     (
-        "orders",
-        &["backend", "token", "incarnation", "action.action"],
+        "placement",
+        &["service", "backend", "model", "wanted", "state"],
     ),
-    ("placement", &["service", "wanted", "ready", "others"]),
 ];
 
-/// Parts of a path that titles do without.
-const SILENT_PREFIXES: [&str; 2] = ["registration.", "action."];
-
-fn title(column: &str) -> String {
-    let silent = SILENT_PREFIXES
-        .iter()
-        .find_map(|prefix| column.strip_prefix(prefix));
-    silent.unwrap_or(column).to_owned()
-}
-
 /// The columns that come first for `kind`.
 #[must_use]
 pub fn kind_columns(kind: &str) -> &'static [&'static str] {
@@ -94,7 +85,7 @@
     if columns.is_empty() {
         columns = kind_columns(kind).to_vec();
     }
-    let mut table = Table::new(columns.iter().map(|column| title(column)).collect());
+    let mut table = Table::new(columns.iter().map(|column| (*column).to_owned()).collect());
     for row in &rows {
         let cells = columns.iter().map(|column| row.get(*column).map(cell));
         table.push(cells.map(Option::unwrap_or_default).collect());
