--- a/crates/cli/tests/tables.rs
+++ b/crates/cli/tests/tables.rs
@@ -80,9 +80,8 @@
     check(
         "nodes",
         &json!([]),
-        &expect![
-            "NODE  NAME  ZONE  ROLES  DRAINING  VERSION_IN_FORCE  HTTP_ADDRESS  INTERNAL_ADDRESS"
-        ],
+        &expect![[r#"
+            ID  NAME  ZONE  ROLES  DRAINING  VERSION_IN_FORCE  HTTP_ADDRESS  INTERNAL_ADDRESS  INCARNATION"#]],
     );
     check("models", &json!({}), &expect!["NAME  VERSION"]);
 }
