Keep a node's address from the settings when others tell another

Cause: a gateway took the address of a registration or of a leader hint in place of the one in its own settings. A hint holds the address under which the hinting replica reaches the leader, and a registration the one that the node binds; neither need be right from this zone.

Change: addresses given at the start stay; only unknown nodes are learnt.

Test: wire_transport fails before the change (the connection goes to the learnt address) and passes after it.

--- a/crates/daemon/src/cluster/transport.rs
+++ b/crates/daemon/src/cluster/transport.rs
@@ -1,6 +1,6 @@
 //! How requests reach other nodes.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -23,7 +23,9 @@
     /// Sends a message that nobody waits for; returns whether it was queued.
     fn send(&self, node: NodeId, request: Request) -> bool;
 
-    /// Learns where a node can be reached, from its registration or a hint.
+    /// Learns where a node can be reached, from its registration or a hint. The
+    /// address of a node that the settings name stays as it is there: others
+    /// may reach that node in another way.
     fn learn(&self, node: NodeId, address: &str);
 }
 
@@ -33,6 +35,8 @@
     executor: Arc<Executor<'static>>,
     limits: ClientLimits,
     seed: u64,
+    /// Nodes whose addresses are in the settings.
+    configured: HashSet<NodeId>,
     clients: Mutex<HashMap<NodeId, Client>>,
 }
 
@@ -46,10 +50,12 @@
         limits: ClientLimits,
         seed: u64,
     ) -> Self {
+        let addresses: Vec<_> = addresses.into_iter().collect();
         let transport = Self {
             executor,
             limits,
             seed,
+            configured: addresses.iter().map(|(node, _)| *node).collect(),
             clients: Mutex::new(HashMap::new()),
         };
         for (node, address) in addresses {
@@ -96,6 +102,9 @@
     }
 
     fn learn(&self, node: NodeId, address: &str) {
+        if self.configured.contains(&node) {
+            return;
+        }
         if let Ok(address) = address.parse() {
             self.set_address(node, address);
         }
--- /dev/null
+++ b/crates/daemon/tests/wire_transport.rs
@@ -0,0 +1,63 @@
+//! Where the transport reaches other nodes.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::Executor;
+use futures_lite::future;
+use molespan_daemon::cluster::{PeerTransport, WireTransport};
+use molespan_types::NodeId;
+use molespan_wire::{ClientLimits, Request};
+
+/// Longest wait for a connection that must come.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    (listener, address)
+}
+
+#[test]
+fn an_address_from_the_settings_goes_before_a_learnt_one() {
+    let (configured, configured_address) = listener();
+    let (learnt, learnt_address) = listener();
+    let executor = Arc::new(Executor::new());
+    let addresses = [(NodeId(1), configured_address)];
+    let limits = ClientLimits::default();
+    let transport = WireTransport::new(executor.clone(), addresses, limits, 1);
+    transport.learn(NodeId(1), &learnt_address.to_string());
+    transport.learn(NodeId(2), &learnt_address.to_string());
+    for (node, expected) in [(NodeId(1), configured), (NodeId(2), learnt)] {
+        let accepting = blocking_accept(expected);
+        let call = transport.call(node, request(), PATIENCE);
+        let connected = async {
+            // The listener answers nothing: only the connection counts.
+            future::or(async { accepting.recv().await.is_ok() }, async {
+                call.await.is_ok()
+            })
+            .await
+        };
+        assert!(async_io::block_on(executor.run(connected)), "{node}");
+    }
+}
+
+fn blocking_accept(listener: TcpListener) -> async_channel::Receiver<()> {
+    let (sender, receiver) = async_channel::bounded(1);
+    std::thread::spawn(move || {
+        if listener.accept().is_ok() {
+            // The receiver is gone once the test has failed.
+            let _ = sender.send_blocking(());
+        }
+    });
+    receiver
+}
+
+/// Any request.
+fn request() -> Request {
+    Request::Consensus {
+        from: NodeId(9),
+        messages: Vec::new(),
+    }
+}
