Let held-back prompts go on a few at a time

Cause: streams that were held back before their first token all went on at once, up to 8 on one engine, so that the next arrival shared its steps with their prompts; only new streams kept the policy's bound on prompts.

Change: both count against the same bound. The new test of it failed before (8 running where the policy allows 1 after online work).

--- a/crates/routing/src/batch/fill.rs
+++ b/crates/routing/src/batch/fill.rs
@@ -8,6 +8,26 @@
 use super::owner::BatchOwner;
 use super::stream::{Stream, StreamState};
 
+/// How many more streams may run on an engine, and how many of these may have
+/// their prompt processed now.
+#[derive(Clone, Copy, Debug)]
+struct Room {
+    streams: u32,
+    prefills: u32,
+}
+
+impl Room {
+    /// Takes a place for a stream; false when there is none for it.
+    fn take(&mut self, has_tokens: bool) -> bool {
+        let free = self.streams > 0 && (has_tokens || self.prefills > 0);
+        if free {
+            self.streams -= 1;
+            self.prefills -= u32::from(!has_tokens);
+        }
+        free
+    }
+}
+
 impl BatchOwner {
     pub(super) fn balance_all(&mut self, now: Timestamp, outputs: &mut Vec<BatchOutput>) {
         let backends: Vec<BackendId> = self.engines.keys().copied().collect();
@@ -137,7 +157,7 @@
     }
 
     /// Lets held-back streams go on, those with the most progress first, then
-    /// starts new ones.
+    /// starts new ones. Of those whose prompt is not processed, a few at once.
     fn fill(
         &mut self,
         now: Timestamp,
@@ -146,28 +166,52 @@
         running: Vec<StreamId>,
         outputs: &mut Vec<BatchOutput>,
     ) {
-        let mut room = allowed - running.len() as u32;
-        let held_back = self.by_progress(backend, |stream| stream.state == StreamState::Paused);
-        let mut resumed = 0;
-        for id in held_back.into_iter().rev().take(room as usize) {
-            self.resume(id, outputs);
-            resumed += 1;
-        }
-        room -= resumed;
+        let Some(engine) = self.engines.get(&backend) else {
+            return;
+        };
+        let online = engine.online.total();
+        let most_prefills = engine.prefills(now, &self.policy);
+        let prefills = self.by_progress(backend, |stream| stream.state == StreamState::Prefill);
+        let mut room = Room {
+            streams: allowed - running.len() as u32,
+            prefills: most_prefills.saturating_sub(prefills.len() as u32),
+        };
+        let resumed = self.resume_held_back(backend, &mut room, outputs);
         let started = self.start(now, backend, room, outputs);
         if resumed + started == 0 {
             return;
         }
-        let engine = self.engines.get(&backend);
         outputs.push(BatchOutput::Decision(BatchDecision::Filled {
             backend,
-            online: engine.map_or(0, |engine| engine.online.total()),
+            online,
             allowed,
             resumed,
             started,
         }));
     }
 
+    fn resume_held_back(
+        &mut self,
+        backend: BackendId,
+        room: &mut Room,
+        outputs: &mut Vec<BatchOutput>,
+    ) -> u32 {
+        let held_back = self.by_progress(backend, |stream| stream.state == StreamState::Paused);
+        let mut resumed = 0;
+        for id in held_back.into_iter().rev() {
+            let has_tokens = self
+                .streams
+                .get(&id)
+                .is_some_and(|stream| stream.tokens > 0);
+            if !room.take(has_tokens) {
+                break;
+            }
+            self.resume(id, outputs);
+            resumed += 1;
+        }
+        resumed
+    }
+
     fn resume(&mut self, id: StreamId, outputs: &mut Vec<BatchOutput>) {
         if let Some(stream) = self.streams.get_mut(&id) {
             stream.state = if stream.tokens == 0 {
@@ -179,12 +223,12 @@
         }
     }
 
-    /// Starts up to `room` streams, as many as may process their prompts.
+    /// Starts as many streams as there is room for.
     fn start(
         &mut self,
         now: Timestamp,
         backend: BackendId,
-        room: u32,
+        room: Room,
         outputs: &mut Vec<BatchOutput>,
     ) -> u32 {
         let Some(engine) = self.engines.get(&backend) else {
@@ -193,9 +237,7 @@
         if !engine.open || self.draining || engine.hold_until > now {
             return 0;
         }
-        let most_prefills = engine.prefills(now, &self.policy);
-        let prefills = self.by_progress(backend, |stream| stream.state == StreamState::Prefill);
-        let room = room.min(most_prefills.saturating_sub(prefills.len() as u32));
+        let room = room.streams.min(room.prefills);
         let mut started = 0;
         for key in self.leases_of(backend) {
             while started < room && self.start_one(backend, key, outputs) {
--- a/crates/routing/tests/batch/harness.rs
+++ b/crates/routing/tests/batch/harness.rs
@@ -188,11 +188,11 @@
     /// Every running stream has generated `tokens`.
     pub fn progress_all(&mut self, tokens: u32) {
         loop {
-            let before = self.streams.len();
+            let before = (self.streams.len(), self.count(&StreamFate::Running));
             for stream in self.with_fate(&StreamFate::Running) {
                 self.feed(BatchInput::Progress { stream, tokens });
             }
-            if self.streams.len() == before {
+            if (self.streams.len(), self.count(&StreamFate::Running)) == before {
                 return;
             }
         }
--- a/crates/routing/tests/batch/preemption.rs
+++ b/crates/routing/tests/batch/preemption.rs
@@ -158,6 +158,23 @@
     assert_eq!(owner.count(&StreamFate::Running), 0);
 }
 
+#[test]
+fn held_back_prompts_go_on_a_few_at_a_time() {
+    let mut owner = Harness::new(BatchSettings::default(), 100);
+    owner.feed(BatchInput::Acquired(owned(ENGINE, 1)));
+    owner.grant(lease(1, 0..8));
+    // Without online work in sight, many prompts may be processed at once.
+    let prompts = owner.count(&StreamFate::Running);
+    assert!(prompts > 1);
+    owner.at(1_000).feed(started());
+    owner.at(1_010).feed(finished());
+    owner.tick(1_010 + QUIET_MILLIS);
+    // Now more online work is likely, and a prompt delays it by a whole chunk.
+    assert_eq!(owner.count(&StreamFate::Running), 1);
+    owner.progress_all(1);
+    assert_eq!(owner.count(&StreamFate::Running), prompts);
+}
+
 #[test]
 fn the_streams_with_the_most_progress_stay() {
     let mut owner = Harness::running(FILL, lease(1, 0..8));
