--- a/crates/daemon/src/bin/molespand.rs
+++ b/crates/daemon/src/bin/molespand.rs
@@ -17,7 +17,7 @@
 use slog::{Logger, crit, info};
 
 /// Exit status when the settings have findings.
-const SETTINGS_STATUS: u8 = 2;
+const SETTINGS_STATUS: u8 = 3;
 /// Most threads that serve.
 const MOST_THREADS: usize = 4;
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod local_transport;
 pub mod node;
 mod peer_handler;
+mod registration;
 pub mod replica;
 mod status_server;
 pub mod wall_clock;
--- a/crates/daemon/tests/processes_path.rs
+++ b/crates/daemon/tests/processes_path.rs
@@ -176,4 +176,9 @@
         wait_for("a ready node", || get(address, "/ready").status == 200);
         assert!(get(address, "/metrics").body.contains("molespan_"));
     }
+    let gateway = cluster.http_address(cluster.gateways()[0]);
+    wait_for("every node in the registry", || {
+        let nodes = get(gateway, "/admin/nodes").json_value();
+        nodes.as_array().map_or(0, Vec::len) == cluster.replicas().len() + cluster.gateways().len()
+    });
 }
