--- a/crates/daemon/src/gateway/batch_driver.rs
+++ b/crates/daemon/src/gateway/batch_driver.rs
@@ -126,6 +126,11 @@
         self.batch.lock().state = Arc::downgrade(self);
     }
 
+    /// Carries no further output of the batch owner out.
+    pub(super) fn disconnect_batch(&self) {
+        self.batch.lock().state = Weak::new();
+    }
+
     /// Hands an input to the batch owner and carries its outputs out.
     pub(super) fn batch_input(&self, input: BatchInput) {
         if self.batch.ignores(&input) {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -176,6 +176,7 @@
     /// Serves until `stop` resolves, then stops as planned.
     pub async fn serve(self, stop: impl Future<Output = ()>) -> DrainReport {
         let state = self.gateway.state.clone();
+        let _stopping = StopOnDrop(state.clone());
         state.restore_configuration().await;
         start_background(&state);
         let handle = self.server.handle();
@@ -195,6 +196,18 @@
     }
 }
 
+/// Ends the background work of a gateway that is not served any more, also
+/// when serving was given up before its planned stop.
+#[derive(Debug)]
+struct StopOnDrop(Arc<GatewayState>);
+
+impl Drop for StopOnDrop {
+    fn drop(&mut self) {
+        self.0.disconnect_batch();
+        drop(self.0.take_background());
+    }
+}
+
 /// Starts everything that runs beside requests.
 fn start_background(state: &Arc<GatewayState>) {
     state.spawn_background(state.clone().register());
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -142,12 +142,14 @@
 
     /// Ends every background task.
     pub(super) async fn stop_background(&self) {
-        let tasks = {
-            let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
-            std::mem::take(&mut *tasks)
-        };
-        for task in tasks {
+        for task in self.take_background() {
             task.cancel().await;
         }
     }
+
+    /// Takes every background task; dropping one ends it.
+    pub(super) fn take_background(&self) -> Vec<Task<()>> {
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *tasks)
+    }
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -211,6 +211,7 @@
             self.fleet.platform_address,
         );
         options.job_groups = self.replica.job_groups;
+        options.item_lease = replica::LEASE;
         options.owner_lease = Duration::from_millis(400);
         options.heartbeat = Duration::from_millis(40);
         options.list_poll = Duration::from_millis(40);
--- a/crates/daemon/tests/support/replica.rs
+++ b/crates/daemon/tests/support/replica.rs
@@ -17,6 +17,8 @@
 use molespan_types::{ConfigVersion, GroupId, Incarnation, NodeId, RunOutcome, Timestamp};
 use molespan_wire::{CallError, CallFailure, Request, Response, WatchConfiguration};
 
+/// Length of a lease on items.
+pub const LEASE: Duration = Duration::from_secs(3);
 /// Time between two looks at what is due.
 const POLL: Duration = Duration::from_millis(5);
 /// Pause between two looks of a long poll.
@@ -45,7 +47,7 @@
         let settings = ReplicaSettings {
             job_groups,
             tick: Duration::from_millis(10),
-            lease_length: Duration::from_secs(10),
+            lease_length: LEASE,
             ..ReplicaSettings::new(node, vec![node], 1)
         };
         let disk = SimulatedDisk::new();
