--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -4,7 +4,6 @@
 use std::io::{self, IsTerminal};
 use std::path::Path;
 
-use http_types::StatusCode;
 use molespan_state::control::{Configuration, ConfirmIntent, ConfirmReply, IntentNumber};
 
 use super::plan::{complete, request_plan, show};
@@ -18,12 +17,6 @@
 const BASE_MOVED: &str = "base_moved";
 /// Code of a refusal because the number was not planned at this gateway.
 const UNKNOWN_PLAN: &str = "unknown_plan";
-/// Statuses of confirmations that did not come into force.
-const REFUSING_REPLIES: &[StatusCode] = &[
-    StatusCode::Conflict,
-    StatusCode::UnprocessableEntity,
-    StatusCode::Gone,
-];
 
 /// Confirms a plan by its number, or plans and confirms an intent file.
 pub(crate) async fn run(
@@ -103,7 +96,10 @@
 }
 
 /// Confirms an intent at any gateway. A resend gets the first answer again.
-async fn confirm(client: &Client, intent: &ConfirmIntent) -> Result<ConfirmReply, CliError> {
+pub(crate) async fn confirm(
+    client: &Client,
+    intent: &ConfirmIntent,
+) -> Result<ConfirmReply, CliError> {
     let body = serde_json::to_vec(intent).map_err(io::Error::from)?;
     client.json(&confirmation(intent.number, body)).await
 }
@@ -127,11 +123,11 @@
 }
 
 fn confirmation(number: IntentNumber, body: Vec<u8>) -> Call {
-    Call::post(format!("/admin/plans/{number}/confirm"), body).answered_with(REFUSING_REPLIES)
+    Call::post(format!("/admin/plans/{number}/confirm"), body)
 }
 
 /// A reply for people.
-fn reply_text(number: IntentNumber, reply: &ConfirmReply) -> String {
+pub(crate) fn reply_text(number: IntentNumber, reply: &ConfirmReply) -> String {
     match reply {
         ConfirmReply::Confirmed { version } => {
             format!("Plan {number} is in force as version {version}.")
