--- a/crates/cli/src/demo/operator.rs
+++ b/crates/cli/src/demo/operator.rs
@@ -45,8 +45,8 @@
     fleet: &DemoFleet,
     guide: &mut Guide<'_>,
 ) -> Result<(), CliError> {
-    wait_until_in_force(fleet, ConfigVersion(0)).await?;
-    guide.say("every gateway has confirmed the configuration and is ready");
+    wait_until_founded(fleet).await?;
+    guide.say("the replicas have met, and every gateway reaches their leader");
     guide.chapter("An operator states an intent, reads the plan and confirms it");
     let client = fleet.client();
     let before: Configuration = client.json(&Call::get("/admin/configuration")).await?;
@@ -134,6 +134,23 @@
     Ok(())
 }
 
+/// Waits until every gateway reads the configuration of the new cluster. None
+/// is ready yet: there is nothing to serve before the first change.
+async fn wait_until_founded(fleet: &DemoFleet) -> Result<(), CliError> {
+    let started = Instant::now();
+    let call = Call::get("/admin/configuration");
+    for gateway in fleet.gateway_addresses() {
+        let client = Client::new(vec![gateway]);
+        while let Err(error) = client.json::<Configuration>(&call).await {
+            if started.elapsed() > SETTLE_LIMIT {
+                return Err(error);
+            }
+            Timer::after(LOOK_INTERVAL).await;
+        }
+    }
+    Ok(())
+}
+
 /// Waits until every gateway is ready with at least `version`.
 async fn wait_until_in_force(fleet: &DemoFleet, version: ConfigVersion) -> Result<(), CliError> {
     let started = Instant::now();
