--- a/crates/cli/src/demo/fleet.rs
+++ b/crates/cli/src/demo/fleet.rs
@@ -13,6 +13,7 @@
 use async_io::block_on;
 use molespan_daemon::node::Node;
 use molespan_emulator::{Fleet, FleetSettings};
+use molespan_engine_api::MachineKind;
 use molespan_settings::{LogFormat, LogLevel, NodeSettings, Peer, Role, Settings};
 use molespan_telemetry::Log;
 use molespan_types::{NodeId, ZoneName};
@@ -55,13 +56,15 @@
 }
 
 /// One running node.
+#[derive(Debug)]
 pub(super) struct DemoNode {
     pub(super) name: String,
     pub(super) node: Node,
 }
 
-/// The whole fleet. Its files are removed when it is dropped.
-pub(super) struct DemoFleet {
+/// A whole fleet in this process, on the loopback interface. Its files are
+/// removed when it is dropped.
+pub struct DemoFleet {
     pub(super) executor: Arc<Executor<'static>>,
     pub(super) gateways: Vec<DemoNode>,
     pub(super) replicas: Vec<DemoNode>,
@@ -69,35 +72,39 @@
     pub(super) started: Instant,
     _threads: Threads,
     _log: Log,
-    _folder: TempDir,
+    folder: TempDir,
+}
+
+impl std::fmt::Debug for DemoFleet {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("DemoFleet")
+            .field("gateways", &self.gateways)
+            .field("replicas", &self.replicas)
+            .finish_non_exhaustive()
+    }
 }
 
 impl DemoFleet {
-    /// Starts everything. The nodes listen once this returns.
-    pub(super) fn start(guide: &mut Guide<'_>) -> Result<Self, CliError> {
+    /// Starts emulated back ends, replicas and gateways. The nodes listen once
+    /// this returns.
+    ///
+    /// # Errors
+    /// When a file, address or thread cannot be had, or a node does not start.
+    pub fn start() -> Result<Self, CliError> {
         let started = Instant::now();
-        guide.chapter("A fleet starts");
         let executor = Arc::new(Executor::new());
         let threads = Threads::start(&executor)?;
         let log = Log::to_stderr(LogFormat::Terminal, LogLevel::Error);
-        let back_ends = start_back_ends(&executor, guide)?;
+        let back_end_settings = FleetSettings {
+            platform_lag_ms: PLATFORM_LAG_MS,
+            ..FleetSettings::archive()
+        };
+        let back_ends = Fleet::start(&executor, &back_end_settings)?;
         let folder = TempDir::with_prefix("molespan-demo-")?;
         let mut plans = node_settings(folder.path(), &back_ends)?.into_iter();
-        let mut start = |role: &str| start_nodes(role, &mut plans, &executor, &log.logger);
-        let replicas = start("replica")?;
-        let gateways = start("gateway")?;
-        guide.say(format!(
-            "{} replicas hold the state on synced disks below {}",
-            replicas.len(),
-            folder.path().display()
-        ));
-        for gateway in &gateways {
-            guide.say(format!(
-                "{} takes requests at http://{}",
-                gateway.name,
-                gateway.node.http_address()
-            ));
-        }
+        let replicas = start_nodes(&mut plans, &executor, &log.logger)?;
+        let gateways = start_nodes(&mut plans, &executor, &log.logger)?;
         Ok(Self {
             executor,
             gateways,
@@ -106,17 +113,42 @@
             started,
             _threads: threads,
             _log: log,
-            _folder: folder,
+            folder,
         })
     }
 
-    /// Where the gateways listen.
-    pub(super) fn gateway_addresses(&self) -> Vec<SocketAddr> {
-        let addresses = self
-            .gateways
+    /// Says what runs where.
+    pub(super) fn describe(&self, guide: &mut Guide<'_>) {
+        let members = &self.back_ends.members;
+        let engines = members
             .iter()
-            .map(|gateway| gateway.node.http_address());
-        addresses.collect()
+            .filter(|member| member.machine.kind == MachineKind::Engine)
+            .count();
+        guide.say(format!(
+            "{engines} emulated engines and {} application back ends stand in {NODES_A_ROLE} zones",
+            members.len() - engines
+        ));
+        guide.say(format!(
+            "{} replicas hold the state on synced disks below {}",
+            self.replicas.len(),
+            self.folder.path().display()
+        ));
+        for gateway in &self.gateways {
+            guide.say(format!(
+                "{} takes requests at http://{}",
+                gateway.name,
+                gateway.node.http_address()
+            ));
+        }
+    }
+
+    /// Where the gateways listen.
+    #[must_use]
+    pub fn gateway_addresses(&self) -> Vec<SocketAddr> {
+        let gateways = self.gateways.iter();
+        gateways
+            .map(|gateway| gateway.node.http_address())
+            .collect()
     }
 
     /// A client of every gateway.
@@ -131,27 +163,8 @@
     }
 }
 
-fn start_back_ends(
-    executor: &Arc<Executor<'static>>,
-    guide: &mut Guide<'_>,
-) -> Result<Fleet, CliError> {
-    let settings = FleetSettings {
-        platform_lag_ms: PLATFORM_LAG_MS,
-        ..FleetSettings::archive()
-    };
-    let fleet = Fleet::start(executor, &settings)?;
-    guide.say(format!(
-        "{} emulated engines and {} application back ends stand in {} zones",
-        settings.engines,
-        settings.applications,
-        settings.zones.len()
-    ));
-    Ok(fleet)
-}
-
 /// Starts the next nodes of the plan.
 fn start_nodes(
-    role: &str,
     plans: &mut impl Iterator<Item = Settings>,
     executor: &Arc<Executor<'static>>,
     logger: &Logger,
@@ -159,13 +172,9 @@
     let mut nodes = Vec::new();
     for settings in plans.take(NODES_A_ROLE) {
         let node = Node::start(&settings, executor, logger);
-        let node = node.map_err(|error| {
-            CliError::Failed(format!(
-                "{role} {} did not start: {error}",
-                settings.node.name
-            ))
-        })?;
         let name = settings.node.name;
+        let node =
+            node.map_err(|error| CliError::Failed(format!("{name} did not start: {error}")))?;
         nodes.push(DemoNode { name, node });
     }
     Ok(nodes)
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::console::Console;
 use crate::error::{CliError, ExitStatus};
-use fleet::DemoFleet;
+pub use fleet::DemoFleet;
 use guide::Guide;
 use report::DemoReport;
 
@@ -43,7 +43,9 @@
 async fn tour(console: &mut Console) -> Result<ExitStatus, CliError> {
     let mut guide = Guide::new(console);
     let mut report = DemoReport::default();
-    let mut fleet = DemoFleet::start(&mut guide)?;
+    guide.chapter("A fleet starts");
+    let mut fleet = DemoFleet::start()?;
+    fleet.describe(&mut guide);
     operator::create_services(&fleet, &mut guide).await?;
     online::serve(&fleet, &mut guide, &mut report).await?;
     batch::run_job(&fleet, &mut guide, &mut report).await?;
