Work out the capacity page from measured slopes

docs/CAPACITY.md quotes one run; its tables follow from the slopes in docs/capacity/inputs.toml, and a test works them out anew and compares.

--- a/crates/bench/src/scale/mod.rs
+++ b/crates/bench/src/scale/mod.rs
@@ -4,6 +4,7 @@
 //! Each experiment runs in a process of its own, one after the other, so that
 //! memory and processor time of one do not show up in another.
 
+pub mod capacity;
 pub mod clock;
 mod error;
 mod experiments;
@@ -12,7 +13,7 @@
 mod hollow;
 mod plot;
 mod record;
-mod report;
+pub mod report;
 mod run;
 
 pub use error::ScaleError;
--- a/crates/bench/src/scale/report.rs
+++ b/crates/bench/src/scale/report.rs
@@ -7,39 +7,61 @@
 use serde::Serialize;
 
 use super::ScaleError;
+use super::capacity::{Inputs, RunRecord, tables};
 use super::fit::Slope;
 use super::plot::draw_all;
 use super::record::Point;
 
+/// File with every point and slope.
+const JSON: &str = "scale.json";
+/// File with the slopes as a table.
+const SLOPES: &str = "scale.md";
+/// File with the slopes that the capacity page is worked out from.
+const INPUTS: &str = "inputs.toml";
+/// File with the tables of the capacity page.
+const CAPACITY: &str = "capacity.md";
+
 /// The whole run as `scale.json` holds it.
 #[derive(Serialize)]
 struct Run<'a> {
-    seconds: f64,
+    run: &'a RunRecord,
     points: &'a [Point],
     slopes: &'a [Slope],
 }
 
-/// Writes `scale.json`, `scale.md` and the plots into `folder`.
+/// Writes the points, the slopes, the tables of the capacity page and the
+/// plots into `folder`.
 ///
 /// # Errors
 /// When a file cannot be written.
 pub fn write(
     folder: &Path,
-    elapsed: Duration,
+    run: RunRecord,
     points: &[Point],
     slopes: &[Slope],
 ) -> Result<(), ScaleError> {
-    let run = Run {
-        seconds: elapsed.as_secs_f64(),
+    let whole = Run {
+        run: &run,
         points,
         slopes,
     };
-    let json = serde_json::to_string_pretty(&run).unwrap_or_default();
-    write_file(&folder.join("scale.json"), &json)?;
-    write_file(&folder.join("scale.md"), &table(elapsed, slopes))?;
+    let json = serde_json::to_string_pretty(&whole).unwrap_or_default();
+    write_file(&folder.join(JSON), &json)?;
+    let elapsed = Duration::from_secs_f64(run.seconds);
+    write_file(&folder.join(SLOPES), &table(elapsed, slopes))?;
+    let inputs = Inputs::of_run(run, slopes);
+    write_file(&folder.join(INPUTS), &inputs.to_text())?;
+    write_file(&folder.join(CAPACITY), &capacity(&inputs))?;
     draw_all(folder, points, slopes)
 }
 
+/// The tables of the capacity page, each under its name.
+fn capacity(inputs: &Inputs) -> String {
+    let sections = tables(inputs).into_iter();
+    let sections = sections.map(|table| format!("## {}\n\n{}", table.name, table.text));
+    sections.collect::<Vec<_>>().join("\n")
+}
+
 fn write_file(path: &Path, text: &str) -> Result<(), ScaleError> {
     std::fs::write(path, text).map_err(|source| ScaleError::File {
         path: path.to_path_buf(),
--- a/crates/bench/src/scale/run.rs
+++ b/crates/bench/src/scale/run.rs
@@ -3,13 +3,17 @@
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
+use super::capacity::RunRecord;
 use super::experiments::{EXPERIMENTS, Experiment};
 use super::fit::fit_all;
 use super::record::{Point, Recorder};
 use super::{ScaleError, report};
 
+/// How a run is started.
+const COMMAND: &str = "cargo run --release --bin molespan-bench -- scale --out DIR";
+
 /// What to run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ScaleOptions {
@@ -29,12 +33,26 @@
     }
     create_folder(&options.out)?;
     let began = Instant::now();
+    let began_at = SystemTime::now().duration_since(UNIX_EPOCH);
     let mut points = Vec::new();
     for experiment in EXPERIMENTS {
         points.extend(run_apart(experiment, &options.out)?);
     }
     let slopes = fit_all(&points);
-    report::write(&options.out, began.elapsed(), &points, &slopes)
+    let record = RunRecord {
+        id: run_id(&points),
+        began_unix_seconds: began_at.map_or(0, |since| since.as_secs()),
+        seconds: began.elapsed().as_secs_f64(),
+        command: COMMAND.to_owned(),
+        processors: std::thread::available_parallelism().map_or(0, usize::from),
+    };
+    report::write(&options.out, record, &points, &slopes)
+}
+
+/// A name for the run that follows from everything it measured.
+fn run_id(points: &[Point]) -> String {
+    let bytes = serde_json::to_vec(points).unwrap_or_default();
+    molespan_types::digest_of(&bytes).to_string()
 }
 
 /// Runs one experiment in this process.
