Fail the power of a simulated disk at each change

SimulatedDisk::fail_power_after lets so many appends, syncs, renames and removals through and fails the rest, with half of the append under way written.

--- a/crates/storage/src/simulated.rs
+++ b/crates/storage/src/simulated.rs
@@ -15,6 +15,8 @@
     pub syncs: u64,
     /// Bytes appended.
     pub bytes_written: u64,
+    /// Operations that change something: appends, syncs, renames and so on.
+    pub changes: u64,
 }
 
 /// A disk in memory. Clones share it, so that a test keeps a handle while the
@@ -71,6 +73,18 @@
     file.rsplit_once('/').map_or("", |(directory, _)| directory)
 }
 
+/// Whether changes are carried out.
+#[derive(Clone, Copy, Debug, Default)]
+enum Power {
+    /// They are.
+    #[default]
+    On,
+    /// So many more are.
+    Ending(u64),
+    /// None is.
+    Off,
+}
+
 #[derive(Debug, Default)]
 struct State {
     names: BTreeMap<String, u64>,
@@ -80,6 +94,7 @@
     next_content: u64,
     capacity: Option<u64>,
     failing_syncs: u32,
+    power: Power,
     counters: SimulatedDiskCounters,
 }
 
@@ -107,6 +122,7 @@
         }
         state.drop_unnamed();
         state.failing_syncs = 0;
+        state.power = Power::On;
     }
 
     /// Loses power and keeps exactly what was synced.
@@ -119,6 +135,7 @@
         }
         state.drop_unnamed();
         state.failing_syncs = 0;
+        state.power = Power::On;
     }
 
     /// Replaces the disk by a blank one.
@@ -180,6 +197,12 @@
         self.state().failing_syncs = count;
     }
 
+    /// Fails every operation after `changes` more changes. The append that comes
+    /// next still writes half of its bytes. A crash brings the power back.
+    pub fn fail_power_after(&self, changes: u64) {
+        self.state().power = Power::Ending(changes);
+    }
+
     /// Flips bits of one byte, durably. Returns whether there is such a byte.
     pub fn flip(&self, file: &str, offset: u64) -> bool {
         const EVERY_OTHER_BIT: u8 = 0x55;
@@ -229,6 +252,43 @@
 }
 
 impl State {
+    /// Counts a change; refuses it without power.
+    fn note_change(&mut self, file: &str) -> Result<(), StorageError> {
+        self.counters.changes += 1;
+        match &mut self.power {
+            Power::On => return Ok(()),
+            Power::Ending(left) if *left > 0 => {
+                *left -= 1;
+                return Ok(());
+            }
+            Power::Ending(_) | Power::Off => self.power = Power::Off,
+        }
+        Err(StorageError::Io {
+            file: file.to_owned(),
+            message: "the power has failed".to_owned(),
+        })
+    }
+
+    /// Adds bytes, as far as there is room.
+    fn write(&mut self, file: &str, bytes: &[u8]) -> Result<(), StorageError> {
+        if !self.names.contains_key(file) {
+            self.create(file);
+        }
+        let free = match self.capacity {
+            Some(capacity) => capacity.saturating_sub(self.used()) as usize,
+            None => usize::MAX,
+        };
+        let fits = bytes.len().min(free);
+        self.counters.bytes_written += fits as u64;
+        let content = self.existing(file)?;
+        content.bytes.extend_from_slice(&bytes[..fits]);
+        if fits < bytes.len() {
+            let file = file.to_owned();
+            return Err(StorageError::Full { file });
+        }
+        Ok(())
+    }
+
     fn used(&self) -> u64 {
         let named = self.names.values();
         named
@@ -310,26 +370,19 @@
 
     fn append(&self, file: &str, bytes: &[u8]) -> Result<(), StorageError> {
         let mut state = self.state();
-        if !state.names.contains_key(file) {
-            state.create(file);
-        }
-        let free = match state.capacity {
-            Some(capacity) => capacity.saturating_sub(state.used()) as usize,
-            None => usize::MAX,
-        };
-        let fits = bytes.len().min(free);
-        state.counters.bytes_written += fits as u64;
-        let content = state.existing(file)?;
-        content.bytes.extend_from_slice(&bytes[..fits]);
-        if fits < bytes.len() {
-            let file = file.to_owned();
-            return Err(StorageError::Full { file });
+        let fails_now = matches!(state.power, Power::Ending(0));
+        if let Err(error) = state.note_change(file) {
+            if fails_now {
+                state.write(file, &bytes[..bytes.len() / 2])?;
+            }
+            return Err(error);
         }
-        Ok(())
+        state.write(file, bytes)
     }
 
     fn sync(&self, file: &str) -> Result<(), StorageError> {
         let mut state = self.state();
+        state.note_change(file)?;
         state.counters.syncs += 1;
         if state.failing_syncs > 0 {
             state.failing_syncs -= 1;
@@ -345,6 +398,7 @@
 
     fn sync_dir(&self, directory: &str) -> Result<(), StorageError> {
         let mut state = self.state();
+        state.note_change(directory)?;
         let pending = std::mem::take(&mut state.pending);
         for change in pending {
             if change.directory() == directory {
@@ -359,6 +413,7 @@
 
     fn rename(&self, from: &str, to: &str) -> Result<(), StorageError> {
         let mut state = self.state();
+        state.note_change(from)?;
         state.existing(from)?;
         state.change(NameChange::Rename {
             from: from.to_owned(),
@@ -369,6 +424,7 @@
 
     fn remove(&self, file: &str) -> Result<(), StorageError> {
         let mut state = self.state();
+        state.note_change(file)?;
         if state.names.contains_key(file) {
             state.change(NameChange::Remove {
                 file: file.to_owned(),
@@ -379,6 +435,7 @@
 
     fn truncate(&self, file: &str, length: u64) -> Result<(), StorageError> {
         let mut state = self.state();
+        state.note_change(file)?;
         let content = state.existing(file)?;
         content.bytes.truncate(length as usize);
         content.synced = content.synced.min(content.bytes.len());
