--- a/crates/replica/src/group/mod.rs
+++ b/crates/replica/src/group/mod.rs
@@ -84,13 +84,18 @@
         let payloads = FilePayloadLog::open(disk.clone(), id, payload_length)?;
         let meta = header.map(|header| header.meta);
         let applied = meta.as_ref().map_or(Index::ZERO, |meta| meta.index);
+        // As of the snapshot: the changes behind it are applied once more.
+        let membership = meta
+            .as_ref()
+            .map(|meta| meta.membership.clone())
+            .unwrap_or_default();
         let persisted = persisted(id, &recovery, meta)?;
         let replica = Replica::new(config, persisted)
             .map_err(|source| ReplicaError::Consensus { group: id, source })?;
         Ok(Self {
             id,
             disk: disk.clone(),
-            membership: replica.membership().clone(),
+            membership,
             replica,
             machine,
             payloads,
--- a/crates/replica/src/group/proposals.rs
+++ b/crates/replica/src/group/proposals.rs
@@ -61,7 +61,10 @@
                     term: self.replica.term(),
                     deadline: turn.now + turn.settings.proposal_timeout,
                 };
-                self.proposals.pending.insert(index, pending);
+                if let Some(earlier) = self.proposals.pending.insert(index, pending) {
+                    // Its entry was cut off here, but others may still hold it.
+                    turn.reply(earlier.ticket, Err(unknown("another entry took its place")));
+                }
             }
             Err(error) => turn.reply(ticket, Err(refusal_of(&error))),
         }
--- a/crates/replica/tests/cluster/mod.rs
+++ b/crates/replica/tests/cluster/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod jobs;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -37,7 +39,7 @@
     network: BTreeMap<(Timestamp, u64), (NodeId, NodeId, GroupId, Vec<u8>)>,
     last_ticket: u64,
     last_message: u64,
-    job_groups: u32,
+    pub job_groups: u32,
     tune: fn(&mut ReplicaSettings),
 }
 
@@ -52,8 +54,17 @@
     }
 
     pub fn tuned(size: u32, seed: u64, tune: fn(&mut ReplicaSettings)) -> Self {
+        let mut cluster = Self::stopped(size, seed, tune);
+        for node in cluster.nodes() {
+            cluster.start(node);
+        }
+        cluster
+    }
+
+    /// A cluster of blank nodes, none of which is started.
+    pub fn stopped(size: u32, seed: u64, tune: fn(&mut ReplicaSettings)) -> Self {
         let nodes = (1..=size).map(NodeId);
-        let mut cluster = Self {
+        Self {
             now: Timestamp::from_millis(1),
             random: ChaCha8Rng::seed_from_u64(seed),
             disks: nodes.map(|node| (node, SimulatedDisk::new())).collect(),
@@ -69,11 +80,13 @@
             last_message: 0,
             job_groups: 2,
             tune,
-        };
-        for node in cluster.nodes() {
-            cluster.start(node);
         }
-        cluster
+    }
+
+    /// The first running node but this one.
+    pub fn other_than(&self, node: NodeId) -> NodeId {
+        let mut others = self.cores.keys().copied();
+        others.find(|&other| other != node).expect("there is one")
     }
 
     pub fn nodes(&self) -> Vec<NodeId> {
@@ -260,20 +273,49 @@
 
     /// Proposes to whoever leads, again and again, until it is committed.
     pub fn commit(&mut self, group: GroupId, command: &[u8]) -> Vec<u8> {
+        let reply = self.try_commit(group, command, &|_| false);
+        reply.unwrap_or_else(|| panic!("nothing is committed: {:#?}", self.statuses()))
+    }
+
+    /// Proposes to whoever leads, again and again, until it is committed or
+    /// `stopped`.
+    pub fn try_commit(
+        &mut self,
+        group: GroupId,
+        command: &[u8],
+        stopped: &impl Fn(&Self) -> bool,
+    ) -> Option<Vec<u8>> {
         for _ in 0..200 {
+            if stopped(self) {
+                return None;
+            }
             let Some(leader) = self.leader(group) else {
                 self.run_for(Duration::from_millis(50));
                 continue;
             };
             let ticket = self.propose_to(leader, group, command.to_vec());
             let end = self.now + Duration::from_secs(10);
-            while !self.answers.contains_key(&ticket) && self.advance(end) {}
+            while !self.answers.contains_key(&ticket) && !stopped(self) && self.advance(end) {}
             match self.answers.get(&ticket) {
-                Some(Ok(reply)) => return reply.clone(),
+                Some(Ok(reply)) => return Some(reply.clone()),
                 _ => self.run_for(Duration::from_millis(50)),
             }
         }
-        panic!("nothing is committed: {:#?}", self.statuses());
+        None
+    }
+
+    /// Confirms an intent; gives the new version, or nothing when `stopped`.
+    pub fn try_confirm(
+        &mut self,
+        number: u64,
+        base: ConfigVersion,
+        stopped: &impl Fn(&Self) -> bool,
+    ) -> Option<ConfigVersion> {
+        let reply = self.try_commit(GroupId::CONTROL, &intent(number, base), stopped)?;
+        match molespan_state::decode(&reply) {
+            Ok(ControlReply::Confirm(ConfirmReply::Confirmed { version })) => Some(version),
+            other => panic!("{other:?}"),
+        }
     }
 
     /// Confirms an intent with this number; gives the version it produced.
