--- a/crates/replica/tests/cluster/mod.rs
+++ b/crates/replica/tests/cluster/mod.rs
@@ -24,6 +24,14 @@
 /// How a request ended.
 pub type Answer = Result<Vec<u8>, Refusal>;
 
+/// A message under way.
+struct Packet {
+    from: NodeId,
+    to: NodeId,
+    group: GroupId,
+    bytes: Vec<u8>,
+}
+
 pub struct Cluster {
     pub now: Timestamp,
     pub random: ChaCha8Rng,
@@ -36,7 +44,7 @@
     pub cut: BTreeSet<(NodeId, NodeId)>,
     pub loss: f64,
     pub bytes_sent: u64,
-    network: BTreeMap<(Timestamp, u64), (NodeId, NodeId, GroupId, Vec<u8>)>,
+    network: BTreeMap<(Timestamp, u64), Packet>,
     last_ticket: u64,
     last_message: u64,
     pub job_groups: u32,
@@ -186,7 +194,13 @@
         self.last_message += 1;
         let delay = Duration::from_micros(self.random.random_range(300..2_000));
         let key = (self.now + delay, self.last_message);
-        self.network.insert(key, (from, to, group, bytes));
+        let packet = Packet {
+            from,
+            to,
+            group,
+            bytes,
+        };
+        self.network.insert(key, packet);
     }
 
     /// Lets one thing happen: a message arrives or a timer runs out.
@@ -203,9 +217,15 @@
         };
         self.now = self.now.max(at);
         if arrival == Some(at) {
-            let Some((_, (from, to, group, bytes))) = self.network.pop_first() else {
+            let Some((_, packet)) = self.network.pop_first() else {
                 return false;
             };
+            let Packet {
+                from,
+                to,
+                group,
+                bytes,
+            } = packet;
             if self.cut.contains(&(from, to)) {
                 return true;
             }
--- a/crates/replica/tests/disks.rs
+++ b/crates/replica/tests/disks.rs
@@ -125,9 +125,9 @@
     cluster.confirm_many(5);
     cluster.run_until_equal();
     let victim = cluster.other_than(leader);
-    let witness = cluster.nodes().into_iter();
-    let witness = witness.filter(|&node| node != leader && node != victim);
-    let witness = witness.last().unwrap();
+    let mut nodes = cluster.nodes().into_iter();
+    let witness = nodes.find(|&node| node != leader && node != victim);
+    let witness = witness.unwrap();
     let backup = cluster.disks[&victim].backup();
     // The witness hears the victim but not the leader.
     cluster.cut.insert((leader, witness));
