--- a/crates/daemon/src/replica/feed.rs
+++ b/crates/daemon/src/replica/feed.rs
@@ -15,7 +15,7 @@
 use molespan_types::{ConfigVersion, GroupId, RunOutcome};
 use molespan_wire::{Consistency as WireConsistency, Request, Response, WatchConfiguration};
 
-use super::driver::{Call, DriverHandle};
+use super::orders::{Call, DriverHandle};
 use super::outbox::Outbox;
 
 /// Time between two reads.
@@ -46,7 +46,8 @@
     /// When it began; `None` before the first one.
     began: Option<Instant>,
     version: ConfigVersion,
-    configuration: Option<ByteVec>,
+    /// Shared, since each watcher looks at it with every read.
+    configuration: Option<Arc<ByteVec>>,
 }
 
 impl Confirmed {
@@ -160,7 +161,8 @@
             state.confirmed.began = Some(began);
             if let Some(newer) = newer {
                 state.confirmed.version = newer.version;
-                state.confirmed.configuration = Some(molespan_state::encode(&newer).into());
+                state.confirmed.configuration =
+                    Some(Arc::new(molespan_state::encode(&newer).into()));
             }
         }
         let (next, next_done) = async_channel::bounded(1);
@@ -230,9 +232,9 @@
 }
 
 fn configuration(confirmed: &Confirmed, newer: bool) -> Response {
-    let configuration = confirmed.configuration.clone();
+    let configuration = confirmed.configuration.as_deref().filter(|_| newer);
     Response::Configuration {
         current: confirmed.version,
-        configuration: configuration.filter(|_| newer),
+        configuration: configuration.cloned(),
     }
 }
--- a/crates/daemon/src/replica/heartbeats.rs
+++ b/crates/daemon/src/replica/heartbeats.rs
@@ -13,12 +13,15 @@
 const LIVE_HEARTBEATS: u32 = 3;
 /// A new leader listens for as many heartbeats before it gives a list.
 const WARM_UP_HEARTBEATS: f64 = 1.5;
+/// The list is made anew so often in the time of one heartbeat, and with each
+/// change.
+const LISTS_A_HEARTBEAT: u32 = 4;
 
 /// A node that is alive: its number, life and whether it is draining.
 pub(super) type LiveNode = (NodeId, Incarnation, bool);
 
 /// A heartbeat of a node.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct NodeHeartbeat {
     pub node: NodeId,
     pub incarnation: Incarnation,
@@ -32,11 +35,20 @@
     at: Instant,
 }
 
+#[derive(Debug, Default)]
+struct State {
+    heard: HashMap<NodeId, Heard>,
+    /// The list as it was made last; every heartbeat asks for it.
+    live: Vec<LiveNode>,
+    /// When it must be made again.
+    live_until: Option<Instant>,
+}
+
 /// Which nodes are alive.
 #[derive(Debug)]
 pub(super) struct Heartbeats {
     interval: Duration,
-    heard: Mutex<HashMap<NodeId, Heard>>,
+    state: Mutex<State>,
 }
 
 impl Heartbeats {
@@ -44,7 +56,7 @@
     pub fn new(interval: Duration) -> Self {
         Self {
             interval,
-            heard: Mutex::default(),
+            state: Mutex::default(),
         }
     }
 
@@ -56,37 +68,51 @@
 
     /// Notes a heartbeat. One of an earlier life is passed over.
     pub fn note(&self, heartbeat: NodeHeartbeat) {
-        let mut heard = self.lock();
+        let mut state = self.lock();
         let node = heartbeat.node;
-        let known = heard.get(&node).map(|one| one.heartbeat.incarnation);
-        if known.is_none_or(|known| known <= heartbeat.incarnation) {
-            let at = Instant::now();
-            heard.insert(node, Heard { heartbeat, at });
+        let known = state.heard.get(&node).map(|one| &one.heartbeat);
+        if known.is_some_and(|known| known.incarnation > heartbeat.incarnation) {
+            return;
         }
+        if known != Some(&heartbeat) {
+            state.live_until = None;
+        }
+        let at = Instant::now();
+        state.heard.insert(node, Heard { heartbeat, at });
     }
 
     /// The nodes that are alive, in the order of their numbers.
     pub fn live(&self) -> Vec<LiveNode> {
-        let mut heard = self.lock();
-        let limit = self.interval * LIVE_HEARTBEATS;
-        heard.retain(|_, one| one.at.elapsed() < limit);
-        let mut zones: BTreeMap<&ZoneName, Vec<LiveNode>> = BTreeMap::new();
-        for one in heard.values() {
-            let node = &one.heartbeat;
-            let entry = (node.node, node.incarnation, node.draining);
-            zones.entry(&node.zone).or_default().push(entry);
-        }
-        let mut live = Vec::new();
-        for mut nodes in zones.into_values() {
-            nodes.sort_unstable();
-            nodes.truncate(MOST_PER_ZONE);
-            live.extend(nodes);
+        let mut state = self.lock();
+        let now = Instant::now();
+        if state.live_until.is_none_or(|until| until <= now) {
+            let limit = self.interval * LIVE_HEARTBEATS;
+            state.heard.retain(|_, one| one.at.elapsed() < limit);
+            state.live = list(state.heard.values());
+            state.live_until = Some(now + self.interval / LISTS_A_HEARTBEAT);
         }
-        live.sort_unstable();
-        live
+        state.live.clone()
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<NodeId, Heard>> {
-        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The first nodes of each zone.
+fn list<'a>(heard: impl Iterator<Item = &'a Heard>) -> Vec<LiveNode> {
+    let mut zones: BTreeMap<&ZoneName, Vec<LiveNode>> = BTreeMap::new();
+    for one in heard {
+        let node = &one.heartbeat;
+        let entry = (node.node, node.incarnation, node.draining);
+        zones.entry(&node.zone).or_default().push(entry);
+    }
+    let mut live = Vec::new();
+    for mut nodes in zones.into_values() {
+        nodes.sort_unstable();
+        nodes.truncate(MOST_PER_ZONE);
+        live.extend(nodes);
     }
+    live.sort_unstable();
+    live
 }
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -11,6 +11,7 @@
 mod leaders;
 mod metrics;
 mod options;
+mod orders;
 mod outbox;
 mod reporter;
 mod role;
--- a/crates/daemon/src/replica/role.rs
+++ b/crates/daemon/src/replica/role.rs
@@ -14,11 +14,12 @@
 use molespan_wire::{Request, Response};
 use slog::{Logger, error, info, warn};
 
-use super::driver::{Call, Clock, Driver, DriverHandle, Surroundings};
+use super::driver::{Clock, Driver, Surroundings};
 use super::feed::{ConfigurationFeed, nudge};
 use super::heartbeats::Heartbeats;
 use super::leaders::Leaders;
 use super::metrics::ReplicaMetrics;
+use super::orders::{Call, DriverHandle};
 use super::outbox::Outbox;
 use super::reporter::Reporter;
 use super::service::Service;
--- a/crates/daemon/src/replica/service.rs
+++ b/crates/daemon/src/replica/service.rs
@@ -6,10 +6,10 @@
 use molespan_types::{GroupId, RunOutcome};
 use molespan_wire::{Consistency as WireConsistency, GroupMessage, Request, Response};
 
-use super::driver::{Answer, Call, DriverHandle};
 use super::feed::ConfigurationFeed;
 use super::heartbeats::{Heartbeats, NodeHeartbeat};
 use super::leaders::Leaders;
+use super::orders::{Answer, Call, DriverHandle};
 use super::outbox::Outbox;
 use super::versions::VersionsInForce;
 
