--- a/crates/daemon/tests/processes/cluster.rs
+++ b/crates/daemon/tests/processes/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -115,6 +116,17 @@
         Daemon::run(&self.settings[&node], self.folder.path())
     }
 
+    /// The data folder of a node.
+    pub fn data_folder(&self, node: NodeId) -> &Path {
+        &self.settings[&node].node.data_folder
+    }
+
+    /// Starts a node that is expected to end by itself.
+    pub fn start_in_vain(&self, node: NodeId) -> std::process::Output {
+        assert!(!self.runs(node), "node {node} still runs");
+        Daemon::run(&self.settings[&node], self.folder.path())
+    }
+
     /// Replicas, running or not.
     pub fn replicas(&self) -> Vec<NodeId> {
         self.with_role(Role::Replica)
@@ -170,7 +182,7 @@
     /// Deletes the data folder of a node that does not run.
     pub fn lose_disk(&self, node: NodeId) {
         assert!(!self.runs(node), "node {node} still runs");
-        std::fs::remove_dir_all(&self.settings[&node].node.data_folder).unwrap();
+        std::fs::remove_dir_all(self.data_folder(node)).unwrap();
     }
 
     /// Waits until the new incarnation of `node` votes in every group.
--- a/crates/daemon/tests/processes/fleet.rs
+++ b/crates/daemon/tests/processes/fleet.rs
@@ -5,6 +5,7 @@
 
 use molespan_emulator::expected_answer;
 use molespan_emulator::fleet::{Fleet, FleetSettings};
+use molespan_settings::Settings;
 use molespan_types::NodeId;
 use serde_json::{Value, json};
 
@@ -25,6 +26,11 @@
     /// Starts three replicas, three gateways, four engines and one application
     /// back end, and puts their services in force.
     pub fn start() -> Self {
+        Self::tuned(|_| {})
+    }
+
+    /// The same with other settings of every node.
+    pub fn tuned(change: impl Fn(&mut Settings)) -> Self {
         let executor = executor();
         let settings = FleetSettings {
             engines: 4,
@@ -34,6 +40,7 @@
         };
         let backends = Fleet::start(&executor, &settings).unwrap();
         let mut cluster = Cluster::with_gateways(executor, backends.platform_address);
+        cluster.tune(change);
         cluster.start_all();
         let fleet = Self { cluster, backends };
         fleet.put_in_force(&settings);
@@ -45,7 +52,6 @@
 
     /// Plans and confirms the fleet's services, as an operator does.
     fn put_in_force(&self, settings: &FleetSettings) {
-        let gateway = self.address(self.cluster.gateways()[0]);
         let service = |kind: &str, model: Option<&str>, batch: bool| {
             json!({
                 "kind": kind, "model": model, "max_concurrency": 256, "max_queue": 256,
@@ -60,7 +66,13 @@
             {"change": "put_service", "name": settings.application_service,
              "service": service("application", None, false)},
         ]);
-        let mut intent = json!({"number": 1, "operator": "test", "changes": changes});
+        self.confirm(self.cluster.gateways()[0], 1, &changes);
+    }
+
+    /// Plans and confirms changes as an operator does.
+    pub fn confirm(&self, gateway: NodeId, number: u64, changes: &Value) {
+        let gateway = self.address(gateway);
+        let mut intent = json!({"number": number, "operator": "test", "changes": changes});
         let mut plan = Value::Null;
         wait_for("a plan", || {
             plan = post(gateway, "/admin/plans", &intent.to_string()).json_value();
@@ -69,7 +81,8 @@
         assert_eq!(plan["problems"], json!([]), "{plan}");
         intent["base_version"] = plan["base_version"].clone();
         wait_for("a confirmed plan", || {
-            let answer = post(gateway, "/admin/plans/1/confirm", &intent.to_string());
+            let path = format!("/admin/plans/{number}/confirm");
+            let answer = post(gateway, &path, &intent.to_string());
             answer.json_value()["result"] == "confirmed"
         });
     }
--- a/crates/daemon/tests/processes_path.rs
+++ b/crates/daemon/tests/processes_path.rs
@@ -4,15 +4,17 @@
 
 use std::net::SocketAddr;
 use std::thread;
+use std::time::Duration;
 
 use async_io::block_on;
 use molespan_emulator::expected_answer;
 use molespan_types::{JobId, NodeId};
-use processes::client::{Answer, complete, get, stream};
+use processes::client::{Answer, complete, get, post, stream};
 use processes::control::Control;
 use processes::daemon::Signal;
 use processes::fleet::RunningFleet;
 use processes::wait_for;
+use serde_json::{Value, json};
 
 /// Items of a job that something happens to.
 const ITEMS: u32 = 1_500;
@@ -22,6 +24,10 @@
 const JOB_GROUPS: u32 = 4;
 /// Callers of a gateway that stops.
 const CALLERS: u32 = 4;
+/// Longer than the bound within which a gateway must confirm its configuration.
+const PAST_THE_BOUND: Duration = Duration::from_millis(1_500);
+/// Time after which bytes that were sent over loopback have arrived.
+const SENT: Duration = Duration::from_millis(200);
 
 #[test]
 fn online_and_batch_work_is_served_end_to_end() {
@@ -166,6 +172,94 @@
     cut
 }
 
+#[test]
+fn a_planned_stop_of_a_leader_fails_no_request() {
+    let mut fleet = RunningFleet::start();
+    let gateway = fleet.cluster.gateways()[0];
+    let address = fleet.address(gateway);
+    let control = Control::of(&fleet.cluster);
+    let id = fleet.submit(gateway, "heap", ITEMS);
+    fleet.wait_for_items(gateway, &id, UNDER_WAY);
+    for _ in 0..2 {
+        let leader = block_on(control.leader());
+        let status = block_on(fleet.cluster.stop(leader));
+        assert!(status.success(), "{status}");
+        let key = format!("bill-{leader}");
+        let answer = fleet.complete_once(gateway, &key, "a claim needs a leader");
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(complete(address, "online", 4).status, 200);
+        fleet.cluster.start(leader);
+        block_on(fleet.cluster.wait_until_ready(leader));
+    }
+    fleet.check_job(gateway, &id, ITEMS);
+}
+
+#[test]
+fn a_gateway_that_was_frozen_serves_nothing_of_the_past() {
+    let fleet = RunningFleet::tuned(|settings| {
+        settings.timing.config_watch = Duration::from_millis(300);
+        settings.timing.currency_bound = Duration::from_secs(1);
+    });
+    let [frozen, other, _] = fleet.cluster.gateways()[..] else {
+        panic!("three gateways");
+    };
+    let address = fleet.address(frozen);
+    fleet.cluster.signal(frozen, Signal::Stop);
+    fleet.confirm(
+        other,
+        2,
+        &json!([{"change": "delete_service", "name": "albums"}]),
+    );
+    thread::sleep(PAST_THE_BOUND);
+    // Sent while it is frozen, so that it finds the request first.
+    let answer = thread::scope(|scope| {
+        let asked = scope.spawn(|| get(address, "/services/albums/list"));
+        thread::sleep(SENT);
+        fleet.cluster.signal(frozen, Signal::Continue);
+        asked.join().unwrap()
+    });
+    assert!([404, 503].contains(&answer.status), "{answer:?}");
+    assert_eq!(answer.outcome(), "not-run", "{answer:?}");
+    wait_for("the change in force", || {
+        get(address, "/services/albums/list").status == 404
+    });
+}
+
+#[test]
+fn of_two_operators_with_one_number_one_wins_everywhere() {
+    let fleet = RunningFleet::start();
+    let gateways = fleet.cluster.gateways();
+    let replies: Vec<Value> = thread::scope(|scope| {
+        let operators = gateways.iter().map(|&gateway| {
+            let address = fleet.address(gateway);
+            scope.spawn(move || {
+                let change = json!({"change": "put_policy",
+                    "policy": {"tail_protection": gateway.0}});
+                let intent = json!({"number": 2, "base_version": 1,
+                    "operator": gateway.to_string(), "changes": [change]});
+                post(address, "/admin/plans/2/confirm", &intent.to_string()).json_value()
+            })
+        });
+        let operators: Vec<_> = operators.collect();
+        let replies = operators
+            .into_iter()
+            .map(|operator| operator.join().unwrap());
+        replies.collect()
+    });
+    let won = |reply: &&Value| reply["result"] == "confirmed";
+    assert_eq!(replies.iter().filter(won).count(), 1, "{replies:?}");
+    let winner = gateways.iter().zip(&replies).find(|(_, reply)| won(reply));
+    let winner = winner.unwrap().0;
+    for (gateway, reply) in gateways.iter().zip(&replies) {
+        if gateway != winner {
+            assert_eq!(reply["result"], "number_taken", "{reply}");
+            assert_eq!(reply["winner"], winner.to_string(), "{reply}");
+        }
+        let policy = get(fleet.address(*gateway), "/admin/policy").json_value();
+        assert_eq!(policy["tail_protection"], winner.0);
+    }
+}
+
 #[test]
 fn every_node_tells_its_health() {
     let fleet = RunningFleet::start();
--- a/crates/daemon/tests/processes_replicas.rs
+++ b/crates/daemon/tests/processes_replicas.rs
@@ -2,6 +2,7 @@
 
 mod processes;
 
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use async_io::{Timer, block_on};
@@ -99,3 +100,57 @@
     let log = String::from_utf8_lossy(&second.stderr).into_owned();
     assert!(log.contains("another process uses"), "{log}");
 }
+
+#[test]
+fn a_damaged_log_stops_the_replica_with_a_clear_error() {
+    let (mut cluster, control) = start();
+    block_on(async {
+        for version in 1..=20 {
+            assert_eq!(control.confirm(version - 1).await, confirmed(version));
+        }
+        let damaged = NodeId(1);
+        cluster.kill(damaged);
+        flip_a_byte_in_the_middle(&cluster.data_folder(damaged).join("replica/log"));
+        let ended = cluster.start_in_vain(damaged);
+        assert!(!ended.status.success());
+        let log = String::from_utf8_lossy(&ended.stderr).into_owned();
+        assert!(log.contains("cannot start"), "{log}");
+        assert!(log.contains("segment"), "{log}");
+        assert_eq!(control.confirm(20).await, confirmed(21));
+    });
+}
+
+/// Damages the only segment of a write-ahead log.
+fn flip_a_byte_in_the_middle(log: &Path) {
+    let entries = std::fs::read_dir(log).unwrap();
+    let files = entries.map(|entry| entry.unwrap().path());
+    let mut segments: Vec<PathBuf> = files
+        .filter(|path| path.extension().is_some_and(|kind| kind == "segment"))
+        .collect();
+    assert_eq!(segments.len(), 1, "{segments:?}");
+    let segment = segments.remove(0);
+    let mut bytes = std::fs::read(&segment).unwrap();
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 0xff;
+    std::fs::write(&segment, bytes).unwrap();
+}
+
+#[test]
+fn replicas_that_die_together_keep_what_was_acknowledged() {
+    let (mut cluster, control) = start();
+    block_on(async {
+        for version in 1..=10 {
+            assert_eq!(control.confirm(version - 1).await, confirmed(version));
+        }
+        for node in cluster.replicas() {
+            cluster.kill(node);
+        }
+        for node in cluster.replicas() {
+            cluster.start(node);
+        }
+        assert_eq!(control.version().await, 10);
+        // A confirmation that was answered before gets the same answer again.
+        assert_eq!(control.confirm(4).await, confirmed(5));
+        assert_eq!(control.confirm(10).await, confirmed(11));
+    });
+}
