--- a/crates/cli/src/demo/fleet.rs
+++ b/crates/cli/src/demo/fleet.rs
@@ -151,6 +151,13 @@
             .collect()
     }
 
+    /// Where every node serves its status, replicas first.
+    #[must_use]
+    pub fn node_addresses(&self) -> Vec<SocketAddr> {
+        let nodes = self.replicas.iter().chain(&self.gateways);
+        nodes.map(|node| node.node.http_address()).collect()
+    }
+
     /// A client of every gateway.
     pub(super) fn client(&self) -> Client {
         Client::new(self.gateway_addresses())
--- a/crates/cli/tests/fleet_contract.rs
+++ b/crates/cli/tests/fleet_contract.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use molespan_cli::DemoFleet;
+use molespan_cli::{Call, Client, DemoFleet};
 use serde_json::Value;
 use support::{molespan, text};
 use tempfile::TempDir;
@@ -89,6 +89,24 @@
     show_every_kind(&session);
     run_a_job(&session, folder.path());
     watch(&session);
+    check_metrics(&fleet);
+}
+
+/// Every metric of every node is explained to operators.
+fn check_metrics(fleet: &DemoFleet) {
+    let page = include_str!("../../../docs/OPERATIONS.md");
+    for address in fleet.node_addresses() {
+        let client = Client::new(vec![address]);
+        let text = async_io::block_on(client.text(&Call::get("/metrics"))).expect("metrics");
+        let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+        let names: Vec<&str> = types.filter_map(|line| line.split(' ').next()).collect();
+        assert!(!names.is_empty(), "{text}");
+        for name in names {
+            let explained = [format!("| `{name}` |"), format!("| `{name}{{")];
+            let found = explained.iter().any(|start| page.contains(start));
+            assert!(found, "{name} is not explained");
+        }
+    }
 }
 
 fn list(gateways: &[SocketAddr]) -> String {
