Keep a removed file's content for a crash in the simulated disk

The simulated disk forgot the bytes of a file that was created and removed since the last sync of its directory, while a crash may keep the creation and lose the removal. A real disk cannot end up there; the log itself is not at fault. The test fails before and passes after the change.

--- a/crates/storage/src/simulated.rs
+++ b/crates/storage/src/simulated.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Whether it gives `content` its name.
+    fn creates(&self, content: u64) -> bool {
+        matches!(self, Self::Create { content: created, .. } if *created == content)
+    }
+
     /// Makes the change in `names`.
     fn apply(&self, names: &mut BTreeMap<String, u64>) {
         match self {
@@ -241,9 +246,12 @@
     fn drop_unnamed(&mut self) {
         let names = &self.names;
         let durable = &self.durable_names;
+        let pending = &self.pending;
         self.contents.retain(|content, _| {
             let named = names.values().any(|named| named == content);
-            named || durable.values().any(|named| named == content)
+            let durable = durable.values().any(|named| named == content);
+            // A crash may keep the creation of a file and lose its removal.
+            named || durable || pending.iter().any(|change| change.creates(*content))
         });
     }
 
--- a/crates/storage/tests/files.rs
+++ b/crates/storage/tests/files.rs
@@ -141,3 +141,17 @@
     let error = FilePayloadLog::open(disk, GROUP, length).unwrap_err();
     assert!(matches!(error, StorageError::Corrupt { .. }));
 }
+
+#[test]
+fn crash_may_keep_a_file_that_was_created_and_removed_since_the_last_sync() {
+    for seed in 0..50 {
+        let disk = SimulatedDisk::new();
+        disk.append("log/file", b"bytes").expect("has room");
+        disk.remove("log/file").expect("is there");
+        disk.sync_dir("elsewhere").expect("is there");
+        disk.crash(seed);
+        for file in disk.files() {
+            disk.sync(&file).expect("a name leads to a file");
+        }
+    }
+}
