Judge a disk only by other starts of it, and outlive a full disk

A healthy disk was taken for a rolled back one. A message of a group carries how far its sender's log was synced, and a hello that reported less than was seen condemned the disk. Messages now carry the start of their sender, and only what other starts synced counts. Ruled out: the boot numbers, which were in order.

What the disk refuses to record now does not count: the hello is as good as lost and comes again, and replaced lives are noted at the next poll. A start on a full disk still fails, since its number must be written down first.

The regression tests fail before and pass after them.

--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use molespan_consensus::ReplicaId;
-use molespan_storage::{Disk, DiskIdentity, Recovery, WriteAheadLog};
+use molespan_storage::{Disk, DiskIdentity, Recovery, StorageError, WriteAheadLog};
 use molespan_types::{GroupId, NodeId, Timestamp};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -60,7 +60,7 @@
         let session = random.random();
         let (fleet, changes) = Fleet::open(disk.clone(), identity, &settings.peers, session, now)?;
         let (log, recovery) = WriteAheadLog::open(disk.clone(), settings.log)?;
-        let shared = Shared::new(settings, fleet.own_id(), log);
+        let shared = Shared::new(settings, fleet.own_id(), session, log);
         let mut core = Self {
             disk,
             random,
@@ -150,10 +150,11 @@
             Ok(PeerMessage::Group {
                 from: sender,
                 to,
+                session,
                 sequence,
                 payload,
             }) if node_of(sender) == from && to == self.fleet.own_id() => {
-                self.fleet.saw_sequence(sender, sequence);
+                self.fleet.saw_sequence(sender, session, sequence);
                 self.receive_group(now, sender, group, payload)
             }
             _ => Ok(()),
@@ -163,7 +164,11 @@
     fn receive_hello(&mut self, now: Timestamp, hello: Hello) -> Result<(), ReplicaError> {
         let to = node_of(hello.replica);
         let sequence = self.shared.log.sequence();
-        let (changes, reply) = self.fleet.receive(now, hello, sequence)?;
+        let (changes, reply) = match self.fleet.receive(now, hello, sequence) {
+            // As good as lost: the sender says hello again until it is answered.
+            Err(error) if error.is_full() => return Ok(()),
+            received => received?,
+        };
         if let Some(reply) = reply {
             self.send_hello(to, reply);
         }
@@ -379,8 +384,17 @@
         for group in self.groups.values_mut() {
             group.report_leader(&mut self.shared.turn(now));
         }
-        let replaced = std::mem::take(&mut self.shared.replaced);
-        self.fleet.note_replaced(&replaced)?;
+        match self.note_members() {
+            // It is tried again at the next poll.
+            Err(error) if error.is_full() => Ok(()),
+            result => Ok(result?),
+        }
+    }
+
+    /// Notes which lives were replaced, and that this one votes everywhere.
+    fn note_members(&mut self) -> Result<(), StorageError> {
+        self.fleet.note_replaced(&self.shared.replaced)?;
+        self.shared.replaced.clear();
         let joining = self.fleet.record().standing == Standing::Joining;
         if joining && self.groups.values().all(Group::is_settled_voter) {
             self.fleet.note_member()?;
--- a/crates/replica/src/fleet.rs
+++ b/crates/replica/src/fleet.rs
@@ -52,6 +52,33 @@
     answered: bool,
 }
 
+/// Highest synced write seen of one life, by its latest starts. A hello may be
+/// overtaken by messages of the very start that it announces, so that only what
+/// was seen of other starts tells that a disk was rolled back.
+#[derive(Debug, Default)]
+struct SeenWrites {
+    sessions: BTreeMap<u64, u64>,
+}
+
+impl SeenWrites {
+    fn note(&mut self, session: u64, sequence: u64) {
+        let highest = self.sessions.entry(session).or_default();
+        *highest = sequence.max(*highest);
+    }
+
+    /// Highest write seen of other starts than `session`.
+    fn before(&self, session: u64) -> u64 {
+        let others = self.sessions.iter().filter(|(one, _)| **one != session);
+        others.map(|(_, sequence)| *sequence).max().unwrap_or(0)
+    }
+
+    /// The log of `session` goes on from all that was seen of other starts.
+    fn accept(&mut self, session: u64) {
+        let highest = self.sessions.values().copied().max().unwrap_or(0);
+        self.sessions = BTreeMap::from([(session, highest)]);
+    }
+}
+
 /// What this process knows of the others.
 #[derive(Debug)]
 pub(crate) struct Fleet<D> {
@@ -61,8 +88,8 @@
     record: FleetRecord,
     others: BTreeSet<NodeId>,
     present: BTreeMap<NodeId, Presence>,
-    /// Highest synced write seen of each life since this start.
-    sequences: BTreeMap<ReplicaId, u64>,
+    /// Highest synced write seen of each life, by its starts.
+    sequences: BTreeMap<ReplicaId, SeenWrites>,
     confirmed: BTreeSet<NodeId>,
     takes_part: bool,
     next_hello: Timestamp,
@@ -98,6 +125,15 @@
         Ok((fleet, changes))
     }
 
+    /// Changes the record, on disk first: what the disk refuses does not count.
+    fn store(&mut self, change: impl FnOnce(&mut FleetRecord)) -> Result<(), StorageError> {
+        let mut changed = self.record.clone();
+        change(&mut changed);
+        changed.store(&self.disk)?;
+        self.record = changed;
+        Ok(())
+    }
+
     /// This life of this disk.
     pub fn own_id(&self) -> ReplicaId {
         replica_id(self.identity.node, self.identity.incarnation)
@@ -120,10 +156,10 @@
         self.next_hello
     }
 
-    /// Notes how far the log of another life was synced.
-    pub fn saw_sequence(&mut self, replica: ReplicaId, sequence: u64) {
-        let highest = self.sequences.entry(replica).or_default();
-        *highest = sequence.max(*highest);
+    /// Notes how far the log of another life was synced in one start of it.
+    pub fn saw_sequence(&mut self, replica: ReplicaId, session: u64, sequence: u64) {
+        let seen = self.sequences.entry(replica).or_default();
+        seen.note(session, sequence);
     }
 
     /// Hellos to send now, if any are due.
@@ -215,7 +251,8 @@
             if known.session == hello.session {
                 return Ok(false);
             }
-            let seen = self.sequences.get(&hello.replica).copied().unwrap_or(0);
+            let seen = self.sequences.get(&hello.replica);
+            let seen = seen.map_or(0, |seen| seen.before(hello.session));
             if hello.boot <= known.boot || hello.sequence < seen {
                 return Ok(true);
             }
@@ -224,8 +261,12 @@
             boot: hello.boot,
             session: hello.session,
         };
-        self.record.boots.insert(hello.replica, boot);
-        self.record.store(&self.disk)?;
+        self.store(|record| {
+            record.boots.insert(hello.replica, boot);
+        })?;
+        if let Some(seen) = self.sequences.get_mut(&hello.replica) {
+            seen.accept(hello.session);
+        }
         Ok(false)
     }
 
@@ -248,13 +289,15 @@
             self.take_old_identity(&founders)?;
         }
         let founder = founders.contains(&self.own_id());
-        self.record.founders = founders;
-        self.record.standing = if founder {
+        let standing = if founder {
             Standing::Founder
         } else {
             Standing::Joining
         };
-        self.record.store(&self.disk)?;
+        self.store(|record| {
+            record.founders = founders;
+            record.standing = standing;
+        })?;
         self.next_hello = Timestamp::ZERO;
         changes.push(FleetChange::Formed);
         Ok(())
@@ -300,9 +343,10 @@
             }
             founders.insert(presence.hello.replica);
         }
-        self.record.founders = founders;
-        self.record.standing = Standing::Founder;
-        self.record.store(&self.disk)?;
+        self.store(|record| {
+            record.founders = founders;
+            record.standing = Standing::Founder;
+        })?;
         self.next_hello = Timestamp::ZERO;
         changes.push(FleetChange::Formed);
         Ok(())
@@ -347,27 +391,25 @@
 
     /// Notes that lives lost their vote to their successors, for good.
     pub fn note_replaced(&mut self, replaced: &BTreeSet<ReplicaId>) -> Result<(), StorageError> {
-        let mut changed = false;
-        for &replica in replaced {
-            changed |= self.record.replaced.insert(replica);
-            self.record.boots.remove(&replica);
-        }
-        if changed {
-            self.record.store(&self.disk)?;
+        if replaced.is_subset(&self.record.replaced) {
+            return Ok(());
         }
-        Ok(())
+        self.store(|record| {
+            for replica in replaced {
+                record.replaced.insert(*replica);
+                record.boots.remove(replica);
+            }
+        })
     }
 
     /// Notes that the first voters' common first entry is in the log.
     pub fn note_bootstrapped(&mut self) -> Result<(), StorageError> {
-        self.record.bootstrapped = true;
-        self.record.store(&self.disk)
+        self.store(|record| record.bootstrapped = true)
     }
 
     /// Notes that this life votes in every group.
     pub fn note_member(&mut self) -> Result<(), StorageError> {
-        self.record.standing = Standing::Member;
-        self.record.store(&self.disk)?;
+        self.store(|record| record.standing = Standing::Member)?;
         self.next_hello = Timestamp::ZERO;
         Ok(())
     }
--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -156,11 +156,14 @@
         /// Receiver; another life of it ignores the message.
         #[n(1)]
         to: ReplicaId,
-        /// Number of the last synced write of the sender's log.
+        /// Start of the sender's process.
         #[n(2)]
+        session: u64,
+        /// Number of the last synced write of the sender's log.
+        #[n(3)]
         sequence: u64,
         /// Content.
-        #[n(3)]
+        #[n(4)]
         payload: GroupPayload,
     },
 }
--- a/crates/replica/src/shared.rs
+++ b/crates/replica/src/shared.rs
@@ -19,6 +19,8 @@
 pub(crate) struct Shared<D> {
     pub settings: ReplicaSettings,
     pub own: ReplicaId,
+    /// This start of the process.
+    pub session: u64,
     pub log: WriteAheadLog<D>,
     pub outputs: Vec<Output>,
     pub replaced: BTreeSet<ReplicaId>,
@@ -31,10 +33,16 @@
 }
 
 impl<D: Disk> Shared<D> {
-    pub fn new(settings: ReplicaSettings, own: ReplicaId, log: WriteAheadLog<D>) -> Self {
+    pub fn new(
+        settings: ReplicaSettings,
+        own: ReplicaId,
+        session: u64,
+        log: WriteAheadLog<D>,
+    ) -> Self {
         Self {
             settings,
             own,
+            session,
             log,
             outputs: Vec::new(),
             replaced: BTreeSet::new(),
@@ -50,6 +58,7 @@
             now,
             settings: &self.settings,
             own: self.own,
+            session: self.session,
             log: &mut self.log,
             outputs: &mut self.outputs,
             replaced: &mut self.replaced,
--- a/crates/replica/src/turn.rs
+++ b/crates/replica/src/turn.rs
@@ -16,6 +16,8 @@
     pub settings: &'a ReplicaSettings,
     /// This life of this replica.
     pub own: ReplicaId,
+    /// This start of the process.
+    pub session: u64,
     pub log: &'a mut WriteAheadLog<D>,
     pub outputs: &'a mut Vec<Output>,
     /// Lives that lost their vote during this turn.
@@ -28,6 +30,7 @@
         let message = PeerMessage::Group {
             from: self.own,
             to,
+            session: self.session,
             sequence: self.log.sequence(),
             payload,
         };
--- a/crates/replica/tests/cluster/mod.rs
+++ b/crates/replica/tests/cluster/mod.rs
@@ -44,6 +44,9 @@
     pub loss: f64,
     pub bytes_sent: u64,
     network: BTreeMap<(Timestamp, u64), Packet>,
+    /// A node whose messages wait for [`Cluster::deliver_reversed`].
+    pub held_for: Option<NodeId>,
+    held: Vec<Input>,
     last_ticket: u64,
     last_message: u64,
     job_groups: u32,
@@ -74,6 +77,8 @@
             loss: 0.0,
             bytes_sent: 0,
             network: BTreeMap::new(),
+            held_for: None,
+            held: Vec::new(),
             last_ticket: 0,
             last_message: 0,
             job_groups: 2,
@@ -216,13 +221,27 @@
                 group: packet.group,
                 bytes: packet.bytes,
             };
-            self.input(packet.to, message);
+            if self.held_for == Some(packet.to) {
+                self.held.push(message);
+            } else {
+                self.input(packet.to, message);
+            }
         } else if let Some((_, node)) = timer {
             self.poll(node);
         }
         true
     }
 
+    /// Delivers what waits for a node, the latest first.
+    pub fn deliver_reversed(&mut self) {
+        let Some(node) = self.held_for.take() else {
+            return;
+        };
+        for message in std::mem::take(&mut self.held).into_iter().rev() {
+            self.input(node, message);
+        }
+    }
+
     pub fn input(&mut self, node: NodeId, input: Input) {
         if let Some(core) = self.cores.get_mut(&node) {
             core.handle(self.now, input);
--- /dev/null
+++ b/crates/replica/tests/judgement.rs
@@ -0,0 +1,66 @@
+//! Telling healthy disks from outdated ones under reordering and full disks.
+
+mod cluster;
+
+use std::time::Duration;
+
+use cluster::{Cluster, intent, node};
+use molespan_replica::{Input, ReplicaEvent};
+use molespan_types::{ConfigVersion, GroupId, NodeId};
+
+const SEED: u64 = 5;
+
+fn new_incarnations(cluster: &Cluster) -> usize {
+    let events = cluster.events.iter();
+    let renewed = events.filter(|(_, event)| matches!(event, ReplicaEvent::NewIncarnation { .. }));
+    renewed.count()
+}
+
+/// Lets `to` lead the control group.
+fn lead(cluster: &mut Cluster, to: NodeId) {
+    cluster.run_until("leadership", |cluster| {
+        cluster.leader(GroupId::CONTROL).is_some()
+    });
+    let leader = cluster.leader(GroupId::CONTROL).expect("there is one");
+    let ticket = cluster.ticket();
+    let group = GroupId::CONTROL;
+    cluster.input(leader, Input::TransferLeadership { ticket, group, to });
+    cluster.run_until("the transfer", |cluster| {
+        cluster.leader(GroupId::CONTROL) == Some(to)
+    });
+}
+
+#[test]
+fn hello_that_its_own_start_overtook_condemns_nobody() {
+    let mut cluster = Cluster::new(3, SEED);
+    cluster.run_until_led();
+    cluster.run_until("all voters", Cluster::is_whole);
+    cluster.held_for = Some(node(1));
+    // Without what waits for node 1, the other two lead everything.
+    cluster.run_for(Duration::from_secs(3));
+    cluster.restart(node(3));
+    cluster.run_for(Duration::from_secs(1));
+    lead(&mut cluster, node(3));
+    for number in 1..=20 {
+        let command = intent(number, ConfigVersion(number - 1));
+        cluster.commit(GroupId::CONTROL, &command);
+    }
+    cluster.events.clear();
+    cluster.deliver_reversed();
+    cluster.run_for(Duration::from_secs(10));
+    assert_eq!(new_incarnations(&cluster), 0, "{:#?}", cluster.events);
+    cluster.run_until_equal();
+}
+
+#[test]
+fn hello_of_a_restarted_node_does_not_stop_one_with_a_full_disk() {
+    let mut cluster = Cluster::new(3, SEED);
+    cluster.run_until_led();
+    cluster.run_until("all voters", Cluster::is_whole);
+    cluster.disks[&node(1)].set_full(true);
+    cluster.restart(node(3));
+    cluster.run_for(Duration::from_secs(3));
+    assert!(cluster.errors.is_empty(), "{:?}", cluster.errors);
+    cluster.disks[&node(1)].set_full(false);
+    cluster.run_until_equal();
+}
