--- a/crates/replica/tests/cluster/mod.rs
+++ b/crates/replica/tests/cluster/mod.rs
@@ -24,7 +24,7 @@
 /// How a request ended.
 pub type Answer = Result<Vec<u8>, Refusal>;
 
-/// A message under way.
+/// A message on its way.
 struct Packet {
     from: NodeId,
     to: NodeId,
@@ -32,6 +32,7 @@
     bytes: Vec<u8>,
 }
 
+/// The nodes, their disks and the network between them.
 pub struct Cluster {
     pub now: Timestamp,
     pub random: ChaCha8Rng,
@@ -220,16 +221,15 @@
             let Some((_, packet)) = self.network.pop_first() else {
                 return false;
             };
-            let Packet {
-                from,
-                to,
-                group,
-                bytes,
-            } = packet;
-            if self.cut.contains(&(from, to)) {
+            if self.cut.contains(&(packet.from, packet.to)) {
                 return true;
             }
-            self.input(to, Input::Message { from, group, bytes });
+            let message = Input::Message {
+                from: packet.from,
+                group: packet.group,
+                bytes: packet.bytes,
+            };
+            self.input(packet.to, message);
         } else if let Some((_, node)) = timer {
             self.poll(node);
         }
