Sync the parents of new directories

create_dir made directories whose names nothing synced: sync_dir of a directory covers the names in it, not its own. After a power cut the log's or a group's folder could be missing with everything that was acknowledged. Found by reading; the simulated disk knows no directories, so no test shows it. RealDisk now syncs the parent of each directory that it creates.

--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -9,7 +9,8 @@
 /// crash only after [`Disk::sync`]; created, renamed and removed files only
 /// after [`Disk::sync_dir`] of their directory.
 pub trait Disk: Clone {
-    /// Creates a directory and its parents, if missing.
+    /// Creates a directory and its parents, if missing. They outlive a crash on
+    /// return.
     ///
     /// # Errors
     /// When the disk refuses.
--- a/crates/storage/src/real.rs
+++ b/crates/storage/src/real.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use crate::checked_file::join;
 use crate::{Disk, StorageError};
 
 /// Open files kept at most; beyond that all are closed and opened on demand.
@@ -43,6 +44,15 @@
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Creates a directory, if missing, and makes its name outlive a crash.
+    fn create_child(&self, parent: &str, child: &str) -> Result<(), StorageError> {
+        match fs::create_dir(self.path(child)) {
+            Ok(()) => self.sync_dir(parent),
+            Err(error) if error.kind() == ErrorKind::AlreadyExists => Ok(()),
+            Err(error) => Err(io_error(child, &error)),
+        }
+    }
+
     /// Forgets an open file whose name is about to change.
     fn close(&self, file: &str) {
         self.handles().remove(file);
@@ -83,7 +93,13 @@
 
 impl Disk for RealDisk {
     fn create_dir(&self, directory: &str) -> Result<(), StorageError> {
-        fs::create_dir_all(self.path(directory)).map_err(|error| io_error(directory, &error))
+        let mut parent = String::new();
+        for name in directory.split('/') {
+            let child = join(&parent, name);
+            self.create_child(&parent, &child)?;
+            parent = child;
+        }
+        Ok(())
     }
 
     fn list(&self, directory: &str) -> Result<Vec<String>, StorageError> {
