--- a/crates/bench/src/run/experiment.rs
+++ b/crates/bench/src/run/experiment.rs
@@ -1,7 +1,8 @@
 //! Runs one arm on a fleet of its own.
 
+use std::fmt::Write;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -17,11 +18,14 @@
 use super::faults::FaultDriver;
 use super::figures::{ArmFigures, ProgressPoint};
 use super::fleet::programs::Programs;
-use super::fleet::{Fleet, operator};
-use super::load::batch::{BatchLoad, BatchReport, items_per_second};
+use super::fleet::{Fleet, operator, write_file};
+use super::load::batch::{BatchLoad, BatchReport, PreparedJob, items_per_second, prepare_jobs};
 use super::load::caller::Caller;
 use super::load::job_client::JobClient;
-use super::load::online::{LoadContext, LoadRecord, drive_application, drive_online};
+use super::load::online::{
+    LoadContext, LoadRecord, PreparedApplication, PreparedCompletion, drive_application,
+    drive_online, prepare_application, prepare_online,
+};
 use super::load::prompts::Prompts;
 use super::load::schedule::{application_arrivals, job_arrivals, online_arrivals};
 use super::load::steering::Steering;
@@ -72,13 +76,23 @@
     pub pool: Pool,
 }
 
+/// The load of one arm.
+#[derive(Default)]
+struct PreparedLoad {
+    online: Vec<PreparedCompletion>,
+    application: Vec<PreparedApplication>,
+    jobs: Vec<PreparedJob>,
+}
+
 /// One arm that runs.
 struct ArmRun<'a> {
     experiment: &'a Experiment,
     arm: Arm,
     fleet: Arc<Mutex<Fleet>>,
     context: Arc<LoadContext>,
+    prompts: Prompts,
     length: Duration,
+    folder: PathBuf,
 }
 
 impl Experiment {
@@ -94,31 +108,55 @@
         operator::set_up(&self.pool, gateways[0], &self.profile).await?;
         let steering = Arc::new(Steering::new(&gateways));
         self.wait_until_ready(&steering, &gateways).await?;
+        let length = match arm {
+            Arm::Faults => self.length.mul_f64(FAULTS_LENGTH),
+            _ => self.length,
+        };
+        let prompts = Prompts::new(&format!("{}-{}", self.seed, arm.name()));
+        let load = self.prepare(arm, &prompts, WARM_UP + length);
         let context = Arc::new(LoadContext {
             executor: self.executor.clone(),
             caller: Caller::new(self.pool.clone()),
             steering,
-            prompts: Prompts::new(&format!("{}-{}", self.seed, arm.name())),
-            profile: self.profile.clone(),
             start: Instant::now() + LEAD,
         });
-        let length = match arm {
-            Arm::Faults => self.length.mul_f64(FAULTS_LENGTH),
-            _ => self.length,
-        };
         let run = ArmRun {
             experiment: self,
             arm,
             fleet: Arc::new(Mutex::new(fleet)),
             context,
+            prompts,
             length,
+            folder: folder.to_owned(),
         };
         Ok(match arm {
             Arm::Direct => run.direct().await,
-            _ => run.load().await,
+            _ => run.load(load).await,
         })
     }
 
+    /// The load of an arm that lasts for `whole`, made up before it starts.
+    fn prepare(&self, arm: Arm, prompts: &Prompts, whole: Duration) -> PreparedLoad {
+        let profile = &self.profile;
+        let zones = profile.fleet.zones.len();
+        let mut load = PreparedLoad::default();
+        if arm.has_online() {
+            let arrivals = online_arrivals(&profile.online, zones, whole, self.seed);
+            load.online = prepare_online(profile, prompts, &arrivals);
+            let arrivals = application_arrivals(&profile.application, zones, whole, self.seed);
+            load.application = prepare_application(profile, prompts, &arrivals);
+        }
+        if arm.has_batch() {
+            let items = match arm {
+                Arm::Faults => f64::from(profile.items_per_job()) * FAULTS_JOB_SHARE,
+                _ => f64::from(profile.items_per_job()),
+            };
+            let arrivals = job_arrivals(&profile.batch, items as u32, zones, whole, self.seed);
+            load.jobs = prepare_jobs(profile, prompts, &arrivals);
+        }
+        load
+    }
+
     /// Waits until every gateway says that it is ready and answers.
     async fn wait_until_ready(
         &self,
@@ -175,7 +213,7 @@
         let context = DirectContext {
             executor: self.experiment.executor.clone(),
             caller: self.context.caller.clone(),
-            prompts: self.context.prompts.clone(),
+            prompts: self.prompts.clone(),
             profile: self.experiment.profile.clone(),
             numbers: Arc::default(),
         };
@@ -196,7 +234,7 @@
     }
 
     /// Any other arm.
-    async fn load(&self) -> ArmFigures {
+    async fn load(&self, load: PreparedLoad) -> ArmFigures {
         let whole = WARM_UP + self.length;
         let probe = LatenessProbe::default();
         let sampler = EngineSampler::default();
@@ -206,9 +244,9 @@
             self.context.clone(),
             JobClient::new(self.experiment.pool.clone()),
         ));
-        let online = self.spawn_online(whole);
-        let application = self.spawn_application(whole);
-        let submitting = self.spawn_batch(&batch, whole);
+        let online = self.spawn_online(load.online);
+        let application = self.spawn_application(load.application);
+        let submitting = self.spawn_batch(&batch, load.jobs);
         let progress = self.spawn_progress(&batch);
         let faults = self.spawn_faults();
         let processors = self.processors_in_window(whole).await;
@@ -221,6 +259,8 @@
         let engines = sampler.mean(self.context.start + WARM_UP, end_of_use);
         let batch = self.finish_batch(batch).await;
         drop(watchers);
+        write_calls(&self.folder.join("online.csv"), &online);
+        write_calls(&self.folder.join("application.csv"), &application);
         let mut account = self.account(&online, &application, &batch).await;
         self.check_batch_stopped(&mut account).await;
         let mut figures = latency_figures(&online, &application);
@@ -261,44 +301,21 @@
         engines.into_iter().map(spawn_one).collect()
     }
 
-    fn spawn_online(&self, whole: Duration) -> Task<Vec<LoadRecord>> {
-        let profile = &self.experiment.profile;
-        let zones = profile.fleet.zones.len();
-        let arrivals = match self.arm.has_online() {
-            true => online_arrivals(&profile.online, zones, whole, self.experiment.seed),
-            false => Vec::new(),
-        };
+    fn spawn_online(&self, prepared: Vec<PreparedCompletion>) -> Task<Vec<LoadRecord>> {
         let context = self.context.clone();
-        let driving = async move { drive_online(&context, arrivals).await };
+        let driving = async move { drive_online(&context, prepared).await };
         self.experiment.executor.spawn(driving)
     }
 
-    fn spawn_application(&self, whole: Duration) -> Task<Vec<LoadRecord>> {
-        let profile = &self.experiment.profile;
-        let zones = profile.fleet.zones.len();
-        let arrivals = match self.arm.has_online() {
-            true => application_arrivals(&profile.application, zones, whole, self.experiment.seed),
-            false => Vec::new(),
-        };
+    fn spawn_application(&self, prepared: Vec<PreparedApplication>) -> Task<Vec<LoadRecord>> {
         let context = self.context.clone();
-        let driving = async move { drive_application(&context, arrivals).await };
+        let driving = async move { drive_application(&context, prepared).await };
         self.experiment.executor.spawn(driving)
     }
 
-    fn spawn_batch(&self, batch: &Arc<BatchLoad>, whole: Duration) -> Task<()> {
-        let profile = &self.experiment.profile;
-        let zones = profile.fleet.zones.len();
-        let items = match self.arm {
-            Arm::Faults => f64::from(profile.items_per_job()) * FAULTS_JOB_SHARE,
-            _ => f64::from(profile.items_per_job()),
-        };
-        let seed = self.experiment.seed;
-        let arrivals = match self.arm.has_batch() {
-            true => job_arrivals(&profile.batch, items as u32, zones, whole, seed),
-            false => Vec::new(),
-        };
+    fn spawn_batch(&self, batch: &Arc<BatchLoad>, jobs: Vec<PreparedJob>) -> Task<()> {
         let batch = batch.clone();
-        self.spawn(async move { batch.submit_all(arrivals).await })
+        self.spawn(async move { batch.submit_all(jobs).await })
     }
 
     fn spawn_progress(&self, batch: &Arc<BatchLoad>) -> Task<()> {
@@ -454,6 +471,26 @@
     }
 }
 
+/// Writes every call with its intended time, for a closer look.
+fn write_calls(path: &Path, records: &[LoadRecord]) {
+    let mut text = "intended_ms,first_token_ms,whole_ms,outcome\n".to_owned();
+    for record in records {
+        let millis = |time: Duration| time.as_secs_f64() * 1e3;
+        let first = record.call.first_token.map_or(0.0, millis);
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            text,
+            "{:.1},{first:.2},{:.2},{}",
+            millis(record.at),
+            millis(record.call.whole),
+            record.call.outcome.label()
+        );
+    }
+    if let Err(error) = write_file(path, &text) {
+        eprintln!("bench: {error}");
+    }
+}
+
 fn progress_points(batch: &BatchReport) -> Vec<ProgressPoint> {
     let points = batch.samples.iter().map(|sample| ProgressPoint {
         at_s: sample.at.as_secs_f64(),
--- a/crates/bench/src/run/load/batch.rs
+++ b/crates/bench/src/run/load/batch.rs
@@ -5,10 +5,12 @@
 
 use async_io::Timer;
 
-use super::job_client::{JobClient, JobSummary};
+use super::job_client::{JobClient, JobSubmission, JobSummary};
 use super::online::LoadContext;
+use super::prompts::Prompts;
 use super::schedule::JobArrival;
 use crate::run::account::{CallOutcome, JobItems, JobResults, ResultLine};
+use crate::run::profile::Profile;
 
 /// Time between two looks at the progress of all jobs.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(500);
@@ -26,6 +28,55 @@
     pub completed: u64,
 }
 
+/// A job that is ready to be submitted.
+#[derive(Clone, Debug)]
+pub struct PreparedJob {
+    /// Intended time since the start of the load.
+    pub at: Duration,
+    /// Zone of the submitter, by position.
+    pub zone: usize,
+    /// The submission.
+    pub submission: JobSubmission,
+    /// Its items.
+    pub items: Arc<JobItems>,
+}
+
+/// The jobs of `arrivals`, made up before the load starts.
+#[must_use]
+pub fn prepare_jobs(
+    profile: &Profile,
+    prompts: &Prompts,
+    arrivals: &[JobArrival],
+) -> Vec<PreparedJob> {
+    let numbered = arrivals.iter().zip(0..);
+    let prepared = numbered.map(|(arrival, number)| {
+        let items = Arc::new(job_items(profile, prompts, arrival, number));
+        PreparedJob {
+            at: arrival.at,
+            zone: arrival.zone,
+            submission: JobSubmission::new(
+                profile.fleet.service.as_str(),
+                &prompts.key("job", number),
+                &items,
+            ),
+            items,
+        }
+    });
+    prepared.collect()
+}
+
+fn job_items(profile: &Profile, prompts: &Prompts, arrival: &JobArrival, number: u64) -> JobItems {
+    let load = &profile.batch;
+    let kind = format!("job {number} item");
+    let prompts =
+        (0..arrival.items).map(|item| prompts.single(&kind, u64::from(item), load.prompt_tokens));
+    JobItems {
+        prompts: prompts.collect(),
+        answer_tokens: load.answer_tokens,
+        repeatable: arrival.repeatable,
+    }
+}
+
 /// A job that was accepted.
 #[derive(Clone)]
 struct SubmittedJob {
@@ -74,10 +125,10 @@
     }
 
     /// Submits jobs at their times.
-    pub async fn submit_all(&self, arrivals: Vec<JobArrival>) {
-        for (number, arrival) in arrivals.into_iter().enumerate() {
-            Timer::at(self.context.start + arrival.at).await;
-            self.submit(&arrival, number as u64).await;
+    pub async fn submit_all(&self, jobs: Vec<PreparedJob>) {
+        for job in jobs {
+            Timer::at(self.context.start + job.at).await;
+            self.submit(job).await;
         }
     }
 
@@ -115,17 +166,11 @@
     }
 
     /// Submits one job until a gateway accepts it, always under the same key.
-    async fn submit(&self, arrival: &JobArrival, number: u64) {
-        let items = Arc::new(self.items(arrival, number));
-        let key = self.context.prompts.key("job", number);
-        let service = self.context.profile.fleet.service.as_str();
+    async fn submit(&self, job: PreparedJob) {
         for attempt in 0..MAX_TRIES {
-            let gateway = self
-                .context
-                .steering
-                .gateway(arrival.zone + attempt as usize);
-            match self.client.submit(gateway, service, &key, &items).await {
-                Ok(summary) => return self.accepted(summary, arrival.zone, items),
+            let gateway = self.context.steering.gateway(job.zone + attempt as usize);
+            match self.client.submit(gateway, &job.submission).await {
+                Ok(summary) => return self.accepted(summary, job.zone, job.items),
                 Err(outcome) => self.incident("job submission", &outcome),
             }
             Timer::after(RETRY_PAUSE).await;
@@ -135,20 +180,6 @@
             .push("job was never accepted".to_owned());
     }
 
-    fn items(&self, arrival: &JobArrival, number: u64) -> JobItems {
-        let load = &self.context.profile.batch;
-        let kind = format!("job {number} item");
-        let prompts = (0..arrival.items).map(|item| {
-            let prompts = &self.context.prompts;
-            prompts.single(&kind, u64::from(item), load.prompt_tokens)
-        });
-        JobItems {
-            prompts: prompts.collect(),
-            answer_tokens: load.answer_tokens,
-            repeatable: arrival.repeatable,
-        }
-    }
-
     fn accepted(&self, summary: JobSummary, zone: usize, items: Arc<JobItems>) {
         self.lock().jobs.push(SubmittedJob {
             id: summary.id,
--- a/crates/bench/src/run/load/job_client.rs
+++ b/crates/bench/src/run/load/job_client.rs
@@ -49,6 +49,25 @@
     max_tokens: u32,
 }
 
+/// A job in the form in which it is submitted.
+#[derive(Clone, Debug)]
+pub struct JobSubmission {
+    path: String,
+    body: String,
+}
+
+impl JobSubmission {
+    /// Items for `service`, known by `key`.
+    #[must_use]
+    pub fn new(service: &str, key: &str, items: &JobItems) -> Self {
+        let repeatable = items.repeatable;
+        Self {
+            path: format!("/v1/batches?service={service}&key={key}&repeatable={repeatable}"),
+            body: job_body(items),
+        }
+    }
+}
+
 /// Submits jobs and asks about them.
 #[derive(Clone, Debug)]
 pub struct JobClient {
@@ -62,7 +81,7 @@
         Self { pool }
     }
 
-    /// Submits a job under `key`.
+    /// Submits a job; the same submission may be sent again.
     ///
     /// # Errors
     ///
@@ -70,14 +89,11 @@
     pub async fn submit(
         &self,
         gateway: SocketAddr,
-        service: &str,
-        key: &str,
-        items: &JobItems,
+        submission: &JobSubmission,
     ) -> Result<JobSummary, CallOutcome> {
-        let repeatable = items.repeatable;
-        let path = format!("/v1/batches?service={service}&key={key}&repeatable={repeatable}");
-        let body = job_body(items);
-        self.call(Method::Post, gateway, &path, Some(body)).await
+        let body = Some(submission.body.clone());
+        self.call(Method::Post, gateway, &submission.path, body)
+            .await
     }
 
     /// Where a job stands.
--- a/crates/bench/src/run/load/online.rs
+++ b/crates/bench/src/run/load/online.rs
@@ -14,6 +14,8 @@
 
 /// Tenant of online callers.
 const TENANT: &str = "residents";
+/// Tokens of an application call's body.
+const APPLICATION_TOKENS: u32 = 8;
 
 /// A call of the load with what it was.
 #[derive(Clone, Debug)]
@@ -26,6 +28,28 @@
     pub call: CallRecord,
 }
 
+/// An online request that is ready to be sent.
+#[derive(Clone, Debug)]
+pub struct PreparedCompletion {
+    /// Intended time since the start of the load.
+    pub at: Duration,
+    /// Zone of the caller, by position.
+    pub zone: usize,
+    /// The call.
+    pub call: CompletionCall,
+}
+
+/// An application call that is ready to be made.
+#[derive(Clone, Debug)]
+pub struct PreparedApplication {
+    /// Intended time since the start of the load.
+    pub at: Duration,
+    /// Zone of the caller, by position.
+    pub zone: usize,
+    /// The call.
+    pub call: ApplicationCall,
+}
+
 /// What all calls of a load share.
 pub struct LoadContext {
     /// Runs the calls.
@@ -34,27 +58,62 @@
     pub caller: Caller,
     /// Chooses the gateway.
     pub steering: Arc<Steering>,
-    /// Makes the prompts.
-    pub prompts: Prompts,
-    /// Sizes.
-    pub profile: Profile,
     /// Time zero of the arrivals.
     pub start: Instant,
 }
 
 type Records = Arc<Mutex<Vec<LoadRecord>>>;
 
+/// The calls of `arrivals`. They are made up before the load starts, so that
+/// making them up takes no time of the load.
+#[must_use]
+pub fn prepare_online(
+    profile: &Profile,
+    prompts: &Prompts,
+    arrivals: &[OnlineArrival],
+) -> Vec<PreparedCompletion> {
+    let numbered = arrivals.iter().zip(0..);
+    let prepared = numbered.map(|(arrival, number)| PreparedCompletion {
+        at: arrival.at,
+        zone: arrival.zone,
+        call: completion_call(profile, prompts, arrival, number),
+    });
+    prepared.collect()
+}
+
+/// The application calls of `arrivals`, made up before the load starts.
+#[must_use]
+pub fn prepare_application(
+    profile: &Profile,
+    prompts: &Prompts,
+    arrivals: &[ApplicationArrival],
+) -> Vec<PreparedApplication> {
+    let service = profile.fleet.application_service.as_str();
+    let numbered = arrivals.iter().zip(0..);
+    let prepared = numbered.map(|(arrival, number)| PreparedApplication {
+        at: arrival.at,
+        zone: arrival.zone,
+        call: ApplicationCall {
+            prefix: format!("/services/{service}"),
+            path: format!("/albums/{number}"),
+            body: prompts.single("application", number, APPLICATION_TOKENS),
+            tenant: TENANT.to_owned(),
+        },
+    });
+    prepared.collect()
+}
+
 /// Sends online completions at their times and waits for all answers.
 pub async fn drive_online(
     context: &Arc<LoadContext>,
-    arrivals: Vec<OnlineArrival>,
+    prepared: Vec<PreparedCompletion>,
 ) -> Vec<LoadRecord> {
     let records = Records::default();
-    let mut calls = Vec::with_capacity(arrivals.len());
-    for (number, arrival) in arrivals.into_iter().enumerate() {
-        Timer::at(context.start + arrival.at).await;
-        let one = one_online(context.clone(), arrival, number as u64, records.clone());
-        calls.push(context.executor.spawn(one));
+    let mut calls = Vec::with_capacity(prepared.len());
+    for one in prepared {
+        Timer::at(context.start + one.at).await;
+        let calling = one_online(context.clone(), one, records.clone());
+        calls.push(context.executor.spawn(calling));
     }
     for call in calls {
         call.await;
@@ -62,17 +121,17 @@
     take(&records)
 }
 
-/// Sends application calls at their times and waits for all answers.
+/// Makes application calls at their times and waits for all answers.
 pub async fn drive_application(
     context: &Arc<LoadContext>,
-    arrivals: Vec<ApplicationArrival>,
+    prepared: Vec<PreparedApplication>,
 ) -> Vec<LoadRecord> {
     let records = Records::default();
-    let mut calls = Vec::with_capacity(arrivals.len());
-    for (number, arrival) in arrivals.into_iter().enumerate() {
-        Timer::at(context.start + arrival.at).await;
-        let one = one_application(context.clone(), arrival, number as u64, records.clone());
-        calls.push(context.executor.spawn(one));
+    let mut calls = Vec::with_capacity(prepared.len());
+    for one in prepared {
+        Timer::at(context.start + one.at).await;
+        let calling = one_application(context.clone(), one, records.clone());
+        calls.push(context.executor.spawn(calling));
     }
     for call in calls {
         call.await;
@@ -80,43 +139,37 @@
     take(&records)
 }
 
-async fn one_online(
-    context: Arc<LoadContext>,
-    arrival: OnlineArrival,
-    number: u64,
-    records: Records,
-) {
-    let intended = context.start + arrival.at;
-    let call = completion_call(&context, &arrival, number);
-    let gateway = context.steering.gateway(arrival.zone);
-    let record = context.caller.stream(gateway, &call, intended).await;
-    push(&records, arrival.at, arrival.repeatable, record);
+async fn one_online(context: Arc<LoadContext>, prepared: PreparedCompletion, records: Records) {
+    let PreparedCompletion { at, zone, call } = prepared;
+    let gateway = context.steering.gateway(zone);
+    let calling = context.caller.stream(gateway, &call, context.start + at);
+    let record = calling.await;
+    push(&records, at, call.once_key.is_none(), record);
 }
 
 async fn one_application(
     context: Arc<LoadContext>,
-    arrival: ApplicationArrival,
-    number: u64,
+    prepared: PreparedApplication,
     records: Records,
 ) {
-    let intended = context.start + arrival.at;
-    let service = context.profile.fleet.application_service.as_str();
-    let call = ApplicationCall {
-        prefix: format!("/services/{service}"),
-        path: format!("/albums/{number}"),
-        body: context.prompts.single("application", number, 8),
-        tenant: TENANT.to_owned(),
-    };
-    let gateway = context.steering.gateway(arrival.zone);
-    let record = context.caller.application(gateway, &call, intended).await;
-    // The bench does not resend, and a gateway may run a call again unless it
-    // is marked as one that may not be repeated.
-    push(&records, arrival.at, true, record);
+    let PreparedApplication { at, zone, call } = prepared;
+    let gateway = context.steering.gateway(zone);
+    let calling = context
+        .caller
+        .application(gateway, &call, context.start + at);
+    let record = calling.await;
+    // A gateway may run a call again unless it is marked as one that may not
+    // be repeated.
+    push(&records, at, true, record);
 }
 
-fn completion_call(context: &LoadContext, arrival: &OnlineArrival, number: u64) -> CompletionCall {
-    let load = &context.profile.online;
-    let prompts = &context.prompts;
+fn completion_call(
+    profile: &Profile,
+    prompts: &Prompts,
+    arrival: &OnlineArrival,
+    number: u64,
+) -> CompletionCall {
+    let load = &profile.online;
     let (prompt, max_tokens) = match arrival.kind {
         OnlineKind::Short => (
             prompts.single("online", number, load.own_tokens),
@@ -129,7 +182,7 @@
     };
     let once_key = (!arrival.repeatable).then(|| prompts.key("online", number));
     CompletionCall {
-        model: context.profile.fleet.service.as_str().to_owned(),
+        model: profile.fleet.service.as_str().to_owned(),
         prompt,
         max_tokens,
         tenant: TENANT.to_owned(),
