Send watchers only what changed of the configuration

Cause: each watcher got the whole configuration with every change, 24 KB to each of 1,800 gateways, and each wake-up of a waiting watcher copied it. Change: a replica keeps the steps between the versions it read and sends the way from the watcher's version, or the whole where it does not know that. A node checks the outcome against a digest and asks for the whole if it differs. Gateways begin at different replicas instead of all at the first.

--- a/crates/bench/src/scale/hollow/node.rs
+++ b/crates/bench/src/scale/hollow/node.rs
@@ -10,6 +10,7 @@
 use async_io::Timer;
 use molespan_membership::{GatewayRecord, GatewaySet, GatewaySetSettings};
 use molespan_routing::readiness::{ConfigurationHolder, DEFAULT_CURRENCY_BOUND};
+use molespan_state::control::{Configuration, ConfigurationUpdate};
 use molespan_types::{ConfigVersion, NodeId, Timestamp};
 use molespan_wire::{Client, ClientLimits, Request, Response, WatchConfiguration};
 
@@ -96,7 +97,7 @@
             };
             let mut holder = self.holder.lock().unwrap_or_else(PoisonError::into_inner);
             if let Some(bytes) = configuration
-                && let Ok(newer) = molespan_state::decode(&bytes)
+                && let Some(newer) = newer_of(&holder, &bytes)
             {
                 holder.offer(newer);
             }
@@ -133,3 +134,9 @@
         }
     }
 }
+
+/// The configuration that an update leads to from the one in force.
+fn newer_of(holder: &ConfigurationHolder, bytes: &[u8]) -> Option<Configuration> {
+    let update: ConfigurationUpdate = molespan_state::decode(bytes).ok()?;
+    update.apply_to(holder.in_force().map(Arc::as_ref)).ok()
+}
--- a/crates/daemon/src/cluster/control.rs
+++ b/crates/daemon/src/cluster/control.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use molespan_state::control::{
-    Change, Configuration, ConfirmIntent, ConfirmReply, ControlAnswer, ControlCommand,
-    ControlQuery, ControlReply, IntentNumber, IssueOrder, IssuedOrder, NodeRecord, Plan,
-    RegisterNode,
+    Change, Configuration, ConfigurationUpdate, ConfirmIntent, ConfirmReply, ControlAnswer,
+    ControlCommand, ControlQuery, ControlReply, IntentNumber, IssueOrder, IssuedOrder, NodeRecord,
+    Plan, RegisterNode,
 };
 use molespan_state::decode;
 use molespan_types::{BackendId, ConfigVersion, GroupId, Incarnation, NodeId, RunOutcome};
@@ -25,8 +25,8 @@
 pub struct WatchedConfiguration {
     /// Newest version that a quorum confirmed when this was answered.
     pub current: ConfigVersion,
-    /// The configuration, if newer than the asker's.
-    pub newer: Option<Configuration>,
+    /// What leads to it from the asker's, if it is newer.
+    pub newer: Option<ConfigurationUpdate>,
 }
 
 /// A live gateway as the control leader knows it.
--- a/crates/daemon/src/gateway/configuration.rs
+++ b/crates/daemon/src/gateway/configuration.rs
@@ -9,7 +9,7 @@
 use molespan_routing::admission::{Refusal, RefusalCode, ServiceLimits, TenantPolicy};
 use molespan_routing::batch::BatchInput;
 use molespan_routing::readiness::{ConfigurationChange, ConfigurationHolder, Readiness};
-use molespan_state::control::{Configuration, Service, ServiceKind};
+use molespan_state::control::{Configuration, ConfigurationUpdate, Service, ServiceKind};
 use molespan_state::{decode, encode};
 use molespan_storage::{Disk, RealDisk, StorageError, read_checked, write_checked};
 use molespan_telemetry::EventKind;
@@ -116,8 +116,10 @@
 
     /// Watches for newer configurations until the gateway stops.
     pub(super) async fn watch_configuration(self: Arc<Self>) {
-        let mut turn = 0;
+        // Gateways begin at different replicas, so that these share the work.
+        let mut turn = self.options.node.0 as usize;
         let mut was = Readiness::NoConfiguration;
+        let mut wants_whole = false;
         loop {
             let replicas = self.cluster.replicas();
             let Some(replica) = replicas.get(turn % replicas.len().max(1)).copied() else {
@@ -128,15 +130,20 @@
             let watch = WatchConfiguration {
                 node: self.options.node,
                 incarnation: self.options.incarnation,
-                in_force: self.configuration.version(),
+                in_force: if wants_whole {
+                    ConfigVersion::default()
+                } else {
+                    self.configuration.version()
+                },
                 wait_ms: wait.as_millis() as u32,
             };
             let sent = self.clock.now();
             match self.cluster.watch(replica, watch).await {
                 Ok(watched) => {
-                    if let Some(newer) = watched.newer {
-                        self.take_configuration(newer).await;
-                    }
+                    wants_whole = match watched.newer {
+                        Some(update) => !self.take_update(update).await,
+                        None => false,
+                    };
                     let current = watched.current;
                     self.configuration
                         .write(|holder| holder.confirm(sent, current));
@@ -170,6 +177,22 @@
         }
     }
 
+    /// Takes a newer configuration over. Returns whether the update fitted the
+    /// configuration in force; else the whole one is needed.
+    async fn take_update(&self, update: ConfigurationUpdate) -> bool {
+        let held = self.configuration.in_force();
+        match update.apply_to(held.as_deref()) {
+            Ok(newer) => {
+                self.take_configuration(newer).await;
+                true
+            }
+            Err(error) => {
+                warn!(self.logger, "An update of the configuration does not fit."; "error" => %error);
+                false
+            }
+        }
+    }
+
     /// Keeps a newer configuration on disk, then puts it in force.
     async fn take_configuration(&self, newer: Configuration) {
         if newer.version <= self.configuration.version() && newer.version.0 > 0 {
--- a/crates/daemon/src/replica/feed.rs
+++ b/crates/daemon/src/replica/feed.rs
@@ -1,7 +1,8 @@
 //! The configuration for those who wait for a newer one.
 //!
 //! However many wait, one read that a quorum confirms serves them all, once in
-//! an interval or as soon as this replica applied a change.
+//! an interval or as soon as this replica applied a change. They get what
+//! differs from the version that they have, or the whole when they lag far.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -9,9 +10,8 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
-use minicbor::bytes::ByteVec;
 use molespan_replica::{Consistency, Refusal};
-use molespan_state::control::{ControlAnswer, ControlQuery};
+use molespan_state::control::{ConfigurationHistory, ControlAnswer, ControlQuery};
 use molespan_types::{ConfigVersion, GroupId, RunOutcome};
 use molespan_wire::{Consistency as WireConsistency, Request, Response, WatchConfiguration};
 
@@ -40,25 +40,12 @@
     }
 }
 
-/// What the latest read showed.
-#[derive(Clone, Debug, Default)]
-struct Confirmed {
-    /// When it began; `None` before the first one.
-    began: Option<Instant>,
-    version: ConfigVersion,
-    configuration: Option<ByteVec>,
-}
-
-impl Confirmed {
-    fn is_fresh(&self) -> bool {
-        self.began
-            .is_some_and(|began| began.elapsed() < CONFIRMED_FOR)
-    }
-}
-
 #[derive(Debug)]
 struct State {
-    confirmed: Confirmed,
+    /// When the latest read began; `None` before the first one.
+    began: Option<Instant>,
+    /// What the reads showed.
+    history: ConfigurationHistory,
     /// Closes once the next read is done.
     next: Sender<()>,
     next_done: Receiver<()>,
@@ -73,6 +60,24 @@
     demand: Sender<()>,
 }
 
+impl State {
+    /// Whether the latest read still confirms anything.
+    fn is_fresh(&self) -> bool {
+        self.began
+            .is_some_and(|began| began.elapsed() < CONFIRMED_FOR)
+    }
+
+    /// The answer to a watcher that has version `held`, if there is a newer
+    /// one.
+    fn newer(&mut self, held: ConfigVersion) -> Option<Response> {
+        let configuration = self.history.update_for(held)?;
+        Some(Response::Configuration {
+            current: self.history.version(),
+            configuration: Some(configuration),
+        })
+    }
+}
+
 /// What drives the reads of a feed.
 #[derive(Debug)]
 pub(super) struct FeedWork {
@@ -97,7 +102,8 @@
         let (next, next_done) = async_channel::bounded(1);
         let (demand, demanded) = async_channel::bounded(1);
         let state = State {
-            confirmed: Confirmed::default(),
+            began: None,
+            history: ConfigurationHistory::default(),
             next,
             next_done,
         };
@@ -121,11 +127,14 @@
         let wait = Duration::from_millis(u64::from(watch.wait_ms)).min(LONGEST_WAIT);
         let deadline = Instant::now() + wait.max(INTERVAL);
         loop {
-            let (confirmed, next_done) = self.current();
-            let newer = confirmed.version > watch.in_force;
-            if confirmed.is_fresh() && newer {
-                return configuration(&confirmed, true);
-            }
+            let next_done = {
+                let mut state = self.lock();
+                let newer = state.is_fresh().then(|| state.newer(watch.in_force));
+                if let Some(response) = newer.flatten() {
+                    return response;
+                }
+                state.next_done.clone()
+            };
             let _already_demanded = self.demand.try_send(());
             if !wait_until(deadline, &next_done).await {
                 return self.after_the_wait(watch.in_force);
@@ -134,9 +143,13 @@
     }
 
     fn after_the_wait(&self, in_force: ConfigVersion) -> Response {
-        let (confirmed, _) = self.current();
-        if confirmed.is_fresh() {
-            return configuration(&confirmed, confirmed.version > in_force);
+        let mut state = self.lock();
+        if state.is_fresh() {
+            let current = state.history.version();
+            return state.newer(in_force).unwrap_or(Response::Configuration {
+                current,
+                configuration: None,
+            });
         }
         Response::Refused {
             outcome: RunOutcome::NotRun,
@@ -145,22 +158,16 @@
         }
     }
 
-    fn current(&self) -> (Confirmed, Receiver<()>) {
-        let state = self.lock();
-        (state.confirmed.clone(), state.next_done.clone())
-    }
-
     /// Reads once and tells everybody who waits.
     async fn read(&self) {
         let began = Instant::now();
-        let after = self.lock().confirmed.version;
+        let after = self.lock().history.version();
         let answer = self.ask(after).await;
         let mut state = self.lock();
         if let Some(ControlAnswer::Configuration(newer)) = answer {
-            state.confirmed.began = Some(began);
+            state.began = Some(began);
             if let Some(newer) = newer {
-                state.confirmed.version = newer.version;
-                state.confirmed.configuration = Some(molespan_state::encode(&newer).into());
+                state.history.advance(newer);
             }
         }
         let (next, next_done) = async_channel::bounded(1);
@@ -228,11 +235,3 @@
     };
     future::or(done, late).await
 }
-
-fn configuration(confirmed: &Confirmed, newer: bool) -> Response {
-    let configuration = confirmed.configuration.clone();
-    Response::Configuration {
-        current: confirmed.version,
-        configuration: configuration.filter(|_| newer),
-    }
-}
--- a/crates/daemon/tests/replica_role.rs
+++ b/crates/daemon/tests/replica_role.rs
@@ -6,7 +6,7 @@
 
 use async_io::block_on;
 use molespan_daemon::incarnation::begin_life;
-use molespan_state::control::{Configuration, ConfirmReply};
+use molespan_state::control::{ConfigurationUpdate, ConfirmReply};
 use molespan_types::{ConfigVersion, Incarnation, NodeId};
 use molespan_wire::{Request, Response};
 use replicas::{LIMIT, Replicas, eventually, heartbeat, watch};
@@ -64,6 +64,7 @@
     block_on(async {
         let first = NodeId(1);
         replicas.confirm(first, 0).await;
+        let mut held = None;
         for (version, node) in (1..).zip(replicas.nodes()) {
             let (response, _) = futures_lite::future::zip(
                 replicas.ask(node, watch(9, version, LIMIT)),
@@ -77,9 +78,11 @@
             else {
                 panic!("{response:?}");
             };
-            let configuration: Configuration = molespan_state::decode(&bytes).unwrap();
+            let update: ConfigurationUpdate = molespan_state::decode(&bytes).unwrap();
+            let configuration = update.apply_to(held.as_ref()).unwrap();
             assert_eq!(current, ConfigVersion(version + 1));
             assert_eq!(configuration.version, current);
+            held = Some(configuration);
         }
     });
 }
--- a/crates/daemon/tests/support/replica.rs
+++ b/crates/daemon/tests/support/replica.rs
@@ -11,7 +11,7 @@
 use molespan_daemon::cluster::{PeerCall, PeerTransport};
 use molespan_daemon::gateway::Gateway;
 use molespan_replica::{Consistency, Input, Output, Refusal, ReplicaCore, ReplicaSettings, Ticket};
-use molespan_state::control::{ControlAnswer, ControlQuery};
+use molespan_state::control::{ConfigurationUpdate, ControlAnswer, ControlQuery};
 use molespan_state::{decode, encode};
 use molespan_storage::SimulatedDisk;
 use molespan_types::{ConfigVersion, GroupId, Incarnation, NodeId, RunOutcome, Timestamp};
@@ -180,7 +180,7 @@
             if newer || Instant::now() >= ends {
                 return Response::Configuration {
                     current: held.version,
-                    configuration: newer.then(|| encode(&held).into()),
+                    configuration: newer.then(|| encode(&ConfigurationUpdate::Whole(held)).into()),
                 };
             }
             Timer::after(WATCH_PAUSE).await;
--- /dev/null
+++ b/crates/state/src/control/update.rs
@@ -0,0 +1,164 @@
+//! What a node is sent when the configuration moved on: the whole of it, or
+//! only what differs from the version that the node has.
+
+use derive_more::{Display, Error};
+use minicbor::{Decode, Encode};
+use molespan_types::{ConfigVersion, Digest, digest_of};
+
+use super::configuration::{Change, Configuration};
+use super::plan::apply_changes;
+use crate::codec::encode;
+
+/// What leads from one version to a later one.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ConfigurationDelta {
+    /// Version that it starts from; it fits no other.
+    #[n(0)]
+    pub from: ConfigVersion,
+    /// Version that it leads to.
+    #[n(1)]
+    pub to: ConfigVersion,
+    /// What differs.
+    #[n(2)]
+    pub changes: Vec<Change>,
+    /// Digest of the configuration that it leads to.
+    #[n(3)]
+    pub digest: Digest,
+}
+
+/// A newer configuration for a node.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum ConfigurationUpdate {
+    /// All of it.
+    #[n(0)]
+    Whole(#[n(0)] Configuration),
+    /// What differs from the one that the node said it has.
+    #[n(1)]
+    Delta(#[n(0)] ConfigurationDelta),
+}
+
+/// Why an update does not fit the configuration that a node has. The node asks
+/// for the whole configuration then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+pub enum UpdateError {
+    /// It starts from another version.
+    #[display("the update starts from version {from}, but {held} is in force")]
+    OtherVersion {
+        /// Version that it starts from.
+        from: ConfigVersion,
+        /// Version that the node has.
+        held: ConfigVersion,
+    },
+    /// What comes out is not what the replica has.
+    #[display("the update to version {to} leads to another configuration than the replica's")]
+    OtherResult {
+        /// Version that it leads to.
+        to: ConfigVersion,
+    },
+}
+
+impl ConfigurationUpdate {
+    /// The configuration that it leads to from `held`, the one that the node
+    /// has.
+    ///
+    /// # Errors
+    /// When it does not fit `held`.
+    pub fn apply_to(self, held: Option<&Configuration>) -> Result<Configuration, UpdateError> {
+        let delta = match self {
+            Self::Whole(configuration) => return Ok(configuration),
+            Self::Delta(delta) => delta,
+        };
+        let held_version = held.map_or(ConfigVersion::default(), |held| held.version);
+        let Some(held) = held.filter(|held| held.version == delta.from) else {
+            return Err(UpdateError::OtherVersion {
+                from: delta.from,
+                held: held_version,
+            });
+        };
+        let mut configuration = held.clone();
+        apply_changes(&mut configuration, &delta.changes);
+        configuration.version = delta.to;
+        if digest_of_configuration(&configuration) == delta.digest {
+            Ok(configuration)
+        } else {
+            Err(UpdateError::OtherResult { to: delta.to })
+        }
+    }
+}
+
+/// Digest of a whole configuration.
+pub(crate) fn digest_of_configuration(configuration: &Configuration) -> Digest {
+    digest_of(&encode(configuration))
+}
+
+/// The changes that lead from `old` to `new`; `None` when no changes can, as
+/// when a tenant's limits are gone.
+#[must_use]
+pub fn changes_between(old: &Configuration, new: &Configuration) -> Option<Vec<Change>> {
+    let forgotten = old
+        .tenants
+        .keys()
+        .any(|name| !new.tenants.contains_key(name));
+    if forgotten {
+        return None;
+    }
+    let mut changes = Vec::new();
+    put_models(&mut changes, old, new);
+    put_adapters(&mut changes, old, new);
+    put_services(&mut changes, old, new);
+    for (name, limits) in &new.tenants {
+        if old.tenants.get(name) != Some(limits) {
+            let (name, limits) = (name.clone(), limits.clone());
+            changes.push(Change::PutTenant { name, limits });
+        }
+    }
+    if old.policy != new.policy {
+        let policy = new.policy.clone();
+        changes.push(Change::PutPolicy { policy });
+    }
+    delete(&mut changes, old, new);
+    Some(changes)
+}
+
+fn put_models(changes: &mut Vec<Change>, old: &Configuration, new: &Configuration) {
+    for (name, model) in &new.models {
+        if old.models.get(name) != Some(model) {
+            let (name, model) = (name.clone(), model.clone());
+            changes.push(Change::PutModel { name, model });
+        }
+    }
+}
+
+fn put_adapters(changes: &mut Vec<Change>, old: &Configuration, new: &Configuration) {
+    for (name, adapter) in &new.adapters {
+        if old.adapters.get(name) != Some(adapter) {
+            let (name, adapter) = (name.clone(), adapter.clone());
+            changes.push(Change::PutAdapter { name, adapter });
+        }
+    }
+}
+
+fn put_services(changes: &mut Vec<Change>, old: &Configuration, new: &Configuration) {
+    for (name, service) in &new.services {
+        if old.services.get(name) != Some(service) {
+            let (name, service) = (name.clone(), service.clone());
+            changes.push(Change::PutService { name, service });
+        }
+    }
+}
+
+/// Deletes what `new` no longer has, users before what they use.
+fn delete(changes: &mut Vec<Change>, old: &Configuration, new: &Configuration) {
+    let services = old.services.keys();
+    for name in services.filter(|name| !new.services.contains_key(*name)) {
+        changes.push(Change::DeleteService { name: name.clone() });
+    }
+    let adapters = old.adapters.keys();
+    for name in adapters.filter(|name| !new.adapters.contains_key(*name)) {
+        changes.push(Change::DeleteAdapter { name: name.clone() });
+    }
+    let models = old.models.keys();
+    for name in models.filter(|name| !new.models.contains_key(*name)) {
+        changes.push(Change::DeleteModel { name: name.clone() });
+    }
+}
