Drop an engine's prefixes in constant time

Cause: every gap in an engine's cache events walked the whole index of 50,000 prefixes to drop what was doubtful.

Change: an entry carries the epoch in which it was made, and a gap gives its engine a new one. Entries of old epochs are left out when read and go when they are evicted or replaced.

--- a/crates/routing/src/pick/prefix.rs
+++ b/crates/routing/src/pick/prefix.rs
@@ -5,6 +5,9 @@
 //! expected. A gap drops the engine's expected entries, and once the events
 //! missed reach a share of its confirmed entries, those as well: at most that
 //! share can be wrong, and a wrong entry costs one prefill, never an answer.
+//!
+//! A drop costs nothing by itself: entries carry the epoch in which they were
+//! made, and an engine whose entries are dropped gets a new one.
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
@@ -33,10 +36,15 @@
     }
 }
 
+/// A span between two drops of an engine's entries; no two are the same.
+type Epoch = u32;
+
 #[derive(Clone, Copy, Debug)]
 struct Holder {
     backend: BackendId,
     confirmed: bool,
+    /// Epoch of the engine's confirmed or expected entries when it was made.
+    epoch: Epoch,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -46,11 +54,31 @@
     used: bool,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct EngineEvents {
     last_sequence: Option<u64>,
     missed: u64,
     confirmed: u64,
+    confirmed_epoch: Epoch,
+    expected_epoch: Epoch,
+}
+
+impl EngineEvents {
+    /// Whether an entry was not dropped since it was made.
+    fn has(&self, holder: &Holder) -> bool {
+        let epoch = match holder.confirmed {
+            true => self.confirmed_epoch,
+            false => self.expected_epoch,
+        };
+        holder.epoch == epoch
+    }
+}
+
+type Engines = BTreeMap<BackendId, EngineEvents>;
+
+fn is_current(engines: &Engines, holder: &Holder) -> bool {
+    let engine = engines.get(&holder.backend);
+    engine.is_some_and(|engine| engine.has(holder))
 }
 
 /// The longest part of a prompt that some engine holds.
@@ -74,7 +102,8 @@
     entries: HashMap<u64, Entry>,
     /// Hashes in the order of their entry, for eviction; may name dropped ones.
     order: VecDeque<u64>,
-    engines: BTreeMap<BackendId, EngineEvents>,
+    engines: Engines,
+    last_epoch: Epoch,
 }
 
 impl PrefixIndex {
@@ -84,6 +113,7 @@
             entries: HashMap::new(),
             order: VecDeque::new(),
             engines: BTreeMap::new(),
+            last_epoch: 0,
         }
     }
 
@@ -98,12 +128,16 @@
         hashes: &[u64],
         usable: impl Fn(BackendId) -> bool,
     ) -> Option<PrefixMatch<'_>> {
+        let engines = &self.engines;
+        let serves = |holder: &Holder| usable(holder.backend) && is_current(engines, holder);
         let position = hashes.iter().rposition(|hash| {
             let entry = self.entries.get(hash);
-            entry.is_some_and(|entry| entry.holders.iter().any(|holder| usable(holder.backend)))
+            entry.is_some_and(|entry| entry.holders.iter().any(serves))
         })?;
         let entry = self.entries.get_mut(&hashes[position])?;
         entry.used = true;
+        // Those that were dropped meanwhile go for good.
+        entry.holders.retain(|holder| is_current(engines, holder));
         Some(PrefixMatch {
             holders: &entry.holders,
             blocks: position as u32 + 1,
@@ -112,9 +146,13 @@
 
     /// Leading blocks of a prompt that `backend` holds.
     pub(super) fn held_by(&self, backend: BackendId, hashes: &[u64]) -> usize {
+        let Some(engine) = self.engines.get(&backend) else {
+            return 0;
+        };
+        let holds = |holder: &Holder| holder.backend == backend && engine.has(holder);
         let held = hashes.iter().rposition(|hash| {
             let entry = self.entries.get(hash);
-            entry.is_some_and(|entry| entry.holders.iter().any(|held| held.backend == backend))
+            entry.is_some_and(|entry| entry.holders.iter().any(holds))
         });
         held.map_or(0, |position| position + 1)
     }
@@ -148,7 +186,9 @@
     /// Notes an event's sequence number and deals with a gap before it.
     /// Returns false for an event that was already applied.
     fn advance(&mut self, backend: BackendId, sequence: u64) -> bool {
-        let engine = self.engines.entry(backend).or_default();
+        let tolerated_doubt = self.settings.tolerated_doubt;
+        let epoch = self.next_epoch();
+        let engine = self.engine(backend);
         let Some(last) = engine.last_sequence else {
             engine.last_sequence = Some(sequence);
             return true;
@@ -161,46 +201,66 @@
         if missed == 0 {
             return true;
         }
+        engine.expected_epoch = epoch;
         engine.missed += missed;
-        let tolerated = engine.confirmed as f64 * self.settings.tolerated_doubt;
-        let drop_all = engine.missed as f64 > tolerated;
-        if drop_all {
+        let tolerated = engine.confirmed as f64 * tolerated_doubt;
+        if engine.missed as f64 > tolerated {
+            engine.confirmed_epoch = epoch;
             engine.missed = 0;
             engine.confirmed = 0;
         }
-        self.retain_holders(|holder| {
-            let doubtful = drop_all || !holder.confirmed;
-            holder.backend != backend || !doubtful
-        });
         true
     }
 
+    fn next_epoch(&mut self) -> Epoch {
+        self.last_epoch = self.last_epoch.wrapping_add(1);
+        self.last_epoch
+    }
+
+    fn engine(&mut self, backend: BackendId) -> &mut EngineEvents {
+        let epoch = self.last_epoch;
+        self.engines.entry(backend).or_insert(EngineEvents {
+            last_sequence: None,
+            missed: 0,
+            confirmed: 0,
+            confirmed_epoch: epoch,
+            expected_epoch: epoch,
+        })
+    }
+
     fn add(&mut self, hash: u64, backend: BackendId, confirmed: bool) {
-        let engine = self.engines.entry(backend).or_default();
-        let most_holders = self.settings.most_holders;
+        let engine = self.engine(backend);
+        let holder = Holder {
+            backend,
+            confirmed,
+            epoch: match confirmed {
+                true => engine.confirmed_epoch,
+                false => engine.expected_epoch,
+            },
+        };
         let order = &mut self.order;
         let entry = self.entries.entry(hash).or_insert_with(|| {
             order.push_back(hash);
             Entry::default()
         });
-        let known = entry
-            .holders
-            .iter_mut()
-            .find(|holder| holder.backend == backend);
-        match known {
-            Some(holder) => {
-                let newly = confirmed && !holder.confirmed;
-                holder.confirmed |= confirmed;
-                engine.confirmed += u64::from(newly);
+        let mut before = entry.holders.iter();
+        let before = before.position(|before| before.backend == backend);
+        if let Some(before) = before {
+            let known = entry.holders[before];
+            let stands = known.confirmed && is_current(&self.engines, &known);
+            if stands {
+                return;
             }
-            None => {
-                engine.confirmed += u64::from(confirmed);
-                let oldest = (entry.holders.len() == most_holders).then(|| entry.holders.remove(0));
-                entry.holders.push(Holder { backend, confirmed });
-                if let Some(holder) = oldest {
-                    uncount(&mut self.engines, holder);
-                }
+            entry.holders[before] = holder;
+        } else {
+            if entry.holders.len() == self.settings.most_holders {
+                let oldest = entry.holders.remove(0);
+                uncount(&mut self.engines, oldest);
             }
+            entry.holders.push(holder);
+        }
+        if confirmed {
+            self.engine(backend).confirmed += 1;
         }
         self.evict();
     }
@@ -269,12 +329,10 @@
     }
 }
 
-/// Takes a dropped holder out of its engine's count.
-fn uncount(engines: &mut BTreeMap<BackendId, EngineEvents>, holder: Holder) {
-    if !holder.confirmed {
-        return;
-    }
+/// Takes a removed holder out of its engine's count.
+fn uncount(engines: &mut Engines, holder: Holder) {
     if let Some(engine) = engines.get_mut(&holder.backend) {
-        engine.confirmed = engine.confirmed.saturating_sub(1);
+        let counted = holder.confirmed && engine.has(&holder);
+        engine.confirmed = engine.confirmed.saturating_sub(u64::from(counted));
     }
 }
