--- /dev/null
+++ b/crates/routing/examples/policy/load.rs
@@ -0,0 +1,195 @@
+//! The load of the two users: bursts of online requests with album-sized
+//! prompts among short ones, and batch jobs that arrive in heaps.
+
+use std::time::Duration;
+
+use molespan_emulator::engine::EngineModel;
+use molespan_types::Timestamp;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// One kind of request, with sizes in tokens.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Shared by all requests of one subject: an album or a practical.
+    pub shared: u32,
+    /// Own part of the prompt.
+    pub own: u32,
+    /// Tokens to generate.
+    pub answer: u32,
+}
+
+impl Shape {
+    fn new(shared: u32, own: u32, answer: u32) -> Self {
+        Self {
+            shared,
+            own,
+            answer,
+        }
+    }
+}
+
+/// A user's fleet and load, as the bench has them.
+#[derive(Clone, Debug)]
+pub struct Profile {
+    pub name: &'static str,
+    pub model: EngineModel,
+    pub engines: u32,
+    /// One way between zones.
+    pub between_zones: Duration,
+    /// Online requests a second of the steady stream.
+    pub steady_rate: f64,
+    /// Mean time between bursts; each gap is 0.5 to 1.5 of it.
+    pub burst_every: Duration,
+    /// Requests of one burst, and the time within which they come.
+    pub burst_requests: u32,
+    pub burst_within: Duration,
+    /// Share of album-sized requests.
+    pub large_share: f64,
+    pub small: Shape,
+    pub large: Shape,
+    /// Albums or practicals in use.
+    pub subjects: u32,
+    /// Time between heaps of batch jobs.
+    pub heap_every: Duration,
+    /// Items of one heap; more than all engines can do until the next.
+    pub heap_items: u32,
+    pub item: Shape,
+}
+
+/// Zones of both users.
+pub const ZONES: u32 = 3;
+
+impl Profile {
+    pub fn named(name: &str) -> Option<Self> {
+        match name {
+            "archive" => Some(Self::archive()),
+            "lab" => Some(Self::lab()),
+            _ => None,
+        }
+    }
+
+    fn archive() -> Self {
+        Self {
+            name: "archive",
+            model: EngineModel::archive(),
+            engines: 8,
+            between_zones: Duration::from_millis(1),
+            steady_rate: 12.0,
+            burst_every: Duration::from_secs(3),
+            burst_requests: 90,
+            burst_within: Duration::from_millis(500),
+            large_share: 0.2,
+            small: Shape::new(0, 96, 24),
+            large: Shape::new(1_200, 96, 48),
+            subjects: 12,
+            heap_every: Duration::from_secs(10),
+            heap_items: 7_500,
+            item: Shape::new(0, 96, 64),
+        }
+    }
+
+    fn lab() -> Self {
+        Self {
+            name: "lab",
+            model: EngineModel::lab(),
+            engines: 13,
+            between_zones: Duration::from_micros(500),
+            steady_rate: 24.0,
+            burst_every: Duration::from_millis(2_500),
+            burst_requests: 80,
+            burst_within: Duration::from_millis(300),
+            large_share: 0.3,
+            small: Shape::new(0, 64, 24),
+            large: Shape::new(480, 64, 40),
+            subjects: 10,
+            heap_every: Duration::from_secs(10),
+            heap_items: 14_000,
+            item: Shape::new(0, 160, 64),
+        }
+    }
+}
+
+/// One online request.
+#[derive(Clone, Debug)]
+pub struct OnlineRequest {
+    pub at: Timestamp,
+    /// Gateway that it reaches.
+    pub gateway: u32,
+    pub prompt: String,
+    pub answer: u32,
+}
+
+/// All online requests until `end`, in order.
+pub fn online_requests(profile: &Profile, seed: u64, end: Duration) -> Vec<OnlineRequest> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let end = end.as_secs_f64();
+    let mut times = Vec::new();
+    let mut now = 0.0;
+    while now < end {
+        now += exponential(&mut random, 1.0 / profile.steady_rate);
+        times.push(now);
+    }
+    let mut burst = 0.0;
+    while burst < end {
+        burst += profile.burst_every.as_secs_f64() * random.random_range(0.5..1.5);
+        let within = profile.burst_within.as_secs_f64();
+        times.extend((0..profile.burst_requests).map(|_| burst + random.random_range(0.0..within)));
+    }
+    times.sort_by(f64::total_cmp);
+    let requests = times.into_iter();
+    requests
+        .map(|at| one_request(profile, &mut random, at))
+        .collect()
+}
+
+fn exponential(random: &mut ChaCha8Rng, mean: f64) -> f64 {
+    let uniform: f64 = random.random_range(f64::EPSILON..1.0);
+    -uniform.ln() * mean
+}
+
+fn one_request(profile: &Profile, random: &mut ChaCha8Rng, now: f64) -> OnlineRequest {
+    let large = random.random_bool(profile.large_share);
+    let shape = if large {
+        &profile.large
+    } else {
+        &profile.small
+    };
+    let subject = random.random_range(0..profile.subjects);
+    OnlineRequest {
+        at: Timestamp((now * 1e6) as u64),
+        gateway: random.random_range(0..ZONES),
+        prompt: prompt(subject, shape.shared, random.random(), shape.own),
+        answer: shape.answer,
+    }
+}
+
+/// The prompt of a batch item.
+pub fn item_prompt(profile: &Profile, job: u64, item: u32) -> String {
+    let shape = &profile.item;
+    prompt(0, shape.shared, job << 32 | u64::from(item), shape.own)
+}
+
+/// A prompt of `shared` tokens that depend on `subject`, then `own` tokens
+/// that depend on `number`. A word of four characters is a token.
+fn prompt(subject: u32, shared: u32, number: u64, own: u32) -> String {
+    let mut text = String::with_capacity(5 * (shared + own) as usize);
+    for position in 0..shared {
+        push_word(&mut text, u64::from(subject) * 7_919 + u64::from(position));
+    }
+    let mut random = ChaCha8Rng::seed_from_u64(number);
+    for _ in 0..own {
+        push_word(&mut text, random.random());
+    }
+    text
+}
+
+fn push_word(text: &mut String, number: u64) {
+    const LETTERS: &[u8; 16] = b"abcdefghijklmnop";
+    for shift in [0, 4, 8, 12] {
+        text.push(char::from(
+            LETTERS[(number >> shift) as usize % LETTERS.len()],
+        ));
+    }
+    text.push(' ');
+}
