--- a/crates/daemon/benches/replica_times.rs
+++ b/crates/daemon/benches/replica_times.rs
@@ -8,19 +8,28 @@
 
 use async_io::block_on;
 use molespan_types::NodeId;
+use processes::client::get;
 use processes::cluster::Cluster;
 use processes::control::{Control, confirmed};
+use processes::daemon::Signal;
+use processes::fleet::RunningFleet;
+use processes::wait_for;
+use serde_json::json;
 
 /// Runs of the fail-over.
 const FAIL_OVERS: u64 = 10;
+/// Changes whose way to the gateways is timed.
+const CONFIGURATIONS: u64 = 20;
 /// Changes before a restart and a replacement.
 const CHANGES: u64 = 1_000;
 
 fn main() {
     block_on(async {
         fail_over().await;
+        planned_stop().await;
         restart_and_replacement().await;
     });
+    configuration_in_force();
 }
 
 /// From the leader's kill to the next acknowledged write.
@@ -42,6 +51,57 @@
     report("leader killed to first acknowledged write", times);
 }
 
+/// From the planned stop of the leader to the next acknowledged write.
+async fn planned_stop() {
+    let mut cluster = Cluster::of_replicas();
+    cluster.start_all();
+    let control = Control::of(&cluster);
+    assert_eq!(control.confirm(0).await, confirmed(1));
+    let mut times = Vec::new();
+    for version in 2..2 + FAIL_OVERS {
+        let leader = control.leader().await;
+        let stopped = Instant::now();
+        cluster.signal(leader, Signal::Terminate);
+        // The first write that another leader takes.
+        while control.leader().await == leader {
+            assert_eq!(control.confirm(version - 1).await, confirmed(version));
+        }
+        assert_eq!(control.confirm(version - 1).await, confirmed(version));
+        times.push(stopped.elapsed());
+        cluster.stop(leader).await;
+        cluster.start(leader);
+        cluster.wait_until_ready(leader).await;
+    }
+    report(
+        "planned stop of the leader to the first write at the next",
+        times,
+    );
+}
+
+/// From a change's confirmation to its being in force at every gateway.
+fn configuration_in_force() {
+    let fleet = RunningFleet::start();
+    let gateways = fleet.cluster.gateways();
+    let mut times = Vec::new();
+    for number in 2..2 + CONFIGURATIONS {
+        let policy = json!({"tail_protection": number % 100});
+        fleet.confirm(
+            gateways[0],
+            number,
+            &json!([{"change": "put_policy", "policy": policy}]),
+        );
+        let begun = Instant::now();
+        for &gateway in &gateways {
+            wait_for("the version in force", || {
+                let ready = get(fleet.address(gateway), "/ready").json_value();
+                ready["version"].as_u64() >= Some(number)
+            });
+        }
+        times.push(begun.elapsed());
+    }
+    report("change confirmed to in force at all gateways", times);
+}
+
 /// Restarting a replica, and replacing one whose disk was lost, after many
 /// configuration changes.
 async fn restart_and_replacement() {
