Keep the accepted connection open in the transport test

Ruled out: the address, which the connection reached. Change: the thread hands the open connection over; what is asked for is the same.

--- a/crates/daemon/tests/wire_transport.rs
+++ b/crates/daemon/tests/wire_transport.rs
@@ -1,6 +1,6 @@
 //! Where the transport reaches other nodes.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,12 +43,14 @@
     }
 }
 
-fn blocking_accept(listener: TcpListener) -> async_channel::Receiver<()> {
+/// The connection that `listener` accepts, still open: a call on a connection
+/// that closes at once fails before the test sees that there was one.
+fn blocking_accept(listener: TcpListener) -> async_channel::Receiver<TcpStream> {
     let (sender, receiver) = async_channel::bounded(1);
     std::thread::spawn(move || {
-        if listener.accept().is_ok() {
+        if let Ok((stream, _)) = listener.accept() {
             // The receiver is gone once the test has failed.
-            let _ = sender.send_blocking(());
+            let _ = sender.send_blocking(stream);
         }
     });
     receiver
