Give batch work its own thread, and bound the cost of many back ends

Candidates are worked out once for many changes; load reports are asked of the back ends that this gateway routes to or owns, not of all. Watchers end with a planned stop instead of holding it up to its bound. Streamed chunks carry the usual OpenAI fields beside the engine's own, and tenants' weights reach the job groups.

--- a/crates/daemon/src/gateway/admin/watch.rs
+++ b/crates/daemon/src/gateway/admin/watch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use futures_lite::future;
 use molespan_http::{EventWriter, Request, Response, ServerEvent, event_response};
 use molespan_telemetry::{EventFilter, EventKind, EventSubscription, Watched};
 
@@ -33,7 +34,8 @@
         .buffer()
         .subscribe(filter, usize::try_from(history).unwrap_or(usize::MAX));
     let (writer, response) = event_response(PIECES);
-    state.spawn_background(stream(subscription, writer));
+    let watched = state.clone();
+    state.spawn(async move { stream(&watched, subscription, writer).await });
     Ok(response)
 }
 
@@ -50,16 +52,35 @@
         .collect()
 }
 
-async fn stream(mut subscription: EventSubscription, writer: EventWriter) {
+/// What a watcher's stream waits for.
+enum Next {
+    /// Something happened.
+    Watched(Watched),
+    /// Nothing happened for a while.
+    Silence,
+    /// The gateway stops as planned, which a watcher must not hold up.
+    Stopping,
+}
+
+async fn stream(state: &GatewayState, mut subscription: EventSubscription, writer: EventWriter) {
     loop {
-        let next = async { Some(subscription.next().await) };
+        let happened = async { Next::Watched(subscription.next().await) };
         let silence = async {
             Timer::after(KEEP_ALIVE).await;
-            None
+            Next::Silence
+        };
+        let stopping = async {
+            state.stopping().await;
+            Next::Stopping
         };
-        let sent = match futures_lite::future::or(next, silence).await {
-            Some(watched) => writer.send(&server_event(&watched)).await,
-            None => writer.send_bytes(COMMENT.to_vec()).await,
+        let next = future::or(happened, future::or(silence, stopping));
+        let sent = match next.await {
+            Next::Watched(watched) => writer.send(&server_event(&watched)).await,
+            Next::Silence => writer.send_bytes(COMMENT.to_vec()).await,
+            Next::Stopping => {
+                let _watcher_gone = writer.finish().await;
+                return;
+            }
         };
         if sent.is_err() {
             return;
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -113,8 +113,9 @@
         desk.wake(outputs);
     }
 
-    /// Takes capacities over from engine choice and lets time pass.
-    pub(super) fn tick_admission(&self) {
+    /// Takes capacities over from engine choice and lets time pass. Returns
+    /// whether anything waits.
+    pub(super) fn tick_admission(&self) -> bool {
         let now = self.clock.now();
         let capacities = self.pickers.capacities(now);
         let mut desk = self.admission.lock();
@@ -123,6 +124,7 @@
         }
         let outputs = desk.core.tick(now);
         desk.wake(outputs);
+        desk.core.waiting() > 0
     }
 
     /// Admits a request now, after a wait in the queue, or not at all.
--- a/crates/daemon/src/gateway/application.rs
+++ b/crates/daemon/src/gateway/application.rs
@@ -7,14 +7,11 @@
 use molespan_engine_api::{ATTEMPT_HEADER, OUTCOME_HEADER, TENANT_HEADER};
 use molespan_http::{Body, ClientPresence, ClientResponse, Method, Request, Response, new_request};
 use molespan_routing::pick::PickRequest;
-use molespan_routing::retry::{
-    AttemptEnd, ClaimAnswer, NextStep, RequestKind, RequestState, check_attempt,
-};
-use molespan_state::job::ClaimReply;
+use molespan_routing::retry::{AttemptEnd, NextStep, RequestKind, RequestState, check_attempt};
 use molespan_types::{AttemptId, BackendId, Digest, RunOutcome, ServiceName, TenantId, digest_of};
 
 use super::admission::NotAdmitted;
-use super::claims::Claim;
+use super::claims::ClaimHold;
 use super::dispatch::InFlight;
 use super::engine_client::{AttemptFailure, failure_of};
 use super::error::ApiError;
@@ -27,8 +24,6 @@
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// When to come back while no back end takes work.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
-/// When to come back for the answer of a request that another arrival runs.
-const HELD_RETRY: Duration = Duration::from_secs(1);
 /// Headers that concern one connection only, or that the gateway sets itself.
 const OWN_HEADERS: [&str; 7] = [
     "connection",
@@ -151,9 +146,7 @@
     state: &'a Arc<GatewayState>,
     asked: &'a Asked,
     steps: RequestState,
-    claim: Option<Claim>,
-    claim_error: Option<ApiError>,
-    recorded: Vec<u8>,
+    claim: ClaimHold,
     answer: Option<WholeAnswer>,
     last_attempt: Option<AttemptId>,
     cause: String,
@@ -168,9 +161,7 @@
                 repeatable: asked.repeatability == Repeatability::Repeatable,
                 resumable: false,
             }),
-            claim: None,
-            claim_error: None,
-            recorded: Vec::new(),
+            claim: ClaimHold::default(),
             answer: None,
             last_attempt: None,
             cause: "no back end takes work".to_owned(),
@@ -208,47 +199,14 @@
     }
 
     async fn claim(&mut self) -> NextStep {
-        let Repeatability::Once { key } = &self.asked.repeatability else {
-            return self.steps.claim_answered(ClaimAnswer::Granted);
-        };
-        let claim = self.state.claim_for(&self.asked.tenant, key);
-        let reply = self.state.ask_claim(&claim, self.asked.digest()).await;
-        let answer = match reply {
-            Ok(ClaimReply::Granted) => {
-                self.claim = Some(claim);
-                ClaimAnswer::Granted
-            }
-            Ok(ClaimReply::Held { attempt }) => {
-                let message = format!("attempt {attempt} holds the claim on this key");
-                self.claim_error = Some(
-                    ApiError::not_run(StatusCode::Conflict, "request_in_progress", message)
-                        .with_outcome(RunOutcome::Unknown)
-                        .with_retry_after(HELD_RETRY),
-                );
-                ClaimAnswer::Held
-            }
-            Ok(ClaimReply::Settled { outcome, answer }) => {
-                self.recorded = answer.into();
-                ClaimAnswer::Settled(outcome)
-            }
-            Ok(ClaimReply::KeyConflict) => {
-                let message = "the idempotency key was used for another request";
-                let error = ApiError::not_run(StatusCode::Conflict, "key_conflict", message);
-                self.claim_error = Some(error);
-                ClaimAnswer::KeyConflict
-            }
-            Err(error) => {
-                let state = self.state.clone();
-                self.state.spawn(async move {
-                    state
-                        .settle_claim(&claim, RunOutcome::NotRun, Vec::new())
-                        .await;
-                });
-                let error = ApiError::from(error).with_outcome(RunOutcome::NotRun);
-                self.claim_error = Some(error);
-                ClaimAnswer::Failed
-            }
-        };
+        let asked = self.asked;
+        let answer = self.claim.ask(
+            self.state,
+            &asked.tenant,
+            &asked.repeatability,
+            asked.digest(),
+        );
+        let answer = answer.await;
         self.steps.claim_answered(answer)
     }
 
@@ -340,30 +298,24 @@
     }
 
     fn replay(&mut self, outcome: RunOutcome) -> Result<WholeAnswer, ApiError> {
-        if outcome == RunOutcome::Completed {
-            return Ok(WholeAnswer {
-                head: Response::new(StatusCode::Ok),
-                body: std::mem::take(&mut self.recorded),
-            });
-        }
-        let message = "the request under this key ended before without an answer";
-        let error = ApiError::not_run(StatusCode::Conflict, "outcome_on_record", message);
-        Err(error.with_outcome(outcome))
+        let body = self.claim.take_recorded(outcome)?;
+        let head = Response::new(StatusCode::Ok);
+        Ok(WholeAnswer { head, body })
     }
 
     async fn settle(&mut self, answer: &Result<WholeAnswer, ApiError>) {
-        let Some(claim) = self.claim.take() else {
+        if !self.claim.is_held() {
             return;
-        };
+        }
         let (outcome, body) = match answer {
             Ok(answer) => (RunOutcome::Completed, answer.body.clone()),
             Err(error) => (error.outcome, Vec::new()),
         };
-        self.state.settle_claim(&claim, outcome, body).await;
+        self.claim.settle(self.state, outcome, body).await;
     }
 
     fn failure(&mut self, outcome: RunOutcome) -> ApiError {
-        if let Some(error) = self.claim_error.take() {
+        if let Some(error) = self.claim.take_error() {
             return error;
         }
         let cause = &self.cause;
--- a/crates/daemon/src/gateway/batch_driver.rs
+++ b/crates/daemon/src/gateway/batch_driver.rs
@@ -233,7 +233,7 @@
                 let state = state.clone();
                 state
                     .clone()
-                    .spawn(async move { state.call_group(output).await });
+                    .spawn_batch(async move { state.call_group(output).await });
             }
         }
     }
@@ -279,7 +279,7 @@
         let state = state.clone();
         state
             .clone()
-            .spawn(async move { state.run_batch_item(item, commands).await });
+            .spawn_batch(async move { state.run_batch_item(item, commands).await });
     }
 }
 
--- a/crates/daemon/src/gateway/claims.rs
+++ b/crates/daemon/src/gateway/claims.rs
@@ -1,16 +1,26 @@
 //! Claims on requests that may run at most once.
 
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_types::StatusCode;
+use molespan_routing::retry::ClaimAnswer;
 use molespan_state::job::{ClaimReply, ClaimRequest, SettleClaim};
 use molespan_telemetry::EventKind;
 use molespan_types::{AttemptId, Digest, GroupId, JobId, RunOutcome, TenantId};
 use slog::warn;
 
+use super::error::ApiError;
 use super::state::GatewayState;
+use super::validation::Repeatability;
 use crate::cluster::ClusterError;
 
+/// When to come back for the answer of a request that another arrival runs.
+const HELD_RETRY: Duration = Duration::from_secs(1);
+
 /// A claim that this gateway asked for.
 #[derive(Clone, Debug)]
-pub(super) struct Claim {
+struct Claim {
     group: GroupId,
     tenant: TenantId,
     key: String,
@@ -18,24 +28,113 @@
     attempt: AttemptId,
 }
 
-impl GatewayState {
-    /// A claim of `tenant` under `key`.
-    pub(super) fn claim_for(&self, tenant: &TenantId, key: &str) -> Claim {
-        Claim {
-            group: JobId::from_key(tenant, key).group(self.options.job_groups),
+/// The claim of one request and what became of it.
+#[derive(Debug, Default)]
+pub(super) struct ClaimHold {
+    /// Held by this request until it is settled.
+    held: Option<Claim>,
+    /// Answer on record under the key.
+    recorded: Vec<u8>,
+    /// Why the claim was not granted.
+    error: Option<ApiError>,
+}
+
+impl ClaimHold {
+    /// Whether this request holds a claim.
+    pub(super) fn is_held(&self) -> bool {
+        self.held.is_some()
+    }
+
+    /// Claims the right to run. A request without a key needs none: no other
+    /// arrival can be told to be the same.
+    pub(super) async fn ask(
+        &mut self,
+        state: &Arc<GatewayState>,
+        tenant: &TenantId,
+        repeatability: &Repeatability,
+        digest: Digest,
+    ) -> ClaimAnswer {
+        let Repeatability::Once { key } = repeatability else {
+            return ClaimAnswer::Granted;
+        };
+        let claim = Claim {
+            group: JobId::from_key(tenant, key).group(state.options.job_groups),
             tenant: tenant.clone(),
-            key: key.to_owned(),
-            attempt: self.next_attempt(),
+            key: key.clone(),
+            attempt: state.next_attempt(),
+        };
+        match state.ask_claim(&claim, digest).await {
+            Ok(ClaimReply::Granted) => {
+                self.held = Some(claim);
+                ClaimAnswer::Granted
+            }
+            Ok(ClaimReply::Held { attempt }) => {
+                self.error = Some(held_elsewhere(attempt));
+                ClaimAnswer::Held
+            }
+            Ok(ClaimReply::Settled { outcome, answer }) => {
+                self.recorded = answer.into();
+                ClaimAnswer::Settled(outcome)
+            }
+            Ok(ClaimReply::KeyConflict) => {
+                self.error = Some(key_conflict());
+                ClaimAnswer::KeyConflict
+            }
+            Err(error) => {
+                // Whether it was granted or not, nothing is sent under it.
+                state.give_claim_back(claim);
+                let error = ApiError::from(error).with_outcome(RunOutcome::NotRun);
+                self.error = Some(error);
+                ClaimAnswer::Failed
+            }
         }
     }
 
+    /// Why the claim was not granted.
+    pub(super) fn take_error(&mut self) -> Option<ApiError> {
+        self.error.take()
+    }
+
+    /// The answer on record of a request that ended with `outcome`.
+    pub(super) fn take_recorded(&mut self, outcome: RunOutcome) -> Result<Vec<u8>, ApiError> {
+        if outcome == RunOutcome::Completed {
+            return Ok(std::mem::take(&mut self.recorded));
+        }
+        let message = "the request under this key ended before without an answer";
+        let error = ApiError::not_run(StatusCode::Conflict, "outcome_on_record", message);
+        Err(error.with_outcome(outcome))
+    }
+
+    /// Records how the request ended, if it holds a claim.
+    pub(super) async fn settle(
+        &mut self,
+        state: &GatewayState,
+        outcome: RunOutcome,
+        answer: Vec<u8>,
+    ) {
+        if let Some(claim) = self.held.take() {
+            state.settle_claim(&claim, outcome, answer).await;
+        }
+    }
+}
+
+/// The answer while another arrival of the same request runs.
+fn held_elsewhere(attempt: AttemptId) -> ApiError {
+    let message = format!("attempt {attempt} holds the claim on this key and has not ended");
+    ApiError::not_run(StatusCode::Conflict, "request_in_progress", message)
+        .with_outcome(RunOutcome::Unknown)
+        .with_retry_after(HELD_RETRY)
+}
+
+fn key_conflict() -> ApiError {
+    let message = "the idempotency key was used for another request";
+    ApiError::not_run(StatusCode::Conflict, "key_conflict", message)
+}
+
+impl GatewayState {
     /// Asks for a claim. Nothing may be sent to a back end before it is
     /// granted.
-    pub(super) async fn ask_claim(
-        &self,
-        claim: &Claim,
-        digest: Digest,
-    ) -> Result<ClaimReply, ClusterError> {
+    async fn ask_claim(&self, claim: &Claim, digest: Digest) -> Result<ClaimReply, ClusterError> {
         let request = ClaimRequest {
             tenant: claim.tenant.clone(),
             key: claim.key.clone(),
@@ -47,7 +146,7 @@
             Ok(ClaimReply::Granted) => "granted".to_owned(),
             Ok(ClaimReply::Held { attempt }) => format!("held by attempt {attempt}"),
             Ok(ClaimReply::Settled { outcome, .. }) => format!("settled as {outcome}"),
-            Ok(ClaimReply::KeyConflict) => "the key was used for another body".to_owned(),
+            Ok(ClaimReply::KeyConflict) => "the key was used for another request".to_owned(),
             Err(error) => error.to_string(),
         };
         self.events.record(
@@ -63,9 +162,18 @@
         reply
     }
 
+    /// Frees a claim that may or may not have been granted.
+    fn give_claim_back(self: &Arc<Self>, claim: Claim) {
+        let state = self.clone();
+        self.spawn(async move {
+            let not_run = RunOutcome::NotRun;
+            state.settle_claim(&claim, not_run, Vec::new()).await;
+        });
+    }
+
     /// Records how a claimed request ended. When that fails, the claim stays
     /// held: the request never runs again, and its outcome stays unknown.
-    pub(super) async fn settle_claim(&self, claim: &Claim, outcome: RunOutcome, answer: Vec<u8>) {
+    async fn settle_claim(&self, claim: &Claim, outcome: RunOutcome, answer: Vec<u8>) {
         let settle = SettleClaim {
             tenant: claim.tenant.clone(),
             key: claim.key.clone(),
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -24,6 +24,8 @@
 
 /// Time between two ticks of the directory.
 const TICK: Duration = Duration::from_millis(100);
+/// Pause after candidates were worked out, in multiples of the time it took.
+const REFRESH_PAUSE: u32 = 9;
 /// Separates a model's name from its version in an engine's report.
 const VERSION_SEPARATOR: char = '@';
 
@@ -140,41 +142,71 @@
         })
     }
 
+    /// Brings candidates up to date until the gateway stops. The pause after
+    /// each time bounds what that costs with thousands of back ends.
+    pub(super) async fn keep_candidates(self: Arc<Self>) {
+        loop {
+            self.stale_engines().await;
+            let began = self.clock.now();
+            self.work_out_candidates();
+            let took = self.clock.now().since(began);
+            Timer::after(took * REFRESH_PAUSE).await;
+        }
+    }
+
     /// Brings candidates for requests and for batch work to what directory,
     /// configuration and gateway set say now.
-    pub(super) fn refresh_engines(&self) {
+    fn work_out_candidates(&self) {
         let Some(configuration) = self.configuration.in_force() else {
             return;
         };
-        let candidates = self.candidates(&configuration);
+        let subsets = self.subsets(&configuration);
+        let candidates = self.candidates(&configuration, &subsets);
         self.pickers.set_candidates(candidates);
+        self.loads.set_watched(subsets.into_values().flatten());
         self.refresh_owned_engines(&configuration);
     }
 
-    fn candidates(&self, configuration: &Configuration) -> BTreeMap<ServiceName, Vec<Candidate>> {
+    /// The back ends of each service that this gateway routes to.
+    fn subsets(&self, configuration: &Configuration) -> BTreeMap<ServiceName, Vec<BackendId>> {
         let gateways = self.gateways().clone();
+        let mut by_service: BTreeMap<ServiceName, Vec<SubsetBackend>> = BTreeMap::new();
+        for backend in self.directory().backends() {
+            if configuration.services.contains_key(&backend.service) {
+                let listed = SubsetBackend {
+                    id: backend.id,
+                    zone: backend.zone.clone(),
+                };
+                by_service
+                    .entry(backend.service.clone())
+                    .or_default()
+                    .push(listed);
+            }
+        }
+        let (node, zone) = (self.options.node, &self.options.zone);
+        let settings = SubsetSettings::default();
+        let subsets = by_service.into_iter();
+        subsets
+            .map(|(service, backends)| {
+                let chosen = subset(node, zone, &gateways, &backends, &settings);
+                (service, chosen)
+            })
+            .collect()
+    }
+
+    /// Those of the subsets that may get new work.
+    fn candidates(
+        &self,
+        configuration: &Configuration,
+        subsets: &BTreeMap<ServiceName, Vec<BackendId>>,
+    ) -> BTreeMap<ServiceName, Vec<Candidate>> {
         let directory = self.directory();
         let services = configuration.services.iter();
         services
             .map(|(name, service)| {
-                let backends: Vec<SubsetBackend> = directory
-                    .backends()
-                    .filter(|backend| backend.service == *name)
-                    .map(|backend| SubsetBackend {
-                        id: backend.id,
-                        zone: backend.zone.clone(),
-                    })
-                    .collect();
-                let chosen = subset(
-                    self.options.node,
-                    &self.options.zone,
-                    &gateways,
-                    &backends,
-                    &SubsetSettings::default(),
-                );
-                let candidates = chosen
-                    .into_iter()
-                    .filter_map(|id| directory.backend(id))
+                let backends = subsets.get(name).into_iter().flatten();
+                let candidates = backends
+                    .filter_map(|id| directory.backend(*id))
                     .filter(|backend| can_serve(backend, service))
                     .map(candidate);
                 (name.clone(), candidates.collect())
--- a/crates/daemon/src/gateway/drain.rs
+++ b/crates/daemon/src/gateway/drain.rs
@@ -2,7 +2,6 @@
 //! flight finishes, then leases are handed over.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -69,7 +68,7 @@
 }
 
 fn say_unready(state: &Arc<GatewayState>) {
-    state.draining.store(true, Ordering::SeqCst);
+    state.begin_drain();
     let telling = state.clone();
     state.spawn(async move {
         let (node, incarnation) = (telling.options.node, telling.options.incarnation);
@@ -85,6 +84,7 @@
 }
 
 fn refuse_new(state: &Arc<GatewayState>, server: &ServerHandle) {
+    state.begin_stopping();
     let server = server.clone();
     let bounds = state.options.drain.clone();
     state.spawn(async move {
--- a/crates/daemon/src/gateway/engine_client.rs
+++ b/crates/daemon/src/gateway/engine_client.rs
@@ -99,8 +99,6 @@
 #[derive(Debug)]
 pub(super) struct Token {
     pub(super) chunk: CompletionChunk,
-    /// The event's data, to be passed on unchanged.
-    pub(super) data: String,
 }
 
 /// The checked answer of one attempt.
@@ -122,10 +120,7 @@
         let chunk: CompletionChunk =
             serde_json::from_str(&event.data).map_err(AttemptFailure::broken)?;
         self.check.chunk(&chunk).map_err(AttemptFailure::broken)?;
-        Ok(Some(Token {
-            chunk,
-            data: event.data,
-        }))
+        Ok(Some(Token { chunk }))
     }
 }
 
--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -36,6 +36,8 @@
 #[derive(Debug, Default)]
 pub(super) struct LoadDesk {
     polls: Mutex<BTreeMap<BackendId, Poll>>,
+    /// Back ends that this gateway routes to.
+    watched: Mutex<BTreeSet<BackendId>>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -60,6 +62,16 @@
     fn lock(&self) -> MutexGuard<'_, BTreeMap<BackendId, Poll>> {
         self.polls.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Sets which back ends this gateway routes to; no others are asked but
+    /// those that it owns.
+    pub(super) fn set_watched(&self, watched: impl Iterator<Item = BackendId>) {
+        *self.watched() = watched.collect();
+    }
+
+    fn watched(&self) -> MutexGuard<'_, BTreeSet<BackendId>> {
+        self.watched.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl GatewayState {
@@ -77,11 +89,12 @@
     fn polls_due(&self) -> Vec<Due> {
         let now = self.clock.now();
         let owned: BTreeSet<BackendId> = self.ownership().owned().collect();
+        let asked: BTreeSet<BackendId> = self.loads.watched().union(&owned).copied().collect();
         let directory = self.directory();
         let mut polls = self.loads.lock();
-        polls.retain(|backend, _| directory.backend(*backend).is_some());
+        polls.retain(|backend, _| asked.contains(backend));
         let mut due = Vec::new();
-        for backend in directory.backends() {
+        for backend in asked.iter().filter_map(|id| directory.backend(*id)) {
             let Ok(address) = backend.address.parse() else {
                 continue;
             };
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -33,12 +33,14 @@
 mod routes;
 mod state;
 mod stream;
+mod tenant_weights;
 mod validation;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::Sender;
 use async_executor::Executor;
 use async_io::Timer;
 use molespan_http::{LargeBody, Server, ServerError, ServerLimits};
@@ -60,6 +62,8 @@
 
 /// Time between two looks at the admission queues.
 const ADMISSION_TICK: Duration = Duration::from_millis(5);
+/// The same while nothing waits in them.
+const IDLE_ADMISSION_TICK: Duration = Duration::from_millis(25);
 
 /// What a gateway is made of.
 #[derive(Debug)]
@@ -176,7 +180,14 @@
     /// Serves until `stop` resolves, then stops as planned.
     pub async fn serve(self, stop: impl Future<Output = ()>) -> DrainReport {
         let state = self.gateway.state.clone();
-        let _stopping = StopOnDrop(state.clone());
+        let (batch_thread, stopped) = async_channel::bounded(1);
+        let _stopping = StopOnDrop {
+            state: state.clone(),
+            _batch_thread: batch_thread,
+        };
+        if let Err(error) = state.start_batch_thread(stopped) {
+            slog::error!(state.logger, "Batch work cannot run."; "error" => %error);
+        }
         state.restore_configuration().await;
         start_background(&state);
         let handle = self.server.handle();
@@ -199,12 +210,16 @@
 /// Ends the background work of a gateway that is not served any more, also
 /// when serving was given up before its planned stop.
 #[derive(Debug)]
-struct StopOnDrop(Arc<GatewayState>);
+struct StopOnDrop {
+    state: Arc<GatewayState>,
+    /// Ends the thread of batch work when dropped.
+    _batch_thread: Sender<()>,
+}
 
 impl Drop for StopOnDrop {
     fn drop(&mut self) {
-        self.0.disconnect_batch();
-        drop(self.0.take_background());
+        self.state.disconnect_batch();
+        drop(self.state.take_background());
     }
 }
 
@@ -214,11 +229,13 @@
     state.spawn_background(state.clone().watch_configuration());
     state.spawn_background(state.clone().poll_machines());
     state.spawn_background(state.clone().tick_directory());
+    state.spawn_background(state.clone().keep_candidates());
     state.spawn_background(state.clone().poll_loads());
     state.spawn_background(state.clone().send_heartbeats());
     state.spawn_background(state.clone().tick_ownership());
     state.spawn_background(state.clone().tick_batch());
     state.spawn_background(state.clone().run_placement());
+    state.spawn_background(state.clone().carry_weights());
     state.spawn_background(tick_admission(state.clone()));
 }
 
@@ -237,7 +254,12 @@
 
 async fn tick_admission(state: Arc<GatewayState>) {
     loop {
-        state.tick_admission();
-        Timer::after(ADMISSION_TICK).await;
+        let waiting = state.tick_admission();
+        let tick = if waiting {
+            ADMISSION_TICK
+        } else {
+            IDLE_ADMISSION_TICK
+        };
+        Timer::after(tick).await;
     }
 }
--- a/crates/daemon/src/gateway/route.rs
+++ b/crates/daemon/src/gateway/route.rs
@@ -10,14 +10,13 @@
 use molespan_routing::admission::{Refusal, RefusalCode};
 use molespan_routing::pick::{PickError, PickRequest};
 use molespan_routing::retry::{
-    AttemptEnd, AttemptRef, ClaimAnswer, NextStep, RequestKind, RequestState, StatusAnswer,
+    AttemptEnd, AttemptRef, NextStep, RequestKind, RequestState, StatusAnswer,
 };
-use molespan_state::job::ClaimReply;
 use molespan_telemetry::EventKind;
 use molespan_types::{AttemptId, BackendId, Priority, RunOutcome, Timestamp};
 
 use super::admission::{NotAdmitted, Permit};
-use super::claims::Claim;
+use super::claims::ClaimHold;
 use super::dispatch::{ChosenBackend, InFlight};
 use super::engine_client::{AnswerStream, AttemptFailure};
 use super::error::ApiError;
@@ -33,9 +32,6 @@
 const QUESTION_PAUSE: Duration = Duration::from_millis(50);
 /// When to come back while no engine takes work.
 const NO_BACKEND_RETRY: Duration = Duration::from_secs(1);
-/// When to come back for the answer of a request that another arrival runs.
-const HELD_RETRY: Duration = Duration::from_secs(1);
-
 /// How a completion ended.
 enum Ending {
     Completed,
@@ -109,13 +105,11 @@
             repeatable: asked.repeatability == Repeatability::Repeatable,
             resumable: true,
         }),
-        claim: None,
+        claim: ClaimHold::default(),
         model: String::new(),
         in_flight: None,
         last_failure: None,
         last_attempt: None,
-        recorded: Vec::new(),
-        claim_error: None,
         arrived: state.clock.now(),
     };
     let ending = run.admitted().await;
@@ -135,15 +129,12 @@
     presence: Option<ClientPresence>,
     sink: AnswerSink,
     steps: RequestState,
-    claim: Option<Claim>,
+    claim: ClaimHold,
     /// Name of the model at engines.
     model: String,
     in_flight: Option<InFlight>,
     last_failure: Option<AttemptFailure>,
     last_attempt: Option<AttemptId>,
-    /// Answer on record under the claim's key.
-    recorded: Vec<u8>,
-    claim_error: Option<ApiError>,
     arrived: Timestamp,
 }
 
@@ -213,47 +204,14 @@
     }
 
     async fn claim(&mut self) -> NextStep {
-        let key = match &self.asked.repeatability {
-            Repeatability::Once { key } => key,
-            // Without a key no other arrival can be told to be the same.
-            _ => return self.steps.claim_answered(ClaimAnswer::Granted),
-        };
-        let claim = self.state.claim_for(&self.asked.tenant, key);
-        let reply = self.state.ask_claim(&claim, self.asked.digest).await;
-        let answer = match reply {
-            Ok(ClaimReply::Granted) => {
-                self.claim = Some(claim);
-                ClaimAnswer::Granted
-            }
-            Ok(ClaimReply::Held { attempt }) => {
-                self.claim_error = Some(held(attempt));
-                ClaimAnswer::Held
-            }
-            Ok(ClaimReply::Settled { outcome, answer }) => {
-                self.recorded = answer.into();
-                ClaimAnswer::Settled(outcome)
-            }
-            Ok(ClaimReply::KeyConflict) => {
-                self.claim_error = Some(ApiError::not_run(
-                    StatusCode::Conflict,
-                    "key_conflict",
-                    "the idempotency key was used for another body",
-                ));
-                ClaimAnswer::KeyConflict
-            }
-            Err(error) => {
-                // Whether it was granted or not, nothing was sent under it.
-                let state = self.state.clone();
-                self.state.spawn(async move {
-                    state
-                        .settle_claim(&claim, RunOutcome::NotRun, Vec::new())
-                        .await;
-                });
-                let error = ApiError::from(error).with_outcome(RunOutcome::NotRun);
-                self.claim_error = Some(error);
-                ClaimAnswer::Failed
-            }
-        };
+        let asked = self.asked;
+        let answer = self.claim.ask(
+            self.state,
+            &asked.tenant,
+            &asked.repeatability,
+            asked.digest,
+        );
+        let answer = answer.await;
         self.steps.claim_answered(answer)
     }
 
@@ -480,7 +438,7 @@
     /// A request that runs at most once goes on for its record when its caller
     /// leaves, so that the caller can come back for the answer.
     fn stops_when_gone(&self) -> bool {
-        self.claim.is_none()
+        !self.claim.is_held()
     }
 
     /// Stops the attempt of a caller that left.
@@ -499,24 +457,17 @@
     }
 
     fn replay(&mut self, outcome: RunOutcome) -> Ending {
-        if outcome == RunOutcome::Completed {
-            return Ending::Replayed(std::mem::take(&mut self.recorded));
+        match self.claim.take_recorded(outcome) {
+            Ok(recorded) => Ending::Replayed(recorded),
+            Err(error) => Ending::Failed(error),
         }
-        Ending::Failed(
-            ApiError::not_run(
-                StatusCode::Conflict,
-                "outcome_on_record",
-                "the request under this key ended before without an answer",
-            )
-            .with_outcome(outcome),
-        )
     }
 
     /// Records how a claimed request ended.
     async fn settle(&mut self, ending: &Ending) {
-        let Some(claim) = self.claim.take() else {
+        if !self.claim.is_held() {
             return;
-        };
+        }
         let (outcome, answer) = match ending {
             Ending::Completed => {
                 let answer = serde_json::to_vec(&self.sink.plain_answer());
@@ -526,7 +477,7 @@
             Ending::Replayed(_) => return,
             Ending::CallerGone => (self.steps.outcome(), Vec::new()),
         };
-        self.state.settle_claim(&claim, outcome, answer).await;
+        self.claim.settle(self.state, outcome, answer).await;
     }
 
     fn cause(&self) -> String {
@@ -571,7 +522,7 @@
 
     /// What the caller is told after the last step.
     fn failure(&mut self, outcome: RunOutcome) -> ApiError {
-        if let Some(error) = self.claim_error.take() {
+        if let Some(error) = self.claim.take_error() {
             return error;
         }
         let cause = self.cause();
@@ -620,11 +571,3 @@
         });
     }
 }
-
-/// The answer while another arrival of the same request runs.
-fn held(attempt: AttemptId) -> ApiError {
-    let message = format!("attempt {attempt} holds the claim on this key and has not ended");
-    ApiError::not_run(StatusCode::Conflict, "request_in_progress", message)
-        .with_outcome(RunOutcome::Unknown)
-        .with_retry_after(HELD_RETRY)
-}
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -1,9 +1,12 @@
 //! What the parts of one gateway share.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
 
+use async_channel::{Receiver, Sender};
 use async_executor::{Executor, Task};
 use molespan_membership::{
     Directory, DirectorySettings, GatewaySet, GatewaySetSettings, Ownership, OwnershipSettings,
@@ -26,6 +29,8 @@
 use super::placement::PlacementDesk;
 use crate::cluster::Cluster;
 
+/// Name of the thread of batch work.
+const BATCH_THREAD: &str = "gateway-batch";
 /// Bits of an attempt's node part that carry the life of the node.
 const LIFE_BITS: u32 = 48;
 
@@ -48,7 +53,13 @@
     pub(super) placement: PlacementDesk,
     pub(super) plans: PlanMemory,
     /// Set once a planned stop began.
-    pub(super) draining: AtomicBool,
+    draining: AtomicBool,
+    /// Closed once new requests are refused.
+    stopping: (Sender<()>, Receiver<()>),
+    /// Holds a message while candidates must be worked out anew.
+    stale_engines: (Sender<()>, Receiver<()>),
+    /// Runs batch work, on a thread of its own.
+    batch_executor: Arc<Executor<'static>>,
     directory: Mutex<Directory>,
     gateways: Mutex<GatewaySet>,
     ownership: Mutex<Ownership>,
@@ -84,6 +95,9 @@
             placement: PlacementDesk::default(),
             plans: PlanMemory::default(),
             draining: AtomicBool::new(false),
+            stopping: async_channel::bounded(1),
+            stale_engines: async_channel::bounded(1),
+            batch_executor: Arc::new(Executor::new()),
             directory: Mutex::new(Directory::new(DirectorySettings::default())),
             gateways: Mutex::new(GatewaySet::new(GatewaySetSettings::default())),
             ownership: Mutex::new(Ownership::new(options.node, ownership)),
@@ -108,6 +122,32 @@
         self.draining.load(Ordering::SeqCst)
     }
 
+    /// Notes that a planned stop began.
+    pub(super) fn begin_drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Notes that new requests are refused from now on.
+    pub(super) fn begin_stopping(&self) {
+        self.stopping.0.close();
+    }
+
+    /// Resolves once new requests are refused.
+    pub(super) async fn stopping(&self) {
+        let _closed = self.stopping.1.recv().await;
+    }
+
+    /// Asks for candidates to be worked out anew, once for many changes.
+    pub(super) fn refresh_engines(&self) {
+        // A full channel says it already.
+        let _noted = self.stale_engines.0.try_send(());
+    }
+
+    /// Resolves once candidates must be worked out anew.
+    pub(super) async fn stale_engines(&self) {
+        let _noted = self.stale_engines.1.recv().await;
+    }
+
     pub(super) fn directory(&self) -> MutexGuard<'_, Directory> {
         self.directory
             .lock()
@@ -140,6 +180,27 @@
         self.executor.spawn(work).detach();
     }
 
+    /// Runs batch work to its end. It has a thread of its own, so that online
+    /// requests wait neither for it nor behind it.
+    pub(super) fn spawn_batch(&self, work: impl Future<Output = ()> + Send + 'static) {
+        self.batch_executor.spawn(work).detach();
+    }
+
+    /// Starts the thread of batch work; it ends once `stopped` is closed.
+    ///
+    /// # Errors
+    /// When the system refuses a thread.
+    pub(super) fn start_batch_thread(&self, stopped: Receiver<()>) -> io::Result<()> {
+        let executor = self.batch_executor.clone();
+        let run = move || {
+            let _closed = async_io::block_on(executor.run(stopped.recv()));
+        };
+        thread::Builder::new()
+            .name(BATCH_THREAD.to_owned())
+            .spawn(run)
+            .map(drop)
+    }
+
     /// Ends every background task.
     pub(super) async fn stop_background(&self) {
         for task in self.take_background() {
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -9,6 +9,7 @@
 };
 use molespan_http::{EventWriter, Response, ServerEvent, event_response, json_response};
 use molespan_types::{AttemptId, RunOutcome, ServiceName};
+use serde::Serialize;
 
 use super::engine_client::Token;
 use super::error::ApiError;
@@ -117,7 +118,8 @@
                 live.writer.insert(writer)
             }
         };
-        let event = ServerEvent::data(token.data);
+        let data = chunk_data(self.form, &self.service, &token.chunk);
+        let event = ServerEvent::data(data);
         writer.send(&event).await.map_err(|_| CallerGone)
     }
 
@@ -193,7 +195,7 @@
         };
         let (writer, response) = event_response(STREAM_CAPACITY);
         if live.head.try_send(response).is_ok() {
-            if let Some(event) = replayed_event(recorded) {
+            if let Some(event) = replayed_event(self.form, recorded) {
                 let _caller_gone = writer.send(&event).await;
             }
             let _caller_gone = writer.finish_with_terminator().await;
@@ -203,7 +205,7 @@
 }
 
 /// A recorded plain answer as the one event of a stream.
-fn replayed_event(recorded: &[u8]) -> Option<ServerEvent> {
+fn replayed_event(form: CompletionForm, recorded: &[u8]) -> Option<ServerEvent> {
     let answer: CompletionResponse = serde_json::from_slice(recorded).ok()?;
     let choice = answer.choices.into_iter().next()?;
     let message = choice.message.map(|message| message.content);
@@ -214,7 +216,60 @@
         finish_reason: choice.finish_reason,
         usage: Some(answer.usage),
     };
-    serde_json::to_string(&chunk).ok().map(ServerEvent::data)
+    let service = ServiceName(answer.model);
+    Some(ServerEvent::data(chunk_data(form, &service, &chunk)))
+}
+
+/// One token as callers get it: the engine's fields, and those of the usual
+/// OpenAI form beside them.
+#[derive(Serialize)]
+struct StreamedChunk<'a> {
+    object: &'static str,
+    model: &'a str,
+    choices: [StreamedChoice<'a>; 1],
+    #[serde(flatten)]
+    chunk: &'a CompletionChunk,
+}
+
+/// The choice of a streamed chunk; a chat carries `delta`, others `text`.
+#[derive(Serialize)]
+struct StreamedChoice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<StreamedDelta<'a>>,
+    finish_reason: Option<FinishReason>,
+}
+
+/// What a chunk adds to the message of a chat.
+#[derive(Serialize)]
+struct StreamedDelta<'a> {
+    content: &'a str,
+}
+
+fn chunk_data(form: CompletionForm, service: &ServiceName, chunk: &CompletionChunk) -> String {
+    let content = chunk.text.as_str();
+    let (object, text, delta) = match form {
+        CompletionForm::Text => ("text_completion", Some(content), None),
+        CompletionForm::Chat => {
+            let delta = StreamedDelta { content };
+            ("chat.completion.chunk", None, Some(delta))
+        }
+    };
+    let streamed = StreamedChunk {
+        object,
+        model: service.as_str(),
+        choices: [StreamedChoice {
+            index: 0,
+            text,
+            delta,
+            finish_reason: chunk.finish_reason,
+        }],
+        chunk,
+    };
+    // Plain fields always serialize.
+    serde_json::to_string(&streamed).unwrap_or_default()
 }
 
 fn assistant_message(content: String) -> ChatMessage {
