--- a/crates/daemon/src/gateway/application.rs
+++ b/crates/daemon/src/gateway/application.rs
@@ -11,9 +11,9 @@
 use molespan_types::{AttemptId, BackendId, Digest, RunOutcome, ServiceName, TenantId, digest_of};
 
 use super::admission::NotAdmitted;
+use super::answer::{AttemptFailure, failure_of};
 use super::claims::ClaimHold;
 use super::dispatch::InFlight;
-use super::engine_client::{AttemptFailure, failure_of};
 use super::error::ApiError;
 use super::state::GatewayState;
 use super::validation::{Repeatability, repeatability_of, tenant_of};
--- /dev/null
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -0,0 +1,277 @@
+//! The attempts of one completion: where each is sent, how its answer is
+//! followed, and what is done when it breaks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use molespan_routing::admission::{Refusal, RefusalCode};
+use molespan_routing::pick::{PickError, PickRequest};
+use molespan_routing::retry::{AttemptEnd, AttemptRef, NextStep, StatusAnswer};
+use molespan_telemetry::EventKind;
+use molespan_types::{AttemptId, BackendId, Priority};
+
+use super::answer::{AnswerStream, AttemptFailure};
+use super::dispatch::{ChosenBackend, InFlight};
+use super::outcome::NO_BACKEND_RETRY;
+use super::route::{Ending, Run};
+use super::state::GatewayState;
+
+/// Longest wait for an engine to fall below its limit once admitted.
+const LIMIT_WAIT: Duration = Duration::from_millis(100);
+/// Pause between looks for such an engine.
+const LIMIT_PAUSE: Duration = Duration::from_millis(2);
+/// Pause before an engine is asked about an attempt again.
+const QUESTION_PAUSE: Duration = Duration::from_millis(50);
+
+impl Run<'_> {
+    /// Sends the request as a new attempt to an engine that is not excluded.
+    pub(super) async fn dispatch(&mut self, exclude: &[BackendId]) -> Result<NextStep, Ending> {
+        let chosen = match self.choose(exclude).await {
+            Ok(chosen) => chosen,
+            Err(error) => {
+                self.note_no_backend(error);
+                return Ok(self.steps.no_backend());
+            }
+        };
+        let attempt = self.state.next_attempt();
+        let target = chosen.target;
+        if !self.steps.dispatched(target.attempt(attempt)) {
+            return Ok(self.steps.no_backend());
+        }
+        let asked = self.asked;
+        self.last_attempt = Some(attempt);
+        self.in_flight = Some(InFlight::begin(
+            self.state,
+            &asked.service,
+            chosen,
+            attempt,
+            &asked.prefix_hashes,
+            asked.prompt_tokens,
+        ));
+        let body = asked.engine_body(&self.model);
+        let state = self.state.clone();
+        let started =
+            state
+                .engines
+                .start(Priority::Online, &target, attempt, asked.form.path(), body);
+        let started = match self.unless_gone(started).await {
+            Some(started) => started,
+            None => return Err(self.caller_gone()),
+        };
+        self.follow(started, attempt, 0).await
+    }
+
+    /// Chooses an engine and records why.
+    async fn choose(&mut self, exclude: &[BackendId]) -> Result<ChosenBackend, PickError> {
+        let until = self.state.clock.now() + LIMIT_WAIT;
+        let asked = self.asked;
+        loop {
+            let now = self.state.clock.now();
+            let request = PickRequest {
+                prefix_hashes: &asked.prefix_hashes,
+                exclude,
+            };
+            match self.state.pickers.pick(now, &asked.service, request) {
+                Ok(pick) => {
+                    self.state.note_pick(&asked.service, &asked.tenant, &pick);
+                    let chosen = self.state.chosen(pick.backend);
+                    return chosen.ok_or(PickError::NoEngine);
+                }
+                Err(PickError::AllAtLimit) if now < until => {
+                    Timer::after(LIMIT_PAUSE).await;
+                }
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Takes the rest of an answer up where it broke.
+    pub(super) async fn resume(
+        &mut self,
+        attempt: AttemptRef,
+        offset: u32,
+    ) -> Result<NextStep, Ending> {
+        // The last token comes again, so that there is one also when only the
+        // end of the stream was lost.
+        let offset = offset.max(self.sink.tokens()).saturating_sub(1);
+        self.state.metrics.resumed();
+        self.state.events.record(
+            EventKind::Resume,
+            format!("request {}", attempt.attempt),
+            self.cause(),
+            [
+                ("engine", attempt.backend.0.into()),
+                ("offset", offset.into()),
+            ],
+        );
+        let Some(target) = self.in_flight.as_ref().map(InFlight::target) else {
+            return Ok(self.attempt_ended(AttemptEnd::Lost));
+        };
+        let state = self.state.clone();
+        let resumed = state.engines.resume(target.address, &attempt, offset);
+        let resumed = match self.unless_gone(resumed).await {
+            Some(resumed) => resumed,
+            None => return Err(self.caller_gone()),
+        };
+        self.follow(resumed, attempt.attempt, offset).await
+    }
+
+    /// Passes the tokens of an answer on to its end.
+    async fn follow(
+        &mut self,
+        answer: Result<AnswerStream, AttemptFailure>,
+        attempt: AttemptId,
+        offset: u32,
+    ) -> Result<NextStep, Ending> {
+        let mut answer = match answer {
+            Ok(answer) => answer,
+            Err(failure) => return self.failed(failure),
+        };
+        if offset == 0 && self.sink.passed() == 0 {
+            self.sink.restart();
+        }
+        self.sink.name(attempt);
+        loop {
+            let next = match self.unless_gone(answer.next()).await {
+                Some(next) => next,
+                None => return Err(self.caller_gone()),
+            };
+            match next {
+                Ok(Some(token)) => {
+                    self.note_first_byte();
+                    if token.chunk.offset < self.sink.tokens() {
+                        continue;
+                    }
+                    if self.sink.token(token).await.is_err() && self.stops_when_gone() {
+                        return Err(self.caller_gone());
+                    }
+                    let passed = self.sink.passed();
+                    self.steps.passed(passed);
+                }
+                Ok(None) => {
+                    if let Some(in_flight) = self.in_flight.take() {
+                        in_flight.answered();
+                    }
+                    return Ok(self.attempt_ended(AttemptEnd::Completed));
+                }
+                Err(failure) => return self.failed(failure),
+            }
+        }
+    }
+
+    fn note_first_byte(&mut self) {
+        let Some(in_flight) = &mut self.in_flight else {
+            return;
+        };
+        if in_flight.first_byte().is_some() {
+            let since_arrival = self.state.clock.now().since(self.arrived);
+            self.state.metrics.first_token(since_arrival);
+        }
+    }
+
+    /// The attempt, or a try to resume it, failed.
+    fn failed(&mut self, failure: AttemptFailure) -> Result<NextStep, Ending> {
+        let end = failure.end;
+        let final_refusal = failure
+            .refusal
+            .as_ref()
+            .filter(|refusal| refusal.is_final() && self.sink.tokens() == 0)
+            .map(|refusal| self.passed_on(refusal));
+        if let Some(error) = final_refusal {
+            if let Some(in_flight) = self.in_flight.take() {
+                in_flight.failed(&failure);
+            }
+            return Err(Ending::Failed(error));
+        }
+        self.last_failure = Some(failure);
+        let next = self.attempt_ended(end);
+        let goes_on = matches!(next, NextStep::Resume { .. } | NextStep::AskStatus { .. });
+        if goes_on {
+            if let Some(in_flight) = &self.in_flight {
+                in_flight.note_broken();
+            }
+        } else if let (Some(in_flight), Some(failure)) =
+            (self.in_flight.take(), self.last_failure.as_ref())
+        {
+            if end != AttemptEnd::NotSent && end != AttemptEnd::DeclaredNotRun {
+                self.state.abandon_attempt(&in_flight);
+            }
+            in_flight.failed(failure);
+        }
+        Ok(next)
+    }
+
+    fn attempt_ended(&mut self, end: AttemptEnd) -> NextStep {
+        let now = self.state.clock.now();
+        let steps = &mut self.steps;
+        self.state
+            .pickers
+            .with_budget(&self.asked.service, |budget| steps.ended(now, end, budget))
+    }
+
+    /// Asks the engine what became of an attempt.
+    pub(super) async fn ask(&mut self, attempt: AttemptRef) -> NextStep {
+        Timer::after(QUESTION_PAUSE).await;
+        let target = self.in_flight.as_ref().map(InFlight::target);
+        let answer = match target {
+            Some(target) => self.state.engines.status(target.address, &attempt).await,
+            None => StatusAnswer::NoAnswer,
+        };
+        self.state.events.record(
+            EventKind::Resume,
+            format!("request {}", attempt.attempt),
+            "the engine was asked what became of it",
+            [
+                ("engine", attempt.backend.0.into()),
+                ("answer", format!("{answer:?}").into()),
+            ],
+        );
+        let now = self.state.clock.now();
+        let steps = &mut self.steps;
+        self.state
+            .pickers
+            .with_budget(&self.asked.service, |budget| {
+                steps.status(now, answer, budget)
+            })
+    }
+
+    pub(super) fn note_retry(&self, exclude: &[BackendId]) {
+        self.state.metrics.retried();
+        let attempt = self.last_attempt.map(|id| id.to_string());
+        let excluded: Vec<String> = exclude.iter().map(ToString::to_string).collect();
+        self.state.events.record(
+            EventKind::Retry,
+            format!("request {}", attempt.unwrap_or_default()),
+            self.cause(),
+            [("excluded", excluded.join(" ").into())],
+        );
+    }
+
+    fn note_no_backend(&mut self, error: PickError) {
+        let code = RefusalCode::NoBackend;
+        let refusal = Refusal::after(code, NO_BACKEND_RETRY);
+        let asked = self.asked;
+        self.state
+            .note_refusal(&asked.tenant, &asked.service, &refusal);
+        if self.last_failure.is_none() {
+            self.last_failure = Some(AttemptFailure {
+                end: AttemptEnd::NotSent,
+                cause: error.to_string(),
+                refusal: None,
+            });
+        }
+    }
+}
+
+impl GatewayState {
+    /// Stops an attempt whose answer nobody will read.
+    pub(super) fn abandon_attempt(self: &Arc<Self>, in_flight: &InFlight) {
+        let (target, attempt) = (in_flight.target(), in_flight.attempt);
+        let state = self.clone();
+        self.spawn(async move {
+            let online = Priority::Online;
+            state.engines.cancel(online, target.address, attempt).await;
+        });
+    }
+}
--- a/crates/daemon/src/gateway/batch_stream.rs
+++ b/crates/daemon/src/gateway/batch_stream.rs
@@ -14,7 +14,7 @@
 };
 use molespan_types::{AttemptId, ItemIndex, JobId, Priority, RunOutcome, ServiceName};
 
-use super::engine_client::{AnswerStream, AttemptFailure, Target};
+use super::answer::{AnswerStream, AttemptFailure, Target};
 use super::options::PreemptionPolicy;
 use super::state::GatewayState;
 use super::validation::{engine_body, max_tokens_of, parse_fields};
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -18,8 +18,8 @@
 use molespan_types::{BackendId, ServiceName, TenantId};
 use slog::{info, warn};
 
+use super::answer::Target;
 use super::dispatch::ChosenBackend;
-use super::engine_client::Target;
 use super::state::GatewayState;
 
 /// Time between two ticks of the directory.
--- a/crates/daemon/src/gateway/dispatch.rs
+++ b/crates/daemon/src/gateway/dispatch.rs
@@ -9,7 +9,7 @@
 use molespan_types::{AttemptId, ServiceName, Timestamp, ZoneName};
 use molespan_wire::{OnlineArrival, Request};
 
-use super::engine_client::{AttemptFailure, Target};
+use super::answer::{AttemptFailure, Target};
 use super::pick::answered;
 use super::state::GatewayState;
 
--- a/crates/daemon/src/gateway/engine_client.rs
+++ b/crates/daemon/src/gateway/engine_client.rs
@@ -6,17 +6,17 @@
 
 use http_types::headers::CONTENT_TYPE;
 use molespan_engine_api::{
-    ATTEMPT_HEADER, CACHE_EVENTS_PATH, CacheEventPage, CompletionChunk, ErrorBody, ErrorDetail,
-    HEALTH_PATH, INCARNATION_HEADER, LOAD_PATH, LoadReport, MACHINES_PATH, MachineList,
-    ORDERS_PATH, Order, OrderReply, PRIORITY_HEADER, REQUESTS_PATH, RequestState, RequestStatus,
+    ATTEMPT_HEADER, CACHE_EVENTS_PATH, CacheEventPage, HEALTH_PATH, INCARNATION_HEADER, LOAD_PATH,
+    LoadReport, MACHINES_PATH, MachineList, ORDERS_PATH, Order, OrderReply, PRIORITY_HEADER,
+    REQUESTS_PATH, RequestState, RequestStatus,
 };
 use molespan_http::{
-    Body, ClientResponse, EventStream, Method, Pool, PoolLimits, Request, SendError, json_body,
-    new_request,
+    Body, ClientResponse, Method, Pool, PoolLimits, Request, json_body, new_request,
 };
-use molespan_routing::retry::{AttemptEnd, AttemptRef, StatusAnswer, StreamCheck, check_attempt};
-use molespan_types::{AttemptId, BackendId, Incarnation, Priority, RunOutcome};
+use molespan_routing::retry::{AttemptEnd, AttemptRef, StatusAnswer};
+use molespan_types::{AttemptId, Incarnation, Priority, RunOutcome};
 
+use super::answer::{AnswerStream, AttemptFailure, Target, answer_stream, refusal_of};
 use super::options::BackendTimeouts;
 
 /// Longest error body or report that is read.
@@ -24,106 +24,6 @@
 /// Longest platform list that is read.
 const MAX_LIST_BYTES: usize = 32 * 1024 * 1024;
 
-/// A back end's life and where it is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Target {
-    pub(super) backend: BackendId,
-    pub(super) incarnation: Incarnation,
-    pub(super) address: SocketAddr,
-}
-
-impl Target {
-    /// This attempt on this back end.
-    pub(super) fn attempt(&self, attempt: AttemptId) -> AttemptRef {
-        AttemptRef {
-            attempt,
-            backend: self.backend,
-            incarnation: self.incarnation,
-        }
-    }
-}
-
-/// Why an attempt, or a try to resume it, has no whole answer.
-#[derive(Clone, Debug)]
-pub(super) struct AttemptFailure {
-    /// What is known of its run.
-    pub(super) end: AttemptEnd,
-    /// One sentence for people.
-    pub(super) cause: String,
-    /// What the back end itself said, if it answered.
-    pub(super) refusal: Option<BackendRefusal>,
-}
-
-/// A typed error of a back end.
-#[derive(Clone, Debug)]
-pub(super) struct BackendRefusal {
-    pub(super) status: u16,
-    pub(super) detail: ErrorDetail,
-}
-
-impl BackendRefusal {
-    /// Whether it was refused for the back end's load.
-    pub(super) fn is_overload(&self) -> bool {
-        matches!(self.status, 429 | 503) && self.detail.outcome == RunOutcome::NotRun
-    }
-
-    /// Whether every back end would refuse the request in the same way.
-    pub(super) fn is_final(&self) -> bool {
-        matches!(self.status, 400 | 413 | 422) && self.detail.outcome == RunOutcome::NotRun
-    }
-}
-
-impl AttemptFailure {
-    pub(super) fn broken(cause: impl ToString) -> Self {
-        Self {
-            end: AttemptEnd::Broken,
-            cause: cause.to_string(),
-            refusal: None,
-        }
-    }
-
-    fn of_send(error: &SendError) -> Self {
-        let end = match error.outcome() {
-            RunOutcome::NotRun => AttemptEnd::NotSent,
-            _ => AttemptEnd::Broken,
-        };
-        Self {
-            end,
-            cause: error.to_string(),
-            refusal: None,
-        }
-    }
-}
-
-/// A token of an answer as it came.
-#[derive(Debug)]
-pub(super) struct Token {
-    pub(super) chunk: CompletionChunk,
-}
-
-/// The checked answer of one attempt.
-#[derive(Debug)]
-pub(super) struct AnswerStream {
-    events: EventStream,
-    check: StreamCheck,
-}
-
-impl AnswerStream {
-    /// The next token; `None` once the answer is whole.
-    pub(super) async fn next(&mut self) -> Result<Option<Token>, AttemptFailure> {
-        let event = self.events.next().await.map_err(AttemptFailure::broken)?;
-        let Some(event) = event else {
-            self.check.terminator();
-            self.check.end().map_err(AttemptFailure::broken)?;
-            return Ok(None);
-        };
-        let chunk: CompletionChunk =
-            serde_json::from_str(&event.data).map_err(AttemptFailure::broken)?;
-        self.check.chunk(&chunk).map_err(AttemptFailure::broken)?;
-        Ok(Some(Token { chunk }))
-    }
-}
-
 /// Calls to back ends and the platform.
 #[derive(Clone, Debug)]
 pub(super) struct EngineClient {
@@ -365,48 +265,6 @@
     }
 }
 
-/// The answer in a response, or what the back end said instead.
-async fn answer_stream(
-    response: ClientResponse,
-    attempt: AttemptId,
-    offset: u32,
-) -> Result<AnswerStream, AttemptFailure> {
-    check_attempt(attempt, response.header(ATTEMPT_HEADER)).map_err(AttemptFailure::broken)?;
-    if !response.status().is_success() {
-        return Err(failure_of(response).await);
-    }
-    Ok(AnswerStream {
-        events: response.events(),
-        check: StreamCheck::new(attempt, offset),
-    })
-}
-
-/// The failure that an error response tells of. Its attempt was checked.
-pub(super) async fn failure_of(response: ClientResponse) -> AttemptFailure {
-    let status = response.status();
-    let Some(refusal) = refusal_of(response).await else {
-        return AttemptFailure::broken(format!("status {status} without a typed error"));
-    };
-    let end = match refusal.detail.outcome {
-        RunOutcome::NotRun => AttemptEnd::DeclaredNotRun,
-        _ => AttemptEnd::Broken,
-    };
-    AttemptFailure {
-        end,
-        cause: refusal.detail.message.clone(),
-        refusal: Some(refusal),
-    }
-}
-
-async fn refusal_of(response: ClientResponse) -> Option<BackendRefusal> {
-    let status = u16::from(response.status());
-    let body = response.json::<ErrorBody>(MAX_REPORT_BYTES).await.ok()?;
-    Some(BackendRefusal {
-        status,
-        detail: body.error,
-    })
-}
-
 fn named_incarnation(response: &ClientResponse) -> Option<Incarnation> {
     let named = response.header(INCARNATION_HEADER)?;
     named.parse().ok().map(Incarnation)
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -9,11 +9,15 @@
 
 mod admin;
 mod admission;
+mod answer;
 mod application;
+mod attempts;
 mod batch_api;
 mod batch_driver;
+mod batch_events;
 mod batch_groups;
 mod batch_stream;
+mod batch_submission;
 mod claims;
 mod clock;
 mod configuration;
@@ -27,6 +31,7 @@
 mod loads;
 mod metrics;
 mod options;
+mod outcome;
 mod pick;
 mod placement;
 mod route;
--- a/crates/daemon/src/gateway/routes.rs
+++ b/crates/daemon/src/gateway/routes.rs
@@ -12,6 +12,7 @@
 use super::admin::{self, ADMIN_PREFIX};
 use super::application::{SERVICES_PREFIX, serve_application};
 use super::batch_api::{self, BATCHES_PATH};
+use super::batch_submission;
 use super::error::ApiError;
 use super::route::serve_completion;
 use super::state::GatewayState;
@@ -76,7 +77,7 @@
 async fn batches(state: &Arc<GatewayState>, request: &Request, body: &[u8]) -> Response {
     let rest = &request.url().path()[BATCHES_PATH.len()..];
     match (request.method(), rest) {
-        (Method::Post, "") => respond(batch_api::submit(state, request, body).await),
+        (Method::Post, "") => respond(batch_submission::submit(state, request, body).await),
         (Method::Get, "") => respond(batch_api::list(state, request).await),
         (_, rest) if rest.starts_with('/') => {
             respond(batch_api::on_job(state, request, &rest[1..]).await)
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -11,7 +11,7 @@
 use molespan_types::{AttemptId, RunOutcome, ServiceName};
 use serde::Serialize;
 
-use super::engine_client::Token;
+use super::answer::Token;
 use super::error::ApiError;
 use super::validation::CompletionForm;
 
--- a/crates/daemon/tests/gateway_members.rs
+++ b/crates/daemon/tests/gateway_members.rs
@@ -257,3 +257,30 @@
         nodes[0]["name"] == "gateway-11" && nodes[0]["roles"][0] == "gateway"
     });
 }
+
+#[test]
+fn watchers_see_decisions_and_do_not_hold_up_a_stop() {
+    let world = World::start(&small_fleet());
+    let gateway = world.gateway(11);
+    let address = gateway.address;
+    let path = "/admin/events?kind=route&subject=caption&history=10";
+    let watching = std::thread::spawn(move || get(address, path));
+    let body = "one decision";
+    wait_for("a watcher", || {
+        complete(address, body, 2);
+        get(address, "/metrics")
+            .body
+            .contains(r#"{end="completed"} 3"#)
+    });
+    let report = gateway.stop();
+    assert_eq!(report.cut_off, 0);
+    let watched = watching.join().unwrap();
+    assert!(watched.whole, "{watched:?}");
+    let events = watched.events();
+    assert!(events.len() >= 3, "{watched:?}");
+    for event in events {
+        let event: Value = serde_json::from_str(event).unwrap();
+        assert_eq!(event["event"]["kind"], "route", "{event}");
+        assert!(event["event"]["inputs"].is_array(), "{event}");
+    }
+}
--- a/crates/daemon/tests/gateway_online.rs
+++ b/crates/daemon/tests/gateway_online.rs
@@ -11,6 +11,7 @@
 use molespan_emulator::faults::{AnswerFault, AnswerFaultRule, FaultSettings};
 use molespan_state::control::{Change, Service, TenantLimits};
 use molespan_types::{TenantId, digest_of};
+use serde_json::Value;
 use support::client::{
     call, complete, completion, exchange, get, open, post, read_to_end, request_text, stream,
 };
@@ -30,6 +31,9 @@
     let streamed = stream(gateway.address, "a family at the lake", 12);
     assert_eq!(streamed.status, 200, "{streamed:?}");
     assert_eq!(streamed.streamed_text(), (expected, true));
+    let first: Value = serde_json::from_str(streamed.events()[0]).unwrap();
+    assert_eq!(first["object"], "text_completion");
+    assert_eq!(first["choices"][0]["text"], first["text"]);
 }
 
 #[test]
