Replace the request timeout by the timeouts that a gateway has

timing.request_timeout was read and checked but nothing used it. In its place stand the three bounds of calls to back ends, with the defaults they had.

--- a/crates/daemon/src/gateway/options.rs
+++ b/crates/daemon/src/gateway/options.rs
@@ -236,6 +236,9 @@
             },
             timeouts: BackendTimeouts {
                 connect: timing.connect_timeout,
+                response: timing.response_timeout,
+                stall: timing.stall_timeout,
+                batch_stall: timing.batch_stall_timeout,
                 ..BackendTimeouts::default()
             },
             intake: intake_bounds(limits),
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -103,12 +103,12 @@
             reason: "an election would turn the node unready",
         },
         Ratio {
-            long_key: "timing.request_timeout",
-            long: timing.request_timeout,
+            long_key: "timing.response_timeout",
+            long: timing.response_timeout,
             times: 1,
             short_key: "timing.connect_timeout",
             short: timing.connect_timeout,
-            reason: "a request includes its connection",
+            reason: "an answer begins behind its connection",
         },
     ];
     for ratio in &ratios {
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -183,8 +183,12 @@
     pub load_poll: Duration,
     /// Longest time to connect to a back end or node.
     pub connect_timeout: Duration,
-    /// Longest time of one request at a back end.
-    pub request_timeout: Duration,
+    /// Longest time until an online answer of a back end begins.
+    pub response_timeout: Duration,
+    /// Longest silence within an online answer.
+    pub stall_timeout: Duration,
+    /// Longest silence within a batch answer, which may be held back.
+    pub batch_stall_timeout: Duration,
     /// Bounds of a planned stop.
     pub drain: DrainSettings,
 }
@@ -201,7 +205,9 @@
             election_timeout: Duration::from_millis(500),
             load_poll: Duration::from_millis(100),
             connect_timeout: Duration::from_millis(500),
-            request_timeout: Duration::from_secs(120),
+            response_timeout: Duration::from_secs(5),
+            stall_timeout: Duration::from_secs(10),
+            batch_stall_timeout: Duration::from_secs(300),
             drain: DrainSettings::default(),
         }
     }
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -186,11 +186,21 @@
             default.connect_timeout,
             millis(10)..=seconds(30),
         ),
-        request_timeout: section.within(
-            "request_timeout",
-            default.request_timeout,
+        response_timeout: section.within(
+            "response_timeout",
+            default.response_timeout,
             millis(100)..=seconds(3600),
         ),
+        stall_timeout: section.within(
+            "stall_timeout",
+            default.stall_timeout,
+            millis(100)..=seconds(3600),
+        ),
+        batch_stall_timeout: section.within(
+            "batch_stall_timeout",
+            default.batch_stall_timeout,
+            seconds(1)..=seconds(3600),
+        ),
         drain: read_drain(section.section("drain")),
     };
     section.finish();
--- a/crates/settings/src/write.rs
+++ b/crates/settings/src/write.rs
@@ -117,7 +117,10 @@
     put_duration(&mut table, "election_timeout", timing.election_timeout);
     put_duration(&mut table, "load_poll", timing.load_poll);
     put_duration(&mut table, "connect_timeout", timing.connect_timeout);
-    put_duration(&mut table, "request_timeout", timing.request_timeout);
+    put_duration(&mut table, "response_timeout", timing.response_timeout);
+    put_duration(&mut table, "stall_timeout", timing.stall_timeout);
+    let batch_stall_timeout = timing.batch_stall_timeout;
+    put_duration(&mut table, "batch_stall_timeout", batch_stall_timeout);
     table.insert("drain", Item::Table(drain(&timing.drain)));
     table
 }
