--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -80,6 +80,12 @@
 }
 
 impl CliError {
+    /// Whether the reader of the output has gone away.
+    #[must_use]
+    pub fn is_closed_output(&self) -> bool {
+        matches!(self, Self::Io(error) if error.kind() == io::ErrorKind::BrokenPipe)
+    }
+
     /// The exit code of this error.
     #[must_use]
     pub fn status(&self) -> ExitStatus {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -33,23 +33,32 @@
 /// Runs the command that the process was started with.
 #[must_use]
 pub fn run_from_environment() -> ExitCode {
+    let mut console = Console::standard(false);
     let flags = match Molespan::from_env() {
         Ok(flags) => flags,
         Err(error) if error.is_help() => {
-            println!("{error}");
-            return ExitStatus::Success.into();
+            let shown = console.line(error).map(|()| ExitStatus::Success);
+            return end(shown, &mut console);
         }
         Err(error) => {
-            eprintln!("molespan: {error}");
-            eprintln!("molespan --help names every command");
+            console.progress(format!("molespan: {error}"));
+            console.progress("molespan --help names every command");
             return ExitStatus::Usage.into();
         }
     };
     let mut console = Console::standard(flags.json);
-    match block_on(commands::run(flags, &mut console)) {
+    let result = block_on(commands::run(flags, &mut console));
+    end(result, &mut console)
+}
+
+/// Says what went wrong, if anything did, and gives the exit code.
+fn end(result: Result<ExitStatus, CliError>, console: &mut Console) -> ExitCode {
+    match result {
         Ok(status) => status.into(),
+        // Whoever read the output has seen enough, as `head` does.
+        Err(error) if error.is_closed_output() => ExitStatus::Success.into(),
         Err(error) => {
-            eprintln!("molespan: {error}");
+            console.progress(format!("molespan: {error}"));
             error.status().into()
         }
     }
