--- a/crates/sim/src/apply.rs
+++ b/crates/sim/src/apply.rs
@@ -113,8 +113,10 @@
             FaultKind::PlannedStop(gateway) => {
                 let address = Address::Gateway(*gateway);
                 *self.down.entry(address).or_default() += 1;
-                if let Some(gateway) = self.gateways.get_mut(gateway) {
-                    gateway.stop(context);
+                if self.frozen.contains_key(&address) {
+                    self.stops_at_thaw.insert(address);
+                } else {
+                    self.stop(address);
                 }
             }
         }
@@ -165,6 +167,16 @@
         }
     }
 
+    /// Asks a gateway to stop as planned.
+    pub(crate) fn stop(&mut self, address: Address) {
+        if let Address::Gateway(number) = address
+            && let Some(gateway) = self.gateways.get_mut(&number)
+        {
+            gateway.stop(&mut self.context);
+        }
+        self.wake(address);
+    }
+
     /// Kills a process and keeps it down.
     fn kill(&mut self, address: Address) {
         *self.down.entry(address).or_default() += 1;
--- a/crates/sim/src/gateway/drain.rs
+++ b/crates/sim/src/gateway/drain.rs
@@ -10,6 +10,7 @@
 impl Process {
     /// An operator asked for the stop.
     pub(super) fn begin_stop(&mut self, context: &mut Context) {
+        self.report_load(context);
         self.drain_input(context, DrainInput::Begin);
     }
 
@@ -17,13 +18,18 @@
         if self.drain.phase() == DrainPhase::Serving {
             return;
         }
+        self.report_load(context);
+        self.drain_input(context, DrainInput::Tick);
+    }
+
+    /// Tells the stop what is in flight and held.
+    fn report_load(&mut self, context: &mut Context) {
         let jobs = self.groups.open();
         let jobs = jobs.filter(|tag| matches!(tag, Tag::Job(_) | Tag::Settle));
         let in_flight = self.online.len() + jobs.count();
         self.drain_input(context, DrainInput::InFlight(in_flight as u32));
         let held = self.batch.leases_held() + self.ownership.owned().count();
         self.drain_input(context, DrainInput::Held(held as u32));
-        self.drain_input(context, DrainInput::Tick);
     }
 
     fn drain_input(&mut self, context: &mut Context, input: DrainInput) {
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -1,6 +1,6 @@
 //! The simulated world: it lets events happen, one after the other.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use molespan_engine_api::MachineState;
 use molespan_storage::SimulatedDisk;
@@ -14,7 +14,7 @@
 use crate::engine_node::EngineNode;
 use crate::event::{Envelope, Event};
 use crate::gateway::GatewayNode;
-use crate::message::{Message, Transport};
+use crate::message::Transport;
 use crate::network::Network;
 use crate::node::Node;
 use crate::operator::{Goal, Operator};
@@ -67,6 +67,8 @@
     pub(crate) frozen: BTreeMap<Address, (u32, Vec<Envelope>)>,
     /// Faults that keep a process down.
     pub(crate) down: BTreeMap<Address, u32>,
+    /// Processes that were asked to stop while they stood still.
+    pub(crate) stops_at_thaw: BTreeSet<Address>,
     pub(crate) backups: BTreeMap<usize, SimulatedDisk>,
 }
 
@@ -107,6 +109,7 @@
             wake_at: BTreeMap::new(),
             frozen: BTreeMap::new(),
             down: BTreeMap::new(),
+            stops_at_thaw: BTreeSet::new(),
             backups: BTreeMap::new(),
             context,
             scenario,
@@ -323,6 +326,9 @@
         for envelope in self.shuffled(held) {
             self.deliver(envelope);
         }
+        if self.stops_at_thaw.remove(&address) {
+            self.stop(address);
+        }
         self.wake(address);
     }
 
@@ -344,8 +350,8 @@
 
     /// Discards what waits for a process that was killed while it stood still.
     pub(crate) fn discard_held(&mut self, address: Address) {
+        self.stops_at_thaw.remove(&address);
         if let Some((_, held)) = self.frozen.get_mut(&address) {
-            held.retain(|envelope| !matches!(envelope.message, Message::Peer { .. }));
             held.clear();
         }
     }
