Take a hello's own account of its log as a sign of a later roll back

How far another log was synced was learnt only from messages of groups. A process that had just started, and to which a follower or a leader that had stepped down sent nothing but hellos, then confirmed that node's disk after it was rolled back, and the two formed a majority without entries that only the third node still had.

A hello names the same number, which is noted now. The regression test fails before and passes after the change.

What nobody heard of cannot be told: a disk that is rolled back to a state that every reachable node still believes in is not noticed.

--- a/crates/replica/src/fleet.rs
+++ b/crates/replica/src/fleet.rs
@@ -210,6 +210,8 @@
             return Ok((changes, None));
         }
         let outdated = self.judge(&hello)?;
+        // A process that only follows sends others nothing but hellos.
+        self.saw_sequence(hello.replica, hello.session, hello.sequence);
         let verdict = hello.verdict;
         let answered = verdict.is_some_and(|verdict| verdict.session == self.session);
         let wants_reply = hello.wants_reply;
--- a/crates/replica/tests/judgement.rs
+++ b/crates/replica/tests/judgement.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cluster::{Cluster, intent, node};
-use molespan_replica::{Input, ReplicaEvent};
+use molespan_replica::{Consistency, Input, ReplicaEvent};
 use molespan_types::{ConfigVersion, GroupId, NodeId};
 
 const SEED: u64 = 5;
@@ -64,3 +64,31 @@
     cluster.disks[&node(1)].set_full(false);
     cluster.run_until_equal();
 }
+
+#[test]
+fn roll_back_is_told_by_a_node_that_started_after_the_lost_writes() {
+    let mut cluster = Cluster::new(3, SEED);
+    cluster.run_until_led();
+    cluster.run_until("all voters", Cluster::is_whole);
+    let backup = cluster.disks[&node(2)].backup();
+    cluster.kill(node(1));
+    for number in 1..=20 {
+        let command = intent(number, ConfigVersion(number - 1));
+        cluster.commit(GroupId::CONTROL, &command);
+    }
+    cluster.isolate(node(3), true);
+    // Long enough for node 2 to stop leading, so that it only answers hellos.
+    cluster.run_for(Duration::from_secs(2));
+    cluster.start(node(1));
+    cluster.run_for(Duration::from_millis(20));
+    cluster.kill(node(2));
+    cluster.disks[&node(2)].roll_back(&backup);
+    cluster.events.clear();
+    cluster.start(node(2));
+    cluster.run_for(Duration::from_secs(3));
+    assert_eq!(new_incarnations(&cluster), 1, "{:#?}", cluster.events);
+    cluster.isolate(node(3), false);
+    cluster.run_until("all voters", Cluster::is_whole);
+    let version = cluster.version_at(node(3), Consistency::Local);
+    assert_eq!(version, Some(ConfigVersion(20)));
+}
