--- a/crates/sim/src/network.rs
+++ b/crates/sim/src/network.rs
@@ -116,6 +116,12 @@
         self.disturbances.remove(&fault);
     }
 
+    /// Whether anyone is cut off from anyone.
+    #[must_use]
+    pub fn has_cuts(&self) -> bool {
+        !self.cuts.is_empty()
+    }
+
     /// Whether messages from one to the other are held up.
     #[must_use]
     pub fn is_cut(&self, from: Address, to: Address) -> bool {
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -69,7 +69,10 @@
     pub(crate) down: BTreeMap<Address, u32>,
     /// Processes that were asked to stop while they stood still.
     pub(crate) stops_at_thaw: BTreeSet<Address>,
-    pub(crate) backups: BTreeMap<usize, SimulatedDisk>,
+    /// Copies of disks, and when each was taken.
+    pub(crate) backups: BTreeMap<usize, (Timestamp, SimulatedDisk)>,
+    /// Latest start of each replica.
+    pub(crate) replica_starts: BTreeMap<u32, Timestamp>,
 }
 
 impl World {
@@ -111,6 +114,7 @@
             down: BTreeMap::new(),
             stops_at_thaw: BTreeSet::new(),
             backups: BTreeMap::new(),
+            replica_starts: BTreeMap::new(),
             context,
             scenario,
         }
@@ -255,6 +259,7 @@
             Address::Replica(number) => {
                 if let Some(replica) = self.replicas.get_mut(&number) {
                     replica.start(context);
+                    self.replica_starts.insert(number, context.now);
                 }
             }
             Address::Gateway(number) => {
