--- /dev/null
+++ b/crates/replica/examples/figures/fleet.rs
@@ -0,0 +1,193 @@
+//! Three replica processes and the ways to reach them.
+
+use std::collections::HashMap;
+use std::error::Error;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use molespan_replica::{Consistency, Input, ReplicaSettings, ReplicaStatus, Ticket};
+use molespan_types::{GroupId, NodeId};
+use tempfile::TempDir;
+
+use crate::process::{Answer, Process, Request, open};
+
+const NODES: u32 = 3;
+/// Longest wait for something that must happen.
+const PATIENCE: Duration = Duration::from_secs(30);
+const PAUSE: Duration = Duration::from_millis(2);
+
+/// Three replicas with a folder each.
+pub struct Fleet {
+    folder: TempDir,
+    start: Instant,
+    tune: fn(&mut ReplicaSettings),
+    senders: HashMap<NodeId, Sender<Request>>,
+    threads: HashMap<NodeId, JoinHandle<()>>,
+    longest_turn: Arc<AtomicU64>,
+}
+
+/// Sends requests to one process.
+#[derive(Clone)]
+pub struct Client {
+    sender: Sender<Request>,
+    group: GroupId,
+}
+
+impl Fleet {
+    /// Starts blank replicas and waits until every group is led.
+    pub fn start(tune: fn(&mut ReplicaSettings)) -> Result<Self, Box<dyn Error>> {
+        let mut fleet = Self {
+            folder: tempfile::tempdir()?,
+            start: Instant::now(),
+            tune,
+            senders: HashMap::new(),
+            threads: HashMap::new(),
+            longest_turn: Arc::default(),
+        };
+        let nodes: Vec<NodeId> = (1..=NODES).map(NodeId).collect();
+        let mut inboxes = HashMap::new();
+        for &node in &nodes {
+            let (sender, inbox) = channel();
+            fleet.senders.insert(node, sender);
+            inboxes.insert(node, inbox);
+        }
+        for (node, inbox) in inboxes {
+            fleet.run(node, inbox)?;
+        }
+        fleet.wait_for_leaders()?;
+        Ok(fleet)
+    }
+
+    pub fn settings(&self, node: NodeId) -> ReplicaSettings {
+        let seed = u64::from(node.0) << 32 | self.start.elapsed().as_nanos() as u64;
+        let mut settings = ReplicaSettings::new(node, (1..=NODES).map(NodeId).collect(), seed);
+        (self.tune)(&mut settings);
+        settings
+    }
+
+    pub fn folder(&self, node: NodeId) -> PathBuf {
+        self.folder.path().join(node.to_string())
+    }
+
+    fn run(&mut self, node: NodeId, inbox: Receiver<Request>) -> Result<(), Box<dyn Error>> {
+        let core = open(&self.folder(node), self.settings(node), self.start)?;
+        let mut peers = self.senders.clone();
+        peers.remove(&node);
+        let process = Process::new(
+            node,
+            core,
+            self.start,
+            inbox,
+            peers,
+            self.longest_turn.clone(),
+        );
+        let thread = std::thread::spawn(move || process.run());
+        self.threads.insert(node, thread);
+        Ok(())
+    }
+
+    /// Stops a process as a kill would, without a farewell.
+    pub fn stop(&mut self, node: NodeId) {
+        let _ = self.senders[&node].send(Request::Stop);
+        if let Some(thread) = self.threads.remove(&node) {
+            let _ = thread.join();
+        }
+    }
+
+    pub fn status(&self, node: NodeId) -> Option<ReplicaStatus> {
+        if !self.threads.contains_key(&node) {
+            return None;
+        }
+        let (sender, reply) = channel();
+        self.senders[&node].send(Request::Status(sender)).ok()?;
+        reply.recv_timeout(PATIENCE).ok()
+    }
+
+    /// The longest turn of any process so far.
+    pub fn longest_turn(&self) -> Duration {
+        Duration::from_micros(self.longest_turn.load(Ordering::Relaxed))
+    }
+
+    pub fn leader(&self, group: GroupId) -> Option<NodeId> {
+        let mut nodes = (1..=NODES).map(NodeId);
+        nodes.find(|&node| {
+            let status = self.status(node);
+            status.is_some_and(|status| status.leads().any(|led| led == group))
+        })
+    }
+
+    pub fn wait_for_leader(&self, group: GroupId) -> Result<NodeId, Box<dyn Error>> {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            if let Some(leader) = self.leader(group) {
+                return Ok(leader);
+            }
+            std::thread::sleep(PAUSE);
+        }
+        Err(format!("group {group} has no leader").into())
+    }
+
+    fn wait_for_leaders(&self) -> Result<(), Box<dyn Error>> {
+        let groups = self.settings(NodeId(1)).job_groups;
+        for group in 0..=groups {
+            self.wait_for_leader(GroupId(group))?;
+        }
+        Ok(())
+    }
+
+    /// A client of the leader of `group`.
+    pub fn client(&self, group: GroupId) -> Result<Client, Box<dyn Error>> {
+        let leader = self.wait_for_leader(group)?;
+        let sender = self.senders[&leader].clone();
+        Ok(Client { sender, group })
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for node in (1..=NODES).map(NodeId) {
+            self.stop(node);
+        }
+    }
+}
+
+impl Client {
+    /// Proposes a command; the answer comes from the receiver.
+    pub fn propose(&self, command: Vec<u8>) -> Receiver<Answer> {
+        let group = self.group;
+        self.ask(move |ticket| Input::Propose {
+            ticket,
+            group,
+            command,
+        })
+    }
+
+    /// A linearizable read.
+    pub fn query(&self, query: Vec<u8>) -> Receiver<Answer> {
+        let group = self.group;
+        self.ask(move |ticket| Input::Query {
+            ticket,
+            group,
+            consistency: Consistency::Linearizable,
+            query,
+        })
+    }
+
+    fn ask(&self, input: impl FnOnce(Ticket) -> Input + Send + 'static) -> Receiver<Answer> {
+        let (sender, answer) = channel();
+        let _ = self.sender.send(Request::Ask(Box::new(input), sender));
+        answer
+    }
+}
+
+/// The reply to a command that must be taken.
+pub fn reply(answer: &Receiver<Answer>) -> Result<Vec<u8>, Box<dyn Error>> {
+    match answer.recv_timeout(PATIENCE)? {
+        Ok(reply) => Ok(reply),
+        Err(refusal) => Err(format!("{refusal:?}").into()),
+    }
+}
--- /dev/null
+++ b/crates/replica/examples/figures/memory.rs
@@ -0,0 +1,123 @@
+//! Memory of 100,000 items, running and finished.
+
+use std::error::Error;
+
+use minicbor::bytes::ByteVec;
+use molespan_state::job::{
+    AppendItems, BeginJob, ItemOutcome, ItemResult, JobCommand, JobMachine, JobReply, LeaseRequest,
+};
+use molespan_storage::{FilePayloadLog, RealDisk};
+use molespan_types::{BackendId, Digest, GroupId, ItemIndex, JobId, NodeId, ServiceName, TenantId};
+
+const ITEMS: u32 = 100_000;
+const JOBS: u32 = 20;
+const BATCH: u32 = 500;
+const PAGE_BYTES: u64 = 4_096;
+
+/// A job group and its payload log.
+struct Group {
+    machine: JobMachine,
+    payloads: FilePayloadLog<RealDisk>,
+    sequence: u64,
+}
+
+pub fn measure() -> Result<(), Box<dyn Error>> {
+    let folder = tempfile::tempdir()?;
+    let disk = RealDisk::open(folder.path())?;
+    let mut group = Group {
+        machine: JobMachine::new(),
+        payloads: FilePayloadLog::open(disk, GroupId(1), 0)?,
+        sequence: 0,
+    };
+    // So that the buffers of the first job are not counted.
+    group.submit(JOBS)?;
+    group.run_all()?;
+    let before = resident_bytes();
+    for job in 0..JOBS {
+        group.submit(job)?;
+    }
+    let submitted = resident_bytes();
+    report("running", before, submitted, &group);
+    group.run_all()?;
+    report("finished", before, resident_bytes(), &group);
+    Ok(())
+}
+
+fn report(what: &str, before: Option<u64>, after: Option<u64>, group: &Group) {
+    let snapshot = group.machine.snapshot().len() as f64 / f64::from(JOBS);
+    let resident = match (before, after) {
+        (Some(before), Some(after)) => {
+            let grown = after.saturating_sub(before) as f64 / f64::from(JOBS);
+            format!("{grown:.0} resident bytes")
+        }
+        _ => "resident bytes not known here".to_owned(),
+    };
+    println!(
+        "{what}: {resident} and {snapshot:.0} bytes of snapshot for each {ITEMS} items ({JOBS} jobs)"
+    );
+}
+
+/// Memory of this process, where the system tells it.
+fn resident_bytes() -> Option<u64> {
+    let statm = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: u64 = statm.split_whitespace().nth(1)?.parse().ok()?;
+    Some(pages * PAGE_BYTES)
+}
+
+impl Group {
+    fn apply(&mut self, command: impl Into<JobCommand>) -> Result<JobReply, Box<dyn Error>> {
+        let reply = self.machine.apply(&command.into(), &mut self.payloads)?;
+        self.payloads.flush()?;
+        Ok(reply)
+    }
+
+    fn submit(&mut self, number: u32) -> Result<(), Box<dyn Error>> {
+        let tenant = TenantId::from("archive");
+        let key = format!("job {number}");
+        let job = JobId::from_key(&tenant, &key);
+        self.apply(BeginJob {
+            job,
+            tenant,
+            key,
+            digest: Digest(1),
+            service: ServiceName::from("captions"),
+            item_count: ITEMS,
+            repeatable: true,
+            deadline_unix_seconds: 0,
+        })?;
+        for first in (0..ITEMS).step_by(BATCH as usize) {
+            self.apply(AppendItems {
+                job,
+                first: ItemIndex(first),
+                inputs: vec![ByteVec::from(vec![b'i'; 100]); BATCH as usize],
+            })?;
+        }
+        self.apply(JobCommand::Accept { job })?;
+        Ok(())
+    }
+
+    fn run_all(&mut self) -> Result<(), Box<dyn Error>> {
+        loop {
+            self.sequence += 1;
+            let request = LeaseRequest {
+                owner: NodeId(1),
+                owner_incarnation: 1,
+                sequence: self.sequence,
+                service: ServiceName::from("captions"),
+                backend: BackendId(1),
+                max_items: BATCH,
+            };
+            let JobReply::Leased(Some(lease)) = self.apply(request)? else {
+                return Ok(());
+            };
+            let results = lease.items.iter().map(|leased| ItemResult {
+                item: leased.item,
+                outcome: ItemOutcome::Completed,
+                payload: ByteVec::from(vec![b'r'; 100]),
+            });
+            let results = results.collect();
+            let lease = lease.lease;
+            self.apply(JobCommand::Record { lease, results })?;
+        }
+    }
+}
