--- a/crates/replica/examples/figures/fleet.rs
+++ b/crates/replica/examples/figures/fleet.rs
@@ -26,7 +26,7 @@
     start: Instant,
     tune: fn(&mut ReplicaSettings),
     senders: HashMap<NodeId, Sender<Request>>,
-    threads: HashMap<NodeId, JoinHandle<()>>,
+    threads: HashMap<NodeId, JoinHandle<Receiver<Request>>>,
     longest_turn: Arc<AtomicU64>,
 }
 
@@ -91,11 +91,38 @@
     }
 
     /// Stops a process as a kill would, without a farewell.
-    pub fn stop(&mut self, node: NodeId) {
+    pub fn stop(&mut self, node: NodeId) -> Option<Receiver<Request>> {
         let _ = self.senders[&node].send(Request::Stop);
-        if let Some(thread) = self.threads.remove(&node) {
-            let _ = thread.join();
-        }
+        self.threads.remove(&node)?.join().ok()
+    }
+
+    /// Stops a process, removes its folder and starts it again.
+    pub fn lose_disk(&mut self, node: NodeId) -> Result<(), Box<dyn Error>> {
+        let inbox = self.stop(node).ok_or("the process does not run")?;
+        std::fs::remove_dir_all(self.folder(node))?;
+        // What was sent to the earlier life is lost.
+        while inbox.try_recv().is_ok() {}
+        self.run(node, inbox)
+    }
+
+    /// Whether each group has three voters, one life of each node.
+    pub fn is_whole(&self, incarnations: &[u32]) -> bool {
+        (1..=NODES).map(NodeId).all(|node| {
+            let groups = self.status(node).map(|status| status.groups);
+            groups.is_some_and(|groups| {
+                groups.iter().all(|group| {
+                    let lives: Vec<u32> = group.voters.iter().map(|(_, life)| *life).collect();
+                    lives == incarnations
+                })
+            })
+        })
+    }
+
+    /// The present life of each node.
+    pub fn incarnations(&self) -> Vec<u32> {
+        let nodes = (1..=NODES).map(NodeId);
+        let statuses = nodes.filter_map(|node| self.status(node));
+        statuses.map(|status| status.incarnation).collect()
     }
 
     pub fn status(&self, node: NodeId) -> Option<ReplicaStatus> {
@@ -131,6 +158,18 @@
         Err(format!("group {group} has no leader").into())
     }
 
+    /// Waits until the present life of each node votes in each group.
+    pub fn wait_until_whole(&self) -> Result<(), Box<dyn Error>> {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            if self.is_whole(&self.incarnations()) {
+                return Ok(());
+            }
+            std::thread::sleep(PAUSE);
+        }
+        Err("the new life does not vote everywhere".into())
+    }
+
     fn wait_for_leaders(&self) -> Result<(), Box<dyn Error>> {
         let groups = self.settings(NodeId(1)).job_groups;
         for group in 0..=groups {
--- a/crates/replica/examples/figures/items.rs
+++ b/crates/replica/examples/figures/items.rs
@@ -78,12 +78,14 @@
     println!("{what}: {rate:.0} items/s ({ITEMS} items in {took:.2?})");
 }
 
-struct Times {
+/// How long the parts of a job took.
+pub struct Times {
     submission: Duration,
     running: Duration,
 }
 
-fn run_job(client: &Client, number: u32) -> Result<Times, Box<dyn Error>> {
+/// Submits a job and runs all of its items.
+pub fn run_job(client: &Client, number: u32) -> Result<Times, Box<dyn Error>> {
     let began = Instant::now();
     submit(client, number)?;
     let submission = began.elapsed();
--- a/crates/replica/examples/figures/main.rs
+++ b/crates/replica/examples/figures/main.rs
@@ -2,7 +2,7 @@
 //! one process, a thread and a folder each, joined by channels.
 //!
 //! `cargo run --release -p molespan-replica --example figures [NAME…]` with any
-//! of `latency`, `items`, `restart`, `memory`, `fail-over`; all of them
+//! of `latency`, `items`, `restart`, `memory`, `fail-over`, `replacement`; all of them
 //! without a name. The data lies in a temporary folder below `TMPDIR`.
 
 mod changes;
@@ -12,6 +12,7 @@
 mod latency;
 mod memory;
 mod process;
+mod replacement;
 mod restart;
 
 use std::error::Error;
@@ -25,6 +26,7 @@
     ("restart", restart::measure),
     ("memory", memory::measure),
     ("fail-over", fail_over::measure),
+    ("replacement", replacement::measure),
 ];
 
 fn main() -> Result<(), Box<dyn Error>> {
--- a/crates/replica/examples/figures/process.rs
+++ b/crates/replica/examples/figures/process.rs
@@ -78,8 +78,8 @@
         }
     }
 
-    /// Works until it is told to stop.
-    pub fn run(mut self) {
+    /// Works until it is told to stop; gives the inbox back for another start.
+    pub fn run(mut self) -> Receiver<Request> {
         while self.take_inputs() {
             let began = Instant::now();
             let polled = self.core.poll(now(self.start));
@@ -91,10 +91,11 @@
                     .for_each(|output| self.carry_out(output)),
                 Err(error) => {
                     eprintln!("node {}: {error}", self.node);
-                    return;
+                    break;
                 }
             }
         }
+        self.inbox
     }
 
     /// Waits for inputs or the next deadline; says whether to go on.
