--- a/crates/bench/src/run/direct.rs
+++ b/crates/bench/src/run/direct.rs
@@ -12,7 +12,8 @@
 
 use super::account::{CallOutcome, EndedCall};
 use super::fleet::Fleet;
-use super::load::caller::{ApplicationCall, CallRecord, Caller, CompletionCall};
+use super::load::call::{ApplicationCall, CallRecord, CompletionCall};
+use super::load::caller::Caller;
 use super::load::prompts::Prompts;
 use super::measure::latency::{Durations, Quantiles};
 use super::measure::machine::processor_seconds;
--- a/crates/bench/src/run/experiment.rs
+++ b/crates/bench/src/run/experiment.rs
@@ -1,37 +1,28 @@
 //! Runs one arm on a fleet of its own.
 
-use std::fmt::Write;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::path::Path;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use async_executor::{Executor, Task};
+use async_executor::Executor;
 use async_io::Timer;
-use futures_lite::future;
 use molespan_http::Pool;
-use molespan_settings::Role;
 
-use super::account::{Account, EndedCall, Executions};
+use super::arm_run::ArmRun;
 use super::arms::Arm;
-use super::direct::{self, DirectContext};
-use super::faults::FaultDriver;
-use super::figures::{ArmFigures, ProgressPoint};
+use super::direct;
+use super::figures::ArmFigures;
 use super::fleet::programs::Programs;
-use super::fleet::{Fleet, operator, write_file};
-use super::load::batch::{BatchLoad, BatchReport, PreparedJob, items_per_second, prepare_jobs};
+use super::fleet::{Fleet, operator};
+use super::load::batch::{PreparedJob, prepare_jobs};
 use super::load::caller::Caller;
-use super::load::job_client::JobClient;
 use super::load::online::{
-    LoadContext, LoadRecord, PreparedApplication, PreparedCompletion, drive_application,
-    drive_online, prepare_application, prepare_online,
+    LoadContext, PreparedApplication, PreparedCompletion, prepare_application, prepare_online,
 };
 use super::load::prompts::Prompts;
 use super::load::schedule::{application_arrivals, job_arrivals, online_arrivals};
 use super::load::steering::Steering;
-use super::measure::engines::{EngineSampler, batch_sequences, execution_log};
-use super::measure::latency::Durations;
-use super::measure::machine::{LatenessProbe, processor_seconds_of};
 use super::profile::Profile;
 use crate::BenchError;
 
@@ -45,20 +36,10 @@
 const FIRST_ANSWER_PATIENCE: Duration = Duration::from_secs(20);
 /// Pause before a first request is made again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Time for jobs to end after the load, before they are cancelled.
-const DRAIN: Duration = Duration::from_secs(2);
-/// The same in the arm with faults, whose jobs are smaller.
-const FAULTS_DRAIN: Duration = Duration::from_secs(30);
-/// Time for cancelled jobs to stop.
-const CANCEL_PATIENCE: Duration = Duration::from_secs(20);
-/// Time for engines to hold no batch work once every job has ended.
-const STOP_PATIENCE: Duration = Duration::from_secs(5);
 /// Share of a usual job's items in the arm with faults.
 const FAULTS_JOB_SHARE: f64 = 0.3;
 /// Measured time of the arm with faults, as a multiple of the others'.
 const FAULTS_LENGTH: f64 = 1.6;
-/// Points of a plotted distribution.
-const CURVE_POINTS: u32 = 200;
 
 /// What every arm of a run shares.
 pub struct Experiment {
@@ -78,21 +59,10 @@
 
 /// The load of one arm.
 #[derive(Default)]
-struct PreparedLoad {
-    online: Vec<PreparedCompletion>,
-    application: Vec<PreparedApplication>,
-    jobs: Vec<PreparedJob>,
-}
-
-/// One arm that runs.
-struct ArmRun<'a> {
-    experiment: &'a Experiment,
-    arm: Arm,
-    fleet: Arc<Mutex<Fleet>>,
-    context: Arc<LoadContext>,
-    prompts: Prompts,
-    length: Duration,
-    folder: PathBuf,
+pub(super) struct PreparedLoad {
+    pub(super) online: Vec<PreparedCompletion>,
+    pub(super) application: Vec<PreparedApplication>,
+    pub(super) jobs: Vec<PreparedJob>,
 }
 
 impl Experiment {
@@ -204,317 +174,3 @@
         }
     }
 }
-
-impl ArmRun<'_> {
-    /// The arm of direct calls.
-    async fn direct(&self) -> ArmFigures {
-        let probe = LatenessProbe::default();
-        let probing = self.spawn_probe(&probe);
-        let context = DirectContext {
-            executor: self.experiment.executor.clone(),
-            caller: self.context.caller.clone(),
-            prompts: self.prompts.clone(),
-            profile: self.experiment.profile.clone(),
-            numbers: Arc::default(),
-        };
-        let targets = direct::targets(&self.lock());
-        let report = direct::measure(&context, targets, self.length).await;
-        drop(probing);
-        let executions = self.executions().await;
-        let mut account = Account::default();
-        account.add_online(&report.completions, &executions);
-        account.add_application(&report.applications, &executions);
-        ArmFigures {
-            measured_s: self.length.as_secs_f64(),
-            machine: probe.machine_load(),
-            account,
-            direct: Some(report.figures),
-            ..ArmFigures::default()
-        }
-    }
-
-    /// Any other arm.
-    async fn load(&self, load: PreparedLoad) -> ArmFigures {
-        let whole = WARM_UP + self.length;
-        let probe = LatenessProbe::default();
-        let sampler = EngineSampler::default();
-        let mut watchers = vec![self.spawn_probe(&probe), self.spawn_steering()];
-        watchers.extend(self.spawn_samplers(&sampler));
-        let batch = Arc::new(BatchLoad::new(
-            self.context.clone(),
-            JobClient::new(self.experiment.pool.clone()),
-        ));
-        let online = self.spawn_online(load.online);
-        let application = self.spawn_application(load.application);
-        let submitting = self.spawn_batch(&batch, load.jobs);
-        let progress = self.spawn_progress(&batch);
-        let faults = self.spawn_faults();
-        let processors = self.processors_in_window(whole).await;
-        let online = online.await;
-        let application = application.await;
-        let faults = faults.await;
-        submitting.await;
-        drop(progress);
-        let end_of_use = self.context.start + whole;
-        let engines = sampler.mean(self.context.start + WARM_UP, end_of_use);
-        let batch = self.finish_batch(batch).await;
-        drop(watchers);
-        write_calls(&self.folder.join("online.csv"), &online);
-        write_calls(&self.folder.join("application.csv"), &application);
-        let mut account = self.account(&online, &application, &batch).await;
-        self.check_batch_stopped(&mut account).await;
-        let mut figures = latency_figures(&online, &application);
-        figures.measured_s = self.length.as_secs_f64();
-        figures.batch_items_per_second = items_per_second(&batch.samples, WARM_UP, whole);
-        figures.batch_progress = progress_points(&batch);
-        figures.engines = engines;
-        figures.gateway_cores = processors.gateways / self.length.as_secs_f64();
-        figures.replica_cores = processors.replicas / self.length.as_secs_f64();
-        figures.machine = probe.machine_load();
-        figures.account = account;
-        figures.faults = faults;
-        figures
-    }
-
-    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) -> Task<()> {
-        self.experiment.executor.spawn(task)
-    }
-
-    fn spawn_probe(&self, probe: &LatenessProbe) -> Task<()> {
-        let probe = probe.clone();
-        self.spawn(async move { probe.run().await })
-    }
-
-    fn spawn_steering(&self) -> Task<()> {
-        let steering = self.context.steering.clone();
-        let pool = self.experiment.pool.clone();
-        self.spawn(async move { steering.keep_probing(&pool).await })
-    }
-
-    fn spawn_samplers(&self, sampler: &EngineSampler) -> Vec<Task<()>> {
-        let engines = self.engine_addresses();
-        let spawn_one = |engine| {
-            let sampler = sampler.clone();
-            let pool = self.experiment.pool.clone();
-            self.spawn(async move { sampler.watch(&pool, engine).await })
-        };
-        engines.into_iter().map(spawn_one).collect()
-    }
-
-    fn spawn_online(&self, prepared: Vec<PreparedCompletion>) -> Task<Vec<LoadRecord>> {
-        let context = self.context.clone();
-        let driving = async move { drive_online(&context, prepared).await };
-        self.experiment.executor.spawn(driving)
-    }
-
-    fn spawn_application(&self, prepared: Vec<PreparedApplication>) -> Task<Vec<LoadRecord>> {
-        let context = self.context.clone();
-        let driving = async move { drive_application(&context, prepared).await };
-        self.experiment.executor.spawn(driving)
-    }
-
-    fn spawn_batch(&self, batch: &Arc<BatchLoad>, jobs: Vec<PreparedJob>) -> Task<()> {
-        let batch = batch.clone();
-        self.spawn(async move { batch.submit_all(jobs).await })
-    }
-
-    fn spawn_progress(&self, batch: &Arc<BatchLoad>) -> Task<()> {
-        let batch = batch.clone();
-        self.spawn(async move { batch.keep_watching().await })
-    }
-
-    fn spawn_faults(&self) -> Task<Option<super::faults::FaultFigures>> {
-        let with_faults = self.arm == Arm::Faults;
-        let driver = FaultDriver::new(
-            self.fleet.clone(),
-            self.experiment.pool.clone(),
-            self.context.start + WARM_UP,
-            self.length,
-        );
-        let driving = async move {
-            match with_faults {
-                true => Some(driver.run().await),
-                false => None,
-            }
-        };
-        self.experiment.executor.spawn(driving)
-    }
-
-    /// Waits for the end of the measured time and returns the processor time
-    /// that was used within it.
-    async fn processors_in_window(&self, whole: Duration) -> ProcessorSeconds {
-        Timer::at(self.context.start + WARM_UP).await;
-        let before = self.processors();
-        Timer::at(self.context.start + whole).await;
-        let after = self.processors();
-        ProcessorSeconds {
-            gateways: (after.gateways - before.gateways).max(0.0),
-            replicas: (after.replicas - before.replicas).max(0.0),
-        }
-    }
-
-    fn processors(&self) -> ProcessorSeconds {
-        let fleet = self.lock();
-        let used = |role| {
-            let nodes = fleet.nodes_of(role);
-            let processes: Vec<u32> = nodes.map(|node| node.process.id()).collect();
-            processor_seconds_of(&processes)
-        };
-        ProcessorSeconds {
-            gateways: used(Role::Gateway),
-            replicas: used(Role::Replica),
-        }
-    }
-
-    async fn finish_batch(&self, batch: Arc<BatchLoad>) -> BatchReport {
-        let drain = match self.arm {
-            Arm::Faults => FAULTS_DRAIN,
-            _ => DRAIN,
-        };
-        let deadline = Instant::now() + drain;
-        batch.finish(deadline, deadline + CANCEL_PATIENCE).await
-    }
-
-    async fn account(
-        &self,
-        online: &[LoadRecord],
-        application: &[LoadRecord],
-        batch: &BatchReport,
-    ) -> Account {
-        let executions = self.executions().await;
-        let mut account = Account::default();
-        account.add_online(&ended(online), &executions);
-        account.add_application(&ended(application), &executions);
-        for job in &batch.jobs {
-            account.add_job(job, &executions);
-        }
-        for incident in &batch.incidents {
-            account.note(incident.clone());
-        }
-        account.forgotten_runs = executions.forgotten();
-        account
-    }
-
-    /// Notes when engines still hold batch work although every job has ended.
-    async fn check_batch_stopped(&self, account: &mut Account) {
-        let engines = self.engine_addresses();
-        let deadline = Instant::now() + STOP_PATIENCE;
-        loop {
-            let left = batch_sequences(&self.experiment.pool, &engines).await;
-            if left == Some(0) {
-                return;
-            }
-            if Instant::now() >= deadline {
-                return account.note("batch work runs on after every job has ended");
-            }
-            Timer::after(RETRY_PAUSE).await;
-        }
-    }
-
-    async fn executions(&self) -> Executions {
-        let backends: Vec<SocketAddr> = {
-            let fleet = self.lock();
-            let backends = fleet.backends.iter();
-            backends.map(|backend| backend.address).collect()
-        };
-        let mut executions = Executions::default();
-        for backend in backends {
-            if let Some(log) = execution_log(&self.experiment.pool, backend).await {
-                executions.add(&log);
-            }
-        }
-        executions
-    }
-
-    fn engine_addresses(&self) -> Vec<SocketAddr> {
-        let fleet = self.lock();
-        fleet.engines().map(|engine| engine.address).collect()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Fleet> {
-        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// Processor time by role.
-struct ProcessorSeconds {
-    gateways: f64,
-    replicas: f64,
-}
-
-fn ended(records: &[LoadRecord]) -> Vec<EndedCall> {
-    let ended = records.iter().map(|record| EndedCall {
-        prompt: record.call.prompt,
-        repeatable: record.repeatable,
-        outcome: record.call.outcome.clone(),
-    });
-    ended.collect()
-}
-
-/// Times of the calls that were due within the measured time.
-fn latency_figures(online: &[LoadRecord], application: &[LoadRecord]) -> ArmFigures {
-    let measured = |record: &&LoadRecord| record.at >= WARM_UP;
-    let online: Vec<&LoadRecord> = online.iter().filter(measured).collect();
-    let first = Durations::of(online.iter().filter_map(|record| record.call.first_token));
-    let shares: Vec<f64> = (1..=CURVE_POINTS)
-        .map(|point| f64::from(point) / f64::from(CURVE_POINTS))
-        .collect();
-    let gaps = online.iter().flat_map(|record| &record.call.token_gaps);
-    let application = application.iter().filter(measured);
-    ArmFigures {
-        first_token: first.quantiles(),
-        first_token_curve_ms: first.curve(&shares),
-        online_whole: Durations::of(online.iter().map(|record| record.call.whole)).quantiles(),
-        token_gap: Durations::of(gaps.copied()).quantiles(),
-        application_whole: Durations::of(application.map(|record| record.call.whole)).quantiles(),
-        ..ArmFigures::default()
-    }
-}
-
-/// Writes every call with its intended time, for a closer look.
-fn write_calls(path: &Path, records: &[LoadRecord]) {
-    let mut text = "intended_ms,first_token_ms,whole_ms,outcome\n".to_owned();
-    for record in records {
-        let millis = |time: Duration| time.as_secs_f64() * 1e3;
-        let first = record.call.first_token.map_or(0.0, millis);
-        // Writing to a string cannot fail.
-        let _ = writeln!(
-            text,
-            "{:.1},{first:.2},{:.2},{}",
-            millis(record.at),
-            millis(record.call.whole),
-            record.call.outcome.label()
-        );
-    }
-    if let Err(error) = write_file(path, &text) {
-        eprintln!("bench: {error}");
-    }
-}
-
-fn progress_points(batch: &BatchReport) -> Vec<ProgressPoint> {
-    let points = batch.samples.iter().map(|sample| ProgressPoint {
-        at_s: sample.at.as_secs_f64(),
-        completed: sample.completed,
-    });
-    points.collect()
-}
-
-/// Runs `task` on `executor` with threads of its own until it ends.
-pub fn run_on_threads<T>(
-    executor: &Arc<Executor<'static>>,
-    threads: usize,
-    task: impl Future<Output = T>,
-) -> T {
-    let (running, ended) = async_channel::bounded::<()>(1);
-    for _ in 0..threads {
-        let executor = executor.clone();
-        let ended = ended.clone();
-        std::thread::spawn(move || {
-            // The channel closes with the run.
-            let _ = future::block_on(executor.run(ended.recv()));
-        });
-    }
-    let output = async_io::block_on(executor.run(task));
-    drop(running);
-    output
-}
--- a/crates/bench/src/run/load/caller.rs
+++ b/crates/bench/src/run/load/caller.rs
@@ -5,17 +5,13 @@
 
 use async_io::Timer;
 use futures_lite::future;
-use molespan_emulator::application::{EchoBody, echo_digest};
+use molespan_emulator::application::EchoBody;
 use molespan_emulator::engine::AnswerText;
-use molespan_engine_api::{
-    COMPLETIONS_PATH, CompletionChunk, CompletionRequest, ErrorBody, IDEMPOTENCY_KEY_HEADER,
-    REPEATABLE_HEADER, TENANT_HEADER,
-};
-use molespan_http::{
-    BodyError, ClientResponse, EventError, Method, Pool, Request, SendError, json_body, new_request,
-};
-use molespan_types::{Digest, RunOutcome, digest_of};
+use molespan_engine_api::{CompletionChunk, ErrorBody, TENANT_HEADER};
+use molespan_http::{BodyError, ClientResponse, EventError, Method, Pool, SendError, new_request};
+use molespan_types::{RunOutcome, digest_of};
 
+use super::call::{ApplicationCall, CallRecord, CompletionCall, completion_request};
 use crate::run::account::CallOutcome;
 
 /// Longest answer that is read, in bytes.
@@ -23,57 +19,6 @@
 /// A caller that has no final answer by then counts its request as lost.
 const CALLER_PATIENCE: Duration = Duration::from_secs(60);
 
-/// A streamed completion to ask for.
-#[derive(Clone, Debug)]
-pub struct CompletionCall {
-    /// Service towards a gateway, or model towards an engine.
-    pub model: String,
-    /// Prompt.
-    pub prompt: String,
-    /// Tokens of the answer.
-    pub max_tokens: u32,
-    /// Tenant of the caller.
-    pub tenant: String,
-    /// Key of a request that may not be repeated.
-    pub once_key: Option<String>,
-}
-
-/// An application call.
-#[derive(Clone, Debug)]
-pub struct ApplicationCall {
-    /// What stands before the application's own path; empty for a direct call.
-    pub prefix: String,
-    /// The application's own path.
-    pub path: String,
-    /// Body.
-    pub body: String,
-    /// Tenant of the caller.
-    pub tenant: String,
-}
-
-impl ApplicationCall {
-    /// Digest under which the back end records the run.
-    #[must_use]
-    pub fn digest(&self) -> Digest {
-        echo_digest("POST", &self.path, self.body.as_bytes())
-    }
-}
-
-/// A call that ended. Times count from the intended time of the call.
-#[derive(Clone, Debug)]
-pub struct CallRecord {
-    /// Digest under which the back ends record the run.
-    pub prompt: Digest,
-    /// When the first token came, for completions.
-    pub first_token: Option<Duration>,
-    /// When the end came.
-    pub whole: Duration,
-    /// Gaps between tokens.
-    pub token_gaps: Vec<Duration>,
-    /// How it ended.
-    pub outcome: CallOutcome,
-}
-
 /// What a stream brought so far.
 #[derive(Default)]
 struct StreamProgress {
@@ -212,24 +157,6 @@
     }
 }
 
-/// The HTTP request of a completion.
-fn completion_request(address: SocketAddr, call: &CompletionCall) -> Result<Request, SendError> {
-    let mut request = new_request(Method::Post, address, COMPLETIONS_PATH)?;
-    request.insert_header(TENANT_HEADER, &call.tenant);
-    if let Some(key) = &call.once_key {
-        request.insert_header(REPEATABLE_HEADER, "false");
-        request.insert_header(IDEMPOTENCY_KEY_HEADER, key);
-    }
-    request.set_body(json_body(&CompletionRequest {
-        model: call.model.clone(),
-        prompt: call.prompt.clone(),
-        max_tokens: call.max_tokens,
-        stream: true,
-        adapter: None,
-    }));
-    Ok(request)
-}
-
 /// Checks one event of a stream: the next token of the right answer, or a
 /// typed error that ends the stream.
 fn check_event(
--- a/crates/bench/src/run/load/mod.rs
+++ b/crates/bench/src/run/load/mod.rs
@@ -1,6 +1,7 @@
 //! The load: arrival times, prompts and the callers.
 
 pub mod batch;
+pub mod call;
 pub mod caller;
 pub mod job_client;
 pub mod online;
--- a/crates/bench/src/run/load/online.rs
+++ b/crates/bench/src/run/load/online.rs
@@ -6,7 +6,8 @@
 use async_executor::Executor;
 use async_io::Timer;
 
-use super::caller::{ApplicationCall, CallRecord, Caller, CompletionCall};
+use super::call::{ApplicationCall, CallRecord, CompletionCall};
+use super::caller::Caller;
 use super::prompts::Prompts;
 use super::schedule::{ApplicationArrival, OnlineArrival, OnlineKind};
 use super::steering::Steering;
--- a/crates/bench/src/run/mod.rs
+++ b/crates/bench/src/run/mod.rs
@@ -4,6 +4,8 @@
 //! all arms of a run are run one after the other on the same machine.
 
 pub mod account;
+mod arm_figures;
+mod arm_run;
 pub mod arms;
 pub mod direct;
 pub mod experiment;
@@ -14,6 +16,7 @@
 pub mod measure;
 pub mod profile;
 pub mod report;
+mod threads;
 
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -23,11 +26,12 @@
 use molespan_http::{Pool, PoolLimits};
 
 use self::arms::Arm;
-use self::experiment::{Experiment, run_on_threads};
+use self::experiment::Experiment;
 use self::figures::RunFigures;
 use self::fleet::create_folder;
 use self::fleet::programs::Programs;
 use self::profile::Profile;
+use self::threads::run_on_threads;
 use crate::BenchError;
 
 /// Measured seconds of an arm when not given; a whole run then takes about
