Reserve the nodes' ports until the relays have theirs

Cause: a relay took a port that had been found free for a node a moment before, and the node's settings were refused (two addresses equal). Ports of nodes now lie outside the range of outgoing connections and are held until every relay is bound.

--- a/crates/bench/src/run/fleet/layout.rs
+++ b/crates/bench/src/run/fleet/layout.rs
@@ -14,6 +14,11 @@
 const FIRST_REPLICA: u32 = 1;
 /// Number of the first gateway; the others follow, one in each zone.
 const FIRST_GATEWAY: u32 = 11;
+/// Ports of nodes.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+/// Distance between the first ports that processes with neighbouring numbers
+/// try, so that runs side by side seldom meet.
+const PORT_STRIDE: usize = 97;
 /// Requests a second that the one tenant of the load may send.
 const TENANT_RATE: u32 = 100_000;
 
@@ -34,16 +39,41 @@
     pub internal: SocketAddr,
 }
 
-/// Ports that were free just now, in no particular order.
+/// Addresses that are held until they are given up to the nodes.
 ///
-/// # Errors
-///
-/// When the system has none left.
-pub fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
-    let bind = |_| TcpListener::bind(("127.0.0.1", 0));
-    // All are held until the last is found, so that no two are equal.
-    let listeners: Vec<_> = (0..count).map(bind).collect::<io::Result<_>>()?;
-    listeners.iter().map(TcpListener::local_addr).collect()
+/// The ports lie below those that the system gives to outgoing connections, so
+/// that a node which is started again finds its own free.
+#[derive(Debug)]
+pub struct ReservedAddresses {
+    listeners: Vec<TcpListener>,
+}
+
+impl ReservedAddresses {
+    /// Reserves `count` addresses of the loopback.
+    ///
+    /// # Errors
+    ///
+    /// When there are not so many free ports.
+    pub fn new(count: usize) -> io::Result<Self> {
+        let ports = PORTS.len();
+        let first = std::process::id() as usize * PORT_STRIDE % ports;
+        let candidates = (0..ports).map(|step| PORTS.start + ((first + step) % ports) as u16);
+        let free = candidates.filter_map(|port| TcpListener::bind(("127.0.0.1", port)).ok());
+        let listeners: Vec<_> = free.take(count).collect();
+        match listeners.len() == count {
+            true => Ok(Self { listeners }),
+            false => Err(io::ErrorKind::AddrNotAvailable.into()),
+        }
+    }
+
+    /// The addresses.
+    ///
+    /// # Errors
+    ///
+    /// When the system does not tell one.
+    pub fn addresses(&self) -> io::Result<Vec<SocketAddr>> {
+        self.listeners.iter().map(TcpListener::local_addr).collect()
+    }
 }
 
 /// A replica and a gateway in each zone, at `addresses`, two for each node.
--- a/crates/bench/src/run/fleet/mod.rs
+++ b/crates/bench/src/run/fleet/mod.rs
@@ -16,7 +16,7 @@
 use molespan_settings::Role;
 
 use self::backends::{Backend, BackendStarter};
-use self::layout::{NodePlace, SettingsContext, free_addresses, node_places, node_settings};
+use self::layout::{NodePlace, ReservedAddresses, SettingsContext, node_places, node_settings};
 use self::network::ZoneNetwork;
 use self::process::{Process, Signal};
 use self::programs::Programs;
@@ -175,12 +175,14 @@
         weights: SocketAddr,
     ) -> Result<(), BenchError> {
         let zones = profile.fleet.zones.len();
-        let addresses = free_addresses(zones * NODES_PER_ZONE * ADDRESSES_PER_NODE)
-            .map_err(|source| BenchError::Address { source })?;
-        let places = node_places(zones, &addresses);
+        let no_address = |source| BenchError::Address { source };
+        let count = zones * NODES_PER_ZONE * ADDRESSES_PER_NODE;
+        let reserved = ReservedAddresses::new(count).map_err(no_address)?;
+        let places = node_places(zones, &reserved.addresses().map_err(no_address)?);
         for place in &places {
             self.network.expose(place.internal, place.zone)?;
         }
+        drop(reserved);
         let folder = self.folder.clone();
         let platforms = self.platforms.clone();
         let context = SettingsContext {
--- a/crates/bench/tests/fleet.rs
+++ b/crates/bench/tests/fleet.rs
@@ -6,7 +6,7 @@
 use expect_test::expect;
 use molespan_bench::run::arms::{Arm, Variant};
 use molespan_bench::run::fleet::layout::{
-    NodePlace, SettingsContext, free_addresses, node_places, node_settings,
+    NodePlace, ReservedAddresses, SettingsContext, node_places, node_settings,
 };
 use molespan_bench::run::fleet::operator::set_up_intent;
 use molespan_bench::run::profile::Profile;
@@ -108,11 +108,14 @@
 }
 
 #[test]
-fn free_addresses_differ() {
-    let mut addresses = free_addresses(16).expect("the system has free ports");
+fn reserved_addresses_differ_and_are_held() {
+    let first = ReservedAddresses::new(16).expect("the system has free ports");
+    let second = ReservedAddresses::new(16).expect("the system has free ports");
+    let mut addresses = first.addresses().expect("bound addresses");
+    addresses.extend(second.addresses().expect("bound addresses"));
     addresses.sort();
     addresses.dedup();
-    assert_eq!(addresses.len(), 16);
+    assert_eq!(addresses.len(), 32);
 }
 
 #[test]
