Let a prefix outweigh load by the time that it saves

Cause: a burst brings several requests for one album at once. Its holder was passed over as soon as it had 2 requests more than the least, and the album was processed anew elsewhere, which costs as much as ten short requests.

Change: a holder may have a request more for each 8 blocks that it holds (128 tokens take about as long as a short prompt).

--- a/crates/routing/src/pick/mod.rs
+++ b/crates/routing/src/pick/mod.rs
@@ -42,10 +42,13 @@
     /// By how much a remote engine's load per limit must be lower to be used.
     pub spill_margin: f64,
     /// An engine with the prompt's prefix is taken if its load is at most the
-    /// least load times this factor, plus the slack.
+    /// least load times this factor, plus the slack, plus a request for each so
+    /// many blocks that it holds.
     pub affinity_factor: f64,
     /// Slack of that rule, in requests.
     pub affinity_slack: f64,
+    /// Blocks that take as long to process as a request more delays another.
+    pub affinity_blocks_per_request: f64,
     /// An engine of another zone is taken for the prompt's prefix if it holds
     /// this many blocks more than the best of the own zone: processing them
     /// must take longer than the way there.
@@ -66,6 +69,7 @@
             spill_margin: 0.25,
             affinity_factor: 1.25,
             affinity_slack: 2.0,
+            affinity_blocks_per_request: 8.0,
             remote_affinity_blocks: 24,
             report_valid_for: Duration::from_secs(2),
             limit: LimitSettings::default(),
--- a/crates/routing/src/pick/policy.rs
+++ b/crates/routing/src/pick/policy.rs
@@ -133,9 +133,9 @@
     spilled: bool,
     settings: &PickSettings,
 ) -> Option<Pick> {
-    let most = least_load(open) * settings.affinity_factor + settings.affinity_slack;
-    let here = longest_holding(open, most, prefixes, hashes);
-    let there = longest_holding(elsewhere, most, prefixes, hashes);
+    let least = least_load(open);
+    let here = longest_holding(open, least, prefixes, hashes, settings);
+    let there = longest_holding(elsewhere, least, prefixes, hashes, settings);
     let enough = here.map_or(0, |here| here.blocks) + settings.remote_affinity_blocks;
     let there = there.filter(|there| there.blocks >= enough);
     let chosen = there.or(here)?;
@@ -146,22 +146,26 @@
 
 fn longest_holding<'a>(
     engines: &[Open<'a>],
-    most_load: f64,
+    least_load: f64,
     prefixes: &mut PrefixIndex,
     hashes: &[u64],
+    settings: &PickSettings,
 ) -> Option<Holding<'a>> {
-    let near: Vec<&Open<'_>> = engines
-        .iter()
-        .filter(|engine| engine.load <= most_load)
-        .collect();
-    let is_near = |backend| near.iter().any(|engine| engine.backend == backend);
-    let holders = prefixes.longest_match(hashes, is_near)?;
-    let engine = near
+    let is_near = |engine: &Open<'_>, blocks: u32| {
+        let bound = least_load * settings.affinity_factor + settings.affinity_slack;
+        engine.load <= bound + f64::from(blocks) / settings.affinity_blocks_per_request
+    };
+    let is_usable = |backend, blocks| {
+        let engine = engines.iter().find(|engine| engine.backend == backend);
+        engine.is_some_and(|engine| is_near(engine, blocks))
+    };
+    let holders = prefixes.longest_match(hashes, is_usable)?;
+    let engine = engines
         .iter()
-        .filter(|engine| holders.contains(engine.backend))
+        .filter(|engine| holders.contains(engine.backend) && is_near(engine, holders.blocks))
         .min_by(|a, b| a.load.total_cmp(&b.load))?;
     Some(Holding {
-        engine: **engine,
+        engine: *engine,
         blocks: holders.blocks,
     })
 }
--- a/crates/routing/src/pick/prefix.rs
+++ b/crates/routing/src/pick/prefix.rs
@@ -122,17 +122,23 @@
     }
 
     /// The longest of `hashes`, shortest first, that some engine holds for
-    /// which `usable` says yes.
+    /// which `usable` says yes, given that many blocks.
     pub(super) fn longest_match(
         &mut self,
         hashes: &[u64],
-        usable: impl Fn(BackendId) -> bool,
+        usable: impl Fn(BackendId, u32) -> bool,
     ) -> Option<PrefixMatch<'_>> {
         let engines = &self.engines;
-        let serves = |holder: &Holder| usable(holder.backend) && is_current(engines, holder);
-        let position = hashes.iter().rposition(|hash| {
+        let mut leading = hashes.iter().enumerate();
+        let (position, _) = leading.rfind(|(position, hash)| {
+            let blocks = *position as u32 + 1;
             let entry = self.entries.get(hash);
-            entry.is_some_and(|entry| entry.holders.iter().any(serves))
+            entry.is_some_and(|entry| {
+                entry
+                    .holders
+                    .iter()
+                    .any(|holder| is_current(engines, holder) && usable(holder.backend, blocks))
+            })
         })?;
         let entry = self.entries.get_mut(&hashes[position])?;
         entry.used = true;
