--- a/crates/bench/src/scale/experiments/mod.rs
+++ b/crates/bench/src/scale/experiments/mod.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod configuration;
 mod consensus;
+mod gateway;
 mod jobs;
 mod loads;
 mod membership;
@@ -136,6 +137,10 @@
         name: "restart",
         run: consensus::restart,
     },
+    Experiment {
+        name: "gateway-sockets",
+        run: gateway::engines,
+    },
     Experiment {
         name: "watch-sockets",
         run: watch::watch,
