--- a/crates/replica/src/fleet.rs
+++ b/crates/replica/src/fleet.rs
@@ -215,7 +215,8 @@
         let wants_reply = hello.wants_reply;
         let standing = hello.standing;
         let founders = hello.founders.clone();
-        let (hello_replica, hello_sequence) = (hello.replica, hello.sequence);
+        let (hello_replica, hello_session, hello_sequence) =
+            (hello.replica, hello.session, hello.sequence);
         let presence = Presence {
             at: now,
             hello,
@@ -225,7 +226,7 @@
         self.present.insert(from, presence);
         if !outdated {
             // A replica that leads no group hears of others' logs only so.
-            self.saw_sequence(hello_replica, hello_sequence);
+            self.saw_sequence(hello_replica, hello_session, hello_sequence);
             self.compare_founders(from, founders, &mut changes)?;
         }
         self.found_if_all_are_blank(now, &mut changes)?;
