--- a/crates/daemon/src/replica/feed.rs
+++ b/crates/daemon/src/replica/feed.rs
@@ -15,7 +15,7 @@
 use molespan_types::{ConfigVersion, GroupId, RunOutcome};
 use molespan_wire::{Consistency as WireConsistency, Request, Response, WatchConfiguration};
 
-use super::driver::{Call, DriverHandle};
+use super::orders::{Call, DriverHandle};
 use super::outbox::Outbox;
 
 /// Time between two reads.
