Call a replacing replica ready only once it votes

Cause: a node on an emptied disk answered /ready with 200 124 ms after its start, because it took part and knew a leader of each group, while its old life still held the votes. An operator who trusted that and lost another machine was left without a majority: by hand, a second replica killed 0.2 s later left all five groups without a leader. Ruled out: the replacement itself. Given its time it is carried out, and the loss after it is borne (process tests). Change: readiness asks for a vote of the present life, and of no earlier one, in every group. A gauge counts those groups, and the operators' page names both.

--- a/crates/daemon/src/replica/metrics.rs
+++ b/crates/daemon/src/replica/metrics.rs
@@ -10,6 +10,7 @@
     takes_part: Gauge,
     disk_full: Gauge,
     groups_led: Gauge,
+    groups_voting: Gauge,
     log_bytes: Gauge,
     log_syncs: Gauge,
     entries_applied: Gauge,
@@ -27,6 +28,7 @@
             ),
             disk_full: gauge("replica_disk_full", "Whether its disk is full (0 or 1)"),
             groups_led: gauge("replica_groups_led", "Groups that the replica leads"),
+            groups_voting: gauge("replica_groups_voting", "Groups in which the replica votes"),
             log_bytes: gauge("replica_log_bytes", "Bytes in the write-ahead log"),
             log_syncs: gauge(
                 "replica_log_syncs",
@@ -47,6 +49,7 @@
         self.takes_part.set(i64::from(status.takes_part));
         self.disk_full.set(i64::from(status.disk_full));
         self.groups_led.set(status.leads().count() as i64);
+        self.groups_voting.set(status.votes_in().count() as i64);
         self.log_bytes.set(status.log_bytes as i64);
         self.log_syncs.set(status.log_syncs as i64);
         self.entries_applied.set(applied as i64);
--- a/crates/daemon/src/replica/role.rs
+++ b/crates/daemon/src/replica/role.rs
@@ -120,13 +120,15 @@
         self.driver.status().await
     }
 
-    /// Whether the replica takes part and knows a leader of each group.
+    /// Whether the replica votes in each group and knows its leader. One that
+    /// replaces a lost disk is not ready before it bears the loss of another.
     pub async fn is_ready(&self) -> bool {
         let Some(status) = self.status().await else {
             return false;
         };
         let led = status.groups.iter().all(|group| group.leader.is_some());
-        status.takes_part && led
+        let votes = status.votes_in().count() == status.groups.len();
+        status.takes_part && led && votes
     }
 
     /// Groups that this replica leads.
--- a/crates/daemon/src/status_server.rs
+++ b/crates/daemon/src/status_server.rs
@@ -92,7 +92,7 @@
     if ready {
         return text_response(StatusCode::Ok, "ready\n");
     }
-    let message = "the replica does not take part in its groups yet";
+    let message = "the replica does not vote in every group yet, or a group has no leader";
     let status = StatusCode::ServiceUnavailable;
     let retry = Some(UNREADY_RETRY);
     error_response(status, "not-ready", message, RunOutcome::NotRun, retry)
--- a/crates/daemon/tests/replica_role.rs
+++ b/crates/daemon/tests/replica_role.rs
@@ -58,6 +58,35 @@
     });
 }
 
+#[test]
+fn a_replacement_is_ready_once_another_loss_can_be_borne() {
+    let mut replicas = Replicas::start();
+    block_on(async {
+        let (lost, next) = (NodeId(2), NodeId(3));
+        assert_eq!(replicas.confirm(NodeId(1), 0).await, confirmed(1));
+        replicas.stop(lost).await;
+        replicas.lose_disk(lost);
+        replicas.restart(lost).await;
+        eventually("the replacement is ready", || async {
+            replicas.role(lost).is_ready().await.then_some(())
+        })
+        .await;
+        let status = replicas.role(lost).status().await.expect("it runs");
+        let own_life = (status.node, status.incarnation);
+        for group in &status.groups {
+            let lives = group.voters.iter().filter(|(node, _)| *node == lost);
+            assert_eq!(
+                lives.collect::<Vec<_>>(),
+                [&own_life],
+                "group {}",
+                group.group
+            );
+        }
+        replicas.stop(next).await;
+        assert_eq!(replicas.confirm(NodeId(1), 1).await, confirmed(2));
+    });
+}
+
 #[test]
 fn a_watch_gets_a_new_configuration() {
     let replicas = Replicas::start();
--- a/crates/daemon/tests/replicas/mod.rs
+++ b/crates/daemon/tests/replicas/mod.rs
@@ -154,6 +154,12 @@
         hand_over
     }
 
+    /// Deletes the files of one that was stopped.
+    pub fn lose_disk(&self, node: NodeId) {
+        let folder = self.folders.path().join(node.to_string());
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+
     /// Starts one again that was stopped.
     pub async fn restart(&mut self, node: NodeId) {
         let peer = self.peers.iter().find(|peer| peer.node == node);
--- a/crates/replica/src/status.rs
+++ b/crates/replica/src/status.rs
@@ -55,4 +55,15 @@
         let led = self.groups.iter().filter(|group| group.leads);
         led.map(|group| group.group)
     }
+
+    /// Groups in which this life votes, and no earlier one of the node does any
+    /// more. All of them do once a lost disk is replaced.
+    pub fn votes_in(&self) -> impl Iterator<Item = GroupId> {
+        let own = (self.node, self.incarnation);
+        let votes = move |group: &&GroupStatus| {
+            let mut lives = group.voters.iter().filter(|(node, _)| *node == own.0);
+            lives.next() == Some(&own) && lives.next().is_none()
+        };
+        self.groups.iter().filter(votes).map(|group| group.group)
+    }
 }
