--- a/crates/sim/src/commands.rs
+++ b/crates/sim/src/commands.rs
@@ -6,8 +6,10 @@
 use derive_more::{Display, Error, From};
 use molespan_sim::checkers::CHECKERS;
 use molespan_sim::fault::FaultClass;
+use molespan_sim::history::Violation;
+use molespan_sim::mutation::noticed_by;
 use molespan_sim::report::{Request, failure};
-use molespan_sim::run::{Outcome, disable, has_mutants, in_order, run_scenario};
+use molespan_sim::run::{disable, has_mutants, in_order, run_scenario};
 use molespan_sim::scenario::Scenario;
 use molespan_state::explore::{ClaimModel, Exploration, LeaseModel, explore};
 use molespan_types::mechanism::Mechanism;
@@ -227,9 +229,8 @@
     let (mut passed, mut failed) = (0, 0);
     for mechanism in chosen {
         let line = match find_violation(mechanism, seeds, threads(flags.threads)) {
-            Some((seed, outcome)) => {
+            Some((seed, violation)) => {
                 passed += 1;
-                let violation = &outcome.violations[0];
                 format!("{mechanism}: found by seed {seed}: {violation}")
             }
             None => {
@@ -243,20 +244,24 @@
     Ok(failed == 0)
 }
 
-/// The first seed that fails without `mechanism`.
-fn find_violation(mechanism: Mechanism, seeds: u64, threads: usize) -> Option<(u64, Outcome)> {
+/// The first seed that passes with every mechanism on, and without `mechanism`
+/// breaks a promise that rests on it.
+fn find_violation(mechanism: Mechanism, seeds: u64, threads: usize) -> Option<(u64, Violation)> {
     let mut found = None;
     let work = |task: usize| {
-        disable(Some(mechanism));
         let seed = task as u64 + 1;
-        (seed, run_scenario(Scenario::of_seed(seed, FaultClass::ALL)))
+        let scenario = Scenario::of_seed(seed, FaultClass::ALL);
+        disable(Some(mechanism));
+        let outcome = run_scenario(scenario.clone());
+        let mut violations = outcome.violations.into_iter();
+        let violation = violations.find(|one| noticed_by(mechanism).contains(&one.checker))?;
+        disable(None);
+        let passes = run_scenario(scenario).violations.is_empty();
+        passes.then_some((seed, violation))
     };
-    in_order(seeds as usize, threads, work, |_, (seed, outcome)| {
-        if outcome.violations.is_empty() {
-            return true;
-        }
-        found = Some((seed, outcome));
-        false
+    in_order(seeds as usize, threads, work, |_, result| {
+        found = result;
+        found.is_none()
     });
     found
 }
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -19,6 +19,7 @@
 mod group_client;
 pub mod history;
 pub mod message;
+pub mod mutation;
 pub mod network;
 mod node;
 mod operator;
