--- a/crates/sim/src/checkers/online_latency.rs
+++ b/crates/sim/src/checkers/online_latency.rs
@@ -7,8 +7,8 @@
 use crate::world::World;
 
 /// Longest time to the first token: the way there and back, a step that cannot
-/// be interrupted, and the prompt's own. A batch item alone takes 600 ms.
-const FIRST_TOKEN_WITHIN: Duration = Duration::from_millis(120);
+/// be interrupted, and the prompt's own. A batch item alone takes 2 s.
+const FIRST_TOKEN_WITHIN: Duration = Duration::from_millis(100);
 
 pub(super) fn check(world: &World, findings: &mut Findings) {
     let calm = world.scenario.faults_end() + CALM_BURST_AFTER;
--- /dev/null
+++ b/crates/sim/src/fault/combination.rs
@@ -0,0 +1,140 @@
+//! Faults that are dangerous together, drawn as one.
+
+use std::time::Duration;
+
+use molespan_types::Timestamp;
+use rand::Rng;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+
+use super::{Fault, FaultClass, FaultKind, Topology};
+use crate::address::Address;
+use crate::network::{Cut, Endpoint};
+
+/// Time that the longest combination takes.
+const LONGEST: Duration = Duration::from_secs(9);
+
+/// A combination and the classes of faults that it is made of.
+struct Combination {
+    classes: &'static [FaultClass],
+    draw: fn(&mut Draw<'_>),
+}
+
+const COMBINATIONS: &[Combination] = &[
+    Combination {
+        classes: &[FaultClass::Cuts],
+        draw: cut_owner,
+    },
+    Combination {
+        classes: &[FaultClass::Cuts, FaultClass::Kills],
+        draw: restart_voter,
+    },
+    Combination {
+        classes: &[FaultClass::Cuts, FaultClass::Disks],
+        draw: lose_voter,
+    },
+];
+
+/// Draws one of the combinations whose classes are all asked for.
+#[must_use]
+pub(super) fn combination(
+    random: &mut ChaCha8Rng,
+    topology: &Topology,
+    classes: &[FaultClass],
+) -> Vec<Fault> {
+    let possible = COMBINATIONS.iter().filter(|one| {
+        let mut needed = one.classes.iter();
+        needed.all(|class| classes.contains(class))
+    });
+    let possible: Vec<&Combination> = possible.collect();
+    if possible.is_empty() {
+        return Vec::new();
+    }
+    let chosen = possible[random.random_range(0..possible.len())];
+    let last = topology.faults_end.0 - LONGEST.as_micros() as u64;
+    let begin = Timestamp(random.random_range(topology.faults_begin.0..last));
+    let mut replicas: Vec<Address> = (1..=topology.replicas).map(Address::Replica).collect();
+    replicas.shuffle(random);
+    let mut draw = Draw {
+        random,
+        topology,
+        replicas,
+        begin,
+        faults: Vec::new(),
+    };
+    (chosen.draw)(&mut draw);
+    draw.faults
+}
+
+struct Draw<'a> {
+    random: &'a mut ChaCha8Rng,
+    topology: &'a Topology,
+    /// Every replica, in any order.
+    replicas: Vec<Address>,
+    begin: Timestamp,
+    faults: Vec<Fault>,
+}
+
+impl Draw<'_> {
+    fn millis(&mut self, range: std::ops::Range<u64>) -> Duration {
+        Duration::from_millis(self.random.random_range(range))
+    }
+
+    fn add(&mut self, begins: Timestamp, length: Duration, kind: FaultKind) {
+        let ends = begins + length;
+        self.faults.push(Fault { begins, ends, kind });
+    }
+}
+
+fn both_ways(one: Endpoint, other: Endpoint) -> FaultKind {
+    let cut = |from, to| Cut { from, to };
+    FaultKind::Cut(vec![cut(one, other), cut(other, one)])
+}
+
+/// A gateway loses the replicas for longer than a lease, but not its engines.
+fn cut_owner(draw: &mut Draw<'_>) {
+    let gateway = draw.random.random_range(1..=draw.topology.gateways);
+    let gateway = Endpoint::One(Address::Gateway(gateway));
+    let length = draw.millis(5_500..8_500);
+    draw.add(draw.begin, length, both_ways(gateway, Endpoint::Replicas));
+}
+
+/// Two replicas that cannot hear each other ask for the vote of a third, which
+/// restarts again and again.
+fn restart_voter(draw: &mut Draw<'_>) {
+    let (one, other, voter) = (draw.replicas[0], draw.replicas[1], draw.replicas[2]);
+    let length = draw.millis(4_000..7_000);
+    let begin = draw.begin;
+    let cut = both_ways(Endpoint::One(one), Endpoint::One(other));
+    draw.add(begin, length, cut);
+    let mut at = begin + draw.millis(0..300);
+    while at < begin + length {
+        let down = draw.millis(1..20);
+        draw.add(at, down, FaultKind::Kill(vec![voter]));
+        at = at + down + draw.millis(100..500);
+    }
+}
+
+/// While one replica lags, another loses its disk, and then the only one with
+/// everything is cut off.
+fn lose_voter(draw: &mut Draw<'_>) {
+    let (lags, loses, whole) = (draw.replicas[0], draw.replicas[1], draw.replicas[2]);
+    let begin = draw.begin;
+    let lag = draw.millis(1_500..3_000);
+    draw.add(
+        begin,
+        lag,
+        both_ways(Endpoint::One(lags), Endpoint::Replicas),
+    );
+    let lost = begin + lag.saturating_sub(draw.millis(10..200));
+    let down = draw.millis(5..100);
+    if let Address::Replica(replica) = loses {
+        draw.add(lost, down, FaultKind::LoseDisk(replica));
+    }
+    let length = draw.millis(2_000..4_500);
+    draw.add(
+        lost,
+        length,
+        both_ways(Endpoint::One(whole), Endpoint::Replicas),
+    );
+}
--- a/crates/sim/src/fault/mod.rs
+++ b/crates/sim/src/fault/mod.rs
@@ -1,5 +1,6 @@
 //! Faults: their classes, and what each does.
 
+mod combination;
 mod schedule;
 
 use std::fmt;
--- a/crates/sim/src/fault/schedule.rs
+++ b/crates/sim/src/fault/schedule.rs
@@ -8,6 +8,7 @@
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
+use super::combination::combination;
 use super::{AnswerFault, Fault, FaultClass, FaultKind};
 use crate::address::Address;
 use crate::network::{Cut, Disturbance, Endpoint};
@@ -40,6 +41,9 @@
     pub faults_end: Timestamp,
 }
 
+/// Share of runs with a combination of faults that is dangerous as a whole.
+const WITH_COMBINATION: f64 = 0.6;
+
 /// Draws faults of `classes`, sorted by their beginning.
 #[must_use]
 pub fn schedule(
@@ -67,6 +71,9 @@
         let ends = (begins + length).min(topology.faults_end);
         faults.push(Fault { begins, ends, kind });
     }
+    if random.random_bool(WITH_COMBINATION) {
+        faults.extend(combination(random, topology, classes));
+    }
     faults.sort_by_key(|fault| fault.begins);
     faults
 }
--- a/crates/sim/src/gateway/batch.rs
+++ b/crates/sim/src/gateway/batch.rs
@@ -40,7 +40,9 @@
     /// Gives the batch owner an input and carries its outputs out.
     pub(super) fn batch_input(&mut self, context: &mut Context, input: BatchInput) {
         let now = self.now(context);
-        for output in self.batch.handle(now, input) {
+        let outputs = self.batch.handle(now, input);
+        self.timers.batch = self.batch.next_wakeup(now);
+        for output in outputs {
             self.carry_out(context, output);
         }
     }
@@ -48,7 +50,15 @@
     pub(super) fn tick_batch(&mut self, context: &mut Context) {
         let changes = self.ownership.tick(self.now(context));
         self.ownership_changed(context, changes);
-        self.batch_input(context, BatchInput::Tick);
+        // Only when it asked for it: that it acts on what arrives must not be
+        // hidden by a tick that comes soon anyway.
+        if self
+            .timers
+            .batch
+            .is_some_and(|due| due <= self.now(context))
+        {
+            self.batch_input(context, BatchInput::Tick);
+        }
         self.fetch_silent_streams(context);
     }
 
--- a/crates/sim/src/gateway/process.rs
+++ b/crates/sim/src/gateway/process.rs
@@ -69,6 +69,7 @@
     pub load: Timestamp,
     pub list: Timestamp,
     pub directory: Timestamp,
+    pub batch: Option<Timestamp>,
 }
 
 /// One life of a gateway process.
--- a/crates/sim/src/workload.rs
+++ b/crates/sim/src/workload.rs
@@ -211,14 +211,19 @@
 }
 
 fn job(random: &mut ChaCha8Rng, number: usize) -> Work {
+    let slow = random.random_bool(0.25);
     let long = random.random_bool(0.5);
     let resubmissions = random.random_range(0..3);
     Work::Job(Arc::new(JobPlan {
         tenant: format!("tenant {}", number % 2).as_str().into(),
         key: format!("job {number}"),
         service: service(random),
-        items: random.random_range(if long { 60..160 } else { 3..30 }),
-        tokens: random.random_range(if long { 20..80 } else { 2..20 }),
+        items: random.random_range(if long && !slow { 60..160 } else { 3..30 }),
+        tokens: random.random_range(match (slow, long) {
+            (true, _) => 400..900,
+            (false, true) => 20..80,
+            (false, false) => 2..20,
+        }),
         repeatable: random.random_bool(0.6),
         cancel_after: random
             .random_bool(0.4)
@@ -274,8 +279,8 @@
             tenant: "calm".into(),
             key: format!("calm {service}"),
             service: service.into(),
-            items: 100,
-            tokens: 120,
+            items: 40,
+            tokens: 400,
             repeatable: true,
             cancel_after: None,
             resubmit_after: Vec::new(),
