--- a/crates/bench/src/run/load/batch.rs
+++ b/crates/bench/src/run/load/batch.rs
@@ -124,11 +124,18 @@
         }
     }
 
-    /// Submits jobs at their times.
-    pub async fn submit_all(&self, jobs: Vec<PreparedJob>) {
+    /// Submits jobs at their times, without waiting for earlier ones, and
+    /// returns once every job was accepted.
+    pub async fn submit_all(self: Arc<Self>, jobs: Vec<PreparedJob>) {
+        let mut submissions = Vec::with_capacity(jobs.len());
         for job in jobs {
             Timer::at(self.context.start + job.at).await;
-            self.submit(job).await;
+            let load = self.clone();
+            let submission = async move { load.submit(job).await };
+            submissions.push(self.context.executor.spawn(submission));
+        }
+        for submission in submissions {
+            submission.await;
         }
     }
 
