Stream the decisions of replicas as those of gateways

A node without the gateway role answered only health, readiness and metrics, so that its elections and repairs stood in its log alone. The stream is one module now, which both kinds of nodes serve under /admin/events.

--- a/crates/cli/src/demo/watching.rs
+++ b/crates/cli/src/demo/watching.rs
@@ -22,7 +22,7 @@
 /// Longest time of reading; decisions go on being made.
 const LIMIT: Duration = Duration::from_secs(3);
 
-/// Counts the decisions of every gateway by kind, with an example of each.
+/// Counts the decisions of every node by kind, with an example of each.
 pub(super) async fn show_decisions(
     fleet: &DemoFleet,
     guide: &mut Guide<'_>,
@@ -30,8 +30,8 @@
 ) -> Result<(), CliError> {
     guide.chapter("Every decision could be watched");
     let mut by_kind: BTreeMap<EventKind, Vec<Event>> = BTreeMap::new();
-    for gateway in fleet.gateway_addresses() {
-        for event in read_history(&fleet.client(), gateway).await? {
+    for node in fleet.node_addresses() {
+        for event in read_history(&fleet.client(), node).await? {
             report.decisions_watched += 1;
             by_kind.entry(event.kind).or_default().push(event);
         }
@@ -46,10 +46,10 @@
     Ok(())
 }
 
-/// The events that a gateway still has.
-async fn read_history(client: &Client, gateway: SocketAddr) -> Result<Vec<Event>, CliError> {
+/// The events that a node still has.
+async fn read_history(client: &Client, node: SocketAddr) -> Result<Vec<Event>, CliError> {
     let call = Call::get(EVENTS_PATH).query("history", HISTORY);
-    let mut stream = client.send_to(gateway, &call).await?.events();
+    let mut stream = client.send_to(node, &call).await?.events();
     let mut events = Vec::new();
     let mut limit = Timer::after(LIMIT);
     loop {
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -106,7 +106,8 @@
             }
         }
 
-        /// Follows the decisions of every given gateway as they are made.
+        /// Follows the decisions of every given node as they are made. Replicas
+        /// tell of leaders and repairs, gateways of everything else.
         cmd watch {
             /// Only this kind, such as route, refuse, preempt or place.
             repeated --kind kind: String
--- a/crates/cli/tests/fleet_contract.rs
+++ b/crates/cli/tests/fleet_contract.rs
@@ -89,6 +89,7 @@
     show_every_kind(&session);
     run_a_job(&session, folder.path());
     watch(&session);
+    watch_a_replica(&fleet, folder.path());
     check_metrics(&fleet);
 }
 
@@ -181,6 +182,28 @@
     );
 }
 
+/// A replica tells who leads.
+fn watch_a_replica(fleet: &DemoFleet, folder: &Path) {
+    let replica = fleet.node_addresses()[0].to_string();
+    let line = [
+        "watch",
+        "--kind",
+        "replication",
+        "--subject",
+        "group 0",
+        "--history",
+        "1000",
+        "--count",
+        "1",
+        "--gateway",
+        &replica,
+    ];
+    let output = molespan(folder, &line);
+    let printed = text(&output.stdout);
+    assert_eq!(output.status.code(), Some(0), "{printed}");
+    assert!(printed.contains("leads"), "{printed}");
+}
+
 fn watch(session: &Session<'_>) {
     let printed = session.succeed("watch --kind plan --kind job --history 100000 --count 3");
     assert!(printed.contains("intent 9"), "{printed}");
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cluster;
 mod error;
+mod event_stream;
 mod folder_lock;
 pub mod gateway;
 pub mod incarnation;
--- a/crates/daemon/src/status_server.rs
+++ b/crates/daemon/src/status_server.rs
@@ -1,17 +1,19 @@
-//! Health, readiness and metrics of a node that is no gateway.
+//! Health, readiness, metrics and decisions of a node that is no gateway.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use async_executor::{Executor, Task};
 use molespan_http::{
     Method, Request, Response, Server, ServerError, ServerHandle, ServerLimits, StatusCode,
     error_response, text_response,
 };
-use molespan_telemetry::{METRICS_CONTENT_TYPE, Metrics};
+use molespan_telemetry::{EventBuffer, METRICS_CONTENT_TYPE, Metrics};
 use molespan_types::RunOutcome;
 
+use crate::event_stream::{EVENTS_PATH, EventQuery, watch};
 use crate::replica::ReplicaRole;
 
 /// When to come back to a node that is not ready.
@@ -19,14 +21,35 @@
 /// Longest time for open requests at a stop.
 const FINISH_WITHIN: Duration = Duration::from_secs(1);
 
+/// What a status server shows.
+#[derive(Clone, Debug)]
+pub(crate) struct Shown {
+    /// The replica role, if the node has it.
+    pub replica: Option<Arc<ReplicaRole>>,
+    /// Metrics of the process.
+    pub metrics: Metrics,
+    /// Its decisions.
+    pub events: EventBuffer,
+}
+
 /// A running status server.
 #[derive(Debug)]
 pub(crate) struct StatusServer {
     address: SocketAddr,
     handle: ServerHandle,
+    /// Closed to end the streams of watchers.
+    stop: Sender<()>,
     _serving: Task<()>,
 }
 
+/// What answers the requests of a status server.
+#[derive(Clone, Debug)]
+struct StatusHandler {
+    shown: Shown,
+    executor: Arc<Executor<'static>>,
+    stopping: Receiver<()>,
+}
+
 impl StatusServer {
     /// Serves on `address`.
     ///
@@ -35,20 +58,26 @@
     pub fn start(
         address: SocketAddr,
         executor: &Arc<Executor<'static>>,
-        replica: Option<Arc<ReplicaRole>>,
-        metrics: Metrics,
+        shown: Shown,
     ) -> Result<Self, ServerError> {
         let server = Server::bind(address, ServerLimits::default())?;
         let address = server.local_address();
         let handle = server.handle();
+        let (stop, stopping) = async_channel::bounded(1);
+        let handler = StatusHandler {
+            shown,
+            executor: executor.clone(),
+            stopping,
+        };
         let answer = move |request: Request| {
-            let (replica, metrics) = (replica.clone(), metrics.clone());
-            async move { answer(&request, replica.as_deref(), &metrics).await }
+            let handler = handler.clone();
+            async move { handler.answer(&request).await }
         };
         let serving = executor.spawn(server.serve(executor.clone(), answer));
         Ok(Self {
             address,
             handle,
+            stop,
             _serving: serving,
         })
     }
@@ -60,28 +89,47 @@
 
     /// Stops serving.
     pub async fn stop(&self) {
+        self.stop.close();
         self.handle.shutdown(Duration::ZERO, FINISH_WITHIN).await;
     }
 }
 
-async fn answer(request: &Request, replica: Option<&ReplicaRole>, metrics: &Metrics) -> Response {
-    if request.method() != Method::Get {
-        let message = "a node without the gateway role answers only GET";
-        return refuse(StatusCode::MethodNotAllowed, "method-not-allowed", message);
-    }
-    match request.url().path() {
-        "/health" => text_response(StatusCode::Ok, "alive\n"),
-        "/ready" => ready(replica).await,
-        "/metrics" => {
-            let mut response = text_response(StatusCode::Ok, metrics.encode());
-            response.insert_header("content-type", METRICS_CONTENT_TYPE);
-            response
+impl StatusHandler {
+    async fn answer(&self, request: &Request) -> Response {
+        if request.method() != Method::Get {
+            let message = "a node without the gateway role answers only GET";
+            return refuse(StatusCode::MethodNotAllowed, "method-not-allowed", message);
         }
-        _ => {
-            let message = "a node without the gateway role serves /health, /ready and /metrics";
-            refuse(StatusCode::NotFound, "not-found", message)
+        match request.url().path() {
+            "/health" => text_response(StatusCode::Ok, "alive\n"),
+            "/ready" => ready(self.shown.replica.as_deref()).await,
+            "/metrics" => {
+                let mut response = text_response(StatusCode::Ok, self.shown.metrics.encode());
+                response.insert_header("content-type", METRICS_CONTENT_TYPE);
+                response
+            }
+            EVENTS_PATH => self.events(request),
+            _ => {
+                let message = "a node without the gateway role serves /health, /ready, /metrics \
+                               and /admin/events";
+                refuse(StatusCode::NotFound, "not-found", message)
+            }
         }
     }
+
+    fn events(&self, request: &Request) -> Response {
+        let query = match EventQuery::read(request) {
+            Ok(query) => query,
+            Err(message) => return refuse(StatusCode::BadRequest, "bad_query", &message),
+        };
+        let stopping = self.stopping.clone();
+        let stopping = async move {
+            let _closed = stopping.recv().await;
+        };
+        let (response, work) = watch(&self.shown.events, query, stopping);
+        self.executor.spawn(work).detach();
+        response
+    }
 }
 
 async fn ready(replica: Option<&ReplicaRole>) -> Response {
