--- a/crates/consensus/src/explore/action.rs
+++ b/crates/consensus/src/explore/action.rs
@@ -31,4 +31,10 @@
     /// A replica stops, loses what is not synced, and starts again.
     #[display("restart {_0}")]
     Restart(ReplicaId),
+    /// A replica is lost with its disk.
+    #[display("lose {_0}")]
+    Lose(ReplicaId),
+    /// A leader is told to replace the last voter by the learner.
+    #[display("replace on {_0}")]
+    Replace(ReplicaId),
 }
--- a/crates/consensus/src/explore/mod.rs
+++ b/crates/consensus/src/explore/mod.rs
@@ -8,6 +8,8 @@
 
 mod action;
 mod check;
+mod node;
+mod start;
 mod world;
 
 use std::collections::HashSet;
@@ -23,6 +25,9 @@
     Fresh,
     /// Replica 1 leads, and every replica has stored its first entry.
     Led,
+    /// As before, and a new replica has caught up as a learner. The leader may
+    /// put it in the place of the last voter, which is still there.
+    Repairing,
 }
 
 /// How far a search goes. Each number counts over one whole path.
@@ -30,7 +35,7 @@
 pub struct Bounds {
     /// Where the search starts.
     pub start: Start,
-    /// Replicas of the group, all of them voters.
+    /// Replicas of the group, all of them voters at first.
     pub replicas: u64,
     /// Ticks, each of which is an election timeout or a heartbeat.
     pub ticks: u32,
@@ -40,6 +45,8 @@
     pub restarts: u32,
     /// Messages delivered twice.
     pub repetitions: u32,
+    /// Replicas that are lost with their disks.
+    pub losses: u32,
     /// Whether a sync is a step of its own, so that others come between a write
     /// and its sync.
     pub slow_disk: bool,
@@ -63,6 +70,7 @@
             proposals: 0,
             restarts: 1,
             repetitions: 0,
+            losses: 0,
             slow_disk: true,
             pre_vote: false,
             max_in_flight: 4,
--- /dev/null
+++ b/crates/consensus/src/explore/start.rs
@@ -0,0 +1,67 @@
+//! The ways to the states where a search may start.
+
+use super::check::Invariant;
+use super::node::Node;
+use super::world::World;
+use super::{Action, Start};
+use crate::{MembershipChange, Persisted, ReplicaId};
+
+impl World {
+    /// Goes to the start that the bounds ask for.
+    pub(super) fn prepare(&mut self) -> Result<(), Invariant> {
+        match self.bounds.start {
+            Start::Fresh => Ok(()),
+            Start::Led => self.without_faults(Self::elect_first),
+            Start::Repairing => self.without_faults(|world| {
+                world.elect_first()?;
+                world.begin_repair()
+            }),
+        }
+    }
+
+    /// Prepares the start with quick disks and a network that loses nothing.
+    fn without_faults(
+        &mut self,
+        prepare: impl FnOnce(&mut Self) -> Result<(), Invariant>,
+    ) -> Result<(), Invariant> {
+        let (budget, bounds) = (self.budget, self.bounds);
+        self.budget.ticks = 1;
+        self.bounds.slow_disk = false;
+        self.bounds.max_in_flight = usize::MAX;
+        prepare(self)?;
+        (self.budget, self.bounds) = (budget, bounds);
+        Ok(())
+    }
+
+    /// Lets replica 1 win an election.
+    fn elect_first(&mut self) -> Result<(), Invariant> {
+        self.act(&Action::Tick(ReplicaId(1)))?;
+        self.deliver_all()
+    }
+
+    /// Adds a learner that catches up.
+    fn begin_repair(&mut self) -> Result<(), Invariant> {
+        let (_, learner) = self.repaired();
+        let blank = Node::start(learner, Persisted::default(), self.bounds.pre_vote)?;
+        self.nodes.insert(learner, blank);
+        let add = MembershipChange::AddLearner(learner);
+        let added = self.node(ReplicaId(1)).replica.change_membership(add);
+        debug_assert!(added.is_ok(), "the first leader is undisturbed");
+        self.work(ReplicaId(1))?;
+        self.deliver_all()
+    }
+
+    /// The voter that goes, and the learner that shall take its place.
+    pub(super) fn repaired(&self) -> (ReplicaId, ReplicaId) {
+        let voters = self.bounds.replicas;
+        (ReplicaId(voters), ReplicaId(voters + 1))
+    }
+
+    fn deliver_all(&mut self) -> Result<(), Invariant> {
+        while let Some(envelope) = self.network.first() {
+            let arrival = envelope.arrival(false);
+            self.act(&arrival)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/consensus/tests/explore.rs
+++ b/crates/consensus/tests/explore.rs
@@ -43,6 +43,33 @@
     });
 }
 
+#[test]
+fn replacement_holds_when_the_old_voter_stands_for_election() {
+    assert_holds(&Bounds {
+        start: Start::Repairing,
+        restarts: 0,
+        slow_disk: false,
+        pre_vote: true,
+        max_in_flight: 5,
+        max_depth: 10,
+        ..Bounds::default()
+    });
+}
+
+#[test]
+fn replacement_holds_when_a_disk_is_lost_right_after_it() {
+    assert_holds(&Bounds {
+        start: Start::Repairing,
+        ticks: 1,
+        restarts: 1,
+        losses: 1,
+        slow_disk: false,
+        max_in_flight: 3,
+        max_depth: 10,
+        ..Bounds::default()
+    });
+}
+
 #[test]
 fn exploration_stops_at_its_bound() {
     let bounds = Bounds {
