Let the demo's gateways own engines sooner, and send its online requests while items run

Cause: a job of the demo took 5.4 s, of which its items ran for half a second. Gateways of a new cluster own an engine one owner lease (3 s) after the first heartbeats, so the online requests that were said to run beside the job came before any of its items. Change: the demo's heartbeat is 250 ms and its owner lease 1 s, its items are longer, and the requests wait until engines hold items.

--- a/crates/cli/src/commands/jobs/view.rs
+++ b/crates/cli/src/commands/jobs/view.rs
@@ -25,6 +25,9 @@
     /// Non-repeatable items whose answer is lost.
     #[serde(default)]
     pub(crate) unknown: u32,
+    /// Items that engines hold now.
+    #[serde(default)]
+    pub(crate) leased: u32,
     /// Whatever else the gateway says.
     #[serde(flatten)]
     rest: Map<String, Value>,
--- a/crates/cli/src/demo/batch.rs
+++ b/crates/cli/src/demo/batch.rs
@@ -1,8 +1,9 @@
 //! A batch job: submission, replay, online work beside it, results.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use async_io::Timer;
 use molespan_emulator::expected_answer;
 use serde::Deserialize;
 use serde_json::json;
@@ -19,13 +20,17 @@
 /// Items of the job.
 const ITEMS: u32 = 200;
 /// Tokens of each item's answer.
-const TOKENS: u32 = 48;
+const TOKENS: u32 = 128;
 /// Key of the job.
 const KEY: &str = "memorial-display";
 /// Tenant that submits it.
 const TENANT: &str = "hall-1";
 /// Code of a refusal because the key names another job.
 const KEY_CONFLICT: &str = "key_conflict";
+/// Longest time until engines run items.
+const START_LIMIT: Duration = Duration::from_secs(30);
+/// Time between two looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 /// Online requests that are sent while it runs.
 const ONLINE_REQUESTS: u32 = 20;
 
@@ -46,6 +51,7 @@
     guide.chapter("A clerk submits a batch job, and callers keep coming");
     let started = Instant::now();
     let job = submit(fleet, guide, report).await?;
+    wait_until_it_runs(&tenant_client(fleet, 0), &job.id).await?;
     let tasks = send_all(
         fleet,
         Form::Streamed,
@@ -54,7 +60,7 @@
     );
     report.online_during_batch = count(tasks, report).await?;
     guide.say(format!(
-        "{} online requests completed while the job ran; its items gave way to them",
+        "{} online requests completed, sent while engines ran items of the job",
         report.online_during_batch
     ));
     let ended = follow(&tenant_client(fleet, 2), &job.id, guide.console()).await?;
@@ -72,6 +78,22 @@
     Ok(())
 }
 
+/// Waits until engines run items of the job.
+async fn wait_until_it_runs(client: &Client, job: &str) -> Result<(), CliError> {
+    let started = Instant::now();
+    let call = Call::get(format!("{JOBS_PATH}/{job}"));
+    loop {
+        let view: JobView = client.json(&call).await?;
+        if view.leased > 0 || view.ended_items() > 0 {
+            return Ok(());
+        }
+        if started.elapsed() > START_LIMIT {
+            return Err(CliError::Failed(format!("no engine ran an item of {job}")));
+        }
+        Timer::after(LOOK_INTERVAL).await;
+    }
+}
+
 fn tenant_client(fleet: &DemoFleet, gateway: usize) -> Client {
     fleet
         .client_of(gateway)
--- a/crates/cli/src/demo/fleet.rs
+++ b/crates/cli/src/demo/fleet.rs
@@ -30,6 +30,11 @@
 const JOB_GROUPS: u32 = 2;
 /// Threads that run the whole fleet.
 const THREADS: usize = 4;
+/// Time between two heartbeats, and length of the ownership of an engine. Both
+/// are shorter than the defaults, because a new cluster waits for one such
+/// length before its gateways own engines, lest an earlier owner is still there.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+const OWNER_LEASE: Duration = Duration::from_secs(1);
 /// Delay of the platform's machine list.
 const PLATFORM_LAG_MS: u64 = 500;
 
@@ -240,6 +245,8 @@
     settings.peers = peers.to_vec();
     settings.platform.list_address = Some(back_ends.platform_address);
     settings.platform.weight_store_address = Some(back_ends.weights_address);
+    settings.timing.heartbeat = HEARTBEAT;
+    settings.timing.owner_lease = OWNER_LEASE;
     settings.timing.drain.unready_wait = Duration::from_millis(300);
     settings.timing.drain.finish_within = Duration::from_secs(10);
     fs::write(&file, settings.to_toml())?;
