--- a/crates/sim/src/fault/combination.rs
+++ b/crates/sim/src/fault/combination.rs
@@ -9,7 +9,7 @@
 
 use super::{Fault, FaultClass, FaultKind, Topology};
 use crate::address::Address;
-use crate::network::{Cut, Endpoint};
+use crate::network::{Cut, Disturbance, Endpoint};
 
 /// Time that the longest combination takes.
 const LONGEST: Duration = Duration::from_secs(9);
@@ -26,7 +26,7 @@
         draw: cut_owner,
     },
     Combination {
-        classes: &[FaultClass::Cuts, FaultClass::Kills],
+        classes: &[FaultClass::Network, FaultClass::Cuts, FaultClass::Kills],
         draw: restart_voter,
     },
     Combination {
@@ -91,27 +91,36 @@
     FaultKind::Cut(vec![cut(one, other), cut(other, one)])
 }
 
-/// A gateway loses the replicas for longer than a lease, but not its engines.
+/// A gateway that runs long items loses the replicas for longer than a lease,
+/// but not its engines.
 fn cut_owner(draw: &mut Draw<'_>) {
     let gateway = draw.random.random_range(1..=draw.topology.gateways);
     let gateway = Endpoint::One(Address::Gateway(gateway));
-    let length = draw.millis(5_500..8_500);
-    draw.add(draw.begin, length, both_ways(gateway, Endpoint::Replicas));
+    let length = draw.millis(6_500..8_500);
+    let begin = draw.topology.long_items_at + draw.millis(200..2_500);
+    draw.add(begin, length, both_ways(gateway, Endpoint::Replicas));
 }
 
 /// Two replicas that cannot hear each other ask for the vote of a third, which
-/// restarts again and again.
+/// restarts again and again while their requests are on the way.
 fn restart_voter(draw: &mut Draw<'_>) {
     let (one, other, voter) = (draw.replicas[0], draw.replicas[1], draw.replicas[2]);
     let length = draw.millis(4_000..7_000);
     let begin = draw.begin;
     let cut = both_ways(Endpoint::One(one), Endpoint::One(other));
     draw.add(begin, length, cut);
+    let slow = Disturbance {
+        at: Endpoint::One(voter),
+        loss: 0.0,
+        duplicates: 0.0,
+        longest_delay: Duration::from_millis(200),
+    };
+    draw.add(begin, length, FaultKind::Disturb(slow));
     let mut at = begin + draw.millis(0..300);
     while at < begin + length {
         let down = draw.millis(1..20);
         draw.add(at, down, FaultKind::Kill(vec![voter]));
-        at = at + down + draw.millis(100..500);
+        at = at + down + draw.millis(150..900);
     }
 }
 
--- a/crates/sim/src/fault/schedule.rs
+++ b/crates/sim/src/fault/schedule.rs
@@ -37,6 +37,8 @@
     pub zones: u32,
     /// First fault at the earliest.
     pub faults_begin: Timestamp,
+    /// When a job with long items is submitted, which is cancelled later.
+    pub long_items_at: Timestamp,
     /// Every fault has ended by then.
     pub faults_end: Timestamp,
 }
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -32,6 +32,8 @@
 const BEGIN: Timestamp = Timestamp::from_millis(4_000);
 /// Last fault.
 const FAULTS_END: Timestamp = Timestamp::from_millis(22_000);
+/// The job with long items is submitted before that.
+const LONG_ITEMS_UNTIL: Timestamp = Timestamp::from_millis(10_000);
 /// Zones.
 const ZONES: u32 = 3;
 /// Slowest and fastest clock, in thousandths. A lease holder stops at 0.6 of
@@ -66,9 +68,10 @@
             engines: 4,
             zones: ZONES,
             faults_begin: BEGIN,
+            long_items_at: Timestamp(random.random_range(BEGIN.0..LONG_ITEMS_UNTIL.0)),
             faults_end: FAULTS_END,
         };
-        let work = workload(&mut random, BEGIN, FAULTS_END, topology.engines);
+        let work = workload(&mut random, &topology);
         let mut random = ChaCha8Rng::seed_from_u64(seed ^ u64::MAX);
         let clocks = topology.replicas + topology.gateways;
         let clock_rates = (0..clocks).map(|_| random.random_range(CLOCK_RATES));
--- a/crates/sim/src/workload.rs
+++ b/crates/sim/src/workload.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::fault::Topology;
 use crate::scenario::{CALM_BURST_AFTER, CALM_JOB_AFTER, SERVICES};
 
 /// Jobs during the faults.
@@ -167,14 +168,11 @@
     pub work: Work,
 }
 
-/// Draws the work of a run with faults between `begin` and `end`.
+/// Draws the work of a run.
 #[must_use]
-pub fn workload(
-    random: &mut ChaCha8Rng,
-    begin: Timestamp,
-    end: Timestamp,
-    engines: u32,
-) -> Vec<PlannedWork> {
+pub fn workload(random: &mut ChaCha8Rng, topology: &Topology) -> Vec<PlannedWork> {
+    let (begin, end) = (topology.faults_begin, topology.faults_end);
+    let engines = topology.engines;
     let mut work = Vec::new();
     let mut add = |begins: Timestamp, one: Work| {
         work.push(PlannedWork { begins, work: one });
@@ -182,6 +180,7 @@
     for number in 0..random.random_range(JOBS) {
         add(draw_time(random, begin, end), job(random, number));
     }
+    add(topology.long_items_at, job_with_long_items(random));
     for number in 0..random.random_range(ONLINE) {
         add(draw_time(random, begin, end), online(random, number));
     }
@@ -234,6 +233,20 @@
     }))
 }
 
+/// Engines take longer for an item of it than half a lease.
+fn job_with_long_items(random: &mut ChaCha8Rng) -> Work {
+    Work::Job(Arc::new(JobPlan {
+        tenant: "tenant 0".into(),
+        key: "long items".to_owned(),
+        service: SERVICES[0].into(),
+        items: random.random_range(30..60),
+        tokens: random.random_range(500..900),
+        repeatable: true,
+        cancel_after: Some(Duration::from_millis(random.random_range(1_500..4_000))),
+        resubmit_after: Vec::new(),
+    }))
+}
+
 fn online(random: &mut ChaCha8Rng, number: usize) -> Work {
     let non_repeatable = random.random_bool(0.4);
     Work::Online(Arc::new(OnlinePlan {
