--- /dev/null
+++ b/crates/sim/tests/seeds.rs
@@ -0,0 +1,71 @@
+//! A fixed set of seeds under every class of faults, and what a run rests on.
+
+use molespan_sim::fault::FaultClass;
+use molespan_sim::history::Violation;
+use molespan_sim::run::{in_order, run_scenario};
+use molespan_sim::scenario::Scenario;
+use molespan_sim::shrink::shrink;
+
+/// Seeds with every class at once.
+const SEEDS: u64 = 100;
+/// Seeds with one class alone.
+const SEEDS_OF_ONE_CLASS: u64 = 2;
+const THREADS: usize = 4;
+
+/// Violations of seeds from 1 on, each with its seed.
+fn violations(seeds: u64, classes: &[FaultClass]) -> Vec<(u64, Violation)> {
+    let mut found = Vec::new();
+    let work = |task: usize| {
+        let seed = task as u64 + 1;
+        (seed, run_scenario(Scenario::of_seed(seed, classes)))
+    };
+    in_order(seeds as usize, THREADS, work, |_, (seed, outcome)| {
+        found.extend(outcome.violations.into_iter().map(|one| (seed, one)));
+        true
+    });
+    found
+}
+
+#[test]
+fn every_promise_holds_under_all_faults() {
+    assert_eq!(violations(SEEDS, FaultClass::ALL), Vec::new());
+}
+
+#[test]
+fn every_promise_holds_under_each_class_alone() {
+    for class in FaultClass::ALL {
+        let found = violations(SEEDS_OF_ONE_CLASS, &[*class]);
+        assert_eq!(found, Vec::new(), "faults of class {class}");
+    }
+}
+
+#[test]
+fn every_promise_holds_without_faults() {
+    assert_eq!(violations(SEEDS_OF_ONE_CLASS, &[]), Vec::new());
+}
+
+#[test]
+fn a_seed_decides_a_run() {
+    let run = || run_scenario(Scenario::of_seed(7, FaultClass::ALL));
+    let first = run();
+    assert!(!first.notes.is_empty());
+    assert_eq!(first, run());
+}
+
+#[test]
+fn a_run_that_passes_shrinks_to_itself() {
+    let scenario = Scenario::of_seed(3, &[]);
+    let mut small = scenario.clone().only(Some(&[]), Some(&[0, 1]));
+    small.work.truncate(2);
+    let shrunk = shrink(&small, "exactly-once");
+    assert_eq!(shrunk.faults, Vec::<usize>::new());
+    assert_eq!(shrunk.work, vec![0, 1]);
+}
+
+#[test]
+fn classes_are_known_by_their_names() {
+    for class in FaultClass::ALL {
+        assert_eq!(FaultClass::parse(&class.to_string()), Some(*class));
+    }
+    assert_eq!(FaultClass::parse("weather"), None);
+}
