--- a/crates/bench/src/run/fleet/mod.rs
+++ b/crates/bench/src/run/fleet/mod.rs
@@ -11,13 +11,12 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
-use std::time::Duration;
 
 use molespan_engine_api::{Machine, MachineKind};
 use molespan_settings::Role;
 
 use self::backends::{Backend, BackendStarter};
-use self::layout::{NodePlace, SettingsContext, free_addresses, node_places, node_settings};
+use self::layout::{NodePlace, ReservedAddresses, SettingsContext, node_places, node_settings};
 use self::network::ZoneNetwork;
 use self::process::{Process, Signal};
 use self::programs::Programs;
@@ -40,15 +39,6 @@
     pub process: Process,
 }
 
-/// How a node ended after a planned stop.
-#[derive(Clone, Debug)]
-pub struct PlannedStop {
-    /// Whether it ended by itself, without an error.
-    pub clean: bool,
-    /// Time from the signal to its end.
-    pub took: Duration,
-}
-
 /// A fleet that runs until it is dropped.
 pub struct Fleet {
     /// Engines, then application back ends, in the order of their numbers.
@@ -66,7 +56,8 @@
 }
 
 impl Fleet {
-    /// Starts every process of `profile`, with files and logs in `folder`.
+    /// Starts every process of `profile`, with files and logs in `folder`,
+    /// which is emptied first.
     ///
     /// # Errors
     ///
@@ -78,7 +69,7 @@
         seed: u64,
         folder: &Path,
     ) -> Result<Self, BenchError> {
-        create_folder(folder)?;
+        clear_folder(folder)?;
         let zones = profile.fleet.zones.len();
         let starter = BackendStarter {
             program: &programs.emulator,
@@ -184,12 +175,14 @@
         weights: SocketAddr,
     ) -> Result<(), BenchError> {
         let zones = profile.fleet.zones.len();
-        let addresses = free_addresses(zones * NODES_PER_ZONE * ADDRESSES_PER_NODE)
-            .map_err(|source| BenchError::Address { source })?;
-        let places = node_places(zones, &addresses);
+        let no_address = |source| BenchError::Address { source };
+        let count = zones * NODES_PER_ZONE * ADDRESSES_PER_NODE;
+        let reserved = ReservedAddresses::new(count).map_err(no_address)?;
+        let places = node_places(zones, &reserved.addresses().map_err(no_address)?);
         for place in &places {
             self.network.expose(place.internal, place.zone)?;
         }
+        drop(reserved);
         let folder = self.folder.clone();
         let platforms = self.platforms.clone();
         let context = SettingsContext {
@@ -231,6 +224,22 @@
     command
 }
 
+/// Removes what an earlier run left in a folder, so that nodes begin with
+/// blank disks.
+fn clear_folder(path: &Path) -> Result<(), BenchError> {
+    match std::fs::remove_dir_all(path) {
+        Ok(()) => {}
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => {}
+        Err(source) => {
+            return Err(BenchError::File {
+                path: path.to_owned(),
+                source,
+            });
+        }
+    }
+    create_folder(path)
+}
+
 /// Creates a folder and those above it.
 ///
 /// # Errors
--- a/crates/bench/src/run/load/batch.rs
+++ b/crates/bench/src/run/load/batch.rs
@@ -5,10 +5,12 @@
 
 use async_io::Timer;
 
-use super::job_client::{JobClient, JobSummary};
+use super::job_client::{JobClient, JobSubmission, JobSummary};
 use super::online::LoadContext;
+use super::prompts::Prompts;
 use super::schedule::JobArrival;
 use crate::run::account::{CallOutcome, JobItems, JobResults, ResultLine};
+use crate::run::profile::Profile;
 
 /// Time between two looks at the progress of all jobs.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(500);
@@ -26,6 +28,55 @@
     pub completed: u64,
 }
 
+/// A job that is ready to be submitted.
+#[derive(Clone, Debug)]
+pub struct PreparedJob {
+    /// Intended time since the start of the load.
+    pub at: Duration,
+    /// Zone of the submitter, by position.
+    pub zone: usize,
+    /// The submission.
+    pub submission: JobSubmission,
+    /// Its items.
+    pub items: Arc<JobItems>,
+}
+
+/// The jobs of `arrivals`, made up before the load starts.
+#[must_use]
+pub fn prepare_jobs(
+    profile: &Profile,
+    prompts: &Prompts,
+    arrivals: &[JobArrival],
+) -> Vec<PreparedJob> {
+    let numbered = arrivals.iter().zip(0..);
+    let prepared = numbered.map(|(arrival, number)| {
+        let items = Arc::new(job_items(profile, prompts, arrival, number));
+        PreparedJob {
+            at: arrival.at,
+            zone: arrival.zone,
+            submission: JobSubmission::new(
+                profile.fleet.service.as_str(),
+                &prompts.key("job", number),
+                &items,
+            ),
+            items,
+        }
+    });
+    prepared.collect()
+}
+
+fn job_items(profile: &Profile, prompts: &Prompts, arrival: &JobArrival, number: u64) -> JobItems {
+    let load = &profile.batch;
+    let kind = format!("job {number} item");
+    let prompts =
+        (0..arrival.items).map(|item| prompts.single(&kind, u64::from(item), load.prompt_tokens));
+    JobItems {
+        prompts: prompts.collect(),
+        answer_tokens: load.answer_tokens,
+        repeatable: arrival.repeatable,
+    }
+}
+
 /// A job that was accepted.
 #[derive(Clone)]
 struct SubmittedJob {
@@ -73,11 +124,18 @@
         }
     }
 
-    /// Submits jobs at their times.
-    pub async fn submit_all(&self, arrivals: Vec<JobArrival>) {
-        for (number, arrival) in arrivals.into_iter().enumerate() {
-            Timer::at(self.context.start + arrival.at).await;
-            self.submit(&arrival, number as u64).await;
+    /// Submits jobs at their times, without waiting for earlier ones, and
+    /// returns once every job was accepted.
+    pub async fn submit_all(self: Arc<Self>, jobs: Vec<PreparedJob>) {
+        let mut submissions = Vec::with_capacity(jobs.len());
+        for job in jobs {
+            Timer::at(self.context.start + job.at).await;
+            let load = self.clone();
+            let submission = async move { load.submit(job).await };
+            submissions.push(self.context.executor.spawn(submission));
+        }
+        for submission in submissions {
+            submission.await;
         }
     }
 
@@ -115,17 +173,11 @@
     }
 
     /// Submits one job until a gateway accepts it, always under the same key.
-    async fn submit(&self, arrival: &JobArrival, number: u64) {
-        let items = Arc::new(self.items(arrival, number));
-        let key = self.context.prompts.key("job", number);
-        let service = self.context.profile.fleet.service.as_str();
+    async fn submit(&self, job: PreparedJob) {
         for attempt in 0..MAX_TRIES {
-            let gateway = self
-                .context
-                .steering
-                .gateway(arrival.zone + attempt as usize);
-            match self.client.submit(gateway, service, &key, &items).await {
-                Ok(summary) => return self.accepted(summary, arrival.zone, items),
+            let gateway = self.context.steering.gateway(job.zone + attempt as usize);
+            match self.client.submit(gateway, &job.submission).await {
+                Ok(summary) => return self.accepted(summary, job.zone, job.items),
                 Err(outcome) => self.incident("job submission", &outcome),
             }
             Timer::after(RETRY_PAUSE).await;
@@ -135,20 +187,6 @@
             .push("job was never accepted".to_owned());
     }
 
-    fn items(&self, arrival: &JobArrival, number: u64) -> JobItems {
-        let load = &self.context.profile.batch;
-        let kind = format!("job {number} item");
-        let prompts = (0..arrival.items).map(|item| {
-            let prompts = &self.context.prompts;
-            prompts.single(&kind, u64::from(item), load.prompt_tokens)
-        });
-        JobItems {
-            prompts: prompts.collect(),
-            answer_tokens: load.answer_tokens,
-            repeatable: arrival.repeatable,
-        }
-    }
-
     fn accepted(&self, summary: JobSummary, zone: usize, items: Arc<JobItems>) {
         self.lock().jobs.push(SubmittedJob {
             id: summary.id,
--- a/crates/bench/src/scale/experiments/mod.rs
+++ b/crates/bench/src/scale/experiments/mod.rs
@@ -4,12 +4,14 @@
 mod claims;
 mod configuration;
 mod consensus;
+mod gateway;
 mod jobs;
 mod loads;
 mod membership;
 mod nodes;
 mod routing;
 mod sockets;
+mod watch;
 
 use super::{Recorder, ScaleError};
 
@@ -135,6 +137,14 @@
         name: "restart",
         run: consensus::restart,
     },
+    Experiment {
+        name: "gateway-sockets",
+        run: gateway::engines,
+    },
+    Experiment {
+        name: "watch-sockets",
+        run: watch::watch,
+    },
     Experiment {
         name: "messages-sockets",
         run: sockets::messages,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -8,6 +8,7 @@
 mod client;
 mod commands;
 mod console;
+mod demo;
 mod error;
 mod flags;
 mod gateways;
@@ -21,6 +22,7 @@
 
 pub use client::{Call, Client};
 pub use console::Console;
+pub use demo::DemoFleet;
 pub use error::{CliError, ExitStatus};
 pub use flags::Molespan;
 pub use gateways::{GATEWAY_VARIABLE, gateway_addresses};
@@ -31,23 +33,32 @@
 /// Runs the command that the process was started with.
 #[must_use]
 pub fn run_from_environment() -> ExitCode {
+    let mut console = Console::standard(false);
     let flags = match Molespan::from_env() {
         Ok(flags) => flags,
         Err(error) if error.is_help() => {
-            println!("{error}");
-            return ExitStatus::Success.into();
+            let shown = console.line(error).map(|()| ExitStatus::Success);
+            return end(shown, &mut console);
         }
         Err(error) => {
-            eprintln!("molespan: {error}");
-            eprintln!("molespan --help names every command");
+            console.progress(format!("molespan: {error}"));
+            console.progress("molespan --help names every command");
             return ExitStatus::Usage.into();
         }
     };
     let mut console = Console::standard(flags.json);
-    match block_on(commands::run(flags, &mut console)) {
+    let result = block_on(commands::run(flags, &mut console));
+    end(result, &mut console)
+}
+
+/// Says what went wrong, if anything did, and gives the exit code.
+fn end(result: Result<ExitStatus, CliError>, console: &mut Console) -> ExitCode {
+    match result {
         Ok(status) => status.into(),
+        // Whoever read the output has seen enough, as `head` does.
+        Err(error) if error.is_closed_output() => ExitStatus::Success.into(),
         Err(error) => {
-            eprintln!("molespan: {error}");
+            console.progress(format!("molespan: {error}"));
             error.status().into()
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,11 +2,14 @@
 
 pub mod cluster;
 mod error;
+mod event_stream;
 mod folder_lock;
 pub mod gateway;
 pub mod incarnation;
+mod local_transport;
 pub mod node;
 mod peer_handler;
+mod registration;
 pub mod replica;
 mod status_server;
 pub mod wall_clock;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -1,29 +1,33 @@
 //! A node: its roles and interfaces, put together from its settings.
 
+mod starter;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use async_channel::Sender;
 use async_executor::{Executor, Task};
 use molespan_replica::ReplicaError;
-use molespan_settings::{Role, Settings};
+use molespan_settings::Settings;
 use molespan_telemetry::{EventBuffer, Metrics, part_logger};
 use molespan_wire::{Server, ServerHandle, ServerLimits};
 use slog::{Logger, info};
 
 use crate::DaemonError;
 use crate::folder_lock::FolderLock;
+use crate::gateway::DrainReport;
 use crate::incarnation::begin_life;
 use crate::peer_handler::PeerHandler;
-use crate::replica::{HandOver, ReplicaContext, ReplicaOptions, ReplicaPeer, ReplicaRole};
+use crate::replica::{HandOver, ReplicaRole};
 use crate::status_server::StatusServer;
+use starter::Starter;
 
-/// Folder of the replica's files within the data folder.
-const REPLICA_FOLDER: &str = "replica";
-
-/// How a planned stop went.
+/// How a planned stop went; a part is missing without its role.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StopReport {
-    /// What became of the leaderships; `None` without the replica role.
+    /// What became of the gateway's requests and leases.
+    pub gateway: Option<DrainReport>,
+    /// What became of the replica's leaderships.
     pub replica: Option<HandOver>,
 }
 
@@ -31,22 +35,40 @@
 #[derive(Debug)]
 pub struct Node {
     logger: Logger,
-    http_address: SocketAddr,
     internal_address: SocketAddr,
     internal: ServerHandle,
     replica: Option<Arc<ReplicaRole>>,
-    status: StatusServer,
+    http: HttpInterface,
     _serving: Task<()>,
+    _registering: Option<Task<()>>,
     _lock: FolderLock,
 }
 
-/// What the roles of a node share.
-struct Common<'a> {
-    settings: &'a Settings,
-    executor: &'a Arc<Executor<'static>>,
-    logger: &'a Logger,
-    metrics: Metrics,
-    events: EventBuffer,
+/// Who serves the HTTP address.
+#[derive(Debug)]
+enum HttpInterface {
+    /// The gateway role.
+    Gateway(RunningGateway),
+    /// Only health, readiness and metrics.
+    Status(StatusServer),
+}
+
+impl HttpInterface {
+    fn address(&self) -> SocketAddr {
+        match self {
+            Self::Gateway(gateway) => gateway.address,
+            Self::Status(server) => server.address(),
+        }
+    }
+}
+
+/// A gateway that serves.
+#[derive(Debug)]
+struct RunningGateway {
+    address: SocketAddr,
+    /// Closed to begin its planned stop.
+    stop: Sender<()>,
+    served: Task<DrainReport>,
 }
 
 impl Node {
@@ -65,46 +87,45 @@
         let internal = Server::bind(settings.node.internal_address, ServerLimits::default())?;
         let internal_address = internal.local_address();
         let internal_handle = internal.handle();
-        let common = Common {
+        let starter = Starter {
             settings,
             executor,
             logger,
+            incarnation,
+            internal_address,
             metrics: Metrics::default(),
             events: EventBuffer::new(settings.node.id, settings.limits.event_buffer as usize),
         };
-        let replica = common.start_replica()?;
+        let replica = starter.start_replica()?;
+        let (http, gateway) = starter.start_http(replica.as_ref())?;
+        let registering = starter.register(&http, replica.as_ref());
         let handler = PeerHandler {
             node: settings.node.id,
             incarnation,
             replica: replica.clone(),
+            gateway,
         };
-        let status = StatusServer::start(
-            settings.node.http_address,
-            executor,
-            replica.clone(),
-            common.metrics.clone(),
-        )?;
         let serving = executor.spawn(internal.serve(executor.clone(), Arc::new(handler)));
-        let node = Self {
-            logger: part_logger(logger, "node"),
-            http_address: status.address(),
+        let logger = part_logger(logger, "node");
+        info!(logger, "started";
+            "node" => settings.node.id.0, "incarnation" => incarnation.0,
+            "zone" => %settings.node.zone);
+        Ok(Self {
+            logger,
             internal_address,
             internal: internal_handle,
             replica,
-            status,
+            http,
             _serving: serving,
+            _registering: registering,
             _lock: lock,
-        };
-        info!(node.logger, "started";
-            "node" => settings.node.id.0, "incarnation" => incarnation.0,
-            "zone" => %settings.node.zone);
-        Ok(node)
+        })
     }
 
     /// Where callers and operators reach it.
     #[must_use]
     pub fn http_address(&self) -> SocketAddr {
-        self.http_address
+        self.http.address()
     }
 
     /// Where other nodes reach it.
@@ -123,49 +144,25 @@
 
     /// Stops as planned: no request is cut off within the bounds of the
     /// settings, and what was left at their end is reported.
+    ///
+    /// The gateway goes first, since it returns its leases to the groups.
     pub async fn stop(self) -> StopReport {
         info!(self.logger, "stopping");
-        let hand_over = match &self.replica {
+        let gateway = match self.http {
+            HttpInterface::Gateway(gateway) => {
+                gateway.stop.close();
+                Some(gateway.served.await)
+            }
+            HttpInterface::Status(server) => {
+                server.stop().await;
+                None
+            }
+        };
+        let replica = match &self.replica {
             Some(replica) => Some(replica.stop().await),
             None => None,
         };
-        self.status.stop().await;
         self.internal.stop();
-        StopReport { replica: hand_over }
-    }
-}
-
-impl Common<'_> {
-    fn start_replica(&self) -> Result<Option<Arc<ReplicaRole>>, DaemonError> {
-        if !self.settings.has_role(Role::Replica) {
-            return Ok(None);
-        }
-        let context = ReplicaContext {
-            options: replica_options(self.settings),
-            executor: self.executor.clone(),
-            logger: self.logger.clone(),
-            metrics: self.metrics.clone(),
-            events: self.events.clone(),
-        };
-        Ok(Some(Arc::new(ReplicaRole::start(context)?)))
-    }
-}
-
-fn replica_options(settings: &Settings) -> ReplicaOptions {
-    let peers = settings.replicas().into_iter().map(|peer| ReplicaPeer {
-        node: peer.id,
-        address: peer.internal_address,
-    });
-    let folder = settings.node.data_folder.join(REPLICA_FOLDER);
-    let timing = &settings.timing;
-    ReplicaOptions {
-        job_groups: settings.cluster.job_groups,
-        lease: timing.lease,
-        tick: timing.tick,
-        election_timeout: timing.election_timeout,
-        node_heartbeat: timing.heartbeat,
-        hand_over_within: timing.drain.hand_over_within,
-        segment_bytes: settings.limits.log_segment_bytes,
-        ..ReplicaOptions::new(settings.node.id, peers.collect(), folder)
+        StopReport { gateway, replica }
     }
 }
--- a/crates/daemon/tests/processes/cluster.rs
+++ b/crates/daemon/tests/processes/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -17,7 +18,7 @@
 use super::ports::free_address;
 
 /// Threads of the test's own executor.
-const THREADS: usize = 2;
+const THREADS: usize = 3;
 /// Zones of the nodes, in turn.
 const ZONES: [&str; 3] = ["hall-1", "hall-2", "hall-3"];
 /// Number of the first gateway.
@@ -35,8 +36,12 @@
 impl Cluster {
     /// Three replicas, none started yet.
     pub fn of_replicas() -> Self {
+        Self::on(executor())
+    }
+
+    fn on(executor: Arc<Executor<'static>>) -> Self {
         let mut cluster = Self {
-            executor: executor(),
+            executor,
             folder: tempfile::tempdir().unwrap(),
             settings: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -50,8 +55,8 @@
 
     /// Three replicas and three gateways before the platform at `platform`,
     /// none started yet.
-    pub fn with_gateways(platform: SocketAddr) -> Self {
-        let mut cluster = Self::of_replicas();
+    pub fn with_gateways(executor: Arc<Executor<'static>>, platform: SocketAddr) -> Self {
+        let mut cluster = Self::on(executor);
         for (number, zone) in (FIRST_GATEWAY..).zip(ZONES) {
             let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
             cluster.add(NodeId(number), zone, Role::Gateway, any);
@@ -111,6 +116,17 @@
         Daemon::run(&self.settings[&node], self.folder.path())
     }
 
+    /// The data folder of a node.
+    pub fn data_folder(&self, node: NodeId) -> &Path {
+        &self.settings[&node].node.data_folder
+    }
+
+    /// Starts a node that is expected to end by itself.
+    pub fn start_in_vain(&self, node: NodeId) -> std::process::Output {
+        assert!(!self.runs(node), "node {node} still runs");
+        Daemon::run(&self.settings[&node], self.folder.path())
+    }
+
     /// Replicas, running or not.
     pub fn replicas(&self) -> Vec<NodeId> {
         self.with_role(Role::Replica)
@@ -166,7 +182,7 @@
     /// Deletes the data folder of a node that does not run.
     pub fn lose_disk(&self, node: NodeId) {
         assert!(!self.runs(node), "node {node} still runs");
-        std::fs::remove_dir_all(&self.settings[&node].node.data_folder).unwrap();
+        std::fs::remove_dir_all(self.data_folder(node)).unwrap();
     }
 
     /// Waits until the new incarnation of `node` votes in every group.
@@ -203,7 +219,7 @@
 }
 
 /// An executor whose threads end with the test's process.
-fn executor() -> Arc<Executor<'static>> {
+pub fn executor() -> Arc<Executor<'static>> {
     let executor = Arc::new(Executor::new());
     for _ in 0..THREADS {
         let executor = executor.clone();
--- a/crates/daemon/tests/replica_role.rs
+++ b/crates/daemon/tests/replica_role.rs
@@ -6,7 +6,7 @@
 
 use async_io::block_on;
 use molespan_daemon::incarnation::begin_life;
-use molespan_state::control::{Configuration, ConfirmReply};
+use molespan_state::control::{ConfigurationUpdate, ConfirmReply};
 use molespan_types::{ConfigVersion, Incarnation, NodeId};
 use molespan_wire::{Request, Response};
 use replicas::{LIMIT, Replicas, eventually, heartbeat, watch};
@@ -58,12 +58,42 @@
     });
 }
 
+#[test]
+fn a_replacement_is_ready_once_another_loss_can_be_borne() {
+    let mut replicas = Replicas::start();
+    block_on(async {
+        let (lost, next) = (NodeId(2), NodeId(3));
+        assert_eq!(replicas.confirm(NodeId(1), 0).await, confirmed(1));
+        replicas.stop(lost).await;
+        replicas.lose_disk(lost);
+        replicas.restart(lost).await;
+        eventually("the replacement is ready", || async {
+            replicas.role(lost).is_ready().await.then_some(())
+        })
+        .await;
+        let status = replicas.role(lost).status().await.expect("it runs");
+        let own_life = (status.node, status.incarnation);
+        for group in &status.groups {
+            let lives = group.voters.iter().filter(|(node, _)| *node == lost);
+            assert_eq!(
+                lives.collect::<Vec<_>>(),
+                [&own_life],
+                "group {}",
+                group.group
+            );
+        }
+        replicas.stop(next).await;
+        assert_eq!(replicas.confirm(NodeId(1), 1).await, confirmed(2));
+    });
+}
+
 #[test]
 fn a_watch_gets_a_new_configuration() {
     let replicas = Replicas::start();
     block_on(async {
         let first = NodeId(1);
         replicas.confirm(first, 0).await;
+        let mut held = None;
         for (version, node) in (1..).zip(replicas.nodes()) {
             let (response, _) = futures_lite::future::zip(
                 replicas.ask(node, watch(9, version, LIMIT)),
@@ -77,9 +107,11 @@
             else {
                 panic!("{response:?}");
             };
-            let configuration: Configuration = molespan_state::decode(&bytes).unwrap();
+            let update: ConfigurationUpdate = molespan_state::decode(&bytes).unwrap();
+            let configuration = update.apply_to(held.as_ref()).unwrap();
             assert_eq!(current, ConfigVersion(version + 1));
             assert_eq!(configuration.version, current);
+            held = Some(configuration);
         }
     });
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_executor::{Executor, Task};
 use futures_lite::future::block_on;
 use molespan_daemon::cluster::{Cluster, ClusterLimits};
@@ -18,7 +18,7 @@
 use molespan_state::control::{
     Change, ConfirmIntent, ConfirmReply, IntentNumber, Model, Service, ServiceKind,
 };
-use molespan_telemetry::{EventBuffer, Metrics, discard_logger};
+use molespan_telemetry::{EventBuffer, EventFilter, Metrics, Watched, discard_logger};
 use molespan_types::{ConfigVersion, Incarnation, ModelName, NodeId, ServiceName};
 
 use replica::{LocalReplica, LocalTransport};
@@ -27,8 +27,8 @@
 pub const PATIENCE: Duration = Duration::from_secs(30);
 /// The node that holds the replica.
 pub const REPLICA: NodeId = NodeId(1);
-/// Threads that run a test's gateways and stand-ins.
-const THREADS: usize = 3;
+/// Threads that run a test's gateways, and as many its stand-ins.
+const THREADS: usize = 2;
 
 /// Changes the options of a gateway before it starts.
 pub type Tune = fn(&mut GatewayOptions);
@@ -53,6 +53,25 @@
 }
 
 impl RunningGateway {
+    /// The decisions so far, one a line, for messages of tests.
+    pub fn decisions(&self) -> String {
+        let mut subscription = self.events.subscribe(EventFilter::default(), usize::MAX);
+        let mut lines = String::new();
+        while let Some(Watched::Event(event)) = subscription.try_next() {
+            let inputs = event.inputs.iter();
+            let inputs: Vec<String> = inputs
+                .map(|input| format!("{}={}", input.name, input.value))
+                .collect();
+            let (kind, subject) = (event.kind, event.subject);
+            let reason = event.reason;
+            lines.push_str(&format!(
+                "{kind} {subject}: {reason} {}\n",
+                inputs.join(" ")
+            ));
+        }
+        lines
+    }
+
     /// Begins a planned stop.
     pub fn begin_stop(&self) {
         self.stop.close();
@@ -83,16 +102,9 @@
 impl World {
     /// Starts a fleet and a replica, and puts the fleet's services in force.
     pub fn start(settings: &FleetSettings) -> Self {
-        let executor = Arc::new(Executor::new());
         let (threads, stopped) = async_channel::bounded::<()>(1);
-        for _ in 0..THREADS {
-            let executor = executor.clone();
-            let stopped = stopped.clone();
-            std::thread::spawn(move || {
-                let _closed = async_io::block_on(executor.run(stopped.recv()));
-            });
-        }
-        let fleet = Fleet::start(&executor, settings).unwrap();
+        let executor = start_threads("gateway", &stopped);
+        let fleet = Fleet::start(&start_threads("stand-in", &stopped), settings).unwrap();
         let replica = LocalReplica::start(REPLICA, 2);
         let transport = LocalTransport::new(replica.clone());
         let world = Self {
@@ -157,20 +169,24 @@
     ) -> RunningGateway {
         let gateway = self.unready_gateway(node, tune);
         wait_for("a ready gateway", || gateway.gateway.is_ready());
+        self.wait_until_healthy(&gateway);
+        gateway
+    }
+
+    /// Waits until a gateway may use every back end.
+    pub fn wait_until_healthy(&self, gateway: &RunningGateway) {
         let members = self.fleet.members.len();
-        wait_for("known back ends", || {
+        wait_for("healthy back ends", || {
             let backends = client::get(gateway.address, "/admin/backends").json_value();
             let backends = backends.as_array().cloned().unwrap_or_default();
             let ready = backends.iter().filter(|backend| {
                 let engine = backend["kind"] == "engine";
-                let loaded = backend["models"]
-                    .as_array()
-                    .is_some_and(|all| !all.is_empty());
+                let models = backend["models"].as_array();
+                let loaded = models.is_some_and(|all| !all.is_empty());
                 backend["state"] == "healthy" && (!engine || loaded)
             });
             ready.count() >= members
         });
-        gateway
     }
 
     /// Starts a gateway and does not wait.
@@ -188,6 +204,7 @@
             self.fleet.platform_address,
         );
         options.job_groups = self.replica.job_groups;
+        options.item_lease = replica::LEASE;
         options.owner_lease = Duration::from_millis(400);
         options.heartbeat = Duration::from_millis(40);
         options.list_poll = Duration::from_millis(40);
@@ -224,6 +241,21 @@
     }
 }
 
+/// An executor with threads of that name, until `stopped` is closed.
+fn start_threads(name: &str, stopped: &Receiver<()>) -> Arc<Executor<'static>> {
+    let executor = Arc::new(Executor::new());
+    for _ in 0..THREADS {
+        let executor = executor.clone();
+        let stopped = stopped.clone();
+        let run = move || {
+            let _closed = async_io::block_on(executor.run(stopped.recv()));
+        };
+        let builder = std::thread::Builder::new().name(name.to_owned());
+        builder.spawn(run).unwrap();
+    }
+    executor
+}
+
 /// The completion service of a fleet.
 pub fn completion_service(settings: &FleetSettings) -> Service {
     Service {
--- a/crates/daemon/tests/support/replica.rs
+++ b/crates/daemon/tests/support/replica.rs
@@ -11,12 +11,14 @@
 use molespan_daemon::cluster::{PeerCall, PeerTransport};
 use molespan_daemon::gateway::Gateway;
 use molespan_replica::{Consistency, Input, Output, Refusal, ReplicaCore, ReplicaSettings, Ticket};
-use molespan_state::control::{ControlAnswer, ControlQuery};
+use molespan_state::control::{ConfigurationUpdate, ControlAnswer, ControlQuery};
 use molespan_state::{decode, encode};
 use molespan_storage::SimulatedDisk;
 use molespan_types::{ConfigVersion, GroupId, Incarnation, NodeId, RunOutcome, Timestamp};
 use molespan_wire::{CallError, CallFailure, Request, Response, WatchConfiguration};
 
+/// Length of a lease on items.
+pub const LEASE: Duration = Duration::from_secs(3);
 /// Time between two looks at what is due.
 const POLL: Duration = Duration::from_millis(5);
 /// Pause between two looks of a long poll.
@@ -45,7 +47,7 @@
         let settings = ReplicaSettings {
             job_groups,
             tick: Duration::from_millis(10),
-            lease_length: Duration::from_secs(10),
+            lease_length: LEASE,
             ..ReplicaSettings::new(node, vec![node], 1)
         };
         let disk = SimulatedDisk::new();
@@ -180,7 +182,7 @@
             if newer || Instant::now() >= ends {
                 return Response::Configuration {
                     current: held.version,
-                    configuration: newer.then(|| encode(&held).into()),
+                    configuration: newer.then(|| encode(&ConfigurationUpdate::Whole(held)).into()),
                 };
             }
             Timer::after(WATCH_PAUSE).await;
