--- /dev/null
+++ b/crates/consensus/src/replica/log/append.rs
@@ -0,0 +1,82 @@
+//! Entries from a leader.
+
+use super::Log;
+use crate::{Entry, Fault, Index, Term};
+
+/// What became of entries from a leader.
+pub(crate) enum Appended {
+    /// The log agrees with the leader's up to this entry.
+    UpTo(Index),
+    /// The entry before those sent is missing or differs.
+    Mismatch,
+}
+
+impl Log {
+    /// Takes entries from the leader that follow `previous_index`.
+    ///
+    /// # Errors
+    /// [`Fault::CommittedEntryConflict`] if the leader's log differs from an
+    /// entry that is committed here.
+    pub(crate) fn append_from_leader(
+        &mut self,
+        previous_index: Index,
+        previous_term: Term,
+        entries: Vec<Entry>,
+    ) -> Result<Appended, Fault> {
+        self.check_committed(previous_index, previous_term)?;
+        for entry in &entries {
+            self.check_committed(entry.index, entry.term)?;
+        }
+        let reached = entries.last().map_or(previous_index, |entry| entry.index);
+        if previous_index < self.anchor_index {
+            // All up to the anchor is committed, so the two logs agree there.
+            let (_, rest) = entries
+                .into_iter()
+                .partition::<Vec<_>, _>(|entry| entry.index <= self.anchor_index);
+            self.take_entries(rest);
+            return Ok(Appended::UpTo(reached.max(self.anchor_index)));
+        }
+        if !self.holds(previous_index, previous_term) {
+            return Ok(Appended::Mismatch);
+        }
+        self.take_entries(entries);
+        Ok(Appended::UpTo(reached))
+    }
+
+    fn check_committed(&self, index: Index, told: Term) -> Result<(), Fault> {
+        if index > self.commit {
+            return Ok(());
+        }
+        match self.term(index) {
+            Some(committed) if committed != told => Err(Fault::CommittedEntryConflict {
+                index,
+                committed,
+                told,
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    /// Appends what is missing and cuts off what differs.
+    fn take_entries(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            if self.holds(entry.index, entry.term) {
+                continue;
+            }
+            if entry.index <= self.last_index() {
+                self.truncate_from(entry.index);
+            }
+            self.push(entry);
+        }
+    }
+
+    fn truncate_from(&mut self, index: Index) {
+        let Some(position) = self.position(index) else {
+            return;
+        };
+        self.entries.truncate(position);
+        self.memberships.truncate_from(index);
+        self.taken = self.taken.min(index.previous());
+        self.persisted = self.persisted.min(index.previous());
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/replica/log/compaction.rs
@@ -0,0 +1,63 @@
+//! Snapshots in the place of entries.
+
+use super::super::memberships::Memberships;
+use super::Log;
+use crate::{Index, SnapshotMeta};
+
+impl Log {
+    /// Drops entries that a snapshot contains, but keeps the last ones within
+    /// the given bounds.
+    pub(crate) fn compact(
+        &mut self,
+        meta: SnapshotMeta,
+        trailing_entries: usize,
+        trailing_bytes: usize,
+    ) {
+        if meta.index <= self.snapshot.index || meta.index > self.applied {
+            return;
+        }
+        let keep_from = self.first_trailing(meta.index, trailing_entries, trailing_bytes);
+        self.snapshot = meta;
+        while self.first_index() < keep_from {
+            let Some(entry) = self.entries.pop_front() else {
+                break;
+            };
+            self.anchor_index = entry.index;
+            self.anchor_term = entry.term;
+        }
+        self.memberships.compact(self.anchor_index);
+    }
+
+    fn first_trailing(&self, snapshot: Index, max_entries: usize, max_bytes: usize) -> Index {
+        let mut first = snapshot.next();
+        let mut kept = 0;
+        let mut bytes = 0;
+        while let Some(entry) = self.entry(first.previous()) {
+            kept += 1;
+            bytes += entry.size();
+            if kept > max_entries || bytes > max_bytes {
+                break;
+            }
+            first = entry.index;
+        }
+        first
+    }
+
+    /// Continues from an installed snapshot. Entries behind it stay if the log
+    /// holds the snapshot's last entry: they may be acknowledged.
+    pub(crate) fn install_snapshot(&mut self, meta: SnapshotMeta) {
+        if !self.holds(meta.index, meta.term) {
+            self.entries.clear();
+            self.anchor_index = meta.index;
+            self.anchor_term = meta.term;
+            self.memberships = Memberships::new(meta.index, meta.membership.clone());
+            self.taken = meta.index;
+            self.persisted = meta.index;
+        }
+        self.taken = self.taken.max(meta.index);
+        self.persisted = self.persisted.max(meta.index);
+        self.commit = self.commit.max(meta.index);
+        self.applied = meta.index;
+        self.snapshot = meta;
+    }
+}
--- a/crates/consensus/src/replica/log.rs
+++ b/crates/consensus/src/replica/log/mod.rs
@@ -1,11 +1,13 @@
 //! The entries in memory: those since the last compaction.
 
+mod append;
+mod compaction;
+
 use std::collections::VecDeque;
 
 use super::memberships::Memberships;
-use crate::{
-    ConsensusError, Entry, EntryKind, Fault, Index, Membership, Persisted, SnapshotMeta, Term,
-};
+use crate::{ConsensusError, Entry, EntryKind, Index, Membership, Persisted, SnapshotMeta, Term};
+pub(crate) use append::Appended;
 
 /// The log in memory, with how far it is synced, committed and handed out.
 ///
@@ -28,14 +30,6 @@
     applied: Index,
 }
 
-/// What became of entries from a leader.
-pub(crate) enum Appended {
-    /// The log agrees with the leader's up to this entry.
-    UpTo(Index),
-    /// The entry before those sent is missing or differs.
-    Mismatch,
-}
-
 impl Log {
     pub(crate) fn new(persisted: Persisted) -> Result<Self, ConsensusError> {
         let snapshot = persisted.snapshot.unwrap_or_default();
@@ -219,74 +213,6 @@
         self.entries.push_back(entry);
     }
 
-    /// Takes entries from the leader that follow `previous_index`.
-    ///
-    /// # Errors
-    /// [`Fault::CommittedEntryConflict`] if the leader's log differs from an
-    /// entry that is committed here.
-    pub(crate) fn append_from_leader(
-        &mut self,
-        previous_index: Index,
-        previous_term: Term,
-        entries: Vec<Entry>,
-    ) -> Result<Appended, Fault> {
-        self.check_committed(previous_index, previous_term)?;
-        for entry in &entries {
-            self.check_committed(entry.index, entry.term)?;
-        }
-        let reached = entries.last().map_or(previous_index, |entry| entry.index);
-        if previous_index < self.anchor_index {
-            // All up to the anchor is committed, so the two logs agree there.
-            let (_, rest) = entries
-                .into_iter()
-                .partition::<Vec<_>, _>(|entry| entry.index <= self.anchor_index);
-            self.take_entries(rest);
-            return Ok(Appended::UpTo(reached.max(self.anchor_index)));
-        }
-        if !self.holds(previous_index, previous_term) {
-            return Ok(Appended::Mismatch);
-        }
-        self.take_entries(entries);
-        Ok(Appended::UpTo(reached))
-    }
-
-    fn check_committed(&self, index: Index, told: Term) -> Result<(), Fault> {
-        if index > self.commit {
-            return Ok(());
-        }
-        match self.term(index) {
-            Some(committed) if committed != told => Err(Fault::CommittedEntryConflict {
-                index,
-                committed,
-                told,
-            }),
-            _ => Ok(()),
-        }
-    }
-
-    /// Appends what is missing and cuts off what differs.
-    fn take_entries(&mut self, entries: Vec<Entry>) {
-        for entry in entries {
-            if self.holds(entry.index, entry.term) {
-                continue;
-            }
-            if entry.index <= self.last_index() {
-                self.truncate_from(entry.index);
-            }
-            self.push(entry);
-        }
-    }
-
-    fn truncate_from(&mut self, index: Index) {
-        let Some(position) = self.position(index) else {
-            return;
-        };
-        self.entries.truncate(position);
-        self.memberships.truncate_from(index);
-        self.taken = self.taken.min(index.previous());
-        self.persisted = self.persisted.min(index.previous());
-    }
-
     /// Raises the commit index.
     pub(crate) fn commit_to(&mut self, index: Index) {
         self.commit = self.commit.max(index.min(self.last_index()));
@@ -319,60 +245,4 @@
         }
         entries
     }
-
-    /// Drops entries that a snapshot contains, but keeps the last ones within
-    /// the given bounds.
-    pub(crate) fn compact(
-        &mut self,
-        meta: SnapshotMeta,
-        trailing_entries: usize,
-        trailing_bytes: usize,
-    ) {
-        if meta.index <= self.snapshot.index || meta.index > self.applied {
-            return;
-        }
-        let keep_from = self.first_trailing(meta.index, trailing_entries, trailing_bytes);
-        self.snapshot = meta;
-        while self.first_index() < keep_from {
-            let Some(entry) = self.entries.pop_front() else {
-                break;
-            };
-            self.anchor_index = entry.index;
-            self.anchor_term = entry.term;
-        }
-        self.memberships.compact(self.anchor_index);
-    }
-
-    fn first_trailing(&self, snapshot: Index, max_entries: usize, max_bytes: usize) -> Index {
-        let mut first = snapshot.next();
-        let mut kept = 0;
-        let mut bytes = 0;
-        while let Some(entry) = self.entry(first.previous()) {
-            kept += 1;
-            bytes += entry.size();
-            if kept > max_entries || bytes > max_bytes {
-                break;
-            }
-            first = entry.index;
-        }
-        first
-    }
-
-    /// Continues from an installed snapshot. Entries behind it stay if the log
-    /// holds the snapshot's last entry: they may be acknowledged.
-    pub(crate) fn install_snapshot(&mut self, meta: SnapshotMeta) {
-        if !self.holds(meta.index, meta.term) {
-            self.entries.clear();
-            self.anchor_index = meta.index;
-            self.anchor_term = meta.term;
-            self.memberships = Memberships::new(meta.index, meta.membership.clone());
-            self.taken = meta.index;
-            self.persisted = meta.index;
-        }
-        self.taken = self.taken.max(meta.index);
-        self.persisted = self.persisted.max(meta.index);
-        self.commit = self.commit.max(meta.index);
-        self.applied = meta.index;
-        self.snapshot = meta;
-    }
 }
--- /dev/null
+++ b/crates/storage/src/simulated/names.rs
@@ -0,0 +1,48 @@
+//! Names of files, and what a crash makes of changes to them.
+
+use std::collections::BTreeMap;
+
+/// A change of names that is not yet durable.
+#[derive(Clone, Debug)]
+pub(super) enum NameChange {
+    Create { file: String, content: u64 },
+    Rename { from: String, to: String },
+    Remove { file: String },
+}
+
+impl NameChange {
+    /// The directory that it happens in.
+    pub(super) fn directory(&self) -> &str {
+        match self {
+            Self::Create { file, .. } | Self::Remove { file } => directory_of(file),
+            Self::Rename { to, .. } => directory_of(to),
+        }
+    }
+
+    /// Whether it gives `content` its name.
+    pub(super) fn creates(&self, content: u64) -> bool {
+        matches!(self, Self::Create { content: created, .. } if *created == content)
+    }
+
+    /// Makes the change in `names`.
+    pub(super) fn apply(&self, names: &mut BTreeMap<String, u64>) {
+        match self {
+            Self::Create { file, content } => {
+                names.insert(file.clone(), *content);
+            }
+            Self::Rename { from, to } => {
+                if let Some(content) = names.remove(from) {
+                    names.insert(to.clone(), content);
+                }
+            }
+            Self::Remove { file } => {
+                names.remove(file);
+            }
+        }
+    }
+}
+
+/// The directory of a file; empty for the data folder itself.
+pub(super) fn directory_of(file: &str) -> &str {
+    file.rsplit_once('/').map_or("", |(directory, _)| directory)
+}
