--- a/crates/replica/examples/figures/fleet.rs
+++ b/crates/replica/examples/figures/fleet.rs
@@ -4,7 +4,7 @@
 use std::error::Error;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -13,7 +13,7 @@
 use molespan_types::{GroupId, NodeId};
 use tempfile::TempDir;
 
-use crate::process::{Answer, Process, Request, open};
+use crate::process::{Answer, Counters, Process, Request, open};
 
 const NODES: u32 = 3;
 /// Longest wait for something that must happen.
@@ -27,7 +27,7 @@
     tune: fn(&mut ReplicaSettings),
     senders: HashMap<NodeId, Sender<Request>>,
     threads: HashMap<NodeId, JoinHandle<Receiver<Request>>>,
-    longest_turn: Arc<AtomicU64>,
+    counters: Arc<Counters>,
 }
 
 /// Sends requests to one process.
@@ -46,7 +46,7 @@
             tune,
             senders: HashMap::new(),
             threads: HashMap::new(),
-            longest_turn: Arc::default(),
+            counters: Arc::default(),
         };
         let nodes: Vec<NodeId> = (1..=NODES).map(NodeId).collect();
         let mut inboxes = HashMap::new();
@@ -77,14 +77,7 @@
         let core = open(&self.folder(node), self.settings(node), self.start)?;
         let mut peers = self.senders.clone();
         peers.remove(&node);
-        let process = Process::new(
-            node,
-            core,
-            self.start,
-            inbox,
-            peers,
-            self.longest_turn.clone(),
-        );
+        let process = Process::new(node, core, self.start, inbox, peers, self.counters.clone());
         let thread = std::thread::spawn(move || process.run());
         self.threads.insert(node, thread);
         Ok(())
@@ -136,7 +129,12 @@
 
     /// The longest turn of any process so far.
     pub fn longest_turn(&self) -> Duration {
-        Duration::from_micros(self.longest_turn.load(Ordering::Relaxed))
+        Duration::from_micros(self.counters.longest_turn.load(Ordering::Relaxed))
+    }
+
+    /// Bytes that the processes have sent to each other so far.
+    pub fn bytes_sent(&self) -> u64 {
+        self.counters.bytes_sent.load(Ordering::Relaxed)
     }
 
     pub fn leader(&self, group: GroupId) -> Option<NodeId> {
--- a/crates/replica/examples/figures/main.rs
+++ b/crates/replica/examples/figures/main.rs
@@ -2,12 +2,13 @@
 //! one process, a thread and a folder each, joined by channels.
 //!
 //! `cargo run --release -p molespan-replica --example figures [NAME…]` with any
-//! of `latency`, `items`, `restart`, `memory`, `fail-over`, `replacement`; all of them
+//! of `latency`, `items`, `restart`, `memory`, `idle`, `fail-over`, `replacement`; all of them
 //! without a name. The data lies in a temporary folder below `TMPDIR`.
 
 mod changes;
 mod fail_over;
 mod fleet;
+mod idle;
 mod items;
 mod latency;
 mod memory;
@@ -25,6 +26,7 @@
     ("items", items::measure),
     ("restart", restart::measure),
     ("memory", memory::measure),
+    ("idle", idle::measure),
     ("fail-over", fail_over::measure),
     ("replacement", replacement::measure),
 ];
--- a/crates/replica/examples/figures/process.rs
+++ b/crates/replica/examples/figures/process.rs
@@ -28,6 +28,15 @@
     Stop,
 }
 
+/// What all processes of a fleet count together.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// The longest turn, in microseconds: while it lasts no heartbeat goes out.
+    pub longest_turn: AtomicU64,
+    /// Bytes sent from one replica to another.
+    pub bytes_sent: AtomicU64,
+}
+
 /// What drives one replica core.
 pub struct Process {
     pub core: ReplicaCore<RealDisk>,
@@ -35,9 +44,7 @@
     pub inbox: Receiver<Request>,
     pub peers: HashMap<NodeId, Sender<Request>>,
     pub node: NodeId,
-    /// The longest turn of any process, in microseconds: while it lasts no
-    /// heartbeat goes out.
-    pub longest_turn: Arc<AtomicU64>,
+    pub counters: Arc<Counters>,
     waiting: HashMap<Ticket, Sender<Answer>>,
     last_ticket: u64,
 }
@@ -64,7 +71,7 @@
         start: Instant,
         inbox: Receiver<Request>,
         peers: HashMap<NodeId, Sender<Request>>,
-        longest_turn: Arc<AtomicU64>,
+        counters: Arc<Counters>,
     ) -> Self {
         Self {
             core,
@@ -72,7 +79,7 @@
             inbox,
             peers,
             node,
-            longest_turn,
+            counters,
             waiting: HashMap::new(),
             last_ticket: 0,
         }
@@ -84,7 +91,9 @@
             let began = Instant::now();
             let polled = self.core.poll(now(self.start));
             let took = began.elapsed().as_micros() as u64;
-            self.longest_turn.fetch_max(took, Ordering::Relaxed);
+            self.counters
+                .longest_turn
+                .fetch_max(took, Ordering::Relaxed);
             match polled {
                 Ok(outputs) => outputs
                     .into_iter()
@@ -141,6 +150,10 @@
     fn carry_out(&mut self, output: Output) {
         match output {
             Output::Send { to, group, bytes } => {
+                let length = bytes.len() as u64;
+                self.counters
+                    .bytes_sent
+                    .fetch_add(length, Ordering::Relaxed);
                 let from = self.node;
                 let input = Input::Message { from, group, bytes };
                 if let Some(peer) = self.peers.get(&to) {
