Ask only engines that a gateway may route to for their load

Cause: each gateway polled every engine on the list once a second, so the polls grew with gateways times engines. Ruled out: polling less often, which only divides that product. Change: a gateway polls the engines that it owns, those of its subsets, and those of services that it places. What is left is the owner's digests, ten a second of each engine; up to 64 engines of a service nothing changes, since all of them are in the subset.

--- a/crates/bench/src/scale/experiments/gateway.rs
+++ b/crates/bench/src/scale/experiments/gateway.rs
@@ -10,11 +10,12 @@
 use async_io::Timer;
 use molespan_daemon::node::Node;
 use molespan_emulator::fleet::{Fleet, FleetSettings};
+use molespan_membership::rendezvous::highest;
 use molespan_settings::Settings;
 use molespan_state::control::{Change, Model, Service, ServiceKind};
 use molespan_state::encode;
 use molespan_telemetry::discard_logger;
-use molespan_types::{GroupId, ModelName, ZoneName};
+use molespan_types::{BackendId, GroupId, ModelName, NodeId, ServiceName, ZoneName, digest_of};
 use molespan_wire::{Client, ClientLimits, Request, Response};
 
 use super::configuration::command;
@@ -31,6 +32,9 @@
 const OWNER_ZONE: &str = "zone-a";
 /// Zone of the other gateway.
 const OTHER_ZONE: &str = "zone-b";
+/// Their nodes.
+const OWNER_NODE: NodeId = NodeId(1);
+const OTHER_NODE: NodeId = NodeId(2);
 /// Time from the start until owners act and every engine is known.
 const SETTLED_AFTER: Duration = Duration::from_secs(6);
 /// How long the nodes are watched.
@@ -45,7 +49,7 @@
         other: named_threads(OTHER, 1),
         engines: named_threads(ENGINES, 1),
     };
-    for engines in [25_u32, 50, 100, 200] {
+    for engines in [50_u32, 200, 400, 800] {
         async_io::block_on(measure(recorder, &threads, engines))?;
     }
     Ok(())
@@ -68,6 +72,7 @@
         zones: vec![ZoneName::from(OWNER_ZONE)],
         engines,
         applications: 0,
+        service: service_placed_by(OWNER_NODE),
         platform_lag_ms: 0,
         ..FleetSettings::archive()
     };
@@ -106,6 +111,17 @@
     Ok(())
 }
 
+/// A service whose placement falls to that one of the two gateways: it reads
+/// the state of every engine of the service.
+fn service_placed_by(node: NodeId) -> ServiceName {
+    let names = (0..).map(|number| ServiceName(format!("service-{number}")));
+    let mut placed = names.filter(|name| {
+        let key = BackendId(digest_of(name.0.as_bytes()).0 as u32);
+        highest([OWNER_NODE, OTHER_NODE].into_iter(), key) == Some(node)
+    });
+    placed.next().unwrap_or_default()
+}
+
 /// An address that is free now.
 fn free_address() -> Result<SocketAddr, ScaleError> {
     let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -115,7 +131,7 @@
 
 fn owner_text(replica: SocketAddr, platform: SocketAddr) -> String {
     format!(
-        "[node]\nid = 1\nzone = \"{OWNER_ZONE}\"\nroles = [\"gateway\", \"replica\"]\n\
+        "[node]\nid = {OWNER_NODE}\nzone = \"{OWNER_ZONE}\"\nroles = [\"gateway\", \"replica\"]\n\
          http_address = \"127.0.0.1:0\"\ninternal_address = \"{replica}\"\n\
          data_folder = \"FOLDER/owner\"\n{}",
         shared_text(platform)
@@ -124,10 +140,10 @@
 
 fn other_text(replica: SocketAddr, platform: SocketAddr) -> String {
     format!(
-        "[node]\nid = 2\nzone = \"{OTHER_ZONE}\"\nroles = [\"gateway\"]\n\
+        "[node]\nid = {OTHER_NODE}\nzone = \"{OTHER_ZONE}\"\nroles = [\"gateway\"]\n\
          http_address = \"127.0.0.1:0\"\ninternal_address = \"127.0.0.1:0\"\n\
          data_folder = \"FOLDER/other\"\n{}\
-         [[peers]]\nid = 1\nzone = \"{OWNER_ZONE}\"\ninternal_address = \"{replica}\"\n\
+         [[peers]]\nid = {OWNER_NODE}\nzone = \"{OWNER_ZONE}\"\ninternal_address = \"{replica}\"\n\
          roles = [\"gateway\", \"replica\"]\n",
         shared_text(platform)
     )
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -1,7 +1,7 @@
 //! Which back ends there are: the platform list, reports and probes go into
 //! the directory; candidates for requests and batch work come out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -155,7 +155,8 @@
         let gateways = self.gateways().clone();
         let directory = self.directory();
         let services = configuration.services.iter();
-        services
+        let mut routed = BTreeSet::new();
+        let candidates = services
             .map(|(name, service)| {
                 let backends: Vec<SubsetBackend> = directory
                     .backends()
@@ -172,6 +173,7 @@
                     &backends,
                     &SubsetSettings::default(),
                 );
+                routed.extend(chosen.iter().copied());
                 let candidates = chosen
                     .into_iter()
                     .filter_map(|id| directory.backend(id))
@@ -179,7 +181,9 @@
                     .map(candidate);
                 (name.clone(), candidates.collect())
             })
-            .collect()
+            .collect();
+        self.loads.set_routed(routed);
+        candidates
     }
 
     /// Records which back end was chosen and why.
--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -1,5 +1,5 @@
 //! Load reports: the owner of an engine polls it often and passes digests on;
-//! others ask rarely, for what digests do not carry.
+//! those that may route there ask rarely, for what digests do not carry.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -32,10 +32,12 @@
 /// Unit of the step in a digest.
 const STEP_MICROS: u64 = 100;
 
-/// When each back end was asked, and what is to be passed on.
+/// When each back end was asked, and which ones are of interest here.
 #[derive(Debug, Default)]
 pub(super) struct LoadDesk {
     polls: Mutex<BTreeMap<BackendId, Poll>>,
+    /// Back ends that this gateway may route to.
+    routed: Mutex<BTreeSet<BackendId>>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -60,6 +62,15 @@
     fn lock(&self) -> MutexGuard<'_, BTreeMap<BackendId, Poll>> {
         self.polls.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Sets which back ends this gateway may route to.
+    pub(super) fn set_routed(&self, routed: BTreeSet<BackendId>) {
+        *self.routed() = routed;
+    }
+
+    fn routed(&self) -> MutexGuard<'_, BTreeSet<BackendId>> {
+        self.routed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl GatewayState {
@@ -77,11 +88,20 @@
     fn polls_due(&self) -> Vec<Due> {
         let now = self.clock.now();
         let owned: BTreeSet<BackendId> = self.ownership().owned().collect();
+        let placed = self.placement.placed();
         let directory = self.directory();
+        let routed = self.loads.routed();
         let mut polls = self.loads.lock();
         polls.retain(|backend, _| directory.backend(*backend).is_some());
         let mut due = Vec::new();
-        for backend in directory.backends() {
+        // The others are the business of other gateways: if each asked all,
+        // this would grow with gateways times engines.
+        let of_interest = directory.backends().filter(|backend| {
+            owned.contains(&backend.id)
+                || routed.contains(&backend.id)
+                || placed.contains(&backend.service)
+        });
+        for backend in of_interest {
             let Ok(address) = backend.address.parse() else {
                 continue;
             };
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -1,7 +1,7 @@
 //! Placement: one gateway a service plans which engine should hold what, has
 //! each order fenced by the control group, and sends it to the engine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -25,16 +25,32 @@
 #[derive(Debug)]
 pub(super) struct PlacementDesk {
     planner: Mutex<PlacementPlanner>,
+    /// Services that this gateway places.
+    placed: Mutex<BTreeSet<ServiceName>>,
 }
 
 impl Default for PlacementDesk {
     fn default() -> Self {
         Self {
             planner: Mutex::new(PlacementPlanner::new(PlacementSettings::default())),
+            placed: Mutex::default(),
         }
     }
 }
 
+impl PlacementDesk {
+    /// Services that this gateway places.
+    pub(super) fn placed(&self) -> BTreeSet<ServiceName> {
+        let placed = self.placed.lock();
+        placed.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn set_placed(&self, services: BTreeSet<ServiceName>) {
+        let placed = self.placed.lock();
+        *placed.unwrap_or_else(PoisonError::into_inner) = services;
+    }
+}
+
 impl GatewayState {
     /// Places models until the gateway stops.
     pub(super) async fn run_placement(self: Arc<Self>) {
@@ -47,6 +63,8 @@
                 continue;
             };
             let mine = self.placed_here(&configuration);
+            let names = mine.services.keys().cloned().collect();
+            self.placement.set_placed(names);
             if mine.services.is_empty() {
                 continue;
             }
