--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -1,5 +1,5 @@
 //! Load reports: the owner of an engine polls it often and passes digests on;
-//! those that may route there ask rarely, for what digests do not carry.
+//! others ask rarely, for what digests do not carry.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -32,12 +32,12 @@
 /// Unit of the step in a digest.
 const STEP_MICROS: u64 = 100;
 
-/// When each back end was asked, and which ones are of interest here.
+/// When each back end was asked, and what is to be passed on.
 #[derive(Debug, Default)]
 pub(super) struct LoadDesk {
     polls: Mutex<BTreeMap<BackendId, Poll>>,
-    /// Back ends that this gateway may route to.
-    routed: Mutex<BTreeSet<BackendId>>,
+    /// Back ends that this gateway routes to.
+    watched: Mutex<BTreeSet<BackendId>>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -63,13 +63,14 @@
         self.polls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sets which back ends this gateway may route to.
-    pub(super) fn set_routed(&self, routed: BTreeSet<BackendId>) {
-        *self.routed() = routed;
+    /// Sets which back ends this gateway routes to; no others are asked but
+    /// those that it owns.
+    pub(super) fn set_watched(&self, watched: impl Iterator<Item = BackendId>) {
+        *self.watched() = watched.collect();
     }
 
-    fn routed(&self) -> MutexGuard<'_, BTreeSet<BackendId>> {
-        self.routed.lock().unwrap_or_else(PoisonError::into_inner)
+    fn watched(&self) -> MutexGuard<'_, BTreeSet<BackendId>> {
+        self.watched.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -89,19 +90,18 @@
         let now = self.clock.now();
         let owned: BTreeSet<BackendId> = self.ownership().owned().collect();
         let placed = self.placement.placed();
+        let mut asked: BTreeSet<BackendId> = self.loads.watched().union(&owned).copied().collect();
         let directory = self.directory();
-        let routed = self.loads.routed();
+        if !placed.is_empty() {
+            // Placement must know what every engine of its services has loaded.
+            let engines = directory.backends();
+            let engines = engines.filter(|backend| placed.contains(&backend.service));
+            asked.extend(engines.map(|backend| backend.id));
+        }
         let mut polls = self.loads.lock();
-        polls.retain(|backend, _| directory.backend(*backend).is_some());
+        polls.retain(|backend, _| asked.contains(backend));
         let mut due = Vec::new();
-        // The others are the business of other gateways: if each asked all,
-        // this would grow with gateways times engines.
-        let of_interest = directory.backends().filter(|backend| {
-            owned.contains(&backend.id)
-                || routed.contains(&backend.id)
-                || placed.contains(&backend.service)
-        });
-        for backend in of_interest {
+        for backend in asked.iter().filter_map(|id| directory.backend(*id)) {
             let Ok(address) = backend.address.parse() else {
                 continue;
             };
--- a/crates/replica/src/fleet.rs
+++ b/crates/replica/src/fleet.rs
@@ -210,13 +210,14 @@
             return Ok((changes, None));
         }
         let outdated = self.judge(&hello)?;
+        // A process that only follows sends others nothing but hellos.
+        self.saw_sequence(hello.replica, hello.session, hello.sequence);
         let verdict = hello.verdict;
         let answered = verdict.is_some_and(|verdict| verdict.session == self.session);
         let wants_reply = hello.wants_reply;
         let standing = hello.standing;
         let founders = hello.founders.clone();
-        let (hello_replica, hello_session, hello_sequence) =
-            (hello.replica, hello.session, hello.sequence);
+        let (replica, session, synced) = (hello.replica, hello.session, hello.sequence);
         let presence = Presence {
             at: now,
             hello,
@@ -226,7 +227,7 @@
         self.present.insert(from, presence);
         if !outdated {
             // A replica that leads no group hears of others' logs only so.
-            self.saw_sequence(hello_replica, hello_session, hello_sequence);
+            self.saw_sequence(replica, session, synced);
             self.compare_founders(from, founders, &mut changes)?;
         }
         self.found_if_all_are_blank(now, &mut changes)?;
