--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -89,8 +89,15 @@
     fn polls_due(&self) -> Vec<Due> {
         let now = self.clock.now();
         let owned: BTreeSet<BackendId> = self.ownership().owned().collect();
-        let asked: BTreeSet<BackendId> = self.loads.watched().union(&owned).copied().collect();
+        let placed = self.placement.placed();
+        let mut asked: BTreeSet<BackendId> = self.loads.watched().union(&owned).copied().collect();
         let directory = self.directory();
+        if !placed.is_empty() {
+            // Placement must know what every engine of its services has loaded.
+            let engines = directory.backends();
+            let engines = engines.filter(|backend| placed.contains(&backend.service));
+            asked.extend(engines.map(|backend| backend.id));
+        }
         let mut polls = self.loads.lock();
         polls.retain(|backend, _| asked.contains(backend));
         let mut due = Vec::new();
