Process one batch prompt at a time from the middle of the knob on

Cause: of the slowest 2 % of first tokens (archive, knob 50), a third were short prompts on an engine that had just held batch back; they waited for a step of 7 to 10 ms with up to five batch prompts in it.

Change: from the middle of the knob on, one prompt at once on an engine where online work was seen lately; 4 to 5 before. One is enough to keep an engine full, since a prompt takes one step and a stream lasts 64.

--- a/crates/routing/src/batch/policy.rs
+++ b/crates/routing/src/batch/policy.rs
@@ -12,9 +12,10 @@
 /// middle of the knob and at its end.
 const EVEN_STEP_FACTOR: f64 = 4.0;
 const STRICT_STEP_FACTOR: f64 = 1.5;
-/// Batch prompts being processed at once on one engine, at both ends.
+/// Batch prompts being processed at once on one engine, at the fill end and
+/// from the middle on.
 const FILL_PREFILLS: f64 = 8.0;
-const STRICT_PREFILLS: f64 = 1.0;
+const GUARDED_PREFILLS: f64 = 1.0;
 
 /// What one value of the knob means.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,7 +42,7 @@
         let knob = f64::from(tail_protection).min(STRICT);
         let fill = (1.0 - knob / EVEN).max(0.0);
         let strict = ((knob - EVEN) / (STRICT - EVEN)).max(0.0);
-        let prefills = FILL_PREFILLS + (STRICT_PREFILLS - FILL_PREFILLS) * knob / STRICT;
+        let prefills = GUARDED_PREFILLS + (FILL_PREFILLS - GUARDED_PREFILLS) * fill;
         let strict_factor = EVEN_STEP_FACTOR + (STRICT_STEP_FACTOR - EVEN_STEP_FACTOR) * strict;
         Self {
             alongside_share: fill,
