Prefer an engine where batch already yields to disturbing another

Cause: of two engines drawn at random, the one with no online work was taken, although batch ran there and the arrival waited for its step, while on another engine batch was held back anyway.

Change: an engine where batch probably runs costs an arrival 2 requests, the way to another zone 1.75; an engine in use anywhere is taken when it costs less than the one drawn.

--- a/crates/routing/src/pick/engine_load.rs
+++ b/crates/routing/src/pick/engine_load.rs
@@ -188,4 +188,13 @@
         let estimate = f64::from(report.online) + started_since as f64 - ended_since as f64;
         estimate.max(own)
     }
+
+    /// Whether batch work was there and no online work holds it back now.
+    pub(super) fn is_disturbed(&self, now: Timestamp, valid_for: Duration) -> bool {
+        let has_batch = self.report.as_ref().is_some_and(|report| {
+            let fresh = now.since(report.observed) <= valid_for;
+            fresh && report.batch > 0
+        });
+        has_batch && self.load(now, valid_for) < 1.0
+    }
 }
--- a/crates/routing/src/pick/mod.rs
+++ b/crates/routing/src/pick/mod.rs
@@ -4,7 +4,8 @@
 //! loaded and others are not; among these the one that holds the longest part
 //! of the prompt in its cache, as long as its load stays near the least, or one
 //! of another zone that holds clearly more; else the less loaded of two drawn
-//! at random.
+//! at random, or an engine on which batch work yields already, so that no
+//! other has to be disturbed.
 //!
 //! Load is what the engine last reported, corrected by what this gateway
 //! started and finished there since: reports lag, own requests are known.
@@ -53,6 +54,11 @@
     /// this many blocks more than the best of the own zone: processing them
     /// must take longer than the way there.
     pub remote_affinity_blocks: u32,
+    /// Requests that an arrival on an engine where batch work runs weighs as
+    /// much as: it waits for the step in progress.
+    pub disturbed_cost: f64,
+    /// Requests that the way to another zone weighs as much as.
+    pub zone_cost: f64,
     /// Age after which a load report no longer counts.
     pub report_valid_for: Duration,
     /// Adaptive concurrency limit of each engine.
@@ -71,6 +77,8 @@
             affinity_slack: 2.0,
             affinity_blocks_per_request: 8.0,
             remote_affinity_blocks: 24,
+            disturbed_cost: 2.0,
+            zone_cost: 1.75,
             report_valid_for: Duration::from_secs(2),
             limit: LimitSettings::default(),
             prefix: PrefixSettings::default(),
@@ -222,7 +230,14 @@
                 return Ok(pick);
             }
         }
-        Ok(policy::better_of_two(&open, spilled, &mut self.rng))
+        Ok(policy::least_cost(
+            &open,
+            &elsewhere,
+            &self.zone,
+            spilled,
+            &self.settings,
+            &mut self.rng,
+        ))
     }
 
     /// A request was sent to `backend`; its prefixes will be cached there.
--- a/crates/routing/src/pick/policy.rs
+++ b/crates/routing/src/pick/policy.rs
@@ -31,6 +31,9 @@
     zone: &'a ZoneName,
     load: f64,
     limit: u32,
+    /// Whether batch work probably runs there, so that an arrival waits for the
+    /// step in progress.
+    disturbed: bool,
 }
 
 impl Open<'_> {
@@ -39,6 +42,21 @@
         self.load / f64::from(self.limit)
     }
 
+    /// What the engine costs an arrival from `zone`, in requests.
+    fn cost(&self, zone: &ZoneName, settings: &PickSettings) -> f64 {
+        let step = if self.disturbed {
+            settings.disturbed_cost
+        } else {
+            0.0
+        };
+        let way = if self.zone == zone {
+            0.0
+        } else {
+            settings.zone_cost
+        };
+        self.load + step + way
+    }
+
     fn considered(&self) -> Considered {
         Considered {
             backend: self.backend,
@@ -71,6 +89,7 @@
             zone: &engine.candidate().zone,
             load: engine.load(now, settings.report_valid_for),
             limit: engine.limit(),
+            disturbed: engine.is_disturbed(now, settings.report_valid_for),
         };
         if open.load >= f64::from(open.limit) {
             continue;
@@ -170,10 +189,38 @@
     })
 }
 
-/// The engine with the lower pressure of two drawn at random.
-pub(super) fn better_of_two(open: &[Open<'_>], spilled: bool, rng: &mut ChaCha8Rng) -> Pick {
+/// The engine that costs less of two drawn at random, or one anywhere on which
+/// batch work already yields to others, if that costs less still.
+pub(super) fn least_cost(
+    open: &[Open<'_>],
+    elsewhere: &[Open<'_>],
+    zone: &ZoneName,
+    spilled: bool,
+    settings: &PickSettings,
+    rng: &mut ChaCha8Rng,
+) -> Pick {
+    let drawn = better_of_two(open, zone, settings, rng);
+    let in_use = open.iter().chain(elsewhere);
+    let in_use = in_use.filter(|engine| engine.load >= 1.0 && !engine.disturbed);
+    let cost = |engine: &Open<'_>| engine.cost(zone, settings);
+    let cheapest = in_use.min_by(|a, b| cost(a).total_cmp(&cost(b)));
+    match cheapest.filter(|engine| drawn[0].disturbed && cost(engine) < cost(&drawn[0])) {
+        Some(engine) => pick_of(open, PickRule::Undisturbed, spilled, &[*engine, drawn[0]]),
+        None if open.len() == 1 => pick_of(open, PickRule::OnlyEngine, spilled, &drawn[..1]),
+        None => pick_of(open, PickRule::BetterOfTwo, spilled, &drawn),
+    }
+}
+
+/// Two engines drawn at random, the one to take first; the same one twice when
+/// there is no other.
+fn better_of_two<'a>(
+    open: &[Open<'a>],
+    zone: &ZoneName,
+    settings: &PickSettings,
+    rng: &mut ChaCha8Rng,
+) -> [Open<'a>; 2] {
     if let [only] = open {
-        return pick_of(open, PickRule::OnlyEngine, spilled, &[*only]);
+        return [*only, *only];
     }
     let first = rng.random_range(0..open.len());
     let mut second = rng.random_range(0..open.len() - 1);
@@ -181,12 +228,12 @@
         second += 1;
     }
     let (first, second) = (open[first], open[second]);
-    let ordered = if second.pressure() < first.pressure() {
+    let share = |engine: &Open<'_>| engine.cost(zone, settings) / f64::from(engine.limit);
+    if share(&second) < share(&first) {
         [second, first]
     } else {
         [first, second]
-    };
-    pick_of(open, PickRule::BetterOfTwo, spilled, &ordered)
+    }
 }
 
 /// The engine whose turn it is.
--- a/crates/routing/src/pick/reason.rs
+++ b/crates/routing/src/pick/reason.rs
@@ -12,6 +12,10 @@
     /// It holds the longest part of the prompt, and its load is near the least.
     #[display("prefix affinity")]
     Affinity,
+    /// Batch work yields there already, and it costs less than to disturb an
+    /// engine where batch work runs.
+    #[display("undisturbed")]
+    Undisturbed,
     /// It is the less loaded of two drawn at random.
     #[display("better of two")]
     BetterOfTwo,
