--- /dev/null
+++ b/crates/bench/src/run/experiment.rs
@@ -0,0 +1,176 @@
+//! Runs one arm on a fleet of its own.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_executor::Executor;
+use async_io::Timer;
+use molespan_http::Pool;
+
+use super::arm_run::ArmRun;
+use super::arms::Arm;
+use super::direct;
+use super::figures::ArmFigures;
+use super::fleet::programs::Programs;
+use super::fleet::{Fleet, operator};
+use super::load::batch::{PreparedJob, prepare_jobs};
+use super::load::caller::Caller;
+use super::load::online::{
+    LoadContext, PreparedApplication, PreparedCompletion, prepare_application, prepare_online,
+};
+use super::load::prompts::Prompts;
+use super::load::schedule::{application_arrivals, job_arrivals, online_arrivals};
+use super::load::steering::Steering;
+use super::profile::Profile;
+use crate::BenchError;
+
+/// Load before the measured time, which fills caches and learns step costs.
+pub const WARM_UP: Duration = Duration::from_secs(4);
+/// Time for the load to start after its drivers.
+const LEAD: Duration = Duration::from_millis(200);
+/// Time for every gateway to become ready.
+const READY_PATIENCE: Duration = Duration::from_secs(30);
+/// Time for each gateway to answer its first requests.
+const FIRST_ANSWER_PATIENCE: Duration = Duration::from_secs(20);
+/// Pause before a first request is made again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Share of a usual job's items in the arm with faults.
+const FAULTS_JOB_SHARE: f64 = 0.3;
+/// Measured time of the arm with faults, as a multiple of the others'.
+const FAULTS_LENGTH: f64 = 1.6;
+
+/// What every arm of a run shares.
+pub struct Experiment {
+    /// Programs of the fleet.
+    pub programs: Programs,
+    /// Sizes.
+    pub profile: Profile,
+    /// Measured time of an arm.
+    pub length: Duration,
+    /// Seed.
+    pub seed: u64,
+    /// Runs the load.
+    pub executor: Arc<Executor<'static>>,
+    /// Connections of the load.
+    pub pool: Pool,
+}
+
+/// The load of one arm.
+#[derive(Default)]
+pub(super) struct PreparedLoad {
+    pub(super) online: Vec<PreparedCompletion>,
+    pub(super) application: Vec<PreparedApplication>,
+    pub(super) jobs: Vec<PreparedJob>,
+}
+
+impl Experiment {
+    /// Runs one arm; files and logs of its fleet go to `folder`.
+    ///
+    /// # Errors
+    ///
+    /// When the fleet cannot be started or set up.
+    pub async fn run_arm(&self, arm: Arm, folder: &Path) -> Result<ArmFigures, BenchError> {
+        let variant = arm.variant();
+        let fleet = Fleet::start(&self.programs, &self.profile, variant, self.seed, folder)?;
+        let gateways = fleet.gateways();
+        operator::set_up(&self.pool, gateways[0], &self.profile).await?;
+        let steering = Arc::new(Steering::new(&gateways));
+        self.wait_until_ready(&steering, &gateways).await?;
+        let length = match arm {
+            Arm::Faults => self.length.mul_f64(FAULTS_LENGTH),
+            _ => self.length,
+        };
+        let prompts = Prompts::new(&format!("{}-{}", self.seed, arm.name()));
+        let load = self.prepare(arm, &prompts, WARM_UP + length);
+        let context = Arc::new(LoadContext {
+            executor: self.executor.clone(),
+            caller: Caller::new(self.pool.clone()),
+            steering,
+            start: Instant::now() + LEAD,
+        });
+        let run = ArmRun {
+            experiment: self,
+            arm,
+            fleet: Arc::new(Mutex::new(fleet)),
+            context,
+            prompts,
+            length,
+            folder: folder.to_owned(),
+        };
+        Ok(match arm {
+            Arm::Direct => run.direct().await,
+            _ => run.load(load).await,
+        })
+    }
+
+    /// The load of an arm that lasts for `whole`, made up before it starts.
+    fn prepare(&self, arm: Arm, prompts: &Prompts, whole: Duration) -> PreparedLoad {
+        let profile = &self.profile;
+        let zones = profile.fleet.zones.len();
+        let mut load = PreparedLoad::default();
+        if arm.has_online() {
+            let arrivals = online_arrivals(&profile.online, zones, whole, self.seed);
+            load.online = prepare_online(profile, prompts, &arrivals);
+            let arrivals = application_arrivals(&profile.application, zones, whole, self.seed);
+            load.application = prepare_application(profile, prompts, &arrivals);
+        }
+        if arm.has_batch() {
+            let items = match arm {
+                Arm::Faults => f64::from(profile.items_per_job()) * FAULTS_JOB_SHARE,
+                _ => f64::from(profile.items_per_job()),
+            };
+            let arrivals = job_arrivals(&profile.batch, items as u32, zones, whole, self.seed);
+            load.jobs = prepare_jobs(profile, prompts, &arrivals);
+        }
+        load
+    }
+
+    /// Waits until every gateway says that it is ready and answers.
+    async fn wait_until_ready(
+        &self,
+        steering: &Steering,
+        gateways: &[SocketAddr],
+    ) -> Result<(), BenchError> {
+        let deadline = Instant::now() + READY_PATIENCE;
+        loop {
+            steering.probe(&self.pool).await;
+            if steering.all_ready() {
+                break;
+            }
+            if Instant::now() >= deadline {
+                return Err(BenchError::SetUp {
+                    reason: "a gateway does not become ready".to_owned(),
+                });
+            }
+            Timer::after(RETRY_PAUSE).await;
+        }
+        for gateway in gateways {
+            self.wait_for_first_answer(*gateway).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a gateway answers a completion and an application call.
+    async fn wait_for_first_answer(&self, gateway: SocketAddr) -> Result<(), BenchError> {
+        let deadline = Instant::now() + FIRST_ANSWER_PATIENCE;
+        let caller = Caller::new(self.pool.clone());
+        let mut number = 0;
+        loop {
+            let prompts = Prompts::new(&format!("first-{gateway}"));
+            let outcomes = direct::first_calls(&caller, gateway, &prompts, &self.profile, number);
+            let missing = outcomes.await;
+            let Some(missing) = missing else {
+                return Ok(());
+            };
+            if Instant::now() >= deadline {
+                return Err(BenchError::SetUp {
+                    reason: format!("gateway {gateway} does not answer: {missing}"),
+                });
+            }
+            number += 1;
+            Timer::after(RETRY_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/replica/driver.rs
@@ -0,0 +1,165 @@
+//! The thread that owns the groups and their disk.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use molespan_replica::{Output, ReplicaCore, ReplicaError, Ticket};
+use molespan_storage::RealDisk;
+use molespan_types::Timestamp;
+
+use super::feed::Nudge;
+use super::leaders::Leaders;
+use super::metrics::ReplicaMetrics;
+use super::orders::{Answer, DriverHandle, Order, queue};
+use super::outbox::Outbox;
+use super::reporter::Reporter;
+
+/// Most orders taken in before one round of work.
+const ORDERS_A_ROUND: usize = 4_096;
+/// Time between two updates of the metrics.
+const METRICS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What the thread reports to.
+#[derive(Debug)]
+pub(super) struct Surroundings {
+    pub outbox: Arc<Outbox>,
+    pub leaders: Arc<Leaders>,
+    pub nudge: Nudge,
+    pub metrics: ReplicaMetrics,
+    pub reporter: Reporter,
+}
+
+/// The clock of the thread, which begins at its start.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Clock(Instant);
+
+impl Clock {
+    /// A clock that begins now.
+    pub fn start() -> Self {
+        Self(Instant::now())
+    }
+
+    /// The time now.
+    pub fn now(self) -> Timestamp {
+        Timestamp(self.0.elapsed().as_micros() as u64)
+    }
+}
+
+/// The thread's state.
+#[derive(Debug)]
+pub(super) struct Driver {
+    core: ReplicaCore<RealDisk>,
+    clock: Clock,
+    orders: Receiver<Order>,
+    surroundings: Surroundings,
+    last_ticket: u64,
+    waiting: HashMap<Ticket, Sender<Answer>>,
+    next_metrics: Timestamp,
+    stopping: bool,
+}
+
+impl Driver {
+    /// A driver of `core`, and the way to it.
+    pub fn new(
+        core: ReplicaCore<RealDisk>,
+        clock: Clock,
+        surroundings: Surroundings,
+    ) -> (Self, DriverHandle) {
+        let (handle, orders) = queue();
+        let driver = Self {
+            core,
+            clock,
+            orders,
+            surroundings,
+            last_ticket: 0,
+            waiting: HashMap::new(),
+            next_metrics: Timestamp::ZERO,
+            stopping: false,
+        };
+        (driver, handle)
+    }
+
+    /// Works until it is told to stop.
+    ///
+    /// # Errors
+    /// When the disk refuses or the groups contradict what is stored. Requests
+    /// that wait are then answered as unknown.
+    pub fn run(mut self) -> Result<(), ReplicaError> {
+        while !self.stopping {
+            self.take_orders();
+            let outputs = self.core.poll(self.clock.now())?;
+            self.deliver(outputs);
+            self.update_metrics();
+        }
+        Ok(())
+    }
+
+    /// Waits for orders or the next deadline, and takes in all that wait.
+    fn take_orders(&mut self) {
+        let deadline = self.core.next_deadline();
+        let wait = deadline.since(self.clock.now());
+        match self.orders.recv_timeout(wait) {
+            Ok(order) => self.take(order),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => self.stopping = true,
+        }
+        for _ in 1..ORDERS_A_ROUND {
+            match self.orders.try_recv() {
+                Ok(order) => self.take(order),
+                Err(_) => break,
+            }
+        }
+    }
+
+    fn take(&mut self, order: Order) {
+        match order {
+            Order::Call { call, reply, .. } => {
+                self.last_ticket += 1;
+                let ticket = Ticket(self.last_ticket);
+                self.waiting.insert(ticket, reply);
+                self.core.handle(self.clock.now(), call.into_input(ticket));
+            }
+            Order::Message { input, .. } => self.core.handle(self.clock.now(), input),
+            Order::Status(reply) => {
+                let _gone = reply.try_send(self.core.status());
+            }
+            Order::Stop => self.stopping = true,
+        }
+    }
+
+    fn deliver(&mut self, outputs: Vec<Output>) {
+        let surroundings = &self.surroundings;
+        let mut bundle = surroundings.outbox.bundle();
+        for output in outputs {
+            match output {
+                Output::Send { to, group, bytes } => bundle.push(to, group, bytes),
+                Output::Reply { ticket, result } => {
+                    if let Some(reply) = self.waiting.remove(&ticket) {
+                        let _gone = reply.try_send(result);
+                    }
+                }
+                Output::LeaderChanged { group, leader } => {
+                    surroundings.leaders.note(group, leader);
+                    surroundings.reporter.leader(group, leader);
+                }
+                Output::ConfigurationChanged { version } => {
+                    surroundings.reporter.configuration(version);
+                    surroundings.nudge.now();
+                }
+                Output::Event(event) => surroundings.reporter.event(&event),
+            }
+        }
+        bundle.finish();
+    }
+
+    fn update_metrics(&mut self) {
+        let now = self.clock.now();
+        if now >= self.next_metrics {
+            self.next_metrics = now + METRICS_INTERVAL;
+            self.surroundings.metrics.update(&self.core.status());
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/replica/feed.rs
@@ -0,0 +1,237 @@
+//! The configuration for those who wait for a newer one.
+//!
+//! However many wait, one read that a quorum confirms serves them all, once in
+//! an interval or as soon as this replica applied a change. They get what
+//! differs from the version that they have, or the whole when they lag far.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future;
+use molespan_replica::{Consistency, Refusal};
+use molespan_state::control::{ConfigurationHistory, ControlAnswer, ControlQuery};
+use molespan_types::{ConfigVersion, GroupId, RunOutcome};
+use molespan_wire::{Consistency as WireConsistency, Request, Response, WatchConfiguration};
+
+use super::orders::{Call, DriverHandle};
+use super::outbox::Outbox;
+
+/// Time between two reads.
+const INTERVAL: Duration = Duration::from_millis(250);
+/// Longest wait for the leader's answer to a read.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
+/// A read that began earlier confirms nothing any more.
+const CONFIRMED_FOR: Duration = Duration::from_secs(1);
+/// Longest wait of one watcher.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
+/// When to come back if no quorum confirms, in milliseconds.
+const RETRY_MS: u32 = 250;
+
+/// Asks for a read at once.
+#[derive(Clone, Debug)]
+pub(super) struct Nudge(Sender<()>);
+
+impl Nudge {
+    /// Asks for a read at once.
+    pub fn now(&self) {
+        let _already_asked = self.0.try_send(());
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    /// When the latest read began; `None` before the first one.
+    began: Option<Instant>,
+    /// What the reads showed.
+    history: ConfigurationHistory,
+    /// Closes once the next read is done.
+    next: Sender<()>,
+    next_done: Receiver<()>,
+}
+
+/// The configuration for those who wait for a newer one.
+#[derive(Debug)]
+pub(super) struct ConfigurationFeed {
+    driver: DriverHandle,
+    outbox: Arc<Outbox>,
+    state: Mutex<State>,
+    demand: Sender<()>,
+}
+
+impl State {
+    /// Whether the latest read still confirms anything.
+    fn is_fresh(&self) -> bool {
+        self.began
+            .is_some_and(|began| began.elapsed() < CONFIRMED_FOR)
+    }
+
+    /// The answer to a watcher that has version `held`, if there is a newer
+    /// one.
+    fn newer(&mut self, held: ConfigVersion) -> Option<Response> {
+        let configuration = self.history.update_for(held)?;
+        Some(Response::Configuration {
+            current: self.history.version(),
+            configuration: Some(configuration),
+        })
+    }
+}
+
+/// What drives the reads of a feed.
+#[derive(Debug)]
+pub(super) struct FeedWork {
+    feed: Arc<ConfigurationFeed>,
+    demanded: Receiver<()>,
+    nudged: Receiver<()>,
+}
+
+/// The two ends of a [`Nudge`].
+pub(super) fn nudge() -> (Nudge, Receiver<()>) {
+    let (sender, nudged) = async_channel::bounded(1);
+    (Nudge(sender), nudged)
+}
+
+impl ConfigurationFeed {
+    /// A feed, and the work that must run for it.
+    pub fn new(
+        driver: DriverHandle,
+        outbox: Arc<Outbox>,
+        nudged: Receiver<()>,
+    ) -> (Arc<Self>, FeedWork) {
+        let (next, next_done) = async_channel::bounded(1);
+        let (demand, demanded) = async_channel::bounded(1);
+        let state = State {
+            began: None,
+            history: ConfigurationHistory::default(),
+            next,
+            next_done,
+        };
+        let feed = Arc::new(Self {
+            driver,
+            outbox,
+            state: Mutex::new(state),
+            demand,
+        });
+        let work = FeedWork {
+            feed: feed.clone(),
+            demanded,
+            nudged,
+        };
+        (feed, work)
+    }
+
+    /// Waits for a configuration that is newer than the asker's, at most as
+    /// long as it wants to.
+    pub async fn watch(&self, watch: &WatchConfiguration) -> Response {
+        let wait = Duration::from_millis(u64::from(watch.wait_ms)).min(LONGEST_WAIT);
+        let deadline = Instant::now() + wait.max(INTERVAL);
+        loop {
+            let next_done = {
+                let mut state = self.lock();
+                let newer = state.is_fresh().then(|| state.newer(watch.in_force));
+                if let Some(response) = newer.flatten() {
+                    return response;
+                }
+                state.next_done.clone()
+            };
+            let _already_demanded = self.demand.try_send(());
+            if !wait_until(deadline, &next_done).await {
+                return self.after_the_wait(watch.in_force);
+            }
+        }
+    }
+
+    fn after_the_wait(&self, in_force: ConfigVersion) -> Response {
+        let mut state = self.lock();
+        if state.is_fresh() {
+            let current = state.history.version();
+            return state.newer(in_force).unwrap_or(Response::Configuration {
+                current,
+                configuration: None,
+            });
+        }
+        Response::Refused {
+            outcome: RunOutcome::NotRun,
+            message: "no quorum confirmed the configuration".to_owned(),
+            retry_after_ms: RETRY_MS,
+        }
+    }
+
+    /// Reads once and tells everybody who waits.
+    async fn read(&self) {
+        let began = Instant::now();
+        let after = self.lock().history.version();
+        let answer = self.ask(after).await;
+        let mut state = self.lock();
+        if let Some(ControlAnswer::Configuration(newer)) = answer {
+            state.began = Some(began);
+            if let Some(newer) = newer {
+                state.history.advance(newer);
+            }
+        }
+        let (next, next_done) = async_channel::bounded(1);
+        state.next = next;
+        state.next_done = next_done;
+    }
+
+    /// Asks the leader, which is here or at another replica.
+    async fn ask(&self, after: ConfigVersion) -> Option<ControlAnswer> {
+        let query = molespan_state::encode(&ControlQuery::ConfigurationAfter { after });
+        let own = self.driver.call(Call::Query {
+            group: GroupId::CONTROL,
+            consistency: Consistency::Linearizable,
+            query: query.clone(),
+        });
+        let answer = match own.await {
+            Ok(answer) => answer,
+            Err(Refusal::NotLeader { leader }) => {
+                let leader = self.outbox.client(leader?)?;
+                let request = Request::Query {
+                    group: GroupId::CONTROL,
+                    consistency: WireConsistency::Linearizable,
+                    query: query.into(),
+                };
+                match leader.call(request, READ_TIMEOUT).await {
+                    Ok(Response::Answered { answer }) => answer.into(),
+                    _ => return None,
+                }
+            }
+            Err(Refusal::Refused { .. }) => return None,
+        };
+        molespan_state::decode(&answer).ok()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl FeedWork {
+    /// Reads while somebody waits.
+    pub async fn run(self) {
+        while self.demanded.recv().await.is_ok() {
+            self.feed.read().await;
+            let interval = async {
+                Timer::after(INTERVAL).await;
+            };
+            let nudged = async {
+                let _ended = self.nudged.recv().await;
+            };
+            future::or(interval, nudged).await;
+        }
+    }
+}
+
+/// Waits for the next read; `false` when the deadline came first.
+async fn wait_until(deadline: Instant, next_done: &Receiver<()>) -> bool {
+    let done = async {
+        let _closed = next_done.recv().await;
+        true
+    };
+    let late = async {
+        Timer::at(deadline).await;
+        false
+    };
+    future::or(done, late).await
+}
--- /dev/null
+++ b/crates/daemon/src/replica/heartbeats.rs
@@ -0,0 +1,118 @@
+//! Which nodes are alive, as the control leader knows from their heartbeats.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use molespan_types::{Incarnation, NodeId, ZoneName};
+
+/// Most nodes of one zone in an answer. Every node gets the same list, so that
+/// all agree on who owns what; nodes beyond it own nothing.
+const MOST_PER_ZONE: usize = 16;
+/// A node counts as alive for as many heartbeats after its last one.
+const LIVE_HEARTBEATS: u32 = 3;
+/// A new leader listens for as many heartbeats before it gives a list.
+const WARM_UP_HEARTBEATS: f64 = 1.5;
+/// The list is made anew so often in the time of one heartbeat, and with each
+/// change.
+const LISTS_A_HEARTBEAT: u32 = 4;
+
+/// A node that is alive: its number, life and whether it is draining.
+pub(super) type LiveNode = (NodeId, Incarnation, bool);
+
+/// A heartbeat of a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct NodeHeartbeat {
+    pub node: NodeId,
+    pub incarnation: Incarnation,
+    pub zone: ZoneName,
+    pub draining: bool,
+}
+
+#[derive(Debug)]
+struct Heard {
+    heartbeat: NodeHeartbeat,
+    at: Instant,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    heard: HashMap<NodeId, Heard>,
+    /// The list as it was made last; every heartbeat asks for it.
+    live: Vec<LiveNode>,
+    /// When it must be made again.
+    live_until: Option<Instant>,
+}
+
+/// Which nodes are alive.
+#[derive(Debug)]
+pub(super) struct Heartbeats {
+    interval: Duration,
+    state: Mutex<State>,
+}
+
+impl Heartbeats {
+    /// Of nodes that send one in each `interval`.
+    pub fn new(interval: Duration) -> Self {
+        Self {
+            interval,
+            state: Mutex::default(),
+        }
+    }
+
+    /// How much longer a leader must listen that has led for `led_for`.
+    pub fn warm_up_left(&self, led_for: Duration) -> Duration {
+        let warm_up = self.interval.mul_f64(WARM_UP_HEARTBEATS);
+        warm_up.saturating_sub(led_for)
+    }
+
+    /// Notes a heartbeat. One of an earlier life is passed over.
+    pub fn note(&self, heartbeat: NodeHeartbeat) {
+        let mut state = self.lock();
+        let node = heartbeat.node;
+        let known = state.heard.get(&node).map(|one| &one.heartbeat);
+        if known.is_some_and(|known| known.incarnation > heartbeat.incarnation) {
+            return;
+        }
+        if known != Some(&heartbeat) {
+            state.live_until = None;
+        }
+        let at = Instant::now();
+        state.heard.insert(node, Heard { heartbeat, at });
+    }
+
+    /// The nodes that are alive, in the order of their numbers.
+    pub fn live(&self) -> Vec<LiveNode> {
+        let mut state = self.lock();
+        let now = Instant::now();
+        if state.live_until.is_none_or(|until| until <= now) {
+            let limit = self.interval * LIVE_HEARTBEATS;
+            state.heard.retain(|_, one| one.at.elapsed() < limit);
+            state.live = list(state.heard.values());
+            state.live_until = Some(now + self.interval / LISTS_A_HEARTBEAT);
+        }
+        state.live.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The first nodes of each zone.
+fn list<'a>(heard: impl Iterator<Item = &'a Heard>) -> Vec<LiveNode> {
+    let mut zones: BTreeMap<&ZoneName, Vec<LiveNode>> = BTreeMap::new();
+    for one in heard {
+        let node = &one.heartbeat;
+        let entry = (node.node, node.incarnation, node.draining);
+        zones.entry(&node.zone).or_default().push(entry);
+    }
+    let mut live = Vec::new();
+    for mut nodes in zones.into_values() {
+        nodes.sort_unstable();
+        nodes.truncate(MOST_PER_ZONE);
+        live.extend(nodes);
+    }
+    live.sort_unstable();
+    live
+}
--- a/crates/replica/tests/cluster/mod.rs
+++ b/crates/replica/tests/cluster/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod jobs;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -22,6 +24,15 @@
 /// How a request ended.
 pub type Answer = Result<Vec<u8>, Refusal>;
 
+/// A message on its way.
+struct Packet {
+    from: NodeId,
+    to: NodeId,
+    group: GroupId,
+    bytes: Vec<u8>,
+}
+
+/// The nodes, their disks and the network between them.
 pub struct Cluster {
     pub now: Timestamp,
     pub random: ChaCha8Rng,
@@ -34,10 +45,13 @@
     pub cut: BTreeSet<(NodeId, NodeId)>,
     pub loss: f64,
     pub bytes_sent: u64,
-    network: BTreeMap<(Timestamp, u64), (NodeId, NodeId, GroupId, Vec<u8>)>,
+    network: BTreeMap<(Timestamp, u64), Packet>,
+    /// A node whose messages wait for [`Cluster::deliver_reversed`].
+    pub held_for: Option<NodeId>,
+    held: Vec<Input>,
     last_ticket: u64,
     last_message: u64,
-    job_groups: u32,
+    pub job_groups: u32,
     tune: fn(&mut ReplicaSettings),
 }
 
@@ -52,8 +66,17 @@
     }
 
     pub fn tuned(size: u32, seed: u64, tune: fn(&mut ReplicaSettings)) -> Self {
+        let mut cluster = Self::stopped(size, seed, tune);
+        for node in cluster.nodes() {
+            cluster.start(node);
+        }
+        cluster
+    }
+
+    /// A cluster of blank nodes, none of which is started.
+    pub fn stopped(size: u32, seed: u64, tune: fn(&mut ReplicaSettings)) -> Self {
         let nodes = (1..=size).map(NodeId);
-        let mut cluster = Self {
+        Self {
             now: Timestamp::from_millis(1),
             random: ChaCha8Rng::seed_from_u64(seed),
             disks: nodes.map(|node| (node, SimulatedDisk::new())).collect(),
@@ -65,15 +88,19 @@
             loss: 0.0,
             bytes_sent: 0,
             network: BTreeMap::new(),
+            held_for: None,
+            held: Vec::new(),
             last_ticket: 0,
             last_message: 0,
             job_groups: 2,
             tune,
-        };
-        for node in cluster.nodes() {
-            cluster.start(node);
         }
-        cluster
+    }
+
+    /// The first running node but this one.
+    pub fn other_than(&self, node: NodeId) -> NodeId {
+        let mut others = self.cores.keys().copied();
+        others.find(|&other| other != node).expect("there is one")
     }
 
     pub fn nodes(&self) -> Vec<NodeId> {
@@ -173,7 +200,13 @@
         self.last_message += 1;
         let delay = Duration::from_micros(self.random.random_range(300..2_000));
         let key = (self.now + delay, self.last_message);
-        self.network.insert(key, (from, to, group, bytes));
+        let packet = Packet {
+            from,
+            to,
+            group,
+            bytes,
+        };
+        self.network.insert(key, packet);
     }
 
     /// Lets one thing happen: a message arrives or a timer runs out.
@@ -190,19 +223,38 @@
         };
         self.now = self.now.max(at);
         if arrival == Some(at) {
-            let Some((_, (from, to, group, bytes))) = self.network.pop_first() else {
+            let Some((_, packet)) = self.network.pop_first() else {
                 return false;
             };
-            if self.cut.contains(&(from, to)) {
+            if self.cut.contains(&(packet.from, packet.to)) {
                 return true;
             }
-            self.input(to, Input::Message { from, group, bytes });
+            let message = Input::Message {
+                from: packet.from,
+                group: packet.group,
+                bytes: packet.bytes,
+            };
+            if self.held_for == Some(packet.to) {
+                self.held.push(message);
+            } else {
+                self.input(packet.to, message);
+            }
         } else if let Some((_, node)) = timer {
             self.poll(node);
         }
         true
     }
 
+    /// Delivers what waits for a node, the latest first.
+    pub fn deliver_reversed(&mut self) {
+        let Some(node) = self.held_for.take() else {
+            return;
+        };
+        for message in std::mem::take(&mut self.held).into_iter().rev() {
+            self.input(node, message);
+        }
+    }
+
     pub fn input(&mut self, node: NodeId, input: Input) {
         if let Some(core) = self.cores.get_mut(&node) {
             core.handle(self.now, input);
@@ -260,20 +312,49 @@
 
     /// Proposes to whoever leads, again and again, until it is committed.
     pub fn commit(&mut self, group: GroupId, command: &[u8]) -> Vec<u8> {
+        let reply = self.try_commit(group, command, &|_| false);
+        reply.unwrap_or_else(|| panic!("nothing is committed: {:#?}", self.statuses()))
+    }
+
+    /// Proposes to whoever leads, again and again, until it is committed or
+    /// `stopped`.
+    pub fn try_commit(
+        &mut self,
+        group: GroupId,
+        command: &[u8],
+        stopped: &impl Fn(&Self) -> bool,
+    ) -> Option<Vec<u8>> {
         for _ in 0..200 {
+            if stopped(self) {
+                return None;
+            }
             let Some(leader) = self.leader(group) else {
                 self.run_for(Duration::from_millis(50));
                 continue;
             };
             let ticket = self.propose_to(leader, group, command.to_vec());
             let end = self.now + Duration::from_secs(10);
-            while !self.answers.contains_key(&ticket) && self.advance(end) {}
+            while !self.answers.contains_key(&ticket) && !stopped(self) && self.advance(end) {}
             match self.answers.get(&ticket) {
-                Some(Ok(reply)) => return reply.clone(),
+                Some(Ok(reply)) => return Some(reply.clone()),
                 _ => self.run_for(Duration::from_millis(50)),
             }
         }
-        panic!("nothing is committed: {:#?}", self.statuses());
+        None
+    }
+
+    /// Confirms an intent; gives the new version, or nothing when `stopped`.
+    pub fn try_confirm(
+        &mut self,
+        number: u64,
+        base: ConfigVersion,
+        stopped: &impl Fn(&Self) -> bool,
+    ) -> Option<ConfigVersion> {
+        let reply = self.try_commit(GroupId::CONTROL, &intent(number, base), stopped)?;
+        match molespan_state::decode(&reply) {
+            Ok(ControlReply::Confirm(ConfirmReply::Confirmed { version })) => Some(version),
+            other => panic!("{other:?}"),
+        }
     }
 
     /// Confirms an intent with this number; gives the version it produced.
