Share the switches of back ends and reading through a buffer

The routes of the emulator's switches stood in engines and application back ends, and poll_read of three buffered sources in the HTTP crate. One trait and one function serve them now; behaviour is the same.

--- a/crates/emulator/src/application.rs
+++ b/crates/emulator/src/application.rs
@@ -22,10 +22,9 @@
 use crate::engine::{Counts, ExecutionLog, LoadMonitor, Observation};
 use crate::faults::{AnswerFault, FaultSettings};
 use crate::server::{
-    Running, Service, Switches, error_reply, header, json_reply, not_found, query_text, read_body,
-    read_json, start,
+    Running, Service, Switches, error_reply, header, json_reply, read_body, start,
 };
-use crate::switch_api::{self, CrashRequest};
+use crate::switch_api::{Switched, route_switch};
 
 /// How an application back end is started.
 #[derive(Clone, Debug)]
@@ -126,24 +125,6 @@
         Ok((application, running))
     }
 
-    /// Puts faults in force, in place of those before.
-    pub fn set_faults(&self, faults: FaultSettings) {
-        self.switches.set(faults);
-    }
-
-    /// Dies and starts its next life after `down`.
-    pub fn crash(&self, down: Duration) {
-        // Connections end first, so that none of them sees the next life.
-        self.switches.crash(down);
-        self.incarnation.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// The count of executions.
-    #[must_use]
-    pub fn executions(&self) -> ExecutionLog {
-        self.with_work(|work| work.executions.clone())
-    }
-
     async fn route(
         self: Arc<Self>,
         mut request: Request,
@@ -153,31 +134,9 @@
         match (request.method(), path.as_str()) {
             (Method::Get, LOAD_PATH) => Ok(self.stamp(json_reply(200, &self.load_report()))),
             (Method::Get, HEALTH_PATH) => Ok(self.stamp(json_reply(200, &"ok"))),
-            (Method::Get, switch_api::FAULTS_PATH) => Ok(json_reply(200, &self.switches.faults())),
-            (Method::Post, switch_api::FAULTS_PATH) => {
-                let faults: FaultSettings = match read_json(&mut request).await? {
-                    Ok(faults) => faults,
-                    Err(reply) => return Ok(reply),
-                };
-                self.set_faults(faults.clone());
-                Ok(json_reply(200, &faults))
-            }
-            (Method::Post, switch_api::CRASH_PATH) => {
-                let crash: CrashRequest = match read_json(&mut request).await? {
-                    Ok(crash) => crash,
-                    Err(reply) => return Ok(reply),
-                };
-                self.crash(Duration::from_millis(crash.down_ms));
-                Ok(json_reply(200, &crash))
-            }
-            (Method::Get, switch_api::EXECUTIONS_PATH) => {
-                let attempt = query_text(&request, "attempt");
-                let prompt = query_text(&request, "prompt");
-                Ok(self.with_work(|work| {
-                    switch_api::executions_reply(&work.executions, attempt, prompt)
-                }))
+            (_, path) if path.starts_with(crate::EMULATOR_PATH) => {
+                route_switch(self.as_ref(), &mut request).await
             }
-            (_, path) if path.starts_with(crate::EMULATOR_PATH) => Ok(not_found()),
             _ => self.work_on(request, fault).await,
         }
     }
@@ -325,6 +284,26 @@
     }
 }
 
+impl Switched for Application {
+    fn faults(&self) -> FaultSettings {
+        self.switches.faults()
+    }
+
+    fn set_faults(&self, faults: FaultSettings) {
+        self.switches.set(faults);
+    }
+
+    fn crash(&self, down: Duration) {
+        // Connections end first, so that none of them sees the next life.
+        self.switches.crash(down);
+        self.incarnation.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn executions(&self) -> ExecutionLog {
+        self.with_work(|work| work.executions.clone())
+    }
+}
+
 impl Service for Application {
     fn is_work(&self, path: &str) -> bool {
         let probe = path == LOAD_PATH || path == HEALTH_PATH;
--- a/crates/emulator/src/engine_server/mod.rs
+++ b/crates/emulator/src/engine_server/mod.rs
@@ -19,6 +19,7 @@
 use crate::engine::{EngineCore, EngineSettings, ExecutionLog};
 use crate::faults::FaultSettings;
 use crate::server::{Running, Switches, start};
+use crate::switch_api::Switched;
 use state::EngineState;
 
 /// How an engine process is started.
@@ -78,27 +79,6 @@
         Ok((server, running))
     }
 
-    /// Puts faults in force, in place of those before.
-    pub fn set_faults(&self, faults: FaultSettings) {
-        let engine = faults.engine.clone();
-        self.switches.set(faults);
-        self.with_core(|core, now| core.set_faults(now, engine));
-    }
-
-    /// Dies and starts its next life after `down`.
-    pub fn crash(&self, down: Duration) {
-        // Connections end first, so that none of them sees the next life.
-        self.switches.crash(down);
-        let now = self.now();
-        self.lock().crash(now);
-    }
-
-    /// The count of executions.
-    #[must_use]
-    pub fn executions(&self) -> ExecutionLog {
-        self.lock().core.executions().clone()
-    }
-
     /// Calls the core and lets the driver see to what follows.
     pub fn with_core<T>(&self, call: impl FnOnce(&mut EngineCore, Timestamp) -> T) -> T {
         let mut state = self.lock();
@@ -126,3 +106,26 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl Switched for EngineServer {
+    fn faults(&self) -> FaultSettings {
+        self.switches.faults()
+    }
+
+    fn set_faults(&self, faults: FaultSettings) {
+        let engine = faults.engine.clone();
+        self.switches.set(faults);
+        self.with_core(|core, now| core.set_faults(now, engine));
+    }
+
+    fn crash(&self, down: Duration) {
+        // Connections end first, so that none of them sees the next life.
+        self.switches.crash(down);
+        let now = self.now();
+        self.lock().crash(now);
+    }
+
+    fn executions(&self) -> ExecutionLog {
+        self.lock().core.executions().clone()
+    }
+}
--- a/crates/emulator/src/engine_server/routes.rs
+++ b/crates/emulator/src/engine_server/routes.rs
@@ -1,7 +1,6 @@
 //! Paths of an engine.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use futures_lite::FutureExt;
 use futures_lite::future::Boxed;
@@ -16,11 +15,9 @@
 use super::EngineServer;
 use super::answers::AnswerForm;
 use crate::engine::{EngineCore, Refusal};
-use crate::faults::{AnswerFault, FaultSettings};
-use crate::server::{
-    Service, error_reply, json_reply, not_found, query_number, query_text, read_json,
-};
-use crate::switch_api::{self, CrashRequest};
+use crate::faults::AnswerFault;
+use crate::server::{Service, error_reply, json_reply, not_found, query_number, read_json};
+use crate::switch_api::{self, route_switch};
 
 /// Answer of `POST /kv/import`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -155,23 +152,6 @@
 
     async fn route_switch(&self, mut request: Request, path: &str) -> http_types::Result<Response> {
         match (request.method(), path) {
-            (Method::Get, switch_api::FAULTS_PATH) => Ok(json_reply(200, &self.switches.faults())),
-            (Method::Post, switch_api::FAULTS_PATH) => {
-                let faults: FaultSettings = match read_json(&mut request).await? {
-                    Ok(faults) => faults,
-                    Err(reply) => return Ok(reply),
-                };
-                self.set_faults(faults.clone());
-                Ok(json_reply(200, &faults))
-            }
-            (Method::Post, switch_api::CRASH_PATH) => {
-                let crash: CrashRequest = match read_json(&mut request).await? {
-                    Ok(crash) => crash,
-                    Err(reply) => return Ok(reply),
-                };
-                self.crash(Duration::from_millis(crash.down_ms));
-                Ok(json_reply(200, &crash))
-            }
             (Method::Post, switch_api::PRIORITY_PATH) => {
                 let priority: PriorityRequest = match read_json(&mut request).await? {
                     Ok(priority) => priority,
@@ -180,15 +160,7 @@
                 self.with_core(|core, _| core.set_priority(priority.on));
                 Ok(json_reply(200, &priority))
             }
-            (Method::Get, switch_api::EXECUTIONS_PATH) => Ok(self.report_executions(&request)),
-            _ => Ok(not_found()),
+            _ => route_switch(self, &mut request).await,
         }
     }
-
-    fn report_executions(&self, request: &Request) -> Response {
-        let attempt = query_text(request, "attempt");
-        let prompt = query_text(request, "prompt");
-        let state = self.lock();
-        switch_api::executions_reply(state.core.executions(), attempt, prompt)
-    }
 }
--- a/crates/emulator/src/fleet/mod.rs
+++ b/crates/emulator/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 use crate::faults::FaultSettings;
 use crate::platform::{Platform, PlatformSettings};
 use crate::server::{Running, Switches};
+use crate::switch_api::Switched;
 use crate::weight_store::{WeightStore, WeightStoreSettings};
 
 pub use settings::FleetSettings;
@@ -36,26 +37,24 @@
 impl BackendHandle {
     /// Puts faults in force, in place of those before.
     pub fn set_faults(&self, faults: FaultSettings) {
-        match self {
-            BackendHandle::Engine(engine) => engine.set_faults(faults),
-            BackendHandle::Application(application) => application.set_faults(faults),
-        }
+        self.switched().set_faults(faults);
     }
 
     /// Dies and starts its next life after `down`.
     pub fn crash(&self, down: Duration) {
-        match self {
-            BackendHandle::Engine(engine) => engine.crash(down),
-            BackendHandle::Application(application) => application.crash(down),
-        }
+        self.switched().crash(down);
     }
 
     /// The count of executions.
     #[must_use]
     pub fn executions(&self) -> ExecutionLog {
+        self.switched().executions()
+    }
+
+    fn switched(&self) -> &dyn Switched {
         match self {
-            BackendHandle::Engine(engine) => engine.executions(),
-            BackendHandle::Application(application) => application.executions(),
+            Self::Engine(engine) => engine.as_ref(),
+            Self::Application(application) => application.as_ref(),
         }
     }
 }
--- a/crates/emulator/src/switch_api.rs
+++ b/crates/emulator/src/switch_api.rs
@@ -1,11 +1,14 @@
 //! Switches and checks that every stand-in has, under `/emulator/`.
 
-use http_types::Response;
+use std::time::Duration;
+
+use http_types::{Method, Request, Response};
 use molespan_types::{Digest, RunOutcome};
 use serde::{Deserialize, Serialize};
 
 use crate::engine::ExecutionLog;
-use crate::server::{error_reply, json_reply};
+use crate::faults::FaultSettings;
+use crate::server::{error_reply, json_reply, not_found, query_text, read_json};
 
 /// `GET` for the faults in force, `POST` to replace them.
 pub const FAULTS_PATH: &str = "/emulator/faults";
@@ -25,17 +28,59 @@
     pub down_ms: u64,
 }
 
+/// A back end whose switches are reached over HTTP.
+pub trait Switched {
+    /// Faults in force.
+    fn faults(&self) -> FaultSettings;
+
+    /// Puts faults in force, in place of those before.
+    fn set_faults(&self, faults: FaultSettings);
+
+    /// Dies and starts its next life after `down`.
+    fn crash(&self, down: Duration);
+
+    /// The count of executions.
+    fn executions(&self) -> ExecutionLog;
+}
+
+/// Answers a request on one of the paths that every back end has.
+///
+/// # Errors
+/// When the request cannot be read.
+pub async fn route_switch(
+    backend: &impl Switched,
+    request: &mut Request,
+) -> http_types::Result<Response> {
+    let path = request.url().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (Method::Get, FAULTS_PATH) => Ok(json_reply(200, &backend.faults())),
+        (Method::Post, FAULTS_PATH) => {
+            let faults: FaultSettings = match read_json(request).await? {
+                Ok(faults) => faults,
+                Err(reply) => return Ok(reply),
+            };
+            backend.set_faults(faults.clone());
+            Ok(json_reply(200, &faults))
+        }
+        (Method::Post, CRASH_PATH) => {
+            let crash: CrashRequest = match read_json(request).await? {
+                Ok(crash) => crash,
+                Err(reply) => return Ok(reply),
+            };
+            backend.crash(Duration::from_millis(crash.down_ms));
+            Ok(json_reply(200, &crash))
+        }
+        (Method::Get, EXECUTIONS_PATH) => Ok(executions_reply(&backend.executions(), request)),
+        _ => Ok(not_found()),
+    }
+}
+
 /// The counts that a query asks for.
-#[must_use]
-pub fn executions_reply(
-    log: &ExecutionLog,
-    attempt: Option<String>,
-    prompt: Option<String>,
-) -> Response {
-    if let Some(attempt) = attempt {
+fn executions_reply(log: &ExecutionLog, request: &Request) -> Response {
+    if let Some(attempt) = query_text(request, "attempt") {
         return json_reply(200, &log.of_attempt(&attempt));
     }
-    let Some(prompt) = prompt else {
+    let Some(prompt) = query_text(request, "prompt") else {
         return json_reply(200, log);
     };
     match u64::from_str_radix(&prompt, 16) {
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -7,6 +7,8 @@
 use futures_lite::io::{AsyncBufRead, AsyncRead};
 use http_types::{Body, Response};
 
+use crate::buffered::poll_read_buffered;
+
 /// Reader behind a [`Body`].
 pub(crate) type BodyReader = Box<dyn AsyncBufRead + Unpin + Send + Sync>;
 
@@ -50,15 +52,11 @@
 
 impl AsyncRead for LengthChecked {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         target: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let available = ready!(self.as_mut().poll_fill_buf(context))?;
-        let count = available.len().min(target.len());
-        target[..count].copy_from_slice(&available[..count]);
-        self.consume(count);
-        Poll::Ready(Ok(count))
+        poll_read_buffered(self, context, target)
     }
 }
 
--- a/crates/http/src/client/response.rs
+++ b/crates/http/src/client/response.rs
@@ -14,6 +14,7 @@
 use super::connection::ClientConnection;
 use super::error::BodyError;
 use crate::body::{BodyReader, LengthChecked};
+use crate::buffered::poll_read_buffered;
 use crate::events::EventStream;
 use crate::source::Source;
 
@@ -198,14 +199,10 @@
 
 impl AsyncRead for CheckedBody {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         target: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let available = ready!(self.as_mut().poll_fill_buf(context))?;
-        let count = available.len().min(target.len());
-        target[..count].copy_from_slice(&available[..count]);
-        self.consume(count);
-        Poll::Ready(Ok(count))
+        poll_read_buffered(self, context, target)
     }
 }
--- a/crates/http/src/events/writer.rs
+++ b/crates/http/src/events/writer.rs
@@ -11,6 +11,7 @@
 use http_types::{Body, Response, StatusCode};
 
 use super::ServerEvent;
+use crate::buffered::poll_read_buffered;
 
 /// Media type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -145,14 +146,10 @@
 
 impl AsyncRead for PieceReader {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         target: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let available = ready!(self.as_mut().poll_fill_buf(context))?;
-        let count = available.len().min(target.len());
-        target[..count].copy_from_slice(&available[..count]);
-        self.consume(count);
-        Poll::Ready(Ok(count))
+        poll_read_buffered(self, context, target)
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,6 +6,7 @@
 //! still there.
 
 mod body;
+mod buffered;
 mod client;
 mod events;
 mod net;
