--- a/crates/daemon/tests/processes/fleet.rs
+++ b/crates/daemon/tests/processes/fleet.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 
 use molespan_emulator::expected_answer;
-use molespan_emulator::fleet::{Fleet, FleetSettings};
+use molespan_emulator::fleet::{Fleet, FleetSettings, Member};
 use molespan_settings::Settings;
-use molespan_types::NodeId;
+use molespan_types::{NodeId, digest_of};
 use serde_json::{Value, json};
 
 use super::client::{Answer, call, get, post};
@@ -157,18 +157,34 @@
         }
     }
 
-    /// Sends a completion that may be repeated nowhere.
-    pub fn complete_once(&self, gateway: NodeId, key: &str, prompt: &str) -> Answer {
-        let headers = [("x-repeatable", "false"), ("idempotency-key", key)];
-        let body = json!({"model": "caption", "prompt": prompt, "max_tokens": 4}).to_string();
-        call(
-            self.address(gateway),
-            "POST",
-            "/v1/completions",
-            &headers,
-            &body,
-        )
+    /// Times that engines began to run a prompt.
+    pub fn runs_of(&self, prompt: &str) -> u32 {
+        let digest = digest_of(prompt.as_bytes());
+        let members = self.backends.members.iter();
+        members
+            .map(|one| one.handle.executions().of_prompt(digest).started)
+            .sum()
     }
+
+    /// Times that back ends began to run anything.
+    pub fn runs(&self) -> u64 {
+        self.backends.members.iter().map(started).sum()
+    }
+}
+
+/// Times that a back end began to run anything.
+pub fn started(member: &Member) -> u64 {
+    let executions = member.handle.executions();
+    let attempts = executions.attempts.values();
+    attempts.map(|count| u64::from(count.started)).sum()
+}
+
+/// Sends a completion that runs at most once.
+pub fn complete_once(address: SocketAddr, key: &str, prompt: &str, max_tokens: u32) -> Answer {
+    let headers = [("x-repeatable", "false"), ("idempotency-key", key)];
+    let body = json!({"model": "caption", "prompt": prompt, "max_tokens": max_tokens});
+    let path = "/v1/completions";
+    call(address, "POST", path, &headers, &body.to_string())
 }
 
 fn item_prompt(item: u32) -> String {
--- a/crates/daemon/tests/processes/mod.rs
+++ b/crates/daemon/tests/processes/mod.rs
@@ -45,3 +45,17 @@
         std::thread::sleep(PAUSE);
     }
 }
+
+/// Waits until a count stays the same for a while; gives it.
+pub fn settled(mut count: impl FnMut() -> u64) -> u64 {
+    const LOOKS: u32 = 30;
+    let mut last = count();
+    let mut same = 0;
+    wait_for("a count that stays the same", || {
+        let now = count();
+        same = if now == last { same + 1 } else { 0 };
+        last = now;
+        same >= LOOKS
+    });
+    last
+}
--- a/crates/daemon/tests/processes_path.rs
+++ b/crates/daemon/tests/processes_path.rs
@@ -8,12 +8,13 @@
 
 use async_io::block_on;
 use molespan_emulator::expected_answer;
+use molespan_engine_api::MachineState;
 use molespan_types::{JobId, NodeId};
 use processes::client::{Answer, complete, get, post, stream};
 use processes::control::Control;
 use processes::daemon::Signal;
-use processes::fleet::RunningFleet;
-use processes::wait_for;
+use processes::fleet::{RunningFleet, complete_once, started};
+use processes::{settled, wait_for};
 use serde_json::{Value, json};
 
 /// Items of a job that something happens to.
@@ -24,6 +25,8 @@
 const JOB_GROUPS: u32 = 4;
 /// Callers of a gateway that stops.
 const CALLERS: u32 = 4;
+/// Tokens of an answer that takes about a second.
+const LONG_ANSWER: u32 = 250;
 /// Longer than the bound within which a gateway must confirm its configuration.
 const PAST_THE_BOUND: Duration = Duration::from_millis(1_500);
 /// Time after which bytes that were sent over loopback have arrived.
@@ -54,14 +57,11 @@
     let [first, second, _] = fleet.cluster.gateways()[..] else {
         panic!("three gateways");
     };
-    let answer = fleet.complete_once(first, "bill-7", "bill seven");
+    let answer = complete_once(fleet.address(first), "bill-7", "bill seven", 4);
     assert_eq!(answer.status, 200, "{answer:?}");
-    let resent = fleet.complete_once(second, "bill-7", "bill seven");
+    let resent = complete_once(fleet.address(second), "bill-7", "bill seven", 4);
     assert_ne!(resent.outcome(), "not-run", "{resent:?}");
-    let digest = molespan_types::digest_of(b"bill seven");
-    let executions = fleet.backends.members.iter();
-    let runs = executions.map(|one| one.handle.executions().of_prompt(digest).started);
-    assert_eq!(runs.sum::<u32>(), 1);
+    assert_eq!(fleet.runs_of("bill seven"), 1);
 }
 
 #[test]
@@ -185,7 +185,7 @@
         let status = block_on(fleet.cluster.stop(leader));
         assert!(status.success(), "{status}");
         let key = format!("bill-{leader}");
-        let answer = fleet.complete_once(gateway, &key, "a claim needs a leader");
+        let answer = complete_once(address, &key, "a claim needs a leader", 4);
         assert_eq!(answer.status, 200, "{answer:?}");
         assert_eq!(complete(address, "online", 4).status, 200);
         fleet.cluster.start(leader);
@@ -260,6 +260,82 @@
     }
 }
 
+#[test]
+fn a_claim_outlives_the_gateway_that_made_it() {
+    let mut fleet = RunningFleet::start();
+    let [killed, other, _] = fleet.cluster.gateways()[..] else {
+        panic!("three gateways");
+    };
+    let (key, prompt) = ("grade-3", "a grade that is given once");
+    let address = fleet.address(killed);
+    thread::scope(|scope| {
+        scope.spawn(move || complete_once(address, key, prompt, LONG_ANSWER));
+        wait_for("a running request", || fleet.runs_of(prompt) == 1);
+        fleet.cluster.kill(killed);
+    });
+    // Whoever asks again learns the answer or that its fate is unknown.
+    let resent = complete_once(fleet.address(other), key, prompt, LONG_ANSWER);
+    if resent.status == 200 {
+        assert_eq!(resent.text(), expected_answer(prompt, LONG_ANSWER));
+    } else {
+        assert_eq!(resent.outcome(), "unknown", "{resent:?}");
+    }
+    assert_eq!(fleet.runs_of(prompt), 1);
+}
+
+#[test]
+fn a_cancelled_job_stops_whoever_dies() {
+    const MANY: u32 = 20_000;
+    let mut fleet = RunningFleet::start();
+    let [killed, other, _] = fleet.cluster.gateways()[..] else {
+        panic!("three gateways");
+    };
+    let id = fleet.submit(killed, "withdrawn", MANY);
+    fleet.wait_for_items(other, &id, UNDER_WAY);
+    let path = format!("/v1/batches/{id}/cancel");
+    let cancelled = post(fleet.address(other), &path, "");
+    assert_eq!(cancelled.status, 200, "{cancelled:?}");
+    let control = Control::of(&fleet.cluster);
+    let group = JobId::parse(&id).unwrap().group(JOB_GROUPS);
+    fleet.cluster.kill(block_on(control.leader_of(group)));
+    fleet.cluster.kill(killed);
+    wait_for("a cancelled job", || {
+        fleet.job(other, &id)["state"] == "cancelled"
+    });
+    let runs = fleet.runs();
+    assert!(
+        runs < u64::from(MANY),
+        "the job was done before it was cancelled"
+    );
+    complete(fleet.address(other), "something else", LONG_ANSWER);
+    assert_eq!(fleet.runs(), runs + 1);
+}
+
+#[test]
+fn a_leaving_engine_gets_no_new_work() {
+    let fleet = RunningFleet::start();
+    let gateways = fleet.cluster.gateways();
+    let leaving = fleet.backends.members[0].clone();
+    let id = leaving.machine.id;
+    fleet.submit(gateways[0], "heap", ITEMS);
+    let platform = &fleet.backends.platform;
+    platform.with_core(|core, now| core.set_state(now, id, MachineState::Leaving));
+    for &gateway in &gateways {
+        wait_for("a gateway that knows", || {
+            let backends = get(fleet.address(gateway), "/admin/backends").json_value();
+            backends[0]["id"] == id.0 && backends[0]["state"] == "leaving"
+        });
+    }
+    // What it had taken before may still begin.
+    let before = settled(|| started(&leaving));
+    for turn in 0..30 {
+        let gateway = gateways[turn % gateways.len()];
+        let answer = complete(fleet.address(gateway), &format!("request {turn}"), 4);
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert_eq!(started(&leaving), before);
+}
+
 #[test]
 fn every_node_tells_its_health() {
     let fleet = RunningFleet::start();
