--- a/crates/daemon/src/gateway/batch_submission.rs
+++ b/crates/daemon/src/gateway/batch_submission.rs
@@ -11,10 +11,10 @@
 use molespan_types::{Digest, GroupId, ItemIndex, JobId, ServiceName, TenantId, digest_of};
 
 use super::batch_api::{JobView, job_status};
-use super::clock::unix_millis;
 use super::error::ApiError;
 use super::state::GatewayState;
 use super::validation::{check_item, query_number, query_text, tenant_of};
+use crate::wall_clock::unix_millis;
 
 /// Longest job key in bytes.
 const MAX_KEY_BYTES: usize = 256;
--- a/crates/daemon/src/gateway/clock.rs
+++ b/crates/daemon/src/gateway/clock.rs
@@ -1,6 +1,6 @@
-//! The node's clocks: one for decisions, one for people.
+//! The clock that decisions see.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use molespan_types::Timestamp;
 
@@ -26,9 +26,3 @@
         Timestamp(self.start.elapsed().as_micros() as u64)
     }
 }
-
-/// Milliseconds since the Unix epoch, for people only.
-pub(super) fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
--- a/crates/daemon/src/gateway/events.rs
+++ b/crates/daemon/src/gateway/events.rs
@@ -2,7 +2,7 @@
 
 use molespan_telemetry::{EventBuffer, EventInput, EventKind, EventValue, inputs};
 
-use super::clock::unix_millis;
+use crate::wall_clock::unix_millis;
 
 /// Records the decisions of one gateway.
 #[derive(Clone, Debug)]
