Leave engines that fell silent, for requests and items that may run again

Cause: behind a cut zone or on a frozen engine a request waited for the response timeout of 5 s and for three tries to resume; an item waited for the batch stall bound of 300 s. Now the head of an answer is due within 1 s, silence counts as a lost attempt where running elsewhere is allowed and nothing was passed on, and what waits on an engine that the directory ejected goes elsewhere. A load report that does not come counts against its engine. Application calls wait shortly for a back end below its limit, as completions do, instead of being refused.

--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use molespan_engine_api::{ATTEMPT_HEADER, CompletionChunk, ErrorBody, ErrorDetail};
-use molespan_http::{ClientResponse, EventStream, SendError};
+use molespan_http::{BodyError, ClientResponse, EventError, EventStream, FailureCause, SendError};
 use molespan_routing::retry::{AttemptEnd, AttemptRef, StreamCheck, check_attempt};
 use molespan_types::{AttemptId, BackendId, Incarnation, RunOutcome};
 
@@ -36,6 +36,8 @@
     pub(super) end: AttemptEnd,
     /// One sentence for people.
     pub(super) cause: String,
+    /// Whether the back end said nothing for too long.
+    pub(super) silent: bool,
     /// What the back end itself said, if it answered.
     pub(super) refusal: Option<BackendRefusal>,
 }
@@ -60,14 +62,24 @@
 }
 
 impl AttemptFailure {
+    /// The connection broke or the answer failed its checks.
     pub(super) fn broken(cause: impl ToString) -> Self {
         Self {
             end: AttemptEnd::Broken,
             cause: cause.to_string(),
+            silent: false,
             refusal: None,
         }
     }
 
+    /// The back end said nothing for too long.
+    pub(super) fn silent(cause: impl ToString) -> Self {
+        Self {
+            silent: true,
+            ..Self::broken(cause)
+        }
+    }
+
     /// The request could not be sent, or its answer did not begin.
     pub(super) fn of_send(error: &SendError) -> Self {
         let end = match error.outcome() {
@@ -76,8 +88,32 @@
         };
         Self {
             end,
-            cause: error.to_string(),
-            refusal: None,
+            silent: *error.cause() == FailureCause::ResponseTimeout,
+            ..Self::broken(error)
+        }
+    }
+
+    /// The answer broke off.
+    fn of_event(error: &EventError) -> Self {
+        Self {
+            silent: *error == EventError::Body(BodyError::Stalled),
+            ..Self::broken(error)
+        }
+    }
+
+    /// The request cannot be expressed towards the back end.
+    pub(super) fn not_sent(cause: impl ToString) -> Self {
+        Self {
+            end: AttemptEnd::NotSent,
+            ..Self::broken(cause)
+        }
+    }
+
+    /// The answer can no longer be had.
+    pub(super) fn lost(cause: impl ToString) -> Self {
+        Self {
+            end: AttemptEnd::Lost,
+            ..Self::broken(cause)
         }
     }
 }
@@ -98,7 +134,8 @@
 impl AnswerStream {
     /// The next token; `None` once the answer is whole.
     pub(super) async fn next(&mut self) -> Result<Option<Token>, AttemptFailure> {
-        let event = self.events.next().await.map_err(AttemptFailure::broken)?;
+        let event = self.events.next().await;
+        let event = event.map_err(|error| AttemptFailure::of_event(&error))?;
         let Some(event) = event else {
             self.check.terminator();
             self.check.end().map_err(AttemptFailure::broken)?;
@@ -139,8 +176,8 @@
     };
     AttemptFailure {
         end,
-        cause: refusal.detail.message.clone(),
-        refusal: Some(refusal),
+        refusal: Some(refusal.clone()),
+        ..AttemptFailure::broken(refusal.detail.message)
     }
 }
 
--- a/crates/daemon/src/gateway/application.rs
+++ b/crates/daemon/src/gateway/application.rs
@@ -211,25 +211,19 @@
     }
 
     async fn dispatch(&mut self, exclude: &[BackendId]) -> NextStep {
-        let now = self.state.clock.now();
-        let request = PickRequest {
+        let wanted = PickRequest {
             prefix_hashes: &[],
             exclude,
         };
         let service = &self.asked.service;
-        let chosen = match self.state.pickers.pick(now, service, request) {
-            Ok(pick) => {
-                self.state.note_pick(service, &self.asked.tenant, &pick);
-                self.state.chosen(pick.backend)
-            }
+        let chosen = self.state.choose(service, &self.asked.tenant, wanted).await;
+        let chosen = match chosen {
+            Ok(chosen) => chosen,
             Err(error) => {
                 self.cause = error.to_string();
-                None
+                return self.steps.no_backend();
             }
         };
-        let Some(chosen) = chosen else {
-            return self.steps.no_backend();
-        };
         let attempt = self.state.next_attempt();
         let target = chosen.target;
         if !self.steps.dispatched(target.attempt(attempt)) {
@@ -283,11 +277,7 @@
         attempt: AttemptId,
     ) -> Result<Request, AttemptFailure> {
         let request = new_request(self.asked.method, address, &self.asked.path);
-        let mut request = request.map_err(|error| AttemptFailure {
-            end: AttemptEnd::NotSent,
-            cause: error.to_string(),
-            refusal: None,
-        })?;
+        let mut request = request.map_err(AttemptFailure::not_sent)?;
         request.set_body(Body::from_bytes(self.asked.body.clone()));
         for (name, value) in &self.asked.headers {
             request.insert_header(name.as_str(), value.as_str());
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -5,29 +5,35 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use futures_lite::future;
 use molespan_routing::admission::{Refusal, RefusalCode};
 use molespan_routing::pick::{PickError, PickRequest};
 use molespan_routing::retry::{AttemptEnd, AttemptRef, NextStep, StatusAnswer};
 use molespan_telemetry::EventKind;
 use molespan_types::{AttemptId, BackendId, Priority};
 
-use super::answer::{AnswerStream, AttemptFailure};
-use super::dispatch::{ChosenBackend, InFlight};
+use super::answer::{AnswerStream, AttemptFailure, Target, Token};
+use super::dispatch::InFlight;
 use super::outcome::NO_BACKEND_RETRY;
 use super::route::{Ending, Run};
 use super::state::GatewayState;
+use super::validation::Repeatability;
 
-/// Longest wait for an engine to fall below its limit once admitted.
-const LIMIT_WAIT: Duration = Duration::from_millis(100);
-/// Pause between looks for such an engine.
-const LIMIT_PAUSE: Duration = Duration::from_millis(2);
+/// Time between two looks at whether an engine was given up.
+const GIVEN_UP_LOOK: Duration = Duration::from_millis(250);
 /// Pause before an engine is asked about an attempt again.
 const QUESTION_PAUSE: Duration = Duration::from_millis(50);
 
 impl Run<'_> {
     /// Sends the request as a new attempt to an engine that is not excluded.
     pub(super) async fn dispatch(&mut self, exclude: &[BackendId]) -> Result<NextStep, Ending> {
-        let chosen = match self.choose(exclude).await {
+        let asked = self.asked;
+        let wanted = PickRequest {
+            prefix_hashes: &asked.prefix_hashes,
+            exclude,
+        };
+        let chosen = self.state.choose(&asked.service, &asked.tenant, wanted);
+        let chosen = match chosen.await {
             Ok(chosen) => chosen,
             Err(error) => {
                 self.note_no_backend(error);
@@ -39,7 +45,6 @@
         if !self.steps.dispatched(target.attempt(attempt)) {
             return Ok(self.steps.no_backend());
         }
-        let asked = self.asked;
         self.last_attempt = Some(attempt);
         self.in_flight = Some(InFlight::begin(
             self.state,
@@ -62,30 +67,6 @@
         self.follow(started, attempt, 0).await
     }
 
-    /// Chooses an engine and records why.
-    async fn choose(&mut self, exclude: &[BackendId]) -> Result<ChosenBackend, PickError> {
-        let until = self.state.clock.now() + LIMIT_WAIT;
-        let asked = self.asked;
-        loop {
-            let now = self.state.clock.now();
-            let request = PickRequest {
-                prefix_hashes: &asked.prefix_hashes,
-                exclude,
-            };
-            match self.state.pickers.pick(now, &asked.service, request) {
-                Ok(pick) => {
-                    self.state.note_pick(&asked.service, &asked.tenant, &pick);
-                    let chosen = self.state.chosen(pick.backend);
-                    return chosen.ok_or(PickError::NoEngine);
-                }
-                Err(PickError::AllAtLimit) if now < until => {
-                    Timer::after(LIMIT_PAUSE).await;
-                }
-                Err(error) => return Err(error),
-            }
-        }
-    }
-
     /// Takes the rest of an answer up where it broke.
     pub(super) async fn resume(
         &mut self,
@@ -133,7 +114,7 @@
         }
         self.sink.name(attempt);
         loop {
-            let next = match self.unless_gone(answer.next()).await {
+            let next = match self.unless_gone(self.next_token(&mut answer)).await {
                 Some(next) => next,
                 None => return Err(self.caller_gone()),
             };
@@ -160,6 +141,25 @@
         }
     }
 
+    /// The next token of an answer. A request that may run elsewhere does not
+    /// wait for an engine that was given up meanwhile.
+    async fn next_token(&self, answer: &mut AnswerStream) -> Result<Option<Token>, AttemptFailure> {
+        let given_up = async {
+            match self.in_flight.as_ref().filter(|_| self.may_leave()) {
+                Some(in_flight) => self.state.until_given_up(&in_flight.target()).await,
+                None => future::pending().await,
+            }
+            Err(AttemptFailure::silent("the engine was given up"))
+        };
+        future::or(answer.next(), given_up).await
+    }
+
+    /// Whether the request may run elsewhere without asking what became of it.
+    fn may_leave(&self) -> bool {
+        let repeatable = self.asked.repeatability == Repeatability::Repeatable;
+        repeatable && self.sink.passed() == 0
+    }
+
     fn note_first_byte(&mut self) {
         let Some(in_flight) = &mut self.in_flight else {
             return;
@@ -172,7 +172,11 @@
 
     /// The attempt, or a try to resume it, failed.
     fn failed(&mut self, failure: AttemptFailure) -> Result<NextStep, Ending> {
-        let end = failure.end;
+        // There is no use in asking an engine that fell silent for the rest.
+        let end = match failure.end {
+            AttemptEnd::Broken if failure.silent && self.may_leave() => AttemptEnd::Lost,
+            end => end,
+        };
         let final_refusal = failure
             .refusal
             .as_ref()
@@ -258,6 +262,7 @@
             self.last_failure = Some(AttemptFailure {
                 end: AttemptEnd::NotSent,
                 cause: error.to_string(),
+                silent: false,
                 refusal: None,
             });
         }
@@ -265,6 +270,13 @@
 }
 
 impl GatewayState {
+    /// Resolves once a back end that a request went to was given up.
+    pub(super) async fn until_given_up(&self, target: &Target) {
+        while !self.is_given_up(target) {
+            Timer::after(GIVEN_UP_LOOK).await;
+        }
+    }
+
     /// Stops an attempt whose answer nobody will read.
     pub(super) fn abandon_attempt(self: &Arc<Self>, in_flight: &InFlight) {
         let (target, attempt) = (in_flight.target(), in_flight.attempt);
--- a/crates/daemon/src/gateway/batch_stream.rs
+++ b/crates/daemon/src/gateway/batch_stream.rs
@@ -5,6 +5,7 @@
 
 use async_channel::Receiver;
 use async_io::Timer;
+use futures_lite::future;
 use molespan_engine_api::COMPLETIONS_PATH;
 use molespan_membership::{DirectoryInput, WorkResult};
 use molespan_routing::batch::{BatchInput, ItemEnd, StreamId};
@@ -109,7 +110,7 @@
             self.obey(target, attempt, commands).await;
             None
         };
-        futures_lite::future::or(running, commanded).await
+        future::or(running, commanded).await
     }
 
     /// The model of a service, whether or not this node may take new work:
@@ -235,10 +236,9 @@
         };
         let path = COMPLETIONS_PATH;
         let body = self.body.clone();
-        self.state
-            .engines
-            .start(priority, &self.target, self.attempt, path, body)
-            .await
+        let engines = &self.state.engines;
+        let started = engines.start(priority, &self.target, self.attempt, path, body);
+        self.unless_given_up(started).await
     }
 
     async fn resume(&self, attempt: AttemptRef) -> Result<AnswerStream, AttemptFailure> {
@@ -266,7 +266,7 @@
     }
 
     async fn collect(&mut self, answer: &mut AnswerStream) -> Result<(), AttemptFailure> {
-        while let Some(token) = answer.next().await? {
+        while let Some(token) = self.unless_given_up(answer.next()).await? {
             if token.chunk.offset < self.tokens {
                 continue;
             }
@@ -283,6 +283,25 @@
         Ok(())
     }
 
+    /// The output of `work`. An item that may run again does not wait for an
+    /// engine that was given up.
+    async fn unless_given_up<T>(
+        &self,
+        work: impl Future<Output = Result<T, AttemptFailure>>,
+    ) -> Result<T, AttemptFailure> {
+        let given_up = async {
+            if !self.item.repeatable {
+                return future::pending().await;
+            }
+            self.state.until_given_up(&self.target).await;
+            let (address, attempt) = (self.target.address, self.attempt);
+            let batch = Priority::Batch;
+            self.state.engines.cancel(batch, address, attempt).await;
+            Err(AttemptFailure::lost("the engine was given up"))
+        };
+        future::or(work, given_up).await
+    }
+
     fn failed(&self, failure: AttemptFailure) -> Result<AttemptEnd, String> {
         let said = failure.refusal.as_ref();
         if said.is_some_and(|refusal| refusal.is_final() && self.tokens == 0) {
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -12,14 +12,12 @@
     Backend, BackendState, DirectoryInput, DirectoryOutput, StateChange, SubsetBackend,
     SubsetSettings, WorkResult, subset,
 };
-use molespan_routing::pick::{Candidate, Pick};
+use molespan_routing::pick::Candidate;
 use molespan_state::control::{Configuration, Service, ServiceKind};
 use molespan_telemetry::EventKind;
-use molespan_types::{BackendId, ServiceName, TenantId};
+use molespan_types::{BackendId, ServiceName};
 use slog::{info, warn};
 
-use super::answer::Target;
-use super::dispatch::ChosenBackend;
 use super::state::GatewayState;
 
 /// Time between two ticks of the directory.
@@ -125,23 +123,6 @@
         directory.backend(backend)?.address.parse().ok()
     }
 
-    /// A back end that was chosen, unless it takes no new work any more.
-    pub(super) fn chosen(&self, backend: BackendId) -> Option<ChosenBackend> {
-        let directory = self.directory();
-        let known = directory.backend(backend)?;
-        if !known.state.accepts_new_work() {
-            return None;
-        }
-        Some(ChosenBackend {
-            target: Target {
-                backend,
-                incarnation: known.incarnation,
-                address: known.address.parse().ok()?,
-            },
-            zone: known.zone.clone(),
-        })
-    }
-
     /// Brings candidates up to date until the gateway stops. The pause after
     /// each time bounds what that costs with thousands of back ends.
     pub(super) async fn keep_candidates(self: Arc<Self>) {
@@ -213,26 +194,6 @@
             })
             .collect()
     }
-
-    /// Records which back end was chosen and why.
-    pub(super) fn note_pick(&self, service: &ServiceName, tenant: &TenantId, pick: &Pick) {
-        let reason = &pick.reason;
-        let load = reason.considered.first().map_or(0.0, |one| one.load);
-        self.events.record(
-            EventKind::Route,
-            format!("service {service}"),
-            reason.rule.to_string(),
-            [
-                ("backend", pick.backend.0.into()),
-                ("tenant", tenant.as_str().into()),
-                ("load", load.into()),
-                ("least_load", reason.least_load.into()),
-                ("matched_blocks", reason.matched_blocks.into()),
-                ("open", reason.open.into()),
-                ("spilled", reason.spilled.into()),
-            ],
-        );
-    }
 }
 
 /// Whether a back end may get new work of a service.
--- a/crates/daemon/src/gateway/engine_client.rs
+++ b/crates/daemon/src/gateway/engine_client.rs
@@ -100,13 +100,12 @@
         let request = new_request(Method::Get, address, &path);
         let request = request.map_err(AttemptFailure::broken)?;
         let response = self.resume.send(address, request).await;
-        let response = response.map_err(AttemptFailure::broken)?;
+        let response = response.map_err(|error| AttemptFailure {
+            end: AttemptEnd::Broken,
+            ..AttemptFailure::of_send(&error)
+        })?;
         if named_incarnation(&response).is_some_and(|named| named != attempt.incarnation) {
-            return Err(AttemptFailure {
-                end: AttemptEnd::Lost,
-                cause: "another life of the engine answered".to_owned(),
-                refusal: None,
-            });
+            return Err(AttemptFailure::lost("another life of the engine answered"));
         }
         let answer = answer_stream(response, attempt.attempt, offset).await;
         // What an engine says about a try to resume concerns the try alone.
--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -9,7 +9,7 @@
 use async_io::Timer;
 use molespan_engine_api::{LoadReport, MachineKind};
 use molespan_membership::rendezvous::weight;
-use molespan_membership::{BackendReport, BackendState, DirectoryInput};
+use molespan_membership::{BackendReport, BackendState, DirectoryInput, WorkResult};
 use molespan_routing::batch::BatchInput;
 use molespan_routing::pick::LoadSample;
 use molespan_types::{BackendId, Incarnation, NodeId, Timestamp};
@@ -53,6 +53,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Due {
     backend: BackendId,
+    incarnation: Incarnation,
     address: SocketAddr,
     /// Sequence behind which cache events are wanted, if they are.
     cache_after: Option<u64>,
@@ -125,6 +126,7 @@
             }
             due.push(Due {
                 backend: backend.id,
+                incarnation: backend.incarnation,
                 address,
                 cache_after: wants_cache.then_some(poll.cache_sequence),
             });
@@ -139,6 +141,11 @@
             poll.outstanding_until = Timestamp::ZERO;
         }
         let Some(report) = report.filter(|report| report.backend == due.backend) else {
+            self.directory_input(DirectoryInput::Work {
+                backend: due.backend,
+                incarnation: due.incarnation,
+                result: WorkResult::Failed,
+            });
             return;
         };
         self.take_report(sent, &report);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod batch_groups;
 mod batch_stream;
 mod batch_submission;
+mod choose;
 mod claims;
 mod clock;
 mod configuration;
--- a/crates/daemon/src/gateway/options.rs
+++ b/crates/daemon/src/gateway/options.rs
@@ -73,7 +73,7 @@
     fn default() -> Self {
         Self {
             connect: Duration::from_secs(1),
-            response: Duration::from_secs(5),
+            response: Duration::from_secs(1),
             stall: Duration::from_secs(10),
             batch_stall: Duration::from_secs(300),
             control: Duration::from_secs(1),
--- a/crates/daemon/tests/gateway_batch.rs
+++ b/crates/daemon/tests/gateway_batch.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use molespan_emulator::expected_answer;
+use molespan_emulator::faults::{EngineFaults, FaultSettings};
 use molespan_emulator::fleet::FleetSettings;
 use serde_json::Value;
 use support::client::{Answer, complete, get, post};
@@ -240,3 +241,29 @@
     let decisions = gateway.decisions() + &other.decisions();
     assert!(decisions.contains("batch streams make way"), "{decisions}");
 }
+
+#[test]
+fn items_leave_an_engine_that_freezes() {
+    let world = World::start(&small_fleet());
+    let gateway = world.tuned_gateway(11, |options| {
+        options.timeouts.control = Duration::from_millis(200);
+    });
+    let accepted = submit(gateway.address, "frozen", &items(300));
+    let id = accepted.json_value()["id"].as_str().unwrap().to_owned();
+    wait_for("leased items", || {
+        let status = get(gateway.address, &format!("/v1/batches/{id}")).json_value();
+        status["leased"].as_u64().unwrap_or(0) > 0
+    });
+    let frozen = FaultSettings {
+        engine: EngineFaults {
+            frozen: true,
+            ..EngineFaults::default()
+        },
+        ..FaultSettings::default()
+    };
+    world.fleet.members[0].handle.set_faults(frozen);
+    wait_for("a completed job", || {
+        state_of(gateway.address, &id) == "completed"
+    });
+    assert_eq!(results(gateway.address, &id).len(), 300);
+}
