--- a/crates/routing/src/pick/policy.rs
+++ b/crates/routing/src/pick/policy.rs
@@ -31,6 +31,9 @@
     zone: &'a ZoneName,
     load: f64,
     limit: u32,
+    /// Whether batch work probably runs there, so that an arrival waits for the
+    /// step in progress.
+    disturbed: bool,
 }
 
 impl Open<'_> {
@@ -39,6 +42,21 @@
         self.load / f64::from(self.limit)
     }
 
+    /// What the engine costs an arrival from `zone`, in requests.
+    fn cost(&self, zone: &ZoneName, settings: &PickSettings) -> f64 {
+        let step = if self.disturbed {
+            settings.disturbed_cost
+        } else {
+            0.0
+        };
+        let way = if self.zone == zone {
+            0.0
+        } else {
+            settings.zone_cost
+        };
+        self.load + step + way
+    }
+
     fn considered(&self) -> Considered {
         Considered {
             backend: self.backend,
@@ -71,6 +89,7 @@
             zone: &engine.candidate().zone,
             load: engine.load(now, settings.report_valid_for),
             limit: engine.limit(),
+            disturbed: engine.is_disturbed(now, settings.report_valid_for),
         };
         if open.load >= f64::from(open.limit) {
             continue;
@@ -90,49 +109,118 @@
 }
 
 /// Keeps the engines of `zone`, and adds clearly less loaded remote ones when
-/// the zone is loaded. Returns whether remote ones were kept.
-pub(super) fn keep_zone(
-    open: &mut Vec<Open<'_>>,
+/// the zone is loaded. Returns those that were left out.
+pub(super) fn keep_zone<'a>(
+    open: &mut Vec<Open<'a>>,
     zone: &ZoneName,
     settings: &PickSettings,
-) -> bool {
+) -> Vec<Open<'a>> {
     let own = open.iter().filter(|engine| engine.zone == zone);
     let least_own = own.map(Open::pressure).fold(f64::INFINITY, f64::min);
     if least_own == f64::INFINITY {
-        return true;
+        return Vec::new();
     }
     let loaded = least_own >= settings.spill_at;
     let most_remote = least_own - settings.spill_margin;
-    open.retain(|engine| engine.zone == zone || (loaded && engine.pressure() <= most_remote));
+    let keep =
+        |engine: &Open<'_>| engine.zone == zone || (loaded && engine.pressure() <= most_remote);
+    let (kept, left_out) = open.iter().partition(|engine| keep(engine));
+    *open = kept;
+    left_out
+}
+
+/// Whether engines of other zones are among `open`.
+pub(super) fn spills(open: &[Open<'_>], zone: &ZoneName) -> bool {
     open.iter().any(|engine| engine.zone != zone)
 }
 
-/// The holder of the longest part of the prompt among the engines whose load
-/// is near the least.
+/// An engine near the least load that holds a leading part of the prompt.
+#[derive(Clone, Copy, Debug)]
+struct Holding<'a> {
+    engine: Open<'a>,
+    blocks: u32,
+}
+
+/// The holder of the longest part of the prompt among engines whose load is
+/// near the least of `open`. One of `elsewhere`, the engines of other zones,
+/// is taken only when it holds clearly more.
 pub(super) fn affinity(
     open: &[Open<'_>],
+    elsewhere: &[Open<'_>],
     prefixes: &mut PrefixIndex,
     hashes: &[u64],
     spilled: bool,
     settings: &PickSettings,
 ) -> Option<Pick> {
-    let most = least_load(open) * settings.affinity_factor + settings.affinity_slack;
-    let near: Vec<&Open<'_>> = open.iter().filter(|engine| engine.load <= most).collect();
-    let is_near = |backend| near.iter().any(|engine| engine.backend == backend);
-    let holders = prefixes.longest_match(hashes, is_near)?;
-    let chosen = near
+    let least = least_load(open);
+    let here = longest_holding(open, least, prefixes, hashes, settings);
+    let there = longest_holding(elsewhere, least, prefixes, hashes, settings);
+    let enough = here.map_or(0, |here| here.blocks) + settings.remote_affinity_blocks;
+    let there = there.filter(|there| there.blocks >= enough);
+    let chosen = there.or(here)?;
+    let mut pick = pick_of(open, PickRule::Affinity, spilled, &[chosen.engine]);
+    pick.reason.matched_blocks = chosen.blocks;
+    Some(pick)
+}
+
+fn longest_holding<'a>(
+    engines: &[Open<'a>],
+    least_load: f64,
+    prefixes: &mut PrefixIndex,
+    hashes: &[u64],
+    settings: &PickSettings,
+) -> Option<Holding<'a>> {
+    let is_near = |engine: &Open<'_>, blocks: u32| {
+        let bound = least_load * settings.affinity_factor + settings.affinity_slack;
+        engine.load <= bound + f64::from(blocks) / settings.affinity_blocks_per_request
+    };
+    let is_usable = |backend, blocks| {
+        let engine = engines.iter().find(|engine| engine.backend == backend);
+        engine.is_some_and(|engine| is_near(engine, blocks))
+    };
+    let holders = prefixes.longest_match(hashes, is_usable)?;
+    let engine = engines
         .iter()
-        .filter(|engine| holders.contains(engine.backend))
+        .filter(|engine| holders.contains(engine.backend) && is_near(engine, holders.blocks))
         .min_by(|a, b| a.load.total_cmp(&b.load))?;
-    let mut pick = pick_of(open, PickRule::Affinity, spilled, &[**chosen]);
-    pick.reason.matched_blocks = holders.blocks;
-    Some(pick)
+    Some(Holding {
+        engine: *engine,
+        blocks: holders.blocks,
+    })
 }
 
-/// The engine with the lower pressure of two drawn at random.
-pub(super) fn better_of_two(open: &[Open<'_>], spilled: bool, rng: &mut ChaCha8Rng) -> Pick {
+/// The engine that costs less of two drawn at random, or one anywhere on which
+/// batch work already yields to others, if that costs less still.
+pub(super) fn least_cost(
+    open: &[Open<'_>],
+    elsewhere: &[Open<'_>],
+    zone: &ZoneName,
+    spilled: bool,
+    settings: &PickSettings,
+    rng: &mut ChaCha8Rng,
+) -> Pick {
+    let drawn = better_of_two(open, zone, settings, rng);
+    let in_use = open.iter().chain(elsewhere);
+    let in_use = in_use.filter(|engine| engine.load >= 1.0 && !engine.disturbed);
+    let cost = |engine: &Open<'_>| engine.cost(zone, settings);
+    let cheapest = in_use.min_by(|a, b| cost(a).total_cmp(&cost(b)));
+    match cheapest.filter(|engine| drawn[0].disturbed && cost(engine) < cost(&drawn[0])) {
+        Some(engine) => pick_of(open, PickRule::Undisturbed, spilled, &[*engine, drawn[0]]),
+        None if open.len() == 1 => pick_of(open, PickRule::OnlyEngine, spilled, &drawn[..1]),
+        None => pick_of(open, PickRule::BetterOfTwo, spilled, &drawn),
+    }
+}
+
+/// Two engines drawn at random, the one to take first; the same one twice when
+/// there is no other.
+fn better_of_two<'a>(
+    open: &[Open<'a>],
+    zone: &ZoneName,
+    settings: &PickSettings,
+    rng: &mut ChaCha8Rng,
+) -> [Open<'a>; 2] {
     if let [only] = open {
-        return pick_of(open, PickRule::OnlyEngine, spilled, &[*only]);
+        return [*only, *only];
     }
     let first = rng.random_range(0..open.len());
     let mut second = rng.random_range(0..open.len() - 1);
@@ -140,12 +228,12 @@
         second += 1;
     }
     let (first, second) = (open[first], open[second]);
-    let ordered = if second.pressure() < first.pressure() {
+    let share = |engine: &Open<'_>| engine.cost(zone, settings) / f64::from(engine.limit);
+    if share(&second) < share(&first) {
         [second, first]
     } else {
         [first, second]
-    };
-    pick_of(open, PickRule::BetterOfTwo, spilled, &ordered)
+    }
 }
 
 /// The engine whose turn it is.
