--- a/crates/sim/src/commands.rs
+++ b/crates/sim/src/commands.rs
@@ -11,9 +11,9 @@
 use molespan_sim::report::{Request, failure};
 use molespan_sim::run::{disable, has_mutants, in_order, run_scenario};
 use molespan_sim::scenario::Scenario;
-use molespan_state::explore::{ClaimModel, Exploration, LeaseModel, explore};
 use molespan_types::mechanism::Mechanism;
 
+use crate::explorations::explore_all;
 use crate::flags::{Explore, MolespanSim, MolespanSimCmd, Mutants, Run};
 
 /// Seeds when not given.
@@ -175,48 +175,23 @@
 
 fn explore_models(flags: &Explore) -> Result<bool, CommandError> {
     let states = flags.states.unwrap_or(STATES);
-    let explorations = [
-        (
-            "leases of a repeatable job",
-            explore(&LeaseModel { repeatable: true }, states),
-        ),
-        (
-            "leases of a non-repeatable job",
-            explore(&LeaseModel { repeatable: false }, states),
-        ),
-        ("claims", explore(&ClaimModel, states)),
-    ];
-    let mut passed = 0;
-    for (name, exploration) in &explorations {
-        let holds = exploration.violation.is_none();
-        passed += usize::from(holds);
-        writeln!(io::stdout(), "{name}: {}", describe(exploration))?;
-    }
-    let failed = explorations.len() - passed;
+    let (mut passed, mut failed) = (0, 0);
+    let mut result = Ok(());
+    explore_all(states, threads(None), |explored| {
+        if explored.holds {
+            passed += 1;
+        } else {
+            failed += 1;
+        }
+        if result.is_ok() {
+            result = writeln!(io::stdout(), "{}", explored.text);
+        }
+    });
+    result?;
     writeln!(io::stdout(), "{passed} passed, {failed} failed")?;
     Ok(failed == 0)
 }
 
-fn describe(exploration: &Exploration) -> String {
-    let extent = if exploration.exhausted {
-        "every state"
-    } else {
-        "bounded"
-    };
-    let mut text = format!(
-        "{} states, {} transitions, {extent}",
-        exploration.states, exploration.transitions
-    );
-    if let Some(violation) = &exploration.violation {
-        // Writing to a string cannot fail.
-        let _ = write!(text, "; {} broken by:", violation.invariant);
-        for command in &violation.trace {
-            let _ = write!(text, "\n  {command:?}");
-        }
-    }
-    text
-}
-
 fn run_mutants(flags: &Mutants) -> Result<bool, CommandError> {
     if !has_mutants() {
         return Err(CommandError::NoMutants);
--- a/crates/sim/src/fault/combination.rs
+++ b/crates/sim/src/fault/combination.rs
@@ -33,6 +33,10 @@
         classes: &[FaultClass::Cuts, FaultClass::Disks],
         draw: lose_voter,
     },
+    Combination {
+        classes: &[FaultClass::Platform],
+        draw: leave_under_old_lists,
+    },
 ];
 
 /// Draws one of the combinations whose classes are all asked for.
@@ -147,3 +151,13 @@
         both_ways(Endpoint::One(whole), Endpoint::Replicas),
     );
 }
+
+/// An engine leaves for long while the platform serves old lists, which still
+/// call it live.
+fn leave_under_old_lists(draw: &mut Draw<'_>) {
+    let engine = draw.random.random_range(1..=draw.topology.engines);
+    let length = draw.millis(6_000..8_500);
+    draw.add(draw.begin, length, FaultKind::Leave(engine));
+    let later = draw.begin + draw.millis(1_500..2_500);
+    draw.add(later, length, FaultKind::OldLists);
+}
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -1,6 +1,7 @@
 //! `molespan-sim`: the decision cores under virtual time.
 
 mod commands;
+mod explorations;
 mod flags;
 
 use std::process::ExitCode;
