Start no batch item under a lease that ran out during a pause

The batch owner looked at the end of its leases after it had taken an input in. When its process stood still for longer than a lease and the first input afterwards was the end of a stream, it started the next item of the lease in the same step and cancelled it right after. By then the job may have been reported as cancelled, or the item be leased to another owner.

Ruled out: the order of timers and messages after the freeze, which no process can choose. Items are now started only under a lease that holds; the regression test fails before and passes after the change.

--- a/crates/routing/src/batch/fill.rs
+++ b/crates/routing/src/batch/fill.rs
@@ -1,5 +1,6 @@
 //! Filling an engine with batch streams, and making them yield.
 
+use molespan_types::mechanism::{Mechanism, enabled};
 use molespan_types::{BackendId, Timestamp};
 
 use super::engine::Allowance;
@@ -240,7 +241,7 @@
         let room = room.streams.min(room.prefills);
         let mut started = 0;
         for key in self.leases_of(backend) {
-            while started < room && self.start_one(backend, key, outputs) {
+            while started < room && self.start_one(now, backend, key, outputs) {
                 started += 1;
             }
         }
@@ -249,6 +250,7 @@
 
     fn start_one(
         &mut self,
+        now: Timestamp,
         backend: BackendId,
         key: LeaseKey,
         outputs: &mut Vec<BatchOutput>,
@@ -260,7 +262,10 @@
         let Some(engine) = self.engines.get_mut(&backend) else {
             return false;
         };
-        if lease.revoked {
+        // After a pause of the process, an input may come before the tick that
+        // ends the lease.
+        let over = lease.valid_until <= now && enabled(Mechanism::OwnerStopsAtExpiry);
+        if lease.revoked || over {
             return false;
         }
         let Some(pending) = lease.pending.pop_front() else {
--- a/crates/routing/tests/batch/leases.rs
+++ b/crates/routing/tests/batch/leases.rs
@@ -33,6 +33,21 @@
     assert_eq!(owner.decisions.iter().filter(ran_out).count(), 1);
 }
 
+#[test]
+fn nothing_is_started_after_a_pause_that_outlasted_the_lease() {
+    let mut owner = Harness::running(EVEN, lease(1, 0..12));
+    let before = owner.streams.len();
+    let running = owner.streams.iter();
+    let mut running = running.filter(|(_, (_, fate))| *fate == StreamFate::Running);
+    let stream = running.next().map(|(id, _)| *id).expect("some run");
+    // The process stood still, and what an engine sent meanwhile comes first.
+    owner.at(STOP_MILLIS + 4_000);
+    let end = answer("late");
+    owner.feed(BatchInput::Ended { stream, end });
+    assert_eq!(owner.streams.len(), before);
+    assert_eq!(owner.count(&StreamFate::Running), 0);
+}
+
 #[test]
 fn a_renewal_counts_from_when_it_was_sent() {
     let mut owner = Harness::running(EVEN, lease(1, 0..4));
