Drop submissions that were given up

The leader now watches open submissions as it watches leases, and proposes to drop one that stood still for submission_timeout (an hour). The command names the items that the leader saw and has no effect if the submission went on.

--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -353,6 +353,7 @@
             group.apply(turn)?;
             group.time_out_proposals(turn);
             group.expire_leases(turn);
+            group.abandon_submissions(turn);
             group.replace_lost(&joining);
             group.drive_transfer(turn);
             group.drop_idle_serving(now);
--- a/crates/replica/src/group/mod.rs
+++ b/crates/replica/src/group/mod.rs
@@ -9,6 +9,7 @@
 mod serving;
 mod snapshots;
 mod transfer;
+mod watch;
 
 use std::collections::VecDeque;
 
@@ -20,18 +21,18 @@
 use molespan_storage::{
     Disk, FilePayloadLog, GroupRecovery, SnapshotMark, SnapshotStore, StorageError,
 };
-use molespan_types::{GroupId, NodeId};
+use molespan_types::{GroupId, JobId, LeaseId, NodeId};
 
 use crate::identity::{incarnation_of, node_of};
 use crate::turn::Turn;
 use crate::{GroupStatus, Output, ReplicaError, ReplicaSettings};
-use leases::LeaseWatch;
 use proposals::Proposals;
 use reads::Reads;
 pub(crate) use ready::Progress;
 use serving::Serving;
 use snapshots::SnapshotPolicy;
 use transfer::Staging;
+use watch::Watch;
 
 /// What a snapshot stands for.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -61,7 +62,8 @@
     awaiting_sync: Option<Vec<Outgoing>>,
     proposals: Proposals,
     reads: Reads,
-    leases: LeaseWatch,
+    leases: Watch<LeaseId>,
+    submissions: Watch<JobId>,
     policy: SnapshotPolicy,
     staging: Staging,
     serving: Option<Serving>,
@@ -103,7 +105,8 @@
             awaiting_sync: None,
             proposals: Proposals::default(),
             reads: Reads::default(),
-            leases: LeaseWatch::default(),
+            leases: Watch::default(),
+            submissions: Watch::default(),
             policy: SnapshotPolicy::new(applied),
             staging: Staging::new(id),
             serving: None,
@@ -140,6 +143,7 @@
         }
         if !self.leads() {
             self.leases.clear();
+            self.submissions.clear();
         }
     }
 
--- a/crates/replica/src/settings.rs
+++ b/crates/replica/src/settings.rs
@@ -20,6 +20,8 @@
     pub job_groups: u32,
     /// How long a lease outlives its last renewal on the leader's clock.
     pub lease_length: Duration,
+    /// How long the submission of a job may stand still before it is dropped.
+    pub submission_timeout: Duration,
     /// A snapshot of a group is taken after as many applied entries.
     pub snapshot_every_entries: u64,
     /// A snapshot of a group is taken after as many bytes of applied commands.
@@ -55,6 +57,7 @@
             peers,
             job_groups: 4,
             lease_length: Duration::from_secs(10),
+            submission_timeout: Duration::from_secs(60 * 60),
             snapshot_every_entries: 20_000,
             snapshot_every_bytes: 64 << 20,
             tick: Duration::from_millis(50),
--- a/crates/replica/tests/cluster/jobs.rs
+++ b/crates/replica/tests/cluster/jobs.rs
@@ -3,8 +3,8 @@
 use minicbor::bytes::ByteVec;
 use molespan_replica::{Consistency, Input};
 use molespan_state::job::{
-    AppendItems, BeginJob, ItemOutcome, ItemResult, JobAnswer, JobCommand, JobQuery, JobReply,
-    LeaseRequest,
+    AppendItems, BeginJob, ItemOutcome, ItemResult, JobAnswer, JobCommand, JobPhase, JobQuery,
+    JobReply, LeaseRequest,
 };
 use molespan_types::{BackendId, Digest, GroupId, ItemIndex, JobId, NodeId, ServiceName, TenantId};
 
@@ -31,6 +31,35 @@
     ByteVec::from(format!("payload {number}").repeat(4).into_bytes())
 }
 
+/// Opens a job and goes no further.
+pub fn begin_only(cluster: &mut Cluster, number: u32) {
+    let command = JobCommand::from(begin(number));
+    cluster.commit(GROUP, &molespan_state::encode(&command));
+}
+
+/// Phase of a job as a node sees it, if it knows the job.
+pub fn phase(cluster: &mut Cluster, node: NodeId, number: u32) -> Option<JobPhase> {
+    let job = begin(number).job;
+    match query(cluster, node, &JobQuery::Status { job }) {
+        JobAnswer::Status(status) => status.map(|status| status.phase),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Asks a node for what it has applied.
+fn query(cluster: &mut Cluster, node: NodeId, query: &JobQuery) -> JobAnswer {
+    let ticket = cluster.ticket();
+    let input = Input::Query {
+        ticket,
+        group: GROUP,
+        consistency: Consistency::Local,
+        query: molespan_state::encode(query),
+    };
+    cluster.input(node, input);
+    let answer = cluster.answers[&ticket].clone().unwrap();
+    molespan_state::decode(&answer).unwrap()
+}
+
 /// Submits and runs a job; says whether its result was acknowledged.
 pub fn submit(cluster: &mut Cluster, number: u32, stopped: impl Fn(&Cluster) -> bool) -> bool {
     let mut apply = |command: JobCommand| -> Option<JobReply> {
@@ -75,21 +104,12 @@
 
 /// Asserts that a node has the result of a job.
 pub fn assert_readable(cluster: &mut Cluster, node: NodeId, number: u32) {
-    let ticket = cluster.ticket();
-    let query = JobQuery::Results {
+    let results = JobQuery::Results {
         job: begin(number).job,
         first: ItemIndex(0),
         limit: 10,
     };
-    let input = Input::Query {
-        ticket,
-        group: GROUP,
-        consistency: Consistency::Local,
-        query: molespan_state::encode(&query),
-    };
-    cluster.input(node, input);
-    let answer = cluster.answers[&ticket].clone().unwrap();
-    let Ok(JobAnswer::Results { results, .. }) = molespan_state::decode(&answer) else {
+    let JobAnswer::Results { results, .. } = query(cluster, node, &results) else {
         panic!("job {number} has no results");
     };
     assert_eq!(results.len(), 1, "job {number}");
--- a/crates/state/src/job/command.rs
+++ b/crates/state/src/job/command.rs
@@ -233,6 +233,19 @@
         #[n(1)]
         weight: u32,
     },
+    /// Drops a job whose submission was given up. Nothing of it was accepted,
+    /// so its key is free again.
+    #[n(12)]
+    #[from(skip)]
+    Abandon {
+        /// Job.
+        #[n(0)]
+        job: JobId,
+        /// Items that the leader had seen; another number means that the
+        /// submission went on, and the command has no effect.
+        #[n(1)]
+        received: u32,
+    },
 }
 
 /// An item handed out under a lease.
--- a/crates/state/src/job/machine.rs
+++ b/crates/state/src/job/machine.rs
@@ -11,7 +11,7 @@
 use super::finished::FinishedJob;
 use super::lease::Lease;
 use super::owner::Owner;
-use super::query::LeaseRecord;
+use super::query::{JobPhase, LeaseRecord};
 use super::schedule::{ReadyJobs, Shares};
 use crate::error::StateError;
 use crate::payload::{PayloadError, PayloadLog};
@@ -87,6 +87,7 @@
                 Ok(JobReply::Claim(reply))
             }
             JobCommand::Settle(settle) => self.claims.settle(settle, payloads),
+            JobCommand::Abandon { job, received } => self.abandon(*job, *received, payloads),
             JobCommand::SetWeight { tenant, weight } => {
                 self.shares.set_weight(tenant, *weight);
                 Ok(JobReply::WeightSet)
@@ -99,6 +100,14 @@
         self.leases.iter().map(|(&id, lease)| lease.record(id))
     }
 
+    /// Jobs that are still being submitted, with the items they have. The
+    /// leader watches them on its clock.
+    pub fn submissions(&self) -> impl Iterator<Item = (JobId, u32)> {
+        let jobs = self.active.iter();
+        let open = jobs.filter(|(_, job)| job.phase == JobPhase::Submitting);
+        open.map(|(&id, job)| (id, job.items.len()))
+    }
+
     /// The machine's own bytes. A snapshot is these and the payload log as
     /// long as it is now.
     #[must_use]
--- a/crates/state/src/job/submission.rs
+++ b/crates/state/src/job/submission.rs
@@ -94,6 +94,23 @@
         Ok(JobReply::Job(job.status()))
     }
 
+    /// Drops a submission that has not gone on since the leader saw it.
+    pub(super) fn abandon(
+        &mut self,
+        id: JobId,
+        received: u32,
+        payloads: &dyn PayloadLog,
+    ) -> Result<JobReply, PayloadError> {
+        let given_up = self
+            .active
+            .get(&id)
+            .is_some_and(|job| job.phase == JobPhase::Submitting && job.items.len() == received);
+        if given_up {
+            self.forget(id);
+        }
+        self.reply(id, payloads)
+    }
+
     /// Accepts a job once all its items are there.
     pub(super) fn accept(
         &mut self,
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -1,6 +1,6 @@
 //! One enum over both machines, as the replica driver uses them.
 
-use molespan_types::GroupId;
+use molespan_types::{GroupId, JobId};
 
 use crate::codec::{decode, encode};
 use crate::control::{ControlAnswer, ControlMachine, ControlReply};
@@ -98,10 +98,20 @@
 
     /// Leases that are out; none in the control group.
     pub fn leases(&self) -> impl Iterator<Item = LeaseRecord> {
-        let job = match self {
+        self.job().into_iter().flat_map(JobMachine::leases)
+    }
+
+    /// Jobs that are still being submitted, with the items they have; none in
+    /// the control group.
+    pub fn submissions(&self) -> impl Iterator<Item = (JobId, u32)> {
+        self.job().into_iter().flat_map(JobMachine::submissions)
+    }
+
+    /// The machine of a job group.
+    fn job(&self) -> Option<&JobMachine> {
+        match self {
             Self::Control(_) => None,
             Self::Job(machine) => Some(machine),
-        };
-        job.into_iter().flat_map(JobMachine::leases)
+        }
     }
 }
--- a/crates/state/tests/jobs.rs
+++ b/crates/state/tests/jobs.rs
@@ -294,3 +294,41 @@
         JobReply::UnknownJob
     );
 }
+
+#[test]
+fn submission_that_was_given_up_frees_its_key() {
+    let mut group = Group::default();
+    let begin = submission("given up", 3);
+    let job = begin.job;
+    group.apply(begin.clone());
+    let append = |first: u32, count: u32| AppendItems {
+        job,
+        first: ItemIndex(first),
+        inputs: (first..first + count).map(input).collect(),
+    };
+    group.apply(append(0, 1));
+    let open: Vec<_> = group.machine.submissions().collect();
+    assert_eq!(open, [(job, 1)]);
+
+    // It went on since the leader saw it.
+    group.apply(append(1, 1));
+    group.apply(JobCommand::Abandon { job, received: 1 });
+    assert_eq!(group.status(job).received, 2);
+
+    let dropped = group.apply(JobCommand::Abandon { job, received: 2 });
+    assert_eq!(dropped, JobReply::UnknownJob);
+    assert_eq!(group.machine.submissions().count(), 0);
+    let mut other = begin;
+    other.digest = Digest(8);
+    group.submit(&other);
+    assert_eq!(group.phase(job), JobPhase::Running);
+}
+
+#[test]
+fn accepted_job_is_never_dropped() {
+    let mut group = Group::default();
+    let job = group.submit(&submission("accepted", 2));
+    let reply = group.apply(JobCommand::Abandon { job, received: 2 });
+    assert!(matches!(reply, JobReply::Job(_)), "{reply:?}");
+    assert_eq!(group.phase(job), JobPhase::Running);
+}
--- a/crates/state/tests/replay.rs
+++ b/crates/state/tests/replay.rs
@@ -61,7 +61,11 @@
             .into()
         }),
         3 => jobs.clone().prop_map(|number| JobCommand::Accept { job: job(number) }),
-        1 => jobs.prop_map(|number| JobCommand::Cancel { job: job(number) }),
+        1 => jobs.clone().prop_map(|number| JobCommand::Cancel { job: job(number) }),
+        1 => (jobs, 0..6_u32).prop_map(|(number, received)| JobCommand::Abandon {
+            job: job(number),
+            received,
+        }),
         6 => (1..4_u32, 0..6_u64, 0..4_u32).prop_map(|(owner, sequence, most)| {
             request(owner, sequence, most).into()
         }),
