Ask for a confirmation at once when the last one is missing or old

Cause: a confirmation of the configuration counts from its question, and a question is held open for news for 2 s. After a cut of 4 s the last confirmation was 6 s old; the next question was held open for 2 s more, and the node passed its bound of 8 s although it had been reachable again for 1.8 s. A restarted gateway waited 2 s for its first confirmation alike.

Ruled out: the replicas' answer itself, which comes within 250 ms of a question that is not held open.

Change: a question is held open only as far as the last confirmation stays younger than half of the bound.

--- a/crates/daemon/src/gateway/configuration.rs
+++ b/crates/daemon/src/gateway/configuration.rs
@@ -126,7 +126,11 @@
                 return;
             };
             let longest = self.options.currency_bound / POLL_SHARE;
-            let wait = self.options.config_watch.min(longest);
+            let longest = self.options.config_watch.min(longest);
+            let sent = self.clock.now();
+            let wait = self
+                .configuration
+                .read(|holder| holder.watch_wait(sent, longest));
             let watch = WatchConfiguration {
                 node: self.options.node,
                 incarnation: self.options.incarnation,
@@ -137,7 +141,6 @@
                 },
                 wait_ms: wait.as_millis() as u32,
             };
-            let sent = self.clock.now();
             match self.cluster.watch(replica, watch).await {
                 Ok(watched) => {
                     wants_whole = match watched.newer {
--- a/crates/routing/src/readiness.rs
+++ b/crates/routing/src/readiness.rs
@@ -115,6 +115,19 @@
         self.confirmed.map(|confirmed| confirmed + self.bound)
     }
 
+    /// How long the next question may be held open for news, at most
+    /// `longest`. A confirmation counts from its question, so one that is held
+    /// open helps only when it is answered; a node whose last confirmation is
+    /// missing or old asks for an answer at once.
+    #[must_use]
+    pub fn watch_wait(&self, now: Timestamp, longest: Duration) -> Duration {
+        let Some(confirmed) = self.confirmed else {
+            return Duration::ZERO;
+        };
+        let age = now.since(confirmed);
+        (self.bound / 2).saturating_sub(age).min(longest)
+    }
+
     /// Version in force; 0 without a configuration.
     #[must_use]
     pub fn version(&self) -> ConfigVersion {
--- a/crates/routing/tests/readiness.rs
+++ b/crates/routing/tests/readiness.rs
@@ -67,6 +67,26 @@
     assert_eq!(holder.unready_at(), Some(at(9_000)));
 }
 
+#[test]
+fn a_question_is_held_open_only_while_the_last_confirmation_is_young() {
+    let longest = Duration::from_secs(2);
+    let mut holder = holder();
+    holder.offer(version(1));
+    // Nothing is confirmed yet: a restarted node must not wait for news.
+    assert_eq!(holder.watch_wait(at(0), longest), Duration::ZERO);
+    holder.confirm(at(1_000), ConfigVersion(1));
+    for (now, wait) in [
+        (1_000, 2_000),
+        (3_000, 2_000),
+        (4_500, 500),
+        (5_000, 0),
+        (20_000, 0),
+    ] {
+        let wait = Duration::from_millis(wait);
+        assert_eq!(holder.watch_wait(at(now), longest), wait, "at {now} ms");
+    }
+}
+
 #[test]
 fn a_lagging_replica_does_not_take_a_node_back() {
     let mut holder = holder();
