Make the strict end of the knob guard the tail in earnest

Cause: knob 50 and knob 100 gave nearly the same figures, since steps of 1.5 times an almost empty engine's let the emulated engines run full.

Change: at 100 a batch step may take 1.25 times an almost empty one, 1.5 before.

--- a/crates/routing/src/batch/policy.rs
+++ b/crates/routing/src/batch/policy.rs
@@ -11,7 +11,7 @@
 /// Step with batch work, as a multiple of an empty engine's step, at the
 /// middle of the knob and at its end.
 const EVEN_STEP_FACTOR: f64 = 4.0;
-const STRICT_STEP_FACTOR: f64 = 1.5;
+const STRICT_STEP_FACTOR: f64 = 1.25;
 /// Batch prompts being processed at once on one engine, at the fill end and
 /// from the middle on.
 const FILL_PREFILLS: f64 = 8.0;
