Look through the queue every few milliseconds, not at every release

Change: a release looks at the next request in turn, and through the queue at most every 5 ms; a tick always does.

The model of admission holds as before.

--- a/crates/routing/src/admission/mod.rs
+++ b/crates/routing/src/admission/mod.rs
@@ -236,6 +236,7 @@
         let names: Vec<ServiceName> = self.services.keys().cloned().collect();
         let mut outputs = Vec::new();
         for name in names {
+            self.refuse_hopeless(now, &name, &mut outputs);
             outputs.extend(self.start_waiting(now, &name));
         }
         if now.since(self.last_sweep) >= self.settings.sweep_interval {
@@ -276,10 +277,32 @@
     }
 
     fn start_waiting(&mut self, now: Timestamp, name: &ServiceName) -> Vec<AdmissionOutput> {
+        let mut outputs = Vec::new();
+        loop {
+            let service = self.services.get(name);
+            if service.is_some_and(|service| service.is_look_due(now)) {
+                self.refuse_hopeless(now, name, &mut outputs);
+            }
+            let service = self.services.get_mut(name);
+            let Some(waiting) = service.and_then(|service| service.start_next(now)) else {
+                return outputs;
+            };
+            outputs.push(AdmissionOutput::Admitted(waiting.ticket));
+            self.permits
+                .insert(waiting.ticket, permit_of(now, name, waiting));
+        }
+    }
+
+    /// Refuses what can no longer get its turn in time.
+    fn refuse_hopeless(
+        &mut self,
+        now: Timestamp,
+        name: &ServiceName,
+        outputs: &mut Vec<AdmissionOutput>,
+    ) {
         let Some(service) = self.services.get_mut(name) else {
-            return Vec::new();
+            return;
         };
-        let mut outputs = Vec::new();
         for (waiting, refusal) in service.refuse_hopeless(now) {
             if let Some(tenant) = self.tenants.get_mut(&waiting.tenant) {
                 tenant.release();
@@ -287,12 +310,6 @@
             let refusal = refusal.bounded(&self.settings);
             outputs.push(AdmissionOutput::Refused(waiting.ticket, refusal));
         }
-        while let Some(waiting) = service.start_next(now) {
-            outputs.push(AdmissionOutput::Admitted(waiting.ticket));
-            self.permits
-                .insert(waiting.ticket, permit_of(now, name, waiting));
-        }
-        outputs
     }
 
     /// Tells tenants about requests that left a queue by refusal.
--- a/crates/routing/src/admission/queue.rs
+++ b/crates/routing/src/admission/queue.rs
@@ -59,6 +59,11 @@
         self.length += 1;
     }
 
+    /// What [`FairQueue::pop`] would take.
+    pub(super) fn next(&self) -> Option<&Waiting> {
+        self.lanes.get(self.turns.front()?)?.waiting.front()
+    }
+
     pub(super) fn pop(&mut self) -> Option<Waiting> {
         let tenant = self.turns.front()?.clone();
         let lane = self.lanes.get_mut(&tenant)?;
--- a/crates/routing/src/admission/service.rs
+++ b/crates/routing/src/admission/service.rs
@@ -14,6 +14,10 @@
 /// the service counts as stalled.
 const STALLED_AFTER: f64 = 2.0;
 
+/// Shortest time between two looks through the queue when requests end; a
+/// tick always looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Limits of a service at one gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceLimits {
@@ -43,6 +47,8 @@
     service_seconds: f64,
     /// Latest start or end of a request.
     last_change: Timestamp,
+    /// When the queue was last looked through for what comes too late.
+    last_look: Timestamp,
 }
 
 impl Service {
@@ -59,6 +65,7 @@
             queue: FairQueue::default(),
             service_seconds: assumed_service_time.as_secs_f64(),
             last_change: Timestamp::ZERO,
+            last_look: Timestamp::ZERO,
         }
     }
 
@@ -167,8 +174,17 @@
         }
     }
 
+    /// Whether the queue was looked through long enough ago, or the next
+    /// request in it must not start any more.
+    pub(super) fn is_look_due(&self, now: Timestamp) -> bool {
+        let next = self.queue.next();
+        let late = next.is_some_and(|waiting| now >= waiting.deadline);
+        late || now.since(self.last_look) >= LOOK_INTERVAL
+    }
+
     /// Removes what can no longer get its turn before its deadline.
     pub(super) fn refuse_hopeless(&mut self, now: Timestamp) -> Vec<(Waiting, Refusal)> {
+        self.last_look = now;
         if self.queue.len() == 0 {
             return Vec::new();
         }
