--- a/crates/bench/src/run/report/plots.rs
+++ b/crates/bench/src/run/report/plots.rs
@@ -162,7 +162,7 @@
         write_text(area, &self.title, (LEFT, 16), TITLE_HEIGHT)?;
         let bottom = SIZE.1 as i32 - 22;
         write_text(area, self.across, (LEFT, bottom), TEXT_HEIGHT)?;
-        write_text(area, self.up, (10, TOP - 4), TEXT_HEIGHT)
+        write_text(area, self.up, (10, TOP - 26), TEXT_HEIGHT)
     }
 
     fn draw_grid(&self, area: &Area<'_>, largest: (f64, f64)) -> Result<(), DrawError> {
