Let the baseline without preemption fill its engines

Cause: without preemption batch work runs at the priority of online work, so the load reports name no batch request. The owner took an engine without batch work for one that it may not judge, and never gave it more: the baseline looked weaker than it is. Ruled out: the adaptive limit of online requests, which batch work has no part in. Change: in the arms without preemption the owner counts every request as batch work.

--- a/crates/daemon/src/gateway/batch_driver.rs
+++ b/crates/daemon/src/gateway/batch_driver.rs
@@ -106,10 +106,14 @@
         online && self.preemption != PreemptionPolicy::OnArrival
     }
 
-    /// The same input without online work, for a baseline without preemption.
+    /// The same input with every request taken for batch work, for a baseline
+    /// without preemption. An engine cannot tell them apart for the owner there,
+    /// and one that seems to run none would never be given more.
     fn adjusted(&self, input: BatchInput) -> BatchInput {
         match input {
             BatchInput::Load(mut sample) if self.preemption != PreemptionPolicy::OnArrival => {
+                sample.batch += sample.online;
+                sample.batch_running += sample.online.saturating_sub(sample.online_waiting);
                 sample.online = 0;
                 sample.online_waiting = 0;
                 BatchInput::Load(sample)
