Confirm the configuration anxiously after a failed poll, and fail over sooner

Cause: while all groups were without a leader for 2.6 s (a disk that stalled under other builds), gateways refused requests as configuration_not_current with a bound of 8 s, since a replica without a quorum holds a poll for its whole wait of 2 s and up to three were asked in turn. A poll that confirms nothing is now followed by short ones. The first call of a proposal is given up after 750 ms instead of 3 s, as every command may be sent again; and the head of an answer is due within 1 s by default also when settings say nothing.

--- a/crates/daemon/src/cluster/calls.rs
+++ b/crates/daemon/src/cluster/calls.rs
@@ -15,6 +15,8 @@
     group: GroupId,
     ends: Instant,
     pause: Duration,
+    /// Longest time of the next call.
+    timeout: Duration,
     /// Position among the replicas of the next one to ask.
     turn: usize,
     /// Whether an attempt may have taken effect.
@@ -83,6 +85,7 @@
             group,
             ends: Instant::now() + deadline,
             pause: self.limits.first_pause,
+            timeout: self.limits.first_call_timeout,
             turn: 0,
             ambiguous: false,
             reason: "there are no replicas".to_owned(),
@@ -98,7 +101,7 @@
             let Some(node) = self.target().filter(|_| !remaining.is_zero()) else {
                 return Err(self.failure());
             };
-            let timeout = self.cluster.limits.call_timeout.min(remaining);
+            let timeout = self.timeout.min(remaining);
             let call = self.cluster.transport.call(node, request(), timeout);
             match call.await {
                 Ok(Response::NotLeader { leader }) => self.follow(node, leader).await,
@@ -120,6 +123,7 @@
                 Err(error) => {
                     self.ambiguous |= matches!(error, CallError::Ambiguous(_));
                     self.reason = format!("node {node}: {error}");
+                    self.timeout = (self.timeout * 2).min(self.cluster.limits.call_timeout);
                     self.try_next(node);
                     self.pause_at_least(Duration::ZERO).await;
                 }
--- a/crates/daemon/src/cluster/mod.rs
+++ b/crates/daemon/src/cluster/mod.rs
@@ -28,7 +28,10 @@
 /// Bounds of the calls to replica groups.
 #[derive(Clone, Debug)]
 pub struct ClusterLimits {
-    /// Longest time of one call to one replica.
+    /// Longest time of the first call to one replica; doubles with each
+    /// further one. A leader that was cut off in silence costs this much.
+    pub first_call_timeout: Duration,
+    /// Longest time of any call to one replica.
     pub call_timeout: Duration,
     /// Longest time of a proposal or read with all its attempts.
     pub deadline: Duration,
@@ -41,6 +44,7 @@
 impl Default for ClusterLimits {
     fn default() -> Self {
         Self {
+            first_call_timeout: Duration::from_millis(750),
             call_timeout: Duration::from_secs(3),
             deadline: Duration::from_secs(8),
             first_pause: Duration::from_millis(10),
--- a/crates/daemon/src/gateway/configuration.rs
+++ b/crates/daemon/src/gateway/configuration.rs
@@ -25,7 +25,10 @@
 const FILE: &str = "configuration";
 /// A long poll waits for this share of the currency bound at most, so that
 /// several fit into it.
-const POLL_SHARE: u32 = 4;
+const POLL_SHARE: u32 = 8;
+/// Wait of a long poll after one that confirmed nothing: a replica without a
+/// quorum holds a poll for its whole wait, and the next one may have one.
+const ANXIOUS_POLL: Duration = Duration::from_millis(250);
 /// Pause after a replica that did not answer.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
 /// When to come back to a node without a current configuration.
@@ -120,13 +123,14 @@
         let mut turn = self.options.node.0 as usize;
         let mut was = Readiness::NoConfiguration;
         let mut wants_whole = false;
+        let longest = self.options.currency_bound / POLL_SHARE;
+        let calm = self.options.config_watch.min(longest);
+        let mut wait = ANXIOUS_POLL;
         loop {
             let replicas = self.cluster.replicas();
             let Some(replica) = replicas.get(turn % replicas.len().max(1)).copied() else {
                 return;
             };
-            let longest = self.options.currency_bound / POLL_SHARE;
-            let wait = self.options.config_watch.min(longest);
             let watch = WatchConfiguration {
                 node: self.options.node,
                 incarnation: self.options.incarnation,
@@ -145,11 +149,14 @@
                         None => false,
                     };
                     let current = watched.current;
-                    self.configuration
+                    let confirmed = self
+                        .configuration
                         .write(|holder| holder.confirm(sent, current));
+                    wait = if confirmed { calm } else { ANXIOUS_POLL };
                 }
                 Err(_) => {
                     turn += 1;
+                    wait = ANXIOUS_POLL;
                     Timer::after(FAILURE_PAUSE).await;
                 }
             }
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -205,7 +205,7 @@
             election_timeout: Duration::from_millis(500),
             load_poll: Duration::from_millis(100),
             connect_timeout: Duration::from_millis(500),
-            response_timeout: Duration::from_secs(5),
+            response_timeout: Duration::from_secs(1),
             stall_timeout: Duration::from_secs(10),
             batch_stall_timeout: Duration::from_secs(300),
             drain: DrainSettings::default(),
