Turn a new gateway ready only once its engines were heard of

Cause: a gateway asks engines what they hold only once a configuration names their service, and turned ready in the same instant. Until the first reports, up to 100 ms later, it refused every request with no_backend and a Retry-After of a second: in 5 of 6 runs of the demo 11 to 30 of its first 30 requests. Ruled out: the set of live gateways, which came 250 ms after the first routes; working candidates out at once, which left it as it was (4 of 8 runs). Change: before its first confirmation a gateway waits, half a second at most, until each back end that it routes to has reported. The new test, five gateways that are asked the moment they are ready, failed before and passes; of 8 runs of the demo 3 still had refusals, 4 to 15, whose cause is looked for.

--- a/crates/daemon/src/gateway/configuration.rs
+++ b/crates/daemon/src/gateway/configuration.rs
@@ -120,6 +120,7 @@
         let mut turn = self.options.node.0 as usize;
         let mut was = Readiness::NoConfiguration;
         let mut wants_whole = false;
+        let mut knows_engines = false;
         loop {
             let replicas = self.cluster.replicas();
             let Some(replica) = replicas.get(turn % replicas.len().max(1)).copied() else {
@@ -144,6 +145,10 @@
                         Some(update) => !self.take_update(update).await,
                         None => false,
                     };
+                    if !knows_engines && self.configuration.in_force().is_some() {
+                        self.wait_for_first_reports().await;
+                        knows_engines = true;
+                    }
                     let current = watched.current;
                     self.configuration
                         .write(|holder| holder.confirm(sent, current));
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -26,6 +26,10 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Pause after candidates were worked out, in multiples of the time it took.
 const REFRESH_PAUSE: u32 = 9;
+/// Longest time that a new gateway waits for its back ends' first reports.
+const FIRST_REPORTS: Duration = Duration::from_millis(500);
+/// Time between two looks whether they are there.
+const FIRST_REPORTS_LOOK: Duration = Duration::from_millis(5);
 /// Separates a model's name from its version in an engine's report.
 const VERSION_SEPARATOR: char = '@';
 
@@ -154,6 +158,33 @@
         }
     }
 
+    /// Waits until every back end that this gateway routes to was heard of, so
+    /// that it does not say that it is ready and then refuse for want of
+    /// engines. Those that stay silent are not waited for any longer than
+    /// [`FIRST_REPORTS`].
+    pub(super) async fn wait_for_first_reports(&self) {
+        let until = self.clock.now() + FIRST_REPORTS;
+        while self.clock.now() < until {
+            let reported = self.has_first_reports();
+            self.work_out_candidates();
+            if reported {
+                return;
+            }
+            Timer::after(FIRST_REPORTS_LOOK).await;
+        }
+    }
+
+    fn has_first_reports(&self) -> bool {
+        let watched = self.loads.watched().clone();
+        let directory = self.directory();
+        let mut routed = directory
+            .backends()
+            .filter(|backend| watched.contains(&backend.id))
+            .peekable();
+        // None at all may as well mean that the list was not read yet.
+        routed.peek().is_some() && routed.all(has_reported)
+    }
+
     /// Brings candidates for requests and for batch work to what directory,
     /// configuration and gateway set say now.
     fn work_out_candidates(&self) {
@@ -235,6 +266,17 @@
     }
 }
 
+/// Whether a back end said what it holds, or is not asked for it.
+fn has_reported(backend: &Backend) -> bool {
+    match backend.state {
+        BackendState::Unknown => false,
+        BackendState::Healthy | BackendState::Suspect => {
+            backend.kind == MachineKind::Application || !backend.loaded.models.is_empty()
+        }
+        BackendState::Ejected | BackendState::Leaving | BackendState::Gone => true,
+    }
+}
+
 /// Whether a back end may get new work of a service.
 pub(super) fn can_serve(backend: &Backend, service: &Service) -> bool {
     if !backend.state.accepts_new_work() {
--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -69,7 +69,8 @@
         *self.watched() = watched.collect();
     }
 
-    fn watched(&self) -> MutexGuard<'_, BTreeSet<BackendId>> {
+    /// Back ends that this gateway routes to.
+    pub(super) fn watched(&self) -> MutexGuard<'_, BTreeSet<BackendId>> {
         self.watched.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/daemon/tests/gateway_members.rs
+++ b/crates/daemon/tests/gateway_members.rs
@@ -49,6 +49,17 @@
     assert_eq!(backend_state(&gateway, 1), "leaving");
 }
 
+#[test]
+fn a_gateway_that_says_it_is_ready_has_its_engines() {
+    let world = World::start(&small_fleet());
+    for node in 11..16 {
+        let gateway = world.unready_gateway(node, |_| {});
+        wait_for("a ready gateway", || gateway.gateway.is_ready());
+        let answer = complete(gateway.address, &format!("first of {node}"), 2);
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
 #[test]
 fn a_planned_stop_cuts_nothing() {
     let world = World::start(&small_fleet());
