--- a/crates/sim/src/apply.rs
+++ b/crates/sim/src/apply.rs
@@ -15,6 +15,24 @@
 /// Time after which a disk fault that has to wait is tried again.
 const TRY_AGAIN_AFTER: Duration = Duration::from_millis(100);
 
+/// Time after which a rolled back disk was told by the others, at two hellos.
+const ROLL_BACK_NOTICED_WITHIN: Duration = Duration::from_secs(6);
+
+/// Whether a fault keeps replicas from hearing or remembering each other.
+fn touches_replicas(kind: &FaultKind) -> bool {
+    match kind {
+        FaultKind::Kill(addresses) => addresses
+            .iter()
+            .any(|address| matches!(address, Address::Replica(_))),
+        FaultKind::Freeze(address) => matches!(address, Address::Replica(_)),
+        FaultKind::Cut(_)
+        | FaultKind::LoseDisk(_)
+        | FaultKind::RollBackDisk(_)
+        | FaultKind::FailSync(_) => true,
+        _ => false,
+    }
+}
+
 impl World {
     pub(crate) fn begin_fault(&mut self, position: usize) {
         let Some(fault) = self.scenario.faults[position].clone() else {
@@ -36,10 +54,14 @@
         self.apply(position, &fault);
     }
 
-    /// Whether a fault that takes a disk away has to wait: before it, every
-    /// replica must vote with its present disk, since what a majority of disks
-    /// lost cannot be kept.
+    /// Whether a fault has to wait. Before a disk is taken away, every replica
+    /// must vote with its present disk, since what a majority of disks lost
+    /// cannot be kept. And a disk that was rolled back is told by processes that
+    /// heard of what it lost: until they had time to say so, none is harmed.
     fn must_wait(&self, fault: &Fault) -> bool {
+        if self.context.now < self.roll_back_noticed_by && touches_replicas(&fault.kind) {
+            return true;
+        }
         matches!(fault.kind, FaultKind::LoseDisk(_)) && !self.replicas_are_whole()
     }
 
@@ -225,6 +247,7 @@
         if let Some(replica) = self.replicas.get_mut(&number) {
             replica.disk.roll_back(&backup);
         }
+        self.roll_back_noticed_by = self.context.now + ROLL_BACK_NOTICED_WITHIN;
         self.bring_up(address);
     }
 
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -71,6 +71,8 @@
     pub(crate) stops_at_thaw: BTreeSet<Address>,
     /// Copies of disks, and when each was taken.
     pub(crate) backups: BTreeMap<usize, (Timestamp, SimulatedDisk)>,
+    /// Until when a rolled back disk may not have been noticed yet.
+    pub(crate) roll_back_noticed_by: Timestamp,
     /// Latest start of each replica.
     pub(crate) replica_starts: BTreeMap<u32, Timestamp>,
 }
@@ -114,6 +116,7 @@
             down: BTreeMap::new(),
             stops_at_thaw: BTreeSet::new(),
             backups: BTreeMap::new(),
+            roll_back_noticed_by: Timestamp::ZERO,
             replica_starts: BTreeMap::new(),
             context,
             scenario,
