--- a/crates/sim/src/commands.rs
+++ b/crates/sim/src/commands.rs
@@ -19,7 +19,7 @@
 /// Seeds when not given.
 const SEEDS: u64 = 200;
 /// Seeds tried for each mechanism when not given.
-const MUTANT_SEEDS: u64 = 400;
+const MUTANT_SEEDS: u64 = 2_000;
 /// States of each explored model when not given.
 const STATES: usize = 1_000_000;
 
--- a/crates/sim/src/fault/combination.rs
+++ b/crates/sim/src/fault/combination.rs
@@ -101,7 +101,7 @@
     let gateway = draw.random.random_range(1..=draw.topology.gateways);
     let gateway = Endpoint::One(Address::Gateway(gateway));
     let length = draw.millis(6_500..8_500);
-    let begin = draw.topology.long_items_at + draw.millis(200..2_500);
+    let begin = draw.topology.long_items_at + draw.millis(200..1_200);
     draw.add(begin, length, both_ways(gateway, Endpoint::Replicas));
 }
 
--- a/crates/sim/src/fault/schedule.rs
+++ b/crates/sim/src/fault/schedule.rs
@@ -44,7 +44,7 @@
 }
 
 /// Share of runs with a combination of faults that is dangerous as a whole.
-const WITH_COMBINATION: f64 = 0.6;
+const WITH_COMBINATION: f64 = 0.9;
 
 /// Draws faults of `classes`, sorted by their beginning.
 #[must_use]
--- a/crates/sim/src/workload.rs
+++ b/crates/sim/src/workload.rs
@@ -233,16 +233,16 @@
     }))
 }
 
-/// Engines take longer for an item of it than half a lease.
+/// Engines take longer for an item of it than a lease lasts.
 fn job_with_long_items(random: &mut ChaCha8Rng) -> Work {
     Work::Job(Arc::new(JobPlan {
         tenant: "tenant 0".into(),
         key: "long items".to_owned(),
         service: SERVICES[0].into(),
         items: random.random_range(30..60),
-        tokens: random.random_range(500..900),
+        tokens: random.random_range(900..1_400),
         repeatable: true,
-        cancel_after: Some(Duration::from_millis(random.random_range(1_500..4_000))),
+        cancel_after: Some(Duration::from_millis(random.random_range(1_500..3_000))),
         resubmit_after: Vec::new(),
     }))
 }
