--- a/crates/bench/src/scale/capacity/events.rs
+++ b/crates/bench/src/scale/capacity/events.rs
@@ -218,6 +218,24 @@
             source: "job-submit, job-run",
             mark: Mark::OnPaper,
         },
+        Cost {
+            event,
+            what: "time until its new life votes, apart from copying",
+            unit: "s",
+            value: inputs.at("replace-replica", "elapsed_us", 0.0) / 1e6,
+            source: "replace-replica",
+            mark: Mark::Measured,
+        },
+        Cost {
+            event,
+            what: "processor time of all replicas of the group, for each GB copied",
+            unit: "s of a core",
+            value: inputs.slope("replace-replica", "replicas_us")
+                / inputs.slope("replace-replica", "replication_bytes")
+                * 1e3,
+            source: "replace-replica",
+            mark: Mark::Measured,
+        },
     ]
 }
 
@@ -244,7 +262,7 @@
         },
         Cost {
             event,
-            what: "whole configurations sent as it heals",
+            what: "configurations sent as it heals, if all need the whole",
             unit: "MB",
             value: behind,
             source: "configuration-size",
--- a/crates/bench/src/scale/capacity/gateway.rs
+++ b/crates/bench/src/scale/capacity/gateway.rs
@@ -1,9 +1,7 @@
 //! Duties of one gateway.
 
 use super::inputs::Inputs;
-use super::size::{
-    DAY_SECONDS, DELTA_BYTES, GatewayPlan, HTTP_OVERHEAD_BYTES, LETTER, MEGABYTE, WATCH_BYTES,
-};
+use super::size::{DAY_SECONDS, GatewayPlan, HTTP_OVERHEAD_BYTES, LETTER, MEGABYTE, WATCH_BYTES};
 use super::table::{Mark, Table, figure};
 
 /// What one duty takes of a gateway.
@@ -29,9 +27,13 @@
 /// Changes of a machine that restarts: it leaves, goes, comes and is ready.
 const CHANGES_OF_A_RESTART: f64 = 4.0;
 /// Ticks of the directory a second.
-const DIRECTORY_TICKS: f64 = 4.0;
+const DIRECTORY_TICKS: f64 = 10.0;
 /// Prefixes remembered for each service.
 const PREFIXES: f64 = 50_000.0;
+/// Memory of a decoded configuration, as a multiple of its encoded size.
+const DECODED_FACTOR: f64 = 10.0;
+/// Load polls of an owned engine a second in the experiment.
+const MEASURED_POLLS: f64 = 10.0;
 /// Messages to job groups for each item: half a lease request and half a
 /// record, each with its answer.
 const MESSAGES_OF_AN_ITEM: f64 = 2.0;
@@ -68,13 +70,27 @@
         "| **budget** | | | {} | {} | {} | | |\n",
         budget.kilobytes_per_second, budget.core_percent, budget.megabytes,
     ));
+    text.push_str(&placement(inputs));
     Table { name, text }
 }
 
+/// What the gateway that places a service takes besides, one for each service.
+fn placement(inputs: &Inputs) -> String {
+    let engines = LETTER.engines / LETTER.services;
+    format!(
+        "| not added: placing one service, on four gateways | its planner polls every engine of the service once a second | {} | {} | {} | | gateway-sockets, load-report | {} |\n",
+        figure(2.0 * engines),
+        figure(engines * report_bytes(inputs) / 1e3),
+        figure(engines * report_us(inputs) / 1e4),
+        Mark::Simulated.text(),
+    )
+}
+
 fn duties(inputs: &Inputs, plan: &GatewayPlan) -> Vec<Duty> {
     vec![
+        process(inputs),
         watch(inputs, plan),
-        configuration(inputs, plan),
+        configuration(inputs),
         heartbeat(inputs, plan),
         machine_list(inputs, plan),
         ownership(inputs, plan),
@@ -107,34 +123,33 @@
     }
 }
 
-fn configuration(inputs: &Inputs, plan: &GatewayPlan) -> Duty {
+/// What an idle gateway takes before anything grows with the fleet.
+fn process(inputs: &Inputs) -> Duty {
+    Duty {
+        name: "the process itself",
+        mechanism: "timers, event buffer, idle connections; its memory is that of two nodes",
+        messages: 0.0,
+        bytes: 0.0,
+        processor: inputs.at("gateway-sockets", "other_us_per_s", 0.0),
+        memory: inputs.at("gateway-sockets", "resident_bytes_with_engines", 0.0),
+        source: "gateway-sockets",
+        mark: Mark::Measured,
+    }
+}
+
+fn configuration(inputs: &Inputs) -> Duty {
     let per_second = LETTER.changes_per_day / DAY_SECONDS;
     let whole = inputs.at("configuration-size", "bytes", LETTER.tenants);
-    let (bytes, processor, mechanism, mark) = if plan.configuration_deltas {
-        (
-            DELTA_BYTES,
-            inputs.at("configuration-size", "decode_us", LETTER.tenants) / 10.0,
-            "changes since the watcher's version; whole when behind",
-            Mark::OnPaper,
-        )
-    } else {
-        (
-            inputs.slope("watch-sockets", "change_bytes_to_nodes"),
-            inputs.slope("watch-sockets", "change_nodes_us"),
-            "whole configuration to each watcher",
-            Mark::Measured,
-        )
-    };
     Duty {
         name: "changes of the configuration",
-        mechanism,
+        mechanism: "what changed since the watcher's version, whole when far behind",
         messages: per_second,
-        bytes: bytes * per_second,
-        processor: processor * per_second,
+        bytes: inputs.slope("watch-sockets", "change_bytes_to_nodes") * per_second,
+        processor: inputs.slope("watch-sockets", "change_nodes_us") * per_second,
         // Decoded it takes several times its encoded size.
-        memory: 10.0 * whole,
+        memory: DECODED_FACTOR * whole,
         source: "watch-sockets, configuration-size",
-        mark,
+        mark: Mark::Measured,
     }
 }
 
@@ -252,9 +267,9 @@
     inputs.slope("load-report", "json_bytes") + HTTP_OVERHEAD_BYTES
 }
 
-/// Microseconds of one polled load report.
+/// Microseconds of one polled load report and of the cache events read beside.
 fn report_us(inputs: &Inputs) -> f64 {
-    inputs.slope("load-report", "parse_and_observe_us") + 2.0 * socket_us(inputs)
+    inputs.slope("gateway-sockets", "owner_us_per_s") / MEASURED_POLLS
 }
 
 fn owned_loads(inputs: &Inputs, plan: &GatewayPlan) -> Duty {
@@ -262,12 +277,12 @@
     let polls = engines / plan.load_interval;
     Duty {
         name: "load of owned engines",
-        mechanism: "one owner a engine polls it over HTTP",
+        mechanism: "the one owner of an engine polls it over HTTP",
         messages: 2.0 * polls,
         bytes: polls * report_bytes(inputs),
         processor: polls * report_us(inputs),
         memory: 0.0,
-        source: "load-report, messages-sockets",
+        source: "gateway-sockets, load-report",
         mark: Mark::Simulated,
     }
 }
@@ -275,7 +290,7 @@
 fn foreign_loads(inputs: &Inputs, plan: &GatewayPlan) -> Duty {
     let polls = plan.foreign_engines / plan.foreign_interval;
     let mechanism = if polls > 0.0 {
-        "every other engine on the list is polled too, for what digests do not carry"
+        "engines of the own subsets are polled once a second, for what digests do not carry"
     } else {
         "none: digests say what is loaded"
     };
@@ -286,7 +301,7 @@
         bytes: polls * report_bytes(inputs),
         processor: polls * report_us(inputs),
         memory: 0.0,
-        source: "load-report, messages-sockets",
+        source: "gateway-sockets, load-report",
         mark: if polls > 0.0 {
             Mark::Simulated
         } else {
--- a/crates/bench/src/scale/capacity/inputs.rs
+++ b/crates/bench/src/scale/capacity/inputs.rs
@@ -18,6 +18,8 @@
     pub began_unix_seconds: u64,
     /// How long it took.
     pub seconds: f64,
+    /// Most memory that any of its processes had, which ran one after the other.
+    pub most_resident_megabytes: f64,
     /// What was run.
     pub command: String,
     /// Processors of the machine.
@@ -89,8 +91,13 @@
         let run = &self.run;
         let mut text = format!(
             "# Slopes of one run of the scale experiment. Written by the run; see docs/CAPACITY.md.\n\n\
-             [run]\nid = \"{}\"\nbegan_unix_seconds = {}\nseconds = {:.1}\ncommand = \"{}\"\nprocessors = {}\n",
-            run.id, run.began_unix_seconds, run.seconds, run.command, run.processors
+             [run]\nid = \"{}\"\nbegan_unix_seconds = {}\nseconds = {:.1}\nmost_resident_megabytes = {:.1}\ncommand = \"{}\"\nprocessors = {}\n",
+            run.id,
+            run.began_unix_seconds,
+            run.seconds,
+            run.most_resident_megabytes,
+            run.command,
+            run.processors
         );
         for (experiment, measures) in &self.lines {
             // Writing to a string cannot fail.
--- a/crates/bench/src/scale/capacity/replicas.rs
+++ b/crates/bench/src/scale/capacity/replicas.rs
@@ -8,9 +8,6 @@
 const REPLICAS: f64 = 3.0;
 /// Confirmations that the control group remembers.
 const CONFIRMATIONS: f64 = 131_072.0;
-/// Bytes sent to a node for a change as a delta, and the share of the
-/// processor time of a whole configuration that this takes.
-const DELTA_SHARE: f64 = 0.1;
 /// Sets of three machines that job groups are divided over once they can be:
 /// 35 machines, less three of the control group and two to spare.
 const PLANNED_SETS: f64 = 10.0;
@@ -82,10 +79,10 @@
             mark: Mark::Measured,
         },
         Line {
-            name: "sending changes on, whole configurations",
+            name: "sending changes on to all gateways",
             unit: "% of a core",
             values: vec![fan_out / 1e4],
-            mechanism: "each watcher gets the whole configuration",
+            mechanism: "what changed since the watcher's version",
             source: "watch-sockets",
             mark: Mark::Measured,
         },
@@ -97,22 +94,6 @@
             source: "watch-sockets",
             mark: Mark::Measured,
         },
-        Line {
-            name: "bytes of that, changes only",
-            unit: "KB/s",
-            values: vec![super::size::DELTA_BYTES * nodes * changes / 1e3],
-            mechanism: "changes since the watcher's version",
-            source: "design",
-            mark: Mark::OnPaper,
-        },
-        Line {
-            name: "processor time of that, changes only",
-            unit: "% of a core",
-            values: vec![fan_out * DELTA_SHARE / 1e4],
-            mechanism: "changes since the watcher's version",
-            source: "design",
-            mark: Mark::OnPaper,
-        },
         Line {
             name: "committing changes",
             unit: "% of a core",
--- a/crates/bench/src/scale/capacity/size.rs
+++ b/crates/bench/src/scale/capacity/size.rs
@@ -71,8 +71,6 @@
 pub(super) struct GatewayPlan {
     /// Seconds between two watches of the configuration without a change.
     pub(super) watch_interval: f64,
-    /// Whether only what changed of the configuration is sent.
-    pub(super) configuration_deltas: bool,
     /// Seconds between two heartbeats.
     pub(super) heartbeat_interval: f64,
     /// Live gateways in the answer to a heartbeat.
@@ -105,7 +103,6 @@
 /// What the code does with its default settings.
 pub(super) const AS_BUILT: GatewayPlan = GatewayPlan {
     watch_interval: 1.0,
-    configuration_deltas: false,
     heartbeat_interval: 1.0,
     live_nodes_answered: LIVE_NODES_AS_BUILT,
     live_node_deltas: false,
@@ -116,13 +113,12 @@
     digest_interval: 0.1,
     listeners: Some(16.0),
     subset_size: 64.0,
-    foreign_engines: 10_000.0,
+    foreign_engines: 64.0 * 4.0,
     foreign_interval: 1.0,
 };
 
 /// What it would do after the changes that the page names.
 pub(super) const PLANNED: GatewayPlan = GatewayPlan {
-    configuration_deltas: true,
     live_nodes_answered: 1_800.0,
     live_node_deltas: true,
     owners: 1_800.0,
@@ -140,7 +136,5 @@
 pub(super) const HTTP_OVERHEAD_BYTES: f64 = 250.0;
 /// Bytes of a frame that asks for the configuration, and of an answer without one.
 pub(super) const WATCH_BYTES: f64 = 60.0;
-/// Bytes of a change that is sent alone.
-pub(super) const DELTA_BYTES: f64 = 120.0;
 /// Bytes of a megabyte.
 pub(super) const MEGABYTE: f64 = 1e6;
--- a/crates/bench/src/scale/capacity/table.rs
+++ b/crates/bench/src/scale/capacity/table.rs
@@ -40,6 +40,7 @@
         run(inputs),
         gateway::table("gateway-as-built", inputs, &super::size::AS_BUILT),
         gateway::table("gateway-planned", inputs, &super::size::PLANNED),
+        balance(inputs),
         replicas::control(inputs),
         replicas::jobs(inputs),
         events::table(inputs),
@@ -51,13 +52,41 @@
 fn run(inputs: &Inputs) -> Table {
     let run = &inputs.run;
     let text = format!(
-        "| run | began (Unix seconds) | took | command | processors |\n|---|---|---|---|---|\n\
-         | `{}` | {} | {:.0} s | `{}` | {} |\n",
-        run.id, run.began_unix_seconds, run.seconds, run.command, run.processors
+        "| run | began (Unix seconds) | took | most memory | command | processors |\n|---|---|---|---|---|---|\n\
+         | `{}` | {} | {:.0} s | {:.0} MB | `{}` | {} |\n",
+        run.id,
+        run.began_unix_seconds,
+        run.seconds,
+        run.most_resident_megabytes,
+        run.command,
+        run.processors
     );
     Table { name: "run", text }
 }
 
+/// How evenly engines are loaded, by the size of a subset.
+fn balance(inputs: &Inputs) -> Table {
+    let mut text = "| engines of a service in a subset | p99 of engines over the mean | busiest over the mean | source | mark |\n\
+                    |---:|---:|---:|---|---|\n"
+        .to_owned();
+    for size in [
+        super::size::PLANNED.subset_size,
+        super::size::AS_BUILT.subset_size,
+    ] {
+        let at = |measure| figure(inputs.at("subset-balance", measure, size));
+        text.push_str(&format!(
+            "| {size} | {} | {} | subset-balance | {} |\n",
+            at("p99_over_mean"),
+            at("most_over_mean"),
+            Mark::Simulated.text(),
+        ));
+    }
+    Table {
+        name: "balance",
+        text,
+    }
+}
+
 /// Every slope of the run.
 fn slopes(inputs: &Inputs) -> Table {
     use crate::scale::report::significant;
--- a/crates/bench/src/scale/clock.rs
+++ b/crates/bench/src/scale/clock.rs
@@ -13,6 +13,8 @@
 const THREAD_TIME: &str = "/proc/thread-self/schedstat";
 /// File with the memory of the process.
 const PROCESS_MEMORY: &str = "/proc/self/statm";
+/// File with the most memory that the process had.
+const PROCESS_STATUS: &str = "/proc/self/status";
 /// Directory with a folder for each thread.
 const THREADS: &str = "/proc/self/task";
 /// Bytes of a page.
@@ -62,6 +64,21 @@
     pages.map(|pages| pages * PAGE_BYTES).ok_or(unreadable)
 }
 
+/// Most memory that this process ever had resident, in bytes.
+///
+/// # Errors
+/// When the system does not say.
+pub fn most_resident_bytes() -> Result<u64, ScaleError> {
+    const KILOBYTE: u64 = 1024;
+    let unreadable = ScaleError::Account {
+        file: PROCESS_STATUS,
+    };
+    let text = fs::read_to_string(PROCESS_STATUS).unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kilobytes = line.and_then(first_number);
+    kilobytes.map(|count| count * KILOBYTE).ok_or(unreadable)
+}
+
 /// Processor time of one call of `work`, after a warm-up of the same length.
 ///
 /// # Errors
--- a/crates/bench/src/scale/experiments/consensus.rs
+++ b/crates/bench/src/scale/experiments/consensus.rs
@@ -61,3 +61,27 @@
     }
     Ok(())
 }
+
+/// Replacing a replica whose disk was lost, by the items that its group holds.
+pub(super) fn replace(recorder: &mut Recorder) -> Result<(), ScaleError> {
+    let mut cluster = Cluster::start(1)?;
+    let mut submitter = super::jobs::Submitter::default();
+    let mut held = 0;
+    for items in [8_192, 16_384, 32_768] {
+        submitter.submit(&mut cluster, items - held)?;
+        held = items;
+        for repeat in 0..REPEATS {
+            cluster.await_leaders()?;
+            let seed = u64::from(items + repeat);
+            let (_, used) = cluster.measure(|cluster| cluster.replace_one(seed))?;
+            let measures = [
+                ("elapsed_us", micros(used.elapsed)),
+                ("replicas_us", micros(used.all)),
+                ("replication_bytes", used.frame_bytes),
+            ];
+            recorder.note("items", f64::from(items), &measures);
+        }
+    }
+    cluster.stop()?;
+    Ok(())
+}
--- a/crates/bench/src/scale/experiments/gateway.rs
+++ b/crates/bench/src/scale/experiments/gateway.rs
@@ -28,6 +28,9 @@
 const OWNER: &str = "owner";
 const OTHER: &str = "other";
 const ENGINES: &str = "engines";
+/// Names of the threads on which gateways do batch work; of both together, but
+/// only the one that owns engines has any.
+const BATCH: &str = "gateway-batch";
 /// Zone of the engines and of the gateway that owns them.
 const OWNER_ZONE: &str = "zone-a";
 /// Zone of the other gateway.
@@ -92,11 +95,12 @@
     confirm(&threads.owner, replica, &settings).await?;
     Timer::after(SETTLED_AFTER).await;
     for _ in 0..REPEATS {
-        let (began, owner_before, other_before) =
-            (Instant::now(), named_time(&[OWNER])?, named_time(&[OTHER])?);
+        let began = Instant::now();
+        let owner_before = named_time(&[OWNER, BATCH])?;
+        let other_before = named_time(&[OTHER])?;
         Timer::after(WATCHED_FOR).await;
         let seconds = began.elapsed().as_secs_f64();
-        let owner_time = named_time(&[OWNER])?.saturating_sub(owner_before);
+        let owner_time = named_time(&[OWNER, BATCH])?.saturating_sub(owner_before);
         let other_time = named_time(&[OTHER])?.saturating_sub(other_before);
         let measures = [
             ("owner_us_per_s", micros(owner_time) / seconds),
--- a/crates/bench/src/scale/experiments/jobs.rs
+++ b/crates/bench/src/scale/experiments/jobs.rs
@@ -33,7 +33,7 @@
 /// Submitting items, by their number.
 pub(super) fn submit(recorder: &mut Recorder) -> Result<(), ScaleError> {
     let mut cluster = Cluster::start(1)?;
-    let mut jobs = Jobs::default();
+    let mut jobs = Submitter::default();
     jobs.submit(&mut cluster, ITEMS[0])?;
     for items in ITEMS {
         for _ in 0..REPEATS {
@@ -48,7 +48,7 @@
 /// Leasing items and recording their results, by their number.
 pub(super) fn run(recorder: &mut Recorder) -> Result<(), ScaleError> {
     let mut cluster = Cluster::start(1)?;
-    let mut jobs = Jobs::default();
+    let mut jobs = Submitter::default();
     jobs.submit(&mut cluster, ITEMS[0])?;
     jobs.run(&mut cluster, ITEMS[0])?;
     for items in ITEMS {
@@ -76,13 +76,13 @@
 
 /// Submits and runs jobs, each under a new key.
 #[derive(Default)]
-struct Jobs {
+pub(super) struct Submitter {
     last_job: u32,
     last_request: u64,
 }
 
-impl Jobs {
-    fn submit(&mut self, cluster: &mut Cluster, items: u32) -> Result<(), ScaleError> {
+impl Submitter {
+    pub(super) fn submit(&mut self, cluster: &mut Cluster, items: u32) -> Result<(), ScaleError> {
         self.last_job += 1;
         let begin = begin(self.last_job, items);
         let job = begin.job;
@@ -311,6 +311,6 @@
 /// The folder of stopped replicas that hold a job with that many items.
 pub(super) fn submitted(items: u32) -> Result<tempfile::TempDir, ScaleError> {
     let mut cluster = Cluster::start(1)?;
-    Jobs::default().submit(&mut cluster, items)?;
+    Submitter::default().submit(&mut cluster, items)?;
     cluster.stop()
 }
--- a/crates/bench/src/scale/experiments/mod.rs
+++ b/crates/bench/src/scale/experiments/mod.rs
@@ -1,5 +1,6 @@
 //! The experiments, each stepping one quantity.
 
+mod balance;
 mod batch;
 mod claims;
 mod configuration;
@@ -69,6 +70,10 @@
         name: "subset",
         run: membership::subset_of_engines,
     },
+    Experiment {
+        name: "subset-balance",
+        run: balance::balance,
+    },
     Experiment {
         name: "load-digest",
         run: loads::digest,
@@ -137,6 +142,10 @@
         name: "restart",
         run: consensus::restart,
     },
+    Experiment {
+        name: "replace-replica",
+        run: consensus::replace,
+    },
     Experiment {
         name: "gateway-sockets",
         run: gateway::engines,
--- a/crates/bench/src/scale/hollow/cluster.rs
+++ b/crates/bench/src/scale/hollow/cluster.rs
@@ -53,8 +53,7 @@
 
 struct Member {
     inputs: Sender<ReplicaInput>,
-    thread: JoinHandle<Result<(), ScaleError>>,
-    disk: CountingDisk,
+    thread: JoinHandle<Result<Receiver<ReplicaInput>, ScaleError>>,
 }
 
 /// Hollow replicas under one temporary folder.
@@ -62,6 +61,8 @@
     folder: TempDir,
     started: Instant,
     members: BTreeMap<NodeId, Member>,
+    senders: BTreeMap<NodeId, Sender<ReplicaInput>>,
+    answer: Sender<Answer>,
     answers: Receiver<Answer>,
     leaders: BTreeMap<GroupId, NodeId>,
     job_groups: u32,
@@ -84,52 +85,103 @@
             folder,
             started: Instant::now(),
             members: BTreeMap::new(),
+            senders: BTreeMap::new(),
+            answer,
             answers,
             leaders: BTreeMap::new(),
             job_groups,
             last_ticket: 0,
         };
-        cluster.start_members(answer)?;
+        cluster.start_members()?;
         cluster.await_leaders()?;
         Ok(cluster)
     }
 
-    fn start_members(&mut self, answers: Sender<Answer>) -> Result<(), ScaleError> {
-        let nodes: Vec<NodeId> = (1..=REPLICAS).map(NodeId).collect();
-        let mut senders = BTreeMap::new();
+    fn start_members(&mut self) -> Result<(), ScaleError> {
         let mut receivers = BTreeMap::new();
-        for &node in &nodes {
+        for node in (1..=REPLICAS).map(NodeId) {
             let (sender, receiver) = channel();
-            senders.insert(node, sender);
+            self.senders.insert(node, sender);
             receivers.insert(node, receiver);
         }
         for (node, inputs) in receivers {
-            let seed = u64::from(node.0);
-            let mut settings = ReplicaSettings::new(node, nodes.clone(), seed);
-            settings.job_groups = self.job_groups;
-            let disk = CountingDisk::open(&self.data_folder(node))?;
-            let replica = ReplicaThread {
-                disk: disk.clone(),
-                settings,
-                peers: senders.clone(),
-                inputs,
-                answers: answers.clone(),
-                started: self.started,
-            };
-            let thread = std::thread::spawn(move || replica.run());
-            let inputs = senders[&node].clone();
-            self.members.insert(
-                node,
-                Member {
-                    inputs,
-                    thread,
-                    disk,
-                },
-            );
+            self.start_member(node, inputs, u64::from(node.0))?;
         }
         Ok(())
     }
 
+    fn start_member(
+        &mut self,
+        node: NodeId,
+        inputs: Receiver<ReplicaInput>,
+        seed: u64,
+    ) -> Result<(), ScaleError> {
+        let nodes = self.senders.keys().copied().collect();
+        let mut settings = ReplicaSettings::new(node, nodes, seed);
+        settings.job_groups = self.job_groups;
+        let replica = ReplicaThread {
+            disk: CountingDisk::open(&self.data_folder(node))?,
+            settings,
+            peers: self.senders.clone(),
+            inputs,
+            answers: self.answer.clone(),
+            started: self.started,
+        };
+        let thread = std::thread::spawn(move || replica.run());
+        let inputs = self.senders[&node].clone();
+        self.members.insert(node, Member { inputs, thread });
+        Ok(())
+    }
+
+    /// Takes a replica that leads no job group away with its disk, starts it
+    /// anew on a blank one, and waits until it votes and has caught up.
+    ///
+    /// # Errors
+    /// When that takes too long.
+    pub fn replace_one(&mut self, seed: u64) -> Result<(), ScaleError> {
+        let leader = self.leaders.get(&GroupId(1)).copied();
+        let others = self.members.keys().copied();
+        let lost = others.into_iter().find(|node| Some(*node) != leader);
+        let Some((node, member)) = lost.and_then(|node| Some((node, self.members.remove(&node)?)))
+        else {
+            return Err(ScaleError::Timeout { what: "election" });
+        };
+        let inputs = stop_member(member)?;
+        let folder = self.data_folder(node);
+        std::fs::remove_dir_all(&folder).map_err(|source| ScaleError::File {
+            path: folder,
+            source,
+        })?;
+        self.start_member(node, inputs, seed)?;
+        let end = Instant::now() + LONGEST_WAIT;
+        while Instant::now() < end {
+            if self.has_caught_up(node)? {
+                return Ok(());
+            }
+            std::thread::sleep(LOOK_AGAIN);
+        }
+        Err(ScaleError::Timeout {
+            what: "catching up",
+        })
+    }
+
+    /// Whether `node` votes with its present life in every group and has
+    /// applied what the others have.
+    fn has_caught_up(&self, node: NodeId) -> Result<bool, ScaleError> {
+        let reports = self.report()?;
+        let statuses = || reports.iter().map(|report| &report.status);
+        let Some(own) = statuses().find(|status| status.node == node) else {
+            return Ok(false);
+        };
+        let caught_up = own.groups.iter().all(|group| {
+            let others = statuses().flat_map(|status| &status.groups);
+            let mut same = others.filter(|other| other.group == group.group);
+            let votes = group.voters.contains(&(node, own.incarnation));
+            votes && same.all(|other| other.applied == group.applied)
+        });
+        Ok(caught_up && own.groups.len() as u32 > self.job_groups)
+    }
+
     fn data_folder(&self, node: NodeId) -> std::path::PathBuf {
         self.folder.path().join(format!("replica-{node}"))
     }
@@ -269,21 +321,21 @@
     /// # Errors
     /// When a replica had stopped by itself.
     pub fn stop(self) -> Result<TempDir, ScaleError> {
-        for member in self.members.values() {
-            let _stopped = member.inputs.send(ReplicaInput::Stop);
-        }
         for member in self.members.into_values() {
-            drop(member.disk);
-            let what = "end of a replica";
-            member
-                .thread
-                .join()
-                .map_err(|_| ScaleError::Timeout { what })??;
+            stop_member(member)?;
         }
         Ok(self.folder)
     }
 }
 
+/// Stops a replica; gives what it takes its inputs from.
+fn stop_member(member: Member) -> Result<Receiver<ReplicaInput>, ScaleError> {
+    let _stopped = member.inputs.send(ReplicaInput::Stop);
+    let what = "end of a replica";
+    let ended = member.thread.join();
+    ended.map_err(|_| ScaleError::Timeout { what })?
+}
+
 fn difference(elapsed: Duration, before: &[ReplicaUse], after: &[ReplicaUse]) -> ClusterUse {
     let mut used = ClusterUse {
         elapsed,
@@ -294,10 +346,12 @@
         let processor = after.processor.saturating_sub(before.processor);
         used.leader = used.leader.max(processor);
         used.all += processor;
-        used.disk_bytes += (after.disk.bytes - before.disk.bytes) as f64 / count;
-        used.syncs += (after.disk.syncs - before.disk.syncs) as f64 / count;
-        used.frames += (after.frames - before.frames) as f64;
-        used.frame_bytes += (after.frame_bytes - before.frame_bytes) as f64;
+        // A replica that was started anew counts from zero.
+        let rise = |before: u64, after: u64| after.saturating_sub(before) as f64;
+        used.disk_bytes += rise(before.disk.bytes, after.disk.bytes) / count;
+        used.syncs += rise(before.disk.syncs, after.disk.syncs) / count;
+        used.frames += rise(before.frames, after.frames);
+        used.frame_bytes += rise(before.frame_bytes, after.frame_bytes);
     }
     used
 }
--- a/crates/bench/src/scale/hollow/replica_thread.rs
+++ b/crates/bench/src/scale/hollow/replica_thread.rs
@@ -69,11 +69,11 @@
 }
 
 impl ReplicaThread {
-    /// Runs until it is told to stop.
+    /// Runs until it is told to stop; gives its inputs back for the next life.
     ///
     /// # Errors
     /// When the replica stops by itself.
-    pub(super) fn run(self) -> Result<(), ScaleError> {
+    pub(super) fn run(self) -> Result<Receiver<ReplicaInput>, ScaleError> {
         let now = self.now();
         let core = ReplicaCore::open(self.disk.clone(), self.settings.clone(), now)?;
         let mut running = Running {
@@ -84,7 +84,7 @@
             frame_bytes: 0,
         };
         while running.turn()? {}
-        Ok(())
+        Ok(running.thread.inputs)
     }
 
     fn now(&self) -> Timestamp {
--- a/crates/bench/src/scale/run.rs
+++ b/crates/bench/src/scale/run.rs
@@ -6,11 +6,14 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use super::capacity::RunRecord;
+use super::clock::most_resident_bytes;
 use super::experiments::{EXPERIMENTS, Experiment};
 use super::fit::fit_all;
 use super::record::{Point, Recorder};
 use super::{ScaleError, report};
 
+/// Measure of the most memory that an experiment's process had.
+const MOST_RESIDENT: &str = "most_resident_bytes";
 /// How a run is started.
 const COMMAND: &str = "cargo run --release --bin molespan-bench -- scale --out DIR";
 
@@ -43,12 +46,22 @@
         id: run_id(&points),
         began_unix_seconds: began_at.map_or(0, |since| since.as_secs()),
         seconds: began.elapsed().as_secs_f64(),
+        most_resident_megabytes: most_resident_megabytes(&points),
         command: COMMAND.to_owned(),
         processors: std::thread::available_parallelism().map_or(0, usize::from),
     };
     report::write(&options.out, record, &points, &slopes)
 }
 
+/// Most memory that any of the processes had, which ran one after the other.
+fn most_resident_megabytes(points: &[Point]) -> f64 {
+    const MEGABYTE: f64 = 1e6;
+    let measured = points
+        .iter()
+        .filter_map(|point| point.measures.get(MOST_RESIDENT));
+    measured.copied().fold(0.0, f64::max) / MEGABYTE
+}
+
 /// A name for the run that follows from everything it measured.
 fn run_id(points: &[Point]) -> String {
     let bytes = serde_json::to_vec(points).unwrap_or_default();
@@ -64,7 +77,11 @@
         let name = name.to_owned();
         return Err(ScaleError::UnknownExperiment { name });
     };
-    (experiment.run)(&mut Recorder::new(name))
+    let mut recorder = Recorder::new(name);
+    (experiment.run)(&mut recorder)?;
+    let most = most_resident_bytes()? as f64;
+    recorder.note("whole_process", 0.0, &[(MOST_RESIDENT, most)]);
+    Ok(())
 }
 
 /// Runs one experiment in a process of its own and passes its lines on.
