--- a/crates/bench/src/scale/plot.rs
+++ b/crates/bench/src/scale/plot.rs
@@ -85,7 +85,7 @@
 fn write_labels(area: &Area<'_>, slope: &Slope, largest_y: f64) -> Result<(), DrawError> {
     let line = &slope.line;
     let fitted = format!(
-        "{} +- {} for each of {}",
+        "slope {} error {} for each of {}",
         significant(line.slope),
         significant(line.slope_error),
         slope.x_name
