--- a/crates/bench/src/scale/capacity/gateway.rs
+++ b/crates/bench/src/scale/capacity/gateway.rs
@@ -1,23 +1,24 @@
 //! Duties of one gateway.
 
 use super::inputs::Inputs;
-use super::size::{DAY_SECONDS, GatewayPlan, HTTP_OVERHEAD_BYTES, LETTER, MEGABYTE, WATCH_BYTES};
+use super::loads::{digests, foreign_loads, notices, owned_loads, report_bytes, report_us};
+use super::size::{DAY_SECONDS, GatewayPlan, LETTER, MEGABYTE, WATCH_BYTES};
 use super::table::{Mark, Table, figure};
 
 /// What one duty takes of a gateway.
 pub(super) struct Duty {
-    name: &'static str,
-    mechanism: &'static str,
+    pub(super) name: &'static str,
+    pub(super) mechanism: &'static str,
     /// Messages a second, in and out.
-    messages: f64,
+    pub(super) messages: f64,
     /// Bytes a second, in and out.
-    bytes: f64,
+    pub(super) bytes: f64,
     /// Microseconds of processor time a second.
-    processor: f64,
+    pub(super) processor: f64,
     /// Bytes of memory.
-    memory: f64,
-    source: &'static str,
-    mark: Mark,
+    pub(super) memory: f64,
+    pub(super) source: &'static str,
+    pub(super) mark: Mark,
 }
 
 /// Bytes of a machine that changed, with the framing around it.
@@ -32,8 +33,6 @@
 const PREFIXES: f64 = 50_000.0;
 /// Memory of a decoded configuration, as a multiple of its encoded size.
 const DECODED_FACTOR: f64 = 10.0;
-/// Load polls of an owned engine a second in the experiment.
-const MEASURED_POLLS: f64 = 10.0;
 /// Messages to job groups for each item: half a lease request and half a
 /// record, each with its answer.
 const MESSAGES_OF_AN_ITEM: f64 = 2.0;
@@ -104,7 +103,7 @@
 }
 
 /// Microseconds of one end of a one-way message on a socket.
-fn socket_us(inputs: &Inputs) -> f64 {
+pub(super) fn socket_us(inputs: &Inputs) -> f64 {
     inputs.slope("messages-sockets", "both_ends_us") / 2.0
 }
 
@@ -262,111 +261,6 @@
     inputs.at("ownership-gateways", "refresh_us", owners)
 }
 
-/// Bytes of one polled load report, both ways.
-fn report_bytes(inputs: &Inputs) -> f64 {
-    inputs.slope("load-report", "json_bytes") + HTTP_OVERHEAD_BYTES
-}
-
-/// Microseconds of one polled load report and of the cache events read beside.
-fn report_us(inputs: &Inputs) -> f64 {
-    inputs.slope("gateway-sockets", "owner_us_per_s") / MEASURED_POLLS
-}
-
-fn owned_loads(inputs: &Inputs, plan: &GatewayPlan) -> Duty {
-    let engines = LETTER.engines / plan.owners;
-    let polls = engines / plan.load_interval;
-    Duty {
-        name: "load of owned engines",
-        mechanism: "the one owner of an engine polls it over HTTP",
-        messages: 2.0 * polls,
-        bytes: polls * report_bytes(inputs),
-        processor: polls * report_us(inputs),
-        memory: 0.0,
-        source: "gateway-sockets, load-report",
-        mark: Mark::Simulated,
-    }
-}
-
-fn foreign_loads(inputs: &Inputs, plan: &GatewayPlan) -> Duty {
-    let polls = plan.foreign_engines / plan.foreign_interval;
-    let mechanism = if polls > 0.0 {
-        "engines of the own subsets are polled once a second, for what digests do not carry"
-    } else {
-        "none: digests say what is loaded"
-    };
-    Duty {
-        name: "load of other engines",
-        mechanism,
-        messages: 2.0 * polls,
-        bytes: polls * report_bytes(inputs),
-        processor: polls * report_us(inputs),
-        memory: 0.0,
-        source: "gateway-sockets, load-report",
-        mark: if polls > 0.0 {
-            Mark::Simulated
-        } else {
-            Mark::OnPaper
-        },
-    }
-}
-
-fn digests(inputs: &Inputs, plan: &GatewayPlan) -> Duty {
-    let zone_gateways = LETTER.gateways / LETTER.zones;
-    let owned = LETTER.engines / plan.owners;
-    // Engines whose digests reach this gateway, and gateways reached by one.
-    let reached = plan
-        .listeners
-        .unwrap_or(plan.subset_size * LETTER.services * LETTER.gateways / LETTER.engines);
-    let digests_out = owned * reached / plan.digest_interval;
-    // One message carries what one gateway gets of an owner's engines.
-    let messages_out = match plan.listeners {
-        Some(_) => digests_out,
-        None => (owned * reached).min(zone_gateways) / plan.digest_interval,
-    };
-    let digest = inputs.slope("load-digest", "bytes");
-    let envelope = inputs.line("load-digest", "bytes").at_zero;
-    let out = digests_out * digest + messages_out * envelope;
-    let each = inputs.slope("load-digest", "encode_us")
-        + inputs.slope("load-digest", "decode_and_observe_us");
-    let received = LETTER.engines * reached / LETTER.gateways / plan.digest_interval;
-    let messages_in = messages_out * plan.owners / LETTER.gateways;
-    let bytes_in = received * digest + messages_in * envelope;
-    Duty {
-        name: "load digests",
-        mechanism: match plan.listeners {
-            Some(_) => "the owner sends each report on to 16 gateways, a message each",
-            None => {
-                "the owner sends one message a second to each gateway that routes to its engines"
-            }
-        },
-        messages: messages_out + messages_in,
-        bytes: out + bytes_in,
-        processor: (messages_out + messages_in) * socket_us(inputs) + received * each,
-        memory: 0.0,
-        source: "load-digest, messages-sockets",
-        mark: match plan.listeners {
-            Some(_) => Mark::Simulated,
-            None => Mark::OnPaper,
-        },
-    }
-}
-
-fn notices(inputs: &Inputs) -> Duty {
-    // One as the request is sent and one as it ends, both out and in.
-    let notices = LETTER.online_per_second / LETTER.gateways * 2.0;
-    let handle = inputs.slope("online-notice", "decode_and_handle_us");
-    Duty {
-        name: "notices of online arrivals",
-        mechanism: "sent to the engine's batch owner before the request",
-        messages: 2.0 * notices,
-        bytes: 2.0 * notices * inputs.slope("online-notice", "bytes"),
-        processor: notices * (2.0 * socket_us(inputs) + handle),
-        memory: 0.0,
-        source: "online-notice, messages-sockets",
-        mark: Mark::Measured,
-    }
-}
-
 fn choice(inputs: &Inputs, plan: &GatewayPlan) -> Duty {
     let requests = LETTER.online_per_second / LETTER.gateways;
     let pick = inputs.at("pick", "pick_us", plan.subset_size);
--- a/crates/bench/src/scale/capacity/mod.rs
+++ b/crates/bench/src/scale/capacity/mod.rs
@@ -5,6 +5,7 @@
 mod events;
 mod gateway;
 mod inputs;
+mod loads;
 mod replicas;
 mod size;
 mod table;
--- a/crates/bench/src/scale/experiments/jobs.rs
+++ b/crates/bench/src/scale/experiments/jobs.rs
@@ -3,16 +3,13 @@
 
 use minicbor::bytes::ByteVec;
 use molespan_state::job::{
-    AppendItems, BeginJob, GrantedLease, ItemOutcome, ItemResult, JobCommand, JobMachine, JobReply,
+    AppendItems, BeginJob, GrantedLease, ItemOutcome, ItemResult, JobCommand, JobReply,
     LeaseRequest,
 };
-use molespan_state::{MemoryPayloadLog, PayloadError, PayloadLocation, PayloadLog, decode, encode};
-use molespan_types::{
-    BackendId, Digest, GroupId, ItemIndex, JobId, LeaseId, NodeId, ServiceName, TenantId,
-};
+use molespan_state::{decode, encode};
+use molespan_types::{BackendId, Digest, GroupId, ItemIndex, JobId, NodeId, ServiceName, TenantId};
 
 use super::{REPEATS, micros};
-use crate::scale::clock::resident_bytes;
 use crate::scale::fleet::{incarnation, service_name, tenant_name};
 use crate::scale::hollow::{Cluster, ClusterUse, Proposal};
 use crate::scale::{Recorder, ScaleError};
@@ -22,7 +19,7 @@
 /// Bytes of an item's input and of its result.
 pub(super) const PAYLOAD_BYTES: usize = 1024;
 /// Items in one append command.
-const APPENDED_AT_ONCE: u32 = 256;
+pub(super) const APPENDED_AT_ONCE: u32 = 256;
 /// Items of one lease, and results in one record command.
 const LEASED_AT_ONCE: u32 = 64;
 /// Requests in flight.
@@ -146,7 +143,7 @@
 }
 
 /// The opening of job `number`.
-fn begin(number: u32, items: u32) -> BeginJob {
+pub(super) fn begin(number: u32, items: u32) -> BeginJob {
     let tenant: TenantId = tenant_name(number % 100);
     let key = format!("job-{number:08}");
     let service: ServiceName = service_name(1);
@@ -162,7 +159,7 @@
     }
 }
 
-fn append(job: JobId, first: u32, items: u32) -> AppendItems {
+pub(super) fn append(job: JobId, first: u32, items: u32) -> AppendItems {
     let count = APPENDED_AT_ONCE.min(items - first);
     let input = |_| ByteVec::from(vec![b'p'; PAYLOAD_BYTES]);
     AppendItems {
@@ -185,129 +182,6 @@
     }
 }
 
-/// A payload log that keeps nothing but its length.
-#[derive(Default)]
-struct LengthOnlyLog {
-    length: u64,
-}
-
-impl PayloadLog for LengthOnlyLog {
-    fn append(&mut self, payload: &[u8]) -> Result<PayloadLocation, PayloadError> {
-        let offset = self.length;
-        self.length += payload.len() as u64;
-        let length = payload.len() as u32;
-        Ok(PayloadLocation { offset, length })
-    }
-
-    fn read(&self, location: PayloadLocation) -> Result<Vec<u8>, PayloadError> {
-        Ok(vec![0; location.length as usize])
-    }
-
-    fn length(&self) -> u64 {
-        self.length
-    }
-}
-
-/// Memory and snapshot of a group by the items of its running jobs.
-pub(super) fn running_item_memory(recorder: &mut Recorder) -> Result<(), ScaleError> {
-    const JOB_ITEMS: u32 = 20_000;
-    const JOBS_A_STEP: u32 = 40;
-    let mut payloads = LengthOnlyLog::default();
-    let mut machine = JobMachine::new();
-    for step in 1..=4 {
-        for number in (step - 1) * JOBS_A_STEP..step * JOBS_A_STEP {
-            submit_here(&mut machine, &mut payloads, number, JOB_ITEMS)?;
-        }
-        let resident = resident_bytes()? as f64;
-        let snapshot = machine.snapshot().len() as f64;
-        let measures = [("resident_bytes", resident), ("snapshot_bytes", snapshot)];
-        recorder.note(
-            "items",
-            f64::from(step * JOBS_A_STEP * JOB_ITEMS),
-            &measures,
-        );
-    }
-    Ok(())
-}
-
-/// Submits a job to a machine without replicas.
-fn submit_here(
-    machine: &mut JobMachine,
-    payloads: &mut dyn PayloadLog,
-    number: u32,
-    items: u32,
-) -> Result<(), ScaleError> {
-    let begin = begin(number, items);
-    let job = begin.job;
-    let mut commands: Vec<JobCommand> = vec![begin.into()];
-    for first in (0..items).step_by(APPENDED_AT_ONCE as usize) {
-        commands.push(append(job, first, items).into());
-    }
-    commands.push(JobCommand::Accept { job });
-    for command in commands {
-        let reply = machine.apply(&command, payloads);
-        reply.map_err(ScaleError::unexpected)?;
-    }
-    Ok(())
-}
-
-/// Memory and snapshot of a group by its finished jobs of one item each.
-pub(super) fn finished_job_memory(recorder: &mut Recorder) -> Result<(), ScaleError> {
-    const STEP: u32 = 50_000;
-    let mut payloads = MemoryPayloadLog::default();
-    let mut machine = JobMachine::new();
-    for step in 1..=4 {
-        for number in (step - 1) * STEP..step * STEP {
-            submit_here(&mut machine, &mut payloads, number, 1)?;
-            finish_here(&mut machine, &mut payloads, u64::from(number) + 1)?;
-        }
-        let log = payloads.length() as f64;
-        // The payload log lies on disk in a replica; here it is in memory.
-        let resident = resident_bytes()? as f64 - log;
-        let snapshot = machine.snapshot().len() as f64;
-        let measures = [
-            ("resident_bytes", resident),
-            ("snapshot_bytes", snapshot),
-            ("payload_log_bytes", log),
-        ];
-        recorder.note("jobs", f64::from(step * STEP), &measures);
-    }
-    Ok(())
-}
-
-/// Runs the one item that waits.
-fn finish_here(
-    machine: &mut JobMachine,
-    payloads: &mut dyn PayloadLog,
-    number: u64,
-) -> Result<(), ScaleError> {
-    let request = LeaseRequest {
-        owner: NodeId(100),
-        owner_incarnation: incarnation().0,
-        sequence: number,
-        service: service_name(1),
-        backend: BackendId(1),
-        max_items: 1,
-    };
-    let lease = JobCommand::Lease(request);
-    machine
-        .apply(&lease, payloads)
-        .map_err(ScaleError::unexpected)?;
-    let result = ItemResult {
-        item: ItemIndex(0),
-        outcome: ItemOutcome::Completed,
-        payload: ByteVec::from(vec![b'a'; 16]),
-    };
-    let record = JobCommand::Record {
-        lease: LeaseId(number),
-        results: vec![result],
-    };
-    machine
-        .apply(&record, payloads)
-        .map_err(ScaleError::unexpected)?;
-    Ok(())
-}
-
 /// The folder of stopped replicas that hold a job with that many items.
 pub(super) fn submitted(items: u32) -> Result<tempfile::TempDir, ScaleError> {
     let mut cluster = Cluster::start(1)?;
--- a/crates/bench/src/scale/experiments/mod.rs
+++ b/crates/bench/src/scale/experiments/mod.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod consensus;
 mod gateway;
+mod job_memory;
 mod jobs;
 mod loads;
 mod membership;
@@ -120,11 +121,11 @@
     },
     Experiment {
         name: "running-item-memory",
-        run: jobs::running_item_memory,
+        run: job_memory::running_items,
     },
     Experiment {
         name: "finished-job-memory",
-        run: jobs::finished_job_memory,
+        run: job_memory::finished_jobs,
     },
     Experiment {
         name: "claims",
