Test batch owners against real job groups under random failures

Two owners, three engines and two job groups: requests and replies are lost or slow, owners are cut off from groups, engines restart and change hands. Checked: an item runs at one place at a time, one that may run once is never started after it may have run, a cancelled job stops within the owner's share of the lease, every item ends once and nothing stays leased.

--- a/crates/routing/tests/batch/main.rs
+++ b/crates/routing/tests/batch/main.rs
@@ -2,4 +2,5 @@
 
 mod harness;
 mod leases;
+mod model;
 mod preemption;
--- /dev/null
+++ b/crates/routing/tests/batch/model.rs
@@ -0,0 +1,438 @@
+//! Owners against real job groups while requests, replies, engines and
+//! ownership fail at random.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use minicbor::bytes::ByteVec;
+use molespan_routing::batch::{
+    BatchInput, BatchOutput, BatchOwner, BatchSettings, GroupReply, ItemEnd, RequestNumber,
+    StreamId,
+};
+use molespan_state::MemoryPayloadLog;
+use molespan_state::job::{
+    AppendItems, BeginJob, JobAnswer, JobCommand, JobMachine, JobPhase, JobQuery, JobReply,
+    JobStatus, LeaseRequest,
+};
+use molespan_types::{
+    BackendId, Digest, GroupId, ItemIndex, JobId, LeaseId, NodeId, ServiceName, TenantId, Timestamp,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::harness::{EVEN, captions, owned};
+
+const GROUPS: u32 = 2;
+const OWNERS: usize = 2;
+const ENGINES: u32 = 3;
+const STEP_MILLIS: u64 = 20;
+/// Until then things fail, afterwards everything must come to its end.
+const FAULTY_MILLIS: u64 = 15_000;
+const END_MILLIS: u64 = 90_000;
+/// Whole length of an item lease, as the leader counts it.
+const LEASE_MILLIS: u64 = 10_000;
+/// Share of it after which an owner stops, and some steps more.
+const STOP_MILLIS: u64 = 6_000 + 5 * STEP_MILLIS;
+
+/// A group and when its leader last heard of each lease.
+#[derive(Default)]
+struct Group {
+    machine: JobMachine,
+    payloads: MemoryPayloadLog,
+    heard: BTreeMap<LeaseId, (u64, u64)>,
+}
+
+impl Group {
+    fn apply(&mut self, command: &JobCommand) -> JobReply {
+        let reply = self.machine.apply(command, &mut self.payloads);
+        reply.expect("a payload log in memory does not fail")
+    }
+
+    /// Ends leases that were silent for their whole length.
+    fn expire(&mut self, now: u64) {
+        let leases: Vec<_> = self.machine.leases().collect();
+        for record in leases {
+            let heard = self.heard.entry(record.lease);
+            let (renewals, since) = *heard.or_insert((record.renewals, now));
+            if renewals != record.renewals {
+                self.heard.insert(record.lease, (record.renewals, now));
+            } else if now - since >= LEASE_MILLIS {
+                let (lease, renewals) = (record.lease, record.renewals);
+                self.apply(&JobCommand::Expire { lease, renewals });
+            }
+        }
+    }
+
+    fn status(&self, job: JobId) -> JobStatus {
+        let answer = self
+            .machine
+            .query(&JobQuery::Status { job }, &self.payloads);
+        match answer {
+            JobAnswer::Status(Some(status)) => status,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// A stream that runs on an engine.
+struct Running {
+    owner: usize,
+    backend: BackendId,
+    job: JobId,
+    item: ItemIndex,
+    ends_at: u64,
+}
+
+struct World {
+    random: ChaCha8Rng,
+    now: u64,
+    groups: Vec<Group>,
+    owners: Vec<BatchOwner>,
+    /// Owner and life of each engine.
+    engines: BTreeMap<BackendId, (usize, u64)>,
+    streams: BTreeMap<(usize, StreamId), Running>,
+    /// Inputs under way, by time and order.
+    queue: BTreeMap<(u64, u64), (usize, BatchInput)>,
+    sent: u64,
+    /// Items that may run once and may have run.
+    spent: BTreeSet<(JobId, ItemIndex)>,
+    once: JobId,
+    /// Until when an owner and a group are cut off from each other.
+    cuts: BTreeMap<(usize, GroupId), u64>,
+}
+
+fn submission(key: &str, items: u32, repeatable: bool) -> BeginJob {
+    let tenant = TenantId::from("archive");
+    BeginJob {
+        job: JobId::from_key(&tenant, key),
+        tenant,
+        key: key.to_owned(),
+        digest: Digest(1),
+        service: captions(),
+        item_count: items,
+        repeatable,
+        deadline_unix_seconds: 1_000,
+    }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let settings = BatchSettings {
+            job_groups: GROUPS,
+            ..BatchSettings::default()
+        };
+        let owner = |_| BatchOwner::new(settings.clone(), EVEN);
+        let mut world = Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            now: 0,
+            groups: (0..GROUPS).map(|_| Group::default()).collect(),
+            owners: (0..OWNERS).map(owner).collect(),
+            engines: BTreeMap::new(),
+            streams: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            sent: 0,
+            spent: BTreeSet::new(),
+            once: JobId::default(),
+            cuts: BTreeMap::new(),
+        };
+        for number in 0..ENGINES {
+            let (backend, owner) = (BackendId(number), number as usize % OWNERS);
+            world.engines.insert(backend, (owner, 1));
+            world.feed(owner, BatchInput::Acquired(owned(backend, 1)));
+        }
+        world
+    }
+
+    fn group(&mut self, job: JobId) -> &mut Group {
+        let group = job.group(GROUPS);
+        &mut self.groups[group.0 as usize - 1]
+    }
+
+    fn submit(&mut self, key: &str, items: u32, repeatable: bool) -> JobId {
+        let begin = submission(key, items, repeatable);
+        let job = begin.job;
+        let append = AppendItems {
+            job,
+            first: ItemIndex(0),
+            inputs: (0..items).map(|_| ByteVec::from(vec![7])).collect(),
+        };
+        let group = self.group(job);
+        group.apply(&begin.into());
+        group.apply(&append.into());
+        group.apply(&JobCommand::Accept { job });
+        job
+    }
+
+    fn is_faulty(&self) -> bool {
+        self.now < FAULTY_MILLIS
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        self.random.random_bool(share)
+    }
+
+    fn later(&mut self, wait: u64, owner: usize, input: BatchInput) {
+        self.sent += 1;
+        self.queue
+            .insert((self.now + wait, self.sent), (owner, input));
+    }
+
+    fn step(&mut self) {
+        self.now += STEP_MILLIS;
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (owner, input) = entry.remove();
+            self.feed(owner, input);
+        }
+        self.end_streams();
+        if self.is_faulty() {
+            self.disturb();
+        }
+        for group in &mut self.groups {
+            group.expire(self.now);
+        }
+        for owner in 0..OWNERS {
+            self.feed(owner, BatchInput::Tick);
+        }
+    }
+
+    fn end_streams(&mut self) {
+        let now = self.now;
+        let over = self
+            .streams
+            .iter()
+            .filter(|(_, stream)| stream.ends_at <= now);
+        let over: Vec<(usize, StreamId)> = over.map(|(key, _)| *key).collect();
+        for key in over {
+            let draw: u32 = self.random.random_range(0..100);
+            let end = match draw {
+                0..=7 if self.is_faulty() => ItemEnd::NotRun,
+                8..=15 if self.is_faulty() => ItemEnd::Unknown,
+                _ => ItemEnd::Completed(ByteVec::from(vec![1])),
+            };
+            self.end(key, end);
+        }
+    }
+
+    fn end(&mut self, key: (usize, StreamId), end: ItemEnd) {
+        let Some(stream) = self.streams.remove(&key) else {
+            return;
+        };
+        if end == ItemEnd::NotRun {
+            self.spent.remove(&(stream.job, stream.item));
+        }
+        let (owner, id) = key;
+        self.feed(owner, BatchInput::Ended { stream: id, end });
+    }
+
+    /// Now and then an engine restarts, changes its owner or closes.
+    fn disturb(&mut self) {
+        let backend = BackendId(self.random.random_range(0..ENGINES));
+        let (owner, life) = self.engines[&backend];
+        if self.chance(0.01) {
+            self.engines.insert(backend, (owner, life + 1));
+            let on_it = self
+                .streams
+                .iter()
+                .filter(|(_, stream)| stream.backend == backend);
+            let lost: Vec<(usize, StreamId)> = on_it.map(|(key, _)| *key).collect();
+            for key in lost {
+                self.end(key, ItemEnd::Unknown);
+            }
+            self.feed(owner, BatchInput::Acquired(owned(backend, life + 1)));
+        }
+        if self.chance(0.01) {
+            let next = (owner + 1) % OWNERS;
+            self.engines.insert(backend, (next, life));
+            self.feed(owner, BatchInput::Released(backend));
+            self.feed(next, BatchInput::Acquired(owned(backend, life)));
+        }
+        if self.chance(0.01) {
+            let group = GroupId(self.random.random_range(1..=GROUPS));
+            let until = self.now + self.random.random_range(1_000..14_000);
+            self.cuts.insert((owner, group), until);
+        }
+        if self.chance(0.02) {
+            self.feed(owner, BatchInput::OnlineStarted { backend });
+            self.later(200, owner, BatchInput::OnlineFinished { backend });
+        }
+    }
+
+    fn feed(&mut self, owner: usize, input: BatchInput) {
+        let now = Timestamp::from_millis(self.now);
+        for output in self.owners[owner].handle(now, input) {
+            self.carry_out(owner, output);
+        }
+    }
+
+    fn carry_out(&mut self, owner: usize, output: BatchOutput) {
+        match output {
+            BatchOutput::Cancel(stream) => drop(self.streams.remove(&(owner, stream))),
+            BatchOutput::Dispatch {
+                stream,
+                backend,
+                job,
+                item,
+                ..
+            } => self.dispatch(owner, stream, backend, (job, item)),
+            BatchOutput::LeaseItems {
+                request,
+                group,
+                service,
+                backend,
+                max_items,
+            } => {
+                let command = lease_request(owner, request, service, backend, max_items);
+                self.send(owner, group, request, &command.into());
+            }
+            BatchOutput::Renew {
+                request,
+                group,
+                leases,
+            } => self.send(owner, group, request, &JobCommand::Renew { leases }),
+            BatchOutput::Record {
+                request,
+                group,
+                lease,
+                results,
+            } => self.send(
+                owner,
+                group,
+                request,
+                &JobCommand::Record { lease, results },
+            ),
+            BatchOutput::Return {
+                request,
+                group,
+                lease,
+                items,
+            } => self.send(owner, group, request, &JobCommand::Return { lease, items }),
+            BatchOutput::Pause(_)
+            | BatchOutput::Resume(_)
+            | BatchOutput::Decision(_)
+            | BatchOutput::Drained => {}
+        }
+    }
+
+    /// Invariants: an item runs at one place at a time, and one that may run
+    /// once is not started again after it may have run.
+    fn dispatch(
+        &mut self,
+        owner: usize,
+        stream: StreamId,
+        backend: BackendId,
+        (job, item): (JobId, ItemIndex),
+    ) {
+        let mut running = self.streams.values();
+        let twice = running.any(|other| (other.job, other.item) == (job, item));
+        assert!(!twice, "{job} item {item} runs at two places");
+        if job == self.once {
+            assert!(
+                self.spent.insert((job, item)),
+                "{job} item {item} runs again"
+            );
+        }
+        let longest = if self.chance(0.2) { 12_000 } else { 1_500 };
+        let ends_at = self.now + self.random.random_range(50..longest);
+        let running = Running {
+            owner,
+            backend,
+            job,
+            item,
+            ends_at,
+        };
+        self.streams.insert((owner, stream), running);
+    }
+
+    /// A command reaches its group, or not; its reply comes, late or never.
+    fn send(&mut self, owner: usize, group: GroupId, request: RequestNumber, command: &JobCommand) {
+        let faulty = self.is_faulty();
+        let cut = self.cuts.get(&(owner, group));
+        let cut = cut.is_some_and(|until| self.now < *until);
+        let lost = cut || (faulty && self.chance(0.1));
+        if lost {
+            let reply = GroupReply::Failed;
+            self.later(100, owner, BatchInput::Reply { request, reply });
+            return;
+        }
+        let group = &mut self.groups[group.0 as usize - 1];
+        let reply = reply_of(group.apply(command));
+        let reply_lost = faulty && self.chance(0.1);
+        let slow = faulty && self.chance(0.05);
+        let (wait, reply) = match (reply_lost, slow) {
+            (true, _) => (100, GroupReply::Failed),
+            (false, true) => (self.random.random_range(100..9_000), reply),
+            (false, false) => (10, reply),
+        };
+        self.later(wait, owner, BatchInput::Reply { request, reply });
+    }
+}
+
+fn lease_request(
+    owner: usize,
+    request: RequestNumber,
+    service: ServiceName,
+    backend: BackendId,
+    max_items: u32,
+) -> LeaseRequest {
+    LeaseRequest {
+        owner: NodeId(owner as u32),
+        owner_incarnation: 1,
+        sequence: request.0,
+        service,
+        backend,
+        max_items,
+    }
+}
+
+fn reply_of(reply: JobReply) -> GroupReply {
+    match reply {
+        JobReply::Leased(lease) => GroupReply::Leased(lease),
+        JobReply::Renewed { lost, cancelled } => GroupReply::Renewed { lost, cancelled },
+        JobReply::Recorded { taken, dropped } => GroupReply::Taken { taken, dropped },
+        other => panic!("{other:?}"),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 24,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(37),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn every_item_ends_once_and_a_cancelled_job_stops(seed: u64, cancel_at in 100_u64..3_000) {
+        let mut world = World::new(seed);
+        let withdrawn = world.submit("memorial", 300, true);
+        let once = world.submit("grades", 80, false);
+        let album = world.submit("album", 200, true);
+        world.once = once;
+        let mut cancelled = false;
+        while world.now < END_MILLIS || !world.streams.is_empty() {
+            world.step();
+            if !cancelled && world.now >= cancel_at {
+                cancelled = true;
+                world.group(withdrawn).apply(&JobCommand::Cancel { job: withdrawn });
+            }
+            // A renewal tells of it; an owner that is cut off stops by itself.
+            let running = world.streams.values().filter(|stream| stream.job == withdrawn);
+            let overdue = world.now > cancel_at + STOP_MILLIS;
+            prop_assert!(!overdue || running.count() == 0, "runs on after its cancellation");
+        }
+        prop_assert!(world.streams.values().all(|stream| stream.owner < OWNERS));
+        let album = world.group(album).status(album);
+        prop_assert_eq!((album.phase, album.completed), (JobPhase::Completed, 200));
+        let once = world.group(once).status(once);
+        prop_assert_eq!(once.phase, JobPhase::Completed);
+        prop_assert_eq!(once.completed + once.unknown, 80);
+        let phase = world.group(withdrawn).status(withdrawn).phase;
+        let over = matches!(phase, JobPhase::Cancelled | JobPhase::Completed);
+        prop_assert!(over, "{}", phase);
+        prop_assert!(world.owners.iter().all(|owner| owner.leases_held() == 0));
+    }
+}
