--- a/crates/emulator/src/engine/core.rs
+++ b/crates/emulator/src/engine/core.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use molespan_engine_api::{
-    BLOCK_TOKENS, CacheEventKind, CacheEventPage, KvBlockExport, LoadReport, Order, OrderReply,
-    RequestState, RequestStatus,
+    CacheEventKind, CacheEventPage, LoadReport, Order, OrderReply, RequestState, RequestStatus,
 };
 use molespan_types::{BackendId, Incarnation, RunOutcome, Timestamp};
 use rand::SeedableRng;
@@ -15,7 +14,7 @@
 use super::{
     Answer, AttemptKey, CacheEventLog, EngineModel, ExecutionLog, FinishedAttempt,
     FinishedAttempts, LoadMonitor, Loaded, Observation, OrderBook, Output, Recollection, Refusal,
-    Scheduler, Sequence, SequenceId, Submission, WeightsNeeded,
+    Scheduler, Sequence, SequenceId, WeightsNeeded,
 };
 use crate::faults::EngineFaults;
 
@@ -123,23 +122,6 @@
         self.scheduler.is_empty()
     }
 
-    /// Takes a completion.
-    ///
-    /// # Errors
-    /// A [`Refusal`]; its outcome says whether the request ran.
-    pub fn submit(&mut self, now: Timestamp, submission: Submission) -> Result<(), Refusal> {
-        self.observe_load(now);
-        self.check_unseen(now, &submission.attempt)?;
-        self.check_admissible(&submission)?;
-        let attempt = submission.attempt.clone();
-        let sequence = Sequence::new(submission);
-        self.check_size(&sequence)?;
-        let id = self.scheduler.add(sequence);
-        self.live.insert(attempt, id);
-        self.start_step(now);
-        Ok(())
-    }
-
     /// Where an attempt stands.
     ///
     /// # Errors
@@ -293,33 +275,6 @@
         self.orders.wants(weights)
     }
 
-    /// The cached blocks along the prefix that ends in `prefix_hash`.
-    #[must_use]
-    pub fn kv_export(&self, prefix_hash: u64) -> KvBlockExport {
-        KvBlockExport {
-            prefix_hashes: self.scheduler.memory().chain(prefix_hash),
-            block_tokens: BLOCK_TOKENS,
-        }
-    }
-
-    /// Puts exported blocks into the cache. Returns how many are new.
-    pub fn kv_import(&mut self, now: Timestamp, blocks: &KvBlockExport) -> u32 {
-        if blocks.block_tokens != BLOCK_TOKENS {
-            return 0;
-        }
-        let mut parent = None;
-        let mut stored = 0;
-        for &hash in &blocks.prefix_hashes {
-            if self.scheduler.memory_mut().import(hash, parent) {
-                stored += 1;
-                self.record_cache(now, CacheEventKind::Stored, hash);
-            }
-            parent = Some(hash);
-        }
-        self.record_evictions(now);
-        stored
-    }
-
     /// Puts faults in force. A thawed engine goes on where it stood.
     pub fn set_faults(&mut self, now: Timestamp, faults: EngineFaults) {
         let thawed = self.faults.frozen && !faults.frozen;
@@ -387,52 +342,6 @@
         }
     }
 
-    /// Invariant: one attempt identifier runs at most once in a life.
-    fn check_unseen(&mut self, now: Timestamp, attempt: &str) -> Result<(), Refusal> {
-        match self.status(now, attempt) {
-            Ok(status) => Err(Refusal::Duplicate {
-                state: status.state,
-            }),
-            Err(Refusal::Forgotten) if self.finished.knows(attempt) => Err(Refusal::Forgotten),
-            Err(_) => Ok(()),
-        }
-    }
-
-    fn check_admissible(&self, submission: &Submission) -> Result<(), Refusal> {
-        let loaded = self.orders.loaded();
-        if self.faults.refuse {
-            return Err(Refusal::Refusing);
-        }
-        if loaded.leaving {
-            return Err(Refusal::Leaving);
-        }
-        if !loaded.models.contains_key(&submission.model) {
-            return Err(Refusal::ModelNotLoaded {
-                model: submission.model.clone(),
-            });
-        }
-        if let Some(adapter) = &submission.adapter
-            && !loaded.adapters.contains(adapter)
-        {
-            return Err(Refusal::AdapterNotLoaded {
-                adapter: adapter.clone(),
-            });
-        }
-        if self.scheduler.waiting() >= self.settings.model.max_waiting as usize {
-            return Err(Refusal::QueueFull);
-        }
-        Ok(())
-    }
-
-    fn check_size(&self, sequence: &Sequence) -> Result<(), Refusal> {
-        let needed = sequence.most_blocks();
-        let capacity = self.scheduler.memory().capacity();
-        if needed > capacity {
-            return Err(Refusal::TooLarge { needed, capacity });
-        }
-        Ok(())
-    }
-
     fn finish_cancelled(&mut self, now: Timestamp, sequence: Sequence) {
         let outcome = match sequence.started {
             true => RunOutcome::Unknown,
--- a/crates/emulator/src/engine/mod.rs
+++ b/crates/emulator/src/engine/mod.rs
@@ -9,6 +9,8 @@
 mod core;
 mod executions;
 mod finished;
+mod intake;
+mod kv_transfer;
 mod load_monitor;
 mod message;
 mod model;
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -8,9 +8,9 @@
 //! - a second order to an engine that has one outstanding;
 //! - more loads at once than the weight store is allowed.
 
+mod message;
 mod planner;
 mod wanted;
 
-pub use planner::{
-    EngineState, PlacementDecision, PlacementPlanner, PlacementReason, PlacementSettings,
-};
+pub use message::{EngineState, PlacementDecision, PlacementReason, PlacementSettings};
+pub use planner::PlacementPlanner;
--- a/crates/routing/src/placement/wanted.rs
+++ b/crates/routing/src/placement/wanted.rs
@@ -6,7 +6,7 @@
 use molespan_state::control::{Configuration, Service};
 use molespan_types::ServiceName;
 
-use super::planner::EngineState;
+use super::message::EngineState;
 
 /// Separates a model's name from its version in an engine's report.
 const VERSION_SEPARATOR: char = '@';
