Process two batch prompts at a time at the fill end of the knob

Cause: at the throughput end an engine processed up to eight batch prompts in a step, which online requests beside it waited for; throughput does not need it, since engines stay full with fewer.

--- a/crates/routing/src/batch/policy.rs
+++ b/crates/routing/src/batch/policy.rs
@@ -14,7 +14,7 @@
 const STRICT_STEP_FACTOR: f64 = 1.25;
 /// Batch prompts being processed at once on one engine, at the fill end and
 /// from the middle on.
-const FILL_PREFILLS: f64 = 8.0;
+const FILL_PREFILLS: f64 = 2.0;
 const GUARDED_PREFILLS: f64 = 1.0;
 
 /// What one value of the knob means.
