Run both ends of the policy knob beside the profile's own value

The design asks for both ends in one run: throughput-end (0) and tail-end (100) are arms now, printed as knob_ends. The list of arms in a test's message grows by the two.

--- a/crates/bench/src/run/arms.rs
+++ b/crates/bench/src/run/arms.rs
@@ -5,11 +5,20 @@
 use super::profile::Profile;
 use crate::BenchError;
 
+/// Knob value that fills engines with batch work.
+const THROUGHPUT_END: u8 = 0;
+/// Knob value that guards the online tail above all.
+const TAIL_END: u8 = 100;
+
 /// Policies that an arm runs under.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Variant {
     /// molespan as it is meant.
     Molespan,
+    /// molespan with its knob at the end of throughput.
+    ThroughputEnd,
+    /// molespan with its knob at the end of tail protection.
+    TailEnd,
     /// Baseline: engines are chosen one after the other.
     RoundRobin,
     /// Baseline: batch work is never held back, and engines take it for online
@@ -23,11 +32,15 @@
 impl Variant {
     /// Puts the policies into the settings of a node.
     pub fn apply(self, settings: &mut Settings, profile: &Profile) {
-        settings.policy.tail_protection = Some(profile.tail_protection);
+        settings.policy.tail_protection = Some(match self {
+            Self::ThroughputEnd => THROUGHPUT_END,
+            Self::TailEnd => TAIL_END,
+            _ => profile.tail_protection,
+        });
         settings.policy.preemption = match self {
-            Self::Molespan | Self::RoundRobin => Preemption::OnArrival,
             Self::NoPreemption => Preemption::None,
             Self::EnginePriority => Preemption::EnginePriorityOnly,
+            _ => Preemption::OnArrival,
         };
         settings.policy.engine_choice = match self {
             Self::RoundRobin => EngineChoice::RoundRobin,
@@ -47,6 +60,10 @@
     Batch,
     /// Both loads under molespan's policies.
     Both,
+    /// Both loads, the knob at the end of throughput.
+    ThroughputEnd,
+    /// Both loads, the knob at the end of tail protection.
+    TailEnd,
     /// Both loads, engines chosen one after the other.
     RoundRobin,
     /// Both loads, no preemption at all.
@@ -59,11 +76,13 @@
 
 impl Arm {
     /// Every arm, in the order in which they run.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 10] = [
         Self::Direct,
         Self::Online,
         Self::Batch,
         Self::Both,
+        Self::ThroughputEnd,
+        Self::TailEnd,
         Self::RoundRobin,
         Self::NoPreemption,
         Self::EnginePriority,
@@ -72,6 +91,9 @@
     /// The arms that `both` is compared with.
     pub const BASELINES: [Self; 3] = [Self::RoundRobin, Self::NoPreemption, Self::EnginePriority];
 
+    /// The two ends of the policy knob, beside the profile's own value.
+    pub const KNOB_ENDS: [Self; 2] = [Self::ThroughputEnd, Self::TailEnd];
+
     /// Its name on the command line and in reports.
     #[must_use]
     pub fn name(self) -> &'static str {
@@ -80,6 +102,8 @@
             Self::Online => "online",
             Self::Batch => "batch",
             Self::Both => "both",
+            Self::ThroughputEnd => "throughput-end",
+            Self::TailEnd => "tail-end",
             Self::RoundRobin => "round-robin",
             Self::NoPreemption => "no-preemption",
             Self::EnginePriority => "engine-priority",
@@ -91,6 +115,8 @@
     #[must_use]
     pub fn variant(self) -> Variant {
         match self {
+            Self::ThroughputEnd => Variant::ThroughputEnd,
+            Self::TailEnd => Variant::TailEnd,
             Self::RoundRobin => Variant::RoundRobin,
             Self::NoPreemption => Variant::NoPreemption,
             Self::EnginePriority => Variant::EnginePriority,
--- a/crates/bench/src/run/figures.rs
+++ b/crates/bench/src/run/figures.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::account::Account;
+use super::arms::Arm;
 use super::direct::DirectFigures;
 use super::faults::FaultFigures;
 use super::measure::engines::EngineUse;
@@ -94,6 +95,8 @@
     /// molespan itself.
     #[serde(flatten)]
     pub molespan: Sharing,
+    /// The ends of the policy knob by name.
+    pub knob_ends: BTreeMap<String, Sharing>,
     /// Baselines by name.
     pub baselines: BTreeMap<String, Sharing>,
     /// Calls without a final answer, and items without a result.
@@ -163,7 +166,8 @@
         RunSummary {
             profile: self.profile.clone(),
             molespan: self.sharing("both"),
-            baselines: self.baselines(),
+            knob_ends: self.sharing_of(&Arm::KNOB_ENDS),
+            baselines: self.sharing_of(&Arm::BASELINES),
             lost: total.lost,
             duplicated: total.duplicated,
             corrupted: total.corrupted,
@@ -178,12 +182,12 @@
         }
     }
 
-    fn baselines(&self) -> BTreeMap<String, Sharing> {
-        let baselines = super::arms::Arm::BASELINES.map(super::arms::Arm::name);
-        let run = baselines
-            .iter()
-            .filter(|name| self.arms.contains_key(**name));
-        run.map(|name| ((*name).to_owned(), self.sharing(name)))
+    /// How those of `arms` that ran share the engines, by name.
+    fn sharing_of(&self, arms: &[Arm]) -> BTreeMap<String, Sharing> {
+        let names = arms.iter().map(|arm| arm.name());
+        names
+            .filter(|name| self.arms.contains_key(*name))
+            .map(|name| (name.to_owned(), self.sharing(name)))
             .collect()
     }
 
--- a/crates/bench/src/run/report/page.rs
+++ b/crates/bench/src/run/report/page.rs
@@ -75,7 +75,7 @@
     if figures.arms.contains_key("both") {
         sharing_row(page, "molespan", &summary.molespan);
     }
-    for (name, sharing) in &summary.baselines {
+    for (name, sharing) in summary.knob_ends.iter().chain(&summary.baselines) {
         sharing_row(page, name, sharing);
     }
     line(page, "");
--- a/crates/bench/tests/fleet.rs
+++ b/crates/bench/tests/fleet.rs
@@ -146,6 +146,6 @@
     let arms = Arm::parse_list("both,online,both").expect("the names are known");
     assert_eq!(arms, [Arm::Online, Arm::Both]);
     let error = Arm::parse_list("online,sometimes").expect_err("the name is unknown");
-    expect!["--arms sometimes is unknown; known are direct, online, batch, both, round-robin, no-preemption, engine-priority, faults"]
+    expect!["--arms sometimes is unknown; known are direct, online, batch, both, throughput-end, tail-end, round-robin, no-preemption, engine-priority, faults"]
         .assert_eq(&error.to_string());
 }
--- a/crates/bench/tests/report.rs
+++ b/crates/bench/tests/report.rs
@@ -104,7 +104,7 @@
 #[test]
 fn the_summary_has_the_promised_figures() {
     let summary = serde_json::to_string(&figures().summary()).expect("a summary is plain data");
-    expect![[r#"{"profile":"archive","interference":1.05,"idle_utilization":0.95,"idle_utilization_by_slots":0.6333333333333333,"score":0.9509516658320812,"baselines":{"round-robin":{"interference":2.0,"idle_utilization":0.95,"idle_utilization_by_slots":0.6333333333333333,"score":0.7348897074968568}},"lost":0,"duplicated":0,"corrupted":0,"false_not_run":0,"refused":5,"unknown":0,"gateway_added_p99_ms":0.5,"requests_per_core_second":7000.0,"leaving_last_request_s":2.5,"gateway_stop_s":3.25,"timer_lateness_p99_ms":0.0}"#]].assert_eq(&summary);
+    expect![[r#"{"profile":"archive","interference":1.05,"idle_utilization":0.95,"idle_utilization_by_slots":0.6333333333333333,"score":0.9509516658320812,"knob_ends":{},"baselines":{"round-robin":{"interference":2.0,"idle_utilization":0.95,"idle_utilization_by_slots":0.6333333333333333,"score":0.7348897074968568}},"lost":0,"duplicated":0,"corrupted":0,"false_not_run":0,"refused":5,"unknown":0,"gateway_added_p99_ms":0.5,"requests_per_core_second":7000.0,"leaving_last_request_s":2.5,"gateway_stop_s":3.25,"timer_lateness_p99_ms":0.0}"#]].assert_eq(&summary);
 }
 
 #[test]
