Confirm the configuration at once when a gateway is not current

Cause: a gateway whose confirmation had grown too old, as after a freeze or a cut, asked with the ordinary long poll, which is held open for 2 s when nothing is newer. For that time it refused work as not run although a quorum could be reached. Ruled out: the reads of the replica, which come every 250 ms.

Change: a gateway that is not current asks for an answer at once.

Gateway frozen for 9 s before three replicas, from SIGCONT until /ready says 200, 5 runs each, release build: before 2004 2022 2019 2091 2064 ms after 306 264 310 318 279 ms

--- a/crates/daemon/src/gateway/configuration.rs
+++ b/crates/daemon/src/gateway/configuration.rs
@@ -125,8 +125,7 @@
             let Some(replica) = replicas.get(turn % replicas.len().max(1)).copied() else {
                 return;
             };
-            let longest = self.options.currency_bound / POLL_SHARE;
-            let wait = self.options.config_watch.min(longest);
+            let wait = self.watch_wait();
             let watch = WatchConfiguration {
                 node: self.options.node,
                 incarnation: self.options.incarnation,
@@ -157,6 +156,16 @@
         }
     }
 
+    /// How long a watch may be held open. A node that must confirm before it
+    /// can go on asks for an answer at once.
+    fn watch_wait(&self) -> Duration {
+        if self.configuration.readiness(self.clock.now()) == Readiness::NotCurrent {
+            return Duration::ZERO;
+        }
+        let longest = self.options.currency_bound / POLL_SHARE;
+        self.options.config_watch.min(longest)
+    }
+
     /// Tells of a change of readiness; a node that turned unready refuses what
     /// waits.
     pub(super) fn note_readiness(&self, was: &mut Readiness) {
