--- a/crates/daemon/src/gateway/configuration.rs
+++ b/crates/daemon/src/gateway/configuration.rs
@@ -120,12 +120,18 @@
         let mut turn = self.options.node.0 as usize;
         let mut was = Readiness::NoConfiguration;
         let mut wants_whole = false;
+        let mut knows_engines = false;
         loop {
             let replicas = self.cluster.replicas();
             let Some(replica) = replicas.get(turn % replicas.len().max(1)).copied() else {
                 return;
             };
-            let wait = self.watch_wait();
+            let longest = self.options.currency_bound / POLL_SHARE;
+            let longest = self.options.config_watch.min(longest);
+            let sent = self.clock.now();
+            let wait = self
+                .configuration
+                .read(|holder| holder.watch_wait(sent, longest));
             let watch = WatchConfiguration {
                 node: self.options.node,
                 incarnation: self.options.incarnation,
@@ -136,13 +142,16 @@
                 },
                 wait_ms: wait.as_millis() as u32,
             };
-            let sent = self.clock.now();
             match self.cluster.watch(replica, watch).await {
                 Ok(watched) => {
                     wants_whole = match watched.newer {
                         Some(update) => !self.take_update(update).await,
                         None => false,
                     };
+                    if !knows_engines && self.configuration.in_force().is_some() {
+                        self.wait_for_first_reports().await;
+                        knows_engines = true;
+                    }
                     let current = watched.current;
                     self.configuration
                         .write(|holder| holder.confirm(sent, current));
@@ -156,16 +165,6 @@
         }
     }
 
-    /// How long a watch may be held open. A node that must confirm before it
-    /// can go on asks for an answer at once.
-    fn watch_wait(&self) -> Duration {
-        if self.configuration.readiness(self.clock.now()) == Readiness::NotCurrent {
-            return Duration::ZERO;
-        }
-        let longest = self.options.currency_bound / POLL_SHARE;
-        self.options.config_watch.min(longest)
-    }
-
     /// Tells of a change of readiness; a node that turned unready refuses what
     /// waits.
     pub(super) fn note_readiness(&self, was: &mut Readiness) {
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -12,20 +12,22 @@
     Backend, BackendState, DirectoryInput, DirectoryOutput, StateChange, SubsetBackend,
     SubsetSettings, WorkResult, subset,
 };
-use molespan_routing::pick::{Candidate, Pick};
+use molespan_routing::pick::Candidate;
 use molespan_state::control::{Configuration, Service, ServiceKind};
 use molespan_telemetry::EventKind;
-use molespan_types::{BackendId, ServiceName, TenantId};
+use molespan_types::{BackendId, ServiceName};
 use slog::{info, warn};
 
-use super::answer::Target;
-use super::dispatch::ChosenBackend;
 use super::state::GatewayState;
 
 /// Time between two ticks of the directory.
 const TICK: Duration = Duration::from_millis(100);
 /// Pause after candidates were worked out, in multiples of the time it took.
 const REFRESH_PAUSE: u32 = 9;
+/// Longest time that a new gateway waits for its back ends' first reports.
+const FIRST_REPORTS: Duration = Duration::from_millis(500);
+/// Time between two looks whether they are there.
+const FIRST_REPORTS_LOOK: Duration = Duration::from_millis(5);
 /// Separates a model's name from its version in an engine's report.
 const VERSION_SEPARATOR: char = '@';
 
@@ -125,23 +127,6 @@
         directory.backend(backend)?.address.parse().ok()
     }
 
-    /// A back end that was chosen, unless it takes no new work any more.
-    pub(super) fn chosen(&self, backend: BackendId) -> Option<ChosenBackend> {
-        let directory = self.directory();
-        let known = directory.backend(backend)?;
-        if !known.state.accepts_new_work() {
-            return None;
-        }
-        Some(ChosenBackend {
-            target: Target {
-                backend,
-                incarnation: known.incarnation,
-                address: known.address.parse().ok()?,
-            },
-            zone: known.zone.clone(),
-        })
-    }
-
     /// Brings candidates up to date until the gateway stops. The pause after
     /// each time bounds what that costs with thousands of back ends.
     pub(super) async fn keep_candidates(self: Arc<Self>) {
@@ -154,6 +139,33 @@
         }
     }
 
+    /// Waits until every back end that this gateway routes to was heard of, so
+    /// that it does not say that it is ready and then refuse for want of
+    /// engines. Those that stay silent are not waited for any longer than
+    /// [`FIRST_REPORTS`].
+    pub(super) async fn wait_for_first_reports(&self) {
+        let until = self.clock.now() + FIRST_REPORTS;
+        while self.clock.now() < until {
+            let reported = self.has_first_reports();
+            self.work_out_candidates();
+            if reported {
+                return;
+            }
+            Timer::after(FIRST_REPORTS_LOOK).await;
+        }
+    }
+
+    fn has_first_reports(&self) -> bool {
+        let watched = self.loads.watched().clone();
+        let directory = self.directory();
+        let mut routed = directory
+            .backends()
+            .filter(|backend| watched.contains(&backend.id))
+            .peekable();
+        // None at all may as well mean that the list was not read yet.
+        routed.peek().is_some() && routed.all(has_reported)
+    }
+
     /// Brings candidates for requests and for batch work to what directory,
     /// configuration and gateway set say now.
     fn work_out_candidates(&self) {
@@ -213,25 +225,16 @@
             })
             .collect()
     }
+}
 
-    /// Records which back end was chosen and why.
-    pub(super) fn note_pick(&self, service: &ServiceName, tenant: &TenantId, pick: &Pick) {
-        let reason = &pick.reason;
-        let load = reason.considered.first().map_or(0.0, |one| one.load);
-        self.events.record(
-            EventKind::Route,
-            format!("service {service}"),
-            reason.rule.to_string(),
-            [
-                ("backend", pick.backend.0.into()),
-                ("tenant", tenant.as_str().into()),
-                ("load", load.into()),
-                ("least_load", reason.least_load.into()),
-                ("matched_blocks", reason.matched_blocks.into()),
-                ("open", reason.open.into()),
-                ("spilled", reason.spilled.into()),
-            ],
-        );
+/// Whether a back end said what it holds, or is not asked for it.
+fn has_reported(backend: &Backend) -> bool {
+    match backend.state {
+        BackendState::Unknown => false,
+        BackendState::Healthy | BackendState::Suspect => {
+            backend.kind == MachineKind::Application || !backend.loaded.models.is_empty()
+        }
+        BackendState::Ejected | BackendState::Leaving | BackendState::Gone => true,
     }
 }
 
