Forget a batch stream when it ends, and test a caller that left

Handles of streams that ended were swept at each dispatch, over all streams of the gateway; now each is dropped with its end. A request that runs at most once goes on when its caller leaves: a test shows that the answer is found later, through another gateway, and that it ran once.

--- a/crates/daemon/src/gateway/batch_driver.rs
+++ b/crates/daemon/src/gateway/batch_driver.rs
@@ -141,6 +141,9 @@
         }
         let input = self.batch.adjusted(input);
         let mut inner = self.batch.lock();
+        if let BatchInput::Ended { stream, .. } = &input {
+            inner.streams.remove(stream);
+        }
         let outputs = inner.owner.handle(self.clock.now(), input);
         let Some(state) = inner.state.upgrade() else {
             return;
@@ -263,7 +266,6 @@
             return;
         };
         let (sender, commands) = async_channel::unbounded();
-        self.streams.retain(|_, sender| !sender.is_closed());
         self.streams.insert(stream, sender);
         let target = state.address_of(backend).map(|address| Target {
             backend,
--- a/crates/daemon/tests/gateway_faults.rs
+++ b/crates/daemon/tests/gateway_faults.rs
@@ -9,7 +9,7 @@
 use molespan_emulator::faults::{AnswerFault, AnswerFaultRule, EngineFaults, FaultSettings};
 use molespan_emulator::fleet::FleetSettings;
 use molespan_types::digest_of;
-use support::client::{Answer, call, complete, completion, stream};
+use support::client::{Answer, call, complete, completion, open, request_text, stream};
 use support::{RunningGateway, World, small_fleet, wait_for};
 
 /// Tokens of an answer in these tests.
@@ -354,3 +354,29 @@
         .cut
         .store(false, std::sync::atomic::Ordering::SeqCst);
 }
+
+#[test]
+fn a_caller_that_left_a_request_that_runs_once_finds_its_answer() {
+    let world = World::start(&small_fleet());
+    let gateway = world.gateway(11);
+    let other = world.gateway(12);
+    let headers = [("x-repeatable", "false"), ("idempotency-key", "left")];
+    let body = completion("left grade", TOKENS * 20, false);
+    let text = request_text("POST", "/v1/completions", &headers, &body);
+    let stream = open(gateway.address, text.as_bytes()).unwrap();
+    wait_for("a running request", || world.started("left grade") == 1);
+    drop(stream);
+    let ask = || call(other.address, "POST", "/v1/completions", &headers, &body);
+    wait_for("the answer on record", || match ask() {
+        answer if answer.status == 200 => {
+            assert_eq!(answer.text(), expected_answer("left grade", TOKENS * 20));
+            true
+        }
+        answer => {
+            assert_eq!(answer.code(), "request_in_progress", "{answer:?}");
+            assert!(answer.header("retry-after").is_some(), "{answer:?}");
+            false
+        }
+    });
+    assert_eq!(world.started("left grade"), 1);
+}
