Compute owners only of engines that this gateway might own

Change: engines of zones with gateways of their own are left out. A new test compares what is owned with what the set names, over four memberships.

--- a/crates/membership/src/gateway_set.rs
+++ b/crates/membership/src/gateway_set.rs
@@ -130,6 +130,14 @@
         self.members.get(&node).map(|member| &member.record)
     }
 
+    /// Whether `node` might own back ends of `zone`: it stands there, or no
+    /// gateway does.
+    #[must_use]
+    pub fn is_candidate(&self, node: NodeId, zone: &ZoneName) -> bool {
+        let stands_there = self.record(node).is_some_and(|record| record.zone == *zone);
+        stands_there || self.by_zone.get(zone).is_none_or(Vec::is_empty)
+    }
+
     /// The gateway that should own the batch work of `backend`: the highest
     /// weight among those of its zone, or of all when its zone has none.
     #[must_use]
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -99,8 +99,8 @@
     }
 
     /// Compares the tenures with the gateway set. Call it after each change of
-    /// the set or of the back ends; it hashes every back end against a zone's
-    /// gateways.
+    /// the set or of the back ends; it hashes every back end that this gateway
+    /// might own against a zone's gateways.
     pub fn refresh<'a>(
         &mut self,
         now: Timestamp,
@@ -112,7 +112,10 @@
         }
         let mut owners = BTreeMap::new();
         for (backend, zone) in backends {
-            owners.insert(backend, gateways.owner_of(backend, zone));
+            let candidate = gateways.is_candidate(self.node, zone);
+            if candidate || self.tenures.contains_key(&backend) {
+                owners.insert(backend, gateways.owner_of(backend, zone));
+            }
         }
         let mut changes = self.release_lost(&owners);
         let named = owners
--- a/crates/membership/tests/gateways.rs
+++ b/crates/membership/tests/gateways.rs
@@ -61,6 +61,48 @@
     assert_eq!(none.owner_of(BackendId(1), &zone(1)), None);
 }
 
+#[test]
+fn only_candidates_own_anything() {
+    // Zone 1 has no gateway, so that its engines are owned from elsewhere.
+    let set = gateways((0..12).filter(|node| node % 3 != 1), 3);
+    for engine in 0..ENGINES {
+        let zone = zone(engine % 3);
+        let owner = set.owner_of(BackendId(engine), &zone).unwrap();
+        assert!(set.is_candidate(owner, &zone));
+    }
+    assert!(!set.is_candidate(NodeId(0), &zone(2)));
+    assert!(set.is_candidate(NodeId(0), &zone(1)));
+}
+
+#[test]
+fn a_gateway_owns_what_the_set_names_it_for() {
+    let zones: Vec<ZoneName> = (0..ENGINES).map(|engine| zone(engine % 3)).collect();
+    let backends = || (0..ENGINES).map(BackendId).zip(&zones);
+    let mut set = gateways(0..12, 3);
+    let mut own = Ownership::new(NodeId(4), OwnershipSettings::default());
+    for (now, gone) in [
+        (0, None),
+        (10_000, Some(1)),
+        (20_000, Some(7)),
+        (30_000, Some(10)),
+    ] {
+        let drained = gone.map(|node| GatewayRecord {
+            draining: true,
+            ..record(node, 3)
+        });
+        let live = (0..12).map(|node| record(node, 3)).chain(drained);
+        set.update(at(now), live.collect());
+        own.heartbeat_answered(at(now));
+        own.refresh(at(now), &set, backends());
+        own.heartbeat_answered(at(now + 6_000));
+        own.tick(at(now + 6_000));
+        let named =
+            backends().filter(|(backend, zone)| set.owner_of(*backend, zone) == Some(NodeId(4)));
+        let named: Vec<BackendId> = named.map(|(backend, _)| backend).collect();
+        assert_eq!(own.owned().collect::<Vec<_>>(), named, "{gone:?} gone");
+    }
+}
+
 #[test]
 fn a_replica_that_lags_does_not_undo_a_planned_stop() {
     let mut set = gateways(0..2, 1);
