--- a/crates/bench/src/scale/experiments/mod.rs
+++ b/crates/bench/src/scale/experiments/mod.rs
@@ -1,10 +1,12 @@
 //! The experiments, each stepping one quantity.
 
+mod balance;
 mod batch;
 mod claims;
 mod configuration;
 mod consensus;
 mod gateway;
+mod job_memory;
 mod jobs;
 mod loads;
 mod membership;
@@ -69,6 +71,10 @@
         name: "subset",
         run: membership::subset_of_engines,
     },
+    Experiment {
+        name: "subset-balance",
+        run: balance::balance,
+    },
     Experiment {
         name: "load-digest",
         run: loads::digest,
@@ -115,11 +121,11 @@
     },
     Experiment {
         name: "running-item-memory",
-        run: jobs::running_item_memory,
+        run: job_memory::running_items,
     },
     Experiment {
         name: "finished-job-memory",
-        run: jobs::finished_job_memory,
+        run: job_memory::finished_jobs,
     },
     Experiment {
         name: "claims",
@@ -137,6 +143,10 @@
         name: "restart",
         run: consensus::restart,
     },
+    Experiment {
+        name: "replace-replica",
+        run: consensus::replace,
+    },
     Experiment {
         name: "gateway-sockets",
         run: gateway::engines,
