--- a/crates/daemon/tests/gateway_members.rs
+++ b/crates/daemon/tests/gateway_members.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use molespan_emulator::expected_answer;
@@ -12,6 +13,9 @@
 use support::client::{complete, get, post, stream};
 use support::{RunningGateway, World, small_fleet, wait_for};
 
+/// Requests that are sent at once to a gateway that has just turned ready.
+const AT_ONCE: u32 = 24;
+
 fn backend_state(gateway: &RunningGateway, id: u64) -> String {
     let backends = get(gateway.address, "/admin/backends").json_value();
     let backends = backends.as_array().cloned().unwrap_or_default();
@@ -52,11 +56,18 @@
 #[test]
 fn a_gateway_that_says_it_is_ready_has_its_engines() {
     let world = World::start(&small_fleet());
-    for node in 11..16 {
+    for node in 11..19 {
         let gateway = world.unready_gateway(node, |_| {});
         wait_for("a ready gateway", || gateway.gateway.is_ready());
-        let answer = complete(gateway.address, &format!("first of {node}"), 2);
-        assert_eq!(answer.status, 200, "{answer:?}");
+        let address = gateway.address;
+        let ask = |number| move || complete(address, &format!("request {number} of {node}"), 2);
+        let callers: Vec<_> = (0..AT_ONCE)
+            .map(|number| thread::spawn(ask(number)))
+            .collect();
+        for caller in callers {
+            let answer = caller.join().expect("an answer");
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
     }
 }
 
