--- a/crates/sim/src/gateway/mod.rs
+++ b/crates/sim/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! A gateway process: the cores of membership and routing, and the glue that
 //! carries their outputs out.
 
+mod answers;
 mod batch;
 mod configuration;
 mod drain;
--- a/crates/sim/src/gateway/online.rs
+++ b/crates/sim/src/gateway/online.rs
@@ -4,14 +4,11 @@
 use std::time::Duration;
 
 use molespan_emulator::engine::Submission;
-use molespan_engine_api::RequestState as EngineRequestState;
-use molespan_membership::WorkResult;
 use molespan_routing::admission::{AdmissionOutput, Decision, Ticket};
 use molespan_routing::batch::{BatchInput, Foreign};
-use molespan_routing::pick::{Finish, PickRequest};
+use molespan_routing::pick::PickRequest;
 use molespan_routing::retry::{
-    AttemptEnd, AttemptRef, ClaimAnswer, NextStep, RequestKind, RequestState, StatusAnswer,
-    StreamCheck, check_attempt, check_length,
+    AttemptRef, ClaimAnswer, NextStep, RequestKind, RequestState, StreamCheck,
 };
 use molespan_state::job::{ClaimReply, ClaimRequest, JobCommand, JobReply, SettleClaim};
 use molespan_types::{AttemptId, BackendId, JobId, Priority, RunOutcome, Timestamp, digest_of};
@@ -19,7 +16,7 @@
 use super::process::{Process, Tag, Use};
 use crate::address::Address;
 use crate::context::Context;
-use crate::message::{AnswerForm, ClientReply, ConnectionId, EngineAnswer, EngineCall, Message};
+use crate::message::{AnswerForm, ClientReply, ConnectionId, EngineCall, Message};
 use crate::replica_node::JOB_GROUPS;
 use crate::scenario::MODEL;
 use crate::workload::OnlinePlan;
@@ -28,10 +25,6 @@
 const CLAIM_WITHIN: Duration = Duration::from_secs(2);
 /// Time for a settlement, which is sent again until then.
 const SETTLE_WITHIN: Duration = Duration::from_secs(20);
-/// Silence of an attempt after which its connection is given up.
-const SILENCE: Duration = Duration::from_millis(1_500);
-/// Time for a question about an attempt.
-const QUESTION_WITHIN: Duration = Duration::from_millis(500);
 
 /// Names an online request within a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -39,13 +32,13 @@
 
 /// An attempt, or a question about it, that is out.
 #[derive(Debug)]
-struct Exchange {
-    attempt: AttemptRef,
-    connection: ConnectionId,
-    check: StreamCheck,
-    question: bool,
-    resumed: bool,
-    active: Timestamp,
+pub(super) struct Exchange {
+    pub attempt: AttemptRef,
+    pub connection: ConnectionId,
+    pub check: StreamCheck,
+    pub question: bool,
+    pub resumed: bool,
+    pub active: Timestamp,
 }
 
 /// An online request.
@@ -53,15 +46,15 @@
 pub(super) struct Online {
     pub client: Address,
     pub arrival: u64,
-    plan: Arc<OnlinePlan>,
-    state: RequestState,
-    ticket: Ticket,
-    claim: Option<AttemptId>,
-    exchange: Option<Exchange>,
+    pub plan: Arc<OnlinePlan>,
+    pub state: RequestState,
+    pub ticket: Ticket,
+    pub claim: Option<AttemptId>,
+    pub exchange: Option<Exchange>,
     /// The engine that counts this request as in flight, and since when.
-    placed: Option<(BackendId, Timestamp)>,
-    answered: bool,
-    text: String,
+    pub placed: Option<(BackendId, Timestamp)>,
+    pub answered: bool,
+    pub text: String,
 }
 
 impl Process {
@@ -147,7 +140,7 @@
         }
     }
 
-    fn go_on(&mut self, context: &mut Context, id: OnlineId, step: NextStep) {
+    pub(super) fn go_on(&mut self, context: &mut Context, id: OnlineId, step: NextStep) {
         match step {
             NextStep::Claim => self.claim(context, id),
             NextStep::Dispatch => self.dispatch(context, id, &[]),
@@ -263,7 +256,7 @@
     }
 
     /// Tells the batch owner of an engine about online work there.
-    fn notify_owner(
+    pub(super) fn notify_owner(
         &self,
         context: &mut Context,
         plan: &OnlinePlan,
@@ -332,172 +325,6 @@
         self.exchange(context, id, attempt, call, 0);
     }
 
-    pub(super) fn online_answered(
-        &mut self,
-        context: &mut Context,
-        id: OnlineId,
-        connection: ConnectionId,
-        answer: EngineAnswer,
-    ) {
-        let now = self.now(context);
-        let Some(online) = self.online.get_mut(&id) else {
-            return;
-        };
-        let Some(exchange) = online.exchange.as_mut() else {
-            return;
-        };
-        if exchange.connection != connection {
-            return;
-        }
-        exchange.active = now;
-        if exchange.question {
-            let attempt = exchange.attempt;
-            let status = status_answer(attempt, &answer);
-            return self.status_answered(context, id, status);
-        }
-        if let Some(end) = self.attempt_answered(context, id, answer) {
-            self.attempt_ended(context, id, end);
-        }
-    }
-
-    /// Takes an answer on the connection of an attempt. Returns how the
-    /// attempt ended, if it did.
-    fn attempt_answered(
-        &mut self,
-        context: &mut Context,
-        id: OnlineId,
-        answer: EngineAnswer,
-    ) -> Option<AttemptEnd> {
-        let online = self.online.get_mut(&id)?;
-        let exchange = online.exchange.as_mut()?;
-        let expected = exchange.attempt;
-        match answer {
-            EngineAnswer::Chunk(chunk) => {
-                if exchange.check.chunk(&chunk).is_err() {
-                    return Some(AttemptEnd::Broken);
-                }
-                online.text.push_str(&chunk.text);
-                online.state.passed(chunk.offset + 1);
-                let (client, arrival) = (online.client, online.arrival);
-                let reply = ClientReply::Chunk {
-                    offset: chunk.offset,
-                    text: chunk.text,
-                };
-                self.reply(context, client, arrival, reply);
-                self.first_answer(context, id);
-                None
-            }
-            EngineAnswer::Terminator => {
-                exchange.check.terminator();
-                Some(stream_end(exchange))
-            }
-            EngineAnswer::Closed => Some(stream_end(exchange)),
-            EngineAnswer::Whole {
-                attempt,
-                declared,
-                text,
-            } => {
-                let own = check_attempt(expected.attempt, Some(&attempt));
-                let whole = check_length(Some(declared), text.len() as u64, true);
-                if own.is_err() || whole.is_err() {
-                    return Some(AttemptEnd::Broken);
-                }
-                online.text = text;
-                self.first_answer(context, id);
-                Some(AttemptEnd::Completed)
-            }
-            EngineAnswer::Refused {
-                attempt, outcome, ..
-            } => {
-                let own = check_attempt(expected.attempt, Some(&attempt));
-                Some(match outcome {
-                    _ if own.is_err() => AttemptEnd::Broken,
-                    _ if exchange.resumed => AttemptEnd::Lost,
-                    RunOutcome::NotRun => AttemptEnd::DeclaredNotRun,
-                    RunOutcome::Completed | RunOutcome::Unknown => AttemptEnd::Broken,
-                })
-            }
-            EngineAnswer::ConnectionRefused if !exchange.resumed => Some(AttemptEnd::NotSent),
-            EngineAnswer::ConnectionRefused | EngineAnswer::Broken => Some(AttemptEnd::Broken),
-            EngineAnswer::Status { .. } => None,
-        }
-    }
-
-    /// Notes the first part of an answer.
-    fn first_answer(&mut self, context: &mut Context, id: OnlineId) {
-        let now = self.now(context);
-        let Some(online) = self.online.get_mut(&id) else {
-            return;
-        };
-        let first = !std::mem::replace(&mut online.answered, true);
-        let Some((backend, since)) = online.placed.filter(|_| first) else {
-            return;
-        };
-        let incarnation = online.exchange.as_ref().map(|one| one.attempt.incarnation);
-        let after = now.since(since);
-        self.batch_input(context, BatchInput::OnlineFirstToken { backend, after });
-        if let Some(incarnation) = incarnation {
-            self.worked(context, backend, incarnation, WorkResult::Answered(after));
-        }
-    }
-
-    fn attempt_ended(&mut self, context: &mut Context, id: OnlineId, end: AttemptEnd) {
-        let now = self.now(context);
-        let Some(online) = self.online.get_mut(&id) else {
-            return;
-        };
-        let exchange = online.exchange.take();
-        let step = online.state.ended(now, end, &mut self.budget);
-        if let Some(exchange) = exchange {
-            self.connections.remove(&exchange.connection);
-            if end != AttemptEnd::Completed && end != AttemptEnd::DeclaredNotRun {
-                let AttemptRef {
-                    backend,
-                    incarnation,
-                    ..
-                } = exchange.attempt;
-                self.worked(context, backend, incarnation, WorkResult::Failed);
-            }
-        }
-        if !matches!(step, NextStep::Resume { .. } | NextStep::AskStatus { .. }) {
-            self.leave_engine(context, id);
-        }
-        self.go_on(context, id, step);
-    }
-
-    /// The request no longer counts as in flight on its engine.
-    fn leave_engine(&mut self, context: &mut Context, id: OnlineId) {
-        let now = self.now(context);
-        let Some(online) = self.online.get_mut(&id) else {
-            return;
-        };
-        online.answered = false;
-        let Some((backend, since)) = online.placed.take() else {
-            return;
-        };
-        let plan = Arc::clone(&online.plan);
-        if let Some(picker) = self.pickers.get_mut(&plan.service) {
-            picker.finished(now, backend, since, Finish::Other);
-        }
-        self.batch_input(context, BatchInput::OnlineFinished { backend });
-        self.notify_owner(context, &plan, backend, 0);
-    }
-
-    fn status_answered(&mut self, context: &mut Context, id: OnlineId, answer: StatusAnswer) {
-        let now = self.now(context);
-        let Some(online) = self.online.get_mut(&id) else {
-            return;
-        };
-        if let Some(exchange) = online.exchange.take() {
-            self.connections.remove(&exchange.connection);
-        }
-        let step = online.state.status(now, answer, &mut self.budget);
-        if !matches!(step, NextStep::Resume { .. } | NextStep::AskStatus { .. }) {
-            self.leave_engine(context, id);
-        }
-        self.go_on(context, id, step);
-    }
-
     /// Passes the recorded answer of a claimed request on.
     fn replay(&mut self, context: &mut Context, id: OnlineId, outcome: RunOutcome) {
         let Some(online) = self.online.get(&id) else {
@@ -557,33 +384,6 @@
         let command = JobCommand::Settle(settle);
         self.propose(context, group, &command, SETTLE_WITHIN, Tag::Settle);
     }
-
-    pub(super) fn tick_online(&mut self, context: &mut Context) {
-        let now = self.now(context);
-        let outputs = self.admission.tick(now);
-        self.admission_changed(context, outputs);
-        let silent: Vec<(OnlineId, bool)> = self
-            .online
-            .iter()
-            .filter_map(|(id, online)| {
-                let exchange = online.exchange.as_ref()?;
-                let limit = if exchange.question {
-                    QUESTION_WITHIN
-                } else {
-                    SILENCE
-                };
-                let silent = now.since(exchange.active) >= limit;
-                silent.then_some((*id, exchange.question))
-            })
-            .collect();
-        for (id, question) in silent {
-            if question {
-                self.status_answered(context, id, StatusAnswer::NoAnswer);
-            } else {
-                self.attempt_ended(context, id, AttemptEnd::Broken);
-            }
-        }
-    }
 }
 
 fn form(plan: &OnlinePlan) -> AnswerForm {
@@ -593,37 +393,3 @@
         AnswerForm::Whole
     }
 }
-
-/// How a stream that the engine closed ended.
-fn stream_end(exchange: &Exchange) -> AttemptEnd {
-    match exchange.check.end() {
-        Ok(()) => AttemptEnd::Completed,
-        Err(_) => AttemptEnd::Broken,
-    }
-}
-
-/// What an engine's answer says about an attempt that was sent to one life.
-fn status_answer(attempt: AttemptRef, answer: &EngineAnswer) -> StatusAnswer {
-    match answer {
-        EngineAnswer::Status { incarnation, .. } if *incarnation != attempt.incarnation => {
-            StatusAnswer::OtherLife
-        }
-        EngineAnswer::Status {
-            state: EngineRequestState::Cancelled,
-            ..
-        } => StatusAnswer::Cancelled,
-        EngineAnswer::Status { .. } => StatusAnswer::Present,
-        EngineAnswer::Refused {
-            unknown_to: Some(life),
-            outcome: RunOutcome::NotRun,
-            ..
-        } => {
-            if *life == attempt.incarnation {
-                StatusAnswer::NeverSeen
-            } else {
-                StatusAnswer::OtherLife
-            }
-        }
-        _ => StatusAnswer::NoAnswer,
-    }
-}
