End claims that stay open for too long as unknown

Cause: a claim on a non-repeatable request was ended by its holder only. When the gateway died, or its settlement was lost, every later arrival got `request_in_progress` with Retry-After, without end.

Ruled out: letting the next arrival take the claim over, since the first may have reached an engine; a timer at the gateway, since it dies with it; a time in the claim, since state machines have no clock; a new command, since the settlement by attempt does what is wanted, and the format stays.

Change: the leader of a job group watches open claims on its own clock, as it does leases and submissions, and settles those that were open for `claim_timeout` (default ten minutes) as `Unknown`. A new leader waits the full length anew. The settlement names the attempt, so it has no effect on a claim that was settled, freed or granted to a later attempt. A late settlement of the holder gets the outcome on record, as after any other end, and changes nothing; its own caller still gets its answer. The setting is `timing.claim_timeout`. Gateways bound silence within an answer and not its whole length, so that the check asks for two response timeouts and two stall timeouts at least.

Conclusion: a resend behind a dead gateway gets the final unknown outcome, and the request ran at most once.

--- a/crates/daemon/src/gateway/claims.rs
+++ b/crates/daemon/src/gateway/claims.rs
@@ -172,7 +172,8 @@
     }
 
     /// Records how a claimed request ended. When that fails, the claim stays
-    /// held: the request never runs again, and its outcome stays unknown.
+    /// held until the leader settles it as unknown: the request never runs
+    /// again. A settlement behind that changes nothing on record.
     async fn settle_claim(&self, claim: &Claim, outcome: RunOutcome, answer: Vec<u8>) {
         let settle = SettleClaim {
             tenant: claim.tenant.clone(),
@@ -181,9 +182,12 @@
             outcome,
             answer: answer.into(),
         };
-        if let Err(error) = self.cluster.settle(claim.group, settle).await {
-            warn!(self.logger, "A claim could not be settled.";
-                "key" => &claim.key, "outcome" => %outcome, "error" => %error);
+        match self.cluster.settle(claim.group, settle).await {
+            Ok(on_record) if on_record == outcome => {}
+            Ok(on_record) => warn!(self.logger, "A claim was settled before.";
+                "key" => &claim.key, "outcome" => %outcome, "on_record" => %on_record),
+            Err(error) => warn!(self.logger, "A claim could not be settled.";
+                "key" => &claim.key, "outcome" => %outcome, "error" => %error),
         }
     }
 }
--- a/crates/daemon/src/node/starter.rs
+++ b/crates/daemon/src/node/starter.rs
@@ -167,6 +167,7 @@
     ReplicaOptions {
         job_groups: settings.cluster.job_groups,
         lease: timing.lease,
+        claim_timeout: timing.claim_timeout,
         tick: timing.tick,
         election_timeout: timing.election_timeout,
         node_heartbeat: timing.heartbeat,
--- a/crates/daemon/src/replica/options.rs
+++ b/crates/daemon/src/replica/options.rs
@@ -34,6 +34,8 @@
     pub job_groups: u32,
     /// How long a lease outlives its last renewal.
     pub lease: Duration,
+    /// How long a claim may stay open before it is settled as unknown.
+    pub claim_timeout: Duration,
     /// Time between two ticks of consensus.
     pub tick: Duration,
     /// Shortest time without a leader before an election.
@@ -56,6 +58,7 @@
             data_folder,
             job_groups: 4,
             lease: Duration::from_secs(10),
+            claim_timeout: Duration::from_secs(10 * 60),
             tick: Duration::from_millis(50),
             election_timeout: Duration::from_millis(500),
             node_heartbeat: Duration::from_secs(1),
@@ -71,6 +74,7 @@
         ReplicaSettings {
             job_groups: self.job_groups,
             lease_length: self.lease,
+            claim_timeout: self.claim_timeout,
             tick: self.tick,
             election_ticks: u32::try_from(ticks).unwrap_or(u32::MAX).max(3),
             log: LogSettings {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -15,6 +15,7 @@
 use molespan_daemon::cluster::{Cluster, ClusterLimits};
 use molespan_daemon::gateway::{DrainBounds, DrainReport, Gateway, GatewayContext, GatewayOptions};
 use molespan_emulator::fleet::{Fleet, FleetSettings};
+use molespan_replica::ReplicaSettings;
 use molespan_state::control::{
     Change, ConfirmIntent, ConfirmReply, IntentNumber, Model, Service, ServiceKind,
 };
@@ -102,10 +103,15 @@
 impl World {
     /// Starts a fleet and a replica, and puts the fleet's services in force.
     pub fn start(settings: &FleetSettings) -> Self {
+        Self::tuned(settings, |_| {})
+    }
+
+    /// Starts a fleet and a replica with other settings.
+    pub fn tuned(settings: &FleetSettings, tune: fn(&mut ReplicaSettings)) -> Self {
         let (threads, stopped) = async_channel::bounded::<()>(1);
         let executor = start_threads("gateway", &stopped);
         let fleet = Fleet::start(&start_threads("stand-in", &stopped), settings).unwrap();
-        let replica = LocalReplica::start(REPLICA, 2);
+        let replica = LocalReplica::tuned(REPLICA, 2, tune);
         let transport = LocalTransport::new(replica.clone());
         let world = Self {
             executor,
--- a/crates/daemon/tests/support/replica.rs
+++ b/crates/daemon/tests/support/replica.rs
@@ -12,6 +12,7 @@
 use molespan_daemon::gateway::Gateway;
 use molespan_replica::{Consistency, Input, Output, Refusal, ReplicaCore, ReplicaSettings, Ticket};
 use molespan_state::control::{ConfigurationUpdate, ControlAnswer, ControlQuery};
+use molespan_state::job::JobCommand;
 use molespan_state::{decode, encode};
 use molespan_storage::SimulatedDisk;
 use molespan_types::{ConfigVersion, GroupId, Incarnation, NodeId, RunOutcome, Timestamp};
@@ -44,12 +45,22 @@
 impl LocalReplica {
     /// Starts a replica with that many job groups.
     pub fn start(node: NodeId, job_groups: u32) -> Arc<Self> {
-        let settings = ReplicaSettings {
+        Self::tuned(node, job_groups, |_| {})
+    }
+
+    /// Starts a replica with other settings.
+    pub fn tuned(
+        node: NodeId,
+        job_groups: u32,
+        tune: impl FnOnce(&mut ReplicaSettings),
+    ) -> Arc<Self> {
+        let mut settings = ReplicaSettings {
             job_groups,
             tick: Duration::from_millis(10),
             lease_length: LEASE,
             ..ReplicaSettings::new(node, vec![node], 1)
         };
+        tune(&mut settings);
         let disk = SimulatedDisk::new();
         let core = ReplicaCore::open(disk, settings, Timestamp::ZERO).unwrap();
         let replica = Arc::new(Self {
@@ -190,6 +201,13 @@
     }
 }
 
+fn is_claim(request: &Request) -> bool {
+    let Request::Propose { command, .. } = request else {
+        return false;
+    };
+    matches!(decode(command), Ok(JobCommand::Claim(_)))
+}
+
 fn refused(refusal: Refusal) -> Response {
     match refusal {
         Refusal::NotLeader { .. } => Response::NotLeader { leader: None },
@@ -215,6 +233,8 @@
     pub cut: AtomicBool,
     /// Calls reach the replica, and their responses are lost.
     pub lose_responses: AtomicBool,
+    /// Claims that reached the replica and whose responses were lost.
+    pub lost_claims: Arc<AtomicU64>,
 }
 
 impl LocalTransport {
@@ -225,6 +245,7 @@
             gateways: Mutex::default(),
             cut: AtomicBool::new(false),
             lose_responses: AtomicBool::new(false),
+            lost_claims: Arc::default(),
         })
     }
 
@@ -239,6 +260,8 @@
         let replica = self.replica.clone();
         let cut = self.cut.load(Ordering::SeqCst) || node != replica.node;
         let lost = self.lose_responses.load(Ordering::SeqCst);
+        let lost_claims = self.lost_claims.clone();
+        let claims = lost && is_claim(&request);
         async move {
             if cut {
                 return Err(CallError::NotSent(CallFailure::Unreachable));
@@ -250,6 +273,7 @@
             };
             let answer = futures_lite::future::or(answer, late).await;
             if lost {
+                lost_claims.fetch_add(u64::from(claims), Ordering::SeqCst);
                 return Err(CallError::Ambiguous(CallFailure::Disconnected));
             }
             answer
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -354,6 +354,7 @@
             group.time_out_proposals(turn);
             group.expire_leases(turn);
             group.abandon_submissions(turn);
+            group.end_open_claims(turn);
             group.replace_lost(&joining);
             group.drive_transfer(turn);
             group.drop_idle_serving(now);
--- a/crates/replica/src/group/leases.rs
+++ b/crates/replica/src/group/leases.rs
@@ -1,4 +1,5 @@
-//! The leader's watch over leases and open submissions, on its own clock.
+//! The leader's watch over leases, open submissions and
+//! open claims, on its own clock.
 
 use super::Group;
 use crate::turn::Turn;
@@ -44,4 +45,20 @@
             let _ = self.replica.propose(molespan_state::encode(&command));
         }
     }
+
+    /// Proposes to settle claims that have been open for long as unknown: their
+    /// holder died, or its settlement is lost. Whether the request ran cannot
+    /// be told any more, so it never runs again. A holder that lives settles
+    /// too late and changes nothing.
+    pub fn end_open_claims(&mut self, turn: &Turn<'_, D>) {
+        let length = turn.settings.claim_timeout;
+        if !self.leads() || !self.claims.is_due(turn.now, length) {
+            return;
+        }
+        let open = self.machine.open_claims().map(|claim| (claim, 0));
+        for (claim, _) in self.claims.scan(turn.now, length, open) {
+            let command = JobCommand::Settle(claim.into_unknown());
+            let _ = self.replica.propose(molespan_state::encode(&command));
+        }
+    }
 }
--- a/crates/replica/src/group/mod.rs
+++ b/crates/replica/src/group/mod.rs
@@ -17,6 +17,7 @@
 use molespan_consensus::{
     Config, Entry, Index, Membership, Outgoing, Persisted, Replica, Role, SnapshotMeta,
 };
+use molespan_state::job::OpenClaimRecord;
 use molespan_state::{Machine, PayloadLog};
 use molespan_storage::{
     Disk, FilePayloadLog, GroupRecovery, SnapshotMark, SnapshotStore, StorageError,
@@ -64,6 +65,7 @@
     reads: Reads,
     leases: Watch<LeaseId>,
     submissions: Watch<JobId>,
+    claims: Watch<OpenClaimRecord>,
     policy: SnapshotPolicy,
     staging: Staging,
     serving: Option<Serving>,
@@ -107,6 +109,7 @@
             reads: Reads::default(),
             leases: Watch::default(),
             submissions: Watch::default(),
+            claims: Watch::default(),
             policy: SnapshotPolicy::new(applied),
             staging: Staging::new(id),
             serving: None,
@@ -144,6 +147,7 @@
         if !self.leads() {
             self.leases.clear();
             self.submissions.clear();
+            self.claims.clear();
         }
     }
 
--- a/crates/replica/src/group/watch.rs
+++ b/crates/replica/src/group/watch.rs
@@ -30,7 +30,7 @@
     }
 }
 
-impl<K: Copy + Ord> Watch<K> {
+impl<K: Clone + Ord> Watch<K> {
     /// Forgets everything, since another replica leads.
     pub fn clear(&mut self) {
         self.watched.clear();
@@ -66,7 +66,7 @@
                 .filter(|known| known.progress == progress)
                 .unwrap_or(fresh);
             if now.since(watched.since) >= length {
-                still.push((key, progress));
+                still.push((key.clone(), progress));
                 // Given again only after another full length.
                 watched = fresh;
             }
--- a/crates/replica/src/settings.rs
+++ b/crates/replica/src/settings.rs
@@ -22,6 +22,9 @@
     pub lease_length: Duration,
     /// How long the submission of a job may stand still before it is dropped.
     pub submission_timeout: Duration,
+    /// How long a claim may stay open on the leader's clock before it is
+    /// settled as unknown; longer than a gateway keeps a request going.
+    pub claim_timeout: Duration,
     /// A snapshot of a group is taken after as many applied entries.
     pub snapshot_every_entries: u64,
     /// A snapshot of a group is taken after as many bytes of applied commands.
@@ -58,6 +61,7 @@
             job_groups: 4,
             lease_length: Duration::from_secs(10),
             submission_timeout: Duration::from_secs(60 * 60),
+            claim_timeout: Duration::from_secs(10 * 60),
             snapshot_every_entries: 20_000,
             snapshot_every_bytes: 64 << 20,
             tick: Duration::from_millis(50),
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -16,6 +16,8 @@
 const WATCHES_A_BOUND: u32 = 2;
 /// Ticks below which an election timeout cannot be told from a delay.
 const TICKS_AN_ELECTION: u32 = 4;
+/// Longest waits for an answer to begin or go on that a claim must outlast.
+const TIMEOUTS_A_CLAIM: u32 = 2;
 
 /// Reports contradictions and removes this node's own entry from the peers.
 pub(crate) fn check(report: &Report<'_>, mut settings: Settings) -> Settings {
@@ -110,6 +112,22 @@
             short: timing.connect_timeout,
             reason: "an answer begins behind its connection",
         },
+        Ratio {
+            long_key: "timing.claim_timeout",
+            long: timing.claim_timeout,
+            times: TIMEOUTS_A_CLAIM,
+            short_key: "timing.response_timeout",
+            short: timing.response_timeout,
+            reason: "a request that still runs would lose its claim",
+        },
+        Ratio {
+            long_key: "timing.claim_timeout",
+            long: timing.claim_timeout,
+            times: TIMEOUTS_A_CLAIM,
+            short_key: "timing.stall_timeout",
+            short: timing.stall_timeout,
+            reason: "a request that still runs would lose its claim",
+        },
     ];
     for ratio in &ratios {
         check_ratio(report, ratio);
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -189,6 +189,9 @@
     pub stall_timeout: Duration,
     /// Longest silence within a batch answer, which may be held back.
     pub batch_stall_timeout: Duration,
+    /// How long a claim on a non-repeatable request may stay open before it
+    /// is settled as unknown.
+    pub claim_timeout: Duration,
     /// Bounds of a planned stop.
     pub drain: DrainSettings,
 }
@@ -208,6 +211,7 @@
             response_timeout: Duration::from_secs(5),
             stall_timeout: Duration::from_secs(10),
             batch_stall_timeout: Duration::from_secs(300),
+            claim_timeout: Duration::from_secs(600),
             drain: DrainSettings::default(),
         }
     }
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -201,6 +201,11 @@
             default.batch_stall_timeout,
             seconds(1)..=seconds(3600),
         ),
+        claim_timeout: section.within(
+            "claim_timeout",
+            default.claim_timeout,
+            seconds(1)..=seconds(24 * 3600),
+        ),
         drain: read_drain(section.section("drain")),
     };
     section.finish();
--- a/crates/settings/src/write.rs
+++ b/crates/settings/src/write.rs
@@ -121,6 +121,7 @@
     put_duration(&mut table, "stall_timeout", timing.stall_timeout);
     let batch_stall_timeout = timing.batch_stall_timeout;
     put_duration(&mut table, "batch_stall_timeout", batch_stall_timeout);
+    put_duration(&mut table, "claim_timeout", timing.claim_timeout);
     table.insert("drain", Item::Table(drain(&timing.drain)));
     table
 }
--- a/crates/settings/tests/parse.rs
+++ b/crates/settings/tests/parse.rs
@@ -170,6 +170,14 @@
             "cluster.replicas = 1",
             "cluster.replicas = 1\ntiming.config_watch = \"5s\"",
         ),
+        (
+            "cluster.replicas = 1",
+            "cluster.replicas = 1\ntiming.claim_timeout = \"9s\"\ntiming.stall_timeout = \"4s\"",
+        ),
+        (
+            "cluster.replicas = 1",
+            "cluster.replicas = 1\ntiming.stall_timeout = \"6min\"",
+        ),
         (
             "cluster.replicas = 1",
             "cluster.replicas = 1\nlimits.max_body_bytes = 999999999",
@@ -216,6 +224,8 @@
         line 3: timing.tick: "ms" is no duration: a duration starts with a whole number, such as "250ms"
         line 3: timing.election_timeout: 500ms is less than 4 times timing.tick (500ms); a late tick would start an election
         line 3: timing.currency_bound: 8s is less than 2 times timing.config_watch (5s); a lost watch would turn the node unready
+        line 3: timing.claim_timeout: 9s is less than 2 times timing.response_timeout (5s); a request that still runs would lose its claim
+        line 3: timing.claim_timeout: 10min is less than 2 times timing.stall_timeout (6min); a request that still runs would lose its claim
         line 3: limits.max_body_bytes: 999999999 is more than limits.max_buffered_bytes (536870912); such a body would never fit
         line 3: log.format: expected one of "terminal", "json", found "xml"
         line 3: policy.tail_protection: -1 is below 0 or too large"#]].assert_eq(&lines.join("\n"));
--- a/crates/sim/src/replica_node.rs
+++ b/crates/sim/src/replica_node.rs
@@ -88,6 +88,7 @@
             ReplicaSettings::new(replica_node(self.number), self.peers.clone(), seed);
         settings.job_groups = JOB_GROUPS;
         settings.lease_length = LEASE;
+        settings.claim_timeout = 2 * LEASE;
         settings.snapshot_every_entries = 80;
         settings.election_ticks = 6;
         settings.proposal_timeout = Duration::from_secs(2);
--- a/crates/state/src/job/claims.rs
+++ b/crates/state/src/job/claims.rs
@@ -2,7 +2,8 @@
 //!
 //! A claim is open from its grant until it is settled, and a settled one is
 //! remembered for ever: the newest in memory, the rest in the
-//! [`ClaimArchive`]. `NotRun` frees a claim instead of settling it.
+//! [`ClaimArchive`]. `NotRun` frees a claim instead of settling it. The leader
+//! settles a claim that was open for too long as `Unknown`.
 
 use std::collections::BTreeMap;
 
@@ -13,6 +14,7 @@
 use super::claim_archive::ClaimArchive;
 use super::claim_entry::{ClaimHash, SettledClaim, SettledRecord};
 use super::command::{ClaimReply, ClaimRequest, JobReply, SettleClaim};
+use super::query::OpenClaimRecord;
 use crate::codec::{decode, encode};
 use crate::payload::{PayloadError, PayloadLog};
 
@@ -50,6 +52,15 @@
 }
 
 impl Claims {
+    /// Claims that are open, by tenant and key.
+    pub(crate) fn open(&self) -> impl Iterator<Item = OpenClaimRecord> {
+        self.open.iter().map(|(key, claim)| OpenClaimRecord {
+            tenant: key.tenant.clone(),
+            key: key.key.clone(),
+            attempt: claim.attempt,
+        })
+    }
+
     /// Grants the claim or says what became of it.
     pub(crate) fn claim(
         &mut self,
--- a/crates/state/src/job/machine.rs
+++ b/crates/state/src/job/machine.rs
@@ -11,7 +11,7 @@
 use super::finished::FinishedJob;
 use super::lease::Lease;
 use super::owner::Owner;
-use super::query::{JobPhase, LeaseRecord};
+use super::query::{JobPhase, LeaseRecord, OpenClaimRecord};
 use super::schedule::{ReadyJobs, Shares};
 use crate::error::StateError;
 use crate::payload::{PayloadError, PayloadLog};
@@ -108,6 +108,11 @@
         open.map(|(&id, job)| (id, job.items.len()))
     }
 
+    /// Claims that are open. The leader watches them on its clock.
+    pub fn open_claims(&self) -> impl Iterator<Item = OpenClaimRecord> {
+        self.claims.open()
+    }
+
     /// The machine's own bytes. A snapshot is these and the payload log as
     /// long as it is now.
     #[must_use]
--- a/crates/state/src/job/mod.rs
+++ b/crates/state/src/job/mod.rs
@@ -23,4 +23,6 @@
     JobCommand, JobReply, LeaseRequest, LeasedItem, SettleClaim,
 };
 pub use machine::JobMachine;
-pub use query::{ItemRecord, JobAnswer, JobPhase, JobQuery, JobStatus, LeaseRecord};
+pub use query::{
+    ItemRecord, JobAnswer, JobPhase, JobQuery, JobStatus, LeaseRecord, OpenClaimRecord,
+};
--- a/crates/state/src/job/query.rs
+++ b/crates/state/src/job/query.rs
@@ -3,10 +3,12 @@
 use derive_more::Display;
 use minicbor::bytes::ByteVec;
 use minicbor::{Decode, Encode};
-use molespan_types::{BackendId, ItemIndex, JobId, LeaseId, NodeId, ServiceName, TenantId};
+use molespan_types::{
+    AttemptId, BackendId, ItemIndex, JobId, LeaseId, NodeId, RunOutcome, ServiceName, TenantId,
+};
 use serde::{Deserialize, Serialize};
 
-use super::command::ItemOutcome;
+use super::command::{ItemOutcome, SettleClaim};
 
 /// Where a job stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Encode, Decode, Serialize, Deserialize)]
@@ -190,3 +192,29 @@
         message: String,
     },
 }
+
+/// A claim that is open, as its leader watches it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OpenClaimRecord {
+    /// Who asked.
+    pub tenant: TenantId,
+    /// Key of the request.
+    pub key: String,
+    /// Attempt that it was granted to.
+    pub attempt: AttemptId,
+}
+
+impl OpenClaimRecord {
+    /// The settlement that ends it as unknown. It has no effect if the attempt
+    /// no longer holds the claim.
+    #[must_use]
+    pub fn into_unknown(self) -> SettleClaim {
+        SettleClaim {
+            tenant: self.tenant,
+            key: self.key,
+            attempt: self.attempt,
+            outcome: RunOutcome::Unknown,
+            answer: Vec::new().into(),
+        }
+    }
+}
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -5,7 +5,7 @@
 use crate::codec::{decode, encode};
 use crate::control::{ControlAnswer, ControlMachine, ControlReply};
 use crate::error::StateError;
-use crate::job::{JobAnswer, JobMachine, JobReply, LeaseRecord};
+use crate::job::{JobAnswer, JobMachine, JobReply, LeaseRecord, OpenClaimRecord};
 use crate::payload::{PayloadError, PayloadLog};
 
 /// The state machine of a group.
@@ -107,6 +107,11 @@
         self.job().into_iter().flat_map(JobMachine::submissions)
     }
 
+    /// Claims that are open; none in the control group.
+    pub fn open_claims(&self) -> impl Iterator<Item = OpenClaimRecord> {
+        self.job().into_iter().flat_map(JobMachine::open_claims)
+    }
+
     /// The machine of a job group.
     fn job(&self) -> Option<&JobMachine> {
         match self {
--- a/crates/state/tests/claims.rs
+++ b/crates/state/tests/claims.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use minicbor::bytes::ByteVec;
-use molespan_state::job::{ClaimReply, JobReply};
+use molespan_state::job::{ClaimReply, JobReply, OpenClaimRecord, SettleClaim};
 use molespan_types::{AttemptId, Digest, RunOutcome};
 use support::{Group, claim, settle};
 
@@ -15,6 +15,14 @@
     }
 }
 
+/// The reply to a claim that ended as unknown.
+fn unknown() -> ClaimReply {
+    ClaimReply::Settled {
+        outcome: RunOutcome::Unknown,
+        answer: ByteVec::from(Vec::new()),
+    }
+}
+
 /// The reply to a settlement.
 fn settled(outcome: RunOutcome) -> JobReply {
     JobReply::Settled { outcome }
@@ -72,11 +80,7 @@
     assert_eq!(group.apply(late), settled(RunOutcome::Unknown));
     let not_run = settle("bill", 1, RunOutcome::NotRun, "");
     assert_eq!(group.apply(not_run), settled(RunOutcome::Unknown));
-    let reply = ClaimReply::Settled {
-        outcome: RunOutcome::Unknown,
-        answer: ByteVec::from(Vec::new()),
-    };
-    assert_eq!(group.claim("bill", 2), reply);
+    assert_eq!(group.claim("bill", 2), unknown());
 }
 
 #[test]
@@ -111,3 +115,66 @@
     let conflict = JobReply::Claim(ClaimReply::KeyConflict);
     assert_eq!(restored.apply(other), conflict);
 }
+
+/// The settlements with which a leader ends the claims that are open now.
+fn endings(group: &Group) -> Vec<SettleClaim> {
+    let open = group.machine.open_claims();
+    open.map(OpenClaimRecord::into_unknown).collect()
+}
+
+#[test]
+fn ending_an_open_claim_twice_is_as_once_also_from_a_snapshot() {
+    let mut group = Group::default();
+    group.claim("bill", 1);
+    group.claim("grade", 2);
+    let mut restored = group.restored();
+    assert_eq!(endings(&restored), endings(&group));
+    for ending in endings(&group) {
+        assert_eq!(group.apply(ending.clone()), settled(RunOutcome::Unknown));
+        let once = group.clone();
+        assert_eq!(group.apply(ending.clone()), settled(RunOutcome::Unknown));
+        assert_eq!(group.machine, once.machine);
+        assert_eq!(group.payloads.bytes(), once.payloads.bytes());
+        assert_eq!(restored.apply(ending), settled(RunOutcome::Unknown));
+        restored = restored.restored();
+    }
+    assert_eq!(restored.machine, group.machine);
+    assert_eq!(restored.payloads.bytes(), group.payloads.bytes());
+    assert_eq!(endings(&restored), []);
+    assert_eq!(restored.claim("bill", 1), unknown());
+}
+
+#[test]
+fn the_first_of_an_ending_and_a_settlement_stands() {
+    for outcome in [RunOutcome::Completed, RunOutcome::Unknown] {
+        for ending_first in [true, false] {
+            let mut group = Group::default();
+            group.claim("bill", 1);
+            let by_holder = settle("bill", 1, outcome, "");
+            let mut commands = [endings(&group).remove(0), by_holder];
+            if !ending_first {
+                commands.reverse();
+            }
+            let first = settled(commands[0].outcome);
+            let replies = commands.map(|command| group.apply(command));
+            assert_eq!(replies, [first.clone(), first.clone()]);
+            let ClaimReply::Settled { outcome, .. } = group.claim("bill", 2) else {
+                panic!("it is granted again");
+            };
+            assert_eq!(settled(outcome), first);
+        }
+    }
+}
+
+#[test]
+fn late_ending_leaves_the_claim_of_a_later_attempt_alone() {
+    let mut group = Group::default();
+    group.claim("bill", 1);
+    let late = endings(&group).remove(0);
+    group.apply(settle("bill", 1, RunOutcome::NotRun, ""));
+    assert_eq!(group.apply(late.clone()), JobReply::ClaimNotHeld);
+    assert_eq!(group.claim("bill", 2), ClaimReply::Granted);
+    assert_eq!(group.apply(late), JobReply::ClaimNotHeld);
+    group.apply(settle("bill", 2, RunOutcome::Completed, "paid"));
+    assert_eq!(group.claim("bill", 3), completed("paid"));
+}
