--- a/crates/settings/tests/parse.rs
+++ b/crates/settings/tests/parse.rs
@@ -172,7 +172,7 @@
         ),
         (
             "cluster.replicas = 1",
-            "cluster.replicas = 1\ntiming.claim_timeout = \"9s\"\ntiming.stall_timeout = \"4s\"",
+            "cluster.replicas = 1\ntiming.claim_timeout = \"9s\"\ntiming.response_timeout = \"5s\"\ntiming.stall_timeout = \"4s\"",
         ),
         (
             "cluster.replicas = 1",
