Discover members of a group from seeds, and hold declared configuration and ordered batch jobs

Replica processes with discovery are named by their addresses, learn each other through greetings, found their group once, fill the places of lost or retiring voters and grow to the wanted number. The control machine holds a declared configuration under the operator's own number, departures of engines and the stores; the batch machine holds jobs whose results have fixed positions.

--- a/crates/bench/src/scale/hollow/replica_thread.rs
+++ b/crates/bench/src/scale/hollow/replica_thread.rs
@@ -167,6 +167,7 @@
             }
             Output::LeaderChanged { .. }
             | Output::ConfigurationChanged { .. }
+            | Output::StateChanged { .. }
             | Output::Event(_) => {}
         }
     }
--- a/crates/replica/examples/figures/process.rs
+++ b/crates/replica/examples/figures/process.rs
@@ -168,7 +168,8 @@
             Output::Event(ReplicaEvent::Fault { message }) => eprintln!("{message}"),
             Output::Event(_)
             | Output::LeaderChanged { .. }
-            | Output::ConfigurationChanged { .. } => {}
+            | Output::ConfigurationChanged { .. }
+            | Output::StateChanged { .. } => {}
         }
     }
 }
--- a/crates/replica/src/api.rs
+++ b/crates/replica/src/api.rs
@@ -1,5 +1,7 @@
 //! What goes into a replica process and what comes out of it.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use molespan_types::{ConfigVersion, GroupId, NodeId, RunOutcome};
 
 /// How fresh a read must be.
@@ -57,6 +59,20 @@
         /// Node whose disk was lost.
         lost: NodeId,
     },
+    /// The first voters of the only group are known now, where members are
+    /// discovered. Nothing happens when they were known before.
+    Found {
+        /// Nodes and the lives of their disks.
+        founders: BTreeMap<NodeId, u32>,
+    },
+    /// Nodes to greet, where members are discovered, and nodes that must not
+    /// stay members.
+    Members {
+        /// Nodes that may be members.
+        contacts: BTreeSet<NodeId>,
+        /// Nodes that are to lose their place.
+        retiring: BTreeSet<NodeId>,
+    },
     /// Hands a group's leadership over, as before a planned stop.
     TransferLeadership {
         /// Named by the reply, which is empty and says that it was begun.
@@ -99,6 +115,11 @@
         /// Its version.
         version: ConfigVersion,
     },
+    /// This replica applied something that watchers of the group wait for.
+    StateChanged {
+        /// Group.
+        group: GroupId,
+    },
     /// Something that operators should see.
     Event(ReplicaEvent),
 }
--- a/crates/replica/src/bootstrap.rs
+++ b/crates/replica/src/bootstrap.rs
@@ -15,7 +15,13 @@
 
 /// Every group of a process: the control group and the job groups.
 pub(crate) fn group_ids(settings: &ReplicaSettings) -> impl Iterator<Item = GroupId> + use<> {
-    (0..=settings.job_groups).map(GroupId)
+    let only = settings
+        .discovery
+        .as_ref()
+        .map(|discovery| discovery.group.0);
+    let first = only.unwrap_or(GroupId::CONTROL.0);
+    let last = only.unwrap_or(settings.job_groups);
+    (first..=last).map(GroupId)
 }
 
 /// Opens every group. On a first voter whose log has no entry yet, the common
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -16,12 +16,32 @@
 use crate::shared::Shared;
 use crate::turn::not_run;
 use crate::{
-    Input, Output, ReplicaError, ReplicaEvent, ReplicaSettings, ReplicaStatus, Ticket, records,
+    FIRST_INCARNATION, Input, Output, ReplicaError, ReplicaEvent, ReplicaSettings, ReplicaStatus,
+    Ticket, records,
 };
 
 /// When to come back to a replica that does not take part yet, in milliseconds.
 const NOT_READY_RETRY_MS: u32 = 500;
 
+/// The incarnation that a blank disk gets: a common one where the first voters
+/// are known beforehand and this is one of them, otherwise one that nobody had.
+fn fresh_incarnation<D: Disk>(
+    disk: &D,
+    settings: &ReplicaSettings,
+    random: &mut ChaCha8Rng,
+) -> Result<u32, ReplicaError> {
+    // A disk that was emptied in an earlier life still knows of the founding.
+    let first_life = records::FleetRecord::load(disk)?.founders.is_empty();
+    let founds = settings
+        .discovery
+        .as_ref()
+        .is_some_and(|discovery| discovery.founders.contains(&settings.node));
+    if first_life && founds {
+        return Ok(FIRST_INCARNATION);
+    }
+    Ok(random.random_range(FIRST_INCARNATION + 1..=u32::MAX))
+}
+
 /// A replica process.
 #[derive(Debug)]
 pub struct ReplicaCore<D> {
@@ -55,10 +75,10 @@
         now: Timestamp,
     ) -> Result<Self, ReplicaError> {
         records::finish_emptying(&disk, group_ids(&settings))?;
-        let fresh = random.random_range(1..=u32::MAX);
+        let fresh = fresh_incarnation(&disk, &settings, &mut random)?;
         let identity = DiskIdentity::open(&disk, settings.node, fresh)?;
         let session = random.random();
-        let (fleet, changes) = Fleet::open(disk.clone(), identity, &settings.peers, session, now)?;
+        let (fleet, changes) = Fleet::open(disk.clone(), identity, &settings, session, now)?;
         let (log, recovery) = WriteAheadLog::open(disk.clone(), settings.log)?;
         let shared = Shared::new(settings, fleet.own_id(), session, log);
         let mut core = Self {
@@ -91,6 +111,11 @@
     pub fn handle(&mut self, now: Timestamp, input: Input) {
         let result = match input {
             Input::Message { from, group, bytes } => self.receive(now, from, group, &bytes),
+            Input::Found { founders } => self.found(now, &founders),
+            Input::Members { contacts, retiring } => {
+                self.fleet.note_members(&contacts, retiring);
+                Ok(())
+            }
             request => {
                 self.request(now, request);
                 Ok(())
@@ -103,7 +128,7 @@
 
     fn request(&mut self, now: Timestamp, request: Input) {
         let (ticket, group) = match &request {
-            Input::Message { .. } => return,
+            Input::Message { .. } | Input::Found { .. } | Input::Members { .. } => return,
             Input::Propose { ticket, group, .. }
             | Input::Query { ticket, group, .. }
             | Input::ReplaceReplica { ticket, group, .. }
@@ -118,7 +143,7 @@
         };
         let turn = &mut self.shared.turn(now);
         match request {
-            Input::Message { .. } => {}
+            Input::Message { .. } | Input::Found { .. } | Input::Members { .. } => {}
             Input::Propose { command, .. } => group.propose(turn, ticket, command),
             Input::Query {
                 consistency, query, ..
@@ -130,6 +155,17 @@
         }
     }
 
+    /// Takes the first voters in, and founds where this is one of them.
+    fn found(
+        &mut self,
+        now: Timestamp,
+        founders: &BTreeMap<NodeId, u32>,
+    ) -> Result<(), ReplicaError> {
+        let mut changes = Vec::new();
+        self.fleet.found(founders, &mut changes)?;
+        self.follow(now, changes)
+    }
+
     fn refuse(&mut self, ticket: Ticket, message: &str) {
         let result = Err(not_run(message, NOT_READY_RETRY_MS));
         self.shared.outputs.push(Output::Reply { ticket, result });
@@ -348,6 +384,7 @@
     fn maintain(&mut self, now: Timestamp) -> Result<(), ReplicaError> {
         self.shared.watch_space(now)?;
         let joining = self.fleet.joining(now);
+        let retiring = self.fleet.retiring().clone();
         for group in self.groups.values_mut() {
             let turn = &mut self.shared.turn(now);
             group.apply(turn)?;
@@ -356,6 +393,7 @@
             group.abandon_submissions(turn);
             group.end_open_claims(turn);
             group.replace_lost(&joining);
+            group.renew_members(turn, &joining, &retiring);
             group.drive_transfer(turn);
             group.drop_idle_serving(now);
         }
@@ -397,6 +435,10 @@
     fn note_members(&mut self) -> Result<(), StorageError> {
         self.fleet.note_replaced(&self.shared.replaced)?;
         self.shared.replaced.clear();
+        if self.shared.settings.discovery.is_some() {
+            let voters = self.groups.values().next().map(Group::known_voters);
+            self.fleet.note_voters(voters.unwrap_or_default())?;
+        }
         let joining = self.fleet.record().standing == Standing::Joining;
         if joining && self.groups.values().all(Group::is_settled_voter) {
             self.fleet.note_member()?;
--- a/crates/replica/src/fleet.rs
+++ b/crates/replica/src/fleet.rs
@@ -13,8 +13,9 @@
 use molespan_types::{NodeId, Timestamp};
 
 use crate::identity::{node_of, replica_id};
-use crate::message::{Hello, Standing, Verdict};
+use crate::message::{Hello, KnownVoters, Standing, Verdict};
 use crate::records::{BootRecord, FleetRecord};
+use crate::{FIRST_INCARNATION, ReplicaSettings};
 
 /// Time between two hellos while something is still open.
 const EAGER_INTERVAL: Duration = Duration::from_millis(200);
@@ -87,6 +88,10 @@
     session: u64,
     record: FleetRecord,
     others: BTreeSet<NodeId>,
+    /// Whether the others are learnt rather than listed.
+    discovers: bool,
+    /// Nodes that must not take a place.
+    retiring: BTreeSet<NodeId>,
     present: BTreeMap<NodeId, Presence>,
     /// Highest synced write seen of each life, by its starts.
     sequences: BTreeMap<ReplicaId, SeenWrites>,
@@ -100,12 +105,16 @@
     pub fn open(
         disk: D,
         identity: DiskIdentity,
-        peers: &[NodeId],
+        settings: &ReplicaSettings,
         session: u64,
         now: Timestamp,
     ) -> Result<(Self, Vec<FleetChange>), StorageError> {
         let record = FleetRecord::load(&disk)?;
-        let mut others: BTreeSet<NodeId> = peers.iter().copied().collect();
+        let mut others: BTreeSet<NodeId> = settings.peers.iter().copied().collect();
+        if let Some(discovery) = &settings.discovery {
+            others.extend(&discovery.contacts);
+            others.extend(record.voters.voters.iter().map(|&voter| node_of(voter)));
+        }
         others.remove(&identity.node);
         let mut fleet = Self {
             disk,
@@ -113,6 +122,8 @@
             session,
             record,
             others,
+            discovers: settings.discovery.is_some(),
+            retiring: BTreeSet::new(),
             present: BTreeMap::new(),
             sequences: BTreeMap::new(),
             confirmed: BTreeSet::new(),
@@ -120,7 +131,10 @@
             next_hello: now,
         };
         let mut changes = Vec::new();
-        fleet.found_if_all_are_blank(now, &mut changes)?;
+        match &settings.discovery {
+            Some(discovery) => fleet.found_with(&discovery.founders, &mut changes)?,
+            None => fleet.found_if_all_are_blank(now, &mut changes)?,
+        }
         fleet.check_confirmations(&mut changes);
         Ok((fleet, changes))
     }
@@ -194,6 +208,7 @@
             founders: self.record.founders.clone(),
             verdict,
             wants_reply,
+            voters: self.record.voters.clone(),
         }
     }
 
@@ -206,6 +221,9 @@
     ) -> Result<(Vec<FleetChange>, Option<Hello>), StorageError> {
         let from = node_of(hello.replica);
         let mut changes = Vec::new();
+        if self.discovers && from != self.identity.node {
+            self.others.insert(from);
+        }
         if !self.others.contains(&from) {
             return Ok((changes, None));
         }
@@ -217,6 +235,7 @@
         let wants_reply = hello.wants_reply;
         let standing = hello.standing;
         let founders = hello.founders.clone();
+        let voters = hello.voters.clone();
         let (replica, session, synced) = (hello.replica, hello.session, hello.sequence);
         let presence = Presence {
             at: now,
@@ -229,8 +248,13 @@
             // A replica that leads no group hears of others' logs only so.
             self.saw_sequence(replica, session, synced);
             self.compare_founders(from, founders, &mut changes)?;
+            if self.discovers && standing.is_voter() {
+                self.note_voters(voters)?;
+            }
+        }
+        if !self.discovers {
+            self.found_if_all_are_blank(now, &mut changes)?;
         }
-        self.found_if_all_are_blank(now, &mut changes)?;
         if let Some(verdict) = verdict.filter(|_| answered) {
             self.take_verdict(from, verdict, standing, &mut changes);
         }
@@ -286,10 +310,19 @@
             return Ok(());
         }
         let known = !self.record.founders.is_empty();
-        if known || !self.is_of_all_nodes(&founders) {
+        if known || !(self.discovers || self.is_of_all_nodes(&founders)) {
             changes.push(FleetChange::Contradiction { with: from });
             return Ok(());
         }
+        self.take_founders(founders, changes)
+    }
+
+    /// Knows the first voters from now on, and so its own standing.
+    fn take_founders(
+        &mut self,
+        founders: BTreeSet<ReplicaId>,
+        changes: &mut Vec<FleetChange>,
+    ) -> Result<(), StorageError> {
         if !enabled(Mechanism::NewIncarnation) {
             self.take_old_identity(&founders)?;
         }
@@ -377,14 +410,91 @@
     /// A replica takes part once it makes up a majority of the nodes together
     /// with those that confirmed it.
     fn check_confirmations(&mut self, changes: &mut Vec<FleetChange>) {
-        let majority = self.others.len().div_ceil(2);
         let formed = self.record.standing != Standing::Blank;
-        if !self.takes_part && formed && self.confirmed.len() >= majority {
+        if !self.takes_part && formed && self.is_confirmed() {
             self.takes_part = true;
             changes.push(FleetChange::TakesPart);
         }
     }
 
+    fn is_confirmed(&self) -> bool {
+        if !self.discovers {
+            return self.confirmed.len() >= self.others.len().div_ceil(2);
+        }
+        // A new life has promised nothing yet: one voter that knows it will do.
+        if self.record.standing == Standing::Joining {
+            return !self.confirmed.is_empty();
+        }
+        let voters = self.voters();
+        let confirmed = voters
+            .iter()
+            .filter(|&&voter| voter == self.own_id() || self.confirmed.contains(&node_of(voter)));
+        confirmed.count() > voters.len() / 2
+    }
+
+    /// The voters as far as is known: the founders at first.
+    fn voters(&self) -> &BTreeSet<ReplicaId> {
+        match self.record.voters.voters.is_empty() {
+            true => &self.record.founders,
+            false => &self.record.voters.voters,
+        }
+    }
+
+    /// Notes who votes, unless something later is known.
+    pub fn note_voters(&mut self, voters: KnownVoters) -> Result<(), StorageError> {
+        if !self.discovers || voters.voters.is_empty() || voters.index <= self.record.voters.index {
+            return Ok(());
+        }
+        let own = self.identity.node;
+        let nodes = voters.voters.iter().map(|&voter| node_of(voter));
+        self.others.extend(nodes.filter(|&node| node != own));
+        self.store(|record| record.voters = voters)
+    }
+
+    /// Nodes that may be members, and those that must not stay so.
+    pub fn note_members(&mut self, contacts: &BTreeSet<NodeId>, retiring: BTreeSet<NodeId>) {
+        let own = self.identity.node;
+        self.others
+            .extend(contacts.iter().filter(|&&node| node != own));
+        self.retiring = retiring;
+    }
+
+    /// Nodes that must not stay members.
+    pub fn retiring(&self) -> &BTreeSet<NodeId> {
+        &self.retiring
+    }
+
+    /// Founds with nodes that are known beforehand and whose disks live their
+    /// first life.
+    fn found_with(
+        &mut self,
+        founders: &BTreeSet<NodeId>,
+        changes: &mut Vec<FleetChange>,
+    ) -> Result<(), StorageError> {
+        let founders = founders.iter().map(|&node| (node, FIRST_INCARNATION));
+        self.found(&founders.collect(), changes)
+    }
+
+    /// Takes the first voters in, unless they are known.
+    pub fn found(
+        &mut self,
+        founders: &BTreeMap<NodeId, u32>,
+        changes: &mut Vec<FleetChange>,
+    ) -> Result<(), StorageError> {
+        let blank = self.record.standing == Standing::Blank;
+        if !self.discovers || !blank || founders.is_empty() {
+            return Ok(());
+        }
+        let lives = founders.iter().map(|(&node, &life)| replica_id(node, life));
+        let founders = lives.collect();
+        let own = self.identity.node;
+        self.take_founders(founders, changes)?;
+        let nodes = self.record.founders.iter().map(|&founder| node_of(founder));
+        self.others.extend(nodes.filter(|&node| node != own));
+        self.check_confirmations(changes);
+        Ok(())
+    }
+
     /// Lives that wait to become voters and were heard lately.
     pub fn joining(&self, now: Timestamp) -> Vec<ReplicaId> {
         let waiting = self.present.values().filter(|presence| {
--- a/crates/replica/src/group/apply.rs
+++ b/crates/replica/src/group/apply.rs
@@ -9,6 +9,7 @@
 
 use super::Group;
 use crate::identity::node_of;
+use crate::message::KnownVoters;
 use crate::turn::Turn;
 use crate::{Output, ReplicaError, ReplicaEvent};
 
@@ -20,6 +21,7 @@
     /// answers the proposals and reads that this settles.
     pub fn apply(&mut self, turn: &mut Turn<'_, D>) -> Result<(), ReplicaError> {
         let version = self.configuration_version();
+        let revision = self.machine.revision();
         while let Some(entry) = self.to_apply.pop_front() {
             let crowded = self.payloads.waiting_bytes() > MAX_WAITING_BYTES;
             if crowded && !self.flush_payloads()? {
@@ -34,6 +36,10 @@
             let version = newer;
             turn.outputs.push(Output::ConfigurationChanged { version });
         }
+        if self.machine.revision() != revision {
+            let group = self.id;
+            turn.outputs.push(Output::StateChanged { group });
+        }
         self.answer_reads(turn);
         Ok(())
     }
@@ -83,13 +89,22 @@
         }
         turn.replaced.extend(gone);
         self.membership.clone_from(membership);
+        self.membership_index = self.applied;
+    }
+
+    /// The voters as of the last applied change.
+    pub fn known_voters(&self) -> KnownVoters {
+        KnownVoters {
+            index: self.membership_index.0,
+            voters: self.membership.all_voters(),
+        }
     }
 
     /// The version of the configuration; zero in a job group.
     fn configuration_version(&self) -> ConfigVersion {
         match &self.machine {
             Machine::Control(machine) => machine.configuration().version,
-            Machine::Job(_) => ConfigVersion::default(),
+            Machine::Job(_) | Machine::Batch(_) => ConfigVersion::default(),
         }
     }
 }
--- a/crates/replica/src/group/mod.rs
+++ b/crates/replica/src/group/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod leases;
 mod members;
+mod places;
 mod proposals;
 mod reads;
 mod ready;
@@ -11,18 +12,18 @@
 mod transfer;
 mod watch;
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use minicbor::{Decode, Encode};
 use molespan_consensus::{
-    Config, Entry, Index, Membership, Outgoing, Persisted, Replica, Role, SnapshotMeta,
+    Config, Entry, Index, Membership, Outgoing, Persisted, Replica, ReplicaId, Role, SnapshotMeta,
 };
 use molespan_state::job::OpenClaimRecord;
 use molespan_state::{Machine, PayloadLog};
 use molespan_storage::{
     Disk, FilePayloadLog, GroupRecovery, SnapshotMark, SnapshotStore, StorageError,
 };
-use molespan_types::{GroupId, JobId, LeaseId, NodeId};
+use molespan_types::{GroupId, JobId, LeaseId, NodeId, Timestamp};
 
 use crate::identity::{incarnation_of, node_of};
 use crate::turn::Turn;
@@ -72,6 +73,10 @@
     leader: Option<NodeId>,
     /// Members as of the last applied change.
     membership: Membership,
+    /// Position of that change.
+    membership_index: Index,
+    /// When each voter was last heard, while this replica leads.
+    heard: BTreeMap<ReplicaId, Timestamp>,
 }
 
 impl<D: Disk> Group<D> {
@@ -98,6 +103,8 @@
             id,
             disk: disk.clone(),
             membership: membership.unwrap_or_default(),
+            membership_index: applied,
+            heard: BTreeMap::new(),
             replica,
             machine,
             payloads,
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -23,5 +23,5 @@
 pub use api::{Consistency, Input, Output, Refusal, ReplicaEvent, Ticket};
 pub use core::ReplicaCore;
 pub use error::ReplicaError;
-pub use settings::ReplicaSettings;
+pub use settings::{Discovery, FIRST_INCARNATION, ReplicaSettings};
 pub use status::{GroupStatus, ReplicaStatus};
--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -70,6 +70,20 @@
     /// Whether it wants a hello back.
     #[n(7)]
     pub wants_reply: bool,
+    /// The voters as far as it knows, where members are discovered.
+    #[n(8)]
+    pub voters: KnownVoters,
+}
+
+/// Voters of the only group of a process that discovers its members.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct KnownVoters {
+    /// Position of the entry that made them so; later ones supersede.
+    #[n(0)]
+    pub index: u64,
+    /// Lives that vote, of both sides of a joint membership.
+    #[n(1)]
+    pub voters: BTreeSet<ReplicaId>,
 }
 
 /// Asks for the next part of a snapshot.
--- a/crates/replica/src/records.rs
+++ b/crates/replica/src/records.rs
@@ -7,7 +7,7 @@
 use molespan_storage::{Disk, StorageError, read_checked, remove_everything, write_checked};
 use molespan_types::GroupId;
 
-use crate::message::Standing;
+use crate::message::{KnownVoters, Standing};
 
 /// File that holds the record.
 const FILE: &str = "fleet";
@@ -41,6 +41,10 @@
     /// Lives that lost their vote to a successor.
     #[n(4)]
     pub replaced: BTreeSet<ReplicaId>,
+    /// Voters, where members are discovered.
+    #[n(5)]
+    #[cbor(default)]
+    pub voters: KnownVoters,
 }
 
 impl FleetRecord {
@@ -69,6 +73,7 @@
             bootstrapped: false,
             boots: self.boots.clone(),
             replaced: self.replaced.clone(),
+            voters: self.voters.clone(),
         }
     }
 }
--- a/crates/replica/src/settings.rs
+++ b/crates/replica/src/settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use molespan_storage::LogSettings;
-use molespan_types::NodeId;
+use molespan_types::{GroupId, NodeId};
 
 use crate::ReplicaError;
 
@@ -18,6 +18,8 @@
     pub peers: Vec<NodeId>,
     /// Job groups beside the control group.
     pub job_groups: u32,
+    /// Set where the members are not listed in the settings.
+    pub discovery: Option<Discovery>,
     /// How long a lease outlives its last renewal on the leader's clock.
     pub lease_length: Duration,
     /// How long the submission of a job may stand still before it is dropped.
@@ -51,6 +53,40 @@
     pub seed: u64,
 }
 
+/// How a process whose members are not listed finds and keeps them.
+#[derive(Clone, Debug)]
+pub struct Discovery {
+    /// The only group of the process.
+    pub group: GroupId,
+    /// Nodes to greet first; others are learnt from them.
+    pub contacts: BTreeSet<NodeId>,
+    /// The first voters, all with [`FIRST_INCARNATION`], where they are known
+    /// beforehand and the disks are blank for the very first time. Otherwise
+    /// they come by [`crate::Input::Found`] or from another process.
+    pub founders: BTreeSet<NodeId>,
+    /// Voters that the group is to have.
+    pub voters: usize,
+    /// A voter that is silent for longer gives its place to a node that waits.
+    pub replace_after: Duration,
+}
+
+/// Incarnation of the disks of founders that are known beforehand.
+pub const FIRST_INCARNATION: u32 = 1;
+
+impl Discovery {
+    /// Nobody known yet; a group of three voters.
+    #[must_use]
+    pub fn new(group: GroupId) -> Self {
+        Self {
+            group,
+            contacts: BTreeSet::new(),
+            founders: BTreeSet::new(),
+            voters: 3,
+            replace_after: Duration::from_millis(2_500),
+        }
+    }
+}
+
 impl ReplicaSettings {
     /// Settings with the defaults for `node` among `peers`.
     #[must_use]
@@ -59,6 +95,7 @@
             node,
             peers,
             job_groups: 4,
+            discovery: None,
             lease_length: Duration::from_secs(10),
             submission_timeout: Duration::from_secs(60 * 60),
             claim_timeout: Duration::from_secs(10 * 60),
--- a/crates/replica/tests/cluster/mod.rs
+++ b/crates/replica/tests/cluster/mod.rs
@@ -187,7 +187,9 @@
                 assert!(earlier.is_none(), "two answers to {ticket:?}");
             }
             Output::Event(event) => self.events.push((from, event)),
-            Output::LeaderChanged { .. } | Output::ConfigurationChanged { .. } => {}
+            Output::LeaderChanged { .. }
+            | Output::ConfigurationChanged { .. }
+            | Output::StateChanged { .. } => {}
         }
     }
 
--- a/crates/sim/src/replica_node.rs
+++ b/crates/sim/src/replica_node.rs
@@ -167,7 +167,7 @@
                     self.note_leadership(context, group);
                 }
             }
-            Output::ConfigurationChanged { .. } => {}
+            Output::ConfigurationChanged { .. } | Output::StateChanged { .. } => {}
             Output::Event(event) => {
                 let text = format!("replica {}: {event}", self.number);
                 context.history.note(context.now, text);
--- /dev/null
+++ b/crates/state/src/batch/command.rs
@@ -0,0 +1,100 @@
+//! Commands of the batch group and their replies.
+
+use minicbor::{Decode, Encode};
+
+use super::job::{BatchItem, ItemOutcome};
+
+/// Hands a job in. The same identifier again changes nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct SubmitJob {
+    /// Identifier that the caller chose.
+    #[n(0)]
+    pub id: String,
+    /// Host of its route.
+    #[n(1)]
+    pub host: String,
+    /// Path that it was sent to; with the host it names its route.
+    #[n(2)]
+    pub path: String,
+    /// Milliseconds since 1970 at the gateway that took it first.
+    #[n(3)]
+    pub submitted_ms: u64,
+    /// Its items.
+    #[n(4)]
+    pub items: Vec<BatchItem>,
+}
+
+/// Names an item by the number of its job and its place in it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct ItemReference {
+    /// Number of the job, in the order of acceptance.
+    #[n(0)]
+    pub job: u64,
+    /// Place of the item in its job, from 0.
+    #[n(1)]
+    pub place: u32,
+}
+
+/// The outcome of one item.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ItemRecord {
+    /// Item.
+    #[n(0)]
+    pub item: ItemReference,
+    /// What became of it.
+    #[n(1)]
+    pub outcome: ItemOutcome,
+}
+
+/// Outcomes that are recorded together.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct RecordOutcome {
+    /// They, in the order of their positions.
+    #[n(0)]
+    pub records: Vec<ItemRecord>,
+}
+
+/// A command of the batch group.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum BatchCommand {
+    /// Hands a job in.
+    #[n(0)]
+    Submit(#[n(0)] Box<SubmitJob>),
+    /// Records outcomes of items.
+    #[n(1)]
+    Record(#[n(0)] RecordOutcome),
+    /// Ends a job; its items need not run any more.
+    #[n(2)]
+    End {
+        /// Identifier of the job.
+        #[n(0)]
+        id: String,
+    },
+    /// Removes a job that nobody may ask for any more.
+    #[n(3)]
+    Forget {
+        /// Number of the job.
+        #[n(0)]
+        job: u64,
+    },
+}
+
+/// Reply to a [`BatchCommand`].
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum BatchReply {
+    /// The job is kept, from now on or from before.
+    #[n(0)]
+    Kept,
+    /// The outcomes are recorded, or earlier ones stand.
+    #[n(1)]
+    Recorded,
+    /// The job has ended.
+    #[n(2)]
+    Ended,
+    /// There is no such job.
+    #[n(3)]
+    Unknown,
+    /// The command's bytes could not be read; nothing changed.
+    #[n(4)]
+    Malformed,
+}
--- /dev/null
+++ b/crates/state/src/batch/job.rs
@@ -0,0 +1,95 @@
+//! A job and its items.
+
+use minicbor::bytes::ByteVec;
+use minicbor::{Decode, Encode};
+
+/// A request that is run for a job.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct BatchItem {
+    /// Identifier that the caller chose.
+    #[n(0)]
+    pub id: String,
+    /// Path of the request.
+    #[n(1)]
+    pub path: String,
+    /// Headers of the request.
+    #[n(2)]
+    pub headers: Vec<(String, String)>,
+    /// Body of the request.
+    #[n(3)]
+    pub body: ByteVec,
+    /// Tokens of the prompt and the most that are generated.
+    #[n(4)]
+    pub tokens: u64,
+}
+
+/// What became of an item.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum ItemOutcome {
+    /// It ran to its end.
+    #[n(0)]
+    Completed {
+        /// Its whole output.
+        #[n(0)]
+        text: String,
+    },
+    /// It was given up.
+    #[n(1)]
+    DeadLettered,
+}
+
+/// A job, with the outcomes of its items.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct BatchJob {
+    /// Identifier that the caller chose.
+    #[n(0)]
+    pub id: String,
+    /// Host of its route.
+    #[n(1)]
+    pub host: String,
+    /// Path that it was sent to.
+    #[n(2)]
+    pub path: String,
+    /// Milliseconds since 1970 at the gateway that took it first.
+    #[n(3)]
+    pub submitted_ms: u64,
+    /// Items.
+    #[n(4)]
+    pub items: Vec<BatchItem>,
+    /// Outcome of each item, once there is one.
+    #[n(5)]
+    pub outcomes: Vec<Option<ItemOutcome>>,
+    /// Places of the items in the order in which their outcomes were recorded.
+    #[n(6)]
+    pub listed: Vec<u32>,
+    /// Whether the caller ended it.
+    #[n(7)]
+    pub ended: bool,
+}
+
+impl BatchJob {
+    /// Whether items are left to run.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.ended && self.listed.len() < self.items.len()
+    }
+
+    /// Records an outcome unless there is one.
+    pub(super) fn record(&mut self, place: u32, outcome: &ItemOutcome) {
+        if let Some(slot) = self.outcomes.get_mut(place as usize)
+            && slot.is_none()
+        {
+            *slot = Some(outcome.clone());
+            self.listed.push(place);
+        }
+    }
+
+    /// Places of items without an outcome.
+    pub(super) fn open_places(&self) -> impl Iterator<Item = u32> {
+        let open = !self.ended;
+        let places = (0u32..).zip(&self.outcomes);
+        places
+            .filter(move |(_, outcome)| open && outcome.is_none())
+            .map(|(place, _)| place)
+    }
+}
--- /dev/null
+++ b/crates/state/src/batch/machine.rs
@@ -0,0 +1,219 @@
+//! The state machine of the batch group.
+
+use std::collections::BTreeMap;
+
+use minicbor::{Decode, Encode};
+
+use super::command::{BatchCommand, BatchReply, ItemReference, RecordOutcome, SubmitJob};
+use super::job::{BatchJob, ItemOutcome};
+use super::query::{
+    BatchAnswer, BatchQuery, ItemToRun, ListedResult, OpenItem, OpenWork, ResultPage,
+};
+use crate::error::StateError;
+use crate::snapshot;
+
+/// Replicated batch jobs.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct BatchMachine {
+    /// Jobs by the number of their acceptance.
+    #[n(0)]
+    jobs: BTreeMap<u64, BatchJob>,
+    /// Numbers by the callers' identifiers.
+    #[n(1)]
+    numbers: BTreeMap<String, u64>,
+    /// Number of the latest job.
+    #[n(2)]
+    last: u64,
+    /// Commands that changed what is open.
+    #[n(3)]
+    revision: u64,
+}
+
+impl BatchMachine {
+    /// An empty machine.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Rises when items come or end.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Applies a committed command.
+    pub fn apply(&mut self, command: &BatchCommand) -> BatchReply {
+        match command {
+            BatchCommand::Submit(submit) => self.submit(submit),
+            BatchCommand::Record(outcome) => self.record(outcome),
+            BatchCommand::End { id } => self.end(id),
+            BatchCommand::Forget { job } => self.forget(*job),
+        }
+    }
+
+    fn submit(&mut self, submit: &SubmitJob) -> BatchReply {
+        if self.numbers.contains_key(&submit.id) {
+            return BatchReply::Kept;
+        }
+        self.last += 1;
+        let job = BatchJob {
+            id: submit.id.clone(),
+            host: submit.host.clone(),
+            path: submit.path.clone(),
+            submitted_ms: submit.submitted_ms,
+            outcomes: vec![None; submit.items.len()],
+            items: submit.items.clone(),
+            listed: Vec::new(),
+            ended: false,
+        };
+        self.numbers.insert(submit.id.clone(), self.last);
+        self.jobs.insert(self.last, job);
+        self.revision += 1;
+        BatchReply::Kept
+    }
+
+    fn record(&mut self, outcome: &RecordOutcome) -> BatchReply {
+        for record in &outcome.records {
+            if let Some(job) = self.jobs.get_mut(&record.item.job) {
+                job.record(record.item.place, &record.outcome);
+            }
+        }
+        BatchReply::Recorded
+    }
+
+    fn end(&mut self, id: &str) -> BatchReply {
+        let number = self.numbers.get(id);
+        let Some(job) = number.and_then(|number| self.jobs.get_mut(number)) else {
+            return BatchReply::Unknown;
+        };
+        if !job.ended {
+            job.ended = true;
+            self.revision += 1;
+        }
+        BatchReply::Ended
+    }
+
+    fn forget(&mut self, number: u64) -> BatchReply {
+        match self.jobs.remove(&number) {
+            Some(job) => {
+                self.numbers.remove(&job.id);
+                BatchReply::Ended
+            }
+            None => BatchReply::Unknown,
+        }
+    }
+
+    /// Answers a read.
+    #[must_use]
+    pub fn query(&self, query: &BatchQuery) -> BatchAnswer {
+        match query {
+            BatchQuery::Results {
+                id,
+                after,
+                max_bytes,
+            } => BatchAnswer::Results(self.job(id).map(|job| page(job, *after, *max_bytes))),
+            BatchQuery::Body { id, item } => {
+                let body = self.job(id).and_then(|job| body(job, item));
+                BatchAnswer::Body(body.map(Into::into))
+            }
+            BatchQuery::Open { limit } => BatchAnswer::Open(self.open(*limit as usize)),
+            BatchQuery::Items { items } => {
+                let found = items.iter().filter_map(|item| self.item_to_run(*item));
+                BatchAnswer::Items(found.collect())
+            }
+            BatchQuery::Ages => {
+                let ages = self
+                    .jobs
+                    .iter()
+                    .map(|(number, job)| (*number, job.submitted_ms));
+                BatchAnswer::Ages(ages.collect())
+            }
+        }
+    }
+
+    fn job(&self, id: &str) -> Option<&BatchJob> {
+        self.numbers
+            .get(id)
+            .and_then(|number| self.jobs.get(number))
+    }
+
+    fn open(&self, limit: usize) -> OpenWork {
+        let mut work = OpenWork::default();
+        for (number, job) in self.jobs.iter().filter(|(_, job)| job.is_open()) {
+            work.jobs.insert(*number);
+            for place in job.open_places() {
+                if work.items.len() >= limit {
+                    break;
+                }
+                let item = ItemReference {
+                    job: *number,
+                    place,
+                };
+                let tokens = job.items[place as usize].tokens;
+                work.items.push(OpenItem { item, tokens });
+            }
+        }
+        work
+    }
+
+    fn item_to_run(&self, reference: ItemReference) -> Option<ItemToRun> {
+        let job = self.jobs.get(&reference.job)?;
+        let place = reference.place as usize;
+        let open = !job.ended && job.outcomes.get(place)?.is_none();
+        open.then(|| ItemToRun {
+            reference,
+            host: job.host.clone(),
+            job_path: job.path.clone(),
+            submitted_ms: job.submitted_ms,
+            item: job.items[place].clone(),
+        })
+    }
+
+    /// The machine as bytes.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<u8> {
+        snapshot::write(self)
+    }
+
+    /// Reads a snapshot.
+    ///
+    /// # Errors
+    /// When the bytes are damaged or of another format.
+    pub fn restore(bytes: &[u8]) -> Result<Self, StateError> {
+        snapshot::read(bytes)
+    }
+}
+
+fn page(job: &BatchJob, after: u32, max_bytes: u64) -> ResultPage {
+    let mut results = Vec::new();
+    let mut bytes = 0;
+    for place in job.listed.iter().skip(after as usize) {
+        let Some(outcome) = &job.outcomes[*place as usize] else {
+            break;
+        };
+        bytes += match outcome {
+            ItemOutcome::Completed { text } => text.len() as u64,
+            ItemOutcome::DeadLettered => 0,
+        };
+        if bytes > max_bytes && !results.is_empty() {
+            break;
+        }
+        results.push(ListedResult {
+            id: job.items[*place as usize].id.clone(),
+            outcome: outcome.clone(),
+        });
+    }
+    ResultPage {
+        total: job.items.len() as u32,
+        results,
+    }
+}
+
+/// The body of an item without an outcome. An ended job still gives it, since
+/// the caller of the end may not have heard of it yet.
+fn body(job: &BatchJob, id: &str) -> Option<Vec<u8>> {
+    let place = job.items.iter().position(|item| item.id == id)?;
+    let open = job.outcomes[place].is_none();
+    open.then(|| job.items[place].body.to_vec())
+}
--- a/crates/state/src/control/command.rs
+++ b/crates/state/src/control/command.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::configuration::Change;
+use crate::declared::{DeclaredCommand, DeclaredReply};
 
 /// Number that an operator gives an intent. It is shared by all operators: two
 /// that pick the same number race, and the first one confirmed wins.
@@ -153,6 +154,9 @@
     /// Issues a fenced order.
     #[n(4)]
     Issue(#[n(0)] IssueOrder),
+    /// Something about the declared state; see [`crate::declared`].
+    #[n(5)]
+    Declared(#[n(0)] DeclaredCommand),
 }
 
 /// Reply to a confirmation.
@@ -239,4 +243,7 @@
     /// No such life of the node is registered; nothing changed.
     #[n(6)]
     NodeUnknown,
+    /// To [`ControlCommand::Declared`].
+    #[n(7)]
+    Declared(#[n(0)] DeclaredReply),
 }
--- a/crates/state/src/control/machine.rs
+++ b/crates/state/src/control/machine.rs
@@ -11,6 +11,7 @@
 use super::plan::{apply_changes, digest_of_changes, plan};
 use super::problems::problems;
 use super::query::{ControlAnswer, ControlQuery};
+use crate::declared::DeclaredState;
 use crate::error::StateError;
 use crate::snapshot;
 
@@ -25,6 +26,11 @@
     nodes: Nodes,
     #[n(3)]
     orders: Orders,
+    /// What an operator declares as a whole, and what follows from engines and
+    /// stores that come and go.
+    #[n(4)]
+    #[cbor(default)]
+    declared: DeclaredState,
 }
 
 impl ControlMachine {
@@ -40,6 +46,12 @@
         &self.configuration
     }
 
+    /// What was declared, and what follows from it.
+    #[must_use]
+    pub fn declared(&self) -> &DeclaredState {
+        &self.declared
+    }
+
     /// Applies a committed command.
     pub fn apply(&mut self, command: &ControlCommand) -> ControlReply {
         match command {
@@ -48,6 +60,9 @@
             ControlCommand::Drain { node, incarnation } => self.nodes.drain(*node, *incarnation),
             ControlCommand::Remove { node, incarnation } => self.nodes.remove(*node, *incarnation),
             ControlCommand::Issue(order) => self.orders.issue(order),
+            ControlCommand::Declared(command) => {
+                ControlReply::Declared(self.declared.apply(command))
+            }
         }
     }
 
@@ -89,6 +104,7 @@
                 ControlAnswer::Plan(plan(&self.configuration, *number, changes))
             }
             ControlQuery::Nodes => ControlAnswer::Nodes(self.nodes.records()),
+            ControlQuery::Declared => ControlAnswer::Declared(Box::new(self.declared.clone())),
             ControlQuery::Orders => ControlAnswer::Orders(self.orders.latest().clone()),
         }
     }
--- a/crates/state/src/control/query.rs
+++ b/crates/state/src/control/query.rs
@@ -8,6 +8,7 @@
 
 use super::command::{IntentNumber, IssueOrder, NodeRecord};
 use super::configuration::{Change, Configuration};
+use crate::declared::DeclaredState;
 
 /// A read of the control group.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -38,6 +39,9 @@
     /// The latest order of each back end.
     #[n(4)]
     Orders,
+    /// Everything declared and registered; see [`crate::declared`].
+    #[n(5)]
+    Declared,
 }
 
 /// One line of a plan.
@@ -106,6 +110,9 @@
     /// The query's bytes could not be read.
     #[n(4)]
     Malformed,
+    /// To [`ControlQuery::Declared`].
+    #[n(5)]
+    Declared(#[n(0)] Box<DeclaredState>),
 }
 
 /// An order and its token.
--- /dev/null
+++ b/crates/state/src/declared/state.rs
@@ -0,0 +1,116 @@
+//! The declared state.
+
+use minicbor::bytes::ByteVec;
+use minicbor::{Decode, Encode};
+
+use super::command::{Declaration, DeclaredCommand, DeclaredReply};
+use super::departures::Departures;
+use super::model::ServingModel;
+use super::stores::Stores;
+
+/// The configuration that holds.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct DeclaredConfiguration {
+    /// The operator's number.
+    #[n(0)]
+    pub version: u64,
+    /// The document byte for byte.
+    #[n(1)]
+    pub document: ByteVec,
+    /// What it says.
+    #[n(2)]
+    pub model: ServingModel,
+}
+
+/// Everything that was declared or registered.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct DeclaredState {
+    #[n(0)]
+    configuration: Option<DeclaredConfiguration>,
+    #[n(1)]
+    departures: Departures,
+    #[n(2)]
+    stores: Stores,
+    /// Commands that changed something.
+    #[n(3)]
+    revision: u64,
+}
+
+impl DeclaredState {
+    /// The configuration that holds, if any was ever declared.
+    #[must_use]
+    pub fn configuration(&self) -> Option<&DeclaredConfiguration> {
+        self.configuration.as_ref()
+    }
+
+    /// Engines that leave.
+    #[must_use]
+    pub fn departures(&self) -> &Departures {
+        &self.departures
+    }
+
+    /// Nodes that hold batch jobs.
+    #[must_use]
+    pub fn stores(&self) -> &Stores {
+        &self.stores
+    }
+
+    /// Rises with every command that changed something.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The highest number in force; 0 before the first declaration.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |held| held.version)
+    }
+
+    /// Applies a committed command.
+    pub(crate) fn apply(&mut self, command: &DeclaredCommand) -> DeclaredReply {
+        match command {
+            DeclaredCommand::Declare(declaration) => self.declare(declaration),
+            DeclaredCommand::Depart { engine, departure } => {
+                let changed = self.departures.note(engine, *departure);
+                self.noted(changed)
+            }
+            DeclaredCommand::RegisterStore(register) => {
+                let changed = self.stores.register(register);
+                self.noted(changed)
+            }
+            DeclaredCommand::Retire {
+                name,
+                replicas,
+                alive,
+            } => {
+                let reply = self.stores.retire(name, *replicas, alive);
+                self.revision += 1;
+                DeclaredReply::Retire(reply)
+            }
+            DeclaredCommand::RetirementCompleted { node } => {
+                let changed = self.stores.complete(*node);
+                self.noted(changed)
+            }
+        }
+    }
+
+    fn declare(&mut self, declaration: &Declaration) -> DeclaredReply {
+        if self.configuration.is_none() || declaration.version > self.version() {
+            self.configuration = Some(DeclaredConfiguration {
+                version: declaration.version,
+                document: declaration.document.clone(),
+                model: declaration.model.clone(),
+            });
+            self.revision += 1;
+        }
+        DeclaredReply::Version {
+            version: self.version(),
+        }
+    }
+
+    fn noted(&mut self, changed: bool) -> DeclaredReply {
+        self.revision += u64::from(changed);
+        DeclaredReply::Noted
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -10,8 +10,10 @@
 //! the same commands in the same order, the log is the same byte for byte on
 //! each of them, and a snapshot is the machine's own bytes plus a prefix of it.
 
+pub mod batch;
 mod codec;
 pub mod control;
+pub mod declared;
 mod error;
 pub mod explore;
 pub mod job;
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -2,6 +2,7 @@
 
 use molespan_types::{GroupId, JobId};
 
+use crate::batch::{BatchAnswer, BatchMachine, BatchReply};
 use crate::codec::{decode, encode};
 use crate::control::{ControlAnswer, ControlMachine, ControlReply};
 use crate::error::StateError;
@@ -15,16 +16,18 @@
     Control(ControlMachine),
     /// Of a job group.
     Job(JobMachine),
+    /// Of the group of ordered batch jobs.
+    Batch(BatchMachine),
 }
 
 impl Machine {
     /// The empty machine of `group`.
     #[must_use]
     pub fn for_group(group: GroupId) -> Self {
-        if group == GroupId::CONTROL {
-            Self::Control(ControlMachine::new())
-        } else {
-            Self::Job(JobMachine::new())
+        match group {
+            GroupId::CONTROL => Self::Control(ControlMachine::new()),
+            GroupId::BATCH => Self::Batch(BatchMachine::new()),
+            _ => Self::Job(JobMachine::new()),
         }
     }
 
@@ -54,6 +57,13 @@
                 };
                 Ok(encode(&reply))
             }
+            Self::Batch(machine) => {
+                let reply = match decode(command) {
+                    Ok(command) => machine.apply(&command),
+                    Err(_) => BatchReply::Malformed,
+                };
+                Ok(encode(&reply))
+            }
         }
     }
 
@@ -71,6 +81,10 @@
                     message: error.to_string(),
                 },
             }),
+            Self::Batch(machine) => encode(&match decode(query) {
+                Ok(query) => machine.query(&query),
+                Err(_) => BatchAnswer::Malformed,
+            }),
         }
     }
 
@@ -81,6 +95,7 @@
         match self {
             Self::Control(machine) => machine.snapshot(),
             Self::Job(machine) => machine.snapshot(),
+            Self::Batch(machine) => machine.snapshot(),
         }
     }
 
@@ -89,10 +104,10 @@
     /// # Errors
     /// When the bytes are damaged or of another format.
     pub fn restore(group: GroupId, bytes: &[u8]) -> Result<Self, StateError> {
-        if group == GroupId::CONTROL {
-            ControlMachine::restore(bytes).map(Self::Control)
-        } else {
-            JobMachine::restore(bytes).map(Self::Job)
+        match group {
+            GroupId::CONTROL => ControlMachine::restore(bytes).map(Self::Control),
+            GroupId::BATCH => BatchMachine::restore(bytes).map(Self::Batch),
+            _ => JobMachine::restore(bytes).map(Self::Job),
         }
     }
 
@@ -115,8 +130,18 @@
     /// The machine of a job group.
     fn job(&self) -> Option<&JobMachine> {
         match self {
-            Self::Control(_) => None,
+            Self::Control(_) | Self::Batch(_) => None,
             Self::Job(machine) => Some(machine),
         }
     }
+
+    /// Rises when something changed that watchers of the group wait for.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        match self {
+            Self::Control(machine) => machine.declared().revision(),
+            Self::Job(_) => 0,
+            Self::Batch(machine) => machine.revision(),
+        }
+    }
 }
--- a/crates/types/src/identifier.rs
+++ b/crates/types/src/identifier.rs
@@ -104,7 +104,26 @@
     ZoneName
 }
 
+impl NodeId {
+    /// The number of the node that listens on `address`. Addresses are unique
+    /// in a cluster, so a node needs no other name and can be called back
+    /// without a directory.
+    #[must_use]
+    pub fn of_address(address: std::net::Ipv4Addr) -> Self {
+        Self(u32::from(address))
+    }
+
+    /// The address that [`NodeId::of_address`] was given.
+    #[must_use]
+    pub fn address(self) -> std::net::Ipv4Addr {
+        std::net::Ipv4Addr::from(self.0)
+    }
+}
+
 impl GroupId {
+    /// The group of ordered batch jobs, apart from the numbered job groups.
+    pub const BATCH: GroupId = GroupId(1 << 16);
+
     /// The group that holds configuration, nodes and placement.
     pub const CONTROL: GroupId = GroupId(0);
 }
