--- /dev/null
+++ b/crates/daemon/src/cluster/batch.rs
@@ -0,0 +1,103 @@
+//! Calls on the batch group.
+
+use std::time::Duration;
+
+use molespan_state::batch::{
+    BatchAnswer, BatchCommand, BatchQuery, BatchReply, ItemToRun, ResultPage,
+};
+use molespan_types::GroupId;
+use molespan_wire::{Request, Response, TakeItems};
+
+use super::calls::unexpected;
+use super::{Cluster, ClusterError};
+
+/// Items that the leader handed out.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HandedItems {
+    /// Items to run.
+    pub items: Vec<ItemToRun>,
+    /// Items that run and should not, as number of the job and place.
+    pub stop: Vec<(u64, u32)>,
+}
+
+impl Cluster {
+    /// Commits a command of the batch group within `deadline`.
+    ///
+    /// # Errors
+    /// When no leader took it in time; its fate may be unknown.
+    pub async fn change_batch(
+        &self,
+        command: &BatchCommand,
+        deadline: Duration,
+    ) -> Result<BatchReply, ClusterError> {
+        self.propose_within(GroupId::BATCH, command, deadline).await
+    }
+
+    /// Results of a job from position `after` on; `None` when there is no such
+    /// job.
+    ///
+    /// # Errors
+    /// When no leader answered in time.
+    pub async fn batch_results(
+        &self,
+        id: &str,
+        after: u32,
+        max_bytes: u64,
+        deadline: Duration,
+    ) -> Result<Option<ResultPage>, ClusterError> {
+        let query = BatchQuery::Results {
+            id: id.to_owned(),
+            after,
+            max_bytes,
+        };
+        let answer = self.query_within(GroupId::BATCH, &query, deadline);
+        match answer.await? {
+            BatchAnswer::Results(page) => Ok(page),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    /// The body of an item that is not listed; `None` when there is none.
+    ///
+    /// # Errors
+    /// When no leader answered in time.
+    pub async fn batch_body(
+        &self,
+        id: &str,
+        item: &str,
+        deadline: Duration,
+    ) -> Result<Option<Vec<u8>>, ClusterError> {
+        let query = BatchQuery::Body {
+            id: id.to_owned(),
+            item: item.to_owned(),
+        };
+        let answer = self.query_within(GroupId::BATCH, &query, deadline);
+        match answer.await? {
+            BatchAnswer::Body(body) => Ok(body.map(Into::into)),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    /// Asks the leader for items to run, and renews those that run here.
+    ///
+    /// # Errors
+    /// When no leader answered in time.
+    pub async fn take_items(
+        &self,
+        ask: &TakeItems,
+        deadline: Duration,
+    ) -> Result<HandedItems, ClusterError> {
+        let request = || Request::TakeItems(ask.clone());
+        let response = self.call_leader(GroupId::BATCH, request, deadline);
+        match response.await? {
+            Response::Items { items, stop } => {
+                let items = molespan_state::decode(&items);
+                let items = items.map_err(|error| ClusterError::Unexpected {
+                    reason: error.to_string(),
+                })?;
+                Ok(HandedItems { items, stop })
+            }
+            other => Err(unexpected(&other)),
+        }
+    }
+}
--- a/crates/daemon/src/cluster/calls.rs
+++ b/crates/daemon/src/cluster/calls.rs
@@ -30,6 +30,21 @@
     /// # Errors
     /// When no leader committed it before the deadline.
     pub(super) async fn propose<C, R>(&self, group: GroupId, command: &C) -> Result<R, ClusterError>
+    where
+        C: minicbor::Encode<()>,
+        R: for<'b> minicbor::Decode<'b, ()>,
+    {
+        self.propose_within(group, command, self.limits.deadline)
+            .await
+    }
+
+    /// Proposes a command; gives up after `deadline`.
+    pub(super) async fn propose_within<C, R>(
+        &self,
+        group: GroupId,
+        command: &C,
+        deadline: Duration,
+    ) -> Result<R, ClusterError>
     where
         C: minicbor::Encode<()>,
         R: for<'b> minicbor::Decode<'b, ()>,
@@ -39,10 +54,7 @@
             group,
             command: command.clone().into(),
         };
-        match self
-            .call_leader(group, request, self.limits.deadline)
-            .await?
-        {
+        match self.call_leader(group, request, deadline).await? {
             Response::Proposed { reply } => decode_reply(&reply),
             other => Err(unexpected(&other)),
         }
@@ -53,6 +65,20 @@
     /// # Errors
     /// When no leader answered before the deadline.
     pub(super) async fn query<Q, A>(&self, group: GroupId, query: &Q) -> Result<A, ClusterError>
+    where
+        Q: minicbor::Encode<()>,
+        A: for<'b> minicbor::Decode<'b, ()>,
+    {
+        self.query_within(group, query, self.limits.deadline).await
+    }
+
+    /// Reads; gives up after `deadline`.
+    pub(super) async fn query_within<Q, A>(
+        &self,
+        group: GroupId,
+        query: &Q,
+        deadline: Duration,
+    ) -> Result<A, ClusterError>
     where
         Q: minicbor::Encode<()>,
         A: for<'b> minicbor::Decode<'b, ()>,
@@ -63,10 +89,7 @@
             consistency: Consistency::Linearizable,
             query: query.clone().into(),
         };
-        match self
-            .call_leader(group, request, self.limits.deadline)
-            .await?
-        {
+        match self.call_leader(group, request, deadline).await? {
             Response::Answered { answer } => decode_reply(&answer),
             other => Err(unexpected(&other)),
         }
@@ -134,8 +157,10 @@
     /// The known leader, else the replica whose turn it is.
     fn target(&self) -> Option<NodeId> {
         let known = self.cluster.leaders.get(self.group);
-        let replicas = &self.cluster.replicas;
-        known.or_else(|| replicas.get(self.turn % replicas.len().max(1)).copied())
+        known.or_else(|| {
+            let replicas = self.cluster.lock_replicas();
+            replicas.get(self.turn % replicas.len().max(1)).copied()
+        })
     }
 
     async fn follow(&mut self, asked: NodeId, leader: Option<LeaderHint>) {
--- a/crates/daemon/src/cluster/control.rs
+++ b/crates/daemon/src/cluster/control.rs
@@ -202,12 +202,9 @@
     pub async fn versions_in_force(&self) -> BTreeMap<NodeId, ConfigVersion> {
         let timeout = self.limits.call_timeout;
         let calls: Vec<_> = self
-            .replicas
-            .iter()
-            .map(|node| {
-                self.transport
-                    .call(*node, Request::VersionsInForce, timeout)
-            })
+            .replicas()
+            .into_iter()
+            .map(|node| self.transport.call(node, Request::VersionsInForce, timeout))
             .collect();
         let mut merged: BTreeMap<NodeId, ConfigVersion> = BTreeMap::new();
         for call in calls {
--- /dev/null
+++ b/crates/daemon/src/cluster/declared.rs
@@ -0,0 +1,42 @@
+//! Calls on the declared state of the control group.
+
+use std::time::Duration;
+
+use molespan_state::control::{ControlAnswer, ControlCommand, ControlQuery, ControlReply};
+use molespan_state::declared::{DeclaredCommand, DeclaredReply, DeclaredState};
+use molespan_types::GroupId;
+
+use super::calls::unexpected;
+use super::{Cluster, ClusterError};
+
+impl Cluster {
+    /// Commits a command on the declared state within `deadline`.
+    ///
+    /// # Errors
+    /// When no leader took it in time; its fate may be unknown.
+    pub async fn change_declared(
+        &self,
+        command: DeclaredCommand,
+        deadline: Duration,
+    ) -> Result<DeclaredReply, ClusterError> {
+        let command = ControlCommand::Declared(command);
+        let reply = self.propose_within(GroupId::CONTROL, &command, deadline);
+        match reply.await? {
+            ControlReply::Declared(reply) => Ok(reply),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    /// Reads the declared state, with every change that was acknowledged
+    /// before.
+    ///
+    /// # Errors
+    /// When no leader answered in time.
+    pub async fn declared(&self, deadline: Duration) -> Result<DeclaredState, ClusterError> {
+        let answer = self.query_within(GroupId::CONTROL, &ControlQuery::Declared, deadline);
+        match answer.await? {
+            ControlAnswer::Declared(state) => Ok(*state),
+            other => Err(unexpected(&other)),
+        }
+    }
+}
--- a/crates/daemon/src/cluster/mod.rs
+++ b/crates/daemon/src/cluster/mod.rs
@@ -6,18 +6,21 @@
 //! its expected token. A proposal whose fate is unknown is therefore sent
 //! again until the deadline, and only then reported as unknown.
 
+mod batch;
 mod calls;
 mod control;
+mod declared;
 mod error;
 mod job;
 mod leaders;
 mod transport;
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use molespan_types::NodeId;
 
+pub use batch::HandedItems;
 pub use control::{LiveNode, WatchedConfiguration};
 pub use error::ClusterError;
 pub use job::{ItemsTaken, RenewedLeases, ResultPage};
@@ -58,7 +61,7 @@
 pub struct Cluster {
     transport: Arc<dyn PeerTransport>,
     /// Nodes that hold replicas, those of the own zone first.
-    replicas: Vec<NodeId>,
+    replicas: Mutex<Vec<NodeId>>,
     leaders: Leaders,
     limits: ClusterLimits,
 }
@@ -74,7 +77,7 @@
     ) -> Self {
         Self {
             transport,
-            replicas,
+            replicas: Mutex::new(replicas),
             leaders: Leaders::default(),
             limits,
         }
@@ -86,9 +89,18 @@
         &self.transport
     }
 
-    /// Nodes that hold replicas, in the order in which they are asked.
+    /// Nodes that hold the groups, the nearest first.
     #[must_use]
-    pub fn replicas(&self) -> &[NodeId] {
-        &self.replicas
+    pub fn replicas(&self) -> Vec<NodeId> {
+        self.lock_replicas().clone()
+    }
+
+    /// Says anew which nodes hold the groups.
+    pub fn set_replicas(&self, replicas: Vec<NodeId>) {
+        *self.lock_replicas() = replicas;
+    }
+
+    fn lock_replicas(&self) -> MutexGuard<'_, Vec<NodeId>> {
+        self.replicas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/daemon/src/cluster/transport.rs
+++ b/crates/daemon/src/cluster/transport.rs
@@ -37,6 +37,8 @@
     seed: u64,
     /// Nodes whose addresses are in the settings.
     configured: HashSet<NodeId>,
+    /// Port of nodes whose numbers are their addresses.
+    port: Option<u16>,
     clients: Mutex<HashMap<NodeId, Client>>,
 }
 
@@ -56,6 +58,7 @@
             limits,
             seed,
             configured: addresses.iter().map(|(node, _)| *node).collect(),
+            port: None,
             clients: Mutex::new(HashMap::new()),
         };
         for (node, address) in addresses {
@@ -64,6 +67,21 @@
         transport
     }
 
+    /// A transport between nodes whose numbers are their addresses and that
+    /// all listen on `port` for each other.
+    #[must_use]
+    pub fn between_addresses(
+        executor: Arc<Executor<'static>>,
+        port: u16,
+        limits: ClientLimits,
+        seed: u64,
+    ) -> Self {
+        Self {
+            port: Some(port),
+            ..Self::new(executor, [], limits, seed)
+        }
+    }
+
     /// Sets where `node` can be reached.
     pub fn set_address(&self, node: NodeId, address: SocketAddr) {
         let mut clients = self.lock();
@@ -77,6 +95,11 @@
     }
 
     fn client(&self, node: NodeId) -> Option<Client> {
+        if let Some(client) = self.lock().get(&node) {
+            return Some(client.clone());
+        }
+        let port = self.port?;
+        self.set_address(node, SocketAddr::from((node.address(), port)));
         self.lock().get(&node).cloned()
     }
 
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -36,6 +36,10 @@
     /// The HTTP interface cannot listen.
     #[display("HTTP interface: {_0}")]
     HttpInterface(molespan_http::ServerError),
+    /// An address for callers cannot be had.
+    #[display("cannot listen: {_0}")]
+    #[from(skip)]
+    Listen(io::Error),
     /// The system gave no thread.
     #[display("cannot start a thread: {_0}")]
     #[from(skip)]
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,7 +6,7 @@
 mod folder_lock;
 pub mod gateway;
 pub mod incarnation;
-mod local_transport;
+pub mod local_transport;
 pub mod node;
 mod peer_handler;
 mod registration;
--- a/crates/daemon/src/local_transport.rs
+++ b/crates/daemon/src/local_transport.rs
@@ -8,15 +8,18 @@
 use molespan_types::NodeId;
 use molespan_wire::{CallError, CallFailure, Request};
 
-use crate::cluster::{PeerCall, PeerTransport, WireTransport};
+use crate::cluster::{PeerCall, PeerTransport};
 use crate::replica::ReplicaRole;
 
 /// Calls the own replica directly and other nodes over the internal protocol.
 #[derive(Debug)]
-pub(crate) struct LocalTransport {
+pub struct LocalTransport {
+    /// This node.
     pub own: NodeId,
+    /// Its replica.
     pub replica: Arc<ReplicaRole>,
-    pub others: WireTransport,
+    /// Reaches the other nodes.
+    pub others: Arc<dyn PeerTransport>,
 }
 
 impl PeerTransport for LocalTransport {
--- a/crates/daemon/src/node/starter.rs
+++ b/crates/daemon/src/node/starter.rs
@@ -139,7 +139,7 @@
             Some(replica) => Arc::new(LocalTransport {
                 own: self.settings.node.id,
                 replica: replica.clone(),
-                others: wire,
+                others: Arc::new(wire),
             }),
             None => Arc::new(wire),
         };
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -28,6 +28,8 @@
     pub outbox: Arc<Outbox>,
     pub leaders: Arc<Leaders>,
     pub nudge: Nudge,
+    /// Told when a machine changed what its watchers wait for.
+    pub state_changed: Nudge,
     pub metrics: ReplicaMetrics,
     pub reporter: Reporter,
 }
@@ -149,6 +151,7 @@
                     surroundings.reporter.configuration(version);
                     surroundings.nudge.now();
                 }
+                Output::StateChanged { .. } => surroundings.state_changed.now(),
                 Output::Event(event) => surroundings.reporter.event(&event),
             }
         }
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -18,5 +18,5 @@
 mod service;
 mod versions;
 
-pub use options::{ReplicaContext, ReplicaOptions, ReplicaPeer};
+pub use options::{DiscoveryOptions, ReplicaContext, ReplicaOptions, ReplicaPeer};
 pub use role::{HandOver, ReplicaRole};
--- a/crates/daemon/src/replica/options.rs
+++ b/crates/daemon/src/replica/options.rs
@@ -6,12 +6,21 @@
 use std::time::Duration;
 
 use async_executor::Executor;
-use molespan_replica::ReplicaSettings;
+use molespan_replica::{Discovery, ReplicaSettings};
 use molespan_storage::LogSettings;
 use molespan_telemetry::{EventBuffer, Metrics};
 use molespan_types::NodeId;
 use slog::Logger;
 
+/// Members that are not listed but found. Their numbers are their addresses.
+#[derive(Clone, Debug)]
+pub struct DiscoveryOptions {
+    /// Who is looked for.
+    pub members: Discovery,
+    /// Port that all of them listen on for each other.
+    pub port: u16,
+}
+
 /// A node that holds a replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplicaPeer {
@@ -30,6 +39,8 @@
     pub peers: Vec<ReplicaPeer>,
     /// Folder of the replica's files; nothing else may write there.
     pub data_folder: PathBuf,
+    /// Set where the members are not listed.
+    pub discovery: Option<DiscoveryOptions>,
     /// Job groups beside the control group.
     pub job_groups: u32,
     /// How long a lease outlives its last renewal.
@@ -56,6 +67,7 @@
             node,
             peers,
             data_folder,
+            discovery: None,
             job_groups: 4,
             lease: Duration::from_secs(10),
             claim_timeout: Duration::from_secs(10 * 60),
@@ -69,9 +81,13 @@
 
     /// The settings of the replica's core.
     pub(super) fn core_settings(&self, seed: u64) -> ReplicaSettings {
-        let nodes = self.peers.iter().map(|peer| peer.node).collect();
+        let nodes = match &self.discovery {
+            Some(_) => vec![self.node],
+            None => self.peers.iter().map(|peer| peer.node).collect(),
+        };
         let ticks = self.election_timeout.as_micros() / self.tick.as_micros().max(1);
         ReplicaSettings {
+            discovery: self.discovery.as_ref().map(|found| found.members.clone()),
             job_groups: self.job_groups,
             lease_length: self.lease,
             claim_timeout: self.claim_timeout,
--- a/crates/daemon/src/replica/orders.rs
+++ b/crates/daemon/src/replica/orders.rs
@@ -140,8 +140,14 @@
 
     /// Hands in a message of another replica; it may get lost.
     pub fn message(&self, from: NodeId, group: GroupId, bytes: Vec<u8>) {
-        if let Some(room) = self.room_for(bytes.len()) {
-            let input = Input::Message { from, group, bytes };
+        let length = bytes.len();
+        self.input(Input::Message { from, group, bytes }, length);
+    }
+
+    /// Hands in what nobody waits for an answer to; dropped when too much
+    /// waits.
+    pub fn input(&self, input: Input, length: usize) {
+        if let Some(room) = self.room_for(length) {
             let order = Order::Message { input, _room: room };
             let _dropped = self.orders.try_send(order);
         }
--- a/crates/daemon/src/replica/outbox.rs
+++ b/crates/daemon/src/replica/outbox.rs
@@ -1,6 +1,8 @@
 //! Sending to the other replicas.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use async_executor::Executor;
@@ -20,40 +22,59 @@
 pub(super) struct Outbox {
     own: NodeId,
     peers: Vec<ReplicaPeer>,
-    clients: BTreeMap<NodeId, Client>,
+    /// Port of peers that are found rather than listed.
+    port: Option<u16>,
+    executor: Arc<Executor<'static>>,
+    seed: u64,
+    clients: Mutex<BTreeMap<NodeId, Client>>,
 }
 
 impl Outbox {
     /// Connections are opened once there is something to send.
-    pub fn new(options: &ReplicaOptions, executor: &Executor<'static>, seed: u64) -> Self {
-        let limits = ClientLimits {
-            longest_pause: LONGEST_PAUSE,
-            ..ClientLimits::default()
-        };
-        let others = options.peers.iter().filter(|one| one.node != options.node);
-        let clients = others.map(|peer| {
-            let seed = seed ^ u64::from(peer.node.0);
-            let client = Client::new(executor, peer.address, limits.clone(), seed);
-            (peer.node, client)
-        });
+    pub fn new(options: &ReplicaOptions, executor: &Arc<Executor<'static>>, seed: u64) -> Self {
         Self {
             own: options.node,
             peers: options.peers.clone(),
-            clients: clients.collect(),
+            port: options.discovery.as_ref().map(|discovery| discovery.port),
+            executor: executor.clone(),
+            seed,
+            clients: Mutex::default(),
+        }
+    }
+
+    /// Where a peer listens, if it is listed or its number is its address.
+    fn address(&self, node: NodeId) -> Option<SocketAddr> {
+        if let Some(port) = self.port {
+            return Some(SocketAddr::from((node.address(), port)));
         }
+        let peer = self.peers.iter().find(|peer| peer.node == node)?;
+        Some(peer.address)
     }
 
     /// The client of another replica.
-    pub fn client(&self, node: NodeId) -> Option<&Client> {
-        self.clients.get(&node)
+    pub fn client(&self, node: NodeId) -> Option<Client> {
+        if node == self.own {
+            return None;
+        }
+        let address = self.address(node)?;
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        let client = clients.entry(node).or_insert_with(|| {
+            let limits = ClientLimits {
+                longest_pause: LONGEST_PAUSE,
+                ..ClientLimits::default()
+            };
+            let seed = self.seed ^ u64::from(node.0);
+            Client::new(&self.executor, address, limits, seed)
+        });
+        Some(client.clone())
     }
 
-    /// Where a replica can be reached.
+    /// Tells others where a leader is.
     pub fn hint(&self, node: NodeId) -> Option<LeaderHint> {
-        let peer = self.peers.iter().find(|peer| peer.node == node)?;
+        let address = self.address(node)?;
         Some(LeaderHint {
             node,
-            address: peer.address.to_string(),
+            address: address.to_string(),
         })
     }
 
@@ -105,7 +126,7 @@
 
 impl Outbox {
     fn send(&self, to: NodeId, messages: Vec<GroupMessage>) {
-        if let Some(client) = self.clients.get(&to) {
+        if let Some(client) = self.client(to) {
             let from = self.own;
             client.send(Request::Consensus { from, messages });
         }
--- a/crates/daemon/src/replica/role.rs
+++ b/crates/daemon/src/replica/role.rs
@@ -1,5 +1,6 @@
 //! Starting and stopping the replica role.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -7,7 +8,7 @@
 use async_channel::Receiver;
 use async_executor::Task;
 use async_io::Timer;
-use molespan_replica::{ReplicaCore, ReplicaError, ReplicaStatus};
+use molespan_replica::{Input, ReplicaCore, ReplicaError, ReplicaStatus};
 use molespan_storage::RealDisk;
 use molespan_telemetry::part_logger;
 use molespan_types::{GroupId, NodeId};
@@ -52,6 +53,7 @@
     logger: Logger,
     /// Closed once the thread has ended; holds its error, if any.
     ended: Receiver<ReplicaError>,
+    changes: Receiver<()>,
     _feed_work: Task<()>,
 }
 
@@ -76,11 +78,13 @@
         let core = ReplicaCore::open(disk, options.core_settings(seed), clock.now())?;
         let outbox = Arc::new(Outbox::new(&options, &executor, seed));
         let leaders = Arc::new(Leaders::new(options.node));
+        let (state_changed, changes) = nudge();
         let (nudge, nudged) = nudge();
         let surroundings = Surroundings {
             outbox: outbox.clone(),
             leaders: leaders.clone(),
             nudge,
+            state_changed,
             metrics: ReplicaMetrics::new(&metrics),
             reporter: Reporter::new(logger.clone(), events),
         };
@@ -102,6 +106,7 @@
             service,
             logger,
             ended,
+            changes,
             _feed_work: executor.spawn(feed_work.run()),
         })
     }
@@ -116,6 +121,28 @@
         self.service.notify(request);
     }
 
+    /// Waits until a machine changed what its watchers wait for.
+    pub async fn changed(&self) {
+        let _stopped = self.changes.recv().await;
+    }
+
+    /// Says who the first voters are, where members are discovered.
+    pub fn found(&self, founders: BTreeMap<NodeId, u32>) {
+        self.driver.input(Input::Found { founders }, 0);
+    }
+
+    /// Says who may be members and who must not stay one, where members are
+    /// discovered.
+    pub fn set_members(&self, contacts: BTreeSet<NodeId>, retiring: BTreeSet<NodeId>) {
+        self.driver.input(Input::Members { contacts, retiring }, 0);
+    }
+
+    /// Who leads a group, as far as this replica knows.
+    #[must_use]
+    pub fn leader(&self, group: GroupId) -> Option<NodeId> {
+        self.leaders.of(group)
+    }
+
     /// The replica's view of itself; `None` once it has stopped.
     pub async fn status(&self) -> Option<ReplicaStatus> {
         self.driver.status().await
--- a/crates/daemon/src/replica/service.rs
+++ b/crates/daemon/src/replica/service.rs
@@ -68,9 +68,12 @@
                 zone,
                 draining,
             }),
-            Request::Status | Request::OnlineArrival(_) | Request::Loads { .. } => {
-                not_run("a replica does not answer this".to_owned(), 0)
-            }
+            Request::Status
+            | Request::OnlineArrival(_)
+            | Request::Loads { .. }
+            | Request::WatchView(_)
+            | Request::EnginesHeard { .. }
+            | Request::TakeItems(_) => not_run("a replica does not answer this".to_owned(), 0),
         }
     }
 
--- /dev/null
+++ b/crates/http/src/h1/net.rs
@@ -0,0 +1,76 @@
+//! Sockets.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::future;
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+
+/// How long bytes may stay unacknowledged, and how long an accepted connection
+/// may stay silent, before it counts as broken.
+#[derive(Clone, Copy, Debug)]
+pub struct SocketOptions {
+    /// That time.
+    pub user_timeout: Duration,
+}
+
+impl Default for SocketOptions {
+    fn default() -> Self {
+        Self {
+            user_timeout: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+/// Listens on `address`.
+///
+/// # Errors
+/// When the address cannot be had.
+pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Async::new(socket.into())
+}
+
+/// Sets what every connection needs: no delay for small pieces, and an end for
+/// one whose other side fell silent.
+///
+/// # Errors
+/// When the connection has failed already.
+pub fn prepare(stream: &Async<TcpStream>, options: SocketOptions) -> io::Result<()> {
+    stream.get_ref().set_nodelay(true)?;
+    let socket = SockRef::from(stream.get_ref());
+    // Not every system has it, and nothing depends on it alone.
+    let _unsupported = socket.set_tcp_user_timeout(Some(options.user_timeout));
+    Ok(())
+}
+
+/// Connects to `address` within `timeout`.
+///
+/// # Errors
+/// When it refuses, fails or does not answer in time.
+pub async fn connect(
+    address: SocketAddr,
+    timeout: Duration,
+    options: SocketOptions,
+) -> io::Result<Async<TcpStream>> {
+    let connecting = Async::<TcpStream>::connect(address);
+    let late = async {
+        Timer::after(timeout).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    let stream = future::or(connecting, late).await?;
+    prepare(&stream, options)?;
+    Ok(stream)
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,12 +3,14 @@
 //! Parsing and encoding are async-h1's. This crate adds what a proxy must know
 //! beyond them: bounds on memory and time, whether a request left this process
 //! before it failed, whether an answer is whole, and whether the caller is
-//! still there.
+//! still there. Passing requests on as they are needs more than that; [`h1`] is
+//! made for it.
 
 mod body;
 mod buffered;
 mod client;
 mod events;
+pub mod h1;
 mod net;
 mod reply;
 mod server;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -127,6 +127,63 @@
     pub leaving: bool,
 }
 
+/// What one control node told a node so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct ViewMark {
+    /// Drawn at random at each start of the control node.
+    #[n(0)]
+    pub session: u64,
+    /// Changes counted by that start.
+    #[n(1)]
+    pub revision: u64,
+}
+
+/// What a node is for, as control nodes count it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[cbor(index_only)]
+pub enum WatcherKind {
+    /// It takes requests of callers.
+    #[n(0)]
+    Gateway,
+    /// It holds batch jobs.
+    #[n(1)]
+    Store,
+}
+
+/// Asks for what is newer than a mark.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct WatchView {
+    /// Who asks.
+    #[n(0)]
+    pub node: NodeId,
+    /// What it is for.
+    #[n(1)]
+    pub kind: WatcherKind,
+    /// What it has of this control node.
+    #[n(2)]
+    pub mark: ViewMark,
+    /// Longest wait for something newer, in milliseconds.
+    #[n(3)]
+    pub wait_ms: u32,
+}
+
+/// Asks for batch items.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct TakeItems {
+    /// Who asks.
+    #[n(0)]
+    pub node: NodeId,
+    /// Most items.
+    #[n(1)]
+    pub capacity: u32,
+    /// Items that it runs, as number of the job and place.
+    #[n(2)]
+    pub held: Vec<(u64, u32)>,
+    /// Longest wait for an item, in milliseconds.
+    #[n(3)]
+    pub wait_ms: u32,
+}
+
 /// A request between processes.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum Request {
@@ -204,6 +261,20 @@
         #[n(4)]
         owned: Vec<BackendId>,
     },
+    /// Asks a control node what a node needs to know, once something is newer.
+    #[n(9)]
+    WatchView(#[n(0)] WatchView),
+    /// Engines that another control node heard; one-way.
+    #[n(10)]
+    EnginesHeard {
+        /// Encoded records.
+        #[n(0)]
+        records: ByteVec,
+    },
+    /// Asks the leader of the batch group for items to run, and renews those
+    /// that the asker runs.
+    #[n(11)]
+    TakeItems(#[n(0)] TakeItems),
 }
 
 /// Where a group's leader can be reached.
@@ -307,4 +378,25 @@
         #[n(0)]
         nodes: Vec<(NodeId, Incarnation, bool)>,
     },
+    /// To [`Request::WatchView`].
+    #[n(9)]
+    View {
+        /// State that the asker then has.
+        #[n(0)]
+        mark: ViewMark,
+        /// Encoded changes since the asker's mark.
+        #[n(1)]
+        update: ByteVec,
+    },
+    /// To [`Request::TakeItems`].
+    #[n(10)]
+    Items {
+        /// Encoded items to run.
+        #[n(0)]
+        items: ByteVec,
+        /// Items that the asker runs and should not, as number of the job and
+        /// place.
+        #[n(1)]
+        stop: Vec<(u64, u32)>,
+    },
 }
