--- /dev/null
+++ b/crates/fleet/src/control/hub.rs
@@ -0,0 +1,283 @@
+//! The view of one control node, and who waits for changes of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future;
+use molespan_state::declared::{DeclaredState, Departure};
+use molespan_types::{NodeId, Timestamp};
+use molespan_wire::{Response, ViewMark, WatchView, WatcherKind};
+
+use super::registry::Registry;
+use crate::view::{ConfigurationInForce, EngineRecord, Topology, ViewUpdate};
+
+/// A node that did not ask for longer is not counted.
+const PRESENCE: Duration = Duration::from_secs(4);
+/// Longest time that a watch is held open.
+const LONGEST_WAIT: Duration = Duration::from_secs(10);
+
+#[derive(Debug)]
+struct Watcher {
+    kind: WatcherKind,
+    at: Instant,
+}
+
+#[derive(Debug)]
+struct State {
+    revision: u64,
+    registry: Registry,
+    configuration: Option<ConfigurationInForce>,
+    configuration_changed: u64,
+    departures: BTreeMap<String, (Departure, u64)>,
+    topology: Topology,
+    topology_changed: u64,
+    watchers: BTreeMap<NodeId, Watcher>,
+    /// Dropped at the next change, which wakes all that wait.
+    wake: Sender<()>,
+    woken: Receiver<()>,
+}
+
+/// The view of one control node.
+#[derive(Debug)]
+pub struct Hub {
+    session: u64,
+    started: Instant,
+    state: Mutex<State>,
+}
+
+impl Hub {
+    /// An empty view; engines are lost after `silence`.
+    #[must_use]
+    pub fn new(silence: Duration) -> Self {
+        let (wake, woken) = async_channel::bounded(1);
+        let state = State {
+            revision: 1,
+            registry: Registry::new(silence),
+            configuration: None,
+            configuration_changed: 0,
+            departures: BTreeMap::new(),
+            topology: Topology::default(),
+            topology_changed: 0,
+            watchers: BTreeMap::new(),
+            wake,
+            woken,
+        };
+        Self {
+            session: rand::random(),
+            started: Instant::now(),
+            state: Mutex::new(state),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Now, on the clock of the registry.
+    #[must_use]
+    pub fn now(&self) -> Timestamp {
+        Timestamp(self.started.elapsed().as_micros() as u64)
+    }
+
+    /// Takes a heartbeat of an engine in, unless it is known to leave. Says
+    /// whether it told anything new.
+    pub fn hear(&self, record: EngineRecord) -> bool {
+        let now = self.now();
+        let mut state = self.lock();
+        if state.departures.contains_key(&record.id) {
+            return false;
+        }
+        let change = state.revision + 1;
+        let changed = state.registry.hear(record, now, change);
+        if changed {
+            state.changed();
+        }
+        changed
+    }
+
+    /// How far an engine is on its way out.
+    #[must_use]
+    pub fn departure(&self, engine: &str) -> Option<Departure> {
+        self.lock()
+            .departures
+            .get(engine)
+            .map(|(departure, _)| *departure)
+    }
+
+    /// Engines heard at `since` or later.
+    #[must_use]
+    pub fn heard_since(&self, since: Timestamp) -> Vec<EngineRecord> {
+        self.lock().registry.heard_since(since)
+    }
+
+    /// Loses silent engines, and counts the gateways anew.
+    pub fn expire(&self) {
+        let now = self.now();
+        let mut state = self.lock();
+        let change = state.revision + 1;
+        let lost = state.registry.expire(now, change);
+        state
+            .watchers
+            .retain(|_, watcher| watcher.at.elapsed() < PRESENCE);
+        let gateways = state.count(WatcherKind::Gateway);
+        let counted = gateways != state.topology.gateways;
+        if counted {
+            state.topology.gateways = gateways;
+            state.topology_changed = change;
+        }
+        if lost || counted {
+            state.changed();
+        }
+    }
+
+    /// Takes in what this node's replica has applied, and who holds the control
+    /// group.
+    pub fn take(&self, declared: &DeclaredState, control: BTreeSet<NodeId>) {
+        let mut state = self.lock();
+        let change = state.revision + 1;
+        let mut changed = state.take_configuration(declared, change);
+        changed |= state.take_departures(declared, change);
+        changed |= state.take_topology(declared, control, change);
+        if changed {
+            state.changed();
+        }
+    }
+
+    /// Stores that asked lately.
+    #[must_use]
+    pub fn live_stores(&self) -> BTreeSet<NodeId> {
+        let state = self.lock();
+        let stores = state.watchers.iter().filter(|(_, watcher)| {
+            watcher.kind == WatcherKind::Store && watcher.at.elapsed() < PRESENCE
+        });
+        stores.map(|(node, _)| *node).collect()
+    }
+
+    /// Answers a watch, at once or when something is newer.
+    pub async fn watch(&self, watch: &WatchView) -> Response {
+        let mut since = match watch.mark.session == self.session {
+            true => watch.mark.revision,
+            false => 0,
+        };
+        let wait = Duration::from_millis(u64::from(watch.wait_ms)).min(LONGEST_WAIT);
+        let ends = Instant::now() + wait;
+        loop {
+            let woken = {
+                let mut state = self.lock();
+                let watcher = Watcher {
+                    kind: watch.kind,
+                    at: Instant::now(),
+                };
+                state.watchers.insert(watch.node, watcher);
+                since = since.min(state.revision);
+                if state.revision > since || Instant::now() >= ends {
+                    return self.response(&state, since);
+                }
+                state.woken.clone()
+            };
+            let late = async {
+                Timer::at(ends).await;
+            };
+            let change = async {
+                let _closed = woken.recv().await;
+            };
+            future::or(change, late).await;
+        }
+    }
+
+    fn response(&self, state: &State, since: u64) -> Response {
+        let update = state.update_after(since);
+        Response::View {
+            mark: ViewMark {
+                session: self.session,
+                revision: state.revision,
+            },
+            update: molespan_state::encode(&update).into(),
+        }
+    }
+}
+
+impl State {
+    fn changed(&mut self) {
+        self.revision += 1;
+        let (wake, woken) = async_channel::bounded(1);
+        self.wake.close();
+        self.wake = wake;
+        self.woken = woken;
+    }
+
+    fn count(&self, kind: WatcherKind) -> u32 {
+        let watchers = self.watchers.values();
+        watchers.filter(|watcher| watcher.kind == kind).count() as u32
+    }
+
+    fn take_configuration(&mut self, declared: &DeclaredState, change: u64) -> bool {
+        let held = self.configuration.as_ref().map(|held| held.version);
+        let Some(newest) = declared.configuration() else {
+            return false;
+        };
+        if held.is_some_and(|held| held >= newest.version) {
+            return false;
+        }
+        self.configuration = Some(ConfigurationInForce {
+            version: newest.version,
+            model: newest.model.clone(),
+        });
+        self.configuration_changed = change;
+        true
+    }
+
+    fn take_departures(&mut self, declared: &DeclaredState, change: u64) -> bool {
+        let mut changed = false;
+        for (engine, departure) in declared.departures().iter() {
+            let known = self.departures.get(engine).map(|(known, _)| *known);
+            if known.is_none_or(|known| known < departure) {
+                self.departures
+                    .insert(engine.to_owned(), (departure, change));
+                self.registry.remove(engine);
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    fn take_topology(
+        &mut self,
+        declared: &DeclaredState,
+        control: BTreeSet<NodeId>,
+        change: u64,
+    ) -> bool {
+        let stores = declared.stores();
+        let topology = Topology {
+            control,
+            stores: stores.nodes().keys().copied().collect(),
+            founders: stores.founders().clone(),
+            retiring: stores.retiring(),
+            gateways: self.topology.gateways,
+        };
+        if topology == self.topology {
+            return false;
+        }
+        self.topology = topology;
+        self.topology_changed = change;
+        true
+    }
+
+    fn update_after(&self, since: u64) -> ViewUpdate {
+        let configuration = self.configuration.clone();
+        let departures = self.departures.iter();
+        let departures = departures.filter(|(_, (_, changed))| *changed > since);
+        ViewUpdate {
+            configuration: configuration.filter(|_| self.configuration_changed > since),
+            engines: self.registry.changed_after(since),
+            departures: departures
+                .map(|(engine, (departure, _))| (engine.clone(), *departure))
+                .collect(),
+            lost: self.registry.lost_after(since),
+            topology: (self.topology_changed > since).then(|| self.topology.clone()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/control/mod.rs
@@ -0,0 +1,12 @@
+//! The control node.
+
+mod api;
+mod dialect;
+mod hub;
+mod node;
+mod registry;
+
+pub use dialect::{CallProblem, ControlCall, ControlDialect, ControlOutcome, EngineHeartbeat};
+pub use hub::Hub;
+pub use node::{ControlNode, ControlOptions};
+pub use registry::Registry;
--- /dev/null
+++ b/crates/fleet/src/control/node.rs
@@ -0,0 +1,272 @@
+//! A control node put together: its replica, its view, its interfaces.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::{Executor, LocalExecutor};
+use async_io::Timer;
+use futures_lite::future;
+use molespan_daemon::DaemonError;
+use molespan_daemon::cluster::{Cluster, PeerTransport, WireTransport};
+use molespan_daemon::local_transport::LocalTransport;
+use molespan_daemon::replica::{DiscoveryOptions, ReplicaContext, ReplicaOptions, ReplicaRole};
+use molespan_http::h1;
+use molespan_replica::Discovery;
+use molespan_state::control::{ControlAnswer, ControlQuery};
+use molespan_telemetry::{EventBuffer, Metrics, part_logger};
+use molespan_types::{GroupId, NodeId, Timestamp};
+use molespan_wire::{Consistency, Handler, Request, Response, Server, ServerLimits};
+use slog::{Logger, info};
+
+use super::api::ControlApi;
+use super::dialect::ControlDialect;
+use super::hub::Hub;
+use crate::membership::{ClusterAddresses, cluster};
+use crate::view::EngineRecord;
+
+/// Time between two rounds of telling the other control nodes.
+const ROUND: Duration = Duration::from_secs(1);
+/// Decision events kept; nobody watches them on this node yet.
+const EVENTS: usize = 256;
+
+/// What a control node is started with.
+#[derive(Clone, Debug)]
+pub struct ControlOptions {
+    /// Where the nodes are.
+    pub addresses: ClusterAddresses,
+    /// Where engines and operators call.
+    pub api_address: SocketAddr,
+    /// Folder of what must survive.
+    pub data_folder: PathBuf,
+    /// Whether the disks of all control nodes are blank for the first time, so
+    /// that the seeds found the group.
+    pub first_start: bool,
+    /// Losses of machines that are to be borne at once.
+    pub tolerated_losses: u32,
+    /// An engine that is silent for longer is lost.
+    pub engine_silence: Duration,
+    /// Bound of handing leadership over before a planned stop.
+    pub hand_over_within: Duration,
+}
+
+impl ControlOptions {
+    /// Voters of a group that bears the losses.
+    #[must_use]
+    pub fn voters(&self) -> usize {
+        2 * self.tolerated_losses as usize + 1
+    }
+
+    fn discovery(&self) -> Discovery {
+        let seeds: BTreeSet<NodeId> = self.addresses.seeds.iter().copied().collect();
+        let mut discovery = Discovery::new(GroupId::CONTROL);
+        discovery.voters = self.voters();
+        discovery.contacts.clone_from(&seeds);
+        if self.first_start {
+            discovery.founders = seeds;
+        }
+        discovery
+    }
+
+    fn replica(&self) -> ReplicaOptions {
+        ReplicaOptions {
+            discovery: Some(DiscoveryOptions {
+                members: self.discovery(),
+                port: self.addresses.port,
+            }),
+            hand_over_within: self.hand_over_within,
+            segment_bytes: 4 << 20,
+            ..ReplicaOptions::new(self.addresses.own, Vec::new(), self.data_folder.clone())
+        }
+    }
+}
+
+/// A running control node.
+pub struct ControlNode {
+    replica: Arc<ReplicaRole>,
+    hub: Arc<Hub>,
+    wire: Arc<WireTransport>,
+    logger: Logger,
+    own: NodeId,
+}
+
+/// Answers other nodes.
+struct PeerHandler {
+    replica: Arc<ReplicaRole>,
+    hub: Arc<Hub>,
+}
+
+impl Handler for PeerHandler {
+    async fn call(&self, request: Request) -> Response {
+        match request {
+            Request::WatchView(watch) => self.hub.watch(&watch).await,
+            other => self.replica.handle_peer(other).await,
+        }
+    }
+
+    fn notify(&self, request: Request) {
+        match request {
+            Request::EnginesHeard { records } => {
+                let records = molespan_state::decode::<Vec<EngineRecord>>(&records);
+                for record in records.unwrap_or_default() {
+                    self.hub.hear(record);
+                }
+            }
+            other => self.replica.notify(other),
+        }
+    }
+}
+
+impl ControlNode {
+    /// Starts a control node; its work is done on `executor` and `local`.
+    ///
+    /// # Errors
+    /// When the data folder or an address cannot be used.
+    pub fn start<D: ControlDialect>(
+        options: &ControlOptions,
+        dialect: D,
+        executor: &Arc<Executor<'static>>,
+        local: &Rc<LocalExecutor<'static>>,
+        logger: &Logger,
+    ) -> Result<Rc<Self>, DaemonError> {
+        let own = options.addresses.own;
+        let replica = Arc::new(ReplicaRole::start(ReplicaContext {
+            options: options.replica(),
+            executor: executor.clone(),
+            logger: logger.clone(),
+            metrics: Metrics::default(),
+            events: EventBuffer::new(own, EVENTS),
+        })?);
+        let logger = part_logger(logger, "control");
+        let hub = Arc::new(Hub::new(options.engine_silence));
+        let wire = options.addresses.transport(executor);
+        let transport: Arc<dyn PeerTransport> = Arc::new(LocalTransport {
+            own,
+            replica: replica.clone(),
+            others: wire.clone(),
+        });
+        let cluster = cluster(transport, nearest_first(&options.addresses));
+        let server = Server::bind(options.addresses.own_address(), ServerLimits::default())?;
+        let handler = PeerHandler {
+            replica: replica.clone(),
+            hub: hub.clone(),
+        };
+        executor
+            .spawn(server.serve(executor.clone(), Arc::new(handler)))
+            .detach();
+        let api = ControlApi {
+            dialect,
+            hub: hub.clone(),
+            cluster: cluster.clone(),
+            store_replicas: options.voters() as u32,
+            logger: logger.clone(),
+        };
+        let listener = h1::listen(options.api_address).map_err(DaemonError::Listen)?;
+        local
+            .spawn(h1::serve_listener(listener, local.clone(), Rc::new(api)))
+            .detach();
+        let node = Rc::new(Self {
+            replica,
+            hub,
+            wire,
+            logger,
+            own,
+        });
+        let following = node.clone();
+        local
+            .spawn(async move { following.follow(&cluster).await })
+            .detach();
+        let rounds = node.clone();
+        local.spawn(async move { rounds.rounds().await }).detach();
+        info!(node.logger, "started"; "node" => own.address().to_string(),
+            "first_start" => options.first_start);
+        Ok(node)
+    }
+
+    /// Keeps the view as new as what the replica has applied.
+    async fn follow(&self, cluster: &Cluster) {
+        loop {
+            self.refresh(cluster).await;
+            let late = async {
+                Timer::after(ROUND).await;
+            };
+            future::or(self.replica.changed(), late).await;
+        }
+    }
+
+    async fn refresh(&self, cluster: &Cluster) {
+        let request = Request::Query {
+            group: GroupId::CONTROL,
+            consistency: Consistency::Local,
+            query: molespan_state::encode(&ControlQuery::Declared).into(),
+        };
+        let Response::Answered { answer } = self.replica.handle_peer(request).await else {
+            return;
+        };
+        let Ok(ControlAnswer::Declared(declared)) = molespan_state::decode(&answer) else {
+            return;
+        };
+        let control = self.members().await;
+        if !control.is_empty() {
+            let mut replicas: Vec<NodeId> = control.iter().copied().collect();
+            replicas.sort_by_key(|&node| node != self.own);
+            cluster.set_replicas(replicas);
+        }
+        self.hub.take(&declared, control);
+    }
+
+    async fn members(&self) -> BTreeSet<NodeId> {
+        let status = self.replica.status().await;
+        let groups = status.map(|status| status.groups).unwrap_or_default();
+        let voters = groups.iter().flat_map(|group| &group.voters);
+        voters.map(|(node, _)| *node).collect()
+    }
+
+    /// Tells the other control nodes which engines were heard, so that each
+    /// knows all of them whichever they call.
+    async fn rounds(&self) {
+        let mut told = Timestamp::ZERO;
+        loop {
+            Timer::after(ROUND).await;
+            self.hub.expire();
+            let now = self.hub.now();
+            let heard = self.hub.heard_since(told);
+            told = now;
+            if heard.is_empty() {
+                continue;
+            }
+            let records = molespan_state::encode(&heard);
+            for node in self.members().await {
+                if node != self.own {
+                    let records = records.clone().into();
+                    self.wire.send(node, Request::EnginesHeard { records });
+                }
+            }
+        }
+    }
+
+    /// Ends once the replica cannot go on.
+    pub async fn failed(&self) {
+        let _error = self.replica.ended().await;
+    }
+
+    /// Hands leadership over and stops.
+    pub async fn stop(&self) {
+        let handed = self.replica.stop().await;
+        info!(self.logger, "stopped"; "handed_over" => handed.handed_over.len());
+    }
+}
+
+fn nearest_first(addresses: &ClusterAddresses) -> Vec<NodeId> {
+    let mut nodes = vec![addresses.own];
+    nodes.extend(
+        addresses
+            .seeds
+            .iter()
+            .filter(|&&node| node != addresses.own),
+    );
+    nodes
+}
--- /dev/null
+++ b/crates/fleet/src/membership.rs
@@ -0,0 +1,61 @@
+//! How the nodes of a cluster address one another.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::Executor;
+use molespan_daemon::cluster::{Cluster, ClusterLimits, PeerTransport, WireTransport};
+use molespan_types::NodeId;
+use molespan_wire::ClientLimits;
+
+/// Where the nodes are: each is named by its address, and all listen on one
+/// port for one another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClusterAddresses {
+    /// This node.
+    pub own: NodeId,
+    /// Port for other nodes.
+    pub port: u16,
+    /// Control nodes to begin with; others are learnt from them.
+    pub seeds: Vec<NodeId>,
+}
+
+impl ClusterAddresses {
+    /// Where this node listens for others.
+    #[must_use]
+    pub fn own_address(&self) -> SocketAddr {
+        SocketAddr::from((self.own.address(), self.port))
+    }
+
+    /// A transport to every node.
+    #[must_use]
+    pub fn transport(&self, executor: &Arc<Executor<'static>>) -> Arc<WireTransport> {
+        let limits = ClientLimits {
+            connect_timeout: Duration::from_millis(500),
+            silence_limit: Duration::from_millis(1_500),
+            longest_pause: Duration::from_millis(250),
+            ..ClientLimits::default()
+        };
+        let seed = rand::random();
+        Arc::new(WireTransport::between_addresses(
+            executor.clone(),
+            self.port,
+            limits,
+            seed,
+        ))
+    }
+}
+
+/// A client of the groups on `replicas`, which may change.
+#[must_use]
+pub fn cluster(transport: Arc<dyn PeerTransport>, replicas: Vec<NodeId>) -> Arc<Cluster> {
+    let limits = ClusterLimits {
+        first_call_timeout: Duration::from_millis(300),
+        call_timeout: Duration::from_secs(1),
+        deadline: Duration::from_secs(3),
+        first_pause: Duration::from_millis(5),
+        longest_pause: Duration::from_millis(100),
+    };
+    Arc::new(Cluster::new(transport, replicas, limits))
+}
--- /dev/null
+++ b/crates/fleet/src/store/node.rs
@@ -0,0 +1,439 @@
+//! A store node put together: its replica, the items that it hands out while
+//! it leads, and what it hears from the control nodes.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use async_channel::{Receiver, Sender};
+use async_executor::{Executor, LocalExecutor};
+use async_io::Timer;
+use futures_lite::future;
+use molespan_daemon::DaemonError;
+use molespan_daemon::cluster::Cluster;
+use molespan_daemon::replica::{DiscoveryOptions, ReplicaContext, ReplicaOptions, ReplicaRole};
+use molespan_replica::{Discovery, ReplicaStatus};
+use molespan_state::batch::{BatchAnswer, BatchCommand, BatchQuery, ItemReference, OpenWork};
+use molespan_state::declared::{DeclaredCommand, RegisterStore};
+use molespan_telemetry::{EventBuffer, Metrics, part_logger};
+use molespan_types::{GroupId, NodeId, RunOutcome, Timestamp, ZoneName};
+use molespan_wire::{
+    Consistency, Handler, Request, Response, Server, ServerLimits, TakeItems, WatcherKind,
+};
+use slog::{Logger, info, warn};
+
+use super::handout::Handout;
+use crate::membership::{ClusterAddresses, cluster};
+use crate::view::{Topology, ViewUpdate};
+use crate::watch::{ViewSink, ViewWatcher};
+
+/// Time between two rounds of upkeep.
+const ROUND: Duration = Duration::from_millis(500);
+/// How long the first start waits for enough stores.
+const FOUNDING_PATIENCE: Duration = Duration::from_secs(5);
+/// A gateway that is silent for longer loses its items.
+const LEASE: Duration = Duration::from_millis(2_500);
+/// How long a new leader listens before it hands items out.
+const WARM_UP: Duration = Duration::from_millis(700);
+/// Open items that are looked at for one call.
+const OPEN_LIMIT: u32 = 1_024;
+/// Time for a registration.
+const REGISTER_DEADLINE: Duration = Duration::from_secs(2);
+/// Decision events kept; nobody watches them on this node yet.
+const EVENTS: usize = 256;
+/// Rounds between two looks for jobs that nobody may ask for any more.
+const ROUNDS_A_CLEANING: u32 = 20;
+
+/// What a store node is started with.
+#[derive(Clone, Debug)]
+pub struct StoreOptions {
+    /// Where the nodes are.
+    pub addresses: ClusterAddresses,
+    /// Name that operators use.
+    pub name: String,
+    /// Where it stands.
+    pub zone: ZoneName,
+    /// Folder of what must survive.
+    pub data_folder: PathBuf,
+    /// Losses of machines that are to be borne at once.
+    pub tolerated_losses: u32,
+    /// Jobs are kept for this long after they were submitted.
+    pub keep_jobs_for: Duration,
+    /// Bound of handing leadership over before a planned stop.
+    pub hand_over_within: Duration,
+}
+
+impl StoreOptions {
+    fn replicas(&self) -> u32 {
+        2 * self.tolerated_losses + 1
+    }
+
+    fn replica(&self) -> ReplicaOptions {
+        let mut members = Discovery::new(GroupId::BATCH);
+        members.voters = self.replicas() as usize;
+        ReplicaOptions {
+            discovery: Some(DiscoveryOptions {
+                members,
+                port: self.addresses.port,
+            }),
+            hand_over_within: self.hand_over_within,
+            segment_bytes: 4 << 20,
+            ..ReplicaOptions::new(self.addresses.own, Vec::new(), self.data_folder.clone())
+        }
+    }
+}
+
+/// Answers other nodes.
+struct PeerHandler {
+    own: NodeId,
+    replica: Arc<ReplicaRole>,
+    started: Instant,
+    /// Set while this node leads.
+    handout: Mutex<Option<Handout>>,
+    /// Closed and renewed when something changed in the jobs.
+    woken: Mutex<(Sender<()>, Receiver<()>)>,
+}
+
+impl Handler for PeerHandler {
+    async fn call(&self, request: Request) -> Response {
+        match request {
+            Request::TakeItems(ask) => self.take_items(&ask).await,
+            other => self.replica.handle_peer(other).await,
+        }
+    }
+
+    fn notify(&self, request: Request) {
+        self.replica.notify(request);
+    }
+}
+
+impl PeerHandler {
+    fn now(&self) -> Timestamp {
+        Timestamp(self.started.elapsed().as_micros() as u64)
+    }
+
+    async fn query(&self, query: &BatchQuery, consistency: Consistency) -> Option<BatchAnswer> {
+        let request = Request::Query {
+            group: GroupId::BATCH,
+            consistency,
+            query: molespan_state::encode(query).into(),
+        };
+        match self.replica.handle_peer(request).await {
+            Response::Answered { answer } => molespan_state::decode(&answer).ok(),
+            _ => None,
+        }
+    }
+
+    /// Hands items out, at once or when some come.
+    async fn take_items(&self, ask: &TakeItems) -> Response {
+        let ends = Instant::now() + Duration::from_millis(u64::from(ask.wait_ms));
+        loop {
+            let woken = self
+                .woken
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .1
+                .clone();
+            if self.replica.leader(GroupId::BATCH) != Some(self.own) {
+                return self.not_leader().await;
+            }
+            let limit = OPEN_LIMIT;
+            let open = self
+                .query(&BatchQuery::Open { limit }, Consistency::Local)
+                .await;
+            let Some(BatchAnswer::Open(open)) = open else {
+                return unavailable();
+            };
+            let (taken, stop) = self.hand_out(ask, &open);
+            let idle = taken.is_empty() && stop.is_empty();
+            if !idle || Instant::now() >= ends {
+                return self.items(taken, &stop).await;
+            }
+            let late = async {
+                Timer::at(ends).await;
+            };
+            let change = async {
+                let _closed = woken.recv().await;
+            };
+            future::or(change, late).await;
+        }
+    }
+
+    fn hand_out(
+        &self,
+        ask: &TakeItems,
+        open: &OpenWork,
+    ) -> (Vec<ItemReference>, Vec<ItemReference>) {
+        let now = self.now();
+        let held = ask.held.iter();
+        let running = held
+            .map(|&(job, place)| ItemReference { job, place })
+            .collect();
+        let mut handout = self.handout.lock().unwrap_or_else(PoisonError::into_inner);
+        let handout = handout.get_or_insert_with(|| Handout::new(now, LEASE, WARM_UP));
+        let stop = handout.renew(now, ask.node, &running, open);
+        let taken = handout.take(now, ask.node, ask.capacity as usize, open);
+        (taken, stop)
+    }
+
+    async fn items(&self, items: Vec<ItemReference>, stop: &[ItemReference]) -> Response {
+        let found = match items.is_empty() {
+            true => Some(BatchAnswer::Items(Vec::new())),
+            false => {
+                self.query(&BatchQuery::Items { items }, Consistency::Local)
+                    .await
+            }
+        };
+        match found {
+            Some(BatchAnswer::Items(items)) => Response::Items {
+                items: molespan_state::encode(&items).into(),
+                stop: stop.iter().map(|item| (item.job, item.place)).collect(),
+            },
+            _ => unavailable(),
+        }
+    }
+
+    /// Says who leads, in the words of the replica itself.
+    async fn not_leader(&self) -> Response {
+        let query = BatchQuery::Open { limit: 0 };
+        let request = Request::Query {
+            group: GroupId::BATCH,
+            consistency: Consistency::Linearizable,
+            query: molespan_state::encode(&query).into(),
+        };
+        match self.replica.handle_peer(request).await {
+            Response::Answered { .. } => unavailable(),
+            refusal => refusal,
+        }
+    }
+
+    /// Wakes those that wait for items, and forgets what was handed out when
+    /// this node does not lead.
+    fn changed(&self) {
+        let mut woken = self.woken.lock().unwrap_or_else(PoisonError::into_inner);
+        woken.0.close();
+        *woken = async_channel::bounded(1);
+    }
+
+    fn note_leadership(&self) -> bool {
+        let leads = self.replica.leader(GroupId::BATCH) == Some(self.own);
+        if !leads {
+            *self.handout.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        }
+        leads
+    }
+}
+
+fn unavailable() -> Response {
+    Response::Refused {
+        outcome: RunOutcome::NotRun,
+        message: "the batch group cannot be read now".to_owned(),
+        retry_after_ms: 50,
+    }
+}
+
+/// A running store node.
+pub struct StoreNode {
+    options: StoreOptions,
+    replica: Arc<ReplicaRole>,
+    handler: Arc<PeerHandler>,
+    control: Arc<Cluster>,
+    topology: RefCell<Topology>,
+    /// Life of the disk that the control group knows.
+    registered: RefCell<Option<u32>>,
+    logger: Logger,
+}
+
+impl ViewSink for StoreNode {
+    fn update(&self, _from: NodeId, update: ViewUpdate) {
+        let Some(topology) = update.topology else {
+            return;
+        };
+        if !topology.founders.is_empty() {
+            self.replica.found(topology.founders.clone());
+        }
+        let contacts = topology.stores.clone();
+        self.replica
+            .set_members(contacts, topology.retiring.clone());
+        if !topology.control.is_empty() {
+            let control = topology.control.iter().copied().collect();
+            self.control.set_replicas(control);
+        }
+        *self.topology.borrow_mut() = topology;
+    }
+}
+
+impl StoreNode {
+    /// Starts a store node; its work is done on `executor` and `local`.
+    ///
+    /// # Errors
+    /// When the data folder or an address cannot be used.
+    pub fn start(
+        options: StoreOptions,
+        executor: &Arc<Executor<'static>>,
+        local: &Rc<LocalExecutor<'static>>,
+        logger: &Logger,
+    ) -> Result<Rc<Self>, DaemonError> {
+        let own = options.addresses.own;
+        let replica = Arc::new(ReplicaRole::start(ReplicaContext {
+            options: options.replica(),
+            executor: executor.clone(),
+            logger: logger.clone(),
+            metrics: Metrics::default(),
+            events: EventBuffer::new(own, EVENTS),
+        })?);
+        let handler = Arc::new(PeerHandler {
+            own,
+            replica: replica.clone(),
+            started: Instant::now(),
+            handout: Mutex::new(None),
+            woken: Mutex::new(async_channel::bounded(1)),
+        });
+        let server = Server::bind(options.addresses.own_address(), ServerLimits::default())?;
+        executor
+            .spawn(server.serve(executor.clone(), handler.clone()))
+            .detach();
+        let wire = options.addresses.transport(executor);
+        let logger = part_logger(logger, "store");
+        let node = Rc::new(Self {
+            control: cluster(wire.clone(), options.addresses.seeds.clone()),
+            replica,
+            handler,
+            topology: RefCell::default(),
+            registered: RefCell::default(),
+            logger: logger.clone(),
+            options,
+        });
+        let addresses = &node.options.addresses;
+        let kind = WatcherKind::Store;
+        let seeds = &addresses.seeds;
+        let _watcher = ViewWatcher::start(own, kind, seeds, wire, local, logger, node.clone());
+        let waking = node.clone();
+        local.spawn(async move { waking.wake().await }).detach();
+        let upkeep = node.clone();
+        local.spawn(async move { upkeep.upkeep().await }).detach();
+        info!(node.logger, "started"; "node" => own.address().to_string());
+        Ok(node)
+    }
+
+    async fn wake(&self) {
+        loop {
+            self.replica.changed().await;
+            self.handler.changed();
+        }
+    }
+
+    async fn upkeep(&self) {
+        let started = Instant::now();
+        let mut rounds = 0_u32;
+        loop {
+            if let Some(status) = self.replica.status().await {
+                self.register(&status, started.elapsed()).await;
+                if self.handler.note_leadership() {
+                    self.complete_retirements(&status).await;
+                    if rounds.is_multiple_of(ROUNDS_A_CLEANING) {
+                        self.forget_old_jobs().await;
+                    }
+                }
+            }
+            rounds = rounds.wrapping_add(1);
+            Timer::after(ROUND).await;
+        }
+    }
+
+    /// Tells the control group of this life of the disk, and founds with fewer
+    /// stores after a while.
+    async fn register(&self, status: &ReplicaStatus, waited: Duration) {
+        let founded = !self.topology.borrow().founders.is_empty();
+        let patience_over = !founded && waited >= FOUNDING_PATIENCE;
+        let known = *self.registered.borrow() == Some(status.incarnation);
+        if known && !patience_over {
+            return;
+        }
+        let command = DeclaredCommand::RegisterStore(RegisterStore {
+            node: status.node,
+            name: self.options.name.clone(),
+            zone: self.options.zone.clone(),
+            incarnation: status.incarnation,
+            replicas: self.options.replicas(),
+            patience_over,
+        });
+        match self
+            .control
+            .change_declared(command, REGISTER_DEADLINE)
+            .await
+        {
+            Ok(_) => {
+                info!(self.logger, "registered"; "incarnation" => status.incarnation);
+                *self.registered.borrow_mut() = Some(status.incarnation);
+            }
+            Err(error) => warn!(self.logger, "not registered"; "error" => %error),
+        }
+    }
+
+    /// Says of each store that was to be emptied that it is, once it has no
+    /// place in the group.
+    async fn complete_retirements(&self, status: &ReplicaStatus) {
+        let retiring = self.topology.borrow().retiring.clone();
+        let Some(group) = status.groups.first().filter(|group| group.leads) else {
+            return;
+        };
+        let members: BTreeSet<NodeId> = group
+            .voters
+            .iter()
+            .chain(&group.learners)
+            .map(|(node, _)| *node)
+            .collect();
+        let whole = group.voters.len() >= self.options.replicas() as usize;
+        for node in retiring {
+            if whole && !members.contains(&node) {
+                let command = DeclaredCommand::RetirementCompleted { node };
+                let noted = self
+                    .control
+                    .change_declared(command, REGISTER_DEADLINE)
+                    .await;
+                info!(self.logger, "store is empty"; "node" => node.address().to_string(),
+                    "noted" => noted.is_ok());
+            }
+        }
+    }
+
+    async fn forget_old_jobs(&self) {
+        let ages = self
+            .handler
+            .query(&BatchQuery::Ages, Consistency::Local)
+            .await;
+        let Some(BatchAnswer::Ages(ages)) = ages else {
+            return;
+        };
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let keep = self.options.keep_jobs_for.as_millis() as u64;
+        let limit = (now.as_millis() as u64).saturating_sub(keep);
+        for (job, submitted_ms) in ages {
+            if submitted_ms >= limit {
+                continue;
+            }
+            let request = Request::Propose {
+                group: GroupId::BATCH,
+                command: molespan_state::encode(&BatchCommand::Forget { job }).into(),
+            };
+            let _next_time = self.replica.handle_peer(request).await;
+        }
+    }
+
+    /// Ends once the replica cannot go on.
+    pub async fn failed(&self) {
+        let _error = self.replica.ended().await;
+    }
+
+    /// Hands leadership over and stops.
+    pub async fn stop(&self) {
+        let handed = self.replica.stop().await;
+        info!(self.logger, "stopped"; "handed_over" => handed.handed_over.len());
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/view.rs
@@ -0,0 +1,94 @@
+//! What control nodes tell the other nodes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use minicbor::{Decode, Encode};
+use molespan_state::declared::{Departure, ServingModel};
+use molespan_types::{NodeId, ZoneName};
+
+/// An engine as its heartbeats describe it.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct EngineRecord {
+    /// Identifier of its incarnation.
+    #[n(0)]
+    pub id: String,
+    /// Service that it belongs to.
+    #[n(1)]
+    pub service: String,
+    /// Address that it serves on.
+    #[n(2)]
+    pub address: String,
+    /// Where it stands.
+    #[n(3)]
+    pub zone: ZoneName,
+    /// Requests that it runs at the same time.
+    #[n(4)]
+    pub slots: u32,
+    /// Rises with each heartbeat, so that a late one can be told.
+    #[n(5)]
+    pub sequence: u64,
+    /// How much longer it is slow from its start, in milliseconds.
+    #[n(6)]
+    pub cold_left_ms: u32,
+}
+
+impl EngineRecord {
+    /// Whether a heartbeat says the same but for its sequence.
+    pub(crate) fn is_same_engine(&self, other: &Self) -> bool {
+        self.service == other.service
+            && self.address == other.address
+            && self.zone == other.zone
+            && self.slots == other.slots
+    }
+}
+
+/// The configuration in force.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ConfigurationInForce {
+    /// The operator's number.
+    #[n(0)]
+    pub version: u64,
+    /// What it says.
+    #[n(1)]
+    pub model: ServingModel,
+}
+
+/// What the control nodes say of the cluster itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Topology {
+    /// Nodes that hold the control group.
+    #[n(0)]
+    pub control: BTreeSet<NodeId>,
+    /// Nodes that can hold batch jobs.
+    #[n(1)]
+    pub stores: BTreeSet<NodeId>,
+    /// First voters of the batch group, with the lives of their disks.
+    #[n(2)]
+    pub founders: BTreeMap<NodeId, u32>,
+    /// Stores that are to be emptied.
+    #[n(3)]
+    pub retiring: BTreeSet<NodeId>,
+    /// Gateways that were heard of lately.
+    #[n(4)]
+    pub gateways: u32,
+}
+
+/// Changes since what a node was told before.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct ViewUpdate {
+    /// The configuration, if another one came into force.
+    #[n(0)]
+    pub configuration: Option<ConfigurationInForce>,
+    /// Engines that are new or changed.
+    #[n(1)]
+    pub engines: Vec<EngineRecord>,
+    /// Engines that leave.
+    #[n(2)]
+    pub departures: Vec<(String, Departure)>,
+    /// Engines that fell silent, or whose address another one took.
+    #[n(3)]
+    pub lost: Vec<String>,
+    /// The cluster, if anything of it changed.
+    #[n(4)]
+    pub topology: Option<Topology>,
+}
--- /dev/null
+++ b/crates/proxy/src/attempt.rs
@@ -0,0 +1,268 @@
+//! One attempt: a request is sent to one engine, and the head of its answer
+//! read.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use derive_more::Display;
+use futures_lite::future;
+use molespan_http::h1::{
+    self, BodyReader, Connection, Framing, HeadError, Headers, ResponseHead, SocketOptions,
+};
+use molespan_routing::dispatch::{EngineFacts, Failure, WorkClass};
+
+use crate::dialect::{EngineAnswer, EngineCall, GatewayDialect};
+use crate::state::{GatewayState, Occupied};
+
+/// Longest time for a new connection to an engine.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest head of an answer.
+const HEAD_BYTES: usize = 64 << 10;
+/// Late answers to earlier requests that are passed over on one connection.
+const MOST_LATE_ANSWERS: usize = 3;
+/// Longest late answer that is passed over.
+const LATE_ANSWER_BYTES: u64 = 1 << 20;
+
+/// A request as it goes to engines.
+#[derive(Clone, Debug)]
+pub(crate) struct Outbound {
+    /// Its identifier.
+    pub id: String,
+    pub method: String,
+    pub target: String,
+    /// Headers that are not of one connection alone.
+    pub headers: Headers,
+    pub body: Vec<u8>,
+    pub class: WorkClass,
+}
+
+/// An answer whose head was read.
+pub(crate) struct EngineReply {
+    pub head: ResponseHead,
+    pub facts: EngineAnswer,
+    pub body: EngineBody,
+}
+
+/// The rest of an answer.
+pub(crate) struct EngineBody {
+    pub engine: String,
+    pub connection: Connection,
+    pub reader: BodyReader,
+    pub framing: Framing,
+    /// Whether the connection may be used again.
+    reusable: bool,
+    keep_alive: Option<Duration>,
+    _occupied: Occupied,
+}
+
+impl EngineBody {
+    /// Gives the connection back if the answer was read to its end.
+    pub fn finish(self, state: &GatewayState) {
+        if self.reusable && self.reader.has_ended() {
+            state
+                .pool
+                .put(&self.engine, self.connection, self.keep_alive);
+        }
+    }
+}
+
+/// Why an attempt has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub(crate) enum AttemptFailure {
+    /// The engine could not be reached; nothing was sent.
+    #[display("unreachable")]
+    Unreachable,
+    /// The engine broke off; it may have run the request.
+    #[display("broken off")]
+    Broken,
+    /// The engine was silent for too long; it may have run the request.
+    #[display("silent")]
+    Silent,
+}
+
+impl AttemptFailure {
+    /// Whether the engine may have run the request.
+    pub fn may_have_run(self) -> bool {
+        self != Self::Unreachable
+    }
+
+    fn as_engine_failure(self) -> Failure {
+        match self {
+            Self::Unreachable => Failure::Unreachable,
+            Self::Broken => Failure::Broken,
+            Self::Silent => Failure::Silent,
+        }
+    }
+}
+
+/// Bounds of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptLimits {
+    /// When the request's time is over.
+    pub ends: Instant,
+    /// Longest silence before the head of the answer; none where nothing would
+    /// be gained by going elsewhere.
+    pub silence: Option<Duration>,
+    /// Last event that is there already.
+    pub after_event: Option<u64>,
+}
+
+/// Sends a request to `engine` and reads the head of the answer.
+pub(crate) async fn attempt<D: GatewayDialect>(
+    state: &Rc<GatewayState>,
+    dialect: &D,
+    engine: &EngineFacts,
+    outbound: &Outbound,
+    limits: AttemptLimits,
+) -> Result<EngineReply, AttemptFailure> {
+    let occupied = state.occupy(&engine.id, outbound.class);
+    let result = try_attempt(state, dialect, engine, outbound, limits, occupied).await;
+    let mut engines = state.engines.borrow_mut();
+    match &result {
+        Ok(reply) => note_answer(&mut engines, &engine.id, reply, state),
+        Err(failure) => engines.failed(&engine.id, failure.as_engine_failure(), state.now()),
+    }
+    result
+}
+
+fn note_answer(
+    engines: &mut molespan_routing::dispatch::EngineTable,
+    engine: &str,
+    reply: &EngineReply,
+    state: &GatewayState,
+) {
+    let now = state.now();
+    if let Some(load) = reply.facts.load {
+        engines.report(engine, load, now);
+    }
+    if reply.facts.displaced {
+        engines.displaced(engine, now);
+        state.pool.forget(engine);
+    } else if reply.facts.not_run {
+        engines.failed(engine, Failure::Full, now);
+    } else if reply.head.status < 500 {
+        engines.succeeded(engine);
+    }
+}
+
+async fn try_attempt<D: GatewayDialect>(
+    state: &Rc<GatewayState>,
+    dialect: &D,
+    engine: &EngineFacts,
+    outbound: &Outbound,
+    limits: AttemptLimits,
+    occupied: Occupied,
+) -> Result<EngineReply, AttemptFailure> {
+    let mut connection = match state.pool.take(&engine.id).await {
+        Some(connection) => connection,
+        None => connect(engine, limits.ends).await?,
+    };
+    // The engine may have left while the connection came up.
+    if !state.engines.borrow().is_present(&engine.id) {
+        return Err(AttemptFailure::Unreachable);
+    }
+    let message = message(dialect, engine, outbound, limits);
+    let mut sent = false;
+    let exchange = exchange(dialect, outbound, &mut connection, &message, &mut sent);
+    let late = async {
+        let silent = limits.silence.map(|silence| Instant::now() + silence);
+        Timer::at(silent.map_or(limits.ends, |silent| silent.min(limits.ends))).await;
+        Err(AttemptFailure::Silent)
+    };
+    let (head, facts) = future::or(exchange, late).await?;
+    let Some(framing) = Framing::of_response(&head, &outbound.method) else {
+        return Err(AttemptFailure::Broken);
+    };
+    let body = EngineBody {
+        engine: engine.id.clone(),
+        reader: BodyReader::new(framing),
+        framing,
+        reusable: sent && head.keeps_alive() && framing != Framing::UntilClose,
+        keep_alive: facts.keep_alive,
+        connection,
+        _occupied: occupied,
+    };
+    Ok(EngineReply { head, facts, body })
+}
+
+async fn connect(engine: &EngineFacts, ends: Instant) -> Result<Connection, AttemptFailure> {
+    let left = ends.saturating_duration_since(Instant::now());
+    let timeout = CONNECT_TIMEOUT.min(left);
+    let stream = h1::connect(engine.address, timeout, SocketOptions::default()).await;
+    stream
+        .map(Connection::new)
+        .map_err(|_| AttemptFailure::Unreachable)
+}
+
+fn message<D: GatewayDialect>(
+    dialect: &D,
+    engine: &EngineFacts,
+    outbound: &Outbound,
+    limits: AttemptLimits,
+) -> Vec<u8> {
+    let mut headers = outbound.headers.clone();
+    let call = EngineCall {
+        time_left: limits.ends.saturating_duration_since(Instant::now()),
+        engine: &engine.id,
+        after_event: limits.after_event,
+    };
+    dialect.address_engine(&mut headers, &call);
+    headers.set("Content-Length", outbound.body.len().to_string());
+    let mut message = h1::encode_request(&outbound.method, &outbound.target, &headers);
+    message.extend_from_slice(&outbound.body);
+    message
+}
+
+/// Sends the message while reading, since an engine may answer before it has
+/// read all of it. `sent` tells whether all of it was sent by then.
+async fn exchange<D: GatewayDialect>(
+    dialect: &D,
+    outbound: &Outbound,
+    connection: &mut Connection,
+    message: &[u8],
+    sent: &mut bool,
+) -> Result<(ResponseHead, EngineAnswer), AttemptFailure> {
+    let stream = connection.clone_stream();
+    let send = async {
+        if h1::write(&stream, message).await.is_ok() {
+            *sent = true;
+        }
+        // What the engine answered before it broke off still counts.
+        future::pending().await
+    };
+    let receive = async {
+        for _ in 0..=MOST_LATE_ANSWERS {
+            let head = connection
+                .response_head(HEAD_BYTES)
+                .await
+                .map_err(failure_of)?;
+            if (100..200).contains(&head.status) {
+                continue;
+            }
+            let facts = dialect.engine_answer(&head);
+            if facts.request.as_ref().is_none_or(|id| *id == outbound.id) {
+                return Ok((head, facts));
+            }
+            pass_over(connection, &head, &outbound.method).await?;
+        }
+        Err(AttemptFailure::Broken)
+    };
+    future::or(receive, send).await
+}
+
+fn failure_of(_error: HeadError) -> AttemptFailure {
+    AttemptFailure::Broken
+}
+
+/// Reads a late answer to an earlier request to its end.
+async fn pass_over(
+    connection: &mut Connection,
+    head: &ResponseHead,
+    method: &str,
+) -> Result<(), AttemptFailure> {
+    let framing = Framing::of_response(head, method).filter(|one| *one != Framing::UntilClose);
+    let mut reader = BodyReader::new(framing.ok_or(AttemptFailure::Broken)?);
+    let body = reader.collect(connection, LATE_ANSWER_BYTES).await;
+    body.map(drop).map_err(|_| AttemptFailure::Broken)
+}
--- /dev/null
+++ b/crates/proxy/src/batch/api.rs
@@ -0,0 +1,130 @@
+//! Callers' calls on batch jobs.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use molespan_daemon::cluster::ClusterError;
+use molespan_http::h1::Answer;
+use molespan_state::batch::{BatchCommand, BatchReply, SubmitJob};
+use molespan_types::RunOutcome;
+use slog::{info, warn};
+
+use crate::dialect::{BatchCall, BatchOutcome, GatewayDialect};
+use crate::request::CallerRequest;
+use crate::state::GatewayState;
+
+/// Longest time for a job to be committed.
+const SUBMIT_DEADLINE: Duration = Duration::from_millis(1_500);
+/// Longest time for a read or an end.
+const CALL_DEADLINE: Duration = Duration::from_millis(900);
+/// Bytes of results in one answer, unless the first one is longer.
+const MAX_PAGE_BYTES: u64 = 900 << 10;
+
+/// Takes a job.
+pub(crate) async fn submit<D: GatewayDialect>(
+    state: &GatewayState,
+    dialect: &D,
+    request: &CallerRequest,
+) -> Answer {
+    let (id, items) = match dialect.submission(&request.head, &request.body) {
+        Ok(submission) => submission,
+        Err(problems) => {
+            info!(state.logger, "job refused"; "problems" => problems.join("; "));
+            return dialect.batch_answer(BatchOutcome::Malformed);
+        }
+    };
+    let count = items.len();
+    let command = BatchCommand::Submit(Box::new(SubmitJob {
+        id: id.clone(),
+        host: request.head.host(),
+        path: request.head.path().to_owned(),
+        submitted_ms: unix_ms(),
+        items,
+    }));
+    let outcome = match state.batch.change_batch(&command, SUBMIT_DEADLINE).await {
+        Ok(BatchReply::Kept) => BatchOutcome::Kept,
+        Ok(_) => BatchOutcome::Unavailable,
+        Err(error) => failed(&error),
+    };
+    info!(state.logger, "job"; "job" => id, "items" => count, "outcome" => name(&outcome));
+    dialect.batch_answer(outcome)
+}
+
+/// Milliseconds since 1970.
+pub(super) fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.unwrap_or_default().as_millis() as u64
+}
+
+/// Carries out a call that names a job.
+pub(crate) async fn call<D: GatewayDialect>(
+    state: &GatewayState,
+    dialect: &D,
+    call: BatchCall,
+) -> Answer {
+    let outcome = match call {
+        BatchCall::Results { id, after } => results(state, &id, after).await,
+        BatchCall::Body { id, item } => body(state, &id, &item).await,
+        BatchCall::End { id } => end(state, id).await,
+    };
+    dialect.batch_answer(outcome)
+}
+
+async fn results(state: &GatewayState, id: &str, after: u32) -> BatchOutcome {
+    let page = state
+        .batch
+        .batch_results(id, after, MAX_PAGE_BYTES, CALL_DEADLINE);
+    match page.await {
+        Ok(Some(page)) => BatchOutcome::Results { after, page },
+        Ok(None) => BatchOutcome::Unknown,
+        Err(error) => unreadable(state, &error),
+    }
+}
+
+async fn body(state: &GatewayState, id: &str, item: &str) -> BatchOutcome {
+    match state.batch.batch_body(id, item, CALL_DEADLINE).await {
+        Ok(Some(body)) => BatchOutcome::Body(body),
+        Ok(None) => BatchOutcome::Unknown,
+        Err(error) => unreadable(state, &error),
+    }
+}
+
+async fn end(state: &GatewayState, id: String) -> BatchOutcome {
+    let command = BatchCommand::End { id: id.clone() };
+    let outcome = match state.batch.change_batch(&command, CALL_DEADLINE).await {
+        Ok(BatchReply::Ended) => BatchOutcome::Ended,
+        Ok(BatchReply::Unknown) => BatchOutcome::Unknown,
+        Ok(_) => BatchOutcome::Unavailable,
+        Err(error) => failed(&error),
+    };
+    info!(state.logger, "job ended"; "job" => id, "outcome" => name(&outcome));
+    outcome
+}
+
+fn unreadable(state: &GatewayState, error: &ClusterError) -> BatchOutcome {
+    warn!(state.logger, "job not readable"; "error" => %error);
+    BatchOutcome::Unavailable
+}
+
+/// A change that may have been committed must not be called undone.
+fn failed(error: &ClusterError) -> BatchOutcome {
+    match error {
+        ClusterError::Unavailable {
+            outcome: RunOutcome::NotRun,
+            ..
+        } => BatchOutcome::Unavailable,
+        _ => BatchOutcome::Uncertain,
+    }
+}
+
+fn name(outcome: &BatchOutcome) -> &'static str {
+    match outcome {
+        BatchOutcome::Kept => "kept",
+        BatchOutcome::Results { .. } => "results",
+        BatchOutcome::Body(_) => "body",
+        BatchOutcome::Ended => "ended",
+        BatchOutcome::Unknown => "unknown",
+        BatchOutcome::Malformed => "malformed",
+        BatchOutcome::Unavailable => "unavailable",
+        BatchOutcome::Uncertain => "uncertain",
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/batch/item.rs
@@ -0,0 +1,172 @@
+//! Running one batch item to its outcome.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use futures_lite::future;
+use molespan_http::h1::Headers;
+use molespan_routing::dispatch::WorkClass;
+use molespan_state::batch::{ItemOutcome, ItemToRun};
+use molespan_state::declared::Route;
+use slog::info;
+
+use super::api::unix_ms;
+use crate::attempt::{EngineBody, Outbound};
+use crate::dialect::GatewayDialect;
+use crate::events::EventCutter;
+use crate::request::Dispatch;
+use crate::state::GatewayState;
+
+/// Longest time of one run; far beyond what an item takes.
+const RUN_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest silence within a run before another engine goes on.
+const SILENCE: Duration = Duration::from_secs(3);
+/// Pause before another try when no engine had room or one failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// How much longer than the route says an item is kept, for clocks that
+/// differ.
+const CLOCK_SLACK_MS: u64 = 4_000;
+
+/// What is there of an item's output.
+#[derive(Default)]
+struct Output {
+    data: Vec<String>,
+    last_event: Option<u64>,
+}
+
+/// How one attempt ended.
+enum Run {
+    Whole,
+    Broken,
+    /// An engine ran it and it failed.
+    Failed,
+    /// No engine ever can do it.
+    Impossible,
+    /// No engine took it.
+    NoEngine,
+}
+
+/// Runs an item until it has an outcome.
+pub(super) async fn run_item<D: GatewayDialect>(
+    state: &Rc<GatewayState>,
+    dialect: &D,
+    item: &ItemToRun,
+) -> ItemOutcome {
+    let mut output = Output::default();
+    let mut failures = 0;
+    loop {
+        let Some(in_force) = state.in_force() else {
+            Timer::after(RETRY_PAUSE).await;
+            continue;
+        };
+        let Some(route) = in_force.model.route(&item.host, &item.item.path) else {
+            return given_up(state, item, "its route is gone");
+        };
+        let Some(service) = in_force.service(route) else {
+            return given_up(state, item, "its route is gone");
+        };
+        if is_too_old(route, item) {
+            return given_up(state, item, "it is too old");
+        }
+        let run = run_once(state, dialect, route, service, item, &mut output).await;
+        match run {
+            Run::Whole => {
+                let text = output.data.join("\n");
+                return ItemOutcome::Completed { text };
+            }
+            Run::Impossible => return given_up(state, item, "no engine can do it"),
+            Run::Failed => {
+                failures += 1;
+                if failures >= route.max_attempts.max(1) {
+                    return given_up(state, item, "it failed too often");
+                }
+            }
+            Run::Broken => {}
+            Run::NoEngine => {
+                Timer::after(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn given_up(state: &GatewayState, item: &ItemToRun, reason: &str) -> ItemOutcome {
+    info!(state.logger, "item given up"; "item" => &item.item.id, "reason" => reason);
+    ItemOutcome::DeadLettered
+}
+
+fn is_too_old(route: &Route, item: &ItemToRun) -> bool {
+    let Some(retention) = route.retention_ms else {
+        return false;
+    };
+    let ends = item.submitted_ms + u64::from(retention) + CLOCK_SLACK_MS;
+    unix_ms() > ends
+}
+
+async fn run_once<D: GatewayDialect>(
+    state: &Rc<GatewayState>,
+    dialect: &D,
+    route: &Route,
+    service: String,
+    item: &ItemToRun,
+    output: &mut Output,
+) -> Run {
+    let mut headers = Headers::new();
+    for (name, value) in &item.item.headers {
+        headers.push(name, value.as_bytes());
+    }
+    headers.set("Host", item.host.as_bytes());
+    dialect.item_headers(&mut headers, &item.item);
+    let facts = dialect.facts(&headers);
+    let outbound = Outbound {
+        id: item.item.id.clone(),
+        method: "POST".to_owned(),
+        target: item.item.path.clone(),
+        headers,
+        body: item.item.body.to_vec(),
+        class: WorkClass::Batch,
+    };
+    let ends = Instant::now() + RUN_TIMEOUT;
+    let mut dispatch = Dispatch::new(state, dialect, route, service, outbound, facts, ends);
+    let Ok(reply) = dispatch.next_reply(output.last_event).await else {
+        return Run::NoEngine;
+    };
+    if reply.facts.impossible {
+        return Run::Impossible;
+    }
+    if reply.head.status != 200 {
+        return Run::Failed;
+    }
+    read_events(state, reply.body, output).await
+}
+
+/// Reads events until the stream ends.
+async fn read_events(state: &GatewayState, mut body: EngineBody, output: &mut Output) -> Run {
+    let mut cutter = EventCutter::default();
+    loop {
+        let piece = async { body.reader.next(&mut body.connection).await.ok() };
+        let silent = async {
+            Timer::after(SILENCE).await;
+            None
+        };
+        let Some(piece) = future::or(piece, silent).await else {
+            return Run::Broken;
+        };
+        if let Some(piece) = piece {
+            if !cutter.push(&piece) {
+                return Run::Broken;
+            }
+            while let Some(event) = cutter.next() {
+                output.last_event = event.id.or(output.last_event);
+                output.data.push(event.data);
+            }
+        } else {
+            body.finish(state);
+            return Run::Whole;
+        }
+        if body.reader.has_ended() {
+            body.finish(state);
+            return Run::Whole;
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/batch/runner.rs
@@ -0,0 +1,188 @@
+//! Taking batch items while engines have room, and recording their outcomes.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::{LocalExecutor, Task};
+use async_io::Timer;
+use molespan_state::batch::{
+    BatchCommand, BatchReply, ItemOutcome, ItemRecord, ItemReference, ItemToRun, RecordOutcome,
+};
+use molespan_state::declared::RouteKind;
+use molespan_wire::TakeItems;
+use slog::{info, warn};
+
+use super::item::run_item;
+use crate::dialect::GatewayDialect;
+use crate::state::GatewayState;
+
+/// Longest time that the leader holds a call for items.
+const WAIT: Duration = Duration::from_millis(500);
+/// Time for such a call.
+const TAKE_DEADLINE: Duration = Duration::from_millis(1_500);
+/// Without a renewal for longer, the leader may give the items to another
+/// gateway: they are stopped here before.
+const LEASE: Duration = Duration::from_secs(2);
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Shortest time between two calls.
+const SHORTEST_ROUND: Duration = Duration::from_millis(50);
+/// Items taken at once at the most, so that a heap spreads over the gateways.
+const MOST_AT_ONCE: u32 = 4;
+/// Share of an engine's slots that all gateways together fill with batch work.
+const BATCH_SHARE: f64 = 0.6;
+/// Time for an outcome to be recorded, before it is tried again.
+const RECORD_DEADLINE: Duration = Duration::from_secs(3);
+
+struct Runner<D> {
+    state: Rc<GatewayState>,
+    dialect: Rc<D>,
+    local: Rc<LocalExecutor<'static>>,
+    running: RefCell<BTreeMap<ItemReference, Task<()>>>,
+}
+
+/// Takes and runs items for as long as it is polled.
+pub(crate) async fn run<D: GatewayDialect>(
+    state: Rc<GatewayState>,
+    dialect: Rc<D>,
+    local: Rc<LocalExecutor<'static>>,
+) {
+    let runner = Rc::new(Runner {
+        state,
+        dialect,
+        local,
+        running: RefCell::default(),
+    });
+    let mut renewed = Instant::now();
+    loop {
+        let begun = Instant::now();
+        if runner.has_batch_routes() {
+            if runner.round().await {
+                renewed = Instant::now();
+            } else {
+                Timer::after(RETRY_PAUSE).await;
+            }
+        }
+        if renewed.elapsed() > LEASE {
+            runner.stop_all();
+        }
+        let left = SHORTEST_ROUND.saturating_sub(begun.elapsed());
+        Timer::after(left).await;
+    }
+}
+
+impl<D: GatewayDialect> Runner<D> {
+    fn has_batch_routes(&self) -> bool {
+        let in_force = self.state.in_force();
+        in_force.is_some_and(|in_force| {
+            let mut routes = in_force.model.routes.iter();
+            routes.any(|route| route.kind == RouteKind::Batch)
+        })
+    }
+
+    /// Items that this gateway may take now: engines must have room, and no
+    /// gateway takes more than its part of it.
+    fn capacity(&self) -> u32 {
+        let Some(in_force) = self.state.in_force().filter(|_| !self.state.is_stopping()) else {
+            return 0;
+        };
+        let routes = in_force.model.routes.iter();
+        let batch = routes.filter(|route| route.kind == RouteKind::Batch);
+        let mut services: Vec<&str> = batch
+            .flat_map(|route| &route.destinations)
+            .map(|destination| destination.service.as_str())
+            .collect();
+        services.sort_unstable();
+        services.dedup();
+        let engines = self.state.engines.borrow();
+        let now = self.state.now();
+        let headroom: u32 = services
+            .iter()
+            .map(|one| engines.batch_headroom(one, now))
+            .sum();
+        let slots: u32 = services.iter().map(|one| engines.slots(one)).sum();
+        let part = f64::from(slots) * BATCH_SHARE / f64::from(self.state.gateways());
+        let running = self.running.borrow().len() as u32;
+        let left = (part.ceil() as u32).saturating_sub(running);
+        headroom.min(left).min(MOST_AT_ONCE)
+    }
+
+    /// One call to the leader; says whether it was answered.
+    async fn round(self: &Rc<Self>) -> bool {
+        let held: Vec<(u64, u32)> = {
+            let running = self.running.borrow();
+            running.keys().map(|item| (item.job, item.place)).collect()
+        };
+        let ask = TakeItems {
+            node: self.state.own,
+            capacity: self.capacity(),
+            held,
+            wait_ms: WAIT.as_millis() as u32,
+        };
+        let handed = match self.state.batch.take_items(&ask, TAKE_DEADLINE).await {
+            Ok(handed) => handed,
+            Err(error) => {
+                warn!(self.state.logger, "no batch items"; "error" => %error);
+                return false;
+            }
+        };
+        for (job, place) in handed.stop {
+            let item = ItemReference { job, place };
+            if self.running.borrow_mut().remove(&item).is_some() {
+                info!(self.state.logger, "item stopped"; "job" => job, "place" => place);
+            }
+        }
+        for item in handed.items {
+            self.start(item);
+        }
+        true
+    }
+
+    fn start(self: &Rc<Self>, item: ItemToRun) {
+        let reference = item.reference;
+        let runner = self.clone();
+        let work = async move {
+            let outcome = run_item(&runner.state, &*runner.dialect, &item).await;
+            runner.record(reference, outcome).await;
+            // The task must not drop itself while it runs.
+            let own = runner.running.borrow_mut().remove(&reference);
+            if let Some(task) = own {
+                task.detach();
+            }
+        };
+        let task = self.local.spawn(work);
+        self.running.borrow_mut().insert(reference, task);
+    }
+
+    /// Records an outcome, for as long as it takes.
+    async fn record(&self, item: ItemReference, outcome: ItemOutcome) {
+        let records = vec![ItemRecord { item, outcome }];
+        let command = BatchCommand::Record(RecordOutcome { records });
+        loop {
+            match self
+                .state
+                .batch
+                .change_batch(&command, RECORD_DEADLINE)
+                .await
+            {
+                Ok(BatchReply::Recorded) => return,
+                other => {
+                    warn!(self.state.logger, "outcome not recorded";
+                        "job" => item.job, "place" => item.place, "answer" => ?other.err());
+                    Timer::after(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Stops everything: another gateway may run it by now.
+    fn stop_all(&self) {
+        let running = std::mem::take(&mut *self.running.borrow_mut());
+        if !running.is_empty() {
+            info!(self.state.logger, "items stopped, no renewal"; "items" => running.len());
+        }
+        drop(running);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/gateway.rs
@@ -0,0 +1,156 @@
+//! A gateway put together.
+
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_executor::{Executor, LocalExecutor};
+use async_io::{Async, Timer};
+use molespan_daemon::DaemonError;
+use molespan_fleet::membership::cluster;
+use molespan_fleet::{ClusterAddresses, ViewWatcher};
+use molespan_http::h1::{self, Answer, Connection, RequestHead, Service, SocketOptions};
+use molespan_telemetry::part_logger;
+use molespan_types::ZoneName;
+use molespan_wire::WatcherKind;
+use slog::{Logger, info};
+
+use crate::batch;
+use crate::connection::serve_connection;
+use crate::dialect::GatewayDialect;
+use crate::state::GatewayState;
+
+/// Pause after an error of the listener.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time between two looks at what is still in flight.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// What a gateway is started with.
+#[derive(Clone, Debug)]
+pub struct GatewayOptions {
+    /// Where the nodes are.
+    pub addresses: ClusterAddresses,
+    /// Where this one stands.
+    pub zone: ZoneName,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where it is asked whether it is ready.
+    pub readiness_address: SocketAddr,
+    /// Time between turning unready and closing idle connections, for balancers
+    /// to notice.
+    pub unready_wait: Duration,
+    /// Longest time of a planned stop.
+    pub stop_within: Duration,
+}
+
+/// A running gateway.
+pub struct Gateway {
+    state: Rc<GatewayState>,
+    options: GatewayOptions,
+    logger: Logger,
+}
+
+/// Tells whether the gateway is ready.
+struct Readiness<D> {
+    state: Rc<GatewayState>,
+    dialect: Rc<D>,
+}
+
+impl<D: GatewayDialect> Service for Readiness<D> {
+    async fn call(&self, head: RequestHead, _body: Vec<u8>) -> Answer {
+        if !self.dialect.is_readiness_call(&head) {
+            return Answer::empty(404);
+        }
+        let status = if self.state.is_ready() { 200 } else { 503 };
+        Answer::empty(status)
+    }
+}
+
+impl Gateway {
+    /// Starts a gateway; its work is done on `executor` and `local`.
+    ///
+    /// # Errors
+    /// When an address cannot be used.
+    pub fn start<D: GatewayDialect>(
+        options: GatewayOptions,
+        dialect: D,
+        executor: &Arc<Executor<'static>>,
+        local: &Rc<LocalExecutor<'static>>,
+        logger: &Logger,
+    ) -> Result<Rc<Self>, DaemonError> {
+        let logger = part_logger(logger, "gateway");
+        let own = options.addresses.own;
+        let wire = options.addresses.transport(executor);
+        let jobs = cluster(wire.clone(), Vec::new());
+        let zone = options.zone.clone();
+        let state = Rc::new(GatewayState::new(own, zone, jobs, logger.clone()));
+        let seeds = &options.addresses.seeds;
+        let kind = WatcherKind::Gateway;
+        let sink = state.clone();
+        let _watcher = ViewWatcher::start(own, kind, seeds, wire, local, logger.clone(), sink);
+        let dialect = Rc::new(dialect);
+        let callers = listen(options.caller_address)?;
+        let readiness = listen(options.readiness_address)?;
+        let service = Rc::new(Readiness {
+            state: state.clone(),
+            dialect: dialect.clone(),
+        });
+        local
+            .spawn(h1::serve_listener(readiness, local.clone(), service))
+            .detach();
+        let accepting = accept(state.clone(), dialect.clone(), callers, local.clone());
+        local.spawn(accepting).detach();
+        let running = batch::run(state.clone(), dialect, local.clone());
+        local.spawn(running).detach();
+        info!(logger, "started"; "node" => own.address().to_string());
+        Ok(Rc::new(Self {
+            state,
+            options,
+            logger,
+        }))
+    }
+
+    /// Stops as planned: unready at once, then no idle connections, and the end
+    /// when nothing is in flight or the time is over.
+    pub async fn stop(&self) {
+        let begun = Instant::now();
+        info!(self.logger, "stopping"; "in_flight" => self.state.requests_in_flight(),
+            "connections" => self.state.open_connections());
+        self.state.stop();
+        Timer::after(self.options.unready_wait).await;
+        self.state.close_idle_connections();
+        while begun.elapsed() < self.options.stop_within {
+            if self.state.requests_in_flight() == 0 && self.state.open_connections() == 0 {
+                break;
+            }
+            Timer::after(STOP_POLL).await;
+        }
+        info!(self.logger, "stopped"; "cut_off" => self.state.requests_in_flight(),
+            "connections" => self.state.open_connections());
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<Async<TcpListener>, DaemonError> {
+    h1::listen(address).map_err(DaemonError::Listen)
+}
+
+async fn accept<D: GatewayDialect>(
+    state: Rc<GatewayState>,
+    dialect: Rc<D>,
+    listener: Async<TcpListener>,
+    local: Rc<LocalExecutor<'static>>,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            Timer::after(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if h1::prepare(&stream, SocketOptions::default()).is_err() {
+            continue;
+        }
+        let connection = Connection::new(stream);
+        let serving = serve_connection(state.clone(), dialect.clone(), connection);
+        local.spawn(serving).detach();
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,21 @@
+//! The gateway of declared configurations.
+//!
+//! A request goes through these steps, each a module: [`dialect`] makes it
+//! typed, `request` finds its route and passes it on, `attempt` brings it to
+//! one engine over a connection of `pool`, `relay` passes the answer back.
+//! Batch jobs are taken and read by `batch::api`, and their items run by
+//! `batch::runner`. What the gateway knows of the cluster is in `state`.
+
+mod attempt;
+mod batch;
+mod connection;
+pub mod dialect;
+mod events;
+mod gateway;
+mod pool;
+mod relay;
+mod request;
+mod resume;
+mod state;
+
+pub use gateway::{Gateway, GatewayOptions};
--- /dev/null
+++ b/crates/proxy/src/pool.rs
@@ -0,0 +1,62 @@
+//! Idle connections to engines.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use molespan_http::h1::{Connection, Presence};
+
+/// How long a connection is kept where the engine does not say how long it
+/// does.
+const DEFAULT_IDLE: Duration = Duration::from_secs(3);
+/// Share of the time that an engine keeps an idle connection during which it
+/// is used again; a request that crosses the engine's close may be lost.
+const USED_SHARE: f64 = 0.6;
+/// Most idle connections to one engine.
+const MOST_IDLE: usize = 32;
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+/// Idle connections by engine.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    idle: RefCell<HashMap<String, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// A connection on which nothing is under way.
+    pub async fn take(&self, engine: &str) -> Option<Connection> {
+        loop {
+            let idle = self.idle.borrow_mut().get_mut(engine)?.pop()?;
+            let usable = Instant::now() < idle.until;
+            if usable && idle.connection.presence().await == Presence::Quiet {
+                return Some(idle.connection);
+            }
+        }
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    pub fn put(&self, engine: &str, connection: Connection, keep_alive: Option<Duration>) {
+        let lives = keep_alive.map_or(DEFAULT_IDLE, |lives| lives.mul_f64(USED_SHARE));
+        if !connection.buffered().is_empty() || lives.is_zero() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let of_engine = idle.entry(engine.to_owned()).or_default();
+        let now = Instant::now();
+        of_engine.retain(|idle| idle.until > now);
+        if of_engine.len() < MOST_IDLE {
+            let until = now + lives;
+            of_engine.push(Idle { connection, until });
+        }
+    }
+
+    /// Closes the idle connections to an engine.
+    pub fn forget(&self, engine: &str) {
+        self.idle.borrow_mut().remove(engine);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/resume.rs
@@ -0,0 +1,158 @@
+//! Passing on a stream that another engine may go on with.
+//!
+//! Only whole events go to the caller. When the engine breaks off, the next one
+//! is asked to go on behind the last event that was passed on; the head and the
+//! signature stay those of the first engine.
+
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use futures_lite::future;
+use molespan_http::h1::{Connection, LAST_CHUNK};
+
+use crate::attempt::{EngineBody, EngineReply};
+use crate::dialect::GatewayDialect;
+use crate::events::EventCutter;
+use crate::relay::{CallerFraming, Next, Relayed, append, caller_head, next_piece, write};
+use crate::request::Dispatch;
+
+/// Silences between events, as a multiple of the longest pause in time, after
+/// which another engine goes on.
+const SILENT_PAUSES: u32 = 3;
+/// Longest pause between events where the route does not say.
+const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
+
+/// What became of one engine's part of a stream.
+enum Part {
+    /// It reached its end.
+    Whole,
+    /// The engine broke off or fell silent.
+    Broken,
+    /// The stream ends here.
+    Ended(Relayed),
+}
+
+/// What was passed on so far.
+struct Progress<'a> {
+    caller: &'a Connection,
+    framing: CallerFraming,
+    ends: Instant,
+    /// The head, until the first event goes with it.
+    waiting: Vec<u8>,
+    last_event: Option<u64>,
+    silence: Option<Duration>,
+}
+
+/// Passes a stream on, from several engines if need be.
+pub(crate) async fn relay_resumable<D: GatewayDialect>(
+    dispatch: &mut Dispatch<'_, D>,
+    reply: EngineReply,
+    caller: &Connection,
+    minor: u8,
+    keep_alive: bool,
+) -> Relayed {
+    let framing = molespan_http::h1::Framing::Chunked;
+    let (head, framing) = caller_head(&reply.head, framing, minor, keep_alive);
+    let pause = dispatch
+        .route
+        .gap_target_ms
+        .map(u64::from)
+        .map(Duration::from_millis);
+    let mut progress = Progress {
+        caller,
+        framing,
+        ends: dispatch.ends,
+        waiting: head,
+        last_event: dispatch.first_event(),
+        silence: None,
+    };
+    let mut body = reply.body;
+    loop {
+        let again = dispatch.may_run_again();
+        progress.silence = again.then(|| pause.unwrap_or(DEFAULT_PAUSE) * SILENT_PAUSES);
+        let engine = body.engine.clone();
+        match progress.pass(&mut body).await {
+            Part::Whole => {
+                body.finish(dispatch.state);
+                return progress.close().await;
+            }
+            Part::Ended(ended) => return ended,
+            Part::Broken => dispatch.note_broken(&engine),
+        }
+        // Closing the connection ends the work at the first engine.
+        drop(body);
+        if !dispatch.may_run_again() {
+            return Relayed::EngineBroke;
+        }
+        body = match dispatch.next_reply(progress.last_event).await {
+            Ok(reply) if reply.head.status == 200 => reply.body,
+            _ => return Relayed::EngineBroke,
+        };
+    }
+}
+
+impl<D: GatewayDialect> Dispatch<'_, D> {
+    /// The last event that the caller has from an earlier answer.
+    fn first_event(&self) -> Option<u64> {
+        self.outbound.headers.number("last-event-id")
+    }
+}
+
+impl Progress<'_> {
+    /// Passes the events of one engine on.
+    async fn pass(&mut self, body: &mut EngineBody) -> Part {
+        let mut cutter = EventCutter::default();
+        loop {
+            let next = next_piece(body, self.caller, self.ends);
+            let silence = self.silence;
+            let silent = async {
+                match silence {
+                    Some(silence) => Timer::after(silence).await,
+                    None => future::pending().await,
+                };
+                None
+            };
+            let next = future::or(async { Some(next.await) }, silent).await;
+            let piece = match next {
+                None | Some(Next::Piece(Err(_))) => return Part::Broken,
+                Some(Next::CallerGone) => return Part::Ended(Relayed::CallerGone),
+                Some(Next::TimeOver) => return Part::Ended(Relayed::TimeOver),
+                Some(Next::Piece(Ok(piece))) => piece,
+            };
+            let Some(piece) = piece else {
+                return Part::Whole;
+            };
+            if !cutter.push(&piece) {
+                return Part::Broken;
+            }
+            while let Some(event) = cutter.next() {
+                self.last_event = event.id.or(self.last_event);
+                append(&mut self.waiting, &event.bytes, self.framing);
+            }
+            if let Err(ended) = self.flush().await {
+                return Part::Ended(ended);
+            }
+            if body.reader.has_ended() {
+                return Part::Whole;
+            }
+        }
+    }
+
+    async fn flush(&mut self) -> Result<(), Relayed> {
+        if self.waiting.is_empty() {
+            return Ok(());
+        }
+        let bytes = std::mem::take(&mut self.waiting);
+        write(self.caller, &bytes, self.ends).await
+    }
+
+    async fn close(&mut self) -> Relayed {
+        if self.framing == CallerFraming::Chunked {
+            self.waiting.extend_from_slice(LAST_CHUNK);
+        }
+        match self.flush().await {
+            Ok(()) => Relayed::Whole,
+            Err(ended) => ended,
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/state.rs
@@ -0,0 +1,244 @@
+//! What a gateway knows and counts. One thread owns it.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use async_channel::{Receiver, Sender};
+use molespan_daemon::cluster::Cluster;
+use molespan_fleet::ViewSink;
+use molespan_fleet::view::{EngineRecord, Topology, ViewUpdate};
+use molespan_routing::dispatch::{EngineFacts, EngineTable, WeightedSplit, WorkClass};
+use molespan_state::declared::{Route, ServingModel};
+use molespan_types::{NodeId, Timestamp, ZoneName};
+use slog::{Logger, info};
+
+use crate::pool::Pool;
+
+/// The configuration in force here.
+#[derive(Debug)]
+pub(crate) struct InForce {
+    pub version: u64,
+    pub model: ServingModel,
+    /// Splits of the routes, in their order.
+    splits: Vec<RefCell<WeightedSplit>>,
+}
+
+impl InForce {
+    fn new(version: u64, model: ServingModel) -> Self {
+        let splits = model.routes.iter().map(|route| {
+            let weights: Vec<u32> = route.destinations.iter().map(|one| one.weight).collect();
+            RefCell::new(WeightedSplit::new(&weights, rand::random()))
+        });
+        Self {
+            version,
+            splits: splits.collect(),
+            model,
+        }
+    }
+
+    /// The service that the next request of a route goes to.
+    pub fn service(&self, route: &Route) -> Option<String> {
+        let place = self
+            .model
+            .routes
+            .iter()
+            .position(|one| std::ptr::eq(one, route))?;
+        let chosen = self.splits[place].borrow_mut().next()?;
+        Some(route.destinations[chosen].service.clone())
+    }
+}
+
+/// What a gateway knows and counts.
+pub(crate) struct GatewayState {
+    pub own: NodeId,
+    pub engines: RefCell<EngineTable>,
+    pub pool: Pool,
+    /// Client of the batch group.
+    pub batch: Arc<Cluster>,
+    pub logger: Logger,
+    started: Instant,
+    in_force: RefCell<Option<Rc<InForce>>>,
+    topology: RefCell<Topology>,
+    /// Set when a planned stop began.
+    stopping: Cell<bool>,
+    /// Closed when idle connections are to be closed.
+    closing_idle: (Sender<()>, Receiver<()>),
+    requests: Cell<u32>,
+    connections: Cell<u32>,
+}
+
+impl GatewayState {
+    pub fn new(own: NodeId, zone: ZoneName, batch: Arc<Cluster>, logger: Logger) -> Self {
+        Self {
+            own,
+            engines: RefCell::new(EngineTable::new(zone, rand::random())),
+            pool: Pool::default(),
+            batch,
+            logger,
+            started: Instant::now(),
+            in_force: RefCell::default(),
+            topology: RefCell::default(),
+            stopping: Cell::new(false),
+            closing_idle: async_channel::bounded(1),
+            requests: Cell::new(0),
+            connections: Cell::new(0),
+        }
+    }
+
+    /// Now, on the clock of the engine table.
+    pub fn now(&self) -> Timestamp {
+        Timestamp(self.started.elapsed().as_micros() as u64)
+    }
+
+    /// The configuration in force here, if any is known.
+    pub fn in_force(&self) -> Option<Rc<InForce>> {
+        self.in_force.borrow().clone()
+    }
+
+    pub fn gateways(&self) -> u32 {
+        self.topology.borrow().gateways.max(1)
+    }
+
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Connections on which no request is under way are closed from now on.
+    pub fn close_idle_connections(&self) {
+        self.closing_idle.0.close();
+    }
+
+    /// Waits until idle connections are to be closed.
+    pub async fn idle_connections_closed(&self) {
+        let _closed = self.closing_idle.1.recv().await;
+    }
+
+    /// Whether new connections should come here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.in_force.borrow().is_some()
+    }
+
+    pub fn requests_in_flight(&self) -> u32 {
+        self.requests.get()
+    }
+
+    pub fn open_connections(&self) -> u32 {
+        self.connections.get()
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub fn count_request(self: &Rc<Self>) -> Counted {
+        Counted::new(self.clone(), |state| &state.requests)
+    }
+
+    /// Counts a connection until the guard is dropped.
+    pub fn count_connection(self: &Rc<Self>) -> Counted {
+        Counted::new(self.clone(), |state| &state.connections)
+    }
+
+    /// Counts a request at an engine until the guard is dropped.
+    pub fn occupy(self: &Rc<Self>, engine: &str, class: WorkClass) -> Occupied {
+        self.engines.borrow_mut().started(engine, class);
+        Occupied {
+            state: self.clone(),
+            engine: engine.to_owned(),
+            class,
+        }
+    }
+
+    fn take_configuration(&self, version: u64, model: ServingModel) {
+        let held = self.in_force.borrow().as_ref().map(|held| held.version);
+        if held.is_some_and(|held| held >= version) {
+            return;
+        }
+        info!(self.logger, "configuration in force"; "version" => version,
+            "routes" => model.routes.len());
+        *self.in_force.borrow_mut() = Some(Rc::new(InForce::new(version, model)));
+    }
+
+    fn learn(&self, from: NodeId, record: EngineRecord) {
+        let Ok(address) = record.address.parse() else {
+            return;
+        };
+        let facts = EngineFacts {
+            id: record.id,
+            service: record.service,
+            address,
+            zone: record.zone,
+            slots: record.slots.max(1),
+        };
+        self.engines.borrow_mut().learn(from, facts);
+    }
+
+    fn depart(&self, engine: &str) {
+        if self.engines.borrow_mut().depart(engine) {
+            info!(self.logger, "engine leaves"; "engine" => engine);
+            self.pool.forget(engine);
+        }
+    }
+}
+
+impl ViewSink for GatewayState {
+    fn update(&self, from: NodeId, update: ViewUpdate) {
+        if let Some(configuration) = update.configuration {
+            self.take_configuration(configuration.version, configuration.model);
+        }
+        for (engine, _) in update.departures {
+            self.depart(&engine);
+        }
+        for record in update.engines {
+            self.learn(from, record);
+        }
+        for engine in update.lost {
+            self.engines.borrow_mut().lose(from, &engine);
+        }
+        if let Some(topology) = update.topology {
+            let stores = topology.stores.difference(&topology.retiring);
+            self.batch.set_replicas(stores.copied().collect());
+            *self.topology.borrow_mut() = topology;
+        }
+    }
+}
+
+/// Something that is counted while this lives.
+pub(crate) struct Counted {
+    state: Rc<GatewayState>,
+    counter: fn(&GatewayState) -> &Cell<u32>,
+}
+
+impl Counted {
+    fn new(state: Rc<GatewayState>, counter: fn(&GatewayState) -> &Cell<u32>) -> Self {
+        let count = counter(&state);
+        count.set(count.get() + 1);
+        Self { state, counter }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let count = (self.counter)(&self.state);
+        count.set(count.get() - 1);
+    }
+}
+
+/// A request at an engine.
+pub(crate) struct Occupied {
+    state: Rc<GatewayState>,
+    engine: String,
+    class: WorkClass,
+}
+
+impl Drop for Occupied {
+    fn drop(&mut self) {
+        self.state
+            .engines
+            .borrow_mut()
+            .ended(&self.engine, self.class);
+    }
+}
--- /dev/null
+++ b/crates/routing/src/dispatch/mod.rs
@@ -0,0 +1,14 @@
+//! Sending the requests of a declared configuration to registered engines:
+//! which service of a route, and which engine of that service.
+//!
+//! Pure decisions: the caller gives the time and tells what happened.
+
+mod engine;
+mod prompt;
+mod split;
+mod table;
+
+pub use engine::{EngineFacts, EngineLoad, Failure};
+pub use prompt::{PromptPart, affinity_key};
+pub use split::WeightedSplit;
+pub use table::{EngineTable, NoEngine, Pick, Picked, WorkClass};
--- /dev/null
+++ b/crates/routing/src/dispatch/split.rs
@@ -0,0 +1,47 @@
+//! Weighted choice that keeps its weights over short spans.
+
+/// Chooses among weighted destinations so that after every choice each has had
+/// its share up to one: the smooth weighted round robin. Independent draws
+/// would stray by the square root of their number.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WeightedSplit {
+    weights: Vec<i64>,
+    credits: Vec<i64>,
+}
+
+impl WeightedSplit {
+    /// A split over `weights`. `start` shifts where it begins, so that many
+    /// nodes do not all begin with the same destination.
+    #[must_use]
+    pub fn new(weights: &[u32], start: u32) -> Self {
+        let weights: Vec<i64> = weights.iter().map(|&weight| i64::from(weight)).collect();
+        let total: i64 = weights.iter().sum();
+        let mut split = Self {
+            credits: vec![0; weights.len()],
+            weights,
+        };
+        if total > 0 {
+            for _ in 0..i64::from(start) % total {
+                split.next();
+            }
+        }
+        split
+    }
+
+    /// The next destination; `None` when no weight is above zero.
+    #[allow(clippy::should_implement_trait, reason = "it never ends")]
+    pub fn next(&mut self) -> Option<usize> {
+        let total: i64 = self.weights.iter().sum();
+        if total <= 0 {
+            return None;
+        }
+        for (credit, weight) in self.credits.iter_mut().zip(&self.weights) {
+            *credit += weight;
+        }
+        let credits = self.credits.iter().enumerate();
+        let eligible = credits.filter(|(place, _)| self.weights[*place] > 0);
+        let (chosen, _) = eligible.max_by_key(|&(place, &credit)| (credit, usize::MAX - place))?;
+        self.credits[chosen] -= total;
+        Some(chosen)
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod batch;
+pub mod dispatch;
 pub mod pick;
 pub mod placement;
 pub mod readiness;
--- /dev/null
+++ b/crates/settings/src/discovered/mod.rs
@@ -0,0 +1,9 @@
+//! Settings of a node whose cluster is found from a few seeds.
+
+mod model;
+mod read;
+
+pub use model::{
+    ClusterSeeds, DiscoveredNode, DiscoveredSettings, Purpose, StopSettings, TimingSettings,
+    ToleranceSettings,
+};
--- /dev/null
+++ b/crates/settings/src/discovered/read.rs
@@ -0,0 +1,140 @@
+//! From the text of a file to settings.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use molespan_types::ZoneName;
+
+use super::model::{
+    ClusterSeeds, DiscoveredNode, DiscoveredSettings, Purpose, StopSettings, TimingSettings,
+    ToleranceSettings,
+};
+use crate::finding::Findings;
+use crate::read::{parse_with, read_log};
+use crate::section::{Report, Section};
+
+/// Losses that a group of voters can be made to bear.
+const MOST_LOSSES: u32 = 3;
+
+pub(super) fn parse(text: &str) -> Result<DiscoveredSettings, Findings> {
+    parse_with(text, read_all, check)
+}
+
+fn read_all(mut root: Section<'_, '_, '_>) -> DiscoveredSettings {
+    let settings = DiscoveredSettings {
+        node: read_node(root.section("node")),
+        cluster: read_cluster(root.section("cluster")),
+        tolerance: read_tolerance(root.section("tolerance")),
+        timing: read_timing(root.section("timing")),
+        stop: read_stop(root.section("stop")),
+        log: read_log(root.section("log")),
+    };
+    root.finish();
+    settings
+}
+
+fn read_node(mut section: Section<'_, '_, '_>) -> DiscoveredNode {
+    let node = DiscoveredNode {
+        name: section.required("name", String::new()),
+        purpose: section.required("purpose", Purpose::Gateway),
+        zone: section.required("zone", ZoneName::default()),
+        address: section.required("address", Ipv4Addr::UNSPECIFIED),
+        internal_port: section.required("internal_port", 0),
+        caller_address: section.optional("caller_address"),
+        readiness_address: section.optional("readiness_address"),
+        control_address: section.optional("control_address"),
+        data_folder: section.optional("data_folder"),
+    };
+    section.finish();
+    node
+}
+
+fn read_cluster(mut section: Section<'_, '_, '_>) -> ClusterSeeds {
+    let cluster = ClusterSeeds {
+        seeds: section.required("seeds", Vec::new()),
+        first_start: section.or("first_start", false),
+    };
+    section.finish();
+    cluster
+}
+
+fn read_tolerance(mut section: Section<'_, '_, '_>) -> ToleranceSettings {
+    let tolerance = ToleranceSettings {
+        machines: section.within("machines", 1, 0..=MOST_LOSSES),
+    };
+    section.finish();
+    tolerance
+}
+
+fn read_timing(mut section: Section<'_, '_, '_>) -> TimingSettings {
+    const MILLISECOND: Duration = Duration::from_millis(1);
+    const DAY: Duration = Duration::from_secs(24 * 60 * 60);
+    let default = TimingSettings::default();
+    let timing = TimingSettings {
+        engine_heartbeat: section.within(
+            "engine_heartbeat",
+            default.engine_heartbeat,
+            MILLISECOND..=DAY,
+        ),
+        keep_jobs: section.within("keep_jobs", default.keep_jobs, MILLISECOND..=DAY),
+    };
+    section.finish();
+    timing
+}
+
+fn read_stop(mut section: Section<'_, '_, '_>) -> StopSettings {
+    const LONGEST: Duration = Duration::from_secs(60 * 60);
+    let default = StopSettings::default();
+    let stop = StopSettings {
+        within: section.within("within", default.within, Duration::ZERO..=LONGEST),
+        unready_wait: section.within(
+            "unready_wait",
+            default.unready_wait,
+            Duration::ZERO..=LONGEST,
+        ),
+    };
+    section.finish();
+    stop
+}
+
+fn check(report: &Report<'_>, settings: DiscoveredSettings) -> DiscoveredSettings {
+    let node = &settings.node;
+    let needs = |missing: bool, key: &str, purposes: &[Purpose]| {
+        if missing && purposes.contains(&node.purpose) {
+            report.add_at(key, format!("a {} needs it", node.purpose));
+        }
+    };
+    if report.is_sound("node.purpose") {
+        let gateway = [Purpose::Gateway];
+        needs(
+            node.caller_address.is_none(),
+            "node.caller_address",
+            &gateway,
+        );
+        needs(
+            node.readiness_address.is_none(),
+            "node.readiness_address",
+            &gateway,
+        );
+        needs(
+            node.control_address.is_none(),
+            "node.control_address",
+            &[Purpose::Control],
+        );
+        let keeping = [Purpose::Control, Purpose::Store];
+        needs(node.data_folder.is_none(), "node.data_folder", &keeping);
+    }
+    if report.is_sound("cluster.seeds") && settings.cluster.seeds.is_empty() {
+        report.add_at("cluster.seeds", "names no control node".to_owned());
+    }
+    if settings.cluster.seeds.iter().any(|seed| !seed.is_ipv4()) {
+        report.add_at(
+            "cluster.seeds",
+            "nodes are named by IPv4 addresses".to_owned(),
+        );
+    }
+    if settings.stop.unready_wait > settings.stop.within {
+        report.add_at("stop.unready_wait", "is longer than stop.within".to_owned());
+    }
+    settings
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,6 +6,7 @@
 //! writes a file that reads back as the same settings.
 
 mod check;
+pub mod discovered;
 mod duration;
 mod finding;
 mod model;
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -362,7 +362,7 @@
     }
 }
 
-fn unreadable(path: &Path, error: &std::io::Error) -> Findings {
+pub(crate) fn unreadable(path: &Path, error: &std::io::Error) -> Findings {
     Findings::new(vec![Finding {
         line: None,
         key: String::new(),
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -35,6 +35,15 @@
 
 /// Reads and checks the text of a file.
 pub(crate) fn parse(text: &str) -> Result<Settings, Findings> {
+    parse_with(text, read_all, check::check)
+}
+
+/// Reads a file section by section and then checks the whole.
+pub(crate) fn parse_with<S>(
+    text: &str,
+    read: impl FnOnce(Section<'_, '_, '_>) -> S,
+    check: impl FnOnce(&Report<'_>, S) -> S,
+) -> Result<S, Findings> {
     let report = Report::new(text);
     let (table, errors) = DeTable::parse_recoverable(text);
     let mut misplaced = false;
@@ -49,8 +58,8 @@
         // findings about them would mislead.
         return Err(Findings::new(report.into_findings()));
     }
-    let settings = read_all(Section::root(&report, table.get_ref()));
-    let settings = check::check(&report, settings);
+    let settings = read(Section::root(&report, table.get_ref()));
+    let settings = check(&report, settings);
     let findings = report.into_findings();
     if findings.is_empty() {
         Ok(settings)
@@ -224,7 +233,7 @@
     drain
 }
 
-fn read_log(mut section: Section<'_, '_, '_>) -> LogSettings {
+pub(crate) fn read_log(mut section: Section<'_, '_, '_>) -> LogSettings {
     let default = LogSettings::default();
     let log = LogSettings {
         level: section.or("level", default.level),
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -1,6 +1,6 @@
 //! Values of a settings file: how each type is read and shown.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -8,6 +8,7 @@
 use molespan_types::{NodeId, ZoneName};
 use toml::de::{DeInteger, DeValue};
 
+use crate::discovered::Purpose;
 use crate::duration::{format_duration, parse_duration};
 use crate::model::{EngineChoice, Preemption, Role};
 
@@ -94,6 +95,71 @@
     }
 }
 
+impl Value for u16 {
+    const EXPECTED: &'static str = u64::EXPECTED;
+
+    fn read(value: &DeValue<'_>) -> Result<Self, String> {
+        let number = u64::read(value)?;
+        u16::try_from(number).map_err(|_| format!("{number} is too large"))
+    }
+
+    fn show(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl Value for bool {
+    const EXPECTED: &'static str = "true or false";
+
+    fn read(value: &DeValue<'_>) -> Result<Self, String> {
+        value.as_bool().ok_or_else(|| wrong_type::<Self>(value))
+    }
+
+    fn show(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl Value for Ipv4Addr {
+    const EXPECTED: &'static str = "an IPv4 address, such as \"127.0.0.1\"";
+
+    fn read(value: &DeValue<'_>) -> Result<Self, String> {
+        named(value)
+    }
+
+    fn show(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl Value for Purpose {
+    const EXPECTED: &'static str = "\"gateway\", \"control\" or \"store\"";
+
+    fn read(value: &DeValue<'_>) -> Result<Self, String> {
+        named(value)
+    }
+
+    fn show(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl Value for Vec<SocketAddr> {
+    const EXPECTED: &'static str = "a list of addresses";
+
+    fn read(value: &DeValue<'_>) -> Result<Self, String> {
+        let entries = value.as_array().ok_or_else(|| wrong_type::<Self>(value))?;
+        entries
+            .iter()
+            .map(|entry| SocketAddr::read(entry.get_ref()))
+            .collect()
+    }
+
+    fn show(&self) -> String {
+        format!("{self:?}")
+    }
+}
+
 impl Value for Duration {
     const EXPECTED: &'static str = "a duration with its unit, such as \"250ms\" or \"8s\"";
 
