--- a/crates/proxy/src/gateway.rs
+++ b/crates/proxy/src/gateway.rs
@@ -7,6 +7,7 @@
 
 use async_executor::{Executor, LocalExecutor};
 use async_io::{Async, Timer};
+use futures_lite::future;
 use molespan_daemon::DaemonError;
 use molespan_fleet::membership::cluster;
 use molespan_fleet::{ClusterAddresses, ViewWatcher};
@@ -23,6 +24,8 @@
 
 /// Pause after an error of the listener.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Share of the time of a planned stop that is used; the rest is for ending.
+const STOP_SHARE: f64 = 0.97;
 /// Time between two looks at what is still in flight.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
@@ -111,8 +114,8 @@
         }))
     }
 
-    /// Stops as planned: unready at once, then no idle connections, and the end
-    /// when nothing is in flight or the time is over.
+    /// Stops as planned: unready at once, then no new and no idle connections,
+    /// and the end when nothing is in flight or the time is nearly over.
     pub async fn stop(&self) {
         let begun = Instant::now();
         info!(self.logger, "stopping"; "in_flight" => self.state.requests_in_flight(),
@@ -120,7 +123,7 @@
         self.state.stop();
         Timer::after(self.options.unready_wait).await;
         self.state.close_idle_connections();
-        while begun.elapsed() < self.options.stop_within {
+        while begun.elapsed() < self.options.stop_within.mul_f64(STOP_SHARE) {
             if self.state.requests_in_flight() == 0 && self.state.open_connections() == 0 {
                 break;
             }
@@ -135,6 +138,8 @@
     h1::listen(address).map_err(DaemonError::Listen)
 }
 
+/// Takes connections until a planned stop closes the idle ones: the listener
+/// is closed with this, so that callers who come all the same go elsewhere.
 async fn accept<D: GatewayDialect>(
     state: Rc<GatewayState>,
     dialect: Rc<D>,
@@ -142,9 +147,18 @@
     local: Rc<LocalExecutor<'static>>,
 ) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            Timer::after(ACCEPT_PAUSE).await;
-            continue;
+        let accepted = async { Some(listener.accept().await) };
+        let stopping = async {
+            state.idle_connections_closed().await;
+            None
+        };
+        let stream = match future::or(accepted, stopping).await {
+            Some(Ok((stream, _))) => stream,
+            Some(Err(_)) => {
+                Timer::after(ACCEPT_PAUSE).await;
+                continue;
+            }
+            None => return,
         };
         if h1::prepare(&stream, SocketOptions::default()).is_err() {
             continue;
