--- a/crates/replica/tests/cluster/mod.rs
+++ b/crates/replica/tests/cluster/mod.rs
@@ -52,6 +52,9 @@
     last_ticket: u64,
     last_message: u64,
     pub job_groups: u32,
+    /// Whether disks are blank for the very first time, where members are
+    /// discovered.
+    pub first_start: bool,
     tune: fn(&mut ReplicaSettings),
 }
 
@@ -93,6 +96,7 @@
             last_ticket: 0,
             last_message: 0,
             job_groups: 2,
+            first_start: true,
             tune,
         }
     }
@@ -115,6 +119,11 @@
             reserve_bytes: 16 << 10,
         };
         (self.tune)(&mut settings);
+        if let Some(discovery) = &mut settings.discovery
+            && !self.first_start
+        {
+            discovery.founders.clear();
+        }
         settings
     }
 
--- /dev/null
+++ b/crates/routing/tests/dispatch.rs
@@ -0,0 +1,221 @@
+//! Which service of a route, and which engine of it.
+
+use std::collections::BTreeSet;
+
+use molespan_routing::dispatch::{
+    EngineFacts, EngineLoad, EngineTable, Failure, NoEngine, Pick, PromptPart, WeightedSplit,
+    WorkClass, affinity_key,
+};
+use molespan_types::{NodeId, Timestamp};
+use proptest::prelude::*;
+
+const CONTROL: NodeId = NodeId(1);
+
+fn facts(number: u8, zone: &str) -> EngineFacts {
+    EngineFacts {
+        id: format!("e{number}"),
+        service: "s".to_owned(),
+        address: ([127, 0, 0, number], 80).into(),
+        zone: zone.into(),
+        slots: 8,
+    }
+}
+
+fn table(engines: &[(u8, &str)]) -> EngineTable {
+    let mut table = EngineTable::new("near".into(), 1);
+    for (number, zone) in engines {
+        table.learn(CONTROL, facts(*number, zone));
+    }
+    table
+}
+
+fn now(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn pick(
+    table: &mut EngineTable,
+    class: WorkClass,
+    tried: &[&str],
+    at: u64,
+) -> Result<String, NoEngine> {
+    let tried: BTreeSet<String> = tried.iter().map(|id| (*id).to_owned()).collect();
+    let pick = Pick {
+        service: "s",
+        class,
+        affinity: None,
+        tried: &tried,
+    };
+    table.pick(&pick, now(at)).map(|picked| picked.facts.id)
+}
+
+fn online(table: &mut EngineTable, at: u64) -> Result<String, NoEngine> {
+    pick(table, WorkClass::Online, &[], at)
+}
+
+proptest! {
+    /// After any number of choices each destination has had its share, up to
+    /// one choice for each destination.
+    #[test]
+    fn a_split_keeps_its_weights_at_every_moment(
+        weights in prop::collection::vec(0..100_u32, 1..5),
+        start in 0..1_000_u32,
+    ) {
+        let total: u32 = weights.iter().sum();
+        let mut split = WeightedSplit::new(&weights, start);
+        let mut counts = vec![0_u32; weights.len()];
+        for chosen in 1..=200_u32 {
+            match split.next() {
+                None => prop_assert_eq!(total, 0),
+                Some(place) => {
+                    counts[place] += 1;
+                    for (count, weight) in counts.iter().zip(&weights) {
+                        let share = f64::from(chosen) * f64::from(*weight) / f64::from(total);
+                        prop_assert!((f64::from(*count) - share).abs() <= weights.len() as f64);
+                        prop_assert!(*weight > 0 || *count == 0);
+                    }
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn the_least_loaded_engine_is_chosen_and_the_own_zone_first() {
+    let mut table = table(&[(1, "near"), (2, "far")]);
+    assert_eq!(online(&mut table, 0), Ok("e1".to_owned()));
+    table.started("e1", WorkClass::Online);
+    table.started("e1", WorkClass::Online);
+    assert_eq!(online(&mut table, 0), Ok("e2".to_owned()));
+    table.ended("e1", WorkClass::Online);
+    table.ended("e1", WorkClass::Online);
+    assert_eq!(online(&mut table, 0), Ok("e1".to_owned()));
+}
+
+#[test]
+fn work_of_others_counts_less_the_older_the_report_is() {
+    let mut table = table(&[(1, "near"), (2, "near")]);
+    let load = EngineLoad {
+        running: 4,
+        waiting: 0,
+        slots: 8,
+    };
+    table.report("e1", load, now(0));
+    table.started("e2", WorkClass::Online);
+    assert_eq!(online(&mut table, 0), Ok("e2".to_owned()));
+    assert_eq!(online(&mut table, 5_000), Ok("e1".to_owned()));
+}
+
+#[test]
+fn engines_that_fail_pause_and_come_back() {
+    // How it fails, how often, and whether it is passed over right after.
+    let cases = [
+        (Failure::Unreachable, 1, true),
+        (Failure::Silent, 1, true),
+        (Failure::Full, 1, true),
+        (Failure::Broken, 1, false),
+        (Failure::Broken, 2, true),
+    ];
+    for (failure, times, paused) in cases {
+        let mut table = table(&[(1, "near")]);
+        for _ in 0..times {
+            table.failed("e1", failure, now(0));
+        }
+        let expected = if paused {
+            Err(NoEngine::Busy)
+        } else {
+            Ok("e1".to_owned())
+        };
+        assert_eq!(online(&mut table, 1), expected, "{failure:?} {times}");
+        assert_eq!(
+            online(&mut table, 10_000),
+            Ok("e1".to_owned()),
+            "{failure:?}"
+        );
+    }
+}
+
+#[test]
+fn a_departed_engine_never_comes_back_and_a_lost_one_may() {
+    let mut table = table(&[(1, "near")]);
+    table.learn(NodeId(2), facts(1, "near"));
+    table.lose(CONTROL, "e1");
+    assert!(
+        table.is_present("e1"),
+        "another control node still hears it"
+    );
+    table.lose(NodeId(2), "e1");
+    assert_eq!(online(&mut table, 0), Err(NoEngine::None));
+    table.learn(CONTROL, facts(1, "near"));
+    assert!(table.is_present("e1"));
+    assert!(table.depart("e1"));
+    assert!(!table.depart("e1"));
+    table.learn(NodeId(2), facts(1, "near"));
+    assert_eq!(online(&mut table, 0), Err(NoEngine::None));
+}
+
+#[test]
+fn an_address_belongs_to_the_latest_engine_that_has_it() {
+    let mut table = table(&[(1, "near")]);
+    let mut taken = facts(1, "near");
+    taken.id = "successor".to_owned();
+    taken.service = "other".to_owned();
+    table.learn(CONTROL, taken);
+    assert_eq!(online(&mut table, 0), Err(NoEngine::None));
+    assert!(!table.is_present("e1"));
+}
+
+#[test]
+fn batch_gets_only_what_online_work_leaves() {
+    let mut table = table(&[(1, "near")]);
+    let mut started = 0;
+    while pick(&mut table, WorkClass::Batch, &[], 0).is_ok() {
+        table.started("e1", WorkClass::Batch);
+        started += 1;
+    }
+    assert!(started < 8, "batch fills the engine");
+    assert_eq!(table.batch_headroom("s", now(0)), 0);
+    assert_eq!(online(&mut table, 0), Ok("e1".to_owned()));
+}
+
+#[test]
+fn engines_that_were_tried_are_passed_over() {
+    let mut table = table(&[(1, "near"), (2, "far")]);
+    let found = pick(&mut table, WorkClass::Online, &["e1"], 0);
+    assert_eq!(found, Ok("e2".to_owned()));
+    let found = pick(&mut table, WorkClass::Online, &["e1", "e2"], 0);
+    assert_eq!(found, Err(NoEngine::Busy));
+}
+
+#[test]
+fn a_long_shared_prompt_stays_with_its_engine_until_that_is_loaded() {
+    let part = |id: &str, tokens| PromptPart {
+        id: id.to_owned(),
+        tokens,
+    };
+    assert_eq!(affinity_key(&[part("a", 500), part("own", 9_000)]), None);
+    let key = affinity_key(&[part("a", 300), part("b", 900), part("own", 10)]);
+    let key = key.expect("long enough");
+    let mut table = table(&[(1, "near"), (2, "far"), (3, "far")]);
+    let tried = BTreeSet::new();
+    let pick = Pick {
+        service: "s",
+        class: WorkClass::Online,
+        affinity: Some(key),
+        tried: &tried,
+    };
+    let first = table.pick(&pick, now(0)).expect("an engine").facts.id;
+    for _ in 0..20 {
+        assert_eq!(
+            table.pick(&pick, now(0)).expect("an engine").facts.id,
+            first
+        );
+    }
+    for _ in 0..7 {
+        table.started(&first, WorkClass::Online);
+    }
+    assert_ne!(
+        table.pick(&pick, now(0)).expect("an engine").facts.id,
+        first
+    );
+}
--- /dev/null
+++ b/crates/state/tests/batch.rs
@@ -0,0 +1,149 @@
+//! Ordered batch jobs.
+
+use molespan_state::batch::{
+    BatchAnswer, BatchCommand, BatchItem, BatchMachine, BatchQuery, BatchReply, ItemOutcome,
+    ItemRecord, ItemReference, RecordOutcome, ResultPage, SubmitJob,
+};
+use proptest::prelude::*;
+
+fn submit(id: &str, items: usize) -> BatchCommand {
+    let items = (0..items).map(|place| BatchItem {
+        id: format!("{id}-{place}"),
+        path: "/p".to_owned(),
+        headers: Vec::new(),
+        body: format!("body {place}").into_bytes().into(),
+        tokens: 10,
+    });
+    BatchCommand::Submit(Box::new(SubmitJob {
+        id: id.to_owned(),
+        host: "h".to_owned(),
+        path: "/p".to_owned(),
+        submitted_ms: 1_000,
+        items: items.collect(),
+    }))
+}
+
+fn record(job: u64, place: u32, text: &str) -> BatchCommand {
+    BatchCommand::Record(RecordOutcome {
+        records: vec![ItemRecord {
+            item: ItemReference { job, place },
+            outcome: ItemOutcome::Completed {
+                text: text.to_owned(),
+            },
+        }],
+    })
+}
+
+fn page(machine: &BatchMachine, id: &str, after: u32, max_bytes: u64) -> Option<ResultPage> {
+    let query = BatchQuery::Results {
+        id: id.to_owned(),
+        after,
+        max_bytes,
+    };
+    match machine.query(&query) {
+        BatchAnswer::Results(page) => page,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn body(machine: &BatchMachine, id: &str, item: &str) -> Option<Vec<u8>> {
+    let query = BatchQuery::Body {
+        id: id.to_owned(),
+        item: item.to_owned(),
+    };
+    match machine.query(&query) {
+        BatchAnswer::Body(body) => body.map(Into::into),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn open(machine: &BatchMachine, limit: u32) -> Vec<ItemReference> {
+    match machine.query(&BatchQuery::Open { limit }) {
+        BatchAnswer::Open(open) => open.items.into_iter().map(|open| open.item).collect(),
+        other => panic!("{other:?}"),
+    }
+}
+
+proptest! {
+    /// Whatever is recorded, in whatever order and however often: the first
+    /// outcome of an item stands, at a position that never changes.
+    #[test]
+    fn first_outcomes_keep_their_positions(
+        records in prop::collection::vec((1..3_u64, 0..5_u32, 0..4_u8), 0..60),
+    ) {
+        let mut machine = BatchMachine::new();
+        machine.apply(&submit("a", 4));
+        machine.apply(&submit("b", 4));
+        let mut before: Vec<Vec<_>> = vec![Vec::new(), Vec::new()];
+        for (job, place, text) in records {
+            machine.apply(&record(job, place, &text.to_string()));
+            for (number, id) in ["a", "b"].into_iter().enumerate() {
+                let results = page(&machine, id, 0, u64::MAX).expect("a job").results;
+                prop_assert!(results.starts_with(&before[number]));
+                let mut ids: Vec<_> = results.iter().map(|one| one.id.clone()).collect();
+                ids.sort();
+                ids.dedup();
+                prop_assert_eq!(ids.len(), results.len());
+                before[number] = results;
+            }
+        }
+        let restored = BatchMachine::restore(&machine.snapshot()).expect("a snapshot");
+        prop_assert_eq!(restored, machine);
+    }
+}
+
+#[test]
+fn a_job_handed_in_again_is_kept_and_unchanged() {
+    let mut machine = BatchMachine::new();
+    assert_eq!(machine.apply(&submit("a", 2)), BatchReply::Kept);
+    machine.apply(&record(1, 1, "x"));
+    assert_eq!(machine.apply(&submit("a", 5)), BatchReply::Kept);
+    let page = page(&machine, "a", 0, 100).expect("a job");
+    assert_eq!((page.total, page.results.len()), (2, 1));
+}
+
+#[test]
+fn pages_hold_at_least_one_result_and_few_bytes() {
+    let mut machine = BatchMachine::new();
+    machine.apply(&submit("a", 3));
+    for place in 0..3 {
+        machine.apply(&record(1, place, "0123456789"));
+    }
+    for (after, max_bytes, count) in [(0, 5, 1), (0, 20, 2), (1, 100, 2), (3, 100, 0), (9, 9, 0)] {
+        let page = page(&machine, "a", after, max_bytes).expect("a job");
+        assert_eq!(page.results.len(), count, "{after} {max_bytes}");
+    }
+    assert_eq!(page(&machine, "none", 0, 100), None);
+}
+
+#[test]
+fn bodies_are_there_until_an_outcome_is() {
+    let mut machine = BatchMachine::new();
+    machine.apply(&submit("a", 2));
+    assert_eq!(body(&machine, "a", "a-1"), Some(b"body 1".to_vec()));
+    machine.apply(&record(1, 1, "x"));
+    assert_eq!(body(&machine, "a", "a-1"), None);
+    assert_eq!(body(&machine, "a", "a-9"), None);
+    assert_eq!(body(&machine, "b", "a-0"), None);
+}
+
+#[test]
+fn open_items_are_those_of_the_oldest_jobs_that_have_not_ended() {
+    let mut machine = BatchMachine::new();
+    machine.apply(&submit("a", 2));
+    machine.apply(&submit("b", 2));
+    machine.apply(&submit("c", 1));
+    machine.apply(&record(1, 0, "x"));
+    let reference = |job, place| ItemReference { job, place };
+    assert_eq!(open(&machine, 2), [reference(1, 1), reference(2, 0)]);
+    let end = |id: &str| BatchCommand::End { id: id.to_owned() };
+    assert_eq!(machine.apply(&end("b")), BatchReply::Ended);
+    assert_eq!(machine.apply(&end("b")), BatchReply::Ended);
+    assert_eq!(machine.apply(&end("none")), BatchReply::Unknown);
+    assert_eq!(open(&machine, 10), [reference(1, 1), reference(3, 0)]);
+    // What is listed stays readable after the end.
+    machine.apply(&record(2, 0, "late"));
+    assert_eq!(page(&machine, "b", 0, 10).expect("a job").results.len(), 1);
+    machine.apply(&BatchCommand::Forget { job: 2 });
+    assert_eq!(page(&machine, "b", 0, 10), None);
+}
