--- a/crates/daemon/src/replica/outbox.rs
+++ b/crates/daemon/src/replica/outbox.rs
@@ -15,6 +15,9 @@
 const FRAME_BYTES: usize = 1 << 20;
 /// Longest pause before a peer that could not be reached is tried again.
 const LONGEST_PAUSE: Duration = Duration::from_millis(200);
+/// A peer that is not there yet may leave an attempt to connect unanswered for
+/// seconds, and an election waits for it; replicas are near one another.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Connections to the other replicas. Consensus repeats what gets lost, so
 /// that messages are dropped when a peer does not keep up.
@@ -60,6 +63,7 @@
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
         let client = clients.entry(node).or_insert_with(|| {
             let limits = ClientLimits {
+                connect_timeout: CONNECT_TIMEOUT,
                 longest_pause: LONGEST_PAUSE,
                 ..ClientLimits::default()
             };
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -32,7 +32,7 @@
     #[must_use]
     pub fn transport(&self, executor: &Arc<Executor<'static>>) -> Arc<WireTransport> {
         let limits = ClientLimits {
-            connect_timeout: Duration::from_millis(500),
+            connect_timeout: Duration::from_millis(250),
             silence_limit: Duration::from_millis(1_500),
             longest_pause: Duration::from_millis(250),
             ..ClientLimits::default()
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -50,7 +50,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
     /// No configuration is known yet. Not run.
-    NoConfiguration,
+    NoConfiguration {
+        /// When to come back.
+        retry_after: Duration,
+    },
     /// No route fits.
     NoRoute,
     /// No engine can take it now. Not run.
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -24,6 +24,9 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(8);
 /// When a refused caller should come back.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
+/// When a caller should come back to a cluster that has just started: an
+/// election and a watch take about as long.
+const KNOWS_SOON: Duration = Duration::from_millis(1_200);
 /// Part of the target latency for which a request looks for an engine.
 const LOOKING_SHARE: f64 = 0.2;
 /// An answer in whole is held up to this length, so that a request that may be
@@ -57,7 +60,10 @@
     keep_alive: bool,
 ) -> After {
     let Some(in_force) = state.in_force() else {
-        return refuse(dialect, caller, Refusal::NoConfiguration, keep_alive).await;
+        let refusal = Refusal::NoConfiguration {
+            retry_after: KNOWS_SOON,
+        };
+        return refuse(dialect, caller, refusal, keep_alive).await;
     };
     if let Some(call) = dialect.batch_call(&request.head) {
         let answer = batch::call(state, dialect, call).await;
