Choose the engine that is likely to answer first, from what all gateways have there

Change: gateways tell each other their requests and unread prompt tokens at each engine every 60 ms when it changed; the cost of an engine is what it has to read before and for this request, its missing slots and the way to another zone; a shared prompt counts as read where it was read lately or by rendezvous. The load reports in answers stay for gateways that are cut off.

--- a/crates/daemon/src/replica/service.rs
+++ b/crates/daemon/src/replica/service.rs
@@ -73,7 +73,8 @@
             | Request::Loads { .. }
             | Request::WatchView(_)
             | Request::EnginesHeard { .. }
-            | Request::TakeItems(_) => not_run("a replica does not answer this".to_owned(), 0),
+            | Request::TakeItems(_)
+            | Request::EngineWork { .. } => not_run("a replica does not answer this".to_owned(), 0),
         }
     }
 
--- a/crates/fleet/src/control/hub.rs
+++ b/crates/fleet/src/control/hub.rs
@@ -122,7 +122,7 @@
         state
             .watchers
             .retain(|_, watcher| watcher.at.elapsed() < PRESENCE);
-        let gateways = state.count(WatcherKind::Gateway);
+        let gateways = state.watching(WatcherKind::Gateway);
         let counted = gateways != state.topology.gateways;
         if counted {
             state.topology.gateways = gateways;
@@ -149,11 +149,10 @@
     /// Stores that asked lately.
     #[must_use]
     pub fn live_stores(&self) -> BTreeSet<NodeId> {
-        let state = self.lock();
-        let stores = state.watchers.iter().filter(|(_, watcher)| {
-            watcher.kind == WatcherKind::Store && watcher.at.elapsed() < PRESENCE
-        });
-        stores.map(|(node, _)| *node).collect()
+        let mut state = self.lock();
+        let watchers = &mut state.watchers;
+        watchers.retain(|_, watcher| watcher.at.elapsed() < PRESENCE);
+        state.watching(WatcherKind::Store)
     }
 
     /// Answers a watch, at once or when something is newer.
@@ -209,9 +208,10 @@
         self.woken = woken;
     }
 
-    fn count(&self, kind: WatcherKind) -> u32 {
-        let watchers = self.watchers.values();
-        watchers.filter(|watcher| watcher.kind == kind).count() as u32
+    fn watching(&self, kind: WatcherKind) -> BTreeSet<NodeId> {
+        let watchers = self.watchers.iter();
+        let of_kind = watchers.filter(|(_, watcher)| watcher.kind == kind);
+        of_kind.map(|(node, _)| *node).collect()
     }
 
     fn take_configuration(&mut self, declared: &DeclaredState, change: u64) -> bool {
@@ -256,7 +256,7 @@
             stores: stores.nodes().keys().copied().collect(),
             founders: stores.founders().clone(),
             retiring: stores.retiring(),
-            gateways: self.topology.gateways,
+            gateways: self.topology.gateways.clone(),
         };
         if topology == self.topology {
             return false;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -70,7 +70,7 @@
     pub retiring: BTreeSet<NodeId>,
     /// Gateways that were heard of lately.
     #[n(4)]
-    pub gateways: u32,
+    pub gateways: BTreeSet<NodeId>,
 }
 
 /// Changes since what a node was told before.
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -10,7 +10,7 @@
 use molespan_http::h1::{
     self, BodyReader, Connection, Framing, HeadError, Headers, ResponseHead, SocketOptions,
 };
-use molespan_routing::dispatch::{EngineFacts, Failure, WorkClass};
+use molespan_routing::dispatch::{EngineFacts, Failure, Picked, WorkClass};
 
 use crate::dialect::{EngineAnswer, EngineCall, GatewayDialect};
 use crate::state::{GatewayState, Occupied};
@@ -108,15 +108,16 @@
     pub after_event: Option<u64>,
 }
 
-/// Sends a request to `engine` and reads the head of the answer.
+/// Sends a request to the engine that was picked, and reads the head of the answer.
 pub(crate) async fn attempt<D: GatewayDialect>(
     state: &Rc<GatewayState>,
     dialect: &D,
-    engine: &EngineFacts,
+    picked: &Picked,
     outbound: &Outbound,
     limits: AttemptLimits,
 ) -> Result<EngineReply, AttemptFailure> {
-    let occupied = state.occupy(&engine.id, outbound.class);
+    let engine = &picked.facts;
+    let occupied = state.occupy(picked, outbound.class);
     let result = try_attempt(state, dialect, engine, outbound, limits, occupied).await;
     let mut engines = state.engines.borrow_mut();
     match &result {
@@ -171,6 +172,7 @@
         Err(AttemptFailure::Silent)
     };
     let (head, facts) = future::or(exchange, late).await?;
+    occupied.began();
     let Some(framing) = Framing::of_response(&head, &outbound.method) else {
         return Err(AttemptFailure::Broken);
     };
--- a/crates/proxy/src/gateway.rs
+++ b/crates/proxy/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::connection::serve_connection;
 use crate::dialect::GatewayDialect;
 use crate::state::GatewayState;
+use crate::work_shares::exchange_work;
 
 /// Pause after an error of the listener.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -91,7 +92,9 @@
         let seeds = &options.addresses.seeds;
         let kind = WatcherKind::Gateway;
         let sink = state.clone();
-        let _watcher = ViewWatcher::start(own, kind, seeds, wire, local, logger.clone(), sink);
+        let _watcher =
+            ViewWatcher::start(own, kind, seeds, wire.clone(), local, logger.clone(), sink);
+        exchange_work(&options.addresses, &state, wire, executor, local)?;
         let dialect = Rc::new(dialect);
         let callers = listen(options.caller_address)?;
         let readiness = listen(options.readiness_address)?;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,5 +17,6 @@
 mod request;
 mod resume;
 mod state;
+mod work_shares;
 
 pub use gateway::{Gateway, GatewayOptions};
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -7,7 +7,7 @@
 use async_io::Timer;
 use futures_lite::future;
 use molespan_http::h1::{BodyReader, Connection, Headers, RequestHead};
-use molespan_routing::dispatch::{NoEngine, Pick, Picked, WorkClass, affinity_key};
+use molespan_routing::dispatch::{NoEngine, Pick, Picked, PromptCost, WorkClass};
 use molespan_state::declared::{Route, RouteKind};
 use slog::{debug, info};
 
@@ -210,8 +210,9 @@
             let engine = &picked.facts;
             debug!(self.state.logger, "attempt"; "request" => &self.outbound.id,
                 "engine" => &engine.id, "load" => picked.load,
-                "affinity" => picked.by_affinity, "runs" => self.runs);
-            let result = attempt(self.state, self.dialect, engine, &self.outbound, limits).await;
+                "unread" => picked.unread_tokens, "before" => picked.before_tokens,
+                "runs" => self.runs);
+            let result = attempt(self.state, self.dialect, &picked, &self.outbound, limits).await;
             self.tried.insert(engine.id.clone());
             match result {
                 Ok(reply) if reply.facts.not_run || reply.facts.displaced => {
@@ -222,6 +223,7 @@
                 }
                 Ok(reply) => {
                     self.runs += 1;
+                    self.note_held(&engine.id);
                     let failed = matches!(reply.head.status, 500 | 502 | 504);
                     if failed && self.route.kind == RouteKind::Safe && self.may_run_again() {
                         continue;
@@ -233,6 +235,17 @@
         }
     }
 
+    /// The engine read the prompt, and holds what of it is shared.
+    fn note_held(&self, engine: &str) {
+        if let Some(shared) = PromptCost::of(&self.facts.prompt).shared {
+            let now = self.state.now();
+            self.state
+                .engines
+                .borrow_mut()
+                .holds(engine, shared.key, now);
+        }
+    }
+
     fn note_failure(&mut self, engine: &str, failure: AttemptFailure) -> Result<(), Refusal> {
         info!(self.state.logger, "attempt failed"; "request" => &self.outbound.id,
             "engine" => engine, "failure" => %failure, "runs" => self.runs);
@@ -274,15 +287,12 @@
     async fn pick(&mut self) -> Result<Picked, Refusal> {
         let target = Duration::from_millis(u64::from(self.route.target_latency_ms));
         let looks_until = self.arrived + target.mul_f64(LOOKING_SHARE);
-        let affinity = match self.route.sticky {
-            true => affinity_key(&self.facts.prompt),
-            false => None,
-        };
+        let prompt = PromptCost::of(&self.facts.prompt);
         loop {
             let pick = Pick {
                 service: &self.service,
                 class: self.outbound.class,
-                affinity,
+                prompt,
                 tried: &self.tried,
             };
             let now = self.state.now();
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -9,7 +9,7 @@
 use molespan_daemon::cluster::Cluster;
 use molespan_fleet::ViewSink;
 use molespan_fleet::view::{EngineRecord, Topology, ViewUpdate};
-use molespan_routing::dispatch::{EngineFacts, EngineTable, WeightedSplit, WorkClass};
+use molespan_routing::dispatch::{EngineFacts, EngineTable, Picked, WeightedSplit, WorkClass};
 use molespan_state::declared::{Route, ServingModel};
 use molespan_types::{NodeId, Timestamp, ZoneName};
 use slog::{Logger, info};
@@ -97,8 +97,16 @@
         self.in_force.borrow().clone()
     }
 
+    /// How many gateways there are, this one included.
     pub fn gateways(&self) -> u32 {
-        self.topology.borrow().gateways.max(1)
+        (self.topology.borrow().gateways.len() as u32).max(1)
+    }
+
+    /// The other gateways.
+    pub fn other_gateways(&self) -> Vec<NodeId> {
+        let topology = self.topology.borrow();
+        let others = topology.gateways.iter().filter(|&&node| node != self.own);
+        others.copied().collect()
     }
 
     pub fn is_stopping(&self) -> bool {
@@ -143,12 +151,17 @@
     }
 
     /// Counts a request at an engine until the guard is dropped.
-    pub fn occupy(self: &Rc<Self>, engine: &str, class: WorkClass) -> Occupied {
-        self.engines.borrow_mut().started(engine, class);
+    pub fn occupy(self: &Rc<Self>, picked: &Picked, class: WorkClass) -> Occupied {
+        let engine = &picked.facts.id;
+        let unread_tokens = picked.unread_tokens;
+        self.engines
+            .borrow_mut()
+            .started(engine, class, unread_tokens);
         Occupied {
             state: self.clone(),
-            engine: engine.to_owned(),
+            engine: engine.clone(),
             class,
+            unread_tokens: Cell::new(unread_tokens),
         }
     }
 
@@ -232,10 +245,21 @@
     state: Rc<GatewayState>,
     engine: String,
     class: WorkClass,
+    /// Prompt tokens that the engine has not read yet.
+    unread_tokens: Cell<u64>,
+}
+
+impl Occupied {
+    /// The request began to answer.
+    pub fn began(&self) {
+        let read = self.unread_tokens.replace(0);
+        self.state.engines.borrow_mut().read(&self.engine, read);
+    }
 }
 
 impl Drop for Occupied {
     fn drop(&mut self) {
+        self.began();
         self.state
             .engines
             .borrow_mut()
--- /dev/null
+++ b/crates/proxy/src/work_shares.rs
@@ -0,0 +1,103 @@
+//! Gateways tell each other what they have at engines. An engine's own reports
+//! come with answers only, and too late for a burst.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::{Executor, LocalExecutor};
+use async_io::Timer;
+use molespan_daemon::DaemonError;
+use molespan_daemon::cluster::{PeerTransport, WireTransport};
+use molespan_fleet::ClusterAddresses;
+use molespan_routing::dispatch::WorkShare;
+use molespan_types::{NodeId, RunOutcome};
+use molespan_wire::{Handler, Request, Response, Server, ServerLimits};
+
+use crate::state::GatewayState;
+
+/// Time between two tellings.
+const INTERVAL: Duration = Duration::from_millis(60);
+/// What did not change is told again after this many intervals.
+const REPEATED_AFTER: u32 = 8;
+/// Tellings that wait to be taken in; further ones are dropped.
+const QUEUED: usize = 1_024;
+
+/// What another gateway told.
+struct Told {
+    from: NodeId,
+    shares: Vec<WorkShare>,
+}
+
+/// Takes in what other gateways tell.
+struct Listener {
+    told: Sender<Told>,
+}
+
+impl Handler for Listener {
+    async fn call(&self, _request: Request) -> Response {
+        Response::Refused {
+            outcome: RunOutcome::NotRun,
+            message: "a gateway answers no calls".to_owned(),
+            retry_after_ms: 0,
+        }
+    }
+
+    fn notify(&self, request: Request) {
+        if let Request::EngineWork { from, shares } = request
+            && let Ok(shares) = molespan_state::decode(&shares)
+        {
+            let _dropped = self.told.try_send(Told { from, shares });
+        }
+    }
+}
+
+/// Begins to tell the other gateways, and to listen to them.
+pub(crate) fn exchange_work(
+    addresses: &ClusterAddresses,
+    state: &Rc<GatewayState>,
+    wire: Arc<WireTransport>,
+    executor: &Arc<Executor<'static>>,
+    local: &Rc<LocalExecutor<'static>>,
+) -> Result<(), DaemonError> {
+    let (told, telling) = async_channel::bounded(QUEUED);
+    let server = Server::bind(addresses.own_address(), ServerLimits::default())?;
+    let listener = Arc::new(Listener { told });
+    executor
+        .spawn(server.serve(executor.clone(), listener))
+        .detach();
+    local.spawn(listen(state.clone(), telling)).detach();
+    local.spawn(tell(state.clone(), wire)).detach();
+    Ok(())
+}
+
+async fn listen(state: Rc<GatewayState>, telling: Receiver<Told>) {
+    while let Ok(told) = telling.recv().await {
+        let now = state.now();
+        let mut engines = state.engines.borrow_mut();
+        engines.note_shares(told.from, &told.shares, now);
+    }
+}
+
+async fn tell(state: Rc<GatewayState>, wire: Arc<WireTransport>) {
+    let mut before = Vec::new();
+    let mut unchanged = 0;
+    loop {
+        Timer::after(INTERVAL).await;
+        let shares = state.engines.borrow().shares();
+        unchanged = if shares == before { unchanged + 1 } else { 0 };
+        if unchanged % REPEATED_AFTER != 0 {
+            continue;
+        }
+        let bytes = molespan_state::encode(&shares);
+        for node in state.other_gateways() {
+            let request = Request::EngineWork {
+                from: state.own,
+                shares: bytes.clone().into(),
+            };
+            wire.send(node, request);
+        }
+        before = shares;
+    }
+}
--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -1,13 +1,18 @@
 //! What is known of one engine.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use minicbor::{Decode, Encode};
 use molespan_types::{NodeId, Timestamp, ZoneName};
 
+use super::table::WorkClass;
+
 /// How long a report says something about the work of others.
 const REPORT_FADES: Duration = Duration::from_secs(2);
+/// How long another gateway's word on its work holds.
+const SHARE_HOLDS: Duration = Duration::from_millis(1_200);
 /// First pause of an engine that fails; it doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause.
@@ -43,6 +48,20 @@
     pub slots: u32,
 }
 
+/// Work that one gateway has at one engine, as it tells the others.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct WorkShare {
+    /// Engine.
+    #[n(0)]
+    pub engine: String,
+    /// Requests, online and batch.
+    #[n(1)]
+    pub requests: u32,
+    /// Prompt tokens of those that have not begun to answer.
+    #[n(2)]
+    pub unread_tokens: u64,
+}
+
 /// How an attempt failed, as far as it tells of the engine's health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -63,15 +82,25 @@
     at: Timestamp,
 }
 
+/// What another gateway said.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    requests: u32,
+    unread_tokens: u64,
+    at: Timestamp,
+}
+
 /// One engine.
 #[derive(Clone, Debug)]
 pub(super) struct Engine {
     pub facts: EngineFacts,
     /// Control nodes that say it is there.
     pub known_by: BTreeSet<NodeId>,
-    /// Own requests there, online and batch.
-    pub online: u32,
-    pub batch: u32,
+    online: u32,
+    batch: u32,
+    /// Prompt tokens of own requests that have not begun to answer.
+    unread_tokens: u64,
+    shares: BTreeMap<NodeId, Share>,
     report: Option<Report>,
     failures: u32,
     paused_until: Timestamp,
@@ -84,6 +113,8 @@
             known_by: BTreeSet::new(),
             online: 0,
             batch: 0,
+            unread_tokens: 0,
+            shares: BTreeMap::new(),
             report: None,
             failures: 0,
             paused_until: Timestamp::ZERO,
@@ -94,6 +125,51 @@
         self.online + self.batch
     }
 
+    pub fn started(&mut self, class: WorkClass, unread_tokens: u64) {
+        *self.count(class) += 1;
+        self.unread_tokens += unread_tokens;
+    }
+
+    /// A request began to answer, or ended before.
+    pub fn read(&mut self, tokens: u64) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(tokens);
+    }
+
+    pub fn ended(&mut self, class: WorkClass) {
+        let count = self.count(class);
+        *count = count.saturating_sub(1);
+    }
+
+    fn count(&mut self, class: WorkClass) -> &mut u32 {
+        match class {
+            WorkClass::Online => &mut self.online,
+            WorkClass::Batch => &mut self.batch,
+        }
+    }
+
+    /// Own work here, for telling others; `None` where there is none.
+    pub fn share(&self) -> Option<WorkShare> {
+        (self.own() > 0).then(|| WorkShare {
+            engine: self.facts.id.clone(),
+            requests: self.own(),
+            unread_tokens: self.unread_tokens,
+        })
+    }
+
+    /// Takes in what another gateway has here; `None` for nothing.
+    pub fn note_share(&mut self, from: NodeId, share: Option<&WorkShare>, now: Timestamp) {
+        let Some(share) = share else {
+            self.shares.remove(&from);
+            return;
+        };
+        let share = Share {
+            requests: share.requests,
+            unread_tokens: share.unread_tokens,
+            at: now,
+        };
+        self.shares.insert(from, share);
+    }
+
     /// Takes in a load that it told; own requests in flight are in it.
     pub fn report(&mut self, load: EngineLoad, now: Timestamp) {
         let all = load.running + load.waiting;
@@ -106,10 +182,20 @@
         }
     }
 
+    fn fresh_shares(&self, now: Timestamp) -> impl Iterator<Item = &Share> {
+        let shares = self.shares.values();
+        shares.filter(move |share| now.since(share.at) < SHARE_HOLDS)
+    }
+
     /// Requests that are there as far as is known: the own ones, and those of
-    /// others, which count for less the older the report is.
-    pub fn load(&self, now: Timestamp) -> f64 {
+    /// others, which they tell, or which the engine told and which count for
+    /// less the older that is.
+    pub fn load(&self, now: Timestamp, others_tell: bool) -> f64 {
         let own = f64::from(self.own());
+        if others_tell {
+            let others: u32 = self.fresh_shares(now).map(|share| share.requests).sum();
+            return own + f64::from(others);
+        }
         let Some(report) = self.report else {
             return own;
         };
@@ -117,6 +203,15 @@
         own + f64::from(report.others) * (1.0 - age).max(0.0)
     }
 
+    /// Prompt tokens that are to be read before those of a new request.
+    pub fn unread_tokens(&self, now: Timestamp) -> u64 {
+        let others: u64 = self
+            .fresh_shares(now)
+            .map(|share| share.unread_tokens)
+            .sum();
+        self.unread_tokens + others
+    }
+
     pub fn is_paused(&self, now: Timestamp) -> bool {
         now < self.paused_until
     }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -8,7 +8,7 @@
 mod split;
 mod table;
 
-pub use engine::{EngineFacts, EngineLoad, Failure};
-pub use prompt::{PromptPart, affinity_key};
+pub use engine::{EngineFacts, EngineLoad, Failure, WorkShare};
+pub use prompt::{PromptCost, PromptPart, SharedPrompt};
 pub use split::WeightedSplit;
 pub use table::{EngineTable, NoEngine, Pick, Picked, WorkClass};
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -1,27 +1,31 @@
 //! All engines, and the choice among them.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
 
 use molespan_types::{NodeId, Timestamp, ZoneName};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::engine::{Engine, EngineFacts, EngineLoad, Failure};
+use super::engine::{Engine, EngineFacts, EngineLoad, Failure, WorkShare};
+use super::prompt::{Holders, PromptCost, home};
 
 /// Departed engines that are remembered, so that a late word of one does not
 /// bring it back.
 const REMEMBERED_DEPARTURES: usize = 10_000;
-/// Requests that a way into another zone weighs as much as.
-const ZONE_PENALTY: f64 = 1.0;
-/// Share of its slots up to which an engine is chosen for what it holds.
-const AFFINITY_LOAD: f64 = 0.8;
-/// Share of the slots by which it may be above the least loaded one.
-const AFFINITY_LEAD: f64 = 0.4;
+/// Prompt tokens that a way into another zone weighs as much as.
+const ZONE_TOKENS: f64 = 150.0;
+/// Prompt tokens that a full set of running requests weighs as much as: it
+/// slows each step a little.
+const RUNNING_TOKENS: f64 = 600.0;
+/// Prompt tokens that a request weighs as much as for which there is no slot.
+const WAITING_TOKENS: f64 = 20_000.0;
 /// Share of its slots up to which an engine gets batch work.
 const BATCH_LOAD: f64 = 0.6;
 /// Share of its slots up to which an engine gets online work.
 const ONLINE_LOAD: f64 = 1.5;
+/// How long gateways count as telling each other what they have.
+const TOLD_LATELY: Duration = Duration::from_millis(1_200);
 
 /// What a request is, as far as engines care.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,8 +43,8 @@
     pub service: &'a str,
     /// What it is.
     pub class: WorkClass,
-    /// Shared beginning of its prompt, if that matters.
-    pub affinity: Option<u64>,
+    /// What its prompt costs to read.
+    pub prompt: PromptCost,
     /// Engines that it has been to.
     pub tried: &'a BTreeSet<String>,
 }
@@ -52,8 +56,10 @@
     pub facts: EngineFacts,
     /// Requests there as far as is known, this one not counted.
     pub load: f64,
-    /// Whether it was chosen for the prompt that it should hold.
-    pub by_affinity: bool,
+    /// Prompt tokens that it has to read for this one.
+    pub unread_tokens: u64,
+    /// Prompt tokens that it has to read before.
+    pub before_tokens: u64,
 }
 
 /// Why no engine was chosen.
@@ -72,6 +78,9 @@
     engines: BTreeMap<String, Engine>,
     departed: BTreeSet<String>,
     departed_order: VecDeque<String>,
+    holders: Holders,
+    /// When another gateway last told what it has.
+    told: Option<Timestamp>,
     random: ChaCha8Rng,
 }
 
@@ -84,6 +93,8 @@
             engines: BTreeMap::new(),
             departed: BTreeSet::new(),
             departed_order: VecDeque::new(),
+            holders: Holders::default(),
+            told: None,
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -144,21 +155,32 @@
         self.engines.contains_key(id)
     }
 
-    /// A request was sent.
-    pub fn started(&mut self, id: &str, class: WorkClass) {
+    /// A request was sent, with so many tokens to read.
+    pub fn started(&mut self, id: &str, class: WorkClass, unread_tokens: u64) {
         if let Some(engine) = self.engines.get_mut(id) {
-            *in_flight(engine, class) += 1;
+            engine.started(class, unread_tokens);
         }
     }
 
-    /// It has ended in whatever way.
+    /// A request began to answer, or ended before: its tokens are read.
+    pub fn read(&mut self, id: &str, tokens: u64) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.read(tokens);
+        }
+    }
+
+    /// A request has ended in whatever way.
     pub fn ended(&mut self, id: &str, class: WorkClass) {
         if let Some(engine) = self.engines.get_mut(id) {
-            let count = in_flight(engine, class);
-            *count = count.saturating_sub(1);
+            engine.ended(class);
         }
     }
 
+    /// An engine read a shared prompt.
+    pub fn holds(&mut self, id: &str, key: u64, now: Timestamp) {
+        self.holders.note(key, id, now);
+    }
+
     /// An engine told its load.
     pub fn report(&mut self, id: &str, load: EngineLoad, now: Timestamp) {
         if let Some(engine) = self.engines.get_mut(id) {
@@ -166,6 +188,21 @@
         }
     }
 
+    /// What this gateway has at each engine, for telling the others.
+    #[must_use]
+    pub fn shares(&self) -> Vec<WorkShare> {
+        self.engines.values().filter_map(Engine::share).collect()
+    }
+
+    /// Another gateway tells all that it has at engines.
+    pub fn note_shares(&mut self, from: NodeId, shares: &[WorkShare], now: Timestamp) {
+        self.told = Some(now);
+        for (id, engine) in &mut self.engines {
+            let share = shares.iter().find(|share| share.engine == *id);
+            engine.note_share(from, share, now);
+        }
+    }
+
     /// An attempt failed.
     pub fn failed(&mut self, id: &str, failure: Failure, now: Timestamp) {
         if let Some(engine) = self.engines.get_mut(id) {
@@ -183,95 +220,87 @@
     /// Slots of all engines of a service together.
     #[must_use]
     pub fn slots(&self, service: &str) -> u32 {
-        let engines = self
-            .engines
-            .values()
-            .filter(|one| one.facts.service == service);
-        engines.map(|engine| engine.facts.slots).sum()
+        let engines = self.engines.values();
+        let of_service = engines.filter(|one| one.facts.service == service);
+        of_service.map(|engine| engine.facts.slots).sum()
     }
 
-    /// Batch requests that an engine of the service would still take.
+    fn others_tell(&self, now: Timestamp) -> bool {
+        self.told.is_some_and(|told| now.since(told) < TOLD_LATELY)
+    }
+
+    /// Batch requests that engines of the service would still take.
     #[must_use]
     pub fn batch_headroom(&self, service: &str, now: Timestamp) -> u32 {
-        let engines = self
-            .engines
-            .values()
-            .filter(|one| one.facts.service == service);
-        let usable = engines.filter(|engine| !engine.is_paused(now));
+        let others_tell = self.others_tell(now);
+        let engines = self.engines.values();
+        let of_service = engines.filter(|one| one.facts.service == service);
+        let usable = of_service.filter(|engine| !engine.is_paused(now));
         let room = usable.map(|engine| {
             let most = f64::from(engine.facts.slots) * BATCH_LOAD;
-            (most - engine.load(now)).max(0.0) as u32
+            (most - engine.load(now, others_tell)).max(0.0) as u32
         });
         room.sum()
     }
 
-    /// Chooses an engine.
+    /// Chooses the engine that is likely to answer first.
     ///
     /// # Errors
     /// When there is none to choose.
     pub fn pick(&mut self, pick: &Pick<'_>, now: Timestamp) -> Result<Picked, NoEngine> {
-        let of_service = |engine: &&Engine| engine.facts.service == pick.service;
-        if !self.engines.values().any(|engine| of_service(&engine)) {
+        let engines = self.engines.values();
+        let of_service: Vec<&Engine> = engines
+            .filter(|engine| engine.facts.service == pick.service)
+            .collect();
+        if of_service.is_empty() {
             return Err(NoEngine::None);
         }
+        let others_tell = self.others_tell(now);
         let share = match pick.class {
             WorkClass::Online => ONLINE_LOAD,
             WorkClass::Batch => BATCH_LOAD,
         };
-        let engines = self.engines.values().filter(of_service);
-        let usable: Vec<(&Engine, f64)> = engines
-            .filter(|engine| !engine.is_paused(now) && !pick.tried.contains(&engine.facts.id))
-            .map(|engine| (engine, engine.load(now)))
-            .filter(|(engine, load)| *load < f64::from(engine.facts.slots) * share)
-            .collect();
-        if let Some(key) = pick.affinity
-            && let Some(picked) = by_affinity(&usable, key)
-        {
-            return Ok(picked);
+        let shared = pick.prompt.shared;
+        let ids = of_service.iter().map(|engine| engine.facts.id.as_str());
+        let first = shared.and_then(|shared| home(shared.key, ids));
+        let mut best: Option<(f64, u32, Picked)> = None;
+        for engine in of_service {
+            let facts = &engine.facts;
+            let load = engine.load(now, others_tell);
+            let full = load >= f64::from(facts.slots) * share;
+            if full || engine.is_paused(now) || pick.tried.contains(&facts.id) {
+                continue;
+            }
+            let held = shared.filter(|shared| {
+                first == Some(&facts.id) || self.holders.holds(shared.key, &facts.id, now)
+            });
+            let kept_tokens = held.map_or(0, |shared| shared.tokens);
+            let picked = Picked {
+                load,
+                unread_tokens: pick.prompt.tokens.saturating_sub(kept_tokens),
+                before_tokens: engine.unread_tokens(now),
+                facts: facts.clone(),
+            };
+            let far = facts.zone != self.zone;
+            let cost = cost(&picked, far);
+            let draw = self.random.random();
+            let better = best
+                .as_ref()
+                .is_none_or(|(least, drawn, _)| (cost, draw) < (*least, *drawn));
+            if better {
+                best = Some((cost, draw, picked));
+            }
         }
-        let weigh = |engine: &Engine, load: f64| {
-            let far = engine.facts.zone != self.zone;
-            let penalty = if far { ZONE_PENALTY } else { 0.0 };
-            (load + penalty) / f64::from(engine.facts.slots.max(1))
-        };
-        let random = &mut self.random;
-        let weighed = usable
-            .iter()
-            .map(|&(engine, load)| (weigh(engine, load), random.random::<u32>(), engine, load));
-        let least =
-            weighed.min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
-        let (_, _, engine, load) = least.ok_or(NoEngine::Busy)?;
-        Ok(Picked {
-            facts: engine.facts.clone(),
-            load,
-            by_affinity: false,
-        })
-    }
-}
-
-fn in_flight(engine: &mut Engine, class: WorkClass) -> &mut u32 {
-    match class {
-        WorkClass::Online => &mut engine.online,
-        WorkClass::Batch => &mut engine.batch,
+        best.map(|(_, _, picked)| picked).ok_or(NoEngine::Busy)
     }
 }
 
-/// The first engine in the order that the key gives, passing over those that
-/// have much more to do than others.
-fn by_affinity(usable: &[(&Engine, f64)], key: u64) -> Option<Picked> {
-    let shares = usable
-        .iter()
-        .map(|(engine, load)| load / f64::from(engine.facts.slots.max(1)));
-    let least = shares.fold(f64::INFINITY, f64::min);
-    let limit = AFFINITY_LOAD.min(least + AFFINITY_LEAD);
-    let fitting = usable
-        .iter()
-        .filter(|(engine, load)| load / f64::from(engine.facts.slots.max(1)) <= limit);
-    let first =
-        fitting.max_by_key(|(engine, _)| xxh3_64_with_seed(engine.facts.id.as_bytes(), key));
-    first.map(|&(engine, load)| Picked {
-        facts: engine.facts.clone(),
-        load,
-        by_affinity: true,
-    })
+/// How long a request waits for its first token there, in prompt tokens.
+fn cost(picked: &Picked, far: bool) -> f64 {
+    let zone = if far { ZONE_TOKENS } else { 0.0 };
+    let slots = f64::from(picked.facts.slots);
+    let without_slot = (picked.load - slots + 1.0).max(0.0);
+    let reading = (picked.before_tokens + picked.unread_tokens) as f64;
+    let running = picked.load / slots.max(1.0) * RUNNING_TOKENS;
+    reading + running + zone + without_slot * WAITING_TOKENS
 }
--- a/crates/routing/tests/dispatch.rs
+++ b/crates/routing/tests/dispatch.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 
 use molespan_routing::dispatch::{
-    EngineFacts, EngineLoad, EngineTable, Failure, NoEngine, Pick, PromptPart, WeightedSplit,
-    WorkClass, affinity_key,
+    EngineFacts, EngineLoad, EngineTable, Failure, NoEngine, Pick, PromptCost, PromptPart,
+    WeightedSplit, WorkClass, WorkShare,
 };
 use molespan_types::{NodeId, Timestamp};
 use proptest::prelude::*;
@@ -43,7 +43,7 @@
     let pick = Pick {
         service: "s",
         class,
-        affinity: None,
+        prompt: PromptCost::default(),
         tried: &tried,
     };
     table.pick(&pick, now(at)).map(|picked| picked.facts.id)
@@ -84,8 +84,8 @@
 fn the_least_loaded_engine_is_chosen_and_the_own_zone_first() {
     let mut table = table(&[(1, "near"), (2, "far")]);
     assert_eq!(online(&mut table, 0), Ok("e1".to_owned()));
-    table.started("e1", WorkClass::Online);
-    table.started("e1", WorkClass::Online);
+    table.started("e1", WorkClass::Online, 0);
+    table.started("e1", WorkClass::Online, 0);
     assert_eq!(online(&mut table, 0), Ok("e2".to_owned()));
     table.ended("e1", WorkClass::Online);
     table.ended("e1", WorkClass::Online);
@@ -101,7 +101,7 @@
         slots: 8,
     };
     table.report("e1", load, now(0));
-    table.started("e2", WorkClass::Online);
+    table.started("e2", WorkClass::Online, 0);
     assert_eq!(online(&mut table, 0), Ok("e2".to_owned()));
     assert_eq!(online(&mut table, 5_000), Ok("e1".to_owned()));
 }
@@ -170,7 +170,7 @@
     let mut table = table(&[(1, "near")]);
     let mut started = 0;
     while pick(&mut table, WorkClass::Batch, &[], 0).is_ok() {
-        table.started("e1", WorkClass::Batch);
+        table.started("e1", WorkClass::Batch, 0);
         started += 1;
     }
     assert!(started < 8, "batch fills the engine");
@@ -187,35 +187,88 @@
     assert_eq!(found, Err(NoEngine::Busy));
 }
 
-#[test]
-fn a_long_shared_prompt_stays_with_its_engine_until_that_is_loaded() {
-    let part = |id: &str, tokens| PromptPart {
+fn part(id: &str, tokens: u32) -> PromptPart {
+    PromptPart {
         id: id.to_owned(),
         tokens,
-    };
-    assert_eq!(affinity_key(&[part("a", 500), part("own", 9_000)]), None);
-    let key = affinity_key(&[part("a", 300), part("b", 900), part("own", 10)]);
-    let key = key.expect("long enough");
-    let mut table = table(&[(1, "near"), (2, "far"), (3, "far")]);
+    }
+}
+
+fn pick_prompt(table: &mut EngineTable, parts: &[PromptPart], at: u64) -> (String, u64) {
     let tried = BTreeSet::new();
     let pick = Pick {
         service: "s",
         class: WorkClass::Online,
-        affinity: Some(key),
+        prompt: PromptCost::of(parts),
         tried: &tried,
     };
-    let first = table.pick(&pick, now(0)).expect("an engine").facts.id;
+    let picked = table.pick(&pick, now(at)).expect("an engine");
+    (picked.facts.id, picked.unread_tokens)
+}
+
+#[test]
+fn short_shared_prompts_decide_nothing() {
+    assert_eq!(
+        PromptCost::of(&[part("a", 500), part("own", 9_000)]).shared,
+        None
+    );
+    let cost = PromptCost::of(&[part("a", 300), part("b", 900), part("own", 10)]);
+    assert_eq!(
+        (cost.tokens, cost.shared.map(|shared| shared.tokens)),
+        (1_210, Some(1_200))
+    );
+    assert_eq!(PromptCost::of(&[]), PromptCost::default());
+}
+
+#[test]
+fn a_long_shared_prompt_goes_where_it_is_held_until_waiting_there_costs_more() {
+    let prompt = [part("album", 13_000), part("own", 2_000)];
+    let mut table = table(&[(1, "near"), (2, "far"), (3, "far")]);
+    let (home, unread) = pick_prompt(&mut table, &prompt, 0);
+    assert_eq!(unread, 2_000);
     for _ in 0..20 {
-        assert_eq!(
-            table.pick(&pick, now(0)).expect("an engine").facts.id,
-            first
-        );
+        assert_eq!(pick_prompt(&mut table, &prompt, 0).0, home);
+    }
+    table.started(&home, WorkClass::Online, 20_000);
+    let (second, unread) = pick_prompt(&mut table, &prompt, 0);
+    assert_ne!(second, home);
+    assert_eq!(unread, 15_000);
+    // The second engine holds it from now on, and is as good as the first.
+    let key = PromptCost::of(&prompt).shared.expect("long enough").key;
+    table.holds(&second, key, now(0));
+    assert_eq!(pick_prompt(&mut table, &prompt, 0), (second, 2_000));
+}
+
+#[test]
+fn unread_prompts_of_this_and_other_gateways_are_avoided() {
+    let mut table = table(&[(1, "near"), (2, "near"), (3, "near")]);
+    table.started("e1", WorkClass::Online, 30_000);
+    let share = WorkShare {
+        engine: "e2".to_owned(),
+        requests: 1,
+        unread_tokens: 30_000,
+    };
+    table.note_shares(NodeId(9), std::slice::from_ref(&share), now(0));
+    for _ in 0..20 {
+        assert_eq!(online(&mut table, 0), Ok("e3".to_owned()));
     }
-    for _ in 0..7 {
-        table.started(&first, WorkClass::Online);
+    // What a gateway does not repeat is over, and so is one that is silent.
+    table.started("e3", WorkClass::Online, 30_000);
+    assert_eq!(online(&mut table, 2_000), Ok("e2".to_owned()));
+    table.note_shares(NodeId(9), &[share], now(3_000));
+    table.read("e1", 30_000);
+    assert_eq!(online(&mut table, 3_000), Ok("e1".to_owned()));
+    table.note_shares(NodeId(9), &[], now(3_100));
+    table.started("e1", WorkClass::Online, 10);
+    assert_eq!(online(&mut table, 3_100), Ok("e2".to_owned()));
+}
+
+#[test]
+fn an_engine_without_a_free_slot_is_the_last_choice() {
+    let mut table = table(&[(1, "near"), (2, "far")]);
+    for _ in 0..8 {
+        table.started("e1", WorkClass::Online, 0);
     }
-    assert_ne!(
-        table.pick(&pick, now(0)).expect("an engine").facts.id,
-        first
-    );
+    table.started("e2", WorkClass::Online, 9_000);
+    assert_eq!(online(&mut table, 0), Ok("e2".to_owned()));
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -275,6 +275,16 @@
     /// that the asker runs.
     #[n(11)]
     TakeItems(#[n(0)] TakeItems),
+    /// What a gateway has at engines; one-way, to the other gateways.
+    #[n(12)]
+    EngineWork {
+        /// Gateway.
+        #[n(0)]
+        from: NodeId,
+        /// Encoded shares of work, one for each engine that has any.
+        #[n(1)]
+        shares: ByteVec,
+    },
 }
 
 /// Where a group's leader can be reached.
