--- /dev/null
+++ b/crates/fleet/tests/control.rs
@@ -0,0 +1,149 @@
+//! What a control node knows and tells: engines that come, go and are late, and
+//! watchers that come back after whatever they missed.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use futures_lite::future::block_on;
+use molespan_fleet::control::{Hub, Registry};
+use molespan_fleet::view::{EngineRecord, ViewUpdate};
+use molespan_state::control::{ControlCommand, ControlMachine};
+use molespan_state::declared::{Declaration, DeclaredCommand, Departure, ServingModel};
+use molespan_types::{NodeId, Timestamp};
+use molespan_wire::{Response, ViewMark, WatchView, WatcherKind};
+
+const SILENCE: Duration = Duration::from_secs(10);
+
+fn record(id: &str, address: &str, sequence: u64) -> EngineRecord {
+    EngineRecord {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: address.to_owned(),
+        zone: "z".into(),
+        slots: 8,
+        sequence,
+        cold_left_ms: 0,
+    }
+}
+
+fn ids(records: &[EngineRecord]) -> Vec<&str> {
+    records.iter().map(|record| record.id.as_str()).collect()
+}
+
+#[test]
+fn heartbeats_tell_something_new_only_once() {
+    let mut registry = Registry::new(SILENCE);
+    let now = Timestamp::from_millis(0);
+    assert!(registry.hear(record("a", "1:1", 1), now, 1));
+    assert!(!registry.hear(record("a", "1:1", 2), now, 2));
+    // A late one that says otherwise is passed over.
+    assert!(!registry.hear(record("a", "2:2", 1), now, 3));
+    assert!(registry.hear(record("a", "2:2", 3), now, 4));
+    assert_eq!(ids(&registry.changed_after(3)), ["a"]);
+    assert!(registry.changed_after(4).is_empty());
+}
+
+#[test]
+fn silent_engines_are_lost_and_come_back() {
+    let mut registry = Registry::new(SILENCE);
+    registry.hear(record("a", "1:1", 1), Timestamp::from_millis(0), 1);
+    registry.hear(record("b", "2:2", 1), Timestamp::from_millis(9_000), 2);
+    assert!(!registry.expire(Timestamp::from_millis(9_999), 3));
+    assert!(registry.expire(Timestamp::from_millis(10_000), 3));
+    assert_eq!(registry.lost_after(2), ["a"]);
+    assert!(registry.hear(record("a", "1:1", 2), Timestamp::from_millis(10_001), 4));
+    assert!(registry.lost_after(2).is_empty());
+}
+
+#[test]
+fn an_address_that_another_engine_takes_loses_the_first() {
+    let mut registry = Registry::new(SILENCE);
+    let now = Timestamp::from_millis(0);
+    registry.hear(record("a", "1:1", 1), now, 1);
+    registry.hear(record("b", "1:1", 1), now, 2);
+    assert_eq!(registry.lost_after(1), ["a"]);
+    assert_eq!(ids(&registry.changed_after(0)), ["b"]);
+}
+
+fn watch(hub: &Hub, kind: WatcherKind, mark: ViewMark) -> (ViewMark, ViewUpdate) {
+    let watch = WatchView {
+        node: NodeId(7),
+        kind,
+        mark,
+        wait_ms: 0,
+    };
+    match block_on(hub.watch(&watch)) {
+        Response::View { mark, update } => {
+            (mark, molespan_state::decode(&update).expect("an update"))
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+fn declared(machine: &mut ControlMachine, version: u64) {
+    let declaration = Declaration {
+        version,
+        document: Vec::new().into(),
+        model: ServingModel::default(),
+    };
+    let command = DeclaredCommand::Declare(Box::new(declaration));
+    machine.apply(&ControlCommand::Declared(command));
+}
+
+#[test]
+fn a_watcher_gets_what_it_missed_and_no_more() {
+    let hub = Hub::new(SILENCE);
+    let mut machine = ControlMachine::new();
+    declared(&mut machine, 3);
+    hub.take(machine.declared(), BTreeSet::from([NodeId(1)]));
+    hub.hear(record("a", "1:1", 1));
+    let kind = WatcherKind::Gateway;
+    let (mark, update) = watch(&hub, kind, ViewMark::default());
+    assert_eq!(update.configuration.map(|held| held.version), Some(3));
+    assert_eq!(ids(&update.engines), ["a"]);
+    let (mark, update) = watch(&hub, kind, mark);
+    assert_eq!(update, ViewUpdate::default());
+    let engine = "a".to_owned();
+    let departure = Departure::Draining;
+    machine.apply(&ControlCommand::Declared(DeclaredCommand::Depart {
+        engine,
+        departure,
+    }));
+    hub.take(machine.declared(), BTreeSet::from([NodeId(1)]));
+    let (_, update) = watch(&hub, kind, mark);
+    assert_eq!(update.departures, [("a".to_owned(), Departure::Draining)]);
+    assert_eq!(update.configuration, None);
+    // A late heartbeat brings the engine back nowhere.
+    assert!(!hub.hear(record("a", "1:1", 9)));
+    // The mark of another start is void: everything is told.
+    let other = ViewMark {
+        session: mark.session.wrapping_add(1),
+        revision: mark.revision,
+    };
+    let (_, update) = watch(&hub, kind, other);
+    assert_eq!(update.configuration.map(|held| held.version), Some(3));
+}
+
+#[test]
+fn an_older_configuration_is_never_told_behind_a_newer_one() {
+    let hub = Hub::new(SILENCE);
+    let (mut newer, mut older) = (ControlMachine::new(), ControlMachine::new());
+    declared(&mut newer, 9);
+    declared(&mut older, 8);
+    hub.take(newer.declared(), BTreeSet::new());
+    hub.take(older.declared(), BTreeSet::new());
+    let (_, update) = watch(&hub, WatcherKind::Gateway, ViewMark::default());
+    assert_eq!(update.configuration.map(|held| held.version), Some(9));
+}
+
+#[test]
+fn nodes_that_watch_are_counted_by_what_they_are_for() {
+    let hub = Hub::new(SILENCE);
+    watch(&hub, WatcherKind::Store, ViewMark::default());
+    assert_eq!(hub.live_stores(), BTreeSet::from([NodeId(7)]));
+    watch(&hub, WatcherKind::Gateway, ViewMark::default());
+    hub.expire();
+    let (_, update) = watch(&hub, WatcherKind::Gateway, ViewMark::default());
+    let topology = update.topology.expect("it changed");
+    assert_eq!(topology.gateways, BTreeSet::from([NodeId(7)]));
+}
