--- a/crates/http/tests/h1.rs
+++ b/crates/http/tests/h1.rs
@@ -106,6 +106,9 @@
     }
 }
 
+/// Header lines and the framing that they tell.
+type FramingCase<'a> = (&'a [(&'a str, &'a str)], Option<Framing>);
+
 #[test]
 fn framing_that_contradicts_itself_is_refused() {
     let head = |lines: &[(&str, &str)]| {
@@ -120,7 +123,7 @@
             headers,
         }
     };
-    let cases: [(&[(&str, &str)], Option<Framing>); 9] = [
+    let cases: [FramingCase<'_>; 9] = [
         (&[], Some(Framing::Empty)),
         (&[("Content-Length", "3")], Some(Framing::Length(3))),
         (&[("Transfer-Encoding", "chunked")], Some(Framing::Chunked)),
