Let batch work give way where slots run out, and keep it away for a quiet time

Ruled out: unread prompts (the engines with the least were full too). Change: the parts are rounded by a draw, an engine is not cut again for 150 ms, batch keeps away for 1.5 s, and may fill 0.8 otherwise; a cut run goes on behind its last event elsewhere.

--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -12,7 +12,8 @@
 use slog::info;
 
 use super::api::unix_ms;
-use crate::attempt::{EngineBody, Outbound};
+use super::preemption::RunGuard;
+use crate::attempt::{EngineBody, EngineReply, Outbound};
 use crate::dialect::GatewayDialect;
 use crate::events::EventCutter;
 use crate::request::Dispatch;
@@ -43,8 +44,8 @@
     Failed,
     /// No engine ever can do it.
     Impossible,
-    /// No engine took it.
-    NoEngine,
+    /// No engine took it, or it gave way to online work.
+    Waits,
 }
 
 /// Runs an item until it has an outcome.
@@ -83,7 +84,7 @@
                 }
             }
             Run::Broken => {}
-            Run::NoEngine => {
+            Run::Waits => {
                 Timer::after(RETRY_PAUSE).await;
             }
         }
@@ -128,9 +129,23 @@
     };
     let ends = Instant::now() + RUN_TIMEOUT;
     let mut dispatch = Dispatch::new(state, dialect, route, service, outbound, facts, ends);
-    let Ok(reply) = dispatch.next_reply(output.last_event).await else {
-        return Run::NoEngine;
+    let guard = RunGuard::begin(state);
+    let running = async {
+        let Ok(reply) = dispatch.next_reply(output.last_event).await else {
+            return Run::Waits;
+        };
+        guard.at(&reply.body.engine);
+        finish_run(state, reply, output).await
+    };
+    let cut = async {
+        guard.cut().await;
+        Run::Waits
     };
+    future::or(running, cut).await
+}
+
+/// Takes in the answer of an engine.
+async fn finish_run(state: &GatewayState, reply: EngineReply, output: &mut Output) -> Run {
     if reply.facts.impossible {
         return Run::Impossible;
     }
--- a/crates/proxy/src/batch/mod.rs
+++ b/crates/proxy/src/batch/mod.rs
@@ -2,7 +2,9 @@
 
 mod api;
 mod item;
+mod preemption;
 mod runner;
 
 pub(crate) use api::{call, submit};
+pub(crate) use preemption::{BatchRuns, give_way};
 pub(crate) use runner::run;
--- /dev/null
+++ b/crates/proxy/src/batch/preemption.rs
@@ -0,0 +1,93 @@
+//! Batch work that gives way to online work.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use async_channel::{Receiver, Sender};
+use slog::info;
+
+use crate::state::GatewayState;
+
+/// A run of a batch item that may be told to give way.
+#[derive(Debug)]
+struct Run {
+    /// Where it runs; empty before it was sent.
+    engine: String,
+    cut: Sender<()>,
+}
+
+/// The runs of batch items here, in the order of their starts.
+#[derive(Debug, Default)]
+pub(crate) struct BatchRuns {
+    runs: RefCell<BTreeMap<u64, Run>>,
+    last: Cell<u64>,
+}
+
+/// One run while it lasts.
+pub(crate) struct RunGuard {
+    state: Rc<GatewayState>,
+    number: u64,
+    cut: Receiver<()>,
+}
+
+impl RunGuard {
+    /// Begins a run that has no engine yet.
+    pub fn begin(state: &Rc<GatewayState>) -> Self {
+        let (sender, cut) = async_channel::bounded(1);
+        let runs = &state.batch_runs;
+        let number = runs.last.get() + 1;
+        runs.last.set(number);
+        let run = Run {
+            engine: String::new(),
+            cut: sender,
+        };
+        runs.runs.borrow_mut().insert(number, run);
+        Self {
+            state: state.clone(),
+            number,
+            cut,
+        }
+    }
+
+    /// It runs at `engine` now.
+    pub fn at(&self, engine: &str) {
+        let mut runs = self.state.batch_runs.runs.borrow_mut();
+        if let Some(run) = runs.get_mut(&self.number) {
+            engine.clone_into(&mut run.engine);
+        }
+    }
+
+    /// Waits until it is to give way.
+    pub async fn cut(&self) {
+        let _closed = self.cut.recv().await;
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.state.batch_runs.runs.borrow_mut().remove(&self.number);
+    }
+}
+
+/// Cuts own batch runs at engines where online work wants their slots, the
+/// latest runs first, since they have the least to lose.
+pub(crate) fn give_way(state: &GatewayState) {
+    let cuts = state.engines.borrow_mut().batch_to_cut(state.now());
+    if cuts.is_empty() {
+        return;
+    }
+    let runs = state.batch_runs.runs.borrow();
+    for (engine, count) in cuts {
+        let at_engine = runs.values().rev().filter(|run| run.engine == engine);
+        let running = at_engine.filter(|run| !run.cut.is_closed());
+        let mut cut = 0;
+        for run in running.take(count as usize) {
+            run.cut.close();
+            cut += 1;
+        }
+        if cut > 0 {
+            info!(state.logger, "batch gives way"; "engine" => engine, "runs" => cut);
+        }
+    }
+}
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -12,7 +12,7 @@
 use slog::{debug, info};
 
 use crate::attempt::{AttemptFailure, AttemptLimits, EngineReply, Outbound, attempt};
-use crate::batch;
+use crate::batch::{self, give_way};
 use crate::dialect::{GatewayDialect, Refusal, RequestFacts};
 use crate::relay::{Relayed, relay, write};
 use crate::resume::relay_resumable;
@@ -208,6 +208,9 @@
                 after_event,
             };
             let engine = &picked.facts;
+            if self.outbound.class == WorkClass::Online {
+                give_way(self.state);
+            }
             debug!(self.state.logger, "attempt"; "request" => &self.outbound.id,
                 "engine" => &engine.id, "load" => picked.load,
                 "unread" => picked.unread_tokens, "before" => picked.before_tokens,
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -14,6 +14,7 @@
 use molespan_types::{NodeId, Timestamp, ZoneName};
 use slog::{Logger, info};
 
+use crate::batch::BatchRuns;
 use crate::pool::Pool;
 
 /// The configuration in force here.
@@ -55,6 +56,8 @@
     pub own: NodeId,
     pub engines: RefCell<EngineTable>,
     pub pool: Pool,
+    /// Batch items that run here.
+    pub batch_runs: BatchRuns,
     /// Client of the batch group.
     pub batch: Arc<Cluster>,
     pub logger: Logger,
@@ -75,6 +78,7 @@
             own,
             engines: RefCell::new(EngineTable::new(zone, rand::random())),
             pool: Pool::default(),
+            batch_runs: BatchRuns::default(),
             batch,
             logger,
             started: Instant::now(),
--- a/crates/proxy/src/work_shares.rs
+++ b/crates/proxy/src/work_shares.rs
@@ -15,6 +15,7 @@
 use molespan_types::{NodeId, RunOutcome};
 use molespan_wire::{Handler, Request, Response, Server, ServerLimits};
 
+use crate::batch::give_way;
 use crate::state::GatewayState;
 
 /// Time between two tellings.
@@ -75,8 +76,11 @@
 async fn listen(state: Rc<GatewayState>, telling: Receiver<Told>) {
     while let Ok(told) = telling.recv().await {
         let now = state.now();
-        let mut engines = state.engines.borrow_mut();
-        engines.note_shares(told.from, &told.shares, now);
+        state
+            .engines
+            .borrow_mut()
+            .note_shares(told.from, &told.shares, now);
+        give_way(&state);
     }
 }
 
--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -13,6 +13,11 @@
 const REPORT_FADES: Duration = Duration::from_secs(2);
 /// How long another gateway's word on its work holds.
 const SHARE_HOLDS: Duration = Duration::from_millis(1_200);
+/// How long batch work keeps away from an engine whose slots online work
+/// wanted.
+const QUIET_TIME: Duration = Duration::from_millis(1_500);
+/// How long it takes until the other gateways see that batch work gave way.
+const CUT_SHOWS: Duration = Duration::from_millis(150);
 /// First pause of an engine that fails; it doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause.
@@ -60,6 +65,9 @@
     /// Prompt tokens of those that have not begun to answer.
     #[n(2)]
     pub unread_tokens: u64,
+    /// How many of the requests are batch work.
+    #[n(3)]
+    pub batch: u32,
 }
 
 /// How an attempt failed, as far as it tells of the engine's health.
@@ -86,6 +94,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Share {
     requests: u32,
+    batch: u32,
     unread_tokens: u64,
     at: Timestamp,
 }
@@ -104,6 +113,8 @@
     report: Option<Report>,
     failures: u32,
     paused_until: Timestamp,
+    crowded_until: Timestamp,
+    next_cut: Timestamp,
 }
 
 impl Engine {
@@ -118,6 +129,8 @@
             report: None,
             failures: 0,
             paused_until: Timestamp::ZERO,
+            crowded_until: Timestamp::ZERO,
+            next_cut: Timestamp::ZERO,
         }
     }
 
@@ -152,6 +165,7 @@
         (self.own() > 0).then(|| WorkShare {
             engine: self.facts.id.clone(),
             requests: self.own(),
+            batch: self.batch,
             unread_tokens: self.unread_tokens,
         })
     }
@@ -164,6 +178,7 @@
         };
         let share = Share {
             requests: share.requests,
+            batch: share.batch,
             unread_tokens: share.unread_tokens,
             at: now,
         };
@@ -212,6 +227,33 @@
         self.unread_tokens + others
     }
 
+    /// Own batch requests that are to give way so that no online request waits
+    /// for a slot: the own part of what all gateways have too many. `draw`, from
+    /// 0 up to 1, rounds it, so that all parts together are what is too many.
+    pub fn batch_to_cut(&mut self, now: Timestamp, others_tell: bool, draw: f64) -> u32 {
+        let excess = self.load(now, others_tell) - f64::from(self.facts.slots);
+        if excess <= 0.0 {
+            return 0;
+        }
+        self.crowded_until = now + QUIET_TIME;
+        if self.batch == 0 || now < self.next_cut {
+            return 0;
+        }
+        let others: u32 = self.fresh_shares(now).map(|share| share.batch).sum();
+        let part = f64::from(self.batch) / f64::from(self.batch + others);
+        let cut = (excess * part + draw) as u32;
+        if cut > 0 {
+            self.next_cut = now + CUT_SHOWS;
+        }
+        cut.min(self.batch)
+    }
+
+    /// Whether online work wanted all slots a short while ago: batch work that
+    /// came now would have to give way again.
+    pub fn is_crowded(&self, now: Timestamp) -> bool {
+        now < self.crowded_until
+    }
+
     pub fn is_paused(&self, now: Timestamp) -> bool {
         now < self.paused_until
     }
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -21,7 +21,7 @@
 /// Prompt tokens that a request weighs as much as for which there is no slot.
 const WAITING_TOKENS: f64 = 20_000.0;
 /// Share of its slots up to which an engine gets batch work.
-const BATCH_LOAD: f64 = 0.6;
+const BATCH_LOAD: f64 = 0.8;
 /// Share of its slots up to which an engine gets online work.
 const ONLINE_LOAD: f64 = 1.5;
 /// How long gateways count as telling each other what they have.
@@ -235,7 +235,7 @@
         let others_tell = self.others_tell(now);
         let engines = self.engines.values();
         let of_service = engines.filter(|one| one.facts.service == service);
-        let usable = of_service.filter(|engine| !engine.is_paused(now));
+        let usable = of_service.filter(|engine| !engine.is_paused(now) && !engine.is_crowded(now));
         let room = usable.map(|engine| {
             let most = f64::from(engine.facts.slots) * BATCH_LOAD;
             (most - engine.load(now, others_tell)).max(0.0) as u32
@@ -243,6 +243,20 @@
         room.sum()
     }
 
+    /// Engines at which own batch work is to give way, and how many requests.
+    pub fn batch_to_cut(&mut self, now: Timestamp) -> Vec<(String, u32)> {
+        let others_tell = self.others_tell(now);
+        let mut cuts = Vec::new();
+        for (id, engine) in &mut self.engines {
+            let draw = self.random.random();
+            let cut = engine.batch_to_cut(now, others_tell, draw);
+            if cut > 0 {
+                cuts.push((id.clone(), cut));
+            }
+        }
+        cuts
+    }
+
     /// Chooses the engine that is likely to answer first.
     ///
     /// # Errors
@@ -268,7 +282,8 @@
             let facts = &engine.facts;
             let load = engine.load(now, others_tell);
             let full = load >= f64::from(facts.slots) * share;
-            if full || engine.is_paused(now) || pick.tried.contains(&facts.id) {
+            let crowded = pick.class == WorkClass::Batch && engine.is_crowded(now);
+            if full || crowded || engine.is_paused(now) || pick.tried.contains(&facts.id) {
                 continue;
             }
             let held = shared.filter(|shared| {
--- a/crates/routing/tests/dispatch.rs
+++ b/crates/routing/tests/dispatch.rs
@@ -247,6 +247,7 @@
         engine: "e2".to_owned(),
         requests: 1,
         unread_tokens: 30_000,
+        batch: 0,
     };
     table.note_shares(NodeId(9), std::slice::from_ref(&share), now(0));
     for _ in 0..20 {
@@ -272,3 +273,66 @@
     table.started("e2", WorkClass::Online, 9_000);
     assert_eq!(online(&mut table, 0), Ok("e2".to_owned()));
 }
+
+#[test]
+fn batch_gives_way_when_slots_run_out_and_gateways_share_the_burden() {
+    // Own batch and online requests, those of another gateway, and what is cut.
+    let cases = [
+        ((4, 4), (0, 0), 0..=0),
+        ((4, 5), (0, 0), 1..=1),
+        ((4, 7), (0, 0), 3..=3),
+        ((2, 10), (0, 0), 2..=2),
+        ((0, 10), (0, 0), 0..=0),
+        ((2, 3), (2, 3), 1..=1),
+        ((4, 4), (0, 5), 4..=4),
+        ((1, 4), (2, 2), 0..=1),
+    ];
+    for ((batch, online), (other_batch, other_online), cut) in cases {
+        let mut table = table(&[(1, "near")]);
+        for _ in 0..batch {
+            table.started("e1", WorkClass::Batch, 0);
+        }
+        for _ in 0..online {
+            table.started("e1", WorkClass::Online, 0);
+        }
+        let share = WorkShare {
+            engine: "e1".to_owned(),
+            requests: other_batch + other_online,
+            unread_tokens: 0,
+            batch: other_batch,
+        };
+        table.note_shares(NodeId(9), &[share], now(0));
+        let cuts: u32 = table.batch_to_cut(now(0)).iter().map(|(_, cut)| cut).sum();
+        assert!(
+            cut.contains(&cuts),
+            "{batch} {online} {other_batch} {other_online}: {cuts}"
+        );
+        // The others see it only later: nothing is cut twice meanwhile.
+        assert!(cuts == 0 || table.batch_to_cut(now(10)).is_empty());
+    }
+}
+
+#[test]
+fn batch_keeps_away_for_a_while_from_where_it_gave_way() {
+    let mut table = table(&[(1, "near")]);
+    for _ in 0..9 {
+        table.started("e1", WorkClass::Online, 0);
+    }
+    assert!(
+        table.batch_to_cut(now(0)).is_empty(),
+        "there is no batch to cut"
+    );
+    for _ in 0..9 {
+        table.ended("e1", WorkClass::Online);
+    }
+    assert_eq!(
+        pick(&mut table, WorkClass::Batch, &[], 100),
+        Err(NoEngine::Busy)
+    );
+    assert_eq!(table.batch_headroom("s", now(100)), 0);
+    assert_eq!(online(&mut table, 100), Ok("e1".to_owned()));
+    assert_eq!(
+        pick(&mut table, WorkClass::Batch, &[], 2_000),
+        Ok("e1".to_owned())
+    );
+}
