Hand a stopping gateway's batch items over with what is there

Cause: a planned stop dropped its running items, which began anew elsewhere, and an outage of the batch group of 2 s stopped every item. Change: at the end of the time for balancers the gateway commits how far each item came and frees it at the leader; the next gateway goes on behind the last event. Items keep running for 10 s without a renewal. Ruled out: committing progress all the time, since its bytes between zones cost more than the runs.

--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -1,5 +1,6 @@
 //! Running one batch item to its outcome.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -7,7 +8,7 @@
 use futures_lite::future;
 use molespan_http::h1::Headers;
 use molespan_routing::dispatch::WorkClass;
-use molespan_state::batch::{ItemOutcome, ItemToRun};
+use molespan_state::batch::{ItemOutcome, ItemProgress, ItemToRun};
 use molespan_state::declared::Route;
 use slog::info;
 
@@ -29,12 +30,8 @@
 /// differ.
 const CLOCK_SLACK_MS: u64 = 4_000;
 
-/// What is there of an item's output.
-#[derive(Default)]
-struct Output {
-    data: Vec<String>,
-    last_event: Option<u64>,
-}
+/// What is there of an item's output, for handing it over while it runs.
+pub(super) type Output = Rc<RefCell<ItemProgress>>;
 
 /// How one attempt ended.
 enum Run {
@@ -53,8 +50,8 @@
     state: &Rc<GatewayState>,
     dialect: &D,
     item: &ItemToRun,
+    output: &Output,
 ) -> ItemOutcome {
-    let mut output = Output::default();
     let mut failures = 0;
     loop {
         let Some(in_force) = state.in_force() else {
@@ -70,10 +67,10 @@
         if is_too_old(route, item) {
             return given_up(state, item, "it is too old");
         }
-        let run = run_once(state, dialect, route, service, item, &mut output).await;
+        let run = run_once(state, dialect, route, service, item, output).await;
         match run {
             Run::Whole => {
-                let text = output.data.join("\n");
+                let text = output.borrow().data.join("\n");
                 return ItemOutcome::Completed { text };
             }
             Run::Impossible => return given_up(state, item, "no engine can do it"),
@@ -110,7 +107,7 @@
     route: &Route,
     service: String,
     item: &ItemToRun,
-    output: &mut Output,
+    output: &Output,
 ) -> Run {
     let mut headers = Headers::new();
     for (name, value) in &item.item.headers {
@@ -130,8 +127,9 @@
     let ends = Instant::now() + RUN_TIMEOUT;
     let mut dispatch = Dispatch::new(state, dialect, route, service, outbound, facts, ends);
     let guard = RunGuard::begin(state);
+    let after_event = output.borrow().last_event;
     let running = async {
-        let Ok(reply) = dispatch.next_reply(output.last_event).await else {
+        let Ok(reply) = dispatch.next_reply(after_event).await else {
             return Run::Waits;
         };
         guard.at(&reply.body.engine);
@@ -145,7 +143,7 @@
 }
 
 /// Takes in the answer of an engine.
-async fn finish_run(state: &GatewayState, reply: EngineReply, output: &mut Output) -> Run {
+async fn finish_run(state: &GatewayState, reply: EngineReply, output: &Output) -> Run {
     if reply.facts.impossible {
         return Run::Impossible;
     }
@@ -156,7 +154,7 @@
 }
 
 /// Reads events until the stream ends.
-async fn read_events(state: &GatewayState, mut body: EngineBody, output: &mut Output) -> Run {
+async fn read_events(state: &GatewayState, mut body: EngineBody, output: &Output) -> Run {
     let mut cutter = EventCutter::default();
     loop {
         let piece = async { body.reader.next(&mut body.connection).await.ok() };
@@ -171,6 +169,7 @@
             if !cutter.push(&piece) {
                 return Run::Broken;
             }
+            let mut output = output.borrow_mut();
             while let Some(event) = cutter.next() {
                 output.last_event = event.id.or(output.last_event);
                 output.data.push(event.data);
--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -14,7 +14,7 @@
 use molespan_wire::TakeItems;
 use slog::{info, warn};
 
-use super::item::run_item;
+use super::item::{Output, run_item};
 use crate::dialect::GatewayDialect;
 use crate::state::GatewayState;
 
@@ -22,9 +22,11 @@
 const WAIT: Duration = Duration::from_millis(500);
 /// Time for such a call.
 const TAKE_DEADLINE: Duration = Duration::from_millis(1_500);
-/// Without a renewal for longer, the leader may give the items to another
-/// gateway: they are stopped here before.
-const LEASE: Duration = Duration::from_secs(2);
+/// Without a renewal for longer, another gateway surely runs the items by now.
+/// Shorter outages of the batch group must not cost their work.
+const LEASE: Duration = Duration::from_secs(10);
+/// Time for the hand-over of a planned stop.
+const HAND_OVER_DEADLINE: Duration = Duration::from_millis(1_500);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Shortest time between two calls.
@@ -40,7 +42,13 @@
     state: Rc<GatewayState>,
     dialect: Rc<D>,
     local: Rc<LocalExecutor<'static>>,
-    running: RefCell<BTreeMap<ItemReference, Task<()>>>,
+    running: RefCell<BTreeMap<ItemReference, RunningItem>>,
+}
+
+/// An item that runs.
+struct RunningItem {
+    task: Task<()>,
+    output: Output,
 }
 
 /// Takes and runs items for as long as it is polled.
@@ -58,6 +66,10 @@
     let mut renewed = Instant::now();
     loop {
         let begun = Instant::now();
+        if runner.state.closes_idle() {
+            runner.hand_over().await;
+            return;
+        }
         if runner.has_batch_routes() {
             if runner.round().await {
                 renewed = Instant::now();
@@ -143,17 +155,20 @@
     fn start(self: &Rc<Self>, item: ItemToRun) {
         let reference = item.reference;
         let runner = self.clone();
+        let output: Output = Rc::new(RefCell::new(item.progress.clone()));
+        let shared = output.clone();
         let work = async move {
-            let outcome = run_item(&runner.state, &*runner.dialect, &item).await;
+            let outcome = run_item(&runner.state, &*runner.dialect, &item, &shared).await;
             runner.record(reference, outcome).await;
             // The task must not drop itself while it runs.
             let own = runner.running.borrow_mut().remove(&reference);
-            if let Some(task) = own {
-                task.detach();
+            if let Some(own) = own {
+                own.task.detach();
             }
         };
         let task = self.local.spawn(work);
-        self.running.borrow_mut().insert(reference, task);
+        let running = RunningItem { task, output };
+        self.running.borrow_mut().insert(reference, running);
     }
 
     /// Records an outcome, for as long as it takes.
@@ -177,6 +192,39 @@
         }
     }
 
+    /// Ends a planned stop's batch work: others go on behind the last events.
+    async fn hand_over(&self) {
+        let running = std::mem::take(&mut *self.running.borrow_mut());
+        if running.is_empty() {
+            return;
+        }
+        let items: Vec<_> = running
+            .iter()
+            .map(|(item, running)| (*item, running.output.borrow().clone()))
+            .collect();
+        let count = items.len();
+        drop(running);
+        let command = BatchCommand::HandOver { items };
+        let noted = self
+            .state
+            .batch
+            .change_batch(&command, HAND_OVER_DEADLINE)
+            .await;
+        let release = TakeItems {
+            node: self.state.own,
+            capacity: 0,
+            held: Vec::new(),
+            wait_ms: 0,
+        };
+        let released = self
+            .state
+            .batch
+            .take_items(&release, HAND_OVER_DEADLINE)
+            .await;
+        info!(self.state.logger, "items handed over"; "items" => count,
+            "noted" => noted.is_ok(), "released" => released.is_ok());
+    }
+
     /// Stops everything: another gateway may run it by now.
     fn stop_all(&self) {
         let running = std::mem::take(&mut *self.running.borrow_mut());
--- a/crates/proxy/src/gateway.rs
+++ b/crates/proxy/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use async_channel::{Receiver, Sender};
 use async_executor::{Executor, LocalExecutor};
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -53,6 +54,8 @@
     state: Rc<GatewayState>,
     options: GatewayOptions,
     logger: Logger,
+    /// Closed once the batch work has ended or was handed over.
+    handed_over: Receiver<()>,
 }
 
 /// Tells whether the gateway is ready.
@@ -107,13 +110,19 @@
             .detach();
         let accepting = accept(state.clone(), dialect.clone(), callers, local.clone());
         local.spawn(accepting).detach();
+        let (ended, handed_over) = async_channel::bounded(1);
         let running = batch::run(state.clone(), dialect, local.clone());
+        let running = async move {
+            running.await;
+            drop::<Sender<()>>(ended);
+        };
         local.spawn(running).detach();
         info!(logger, "started"; "node" => own.address().to_string());
         Ok(Rc::new(Self {
             state,
             options,
             logger,
+            handed_over,
         }))
     }
 
@@ -127,7 +136,8 @@
         Timer::after(self.options.unready_wait).await;
         self.state.close_idle_connections();
         while begun.elapsed() < self.options.stop_within.mul_f64(STOP_SHARE) {
-            if self.state.requests_in_flight() == 0 && self.state.open_connections() == 0 {
+            let idle = self.state.requests_in_flight() == 0 && self.state.open_connections() == 0;
+            if idle && self.handed_over.is_closed() {
                 break;
             }
             Timer::after(STOP_POLL).await;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -126,6 +126,11 @@
         self.closing_idle.0.close();
     }
 
+    /// Whether a planned stop closes idle connections by now.
+    pub fn closes_idle(&self) -> bool {
+        self.closing_idle.0.is_closed()
+    }
+
     /// Waits until idle connections are to be closed.
     pub async fn idle_connections_closed(&self) {
         let _closed = self.closing_idle.1.recv().await;
--- a/crates/state/src/batch/command.rs
+++ b/crates/state/src/batch/command.rs
@@ -2,7 +2,7 @@
 
 use minicbor::{Decode, Encode};
 
-use super::job::{BatchItem, ItemOutcome};
+use super::job::{BatchItem, ItemOutcome, ItemProgress};
 
 /// Hands a job in. The same identifier again changes nothing.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -70,6 +70,13 @@
         #[n(0)]
         id: String,
     },
+    /// Notes how far items came that a gateway hands over.
+    #[n(4)]
+    HandOver {
+        /// They.
+        #[n(0)]
+        items: Vec<(ItemReference, ItemProgress)>,
+    },
     /// Removes a job that nobody may ask for any more.
     #[n(3)]
     Forget {
--- a/crates/state/src/batch/job.rs
+++ b/crates/state/src/batch/job.rs
@@ -1,5 +1,7 @@
 //! A job and its items.
 
+use std::collections::BTreeMap;
+
 use minicbor::bytes::ByteVec;
 use minicbor::{Decode, Encode};
 
@@ -23,6 +25,17 @@
     pub tokens: u64,
 }
 
+/// How far a run of an item came before it was handed over.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct ItemProgress {
+    /// Number of the last event that is there.
+    #[n(0)]
+    pub last_event: Option<u64>,
+    /// Data of the events so far, in order.
+    #[n(1)]
+    pub data: Vec<String>,
+}
+
 /// What became of an item.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum ItemOutcome {
@@ -65,6 +78,9 @@
     /// Whether the caller ended it.
     #[n(7)]
     pub ended: bool,
+    /// How far items without an outcome came, by their places.
+    #[n(8)]
+    pub progress: BTreeMap<u32, ItemProgress>,
 }
 
 impl BatchJob {
@@ -81,6 +97,19 @@
         {
             *slot = Some(outcome.clone());
             self.listed.push(place);
+            self.progress.remove(&place);
+        }
+    }
+
+    /// Notes how far an item came, unless it has an outcome or came further.
+    pub(super) fn note_progress(&mut self, place: u32, progress: &ItemProgress) {
+        let open = self
+            .outcomes
+            .get(place as usize)
+            .is_some_and(Option::is_none);
+        let known = self.progress.get(&place).and_then(|known| known.last_event);
+        if open && progress.last_event > known {
+            self.progress.insert(place, progress.clone());
         }
     }
 
--- a/crates/state/src/batch/machine.rs
+++ b/crates/state/src/batch/machine.rs
@@ -5,7 +5,7 @@
 use minicbor::{Decode, Encode};
 
 use super::command::{BatchCommand, BatchReply, ItemReference, RecordOutcome, SubmitJob};
-use super::job::{BatchJob, ItemOutcome};
+use super::job::{BatchJob, ItemOutcome, ItemProgress};
 use super::query::{
     BatchAnswer, BatchQuery, ItemToRun, ListedResult, OpenItem, OpenWork, ResultPage,
 };
@@ -48,6 +48,7 @@
             BatchCommand::Submit(submit) => self.submit(submit),
             BatchCommand::Record(outcome) => self.record(outcome),
             BatchCommand::End { id } => self.end(id),
+            BatchCommand::HandOver { items } => self.hand_over(items),
             BatchCommand::Forget { job } => self.forget(*job),
         }
     }
@@ -66,6 +67,7 @@
             items: submit.items.clone(),
             listed: Vec::new(),
             ended: false,
+            progress: BTreeMap::new(),
         };
         self.numbers.insert(submit.id.clone(), self.last);
         self.jobs.insert(self.last, job);
@@ -82,6 +84,16 @@
         BatchReply::Recorded
     }
 
+    fn hand_over(&mut self, items: &[(ItemReference, ItemProgress)]) -> BatchReply {
+        for (item, progress) in items {
+            if let Some(job) = self.jobs.get_mut(&item.job) {
+                job.note_progress(item.place, progress);
+            }
+        }
+        self.revision += 1;
+        BatchReply::Recorded
+    }
+
     fn end(&mut self, id: &str) -> BatchReply {
         let number = self.numbers.get(id);
         let Some(job) = number.and_then(|number| self.jobs.get_mut(number)) else {
@@ -167,6 +179,11 @@
             job_path: job.path.clone(),
             submitted_ms: job.submitted_ms,
             item: job.items[place].clone(),
+            progress: job
+                .progress
+                .get(&reference.place)
+                .cloned()
+                .unwrap_or_default(),
         })
     }
 
--- a/crates/state/src/batch/mod.rs
+++ b/crates/state/src/batch/mod.rs
@@ -11,6 +11,6 @@
 mod query;
 
 pub use command::{BatchCommand, BatchReply, ItemRecord, ItemReference, RecordOutcome, SubmitJob};
-pub use job::{BatchItem, BatchJob, ItemOutcome};
+pub use job::{BatchItem, BatchJob, ItemOutcome, ItemProgress};
 pub use machine::BatchMachine;
 pub use query::{BatchAnswer, BatchQuery, ItemToRun, ListedResult, OpenItem, OpenWork, ResultPage};
--- a/crates/state/src/batch/query.rs
+++ b/crates/state/src/batch/query.rs
@@ -6,7 +6,7 @@
 use minicbor::{Decode, Encode};
 
 use super::command::ItemReference;
-use super::job::{BatchItem, ItemOutcome};
+use super::job::{BatchItem, ItemOutcome, ItemProgress};
 
 /// A read of the batch group.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -115,6 +115,9 @@
     /// The request.
     #[n(4)]
     pub item: BatchItem,
+    /// How far an earlier run came.
+    #[n(5)]
+    pub progress: ItemProgress,
 }
 
 /// Answer to a [`BatchQuery`].
--- a/crates/state/tests/batch.rs
+++ b/crates/state/tests/batch.rs
@@ -2,7 +2,7 @@
 
 use molespan_state::batch::{
     BatchAnswer, BatchCommand, BatchItem, BatchMachine, BatchQuery, BatchReply, ItemOutcome,
-    ItemRecord, ItemReference, RecordOutcome, ResultPage, SubmitJob,
+    ItemProgress, ItemRecord, ItemReference, RecordOutcome, ResultPage, SubmitJob,
 };
 use proptest::prelude::*;
 
@@ -147,3 +147,29 @@
     machine.apply(&BatchCommand::Forget { job: 2 });
     assert_eq!(page(&machine, "b", 0, 10), None);
 }
+
+#[test]
+fn progress_is_kept_until_there_is_an_outcome_and_never_goes_back() {
+    let mut machine = BatchMachine::new();
+    machine.apply(&submit("a", 2));
+    let item = ItemReference { job: 1, place: 0 };
+    let progress = |events: u64| ItemProgress {
+        last_event: (events > 0).then_some(events),
+        data: (1..=events).map(|event| event.to_string()).collect(),
+    };
+    let known =
+        |machine: &BatchMachine| match machine.query(&BatchQuery::Items { items: vec![item] }) {
+            BatchAnswer::Items(items) => items.first().map(|item| item.progress.clone()),
+            other => panic!("{other:?}"),
+        };
+    for (events, kept) in [(0, 0), (3, 3), (2, 3), (5, 5)] {
+        let items = vec![(item, progress(events))];
+        machine.apply(&BatchCommand::HandOver { items });
+        assert_eq!(known(&machine), Some(progress(kept)));
+    }
+    machine.apply(&record(1, 0, "x"));
+    assert_eq!(known(&machine), None);
+    let items = vec![(item, progress(9))];
+    machine.apply(&BatchCommand::HandOver { items });
+    assert_eq!(page(&machine, "a", 0, 10).expect("a job").results.len(), 1);
+}
