Hand leadership over when the leader's disk is full

Change: such a leader hands over to the present voter with the longest log, once a second. Test: a_leader_whose_disk_is_full_hands_over_to_one_with_room, which fails without the change.

--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -393,6 +393,7 @@
             group.abandon_submissions(turn);
             group.end_open_claims(turn);
             group.replace_lost(&joining);
+            group.step_aside_when_full(turn);
             group.renew_members(turn, &joining, &retiring);
             group.drive_transfer(turn);
             group.drop_idle_serving(now);
--- a/crates/replica/src/group/members.rs
+++ b/crates/replica/src/group/members.rs
@@ -1,5 +1,7 @@
 //! Replacing lost replicas by the new lives of their nodes.
 
+use std::time::Duration;
+
 use molespan_consensus::{Membership, MembershipChange, ReplicaId};
 use molespan_storage::Disk;
 use molespan_types::NodeId;
@@ -13,6 +15,9 @@
 /// When to look again at a replacement that is under way, in milliseconds.
 const RETRY_MS: u32 = 500;
 
+/// Time between two attempts of a leader with a full disk to hand over.
+const STEP_ASIDE_INTERVAL: Duration = Duration::from_secs(1);
+
 impl<D: Disk> Group<D> {
     /// Brings the new lives in `joining` one step further: first a learner,
     /// then, once it has caught up durably, the voter in its old life's place.
@@ -82,6 +87,26 @@
         turn.reply(ticket, result);
     }
 
+    /// Hands the leadership over when this disk is full: a leader without room
+    /// could only refuse, while another voter may have some.
+    pub fn step_aside_when_full(&mut self, turn: &Turn<'_, D>) {
+        if !self.leads() || !turn.log.is_low() || turn.now < self.next_step_aside {
+            return;
+        }
+        self.next_step_aside = turn.now + STEP_ASIDE_INTERVAL;
+        let status = self.replica.status();
+        let voters = &status.membership.voters;
+        let present = status
+            .followers
+            .iter()
+            .filter(|(id, follower)| voters.contains(id) && follower.recently_active);
+        let target = present.max_by_key(|(_, follower)| follower.match_index);
+        if let Some((&target, _)) = target {
+            // Refused while an earlier hand-over is under way; tried again.
+            let _ = self.replica.transfer_leadership(target);
+        }
+    }
+
     /// Hands the leadership over to `to`.
     pub fn transfer_leadership(&mut self, turn: &mut Turn<'_, D>, ticket: Ticket, to: NodeId) {
         let voter = voter_of(self.replica.membership(), to);
--- a/crates/replica/src/group/mod.rs
+++ b/crates/replica/src/group/mod.rs
@@ -77,6 +77,8 @@
     membership_index: Index,
     /// When each voter was last heard, while this replica leads.
     heard: BTreeMap<ReplicaId, Timestamp>,
+    /// When a leader with a full disk tries again to hand over.
+    next_step_aside: Timestamp,
 }
 
 impl<D: Disk> Group<D> {
@@ -105,6 +107,7 @@
             membership: membership.unwrap_or_default(),
             membership_index: applied,
             heard: BTreeMap::new(),
+            next_step_aside: Timestamp::ZERO,
             replica,
             machine,
             payloads,
--- a/crates/replica/tests/disks.rs
+++ b/crates/replica/tests/disks.rs
@@ -204,3 +204,32 @@
     cluster.confirm(1_000, full);
     assert_eq!(version(&mut cluster), Some(next));
 }
+
+#[test]
+fn a_leader_whose_disk_is_full_hands_over_to_one_with_room() {
+    for seed in 0..4 {
+        let mut cluster = Cluster::new(3, seed);
+        let leader = cluster.run_until_led();
+        cluster.confirm_many(5);
+        cluster.disks[&leader].set_full(true);
+        // What it still takes spends its reserve.
+        let mut number = 5;
+        let ends = cluster.now + Duration::from_secs(20);
+        while cluster.leader(GroupId::CONTROL) == Some(leader) && cluster.now < ends {
+            let base = ConfigVersion(number);
+            let late = |cluster: &Cluster| cluster.now >= ends;
+            if cluster.try_confirm(number + 1, base, &late).is_some() {
+                number += 1;
+            }
+        }
+        assert_ne!(
+            cluster.leader(GroupId::CONTROL),
+            Some(leader),
+            "seed {seed}"
+        );
+        cluster.confirm(number + 1, ConfigVersion(number));
+        assert_eq!(version(&mut cluster), Some(ConfigVersion(number + 1)));
+        cluster.disks[&leader].set_full(false);
+        cluster.run_until_equal();
+    }
+}
