--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -13,11 +13,11 @@
 use molespan_daemon::DaemonError;
 use molespan_daemon::cluster::{Cluster, PeerTransport, WireTransport};
 use molespan_daemon::local_transport::LocalTransport;
-use molespan_daemon::replica::{DiscoveryOptions, ReplicaContext, ReplicaOptions, ReplicaRole};
+use molespan_daemon::replica::{DiscoveryOptions, ReplicaOptions, ReplicaRole};
 use molespan_http::h1;
 use molespan_replica::Discovery;
 use molespan_state::control::{ControlAnswer, ControlQuery};
-use molespan_telemetry::{EventBuffer, Metrics, part_logger};
+use molespan_telemetry::part_logger;
 use molespan_types::{GroupId, NodeId, Timestamp};
 use molespan_wire::{Consistency, Handler, Request, Response, Server, ServerLimits};
 use slog::{Logger, info};
@@ -25,13 +25,11 @@
 use super::api::ControlApi;
 use super::dialect::ControlDialect;
 use super::hub::Hub;
-use crate::membership::{ClusterAddresses, TICK, cluster};
+use crate::membership::{ClusterAddresses, TICK, cluster, start_replica};
 use crate::view::EngineRecord;
 
 /// Time between two rounds of telling the other control nodes.
 const ROUND: Duration = Duration::from_secs(1);
-/// Decision events kept; nobody watches them on this node yet.
-const EVENTS: usize = 256;
 
 /// What a control node is started with.
 #[derive(Clone, Debug)]
@@ -134,13 +132,7 @@
         logger: &Logger,
     ) -> Result<Rc<Self>, DaemonError> {
         let own = options.addresses.own;
-        let replica = Arc::new(ReplicaRole::start(ReplicaContext {
-            options: options.replica(),
-            executor: executor.clone(),
-            logger: logger.clone(),
-            metrics: Metrics::default(),
-            events: EventBuffer::new(own, EVENTS),
-        })?);
+        let replica = start_replica(options.replica(), executor, logger)?;
         let logger = part_logger(logger, "control");
         let hub = Arc::new(Hub::new(options.engine_silence));
         let wire = options.addresses.transport(executor);
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -5,9 +5,13 @@
 use std::time::Duration;
 
 use async_executor::Executor;
+use molespan_daemon::DaemonError;
 use molespan_daemon::cluster::{Cluster, ClusterLimits, PeerTransport, WireTransport};
+use molespan_daemon::replica::{ReplicaContext, ReplicaOptions, ReplicaRole};
+use molespan_telemetry::{EventBuffer, Metrics};
 use molespan_types::NodeId;
 use molespan_wire::ClientLimits;
+use slog::Logger;
 
 /// Time between two ticks of a group. Idle ticks cost processor time on small
 /// machines; an election still begins after half a second.
@@ -63,3 +67,23 @@
     };
     Arc::new(Cluster::new(transport, replicas, limits))
 }
+
+/// Decision events kept; nobody watches them on these nodes yet.
+const EVENTS: usize = 256;
+
+/// Starts the replica of a node.
+pub(crate) fn start_replica(
+    options: ReplicaOptions,
+    executor: &Arc<Executor<'static>>,
+    logger: &Logger,
+) -> Result<Arc<ReplicaRole>, DaemonError> {
+    let events = EventBuffer::new(options.node, EVENTS);
+    let role = ReplicaRole::start(ReplicaContext {
+        options,
+        executor: executor.clone(),
+        logger: logger.clone(),
+        metrics: Metrics::default(),
+        events,
+    })?;
+    Ok(Arc::new(role))
+}
--- /dev/null
+++ b/crates/fleet/src/store/peer.rs
@@ -0,0 +1,183 @@
+//! Answering gateways that want items, while this node leads.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future;
+use molespan_daemon::replica::ReplicaRole;
+use molespan_state::batch::{BatchAnswer, BatchQuery, ItemReference, OpenWork};
+use molespan_types::{GroupId, NodeId, RunOutcome, Timestamp};
+use molespan_wire::{Consistency, Handler, Request, Response, TakeItems};
+
+use super::handout::Handout;
+
+/// A gateway that is silent for longer loses its items.
+const LEASE: Duration = Duration::from_millis(2_500);
+/// How long a new leader listens before it hands items out.
+const WARM_UP: Duration = Duration::from_millis(700);
+/// Open items that are looked at for one call.
+const OPEN_LIMIT: u32 = 1_024;
+
+/// Answers other nodes.
+pub(super) struct PeerHandler {
+    own: NodeId,
+    replica: Arc<ReplicaRole>,
+    started: Instant,
+    /// Set while this node leads.
+    handout: Mutex<Option<Handout>>,
+    /// Closed and renewed when something changed in the jobs.
+    woken: Mutex<(Sender<()>, Receiver<()>)>,
+}
+
+impl Handler for PeerHandler {
+    async fn call(&self, request: Request) -> Response {
+        match request {
+            Request::TakeItems(ask) => self.take_items(&ask).await,
+            other => self.replica.handle_peer(other).await,
+        }
+    }
+
+    fn notify(&self, request: Request) {
+        self.replica.notify(request);
+    }
+}
+
+impl PeerHandler {
+    /// Answers for a node that hands nothing out yet.
+    pub fn new(own: NodeId, replica: Arc<ReplicaRole>) -> Self {
+        Self {
+            own,
+            replica,
+            started: Instant::now(),
+            handout: Mutex::new(None),
+            woken: Mutex::new(async_channel::bounded(1)),
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp(self.started.elapsed().as_micros() as u64)
+    }
+
+    /// Reads the jobs as this replica has them, or as a quorum does.
+    pub async fn query(&self, query: &BatchQuery, consistency: Consistency) -> Option<BatchAnswer> {
+        let request = Request::Query {
+            group: GroupId::BATCH,
+            consistency,
+            query: molespan_state::encode(query).into(),
+        };
+        match self.replica.handle_peer(request).await {
+            Response::Answered { answer } => molespan_state::decode(&answer).ok(),
+            _ => None,
+        }
+    }
+
+    /// Hands items out, at once or when some come.
+    async fn take_items(&self, ask: &TakeItems) -> Response {
+        let ends = Instant::now() + Duration::from_millis(u64::from(ask.wait_ms));
+        loop {
+            let woken = self
+                .woken
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .1
+                .clone();
+            if self.replica.leader(GroupId::BATCH) != Some(self.own) {
+                return self.not_leader().await;
+            }
+            let limit = OPEN_LIMIT;
+            let open = self
+                .query(&BatchQuery::Open { limit }, Consistency::Local)
+                .await;
+            let Some(BatchAnswer::Open(open)) = open else {
+                return unavailable();
+            };
+            let (taken, stop) = self.hand_out(ask, &open);
+            let idle = taken.is_empty() && stop.is_empty();
+            if !idle || Instant::now() >= ends {
+                return self.items(taken, &stop).await;
+            }
+            let late = async {
+                Timer::at(ends).await;
+            };
+            let change = async {
+                let _closed = woken.recv().await;
+            };
+            future::or(change, late).await;
+        }
+    }
+
+    fn hand_out(
+        &self,
+        ask: &TakeItems,
+        open: &OpenWork,
+    ) -> (Vec<ItemReference>, Vec<ItemReference>) {
+        let now = self.now();
+        let held = ask.held.iter();
+        let running = held
+            .map(|&(job, place)| ItemReference { job, place })
+            .collect();
+        let mut handout = self.handout.lock().unwrap_or_else(PoisonError::into_inner);
+        let handout = handout.get_or_insert_with(|| Handout::new(now, LEASE, WARM_UP));
+        let stop = handout.renew(now, ask.node, &running, open);
+        let taken = handout.take(now, ask.node, ask.capacity as usize, open);
+        (taken, stop)
+    }
+
+    async fn items(&self, items: Vec<ItemReference>, stop: &[ItemReference]) -> Response {
+        let found = match items.is_empty() {
+            true => Some(BatchAnswer::Items(Vec::new())),
+            false => {
+                self.query(&BatchQuery::Items { items }, Consistency::Local)
+                    .await
+            }
+        };
+        match found {
+            Some(BatchAnswer::Items(items)) => Response::Items {
+                items: molespan_state::encode(&items).into(),
+                stop: stop.iter().map(|item| (item.job, item.place)).collect(),
+            },
+            _ => unavailable(),
+        }
+    }
+
+    /// Says who leads, in the words of the replica itself.
+    async fn not_leader(&self) -> Response {
+        let query = BatchQuery::Open { limit: 0 };
+        let request = Request::Query {
+            group: GroupId::BATCH,
+            consistency: Consistency::Linearizable,
+            query: molespan_state::encode(&query).into(),
+        };
+        match self.replica.handle_peer(request).await {
+            Response::Answered { .. } => unavailable(),
+            refusal => refusal,
+        }
+    }
+
+    /// Wakes those that wait for items.
+    pub fn changed(&self) {
+        let mut woken = self.woken.lock().unwrap_or_else(PoisonError::into_inner);
+        woken.0.close();
+        *woken = async_channel::bounded(1);
+    }
+
+    /// Whether this node leads. What was handed out before is forgotten when it
+    /// does not.
+    pub fn note_leadership(&self) -> bool {
+        let leads = self.replica.leader(GroupId::BATCH) == Some(self.own);
+        if !leads {
+            *self.handout.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        }
+        leads
+    }
+}
+
+fn unavailable() -> Response {
+    Response::Refused {
+        outcome: RunOutcome::NotRun,
+        message: "the batch group cannot be read now".to_owned(),
+        retry_after_ms: 50,
+    }
+}
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -16,8 +16,8 @@
 use super::preemption::RunGuard;
 use crate::attempt::{EngineBody, EngineReply, Outbound};
 use crate::dialect::GatewayDialect;
+use crate::dispatch::Dispatch;
 use crate::events::EventCutter;
-use crate::request::Dispatch;
 use crate::silence::Silence;
 use crate::state::GatewayState;
 
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -12,9 +12,9 @@
 
 use crate::attempt::{EngineBody, EngineReply};
 use crate::dialect::GatewayDialect;
+use crate::dispatch::Dispatch;
 use crate::events::EventCutter;
 use crate::relay::{CallerFraming, Next, Relayed, append, caller_head, next_piece, write};
-use crate::request::Dispatch;
 use crate::silence::Silence;
 
 /// Silences between events, as a multiple of the longest pause in time, after
