--- a/crates/consensus/src/replica/timer.rs
+++ b/crates/consensus/src/replica/timer.rs
@@ -15,8 +15,15 @@
     election_ticks: u32,
     timeout: u32,
     elapsed: u32,
+    /// Whether a leader was ever heard since the start.
+    led: bool,
 }
 
+/// Shortest timeout, in ticks, of a replica that never heard a leader. The
+/// first tick may come at once, so that one whole tick passes at least: a vote
+/// just granted has to reach its candidate.
+const FIRST_ELECTION_TICKS: u32 = 2;
+
 impl ElectionTimer {
     pub(crate) fn new(config: &Config) -> Self {
         let mut timer = Self {
@@ -25,22 +32,37 @@
             election_ticks: config.election_ticks,
             timeout: 0,
             elapsed: 0,
+            led: false,
         };
         timer.restart();
         timer
     }
 
     /// Starts to count anew, against another random timeout.
+    ///
+    /// A replica that never heard a leader has none to wait for, so its
+    /// timeouts are short: after an outage of the whole group every tick is one
+    /// without service. If there is a leader after all, the pre-vote fails.
     pub(crate) fn restart(&mut self) {
         let mut random = ChaCha8Rng::seed_from_u64(self.seed);
         random.set_stream(self.draws);
         self.draws = self.draws.wrapping_add(1);
-        self.timeout = self.election_ticks + random.random_range(0..self.election_ticks);
+        self.timeout = match self.led {
+            true => self.election_ticks + random.random_range(0..self.election_ticks),
+            false => {
+                let shortest = FIRST_ELECTION_TICKS.min(self.election_ticks);
+                random.random_range(shortest..=self.election_ticks)
+            }
+        };
         self.elapsed = 0;
     }
 
     /// Notes a sign of the leader.
     pub(crate) fn leader_heard(&mut self) {
+        if !self.led {
+            self.led = true;
+            self.restart();
+        }
         self.elapsed = 0;
     }
 
@@ -62,5 +84,6 @@
     fn hash<H: Hasher>(&self, state: &mut H) {
         self.timeout.hash(state);
         self.elapsed.hash(state);
+        self.led.hash(state);
     }
 }
--- a/crates/consensus/tests/election.rs
+++ b/crates/consensus/tests/election.rs
@@ -106,3 +106,79 @@
     accept(&mut replica, Index(3));
     assert_eq!(replica.status().commit, Index(3));
 }
+
+/// Ticks until a group whose members just started has a leader, when all of
+/// them tick at the same moments and messages arrive at once.
+fn ticks_to_the_first_leader(seed: u64) -> u32 {
+    let ids = [1, 2, 3].map(ReplicaId);
+    let start = Persisted::bootstrap(Membership::of_voters(ids));
+    let mut replicas: BTreeMap<ReplicaId, Replica> = BTreeMap::new();
+    for id in ids {
+        let config = Config {
+            seed: seed * 31 + id.0,
+            ..Config::new(id)
+        };
+        replicas.insert(id, Replica::new(config, start.clone()).unwrap());
+    }
+    for ticks in 1..1_000 {
+        replicas.values_mut().for_each(Replica::tick);
+        deliver_all(&mut replicas);
+        let mut all = replicas.values();
+        if all.any(|replica| replica.role() == Role::Leader) {
+            return ticks;
+        }
+    }
+    panic!("no leader with seed {seed}");
+}
+
+/// Delivers messages until none is under way.
+fn deliver_all(replicas: &mut BTreeMap<ReplicaId, Replica>) {
+    loop {
+        let mut sent: Vec<(ReplicaId, Outgoing)> = Vec::new();
+        for (id, replica) in replicas.iter_mut() {
+            while let Some(ready) = replica.ready() {
+                replica.persisted();
+                let messages = ready.messages.into_iter().chain(ready.messages_after_sync);
+                sent.extend(messages.map(|message| (*id, message)));
+            }
+        }
+        if sent.is_empty() {
+            return;
+        }
+        for (from, outgoing) in sent {
+            let to = replicas.get_mut(&outgoing.to).unwrap();
+            to.step(from, outgoing.message);
+        }
+    }
+}
+
+#[test]
+fn replicas_that_never_heard_a_leader_do_not_wait_for_one() {
+    let election_ticks = Config::new(ReplicaId(1)).election_ticks;
+    let waits: Vec<u32> = (0..200).map(ticks_to_the_first_leader).collect();
+    let soon = waits.iter().filter(|&&ticks| ticks <= election_ticks);
+    // Two that stand on the very same tick may split the votes once.
+    assert!(soon.count() >= 180, "{waits:?}");
+    assert!(waits.iter().all(|&ticks| ticks <= 3 * election_ticks));
+}
+
+#[test]
+fn started_replica_does_not_disturb_a_leader() {
+    let ids = [1, 2, 3].map(ReplicaId);
+    let start = Persisted::bootstrap(Membership::of_voters(ids));
+    let replica = |id| Replica::new(Config::new(id), start.clone()).unwrap();
+    let mut replicas: BTreeMap<ReplicaId, Replica> =
+        ids.iter().map(|&id| (id, replica(id))).collect();
+    replicas.get_mut(&ReplicaId(1)).unwrap().campaign();
+    deliver_all(&mut replicas);
+    let term = replicas[&ReplicaId(1)].term();
+    assert_eq!(replicas[&ReplicaId(1)].role(), Role::Leader);
+    // It is new, has lost nothing that matters, and hears nothing at first.
+    replicas.insert(ReplicaId(3), replica(ReplicaId(3)));
+    for _ in 0..20 {
+        replicas.get_mut(&ReplicaId(3)).unwrap().tick();
+        deliver_all(&mut replicas);
+    }
+    assert_eq!(replicas[&ReplicaId(1)].role(), Role::Leader);
+    assert_eq!(replicas[&ReplicaId(1)].term(), term);
+}
--- a/crates/daemon/src/replica/options.rs
+++ b/crates/daemon/src/replica/options.rs
@@ -51,6 +51,8 @@
     pub tick: Duration,
     /// Shortest time without a leader before an election.
     pub election_timeout: Duration,
+    /// Time between two heartbeats of a group's leader.
+    pub leader_heartbeat: Duration,
     /// Time between two heartbeats of a node to the control leader.
     pub node_heartbeat: Duration,
     /// Longest time that handing the leaderships over may take at a stop.
@@ -73,26 +75,33 @@
             claim_timeout: Duration::from_secs(10 * 60),
             tick: Duration::from_millis(50),
             election_timeout: Duration::from_millis(500),
+            leader_heartbeat: Duration::from_millis(100),
             node_heartbeat: Duration::from_secs(1),
             hand_over_within: Duration::from_secs(3),
             segment_bytes: LogSettings::default().segment_bytes,
         }
     }
 
+    /// Whole ticks in a time.
+    fn ticks(&self, time: Duration) -> u32 {
+        let ticks = time.as_micros() / self.tick.as_micros().max(1);
+        u32::try_from(ticks).unwrap_or(u32::MAX)
+    }
+
     /// The settings of the replica's core.
     pub(super) fn core_settings(&self, seed: u64) -> ReplicaSettings {
         let nodes = match &self.discovery {
             Some(_) => vec![self.node],
             None => self.peers.iter().map(|peer| peer.node).collect(),
         };
-        let ticks = self.election_timeout.as_micros() / self.tick.as_micros().max(1);
         ReplicaSettings {
             discovery: self.discovery.as_ref().map(|found| found.members.clone()),
             job_groups: self.job_groups,
             lease_length: self.lease,
             claim_timeout: self.claim_timeout,
             tick: self.tick,
-            election_ticks: u32::try_from(ticks).unwrap_or(u32::MAX).max(3),
+            election_ticks: self.ticks(self.election_timeout).max(3),
+            heartbeat_ticks: self.ticks(self.leader_heartbeat).max(1),
             log: LogSettings {
                 segment_bytes: self.segment_bytes,
                 ..LogSettings::default()
--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -25,7 +25,7 @@
 use super::api::ControlApi;
 use super::dialect::ControlDialect;
 use super::hub::Hub;
-use crate::membership::{ClusterAddresses, TICK, cluster, start_replica};
+use crate::membership::{ClusterAddresses, ELECTION_TIMEOUT, LEADER_HEARTBEAT, TICK, cluster, start_replica};
 use crate::view::EngineRecord;
 
 /// Time between two rounds of telling the other control nodes.
@@ -78,6 +78,8 @@
             hand_over_within: self.hand_over_within,
             segment_bytes: 4 << 20,
             tick: TICK,
+            election_timeout: ELECTION_TIMEOUT,
+            leader_heartbeat: LEADER_HEARTBEAT,
             ..ReplicaOptions::new(self.addresses.own, Vec::new(), self.data_folder.clone())
         }
     }
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -14,8 +14,14 @@
 use slog::Logger;
 
 /// Time between two ticks of a group. Idle ticks cost processor time on small
-/// machines; an election still begins after half a second.
+/// machines.
 pub(crate) const TICK: Duration = Duration::from_millis(100);
+/// Shortest time without a leader before an election. Jobs are to be kept
+/// within some hundred milliseconds also when a store is lost; an election that
+/// was not needed is prevented by the pre-vote.
+pub(crate) const ELECTION_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time between two heartbeats of a leader: two of three may be late.
+pub(crate) const LEADER_HEARTBEAT: Duration = TICK;
 
 /// Where the nodes are: each is named by its address, and all listen on one
 /// port for one another.
--- a/crates/fleet/src/store/node.rs
+++ b/crates/fleet/src/store/node.rs
@@ -22,7 +22,7 @@
 use slog::{Logger, info, warn};
 
 use super::peer::PeerHandler;
-use crate::membership::{ClusterAddresses, TICK, cluster, start_replica};
+use crate::membership::{ClusterAddresses, ELECTION_TIMEOUT, LEADER_HEARTBEAT, TICK, cluster, start_replica};
 use crate::view::{Topology, ViewUpdate};
 use crate::watch::{ViewSink, ViewWatcher};
 
@@ -70,6 +70,8 @@
             hand_over_within: self.hand_over_within,
             segment_bytes: 4 << 20,
             tick: TICK,
+            election_timeout: ELECTION_TIMEOUT,
+            leader_heartbeat: LEADER_HEARTBEAT,
             ..ReplicaOptions::new(self.addresses.own, Vec::new(), self.data_folder.clone())
         }
     }
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -242,7 +242,11 @@
                     self.report_founding();
                 }
                 FleetChange::TakesPart => {
-                    self.next_tick = now;
+                    // Members that start together confirm each other at the same
+                    // moment; they must not all tick, and stand for election,
+                    // at the same moments from then on.
+                    let tick = self.shared.settings.tick;
+                    self.next_tick = now + tick.mul_f64(self.random.random());
                     let incarnation = self.fleet.identity().incarnation;
                     self.shared.event(ReplicaEvent::TakesPart { incarnation });
                 }
