Read the open work once for all gateways that wait for items

Ruled out: acceptance (all jobs were kept), engines (slots were free). Change: one read serves all until the jobs change; gateways with room are woken only when an item is free, all of them only when an item is to be stopped, and at most every 10 ms. Tests: gateways_are_woken_only_for_items_that_nobody_runs, gateways_are_woken_when_a_job_that_they_run_has_ended.

--- a/crates/fleet/src/store/handout.rs
+++ b/crates/fleet/src/store/handout.rs
@@ -87,6 +87,23 @@
         items
     }
 
+    /// Whether some open item is handed out to nobody.
+    #[must_use]
+    pub fn has_free(&self, now: Timestamp, open: &OpenWork) -> bool {
+        let mut items = open.items.iter().map(|open| open.item);
+        items.any(|item| {
+            let holding = self.held.get(&item);
+            holding.is_none_or(|holding| holding.until <= now)
+        })
+    }
+
+    /// Whether some gateway runs an item of a job that is not open any more.
+    #[must_use]
+    pub fn has_ended(&self, open: &OpenWork) -> bool {
+        let mut held = self.held.keys();
+        held.any(|item| !open.jobs.contains(&item.job))
+    }
+
     /// Items that are handed out.
     #[must_use]
     pub fn held(&self) -> usize {
--- a/crates/fleet/src/store/mod.rs
+++ b/crates/fleet/src/store/mod.rs
@@ -3,6 +3,7 @@
 mod handout;
 mod node;
 mod peer;
+mod wakeup;
 
 pub use handout::{Handout, Holding};
 pub use node::{StoreNode, StoreOptions};
--- a/crates/fleet/src/store/node.rs
+++ b/crates/fleet/src/store/node.rs
@@ -10,6 +10,7 @@
 
 use async_executor::{Executor, LocalExecutor};
 use async_io::Timer;
+use futures_lite::future;
 use molespan_daemon::DaemonError;
 use molespan_daemon::cluster::Cluster;
 use molespan_daemon::replica::{DiscoveryOptions, ReplicaOptions, ReplicaRole};
@@ -22,12 +23,16 @@
 use slog::{Logger, info, warn};
 
 use super::peer::PeerHandler;
-use crate::membership::{ClusterAddresses, ELECTION_TIMEOUT, LEADER_HEARTBEAT, TICK, cluster, start_replica};
+use crate::membership::{
+    ClusterAddresses, ELECTION_TIMEOUT, LEADER_HEARTBEAT, TICK, cluster, start_replica,
+};
 use crate::view::{Topology, ViewUpdate};
 use crate::watch::{ViewSink, ViewWatcher};
 
 /// Time between two rounds of upkeep.
 const ROUND: Duration = Duration::from_millis(500);
+/// Shortest time between two wakeups of gateways that wait for items.
+const WAKE_EVERY: Duration = Duration::from_millis(10);
 /// How long the first start waits for enough stores.
 const FOUNDING_PATIENCE: Duration = Duration::from_secs(5);
 /// Time for a registration.
@@ -149,13 +154,31 @@
         Ok(node)
     }
 
+    /// Tells gateways that wait for items of changes; of many in a row at once.
     async fn wake(&self) {
         loop {
             self.replica.changed().await;
-            self.handler.changed();
+            self.handler.note_change();
+            let ends = Instant::now() + WAKE_EVERY;
+            while self.changes_before(ends).await {
+                self.handler.note_change();
+            }
+            self.handler.wake().await;
         }
     }
 
+    async fn changes_before(&self, ends: Instant) -> bool {
+        let changed = async {
+            self.replica.changed().await;
+            true
+        };
+        let late = async {
+            Timer::at(ends).await;
+            false
+        };
+        future::or(changed, late).await
+    }
+
     async fn upkeep(&self) {
         let started = Instant::now();
         let mut rounds = 0_u32;
--- a/crates/fleet/src/store/peer.rs
+++ b/crates/fleet/src/store/peer.rs
@@ -1,9 +1,9 @@
 //! Answering gateways that want items, while this node leads.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
 use molespan_daemon::replica::ReplicaRole;
@@ -12,6 +12,7 @@
 use molespan_wire::{Consistency, Handler, Request, Response, TakeItems};
 
 use super::handout::Handout;
+use super::wakeup::Wakeup;
 
 /// A gateway that is silent for longer loses its items.
 const LEASE: Duration = Duration::from_millis(2_500);
@@ -27,8 +28,20 @@
     started: Instant,
     /// Set while this node leads.
     handout: Mutex<Option<Handout>>,
-    /// Closed and renewed when something changed in the jobs.
-    woken: Mutex<(Sender<()>, Receiver<()>)>,
+    /// Changes of the jobs that were noted.
+    changes: AtomicU64,
+    /// Open work, read once for all that ask until the jobs change.
+    open: async_lock::Mutex<Option<OpenAsOf>>,
+    /// Wakes gateways with room when there are items for them.
+    items: Wakeup,
+    /// Wakes every gateway that waits when some item is to be stopped.
+    stops: Wakeup,
+}
+
+/// Open work after so many changes.
+struct OpenAsOf {
+    changes: u64,
+    work: Arc<OpenWork>,
 }
 
 impl Handler for PeerHandler {
@@ -52,7 +65,10 @@
             replica,
             started: Instant::now(),
             handout: Mutex::new(None),
-            woken: Mutex::new(async_channel::bounded(1)),
+            changes: AtomicU64::new(0),
+            open: async_lock::Mutex::new(None),
+            items: Wakeup::default(),
+            stops: Wakeup::default(),
         }
     }
 
@@ -73,24 +89,36 @@
         }
     }
 
+    /// The open work. Gateways that wait together share one read of it.
+    async fn open_work(&self) -> Option<Arc<OpenWork>> {
+        let mut open = self.open.lock().await;
+        let changes = self.changes.load(Ordering::SeqCst);
+        if let Some(known) = open.as_ref().filter(|known| known.changes == changes) {
+            return Some(known.work.clone());
+        }
+        let query = BatchQuery::Open { limit: OPEN_LIMIT };
+        let answer = self.query(&query, Consistency::Local).await;
+        let Some(BatchAnswer::Open(work)) = answer else {
+            return None;
+        };
+        let work = Arc::new(work);
+        *open = Some(OpenAsOf {
+            changes,
+            work: work.clone(),
+        });
+        Some(work)
+    }
+
     /// Hands items out, at once or when some come.
     async fn take_items(&self, ask: &TakeItems) -> Response {
         let ends = Instant::now() + Duration::from_millis(u64::from(ask.wait_ms));
         loop {
-            let woken = self
-                .woken
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .1
-                .clone();
+            let items = self.items.waiter();
+            let stops = self.stops.waiter();
             if self.replica.leader(GroupId::BATCH) != Some(self.own) {
                 return self.not_leader().await;
             }
-            let limit = OPEN_LIMIT;
-            let open = self
-                .query(&BatchQuery::Open { limit }, Consistency::Local)
-                .await;
-            let Some(BatchAnswer::Open(open)) = open else {
+            let Some(open) = self.open_work().await else {
                 return unavailable();
             };
             let (taken, stop) = self.hand_out(ask, &open);
@@ -101,10 +129,13 @@
             let late = async {
                 Timer::at(ends).await;
             };
-            let change = async {
-                let _closed = woken.recv().await;
+            let wanted = async {
+                match ask.capacity {
+                    0 => future::pending().await,
+                    _ => items.woken().await,
+                }
             };
-            future::or(change, late).await;
+            future::or(future::or(stops.woken(), wanted), late).await;
         }
     }
 
@@ -156,11 +187,34 @@
         }
     }
 
-    /// Wakes those that wait for items.
-    pub fn changed(&self) {
-        let mut woken = self.woken.lock().unwrap_or_else(PoisonError::into_inner);
-        woken.0.close();
-        *woken = async_channel::bounded(1);
+    /// Notes that the jobs changed. Must be told of each change at once: an
+    /// item whose outcome was recorded is not to be handed out again.
+    pub fn note_change(&self) {
+        self.changes.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Wakes the gateways for which there is something to hear. To wake all of
+    /// them at each change would cost the leader more the more there are.
+    pub async fn wake(&self) {
+        if self.replica.leader(GroupId::BATCH) != Some(self.own) {
+            // They hear who leads now.
+            self.stops.wake();
+            return;
+        }
+        let Some(open) = self.open_work().await else {
+            return;
+        };
+        let now = self.now();
+        let handout = self.handout.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(handout) = handout.as_ref() else {
+            return;
+        };
+        if handout.has_ended(&open) {
+            self.stops.wake();
+        }
+        if handout.has_free(now, &open) {
+            self.items.wake();
+        }
     }
 
     /// Whether this node leads. What was handed out before is forgotten when it
--- a/crates/fleet/tests/handout.rs
+++ b/crates/fleet/tests/handout.rs
@@ -87,3 +87,27 @@
     );
     assert_eq!(handout.take(at(500), TWO, 9, &work), [item(1, 1)]);
 }
+
+#[test]
+fn gateways_are_woken_only_for_items_that_nobody_runs() {
+    let mut handout = warm();
+    let work = open(&[item(1, 0), item(1, 1)]);
+    assert!(handout.has_free(at(0), &work));
+    let taken = handout.take(at(0), ONE, 2, &work);
+    assert_eq!(taken.len(), 2);
+    assert!(!handout.has_free(at(0), &work));
+    // A silent gateway loses its items.
+    assert!(handout.has_free(at(2_000), &work));
+}
+
+#[test]
+fn gateways_are_woken_when_a_job_that_they_run_has_ended() {
+    let mut handout = warm();
+    let work = open(&[item(1, 0), item(2, 0)]);
+    handout.take(at(0), ONE, 2, &work);
+    assert!(!handout.has_ended(&work));
+    let left = open(&[item(2, 0)]);
+    assert!(handout.has_ended(&left));
+    let stop = handout.renew(at(1), ONE, &running(&[item(1, 0), item(2, 0)]), &left);
+    assert_eq!(stop, [item(1, 0)]);
+}
