Tell what gateways have at engines through relays where gateways are many

Cause: on the grown sites 75 gateways each told 74 others every 50 to 150 ms. Ruled out: rarer tellings (collisions at engines within a burst), engines' own loads (come with answers only). Change: above 12 gateways each tells one control node, which adds up, tells the other control nodes its sum and each of its gateways what all others have. A relay that is silent for 1 s is left for the next one. The choice of an engine copies the facts of the chosen one only. Tests: crates/routing/tests/relay.rs.

--- a/crates/fleet/src/control/hub.rs
+++ b/crates/fleet/src/control/hub.rs
@@ -146,6 +146,12 @@
         }
     }
 
+    /// Nodes that hold the control group, as this node's replica knows.
+    #[must_use]
+    pub fn control_nodes(&self) -> BTreeSet<NodeId> {
+        self.lock().topology.control.clone()
+    }
+
     /// Stores that asked lately.
     #[must_use]
     pub fn live_stores(&self) -> BTreeSet<NodeId> {
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod hub;
 mod node;
 mod registry;
+mod relay;
 
 pub use dialect::{CallProblem, ControlCall, ControlDialect, ControlOutcome, EngineHeartbeat};
 pub use hub::Hub;
--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -25,7 +25,10 @@
 use super::api::ControlApi;
 use super::dialect::ControlDialect;
 use super::hub::Hub;
-use crate::membership::{ClusterAddresses, ELECTION_TIMEOUT, LEADER_HEARTBEAT, TICK, cluster, start_replica};
+use super::relay::{RelayedWork, relay_work};
+use crate::membership::{
+    ClusterAddresses, ELECTION_TIMEOUT, LEADER_HEARTBEAT, TICK, cluster, start_replica,
+};
 use crate::view::EngineRecord;
 
 /// Time between two rounds of telling the other control nodes.
@@ -98,6 +101,7 @@
 struct PeerHandler {
     replica: Arc<ReplicaRole>,
     hub: Arc<Hub>,
+    work: Arc<RelayedWork>,
 }
 
 impl Handler for PeerHandler {
@@ -116,6 +120,11 @@
                     self.hub.hear(record);
                 }
             }
+            Request::EngineWork {
+                from,
+                shares,
+                relayed,
+            } => self.work.note(from, &shares, relayed),
             other => self.replica.notify(other),
         }
     }
@@ -145,9 +154,13 @@
         });
         let cluster = cluster(transport, nearest_first(&options.addresses));
         let server = Server::bind(options.addresses.own_address(), ServerLimits::default())?;
+        let work = Arc::new(RelayedWork::default());
+        let relaying = relay_work(own, work.clone(), hub.clone(), wire.clone());
+        local.spawn(relaying).detach();
         let handler = PeerHandler {
             replica: replica.clone(),
             hub: hub.clone(),
+            work: work.clone(),
         };
         executor
             .spawn(server.serve(executor.clone(), Arc::new(handler)))
@@ -193,6 +206,12 @@
     }
 
     async fn refresh(&self, cluster: &Cluster) {
+        let control = self.members().await;
+        if !control.is_empty() {
+            let mut replicas: Vec<NodeId> = control.iter().copied().collect();
+            replicas.sort_by_key(|&node| node != self.own);
+            cluster.set_replicas(replicas);
+        }
         let request = Request::Query {
             group: GroupId::CONTROL,
             consistency: Consistency::Local,
@@ -204,20 +223,21 @@
         let Ok(ControlAnswer::Declared(declared)) = molespan_state::decode(&answer) else {
             return;
         };
-        let control = self.members().await;
-        if !control.is_empty() {
-            let mut replicas: Vec<NodeId> = control.iter().copied().collect();
-            replicas.sort_by_key(|&node| node != self.own);
-            cluster.set_replicas(replicas);
-        }
         self.hub.take(&declared, control);
     }
 
+    /// Nodes that hold the control group, as its log says here, or as others
+    /// said where this node holds no part of it.
     async fn members(&self) -> BTreeSet<NodeId> {
-        let status = self.replica.status().await;
-        let groups = status.map(|status| status.groups).unwrap_or_default();
-        let voters = groups.iter().flat_map(|group| &group.voters);
-        voters.map(|(node, _)| *node).collect()
+        let Some(status) = self.replica.status().await else {
+            return BTreeSet::new();
+        };
+        let voters = status.groups.iter().flat_map(|group| &group.voters);
+        let voters: BTreeSet<NodeId> = voters.map(|(node, _)| *node).collect();
+        match voters.is_empty() {
+            true => status.known_voters,
+            false => voters,
+        }
     }
 
     /// Tells the other control nodes which engines were heard, so that each
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -9,7 +9,9 @@
 use molespan_daemon::cluster::Cluster;
 use molespan_fleet::ViewSink;
 use molespan_fleet::view::{EngineRecord, Topology, ViewUpdate};
-use molespan_routing::dispatch::{EngineFacts, EngineTable, Picked, WeightedSplit, WorkClass};
+use molespan_routing::dispatch::{
+    EngineFacts, EngineTable, Picked, RelayChoice, WeightedSplit, WorkClass,
+};
 use molespan_state::declared::{Route, ServingModel};
 use molespan_types::{NodeId, Timestamp, ZoneName};
 use slog::{Logger, info};
@@ -55,6 +57,8 @@
 pub(crate) struct GatewayState {
     pub own: NodeId,
     pub engines: RefCell<EngineTable>,
+    /// Who passes on what this gateway has at engines, where there are many.
+    pub relay: RefCell<RelayChoice>,
     pub pool: Pool,
     /// Batch items that run here.
     pub batch_runs: BatchRuns,
@@ -77,6 +81,7 @@
         Self {
             own,
             engines: RefCell::new(EngineTable::new(zone, rand::random())),
+            relay: RefCell::default(),
             pool: Pool::default(),
             batch_runs: BatchRuns::default(),
             batch,
@@ -113,6 +118,12 @@
         others.copied().collect()
     }
 
+    /// The relay that this gateway uses now, if any is known.
+    pub fn relay_in_use(&self) -> Option<NodeId> {
+        let control = &self.topology.borrow().control;
+        self.relay.borrow_mut().relay(self.own, control, self.now())
+    }
+
     pub fn is_stopping(&self) -> bool {
         self.stopping.get()
     }
--- a/crates/proxy/src/work_shares.rs
+++ b/crates/proxy/src/work_shares.rs
@@ -1,5 +1,6 @@
-//! Gateways tell each other what they have at engines. An engine's own reports
-//! come with answers only, and too late for a burst.
+//! Gateways tell each other what they have at engines, directly or through a
+//! relay where there are many of them. An engine's own reports come with answers
+//! only, and too late for a burst.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -24,15 +25,22 @@
 const BUSY_INTERVAL: Duration = Duration::from_millis(50);
 /// Own requests at engines from which on a gateway is busy.
 const BUSY_REQUESTS: u32 = 12;
+/// Share of all slots in use from which on every gateway is busy: its next
+/// request may find no slot.
+const BUSY_OCCUPANCY: f64 = 0.4;
+/// Gateways that tell each other directly at the most. The messages grow with
+/// the square of their number; through relays they do not.
+const MOST_DIRECT: u32 = 12;
 /// What did not change is told again after this many intervals.
 const REPEATED_AFTER: u32 = 6;
 /// Tellings that wait to be taken in; further ones are dropped.
 const QUEUED: usize = 1_024;
 
-/// What another gateway told.
+/// What another gateway or a relay told.
 struct Told {
     from: NodeId,
     shares: Vec<WorkShare>,
+    relayed: bool,
 }
 
 /// Takes in what other gateways tell.
@@ -50,10 +58,19 @@
     }
 
     fn notify(&self, request: Request) {
-        if let Request::EngineWork { from, shares } = request
+        if let Request::EngineWork {
+            from,
+            shares,
+            relayed,
+        } = request
             && let Ok(shares) = molespan_state::decode(&shares)
         {
-            let _dropped = self.told.try_send(Told { from, shares });
+            let told = Told {
+                from,
+                shares,
+                relayed,
+            };
+            let _dropped = self.told.try_send(told);
         }
     }
 }
@@ -80,6 +97,9 @@
 async fn listen(state: Rc<GatewayState>, telling: Receiver<Told>) {
     while let Ok(told) = telling.recv().await {
         let now = state.now();
+        if told.relayed {
+            state.relay.borrow_mut().heard(told.from, now);
+        }
         state
             .engines
             .borrow_mut()
@@ -92,11 +112,11 @@
     let mut before = Vec::new();
     let mut unchanged = 0;
     let mut interval = CALM_INTERVAL;
+    let mut relay = None;
     loop {
         Timer::after(interval).await;
         let shares = state.engines.borrow().shares();
-        let requests: u32 = shares.iter().map(|share| share.requests).sum();
-        interval = match requests >= BUSY_REQUESTS {
+        interval = match is_busy(&state, &shares) {
             true => BUSY_INTERVAL,
             false => CALM_INTERVAL,
         };
@@ -105,13 +125,35 @@
             continue;
         }
         let bytes = molespan_state::encode(&shares);
-        for node in state.other_gateways() {
+        for node in audience(&state, &mut relay) {
             let request = Request::EngineWork {
                 from: state.own,
                 shares: bytes.clone().into(),
+                relayed: false,
             };
             wire.send(node, request);
         }
         before = shares;
     }
 }
+
+fn is_busy(state: &GatewayState, shares: &[WorkShare]) -> bool {
+    let own: u32 = shares.iter().map(|share| share.requests).sum();
+    own >= BUSY_REQUESTS || state.engines.borrow().occupancy(state.now()) >= BUSY_OCCUPANCY
+}
+
+/// Whom this gateway tells: the others, or the relay that speaks for them.
+fn audience(state: &GatewayState, relay: &mut Option<NodeId>) -> Vec<NodeId> {
+    let through = match state.gateways() > MOST_DIRECT {
+        true => state.relay_in_use(),
+        false => None,
+    };
+    let before = std::mem::replace(relay, through);
+    if let Some(left) = before.filter(|_| before != through) {
+        state.engines.borrow_mut().forget_shares(left);
+    }
+    match through {
+        Some(relay) => vec![relay],
+        None => state.other_gateways(),
+    }
+}
--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -12,7 +12,7 @@
 /// How long a report says something about the work of others.
 const REPORT_FADES: Duration = Duration::from_secs(2);
 /// How long another gateway's word on its work holds.
-const SHARE_HOLDS: Duration = Duration::from_millis(1_200);
+pub(super) const SHARE_HOLDS: Duration = Duration::from_millis(1_200);
 /// How long batch work keeps away from an engine whose slots online work
 /// wanted.
 const QUIET_TIME: Duration = Duration::from_millis(1_500);
@@ -185,6 +185,11 @@
         self.shares.insert(from, share);
     }
 
+    /// Forgets what another node said of gateways' work here.
+    pub fn forget_share(&mut self, from: NodeId) {
+        self.shares.remove(&from);
+    }
+
     /// Takes in a load that it told; own requests in flight are in it.
     pub fn report(&mut self, load: EngineLoad, now: Timestamp) {
         let all = load.running + load.waiting;
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -5,10 +5,12 @@
 
 mod engine;
 mod prompt;
+mod relay;
 mod split;
 mod table;
 
 pub use engine::{EngineFacts, EngineLoad, Failure, WorkShare};
 pub use prompt::{PromptCost, PromptPart, SharedPrompt};
+pub use relay::{RelayChoice, Teller, WorkRelay};
 pub use split::WeightedSplit;
 pub use table::{EngineTable, NoEngine, Pick, Picked, WorkClass};
--- /dev/null
+++ b/crates/routing/src/dispatch/relay.rs
@@ -0,0 +1,159 @@
+//! Passing on what gateways have at engines.
+//!
+//! A few gateways tell each other. Where there are many, that would cost each of
+//! them more the more there are, so each tells one relay. A relay adds up what
+//! its gateways told, tells the sum to the other relays, and tells each of its
+//! gateways what all the others together have.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use molespan_types::{NodeId, Timestamp};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::engine::{SHARE_HOLDS, WorkShare};
+
+/// A relay that is silent for longer is left for the next one.
+const RELAY_SILENCE: Duration = Duration::from_millis(1_000);
+
+/// The relay that a gateway uses. Gateways spread over the relays, and each
+/// goes through them in an order of its own when they are silent.
+#[derive(Clone, Debug, Default)]
+pub struct RelayChoice {
+    /// Place in the gateway's order; it wraps.
+    place: usize,
+    /// When the relay in use was taken or heard.
+    heard: Timestamp,
+    relay: Option<NodeId>,
+}
+
+impl RelayChoice {
+    /// The relay for the gateway `own` at this time, among `relays`.
+    pub fn relay(
+        &mut self,
+        own: NodeId,
+        relays: &BTreeSet<NodeId>,
+        now: Timestamp,
+    ) -> Option<NodeId> {
+        let mut order: Vec<NodeId> = relays.iter().copied().collect();
+        order.sort_by_key(|relay| xxh3_64_with_seed(&relay.0.to_be_bytes(), u64::from(own.0)));
+        if self.relay.is_some() && now.since(self.heard) > RELAY_SILENCE {
+            self.place += 1;
+            self.heard = now;
+        }
+        let relay = order.get(self.place.checked_rem(order.len())?).copied();
+        if relay != self.relay {
+            self.relay = relay;
+            self.heard = now;
+        }
+        relay
+    }
+
+    /// A relay told something.
+    pub fn heard(&mut self, from: NodeId, now: Timestamp) {
+        if self.relay == Some(from) {
+            self.heard = now;
+        }
+    }
+}
+
+/// Who told a relay something.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Teller {
+    /// A gateway, of its own requests.
+    Gateway,
+    /// Another relay, of the requests of its gateways.
+    Relay,
+}
+
+/// What one of them told last.
+#[derive(Clone, Debug)]
+struct Told {
+    teller: Teller,
+    shares: Vec<WorkShare>,
+    at: Timestamp,
+}
+
+/// What a relay was told.
+#[derive(Clone, Debug, Default)]
+pub struct WorkRelay {
+    told: BTreeMap<NodeId, Told>,
+}
+
+impl WorkRelay {
+    /// Takes in all that one of them has at engines. Says whether it differs
+    /// from what it told before.
+    pub fn note(
+        &mut self,
+        from: NodeId,
+        teller: Teller,
+        shares: Vec<WorkShare>,
+        now: Timestamp,
+    ) -> bool {
+        let told = Told {
+            teller,
+            shares,
+            at: now,
+        };
+        let before = self.told.insert(from, told);
+        before.is_none_or(|before| before.shares != self.told[&from].shares)
+    }
+
+    /// Forgets those that were silent for too long.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.told.retain(|_, told| now.since(told.at) < SHARE_HOLDS);
+    }
+
+    /// What the gateways of this relay have together, for the other relays.
+    #[must_use]
+    pub fn sum_of_gateways(&self) -> Vec<WorkShare> {
+        let told = self.told.values();
+        let of_gateways = told.filter(|told| told.teller == Teller::Gateway);
+        sum(of_gateways.flat_map(|told| &told.shares))
+    }
+
+    /// For each gateway of this relay, what all other gateways have together.
+    #[must_use]
+    pub fn shares_by_gateway(&self) -> Vec<(NodeId, Vec<WorkShare>)> {
+        let all = sum(self.told.values().flat_map(|told| &told.shares));
+        let told = self.told.iter();
+        let gateways = told.filter(|(_, told)| told.teller == Teller::Gateway);
+        gateways
+            .map(|(&gateway, told)| (gateway, without(&all, &told.shares)))
+            .collect()
+    }
+}
+
+fn sum<'s>(shares: impl Iterator<Item = &'s WorkShare>) -> Vec<WorkShare> {
+    let mut sums: BTreeMap<&str, WorkShare> = BTreeMap::new();
+    for share in shares {
+        match sums.get_mut(share.engine.as_str()) {
+            Some(sum) => {
+                sum.requests += share.requests;
+                sum.unread_tokens += share.unread_tokens;
+                sum.batch += share.batch;
+            }
+            None => {
+                sums.insert(&share.engine, share.clone());
+            }
+        }
+    }
+    sums.into_values().collect()
+}
+
+/// `all` less `own`, which is part of it; engines with nothing are left out.
+fn without(all: &[WorkShare], own: &[WorkShare]) -> Vec<WorkShare> {
+    let rest = all.iter().map(|sum| {
+        let own = own.iter().find(|own| own.engine == sum.engine);
+        match own {
+            Some(own) => WorkShare {
+                engine: sum.engine.clone(),
+                requests: sum.requests.saturating_sub(own.requests),
+                unread_tokens: sum.unread_tokens.saturating_sub(own.unread_tokens),
+                batch: sum.batch.saturating_sub(own.batch),
+            },
+            None => sum.clone(),
+        }
+    });
+    rest.filter(|share| share.requests > 0).collect()
+}
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -203,6 +203,23 @@
         }
     }
 
+    /// Forgets what another node told: it is told by somebody else from now on.
+    pub fn forget_shares(&mut self, from: NodeId) {
+        for engine in self.engines.values_mut() {
+            engine.forget_share(from);
+        }
+    }
+
+    /// Requests at all engines as a share of their slots.
+    #[must_use]
+    pub fn occupancy(&self, now: Timestamp) -> f64 {
+        let others_tell = self.others_tell(now);
+        let engines = self.engines.values();
+        let load: f64 = engines.map(|engine| engine.load(now, others_tell)).sum();
+        let slots: u32 = self.engines.values().map(|one| one.facts.slots).sum();
+        load / f64::from(slots.max(1))
+    }
+
     /// An attempt failed.
     pub fn failed(&mut self, id: &str, failure: Failure, now: Timestamp) {
         if let Some(engine) = self.engines.get_mut(id) {
@@ -277,7 +294,7 @@
         let shared = pick.prompt.shared;
         let ids = of_service.iter().map(|engine| engine.facts.id.as_str());
         let first = shared.and_then(|shared| home(shared.key, ids));
-        let mut best: Option<(f64, u32, Picked)> = None;
+        let mut best: Option<(f64, u32, Candidate<'_>)> = None;
         for engine in of_service {
             let facts = &engine.facts;
             let load = engine.load(now, others_tell);
@@ -290,32 +307,56 @@
                 first == Some(&facts.id) || self.holders.holds(shared.key, &facts.id, now)
             });
             let kept_tokens = held.map_or(0, |shared| shared.tokens);
-            let picked = Picked {
+            let candidate = Candidate {
+                facts,
                 load,
                 unread_tokens: pick.prompt.tokens.saturating_sub(kept_tokens),
                 before_tokens: engine.unread_tokens(now),
-                facts: facts.clone(),
             };
-            let far = facts.zone != self.zone;
-            let cost = cost(&picked, far);
+            let cost = candidate.cost(&self.zone);
             let draw = self.random.random();
             let better = best
                 .as_ref()
                 .is_none_or(|(least, drawn, _)| (cost, draw) < (*least, *drawn));
             if better {
-                best = Some((cost, draw, picked));
+                best = Some((cost, draw, candidate));
             }
         }
-        best.map(|(_, _, picked)| picked).ok_or(NoEngine::Busy)
+        let (_, _, candidate) = best.ok_or(NoEngine::Busy)?;
+        Ok(candidate.picked())
     }
 }
 
-/// How long a request waits for its first token there, in prompt tokens.
-fn cost(picked: &Picked, far: bool) -> f64 {
-    let zone = if far { ZONE_TOKENS } else { 0.0 };
-    let slots = f64::from(picked.facts.slots);
-    let without_slot = (picked.load - slots + 1.0).max(0.0);
-    let reading = (picked.before_tokens + picked.unread_tokens) as f64;
-    let running = picked.load / slots.max(1.0) * RUNNING_TOKENS;
-    reading + running + zone + without_slot * WAITING_TOKENS
+/// An engine that could be chosen.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'e> {
+    facts: &'e EngineFacts,
+    load: f64,
+    unread_tokens: u64,
+    before_tokens: u64,
+}
+
+impl Candidate<'_> {
+    /// How long a request of `zone` waits for its first token there, in prompt
+    /// tokens.
+    fn cost(&self, zone: &ZoneName) -> f64 {
+        let zone = match self.facts.zone == *zone {
+            true => 0.0,
+            false => ZONE_TOKENS,
+        };
+        let slots = f64::from(self.facts.slots);
+        let without_slot = (self.load - slots + 1.0).max(0.0);
+        let reading = (self.before_tokens + self.unread_tokens) as f64;
+        let running = self.load / slots.max(1.0) * RUNNING_TOKENS;
+        reading + running + zone + without_slot * WAITING_TOKENS
+    }
+
+    fn picked(&self) -> Picked {
+        Picked {
+            facts: self.facts.clone(),
+            load: self.load,
+            unread_tokens: self.unread_tokens,
+            before_tokens: self.before_tokens,
+        }
+    }
 }
--- /dev/null
+++ b/crates/routing/tests/relay.rs
@@ -0,0 +1,94 @@
+//! What gateways have at engines, told through relays.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use molespan_routing::dispatch::{RelayChoice, Teller, WorkRelay, WorkShare};
+use molespan_types::{NodeId, Timestamp};
+
+const A: NodeId = NodeId(1);
+const B: NodeId = NodeId(2);
+const OTHER_RELAY: NodeId = NodeId(9);
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn share(engine: &str, requests: u32, unread_tokens: u64, batch: u32) -> WorkShare {
+    WorkShare {
+        engine: engine.to_owned(),
+        requests,
+        unread_tokens,
+        batch,
+    }
+}
+
+fn told(relay: &WorkRelay) -> BTreeMap<NodeId, Vec<WorkShare>> {
+    relay.shares_by_gateway().into_iter().collect()
+}
+
+#[test]
+fn a_gateway_hears_of_all_but_itself() {
+    let mut relay = WorkRelay::default();
+    let of_a = vec![share("x", 2, 100, 1), share("y", 1, 0, 0)];
+    assert!(relay.note(A, Teller::Gateway, of_a.clone(), at(0)));
+    assert!(!relay.note(A, Teller::Gateway, of_a, at(1)));
+    relay.note(B, Teller::Gateway, vec![share("x", 3, 50, 0)], at(0));
+    relay.note(OTHER_RELAY, Teller::Relay, vec![share("x", 5, 7, 2)], at(0));
+    let told = told(&relay);
+    assert_eq!(told[&A], [share("x", 8, 57, 2)]);
+    assert_eq!(told[&B], [share("x", 7, 107, 3), share("y", 1, 0, 0)]);
+    assert_eq!(told.len(), 2, "relays are told something else");
+    // Other relays hear of the own gateways only, or all would be counted twice.
+    let sum = relay.sum_of_gateways();
+    assert_eq!(sum, [share("x", 5, 150, 1), share("y", 1, 0, 0)]);
+}
+
+#[test]
+fn what_a_silent_gateway_had_is_forgotten() {
+    let mut relay = WorkRelay::default();
+    relay.note(A, Teller::Gateway, vec![share("x", 2, 0, 0)], at(0));
+    relay.note(B, Teller::Gateway, vec![], at(1_000));
+    relay.expire(at(1_250));
+    assert_eq!(told(&relay), BTreeMap::from([(B, vec![])]));
+    assert!(relay.sum_of_gateways().is_empty());
+}
+
+#[test]
+fn messages_grow_with_the_gateways_and_not_with_their_square() {
+    for gateways in [10, 100, 1_000] {
+        let mut relay = WorkRelay::default();
+        for gateway in 0..gateways {
+            relay.note(NodeId(100 + gateway), Teller::Gateway, vec![], at(0));
+        }
+        assert_eq!(told(&relay).len(), gateways as usize);
+    }
+}
+
+#[test]
+fn gateways_spread_over_relays_and_leave_a_silent_one() {
+    let relays: BTreeSet<NodeId> = (1..=5).map(NodeId).collect();
+    let mut used: BTreeMap<NodeId, u32> = BTreeMap::new();
+    for gateway in 100..200 {
+        let own = NodeId(gateway);
+        let mut choice = RelayChoice::default();
+        let first = choice.relay(own, &relays, at(0)).unwrap();
+        *used.entry(first).or_default() += 1;
+        choice.heard(first, at(900));
+        assert_eq!(choice.relay(own, &relays, at(1_800)), Some(first));
+        let second = choice.relay(own, &relays, at(2_000)).unwrap();
+        assert_ne!(second, first);
+        // A word of the one that was left keeps nobody.
+        choice.heard(first, at(2_900));
+        assert_ne!(choice.relay(own, &relays, at(3_100)), Some(second));
+    }
+    assert_eq!(used.len(), 5);
+    assert!(used.values().all(|&count| count >= 8), "{used:?}");
+}
+
+#[test]
+fn without_relays_there_is_none_to_use() {
+    let mut choice = RelayChoice::default();
+    assert_eq!(choice.relay(A, &BTreeSet::new(), at(0)), None);
+    let relays = BTreeSet::from([OTHER_RELAY]);
+    assert_eq!(choice.relay(A, &relays, at(10)), Some(OTHER_RELAY));
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -275,15 +275,19 @@
     /// that the asker runs.
     #[n(11)]
     TakeItems(#[n(0)] TakeItems),
-    /// What a gateway has at engines; one-way, to the other gateways.
+    /// What a gateway has at engines, or what several have as a relay adds it
+    /// up; one-way, to gateways and relays.
     #[n(12)]
     EngineWork {
-        /// Gateway.
+        /// Gateway or relay.
         #[n(0)]
         from: NodeId,
         /// Encoded shares of work, one for each engine that has any.
         #[n(1)]
         shares: ByteVec,
+        /// Whether a relay tells it.
+        #[n(2)]
+        relayed: bool,
     },
 }
 
