--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -475,6 +475,7 @@
             log_bytes: self.shared.log.size(),
             log_syncs: self.shared.syncs,
             groups: self.groups.values().map(Group::status).collect(),
+            known_voters: self.fleet.known_voters(),
         }
     }
 }
--- a/crates/replica/src/fleet.rs
+++ b/crates/replica/src/fleet.rs
@@ -440,6 +440,11 @@
         }
     }
 
+    /// Nodes that vote as far as is known.
+    pub fn known_voters(&self) -> BTreeSet<NodeId> {
+        self.voters().iter().map(|&voter| node_of(voter)).collect()
+    }
+
     /// Notes who votes, unless something later is known.
     pub fn note_voters(&mut self, voters: KnownVoters) -> Result<(), StorageError> {
         if !self.discovers || voters.voters.is_empty() || voters.index <= self.record.voters.index {
--- a/crates/replica/src/status.rs
+++ b/crates/replica/src/status.rs
@@ -1,5 +1,7 @@
 //! A replica process's view of itself.
 
+use std::collections::BTreeSet;
+
 use molespan_types::{GroupId, NodeId};
 
 /// A replica process's view of itself.
@@ -21,6 +23,9 @@
     pub log_syncs: u64,
     /// Its groups.
     pub groups: Vec<GroupStatus>,
+    /// Nodes that vote as far as is known, also to a replica that does not take
+    /// part.
+    pub known_voters: BTreeSet<NodeId>,
 }
 
 /// One group as this replica sees it.
