--- a/crates/fleet/src/control/hub.rs
+++ b/crates/fleet/src/control/hub.rs
@@ -133,14 +133,14 @@
         }
     }
 
-    /// Takes in what this node's replica has applied, and who holds the control
-    /// group.
-    pub fn take(&self, declared: &DeclaredState, control: BTreeSet<NodeId>) {
+    /// Takes in what this node's replica has applied, which is `applied` entries
+    /// at least, and who holds the control group.
+    pub fn take(&self, declared: &DeclaredState, control: BTreeSet<NodeId>, applied: u64) {
         let mut state = self.lock();
         let change = state.revision + 1;
         let mut changed = state.take_configuration(declared, change);
         changed |= state.take_departures(declared, change);
-        changed |= state.take_topology(declared, control, change);
+        changed |= state.take_topology(declared, control, applied, change);
         if changed {
             state.changed();
         }
@@ -254,6 +254,7 @@
         &mut self,
         declared: &DeclaredState,
         control: BTreeSet<NodeId>,
+        applied: u64,
         change: u64,
     ) -> bool {
         let stores = declared.stores();
@@ -263,11 +264,15 @@
             founders: stores.founders().clone(),
             retiring: stores.retiring(),
             gateways: self.topology.gateways.clone(),
+            applied: self.topology.applied,
         };
         if topology == self.topology {
             return false;
         }
-        self.topology = topology;
+        self.topology = Topology {
+            applied,
+            ..topology
+        };
         self.topology_changed = change;
         true
     }
--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -15,7 +15,7 @@
 use molespan_daemon::local_transport::LocalTransport;
 use molespan_daemon::replica::{DiscoveryOptions, ReplicaOptions, ReplicaRole};
 use molespan_http::h1;
-use molespan_replica::Discovery;
+use molespan_replica::{Discovery, ReplicaStatus};
 use molespan_state::control::{ControlAnswer, ControlQuery};
 use molespan_telemetry::part_logger;
 use molespan_types::{GroupId, NodeId, Timestamp};
@@ -206,7 +206,10 @@
     }
 
     async fn refresh(&self, cluster: &Cluster) {
-        let control = self.members().await;
+        let Some(status) = self.replica.status().await else {
+            return;
+        };
+        let control = members(&status);
         if !control.is_empty() {
             let mut replicas: Vec<NodeId> = control.iter().copied().collect();
             replicas.sort_by_key(|&node| node != self.own);
@@ -223,21 +226,8 @@
         let Ok(ControlAnswer::Declared(declared)) = molespan_state::decode(&answer) else {
             return;
         };
-        self.hub.take(&declared, control);
-    }
-
-    /// Nodes that hold the control group, as its log says here, or as others
-    /// said where this node holds no part of it.
-    async fn members(&self) -> BTreeSet<NodeId> {
-        let Some(status) = self.replica.status().await else {
-            return BTreeSet::new();
-        };
-        let voters = status.groups.iter().flat_map(|group| &group.voters);
-        let voters: BTreeSet<NodeId> = voters.map(|(node, _)| *node).collect();
-        match voters.is_empty() {
-            true => status.known_voters,
-            false => voters,
-        }
+        let applied = status.groups.first().map_or(0, |group| group.applied);
+        self.hub.take(&declared, control, applied);
     }
 
     /// Tells the other control nodes which engines were heard, so that each
@@ -253,8 +243,11 @@
             if heard.is_empty() {
                 continue;
             }
+            let Some(status) = self.replica.status().await else {
+                continue;
+            };
             let records = molespan_state::encode(&heard);
-            for node in self.members().await {
+            for node in members(&status) {
                 if node != self.own {
                     let records = records.clone().into();
                     self.wire.send(node, Request::EnginesHeard { records });
@@ -275,6 +268,17 @@
     }
 }
 
+/// Nodes that hold the control group, as its log says here, or as others said
+/// where this node holds no part of it.
+fn members(status: &ReplicaStatus) -> BTreeSet<NodeId> {
+    let voters = status.groups.iter().flat_map(|group| &group.voters);
+    let voters: BTreeSet<NodeId> = voters.map(|(node, _)| *node).collect();
+    match voters.is_empty() {
+        true => status.known_voters.clone(),
+        false => voters,
+    }
+}
+
 fn nearest_first(addresses: &ClusterAddresses) -> Vec<NodeId> {
     let mut nodes = vec![addresses.own];
     nodes.extend(
--- a/crates/fleet/src/store/node.rs
+++ b/crates/fleet/src/store/node.rs
@@ -26,7 +26,7 @@
 use crate::membership::{
     ClusterAddresses, ELECTION_TIMEOUT, LEADER_HEARTBEAT, TICK, cluster, start_replica,
 };
-use crate::view::{Topology, ViewUpdate};
+use crate::view::{Topology, TopologyView, ViewUpdate};
 use crate::watch::{ViewSink, ViewWatcher};
 
 /// Time between two rounds of upkeep.
@@ -89,16 +89,22 @@
     handler: Arc<PeerHandler>,
     control: Arc<Cluster>,
     topology: RefCell<Topology>,
+    topology_view: RefCell<TopologyView>,
     /// Life of the disk that the control group knows.
     registered: RefCell<Option<u32>>,
     logger: Logger,
 }
 
 impl ViewSink for StoreNode {
-    fn update(&self, _from: NodeId, update: ViewUpdate) {
-        let Some(topology) = update.topology else {
+    fn update(&self, from: NodeId, update: ViewUpdate) {
+        let changed = update.topology.is_some();
+        let now = Instant::now();
+        let mut view = self.topology_view.borrow_mut();
+        view.note(from, update.topology, now);
+        if !changed {
             return;
-        };
+        }
+        let topology = view.current(now);
         if !topology.founders.is_empty() {
             self.replica.found(topology.founders.clone());
         }
@@ -138,6 +144,7 @@
             replica,
             handler,
             topology: RefCell::default(),
+            topology_view: RefCell::default(),
             registered: RefCell::default(),
             logger: logger.clone(),
             options,
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -1,6 +1,7 @@
 //! What control nodes tell the other nodes.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
 
 use minicbor::{Decode, Encode};
 use molespan_state::declared::{Departure, ServingModel};
@@ -71,6 +72,60 @@
     /// Gateways that were heard of lately.
     #[n(4)]
     pub gateways: BTreeSet<NodeId>,
+    /// Entries of the control group that the rest follows from, at least.
+    #[n(5)]
+    pub applied: u64,
+}
+
+/// The cluster as several control nodes describe it.
+#[derive(Clone, Debug, Default)]
+pub struct TopologyView {
+    told: BTreeMap<NodeId, ToldTopology>,
+}
+
+#[derive(Clone, Debug)]
+struct ToldTopology {
+    topology: Topology,
+    heard: Instant,
+}
+
+/// A control node that says nothing for longer, not even that nothing changed,
+/// does not count as knowing the gateways.
+const TOLD_LATELY: Duration = Duration::from_secs(5);
+
+impl TopologyView {
+    /// A control node said something, perhaps of the cluster.
+    pub fn note(&mut self, from: NodeId, topology: Option<Topology>, now: Instant) {
+        match (topology, self.told.get_mut(&from)) {
+            (Some(topology), _) => {
+                let told = ToldTopology {
+                    topology,
+                    heard: now,
+                };
+                self.told.insert(from, told);
+            }
+            (None, Some(told)) => told.heard = now,
+            (None, None) => {}
+        }
+    }
+
+    /// What is known: the log's part from the node that applied the most of it,
+    /// and every gateway that some node counts. A node that has just started
+    /// counts none yet.
+    #[must_use]
+    pub fn current(&self, now: Instant) -> Topology {
+        let told = self.told.values();
+        let newest = told.max_by_key(|told| (told.topology.applied, told.heard));
+        let mut topology = newest.map(|told| told.topology.clone()).unwrap_or_default();
+        let lately = self.told.values().filter(|told| {
+            let silence = now.saturating_duration_since(told.heard);
+            silence < TOLD_LATELY
+        });
+        topology.gateways = lately
+            .flat_map(|told| told.topology.gateways.iter().copied())
+            .collect();
+        topology
+    }
 }
 
 /// Changes since what a node was told before.
--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -2,11 +2,11 @@
 //! watchers that come back after whatever they missed.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_lite::future::block_on;
 use molespan_fleet::control::{Hub, Registry};
-use molespan_fleet::view::{EngineRecord, ViewUpdate};
+use molespan_fleet::view::{EngineRecord, Topology, TopologyView, ViewUpdate};
 use molespan_state::control::{ControlCommand, ControlMachine};
 use molespan_state::declared::{Declaration, DeclaredCommand, Departure, ServingModel};
 use molespan_types::{NodeId, Timestamp};
@@ -95,7 +95,7 @@
     let hub = Hub::new(SILENCE);
     let mut machine = ControlMachine::new();
     declared(&mut machine, 3);
-    hub.take(machine.declared(), BTreeSet::from([NodeId(1)]));
+    hub.take(machine.declared(), BTreeSet::from([NodeId(1)]), 1);
     hub.hear(record("a", "1:1", 1));
     let kind = WatcherKind::Gateway;
     let (mark, update) = watch(&hub, kind, ViewMark::default());
@@ -109,7 +109,7 @@
         engine,
         departure,
     }));
-    hub.take(machine.declared(), BTreeSet::from([NodeId(1)]));
+    hub.take(machine.declared(), BTreeSet::from([NodeId(1)]), 1);
     let (_, update) = watch(&hub, kind, mark);
     assert_eq!(update.departures, [("a".to_owned(), Departure::Draining)]);
     assert_eq!(update.configuration, None);
@@ -130,8 +130,8 @@
     let (mut newer, mut older) = (ControlMachine::new(), ControlMachine::new());
     declared(&mut newer, 9);
     declared(&mut older, 8);
-    hub.take(newer.declared(), BTreeSet::new());
-    hub.take(older.declared(), BTreeSet::new());
+    hub.take(newer.declared(), BTreeSet::new(), 1);
+    hub.take(older.declared(), BTreeSet::new(), 1);
     let (_, update) = watch(&hub, WatcherKind::Gateway, ViewMark::default());
     assert_eq!(update.configuration.map(|held| held.version), Some(9));
 }
@@ -147,3 +147,39 @@
     let topology = update.topology.expect("it changed");
     assert_eq!(topology.gateways, BTreeSet::from([NodeId(7)]));
 }
+
+fn topology(applied: u64, stores: &[u32], gateways: &[u32]) -> Topology {
+    let nodes = |numbers: &[u32]| numbers.iter().copied().map(NodeId).collect();
+    Topology {
+        stores: nodes(stores),
+        gateways: nodes(gateways),
+        applied,
+        ..Topology::default()
+    }
+}
+
+#[test]
+fn a_control_node_that_has_just_started_takes_no_gateway_away() {
+    let mut view = TopologyView::default();
+    let start = Instant::now();
+    view.note(NodeId(1), Some(topology(7, &[4, 5], &[8, 9])), start);
+    // It counts no gateway yet and has applied less.
+    view.note(NodeId(2), Some(topology(3, &[4], &[])), start);
+    assert_eq!(view.current(start), topology(7, &[4, 5], &[8, 9]));
+    // One without a part of the log tells of gateways only.
+    view.note(NodeId(3), Some(topology(0, &[], &[9, 10])), start);
+    assert_eq!(view.current(start), topology(7, &[4, 5], &[8, 9, 10]));
+    view.note(NodeId(2), Some(topology(8, &[4, 5, 6], &[8])), start);
+    assert_eq!(view.current(start), topology(8, &[4, 5, 6], &[8, 9, 10]));
+}
+
+#[test]
+fn a_silent_control_node_counts_no_gateways() {
+    let mut view = TopologyView::default();
+    let start = Instant::now();
+    let later = start + Duration::from_secs(6);
+    view.note(NodeId(1), Some(topology(7, &[4], &[8, 9])), start);
+    view.note(NodeId(2), Some(topology(6, &[], &[8])), start);
+    view.note(NodeId(2), None, later);
+    assert_eq!(view.current(later), topology(7, &[4], &[8]));
+}
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -146,6 +146,9 @@
                 Ok(reply) => {
                     self.runs += 1;
                     self.note_held(&engine.id);
+                    debug!(self.state.logger, "answer begins"; "request" => &self.outbound.id,
+                        "engine" => &engine.id, "status" => reply.head.status,
+                        "after_ms" => self.arrived.elapsed().as_millis() as u64);
                     let failed = matches!(reply.head.status, 500 | 502 | 504);
                     if failed && self.route.kind == RouteKind::Safe && self.may_run_again() {
                         continue;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -8,7 +8,7 @@
 use async_channel::{Receiver, Sender};
 use molespan_daemon::cluster::Cluster;
 use molespan_fleet::ViewSink;
-use molespan_fleet::view::{EngineRecord, Topology, ViewUpdate};
+use molespan_fleet::view::{EngineRecord, Topology, TopologyView, ViewUpdate};
 use molespan_routing::dispatch::{
     EngineFacts, EngineTable, Picked, RelayChoice, WeightedSplit, WorkClass,
 };
@@ -53,6 +53,10 @@
     }
 }
 
+/// Unread prompt tokens of a request from which on the other gateways hear of it
+/// at once: an engine reads them for longer than a short request may wait.
+const TOLD_AT_ONCE_TOKENS: u64 = 2_000;
+
 /// What a gateway knows and counts.
 pub(crate) struct GatewayState {
     pub own: NodeId,
@@ -68,6 +72,9 @@
     started: Instant,
     in_force: RefCell<Option<Rc<InForce>>>,
     topology: RefCell<Topology>,
+    topology_view: RefCell<TopologyView>,
+    /// Wakes the telling of what this gateway has at engines.
+    long_prompt: (Sender<()>, Receiver<()>),
     /// Set when a planned stop began.
     stopping: Cell<bool>,
     /// Closed when idle connections are to be closed.
@@ -89,6 +96,8 @@
             started: Instant::now(),
             in_force: RefCell::default(),
             topology: RefCell::default(),
+            topology_view: RefCell::default(),
+            long_prompt: async_channel::bounded(1),
             stopping: Cell::new(false),
             closing_idle: async_channel::bounded(1),
             requests: Cell::new(0),
@@ -177,6 +186,9 @@
         self.engines
             .borrow_mut()
             .started(engine, class, unread_tokens);
+        if unread_tokens >= TOLD_AT_ONCE_TOKENS {
+            let _already_told = self.long_prompt.0.try_send(());
+        }
         Occupied {
             state: self.clone(),
             engine: engine.clone(),
@@ -185,6 +197,11 @@
         }
     }
 
+    /// Waits until a request with a long prompt goes to an engine.
+    pub async fn long_prompt_sent(&self) {
+        let _told = self.long_prompt.1.recv().await;
+    }
+
     fn take_configuration(&self, version: u64, model: ServingModel) {
         let held = self.in_force.borrow().as_ref().map(|held| held.version);
         if held.is_some_and(|held| held >= version) {
@@ -195,6 +212,19 @@
         *self.in_force.borrow_mut() = Some(Rc::new(InForce::new(version, model)));
     }
 
+    fn take_topology(&self, from: NodeId, told: Option<Topology>) {
+        let now = Instant::now();
+        let mut view = self.topology_view.borrow_mut();
+        view.note(from, told, now);
+        let topology = view.current(now);
+        if *self.topology.borrow() == topology {
+            return;
+        }
+        let stores = topology.stores.difference(&topology.retiring);
+        self.batch.set_replicas(stores.copied().collect());
+        *self.topology.borrow_mut() = topology;
+    }
+
     fn learn(&self, from: NodeId, record: EngineRecord) {
         let Ok(address) = record.address.parse() else {
             return;
@@ -231,11 +261,7 @@
         for engine in update.lost {
             self.engines.borrow_mut().lose(from, &engine);
         }
-        if let Some(topology) = update.topology {
-            let stores = topology.stores.difference(&topology.retiring);
-            self.batch.set_replicas(stores.copied().collect());
-            *self.topology.borrow_mut() = topology;
-        }
+        self.take_topology(from, update.topology);
     }
 }
 
--- a/crates/proxy/src/work_shares.rs
+++ b/crates/proxy/src/work_shares.rs
@@ -9,6 +9,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::{Executor, LocalExecutor};
 use async_io::Timer;
+use futures_lite::future;
 use molespan_daemon::DaemonError;
 use molespan_daemon::cluster::{PeerTransport, WireTransport};
 use molespan_fleet::ClusterAddresses;
@@ -114,7 +115,10 @@
     let mut interval = CALM_INTERVAL;
     let mut relay = None;
     loop {
-        Timer::after(interval).await;
+        let due = async {
+            Timer::after(interval).await;
+        };
+        future::or(due, state.long_prompt_sent()).await;
         let shares = state.engines.borrow().shares();
         interval = match is_busy(&state, &shares) {
             true => BUSY_INTERVAL,
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -18,6 +18,10 @@
 /// Prompt tokens that a full set of running requests weighs as much as: it
 /// slows each step a little.
 const RUNNING_TOKENS: f64 = 600.0;
+/// Share of the time of reading a prompt that each request running there weighs:
+/// an engine reads a prompt in pieces between the tokens of the others, so that
+/// a long one makes all of their pauses long.
+const HELD_UP_SHARE: f64 = 0.15;
 /// Prompt tokens that a request weighs as much as for which there is no slot.
 const WAITING_TOKENS: f64 = 20_000.0;
 /// Share of its slots up to which an engine gets batch work.
@@ -348,7 +352,8 @@
         let without_slot = (self.load - slots + 1.0).max(0.0);
         let reading = (self.before_tokens + self.unread_tokens) as f64;
         let running = self.load / slots.max(1.0) * RUNNING_TOKENS;
-        reading + running + zone + without_slot * WAITING_TOKENS
+        let held_up = self.load * self.unread_tokens as f64 * HELD_UP_SHARE;
+        reading + running + held_up + zone + without_slot * WAITING_TOKENS
     }
 
     fn picked(&self) -> Picked {
