--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use molespan_types::{NodeId, Timestamp, ZoneName};
+use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -22,6 +23,13 @@
 /// an engine reads a prompt in pieces between the tokens of the others, so that
 /// a long one makes all of their pauses long.
 const HELD_UP_SHARE: f64 = 0.15;
+/// Engines that a short request looks at, drawn at random. Other gateways choose
+/// by the same figures at the same time; if each looked at all engines, all of
+/// them would take the same one until they hear of each other.
+const LOOKED_AT: usize = 4;
+/// Prompt tokens from which on a request looks at every engine: there are few
+/// such requests, and where they run matters most.
+const LONG_PROMPT_TOKENS: u64 = 4_000;
 /// Prompt tokens that a request weighs as much as for which there is no slot.
 const WAITING_TOKENS: f64 = 20_000.0;
 /// Share of its slots up to which an engine gets batch work.
@@ -298,7 +306,7 @@
         let shared = pick.prompt.shared;
         let ids = of_service.iter().map(|engine| engine.facts.id.as_str());
         let first = shared.and_then(|shared| home(shared.key, ids));
-        let mut best: Option<(f64, u32, Candidate<'_>)> = None;
+        let mut candidates = Vec::with_capacity(of_service.len());
         for engine in of_service {
             let facts = &engine.facts;
             let load = engine.load(now, others_tell);
@@ -311,22 +319,21 @@
                 first == Some(&facts.id) || self.holders.holds(shared.key, &facts.id, now)
             });
             let kept_tokens = held.map_or(0, |shared| shared.tokens);
-            let candidate = Candidate {
+            candidates.push(Candidate {
                 facts,
                 load,
                 unread_tokens: pick.prompt.tokens.saturating_sub(kept_tokens),
                 before_tokens: engine.unread_tokens(now),
-            };
-            let cost = candidate.cost(&self.zone);
-            let draw = self.random.random();
-            let better = best
-                .as_ref()
-                .is_none_or(|(least, drawn, _)| (cost, draw) < (*least, *drawn));
-            if better {
-                best = Some((cost, draw, candidate));
-            }
+            });
         }
-        let (_, _, candidate) = best.ok_or(NoEngine::Busy)?;
+        let looked_at = match pick.prompt.tokens < LONG_PROMPT_TOKENS {
+            true => LOOKED_AT.min(candidates.len()),
+            false => candidates.len(),
+        };
+        let (looked_at, _) = candidates.partial_shuffle(&mut self.random, looked_at);
+        let costs = looked_at.iter().map(|one| (one.cost(&self.zone), one));
+        let best = costs.min_by(|(one, _), (other, _)| one.total_cmp(other));
+        let (_, candidate) = best.ok_or(NoEngine::Busy)?;
         Ok(candidate.picked())
     }
 }
