--- a/crates/state/src/batch/machine.rs
+++ b/crates/state/src/batch/machine.rs
@@ -36,7 +36,7 @@
         Self::default()
     }
 
-    /// Rises when items come or end.
+    /// Rises with every change of the open items or of what is there of them.
     #[must_use]
     pub fn revision(&self) -> u64 {
         self.revision
@@ -81,6 +81,7 @@
                 job.record(record.item.place, &record.outcome);
             }
         }
+        self.revision += 1;
         BatchReply::Recorded
     }
 
--- a/crates/state/tests/batch.rs
+++ b/crates/state/tests/batch.rs
@@ -173,3 +173,15 @@
     machine.apply(&BatchCommand::HandOver { items });
     assert_eq!(page(&machine, "a", 0, 10).expect("a job").results.len(), 1);
 }
+
+#[test]
+fn whoever_hands_items_out_notices_each_change_of_the_open_ones() {
+    let mut machine = BatchMachine::default();
+    let mut seen = machine.revision();
+    let end = BatchCommand::End { id: "a".to_owned() };
+    for command in [submit("a", 2), record(1, 0, "one"), end] {
+        machine.apply(&command);
+        assert!(machine.revision() > seen, "{command:?}");
+        seen = machine.revision();
+    }
+}
