--- a/crates/fleet/src/store/node.rs
+++ b/crates/fleet/src/store/node.rs
@@ -90,6 +90,8 @@
     control: Arc<Cluster>,
     topology: RefCell<Topology>,
     topology_view: RefCell<TopologyView>,
+    /// Stores of which this one said that they are emptied.
+    emptied: RefCell<BTreeSet<NodeId>>,
     /// Life of the disk that the control group knows.
     registered: RefCell<Option<u32>>,
     logger: Logger,
@@ -145,6 +147,7 @@
             handler,
             topology: RefCell::default(),
             topology_view: RefCell::default(),
+            emptied: RefCell::default(),
             registered: RefCell::default(),
             logger: logger.clone(),
             options,
@@ -249,7 +252,8 @@
             .collect();
         let whole = group.voters.len() >= self.options.replicas() as usize;
         for node in retiring {
-            if whole && !members.contains(&node) {
+            let known = self.emptied.borrow().contains(&node);
+            if whole && !known && !members.contains(&node) {
                 let command = DeclaredCommand::RetirementCompleted { node };
                 let noted = self
                     .control
@@ -257,6 +261,9 @@
                     .await;
                 info!(self.logger, "store is empty"; "node" => node.address().to_string(),
                     "noted" => noted.is_ok());
+                if noted.is_ok() {
+                    self.emptied.borrow_mut().insert(node);
+                }
             }
         }
     }
--- a/crates/routing/tests/dispatch.rs
+++ b/crates/routing/tests/dispatch.rs
@@ -1,6 +1,6 @@
 //! Which service of a route, and which engine of it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use molespan_routing::dispatch::{
     EngineFacts, EngineLoad, EngineTable, Failure, NoEngine, Pick, PromptCost, PromptPart,
@@ -336,3 +336,33 @@
         Ok("e1".to_owned())
     );
 }
+
+#[test]
+fn gateways_that_choose_at_the_same_moment_do_not_all_choose_the_same_engine() {
+    // One engine is idle and all others run something; every gateway sees that.
+    let engines: Vec<(u8, &str)> = (1..=24).map(|number| (number, "near")).collect();
+    let mut chosen: BTreeMap<String, u32> = BTreeMap::new();
+    for gateway in 0..48 {
+        let mut table = EngineTable::new("near".into(), gateway);
+        for (number, zone) in &engines {
+            table.learn(CONTROL, facts(*number, zone));
+        }
+        for number in 2..=24 {
+            table.started(&format!("e{number}"), WorkClass::Online, 0);
+        }
+        let engine = online(&mut table, 0).expect("an engine");
+        *chosen.entry(engine).or_default() += 1;
+    }
+    assert!(chosen["e1"] >= 2, "it is preferred: {chosen:?}");
+    assert!(chosen.values().all(|&count| count <= 16), "{chosen:?}");
+}
+
+#[test]
+fn a_long_prompt_goes_where_it_holds_up_few() {
+    let prompt = [part("album", 900), part("own", 40_000)];
+    let mut table = table(&[(1, "near"), (2, "far")]);
+    table.started("e1", WorkClass::Online, 0);
+    assert_eq!(pick_prompt(&mut table, &prompt, 0).0, "e2");
+    // A short one does not leave its zone for that.
+    assert_eq!(online(&mut table, 0), Ok("e1".to_owned()));
+}
