--- a/crates/proxy/src/batch/preemption.rs
+++ b/crates/proxy/src/batch/preemption.rs
@@ -24,6 +24,15 @@
     last: Cell<u64>,
 }
 
+impl BatchRuns {
+    /// Runs that an engine has begun to answer.
+    pub fn at_engines(&self) -> u32 {
+        let runs = self.runs.borrow();
+        let begun = runs.values().filter(|run| !run.engine.is_empty());
+        begun.count() as u32
+    }
+}
+
 /// One run while it lasts.
 pub(crate) struct RunGuard {
     state: Rc<GatewayState>,
--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -112,13 +112,18 @@
         services.dedup();
         let engines = self.state.engines.borrow();
         let now = self.state.now();
-        let headroom: u32 = services
+        let headroom: f64 = services
             .iter()
             .map(|one| engines.batch_headroom(one, now))
             .sum();
+        // What waits here for an engine comes first. Less than one item is
+        // rounded by chance, so that all gateways together take what there is
+        // room for.
+        let running = self.running.borrow().len() as u32;
+        let waiting = running.saturating_sub(self.state.batch_runs.at_engines());
+        let headroom = (headroom - f64::from(waiting) + rand::random::<f64>()).max(0.0) as u32;
         let slots: u32 = services.iter().map(|one| engines.slots(one)).sum();
         let part = f64::from(slots) * BATCH_SHARE / f64::from(self.state.gateways());
-        let running = self.running.borrow().len() as u32;
         let left = (part.ceil() as u32).saturating_sub(running);
         headroom.min(left).min(MOST_AT_ONCE)
     }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -185,7 +185,7 @@
         let unread_tokens = picked.unread_tokens;
         self.engines
             .borrow_mut()
-            .started(engine, class, unread_tokens);
+            .started(engine, class, unread_tokens, self.now());
         if unread_tokens >= TOLD_AT_ONCE_TOKENS {
             let _already_told = self.long_prompt.0.try_send(());
         }
@@ -222,6 +222,8 @@
         }
         let stores = topology.stores.difference(&topology.retiring);
         self.batch.set_replicas(stores.copied().collect());
+        let gateways = topology.gateways.len() as u32;
+        self.engines.borrow_mut().set_gateways(gateways);
         *self.topology.borrow_mut() = topology;
     }
 
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -34,6 +34,11 @@
 const WAITING_TOKENS: f64 = 20_000.0;
 /// Share of its slots up to which an engine gets batch work.
 const BATCH_LOAD: f64 = 0.8;
+/// Share of a service's slots in use from which on no batch request starts: what
+/// starts in a burst soon has to give way, and its prompt was read for nothing.
+const BATCH_STARTS_BELOW: f64 = 0.75;
+/// How long it takes until the other gateways see that a batch request started.
+const STARTS_SHOW: Duration = Duration::from_millis(150);
 /// Share of its slots up to which an engine gets online work.
 const ONLINE_LOAD: f64 = 1.5;
 /// How long gateways count as telling each other what they have.
@@ -93,6 +98,10 @@
     holders: Holders,
     /// When another gateway last told what it has.
     told: Option<Timestamp>,
+    /// Gateways, this one included.
+    gateways: u32,
+    /// Latest own starts of batch requests, oldest first.
+    batch_starts: VecDeque<Timestamp>,
     random: ChaCha8Rng,
 }
 
@@ -107,6 +116,8 @@
             departed_order: VecDeque::new(),
             holders: Holders::default(),
             told: None,
+            gateways: 1,
+            batch_starts: VecDeque::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -168,7 +179,18 @@
     }
 
     /// A request was sent, with so many tokens to read.
-    pub fn started(&mut self, id: &str, class: WorkClass, unread_tokens: u64) {
+    pub fn started(
+        &mut self,
+        id: &str,
+        class: WorkClass,
+        unread_tokens: u64,
+        now: Timestamp,
+    ) {
+        if class == WorkClass::Batch {
+            self.batch_starts
+                .retain(|&start| now.since(start) < STARTS_SHOW);
+            self.batch_starts.push_back(now);
+        }
         if let Some(engine) = self.engines.get_mut(id) {
             engine.started(class, unread_tokens);
         }
@@ -249,27 +271,55 @@
     /// Slots of all engines of a service together.
     #[must_use]
     pub fn slots(&self, service: &str) -> u32 {
+        let engines = self.of_service(service);
+        engines.map(|engine| engine.facts.slots).sum()
+    }
+
+    fn of_service(&self, service: &str) -> impl Iterator<Item = &Engine> {
         let engines = self.engines.values();
-        let of_service = engines.filter(|one| one.facts.service == service);
-        of_service.map(|engine| engine.facts.slots).sum()
+        engines.filter(move |engine| engine.facts.service == service)
     }
 
     fn others_tell(&self, now: Timestamp) -> bool {
         self.told.is_some_and(|told| now.since(told) < TOLD_LATELY)
     }
 
-    /// Batch requests that engines of the service would still take.
+    /// How many gateways there are, this one included.
+    pub fn set_gateways(&mut self, gateways: u32) {
+        self.gateways = gateways.max(1);
+    }
+
+    /// Batch requests that this gateway may still start at engines of the
+    /// service: its part of what all of them together would take.
     #[must_use]
-    pub fn batch_headroom(&self, service: &str, now: Timestamp) -> u32 {
+    pub fn batch_headroom(&self, service: &str, now: Timestamp) -> f64 {
         let others_tell = self.others_tell(now);
-        let engines = self.engines.values();
-        let of_service = engines.filter(|one| one.facts.service == service);
-        let usable = of_service.filter(|engine| !engine.is_paused(now) && !engine.is_crowded(now));
-        let room = usable.map(|engine| {
-            let most = f64::from(engine.facts.slots) * BATCH_LOAD;
-            (most - engine.load(now, others_tell)).max(0.0) as u32
-        });
-        room.sum()
+        let of_service: Vec<&Engine> = self.of_service(service).collect();
+        let slots: u32 = of_service.iter().map(|one| one.facts.slots).sum();
+        let loads = of_service.iter().map(|one| one.load(now, others_tell));
+        let free = f64::from(slots) * BATCH_STARTS_BELOW - loads.sum::<f64>();
+        let usable = of_service
+            .iter()
+            .filter(|engine| !engine.is_paused(now) && !engine.is_crowded(now));
+        let room: f64 = usable
+            .map(|engine| {
+                let most = f64::from(engine.facts.slots) * BATCH_LOAD;
+                (most - engine.load(now, others_tell)).max(0.0)
+            })
+            .sum();
+        let lately = self.batch_starts.iter();
+        let lately = lately.filter(|&&start| now.since(start) < STARTS_SHOW);
+        // The others do not see these yet, and count them as room.
+        let unseen = lately.count() as f64;
+        let part = (room.min(free) + unseen) / f64::from(self.gateways);
+        (part - unseen).max(0.0)
+    }
+
+    /// Whether a batch request may start now. Less than one is rounded by
+    /// chance, so that all gateways together start what there is room for.
+    fn may_start_batch(&mut self, service: &str, now: Timestamp) -> bool {
+        let draw: f64 = self.random.random();
+        self.batch_headroom(service, now) > draw
     }
 
     /// Engines at which own batch work is to give way, and how many requests.
@@ -291,13 +341,16 @@
     /// # Errors
     /// When there is none to choose.
     pub fn pick(&mut self, pick: &Pick<'_>, now: Timestamp) -> Result<Picked, NoEngine> {
+        if self.of_service(pick.service).next().is_none() {
+            return Err(NoEngine::None);
+        }
+        if pick.class == WorkClass::Batch && !self.may_start_batch(pick.service, now) {
+            return Err(NoEngine::Busy);
+        }
         let engines = self.engines.values();
         let of_service: Vec<&Engine> = engines
             .filter(|engine| engine.facts.service == pick.service)
             .collect();
-        if of_service.is_empty() {
-            return Err(NoEngine::None);
-        }
         let others_tell = self.others_tell(now);
         let share = match pick.class {
             WorkClass::Online => ONLINE_LOAD,
--- a/crates/routing/tests/dispatch.rs
+++ b/crates/routing/tests/dispatch.rs
@@ -84,8 +84,8 @@
 fn the_least_loaded_engine_is_chosen_and_the_own_zone_first() {
     let mut table = table(&[(1, "near"), (2, "far")]);
     assert_eq!(online(&mut table, 0), Ok("e1".to_owned()));
-    table.started("e1", WorkClass::Online, 0);
-    table.started("e1", WorkClass::Online, 0);
+    table.started("e1", WorkClass::Online, 0, now(0));
+    table.started("e1", WorkClass::Online, 0, now(0));
     assert_eq!(online(&mut table, 0), Ok("e2".to_owned()));
     table.ended("e1", WorkClass::Online);
     table.ended("e1", WorkClass::Online);
@@ -101,7 +101,7 @@
         slots: 8,
     };
     table.report("e1", load, now(0));
-    table.started("e2", WorkClass::Online, 0);
+    table.started("e2", WorkClass::Online, 0, now(0));
     assert_eq!(online(&mut table, 0), Ok("e2".to_owned()));
     assert_eq!(online(&mut table, 5_000), Ok("e1".to_owned()));
 }
@@ -170,11 +170,11 @@
     let mut table = table(&[(1, "near")]);
     let mut started = 0;
     while pick(&mut table, WorkClass::Batch, &[], 0).is_ok() {
-        table.started("e1", WorkClass::Batch, 0);
+        table.started("e1", WorkClass::Batch, 0, now(0));
         started += 1;
     }
     assert!(started < 8, "batch fills the engine");
-    assert_eq!(table.batch_headroom("s", now(0)), 0);
+    assert_eq!(table.batch_headroom("s", now(0)), 0.0);
     assert_eq!(online(&mut table, 0), Ok("e1".to_owned()));
 }
 
@@ -229,7 +229,7 @@
     for _ in 0..20 {
         assert_eq!(pick_prompt(&mut table, &prompt, 0).0, home);
     }
-    table.started(&home, WorkClass::Online, 20_000);
+    table.started(&home, WorkClass::Online, 20_000, now(0));
     let (second, unread) = pick_prompt(&mut table, &prompt, 0);
     assert_ne!(second, home);
     assert_eq!(unread, 15_000);
@@ -242,7 +242,7 @@
 #[test]
 fn unread_prompts_of_this_and_other_gateways_are_avoided() {
     let mut table = table(&[(1, "near"), (2, "near"), (3, "near")]);
-    table.started("e1", WorkClass::Online, 30_000);
+    table.started("e1", WorkClass::Online, 30_000, now(0));
     let share = WorkShare {
         engine: "e2".to_owned(),
         requests: 1,
@@ -254,13 +254,13 @@
         assert_eq!(online(&mut table, 0), Ok("e3".to_owned()));
     }
     // What a gateway does not repeat is over, and so is one that is silent.
-    table.started("e3", WorkClass::Online, 30_000);
+    table.started("e3", WorkClass::Online, 30_000, now(0));
     assert_eq!(online(&mut table, 2_000), Ok("e2".to_owned()));
     table.note_shares(NodeId(9), &[share], now(3_000));
     table.read("e1", 30_000);
     assert_eq!(online(&mut table, 3_000), Ok("e1".to_owned()));
     table.note_shares(NodeId(9), &[], now(3_100));
-    table.started("e1", WorkClass::Online, 10);
+    table.started("e1", WorkClass::Online, 10, now(0));
     assert_eq!(online(&mut table, 3_100), Ok("e2".to_owned()));
 }
 
@@ -268,9 +268,9 @@
 fn an_engine_without_a_free_slot_is_the_last_choice() {
     let mut table = table(&[(1, "near"), (2, "far")]);
     for _ in 0..8 {
-        table.started("e1", WorkClass::Online, 0);
+        table.started("e1", WorkClass::Online, 0, now(0));
     }
-    table.started("e2", WorkClass::Online, 9_000);
+    table.started("e2", WorkClass::Online, 9_000, now(0));
     assert_eq!(online(&mut table, 0), Ok("e2".to_owned()));
 }
 
@@ -290,10 +290,10 @@
     for ((batch, online), (other_batch, other_online), cut) in cases {
         let mut table = table(&[(1, "near")]);
         for _ in 0..batch {
-            table.started("e1", WorkClass::Batch, 0);
+            table.started("e1", WorkClass::Batch, 0, now(0));
         }
         for _ in 0..online {
-            table.started("e1", WorkClass::Online, 0);
+            table.started("e1", WorkClass::Online, 0, now(0));
         }
         let share = WorkShare {
             engine: "e1".to_owned(),
@@ -316,7 +316,7 @@
 fn batch_keeps_away_for_a_while_from_where_it_gave_way() {
     let mut table = table(&[(1, "near")]);
     for _ in 0..9 {
-        table.started("e1", WorkClass::Online, 0);
+        table.started("e1", WorkClass::Online, 0, now(0));
     }
     assert!(
         table.batch_to_cut(now(0)).is_empty(),
@@ -329,7 +329,7 @@
         pick(&mut table, WorkClass::Batch, &[], 100),
         Err(NoEngine::Busy)
     );
-    assert_eq!(table.batch_headroom("s", now(100)), 0);
+    assert_eq!(table.batch_headroom("s", now(100)), 0.0);
     assert_eq!(online(&mut table, 100), Ok("e1".to_owned()));
     assert_eq!(
         pick(&mut table, WorkClass::Batch, &[], 2_000),
@@ -348,7 +348,7 @@
             table.learn(CONTROL, facts(*number, zone));
         }
         for number in 2..=24 {
-            table.started(&format!("e{number}"), WorkClass::Online, 0);
+            table.started(&format!("e{number}"), WorkClass::Online, 0, now(0));
         }
         let engine = online(&mut table, 0).expect("an engine");
         *chosen.entry(engine).or_default() += 1;
@@ -361,8 +361,43 @@
 fn a_long_prompt_goes_where_it_holds_up_few() {
     let prompt = [part("album", 900), part("own", 40_000)];
     let mut table = table(&[(1, "near"), (2, "far")]);
-    table.started("e1", WorkClass::Online, 0);
+    table.started("e1", WorkClass::Online, 0, now(0));
     assert_eq!(pick_prompt(&mut table, &prompt, 0).0, "e2");
     // A short one does not leave its zone for that.
     assert_eq!(online(&mut table, 0), Ok("e1".to_owned()));
 }
+
+#[test]
+fn gateways_start_no_more_batch_requests_at_once_than_there_is_room_for() {
+    // Eight gateways that hear of each other only later, and 32 slots.
+    let mut started = 0;
+    for gateway in 0..8 {
+        let mut table = EngineTable::new("near".into(), gateway);
+        table.set_gateways(8);
+        for number in 1..=4 {
+            table.learn(CONTROL, facts(number, "near"));
+        }
+        while let Ok(engine) = pick(&mut table, WorkClass::Batch, &[], 0) {
+            table.started(&engine, WorkClass::Batch, 0, now(0));
+            started += 1;
+        }
+    }
+    assert!((16..=32).contains(&started), "{started}");
+}
+
+#[test]
+fn no_batch_request_starts_while_a_burst_takes_most_slots() {
+    let mut table = table(&[(1, "near"), (2, "near")]);
+    for engine in ["e1"; 8].into_iter().chain(["e2"; 5]) {
+        table.started(engine, WorkClass::Online, 0, now(0));
+    }
+    // The second engine has room, but the burst will want it.
+    assert_eq!(
+        pick(&mut table, WorkClass::Batch, &[], 0),
+        Err(NoEngine::Busy)
+    );
+    for _ in 0..8 {
+        table.ended("e1", WorkClass::Online);
+    }
+    assert!(pick(&mut table, WorkClass::Batch, &[], 0).is_ok());
+}
