--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -36,7 +36,7 @@
 const BATCH_LOAD: f64 = 0.8;
 /// Share of a service's slots in use from which on no batch request starts: what
 /// starts in a burst soon has to give way, and its prompt was read for nothing.
-const BATCH_STARTS_BELOW: f64 = 0.75;
+const BATCH_STARTS_BELOW: f64 = 0.9;
 /// How long it takes until the other gateways see that a batch request started.
 const STARTS_SHOW: Duration = Duration::from_millis(150);
 /// Share of its slots up to which an engine gets online work.
