--- a/crates/proxy/src/batch/api.rs
+++ b/crates/proxy/src/batch/api.rs
@@ -16,8 +16,9 @@
 const SUBMIT_DEADLINE: Duration = Duration::from_millis(1_500);
 /// Longest time for a read or an end.
 const CALL_DEADLINE: Duration = Duration::from_millis(900);
-/// Bytes of results in one answer, unless the first one is longer.
-const MAX_PAGE_BYTES: u64 = 900 << 10;
+/// Bytes of results in one answer, unless the first one is longer. Each answer is
+/// in memory several times on its way, at a leader that many ask at once.
+const MAX_PAGE_BYTES: u64 = 256 << 10;
 
 /// Takes a job.
 pub(crate) async fn submit<D: GatewayDialect>(
--- a/crates/wire/src/client/connection.rs
+++ b/crates/wire/src/client/connection.rs
@@ -15,7 +15,7 @@
 use crate::net::within;
 
 /// Bytes asked from the socket at a time.
-const READ_BYTES: usize = 64 * 1024;
+const READ_BYTES: usize = 16 * 1024;
 /// How often silence is checked within its limit.
 const CHECKS_PER_SILENCE_LIMIT: u32 = 4;
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -14,7 +14,7 @@
 pub const DEFAULT_MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 /// Memory that a decoder keeps between frames; what a longer frame took is
 /// given back.
-const KEPT_CAPACITY: usize = 256 * 1024;
+const KEPT_CAPACITY: usize = 32 * 1024;
 
 /// Why bytes are not a frame. The connection is of no use after any of these,
 /// since the place of the next frame is not known for certain.
--- a/crates/wire/src/server/connection.rs
+++ b/crates/wire/src/server/connection.rs
@@ -17,7 +17,7 @@
 use crate::net::within;
 
 /// Bytes asked from the socket at a time.
-const READ_BYTES: usize = 64 * 1024;
+const READ_BYTES: usize = 16 * 1024;
 /// Bytes written together, unless a single frame is longer.
 const BATCH_BYTES: usize = 64 * 1024;
 /// Responses that wait for the writer.
