Keep results packed, and give back the bodies of items that have an outcome

Change: outputs are deflated by the gateway that ran the item and unpacked by the one that is asked; pages still count the bytes of the texts. An item with an outcome keeps neither body nor headers. Tests: a_packed_text_is_unpacked_as_it_was, damaged_bytes_do_not_unpack_to_the_text, an_item_with_an_outcome_keeps_no_body.

--- a/crates/proxy/src/batch/api.rs
+++ b/crates/proxy/src/batch/api.rs
@@ -4,11 +4,13 @@
 
 use molespan_daemon::cluster::ClusterError;
 use molespan_http::h1::Answer;
-use molespan_state::batch::{BatchCommand, BatchReply, SubmitJob};
+use molespan_state::batch::{
+    BatchCommand, BatchReply, ItemOutcome, ListedResult, ResultPage, SubmitJob,
+};
 use molespan_types::RunOutcome;
 use slog::{info, warn};
 
-use crate::dialect::{BatchCall, BatchOutcome, GatewayDialect};
+use crate::dialect::{BatchCall, BatchOutcome, GatewayDialect, JobResult};
 use crate::request::CallerRequest;
 use crate::state::GatewayState;
 
@@ -75,12 +77,38 @@
         .batch
         .batch_results(id, after, MAX_PAGE_BYTES, CALL_DEADLINE);
     match page.await {
-        Ok(Some(page)) => BatchOutcome::Results { after, page },
+        Ok(Some(page)) => unpacked(state, id, after, page),
         Ok(None) => BatchOutcome::Unknown,
         Err(error) => unreadable(state, &error),
     }
 }
 
+fn unpacked(state: &GatewayState, id: &str, after: u32, page: ResultPage) -> BatchOutcome {
+    let results: Option<Vec<JobResult>> = page.results.into_iter().map(unpack).collect();
+    match results {
+        Some(results) => BatchOutcome::Results {
+            after,
+            total: page.total,
+            results,
+        },
+        None => {
+            warn!(state.logger, "a result cannot be unpacked"; "job" => id);
+            BatchOutcome::Unavailable
+        }
+    }
+}
+
+fn unpack(result: ListedResult) -> Option<JobResult> {
+    let output = match result.outcome {
+        ItemOutcome::Completed { text } => Some(text.unpack()?),
+        ItemOutcome::DeadLettered => None,
+    };
+    Some(JobResult {
+        item: result.id,
+        output,
+    })
+}
+
 async fn body(state: &GatewayState, id: &str, item: &str) -> BatchOutcome {
     match state.batch.batch_body(id, item, CALL_DEADLINE).await {
         Ok(Some(body)) => BatchOutcome::Body(body),
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -8,7 +8,7 @@
 use futures_lite::future;
 use molespan_http::h1::Headers;
 use molespan_routing::dispatch::WorkClass;
-use molespan_state::batch::{ItemOutcome, ItemProgress, ItemToRun};
+use molespan_state::batch::{ItemOutcome, ItemProgress, ItemToRun, PackedText};
 use molespan_state::declared::Route;
 use slog::info;
 
@@ -71,7 +71,7 @@
         let run = run_once(state, dialect, route, service, item, output).await;
         match run {
             Run::Whole => {
-                let text = output.borrow().data.join("\n");
+                let text = PackedText::pack(&output.borrow().data.join("\n"));
                 return ItemOutcome::Completed { text };
             }
             Run::Impossible => return given_up(state, item, "no engine can do it"),
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -5,7 +5,7 @@
 
 use molespan_http::h1::{Answer, Headers, RequestHead, ResponseHead};
 use molespan_routing::dispatch::{EngineLoad, PromptPart};
-use molespan_state::batch::{BatchItem, ResultPage};
+use molespan_state::batch::BatchItem;
 
 /// What a request says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -101,6 +101,15 @@
     },
 }
 
+/// The outcome of an item, for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobResult {
+    /// Identifier of the item.
+    pub item: String,
+    /// Its whole output; `None` when it was given up.
+    pub output: Option<String>,
+}
+
 /// What became of a call on batch jobs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BatchOutcome {
@@ -110,8 +119,10 @@
     Results {
         /// That position.
         after: u32,
-        /// Results.
-        page: ResultPage,
+        /// Items of the job.
+        total: u32,
+        /// Results, the first at that position.
+        results: Vec<JobResult>,
     },
     /// The body of an item.
     Body(Vec<u8>),
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -179,13 +179,7 @@
     }
 
     /// A request was sent, with so many tokens to read.
-    pub fn started(
-        &mut self,
-        id: &str,
-        class: WorkClass,
-        unread_tokens: u64,
-        now: Timestamp,
-    ) {
+    pub fn started(&mut self, id: &str, class: WorkClass, unread_tokens: u64, now: Timestamp) {
         if class == WorkClass::Batch {
             self.batch_starts
                 .retain(|&start| now.since(start) < STARTS_SHOW);
--- a/crates/state/src/batch/job.rs
+++ b/crates/state/src/batch/job.rs
@@ -5,6 +5,8 @@
 use minicbor::bytes::ByteVec;
 use minicbor::{Decode, Encode};
 
+use super::packed::PackedText;
+
 /// A request that is run for a job.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct BatchItem {
@@ -44,7 +46,7 @@
     Completed {
         /// Its whole output.
         #[n(0)]
-        text: String,
+        text: PackedText,
     },
     /// It was given up.
     #[n(1)]
@@ -96,6 +98,11 @@
             && slot.is_none()
         {
             *slot = Some(outcome.clone());
+            // Only items without an outcome run, and only their bodies are
+            // asked for.
+            let item = &mut self.items[place as usize];
+            item.headers = Vec::new();
+            item.body = Vec::new().into();
             self.listed.push(place);
             self.progress.remove(&place);
         }
--- a/crates/state/src/batch/machine.rs
+++ b/crates/state/src/batch/machine.rs
@@ -211,7 +211,7 @@
             break;
         };
         bytes += match outcome {
-            ItemOutcome::Completed { text } => text.len() as u64,
+            ItemOutcome::Completed { text } => text.length(),
             ItemOutcome::DeadLettered => 0,
         };
         if bytes > max_bytes && !results.is_empty() {
--- a/crates/state/src/batch/mod.rs
+++ b/crates/state/src/batch/mod.rs
@@ -8,9 +8,11 @@
 mod command;
 mod job;
 mod machine;
+mod packed;
 mod query;
 
 pub use command::{BatchCommand, BatchReply, ItemRecord, ItemReference, RecordOutcome, SubmitJob};
 pub use job::{BatchItem, BatchJob, ItemOutcome, ItemProgress};
 pub use machine::BatchMachine;
+pub use packed::PackedText;
 pub use query::{BatchAnswer, BatchQuery, ItemToRun, ListedResult, OpenItem, OpenWork, ResultPage};
--- a/crates/state/tests/batch.rs
+++ b/crates/state/tests/batch.rs
@@ -2,7 +2,7 @@
 
 use molespan_state::batch::{
     BatchAnswer, BatchCommand, BatchItem, BatchMachine, BatchQuery, BatchReply, ItemOutcome,
-    ItemProgress, ItemRecord, ItemReference, RecordOutcome, ResultPage, SubmitJob,
+    ItemProgress, ItemRecord, ItemReference, PackedText, RecordOutcome, ResultPage, SubmitJob,
 };
 use proptest::prelude::*;
 
@@ -28,7 +28,7 @@
         records: vec![ItemRecord {
             item: ItemReference { job, place },
             outcome: ItemOutcome::Completed {
-                text: text.to_owned(),
+                text: PackedText::pack(text),
             },
         }],
     })
@@ -185,3 +185,39 @@
         seen = machine.revision();
     }
 }
+
+proptest! {
+    /// Whatever an engine made comes back as it was.
+    #[test]
+    fn a_packed_text_is_unpacked_as_it_was(text in "\\PC{0,400}") {
+        let packed = PackedText::pack(&text);
+        prop_assert_eq!(packed.unpack(), Some(text));
+    }
+}
+
+#[test]
+fn damaged_bytes_do_not_unpack_to_the_text() {
+    let whole = minicbor::to_vec(PackedText::pack("one line, and no other")).expect("a vector");
+    for place in whole.len() - 8..whole.len() {
+        let mut bytes = whole.clone();
+        bytes[place] ^= 0x55;
+        let damaged: PackedText = minicbor::decode(&bytes).expect("as many bytes");
+        assert_ne!(
+            damaged.unpack().as_deref(),
+            Some("one line, and no other"),
+            "{place}"
+        );
+    }
+}
+
+#[test]
+fn an_item_with_an_outcome_keeps_no_body() {
+    let mut machine = BatchMachine::new();
+    machine.apply(&submit("a", 2));
+    let whole = machine.snapshot().len();
+    assert_eq!(body(&machine, "a", "a-0"), Some(b"body 0".to_vec()));
+    machine.apply(&record(1, 0, ""));
+    assert_eq!(body(&machine, "a", "a-0"), None);
+    assert_eq!(body(&machine, "a", "a-1"), Some(b"body 1".to_vec()));
+    assert!(machine.snapshot().len() < whole + 40);
+}
