Give log entries back while they are read at a start

At a start the bytes of the whole log and its decoded entries were in memory together, beside the state. Ruled out: applying (committed entries come in bounded portions). Change: each entry's bytes are given back as it is decoded. Test: none that fails first: what differs is memory alone; the crash points and starts of crates/replica/tests cover the path. Conclusion: helps, does not settle it: state and log hold each result in memory.

--- a/crates/replica/src/group/mod.rs
+++ b/crates/replica/src/group/mod.rs
@@ -98,7 +98,7 @@
         // Later changes are applied anew: compared with the latest membership,
         // those would seem to remove the lives that came after them.
         let membership = meta.as_ref().map(|meta| meta.membership.clone());
-        let persisted = persisted(id, &recovery, meta)?;
+        let persisted = persisted(id, recovery, meta)?;
         let replica = Replica::new(config, persisted)
             .map_err(|source| ReplicaError::Consensus { group: id, source })?;
         Ok(Self {
@@ -202,9 +202,11 @@
     Ok((machine, Some(header)))
 }
 
+/// What the log held, as consensus wants it. Each entry's bytes are given back as
+/// it is read: both at once may be more than the process may have.
 fn persisted(
     group: GroupId,
-    recovery: &GroupRecovery,
+    recovery: GroupRecovery,
     snapshot: Option<SnapshotMeta>,
 ) -> Result<Persisted, ReplicaError> {
     let malformed = |error: molespan_state::DecodeError| damaged(group, error.to_string());
@@ -213,7 +215,7 @@
         None => Default::default(),
     };
     let mut entries = Vec::with_capacity(recovery.entries.len());
-    for entry in &recovery.entries {
+    for entry in recovery.entries {
         entries.push(molespan_state::decode(&entry.bytes).map_err(malformed)?);
     }
     Ok(Persisted {
