--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -12,6 +12,7 @@
 };
 use molespan_routing::dispatch::{EngineFacts, Failure, Picked, WorkClass};
 
+use crate::batch::give_way;
 use crate::dialect::{EngineAnswer, EngineCall, GatewayDialect};
 use crate::state::{GatewayState, Occupied};
 
@@ -118,6 +119,10 @@
 ) -> Result<EngineReply, AttemptFailure> {
     let engine = &picked.facts;
     let occupied = state.occupy(picked, outbound.class);
+    if outbound.class == WorkClass::Online {
+        // This request is counted by now, so that it finds a slot.
+        give_way(state);
+    }
     let result = try_attempt(state, dialect, engine, outbound, limits, occupied).await;
     let mut engines = state.engines.borrow_mut();
     match &result {
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -11,7 +11,6 @@
 use slog::{debug, info};
 
 use crate::attempt::{AttemptFailure, AttemptLimits, EngineReply, Outbound, attempt};
-use crate::batch::give_way;
 use crate::dialect::{GatewayDialect, Refusal, RequestFacts};
 use crate::request::CallerRequest;
 use crate::state::GatewayState;
@@ -127,9 +126,6 @@
                 after_event,
             };
             let engine = &picked.facts;
-            if self.outbound.class == WorkClass::Online {
-                give_way(self.state);
-            }
             debug!(self.state.logger, "attempt"; "request" => &self.outbound.id,
                 "engine" => &engine.id, "load" => picked.load,
                 "unread" => picked.unread_tokens, "before" => picked.before_tokens,
--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -140,6 +140,16 @@
         self.online + self.batch
     }
 
+    /// Own batch requests here; they give way at once.
+    pub fn own_batch(&self) -> u32 {
+        self.batch
+    }
+
+    /// Batch requests of other gateways here, as far as they told.
+    pub fn others_batch(&self, now: Timestamp) -> u32 {
+        self.fresh_shares(now).map(|share| share.batch).sum()
+    }
+
     pub fn started(&mut self, class: WorkClass, unread_tokens: u64) {
         *self.count(class) += 1;
         self.unread_tokens += unread_tokens;
@@ -246,7 +256,7 @@
         if self.batch == 0 || now < self.next_cut {
             return 0;
         }
-        let others: u32 = self.fresh_shares(now).map(|share| share.batch).sum();
+        let others = self.others_batch(now);
         let part = f64::from(self.batch) / f64::from(self.batch + others);
         let cut = (excess * part + draw) as u32;
         if cut > 0 {
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -32,6 +32,11 @@
 const LONG_PROMPT_TOKENS: u64 = 4_000;
 /// Prompt tokens that a request weighs as much as for which there is no slot.
 const WAITING_TOKENS: f64 = 20_000.0;
+/// The same where own batch work gives its slot up at once.
+const CUT_HERE_TOKENS: f64 = 300.0;
+/// The same where another gateway's batch work gives its slot up as soon as that
+/// gateway hears of the request.
+const CUT_ELSEWHERE_TOKENS: f64 = 3_000.0;
 /// Share of its slots up to which an engine gets batch work.
 const BATCH_LOAD: f64 = 1.0;
 /// Share of a service's slots in use from which on no batch request starts.
@@ -370,6 +375,8 @@
                 load,
                 unread_tokens: pick.prompt.tokens.saturating_sub(kept_tokens),
                 before_tokens: engine.unread_tokens(now),
+                own_batch: f64::from(engine.own_batch()),
+                others_batch: f64::from(engine.others_batch(now)),
             });
         }
         let looked_at = match pick.prompt.tokens < LONG_PROMPT_TOKENS {
@@ -391,6 +398,10 @@
     load: f64,
     unread_tokens: u64,
     before_tokens: u64,
+    /// Batch requests of this gateway there.
+    own_batch: f64,
+    /// Batch requests of other gateways there.
+    others_batch: f64,
 }
 
 impl Candidate<'_> {
@@ -402,11 +413,22 @@
             false => ZONE_TOKENS,
         };
         let slots = f64::from(self.facts.slots);
-        let without_slot = (self.load - slots + 1.0).max(0.0);
         let reading = (self.before_tokens + self.unread_tokens) as f64;
         let running = self.load / slots.max(1.0) * RUNNING_TOKENS;
         let held_up = self.load * self.unread_tokens as f64 * HELD_UP_SHARE;
-        reading + running + held_up + zone + without_slot * WAITING_TOKENS
+        reading + running + held_up + zone + self.slot_cost(slots)
+    }
+
+    /// How long the request waits for a slot. Batch work gives way to it, the
+    /// own one first; behind other online requests it waits for the longest.
+    fn slot_cost(&self, slots: f64) -> f64 {
+        let wanted = (self.load - slots + 1.0).max(0.0);
+        let cut_here = wanted.min(self.own_batch);
+        let cut_elsewhere = (wanted - cut_here).min(self.others_batch);
+        let waiting = wanted - cut_here - cut_elsewhere;
+        cut_here * CUT_HERE_TOKENS
+            + cut_elsewhere * CUT_ELSEWHERE_TOKENS
+            + waiting * WAITING_TOKENS
     }
 
     fn picked(&self) -> Picked {
--- a/crates/routing/tests/dispatch.rs
+++ b/crates/routing/tests/dispatch.rs
@@ -411,3 +411,27 @@
         Err(NoEngine::Busy)
     );
 }
+
+#[test]
+fn an_online_request_goes_where_own_batch_work_gives_way_at_once() {
+    // All slots are taken: by online work, by another gateway's batch work, and
+    // by own batch work.
+    let mut table = table(&[(1, "near"), (2, "near"), (3, "near")]);
+    let shares = ["e1", "e2"].map(|engine| WorkShare {
+        engine: engine.to_owned(),
+        requests: 8,
+        unread_tokens: 0,
+        batch: if engine == "e2" { 8 } else { 0 },
+    });
+    table.note_shares(NodeId(9), &shares, now(0));
+    for _ in 0..8 {
+        table.started("e3", WorkClass::Batch, 0, now(0));
+    }
+    assert_eq!(online(&mut table, 0), Ok("e3".to_owned()));
+    // Without own batch work, the other gateway's gives way.
+    for _ in 0..8 {
+        table.ended("e3", WorkClass::Batch);
+        table.started("e3", WorkClass::Online, 0, now(0));
+    }
+    assert_eq!(online(&mut table, 0), Ok("e2".to_owned()));
+}
