--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -226,6 +226,9 @@
         let Ok(ControlAnswer::Declared(declared)) = molespan_state::decode(&answer) else {
             return;
         };
+        let contacts = members(&status);
+        let retiring = declared.stores().retiring();
+        self.replica.set_members(contacts, retiring);
         let applied = status.groups.first().map_or(0, |group| group.applied);
         self.hub.take(&declared, control, applied);
     }
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -23,28 +23,46 @@
 /// Time between two heartbeats of a leader: two of three may be late.
 pub(crate) const LEADER_HEARTBEAT: Duration = TICK;
 
-/// Where the nodes are: each is named by its address, and all listen on one
-/// port for one another.
+/// Where the nodes are: each is named by its address, and those of one kind
+/// listen on one port for the others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClusterAddresses {
     /// This node.
     pub own: NodeId,
-    /// Port for other nodes.
+    /// Port of gateways and control nodes.
     pub port: u16,
+    /// Port of stores, which may share machines with control nodes.
+    pub store_port: u16,
     /// Control nodes to begin with; others are learnt from them.
     pub seeds: Vec<NodeId>,
 }
 
 impl ClusterAddresses {
-    /// Where this node listens for others.
+    /// Where this gateway or control node listens for others.
     #[must_use]
     pub fn own_address(&self) -> SocketAddr {
         SocketAddr::from((self.own.address(), self.port))
     }
 
-    /// A transport to every node.
+    /// Where this store listens for others.
+    #[must_use]
+    pub fn own_store_address(&self) -> SocketAddr {
+        SocketAddr::from((self.own.address(), self.store_port))
+    }
+
+    /// A transport to every gateway and control node.
     #[must_use]
     pub fn transport(&self, executor: &Arc<Executor<'static>>) -> Arc<WireTransport> {
+        Self::transport_to(self.port, executor)
+    }
+
+    /// A transport to every store.
+    #[must_use]
+    pub fn store_transport(&self, executor: &Arc<Executor<'static>>) -> Arc<WireTransport> {
+        Self::transport_to(self.store_port, executor)
+    }
+
+    fn transport_to(port: u16, executor: &Arc<Executor<'static>>) -> Arc<WireTransport> {
         let limits = ClientLimits {
             connect_timeout: Duration::from_millis(250),
             silence_limit: Duration::from_millis(1_500),
@@ -54,7 +72,7 @@
         let seed = rand::random();
         Arc::new(WireTransport::between_addresses(
             executor.clone(),
-            self.port,
+            port,
             limits,
             seed,
         ))
--- a/crates/fleet/src/store/node.rs
+++ b/crates/fleet/src/store/node.rs
@@ -70,7 +70,7 @@
         ReplicaOptions {
             discovery: Some(DiscoveryOptions {
                 members,
-                port: self.addresses.port,
+                port: self.addresses.store_port,
             }),
             hand_over_within: self.hand_over_within,
             segment_bytes: 4 << 20,
@@ -135,7 +135,7 @@
         let own = options.addresses.own;
         let replica = start_replica(options.replica(), executor, logger)?;
         let handler = Arc::new(PeerHandler::new(own, replica.clone()));
-        let server = Server::bind(options.addresses.own_address(), ServerLimits::default())?;
+        let server = Server::bind(options.addresses.own_store_address(), ServerLimits::default())?;
         executor
             .spawn(server.serve(executor.clone(), handler.clone()))
             .detach();
@@ -237,8 +237,8 @@
         }
     }
 
-    /// Says of each store that was to be emptied that it is, once it has no
-    /// place in the group.
+    /// Says of each store that was to be emptied that it is, once its machine
+    /// has no place in this group, nor in the control group.
     async fn complete_retirements(&self, status: &ReplicaStatus) {
         let retiring = self.topology.borrow().retiring.clone();
         let Some(group) = status.groups.first().filter(|group| group.leads) else {
@@ -253,7 +253,8 @@
         let whole = group.voters.len() >= self.options.replicas() as usize;
         for node in retiring {
             let known = self.emptied.borrow().contains(&node);
-            if whole && !known && !members.contains(&node) {
+            let votes = self.topology.borrow().control.contains(&node);
+            if whole && !known && !votes && !members.contains(&node) {
                 let command = DeclaredCommand::RetirementCompleted { node };
                 let noted = self
                     .control
--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -37,6 +37,8 @@
 const MOST_AT_ONCE: u32 = 4;
 /// Share of an engine's slots that all gateways together fill with batch work.
 const BATCH_SHARE: f64 = 1.0;
+/// Time between two lines on the batch work here.
+const TOLD_EVERY: Duration = Duration::from_secs(1);
 /// Time for an outcome to be recorded, before it is tried again.
 const RECORD_DEADLINE: Duration = Duration::from_secs(3);
 
@@ -66,8 +68,13 @@
         running: RefCell::default(),
     });
     let mut renewed = Instant::now();
+    let mut told = Instant::now();
     loop {
         let begun = Instant::now();
+        if told.elapsed() >= TOLD_EVERY {
+            runner.tell();
+            told = begun;
+        }
         if runner.state.closes_idle() {
             runner.hand_over().await;
             return;
@@ -128,6 +135,19 @@
         headroom.min(left).min(MOST_AT_ONCE)
     }
 
+    /// Writes what runs here, and what all engines have, while there are items.
+    fn tell(&self) {
+        let items = self.running.borrow().len();
+        if items == 0 {
+            return;
+        }
+        let now = self.state.now();
+        let occupancy = self.state.engines.borrow().occupancy(now);
+        info!(self.state.logger, "batch work"; "items" => items,
+            "at_engines" => self.state.batch_runs.at_engines(),
+            "occupancy" => format!("{occupancy:.2}"));
+    }
+
     /// One call to the leader; says whether it was answered.
     async fn round(self: &Rc<Self>) -> bool {
         let held: Vec<(u64, u32)> = {
--- a/crates/proxy/src/gateway.rs
+++ b/crates/proxy/src/gateway.rs
@@ -89,7 +89,8 @@
         let logger = part_logger(logger, "gateway");
         let own = options.addresses.own;
         let wire = options.addresses.transport(executor);
-        let jobs = cluster(wire.clone(), Vec::new());
+        let stores = options.addresses.store_transport(executor);
+        let jobs = cluster(stores, Vec::new());
         let zone = options.zone.clone();
         let state = Rc::new(GatewayState::new(own, zone, jobs, logger.clone()));
         let seeds = &options.addresses.seeds;
--- a/crates/settings/src/discovered/model.rs
+++ b/crates/settings/src/discovered/model.rs
@@ -48,8 +48,11 @@
     pub zone: ZoneName,
     /// Its address, which names it among the nodes.
     pub address: Ipv4Addr,
-    /// Port on which all nodes listen for one another.
+    /// Port on which gateways and control nodes listen for other nodes.
     pub internal_port: u16,
+    /// Port on which stores do; another one, so that a store and a control node
+    /// can share a machine.
+    pub store_port: u16,
     /// Where callers connect; only of a gateway.
     pub caller_address: Option<SocketAddr>,
     /// Where a gateway is asked whether it is ready.
--- a/crates/settings/src/discovered/read.rs
+++ b/crates/settings/src/discovered/read.rs
@@ -40,6 +40,7 @@
         zone: section.required("zone", ZoneName::default()),
         address: section.required("address", Ipv4Addr::UNSPECIFIED),
         internal_port: section.required("internal_port", 0),
+        store_port: section.required("store_port", 0),
         caller_address: section.optional("caller_address"),
         readiness_address: section.optional("readiness_address"),
         control_address: section.optional("control_address"),
@@ -133,6 +134,10 @@
             "nodes are named by IPv4 addresses".to_owned(),
         );
     }
+    if report.is_sound("node.store_port") && node.store_port == node.internal_port {
+        let message = "is that of gateways and control nodes too";
+        report.add_at("node.store_port", message.to_owned());
+    }
     if settings.stop.unready_wait > settings.stop.within {
         report.add_at("stop.unready_wait", "is longer than stop.within".to_owned());
     }
--- a/crates/settings/tests/discovered.rs
+++ b/crates/settings/tests/discovered.rs
@@ -14,6 +14,7 @@
 zone = "z"
 address = "127.0.0.1"
 internal_port = 7660
+store_port = 7661
 {more}
 [cluster]
 seeds = ["127.0.0.2:80"]
@@ -72,6 +73,7 @@
         "node.zone",
         "node.address",
         "node.internal_port",
+        "node.store_port",
         "node.foo",
         "cluster.seeds",
         "stop.unready_wait",
@@ -93,6 +95,7 @@
         "node.zone",
         "node.address",
         "node.internal_port",
+        "node.store_port",
         "node.caller_address",
         "node.readiness_address",
         "node.control_address",
