Hand batch items out by when they are due, those that are late anyway last

Cause: after an outage 60 to 80 items wait for 20 s; handed out in the order of their jobs, those that are late make all behind them late too. Change: a job keeps when it is due by its route; the leader hands out what can still be done in time, the earliest first, then the rest. It learns how long an item takes from those that were done.

--- a/crates/fleet/src/store/handout.rs
+++ b/crates/fleet/src/store/handout.rs
@@ -1,12 +1,16 @@
 //! Which gateway runs which item. Kept in the leader's memory: an item that is
 //! handed out twice by two leaders runs twice, and its first outcome counts.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use molespan_routing::dispatch::Urgency;
 use molespan_state::batch::{ItemReference, OpenWork};
 use molespan_types::{NodeId, Timestamp};
 
+/// Items done lately from which the time that one takes is learnt.
+const RUN_TIMES: usize = 32;
+
 /// Who runs an item, and until when if the gateway falls silent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Holding {
@@ -14,6 +18,8 @@
     pub node: NodeId,
     /// End of the lease.
     pub until: Timestamp,
+    /// When it was handed out, as far as this leader knows.
+    pub since: Timestamp,
 }
 
 /// Items that gateways run.
@@ -24,6 +30,8 @@
     /// before.
     warm_at: Timestamp,
     held: BTreeMap<ItemReference, Holding>,
+    /// How long the latest items took that are done, oldest first.
+    run_times: VecDeque<Duration>,
 }
 
 impl Handout {
@@ -35,6 +43,7 @@
             lease,
             warm_at: now + warm_up,
             held: BTreeMap::new(),
+            run_times: VecDeque::new(),
         }
     }
 
@@ -47,6 +56,7 @@
         running: &BTreeSet<ItemReference>,
         open: &OpenWork,
     ) -> Vec<ItemReference> {
+        self.note_done(now, node, running, open);
         // What it held and does not run any more is free.
         self.held
             .retain(|item, holding| holding.node != node || running.contains(item));
@@ -59,16 +69,18 @@
                 continue;
             }
             let until = now + self.lease;
-            self.held.insert(item, Holding { node, until });
+            let since = taken.map_or(now, |one| one.since);
+            self.held.insert(item, Holding { node, until, since });
         }
         stop
     }
 
-    /// Hands out up to `capacity` items that nobody runs, of the oldest jobs
-    /// first.
+    /// Hands out up to `capacity` items that nobody runs, the most urgent ones
+    /// first. `unix_ms` is the time of day.
     pub fn take(
         &mut self,
         now: Timestamp,
+        unix_ms: u64,
         node: NodeId,
         capacity: usize,
         open: &OpenWork,
@@ -77,16 +89,59 @@
             return Vec::new();
         }
         self.held.retain(|_, holding| holding.until > now);
-        let free = open.items.iter().map(|open| open.item);
-        let free = free.filter(|item| !self.held.contains_key(item));
-        let items: Vec<ItemReference> = free.take(capacity).collect();
+        let takes_ms = self.run_time().as_millis() as u64;
+        let free = open
+            .items
+            .iter()
+            .filter(|open| !self.held.contains_key(&open.item));
+        let mut free: Vec<(Urgency, ItemReference)> = free
+            .map(|open| (Urgency::of(open.due_ms, unix_ms, takes_ms), open.item))
+            .collect();
+        free.sort_unstable();
+        let items: Vec<ItemReference> = free
+            .into_iter()
+            .take(capacity)
+            .map(|(_, item)| item)
+            .collect();
         for &item in &items {
             let until = now + self.lease;
-            self.held.insert(item, Holding { node, until });
+            let since = now;
+            self.held.insert(item, Holding { node, until, since });
         }
         items
     }
 
+    /// Learns from the items that a gateway has done how long one takes.
+    fn note_done(
+        &mut self,
+        now: Timestamp,
+        node: NodeId,
+        running: &BTreeSet<ItemReference>,
+        open: &OpenWork,
+    ) {
+        let ended = self.held.iter().filter(|(item, holding)| {
+            holding.node == node && !running.contains(item) && open.jobs.contains(&item.job)
+        });
+        for (item, holding) in ended {
+            if open.items.iter().any(|open| open.item == *item) {
+                continue;
+            }
+            self.run_times.push_back(now.since(holding.since));
+            if self.run_times.len() > RUN_TIMES {
+                self.run_times.pop_front();
+            }
+        }
+    }
+
+    /// How long an item takes that waits for little: a quarter of those done
+    /// lately took no longer. Nothing before any is done.
+    #[must_use]
+    pub fn run_time(&self) -> Duration {
+        let mut times: Vec<Duration> = self.run_times.iter().copied().collect();
+        times.sort_unstable();
+        times.get(times.len() / 4).copied().unwrap_or_default()
+    }
+
     /// Whether some open item is handed out to nobody.
     #[must_use]
     pub fn has_free(&self, now: Timestamp, open: &OpenWork) -> bool {
--- a/crates/fleet/src/store/peer.rs
+++ b/crates/fleet/src/store/peer.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_io::Timer;
 use futures_lite::future;
@@ -152,7 +152,7 @@
         let mut handout = self.handout.lock().unwrap_or_else(PoisonError::into_inner);
         let handout = handout.get_or_insert_with(|| Handout::new(now, LEASE, WARM_UP));
         let stop = handout.renew(now, ask.node, &running, open);
-        let taken = handout.take(now, ask.node, ask.capacity as usize, open);
+        let taken = handout.take(now, unix_ms(), ask.node, ask.capacity as usize, open);
         (taken, stop)
     }
 
@@ -228,6 +228,12 @@
     }
 }
 
+/// Milliseconds since 1970.
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.unwrap_or_default().as_millis() as u64
+}
+
 fn unavailable() -> Response {
     Response::Refused {
         outcome: RunOutcome::NotRun,
--- a/crates/proxy/src/batch/api.rs
+++ b/crates/proxy/src/batch/api.rs
@@ -7,6 +7,7 @@
 use molespan_state::batch::{
     BatchCommand, BatchReply, ItemOutcome, ListedResult, ResultPage, SubmitJob,
 };
+use molespan_state::declared::Route;
 use molespan_types::RunOutcome;
 use slog::{info, warn};
 
@@ -26,6 +27,7 @@
 pub(crate) async fn submit<D: GatewayDialect>(
     state: &GatewayState,
     dialect: &D,
+    route: &Route,
     request: &CallerRequest,
 ) -> Answer {
     let (id, items) = match dialect.submission(&request.head, &request.body) {
@@ -36,11 +38,13 @@
         }
     };
     let count = items.len();
+    let submitted_ms = unix_ms();
     let command = BatchCommand::Submit(Box::new(SubmitJob {
         id: id.clone(),
         host: request.head.host(),
         path: request.head.path().to_owned(),
-        submitted_ms: unix_ms(),
+        submitted_ms,
+        due_ms: route.completion_target_ms.map(|target| submitted_ms + u64::from(target)),
         items,
     }));
     let outcome = match state.batch.change_batch(&command, SUBMIT_DEADLINE).await {
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -64,7 +64,7 @@
         return refuse(dialect, caller, Refusal::NoRoute, keep_alive).await;
     };
     if route.kind == RouteKind::Batch {
-        let answer = batch::submit(state, dialect, &request).await;
+        let answer = batch::submit(state, dialect, route, &request).await;
         return finish(caller, &answer.encode(keep_alive), keep_alive).await;
     }
     let Some(service) = in_force.service(route) else {
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -8,9 +8,11 @@
 mod relay;
 mod split;
 mod table;
+mod urgency;
 
 pub use engine::{EngineFacts, EngineLoad, Failure, WorkShare};
 pub use prompt::{PromptCost, PromptPart, SharedPrompt};
 pub use relay::{RelayChoice, Teller, WorkRelay};
 pub use split::WeightedSplit;
 pub use table::{EngineTable, NoEngine, Pick, Picked, WorkClass};
+pub use urgency::Urgency;
--- a/crates/state/src/batch/command.rs
+++ b/crates/state/src/batch/command.rs
@@ -22,6 +22,10 @@
     /// Its items.
     #[n(4)]
     pub items: Vec<BatchItem>,
+    /// Milliseconds since 1970 by which all of it is to be done, if its route
+    /// says.
+    #[n(5)]
+    pub due_ms: Option<u64>,
 }
 
 /// Names an item by the number of its job and its place in it.
--- a/crates/state/src/batch/job.rs
+++ b/crates/state/src/batch/job.rs
@@ -83,6 +83,10 @@
     /// How far items without an outcome came, by their places.
     #[n(8)]
     pub progress: BTreeMap<u32, ItemProgress>,
+    /// Milliseconds since 1970 by which all of it is to be done, if its route
+    /// says.
+    #[n(9)]
+    pub due_ms: Option<u64>,
 }
 
 impl BatchJob {
--- a/crates/state/src/batch/machine.rs
+++ b/crates/state/src/batch/machine.rs
@@ -63,6 +63,7 @@
             host: submit.host.clone(),
             path: submit.path.clone(),
             submitted_ms: submit.submitted_ms,
+            due_ms: submit.due_ms,
             outcomes: vec![None; submit.items.len()],
             items: submit.items.clone(),
             listed: Vec::new(),
@@ -164,7 +165,11 @@
                     place,
                 };
                 let tokens = job.items[place as usize].tokens;
-                work.items.push(OpenItem { item, tokens });
+                work.items.push(OpenItem {
+                    item,
+                    tokens,
+                    due_ms: job.due_ms,
+                });
             }
         }
         work
@@ -179,6 +184,7 @@
             host: job.host.clone(),
             job_path: job.path.clone(),
             submitted_ms: job.submitted_ms,
+            due_ms: job.due_ms,
             item: job.items[place].clone(),
             progress: job
                 .progress
--- a/crates/state/src/batch/query.rs
+++ b/crates/state/src/batch/query.rs
@@ -84,6 +84,9 @@
     /// Tokens of the prompt and the most that are generated.
     #[n(1)]
     pub tokens: u64,
+    /// Milliseconds since 1970 by which it is to be done.
+    #[n(2)]
+    pub due_ms: Option<u64>,
 }
 
 /// Items that may be run.
@@ -118,6 +121,9 @@
     /// How far an earlier run came.
     #[n(5)]
     pub progress: ItemProgress,
+    /// Milliseconds since 1970 by which it is to be done.
+    #[n(6)]
+    pub due_ms: Option<u64>,
 }
 
 /// Answer to a [`BatchQuery`].
--- a/crates/state/tests/batch.rs
+++ b/crates/state/tests/batch.rs
@@ -15,6 +15,7 @@
         tokens: 10,
     });
     BatchCommand::Submit(Box::new(SubmitJob {
+        due_ms: None,
         id: id.to_owned(),
         host: "h".to_owned(),
         path: "/p".to_owned(),
