Let the most urgent batch item of a gateway look for an engine, and the least urgent give way

Cause: items that wait at a gateway all looked for an engine every 8 ms, started in an order of chance, and wrote a line ten times a second each. Change: one at a time looks, the most urgent one; what gives way first is the least urgent.

--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -25,7 +25,7 @@
 const RUN_TIMEOUT: Duration = Duration::from_secs(60);
 /// Longest silence within a run before another engine goes on.
 const SILENCE: Duration = Duration::from_secs(3);
-/// Pause before another try when no engine had room or one failed.
+/// Pause before another try when engines turned an item away or failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// How much longer than the route says an item is kept, for clocks that
 /// differ.
@@ -42,8 +42,10 @@
     Failed,
     /// No engine ever can do it.
     Impossible,
-    /// No engine took it, or it gave way to online work.
+    /// No engine has room yet, or it gave way to online work.
     Waits,
+    /// Engines turned it away.
+    TurnedAway,
 }
 
 /// Runs an item until it has an outcome.
@@ -81,8 +83,8 @@
                     return given_up(state, item, "it failed too often");
                 }
             }
-            Run::Broken => {}
-            Run::Waits => {
+            Run::Broken | Run::Waits => {}
+            Run::TurnedAway => {
                 Timer::after(RETRY_PAUSE).await;
             }
         }
@@ -127,11 +129,15 @@
     };
     let ends = Instant::now() + RUN_TIMEOUT;
     let mut dispatch = Dispatch::new(state, dialect, route, service, outbound, facts, ends);
-    let guard = RunGuard::begin(state);
+    let guard = RunGuard::begin(state, item.due_ms);
     let after_event = output.borrow().last_event;
+    dispatch.due_ms = item.due_ms;
     let running = async {
         let Ok(reply) = dispatch.next_reply(after_event).await else {
-            return Run::Waits;
+            return match dispatch.turned_away + dispatch.runs {
+                0 => Run::Waits,
+                _ => Run::TurnedAway,
+            };
         };
         guard.at(&reply.body.engine);
         finish_run(state, reply, output).await
--- a/crates/proxy/src/batch/mod.rs
+++ b/crates/proxy/src/batch/mod.rs
@@ -4,7 +4,9 @@
 mod item;
 mod preemption;
 mod runner;
+mod turn;
 
 pub(crate) use api::{call, submit};
 pub(crate) use preemption::{BatchRuns, give_way};
 pub(crate) use runner::run;
+pub(crate) use turn::Turns;
--- a/crates/proxy/src/batch/preemption.rs
+++ b/crates/proxy/src/batch/preemption.rs
@@ -1,12 +1,15 @@
 //! Batch work that gives way to online work.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
+use molespan_routing::dispatch::Urgency;
 use slog::info;
 
+use super::api::unix_ms;
 use crate::state::GatewayState;
 
 /// A run of a batch item that may be told to give way.
@@ -14,6 +17,8 @@
 struct Run {
     /// Where it runs; empty before it was sent.
     engine: String,
+    /// Milliseconds since 1970 by which its item is to be done.
+    due_ms: Option<u64>,
     cut: Sender<()>,
 }
 
@@ -42,13 +47,14 @@
 
 impl RunGuard {
     /// Begins a run that has no engine yet.
-    pub fn begin(state: &Rc<GatewayState>) -> Self {
+    pub fn begin(state: &Rc<GatewayState>, due_ms: Option<u64>) -> Self {
         let (sender, cut) = async_channel::bounded(1);
         let runs = &state.batch_runs;
         let number = runs.last.get() + 1;
         runs.last.set(number);
         let run = Run {
             engine: String::new(),
+            due_ms,
             cut: sender,
         };
         runs.runs.borrow_mut().insert(number, run);
@@ -79,19 +85,24 @@
     }
 }
 
-/// Cuts own batch runs at engines where online work wants their slots, the
-/// latest runs first, since they have the least to lose.
+/// Cuts own batch runs at engines where online work wants their slots, the least
+/// urgent ones first, and of those the latest.
 pub(crate) fn give_way(state: &GatewayState) {
     let cuts = state.engines.borrow_mut().batch_to_cut(state.now());
     if cuts.is_empty() {
         return;
     }
     let runs = state.batch_runs.runs.borrow();
+    let now_ms = unix_ms();
     for (engine, count) in cuts {
-        let at_engine = runs.values().rev().filter(|run| run.engine == engine);
-        let running = at_engine.filter(|run| !run.cut.is_closed());
+        let mut running: Vec<(Urgency, u64, &Run)> = runs
+            .iter()
+            .filter(|(_, run)| run.engine == engine && !run.cut.is_closed())
+            .map(|(number, run)| (Urgency::of(run.due_ms, now_ms, 0), *number, run))
+            .collect();
+        running.sort_unstable_by_key(|(urgency, number, _)| Reverse((*urgency, *number)));
         let mut cut = 0;
-        for run in running.take(count as usize) {
+        for (_, _, run) in running.iter().take(count as usize) {
             run.cut.close();
             cut += 1;
         }
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -19,6 +19,11 @@
 const MOST_TURNED_AWAY: u32 = 6;
 /// Time between two looks for an engine with room.
 const LOOK_AGAIN: Duration = Duration::from_millis(8);
+/// The same for the batch item whose turn it is; it has more time.
+const LOOK_AGAIN_BATCH: Duration = Duration::from_millis(20);
+/// How long the turn of a batch item lasts at the most: then its route is looked
+/// up anew, and another item may be the most urgent one.
+const TURN: Duration = Duration::from_secs(1);
 /// When a refused caller should come back.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Part of the target latency for which a request looks for an engine.
@@ -37,6 +42,8 @@
     pub facts: RequestFacts,
     /// When its time is over.
     pub ends: Instant,
+    /// Milliseconds since 1970 by which a batch item is to be done.
+    pub due_ms: Option<u64>,
     pub arrived: Instant,
     tried: BTreeSet<String>,
     /// Engines that may have run it.
@@ -90,6 +97,7 @@
             outbound,
             facts,
             ends,
+            due_ms: None,
             arrived: Instant::now(),
             tried: BTreeSet::new(),
             runs: 0,
@@ -119,7 +127,10 @@
             if Instant::now() >= self.ends {
                 return Err(self.out_of_time());
             }
-            let picked = self.pick().await?;
+            let picked = match self.outbound.class {
+                WorkClass::Online => self.pick().await?,
+                WorkClass::Batch => self.pick_in_turn().await?,
+            };
             let limits = AttemptLimits {
                 ends: self.ends,
                 silence: self.silence(),
@@ -208,17 +219,8 @@
     async fn pick(&mut self) -> Result<Picked, Refusal> {
         let target = Duration::from_millis(u64::from(self.route.target_latency_ms));
         let looks_until = self.arrived + target.mul_f64(LOOKING_SHARE);
-        let prompt = PromptCost::of(&self.facts.prompt);
         loop {
-            let pick = Pick {
-                service: &self.service,
-                class: self.outbound.class,
-                prompt,
-                tried: &self.tried,
-            };
-            let now = self.state.now();
-            let picked = self.state.engines.borrow_mut().pick(&pick, now);
-            match picked {
+            match self.pick_now() {
                 Ok(picked) => return Ok(picked),
                 Err(NoEngine::None | NoEngine::Busy) if Instant::now() < looks_until => {
                     Timer::after(LOOK_AGAIN).await;
@@ -233,6 +235,33 @@
         }
     }
 
+    /// Chooses an engine when this is the most urgent batch item that waits
+    /// here, and waits with it for room.
+    async fn pick_in_turn(&mut self) -> Result<Picked, Refusal> {
+        let _turn = self.state.batch_turns.take(self.due_ms).await;
+        let looks_until = Instant::now() + TURN;
+        loop {
+            match self.pick_now() {
+                Ok(picked) => return Ok(picked),
+                Err(_) if Instant::now() < looks_until => {
+                    Timer::after(LOOK_AGAIN_BATCH).await;
+                }
+                Err(_) => return Err(self.give_up()),
+            }
+        }
+    }
+
+    fn pick_now(&mut self) -> Result<Picked, NoEngine> {
+        let pick = Pick {
+            service: &self.service,
+            class: self.outbound.class,
+            prompt: PromptCost::of(&self.facts.prompt),
+            tried: &self.tried,
+        };
+        let now = self.state.now();
+        self.state.engines.borrow_mut().pick(&pick, now)
+    }
+
     /// Longest silence before the head of the answer. Without another attempt
     /// left, only the request's time counts: a silent engine may yet answer.
     fn silence(&self) -> Option<Duration> {
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -16,7 +16,7 @@
 use molespan_types::{NodeId, Timestamp, ZoneName};
 use slog::{Logger, info};
 
-use crate::batch::BatchRuns;
+use crate::batch::{BatchRuns, Turns};
 use crate::pool::Pool;
 
 /// The configuration in force here.
@@ -66,6 +66,8 @@
     pub pool: Pool,
     /// Batch items that run here.
     pub batch_runs: BatchRuns,
+    /// Whose turn it is among those that wait for an engine.
+    pub batch_turns: Rc<Turns>,
     /// Client of the batch group.
     pub batch: Arc<Cluster>,
     pub logger: Logger,
@@ -91,6 +93,7 @@
             relay: RefCell::default(),
             pool: Pool::default(),
             batch_runs: BatchRuns::default(),
+            batch_turns: Rc::default(),
             batch,
             logger,
             started: Instant::now(),
