Keep the progress of batch items every 1.2 s

Cause: 60 items run or wait when every process is killed, and all that they had made was lost with the gateways: 2 to 3 s of all engines, at the worst moment. What was ruled out: slow elections (a leader stands 0.15 s behind the start). Change: gateways send what each item has made since the last checkpoint; the batch group keeps it in packed pieces, and whoever runs the item next goes on behind it. A planned stop hands over with the same command. Only what follows on what is kept is taken, or what goes further from the beginning. Prices do not change.

--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -8,11 +8,12 @@
 use futures_lite::future;
 use molespan_http::h1::Headers;
 use molespan_routing::dispatch::WorkClass;
-use molespan_state::batch::{ItemOutcome, ItemProgress, ItemToRun, PackedText};
+use molespan_state::batch::{ItemOutcome, ItemToRun};
 use molespan_state::declared::Route;
 use slog::info;
 
 use super::api::unix_ms;
+use super::output::Output;
 use super::preemption::RunGuard;
 use crate::attempt::{EngineBody, EngineReply, Outbound};
 use crate::dialect::GatewayDialect;
@@ -31,8 +32,8 @@
 /// differ.
 const CLOCK_SLACK_MS: u64 = 4_000;
 
-/// What is there of an item's output, for handing it over while it runs.
-pub(super) type Output = Rc<RefCell<ItemProgress>>;
+/// The output of an item, for keeping it while it runs.
+pub(super) type SharedOutput = Rc<RefCell<Output>>;
 
 /// How one attempt ended.
 enum Run {
@@ -53,7 +54,7 @@
     state: &Rc<GatewayState>,
     dialect: &D,
     item: &ItemToRun,
-    output: &Output,
+    output: &SharedOutput,
 ) -> ItemOutcome {
     let mut failures = 0;
     loop {
@@ -73,7 +74,7 @@
         let run = run_once(state, dialect, route, service, item, output).await;
         match run {
             Run::Whole => {
-                let text = PackedText::pack(&output.borrow().data.join("\n"));
+                let text = output.borrow().text();
                 return ItemOutcome::Completed { text };
             }
             Run::Impossible => return given_up(state, item, "no engine can do it"),
@@ -110,7 +111,7 @@
     route: &Route,
     service: String,
     item: &ItemToRun,
-    output: &Output,
+    output: &SharedOutput,
 ) -> Run {
     let mut headers = Headers::new();
     for (name, value) in &item.item.headers {
@@ -150,7 +151,7 @@
 }
 
 /// Takes in the answer of an engine.
-async fn finish_run(state: &GatewayState, reply: EngineReply, output: &Output) -> Run {
+async fn finish_run(state: &GatewayState, reply: EngineReply, output: &SharedOutput) -> Run {
     if reply.facts.impossible {
         return Run::Impossible;
     }
@@ -161,7 +162,7 @@
 }
 
 /// Reads events until the stream ends.
-async fn read_events(state: &GatewayState, mut body: EngineBody, output: &Output) -> Run {
+async fn read_events(state: &GatewayState, mut body: EngineBody, output: &SharedOutput) -> Run {
     let mut cutter = EventCutter::default();
     let mut silence = Silence::new(Some(SILENCE));
     loop {
@@ -180,8 +181,7 @@
             }
             let mut output = output.borrow_mut();
             while let Some(event) = cutter.next() {
-                output.last_event = event.id.or(output.last_event);
-                output.data.push(event.data);
+                output.push(event.id, event.data);
             }
         } else {
             body.finish(state);
--- a/crates/proxy/src/batch/mod.rs
+++ b/crates/proxy/src/batch/mod.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod item;
+mod output;
 mod preemption;
 mod runner;
 mod turn;
--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -14,7 +14,8 @@
 use molespan_wire::TakeItems;
 use slog::{info, warn};
 
-use super::item::{Output, run_item};
+use super::item::{SharedOutput, run_item};
+use super::output::{Kept, Output};
 use crate::dialect::GatewayDialect;
 use crate::state::GatewayState;
 
@@ -37,6 +38,11 @@
 const MOST_AT_ONCE: u32 = 4;
 /// Share of an engine's slots that all gateways together fill with batch work.
 const BATCH_SHARE: f64 = 1.0;
+/// Time between two checkpoints: what is lost when a gateway or all power is, at
+/// the most. Shorter ones cost more commits and bytes between zones.
+const CHECKPOINT_EVERY: Duration = Duration::from_millis(1_200);
+/// Time for a checkpoint to be kept.
+const CHECKPOINT_DEADLINE: Duration = Duration::from_millis(900);
 /// Time between two lines on the batch work here.
 const TOLD_EVERY: Duration = Duration::from_secs(1);
 /// Time for an outcome to be recorded, before it is tried again.
@@ -52,7 +58,7 @@
 /// An item that runs.
 struct RunningItem {
     task: Task<()>,
-    output: Output,
+    output: SharedOutput,
 }
 
 /// Takes and runs items for as long as it is polled.
@@ -69,6 +75,13 @@
     });
     let mut renewed = Instant::now();
     let mut told = Instant::now();
+    let checkpoints = runner.clone();
+    let _keeping = runner.local.spawn(async move {
+        loop {
+            Timer::after(CHECKPOINT_EVERY).await;
+            checkpoints.checkpoint(CHECKPOINT_DEADLINE).await;
+        }
+    });
     loop {
         let begun = Instant::now();
         if told.elapsed() >= TOLD_EVERY {
@@ -188,7 +201,7 @@
     fn start(self: &Rc<Self>, item: ItemToRun) {
         let reference = item.reference;
         let runner = self.clone();
-        let output: Output = Rc::new(RefCell::new(item.progress.clone()));
+        let output = Rc::new(RefCell::new(Output::resume(&item.progress)));
         let shared = output.clone();
         let work = async move {
             let outcome = run_item(&runner.state, &*runner.dialect, &item, &shared).await;
@@ -225,24 +238,45 @@
         }
     }
 
+    /// Keeps in the batch group what the items here have made, so that others can
+    /// go on behind it if this gateway is lost. Says whether that is done.
+    async fn checkpoint(&self, within: Duration) -> bool {
+        let mut items = Vec::new();
+        let mut kept: Vec<(SharedOutput, Kept)> = Vec::new();
+        for (item, running) in &*self.running.borrow() {
+            let checkpoint = running.output.borrow().checkpoint(*item);
+            if let Some((checkpoint, upto)) = checkpoint {
+                items.push(checkpoint);
+                kept.push((running.output.clone(), upto));
+            }
+        }
+        if items.is_empty() {
+            return true;
+        }
+        let command = BatchCommand::Checkpoint { items };
+        match self.state.batch.change_batch(&command, within).await {
+            Ok(_) => {
+                for (output, upto) in kept {
+                    output.borrow_mut().note_kept(upto);
+                }
+                true
+            }
+            Err(error) => {
+                info!(self.state.logger, "progress not kept"; "items" => kept.len(),
+                    "error" => %error);
+                false
+            }
+        }
+    }
+
     /// Ends a planned stop's batch work: others go on behind the last events.
     async fn hand_over(&self) {
-        let running = std::mem::take(&mut *self.running.borrow_mut());
-        if running.is_empty() {
+        let count = self.running.borrow().len();
+        if count == 0 {
             return;
         }
-        let items: Vec<_> = running
-            .iter()
-            .map(|(item, running)| (*item, running.output.borrow().clone()))
-            .collect();
-        let count = items.len();
-        drop(running);
-        let command = BatchCommand::HandOver { items };
-        let noted = self
-            .state
-            .batch
-            .change_batch(&command, HAND_OVER_DEADLINE)
-            .await;
+        let noted = self.checkpoint(HAND_OVER_DEADLINE).await;
+        drop(std::mem::take(&mut *self.running.borrow_mut()));
         let release = TakeItems {
             node: self.state.own,
             capacity: 0,
@@ -255,7 +289,7 @@
             .take_items(&release, HAND_OVER_DEADLINE)
             .await;
         info!(self.state.logger, "items handed over"; "items" => count,
-            "noted" => noted.is_ok(), "released" => released.is_ok());
+            "noted" => noted, "released" => released.is_ok());
     }
 
     /// Stops everything: another gateway may run it by now.
--- a/crates/state/src/batch/command.rs
+++ b/crates/state/src/batch/command.rs
@@ -2,7 +2,8 @@
 
 use minicbor::{Decode, Encode};
 
-use super::job::{BatchItem, ItemOutcome, ItemProgress};
+use super::job::{BatchItem, ItemOutcome};
+use super::packed::PackedText;
 
 /// Hands a job in. The same identifier again changes nothing.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -58,6 +59,23 @@
     pub records: Vec<ItemRecord>,
 }
 
+/// What a run of an item has made since it was kept last.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ItemCheckpoint {
+    /// Item.
+    #[n(0)]
+    pub item: ItemReference,
+    /// Number of the last event that is kept; none when nothing is.
+    #[n(1)]
+    pub after: Option<u64>,
+    /// Number of the last event in it.
+    #[n(2)]
+    pub last_event: u64,
+    /// Data of the events behind `after`, with line feeds between them.
+    #[n(3)]
+    pub text: PackedText,
+}
+
 /// A command of the batch group.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum BatchCommand {
@@ -74,12 +92,12 @@
         #[n(0)]
         id: String,
     },
-    /// Notes how far items came that a gateway hands over.
+    /// Keeps what runs of items have made since it was kept last.
     #[n(4)]
-    HandOver {
+    Checkpoint {
         /// They.
         #[n(0)]
-        items: Vec<(ItemReference, ItemProgress)>,
+        items: Vec<ItemCheckpoint>,
     },
     /// Removes a job that nobody may ask for any more.
     #[n(3)]
--- a/crates/state/src/batch/job.rs
+++ b/crates/state/src/batch/job.rs
@@ -5,6 +5,7 @@
 use minicbor::bytes::ByteVec;
 use minicbor::{Decode, Encode};
 
+use super::command::ItemCheckpoint;
 use super::packed::PackedText;
 
 /// A request that is run for a job.
@@ -27,15 +28,16 @@
     pub tokens: u64,
 }
 
-/// How far a run of an item came before it was handed over.
+/// How far runs of an item came, as far as it is kept. Another run goes on
+/// behind it when a gateway is lost.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct ItemProgress {
-    /// Number of the last event that is there.
+    /// Number of the last event that is kept.
     #[n(0)]
     pub last_event: Option<u64>,
-    /// Data of the events so far, in order.
+    /// Data of the events so far in pieces, with line feeds between them.
     #[n(1)]
-    pub data: Vec<String>,
+    pub pieces: Vec<PackedText>,
 }
 
 /// What became of an item.
@@ -112,16 +114,29 @@
         }
     }
 
-    /// Notes how far an item came, unless it has an outcome or came further.
-    pub(super) fn note_progress(&mut self, place: u32, progress: &ItemProgress) {
+    /// Keeps what a run has made, unless the item has an outcome. What does not
+    /// follow on what is kept comes from another run, and counts only if it is
+    /// whole and goes further.
+    pub(super) fn keep(&mut self, checkpoint: &ItemCheckpoint) {
+        let place = checkpoint.item.place;
         let open = self
             .outcomes
             .get(place as usize)
             .is_some_and(Option::is_none);
-        let known = self.progress.get(&place).and_then(|known| known.last_event);
-        if open && progress.last_event > known {
-            self.progress.insert(place, progress.clone());
+        let kept = self.progress.get(&place).and_then(|kept| kept.last_event);
+        if !open || kept.is_some_and(|kept| checkpoint.last_event <= kept) {
+            return;
         }
+        let follows = checkpoint.after == kept;
+        if !follows && checkpoint.after.is_some() {
+            return;
+        }
+        let progress = self.progress.entry(place).or_default();
+        if !follows {
+            progress.pieces.clear();
+        }
+        progress.pieces.push(checkpoint.text.clone());
+        progress.last_event = Some(checkpoint.last_event);
     }
 
     /// Places of items without an outcome.
--- a/crates/state/src/batch/machine.rs
+++ b/crates/state/src/batch/machine.rs
@@ -4,8 +4,10 @@
 
 use minicbor::{Decode, Encode};
 
-use super::command::{BatchCommand, BatchReply, ItemReference, RecordOutcome, SubmitJob};
-use super::job::{BatchJob, ItemOutcome, ItemProgress};
+use super::command::{
+    BatchCommand, BatchReply, ItemCheckpoint, ItemReference, RecordOutcome, SubmitJob,
+};
+use super::job::{BatchJob, ItemOutcome};
 use super::query::{
     BatchAnswer, BatchQuery, ItemToRun, ListedResult, OpenItem, OpenWork, ResultPage,
 };
@@ -48,7 +50,7 @@
             BatchCommand::Submit(submit) => self.submit(submit),
             BatchCommand::Record(outcome) => self.record(outcome),
             BatchCommand::End { id } => self.end(id),
-            BatchCommand::HandOver { items } => self.hand_over(items),
+            BatchCommand::Checkpoint { items } => self.checkpoint(items),
             BatchCommand::Forget { job } => self.forget(*job),
         }
     }
@@ -86,10 +88,10 @@
         BatchReply::Recorded
     }
 
-    fn hand_over(&mut self, items: &[(ItemReference, ItemProgress)]) -> BatchReply {
-        for (item, progress) in items {
-            if let Some(job) = self.jobs.get_mut(&item.job) {
-                job.note_progress(item.place, progress);
+    fn checkpoint(&mut self, items: &[ItemCheckpoint]) -> BatchReply {
+        for checkpoint in items {
+            if let Some(job) = self.jobs.get_mut(&checkpoint.item.job) {
+                job.keep(checkpoint);
             }
         }
         self.revision += 1;
--- a/crates/state/src/batch/mod.rs
+++ b/crates/state/src/batch/mod.rs
@@ -11,7 +11,7 @@
 mod packed;
 mod query;
 
-pub use command::{BatchCommand, BatchReply, ItemRecord, ItemReference, RecordOutcome, SubmitJob};
+pub use command::{BatchCommand, BatchReply, ItemCheckpoint, ItemRecord, ItemReference, RecordOutcome, SubmitJob};
 pub use job::{BatchItem, BatchJob, ItemOutcome, ItemProgress};
 pub use machine::BatchMachine;
 pub use packed::PackedText;
--- a/crates/state/tests/batch.rs
+++ b/crates/state/tests/batch.rs
@@ -2,7 +2,7 @@
 
 use molespan_state::batch::{
     BatchAnswer, BatchCommand, BatchItem, BatchMachine, BatchQuery, BatchReply, ItemOutcome,
-    ItemProgress, ItemRecord, ItemReference, PackedText, RecordOutcome, ResultPage, SubmitJob,
+    ItemCheckpoint, ItemRecord, ItemReference, PackedText, RecordOutcome, ResultPage, SubmitJob,
 };
 use proptest::prelude::*;
 
@@ -154,24 +154,51 @@
     let mut machine = BatchMachine::new();
     machine.apply(&submit("a", 2));
     let item = ItemReference { job: 1, place: 0 };
-    let progress = |events: u64| ItemProgress {
-        last_event: (events > 0).then_some(events),
-        data: (1..=events).map(|event| event.to_string()).collect(),
+    let text = |events: std::ops::RangeInclusive<u64>| {
+        let events: Vec<String> = events.map(|event| event.to_string()).collect();
+        events.join("\n")
+    };
+    let checkpoint = |after: u64, last_event: u64| {
+        let items = vec![ItemCheckpoint {
+            item,
+            after: (after > 0).then_some(after),
+            last_event,
+            text: PackedText::pack(&text(after + 1..=last_event)),
+        }];
+        BatchCommand::Checkpoint { items }
     };
     let known =
         |machine: &BatchMachine| match machine.query(&BatchQuery::Items { items: vec![item] }) {
-            BatchAnswer::Items(items) => items.first().map(|item| item.progress.clone()),
+            BatchAnswer::Items(items) => items.first().map(|item| {
+                let pieces = item.progress.pieces.iter();
+                let pieces: Option<Vec<String>> = pieces.map(PackedText::unpack).collect();
+                let whole = pieces.expect("sound pieces").join("\n");
+                (item.progress.last_event.unwrap_or(0), whole)
+            }),
             other => panic!("{other:?}"),
         };
-    for (events, kept) in [(0, 0), (3, 3), (2, 3), (5, 5)] {
-        let items = vec![(item, progress(events))];
-        machine.apply(&BatchCommand::HandOver { items });
-        assert_eq!(known(&machine), Some(progress(kept)));
+    // A checkpoint from event to event, and the last event that is kept then.
+    let cases = [
+        ((0, 3), 3),
+        ((0, 2), 3),
+        ((3, 5), 5),
+        // The same again, a gap, and an overlap.
+        ((3, 5), 5),
+        ((7, 9), 5),
+        ((4, 8), 5),
+        // Another run that did not know of this one goes further, and so does
+        // one that goes on behind that.
+        ((0, 6), 6),
+        ((6, 8), 8),
+    ];
+    for ((after, last_event), kept) in cases {
+        machine.apply(&checkpoint(after, last_event));
+        assert_eq!(known(&machine), Some((kept, text(1..=kept))));
     }
     machine.apply(&record(1, 0, "x"));
     assert_eq!(known(&machine), None);
-    let items = vec![(item, progress(9))];
-    machine.apply(&BatchCommand::HandOver { items });
+    machine.apply(&checkpoint(8, 9));
+    assert_eq!(known(&machine), None);
     assert_eq!(page(&machine, "a", 0, 10).expect("a job").results.len(), 1);
 }
 
