Bound the tokens that may wait on a batch route

The count is part of the replicated state, so that it is exact under leader changes, restarts, ends and resends; a job that is kept is found again however full its route is. A negative limit makes a document unreadable (400).

--- a/crates/fleet/src/store/node.rs
+++ b/crates/fleet/src/store/node.rs
@@ -135,7 +135,10 @@
         let own = options.addresses.own;
         let replica = start_replica(options.replica(), executor, logger)?;
         let handler = Arc::new(PeerHandler::new(own, replica.clone()));
-        let server = Server::bind(options.addresses.own_store_address(), ServerLimits::default())?;
+        let server = Server::bind(
+            options.addresses.own_store_address(),
+            ServerLimits::default(),
+        )?;
         executor
             .spawn(server.serve(executor.clone(), handler.clone()))
             .detach();
--- a/crates/fleet/tests/handout.rs
+++ b/crates/fleet/tests/handout.rs
@@ -45,7 +45,10 @@
 fn no_item_goes_to_two_gateways_while_its_lease_runs() {
     let work = open(&[item(1, 0), item(1, 1), item(1, 2)]);
     let mut handout = warm();
-    assert_eq!(handout.take(at(0), 0, ONE, 2, &work), [item(1, 0), item(1, 1)]);
+    assert_eq!(
+        handout.take(at(0), 0, ONE, 2, &work),
+        [item(1, 0), item(1, 1)]
+    );
     assert_eq!(handout.take(at(0), 0, TWO, 9, &work), [item(1, 2)]);
     assert!(handout.take(at(1_999), 0, TWO, 9, &work).is_empty());
     // The gateway fell silent.
--- a/crates/proxy/src/batch/api.rs
+++ b/crates/proxy/src/batch/api.rs
@@ -44,11 +44,16 @@
         host: request.head.host(),
         path: request.head.path().to_owned(),
         submitted_ms,
-        due_ms: route.completion_target_ms.map(|target| submitted_ms + u64::from(target)),
+        due_ms: route
+            .completion_target_ms
+            .map(|target| submitted_ms + u64::from(target)),
         items,
+        queue: format!("{}{}", route.host, route.path_prefix),
+        max_queued_tokens: route.max_queued_tokens,
     }));
     let outcome = match state.batch.change_batch(&command, SUBMIT_DEADLINE).await {
         Ok(BatchReply::Kept) => BatchOutcome::Kept,
+        Ok(BatchReply::QueueFull) => BatchOutcome::QueueFull,
         Ok(_) => BatchOutcome::Unavailable,
         Err(error) => failed(&error),
     };
@@ -152,6 +157,7 @@
 fn name(outcome: &BatchOutcome) -> &'static str {
     match outcome {
         BatchOutcome::Kept => "kept",
+        BatchOutcome::QueueFull => "queue full",
         BatchOutcome::Results { .. } => "results",
         BatchOutcome::Body(_) => "body",
         BatchOutcome::Ended => "ended",
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -115,6 +115,8 @@
 pub enum BatchOutcome {
     /// The job is kept from now on.
     Kept,
+    /// Too many tokens would wait with it; none of it runs.
+    QueueFull,
     /// Results from a position on.
     Results {
         /// That position.
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -426,9 +426,7 @@
         let cut_here = wanted.min(self.own_batch);
         let cut_elsewhere = (wanted - cut_here).min(self.others_batch);
         let waiting = wanted - cut_here - cut_elsewhere;
-        cut_here * CUT_HERE_TOKENS
-            + cut_elsewhere * CUT_ELSEWHERE_TOKENS
-            + waiting * WAITING_TOKENS
+        cut_here * CUT_HERE_TOKENS + cut_elsewhere * CUT_ELSEWHERE_TOKENS + waiting * WAITING_TOKENS
     }
 
     fn picked(&self) -> Picked {
--- a/crates/state/src/batch/command.rs
+++ b/crates/state/src/batch/command.rs
@@ -27,6 +27,21 @@
     /// says.
     #[n(5)]
     pub due_ms: Option<u64>,
+    /// Whose waiting tokens are counted together: its route.
+    #[n(6)]
+    pub queue: String,
+    /// Tokens that may wait in that queue at once, those of this job included;
+    /// none without a limit.
+    #[n(7)]
+    pub max_queued_tokens: Option<u64>,
+}
+
+impl SubmitJob {
+    /// Tokens of all its items.
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        self.items.iter().map(BatchItem::counted_tokens).sum()
+    }
 }
 
 /// Names an item by the number of its job and its place in it.
@@ -126,4 +141,7 @@
     /// The command's bytes could not be read; nothing changed.
     #[n(4)]
     Malformed,
+    /// Too many tokens would wait with those of the job; nothing changed.
+    #[n(5)]
+    QueueFull,
 }
--- a/crates/state/src/batch/job.rs
+++ b/crates/state/src/batch/job.rs
@@ -28,6 +28,18 @@
     pub tokens: u64,
 }
 
+/// Tokens of one item that count at the most. A declared number has no bound;
+/// with this one all sums are exact.
+const MOST_TOKENS: u64 = 1 << 40;
+
+impl BatchItem {
+    /// Its tokens as they count against limits.
+    #[must_use]
+    pub fn counted_tokens(&self) -> u64 {
+        self.tokens.min(MOST_TOKENS)
+    }
+}
+
 /// How far runs of an item came, as far as it is kept. Another run goes on
 /// behind it when a gateway is lost.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
@@ -89,6 +101,9 @@
     /// says.
     #[n(9)]
     pub due_ms: Option<u64>,
+    /// Whose waiting tokens are counted together: its route.
+    #[n(10)]
+    pub queue: String,
 }
 
 impl BatchJob {
@@ -98,6 +113,14 @@
         !self.ended && self.listed.len() < self.items.len()
     }
 
+    /// Tokens of the items that wait for an outcome; none of an ended job.
+    pub(super) fn waiting_tokens(&self) -> u64 {
+        let places = self.open_places();
+        places
+            .map(|place| self.items[place as usize].counted_tokens())
+            .sum()
+    }
+
     /// Records an outcome unless there is one.
     pub(super) fn record(&mut self, place: u32, outcome: &ItemOutcome) {
         if let Some(slot) = self.outcomes.get_mut(place as usize)
--- a/crates/state/src/batch/machine.rs
+++ b/crates/state/src/batch/machine.rs
@@ -11,6 +11,7 @@
 use super::query::{
     BatchAnswer, BatchQuery, ItemToRun, ListedResult, OpenItem, OpenWork, ResultPage,
 };
+use super::queue::QueuedTokens;
 use crate::error::StateError;
 use crate::snapshot;
 
@@ -29,6 +30,10 @@
     /// Commands that changed what is open.
     #[n(3)]
     revision: u64,
+    /// Tokens that wait, by queue. Always what the jobs of the queue have
+    /// waiting together.
+    #[n(4)]
+    waiting: QueuedTokens,
 }
 
 impl BatchMachine {
@@ -38,6 +43,13 @@
         Self::default()
     }
 
+    /// Tokens of items without an outcome that wait in a queue; those of ended
+    /// jobs do not count.
+    #[must_use]
+    pub fn queued_tokens(&self, queue: &str) -> u64 {
+        self.waiting.of(queue)
+    }
+
     /// Rises with every change of the open items or of what is there of them.
     #[must_use]
     pub fn revision(&self) -> u64 {
@@ -59,6 +71,9 @@
         if self.numbers.contains_key(&submit.id) {
             return BatchReply::Kept;
         }
+        if !self.waiting.fits(submit) {
+            return BatchReply::QueueFull;
+        }
         self.last += 1;
         let job = BatchJob {
             id: submit.id.clone(),
@@ -66,12 +81,14 @@
             path: submit.path.clone(),
             submitted_ms: submit.submitted_ms,
             due_ms: submit.due_ms,
+            queue: submit.queue.clone(),
             outcomes: vec![None; submit.items.len()],
             items: submit.items.clone(),
             listed: Vec::new(),
             ended: false,
             progress: BTreeMap::new(),
         };
+        self.waiting.add(&job.queue, job.waiting_tokens());
         self.numbers.insert(submit.id.clone(), self.last);
         self.jobs.insert(self.last, job);
         self.revision += 1;
@@ -81,7 +98,10 @@
     fn record(&mut self, outcome: &RecordOutcome) -> BatchReply {
         for record in &outcome.records {
             if let Some(job) = self.jobs.get_mut(&record.item.job) {
+                let before = job.waiting_tokens();
                 job.record(record.item.place, &record.outcome);
+                let left = before - job.waiting_tokens();
+                self.waiting.remove(&job.queue, left);
             }
         }
         self.revision += 1;
@@ -104,6 +124,7 @@
             return BatchReply::Unknown;
         };
         if !job.ended {
+            self.waiting.remove(&job.queue, job.waiting_tokens());
             job.ended = true;
             self.revision += 1;
         }
@@ -113,6 +134,7 @@
     fn forget(&mut self, number: u64) -> BatchReply {
         match self.jobs.remove(&number) {
             Some(job) => {
+                self.waiting.remove(&job.queue, job.waiting_tokens());
                 self.numbers.remove(&job.id);
                 BatchReply::Ended
             }
--- a/crates/state/src/batch/mod.rs
+++ b/crates/state/src/batch/mod.rs
@@ -10,8 +10,11 @@
 mod machine;
 mod packed;
 mod query;
+mod queue;
 
-pub use command::{BatchCommand, BatchReply, ItemCheckpoint, ItemRecord, ItemReference, RecordOutcome, SubmitJob};
+pub use command::{
+    BatchCommand, BatchReply, ItemCheckpoint, ItemRecord, ItemReference, RecordOutcome, SubmitJob,
+};
 pub use job::{BatchItem, BatchJob, ItemOutcome, ItemProgress};
 pub use machine::BatchMachine;
 pub use packed::PackedText;
--- a/crates/state/src/declared/model.rs
+++ b/crates/state/src/declared/model.rs
@@ -83,6 +83,9 @@
     /// Services and their shares.
     #[n(13)]
     pub destinations: Vec<Destination>,
+    /// Tokens of batch items that may wait at once; none without a limit.
+    #[n(14)]
+    pub max_queued_tokens: Option<u64>,
 }
 
 impl Route {
--- a/crates/state/tests/batch.rs
+++ b/crates/state/tests/batch.rs
@@ -1,8 +1,8 @@
 //! Ordered batch jobs.
 
 use molespan_state::batch::{
-    BatchAnswer, BatchCommand, BatchItem, BatchMachine, BatchQuery, BatchReply, ItemOutcome,
-    ItemCheckpoint, ItemRecord, ItemReference, PackedText, RecordOutcome, ResultPage, SubmitJob,
+    BatchAnswer, BatchCommand, BatchItem, BatchMachine, BatchQuery, BatchReply, ItemCheckpoint,
+    ItemOutcome, ItemRecord, ItemReference, PackedText, RecordOutcome, ResultPage, SubmitJob,
 };
 use proptest::prelude::*;
 
@@ -16,6 +16,8 @@
     });
     BatchCommand::Submit(Box::new(SubmitJob {
         due_ms: None,
+        queue: "q".to_owned(),
+        max_queued_tokens: None,
         id: id.to_owned(),
         host: "h".to_owned(),
         path: "/p".to_owned(),
