--- a/crates/state/tests/declared.rs
+++ b/crates/state/tests/declared.rs
@@ -38,6 +38,7 @@
 
 fn route(host: &str, prefix: &str) -> Route {
     Route {
+        max_queued_tokens: None,
         name: format!("{host}{prefix}"),
         host: host.to_owned(),
         path_prefix: prefix.to_owned(),
