Let only members of the control group say whether a store may be emptied

The retirement was asked of a control node that holds no vote; stores watch at members only, so that it knew of no store that is alive and answered that too few would stay (409). Nodes without a vote are common since control nodes run on every store machine.

--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -8,6 +8,7 @@
 use molespan_state::declared::{
     Declaration, DeclaredCommand, DeclaredReply, Departure, RetireReply,
 };
+use molespan_types::NodeId;
 use slog::{Logger, info, warn};
 
 use super::dialect::{CallProblem, ControlCall, ControlDialect, ControlOutcome, EngineHeartbeat};
@@ -24,6 +25,8 @@
 /// The interface of engines and operators.
 pub struct ControlApi<D> {
     pub dialect: D,
+    /// This node.
+    pub own: NodeId,
     pub hub: Arc<Hub>,
     pub cluster: Arc<Cluster>,
     /// Stores that must stay when one is to be emptied.
@@ -132,6 +135,12 @@
     }
 
     async fn retire(&self, name: String) -> ControlOutcome {
+        // Stores watch at members only: another node, or one that has just
+        // started, knows of too few that are alive.
+        if !self.hub.control_nodes().contains(&self.own) || !self.hub.knows_stores() {
+            info!(self.logger, "store not to be emptied by this node"; "name" => name);
+            return ControlOutcome::Unavailable;
+        }
         let command = DeclaredCommand::Retire {
             name: name.clone(),
             replicas: self.store_replicas,
--- a/crates/fleet/src/control/hub.rs
+++ b/crates/fleet/src/control/hub.rs
@@ -152,6 +152,12 @@
         self.lock().topology.control.clone()
     }
 
+    /// Whether every store that is alive has had the time to ask here.
+    #[must_use]
+    pub fn knows_stores(&self) -> bool {
+        self.started.elapsed() >= PRESENCE
+    }
+
     /// Stores that asked lately.
     #[must_use]
     pub fn live_stores(&self) -> BTreeSet<NodeId> {
--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -167,6 +167,7 @@
             .detach();
         let api = ControlApi {
             dialect,
+            own,
             hub: hub.clone(),
             cluster: cluster.clone(),
             store_replicas: options.voters() as u32,
