--- a/crates/daemon/src/replica/options.rs
+++ b/crates/daemon/src/replica/options.rs
@@ -59,6 +59,9 @@
     pub hand_over_within: Duration,
     /// Bytes after which a segment of the log is closed.
     pub segment_bytes: u64,
+    /// A snapshot of a group is taken after as many bytes of applied commands.
+    /// Until then they are in memory, and read again at a start.
+    pub snapshot_every_bytes: u64,
 }
 
 impl ReplicaOptions {
@@ -79,6 +82,7 @@
             node_heartbeat: Duration::from_secs(1),
             hand_over_within: Duration::from_secs(3),
             segment_bytes: LogSettings::default().segment_bytes,
+            snapshot_every_bytes: 64 << 20,
         }
     }
 
@@ -99,6 +103,7 @@
             job_groups: self.job_groups,
             lease_length: self.lease,
             claim_timeout: self.claim_timeout,
+            snapshot_every_bytes: self.snapshot_every_bytes,
             tick: self.tick,
             election_ticks: self.ticks(self.election_timeout).max(3),
             heartbeat_ticks: self.ticks(self.leader_heartbeat).max(1),
--- a/crates/fleet/src/store/node.rs
+++ b/crates/fleet/src/store/node.rs
@@ -3,6 +3,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -57,13 +58,31 @@
     pub keep_jobs_for: Duration,
     /// Bound of handing leadership over before a planned stop.
     pub hand_over_within: Duration,
+    /// Bytes of memory that the process may use; none where that is not bounded.
+    pub memory: Option<u64>,
 }
 
+/// Part of its memory that a store lets its log take before a snapshot does away
+/// with it. The state is in memory beside it, and once more while a snapshot is
+/// written or read.
+const LOG_SHARE: u64 = 8;
+/// Smallest and largest bytes of log between two snapshots.
+const SNAPSHOT_BYTES: RangeInclusive<u64> = 2 << 20..=64 << 20;
+/// Bytes of a segment of the log at the most.
+const SEGMENT_BYTES: u64 = 4 << 20;
+
 impl StoreOptions {
     fn replicas(&self) -> u32 {
         2 * self.tolerated_losses + 1
     }
 
+    /// Bytes of log after which a snapshot is taken.
+    #[must_use]
+    pub fn snapshot_bytes(&self) -> u64 {
+        let memory = self.memory.unwrap_or(u64::MAX);
+        (memory / LOG_SHARE).clamp(*SNAPSHOT_BYTES.start(), *SNAPSHOT_BYTES.end())
+    }
+
     fn replica(&self) -> ReplicaOptions {
         let mut members = Discovery::new(GroupId::BATCH);
         members.voters = self.replicas() as usize;
@@ -73,7 +92,8 @@
                 port: self.addresses.store_port,
             }),
             hand_over_within: self.hand_over_within,
-            segment_bytes: 4 << 20,
+            segment_bytes: SEGMENT_BYTES.min(self.snapshot_bytes() / 2),
+            snapshot_every_bytes: self.snapshot_bytes(),
             tick: TICK,
             election_timeout: ELECTION_TIMEOUT,
             leader_heartbeat: LEADER_HEARTBEAT,
--- a/crates/settings/src/discovered/model.rs
+++ b/crates/settings/src/discovered/model.rs
@@ -59,6 +59,9 @@
     pub readiness_address: Option<SocketAddr>,
     /// Where engines and operators call; only of a control node.
     pub control_address: Option<SocketAddr>,
+    /// Memory that the process may use, in MB; a store keeps its log within a
+    /// part of it.
+    pub memory_mb: Option<u32>,
     /// Folder of what must survive; not of a gateway.
     pub data_folder: Option<PathBuf>,
 }
--- a/crates/settings/src/discovered/read.rs
+++ b/crates/settings/src/discovered/read.rs
@@ -44,6 +44,7 @@
         caller_address: section.optional("caller_address"),
         readiness_address: section.optional("readiness_address"),
         control_address: section.optional("control_address"),
+        memory_mb: section.optional("memory_mb"),
         data_folder: section.optional("data_folder"),
     };
     section.finish();
--- a/crates/settings/tests/discovered.rs
+++ b/crates/settings/tests/discovered.rs
@@ -100,6 +100,7 @@
         "node.readiness_address",
         "node.control_address",
         "node.data_folder",
+        "node.memory_mb",
         "cluster.seeds",
         "cluster.first_start",
         "tolerance.machines",
--- a/crates/storage/src/snapshot.rs
+++ b/crates/storage/src/snapshot.rs
@@ -65,7 +65,7 @@
         let Some(bytes) = read_checked(&self.disk, &self.directory, &name)? else {
             return Ok(None);
         };
-        split(&bytes).map(Some).ok_or_else(|| {
+        split(bytes).map(Some).ok_or_else(|| {
             let path = join(&self.directory, &name);
             StorageError::corrupt(&path, 0, "header does not fit")
         })
@@ -96,13 +96,15 @@
     }
 }
 
-fn split(bytes: &[u8]) -> Option<Snapshot> {
+/// Splits what was read without a copy of the machine, which may be large.
+fn split(mut bytes: Vec<u8>) -> Option<Snapshot> {
     let (length, rest) = bytes.split_first_chunk::<LENGTH_BYTES>()?;
     let length = u32::from_le_bytes(*length) as usize;
-    let (header, machine) = rest.split_at_checked(length)?;
+    let header = rest.get(..length)?.to_vec();
+    bytes.drain(..LENGTH_BYTES + length);
     Some(Snapshot {
-        header: header.to_vec(),
-        machine: machine.to_vec(),
+        header,
+        machine: bytes,
     })
 }
 
