--- a/crates/fleet/tests/handout.rs
+++ b/crates/fleet/tests/handout.rs
@@ -6,6 +6,7 @@
 use molespan_fleet::store::Handout;
 use molespan_state::batch::{ItemReference, OpenItem, OpenWork};
 use molespan_types::{NodeId, Timestamp};
+use proptest::prelude::*;
 
 const LEASE: Duration = Duration::from_secs(2);
 const ONE: NodeId = NodeId(1);
@@ -118,3 +119,72 @@
     let stop = handout.renew(at(1), ONE, &running(&[item(1, 0), item(2, 0)]), &left);
     assert_eq!(stop, [item(1, 0)]);
 }
+
+/// Open items of one job each, due at these times.
+fn due(times: &[Option<u64>]) -> OpenWork {
+    let items = (1..).zip(times).map(|(job, &due_ms)| OpenItem {
+        item: item(job, 0),
+        tokens: 1,
+        due_ms,
+    });
+    let items: Vec<OpenItem> = items.collect();
+    OpenWork {
+        jobs: items.iter().map(|open| open.item.job).collect(),
+        items,
+    }
+}
+
+#[test]
+fn what_is_due_first_goes_out_first_and_what_is_late_last() {
+    // It is 1,000 ms: the first is late, the third is due next.
+    let work = due(&[Some(900), Some(5_000), Some(2_000), None, Some(800)]);
+    let mut handout = warm();
+    let taken = handout.take(at(0), 1_000, ONE, 9, &work);
+    let order: Vec<u64> = taken.iter().map(|item| item.job).collect();
+    assert_eq!(order, [3, 2, 4, 5, 1]);
+}
+
+#[test]
+fn an_item_that_can_no_longer_be_done_in_time_counts_as_late() {
+    let mut handout = warm();
+    assert_eq!(handout.run_time(), Duration::ZERO);
+    // Four items take 1, 2, 3 and 4 s: a quarter takes no longer than 2 s.
+    let all = due(&[None; 6]);
+    let first: Vec<_> = all.items.iter().map(|open| open.item).take(4).collect();
+    handout.take(at(0), 0, ONE, 4, &all);
+    let mut work = all.clone();
+    for (done, item) in first.iter().enumerate() {
+        work.items.retain(|open| open.item != *item);
+        let left = running(&first[done + 1..]);
+        handout.renew(at(1_000 * (done as u64 + 1)), ONE, &left, &work);
+    }
+    assert_eq!(handout.run_time(), Duration::from_secs(2));
+    // What is due within 2 s is as good as late; 3 s are enough.
+    let work = due(&[Some(11_500), Some(13_000)]);
+    let taken = handout.take(at(9_000), 10_000, TWO, 1, &work);
+    assert_eq!(taken, [item(2, 0)]);
+}
+
+proptest! {
+    /// Of two items that can be done in time, the one that is due later never
+    /// goes out first; and every item goes out, however many are more urgent.
+    #[test]
+    fn no_item_overtakes_one_that_is_due_before_it_and_none_starves(
+        times in prop::collection::vec(prop::option::of(0..10_000_u64), 1..40),
+        now_ms in 0..10_000_u64,
+        at_once in 1..5_usize,
+    ) {
+        let work = due(&times);
+        let mut handout = warm();
+        let mut order = Vec::new();
+        for _ in 0..=times.len() {
+            order.extend(handout.take(at(0), now_ms, ONE, at_once, &work));
+        }
+        prop_assert_eq!(order.len(), times.len());
+        let due_of = |item: &ItemReference| times[item.job as usize - 1].unwrap_or(u64::MAX);
+        let in_time: Vec<u64> = order.iter().map(due_of).filter(|&due| due >= now_ms).collect();
+        prop_assert!(in_time.is_sorted());
+        let first_late = order.iter().position(|item| due_of(item) < now_ms);
+        prop_assert!(first_late.is_none_or(|first| first == in_time.len()));
+    }
+}
