Let the batch group answer what it keeps of an item's output

Cause, seen on reading the change: a checkpoint that is committed although the gateway hears of it too late, or behind another gateway's, left the gateway's idea of what is kept wrong. Its later checkpoints did not follow on what is kept and were dropped without a word, until the item was done. Ruled out: wrong results; what is kept is a whole beginning of the output either way. Change: the reply to a checkpoint says which event is the last one kept; a gateway that is not sure sends the whole the next time. A planned stop ends the runs before it keeps what they made, and sends a second time what did not follow.

--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -8,12 +8,11 @@
 use futures_lite::future;
 use molespan_http::h1::Headers;
 use molespan_routing::dispatch::WorkClass;
-use molespan_state::batch::{ItemOutcome, ItemToRun};
+use molespan_state::batch::{ItemOutcome, ItemToRun, Output};
 use molespan_state::declared::Route;
 use slog::info;
 
 use super::api::unix_ms;
-use super::output::Output;
 use super::preemption::RunGuard;
 use crate::attempt::{EngineBody, EngineReply, Outbound};
 use crate::dialect::GatewayDialect;
@@ -131,7 +130,7 @@
     let ends = Instant::now() + RUN_TIMEOUT;
     let mut dispatch = Dispatch::new(state, dialect, route, service, outbound, facts, ends);
     let guard = RunGuard::begin(state, item.due_ms);
-    let after_event = output.borrow().last_event;
+    let after_event = output.borrow().last_event();
     dispatch.due_ms = item.due_ms;
     let running = async {
         let Ok(reply) = dispatch.next_reply(after_event).await else {
--- a/crates/proxy/src/batch/mod.rs
+++ b/crates/proxy/src/batch/mod.rs
@@ -2,7 +2,6 @@
 
 mod api;
 mod item;
-mod output;
 mod preemption;
 mod runner;
 mod turn;
--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -8,14 +8,14 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use molespan_state::batch::{
-    BatchCommand, BatchReply, ItemOutcome, ItemRecord, ItemReference, ItemToRun, RecordOutcome,
+    BatchCommand, BatchReply, ItemOutcome, ItemRecord, ItemReference, ItemToRun, Kept, Output,
+    RecordOutcome,
 };
 use molespan_state::declared::RouteKind;
 use molespan_wire::TakeItems;
 use slog::{info, warn};
 
 use super::item::{SharedOutput, run_item};
-use super::output::{Kept, Output};
 use crate::dialect::GatewayDialect;
 use crate::state::GatewayState;
 
@@ -79,7 +79,8 @@
     let _keeping = runner.local.spawn(async move {
         loop {
             Timer::after(CHECKPOINT_EVERY).await;
-            checkpoints.checkpoint(CHECKPOINT_DEADLINE).await;
+            let outputs = checkpoints.outputs();
+            checkpoints.checkpoint(&outputs, CHECKPOINT_DEADLINE).await;
         }
     });
     loop {
@@ -238,16 +239,28 @@
         }
     }
 
-    /// Keeps in the batch group what the items here have made, so that others can
-    /// go on behind it if this gateway is lost. Says whether that is done.
-    async fn checkpoint(&self, within: Duration) -> bool {
+    /// The outputs of the items here, as they are and will be.
+    fn outputs(&self) -> Vec<(ItemReference, SharedOutput)> {
+        let running = self.running.borrow();
+        let outputs = running.iter();
+        outputs
+            .map(|(item, running)| (*item, running.output.clone()))
+            .collect()
+    }
+
+    /// Keeps in the batch group what these items have made, so that others can go
+    /// on behind it if this gateway is lost. Says whether that is done.
+    async fn checkpoint(
+        &self,
+        outputs: &[(ItemReference, SharedOutput)],
+        within: Duration,
+    ) -> bool {
         let mut items = Vec::new();
-        let mut kept: Vec<(SharedOutput, Kept)> = Vec::new();
-        for (item, running) in &*self.running.borrow() {
-            let checkpoint = running.output.borrow().checkpoint(*item);
-            if let Some((checkpoint, upto)) = checkpoint {
+        let mut sent: Vec<(&SharedOutput, Kept)> = Vec::new();
+        for (item, output) in outputs {
+            if let Some((checkpoint, kept)) = output.borrow().checkpoint(*item) {
                 items.push(checkpoint);
-                kept.push((running.output.clone(), upto));
+                sent.push((output, kept));
             }
         }
         if items.is_empty() {
@@ -255,15 +268,19 @@
         }
         let command = BatchCommand::Checkpoint { items };
         match self.state.batch.change_batch(&command, within).await {
-            Ok(_) => {
-                for (output, upto) in kept {
-                    output.borrow_mut().note_kept(upto);
+            Ok(BatchReply::Progress { last_events }) => {
+                for ((output, kept), last_event) in sent.into_iter().zip(last_events) {
+                    output.borrow_mut().note_kept(kept, last_event);
                 }
                 true
             }
-            Err(error) => {
-                info!(self.state.logger, "progress not kept"; "items" => kept.len(),
-                    "error" => %error);
+            other => {
+                info!(self.state.logger, "progress not kept"; "items" => sent.len(),
+                    "answer" => ?other.err());
+                // It may have been, or may yet be.
+                for (output, _) in sent {
+                    output.borrow_mut().forget_kept();
+                }
                 false
             }
         }
@@ -271,12 +288,16 @@
 
     /// Ends a planned stop's batch work: others go on behind the last events.
     async fn hand_over(&self) {
-        let count = self.running.borrow().len();
+        let outputs = self.outputs();
+        let count = outputs.len();
         if count == 0 {
             return;
         }
-        let noted = self.checkpoint(HAND_OVER_DEADLINE).await;
         drop(std::mem::take(&mut *self.running.borrow_mut()));
+        // The second one sends only what an earlier checkpoint, still on its way,
+        // kept from following.
+        let noted = self.checkpoint(&outputs, HAND_OVER_DEADLINE).await
+            && self.checkpoint(&outputs, HAND_OVER_DEADLINE).await;
         let release = TakeItems {
             node: self.state.own,
             capacity: 0,
--- a/crates/state/src/batch/command.rs
+++ b/crates/state/src/batch/command.rs
@@ -144,4 +144,11 @@
     /// Too many tokens would wait with those of the job; nothing changed.
     #[n(5)]
     QueueFull,
+    /// To checkpoints: the last event that is kept of each item, in their order.
+    #[n(6)]
+    Progress {
+        /// They; none of an item of which nothing is kept.
+        #[n(0)]
+        last_events: Vec<Option<u64>>,
+    },
 }
--- a/crates/state/src/batch/job.rs
+++ b/crates/state/src/batch/job.rs
@@ -139,27 +139,24 @@
 
     /// Keeps what a run has made, unless the item has an outcome. What does not
     /// follow on what is kept comes from another run, and counts only if it is
-    /// whole and goes further.
-    pub(super) fn keep(&mut self, checkpoint: &ItemCheckpoint) {
+    /// whole and goes further. Says which event is the last one kept then.
+    pub(super) fn keep(&mut self, checkpoint: &ItemCheckpoint) -> Option<u64> {
         let place = checkpoint.item.place;
-        let open = self
-            .outcomes
+        self.outcomes
             .get(place as usize)
-            .is_some_and(Option::is_none);
+            .filter(|outcome| outcome.is_none())?;
         let kept = self.progress.get(&place).and_then(|kept| kept.last_event);
-        if !open || kept.is_some_and(|kept| checkpoint.last_event <= kept) {
-            return;
-        }
         let follows = checkpoint.after == kept;
-        if !follows && checkpoint.after.is_some() {
-            return;
-        }
-        let progress = self.progress.entry(place).or_default();
-        if !follows {
-            progress.pieces.clear();
+        let goes_further = kept.is_none_or(|kept| checkpoint.last_event > kept);
+        if goes_further && (follows || checkpoint.after.is_none()) {
+            let progress = self.progress.entry(place).or_default();
+            if !follows {
+                progress.pieces.clear();
+            }
+            progress.pieces.push(checkpoint.text.clone());
+            progress.last_event = Some(checkpoint.last_event);
         }
-        progress.pieces.push(checkpoint.text.clone());
-        progress.last_event = Some(checkpoint.last_event);
+        self.progress.get(&place).and_then(|kept| kept.last_event)
     }
 
     /// Places of items without an outcome.
--- a/crates/state/src/batch/machine.rs
+++ b/crates/state/src/batch/machine.rs
@@ -109,13 +109,13 @@
     }
 
     fn checkpoint(&mut self, items: &[ItemCheckpoint]) -> BatchReply {
-        for checkpoint in items {
-            if let Some(job) = self.jobs.get_mut(&checkpoint.item.job) {
-                job.keep(checkpoint);
-            }
-        }
+        let last_events = items.iter().map(|checkpoint| {
+            let job = self.jobs.get_mut(&checkpoint.item.job)?;
+            job.keep(checkpoint)
+        });
+        let last_events = last_events.collect();
         self.revision += 1;
-        BatchReply::Recorded
+        BatchReply::Progress { last_events }
     }
 
     fn end(&mut self, id: &str) -> BatchReply {
--- a/crates/state/src/batch/mod.rs
+++ b/crates/state/src/batch/mod.rs
@@ -8,6 +8,7 @@
 mod command;
 mod job;
 mod machine;
+mod output;
 mod packed;
 mod query;
 mod queue;
@@ -17,5 +18,6 @@
 };
 pub use job::{BatchItem, BatchJob, ItemOutcome, ItemProgress};
 pub use machine::BatchMachine;
+pub use output::{Kept, Output};
 pub use packed::PackedText;
 pub use query::{BatchAnswer, BatchQuery, ItemToRun, ListedResult, OpenItem, OpenWork, ResultPage};
--- a/crates/proxy/src/batch/output.rs
+++ b/crates/state/src/batch/output.rs
@@ -1,22 +1,28 @@
-//! What is there of an item's output while it runs.
+//! The output of an item at the gateway that runs it, and how much of it the
+//! batch group keeps.
 
-use molespan_state::batch::{ItemCheckpoint, ItemProgress, ItemReference, PackedText};
+use super::command::{ItemCheckpoint, ItemReference};
+use super::job::ItemProgress;
+use super::packed::PackedText;
 
-/// The output of an item so far, and how much of it the batch group keeps.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Output {
-    /// Number of the last event that is there.
-    pub last_event: Option<u64>,
+/// The output of an item so far.
+///
+/// What [`Output::checkpoint`] gives may be committed late or although the gateway
+/// never hears of it, and another gateway may have kept more. Whenever the batch
+/// group may keep something else than this one believes, the next checkpoint is
+/// whole: it is taken whatever is kept by then.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Output {
+    last_event: Option<u64>,
     /// Data of the events in order; what came back from the batch group stands
     /// in pieces of several events.
     data: Vec<String>,
-    /// The part that the batch group keeps.
     kept: Kept,
 }
 
-/// A part of an output, from its beginning.
+/// The part of an output, from its beginning, that the batch group keeps.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) struct Kept {
+pub struct Kept {
     last_event: Option<u64>,
     pieces: usize,
 }
@@ -24,6 +30,7 @@
 impl Output {
     /// What the batch group keeps of an earlier run. Nothing when it cannot be
     /// read: then the item runs anew.
+    #[must_use]
     pub fn resume(progress: &ItemProgress) -> Self {
         let data: Option<Vec<String>> = progress.pieces.iter().map(PackedText::unpack).collect();
         let Some(data) = data else {
@@ -40,6 +47,12 @@
         }
     }
 
+    /// Number of the last event that is there; a run goes on behind it.
+    #[must_use]
+    pub fn last_event(&self) -> Option<u64> {
+        self.last_event
+    }
+
     /// Takes an event in.
     pub fn push(&mut self, id: Option<u64>, data: String) {
         self.last_event = id.or(self.last_event);
@@ -47,11 +60,14 @@
     }
 
     /// The whole output.
+    #[must_use]
     pub fn text(&self) -> PackedText {
         PackedText::pack(&self.data.join("\n"))
     }
 
-    /// What the batch group does not keep yet, and what it will keep with it.
+    /// What the batch group does not keep yet, and what it keeps with it; `None`
+    /// when it keeps everything.
+    #[must_use]
     pub fn checkpoint(&self, item: ItemReference) -> Option<(ItemCheckpoint, Kept)> {
         let last_event = self.last_event?;
         if self.kept.last_event.is_some_and(|kept| kept >= last_event) {
@@ -70,8 +86,17 @@
         Some((checkpoint, kept))
     }
 
-    /// The batch group keeps that much.
-    pub fn note_kept(&mut self, kept: Kept) {
-        self.kept = kept;
+    /// The batch group took a checkpoint in that would make it keep `kept`, and
+    /// answers the last event that it does keep.
+    pub fn note_kept(&mut self, kept: Kept, last_event: Option<u64>) {
+        match last_event == kept.last_event {
+            true => self.kept = kept,
+            false => self.forget_kept(),
+        }
+    }
+
+    /// It is not known what the batch group keeps.
+    pub fn forget_kept(&mut self) {
+        self.kept = Kept::default();
     }
 }
