Use what the project had already, and drop what the change made dead

Read in the whole change again; behaviour stays as it is. - The time of day comes from daemon::wall_clock, which stood there; it was written again in three places. - fleet::wakeup serves the hub of control nodes too, which had the same by hand. - The options of the two replicas of a cluster come from one function of fleet::membership; each node states what is its own. - A refresh of a control node worked the members out twice; recording an outcome counted the tokens of its whole job twice. - Constants that had become 1.0 are gone; the turn of a batch item is passed on in one step. Tests of the five crates concerned pass; no test was changed.

--- a/crates/fleet/src/control/hub.rs
+++ b/crates/fleet/src/control/hub.rs
@@ -4,7 +4,6 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
 use molespan_state::declared::{DeclaredState, Departure};
@@ -13,6 +12,7 @@
 
 use super::registry::Registry;
 use crate::view::{ConfigurationInForce, EngineRecord, Topology, ViewUpdate};
+use crate::wakeup::Wakeup;
 
 /// A node that did not ask for longer is not counted.
 const PRESENCE: Duration = Duration::from_secs(4);
@@ -35,9 +35,8 @@
     topology: Topology,
     topology_changed: u64,
     watchers: BTreeMap<NodeId, Watcher>,
-    /// Dropped at the next change, which wakes all that wait.
-    wake: Sender<()>,
-    woken: Receiver<()>,
+    /// Wakes all that wait at the next change.
+    wakeup: Wakeup,
 }
 
 /// The view of one control node.
@@ -52,7 +51,6 @@
     /// An empty view; engines are lost after `silence`.
     #[must_use]
     pub fn new(silence: Duration) -> Self {
-        let (wake, woken) = async_channel::bounded(1);
         let state = State {
             revision: 1,
             registry: Registry::new(silence),
@@ -62,8 +60,7 @@
             topology: Topology::default(),
             topology_changed: 0,
             watchers: BTreeMap::new(),
-            wake,
-            woken,
+            wakeup: Wakeup::default(),
         };
         Self {
             session: rand::random(),
@@ -187,15 +184,12 @@
                 if state.revision > since || Instant::now() >= ends {
                     return self.response(&state, since);
                 }
-                state.woken.clone()
+                state.wakeup.waiter()
             };
             let late = async {
                 Timer::at(ends).await;
             };
-            let change = async {
-                let _closed = woken.recv().await;
-            };
-            future::or(change, late).await;
+            future::or(woken.woken(), late).await;
         }
     }
 
@@ -214,10 +208,7 @@
 impl State {
     fn changed(&mut self) {
         self.revision += 1;
-        let (wake, woken) = async_channel::bounded(1);
-        self.wake.close();
-        self.wake = wake;
-        self.woken = woken;
+        self.wakeup.wake();
     }
 
     fn watching(&self, kind: WatcherKind) -> BTreeSet<NodeId> {
--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -13,7 +13,7 @@
 use molespan_daemon::DaemonError;
 use molespan_daemon::cluster::{Cluster, PeerTransport, WireTransport};
 use molespan_daemon::local_transport::LocalTransport;
-use molespan_daemon::replica::{DiscoveryOptions, ReplicaOptions, ReplicaRole};
+use molespan_daemon::replica::{ReplicaOptions, ReplicaRole};
 use molespan_http::h1;
 use molespan_replica::{Discovery, ReplicaStatus};
 use molespan_state::control::{ControlAnswer, ControlQuery};
@@ -26,9 +26,7 @@
 use super::dialect::ControlDialect;
 use super::hub::Hub;
 use super::relay::{RelayedWork, relay_work};
-use crate::membership::{
-    ClusterAddresses, ELECTION_TIMEOUT, LEADER_HEARTBEAT, TICK, cluster, start_replica,
-};
+use crate::membership::{ClusterAddresses, cluster, replica_options, start_replica};
 use crate::view::EngineRecord;
 
 /// Time between two rounds of telling the other control nodes.
@@ -73,17 +71,10 @@
     }
 
     fn replica(&self) -> ReplicaOptions {
+        let ClusterAddresses { own, port, .. } = self.addresses;
         ReplicaOptions {
-            discovery: Some(DiscoveryOptions {
-                members: self.discovery(),
-                port: self.addresses.port,
-            }),
             hand_over_within: self.hand_over_within,
-            segment_bytes: 4 << 20,
-            tick: TICK,
-            election_timeout: ELECTION_TIMEOUT,
-            leader_heartbeat: LEADER_HEARTBEAT,
-            ..ReplicaOptions::new(self.addresses.own, Vec::new(), self.data_folder.clone())
+            ..replica_options(own, self.discovery(), port, self.data_folder.clone())
         }
     }
 }
@@ -227,9 +218,8 @@
         let Ok(ControlAnswer::Declared(declared)) = molespan_state::decode(&answer) else {
             return;
         };
-        let contacts = members(&status);
         let retiring = declared.stores().retiring();
-        self.replica.set_members(contacts, retiring);
+        self.replica.set_members(control.clone(), retiring);
         let applied = status.groups.first().map_or(0, |group| group.applied);
         self.hub.take(&declared, control, applied);
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod membership;
 pub mod store;
 pub mod view;
+mod wakeup;
 mod watch;
 
 pub use membership::ClusterAddresses;
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -1,13 +1,15 @@
 //! How the nodes of a cluster address one another.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_executor::Executor;
 use molespan_daemon::DaemonError;
 use molespan_daemon::cluster::{Cluster, ClusterLimits, PeerTransport, WireTransport};
-use molespan_daemon::replica::{ReplicaContext, ReplicaOptions, ReplicaRole};
+use molespan_daemon::replica::{DiscoveryOptions, ReplicaContext, ReplicaOptions, ReplicaRole};
+use molespan_replica::Discovery;
 use molespan_telemetry::{EventBuffer, Metrics};
 use molespan_types::NodeId;
 use molespan_wire::ClientLimits;
@@ -15,13 +17,15 @@
 
 /// Time between two ticks of a group. Idle ticks cost processor time on small
 /// machines.
-pub(crate) const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(100);
 /// Shortest time without a leader before an election. Jobs are to be kept
 /// within some hundred milliseconds also when a store is lost; an election that
 /// was not needed is prevented by the pre-vote.
-pub(crate) const ELECTION_TIMEOUT: Duration = Duration::from_millis(300);
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time between two heartbeats of a leader: two of three may be late.
-pub(crate) const LEADER_HEARTBEAT: Duration = TICK;
+const LEADER_HEARTBEAT: Duration = TICK;
+/// Bytes of a segment of the log.
+pub(crate) const SEGMENT_BYTES: u64 = 4 << 20;
 
 /// Where the nodes are: each is named by its address, and those of one kind
 /// listen on one port for the others.
@@ -92,6 +96,24 @@
     Arc::new(Cluster::new(transport, replicas, limits))
 }
 
+/// Options of the replica of a node at `node`, which looks for `members` on
+/// `port`.
+pub(crate) fn replica_options(
+    node: NodeId,
+    members: Discovery,
+    port: u16,
+    data_folder: PathBuf,
+) -> ReplicaOptions {
+    ReplicaOptions {
+        discovery: Some(DiscoveryOptions { members, port }),
+        segment_bytes: SEGMENT_BYTES,
+        tick: TICK,
+        election_timeout: ELECTION_TIMEOUT,
+        leader_heartbeat: LEADER_HEARTBEAT,
+        ..ReplicaOptions::new(node, Vec::new(), data_folder)
+    }
+}
+
 /// Decision events kept; nobody watches them on these nodes yet.
 const EVENTS: usize = 256;
 
--- a/crates/fleet/src/store/node.rs
+++ b/crates/fleet/src/store/node.rs
@@ -7,14 +7,15 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use async_executor::{Executor, LocalExecutor};
 use async_io::Timer;
 use futures_lite::future;
 use molespan_daemon::DaemonError;
 use molespan_daemon::cluster::Cluster;
-use molespan_daemon::replica::{DiscoveryOptions, ReplicaOptions, ReplicaRole};
+use molespan_daemon::replica::{ReplicaOptions, ReplicaRole};
+use molespan_daemon::wall_clock::unix_millis;
 use molespan_replica::{Discovery, ReplicaStatus};
 use molespan_state::batch::{BatchAnswer, BatchCommand, BatchQuery};
 use molespan_state::declared::{DeclaredCommand, RegisterStore};
@@ -24,9 +25,7 @@
 use slog::{Logger, info, warn};
 
 use super::peer::PeerHandler;
-use crate::membership::{
-    ClusterAddresses, ELECTION_TIMEOUT, LEADER_HEARTBEAT, TICK, cluster, start_replica,
-};
+use crate::membership::{ClusterAddresses, SEGMENT_BYTES, cluster, replica_options, start_replica};
 use crate::view::{Topology, TopologyView, ViewUpdate};
 use crate::watch::{ViewSink, ViewWatcher};
 
@@ -68,8 +67,6 @@
 const LOG_SHARE: u64 = 8;
 /// Smallest and largest bytes of log between two snapshots.
 const SNAPSHOT_BYTES: RangeInclusive<u64> = 2 << 20..=64 << 20;
-/// Bytes of a segment of the log at the most.
-const SEGMENT_BYTES: u64 = 4 << 20;
 
 impl StoreOptions {
     fn replicas(&self) -> u32 {
@@ -86,18 +83,14 @@
     fn replica(&self) -> ReplicaOptions {
         let mut members = Discovery::new(GroupId::BATCH);
         members.voters = self.replicas() as usize;
+        let ClusterAddresses {
+            own, store_port, ..
+        } = self.addresses;
         ReplicaOptions {
-            discovery: Some(DiscoveryOptions {
-                members,
-                port: self.addresses.store_port,
-            }),
             hand_over_within: self.hand_over_within,
             segment_bytes: SEGMENT_BYTES.min(self.snapshot_bytes() / 2),
             snapshot_every_bytes: self.snapshot_bytes(),
-            tick: TICK,
-            election_timeout: ELECTION_TIMEOUT,
-            leader_heartbeat: LEADER_HEARTBEAT,
-            ..ReplicaOptions::new(self.addresses.own, Vec::new(), self.data_folder.clone())
+            ..replica_options(own, members, store_port, self.data_folder.clone())
         }
     }
 }
@@ -263,7 +256,9 @@
     /// Says of each store that was to be emptied that it is, once its machine
     /// has no place in this group, nor in the control group.
     async fn complete_retirements(&self, status: &ReplicaStatus) {
-        let retiring = self.topology.borrow().retiring.clone();
+        let Topology {
+            retiring, control, ..
+        } = self.topology.borrow().clone();
         let Some(group) = status.groups.first().filter(|group| group.leads) else {
             return;
         };
@@ -276,8 +271,8 @@
         let whole = group.voters.len() >= self.options.replicas() as usize;
         for node in retiring {
             let known = self.emptied.borrow().contains(&node);
-            let votes = self.topology.borrow().control.contains(&node);
-            if whole && !known && !votes && !members.contains(&node) {
+            let seated = members.contains(&node) || control.contains(&node);
+            if whole && !known && !seated {
                 let command = DeclaredCommand::RetirementCompleted { node };
                 let noted = self
                     .control
@@ -300,11 +295,8 @@
         let Some(BatchAnswer::Ages(ages)) = ages else {
             return;
         };
-        let now = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
         let keep = self.options.keep_jobs_for.as_millis() as u64;
-        let limit = (now.as_millis() as u64).saturating_sub(keep);
+        let limit = unix_millis().saturating_sub(keep);
         for (job, submitted_ms) in ages {
             if submitted_ms >= limit {
                 continue;
--- a/crates/fleet/src/store/peer.rs
+++ b/crates/fleet/src/store/peer.rs
@@ -2,17 +2,18 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use futures_lite::future;
 use molespan_daemon::replica::ReplicaRole;
+use molespan_daemon::wall_clock::unix_millis;
 use molespan_state::batch::{BatchAnswer, BatchQuery, ItemReference, OpenWork};
 use molespan_types::{GroupId, NodeId, RunOutcome, Timestamp};
 use molespan_wire::{Consistency, Handler, Request, Response, TakeItems};
 
 use super::handout::Handout;
-use super::wakeup::Wakeup;
+use crate::wakeup::Wakeup;
 
 /// A gateway that is silent for longer loses its items.
 const LEASE: Duration = Duration::from_millis(2_500);
@@ -152,7 +153,7 @@
         let mut handout = self.handout.lock().unwrap_or_else(PoisonError::into_inner);
         let handout = handout.get_or_insert_with(|| Handout::new(now, LEASE, WARM_UP));
         let stop = handout.renew(now, ask.node, &running, open);
-        let taken = handout.take(now, unix_ms(), ask.node, ask.capacity as usize, open);
+        let taken = handout.take(now, unix_millis(), ask.node, ask.capacity as usize, open);
         (taken, stop)
     }
 
@@ -228,12 +229,6 @@
     }
 }
 
-/// Milliseconds since 1970.
-fn unix_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.unwrap_or_default().as_millis() as u64
-}
-
 fn unavailable() -> Response {
     Response::Refused {
         outcome: RunOutcome::NotRun,
--- a/crates/fleet/src/store/wakeup.rs
+++ b/crates/fleet/src/wakeup.rs
@@ -6,11 +6,11 @@
 
 /// Wakes all that wait at the time.
 #[derive(Debug)]
-pub(super) struct Wakeup(Mutex<(Sender<()>, Receiver<()>)>);
+pub(crate) struct Wakeup(Mutex<(Sender<()>, Receiver<()>)>);
 
 /// Waits for the next wakeup.
 #[derive(Debug)]
-pub(super) struct Waiter(Receiver<()>);
+pub(crate) struct Waiter(Receiver<()>);
 
 impl Default for Wakeup {
     fn default() -> Self {
--- a/crates/proxy/src/batch/api.rs
+++ b/crates/proxy/src/batch/api.rs
@@ -1,8 +1,9 @@
 //! Callers' calls on batch jobs.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use molespan_daemon::cluster::ClusterError;
+use molespan_daemon::wall_clock::unix_millis;
 use molespan_http::h1::Answer;
 use molespan_state::batch::{
     BatchCommand, BatchReply, ItemOutcome, ListedResult, ResultPage, SubmitJob,
@@ -38,7 +39,7 @@
         }
     };
     let count = items.len();
-    let submitted_ms = unix_ms();
+    let submitted_ms = unix_millis();
     let command = BatchCommand::Submit(Box::new(SubmitJob {
         id: id.clone(),
         host: request.head.host(),
@@ -61,12 +62,6 @@
     dialect.batch_answer(outcome)
 }
 
-/// Milliseconds since 1970.
-pub(super) fn unix_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.unwrap_or_default().as_millis() as u64
-}
-
 /// Carries out a call that names a job.
 pub(crate) async fn call<D: GatewayDialect>(
     state: &GatewayState,
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -6,13 +6,13 @@
 
 use async_io::Timer;
 use futures_lite::future;
+use molespan_daemon::wall_clock::unix_millis;
 use molespan_http::h1::Headers;
 use molespan_routing::dispatch::WorkClass;
 use molespan_state::batch::{ItemOutcome, ItemToRun, Output};
 use molespan_state::declared::Route;
 use slog::info;
 
-use super::api::unix_ms;
 use super::preemption::RunGuard;
 use crate::attempt::{EngineBody, EngineReply, Outbound};
 use crate::dialect::GatewayDialect;
@@ -101,7 +101,7 @@
         return false;
     };
     let ends = item.submitted_ms + u64::from(retention) + CLOCK_SLACK_MS;
-    unix_ms() > ends
+    unix_millis() > ends
 }
 
 async fn run_once<D: GatewayDialect>(
--- a/crates/proxy/src/batch/preemption.rs
+++ b/crates/proxy/src/batch/preemption.rs
@@ -6,10 +6,10 @@
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
+use molespan_daemon::wall_clock::unix_millis;
 use molespan_routing::dispatch::Urgency;
 use slog::info;
 
-use super::api::unix_ms;
 use crate::state::GatewayState;
 
 /// A run of a batch item that may be told to give way.
@@ -93,7 +93,7 @@
         return;
     }
     let runs = state.batch_runs.runs.borrow();
-    let now_ms = unix_ms();
+    let now_ms = unix_millis();
     for (engine, count) in cuts {
         let mut running: Vec<(Urgency, u64, &Run)> = runs
             .iter()
--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -36,8 +36,6 @@
 const SHORTEST_ROUND: Duration = Duration::from_millis(50);
 /// Items taken at once at the most, so that a heap spreads over the gateways.
 const MOST_AT_ONCE: u32 = 4;
-/// Share of an engine's slots that all gateways together fill with batch work.
-const BATCH_SHARE: f64 = 1.0;
 /// Time between two checkpoints: what is lost when a gateway or all power is, at
 /// the most. Shorter ones cost more commits and bytes between zones.
 const CHECKPOINT_EVERY: Duration = Duration::from_millis(1_200);
@@ -144,7 +142,7 @@
         let waiting = running.saturating_sub(self.state.batch_runs.at_engines());
         let headroom = (headroom - f64::from(waiting) + rand::random::<f64>()).max(0.0) as u32;
         let slots: u32 = services.iter().map(|one| engines.slots(one)).sum();
-        let part = f64::from(slots) * BATCH_SHARE / f64::from(self.state.gateways());
+        let part = f64::from(slots) / f64::from(self.state.gateways());
         let left = (part.ceil() as u32).saturating_sub(running);
         headroom.min(left).min(MOST_AT_ONCE)
     }
--- a/crates/proxy/src/batch/turn.rs
+++ b/crates/proxy/src/batch/turn.rs
@@ -7,10 +7,9 @@
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
+use molespan_daemon::wall_clock::unix_millis;
 use molespan_routing::dispatch::Urgency;
 
-use super::api::unix_ms;
-
 /// One that waits.
 #[derive(Debug)]
 struct Waiter {
@@ -54,14 +53,14 @@
     /// Gives the turn to the most urgent one that waits.
     fn pass_on(&self) {
         let mut waiters = self.waiters.borrow_mut();
-        let now_ms = unix_ms();
-        let urgency =
-            |number: u64, waiter: &Waiter| (Urgency::of(waiter.due_ms, now_ms, 0), number);
-        let next = waiters
+        let now_ms = unix_millis();
+        let urgencies = waiters
             .iter()
-            .map(|(&number, waiter)| urgency(number, waiter))
-            .min();
-        match next.and_then(|(_, number)| waiters.remove(&number)) {
+            .map(|(&number, waiter)| (Urgency::of(waiter.due_ms, now_ms, 0), number));
+        match urgencies
+            .min()
+            .and_then(|(_, number)| waiters.remove(&number))
+        {
             Some(waiter) => {
                 waiter.wake.close();
             }
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -37,10 +37,9 @@
 /// The same where another gateway's batch work gives its slot up as soon as that
 /// gateway hears of the request.
 const CUT_ELSEWHERE_TOKENS: f64 = 3_000.0;
-/// Share of its slots up to which an engine gets batch work.
+/// Share of its slots up to which an engine gets batch work: all of them, since
+/// it gives way.
 const BATCH_LOAD: f64 = 1.0;
-/// Share of a service's slots in use from which on no batch request starts.
-const BATCH_STARTS_BELOW: f64 = 1.0;
 /// How long it takes until the other gateways see that a batch request started.
 const STARTS_SHOW: Duration = Duration::from_millis(150);
 /// Share of its slots up to which an engine gets online work.
@@ -295,14 +294,14 @@
         let of_service: Vec<&Engine> = self.of_service(service).collect();
         let slots: u32 = of_service.iter().map(|one| one.facts.slots).sum();
         let loads = of_service.iter().map(|one| one.load(now, others_tell));
-        let free = f64::from(slots) * BATCH_STARTS_BELOW - loads.sum::<f64>();
+        let free = f64::from(slots) - loads.sum::<f64>();
         let usable = of_service
             .iter()
             .filter(|engine| !engine.is_paused(now) && !engine.is_crowded(now));
         let room: f64 = usable
             .map(|engine| {
-                let most = f64::from(engine.facts.slots) * BATCH_LOAD;
-                (most - engine.load(now, others_tell)).max(0.0)
+                let slots = f64::from(engine.facts.slots);
+                (slots - engine.load(now, others_tell)).max(0.0)
             })
             .sum();
         let lately = self.batch_starts.iter();
--- a/crates/state/src/batch/job.rs
+++ b/crates/state/src/batch/job.rs
@@ -121,19 +121,25 @@
             .sum()
     }
 
-    /// Records an outcome unless there is one.
-    pub(super) fn record(&mut self, place: u32, outcome: &ItemOutcome) {
-        if let Some(slot) = self.outcomes.get_mut(place as usize)
-            && slot.is_none()
-        {
-            *slot = Some(outcome.clone());
-            // Only items without an outcome run, and only their bodies are
-            // asked for.
-            let item = &mut self.items[place as usize];
-            item.headers = Vec::new();
-            item.body = Vec::new().into();
-            self.listed.push(place);
-            self.progress.remove(&place);
+    /// Records an outcome unless there is one. Gives the tokens that wait no more;
+    /// those of an ended job did not.
+    pub(super) fn record(&mut self, place: u32, outcome: &ItemOutcome) -> u64 {
+        let Some(slot) = self.outcomes.get_mut(place as usize) else {
+            return 0;
+        };
+        if slot.is_some() {
+            return 0;
+        }
+        *slot = Some(outcome.clone());
+        // Only items without an outcome run, and only their bodies are asked for.
+        let item = &mut self.items[place as usize];
+        item.headers = Vec::new();
+        item.body = Vec::new().into();
+        self.listed.push(place);
+        self.progress.remove(&place);
+        match self.ended {
+            true => 0,
+            false => item.counted_tokens(),
         }
     }
 
--- a/crates/state/src/batch/machine.rs
+++ b/crates/state/src/batch/machine.rs
@@ -98,10 +98,8 @@
     fn record(&mut self, outcome: &RecordOutcome) -> BatchReply {
         for record in &outcome.records {
             if let Some(job) = self.jobs.get_mut(&record.item.job) {
-                let before = job.waiting_tokens();
-                job.record(record.item.place, &record.outcome);
-                let left = before - job.waiting_tokens();
-                self.waiting.remove(&job.queue, left);
+                let tokens = job.record(record.item.place, &record.outcome);
+                self.waiting.remove(&job.queue, tokens);
             }
         }
         self.revision += 1;
