--- a/crates/proxy/src/batch/api.rs
+++ b/crates/proxy/src/batch/api.rs
@@ -24,6 +24,15 @@
 /// in memory several times on its way, at a leader that many ask at once.
 const MAX_PAGE_BYTES: u64 = 256 << 10;
 
+/// An election takes about as long.
+const UNAVAILABLE: BatchOutcome = BatchOutcome::Unavailable {
+    retry_after: Duration::from_millis(200),
+};
+/// By then some items are done.
+const QUEUE_FULL: BatchOutcome = BatchOutcome::QueueFull {
+    retry_after: Duration::from_secs(1),
+};
+
 /// Takes a job.
 pub(crate) async fn submit<D: GatewayDialect>(
     state: &GatewayState,
@@ -54,8 +63,8 @@
     }));
     let outcome = match state.batch.change_batch(&command, SUBMIT_DEADLINE).await {
         Ok(BatchReply::Kept) => BatchOutcome::Kept,
-        Ok(BatchReply::QueueFull) => BatchOutcome::QueueFull,
-        Ok(_) => BatchOutcome::Unavailable,
+        Ok(BatchReply::QueueFull) => QUEUE_FULL,
+        Ok(_) => UNAVAILABLE,
         Err(error) => failed(&error),
     };
     info!(state.logger, "job"; "job" => id, "items" => count, "outcome" => name(&outcome));
@@ -97,7 +106,7 @@
         },
         None => {
             warn!(state.logger, "a result cannot be unpacked"; "job" => id);
-            BatchOutcome::Unavailable
+            UNAVAILABLE
         }
     }
 }
@@ -126,7 +135,7 @@
     let outcome = match state.batch.change_batch(&command, CALL_DEADLINE).await {
         Ok(BatchReply::Ended) => BatchOutcome::Ended,
         Ok(BatchReply::Unknown) => BatchOutcome::Unknown,
-        Ok(_) => BatchOutcome::Unavailable,
+        Ok(_) => UNAVAILABLE,
         Err(error) => failed(&error),
     };
     info!(state.logger, "job ended"; "job" => id, "outcome" => name(&outcome));
@@ -135,7 +144,7 @@
 
 fn unreadable(state: &GatewayState, error: &ClusterError) -> BatchOutcome {
     warn!(state.logger, "job not readable"; "error" => %error);
-    BatchOutcome::Unavailable
+    UNAVAILABLE
 }
 
 /// A change that may have been committed must not be called undone.
@@ -144,7 +153,7 @@
         ClusterError::Unavailable {
             outcome: RunOutcome::NotRun,
             ..
-        } => BatchOutcome::Unavailable,
+        } => UNAVAILABLE,
         _ => BatchOutcome::Uncertain,
     }
 }
@@ -152,13 +161,13 @@
 fn name(outcome: &BatchOutcome) -> &'static str {
     match outcome {
         BatchOutcome::Kept => "kept",
-        BatchOutcome::QueueFull => "queue full",
+        BatchOutcome::QueueFull { .. } => "queue full",
         BatchOutcome::Results { .. } => "results",
         BatchOutcome::Body(_) => "body",
         BatchOutcome::Ended => "ended",
         BatchOutcome::Unknown => "unknown",
         BatchOutcome::Malformed => "malformed",
-        BatchOutcome::Unavailable => "unavailable",
+        BatchOutcome::Unavailable { .. } => "unavailable",
         BatchOutcome::Uncertain => "uncertain",
     }
 }
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -116,7 +116,10 @@
     /// The job is kept from now on.
     Kept,
     /// Too many tokens would wait with it; none of it runs.
-    QueueFull,
+    QueueFull {
+        /// When to come back.
+        retry_after: Duration,
+    },
     /// Results from a position on.
     Results {
         /// That position.
@@ -135,7 +138,10 @@
     /// The call is malformed.
     Malformed,
     /// Nothing was done for sure; the same call may come again.
-    Unavailable,
+    Unavailable {
+        /// When to come back.
+        retry_after: Duration,
+    },
     /// It may have been done; the same call may come again.
     Uncertain,
 }
