Part the order of turns from waiting for them, and test it

The turn of batch items was in async code of the gateway and had no test; a turn that gets lost would stop all batch work of a gateway. routing::dispatch::TurnQueue decides now, proxy::batch::turn waits. A table tests the order, a property that one has the turn as long as anybody waits, whoever gives up at whatever moment. Behaviour stays as it is.

--- a/crates/proxy/src/batch/turn.rs
+++ b/crates/proxy/src/batch/turn.rs
@@ -2,69 +2,50 @@
 //! the most urgent one looks and the others rest. All of them looking at once
 //! would start in an order of chance, and cost time for each look.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
 use molespan_daemon::wall_clock::unix_millis;
-use molespan_routing::dispatch::Urgency;
+use molespan_routing::dispatch::{Asked, Place, TurnQueue};
 
-/// One that waits.
-#[derive(Debug)]
-struct Waiter {
-    due_ms: Option<u64>,
-    /// Closed when its turn comes.
-    wake: Sender<()>,
-}
-
-/// The turns of one gateway. There is one [`Turn`] at a time.
+/// The turns of one gateway.
 #[derive(Debug, Default)]
 pub(crate) struct Turns {
-    taken: Cell<bool>,
-    waiters: RefCell<BTreeMap<u64, Waiter>>,
-    last: Cell<u64>,
+    queue: RefCell<TurnQueue>,
+    /// Closed when a place has the turn.
+    wakes: RefCell<BTreeMap<Place, Sender<()>>>,
 }
 
 /// The turn, until it is dropped.
 pub(crate) struct Turn(Rc<Turns>);
 
-/// A place among those that wait.
-struct Place {
+/// One that waits, until it has the turn or gives up.
+struct Waiter {
     turns: Rc<Turns>,
-    number: u64,
+    place: Place,
     woken: Receiver<()>,
-    /// Set when its turn was taken.
-    used: bool,
+    /// Set once it has the turn and no longer waits.
+    done: bool,
 }
 
 impl Turns {
     /// Waits for the turn of an item that is due at `due_ms`.
     pub async fn take(self: &Rc<Self>, due_ms: Option<u64>) -> Turn {
-        if !self.taken.replace(true) {
-            return Turn(self.clone());
+        let asked = self.queue.borrow_mut().ask(due_ms);
+        if let Asked::Waits(place) = asked {
+            Waiter::new(self, place).turn().await;
         }
-        let mut place = Place::new(self, due_ms);
-        let _closed = place.woken.recv().await;
-        place.used = true;
         Turn(self.clone())
     }
 
-    /// Gives the turn to the most urgent one that waits.
     fn pass_on(&self) {
-        let mut waiters = self.waiters.borrow_mut();
-        let now_ms = unix_millis();
-        let urgencies = waiters
-            .iter()
-            .map(|(&number, waiter)| (Urgency::of(waiter.due_ms, now_ms, 0), number));
-        match urgencies
-            .min()
-            .and_then(|(_, number)| waiters.remove(&number))
+        let next = self.queue.borrow_mut().pass_on(unix_millis());
+        if let Some(place) = next
+            && let Some(wake) = self.wakes.borrow_mut().remove(&place)
         {
-            Some(waiter) => {
-                waiter.wake.close();
-            }
-            None => self.taken.set(false),
+            wake.close();
         }
     }
 }
@@ -75,27 +56,34 @@
     }
 }
 
-impl Place {
-    fn new(turns: &Rc<Turns>, due_ms: Option<u64>) -> Self {
+impl Waiter {
+    fn new(turns: &Rc<Turns>, place: Place) -> Self {
         let (wake, woken) = async_channel::bounded(1);
-        let number = turns.last.get() + 1;
-        turns.last.set(number);
-        let waiter = Waiter { due_ms, wake };
-        turns.waiters.borrow_mut().insert(number, waiter);
+        turns.wakes.borrow_mut().insert(place, wake);
         Self {
             turns: turns.clone(),
-            number,
+            place,
             woken,
-            used: false,
+            done: false,
         }
     }
+
+    /// Waits for the turn, which the caller has then.
+    async fn turn(mut self) {
+        let _closed = self.woken.recv().await;
+        self.done = true;
+    }
 }
 
-impl Drop for Place {
+impl Drop for Waiter {
     /// Whoever gives up waiting leaves, and passes on a turn that came meanwhile.
     fn drop(&mut self) {
-        self.turns.waiters.borrow_mut().remove(&self.number);
-        if self.woken.is_closed() && !self.used {
+        if self.done {
+            return;
+        }
+        self.turns.wakes.borrow_mut().remove(&self.place);
+        let waited = self.turns.queue.borrow_mut().leave(self.place);
+        if !waited {
             self.turns.pass_on();
         }
     }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod relay;
 mod split;
 mod table;
+mod turn;
 mod urgency;
 
 pub use engine::{EngineFacts, EngineLoad, Failure, WorkShare};
@@ -15,4 +16,5 @@
 pub use relay::{RelayChoice, Teller, WorkRelay};
 pub use split::WeightedSplit;
 pub use table::{EngineTable, NoEngine, Pick, Picked, WorkClass};
+pub use turn::{Asked, Place, TurnQueue};
 pub use urgency::Urgency;
--- /dev/null
+++ b/crates/routing/tests/turn.rs
@@ -0,0 +1,91 @@
+//! The turn to look for an engine, among batch work that waits.
+
+use std::collections::BTreeMap;
+
+use molespan_routing::dispatch::{Asked, Place, TurnQueue};
+use proptest::prelude::*;
+
+const NOW_MS: u64 = 1_000;
+
+#[test]
+fn the_turn_goes_to_what_is_due_first_and_to_what_is_late_last() {
+    let mut queue = TurnQueue::default();
+    assert_eq!(queue.ask(Some(5_000)), Asked::Turn);
+    let due = [Some(900), Some(3_000), None, Some(2_000), Some(2_000)];
+    let places = due.map(|due_ms| match queue.ask(due_ms) {
+        Asked::Waits(place) => place,
+        Asked::Turn => panic!("two have the turn"),
+    });
+    let order: Vec<Place> = std::iter::from_fn(|| queue.pass_on(NOW_MS)).collect();
+    assert_eq!(order, [3, 4, 1, 2, 0].map(|place: usize| places[place]));
+    assert_eq!(queue.ask(None), Asked::Turn, "it is free again");
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Ask(Option<u64>),
+    PassOn,
+    /// One that asked gives up, whether it waits or has the turn by now.
+    Leave(usize),
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        prop::option::of(0..2_000_u64).prop_map(Step::Ask),
+        Just(Step::PassOn),
+        (0..8_usize).prop_map(Step::Leave),
+    ]
+}
+
+proptest! {
+    /// Nobody has the turn beside another one, and it is never lost while
+    /// anybody waits, whoever gives up at whatever moment.
+    #[test]
+    fn one_has_the_turn_as_long_as_anybody_waits(
+        steps in prop::collection::vec(any_step(), 0..60),
+    ) {
+        let mut queue = TurnQueue::default();
+        let mut waiting: BTreeMap<Place, Option<u64>> = BTreeMap::new();
+        // The one that has the turn; its place if it waited before.
+        let mut holder: Option<Option<Place>> = None;
+        for step in steps {
+            let passes = match step {
+                Step::Ask(due_ms) => {
+                    match queue.ask(due_ms) {
+                        Asked::Turn => {
+                            prop_assert!(holder.is_none() && waiting.is_empty());
+                            holder = Some(None);
+                        }
+                        Asked::Waits(place) => {
+                            prop_assert!(holder.is_some());
+                            waiting.insert(place, due_ms);
+                        }
+                    }
+                    false
+                }
+                Step::PassOn => holder.is_some(),
+                Step::Leave(number) => {
+                    let places: Vec<Place> =
+                        waiting.keys().copied().chain(holder.flatten()).collect();
+                    match places.get(number % places.len().max(1)) {
+                        Some(&place) => {
+                            let waited = waiting.remove(&place).is_some();
+                            prop_assert_eq!(queue.leave(place), waited);
+                            !waited
+                        }
+                        None => false,
+                    }
+                }
+            };
+            if passes {
+                let next = queue.pass_on(NOW_MS);
+                prop_assert_eq!(next.is_some(), !waiting.is_empty());
+                if let Some(place) = next {
+                    prop_assert!(waiting.remove(&place).is_some());
+                }
+                holder = next.map(Some);
+            }
+            prop_assert!(holder.is_some() || waiting.is_empty());
+        }
+    }
+}
