Let gateways use a relay of their own zone

Cause: a relay tells each of its gateways up to twenty times a second what all the others have at engines. Ruled out: callers' answers (some 2 KB a request) and batch jobs are far less. Change: control nodes say in which zone they stand; RelayChoice puts those of the own zone first, and comes back to the first of its order 10 s after it was left.

--- a/crates/fleet/src/control/hub.rs
+++ b/crates/fleet/src/control/hub.rs
@@ -7,7 +7,7 @@
 use async_io::Timer;
 use futures_lite::future;
 use molespan_state::declared::{DeclaredState, Departure};
-use molespan_types::{NodeId, Timestamp};
+use molespan_types::{NodeId, Timestamp, ZoneName};
 use molespan_wire::{Response, ViewMark, WatchView, WatcherKind};
 
 use super::registry::Registry;
@@ -48,16 +48,20 @@
 }
 
 impl Hub {
-    /// An empty view; engines are lost after `silence`.
+    /// An empty view of a node in `zone`; engines are lost after `silence`.
     #[must_use]
-    pub fn new(silence: Duration) -> Self {
+    pub fn new(zone: ZoneName, silence: Duration) -> Self {
+        let topology = Topology {
+            zone: Some(zone),
+            ..Topology::default()
+        };
         let state = State {
             revision: 1,
             registry: Registry::new(silence),
             configuration: None,
             configuration_changed: 0,
             departures: BTreeMap::new(),
-            topology: Topology::default(),
+            topology,
             topology_changed: 0,
             watchers: BTreeMap::new(),
             wakeup: Wakeup::default(),
@@ -262,6 +266,7 @@
             retiring: stores.retiring(),
             gateways: self.topology.gateways.clone(),
             applied: self.topology.applied,
+            zone: self.topology.zone.clone(),
         };
         if topology == self.topology {
             return false;
--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -18,7 +18,7 @@
 use molespan_replica::{Discovery, ReplicaStatus};
 use molespan_state::control::{ControlAnswer, ControlQuery};
 use molespan_telemetry::part_logger;
-use molespan_types::{GroupId, NodeId, Timestamp};
+use molespan_types::{GroupId, NodeId, Timestamp, ZoneName};
 use molespan_wire::{Consistency, Handler, Request, Response, Server, ServerLimits};
 use slog::{Logger, info};
 
@@ -37,6 +37,8 @@
 pub struct ControlOptions {
     /// Where the nodes are.
     pub addresses: ClusterAddresses,
+    /// Where it stands.
+    pub zone: ZoneName,
     /// Where engines and operators call.
     pub api_address: SocketAddr,
     /// Folder of what must survive.
@@ -136,7 +138,7 @@
         let own = options.addresses.own;
         let replica = start_replica(options.replica(), executor, logger)?;
         let logger = part_logger(logger, "control");
-        let hub = Arc::new(Hub::new(options.engine_silence));
+        let hub = Arc::new(Hub::new(options.zone.clone(), options.engine_silence));
         let wire = options.addresses.transport(executor);
         let transport: Arc<dyn PeerTransport> = Arc::new(LocalTransport {
             own,
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -75,6 +75,9 @@
     /// Entries of the control group that the rest follows from, at least.
     #[n(5)]
     pub applied: u64,
+    /// Where the control node stands that says this; an older one does not say.
+    #[n(6)]
+    pub zone: Option<ZoneName>,
 }
 
 /// The cluster as several control nodes describe it.
@@ -111,7 +114,7 @@
 
     /// What is known: the log's part from the node that applied the most of it,
     /// and every gateway that some node counts. A node that has just started
-    /// counts none yet.
+    /// counts none yet. It names no zone: it is nobody's word alone.
     #[must_use]
     pub fn current(&self, now: Instant) -> Topology {
         let told = self.told.values();
@@ -124,8 +127,16 @@
         topology.gateways = lately
             .flat_map(|told| told.topology.gateways.iter().copied())
             .collect();
+        topology.zone = None;
         topology
     }
+
+    /// Control nodes that say that they stand in `zone`.
+    pub fn control_in(&self, zone: &ZoneName) -> BTreeSet<NodeId> {
+        let told = self.told.iter();
+        let there = told.filter(|(_, told)| told.topology.zone.as_ref() == Some(zone));
+        there.map(|(&node, _)| node).collect()
+    }
 }
 
 /// Changes since what a node was told before.
--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -92,7 +92,7 @@
 
 #[test]
 fn a_watcher_gets_what_it_missed_and_no_more() {
-    let hub = Hub::new(SILENCE);
+    let hub = Hub::new("a".into(), SILENCE);
     let mut machine = ControlMachine::new();
     declared(&mut machine, 3);
     hub.take(machine.declared(), BTreeSet::from([NodeId(1)]), 1);
@@ -126,7 +126,7 @@
 
 #[test]
 fn an_older_configuration_is_never_told_behind_a_newer_one() {
-    let hub = Hub::new(SILENCE);
+    let hub = Hub::new("a".into(), SILENCE);
     let (mut newer, mut older) = (ControlMachine::new(), ControlMachine::new());
     declared(&mut newer, 9);
     declared(&mut older, 8);
@@ -138,7 +138,7 @@
 
 #[test]
 fn nodes_that_watch_are_counted_by_what_they_are_for() {
-    let hub = Hub::new(SILENCE);
+    let hub = Hub::new("a".into(), SILENCE);
     watch(&hub, WatcherKind::Store, ViewMark::default());
     assert_eq!(hub.live_stores(), BTreeSet::from([NodeId(7)]));
     watch(&hub, WatcherKind::Gateway, ViewMark::default());
@@ -173,6 +173,24 @@
     assert_eq!(view.current(start), topology(8, &[4, 5, 6], &[8, 9, 10]));
 }
 
+#[test]
+fn control_nodes_tell_where_they_stand() {
+    let start = Instant::now();
+    let mut view = TopologyView::default();
+    for (node, zone) in [(1, "a"), (2, "b"), (3, "a")] {
+        let hub = Hub::new(zone.into(), SILENCE);
+        watch(&hub, WatcherKind::Gateway, ViewMark::default());
+        hub.expire();
+        let (_, update) = watch(&hub, WatcherKind::Gateway, ViewMark::default());
+        view.note(NodeId(node), update.topology, start);
+    }
+    // An older one does not say.
+    view.note(NodeId(4), Some(topology(1, &[], &[])), start);
+    assert_eq!(view.control_in(&"a".into()), [1, 3].map(NodeId).into());
+    assert_eq!(view.control_in(&"c".into()), BTreeSet::new());
+    assert_eq!(view.current(start).zone, None);
+}
+
 #[test]
 fn a_silent_control_node_counts_no_gateways() {
     let mut view = TopologyView::default();
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -60,6 +60,7 @@
 /// What a gateway knows and counts.
 pub(crate) struct GatewayState {
     pub own: NodeId,
+    zone: ZoneName,
     pub engines: RefCell<EngineTable>,
     /// Who passes on what this gateway has at engines, where there are many.
     pub relay: RefCell<RelayChoice>,
@@ -89,7 +90,8 @@
     pub fn new(own: NodeId, zone: ZoneName, batch: Arc<Cluster>, logger: Logger) -> Self {
         Self {
             own,
-            engines: RefCell::new(EngineTable::new(zone, rand::random())),
+            engines: RefCell::new(EngineTable::new(zone.clone(), rand::random())),
+            zone,
             relay: RefCell::default(),
             pool: Pool::default(),
             batch_runs: BatchRuns::default(),
@@ -133,7 +135,9 @@
     /// The relay that this gateway uses now, if any is known.
     pub fn relay_in_use(&self) -> Option<NodeId> {
         let control = &self.topology.borrow().control;
-        self.relay.borrow_mut().relay(self.own, control, self.now())
+        let near = self.topology_view.borrow().control_in(&self.zone);
+        let mut choice = self.relay.borrow_mut();
+        choice.relay(self.own, control, &near, self.now())
     }
 
     pub fn is_stopping(&self) -> bool {
--- a/crates/routing/src/dispatch/relay.rs
+++ b/crates/routing/src/dispatch/relay.rs
@@ -15,31 +15,48 @@
 
 /// A relay that is silent for longer is left for the next one.
 const RELAY_SILENCE: Duration = Duration::from_millis(1_000);
+/// A gateway comes back after this long to the relay that is the first in its
+/// order: a restart takes a few seconds. A look at one that is still silent costs
+/// [`RELAY_SILENCE`] without a word of the others.
+const COMES_BACK: Duration = Duration::from_secs(10);
 
-/// The relay that a gateway uses. Gateways spread over the relays, and each
+/// The relay that a gateway uses: one of its zone where there is one, since
+/// relays tell many times a second. Gateways spread over the relays, and each
 /// goes through them in an order of its own when they are silent.
 #[derive(Clone, Debug, Default)]
 pub struct RelayChoice {
     /// Place in the gateway's order; it wraps.
     place: usize,
+    /// When the first one in the order was left.
+    left_first: Timestamp,
     /// When the relay in use was taken or heard.
     heard: Timestamp,
     relay: Option<NodeId>,
 }
 
 impl RelayChoice {
-    /// The relay for the gateway `own` at this time, among `relays`.
+    /// The relay for the gateway `own` at this time, among `relays`; those of its
+    /// zone are `near`.
     pub fn relay(
         &mut self,
         own: NodeId,
         relays: &BTreeSet<NodeId>,
+        near: &BTreeSet<NodeId>,
         now: Timestamp,
     ) -> Option<NodeId> {
         let mut order: Vec<NodeId> = relays.iter().copied().collect();
-        order.sort_by_key(|relay| xxh3_64_with_seed(&relay.0.to_be_bytes(), u64::from(own.0)));
+        order.sort_by_key(|relay| {
+            let draw = xxh3_64_with_seed(&relay.0.to_be_bytes(), u64::from(own.0));
+            (!near.contains(relay), draw)
+        });
         if self.relay.is_some() && now.since(self.heard) > RELAY_SILENCE {
+            if self.place == 0 {
+                self.left_first = now;
+            }
             self.place += 1;
             self.heard = now;
+        } else if self.place > 0 && now.since(self.left_first) > COMES_BACK {
+            self.place = 0;
         }
         let relay = order.get(self.place.checked_rem(order.len())?).copied();
         if relay != self.relay {
--- a/crates/routing/tests/relay.rs
+++ b/crates/routing/tests/relay.rs
@@ -71,24 +71,64 @@
     for gateway in 100..200 {
         let own = NodeId(gateway);
         let mut choice = RelayChoice::default();
-        let first = choice.relay(own, &relays, at(0)).unwrap();
+        let first = choice.relay(own, &relays, &BTreeSet::new(), at(0)).unwrap();
         *used.entry(first).or_default() += 1;
         choice.heard(first, at(900));
-        assert_eq!(choice.relay(own, &relays, at(1_800)), Some(first));
-        let second = choice.relay(own, &relays, at(2_000)).unwrap();
+        assert_eq!(
+            choice.relay(own, &relays, &BTreeSet::new(), at(1_800)),
+            Some(first)
+        );
+        let second = choice
+            .relay(own, &relays, &BTreeSet::new(), at(2_000))
+            .unwrap();
         assert_ne!(second, first);
         // A word of the one that was left keeps nobody.
         choice.heard(first, at(2_900));
-        assert_ne!(choice.relay(own, &relays, at(3_100)), Some(second));
+        assert_ne!(
+            choice.relay(own, &relays, &BTreeSet::new(), at(3_100)),
+            Some(second)
+        );
     }
     assert_eq!(used.len(), 5);
     assert!(used.values().all(|&count| count >= 8), "{used:?}");
 }
 
+#[test]
+fn gateways_use_a_relay_of_their_zone_and_come_back_to_it() {
+    let relays: BTreeSet<NodeId> = (1..=5).map(NodeId).collect();
+    let near = BTreeSet::from([NodeId(3)]);
+    for gateway in 100..200 {
+        let own = NodeId(gateway);
+        let mut choice = RelayChoice::default();
+        let mut relay = |millis| choice.relay(own, &relays, &near, at(millis)).unwrap();
+        assert_eq!(relay(0), NodeId(3));
+        assert_ne!(relay(1_100), NodeId(3), "it was silent");
+        // Each of the others is silent too; the first is not asked again at once.
+        let mut used = BTreeSet::new();
+        for millis in [2_200, 3_300, 4_400] {
+            used.insert(relay(millis));
+        }
+        assert!(!used.contains(&NodeId(3)));
+        assert_eq!(used.len(), 3);
+        let last = relay(5_000);
+        choice.heard(last, at(10_900));
+        let mut relay = |millis| choice.relay(own, &relays, &near, at(millis)).unwrap();
+        assert_eq!(relay(11_000), last);
+        assert_eq!(relay(11_200), NodeId(3), "10 s behind its silence");
+        assert_ne!(relay(12_300), NodeId(3), "it is still silent");
+    }
+}
+
 #[test]
 fn without_relays_there_is_none_to_use() {
     let mut choice = RelayChoice::default();
-    assert_eq!(choice.relay(A, &BTreeSet::new(), at(0)), None);
+    assert_eq!(
+        choice.relay(A, &BTreeSet::new(), &BTreeSet::new(), at(0)),
+        None
+    );
     let relays = BTreeSet::from([OTHER_RELAY]);
-    assert_eq!(choice.relay(A, &relays, at(10)), Some(OTHER_RELAY));
+    assert_eq!(
+        choice.relay(A, &relays, &BTreeSet::new(), at(10)),
+        Some(OTHER_RELAY)
+    );
 }
