--- a/crates/fleet/src/store/handout.rs
+++ b/crates/fleet/src/store/handout.rs
@@ -4,10 +4,11 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use molespan_routing::dispatch::Urgency;
-use molespan_state::batch::{ItemReference, OpenWork};
+use molespan_state::batch::ItemReference;
 use molespan_types::{NodeId, Timestamp};
 
+use super::open_index::OpenIndex;
+
 /// Items done lately from which the time that one takes is learnt.
 const RUN_TIMES: usize = 32;
 
@@ -54,7 +55,7 @@
         now: Timestamp,
         node: NodeId,
         running: &BTreeSet<ItemReference>,
-        open: &OpenWork,
+        open: &OpenIndex,
     ) -> Vec<ItemReference> {
         self.note_done(now, node, running, open);
         // What it held and does not run any more is free.
@@ -64,7 +65,7 @@
         for &item in running {
             let taken = self.held.get(&item);
             let elsewhere = taken.is_some_and(|one| one.node != node && one.until > now);
-            if elsewhere || !open.jobs.contains(&item.job) {
+            if elsewhere || !open.is_open(item.job) {
                 stop.push(item);
                 continue;
             }
@@ -83,7 +84,7 @@
         unix_ms: u64,
         node: NodeId,
         capacity: usize,
-        open: &OpenWork,
+        open: &OpenIndex,
     ) -> Vec<ItemReference> {
         if now < self.warm_at {
             return Vec::new();
@@ -91,18 +92,9 @@
         self.held.retain(|_, holding| holding.until > now);
         let takes_ms = self.run_time().as_millis() as u64;
         let free = open
-            .items
-            .iter()
-            .filter(|open| !self.held.contains_key(&open.item));
-        let mut free: Vec<(Urgency, ItemReference)> = free
-            .map(|open| (Urgency::of(open.due_ms, unix_ms, takes_ms), open.item))
-            .collect();
-        free.sort_unstable();
-        let items: Vec<ItemReference> = free
-            .into_iter()
-            .take(capacity)
-            .map(|(_, item)| item)
-            .collect();
+            .by_urgency(unix_ms, takes_ms)
+            .filter(|item| !self.held.contains_key(item));
+        let items: Vec<ItemReference> = free.take(capacity).collect();
         for &item in &items {
             let until = now + self.lease;
             let since = now;
@@ -117,13 +109,13 @@
         now: Timestamp,
         node: NodeId,
         running: &BTreeSet<ItemReference>,
-        open: &OpenWork,
+        open: &OpenIndex,
     ) {
         let ended = self.held.iter().filter(|(item, holding)| {
-            holding.node == node && !running.contains(item) && open.jobs.contains(&item.job)
+            holding.node == node && !running.contains(item) && open.is_open(item.job)
         });
         for (item, holding) in ended {
-            if open.items.iter().any(|open| open.item == *item) {
+            if open.contains(*item) {
                 continue;
             }
             self.run_times.push_back(now.since(holding.since));
@@ -144,8 +136,8 @@
 
     /// Whether some open item is handed out to nobody.
     #[must_use]
-    pub fn has_free(&self, now: Timestamp, open: &OpenWork) -> bool {
-        let mut items = open.items.iter().map(|open| open.item);
+    pub fn has_free(&self, now: Timestamp, open: &OpenIndex) -> bool {
+        let mut items = open.by_urgency(0, 0);
         items.any(|item| {
             let holding = self.held.get(&item);
             holding.is_none_or(|holding| holding.until <= now)
@@ -154,9 +146,9 @@
 
     /// Whether some gateway runs an item of a job that is not open any more.
     #[must_use]
-    pub fn has_ended(&self, open: &OpenWork) -> bool {
+    pub fn has_ended(&self, open: &OpenIndex) -> bool {
         let mut held = self.held.keys();
-        held.any(|item| !open.jobs.contains(&item.job))
+        held.any(|item| !open.is_open(item.job))
     }
 
     /// Items that are handed out.
--- a/crates/fleet/src/store/mod.rs
+++ b/crates/fleet/src/store/mod.rs
@@ -2,7 +2,10 @@
 
 mod handout;
 mod node;
+mod open_index;
 mod peer;
 
 pub use handout::{Handout, Holding};
 pub use node::{StoreNode, StoreOptions};
+pub use open_index::OpenIndex;
+pub use peer::OPEN_LIMIT;
--- a/crates/fleet/src/store/node.rs
+++ b/crates/fleet/src/store/node.rs
@@ -31,8 +31,9 @@
 
 /// Time between two rounds of upkeep.
 const ROUND: Duration = Duration::from_millis(500);
-/// Shortest time between two wakeups of gateways that wait for items.
-const WAKE_EVERY: Duration = Duration::from_millis(10);
+/// Shortest time between two wakeups of gateways that wait for items. Each reads
+/// the open items anew, which costs the more the more there are.
+const WAKE_EVERY: Duration = Duration::from_millis(25);
 /// How long the first start waits for enough stores.
 const FOUNDING_PATIENCE: Duration = Duration::from_secs(5);
 /// Time for a registration.
--- a/crates/fleet/src/store/peer.rs
+++ b/crates/fleet/src/store/peer.rs
@@ -8,19 +8,26 @@
 use futures_lite::future;
 use molespan_daemon::replica::ReplicaRole;
 use molespan_daemon::wall_clock::unix_millis;
-use molespan_state::batch::{BatchAnswer, BatchQuery, ItemReference, OpenWork};
+use molespan_state::batch::{BatchAnswer, BatchQuery, ItemReference};
 use molespan_types::{GroupId, NodeId, RunOutcome, Timestamp};
 use molespan_wire::{Consistency, Handler, Request, Response, TakeItems};
 
 use super::handout::Handout;
+use super::open_index::OpenIndex;
 use crate::wakeup::Wakeup;
 
 /// A gateway that is silent for longer loses its items.
 const LEASE: Duration = Duration::from_millis(2_500);
 /// How long a new leader listens before it hands items out.
 const WARM_UP: Duration = Duration::from_millis(700);
-/// Open items that are looked at for one call.
-const OPEN_LIMIT: u32 = 1_024;
+/// Open items that are looked at, of the oldest jobs first: those of many seconds
+/// of work, since what lies beyond cannot be done first however urgent it is. Some
+/// 50 bytes each in memory.
+pub const OPEN_LIMIT: u32 = 16_384;
+/// How old the order of the open items may be for a call; it is read again for the
+/// first one behind that. An item that got an outcome meanwhile is left out when
+/// what is needed to run it is read.
+const OPEN_HOLDS: Duration = Duration::from_millis(25);
 
 /// Answers other nodes.
 pub(super) struct PeerHandler {
@@ -42,7 +49,8 @@
 /// Open work after so many changes.
 struct OpenAsOf {
     changes: u64,
-    work: Arc<OpenWork>,
+    at: Instant,
+    index: Arc<OpenIndex>,
 }
 
 impl Handler for PeerHandler {
@@ -90,24 +98,29 @@
         }
     }
 
-    /// The open work. Gateways that wait together share one read of it.
-    async fn open_work(&self) -> Option<Arc<OpenWork>> {
+    /// The open items, at most `age` old. Calls share one read of them.
+    async fn open_index(&self, age: Duration) -> Option<Arc<OpenIndex>> {
         let mut open = self.open.lock().await;
         let changes = self.changes.load(Ordering::SeqCst);
-        if let Some(known) = open.as_ref().filter(|known| known.changes == changes) {
-            return Some(known.work.clone());
+        let known = open
+            .as_ref()
+            .filter(|known| known.changes == changes || known.at.elapsed() < age);
+        if let Some(known) = known {
+            return Some(known.index.clone());
         }
+        let at = Instant::now();
         let query = BatchQuery::Open { limit: OPEN_LIMIT };
         let answer = self.query(&query, Consistency::Local).await;
         let Some(BatchAnswer::Open(work)) = answer else {
             return None;
         };
-        let work = Arc::new(work);
+        let index = Arc::new(OpenIndex::from(work));
         *open = Some(OpenAsOf {
             changes,
-            work: work.clone(),
+            at,
+            index: index.clone(),
         });
-        Some(work)
+        Some(index)
     }
 
     /// Hands items out, at once or when some come.
@@ -119,7 +132,7 @@
             if self.replica.leader(GroupId::BATCH) != Some(self.own) {
                 return self.not_leader().await;
             }
-            let Some(open) = self.open_work().await else {
+            let Some(open) = self.open_index(OPEN_HOLDS).await else {
                 return unavailable();
             };
             let (taken, stop) = self.hand_out(ask, &open);
@@ -143,7 +156,7 @@
     fn hand_out(
         &self,
         ask: &TakeItems,
-        open: &OpenWork,
+        open: &OpenIndex,
     ) -> (Vec<ItemReference>, Vec<ItemReference>) {
         let now = self.now();
         let held = ask.held.iter();
@@ -188,8 +201,7 @@
         }
     }
 
-    /// Notes that the jobs changed. Must be told of each change at once: an
-    /// item whose outcome was recorded is not to be handed out again.
+    /// Notes that the jobs changed.
     pub fn note_change(&self) {
         self.changes.fetch_add(1, Ordering::SeqCst);
     }
@@ -202,7 +214,7 @@
             self.stops.wake();
             return;
         }
-        let Some(open) = self.open_work().await else {
+        let Some(open) = self.open_index(Duration::ZERO).await else {
             return;
         };
         let now = self.now();
--- a/crates/fleet/tests/handout.rs
+++ b/crates/fleet/tests/handout.rs
@@ -3,8 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use molespan_fleet::store::Handout;
-use molespan_state::batch::{ItemReference, OpenItem, OpenWork};
+use molespan_fleet::store::{Handout, OPEN_LIMIT, OpenIndex};
+use molespan_state::batch::{
+    BatchAnswer, BatchCommand, BatchItem, BatchMachine, BatchQuery, ItemReference, OpenItem,
+    OpenWork, SubmitJob,
+};
 use molespan_types::{NodeId, Timestamp};
 use proptest::prelude::*;
 
@@ -16,8 +19,8 @@
     ItemReference { job, place }
 }
 
-fn open(items: &[ItemReference]) -> OpenWork {
-    OpenWork {
+fn open(items: &[ItemReference]) -> OpenIndex {
+    let work = OpenWork {
         items: items
             .iter()
             .map(|&item| OpenItem {
@@ -27,7 +30,8 @@
             })
             .collect(),
         jobs: items.iter().map(|item| item.job).collect(),
-    }
+    };
+    work.into()
 }
 
 fn at(millis: u64) -> Timestamp {
@@ -121,7 +125,7 @@
 }
 
 /// Open items of one job each, due at these times.
-fn due(times: &[Option<u64>]) -> OpenWork {
+fn due_work(times: &[Option<u64>]) -> OpenWork {
     let items = (1..).zip(times).map(|(job, &due_ms)| OpenItem {
         item: item(job, 0),
         tokens: 1,
@@ -134,6 +138,10 @@
     }
 }
 
+fn due(times: &[Option<u64>]) -> OpenIndex {
+    due_work(times).into()
+}
+
 #[test]
 fn what_is_due_first_goes_out_first_and_what_is_late_last() {
     // It is 1,000 ms: the first is late, the third is due next.
@@ -149,14 +157,18 @@
     let mut handout = warm();
     assert_eq!(handout.run_time(), Duration::ZERO);
     // Four items take 1, 2, 3 and 4 s: a quarter takes no longer than 2 s.
-    let all = due(&[None; 6]);
-    let first: Vec<_> = all.items.iter().map(|open| open.item).take(4).collect();
-    handout.take(at(0), 0, ONE, 4, &all);
-    let mut work = all.clone();
+    let mut work = due_work(&[None; 6]);
+    let first: Vec<_> = work.items.iter().map(|open| open.item).take(4).collect();
+    handout.take(at(0), 0, ONE, 4, &work.clone().into());
     for (done, item) in first.iter().enumerate() {
         work.items.retain(|open| open.item != *item);
         let left = running(&first[done + 1..]);
-        handout.renew(at(1_000 * (done as u64 + 1)), ONE, &left, &work);
+        handout.renew(
+            at(1_000 * (done as u64 + 1)),
+            ONE,
+            &left,
+            &work.clone().into(),
+        );
     }
     assert_eq!(handout.run_time(), Duration::from_secs(2));
     // What is due within 2 s is as good as late; 3 s are enough.
@@ -165,6 +177,38 @@
     assert_eq!(taken, [item(2, 0)]);
 }
 
+#[test]
+fn work_that_is_late_does_not_hide_work_that_is_in_time() {
+    let mut machine = BatchMachine::new();
+    let one = BatchItem {
+        id: "i".to_owned(),
+        path: "/batch/x".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new().into(),
+        tokens: 1,
+    };
+    let submit = |job: u64, due_ms| SubmitJob {
+        id: format!("job-{job}"),
+        host: "h".to_owned(),
+        path: "/batch/".to_owned(),
+        submitted_ms: 0,
+        due_ms: Some(due_ms),
+        queue: String::new(),
+        max_queued_tokens: None,
+        items: vec![one.clone(); 200],
+    };
+    let submit = |job, due_ms| BatchCommand::Submit(Box::new(submit(job, due_ms)));
+    for job in 1..=20 {
+        machine.apply(&submit(job, 1_000));
+    }
+    machine.apply(&submit(21, 90_000));
+    let BatchAnswer::Open(work) = machine.query(&BatchQuery::Open { limit: OPEN_LIMIT }) else {
+        panic!("another answer");
+    };
+    let taken = warm().take(at(0), 50_000, ONE, 3, &work.into());
+    assert_eq!(taken, [item(21, 0), item(21, 1), item(21, 2)]);
+}
+
 proptest! {
     /// Of two items that can be done in time, the one that is due later never
     /// goes out first; and every item goes out, however many are more urgent.
