Count a batch item as late when three quarters of those done lately took longer

Cause: under more work than fits, what goes out next is always what is about to be late. The time that an item takes was the lower quartile of those done lately, so three of four that went out at that edge ended late, and the slots were lost to items that could still be done in time.

--- a/crates/fleet/src/store/handout.rs
+++ b/crates/fleet/src/store/handout.rs
@@ -125,13 +125,14 @@
         }
     }
 
-    /// How long an item takes that waits for little: a quarter of those done
-    /// lately took no longer. Nothing before any is done.
+    /// How long an item takes: three quarters of those done lately took no longer.
+    /// Under more work than fits what goes out is always at the edge of being late,
+    /// so with a shorter time most of it would end late. Nothing before any is done.
     #[must_use]
     pub fn run_time(&self) -> Duration {
         let mut times: Vec<Duration> = self.run_times.iter().copied().collect();
         times.sort_unstable();
-        times.get(times.len() / 4).copied().unwrap_or_default()
+        times.get(times.len() * 3 / 4).copied().unwrap_or_default()
     }
 
     /// Whether some open item is handed out to nobody.
