Let a store that waits for a vote greet the voters once a second, not everybody five times

Cause: a replica that takes part without being a voter counted as one that still has something open, and greeted every other node of its group each 200 ms, each of which answered. Of the 45 stores of a large site 40 wait so, for ever: 17,600 messages a second among them, which grow with the square of the stores. Ruled out: learners. Only voters get the log; a learner is added when a place is free. Change: Fleet knows three places (open, waiting, voter). Who waits greets the voters once a second, everybody each 5 s as voters do.

--- a/crates/replica/src/fleet.rs
+++ b/crates/replica/src/fleet.rs
@@ -19,8 +19,11 @@
 
 /// Time between two hellos while something is still open.
 const EAGER_INTERVAL: Duration = Duration::from_millis(200);
-/// Time between two hellos otherwise.
+/// Time between two hellos to everybody otherwise.
 const CALM_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two hellos, to the voters, of a process that waits to become one:
+/// two of them may be lost within [`PRESENCE`].
+const WAITING_INTERVAL: Duration = Duration::from_secs(1);
 /// A process that said nothing for longer is not counted on.
 const PRESENCE: Duration = Duration::from_secs(3);
 
@@ -98,6 +101,19 @@
     confirmed: BTreeSet<NodeId>,
     takes_part: bool,
     next_hello: Timestamp,
+    /// When the others that do not vote are told too.
+    next_hello_to_all: Timestamp,
+}
+
+/// What is to happen before a process has its place in the cluster.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    /// It does not take part yet, or does not know its standing.
+    Open,
+    /// It takes part and waits to become a voter, perhaps for ever.
+    Waits,
+    /// It is a voter.
+    Voter,
 }
 
 impl<D: Disk> Fleet<D> {
@@ -129,6 +145,7 @@
             confirmed: BTreeSet::new(),
             takes_part: false,
             next_hello: now,
+            next_hello_to_all: now,
         };
         let mut changes = Vec::new();
         match &settings.discovery {
@@ -181,19 +198,33 @@
         if now < self.next_hello {
             return Vec::new();
         }
-        let settled = self.takes_part && self.record.standing.is_voter();
-        let interval = if settled {
-            CALM_INTERVAL
-        } else {
-            EAGER_INTERVAL
-        };
-        self.next_hello = now + interval;
+        let place = self.place();
+        self.next_hello = now
+            + match place {
+                Place::Open => EAGER_INTERVAL,
+                Place::Waits => WAITING_INTERVAL,
+                Place::Voter => CALM_INTERVAL,
+            };
+        let to_all = place != Place::Waits || now >= self.next_hello_to_all;
+        if to_all {
+            self.next_hello_to_all = now + CALM_INTERVAL;
+        }
+        let voters = self.known_voters();
         let others = self.others.iter();
         others
+            .filter(|node| to_all || voters.contains(node))
             .map(|&node| (node, self.hello(node, sequence, true)))
             .collect()
     }
 
+    fn place(&self) -> Place {
+        match self.record.standing {
+            Standing::Founder | Standing::Member if self.takes_part => Place::Voter,
+            Standing::Joining if self.takes_part && self.discovers => Place::Waits,
+            _ => Place::Open,
+        }
+    }
+
     fn hello(&self, to: NodeId, sequence: u64, wants_reply: bool) -> Hello {
         let verdict = self.present.get(&to).map(|presence| Verdict {
             session: presence.hello.session,
--- a/crates/replica/tests/discovery.rs
+++ b/crates/replica/tests/discovery.rs
@@ -145,6 +145,41 @@
     assert_eq!(voters(&cluster), seeds());
 }
 
+/// Bytes that a node sends in a second on the average, in a group of three voters
+/// with `spares` beside them.
+fn bytes_a_second(spares: u32) -> u64 {
+    const SECONDS: u64 = 20;
+    let size = 3 + spares;
+    let mut cluster = founded(size, 17, discover);
+    for spare in 4..=size {
+        cluster.start(node(spare));
+    }
+    // The control nodes tell everybody of everybody.
+    for told in cluster.nodes() {
+        let members = Input::Members {
+            contacts: cluster.nodes().into_iter().collect(),
+            retiring: BTreeSet::new(),
+        };
+        cluster.input(told, members);
+    }
+    cluster.run_for(Duration::from_secs(10));
+    assert_eq!(voters(&cluster), seeds());
+    let before = cluster.bytes_sent;
+    cluster.run_for(Duration::from_secs(SECONDS));
+    (cluster.bytes_sent - before) / SECONDS / u64::from(size)
+}
+
+#[test]
+fn what_a_spare_machine_says_does_not_grow_with_the_square_of_the_spares() {
+    let few = bytes_a_second(5);
+    let many = bytes_a_second(40);
+    // Each greets all others once in a while, so it grows a little.
+    assert!(
+        many < 3 * few,
+        "{many} bytes beside 40 spares, {few} beside 5"
+    );
+}
+
 #[test]
 fn a_group_grows_to_the_wanted_number() {
     let mut cluster = founded(5, 8, discover_five);
