Hand out batch items from those that are free, and call the leader only with room

The store that leads had no time for them: each change that left a free item woke all 249 gateways, each of whose calls sorted what is open, and gateways without room waited at the leader three times a second. Change: Handout keeps the free items in order and finds what goes out without a look at what is out; as many gateways are woken as there are free items; a gateway without room waits at home, and calls to renew what it runs each 0.8 s, or not at all.

--- a/crates/fleet/src/store/handout.rs
+++ b/crates/fleet/src/store/handout.rs
@@ -2,6 +2,7 @@
 //! handed out twice by two leaders runs twice, and its first outcome counts.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 use molespan_state::batch::ItemReference;
@@ -31,6 +32,11 @@
     /// before.
     warm_at: Timestamp,
     held: BTreeMap<ItemReference, Holding>,
+    /// The open items as they were last seen.
+    open: Arc<OpenIndex>,
+    /// Those of them that nobody holds, by the time at which they are due: what
+    /// goes out is found without a look at what is out.
+    free: BTreeSet<(u64, ItemReference)>,
     /// How long the latest items took that are done, oldest first.
     run_times: VecDeque<Duration>,
 }
@@ -44,6 +50,8 @@
             lease,
             warm_at: now + warm_up,
             held: BTreeMap::new(),
+            open: Arc::default(),
+            free: BTreeSet::new(),
             run_times: VecDeque::new(),
         }
     }
@@ -55,12 +63,12 @@
         now: Timestamp,
         node: NodeId,
         running: &BTreeSet<ItemReference>,
-        open: &OpenIndex,
+        open: &Arc<OpenIndex>,
     ) -> Vec<ItemReference> {
-        self.note_done(now, node, running, open);
+        self.follow(open);
+        self.note_done(now, node, running);
         // What it held and does not run any more is free.
-        self.held
-            .retain(|item, holding| holding.node != node || running.contains(item));
+        self.release(|item, holding| holding.node == node && !running.contains(item));
         let mut stop = Vec::new();
         for &item in running {
             let taken = self.held.get(&item);
@@ -71,11 +79,41 @@
             }
             let until = now + self.lease;
             let since = taken.map_or(now, |one| one.since);
-            self.held.insert(item, Holding { node, until, since });
+            self.hold(item, Holding { node, until, since });
         }
         stop
     }
 
+    /// Sees the open items anew if they changed.
+    fn follow(&mut self, open: &Arc<OpenIndex>) {
+        if Arc::ptr_eq(&self.open, open) {
+            return;
+        }
+        self.open = open.clone();
+        let free = open.by_due().iter();
+        let free = free.filter(|(_, item)| !self.held.contains_key(item));
+        self.free = free.copied().collect();
+    }
+
+    fn hold(&mut self, item: ItemReference, holding: Holding) {
+        self.held.insert(item, holding);
+        if let Some(due_ms) = self.open.due_ms(item) {
+            self.free.remove(&(due_ms, item));
+        }
+    }
+
+    /// Frees what is held and `ends`.
+    fn release(&mut self, ends: impl Fn(&ItemReference, &Holding) -> bool) {
+        let ended = self
+            .held
+            .extract_if(.., |item, holding| ends(item, holding));
+        for (item, _) in ended {
+            if let Some(due_ms) = self.open.due_ms(item) {
+                self.free.insert((due_ms, item));
+            }
+        }
+    }
+
     /// Hands out up to `capacity` items that nobody runs, the most urgent ones
     /// first. `unix_ms` is the time of day.
     pub fn take(
@@ -84,38 +122,40 @@
         unix_ms: u64,
         node: NodeId,
         capacity: usize,
-        open: &OpenIndex,
+        open: &Arc<OpenIndex>,
     ) -> Vec<ItemReference> {
         if now < self.warm_at {
             return Vec::new();
         }
-        self.held.retain(|_, holding| holding.until > now);
+        self.follow(open);
+        self.release(|_, holding| holding.until <= now);
         let takes_ms = self.run_time().as_millis() as u64;
-        let free = open
-            .by_urgency(unix_ms, takes_ms)
-            .filter(|item| !self.held.contains_key(item));
-        let items: Vec<ItemReference> = free.take(capacity).collect();
+        let items: Vec<ItemReference> = self.by_urgency(unix_ms, takes_ms).take(capacity).collect();
         for &item in &items {
             let until = now + self.lease;
             let since = now;
-            self.held.insert(item, Holding { node, until, since });
+            self.hold(item, Holding { node, until, since });
         }
         items
     }
 
+    /// What nobody holds in the order of `Urgency`, for work that takes `takes_ms`
+    /// and by a clock that shows `unix_ms`.
+    fn by_urgency(&self, unix_ms: u64, takes_ms: u64) -> impl Iterator<Item = ItemReference> {
+        const FIRST: ItemReference = ItemReference { job: 0, place: 0 };
+        let in_time = (unix_ms.saturating_add(takes_ms), FIRST);
+        let late = self.free.range(..in_time);
+        let items = self.free.range(in_time..).chain(late);
+        items.map(|&(_, item)| item)
+    }
+
     /// Learns from the items that a gateway has done how long one takes.
-    fn note_done(
-        &mut self,
-        now: Timestamp,
-        node: NodeId,
-        running: &BTreeSet<ItemReference>,
-        open: &OpenIndex,
-    ) {
+    fn note_done(&mut self, now: Timestamp, node: NodeId, running: &BTreeSet<ItemReference>) {
         let ended = self.held.iter().filter(|(item, holding)| {
-            holding.node == node && !running.contains(item) && open.is_open(item.job)
+            holding.node == node && !running.contains(item) && self.open.is_open(item.job)
         });
         for (item, holding) in ended {
-            if open.contains(*item) {
+            if self.open.due_ms(*item).is_some() {
                 continue;
             }
             self.run_times.push_back(now.since(holding.since));
@@ -135,14 +175,11 @@
         times.get(times.len() * 3 / 4).copied().unwrap_or_default()
     }
 
-    /// Whether some open item is handed out to nobody.
-    #[must_use]
-    pub fn has_free(&self, now: Timestamp, open: &OpenIndex) -> bool {
-        let mut items = open.by_urgency(0, 0);
-        items.any(|item| {
-            let holding = self.held.get(&item);
-            holding.is_none_or(|holding| holding.until <= now)
-        })
+    /// How many open items nobody holds.
+    pub fn free(&mut self, now: Timestamp, open: &Arc<OpenIndex>) -> usize {
+        self.follow(open);
+        self.release(|_, holding| holding.until <= now);
+        self.free.len()
     }
 
     /// Whether some gateway runs an item of a job that is not open any more.
--- a/crates/fleet/src/store/peer.rs
+++ b/crates/fleet/src/store/peer.rs
@@ -14,7 +14,7 @@
 
 use super::handout::Handout;
 use super::open_index::OpenIndex;
-use crate::wakeup::Wakeup;
+use crate::wakeup::{Invitations, Wakeup};
 
 /// A gateway that is silent for longer loses its items.
 const LEASE: Duration = Duration::from_millis(2_500);
@@ -40,8 +40,8 @@
     changes: AtomicU64,
     /// Open work, read once for all that ask until the jobs change.
     open: async_lock::Mutex<Option<OpenAsOf>>,
-    /// Wakes gateways with room when there are items for them.
-    items: Wakeup,
+    /// Wakes as many gateways with room as there are items for them.
+    items: Invitations,
     /// Wakes every gateway that waits when some item is to be stopped.
     stops: Wakeup,
 }
@@ -76,7 +76,7 @@
             handout: Mutex::new(None),
             changes: AtomicU64::new(0),
             open: async_lock::Mutex::new(None),
-            items: Wakeup::default(),
+            items: Invitations::default(),
             stops: Wakeup::default(),
         }
     }
@@ -127,7 +127,6 @@
     async fn take_items(&self, ask: &TakeItems) -> Response {
         let ends = Instant::now() + Duration::from_millis(u64::from(ask.wait_ms));
         loop {
-            let items = self.items.waiter();
             let stops = self.stops.waiter();
             if self.replica.leader(GroupId::BATCH) != Some(self.own) {
                 return self.not_leader().await;
@@ -146,7 +145,7 @@
             let wanted = async {
                 match ask.capacity {
                     0 => future::pending().await,
-                    _ => items.woken().await,
+                    _ => self.items.invited().await,
                 }
             };
             future::or(future::or(stops.woken(), wanted), late).await;
@@ -156,7 +155,7 @@
     fn hand_out(
         &self,
         ask: &TakeItems,
-        open: &OpenIndex,
+        open: &Arc<OpenIndex>,
     ) -> (Vec<ItemReference>, Vec<ItemReference>) {
         let now = self.now();
         let held = ask.held.iter();
@@ -218,16 +217,14 @@
             return;
         };
         let now = self.now();
-        let handout = self.handout.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(handout) = handout.as_ref() else {
+        let mut handout = self.handout.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(handout) = handout.as_mut() else {
             return;
         };
         if handout.has_ended(&open) {
             self.stops.wake();
         }
-        if handout.has_free(now, &open) {
-            self.items.wake();
-        }
+        self.items.wake_some(handout.free(now, &open));
     }
 
     /// Whether this node leads. What was handed out before is forgotten when it
--- a/crates/fleet/src/wakeup.rs
+++ b/crates/fleet/src/wakeup.rs
@@ -45,3 +45,32 @@
         let _closed = self.0.recv().await;
     }
 }
+
+/// Invitations that are open at once at the most.
+const MOST_INVITATIONS: usize = 1_024;
+
+/// Wakes as many of those that wait as there is something for. One that nobody
+/// takes stays open for who comes next, and may be out of date by then.
+#[derive(Debug)]
+pub(crate) struct Invitations(Sender<()>, Receiver<()>);
+
+impl Default for Invitations {
+    fn default() -> Self {
+        let (sender, receiver) = async_channel::bounded(MOST_INVITATIONS);
+        Self(sender, receiver)
+    }
+}
+
+impl Invitations {
+    /// Sees to it that `count` invitations are open.
+    pub fn wake_some(&self, count: usize) {
+        for _ in self.0.len()..count.min(MOST_INVITATIONS) {
+            let _open_already = self.0.try_send(());
+        }
+    }
+
+    /// Waits for an invitation and takes it.
+    pub async fn invited(&self) {
+        let _taken = self.1.recv().await;
+    }
+}
--- a/crates/fleet/tests/handout.rs
+++ b/crates/fleet/tests/handout.rs
@@ -1,6 +1,7 @@
 //! Items that gateways run.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use molespan_fleet::store::{Handout, OPEN_LIMIT, OpenIndex};
@@ -19,7 +20,7 @@
     ItemReference { job, place }
 }
 
-fn open(items: &[ItemReference]) -> OpenIndex {
+fn open(items: &[ItemReference]) -> Arc<OpenIndex> {
     let work = OpenWork {
         items: items
             .iter()
@@ -31,7 +32,7 @@
             .collect(),
         jobs: items.iter().map(|item| item.job).collect(),
     };
-    work.into()
+    index(work)
 }
 
 fn at(millis: u64) -> Timestamp {
@@ -104,12 +105,12 @@
 fn gateways_are_woken_only_for_items_that_nobody_runs() {
     let mut handout = warm();
     let work = open(&[item(1, 0), item(1, 1)]);
-    assert!(handout.has_free(at(0), &work));
+    assert_eq!(handout.free(at(0), &work), 2);
     let taken = handout.take(at(0), 0, ONE, 2, &work);
     assert_eq!(taken.len(), 2);
-    assert!(!handout.has_free(at(0), &work));
+    assert_eq!(handout.free(at(0), &work), 0);
     // A silent gateway loses its items.
-    assert!(handout.has_free(at(2_000), &work));
+    assert_eq!(handout.free(at(2_000), &work), 2);
 }
 
 #[test]
@@ -138,8 +139,12 @@
     }
 }
 
-fn due(times: &[Option<u64>]) -> OpenIndex {
-    due_work(times).into()
+fn due(times: &[Option<u64>]) -> Arc<OpenIndex> {
+    index(due_work(times))
+}
+
+fn index(work: OpenWork) -> Arc<OpenIndex> {
+    Arc::new(work.into())
 }
 
 #[test]
@@ -159,7 +164,7 @@
     // Four items take 1, 2, 3 and 4 s: only the last quarter takes 4 s.
     let mut work = due_work(&[None; 6]);
     let first: Vec<_> = work.items.iter().map(|open| open.item).take(4).collect();
-    handout.take(at(0), 0, ONE, 4, &work.clone().into());
+    handout.take(at(0), 0, ONE, 4, &index(work.clone()));
     for (done, item) in first.iter().enumerate() {
         work.items.retain(|open| open.item != *item);
         let left = running(&first[done + 1..]);
@@ -167,7 +172,7 @@
             at(1_000 * (done as u64 + 1)),
             ONE,
             &left,
-            &work.clone().into(),
+            &index(work.clone()),
         );
     }
     assert_eq!(handout.run_time(), Duration::from_secs(4));
@@ -205,7 +210,7 @@
     let BatchAnswer::Open(work) = machine.query(&BatchQuery::Open { limit: OPEN_LIMIT }) else {
         panic!("another answer");
     };
-    let taken = warm().take(at(0), 50_000, ONE, 3, &work.into());
+    let taken = warm().take(at(0), 50_000, ONE, 3, &index(work));
     assert_eq!(taken, [item(21, 0), item(21, 1), item(21, 2)]);
 }
 
--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -21,8 +21,9 @@
 
 /// Longest time that the leader holds a call for items.
 const WAIT: Duration = Duration::from_millis(900);
-/// The same when no item can be taken now, so that room is told of soon.
-const WAIT_WITHOUT_ROOM: Duration = Duration::from_millis(300);
+/// Longest time without a call while there is no room: the lease of what runs here
+/// is 2.5 s at the leader, and two calls may be lost within it.
+const RENEWED_AFTER: Duration = Duration::from_millis(800);
 /// Time for such a call.
 const TAKE_DEADLINE: Duration = Duration::from_millis(1_900);
 /// Without a renewal for longer, another gateway surely runs the items by now.
@@ -147,6 +148,19 @@
         headroom.min(left).min(MOST_AT_ONCE)
     }
 
+    /// Waits until there is room, or until what runs here is to be renewed: to wait
+    /// at the leader would cost it the most when all gateways are full.
+    async fn room(&self) -> u32 {
+        let ends = Instant::now() + RENEWED_AFTER;
+        loop {
+            let capacity = self.capacity();
+            if capacity > 0 || Instant::now() >= ends || self.state.closes_idle() {
+                return capacity;
+            }
+            Timer::after(SHORTEST_ROUND).await;
+        }
+    }
+
     /// Writes what runs here, and what all engines have, while there are items.
     fn tell(&self) {
         let items = self.running.borrow().len();
@@ -162,15 +176,15 @@
 
     /// One call to the leader; says whether it was answered.
     async fn round(self: &Rc<Self>) -> bool {
+        let capacity = self.room().await;
         let held: Vec<(u64, u32)> = {
             let running = self.running.borrow();
             running.keys().map(|item| (item.job, item.place)).collect()
         };
-        let capacity = self.capacity();
-        let wait = if capacity > 0 {
-            WAIT
-        } else {
-            WAIT_WITHOUT_ROOM
+        let wait = match capacity {
+            0 if held.is_empty() => return true,
+            0 => Duration::ZERO,
+            _ => WAIT,
         };
         let ask = TakeItems {
             node: self.state.own,
