Let a store that waits for a vote name a voter to whoever looks for the leader

Cause: a gateway goes through the stores in the order of their addresses until one tells who leads. Of 45 stores 5 vote, and the others knew no leader: they answered that none is known. With pauses that double, a call of 0.9 to 1.5 s reaches some eight stores. Change: who waits for a vote names the leader if it hears one, else some voter. Test: a_spare_machine_names_a_voter_to_whoever_looks_for_the_leader; without the change it gets NotLeader without a name.

--- a/crates/replica/src/api.rs
+++ b/crates/replica/src/api.rs
@@ -84,6 +84,20 @@
     },
 }
 
+impl Input {
+    /// Whether only the leader of its group can carry it out.
+    pub(crate) fn needs_leader(&self) -> bool {
+        match self {
+            Self::Propose { .. } | Self::TransferLeadership { .. } => true,
+            Self::Query { consistency, .. } => *consistency == Consistency::Linearizable,
+            Self::Message { .. }
+            | Self::ReplaceReplica { .. }
+            | Self::Found { .. }
+            | Self::Members { .. } => false,
+        }
+    }
+}
+
 /// Something to be done outside.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -16,8 +16,8 @@
 use crate::shared::Shared;
 use crate::turn::not_run;
 use crate::{
-    FIRST_INCARNATION, Input, Output, ReplicaError, ReplicaEvent, ReplicaSettings, ReplicaStatus,
-    Ticket, records,
+    FIRST_INCARNATION, Input, Output, Refusal, ReplicaError, ReplicaEvent, ReplicaSettings,
+    ReplicaStatus, Ticket, records,
 };
 
 /// When to come back to a replica that does not take part yet, in milliseconds.
@@ -141,6 +141,13 @@
         let Some(group) = self.groups.get_mut(&group) else {
             return self.refuse(ticket, "there is no such group");
         };
+        if self.fleet.waits() && request.needs_leader() {
+            // Who only waits for a vote hears of no leader, but knows who votes.
+            let leader = group.leader();
+            let leader = leader.or_else(|| self.fleet.draw_voter(&mut self.random));
+            let result = Err(Refusal::NotLeader { leader });
+            return self.shared.outputs.push(Output::Reply { ticket, result });
+        }
         let turn = &mut self.shared.turn(now);
         match request {
             Input::Message { .. } | Input::Found { .. } | Input::Members { .. } => {}
--- a/crates/replica/src/fleet.rs
+++ b/crates/replica/src/fleet.rs
@@ -11,6 +11,8 @@
 use molespan_storage::{Disk, DiskIdentity, StorageError};
 use molespan_types::mechanism::{Mechanism, enabled};
 use molespan_types::{NodeId, Timestamp};
+use rand::Rng;
+use rand::seq::IteratorRandom;
 
 use crate::identity::{node_of, replica_id};
 use crate::message::{Hello, KnownVoters, Standing, Verdict};
@@ -217,6 +219,16 @@
             .collect()
     }
 
+    /// Whether this takes part and waits to become a voter.
+    pub fn waits(&self) -> bool {
+        self.place() == Place::Waits
+    }
+
+    /// Some node that votes as far as is known.
+    pub fn draw_voter(&self, random: &mut impl Rng) -> Option<NodeId> {
+        self.known_voters().into_iter().choose(random)
+    }
+
     fn place(&self) -> Place {
         match self.record.standing {
             Standing::Founder | Standing::Member if self.takes_part => Place::Voter,
--- a/crates/replica/tests/discovery.rs
+++ b/crates/replica/tests/discovery.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use cluster::{Cluster, node};
-use molespan_replica::{Consistency, Discovery, Input, ReplicaSettings, ReplicaStatus};
+use molespan_replica::{Consistency, Discovery, Input, Refusal, ReplicaSettings, ReplicaStatus};
 use molespan_types::{ConfigVersion, GroupId, NodeId};
 
 const SEEDS: [u32; 3] = [1, 2, 3];
@@ -145,6 +145,32 @@
     assert_eq!(voters(&cluster), seeds());
 }
 
+#[test]
+fn a_spare_machine_names_a_voter_to_whoever_looks_for_the_leader() {
+    let mut cluster = founded(4, 18, discover);
+    cluster.start(node(4));
+    cluster.run_for(Duration::from_secs(2));
+    let query = Input::Query {
+        ticket: cluster.ticket(),
+        group: GroupId::CONTROL,
+        consistency: Consistency::Linearizable,
+        query: Vec::new(),
+    };
+    cluster.input(node(4), query);
+    cluster.propose_to(node(4), GroupId::CONTROL, Vec::new());
+    cluster.run_for(Duration::from_secs(1));
+    assert_eq!(cluster.answers.len(), 2);
+    for answer in cluster.answers.values() {
+        let Err(Refusal::NotLeader {
+            leader: Some(named),
+        }) = answer
+        else {
+            panic!("{answer:?}");
+        };
+        assert!(seeds().contains(named), "{named:?}");
+    }
+}
+
 /// Bytes that a node sends in a second on the average, in a group of three voters
 /// with `spares` beside them.
 fn bytes_a_second(spares: u32) -> u64 {
