Let gateways tell each other which engines fail

Cause: 33 of 204 engines of the large lab went dark for 4 s and came back as others at their addresses. An engine that answers nobody looks the least loaded, so walkthroughs, which look at every engine, were refused behind six of them. Ruled out: heartbeats; ten may be missed, since control nodes may be away as long. Change: beside what a gateway has at an engine it tells whether it fails there, or had an answer within a second; relays add both up. An engine is avoided while it fails for two others and for more than it answers. A gateway without any answer for 3 s tells of no failures, since it may be cut off itself; beyond half of a service nobody heeds the others. An engine that another one displaced is never tried again. Each engine that begins or ends to count as failing is one line in the log. The cost of one engine for a request moved from table to a file of its own, as it was.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -148,7 +148,7 @@
     } else if reply.facts.not_run {
         engines.failed(engine, Failure::Full, now);
     } else if reply.head.status < 500 {
-        engines.succeeded(engine);
+        engines.succeeded(engine, now);
     }
 }
 
--- a/crates/proxy/src/work_shares.rs
+++ b/crates/proxy/src/work_shares.rs
@@ -2,6 +2,7 @@
 //! relay where there are many of them. An engine's own reports come with answers
 //! only, and too late for a burst.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use molespan_routing::dispatch::WorkShare;
 use molespan_types::{NodeId, RunOutcome};
 use molespan_wire::{Handler, Request, Response, Server, ServerLimits};
+use slog::info;
 
 use crate::batch::give_way;
 use crate::state::GatewayState;
@@ -96,6 +98,7 @@
 }
 
 async fn listen(state: Rc<GatewayState>, telling: Receiver<Told>) {
+    let mut failing = BTreeSet::new();
     while let Ok(told) = telling.recv().await {
         let now = state.now();
         if told.relayed {
@@ -106,6 +109,20 @@
             .borrow_mut()
             .note_shares(told.from, &told.shares, now);
         give_way(&state);
+        let failing_now = state.engines.borrow().failing_for_others(now);
+        note_failing(&state, &failing, &failing_now);
+        failing = failing_now;
+    }
+}
+
+/// Writes which engines are avoided from now on since they fail for others, and
+/// which no longer are.
+fn note_failing(state: &GatewayState, before: &BTreeSet<String>, now: &BTreeSet<String>) {
+    for engine in now.difference(before) {
+        info!(state.logger, "engine fails for others"; "engine" => engine);
+    }
+    for engine in before.difference(now) {
+        info!(state.logger, "engine no longer fails for others"; "engine" => engine);
     }
 }
 
@@ -119,7 +136,7 @@
             Timer::after(interval).await;
         };
         future::or(due, state.long_prompt_sent()).await;
-        let shares = state.engines.borrow().shares();
+        let shares = state.engines.borrow().shares(state.now());
         interval = match is_busy(&state, &shares) {
             true => BUSY_INTERVAL,
             false => CALM_INTERVAL,
--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -18,12 +18,20 @@
 /// requests there. Coming back too early costs one prompt read again; staying
 /// away longer than a lull between two bursts lasts starves batch work.
 const QUIET_TIME: Duration = Duration::from_millis(300);
+/// Other gateways for which an engine has to fail before it counts as failing
+/// here: one of them alone may be the one that is cut off.
+const FAILING_FOR: u32 = 2;
+/// How long an answer says that an engine works: about as long as it takes until
+/// a crash was noticed by two gateways.
+const ANSWER_HOLDS: Duration = Duration::from_secs(1);
 /// How long it takes until the other gateways see that batch work gave way.
 const CUT_SHOWS: Duration = Duration::from_millis(150);
 /// First pause of an engine that fails; it doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// Pause of an engine that is gone: the control nodes lose sight of it before.
+const GONE_PAUSE: Duration = Duration::from_secs(30);
 /// Pause of an engine that is full.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
 /// Doublings after which the pause stays.
@@ -70,6 +78,44 @@
     /// How many of the requests are batch work.
     #[n(3)]
     pub batch: u32,
+    /// Gateways that keep away from it since it failed; one for a gateway itself.
+    #[n(4)]
+    #[cbor(default)]
+    pub failing: u32,
+    /// Gateways that had an answer from it a short while ago.
+    #[n(5)]
+    #[cbor(default)]
+    pub answering: u32,
+}
+
+impl WorkShare {
+    /// Whether it says nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.requests + self.failing + self.answering == 0
+    }
+
+    /// Adds what others have there.
+    pub fn add(&mut self, others: &Self) {
+        self.requests += others.requests;
+        self.unread_tokens += others.unread_tokens;
+        self.batch += others.batch;
+        self.failing += others.failing;
+        self.answering += others.answering;
+    }
+
+    /// What is left without a part of it.
+    #[must_use]
+    pub fn without(&self, part: &Self) -> Self {
+        Self {
+            engine: self.engine.clone(),
+            requests: self.requests.saturating_sub(part.requests),
+            unread_tokens: self.unread_tokens.saturating_sub(part.unread_tokens),
+            batch: self.batch.saturating_sub(part.batch),
+            failing: self.failing.saturating_sub(part.failing),
+            answering: self.answering.saturating_sub(part.answering),
+        }
+    }
 }
 
 /// How an attempt failed, as far as it tells of the engine's health.
@@ -98,6 +144,8 @@
     requests: u32,
     batch: u32,
     unread_tokens: u64,
+    failing: u32,
+    answering: u32,
     at: Timestamp,
 }
 
@@ -115,6 +163,10 @@
     report: Option<Report>,
     failures: u32,
     paused_until: Timestamp,
+    /// Pause since it failed; one that is only full does not count as failing.
+    failing_until: Timestamp,
+    /// Until when its last answer says that it works.
+    answering_until: Timestamp,
     crowded_until: Timestamp,
     next_cut: Timestamp,
 }
@@ -131,6 +183,8 @@
             report: None,
             failures: 0,
             paused_until: Timestamp::ZERO,
+            failing_until: Timestamp::ZERO,
+            answering_until: Timestamp::ZERO,
             crowded_until: Timestamp::ZERO,
             next_cut: Timestamp::ZERO,
         }
@@ -172,14 +226,18 @@
         }
     }
 
-    /// Own work here, for telling others; `None` where there is none.
-    pub fn share(&self) -> Option<WorkShare> {
-        (self.own() > 0).then(|| WorkShare {
+    /// Own work and experience here, for telling others; `None` without any. A
+    /// gateway that is not `sure` of itself tells of no failures.
+    pub fn share(&self, now: Timestamp, sure: bool) -> Option<WorkShare> {
+        let share = WorkShare {
             engine: self.facts.id.clone(),
             requests: self.own(),
             batch: self.batch,
             unread_tokens: self.unread_tokens,
-        })
+            failing: u32::from(sure && now < self.failing_until),
+            answering: u32::from(now < self.answering_until),
+        };
+        (!share.is_empty()).then_some(share)
     }
 
     /// Takes in what another gateway has here; `None` for nothing.
@@ -192,6 +250,8 @@
             requests: share.requests,
             batch: share.batch,
             unread_tokens: share.unread_tokens,
+            failing: share.failing,
+            answering: share.answering,
             at: now,
         };
         self.shares.insert(from, share);
@@ -271,10 +331,21 @@
         now < self.crowded_until
     }
 
+    /// Whether it failed here, or had no room, a short while ago.
     pub fn is_paused(&self, now: Timestamp) -> bool {
         now < self.paused_until
     }
 
+    /// Whether it failed for several other gateways lately, and answered fewer:
+    /// where some cannot reach it and others can, it works. Those whose own pause
+    /// ends try it again, so that somebody always does.
+    pub fn fails_others(&self, now: Timestamp) -> bool {
+        let failing: u32 = self.fresh_shares(now).map(|share| share.failing).sum();
+        let answering: u32 = self.fresh_shares(now).map(|share| share.answering).sum();
+        let answering = answering + u32::from(now < self.answering_until);
+        failing >= FAILING_FOR && failing > answering
+    }
+
     pub fn failed(&mut self, failure: Failure, now: Timestamp) {
         if failure == Failure::Full {
             self.paused_until = self.paused_until.max(now + FULL_PAUSE);
@@ -288,9 +359,21 @@
         let doublings = (self.failures - 1).min(MOST_DOUBLINGS);
         let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(LONGEST_PAUSE);
         self.paused_until = self.paused_until.max(now + pause);
+        self.failing_until = self.paused_until;
+        self.answering_until = now;
+    }
+
+    /// It is gone for good: an engine that starts again is another one.
+    pub fn displaced(&mut self, now: Timestamp) {
+        self.failures += 1;
+        self.paused_until = now + GONE_PAUSE;
+        self.failing_until = self.paused_until;
+        self.answering_until = now;
     }
 
-    pub fn succeeded(&mut self) {
+    pub fn succeeded(&mut self, now: Timestamp) {
         self.failures = 0;
+        self.failing_until = now;
+        self.answering_until = now + ANSWER_HOLDS;
     }
 }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Pure decisions: the caller gives the time and tells what happened.
 
+mod candidate;
 mod engine;
 mod prompt;
 mod relay;
--- a/crates/routing/src/dispatch/relay.rs
+++ b/crates/routing/src/dispatch/relay.rs
@@ -145,11 +145,7 @@
     let mut sums: BTreeMap<&str, WorkShare> = BTreeMap::new();
     for share in shares {
         match sums.get_mut(share.engine.as_str()) {
-            Some(sum) => {
-                sum.requests += share.requests;
-                sum.unread_tokens += share.unread_tokens;
-                sum.batch += share.batch;
-            }
+            Some(sum) => sum.add(share),
             None => {
                 sums.insert(&share.engine, share.clone());
             }
@@ -162,15 +158,7 @@
 fn without(all: &[WorkShare], own: &[WorkShare]) -> Vec<WorkShare> {
     let rest = all.iter().map(|sum| {
         let own = own.iter().find(|own| own.engine == sum.engine);
-        match own {
-            Some(own) => WorkShare {
-                engine: sum.engine.clone(),
-                requests: sum.requests.saturating_sub(own.requests),
-                unread_tokens: sum.unread_tokens.saturating_sub(own.unread_tokens),
-                batch: sum.batch.saturating_sub(own.batch),
-            },
-            None => sum.clone(),
-        }
+        own.map_or_else(|| sum.clone(), |own| sum.without(own))
     });
-    rest.filter(|share| share.requests > 0).collect()
+    rest.filter(|share| !share.is_empty()).collect()
 }
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -8,21 +8,13 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::candidate::Candidate;
 use super::engine::{Engine, EngineFacts, EngineLoad, Failure, WorkShare};
 use super::prompt::{Holders, PromptCost, home};
 
 /// Departed engines that are remembered, so that a late word of one does not
 /// bring it back.
 const REMEMBERED_DEPARTURES: usize = 10_000;
-/// Prompt tokens that a way into another zone weighs as much as.
-const ZONE_TOKENS: f64 = 150.0;
-/// Prompt tokens that a full set of running requests weighs as much as: it
-/// slows each step a little.
-const RUNNING_TOKENS: f64 = 600.0;
-/// Share of the time of reading a prompt that each request running there weighs:
-/// an engine reads a prompt in pieces between the tokens of the others, so that
-/// a long one makes all of their pauses long.
-const HELD_UP_SHARE: f64 = 0.15;
 /// Engines that a short request looks at, drawn at random. Other gateways choose
 /// by the same figures at the same time; if each looked at all engines, all of
 /// them would take the same one until they hear of each other.
@@ -30,13 +22,6 @@
 /// Prompt tokens from which on a request looks at every engine: there are few
 /// such requests, and where they run matters most.
 const LONG_PROMPT_TOKENS: u64 = 4_000;
-/// Prompt tokens that a request weighs as much as for which there is no slot.
-const WAITING_TOKENS: f64 = 20_000.0;
-/// The same where own batch work gives its slot up at once.
-const CUT_HERE_TOKENS: f64 = 300.0;
-/// The same where another gateway's batch work gives its slot up as soon as that
-/// gateway hears of the request.
-const CUT_ELSEWHERE_TOKENS: f64 = 3_000.0;
 /// Share of its slots up to which an engine gets batch work: all of them, since
 /// it gives way.
 const BATCH_LOAD: f64 = 1.0;
@@ -44,6 +29,12 @@
 const STARTS_SHOW: Duration = Duration::from_millis(150);
 /// Share of its slots up to which an engine gets online work.
 const ONLINE_LOAD: f64 = 1.5;
+/// How long an answer from any engine says that this gateway reaches engines.
+const ANSWERED_LATELY: Duration = Duration::from_secs(3);
+/// Share of a service's engines that may count as failing for others; beyond it
+/// their word is not heeded, since the cause lies elsewhere and the rest could not
+/// carry the load.
+const MOST_FAILING: f64 = 0.5;
 /// How long gateways count as telling each other what they have.
 const TOLD_LATELY: Duration = Duration::from_millis(1_200);
 
@@ -101,6 +92,8 @@
     holders: Holders,
     /// When another gateway last told what it has.
     told: Option<Timestamp>,
+    /// When an engine last answered here.
+    answered: Option<Timestamp>,
     /// Gateways, this one included.
     gateways: u32,
     /// Latest own starts of batch requests, oldest first.
@@ -119,6 +112,7 @@
             departed_order: VecDeque::new(),
             holders: Holders::default(),
             told: None,
+            answered: None,
             gateways: 1,
             batch_starts: VecDeque::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -170,9 +164,11 @@
     }
 
     /// Another engine answered at its address. The control nodes lose sight of
-    /// it soon; until then it is not chosen.
+    /// it soon; until then it is not chosen, and the others hear of it.
     pub fn displaced(&mut self, id: &str, now: Timestamp) {
-        self.failed(id, Failure::Unreachable, now);
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.displaced(now);
+        }
     }
 
     /// Whether new work may still go there.
@@ -219,10 +215,18 @@
         }
     }
 
-    /// What this gateway has at each engine, for telling the others.
+    /// What this gateway has at each engine, and how it fared there, for telling
+    /// the others.
     #[must_use]
-    pub fn shares(&self) -> Vec<WorkShare> {
-        self.engines.values().filter_map(Engine::share).collect()
+    pub fn shares(&self, now: Timestamp) -> Vec<WorkShare> {
+        // Without an answer from any engine this gateway may be the one that fails.
+        let sure = self
+            .answered
+            .is_some_and(|answered| now.since(answered) < ANSWERED_LATELY);
+        let engines = self.engines.values();
+        engines
+            .filter_map(|engine| engine.share(now, sure))
+            .collect()
     }
 
     /// Another gateway tells all that it has at engines.
@@ -237,6 +241,22 @@
         }
     }
 
+    /// Engines of all services that fail for other gateways.
+    #[must_use]
+    pub fn failing_for_others(&self, now: Timestamp) -> BTreeSet<String> {
+        let engines = self.engines.iter();
+        let failing = engines.filter(|(_, engine)| engine.fails_others(now));
+        failing.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Whether engines of the service are avoided that fail for others.
+    fn heeds_others(&self, service: &str, now: Timestamp) -> bool {
+        let all = self.of_service(service).count() as f64;
+        let failing = self.of_service(service);
+        let failing = failing.filter(|engine| engine.fails_others(now)).count() as f64;
+        failing <= all * MOST_FAILING
+    }
+
     /// Forgets what another node told: it is told by somebody else from now on.
     pub fn forget_shares(&mut self, from: NodeId) {
         for engine in self.engines.values_mut() {
@@ -262,9 +282,10 @@
     }
 
     /// An attempt was answered.
-    pub fn succeeded(&mut self, id: &str) {
+    pub fn succeeded(&mut self, id: &str, now: Timestamp) {
+        self.answered = Some(now);
         if let Some(engine) = self.engines.get_mut(id) {
-            engine.succeeded();
+            engine.succeeded(now);
         }
     }
 
@@ -298,9 +319,11 @@
         let slots: u32 = of_service.iter().map(|one| one.facts.slots).sum();
         let loads = of_service.iter().map(|one| one.load(now, others_tell));
         let free = f64::from(slots) - loads.sum::<f64>();
+        let heeds_others = self.heeds_others(service, now);
         let usable = of_service
             .iter()
-            .filter(|engine| !engine.is_paused(now) && !engine.is_crowded(now));
+            .filter(|engine| !engine.is_paused(now) && !engine.is_crowded(now))
+            .filter(|engine| !(heeds_others && engine.fails_others(now)));
         let room: f64 = usable
             .map(|engine| {
                 let slots = f64::from(engine.facts.slots);
@@ -352,6 +375,7 @@
             .filter(|engine| engine.facts.service == pick.service)
             .collect();
         let others_tell = self.others_tell(now);
+        let heeds_others = self.heeds_others(pick.service, now);
         let share = match pick.class {
             WorkClass::Online => ONLINE_LOAD,
             WorkClass::Batch => BATCH_LOAD,
@@ -365,7 +389,8 @@
             let load = engine.load(now, others_tell);
             let full = load >= f64::from(facts.slots) * share;
             let crowded = pick.class == WorkClass::Batch && engine.is_crowded(now);
-            if full || crowded || engine.is_paused(now) || pick.tried.contains(&facts.id) {
+            let failing = engine.is_paused(now) || (heeds_others && engine.fails_others(now));
+            if full || crowded || failing || pick.tried.contains(&facts.id) {
                 continue;
             }
             let held = shared.filter(|shared| {
@@ -392,51 +417,3 @@
         Ok(candidate.picked())
     }
 }
-
-/// An engine that could be chosen.
-#[derive(Clone, Copy, Debug)]
-struct Candidate<'e> {
-    facts: &'e EngineFacts,
-    load: f64,
-    unread_tokens: u64,
-    before_tokens: u64,
-    /// Batch requests of this gateway there.
-    own_batch: f64,
-    /// Batch requests of other gateways there.
-    others_batch: f64,
-}
-
-impl Candidate<'_> {
-    /// How long a request of `zone` waits for its first token there, in prompt
-    /// tokens.
-    fn cost(&self, zone: &ZoneName) -> f64 {
-        let zone = match self.facts.zone == *zone {
-            true => 0.0,
-            false => ZONE_TOKENS,
-        };
-        let slots = f64::from(self.facts.slots);
-        let reading = (self.before_tokens + self.unread_tokens) as f64;
-        let running = self.load / slots.max(1.0) * RUNNING_TOKENS;
-        let held_up = self.load * self.unread_tokens as f64 * HELD_UP_SHARE;
-        reading + running + held_up + zone + self.slot_cost(slots)
-    }
-
-    /// How long the request waits for a slot. Batch work gives way to it, the
-    /// own one first; behind other online requests it waits for the longest.
-    fn slot_cost(&self, slots: f64) -> f64 {
-        let wanted = (self.load - slots + 1.0).max(0.0);
-        let cut_here = wanted.min(self.own_batch);
-        let cut_elsewhere = (wanted - cut_here).min(self.others_batch);
-        let waiting = wanted - cut_here - cut_elsewhere;
-        cut_here * CUT_HERE_TOKENS + cut_elsewhere * CUT_ELSEWHERE_TOKENS + waiting * WAITING_TOKENS
-    }
-
-    fn picked(&self) -> Picked {
-        Picked {
-            facts: self.facts.clone(),
-            load: self.load,
-            unread_tokens: self.unread_tokens,
-            before_tokens: self.before_tokens,
-        }
-    }
-}
--- a/crates/routing/tests/dispatch.rs
+++ b/crates/routing/tests/dispatch.rs
@@ -250,6 +250,8 @@
         requests: 1,
         unread_tokens: 30_000,
         batch: 0,
+        failing: 0,
+        answering: 0,
     };
     table.note_shares(NodeId(9), std::slice::from_ref(&share), now(0));
     for _ in 0..20 {
@@ -274,6 +276,8 @@
         requests,
         unread_tokens: 0,
         batch: 0,
+        failing: 0,
+        answering: 0,
     };
     let told = [share(3, 5), share(9, 7), share(1, 2)];
     table.note_shares(NodeId(7), &told, now(0));
@@ -284,6 +288,106 @@
     assert!((table.occupancy(now(1)) - 2.0 / slots).abs() < 1e-9);
 }
 
+/// What other gateways, as a relay adds them up, find of an engine.
+fn experience(engine: &str, failing: u32, answering: u32) -> WorkShare {
+    WorkShare {
+        engine: engine.to_owned(),
+        requests: 0,
+        unread_tokens: 0,
+        batch: 0,
+        failing,
+        answering,
+    }
+}
+
+#[test]
+fn an_engine_that_fails_for_others_is_avoided_before_it_fails_here() {
+    // Gateways for which it fails, and that it answers; whether it is chosen.
+    let cases = [
+        (0, 0, true),
+        (1, 0, true),
+        (2, 0, false),
+        (2, 1, false),
+        (2, 2, true),
+        (30, 70, true),
+        (70, 2, false),
+    ];
+    for (failing, answering, chosen) in cases {
+        let mut table = table(&[(1, "near"), (2, "far")]);
+        table.note_shares(NodeId(7), &[experience("e1", failing, answering)], now(0));
+        let engine = if chosen { "e1" } else { "e2" };
+        assert_eq!(
+            online(&mut table, 1),
+            Ok(engine.to_owned()),
+            "{failing} {answering}"
+        );
+        assert_eq!(table.failing_for_others(now(1)).is_empty(), chosen);
+        // Nobody says so any more.
+        assert_eq!(online(&mut table, 1_300), Ok("e1".to_owned()));
+    }
+}
+
+#[test]
+fn the_word_of_others_takes_no_more_than_half_of_a_service_away() {
+    let engines = [1, 2, 3, 4].map(|number| (number, "near"));
+    for failing in 0..=4_usize {
+        let mut table = table(&engines);
+        let told: Vec<WorkShare> = ["e1", "e2", "e3", "e4"][..failing]
+            .iter()
+            .map(|engine| experience(engine, 50, 0))
+            .collect();
+        table.note_shares(NodeId(7), &told, now(0));
+        let mut used = BTreeSet::new();
+        for _ in 0..200 {
+            used.insert(online(&mut table, 1).expect("an engine"));
+        }
+        let avoided = if failing <= 2 { failing } else { 0 };
+        assert_eq!(used.len(), 4 - avoided, "{failing} fail");
+    }
+}
+
+#[test]
+fn an_answer_here_counts_against_what_others_say() {
+    let mut table = table(&[(1, "near"), (2, "far")]);
+    table.succeeded("e1", now(0));
+    table.note_shares(NodeId(7), &[experience("e1", 2, 1)], now(0));
+    assert_eq!(online(&mut table, 10), Ok("e1".to_owned()));
+    table.note_shares(NodeId(7), &[experience("e1", 3, 1)], now(20));
+    assert_eq!(online(&mut table, 30), Ok("e2".to_owned()));
+}
+
+#[test]
+fn a_gateway_tells_how_it_fared_at_engines() {
+    let mut table = table(&[(1, "near"), (2, "near"), (3, "near"), (4, "near")]);
+    table.failed("e1", Failure::Unreachable, now(0));
+    assert_eq!(table.shares(now(0)), [], "no engine answered it yet");
+    table.succeeded("e2", now(0));
+    table.failed("e3", Failure::Full, now(0));
+    table.displaced("e4", now(0));
+    let told = |table: &EngineTable, millis| table.shares(now(millis));
+    let [e1, e2, e4] = [("e1", 1, 0), ("e2", 0, 1), ("e4", 1, 0)]
+        .map(|(engine, failing, answering)| experience(engine, failing, answering));
+    assert_eq!(told(&table, 100), [e1, e2, e4.clone()]);
+    // The pause is over, the answer is old; what is gone stays gone.
+    assert_eq!(told(&table, 1_100), [e4]);
+    // Without an answer from any engine it may be cut off itself.
+    assert_eq!(told(&table, 3_000), []);
+    table.succeeded("e2", now(1_150));
+    table.failed("e2", Failure::Unreachable, now(1_200));
+    table.succeeded("e2", now(1_300));
+    let told = told(&table, 1_400);
+    assert!(told.contains(&experience("e2", 0, 1)), "{told:?}");
+}
+
+#[test]
+fn an_engine_whose_address_another_one_has_is_not_tried_again() {
+    let mut table = table(&[(1, "near"), (2, "far")]);
+    table.displaced("e1", now(0));
+    for millis in [1, 600, 5_000, 20_000] {
+        assert_eq!(online(&mut table, millis), Ok("e2".to_owned()));
+    }
+}
+
 #[test]
 fn an_engine_without_a_free_slot_is_the_last_choice() {
     let mut table = table(&[(1, "near"), (2, "far")]);
@@ -320,6 +424,8 @@
             requests: other_batch + other_online,
             unread_tokens: 0,
             batch: other_batch,
+            failing: 0,
+            answering: 0,
         };
         table.note_shares(NodeId(9), &[share], now(0));
         let cuts: u32 = table.batch_to_cut(now(0)).iter().map(|(_, cut)| cut).sum();
@@ -440,6 +546,8 @@
         requests: 8,
         unread_tokens: 0,
         batch: if engine == "e2" { 8 } else { 0 },
+        failing: 0,
+        answering: 0,
     });
     table.note_shares(NodeId(9), &shares, now(0));
     for _ in 0..8 {
--- a/crates/routing/tests/relay.rs
+++ b/crates/routing/tests/relay.rs
@@ -19,6 +19,8 @@
         requests,
         unread_tokens,
         batch,
+        failing: 0,
+        answering: 0,
     }
 }
 
@@ -43,6 +45,23 @@
     assert_eq!(sum, [share("x", 5, 150, 1), share("y", 1, 0, 0)]);
 }
 
+#[test]
+fn how_gateways_fared_is_added_up_and_told_without_the_own_part() {
+    let fared = |failing, answering| WorkShare {
+        failing,
+        answering,
+        ..share("x", 0, 0, 0)
+    };
+    let mut relay = WorkRelay::default();
+    relay.note(A, Teller::Gateway, vec![fared(1, 0)], at(0));
+    relay.note(B, Teller::Gateway, vec![fared(0, 1)], at(0));
+    relay.note(OTHER_RELAY, Teller::Relay, vec![fared(5, 2)], at(0));
+    let told = told(&relay);
+    assert_eq!(told[&A], [fared(5, 3)]);
+    assert_eq!(told[&B], [fared(6, 2)]);
+    assert_eq!(relay.sum_of_gateways(), [fared(1, 1)]);
+}
+
 #[test]
 fn what_a_silent_gateway_had_is_forgotten() {
     let mut relay = WorkRelay::default();
