Tell a gateway whose events the batch group keeps, so that two runs are never joined

Cause: the group answered a checkpoint with the number of the last event kept. Two runs of one item that came equally far each took the kept events for their own, and the one that went on sent only what was new: its events behind those of the other, which nobody had asked it to take up. Ruled out: resuming behind a restart (the number asked for is that of what was kept); a check of the run in the group itself, since each number is reached by one run alone and only whoever hears that its own events are kept follows on them: with such a check and without the answer the tests fail, without it and with the answer they hold. Change: each run is named by a number that its gateway draws; checkpoints, progress and the answer carry it. Test: two_runs_that_came_equally_far_are_not_joined failed before with one-1, two-2; what_is_kept_is_a_beginning_of_one_run draws several runs with events of their own, where the test before it had all engines make the same ones.

--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -214,7 +214,7 @@
     fn start(self: &Rc<Self>, item: ItemToRun) {
         let reference = item.reference;
         let runner = self.clone();
-        let output = Rc::new(RefCell::new(Output::resume(&item.progress)));
+        let output = Rc::new(RefCell::new(Output::resume(&item.progress, rand::random())));
         let shared = output.clone();
         let work = async move {
             let outcome = run_item(&runner.state, &*runner.dialect, &item, &shared).await;
@@ -280,9 +280,9 @@
         }
         let command = BatchCommand::Checkpoint { items };
         match self.state.batch.change_batch(&command, within).await {
-            Ok(BatchReply::Progress { last_events }) => {
-                for ((output, kept), last_event) in sent.into_iter().zip(last_events) {
-                    output.borrow_mut().note_kept(kept, last_event);
+            Ok(BatchReply::Progress { kept: marks }) => {
+                for ((output, kept), mark) in sent.into_iter().zip(marks) {
+                    output.borrow_mut().note_kept(kept, mark);
                 }
                 true
             }
--- a/crates/state/src/batch/command.rs
+++ b/crates/state/src/batch/command.rs
@@ -89,6 +89,26 @@
     /// Data of the events behind `after`, with line feeds between them.
     #[n(3)]
     pub text: PackedText,
+    /// The run that made it.
+    #[n(4)]
+    #[cbor(default)]
+    pub run: RunId,
+}
+
+/// Names a run of an item, as its gateway drew it. Two runs make different events
+/// under the same numbers, so that a number alone does not tell a gateway that the
+/// events kept are its own.
+pub type RunId = u64;
+
+/// How far an item is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Mark {
+    /// Number of the last event.
+    #[n(0)]
+    pub last_event: u64,
+    /// The run that made it.
+    #[n(1)]
+    pub run: RunId,
 }
 
 /// A command of the batch group.
@@ -144,11 +164,11 @@
     /// Too many tokens would wait with those of the job; nothing changed.
     #[n(5)]
     QueueFull,
-    /// To checkpoints: the last event that is kept of each item, in their order.
+    /// To checkpoints: how far each item is kept, in their order.
     #[n(6)]
     Progress {
-        /// They; none of an item of which nothing is kept.
-        #[n(0)]
-        last_events: Vec<Option<u64>>,
+        /// None of an item of which nothing is kept.
+        #[n(1)]
+        kept: Vec<Option<Mark>>,
     },
 }
--- a/crates/state/src/batch/job.rs
+++ b/crates/state/src/batch/job.rs
@@ -5,7 +5,7 @@
 use minicbor::bytes::ByteVec;
 use minicbor::{Decode, Encode};
 
-use super::command::ItemCheckpoint;
+use super::command::{ItemCheckpoint, Mark, RunId};
 use super::packed::PackedText;
 
 /// A request that is run for a job.
@@ -50,6 +50,19 @@
     /// Data of the events so far in pieces, with line feeds between them.
     #[n(1)]
     pub pieces: Vec<PackedText>,
+    /// The run that made the last event.
+    #[n(2)]
+    #[cbor(default)]
+    pub run: RunId,
+}
+
+impl ItemProgress {
+    /// How far it goes; `None` when nothing is kept.
+    #[must_use]
+    pub fn mark(&self) -> Option<Mark> {
+        let run = self.run;
+        self.last_event.map(|last_event| Mark { last_event, run })
+    }
 }
 
 /// What became of an item.
@@ -145,13 +158,15 @@
 
     /// Keeps what a run has made, unless the item has an outcome. What does not
     /// follow on what is kept comes from another run, and counts only if it is
-    /// whole and goes further. Says which event is the last one kept then.
-    pub(super) fn keep(&mut self, checkpoint: &ItemCheckpoint) -> Option<u64> {
+    /// whole and goes further. Says how far the item is kept then.
+    pub(super) fn keep(&mut self, checkpoint: &ItemCheckpoint) -> Option<Mark> {
         let place = checkpoint.item.place;
         self.outcomes
             .get(place as usize)
             .filter(|outcome| outcome.is_none())?;
         let kept = self.progress.get(&place).and_then(|kept| kept.last_event);
+        // Each number is reached by one run alone, since what is kept only grows,
+        // and only whoever heard that its own events are kept follows on them.
         let follows = checkpoint.after == kept;
         let goes_further = kept.is_none_or(|kept| checkpoint.last_event > kept);
         if goes_further && (follows || checkpoint.after.is_none()) {
@@ -161,8 +176,9 @@
             }
             progress.pieces.push(checkpoint.text.clone());
             progress.last_event = Some(checkpoint.last_event);
+            progress.run = checkpoint.run;
         }
-        self.progress.get(&place).and_then(|kept| kept.last_event)
+        self.progress.get(&place).and_then(ItemProgress::mark)
     }
 
     /// Places of items without an outcome.
--- a/crates/state/src/batch/machine.rs
+++ b/crates/state/src/batch/machine.rs
@@ -107,13 +107,13 @@
     }
 
     fn checkpoint(&mut self, items: &[ItemCheckpoint]) -> BatchReply {
-        let last_events = items.iter().map(|checkpoint| {
+        let kept = items.iter().map(|checkpoint| {
             let job = self.jobs.get_mut(&checkpoint.item.job)?;
             job.keep(checkpoint)
         });
-        let last_events = last_events.collect();
+        let kept = kept.collect();
         self.revision += 1;
-        BatchReply::Progress { last_events }
+        BatchReply::Progress { kept }
     }
 
     fn end(&mut self, id: &str) -> BatchReply {
--- a/crates/state/src/batch/mod.rs
+++ b/crates/state/src/batch/mod.rs
@@ -14,7 +14,8 @@
 mod queue;
 
 pub use command::{
-    BatchCommand, BatchReply, ItemCheckpoint, ItemRecord, ItemReference, RecordOutcome, SubmitJob,
+    BatchCommand, BatchReply, ItemCheckpoint, ItemRecord, ItemReference, Mark, RecordOutcome,
+    RunId, SubmitJob,
 };
 pub use job::{BatchItem, BatchJob, ItemOutcome, ItemProgress};
 pub use machine::BatchMachine;
--- a/crates/state/src/batch/output.rs
+++ b/crates/state/src/batch/output.rs
@@ -1,7 +1,7 @@
 //! The output of an item at the gateway that runs it, and how much of it the
 //! batch group keeps.
 
-use super::command::{ItemCheckpoint, ItemReference};
+use super::command::{ItemCheckpoint, ItemReference, Mark, RunId};
 use super::job::ItemProgress;
 use super::packed::PackedText;
 
@@ -11,8 +11,9 @@
 /// never hears of it, and another gateway may have kept more. Whenever the batch
 /// group may keep something else than this one believes, the next checkpoint is
 /// whole: it is taken whatever is kept by then.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Output {
+    run: RunId,
     last_event: Option<u64>,
     /// Data of the events in order; what came back from the batch group stands
     /// in pieces of several events.
@@ -23,24 +24,36 @@
 /// The part of an output, from its beginning, that the batch group keeps.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Kept {
-    last_event: Option<u64>,
+    mark: Option<Mark>,
     pieces: usize,
 }
 
 impl Output {
-    /// What the batch group keeps of an earlier run. Nothing when it cannot be
-    /// read: then the item runs anew.
+    /// Nothing yet, of a run that begins with the first event.
     #[must_use]
-    pub fn resume(progress: &ItemProgress) -> Self {
+    pub fn begin(run: RunId) -> Self {
+        Self {
+            run,
+            last_event: None,
+            data: Vec::new(),
+            kept: Kept::default(),
+        }
+    }
+
+    /// What the batch group keeps of an earlier run, behind which `run` goes on.
+    /// Nothing when it cannot be read: then the item runs anew.
+    #[must_use]
+    pub fn resume(progress: &ItemProgress, run: RunId) -> Self {
         let data: Option<Vec<String>> = progress.pieces.iter().map(PackedText::unpack).collect();
         let Some(data) = data else {
-            return Self::default();
+            return Self::begin(run);
         };
         let kept = Kept {
-            last_event: progress.last_event,
+            mark: progress.mark(),
             pieces: data.len(),
         };
         Self {
+            run,
             last_event: progress.last_event,
             data,
             kept,
@@ -70,26 +83,29 @@
     #[must_use]
     pub fn checkpoint(&self, item: ItemReference) -> Option<(ItemCheckpoint, Kept)> {
         let last_event = self.last_event?;
-        if self.kept.last_event.is_some_and(|kept| kept >= last_event) {
+        let after = self.kept.mark;
+        if after.is_some_and(|kept| kept.last_event >= last_event) {
             return None;
         }
+        let run = self.run;
         let checkpoint = ItemCheckpoint {
             item,
-            after: self.kept.last_event,
+            after: after.map(|kept| kept.last_event),
             last_event,
             text: PackedText::pack(&self.data[self.kept.pieces..].join("\n")),
+            run,
         };
         let kept = Kept {
-            last_event: Some(last_event),
+            mark: Some(Mark { last_event, run }),
             pieces: self.data.len(),
         };
         Some((checkpoint, kept))
     }
 
     /// The batch group took a checkpoint in that would make it keep `kept`, and
-    /// answers the last event that it does keep.
-    pub fn note_kept(&mut self, kept: Kept, last_event: Option<u64>) {
-        match last_event == kept.last_event {
+    /// answers how far it does keep the item.
+    pub fn note_kept(&mut self, kept: Kept, mark: Option<Mark>) {
+        match mark == kept.mark {
             true => self.kept = kept,
             false => self.forget_kept(),
         }
--- a/crates/state/tests/batch.rs
+++ b/crates/state/tests/batch.rs
@@ -166,6 +166,7 @@
             after: (after > 0).then_some(after),
             last_event,
             text: PackedText::pack(&text(after + 1..=last_event)),
+            run: 1,
         }];
         BatchCommand::Checkpoint { items }
     };
--- a/crates/state/tests/batch_output.rs
+++ b/crates/state/tests/batch_output.rs
@@ -3,7 +3,7 @@
 
 use molespan_state::batch::{
     BatchAnswer, BatchCommand, BatchItem, BatchMachine, BatchQuery, BatchReply, ItemCheckpoint,
-    ItemProgress, ItemReference, Output, SubmitJob,
+    ItemProgress, ItemReference, Kept, Mark, Output, SubmitJob,
 };
 use proptest::prelude::*;
 
@@ -22,16 +22,56 @@
     Late,
 }
 
+/// What happens; runs that go on are numbered from the latest one.
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    Events(u8),
-    Checkpoint(Fate),
+    Events(usize, u8),
+    Checkpoint(usize, Fate),
     /// The oldest checkpoint that is late is committed.
     Arrival,
-    /// The gateway is lost; another one goes on with what is kept.
+    /// Another gateway goes on with what is kept; the ones before it may not have
+    /// heard that they should stop.
     Gateway,
 }
 
+/// A run of the item at some gateway, with the events that it should show.
+struct Run {
+    number: u64,
+    output: Output,
+    events: Vec<String>,
+}
+
+impl Run {
+    fn resume(number: u64, progress: &ItemProgress) -> Self {
+        let output = Output::resume(progress, number);
+        let events = events_of(&output);
+        Self {
+            number,
+            output,
+            events,
+        }
+    }
+
+    /// Makes events, which are its own.
+    fn make(&mut self, count: u8) {
+        for _ in 0..count {
+            let event = self.output.last_event().unwrap_or(0) + 1;
+            let data = format!("run {} event {event}", self.number);
+            self.output.push(Some(event), data.clone());
+            self.events.push(data);
+        }
+    }
+
+    fn checkpoint(&self) -> Option<(ItemCheckpoint, Kept)> {
+        self.output.checkpoint(ITEM)
+    }
+}
+
+fn events_of(output: &Output) -> Vec<String> {
+    let text = output.text().unpack().expect("a sound text");
+    text.lines().map(str::to_owned).collect()
+}
+
 fn machine() -> BatchMachine {
     let mut machine = BatchMachine::new();
     machine.apply(&BatchCommand::Submit(Box::new(SubmitJob {
@@ -54,10 +94,10 @@
 }
 
 /// Commits a checkpoint; gives what the batch group answers.
-fn keep(machine: &mut BatchMachine, checkpoint: ItemCheckpoint) -> Option<u64> {
+fn keep(machine: &mut BatchMachine, checkpoint: ItemCheckpoint) -> Option<Mark> {
     let items = vec![checkpoint];
     match machine.apply(&BatchCommand::Checkpoint { items }) {
-        BatchReply::Progress { last_events } => last_events[0],
+        BatchReply::Progress { kept } => kept[0],
         other => panic!("{other:?}"),
     }
 }
@@ -85,7 +125,7 @@
 #[test]
 fn a_checkpoint_that_was_committed_unheard_does_not_stop_the_later_ones() {
     let mut machine = machine();
-    let mut output = Output::default();
+    let mut output = Output::begin(1);
     run(&mut output, 3);
     let (checkpoint, _) = output.checkpoint(ITEM).expect("something new");
     keep(&mut machine, checkpoint);
@@ -100,57 +140,85 @@
     let (checkpoint, _) = output.checkpoint(ITEM).expect("something new");
     assert_eq!(checkpoint.after, Some(5));
     keep(&mut machine, checkpoint);
-    let resumed = Output::resume(&progress(&machine));
+    let resumed = Output::resume(&progress(&machine), 2);
     assert_eq!(resumed.text().unpack(), Some(text(6)));
     assert!(resumed.checkpoint(ITEM).is_none(), "all of it is kept");
 }
 
+#[test]
+fn two_runs_that_came_equally_far_are_not_joined() {
+    // Both begin at the first event, and make other events under the same numbers.
+    let mut machine = machine();
+    let mut one = Output::begin(1);
+    let mut two = Output::begin(2);
+    one.push(Some(1), "one-1".to_owned());
+    two.push(Some(1), "two-1".to_owned());
+    for output in [&mut one, &mut two] {
+        let (checkpoint, kept) = output.checkpoint(ITEM).expect("something new");
+        let answered = keep(&mut machine, checkpoint);
+        output.note_kept(kept, answered);
+    }
+    two.push(Some(2), "two-2".to_owned());
+    let (checkpoint, _) = two.checkpoint(ITEM).expect("something new");
+    keep(&mut machine, checkpoint);
+    let resumed = Output::resume(&progress(&machine), 3);
+    assert_eq!(resumed.text().unpack().as_deref(), Some("two-1\ntwo-2"));
+}
+
 fn any_step() -> impl Strategy<Value = Step> {
+    let fate = prop_oneof![
+        3 => Just(Fate::Kept),
+        1 => Just(Fate::Unheard),
+        1 => Just(Fate::Lost),
+        1 => Just(Fate::Late),
+    ];
     prop_oneof![
-        4 => (0..4_u8).prop_map(Step::Events),
-        4 => prop_oneof![
-            3 => Just(Fate::Kept),
-            1 => Just(Fate::Unheard),
-            1 => Just(Fate::Lost),
-            1 => Just(Fate::Late),
-        ].prop_map(Step::Checkpoint),
+        4 => (0..2_usize, 0..4_u8).prop_map(|(run, events)| Step::Events(run, events)),
+        4 => (0..2_usize, fate).prop_map(|(run, fate)| Step::Checkpoint(run, fate)),
         1 => Just(Step::Arrival),
         1 => Just(Step::Gateway),
     ]
 }
 
 proptest! {
-    /// What is kept is always a whole beginning of the output and never goes
-    /// back, and nothing keeps later checkpoints from being taken.
+    /// What is kept is always a whole beginning of what one run shows, its own
+    /// events behind those that it went on from. It never goes back, and nothing
+    /// keeps later checkpoints from being taken.
     #[test]
-    fn what_is_kept_is_a_beginning_of_the_output(
-        steps in prop::collection::vec(any_step(), 0..40),
+    fn what_is_kept_is_a_beginning_of_one_run(
+        steps in prop::collection::vec(any_step(), 0..60),
     ) {
         let mut machine = machine();
-        let mut output = Output::default();
+        let mut runs = vec![Run::resume(0, &progress(&machine))];
         let mut late: Vec<ItemCheckpoint> = Vec::new();
         let mut before = 0;
         for step in steps {
+            let latest = runs.len() - 1;
+            let place = |back: usize| latest.saturating_sub(back);
             match step {
-                Step::Events(events) => run(&mut output, events),
-                Step::Gateway => output = Output::resume(&progress(&machine)),
-                Step::Checkpoint(fate) => {
-                    let Some((checkpoint, upto)) = output.checkpoint(ITEM) else {
+                Step::Events(run, events) => runs[place(run)].make(events),
+                Step::Gateway => {
+                    let number = runs.len() as u64;
+                    runs.push(Run::resume(number, &progress(&machine)));
+                }
+                Step::Checkpoint(run, fate) => {
+                    let run = &mut runs[place(run)];
+                    let Some((checkpoint, upto)) = run.checkpoint() else {
                         continue;
                     };
                     match fate {
                         Fate::Kept => {
                             let kept = keep(&mut machine, checkpoint);
-                            output.note_kept(upto, kept);
+                            run.output.note_kept(upto, kept);
                         }
                         Fate::Unheard => {
                             keep(&mut machine, checkpoint);
-                            output.forget_kept();
+                            run.output.forget_kept();
                         }
-                        Fate::Lost => output.forget_kept(),
+                        Fate::Lost => run.output.forget_kept(),
                         Fate::Late => {
                             late.push(checkpoint);
-                            output.forget_kept();
+                            run.output.forget_kept();
                         }
                     }
                 }
@@ -164,9 +232,15 @@
             let last_event = kept.last_event.unwrap_or(0);
             prop_assert!(last_event >= before);
             before = last_event;
-            prop_assert_eq!(Output::resume(&kept).text().unpack(), Some(text(last_event)));
+            let shown = events_of(&Output::resume(&kept, u64::MAX));
+            prop_assert_eq!(shown.len() as u64, last_event);
+            prop_assert!(
+                runs.iter().any(|run| run.events.starts_with(&shown)),
+                "{:?} is of no run", shown
+            );
         }
         // Two checkpoints that are heard of are enough to keep everything.
+        let output = &mut runs.last_mut().expect("a run").output;
         for _ in 0..2 {
             if let Some((checkpoint, upto)) = output.checkpoint(ITEM) {
                 let kept = keep(&mut machine, checkpoint);
