Give a call that the leader holds the time for which it may be held

Cause: a gateway with room lets the leader hold its call for items for 900 ms, but gave each call up after 300 ms, as all calls to a leader. It then forgot the leader, asked the next stores by address, found the leader again, and had two calls there. Ruled out: an exchange that is slow; the leader answered in time. Test: a_call_that_the_leader_holds_is_not_given_up_meanwhile; before, five calls to two nodes in place of one.

--- a/crates/daemon/src/cluster/batch.rs
+++ b/crates/daemon/src/cluster/batch.rs
@@ -88,7 +88,8 @@
         deadline: Duration,
     ) -> Result<HandedItems, ClusterError> {
         let request = || Request::TakeItems(ask.clone());
-        let response = self.call_leader(GroupId::BATCH, request, deadline);
+        let held = Duration::from_millis(u64::from(ask.wait_ms));
+        let response = self.call_leader_held(GroupId::BATCH, request, held, deadline);
         match response.await? {
             Response::Items { items, stop } => {
                 let items = molespan_state::decode(&items);
--- a/crates/daemon/src/cluster/calls.rs
+++ b/crates/daemon/src/cluster/calls.rs
@@ -15,8 +15,10 @@
     group: GroupId,
     ends: Instant,
     pause: Duration,
-    /// Longest time of the next call.
+    /// Longest time of the next call, beyond what the leader may hold it for.
     timeout: Duration,
+    /// Time for which the leader may hold a call by itself.
+    held: Duration,
     /// Position among the replicas of the next one to ask.
     turn: usize,
     /// Whether an attempt may have taken effect.
@@ -102,6 +104,20 @@
         group: GroupId,
         request: impl Fn() -> Request,
         deadline: Duration,
+    ) -> Result<Response, ClusterError> {
+        self.call_leader_held(group, request, Duration::ZERO, deadline)
+            .await
+    }
+
+    /// The same for a request that the leader may hold for `held` before it
+    /// answers. Without that time a call would be given up, and the leader
+    /// forgotten, each time it has nothing to say.
+    pub(super) async fn call_leader_held(
+        &self,
+        group: GroupId,
+        request: impl Fn() -> Request,
+        held: Duration,
+        deadline: Duration,
     ) -> Result<Response, ClusterError> {
         let mut attempts = Attempts {
             cluster: self,
@@ -109,6 +125,7 @@
             ends: Instant::now() + deadline,
             pause: self.limits.first_pause,
             timeout: self.limits.first_call_timeout,
+            held,
             turn: 0,
             ambiguous: false,
             reason: "there are no replicas".to_owned(),
@@ -124,7 +141,7 @@
             let Some(node) = self.target().filter(|_| !remaining.is_zero()) else {
                 return Err(self.failure());
             };
-            let timeout = self.timeout.min(remaining);
+            let timeout = (self.timeout + self.held).min(remaining);
             let call = self.cluster.transport.call(node, request(), timeout);
             match call.await {
                 Ok(Response::NotLeader { leader }) => self.follow(node, leader).await,
--- /dev/null
+++ b/crates/daemon/tests/cluster_calls.rs
@@ -0,0 +1,69 @@
+//! Calls to a leader that may hold them for a while by itself.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use molespan_daemon::cluster::{Cluster, ClusterLimits, PeerCall, PeerTransport};
+use molespan_types::NodeId;
+use molespan_wire::{CallError, CallFailure, Request, Response, TakeItems};
+
+const LEADER: NodeId = NodeId(1);
+const OTHER: NodeId = NodeId(2);
+
+/// A leader that holds each call for items for as long as the caller allows. No
+/// time passes; a call that is given less time than that is given up.
+#[derive(Debug, Default)]
+struct HoldingLeader {
+    calls: Mutex<Vec<NodeId>>,
+}
+
+impl PeerTransport for HoldingLeader {
+    fn call(&self, node: NodeId, request: Request, timeout: Duration) -> PeerCall {
+        self.calls.lock().unwrap().push(node);
+        let Request::TakeItems(ask) = request else {
+            panic!("{request:?}");
+        };
+        let held = Duration::from_millis(u64::from(ask.wait_ms));
+        let result = match (node, timeout > held) {
+            (LEADER, true) => Ok(Response::Items {
+                items: molespan_state::encode(&Vec::<molespan_state::batch::ItemToRun>::new())
+                    .into(),
+                stop: Vec::new(),
+            }),
+            (LEADER, false) => Err(CallError::Ambiguous(CallFailure::Timeout)),
+            _ => Ok(Response::NotLeader { leader: None }),
+        };
+        Box::pin(async { result })
+    }
+
+    fn send(&self, _node: NodeId, _request: Request) -> bool {
+        false
+    }
+
+    fn learn(&self, _node: NodeId, _address: &str) {}
+}
+
+#[test]
+fn a_call_that_the_leader_holds_is_not_given_up_meanwhile() {
+    let transport = Arc::new(HoldingLeader::default());
+    let limits = ClusterLimits {
+        first_call_timeout: Duration::from_millis(300),
+        ..ClusterLimits::default()
+    };
+    let cluster = Cluster::new(transport.clone(), vec![LEADER, OTHER], limits);
+    for wait_ms in [0, 250, 900] {
+        let ask = TakeItems {
+            node: NodeId(9),
+            capacity: 1,
+            held: Vec::new(),
+            wait_ms,
+            life: 1,
+            number: 1,
+        };
+        let taken = cluster.take_items(&ask, Duration::from_millis(1_900));
+        let taken = async_io::block_on(taken).expect("an answer");
+        assert_eq!(taken.items, []);
+        let calls = std::mem::take(&mut *transport.calls.lock().unwrap());
+        assert_eq!(calls, [LEADER], "held for {wait_ms} ms");
+    }
+}
