Let only the latest call for items of a gateway count

Cause: of two calls of one gateway that wait at the leader the earlier one says of what the gateway runs what held before the later one was answered. Ruled out: two leaders (a new one listens for 700 ms; the two runs began 20 ms apart); leases (2.5 s). Change: a gateway numbers its calls, with a number drawn at its start; CallOrder lets no call in that was overtaken, and a call that is sent again takes the place of the one before. While items run here the leader holds a call for 500 ms at the most, so that a lost leader is noticed before its successor hands anything out. Tests: crates/fleet/tests/call_order.rs.

--- a/crates/fleet/src/store/mod.rs
+++ b/crates/fleet/src/store/mod.rs
@@ -1,10 +1,12 @@
 //! The store node.
 
+mod call_order;
 mod handout;
 mod node;
 mod open_index;
 mod peer;
 
+pub use call_order::{Arrival, CallNumber, CallOrder};
 pub use handout::{Handout, Holding};
 pub use node::{StoreNode, StoreOptions};
 pub use open_index::OpenIndex;
--- a/crates/fleet/src/store/peer.rs
+++ b/crates/fleet/src/store/peer.rs
@@ -12,6 +12,7 @@
 use molespan_types::{GroupId, NodeId, RunOutcome, Timestamp};
 use molespan_wire::{Consistency, Handler, Request, Response, TakeItems};
 
+use super::call_order::{Arrival, CallNumber, CallOrder};
 use super::handout::Handout;
 use super::open_index::OpenIndex;
 use crate::wakeup::{Invitations, Wakeup};
@@ -36,6 +37,8 @@
     started: Instant,
     /// Set while this node leads.
     handout: Mutex<Option<Handout>>,
+    /// Calls for items, of which only the latest of a gateway counts.
+    calls: Mutex<CallOrder>,
     /// Changes of the jobs that were noted.
     changes: AtomicU64,
     /// Open work, read once for all that ask until the jobs change.
@@ -74,6 +77,7 @@
             replica,
             started: Instant::now(),
             handout: Mutex::new(None),
+            calls: Mutex::default(),
             changes: AtomicU64::new(0),
             open: async_lock::Mutex::new(None),
             items: Invitations::default(),
@@ -126,6 +130,9 @@
     /// Hands items out, at once or when some come.
     async fn take_items(&self, ask: &TakeItems) -> Response {
         let ends = Instant::now() + Duration::from_millis(u64::from(ask.wait_ms));
+        let Some(arrival) = self.arrive(ask) else {
+            return superseded();
+        };
         loop {
             let stops = self.stops.waiter();
             if self.replica.leader(GroupId::BATCH) != Some(self.own) {
@@ -134,7 +141,11 @@
             let Some(open) = self.open_index(OPEN_HOLDS).await else {
                 return unavailable();
             };
-            let (taken, stop) = self.hand_out(ask, &open);
+            let Some((taken, stop)) = self.hand_out(ask, arrival, &open) else {
+                // An invitation that it took is for another gateway.
+                self.items.wake_some(1);
+                return superseded();
+            };
             let idle = taken.is_empty() && stop.is_empty();
             if !idle || Instant::now() >= ends {
                 return self.items(taken, &stop).await;
@@ -152,11 +163,27 @@
         }
     }
 
+    fn arrive(&self, ask: &TakeItems) -> Option<Arrival> {
+        let call = CallNumber {
+            life: ask.life,
+            number: ask.number,
+        };
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        calls.arrive(ask.node, call)
+    }
+
+    /// What goes out, and what is to be stopped; `None` when the gateway asked
+    /// anew meanwhile.
     fn hand_out(
         &self,
         ask: &TakeItems,
+        arrival: Arrival,
         open: &Arc<OpenIndex>,
-    ) -> (Vec<ItemReference>, Vec<ItemReference>) {
+    ) -> Option<(Vec<ItemReference>, Vec<ItemReference>)> {
+        let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        if !calls.is_latest(ask.node, arrival) {
+            return None;
+        }
         let now = self.now();
         let held = ask.held.iter();
         let running = held
@@ -166,7 +193,7 @@
         let handout = handout.get_or_insert_with(|| Handout::new(now, LEASE, WARM_UP));
         let stop = handout.renew(now, ask.node, &running, open);
         let taken = handout.take(now, unix_millis(), ask.node, ask.capacity as usize, open);
-        (taken, stop)
+        Some((taken, stop))
     }
 
     async fn items(&self, items: Vec<ItemReference>, stop: &[ItemReference]) -> Response {
@@ -233,11 +260,23 @@
         let leads = self.replica.leader(GroupId::BATCH) == Some(self.own);
         if !leads {
             *self.handout.lock().unwrap_or_else(PoisonError::into_inner) = None;
+            let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+            calls.forget();
         }
         leads
     }
 }
 
+/// To a call that a later one of the same gateway took the place of. Nobody waits
+/// for it any more.
+fn superseded() -> Response {
+    Response::Refused {
+        outcome: RunOutcome::NotRun,
+        message: "a later call took its place".to_owned(),
+        retry_after_ms: 0,
+    }
+}
+
 fn unavailable() -> Response {
     Response::Refused {
         outcome: RunOutcome::NotRun,
--- /dev/null
+++ b/crates/fleet/tests/call_order.rs
@@ -0,0 +1,67 @@
+//! Calls for items that overtake each other.
+
+use molespan_fleet::store::{CallNumber, CallOrder};
+use molespan_types::NodeId;
+use proptest::prelude::*;
+
+const ONE: NodeId = NodeId(1);
+const TWO: NodeId = NodeId(2);
+
+fn call(life: u64, number: u64) -> CallNumber {
+    CallNumber { life, number }
+}
+
+#[test]
+fn a_call_that_is_sent_again_takes_the_place_of_the_first() {
+    let mut order = CallOrder::default();
+    let first = order.arrive(ONE, call(7, 1)).expect("the first one");
+    let other = order.arrive(TWO, call(8, 5)).expect("another gateway");
+    assert!(order.is_latest(ONE, first));
+    let again = order.arrive(ONE, call(7, 1)).expect("the same again");
+    assert!(!order.is_latest(ONE, first));
+    assert!(order.is_latest(ONE, again));
+    assert!(order.is_latest(TWO, other));
+}
+
+#[test]
+fn a_call_that_was_overtaken_is_not_let_in() {
+    let mut order = CallOrder::default();
+    let later = order.arrive(ONE, call(7, 2)).expect("the later one");
+    assert_eq!(order.arrive(ONE, call(7, 1)), None);
+    assert!(order.is_latest(ONE, later));
+    // A gateway that starts again begins anew.
+    let restarted = order.arrive(ONE, call(3, 1)).expect("another life");
+    assert!(!order.is_latest(ONE, later));
+    assert!(order.is_latest(ONE, restarted));
+}
+
+#[test]
+fn a_call_from_before_all_were_forgotten_never_counts_again() {
+    let mut order = CallOrder::default();
+    let before = order.arrive(ONE, call(7, 1)).expect("the first one");
+    order.forget();
+    assert!(!order.is_latest(ONE, before));
+    let after = order.arrive(ONE, call(7, 2)).expect("the next one");
+    assert!(!order.is_latest(ONE, before));
+    assert!(order.is_latest(ONE, after));
+}
+
+proptest! {
+    /// In whatever order the calls of one life arrive, the one that counts in the
+    /// end has the highest number, and of those the one that came last.
+    #[test]
+    fn the_latest_call_counts(numbers in prop::collection::vec(0..6_u64, 1..20)) {
+        let mut order = CallOrder::default();
+        let arrivals: Vec<_> = numbers
+            .iter()
+            .map(|&number| (number, order.arrive(ONE, call(1, number))))
+            .collect();
+        let highest = numbers.iter().max().copied();
+        let counting: Vec<_> = arrivals
+            .iter()
+            .filter(|(_, arrival)| arrival.is_some_and(|one| order.is_latest(ONE, one)))
+            .collect();
+        prop_assert_eq!(counting.len(), 1);
+        prop_assert_eq!(Some(counting[0].0), highest);
+    }
+}
--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -1,6 +1,6 @@
 //! Taking batch items while engines have room, and recording their outcomes.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -19,8 +19,12 @@
 use crate::dialect::GatewayDialect;
 use crate::state::GatewayState;
 
-/// Longest time that the leader holds a call for items.
+/// Longest time that the leader holds a call for items of a gateway that runs none.
 const WAIT: Duration = Duration::from_millis(900);
+/// The same while some run here. A lost leader is noticed 300 ms behind that, and
+/// the next one listens for 700 ms, an election behind, before it hands anything
+/// out: by then it has to know what runs here.
+const WAIT_WHILE_RUNNING: Duration = Duration::from_millis(500);
 /// Longest time without a call while there is no room: the lease of what runs here
 /// is 2.5 s at the leader, and two calls may be lost within it.
 const RENEWED_AFTER: Duration = Duration::from_millis(800);
@@ -52,6 +56,10 @@
     dialect: Rc<D>,
     local: Rc<LocalExecutor<'static>>,
     running: RefCell<BTreeMap<ItemReference, RunningItem>>,
+    /// Drawn at the start, so that calls of an earlier process are told apart.
+    life: u64,
+    /// Number of the latest call for items.
+    calls: Cell<u64>,
 }
 
 /// An item that runs.
@@ -71,6 +79,8 @@
         dialect,
         local,
         running: RefCell::default(),
+        life: rand::random(),
+        calls: Cell::new(0),
     });
     let mut renewed = Instant::now();
     let mut told = Instant::now();
@@ -174,6 +184,20 @@
             "occupancy" => format!("{occupancy:.2}"));
     }
 
+    /// The next call for items.
+    fn call(&self, capacity: u32, held: Vec<(u64, u32)>, wait: Duration) -> TakeItems {
+        let number = self.calls.get() + 1;
+        self.calls.set(number);
+        TakeItems {
+            node: self.state.own,
+            capacity,
+            held,
+            wait_ms: wait.as_millis() as u32,
+            life: self.life,
+            number,
+        }
+    }
+
     /// One call to the leader; says whether it was answered.
     async fn round(self: &Rc<Self>) -> bool {
         let capacity = self.room().await;
@@ -181,17 +205,13 @@
             let running = self.running.borrow();
             running.keys().map(|item| (item.job, item.place)).collect()
         };
-        let wait = match capacity {
-            0 if held.is_empty() => return true,
-            0 => Duration::ZERO,
-            _ => WAIT,
-        };
-        let ask = TakeItems {
-            node: self.state.own,
-            capacity,
-            held,
-            wait_ms: wait.as_millis() as u32,
+        let wait = match (capacity, held.is_empty()) {
+            (0, true) => return true,
+            (0, false) => Duration::ZERO,
+            (_, true) => WAIT,
+            (_, false) => WAIT_WHILE_RUNNING,
         };
+        let ask = self.call(capacity, held, wait);
         let handed = match self.state.batch.take_items(&ask, TAKE_DEADLINE).await {
             Ok(handed) => handed,
             Err(error) => {
@@ -310,12 +330,7 @@
         // kept from following.
         let noted = self.checkpoint(&outputs, HAND_OVER_DEADLINE).await
             && self.checkpoint(&outputs, HAND_OVER_DEADLINE).await;
-        let release = TakeItems {
-            node: self.state.own,
-            capacity: 0,
-            held: Vec::new(),
-            wait_ms: 0,
-        };
+        let release = self.call(0, Vec::new(), Duration::ZERO);
         let released = self
             .state
             .batch
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -182,6 +182,14 @@
     /// Longest wait for an item, in milliseconds.
     #[n(3)]
     pub wait_ms: u32,
+    /// Drawn by the asker when it starts.
+    #[n(4)]
+    #[cbor(default)]
+    pub life: u64,
+    /// Rises with each call of that life.
+    #[n(5)]
+    #[cbor(default)]
+    pub number: u64,
 }
 
 /// A request between processes.
