Keep open items in one order, and find the engines to avoid once a choice

Found on reading the change again. OpenIndex held the items twice, once sorted for a set that sorts them itself. Each choice of an engine asked of every engine twice whether it fails for others, and three places joined that with the share of a service that may be avoided; EngineTable::avoided does. Two refusals of the batch peer were built apart. Behaviour stays as it is, the tests are untouched.

--- a/crates/fleet/src/store/handout.rs
+++ b/crates/fleet/src/store/handout.rs
@@ -90,9 +90,9 @@
             return;
         }
         self.open = open.clone();
-        let free = open.by_due().iter();
+        let free = open.items();
         let free = free.filter(|(_, item)| !self.held.contains_key(item));
-        self.free = free.copied().collect();
+        self.free = free.collect();
     }
 
     fn hold(&mut self, item: ItemReference, holding: Holding) {
--- a/crates/fleet/src/store/peer.rs
+++ b/crates/fleet/src/store/peer.rs
@@ -270,17 +270,17 @@
 /// To a call that a later one of the same gateway took the place of. Nobody waits
 /// for it any more.
 fn superseded() -> Response {
-    Response::Refused {
-        outcome: RunOutcome::NotRun,
-        message: "a later call took its place".to_owned(),
-        retry_after_ms: 0,
-    }
+    not_run("a later call took its place", 0)
 }
 
 fn unavailable() -> Response {
+    not_run("the batch group cannot be read now", 50)
+}
+
+fn not_run(message: &str, retry_after_ms: u32) -> Response {
     Response::Refused {
         outcome: RunOutcome::NotRun,
-        message: "the batch group cannot be read now".to_owned(),
-        retry_after_ms: 50,
+        message: message.to_owned(),
+        retry_after_ms,
     }
 }
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -244,17 +244,18 @@
     /// Engines of all services that fail for other gateways.
     #[must_use]
     pub fn failing_for_others(&self, now: Timestamp) -> BTreeSet<String> {
-        let engines = self.engines.iter();
-        let failing = engines.filter(|(_, engine)| engine.fails_others(now));
-        failing.map(|(id, _)| id.clone()).collect()
+        let failing = failing(self.engines.values(), now);
+        failing.into_iter().map(str::to_owned).collect()
     }
 
-    /// Whether engines of the service are avoided that fail for others.
-    fn heeds_others(&self, service: &str, now: Timestamp) -> bool {
+    /// Engines of the service that are avoided since they fail for others.
+    fn avoided(&self, service: &str, now: Timestamp) -> BTreeSet<&str> {
+        let failing = failing(self.of_service(service), now);
         let all = self.of_service(service).count() as f64;
-        let failing = self.of_service(service);
-        let failing = failing.filter(|engine| engine.fails_others(now)).count() as f64;
-        failing <= all * MOST_FAILING
+        match failing.len() as f64 <= all * MOST_FAILING {
+            true => failing,
+            false => BTreeSet::new(),
+        }
     }
 
     /// Forgets what another node told: it is told by somebody else from now on.
@@ -319,11 +320,11 @@
         let slots: u32 = of_service.iter().map(|one| one.facts.slots).sum();
         let loads = of_service.iter().map(|one| one.load(now, others_tell));
         let free = f64::from(slots) - loads.sum::<f64>();
-        let heeds_others = self.heeds_others(service, now);
+        let avoided = self.avoided(service, now);
         let usable = of_service
             .iter()
             .filter(|engine| !engine.is_paused(now) && !engine.is_crowded(now))
-            .filter(|engine| !(heeds_others && engine.fails_others(now)));
+            .filter(|engine| !avoided.contains(engine.facts.id.as_str()));
         let room: f64 = usable
             .map(|engine| {
                 let slots = f64::from(engine.facts.slots);
@@ -375,7 +376,7 @@
             .filter(|engine| engine.facts.service == pick.service)
             .collect();
         let others_tell = self.others_tell(now);
-        let heeds_others = self.heeds_others(pick.service, now);
+        let avoided = self.avoided(pick.service, now);
         let share = match pick.class {
             WorkClass::Online => ONLINE_LOAD,
             WorkClass::Batch => BATCH_LOAD,
@@ -389,7 +390,7 @@
             let load = engine.load(now, others_tell);
             let full = load >= f64::from(facts.slots) * share;
             let crowded = pick.class == WorkClass::Batch && engine.is_crowded(now);
-            let failing = engine.is_paused(now) || (heeds_others && engine.fails_others(now));
+            let failing = engine.is_paused(now) || avoided.contains(facts.id.as_str());
             if full || crowded || failing || pick.tried.contains(&facts.id) {
                 continue;
             }
@@ -417,3 +418,8 @@
         Ok(candidate.picked())
     }
 }
+
+fn failing<'e>(engines: impl Iterator<Item = &'e Engine>, now: Timestamp) -> BTreeSet<&'e str> {
+    let failing = engines.filter(|engine| engine.fails_others(now));
+    failing.map(|engine| engine.facts.id.as_str()).collect()
+}
