Serve requests under the tenant that holds their key, within limits over all gateways

Cause: on the path that serves, tenants did not exist: keys went on to engines, no tenant was named, revoked keys were served and nobody counted.

Limits: each gateway estimates one token bucket that all share, takes out what others tell that they admit, admits freely while there is plenty and by its part of the requests when tokens run short; sides of a cut have parts by their gateways.

--- a/crates/daemon/src/cluster/batch.rs
+++ b/crates/daemon/src/cluster/batch.rs
@@ -33,13 +33,14 @@
         self.propose_within(GroupId::BATCH, command, deadline).await
     }
 
-    /// Results of a job from position `after` on; `None` when there is no such
+    /// Results of a job of a tenant from position `after` on; `None` when there is no such
     /// job.
     ///
     /// # Errors
     /// When no leader answered in time.
     pub async fn batch_results(
         &self,
+        tenant: Option<&str>,
         id: &str,
         after: u32,
         max_bytes: u64,
@@ -49,6 +50,7 @@
             id: id.to_owned(),
             after,
             max_bytes,
+            tenant: tenant.map(str::to_owned),
         };
         let answer = self.query_within(GroupId::BATCH, &query, deadline);
         match answer.await? {
@@ -57,12 +59,13 @@
         }
     }
 
-    /// The body of an item that is not listed; `None` when there is none.
+    /// The body of an item of a tenant's job that is not listed; `None` when there is none.
     ///
     /// # Errors
     /// When no leader answered in time.
     pub async fn batch_body(
         &self,
+        tenant: Option<&str>,
         id: &str,
         item: &str,
         deadline: Duration,
@@ -70,6 +73,7 @@
         let query = BatchQuery::Body {
             id: id.to_owned(),
             item: item.to_owned(),
+            tenant: tenant.map(str::to_owned),
         };
         let answer = self.query_within(GroupId::BATCH, &query, deadline);
         match answer.await? {
--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -117,7 +117,11 @@
                 from,
                 shares,
                 relayed,
-            } => self.work.note(from, &shares, relayed),
+                usage,
+            } => {
+                let usage = usage.as_ref().map(|usage| usage.as_slice());
+                self.work.note(from, &shares, usage, relayed);
+            }
             other => self.replica.notify(other),
         }
     }
--- a/crates/fleet/src/control/relay.rs
+++ b/crates/fleet/src/control/relay.rs
@@ -1,5 +1,6 @@
-//! Relaying between gateways what they have at engines.
+//! Relaying between gateways what they have at engines and of tenants.
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -7,6 +8,7 @@
 use async_io::Timer;
 use molespan_daemon::cluster::{PeerTransport, WireTransport};
 use molespan_routing::dispatch::{Teller, WorkRelay, WorkShare};
+use molespan_routing::quota::{Usage, UsageRelay};
 use molespan_types::{NodeId, Timestamp};
 use molespan_wire::Request;
 
@@ -17,11 +19,20 @@
 /// Time after which other relays are told again what did not change.
 const REPEATED_AFTER: Duration = Duration::from_millis(400);
 
+/// What was told, by its kind.
+#[derive(Debug, Default)]
+struct Relays {
+    work: WorkRelay,
+    usage: UsageRelay,
+    /// Whether use of tenants' limits came since it was passed on.
+    usage_came: bool,
+}
+
 /// What gateways and other relays told this node.
 #[derive(Debug)]
 pub(super) struct RelayedWork {
     started: Instant,
-    relay: Mutex<WorkRelay>,
+    relays: Mutex<Relays>,
     /// Told that something came; a relay that nobody uses does nothing.
     heard: (Sender<()>, Receiver<()>),
 }
@@ -30,7 +41,7 @@
     fn default() -> Self {
         Self {
             started: Instant::now(),
-            relay: Mutex::default(),
+            relays: Mutex::default(),
             heard: async_channel::bounded(1),
         }
     }
@@ -41,12 +52,12 @@
         Timestamp(self.started.elapsed().as_micros() as u64)
     }
 
-    fn lock(&self) -> MutexGuard<'_, WorkRelay> {
-        self.relay.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Relays> {
+        self.relays.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Takes in what a gateway, or another relay, told.
-    pub fn note(&self, from: NodeId, shares: &[u8], relayed: bool) {
+    pub fn note(&self, from: NodeId, shares: &[u8], usage: Option<&[u8]>, relayed: bool) {
         let Ok(shares) = molespan_state::decode::<Vec<WorkShare>>(shares) else {
             return;
         };
@@ -54,7 +65,16 @@
             true => Teller::Relay,
             false => Teller::Gateway,
         };
-        let changed = self.lock().note(from, teller, shares, self.now());
+        let now = self.now();
+        let changed = {
+            let mut relays = self.lock();
+            if let Some(usage) = usage.and_then(|bytes| molespan_state::decode::<Usage>(bytes).ok())
+            {
+                relays.usage.note(from, teller, usage, now);
+                relays.usage_came = true;
+            }
+            relays.work.note(from, teller, shares, now)
+        };
         // What gateways repeat is passed on, so that it holds. If relays did
         // the same with one another's words, they would never come to rest.
         if changed || teller == Teller::Gateway {
@@ -63,6 +83,22 @@
     }
 }
 
+impl RelayedWork {
+    /// Use of tenants' limits by the gateways of this relay, and by all others for
+    /// each of them; `None` when nothing came.
+    fn usage(&self) -> Option<(Usage, BTreeMap<NodeId, Usage>)> {
+        let now = self.now();
+        let relays = &mut *self.lock();
+        if !std::mem::take(&mut relays.usage_came) {
+            return None;
+        }
+        let relay = &mut relays.usage;
+        relay.expire(now);
+        let by_gateway = relay.by_gateway(now).into_iter().collect();
+        Some((relay.of_gateways(now), by_gateway))
+    }
+}
+
 /// Passes on what comes, at most once a round.
 pub(super) async fn relay_work(
     own: NodeId,
@@ -72,30 +108,35 @@
 ) {
     let mut told_relays = (Vec::new(), Instant::now());
     while work.heard.1.recv().await.is_ok() {
-        let tell = |node: NodeId, shares: &[WorkShare]| {
+        let tell = |node: NodeId, shares: &[WorkShare], usage: Option<&Usage>| {
             let request = Request::EngineWork {
                 from: own,
                 shares: molespan_state::encode(&shares).into(),
                 relayed: true,
+                usage: usage.map(|usage| molespan_state::encode(usage).into()),
             };
             wire.send(node, request);
         };
         let (of_gateways, by_gateway) = {
-            let mut relay = work.lock();
+            let relay = &mut work.lock().work;
             relay.expire(work.now());
             (relay.sum_of_gateways(), relay.shares_by_gateway())
         };
+        let usage = work.usage();
+        let (usage_of_gateways, usage_by_gateway) = usage.unzip();
+        let usage_by_gateway = usage_by_gateway.unwrap_or_default();
         let (before, at) = &told_relays;
         let repeat = at.elapsed() >= REPEATED_AFTER;
-        if !by_gateway.is_empty() && (repeat || *before != of_gateways) {
+        let news = repeat || usage_of_gateways.is_some() || *before != of_gateways;
+        if !by_gateway.is_empty() && news {
             let others = hub.control_nodes().into_iter();
             for relay in others.filter(|&node| node != own) {
-                tell(relay, &of_gateways);
+                tell(relay, &of_gateways, usage_of_gateways.as_ref());
             }
             told_relays = (of_gateways, Instant::now());
         }
         for (gateway, shares) in by_gateway {
-            tell(gateway, &shares);
+            tell(gateway, &shares, usage_by_gateway.get(&gateway));
         }
         Timer::after(ROUND).await;
     }
--- a/crates/fleet/tests/handout.rs
+++ b/crates/fleet/tests/handout.rs
@@ -193,6 +193,7 @@
         tokens: 1,
     };
     let submit = |job: u64, due_ms| SubmitJob {
+        tenant: None,
         id: format!("job-{job}"),
         host: "h".to_owned(),
         path: "/batch/".to_owned(),
--- a/crates/http/src/h1/connection.rs
+++ b/crates/http/src/h1/connection.rs
@@ -162,6 +162,17 @@
         }
     }
 
+    /// Reads and drops what arrives until the connection ends.
+    pub async fn discard(&mut self) {
+        loop {
+            self.buffer.clear();
+            self.start = 0;
+            if !self.fill().await.is_ok_and(|count| count > 0) {
+                return;
+            }
+        }
+    }
+
     /// What the other side does just now, without waiting.
     pub async fn presence(&self) -> Presence {
         if !self.buffered().is_empty() {
--- a/crates/proxy/src/batch/api.rs
+++ b/crates/proxy/src/batch/api.rs
@@ -38,6 +38,7 @@
     state: &GatewayState,
     dialect: &D,
     route: &Route,
+    tenant: Option<&str>,
     request: &CallerRequest,
 ) -> Answer {
     let (id, items) = match dialect.submission(&request.head, &request.body) {
@@ -58,7 +59,8 @@
             .completion_target_ms
             .map(|target| submitted_ms + u64::from(target)),
         items,
-        queue: format!("{}{}", route.host, route.path_prefix),
+        queue: queue(route, tenant),
+        tenant: tenant.map(str::to_owned),
         max_queued_tokens: route.max_queued_tokens,
     }));
     let outcome = match state.batch.change_batch(&command, SUBMIT_DEADLINE).await {
@@ -71,24 +73,35 @@
     dialect.batch_answer(outcome)
 }
 
-/// Carries out a call that names a job.
+/// Names the queue whose waiting tokens are counted together. No header, and so no
+/// host, has a line feed in it.
+fn queue(route: &Route, tenant: Option<&str>) -> String {
+    let route = format!("{}{}", route.host, route.path_prefix);
+    match tenant {
+        Some(tenant) => format!("{tenant}\n{route}"),
+        None => route,
+    }
+}
+
+/// Carries out a call of a tenant that names one of its jobs.
 pub(crate) async fn call<D: GatewayDialect>(
     state: &GatewayState,
     dialect: &D,
     call: BatchCall,
+    tenant: Option<&str>,
 ) -> Answer {
     let outcome = match call {
-        BatchCall::Results { id, after } => results(state, &id, after).await,
-        BatchCall::Body { id, item } => body(state, &id, &item).await,
-        BatchCall::End { id } => end(state, id).await,
+        BatchCall::Results { id, after } => results(state, tenant, &id, after).await,
+        BatchCall::Body { id, item } => body(state, tenant, &id, &item).await,
+        BatchCall::End { id } => end(state, tenant, id).await,
     };
     dialect.batch_answer(outcome)
 }
 
-async fn results(state: &GatewayState, id: &str, after: u32) -> BatchOutcome {
+async fn results(state: &GatewayState, tenant: Option<&str>, id: &str, after: u32) -> BatchOutcome {
     let page = state
         .batch
-        .batch_results(id, after, MAX_PAGE_BYTES, CALL_DEADLINE);
+        .batch_results(tenant, id, after, MAX_PAGE_BYTES, CALL_DEADLINE);
     match page.await {
         Ok(Some(page)) => unpacked(state, id, after, page),
         Ok(None) => BatchOutcome::Unknown,
@@ -122,16 +135,20 @@
     })
 }
 
-async fn body(state: &GatewayState, id: &str, item: &str) -> BatchOutcome {
-    match state.batch.batch_body(id, item, CALL_DEADLINE).await {
+async fn body(state: &GatewayState, tenant: Option<&str>, id: &str, item: &str) -> BatchOutcome {
+    let body = state.batch.batch_body(tenant, id, item, CALL_DEADLINE);
+    match body.await {
         Ok(Some(body)) => BatchOutcome::Body(body),
         Ok(None) => BatchOutcome::Unknown,
         Err(error) => unreadable(state, &error),
     }
 }
 
-async fn end(state: &GatewayState, id: String) -> BatchOutcome {
-    let command = BatchCommand::End { id: id.clone() };
+async fn end(state: &GatewayState, tenant: Option<&str>, id: String) -> BatchOutcome {
+    let command = BatchCommand::End {
+        id: id.clone(),
+        tenant: tenant.map(str::to_owned),
+    };
     let outcome = match state.batch.change_batch(&command, CALL_DEADLINE).await {
         Ok(BatchReply::Ended) => BatchOutcome::Ended,
         Ok(BatchReply::Unknown) => BatchOutcome::Unknown,
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -118,6 +118,9 @@
     }
     headers.set("Host", item.host.as_bytes());
     dialect.item_headers(&mut headers, &item.item);
+    if item.tenant.is_some() {
+        dialect.name_tenant(&mut headers, item.tenant.as_deref());
+    }
     let facts = dialect.facts(&headers);
     let outbound = Outbound {
         id: item.item.id.clone(),
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -9,12 +9,20 @@
 use molespan_state::declared::CallerLimits;
 
 use crate::dialect::{GatewayDialect, Refusal};
-use crate::request::{After, CallerRequest, serve};
+use crate::request::{After, CallerRequest, check_key, serve};
 use crate::state::GatewayState;
 
 /// Longest time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Body of a request up to which it is read before a request without a valid key
+/// is refused, so that the connection can be used again. A longer one is not
+/// waited for.
+const SHORT_BODY: u64 = 64 << 10;
+/// Time for which what a refused caller still sends is read and dropped: closing
+/// before would reset the connection, and the answer could be lost with it.
+const LINGER: Duration = Duration::from_millis(500);
+
 /// What came of waiting for a request.
 enum Arrival {
     Request(CallerRequest),
@@ -34,12 +42,14 @@
             Some(in_force) => in_force.model.limits.clone(),
             None => CallerLimits::default(),
         };
-        let arrival = arrival(&state, &mut connection, &limits).await;
+        let arrival = arrival(&state, &*dialect, &mut connection, &limits).await;
         let request = match arrival {
             Arrival::Request(request) => request,
             Arrival::Refused(refusal) => {
                 let answer = dialect.refusal(refusal).encode(false);
-                let _gone = connection.write(&answer).await;
+                if connection.write(&answer).await.is_ok() {
+                    linger(connection).await;
+                }
                 return;
             }
             Arrival::Ended => return,
@@ -53,8 +63,9 @@
 }
 
 /// Waits for the next request and reads it whole.
-async fn arrival(
+async fn arrival<D: GatewayDialect>(
     state: &GatewayState,
+    dialect: &D,
     connection: &mut Connection,
     limits: &CallerLimits,
 ) -> Arrival {
@@ -66,6 +77,11 @@
     let Some(framing) = Framing::of_request(&head) else {
         return Arrival::Refused(Refusal::Malformed);
     };
+    if !matches!(framing, Framing::Empty | Framing::Length(0..=SHORT_BODY))
+        && let Err(refusal) = check_key(state, dialect, &head)
+    {
+        return Arrival::Refused(refusal);
+    }
     if head.headers.has_word("expect", "100-continue") {
         let go_on = b"HTTP/1.1 100 Continue\r\n\r\n";
         if connection.write(go_on).await.is_err() {
@@ -91,6 +107,14 @@
     }
 }
 
+/// Closes a connection whose other side may still be sending.
+async fn linger(mut connection: Connection) {
+    let late = async {
+        Timer::after(LINGER).await;
+    };
+    future::or(connection.discard(), late).await;
+}
+
 async fn request_head(
     state: &GatewayState,
     connection: &mut Connection,
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -6,6 +6,7 @@
 use molespan_http::h1::{Answer, Headers, RequestHead, ResponseHead};
 use molespan_routing::dispatch::{EngineLoad, PromptPart};
 use molespan_state::batch::BatchItem;
+use molespan_state::declared::KeyDigest;
 
 /// What a request says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -18,6 +19,17 @@
     pub prompt: Vec<PromptPart>,
 }
 
+/// The API key that a request carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Credential {
+    /// None.
+    Missing,
+    /// One key.
+    Key(KeyDigest),
+    /// What is no single key; it belongs to nobody.
+    Malformed,
+}
+
 /// What an engine must be told beside the request itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EngineCall<'a> {
@@ -56,6 +68,13 @@
     },
     /// No route fits.
     NoRoute,
+    /// It has no key of any tenant.
+    UnknownKey,
+    /// Its tenant sends more than it may. Not run.
+    OverLimit {
+        /// When to come back.
+        retry_after: Duration,
+    },
     /// No engine can take it now. Not run.
     Busy {
         /// When to come back.
@@ -151,6 +170,13 @@
     /// What a request says of itself.
     fn facts(&self, headers: &Headers) -> RequestFacts;
 
+    /// The API key of a request.
+    fn credential(&self, headers: &Headers) -> Credential;
+
+    /// Takes the API key, and any tenant that the caller named, out of the headers
+    /// of a request, and puts its tenant in.
+    fn name_tenant(&self, headers: &mut Headers, tenant: Option<&str>);
+
     /// Puts into the headers of a request what its engine must be told.
     fn address_engine(&self, headers: &mut Headers, call: &EngineCall<'_>);
 
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -45,6 +45,8 @@
     /// Milliseconds since 1970 by which a batch item is to be done.
     pub due_ms: Option<u64>,
     pub arrived: Instant,
+    /// Whose it is, if it counts against a tenant's limit.
+    pub tenant: Option<Rc<str>>,
     tried: BTreeSet<String>,
     /// Engines that may have run it.
     pub runs: u32,
@@ -99,6 +101,7 @@
             ends,
             due_ms: None,
             arrived: Instant::now(),
+            tenant: None,
             tried: BTreeSet::new(),
             runs: 0,
             turned_away: 0,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,7 +5,8 @@
 //! `attempt` brings it to one engine over a connection of `pool`, `relay` passes
 //! the answer back, `resume` lets another engine go on with a stream. Batch jobs
 //! are taken and read by `batch::api`, and their items run by `batch::runner`.
-//! What the gateway knows of the cluster is in `state`.
+//! What the gateway knows of the cluster is in `state`, and whose a request is and
+//! what its tenant may send in `tenants`.
 
 mod attempt;
 mod batch;
@@ -20,6 +21,7 @@
 mod resume;
 mod silence;
 mod state;
+mod tenants;
 mod work_shares;
 
 pub use gateway::{Gateway, GatewayOptions};
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -53,8 +53,12 @@
         };
         return refuse(dialect, caller, refusal, keep_alive).await;
     };
+    let credential = dialect.credential(&request.head.headers);
     if let Some(call) = dialect.batch_call(&request.head) {
-        let answer = batch::call(state, dialect, call).await;
+        let answer = match in_force.tenant(credential, false) {
+            Ok(tenant) => batch::call(state, dialect, call, tenant.as_deref()).await,
+            Err(refusal) => dialect.refusal(refusal),
+        };
         return finish(caller, &answer.encode(keep_alive), keep_alive).await;
     }
     let host = request.head.host();
@@ -63,8 +67,12 @@
             "version" => in_force.version);
         return refuse(dialect, caller, Refusal::NoRoute, keep_alive).await;
     };
+    let tenant = match in_force.tenant(credential, route.anonymous) {
+        Ok(tenant) => tenant,
+        Err(refusal) => return refuse(dialect, caller, refusal, keep_alive).await,
+    };
     if route.kind == RouteKind::Batch {
-        let answer = batch::submit(state, dialect, route, &request).await;
+        let answer = batch::submit(state, dialect, route, tenant.as_deref(), &request).await;
         return finish(caller, &answer.encode(keep_alive), keep_alive).await;
     }
     let Some(service) = in_force.service(route) else {
@@ -72,6 +80,15 @@
     };
     let minor = request.head.minor;
     let mut dispatch = Dispatch::online(state, dialect, route, service, request);
+    if in_force.keys.is_some() {
+        dialect.name_tenant(&mut dispatch.outbound.headers, tenant.as_deref());
+    }
+    if let Some(tenant) = &tenant
+        && let Err(refusal) = state.admit(&dispatch.facts.id, tenant)
+    {
+        return refuse(dialect, caller, refusal, keep_alive).await;
+    }
+    dispatch.tenant = tenant;
     let served = dispatch.answer(caller, minor, keep_alive);
     let gone = async {
         caller.gone().await;
@@ -81,6 +98,24 @@
     future::or(served, gone).await
 }
 
+/// Whether a request carries the key that it needs, as far as its head tells.
+///
+/// # Errors
+/// When it does not.
+pub(crate) fn check_key<D: GatewayDialect>(
+    state: &GatewayState,
+    dialect: &D,
+    head: &RequestHead,
+) -> Result<(), Refusal> {
+    let Some(in_force) = state.in_force() else {
+        return Ok(());
+    };
+    let route = in_force.model.route(&head.host(), head.path());
+    let anonymous = route.is_some_and(|route| route.anonymous);
+    let credential = dialect.credential(&head.headers);
+    in_force.tenant(credential, anonymous).map(drop)
+}
+
 async fn refuse<D: GatewayDialect>(
     dialect: &D,
     caller: &Connection,
@@ -172,6 +207,12 @@
     }
 
     async fn refuse(&self, caller: &Connection, refusal: Refusal, keep_alive: bool) -> After {
+        if self.runs == 0
+            && let Some(tenant) = &self.tenant
+        {
+            let now = self.state.now();
+            self.state.tenants.borrow_mut().give_back(tenant, now);
+        }
         info!(self.state.logger, "refused"; "request" => &self.outbound.id,
             "refusal" => ?refusal, "runs" => self.runs, "turned_away" => self.turned_away,
             "after_ms" => self.arrived.elapsed().as_millis() as u64);
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -12,12 +12,14 @@
 use molespan_routing::dispatch::{
     EngineFacts, EngineTable, Picked, RelayChoice, WeightedSplit, WorkClass,
 };
+use molespan_routing::quota::TenantTable;
 use molespan_state::declared::{Route, ServingModel};
 use molespan_types::{NodeId, Timestamp, ZoneName};
 use slog::{Logger, info};
 
 use crate::batch::{BatchRuns, Turns};
 use crate::pool::Pool;
+use crate::tenants::{Keys, limits};
 
 /// The configuration in force here.
 #[derive(Debug)]
@@ -26,6 +28,8 @@
     pub model: ServingModel,
     /// Splits of the routes, in their order.
     splits: Vec<RefCell<WeightedSplit>>,
+    /// Whose each key is, where there are tenants.
+    pub keys: Option<Keys>,
 }
 
 impl InForce {
@@ -37,6 +41,7 @@
         Self {
             version,
             splits: splits.collect(),
+            keys: model.tenants.as_deref().map(Keys::new),
             model,
         }
     }
@@ -62,6 +67,8 @@
     pub own: NodeId,
     zone: ZoneName,
     pub engines: RefCell<EngineTable>,
+    /// What tenants may still send.
+    pub tenants: RefCell<TenantTable>,
     /// Who passes on what this gateway has at engines, where there are many.
     pub relay: RefCell<RelayChoice>,
     pub pool: Pool,
@@ -91,6 +98,7 @@
         Self {
             own,
             engines: RefCell::new(EngineTable::new(zone.clone(), rand::random())),
+            tenants: RefCell::new(TenantTable::new(Timestamp::ZERO)),
             zone,
             relay: RefCell::default(),
             pool: Pool::default(),
@@ -120,6 +128,12 @@
         self.in_force.borrow().clone()
     }
 
+    /// Whether there are tenants, whose use the gateways tell each other.
+    pub fn limits_tenants(&self) -> bool {
+        let in_force = self.in_force.borrow();
+        in_force.as_ref().is_some_and(|held| held.keys.is_some())
+    }
+
     /// How many gateways there are, this one included.
     pub fn gateways(&self) -> u32 {
         (self.topology.borrow().gateways.len() as u32).max(1)
@@ -216,6 +230,8 @@
         }
         info!(self.logger, "configuration in force"; "version" => version,
             "routes" => model.routes.len());
+        let now = self.now();
+        self.tenants.borrow_mut().set_limits(limits(&model), now);
         *self.in_force.borrow_mut() = Some(Rc::new(InForce::new(version, model)));
     }
 
@@ -231,6 +247,8 @@
         self.batch.set_replicas(stores.copied().collect());
         let gateways = topology.gateways.len() as u32;
         self.engines.borrow_mut().set_gateways(gateways);
+        let own_now = self.now();
+        self.tenants.borrow_mut().set_gateways(gateways, own_now);
         *self.topology.borrow_mut() = topology;
     }
 
--- /dev/null
+++ b/crates/proxy/src/tenants.rs
@@ -0,0 +1,86 @@
+//! Whose request it is, and whether its tenant may send it.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use molespan_routing::quota::Limit;
+use molespan_state::declared::{KeyDigest, ServingModel, Tenant};
+use slog::info;
+
+use crate::dialect::{Credential, Refusal};
+use crate::state::{GatewayState, InForce};
+
+/// Whose each key is.
+#[derive(Debug)]
+pub(crate) struct Keys(HashMap<KeyDigest, Rc<str>>);
+
+impl Keys {
+    pub fn new(tenants: &[Tenant]) -> Self {
+        let mut holders = HashMap::new();
+        for tenant in tenants {
+            let name: Rc<str> = tenant.name.as_str().into();
+            for key in &tenant.keys {
+                holders.insert(*key, name.clone());
+            }
+        }
+        Self(holders)
+    }
+}
+
+/// Limits of all tenants that have one.
+pub(crate) fn limits(model: &ServingModel) -> impl Iterator<Item = (&str, Limit)> {
+    let tenants = model.tenants.iter().flatten();
+    tenants.filter_map(|tenant| {
+        let limit = tenant.limit?;
+        let limit = Limit {
+            per_second: limit.per_second(),
+            burst: f64::from(limit.burst),
+        };
+        Some((tenant.name.as_str(), limit))
+    })
+}
+
+impl InForce {
+    /// The tenant of a request that carries `credential`; none where there are no
+    /// tenants, or for a request without a key that needs none.
+    ///
+    /// # Errors
+    /// When its key is nobody's, or is missing.
+    pub fn tenant(
+        &self,
+        credential: Credential,
+        anonymous: bool,
+    ) -> Result<Option<Rc<str>>, Refusal> {
+        let Some(keys) = &self.keys else {
+            return Ok(None);
+        };
+        match credential {
+            Credential::Missing if anonymous => Ok(None),
+            Credential::Key(key) => match keys.0.get(&key) {
+                Some(name) => Ok(Some(name.clone())),
+                None => Err(Refusal::UnknownKey),
+            },
+            Credential::Missing | Credential::Malformed => Err(Refusal::UnknownKey),
+        }
+    }
+}
+
+impl GatewayState {
+    /// Counts a request of a tenant for which an engine is to be found.
+    ///
+    /// # Errors
+    /// When the tenant sends more than it may.
+    pub fn admit(&self, request: &str, tenant: &str) -> Result<(), Refusal> {
+        let admitted = self.tenants.borrow_mut().admit(tenant, self.now());
+        admitted.map_err(|refused| {
+            info!(self.logger, "over the limit"; "request" => request, "tenant" => tenant,
+                "left" => format!("{:.1}", refused.left),
+                "others_asked" => format!("{:.1}", refused.others_asked),
+                "told_ago_ms" => refused.told_ago.map(|ago| ago.as_millis() as u64),
+                "retry_after_ms" => refused.retry_after.as_millis() as u64);
+            Refusal::OverLimit {
+                retry_after: refused.retry_after,
+            }
+        })
+    }
+}
--- a/crates/proxy/src/work_shares.rs
+++ b/crates/proxy/src/work_shares.rs
@@ -1,4 +1,4 @@
-//! Gateways tell each other what they have at engines, directly or through a
+//! Gateways tell each other what they have at engines and of tenants, directly or through a
 //! relay where there are many of them. An engine's own reports come with answers
 //! only, and too late for a burst.
 
@@ -15,6 +15,7 @@
 use molespan_daemon::cluster::{PeerTransport, WireTransport};
 use molespan_fleet::ClusterAddresses;
 use molespan_routing::dispatch::WorkShare;
+use molespan_routing::quota::Usage;
 use molespan_types::{NodeId, RunOutcome};
 use molespan_wire::{Handler, Request, Response, Server, ServerLimits};
 use slog::info;
@@ -36,6 +37,8 @@
 const MOST_DIRECT: u32 = 12;
 /// What did not change is told again after this many intervals.
 const REPEATED_AFTER: u32 = 6;
+/// Shortest time between two tellings of what tenants use while they have plenty.
+const USAGE_INTERVAL: Duration = Duration::from_millis(150);
 /// Tellings that wait to be taken in; further ones are dropped.
 const QUEUED: usize = 1_024;
 
@@ -43,6 +46,7 @@
 struct Told {
     from: NodeId,
     shares: Vec<WorkShare>,
+    usage: Option<Usage>,
     relayed: bool,
 }
 
@@ -65,12 +69,14 @@
             from,
             shares,
             relayed,
+            usage,
         } = request
             && let Ok(shares) = molespan_state::decode(&shares)
         {
             let told = Told {
                 from,
                 shares,
+                usage: usage.and_then(|usage| molespan_state::decode(&usage).ok()),
                 relayed,
             };
             let _dropped = self.told.try_send(told);
@@ -104,6 +110,13 @@
         if told.relayed {
             state.relay.borrow_mut().heard(told.from, now);
         }
+        if let Some(usage) = told.usage {
+            let mut tenants = state.tenants.borrow_mut();
+            match told.relayed {
+                true => tenants.note_relay(told.from, usage, now),
+                false => tenants.note_gateway(told.from, usage, now),
+            }
+        }
         state
             .engines
             .borrow_mut()
@@ -131,26 +144,35 @@
     let mut unchanged = 0;
     let mut interval = CALM_INTERVAL;
     let mut relay = None;
+    let mut told_usage = state.now();
     loop {
         let due = async {
             Timer::after(interval).await;
         };
         future::or(due, state.long_prompt_sent()).await;
         let shares = state.engines.borrow().shares(state.now());
-        interval = match is_busy(&state, &shares) {
+        let short = state.tenants.borrow().is_short(state.now());
+        interval = match short || is_busy(&state, &shares) {
             true => BUSY_INTERVAL,
             false => CALM_INTERVAL,
         };
         unchanged = if shares == before { unchanged + 1 } else { 0 };
-        if unchanged % REPEATED_AFTER != 0 {
+        let now = state.now();
+        let usage = state.limits_tenants() && (short || now.since(told_usage) >= USAGE_INTERVAL);
+        if unchanged % REPEATED_AFTER != 0 && !usage {
             continue;
         }
         let bytes = molespan_state::encode(&shares);
+        let usage = usage.then(|| {
+            told_usage = now;
+            molespan_state::encode(&state.tenants.borrow_mut().usage(now))
+        });
         for node in audience(&state, &mut relay) {
             let request = Request::EngineWork {
                 from: state.own,
                 shares: bytes.clone().into(),
                 relayed: false,
+                usage: usage.clone().map(Into::into),
             };
             wire.send(node, request);
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod dispatch;
 pub mod pick;
 pub mod placement;
+pub mod quota;
 pub mod readiness;
 pub mod retry;
--- a/crates/state/src/batch/command.rs
+++ b/crates/state/src/batch/command.rs
@@ -27,13 +27,16 @@
     /// says.
     #[n(5)]
     pub due_ms: Option<u64>,
-    /// Whose waiting tokens are counted together: its route.
+    /// Whose waiting tokens are counted together: its tenant and route.
     #[n(6)]
     pub queue: String,
     /// Tokens that may wait in that queue at once, those of this job included;
     /// none without a limit.
     #[n(7)]
     pub max_queued_tokens: Option<u64>,
+    /// Tenant whose job it is, where there are tenants.
+    #[n(8)]
+    pub tenant: Option<String>,
 }
 
 impl SubmitJob {
@@ -126,6 +129,9 @@
         /// Identifier of the job.
         #[n(0)]
         id: String,
+        /// Tenant whose job it is.
+        #[n(1)]
+        tenant: Option<String>,
     },
     /// Keeps what runs of items have made since it was kept last.
     #[n(4)]
--- a/crates/state/src/batch/job.rs
+++ b/crates/state/src/batch/job.rs
@@ -80,6 +80,23 @@
     DeadLettered,
 }
 
+/// Names a job among all. Tenants choose identifiers without knowing of each
+/// other, so that two may choose the same one.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+#[cbor(transparent)]
+pub(super) struct JobName(#[n(0)] String);
+
+impl JobName {
+    /// Of a job of `tenant`. Without one it is the identifier itself, as in
+    /// snapshots from before there were tenants. No header has a line feed in it.
+    pub fn new(tenant: Option<&str>, id: &str) -> Self {
+        match tenant {
+            Some(tenant) => Self(format!("{tenant}\n{id}")),
+            None => Self(id.to_owned()),
+        }
+    }
+}
+
 /// A job, with the outcomes of its items.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct BatchJob {
@@ -114,12 +131,19 @@
     /// says.
     #[n(9)]
     pub due_ms: Option<u64>,
-    /// Whose waiting tokens are counted together: its route.
+    /// Whose waiting tokens are counted together: its tenant and route.
     #[n(10)]
     pub queue: String,
+    /// Tenant whose job it is, where there are tenants.
+    #[n(11)]
+    pub tenant: Option<String>,
 }
 
 impl BatchJob {
+    pub(super) fn name(&self) -> JobName {
+        JobName::new(self.tenant.as_deref(), &self.id)
+    }
+
     /// Whether items are left to run.
     #[must_use]
     pub fn is_open(&self) -> bool {
--- a/crates/state/src/batch/machine.rs
+++ b/crates/state/src/batch/machine.rs
@@ -7,7 +7,7 @@
 use super::command::{
     BatchCommand, BatchReply, ItemCheckpoint, ItemReference, RecordOutcome, SubmitJob,
 };
-use super::job::{BatchJob, ItemOutcome};
+use super::job::{BatchJob, ItemOutcome, JobName};
 use super::query::{
     BatchAnswer, BatchQuery, ItemToRun, ListedResult, OpenItem, OpenWork, ResultPage,
 };
@@ -21,9 +21,9 @@
     /// Jobs by the number of their acceptance.
     #[n(0)]
     jobs: BTreeMap<u64, BatchJob>,
-    /// Numbers by the callers' identifiers.
+    /// Numbers by the names of the jobs.
     #[n(1)]
-    numbers: BTreeMap<String, u64>,
+    numbers: BTreeMap<JobName, u64>,
     /// Number of the latest job.
     #[n(2)]
     last: u64,
@@ -61,14 +61,15 @@
         match command {
             BatchCommand::Submit(submit) => self.submit(submit),
             BatchCommand::Record(outcome) => self.record(outcome),
-            BatchCommand::End { id } => self.end(id),
+            BatchCommand::End { id, tenant } => self.end(&JobName::new(tenant.as_deref(), id)),
             BatchCommand::Checkpoint { items } => self.checkpoint(items),
             BatchCommand::Forget { job } => self.forget(*job),
         }
     }
 
     fn submit(&mut self, submit: &SubmitJob) -> BatchReply {
-        if self.numbers.contains_key(&submit.id) {
+        let name = JobName::new(submit.tenant.as_deref(), &submit.id);
+        if self.numbers.contains_key(&name) {
             return BatchReply::Kept;
         }
         if !self.waiting.fits(submit) {
@@ -82,6 +83,7 @@
             submitted_ms: submit.submitted_ms,
             due_ms: submit.due_ms,
             queue: submit.queue.clone(),
+            tenant: submit.tenant.clone(),
             outcomes: vec![None; submit.items.len()],
             items: submit.items.clone(),
             listed: Vec::new(),
@@ -89,7 +91,7 @@
             progress: BTreeMap::new(),
         };
         self.waiting.add(&job.queue, job.waiting_tokens());
-        self.numbers.insert(submit.id.clone(), self.last);
+        self.numbers.insert(name, self.last);
         self.jobs.insert(self.last, job);
         self.revision += 1;
         BatchReply::Kept
@@ -116,8 +118,8 @@
         BatchReply::Progress { kept }
     }
 
-    fn end(&mut self, id: &str) -> BatchReply {
-        let number = self.numbers.get(id);
+    fn end(&mut self, name: &JobName) -> BatchReply {
+        let number = self.numbers.get(name);
         let Some(job) = number.and_then(|number| self.jobs.get_mut(number)) else {
             return BatchReply::Unknown;
         };
@@ -133,7 +135,7 @@
         match self.jobs.remove(&number) {
             Some(job) => {
                 self.waiting.remove(&job.queue, job.waiting_tokens());
-                self.numbers.remove(&job.id);
+                self.numbers.remove(&job.name());
                 BatchReply::Ended
             }
             None => BatchReply::Unknown,
@@ -148,9 +150,14 @@
                 id,
                 after,
                 max_bytes,
-            } => BatchAnswer::Results(self.job(id).map(|job| page(job, *after, *max_bytes))),
-            BatchQuery::Body { id, item } => {
-                let body = self.job(id).and_then(|job| body(job, item));
+                tenant,
+            } => {
+                let job = self.job(tenant.as_deref(), id);
+                BatchAnswer::Results(job.map(|job| page(job, *after, *max_bytes)))
+            }
+            BatchQuery::Body { id, item, tenant } => {
+                let job = self.job(tenant.as_deref(), id);
+                let body = job.and_then(|job| body(job, item));
                 BatchAnswer::Body(body.map(Into::into))
             }
             BatchQuery::Open { limit } => BatchAnswer::Open(self.open(*limit as usize)),
@@ -168,10 +175,9 @@
         }
     }
 
-    fn job(&self, id: &str) -> Option<&BatchJob> {
-        self.numbers
-            .get(id)
-            .and_then(|number| self.jobs.get(number))
+    fn job(&self, tenant: Option<&str>, id: &str) -> Option<&BatchJob> {
+        let number = self.numbers.get(&JobName::new(tenant, id))?;
+        self.jobs.get(number)
     }
 
     fn open(&self, limit: usize) -> OpenWork {
@@ -207,6 +213,7 @@
             job_path: job.path.clone(),
             submitted_ms: job.submitted_ms,
             due_ms: job.due_ms,
+            tenant: job.tenant.clone(),
             item: job.items[place].clone(),
             progress: job
                 .progress
--- a/crates/state/src/batch/query.rs
+++ b/crates/state/src/batch/query.rs
@@ -23,6 +23,9 @@
         /// Bytes of output at the most, except that one result is given.
         #[n(2)]
         max_bytes: u64,
+        /// Tenant whose job it is.
+        #[n(3)]
+        tenant: Option<String>,
     },
     /// The body of an item that is not listed yet.
     #[n(1)]
@@ -33,6 +36,9 @@
         /// Identifier of the item.
         #[n(1)]
         item: String,
+        /// Tenant whose job it is.
+        #[n(2)]
+        tenant: Option<String>,
     },
     /// Items without an outcome, of the oldest jobs first.
     #[n(2)]
@@ -124,6 +130,9 @@
     /// Milliseconds since 1970 by which it is to be done.
     #[n(6)]
     pub due_ms: Option<u64>,
+    /// Tenant whose job it is.
+    #[n(7)]
+    pub tenant: Option<String>,
 }
 
 /// Answer to a [`BatchQuery`].
--- a/crates/state/src/declared/command.rs
+++ b/crates/state/src/declared/command.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use minicbor::bytes::ByteVec;
 use minicbor::{Decode, Encode};
 use molespan_types::{NodeId, ZoneName};
 
 use super::departures::Departure;
+use super::document::Document;
 use super::model::ServingModel;
 use super::stores::Retirement;
 
@@ -18,7 +18,7 @@
     pub version: u64,
     /// The document byte for byte, for reading it back.
     #[n(1)]
-    pub document: ByteVec,
+    pub document: Document,
     /// What it says.
     #[n(2)]
     pub model: ServingModel,
--- a/crates/state/src/declared/mod.rs
+++ b/crates/state/src/declared/mod.rs
@@ -10,14 +10,18 @@
 
 mod command;
 mod departures;
+mod document;
 mod model;
 mod state;
 mod stores;
+mod tenants;
 
 pub use command::{Declaration, DeclaredCommand, DeclaredReply, RegisterStore, RetireReply};
 pub use departures::{Departure, Departures};
+pub use document::Document;
 pub use model::{
     CallerLimits, Destination, EngineModel, Route, RouteKind, ServiceModel, ServingModel,
 };
 pub use state::{DeclaredConfiguration, DeclaredState};
 pub use stores::{Retirement, StoreNode, Stores};
+pub use tenants::{KeyDigest, RateLimit, Tenant};
--- a/crates/state/src/declared/model.rs
+++ b/crates/state/src/declared/model.rs
@@ -5,6 +5,8 @@
 use derive_more::Display;
 use minicbor::{Decode, Encode};
 
+use super::tenants::{self, Tenant};
+
 /// What may be done with the requests of a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Encode, Decode)]
 #[cbor(index_only)]
@@ -86,6 +88,10 @@
     /// Tokens of batch items that may wait at once; none without a limit.
     #[n(14)]
     pub max_queued_tokens: Option<u64>,
+    /// Whether its requests need no key where there are tenants.
+    #[n(15)]
+    #[cbor(default)]
+    pub anonymous: bool,
 }
 
 impl Route {
@@ -168,6 +174,9 @@
     /// Bounds on callers.
     #[n(2)]
     pub limits: CallerLimits,
+    /// Tenants, whose keys requests carry; `None` where nobody needs a key.
+    #[n(3)]
+    pub tenants: Option<Vec<Tenant>>,
 }
 
 impl ServingModel {
@@ -206,6 +215,7 @@
                 problems.push(message);
             }
         }
+        tenants::problems(self.tenants.as_deref().unwrap_or_default(), &mut problems);
         problems
     }
 }
--- a/crates/state/src/declared/state.rs
+++ b/crates/state/src/declared/state.rs
@@ -1,10 +1,10 @@
 //! The declared state.
 
-use minicbor::bytes::ByteVec;
 use minicbor::{Decode, Encode};
 
 use super::command::{Declaration, DeclaredCommand, DeclaredReply};
 use super::departures::Departures;
+use super::document::Document;
 use super::model::ServingModel;
 use super::stores::Stores;
 
@@ -16,7 +16,7 @@
     pub version: u64,
     /// The document byte for byte.
     #[n(1)]
-    pub document: ByteVec,
+    pub document: Document,
     /// What it says.
     #[n(2)]
     pub model: ServingModel,
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct DeclaredState {
     #[n(0)]
-    configuration: Option<DeclaredConfiguration>,
+    configuration: Option<Box<DeclaredConfiguration>>,
     #[n(1)]
     departures: Departures,
     #[n(2)]
@@ -40,7 +40,7 @@
     /// The configuration that holds, if any was ever declared.
     #[must_use]
     pub fn configuration(&self) -> Option<&DeclaredConfiguration> {
-        self.configuration.as_ref()
+        self.configuration.as_deref()
     }
 
     /// Engines that leave.
@@ -97,11 +97,11 @@
 
     fn declare(&mut self, declaration: &Declaration) -> DeclaredReply {
         if self.configuration.is_none() || declaration.version > self.version() {
-            self.configuration = Some(DeclaredConfiguration {
+            self.configuration = Some(Box::new(DeclaredConfiguration {
                 version: declaration.version,
                 document: declaration.document.clone(),
                 model: declaration.model.clone(),
-            });
+            }));
             self.revision += 1;
         }
         DeclaredReply::Version {
--- a/crates/state/tests/batch.rs
+++ b/crates/state/tests/batch.rs
@@ -15,6 +15,7 @@
         tokens: 10,
     });
     BatchCommand::Submit(Box::new(SubmitJob {
+        tenant: None,
         due_ms: None,
         queue: "q".to_owned(),
         max_queued_tokens: None,
@@ -42,6 +43,7 @@
         id: id.to_owned(),
         after,
         max_bytes,
+        tenant: None,
     };
     match machine.query(&query) {
         BatchAnswer::Results(page) => page,
@@ -53,6 +55,7 @@
     let query = BatchQuery::Body {
         id: id.to_owned(),
         item: item.to_owned(),
+        tenant: None,
     };
     match machine.query(&query) {
         BatchAnswer::Body(body) => body.map(Into::into),
@@ -139,7 +142,10 @@
     machine.apply(&record(1, 0, "x"));
     let reference = |job, place| ItemReference { job, place };
     assert_eq!(open(&machine, 2), [reference(1, 1), reference(2, 0)]);
-    let end = |id: &str| BatchCommand::End { id: id.to_owned() };
+    let end = |id: &str| BatchCommand::End {
+        id: id.to_owned(),
+        tenant: None,
+    };
     assert_eq!(machine.apply(&end("b")), BatchReply::Ended);
     assert_eq!(machine.apply(&end("b")), BatchReply::Ended);
     assert_eq!(machine.apply(&end("none")), BatchReply::Unknown);
@@ -209,7 +215,10 @@
 fn whoever_hands_items_out_notices_each_change_of_the_open_ones() {
     let mut machine = BatchMachine::default();
     let mut seen = machine.revision();
-    let end = BatchCommand::End { id: "a".to_owned() };
+    let end = BatchCommand::End {
+        id: "a".to_owned(),
+        tenant: None,
+    };
     for command in [submit("a", 2), record(1, 0, "one"), end] {
         machine.apply(&command);
         assert!(machine.revision() > seen, "{command:?}");
--- a/crates/state/tests/batch_output.rs
+++ b/crates/state/tests/batch_output.rs
@@ -75,6 +75,7 @@
 fn machine() -> BatchMachine {
     let mut machine = BatchMachine::new();
     machine.apply(&BatchCommand::Submit(Box::new(SubmitJob {
+        tenant: None,
         id: "job".to_owned(),
         host: "h".to_owned(),
         path: "/p".to_owned(),
--- a/crates/state/tests/batch_queue.rs
+++ b/crates/state/tests/batch_queue.rs
@@ -17,6 +17,7 @@
         tokens,
     });
     BatchCommand::Submit(Box::new(SubmitJob {
+        tenant: None,
         id: id.to_owned(),
         host: queue.to_owned(),
         path: "/p".to_owned(),
@@ -38,7 +39,10 @@
 }
 
 fn end(id: &str) -> BatchCommand {
-    BatchCommand::End { id: id.to_owned() }
+    BatchCommand::End {
+        id: id.to_owned(),
+        tenant: None,
+    }
 }
 
 #[test]
--- a/crates/state/tests/declared.rs
+++ b/crates/state/tests/declared.rs
@@ -38,6 +38,7 @@
 
 fn route(host: &str, prefix: &str) -> Route {
     Route {
+        anonymous: false,
         max_queued_tokens: None,
         name: format!("{host}{prefix}"),
         host: host.to_owned(),
@@ -69,6 +70,7 @@
             engine: None,
         }],
         limits: CallerLimits::default(),
+        tenants: None,
     }
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -283,7 +283,7 @@
     /// that the asker runs.
     #[n(11)]
     TakeItems(#[n(0)] TakeItems),
-    /// What a gateway has at engines, or what several have as a relay adds it
+    /// What a gateway has at engines and of tenants, or what several have as a relay adds it
     /// up; one-way, to gateways and relays.
     #[n(12)]
     EngineWork {
@@ -296,6 +296,9 @@
         /// Whether a relay tells it.
         #[n(2)]
         relayed: bool,
+        /// Encoded use of tenants' limits; `None` when it says nothing of them.
+        #[n(3)]
+        usage: Option<ByteVec>,
     },
 }
 
