Give the demo's nodes ports that no connection gets

Change: ports below that range, as the processes of the daemon's tests have them. Test: ports_are_not_those_that_connections_get, which failed with ports of the system.

--- a/crates/cli/src/demo/fleet.rs
+++ b/crates/cli/src/demo/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::thread;
@@ -21,6 +21,7 @@
 use tempfile::TempDir;
 
 use super::guide::Guide;
+use super::ports::free_addresses;
 use crate::client::Client;
 use crate::error::CliError;
 
@@ -252,12 +253,3 @@
     fs::write(&file, settings.to_toml())?;
     Settings::load(&file).map_err(|findings| CliError::Failed(findings.to_string()))
 }
-
-/// Addresses of the loopback interface that nobody listens on.
-fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
-    // Every listener stays open until all are, so that no port comes twice.
-    let bound: io::Result<Vec<TcpListener>> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0"))
-        .collect();
-    bound?.iter().map(TcpListener::local_addr).collect()
-}
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -9,6 +9,7 @@
 mod guide;
 mod online;
 mod operator;
+mod ports;
 mod report;
 mod stop;
 mod watching;
@@ -22,6 +23,7 @@
 use crate::error::{CliError, ExitStatus};
 pub use fleet::DemoFleet;
 use guide::Guide;
+pub use ports::free_addresses;
 use report::DemoReport;
 
 /// Longest time of the whole tour.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use client::{Call, Client};
 pub use console::Console;
-pub use demo::DemoFleet;
+pub use demo::{DemoFleet, free_addresses};
 pub use error::{CliError, ExitStatus};
 pub use flags::Molespan;
 pub use gateways::{GATEWAY_VARIABLE, gateway_addresses};
