Let operators say whether a gateway that is unsure of keys refuses them

Change: tenants.fail_closed and tenants.revoked_within; unsure is who did not hear from most control nodes within that time.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -7,6 +7,8 @@
 use molespan_state::declared::{Departure, ServingModel};
 use molespan_types::{NodeId, ZoneName};
 
+use crate::watch::MOST_WATCHED;
+
 /// An engine as its heartbeats describe it.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct EngineRecord {
@@ -131,6 +133,16 @@
         topology
     }
 
+    /// Whether most control nodes were heard within `limit`: one of them has what was
+    /// committed before. Of many, those count that a node watches.
+    #[must_use]
+    pub fn is_current(&self, limit: Duration, now: Instant) -> bool {
+        let control = self.current(now).control;
+        let heard = control.iter().filter_map(|node| self.told.get(node));
+        let lately = heard.filter(|told| now.saturating_duration_since(told.heard) < limit);
+        lately.count() * 2 > control.len().min(MOST_WATCHED)
+    }
+
     /// Control nodes that say that they stand in `zone`.
     pub fn control_in(&self, zone: &ZoneName) -> BTreeSet<NodeId> {
         let told = self.told.iter();
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -23,7 +23,7 @@
 /// Pause after a watch that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Control nodes that a node watches at most.
-const MOST_WATCHED: usize = 5;
+pub(crate) const MOST_WATCHED: usize = 5;
 
 /// Takes in what a control node said.
 pub trait ViewSink: 'static {
--- a/crates/proxy/src/gateway.rs
+++ b/crates/proxy/src/gateway.rs
@@ -47,6 +47,9 @@
     pub unready_wait: Duration,
     /// Longest time of a planned stop.
     pub stop_within: Duration,
+    /// A gateway that did not hear from most control nodes for this long refuses
+    /// requests that need a key; none where it goes by the keys that it knows.
+    pub keys_hold_for: Option<Duration>,
 }
 
 /// A running gateway.
@@ -92,7 +95,13 @@
         let stores = options.addresses.store_transport(executor);
         let jobs = cluster(stores, Vec::new());
         let zone = options.zone.clone();
-        let state = Rc::new(GatewayState::new(own, zone, jobs, logger.clone()));
+        let state = Rc::new(GatewayState::new(
+            own,
+            zone,
+            options.keys_hold_for,
+            jobs,
+            logger.clone(),
+        ));
         let seeds = &options.addresses.seeds;
         let kind = WatcherKind::Gateway;
         let sink = state.clone();
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -17,9 +17,9 @@
 use crate::resume::relay_resumable;
 use crate::state::GatewayState;
 
-/// When a caller should come back to a cluster that has just started: an
-/// election and a watch take about as long.
-const KNOWS_SOON: Duration = Duration::from_millis(1_200);
+/// When a caller should come back to a gateway that knows too little: an election
+/// and a watch take about as long.
+pub(crate) const KNOWS_SOON: Duration = Duration::from_millis(1_200);
 /// An answer in whole is held up to this length, so that a request that may be
 /// repeated can be when its engine breaks off.
 const HELD_BYTES: u64 = 256 << 10;
@@ -55,7 +55,7 @@
     };
     let credential = dialect.credential(&request.head.headers);
     if let Some(call) = dialect.batch_call(&request.head) {
-        let answer = match in_force.tenant(credential, false) {
+        let answer = match state.tenant(&in_force, credential, false) {
             Ok(tenant) => batch::call(state, dialect, call, tenant.as_deref()).await,
             Err(refusal) => dialect.refusal(refusal),
         };
@@ -67,7 +67,7 @@
             "version" => in_force.version);
         return refuse(dialect, caller, Refusal::NoRoute, keep_alive).await;
     };
-    let tenant = match in_force.tenant(credential, route.anonymous) {
+    let tenant = match state.tenant(&in_force, credential, route.anonymous) {
         Ok(tenant) => tenant,
         Err(refusal) => return refuse(dialect, caller, refusal, keep_alive).await,
     };
@@ -113,7 +113,7 @@
     let route = in_force.model.route(&head.host(), head.path());
     let anonymous = route.is_some_and(|route| route.anonymous);
     let credential = dialect.credential(&head.headers);
-    in_force.tenant(credential, anonymous).map(drop)
+    state.tenant(&in_force, credential, anonymous).map(drop)
 }
 
 async fn refuse<D: GatewayDialect>(
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use molespan_daemon::cluster::Cluster;
@@ -66,6 +66,7 @@
 pub(crate) struct GatewayState {
     pub own: NodeId,
     zone: ZoneName,
+    keys_hold_for: Option<Duration>,
     pub engines: RefCell<EngineTable>,
     /// What tenants may still send.
     pub tenants: RefCell<TenantTable>,
@@ -94,9 +95,16 @@
 }
 
 impl GatewayState {
-    pub fn new(own: NodeId, zone: ZoneName, batch: Arc<Cluster>, logger: Logger) -> Self {
+    pub fn new(
+        own: NodeId,
+        zone: ZoneName,
+        keys_hold_for: Option<Duration>,
+        batch: Arc<Cluster>,
+        logger: Logger,
+    ) -> Self {
         Self {
             own,
+            keys_hold_for,
             engines: RefCell::new(EngineTable::new(zone.clone(), rand::random())),
             tenants: RefCell::new(TenantTable::new(Timestamp::ZERO)),
             zone,
@@ -128,6 +136,15 @@
         self.in_force.borrow().clone()
     }
 
+    /// Whether no key was taken away that this gateway should know of, as far as it
+    /// is to make sure.
+    pub fn knows_keys(&self) -> bool {
+        let view = self.topology_view.borrow();
+        let now = Instant::now();
+        self.keys_hold_for
+            .is_none_or(|limit| view.is_current(limit, now))
+    }
+
     /// Whether there are tenants, whose use the gateways tell each other.
     pub fn limits_tenants(&self) -> bool {
         let in_force = self.in_force.borrow();
--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -8,6 +8,7 @@
 use slog::info;
 
 use crate::dialect::{Credential, Refusal};
+use crate::request::KNOWS_SOON;
 use crate::state::{GatewayState, InForce};
 
 /// Whose each key is.
@@ -46,11 +47,7 @@
     ///
     /// # Errors
     /// When its key is nobody's, or is missing.
-    pub fn tenant(
-        &self,
-        credential: Credential,
-        anonymous: bool,
-    ) -> Result<Option<Rc<str>>, Refusal> {
+    fn tenant(&self, credential: Credential, anonymous: bool) -> Result<Option<Rc<str>>, Refusal> {
         let Some(keys) = &self.keys else {
             return Ok(None);
         };
@@ -66,6 +63,25 @@
 }
 
 impl GatewayState {
+    /// The tenant of a request; see [`InForce::tenant`].
+    ///
+    /// # Errors
+    /// Also when this gateway may have missed that the key was taken away.
+    pub fn tenant(
+        &self,
+        in_force: &InForce,
+        credential: Credential,
+        anonymous: bool,
+    ) -> Result<Option<Rc<str>>, Refusal> {
+        let tenant = in_force.tenant(credential, anonymous)?;
+        match tenant.is_none() || self.knows_keys() {
+            true => Ok(tenant),
+            false => Err(Refusal::NoConfiguration {
+                retry_after: KNOWS_SOON,
+            }),
+        }
+    }
+
     /// Counts a request of a tenant for which an engine is to be found.
     ///
     /// # Errors
--- a/crates/settings/src/discovered/model.rs
+++ b/crates/settings/src/discovered/model.rs
@@ -119,6 +119,25 @@
     }
 }
 
+/// Keys of tenants.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TenantSettings {
+    /// Whether a gateway that may have missed that a key was taken away refuses
+    /// requests that need one; else it goes by the keys that it knows.
+    pub fail_closed: bool,
+    /// Time within which a key that was taken away is refused.
+    pub revoked_within: Duration,
+}
+
+impl Default for TenantSettings {
+    fn default() -> Self {
+        Self {
+            fail_closed: false,
+            revoked_within: Duration::from_secs(5),
+        }
+    }
+}
+
 /// All settings of such a node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DiscoveredSettings {
@@ -132,6 +151,8 @@
     pub timing: TimingSettings,
     /// The planned stop.
     pub stop: StopSettings,
+    /// Keys of tenants.
+    pub tenants: TenantSettings,
     /// Logs.
     pub log: LogSettings,
 }
--- a/crates/settings/src/discovered/read.rs
+++ b/crates/settings/src/discovered/read.rs
@@ -6,8 +6,8 @@
 use molespan_types::ZoneName;
 
 use super::model::{
-    ClusterSeeds, DiscoveredNode, DiscoveredSettings, Purpose, StopSettings, TimingSettings,
-    ToleranceSettings,
+    ClusterSeeds, DiscoveredNode, DiscoveredSettings, Purpose, StopSettings, TenantSettings,
+    TimingSettings, ToleranceSettings,
 };
 use crate::finding::Findings;
 use crate::read::{parse_with, read_log};
@@ -27,6 +27,7 @@
         tolerance: read_tolerance(root.section("tolerance")),
         timing: read_timing(root.section("timing")),
         stop: read_stop(root.section("stop")),
+        tenants: read_tenants(root.section("tenants")),
         log: read_log(root.section("log")),
     };
     root.finish();
@@ -99,6 +100,25 @@
     stop
 }
 
+/// Shortest time within which keys can be refused: a watch of the control nodes
+/// answers every 2 s when there is nothing new.
+const SHORTEST_REVOCATION: Duration = Duration::from_secs(3);
+
+fn read_tenants(mut section: Section<'_, '_, '_>) -> TenantSettings {
+    const LONGEST: Duration = Duration::from_secs(60 * 60);
+    let default = TenantSettings::default();
+    let tenants = TenantSettings {
+        fail_closed: section.or("fail_closed", default.fail_closed),
+        revoked_within: section.within(
+            "revoked_within",
+            default.revoked_within,
+            SHORTEST_REVOCATION..=LONGEST,
+        ),
+    };
+    section.finish();
+    tenants
+}
+
 fn check(report: &Report<'_>, settings: DiscoveredSettings) -> DiscoveredSettings {
     let node = &settings.node;
     let needs = |missing: bool, key: &str, purposes: &[Purpose]| {
