Reckon with the gateways beyond a cut between relays

Cause: relays that are cut off from each other know the work of their own gateways alone, while the gateways of both sides send to the same engines. Change: a relay remembers for 10 s how many gateways a silent one spoke for, as far as they are still there and not heard by another way, and tells its gateways as much more work as that. Test: gateways_beyond_a_cut_between_relays_are_reckoned_with.

--- a/crates/fleet/src/control/hub.rs
+++ b/crates/fleet/src/control/hub.rs
@@ -153,6 +153,12 @@
         self.lock().topology.control.clone()
     }
 
+    /// How many gateways asked here lately.
+    #[must_use]
+    pub fn gateways(&self) -> u32 {
+        self.lock().topology.gateways.len() as u32
+    }
+
     /// Whether every store that is alive has had the time to ask here.
     #[must_use]
     pub fn knows_stores(&self) -> bool {
--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -118,9 +118,13 @@
                 shares,
                 relayed,
                 usage,
+                gateways,
             } => {
                 let usage = usage.as_ref().map(|usage| usage.as_slice());
                 self.work.note(from, &shares, usage, relayed);
+                if let Some(gateways) = gateways {
+                    self.work.note_spoken_for(from, gateways);
+                }
             }
             other => self.replica.notify(other),
         }
--- a/crates/fleet/src/control/relay.rs
+++ b/crates/fleet/src/control/relay.rs
@@ -56,6 +56,12 @@
         self.relays.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Another relay speaks for so many gateways.
+    pub fn note_spoken_for(&self, from: NodeId, gateways: u32) {
+        let now = self.now();
+        self.lock().work.note_spoken_for(from, gateways, now);
+    }
+
     /// Takes in what a gateway, or another relay, told.
     pub fn note(&self, from: NodeId, shares: &[u8], usage: Option<&[u8]>, relayed: bool) {
         let Ok(shares) = molespan_state::decode::<Vec<WorkShare>>(shares) else {
@@ -108,19 +114,22 @@
 ) {
     let mut told_relays = (Vec::new(), Instant::now());
     while work.heard.1.recv().await.is_ok() {
-        let tell = |node: NodeId, shares: &[WorkShare], usage: Option<&Usage>| {
-            let request = Request::EngineWork {
-                from: own,
-                shares: molespan_state::encode(&shares).into(),
-                relayed: true,
-                usage: usage.map(|usage| molespan_state::encode(usage).into()),
-            };
-            wire.send(node, request);
+        let told = |shares: &[WorkShare], usage: Option<&Usage>, gateways| Request::EngineWork {
+            from: own,
+            shares: molespan_state::encode(&shares).into(),
+            relayed: true,
+            usage: usage.map(|usage| molespan_state::encode(usage).into()),
+            gateways,
         };
-        let (of_gateways, by_gateway) = {
+        let (of_gateways, by_gateway, gateways) = {
             let relay = &mut work.lock().work;
-            relay.expire(work.now());
-            (relay.sum_of_gateways(), relay.shares_by_gateway())
+            let now = work.now();
+            relay.expire(now);
+            let missed = relay.all_by_told(hub.gateways(), now);
+            let mut by_gateway = relay.shares_by_gateway();
+            let shares = by_gateway.iter_mut().flat_map(|(_, shares)| shares);
+            shares.for_each(|share| share.multiply(missed));
+            (relay.sum_of_gateways(), by_gateway, relay.gateways())
         };
         let usage = work.usage();
         let (usage_of_gateways, usage_by_gateway) = usage.unzip();
@@ -131,12 +140,14 @@
         if !by_gateway.is_empty() && news {
             let others = hub.control_nodes().into_iter();
             for relay in others.filter(|&node| node != own) {
-                tell(relay, &of_gateways, usage_of_gateways.as_ref());
+                let usage = usage_of_gateways.as_ref();
+                wire.send(relay, told(&of_gateways, usage, Some(gateways)));
             }
             told_relays = (of_gateways, Instant::now());
         }
         for (gateway, shares) in by_gateway {
-            tell(gateway, &shares, usage_by_gateway.get(&gateway));
+            let usage = usage_by_gateway.get(&gateway);
+            wire.send(gateway, told(&shares, usage, None));
         }
         Timer::after(ROUND).await;
     }
--- a/crates/proxy/src/work_shares.rs
+++ b/crates/proxy/src/work_shares.rs
@@ -70,6 +70,7 @@
             shares,
             relayed,
             usage,
+            ..
         } = request
             && let Ok(shares) = molespan_state::decode(&shares)
         {
@@ -173,6 +174,7 @@
                 shares: bytes.clone().into(),
                 relayed: false,
                 usage: usage.clone().map(Into::into),
+                gateways: None,
             };
             wire.send(node, request);
         }
--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -95,6 +95,13 @@
         self.requests + self.failing + self.answering == 0
     }
 
+    /// So many times as much work; what was experienced stays.
+    pub fn multiply(&mut self, by: f64) {
+        self.requests = (f64::from(self.requests) * by).round() as u32;
+        self.batch = (f64::from(self.batch) * by).round() as u32;
+        self.unread_tokens = (self.unread_tokens as f64 * by) as u64;
+    }
+
     /// Adds what others have there.
     pub fn add(&mut self, others: &Self) {
         self.requests += others.requests;
--- a/crates/routing/src/dispatch/relay.rs
+++ b/crates/routing/src/dispatch/relay.rs
@@ -20,6 +20,9 @@
 /// [`RELAY_SILENCE`] without a word of the others.
 const COMES_BACK: Duration = Duration::from_secs(10);
 
+/// How long the gateways of a relay that fell silent are missed at the most.
+const MISSED_FOR: Duration = Duration::from_secs(10);
+
 /// The relay that a gateway uses: one of its zone where there is one, since
 /// relays tell many times a second. Gateways spread over the relays, and each
 /// goes through them in an order of its own when they are silent.
@@ -95,6 +98,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct WorkRelay {
     told: BTreeMap<NodeId, Told>,
+    /// Gateways that each other relay speaks for, and when it said so.
+    spoken_for: BTreeMap<NodeId, (u32, Timestamp)>,
 }
 
 impl WorkRelay {
@@ -116,9 +121,40 @@
         before.is_none_or(|before| before.shares != self.told[&from].shares)
     }
 
+    /// Another relay speaks for so many gateways.
+    pub fn note_spoken_for(&mut self, from: NodeId, gateways: u32, now: Timestamp) {
+        self.spoken_for.insert(from, (gateways, now));
+    }
+
+    /// Gateways that tell this relay.
+    #[must_use]
+    pub fn gateways(&self) -> u32 {
+        let told = self.told.values();
+        told.filter(|told| told.teller == Teller::Gateway).count() as u32
+    }
+
     /// Forgets those that were silent for too long.
     pub fn expire(&mut self, now: Timestamp) {
         self.told.retain(|_, told| now.since(told.at) < SHARE_HOLDS);
+        self.spoken_for
+            .retain(|_, (_, at)| now.since(*at) < MISSED_FOR);
+    }
+
+    /// Work of all gateways as a multiple of what is told: more than 1 while relays
+    /// are cut off from this one, whose gateways send to the same engines all the
+    /// same. Those who left a silent relay for another one are heard again, so that
+    /// no more are missed than are `present` and not heard.
+    #[must_use]
+    pub fn all_by_told(&self, present: u32, now: Timestamp) -> f64 {
+        let (mut heard, mut missed) = (self.gateways(), 0);
+        for (gateways, at) in self.spoken_for.values() {
+            match now.since(*at) < SHARE_HOLDS {
+                true => heard += gateways,
+                false => missed += gateways,
+            }
+        }
+        let missed = missed.min(present.saturating_sub(heard));
+        1.0 + f64::from(missed) / f64::from(heard.max(1))
     }
 
     /// What the gateways of this relay have together, for the other relays.
--- a/crates/routing/tests/relay.rs
+++ b/crates/routing/tests/relay.rs
@@ -151,3 +151,34 @@
         Some(OTHER_RELAY)
     );
 }
+
+#[test]
+fn gateways_beyond_a_cut_between_relays_are_reckoned_with() {
+    let mut relay = WorkRelay::default();
+    for gateway in 0..8 {
+        relay.note(NodeId(100 + gateway), Teller::Gateway, vec![], at(0));
+    }
+    relay.note_spoken_for(NodeId(1), 8, at(0));
+    relay.note_spoken_for(NodeId(2), 16, at(0));
+    // Time, gateways that are there, work of all by what is told.
+    let cases = [
+        (1_000, 32, 1.0),
+        // Both relays are silent, and their gateways still there.
+        (2_000, 32, 4.0),
+        // Some of them are not.
+        (2_000, 20, 2.5),
+        (2_000, 8, 1.0),
+        (9_900, 32, 4.0),
+        (10_000, 32, 1.0),
+    ];
+    for (now, present, all) in cases {
+        for gateway in 0..8 {
+            relay.note(NodeId(100 + gateway), Teller::Gateway, vec![], at(now));
+        }
+        relay.expire(at(now));
+        assert_eq!(relay.all_by_told(present, at(now)), all, "{now} {present}");
+    }
+    let mut work = share("x", 3, 100, 1);
+    work.multiply(2.0);
+    assert_eq!(work, share("x", 6, 200, 2));
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -299,6 +299,9 @@
         /// Encoded use of tenants' limits; `None` when it says nothing of them.
         #[n(3)]
         usage: Option<ByteVec>,
+        /// Gateways that a relay speaks for, where it tells another relay.
+        #[n(4)]
+        gateways: Option<u32>,
     },
 }
 
