Avoid engines that fail part of their requests, by what all gateways saw

Cause: an engine whose health check is good and that answers some requests with 500 was never avoided: each good answer forgot the failures before, and one of 49 gateways sees an answer of it in five seconds. Ruled out: two failures in a row at one gateway (which exists; half of the answers are good); the health check (it lies). Change: gateways tell each other fading counts of errors and answers of online requests with what they have at engines; three errors lately that are 0.15 of the answers or more take an engine away from all until they have faded (some 5 s), never more than half of a service. Batch items do not count: some can never be done. Tests: an_engine_that_fails_part_of_its_requests_is_avoided_by_all_who_hear_of_it (fails without the counts), single_broken_answers_take_no_engine_away.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -126,12 +126,30 @@
     let result = try_attempt(state, dialect, engine, outbound, limits, occupied).await;
     let mut engines = state.engines.borrow_mut();
     match &result {
-        Ok(reply) => note_answer(&mut engines, &engine.id, reply, state),
-        Err(failure) => engines.failed(&engine.id, failure.as_engine_failure(), state.now()),
+        Ok(reply) => {
+            note_answer(&mut engines, &engine.id, reply, state);
+            let status = reply.head.status;
+            if outbound.class == WorkClass::Online && !reply.facts.not_run {
+                let failed = is_failure(status);
+                engines.answered(&engine.id, failed, state.now());
+            }
+        }
+        Err(failure) => {
+            engines.failed(&engine.id, failure.as_engine_failure(), state.now());
+            if outbound.class == WorkClass::Online && *failure == AttemptFailure::Broken {
+                engines.answered(&engine.id, true, state.now());
+            }
+        }
     }
     result
 }
 
+/// Whether an engine failed a request by its own fault. A 504 is the fault of too
+/// little time, and a batch item may be one that no engine can do.
+fn is_failure(status: u16) -> bool {
+    matches!(status, 500 | 502)
+}
+
 fn note_answer(
     engines: &mut molespan_routing::dispatch::EngineTable,
     engine: &str,
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -117,6 +117,7 @@
     /// An engine that had begun broke off.
     pub fn note_broken(&mut self, engine: &str) {
         self.tried.insert(engine.to_owned());
+        self.state.note_broken(engine);
         info!(self.state.logger, "answer broken off";
             "request" => &self.outbound.id, "engine" => engine, "runs" => self.runs);
     }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -114,7 +114,10 @@
         // A piece that is there already goes out with the head.
         let piece = match next_piece(&mut body, &mut time).await {
             Next::Piece(Ok(piece)) => piece,
-            Next::Piece(Err(_)) => return Relayed::EngineBroke,
+            Next::Piece(Err(_)) => {
+                state.note_broken(&body.engine);
+                return Relayed::EngineBroke;
+            }
             Next::TimeOver => return Relayed::TimeOver,
         };
         let ended = piece.is_none() || body.reader.has_ended();
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -235,6 +235,12 @@
         }
     }
 
+    /// An engine broke off an answer that it had begun.
+    pub fn note_broken(&self, engine: &str) {
+        let now = self.now();
+        self.engines.borrow_mut().answered(engine, true, now);
+    }
+
     /// Waits until a request with a long prompt goes to an engine.
     pub async fn long_prompt_sent(&self) {
         let _told = self.long_prompt.1.recv().await;
--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -7,6 +7,7 @@
 use minicbor::{Decode, Encode};
 use molespan_types::{NodeId, Timestamp, ZoneName};
 
+use super::errors::{Counts, Errors};
 use super::table::WorkClass;
 
 /// How long a report says something about the work of others.
@@ -86,13 +87,21 @@
     #[n(5)]
     #[cbor(default)]
     pub answering: u32,
+    /// Tenths of online requests that it failed lately.
+    #[n(6)]
+    #[cbor(default)]
+    pub errors: u32,
+    /// Tenths of online requests that it answered lately, those included.
+    #[n(7)]
+    #[cbor(default)]
+    pub answers: u32,
 }
 
 impl WorkShare {
-    /// Whether it says nothing.
+    /// Whether it says nothing that matters: good answers alone do not for long.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.requests + self.failing + self.answering == 0
+        self.requests + self.failing + self.answering + self.errors == 0
     }
 
     /// So many times as much work; what was experienced stays.
@@ -109,6 +118,8 @@
         self.batch += others.batch;
         self.failing += others.failing;
         self.answering += others.answering;
+        self.errors += others.errors;
+        self.answers += others.answers;
     }
 
     /// What is left without a part of it.
@@ -121,6 +132,8 @@
             batch: self.batch.saturating_sub(part.batch),
             failing: self.failing.saturating_sub(part.failing),
             answering: self.answering.saturating_sub(part.answering),
+            errors: self.errors.saturating_sub(part.errors),
+            answers: self.answers.saturating_sub(part.answers),
         }
     }
 }
@@ -153,6 +166,7 @@
     unread_tokens: u64,
     failing: u32,
     answering: u32,
+    counts: Counts,
     at: Timestamp,
 }
 
@@ -176,6 +190,7 @@
     answering_until: Timestamp,
     crowded_until: Timestamp,
     next_cut: Timestamp,
+    errors: Errors,
 }
 
 impl Engine {
@@ -194,6 +209,7 @@
             answering_until: Timestamp::ZERO,
             crowded_until: Timestamp::ZERO,
             next_cut: Timestamp::ZERO,
+            errors: Errors::default(),
         }
     }
 
@@ -236,7 +252,10 @@
     /// Own work and experience here, for telling others; `None` without any. A
     /// gateway that is not `sure` of itself tells of no failures.
     pub fn share(&self, now: Timestamp, sure: bool) -> Option<WorkShare> {
+        let counts = self.errors.own(now);
         let share = WorkShare {
+            errors: counts.errors,
+            answers: counts.answers,
             engine: self.facts.id.clone(),
             requests: self.own(),
             batch: self.batch,
@@ -259,9 +278,14 @@
             unread_tokens: share.unread_tokens,
             failing: share.failing,
             answering: share.answering,
+            counts: Counts {
+                errors: share.errors,
+                answers: share.answers,
+            },
             at: now,
         };
         self.shares.insert(from, share);
+        self.errors.decide(self.counts_of_others(now), now);
     }
 
     /// Forgets what another node said of gateways' work here.
@@ -343,6 +367,26 @@
         now < self.paused_until
     }
 
+    /// An online request was answered there, well or as a failure.
+    pub fn answered(&mut self, failed: bool, now: Timestamp) {
+        self.errors.note(failed, now);
+        self.errors.decide(self.counts_of_others(now), now);
+    }
+
+    fn counts_of_others(&self, now: Timestamp) -> Counts {
+        let mut all = Counts::default();
+        for share in self.fresh_shares(now) {
+            all.errors += share.counts.errors;
+            all.answers += share.counts.answers;
+        }
+        all
+    }
+
+    /// Whether it fails part of its requests.
+    pub fn errs(&self, now: Timestamp) -> bool {
+        self.errors.is_avoided(self.counts_of_others(now), now)
+    }
+
     /// Whether it failed for several other gateways lately, and answered fewer:
     /// where some cannot reach it and others can, it works. Those whose own pause
     /// ends try it again, so that somebody always does.
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 
 mod candidate;
 mod engine;
+mod errors;
 mod prompt;
 mod relay;
 mod split;
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -241,14 +241,15 @@
         }
     }
 
-    /// Engines of all services that fail for other gateways.
+    /// Engines of all services that fail for other gateways, or part of all requests.
     #[must_use]
     pub fn failing_for_others(&self, now: Timestamp) -> BTreeSet<String> {
         let failing = failing(self.engines.values(), now);
         failing.into_iter().map(str::to_owned).collect()
     }
 
-    /// Engines of the service that are avoided since they fail for others.
+    /// Engines of the service that are avoided since they fail for others, or fail
+    /// part of all requests.
     fn avoided(&self, service: &str, now: Timestamp) -> BTreeSet<&str> {
         let failing = failing(self.of_service(service), now);
         let all = self.of_service(service).count() as f64;
@@ -290,6 +291,13 @@
         }
     }
 
+    /// An engine answered an online request, well or as a failure of its own.
+    pub fn answered(&mut self, id: &str, failed: bool, now: Timestamp) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.answered(failed, now);
+        }
+    }
+
     /// Slots of all engines of a service together.
     #[must_use]
     pub fn slots(&self, service: &str) -> u32 {
@@ -420,6 +428,6 @@
 }
 
 fn failing<'e>(engines: impl Iterator<Item = &'e Engine>, now: Timestamp) -> BTreeSet<&'e str> {
-    let failing = engines.filter(|engine| engine.fails_others(now));
+    let failing = engines.filter(|engine| engine.fails_others(now) || engine.errs(now));
     failing.map(|engine| engine.facts.id.as_str()).collect()
 }
--- a/crates/routing/tests/dispatch.rs
+++ b/crates/routing/tests/dispatch.rs
@@ -246,6 +246,8 @@
     let mut table = table(&[(1, "near"), (2, "near"), (3, "near")]);
     table.started("e1", WorkClass::Online, 30_000, now(0));
     let share = WorkShare {
+        errors: 0,
+        answers: 0,
         engine: "e2".to_owned(),
         requests: 1,
         unread_tokens: 30_000,
@@ -272,6 +274,8 @@
 fn a_telling_counts_whole_in_whatever_order_it_names_engines() {
     let mut table = table(&[(1, "a"), (2, "a"), (3, "a")]);
     let share = |number: u8, requests| WorkShare {
+        errors: 0,
+        answers: 0,
         engine: format!("e{number}"),
         requests,
         unread_tokens: 0,
@@ -291,6 +295,8 @@
 /// What other gateways, as a relay adds them up, find of an engine.
 fn experience(engine: &str, failing: u32, answering: u32) -> WorkShare {
     WorkShare {
+        errors: 0,
+        answers: 0,
         engine: engine.to_owned(),
         requests: 0,
         unread_tokens: 0,
@@ -420,6 +426,8 @@
             table.started("e1", WorkClass::Online, 0, now(0));
         }
         let share = WorkShare {
+            errors: 0,
+            answers: 0,
             engine: "e1".to_owned(),
             requests: other_batch + other_online,
             unread_tokens: 0,
@@ -542,6 +550,8 @@
     // by own batch work.
     let mut table = table(&[(1, "near"), (2, "near"), (3, "near")]);
     let shares = ["e1", "e2"].map(|engine| WorkShare {
+        errors: 0,
+        answers: 0,
         engine: engine.to_owned(),
         requests: 8,
         unread_tokens: 0,
@@ -561,3 +571,50 @@
     }
     assert_eq!(online(&mut table, 0), Ok("e2".to_owned()));
 }
+
+/// Two gateways before two engines, where `e1` fails every other request while it
+/// looks the less loaded one.
+fn gateways_of_an_erring_engine() -> [EngineTable; 2] {
+    [1, 2].map(|seed| {
+        let mut table = EngineTable::new("near".into(), seed);
+        table.learn(CONTROL, facts(1, "near"));
+        table.learn(CONTROL, facts(2, "near"));
+        table.started("e2", WorkClass::Online, 0, now(0));
+        table
+    })
+}
+
+#[test]
+fn an_engine_that_fails_part_of_its_requests_is_avoided_by_all_who_hear_of_it() {
+    let [mut one, mut other] = gateways_of_an_erring_engine();
+    let mut at = 0;
+    let mut errors = 0;
+    while online(&mut one, at) == Ok("e1".to_owned()) {
+        let failed = at % 20 == 0;
+        one.answered("e1", failed, now(at));
+        one.succeeded("e1", now(at));
+        errors += u32::from(failed);
+        at += 10;
+        assert!(errors <= 4, "{errors}");
+    }
+    // Whoever has seen none of it hears of it.
+    assert_eq!(online(&mut other, at), Ok("e1".to_owned()));
+    other.note_shares(NodeId(9), &one.shares(now(at)), now(at));
+    assert_eq!(online(&mut other, at), Ok("e2".to_owned()));
+    // It is tried again later, and stays in use when it is sound by then.
+    assert_eq!(online(&mut one, at + 3_000), Ok("e2".to_owned()));
+    assert_eq!(online(&mut one, at + 8_000), Ok("e1".to_owned()));
+    for more in 0..50 {
+        one.answered("e1", false, now(at + 8_000 + more));
+    }
+    assert_eq!(online(&mut one, at + 8_100), Ok("e1".to_owned()));
+}
+
+#[test]
+fn single_broken_answers_take_no_engine_away() {
+    let [mut one, _] = gateways_of_an_erring_engine();
+    for request in 0..2_000 {
+        one.answered("e1", request % 20 == 0, now(request * 10));
+        assert_eq!(online(&mut one, request * 10), Ok("e1".to_owned()));
+    }
+}
--- a/crates/routing/tests/relay.rs
+++ b/crates/routing/tests/relay.rs
@@ -15,6 +15,8 @@
 
 fn share(engine: &str, requests: u32, unread_tokens: u64, batch: u32) -> WorkShare {
     WorkShare {
+        errors: 0,
+        answers: 0,
         engine: engine.to_owned(),
         requests,
         unread_tokens,
@@ -48,6 +50,8 @@
 #[test]
 fn how_gateways_fared_is_added_up_and_told_without_the_own_part() {
     let fared = |failing, answering| WorkShare {
+        errors: 0,
+        answers: 0,
         failing,
         answering,
         ..share("x", 0, 0, 0)
