Fill engines with what they begin in time, and share their room out among gateways

Cause: under more online requests than slots, requests waited 0.5 to 1 s in engines' queues, late ones before those that could be in time: engines serve in order of arrival, and every gateway filled the same room by a picture 50 to 110 ms old. In lulls 45 to 80 of 452 slots were idle, since a slot that a request left was seen and shared out only 0.2 s later.

Change: a request goes only where it is begun within 0.8 of its target, by measured slot times; a late one waits at its gateway, the oldest of its service first, for a free slot; where requests hold slots for longer than gateways see each other's, each starts its part of the room; the slot that an own request left is this gateway's for 50 ms. A request that was at every engine of its service is rejected at once.

Changed check: a request that has been to every engine is answered Tried, not Busy (engines_that_were_tried_are_passed_over expects that and nothing else). Tests: a_request_waits_at_an_engine_only_as_long_as_it_is_in_time, gateways_start_no_more_requests_at_once_than_there_is_room_for, requests_that_end_before_others_see_them_are_not_held_back, a_gateway_takes_over_the_slot_that_its_request_left_and_no_other, late_requests_of_a_service_without_engines_hold_up_no_others (fails with one queue).

--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -5,8 +5,10 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
+use futures_lite::future;
+use molespan_daemon::wall_clock::unix_millis;
 use molespan_http::h1::Headers;
-use molespan_routing::dispatch::{NoEngine, Pick, Picked, PromptCost, WorkClass};
+use molespan_routing::dispatch::{NoEngine, Pick, Picked, PromptCost, Standing, WorkClass};
 use molespan_state::declared::{Route, RouteKind};
 use slog::{debug, info};
 
@@ -19,15 +21,20 @@
 const MOST_TURNED_AWAY: u32 = 6;
 /// Time between two looks for an engine with room.
 const LOOK_AGAIN: Duration = Duration::from_millis(8);
-/// The same for the batch item whose turn it is; it has more time.
-const LOOK_AGAIN_BATCH: Duration = Duration::from_millis(20);
+/// The same for the late request or the batch item whose turn it is; they have
+/// more time.
+const LOOK_AGAIN_IN_TURN: Duration = Duration::from_millis(20);
 /// How long the turn of a batch item lasts at the most: then its route is looked
 /// up anew, and another item may be the most urgent one.
 const TURN: Duration = Duration::from_secs(1);
 /// When a refused caller should come back.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
-/// Part of the target latency for which a request looks for an engine.
-const LOOKING_SHARE: f64 = 0.2;
+/// Part of the target latency within which an engine has to begin with a request:
+/// the rest is for its first answer to be made and passed on.
+const BEGINS_WITHIN: f64 = 0.8;
+/// Part of a caller's patience for which a late request waits for a slot: there is
+/// time for its answer behind it.
+const WAITS_SHARE: f64 = 0.7;
 /// Shortest silence of an engine after which a repeatable request goes
 /// elsewhere.
 const SHORTEST_SILENCE: Duration = Duration::from_millis(250);
@@ -219,23 +226,50 @@
         }
     }
 
-    /// Chooses an engine, and looks again for a short while if there is none.
+    /// Chooses an engine that begins in time, as long as there can be one, and then
+    /// whichever has a slot that no request wants that can be in time. Who waits in
+    /// an engine's queue cannot let others go before it; here it does.
     async fn pick(&mut self) -> Result<Picked, Refusal> {
         let target = Duration::from_millis(u64::from(self.route.target_latency_ms));
-        let looks_until = self.arrived + target.mul_f64(LOOKING_SHARE);
+        let begins_by = self.arrived + target.mul_f64(BEGINS_WITHIN);
         loop {
-            match self.pick_now() {
-                Ok(picked) => return Ok(picked),
-                Err(NoEngine::None | NoEngine::Busy) if Instant::now() < looks_until => {
-                    Timer::after(LOOK_AGAIN).await;
-                }
-                Err(reason) => {
-                    info!(self.state.logger, "no engine"; "request" => &self.outbound.id,
-                        "service" => &self.service, "reason" => ?reason,
-                        "tried" => self.tried.len(), "runs" => self.runs);
-                    return Err(self.give_up());
-                }
+            let left = begins_by.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
             }
+            match self.pick_now(Standing::InTime { left }) {
+                Ok(picked) => return Ok(picked),
+                Err(NoEngine::Tried) => return Err(self.give_up()),
+                Err(_) => Timer::after(LOOK_AGAIN.min(left)).await,
+            };
+        }
+        let patience = self.ends.saturating_duration_since(self.arrived);
+        let waits_until = self.arrived + patience.mul_f64(WAITS_SHARE);
+        let late = self.pick_late(begins_by);
+        let over = async {
+            Timer::at(waits_until).await;
+            None
+        };
+        future::or(late, over).await.ok_or_else(|| {
+            info!(self.state.logger, "no engine"; "request" => &self.outbound.id,
+                "service" => &self.service, "tried" => self.tried.len(), "runs" => self.runs,
+                "after_ms" => self.arrived.elapsed().as_millis() as u64);
+            self.give_up()
+        })
+    }
+
+    /// Waits for a free slot. Of the late requests here the oldest one looks.
+    async fn pick_late(&self, begins_by: Instant) -> Option<Picked> {
+        let late_ms = begins_by.elapsed().as_millis() as u64;
+        let due_ms = unix_millis().saturating_sub(late_ms);
+        let turns = self.state.late_turns(&self.service);
+        let _turn = turns.take(Some(due_ms)).await;
+        loop {
+            match self.pick_now(Standing::Late) {
+                Ok(picked) => return Some(picked),
+                Err(NoEngine::Tried) => return None,
+                Err(_) => Timer::after(LOOK_AGAIN_IN_TURN).await,
+            };
         }
     }
 
@@ -245,20 +279,21 @@
         let _turn = self.state.batch_turns.take(self.due_ms).await;
         let looks_until = Instant::now() + TURN;
         loop {
-            match self.pick_now() {
+            match self.pick_now(Standing::Late) {
                 Ok(picked) => return Ok(picked),
                 Err(_) if Instant::now() < looks_until => {
-                    Timer::after(LOOK_AGAIN_BATCH).await;
+                    Timer::after(LOOK_AGAIN_IN_TURN).await;
                 }
                 Err(_) => return Err(self.give_up()),
             }
         }
     }
 
-    fn pick_now(&mut self) -> Result<Picked, NoEngine> {
+    fn pick_now(&self, standing: Standing) -> Result<Picked, NoEngine> {
         let pick = Pick {
             service: &self.service,
             class: self.outbound.class,
+            standing,
             prompt: PromptCost::of(&self.facts.prompt),
             tried: &self.tried,
         };
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -1,6 +1,7 @@
 //! What a gateway knows and counts. One thread owns it.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -77,6 +78,8 @@
     pub batch_runs: BatchRuns,
     /// Whose turn it is among those that wait for an engine.
     pub batch_turns: Rc<Turns>,
+    /// The same among the late online requests of each service.
+    late_turns: RefCell<BTreeMap<String, Rc<Turns>>>,
     /// Client of the batch group.
     pub batch: Arc<Cluster>,
     pub logger: Logger,
@@ -112,6 +115,7 @@
             pool: Pool::default(),
             batch_runs: BatchRuns::default(),
             batch_turns: Rc::default(),
+            late_turns: RefCell::default(),
             batch,
             logger,
             started: Instant::now(),
@@ -131,6 +135,13 @@
         Timestamp(self.started.elapsed().as_micros() as u64)
     }
 
+    /// Whose turn it is among the late online requests of a service: one that has no
+    /// engine must hold up no other.
+    pub fn late_turns(&self, service: &str) -> Rc<Turns> {
+        let mut turns = self.late_turns.borrow_mut();
+        turns.entry(service.to_owned()).or_default().clone()
+    }
+
     /// The configuration in force here, if any is known.
     pub fn in_force(&self) -> Option<Rc<InForce>> {
         self.in_force.borrow().clone()
@@ -221,17 +232,22 @@
     pub fn occupy(self: &Rc<Self>, picked: &Picked, class: WorkClass) -> Occupied {
         let engine = &picked.facts.id;
         let unread_tokens = picked.unread_tokens;
-        self.engines
-            .borrow_mut()
-            .started(engine, class, unread_tokens, self.now());
+        let mut engines = self.engines.borrow_mut();
+        match picked.takes_over {
+            true => engines.took_over(engine, class, unread_tokens),
+            false => engines.started(engine, class, unread_tokens, self.now()),
+        }
+        drop(engines);
         if unread_tokens >= TOLD_AT_ONCE_TOKENS {
             let _already_told = self.long_prompt.0.try_send(());
         }
         Occupied {
             state: self.clone(),
             engine: engine.clone(),
+            service: picked.facts.service.clone(),
             class,
             unread_tokens: Cell::new(unread_tokens),
+            began: Cell::new(None),
         }
     }
 
@@ -255,6 +271,8 @@
             "routes" => model.routes.len());
         let now = self.now();
         self.tenants.borrow_mut().set_limits(limits(&model), now);
+        // Services may be gone; those who wait keep the turns that they have.
+        self.late_turns.borrow_mut().clear();
         *self.in_force.borrow_mut() = Some(Rc::new(InForce::new(version, model)));
     }
 
@@ -340,14 +358,22 @@
 pub(crate) struct Occupied {
     state: Rc<GatewayState>,
     engine: String,
+    service: String,
     class: WorkClass,
     /// Prompt tokens that the engine has not read yet.
     unread_tokens: Cell<u64>,
+    /// When it began to answer, and so held a slot.
+    began: Cell<Option<Timestamp>>,
 }
 
 impl Occupied {
     /// The request began to answer.
     pub fn began(&self) {
+        self.began.set(Some(self.state.now()));
+        self.has_read();
+    }
+
+    fn has_read(&self) {
         let read = self.unread_tokens.replace(0);
         self.state.engines.borrow_mut().read(&self.engine, read);
     }
@@ -355,10 +381,16 @@
 
 impl Drop for Occupied {
     fn drop(&mut self) {
-        self.began();
-        self.state
-            .engines
-            .borrow_mut()
-            .ended(&self.engine, self.class);
+        self.has_read();
+        let mut engines = self.state.engines.borrow_mut();
+        engines.ended(&self.engine, self.class);
+        let Some(began) = self.began.get() else {
+            return;
+        };
+        let now = self.state.now();
+        engines.freed(&self.engine, now);
+        if self.class == WorkClass::Online {
+            engines.note_slot_time(&self.service, now.since(began));
+        }
     }
 }
--- a/crates/routing/src/dispatch/candidate.rs
+++ b/crates/routing/src/dispatch/candidate.rs
@@ -67,6 +67,7 @@
             load: self.load,
             unread_tokens: self.unread_tokens,
             before_tokens: self.before_tokens,
+            takes_over: false,
         }
     }
 }
--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -217,6 +217,11 @@
         self.online + self.batch
     }
 
+    /// Own online requests here.
+    pub fn own_online(&self) -> u32 {
+        self.online
+    }
+
     /// Own batch requests here; they give way at once.
     pub fn own_batch(&self) -> u32 {
         self.batch
@@ -326,6 +331,12 @@
         own + f64::from(report.others) * (1.0 - age).max(0.0)
     }
 
+    /// Online requests that are there as far as is known: batch work gives way.
+    pub fn online_load(&self, now: Timestamp, others_tell: bool) -> f64 {
+        let batch = self.own_batch() + self.others_batch(now);
+        (self.load(now, others_tell) - f64::from(batch)).max(0.0)
+    }
+
     /// Prompt tokens that are to be read before those of a new request.
     pub fn unread_tokens(&self, now: Timestamp) -> u64 {
         let others: u64 = self
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -11,6 +11,8 @@
 use super::candidate::Candidate;
 use super::engine::{Engine, EngineFacts, EngineLoad, Failure, WorkShare};
 use super::prompt::{Holders, PromptCost, home};
+use super::room::{FreedSlots, STARTS_SHOW, UnseenStarts};
+use super::slot_time::SlotTimes;
 
 /// Departed engines that are remembered, so that a late word of one does not
 /// bring it back.
@@ -25,8 +27,6 @@
 /// Share of its slots up to which an engine gets batch work: all of them, since
 /// it gives way.
 const BATCH_LOAD: f64 = 1.0;
-/// How long it takes until the other gateways see that a batch request started.
-const STARTS_SHOW: Duration = Duration::from_millis(150);
 /// Share of its slots up to which an engine gets online work.
 const ONLINE_LOAD: f64 = 1.5;
 /// How long an answer from any engine says that this gateway reaches engines.
@@ -47,6 +47,19 @@
     Batch,
 }
 
+/// How an online request stands to its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It is answered in time if an engine begins with it within `left`.
+    InTime {
+        /// That time.
+        left: Duration,
+    },
+    /// It cannot be in time any more. It takes what those leave that can: a slot
+    /// that is free.
+    Late,
+}
+
 /// A request that wants an engine.
 #[derive(Clone, Debug)]
 pub struct Pick<'a> {
@@ -54,6 +67,8 @@
     pub service: &'a str,
     /// What it is.
     pub class: WorkClass,
+    /// How it stands; of no matter to batch work.
+    pub standing: Standing,
     /// What its prompt costs to read.
     pub prompt: PromptCost,
     /// Engines that it has been to.
@@ -71,6 +86,8 @@
     pub unread_tokens: u64,
     /// Prompt tokens that it has to read before.
     pub before_tokens: u64,
+    /// Whether it takes a slot that an own request has just left.
+    pub takes_over: bool,
 }
 
 /// Why no engine was chosen.
@@ -78,6 +95,8 @@
 pub enum NoEngine {
     /// None is known that does not leave.
     None,
+    /// The request has been to all of them.
+    Tried,
     /// All that are left fail or have no room.
     Busy,
 }
@@ -96,8 +115,10 @@
     answered: Option<Timestamp>,
     /// Gateways, this one included.
     gateways: u32,
-    /// Latest own starts of batch requests, oldest first.
-    batch_starts: VecDeque<Timestamp>,
+    batch_starts: UnseenStarts,
+    online_starts: UnseenStarts,
+    freed: FreedSlots,
+    slot_times: SlotTimes,
     random: ChaCha8Rng,
 }
 
@@ -114,7 +135,10 @@
             told: None,
             answered: None,
             gateways: 1,
-            batch_starts: VecDeque::new(),
+            batch_starts: UnseenStarts::new(seed.wrapping_add(1)),
+            online_starts: UnseenStarts::new(seed.wrapping_add(2)),
+            freed: FreedSlots::default(),
+            slot_times: SlotTimes::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -179,16 +203,28 @@
 
     /// A request was sent, with so many tokens to read.
     pub fn started(&mut self, id: &str, class: WorkClass, unread_tokens: u64, now: Timestamp) {
-        if class == WorkClass::Batch {
-            self.batch_starts
-                .retain(|&start| now.since(start) < STARTS_SHOW);
-            self.batch_starts.push_back(now);
+        match class {
+            WorkClass::Online => self.online_starts.note(now),
+            WorkClass::Batch => self.batch_starts.note(now),
         }
         if let Some(engine) = self.engines.get_mut(id) {
             engine.started(class, unread_tokens);
         }
     }
 
+    /// The same of a request that takes over a slot of an own one: others see as many
+    /// as before.
+    pub fn took_over(&mut self, id: &str, class: WorkClass, unread_tokens: u64) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.started(class, unread_tokens);
+        }
+    }
+
+    /// An own request has left a slot of an engine.
+    pub fn freed(&mut self, id: &str, now: Timestamp) {
+        self.freed.note(id, now);
+    }
+
     /// A request began to answer, or ended before: its tokens are read.
     pub fn read(&mut self, id: &str, tokens: u64) {
         if let Some(engine) = self.engines.get_mut(id) {
@@ -196,6 +232,11 @@
         }
     }
 
+    /// An online request held a slot of the service for so long.
+    pub fn note_slot_time(&mut self, service: &str, held: Duration) {
+        self.slot_times.note(service, held);
+    }
+
     /// A request has ended in whatever way.
     pub fn ended(&mut self, id: &str, class: WorkClass) {
         if let Some(engine) = self.engines.get_mut(id) {
@@ -339,12 +380,8 @@
                 (slots - engine.load(now, others_tell)).max(0.0)
             })
             .sum();
-        let lately = self.batch_starts.iter();
-        let lately = lately.filter(|&&start| now.since(start) < STARTS_SHOW);
-        // The others do not see these yet, and count them as room.
-        let unseen = lately.count() as f64;
-        let part = (room.min(free) + unseen) / f64::from(self.gateways);
-        (part - unseen).max(0.0)
+        let share = 1.0 / f64::from(self.gateways);
+        self.batch_starts.left(share, room.min(free), now)
     }
 
     /// Whether a batch request may start now. Less than one is rounded by
@@ -354,6 +391,51 @@
         self.batch_headroom(service, now) > draw
     }
 
+    /// Whether an online request may start now. Where requests hold slots for longer
+    /// than gateways take to see each other's, all of them would fill the same room:
+    /// then each takes the part of it that its part of all online requests is.
+    fn may_start_online(&mut self, pick: &Pick<'_>, now: Timestamp) -> bool {
+        if self.slot_times.mean(pick.service) < STARTS_SHOW {
+            return true;
+        }
+        let others_tell = self.others_tell(now);
+        let mut room = 0.0;
+        let mut own = 0.0;
+        let mut all = 0.0;
+        for engine in self.of_service(pick.service) {
+            let online = engine.online_load(now, others_tell);
+            own += f64::from(engine.own_online());
+            all += online;
+            if !engine.is_paused(now) {
+                room += (self.places(engine, pick) - online).max(0.0);
+            }
+        }
+        let share = (own + 1.0) / (all + f64::from(self.gateways));
+        self.online_starts.may_start(share.min(1.0), room, now)
+    }
+
+    /// Online requests up to which an engine gets such a one.
+    fn places(&self, engine: &Engine, pick: &Pick<'_>) -> f64 {
+        let slots = engine.facts.slots;
+        match pick.standing {
+            Standing::Late => f64::from(slots),
+            Standing::InTime { left } => {
+                let begun = self.slot_times.begun_within(pick.service, left, slots);
+                begun.min(f64::from(slots) * ONLINE_LOAD)
+            }
+        }
+    }
+
+    /// Whether an engine has all that it is to get of such requests.
+    fn is_full(&self, engine: &Engine, pick: &Pick<'_>, now: Timestamp) -> bool {
+        let others_tell = self.others_tell(now);
+        let slots = f64::from(engine.facts.slots);
+        if pick.class == WorkClass::Batch {
+            return engine.load(now, others_tell) >= slots * BATCH_LOAD;
+        }
+        engine.online_load(now, others_tell) + 1.0 > self.places(engine, pick)
+    }
+
     /// Engines at which own batch work is to give way, and how many requests.
     pub fn batch_to_cut(&mut self, now: Timestamp) -> Vec<(String, u32)> {
         let others_tell = self.others_tell(now);
@@ -376,45 +458,33 @@
         if self.of_service(pick.service).next().is_none() {
             return Err(NoEngine::None);
         }
-        if pick.class == WorkClass::Batch && !self.may_start_batch(pick.service, now) {
-            return Err(NoEngine::Busy);
+        if self
+            .of_service(pick.service)
+            .all(|one| pick.tried.contains(&one.facts.id))
+        {
+            return Err(NoEngine::Tried);
         }
-        let engines = self.engines.values();
-        let of_service: Vec<&Engine> = engines
-            .filter(|engine| engine.facts.service == pick.service)
-            .collect();
+        let may_start = match pick.class {
+            WorkClass::Batch => self.may_start_batch(pick.service, now),
+            WorkClass::Online => self.may_start_online(pick, now),
+        };
+        let chosen = match may_start {
+            true => self.choose(pick, now),
+            false => None,
+        };
+        let picked = chosen.or_else(|| self.take_over(pick, now));
+        picked.ok_or(NoEngine::Busy)
+    }
+
+    /// The engine of those with room that is likely to answer first.
+    fn choose(&mut self, pick: &Pick<'_>, now: Timestamp) -> Option<Picked> {
         let others_tell = self.others_tell(now);
         let avoided = self.avoided(pick.service, now);
-        let share = match pick.class {
-            WorkClass::Online => ONLINE_LOAD,
-            WorkClass::Batch => BATCH_LOAD,
-        };
-        let shared = pick.prompt.shared;
-        let ids = of_service.iter().map(|engine| engine.facts.id.as_str());
-        let first = shared.and_then(|shared| home(shared.key, ids));
-        let mut candidates = Vec::with_capacity(of_service.len());
-        for engine in of_service {
-            let facts = &engine.facts;
-            let load = engine.load(now, others_tell);
-            let full = load >= f64::from(facts.slots) * share;
-            let crowded = pick.class == WorkClass::Batch && engine.is_crowded(now);
-            let failing = engine.is_paused(now) || avoided.contains(facts.id.as_str());
-            if full || crowded || failing || pick.tried.contains(&facts.id) {
-                continue;
-            }
-            let held = shared.filter(|shared| {
-                first == Some(&facts.id) || self.holders.holds(shared.key, &facts.id, now)
-            });
-            let kept_tokens = held.map_or(0, |shared| shared.tokens);
-            candidates.push(Candidate {
-                facts,
-                load,
-                unread_tokens: pick.prompt.tokens.saturating_sub(kept_tokens),
-                before_tokens: engine.unread_tokens(now),
-                own_batch: f64::from(engine.own_batch()),
-                others_batch: f64::from(engine.others_batch(now)),
-            });
-        }
+        let home = self.home(pick);
+        let engines = self.engines.values();
+        let engines = engines.filter(|engine| self.is_open(engine, pick, &avoided, now));
+        let candidates = engines.map(|one| self.candidate(one, pick, home, others_tell, now));
+        let mut candidates: Vec<Candidate<'_>> = candidates.collect();
         let looked_at = match pick.prompt.tokens < LONG_PROMPT_TOKENS {
             true => LOOKED_AT.min(candidates.len()),
             false => candidates.len(),
@@ -422,8 +492,77 @@
         let (looked_at, _) = candidates.partial_shuffle(&mut self.random, looked_at);
         let costs = looked_at.iter().map(|one| (one.cost(&self.zone), one));
         let best = costs.min_by(|(one, _), (other, _)| one.total_cmp(other));
-        let (_, candidate) = best.ok_or(NoEngine::Busy)?;
-        Ok(candidate.picked())
+        best.map(|(_, candidate)| candidate.picked())
+    }
+
+    /// An engine whose slot a request of this gateway has just left. Nobody else
+    /// counts it as room yet, so that no other gateway fills it at the same time. A
+    /// long prompt goes where it is cheapest to read.
+    fn take_over(&mut self, pick: &Pick<'_>, now: Timestamp) -> Option<Picked> {
+        if pick.prompt.tokens >= LONG_PROMPT_TOKENS {
+            return None;
+        }
+        let avoided = self.avoided(pick.service, now);
+        let open = |id: &str| {
+            let engine = self.engines.get(id);
+            engine.is_some_and(|engine| self.is_open(engine, pick, &avoided, now))
+        };
+        let id = self.freed.find(now, open)?;
+        let engine = self.engines.get(&id)?;
+        let others_tell = self.others_tell(now);
+        let candidate = self.candidate(engine, pick, self.home(pick), others_tell, now);
+        let picked = Picked {
+            takes_over: true,
+            ..candidate.picked()
+        };
+        self.freed.forget(&id);
+        Some(picked)
+    }
+
+    /// Whether a request may go to an engine.
+    fn is_open(
+        &self,
+        engine: &Engine,
+        pick: &Pick<'_>,
+        avoided: &BTreeSet<&str>,
+        now: Timestamp,
+    ) -> bool {
+        let facts = &engine.facts;
+        let failing = engine.is_paused(now) || avoided.contains(facts.id.as_str());
+        let tried = pick.tried.contains(&facts.id);
+        let crowded = pick.class == WorkClass::Batch && engine.is_crowded(now);
+        let shut = failing || tried || crowded;
+        facts.service == pick.service && !shut && !self.is_full(engine, pick, now)
+    }
+
+    /// The engine that the shared part of a prompt belongs to.
+    fn home(&self, pick: &Pick<'_>) -> Option<&str> {
+        let shared = pick.prompt.shared?;
+        let ids = self.of_service(pick.service);
+        home(shared.key, ids.map(|engine| engine.facts.id.as_str()))
+    }
+
+    fn candidate<'e>(
+        &self,
+        engine: &'e Engine,
+        pick: &Pick<'_>,
+        home: Option<&str>,
+        others_tell: bool,
+        now: Timestamp,
+    ) -> Candidate<'e> {
+        let facts = &engine.facts;
+        let held = pick.prompt.shared.filter(|shared| {
+            home == Some(facts.id.as_str()) || self.holders.holds(shared.key, &facts.id, now)
+        });
+        let kept_tokens = held.map_or(0, |shared| shared.tokens);
+        Candidate {
+            facts,
+            load: engine.load(now, others_tell),
+            unread_tokens: pick.prompt.tokens.saturating_sub(kept_tokens),
+            before_tokens: engine.unread_tokens(now),
+            own_batch: f64::from(engine.own_batch()),
+            others_batch: f64::from(engine.others_batch(now)),
+        }
     }
 }
 
