--- a/crates/fleet/src/control/relay.rs
+++ b/crates/fleet/src/control/relay.rs
@@ -89,7 +89,33 @@
     }
 }
 
+/// What a round passes on of work at engines.
+struct Round {
+    /// What the gateways of this relay have together, for the other relays.
+    of_gateways: Vec<WorkShare>,
+    /// How many they are.
+    gateways: u32,
+    /// What all others have, for each of them.
+    by_gateway: Vec<(NodeId, Vec<WorkShare>)>,
+}
+
 impl RelayedWork {
+    /// Work at engines as far as it is known; `present` gateways are there.
+    fn round(&self, present: u32) -> Round {
+        let now = self.now();
+        let relay = &mut self.lock().work;
+        relay.expire(now);
+        let all_by_told = relay.all_by_told(present, now);
+        let mut by_gateway = relay.shares_by_gateway();
+        let shares = by_gateway.iter_mut().flat_map(|(_, shares)| shares);
+        shares.for_each(|share| share.multiply(all_by_told));
+        Round {
+            of_gateways: relay.sum_of_gateways(),
+            gateways: relay.gateways(),
+            by_gateway,
+        }
+    }
+
     /// Use of tenants' limits by the gateways of this relay, and by all others for
     /// each of them; `None` when nothing came.
     fn usage(&self) -> Option<(Usage, BTreeMap<NodeId, Usage>)> {
@@ -121,16 +147,11 @@
             usage: usage.map(|usage| molespan_state::encode(usage).into()),
             gateways,
         };
-        let (of_gateways, by_gateway, gateways) = {
-            let relay = &mut work.lock().work;
-            let now = work.now();
-            relay.expire(now);
-            let missed = relay.all_by_told(hub.gateways(), now);
-            let mut by_gateway = relay.shares_by_gateway();
-            let shares = by_gateway.iter_mut().flat_map(|(_, shares)| shares);
-            shares.for_each(|share| share.multiply(missed));
-            (relay.sum_of_gateways(), by_gateway, relay.gateways())
-        };
+        let Round {
+            of_gateways,
+            gateways,
+            by_gateway,
+        } = work.round(hub.gateways());
         let usage = work.usage();
         let (usage_of_gateways, usage_by_gateway) = usage.unzip();
         let usage_by_gateway = usage_by_gateway.unwrap_or_default();
--- a/crates/proxy/src/work_shares.rs
+++ b/crates/proxy/src/work_shares.rs
@@ -1,6 +1,6 @@
-//! Gateways tell each other what they have at engines and of tenants, directly or through a
-//! relay where there are many of them. An engine's own reports come with answers
-//! only, and too late for a burst.
+//! Gateways tell each other what they have at engines and of tenants, directly or
+//! through a relay where there are many of them. An engine's own reports come with
+//! answers only, and too late for a burst.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -13,7 +13,9 @@
 mod relay;
 mod table;
 mod telling;
+mod tenant;
 
 pub use relay::UsageRelay;
-pub use table::{Limit, Refused, TenantTable};
+pub use table::{Refused, TenantTable};
 pub use telling::{TenantKey, TenantUse, Usage};
+pub use tenant::Limit;
