--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -6,7 +6,7 @@
 use async_io::Timer;
 use futures_lite::future;
 use molespan_http::h1::{BodyReader, Connection, Headers, RequestHead};
-use molespan_state::declared::RouteKind;
+use molespan_state::declared::{Route, RouteKind};
 use slog::info;
 
 use crate::attempt::EngineReply;
@@ -15,7 +15,7 @@
 use crate::dispatch::Dispatch;
 use crate::relay::{Relayed, relay, write};
 use crate::resume::relay_resumable;
-use crate::state::GatewayState;
+use crate::state::{GatewayState, InForce};
 
 /// When a caller should come back to a gateway that knows too little: an election
 /// and a watch take about as long.
@@ -69,26 +69,22 @@
     };
     let tenant = match state.tenant(&in_force, credential, route.anonymous) {
         Ok(tenant) => tenant,
-        Err(refusal) => return refuse(dialect, caller, refusal, keep_alive).await,
+        Err(refusal) => {
+            info!(state.logger, "key refused"; "route" => &route.name, "refusal" => ?refusal,
+                "version" => in_force.version);
+            return refuse(dialect, caller, refusal, keep_alive).await;
+        }
     };
     if route.kind == RouteKind::Batch {
         let answer = batch::submit(state, dialect, route, tenant.as_deref(), &request).await;
         return finish(caller, &answer.encode(keep_alive), keep_alive).await;
     }
-    let Some(service) = in_force.service(route) else {
-        return refuse(dialect, caller, Refusal::NoRoute, keep_alive).await;
-    };
     let minor = request.head.minor;
-    let mut dispatch = Dispatch::online(state, dialect, route, service, request);
-    if in_force.keys.is_some() {
-        dialect.name_tenant(&mut dispatch.outbound.headers, tenant.as_deref());
-    }
-    if let Some(tenant) = &tenant
-        && let Err(refusal) = state.admit(&dispatch.facts.id, tenant)
-    {
-        return refuse(dialect, caller, refusal, keep_alive).await;
-    }
-    dispatch.tenant = tenant;
+    let dispatch = dispatch(state, dialect, &in_force, route, tenant, request);
+    let mut dispatch = match dispatch {
+        Ok(dispatch) => dispatch,
+        Err(refusal) => return refuse(dialect, caller, refusal, keep_alive).await,
+    };
     let served = dispatch.answer(caller, minor, keep_alive);
     let gone = async {
         caller.gone().await;
@@ -98,6 +94,30 @@
     future::or(served, gone).await
 }
 
+/// The attempts of a request that its tenant may send.
+///
+/// # Errors
+/// When it may not, or no service is left for it.
+fn dispatch<'a, D: GatewayDialect>(
+    state: &'a Rc<GatewayState>,
+    dialect: &'a D,
+    in_force: &InForce,
+    route: &'a Route,
+    tenant: Option<Rc<str>>,
+    request: CallerRequest,
+) -> Result<Dispatch<'a, D>, Refusal> {
+    let service = in_force.service(route).ok_or(Refusal::NoRoute)?;
+    let mut dispatch = Dispatch::online(state, dialect, route, service, request);
+    if in_force.keys.is_some() {
+        dialect.name_tenant(&mut dispatch.outbound.headers, tenant.as_deref());
+    }
+    if let Some(tenant) = &tenant {
+        state.admit(&dispatch.facts.id, tenant)?;
+    }
+    dispatch.tenant = tenant;
+    Ok(dispatch)
+}
+
 /// Whether a request carries the key that it needs, as far as its head tells.
 ///
 /// # Errors
