--- a/crates/routing/src/dispatch/errors.rs
+++ b/crates/routing/src/dispatch/errors.rs
@@ -8,6 +8,8 @@
 
 use molespan_types::Timestamp;
 
+use crate::decay::FadingSum;
+
 /// Time over which answers fade. With it an engine is left alone for some 5 s once
 /// it was avoided.
 const FADES_OVER: Duration = Duration::from_secs(4);
@@ -21,30 +23,11 @@
 /// engine has now and then, stay far below.
 const ERROR_SHARE: f64 = 0.15;
 
-/// A count that fades.
-#[derive(Clone, Copy, Debug, Default)]
-struct Fading {
-    count: f64,
-    at: Timestamp,
-}
-
-impl Fading {
-    fn at(&self, now: Timestamp) -> f64 {
-        let age = now.since(self.at).as_secs_f64();
-        self.count * (-age / FADES_OVER.as_secs_f64()).exp()
-    }
-
-    fn add(&mut self, now: Timestamp) {
-        self.count = self.at(now) + 1.0;
-        self.at = now;
-    }
-}
-
 /// Answers of one engine, to this gateway and to others.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Errors {
-    errors: Fading,
-    answers: Fading,
+    errors: FadingSum,
+    answers: FadingSum,
     avoided: bool,
 }
 
@@ -55,18 +38,28 @@
     pub answers: u32,
 }
 
+impl Default for Errors {
+    fn default() -> Self {
+        Self {
+            errors: FadingSum::new(FADES_OVER),
+            answers: FadingSum::new(FADES_OVER),
+            avoided: false,
+        }
+    }
+}
+
 impl Errors {
     /// The engine answered a request and ran it to a good end, or failed it.
     pub fn note(&mut self, failed: bool, now: Timestamp) {
-        self.answers.add(now);
+        self.answers.add(1.0, now);
         if failed {
-            self.errors.add(now);
+            self.errors.add(1.0, now);
         }
     }
 
     /// What this gateway saw, for telling others.
     pub fn own(&self, now: Timestamp) -> Counts {
-        let told = |count: &Fading| (count.at(now) * TOLD_PARTS).round() as u32;
+        let told = |count: &FadingSum| (count.at(now) * TOLD_PARTS).round() as u32;
         Counts {
             errors: told(&self.errors),
             answers: told(&self.answers),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod batch;
+mod decay;
 pub mod dispatch;
 pub mod pick;
 pub mod placement;
