Look for freed slots only where there are some

Whoever waits for an engine looks each 8 ms; each look that found no room worked out once more which engines are avoided, though no slot was free to take over. No decision changes: without a freed slot none was ever found.

--- a/crates/routing/src/dispatch/room.rs
+++ b/crates/routing/src/dispatch/room.rs
@@ -29,6 +29,12 @@
         self.0.push_back((engine.to_owned(), now));
     }
 
+    /// Whether there is no such slot: whoever waits looks many times a second.
+    pub fn is_empty(&self, now: Timestamp) -> bool {
+        let latest = self.0.back();
+        latest.is_none_or(|(_, freed)| now.since(*freed) >= FREED_HOLDS)
+    }
+
     /// The engine with such a slot that `fits`, the one first that was left first.
     pub fn find(&self, now: Timestamp, fits: impl Fn(&str) -> bool) -> Option<String> {
         let mut held = self.0.iter();
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -499,7 +499,7 @@
     /// counts it as room yet, so that no other gateway fills it at the same time. A
     /// long prompt goes where it is cheapest to read.
     fn take_over(&mut self, pick: &Pick<'_>, now: Timestamp) -> Option<Picked> {
-        if pick.prompt.tokens >= LONG_PROMPT_TOKENS {
+        if pick.prompt.tokens >= LONG_PROMPT_TOKENS || self.freed.is_empty(now) {
             return None;
         }
         let avoided = self.avoided(pick.service, now);
