Choose which gateways use which engines of a large service

Every gateway knows every engine: what it is told, walks and tells grows with gateways times engines. A subset core: each engine of a service beyond 768 engines has 32 users by rendezvous, three quarters of them in its zone; smaller services stay whole.

Two ways weighed: gateways draw engines (some engines are left out: one in 250 with 64 of 9,713 for each of 836), or engines draw gateways (none is, each has as many users). Zone share two ways: 12 near users of 24 make the busiest engine 1.36 times the mean where gateways differ by a third, 24 of 32 make it 1.25 (tests/subset.rs, three seeds). At twice the fleet a gateway uses as many engines; nothing uses it yet.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod quota;
 pub mod readiness;
 pub mod retry;
+pub mod subset;
 pub mod suspects;
--- /dev/null
+++ b/crates/routing/src/subset/users.rs
@@ -0,0 +1,200 @@
+//! How many gateways use an engine, and which.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+use molespan_types::{NodeId, ZoneName};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Gateways that use each engine of a large service at the least. Where gateways differ
+/// by a third in what they send, the busiest of 9,713 engines gets 1.25 times the mean
+/// with 24 users in its zone and 1.36 with 12 (`tests/subset.rs`); behind the loss of
+/// half of all gateways 16 are left.
+const USERS_AT_LEAST: usize = 32;
+/// Part of an engine's users that stand in its zone.
+const NEAR: f64 = 0.75;
+/// Engines of a large service that a gateway uses at the least. It works on with half of
+/// them gone, and holds the requests of one that gets several times the mean.
+const ENGINES_AT_LEAST: usize = 256;
+/// Part of all gateways from which on an engine may as well be used by all.
+const WHOLE_FROM: f64 = 0.5;
+/// Part of all gateways below which an engine that all use gets few users: lower than
+/// the one above, so that a fleet that grows and shrinks a little stays as it is.
+const WHOLE_TO: f64 = 1.0 / 3.0;
+/// Factor by which the number of users has to be off before it is changed: each change
+/// moves engines between all gateways.
+const OFF_BY: f64 = 1.33;
+
+/// How many gateways use each engine of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Breadth {
+    /// All.
+    Whole,
+    /// So many.
+    Few(usize),
+    /// None, until it is known how many gateways there are.
+    Unsettled,
+}
+
+impl Breadth {
+    /// The breadth for a service of so many engines before so many gateways.
+    pub(super) fn planned(self, engines: usize, gateways: usize, settled: bool) -> Self {
+        let share = ENGINES_AT_LEAST as f64 / engines.max(1) as f64;
+        let wanted = (share * gateways as f64).max(USERS_AT_LEAST as f64);
+        let whole_from = match self {
+            Self::Whole => WHOLE_TO,
+            _ => WHOLE_FROM,
+        };
+        if !settled {
+            return match self.is_too_broad(engines) {
+                true => Self::Unsettled,
+                false => self,
+            };
+        }
+        if wanted >= whole_from * gateways as f64 {
+            return Self::Whole;
+        }
+        match self {
+            Self::Few(users) if is_near(users as f64, wanted) => self,
+            _ => Self::Few(wanted.ceil() as usize),
+        }
+    }
+
+    /// Whether all gateways use more engines than any number of gateways has to.
+    pub(super) fn is_too_broad(self, engines: usize) -> bool {
+        let share = ENGINES_AT_LEAST as f64 / engines.max(1) as f64;
+        self == Self::Whole && share < WHOLE_TO
+    }
+
+    /// Users in the engine's own zone.
+    fn near(self) -> usize {
+        match self {
+            Self::Few(users) => (users as f64 * NEAR).ceil() as usize,
+            Self::Whole | Self::Unsettled => 0,
+        }
+    }
+
+    /// Gateways that use each engine where they are few.
+    #[must_use]
+    pub fn users(self) -> usize {
+        match self {
+            Self::Few(users) => users,
+            Self::Whole | Self::Unsettled => 0,
+        }
+    }
+}
+
+fn is_near(one: f64, other: f64) -> bool {
+    one <= other * OFF_BY && other <= one * OFF_BY
+}
+
+/// All gateways, with their zones.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Gateways {
+    zones: BTreeMap<NodeId, Option<ZoneName>>,
+    by_zone: BTreeMap<Option<ZoneName>, Vec<NodeId>>,
+}
+
+impl Gateways {
+    pub fn len(&self) -> usize {
+        self.zones.len()
+    }
+
+    /// Takes in who is there; says who came and who went. One whose zone became known
+    /// did both.
+    pub fn replace(
+        &mut self,
+        gateways: &BTreeMap<NodeId, Option<ZoneName>>,
+    ) -> (BTreeSet<NodeId>, BTreeSet<NodeId>) {
+        let differing = |one: &BTreeMap<_, _>, other: &BTreeMap<_, _>| {
+            let differs = one
+                .iter()
+                .filter(|(node, zone)| other.get(*node) != Some(*zone));
+            differs.map(|(&node, _)| node).collect::<BTreeSet<NodeId>>()
+        };
+        let came = differing(gateways, &self.zones);
+        let went = differing(&self.zones, gateways);
+        if !came.is_empty() || !went.is_empty() {
+            self.zones.clone_from(gateways);
+            self.by_zone.clear();
+            for (&node, zone) in gateways {
+                self.by_zone.entry(zone.clone()).or_default().push(node);
+            }
+        }
+        (came, went)
+    }
+
+    /// Ranks that choosing among all gateways takes.
+    pub fn ranked(&self, breadth: Breadth) -> u64 {
+        match breadth {
+            Breadth::Few(_) => self.len() as u64,
+            Breadth::Whole | Breadth::Unsettled => 0,
+        }
+    }
+
+    /// The users of an engine, among all gateways.
+    pub fn users(&self, engine: u64, zone: &ZoneName, breadth: Breadth) -> Vec<NodeId> {
+        let Breadth::Few(_) = breadth else {
+            return Vec::new();
+        };
+        let mut near = Vec::new();
+        let mut rest = Vec::with_capacity(self.len());
+        for (at, nodes) in &self.by_zone {
+            let side = match at.as_ref() == Some(zone) {
+                true => &mut near,
+                false => &mut rest,
+            };
+            side.extend(nodes.iter().map(|&node| (rank(node, engine), node)));
+        }
+        chosen(near, rest, breadth)
+    }
+
+    /// The users of an engine, among the `candidates` that are there.
+    pub fn users_of(
+        &self,
+        candidates: impl Iterator<Item = NodeId>,
+        engine: u64,
+        zone: &ZoneName,
+        breadth: Breadth,
+    ) -> Vec<NodeId> {
+        let mut near = Vec::new();
+        let mut rest = Vec::new();
+        for node in candidates {
+            let Some(at) = self.zones.get(&node) else {
+                continue;
+            };
+            let side = match at.as_ref() == Some(zone) {
+                true => &mut near,
+                false => &mut rest,
+            };
+            side.push((rank(node, engine), node));
+        }
+        chosen(near, rest, breadth)
+    }
+}
+
+type Ranked = (Reverse<u64>, NodeId);
+
+/// Rendezvous hashing: the gateways with the highest ranks use the engine.
+fn rank(gateway: NodeId, engine: u64) -> Reverse<u64> {
+    Reverse(xxh3_64_with_seed(&gateway.0.to_le_bytes(), engine))
+}
+
+/// Those with the highest ranks in the engine's zone, and then those with the highest
+/// ranks of the rest.
+fn chosen(mut near: Vec<Ranked>, mut rest: Vec<Ranked>, breadth: Breadth) -> Vec<NodeId> {
+    rest.append(&mut split_highest(&mut near, breadth.near()));
+    split_highest(&mut rest, breadth.users().saturating_sub(near.len()));
+    let mut users: Vec<NodeId> = near.iter().chain(&rest).map(|&(_, node)| node).collect();
+    users.sort_unstable();
+    users
+}
+
+/// Leaves the `count` with the highest ranks, and gives the others.
+fn split_highest(ranked: &mut Vec<Ranked>, count: usize) -> Vec<Ranked> {
+    if count >= ranked.len() {
+        return Vec::new();
+    }
+    ranked.select_nth_unstable(count);
+    ranked.split_off(count)
+}
--- /dev/null
+++ b/crates/routing/tests/subset.rs
@@ -0,0 +1,311 @@
+//! Which gateways use which engines of a large service: nobody is left out, load is even,
+//! little moves when one comes or goes, and what a gateway uses, and what one change
+//! costs, does not grow with the fleet.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use molespan_routing::subset::{Breadth, Subsets};
+use molespan_types::{NodeId, ZoneName};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SERVICE: &str = "s";
+const ZONES: usize = 5;
+
+fn zone(place: usize) -> ZoneName {
+    format!("z{}", place % ZONES).as_str().into()
+}
+
+fn engine(place: usize) -> String {
+    format!("i-{place:06}")
+}
+
+fn gateways(count: usize) -> BTreeMap<NodeId, Option<ZoneName>> {
+    let nodes = (0..count).map(|place| (NodeId(place as u32 + 1), Some(zone(place))));
+    nodes.collect()
+}
+
+/// Subsets of so many gateways before so many engines, as a control node has them once it
+/// is settled.
+fn subsets(gateway_count: usize, engines: usize) -> Subsets {
+    let mut subsets = Subsets::default();
+    for place in 0..engines {
+        subsets.insert(SERVICE, &engine(place), &zone(place), 1);
+    }
+    subsets.plan(&gateways(gateway_count), true, 2);
+    subsets
+}
+
+fn used_by(subsets: &Subsets, gateway: NodeId) -> usize {
+    subsets.part_len(gateway, SERVICE)
+}
+
+#[test]
+fn every_engine_has_as_many_users_and_every_gateway_about_as_many_engines() {
+    let subsets = subsets(836, 9_713);
+    let (Breadth::Few(users), _) = subsets.breadth(SERVICE) else {
+        panic!("{:?}", subsets.breadth(SERVICE));
+    };
+    for place in 0..9_713 {
+        let of_engine = subsets.users(SERVICE, &engine(place)).expect("few");
+        assert_eq!(of_engine.len(), users);
+    }
+    let sizes = (1..=836).map(|node| used_by(&subsets, NodeId(node)));
+    let sizes: Vec<usize> = sizes.collect();
+    assert!(
+        sizes.iter().all(|size| (250..500).contains(size)),
+        "{sizes:?}"
+    );
+}
+
+#[test]
+fn what_a_gateway_uses_and_what_a_change_costs_do_not_grow_with_the_fleet() {
+    let mean = |gateways: usize, engines: usize| {
+        let subsets = subsets(gateways, engines);
+        let sizes = (1..=gateways as u32).map(|node| used_by(&subsets, NodeId(node)));
+        sizes.sum::<usize>() as f64 / gateways as f64
+    };
+    let ratio = mean(800, 10_000) / mean(400, 5_000);
+    assert!(
+        ratio <= 1.2,
+        "engines of a gateway at twice the fleet: {ratio}"
+    );
+    let told = |gateways: usize, engines: usize| {
+        let mut subsets = subsets(gateways, engines);
+        subsets.insert(SERVICE, "new", &zone(0), 3);
+        let news = (1..=gateways as u32).filter(|node| {
+            let update = subsets.part_after(NodeId(*node), SERVICE, 2);
+            !update.engines.is_empty()
+        });
+        news.count()
+    };
+    assert_eq!(
+        told(400, 5_000),
+        told(800, 10_000),
+        "gateways that hear of one engine"
+    );
+    let ranked = |gateways: usize, engines: usize| {
+        let mut subsets = subsets(gateways, engines);
+        let before = subsets.ranked();
+        let mut more = self::gateways(gateways);
+        more.insert(NodeId(90_000), Some(zone(1)));
+        subsets.plan(&more, true, 3);
+        (subsets.ranked() - before) as f64
+    };
+    let ratio = ranked(800, 10_000) / ranked(400, 5_000);
+    assert!(
+        ratio <= 2.2,
+        "work at a control node for one gateway: {ratio}"
+    );
+}
+
+/// Load of each engine when a request goes to any engine that its gateway uses, of the own
+/// zone first, and gateways send differently much.
+fn busiest_over_mean(gateway_count: usize, engines: usize, seed: u64) -> f64 {
+    let subsets = subsets(gateway_count, engines);
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut load = vec![0.0; engines];
+    let mut parts: BTreeMap<NodeId, Vec<usize>> = BTreeMap::new();
+    for place in 0..engines {
+        for user in subsets.users(SERVICE, &engine(place)).expect("few") {
+            parts.entry(*user).or_default().push(place);
+        }
+    }
+    for (gateway, part) in parts {
+        // A third more or less than the mean, as far as an even draw goes.
+        let sent = random.random_range(1.0 - 0.577..1.0 + 0.577);
+        let own = zone(gateway.0 as usize - 1);
+        let near: Vec<usize> = part
+            .iter()
+            .copied()
+            .filter(|&one| zone(one) == own)
+            .collect();
+        for &place in &near {
+            load[place] += sent / near.len() as f64;
+        }
+    }
+    let mean = load.iter().sum::<f64>() / engines as f64;
+    load.iter().copied().fold(0.0, f64::max) / mean
+}
+
+#[test]
+fn load_is_even_over_the_engines() {
+    for seed in 0..3 {
+        let ratio = busiest_over_mean(836, 9_713, seed);
+        assert!(ratio <= 1.3, "{ratio}");
+    }
+}
+
+#[test]
+fn little_moves_when_a_gateway_or_an_engine_comes_or_goes() {
+    let mut subsets = subsets(400, 5_000);
+    let users = |subsets: &Subsets| -> Vec<BTreeSet<NodeId>> {
+        let engines = (0..5_000).map(engine);
+        let users = engines.map(|one| {
+            let users = subsets.users(SERVICE, &one).expect("few");
+            users.iter().copied().collect()
+        });
+        users.collect()
+    };
+    let before = users(&subsets);
+    let mut fewer = gateways(400);
+    fewer.remove(&NodeId(7));
+    subsets.plan(&fewer, true, 3);
+    let after = users(&subsets);
+    for (before, after) in before.iter().zip(&after) {
+        let went: Vec<&NodeId> = before.difference(after).collect();
+        assert!(went.is_empty() || went == [&NodeId(7)], "{went:?}");
+    }
+    subsets.plan(&gateways(400), true, 4);
+    assert_eq!(users(&subsets), before, "it has its engines again");
+    subsets.remove(SERVICE, &engine(3), 5);
+    subsets.insert(SERVICE, "new", &zone(3), 6);
+    for (place, held) in before.iter().enumerate().filter(|(place, _)| *place != 3) {
+        let users = subsets.users(SERVICE, &engine(place)).expect("few");
+        assert_eq!(&users.iter().copied().collect::<BTreeSet<_>>(), held);
+    }
+}
+
+#[test]
+fn an_added_gateway_is_chosen_as_if_all_had_come_together() {
+    let mut one_by_one = subsets(100, 4_000);
+    for count in 101..=130 {
+        one_by_one.plan(&gateways(count), true, count as u64);
+    }
+    let mut together = Subsets::default();
+    together.plan(&gateways(100), true, 1);
+    for place in 0..4_000 {
+        together.insert(SERVICE, &engine(place), &zone(place), 2);
+    }
+    together.plan(&gateways(100), true, 3);
+    together.plan(&gateways(130), true, 4);
+    for place in 0..4_000 {
+        let engine = engine(place);
+        assert_eq!(
+            one_by_one.users(SERVICE, &engine),
+            together.users(SERVICE, &engine)
+        );
+    }
+}
+
+#[test]
+fn no_gateway_is_without_engines_and_no_engine_without_gateways() {
+    // All engines in two zones, half of the gateways in zones without any.
+    let mut subsets = Subsets::default();
+    for place in 0..6_000 {
+        subsets.insert(SERVICE, &engine(place), &zone(place % 2), 1);
+    }
+    subsets.plan(&gateways(500), true, 2);
+    for node in 1..=500 {
+        assert!(used_by(&subsets, NodeId(node)) >= 60, "{node}");
+    }
+    // Half of a zone's engines go, and all gateways of another.
+    for place in (0..6_000).step_by(4) {
+        subsets.remove(SERVICE, &engine(place), 3);
+    }
+    let mut left = gateways(500);
+    left.retain(|_, at| *at != Some(zone(1)));
+    subsets.plan(&left, true, 4);
+    for node in left.keys() {
+        assert!(used_by(&subsets, *node) >= 40, "{node:?}");
+    }
+    for place in (0..6_000).filter(|place| place % 4 != 0) {
+        assert!(subsets.users(SERVICE, &engine(place)).expect("few").len() >= 32);
+    }
+}
+
+#[test]
+fn a_service_that_all_can_know_is_known_by_all() {
+    for (gateways, engines) in [(8, 5_000), (250, 168), (836, 287)] {
+        let subsets = subsets(gateways, engines);
+        assert_eq!(
+            subsets.breadth(SERVICE).0,
+            Breadth::Whole,
+            "{gateways} {engines}"
+        );
+        assert_eq!(subsets.users(SERVICE, &engine(1)), None);
+    }
+}
+
+#[test]
+fn a_large_service_is_told_to_nobody_before_the_gateways_are_known() {
+    let mut subsets = Subsets::default();
+    let some = gateways(3);
+    for place in 0..2_000 {
+        subsets.insert(SERVICE, &engine(place), &zone(place), place as u64 + 1);
+        if place % 500 == 0 {
+            subsets.plan(&some, false, place as u64 + 1);
+        }
+    }
+    assert_eq!(subsets.breadth(SERVICE).0, Breadth::Unsettled);
+    let update = subsets.part_after(NodeId(1), SERVICE, 0);
+    assert!(update.engines.is_empty());
+    assert_eq!(
+        update.whole,
+        Some(Vec::new()),
+        "what was told before is taken back"
+    );
+    subsets.plan(&gateways(200), true, 3_000);
+    assert!(matches!(subsets.breadth(SERVICE).0, Breadth::Few(_)));
+    assert!(
+        !subsets
+            .part_after(NodeId(1), SERVICE, 2_999)
+            .engines
+            .is_empty()
+    );
+}
+
+#[test]
+fn a_gateway_hears_what_changed_of_its_part_and_no_more() {
+    let mut subsets = subsets(400, 5_000);
+    let gateway = NodeId(5);
+    assert!(!subsets.is_news(gateway, 2));
+    let user_of = |subsets: &Subsets, place: usize| {
+        let users = subsets.users(SERVICE, &engine(place)).expect("few");
+        users.contains(&gateway)
+    };
+    let used = (0..5_000)
+        .find(|&place| user_of(&subsets, place))
+        .expect("one");
+    let other = (0..5_000)
+        .find(|&place| !user_of(&subsets, place))
+        .expect("one");
+    subsets.remove(SERVICE, &engine(other), 3);
+    assert!(!subsets.is_news(gateway, 2));
+    subsets.remove(SERVICE, &engine(used), 4);
+    let update = subsets.part_after(gateway, SERVICE, 2);
+    assert_eq!(update.gone, [engine(used).as_str().into()]);
+    assert_eq!((update.engines.len(), update.whole), (0, None));
+    // Another gateway takes some of its engines: it is told which are left.
+    let mut more = gateways(400);
+    for node in 401..440 {
+        more.insert(NodeId(node), Some(zone(4)));
+    }
+    subsets.plan(&more, true, 5);
+    let update = subsets.part_after(gateway, SERVICE, 4);
+    assert_eq!(
+        update.whole.map(|whole| whole.len()),
+        Some(used_by(&subsets, gateway))
+    );
+}
+
+#[test]
+fn a_gateway_whose_zone_becomes_known_gets_engines_by_it() {
+    let mut subsets = Subsets::default();
+    for place in 0..4_000 {
+        subsets.insert(SERVICE, &engine(place), &zone(place), 1);
+    }
+    let mut before = gateways(300);
+    before.insert(NodeId(9), None);
+    subsets.plan(&before, true, 2);
+    subsets.plan(&gateways(300), true, 3);
+    let part = subsets.part_after(NodeId(9), SERVICE, 0);
+    assert_eq!(part.engines.len(), used_by(&subsets, NodeId(9)));
+    let near = (0..4_000)
+        .filter(|&place| zone(place) == zone(8))
+        .filter(|&place| {
+            let users = subsets.users(SERVICE, &engine(place)).expect("few");
+            users.contains(&NodeId(9))
+        });
+    assert!(near.count() * 2 >= part.engines.len(), "most of them");
+}
