Tell each gateway of the engines that it uses, as changes, and of a configuration once

- hub: changes are found in logs by their number, and by address in an index; those who wait are woken 50 ms apart at the most; what the replica applied is read 20 ms apart
- engines of a large service go to their users only; the others hear nothing of them.
A departure is still told to all: it binds whoever may hear of the engine elsewhere
- a watcher says which configuration it has, and hears of a newer one from one control node of its zone; from the others 400 ms later, if it still lacks it
- stores hear of the cluster alone; gateways are named up to 12, and counted beyond
- a gateway shares room for batch work among those who use the same engines

Figures are counts in crates/fleet/tests/subsets.rs: bytes told at a start and gateways that hear of one engine are the same at twice the fleet.

--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control node.
 
 mod api;
+mod change_log;
 mod dialect;
 mod hub;
 mod node;
--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -32,6 +32,9 @@
 
 /// Time between two rounds of telling the other control nodes.
 const ROUND: Duration = Duration::from_secs(1);
+/// Shortest time between two reads of what the replica has applied: each reads and copies
+/// the whole, and entries come many at a time where many engines leave.
+const REFRESHED_EVERY: Duration = Duration::from_millis(20);
 
 /// What a control node is started with.
 #[derive(Clone, Debug)]
@@ -200,6 +203,10 @@
             .detach();
         let rounds = node.clone();
         local.spawn(async move { rounds.rounds().await }).detach();
+        let announcing = node.hub.clone();
+        executor
+            .spawn(async move { announcing.announce().await })
+            .detach();
         info!(node.logger, "started"; "node" => own.address().to_string(),
             "first_start" => options.first_start);
         Ok(node)
@@ -209,6 +216,7 @@
     async fn follow(&self, cluster: &Cluster) {
         loop {
             self.refresh(cluster).await;
+            Timer::after(REFRESHED_EVERY).await;
             let late = async {
                 Timer::after(ROUND).await;
             };
--- a/crates/fleet/src/control/registry.rs
+++ b/crates/fleet/src/control/registry.rs
@@ -2,11 +2,12 @@
 //! and again, and a control node that starts anew hears of all within a
 //! heartbeat.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
-use molespan_types::Timestamp;
+use molespan_types::{Timestamp, ZoneName};
 
+use super::change_log::ChangeLog;
 use crate::view::EngineRecord;
 
 /// Engines that were lost and are still told of; the oldest go first.
@@ -20,12 +21,39 @@
     changed: u64,
 }
 
+/// An engine that fell silent or whose address was taken.
+#[derive(Clone, Debug)]
+struct Lost {
+    id: String,
+    service: String,
+}
+
+/// What happened to an engine, for whoever decides which gateways use it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum News {
+    /// It is new, or something of it changed.
+    Heard {
+        service: String,
+        engine: String,
+        zone: ZoneName,
+    },
+    /// It is not there any more.
+    Gone { service: String, engine: String },
+}
+
 /// Engines, with the change at which each became as it is.
 #[derive(Clone, Debug)]
 pub struct Registry {
     engines: BTreeMap<String, Entry>,
+    /// The engine that has each address: a search through all of them for each that is
+    /// new would cost the square of their number.
+    by_address: HashMap<String, String>,
+    /// Engines of each service by the change at which they became as they are.
+    changes: BTreeMap<String, ChangeLog<String>>,
     /// Engines that fell silent or whose address was taken, by the change.
-    lost: BTreeMap<u64, Vec<String>>,
+    lost: BTreeMap<u64, Vec<Lost>>,
+    /// What happened since it was asked for.
+    news: Vec<News>,
     /// Addresses that engines lost to later ones. A heartbeat that a cut held up
     /// may still come and must not take the address back.
     displaced: BTreeMap<String, String>,
@@ -40,7 +68,10 @@
     pub fn new(silence: Duration) -> Self {
         Self {
             engines: BTreeMap::new(),
+            by_address: HashMap::new(),
+            changes: BTreeMap::new(),
             lost: BTreeMap::new(),
+            news: Vec::new(),
             displaced: BTreeMap::new(),
             displaced_order: VecDeque::new(),
             silence,
@@ -54,32 +85,60 @@
             if record.sequence < entry.record.sequence {
                 return false;
             }
-            let same = entry.record.is_same_engine(&record);
-            entry.heard = now;
-            entry.record = record;
-            if !same {
-                entry.changed = change;
+            if entry.record.is_same_engine(&record) {
+                entry.heard = now;
+                entry.record = record;
+                return false;
             }
-            return !same;
-        }
-        if self.displaced.get(&record.id) == Some(&record.address) {
+            self.forget(&record.id);
+        } else if self.displaced.get(&record.id) == Some(&record.address) {
             return false;
         }
         self.displace(&record.address, change);
+        self.insert(record, now, change);
+        true
+    }
+
+    fn insert(&mut self, record: EngineRecord, now: Timestamp, change: u64) {
+        let id = record.id.clone();
+        let log = self.changes.entry(record.service.clone()).or_default();
+        log.note(&id, None, change);
+        self.by_address.insert(record.address.clone(), id.clone());
+        self.news.push(News::Heard {
+            service: record.service.clone(),
+            engine: id.clone(),
+            zone: record.zone.clone(),
+        });
         let entry = Entry {
             heard: now,
             changed: change,
-            record: record.clone(),
+            record,
         };
-        self.engines.insert(record.id, entry);
-        true
+        self.engines.insert(id, entry);
+    }
+
+    /// Takes an engine out of everything but the memory of those that were lost.
+    fn forget(&mut self, id: &str) -> Option<Entry> {
+        let entry = self.engines.remove(id)?;
+        let EngineRecord {
+            service, address, ..
+        } = &entry.record;
+        if let Some(log) = self.changes.get_mut(service) {
+            log.forget(&entry.record.id, entry.changed);
+        }
+        if self.by_address.get(address).map(String::as_str) == Some(id) {
+            self.by_address.remove(address);
+        }
+        self.news.push(News::Gone {
+            service: service.clone(),
+            engine: id.to_owned(),
+        });
+        Some(entry)
     }
 
     /// An engine that registers an address has it alone.
     fn displace(&mut self, address: &str, change: u64) {
-        let mut engines = self.engines.iter();
-        let earlier = engines.find(|(_, entry)| entry.record.address == address);
-        let Some(id) = earlier.map(|(id, _)| id.clone()) else {
+        let Some(id) = self.by_address.get(address).cloned() else {
             return;
         };
         self.lose(&id, change);
@@ -93,8 +152,12 @@
     }
 
     fn lose(&mut self, id: &str, change: u64) {
-        if self.engines.remove(id).is_some() {
-            self.lost.entry(change).or_default().push(id.to_owned());
+        if let Some(entry) = self.forget(id) {
+            let lost = Lost {
+                id: id.to_owned(),
+                service: entry.record.service,
+            };
+            self.lost.entry(change).or_default().push(lost);
         }
         while self.lost.len() > REMEMBERED_LOST {
             self.lost.pop_first();
@@ -103,7 +166,7 @@
 
     /// Removes an engine that left; its departure is told in another way.
     pub fn remove(&mut self, id: &str) {
-        self.engines.remove(id);
+        let _known_or_not = self.forget(id);
     }
 
     /// Loses engines that are silent for too long; says whether there were any.
@@ -119,15 +182,55 @@
 
     /// Engines that are new or changed after `change`.
     pub fn changed_after(&self, change: u64) -> Vec<EngineRecord> {
-        let engines = self.engines.values().filter(|entry| entry.changed > change);
-        engines.map(|entry| entry.record.clone()).collect()
+        let services = self.changes.keys();
+        let changed = services.flat_map(|service| self.changed_in(service, change));
+        let mut changed: Vec<EngineRecord> = changed.cloned().collect();
+        changed.sort_unstable_by(|one, other| one.id.cmp(&other.id));
+        changed
+    }
+
+    /// Engines of a service that are new or changed after `change`.
+    pub(super) fn changed_in(
+        &self,
+        service: &str,
+        change: u64,
+    ) -> impl Iterator<Item = &EngineRecord> {
+        let log = self.changes.get(service);
+        let ids = log.into_iter().flat_map(move |log| log.after(change));
+        ids.filter_map(|id| self.record(id))
+    }
+
+    /// The last change of an engine of a service that is there.
+    pub(super) fn last_change(&self, service: &str) -> u64 {
+        self.changes.get(service).map_or(0, ChangeLog::last)
+    }
+
+    /// What an engine last said.
+    pub(super) fn record(&self, id: &str) -> Option<&EngineRecord> {
+        self.engines.get(id).map(|entry| &entry.record)
     }
 
     /// Engines that were lost after `change` and are not back.
     pub fn lost_after(&self, change: u64) -> Vec<String> {
-        let lost = self.lost.range(change + 1..).flat_map(|(_, ids)| ids);
-        let gone = lost.filter(|id| !self.engines.contains_key(*id));
-        gone.cloned().collect()
+        self.lost_of(change, |_| true)
+    }
+
+    /// The same of the services that `of_service` names.
+    pub(super) fn lost_of(&self, change: u64, of_service: impl Fn(&str) -> bool) -> Vec<String> {
+        let lost = self.lost.range(change + 1..).flat_map(|(_, lost)| lost);
+        let gone = lost.filter(|one| !self.engines.contains_key(&one.id));
+        let told = gone.filter(|one| of_service(&one.service));
+        told.map(|one| one.id.clone()).collect()
+    }
+
+    /// The last change that lost an engine.
+    pub(super) fn last_lost(&self) -> u64 {
+        self.lost.last_key_value().map_or(0, |(change, _)| *change)
+    }
+
+    /// What happened to engines since this was last called.
+    pub(super) fn take_news(&mut self) -> Vec<News> {
+        std::mem::take(&mut self.news)
     }
 
     /// Engines heard at `since` or later, for telling other control nodes.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,4 +15,4 @@
 mod watch;
 
 pub use membership::ClusterAddresses;
-pub use watch::{ViewSink, ViewWatcher};
+pub use watch::{Asker, ViewSink, ViewWatcher};
--- a/crates/fleet/src/store/node.rs
+++ b/crates/fleet/src/store/node.rs
@@ -28,7 +28,7 @@
 use super::peer::PeerHandler;
 use crate::membership::{ClusterAddresses, SEGMENT_BYTES, cluster, replica_options, start_replica};
 use crate::view::{Topology, TopologyView, ViewUpdate};
-use crate::watch::{ViewSink, ViewWatcher};
+use crate::watch::{Asker, ViewSink, ViewWatcher};
 
 /// Time between two rounds of upkeep.
 const ROUND: Duration = Duration::from_millis(500);
@@ -173,9 +173,13 @@
             options,
         });
         let addresses = &node.options.addresses;
-        let kind = WatcherKind::Store;
         let seeds = &addresses.seeds;
-        let _watcher = ViewWatcher::start(own, kind, seeds, wire, local, logger, node.clone());
+        let asker = Asker {
+            node: own,
+            zone: node.options.zone.clone(),
+            kind: WatcherKind::Store,
+        };
+        let _watcher = ViewWatcher::start(asker, seeds, wire, local, logger, node.clone());
         let waking = node.clone();
         local.spawn(async move { waking.wake().await }).detach();
         let upkeep = node.clone();
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -80,8 +80,25 @@
     /// Where the control node stands that says this; an older one does not say.
     #[n(6)]
     pub zone: Option<ZoneName>,
+    /// How many gateways were heard of lately. Beyond [`MOST_NAMED`] they are not named:
+    /// nobody tells all of them anything, and the names of each change would grow with
+    /// the square of their number.
+    #[n(7)]
+    #[cbor(default)]
+    pub gateway_count: u32,
+}
+
+impl Topology {
+    /// How many gateways there are.
+    #[must_use]
+    pub fn gateway_count(&self) -> u32 {
+        self.gateway_count.max(self.gateways.len() as u32)
+    }
 }
 
+/// Gateways that are named at the most: as many as tell each other directly.
+pub const MOST_NAMED: usize = 12;
+
 /// The cluster as several control nodes describe it.
 #[derive(Clone, Debug, Default)]
 pub struct TopologyView {
@@ -122,13 +139,16 @@
         let told = self.told.values();
         let newest = told.max_by_key(|told| (told.topology.applied, told.heard));
         let mut topology = newest.map(|told| told.topology.clone()).unwrap_or_default();
+        topology.gateways.clear();
         let lately = self.told.values().filter(|told| {
             let silence = now.since(told.heard);
             silence < TOLD_LATELY
         });
-        topology.gateways = lately
-            .flat_map(|told| told.topology.gateways.iter().copied())
-            .collect();
+        topology.gateway_count = 0;
+        for told in lately {
+            topology.gateways.extend(&told.topology.gateways);
+            topology.gateway_count = topology.gateway_count.max(told.topology.gateway_count);
+        }
         topology.zone = None;
         topology
     }
@@ -174,4 +194,24 @@
     #[n(5)]
     #[cbor(default)]
     pub bars: Vec<(RequestDigest, Bar)>,
+    /// Services of which it changed which engines the asker is to use, as this control
+    /// node reckons; an older one tells none.
+    #[n(6)]
+    #[cbor(default)]
+    pub parts: Vec<ServicePart>,
+}
+
+/// What a gateway uses of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ServicePart {
+    /// Service.
+    #[n(0)]
+    pub service: String,
+    /// Gateways that use each engine of it; `None` where all use all.
+    #[n(1)]
+    pub users: Option<u32>,
+    /// The engines that the asker uses, of those that this control node knows, where
+    /// others have to be forgotten.
+    #[n(2)]
+    pub engines: Option<Vec<String>>,
 }
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -9,10 +9,11 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use molespan_daemon::cluster::PeerTransport;
-use molespan_types::NodeId;
+use molespan_types::{NodeId, ZoneName};
 use molespan_wire::{Request, Response, ViewMark, WatchView, WatcherKind};
 use slog::{Logger, debug};
 use std::cell::RefCell;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::view::ViewUpdate;
 
@@ -29,12 +30,32 @@
 pub trait ViewSink: 'static {
     /// Takes in one update of one control node.
     fn update(&self, from: NodeId, update: ViewUpdate);
+
+    /// Version of the newest configuration that it has, if it needs configurations.
+    fn version(&self) -> Option<u64> {
+        None
+    }
+
+    /// Control nodes that stand in its zone, as far as they are known.
+    fn near(&self) -> BTreeSet<NodeId> {
+        BTreeSet::new()
+    }
+}
+
+/// Who watches.
+#[derive(Clone, Debug)]
+pub struct Asker {
+    /// This node.
+    pub node: NodeId,
+    /// Where it stands.
+    pub zone: ZoneName,
+    /// What it is for.
+    pub kind: WatcherKind,
 }
 
 /// Watches at the control nodes.
 pub struct ViewWatcher<S> {
-    own: NodeId,
-    kind: WatcherKind,
+    asker: Asker,
     seeds: Vec<NodeId>,
     transport: Arc<dyn PeerTransport>,
     executor: Rc<LocalExecutor<'static>>,
@@ -46,8 +67,7 @@
 impl<S: ViewSink> ViewWatcher<S> {
     /// Begins to watch at the `seeds`.
     pub fn start(
-        own: NodeId,
-        kind: WatcherKind,
+        asker: Asker,
         seeds: &[NodeId],
         transport: Arc<dyn PeerTransport>,
         executor: &Rc<LocalExecutor<'static>>,
@@ -55,8 +75,7 @@
         sink: Rc<S>,
     ) -> Rc<Self> {
         let watcher = Rc::new(Self {
-            own,
-            kind,
+            asker,
             seeds: seeds.to_vec(),
             transport,
             executor: executor.clone(),
@@ -87,10 +106,13 @@
         let mut mark = ViewMark::default();
         loop {
             let request = Request::WatchView(WatchView {
-                node: self.own,
-                kind: self.kind,
+                node: self.asker.node,
+                kind: self.asker.kind,
                 mark,
                 wait_ms: WAIT.as_millis() as u32,
+                zone: Some(self.asker.zone.clone()),
+                version: self.sink.version(),
+                told_elsewhere: self.tells_first() != Some(node),
             });
             match self.transport.call(node, request, TIMEOUT).await {
                 Ok(Response::View {
@@ -108,6 +130,18 @@
         }
     }
 
+    /// The control node that tells this one of a new configuration before the others do:
+    /// one of the own zone, where there is one. Nodes spread over them.
+    fn tells_first(&self) -> Option<NodeId> {
+        let near = self.sink.near();
+        let watches = self.watches.borrow();
+        let watched = watches.keys().copied();
+        watched.min_by_key(|node| {
+            let draw = xxh3_64_with_seed(&node.0.to_be_bytes(), u64::from(self.asker.node.0));
+            (!near.contains(node), draw)
+        })
+    }
+
     fn take(self: &Rc<Self>, from: NodeId, bytes: &[u8]) {
         let Ok(update) = molespan_state::decode::<ViewUpdate>(bytes) else {
             return;
--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -88,6 +88,9 @@
         kind,
         mark,
         wait_ms: 0,
+        zone: None,
+        version: None,
+        told_elsewhere: false,
     };
     match block_on(hub.watch(&watch)) {
         Response::View { mark, update } => {
--- /dev/null
+++ b/crates/fleet/tests/subsets.rs
@@ -0,0 +1,340 @@
+//! What a control node tells gateways of a large service: each its part, engines that come
+//! and go to those who use them, a configuration once; and that none of it grows with the
+//! fleet.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use futures_lite::future::block_on;
+use molespan_daemon::boot_clock::BootClock;
+use molespan_fleet::control::Hub;
+use molespan_fleet::view::{EngineRecord, ViewUpdate};
+use molespan_state::control::{ControlCommand, ControlMachine};
+use molespan_state::declared::{Declaration, DeclaredCommand, Departure, ServingModel};
+use molespan_types::{NodeId, ZoneName};
+use molespan_wire::{Response, ViewMark, WatchView, WatcherKind};
+
+const SILENCE: Duration = Duration::from_secs(10);
+const ZONES: usize = 5;
+
+/// A control node, with a clock that is moved by hand, and the gateways that watch it.
+struct Fleet {
+    hub: Hub,
+    skipped: Arc<AtomicU64>,
+    marks: BTreeMap<NodeId, ViewMark>,
+    machine: ControlMachine,
+}
+
+fn zone(place: usize) -> ZoneName {
+    format!("z{}", place % ZONES).as_str().into()
+}
+
+fn engine(place: usize) -> EngineRecord {
+    EngineRecord {
+        id: format!("i-{place:06}"),
+        service: "s".to_owned(),
+        address: format!("10.0.{}.{}:80", place / 250, place % 250),
+        zone: zone(place),
+        slots: 8,
+        sequence: 1,
+        cold_left_ms: 0,
+    }
+}
+
+fn node(place: usize) -> NodeId {
+    NodeId(place as u32 + 1)
+}
+
+impl Fleet {
+    /// A settled one: every gateway has heard its part.
+    fn settled(gateways: usize, engines: usize) -> Self {
+        let skipped = Arc::new(AtomicU64::new(0));
+        let clock = BootClock::skipping(skipped.clone());
+        let mut fleet = Self {
+            hub: Hub::new("z0".into(), SILENCE, clock),
+            skipped,
+            marks: BTreeMap::new(),
+            machine: ControlMachine::new(),
+        };
+        fleet.hear_all(engines);
+        fleet.watch_all(gateways);
+        fleet.wait(Duration::from_secs(3));
+        fleet.watch_all(gateways);
+        fleet.hub.expire();
+        fleet.watch_all(gateways);
+        fleet
+    }
+
+    fn hear_all(&self, engines: usize) {
+        for place in 0..engines {
+            self.hub.hear(engine(place));
+        }
+    }
+
+    fn wait(&self, time: Duration) {
+        let micros = time.as_micros() as u64;
+        self.skipped.fetch_add(micros, Ordering::Relaxed);
+    }
+
+    /// What a gateway hears now, and how many bytes that is.
+    fn watch(&mut self, place: usize, version: u64, told_elsewhere: bool) -> (ViewUpdate, usize) {
+        let gateway = node(place);
+        let watch = WatchView {
+            node: gateway,
+            kind: WatcherKind::Gateway,
+            mark: self.marks.get(&gateway).copied().unwrap_or_default(),
+            wait_ms: 0,
+            zone: Some(zone(place)),
+            version: Some(version),
+            told_elsewhere,
+        };
+        match block_on(self.hub.watch(&watch)) {
+            Response::View { mark, update } => {
+                self.marks.insert(gateway, mark);
+                let len = update.len();
+                (molespan_state::decode(&update).expect("an update"), len)
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn watch_all(&mut self, gateways: usize) -> Vec<(ViewUpdate, usize)> {
+        let places = 0..gateways;
+        places.map(|place| self.watch(place, 0, false)).collect()
+    }
+
+    fn depart(&mut self, id: &str) {
+        let command = DeclaredCommand::Depart {
+            engine: id.to_owned(),
+            departure: Departure::Draining,
+        };
+        self.machine.apply(&ControlCommand::Declared(command));
+        self.take();
+    }
+
+    fn declare(&mut self, version: u64) {
+        let declaration = Declaration {
+            version,
+            document: Vec::new().into(),
+            model: ServingModel::default(),
+        };
+        let command = DeclaredCommand::Declare(Box::new(declaration));
+        self.machine.apply(&ControlCommand::Declared(command));
+        self.take();
+    }
+
+    fn take(&mut self) {
+        self.hub.take(
+            self.machine.declared(),
+            BTreeSet::from([NodeId(900_000)]),
+            1,
+        );
+    }
+}
+
+#[test]
+fn what_a_gateway_is_told_does_not_grow_with_the_fleet() {
+    let told_at_start = |gateways: usize, engines: usize| {
+        let mut fleet = Fleet::settled(gateways, engines);
+        fleet.marks.clear();
+        let told = fleet.watch_all(gateways);
+        let bytes: usize = told.iter().map(|(_, bytes)| bytes).sum();
+        bytes as f64 / gateways as f64
+    };
+    let ratio = told_at_start(240, 6_000) / told_at_start(120, 3_000);
+    assert!(
+        ratio <= 1.2,
+        "bytes told to a gateway at twice the fleet: {ratio}"
+    );
+    let told_of_one = |gateways: usize, engines: usize| {
+        let mut fleet = Fleet::settled(gateways, engines);
+        fleet.hub.hear(engine(engines));
+        let told = fleet.watch_all(gateways);
+        told.iter()
+            .filter(|(update, _)| !update.engines.is_empty())
+            .count()
+    };
+    assert_eq!(told_of_one(120, 3_000), told_of_one(240, 6_000));
+}
+
+#[test]
+fn every_engine_is_told_to_some_and_a_departure_to_all() {
+    let (gateways, engines) = (120, 3_000);
+    let mut fleet = Fleet::settled(gateways, engines);
+    fleet.marks.clear();
+    let told = fleet.watch_all(gateways);
+    let mut known: BTreeMap<String, usize> = BTreeMap::new();
+    for record in told.iter().flat_map(|(update, _)| &update.engines) {
+        *known.entry(record.id.clone()).or_default() += 1;
+    }
+    assert_eq!(known.len(), engines);
+    assert!(known.values().all(|users| *users == 32), "{known:?}");
+    let leaving = engine(7).id;
+    fleet.depart(&leaving);
+    for (update, _) in fleet.watch_all(gateways) {
+        assert_eq!(update.departures, [(leaving.clone(), Departure::Draining)]);
+    }
+    assert!(
+        !fleet.hub.hear(engine(7)),
+        "a late heartbeat brings it back nowhere"
+    );
+}
+
+#[test]
+fn an_engine_that_takes_an_address_is_told_to_its_users_and_the_other_taken_back() {
+    let gateways = 120;
+    let mut fleet = Fleet::settled(gateways, 3_000);
+    let users = fleet.hub.users_of(&[&engine(5).id]).remove(0).expect("few");
+    let replacing = EngineRecord {
+        id: "i-new".to_owned(),
+        ..engine(5)
+    };
+    fleet.hub.hear(replacing);
+    let new_users = fleet.hub.users_of(&["i-new"]).remove(0).expect("few");
+    for place in 0..gateways {
+        let (update, _) = fleet.watch(place, 0, false);
+        let heard = update.engines.iter().any(|record| record.id == "i-new");
+        assert_eq!(heard, new_users.contains(&node(place)));
+        assert_eq!(
+            update.lost.contains(&engine(5).id),
+            users.contains(&node(place))
+        );
+    }
+}
+
+#[test]
+fn gateways_that_go_leave_their_engines_to_others_only_behind_a_restart() {
+    let gateways = 120;
+    let mut fleet = Fleet::settled(gateways, 3_000);
+    let engines: Vec<String> = (0..3_000).map(|place| engine(place).id).collect();
+    let engines: Vec<&str> = engines.iter().map(String::as_str).collect();
+    let before = fleet.hub.users_of(&engines);
+    fleet.wait(Duration::from_secs(5));
+    fleet.watch_all(90);
+    fleet.hear_all(3_000);
+    fleet.hub.expire();
+    assert_eq!(fleet.hub.users_of(&engines), before);
+    for _ in 0..4 {
+        fleet.wait(Duration::from_secs(8));
+        fleet.hear_all(3_000);
+        fleet.watch_all(90);
+        fleet.hub.expire();
+    }
+    let told = fleet.watch_all(90);
+    assert!(told.iter().any(|(update, _)| !update.engines.is_empty()));
+    for users in fleet.hub.users_of(&engines) {
+        let users = users.expect("few");
+        assert!(users.iter().all(|user| user.0 <= 90), "{users:?}");
+        assert_eq!(users.len(), 32);
+    }
+}
+
+#[test]
+fn a_configuration_is_told_once_and_by_another_node_when_the_first_does_not() {
+    let mut fleet = Fleet::settled(1, 0);
+    fleet.declare(7);
+    let told = |fleet: &mut Fleet, version, told_elsewhere| {
+        let (update, _) = fleet.watch(0, version, told_elsewhere);
+        update.configuration.map(|held| held.version)
+    };
+    assert_eq!(told(&mut fleet, 0, true), None);
+    assert_eq!(told(&mut fleet, 7, true), None, "it has it by now");
+    assert_eq!(told(&mut fleet, 0, false), Some(7));
+    // Whoever still lacks it hears it here, however often it asks meanwhile.
+    assert_eq!(told(&mut fleet, 0, true), None);
+    fleet.wait(Duration::from_millis(300));
+    assert_eq!(told(&mut fleet, 0, true), None);
+    fleet.wait(Duration::from_millis(200));
+    assert_eq!(told(&mut fleet, 0, true), Some(7));
+    fleet.wait(Duration::from_secs(1));
+    assert_eq!(told(&mut fleet, 7, false), None);
+}
+
+#[test]
+fn stores_hear_of_the_cluster_alone() {
+    let mut fleet = Fleet::settled(3, 100);
+    fleet.declare(3);
+    let watch = WatchView {
+        node: NodeId(50_000),
+        kind: WatcherKind::Store,
+        mark: ViewMark::default(),
+        wait_ms: 0,
+        zone: None,
+        version: None,
+        told_elsewhere: false,
+    };
+    let Response::View { update, .. } = block_on(fleet.hub.watch(&watch)) else {
+        panic!("no view");
+    };
+    let update: ViewUpdate = molespan_state::decode(&update).expect("an update");
+    assert!(update.topology.is_some());
+    assert_eq!(
+        ViewUpdate {
+            topology: None,
+            ..update
+        },
+        ViewUpdate::default()
+    );
+}
+
+#[test]
+fn whoever_waits_sleeps_meanwhile() {
+    let mut fleet = Fleet::settled(1, 10);
+    fleet.declare(3);
+    for kind in [WatcherKind::Store, WatcherKind::Gateway] {
+        for version in [None, Some(0), Some(3)] {
+            let mut watch = WatchView {
+                node: NodeId(50_000),
+                kind,
+                mark: ViewMark::default(),
+                wait_ms: 0,
+                zone: None,
+                version,
+                told_elsewhere: true,
+            };
+            if let Response::View { mark, .. } = block_on(fleet.hub.watch(&watch)) {
+                watch.mark = mark;
+            }
+            watch.wait_ms = 100;
+            let mut polls = 0;
+            let mut waiting = Box::pin(fleet.hub.watch(&watch));
+            block_on(std::future::poll_fn(|context| {
+                polls += 1;
+                waiting.as_mut().poll(context)
+            }));
+            assert!(polls <= 5, "{kind:?} {version:?}: {polls}");
+        }
+    }
+}
+
+#[test]
+fn a_gateway_that_does_not_say_its_zone_or_version_is_served() {
+    let mut fleet = Fleet::settled(120, 3_000);
+    fleet.declare(3);
+    let watch = WatchView {
+        node: NodeId(70_000),
+        kind: WatcherKind::Gateway,
+        mark: ViewMark::default(),
+        wait_ms: 0,
+        zone: None,
+        version: None,
+        told_elsewhere: false,
+    };
+    let _first = block_on(fleet.hub.watch(&watch));
+    fleet.hub.expire();
+    let Response::View { update, mark } = block_on(fleet.hub.watch(&watch)) else {
+        panic!("no view");
+    };
+    let update: ViewUpdate = molespan_state::decode(&update).expect("an update");
+    assert_eq!(update.configuration.map(|held| held.version), Some(3));
+    assert!(!update.engines.is_empty());
+    let again = WatchView { mark, ..watch };
+    let Response::View { update, .. } = block_on(fleet.hub.watch(&again)) else {
+        panic!("no view");
+    };
+    let update: ViewUpdate = molespan_state::decode(&update).expect("an update");
+    assert_eq!(update, ViewUpdate::default());
+}
--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -152,8 +152,7 @@
         let running = self.running.borrow().len() as u32;
         let waiting = running.saturating_sub(self.state.batch_runs.at_engines());
         let headroom = (headroom - f64::from(waiting) + rand::random::<f64>()).max(0.0) as u32;
-        let slots: u32 = services.iter().map(|one| engines.slots(one)).sum();
-        let part = f64::from(slots) / f64::from(self.state.gateways());
+        let part: f64 = services.iter().map(|one| engines.fair_slots(one)).sum();
         let left = (part.ceil() as u32).saturating_sub(running);
         headroom.min(left).min(MOST_AT_ONCE)
     }
--- a/crates/proxy/src/gateway.rs
+++ b/crates/proxy/src/gateway.rs
@@ -12,7 +12,7 @@
 use molespan_daemon::DaemonError;
 use molespan_daemon::boot_clock::BootClock;
 use molespan_fleet::membership::cluster;
-use molespan_fleet::{ClusterAddresses, ViewWatcher};
+use molespan_fleet::{Asker, ClusterAddresses, ViewWatcher};
 use molespan_http::h1::{self, Answer, Connection, RequestHead, Service, SocketOptions};
 use molespan_telemetry::part_logger;
 use molespan_types::ZoneName;
@@ -104,17 +104,21 @@
         let zone = options.zone.clone();
         let state = Rc::new(GatewayState::new(
             own,
-            zone,
+            zone.clone(),
             options.keys_hold_for,
             options.clock.clone(),
             control,
             jobs,
             logger.clone(),
         ));
-        let kind = WatcherKind::Gateway;
+        let asker = Asker {
+            node: own,
+            zone,
+            kind: WatcherKind::Gateway,
+        };
+        let watching = wire.clone();
         let sink = state.clone();
-        let _watcher =
-            ViewWatcher::start(own, kind, seeds, wire.clone(), local, logger.clone(), sink);
+        let _watcher = ViewWatcher::start(asker, seeds, watching, local, logger.clone(), sink);
         exchange_work(&options.addresses, &state, wire, executor, local)?;
         local
             .spawn(watch_ends(state.clone(), local.clone()))
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -1,7 +1,7 @@
 //! What a gateway knows and counts. One thread owns it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +10,7 @@
 use molespan_daemon::boot_clock::BootClock;
 use molespan_daemon::cluster::Cluster;
 use molespan_fleet::ViewSink;
-use molespan_fleet::view::{EngineRecord, Topology, TopologyView, ViewUpdate};
+use molespan_fleet::view::{EngineRecord, ServicePart, Topology, TopologyView, ViewUpdate};
 use molespan_routing::dispatch::{
     EngineFacts, EngineTable, Picked, RelayChoice, WeightedSplit, WorkClass,
 };
@@ -183,7 +183,7 @@
 
     /// How many gateways there are, this one included.
     pub fn gateways(&self) -> u32 {
-        (self.topology.borrow().gateways.len() as u32).max(1)
+        self.topology.borrow().gateway_count().max(1)
     }
 
     /// The other gateways.
@@ -314,7 +314,7 @@
             let control = topology.control.iter().copied().collect();
             self.control.set_replicas(control);
         }
-        let gateways = topology.gateways.len() as u32;
+        let gateways = topology.gateway_count();
         self.engines.borrow_mut().set_gateways(gateways);
         self.tenants.borrow_mut().set_gateways(gateways, now);
         *self.topology.borrow_mut() = topology;
@@ -335,6 +335,15 @@
         self.engines.borrow_mut().learn(from, facts, now);
     }
 
+    fn use_part(&self, from: NodeId, part: ServicePart) {
+        let engines: Option<BTreeSet<String>> = part.engines.map(|ids| ids.into_iter().collect());
+        let mut table = self.engines.borrow_mut();
+        table.use_part(from, &part.service, part.users, engines.as_ref());
+        info!(self.logger, "part of a service"; "service" => part.service,
+            "users" => part.users, "told" => engines.map(|ids| ids.len()), "from" => from.0,
+            "engines_known" => table.len());
+    }
+
     fn depart(&self, engine: &str) {
         if self.engines.borrow_mut().depart(engine) {
             info!(self.logger, "engine leaves"; "engine" => engine);
@@ -357,11 +366,23 @@
         for engine in update.lost {
             self.engines.borrow_mut().lose(from, &engine);
         }
+        for part in update.parts {
+            self.use_part(from, part);
+        }
         for (request, bar) in update.bars {
             self.take_bar(request, bar);
         }
         self.take_topology(from, update.topology);
     }
+
+    fn version(&self) -> Option<u64> {
+        let in_force = self.in_force.borrow();
+        Some(in_force.as_ref().map_or(0, |held| held.version))
+    }
+
+    fn near(&self) -> BTreeSet<NodeId> {
+        self.topology_view.borrow().control_in(&self.zone)
+    }
 }
 
 /// Something that is counted while this lives.
--- a/crates/proxy/src/work_shares.rs
+++ b/crates/proxy/src/work_shares.rs
@@ -13,6 +13,7 @@
 use futures_lite::future;
 use molespan_daemon::DaemonError;
 use molespan_daemon::cluster::{PeerTransport, WireTransport};
+use molespan_fleet::view::MOST_NAMED;
 use molespan_fleet::{ClusterAddresses, telling};
 use molespan_routing::dispatch::WorkShare;
 use molespan_routing::quota::Usage;
@@ -35,7 +36,7 @@
 const BUSY_OCCUPANCY: f64 = 0.4;
 /// Gateways that tell each other directly at the most. The messages grow with
 /// the square of their number; through relays they do not.
-const MOST_DIRECT: u32 = 12;
+const MOST_DIRECT: u32 = MOST_NAMED as u32;
 /// What did not change is told again after this many intervals.
 const REPEATED_AFTER: u32 = 6;
 /// Shortest time between two tellings of what tenants use while they have plenty.
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -124,6 +124,8 @@
     answered: Option<Timestamp>,
     /// Gateways, this one included.
     gateways: u32,
+    /// Gateways that use each engine of a service, where they are few.
+    users: BTreeMap<String, u32>,
     batch_starts: UnseenStarts,
     online_starts: UnseenStarts,
     freed: FreedSlots,
@@ -144,6 +146,7 @@
             told: None,
             answered: None,
             gateways: 1,
+            users: BTreeMap::new(),
             batch_starts: UnseenStarts::new(seed.wrapping_add(1)),
             online_starts: UnseenStarts::new(seed.wrapping_add(2)),
             freed: FreedSlots::default(),
@@ -181,6 +184,58 @@
         }
     }
 
+    /// A control node says how many gateways use each engine of a service, `None` for
+    /// all, and, unless nothing was taken from this one, which engines it knows for it.
+    pub fn use_part(
+        &mut self,
+        from: NodeId,
+        service: &str,
+        users: Option<u32>,
+        part: Option<&BTreeSet<String>>,
+    ) {
+        match users {
+            Some(users) => self.users.insert(service.to_owned(), users),
+            None => self.users.remove(service),
+        };
+        let Some(part) = part else {
+            return;
+        };
+        self.engines.retain(|id, engine| {
+            if engine.facts.service == service && !part.contains(id) {
+                engine.known_by.remove(&from);
+            }
+            !engine.known_by.is_empty()
+        });
+    }
+
+    /// Engines that are known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Whether no engine is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.engines.is_empty()
+    }
+
+    /// Gateways, this one included, that use each engine of a service.
+    fn users_of(&self, service: &str) -> f64 {
+        let users = self.users.get(service).copied();
+        f64::from(
+            users
+                .map_or(self.gateways, |users| users.min(self.gateways))
+                .max(1),
+        )
+    }
+
+    /// Slots of a service that are this gateway's if all gateways have as many.
+    #[must_use]
+    pub fn fair_slots(&self, service: &str) -> f64 {
+        f64::from(self.slots(service)) / self.users_of(service)
+    }
+
     /// An engine leaves, for good. Says whether that is news.
     pub fn depart(&mut self, id: &str) -> bool {
         self.engines.remove(id);
@@ -408,7 +463,7 @@
                 (slots - engine.load(now, others_tell)).max(0.0)
             })
             .sum();
-        let share = 1.0 / f64::from(self.gateways);
+        let share = 1.0 / self.users_of(service);
         self.batch_starts.left(share, room.min(free), now)
     }
 
@@ -438,7 +493,7 @@
                 room += (self.places(engine, pick) - online).max(0.0);
             }
         }
-        let share = (own + 1.0) / (all + f64::from(self.gateways));
+        let share = (own + 1.0) / (all + self.users_of(pick.service));
         self.online_starts.may_start(share.min(1.0), room, now)
     }
 
--- a/crates/routing/tests/dispatch.rs
+++ b/crates/routing/tests/dispatch.rs
@@ -804,3 +804,47 @@
     // Ten seconds later both have stayed.
     assert_eq!(to(true, 21_000).as_deref(), Ok("e2"));
 }
+
+const OTHER_CONTROL: NodeId = NodeId(2);
+
+fn ids(names: &[&str]) -> BTreeSet<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+#[test]
+fn engines_that_go_to_other_gateways_are_used_no_more() {
+    let mut table = table(&[(1, "near"), (2, "near"), (3, "near")]);
+    table.learn(OTHER_CONTROL, facts(3, "near"), now(0));
+    let part = ids(&["e2"]);
+    table.use_part(CONTROL, "s", Some(24), Some(&part));
+    // The other control node still reckons that this gateway uses it.
+    assert!(table.is_present("e3"));
+    assert!(!table.is_present("e1"));
+    table.use_part(OTHER_CONTROL, "s", Some(24), Some(&part));
+    assert_eq!(table.len(), 1);
+    assert_eq!(online(&mut table, 0), Ok("e2".to_owned()));
+    // Another service's engines stay.
+    table.use_part(CONTROL, "other", Some(24), Some(&BTreeSet::new()));
+    assert!(table.is_present("e2"));
+    // It is not known to have left, and may be given back.
+    assert!(!table.has_departed("e1"));
+    table.learn(CONTROL, facts(1, "near"), now(1));
+    assert!(table.is_present("e1"));
+}
+
+#[test]
+fn batch_room_is_shared_among_the_gateways_that_use_the_engines() {
+    let engines: Vec<(u8, &str)> = (1..=50).map(|number| (number, "near")).collect();
+    let mut table = table(&engines);
+    table.set_gateways(800);
+    assert_eq!(table.batch_headroom("s", now(0)), 400.0 / 800.0);
+    table.use_part(CONTROL, "s", Some(25), None);
+    assert_eq!(table.batch_headroom("s", now(0)), 400.0 / 25.0);
+    assert_eq!(table.fair_slots("s"), 400.0 / 25.0);
+    table.use_part(CONTROL, "s", None, None);
+    assert_eq!(table.fair_slots("s"), 400.0 / 800.0);
+    // There are not even as many gateways.
+    table.use_part(CONTROL, "s", Some(25), None);
+    table.set_gateways(5);
+    assert_eq!(table.fair_slots("s"), 400.0 / 5.0);
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -165,6 +165,17 @@
     /// Longest wait for something newer, in milliseconds.
     #[n(3)]
     pub wait_ms: u32,
+    /// Where the asker stands; an older one does not say.
+    #[n(4)]
+    pub zone: Option<ZoneName>,
+    /// Version of the newest configuration that it holds, from whichever control node,
+    /// and 0 for none; an older asker does not say.
+    #[n(5)]
+    pub version: Option<u64>,
+    /// Whether another control node is to tell it a new configuration first.
+    #[n(6)]
+    #[cbor(default)]
+    pub told_elsewhere: bool,
 }
 
 /// Asks for batch items.
