Relays tell a gateway of work at the engines that it uses, and only what is new

Each relay told each of its gateways of every engine in use, 20 times a second, whether or not anything changed: gateways times engines in use times 20. Now the engines that it uses, when they differ, and again behind 400 ms.

Weighed: each gateway asks for a list of engines (one more thing to keep in step), or the relay asks the view beside it who uses them; the second.

--- a/crates/fleet/src/control/relay.rs
+++ b/crates/fleet/src/control/relay.rs
@@ -1,6 +1,6 @@
 //! Relaying between gateways what they have at engines and of tenants.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -20,7 +20,7 @@
 
 /// Shortest time between two rounds of passing on.
 const ROUND: Duration = Duration::from_millis(50);
-/// Time after which other relays are told again what did not change.
+/// Time after which other relays and gateways are told again what did not change.
 const REPEATED_AFTER: Duration = Duration::from_millis(400);
 
 /// What was told, by its kind.
@@ -120,13 +120,15 @@
 }
 
 impl RelayedWork {
-    /// Work at engines as far as it is known; `present` gateways are there.
-    fn round(&self, present: u32) -> Round {
+    /// Work at engines as far as it is known, for the gateways that the `hub` counts and
+    /// the engines that it has them use.
+    fn round(&self, hub: &Hub) -> Round {
         let now = self.now();
+        let present = hub.gateways();
         let relay = &mut self.lock().work;
         relay.expire(now);
         let all_by_told = relay.all_by_told(present, now);
-        let mut by_gateway = relay.shares_by_gateway();
+        let mut by_gateway = relay.shares_by_user(|engines| hub.users_of(engines));
         let shares = by_gateway.iter_mut().flat_map(|(_, shares)| shares);
         shares.for_each(|share| share.multiply(all_by_told));
         Round {
@@ -162,6 +164,34 @@
     }
 }
 
+/// What gateways were told of work at engines, and when.
+#[derive(Default)]
+struct LastTold(BTreeMap<NodeId, (Vec<WorkShare>, Option<Instant>)>);
+
+impl LastTold {
+    /// Whether a gateway is to be told this: when it is not what it was told last, and
+    /// again after a while.
+    fn is_due(&mut self, gateway: NodeId, shares: &[WorkShare]) -> bool {
+        let (before, at) = self.0.entry(gateway).or_default();
+        let lately = at.is_some_and(|at| at.elapsed() < REPEATED_AFTER);
+        if lately && before == shares {
+            return false;
+        }
+        before.clear();
+        before.extend_from_slice(shares);
+        *at = Some(Instant::now());
+        true
+    }
+
+    /// Forgets gateways that go through another relay.
+    fn retain(&mut self, gateways: &[(NodeId, Vec<WorkShare>)]) {
+        if self.0.len() > gateways.len() {
+            let held: BTreeSet<NodeId> = gateways.iter().map(|(node, _)| *node).collect();
+            self.0.retain(|node, _| held.contains(node));
+        }
+    }
+}
+
 /// Passes on what comes, at most once a round.
 pub(super) async fn relay_work(
     own: NodeId,
@@ -170,6 +200,7 @@
     wire: Arc<WireTransport>,
 ) {
     let mut told_relays = (Vec::new(), Instant::now());
+    let mut told_gateways = LastTold::default();
     while work.heard.1.recv().await.is_ok() {
         let blames = work.blames();
         let told = |shares: &[WorkShare], usage: Option<&Usage>, gateways| Request::EngineWork {
@@ -184,7 +215,7 @@
             of_gateways,
             gateways,
             by_gateway,
-        } = work.round(hub.gateways());
+        } = work.round(&hub);
         let usage = work.usage();
         let (usage_of_gateways, usage_by_gateway) = usage.unzip();
         let usage_by_gateway = usage_by_gateway.unwrap_or_default();
@@ -200,8 +231,13 @@
             }
             told_relays = (of_gateways, Instant::now());
         }
+        told_gateways.retain(&by_gateway);
         for (gateway, shares) in by_gateway {
             let usage = usage_by_gateway.get(&gateway);
+            let other_news = usage.is_some() || blames.is_some();
+            if !told_gateways.is_due(gateway, &shares) && !other_news {
+                continue;
+            }
             wire.send(gateway, told(&shares, usage, None));
         }
         Timer::after(ROUND).await;
--- a/crates/routing/src/dispatch/relay.rs
+++ b/crates/routing/src/dispatch/relay.rs
@@ -168,11 +168,42 @@
     /// For each gateway of this relay, what all other gateways have together.
     #[must_use]
     pub fn shares_by_gateway(&self) -> Vec<(NodeId, Vec<WorkShare>)> {
+        self.shares_by_user(|engines| vec![None; engines.len()])
+    }
+
+    /// The same, at the engines that it uses: `users` names those who use each of the
+    /// engines it is asked for, or `None` where all do. What a gateway hears grows with
+    /// what it uses, and not with all engines in use.
+    #[must_use]
+    pub fn shares_by_user(
+        &self,
+        users: impl Fn(&[&str]) -> Vec<Option<Vec<NodeId>>>,
+    ) -> Vec<(NodeId, Vec<WorkShare>)> {
         let all = sum(self.told.values().flat_map(|told| &told.shares));
+        let engines: Vec<&str> = all.iter().map(|share| share.engine.as_str()).collect();
+        let users = users(&engines);
         let told = self.told.iter();
         let gateways = told.filter(|(_, told)| told.teller == Teller::Gateway);
-        gateways
-            .map(|(&gateway, told)| (gateway, without(&all, &told.shares)))
+        let mut by_gateway: BTreeMap<NodeId, (&Told, Vec<WorkShare>)> = gateways
+            .map(|(&gateway, told)| (gateway, (told, Vec::new())))
+            .collect();
+        for (share, users) in all.iter().zip(users) {
+            match users {
+                None => by_gateway
+                    .values_mut()
+                    .for_each(|(told, shares)| shares.extend(without(share, &told.shares))),
+                Some(users) => {
+                    for user in users {
+                        if let Some((told, shares)) = by_gateway.get_mut(&user) {
+                            shares.extend(without(share, &told.shares));
+                        }
+                    }
+                }
+            }
+        }
+        let by_gateway = by_gateway.into_iter();
+        by_gateway
+            .map(|(gateway, (_, shares))| (gateway, shares))
             .collect()
     }
 }
@@ -190,11 +221,10 @@
     sums.into_values().collect()
 }
 
-/// `all` less `own`, which is part of it; engines with nothing are left out.
-fn without(all: &[WorkShare], own: &[WorkShare]) -> Vec<WorkShare> {
-    let rest = all.iter().map(|sum| {
-        let own = own.iter().find(|own| own.engine == sum.engine);
-        own.map_or_else(|| sum.clone(), |own| sum.without(own))
-    });
-    rest.filter(|share| !share.is_empty()).collect()
+/// What all have at an engine less what `own` has there, which is part of it; `None` if
+/// that is nothing.
+fn without(all: &WorkShare, own: &[WorkShare]) -> Option<WorkShare> {
+    let own = own.iter().find(|own| own.engine == all.engine);
+    let rest = own.map_or_else(|| all.clone(), |own| all.without(own));
+    (!rest.is_empty()).then_some(rest)
 }
--- a/crates/routing/tests/relay.rs
+++ b/crates/routing/tests/relay.rs
@@ -186,3 +186,48 @@
     work.multiply(2.0);
     assert_eq!(work, share("x", 6, 200, 2));
 }
+
+#[test]
+fn a_gateway_hears_of_the_engines_that_it_uses_alone() {
+    let mut relay = WorkRelay::default();
+    let shares = |engines: &[&str]| {
+        engines
+            .iter()
+            .map(|engine| share(engine, 1, 0, 0))
+            .collect()
+    };
+    relay.note(
+        NodeId(1),
+        Teller::Gateway,
+        shares(&["a", "b"]),
+        Timestamp::ZERO,
+    );
+    relay.note(NodeId(2), Teller::Gateway, shares(&["b"]), Timestamp::ZERO);
+    relay.note(
+        NodeId(9),
+        Teller::Relay,
+        shares(&["c", "d"]),
+        Timestamp::ZERO,
+    );
+    let by_gateway = relay.shares_by_user(|engines| {
+        let users = |engine: &&str| match *engine {
+            "a" => Some(vec![NodeId(1)]),
+            "b" => Some(vec![NodeId(1), NodeId(2)]),
+            // All use it.
+            "c" => None,
+            // Nobody of this relay does.
+            _ => Some(vec![NodeId(7)]),
+        };
+        engines.iter().map(users).collect()
+    });
+    let told: Vec<(u32, Vec<(&str, u32)>)> = by_gateway
+        .iter()
+        .map(|(gateway, shares)| {
+            let shares = shares.iter();
+            let shares = shares.map(|share| (share.engine.as_str(), share.requests));
+            (gateway.0, shares.collect())
+        })
+        .collect();
+    let expected = [(1, vec![("b", 1), ("c", 1)]), (2, vec![("b", 1), ("c", 1)])];
+    assert_eq!(told, expected);
+}
