--- a/crates/bench/src/error.rs
+++ b/crates/bench/src/error.rs
@@ -5,12 +5,6 @@
 /// Why a run of the bench could not end with a report.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
 pub enum BenchError {
-    /// The subcommand is not built yet.
-    #[display("the subcommand {subcommand} is not built yet")]
-    NotBuilt {
-        /// Name of the subcommand.
-        subcommand: &'static str,
-    },
     /// A flag holds a value the bench does not know.
     #[display("--{flag} {value} is unknown; known are {known}")]
     UnknownValue {
--- a/crates/bench/src/flags.rs
+++ b/crates/bench/src/flags.rs
@@ -21,12 +21,5 @@
             /// Arms to run, separated by commas.
             optional --arms arms: String
         }
-        /// Step the size of a hollow fleet and fit what each part costs.
-        cmd scale {
-            /// Folder for the measured steps and the fitted slopes.
-            required --out out: PathBuf
-            /// Runs one experiment alone, by its name, and writes no files.
-            optional --only only: String
-        }
     }
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,10 +1,8 @@
-//! Load generator, experiment runner and scale experiment.
+//! Load generator and experiment runner.
 //!
-//! [`run`] drives a fleet of real processes under load; [`scale`] steps the
-//! size of a hollow fleet and fits what each part costs.
+//! [`run`] drives a fleet of real processes under load.
 
 pub mod error;
 pub mod run;
-pub mod scale;
 
 pub use error::BenchError;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,11 +1,11 @@
-//! `molespan-bench`: load generator, experiment runner and scale experiment.
+//! `molespan-bench`: load generator and experiment runner.
 
 mod flags;
 
 use std::process::ExitCode;
 
 use flags::MolespanBenchCmd;
-use molespan_bench::{run, scale};
+use molespan_bench::run;
 
 fn main() -> ExitCode {
     let flags = flags::MolespanBench::from_env_or_exit();
@@ -18,13 +18,6 @@
             arms: command.arms,
         })
         .map_err(Into::into),
-        MolespanBenchCmd::Scale(command) => {
-            let options = scale::ScaleOptions {
-                out: command.out,
-                only: command.only,
-            };
-            scale::run(&options).map_err(Into::into)
-        }
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
