Close idle connections to engines that are not used again

The pool dropped a connection that was too old only when the same engine was chosen again: one gateway before many engines held a descriptor for each engine that it ever used. Seen on reading; swept once a second when a connection is put back. No test of its own.

--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -1,6 +1,6 @@
 //! Idle connections to engines.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -16,6 +16,9 @@
 const USED_SHARE: f64 = 0.6;
 /// Most idle connections to one engine.
 const MOST_IDLE: usize = 32;
+/// Time between two looks for connections that are not used again: an engine that gets no
+/// other request from this gateway would else hold a descriptor here for good.
+const SWEPT_EVERY: Duration = Duration::from_secs(1);
 
 #[derive(Debug)]
 struct Idle {
@@ -27,6 +30,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     idle: RefCell<HashMap<String, Vec<Idle>>>,
+    swept: Cell<Timestamp>,
 }
 
 impl Pool {
@@ -54,8 +58,14 @@
             return;
         }
         let mut idle = self.idle.borrow_mut();
+        if now.since(self.swept.get()) >= SWEPT_EVERY {
+            self.swept.set(now);
+            idle.retain(|_, of_engine| {
+                of_engine.retain(|idle| idle.until > now);
+                !of_engine.is_empty()
+            });
+        }
         let of_engine = idle.entry(engine.to_owned()).or_default();
-        of_engine.retain(|idle| idle.until > now);
         if of_engine.len() < MOST_IDLE {
             let until = now + lives;
             of_engine.push(Idle { connection, until });
