A control node that begins anew takes no gateway's engines away

While it does not know how many gateways there are, a large service's engines are nobody's; told so, every gateway would have dropped all it knew when all control nodes restart.

--- a/crates/fleet/src/control/hub.rs
+++ b/crates/fleet/src/control/hub.rs
@@ -38,9 +38,10 @@
 /// How long the engines of a gateway that is gone wait for it: longer than a restart
 /// takes, and there are other gateways for each of them.
 const ENGINES_KEPT: Duration = Duration::from_secs(30);
-/// Time from the start of this node within which every gateway has asked: they ask anew
-/// each 2 s.
-const SETTLED_AFTER: Duration = Duration::from_millis(2_500);
+/// Time from the start of this node within which every gateway has asked, and every
+/// engine was heard, here or by another control node: they ask and say so each 2 s, and
+/// control nodes pass on what they heard once a second.
+const SETTLED_AFTER: Duration = PRESENCE;
 
 #[derive(Debug)]
 struct Watcher {
@@ -560,6 +561,9 @@
             }
             return;
         }
+        if breadth == Breadth::Unsettled {
+            return;
+        }
         let news = self.subsets.part_after(gateway, service, since);
         let records = news.engines.iter();
         let records = records.filter_map(|engine| self.registry.record(engine));
--- a/crates/fleet/tests/subsets.rs
+++ b/crates/fleet/tests/subsets.rs
@@ -61,7 +61,7 @@
         };
         fleet.hear_all(engines);
         fleet.watch_all(gateways);
-        fleet.wait(Duration::from_secs(3));
+        fleet.wait(Duration::from_secs(5));
         fleet.watch_all(gateways);
         fleet.hub.expire();
         fleet.watch_all(gateways);
@@ -232,6 +232,33 @@
     }
 }
 
+#[test]
+fn a_control_node_that_begins_anew_takes_no_engines_away() {
+    let gateways = 120;
+    let mut fleet = Fleet::settled(gateways, 3_000);
+    let skipped = Arc::new(AtomicU64::new(0));
+    let clock = BootClock::skipping(skipped.clone());
+    fleet.hub = Hub::new("z0".into(), SILENCE, clock);
+    fleet.skipped = skipped;
+    for heard in [100, 1_000, 2_000] {
+        fleet.hear_all(heard);
+        fleet.hub.expire();
+        for (update, _) in fleet.watch_all(gateways) {
+            let lists = update.parts.iter().filter(|part| part.engines.is_some());
+            assert_eq!(lists.count(), 0, "{heard}: {:?}", update.parts);
+            assert_eq!(update.lost, Vec::<String>::new());
+        }
+        fleet.wait(Duration::from_secs(1));
+    }
+    fleet.hear_all(3_000);
+    fleet.wait(Duration::from_secs(3));
+    fleet.hub.expire();
+    for (update, _) in fleet.watch_all(gateways) {
+        let listed = update.parts[0].engines.as_ref().map(Vec::len);
+        assert_eq!(listed, Some(update.engines.len()));
+    }
+}
+
 #[test]
 fn a_configuration_is_told_once_and_by_another_node_when_the_first_does_not() {
     let mut fleet = Fleet::settled(1, 0);
--- a/crates/routing/src/subset/mod.rs
+++ b/crates/routing/src/subset/mod.rs
@@ -113,8 +113,8 @@
     }
 
     /// Takes in which gateways there are, and decides anew how broadly the engines of
-    /// each service are used. Before it is `settled` how many there are, a service that
-    /// is too large for every gateway is told to none. Says whether anything changed.
+    /// each service are used. Before it is `settled` how many there are, nobody hears of
+    /// a service that is too large for every gateway. Says whether anything changed.
     pub fn plan(
         &mut self,
         gateways: &BTreeMap<NodeId, Option<ZoneName>>,
@@ -220,6 +220,11 @@
         let parts = self.parts.get(&gateway);
         let part = parts.and_then(|parts| parts.get(service));
         let (breadth, changed) = self.breadth(service);
+        if breadth == Breadth::Unsettled {
+            // Whoever knows engines from before goes on with them: this view may have
+            // begun anew, as all others may have.
+            return PartUpdate::default();
+        }
         let narrowed = breadth != Breadth::Whole && changed > since;
         match part {
             Some(part) => part.after(since, narrowed),
