A control node that was replaced holds up the loss of no engine

An engine is gone at a gateway once all control nodes that told of it lost it; one that no longer holds the control group never does. Seen on reading. The gateway forgets who told it when it stops watching a node; the test failed to compile before, there was no such call.

--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -31,6 +31,9 @@
     /// Takes in one update of one control node.
     fn update(&self, from: NodeId, update: ViewUpdate);
 
+    /// A control node is not watched any more: it does not hold the control group.
+    fn unwatched(&self, _node: NodeId) {}
+
     /// Version of the newest configuration that it has, if it needs configurations.
     fn version(&self) -> Option<u64> {
         None
@@ -91,7 +94,13 @@
     /// them nor seeds.
     fn watch_at(self: &Rc<Self>, control: &BTreeSet<NodeId>) {
         let mut watches = self.watches.borrow_mut();
-        watches.retain(|node, _| control.contains(node) || self.seeds.contains(node));
+        watches.retain(|node, _| {
+            let stays = control.contains(node) || self.seeds.contains(node);
+            if !stays {
+                self.sink.unwatched(*node);
+            }
+            stays
+        });
         for &node in control {
             if watches.len() >= MOST_WATCHED || watches.contains_key(&node) {
                 continue;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -375,6 +375,10 @@
         self.take_topology(from, update.topology);
     }
 
+    fn unwatched(&self, node: NodeId) {
+        self.engines.borrow_mut().forget_teller(node);
+    }
+
     fn version(&self) -> Option<u64> {
         let in_force = self.in_force.borrow();
         Some(in_force.as_ref().map_or(0, |held| held.version))
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -184,6 +184,15 @@
         }
     }
 
+    /// A control node says nothing any more: an engine that it alone knew is gone, and
+    /// it holds up the loss of no other.
+    pub fn forget_teller(&mut self, from: NodeId) {
+        self.engines.retain(|_, engine| {
+            let told = engine.known_by.remove(&from);
+            !told || !engine.known_by.is_empty()
+        });
+    }
+
     /// A control node says how many gateways use each engine of a service, `None` for
     /// all, and, unless nothing was taken from this one, which engines it knows for it.
     pub fn use_part(
--- a/crates/routing/tests/dispatch.rs
+++ b/crates/routing/tests/dispatch.rs
@@ -832,6 +832,17 @@
     assert!(table.is_present("e1"));
 }
 
+#[test]
+fn a_control_node_that_was_replaced_holds_up_no_loss() {
+    let mut table = table(&[(1, "near"), (2, "near")]);
+    table.learn(OTHER_CONTROL, facts(1, "near"), now(0));
+    table.forget_teller(CONTROL);
+    assert!(table.is_present("e1"));
+    assert!(!table.is_present("e2"), "nobody else knows it");
+    table.lose(OTHER_CONTROL, "e1");
+    assert!(!table.is_present("e1"));
+}
+
 #[test]
 fn batch_room_is_shared_among_the_gateways_that_use_the_engines() {
     let engines: Vec<(u8, &str)> = (1..=50).map(|number| (number, "near")).collect();
