Relays do not pass on that engines merely answer

Seen in: 11.5 MB a second at the busiest relay, 41 KB a second at a gateway, where 19 are allowed. An engine that answered somebody within the last second is told of, and a short call takes 60 ms: of the engines in a telling one in ten has any work. That engines answer matters to one whom they failed, or of whom they failed others; the relay knows. The test counts what two gateways hear.

--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -104,6 +104,13 @@
         self.requests + self.failing + self.answering + self.errors == 0
     }
 
+    /// Whether it says anything to one whom the engine never failed: that it answers others
+    /// matters only where it fails some of them.
+    #[must_use]
+    pub fn is_news_to_others(&self) -> bool {
+        self.requests + self.failing + self.errors > 0
+    }
+
     /// So many times as much work; what was experienced stays.
     pub fn multiply(&mut self, by: f64) {
         self.requests = (f64::from(self.requests) * by).round() as u32;
--- a/crates/routing/src/dispatch/relay.rs
+++ b/crates/routing/src/dispatch/relay.rs
@@ -247,9 +247,12 @@
 }
 
 /// What all have at an engine less what `own` has there, which is part of it; `None` if
-/// that is nothing.
+/// that says nothing. Most engines that are told of have only just answered somebody,
+/// which matters to one whom the engine failed, or of whom it failed others.
 fn without(all: &WorkShare, own: &[WorkShare]) -> Option<WorkShare> {
     let own = own.iter().find(|own| own.engine == all.engine);
     let rest = own.map_or_else(|| all.clone(), |own| all.without(own));
-    (!rest.is_empty()).then_some(rest)
+    let failed_own = own.is_some_and(|own| own.errors > 0);
+    let matters = rest.is_news_to_others() || (failed_own && !rest.is_empty());
+    matters.then_some(rest)
 }
--- a/crates/routing/tests/relay.rs
+++ b/crates/routing/tests/relay.rs
@@ -248,3 +248,40 @@
     // When gateways compete for slots they hear of each other soon.
     assert_eq!(pause(128, 4, 1_000), 50);
 }
+
+#[test]
+fn engines_that_only_answered_are_not_told_on() {
+    let fared = |engine: &str, failing, answering, errors| WorkShare {
+        failing,
+        answering,
+        errors,
+        answers: 10,
+        ..share(engine, 0, 0, 0)
+    };
+    let mut relay = WorkRelay::default();
+    let of_a = vec![
+        fared("answers", 0, 1, 0),
+        fared("errs", 0, 1, 3),
+        fared("fails", 1, 0, 0),
+    ];
+    relay.note(A, Teller::Gateway, of_a, at(0));
+    let of_b = vec![fared("answers", 0, 1, 0), fared("fails", 0, 1, 0)];
+    relay.note(B, Teller::Gateway, of_b, at(0));
+    let told = told(&relay);
+    let engines = |shares: &[WorkShare]| {
+        let engines = shares.iter().map(|share| share.engine.clone());
+        engines.collect::<Vec<String>>()
+    };
+    assert_eq!(engines(&told[&B]), ["errs", "fails"]);
+    // It fails nobody else, and whom it failed hears so.
+    assert_eq!(engines(&told[&A]), Vec::<String>::new());
+    relay.note(B, Teller::Gateway, vec![fared("errs", 0, 1, 0)], at(0));
+    assert_eq!(engines(&self::told(&relay)[&A]), ["errs"]);
+    let of_b = vec![fared("answers", 0, 1, 0), fared("fails", 0, 1, 0)];
+    relay.note(B, Teller::Gateway, of_b, at(0));
+    // Other relays add up who answers, and hear of all.
+    assert_eq!(
+        engines(&relay.sum_of_gateways()),
+        ["answers", "errs", "fails"]
+    );
+}
