An engine that comes, leaves or falls silent answers those who use it alone

Seen in: 194 engines leave at 2.0 s and their departures are acknowledged 654 ms later at the median, 1,457 at the most, since each wake of 986 watchers answered all of them. A departure of an engine of few gateways goes at once to those, and to the others with the next answer they get, within 2 s: it binds them in case that a control node that was cut off tells them of the engine.

Weighed: not telling the others at all. A gateway that hears of the engine from a stale node would then use it behind the acknowledgement.

--- a/crates/fleet/src/control/hub.rs
+++ b/crates/fleet/src/control/hub.rs
@@ -68,6 +68,8 @@
     configuration_since: Timestamp,
     departures: BTreeMap<String, (Departure, u64)>,
     departure_log: ChangeLog<String>,
+    /// The last change at which an engine left that every gateway may use.
+    departure_for_all: u64,
     /// Bars on requests, with the change of this view that brought them.
     bars: BTreeMap<RequestDigest, (Bar, u64)>,
     bars_changed: u64,
@@ -115,6 +117,7 @@
             configuration_since: now,
             departures: BTreeMap::new(),
             departure_log: ChangeLog::default(),
+            departure_for_all: 0,
             bars: BTreeMap::new(),
             bars_changed: 0,
             topology,
@@ -416,6 +419,9 @@
             if known.is_none_or(|(known, _)| known < departure) {
                 let engine = engine.to_owned();
                 let before = known.map(|(_, before)| before);
+                if before.is_none() && !self.has_few_users(&engine) {
+                    self.departure_for_all = change;
+                }
                 self.departure_log.note(&engine, before, change);
                 self.registry.remove(&engine);
                 self.departures.insert(engine, (departure, change));
@@ -426,6 +432,12 @@
         changed
     }
 
+    /// Whether an engine is known to be used by few gateways.
+    fn has_few_users(&self, engine: &str) -> bool {
+        let record = self.registry.record(engine);
+        record.is_some_and(|record| self.subsets.users(&record.service, engine).is_some())
+    }
+
     fn take_bars(&mut self, declared: &DeclaredState, change: u64) -> bool {
         let held = declared.bars();
         self.bars.retain(|request, _| held.get(request).is_some());
@@ -470,7 +482,10 @@
         true
     }
 
-    /// Whether there is anything behind `since` that a watcher is to hear of now.
+    /// Whether there is anything behind `since` that a watcher is to hear of now. An engine
+    /// of few gateways that leaves is told to the others with the next answer they get: it
+    /// binds them in case that another control node, which was cut off, tells them of the
+    /// engine.
     fn is_news(&self, watch: &WatchView, since: u64, now: Timestamp) -> bool {
         if watch.kind == WatcherKind::Store {
             return self.topology_changed > since;
@@ -480,15 +495,14 @@
             .is_some_and(|due| now >= due);
         let of_all = [
             self.topology_changed,
-            self.departure_log.last(),
+            self.departure_for_all,
             self.bars_changed,
-            self.registry.last_lost(),
         ];
         due || of_all.iter().any(|changed| *changed > since)
             || self.subsets.is_news(watch.node, since)
             || self
                 .whole_services()
-                .any(|service| self.registry.last_change(service) > since)
+                .any(|service| self.registry.changed_since(service, since))
     }
 
     /// From when on a watcher is to hear of the configuration here; `None` if it has it
--- a/crates/fleet/src/control/registry.rs
+++ b/crates/fleet/src/control/registry.rs
@@ -54,6 +54,8 @@
     slots: u64,
     /// Engines that fell silent or whose address was taken, by the change.
     lost: BTreeMap<u64, Vec<Lost>>,
+    /// The last change that lost an engine of a service.
+    last_lost: BTreeMap<String, u64>,
     /// What happened since it was asked for.
     news: Vec<News>,
     /// Addresses that engines lost to later ones. A heartbeat that a cut held up
@@ -74,6 +76,7 @@
             changes: BTreeMap::new(),
             slots: 0,
             lost: BTreeMap::new(),
+            last_lost: BTreeMap::new(),
             news: Vec::new(),
             displaced: BTreeMap::new(),
             displaced_order: VecDeque::new(),
@@ -158,9 +161,11 @@
 
     fn lose(&mut self, id: &str, change: u64) {
         if let Some(entry) = self.forget(id) {
+            let service = entry.record.service;
+            self.last_lost.insert(service.clone(), change);
             let lost = Lost {
                 id: id.to_owned(),
-                service: entry.record.service,
+                service,
             };
             self.lost.entry(change).or_default().push(lost);
         }
@@ -210,9 +215,11 @@
         self.slots
     }
 
-    /// The last change of an engine of a service that is there.
-    pub(super) fn last_change(&self, service: &str) -> u64 {
-        self.changes.get(service).map_or(0, ChangeLog::last)
+    /// Whether an engine of a service came, changed or was lost behind `since`.
+    pub(super) fn changed_since(&self, service: &str, since: u64) -> bool {
+        let changed = self.changes.get(service).map_or(0, ChangeLog::last);
+        let lost = self.last_lost.get(service).copied().unwrap_or_default();
+        changed.max(lost) > since
     }
 
     /// What an engine last said.
@@ -233,11 +240,6 @@
         told.map(|one| one.id.clone()).collect()
     }
 
-    /// The last change that lost an engine.
-    pub(super) fn last_lost(&self) -> u64 {
-        self.lost.last_key_value().map_or(0, |(change, _)| *change)
-    }
-
     /// What happened to engines since this was last called.
     pub(super) fn take_news(&mut self) -> Vec<News> {
         std::mem::take(&mut self.news)
--- a/crates/fleet/tests/subsets.rs
+++ b/crates/fleet/tests/subsets.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use futures_lite::future::block_on;
+use futures_lite::future::{self, block_on};
 use molespan_daemon::boot_clock::BootClock;
 use molespan_fleet::control::Hub;
 use molespan_fleet::view::{EngineRecord, ViewUpdate};
@@ -64,6 +64,7 @@
         fleet.wait(Duration::from_secs(5));
         fleet.watch_all(gateways);
         fleet.hub.expire();
+        fleet.take();
         fleet.watch_all(gateways);
         fleet
     }
@@ -183,6 +184,52 @@
     );
 }
 
+/// How many gateways a change answers at once.
+fn woken(fleet: &mut Fleet, gateways: usize) -> usize {
+    let answered = (0..gateways).filter(|&place| {
+        let gateway = node(place);
+        let watch = WatchView {
+            node: gateway,
+            kind: WatcherKind::Gateway,
+            mark: fleet.marks[&gateway],
+            wait_ms: 60_000,
+            zone: Some(zone(place)),
+            version: Some(0),
+            told_elsewhere: true,
+        };
+        block_on(future::poll_once(fleet.hub.watch(&watch))).is_some()
+    });
+    answered.count()
+}
+
+#[test]
+fn an_engine_that_comes_or_leaves_answers_those_who_use_it_alone() {
+    let answered_by = |gateways: usize, engines: usize| {
+        let mut fleet = Fleet::settled(gateways, engines);
+        assert_eq!(woken(&mut fleet, gateways), 0);
+        fleet.depart(&engine(7).id);
+        let of_departure = woken(&mut fleet, gateways);
+        fleet.watch_all(gateways);
+        fleet.hub.hear(engine(engines));
+        let of_new = woken(&mut fleet, gateways);
+        fleet.watch_all(gateways);
+        // Silent engines are lost, one of them a while before the others.
+        fleet.wait(SILENCE / 2);
+        (0..engines).filter(|&place| place != 9).for_each(|place| {
+            fleet.hub.hear(engine(place));
+        });
+        fleet.watch_all(gateways);
+        fleet.wait(SILENCE / 2);
+        fleet.watch_all(gateways);
+        fleet.hub.expire();
+        (of_departure, of_new, woken(&mut fleet, gateways))
+    };
+    let (of_departure, of_new, of_lost) = answered_by(120, 3_000);
+    assert_eq!((of_departure, of_new), (32, 32));
+    assert!(of_lost <= 64, "that engine, and the new one: {of_lost}");
+    assert_eq!(answered_by(240, 6_000).0, of_departure);
+}
+
 #[test]
 fn an_engine_that_takes_an_address_is_told_to_its_users_and_the_other_taken_back() {
     let gateways = 120;
