A gateway that is cut off turns jobs away in time for another to keep them

Now a gateway that hears of no other node for 700 ms while its job is not answered gives it up, as one that may be kept; until it hears something it turns jobs away at once, as not kept.

Weighed: a shorter time for every job, or as many silent stores; both turn jobs away from every gateway where the stores themselves are away for a second, when there is nobody else to take them. Among up to 12 gateways too little is heard to tell, and nothing changes.

--- a/crates/proxy/src/batch/api.rs
+++ b/crates/proxy/src/batch/api.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use async_io::Timer;
+use futures_lite::future;
 use molespan_daemon::cluster::ClusterError;
 use molespan_daemon::wall_clock::unix_millis;
 use molespan_http::h1::Answer;
@@ -15,9 +17,12 @@
 use crate::dialect::{BatchCall, BatchOutcome, GatewayDialect, JobResult};
 use crate::request::CallerRequest;
 use crate::state::GatewayState;
+use crate::work_shares::MOST_DIRECT;
 
 /// Longest time for a job to be committed.
 const SUBMIT_DEADLINE: Duration = Duration::from_millis(1_500);
+/// Time between two looks whether other nodes are heard while a job is handed in.
+const HEARING_LOOK: Duration = Duration::from_millis(50);
 /// Longest time for a read or an end.
 const CALL_DEADLINE: Duration = Duration::from_millis(900);
 /// Bytes of results in one answer, unless the first one is longer. Each answer is
@@ -63,14 +68,36 @@
         tenant: tenant.map(str::to_owned),
         max_queued_tokens: route.max_queued_tokens,
     }));
-    let outcome = match state.batch.change_batch(&command, SUBMIT_DEADLINE).await {
+    let outcome = match state.hearing.get().is_cut_off() {
+        true => UNAVAILABLE,
+        false => future::or(keep(state, &command), cut_off(state)).await,
+    };
+    info!(state.logger, "job"; "job" => id, "items" => count, "outcome" => name(&outcome));
+    dialect.batch_answer(outcome)
+}
+
+async fn keep(state: &GatewayState, command: &BatchCommand) -> BatchOutcome {
+    match state.batch.change_batch(command, SUBMIT_DEADLINE).await {
         Ok(BatchReply::Kept) => BatchOutcome::Kept,
         Ok(BatchReply::QueueFull) => QUEUE_FULL,
         Ok(_) => UNAVAILABLE,
         Err(error) => failed(&error),
-    };
-    info!(state.logger, "job"; "job" => id, "items" => count, "outcome" => name(&outcome));
-    dialect.batch_answer(outcome)
+    }
+}
+
+/// Ends once this gateway takes itself for cut off. The job may have been sent; whoever
+/// hands it in again elsewhere finds it, or has it kept there. Among few gateways too
+/// little is heard to tell.
+async fn cut_off(state: &GatewayState) -> BatchOutcome {
+    let began = state.now();
+    loop {
+        Timer::after(HEARING_LOOK).await;
+        let mut hearing = state.hearing.get();
+        if state.gateways() > MOST_DIRECT && hearing.gives_up(began, state.now()) {
+            state.hearing.set(hearing);
+            return BatchOutcome::Uncertain;
+        }
+    }
 }
 
 /// Names the queue whose waiting tokens are counted together. No header, and so no
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -14,6 +14,7 @@
 use molespan_routing::dispatch::{
     EngineFacts, EngineTable, Picked, RelayChoice, WeightedSplit, WorkClass,
 };
+use molespan_routing::hearing::Hearing;
 use molespan_routing::quota::TenantTable;
 use molespan_routing::suspects::SuspectTable;
 use molespan_state::declared::{Route, ServingModel};
@@ -100,6 +101,8 @@
     in_force: RefCell<Option<Rc<InForce>>>,
     topology: RefCell<Topology>,
     topology_view: RefCell<TopologyView>,
+    /// What it hears of the other nodes.
+    pub hearing: Cell<Hearing>,
     /// Wakes the telling of what this gateway has at engines and saw of them.
     told_soon: (Sender<()>, Receiver<()>),
     /// Set when a planned stop began.
@@ -141,6 +144,7 @@
             in_force: RefCell::default(),
             topology: RefCell::default(),
             topology_view: RefCell::default(),
+            hearing: Cell::default(),
             told_soon: async_channel::bounded(1),
             stopping: Cell::new(false),
             closing_idle: async_channel::bounded(1),
@@ -276,6 +280,13 @@
         self.engines.borrow_mut().answered(engine, true, now);
     }
 
+    /// Another node said something.
+    pub fn note_heard(&self) {
+        let mut hearing = self.hearing.get();
+        hearing.note(self.now());
+        self.hearing.set(hearing);
+    }
+
     /// Other gateways are to hear at once of what is new here.
     pub fn tell_soon(&self) {
         let _told_already = self.told_soon.0.try_send(());
@@ -354,6 +365,7 @@
 
 impl ViewSink for GatewayState {
     fn update(&self, from: NodeId, update: ViewUpdate) {
+        self.note_heard();
         if let Some(configuration) = update.configuration {
             self.take_configuration(configuration.version, configuration.model);
         }
--- a/crates/proxy/src/work_shares.rs
+++ b/crates/proxy/src/work_shares.rs
@@ -36,7 +36,7 @@
 const BUSY_OCCUPANCY: f64 = 0.4;
 /// Gateways that tell each other directly at the most. The messages grow with
 /// the square of their number; through relays they do not.
-const MOST_DIRECT: u32 = MOST_NAMED as u32;
+pub(crate) const MOST_DIRECT: u32 = MOST_NAMED as u32;
 /// What did not change is told again after this many intervals.
 const REPEATED_AFTER: u32 = 6;
 /// Shortest time between two tellings of what tenants use while they have plenty.
@@ -121,6 +121,7 @@
     let mut failing = BTreeSet::new();
     while let Ok(told) = telling.recv().await {
         let now = state.now();
+        state.note_heard();
         if told.relayed {
             state.relay.borrow_mut().heard(told.from, now);
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod batch;
 mod decay;
 pub mod dispatch;
+pub mod hearing;
 pub mod pick;
 pub mod placement;
 pub mod quota;
