Control nodes do not keep engines that fell silent, nor tell each other what they were told

Each second a control node told the members of the group of every engine that it had heard of since, those included that the others had told it of. Two members so kept an engine that had crashed for good, told of by each to the other, and every heartbeat went V times over the V x (V - 1) ways between them: at 10,000 engines 25,000 records a second into each member, on paper 6.5 MB a second in all.

Now a node tells of engines that called it last, and what it is told counts if it is newer. Two tests in crates/fleet/tests/control.rs failed before: a silent engine is lost at three nodes that tell each other, and a node tells of engines that called it alone. Records that cannot be read leave a line.

--- a/crates/fleet/src/control/hub.rs
+++ b/crates/fleet/src/control/hub.rs
@@ -159,13 +159,28 @@
     /// Takes a heartbeat of an engine in, unless it is known to leave. Says
     /// whether it told anything new.
     pub fn hear(&self, record: EngineRecord) -> bool {
+        self.take_heartbeat(record, Registry::hear)
+    }
+
+    /// Takes in engines that another control node heard.
+    pub fn hear_elsewhere(&self, records: Vec<EngineRecord>) {
+        for record in records {
+            self.take_heartbeat(record, Registry::hear_elsewhere);
+        }
+    }
+
+    fn take_heartbeat(
+        &self,
+        record: EngineRecord,
+        hear: fn(&mut Registry, EngineRecord, Timestamp, u64) -> bool,
+    ) -> bool {
         let now = self.now();
         let mut state = self.lock();
         if state.departures.contains_key(&record.id) {
             return false;
         }
         let change = state.revision + 1;
-        let changed = state.registry.hear(record, now, change);
+        let changed = hear(&mut state.registry, record, now, change);
         if changed {
             state.assign(change);
             state.changed();
--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -21,7 +21,7 @@
 use molespan_telemetry::part_logger;
 use molespan_types::{GroupId, NodeId, Timestamp, ZoneName};
 use molespan_wire::{Consistency, Handler, Request, Response, Server, ServerLimits};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 
 use super::api::ControlApi;
 use super::dialect::ControlDialect;
@@ -99,6 +99,7 @@
     replica: Arc<ReplicaRole>,
     hub: Arc<Hub>,
     work: Arc<RelayedWork>,
+    logger: Logger,
 }
 
 impl Handler for PeerHandler {
@@ -112,9 +113,10 @@
     fn notify(&self, request: Request) {
         match request {
             Request::EnginesHeard { records } => {
-                let records = molespan_state::decode::<Vec<EngineRecord>>(&records);
-                for record in records.unwrap_or_default() {
-                    self.hub.hear(record);
+                match molespan_state::decode::<Vec<EngineRecord>>(&records) {
+                    Ok(records) => self.hub.hear_elsewhere(records),
+                    Err(error) => warn!(self.logger, "engines heard elsewhere not read";
+                        "bytes" => records.len(), "error" => %error),
                 }
             }
             Request::EngineWork {
@@ -174,6 +176,7 @@
             replica: replica.clone(),
             hub: hub.clone(),
             work: work.clone(),
+            logger: logger.clone(),
         };
         executor
             .spawn(server.serve(executor.clone(), Arc::new(handler)))
--- a/crates/fleet/src/control/registry.rs
+++ b/crates/fleet/src/control/registry.rs
@@ -17,6 +17,8 @@
 struct Entry {
     record: EngineRecord,
     heard: Timestamp,
+    /// Whether it was this node that it called last.
+    called_here: bool,
     /// Change of the view at which it was new or changed.
     changed: u64,
 }
@@ -84,15 +86,31 @@
         }
     }
 
-    /// Takes a heartbeat in. `change` is the number that a change gets; says
-    /// whether there was one.
+    /// Takes a heartbeat in that came to this node. `change` is the number that a change
+    /// gets; says whether there was one.
     pub fn hear(&mut self, record: EngineRecord, now: Timestamp, change: u64) -> bool {
+        self.note(record, true, now, change)
+    }
+
+    /// The same of a heartbeat that came to another control node. One that is not newer
+    /// than what is known says nothing: nodes that pass on to each other what they were
+    /// told would keep an engine that has crashed for good.
+    pub fn hear_elsewhere(&mut self, record: EngineRecord, now: Timestamp, change: u64) -> bool {
+        let known = self.engines.get(&record.id);
+        if known.is_some_and(|known| record.sequence <= known.record.sequence) {
+            return false;
+        }
+        self.note(record, false, now, change)
+    }
+
+    fn note(&mut self, record: EngineRecord, here: bool, now: Timestamp, change: u64) -> bool {
         if let Some(entry) = self.engines.get_mut(&record.id) {
             if record.sequence < entry.record.sequence {
                 return false;
             }
             if entry.record.is_same_engine(&record) {
                 entry.heard = now;
+                entry.called_here = here;
                 entry.record = record;
                 return false;
             }
@@ -101,11 +119,11 @@
             return false;
         }
         self.displace(&record.address, change);
-        self.insert(record, now, change);
+        self.insert(record, here, now, change);
         true
     }
 
-    fn insert(&mut self, record: EngineRecord, now: Timestamp, change: u64) {
+    fn insert(&mut self, record: EngineRecord, here: bool, now: Timestamp, change: u64) {
         let id = record.id.clone();
         let log = self.changes.entry(record.service.clone()).or_default();
         log.note(&id, None, change);
@@ -118,6 +136,7 @@
         });
         let entry = Entry {
             heard: now,
+            called_here: here,
             changed: change,
             record,
         };
@@ -245,9 +264,12 @@
         std::mem::take(&mut self.news)
     }
 
-    /// Engines heard at `since` or later, for telling other control nodes.
+    /// Engines that called this node at `since` or later, for telling other control nodes.
+    /// Whom they called last tells of them: if each node told all that it had heard, every
+    /// heartbeat would go from each of them to all others.
     pub fn heard_since(&self, since: Timestamp) -> Vec<EngineRecord> {
-        let engines = self.engines.values().filter(|entry| entry.heard >= since);
+        let engines = self.engines.values();
+        let engines = engines.filter(|entry| entry.called_here && entry.heard >= since);
         engines.map(|entry| entry.record.clone()).collect()
     }
 }
--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -82,6 +82,48 @@
     assert_eq!(ids(&registry.changed_after(0)), ["a", "b"]);
 }
 
+#[test]
+fn control_nodes_do_not_keep_a_silent_engine_alive_by_telling_each_other() {
+    let skipped = Arc::new(AtomicU64::new(0));
+    let hub = || Hub::new("a".into(), SILENCE, BootClock::skipping(skipped.clone()));
+    let hubs = [hub(), hub(), hub()];
+    hubs[0].hear(record("a", "1:1", 1));
+    let mut since = [Timestamp::ZERO; 3];
+    for _ in 0..20 {
+        let now = [0, 1, 2].map(|place: usize| hubs[place].now());
+        let told = [0, 1, 2].map(|place| hubs[place].heard_since(since[place]));
+        since = now;
+        for (teller, records) in told.iter().enumerate() {
+            let others = hubs
+                .iter()
+                .enumerate()
+                .filter(|(place, _)| *place != teller);
+            for (_, other) in others {
+                other.hear_elsewhere(records.clone());
+            }
+        }
+        hubs.iter().for_each(Hub::expire);
+        skipped.fetch_add(1_000_000, Ordering::Relaxed);
+    }
+    for hub in &hubs {
+        let (_, update) = watch(hub, WatcherKind::Gateway, ViewMark::default());
+        assert_eq!(ids(&update.engines), Vec::<&str>::new());
+    }
+}
+
+#[test]
+fn a_control_node_tells_others_of_the_engines_that_call_it_alone() {
+    let hub = Hub::new("a".into(), SILENCE, BootClock::start());
+    hub.hear(record("a", "1:1", 1));
+    hub.hear_elsewhere(vec![record("b", "2:2", 1)]);
+    assert_eq!(ids(&hub.heard_since(Timestamp::ZERO)), ["a"]);
+    // One that calls elsewhere from now on is told by that node.
+    hub.hear_elsewhere(vec![record("a", "1:1", 2)]);
+    assert_eq!(ids(&hub.heard_since(Timestamp::ZERO)), Vec::<&str>::new());
+    hub.hear(record("b", "2:2", 2));
+    assert_eq!(ids(&hub.heard_since(Timestamp::ZERO)), ["b"]);
+}
+
 fn watch(hub: &Hub, kind: WatcherKind, mark: ViewMark) -> (ViewMark, ViewUpdate) {
     let watch = WatchView {
         node: NodeId(7),
