Control nodes without the group tell who holds it, and are watched besides

Seen on reading: a gateway that starts with seeds that do not hold the group watched those three and two voters in place of five, and each of the three told it of the engines that had called it, as one of few gateways that it counts: 400 of 10,000 engines each, growing with the engines. Now such a node tells of the cluster alone, and does not count among the five. A mark of before it held the group is void; the test failed without that.

--- a/crates/fleet/src/control/hub.rs
+++ b/crates/fleet/src/control/hub.rs
@@ -56,8 +56,13 @@
 
 #[derive(Debug)]
 struct State {
+    /// Names this view to those who watch it.
+    session: u64,
     revision: u64,
     registry: Registry,
+    /// Whether this node holds the control group. Another one is called by engines and
+    /// asked by whoever was given it as a seed; its view is not whole.
+    is_member: bool,
     /// Which gateways use which engines.
     subsets: Subsets,
     /// When the view began, as gateways had to find it first.
@@ -91,7 +96,6 @@
 /// The view of one control node.
 #[derive(Debug)]
 pub struct Hub {
-    session: u64,
     clock: BootClock,
     state: Mutex<State>,
     unannounced: Receiver<()>,
@@ -108,8 +112,10 @@
         let now = clock.now();
         let (sender, unannounced) = async_channel::bounded(1);
         let state = State {
+            session: rand::random(),
             revision: 1,
             registry: Registry::new(silence),
+            is_member: true,
             subsets: Subsets::default(),
             began: now,
             configuration: None,
@@ -130,7 +136,6 @@
             unannounced: sender,
         };
         Self {
-            session: rand::random(),
             clock,
             state: Mutex::new(state),
             unannounced,
@@ -240,6 +245,18 @@
         }
     }
 
+    /// Says whether this node holds the control group. If not, it tells who does, and
+    /// nothing else: of few gateways and few engines it would reckon that all use all.
+    pub fn set_member(&self, is_member: bool) {
+        let mut state = self.lock();
+        if state.is_member != is_member {
+            state.is_member = is_member;
+            // What watchers have of it says nothing of what they were not told.
+            state.session = rand::random();
+            state.changed();
+        }
+    }
+
     /// Nodes that hold the control group, as this node's replica knows.
     #[must_use]
     pub fn control_nodes(&self) -> BTreeSet<NodeId> {
@@ -290,10 +307,6 @@
 
     /// Answers a watch, at once or when something is newer.
     pub async fn watch(&self, watch: &WatchView) -> Response {
-        let mut since = match watch.mark.session == self.session {
-            true => watch.mark.revision,
-            false => 0,
-        };
         let wait = Duration::from_millis(u64::from(watch.wait_ms)).min(LONGEST_WAIT);
         let ends = self.now() + wait;
         loop {
@@ -302,9 +315,12 @@
                 let now = self.now();
                 state.note_asked(now);
                 state.note_watcher(watch, now);
-                since = since.min(state.revision);
+                let since = match watch.mark.session == state.session {
+                    true => watch.mark.revision.min(state.revision),
+                    false => 0,
+                };
                 if state.is_news(watch, since, now) || now >= ends {
-                    return self.response(&state, watch, since, now);
+                    return Self::response(&state, watch, since, now);
                 }
                 let due = state.configuration_due(watch, since);
                 (state.wakeup.waiter(), due.unwrap_or(ends).min(ends))
@@ -316,11 +332,11 @@
         }
     }
 
-    fn response(&self, state: &State, watch: &WatchView, since: u64, now: Timestamp) -> Response {
+    fn response(state: &State, watch: &WatchView, since: u64, now: Timestamp) -> Response {
         let update = state.update_after(watch, since, now);
         Response::View {
             mark: ViewMark {
-                session: self.session,
+                session: state.session,
                 revision: state.revision,
             },
             update: molespan_state::encode(&update).into(),
@@ -497,12 +513,17 @@
         true
     }
 
+    /// Whether a watcher is told more here than what the cluster is.
+    fn tells_all(&self, watch: &WatchView) -> bool {
+        self.is_member && watch.kind == WatcherKind::Gateway
+    }
+
     /// Whether there is anything behind `since` that a watcher is to hear of now. An engine
     /// of few gateways that leaves is told to the others with the next answer they get: it
     /// binds them in case that another control node, which was cut off, tells them of the
     /// engine.
     fn is_news(&self, watch: &WatchView, since: u64, now: Timestamp) -> bool {
-        if watch.kind == WatcherKind::Store {
+        if !self.tells_all(watch) {
             return self.topology_changed > since;
         }
         let due = self
@@ -523,7 +544,7 @@
     /// From when on a watcher is to hear of the configuration here; `None` if it has it
     /// or needs none.
     fn configuration_due(&self, watch: &WatchView, since: u64) -> Option<Timestamp> {
-        if watch.kind == WatcherKind::Store {
+        if !self.tells_all(watch) {
             return None;
         }
         let held = self.configuration.as_ref()?;
@@ -553,7 +574,7 @@
             topology,
             ..ViewUpdate::default()
         };
-        if watch.kind == WatcherKind::Store {
+        if !self.tells_all(watch) {
             return update;
         }
         if self
--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -233,6 +233,7 @@
         };
         let control = members(&status);
         if !control.is_empty() {
+            self.hub.set_member(control.contains(&self.own));
             let mut replicas: Vec<NodeId> = control.iter().copied().collect();
             replicas.sort_by_key(|&node| node != self.own);
             cluster.set_replicas(replicas);
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -23,7 +23,8 @@
 const TIMEOUT: Duration = Duration::from_secs(3);
 /// Pause after a watch that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Control nodes that a node watches at most.
+/// Control nodes that hold the group and that a node watches at most; seeds that do not
+/// are watched besides.
 pub(crate) const MOST_WATCHED: usize = 5;
 
 /// Takes in what a control node said.
@@ -101,10 +102,12 @@
             }
             stays
         });
+        let mut members = watches.keys().filter(|node| control.contains(node)).count();
         for &node in control {
-            if watches.len() >= MOST_WATCHED || watches.contains_key(&node) {
+            if members >= MOST_WATCHED || watches.contains_key(&node) {
                 continue;
             }
+            members += 1;
             let watcher = self.clone();
             let watch = async move { watcher.watch(node).await };
             watches.insert(node, self.executor.spawn(watch));
--- a/crates/fleet/tests/subsets.rs
+++ b/crates/fleet/tests/subsets.rs
@@ -354,6 +354,29 @@
     );
 }
 
+#[test]
+fn a_control_node_without_the_group_tells_who_holds_it_and_nothing_else() {
+    let mut fleet = Fleet::settled(2, 100);
+    fleet.declare(3);
+    fleet.hub.set_member(false);
+    fleet.marks.clear();
+    let (update, _) = fleet.watch(0, 0, false);
+    let control = update.topology.as_ref().map(|told| told.control.clone());
+    assert_eq!(control, Some(BTreeSet::from([NodeId(900_000)])));
+    assert_eq!(
+        ViewUpdate {
+            topology: None,
+            ..update
+        },
+        ViewUpdate::default()
+    );
+    // Once it holds the group, whoever asks gets what it did not.
+    fleet.hub.set_member(true);
+    let (update, _) = fleet.watch(0, 0, false);
+    assert_eq!(update.configuration.map(|held| held.version), Some(3));
+    assert_eq!(update.engines.len(), 100);
+}
+
 #[test]
 fn whoever_waits_sleeps_meanwhile() {
     let mut fleet = Fleet::settled(1, 10);
