A job is given up early only where another gateway can still keep it in time

The flag by which a cut-off gateway turned jobs away at once could not be told from an outage of all stores and control nodes at once, when every gateway would: a caller tries twice, 1.4 s in place of 3 s. Now each gateway waits 0.7 s for a word of any node, and the whole time where the route's target is under 1 s, which nobody could keep then.

--- a/crates/proxy/src/batch/api.rs
+++ b/crates/proxy/src/batch/api.rs
@@ -68,10 +68,7 @@
         tenant: tenant.map(str::to_owned),
         max_queued_tokens: route.max_queued_tokens,
     }));
-    let outcome = match state.hearing.get().is_cut_off() {
-        true => UNAVAILABLE,
-        false => future::or(keep(state, &command), cut_off(state)).await,
-    };
+    let outcome = future::or(keep(state, &command), cut_off(state, route)).await;
     info!(state.logger, "job"; "job" => id, "items" => count, "outcome" => name(&outcome));
     dialect.batch_answer(outcome)
 }
@@ -88,13 +85,13 @@
 /// Ends once this gateway takes itself for cut off. The job may have been sent; whoever
 /// hands it in again elsewhere finds it, or has it kept there. Among few gateways too
 /// little is heard to tell.
-async fn cut_off(state: &GatewayState) -> BatchOutcome {
+async fn cut_off(state: &GatewayState, route: &Route) -> BatchOutcome {
+    let target = Duration::from_millis(u64::from(route.target_latency_ms));
     let began = state.now();
     loop {
         Timer::after(HEARING_LOOK).await;
-        let mut hearing = state.hearing.get();
-        if state.gateways() > MOST_DIRECT && hearing.gives_up(began, state.now()) {
-            state.hearing.set(hearing);
+        let hearing = state.hearing.get();
+        if state.gateways() > MOST_DIRECT && hearing.gives_up(began, target, state.now()) {
             return BatchOutcome::Uncertain;
         }
     }
