A control node that was frozen, or begins, binds and keeps before it gives engines away

Seen on reading. Behind a freeze longer than 30 s a node counted no gateway, and would have told the first that asked of every engine: gateways are taken in only once it has been asked all the time for 4 s. And while a large service was nobody's, behind a restart of all control nodes, a departure waited for the next answer of those who know the engine from before, 2 s where 2 s are the bound: they hear at once.

--- a/crates/fleet/src/control/hub/answer.rs
+++ b/crates/fleet/src/control/hub/answer.rs
@@ -15,7 +15,7 @@
 
 impl State {
     /// Whether a watcher is told more here than what the cluster is.
-    pub fn tells_all(&self, watch: &WatchView) -> bool {
+    fn tells_all(&self, watch: &WatchView) -> bool {
         self.is_member && watch.kind == WatcherKind::Gateway
     }
 
@@ -64,11 +64,12 @@
     }
 
     /// Services of which every gateway uses every engine.
-    pub fn whole_services(&self) -> impl Iterator<Item = &str> {
+    fn whole_services(&self) -> impl Iterator<Item = &str> {
         let services = self.subsets.services();
         services.filter(|service| self.subsets.breadth(service).0 == Breadth::Whole)
     }
 
+    /// All that a watcher is to hear of behind `since`.
     pub fn update_after(&self, watch: &WatchView, since: u64, now: Timestamp) -> ViewUpdate {
         let topology = (self.topology_changed > since).then(|| self.topology.clone());
         let mut update = ViewUpdate {
@@ -103,13 +104,7 @@
     }
 
     /// Adds what a gateway is to hear of a service.
-    pub fn tell_service(
-        &self,
-        service: &str,
-        gateway: NodeId,
-        since: u64,
-        update: &mut ViewUpdate,
-    ) {
+    fn tell_service(&self, service: &str, gateway: NodeId, since: u64, update: &mut ViewUpdate) {
         let (breadth, changed) = self.subsets.breadth(service);
         let rebuilt = changed > since;
         let mut part = ServicePart {
--- a/crates/fleet/src/control/hub/state.rs
+++ b/crates/fleet/src/control/hub/state.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_channel::Sender;
-use molespan_routing::subset::Subsets;
+use molespan_routing::subset::{Breadth, Subsets};
 use molespan_state::declared::{Bar, DeclaredState, Departure, RequestDigest};
 use molespan_types::{NodeId, Timestamp, ZoneName};
 use molespan_wire::{WatchView, WatcherKind};
@@ -19,9 +19,10 @@
 /// How long the engines of a gateway that is gone wait for it: longer than a restart
 /// takes, and there are other gateways for each of them.
 const ENGINES_KEPT: Duration = Duration::from_secs(30);
-/// Time from the start of this node within which every gateway has asked, and every
-/// engine was heard, here or by another control node: they ask and say so each 2 s, and
-/// control nodes pass on what they heard once a second.
+/// Time from the start of this node, or from when it was last frozen or cut off, within
+/// which every gateway has asked, and every engine was heard, here or by another control
+/// node: they ask and say so each 2 s, and control nodes pass on what they heard once a
+/// second.
 const SETTLED_AFTER: Duration = PRESENCE;
 
 #[derive(Debug)]
@@ -44,8 +45,6 @@
     pub is_member: bool,
     /// Which gateways use which engines.
     pub subsets: Subsets,
-    /// When the view began, as gateways had to find it first.
-    pub began: Timestamp,
     pub configuration: Option<ConfigurationInForce>,
     pub configuration_changed: u64,
     /// When it came into force here.
@@ -85,7 +84,6 @@
             registry: Registry::new(silence),
             is_member: true,
             subsets: Subsets::default(),
-            began: now,
             configuration: None,
             configuration_changed: 0,
             configuration_since: now,
@@ -177,7 +175,7 @@
             .retain(|_, (_, at)| now.since(*at) < ENGINES_KEPT);
         let gateways = self.gateways.iter();
         let gateways = gateways.map(|(&node, (zone, _))| (node, zone.clone()));
-        let settled = now.since(self.began) >= SETTLED_AFTER;
+        let settled = now.since(self.in_touch_since) >= SETTLED_AFTER;
         self.subsets.plan(&gateways.collect(), settled, change)
     }
 
@@ -223,10 +221,14 @@
         changed
     }
 
-    /// Whether an engine is known to be used by few gateways.
+    /// Whether an engine is known to be used by few gateways. Before it is known who they
+    /// are, whoever knows the engine from before has to hear of it.
     pub fn has_few_users(&self, engine: &str) -> bool {
         let record = self.registry.record(engine);
-        record.is_some_and(|record| self.subsets.users(&record.service, engine).is_some())
+        record.is_some_and(|record| {
+            let (breadth, _) = self.subsets.breadth(&record.service);
+            matches!(breadth, Breadth::Few(_))
+        })
     }
 
     pub fn take_bars(&mut self, declared: &DeclaredState, change: u64) -> bool {
--- a/crates/fleet/tests/subsets.rs
+++ b/crates/fleet/tests/subsets.rs
@@ -61,9 +61,7 @@
         };
         fleet.hear_all(engines);
         fleet.watch_all(gateways);
-        fleet.wait(Duration::from_secs(5));
-        fleet.watch_all(gateways);
-        fleet.hub.expire();
+        fleet.pass(6, gateways, engines);
         fleet.take();
         fleet.watch_all(gateways);
         fleet
@@ -80,6 +78,16 @@
         self.skipped.fetch_add(micros, Ordering::Relaxed);
     }
 
+    /// Lets some seconds pass in which gateways and engines are heard as ever.
+    fn pass(&mut self, seconds: u64, gateways: usize, engines: usize) {
+        for _ in 0..seconds / 2 {
+            self.wait(Duration::from_secs(2));
+            self.hear_all(engines);
+            self.watch_all(gateways);
+            self.hub.expire();
+        }
+    }
+
     /// What a gateway hears now, and how many bytes that is.
     fn watch(&mut self, place: usize, version: u64, told_elsewhere: bool) -> (ViewUpdate, usize) {
         let gateway = node(place);
@@ -259,19 +267,9 @@
     let engines: Vec<String> = (0..3_000).map(|place| engine(place).id).collect();
     let engines: Vec<&str> = engines.iter().map(String::as_str).collect();
     let before = fleet.hub.users_of(&engines);
-    fleet.wait(Duration::from_secs(5));
-    fleet.watch_all(90);
-    fleet.hear_all(3_000);
-    fleet.hub.expire();
+    fleet.pass(6, 90, 3_000);
     assert_eq!(fleet.hub.users_of(&engines), before);
-    for _ in 0..4 {
-        fleet.wait(Duration::from_secs(8));
-        fleet.hear_all(3_000);
-        fleet.watch_all(90);
-        fleet.hub.expire();
-    }
-    let told = fleet.watch_all(90);
-    assert!(told.iter().any(|(update, _)| !update.engines.is_empty()));
+    fleet.pass(32, 90, 3_000);
     for users in fleet.hub.users_of(&engines) {
         let users = users.expect("few");
         assert!(users.iter().all(|user| user.0 <= 90), "{users:?}");
@@ -287,6 +285,7 @@
     let clock = BootClock::skipping(skipped.clone());
     fleet.hub = Hub::new("z0".into(), SILENCE, clock);
     fleet.skipped = skipped;
+    fleet.take();
     for heard in [100, 1_000, 2_000] {
         fleet.hear_all(heard);
         fleet.hub.expire();
@@ -297,15 +296,35 @@
         }
         fleet.wait(Duration::from_secs(1));
     }
-    fleet.hear_all(3_000);
-    fleet.wait(Duration::from_secs(3));
-    fleet.hub.expire();
+    // They know engines, and hear at once of one that leaves.
+    fleet.watch_all(gateways);
+    fleet.depart(&engine(7).id);
+    assert_eq!(woken(&mut fleet, gateways), gateways);
+    fleet.marks.clear();
+    fleet.pass(6, gateways, 3_000);
+    fleet.marks.clear();
     for (update, _) in fleet.watch_all(gateways) {
         let listed = update.parts[0].engines.as_ref().map(Vec::len);
         assert_eq!(listed, Some(update.engines.len()));
     }
 }
 
+#[test]
+fn a_control_node_that_was_frozen_gives_no_engines_away_before_it_heard_everybody() {
+    let gateways = 120;
+    let mut fleet = Fleet::settled(gateways, 3_000);
+    let engines: Vec<String> = (0..3_000).map(|place| engine(place).id).collect();
+    let engines: Vec<&str> = engines.iter().map(String::as_str).collect();
+    let before = fleet.hub.users_of(&engines);
+    fleet.wait(Duration::from_secs(60));
+    fleet.hear_all(3_000);
+    fleet.watch_all(3);
+    fleet.hub.expire();
+    assert_eq!(fleet.hub.users_of(&engines), before);
+    fleet.pass(6, gateways, 3_000);
+    assert_eq!(fleet.hub.users_of(&engines), before);
+}
+
 #[test]
 fn a_configuration_is_told_once_and_by_another_node_when_the_first_does_not() {
     let mut fleet = Fleet::settled(1, 0);
--- a/crates/routing/src/subset/mod.rs
+++ b/crates/routing/src/subset/mod.rs
@@ -122,7 +122,11 @@
         change: Change,
     ) -> bool {
         self.settled = settled;
-        let (came, went) = self.gateways.replace(gateways);
+        // Gateways that are not known yet, or not any more, may be there all the same.
+        let (came, went) = match settled {
+            true => self.gateways.replace(gateways),
+            false => (BTreeSet::new(), BTreeSet::new()),
+        };
         self.parts.retain(|gateway, _| !went.contains(gateway));
         let names: Vec<String> = self.services.keys().cloned().collect();
         let mut changed = false;
