Gateways tell metrics beside their readiness

Cause: the gateway of declared configurations counted nothing for operators; each part that decides needs a place for its figures. Refusals by reason and the wait until an engine was chosen are the first two groups. Ruled out: a listener of its own, which deployments would have to name and check for no gain. No decision changes.

--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -169,6 +169,9 @@
                 silence: self.silence(),
                 after_event,
             };
+            if self.runs + self.turned_away == 0 && self.outbound.class == WorkClass::Online {
+                self.state.metrics.waited(self.age());
+            }
             let engine = &picked.facts;
             debug!(self.state.logger, "attempt"; "request" => &self.outbound.id,
                 "engine" => &engine.id, "load" => picked.load,
--- a/crates/proxy/src/gateway.rs
+++ b/crates/proxy/src/gateway.rs
@@ -14,7 +14,7 @@
 use molespan_fleet::membership::cluster;
 use molespan_fleet::{Asker, ClusterAddresses, ViewWatcher};
 use molespan_http::h1::{self, Answer, Connection, RequestHead, Service, SocketOptions};
-use molespan_telemetry::part_logger;
+use molespan_telemetry::{METRICS_CONTENT_TYPE, part_logger};
 use molespan_types::ZoneName;
 use molespan_wire::WatcherKind;
 use slog::{Logger, info};
@@ -34,6 +34,9 @@
 /// Time between two looks at what is still in flight.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
+/// Where a gateway tells its metrics, beside its readiness.
+const METRICS_PATH: &str = "/metrics";
+
 /// What a gateway is started with.
 #[derive(Clone, Debug)]
 pub struct GatewayOptions {
@@ -66,7 +69,7 @@
     handed_over: Receiver<()>,
 }
 
-/// Tells whether the gateway is ready.
+/// Tells whether the gateway is ready, and its metrics.
 struct Readiness<D> {
     state: Rc<GatewayState>,
     dialect: Rc<D>,
@@ -74,6 +77,12 @@
 
 impl<D: GatewayDialect> Service for Readiness<D> {
     async fn call(&self, head: RequestHead, _body: Vec<u8>) -> Answer {
+        if head.method == "GET" && head.path() == METRICS_PATH {
+            let mut answer = Answer::empty(200);
+            answer.headers.set("Content-Type", METRICS_CONTENT_TYPE);
+            answer.body = self.state.metrics.encode().into_bytes();
+            return answer;
+        }
         if !self.dialect.is_readiness_call(&head) {
             return Answer::empty(404);
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,7 +7,8 @@
 //! are taken and read by `batch::api`, and their items run by `batch::runner`.
 //! What the gateway knows of the cluster is in `state`, and whose a request is and
 //! what its tenant may send in `tenants`. `engine_ends` finds out which engines ended
-//! under requests, and `bars` keeps guilty requests from all engines.
+//! under requests, and `bars` keeps guilty requests from all engines. What operators see
+//! of it in figures is in `metrics`.
 
 mod attempt;
 mod bars;
@@ -18,6 +19,7 @@
 mod engine_ends;
 mod events;
 mod gateway;
+mod metrics;
 mod pool;
 mod relay;
 mod request;
--- /dev/null
+++ b/crates/proxy/src/metrics.rs
@@ -0,0 +1,83 @@
+//! What a gateway counts for operators, in the Prometheus text format.
+//!
+//! Each part of the gateway that decides has a group of its own here.
+
+use std::time::Duration;
+
+use molespan_telemetry::Metrics;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+
+use crate::dialect::Refusal;
+
+/// Upper bounds of the buckets of waits, in seconds.
+const WAIT_BOUNDS: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0];
+
+/// One label of a counter.
+type Label = [(&'static str, &'static str); 1];
+
+/// What a gateway counts.
+#[derive(Clone, Debug)]
+pub(crate) struct GatewayMetrics {
+    registry: Metrics,
+    refusals: Family<Label, Counter>,
+    waits: Histogram,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        let registry = Metrics::default();
+        let refusals = registry.register(
+            "gateway_refusals",
+            "Online requests that the gateway itself answered, by reason",
+            Family::default(),
+        );
+        Self {
+            refusals,
+            waits: registry.histogram(
+                "gateway_engine_wait_seconds",
+                "Time from a request's arrival until an engine was chosen for its first attempt",
+                &WAIT_BOUNDS,
+            ),
+            registry,
+        }
+    }
+}
+
+impl GatewayMetrics {
+    /// All of them as text.
+    pub fn encode(&self) -> String {
+        self.registry.encode()
+    }
+
+    /// The gateway answered a request itself.
+    pub fn refused(&self, refusal: Refusal) {
+        self.refusals
+            .get_or_create(&[("reason", reason(refusal))])
+            .inc();
+    }
+
+    /// An engine was chosen for the first attempt of a request.
+    pub fn waited(&self, wait: Duration) {
+        self.waits.observe(wait.as_secs_f64());
+    }
+}
+
+fn reason(refusal: Refusal) -> &'static str {
+    match refusal {
+        Refusal::NoConfiguration { .. } => "no_configuration",
+        Refusal::NoRoute => "no_route",
+        Refusal::UnknownKey => "unknown_key",
+        Refusal::OverLimit { .. } => "over_limit",
+        Refusal::Busy { .. } => "busy",
+        Refusal::Barred { .. } => "barred",
+        Refusal::TooLate => "too_late",
+        Refusal::TimedOut => "timed_out",
+        Refusal::AnswerLost => "answer_lost",
+        Refusal::Malformed => "malformed",
+        Refusal::HeadTooLong => "head_too_long",
+        Refusal::BodyTooLong => "body_too_long",
+        Refusal::Slow => "slow",
+    }
+}
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -51,7 +51,7 @@
         let refusal = Refusal::NoConfiguration {
             retry_after: KNOWS_SOON,
         };
-        return refuse(dialect, caller, refusal, keep_alive).await;
+        return refuse(state, dialect, caller, refusal, keep_alive).await;
     };
     let credential = dialect.credential(&request.head.headers);
     if let Some(call) = dialect.batch_call(&request.head) {
@@ -65,14 +65,14 @@
     let Some(route) = in_force.model.route(&host, request.head.path()) else {
         info!(state.logger, "no route"; "host" => host, "path" => request.head.path(),
             "version" => in_force.version);
-        return refuse(dialect, caller, Refusal::NoRoute, keep_alive).await;
+        return refuse(state, dialect, caller, Refusal::NoRoute, keep_alive).await;
     };
     let tenant = match state.tenant(&in_force, credential, route.anonymous) {
         Ok(tenant) => tenant,
         Err(refusal) => {
             info!(state.logger, "key refused"; "route" => &route.name, "refusal" => ?refusal,
                 "version" => in_force.version);
-            return refuse(dialect, caller, refusal, keep_alive).await;
+            return refuse(state, dialect, caller, refusal, keep_alive).await;
         }
     };
     if route.kind == RouteKind::Batch {
@@ -83,7 +83,7 @@
     let dispatch = dispatch(state, dialect, &in_force, route, tenant, request);
     let mut dispatch = match dispatch {
         Ok(dispatch) => dispatch,
-        Err(refusal) => return refuse(dialect, caller, refusal, keep_alive).await,
+        Err(refusal) => return refuse(state, dialect, caller, refusal, keep_alive).await,
     };
     let served = dispatch.answer(caller, minor, keep_alive);
     let gone = async {
@@ -137,11 +137,13 @@
 }
 
 async fn refuse<D: GatewayDialect>(
+    state: &GatewayState,
     dialect: &D,
     caller: &Connection,
     refusal: Refusal,
     keep_alive: bool,
 ) -> After {
+    state.metrics.refused(refusal);
     let answer = dialect.refusal(refusal).encode(keep_alive);
     finish(caller, &answer, keep_alive).await
 }
@@ -247,6 +249,6 @@
         info!(self.state.logger, "refused"; "request" => &self.outbound.id,
             "refusal" => ?refusal, "runs" => self.runs, "turned_away" => self.turned_away,
             "after_ms" => self.age().as_millis() as u64);
-        refuse(self.dialect, caller, refusal, keep_alive).await
+        refuse(self.state, self.dialect, caller, refusal, keep_alive).await
     }
 }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -24,6 +24,7 @@
 use crate::bars::Bars;
 use crate::batch::{BatchRuns, Turns};
 use crate::engine_ends::Breaks;
+use crate::metrics::GatewayMetrics;
 use crate::pool::Pool;
 use crate::tenants::{Keys, limits};
 
@@ -96,6 +97,8 @@
     /// Client of the batch group.
     pub batch: Arc<Cluster>,
     pub logger: Logger,
+    /// What it counts for operators.
+    pub metrics: GatewayMetrics,
     /// Counts on while the machine is suspended.
     pub clock: BootClock,
     in_force: RefCell<Option<Rc<InForce>>>,
@@ -140,6 +143,7 @@
             late_turns: RefCell::default(),
             batch,
             logger,
+            metrics: GatewayMetrics::default(),
             clock,
             in_force: RefCell::default(),
             topology: RefCell::default(),
