Gateways agree on what a tenant has left, and peaks get their burst

Change: each gateway moves within a second to the lowest number that others tell; what is left beyond what is surely unseen is given out in parts within a second.

--- a/crates/routing/src/quota/table.rs
+++ b/crates/routing/src/quota/table.rs
@@ -193,6 +193,11 @@
         {
             others.admitted += one.admitted as f64 / 1_000.0;
             others.asked += one.asked as f64 / 1_000.0;
+            let left = one.left.map(|left| left as f64 / 1_000.0);
+            others.left = match (others.left, left) {
+                (Some(known), Some(left)) => Some(known.min(left)),
+                (known, left) => known.or(left),
+            };
         }
         others
     }
--- a/crates/routing/src/quota/tenant.rs
+++ b/crates/routing/src/quota/tenant.rs
@@ -31,6 +31,12 @@
 /// one alone, a token that comes between two requests would be lost (a fifth of
 /// all at four times the limit, over 49 gateways).
 const LEAST_PART: f64 = 2.0;
+/// Time over which gateways come to agree on what is left: longer than a telling takes,
+/// so that what is on its way counts for little, and shorter than a peak.
+const AGREES_OVER: Duration = Duration::from_millis(1_000);
+/// Time over which tokens that are left are given out in parts once they run short: a
+/// few times as long as it takes until the others see what a gateway admitted.
+const SPENT_OVER: Duration = Duration::from_millis(1_000);
 /// Requests a second below which a flow is not told: one in a hundred seconds.
 const TOLD_FROM: f64 = 0.01;
 
@@ -76,6 +82,8 @@
 pub(super) struct Others {
     pub admitted: f64,
     pub asked: f64,
+    /// Tokens that one of them believes to be left, the lowest of such numbers.
+    pub left: Option<f64>,
 }
 
 impl Tenant {
@@ -139,10 +147,13 @@
         let left = self.left + (rate - others.admitted) * seconds;
         // Nobody is made to pay for longer than the limit is judged over.
         self.left = left.clamp(-(rate + burst), burst.max(1.0));
+        self.agree(others, seconds);
         if self.left > 0.0 {
             let share = self.share(others, now);
             let most = (share * burst).max(LEAST_PART);
-            self.part = (self.part + share * rate * seconds).min(most);
+            let unseen = others.admitted * ADMITTED_OVER.as_secs_f64();
+            let spare = (self.left - unseen).max(0.0) / SPENT_OVER.as_secs_f64();
+            self.part = (self.part + share * (rate + spare) * seconds).min(most);
         }
     }
 
@@ -203,6 +214,15 @@
         self.settled = true;
     }
 
+    /// Moves towards what others believe to be left, if that is less: what a gateway
+    /// missed, others have counted.
+    fn agree(&mut self, others: Others, seconds: f64) {
+        if let Some(left) = others.left.filter(|&left| left < self.left) {
+            let part = (seconds / AGREES_OVER.as_secs_f64()).min(1.0);
+            self.left += (left - self.left) * part;
+        }
+    }
+
     /// What is told of it; `None` while there is nothing to tell.
     pub fn told(&self, key: TenantKey, now: Timestamp) -> Option<TenantUse> {
         let admitted = self.admitted.at(now);
--- a/crates/routing/tests/quota.rs
+++ b/crates/routing/tests/quota.rs
@@ -339,6 +339,28 @@
     );
 }
 
+#[test]
+fn gateways_agree_on_what_is_left_behind_the_loss_of_a_relay() {
+    let limit = limit(250.0);
+    let weights = even(72);
+    let mut fleet = Fleet::new(72, 6, limit, 8);
+    fleet.run(12_000, 50.0, &weights);
+    fleet.frozen[4] = true;
+    fleet.run(1_000, 290.0, &weights);
+    fleet.move_gateways(4, 5);
+    fleet.run(5_000, 290.0, &weights);
+    let beliefs = fleet.beliefs();
+    let lowest = beliefs.iter().copied().fold(f64::MAX, f64::min);
+    let highest = beliefs.iter().copied().fold(f64::MIN, f64::max);
+    // A gateway that believes that nothing is left refuses everybody, whatever the
+    // others have: what they admit in one interval of telling is no such difference.
+    let told_every = TOLD_EVERY_MS as f64 / 1_000.0;
+    assert!(
+        highest - lowest <= limit.per_second * told_every,
+        "{beliefs:.0?}"
+    );
+}
+
 #[test]
 fn a_gateway_that_hears_nobody_takes_its_part_though_it_is_asked_nothing_else() {
     let limit = limit(50.0);
@@ -359,6 +381,26 @@
     );
 }
 
+#[test]
+fn peaks_above_the_limit_get_the_burst() {
+    for peak in [420.0, 490.0] {
+        let limit = limit(250.0);
+        let weights = even(72);
+        let mut fleet = Fleet::new(72, 6, limit, 8);
+        fleet.run(12_000, 50.0, &weights);
+        let from = fleet.now_ms;
+        for _ in 0..3 {
+            fleet.run(3_400, 100.0, &weights);
+            fleet.run(2_400, peak, &weights);
+        }
+        // What a bucket that sees everything admits.
+        let of_a_peak = (2.4 * limit.per_second + limit.burst).min(2.4 * peak);
+        let ideal = 3.0 * (3.4 * 100.0 + of_a_peak);
+        let admitted = fleet.admitted_since(from) as f64;
+        assert!(admitted >= 0.95 * ideal, "{admitted} of {ideal}");
+    }
+}
+
 #[test]
 fn a_gateway_that_starts_alone_admits_at_once_what_the_limit_allows() {
     let weights = even(8);
