A gateway that the stores are silent to brings no batch item to an engine

Cause: a gateway went on for 10 s without a word of the batch group and sent its items to further engines meanwhile, so that an item of an ended job reached an engine 2.8 s behind the acknowledgement, and could up to 10 s behind it. It was slow to hear of a new leader besides: each call began with the same stores again, also with those that calls of before had asked in vain, and gave each the time that a leader may hold a call for.

Ruled out: a shorter lease of all that runs (an election would cost the work of every item); the end sent to all gateways by whoever took it (does not reach those that are cut off).

Change: routing::renewal decides, given when the call began that the group answered last, whether an item may go to an engine; asked at each pick and again behind the connection. The bound is a setting, batch.withdrawn_within, 3 s by default. What runs at an engine may end. A line at each change of belief, and gateway_batch_held_back.

Conclusion: an acknowledged end binds gateways that do not hear of it.

--- a/crates/daemon/src/cluster/calls.rs
+++ b/crates/daemon/src/cluster/calls.rs
@@ -1,5 +1,6 @@
 //! Calls to a group's leader, with attempts until the deadline.
 
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
@@ -126,7 +127,7 @@
             pause: self.limits.first_pause,
             timeout: self.limits.first_call_timeout,
             held,
-            turn: 0,
+            turn: self.turn.load(Ordering::Relaxed),
             ambiguous: false,
             reason: "there are no replicas".to_owned(),
         };
@@ -201,6 +202,7 @@
     fn try_next(&mut self, failed: NodeId) {
         self.cluster.leaders.forget(self.group, failed);
         self.turn = self.turn.wrapping_add(1);
+        self.cluster.turn.store(self.turn, Ordering::Relaxed);
     }
 
     async fn pause_at_least(&mut self, least: Duration) {
--- a/crates/daemon/src/cluster/mod.rs
+++ b/crates/daemon/src/cluster/mod.rs
@@ -15,6 +15,7 @@
 mod leaders;
 mod transport;
 
+use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -63,6 +64,9 @@
     /// Nodes that hold replicas, those of the own zone first.
     replicas: Mutex<Vec<NodeId>>,
     leaders: Leaders,
+    /// Position among the replicas of the one to ask where no leader is known: not again
+    /// first the one that a call of before asked in vain.
+    turn: AtomicUsize,
     limits: ClusterLimits,
 }
 
@@ -79,6 +83,7 @@
             transport,
             replicas: Mutex::new(replicas),
             leaders: Leaders::default(),
+            turn: AtomicUsize::new(0),
             limits,
         }
     }
--- a/crates/daemon/tests/cluster_calls.rs
+++ b/crates/daemon/tests/cluster_calls.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use async_io::Timer;
 use molespan_daemon::cluster::{Cluster, ClusterLimits, PeerCall, PeerTransport};
 use molespan_types::NodeId;
 use molespan_wire::{CallError, CallFailure, Request, Response, TakeItems};
@@ -67,3 +68,51 @@
         assert_eq!(calls, [LEADER], "held for {wait_ms} ms");
     }
 }
+
+/// Nodes that are cut off in silence, but for the last one, which leads.
+#[derive(Debug, Default)]
+struct SilentNodes;
+
+const SILENT: u32 = 8;
+
+impl PeerTransport for SilentNodes {
+    fn call(&self, node: NodeId, request: Request, timeout: Duration) -> PeerCall {
+        if node == NodeId(SILENT + 1) {
+            return HoldingLeader::default().call(LEADER, request, timeout);
+        }
+        Box::pin(async move {
+            Timer::after(timeout).await;
+            Err(CallError::Ambiguous(CallFailure::Timeout))
+        })
+    }
+
+    fn send(&self, _node: NodeId, _request: Request) -> bool {
+        false
+    }
+
+    fn learn(&self, _node: NodeId, _address: &str) {}
+}
+
+#[test]
+fn a_call_goes_on_behind_the_nodes_that_earlier_ones_asked_in_vain() {
+    let limits = ClusterLimits {
+        first_call_timeout: Duration::from_millis(20),
+        ..ClusterLimits::default()
+    };
+    let nodes = (1..=SILENT + 1).map(NodeId).collect();
+    let cluster = Cluster::new(Arc::new(SilentNodes), nodes, limits);
+    let ask = TakeItems {
+        node: NodeId(99),
+        capacity: 1,
+        held: Vec::new(),
+        wait_ms: 0,
+        life: 1,
+        number: 1,
+    };
+    // Too short for all of them, however slow the machine is.
+    let calls = (0..=SILENT).map(|_| {
+        let taken = cluster.take_items(&ask, Duration::from_millis(60));
+        async_io::block_on(taken).is_ok()
+    });
+    assert!(calls.into_iter().any(|answered| answered));
+}
--- a/crates/fleet/src/store/peer.rs
+++ b/crates/fleet/src/store/peer.rs
@@ -9,6 +9,7 @@
 use molespan_daemon::boot_clock::BootClock;
 use molespan_daemon::replica::ReplicaRole;
 use molespan_daemon::wall_clock::unix_millis;
+use molespan_routing::renewal::LEADER_SURE_FOR;
 use molespan_state::batch::{BatchAnswer, BatchQuery, ItemReference};
 use molespan_types::{GroupId, NodeId, RunOutcome, Timestamp};
 use molespan_wire::{Consistency, Handler, Request, Response, TakeItems};
@@ -44,6 +45,8 @@
     changes: AtomicU64,
     /// Open work, read once for all that ask until the jobs change.
     open: async_lock::Mutex<Option<OpenAsOf>>,
+    /// When this node last began to make sure that no other one leads.
+    sure: async_lock::Mutex<Option<Timestamp>>,
     /// Wakes as many gateways with room as there are items for them.
     items: Invitations,
     /// Wakes every gateway that waits when some item is to be stopped.
@@ -81,6 +84,7 @@
             calls: Mutex::default(),
             changes: AtomicU64::new(0),
             open: async_lock::Mutex::new(None),
+            sure: async_lock::Mutex::new(None),
             items: Invitations::default(),
             stops: Wakeup::default(),
         }
@@ -139,6 +143,10 @@
             if self.replica.leader(GroupId::BATCH) != Some(self.own) {
                 return self.not_leader().await;
             }
+            // Cut off or just woken, it does not know of a later leader.
+            if !self.is_surely_leader().await {
+                return self.not_leader().await;
+            }
             let Some(open) = self.open_index(OPEN_HOLDS).await else {
                 return unavailable();
             };
@@ -164,6 +172,22 @@
         }
     }
 
+    /// Whether no other node led a short while ago: a quorum says so.
+    async fn is_surely_leader(&self) -> bool {
+        // Calls that come at the same time share one round.
+        let mut sure = self.sure.lock().await;
+        let began = self.now();
+        if sure.is_some_and(|at| began.since(at) < LEADER_SURE_FOR) {
+            return true;
+        }
+        let query = BatchQuery::Open { limit: 0 };
+        let confirmed = self.query(&query, Consistency::Linearizable).await;
+        if confirmed.is_some() {
+            *sure = Some(began);
+        }
+        confirmed.is_some()
+    }
+
     fn arrive(&self, ask: &TakeItems) -> Option<Arrival> {
         let call = CallNumber {
             life: ask.life,
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -99,6 +99,9 @@
     /// The engine could not be reached; nothing was sent.
     #[display("unreachable")]
     Unreachable,
+    /// A batch item that may have been withdrawn meanwhile; nothing was sent.
+    #[display("withheld")]
+    Withheld,
     /// The engine broke off; it may have run the request.
     #[display("broken off")]
     Broken,
@@ -110,14 +113,16 @@
 impl AttemptFailure {
     /// Whether the engine may have run the request.
     pub fn may_have_run(self) -> bool {
-        self != Self::Unreachable
+        !matches!(self, Self::Unreachable | Self::Withheld)
     }
 
-    fn as_engine_failure(self) -> Failure {
+    /// What it says of the engine, if it does.
+    fn as_engine_failure(self) -> Option<Failure> {
         match self {
-            Self::Unreachable => Failure::Unreachable,
-            Self::Broken => Failure::Broken,
-            Self::Silent => Failure::Silent,
+            Self::Unreachable => Some(Failure::Unreachable),
+            Self::Withheld => None,
+            Self::Broken => Some(Failure::Broken),
+            Self::Silent => Some(Failure::Silent),
         }
     }
 }
@@ -160,7 +165,9 @@
             }
         }
         Err(failure) => {
-            engines.failed(&engine.id, failure.as_engine_failure(), state.now());
+            if let Some(failure) = failure.as_engine_failure() {
+                engines.failed(&engine.id, failure, state.now());
+            }
             if outbound.class == WorkClass::Online && *failure == AttemptFailure::Broken {
                 engines.answered(&engine.id, true, state.now());
             }
@@ -211,6 +218,9 @@
     if !state.engines.borrow().is_present(&engine.id) {
         return Err(AttemptFailure::Unreachable);
     }
+    if !state.may_start(outbound.class) {
+        return Err(AttemptFailure::Withheld);
+    }
     let left = limits.ends.since(state.now());
     let message = message(dialect, engine, outbound, limits.after_event, left);
     let mut sent = false;
--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -31,7 +31,8 @@
 /// Time for such a call.
 const TAKE_DEADLINE: Duration = Duration::from_millis(1_900);
 /// Without a renewal for longer, another gateway surely runs the items by now.
-/// Shorter outages of the batch group must not cost their work.
+/// Shorter outages of the batch group must not cost what runs at engines; what does
+/// not is held back long before.
 const LEASE: Duration = Duration::from_secs(10);
 /// Time for the hand-over of a planned stop.
 const HAND_OVER_DEADLINE: Duration = Duration::from_millis(1_500);
@@ -83,6 +84,7 @@
         calls: Cell::new(0),
     });
     let mut renewed = runner.state.now();
+    let mut answered = true;
     let mut told = Instant::now();
     let checkpoints = runner.clone();
     let _keeping = runner.local.spawn(async move {
@@ -103,7 +105,8 @@
             return;
         }
         if runner.has_batch_routes() {
-            if runner.round().await {
+            answered = runner.round(answered).await;
+            if answered {
                 renewed = runner.state.now();
             } else {
                 Timer::after(RETRY_PAUSE).await;
@@ -160,7 +163,8 @@
     /// Waits until there is room, or until what runs here is to be renewed: to wait
     /// at the leader would cost it the most when all gateways are full.
     async fn room(&self) -> u32 {
-        let ends = Instant::now() + RENEWED_AFTER;
+        let renewed_after = RENEWED_AFTER.min(self.state.renewal.get().longest_silence());
+        let ends = Instant::now() + renewed_after;
         loop {
             let capacity = self.capacity();
             if capacity > 0 || Instant::now() >= ends || self.state.closes_idle() {
@@ -197,9 +201,13 @@
         }
     }
 
-    /// One call to the leader; says whether it was answered.
-    async fn round(self: &Rc<Self>) -> bool {
-        let capacity = self.room().await;
+    /// One call to the leader, which `answered` the last one or is being looked for.
+    /// Says whether it was answered.
+    async fn round(self: &Rc<Self>, answered: bool) -> bool {
+        let capacity = match answered {
+            true => self.room().await,
+            false => self.capacity(),
+        };
         let held: Vec<(u64, u32)> = {
             let running = self.running.borrow();
             running.keys().map(|item| (item.job, item.place)).collect()
@@ -207,10 +215,14 @@
         let wait = match (capacity, held.is_empty()) {
             (0, true) => return true,
             (0, false) => Duration::ZERO,
+            // A node that does not answer costs as much more as it may hold a call.
+            _ if !answered => Duration::ZERO,
             (_, true) => WAIT,
             (_, false) => WAIT_WHILE_RUNNING,
         };
+        let wait = wait.min(self.state.renewal.get().longest_silence());
         let ask = self.call(capacity, held, wait);
+        let asked = self.state.now();
         let handed = match self.state.batch.take_items(&ask, TAKE_DEADLINE).await {
             Ok(handed) => handed,
             Err(error) => {
@@ -224,6 +236,7 @@
                 info!(self.state.logger, "item stopped"; "job" => job, "place" => place);
             }
         }
+        self.state.renewed(asked);
         for item in handed.items {
             self.start(item);
         }
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -324,7 +324,11 @@
         let _turn = self.state.batch_turns.take(self.due_ms).await;
         let looks_until = self.state.now() + TURN;
         loop {
-            match self.pick_now(Standing::Late) {
+            let picked = match self.state.may_start(WorkClass::Batch) {
+                true => self.pick_now(Standing::Late),
+                false => Err(NoEngine::Busy),
+            };
+            match picked {
                 Ok(picked) => return Ok(picked),
                 Err(_) if self.state.now() < looks_until => {
                     Timer::after(LOOK_AGAIN_IN_TURN).await;
--- a/crates/proxy/src/gateway.rs
+++ b/crates/proxy/src/gateway.rs
@@ -56,6 +56,9 @@
     /// A gateway that did not hear from most control nodes for this long refuses
     /// requests that need a key; none where it goes by the keys that it knows.
     pub keys_hold_for: Option<Duration>,
+    /// Time behind the acknowledged end of a job from which on none of its items reaches
+    /// an engine.
+    pub withdrawn_within: Duration,
     /// Its clock.
     pub clock: BootClock,
 }
@@ -111,15 +114,7 @@
         let seeds = &options.addresses.seeds;
         let control = cluster(wire.clone(), seeds.clone());
         let zone = options.zone.clone();
-        let state = Rc::new(GatewayState::new(
-            own,
-            zone.clone(),
-            options.keys_hold_for,
-            options.clock.clone(),
-            control,
-            jobs,
-            logger.clone(),
-        ));
+        let state = Rc::new(GatewayState::new(&options, control, jobs, logger.clone()));
         let asker = Asker {
             node: own,
             zone,
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -23,6 +23,7 @@
     registry: Metrics,
     refusals: Family<Label, Counter>,
     waits: Histogram,
+    held_back: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -40,6 +41,11 @@
                 "Time from a request's arrival until an engine was chosen for its first attempt",
                 &WAIT_BOUNDS,
             ),
+            held_back: registry.register(
+                "gateway_batch_held_back",
+                "Times that batch items were held back since the stores were silent",
+                Counter::default(),
+            ),
             registry,
         }
     }
@@ -58,6 +64,11 @@
             .inc();
     }
 
+    /// The stores are silent, and batch items do not go to engines.
+    pub fn batch_held_back(&self) {
+        self.held_back.inc();
+    }
+
     /// An engine was chosen for the first attempt of a request.
     pub fn waited(&self, wait: Duration) {
         self.waits.observe(wait.as_secs_f64());
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -16,14 +16,17 @@
 };
 use molespan_routing::hearing::Hearing;
 use molespan_routing::quota::TenantTable;
+use molespan_routing::renewal::{Change, Renewal};
 use molespan_routing::suspects::SuspectTable;
 use molespan_state::declared::{Route, ServingModel};
 use molespan_types::{NodeId, Timestamp, ZoneName};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::bars::Bars;
 use crate::batch::{BatchRuns, Turns};
 use crate::engine_ends::Breaks;
+use crate::gateway::GatewayOptions;
 use crate::metrics::GatewayMetrics;
 use crate::pool::Pool;
 use crate::tenants::{Keys, limits};
@@ -96,6 +99,8 @@
     late_turns: RefCell<BTreeMap<String, Rc<Turns>>>,
     /// Client of the batch group.
     pub batch: Arc<Cluster>,
+    /// When that group last said which items here are to stop.
+    pub renewal: Cell<Renewal>,
     pub logger: Logger,
     /// What it counts for operators.
     pub metrics: GatewayMetrics,
@@ -118,17 +123,15 @@
 
 impl GatewayState {
     pub fn new(
-        own: NodeId,
-        zone: ZoneName,
-        keys_hold_for: Option<Duration>,
-        clock: BootClock,
+        options: &GatewayOptions,
         control: Arc<Cluster>,
         batch: Arc<Cluster>,
         logger: Logger,
     ) -> Self {
+        let zone = options.zone.clone();
         Self {
-            own,
-            keys_hold_for,
+            own: options.addresses.own,
+            keys_hold_for: options.keys_hold_for,
             engines: RefCell::new(EngineTable::new(zone.clone(), rand::random())),
             tenants: RefCell::new(TenantTable::new(Timestamp::ZERO)),
             zone,
@@ -142,9 +145,10 @@
             batch_turns: Rc::default(),
             late_turns: RefCell::default(),
             batch,
+            renewal: Cell::new(Renewal::new(options.withdrawn_within)),
             logger,
             metrics: GatewayMetrics::default(),
-            clock,
+            clock: options.clock.clone(),
             in_force: RefCell::default(),
             topology: RefCell::default(),
             topology_view: RefCell::default(),
@@ -183,6 +187,40 @@
             .is_none_or(|limit| view.is_current(limit, now))
     }
 
+    /// Whether a request of this class may go to an engine now: a batch item not once
+    /// its job may have been ended unheard.
+    pub fn may_start(&self, class: WorkClass) -> bool {
+        if class == WorkClass::Online {
+            return true;
+        }
+        self.note_renewal();
+        self.renewal.get().may_start(self.now())
+    }
+
+    /// The batch group answered a call that began at `asked`.
+    pub fn renewed(&self, asked: Timestamp) {
+        let mut renewal = self.renewal.get();
+        renewal.note(asked);
+        self.renewal.set(renewal);
+        self.note_renewal();
+    }
+
+    /// Says so if batch items are held back from now on, or go on.
+    fn note_renewal(&self) {
+        let mut renewal = self.renewal.get();
+        let change = renewal.change(self.now());
+        self.renewal.set(renewal);
+        match change {
+            Some(Change::HeldBack(silence)) => {
+                warn!(self.logger, "batch items held back, the stores are silent";
+                    "silence_ms" => silence.as_millis() as u64);
+                self.metrics.batch_held_back();
+            }
+            Some(Change::Resumed) => info!(self.logger, "batch items go on"),
+            None => {}
+        }
+    }
+
     /// Whether there are tenants, whose use the gateways tell each other.
     pub fn limits_tenants(&self) -> bool {
         let in_force = self.in_force.borrow();
@@ -324,7 +362,8 @@
             return;
         }
         let stores = topology.stores.difference(&topology.retiring);
-        self.batch.set_replicas(stores.copied().collect());
+        let stores = in_own_order(self.own, stores.copied().collect());
+        self.batch.set_replicas(stores);
         if !topology.control.is_empty() {
             let control = topology.control.iter().copied().collect();
             self.control.set_replicas(control);
@@ -405,6 +444,14 @@
     }
 }
 
+/// The stores in an order of this gateway's own. All gateways ask along it for a leader
+/// that they lost, so that not all of them begin at the same one, nor go through the
+/// stores of one zone first.
+fn in_own_order(own: NodeId, mut stores: Vec<NodeId>) -> Vec<NodeId> {
+    stores.sort_by_key(|store| xxh3_64_with_seed(&store.0.to_be_bytes(), u64::from(own.0)));
+    stores
+}
+
 /// Something that is counted while this lives.
 pub(crate) struct Counted {
     state: Rc<GatewayState>,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod placement;
 pub mod quota;
 pub mod readiness;
+pub mod renewal;
 pub mod retry;
 pub mod subset;
 pub mod suspects;
--- /dev/null
+++ b/crates/routing/tests/renewal.rs
@@ -0,0 +1,82 @@
+//! Whether batch items may go to engines while the batch group is silent.
+
+use std::time::Duration;
+
+use molespan_routing::renewal::{Change, LEADER_SURE_FOR, Renewal};
+use molespan_types::Timestamp;
+
+const WITHIN: Duration = Duration::from_secs(3);
+/// Longest time for a new connection to an engine.
+const CONNECTING: Duration = Duration::from_millis(300);
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp(ms * 1_000)
+}
+
+fn heard_at(ms: u64) -> Renewal {
+    let mut renewal = Renewal::new(WITHIN);
+    renewal.note(at(ms));
+    renewal
+}
+
+#[test]
+fn nothing_goes_out_before_the_group_was_heard() {
+    let mut renewal = Renewal::new(WITHIN);
+    assert!(!renewal.may_start(at(0)));
+    assert_eq!(renewal.change(at(9_000)), None, "nothing was believed yet");
+}
+
+#[test]
+fn an_item_that_still_may_go_is_at_its_engine_within_the_bound() {
+    for within_ms in [1_000, 2_000, 3_000, 10_000] {
+        let within = Duration::from_millis(within_ms);
+        let mut renewal = Renewal::new(within);
+        renewal.note(at(500));
+        let last = (500..20_000).rev().find(|&ms| renewal.may_start(at(ms)));
+        let age = Duration::from_millis(last.expect("it may at first") - 500);
+        if within >= Duration::from_secs(2) {
+            assert!(age + LEADER_SURE_FOR + CONNECTING < within, "{age:?}");
+        }
+        assert!(age * 2 + Duration::from_millis(2) >= within, "{age:?}");
+    }
+}
+
+#[test]
+fn calls_that_are_held_and_put_off_leave_the_word_young_enough() {
+    let renewal = heard_at(0);
+    let silences = renewal.longest_silence() * 2;
+    let just_before = Timestamp(silences.as_micros() as u64 - 1);
+    assert!(renewal.may_start(just_before));
+}
+
+#[test]
+fn a_suspension_makes_the_word_old() {
+    // An answer that was read behind a suspension says what held when it was asked for.
+    let mut renewal = heard_at(1_000);
+    assert!(renewal.may_start(at(1_100)));
+    let woken = at(9_100);
+    assert!(!renewal.may_start(woken));
+    renewal.note(at(1_050));
+    assert!(!renewal.may_start(woken), "its call began before");
+    renewal.note(at(9_100));
+    assert!(renewal.may_start(at(9_200)));
+}
+
+#[test]
+fn an_answer_that_was_overtaken_takes_nothing_back() {
+    let mut renewal = heard_at(5_000);
+    renewal.note(at(1_000));
+    assert!(renewal.may_start(at(6_000)));
+}
+
+#[test]
+fn each_change_of_belief_is_told_once() {
+    let mut renewal = heard_at(0);
+    assert_eq!(renewal.change(at(100)), None);
+    let silence = Change::HeldBack(Duration::from_secs(4));
+    assert_eq!(renewal.change(at(4_000)), Some(silence));
+    assert_eq!(renewal.change(at(5_000)), None);
+    renewal.note(at(5_000));
+    assert_eq!(renewal.change(at(5_100)), Some(Change::Resumed));
+    assert_eq!(renewal.change(at(5_200)), None);
+}
--- a/crates/settings/src/discovered/mod.rs
+++ b/crates/settings/src/discovered/mod.rs
@@ -4,6 +4,6 @@
 mod read;
 
 pub use model::{
-    ClusterSeeds, DiscoveredNode, DiscoveredSettings, Purpose, StopSettings, TenantSettings,
-    TimingSettings, ToleranceSettings,
+    BatchSettings, ClusterSeeds, DiscoveredNode, DiscoveredSettings, Purpose, StopSettings,
+    TenantSettings, TimingSettings, ToleranceSettings,
 };
--- a/crates/settings/src/discovered/model.rs
+++ b/crates/settings/src/discovered/model.rs
@@ -138,6 +138,22 @@
     }
 }
 
+/// Batch jobs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BatchSettings {
+    /// Time behind the acknowledged end of a job from which on none of its items
+    /// reaches an engine.
+    pub withdrawn_within: Duration,
+}
+
+impl Default for BatchSettings {
+    fn default() -> Self {
+        Self {
+            withdrawn_within: Duration::from_secs(3),
+        }
+    }
+}
+
 /// All settings of such a node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DiscoveredSettings {
@@ -153,6 +169,8 @@
     pub stop: StopSettings,
     /// Keys of tenants.
     pub tenants: TenantSettings,
+    /// Batch jobs.
+    pub batch: BatchSettings,
     /// Logs.
     pub log: LogSettings,
 }
--- a/crates/settings/src/discovered/read.rs
+++ b/crates/settings/src/discovered/read.rs
@@ -6,8 +6,8 @@
 use molespan_types::ZoneName;
 
 use super::model::{
-    ClusterSeeds, DiscoveredNode, DiscoveredSettings, Purpose, StopSettings, TenantSettings,
-    TimingSettings, ToleranceSettings,
+    BatchSettings, ClusterSeeds, DiscoveredNode, DiscoveredSettings, Purpose, StopSettings,
+    TenantSettings, TimingSettings, ToleranceSettings,
 };
 use crate::finding::Findings;
 use crate::read::{parse_with, read_log};
@@ -28,6 +28,7 @@
         timing: read_timing(root.section("timing")),
         stop: read_stop(root.section("stop")),
         tenants: read_tenants(root.section("tenants")),
+        batch: read_batch(root.section("batch")),
         log: read_log(root.section("log")),
     };
     root.finish();
@@ -119,6 +120,24 @@
     tenants
 }
 
+/// Shortest time within which an ended job can bind: a gateway and the group need one
+/// call each way, and an election takes about as long.
+const SHORTEST_WITHDRAWAL: Duration = Duration::from_secs(1);
+
+fn read_batch(mut section: Section<'_, '_, '_>) -> BatchSettings {
+    const LONGEST: Duration = Duration::from_secs(60 * 60);
+    let default = BatchSettings::default();
+    let batch = BatchSettings {
+        withdrawn_within: section.within(
+            "withdrawn_within",
+            default.withdrawn_within,
+            SHORTEST_WITHDRAWAL..=LONGEST,
+        ),
+    };
+    section.finish();
+    batch
+}
+
 fn check(report: &Report<'_>, settings: DiscoveredSettings) -> DiscoveredSettings {
     let node = &settings.node;
     let needs = |missing: bool, key: &str, purposes: &[Purpose]| {
--- a/crates/settings/tests/discovered.rs
+++ b/crates/settings/tests/discovered.rs
@@ -33,6 +33,7 @@
     assert!(!settings.cluster.first_start);
     assert_eq!(settings.tolerance.machines, 1);
     assert_eq!(settings.stop.within, Duration::from_secs(8));
+    assert_eq!(settings.batch.withdrawn_within, Duration::from_secs(3));
 }
 
 #[test]
