Stores that wait for a quorum in vain do not ask for it one after the other

Cause, seen on review: calls for items that come while a leader has no quorum each repeated the read that had just failed for the one before. Its outcome is shared either way.

--- a/crates/fleet/src/store/peer.rs
+++ b/crates/fleet/src/store/peer.rs
@@ -45,8 +45,8 @@
     changes: AtomicU64,
     /// Open work, read once for all that ask until the jobs change.
     open: async_lock::Mutex<Option<OpenAsOf>>,
-    /// When this node last began to make sure that no other one leads.
-    sure: async_lock::Mutex<Option<Timestamp>>,
+    /// When this node last began to make sure that no other one leads, and whether it is.
+    sure: async_lock::Mutex<Option<(Timestamp, bool)>>,
     /// Wakes as many gateways with room as there are items for them.
     items: Invitations,
     /// Wakes every gateway that waits when some item is to be stopped.
@@ -177,14 +177,19 @@
         // Calls that come at the same time share one round.
         let mut sure = self.sure.lock().await;
         let began = self.now();
-        if sure.is_some_and(|at| began.since(at) < LEADER_SURE_FOR) {
-            return true;
+        if let Some((at, confirmed)) = *sure
+            && began.since(at) < LEADER_SURE_FOR
+        {
+            return confirmed;
         }
         let query = BatchQuery::Open { limit: 0 };
         let confirmed = self.query(&query, Consistency::Linearizable).await;
-        if confirmed.is_some() {
-            *sure = Some(began);
-        }
+        // Those who waited for a read in vain do not repeat it one after the other.
+        let known_at = match confirmed.is_some() {
+            true => began,
+            false => self.now(),
+        };
+        *sure = Some((known_at, confirmed.is_some()));
         confirmed.is_some()
     }
 
