Routing: short requests go by engines' queues, not by what others told

Cause: requests of an application service end after 30 ms, tellings take some 100. All gateways saw the same room at once, overran an engine's queue and kept away at once; an engine without room was left out for 100 ms whatever its slots are kept for.

Change: the time for which a service keeps a slot is measured over the whole answer; where it is shorter than starts take to show, an engine gets what it begins with in time, two engines are compared, and one without room is left out for about two slot times, longer each time in a row.

Ruled out: a pace by gateway and equal shares of the pace lose more in time than they save in requests turned away (docs/decisions/0020).

--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -8,6 +8,7 @@
 use molespan_types::{NodeId, Timestamp, ZoneName};
 
 use super::errors::{Counts, Errors};
+use super::short::Backoff;
 use super::table::WorkClass;
 
 /// How long a report says something about the work of others.
@@ -192,6 +193,8 @@
     shares: BTreeMap<NodeId, Share>,
     report: Option<Report>,
     failures: u32,
+    /// How often in a row it had no room.
+    pub backoff: Backoff,
     paused_until: Timestamp,
     /// Pause since it failed; one that is only full does not count as failing.
     failing_until: Timestamp,
@@ -214,6 +217,7 @@
             shares: BTreeMap::new(),
             report: None,
             failures: 0,
+            backoff: Backoff::default(),
             paused_until: Timestamp::ZERO,
             failing_until: Timestamp::ZERO,
             answering_until: Timestamp::ZERO,
@@ -341,6 +345,13 @@
         own + f64::from(report.others) * (1.0 - age).max(0.0)
     }
 
+    /// Requests that are there by a report that is not older than `age`, the own ones as
+    /// they are now.
+    pub fn fresh_load(&self, now: Timestamp, age: Duration) -> Option<f64> {
+        let report = self.report.filter(|report| now.since(report.at) <= age)?;
+        Some(f64::from(self.own() + report.others))
+    }
+
     /// Online requests that are there as far as is known: batch work gives way.
     pub fn online_load(&self, now: Timestamp, others_tell: bool) -> f64 {
         let batch = self.own_batch() + self.others_batch(now);
@@ -420,8 +431,7 @@
 
     pub fn failed(&mut self, failure: Failure, now: Timestamp) {
         if failure == Failure::Full {
-            self.paused_until = self.paused_until.max(now + FULL_PAUSE);
-            return;
+            return self.leave_out(FULL_PAUSE, now);
         }
         self.failures += 1;
         // One broken answer may be the answer's fault; two are the engine's.
@@ -435,6 +445,11 @@
         self.answering_until = now;
     }
 
+    /// It gets nothing for a while.
+    pub fn leave_out(&mut self, pause: Duration, now: Timestamp) {
+        self.paused_until = self.paused_until.max(now + pause);
+    }
+
     /// It is gone for good: an engine that starts again is another one.
     pub fn displaced(&mut self, now: Timestamp) {
         self.failures += 1;
@@ -445,6 +460,7 @@
 
     pub fn succeeded(&mut self, now: Timestamp) {
         self.failures = 0;
+        self.backoff = Backoff::default();
         self.failing_until = now;
         self.answering_until = now + ANSWER_HOLDS;
     }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod prompt;
 mod relay;
 mod room;
+mod short;
 mod slot_time;
 mod split;
 mod table;
--- a/crates/routing/src/dispatch/room.rs
+++ b/crates/routing/src/dispatch/room.rs
@@ -8,6 +8,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::table::{EngineTable, Pick};
+
 /// How long it takes until the other gateways see that a request started: an interval
 /// of telling, a relay's round, and the way.
 pub(super) const STARTS_SHOW: Duration = Duration::from_millis(150);
@@ -105,3 +107,28 @@
         self.left(share, room, now) > self.draw
     }
 }
+
+impl EngineTable {
+    /// Whether an online request may start now. Where requests hold slots for longer
+    /// than gateways take to see each other's, all of them would fill the same room:
+    /// then each takes the part of it that its part of all online requests is.
+    pub(super) fn may_start_online(&mut self, pick: &Pick<'_>, now: Timestamp) -> bool {
+        if self.slot_times.mean(pick.service) < STARTS_SHOW {
+            return true;
+        }
+        let others_tell = self.others_tell(now);
+        let mut room = 0.0;
+        let mut own = 0.0;
+        let mut all = 0.0;
+        for engine in self.of_service(pick.service) {
+            let online = engine.online_load(now, others_tell);
+            own += f64::from(engine.own_online());
+            all += online;
+            if !engine.is_paused(now) {
+                room += (self.places(engine, pick) - online).max(0.0);
+            }
+        }
+        let share = (own + 1.0) / (all + self.users_of(pick.service));
+        self.online_starts.may_start(share.min(1.0), room, now)
+    }
+}
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -12,7 +12,8 @@
 use super::candidate::Candidate;
 use super::engine::{Engine, EngineFacts, EngineLoad, Failure, WorkShare};
 use super::prompt::{Holders, PromptCost, home};
-use super::room::{FreedSlots, STARTS_SHOW, UnseenStarts};
+use super::room::{FreedSlots, UnseenStarts};
+use super::short::{COMPARED, WorkTimes};
 use super::slot_time::SlotTimes;
 
 /// Departed engines that are remembered, so that a late word of one does not
@@ -114,7 +115,7 @@
 #[derive(Debug)]
 pub struct EngineTable {
     zone: ZoneName,
-    engines: BTreeMap<String, Engine>,
+    pub(super) engines: BTreeMap<String, Engine>,
     departed: BTreeSet<String>,
     departed_order: VecDeque<String>,
     holders: Holders,
@@ -127,10 +128,11 @@
     /// Gateways that use each engine of a service, where they are few.
     users: BTreeMap<String, u32>,
     batch_starts: UnseenStarts,
-    online_starts: UnseenStarts,
+    pub(super) online_starts: UnseenStarts,
     freed: FreedSlots,
-    slot_times: SlotTimes,
-    random: ChaCha8Rng,
+    pub(super) slot_times: SlotTimes,
+    pub(super) work_times: WorkTimes,
+    pub(super) random: ChaCha8Rng,
 }
 
 impl EngineTable {
@@ -151,6 +153,7 @@
             online_starts: UnseenStarts::new(seed.wrapping_add(2)),
             freed: FreedSlots::default(),
             slot_times: SlotTimes::default(),
+            work_times: WorkTimes::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -230,7 +233,7 @@
     }
 
     /// Gateways, this one included, that use each engine of a service.
-    fn users_of(&self, service: &str) -> f64 {
+    pub(super) fn users_of(&self, service: &str) -> f64 {
         let users = self.users.get(service).copied();
         f64::from(
             users
@@ -411,6 +414,9 @@
 
     /// An attempt failed.
     pub fn failed(&mut self, id: &str, failure: Failure, now: Timestamp) {
+        if failure == Failure::Full {
+            return self.turned_away(id, now);
+        }
         if let Some(engine) = self.engines.get_mut(id) {
             engine.failed(failure, now);
         }
@@ -438,12 +444,12 @@
         engines.map(|engine| engine.facts.slots).sum()
     }
 
-    fn of_service(&self, service: &str) -> impl Iterator<Item = &Engine> {
+    pub(super) fn of_service(&self, service: &str) -> impl Iterator<Item = &Engine> {
         let engines = self.engines.values();
         engines.filter(move |engine| engine.facts.service == service)
     }
 
-    fn others_tell(&self, now: Timestamp) -> bool {
+    pub(super) fn others_tell(&self, now: Timestamp) -> bool {
         self.told.is_some_and(|told| now.since(told) < TOLD_LATELY)
     }
 
@@ -483,31 +489,8 @@
         self.batch_headroom(service, now) > draw
     }
 
-    /// Whether an online request may start now. Where requests hold slots for longer
-    /// than gateways take to see each other's, all of them would fill the same room:
-    /// then each takes the part of it that its part of all online requests is.
-    fn may_start_online(&mut self, pick: &Pick<'_>, now: Timestamp) -> bool {
-        if self.slot_times.mean(pick.service) < STARTS_SHOW {
-            return true;
-        }
-        let others_tell = self.others_tell(now);
-        let mut room = 0.0;
-        let mut own = 0.0;
-        let mut all = 0.0;
-        for engine in self.of_service(pick.service) {
-            let online = engine.online_load(now, others_tell);
-            own += f64::from(engine.own_online());
-            all += online;
-            if !engine.is_paused(now) {
-                room += (self.places(engine, pick) - online).max(0.0);
-            }
-        }
-        let share = (own + 1.0) / (all + self.users_of(pick.service));
-        self.online_starts.may_start(share.min(1.0), room, now)
-    }
-
     /// Online requests up to which an engine gets such a one.
-    fn places(&self, engine: &Engine, pick: &Pick<'_>) -> f64 {
+    pub(super) fn places(&self, engine: &Engine, pick: &Pick<'_>) -> f64 {
         let slots = engine.facts.slots;
         match pick.standing {
             Standing::Late => f64::from(slots),
@@ -525,6 +508,9 @@
         if pick.class == WorkClass::Batch {
             return engine.load(now, others_tell) >= slots * BATCH_LOAD;
         }
+        if let Some(full) = self.is_full_of_short(engine, pick, now) {
+            return full;
+        }
         engine.online_load(now, others_tell) + 1.0 > self.places(engine, pick)
     }
 
@@ -585,6 +571,7 @@
             .map(|one| self.candidate(one, pick, home, others_tell, now));
         let mut candidates: Vec<Candidate<'_>> = candidates.collect();
         let looked_at = match pick.prompt.tokens < LONG_PROMPT_TOKENS {
+            true if self.work_times.short(pick.service).is_some() => COMPARED.min(candidates.len()),
             true => LOOKED_AT.min(candidates.len()),
             false => candidates.len(),
         };
--- /dev/null
+++ b/crates/routing/tests/short_requests.rs
@@ -0,0 +1,181 @@
+//! Short requests of a small service before many gateways, under virtual time: a request
+//! is over before the other gateways hear of it, and engines turn away what they have no
+//! room for.
+
+mod small_service;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use molespan_routing::dispatch::{
+    EngineFacts, EngineTable, Failure, Pick, PromptCost, Standing, WorkClass,
+};
+use molespan_types::{NodeId, Timestamp};
+use small_service::{Engines, Load, Play, Seen, Trouble};
+
+/// Gateways before the service, most of which have few of its callers.
+const GATEWAYS: usize = 117;
+/// Time that is played, in milliseconds: three periods of peaks.
+const PLAYED_MS: u64 = 17_400;
+/// When an engine gets into trouble.
+const TROUBLE_MS: u64 = 5_000;
+
+/// A service of `engines`, whose callers want `demand` of its slots on the mean, all the
+/// time or in `peaks`.
+fn load(engines: usize, demand: f64, peaks: bool) -> Load {
+    Load {
+        gateways: GATEWAYS,
+        engines: Engines::new(engines),
+        demand,
+        peaks,
+    }
+}
+
+fn in_trouble(demand: f64, trouble: Trouble) -> Load {
+    let mut load = load(3, demand, false);
+    load.engines.trouble = Some((TROUBLE_MS, trouble));
+    load
+}
+
+fn play(load: Load) -> Seen {
+    let seen = Play::new(load.clone(), 1).run(PLAYED_MS);
+    println!("{load:?}: {}", seen.line());
+    seen
+}
+
+#[test]
+fn what_there_is_room_for_is_in_time_and_rarely_turned_away() {
+    // Three engines, and the one that is left of them; in peaks up to 0.8 of all slots.
+    for (engines, demand, peaks) in [(3, 0.8, false), (1, 0.8, false), (3, 0.43, true)] {
+        let seen = play(load(engines, demand, peaks));
+        assert!(seen.share_turned_away() <= 0.02, "{}", seen.line());
+        assert!(seen.share_in_time() >= 0.95, "{}", seen.line());
+    }
+}
+
+#[test]
+fn under_more_than_there_is_room_for_what_fits_is_in_time() {
+    for engines in [1, 3] {
+        let seen = play(load(engines, 1.3, false));
+        // Of 1.3 times what fits, 1 / 1.3; a twentieth of it may be lost to chance.
+        let fits = 1.0 / (1.3 * small_service::MEAN_WORK);
+        assert!(seen.share_in_time() >= fits * 0.95, "{}", seen.line());
+        assert!(seen.share_lost() <= 0.01, "{}", seen.line());
+    }
+}
+
+#[test]
+fn what_peaks_leave_over_is_done_late_between_them() {
+    let seen = play(load(1, 0.76, true));
+    // Peaks bring 0.774 of all requests, and want 0.76 * 1.87 times the slots.
+    let fits = 0.774 / (0.76 * 1.87 * small_service::MEAN_WORK) + 0.226;
+    assert!(seen.share_in_time() >= fits * 0.95, "{}", seen.line());
+    assert!(seen.share_lost() <= 0.01, "{}", seen.line());
+}
+
+#[test]
+fn an_engine_in_trouble_drowns_no_other_one() {
+    // What is left of three engines has room for all.
+    let troubles = [
+        (0.5, Trouble::Gone),
+        (0.5, Trouble::Slow(4.0)),
+        (0.5, Trouble::Dark),
+    ];
+    for (demand, trouble) in troubles {
+        let seen = play(in_trouble(demand, trouble));
+        assert!(seen.share_in_time() >= 0.95, "{trouble:?} {}", seen.line());
+        assert!(
+            seen.share_turned_away() <= 0.02,
+            "{trouble:?} {}",
+            seen.line()
+        );
+    }
+}
+
+#[test]
+fn a_few_gateways_with_many_callers_each_use_all_room() {
+    let mut load = load(3, 0.8, false);
+    load.gateways = 3;
+    let seen = play(load);
+    assert!(seen.share_turned_away() <= 0.02, "{}", seen.line());
+    assert!(seen.share_in_time() >= 0.95, "{}", seen.line());
+}
+
+/// A table of one engine with 8 slots, at which requests were for `took`.
+fn table(took: Option<Duration>) -> EngineTable {
+    let mut table = EngineTable::new("near".into(), 1);
+    let facts = EngineFacts {
+        id: "e1".to_owned(),
+        service: "s".to_owned(),
+        address: ([127, 0, 0, 1], 80).into(),
+        zone: "near".into(),
+        slots: 8,
+    };
+    table.learn(NodeId(1), facts, Timestamp::ZERO);
+    if let Some(took) = took {
+        table.note_time_at("e1", took, Timestamp::ZERO);
+    }
+    table
+}
+
+fn finds_an_engine(table: &mut EngineTable, left: Duration, at_ms: u64) -> bool {
+    let pick = Pick {
+        service: "s",
+        class: WorkClass::Online,
+        standing: Standing::InTime { left },
+        prompt: PromptCost::default(),
+        tried: &BTreeSet::new(),
+        suspect: false,
+    };
+    table.pick(&pick, Timestamp::from_millis(at_ms)).is_ok()
+}
+
+#[test]
+fn an_engine_without_room_is_left_out_for_about_two_slot_times_and_longer_each_time() {
+    let left = Duration::from_secs(1);
+    let mut table = table(Some(Duration::from_millis(10)));
+    let mut now_ms = 0;
+    // Shortest and longest pause, which chance spreads by a half.
+    for (shortest, longest) in [(10, 30), (20, 60), (40, 120), (80, 200), (80, 200)] {
+        table.failed("e1", Failure::Full, Timestamp::from_millis(now_ms));
+        assert!(!finds_an_engine(&mut table, left, now_ms + shortest - 1));
+        assert!(finds_an_engine(&mut table, left, now_ms + longest));
+        now_ms += longest;
+    }
+    table.succeeded("e1", Timestamp::from_millis(now_ms));
+    table.failed("e1", Failure::Full, Timestamp::from_millis(now_ms));
+    assert!(finds_an_engine(&mut table, left, now_ms + 30));
+}
+
+#[test]
+fn requests_that_others_hear_of_in_time_are_sent_as_before() {
+    // Nothing was measured yet, or slots are kept for longer than tellings take.
+    for took in [None, Some(Duration::from_secs(1))] {
+        let left = Duration::from_secs(1);
+        let mut table = table(took);
+        for _ in 0..5 {
+            table.failed("e1", Failure::Full, Timestamp::ZERO);
+        }
+        assert!(!finds_an_engine(&mut table, left, 99));
+        assert!(finds_an_engine(&mut table, left, 100));
+        // Half as many again as there are slots.
+        for _ in 0..12 {
+            assert!(finds_an_engine(&mut table, left, 100));
+            table.started("e1", WorkClass::Online, 0, Timestamp::from_millis(100));
+        }
+        assert!(!finds_an_engine(&mut table, left, 100));
+    }
+}
+
+#[test]
+fn an_engine_gets_what_it_begins_with_in_time_and_no_more() {
+    // With 10 ms each, 8 slots begin with 8 more in every 10 ms.
+    let mut table = table(Some(Duration::from_millis(10)));
+    let left = Duration::from_millis(20);
+    for _ in 0..24 {
+        assert!(finds_an_engine(&mut table, left, 0));
+        table.started("e1", WorkClass::Online, 0, Timestamp::ZERO);
+    }
+    assert!(!finds_an_engine(&mut table, left, 0));
+    assert!(finds_an_engine(&mut table, left * 2, 0));
+}
--- /dev/null
+++ b/crates/routing/tests/small_service/mod.rs
@@ -0,0 +1,577 @@
+//! A small service before many gateways, without a network: engines with slots and a
+//! queue, gateways that choose by their tables, and relays between them.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use molespan_routing::dispatch::{
+    EngineFacts, EngineLoad, EngineTable, Failure, Pick, Picked, PromptCost, Standing, Teller,
+    WorkClass, WorkRelay,
+};
+use molespan_types::{NodeId, Timestamp};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SERVICE: &str = "s";
+const SLOTS: usize = 6;
+/// Requests that an engine queues before it turns one away.
+const QUEUED: usize = 24;
+/// Mean time for which a request holds a slot, in milliseconds.
+const WORK_MS: f64 = 30.0;
+/// Mean of it with the few that take several times as long, as a part of that time.
+pub const MEAN_WORK: f64 = 1.04;
+/// Target of requests, and the part of it by which an engine has to begin.
+const TARGET_MS: u64 = 300;
+const BEGINS_BY_MS: u64 = 240;
+/// How long callers wait, and the part of it after which a late request is refused.
+const PATIENCE_MS: u64 = 1_500;
+const WAITS_MS: u64 = 1_050;
+/// Silence after which a request goes elsewhere.
+const SILENCE_MS: u64 = 450;
+/// Way between a gateway and an engine, or a relay.
+const WAY_MS: u64 = 1;
+/// Time between two looks for an engine, in time and late.
+const LOOK_MS: u64 = 8;
+const LATE_LOOK_MS: u64 = 20;
+/// Time between two tellings of a gateway, and two rounds of a relay.
+const TELLING_MS: u64 = 50;
+const RELAYS: usize = 3;
+/// Steps of the load: a peak of so many times the mean, and when it begins in a period.
+const PEAK: f64 = 1.87;
+const LULL: f64 = 0.383;
+const PERIOD_MS: u64 = 5_800;
+const PEAK_FROM_MS: u64 = 3_400;
+const TELLER: NodeId = NodeId(9_999);
+
+/// What an engine does out of the ordinary, from `from_ms` on.
+#[derive(Clone, Copy, Debug)]
+pub enum Trouble {
+    /// It works so many times slower.
+    Slow(f64),
+    /// It takes requests and says nothing.
+    Dark,
+    /// It leaves, and the gateways hear of it.
+    Gone,
+}
+
+/// The engines of the service.
+#[derive(Clone, Debug)]
+pub struct Engines {
+    count: usize,
+    /// What the first one does, and when it begins.
+    pub trouble: Option<(u64, Trouble)>,
+}
+
+impl Engines {
+    pub fn new(count: usize) -> Self {
+        Self {
+            count,
+            trouble: None,
+        }
+    }
+}
+
+/// What is asked of the service.
+#[derive(Clone, Debug)]
+pub struct Load {
+    pub gateways: usize,
+    pub engines: Engines,
+    /// Mean part of all slots that requests want.
+    pub demand: f64,
+    /// Whether they come in steps.
+    pub peaks: bool,
+}
+
+/// What callers and engines saw.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    pub asked: u64,
+    pub in_time: u64,
+    pub late: u64,
+    pub refused: u64,
+    /// Requests that may have run and had no answer.
+    pub lost: u64,
+    /// Arrivals at engines, and those turned away.
+    pub arrivals: u64,
+    pub turned_away: u64,
+    /// Mean time of requests in time, in milliseconds, summed.
+    in_time_ms: u64,
+}
+
+impl Seen {
+    pub fn share_in_time(&self) -> f64 {
+        self.in_time as f64 / self.asked.max(1) as f64
+    }
+
+    pub fn share_turned_away(&self) -> f64 {
+        self.turned_away as f64 / self.arrivals.max(1) as f64
+    }
+
+    pub fn share_lost(&self) -> f64 {
+        self.lost as f64 / self.asked.max(1) as f64
+    }
+
+    pub fn line(&self) -> String {
+        let asked = self.asked.max(1) as f64;
+        format!(
+            "asked {} in time {:.3} late {:.3} refused {:.3} lost {:.3}; arrivals {} turned away \
+             {:.3}; mean {:.0} ms",
+            self.asked,
+            self.in_time as f64 / asked,
+            self.late as f64 / asked,
+            self.refused as f64 / asked,
+            self.lost as f64 / asked,
+            self.arrivals,
+            self.share_turned_away(),
+            self.in_time_ms as f64 / self.in_time.max(1) as f64,
+        )
+    }
+}
+
+type Id = usize;
+
+#[derive(Clone, Debug)]
+struct Request {
+    gateway: usize,
+    arrived: u64,
+    next_look: u64,
+    tried: BTreeSet<String>,
+    /// Where it is, and since when.
+    at: Option<(usize, u64)>,
+    attempt: u32,
+    runs: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Engine {
+    /// Requests that run, with the attempt, and when they end.
+    running: Vec<(u64, Id, u32)>,
+    queue: VecDeque<(Id, u32)>,
+}
+
+/// What is on its way.
+#[derive(Clone, Debug)]
+enum Message {
+    ToEngine(usize, Id, u32),
+    Answer(usize, Id, u32, bool, EngineLoad),
+}
+
+pub struct Play {
+    load: Load,
+    now: u64,
+    tables: Vec<EngineTable>,
+    relays: Vec<WorkRelay>,
+    weights: Vec<f64>,
+    requests: BTreeMap<Id, Request>,
+    next: Id,
+    in_time: Vec<Vec<Id>>,
+    late: Vec<VecDeque<Id>>,
+    engines: Vec<Engine>,
+    messages: BTreeMap<u64, Vec<Message>>,
+    seen: Seen,
+    random: ChaCha8Rng,
+}
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn name(engine: usize) -> String {
+    format!("e{engine}")
+}
+
+impl Play {
+    pub fn new(load: Load, seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let table = |gateway: usize| {
+            let mut table =
+                EngineTable::new(format!("z{}", gateway % 3).as_str().into(), gateway as u64);
+            table.set_gateways(load.gateways as u32);
+            for engine in 0..load.engines.count {
+                let facts = EngineFacts {
+                    id: name(engine),
+                    service: SERVICE.to_owned(),
+                    address: ([127, 0, 0, engine as u8 + 1], 80).into(),
+                    zone: format!("z{}", engine % 3).as_str().into(),
+                    slots: SLOTS as u32,
+                };
+                table.learn(TELLER, facts, at(0));
+            }
+            table
+        };
+        let tables = (0..load.gateways).map(table).collect();
+        // Callers are uneven, and those of one zone are more.
+        let weights: Vec<f64> = (0..load.gateways)
+            .map(|gateway| {
+                let zone = if gateway % 3 == 2 { 1.4 } else { 1.0 };
+                zone * random.random_range(0.4..1.6)
+            })
+            .collect();
+        Self {
+            now: 0,
+            tables,
+            relays: vec![WorkRelay::default(); RELAYS],
+            weights,
+            requests: BTreeMap::new(),
+            next: 0,
+            in_time: vec![Vec::new(); load.gateways],
+            late: vec![VecDeque::new(); load.gateways],
+            engines: vec![Engine::default(); load.engines.count],
+            messages: BTreeMap::new(),
+            seen: Seen::default(),
+            load,
+            random,
+        }
+    }
+
+    /// Plays so many milliseconds, and then lets what is there end.
+    pub fn run(mut self, for_ms: u64) -> Seen {
+        while self.now < for_ms + PATIENCE_MS {
+            self.now += 1;
+            if self.now < for_ms {
+                self.arrive();
+            }
+            self.trouble();
+            self.deliver();
+            self.serve();
+            self.exchange();
+            self.time_out();
+            self.look();
+        }
+        self.seen
+    }
+
+    fn arrive(&mut self) {
+        let peak = match (self.load.peaks, self.now % PERIOD_MS >= PEAK_FROM_MS) {
+            (false, _) => 1.0,
+            (true, true) => PEAK,
+            (true, false) => LULL,
+        };
+        let slots = (self.load.engines.count * SLOTS) as f64;
+        let per_ms = self.load.demand * slots / WORK_MS * peak;
+        let all: f64 = self.weights.iter().sum();
+        for gateway in 0..self.load.gateways {
+            if self
+                .random
+                .random_bool((per_ms * self.weights[gateway] / all).min(1.0))
+            {
+                let request = Request {
+                    gateway,
+                    arrived: self.now,
+                    next_look: self.now,
+                    tried: BTreeSet::new(),
+                    at: None,
+                    attempt: 0,
+                    runs: 0,
+                };
+                self.seen.asked += 1;
+                self.requests.insert(self.next, request);
+                self.in_time[gateway].push(self.next);
+                self.next += 1;
+            }
+        }
+    }
+
+    fn trouble(&mut self) {
+        if let Some((from, Trouble::Gone)) = self.load.engines.trouble
+            && self.now == from
+        {
+            for table in &mut self.tables {
+                table.depart(&name(0));
+            }
+        }
+    }
+
+    fn slowness(&self, engine: usize) -> f64 {
+        match self.load.engines.trouble {
+            Some((from, Trouble::Slow(by))) if engine == 0 && self.now >= from => by,
+            _ => 1.0,
+        }
+    }
+
+    fn is_dark(&self, engine: usize) -> bool {
+        let trouble = self.load.engines.trouble;
+        matches!(trouble, Some((from, Trouble::Dark)) if engine == 0 && self.now >= from)
+    }
+
+    fn send(&mut self, message: Message) {
+        self.messages
+            .entry(self.now + WAY_MS)
+            .or_default()
+            .push(message);
+    }
+
+    fn deliver(&mut self) {
+        for message in self.messages.remove(&self.now).unwrap_or_default() {
+            match message {
+                Message::ToEngine(engine, id, attempt) => self.at_engine(engine, id, attempt),
+                Message::Answer(engine, id, attempt, ran, load) => {
+                    self.answered(engine, id, attempt, ran, load);
+                }
+            }
+        }
+    }
+
+    fn at_engine(&mut self, engine: usize, id: Id, attempt: u32) {
+        self.seen.arrivals += 1;
+        if self.is_dark(engine) {
+            return;
+        }
+        if self.engines[engine].queue.len() >= QUEUED {
+            self.seen.turned_away += 1;
+            let load = self.told_load(engine);
+            self.send(Message::Answer(engine, id, attempt, false, load));
+            return;
+        }
+        self.engines[engine].queue.push_back((id, attempt));
+    }
+
+    fn told_load(&self, engine: usize) -> EngineLoad {
+        EngineLoad {
+            running: self.engines[engine].running.len() as u32,
+            waiting: self.engines[engine].queue.len() as u32,
+            slots: SLOTS as u32,
+        }
+    }
+
+    /// Work of a request: most take about the mean, a few several times as much.
+    fn work_ms(&mut self) -> f64 {
+        let normal: f64 = (0..12).map(|_| self.random.random::<f64>()).sum::<f64>() - 6.0;
+        let work = WORK_MS * (0.5 * normal - 0.125).exp();
+        match self.random.random_bool(0.01) {
+            true => (work * 5.0).min(220.0),
+            false => work.min(220.0),
+        }
+    }
+
+    fn serve(&mut self) {
+        for engine in 0..self.engines.len() {
+            if self.is_dark(engine) {
+                continue;
+            }
+            let now = self.now;
+            let running = std::mem::take(&mut self.engines[engine].running);
+            let (ended, running) = running.into_iter().partition(|(ends, _, _)| *ends <= now);
+            self.engines[engine].running = running;
+            let ended: Vec<(u64, Id, u32)> = ended;
+            for (_, id, attempt) in ended {
+                let load = self.told_load(engine);
+                self.send(Message::Answer(engine, id, attempt, true, load));
+            }
+            while self.engines[engine].running.len() < SLOTS {
+                let Some((id, attempt)) = self.engines[engine].queue.pop_front() else {
+                    break;
+                };
+                // A caller or a gateway that left ends its request.
+                let held = self.requests.get(&id);
+                if held.is_none_or(|request| request.attempt != attempt) {
+                    continue;
+                }
+                let work = self.work_ms() * self.slowness(engine);
+                self.engines[engine]
+                    .running
+                    .push((now + work.max(1.0) as u64, id, attempt));
+            }
+        }
+    }
+
+    fn leave(&mut self, id: Id) -> Option<(usize, u64)> {
+        let request = self.requests.get_mut(&id)?;
+        let (engine, since) = request.at.take()?;
+        request.attempt += 1;
+        self.tables[request.gateway].ended(&name(engine), WorkClass::Online);
+        Some((engine, since))
+    }
+
+    fn answered(&mut self, engine: usize, id: Id, attempt: u32, ran: bool, load: EngineLoad) {
+        let now = at(self.now);
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if request.attempt != attempt || request.at.is_none() {
+            return;
+        }
+        let gateway = request.gateway;
+        let since = request.at.map_or(0, |(_, since)| since);
+        let table = &mut self.tables[gateway];
+        table.report(&name(engine), load, now);
+        if !ran {
+            table.failed(&name(engine), Failure::Full, now);
+            self.leave(id);
+            self.wait_again(id);
+            return;
+        }
+        table.answered(&name(engine), false, now);
+        table.succeeded(&name(engine), now);
+        self.leave(id);
+        let table = &mut self.tables[gateway];
+        table.freed(&name(engine), now);
+        table.note_slot_time(SERVICE, Duration::ZERO);
+        let took = Duration::from_millis(self.now - since);
+        table.note_time_at(&name(engine), took, now);
+        let request = self.requests.remove(&id).expect("it is there");
+        let age = self.now - request.arrived;
+        match age <= TARGET_MS {
+            true => {
+                self.seen.in_time += 1;
+                self.seen.in_time_ms += age;
+            }
+            false => self.seen.late += 1,
+        }
+    }
+
+    /// A request looks again: at once, in the standing that its age gives it.
+    fn wait_again(&mut self, id: Id) {
+        let request = self.requests.get_mut(&id).expect("it is there");
+        request.next_look = self.now;
+        let gateway = request.gateway;
+        match self.now - request.arrived < BEGINS_BY_MS {
+            true => self.in_time[gateway].push(id),
+            false => self.late[gateway].push_back(id),
+        }
+    }
+
+    fn exchange(&mut self) {
+        let now = at(self.now);
+        for gateway in 0..self.tables.len() {
+            if (self.now + gateway as u64 * 7).is_multiple_of(TELLING_MS) {
+                let shares = self.tables[gateway].shares(now);
+                let from = NodeId(gateway as u32);
+                self.relays[gateway % RELAYS].note(from, Teller::Gateway, shares, now);
+            }
+        }
+        for relay in 0..RELAYS {
+            if !(self.now + relay as u64 * 17).is_multiple_of(TELLING_MS) {
+                continue;
+            }
+            let from = NodeId(1_000 + relay as u32);
+            self.relays[relay].expire(now);
+            let sum = self.relays[relay].sum_of_gateways();
+            for other in (0..RELAYS).filter(|&other| other != relay) {
+                self.relays[other].note(from, Teller::Relay, sum.clone(), now);
+            }
+            for (gateway, shares) in self.relays[relay].shares_by_gateway() {
+                self.tables[gateway.0 as usize].note_shares(from, &shares, now);
+            }
+        }
+    }
+
+    /// Ends what is over, and what an engine was silent on for too long.
+    fn time_out(&mut self) {
+        let now = self.now;
+        let over = self.requests.iter().filter(|(_, request)| {
+            let silent = request
+                .at
+                .is_some_and(|(_, since)| now - since >= SILENCE_MS);
+            now - request.arrived >= PATIENCE_MS || silent
+        });
+        let over: Vec<Id> = over.map(|(&id, _)| id).collect();
+        for id in over {
+            let left = self.leave(id);
+            let request = self.requests.get_mut(&id).expect("it is there");
+            let gateway = request.gateway;
+            if let Some((engine, _)) = left {
+                request.runs += 1;
+                request.tried.insert(name(engine));
+                let table = &mut self.tables[gateway];
+                table.failed(&name(engine), Failure::Silent, at(now));
+            }
+            if now - request.arrived < PATIENCE_MS && request.runs < 3 {
+                self.wait_again(id);
+                continue;
+            }
+            self.in_time[gateway].retain(|one| *one != id);
+            self.late[gateway].retain(|one| *one != id);
+            let request = self.requests.remove(&id).expect("it is there");
+            match request.runs {
+                0 => self.seen.refused += 1,
+                _ => self.seen.lost += 1,
+            }
+        }
+    }
+
+    /// Requests that wait at gateways look for an engine.
+    fn look(&mut self) {
+        for gateway in 0..self.load.gateways {
+            for id in std::mem::take(&mut self.in_time[gateway]) {
+                let request = &self.requests[&id];
+                let age = self.now - request.arrived;
+                if age >= BEGINS_BY_MS {
+                    self.late[gateway].push_back(id);
+                    continue;
+                }
+                if request.next_look > self.now {
+                    self.in_time[gateway].push(id);
+                    continue;
+                }
+                let left = Duration::from_millis(BEGINS_BY_MS - age);
+                if !self.start(id, Standing::InTime { left }) {
+                    let request = self.requests.get_mut(&id).expect("it is there");
+                    request.next_look = self.now + LOOK_MS;
+                    self.in_time[gateway].push(id);
+                }
+            }
+            self.look_late(gateway);
+        }
+    }
+
+    /// Of the late requests of a gateway the oldest one looks.
+    fn look_late(&mut self, gateway: usize) {
+        let now = self.now;
+        let (over, waiting): (VecDeque<Id>, VecDeque<Id>) = std::mem::take(&mut self.late[gateway])
+            .into_iter()
+            .partition(|id| now - self.requests[id].arrived >= WAITS_MS);
+        self.late[gateway] = waiting;
+        for id in over {
+            let request = self.requests.remove(&id).expect("it is there");
+            match request.runs {
+                0 => self.seen.refused += 1,
+                _ => self.seen.lost += 1,
+            }
+        }
+        let oldest = self.late[gateway].iter().copied();
+        let Some(id) = oldest.min_by_key(|id| self.requests[id].arrived) else {
+            return;
+        };
+        if self.requests[&id].next_look > now {
+            return;
+        }
+        if self.start(id, Standing::Late) {
+            self.late[gateway].retain(|one| *one != id);
+        } else {
+            let request = self.requests.get_mut(&id).expect("it is there");
+            request.next_look = now + LATE_LOOK_MS;
+        }
+    }
+
+    fn start(&mut self, id: Id, standing: Standing) -> bool {
+        let now = at(self.now);
+        let request = &self.requests[&id];
+        let gateway = request.gateway;
+        let pick = Pick {
+            service: SERVICE,
+            class: WorkClass::Online,
+            standing,
+            prompt: PromptCost::default(),
+            tried: &request.tried,
+            suspect: false,
+        };
+        let Ok(picked) = self.tables[gateway].pick(&pick, now) else {
+            return false;
+        };
+        let Picked {
+            facts, takes_over, ..
+        } = picked;
+        let table = &mut self.tables[gateway];
+        match takes_over {
+            true => table.took_over(&facts.id, WorkClass::Online, 0),
+            false => table.started(&facts.id, WorkClass::Online, 0, now),
+        }
+        let engine: usize = facts.id[1..].parse().expect("a number");
+        let request = self.requests.get_mut(&id).expect("it is there");
+        request.at = Some((engine, self.now));
+        let attempt = request.attempt;
+        self.send(Message::ToEngine(engine, id, attempt));
+        true
+    }
+}
