Gateways: an engine without room may be asked again

Cause: an engine that turned a request away counted as tried for the request's life. Where a service had few engines left, requests were refused with Busy some milliseconds after they came, with nothing run and their target ahead.

Change: only engines that ran a request, failed it, or will not run it whatever their room (not run with another status than 429 and 503) count as tried. Who found no room waits at the gateway as long as it can be in time, and then as a late one. Times at engines are measured from sending to the end of an answer, and answers that say not run no longer count as slots held and left.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -69,6 +69,14 @@
     pub body: EngineBody,
 }
 
+impl EngineReply {
+    /// Whether the engine has no room for the request now, and may have some later.
+    pub fn has_no_room(&self) -> bool {
+        let says_so = matches!(self.head.status, 429 | 503);
+        self.facts.not_run && !self.facts.displaced && says_so
+    }
+}
+
 /// The rest of an answer.
 pub(crate) struct EngineBody {
     pub engine: String,
@@ -78,7 +86,7 @@
     /// Whether the connection may be used again.
     reusable: bool,
     keep_alive: Option<Duration>,
-    _occupied: Occupied,
+    occupied: Occupied,
 }
 
 impl EngineBody {
@@ -192,6 +200,7 @@
         engines.failed(engine, Failure::Full, now);
     } else if reply.head.status < 500 {
         engines.succeeded(engine, now);
+        reply.body.occupied.serves();
     }
 }
 
@@ -222,7 +231,9 @@
         Err(AttemptFailure::Silent)
     };
     let (head, facts) = future::or(exchange, late).await?;
-    occupied.began();
+    if !facts.not_run {
+        occupied.began();
+    }
     let Some(framing) = Framing::of_response(&head, &outbound.method) else {
         return Err(AttemptFailure::Broken);
     };
@@ -233,7 +244,7 @@
         reusable: sent && head.keeps_alive() && framing != Framing::UntilClose,
         keep_alive: facts.keep_alive,
         connection,
-        _occupied: occupied,
+        occupied,
     };
     Ok(EngineReply { head, facts, body })
 }
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -20,7 +20,8 @@
 use crate::request::CallerRequest;
 use crate::state::GatewayState;
 
-/// Attempts that engines turned away before a request is refused.
+/// Attempts at engines that were of no use before a request is refused, those without
+/// room not counted.
 const MOST_TURNED_AWAY: u32 = 6;
 /// Time between two looks for an engine with room.
 const LOOK_AGAIN: Duration = Duration::from_millis(8);
@@ -60,11 +61,14 @@
     pub arrived: Timestamp,
     /// Whether it counts against its tenant's limit.
     pub counts: bool,
+    /// Engines that ran it, failed it, or will not run it.
     tried: BTreeSet<String>,
     /// Engines that may have run it.
     pub runs: u32,
     /// Engines that said they did not run it, or could not be reached.
     pub turned_away: u32,
+    /// How many of them had no room.
+    without_room: u32,
 }
 
 impl<'a, D: GatewayDialect> Dispatch<'a, D> {
@@ -122,6 +126,7 @@
             tried: BTreeSet::new(),
             runs: 0,
             turned_away: 0,
+            without_room: 0,
         }
     }
 
@@ -178,15 +183,12 @@
                 "unread" => picked.unread_tokens, "before" => picked.before_tokens,
                 "runs" => self.runs);
             let result = attempt(self.state, self.dialect, &picked, &self.outbound, limits).await;
-            self.tried.insert(engine.id.clone());
             match result {
                 Ok(reply) if reply.facts.not_run || reply.facts.displaced => {
-                    self.turned_away += 1;
-                    if self.turned_away >= MOST_TURNED_AWAY {
-                        return Err(self.give_up());
-                    }
+                    self.note_turned_away(&engine.id, &reply)?;
                 }
                 Ok(reply) => {
+                    self.tried.insert(engine.id.clone());
                     self.runs += 1;
                     self.note_held(&engine.id);
                     debug!(self.state.logger, "answer begins"; "request" => &self.outbound.id,
@@ -199,11 +201,34 @@
                     }
                     return Ok(reply);
                 }
-                Err(failure) => self.note_failure(&engine.id, failure)?,
+                Err(failure) => {
+                    self.tried.insert(engine.id.clone());
+                    self.note_failure(&engine.id, failure)?;
+                }
             }
         }
     }
 
+    /// An engine did not run it. One without room may have some soon, so that it is asked
+    /// again as long as there is time; whoever else did not run it is not.
+    fn note_turned_away(&mut self, engine: &str, reply: &EngineReply) -> Result<(), Refusal> {
+        self.turned_away += 1;
+        if reply.has_no_room() && self.outbound.class == WorkClass::Online {
+            self.without_room += 1;
+            return Ok(());
+        }
+        self.tried.insert(engine.to_owned());
+        self.give_up_if_unusable()
+    }
+
+    /// Gives up once too many engines turned out to be of no use to it.
+    fn give_up_if_unusable(&self) -> Result<(), Refusal> {
+        match self.turned_away - self.without_room >= MOST_TURNED_AWAY {
+            true => Err(self.give_up()),
+            false => Ok(()),
+        }
+    }
+
     /// Waits until it shows whether engines may have it, if that is open.
     async fn permitted(&self) -> Result<(), Refusal> {
         loop {
@@ -236,10 +261,7 @@
             "digest" => %self.outbound.digest(), "engine" => engine, "failure" => %failure, "runs" => self.runs);
         if !failure.may_have_run() {
             self.turned_away += 1;
-            return match self.turned_away >= MOST_TURNED_AWAY {
-                true => Err(self.give_up()),
-                false => Ok(()),
-            };
+            return self.give_up_if_unusable();
         }
         self.runs += 1;
         if failure == AttemptFailure::Broken {
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -274,7 +274,9 @@
             service: picked.facts.service.clone(),
             class,
             unread_tokens: Cell::new(unread_tokens),
+            started: self.now(),
             began: Cell::new(None),
+            serves: Cell::new(false),
         }
     }
 
@@ -434,8 +436,11 @@
     class: WorkClass,
     /// Prompt tokens that the engine has not read yet.
     unread_tokens: Cell<u64>,
+    started: Timestamp,
     /// When it began to answer, and so held a slot.
     began: Cell<Option<Timestamp>>,
+    /// Whether the engine works on it, as its answer says.
+    serves: Cell<bool>,
 }
 
 impl Occupied {
@@ -445,6 +450,11 @@
         self.has_read();
     }
 
+    /// The engine works on it: how long it is there says how long such work takes.
+    pub fn serves(&self) {
+        self.serves.set(true);
+    }
+
     fn has_read(&self) {
         let read = self.unread_tokens.replace(0);
         self.state.engines.borrow_mut().read(&self.engine, read);
@@ -464,5 +474,8 @@
         if self.class == WorkClass::Online {
             engines.note_slot_time(&self.service, now.since(began));
         }
+        if self.class == WorkClass::Online && self.serves.get() {
+            engines.note_time_at(&self.engine, now.since(self.started), now);
+        }
     }
 }
