--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -190,6 +190,7 @@
                 Ok(reply) => {
                     self.tried.insert(engine.id.clone());
                     self.runs += 1;
+                    self.note_taken();
                     self.note_held(&engine.id);
                     debug!(self.state.logger, "answer begins"; "request" => &self.outbound.id,
                         "engine" => &engine.id, "status" => reply.head.status,
@@ -215,12 +216,24 @@
         self.turned_away += 1;
         if reply.has_no_room() && self.outbound.class == WorkClass::Online {
             self.without_room += 1;
+            self.state.note_turned_away(&self.service);
             return Ok(());
         }
         self.tried.insert(engine.to_owned());
         self.give_up_if_unusable()
     }
 
+    /// An engine took it.
+    fn note_taken(&self) {
+        if self.outbound.class != WorkClass::Online {
+            return;
+        }
+        self.state.note_taken(&self.service);
+        if self.without_room > 0 {
+            self.state.metrics.room.waited(self.age());
+        }
+    }
+
     /// Gives up once too many engines turned out to be of no use to it.
     fn give_up_if_unusable(&self) -> Result<(), Refusal> {
         match self.turned_away - self.without_room >= MOST_TURNED_AWAY {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -24,6 +24,7 @@
 mod relay;
 mod request;
 mod resume;
+mod room;
 mod silence;
 mod state;
 mod tenants;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -2,6 +2,8 @@
 //!
 //! Each part of the gateway that decides has a group of its own here.
 
+mod room;
+
 use std::time::Duration;
 
 use molespan_telemetry::Metrics;
@@ -9,6 +11,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::histogram::Histogram;
 
+use self::room::RoomMetrics;
 use crate::dialect::Refusal;
 
 /// Upper bounds of the buckets of waits, in seconds.
@@ -23,6 +26,8 @@
     registry: Metrics,
     refusals: Family<Label, Counter>,
     waits: Histogram,
+    /// Of room at engines.
+    pub room: RoomMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -40,6 +45,7 @@
                 "Time from a request's arrival until an engine was chosen for its first attempt",
                 &WAIT_BOUNDS,
             ),
+            room: RoomMetrics::new(&registry),
             registry,
         }
     }
--- /dev/null
+++ b/crates/proxy/src/room.rs
@@ -0,0 +1,54 @@
+//! Services whose engines have no room, as operators hear of it.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use molespan_routing::dispatch::Shortage;
+use slog::info;
+
+use crate::state::GatewayState;
+
+/// Shortage of room by service.
+#[derive(Debug, Default)]
+pub(crate) struct Shortages(RefCell<BTreeMap<String, Shortage>>);
+
+impl Shortages {
+    /// Services may be gone.
+    pub fn clear(&self) {
+        self.0.borrow_mut().clear();
+    }
+}
+
+impl GatewayState {
+    /// An engine of a service had no room for an online request.
+    pub fn note_turned_away(&self, service: &str) {
+        self.metrics.room.turned_away(service);
+        self.note_room(service, true);
+    }
+
+    /// An engine of a service took one.
+    pub fn note_taken(&self, service: &str) {
+        self.note_room(service, false);
+    }
+
+    fn note_room(&self, service: &str, turned_away: bool) {
+        let mut shortages = self.shortages.0.borrow_mut();
+        let change = match shortages.get_mut(service) {
+            Some(shortage) => shortage.note(turned_away, self.now()),
+            None if !turned_away => None,
+            None => {
+                let shortage = shortages.entry(service.to_owned()).or_default();
+                shortage.note(turned_away, self.now())
+            }
+        };
+        match change {
+            Some(true) => {
+                let work_time = self.engines.borrow().short_work_time(service);
+                info!(self.logger, "service short of room"; "service" => service,
+                    "work_ms" => work_time.map(|time| time.as_millis() as u64));
+            }
+            Some(false) => info!(self.logger, "service has room again"; "service" => service),
+            None => {}
+        }
+    }
+}
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -26,6 +26,7 @@
 use crate::engine_ends::Breaks;
 use crate::metrics::GatewayMetrics;
 use crate::pool::Pool;
+use crate::room::Shortages;
 use crate::tenants::{Keys, limits};
 
 /// The configuration in force here.
@@ -94,6 +95,8 @@
     pub batch_turns: Rc<Turns>,
     /// The same among the late online requests of each service.
     late_turns: RefCell<BTreeMap<String, Rc<Turns>>>,
+    /// Services short of room at engines.
+    pub shortages: Shortages,
     /// Client of the batch group.
     pub batch: Arc<Cluster>,
     pub logger: Logger,
@@ -141,6 +144,7 @@
             batch_runs: BatchRuns::default(),
             batch_turns: Rc::default(),
             late_turns: RefCell::default(),
+            shortages: Shortages::default(),
             batch,
             logger,
             metrics: GatewayMetrics::default(),
@@ -314,6 +318,7 @@
         self.tenants.borrow_mut().set_limits(limits(&model), now);
         // Services may be gone; those who wait keep the turns that they have.
         self.late_turns.borrow_mut().clear();
+        self.shortages.clear();
         *self.in_force.borrow_mut() = Some(Rc::new(InForce::new(version, model)));
     }
 
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -19,6 +19,7 @@
 pub use engine::{EngineFacts, EngineLoad, Failure, WorkShare};
 pub use prompt::{PromptCost, PromptPart, SharedPrompt};
 pub use relay::{RelayChoice, Teller, WorkRelay};
+pub use short::Shortage;
 pub use split::WeightedSplit;
 pub use table::{EngineTable, NoEngine, Pick, Picked, Standing, WorkClass};
 pub use turn::{Asked, Place, TurnQueue};
--- a/crates/routing/src/dispatch/short.rs
+++ b/crates/routing/src/dispatch/short.rs
@@ -14,6 +14,7 @@
 
 use super::engine::{Engine, Failure};
 use super::room::STARTS_SHOW;
+use crate::decay::FadingSum;
 use super::table::{EngineTable, Pick, Standing};
 
 /// Weight of the latest request in the mean: some thirty of them make it.
@@ -33,6 +34,48 @@
 /// another look behind it.
 const LONGEST_BACKOFF: Duration = Duration::from_millis(200);
 
+/// Time over which requests that found no room fade.
+const SHORTAGE_FADES: Duration = Duration::from_secs(1);
+/// Requests lately without room from which on a service is short of it: single ones are
+/// chance.
+const SHORT_FROM: f64 = 5.0;
+/// Requests lately below which it is no longer.
+const ENOUGH_BELOW: f64 = 0.5;
+
+/// Whether requests of a service lately found engines without room.
+#[derive(Clone, Copy, Debug)]
+pub struct Shortage {
+    turned_away: FadingSum,
+    short: bool,
+}
+
+impl Default for Shortage {
+    fn default() -> Self {
+        Self {
+            turned_away: FadingSum::new(SHORTAGE_FADES),
+            short: false,
+        }
+    }
+}
+
+impl Shortage {
+    /// An engine answered a request, or had no room for it. Says whether the service is
+    /// short of room from now on, if that changes.
+    pub fn note(&mut self, turned_away: bool, now: Timestamp) -> Option<bool> {
+        if turned_away {
+            self.turned_away.add(1.0, now);
+        }
+        let lately = self.turned_away.at(now);
+        let short = match self.short {
+            true => lately >= ENOUGH_BELOW,
+            false => lately >= SHORT_FROM,
+        };
+        let changes = short != self.short;
+        self.short = short;
+        changes.then_some(short)
+    }
+}
+
 /// Times in a row that an engine turned requests away for want of room.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Backoff(u32);
@@ -100,6 +143,13 @@
         engine.leave_out(pause, now);
     }
 
+    /// Mean time for which a request of a service keeps a slot, where it is so short that
+    /// engines' queues decide.
+    #[must_use]
+    pub fn short_work_time(&self, service: &str) -> Option<Duration> {
+        self.work_times.short(service)
+    }
+
     /// Whether an engine has all that it is to get of such requests, where they are over
     /// before the other gateways hear of them.
     pub(super) fn is_full_of_short(
--- a/crates/routing/tests/short_requests.rs
+++ b/crates/routing/tests/short_requests.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use molespan_routing::dispatch::{
-    EngineFacts, EngineTable, Failure, Pick, PromptCost, Standing, WorkClass,
+    EngineFacts, EngineTable, Failure, Pick, PromptCost, Shortage, Standing, WorkClass,
 };
 use molespan_types::{NodeId, Timestamp};
 use small_service::{Engines, Load, Play, Seen, Trouble};
@@ -179,3 +179,26 @@
     assert!(!finds_an_engine(&mut table, left, 0));
     assert!(finds_an_engine(&mut table, left * 2, 0));
 }
+
+#[test]
+fn a_service_is_short_of_room_while_engines_turn_requests_away() {
+    let mut shortage = Shortage::default();
+    let mut changes = Vec::new();
+    for at_ms in (0..10_000).step_by(50) {
+        let turned_away = (1_000..2_000).contains(&at_ms);
+        let now = Timestamp::from_millis(at_ms);
+        changes.extend(shortage.note(turned_away, now).map(|short| (at_ms, short)));
+    }
+    assert_eq!(changes.len(), 2, "{changes:?}");
+    assert!(changes[0].1 && changes[0].0 < 2_000, "{changes:?}");
+    assert!(!changes[1].1 && changes[1].0 < 6_000, "{changes:?}");
+}
+
+#[test]
+fn single_requests_without_room_are_no_shortage() {
+    let mut shortage = Shortage::default();
+    for second in 0..60 {
+        let now = Timestamp::from_millis(second * 1_000);
+        assert_eq!(shortage.note(true, now), None);
+    }
+}
