--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -2,6 +2,8 @@
 //!
 //! Each part of the gateway that decides has a group of its own here.
 
+mod room;
+
 use std::time::Duration;
 
 use molespan_telemetry::Metrics;
@@ -9,6 +11,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::histogram::Histogram;
 
+use self::room::RoomMetrics;
 use crate::dialect::Refusal;
 
 /// Upper bounds of the buckets of waits, in seconds.
@@ -24,6 +27,8 @@
     refusals: Family<Label, Counter>,
     waits: Histogram,
     held_back: Counter,
+    /// Of room at engines.
+    pub room: RoomMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -46,6 +51,7 @@
                 "Times that batch items were held back since the stores were silent",
                 Counter::default(),
             ),
+            room: RoomMetrics::new(&registry),
             registry,
         }
     }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -29,6 +29,7 @@
 use crate::gateway::GatewayOptions;
 use crate::metrics::GatewayMetrics;
 use crate::pool::Pool;
+use crate::room::Shortages;
 use crate::tenants::{Keys, limits};
 
 /// The configuration in force here.
@@ -97,6 +98,8 @@
     pub batch_turns: Rc<Turns>,
     /// The same among the late online requests of each service.
     late_turns: RefCell<BTreeMap<String, Rc<Turns>>>,
+    /// Services short of room at engines.
+    pub shortages: Shortages,
     /// Client of the batch group.
     pub batch: Arc<Cluster>,
     /// When that group last said which items here are to stop.
@@ -144,6 +147,7 @@
             batch_runs: BatchRuns::default(),
             batch_turns: Rc::default(),
             late_turns: RefCell::default(),
+            shortages: Shortages::default(),
             batch,
             renewal: Cell::new(Renewal::new(options.withdrawn_within)),
             logger,
@@ -312,7 +316,9 @@
             service: picked.facts.service.clone(),
             class,
             unread_tokens: Cell::new(unread_tokens),
+            started: self.now(),
             began: Cell::new(None),
+            serves: Cell::new(false),
         }
     }
 
@@ -350,6 +356,7 @@
         self.tenants.borrow_mut().set_limits(limits(&model), now);
         // Services may be gone; those who wait keep the turns that they have.
         self.late_turns.borrow_mut().clear();
+        self.shortages.clear();
         *self.in_force.borrow_mut() = Some(Rc::new(InForce::new(version, model)));
     }
 
@@ -481,8 +488,11 @@
     class: WorkClass,
     /// Prompt tokens that the engine has not read yet.
     unread_tokens: Cell<u64>,
+    started: Timestamp,
     /// When it began to answer, and so held a slot.
     began: Cell<Option<Timestamp>>,
+    /// Whether the engine works on it, as its answer says.
+    serves: Cell<bool>,
 }
 
 impl Occupied {
@@ -492,6 +502,11 @@
         self.has_read();
     }
 
+    /// The engine works on it: how long it is there says how long such work takes.
+    pub fn serves(&self) {
+        self.serves.set(true);
+    }
+
     fn has_read(&self) {
         let read = self.unread_tokens.replace(0);
         self.state.engines.borrow_mut().read(&self.engine, read);
@@ -511,5 +526,8 @@
         if self.class == WorkClass::Online {
             engines.note_slot_time(&self.service, now.since(began));
         }
+        if self.class == WorkClass::Online && self.serves.get() {
+            engines.note_time_at(&self.engine, now.since(self.started), now);
+        }
     }
 }
