Slots are counted in time: the pace of each engine

Cause: engines of one service are of unequal pace and turn slow for spans of some 100 ms or for seconds; the fourth figure of their load reports was dropped, and cost, places and room counted all slots alike.

Change: routing::dispatch::pace holds the pace of each engine, from the time between events as measured here, from what other gateways measured (two numbers in WorkShare), and from what the engine tells, each for less the older it is. It weighs in the cost of an online request, in what this engine begins in time, and from 3 times the usual time on in the slots that it gets. A report is read as far as it makes sense.

What an engine has as it turns slow stays there, which no choice changes.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -8,7 +8,8 @@
 use derive_more::Display;
 use futures_lite::future;
 use molespan_http::h1::{
-    self, BodyReader, Connection, Framing, HeadError, Headers, ResponseHead, SocketOptions,
+    self, BodyError, BodyReader, Connection, Framing, HeadError, Headers, ResponseHead,
+    SocketOptions,
 };
 use molespan_routing::dispatch::{EngineFacts, Failure, Picked, WorkClass};
 use molespan_state::declared::{RequestDigest, RequestParts};
@@ -16,6 +17,7 @@
 
 use crate::batch::give_way;
 use crate::dialect::{EngineAnswer, EngineCall, GatewayDialect};
+use crate::pace::{EventTimes, note_fault};
 use crate::state::{GatewayState, Occupied};
 
 /// Longest time for a new connection to an engine.
@@ -78,10 +80,28 @@
     /// Whether the connection may be used again.
     reusable: bool,
     keep_alive: Option<Duration>,
-    _occupied: Occupied,
+    occupied: Occupied,
+    times: EventTimes,
 }
 
 impl EngineBody {
+    /// The next piece, or `None` at the end.
+    ///
+    /// # Errors
+    /// When the engine breaks off.
+    pub async fn next(&mut self) -> Result<Option<Vec<u8>>, BodyError> {
+        self.times.waits(self.occupied.now());
+        let piece = self.reader.next(&mut self.connection).await?;
+        let came = piece.as_deref().and_then(|piece| {
+            let now = self.occupied.now();
+            self.times.came(piece, now)
+        });
+        if let Some((events, took)) = came {
+            self.occupied.heard(events, took);
+        }
+        Ok(piece)
+    }
+
     /// Gives the connection back if the answer was read to its end.
     pub fn finish(self, state: &GatewayState) {
         if self.reusable && self.reader.has_ended() {
@@ -182,9 +202,12 @@
     state: &GatewayState,
 ) {
     let now = state.now();
-    if let Some(load) = reply.facts.load {
+    if let Some(load) = reply.facts.load.load {
         engines.report(engine, load, now);
     }
+    if let Some(fault) = reply.facts.load.fault {
+        note_fault(state, engine, fault);
+    }
     if reply.facts.displaced {
         engines.displaced(engine, now);
         state.pool.forget(engine);
@@ -233,7 +256,8 @@
         reusable: sent && head.keeps_alive() && framing != Framing::UntilClose,
         keep_alive: facts.keep_alive,
         connection,
-        _occupied: occupied,
+        occupied,
+        times: EventTimes::default(),
     };
     Ok(EngineReply { head, facts, body })
 }
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -184,7 +184,7 @@
     let mut cutter = EventCutter::default();
     let mut silence = Silence::new(Some(SILENCE));
     loop {
-        let piece = async { body.reader.next(&mut body.connection).await.ok() };
+        let piece = async { body.next().await.ok() };
         let silent = async {
             (&mut silence).await;
             None
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use molespan_http::h1::{Answer, Headers, RequestHead, ResponseHead};
-use molespan_routing::dispatch::{EngineLoad, PromptPart};
+use molespan_routing::dispatch::{LoadReport, PromptPart};
 use molespan_state::batch::BatchItem;
 use molespan_state::declared::KeyDigest;
 
@@ -52,8 +52,8 @@
     pub displaced: bool,
     /// It never can run the request.
     pub impossible: bool,
-    /// Load that it tells.
-    pub load: Option<EngineLoad>,
+    /// Load that it tells, where it does.
+    pub load: LoadReport,
     /// How long an idle connection lives.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,6 +20,7 @@
 mod events;
 mod gateway;
 mod metrics;
+mod pace;
 mod pool;
 mod relay;
 mod request;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -2,6 +2,8 @@
 //!
 //! Each part of the gateway that decides has a group of its own here.
 
+mod pace;
+
 use std::time::Duration;
 
 use molespan_telemetry::Metrics;
@@ -9,6 +11,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::histogram::Histogram;
 
+use self::pace::PaceMetrics;
 use crate::dialect::Refusal;
 
 /// Upper bounds of the buckets of waits, in seconds.
@@ -23,6 +26,8 @@
     registry: Metrics,
     refusals: Family<Label, Counter>,
     waits: Histogram,
+    /// Figures of engines' paces.
+    pub pace: PaceMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -35,6 +40,7 @@
         );
         Self {
             refusals,
+            pace: PaceMetrics::new(&registry),
             waits: registry.histogram(
                 "gateway_engine_wait_seconds",
                 "Time from a request's arrival until an engine was chosen for its first attempt",
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -84,7 +84,7 @@
     body: &mut EngineBody,
     time: &mut (impl Future<Output = ()> + Unpin),
 ) -> Next {
-    let piece = async { Next::Piece(body.reader.next(&mut body.connection).await) };
+    let piece = async { Next::Piece(body.next().await) };
     let late = async {
         time.await;
         Next::TimeOver
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -25,6 +25,7 @@
 use crate::batch::{BatchRuns, Turns};
 use crate::engine_ends::Breaks;
 use crate::metrics::GatewayMetrics;
+use crate::pace::PaceWatch;
 use crate::pool::Pool;
 use crate::tenants::{Keys, limits};
 
@@ -99,6 +100,8 @@
     pub logger: Logger,
     /// What it counts for operators.
     pub metrics: GatewayMetrics,
+    /// What operators were told of engines' paces.
+    pub pace: PaceWatch,
     /// Counts on while the machine is suspended.
     pub clock: BootClock,
     in_force: RefCell<Option<Rc<InForce>>>,
@@ -144,6 +147,7 @@
             batch,
             logger,
             metrics: GatewayMetrics::default(),
+            pace: PaceWatch::default(),
             clock,
             in_force: RefCell::default(),
             topology: RefCell::default(),
@@ -445,6 +449,18 @@
         self.has_read();
     }
 
+    /// So many events of the answer came within a time.
+    pub fn heard(&self, events: u32, took: Duration) {
+        let now = self.state.now();
+        let mut engines = self.state.engines.borrow_mut();
+        engines.heard(&self.engine, events, took, now);
+    }
+
+    /// Now, on the clock of the engine table.
+    pub fn now(&self) -> Timestamp {
+        self.state.now()
+    }
+
     fn has_read(&self) {
         let read = self.unread_tokens.replace(0);
         self.state.engines.borrow_mut().read(&self.engine, read);
--- a/crates/proxy/src/work_shares.rs
+++ b/crates/proxy/src/work_shares.rs
@@ -23,6 +23,7 @@
 use slog::{Logger, info};
 
 use crate::batch::give_way;
+use crate::pace::look;
 use crate::state::GatewayState;
 
 /// Time between two tellings while there is little to tell.
@@ -168,6 +169,7 @@
             Timer::after(interval).await;
         };
         future::or(due, state.to_tell_soon()).await;
+        look(&state);
         let shares = state.engines.borrow().shares(state.now());
         let short = state.tenants.borrow().is_short(state.now());
         interval = match short || is_busy(&state, &shares) {
--- a/crates/routing/src/dispatch/candidate.rs
+++ b/crates/routing/src/dispatch/candidate.rs
@@ -4,7 +4,7 @@
 use molespan_types::ZoneName;
 
 use super::engine::EngineFacts;
-use super::table::Picked;
+use super::table::{Picked, WorkClass};
 
 /// Prompt tokens that a way into another zone weighs as much as.
 const ZONE_TOKENS: f64 = 150.0;
@@ -23,6 +23,10 @@
 /// gateway hears of the request.
 const CUT_ELSEWHERE_TOKENS: f64 = 3_000.0;
 
+/// Prompt tokens that the usual time of an online answer weighs as much as: an engine
+/// that takes longer for it holds the slot for as much longer.
+const ANSWER_TOKENS: f64 = 1_000.0;
+
 /// An engine that could be chosen.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Candidate<'e> {
@@ -34,6 +38,19 @@
     pub own_batch: f64,
     /// Batch requests of other gateways there.
     pub others_batch: f64,
+    /// How long work takes there; 1 is usual.
+    pub pace: f64,
+    /// Prompt tokens that the usual time of its answer weighs as much as.
+    pub answer_tokens: f64,
+}
+
+/// Prompt tokens that the usual time of an answer weighs as much as. Batch work takes
+/// what is left, whose pace has changed before it ends.
+pub(super) fn answer_tokens(class: WorkClass) -> f64 {
+    match class {
+        WorkClass::Online => ANSWER_TOKENS,
+        WorkClass::Batch => 0.0,
+    }
 }
 
 impl Candidate<'_> {
@@ -45,10 +62,11 @@
             false => ZONE_TOKENS,
         };
         let slots = f64::from(self.facts.slots);
-        let reading = (self.before_tokens + self.unread_tokens) as f64;
+        let reading = (self.before_tokens + self.unread_tokens) as f64 * self.pace;
         let running = self.load / slots.max(1.0) * RUNNING_TOKENS;
         let held_up = self.load * self.unread_tokens as f64 * HELD_UP_SHARE;
-        reading + running + held_up + zone + self.slot_cost(slots)
+        let answering = (self.pace - 1.0) * self.answer_tokens;
+        reading + running + held_up + answering + zone + self.slot_cost(slots)
     }
 
     /// How long the request waits for a slot. Batch work gives way to it, the
--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -1,5 +1,6 @@
 //! What is known of one engine.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -8,6 +9,8 @@
 use molespan_types::{NodeId, Timestamp, ZoneName};
 
 use super::errors::{Counts, Errors};
+use super::load::EngineLoad;
+use super::pace::{Pace, Word};
 use super::table::WorkClass;
 
 /// How long a report says something about the work of others.
@@ -53,19 +56,8 @@
     pub slots: u32,
 }
 
-/// Load that an engine tells in an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EngineLoad {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that can run at the same time.
-    pub slots: u32,
-}
-
 /// Work that one gateway has at one engine, as it tells the others.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct WorkShare {
     /// Engine.
     #[n(0)]
@@ -95,6 +87,14 @@
     #[n(7)]
     #[cbor(default)]
     pub answers: u32,
+    /// Requests there whose pace is known.
+    #[n(8)]
+    #[cbor(default)]
+    pub paced: u32,
+    /// Paces of those together, in eighths of what is usual at engines of its service.
+    #[n(9)]
+    #[cbor(default)]
+    pub paces: u32,
 }
 
 impl WorkShare {
@@ -127,6 +127,8 @@
         self.answering += others.answering;
         self.errors += others.errors;
         self.answers += others.answers;
+        self.paced += others.paced;
+        self.paces += others.paces;
     }
 
     /// What is left without a part of it.
@@ -141,6 +143,8 @@
             answering: self.answering.saturating_sub(part.answering),
             errors: self.errors.saturating_sub(part.errors),
             answers: self.answers.saturating_sub(part.answers),
+            paced: self.paced.saturating_sub(part.paced),
+            paces: self.paces.saturating_sub(part.paces),
         }
     }
 }
@@ -174,6 +178,7 @@
     failing: u32,
     answering: u32,
     counts: Counts,
+    pace: Word,
     at: Timestamp,
 }
 
@@ -200,6 +205,10 @@
     crowded_until: Timestamp,
     next_cut: Timestamp,
     errors: Errors,
+    /// How long work takes here.
+    pub pace: Pace,
+    /// Its pace as it was worked out last, and when.
+    pub latest_pace: Cell<Option<(f64, Timestamp)>>,
 }
 
 impl Engine {
@@ -220,6 +229,8 @@
             crowded_until: Timestamp::ZERO,
             next_cut: Timestamp::ZERO,
             errors: Errors::default(),
+            pace: Pace::default(),
+            latest_pace: Cell::default(),
         }
     }
 
@@ -268,6 +279,7 @@
     /// gateway that is not `sure` of itself tells of no failures.
     pub fn share(&self, now: Timestamp, sure: bool) -> Option<WorkShare> {
         let counts = self.errors.own(now);
+        let pace = self.pace.word(self.own(), now);
         let share = WorkShare {
             errors: counts.errors,
             answers: counts.answers,
@@ -277,6 +289,8 @@
             unread_tokens: self.unread_tokens,
             failing: u32::from(sure && now < self.failing_until),
             answering: u32::from(now < self.answering_until),
+            paced: pace.requests,
+            paces: pace.eighths,
         };
         (!share.is_empty()).then_some(share)
     }
@@ -297,9 +311,15 @@
                 errors: share.errors,
                 answers: share.answers,
             },
+            pace: Word {
+                requests: share.paced,
+                eighths: share.paces,
+            },
             at: now,
         };
         self.shares.insert(from, share);
+        self.latest_pace.set(None);
+        self.pace.get_used(self.words(now), now);
         self.errors.decide(self.counts_of_others(now), now);
     }
 
@@ -310,7 +330,7 @@
 
     /// Takes in a load that it told; own requests in flight are in it.
     pub fn report(&mut self, load: EngineLoad, now: Timestamp) {
-        let all = load.running + load.waiting;
+        let all = load.running.saturating_add(load.waiting);
         self.report = Some(Report {
             others: all.saturating_sub(self.own()),
             at: now,
@@ -318,6 +338,10 @@
         if load.slots > 0 {
             self.facts.slots = load.slots;
         }
+        if let Some(pace) = load.pace {
+            self.pace.tell(pace, now);
+            self.latest_pace.set(None);
+        }
     }
 
     fn fresh_shares(&self, now: Timestamp) -> impl Iterator<Item = &Share> {
@@ -325,6 +349,12 @@
         shares.filter(move |share| now.since(share.at) < SHARE_HOLDS)
     }
 
+    /// What others told of its pace, and when.
+    pub fn told_paces(&self, now: Timestamp) -> impl Iterator<Item = (Word, Timestamp)> {
+        let shares = self.fresh_shares(now);
+        shares.map(|share| (share.pace, share.at))
+    }
+
     /// Requests that are there as far as is known: the own ones, and those of
     /// others, which they tell, or which the engine told and which count for
     /// less the older that is.
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -6,18 +6,24 @@
 mod candidate;
 mod engine;
 mod errors;
+mod load;
+mod pace;
 mod prompt;
 mod relay;
 mod room;
 mod slot_time;
+mod slow;
 mod split;
 mod table;
 mod turn;
 mod urgency;
 
-pub use engine::{EngineFacts, EngineLoad, Failure, WorkShare};
+pub use engine::{EngineFacts, Failure, WorkShare};
+pub use load::{EngineLoad, LoadFault, LoadReport};
+pub use pace::PaceFigures;
 pub use prompt::{PromptCost, PromptPart, SharedPrompt};
 pub use relay::{RelayChoice, Teller, WorkRelay};
+pub use slow::{SlowChange, SlowWatch};
 pub use split::WeightedSplit;
 pub use table::{EngineTable, NoEngine, Pick, Picked, Standing, WorkClass};
 pub use turn::{Asked, Place, TurnQueue};
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -9,8 +9,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::candidate::Candidate;
-use super::engine::{Engine, EngineFacts, EngineLoad, Failure, WorkShare};
+use super::candidate::{Candidate, answer_tokens};
+use super::engine::{Engine, EngineFacts, Failure, WorkShare};
+use super::load::EngineLoad;
 use super::prompt::{Holders, PromptCost, home};
 use super::room::{FreedSlots, STARTS_SHOW, UnseenStarts};
 use super::slot_time::SlotTimes;
@@ -114,7 +115,7 @@
 #[derive(Debug)]
 pub struct EngineTable {
     zone: ZoneName,
-    engines: BTreeMap<String, Engine>,
+    pub(super) engines: BTreeMap<String, Engine>,
     departed: BTreeSet<String>,
     departed_order: VecDeque<String>,
     holders: Holders,
@@ -129,7 +130,7 @@
     batch_starts: UnseenStarts,
     online_starts: UnseenStarts,
     freed: FreedSlots,
-    slot_times: SlotTimes,
+    pub(super) slot_times: SlotTimes,
     random: ChaCha8Rng,
 }
 
@@ -324,11 +325,6 @@
         }
     }
 
-    /// An online request held a slot of the service for so long.
-    pub fn note_slot_time(&mut self, service: &str, held: Duration) {
-        self.slot_times.note(service, held);
-    }
-
     /// A request has ended in whatever way.
     pub fn ended(&mut self, id: &str, class: WorkClass) {
         if let Some(engine) = self.engines.get_mut(id) {
@@ -468,7 +464,7 @@
             .filter(|engine| !avoided.contains(engine.facts.id.as_str()));
         let room: f64 = usable
             .map(|engine| {
-                let slots = f64::from(engine.facts.slots);
+                let slots = engine.slots(now);
                 (slots - engine.load(now, others_tell)).max(0.0)
             })
             .sum();
@@ -499,7 +495,7 @@
             own += f64::from(engine.own_online());
             all += online;
             if !engine.is_paused(now) {
-                room += (self.places(engine, pick) - online).max(0.0);
+                room += (self.places(engine, pick, now) - online).max(0.0);
             }
         }
         let share = (own + 1.0) / (all + self.users_of(pick.service));
@@ -507,13 +503,14 @@
     }
 
     /// Online requests up to which an engine gets such a one.
-    fn places(&self, engine: &Engine, pick: &Pick<'_>) -> f64 {
-        let slots = engine.facts.slots;
+    fn places(&self, engine: &Engine, pick: &Pick<'_>, now: Timestamp) -> f64 {
+        let slots = engine.slots(now);
         match pick.standing {
-            Standing::Late => f64::from(slots),
+            Standing::Late => slots,
             Standing::InTime { left } => {
-                let begun = self.slot_times.begun_within(pick.service, left, slots);
-                begun.min(f64::from(slots) * ONLINE_LOAD)
+                let times = &self.slot_times;
+                let begun = times.begun_within(pick.service, left, slots, engine.pace(now));
+                begun.min(slots * ONLINE_LOAD)
             }
         }
     }
@@ -521,11 +518,11 @@
     /// Whether an engine has all that it is to get of such requests.
     fn is_full(&self, engine: &Engine, pick: &Pick<'_>, now: Timestamp) -> bool {
         let others_tell = self.others_tell(now);
-        let slots = f64::from(engine.facts.slots);
         if pick.class == WorkClass::Batch {
+            let slots = engine.slots(now);
             return engine.load(now, others_tell) >= slots * BATCH_LOAD;
         }
-        engine.online_load(now, others_tell) + 1.0 > self.places(engine, pick)
+        engine.online_load(now, others_tell) + 1.0 > self.places(engine, pick, now)
     }
 
     /// Engines at which own batch work is to give way, and how many requests.
@@ -661,6 +658,8 @@
             before_tokens: engine.unread_tokens(now),
             own_batch: f64::from(engine.own_batch()),
             others_batch: f64::from(engine.others_batch(now)),
+            pace: engine.pace(now),
+            answer_tokens: answer_tokens(pick.class),
         }
     }
 }
--- a/crates/routing/tests/dispatch.rs
+++ b/crates/routing/tests/dispatch.rs
@@ -117,6 +117,7 @@
         running: 4,
         waiting: 0,
         slots: 8,
+        pace: None,
     };
     table.report("e1", load, now(0));
     table.started("e2", WorkClass::Online, 0, now(0));
@@ -274,6 +275,7 @@
         batch: 0,
         failing: 0,
         answering: 0,
+        ..WorkShare::default()
     };
     table.note_shares(NodeId(9), std::slice::from_ref(&share), now(0));
     for _ in 0..20 {
@@ -302,6 +304,7 @@
         batch: 0,
         failing: 0,
         answering: 0,
+        ..WorkShare::default()
     };
     let told = [share(3, 5), share(9, 7), share(1, 2)];
     table.note_shares(NodeId(7), &told, now(0));
@@ -323,6 +326,7 @@
         batch: 0,
         failing,
         answering,
+        ..WorkShare::default()
     }
 }
 
@@ -454,6 +458,7 @@
             batch: other_batch,
             failing: 0,
             answering: 0,
+            ..WorkShare::default()
         };
         table.note_shares(NodeId(9), &[share], now(0));
         let cuts: u32 = table.batch_to_cut(now(0)).iter().map(|(_, cut)| cut).sum();
@@ -578,6 +583,7 @@
         batch: if engine == "e2" { 8 } else { 0 },
         failing: 0,
         answering: 0,
+        ..WorkShare::default()
     });
     table.note_shares(NodeId(9), &shares, now(0));
     for _ in 0..8 {
@@ -778,6 +784,7 @@
         answering: 0,
         errors: 0,
         answers: 0,
+        ..WorkShare::default()
     }
 }
 
--- a/crates/routing/tests/fleet_size.rs
+++ b/crates/routing/tests/fleet_size.rs
@@ -126,6 +126,7 @@
         answering: 1,
         errors: 0,
         answers: 10,
+        ..WorkShare::default()
     }
 }
 
--- /dev/null
+++ b/crates/routing/tests/pace/main.rs
@@ -0,0 +1,384 @@
+//! Work goes by how long it takes at each engine now.
+
+mod fleet;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use fleet::{Fleet, Outcome, Play, Slow, Sources};
+use minicbor::{Decode, Encode};
+use molespan_routing::dispatch::{
+    EngineFacts, EngineLoad, EngineTable, LoadFault, LoadReport, Pick, PromptCost, SlowChange,
+    SlowWatch, Standing, Teller, WorkClass, WorkRelay, WorkShare,
+};
+use molespan_types::{NodeId, Timestamp};
+
+const CONTROL: NodeId = NodeId(1);
+const RELAY: NodeId = NodeId(2);
+const NOTHING: Sources = Sources {
+    told: false,
+    measured: false,
+};
+const TOLD: Sources = Sources {
+    told: true,
+    measured: false,
+};
+const MEASURED: Sources = Sources {
+    told: false,
+    measured: true,
+};
+const BOTH: Sources = Sources {
+    told: true,
+    measured: true,
+};
+
+/// 40 gateways before 30 engines, a third of them slower by themselves, each slow for a
+/// part of the time.
+fn play(sources: Sources, seed: u64) -> Play {
+    Play {
+        gateways: 40,
+        engines: 30,
+        sources,
+        peak: 0.6,
+        lull: 0.21,
+        speeds: [1.0, 1.0, 1.3],
+        noise: (0.15, 2.5),
+        slow: None,
+        tells_slow: true,
+        batch: true,
+        ends: 9_000_000,
+        seed,
+    }
+}
+
+/// The same, and four engines turn slow in a peak for five seconds.
+fn slow_play(sources: Sources, seed: u64) -> Play {
+    Play {
+        slow: Some(Slow {
+            engines: 4,
+            by: 7.0,
+            from: 3_800_000,
+            until: 8_000_000,
+        }),
+        ..play(sources, seed)
+    }
+}
+
+/// What came of a few plays together.
+fn played(play: impl Fn(u64) -> Play) -> Outcome {
+    let mut all = Outcome::default();
+    for seed in 0..4 {
+        let one = Fleet::new(play(seed)).run();
+        all.arrived += one.arrived;
+        all.in_time += one.in_time;
+        all.paused += one.paused;
+        all.refused += one.refused;
+        all.held += one.held;
+        all.online_events += one.online_events;
+        all.batch_events += one.batch_events;
+        all.cuts += one.cuts;
+        all.began_slow += one.began_slow;
+        all.began_behind += one.began_behind;
+    }
+    all
+}
+
+fn line(name: &str, all: &Outcome) {
+    println!(
+        "{name}: in time {:.4}, paused {:.4}, refused {}, {:.2} ms an event, batch events {}, \
+         cuts {}, began at slow engines {}, in the second behind {}",
+        all.good(),
+        f64::from(all.paused) / f64::from(all.arrived),
+        all.refused,
+        all.slot_seconds() * 1_000.0,
+        all.batch_events,
+        all.cuts,
+        all.began_slow,
+        all.began_behind,
+    );
+}
+
+#[test]
+fn work_takes_less_time_of_slots_where_gateways_go_by_pace() {
+    let before = played(|seed| play(NOTHING, seed));
+    line("nothing", &before);
+    for (name, sources) in [("told", TOLD), ("measured", MEASURED), ("both", BOTH)] {
+        let all = played(|seed| play(sources, seed));
+        line(name, &all);
+        assert!(all.slot_seconds() < before.slot_seconds(), "{name}");
+    }
+}
+
+#[test]
+fn engines_that_turn_slow_get_less_and_come_back() {
+    let before = played(|seed| slow_play(NOTHING, seed));
+    let all = played(|seed| slow_play(BOTH, seed));
+    line("nothing", &before);
+    line("both", &all);
+    assert!(all.in_time >= before.in_time);
+    assert!(all.paused < before.paused);
+    assert!(all.slot_seconds() < before.slot_seconds());
+    assert!(all.began_slow < before.began_slow);
+    assert!(all.began_behind > 0);
+}
+
+#[test]
+fn where_nothing_is_apart_every_decision_is_what_it_was() {
+    let even = |sources| Play {
+        speeds: [1.0; 3],
+        noise: (0.0, 1.0),
+        ends: 6_500_000,
+        ..play(sources, 7)
+    };
+    let before = Fleet::new(even(NOTHING)).run();
+    assert!(before.cuts > 0 && before.in_time > 0);
+    for sources in [TOLD, MEASURED, BOTH] {
+        assert_eq!(Fleet::new(even(sources)).run(), before, "{sources:?}");
+    }
+}
+
+fn now(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+/// A gateway before `e1`, which is empty, and `e2`, which has one request.
+fn gateway() -> EngineTable {
+    let mut table = EngineTable::new("near".into(), 1);
+    for number in 1..=2 {
+        let facts = EngineFacts {
+            id: format!("e{number}"),
+            service: "s".to_owned(),
+            address: ([127, 0, 0, number], 80).into(),
+            zone: "near".into(),
+            slots: 8,
+        };
+        table.learn(CONTROL, facts, Timestamp::ZERO);
+    }
+    table.started("e2", WorkClass::Online, 0, Timestamp::ZERO);
+    table
+}
+
+fn chosen(table: &mut EngineTable, at: u64) -> String {
+    let tried = BTreeSet::new();
+    let pick = Pick {
+        service: "s",
+        class: WorkClass::Online,
+        standing: Standing::Late,
+        prompt: PromptCost::default(),
+        tried: &tried,
+        suspect: false,
+    };
+    let picked = table.pick(&pick, now(at)).expect("both have room");
+    picked.facts.id
+}
+
+fn told(pace: u32) -> EngineLoad {
+    EngineLoad {
+        running: 0,
+        waiting: 0,
+        slots: 8,
+        pace: Some(pace),
+    }
+}
+
+/// Events of an answer, one each so many milliseconds, from a time on.
+fn hear(table: &mut EngineTable, engine: &str, step: u64, from: u64, until: u64) {
+    for at in (from + step..=until).step_by(step as usize) {
+        table.heard(engine, 1, Duration::from_millis(step), now(at));
+    }
+}
+
+/// The same, where what is usual was heard before: 50 ms.
+fn gateway_that_knows() -> EngineTable {
+    let mut table = gateway();
+    hear(&mut table, "e2", 50, 0, 5_000);
+    table
+}
+
+#[test]
+fn an_engine_that_tells_of_slow_work_gets_it_once_that_is_old() {
+    let mut table = gateway();
+    assert_eq!(chosen(&mut table, 0), "e1");
+    table.report("e1", told(400), now(0));
+    assert_eq!(chosen(&mut table, 0), "e2");
+    assert_eq!(chosen(&mut table, 300), "e2");
+    // It is silent from then on.
+    assert_eq!(chosen(&mut table, 1_300), "e1");
+}
+
+#[test]
+fn an_engine_that_goes_on_telling_of_slow_work_is_used_by_what_is_measured() {
+    let mut table = gateway_that_knows();
+    for at in (5_000..30_000).step_by(50) {
+        table.report("e1", told(400), now(at));
+        hear(&mut table, "e1", 50, at, at + 50);
+        hear(&mut table, "e2", 50, at, at + 50);
+        // It never counts as slow for it.
+        assert_eq!(table.slow_engines(now(at + 50)), []);
+    }
+    // It has told of it for so long that this is usual there.
+    assert_eq!(chosen(&mut table, 30_000), "e1");
+}
+
+#[test]
+fn an_engine_that_tells_of_fast_work_and_is_measured_slow_is_avoided() {
+    let mut table = gateway_that_knows();
+    assert_eq!(chosen(&mut table, 5_000), "e1");
+    for at in (5_000..6_000).step_by(200) {
+        table.report("e1", told(50), now(at));
+        hear(&mut table, "e1", 50, at, at + 200);
+    }
+    assert_eq!(chosen(&mut table, 6_000), "e1");
+    // It turns slow: one event says so, and it is avoided.
+    table.heard("e1", 1, Duration::from_millis(400), now(6_400));
+    table.report("e1", told(50), now(6_400));
+    table.heard("e1", 1, Duration::from_millis(400), now(6_800));
+    assert_eq!(chosen(&mut table, 6_800), "e2");
+    // And used again as soon as it is back.
+    hear(&mut table, "e1", 50, 6_800, 7_200);
+    assert_eq!(chosen(&mut table, 7_200), "e1");
+}
+
+#[test]
+fn gateways_that_measured_nothing_go_by_what_others_measured() {
+    let mut one = gateway_that_knows();
+    one.started("e1", WorkClass::Online, 0, now(5_000));
+    one.heard("e1", 1, Duration::from_millis(300), now(5_300));
+    hear(&mut one, "e2", 50, 5_000, 5_300);
+    let mut relay = WorkRelay::default();
+    let shares = one.shares(now(5_300));
+    relay.note(NodeId(10), Teller::Gateway, shares, now(5_300));
+    relay.note(NodeId(11), Teller::Gateway, Vec::new(), now(5_300));
+    let mut other = gateway();
+    other.started("e2", WorkClass::Online, 0, now(5_300));
+    assert_eq!(chosen(&mut other, 5_300), "e1");
+    let told = relay.shares_by_gateway();
+    let (_, shares) = told
+        .iter()
+        .find(|(node, _)| *node == NodeId(11))
+        .expect("told");
+    other.note_shares(RELAY, shares, now(5_310));
+    assert_eq!(chosen(&mut other, 5_310), "e2");
+    // Of its own word nothing comes back to the one that told.
+    let (_, back) = told
+        .iter()
+        .find(|(node, _)| *node == NodeId(10))
+        .expect("told");
+    assert!(back.iter().all(|share| share.paced + share.paces == 0));
+    // The word of a gateway that says no more holds for a second or so.
+    assert_eq!(chosen(&mut other, 6_600), "e1");
+}
+
+#[test]
+fn a_slow_engine_is_left_one_place_whose_answers_say_when_it_is_back() {
+    let mut table = gateway_that_knows();
+    table.report("e1", told(1_000), now(5_000));
+    let facts = table.pace_figures(now(5_000)).expect("there are engines");
+    assert!(facts.slowest > 5.0 && facts.slow == 1, "{facts:?}");
+    let headroom = table.batch_headroom("s", now(5_000));
+    assert!((8.0..9.0).contains(&headroom), "{headroom}");
+}
+
+/// What a node without paces tells, and reads.
+#[derive(Encode, Decode)]
+struct OldShare {
+    #[n(0)]
+    engine: String,
+    #[n(1)]
+    requests: u32,
+    #[n(2)]
+    unread_tokens: u64,
+    #[n(3)]
+    batch: u32,
+    #[n(4)]
+    failing: u32,
+    #[n(5)]
+    answering: u32,
+    #[n(6)]
+    errors: u32,
+    #[n(7)]
+    answers: u32,
+}
+
+#[test]
+fn nodes_with_and_without_paces_read_each_other() {
+    let old = OldShare {
+        engine: "e1".to_owned(),
+        requests: 3,
+        unread_tokens: 5,
+        batch: 1,
+        failing: 0,
+        answering: 1,
+        errors: 0,
+        answers: 10,
+    };
+    let bytes = minicbor::to_vec(&old).expect("encoded");
+    let mut share: WorkShare = minicbor::decode(&bytes).expect("an older node's share");
+    assert_eq!((share.requests, share.answers), (3, 10));
+    assert_eq!((share.paced, share.paces), (0, 0));
+    (share.paced, share.paces) = (3, 24);
+    let bytes = minicbor::to_vec(&share).expect("encoded");
+    let old: OldShare = minicbor::decode(&bytes).expect("a newer node's share");
+    assert_eq!((old.requests, old.answers), (3, 10));
+}
+
+#[test]
+fn a_report_holds_as_far_as_it_makes_sense() {
+    let load = |pace| {
+        Some(EngineLoad {
+            running: 3,
+            waiting: 0,
+            slots: 8,
+            pace,
+        })
+    };
+    let (bad_load, bad_pace) = (Some(LoadFault::Load), Some(LoadFault::Pace));
+    let too_many = Some(4_000_000_000);
+    let cases: [(&[Option<u32>], _, _); 12] = [
+        (&[Some(3), Some(0), Some(8)], load(None), None),
+        (
+            &[Some(3), Some(0), Some(8), Some(250)],
+            load(Some(250)),
+            None,
+        ),
+        (
+            &[Some(3), Some(0), Some(8), Some(100), None],
+            load(Some(100)),
+            None,
+        ),
+        (&[Some(3), Some(0), Some(8), None], load(None), bad_pace),
+        (&[Some(3), Some(0), Some(8), Some(0)], load(None), bad_pace),
+        (&[Some(3), Some(0), Some(8), too_many], load(None), bad_pace),
+        (&[], None, bad_load),
+        (&[Some(3), Some(0)], None, bad_load),
+        (&[None, Some(0), Some(8), Some(100)], None, bad_load),
+        (&[Some(3), None, Some(8), Some(100)], None, bad_load),
+        (&[Some(3), Some(0), too_many, Some(100)], None, bad_load),
+        (&[too_many, too_many, Some(8), Some(100)], None, bad_load),
+    ];
+    for (figures, load, fault) in cases {
+        assert_eq!(LoadReport::read(figures), LoadReport { load, fault });
+    }
+}
+
+#[test]
+fn operators_are_told_once_of_an_engine_that_stays_slow() {
+    let mut watch = SlowWatch::default();
+    let slow = vec![("e1".to_owned(), 4.0)];
+    assert_eq!(watch.look(&slow, now(0)), []);
+    // A short span is not told.
+    assert_eq!(watch.look(&[], now(600)), []);
+    assert_eq!(watch.look(&slow, now(1_000)), []);
+    let engine = "e1".to_owned();
+    let news = SlowChange::Slow { engine, pace: 4.0 };
+    assert_eq!(watch.look(&slow, now(2_000)), [news]);
+    assert_eq!(watch.look(&slow, now(3_000)), []);
+    let engine = "e1".to_owned();
+    assert_eq!(watch.look(&[], now(4_000)), [SlowChange::Back { engine }]);
+    // Many at once are counted.
+    let many: Vec<_> = (0..50).map(|number| (format!("e{number}"), 4.0)).collect();
+    watch.look(&many, now(5_000));
+    let news = watch.look(&many, now(6_000));
+    assert_eq!(news.len(), 9);
+    assert_eq!(news.last(), Some(&SlowChange::More(42)));
+}
--- a/crates/routing/tests/relay.rs
+++ b/crates/routing/tests/relay.rs
@@ -23,6 +23,7 @@
         batch,
         failing: 0,
         answering: 0,
+        ..WorkShare::default()
     }
 }
 
