--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -2,6 +2,7 @@
 //!
 //! Each part of the gateway that decides has a group of its own here.
 
+mod pace;
 mod room;
 
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::histogram::Histogram;
 
+use self::pace::PaceMetrics;
 use self::room::RoomMetrics;
 use crate::dialect::Refusal;
 
@@ -29,6 +31,8 @@
     held_back: Counter,
     /// Of room at engines.
     pub room: RoomMetrics,
+    /// Figures of engines' paces.
+    pub pace: PaceMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -41,6 +45,7 @@
         );
         Self {
             refusals,
+            pace: PaceMetrics::new(&registry),
             waits: registry.histogram(
                 "gateway_engine_wait_seconds",
                 "Time from a request's arrival until an engine was chosen for its first attempt",
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -28,6 +28,7 @@
 use crate::engine_ends::Breaks;
 use crate::gateway::GatewayOptions;
 use crate::metrics::GatewayMetrics;
+use crate::pace::PaceWatch;
 use crate::pool::Pool;
 use crate::room::Shortages;
 use crate::tenants::{Keys, limits};
@@ -107,6 +108,8 @@
     pub logger: Logger,
     /// What it counts for operators.
     pub metrics: GatewayMetrics,
+    /// What operators were told of engines' paces.
+    pub pace: PaceWatch,
     /// Counts on while the machine is suspended.
     pub clock: BootClock,
     in_force: RefCell<Option<Rc<InForce>>>,
@@ -152,6 +155,7 @@
             renewal: Cell::new(Renewal::new(options.withdrawn_within)),
             logger,
             metrics: GatewayMetrics::default(),
+            pace: PaceWatch::default(),
             clock: options.clock.clone(),
             in_force: RefCell::default(),
             topology: RefCell::default(),
@@ -507,6 +511,18 @@
         self.serves.set(true);
     }
 
+    /// So many events of the answer came within a time.
+    pub fn heard(&self, events: u32, took: Duration) {
+        let now = self.state.now();
+        let mut engines = self.state.engines.borrow_mut();
+        engines.heard(&self.engine, events, took, now);
+    }
+
+    /// Now, on the clock of the engine table.
+    pub fn now(&self) -> Timestamp {
+        self.state.now()
+    }
+
     fn has_read(&self) {
         let read = self.unread_tokens.replace(0);
         self.state.engines.borrow_mut().read(&self.engine, read);
--- a/crates/routing/src/dispatch/room.rs
+++ b/crates/routing/src/dispatch/room.rs
@@ -125,7 +125,7 @@
             own += f64::from(engine.own_online());
             all += online;
             if !engine.is_paused(now) {
-                room += (self.places(engine, pick) - online).max(0.0);
+                room += (self.places(engine, pick, now) - online).max(0.0);
             }
         }
         let share = (own + 1.0) / (all + self.users_of(pick.service));
--- a/crates/routing/src/dispatch/short.rs
+++ b/crates/routing/src/dispatch/short.rs
@@ -14,8 +14,8 @@
 
 use super::engine::{Engine, Failure};
 use super::room::STARTS_SHOW;
-use crate::decay::FadingSum;
 use super::table::{EngineTable, Pick, Standing};
+use crate::decay::FadingSum;
 
 /// Weight of the latest request in the mean: some thirty of them make it.
 const LATEST_WEIGHT: f64 = 1.0 / 32.0;
--- a/crates/routing/tests/small_service/mod.rs
+++ b/crates/routing/tests/small_service/mod.rs
@@ -331,6 +331,7 @@
             running: self.engines[engine].running.len() as u32,
             waiting: self.engines[engine].queue.len() as u32,
             slots: SLOTS as u32,
+            pace: None,
         }
     }
 
