Zones that are out of reach are one belief, and not some sixty

Cause: with a zone cut off, each gateway found each engine there out by itself, at up to 300 ms an attempt before a target of 300 ms, so that requests were late and refused with two thirds of the slots free. Gateways beyond the cut counted in the parts of the room.

Ruled out: `failing` as relays add it up, which says nothing of the path from here; engines that crash scattered over zones, which must not look like a cut zone.

Change: `routing::reach` takes the failures of five hosts of a zone without an answer from it in between, or the word of two gateways of the own zone, as one belief. Nothing goes there then, its slots are neither room nor load, and connects without a request find its return.

In virtual time, 12 to 36 gateways before 60 engines in three zones, one cut for 6 s in a lull: none late of what came 0.3 s behind the cut or later; engine by engine a quarter to a half.

--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -13,7 +13,7 @@
 /// How long a report says something about the work of others.
 const REPORT_FADES: Duration = Duration::from_secs(2);
 /// How long another gateway's word on its work holds.
-pub(super) const SHARE_HOLDS: Duration = Duration::from_millis(1_200);
+pub(crate) const SHARE_HOLDS: Duration = Duration::from_millis(1_200);
 /// How long batch work keeps away from an engine whose slots online work
 /// wanted: about as long as it takes until all gateways know of each other's
 /// requests there. Coming back too early costs one prompt read again; staying
@@ -448,6 +448,17 @@
         self.failing_until = now;
         self.answering_until = now + ANSWER_HOLDS;
     }
+    /// Its zone was out of reach, and is not any more: it may never have failed itself.
+    /// One that is gone for good stays so.
+    pub fn within_reach_again(&mut self, now: Timestamp) {
+        if self.paused_until > now + LONGEST_PAUSE {
+            return;
+        }
+        self.failures = 0;
+        self.paused_until = self.paused_until.min(now);
+        self.failing_until = self.failing_until.min(now);
+    }
+
     /// Whether its last answer came behind a time.
     pub fn answered_after(&self, at: Timestamp) -> bool {
         self.answering_until > at + ANSWER_HOLDS
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -3,10 +3,12 @@
 //!
 //! Pure decisions: the caller gives the time and tells what happened.
 
+mod avoided;
 mod candidate;
 mod engine;
 mod errors;
 mod prompt;
+mod reachable;
 mod relay;
 mod room;
 mod slot_time;
@@ -15,8 +17,10 @@
 mod turn;
 mod urgency;
 
+pub(crate) use engine::SHARE_HOLDS;
 pub use engine::{EngineFacts, EngineLoad, Failure, WorkShare};
 pub use prompt::{PromptCost, PromptPart, SharedPrompt};
+pub use reachable::Probe;
 pub use relay::{RelayChoice, Teller, WorkRelay};
 pub use split::WeightedSplit;
 pub use table::{EngineTable, NoEngine, Pick, Picked, Standing, WorkClass};
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -14,6 +14,7 @@
 use super::prompt::{Holders, PromptCost, home};
 use super::room::{FreedSlots, STARTS_SHOW, UnseenStarts};
 use super::slot_time::SlotTimes;
+use crate::reach::ReachTable;
 
 /// Departed engines that are remembered, so that a late word of one does not
 /// bring it back.
@@ -32,10 +33,6 @@
 const ONLINE_LOAD: f64 = 1.5;
 /// How long an answer from any engine says that this gateway reaches engines.
 const ANSWERED_LATELY: Duration = Duration::from_secs(3);
-/// Share of a service's engines that may count as failing for others; beyond it
-/// their word is not heeded, since the cause lies elsewhere and the rest could not
-/// carry the load.
-const MOST_FAILING: f64 = 0.5;
 /// How long an engine has to be there to count as one that stays. A request that
 /// engines ended under goes there: one that flaps is the emptiest of all each time it
 /// comes back. Of 1.54 million innocents 10 were refused in place of 15; alone where
@@ -113,8 +110,8 @@
 /// All engines that are known.
 #[derive(Debug)]
 pub struct EngineTable {
-    zone: ZoneName,
-    engines: BTreeMap<String, Engine>,
+    pub(super) zone: ZoneName,
+    pub(super) engines: BTreeMap<String, Engine>,
     departed: BTreeSet<String>,
     departed_order: VecDeque<String>,
     holders: Holders,
@@ -130,7 +127,9 @@
     online_starts: UnseenStarts,
     freed: FreedSlots,
     slot_times: SlotTimes,
-    random: ChaCha8Rng,
+    /// Zones that are out of reach.
+    pub(super) reach: ReachTable,
+    pub(super) random: ChaCha8Rng,
 }
 
 impl EngineTable {
@@ -151,6 +150,7 @@
             online_starts: UnseenStarts::new(seed.wrapping_add(2)),
             freed: FreedSlots::default(),
             slot_times: SlotTimes::default(),
+            reach: ReachTable::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -230,7 +230,7 @@
     }
 
     /// Gateways, this one included, that use each engine of a service.
-    fn users_of(&self, service: &str) -> f64 {
+    pub(super) fn users_of(&self, service: &str) -> f64 {
         let users = self.users.get(service).copied();
         f64::from(
             users
@@ -358,7 +358,10 @@
             .is_some_and(|answered| now.since(answered) < ANSWERED_LATELY);
         let engines = self.engines.values();
         engines
-            .filter_map(|engine| engine.share(now, sure))
+            .filter_map(|engine| {
+                // Its links may be what fails, and others have their own.
+                engine.share(now, sure && !self.reach.is_avoided(&engine.facts.zone))
+            })
             .collect()
     }
 
@@ -374,24 +377,6 @@
         }
     }
 
-    /// Engines of all services that fail for other gateways, or part of all requests.
-    #[must_use]
-    pub fn failing_for_others(&self, now: Timestamp) -> BTreeSet<String> {
-        let failing = failing(self.engines.values(), now);
-        failing.into_iter().map(str::to_owned).collect()
-    }
-
-    /// Engines of the service that are avoided since they fail for others, or fail
-    /// part of all requests.
-    fn avoided(&self, service: &str, now: Timestamp) -> BTreeSet<&str> {
-        let failing = failing(self.of_service(service), now);
-        let all = self.of_service(service).count() as f64;
-        match failing.len() as f64 <= all * MOST_FAILING {
-            true => failing,
-            false => BTreeSet::new(),
-        }
-    }
-
     /// Forgets what another node told: it is told by somebody else from now on.
     pub fn forget_shares(&mut self, from: NodeId) {
         for engine in self.engines.values_mut() {
@@ -404,8 +389,13 @@
     pub fn occupancy(&self, now: Timestamp) -> f64 {
         let others_tell = self.others_tell(now);
         let engines = self.engines.values();
-        let load: f64 = engines.map(|engine| engine.load(now, others_tell)).sum();
-        let slots: u32 = self.engines.values().map(|one| one.facts.slots).sum();
+        let engines = engines.filter(|engine| !self.reach.is_avoided(&engine.facts.zone));
+        let (load, slots) = engines.fold((0.0, 0), |(load, slots), engine| {
+            (
+                load + engine.load(now, others_tell),
+                slots + engine.facts.slots,
+            )
+        });
         load / f64::from(slots.max(1))
     }
 
@@ -438,7 +428,7 @@
         engines.map(|engine| engine.facts.slots).sum()
     }
 
-    fn of_service(&self, service: &str) -> impl Iterator<Item = &Engine> {
+    pub(super) fn of_service(&self, service: &str) -> impl Iterator<Item = &Engine> {
         let engines = self.engines.values();
         engines.filter(move |engine| engine.facts.service == service)
     }
@@ -457,7 +447,7 @@
     #[must_use]
     pub fn batch_headroom(&self, service: &str, now: Timestamp) -> f64 {
         let others_tell = self.others_tell(now);
-        let of_service: Vec<&Engine> = self.of_service(service).collect();
+        let of_service: Vec<&Engine> = self.within_reach(service).collect();
         let slots: u32 = of_service.iter().map(|one| one.facts.slots).sum();
         let loads = of_service.iter().map(|one| one.load(now, others_tell));
         let free = f64::from(slots) - loads.sum::<f64>();
@@ -472,7 +462,7 @@
                 (slots - engine.load(now, others_tell)).max(0.0)
             })
             .sum();
-        let share = 1.0 / self.users_of(service);
+        let share = 1.0 / self.sharers(service);
         self.batch_starts.left(share, room.min(free), now)
     }
 
@@ -494,7 +484,7 @@
         let mut room = 0.0;
         let mut own = 0.0;
         let mut all = 0.0;
-        for engine in self.of_service(pick.service) {
+        for engine in self.within_reach(pick.service) {
             let online = engine.online_load(now, others_tell);
             own += f64::from(engine.own_online());
             all += online;
@@ -502,7 +492,7 @@
                 room += (self.places(engine, pick) - online).max(0.0);
             }
         }
-        let share = (own + 1.0) / (all + self.users_of(pick.service));
+        let share = (own + 1.0) / (all + self.sharers(pick.service));
         self.online_starts.may_start(share.min(1.0), room, now)
     }
 
@@ -628,6 +618,7 @@
     ) -> bool {
         let facts = &engine.facts;
         let failing = engine.is_paused(now) || avoided.contains(facts.id.as_str());
+        let failing = failing || self.reach.is_avoided(&facts.zone);
         let tried = pick.tried.contains(&facts.id);
         let crowded = pick.class == WorkClass::Batch && engine.is_crowded(now);
         let shut = failing || tried || crowded;
@@ -664,8 +655,3 @@
         }
     }
 }
-
-fn failing<'e>(engines: impl Iterator<Item = &'e Engine>, now: Timestamp) -> BTreeSet<&'e str> {
-    let failing = engines.filter(|engine| engine.fails_others(now) || engine.errs(now));
-    failing.map(|engine| engine.facts.id.as_str()).collect()
-}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod pick;
 pub mod placement;
 pub mod quota;
+pub mod reach;
 pub mod readiness;
 pub mod retry;
 pub mod subset;
--- /dev/null
+++ b/crates/routing/src/reach/table.rs
@@ -0,0 +1,208 @@
+//! All zones, and which of them are out of reach.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+use std::time::Duration;
+
+use molespan_types::{Timestamp, ZoneName};
+
+use super::telling::ReachTelling;
+use super::zone::{Change, Evidence, Sign, Zone};
+
+/// Hosts of engines by the zone that they stand in.
+pub type Hosts = BTreeMap<ZoneName, BTreeSet<IpAddr>>;
+
+/// Gateways of the own zone whose word is believed: one alone may be the one that is cut
+/// off.
+const BELIEVED_BY: u32 = 2;
+
+/// What is seen of zones from here.
+#[derive(Clone, Debug, Default)]
+pub struct ReachTable {
+    zones: BTreeMap<ZoneName, Zone>,
+    /// Zones out of reach that are avoided: none where all of them are.
+    avoided: BTreeSet<ZoneName>,
+    changes: Vec<Change>,
+}
+
+impl ReachTable {
+    /// Whether nothing goes there.
+    #[must_use]
+    pub fn is_avoided(&self, zone: &ZoneName) -> bool {
+        !self.avoided.is_empty() && self.avoided.contains(zone)
+    }
+
+    /// Whether nothing goes to some zone.
+    #[must_use]
+    pub fn avoids_any(&self) -> bool {
+        !self.avoided.is_empty()
+    }
+
+    /// Zones that are out of reach, whether they are avoided or not.
+    pub fn out(&self) -> impl Iterator<Item = &ZoneName> {
+        let zones = self.zones.iter();
+        zones
+            .filter(|(_, zone)| zone.is_out())
+            .map(|(name, _)| name)
+    }
+
+    /// An attempt that `began` then did not reach a host of a zone. `hosts` are all that
+    /// are known.
+    pub fn failed(
+        &mut self,
+        zone: &ZoneName,
+        host: IpAddr,
+        hosts: &Hosts,
+        began: Timestamp,
+        now: Timestamp,
+    ) {
+        if !is_on(zone, hosts) {
+            return;
+        }
+        let of = hosts.get(zone).map_or(0, BTreeSet::len);
+        let seen = self.zones.entry(zone.clone()).or_default();
+        let before = seen.out_for(now);
+        let Some(evidence) = seen.failed(host, of, began, now) else {
+            return;
+        };
+        match before {
+            None => self.out_of_reach(zone, evidence, hosts),
+            Some(after) => self.changes.push(Change::Confirmed {
+                zone: zone.clone(),
+                after,
+            }),
+        }
+    }
+
+    fn out_of_reach(&mut self, zone: &ZoneName, evidence: Evidence, hosts: &Hosts) {
+        self.changes.push(Change::Out {
+            zone: zone.clone(),
+            evidence,
+        });
+        self.avoid(hosts);
+    }
+
+    /// What is told to gateways of the `own` zone: what was found out here.
+    #[must_use]
+    pub fn telling(&self, own: &ZoneName) -> Option<ReachTelling> {
+        let zones = self.zones.iter().filter(|(_, zone)| zone.is_found_out());
+        let out: Vec<(ZoneName, u32)> = zones.map(|(name, _)| (name.clone(), 1)).collect();
+        (!out.is_empty()).then(|| ReachTelling {
+            from: own.clone(),
+            out,
+        })
+    }
+
+    /// Other gateways of the own zone tell what they found out. Gives the zones that are
+    /// to be looked at from here: those that one of them alone tells of. What several tell
+    /// is believed at once.
+    pub fn note_told(
+        &mut self,
+        told: &ReachTelling,
+        hosts: &Hosts,
+        now: Timestamp,
+    ) -> Vec<ZoneName> {
+        let mut doubted = Vec::new();
+        for (name, by) in &told.out {
+            if !is_on(name, hosts) || !hosts.contains_key(name) {
+                continue;
+            }
+            let zone = self.zones.entry(name.clone()).or_default();
+            if *by < BELIEVED_BY {
+                if zone.look_as_told(now) {
+                    doubted.push(name.clone());
+                }
+            } else if zone.told(now) {
+                self.out_of_reach(name, Evidence::Told { by: *by }, hosts);
+            }
+        }
+        doubted
+    }
+
+    /// An attempt that `began` then reached a zone.
+    pub fn reached(&mut self, zone: &ZoneName, began: Timestamp, by: Sign, now: Timestamp) {
+        // Nothing is kept of zones that never failed: there may be many answers a second.
+        let Some(seen) = self.zones.get_mut(zone) else {
+            return;
+        };
+        if let Some(after) = seen.reached(began, now) {
+            self.back(zone.clone(), after, by);
+        }
+    }
+
+    fn back(&mut self, zone: ZoneName, after: Duration, by: Sign) {
+        self.avoided.remove(&zone);
+        self.changes.push(Change::Back { zone, after, by });
+    }
+
+    /// A connect to a host of the zone came up after this time.
+    pub fn connected(&mut self, zone: &ZoneName, took: Duration) {
+        self.zones.entry(zone.clone()).or_default().connected(took);
+    }
+
+    /// Usual time of a connect to a zone, if any came up.
+    #[must_use]
+    pub fn usual_connect(&self, zone: &ZoneName) -> Option<Duration> {
+        self.zones.get(zone).and_then(Zone::usual_connect)
+    }
+
+    /// Time for a connect that only asks whether an engine is within reach.
+    #[must_use]
+    pub fn connect_timeout(&self, zone: &ZoneName) -> Duration {
+        let seen = self.zones.get(zone);
+        seen.map_or_else(|| Zone::default().connect_timeout(), Zone::connect_timeout)
+    }
+
+    /// Whether a host failed lately.
+    #[must_use]
+    pub fn has_failed(&self, zone: &ZoneName, host: IpAddr, now: Timestamp) -> bool {
+        let seen = self.zones.get(zone);
+        seen.is_some_and(|seen| seen.has_failed(host, now))
+    }
+
+    /// Whether to look now whether a zone is out of reach, since one of its engines may
+    /// be; it is noted that somebody does.
+    pub fn look(&mut self, zone: &ZoneName, hosts: &Hosts, now: Timestamp) -> bool {
+        is_on(zone, hosts) && self.zones.entry(zone.clone()).or_default().look(now)
+    }
+
+    /// Zones out of reach that are to be connected to now. One without engines is
+    /// forgotten.
+    pub fn probes(&mut self, hosts: &Hosts, now: Timestamp) -> Vec<ZoneName> {
+        let mut due = Vec::new();
+        let mut gone = Vec::new();
+        for (name, zone) in &mut self.zones {
+            if !hosts.contains_key(name) {
+                gone.extend(zone.forget(now).map(|after| (name.clone(), after)));
+            } else if zone.probe(now) {
+                due.push(name.clone());
+            }
+        }
+        for (zone, after) in gone {
+            self.back(zone, after, Sign::NoEngines);
+        }
+        self.zones.retain(|name, _| hosts.contains_key(name));
+        self.avoid(hosts);
+        due
+    }
+
+    /// Changes of belief since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Where all zones are out of reach this node is the one that is cut off, and there
+    /// is nowhere better to go.
+    fn avoid(&mut self, hosts: &Hosts) {
+        let out: BTreeSet<ZoneName> = self.out().cloned().collect();
+        self.avoided = match hosts.keys().all(|zone| out.contains(zone)) {
+            true => BTreeSet::new(),
+            false => out,
+        };
+    }
+}
+
+/// Whether zones are judged: where they are known, and there are several.
+fn is_on(zone: &ZoneName, hosts: &Hosts) -> bool {
+    hosts.len() > 1 && !zone.as_str().is_empty()
+}
--- /dev/null
+++ b/crates/routing/tests/reach/world.rs
@@ -0,0 +1,593 @@
+//! Gateways, relays and engines of three zones in virtual time, with links between zones
+//! that can be cut.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use molespan_routing::dispatch::{
+    EngineFacts, EngineLoad, EngineTable, Failure, Pick, Picked, Probe, PromptCost, Standing,
+    Teller, WorkClass, WorkRelay,
+};
+use molespan_routing::reach::{Change, ReachRelay, Sign};
+use molespan_types::{NodeId, Timestamp, ZoneName};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+pub const SLOTS: u32 = 8;
+const CONTROL: NodeId = NodeId(900);
+/// Target of requests, and the part of it within which they are to begin.
+const TARGET: u64 = 300;
+const BEGINS_WITHIN: u64 = 240;
+/// Time for which a request holds a slot.
+const HELD: u64 = 700;
+/// Time that a connect takes where links are up, and the longest time for one.
+const CONNECT: u64 = 2;
+const CONNECT_TIMEOUT: u64 = 300;
+/// Silence behind which a request that was sent goes elsewhere.
+const SILENCE: u64 = 450;
+/// Time between two looks of a request for an engine, of tellings and of probes.
+const LOOK_AGAIN: u64 = 8;
+const ROUND: u64 = 50;
+const TICK: u64 = 20;
+
+/// How links between zones fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Links {
+    /// They do not.
+    Up,
+    /// What is sent vanishes.
+    Drop,
+    /// Connects are refused at once.
+    Refuse,
+}
+
+/// What a world is played with.
+#[derive(Clone, Copy, Debug)]
+pub struct Play {
+    /// Whether zones out of reach are found.
+    pub by_zone: bool,
+    pub gateways: usize,
+    /// Engines of each zone.
+    pub engines: usize,
+    /// Requests a second, over all gateways.
+    pub rate: f64,
+    /// Share of requests that go over a connection kept from before.
+    pub kept: f64,
+    pub seed: u64,
+}
+
+struct Engine {
+    id: String,
+    zone: usize,
+    alive: bool,
+    running: u32,
+}
+
+pub struct Gateway {
+    pub zone: usize,
+    pub table: EngineTable,
+    looks: Vec<Look>,
+    pub changes: Vec<(u64, Change)>,
+}
+
+struct Connect {
+    picked: Picked,
+    engine: usize,
+    began: u64,
+    /// Whether it is over a connection that was kept, and sent.
+    kept: bool,
+}
+
+struct Look {
+    probe: Probe,
+    began: u64,
+}
+
+struct Request {
+    gateway: usize,
+    arrived: u64,
+    next: u64,
+    tried: BTreeSet<String>,
+    connects: Vec<Connect>,
+    raced: bool,
+}
+
+/// A request that began, or never did.
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome {
+    pub arrived: u64,
+    /// Of its gateway.
+    pub zone: usize,
+    /// Milliseconds from its arrival until its engine had it.
+    pub waited: Option<u64>,
+    /// Whether that had no slot for it then.
+    pub queued: bool,
+}
+
+impl Outcome {
+    /// Whether its engine had it in time.
+    pub fn arrived_in_time(&self) -> bool {
+        self.waited.is_some_and(|waited| waited <= TARGET)
+    }
+
+    /// Whether its engine began with it in time.
+    pub fn is_in_time(&self) -> bool {
+        self.arrived_in_time() && !self.queued
+    }
+}
+
+pub struct World {
+    pub now: u64,
+    play: Play,
+    /// How the links of each zone to the others fail.
+    pub links: [Links; 3],
+    pub gateways: Vec<Gateway>,
+    engines: Vec<Engine>,
+    relays: Vec<(WorkRelay, ReachRelay)>,
+    /// Whether relays pass anything on.
+    pub relays_up: bool,
+    open: Vec<Request>,
+    running: Vec<(u64, usize, usize)>,
+    pub outcomes: Vec<Outcome>,
+    pub probes: u64,
+    due: f64,
+    random: ChaCha8Rng,
+}
+
+fn at(millis: u64) -> Timestamp {
+    // Nothing is at the start of the clock.
+    Timestamp::from_millis(10_000 + millis)
+}
+
+fn number(id: &str) -> usize {
+    id[1..].parse().expect("a number")
+}
+
+pub fn facts(number: usize, zone: &str) -> EngineFacts {
+    EngineFacts {
+        id: format!("e{number}"),
+        service: "s".to_owned(),
+        address: ([127, 0, 1 + (number / 200) as u8, (number % 200) as u8], 80).into(),
+        zone: zone.into(),
+        slots: SLOTS,
+    }
+}
+
+impl World {
+    pub fn new(play: Play) -> Self {
+        let engines: Vec<Engine> = (0..play.engines * ZONES.len())
+            .map(|number| Engine {
+                id: format!("e{number}"),
+                zone: number % ZONES.len(),
+                alive: true,
+                running: 0,
+            })
+            .collect();
+        let gateway = |number: usize| {
+            let zone = number % ZONES.len();
+            let seed = play.seed * 1_000 + number as u64;
+            let mut table = EngineTable::new(ZONES[zone].into(), seed);
+            for (number, engine) in engines.iter().enumerate() {
+                table.learn(CONTROL, facts(number, ZONES[engine.zone]), at(0));
+            }
+            table.set_gateways(play.gateways as u32);
+            // What engines were seen to do before.
+            table.note_slot_time("s", Duration::from_millis(HELD));
+            for id in engines.iter().map(|engine| &engine.id) {
+                table.connected(id, Duration::from_millis(CONNECT));
+            }
+            Gateway {
+                zone,
+                table,
+                looks: Vec::new(),
+                changes: Vec::new(),
+            }
+        };
+        Self {
+            now: 0,
+            links: [Links::Up; 3],
+            gateways: (0..play.gateways).map(gateway).collect(),
+            relays: vec![Default::default(); ZONES.len()],
+            relays_up: true,
+            open: Vec::new(),
+            running: Vec::new(),
+            outcomes: Vec::new(),
+            probes: 0,
+            due: 0.0,
+            random: ChaCha8Rng::seed_from_u64(play.seed),
+            engines,
+            play,
+        }
+    }
+
+    /// Engines of all zones, drawn at random, end at once.
+    pub fn crash(&mut self, share: f64) {
+        let count = (self.engines.len() as f64 * share).round() as usize;
+        for place in rand::seq::index::sample(&mut self.random, self.engines.len(), count) {
+            self.engines[place].alive = false;
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, millis: u64) {
+        let ends = self.now + millis;
+        while self.now < ends {
+            self.now += 1;
+            self.end_requests();
+            self.arrive();
+            let mut open = std::mem::take(&mut self.open);
+            open.retain_mut(|request| !self.go_on(request));
+            self.open = open;
+            self.look();
+            if self.now.is_multiple_of(ROUND) {
+                self.tell();
+            }
+        }
+    }
+
+    /// Requests that came in this span, and how they fared.
+    pub fn came(&self, from: u64, to: u64) -> Vec<Outcome> {
+        let began = self.outcomes.iter().copied();
+        let open = self.open.iter().map(|request| Outcome {
+            arrived: request.arrived,
+            zone: self.gateways[request.gateway].zone,
+            waited: None,
+            queued: false,
+        });
+        let all = began.chain(open);
+        all.filter(|one| (from..to).contains(&one.arrived))
+            .collect()
+    }
+
+    fn end_requests(&mut self) {
+        let now = self.now;
+        let (ended, running) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|(ends, _, _)| *ends <= now);
+        self.running = running;
+        let ended: Vec<(u64, usize, usize)> = ended;
+        for (_, gateway, engine) in ended {
+            let table = &mut self.gateways[gateway].table;
+            let id = self.engines[engine].id.clone();
+            table.ended(&id, WorkClass::Online);
+            table.freed(&id, at(now));
+            table.note_slot_time("s", Duration::from_millis(HELD));
+            self.engines[engine].running -= 1;
+        }
+    }
+
+    fn arrive(&mut self) {
+        self.due += self.play.rate / 1_000.0;
+        while self.due >= 1.0 {
+            self.due -= 1.0;
+            let gateway = self.random.random_range(0..self.gateways.len());
+            self.open.push(Request {
+                gateway,
+                arrived: self.now,
+                next: self.now,
+                tried: BTreeSet::new(),
+                connects: Vec::new(),
+                raced: false,
+            });
+        }
+    }
+
+    fn link(&self, one: usize, other: usize) -> Links {
+        if one == other {
+            return Links::Up;
+        }
+        let cut = [self.links[one], self.links[other]];
+        let cut = cut.into_iter().find(|links| *links != Links::Up);
+        cut.unwrap_or(Links::Up)
+    }
+
+    /// What a connect comes to by now.
+    fn connected(&self, from: usize, engine: usize, began: u64, timeout: u64) -> Option<bool> {
+        let took = self.now - began;
+        let to = &self.engines[engine];
+        match self.link(from, to.zone) {
+            Links::Up if to.alive && took >= CONNECT => Some(true),
+            Links::Up if !to.alive && took >= CONNECT => Some(false),
+            Links::Refuse if took >= CONNECT => Some(false),
+            Links::Drop if took >= timeout => Some(false),
+            _ => None,
+        }
+    }
+
+    /// Says whether the request began.
+    fn go_on(&mut self, request: &mut Request) -> bool {
+        let now = self.now;
+        if request.connects.is_empty() {
+            if now >= request.next {
+                request.next = now + LOOK_AGAIN;
+                self.pick(request);
+            }
+            return false;
+        }
+        if let Some(place) = self.settle(request) {
+            let winner = request.connects.remove(place);
+            self.drop_connects(request);
+            self.begin(request, &winner);
+            return true;
+        }
+        self.race(request);
+        false
+    }
+
+    fn pick(&mut self, request: &mut Request) {
+        let now = self.now;
+        let left = (request.arrived + BEGINS_WITHIN).saturating_sub(now);
+        let standing = match left {
+            0 => Standing::Late,
+            left => Standing::InTime {
+                left: Duration::from_millis(left),
+            },
+        };
+        let pick = Pick {
+            service: "s",
+            class: WorkClass::Online,
+            standing,
+            prompt: PromptCost::default(),
+            tried: &request.tried,
+            suspect: false,
+        };
+        let kept = self.random.random_bool(self.play.kept);
+        let table = &mut self.gateways[request.gateway].table;
+        if let Ok(picked) = table.pick(&pick, at(now)) {
+            Self::occupy(table, request, picked, kept, now);
+        }
+    }
+
+    fn occupy(
+        table: &mut EngineTable,
+        request: &mut Request,
+        picked: Picked,
+        kept: bool,
+        now: u64,
+    ) {
+        let id = &picked.facts.id;
+        match picked.takes_over {
+            true => table.took_over(id, WorkClass::Online, 0),
+            false => table.started(id, WorkClass::Online, 0, at(now)),
+        }
+        request.connects.push(Connect {
+            engine: number(id),
+            picked,
+            began: now,
+            kept,
+        });
+    }
+
+    /// Notes which connects came up or failed; the place of one that is up.
+    fn settle(&mut self, request: &mut Request) -> Option<usize> {
+        let (now, from) = (self.now, self.gateways[request.gateway].zone);
+        let mut place = 0;
+        while place < request.connects.len() {
+            let Connect {
+                engine,
+                began,
+                kept,
+                ..
+            } = request.connects[place];
+            let id = self.engines[engine].id.clone();
+            let timeout = if kept { SILENCE } else { CONNECT_TIMEOUT };
+            let came = self.connected(from, engine, began, timeout);
+            let gateway = &mut self.gateways[request.gateway];
+            let out = gateway.table.is_out_of_reach(&id);
+            match came {
+                Some(true) => {
+                    if self.play.by_zone {
+                        gateway
+                            .table
+                            .reached(&id, at(began), Sign::Connect, at(now));
+                    }
+                    return Some(place);
+                }
+                None if !out => place += 1,
+                _ => {
+                    gateway.table.ended(&id, WorkClass::Online);
+                    if came.is_some() {
+                        request.tried.insert(id.clone());
+                        gateway.table.failed(&id, Failure::Unreachable, at(now));
+                        if self.play.by_zone {
+                            gateway.table.unreached(&id, at(began), at(now));
+                            gateway.doubt(&id, now);
+                        }
+                    }
+                    request.connects.remove(place);
+                    request.next = now;
+                }
+            }
+        }
+        None
+    }
+
+    /// Tries another engine beside one whose connect is slow.
+    fn race(&mut self, request: &mut Request) {
+        let now = self.now;
+        if !self.play.by_zone || request.raced || request.connects.is_empty() {
+            return;
+        }
+        let first = &request.connects[0];
+        if first.kept {
+            return;
+        }
+        let id = first.picked.facts.id.clone();
+        let gateway = &mut self.gateways[request.gateway];
+        let target = Duration::from_millis(TARGET);
+        let slow = gateway.table.connect_is_slow_after(&id, target);
+        if now - first.began < slow.as_millis() as u64 {
+            return;
+        }
+        request.raced = true;
+        gateway.doubt(&id, now);
+        let left = (request.arrived + BEGINS_WITHIN).saturating_sub(now);
+        let mut tried = request.tried.clone();
+        tried.insert(id.clone());
+        let pick = Pick {
+            service: "s",
+            class: WorkClass::Online,
+            standing: match left {
+                0 => Standing::Late,
+                left => Standing::InTime {
+                    left: Duration::from_millis(left),
+                },
+            },
+            prompt: PromptCost::default(),
+            tried: &tried,
+            suspect: false,
+        };
+        let picked = gateway.table.pick_beside(&pick, &id, at(now));
+        if let Some(picked) = picked {
+            Self::occupy(&mut gateway.table, request, picked, false, now);
+        }
+    }
+
+    fn drop_connects(&mut self, request: &mut Request) {
+        for connect in request.connects.drain(..) {
+            let table = &mut self.gateways[request.gateway].table;
+            table.ended(&connect.picked.facts.id, WorkClass::Online);
+        }
+    }
+
+    fn begin(&mut self, request: &Request, winner: &Connect) {
+        let now = self.now;
+        let engine = &mut self.engines[winner.engine];
+        let is_full = engine.running >= SLOTS;
+        engine.running += 1;
+        let gateway = &mut self.gateways[request.gateway];
+        gateway.table.succeeded(&engine.id, at(now));
+        let load = EngineLoad {
+            running: engine.running,
+            waiting: 0,
+            slots: SLOTS,
+        };
+        gateway.table.report(&engine.id, load, at(now));
+        if self.play.by_zone {
+            gateway
+                .table
+                .reached(&engine.id, at(now), Sign::Answer, at(now));
+        }
+        self.running
+            .push((now + HELD, request.gateway, winner.engine));
+        self.outcomes.push(Outcome {
+            arrived: request.arrived,
+            zone: gateway.zone,
+            waited: Some(now - request.arrived),
+            queued: is_full,
+        });
+    }
+
+    /// Connects that ask whether engines are within reach.
+    fn look(&mut self) {
+        let now = self.now;
+        for place in 0..self.gateways.len() {
+            let looks = std::mem::take(&mut self.gateways[place].looks);
+            let (zone, mut open) = (self.gateways[place].zone, Vec::new());
+            for look in looks {
+                let timeout = look.probe.timeout.as_millis() as u64;
+                let engine = number(&look.probe.engine);
+                let came = self.connected(zone, engine, look.began, timeout);
+                let table = &mut self.gateways[place].table;
+                let id = &look.probe.engine;
+                match came {
+                    None => open.push(look),
+                    Some(true) => table.reached(id, at(look.began), Sign::Connect, at(now)),
+                    Some(false) => {
+                        if !table.is_out_of_reach(id) {
+                            table.failed(id, Failure::Unreachable, at(now));
+                        }
+                        table.unreached(id, at(look.began), at(now));
+                    }
+                }
+            }
+            let gateway = &mut self.gateways[place];
+            gateway.looks.extend(open);
+            if now.is_multiple_of(TICK) && !gateway.table.zones_out_of_reach().is_empty() {
+                let due = gateway.table.probes(at(now));
+                self.probes += due.len() as u64;
+                gateway.ask(due, now);
+            }
+            let changes = gateway.table.take_reach_changes(at(now));
+            let changes = changes.into_iter().map(|change| (now, change));
+            gateway.changes.extend(changes);
+        }
+    }
+
+    /// A round of telling through one relay a zone.
+    fn tell(&mut self) {
+        if !self.relays_up {
+            return;
+        }
+        let now = at(self.now);
+        for (place, gateway) in self.gateways.iter().enumerate() {
+            let shares = gateway.table.shares(now);
+            let (relay, reach) = &mut self.relays[gateway.zone];
+            let node = NodeId(place as u32);
+            relay.note(node, Teller::Gateway, shares, now);
+            let told = gateway.table.reach_telling().into_iter().collect();
+            reach.note(node, Teller::Gateway, told, now);
+        }
+        let sums: Vec<_> = self
+            .relays
+            .iter()
+            .map(|(relay, reach)| {
+                let sum = relay.sum_of_gateways();
+                (sum, relay.gateways(), reach.of_gateways())
+            })
+            .collect();
+        for (zone, name) in ZONES.into_iter().enumerate() {
+            for (other, (sum, gateways, out)) in sums.iter().enumerate() {
+                if other != zone && self.link(zone, other) == Links::Up {
+                    let node = NodeId(800 + other as u32);
+                    let (relay, reach) = &mut self.relays[zone];
+                    relay.note(node, Teller::Relay, sum.clone(), now);
+                    relay.note_spoken_for(node, *gateways, now);
+                    reach.note(node, Teller::Relay, out.clone(), now);
+                }
+            }
+            let (relay, reach) = &mut self.relays[zone];
+            relay.expire(now);
+            reach.expire(now);
+            let own: ZoneName = name.into();
+            let beyond = reach.out_of_reach(&own).len() * self.play.gateways / ZONES.len();
+            let present = self.play.gateways - beyond;
+            let all_by_told = relay.all_by_told(present as u32, now);
+            for (gateway, mut shares) in relay.shares_by_gateway() {
+                shares
+                    .iter_mut()
+                    .for_each(|share| share.multiply(all_by_told));
+                let told = reach.for_gateway(gateway, &own);
+                let gateway = &mut self.gateways[gateway.0 as usize];
+                let node = NodeId(800 + zone as u32);
+                gateway.table.note_shares(node, &shares, now);
+                if let Some(told) = told.filter(|_| self.play.by_zone) {
+                    let probes = gateway.table.note_reach_told(&told, now);
+                    gateway.ask(probes, self.now);
+                }
+            }
+        }
+    }
+
+    /// Changes of belief at all gateways, by gateway.
+    pub fn changes(&self) -> BTreeMap<usize, &[(u64, Change)]> {
+        let gateways = self.gateways.iter().enumerate();
+        gateways
+            .filter(|(_, gateway)| !gateway.changes.is_empty())
+            .map(|(place, gateway)| (place, gateway.changes.as_slice()))
+            .collect()
+    }
+}
+
+impl Gateway {
+    fn doubt(&mut self, id: &str, now: u64) {
+        let probes = self.table.doubt(id, at(now));
+        self.ask(probes, now);
+    }
+
+    fn ask(&mut self, probes: Vec<Probe>, now: u64) {
+        let looks = probes.into_iter().map(|probe| Look { probe, began: now });
+        self.looks.extend(looks);
+    }
+}
