Gateways look at zones in doubt, race slow connects and tell what is out of reach

Change: a connect that is not up within a fifth of the target, or twice what is usual, has another engine tried beside it, and the connection that is up first carries the request: a connect writes nothing, so that this holds for requests that may run once. A slow connect or a failed attempt has the zone looked at by connects without a request. Requests without an answer yet that may be repeated leave a zone as soon as it is out of reach. Gateways tell what they found by zone, relays pass it on within a zone, and no longer multiply by gateways beyond a cut.

Ruled out: a shorter timeout in series, which makes each lost packet a failure and a pause.

--- a/crates/fleet/src/control/hub/mod.rs
+++ b/crates/fleet/src/control/hub/mod.rs
@@ -182,6 +182,32 @@
         self.lock().topology.gateway_count()
     }
 
+    /// How many gateways asked here lately that do not stand in one of these zones.
+    #[must_use]
+    pub fn gateways_outside(&self, zones: &BTreeSet<ZoneName>) -> u32 {
+        let state = self.lock();
+        let watchers = state.watchers.values();
+        let gateways = watchers.filter(|watcher| watcher.kind == WatcherKind::Gateway);
+        let beyond = gateways.filter(|watcher| {
+            let zone = watcher.zone.as_ref();
+            zone.is_some_and(|zone| zones.contains(zone))
+        });
+        let beyond = beyond.count() as u32;
+        state.topology.gateway_count().saturating_sub(beyond)
+    }
+
+    /// Where a node stands that asked lately.
+    #[must_use]
+    pub fn zone_of(&self, node: NodeId) -> Option<ZoneName> {
+        self.lock().watchers.get(&node)?.zone.clone()
+    }
+
+    /// Where this node stands.
+    #[must_use]
+    pub fn own_zone(&self) -> Option<ZoneName> {
+        self.lock().topology.zone.clone()
+    }
+
     /// The gateways that use each of these engines; `None` for those that all use.
     #[must_use]
     pub fn users_of(&self, engines: &[&str]) -> Vec<Option<Vec<NodeId>>> {
--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -126,12 +126,15 @@
                 usage,
                 gateways,
                 blames,
+                reach,
             } => {
                 let usage = usage.as_ref().map(|usage| usage.as_slice());
                 self.work.note(from, &shares, usage, relayed);
                 if let Some(blames) = blames {
                     self.work.note_blames(from, &blames);
                 }
+                let reach = reach.as_ref().map(|reach| reach.as_slice());
+                self.work.note_reach(from, reach, relayed);
                 if let Some(gateways) = gateways {
                     self.work.note_spoken_for(from, gateways);
                 }
--- a/crates/fleet/src/control/relay.rs
+++ b/crates/fleet/src/control/relay.rs
@@ -10,6 +10,7 @@
 use molespan_daemon::cluster::{PeerTransport, WireTransport};
 use molespan_routing::dispatch::{Teller, WorkRelay, WorkShare};
 use molespan_routing::quota::{Usage, UsageRelay};
+use molespan_routing::reach::{ReachRelay, ReachTelling};
 use molespan_routing::suspects::{Blame, SuspectTable};
 use molespan_types::{NodeId, Timestamp};
 use molespan_wire::Request;
@@ -29,6 +30,7 @@
     /// Whether use of tenants' limits came since it was passed on.
     usage_came: bool,
     suspects: SuspectTable,
+    reach: ReachRelay,
 }
 
 /// What gateways and other relays told this node.
@@ -78,6 +80,22 @@
         }
     }
 
+    /// Takes in what a gateway, or another relay, told of zones out of reach.
+    pub fn note_reach(&self, from: NodeId, reach: Option<&[u8]>, relayed: bool) {
+        let told = reach.and_then(|reach| {
+            telling::read::<Vec<ReachTelling>>(&self.logger, from, "zones out of reach", reach)
+        });
+        let teller = match relayed {
+            true => Teller::Relay,
+            false => Teller::Gateway,
+        };
+        let now = self.now();
+        let told = told.unwrap_or_default();
+        if self.lock().reach.note(from, teller, told, now) {
+            let _already_told = self.heard.0.try_send(());
+        }
+    }
+
     /// Takes in what a gateway, or another relay, told.
     pub fn note(&self, from: NodeId, shares: &[u8], usage: Option<&[u8]>, relayed: bool) {
         let Some(shares) = telling::read::<Vec<WorkShare>>(&self.logger, from, "work", shares)
@@ -122,8 +140,14 @@
     /// the engines that it has them use.
     fn round(&self, hub: &Hub) -> Round {
         let now = self.now();
-        let present = hub.gateways();
-        let relay = &mut self.lock().work;
+        let relays = &mut *self.lock();
+        // Those beyond a cut of a whole zone send nothing to engines on this side.
+        let beyond = hub.own_zone().map(|zone| relays.reach.out_of_reach(&zone));
+        let present = match beyond.filter(|zones| !zones.is_empty()) {
+            Some(zones) => hub.gateways_outside(&zones),
+            None => hub.gateways(),
+        };
+        let relay = &mut relays.work;
         relay.expire(now);
         let all_by_told = relay.all_by_told(present, now);
         let mut by_gateway = relay.shares_by_user(|engines| hub.users_of(engines));
@@ -162,6 +186,42 @@
     }
 }
 
+/// What a round passes on of zones out of reach.
+struct ReachRound {
+    of_gateways: Vec<ReachTelling>,
+    by_gateway: BTreeMap<NodeId, Vec<ReachTelling>>,
+}
+
+impl RelayedWork {
+    /// What is told of zones out of reach, to other relays and to these gateways.
+    fn reach(&self, hub: &Hub, gateways: &[(NodeId, Vec<WorkShare>)]) -> ReachRound {
+        let now = self.now();
+        let reach = &mut self.lock().reach;
+        reach.expire(now);
+        let of_gateways = reach.of_gateways();
+        let mut by_gateway = BTreeMap::new();
+        if reach.is_empty() {
+            return ReachRound {
+                of_gateways,
+                by_gateway,
+            };
+        }
+        for (gateway, _) in gateways {
+            let zone = hub.zone_of(*gateway);
+            let told = zone.and_then(|zone| reach.for_gateway(*gateway, &zone));
+            by_gateway.extend(told.map(|told| (*gateway, vec![told])));
+        }
+        ReachRound {
+            of_gateways,
+            by_gateway,
+        }
+    }
+}
+
+fn encoded(reach: &[ReachTelling]) -> Option<Vec<u8>> {
+    (!reach.is_empty()).then(|| molespan_state::encode(&reach))
+}
+
 /// What gateways were told of work at engines, and when.
 #[derive(Default)]
 struct LastTold(BTreeMap<NodeId, (Vec<WorkShare>, Option<Instant>)>);
@@ -198,45 +258,57 @@
     wire: Arc<WireTransport>,
 ) {
     let mut told_relays = (Vec::new(), Instant::now());
+    let mut told_reach = Vec::new();
     let mut told_gateways = LastTold::default();
     while work.heard.1.recv().await.is_ok() {
         let blames = work.blames();
-        let told = |shares: &[WorkShare], usage: Option<&Usage>, gateways| Request::EngineWork {
-            from: own,
-            shares: molespan_state::encode(&shares).into(),
-            relayed: true,
-            usage: usage.map(|usage| molespan_state::encode(usage).into()),
-            gateways,
-            blames: blames.clone().map(Into::into),
-        };
+        let told =
+            |shares: &[WorkShare], usage: Option<&Usage>, reach: &[ReachTelling], gateways| {
+                Request::EngineWork {
+                    from: own,
+                    shares: molespan_state::encode(&shares).into(),
+                    relayed: true,
+                    usage: usage.map(|usage| molespan_state::encode(usage).into()),
+                    gateways,
+                    blames: blames.clone().map(Into::into),
+                    reach: encoded(reach).map(Into::into),
+                }
+            };
         let Round {
             of_gateways,
             gateways,
             by_gateway,
         } = work.round(&hub);
+        let reach = work.reach(&hub, &by_gateway);
         let usage = work.usage();
         let (usage_of_gateways, usage_by_gateway) = usage.unzip();
         let usage_by_gateway = usage_by_gateway.unwrap_or_default();
         let (before, at) = &told_relays;
         let repeat = at.elapsed() >= REPEATED_AFTER;
-        let other_news = usage_of_gateways.is_some() || blames.is_some();
+        let reach_news = reach.of_gateways != told_reach;
+        let other_news = usage_of_gateways.is_some() || blames.is_some() || reach_news;
         let news = repeat || other_news || *before != of_gateways;
         if !by_gateway.is_empty() && news {
             let others = hub.control_nodes().into_iter();
             for relay in others.filter(|&node| node != own) {
                 let usage = usage_of_gateways.as_ref();
-                wire.send(relay, told(&of_gateways, usage, Some(gateways)));
+                let reach = &reach.of_gateways;
+                wire.send(relay, told(&of_gateways, usage, reach, Some(gateways)));
             }
+            told_reach = reach.of_gateways;
             told_relays = (of_gateways, Instant::now());
         }
         told_gateways.retain(&by_gateway);
         for (gateway, shares) in by_gateway {
             let usage = usage_by_gateway.get(&gateway);
-            let other_news = usage.is_some() || blames.is_some();
+            let reach = reach.by_gateway.get(&gateway);
+            // Told in each round: whoever has just started asks there too.
+            let other_news = usage.is_some() || blames.is_some() || reach.is_some();
             if !told_gateways.is_due(gateway, &shares) && !other_news {
                 continue;
             }
-            wire.send(gateway, told(&shares, usage, None));
+            let reach = reach.map(Vec::as_slice).unwrap_or_default();
+            wire.send(gateway, told(&shares, usage, reach, None));
         }
         let pause = work.lock().work.pause(hub.slots());
         Timer::after(pause).await;
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -7,19 +7,16 @@
 
 use derive_more::Display;
 use futures_lite::future;
-use molespan_http::h1::{
-    self, BodyReader, Connection, Framing, HeadError, Headers, ResponseHead, SocketOptions,
-};
+use molespan_http::h1::{self, BodyReader, Connection, Framing, HeadError, Headers, ResponseHead};
 use molespan_routing::dispatch::{EngineFacts, Failure, Picked, WorkClass};
+use molespan_routing::reach::Sign;
 use molespan_state::declared::{RequestDigest, RequestParts};
 use molespan_types::Timestamp;
 
-use crate::batch::give_way;
 use crate::dialect::{EngineAnswer, EngineCall, GatewayDialect};
+use crate::race::{Link, link};
 use crate::state::{GatewayState, Occupied};
 
-/// Longest time for a new connection to an engine.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest head of an answer.
 const HEAD_BYTES: usize = 64 << 10;
 /// Late answers to earlier requests that are passed over on one connection.
@@ -130,45 +127,67 @@
     /// Longest silence before the head of the answer; none where nothing would
     /// be gained by going elsewhere.
     pub silence: Option<Duration>,
+    /// How long a connect may take before another engine is tried beside it; none where
+    /// none is tried.
+    pub slow: Option<Duration>,
     /// Last event that is there already.
     pub after_event: Option<u64>,
 }
 
-/// Sends a request to the engine that was picked, and reads the head of the answer.
+/// Sends a request to the engine that was picked, and reads the head of the answer. Where
+/// no connection is up soon, the one that `another` picks may have it in its place, and
+/// `picked` is that one then.
 pub(crate) async fn attempt<D: GatewayDialect>(
     state: &Rc<GatewayState>,
     dialect: &D,
-    picked: &Picked,
+    picked: &mut Picked,
+    another: impl FnOnce(&Picked) -> Option<Picked>,
     outbound: &Outbound,
     limits: AttemptLimits,
 ) -> Result<EngineReply, AttemptFailure> {
+    let link = link(state, picked, another, outbound.class, limits).await;
+    // It is noted by now which engines could not be reached.
+    let link = link.ok_or(AttemptFailure::Unreachable)?;
     let engine = &picked.facts;
-    let occupied = state.occupy(picked, outbound.class);
-    if outbound.class == WorkClass::Online {
-        // This request is counted by now, so that it finds a slot.
-        give_way(state);
-    }
-    let result = try_attempt(state, dialect, engine, outbound, limits, occupied).await;
-    let mut engines = state.engines.borrow_mut();
+    let began = state.now();
+    let result = try_attempt(state, dialect, engine, outbound, limits, link).await;
     match &result {
         Ok(reply) => {
+            let mut engines = state.engines.borrow_mut();
             note_answer(&mut engines, &engine.id, reply, state);
             let status = reply.head.status;
             if outbound.class == WorkClass::Online && !reply.facts.not_run {
                 let failed = is_failure(status);
                 engines.answered(&engine.id, failed, state.now());
             }
+            drop(engines);
+            state.note_reached(&engine.id, began, Sign::Answer);
         }
-        Err(failure) => {
-            engines.failed(&engine.id, failure.as_engine_failure(), state.now());
-            if outbound.class == WorkClass::Online && *failure == AttemptFailure::Broken {
-                engines.answered(&engine.id, true, state.now());
-            }
-        }
+        Err(failure) => note_failure(state, &engine.id, *failure, outbound.class, began),
     }
     result
 }
 
+fn note_failure(
+    state: &GatewayState,
+    engine: &str,
+    failure: AttemptFailure,
+    class: WorkClass,
+    began: Timestamp,
+) {
+    let mut engines = state.engines.borrow_mut();
+    engines.failed(engine, failure.as_engine_failure(), state.now());
+    if class == WorkClass::Online && failure == AttemptFailure::Broken {
+        engines.answered(engine, true, state.now());
+    }
+    drop(engines);
+    match failure {
+        AttemptFailure::Silent => state.note_unreached(engine, began),
+        AttemptFailure::Broken => state.doubt(engine),
+        AttemptFailure::Unreachable => {}
+    }
+}
+
 /// Whether an engine failed a request by its own fault. A 504 is the fault of too
 /// little time, and a batch item may be one that no engine can do.
 fn is_failure(status: u16) -> bool {
@@ -201,12 +220,12 @@
     engine: &EngineFacts,
     outbound: &Outbound,
     limits: AttemptLimits,
-    occupied: Occupied,
+    link: Link,
 ) -> Result<EngineReply, AttemptFailure> {
-    let mut connection = match state.pool.take(&engine.id, &state.clock).await {
-        Some(connection) => connection,
-        None => connect(engine, limits.ends.since(state.now())).await?,
-    };
+    let Link {
+        mut connection,
+        occupied,
+    } = link;
     // The engine may have left while the connection came up.
     if !state.engines.borrow().is_present(&engine.id) {
         return Err(AttemptFailure::Unreachable);
@@ -221,7 +240,15 @@
         state.clock.wait_until(until).await;
         Err(AttemptFailure::Silent)
     };
-    let (head, facts) = future::or(exchange, late).await?;
+    let cut_off = async {
+        match limits.silence {
+            Some(_) => state.out_of_reach(&engine.id).await,
+            None => future::pending().await,
+        }
+        Err(AttemptFailure::Silent)
+    };
+    let given_up = future::or(late, cut_off);
+    let (head, facts) = future::or(exchange, given_up).await?;
     occupied.began();
     let Some(framing) = Framing::of_response(&head, &outbound.method) else {
         return Err(AttemptFailure::Broken);
@@ -238,14 +265,6 @@
     Ok(EngineReply { head, facts, body })
 }
 
-async fn connect(engine: &EngineFacts, left: Duration) -> Result<Connection, AttemptFailure> {
-    let timeout = CONNECT_TIMEOUT.min(left);
-    let stream = h1::connect(engine.address, timeout, SocketOptions::default()).await;
-    stream
-        .map(Connection::new)
-        .map_err(|_| AttemptFailure::Unreachable)
-}
-
 fn message<D: GatewayDialect>(
     dialect: &D,
     engine: &EngineFacts,
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -156,7 +156,7 @@
             if self.state.now() >= self.ends {
                 return Err(self.out_of_time());
             }
-            let picked = match self.outbound.class {
+            let mut picked = match self.outbound.class {
                 WorkClass::Online => self.pick().await?,
                 WorkClass::Batch => self.pick_in_turn().await?,
             };
@@ -167,6 +167,7 @@
             let limits = AttemptLimits {
                 ends: self.ends,
                 silence: self.silence(),
+                slow: self.slow(&picked),
                 after_event,
             };
             if self.runs + self.turned_away == 0 && self.outbound.class == WorkClass::Online {
@@ -177,7 +178,11 @@
                 "engine" => &engine.id, "load" => picked.load,
                 "unread" => picked.unread_tokens, "before" => picked.before_tokens,
                 "runs" => self.runs);
-            let result = attempt(self.state, self.dialect, &picked, &self.outbound, limits).await;
+            let another = |first: &Picked| self.pick_beside(first);
+            let (state, dialect) = (self.state, self.dialect);
+            let outbound = &self.outbound;
+            let result = attempt(state, dialect, &mut picked, another, outbound, limits).await;
+            let engine = &picked.facts;
             self.tried.insert(engine.id.clone());
             match result {
                 Ok(reply) if reply.facts.not_run || reply.facts.displaced => {
@@ -347,6 +352,42 @@
         self.state.engines.borrow_mut().pick(&pick, now)
     }
 
+    /// Another engine for an online request whose connection to the first one does not
+    /// come up.
+    fn pick_beside(&self, first: &Picked) -> Option<Picked> {
+        let target = Duration::from_millis(u64::from(self.route.target_latency_ms));
+        let now = self.state.now();
+        let left = (self.arrived + target.mul_f64(BEGINS_WITHIN)).since(now);
+        let standing = match left.is_zero() {
+            true => Standing::Late,
+            false => Standing::InTime { left },
+        };
+        let first = &first.facts.id;
+        let mut tried = self.tried.clone();
+        tried.insert(first.clone());
+        let pick = Pick {
+            service: &self.service,
+            class: self.outbound.class,
+            standing,
+            prompt: PromptCost::of(&self.facts.prompt),
+            tried: &tried,
+            suspect: self.state.is_suspect(&self.outbound),
+        };
+        let mut engines = self.state.engines.borrow_mut();
+        engines.pick_beside(&pick, first, now)
+    }
+
+    /// How long a connect may take before another engine is tried beside it. Batch work
+    /// has time.
+    fn slow(&self, picked: &Picked) -> Option<Duration> {
+        let target = Duration::from_millis(u64::from(self.route.target_latency_ms));
+        if self.outbound.class == WorkClass::Batch || target.is_zero() {
+            return None;
+        }
+        let engines = self.state.engines.borrow();
+        Some(engines.connect_is_slow_after(&picked.facts.id, target))
+    }
+
     /// Longest silence before the head of the answer. Without another attempt
     /// left, only the request's time counts: a silent engine may yet answer.
     fn silence(&self) -> Option<Duration> {
--- a/crates/proxy/src/gateway.rs
+++ b/crates/proxy/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::connection::serve_connection;
 use crate::dialect::GatewayDialect;
 use crate::engine_ends::watch_ends;
+use crate::reach::watch_reach;
 use crate::state::GatewayState;
 use crate::work_shares::exchange_work;
 
@@ -132,6 +133,9 @@
         local
             .spawn(watch_ends(state.clone(), local.clone()))
             .detach();
+        local
+            .spawn(watch_reach(state.clone(), local.clone()))
+            .detach();
         local.spawn(ask_for_bars(state.clone())).detach();
         let dialect = Rc::new(dialect);
         let callers = listen(options.caller_address)?;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -2,12 +2,13 @@
 //!
 //! A request goes through these steps, each a module: [`dialect`] makes it
 //! typed, `request` finds its route and answers, `dispatch` makes the attempts,
-//! `attempt` brings it to one engine over a connection of `pool`, `relay` passes
+//! `attempt` brings it to one engine over a connection of `pool` or of `race`, `relay` passes
 //! the answer back, `resume` lets another engine go on with a stream. Batch jobs
 //! are taken and read by `batch::api`, and their items run by `batch::runner`.
 //! What the gateway knows of the cluster is in `state`, and whose a request is and
 //! what its tenant may send in `tenants`. `engine_ends` finds out which engines ended
-//! under requests, and `bars` keeps guilty requests from all engines. What operators see
+//! under requests, `bars` keeps guilty requests from all engines, and `reach` finds out which
+//! zones are out of reach. What operators see
 //! of it in figures is in `metrics`.
 
 mod attempt;
@@ -21,6 +22,8 @@
 mod gateway;
 mod metrics;
 mod pool;
+mod race;
+mod reach;
 mod relay;
 mod request;
 mod resume;
--- /dev/null
+++ b/crates/proxy/src/metrics/reach.rs
@@ -0,0 +1,73 @@
+//! Figures of what is out of reach.
+
+use molespan_telemetry::Metrics;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+
+use super::Label;
+
+/// What a gateway counts of zones out of reach and of slow connects.
+#[derive(Clone, Debug)]
+pub(crate) struct ReachMetrics {
+    zones_out: Gauge,
+    changes: Family<Label, Counter>,
+    probes: Family<Label, Counter>,
+    races: Family<Label, Counter>,
+}
+
+impl ReachMetrics {
+    /// None counted yet.
+    pub fn new(registry: &Metrics) -> Self {
+        Self {
+            zones_out: registry.gauge(
+                "gateway_zones_out_of_reach",
+                "Zones whose engines this gateway cannot reach",
+            ),
+            changes: registry.register(
+                "gateway_reach_changes",
+                "Zones that went out of reach or came back",
+                Family::default(),
+            ),
+            probes: registry.register(
+                "gateway_reach_probes",
+                "Connects to engines without a request, to find out whether their zone is within reach",
+                Family::default(),
+            ),
+            races: registry.register(
+                "gateway_connects_raced",
+                "Slow connects beside which another engine was tried, by which was up first",
+                Family::default(),
+            ),
+        }
+    }
+
+    /// So many zones are out of reach.
+    pub fn out(&self, zones: usize) {
+        self.zones_out.set(zones as i64);
+    }
+
+    /// A zone went out of reach, or came back.
+    pub fn changed(&self, to: &'static str) {
+        self.changes.get_or_create(&[("to", to)]).inc();
+    }
+
+    /// A connect without a request came up or did not.
+    pub fn probed(&self, up: bool) {
+        let outcome = match up {
+            true => "up",
+            false => "failed",
+        };
+        self.probes.get_or_create(&[("outcome", outcome)]).inc();
+    }
+
+    /// Two connects were raced; `won` says which was up first, if any.
+    pub fn raced(&self, won: Option<usize>) {
+        let won = match won {
+            Some(0) => "first",
+            Some(_) => "second",
+            None => "none",
+        };
+        self.races.get_or_create(&[("won", won)]).inc();
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/race.rs
@@ -0,0 +1,166 @@
+//! A connection to an engine, raced with one to another engine where the first is slow.
+//!
+//! A connect writes nothing, so that the request runs at one of them only.
+
+use std::future::{Future, poll_fn};
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future;
+use molespan_http::h1::{self, Connection, SocketOptions};
+use molespan_routing::dispatch::{EngineFacts, Failure, Picked, WorkClass};
+use molespan_routing::reach::Sign;
+use molespan_types::Timestamp;
+
+use crate::attempt::AttemptLimits;
+use crate::batch::give_way;
+use crate::state::{GatewayState, Occupied};
+
+/// Longest time for a new connection to an engine.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A connection to an engine at which a request is counted.
+pub(crate) struct Link {
+    pub connection: Connection,
+    pub occupied: Occupied,
+}
+
+/// A connection to the engine that was picked, or to the one that `another` picks where
+/// that is up sooner: `picked` is the engine of the connection then. `None` where no
+/// engine could be reached.
+pub(crate) async fn link(
+    state: &Rc<GatewayState>,
+    picked: &mut Picked,
+    another: impl FnOnce(&Picked) -> Option<Picked>,
+    class: WorkClass,
+    limits: AttemptLimits,
+) -> Option<Link> {
+    let occupied = occupy(state, picked, class);
+    let engine = picked.facts.clone();
+    let mut first = Box::pin(open(state, engine.clone(), limits.ends));
+    if let Some(opened) = before(&mut first, limits.slow).await {
+        let connection = opened?;
+        return Some(Link {
+            connection,
+            occupied,
+        });
+    }
+    state.doubt(&engine.id);
+    let Some(beside) = another(picked) else {
+        let connection = first.await?;
+        return Some(Link {
+            connection,
+            occupied,
+        });
+    };
+    let occupied_beside = occupy(state, &beside, class);
+    let second = Box::pin(open(state, beside.facts.clone(), limits.ends));
+    let up = first_up([first, second]).await;
+    state
+        .metrics
+        .reach
+        .raced(up.as_ref().map(|(place, _)| *place));
+    let (place, connection) = up?;
+    if place == 0 {
+        return Some(Link {
+            connection,
+            occupied,
+        });
+    }
+    *picked = beside;
+    Some(Link {
+        connection,
+        occupied: occupied_beside,
+    })
+}
+
+fn occupy(state: &Rc<GatewayState>, picked: &Picked, class: WorkClass) -> Occupied {
+    let occupied = state.occupy(picked, class);
+    if class == WorkClass::Online {
+        // This request is counted by now, so that it finds a slot.
+        give_way(state);
+    }
+    occupied
+}
+
+/// What a connect comes to unless it is slow.
+async fn before<F: Future + Unpin>(connect: &mut F, slow: Option<Duration>) -> Option<F::Output> {
+    let connected = async { Some(connect.await) };
+    let Some(slow) = slow else {
+        return connected.await;
+    };
+    let late = async {
+        Timer::after(slow).await;
+        None
+    };
+    future::or(connected, late).await
+}
+
+/// The connection that is up first, and its place.
+async fn first_up<F>(connects: [Pin<Box<F>>; 2]) -> Option<(usize, Connection)>
+where
+    F: Future<Output = Option<Connection>>,
+{
+    let mut open: Vec<(usize, Pin<Box<F>>)> = connects.into_iter().enumerate().collect();
+    poll_fn(|context| {
+        let mut up = None;
+        open.retain_mut(|(place, connect)| {
+            if up.is_some() {
+                return true;
+            }
+            match connect.as_mut().poll(context) {
+                Poll::Pending => true,
+                Poll::Ready(connected) => {
+                    up = connected.map(|connection| (*place, connection));
+                    false
+                }
+            }
+        });
+        match up {
+            None if !open.is_empty() => Poll::Pending,
+            up => Poll::Ready(up),
+        }
+    })
+    .await
+}
+
+/// A connection to an engine, kept from before or new. That none came up is noted.
+async fn open(
+    state: &Rc<GatewayState>,
+    engine: EngineFacts,
+    ends: Timestamp,
+) -> Option<Connection> {
+    if let Some(connection) = state.pool.take(&engine.id, &state.clock).await {
+        return Some(connection);
+    }
+    let began = state.now();
+    let timeout = CONNECT_TIMEOUT.min(ends.since(began));
+    let connect = async {
+        let connecting = h1::connect(engine.address, timeout, SocketOptions::default());
+        Some(connecting.await)
+    };
+    let given_up = async {
+        state.out_of_reach(&engine.id).await;
+        None
+    };
+    let given_up = pin!(given_up);
+    match future::or(connect, given_up).await? {
+        Ok(stream) => {
+            let took = state.now().since(began);
+            state.engines.borrow_mut().connected(&engine.id, took);
+            state.note_reached(&engine.id, began, Sign::Connect);
+            Some(Connection::new(stream))
+        }
+        Err(_) => {
+            let now = state.now();
+            let mut engines = state.engines.borrow_mut();
+            engines.failed(&engine.id, Failure::Unreachable, now);
+            drop(engines);
+            state.note_unreached(&engine.id, began);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/reach.rs
@@ -0,0 +1,214 @@
+//! Finding out which zones are out of reach, and when they are back.
+//!
+//! What requests see of engines is noted here, and connects that write nothing are made
+//! where the decisions ask for them.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::future;
+use molespan_http::h1::{self, SocketOptions};
+use molespan_routing::dispatch::{Failure, Probe, Teller};
+use molespan_routing::reach::{Change, Evidence, ReachRelay, ReachTelling, Sign};
+use molespan_types::{NodeId, Timestamp};
+use slog::{info, warn};
+
+use crate::state::GatewayState;
+
+/// Looks that wait to be made; at most one a zone is asked for at a time.
+const MOST_WAITING: usize = 64;
+/// Time between two questions what to connect to while a zone is out of reach: a part of
+/// the time between two connects.
+const TICK: Duration = Duration::from_millis(20);
+
+type Wakeup = (Sender<()>, Receiver<()>);
+
+/// What is to be looked at, and who waits for changes.
+pub(crate) struct Reach {
+    looks: (Sender<Vec<Probe>>, Receiver<Vec<Probe>>),
+    /// Closed when a zone goes out of reach, and replaced.
+    went_out: RefCell<Wakeup>,
+    /// What others tell where gateways tell each other directly.
+    told: RefCell<ReachRelay>,
+}
+
+impl Default for Reach {
+    fn default() -> Self {
+        Self {
+            looks: async_channel::bounded(MOST_WAITING),
+            went_out: RefCell::new(async_channel::bounded(1)),
+            told: RefCell::default(),
+        }
+    }
+}
+
+impl GatewayState {
+    /// An engine may be out of reach: whether its zone is, is looked into.
+    pub fn doubt(&self, engine: &str) {
+        let now = self.now();
+        let probes = self.engines.borrow_mut().doubt(engine, now);
+        if !probes.is_empty() {
+            self.look_at(probes);
+        }
+    }
+
+    fn look_at(&self, probes: Vec<Probe>) {
+        if self.reach.looks.0.try_send(probes).is_err() {
+            warn!(self.logger, "too many engines to look at");
+        }
+    }
+
+    /// An attempt that `began` then did not reach an engine.
+    pub fn note_unreached(&self, engine: &str, began: Timestamp) {
+        let now = self.now();
+        self.engines.borrow_mut().unreached(engine, began, now);
+        self.note_reach_changes();
+        self.doubt(engine);
+    }
+
+    /// An attempt that `began` then reached an engine.
+    pub fn note_reached(&self, engine: &str, began: Timestamp, by: Sign) {
+        let now = self.now();
+        self.engines.borrow_mut().reached(engine, began, by, now);
+        self.note_reach_changes();
+    }
+
+    /// Another gateway, or a relay for all others, tells of zones out of reach.
+    pub fn note_reach_told(&self, from: NodeId, relayed: bool, told: Vec<ReachTelling>) {
+        let now = self.now();
+        let told = match relayed {
+            true => told.into_iter().next(),
+            false => {
+                let mut all = self.reach.told.borrow_mut();
+                all.expire(now);
+                all.note(from, Teller::Gateway, told, now);
+                all.for_gateway(self.own, self.zone())
+            }
+        };
+        let Some(told) = told else {
+            return;
+        };
+        let probes = self.engines.borrow_mut().note_reach_told(&told, now);
+        self.note_reach_changes();
+        if !probes.is_empty() {
+            self.look_at(probes);
+        }
+    }
+
+    /// Waits until nothing goes to the zone of an engine any more.
+    pub async fn out_of_reach(&self, engine: &str) {
+        while !self.engines.borrow().is_out_of_reach(engine) {
+            let went_out = self.reach.went_out.borrow().1.clone();
+            let _closed = went_out.recv().await;
+        }
+    }
+
+    fn note_reach_changes(&self) {
+        let now = self.now();
+        let changes = self.engines.borrow_mut().take_reach_changes(now);
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            self.note_reach_change(change);
+        }
+        let out = self.engines.borrow().zones_out_of_reach();
+        self.metrics.reach.out(out.len());
+    }
+
+    fn note_reach_change(&self, change: Change) {
+        match change {
+            Change::Out { zone, evidence } => {
+                self.write_out_of_reach(zone.as_str(), evidence);
+                self.metrics.reach.changed("out");
+                let next = async_channel::bounded(1);
+                let (woken, _) = self.reach.went_out.replace(next);
+                woken.close();
+                // Wakes the one who connects there from now on, and the one who tells.
+                self.look_at(Vec::new());
+                self.tell_soon();
+            }
+            Change::Confirmed { zone, after } => {
+                info!(self.logger, "zone out of reach, seen here too"; "zone" => zone.as_str(),
+                    "after_ms" => after.as_millis() as u64);
+                self.tell_soon();
+            }
+            Change::Back { zone, after, by } => {
+                info!(self.logger, "zone back"; "zone" => zone.as_str(),
+                    "after_ms" => after.as_millis() as u64, "by" => by.name());
+                self.metrics.reach.changed("back");
+            }
+        }
+    }
+}
+
+impl GatewayState {
+    fn write_out_of_reach(&self, zone: &str, evidence: Evidence) {
+        match evidence {
+            Evidence::Own { failed, of, age } => {
+                warn!(self.logger, "zone out of reach"; "zone" => zone, "evidence" => "own",
+                    "failed_hosts" => failed, "of" => of, "age_ms" => age.as_millis() as u64);
+            }
+            Evidence::Told { by } => {
+                warn!(self.logger, "zone out of reach"; "zone" => zone, "evidence" => "told",
+                    "gateways" => by);
+            }
+        }
+    }
+}
+
+/// Connects to engines as asked, for as long as it is polled.
+pub(crate) async fn watch_reach(state: Rc<GatewayState>, local: Rc<LocalExecutor<'static>>) {
+    loop {
+        let asked = async { state.reach.looks.1.recv().await.unwrap_or_default() };
+        let out = !state.engines.borrow().zones_out_of_reach().is_empty();
+        let probes = match out {
+            true => future::or(asked, due(&state)).await,
+            false => asked.await,
+        };
+        for probe in probes {
+            local.spawn(look(state.clone(), probe)).detach();
+        }
+    }
+}
+
+/// What is to be connected to since its zone is out of reach.
+async fn due(state: &GatewayState) -> Vec<Probe> {
+    Timer::after(TICK).await;
+    let now = state.now();
+    let probes = state.engines.borrow_mut().probes(now);
+    state.note_reach_changes();
+    probes
+}
+
+async fn look(state: Rc<GatewayState>, probe: Probe) {
+    let Probe {
+        engine,
+        address,
+        timeout,
+    } = probe;
+    let began = state.now();
+    let connected = h1::connect(address, timeout, SocketOptions::default()).await;
+    let now = state.now();
+    state.metrics.reach.probed(connected.is_ok());
+    match connected {
+        Ok(_closed_again) => {
+            let took = now.since(began);
+            state.engines.borrow_mut().connected(&engine, took);
+            state.note_reached(&engine, began, Sign::Connect);
+        }
+        Err(_) => {
+            let mut engines = state.engines.borrow_mut();
+            if !engines.is_out_of_reach(&engine) {
+                engines.failed(&engine, Failure::Unreachable, now);
+            }
+            engines.unreached(&engine, began, now);
+            drop(engines);
+            state.note_reach_changes();
+        }
+    }
+}
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -26,6 +26,7 @@
 use crate::engine_ends::Breaks;
 use crate::metrics::GatewayMetrics;
 use crate::pool::Pool;
+use crate::reach::Reach;
 use crate::tenants::{Keys, limits};
 
 /// The configuration in force here.
@@ -88,6 +89,8 @@
     /// Who passes on what this gateway has at engines, where there are many.
     pub relay: RefCell<RelayChoice>,
     pub pool: Pool,
+    /// What is looked at to find out which zones are out of reach.
+    pub reach: Reach,
     /// Batch items that run here.
     pub batch_runs: BatchRuns,
     /// Whose turn it is among those that wait for an engine.
@@ -138,6 +141,7 @@
             control,
             relay: RefCell::default(),
             pool: Pool::default(),
+            reach: Reach::default(),
             batch_runs: BatchRuns::default(),
             batch_turns: Rc::default(),
             late_turns: RefCell::default(),
@@ -189,6 +193,11 @@
         in_force.as_ref().is_some_and(|held| held.keys.is_some())
     }
 
+    /// Where this gateway stands.
+    pub fn zone(&self) -> &ZoneName {
+        &self.zone
+    }
+
     /// How many gateways there are, this one included.
     pub fn gateways(&self) -> u32 {
         self.topology.borrow().gateway_count().max(1)
--- a/crates/proxy/src/work_shares.rs
+++ b/crates/proxy/src/work_shares.rs
@@ -17,6 +17,7 @@
 use molespan_fleet::{ClusterAddresses, telling};
 use molespan_routing::dispatch::WorkShare;
 use molespan_routing::quota::Usage;
+use molespan_routing::reach::ReachTelling;
 use molespan_routing::suspects::Blame;
 use molespan_types::{NodeId, RunOutcome};
 use molespan_wire::{Handler, Request, Response, Server, ServerLimits};
@@ -50,6 +51,7 @@
     shares: Vec<WorkShare>,
     usage: Option<Usage>,
     blames: Vec<Blame>,
+    reach: Vec<ReachTelling>,
     relayed: bool,
 }
 
@@ -75,6 +77,7 @@
             relayed,
             usage,
             blames,
+            reach,
             ..
         } = request
             && let Some(shares) = telling::read(&self.logger, from, "work", &shares)
@@ -83,11 +86,14 @@
                 usage.and_then(|usage| telling::read(&self.logger, from, "use of limits", &usage));
             let blames =
                 blames.and_then(|blames| telling::read(&self.logger, from, "blames", &blames));
+            let reach = reach
+                .and_then(|reach| telling::read(&self.logger, from, "zones out of reach", &reach));
             let told = Told {
                 from,
                 shares,
                 usage,
                 blames: blames.unwrap_or_default(),
+                reach: reach.unwrap_or_default(),
                 relayed,
             };
             let _dropped = self.told.try_send(told);
@@ -139,6 +145,7 @@
             .engines
             .borrow_mut()
             .note_shares(told.from, &told.shares, now);
+        state.note_reach_told(told.from, told.relayed, told.reach);
         give_way(&state);
         let failing_now = state.engines.borrow().failing_for_others(now);
         note_failing(&state, &failing, &failing_now);
@@ -163,6 +170,7 @@
     let mut interval = CALM_INTERVAL;
     let mut relay = None;
     let mut told_usage = state.now();
+    let mut told_reach = None;
     loop {
         let due = async {
             Timer::after(interval).await;
@@ -177,7 +185,9 @@
         unchanged = if shares == before { unchanged + 1 } else { 0 };
         let now = state.now();
         let usage = state.limits_tenants() && (short || now.since(told_usage) >= USAGE_INTERVAL);
-        let news = usage || state.suspects.borrow().has_news();
+        let reach = state.engines.borrow().reach_telling();
+        let reach_news = reach != told_reach;
+        let news = usage || reach_news || state.suspects.borrow().has_news();
         if unchanged % REPEATED_AFTER != 0 && !news {
             continue;
         }
@@ -187,6 +197,9 @@
             molespan_state::encode(&state.tenants.borrow_mut().usage(now))
         });
         let blames = blames(&state);
+        let reach_bytes = reach
+            .as_ref()
+            .map(|told| molespan_state::encode(&vec![told]));
         for node in audience(&state, &mut relay) {
             let request = Request::EngineWork {
                 from: state.own,
@@ -195,10 +208,12 @@
                 usage: usage.clone().map(Into::into),
                 gateways: None,
                 blames: blames.clone().map(Into::into),
+                reach: reach_bytes.clone().map(Into::into),
             };
             wire.send(node, request);
         }
         before = shares;
+        told_reach = reach;
     }
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -317,6 +317,9 @@
         /// nothing to tell of them.
         #[n(5)]
         blames: Option<ByteVec>,
+        /// Encoded tellings of zones that are out of reach; `None` for no such zone.
+        #[n(6)]
+        reach: Option<ByteVec>,
     },
 }
 
