--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -301,3 +301,28 @@
     skipped.fetch_add(8_000_000, Ordering::Relaxed);
     assert!(!view.is_current(limit, clock.now()));
 }
+
+#[test]
+fn gateways_are_counted_by_where_they_stand() {
+    let hub = Hub::new("a".into(), SILENCE, BootClock::start());
+    for (node, zone) in [(1, Some("a")), (2, Some("b")), (3, Some("b")), (4, None)] {
+        let watch = WatchView {
+            node: NodeId(node),
+            kind: WatcherKind::Gateway,
+            mark: ViewMark::default(),
+            wait_ms: 0,
+            zone: zone.map(Into::into),
+            version: None,
+            told_elsewhere: false,
+        };
+        block_on(hub.watch(&watch));
+    }
+    hub.expire();
+    assert_eq!(hub.gateways(), 4);
+    assert_eq!(hub.gateways_outside(&BTreeSet::new()), 4);
+    // One that does not say where it stands may be on either side.
+    assert_eq!(hub.gateways_outside(&BTreeSet::from(["b".into()])), 2);
+    assert_eq!(hub.zone_of(NodeId(2)), Some("b".into()));
+    assert_eq!(hub.zone_of(NodeId(4)), None);
+    assert_eq!(hub.own_zone(), Some("a".into()));
+}
