--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -3,6 +3,7 @@
 //! Each part of the gateway that decides has a group of its own here.
 
 mod pace;
+mod reach;
 mod room;
 
 use std::time::Duration;
@@ -15,6 +16,7 @@
 use self::pace::PaceMetrics;
 use self::room::RoomMetrics;
 use crate::dialect::Refusal;
+use reach::ReachMetrics;
 
 /// Upper bounds of the buckets of waits, in seconds.
 const WAIT_BOUNDS: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0];
@@ -33,6 +35,8 @@
     pub room: RoomMetrics,
     /// Figures of engines' paces.
     pub pace: PaceMetrics,
+    /// Of what is out of reach.
+    pub reach: ReachMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -46,6 +50,7 @@
         Self {
             refusals,
             pace: PaceMetrics::new(&registry),
+            reach: ReachMetrics::new(&registry),
             waits: registry.histogram(
                 "gateway_engine_wait_seconds",
                 "Time from a request's arrival until an engine was chosen for its first attempt",
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -30,6 +30,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::pace::PaceWatch;
 use crate::pool::Pool;
+use crate::reach::Reach;
 use crate::room::Shortages;
 use crate::tenants::{Keys, limits};
 
@@ -93,6 +94,8 @@
     /// Who passes on what this gateway has at engines, where there are many.
     pub relay: RefCell<RelayChoice>,
     pub pool: Pool,
+    /// What is looked at to find out which zones are out of reach.
+    pub reach: Reach,
     /// Batch items that run here.
     pub batch_runs: BatchRuns,
     /// Whose turn it is among those that wait for an engine.
@@ -147,6 +150,7 @@
             control,
             relay: RefCell::default(),
             pool: Pool::default(),
+            reach: Reach::default(),
             batch_runs: BatchRuns::default(),
             batch_turns: Rc::default(),
             late_turns: RefCell::default(),
@@ -235,6 +239,11 @@
         in_force.as_ref().is_some_and(|held| held.keys.is_some())
     }
 
+    /// Where this gateway stands.
+    pub fn zone(&self) -> &ZoneName {
+        &self.zone
+    }
+
     /// How many gateways there are, this one included.
     pub fn gateways(&self) -> u32 {
         self.topology.borrow().gateway_count().max(1)
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -3,12 +3,14 @@
 //!
 //! Pure decisions: the caller gives the time and tells what happened.
 
+mod avoided;
 mod candidate;
 mod engine;
 mod errors;
 mod load;
 mod pace;
 mod prompt;
+mod reachable;
 mod relay;
 mod room;
 mod short;
@@ -19,10 +21,12 @@
 mod turn;
 mod urgency;
 
+pub(crate) use engine::SHARE_HOLDS;
 pub use engine::{EngineFacts, Failure, WorkShare};
 pub use load::{EngineLoad, LoadFault, LoadReport};
 pub use pace::PaceFigures;
 pub use prompt::{PromptCost, PromptPart, SharedPrompt};
+pub use reachable::Probe;
 pub use relay::{RelayChoice, Teller, WorkRelay};
 pub use short::Shortage;
 pub use slow::{SlowChange, SlowWatch};
--- a/crates/routing/src/dispatch/room.rs
+++ b/crates/routing/src/dispatch/room.rs
@@ -120,7 +120,7 @@
         let mut room = 0.0;
         let mut own = 0.0;
         let mut all = 0.0;
-        for engine in self.of_service(pick.service) {
+        for engine in self.within_reach(pick.service) {
             let online = engine.online_load(now, others_tell);
             own += f64::from(engine.own_online());
             all += online;
@@ -128,7 +128,7 @@
                 room += (self.places(engine, pick, now) - online).max(0.0);
             }
         }
-        let share = (own + 1.0) / (all + self.users_of(pick.service));
+        let share = (own + 1.0) / (all + self.sharers(pick.service));
         self.online_starts.may_start(share.min(1.0), room, now)
     }
 }
