Routing: one queue a service that decides whose turn it is and refuses what is foreseeable

Cause: on the serving path each request in time looks for an engine by itself, in an order of chance; late ones take turns by age and are refused at 0.7 of their patience, however long that was known before.

Module routing::queue, pure: in time before late, rank of tenant and route, rounds of tenants, then who has to begin first, moved by the size of the answer within bounds; refusals by a forecast from begins while somebody waits and from arrivals; Retry-After.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod hearing;
 pub mod pick;
 pub mod placement;
+pub mod queue;
 pub mod quota;
 pub mod readiness;
 pub mod retry;
--- /dev/null
+++ b/crates/routing/tests/queue/rules.rs
@@ -0,0 +1,353 @@
+//! Each rule of the queue by itself.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use molespan_routing::queue::{Limits, Place, Queue, Rank, Reason, Want, retry_after};
+use molespan_types::Timestamp;
+use proptest::prelude::*;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// One that came at `ms` without a tenant or anything that ranks it.
+fn plain(ms: u64) -> Want<'static> {
+    Want {
+        tenant: None,
+        weight: 1,
+        rank: Rank::new(None, 0),
+        size: None,
+        begins_by: at(ms + 240),
+        leaves_at: at(ms + 3_500),
+        again: false,
+    }
+}
+
+fn ask(queue: &mut Queue, want: &Want<'_>, ms: u64) -> Place {
+    queue.ask(want, at(ms)).expect("it may wait")
+}
+
+/// All that wait, in the order of their turns.
+fn order(queue: &Queue, ms: u64) -> Vec<Place> {
+    let mut queue = queue.clone();
+    std::iter::from_fn(|| {
+        let &(place, _) = queue.lookers(at(ms)).first()?;
+        queue.begun(place, at(ms));
+        Some(place)
+    })
+    .collect()
+}
+
+#[test]
+fn who_comes_to_an_empty_queue_has_the_turn_at_once() {
+    let mut queue = Queue::new(Limits::default());
+    let place = ask(&mut queue, &plain(1_000), 1_000);
+    let (first, turn) = queue.lookers(at(1_000))[0];
+    assert_eq!(first, place);
+    assert!(turn.in_time);
+    assert_eq!(queue.begun(place, at(1_000)), Some(true));
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn without_ranks_tenants_or_sizes_the_turn_goes_by_age_and_to_who_is_in_time() {
+    let mut queue = Queue::new(Limits::default());
+    let came = [1_000, 1_100, 1_200, 1_300].map(|ms| ask(&mut queue, &plain(ms), ms));
+    assert_eq!(
+        order(&queue, 1_300),
+        [1, 2, 3, 0].map(|one: usize| came[one])
+    );
+    assert_eq!(
+        order(&queue, 1_400),
+        [2, 3, 0, 1].map(|one: usize| came[one])
+    );
+    assert_eq!(order(&queue, 2_000), came);
+}
+
+#[test]
+fn ranks_go_before_age_that_of_a_tenant_first() {
+    let mut queue = Queue::new(Limits::default());
+    let ranks = [
+        (None, 2),
+        (Some(0), 9),
+        (None, 1),
+        (Some(1), 0),
+        (None, u32::MAX),
+    ];
+    let places = ranks.map(|(tenant, route)| {
+        let rank = Rank::new(tenant, route);
+        let want = Want {
+            rank,
+            ..plain(1_000)
+        };
+        ask(&mut queue, &want, 1_000)
+    });
+    assert_eq!(
+        order(&queue, 1_000),
+        [1, 3, 2, 0, 4].map(|one: usize| places[one])
+    );
+    let late = Want {
+        rank: Rank::new(None, 0),
+        ..plain(0)
+    };
+    let late = ask(&mut queue, &late, 1_000);
+    assert_eq!(order(&queue, 1_000).last(), Some(&late), "it is late");
+}
+
+#[test]
+fn who_comes_later_goes_before_what_another_tenant_heaped_up() {
+    let mut queue = Queue::new(Limits::default());
+    let flood = Want {
+        tenant: Some("flood"),
+        ..plain(1_000)
+    };
+    let heap: Vec<Place> = (0..10).map(|_| ask(&mut queue, &flood, 1_000)).collect();
+    let one = Want {
+        tenant: Some("one"),
+        ..plain(1_010)
+    };
+    let one = ask(&mut queue, &one, 1_010);
+    let weighty = Want {
+        tenant: Some("weighty"),
+        weight: 3,
+        ..plain(1_020)
+    };
+    let weighty: Vec<Place> = (0..4).map(|_| ask(&mut queue, &weighty, 1_020)).collect();
+    let turns = order(&queue, 1_030);
+    let first = [
+        heap[0], one, weighty[0], weighty[1], weighty[2], heap[1], weighty[3],
+    ];
+    assert_eq!(turns[..7], first);
+}
+
+#[test]
+fn a_long_answer_lets_short_ones_pass_but_not_for_ever() {
+    let mut queue = Queue::new(Limits::default());
+    let sized = |ms: u64, size: u64| Want {
+        size: Some(size),
+        ..plain(ms)
+    };
+    ask(&mut queue, &sized(1_000, 100), 1_000);
+    let long = ask(&mut queue, &sized(1_010, u64::MAX), 1_010);
+    let near = ask(&mut queue, &sized(1_050, 100), 1_050);
+    let far = ask(&mut queue, &sized(1_140, 0), 1_140);
+    let turns = order(&queue, 1_140);
+    let turn = |place: Place| turns.iter().position(|&one| one == place);
+    assert!(turn(near) < turn(long));
+    assert!(turn(long) < turn(far));
+}
+
+/// A queue at which `per_second` begin and come for three seconds while some wait.
+fn measured(per_second: u64) -> Queue {
+    let mut queue = Queue::new(Limits::default());
+    for _ in 0..8 {
+        ask(&mut queue, &plain(1_000), 1_000);
+    }
+    for number in 0..3 * per_second {
+        let ms = 1_000 + number * 1_000 / per_second;
+        let (place, _) = queue.lookers(at(ms))[0];
+        queue.begun(place, at(ms));
+        ask(&mut queue, &plain(ms), ms);
+    }
+    queue
+}
+
+#[test]
+fn who_gets_no_turn_is_refused_as_it_comes_and_the_first_are_not() {
+    let mut queue = measured(10);
+    let mut refused = None;
+    for _ in 0..100 {
+        match queue.ask(&plain(4_000), at(4_000)) {
+            Ok(_) => {}
+            Err(one) => {
+                refused = Some(one);
+                break;
+            }
+        }
+    }
+    let refused = refused.expect("ten a second come and begin: nothing is left over");
+    assert_eq!(refused.reason, Reason::Hopeless);
+    assert!(refused.ahead >= 3);
+    assert!(
+        (5.0..=15.0).contains(&refused.pace.begin),
+        "{:?}",
+        refused.pace
+    );
+    let again = Want {
+        again: true,
+        ..plain(4_000)
+    };
+    assert!(
+        queue.ask(&again, at(4_000)).is_ok(),
+        "it comes back from an engine"
+    );
+    // Nothing begins any more.
+    let left = queue.len();
+    for ms in (4_000..6_500).step_by(30) {
+        queue.sweep(at(ms));
+    }
+    assert!(queue.len() < left);
+    assert!(
+        queue.len() >= 3,
+        "somebody has to see when there is room again"
+    );
+    let lookers = queue.lookers(at(6_500));
+    assert_eq!(lookers.len(), 3);
+    let swept = queue.sweep(at(9_000));
+    assert!(queue.is_empty(), "their own time is over");
+    assert!(
+        swept
+            .iter()
+            .all(|(_, refused)| refused.reason == Reason::Waited)
+    );
+}
+
+#[test]
+fn nobody_is_refused_by_a_forecast_before_anything_was_measured() {
+    let mut queue = Queue::new(Limits::default());
+    for number in 0..1_000 {
+        let ms = 1_000 + number / 10;
+        ask(&mut queue, &plain(ms), ms);
+    }
+    assert!(queue.sweep(at(1_150)).is_empty());
+    assert_eq!(queue.room_in(at(1_150)), Some(Duration::ZERO));
+}
+
+#[test]
+fn a_begin_behind_a_stall_makes_forecasts_hopeful_again() {
+    let mut queue = measured(10);
+    let again = Want {
+        again: true,
+        ..plain(6_400)
+    };
+    ask(&mut queue, &again, 6_400);
+    while queue.ask(&plain(6_500), at(6_500)).is_ok() {}
+    let &(place, _) = queue.lookers(at(6_600)).first().expect("one waits");
+    queue.begun(place, at(6_600));
+    assert!(queue.ask(&plain(6_600), at(6_600)).is_ok());
+}
+
+#[test]
+fn a_hundred_thousand_requests_take_bounded_room_and_tenants_only_their_part() {
+    let mut queue = Queue::new(Limits {
+        most_waiting: 1_000,
+    });
+    let flood = Want {
+        tenant: Some("flood"),
+        ..plain(1_000)
+    };
+    let asked = (0..100_000).map(|_| queue.ask(&flood, at(1_000)));
+    let refused: Vec<_> = asked.filter_map(Result::err).collect();
+    assert_eq!(refused.len(), 100_000 - 500);
+    assert!(refused.iter().all(|one| one.reason == Reason::TenantFull));
+    let other = Want {
+        tenant: Some("unknown"),
+        ..plain(1_000)
+    };
+    assert!(queue.ask(&other, at(1_000)).is_ok());
+    let asked = (0..100_000).map(|_| queue.ask(&plain(1_000), at(1_000)));
+    let refused: Vec<_> = asked.filter_map(Result::err).collect();
+    assert!(refused.iter().all(|one| one.reason == Reason::Full));
+    assert_eq!(queue.len(), 1_000);
+}
+
+#[test]
+fn nobody_is_told_to_come_back_to_no_room() {
+    let left = millis(3_000);
+    assert!(retry_after(None, left, 0.5) >= left);
+    assert!(retry_after(Some(millis(3_000)), left, 0.5) >= left);
+    // Callers wait for a third of what they have left at the most.
+    for draw in [0.0, 0.3, 1.0, 7.0] {
+        let told = retry_after(Some(millis(2_000)), left, draw);
+        assert!(told <= left / 3, "{told:?}");
+        assert!(told >= left / 5, "{told:?}");
+    }
+    let soon = retry_after(Some(Duration::ZERO), left, 0.0);
+    assert!(soon >= millis(100));
+    let later = retry_after(Some(Duration::ZERO), left, 1.0);
+    assert!(later > soon, "they come back apart");
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Ask {
+        tenant: Option<u8>,
+        rank: u32,
+        size: Option<u64>,
+    },
+    /// One of the lookers begins.
+    Begin(usize),
+    /// One of all that wait goes.
+    Leave(usize),
+    Sweep,
+    Pass(u64),
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (prop::option::of(0..3_u8), 0..3_u32, prop::option::of(0..500_u64))
+            .prop_map(|(tenant, rank, size)| Step::Ask { tenant, rank, size }),
+        2 => (0..3_usize).prop_map(Step::Begin),
+        1 => (0..40_usize).prop_map(Step::Leave),
+        1 => Just(Step::Sweep),
+        2 => (0..400_u64).prop_map(Step::Pass),
+    ]
+}
+
+proptest! {
+    /// Whatever happens: who waits is either there or was told how it ended, the
+    /// first three have the turn, and nobody late has it before one in time.
+    #[test]
+    fn nobody_is_lost_and_the_first_have_the_turn(
+        steps in prop::collection::vec(any_step(), 0..200),
+    ) {
+        let mut queue = Queue::new(Limits { most_waiting: 32 });
+        let mut waiting: BTreeSet<Place> = BTreeSet::new();
+        let mut ms = 1_000;
+        for step in steps {
+            match step {
+                Step::Ask { tenant, rank, size } => {
+                    let tenant = tenant.map(|tenant| tenant.to_string());
+                    let want = Want {
+                        tenant: tenant.as_deref(),
+                        rank: Rank::new(None, rank),
+                        size,
+                        ..plain(ms)
+                    };
+                    if let Ok(place) = queue.ask(&want, at(ms)) {
+                        prop_assert!(waiting.insert(place));
+                    }
+                }
+                Step::Begin(number) => {
+                    if let Some(&(place, turn)) = queue.lookers(at(ms)).get(number) {
+                        prop_assert_eq!(queue.begun(place, at(ms)), Some(turn.in_time));
+                        prop_assert!(waiting.remove(&place));
+                    }
+                }
+                Step::Leave(number) => {
+                    if let Some(&place) = waiting.iter().nth(number) {
+                        queue.leave(place, at(ms));
+                        waiting.remove(&place);
+                    }
+                }
+                Step::Sweep => {
+                    for (place, _) in queue.sweep(at(ms)) {
+                        prop_assert!(waiting.remove(&place));
+                    }
+                }
+                Step::Pass(passed) => ms += passed,
+            }
+            let lookers = queue.lookers(at(ms));
+            prop_assert_eq!(queue.len(), waiting.len());
+            prop_assert_eq!(lookers.len(), waiting.len().min(3));
+            prop_assert!(lookers.iter().all(|(place, _)| waiting.contains(place)));
+            let in_time = lookers.iter().take_while(|(_, turn)| turn.in_time).count();
+            prop_assert_eq!(in_time, queue.in_time().min(3));
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/queue/world.rs
@@ -0,0 +1,325 @@
+//! One gateway's queue before engines, under virtual time: requests come, begin when
+//! a slot is free and it is their turn, hold it for a while, and leave.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use molespan_routing::queue::{Limits, Place, Queue, Rank, Want, retry_after};
+use molespan_types::Timestamp;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Step of the virtual clock, in microseconds.
+const STEP_US: u64 = 1_000;
+/// Target of all requests, what of it is left for the answer, and patience.
+pub const TARGET_MS: u64 = 300;
+const BEGINS_WITHIN_MS: u64 = 240;
+const PATIENCE_MS: u64 = 5_000;
+const WAITS_MS: u64 = 3_500;
+/// Time from a begin to the first answer: from and up to, in milliseconds.
+const ANSWERS_WITHIN_MS: (f64, f64) = (10.0, 70.0);
+/// Chance by which a late request finds a slot before one in time, where nobody
+/// orders them: it looks every 20 ms, the others every 8.
+const LATE_LOOKS: f64 = 0.4;
+
+/// In which order requests begin, and who is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// Each in time looks for itself, beside them the oldest late one; whoever
+    /// waited for 0.7 of its patience is refused.
+    Unordered,
+    /// Who waits for longest first, with the same refusals.
+    OldestFirst,
+    /// Who can be in time first, of those the newest; refusals as before.
+    NewestFirst,
+    /// The queue, told no sizes.
+    Queue,
+    /// The queue.
+    QueueBySize,
+}
+
+/// What a request was.
+#[derive(Clone, Debug)]
+struct Request {
+    tenant: Option<usize>,
+    rank: u32,
+    counted: bool,
+    arrived_ms: f64,
+    holds_ms: f64,
+    size: u64,
+}
+
+/// The load of one play.
+#[derive(Clone, Debug)]
+pub struct Load {
+    pub slots: usize,
+    pub holds_ms: f64,
+    /// Requests a second at a time in milliseconds.
+    pub rate: fn(u64) -> f64,
+    pub for_ms: u64,
+    /// Engines begin and answer nothing from and until then.
+    pub stopped_ms: (u64, u64),
+    /// Tenants, and the part of all requests that the first of them sends.
+    pub tenants: usize,
+    pub first_sends: f64,
+    /// Part of all requests that are less urgent than the others.
+    pub lower_rank: f64,
+    /// Requests that come before are not counted.
+    pub counted_from_ms: u64,
+    pub seed: u64,
+}
+
+/// How the requests of one kind fared.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tally {
+    pub came: u32,
+    pub in_time: u32,
+    pub late: u32,
+    pub refused: u32,
+    /// Of those, at once.
+    pub at_once: u32,
+    /// Sum and maximum of the waits of refused ones, in milliseconds.
+    pub refused_waits_ms: f64,
+    pub longest_refused_ms: f64,
+    /// Told to come back before their patience ended.
+    pub told_to_come: u32,
+}
+
+impl Tally {
+    pub fn in_time_share(&self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.came.max(1))
+    }
+
+    pub fn refused_wait_ms(&self) -> f64 {
+        self.refused_waits_ms / f64::from(self.refused.max(1))
+    }
+}
+
+/// One play.
+pub struct World {
+    way: Way,
+    load: Load,
+    random: ChaCha8Rng,
+    /// What comes is the same whatever the way.
+    arrivals: ChaCha8Rng,
+    queue: Queue,
+    waiting: BTreeMap<Place, Request>,
+    last: Place,
+    /// When each running request ends, in milliseconds.
+    running: Vec<f64>,
+    now_us: u64,
+    pub all: Tally,
+    pub by_tenant: Vec<Tally>,
+    pub by_rank: [Tally; 2],
+    pub longest_queue: usize,
+}
+
+/// Plays a load one way.
+pub fn play(way: Way, load: &Load) -> World {
+    let mut world = World {
+        way,
+        random: ChaCha8Rng::seed_from_u64(load.seed),
+        arrivals: ChaCha8Rng::seed_from_u64(load.seed + 1),
+        queue: Queue::new(Limits::default()),
+        waiting: BTreeMap::new(),
+        last: 0,
+        running: Vec::new(),
+        now_us: 1_000_000,
+        all: Tally::default(),
+        by_tenant: vec![Tally::default(); load.tenants],
+        by_rank: [Tally::default(); 2],
+        longest_queue: 0,
+        load: load.clone(),
+    };
+    let begun_us = world.now_us;
+    let mut next_ms = 0.0;
+    loop {
+        let ms = (world.now_us - begun_us) / 1_000;
+        let coming = ms < world.load.for_ms;
+        if !coming && world.waiting.is_empty() {
+            return world;
+        }
+        while coming && next_ms <= ms as f64 {
+            world.arrive(ms >= world.load.counted_from_ms);
+            let rate = (world.load.rate)(ms);
+            let draw: f64 = world.arrivals.random_range(1e-9..1.0);
+            next_ms += -draw.ln() / rate * 1_000.0;
+        }
+        let (stops, goes_on) = world.load.stopped_ms;
+        let stopped = (stops..goes_on).contains(&ms);
+        if stopped {
+            let step_ms = STEP_US as f64 / 1_000.0;
+            world.running.iter_mut().for_each(|ends| *ends += step_ms);
+        }
+        world.step(stopped);
+        world.now_us += STEP_US;
+    }
+}
+
+impl World {
+    fn now(&self) -> Timestamp {
+        Timestamp(self.now_us)
+    }
+
+    fn now_ms(&self) -> f64 {
+        self.now_us as f64 / 1_000.0
+    }
+
+    fn tally(&mut self, request: &Request, note: impl Fn(&mut Tally)) {
+        if !request.counted {
+            return;
+        }
+        note(&mut self.all);
+        note(&mut self.by_rank[request.rank as usize]);
+        if let Some(tenant) = request.tenant {
+            note(&mut self.by_tenant[tenant]);
+        }
+    }
+
+    fn is_queue(&self) -> bool {
+        matches!(self.way, Way::Queue | Way::QueueBySize)
+    }
+
+    fn arrive(&mut self, counted: bool) {
+        let tenant = (self.load.tenants > 0).then(|| {
+            let first = self.arrivals.random_bool(self.load.first_sends);
+            match first || self.load.tenants == 1 {
+                true => 0,
+                false => self.arrivals.random_range(1..self.load.tenants),
+            }
+        });
+        let size = self.arrivals.random_range(40..=160_u64);
+        let holds_ms = self.load.holds_ms * size as f64 / 100.0;
+        let request = Request {
+            tenant,
+            rank: u32::from(self.arrivals.random_bool(self.load.lower_rank)),
+            counted,
+            arrived_ms: self.now_ms(),
+            holds_ms,
+            size,
+        };
+        self.tally(&request, |tally| tally.came += 1);
+        self.last += 1;
+        let asked = match self.is_queue() {
+            true => self.ask(&request),
+            false => Ok(self.last),
+        };
+        match asked {
+            Ok(place) => {
+                self.waiting.insert(place, request);
+            }
+            Err(room_in) => {
+                self.refuse(&request, room_in);
+            }
+        }
+        self.longest_queue = self.longest_queue.max(self.waiting.len());
+    }
+
+    fn ask(&mut self, request: &Request) -> Result<Place, Option<Duration>> {
+        let arrived = self.now();
+        let tenant = request.tenant.map(|number| number.to_string());
+        let want = Want {
+            tenant: tenant.as_deref(),
+            weight: 1,
+            rank: Rank::new(None, request.rank),
+            size: (self.way == Way::QueueBySize).then_some(request.size),
+            begins_by: arrived + Duration::from_millis(BEGINS_WITHIN_MS),
+            leaves_at: arrived + Duration::from_millis(WAITS_MS),
+            again: false,
+        };
+        let now = self.now();
+        let asked = self.queue.ask(&want, now);
+        asked.map_err(|refused| refused.room_in)
+    }
+
+    fn refuse(&mut self, request: &Request, room_in: Option<Duration>) {
+        let waited = self.now_ms() - request.arrived_ms;
+        let left = Duration::from_secs_f64((PATIENCE_MS as f64 - waited) / 1_000.0);
+        let told = retry_after(room_in, left, self.random.random());
+        self.tally(request, |tally| {
+            tally.refused += 1;
+            tally.at_once += u32::from(waited == 0.0);
+            tally.refused_waits_ms += waited;
+            tally.longest_refused_ms = tally.longest_refused_ms.max(waited);
+            tally.told_to_come += u32::from(told < left);
+        });
+    }
+
+    fn step(&mut self, stopped: bool) {
+        let now_ms = self.now_ms();
+        self.running.retain(|&ends| ends > now_ms);
+        self.drop_hopeless();
+        while !stopped && self.running.len() < self.load.slots {
+            let Some(place) = self.next() else {
+                return;
+            };
+            self.begin(place);
+        }
+    }
+
+    fn drop_hopeless(&mut self) {
+        let now = self.now();
+        if self.is_queue() {
+            for (place, refused) in self.queue.sweep(now) {
+                let request = self.waiting.remove(&place).expect("it waits");
+                self.refuse(&request, refused.room_in);
+            }
+            return;
+        }
+        let now_ms = self.now_ms();
+        let over = |request: &Request| now_ms - request.arrived_ms >= WAITS_MS as f64;
+        let waiting = self.waiting.iter();
+        let over: Vec<Place> = waiting
+            .filter(|(_, request)| over(request))
+            .map(|(&place, _)| place)
+            .collect();
+        for place in over {
+            let request = self.waiting.remove(&place).expect("it waits");
+            self.refuse(&request, Some(Duration::ZERO));
+        }
+    }
+
+    /// Whose turn it is.
+    fn next(&mut self) -> Option<Place> {
+        let now_ms = self.now_ms();
+        if self.is_queue() {
+            let lookers = self.queue.lookers(Timestamp(self.now_us));
+            return lookers.first().map(|&(place, _)| place);
+        }
+        let in_time = |request: &Request| now_ms - request.arrived_ms < BEGINS_WITHIN_MS as f64;
+        let oldest = self.waiting.keys().next().copied();
+        let fresh = self.waiting.iter().filter(|(_, one)| in_time(one));
+        let fresh: Vec<Place> = fresh.map(|(&place, _)| place).collect();
+        match self.way {
+            Way::OldestFirst => oldest,
+            Way::NewestFirst => fresh.last().copied().or(oldest),
+            _ => {
+                let late = oldest.filter(|oldest| fresh.first() != Some(oldest));
+                let late_looks = if late.is_some() { LATE_LOOKS } else { 0.0 };
+                let all = fresh.len() as f64 + late_looks;
+                if all == 0.0 {
+                    return None;
+                }
+                let draw = self.random.random_range(0.0..all);
+                fresh.get(draw as usize).copied().or(late)
+            }
+        }
+    }
+
+    fn begin(&mut self, place: Place) {
+        let now = self.now();
+        let now_ms = self.now_ms();
+        let request = self.waiting.remove(&place).expect("it waits");
+        if self.is_queue() {
+            self.queue.begun(place, now).expect("it waits");
+        }
+        let (from, to) = ANSWERS_WITHIN_MS;
+        let answers_ms = now_ms + self.random.random_range(from..to);
+        let in_time = answers_ms - request.arrived_ms <= TARGET_MS as f64;
+        self.tally(&request, |tally| match in_time {
+            true => tally.in_time += 1,
+            false => tally.late += 1,
+        });
+        self.running.push(now_ms + request.holds_ms);
+    }
+}
