Gateways let online requests look for engines in the order of their queue

Cause: each request in time polled the engine table every 8 ms by itself, late ones took turns by age, and all were refused at 0.7 of their patience with a Retry-After of 150 ms.

Change: proxy::queue carries out routing::queue: the first three look, woken by freed slots, by what other gateways tell, and every 8 ms (late: 20 ms); refusals come at once with what they were concluded from (line 'no turn'). Ranks of tenants and routes and the answer's expected tokens reach the queue. Metrics of waits, refusals, forecasts, lengths. Batch items keep their turns.

--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -17,6 +17,8 @@
     pub patience: Option<Duration>,
     /// Parts of its prompt, in order.
     pub prompt: Vec<PromptPart>,
+    /// Tokens that its answer is expected to have.
+    pub answer_tokens: Option<u64>,
 }
 
 /// The API key that a request carries.
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -6,10 +6,9 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use futures_lite::future;
-use molespan_daemon::wall_clock::unix_millis;
 use molespan_http::h1::Headers;
 use molespan_routing::dispatch::{NoEngine, Pick, Picked, PromptCost, Standing, WorkClass};
+use molespan_routing::queue::{Rank, Refused, Want, retry_after};
 use molespan_state::declared::{Route, RouteKind};
 use molespan_types::Timestamp;
 use slog::{debug, info};
@@ -17,21 +16,17 @@
 use crate::attempt::{AttemptFailure, AttemptLimits, EngineReply, Outbound, attempt};
 use crate::bars::Permit;
 use crate::dialect::{GatewayDialect, Refusal, RequestFacts};
+use crate::queue::{Waiter, Woken};
 use crate::request::CallerRequest;
 use crate::state::GatewayState;
 
 /// Attempts that engines turned away before a request is refused.
 const MOST_TURNED_AWAY: u32 = 6;
-/// Time between two looks for an engine with room.
-const LOOK_AGAIN: Duration = Duration::from_millis(8);
-/// The same for the late request or the batch item whose turn it is; they have
-/// more time.
+/// Time between two looks of the batch item whose turn it is.
 const LOOK_AGAIN_IN_TURN: Duration = Duration::from_millis(20);
 /// How long the turn of a batch item lasts at the most: then its route is looked
 /// up anew, and another item may be the most urgent one.
 const TURN: Duration = Duration::from_secs(1);
-/// When a refused caller should come back.
-const RETRY_AFTER: Duration = Duration::from_millis(150);
 /// When a caller should come back whose request engines end under: a bar holds for
 /// hours unless an operator lifts it, which one who waits for that sees within this.
 const BARRED_RETRY_AFTER: Duration = Duration::from_secs(600);
@@ -41,6 +36,8 @@
 /// Part of a caller's patience for which a late request waits for a slot: there is
 /// time for its answer behind it.
 const WAITS_SHARE: f64 = 0.7;
+/// Time for which a request looks that comes back from an engine later than that.
+const LAST_LOOK: Duration = Duration::from_millis(50);
 /// Shortest silence of an engine after which a repeatable request goes
 /// elsewhere.
 const SHORTEST_SILENCE: Duration = Duration::from_millis(250);
@@ -60,6 +57,8 @@
     pub arrived: Timestamp,
     /// Whether it counts against its tenant's limit.
     pub counts: bool,
+    /// How urgent it is among the online requests that wait.
+    pub rank: Rank,
     tried: BTreeSet<String>,
     /// Engines that may have run it.
     pub runs: u32,
@@ -119,6 +118,7 @@
             due_ms: None,
             arrived: state.now(),
             counts: false,
+            rank: Rank::new(None, route.priority),
             tried: BTreeSet::new(),
             runs: 0,
             turned_away: 0,
@@ -256,14 +256,37 @@
 
     /// No engine takes it. It may be said not to have run only if none did.
     fn give_up(&self) -> Refusal {
+        let room_in = self.state.queue(&self.service).room_in();
+        self.not_now(room_in)
+    }
+
+    /// The same where it is known when room returns.
+    fn not_now(&self, room_in: Option<Duration>) -> Refusal {
+        let left = self.ends.since(self.state.now());
         match self.runs {
             0 => Refusal::Busy {
-                retry_after: RETRY_AFTER,
+                retry_after: retry_after(room_in, left, rand::random()),
             },
             _ => Refusal::AnswerLost,
         }
     }
 
+    /// Its turn cannot come.
+    fn no_turn(&self, refused: Refused) -> Refusal {
+        self.state.metrics.queue.refused(refused.reason);
+        let refusal = self.not_now(refused.room_in);
+        info!(self.state.logger, "no turn"; "request" => &self.outbound.id,
+            "service" => &self.service, "reason" => %refused.reason,
+            "ahead" => refused.ahead,
+            "begin_per_s" => format!("{:.1}", refused.pace.begin),
+            "come_per_s" => format!("{:.1}", refused.pace.come),
+            "room_in_ms" => refused.room_in.map(|room_in| room_in.as_millis() as u64),
+            "left_ms" => self.ends.since(self.state.now()).as_millis() as u64,
+            "tried" => self.tried.len(), "runs" => self.runs,
+            "after_ms" => self.age().as_millis() as u64, "refusal" => ?refusal);
+        refusal
+    }
+
     fn out_of_time(&self) -> Refusal {
         match self.runs {
             0 => Refusal::TooLate,
@@ -271,50 +294,58 @@
         }
     }
 
-    /// Chooses an engine that begins in time, as long as there can be one, and then
-    /// whichever has a slot that no request wants that can be in time. Who waits in
-    /// an engine's queue cannot let others go before it; here it does.
+    /// Waits for its turn and chooses an engine: one that begins in time, as long as
+    /// there can be one, and then whichever has a slot that no request wants that can
+    /// be in time. Who waits in an engine's queue cannot let others go before it; here
+    /// it does.
     async fn pick(&mut self) -> Result<Picked, Refusal> {
         let target = Duration::from_millis(u64::from(self.route.target_latency_ms));
         let begins_by = self.arrived + target.mul_f64(BEGINS_WITHIN);
+        let waiter = self.wait_for_turn(begins_by)?;
         loop {
-            let left = begins_by.since(self.state.now());
-            if left.is_zero() {
-                break;
-            }
-            match self.pick_now(Standing::InTime { left }) {
-                Ok(picked) => return Ok(picked),
-                Err(NoEngine::Tried) => return Err(self.give_up()),
-                Err(_) => Timer::after(LOOK_AGAIN.min(left)).await,
+            let standing = match waiter.woken().await {
+                Woken::Refused(refused) => return Err(self.no_turn(refused)),
+                Woken::Looks(_) => self.standing(begins_by),
             };
+            match self.pick_now(standing) {
+                Ok(picked) => {
+                    let begun = waiter.begins();
+                    let queue = &self.state.metrics.queue;
+                    queue.began(begun.in_time, self.age(), begun.error);
+                    return Ok(picked);
+                }
+                Err(NoEngine::Tried) => return Err(self.give_up()),
+                Err(_) => {}
+            }
         }
+    }
+
+    fn wait_for_turn(&self, begins_by: Timestamp) -> Result<Waiter, Refusal> {
+        let again = self.runs + self.turned_away > 0;
         let patience = self.ends.since(self.arrived);
         let waits_until = self.arrived + patience.mul_f64(WAITS_SHARE);
-        let late = self.pick_late(begins_by);
-        let over = async {
-            self.state.clock.wait_until(waits_until).await;
-            None
+        let last_look = self.state.now() + LAST_LOOK;
+        let want = Want {
+            tenant: self.outbound.tenant.as_deref(),
+            weight: 1,
+            rank: self.rank,
+            size: self.facts.answer_tokens,
+            begins_by,
+            leaves_at: match again {
+                true => waits_until.max(last_look),
+                false => waits_until,
+            },
+            again,
         };
-        future::or(late, over).await.ok_or_else(|| {
-            info!(self.state.logger, "no engine"; "request" => &self.outbound.id,
-                "service" => &self.service, "tried" => self.tried.len(), "runs" => self.runs,
-                "after_ms" => self.age().as_millis() as u64);
-            self.give_up()
-        })
+        let queue = self.state.queue(&self.service);
+        queue.ask(&want).map_err(|refused| self.no_turn(refused))
     }
 
-    /// Waits for a free slot. Of the late requests here the oldest one looks.
-    async fn pick_late(&self, begins_by: Timestamp) -> Option<Picked> {
-        let late_ms = self.state.now().since(begins_by).as_millis() as u64;
-        let due_ms = unix_millis().saturating_sub(late_ms);
-        let turns = self.state.late_turns(&self.service);
-        let _turn = turns.take(Some(due_ms)).await;
-        loop {
-            match self.pick_now(Standing::Late) {
-                Ok(picked) => return Some(picked),
-                Err(NoEngine::Tried) => return None,
-                Err(_) => Timer::after(LOOK_AGAIN_IN_TURN).await,
-            };
+    fn standing(&self, begins_by: Timestamp) -> Standing {
+        let left = begins_by.since(self.state.now());
+        match left.is_zero() {
+            true => Standing::Late,
+            false => Standing::InTime { left },
         }
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A request goes through these steps, each a module: [`dialect`] makes it
 //! typed, `request` finds its route and answers, `dispatch` makes the attempts,
-//! `attempt` brings it to one engine over a connection of `pool`, `relay` passes
+//! [`queue`] lets
+//! those that wait look for engines in turn, `attempt` brings it to one engine over a connection of `pool`, `relay` passes
 //! the answer back, `resume` lets another engine go on with a stream. Batch jobs
 //! are taken and read by `batch::api`, and their items run by `batch::runner`.
 //! What the gateway knows of the cluster is in `state`, and whose a request is and
@@ -21,6 +22,7 @@
 mod gateway;
 mod metrics;
 mod pool;
+pub mod queue;
 mod relay;
 mod request;
 mod resume;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -2,6 +2,8 @@
 //!
 //! Each part of the gateway that decides has a group of its own here.
 
+mod queue;
+
 use std::time::Duration;
 
 use molespan_telemetry::Metrics;
@@ -10,6 +12,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 
 use crate::dialect::Refusal;
+use queue::QueueMetrics;
 
 /// Upper bounds of the buckets of waits, in seconds.
 const WAIT_BOUNDS: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0];
@@ -23,6 +26,8 @@
     registry: Metrics,
     refusals: Family<Label, Counter>,
     waits: Histogram,
+    /// Requests that wait for an engine.
+    pub queue: QueueMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -35,6 +40,7 @@
         );
         Self {
             refusals,
+            queue: QueueMetrics::new(&registry),
             waits: registry.histogram(
                 "gateway_engine_wait_seconds",
                 "Time from a request's arrival until an engine was chosen for its first attempt",
--- /dev/null
+++ b/crates/proxy/src/queue.rs
@@ -0,0 +1,246 @@
+//! Online requests that wait for an engine, woken when it is their turn to look.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future;
+use molespan_daemon::boot_clock::BootClock;
+use molespan_routing::queue::{Limits, Place, Queue, Refused, Turn, Want};
+use molespan_types::Timestamp;
+
+/// Time between two looks of a request that can still be in time.
+const LOOK_AGAIN: Duration = Duration::from_millis(8);
+/// The same for a late one, which has more time.
+const LOOK_AGAIN_LATE: Duration = Duration::from_millis(20);
+
+/// The queue of one service, and those who wait in it.
+#[derive(Debug)]
+pub struct ServiceQueue {
+    queue: RefCell<Queue>,
+    seats: RefCell<BTreeMap<Place, Seat>>,
+    /// Who has the turn.
+    lookers: RefCell<Vec<Place>>,
+    clock: BootClock,
+}
+
+/// Where one that waits is woken.
+#[derive(Debug)]
+struct Seat {
+    wake: Sender<()>,
+    turn: Option<Turn>,
+    refused: Option<Refused>,
+}
+
+/// What the wait of a request came to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Woken {
+    /// It may look for an engine.
+    Looks(Turn),
+    /// Its turn cannot come.
+    Refused(Refused),
+}
+
+/// A request that waits, until it is dropped.
+#[derive(Debug)]
+pub struct Waiter {
+    queue: Rc<ServiceQueue>,
+    place: Place,
+    wake: Receiver<()>,
+    /// Whether it looked since it was woken.
+    looked: Cell<bool>,
+    /// Since when it waits, and how long that was expected to take.
+    since: Timestamp,
+    expected: Option<Duration>,
+}
+
+impl ServiceQueue {
+    /// An empty one.
+    #[must_use]
+    pub fn new(limits: Limits, clock: BootClock) -> Rc<Self> {
+        Rc::new(Self {
+            queue: RefCell::new(Queue::new(limits)),
+            seats: RefCell::default(),
+            lookers: RefCell::default(),
+            clock,
+        })
+    }
+
+    /// A request wants an engine.
+    ///
+    /// # Errors
+    /// When its turn cannot come.
+    pub fn ask(self: &Rc<Self>, want: &Want<'_>) -> Result<Waiter, Refused> {
+        let now = self.clock.now();
+        let place = self.queue.borrow_mut().ask(want, now)?;
+        let expected = self.queue.borrow().expected_wait(place, now);
+        let (sender, wake) = async_channel::bounded(1);
+        let seat = Seat {
+            wake: sender,
+            turn: None,
+            refused: None,
+        };
+        self.seats.borrow_mut().insert(place, seat);
+        let waiter = Waiter {
+            queue: self.clone(),
+            place,
+            wake,
+            looked: Cell::new(false),
+            since: now,
+            expected,
+        };
+        self.update();
+        Ok(waiter)
+    }
+
+    /// There may be room: whoever has the turn looks at once.
+    pub fn look(&self) {
+        self.update();
+        let seats = self.seats.borrow();
+        for place in self.lookers.borrow().iter() {
+            if let Some(seat) = seats.get(place) {
+                seat.wake();
+            }
+        }
+    }
+
+    /// Requests that wait, and how many of them can still be in time.
+    #[must_use]
+    pub fn lengths(&self) -> (usize, usize) {
+        let queue = self.queue.borrow();
+        (queue.len(), queue.in_time())
+    }
+
+    /// Whether none waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.queue.borrow().is_empty()
+    }
+
+    /// When a request that comes now would have its turn at the latest.
+    #[must_use]
+    pub fn room_in(&self) -> Option<Duration> {
+        self.queue.borrow().room_in(self.clock.now())
+    }
+
+    /// Gives out turns and refusals as they stand now.
+    fn update(&self) {
+        let now = self.clock.now();
+        let refused = self.queue.borrow_mut().sweep(now);
+        let turns = self.queue.borrow_mut().lookers(now);
+        let mut seats = self.seats.borrow_mut();
+        for (place, refused) in refused {
+            if let Some(seat) = seats.get_mut(&place) {
+                seat.refused = Some(refused);
+                seat.wake();
+            }
+        }
+        let places = turns.iter().map(|&(place, _)| place).collect();
+        let before = self.lookers.replace(places);
+        let over = before
+            .iter()
+            .filter(|before| turns.iter().all(|(place, _)| place != *before));
+        for place in over {
+            if let Some(seat) = seats.get_mut(place) {
+                seat.turn = None;
+            }
+        }
+        for (place, turn) in turns {
+            if let Some(seat) = seats.get_mut(&place)
+                && seat.turn.replace(turn).is_none()
+            {
+                seat.wake();
+            }
+        }
+    }
+}
+
+impl Seat {
+    fn wake(&self) {
+        let _woken_already = self.wake.try_send(());
+    }
+}
+
+impl Waiter {
+    /// Waits until it is to look again, or is refused.
+    pub async fn woken(&self) -> Woken {
+        loop {
+            let (turn, refused) = self.state();
+            if let Some(refused) = refused {
+                return Woken::Refused(refused);
+            }
+            match turn {
+                Some(turn) if !self.looked.replace(true) => {
+                    // This look is what it was woken for.
+                    let _woken = self.wake.try_recv();
+                    return Woken::Looks(turn);
+                }
+                Some(turn) => {
+                    self.rest(turn).await;
+                    self.looked.set(false);
+                    self.queue.update();
+                }
+                None => {
+                    let _woken = self.wake.recv().await;
+                    self.looked.set(false);
+                }
+            }
+        }
+    }
+
+    /// An engine was found. Says whether it was in time, and how far the wait was from
+    /// what was expected.
+    #[must_use]
+    pub fn begins(self) -> Begun {
+        let now = self.queue.clock.now();
+        let in_time = self.queue.queue.borrow_mut().begun(self.place, now);
+        let waited = now.since(self.since);
+        Begun {
+            in_time: in_time.unwrap_or_default(),
+            error: self.expected.map(|expected| waited.abs_diff(expected)),
+        }
+    }
+
+    fn state(&self) -> (Option<Turn>, Option<Refused>) {
+        let seats = self.queue.seats.borrow();
+        let seat = seats.get(&self.place);
+        seat.map_or((None, None), |seat| (seat.turn, seat.refused))
+    }
+
+    /// Waits for the next look of one that has the turn.
+    async fn rest(&self, turn: Turn) {
+        let again = match turn.in_time {
+            true => LOOK_AGAIN,
+            false => LOOK_AGAIN_LATE,
+        };
+        let woken = async {
+            let _woken = self.wake.recv().await;
+        };
+        let due = async {
+            Timer::after(again).await;
+        };
+        future::or(woken, due).await;
+    }
+}
+
+impl Drop for Waiter {
+    /// Whoever no longer waits makes room for the next one.
+    fn drop(&mut self) {
+        self.queue.seats.borrow_mut().remove(&self.place);
+        let now = self.queue.clock.now();
+        self.queue.queue.borrow_mut().leave(self.place, now);
+        self.queue.update();
+    }
+}
+
+/// The end of a wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Begun {
+    /// Whether it can be in time.
+    pub in_time: bool,
+    /// How far the wait was from what was expected of it.
+    pub error: Option<Duration>,
+}
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -108,6 +108,7 @@
 ) -> Result<Dispatch<'a, D>, Refusal> {
     let service = in_force.service(route).ok_or(Refusal::NoRoute)?;
     let mut dispatch = Dispatch::online(state, dialect, route, service, tenant.clone(), request);
+    dispatch.rank = in_force.rank(route, tenant.as_deref());
     if in_force.keys.is_some() {
         dialect.name_tenant(&mut dispatch.outbound.headers, tenant.as_deref());
     }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -15,6 +15,7 @@
     EngineFacts, EngineTable, Picked, RelayChoice, WeightedSplit, WorkClass,
 };
 use molespan_routing::hearing::Hearing;
+use molespan_routing::queue::Limits;
 use molespan_routing::quota::TenantTable;
 use molespan_routing::suspects::SuspectTable;
 use molespan_state::declared::{Route, ServingModel};
@@ -26,6 +27,7 @@
 use crate::engine_ends::Breaks;
 use crate::metrics::GatewayMetrics;
 use crate::pool::Pool;
+use crate::queue::ServiceQueue;
 use crate::tenants::{Keys, limits};
 
 /// The configuration in force here.
@@ -93,7 +95,7 @@
     /// Whose turn it is among those that wait for an engine.
     pub batch_turns: Rc<Turns>,
     /// The same among the late online requests of each service.
-    late_turns: RefCell<BTreeMap<String, Rc<Turns>>>,
+    queues: RefCell<BTreeMap<String, Rc<ServiceQueue>>>,
     /// Client of the batch group.
     pub batch: Arc<Cluster>,
     pub logger: Logger,
@@ -140,7 +142,7 @@
             pool: Pool::default(),
             batch_runs: BatchRuns::default(),
             batch_turns: Rc::default(),
-            late_turns: RefCell::default(),
+            queues: RefCell::default(),
             batch,
             logger,
             metrics: GatewayMetrics::default(),
@@ -162,11 +164,42 @@
         self.clock.now()
     }
 
-    /// Whose turn it is among the late online requests of a service: one that has no
-    /// engine must hold up no other.
-    pub fn late_turns(&self, service: &str) -> Rc<Turns> {
-        let mut turns = self.late_turns.borrow_mut();
-        turns.entry(service.to_owned()).or_default().clone()
+    /// The online requests of a service that wait: one that has no engine must hold up
+    /// no other.
+    pub fn queue(&self, service: &str) -> Rc<ServiceQueue> {
+        let mut queues = self.queues.borrow_mut();
+        if let Some(queue) = queues.get(service) {
+            return queue.clone();
+        }
+        let queue = ServiceQueue::new(Limits::default(), self.clock.clone());
+        queues.insert(service.to_owned(), queue.clone());
+        queue
+    }
+
+    /// There may be room at engines of a service.
+    pub fn room_at(&self, service: &str) {
+        let queue = self.queues.borrow().get(service).cloned();
+        if let Some(queue) = queue {
+            queue.look();
+        }
+    }
+
+    /// There may be room at engines of any service.
+    pub fn room_anywhere(&self) {
+        let queues: Vec<Rc<ServiceQueue>> = self.queues.borrow().values().cloned().collect();
+        for queue in queues.iter().filter(|queue| !queue.is_empty()) {
+            queue.look();
+        }
+    }
+
+    /// Counts those who wait for operators.
+    pub fn count_waiting(&self) {
+        let queues = self.queues.borrow();
+        let lengths = queues.values().map(|queue| queue.lengths());
+        let (waiting, in_time) = lengths.fold((0, 0), |(waiting, in_time), one| {
+            (waiting + one.0, in_time + one.1)
+        });
+        self.metrics.queue.lengths(waiting, in_time);
     }
 
     /// The configuration in force here, if any is known.
@@ -310,8 +343,12 @@
             "routes" => model.routes.len());
         let now = self.now();
         self.tenants.borrow_mut().set_limits(limits(&model), now);
-        // Services may be gone; those who wait keep the turns that they have.
-        self.late_turns.borrow_mut().clear();
+        // Services may be gone. What is measured of those that stay holds.
+        let services = model.services.iter().map(|service| service.name.as_str());
+        let services: BTreeSet<&str> = services.collect();
+        self.queues
+            .borrow_mut()
+            .retain(|service, queue| !queue.is_empty() || services.contains(service.as_str()));
         *self.in_force.borrow_mut() = Some(Rc::new(InForce::new(version, model)));
     }
 
@@ -464,5 +501,7 @@
         if self.class == WorkClass::Online {
             engines.note_slot_time(&self.service, now.since(began));
         }
+        drop(engines);
+        self.state.room_at(&self.service);
     }
 }
--- a/crates/proxy/src/tenants.rs
+++ b/crates/proxy/src/tenants.rs
@@ -3,28 +3,41 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use molespan_routing::queue::Rank;
 use molespan_routing::quota::Limit;
-use molespan_state::declared::{KeyDigest, ServingModel, Tenant};
+use molespan_state::declared::{KeyDigest, Route, ServingModel, Tenant};
 use slog::info;
 
 use crate::dialect::{Credential, Refusal};
 use crate::request::KNOWS_SOON;
 use crate::state::{GatewayState, InForce};
 
-/// Whose each key is.
+/// Whose each key is, and how urgent its holder.
 #[derive(Debug)]
-pub(crate) struct Keys(HashMap<KeyDigest, Rc<str>>);
+pub(crate) struct Keys {
+    holders: HashMap<KeyDigest, Rc<str>>,
+    /// Ranks of the tenants that have one.
+    ranks: HashMap<Rc<str>, u32>,
+}
 
 impl Keys {
     pub fn new(tenants: &[Tenant]) -> Self {
         let mut holders = HashMap::new();
+        let mut ranks = HashMap::new();
         for tenant in tenants {
             let name: Rc<str> = tenant.name.as_str().into();
+            if let Some(rank) = tenant.priority {
+                ranks.insert(name.clone(), rank);
+            }
             for key in &tenant.keys {
                 holders.insert(*key, name.clone());
             }
         }
-        Self(holders)
+        Self { holders, ranks }
+    }
+
+    fn rank(&self, tenant: &str) -> Option<u32> {
+        self.ranks.get(tenant).copied()
     }
 }
 
@@ -42,6 +55,13 @@
 }
 
 impl InForce {
+    /// How urgent the requests of a tenant are on a route.
+    pub fn rank(&self, route: &Route, tenant: Option<&str>) -> Rank {
+        let keys = self.keys.as_ref().zip(tenant);
+        let own = keys.and_then(|(keys, tenant)| keys.rank(tenant));
+        Rank::new(own, route.priority)
+    }
+
     /// The tenant of a request that carries `credential`; none where there are no
     /// tenants, or for a request without a key that needs none.
     ///
@@ -53,7 +73,7 @@
         };
         match credential {
             Credential::Missing if anonymous => Ok(None),
-            Credential::Key(key) => match keys.0.get(&key) {
+            Credential::Key(key) => match keys.holders.get(&key) {
                 Some(name) => Ok(Some(name.clone())),
                 None => Err(Refusal::UnknownKey),
             },
--- a/crates/proxy/src/work_shares.rs
+++ b/crates/proxy/src/work_shares.rs
@@ -139,6 +139,7 @@
             .engines
             .borrow_mut()
             .note_shares(told.from, &told.shares, now);
+        state.room_anywhere();
         give_way(&state);
         let failing_now = state.engines.borrow().failing_for_others(now);
         note_failing(&state, &failing, &failing_now);
