Forecasts count begins for which somebody waited, and say nothing before the first

Cause: a request that finds room at once begins without any waiting, so that a quiet time of a thousand of them made any rate; and a gateway that never began anything, which may not know its engines yet, refused all but three after 0.2 s.

--- a/crates/routing/src/queue/forecast.rs
+++ b/crates/routing/src/queue/forecast.rs
@@ -4,7 +4,8 @@
 //! as they come. Who is late goes behind all who come meanwhile and can be in time;
 //! for it counts what the rate leaves over. As peaks come and go, that is the more
 //! hopeful one of a short and a long look back at what comes. Counts of few say little:
-//! each is taken for off by its root, in the hopeful direction.
+//! each is taken for off by its root, in the hopeful direction, and the begin that is due
+//! next for one as long as that is not overdue.
 
 use std::time::Duration;
 
@@ -42,7 +43,7 @@
     waits: FadingSum,
     begins: FadingSum,
     /// When the latest one was, by that clock.
-    began: Timestamp,
+    began: Option<Timestamp>,
     arrivals: [FadingSum; 2],
 }
 
@@ -53,7 +54,7 @@
             waited: Timestamp::ZERO,
             waits: FadingSum::new(BEGINS_OVER),
             begins: FadingSum::new(BEGINS_OVER),
-            began: Timestamp::ZERO,
+            began: None,
             arrivals: ARRIVALS_OVER.map(FadingSum::new),
         }
     }
@@ -77,32 +78,43 @@
         }
     }
 
-    /// A request that waited began.
-    pub fn begun(&mut self) {
-        if self.waited.since(self.began) >= STALLED_AFTER {
+    /// A request began, for which others waited or which had waited itself, or at once.
+    pub fn begun(&mut self, waited: bool) {
+        let stalled = self.is_stalled();
+        self.began = Some(self.waited);
+        if stalled {
             self.waits = FadingSum::new(BEGINS_OVER);
             self.begins = FadingSum::new(BEGINS_OVER);
         }
-        self.began = self.waited;
-        self.begins.add(1.0, self.waited);
+        if waited {
+            self.begins.add(1.0, self.waited);
+        }
     }
 
-    /// Whether anything was measured yet.
+    /// Whether anything was measured yet. A gateway that never began anything may not
+    /// know its engines yet.
     pub fn is_measured(&self) -> bool {
-        self.waits.at(self.waited) >= MEASURED_AFTER
+        self.began.is_some() && self.waits.at(self.waited) >= MEASURED_AFTER
+    }
+
+    /// Whether nothing began for long, or ever.
+    fn is_stalled(&self) -> bool {
+        let stalled = |began| self.waited.since(began) >= STALLED_AFTER;
+        self.began.is_none_or(stalled)
     }
 
     /// How the queue moves, in the hopeful case.
     pub fn pace(&self, now: Timestamp) -> Pace {
         let waits = self.waits.at(self.waited);
         let begins = self.begins.at(self.waited);
+        let due = f64::from(u8::from(!self.is_stalled()));
         let come = self.arrivals.iter().map(|arrivals| {
             let count = arrivals.at(now);
             (count - count.sqrt()).max(0.0) / arrivals.fades_over().as_secs_f64()
         });
         Pace {
             begin: match waits > 0.0 {
-                true => (begins + begins.sqrt()) / waits,
+                true => (begins + begins.sqrt() + due) / waits,
                 false => 0.0,
             },
             come: come.fold(f64::INFINITY, f64::min),
--- a/crates/routing/src/queue/mod.rs
+++ b/crates/routing/src/queue/mod.rs
@@ -33,9 +33,11 @@
 /// must not hold up those behind it. They are refused for their own time alone: by
 /// looking they find out when there is room again.
 const LOOKERS: usize = 3;
-/// How much longer than the time that is left the wait of one that waits already has
-/// to be expected to be. Refusing one that would be served costs its answer.
+/// How much longer than the time that is left a wait has to be expected to be. Refusing
+/// one that would be served costs its answer.
 const SURE: f64 = 1.25;
+/// Wait up to which a request counts as begun at once: one look takes as long.
+const AT_ONCE: Duration = Duration::from_millis(4);
 /// Time between two searches for those whose turn cannot come.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -114,6 +116,7 @@
 #[derive(Clone, Debug)]
 struct Waiting {
     key: Key,
+    asked: Timestamp,
     tenant: Option<String>,
     begins_by: Timestamp,
     leaves_at: Timestamp,
@@ -193,6 +196,7 @@
                 due: Timestamp::ZERO,
                 place: self.last,
             },
+            asked: now,
             tenant: want.tenant.map(str::to_owned),
             begins_by: want.begins_by,
             leaves_at: want.leaves_at,
@@ -201,7 +205,7 @@
         };
         let waiting = self.with_due(waiting, want.size, now);
         if !want.again
-            && let Some(refused) = self.hopeless(&waiting, 1.0, now)
+            && let Some(refused) = self.hopeless(&waiting, now)
         {
             return Err(refused);
         }
@@ -226,7 +230,8 @@
         self.advance(now);
         let waiting = self.remove(place)?;
         self.shares.begun(waiting.key.round);
-        self.forecast.begun();
+        let at_once = self.is_empty() && now.since(waiting.asked) < AT_ONCE;
+        self.forecast.begun(!at_once);
         Some(waiting.in_time)
     }
 
@@ -252,7 +257,7 @@
                 continue;
             };
             let in_time = waiting.in_time;
-            match self.judge(waiting, in_time_ahead, ahead, SURE, now) {
+            match self.judge(waiting, in_time_ahead, ahead, now) {
                 Some(reason) => refused.push((place, self.refused(reason, ahead, now))),
                 None => {
                     ahead += 1;
@@ -374,9 +379,9 @@
     }
 
     /// Whether a newcomer's turn cannot come.
-    fn hopeless(&self, waiting: &Waiting, sure: f64, now: Timestamp) -> Option<Refused> {
+    fn hopeless(&self, waiting: &Waiting, now: Timestamp) -> Option<Refused> {
         let (in_time_ahead, ahead) = self.ahead_of(waiting);
-        let reason = self.judge(waiting, in_time_ahead, ahead, sure, now)?;
+        let reason = self.judge(waiting, in_time_ahead, ahead, now)?;
         Some(self.refused(reason, ahead, now))
     }
 
@@ -386,7 +391,6 @@
         waiting: &Waiting,
         in_time_ahead: usize,
         ahead: usize,
-        sure: f64,
         now: Timestamp,
     ) -> Option<Reason> {
         let left = waiting.leaves_at.since(now);
@@ -397,7 +401,7 @@
             return None;
         }
         let wait = self.wait(waiting, in_time_ahead, ahead, now);
-        let comes = wait.is_some_and(|wait| wait <= left.mul_f64(sure));
+        let comes = wait.is_some_and(|wait| wait <= left.mul_f64(SURE));
         (!comes).then_some(Reason::Hopeless)
     }
 
--- a/crates/routing/tests/queue/rules.rs
+++ b/crates/routing/tests/queue/rules.rs
@@ -145,6 +145,11 @@
 /// A queue at which `per_second` begin and come for three seconds while some wait.
 fn measured(per_second: u64) -> Queue {
     let mut queue = Queue::new(Limits::default());
+    // As many that find room at once say nothing of how many there is room for.
+    for _ in 0..1_000 {
+        let place = ask(&mut queue, &plain(1_000), 1_000);
+        queue.begun(place, at(1_000));
+    }
     for _ in 0..8 {
         ask(&mut queue, &plain(1_000), 1_000);
     }
@@ -216,6 +221,9 @@
     }
     assert!(queue.sweep(at(1_150)).is_empty());
     assert_eq!(queue.room_in(at(1_150)), Some(Duration::ZERO));
+    // It never began anything: its engines may be there at any time.
+    assert!(queue.sweep(at(3_000)).is_empty());
+    ask(&mut queue, &plain(3_000), 3_000);
 }
 
 #[test]
