--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -3,6 +3,7 @@
 //! Each part of the gateway that decides has a group of its own here.
 
 mod pace;
+mod queue;
 mod reach;
 mod room;
 
@@ -16,6 +17,7 @@
 use self::pace::PaceMetrics;
 use self::room::RoomMetrics;
 use crate::dialect::Refusal;
+use queue::QueueMetrics;
 use reach::ReachMetrics;
 
 /// Upper bounds of the buckets of waits, in seconds.
@@ -37,6 +39,8 @@
     pub pace: PaceMetrics,
     /// Of what is out of reach.
     pub reach: ReachMetrics,
+    /// Requests that wait for an engine.
+    pub queue: QueueMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -51,6 +55,7 @@
             refusals,
             pace: PaceMetrics::new(&registry),
             reach: ReachMetrics::new(&registry),
+            queue: QueueMetrics::new(&registry),
             waits: registry.histogram(
                 "gateway_engine_wait_seconds",
                 "Time from a request's arrival until an engine was chosen for its first attempt",
--- a/crates/proxy/src/work_shares.rs
+++ b/crates/proxy/src/work_shares.rs
@@ -147,6 +147,7 @@
             .borrow_mut()
             .note_shares(told.from, &told.shares, now);
         state.note_reach_told(told.from, told.relayed, told.reach);
+        state.room_anywhere();
         give_way(&state);
         let failing_now = state.engines.borrow().failing_for_others(now);
         note_failing(&state, &failing, &failing_now);
