An engine that starts again under its id is another engine

Cause: all that is known of engines went by id. A departure shut an id out for good, a heartbeat that counted from one again was late, and pauses, errors, requests in flight, prompt holders, blames and idle connections of an earlier life counted for the later one.

Ruled out: a start beside the id in each table and message, fifteen tables, of which any one that forgets it mixes lives, and a replica of before would keep the departure of one life as that of all.

Change: the adapter composes id and start into one identifier, id#start, which stands wherever the identifier of an incarnation stood; engines are addressed by the id alone. The registry and the engine table keep the latest start of each name: a later life ends the earlier one, whose late word is passed over. A departure binds its life and those before; an end without a start every life begun until then. Without starts nothing differs. Registrations with a field missing or of another type, no usable address, no slots, or a start that is none or lies ahead of the clock are refused, each with one counted line for an engine and reason; an engine of a service that no configuration names is kept. No message changes form.

The tests were not run against the code of before.

Conclusion: an engine is back within a heartbeat, whatever its earlier life says.

--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -1,18 +1,20 @@
 //! Carrying out the calls of engines and operators.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use molespan_daemon::cluster::Cluster;
+use molespan_daemon::wall_clock::unix_millis;
 use molespan_http::h1::{Answer, RequestHead, Service};
 use molespan_state::declared::{
     Declaration, DeclaredCommand, DeclaredReply, Departure, RetireReply,
 };
-use molespan_types::NodeId;
+use molespan_types::{EngineLife, NodeId};
 use slog::{Logger, info, warn};
 
 use super::dialect::{CallProblem, ControlCall, ControlDialect, ControlOutcome, EngineHeartbeat};
 use super::hub::Hub;
+use crate::refusals::Refusals;
 
 /// Longest time for a call of an engine, which goes elsewhere after a second.
 const ENGINE_DEADLINE: Duration = Duration::from_millis(900);
@@ -21,6 +23,9 @@
 /// Longest time for an operator's order. The caller may have gone elsewhere by
 /// then, where the same order is harmless.
 const ORDER_DEADLINE: Duration = Duration::from_millis(2_500);
+/// How far the clock of an engine may be ahead of this node's: beyond that its start is
+/// no start.
+const CLOCK_SKEW: Duration = Duration::from_secs(5);
 
 /// The interface of engines and operators.
 pub struct ControlApi<D> {
@@ -31,6 +36,8 @@
     pub cluster: Arc<Cluster>,
     /// Stores that must stay when one is to be emptied.
     pub store_replicas: u32,
+    /// Registrations that were refused, and engines of services that nobody named.
+    pub refusals: Mutex<Refusals>,
     pub logger: Logger,
 }
 
@@ -39,8 +46,7 @@
         let outcome = match self.dialect.call(&head, &body) {
             Ok(call) => self.carry_out(call).await,
             Err(problem) => {
-                info!(self.logger, "call refused";
-                    "method" => &head.method, "path" => head.path(), "problem" => ?problem);
+                self.note_problem(&head, &problem);
                 ControlOutcome::Problem(problem)
             }
         };
@@ -52,7 +58,7 @@
     async fn carry_out(&self, call: ControlCall) -> ControlOutcome {
         match call {
             ControlCall::Heartbeat(heartbeat) => self.heartbeat(heartbeat).await,
-            ControlCall::Gone { engine } => self.depart(engine, Departure::Gone).await,
+            ControlCall::Gone { engine, born } => self.end(&engine, born).await,
             ControlCall::Declare(declaration) => self.declare(*declaration).await,
             ControlCall::Read => self.read().await,
             ControlCall::Retire { name } => self.retire(name).await,
@@ -60,18 +66,76 @@
         }
     }
 
+    /// Says that a call is not understood. An engine goes on calling, and is told of once.
+    fn note_problem(&self, head: &RequestHead, problem: &CallProblem) {
+        let CallProblem::Registration { engine, problems } = problem else {
+            info!(self.logger, "call refused";
+                "method" => &head.method, "path" => head.path(), "problem" => ?problem);
+            return;
+        };
+        self.note_registration(engine, &problems.join("; "));
+    }
+
+    fn note_registration(&self, engine: &str, problems: &str) {
+        if let Some(count) = self.note_refusal(engine, problems) {
+            warn!(self.logger, "registration refused"; "engine" => engine,
+                "problems" => problems, "refused_so_far" => count);
+        }
+    }
+
+    fn note_refusal(&self, who: &str, what: &str) -> Option<u64> {
+        let mut refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner);
+        refusals.note(who, what)
+    }
+
+    /// An engine of a service that no configuration in force names is kept: a
+    /// configuration may follow.
+    fn note_service(&self, service: &str) {
+        if !self.hub.is_unknown(service) {
+            return;
+        }
+        if let Some(count) = self.note_refusal(service, "unknown service") {
+            warn!(self.logger, "engine of an unknown service"; "service" => service,
+                "refused_so_far" => count);
+        }
+    }
+
     async fn heartbeat(&self, heartbeat: EngineHeartbeat) -> ControlOutcome {
+        let life = EngineLife::of(&heartbeat.record.id);
+        let latest = unix_millis() + CLOCK_SKEW.as_millis() as u64;
+        if life.born.is_some_and(|born| born > latest) {
+            let problem = "born: in the future".to_owned();
+            return self.refuse(life.name, problem);
+        }
         if heartbeat.draining {
             return self.depart(heartbeat.record.id, Departure::Draining).await;
         }
         let id = heartbeat.record.id.clone();
         let service = heartbeat.record.service.clone();
+        self.note_service(&service);
         if self.hub.hear(heartbeat.record) {
             info!(self.logger, "engine heard"; "engine" => id, "service" => service);
         }
         ControlOutcome::Acknowledged
     }
 
+    fn refuse(&self, engine: &str, problem: String) -> ControlOutcome {
+        self.note_registration(engine, &problem);
+        ControlOutcome::Problem(CallProblem::Registration {
+            engine: engine.to_owned(),
+            problems: vec![problem],
+        })
+    }
+
+    /// An engine ends. Without a start that is each of its lives begun until now.
+    async fn end(&self, name: &str, born: Option<u64>) -> ControlOutcome {
+        let life = match born {
+            Some(_) => EngineLife { name, born }.id(),
+            None => self.hub.ends(name, unix_millis()),
+        };
+        self.depart(life, Departure::Gone).await
+    }
+
     /// A departure is acknowledged only once it is committed: the
     /// acknowledgement binds every gateway, also when this node is cut off
     /// right behind it.
--- a/crates/fleet/src/control/dialect.rs
+++ b/crates/fleet/src/control/dialect.rs
@@ -22,8 +22,10 @@
     Heartbeat(EngineHeartbeat),
     /// An engine says that it ends.
     Gone {
-        /// Identifier of its incarnation.
+        /// Its name.
         engine: String,
+        /// Milliseconds since 1970 at which it started, if it says so.
+        born: Option<u64>,
     },
     /// An operator sends a whole configuration.
     Declare(Box<Declaration>),
@@ -46,6 +48,13 @@
 pub enum CallProblem {
     /// There is no such call.
     NoSuchCall,
+    /// What an engine says of itself is malformed.
+    Registration {
+        /// Its name.
+        engine: String,
+        /// Everything that is wrong.
+        problems: Vec<String>,
+    },
     /// Its content is malformed.
     Invalid {
         /// Everything that is wrong.
--- a/crates/fleet/src/control/hub/mod.rs
+++ b/crates/fleet/src/control/hub/mod.rs
@@ -93,7 +93,7 @@
     ) -> bool {
         let now = self.now();
         let mut state = self.lock();
-        if state.departures.contains_key(&record.id) {
+        if state.departure(&record.id).is_some() {
             return false;
         }
         let change = state.revision + 1;
@@ -108,10 +108,22 @@
     /// How far an engine is on its way out.
     #[must_use]
     pub fn departure(&self, engine: &str) -> Option<Departure> {
-        self.lock()
-            .departures
-            .get(engine)
-            .map(|(departure, _)| *departure)
+        self.lock().departure(engine)
+    }
+
+    /// The life that an end of an engine without a start is of; `now_ms` are milliseconds
+    /// since 1970.
+    #[must_use]
+    pub fn ends(&self, name: &str, now_ms: u64) -> String {
+        self.lock().registry.ends(name, now_ms)
+    }
+
+    /// Whether there is a configuration and it does not name a service.
+    #[must_use]
+    pub fn is_unknown(&self, service: &str) -> bool {
+        let state = self.lock();
+        let held = state.configuration.as_ref();
+        held.is_some_and(|held| held.model.service(service).is_none())
     }
 
     /// Engines heard at `since` or later.
--- a/crates/fleet/src/control/hub/state.rs
+++ b/crates/fleet/src/control/hub/state.rs
@@ -7,7 +7,7 @@
 use async_channel::Sender;
 use molespan_routing::subset::{Breadth, Subsets};
 use molespan_state::declared::{Bar, DeclaredState, Departure, RequestDigest};
-use molespan_types::{NodeId, Timestamp, ZoneName};
+use molespan_types::{EngineLife, NodeId, Timestamp, ZoneName, lives_of};
 use molespan_wire::{WatchView, WatcherKind};
 
 use super::{AWAY, PRESENCE};
@@ -221,10 +221,18 @@
         changed
     }
 
+    /// How far an engine is on its way out, in this life or a later one.
+    pub fn departure(&self, id: &str) -> Option<Departure> {
+        let life = EngineLife::of(id);
+        let departed = lives_of(&self.departures, life.name);
+        let binding = departed.filter(|(id, _)| life.is_bound_by(&EngineLife::of(id)));
+        binding.map(|(_, (departure, _))| *departure).max()
+    }
+
     /// Whether an engine is known to be used by few gateways. Before it is known who they
     /// are, whoever knows the engine from before has to hear of it.
     pub fn has_few_users(&self, engine: &str) -> bool {
-        let record = self.registry.record(engine);
+        let record = self.registry.bound_by(engine);
         record.is_some_and(|record| {
             let (breadth, _) = self.subsets.breadth(&record.service);
             matches!(breadth, Breadth::Few(_))
--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_executor::{Executor, LocalExecutor};
@@ -187,6 +187,7 @@
             hub: hub.clone(),
             cluster: cluster.clone(),
             store_replicas: options.voters() as u32,
+            refusals: Mutex::default(),
             logger: logger.clone(),
         };
         let listener = h1::listen(options.api_address).map_err(DaemonError::Listen)?;
--- a/crates/fleet/src/control/registry.rs
+++ b/crates/fleet/src/control/registry.rs
@@ -5,7 +5,8 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
-use molespan_types::{Timestamp, ZoneName};
+use molespan_routing::dispatch::LatestLives;
+use molespan_types::{EngineLife, Timestamp, ZoneName, lives_of};
 
 use super::change_log::ChangeLog;
 use crate::view::EngineRecord;
@@ -65,6 +66,8 @@
     displaced: BTreeMap<String, String>,
     /// Their identifiers, the oldest first.
     displaced_order: VecDeque<String>,
+    /// The latest start of each engine that tells one.
+    latest: LatestLives,
     silence: Duration,
 }
 
@@ -82,6 +85,7 @@
             news: Vec::new(),
             displaced: BTreeMap::new(),
             displaced_order: VecDeque::new(),
+            latest: LatestLives::default(),
             silence,
         }
     }
@@ -104,6 +108,9 @@
     }
 
     fn note(&mut self, record: EngineRecord, here: bool, now: Timestamp, change: u64) -> bool {
+        if self.latest.has_later(&record.id) {
+            return false;
+        }
         if let Some(entry) = self.engines.get_mut(&record.id) {
             if record.sequence < entry.record.sequence {
                 return false;
@@ -118,11 +125,24 @@
         } else if self.displaced.get(&record.id) == Some(&record.address) {
             return false;
         }
+        self.lose_earlier(&record.id, change);
         self.displace(&record.address, change);
         self.insert(record, here, now, change);
         true
     }
 
+    /// An engine that starts again has ended before.
+    fn lose_earlier(&mut self, id: &str, change: u64) {
+        let life = EngineLife::of(id);
+        let known = lives_of(&self.engines, life.name);
+        let earlier = known.filter(|(id, _)| EngineLife::of(id).is_before(&life));
+        let earlier: Vec<String> = earlier.map(|(id, _)| id.clone()).collect();
+        for id in &earlier {
+            self.lose(id, change);
+        }
+        self.latest.note(id);
+    }
+
     fn insert(&mut self, record: EngineRecord, here: bool, now: Timestamp, change: u64) {
         let id = record.id.clone();
         let log = self.changes.entry(record.service.clone()).or_default();
@@ -193,9 +213,34 @@
         }
     }
 
-    /// Removes an engine that left; its departure is told in another way.
-    pub fn remove(&mut self, id: &str) {
-        let _known_or_not = self.forget(id);
+    /// Removes an engine that left, in this life or one before; its departure is told in
+    /// another way.
+    pub fn remove(&mut self, departed: &str) {
+        if let Some(id) = self.bound_by(departed).map(|record| record.id.clone()) {
+            let _known = self.forget(&id);
+        }
+    }
+
+    /// The engine that is there and that a departure binds.
+    pub(super) fn bound_by(&self, departed: &str) -> Option<&EngineRecord> {
+        let departed = EngineLife::of(departed);
+        let mut lives = lives_of(&self.engines, departed.name);
+        let bound = lives.find(|(id, _)| EngineLife::of(id).is_bound_by(&departed));
+        bound.map(|(_, entry)| &entry.record)
+    }
+
+    /// The life that an end without a start is of, or a later one that binds all that
+    /// have begun by `now_ms`, milliseconds since 1970.
+    pub(super) fn ends(&self, name: &str, now_ms: u64) -> String {
+        if self.engines.contains_key(name) {
+            return name.to_owned();
+        }
+        let born = self.latest.latest(name).unwrap_or_default().max(now_ms);
+        let life = EngineLife {
+            name,
+            born: Some(born),
+        };
+        life.id()
     }
 
     /// Loses engines that are silent for too long; says whether there were any.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod control;
 pub mod membership;
+pub mod refusals;
 pub mod store;
 pub mod telling;
 pub mod view;
--- /dev/null
+++ b/crates/fleet/tests/lives.rs
@@ -0,0 +1,152 @@
+//! What a control node knows of engines that start again under their name, and how often
+//! it tells of what it refuses.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use molespan_daemon::boot_clock::BootClock;
+use molespan_fleet::control::{Hub, Registry};
+use molespan_fleet::refusals::Refusals;
+use molespan_fleet::view::EngineRecord;
+use molespan_state::control::{ControlCommand, ControlMachine};
+use molespan_state::declared::{DeclaredCommand, Departure};
+use molespan_types::{EngineLife, Timestamp};
+
+const SILENCE: Duration = Duration::from_secs(10);
+
+fn record(id: &str, address: &str, sequence: u64) -> EngineRecord {
+    EngineRecord {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: address.to_owned(),
+        zone: "z".into(),
+        slots: 8,
+        sequence,
+        cold_left_ms: 0,
+    }
+}
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn there(registry: &Registry) -> Vec<String> {
+    let records = registry.changed_after(0).into_iter();
+    records.map(|record| record.id).collect()
+}
+
+#[test]
+fn an_identifier_is_a_name_and_a_start() {
+    let cases = [
+        ("i-1", "i-1", None),
+        ("i-1#17", "i-1", Some(17)),
+        ("i-1#", "i-1#", None),
+        ("i-1#x", "i-1#x", None),
+    ];
+    for (id, name, born) in cases {
+        let life = EngineLife::of(id);
+        assert_eq!((life.name, life.born), (name, born), "{id}");
+        assert_eq!(life.id(), id);
+    }
+    assert!(EngineLife::is_name("i-1"));
+    assert!(!EngineLife::is_name("i-1#17"));
+    assert!(!EngineLife::is_name(""));
+}
+
+#[test]
+fn a_later_life_takes_the_place_of_an_earlier_one_whose_heartbeats_are_passed_over() {
+    for address in ["1:1", "2:2"] {
+        let mut registry = Registry::new(SILENCE);
+        assert!(registry.hear(record("a#100", "1:1", 900), at(0), 1));
+        // It counts its calls from one again.
+        assert!(registry.hear(record("a#200", address, 1), at(10), 2));
+        assert_eq!(there(&registry), ["a#200"]);
+        assert_eq!(registry.lost_after(1), ["a#100"]);
+        for late in [record("a#100", "1:1", 901), record("a", address, 1_000)] {
+            assert!(!registry.hear(late.clone(), at(20), 3));
+            assert!(!registry.hear_elsewhere(late, at(20), 3));
+        }
+        registry.remove("a#100");
+        assert_eq!(there(&registry), ["a#200"], "a late departure");
+        assert!(!registry.hear(record("a#200", address, 2), at(30), 3));
+        // Its silence counts from its own heartbeats.
+        assert!(registry.expire(at(10_030), 4));
+        assert!(!registry.hear(record("a#100", "1:1", 902), at(10_040), 5));
+        assert!(there(&registry).is_empty());
+        assert!(registry.hear(record("a#200", address, 3), at(10_050), 5));
+    }
+}
+
+#[test]
+fn a_life_that_another_control_node_heard_of_counts_from_one_too() {
+    let mut registry = Registry::new(SILENCE);
+    registry.hear_elsewhere(record("a#100", "1:1", 900), at(0), 1);
+    assert!(registry.hear_elsewhere(record("a#200", "1:1", 1), at(1), 2));
+    assert!(!registry.hear_elsewhere(record("a#200", "1:1", 1), at(2), 3));
+    assert_eq!(there(&registry), ["a#200"]);
+}
+
+#[test]
+fn without_a_start_an_identifier_has_one_life() {
+    let mut registry = Registry::new(SILENCE);
+    assert!(registry.hear(record("a", "1:1", 9), at(0), 1));
+    assert!(!registry.hear(record("a", "2:2", 8), at(1), 2), "late");
+    assert!(registry.hear(record("a", "2:2", 10), at(2), 3));
+    registry.remove("a#100");
+    registry.hear(record("b#1", "3:3", 1), at(3), 4);
+    registry.remove("b");
+    assert_eq!(there(&registry), ["b#1"], "an end is of lives before it");
+}
+
+/// A hub that took these departures in.
+fn hub_with(departures: &[(&str, Departure)]) -> Hub {
+    let mut machine = ControlMachine::default();
+    for (engine, departure) in departures {
+        machine.apply(&ControlCommand::Declared(DeclaredCommand::Depart {
+            engine: (*engine).to_owned(),
+            departure: *departure,
+        }));
+    }
+    let hub = Hub::new("z".into(), SILENCE, BootClock::start());
+    hub.take(machine.declared(), BTreeSet::new(), 1);
+    hub
+}
+
+#[test]
+fn a_departure_binds_the_life_it_is_of_and_those_before() {
+    let hub = hub_with(&[("a#100", Departure::Draining), ("b", Departure::Gone)]);
+    for bound in ["a#100", "a#99", "a", "b"] {
+        assert!(!hub.hear(record(bound, "1:1", 50)), "{bound}");
+    }
+    assert_eq!(hub.departure("a#100"), Some(Departure::Draining));
+    assert_eq!(hub.departure("a#101"), None);
+    for (place, later) in ["a#101", "b#1"].into_iter().enumerate() {
+        let address = format!("1:{place}");
+        assert!(hub.hear(record(later, &address, 1)), "{later}");
+    }
+}
+
+#[test]
+fn an_end_without_a_start_is_of_every_life_begun_until_then() {
+    let hub = hub_with(&[]);
+    assert_eq!(hub.ends("a", 500), "a#500", "nobody knows it here");
+    hub.hear(record("a", "1:1", 1));
+    assert_eq!(hub.ends("a", 500), "a", "it tells no starts");
+    hub.hear(record("a#100", "1:1", 1));
+    assert_eq!(hub.ends("a", 500), "a#500");
+    // Its clock is ahead.
+    hub.hear(record("a#700", "1:1", 1));
+    assert_eq!(hub.ends("a", 500), "a#700");
+}
+
+#[test]
+fn what_is_refused_all_the_time_is_told_seldom_and_counted() {
+    let mut refusals = Refusals::default();
+    assert_eq!(refusals.note("a", "no address"), Some(1));
+    assert_eq!(refusals.note("a", "no address"), None);
+    assert_eq!(refusals.note("a", "no slots"), Some(3));
+    let many = (0..1_000_000_u64).map(|number| refusals.note(&number.to_string(), "no address"));
+    let told: Vec<u64> = many.flatten().collect();
+    assert!(told.len() < 300, "{}", told.len());
+    assert_eq!(told.last(), Some(&(1 << 19)));
+}
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -12,7 +12,7 @@
 };
 use molespan_routing::dispatch::{EngineFacts, Failure, Picked, WorkClass};
 use molespan_state::declared::{RequestDigest, RequestParts};
-use molespan_types::Timestamp;
+use molespan_types::{EngineLife, Timestamp};
 
 use crate::batch::give_way;
 use crate::dialect::{EngineAnswer, EngineCall, GatewayDialect};
@@ -266,7 +266,7 @@
     let mut headers = outbound.headers.clone();
     let call = EngineCall {
         time_left,
-        engine: &engine.id,
+        engine: EngineLife::of(&engine.id).name,
         after_event,
     };
     dialect.address_engine(&mut headers, &call);
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -35,7 +35,7 @@
 pub struct EngineCall<'a> {
     /// Time left.
     pub time_left: Duration,
-    /// The only incarnation that may run it.
+    /// What the only engine that may run it calls itself.
     pub engine: &'a str,
     /// Last event that is there already, when a stream goes on.
     pub after_event: Option<u64>,
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -24,6 +24,7 @@
     refusals: Family<Label, Counter>,
     waits: Histogram,
     held_back: Counter,
+    unusable_engines: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -46,6 +47,11 @@
                 "Times that batch items were held back since the stores were silent",
                 Counter::default(),
             ),
+            unusable_engines: registry.register(
+                "gateway_unusable_engines",
+                "Engines that were told without a usable address",
+                Counter::default(),
+            ),
             registry,
         }
     }
@@ -69,6 +75,11 @@
         self.held_back.inc();
     }
 
+    /// An engine was told that has no usable address.
+    pub fn unusable_engine(&self) {
+        self.unusable_engines.inc();
+    }
+
     /// An engine was chosen for the first attempt of a request.
     pub fn waited(&self, wait: Duration) {
         self.waits.observe(wait.as_secs_f64());
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -6,7 +6,7 @@
 
 use molespan_daemon::boot_clock::BootClock;
 use molespan_http::h1::{Connection, Presence};
-use molespan_types::Timestamp;
+use molespan_types::{EngineLife, Timestamp};
 
 /// How long a connection is kept where the engine does not say how long it
 /// does.
@@ -72,6 +72,13 @@
         }
     }
 
+    /// Closes the idle connections to an engine that left, in that life and before.
+    pub fn forget_departed(&self, departed: &str) {
+        let departed = EngineLife::of(departed);
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|engine, _| !EngineLife::of(engine).is_bound_by(&departed));
+    }
+
     /// Closes the idle connections to an engine.
     pub fn forget(&self, engine: &str) {
         self.idle.borrow_mut().remove(engine);
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -10,6 +10,7 @@
 use molespan_daemon::boot_clock::BootClock;
 use molespan_daemon::cluster::Cluster;
 use molespan_fleet::ViewSink;
+use molespan_fleet::refusals::Refusals;
 use molespan_fleet::view::{EngineRecord, ServicePart, Topology, TopologyView, ViewUpdate};
 use molespan_routing::dispatch::{
     EngineFacts, EngineTable, Picked, RelayChoice, WeightedSplit, WorkClass,
@@ -107,6 +108,8 @@
     /// Counts on while the machine is suspended.
     pub clock: BootClock,
     in_force: RefCell<Option<Rc<InForce>>>,
+    /// Engines that were told and cannot be used.
+    unusable: RefCell<Refusals>,
     topology: RefCell<Topology>,
     topology_view: RefCell<TopologyView>,
     /// What it hears of the other nodes.
@@ -150,6 +153,7 @@
             metrics: GatewayMetrics::default(),
             clock: options.clock.clone(),
             in_force: RefCell::default(),
+            unusable: RefCell::default(),
             topology: RefCell::default(),
             topology_view: RefCell::default(),
             hearing: Cell::default(),
@@ -376,6 +380,7 @@
 
     fn learn(&self, from: NodeId, record: EngineRecord) {
         let Ok(address) = record.address.parse() else {
+            self.note_unusable(&record);
             return;
         };
         let facts = EngineFacts {
@@ -389,6 +394,16 @@
         self.engines.borrow_mut().learn(from, facts, now);
     }
 
+    /// A control node of before takes what it cannot use itself.
+    fn note_unusable(&self, record: &EngineRecord) {
+        self.metrics.unusable_engine();
+        let mut refusals = self.unusable.borrow_mut();
+        if let Some(count) = refusals.note(&record.id, &record.address) {
+            warn!(self.logger, "engine without a usable address"; "engine" => &record.id,
+                "address" => &record.address, "refused_so_far" => count);
+        }
+    }
+
     fn use_part(&self, from: NodeId, part: ServicePart) {
         let engines: Option<BTreeSet<String>> = part.engines.map(|ids| ids.into_iter().collect());
         let mut table = self.engines.borrow_mut();
@@ -401,7 +416,7 @@
     fn depart(&self, engine: &str) {
         if self.engines.borrow_mut().depart(engine) {
             info!(self.logger, "engine leaves"; "engine" => engine);
-            self.pool.forget(engine);
+            self.pool.forget_departed(engine);
         }
     }
 }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod candidate;
 mod engine;
 mod errors;
+mod lives;
 mod prompt;
 mod relay;
 mod room;
@@ -16,6 +17,7 @@
 mod urgency;
 
 pub use engine::{EngineFacts, EngineLoad, Failure, WorkShare};
+pub use lives::LatestLives;
 pub use prompt::{PromptCost, PromptPart, SharedPrompt};
 pub use relay::{RelayChoice, Teller, WorkRelay};
 pub use split::WeightedSplit;
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -1,23 +1,21 @@
 //! All engines, and the choice among them.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use molespan_types::{NodeId, Timestamp, ZoneName};
+use molespan_types::{EngineLife, NodeId, Timestamp, ZoneName};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::candidate::Candidate;
 use super::engine::{Engine, EngineFacts, EngineLoad, Failure, WorkShare};
+use super::lives::{Departures, LatestLives};
 use super::prompt::{Holders, PromptCost, home};
 use super::room::{FreedSlots, STARTS_SHOW, UnseenStarts};
 use super::slot_time::SlotTimes;
 
-/// Departed engines that are remembered, so that a late word of one does not
-/// bring it back.
-const REMEMBERED_DEPARTURES: usize = 10_000;
 /// Engines that a short request looks at, drawn at random. Other gateways choose
 /// by the same figures at the same time; if each looked at all engines, all of
 /// them would take the same one until they hear of each other.
@@ -115,8 +113,8 @@
 pub struct EngineTable {
     zone: ZoneName,
     engines: BTreeMap<String, Engine>,
-    departed: BTreeSet<String>,
-    departed_order: VecDeque<String>,
+    departures: Departures,
+    latest: LatestLives,
     holders: Holders,
     /// When another gateway last told what it has.
     told: Option<Timestamp>,
@@ -140,8 +138,8 @@
         Self {
             zone,
             engines: BTreeMap::new(),
-            departed: BTreeSet::new(),
-            departed_order: VecDeque::new(),
+            departures: Departures::default(),
+            latest: LatestLives::default(),
             holders: Holders::default(),
             told: None,
             answered: None,
@@ -155,15 +153,20 @@
         }
     }
 
-    /// A control node says that an engine is there. Nothing brings a departed
-    /// one back, and an address belongs to the latest engine that has it.
+    /// A control node says that an engine is there. Nothing brings a departed one back,
+    /// or a life behind which another began, and an address belongs to the latest engine
+    /// that has it.
     pub fn learn(&mut self, from: NodeId, facts: EngineFacts, now: Timestamp) {
-        if self.departed.contains(&facts.id) {
+        if self.departures.bind(&facts.id) || self.latest.has_later(&facts.id) {
             return;
         }
         if !self.engines.contains_key(&facts.id) {
-            self.engines
-                .retain(|_, engine| engine.facts.address != facts.address);
+            let life = EngineLife::of(&facts.id);
+            self.engines.retain(|id, engine| {
+                let ended = EngineLife::of(id).is_before(&life);
+                !ended && engine.facts.address != facts.address
+            });
+            self.latest.note(&facts.id);
         }
         let id = facts.id.clone();
         let engine = self
@@ -245,19 +248,12 @@
         f64::from(self.slots(service)) / self.users_of(service)
     }
 
-    /// An engine leaves, for good. Says whether that is news.
+    /// An engine leaves, in this life and those before. Says whether that is news.
     pub fn depart(&mut self, id: &str) -> bool {
-        self.engines.remove(id);
-        if !self.departed.insert(id.to_owned()) {
-            return false;
-        }
-        self.departed_order.push_back(id.to_owned());
-        if self.departed_order.len() > REMEMBERED_DEPARTURES
-            && let Some(oldest) = self.departed_order.pop_front()
-        {
-            self.departed.remove(&oldest);
-        }
-        true
+        let departed = EngineLife::of(id);
+        self.engines
+            .retain(|id, _| !EngineLife::of(id).is_bound_by(&departed));
+        self.departures.note(id)
     }
 
     /// Another engine answered at its address. The control nodes lose sight of
@@ -283,7 +279,7 @@
     /// Whether an engine said that it leaves.
     #[must_use]
     pub fn has_departed(&self, id: &str) -> bool {
-        self.departed.contains(id)
+        self.departures.bind(id)
     }
 
     /// Whether an engine answered something behind a time.
--- /dev/null
+++ b/crates/routing/tests/lives.rs
@@ -0,0 +1,181 @@
+//! Engines that start again under their name: nothing of an earlier life counts for a
+//! later one, and an earlier one's late word changes nothing.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use molespan_routing::dispatch::{
+    EngineFacts, EngineLoad, EngineTable, Failure, NoEngine, Pick, PromptCost, Standing, WorkClass,
+    WorkShare,
+};
+use molespan_routing::suspects::{SuspectTable, engine_key};
+use molespan_state::declared::{RequestDigest, RequestParts};
+use molespan_types::{NodeId, Timestamp};
+
+const CONTROL: NodeId = NodeId(1);
+const OTHER_CONTROL: NodeId = NodeId(2);
+const OTHER_GATEWAY: NodeId = NodeId(9);
+
+fn now(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+/// A life of an engine, at an address of its own.
+fn facts(id: &str, port: u16) -> EngineFacts {
+    EngineFacts {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        zone: "z".into(),
+        slots: 8,
+    }
+}
+
+fn pick(table: &mut EngineTable, at: u64) -> Result<String, NoEngine> {
+    let pick = Pick {
+        service: "s",
+        class: WorkClass::Online,
+        standing: Standing::Late,
+        prompt: PromptCost::default(),
+        tried: &BTreeSet::new(),
+        suspect: false,
+    };
+    table.pick(&pick, now(at)).map(|picked| picked.facts.id)
+}
+
+fn table_of(id: &str) -> EngineTable {
+    let mut table = EngineTable::new("z".into(), 7);
+    table.learn(CONTROL, facts(id, 1), now(0));
+    table
+}
+
+#[test]
+fn nothing_of_an_earlier_life_counts_for_a_later_one() {
+    for port in [1, 2] {
+        let mut table = table_of("e#100");
+        for _ in 0..8 {
+            table.started("e#100", WorkClass::Online, 5_000, now(0));
+        }
+        for _ in 0..4 {
+            table.failed("e#100", Failure::Broken, now(0));
+        }
+        assert_eq!(pick(&mut table, 1), Err(NoEngine::Busy));
+        table.learn(CONTROL, facts("e#200", port), now(1));
+        assert_eq!(table.len(), 1, "it lives once at a time");
+        assert_eq!(pick(&mut table, 1).as_deref(), Ok("e#200"));
+        assert_eq!(table.occupancy(now(1)), 0.0);
+    }
+}
+
+#[test]
+fn an_earlier_lifes_late_word_changes_nothing_of_the_later_one() {
+    let mut table = table_of("e#100");
+    table.started("e#100", WorkClass::Online, 0, now(0));
+    table.learn(CONTROL, facts("e#200", 2), now(1));
+    table.started("e#200", WorkClass::Online, 0, now(1));
+    // What an answer, a control node that was cut off, and other gateways say of it.
+    table.ended("e#100", WorkClass::Online);
+    for _ in 0..4 {
+        table.failed("e#100", Failure::Unreachable, now(1));
+        table.answered("e#100", true, now(1));
+    }
+    table.displaced("e#100", now(1));
+    let load = EngineLoad {
+        running: 8,
+        waiting: 8,
+        slots: 1,
+    };
+    table.report("e#100", load, now(1));
+    let share = WorkShare {
+        engine: "e#100".to_owned(),
+        requests: 16,
+        unread_tokens: 100_000,
+        batch: 0,
+        failing: 9,
+        answering: 0,
+        errors: 500,
+        answers: 500,
+    };
+    table.note_shares(OTHER_GATEWAY, &[share], now(1));
+    table.learn(OTHER_CONTROL, facts("e#100", 1), now(2));
+    table.learn(OTHER_CONTROL, facts("e#100", 2), now(2));
+    table.learn(OTHER_CONTROL, facts("e", 2), now(2));
+    table.lose(CONTROL, "e#100");
+    table.depart("e#100");
+    assert_eq!(table.len(), 1);
+    assert_eq!(table.slots("s"), 8);
+    assert_eq!(table.occupancy(now(2)), 1.0 / 8.0);
+    assert!(!table.has_departed("e#200"));
+    assert_eq!(pick(&mut table, 2).as_deref(), Ok("e#200"));
+}
+
+#[test]
+fn a_later_life_that_was_lost_is_not_followed_by_an_earlier_one() {
+    let mut table = table_of("e#100");
+    table.learn(CONTROL, facts("e#200", 2), now(1));
+    table.lose(CONTROL, "e#200");
+    table.learn(OTHER_CONTROL, facts("e#100", 1), now(2));
+    assert!(table.is_empty());
+    table.learn(OTHER_CONTROL, facts("e#200", 2), now(2));
+    assert_eq!(pick(&mut table, 2).as_deref(), Ok("e#200"));
+}
+
+#[test]
+fn an_engine_that_left_serves_when_it_is_back_as_a_later_life() {
+    let mut table = table_of("e#100");
+    assert!(table.depart("e#100"));
+    assert!(!table.depart("e#100"));
+    table.learn(CONTROL, facts("e#100", 1), now(1));
+    assert_eq!(pick(&mut table, 1), Err(NoEngine::None));
+    table.learn(CONTROL, facts("e#200", 1), now(1));
+    assert_eq!(pick(&mut table, 1).as_deref(), Ok("e#200"));
+    assert!(table.has_departed("e#100"));
+}
+
+#[test]
+fn an_end_without_a_start_binds_the_lives_begun_until_then() {
+    // The end, as a control node dates it, and whether each life is bound by it.
+    let cases = [
+        ("e#150", "e#100", true),
+        ("e#150", "e#150", true),
+        ("e#150", "e#151", false),
+        ("e#150", "e#99", true),
+        ("e#150", "e", true),
+        ("e#150", "e2#100", false),
+        ("e#150", "e2", false),
+        // An engine that tells no starts has one life.
+        ("e", "e", true),
+        ("e", "e#100", false),
+    ];
+    for (end, life, is_bound) in cases {
+        let mut before = table_of(life);
+        before.depart(end);
+        assert_eq!(before.is_empty(), is_bound, "{life} before {end}");
+        let mut behind = EngineTable::new("z".into(), 7);
+        behind.depart(end);
+        behind.learn(CONTROL, facts(life, 1), now(1));
+        assert_eq!(behind.is_empty(), is_bound, "{life} behind {end}");
+        assert_eq!(behind.has_departed(life), is_bound, "{life} behind {end}");
+    }
+}
+
+#[test]
+fn ends_of_two_lives_are_two_crashes_and_one_end_is_one() {
+    let request = RequestDigest::of(&RequestParts {
+        tenant: None,
+        host: "h",
+        method: "POST",
+        target: "/x",
+        body: b"b",
+    });
+    let mut suspects = SuspectTable::default();
+    assert_eq!(
+        suspects.blame(request, engine_key("e#100"), now(0)),
+        Some(1)
+    );
+    assert_eq!(suspects.blame(request, engine_key("e#100"), now(1)), None);
+    assert_eq!(
+        suspects.blame(request, engine_key("e#200"), now(2)),
+        Some(2)
+    );
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 //! in sockets, clocks or threads.
 
 mod digest;
+mod engine_life;
 mod identifier;
 pub mod mechanism;
 mod outcome;
@@ -12,6 +13,7 @@
 mod time;
 
 pub use digest::{Digest, digest_of};
+pub use engine_life::{EngineLife, lives_of};
 pub use identifier::{
     AttemptId, BackendId, ConfigVersion, FencingToken, GroupId, Incarnation, ItemIndex, JobId,
     LeaseId, ModelName, NodeId, ServiceName, TenantId, ZoneName,
