--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -13,7 +13,7 @@
 use molespan_routing::dispatch::{EngineFacts, Failure, Picked, WorkClass};
 use molespan_routing::reach::Sign;
 use molespan_state::declared::{RequestDigest, RequestParts};
-use molespan_types::Timestamp;
+use molespan_types::{EngineLife, Timestamp};
 
 use crate::dialect::{EngineAnswer, EngineCall, GatewayDialect};
 use crate::pace::{EventTimes, note_fault};
@@ -321,7 +321,7 @@
     let mut headers = outbound.headers.clone();
     let call = EngineCall {
         time_left,
-        engine: &engine.id,
+        engine: EngineLife::of(&engine.id).name,
         after_event,
     };
     dialect.address_engine(&mut headers, &call);
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod candidate;
 mod engine;
 mod errors;
+mod lives;
 mod load;
 mod pace;
 mod prompt;
@@ -23,6 +24,7 @@
 
 pub(crate) use engine::SHARE_HOLDS;
 pub use engine::{EngineFacts, Failure, WorkShare};
+pub use lives::LatestLives;
 pub use load::{EngineLoad, LoadFault, LoadReport};
 pub use pace::PaceFigures;
 pub use prompt::{PromptCost, PromptPart, SharedPrompt};
