What was told of a zone before it came back is not believed 3 s later either

Cause: in a play of a zone cut off, 74 gateways of that zone took a zone for out of reach again 1 s behind its return, for 20 to 50 ms each, since tellings of gateways that had changed their relay were held there, and passed on, for longer than the 1 s for which an own sign counts.

Change: an own sign counts for 3 s, longer than two relays hold a telling one after the other.

Ruled out: links that failed again; all of them were told, none seen here.

A real cut within these 3 s is found from what is seen here, as ever.

--- a/crates/routing/src/reach/zone.rs
+++ b/crates/routing/src/reach/zone.rs
@@ -33,8 +33,9 @@
 /// Hosts that have to fail here until a belief that others told is an own one.
 const CONFIRMED_BY: usize = 2;
 /// How long nothing is believed of others behind an own sign that a zone is there: what
-/// they told before is gone by then.
-const DENIED_FOR: Duration = Duration::from_secs(1);
+/// they told before holds at their relay, and again at the next one, for as long as any
+/// telling.
+const DENIED_FOR: Duration = Duration::from_secs(3);
 /// Time between two looks for one other gateway's word: it may be the one that is cut off,
 /// and stay so.
 const LOOK_AS_TOLD_EVERY: Duration = Duration::from_secs(5);
