--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -10,7 +10,7 @@
 use molespan_http::h1::{
     self, BodyError, BodyReader, Connection, Framing, HeadError, Headers, ResponseHead,
 };
-use molespan_routing::dispatch::{EngineFacts, Failure, Picked, WorkClass};
+use molespan_routing::dispatch::{Doubt, EngineFacts, Failure, Picked, WorkClass};
 use molespan_routing::reach::Sign;
 use molespan_state::declared::{RequestDigest, RequestParts};
 use molespan_types::{EngineLife, Timestamp};
@@ -219,7 +219,7 @@
     drop(engines);
     match failure {
         AttemptFailure::Silent => state.note_unreached(engine, began),
-        AttemptFailure::Broken => state.doubt(engine),
+        AttemptFailure::Broken => state.doubt(engine, Doubt::Failed),
         AttemptFailure::Unreachable | AttemptFailure::Withheld => {}
     }
 }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -28,7 +28,7 @@
 pub use load::{EngineLoad, LoadFault, LoadReport};
 pub use pace::PaceFigures;
 pub use prompt::{PromptCost, PromptPart, SharedPrompt};
-pub use reachable::Probe;
+pub use reachable::{Doubt, Probe};
 pub use relay::{RelayChoice, Teller, WorkRelay};
 pub use short::Shortage;
 pub use slow::{SlowChange, SlowWatch};
