Room is shared by the demand that gateways tell, not by what they run

Cause: a gateway's part of the room was its part of the running requests. Who could not start any got the smallest part, and parts of those with few callers idled.

Change: gateways tell for each service of the configuration how many requests wait and come; relays pass on the sums with the work at engines (a further field of the message, which older nodes skip). The part is own wants of all wants; late requests, and gateways that hear of no demand, go by what runs, as before.

Ruled out: parts below what is wanted, late requests counted as wants, a weight for the worst-served zone (docs/decisions/0022).

An engine that is never without its 'no room' is asked ever more rarely, whatever its slots are kept for.

--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -126,8 +126,12 @@
                 usage,
                 gateways,
                 blames,
+                demand,
             } => {
                 let usage = usage.as_ref().map(|usage| usage.as_slice());
+                if let Some(demand) = demand {
+                    self.work.note_demand(from, &demand, relayed);
+                }
                 self.work.note(from, &shares, usage, relayed);
                 if let Some(blames) = blames {
                     self.work.note_blames(from, &blames);
--- a/crates/fleet/src/control/relay.rs
+++ b/crates/fleet/src/control/relay.rs
@@ -8,7 +8,7 @@
 use async_io::Timer;
 use molespan_daemon::boot_clock::BootClock;
 use molespan_daemon::cluster::{PeerTransport, WireTransport};
-use molespan_routing::dispatch::{Teller, WorkRelay, WorkShare};
+use molespan_routing::dispatch::{DemandRelay, ServiceDemand, Teller, WorkRelay, WorkShare};
 use molespan_routing::quota::{Usage, UsageRelay};
 use molespan_routing::suspects::{Blame, SuspectTable};
 use molespan_types::{NodeId, Timestamp};
@@ -25,6 +25,7 @@
 #[derive(Debug, Default)]
 struct Relays {
     work: WorkRelay,
+    demand: DemandRelay,
     usage: UsageRelay,
     /// Whether use of tenants' limits came since it was passed on.
     usage_came: bool,
@@ -78,6 +79,18 @@
         }
     }
 
+    /// Takes in what a gateway, or another relay, told of demand. It is passed on with the
+    /// work that comes in the same message.
+    pub fn note_demand(&self, from: NodeId, demand: &[u8], relayed: bool) {
+        let Some(demand) =
+            telling::read::<Vec<ServiceDemand>>(&self.logger, from, "demand", demand)
+        else {
+            return;
+        };
+        let now = self.now();
+        self.lock().demand.note(from, teller(relayed), demand, now);
+    }
+
     /// Takes in what a gateway, or another relay, told.
     pub fn note(&self, from: NodeId, shares: &[u8], usage: Option<&[u8]>, relayed: bool) {
         let Some(shares) = telling::read::<Vec<WorkShare>>(&self.logger, from, "work", shares)
@@ -86,10 +99,7 @@
         };
         let usage =
             usage.and_then(|usage| telling::read(&self.logger, from, "use of limits", usage));
-        let teller = match relayed {
-            true => Teller::Relay,
-            false => Teller::Gateway,
-        };
+        let teller = teller(relayed);
         let now = self.now();
         let changed = {
             let mut relays = self.lock();
@@ -107,6 +117,13 @@
     }
 }
 
+fn teller(relayed: bool) -> Teller {
+    match relayed {
+        true => Teller::Relay,
+        false => Teller::Gateway,
+    }
+}
+
 /// What a round passes on of work at engines.
 struct Round {
     /// What the gateways of this relay have together, for the other relays.
@@ -115,6 +132,9 @@
     gateways: u32,
     /// What all others have, for each of them.
     by_gateway: Vec<(NodeId, Vec<WorkShare>)>,
+    /// Demand of the gateways of this relay, and of all others for each of them.
+    demand_of_gateways: Vec<ServiceDemand>,
+    demand_by_gateway: BTreeMap<NodeId, Vec<ServiceDemand>>,
 }
 
 impl RelayedWork {
@@ -123,7 +143,10 @@
     fn round(&self, hub: &Hub) -> Round {
         let now = self.now();
         let present = hub.gateways();
-        let relay = &mut self.lock().work;
+        let relays = &mut *self.lock();
+        let demand = &mut relays.demand;
+        demand.expire(now);
+        let relay = &mut relays.work;
         relay.expire(now);
         let all_by_told = relay.all_by_told(present, now);
         let mut by_gateway = relay.shares_by_user(|engines| hub.users_of(engines));
@@ -133,6 +156,8 @@
             of_gateways: relay.sum_of_gateways(),
             gateways: relay.gateways(),
             by_gateway,
+            demand_of_gateways: demand.of_gateways(),
+            demand_by_gateway: demand.by_gateway().into_iter().collect(),
         }
     }
 
@@ -201,18 +226,24 @@
     let mut told_gateways = LastTold::default();
     while work.heard.1.recv().await.is_ok() {
         let blames = work.blames();
-        let told = |shares: &[WorkShare], usage: Option<&Usage>, gateways| Request::EngineWork {
+        let told = |shares: &[WorkShare],
+                    usage: Option<&Usage>,
+                    demand: &[ServiceDemand],
+                    gateways| Request::EngineWork {
             from: own,
             shares: molespan_state::encode(&shares).into(),
             relayed: true,
             usage: usage.map(|usage| molespan_state::encode(usage).into()),
             gateways,
             blames: blames.clone().map(Into::into),
+            demand: (!demand.is_empty()).then(|| molespan_state::encode(&demand).into()),
         };
         let Round {
             of_gateways,
             gateways,
             by_gateway,
+            demand_of_gateways,
+            demand_by_gateway,
         } = work.round(&hub);
         let usage = work.usage();
         let (usage_of_gateways, usage_by_gateway) = usage.unzip();
@@ -225,7 +256,10 @@
             let others = hub.control_nodes().into_iter();
             for relay in others.filter(|&node| node != own) {
                 let usage = usage_of_gateways.as_ref();
-                wire.send(relay, told(&of_gateways, usage, Some(gateways)));
+                wire.send(
+                    relay,
+                    told(&of_gateways, usage, &demand_of_gateways, Some(gateways)),
+                );
             }
             told_relays = (of_gateways, Instant::now());
         }
@@ -236,7 +270,9 @@
             if !told_gateways.is_due(gateway, &shares) && !other_news {
                 continue;
             }
-            wire.send(gateway, told(&shares, usage, None));
+            let demand = demand_by_gateway.get(&gateway);
+            let demand = demand.map_or(&[][..], Vec::as_slice);
+            wire.send(gateway, told(&shares, usage, demand, None));
         }
         let pause = work.lock().work.pause(hub.slots());
         Timer::after(pause).await;
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -99,6 +99,7 @@
             digest: OnceCell::new(),
         };
         let ends = request.arrived + patience;
+        state.engines.borrow_mut().asked(&service, request.arrived);
         Self::new(state, dialect, route, service, outbound, facts, ends)
     }
 
@@ -312,6 +313,7 @@
     async fn pick(&mut self) -> Result<Picked, Refusal> {
         let target = Duration::from_millis(u64::from(self.route.target_latency_ms));
         let begins_by = self.arrived + target.mul_f64(BEGINS_WITHIN);
+        let waiting = self.state.begin_to_wait(&self.service);
         loop {
             let left = begins_by.since(self.state.now());
             if left.is_zero() {
@@ -323,6 +325,8 @@
                 Err(_) => Timer::after(LOOK_AGAIN.min(left)).await,
             };
         }
+        // Late ones want what is left, and no part of the room.
+        drop(waiting);
         let patience = self.ends.since(self.arrived);
         let waits_until = self.arrived + patience.mul_f64(WAITS_SHARE);
         let late = self.pick_late(begins_by);
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -17,7 +17,7 @@
 use molespan_routing::hearing::Hearing;
 use molespan_routing::quota::TenantTable;
 use molespan_routing::suspects::SuspectTable;
-use molespan_state::declared::{Route, ServingModel};
+use molespan_state::declared::{Route, RouteKind, ServingModel};
 use molespan_types::{NodeId, Timestamp, ZoneName};
 use slog::{Logger, info};
 
@@ -259,6 +259,16 @@
         Counted::new(self.clone(), |state| &state.connections)
     }
 
+    /// Counts a request as one that waits for an engine of a service until the guard is
+    /// dropped.
+    pub fn begin_to_wait(self: &Rc<Self>, service: &str) -> Waiting {
+        self.engines.borrow_mut().begins_to_wait(service);
+        Waiting {
+            state: self.clone(),
+            service: service.to_owned(),
+        }
+    }
+
     /// Counts a request at an engine until the guard is dropped.
     pub fn occupy(self: &Rc<Self>, picked: &Picked, class: WorkClass) -> Occupied {
         let engine = &picked.facts.id;
@@ -316,6 +326,8 @@
             "routes" => model.routes.len());
         let now = self.now();
         self.tenants.borrow_mut().set_limits(limits(&model), now);
+        self.engines.borrow_mut().serve(services(&model));
+        self.metrics.room.forget_services();
         // Services may be gone; those who wait keep the turns that they have.
         self.late_turns.borrow_mut().clear();
         self.shortages.clear();
@@ -433,6 +445,19 @@
     }
 }
 
+/// A request that waits for an engine.
+pub(crate) struct Waiting {
+    state: Rc<GatewayState>,
+    service: String,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut engines = self.state.engines.borrow_mut();
+        engines.ends_to_wait(&self.service);
+    }
+}
+
 /// A request at an engine.
 pub(crate) struct Occupied {
     state: Rc<GatewayState>,
@@ -484,3 +509,12 @@
         }
     }
 }
+
+/// Services that online requests go to.
+fn services(model: &ServingModel) -> impl Iterator<Item = String> {
+    let online = model.routes.iter();
+    let online = online.filter(|route| route.kind != RouteKind::Batch);
+    online
+        .flat_map(|route| &route.destinations)
+        .map(|destination| destination.service.clone())
+}
--- a/crates/proxy/src/work_shares.rs
+++ b/crates/proxy/src/work_shares.rs
@@ -15,10 +15,10 @@
 use molespan_daemon::cluster::{PeerTransport, WireTransport};
 use molespan_fleet::view::MOST_NAMED;
 use molespan_fleet::{ClusterAddresses, telling};
-use molespan_routing::dispatch::WorkShare;
+use molespan_routing::dispatch::{ServiceDemand, WorkShare};
 use molespan_routing::quota::Usage;
 use molespan_routing::suspects::Blame;
-use molespan_types::{NodeId, RunOutcome};
+use molespan_types::{NodeId, RunOutcome, Timestamp};
 use molespan_wire::{Handler, Request, Response, Server, ServerLimits};
 use slog::{Logger, info};
 
@@ -50,6 +50,7 @@
     shares: Vec<WorkShare>,
     usage: Option<Usage>,
     blames: Vec<Blame>,
+    demand: Option<Vec<ServiceDemand>>,
     relayed: bool,
 }
 
@@ -75,6 +76,7 @@
             relayed,
             usage,
             blames,
+            demand,
             ..
         } = request
             && let Some(shares) = telling::read(&self.logger, from, "work", &shares)
@@ -83,10 +85,13 @@
                 usage.and_then(|usage| telling::read(&self.logger, from, "use of limits", &usage));
             let blames =
                 blames.and_then(|blames| telling::read(&self.logger, from, "blames", &blames));
+            let demand =
+                demand.and_then(|demand| telling::read(&self.logger, from, "demand", &demand));
             let told = Told {
                 from,
                 shares,
                 usage,
+                demand,
                 blames: blames.unwrap_or_default(),
                 relayed,
             };
@@ -119,6 +124,7 @@
 
 async fn listen(state: Rc<GatewayState>, telling: Receiver<Told>) {
     let mut failing = BTreeSet::new();
+    let mut by_demand = false;
     while let Ok(told) = telling.recv().await {
         let now = state.now();
         state.note_heard();
@@ -139,6 +145,11 @@
             .engines
             .borrow_mut()
             .note_shares(told.from, &told.shares, now);
+        if let Some(demand) = told.demand {
+            let mut engines = state.engines.borrow_mut();
+            engines.note_demands(told.from, demand, now);
+        }
+        by_demand = note_parts(&state, by_demand);
         give_way(&state);
         let failing_now = state.engines.borrow().failing_for_others(now);
         note_failing(&state, &failing, &failing_now);
@@ -146,6 +157,15 @@
     }
 }
 
+/// Writes by what room is shared, if that changed.
+fn note_parts(state: &GatewayState, before: bool) -> bool {
+    let by_demand = state.engines.borrow().hears_demand(state.now());
+    if by_demand != before {
+        info!(state.logger, "parts of room"; "by_demand" => by_demand);
+    }
+    by_demand
+}
+
 /// Writes which engines are avoided from now on since they fail for others, and
 /// which no longer are.
 fn note_failing(state: &GatewayState, before: &BTreeSet<String>, now: &BTreeSet<String>) {
@@ -187,6 +207,9 @@
             molespan_state::encode(&state.tenants.borrow_mut().usage(now))
         });
         let blames = blames(&state);
+        let demand = state.engines.borrow().demands(now);
+        note_demand(&state, &demand, now);
+        let demand = (!demand.is_empty()).then(|| molespan_state::encode(&demand));
         for node in audience(&state, &mut relay) {
             let request = Request::EngineWork {
                 from: state.own,
@@ -195,6 +218,7 @@
                 usage: usage.clone().map(Into::into),
                 gateways: None,
                 blames: blames.clone().map(Into::into),
+                demand: demand.clone().map(Into::into),
             };
             wire.send(node, request);
         }
@@ -211,6 +235,15 @@
     (!blames.is_empty()).then(|| molespan_state::encode(&blames))
 }
 
+/// Shows operators what is told of demand.
+fn note_demand(state: &GatewayState, demands: &[ServiceDemand], now: Timestamp) {
+    let engines = state.engines.borrow();
+    for demand in demands {
+        let part = engines.part_by_demand(&demand.service, now);
+        state.metrics.room.tells(demand, part);
+    }
+}
+
 fn is_busy(state: &GatewayState, shares: &[WorkShare]) -> bool {
     let own: u32 = shares.iter().map(|share| share.requests).sum();
     own >= BUSY_REQUESTS || state.engines.borrow().occupancy(state.now()) >= BUSY_OCCUPANCY
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! Pure decisions: the caller gives the time and tells what happened.
 
 mod candidate;
+mod demand;
 mod engine;
 mod errors;
 mod prompt;
@@ -16,6 +17,7 @@
 mod turn;
 mod urgency;
 
+pub use demand::{DemandRelay, ServiceDemand};
 pub use engine::{EngineFacts, EngineLoad, Failure, WorkShare};
 pub use prompt::{PromptCost, PromptPart, SharedPrompt};
 pub use relay::{RelayChoice, Teller, WorkRelay};
--- a/crates/routing/src/dispatch/room.rs
+++ b/crates/routing/src/dispatch/room.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::table::{EngineTable, Pick};
+use super::table::{EngineTable, Pick, Standing};
 
 /// How long it takes until the other gateways see that a request started: an interval
 /// of telling, a relay's round, and the way.
@@ -128,7 +128,12 @@
                 room += (self.places(engine, pick) - online).max(0.0);
             }
         }
-        let share = (own + 1.0) / (all + self.users_of(pick.service));
+        let by_running = || (own + 1.0) / (all + self.users_of(pick.service));
+        let in_time = matches!(pick.standing, Standing::InTime { .. });
+        let share = in_time
+            .then(|| self.part_by_demand(pick.service, now))
+            .flatten();
+        let share = share.unwrap_or_else(by_running);
         self.online_starts.may_start(share.min(1.0), room, now)
     }
 }
--- a/crates/routing/src/dispatch/short.rs
+++ b/crates/routing/src/dispatch/short.rs
@@ -14,8 +14,8 @@
 
 use super::engine::{Engine, Failure};
 use super::room::STARTS_SHOW;
-use crate::decay::FadingSum;
 use super::table::{EngineTable, Pick, Standing};
+use crate::decay::FadingSum;
 
 /// Weight of the latest request in the mean: some thirty of them make it.
 const LATEST_WEIGHT: f64 = 1.0 / 32.0;
@@ -28,8 +28,8 @@
 /// Part of a pause by which it is longer or shorter by chance, so that those who were
 /// turned away together do not come back together.
 const BACKOFF_SPREAD: f64 = 0.5;
-/// Doublings after which the pause stays.
-const MOST_DOUBLINGS: u32 = 3;
+/// Doublings that are reckoned with: behind them every pause is the longest one.
+const MOST_DOUBLINGS: u32 = 16;
 /// Longest pause: a request whose target is some hundred milliseconds has time for
 /// another look behind it.
 const LONGEST_BACKOFF: Duration = Duration::from_millis(200);
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::candidate::Candidate;
+use super::demand::Demands;
 use super::engine::{Engine, EngineFacts, EngineLoad, Failure, WorkShare};
 use super::prompt::{Holders, PromptCost, home};
 use super::room::{FreedSlots, UnseenStarts};
@@ -132,6 +133,7 @@
     freed: FreedSlots,
     pub(super) slot_times: SlotTimes,
     pub(super) work_times: WorkTimes,
+    pub(super) demands: Demands,
     pub(super) random: ChaCha8Rng,
 }
 
@@ -154,6 +156,7 @@
             freed: FreedSlots::default(),
             slot_times: SlotTimes::default(),
             work_times: WorkTimes::default(),
+            demands: Demands::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
--- /dev/null
+++ b/crates/routing/tests/demand.rs
@@ -0,0 +1,222 @@
+//! Parts of a service's room by what gateways tell of their demand, under virtual time.
+
+mod many_gateways;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use many_gateways::{Engines, Load, Play};
+use molespan_routing::dispatch::{
+    DemandRelay, EngineFacts, EngineTable, Pick, PromptCost, ServiceDemand, Standing, Teller,
+    WorkClass, WorkShare,
+};
+use molespan_types::{NodeId, Timestamp};
+
+const GATEWAYS: usize = 36;
+/// Two periods of peaks, in milliseconds.
+const PLAYED_MS: u64 = 11_600;
+const SEEDS: u64 = 4;
+
+/// Requests that keep slots for longer than gateways take to see each other's, from
+/// uneven callers, and in one zone 40 in 100 more.
+fn load(demand: f64, peaks: bool, demand_told: bool) -> Load {
+    let mut engines = Engines::new(24, 8, 900.0);
+    engines.streams = true;
+    Load {
+        gateways: GATEWAYS,
+        engines,
+        demand,
+        peaks,
+        demand_told,
+    }
+}
+
+/// Shares in time: of all, of the zone that fares worst, and at the worst tenth of
+/// gateways, as means over seeds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Fares {
+    all: f64,
+    worst_zone: f64,
+    worst_gateways: f64,
+}
+
+fn fares(demand: f64, peaks: bool, demand_told: bool) -> Fares {
+    let mut fares = Fares::default();
+    for seed in 1..=SEEDS {
+        let seen = Play::new(load(demand, peaks, demand_told), seed).run(PLAYED_MS);
+        let zones = seen.by_zone().into_iter();
+        fares.all += seen.share_in_time() / SEEDS as f64;
+        fares.worst_zone += zones.fold(1.0, f64::min) / SEEDS as f64;
+        fares.worst_gateways += seen.worst_gateways() / SEEDS as f64;
+    }
+    println!("{demand} of the slots, peaks {peaks}, demand told {demand_told}: {fares:?}");
+    fares
+}
+
+#[test]
+fn a_callers_gateway_and_zone_matter_little_where_demand_is_told() {
+    // In peaks 1.03 and 1.22 of all slots are wanted.
+    for (demand, peaks) in [(0.55, true), (0.65, true), (0.95, false), (1.1, false)] {
+        let by_running = fares(demand, peaks, false);
+        let by_demand = fares(demand, peaks, true);
+        assert!(by_demand.worst_zone >= by_demand.all - 0.05, "{demand}");
+        assert!(by_demand.worst_gateways >= by_demand.all - 0.15, "{demand}");
+        assert!(by_demand.worst_zone > by_running.worst_zone, "{demand}");
+        assert!(
+            by_demand.worst_gateways > by_running.worst_gateways,
+            "{demand}"
+        );
+        // It costs all together little.
+        assert!(by_demand.all >= by_running.all - 0.02, "{demand}");
+    }
+}
+
+fn table() -> EngineTable {
+    let mut table = EngineTable::new("near".into(), 1);
+    table.set_gateways(GATEWAYS as u32);
+    for number in 1..=10 {
+        let facts = EngineFacts {
+            id: format!("e{number}"),
+            service: "s".to_owned(),
+            address: ([127, 0, 0, number], 80).into(),
+            zone: "near".into(),
+            slots: 8,
+        };
+        table.learn(NodeId(1), facts, Timestamp::ZERO);
+    }
+    table.serve(["s".to_owned()].into_iter());
+    table
+}
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn demand(gateways: u32, waiting: u32, asked_a_second: u64) -> ServiceDemand {
+    ServiceDemand {
+        service: "s".to_owned(),
+        gateways,
+        waiting,
+        asked: asked_a_second * 1_000,
+    }
+}
+
+const RELAY: NodeId = NodeId(1_000);
+
+#[test]
+fn parts_are_those_of_what_waits_and_comes() {
+    let mut table = table();
+    // 15 requests of the others wait or come within 150 ms.
+    table.note_demands(RELAY, vec![demand(35, 12, 20)], at(0));
+    // This gateway has only just started.
+    table.begins_to_wait("s");
+    let part = table.part_by_demand("s", at(0)).expect("they tell");
+    assert!((part - 1.0 / 16.0).abs() < 0.001, "{part}");
+    table.begins_to_wait("s");
+    table.begins_to_wait("s");
+    let part = table.part_by_demand("s", at(0)).expect("they tell");
+    assert!((part - 3.0 / 18.0).abs() < 0.001, "{part}");
+    for _ in 0..3 {
+        table.ends_to_wait("s");
+    }
+    let own = table.demands(at(0));
+    assert_eq!(own, [demand(1, 0, 0)]);
+}
+
+#[test]
+fn who_tells_nothing_counts_as_one_that_wants_as_much_as_the_others() {
+    let mut table = table();
+    table.note_demands(RELAY, vec![demand(7, 7, 0)], at(0));
+    let part = table.part_by_demand("s", at(0)).expect("they tell");
+    assert!((part - 1.0 / 36.0).abs() < 0.001, "{part}");
+}
+
+/// How many requests find an engine at once, where others have half of all slots.
+fn starts(table: &mut EngineTable, at_ms: u64) -> usize {
+    let shares = (1..=10).map(|number| WorkShare {
+        engine: format!("e{number}"),
+        requests: 4,
+        unread_tokens: 0,
+        batch: 0,
+        failing: 0,
+        answering: 0,
+        errors: 0,
+        answers: 0,
+    });
+    let shares: Vec<WorkShare> = shares.collect();
+    table.note_shares(RELAY, &shares, at(at_ms));
+    let tried = BTreeSet::new();
+    let pick = Pick {
+        service: "s",
+        class: WorkClass::Online,
+        standing: Standing::InTime {
+            left: Duration::from_millis(240),
+        },
+        prompt: PromptCost::default(),
+        tried: &tried,
+        suspect: false,
+    };
+    let mut started = 0;
+    while let Ok(picked) = table.pick(&pick, at(at_ms)) {
+        table.started(&picked.facts.id, WorkClass::Online, 0, at(at_ms));
+        started += 1;
+    }
+    started
+}
+
+#[test]
+fn without_a_word_of_demand_parts_are_those_of_what_runs() {
+    let kept = Duration::from_secs(1);
+    let mut silent = table();
+    silent.note_slot_time("s", kept);
+    assert!(!silent.hears_demand(at(0)));
+    assert_eq!(silent.part_by_demand("s", at(0)), None);
+    let by_running = starts(&mut silent, 1_200);
+    // Words of demand that are too old, as when a relay fell silent, or of other services.
+    let mut cut_off = table();
+    cut_off.note_slot_time("s", kept);
+    cut_off.note_demands(RELAY, vec![demand(35, 1, 0)], at(0));
+    let elsewhere = ServiceDemand {
+        service: "other".to_owned(),
+        ..demand(35, 9, 9)
+    };
+    cut_off.note_demands(NodeId(1_001), vec![elsewhere], at(1_199));
+    assert!(cut_off.hears_demand(at(1_200)));
+    assert_eq!(cut_off.part_by_demand("s", at(1_200)), None);
+    assert_eq!(starts(&mut cut_off, 1_200), by_running);
+    // Where others want little, more of the room is this gateway's.
+    let mut told = table();
+    told.note_slot_time("s", kept);
+    told.note_demands(RELAY, vec![demand(35, 1, 0)], at(1_200));
+    assert!(starts(&mut told, 1_200) > by_running);
+}
+
+#[test]
+fn relays_pass_on_sums_that_do_not_grow_with_gateways() {
+    let mut relays = [DemandRelay::default(), DemandRelay::default()];
+    for gateway in 0..100 {
+        let relay = &mut relays[gateway as usize % 2];
+        let told = vec![demand(1, gateway, 1)];
+        relay.note(NodeId(gateway), Teller::Gateway, told, at(0));
+    }
+    let [near, far] = &mut relays;
+    let sum = far.of_gateways();
+    assert_eq!(sum, [demand(50, (1..100).step_by(2).sum(), 50)]);
+    near.note(RELAY, Teller::Relay, sum, at(0));
+    let by_gateway = near.by_gateway();
+    assert_eq!(by_gateway.len(), 50);
+    let all: u32 = (0..100).sum();
+    for (gateway, others) in by_gateway {
+        assert_eq!(others, [demand(99, all - gateway.0, 99)]);
+    }
+    near.expire(at(1_200));
+    assert!(near.by_gateway().is_empty());
+}
+
+#[test]
+fn a_word_without_later_fields_is_read() {
+    // As a node tells it that knows of the service and its gateways alone.
+    let bytes = [0x82, 0x61, b's', 0x05];
+    let told: ServiceDemand = minicbor::decode(&bytes).expect("it is read");
+    assert_eq!(told, demand(5, 0, 0));
+}
--- a/crates/routing/tests/small_service/mod.rs
+++ b/crates/routing/tests/many_gateways/mod.rs
@@ -1,23 +1,24 @@
-//! A small service before many gateways, without a network: engines with slots and a
+//! A service before many gateways, without a network: engines with slots and a
 //! queue, gateways that choose by their tables, and relays between them.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use molespan_routing::dispatch::{
-    EngineFacts, EngineLoad, EngineTable, Failure, Pick, Picked, PromptCost, Standing, Teller,
-    WorkClass, WorkRelay,
+    DemandRelay, EngineFacts, EngineLoad, EngineTable, Failure, Pick, Picked, PromptCost, Standing,
+    Teller, WorkClass, WorkRelay,
 };
 use molespan_types::{NodeId, Timestamp};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 const SERVICE: &str = "s";
-const SLOTS: usize = 6;
 /// Requests that an engine queues before it turns one away.
 const QUEUED: usize = 24;
-/// Mean time for which a request holds a slot, in milliseconds.
-const WORK_MS: f64 = 30.0;
+/// Longest time for which a request holds a slot, as a multiple of the mean.
+const LONGEST_WORK: f64 = 7.3;
 /// Mean of it with the few that take several times as long, as a part of that time.
 pub const MEAN_WORK: f64 = 1.04;
 /// Target of requests, and the part of it by which an engine has to begin.
@@ -58,14 +59,23 @@
 #[derive(Clone, Debug)]
 pub struct Engines {
     count: usize,
+    /// Requests that each works on.
+    pub slots: usize,
+    /// Mean time for which a request holds a slot, in milliseconds.
+    pub work_ms: f64,
+    /// Whether an answer begins as soon as a slot is had, and not as it ends.
+    pub streams: bool,
     /// What the first one does, and when it begins.
     pub trouble: Option<(u64, Trouble)>,
 }
 
 impl Engines {
-    pub fn new(count: usize) -> Self {
+    pub fn new(count: usize, slots: usize, work_ms: f64) -> Self {
         Self {
             count,
+            slots,
+            work_ms,
+            streams: false,
             trouble: None,
         }
     }
@@ -80,6 +90,8 @@
     pub demand: f64,
     /// Whether they come in steps.
     pub peaks: bool,
+    /// Whether gateways tell what they want.
+    pub demand_told: bool,
 }
 
 /// What callers and engines saw.
@@ -96,6 +108,8 @@
     pub turned_away: u64,
     /// Mean time of requests in time, in milliseconds, summed.
     in_time_ms: u64,
+    /// Requests and those in time, by gateway.
+    pub by_gateway: Vec<(u64, u64)>,
 }
 
 impl Seen {
@@ -111,6 +125,25 @@
         self.lost as f64 / self.asked.max(1) as f64
     }
 
+    /// Share in time of the callers of each zone; gateway `g` stands in zone `g % 3`.
+    pub fn by_zone(&self) -> [f64; 3] {
+        [0, 1, 2].map(|zone| {
+            let of_zone = self.by_gateway.iter().skip(zone).step_by(3);
+            let (asked, in_time) = of_zone.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+            in_time as f64 / asked.max(1) as f64
+        })
+    }
+
+    /// Share in time at the tenth of gateways that fares worst.
+    pub fn worst_gateways(&self) -> f64 {
+        let asked = self.by_gateway.iter().filter(|(asked, _)| *asked > 0);
+        let shares = asked.map(|&(asked, in_time)| in_time as f64 / asked as f64);
+        let mut shares: Vec<f64> = shares.collect();
+        shares.sort_by(f64::total_cmp);
+        let worst = shares.len().div_ceil(10);
+        shares[..worst].iter().sum::<f64>() / worst as f64
+    }
+
     pub fn line(&self) -> String {
         let asked = self.asked.max(1) as f64;
         format!(
@@ -140,6 +173,8 @@
     at: Option<(usize, u64)>,
     attempt: u32,
     runs: u32,
+    /// When its answer began.
+    began: Option<u64>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -153,6 +188,7 @@
 #[derive(Clone, Debug)]
 enum Message {
     ToEngine(usize, Id, u32),
+    Begins(Id, u32),
     Answer(usize, Id, u32, bool, EngineLoad),
 }
 
@@ -161,6 +197,7 @@
     now: u64,
     tables: Vec<EngineTable>,
     relays: Vec<WorkRelay>,
+    demand_relays: Vec<DemandRelay>,
     weights: Vec<f64>,
     requests: BTreeMap<Id, Request>,
     next: Id,
@@ -193,7 +230,7 @@
                     service: SERVICE.to_owned(),
                     address: ([127, 0, 0, engine as u8 + 1], 80).into(),
                     zone: format!("z{}", engine % 3).as_str().into(),
-                    slots: SLOTS as u32,
+                    slots: load.engines.slots as u32,
                 };
                 table.learn(TELLER, facts, at(0));
             }
@@ -211,6 +248,7 @@
             now: 0,
             tables,
             relays: vec![WorkRelay::default(); RELAYS],
+            demand_relays: vec![DemandRelay::default(); RELAYS],
             weights,
             requests: BTreeMap::new(),
             next: 0,
@@ -218,7 +256,10 @@
             late: vec![VecDeque::new(); load.gateways],
             engines: vec![Engine::default(); load.engines.count],
             messages: BTreeMap::new(),
-            seen: Seen::default(),
+            seen: Seen {
+                by_gateway: vec![(0, 0); load.gateways],
+                ..Seen::default()
+            },
             load,
             random,
         }
@@ -247,8 +288,8 @@
             (true, true) => PEAK,
             (true, false) => LULL,
         };
-        let slots = (self.load.engines.count * SLOTS) as f64;
-        let per_ms = self.load.demand * slots / WORK_MS * peak;
+        let slots = (self.load.engines.count * self.load.engines.slots) as f64;
+        let per_ms = self.load.demand * slots / self.load.engines.work_ms * peak;
         let all: f64 = self.weights.iter().sum();
         for gateway in 0..self.load.gateways {
             if self
@@ -263,9 +304,13 @@
                     at: None,
                     attempt: 0,
                     runs: 0,
+                    began: None,
                 };
                 self.seen.asked += 1;
+                self.seen.by_gateway[gateway].0 += 1;
                 self.requests.insert(self.next, request);
+                self.tables[gateway].asked(SERVICE, at(self.now));
+                self.tables[gateway].begins_to_wait(SERVICE);
                 self.in_time[gateway].push(self.next);
                 self.next += 1;
             }
@@ -305,6 +350,7 @@
         for message in self.messages.remove(&self.now).unwrap_or_default() {
             match message {
                 Message::ToEngine(engine, id, attempt) => self.at_engine(engine, id, attempt),
+                Message::Begins(id, attempt) => self.begins(id, attempt),
                 Message::Answer(engine, id, attempt, ran, load) => {
                     self.answered(engine, id, attempt, ran, load);
                 }
@@ -330,18 +376,20 @@
         EngineLoad {
             running: self.engines[engine].running.len() as u32,
             waiting: self.engines[engine].queue.len() as u32,
-            slots: SLOTS as u32,
+            slots: self.load.engines.slots as u32,
         }
     }
 
     /// Work of a request: most take about the mean, a few several times as much.
     fn work_ms(&mut self) -> f64 {
         let normal: f64 = (0..12).map(|_| self.random.random::<f64>()).sum::<f64>() - 6.0;
-        let work = WORK_MS * (0.5 * normal - 0.125).exp();
-        match self.random.random_bool(0.01) {
-            true => (work * 5.0).min(220.0),
-            false => work.min(220.0),
-        }
+        let mean = self.load.engines.work_ms;
+        let work = mean * (0.5 * normal - 0.125).exp();
+        let work = match self.random.random_bool(0.01) {
+            true => work * 5.0,
+            false => work,
+        };
+        work.min(mean * LONGEST_WORK)
     }
 
     fn serve(&mut self) {
@@ -358,7 +406,7 @@
                 let load = self.told_load(engine);
                 self.send(Message::Answer(engine, id, attempt, true, load));
             }
-            while self.engines[engine].running.len() < SLOTS {
+            while self.engines[engine].running.len() < self.load.engines.slots {
                 let Some((id, attempt)) = self.engines[engine].queue.pop_front() else {
                     break;
                 };
@@ -368,6 +416,9 @@
                     continue;
                 }
                 let work = self.work_ms() * self.slowness(engine);
+                if self.load.engines.streams {
+                    self.send(Message::Begins(id, attempt));
+                }
                 self.engines[engine]
                     .running
                     .push((now + work.max(1.0) as u64, id, attempt));
@@ -383,6 +434,30 @@
         Some((engine, since))
     }
 
+    fn begins(&mut self, id: Id, attempt: u32) {
+        let now = self.now;
+        if let Some(request) = self.requests.get_mut(&id)
+            && request.attempt == attempt
+        {
+            request.began = Some(now);
+            let age = now - request.arrived;
+            let gateway = request.gateway;
+            self.count(gateway, age);
+        }
+    }
+
+    /// A request is answered, at this age.
+    fn count(&mut self, gateway: usize, age: u64) {
+        match age <= TARGET_MS {
+            true => {
+                self.seen.in_time += 1;
+                self.seen.in_time_ms += age;
+                self.seen.by_gateway[gateway].1 += 1;
+            }
+            false => self.seen.late += 1,
+        }
+    }
+
     fn answered(&mut self, engine: usize, id: Id, attempt: u32, ran: bool, load: EngineLoad) {
         let now = at(self.now);
         let Some(request) = self.requests.get(&id) else {
@@ -392,6 +467,7 @@
             return;
         }
         let gateway = request.gateway;
+        let request_began = request.began;
         let since = request.at.map_or(0, |(_, since)| since);
         let table = &mut self.tables[gateway];
         table.report(&name(engine), load, now);
@@ -406,17 +482,13 @@
         self.leave(id);
         let table = &mut self.tables[gateway];
         table.freed(&name(engine), now);
-        table.note_slot_time(SERVICE, Duration::ZERO);
+        let held = request_began.map_or(0, |began| self.now - began);
+        table.note_slot_time(SERVICE, Duration::from_millis(held));
         let took = Duration::from_millis(self.now - since);
         table.note_time_at(&name(engine), took, now);
         let request = self.requests.remove(&id).expect("it is there");
-        let age = self.now - request.arrived;
-        match age <= TARGET_MS {
-            true => {
-                self.seen.in_time += 1;
-                self.seen.in_time_ms += age;
-            }
-            false => self.seen.late += 1,
+        if request.began.is_none() {
+            self.count(gateway, self.now - request.arrived);
         }
     }
 
@@ -425,6 +497,9 @@
         let request = self.requests.get_mut(&id).expect("it is there");
         request.next_look = self.now;
         let gateway = request.gateway;
+        if self.now - request.arrived < BEGINS_BY_MS {
+            self.tables[gateway].begins_to_wait(SERVICE);
+        }
         match self.now - request.arrived < BEGINS_BY_MS {
             true => self.in_time[gateway].push(id),
             false => self.late[gateway].push_back(id),
@@ -438,6 +513,10 @@
                 let shares = self.tables[gateway].shares(now);
                 let from = NodeId(gateway as u32);
                 self.relays[gateway % RELAYS].note(from, Teller::Gateway, shares, now);
+                if self.load.demand_told {
+                    let demands = self.tables[gateway].demands(now);
+                    self.demand_relays[gateway % RELAYS].note(from, Teller::Gateway, demands, now);
+                }
             }
         }
         for relay in 0..RELAYS {
@@ -450,12 +529,26 @@
             for other in (0..RELAYS).filter(|&other| other != relay) {
                 self.relays[other].note(from, Teller::Relay, sum.clone(), now);
             }
+            self.exchange_demand(relay);
             for (gateway, shares) in self.relays[relay].shares_by_gateway() {
                 self.tables[gateway.0 as usize].note_shares(from, &shares, now);
             }
         }
     }
 
+    fn exchange_demand(&mut self, relay: usize) {
+        let now = at(self.now);
+        let from = NodeId(1_000 + relay as u32);
+        self.demand_relays[relay].expire(now);
+        let sum = self.demand_relays[relay].of_gateways();
+        for other in (0..RELAYS).filter(|&other| other != relay) {
+            self.demand_relays[other].note(from, Teller::Relay, sum.clone(), now);
+        }
+        for (gateway, demands) in self.demand_relays[relay].by_gateway() {
+            self.tables[gateway.0 as usize].note_demands(from, demands, now);
+        }
+    }
+
     /// Ends what is over, and what an engine was silent on for too long.
     fn time_out(&mut self) {
         let now = self.now;
@@ -463,7 +556,8 @@
             let silent = request
                 .at
                 .is_some_and(|(_, since)| now - since >= SILENCE_MS);
-            now - request.arrived >= PATIENCE_MS || silent
+            let over = now - request.arrived >= PATIENCE_MS;
+            request.began.is_none() && (over || silent)
         });
         let over: Vec<Id> = over.map(|(&id, _)| id).collect();
         for id in over {
@@ -480,6 +574,9 @@
                 self.wait_again(id);
                 continue;
             }
+            if left.is_none() && now - self.requests[&id].arrived < BEGINS_BY_MS {
+                self.tables[gateway].ends_to_wait(SERVICE);
+            }
             self.in_time[gateway].retain(|one| *one != id);
             self.late[gateway].retain(|one| *one != id);
             let request = self.requests.remove(&id).expect("it is there");
@@ -497,6 +594,7 @@
                 let request = &self.requests[&id];
                 let age = self.now - request.arrived;
                 if age >= BEGINS_BY_MS {
+                    self.tables[gateway].ends_to_wait(SERVICE);
                     self.late[gateway].push_back(id);
                     continue;
                 }
@@ -563,6 +661,9 @@
             facts, takes_over, ..
         } = picked;
         let table = &mut self.tables[gateway];
+        if standing != Standing::Late {
+            table.ends_to_wait(SERVICE);
+        }
         match takes_over {
             true => table.took_over(&facts.id, WorkClass::Online, 0),
             false => table.started(&facts.id, WorkClass::Online, 0, now),
--- a/crates/routing/tests/short_requests.rs
+++ b/crates/routing/tests/short_requests.rs
@@ -2,16 +2,16 @@
 //! is over before the other gateways hear of it, and engines turn away what they have no
 //! room for.
 
-mod small_service;
+mod many_gateways;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use many_gateways::{Engines, Load, Play, Seen, Trouble};
 use molespan_routing::dispatch::{
     EngineFacts, EngineTable, Failure, Pick, PromptCost, Shortage, Standing, WorkClass,
 };
 use molespan_types::{NodeId, Timestamp};
-use small_service::{Engines, Load, Play, Seen, Trouble};
 
 /// Gateways before the service, most of which have few of its callers.
 const GATEWAYS: usize = 117;
@@ -25,9 +25,10 @@
 fn load(engines: usize, demand: f64, peaks: bool) -> Load {
     Load {
         gateways: GATEWAYS,
-        engines: Engines::new(engines),
+        engines: Engines::new(engines, 6, 30.0),
         demand,
         peaks,
+        demand_told: false,
     }
 }
 
@@ -58,7 +59,7 @@
     for engines in [1, 3] {
         let seen = play(load(engines, 1.3, false));
         // Of 1.3 times what fits, 1 / 1.3; a twentieth of it may be lost to chance.
-        let fits = 1.0 / (1.3 * small_service::MEAN_WORK);
+        let fits = 1.0 / (1.3 * many_gateways::MEAN_WORK);
         assert!(seen.share_in_time() >= fits * 0.95, "{}", seen.line());
         assert!(seen.share_lost() <= 0.01, "{}", seen.line());
     }
@@ -68,7 +69,7 @@
 fn what_peaks_leave_over_is_done_late_between_them() {
     let seen = play(load(1, 0.76, true));
     // Peaks bring 0.774 of all requests, and want 0.76 * 1.87 times the slots.
-    let fits = 0.774 / (0.76 * 1.87 * small_service::MEAN_WORK) + 0.226;
+    let fits = 0.774 / (0.76 * 1.87 * many_gateways::MEAN_WORK) + 0.226;
     assert!(seen.share_in_time() >= fits * 0.95, "{}", seen.line());
     assert!(seen.share_lost() <= 0.01, "{}", seen.line());
 }
@@ -136,7 +137,7 @@
     let mut table = table(Some(Duration::from_millis(10)));
     let mut now_ms = 0;
     // Shortest and longest pause, which chance spreads by a half.
-    for (shortest, longest) in [(10, 30), (20, 60), (40, 120), (80, 200), (80, 200)] {
+    for (shortest, longest) in [(10, 30), (20, 60), (40, 120), (80, 200), (160, 200)] {
         table.failed("e1", Failure::Full, Timestamp::from_millis(now_ms));
         assert!(!finds_an_engine(&mut table, left, now_ms + shortest - 1));
         assert!(finds_an_engine(&mut table, left, now_ms + longest));
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -317,6 +317,9 @@
         /// nothing to tell of them.
         #[n(5)]
         blames: Option<ByteVec>,
+        /// Encoded demand for services; `None` where it is not told.
+        #[n(6)]
+        demand: Option<ByteVec>,
     },
 }
 
