--- a/crates/fleet/src/control/relay.rs
+++ b/crates/fleet/src/control/relay.rs
@@ -8,7 +8,7 @@
 use async_io::Timer;
 use molespan_daemon::boot_clock::BootClock;
 use molespan_daemon::cluster::{PeerTransport, WireTransport};
-use molespan_routing::dispatch::{Teller, WorkRelay, WorkShare};
+use molespan_routing::dispatch::{DemandRelay, ServiceDemand, Teller, WorkRelay, WorkShare};
 use molespan_routing::quota::{Usage, UsageRelay};
 use molespan_routing::reach::{ReachRelay, ReachTelling};
 use molespan_routing::suspects::{Blame, SuspectTable};
@@ -26,6 +26,7 @@
 #[derive(Debug, Default)]
 struct Relays {
     work: WorkRelay,
+    demand: DemandRelay,
     usage: UsageRelay,
     /// Whether use of tenants' limits came since it was passed on.
     usage_came: bool,
@@ -96,6 +97,18 @@
         }
     }
 
+    /// Takes in what a gateway, or another relay, told of demand. It is passed on with the
+    /// work that comes in the same message.
+    pub fn note_demand(&self, from: NodeId, demand: &[u8], relayed: bool) {
+        let Some(demand) =
+            telling::read::<Vec<ServiceDemand>>(&self.logger, from, "demand", demand)
+        else {
+            return;
+        };
+        let now = self.now();
+        self.lock().demand.note(from, teller(relayed), demand, now);
+    }
+
     /// Takes in what a gateway, or another relay, told.
     pub fn note(&self, from: NodeId, shares: &[u8], usage: Option<&[u8]>, relayed: bool) {
         let Some(shares) = telling::read::<Vec<WorkShare>>(&self.logger, from, "work", shares)
@@ -104,10 +117,7 @@
         };
         let usage =
             usage.and_then(|usage| telling::read(&self.logger, from, "use of limits", usage));
-        let teller = match relayed {
-            true => Teller::Relay,
-            false => Teller::Gateway,
-        };
+        let teller = teller(relayed);
         let now = self.now();
         let changed = {
             let mut relays = self.lock();
@@ -125,6 +135,13 @@
     }
 }
 
+fn teller(relayed: bool) -> Teller {
+    match relayed {
+        true => Teller::Relay,
+        false => Teller::Gateway,
+    }
+}
+
 /// What a round passes on of work at engines.
 struct Round {
     /// What the gateways of this relay have together, for the other relays.
@@ -133,6 +150,9 @@
     gateways: u32,
     /// What all others have, for each of them.
     by_gateway: Vec<(NodeId, Vec<WorkShare>)>,
+    /// Demand of the gateways of this relay, and of all others for each of them.
+    demand_of_gateways: Vec<ServiceDemand>,
+    demand_by_gateway: BTreeMap<NodeId, Vec<ServiceDemand>>,
 }
 
 impl RelayedWork {
@@ -141,6 +161,8 @@
     fn round(&self, hub: &Hub) -> Round {
         let now = self.now();
         let relays = &mut *self.lock();
+        let demand = &mut relays.demand;
+        demand.expire(now);
         // Those beyond a cut of a whole zone send nothing to engines on this side.
         let beyond = hub.own_zone().map(|zone| relays.reach.out_of_reach(&zone));
         let present = match beyond.filter(|zones| !zones.is_empty()) {
@@ -157,6 +179,8 @@
             of_gateways: relay.sum_of_gateways(),
             gateways: relay.gateways(),
             by_gateway,
+            demand_of_gateways: demand.of_gateways(),
+            demand_by_gateway: demand.by_gateway().into_iter().collect(),
         }
     }
 
@@ -262,22 +286,26 @@
     let mut told_gateways = LastTold::default();
     while work.heard.1.recv().await.is_ok() {
         let blames = work.blames();
-        let told =
-            |shares: &[WorkShare], usage: Option<&Usage>, reach: &[ReachTelling], gateways| {
-                Request::EngineWork {
-                    from: own,
-                    shares: molespan_state::encode(&shares).into(),
-                    relayed: true,
-                    usage: usage.map(|usage| molespan_state::encode(usage).into()),
-                    gateways,
-                    blames: blames.clone().map(Into::into),
-                    reach: encoded(reach).map(Into::into),
-                }
-            };
+        let told = |shares: &[WorkShare],
+                    usage: Option<&Usage>,
+                    reach: &[ReachTelling],
+                    demand: &[ServiceDemand],
+                    gateways| Request::EngineWork {
+            from: own,
+            shares: molespan_state::encode(&shares).into(),
+            relayed: true,
+            usage: usage.map(|usage| molespan_state::encode(usage).into()),
+            gateways,
+            blames: blames.clone().map(Into::into),
+            reach: encoded(reach).map(Into::into),
+            demand: (!demand.is_empty()).then(|| molespan_state::encode(&demand).into()),
+        };
         let Round {
             of_gateways,
             gateways,
             by_gateway,
+            demand_of_gateways,
+            demand_by_gateway,
         } = work.round(&hub);
         let reach = work.reach(&hub, &by_gateway);
         let usage = work.usage();
@@ -293,7 +321,11 @@
             for relay in others.filter(|&node| node != own) {
                 let usage = usage_of_gateways.as_ref();
                 let reach = &reach.of_gateways;
-                wire.send(relay, told(&of_gateways, usage, reach, Some(gateways)));
+                let demand = &demand_of_gateways;
+                wire.send(
+                    relay,
+                    told(&of_gateways, usage, reach, demand, Some(gateways)),
+                );
             }
             told_reach = reach.of_gateways;
             told_relays = (of_gateways, Instant::now());
@@ -308,7 +340,9 @@
                 continue;
             }
             let reach = reach.map(Vec::as_slice).unwrap_or_default();
-            wire.send(gateway, told(&shares, usage, reach, None));
+            let demand = demand_by_gateway.get(&gateway);
+            let demand = demand.map_or(&[][..], Vec::as_slice);
+            wire.send(gateway, told(&shares, usage, reach, demand, None));
         }
         let pause = work.lock().work.pause(hub.slots());
         Timer::after(pause).await;
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -98,6 +98,7 @@
             digest: OnceCell::new(),
         };
         let ends = request.arrived + patience;
+        state.engines.borrow_mut().asked(&service, request.arrived);
         Self::new(state, dialect, route, service, outbound, facts, ends)
     }
 
@@ -344,11 +345,16 @@
         let target = Duration::from_millis(u64::from(self.route.target_latency_ms));
         let begins_by = self.arrived + target.mul_f64(BEGINS_WITHIN);
         let waiter = self.wait_for_turn(begins_by)?;
+        let mut waiting = Some(self.state.begin_to_wait(&self.service));
         loop {
             let standing = match waiter.woken().await {
                 Woken::Refused(refused) => return Err(self.no_turn(refused)),
                 Woken::Looks(_) => self.standing(begins_by),
             };
+            if standing == Standing::Late {
+                // Late ones want what is left, and no part of the room.
+                drop(waiting.take());
+            }
             match self.pick_now(standing) {
                 Ok(picked) => {
                     let begun = waiter.begins();
--- a/crates/proxy/src/work_shares.rs
+++ b/crates/proxy/src/work_shares.rs
@@ -15,11 +15,11 @@
 use molespan_daemon::cluster::{PeerTransport, WireTransport};
 use molespan_fleet::view::MOST_NAMED;
 use molespan_fleet::{ClusterAddresses, telling};
-use molespan_routing::dispatch::WorkShare;
+use molespan_routing::dispatch::{ServiceDemand, WorkShare};
 use molespan_routing::quota::Usage;
 use molespan_routing::reach::ReachTelling;
 use molespan_routing::suspects::Blame;
-use molespan_types::{NodeId, RunOutcome};
+use molespan_types::{NodeId, RunOutcome, Timestamp};
 use molespan_wire::{Handler, Request, Response, Server, ServerLimits};
 use slog::{Logger, info};
 
@@ -53,6 +53,7 @@
     usage: Option<Usage>,
     blames: Vec<Blame>,
     reach: Vec<ReachTelling>,
+    demand: Option<Vec<ServiceDemand>>,
     relayed: bool,
 }
 
@@ -79,6 +80,7 @@
             usage,
             blames,
             reach,
+            demand,
             ..
         } = request
             && let Some(shares) = telling::read(&self.logger, from, "work", &shares)
@@ -89,10 +91,13 @@
                 blames.and_then(|blames| telling::read(&self.logger, from, "blames", &blames));
             let reach = reach
                 .and_then(|reach| telling::read(&self.logger, from, "zones out of reach", &reach));
+            let demand =
+                demand.and_then(|demand| telling::read(&self.logger, from, "demand", &demand));
             let told = Told {
                 from,
                 shares,
                 usage,
+                demand,
                 blames: blames.unwrap_or_default(),
                 reach: reach.unwrap_or_default(),
                 relayed,
@@ -126,6 +131,7 @@
 
 async fn listen(state: Rc<GatewayState>, telling: Receiver<Told>) {
     let mut failing = BTreeSet::new();
+    let mut by_demand = false;
     while let Ok(told) = telling.recv().await {
         let now = state.now();
         state.note_heard();
@@ -148,6 +154,11 @@
             .note_shares(told.from, &told.shares, now);
         state.note_reach_told(told.from, told.relayed, told.reach);
         state.room_anywhere();
+        if let Some(demand) = told.demand {
+            let mut engines = state.engines.borrow_mut();
+            engines.note_demands(told.from, demand, now);
+        }
+        by_demand = note_parts(&state, by_demand);
         give_way(&state);
         let failing_now = state.engines.borrow().failing_for_others(now);
         note_failing(&state, &failing, &failing_now);
@@ -155,6 +166,15 @@
     }
 }
 
+/// Writes by what room is shared, if that changed.
+fn note_parts(state: &GatewayState, before: bool) -> bool {
+    let by_demand = state.engines.borrow().hears_demand(state.now());
+    if by_demand != before {
+        info!(state.logger, "parts of room"; "by_demand" => by_demand);
+    }
+    by_demand
+}
+
 /// Writes which engines are avoided from now on since they fail for others, and
 /// which no longer are.
 fn note_failing(state: &GatewayState, before: &BTreeSet<String>, now: &BTreeSet<String>) {
@@ -203,6 +223,9 @@
         let reach_bytes = reach
             .as_ref()
             .map(|told| molespan_state::encode(&vec![told]));
+        let demand = state.engines.borrow().demands(now);
+        note_demand(&state, &demand, now);
+        let demand = (!demand.is_empty()).then(|| molespan_state::encode(&demand));
         for node in audience(&state, &mut relay) {
             let request = Request::EngineWork {
                 from: state.own,
@@ -212,6 +235,7 @@
                 gateways: None,
                 blames: blames.clone().map(Into::into),
                 reach: reach_bytes.clone().map(Into::into),
+                demand: demand.clone().map(Into::into),
             };
             wire.send(node, request);
         }
@@ -229,6 +253,15 @@
     (!blames.is_empty()).then(|| molespan_state::encode(&blames))
 }
 
+/// Shows operators what is told of demand.
+fn note_demand(state: &GatewayState, demands: &[ServiceDemand], now: Timestamp) {
+    let engines = state.engines.borrow();
+    for demand in demands {
+        let part = engines.part_by_demand(&demand.service, now);
+        state.metrics.room.tells(demand, part);
+    }
+}
+
 fn is_busy(state: &GatewayState, shares: &[WorkShare]) -> bool {
     let own: u32 = shares.iter().map(|share| share.requests).sum();
     own >= BUSY_REQUESTS || state.engines.borrow().occupancy(state.now()) >= BUSY_OCCUPANCY
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 
 mod avoided;
 mod candidate;
+mod demand;
 mod engine;
 mod errors;
 mod lives;
@@ -22,6 +23,7 @@
 mod turn;
 mod urgency;
 
+pub use demand::{DemandRelay, ServiceDemand};
 pub(crate) use engine::SHARE_HOLDS;
 pub use engine::{EngineFacts, Failure, WorkShare};
 pub use lives::LatestLives;
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::candidate::{Candidate, answer_tokens};
+use super::demand::Demands;
 use super::engine::{Engine, EngineFacts, Failure, WorkShare};
 use super::lives::{Departures, LatestLives};
 use super::load::EngineLoad;
@@ -130,6 +131,7 @@
     pub(super) work_times: WorkTimes,
     /// Zones that are out of reach.
     pub(super) reach: ReachTable,
+    pub(super) demands: Demands,
     pub(super) random: ChaCha8Rng,
 }
 
@@ -153,6 +155,7 @@
             slot_times: SlotTimes::default(),
             work_times: WorkTimes::default(),
             reach: ReachTable::default(),
+            demands: Demands::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -320,6 +320,9 @@
         /// Encoded tellings of zones that are out of reach; `None` for no such zone.
         #[n(6)]
         reach: Option<ByteVec>,
+        /// Encoded demand for services; `None` where it is not told.
+        #[n(7)]
+        demand: Option<ByteVec>,
     },
 }
 
