Batch work leaves room for the next online requests, and what loses least gives way

Cause: each online request that came to engines filled by batch work ended a run of it, drawn among the gateways with runs there, and each gateway drew anew at each look.

Change: batch work leaves free what online requests take until gateways see one another's starts (routing::dispatch::reserve); an own run gives way to an own request at once, at most one a look; runs due at about the same time give way by the tokens that are read again (routing::dispatch::loss).

Pace: what an engine tells of itself counts for less the more was measured meanwhile.

Fewer than one cut an online request in a lull is not reached.

--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -8,7 +8,7 @@
 use futures_lite::future;
 use molespan_daemon::wall_clock::unix_millis;
 use molespan_http::h1::Headers;
-use molespan_routing::dispatch::WorkClass;
+use molespan_routing::dispatch::{PromptCost, WorkClass};
 use molespan_state::batch::{ItemOutcome, ItemToRun, Output};
 use molespan_state::declared::Route;
 use slog::info;
@@ -138,7 +138,8 @@
     };
     let ends = state.now() + RUN_TIMEOUT;
     let mut dispatch = Dispatch::new(state, dialect, route, service, outbound, facts, ends);
-    let guard = RunGuard::begin(state, item.due_ms);
+    let prompt_tokens = PromptCost::of(&dispatch.facts.prompt).tokens;
+    let guard = RunGuard::begin(state, item.due_ms, prompt_tokens, output);
     let after_event = output.borrow().last_event();
     dispatch.due_ms = item.due_ms;
     let running = async {
--- a/crates/proxy/src/batch/preemption.rs
+++ b/crates/proxy/src/batch/preemption.rs
@@ -1,15 +1,15 @@
 //! Batch work that gives way to online work.
 
 use std::cell::{Cell, RefCell};
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
 use molespan_daemon::wall_clock::unix_millis;
-use molespan_routing::dispatch::Urgency;
+use molespan_routing::dispatch::{Loss, Urgency};
 use slog::info;
 
+use super::item::SharedOutput;
 use crate::state::GatewayState;
 
 /// A run of a batch item that may be told to give way.
@@ -19,9 +19,23 @@
     engine: String,
     /// Milliseconds since 1970 by which its item is to be done.
     due_ms: Option<u64>,
+    /// Tokens of its prompt.
+    prompt_tokens: u64,
+    /// What its item has made so far.
+    output: SharedOutput,
     cut: Sender<()>,
 }
 
+impl Run {
+    /// What is lost when it gives way. An event is a token at the least.
+    fn loss(&self, number: u64, now_ms: u64) -> Loss {
+        let made = self.output.borrow().last_event().unwrap_or_default();
+        let read_again = self.prompt_tokens.saturating_add(made);
+        let urgency = Urgency::of(self.due_ms, now_ms, 0);
+        Loss::of(urgency, now_ms, read_again, number)
+    }
+}
+
 /// The runs of batch items here, in the order of their starts.
 #[derive(Debug, Default)]
 pub(crate) struct BatchRuns {
@@ -47,7 +61,12 @@
 
 impl RunGuard {
     /// Begins a run that has no engine yet.
-    pub fn begin(state: &Rc<GatewayState>, due_ms: Option<u64>) -> Self {
+    pub fn begin(
+        state: &Rc<GatewayState>,
+        due_ms: Option<u64>,
+        prompt_tokens: u64,
+        output: &SharedOutput,
+    ) -> Self {
         let (sender, cut) = async_channel::bounded(1);
         let runs = &state.batch_runs;
         let number = runs.last.get() + 1;
@@ -55,6 +74,8 @@
         let run = Run {
             engine: String::new(),
             due_ms,
+            prompt_tokens,
+            output: output.clone(),
             cut: sender,
         };
         runs.runs.borrow_mut().insert(number, run);
@@ -85,8 +106,8 @@
     }
 }
 
-/// Cuts own batch runs at engines where online work wants their slots, the least
-/// urgent ones first, and of those the latest.
+/// Cuts own batch runs at engines where online work wants their slots, those first that
+/// lose the least.
 pub(crate) fn give_way(state: &GatewayState) {
     let cuts = state.engines.borrow_mut().batch_to_cut(state.now());
     if cuts.is_empty() {
@@ -95,17 +116,18 @@
     let runs = state.batch_runs.runs.borrow();
     let now_ms = unix_millis();
     for (engine, count) in cuts {
-        let mut running: Vec<(Urgency, u64, &Run)> = runs
+        let mut running: Vec<(Loss, &Run)> = runs
             .iter()
             .filter(|(_, run)| run.engine == engine && !run.cut.is_closed())
-            .map(|(number, run)| (Urgency::of(run.due_ms, now_ms, 0), *number, run))
+            .map(|(number, run)| (run.loss(*number, now_ms), run))
             .collect();
-        running.sort_unstable_by_key(|(urgency, number, _)| Reverse((*urgency, *number)));
+        running.sort_unstable_by_key(|(loss, _)| *loss);
         let mut cut = 0;
-        for (_, _, run) in running.iter().take(count as usize) {
+        for (_, run) in running.iter().take(count as usize) {
             run.cut.close();
             cut += 1;
         }
+        state.metrics.batch.cut(cut);
         if cut > 0 {
             info!(state.logger, "batch gives way"; "engine" => engine, "runs" => cut);
         }
--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -1,7 +1,7 @@
 //! Taking batch items while engines have room, and recording their outcomes.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -11,7 +11,8 @@
     BatchCommand, BatchReply, ItemOutcome, ItemRecord, ItemReference, ItemToRun, Kept, Output,
     RecordOutcome,
 };
-use molespan_state::declared::RouteKind;
+use molespan_state::declared::{RouteKind, ServingModel};
+use molespan_types::Timestamp;
 use molespan_wire::TakeItems;
 use slog::{info, warn};
 
@@ -117,6 +118,16 @@
     }
 }
 
+/// Services that batch work goes to.
+fn batch_services(model: &ServingModel) -> BTreeSet<&str> {
+    let routes = model.routes.iter();
+    let batch = routes.filter(|route| route.kind == RouteKind::Batch);
+    let destinations = batch.flat_map(|route| &route.destinations);
+    destinations
+        .map(|destination| destination.service.as_str())
+        .collect()
+}
+
 impl<D: GatewayDialect> Runner<D> {
     fn has_batch_routes(&self) -> bool {
         let in_force = self.state.in_force();
@@ -132,14 +143,7 @@
         let Some(in_force) = self.state.in_force().filter(|_| !self.state.is_stopping()) else {
             return 0;
         };
-        let routes = in_force.model.routes.iter();
-        let batch = routes.filter(|route| route.kind == RouteKind::Batch);
-        let mut services: Vec<&str> = batch
-            .flat_map(|route| &route.destinations)
-            .map(|destination| destination.service.as_str())
-            .collect();
-        services.sort_unstable();
-        services.dedup();
+        let services = batch_services(&in_force.model);
         let engines = self.state.engines.borrow();
         let now = self.state.now();
         let headroom: f64 = services
@@ -178,9 +182,21 @@
         }
         let now = self.state.now();
         let occupancy = self.state.engines.borrow().occupancy(now);
+        let kept = self.kept_for_online(now);
+        self.state.metrics.batch.kept(kept);
         info!(self.state.logger, "batch work"; "items" => items,
             "at_engines" => self.state.batch_runs.at_engines(),
-            "occupancy" => format!("{occupancy:.2}"));
+            "occupancy" => format!("{occupancy:.2}"), "kept" => format!("{kept:.1}"));
+    }
+
+    /// Slots that batch work leaves free at the services that it uses.
+    fn kept_for_online(&self, now: Timestamp) -> f64 {
+        let Some(in_force) = self.state.in_force() else {
+            return 0.0;
+        };
+        let engines = self.state.engines.borrow();
+        let services = batch_services(&in_force.model).into_iter();
+        services.map(|one| engines.kept_for_online(one, now)).sum()
     }
 
     /// The next call for items.
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -2,6 +2,7 @@
 //!
 //! Each part of the gateway that decides has a group of its own here.
 
+mod batch;
 mod pace;
 
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::histogram::Histogram;
 
+use self::batch::BatchMetrics;
 use self::pace::PaceMetrics;
 use crate::dialect::Refusal;
 
@@ -26,6 +28,8 @@
     registry: Metrics,
     refusals: Family<Label, Counter>,
     waits: Histogram,
+    /// Figures of batch work.
+    pub batch: BatchMetrics,
     /// Figures of engines' paces.
     pub pace: PaceMetrics,
 }
@@ -40,6 +44,7 @@
         );
         Self {
             refusals,
+            batch: BatchMetrics::new(&registry),
             pace: PaceMetrics::new(&registry),
             waits: registry.histogram(
                 "gateway_engine_wait_seconds",
--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -204,6 +204,9 @@
     answering_until: Timestamp,
     crowded_until: Timestamp,
     next_cut: Timestamp,
+    /// Whether an own online request came since it was last looked whether batch work
+    /// gives way.
+    came: bool,
     errors: Errors,
     /// How long work takes here.
     pub pace: Pace,
@@ -228,6 +231,7 @@
             answering_until: Timestamp::ZERO,
             crowded_until: Timestamp::ZERO,
             next_cut: Timestamp::ZERO,
+            came: false,
             errors: Errors::default(),
             pace: Pace::default(),
             latest_pace: Cell::default(),
@@ -255,6 +259,7 @@
 
     pub fn started(&mut self, class: WorkClass, unread_tokens: u64) {
         *self.count(class) += 1;
+        self.came |= class == WorkClass::Online;
         self.unread_tokens += unread_tokens;
     }
 
@@ -387,20 +392,25 @@
     }
 
     /// Own batch requests that are to give way so that no online request waits
-    /// for a slot: the own part of what all gateways have too many. `draw`, from
-    /// 0 up to 1, rounds it, so that all parts together are what is too many.
+    /// for a slot: the own part of what all gateways have too many. `draw`, from 0 up
+    /// to 1, rounds it, so that all parts together are what is too many. One at the
+    /// least where an own online request has just come: others hear of both at once.
     pub fn batch_to_cut(&mut self, now: Timestamp, others_tell: bool, draw: f64) -> u32 {
+        let came = std::mem::take(&mut self.came);
         let excess = self.load(now, others_tell) - f64::from(self.facts.slots);
         if excess <= 0.0 {
             return 0;
         }
         self.crowded_until = now + QUIET_TIME;
-        if self.batch == 0 || now < self.next_cut {
+        if self.batch == 0 || (now < self.next_cut && !came) {
             return 0;
         }
-        let others = self.others_batch(now);
-        let part = f64::from(self.batch) / f64::from(self.batch + others);
+        let part = match now < self.next_cut {
+            true => 0.0,
+            false => f64::from(self.batch) / f64::from(self.batch + self.others_batch(now)),
+        };
         let cut = (excess * part + draw) as u32;
+        let cut = cut.max(u32::from(came));
         if cut > 0 {
             self.next_cut = now + CUT_SHOWS;
         }
--- a/crates/routing/src/dispatch/pace.rs
+++ b/crates/routing/src/dispatch/pace.rs
@@ -173,7 +173,8 @@
             sum: self.paces.at(now),
         };
         if let Some(told) = self.told {
-            let weight = WORD_EVENTS * faded(now.since(told.at));
+            // What was measured meanwhile says the same, and more surely.
+            let weight = WORD_EVENTS * faded(now.since(told.at)) / (1.0 + own.weight);
             own.add(weight, told.pace / self.mean_told * self.usual);
         }
         own
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -434,12 +434,12 @@
         engines.map(|engine| engine.facts.slots).sum()
     }
 
-    fn of_service(&self, service: &str) -> impl Iterator<Item = &Engine> {
+    pub(super) fn of_service(&self, service: &str) -> impl Iterator<Item = &Engine> {
         let engines = self.engines.values();
         engines.filter(move |engine| engine.facts.service == service)
     }
 
-    fn others_tell(&self, now: Timestamp) -> bool {
+    pub(super) fn others_tell(&self, now: Timestamp) -> bool {
         self.told.is_some_and(|told| now.since(told) < TOLD_LATELY)
     }
 
@@ -456,7 +456,8 @@
         let of_service: Vec<&Engine> = self.of_service(service).collect();
         let slots: u32 = of_service.iter().map(|one| one.facts.slots).sum();
         let loads = of_service.iter().map(|one| one.load(now, others_tell));
-        let free = f64::from(slots) - loads.sum::<f64>();
+        let kept = self.kept_for_online(service, now);
+        let free = f64::from(slots) - loads.sum::<f64>() - kept;
         let avoided = self.avoided(service, now);
         let usable = of_service
             .iter()
--- /dev/null
+++ b/crates/routing/tests/pace/peaks.rs
@@ -0,0 +1,137 @@
+//! Batch work fills what online work leaves, and gives way where that loses least.
+
+use std::time::Duration;
+
+use molespan_routing::dispatch::{EngineTable, Loss, Urgency, WorkClass, WorkShare};
+
+use super::fleet::{Fleet, Play};
+use super::{BOTH, RELAY, gateway, now, play};
+
+/// Online work that comes evenly beside batch work for every slot.
+fn lull(seed: u64) -> Play {
+    Play {
+        gateways: 117,
+        engines: 89,
+        peak: 0.21,
+        ends: 8_000_000,
+        ..play(BOTH, seed)
+    }
+}
+
+#[test]
+fn online_requests_of_a_lull_find_slots_free_and_batch_work_has_the_others() {
+    let play = lull(1);
+    let slots = play.engines as f64 * 8.0;
+    let seconds = play.ends as f64 / 1e6;
+    let all = Fleet::new(play).run();
+    super::line("lull", &all);
+    // One that makes room for a request, and one that others began there before they
+    // heard of it.
+    let cuts = f64::from(all.cuts) / f64::from(all.arrived);
+    assert!(cuts < 2.0, "{cuts} runs cut an online request");
+    let good = f64::from(all.in_time) / f64::from(all.ended);
+    assert!(good > 0.98, "{good}");
+    // An event takes 1.23 times 50 ms there in the mean, by the paces that are played.
+    let made = (all.online_events + all.batch_events) as f64;
+    let full = slots * seconds / (0.050 * 1.23 * 1.1);
+    assert!(made > full * 0.85, "{made} of {full}");
+}
+
+/// A gateway that knows for how long requests hold slots, and of so many online requests
+/// of others.
+fn beside_online(others: u32) -> EngineTable {
+    let mut table = gateway();
+    table.ended("e2", WorkClass::Online);
+    for _ in 0..100 {
+        table.note_slot_time("s", Duration::from_millis(600));
+    }
+    let share = WorkShare {
+        engine: "e1".to_owned(),
+        requests: others,
+        ..WorkShare::default()
+    };
+    table.note_shares(RELAY, &[share], now(0));
+    table
+}
+
+#[test]
+fn room_is_kept_as_online_requests_come_and_given_back_when_they_do_not() {
+    let mut table = beside_online(4);
+    // A slot is held for 600 ms, and a start shows within 150.
+    assert!((table.kept_for_online("s", now(0)) - 1.0).abs() < 1e-6);
+    assert!((table.batch_headroom("s", now(0)) - 11.0).abs() < 1e-6);
+    table.note_shares(RELAY, &[], now(100));
+    assert_eq!(table.kept_for_online("s", now(100)), 0.0);
+    assert_eq!(table.batch_headroom("s", now(100)), 16.0);
+    // Batch work alone keeps nothing back from itself.
+    let batch = WorkShare {
+        engine: "e1".to_owned(),
+        requests: 4,
+        batch: 4,
+        ..WorkShare::default()
+    };
+    table.note_shares(RELAY, &[batch], now(200));
+    assert_eq!(table.kept_for_online("s", now(200)), 0.0);
+}
+
+#[test]
+fn a_relay_that_falls_silent_keeps_no_room_for_what_it_told() {
+    let table = beside_online(8);
+    assert!(table.kept_for_online("s", now(1_100)) > 1.9);
+    assert_eq!(table.kept_for_online("s", now(1_300)), 0.0);
+    assert_eq!(table.batch_headroom("s", now(1_300)), 16.0);
+}
+
+#[test]
+fn requests_that_are_over_before_others_see_them_keep_no_room() {
+    let mut table = gateway();
+    table.note_slot_time("s", Duration::from_millis(20));
+    assert_eq!(table.kept_for_online("s", now(0)), 0.0);
+    // Nor before any was measured.
+    assert_eq!(gateway().kept_for_online("s", now(0)), 0.0);
+}
+
+#[test]
+fn a_run_gives_way_that_loses_least() {
+    let at = 1_000_000;
+    let loss = |due_in: Option<u64>, read_again, number| {
+        let urgency = Urgency::of(due_in.map(|due_in| at + due_in), at, 0);
+        Loss::of(urgency, at, read_again, number)
+    };
+    let late = Loss::of(Urgency::of(Some(at - 1), at, 0), at, 9_000, 1);
+    let never_due = loss(None, 9_000, 1);
+    let later = loss(Some(60_000), 9_000, 1);
+    let little = loss(Some(9_000), 300, 1);
+    let latest = loss(Some(9_000), 2_000, 8);
+    let much = loss(Some(9_500), 2_000, 1);
+    let soon = loss(Some(500), 300, 9);
+    let order = [late, never_due, later, little, latest, much, soon];
+    assert!(order.is_sorted(), "{order:?}");
+}
+
+#[test]
+fn an_own_run_gives_way_to_an_own_request_and_to_no_other() {
+    for _ in 0..20 {
+        let mut table = gateway();
+        for _ in 0..4 {
+            table.started("e1", WorkClass::Batch, 0, now(0));
+        }
+        let others = WorkShare {
+            engine: "e1".to_owned(),
+            requests: 4,
+            batch: 4,
+            ..WorkShare::default()
+        };
+        table.note_shares(RELAY, std::slice::from_ref(&others), now(0));
+        assert_eq!(table.batch_to_cut(now(1)), []);
+        // Its own request finds no slot: one run makes room at once, whatever is drawn.
+        table.started("e1", WorkClass::Online, 0, now(2));
+        assert_eq!(table.batch_to_cut(now(2)), [("e1".to_owned(), 1)]);
+        table.ended("e1", WorkClass::Batch);
+        assert_eq!(table.batch_to_cut(now(3)), []);
+        // A request that finds a slot ends nothing.
+        table.ended("e1", WorkClass::Batch);
+        table.started("e1", WorkClass::Online, 0, now(4));
+        assert_eq!(table.batch_to_cut(now(4)), []);
+    }
+}
