--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -2,6 +2,7 @@
 //!
 //! Each part of the gateway that decides has a group of its own here.
 
+mod batch;
 mod pace;
 mod queue;
 mod reach;
@@ -14,11 +15,12 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::histogram::Histogram;
 
+use self::batch::BatchMetrics;
 use self::pace::PaceMetrics;
+use self::queue::QueueMetrics;
+use self::reach::ReachMetrics;
 use self::room::RoomMetrics;
 use crate::dialect::Refusal;
-use queue::QueueMetrics;
-use reach::ReachMetrics;
 
 /// Upper bounds of the buckets of waits, in seconds.
 const WAIT_BOUNDS: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0];
@@ -36,6 +38,8 @@
     unusable_engines: Counter,
     /// Of room at engines.
     pub room: RoomMetrics,
+    /// Figures of batch work.
+    pub batch: BatchMetrics,
     /// Figures of engines' paces.
     pub pace: PaceMetrics,
     /// Of what is out of reach.
@@ -54,6 +58,7 @@
         );
         Self {
             refusals,
+            batch: BatchMetrics::new(&registry),
             pace: PaceMetrics::new(&registry),
             reach: ReachMetrics::new(&registry),
             queue: QueueMetrics::new(&registry),
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -451,7 +451,8 @@
         let of_service: Vec<&Engine> = self.within_reach(service).collect();
         let slots: u32 = of_service.iter().map(|one| one.facts.slots).sum();
         let loads = of_service.iter().map(|one| one.load(now, others_tell));
-        let free = f64::from(slots) - loads.sum::<f64>();
+        let kept = self.kept_for_online(service, now);
+        let free = f64::from(slots) - loads.sum::<f64>() - kept;
         let avoided = self.avoided(service, now);
         let usable = of_service
             .iter()
