The batch group is founded so that it outlives any one zone

Cause: the group was founded by the first stores that registered, as many as it has voters.

Ruled out: voters that are replaced in the wrong zone (nobody had been); gateways that do not find the leader (there was none).

Change: founders are those whose loss of any one zone leaves most; until there are such, or the patience of 5 s that there was for too few stores is over, the group waits. A deployment in one or two zones founds 5 s later than before, once. The test that had three stores in two zones found at once asked for a group that its larger zone takes along; it now asks for one that none does, the other case is a test of patience, and five of one zone come first in a third.

Conclusion: the first start spreads the group; what a cut costs with it is open.

--- a/crates/state/src/declared/stores.rs
+++ b/crates/state/src/declared/stores.rs
@@ -105,11 +105,15 @@
 
     fn found_if_due(&mut self, register: &RegisterStore) -> bool {
         let wanted = register.replicas as usize;
-        let enough = self.nodes.len() >= wanted || register.patience_over;
-        if !self.founders.is_empty() || !enough {
+        if !self.founders.is_empty() {
             return false;
         }
         let chosen = spread_over_zones(&self.nodes, wanted);
+        // The stores of one zone may all register before any other.
+        let enough = chosen.len() == wanted && self.outlive_a_zone(&chosen);
+        if !enough && !register.patience_over {
+            return false;
+        }
         self.founders = chosen
             .into_iter()
             .map(|id| (id, self.nodes[&id].incarnation))
@@ -117,6 +121,17 @@
         true
     }
 
+    /// Whether most of these nodes are left when any one zone is lost. One alone, which
+    /// outlives nothing, is as good anywhere.
+    fn outlive_a_zone(&self, chosen: &[NodeId]) -> bool {
+        let mut of_zone: BTreeMap<&ZoneName, usize> = BTreeMap::new();
+        for id in chosen {
+            *of_zone.entry(&self.nodes[id].zone).or_default() += 1;
+        }
+        let most = of_zone.values().copied().max().unwrap_or_default();
+        chosen.len() == 1 || most * 2 < chosen.len()
+    }
+
     /// Asks to empty the node of this name, if at least `replicas` of those
     /// that are `alive` stay.
     pub(super) fn retire(
--- a/crates/state/tests/declared.rs
+++ b/crates/state/tests/declared.rs
@@ -171,17 +171,51 @@
 #[test]
 fn stores_found_once_over_the_zones() {
     let mut machine = ControlMachine::new();
-    for (node, zone) in [(1, "a"), (2, "a")] {
+    for (node, zone) in [(1, "a"), (2, "a"), (3, "b")] {
         apply(&mut machine, store(node, zone, 3, false));
+        // Two of three would be lost with their zone.
         assert!(state(&machine).stores().founders().is_empty());
     }
-    apply(&mut machine, store(3, "b", 3, false));
+    apply(&mut machine, store(4, "c", 3, false));
     let founders = state(&machine).stores().founders().clone();
-    assert_eq!(founders.len(), 3);
+    let nodes: Vec<NodeId> = founders.keys().copied().collect();
+    assert_eq!(nodes, [NodeId(1), NodeId(3), NodeId(4)]);
     // A store that comes later, or with another disk, changes nothing of it.
-    apply(&mut machine, store(4, "c", 3, true));
+    apply(&mut machine, store(5, "d", 3, true));
     assert_eq!(*state(&machine).stores().founders(), founders);
-    assert_eq!(state(&machine).stores().nodes().len(), 4);
+    assert_eq!(state(&machine).stores().nodes().len(), 5);
+}
+
+#[test]
+fn the_stores_of_one_zone_that_come_first_do_not_found_alone() {
+    let mut machine = ControlMachine::new();
+    let comes = |machine: &mut ControlMachine, node: u32, zone: &str| {
+        apply(machine, store(node, zone, 5, false));
+        state(machine).stores().founders().clone()
+    };
+    for node in 1..=5 {
+        assert!(comes(&mut machine, node, "b").is_empty());
+    }
+    for node in 6..=7 {
+        assert!(comes(&mut machine, node, "a").is_empty());
+    }
+    let founders = comes(&mut machine, 8, "c");
+    let of_zone = |nodes: std::ops::RangeInclusive<u32>| {
+        let there = nodes.filter(|node| founders.contains_key(&NodeId(*node)));
+        there.count()
+    };
+    assert_eq!((of_zone(1..=5), of_zone(6..=7), of_zone(8..=8)), (2, 2, 1));
+}
+
+#[test]
+fn stores_of_too_few_zones_found_when_no_more_come() {
+    let mut machine = ControlMachine::new();
+    for (node, zone) in [(1, "a"), (2, "a"), (3, "b")] {
+        apply(&mut machine, store(node, zone, 3, false));
+    }
+    assert!(state(&machine).stores().founders().is_empty());
+    apply(&mut machine, store(2, "a", 3, true));
+    assert_eq!(state(&machine).stores().founders().len(), 3);
 }
 
 #[test]
