Who is back from an engine looks first, nobody of no tenant holds tenants up, full engines are asked six times

Causes, seen on review of the queue and of short requests: a request that came back from an engine went behind all that can be in time and was given up with 50 ms left; requests of no tenant were all in the round under way, before the second of any tenant; a tenant refused for its part of the queue still counted as coming; a request of a service whose slots are held for long could ask every full engine again each 100 ms; an engine that answers at once was left out for less than a millisecond.

Change: back from an engine first, and charged once; no tenant goes as one tenant does where there are tenants; six attempts again where requests are not short; 8 ms at the least.

Tests: who_is_back_from_an_engine_looks_first_however_late_it_is, requests_of_no_tenant_hold_up_no_tenant.

--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -20,8 +20,8 @@
 use crate::request::CallerRequest;
 use crate::state::GatewayState;
 
-/// Attempts at engines that were of no use before a request is refused, those without
-/// room not counted.
+/// Attempts at engines that were of no use before a request is refused; those without
+/// room do not count where they soon have some.
 const MOST_TURNED_AWAY: u32 = 6;
 /// Time between two looks of the batch item whose turn it is.
 const LOOK_AGAIN_IN_TURN: Duration = Duration::from_millis(20);
@@ -223,9 +223,12 @@
     fn note_turned_away(&mut self, engine: &str, reply: &EngineReply) -> Result<(), Refusal> {
         self.turned_away += 1;
         if reply.has_no_room() && self.outbound.class == WorkClass::Online {
-            self.without_room += 1;
             self.state.note_turned_away(&self.service);
-            return Ok(());
+            // Where slots are held for long, so are those of the engines asked next.
+            if self.state.is_short(&self.service) {
+                self.without_room += 1;
+            }
+            return self.give_up_if_unusable();
         }
         self.tried.insert(engine.to_owned());
         self.give_up_if_unusable()
--- a/crates/proxy/src/room.rs
+++ b/crates/proxy/src/room.rs
@@ -26,6 +26,12 @@
         self.note_room(service, true);
     }
 
+    /// Whether requests keep slots of a service for so short a time that one without room
+    /// soon has some.
+    pub fn is_short(&self, service: &str) -> bool {
+        self.engines.borrow().short_work_time(service).is_some()
+    }
+
     /// An engine of a service took one.
     pub fn note_taken(&self, service: &str) {
         self.note_room(service, false);
--- a/crates/routing/src/dispatch/short.rs
+++ b/crates/routing/src/dispatch/short.rs
@@ -30,6 +30,8 @@
 const BACKOFF_SPREAD: f64 = 0.5;
 /// Doublings that are reckoned with: behind them every pause is the longest one.
 const MOST_DOUBLINGS: u32 = 16;
+/// Shortest pause: an engine that answers at once is not asked all the time.
+const SHORTEST_BACKOFF: Duration = Duration::from_millis(8);
 /// Longest pause: a request whose target is some hundred milliseconds has time for
 /// another look behind it.
 const LONGEST_BACKOFF: Duration = Duration::from_millis(200);
@@ -88,7 +90,7 @@
         let first = kept.mul_f64(FIRST_BACKOFF * spread);
         let pause = first * 2_u32.pow(self.0.min(MOST_DOUBLINGS));
         self.0 += 1;
-        pause.min(LONGEST_BACKOFF)
+        pause.clamp(SHORTEST_BACKOFF, LONGEST_BACKOFF)
     }
 }
 
--- a/crates/routing/src/queue/fairness.rs
+++ b/crates/routing/src/queue/fairness.rs
@@ -4,6 +4,9 @@
 
 use std::collections::BTreeMap;
 
+/// Lane of requests that belong to no tenant; no tenant has an empty name.
+const NO_TENANT: &str = "";
+
 /// A tenant of which something waits.
 #[derive(Clone, Copy, Debug, Default)]
 struct Lane {
@@ -22,18 +25,19 @@
 }
 
 impl Shares {
-    /// The round of a request that comes now. Requests of no tenant are all in the
-    /// round under way.
+    /// The round of a request that comes now. Requests of no tenant are all in the round
+    /// under way, unless there are tenants: then they go as one tenant does.
     pub fn round(&self, tenant: Option<&str>) -> u64 {
-        let lane = tenant.and_then(|tenant| self.lanes.get(tenant));
+        let lane = self.lanes.get(tenant.unwrap_or(NO_TENANT));
         lane.map_or(self.round, |lane| (lane.next as u64).max(self.round))
     }
 
     /// A request waits, in the round that [`Shares::round`] says.
     pub fn enter(&mut self, tenant: Option<&str>, weight: u32) {
-        let Some(tenant) = tenant else {
+        if tenant.is_none() && self.lanes.is_empty() {
             return;
-        };
+        }
+        let tenant = tenant.unwrap_or(NO_TENANT);
         let round = self.round as f64;
         let step = 1.0 / f64::from(weight.max(1));
         match self.lanes.get_mut(tenant) {
@@ -56,7 +60,7 @@
 
     /// A request no longer waits.
     pub fn leave(&mut self, tenant: Option<&str>) {
-        let Some(lane) = tenant.and_then(|tenant| self.lanes.get_mut(tenant)) else {
+        let Some(lane) = self.lanes.get_mut(tenant.unwrap_or(NO_TENANT)) else {
             return;
         };
         lane.waiting = lane.waiting.saturating_sub(1);
--- a/crates/routing/src/queue/mod.rs
+++ b/crates/routing/src/queue/mod.rs
@@ -184,13 +184,14 @@
     pub fn ask(&mut self, want: &Want<'_>, now: Timestamp) -> Result<Place, Refused> {
         self.advance(now);
         if !want.again {
+            self.has_room(want, now)?;
             self.forecast.came(now);
         }
-        self.has_room(want, now)?;
         let round = self.shares.round(want.tenant);
         self.last += 1;
         let waiting = Waiting {
             key: Key {
+                first_time: !want.again,
                 rank: want.rank,
                 round,
                 due: Timestamp::ZERO,
@@ -209,7 +210,9 @@
         {
             return Err(refused);
         }
-        self.shares.enter(want.tenant, want.weight);
+        if !want.again {
+            self.shares.enter(want.tenant, want.weight);
+        }
         self.insert(waiting);
         Ok(self.last)
     }
@@ -217,9 +220,13 @@
     /// Those who may look for an engine now, the first in the order first.
     pub fn lookers(&mut self, now: Timestamp) -> Vec<(Place, Turn)> {
         self.advance(now);
+        // Late ones that are back from an engine go before those that are in time.
+        let back = self.late.iter().take_while(|key| !key.first_time);
+        let late = self.late.iter().skip_while(|key| !key.first_time);
         let in_time = self.in_time.iter().map(|key| (key.place, true));
-        let late = self.late.iter().map(|key| (key.place, false));
-        let order = in_time.chain(late).take(LOOKERS);
+        let back = back.map(|key| (key.place, false));
+        let late = late.map(|key| (key.place, false));
+        let order = back.chain(in_time).chain(late).take(LOOKERS);
         order
             .map(|(place, in_time)| (place, Turn { in_time }))
             .collect()
@@ -370,7 +377,9 @@
         } else {
             self.late.remove(&waiting.key);
         }
-        self.shares.leave(waiting.tenant.as_deref());
+        if !waiting.again {
+            self.shares.leave(waiting.tenant.as_deref());
+        }
         Some(waiting)
     }
 
--- a/crates/routing/src/queue/order.rs
+++ b/crates/routing/src/queue/order.rs
@@ -34,6 +34,9 @@
 /// What one is sorted by, among those in time or those who are late.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Key {
+    /// Whether it comes for the first time: who is back from an engine had its turn, and
+    /// has the least time left.
+    pub first_time: bool,
     pub rank: Rank,
     /// Round of its tenant.
     pub round: u64,
--- a/crates/routing/tests/queue/rules.rs
+++ b/crates/routing/tests/queue/rules.rs
@@ -125,6 +125,45 @@
     assert_eq!(turns[..7], first);
 }
 
+#[test]
+fn who_is_back_from_an_engine_looks_first_however_late_it_is() {
+    let mut queue = Queue::new(Limits::default());
+    for _ in 0..10 {
+        ask(&mut queue, &plain(1_000), 1_000);
+    }
+    let back = Want {
+        begins_by: at(500),
+        leaves_at: at(1_050),
+        again: true,
+        ..plain(1_000)
+    };
+    let back = ask(&mut queue, &back, 1_000);
+    let looking = queue.lookers(at(1_000));
+    assert!(looking.iter().any(|(place, _)| *place == back));
+}
+
+#[test]
+fn requests_of_no_tenant_hold_up_no_tenant() {
+    let mut queue = Queue::new(Limits::default());
+    let keyed = Want {
+        tenant: Some("t"),
+        ..plain(1_010)
+    };
+    for _ in 0..3 {
+        ask(&mut queue, &keyed, 1_010);
+    }
+    let mut begun = Vec::new();
+    for ms in 1_011..1_021 {
+        // Each time that one begins, two more come that belong to nobody.
+        let anonymous = [0, 1].map(|_| ask(&mut queue, &plain(900), ms));
+        let (place, _) = queue.lookers(at(ms))[0];
+        queue.begun(place, at(ms));
+        begun.push(anonymous.contains(&place) || place > 3);
+    }
+    let of_tenant = begun.iter().filter(|&&anonymous| !anonymous).count();
+    assert_eq!(of_tenant, 3, "{begun:?}");
+}
+
 #[test]
 fn a_long_answer_lets_short_ones_pass_but_not_for_ever() {
     let mut queue = Queue::new(Limits::default());
