--- a/crates/fleet/src/control/relay.rs
+++ b/crates/fleet/src/control/relay.rs
@@ -83,16 +83,16 @@
 
     /// Takes in what a gateway, or another relay, told of zones out of reach.
     pub fn note_reach(&self, from: NodeId, reach: Option<&[u8]>, relayed: bool) {
-        let told = reach.and_then(|reach| {
-            telling::read::<Vec<ReachTelling>>(&self.logger, from, "zones out of reach", reach)
-        });
-        let teller = match relayed {
-            true => Teller::Relay,
-            false => Teller::Gateway,
+        let told = match reach {
+            Some(reach) => telling::read(&self.logger, from, "zones out of reach", reach),
+            None => Some(Vec::new()),
+        };
+        // What cannot be read takes back nothing that was told before.
+        let Some(told) = told else {
+            return;
         };
         let now = self.now();
-        let told = told.unwrap_or_default();
-        if self.lock().reach.note(from, teller, told, now) {
+        if self.lock().reach.note(from, teller(relayed), told, now) {
             let _already_told = self.heard.0.try_send(());
         }
     }
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -37,7 +37,8 @@
 /// Part of a caller's patience for which a late request waits for a slot: there is
 /// time for its answer behind it.
 const WAITS_SHARE: f64 = 0.7;
-/// Time for which a request looks that comes back from an engine later than that.
+/// Least time for which a request looks that comes back from an engine, also later than
+/// that.
 const LAST_LOOK: Duration = Duration::from_millis(50);
 /// Shortest silence of an engine after which a repeatable request goes
 /// elsewhere.
@@ -64,10 +65,12 @@
     tried: BTreeSet<String>,
     /// Engines that may have run it.
     pub runs: u32,
-    /// Engines that said they did not run it, or could not be reached.
+    /// Attempts that did not run it: turned away, or not connected.
     pub turned_away: u32,
     /// How many of them had no room.
     without_room: u32,
+    /// Answers without room that do not count towards [`MOST_TURNED_AWAY`].
+    excused: u32,
 }
 
 impl<'a, D: GatewayDialect> Dispatch<'a, D> {
@@ -128,6 +131,7 @@
             runs: 0,
             turned_away: 0,
             without_room: 0,
+            excused: 0,
         }
     }
 
@@ -224,9 +228,10 @@
         self.turned_away += 1;
         if reply.has_no_room() && self.outbound.class == WorkClass::Online {
             self.state.note_turned_away(&self.service);
+            self.without_room += 1;
             // Where slots are held for long, so are those of the engines asked next.
             if self.state.is_short(&self.service) {
-                self.without_room += 1;
+                self.excused += 1;
             }
             return self.give_up_if_unusable();
         }
@@ -247,7 +252,7 @@
 
     /// Gives up once too many engines turned out to be of no use to it.
     fn give_up_if_unusable(&self) -> Result<(), Refusal> {
-        match self.turned_away - self.without_room >= MOST_TURNED_AWAY {
+        match self.turned_away - self.excused >= MOST_TURNED_AWAY {
             true => Err(self.give_up()),
             false => Ok(()),
         }
@@ -324,8 +329,8 @@
         info!(self.state.logger, "no turn"; "request" => &self.outbound.id,
             "service" => &self.service, "reason" => %refused.reason,
             "ahead" => refused.ahead,
-            "begin_per_s" => format!("{:.1}", refused.pace.begin),
-            "come_per_s" => format!("{:.1}", refused.pace.come),
+            "begin_per_s" => format!("{:.1}", refused.rates.begin),
+            "come_per_s" => format!("{:.1}", refused.rates.come),
             "room_in_ms" => refused.room_in.map(|room_in| room_in.as_millis() as u64),
             "left_ms" => self.ends.since(self.state.now()).as_millis() as u64,
             "tried" => self.tried.len(), "runs" => self.runs,
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -468,7 +468,7 @@
         self.engines.borrow_mut().learn(from, facts, now);
     }
 
-    /// A control node of before takes what it cannot use itself.
+    /// A control node of an older release takes what it cannot use itself.
     fn note_unusable(&self, record: &EngineRecord) {
         self.metrics.unusable_engine();
         let mut refusals = self.unusable.borrow_mut();
--- a/crates/routing/src/dispatch/pace.rs
+++ b/crates/routing/src/dispatch/pace.rs
@@ -18,8 +18,8 @@
 const PACE_HOLDS: Duration = Duration::from_millis(20);
 /// Time over which events that were measured here fade: a few of one answer.
 const EVENTS_FADE: Duration = Duration::from_millis(150);
-/// Time over which a word fades, of an engine or of other gateways: machines that are
-/// shared change their pace several times a second.
+/// Time over which a word fades, of an engine or of other gateways: short, so that
+/// requests follow the pace that an engine has now.
 const WORD_FADES: Duration = Duration::from_millis(300);
 /// Time over which what is usual fades: it outlasts a slow span.
 const USUAL_FADES: Duration = Duration::from_secs(10);
--- a/crates/routing/src/dispatch/short.rs
+++ b/crates/routing/src/dispatch/short.rs
@@ -17,13 +17,13 @@
 use super::table::{EngineTable, Pick, Standing};
 use crate::decay::FadingSum;
 
-/// Weight of the latest request in the mean: some thirty of them make it.
+/// Weight of the latest request in the mean.
 const LATEST_WEIGHT: f64 = 1.0 / 32.0;
 /// Engines that a short request compares. All gateways compare by figures that are
 /// about as old; the more each looks at, the more of them take the same one.
 pub(super) const COMPARED: usize = 2;
 /// Times for which requests keep a slot that an engine without room is left out for at
-/// first. Looking sooner finds the room taken, later leaves some of it unused.
+/// first: by then a slot is likely to be free.
 const FIRST_BACKOFF: f64 = 2.0;
 /// Part of a pause by which it is longer or shorter by chance, so that those who were
 /// turned away together do not come back together.
@@ -32,8 +32,7 @@
 const MOST_DOUBLINGS: u32 = 16;
 /// Shortest pause: an engine that answers at once is not asked all the time.
 const SHORTEST_BACKOFF: Duration = Duration::from_millis(8);
-/// Longest pause: a request whose target is some hundred milliseconds has time for
-/// another look behind it.
+/// Longest pause: short enough for another look within a request's target.
 const LONGEST_BACKOFF: Duration = Duration::from_millis(200);
 
 /// Time over which requests that found no room fade.
--- a/crates/routing/src/dispatch/slow.rs
+++ b/crates/routing/src/dispatch/slow.rs
@@ -5,8 +5,7 @@
 
 use molespan_types::Timestamp;
 
-/// How long an engine has to be slow until it is told: shared machines have slow
-/// spans many times a second.
+/// How long an engine has to be slow until it is told: a shorter time needs no operator.
 const SLOW_FOR: Duration = Duration::from_millis(800);
 /// Changes that are told at once at the most; the others are counted.
 const MOST_TOLD: usize = 8;
--- a/crates/routing/src/queue/forecast.rs
+++ b/crates/routing/src/queue/forecast.rs
@@ -29,7 +29,7 @@
 
 /// How a queue moves, in requests a second.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Pace {
+pub struct Rates {
     /// Begin while somebody waits.
     pub begin: f64,
     /// Come.
@@ -45,12 +45,13 @@
     /// Seconds for which somebody waited.
     waits: FadingSum,
     begins: FadingSum,
-    /// All of them, by the usual clock.
+    /// All begins, by the caller's clock.
     all_begins: FadingSum,
-    /// Requests that hold a slot, and for how many seconds in the mean.
+    /// Requests that hold a slot.
     running: u32,
+    /// Mean seconds for which one holds it.
     held: f64,
-    /// When the latest one was, by that clock.
+    /// When the latest request began, by the clock of waits.
     began: Option<Timestamp>,
     arrivals: [FadingSum; 2],
 }
@@ -131,7 +132,7 @@
     }
 
     /// How the queue moves, in the hopeful case.
-    pub fn pace(&self, now: Timestamp) -> Pace {
+    pub fn rates(&self, now: Timestamp) -> Rates {
         let waits = self.waits.at(self.waited);
         let begins = self.begins.at(self.waited);
         let due = f64::from(u8::from(!self.is_stalled()));
@@ -150,7 +151,7 @@
             true => 0.0,
             false => f64::from(self.running) / self.held,
         };
-        Pace {
+        Rates {
             begin: waiting.max(at_least).max(ending),
             come: come.fold(f64::INFINITY, f64::min),
         }
@@ -158,7 +159,7 @@
 
     /// Wait behind `ahead` whom nobody overtakes; `None` when nothing moves.
     pub fn wait(&self, ahead: usize) -> Option<Duration> {
-        at_rate(ahead, self.pace(self.seen).begin)
+        at_rate(ahead, self.rates(self.seen).begin)
     }
 
     /// Wait behind `ahead` and all who come meanwhile.
@@ -166,7 +167,7 @@
         if !self.is_measured() {
             return Some(Duration::ZERO);
         }
-        let pace = self.pace(now);
+        let pace = self.rates(now);
         at_rate(ahead, pace.begin - pace.come)
     }
 }
--- a/crates/routing/src/queue/mod.rs
+++ b/crates/routing/src/queue/mod.rs
@@ -18,7 +18,7 @@
 use derive_more::Display;
 use molespan_types::Timestamp;
 
-pub use forecast::Pace;
+pub use forecast::Rates;
 pub use order::Rank;
 pub use retry::retry_after;
 
@@ -100,7 +100,7 @@
     /// Requests before it.
     pub ahead: usize,
     /// How the queue moves.
-    pub pace: Pace,
+    pub rates: Rates,
     /// When the queue as it stands will be served; `None` when that cannot be seen.
     pub room_in: Option<Duration>,
 }
@@ -307,8 +307,8 @@
 
     /// How the queue moves.
     #[must_use]
-    pub fn pace(&self, now: Timestamp) -> Pace {
-        self.forecast.pace(now)
+    pub fn rates(&self, now: Timestamp) -> Rates {
+        self.forecast.rates(now)
     }
 
     /// Counts the time that passed, and moves those who cannot be in time any more.
@@ -447,7 +447,7 @@
         Refused {
             reason,
             ahead,
-            pace: self.forecast.pace(now),
+            rates: self.forecast.rates(now),
             room_in: self.room_in(now),
         }
     }
--- a/crates/routing/src/quota/tenant.rs
+++ b/crates/routing/src/quota/tenant.rs
@@ -32,7 +32,8 @@
 /// all at four times the limit, over 49 gateways).
 const LEAST_PART: f64 = 2.0;
 /// Time over which gateways come to agree on what is left: longer than a telling takes,
-/// so that what is on its way counts for little, and shorter than a peak.
+/// so that what is on its way counts for little, and short enough that no caller is
+/// refused for long by an old estimate.
 const AGREES_OVER: Duration = Duration::from_millis(1_000);
 /// Time over which tokens that are left are given out in parts once they run short: a
 /// few times as long as it takes until the others see what a gateway admitted.
--- a/crates/routing/src/reach/zone.rs
+++ b/crates/routing/src/reach/zone.rs
@@ -6,8 +6,8 @@
 
 use molespan_types::{Timestamp, ZoneName};
 
-/// Hosts that have to fail, of zones that have as many. A fifth of all engines may crash
-/// at once, and so many that are drawn at random are all dead once in 3,000 times.
+/// Hosts that have to fail, of zones that have as many: enough that engines which crash
+/// each for itself are hardly ever taken for a cut.
 const FAILED_HOSTS: usize = 5;
 /// Hosts that have to fail in any zone: one alone may have lost its own link.
 const FAILED_AT_LEAST: usize = 2;
@@ -144,7 +144,7 @@
         self.out.is_some()
     }
 
-    /// Hosts that failed lately.
+    /// Whether a host failed lately.
     pub fn has_failed(&self, host: IpAddr, now: Timestamp) -> bool {
         let failed = self.failures.get(&host);
         failed.is_some_and(|&at| now.since(at) < FAILURE_COUNTS)
--- a/crates/routing/tests/queue/rules.rs
+++ b/crates/routing/tests/queue/rules.rs
@@ -218,9 +218,9 @@
     assert_eq!(refused.reason, Reason::Hopeless);
     assert!(refused.ahead >= 3);
     assert!(
-        (5.0..=15.0).contains(&refused.pace.begin),
+        (5.0..=15.0).contains(&refused.rates.begin),
         "{:?}",
-        refused.pace
+        refused.rates
     );
     let again = Want {
         again: true,
