A node that was silent is not the next one that is asked

Callers saw: engines that said that they end got 503 from sound control nodes for as long as an earlier leader was silent, and gateways went on sending to them; jobs wait likewise.

Cause: a call to a leader asks the known leader for 0.3 s, then the next node by turn, which may be the same one, for the 0.6 s that are left of an engine's 0.9.

Ruled out: the election, which was logged before the call; the gateway's watch, which hears within 1 s once there is something to hear.

--- a/crates/daemon/src/cluster/calls.rs
+++ b/crates/daemon/src/cluster/calls.rs
@@ -1,5 +1,6 @@
 //! Calls to a group's leader, with attempts until the deadline.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,9 @@
     held: Duration,
     /// Position among the replicas of the next one to ask.
     turn: usize,
+    /// Nodes that failed, until all others were asked or one of those names them: asking
+    /// a silent one again costs what is left of the time, and others may know who leads.
+    failed: BTreeSet<NodeId>,
     /// Whether an attempt may have taken effect.
     ambiguous: bool,
     reason: String,
@@ -128,6 +132,7 @@
             timeout: self.limits.first_call_timeout,
             held,
             turn: self.turn.load(Ordering::Relaxed),
+            failed: BTreeSet::new(),
             ambiguous: false,
             reason: "there are no replicas".to_owned(),
         };
@@ -165,6 +170,7 @@
                     self.ambiguous |= matches!(error, CallError::Ambiguous(_));
                     self.reason = format!("node {node}: {error}");
                     self.timeout = (self.timeout * 2).min(self.cluster.limits.call_timeout);
+                    self.failed.insert(node);
                     self.try_next(node);
                     self.pause_at_least(Duration::ZERO).await;
                 }
@@ -172,13 +178,21 @@
         }
     }
 
-    /// The known leader, else the replica whose turn it is.
-    fn target(&self) -> Option<NodeId> {
-        let known = self.cluster.leaders.get(self.group);
-        known.or_else(|| {
-            let replicas = self.cluster.lock_replicas();
-            replicas.get(self.turn % replicas.len().max(1)).copied()
-        })
+    /// The known leader, else the replica whose turn it is, but for those that failed.
+    fn target(&mut self) -> Option<NodeId> {
+        if let Some(leader) = self.cluster.leaders.get(self.group) {
+            return Some(leader);
+        }
+        let replicas = self.cluster.replicas();
+        if replicas.iter().all(|node| self.failed.contains(node)) {
+            self.failed.clear();
+        }
+        let first = self.turn % replicas.len().max(1);
+        let (before, from) = replicas.split_at(first);
+        let order = from.iter().chain(before);
+        let behind = order.clone().position(|node| !self.failed.contains(node))?;
+        self.turn = self.turn.wrapping_add(behind);
+        order.copied().nth(behind)
     }
 
     async fn follow(&mut self, asked: NodeId, leader: Option<LeaderHint>) {
@@ -186,6 +200,7 @@
         match leader {
             Some(hint) if hint.node != asked => {
                 self.cluster.transport.learn(hint.node, &hint.address);
+                self.failed.remove(&hint.node);
                 let went_back = self.cluster.leaders.get(self.group) == Some(hint.node);
                 self.cluster.leaders.set(self.group, hint.node);
                 if went_back {
--- a/crates/daemon/tests/cluster_calls.rs
+++ b/crates/daemon/tests/cluster_calls.rs
@@ -1,12 +1,13 @@
 //! Calls to a leader that may hold them for a while by itself.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_io::Timer;
 use molespan_daemon::cluster::{Cluster, ClusterLimits, PeerCall, PeerTransport};
 use molespan_types::NodeId;
-use molespan_wire::{CallError, CallFailure, Request, Response, TakeItems};
+use molespan_wire::{CallError, CallFailure, LeaderHint, Request, Response, TakeItems};
 
 const LEADER: NodeId = NodeId(1);
 const OTHER: NodeId = NodeId(2);
@@ -116,3 +117,84 @@
     });
     assert!(calls.into_iter().any(|answered| answered));
 }
+
+/// Three members, of which one leads. It falls silent, and another one leads.
+#[derive(Debug, Default)]
+struct SilentLeader {
+    is_silent: AtomicBool,
+    calls: Mutex<Vec<NodeId>>,
+}
+
+const SILENT_LEADER: NodeId = NodeId(3);
+
+impl SilentLeader {
+    fn leader(&self) -> NodeId {
+        match self.is_silent.load(Ordering::SeqCst) {
+            true => LEADER,
+            false => SILENT_LEADER,
+        }
+    }
+}
+
+impl PeerTransport for SilentLeader {
+    fn call(&self, node: NodeId, request: Request, timeout: Duration) -> PeerCall {
+        self.calls.lock().unwrap().push(node);
+        let leader = self.leader();
+        if node == leader {
+            return HoldingLeader::default().call(LEADER, request, timeout);
+        }
+        if node == SILENT_LEADER {
+            return SilentNodes.call(node, request, timeout);
+        }
+        let leader = Some(LeaderHint {
+            node: leader,
+            address: String::new(),
+        });
+        Box::pin(async { Ok(Response::NotLeader { leader }) })
+    }
+
+    fn send(&self, _node: NodeId, _request: Request) -> bool {
+        false
+    }
+
+    fn learn(&self, _node: NodeId, _address: &str) {}
+}
+
+/// A call spent the rest of its time on the node that had just been silent, while any other
+/// would have named the leader: engines' departures and callers' jobs were turned away.
+#[test]
+fn a_node_that_was_silent_is_not_the_next_one_that_is_asked() {
+    for nodes in [
+        [LEADER, OTHER, SILENT_LEADER],
+        [LEADER, SILENT_LEADER, OTHER],
+        [OTHER, LEADER, SILENT_LEADER],
+        [OTHER, SILENT_LEADER, LEADER],
+        [SILENT_LEADER, LEADER, OTHER],
+        [SILENT_LEADER, OTHER, LEADER],
+    ] {
+        let transport = Arc::new(SilentLeader::default());
+        let limits = ClusterLimits {
+            first_call_timeout: Duration::from_millis(20),
+            ..ClusterLimits::default()
+        };
+        let cluster = Cluster::new(transport.clone(), nodes.to_vec(), limits);
+        let take = || {
+            let ask = TakeItems {
+                node: NodeId(99),
+                capacity: 1,
+                held: Vec::new(),
+                wait_ms: 0,
+                life: 1,
+                number: 1,
+            };
+            let taken = cluster.take_items(&ask, Duration::from_secs(10));
+            async_io::block_on(taken).expect("an answer");
+            std::mem::take(&mut *transport.calls.lock().unwrap())
+        };
+        take();
+        transport.is_silent.store(true, Ordering::SeqCst);
+        let calls = take();
+        let silent = calls.iter().filter(|node| **node == SILENT_LEADER);
+        assert_eq!(silent.count(), 1, "{nodes:?}: {calls:?}");
+    }
+}
