The product's own gateway counts the time of a suspension

Callers would see: items run twice behind a suspension (the first result wins), and requests taken under a configuration that may be out of force.

Cause: its clock was the steady one.

--- a/crates/daemon/src/gateway/clock.rs
+++ b/crates/daemon/src/gateway/clock.rs
@@ -1,28 +1,33 @@
 //! The clock that decisions see.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use molespan_types::Timestamp;
 
-/// The monotonic clock that every decision core of this gateway sees.
-#[derive(Clone, Copy, Debug)]
+use crate::boot_clock::BootClock;
+
+/// Time of the clock at the gateway's start, so that a time shortly before it can be told.
+const AHEAD: Duration = Duration::from_secs(1);
+
+/// The clock that every decision core of this gateway sees. It goes on while the machine
+/// is suspended: leases that it holds run out elsewhere meanwhile.
+#[derive(Clone, Debug)]
 pub(super) struct Clock {
-    start: Instant,
+    boot: BootClock,
+    /// What `boot` said when this one began.
+    began: Timestamp,
 }
 
 impl Clock {
-    /// A clock that starts one second after zero, so that a time shortly
-    /// before the start can be told.
-    pub(super) fn new() -> Self {
-        let start = Instant::now();
-        let ahead = Duration::from_secs(1);
-        Self {
-            start: start.checked_sub(ahead).unwrap_or(start),
-        }
+    /// A clock that starts one second after zero.
+    pub(super) fn new(boot: BootClock) -> Self {
+        let began = boot.now();
+        Self { boot, began }
     }
 
     /// The time now.
     pub(super) fn now(&self) -> Timestamp {
-        Timestamp(self.start.elapsed().as_micros() as u64)
+        let passed = self.boot.now().since(self.began);
+        Timestamp::ZERO + AHEAD + passed
     }
 }
--- a/crates/daemon/src/gateway/options.rs
+++ b/crates/daemon/src/gateway/options.rs
@@ -10,6 +10,8 @@
 use molespan_state::control::NodeRole;
 use molespan_types::{Incarnation, NodeId, ZoneName};
 
+use crate::boot_clock::BootClock;
+
 /// Bounds of a planned stop.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DrainBounds {
@@ -153,6 +155,8 @@
     pub timeouts: BackendTimeouts,
     /// Bounds of what is taken in.
     pub intake: IntakeBounds,
+    /// Clock that it decides by.
+    pub clock: BootClock,
 }
 
 impl GatewayOptions {
@@ -192,6 +196,7 @@
             policy: GatewayPolicy::default(),
             timeouts: BackendTimeouts::default(),
             intake: IntakeBounds::default(),
+            clock: BootClock::start(),
         }
     }
 }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -79,7 +79,7 @@
             executor: context.executor,
             logger: context.logger,
             cluster: context.cluster,
-            clock: Clock::new(),
+            clock: Clock::new(options.clock.clone()),
             events: Events::new(context.events),
             metrics: GatewayMetrics::new(context.metrics),
             engines: EngineClient::new(&options.timeouts),
