Gateways that start with all control nodes hear of engines at once

Callers would see: 503 for everything of a large service for 4 s behind a loss of all processes, at each gateway that starts with the control nodes.

Cause: a control node that has just started tells nothing of a large service until it knows who uses which engine; whoever starts too knows none from before.

--- a/crates/fleet/src/control/hub/answer.rs
+++ b/crates/fleet/src/control/hub/answer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use molespan_routing::subset::Breadth;
+use molespan_routing::subset::{Breadth, FIRST_USERS};
 use molespan_types::{NodeId, Timestamp};
 use molespan_wire::{WatchView, WatcherKind};
 
@@ -13,6 +13,9 @@
 /// it is told once in place of by each node, and an answer takes less than this.
 const LEFT_TO_ANOTHER: Duration = Duration::from_millis(400);
 
+/// Time between two answers to a gateway that hears of first engines.
+const FIRST_ENGINES_EVERY: Duration = Duration::from_millis(500);
+
 impl State {
     /// Whether a watcher is told more here than what the cluster is.
     fn tells_all(&self, watch: &WatchView) -> bool {
@@ -103,6 +106,41 @@
         update
     }
 
+    /// Until when a watch is held open at the most, for a gateway that is to hear of first
+    /// engines: they register within a heartbeat, and waking all for each would cost a
+    /// node that starts too most of its time.
+    pub fn first_engines_due(&self, watch: &WatchView, now: Timestamp) -> Option<Timestamp> {
+        let begins = self.tells_all(watch) && self.begins(watch.node);
+        let mut services = self.subsets.services();
+        let unsettled =
+            services.any(|service| self.subsets.breadth(service).0 == Breadth::Unsettled);
+        (begins && unsettled).then(|| now + FIRST_ENGINES_EVERY)
+    }
+
+    fn begins(&self, gateway: NodeId) -> bool {
+        let watcher = self.watchers.get(&gateway);
+        watcher.is_some_and(|watcher| watcher.begins)
+    }
+
+    /// Adds engines for a gateway that would serve nobody until it is known who uses which.
+    /// Whoever knows engines from before goes on with them.
+    fn tell_first(&self, service: &str, gateway: NodeId, since: u64, update: &mut ViewUpdate) {
+        if !self.begins(gateway) {
+            return;
+        }
+        let engines = self.registry.changed_in(service, since);
+        let first = engines.filter(|engine| self.subsets.is_first(gateway, service, &engine.id));
+        let told = update.engines.len();
+        update.engines.extend(first.cloned());
+        if update.engines.len() > told {
+            update.parts.push(ServicePart {
+                service: service.to_owned(),
+                users: Some(FIRST_USERS),
+                engines: None,
+            });
+        }
+    }
+
     /// Adds what a gateway is to hear of a service.
     fn tell_service(&self, service: &str, gateway: NodeId, since: u64, update: &mut ViewUpdate) {
         let (breadth, changed) = self.subsets.breadth(service);
@@ -122,7 +160,7 @@
             return;
         }
         if breadth == Breadth::Unsettled {
-            return;
+            return self.tell_first(service, gateway, since, update);
         }
         let news = self.subsets.part_after(gateway, service, since);
         let records = news.engines.iter();
--- a/crates/fleet/src/control/hub/mod.rs
+++ b/crates/fleet/src/control/hub/mod.rs
@@ -253,7 +253,8 @@
     /// Answers a watch, at once or when something is newer.
     pub async fn watch(&self, watch: &WatchView) -> Response {
         let wait = Duration::from_millis(u64::from(watch.wait_ms)).min(LONGEST_WAIT);
-        let ends = self.now() + wait;
+        let began = self.now();
+        let ends = began + wait;
         loop {
             let (woken, ends) = {
                 let mut state = self.lock();
@@ -268,7 +269,15 @@
                     return Self::response(&state, watch, since, now);
                 }
                 let due = state.configuration_due(watch, since);
-                (state.wakeup.waiter(), due.unwrap_or(ends).min(ends))
+                let first = state.first_engines_due(watch, began);
+                let ends = [due, first]
+                    .into_iter()
+                    .flatten()
+                    .fold(ends, Timestamp::min);
+                if now >= ends {
+                    return Self::response(&state, watch, since, now);
+                }
+                (state.wakeup.waiter(), ends)
             };
             let late = async {
                 self.clock.wait_until(ends).await;
--- a/crates/fleet/src/control/hub/state.rs
+++ b/crates/fleet/src/control/hub/state.rs
@@ -8,7 +8,7 @@
 use molespan_routing::subset::{Breadth, Subsets};
 use molespan_state::declared::{Bar, DeclaredState, Departure, RequestDigest};
 use molespan_types::{EngineLife, NodeId, Timestamp, ZoneName, lives_of};
-use molespan_wire::{WatchView, WatcherKind};
+use molespan_wire::{ViewMark, WatchView, WatcherKind};
 
 use super::{AWAY, PRESENCE};
 use crate::control::change_log::ChangeLog;
@@ -32,6 +32,8 @@
     pub at: Timestamp,
     /// Since when it asks without having the configuration in force.
     pub behind_since: Option<Timestamp>,
+    /// Whether it had heard nothing from anybody when it first asked here.
+    pub begins: bool,
 }
 
 #[derive(Debug)]
@@ -119,12 +121,15 @@
         let newest = self.configuration.as_ref().map_or(0, |held| held.version);
         let is_behind = watch.version.is_some_and(|version| version < newest);
         let before = self.watchers.get(&watch.node);
+        let begins =
+            watch.mark == ViewMark::default() || before.is_some_and(|watcher| watcher.begins);
         let before = before.and_then(|watcher| watcher.behind_since);
         let watcher = Watcher {
             kind: watch.kind,
             zone: watch.zone.clone(),
             at: now,
             behind_since: is_behind.then_some(before.unwrap_or(now)),
+            begins,
         };
         self.watchers.insert(watch.node, watcher);
     }
--- a/crates/fleet/tests/subsets.rs
+++ b/crates/fleet/tests/subsets.rs
@@ -460,3 +460,43 @@
     let update: ViewUpdate = molespan_state::decode(&update).expect("an update");
     assert_eq!(update, ViewUpdate::default());
 }
+
+/// It served nobody for four seconds: whoever starts while all control nodes do knows no
+/// engine from before, and was told of none until it was known who uses which.
+#[test]
+fn a_gateway_that_starts_with_all_control_nodes_hears_of_engines_at_once() {
+    let (gateways, engines) = (120, 3_000);
+    let mut fleet = Fleet::settled(gateways, engines);
+    let skipped = Arc::new(AtomicU64::new(0));
+    fleet.hub = Hub::new("z0".into(), SILENCE, BootClock::by_hand(skipped.clone()));
+    fleet.skipped = skipped;
+    fleet.take();
+    // Engines register before anybody asks, and while gateways do.
+    fleet.hear_all(engines / 2);
+    fleet.hub.expire();
+    let goes_on = fleet.watch(0, 0, false).0;
+    assert_eq!(goes_on.engines, [], "it knows engines from before");
+    fleet.marks.clear();
+    let mut known: BTreeMap<String, usize> = BTreeMap::new();
+    for _ in 0..2 {
+        for (update, _) in fleet.watch_all(gateways) {
+            let told = update.engines.len();
+            assert!((1..=engines / 10).contains(&told), "{told} engines");
+            assert_eq!(update.parts.len(), 1);
+            assert_eq!(update.parts[0].engines, None, "nothing is taken back");
+            for engine in update.engines {
+                *known.entry(engine.id).or_default() += 1;
+            }
+        }
+        fleet.hear_all(engines);
+        fleet.wait(Duration::from_millis(500));
+    }
+    // As it is once it is settled, with fewer users each for a while.
+    assert!(known.len() > engines * 9 / 10, "{} known", known.len());
+    assert!(known.values().all(|users| *users <= 32), "{known:?}");
+    fleet.pass(6, gateways, engines);
+    for (update, _) in fleet.watch_all(gateways) {
+        let part = update.parts.iter().find(|part| part.engines.is_some());
+        assert_eq!(part.and_then(|part| part.users), Some(32));
+    }
+}
--- a/crates/routing/src/subset/mod.rs
+++ b/crates/routing/src/subset/mod.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 
 use molespan_types::{NodeId, ZoneName};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use part::Part;
 pub use users::Breadth;
@@ -25,6 +25,13 @@
 /// Counts changes of a view, so that a watcher gets those behind its mark.
 pub type Change = u64;
 
+/// One in so many engines of a large service is told to a gateway that starts before it is
+/// known who uses them: about as many as its part, and about as many users for each.
+const FIRST_OF: u64 = 32;
+
+/// Gateways that use each of those at the most, about.
+pub const FIRST_USERS: u32 = 32;
+
 /// An engine of a service.
 #[derive(Clone, Debug)]
 struct Member {
@@ -239,6 +246,16 @@
         }
     }
 
+    /// Whether a gateway that has just started is to use an engine of a service of which
+    /// it is not known yet who uses it. Nobody else's word is needed for the draw, so that
+    /// all control nodes tell it of the same ones.
+    #[must_use]
+    pub fn is_first(&self, gateway: NodeId, service: &str, engine: &str) -> bool {
+        let (breadth, _) = self.breadth(service);
+        let draw = xxh3_64_with_seed(engine.as_bytes(), u64::from(gateway.0));
+        breadth == Breadth::Unsettled && draw.is_multiple_of(FIRST_OF)
+    }
+
     /// Engines of a service that a gateway uses as one of few.
     #[must_use]
     pub fn part_len(&self, gateway: NodeId, service: &str) -> usize {
