A store that retires again at its address is said to be emptied again

Operators would see: a retirement that never completes, where a store comes back blank at an address that the same leader of the batch group had called emptied before.

Cause: the leader never forgot what it said; open since it was seen on reading. The memory follows the retiring stores now, in a type of its own.

--- a/crates/fleet/src/store/mod.rs
+++ b/crates/fleet/src/store/mod.rs
@@ -1,12 +1,14 @@
 //! The store node.
 
 mod call_order;
+mod emptied;
 mod handout;
 mod node;
 mod open_index;
 mod peer;
 
 pub use call_order::{Arrival, CallNumber, CallOrder};
+pub use emptied::Emptied;
 pub use handout::{Handout, Holding};
 pub use node::{StoreNode, StoreOptions};
 pub use open_index::OpenIndex;
--- a/crates/fleet/src/store/node.rs
+++ b/crates/fleet/src/store/node.rs
@@ -25,6 +25,7 @@
 use molespan_wire::{Consistency, Request, Server, ServerLimits, WatcherKind};
 use slog::{Logger, info, warn};
 
+use super::emptied::Emptied;
 use super::peer::PeerHandler;
 use crate::membership::{ClusterAddresses, SEGMENT_BYTES, cluster, replica_options, start_replica};
 use crate::view::{Topology, TopologyView, ViewUpdate};
@@ -107,7 +108,7 @@
     topology_view: RefCell<TopologyView>,
     clock: BootClock,
     /// Stores of which this one said that they are emptied.
-    emptied: RefCell<BTreeSet<NodeId>>,
+    emptied: RefCell<Emptied>,
     /// Life of the disk that the control group knows.
     registered: RefCell<Option<u32>>,
     logger: Logger,
@@ -270,27 +271,23 @@
         let Some(group) = status.groups.first().filter(|group| group.leads) else {
             return;
         };
-        let members: BTreeSet<NodeId> = group
-            .voters
-            .iter()
-            .chain(&group.learners)
-            .map(|(node, _)| *node)
-            .collect();
-        let whole = group.voters.len() >= self.options.replicas() as usize;
-        for node in retiring {
-            let known = self.emptied.borrow().contains(&node);
-            let seated = members.contains(&node) || control.contains(&node);
-            if whole && !known && !seated {
-                let command = DeclaredCommand::RetirementCompleted { node };
-                let noted = self
-                    .control
-                    .change_declared(command, REGISTER_DEADLINE)
-                    .await;
-                info!(self.logger, "store is empty"; "node" => node.address().to_string(),
-                    "noted" => noted.is_ok());
-                if noted.is_ok() {
-                    self.emptied.borrow_mut().insert(node);
-                }
+        let members = group.voters.iter().chain(&group.learners);
+        let members = members.map(|(node, _)| *node);
+        let seated: BTreeSet<NodeId> = members.chain(control).collect();
+        let due = self.emptied.borrow_mut().due(&retiring, &seated);
+        if group.voters.len() < self.options.replicas() as usize {
+            return;
+        }
+        for node in due {
+            let command = DeclaredCommand::RetirementCompleted { node };
+            let noted = self
+                .control
+                .change_declared(command, REGISTER_DEADLINE)
+                .await;
+            info!(self.logger, "store is empty"; "node" => node.address().to_string(),
+                "noted" => noted.is_ok());
+            if noted.is_ok() {
+                self.emptied.borrow_mut().note(node);
             }
         }
     }
--- /dev/null
+++ b/crates/fleet/tests/emptied.rs
@@ -0,0 +1,29 @@
+//! Stores that are emptied, and of which operators hear that they are.
+
+use std::collections::BTreeSet;
+
+use molespan_fleet::store::Emptied;
+use molespan_types::NodeId;
+
+fn nodes(numbers: &[u32]) -> BTreeSet<NodeId> {
+    numbers.iter().copied().map(NodeId).collect()
+}
+
+#[test]
+fn a_store_is_said_to_be_emptied_once_it_holds_no_place() {
+    let mut emptied = Emptied::default();
+    assert_eq!(emptied.due(&nodes(&[1, 2]), &nodes(&[1, 3])), nodes(&[2]));
+    emptied.note(NodeId(2));
+    assert_eq!(emptied.due(&nodes(&[1, 2]), &nodes(&[1, 3])), nodes(&[]));
+    assert_eq!(emptied.due(&nodes(&[1, 2]), &nodes(&[3])), nodes(&[1]));
+}
+
+/// An operator waited for good for one that retired again under the same leader.
+#[test]
+fn a_store_that_retires_again_at_its_address_is_said_to_be_emptied_again() {
+    let mut emptied = Emptied::default();
+    emptied.note(NodeId(2));
+    assert_eq!(emptied.due(&nodes(&[]), &nodes(&[2, 3])), nodes(&[]));
+    assert_eq!(emptied.due(&nodes(&[2]), &nodes(&[2, 3])), nodes(&[]));
+    assert_eq!(emptied.due(&nodes(&[2]), &nodes(&[3])), nodes(&[2]));
+}
