--- a/crates/replica/src/group/mod.rs
+++ b/crates/replica/src/group/mod.rs
@@ -13,6 +13,7 @@
 mod watch;
 
 use std::collections::{BTreeMap, VecDeque};
+use std::ops::Range;
 
 use minicbor::{Decode, Encode};
 use molespan_consensus::{
@@ -45,6 +46,22 @@
     /// Bytes of the payload log that belong to it.
     #[n(1)]
     pub payload_length: u64,
+    /// Where the part of it begins that the machine needs, where each replica has a log of
+    /// its own and drops what is not needed; older builds had none for such a machine.
+    #[n(2)]
+    #[cbor(default)]
+    pub payload_start: Option<u64>,
+}
+
+impl SnapshotHeader {
+    /// The part of its sender's payload log that a snapshot comes with where each replica
+    /// has a log of its own; `None` where all have the same.
+    fn own_payloads(&self, machine: &Machine) -> Option<Range<u64>> {
+        machine.payloads_needed_from(0)?;
+        // An older build's machine needs none.
+        let start = self.payload_start.unwrap_or(self.payload_length);
+        Some(start..self.payload_length)
+    }
 }
 
 /// One group of a replica process.
@@ -55,6 +72,8 @@
     replica: Replica,
     machine: Machine,
     payloads: FilePayloadLog<D>,
+    /// Where the payloads begin that the latest snapshot needs.
+    payload_floor: u64,
     snapshots: SnapshotStore<D>,
     /// Last entry that the machine has applied.
     applied: Index,
@@ -92,7 +111,15 @@
         let snapshots = SnapshotStore::open(disk.clone(), id)?;
         let (machine, header) = restore(&snapshots, id, recovery.snapshot.as_ref())?;
         let payload_length = header.as_ref().map_or(0, |header| header.payload_length);
-        let payloads = FilePayloadLog::open(disk.clone(), id, payload_length)?;
+        let payload_start = header.as_ref().and_then(|header| header.payload_start);
+        let payload_floor = payload_start.unwrap_or_default();
+        let disk_of_payloads = disk.clone();
+        let payloads = match machine.payloads_needed_from(payload_length) {
+            Some(_) => {
+                FilePayloadLog::open_from(disk_of_payloads, id, payload_floor, payload_length)
+            }
+            None => FilePayloadLog::open(disk_of_payloads, id, payload_length),
+        }?;
         let meta = header.map(|header| header.meta);
         let applied = meta.as_ref().map_or(Index::ZERO, |meta| meta.index);
         // Later changes are applied anew: compared with the latest membership,
@@ -111,6 +138,7 @@
             replica,
             machine,
             payloads,
+            payload_floor,
             snapshots,
             applied,
             to_apply: VecDeque::new(),
--- a/crates/replica/src/group/serving.rs
+++ b/crates/replica/src/group/serving.rs
@@ -47,6 +47,10 @@
             let range = pull.machine_offset as usize..end as usize;
             let bytes = serving.snapshot.machine[range].to_vec();
             (Part::Machine, pull.machine_offset, bytes)
+        } else if pull.payload_offset < self.payloads.start() {
+            // Dropped since; a later offer names a snapshot whose payloads are there.
+            self.serving = None;
+            return Ok(());
         } else if pull.payload_offset <= serving.payload_length {
             let length = size.min(serving.payload_length - pull.payload_offset);
             let bytes = self
--- a/crates/replica/src/group/snapshots.rs
+++ b/crates/replica/src/group/snapshots.rs
@@ -78,10 +78,16 @@
         let Some(meta) = self.replica.snapshot_meta(self.applied) else {
             return Ok(false);
         };
+        // The mark of the snapshot before is durable, so that nothing needs what that one
+        // does not.
+        self.payloads.drop_before(self.payload_floor)?;
         self.payloads.sync()?;
+        let payload_length = self.payloads.length();
+        let payload_start = self.machine.payloads_needed_from(payload_length);
         let header = SnapshotHeader {
             meta: meta.clone(),
-            payload_length: self.payloads.length(),
+            payload_length,
+            payload_start,
         };
         let header = molespan_state::encode(&header);
         let machine = self.machine.snapshot();
@@ -91,6 +97,7 @@
         self.replica.compact(meta);
         self.snapshots.remove_older(index)?;
         self.policy = SnapshotPolicy::new(Index(index));
+        self.payload_floor = payload_start.unwrap_or_default();
         turn.event(ReplicaEvent::SnapshotTaken {
             group: self.id,
             index,
--- a/crates/replica/src/group/transfer.rs
+++ b/crates/replica/src/group/transfer.rs
@@ -1,5 +1,6 @@
 //! Fetching a snapshot that the leader offers, piece by piece.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use molespan_consensus::{Index, ReplicaId, SnapshotMeta, SnapshotOffer};
@@ -29,17 +30,29 @@
     from: ReplicaId,
     meta: SnapshotMeta,
     machine: Vec<u8>,
+    /// The sender's payloads that come with it, where each replica has its own; known with
+    /// the first part.
+    own_payloads: Option<Range<u64>>,
     last_progress: Timestamp,
     last_pull: Timestamp,
 }
 
+impl Transfer {
+    /// Where the first payload byte belongs that is fetched: in the sender's log where
+    /// each replica has its own, else in that of all, which is so long here.
+    fn payloads_from(&self, payload_length: u64) -> u64 {
+        let own = self.own_payloads.as_ref();
+        own.map_or(payload_length, |own| own.start)
+    }
+}
+
 /// What has arrived. Payload bytes wait in a file of their own, since the
 /// payload log may grow by ordinary entries while a transfer is cut off.
 #[derive(Debug)]
 pub(super) struct Staging {
     file: String,
     transfer: Option<Transfer>,
-    /// Where in the payload log the staged bytes belong.
+    /// Where in the payload log of all, or of the sender, the staged bytes belong.
     from: u64,
     /// Staged bytes.
     length: u64,
@@ -97,10 +110,15 @@
                 return;
             }
         }
+        if self.machine.payloads_needed_from(0).is_some() {
+            // What was staged is of another sender's log, or of an earlier part of this one's.
+            self.staging.fresh = true;
+        }
         self.staging.transfer = Some(Transfer {
             from: offer.from,
             meta: offer.meta,
             machine: Vec::new(),
+            own_payloads: None,
             last_progress: turn.now,
             last_pull: Timestamp::ZERO,
         });
@@ -109,19 +127,19 @@
 
     /// Asks for the next part.
     fn pull(&mut self, turn: &mut Turn<'_, D>) {
-        let payload_length = self.payloads.length();
-        let staged = match self.staging.from == payload_length && !self.staging.fresh {
-            true => self.staging.length,
-            false => 0,
-        };
         let Some(transfer) = &mut self.staging.transfer else {
             return;
         };
+        let from = transfer.payloads_from(self.payloads.length());
+        let staged = match self.staging.from == from && !self.staging.fresh {
+            true => self.staging.length,
+            false => 0,
+        };
         transfer.last_pull = turn.now;
         let pull = Pull {
             index: transfer.meta.index.0,
             machine_offset: transfer.machine.len() as u64,
-            payload_offset: payload_length + staged,
+            payload_offset: from + staged,
         };
         let to = transfer.from;
         turn.send(self.id, to, GroupPayload::Pull(pull));
@@ -158,13 +176,14 @@
         let Ok(header) = molespan_state::decode::<SnapshotHeader>(&chunk.header) else {
             return Ok(());
         };
-        let payload_length = self.payloads.length();
-        self.staging.align(&self.disk, payload_length)?;
+        transfer.own_payloads = header.own_payloads(&self.machine);
+        let payloads_from = transfer.payloads_from(self.payloads.length());
+        self.staging.align(&self.disk, payloads_from)?;
         let Some(transfer) = &mut self.staging.transfer else {
             return Ok(());
         };
         let machine_held = transfer.machine.len() as u64;
-        let payload_held = payload_length + self.staging.length;
+        let payload_held = payloads_from + self.staging.length;
         match chunk.part {
             Part::Machine if chunk.offset == machine_held => {
                 transfer.machine.extend_from_slice(&chunk.bytes);
@@ -192,7 +211,7 @@
             return Ok(());
         };
         let machine_complete = transfer.machine.len() as u64 >= chunk.machine_length;
-        let payload_held = self.payloads.length() + self.staging.length;
+        let payload_held = transfer.payloads_from(self.payloads.length()) + self.staging.length;
         if !machine_complete || payload_held < header.payload_length {
             self.pull(turn);
             return Ok(());
@@ -221,9 +240,16 @@
             return Ok(());
         };
         let group = self.id;
-        let machine = Machine::restore(group, &transfer.machine)
+        let mut machine = Machine::restore(group, &transfer.machine)
             .map_err(|source| ReplicaError::State { group, source })?;
-        if !self.store_fetched(turn, header, &transfer.machine)? {
+        let stored = match transfer.own_payloads {
+            None => self.store_fetched(turn, header, &transfer.machine)?,
+            Some(theirs) => {
+                drop(transfer.machine);
+                self.store_with_payloads(turn, header, &mut machine, &theirs)?
+            }
+        };
+        if !stored {
             return Ok(());
         }
         let index = header.meta.index;
@@ -242,6 +268,29 @@
         Ok(())
     }
 
+    /// Stores a snapshot that comes with payloads of its sender's log: they go behind what
+    /// is in the own one, of which nothing is needed then.
+    fn store_with_payloads(
+        &mut self,
+        turn: &mut Turn<'_, D>,
+        header: &SnapshotHeader,
+        machine: &mut Machine,
+        theirs: &Range<u64>,
+    ) -> Result<bool, StorageError> {
+        let start = self.payloads.length();
+        machine.move_payloads(theirs.start, start);
+        let header = SnapshotHeader {
+            meta: header.meta.clone(),
+            payload_length: start + (theirs.end - theirs.start),
+            payload_start: Some(start),
+        };
+        let stored = self.store_fetched(turn, &header, &machine.snapshot())?;
+        if stored {
+            self.payload_floor = start;
+        }
+        Ok(stored)
+    }
+
     /// Stores the fetched snapshot durably; says whether there was room. On a
     /// full disk everything is as before, and a later offer tries again.
     fn store_fetched(
--- /dev/null
+++ b/crates/replica/tests/batch_outputs.rs
@@ -0,0 +1,237 @@
+//! Outputs of batch items through kills, lost disks and snapshots that are fetched.
+
+mod cluster;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use cluster::{Cluster, node};
+use molespan_replica::{Consistency, Discovery, Input, ReplicaSettings};
+use molespan_state::batch::{
+    BatchAnswer, BatchCommand, BatchItem, BatchQuery, ItemOutcome, ItemRecord, ItemReference,
+    PackedText, RecordOutcome, SubmitJob,
+};
+use molespan_storage::Disk;
+use molespan_types::{GroupId, NodeId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const NODES: [u32; 3] = [1, 2, 3];
+const ITEMS: u32 = 24;
+/// Drawn runs.
+const SEEDS: u64 = 3;
+/// Length of an output in bytes: some make a segment of the log.
+const OUTPUT: usize = 200_000;
+
+fn tune(settings: &mut ReplicaSettings) {
+    let mut discovery = Discovery::new(GroupId::BATCH);
+    discovery.contacts = NODES.into_iter().map(NodeId).collect();
+    discovery.founders = discovery.contacts.clone();
+    settings.peers = vec![settings.node];
+    settings.discovery = Some(discovery);
+    settings.snapshot_every_bytes = 1 << 20;
+    settings.log.segment_bytes = 512 << 10;
+}
+
+fn founded(seed: u64) -> Cluster {
+    let mut cluster = Cluster::stopped(3, seed, tune);
+    for number in NODES {
+        cluster.start(node(number));
+    }
+    cluster.run_until("a leader", |cluster| {
+        cluster.leader(GroupId::BATCH).is_some()
+    });
+    cluster.first_start = false;
+    cluster
+}
+
+fn commit(cluster: &mut Cluster, command: &BatchCommand) {
+    cluster.commit(GroupId::BATCH, &molespan_state::encode(command));
+}
+
+fn submit(cluster: &mut Cluster, job: u64) {
+    let items = (0..ITEMS).map(|place| BatchItem {
+        id: format!("{job}-{place}"),
+        path: "/p".to_owned(),
+        headers: Vec::new(),
+        body: b"body".to_vec().into(),
+        tokens: 10,
+    });
+    let submit = SubmitJob {
+        tenant: None,
+        due_ms: None,
+        queue: "q".to_owned(),
+        max_queued_tokens: None,
+        id: format!("job-{job}"),
+        host: "h".to_owned(),
+        path: "/p".to_owned(),
+        submitted_ms: 1_000,
+        items: items.collect(),
+    };
+    commit(cluster, &BatchCommand::Submit(Box::new(submit)));
+}
+
+/// A text that cannot be packed well, the same for each item.
+fn output(job: u64, place: u32) -> String {
+    let mut random = ChaCha8Rng::seed_from_u64(job << 32 | u64::from(place));
+    let signs = (0..OUTPUT).map(|_| char::from(random.random_range(b'!'..=b'~')));
+    signs.collect()
+}
+
+fn record(cluster: &mut Cluster, job: u64, place: u32) {
+    let record = ItemRecord {
+        item: ItemReference { job, place },
+        outcome: ItemOutcome::Completed {
+            text: PackedText::pack(&output(job, place)),
+        },
+    };
+    let records = vec![record];
+    commit(cluster, &BatchCommand::Record(RecordOutcome { records }));
+}
+
+/// What a node itself has of a job.
+fn outputs(cluster: &mut Cluster, at: NodeId, job: u64) -> Option<Vec<String>> {
+    let ticket = cluster.ticket();
+    let query = BatchQuery::Results {
+        id: format!("job-{job}"),
+        after: 0,
+        max_bytes: u64::MAX,
+        tenant: None,
+    };
+    let input = Input::Query {
+        ticket,
+        group: GroupId::BATCH,
+        consistency: Consistency::Local,
+        query: molespan_state::encode(&query),
+    };
+    cluster.input(at, input);
+    cluster.run_until("an answer", |cluster| cluster.answers.contains_key(&ticket));
+    let answer = cluster.answers[&ticket].as_ref().expect("an answer");
+    let page = match molespan_state::decode(answer) {
+        Ok(BatchAnswer::Results(page)) => page?,
+        other => panic!("{other:?}"),
+    };
+    let texts = page.results.into_iter().map(|listed| match listed.outcome {
+        ItemOutcome::Completed { text } => text.unpack().expect("a whole text"),
+        other @ ItemOutcome::DeadLettered => panic!("{other:?}"),
+    });
+    Some(texts.collect())
+}
+
+fn run_until_whole(cluster: &mut Cluster) {
+    cluster.run_until("all nodes as one", |cluster| {
+        let statuses = cluster.statuses();
+        let groups = statuses.iter().filter_map(|status| status.groups.first());
+        let applied: BTreeSet<u64> = groups.clone().map(|group| group.applied).collect();
+        let own = statuses.iter().all(|status| {
+            let life = (status.node, status.incarnation);
+            let group = status.groups.first();
+            let votes =
+                group.is_some_and(|group| group.voters.len() == 3 && group.voters.contains(&life));
+            votes && status.takes_part
+        });
+        groups.count() == NODES.len() && applied.len() == 1 && own
+    });
+}
+
+/// Each node has exactly the outputs that were recorded, and of forgotten jobs none.
+fn check(cluster: &mut Cluster, recorded: &BTreeMap<u64, u32>, seed: u64) {
+    run_until_whole(cluster);
+    for number in NODES {
+        for (&job, &places) in recorded {
+            let wanted: Vec<String> = (0..places).map(|place| output(job, place)).collect();
+            let found = outputs(cluster, node(number), job).expect("the job is kept");
+            assert!(found == wanted, "seed {seed}: job {job} at {number}");
+        }
+    }
+    assert!(
+        cluster.errors.is_empty(),
+        "seed {seed}: {:?}",
+        cluster.errors
+    );
+}
+
+/// Logs of payloads are each node's own: they begin where its kept jobs do, and what is
+/// fetched from another node lies elsewhere than there.
+#[test]
+fn outputs_are_the_same_at_every_node_through_kills_lost_disks_and_fetched_snapshots() {
+    for seed in 0..SEEDS {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut cluster = founded(seed);
+        let mut recorded = BTreeMap::new();
+        let mut away: Option<NodeId> = None;
+        for job in 1..=5 {
+            submit(&mut cluster, job);
+            recorded.insert(job, 0);
+            for place in 0..ITEMS {
+                record(&mut cluster, job, place);
+                recorded.insert(job, place + 1);
+                let number = node(random.random_range(1..=3));
+                match random.random_range(0..12) {
+                    0 if away.is_none() => cluster.restart(number),
+                    1 if away.is_none() => {
+                        cluster.isolate(number, true);
+                        away = Some(number);
+                    }
+                    2 | 3 => {
+                        if let Some(back) = away.take() {
+                            cluster.isolate(back, false);
+                        }
+                    }
+                    _ => {}
+                }
+            }
+            if let Some(back) = away.take() {
+                cluster.isolate(back, false);
+            }
+            check(&mut cluster, &recorded, seed);
+            if job > 2 {
+                commit(&mut cluster, &BatchCommand::Forget { job: job - 2 });
+                recorded.remove(&(job - 2));
+                cluster.run_for(Duration::from_secs(2));
+            }
+            if random.random_bool(0.5) {
+                cluster.lose_disk(node(random.random_range(1..=3)));
+            }
+            check(&mut cluster, &recorded, seed);
+        }
+        for number in NODES {
+            cluster.kill(node(number));
+        }
+        for number in NODES {
+            cluster.start(node(number));
+        }
+        check(&mut cluster, &recorded, seed);
+    }
+}
+
+/// Without that a disk fills for good.
+#[test]
+fn the_log_of_payloads_does_not_grow_with_jobs_that_are_forgotten() {
+    let mut cluster = founded(9);
+    let mut most = 0;
+    for job in 1..=8 {
+        submit(&mut cluster, job);
+        for place in 0..ITEMS {
+            record(&mut cluster, job, place);
+        }
+        if job > 1 {
+            commit(&mut cluster, &BatchCommand::Forget { job: job - 1 });
+        }
+        run_until_whole(&mut cluster);
+        let used = cluster.disks.values().map(|disk| {
+            let payloads = disk.files().into_iter();
+            let payloads = payloads.filter(|file| file.starts_with("payload/"));
+            let bytes = payloads.map(|file| disk.length(&file).unwrap().unwrap_or(0));
+            bytes.sum::<u64>()
+        });
+        let used = used.max().unwrap_or_default();
+        if job == 4 {
+            most = used;
+        }
+        assert!(
+            job <= 4 || used <= most + (8 << 20),
+            "{used} bytes, {most} before"
+        );
+    }
+}
--- a/crates/state/src/batch/job.rs
+++ b/crates/state/src/batch/job.rs
@@ -7,6 +7,8 @@
 
 use super::command::{ItemCheckpoint, Mark, RunId};
 use super::packed::PackedText;
+use crate::codec::{decode, encode};
+use crate::payload::{PayloadError, PayloadLocation, PayloadLog};
 
 /// A request that is run for a job.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -80,6 +82,78 @@
     DeadLettered,
 }
 
+/// An outcome as a replica keeps it. Outputs lie in its payload log: in memory they would
+/// take as much as all jobs together made in the time for which these are kept.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub(super) enum KeptOutcome {
+    /// It ran to its end, and its output is in memory: until it is logged, and in
+    /// snapshots of before there was a log.
+    #[n(0)]
+    Completed {
+        /// Its whole output.
+        #[n(0)]
+        text: PackedText,
+    },
+    /// It was given up.
+    #[n(1)]
+    DeadLettered,
+    /// It ran to its end, and its output is in the payload log.
+    #[n(2)]
+    Logged {
+        /// Length of the output in bytes.
+        #[n(0)]
+        length: u64,
+        /// Where the packed output lies in the log of this replica.
+        #[n(1)]
+        at: PayloadLocation,
+    },
+}
+
+impl KeptOutcome {
+    fn of(outcome: &ItemOutcome) -> Self {
+        match outcome {
+            ItemOutcome::Completed { text } => Self::Completed { text: text.clone() },
+            ItemOutcome::DeadLettered => Self::DeadLettered,
+        }
+    }
+
+    /// Length of the output in bytes.
+    pub fn length(&self) -> u64 {
+        match self {
+            Self::Completed { text } => text.length(),
+            Self::DeadLettered => 0,
+            Self::Logged { length, .. } => *length,
+        }
+    }
+
+    /// The outcome with its output.
+    ///
+    /// # Errors
+    /// When the log does not give it.
+    pub fn read(&self, payloads: &dyn PayloadLog) -> Result<ItemOutcome, PayloadError> {
+        match self {
+            Self::Completed { text } => Ok(ItemOutcome::Completed { text: text.clone() }),
+            Self::DeadLettered => Ok(ItemOutcome::DeadLettered),
+            Self::Logged { at, .. } => {
+                let bytes = payloads.read(*at)?;
+                let corrupt = |_| PayloadError::Corrupt { offset: at.offset };
+                let text = decode(&bytes).map_err(corrupt)?;
+                Ok(ItemOutcome::Completed { text })
+            }
+        }
+    }
+
+    /// Moves an output that is in memory to the log.
+    fn log(&mut self, payloads: &mut dyn PayloadLog) -> Result<(), PayloadError> {
+        if let Self::Completed { text } = self {
+            let length = text.length();
+            let at = payloads.append(&encode(text))?;
+            *self = Self::Logged { length, at };
+        }
+        Ok(())
+    }
+}
+
 /// Names a job among all. Tenants choose identifiers without knowing of each
 /// other, so that two may choose the same one.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
@@ -117,7 +191,7 @@
     pub items: Vec<BatchItem>,
     /// Outcome of each item, once there is one.
     #[n(5)]
-    pub outcomes: Vec<Option<ItemOutcome>>,
+    pub(super) outcomes: Vec<Option<KeptOutcome>>,
     /// Places of the items in the order in which their outcomes were recorded.
     #[n(6)]
     pub listed: Vec<u32>,
@@ -167,7 +241,7 @@
         if slot.is_some() {
             return 0;
         }
-        *slot = Some(outcome.clone());
+        *slot = Some(KeptOutcome::of(outcome));
         // Only items without an outcome run, and only their bodies are asked for.
         let item = &mut self.items[place as usize];
         item.headers = Vec::new();
@@ -180,6 +254,38 @@
         }
     }
 
+    /// Moves the output of an item to the log.
+    pub(super) fn log_output(
+        &mut self,
+        place: u32,
+        payloads: &mut dyn PayloadLog,
+    ) -> Result<(), PayloadError> {
+        let kept = self.outcomes.get_mut(place as usize);
+        match kept.and_then(Option::as_mut) {
+            Some(kept) => kept.log(payloads),
+            None => Ok(()),
+        }
+    }
+
+    /// Where the first of its outputs lies in the log.
+    pub(super) fn oldest_payload(&self) -> Option<u64> {
+        let kept = self.outcomes.iter().flatten();
+        let offsets = kept.filter_map(|kept| match kept {
+            KeptOutcome::Logged { at, .. } => Some(at.offset),
+            KeptOutcome::Completed { .. } | KeptOutcome::DeadLettered => None,
+        });
+        offsets.min()
+    }
+
+    /// Where its outputs lie in the log.
+    pub(super) fn locations(&mut self) -> impl Iterator<Item = &mut PayloadLocation> {
+        let kept = self.outcomes.iter_mut().flatten();
+        kept.filter_map(|kept| match kept {
+            KeptOutcome::Logged { at, .. } => Some(at),
+            KeptOutcome::Completed { .. } | KeptOutcome::DeadLettered => None,
+        })
+    }
+
     /// Keeps what a run has made, unless the item has an outcome. What does not
     /// follow on what is kept comes from another run, and counts only if it is
     /// whole and goes further. Says how far the item is kept then.
--- a/crates/state/src/batch/machine.rs
+++ b/crates/state/src/batch/machine.rs
@@ -7,12 +7,13 @@
 use super::command::{
     BatchCommand, BatchReply, ItemCheckpoint, ItemReference, RecordOutcome, SubmitJob,
 };
-use super::job::{BatchJob, ItemOutcome, JobName};
+use super::job::{BatchJob, JobName};
 use super::query::{
     BatchAnswer, BatchQuery, ItemToRun, ListedResult, OpenItem, OpenWork, ResultPage,
 };
 use super::queue::QueuedTokens;
 use crate::error::StateError;
+use crate::payload::{MemoryPayloadLog, PayloadError, PayloadLog};
 use crate::snapshot;
 
 /// Replicated batch jobs.
@@ -67,6 +68,43 @@
         }
     }
 
+    /// Applies a committed command, and moves outputs that it recorded to the payload log.
+    /// The log is this replica's own: others may have them at other places.
+    ///
+    /// # Errors
+    /// When the payload log fails.
+    pub fn apply_logged(
+        &mut self,
+        command: &BatchCommand,
+        payloads: &mut dyn PayloadLog,
+    ) -> Result<BatchReply, PayloadError> {
+        let reply = self.apply(command);
+        if let BatchCommand::Record(outcome) = command {
+            for record in &outcome.records {
+                if let Some(job) = self.jobs.get_mut(&record.item.job) {
+                    job.log_output(record.item.place, payloads)?;
+                }
+            }
+        }
+        Ok(reply)
+    }
+
+    /// Where the first output lies that is still needed; `None` when the log holds none.
+    #[must_use]
+    pub fn oldest_payload(&self) -> Option<u64> {
+        let jobs = self.jobs.values();
+        let offsets = jobs.filter_map(BatchJob::oldest_payload);
+        offsets.min()
+    }
+
+    /// The log of another replica was copied, with what lay at `from` at `to` now.
+    pub fn move_payloads(&mut self, from: u64, to: u64) {
+        let locations = self.jobs.values_mut().flat_map(BatchJob::locations);
+        for location in locations {
+            location.offset = location.offset - from + to;
+        }
+    }
+
     fn submit(&mut self, submit: &SubmitJob) -> BatchReply {
         let name = JobName::new(submit.tenant.as_deref(), &submit.id);
         if self.numbers.contains_key(&name) {
@@ -142,9 +180,15 @@
         }
     }
 
-    /// Answers a read.
+    /// Answers a read of a machine whose outputs are all in memory.
     #[must_use]
     pub fn query(&self, query: &BatchQuery) -> BatchAnswer {
+        self.query_logged(query, &MemoryPayloadLog::default())
+    }
+
+    /// Answers a read.
+    #[must_use]
+    pub fn query_logged(&self, query: &BatchQuery, payloads: &dyn PayloadLog) -> BatchAnswer {
         match query {
             BatchQuery::Results {
                 id,
@@ -153,7 +197,13 @@
                 tenant,
             } => {
                 let job = self.job(tenant.as_deref(), id);
-                BatchAnswer::Results(job.map(|job| page(job, *after, *max_bytes)))
+                let page = job.map(|job| page(job, *after, *max_bytes, payloads));
+                match page.transpose() {
+                    Ok(page) => BatchAnswer::Results(page),
+                    Err(error) => BatchAnswer::Unreadable {
+                        message: error.to_string(),
+                    },
+                }
             }
             BatchQuery::Body { id, item, tenant } => {
                 let job = self.job(tenant.as_deref(), id);
@@ -238,29 +288,31 @@
     }
 }
 
-fn page(job: &BatchJob, after: u32, max_bytes: u64) -> ResultPage {
+fn page(
+    job: &BatchJob,
+    after: u32,
+    max_bytes: u64,
+    payloads: &dyn PayloadLog,
+) -> Result<ResultPage, PayloadError> {
     let mut results = Vec::new();
     let mut bytes = 0;
     for place in job.listed.iter().skip(after as usize) {
         let Some(outcome) = &job.outcomes[*place as usize] else {
             break;
         };
-        bytes += match outcome {
-            ItemOutcome::Completed { text } => text.length(),
-            ItemOutcome::DeadLettered => 0,
-        };
+        bytes += outcome.length();
         if bytes > max_bytes && !results.is_empty() {
             break;
         }
         results.push(ListedResult {
             id: job.items[*place as usize].id.clone(),
-            outcome: outcome.clone(),
+            outcome: outcome.read(payloads)?,
         });
     }
-    ResultPage {
+    Ok(ResultPage {
         total: job.items.len() as u32,
         results,
-    }
+    })
 }
 
 /// The body of an item without an outcome. An ended job still gives it, since
--- a/crates/state/src/batch/query.rs
+++ b/crates/state/src/batch/query.rs
@@ -156,4 +156,12 @@
     /// The query's bytes could not be read.
     #[n(5)]
     Malformed,
+    /// To [`BatchQuery::Results`]: the payload log did not give an output. It is not lost
+    /// on other replicas.
+    #[n(6)]
+    Unreadable {
+        /// What it met.
+        #[n(0)]
+        message: String,
+    },
 }
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -59,7 +59,7 @@
             }
             Self::Batch(machine) => {
                 let reply = match decode(command) {
-                    Ok(command) => machine.apply(&command),
+                    Ok(command) => machine.apply_logged(&command, payloads)?,
                     Err(_) => BatchReply::Malformed,
                 };
                 Ok(encode(&reply))
@@ -82,7 +82,7 @@
                 },
             }),
             Self::Batch(machine) => encode(&match decode(query) {
-                Ok(query) => machine.query(&query),
+                Ok(query) => machine.query_logged(&query, payloads),
                 Err(_) => BatchAnswer::Malformed,
             }),
         }
@@ -111,6 +111,25 @@
         }
     }
 
+    /// Where the first payload lies that is still needed, of a machine that needs each for
+    /// some time only and whose log each replica keeps for itself; `None` for the others,
+    /// whose logs are the same on every replica and never shortened.
+    #[must_use]
+    pub fn payloads_needed_from(&self, length: u64) -> Option<u64> {
+        match self {
+            Self::Control(_) | Self::Job(_) => None,
+            Self::Batch(machine) => Some(machine.oldest_payload().unwrap_or(length)),
+        }
+    }
+
+    /// The log of another replica was copied, with what lay at `from` at `to` now.
+    pub fn move_payloads(&mut self, from: u64, to: u64) {
+        match self {
+            Self::Control(_) | Self::Job(_) => {}
+            Self::Batch(machine) => machine.move_payloads(from, to),
+        }
+    }
+
     /// Leases that are out; none in the control group.
     pub fn leases(&self) -> impl Iterator<Item = LeaseRecord> {
         self.job().into_iter().flat_map(JobMachine::leases)
--- /dev/null
+++ b/crates/state/tests/batch_payloads.rs
@@ -0,0 +1,148 @@
+//! Outputs of batch items in the payload log of a replica.
+
+use molespan_state::batch::{
+    BatchAnswer, BatchCommand, BatchItem, BatchQuery, ItemOutcome, ItemRecord, ItemReference,
+    PackedText, RecordOutcome, SubmitJob,
+};
+use molespan_state::{Machine, MemoryPayloadLog, PayloadLog, decode, encode};
+use molespan_types::GroupId;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const ITEMS: u32 = 60;
+/// Length of an output in bytes.
+const OUTPUT: usize = 10_000;
+
+fn submit(id: &str) -> BatchCommand {
+    let items = (0..ITEMS).map(|place| BatchItem {
+        id: format!("{id}-{place}"),
+        path: "/p".to_owned(),
+        headers: Vec::new(),
+        body: b"body".to_vec().into(),
+        tokens: 10,
+    });
+    BatchCommand::Submit(Box::new(SubmitJob {
+        tenant: None,
+        due_ms: None,
+        queue: "q".to_owned(),
+        max_queued_tokens: None,
+        id: id.to_owned(),
+        host: "h".to_owned(),
+        path: "/p".to_owned(),
+        submitted_ms: 1_000,
+        items: items.collect(),
+    }))
+}
+
+/// A text that cannot be packed well, the same for each item.
+fn output(job: u64, place: u32) -> String {
+    let mut random = ChaCha8Rng::seed_from_u64(job << 32 | u64::from(place));
+    let signs = (0..OUTPUT).map(|_| char::from(random.random_range(b'!'..=b'~')));
+    signs.collect()
+}
+
+fn record(job: u64, place: u32) -> BatchCommand {
+    BatchCommand::Record(RecordOutcome {
+        records: vec![ItemRecord {
+            item: ItemReference { job, place },
+            outcome: ItemOutcome::Completed {
+                text: PackedText::pack(&output(job, place)),
+            },
+        }],
+    })
+}
+
+fn apply(machine: &mut Machine, payloads: &mut MemoryPayloadLog, command: &BatchCommand) {
+    let reply = machine.apply_bytes(&encode(command), payloads);
+    reply.expect("the log takes it");
+}
+
+fn results(machine: &Machine, payloads: &MemoryPayloadLog, id: &str) -> BatchAnswer {
+    let query = BatchQuery::Results {
+        id: id.to_owned(),
+        after: 0,
+        max_bytes: u64::MAX,
+        tenant: None,
+    };
+    decode(&machine.query_bytes(&encode(&query), payloads)).expect("an answer")
+}
+
+fn check(machine: &Machine, payloads: &MemoryPayloadLog, id: &str, job: u64) {
+    let BatchAnswer::Results(Some(page)) = results(machine, payloads, id) else {
+        panic!("no results of {id}");
+    };
+    assert_eq!(page.results.len(), ITEMS as usize);
+    for (place, listed) in (0..).zip(&page.results) {
+        let ItemOutcome::Completed { text } = &listed.outcome else {
+            panic!("{:?}", listed.outcome);
+        };
+        assert_eq!(text.unpack(), Some(output(job, place)));
+    }
+}
+
+fn done(jobs: u64) -> (Machine, MemoryPayloadLog) {
+    let mut machine = Machine::for_group(GroupId::BATCH);
+    let mut payloads = MemoryPayloadLog::default();
+    for job in 1..=jobs {
+        apply(&mut machine, &mut payloads, &submit(&format!("job-{job}")));
+        for place in 0..ITEMS {
+            apply(&mut machine, &mut payloads, &record(job, place));
+        }
+    }
+    (machine, payloads)
+}
+
+/// Stores on small machines were killed for their memory: each kept all outputs of minutes
+/// in it, once more in each snapshot, and could not start again with them.
+#[test]
+fn what_is_in_memory_and_in_snapshots_does_not_grow_with_outputs() {
+    let (machine, payloads) = done(4);
+    let snapshot = machine.snapshot();
+    assert!(
+        snapshot.len() < OUTPUT * ITEMS as usize / 10,
+        "{} bytes of snapshot for {} of outputs",
+        snapshot.len(),
+        payloads.length()
+    );
+    let restored = Machine::restore(GroupId::BATCH, &snapshot).expect("a snapshot");
+    for job in 1..=4 {
+        check(&restored, &payloads, &format!("job-{job}"), job);
+    }
+}
+
+#[test]
+fn the_log_is_needed_from_the_first_output_of_a_job_that_is_kept() {
+    let (mut machine, mut payloads) = done(3);
+    let length = payloads.length();
+    assert_eq!(machine.payloads_needed_from(length), Some(0));
+    apply(
+        &mut machine,
+        &mut payloads,
+        &BatchCommand::Forget { job: 1 },
+    );
+    let second = machine.payloads_needed_from(length).expect("of its own");
+    assert!(second > 0 && second < length);
+    apply(
+        &mut machine,
+        &mut payloads,
+        &BatchCommand::Forget { job: 3 },
+    );
+    assert_eq!(machine.payloads_needed_from(length), Some(second));
+    apply(
+        &mut machine,
+        &mut payloads,
+        &BatchCommand::Forget { job: 2 },
+    );
+    assert_eq!(machine.payloads_needed_from(length), Some(length));
+}
+
+/// An output that cannot be read is not one that never was.
+#[test]
+fn an_output_that_the_log_does_not_give_is_told_apart_from_none() {
+    let (machine, _) = done(1);
+    let answer = results(&machine, &MemoryPayloadLog::default(), "job-1");
+    assert!(
+        matches!(answer, BatchAnswer::Unreadable { .. }),
+        "{answer:?}"
+    );
+}
--- a/crates/storage/src/payload.rs
+++ b/crates/storage/src/payload.rs
@@ -1,6 +1,6 @@
 //! The payload log of a group in files.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use molespan_state::{PayloadError, PayloadLocation, PayloadLog};
 use molespan_types::GroupId;
@@ -11,6 +11,9 @@
 
 /// Bytes after which a new segment is begun.
 const SEGMENT_BYTES: u64 = 64 << 20;
+/// The same of a log whose beginning is dropped when it is not needed any more: a segment
+/// goes as a whole, and small disks have room for few.
+const SHORT_SEGMENT_BYTES: u64 = 4 << 20;
 /// Bytes of length and checksum in front of each payload.
 const HEADER_BYTES: usize = 8;
 /// Suffix of a segment's file.
@@ -29,6 +32,8 @@
     directory: String,
     /// Length of each segment by its offset in the log.
     segments: BTreeMap<u64, u64>,
+    /// Bytes after which a new segment is begun.
+    segment_bytes: u64,
     /// Bytes in files.
     flushed: u64,
     /// Bytes not yet in files.
@@ -45,17 +50,42 @@
     /// # Errors
     /// [`StorageError::Corrupt`] when the log is shorter than that.
     pub fn open(disk: D, group: GroupId, length: u64) -> Result<Self, StorageError> {
+        Self::open_part(disk, group, 0, length, SEGMENT_BYTES)
+    }
+
+    /// The same of a log that is needed from `start` on only, and whose beginning is
+    /// dropped from time to time.
+    ///
+    /// # Errors
+    /// [`StorageError::Corrupt`] when the log is shorter than `length`.
+    pub fn open_from(
+        disk: D,
+        group: GroupId,
+        start: u64,
+        length: u64,
+    ) -> Result<Self, StorageError> {
+        Self::open_part(disk, group, start, length, SHORT_SEGMENT_BYTES)
+    }
+
+    fn open_part(
+        disk: D,
+        group: GroupId,
+        start: u64,
+        length: u64,
+        segment_bytes: u64,
+    ) -> Result<Self, StorageError> {
         let directory = layout::payloads(group);
         disk.create_dir(&directory)?;
         let mut log = Self {
             disk,
             directory,
+            segment_bytes,
             segments: BTreeMap::new(),
             flushed: 0,
             waiting: Vec::new(),
             unsynced: false,
         };
-        log.find_segments()?;
+        log.find_segments(start)?;
         if log.flushed < length {
             let reason = format!("snapshot needs {length} bytes");
             return Err(StorageError::corrupt(&log.directory, log.flushed, reason));
@@ -64,16 +94,18 @@
         Ok(log)
     }
 
-    fn find_segments(&mut self) -> Result<(), StorageError> {
-        for name in self.disk.list(&self.directory)? {
-            let Some(offset) = parse_name(&name) else {
-                continue;
-            };
-            let path = join(&self.directory, &name);
+    fn find_segments(&mut self, start: u64) -> Result<(), StorageError> {
+        let names = self.disk.list(&self.directory)?;
+        let offsets: BTreeSet<u64> = names.iter().filter_map(|name| parse_name(name)).collect();
+        // The one that holds the start is the first: a crash may have kept earlier ones.
+        let first = offsets.range(..=start).next_back();
+        self.flushed = first.copied().unwrap_or(start);
+        for offset in offsets {
+            let path = self.path(offset);
             let length = self.disk.length(&path)?.unwrap_or(0);
             if offset != self.flushed {
-                // Left over behind a gap; the bytes before it decide whether
-                // enough of the log is there.
+                // Dropped before, or left over behind a gap; the bytes before that decide
+                // whether enough of the log is there.
                 self.disk.remove(&path)?;
                 continue;
             }
@@ -121,6 +153,29 @@
         written
     }
 
+    /// Where what is there of the log begins.
+    #[must_use]
+    pub fn start(&self) -> u64 {
+        let first = self.segments.keys().next();
+        first.copied().unwrap_or(self.flushed)
+    }
+
+    /// Removes segments of which nothing at `offset` or behind is part, but for the last.
+    /// What rests on the log must outlive a crash without them by now.
+    ///
+    /// # Errors
+    /// When the disk refuses.
+    pub fn drop_before(&mut self, offset: u64) -> Result<(), StorageError> {
+        while self.segments.len() > 1
+            && let Some((&first, &held)) = self.segments.first_key_value()
+            && first + held <= offset
+        {
+            self.disk.remove(&self.path(first))?;
+            self.segments.remove(&first);
+        }
+        Ok(())
+    }
+
     /// Bytes that wait for [`FilePayloadLog::flush`].
     #[must_use]
     pub fn waiting_bytes(&self) -> usize {
@@ -213,7 +268,7 @@
     fn segment_for_writing(&mut self) -> Result<u64, StorageError> {
         let last = self.segments.iter().next_back();
         match last.map(|(&offset, &held)| (offset, held)) {
-            Some((offset, held)) if held < SEGMENT_BYTES => Ok(offset),
+            Some((offset, held)) if held < self.segment_bytes => Ok(offset),
             Some((offset, _)) => {
                 self.disk.sync(&self.path(offset))?;
                 Ok(self.flushed)
--- a/crates/storage/tests/files.rs
+++ b/crates/storage/tests/files.rs
@@ -155,3 +155,49 @@
         }
     }
 }
+
+#[test]
+fn a_payload_log_whose_beginning_was_dropped_keeps_the_rest() {
+    let disk = SimulatedDisk::new();
+    let mut log = FilePayloadLog::open_from(disk.clone(), GROUP, 0, 0).unwrap();
+    let payload = vec![7; 1 << 20];
+    let mut places = Vec::new();
+    for _ in 0..20 {
+        places.push(log.append(&payload).unwrap());
+        log.flush().unwrap();
+    }
+    log.sync().unwrap();
+    let before = disk.files().len();
+    let needed = places[11].offset;
+    log.drop_before(needed).unwrap();
+    assert!(disk.files().len() < before);
+    assert!(log.start() > 0 && log.start() <= needed);
+    let length = log.length();
+    drop(log);
+
+    for crash in [false, true] {
+        if crash {
+            disk.crash(3);
+        }
+        let mut log = FilePayloadLog::open_from(disk.clone(), GROUP, needed, length).unwrap();
+        for place in &places[11..] {
+            assert_eq!(log.read(*place).unwrap(), payload);
+        }
+        assert_eq!(log.length(), length);
+        let next = log.append(b"next").unwrap();
+        assert_eq!(next.offset, length);
+        log.drop_before(length).unwrap();
+        assert_eq!(log.read(next).unwrap(), b"next", "the last segment stays");
+        log.truncate(length).unwrap();
+    }
+}
+
+#[test]
+fn a_payload_log_of_which_nothing_is_needed_goes_on_where_it_was() {
+    let disk = SimulatedDisk::new();
+    let mut log = FilePayloadLog::open_from(disk, GROUP, 500, 500).unwrap();
+    assert_eq!((log.start(), log.length()), (500, 500));
+    let place = log.append(b"first").unwrap();
+    log.sync().unwrap();
+    assert_eq!(log.read(place).unwrap(), b"first");
+}
