--- a/crates/state/src/payload.rs
+++ b/crates/state/src/payload.rs
@@ -1,4 +1,5 @@
-//! The log of item inputs and results beside a job group.
+//! The log of item inputs and results beside a job group, and of outputs beside a batch
+//! group.
 
 use derive_more::{Display, Error};
 use minicbor::{Decode, Encode};
@@ -38,7 +39,8 @@
     },
 }
 
-/// An append-only log of payloads, the same on every replica of a group.
+/// An append-only log of payloads: the same on every replica of a job group, and each
+/// replica's own in a batch group.
 pub trait PayloadLog {
     /// Appends `payload` and says where it lies.
     ///
