A store that is stopped as planned ends

Operators saw: nothing yet; two of 18 stores that got SIGTERM while all nodes did were there nine minutes later, each with a third of a core.

Cause, from their stacks: the store's wake looks for changes of the replica, whose channel is closed once the replica has ended; that answers at once, without end, on the one thread that was to end the process. Ruled out: the hand-over, which is bounded.

--- a/crates/daemon/src/replica/role.rs
+++ b/crates/daemon/src/replica/role.rs
@@ -8,6 +8,7 @@
 use async_channel::Receiver;
 use async_executor::Task;
 use async_io::Timer;
+use futures_lite::future;
 use molespan_replica::{Input, ReplicaCore, ReplicaError, ReplicaStatus};
 use molespan_storage::RealDisk;
 use molespan_telemetry::part_logger;
@@ -122,9 +123,12 @@
         self.service.notify(request);
     }
 
-    /// Waits until a machine changed what its watchers wait for.
+    /// Waits until a machine changed what its watchers wait for; for good once the replica
+    /// has ended, since who looks again at once would keep its thread from all else.
     pub async fn changed(&self) {
-        let _stopped = self.changes.recv().await;
+        if self.changes.recv().await.is_err() {
+            future::pending().await
+        }
     }
 
     /// Says who the first voters are, where members are discovered.
--- a/crates/daemon/tests/replica_role.rs
+++ b/crates/daemon/tests/replica_role.rs
@@ -4,7 +4,8 @@
 
 use std::time::Duration;
 
-use async_io::block_on;
+use async_io::{Timer, block_on};
+use futures_lite::future;
 use molespan_daemon::incarnation::begin_life;
 use molespan_state::control::{ConfigurationUpdate, ConfirmReply};
 use molespan_types::{ConfigVersion, Incarnation, NodeId};
@@ -195,3 +196,26 @@
     let second = begin_life(folder.path()).unwrap();
     assert!(second > first);
 }
+
+/// A store that had been stopped looked for changes without end on the thread that was to
+/// end its process.
+#[test]
+fn a_replica_that_has_ended_tells_of_no_changes() {
+    let replicas = Replicas::start();
+    block_on(async {
+        let role = replicas.role(NodeId(1));
+        role.stop().await;
+        let mut told = 0;
+        let changes = async {
+            while told < 100 {
+                role.changed().await;
+                told += 1;
+            }
+        };
+        let late = async {
+            Timer::after(Duration::from_millis(200)).await;
+        };
+        future::or(changes, late).await;
+        assert!(told <= 1, "{told} changes behind its end");
+    });
+}
