Log the software version of engines, and where streams go on

Lines of the incident could not tell which version an engine has, whether a caller takes up an earlier stream, and at which engine a broken stream goes on. The version that an engine registers now reaches the gateways (read as unknown from nodes of before), and stands beside the engine where an answer begins or breaks off, where a stream goes on, and in the registration. No choice uses it.

--- a/crates/fleet/src/control/api.rs
+++ b/crates/fleet/src/control/api.rs
@@ -9,7 +9,7 @@
 use molespan_state::declared::{
     Declaration, DeclaredCommand, DeclaredReply, Departure, RetireReply,
 };
-use molespan_types::{EngineIncarnation, NodeId};
+use molespan_types::{EngineIncarnation, NodeId, SoftwareVersion};
 use slog::{Logger, info, warn};
 
 use super::dialect::{CallError, ControlCall, ControlDialect, ControlOutcome, EngineHeartbeat};
@@ -120,9 +120,11 @@
         }
         let id = heartbeat.record.id.clone();
         let service = heartbeat.record.service.clone();
+        let version = heartbeat.record.version.clone();
         self.log_unknown_service(&service);
         if self.hub.record_heartbeat(heartbeat.record) {
-            info!(self.logger, "engine registered"; "engine" => id, "service" => service);
+            info!(self.logger, "engine registered"; "engine" => id, "service" => service,
+                "version" => version.as_ref().map_or("unknown", SoftwareVersion::as_str));
         }
         ControlOutcome::Acknowledged
     }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -5,7 +5,7 @@
 
 use minicbor::{Decode, Encode};
 use molespan_state::declared::{Bar, Departure, RequestDigest, ServingModel};
-use molespan_types::{NodeId, Timestamp, ZoneName};
+use molespan_types::{NodeId, SoftwareVersion, Timestamp, ZoneName};
 
 use crate::watch::MAX_WATCHED_NODES;
 
@@ -34,15 +34,20 @@
     /// Remaining time during which the engine is slow after its start, in milliseconds.
     #[n(6)]
     pub cold_left_ms: u32,
+    /// Version of its software; `None` if it names none, or from an older control node.
+    #[n(7)]
+    #[cbor(default)]
+    pub version: Option<SoftwareVersion>,
 }
 
 impl EngineRecord {
-    /// Whether two heartbeats agree in service, address, zone and slots.
+    /// Whether two heartbeats agree in service, address, zone, slots and software version.
     pub(crate) fn is_same_engine(&self, other: &Self) -> bool {
         self.service == other.service
             && self.address == other.address
             && self.zone == other.zone
             && self.slots == other.slots
+            && self.version == other.version
     }
 }
 
--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -26,6 +26,7 @@
         slots: 8,
         sequence,
         cold_left_ms: 0,
+        version: None,
     }
 }
 
--- a/crates/fleet/tests/subsets.rs
+++ b/crates/fleet/tests/subsets.rs
@@ -41,6 +41,7 @@
         slots: 8,
         sequence: 1,
         cold_left_ms: 0,
+        version: None,
     }
 }
 
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -12,7 +12,7 @@
 use molespan_routing::dispatch::{EngineFacts, Failure, Picked, SuspectReason, WorkClass};
 use molespan_routing::reach::ReturnEvidence;
 use molespan_state::declared::{RequestDigest, RequestParts};
-use molespan_types::{EngineIncarnation, Timestamp};
+use molespan_types::{EngineIncarnation, SoftwareVersion, Timestamp};
 
 use crate::dialect::{EngineAnswer, EngineCall, GatewayDialect};
 use crate::pace::{EventTimes, note_fault};
@@ -77,9 +77,16 @@
     }
 }
 
+/// Returns a software version as it is logged.
+pub(crate) fn version_text(version: Option<&SoftwareVersion>) -> &str {
+    version.map_or("unknown", SoftwareVersion::as_str)
+}
+
 /// The body of an answer.
 pub(crate) struct EngineBody {
     pub engine: String,
+    /// Version of the engine's software; `None` if it is unknown.
+    pub version: Option<SoftwareVersion>,
     pub connection: Connection,
     pub reader: BodyReader,
     pub framing: Framing,
@@ -305,6 +312,7 @@
     };
     let body = EngineBody {
         engine: engine.id.clone(),
+        version: engine.version.clone(),
         reader: BodyReader::new(framing),
         framing,
         reusable: sent && head.keeps_alive() && framing != Framing::UntilClose,
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -14,7 +14,7 @@
 use slog::info;
 
 use super::preemption::RunGuard;
-use crate::attempt::{EngineBody, EngineReply, Outbound};
+use crate::attempt::{EngineBody, EngineReply, Outbound, version_text};
 use crate::dialect::{GatewayDialect, Refusal};
 use crate::dispatch::Dispatch;
 use crate::events::EventParser;
@@ -150,6 +150,7 @@
             Err(_) => return RunResult::Rejected,
         };
         let engine = reply.body.engine.clone();
+        let version = reply.body.version.clone();
         guard.set_engine(&engine);
         let run = finish_run(state, reply, output).await;
         if matches!(
@@ -161,7 +162,8 @@
         if matches!(run, RunResult::Broken) {
             state.check_engine(&engine, &dispatch.outbound);
             info!(state.logger, "run of an item was broken off by its engine"; "item" => &item.item.id,
-                "digest" => %dispatch.outbound.digest(), "engine" => engine);
+                "digest" => %dispatch.outbound.digest(), "engine" => engine,
+                "version" => version_text(version.as_ref()));
         }
         run
     };
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -19,6 +19,18 @@
     pub prompt: Vec<PromptPart>,
     /// Expected number of answer tokens.
     pub answer_tokens: Option<u64>,
+    /// The earlier stream that the request takes up, if it is not a new one.
+    pub resumption: Option<Resumption>,
+}
+
+/// A caller's request to go on with a stream that an earlier answer began.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Resumption {
+    /// Identifier of the request whose answer brought the first event; `None` if the caller
+    /// does not name it.
+    pub began_as: Option<String>,
+    /// Last event that the caller has; `None` if its number cannot be read.
+    pub last_event: Option<u64>,
 }
 
 /// The API key of a request.
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -10,10 +10,10 @@
 use molespan_routing::dispatch::{NoEngine, Pick, Picked, PromptCost, Standing, WorkClass};
 use molespan_routing::queue::{QueueRequest, Rank, Refused, retry_after};
 use molespan_state::declared::{Route, RouteKind};
-use molespan_types::Timestamp;
+use molespan_types::{SoftwareVersion, Timestamp};
 use slog::{debug, info};
 
-use crate::attempt::{AttemptFailure, AttemptLimits, EngineReply, Outbound, attempt};
+use crate::attempt::{AttemptFailure, AttemptLimits, EngineReply, Outbound, attempt, version_text};
 use crate::bars::Permit;
 use crate::dialect::{GatewayDialect, Refusal, RequestFacts};
 use crate::queue::{Waiter, Woken};
@@ -149,13 +149,13 @@
     }
 
     /// Records that an engine broke off an answer that it had begun.
-    pub fn note_broken(&mut self, engine: &str) {
+    pub fn note_broken(&mut self, engine: &str, version: Option<&SoftwareVersion>) {
         self.tried.insert(engine.to_owned());
         self.state.note_broken(engine);
         self.state.check_engine(engine, &self.outbound);
         info!(self.state.logger, "answer broken off by its engine";
             "request" => &self.outbound.id, "digest" => %self.outbound.digest(),
-            "engine" => engine, "runs" => self.runs);
+            "engine" => engine, "version" => version_text(version), "runs" => self.runs);
     }
 
     /// Sends the request to engines until one answers.
@@ -207,6 +207,7 @@
                     self.note_cached_prompt(&engine.id);
                     debug!(self.state.logger, "answer begins"; "request" => &self.outbound.id,
                         "engine" => &engine.id, "status" => reply.head.status,
+                        "version" => version_text(engine.version.as_ref()),
                         "after_ms" => self.age().as_millis() as u64);
                     let failed = matches!(reply.head.status, 500 | 502 | 504);
                     if failed && self.route.kind == RouteKind::Safe && self.may_run_again() {
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -11,7 +11,7 @@
 
 use crate::attempt::EngineReply;
 use crate::batch;
-use crate::dialect::{GatewayDialect, Refusal};
+use crate::dialect::{GatewayDialect, Refusal, Resumption};
 use crate::dispatch::Dispatch;
 use crate::relay::{Relayed, relay, write};
 use crate::resume::relay_resumable;
@@ -112,6 +112,10 @@
     if in_force.keys.is_some() {
         dialect.replace_key_with_tenant(&mut dispatch.outbound.headers, tenant.as_deref());
     }
+    if let Some(resumption) = dispatch.resumption() {
+        info!(state.logger, "caller takes up a stream"; "request" => &dispatch.facts.id,
+            "began_as" => &resumption.began_as, "after_event" => resumption.last_event);
+    }
     if let Some(tenant) = &tenant {
         state.admit(&dispatch.facts.id, tenant)?;
         dispatch.counted = true;
@@ -157,6 +161,17 @@
 }
 
 impl<D: GatewayDialect> Dispatch<'_, D> {
+    /// Returns the earlier stream that the request takes up, if its route allows that.
+    fn resumption(&self) -> Option<&Resumption> {
+        let resumption = self.facts.resumption.as_ref();
+        resumption.filter(|_| self.is_resumable())
+    }
+
+    /// Whether another engine may go on with the request's stream.
+    fn is_resumable(&self) -> bool {
+        self.route.kind == RouteKind::Stream && self.route.resumable
+    }
+
     /// Answers the caller.
     async fn answer(
         &mut self,
@@ -177,8 +192,7 @@
                 }
             }
             let engine = reply.body.engine.clone();
-            let resumable = self.route.kind == RouteKind::Stream && self.route.resumable;
-            let ended = if resumable && reply.head.status == 200 {
+            let ended = if self.is_resumable() && reply.head.status == 200 {
                 relay_resumable(self, reply, caller, minor, keep_alive).await
             } else {
                 let deadline = self.deadline;
@@ -227,7 +241,7 @@
         let whole = match future::or(reading, late).await {
             Some(Ok(whole)) => whole,
             Some(Err(_)) if self.may_run_again() => {
-                self.note_broken(&body.engine);
+                self.note_broken(&body.engine, body.version.as_ref());
                 return None;
             }
             _ => return Some(ConnectionAction::Close),
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -10,8 +10,9 @@
 use futures_lite::future;
 use molespan_http::h1::{Connection, LAST_CHUNK};
 use molespan_types::Timestamp;
+use slog::info;
 
-use crate::attempt::{EngineBody, EngineReply};
+use crate::attempt::{EngineBody, EngineReply, version_text};
 use crate::dialect::GatewayDialect;
 use crate::dispatch::Dispatch;
 use crate::events::EventParser;
@@ -68,7 +69,7 @@
         framing,
         deadline: dispatch.deadline,
         waiting: head,
-        last_event: dispatch.first_event(),
+        last_event: dispatch.last_event_of_caller(),
         inactivity_limit: None,
     };
     let mut body = reply.body;
@@ -76,13 +77,14 @@
         let again = dispatch.may_run_again();
         progress.inactivity_limit = again.then(|| gap.unwrap_or(DEFAULT_GAP) * SILENT_GAPS);
         let engine = body.engine.clone();
+        let version = body.version.clone();
         match progress.relay_events(&mut body).await {
             PartResult::Whole => {
                 body.finish(dispatch.state);
                 return progress.close().await;
             }
             PartResult::Ended(ended) => return ended,
-            PartResult::Broken => dispatch.note_broken(&engine),
+            PartResult::Broken => dispatch.note_broken(&engine, version.as_ref()),
         }
         // Closing the connection stops the work at the first engine.
         drop(body);
@@ -93,13 +95,17 @@
             Ok(reply) if reply.head.status == 200 => reply.body,
             _ => return Relayed::EngineBroke,
         };
+        info!(progress.state.logger, "stream goes on at another engine";
+            "request" => &dispatch.outbound.id, "after_event" => progress.last_event,
+            "from" => engine, "from_version" => version_text(version.as_ref()),
+            "engine" => &body.engine, "version" => version_text(body.version.as_ref()));
     }
 }
 
 impl<D: GatewayDialect> Dispatch<'_, D> {
     /// Returns the last event that the caller has from an earlier answer.
-    fn first_event(&self) -> Option<u64> {
-        self.outbound.headers.number("last-event-id")
+    fn last_event_of_caller(&self) -> Option<u64> {
+        self.facts.resumption.as_ref()?.last_event
     }
 }
 
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -467,6 +467,7 @@
             address,
             zone: record.zone,
             slots: record.slots.max(1),
+            version: record.version,
         };
         let now = self.now();
         self.engines.borrow_mut().add_engine(from, facts, now);
--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use minicbor::{Decode, Encode};
-use molespan_types::{NodeId, Timestamp, ZoneName};
+use molespan_types::{NodeId, SoftwareVersion, Timestamp, ZoneName};
 
 use super::errors::{Counts, ErrorStats};
 use super::load::EngineLoad;
@@ -55,6 +55,8 @@
     pub zone: ZoneName,
     /// Requests that it runs concurrently.
     pub slots: u32,
+    /// Version of its software; `None` if it is unknown.
+    pub version: Option<SoftwareVersion>,
 }
 
 /// Work of one gateway, or of several summed up, at one engine, as reported to other nodes.
--- a/crates/routing/tests/demand.rs
+++ b/crates/routing/tests/demand.rs
@@ -82,6 +82,7 @@
             address: ([127, 0, 0, number], 80).into(),
             zone: "near".into(),
             slots: 8,
+            version: None,
         };
         table.add_engine(NodeId(1), facts, Timestamp::ZERO);
     }
--- a/crates/routing/tests/dispatch.rs
+++ b/crates/routing/tests/dispatch.rs
@@ -23,6 +23,7 @@
         address: ([127, 0, 0, number], 80).into(),
         zone: zone.into(),
         slots: 8,
+        version: None,
     }
 }
 
--- a/crates/routing/tests/fleet_size.rs
+++ b/crates/routing/tests/fleet_size.rs
@@ -107,6 +107,7 @@
                 address,
                 zone: zone(0),
                 slots: 8,
+                version: None,
             };
             table.add_engine(NodeId(900_000), facts, now);
         }
--- a/crates/routing/tests/lives.rs
+++ b/crates/routing/tests/lives.rs
@@ -28,6 +28,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         zone: "z".into(),
         slots: 8,
+        version: None,
     }
 }
 
--- a/crates/routing/tests/many_gateways/mod.rs
+++ b/crates/routing/tests/many_gateways/mod.rs
@@ -234,6 +234,7 @@
                     address: ([127, 0, 0, engine as u8 + 1], 80).into(),
                     zone: format!("z{}", engine % 3).as_str().into(),
                     slots: load.engines.slots as u32,
+                    version: None,
                 };
                 table.add_engine(CONTROL, facts, at(0));
             }
--- a/crates/routing/tests/pace/fleet.rs
+++ b/crates/routing/tests/pace/fleet.rs
@@ -204,6 +204,7 @@
                     address: ([127, 0, 0, 1], 1_000 + engine as u16).into(),
                     zone: zone.as_str().into(),
                     slots: SLOTS,
+                    version: None,
                 };
                 table.add_engine(CONTROL, facts, at(0));
             }
--- a/crates/routing/tests/pace/main.rs
+++ b/crates/routing/tests/pace/main.rs
@@ -152,6 +152,7 @@
             address: ([127, 0, 0, number], 80).into(),
             zone: "near".into(),
             slots: 8,
+            version: None,
         };
         table.add_engine(CONTROL, facts, Timestamp::ZERO);
     }
--- a/crates/routing/tests/reach/world.rs
+++ b/crates/routing/tests/reach/world.rs
@@ -153,6 +153,7 @@
         address: ([127, 0, 1 + (number / 200) as u8, (number % 200) as u8], 80).into(),
         zone: zone.into(),
         slots: SLOTS,
+        version: None,
     }
 }
 
--- a/crates/routing/tests/short_requests.rs
+++ b/crates/routing/tests/short_requests.rs
@@ -124,6 +124,7 @@
         address: ([127, 0, 0, 1], 80).into(),
         zone: "near".into(),
         slots: 8,
+        version: None,
     };
     table.add_engine(NodeId(1), facts, Timestamp::ZERO);
     if let Some(took) = took {
--- a/crates/types/src/identifier.rs
+++ b/crates/types/src/identifier.rs
@@ -100,6 +100,10 @@
     /// A model that engines serve.
     ModelName
 }
+text_identifier! {
+    /// A version of the software that an engine runs.
+    SoftwareVersion
+}
 text_identifier! {
     /// A zone: the set of processes that a network partition may isolate together.
     ZoneName
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -16,7 +16,7 @@
 pub use engine_life::{EngineIncarnation, incarnations_of};
 pub use identifier::{
     AttemptId, BackendId, ConfigVersion, FencingToken, GroupId, Incarnation, ItemIndex, JobId,
-    LeaseId, ModelName, NodeId, ServiceName, TenantId, ZoneName,
+    LeaseId, ModelName, NodeId, ServiceName, SoftwareVersion, TenantId, ZoneName,
 };
 pub use outcome::{Priority, RunOutcome};
 pub use time::Timestamp;
