A broken stream goes on only at the version that began it

Callers saw events of two software versions in one answer that looked whole.

Cause: the next engine of a broken stream was any of its service that had not been tried. The version that an engine registers was read and dropped, so two versions were taken for one.

The attempts of a request now hold the version that sent its first event, and a pick takes only engines of it; unknown is equal to nothing, and a version on which control nodes disagree is unknown. Such a stream waits in a queue of its own, so that it neither blocks requests that other engines can take nor waits behind them. With no engine of the version known and reachable the answer ends at once. Before the first event was sent the stream begins anew at any version, with the head of the engine that then serves it; the head used to go out with the first piece of an event.

--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -60,6 +60,9 @@
     pub counted: bool,
     /// Priority among the waiting online requests.
     pub rank: Rank,
+    /// Software version that began the request's stream, the only one that may go on with
+    /// it; `None` while any may run the request.
+    pub version: Option<SoftwareVersion>,
     /// Engines that ran or failed the request, or will not run it.
     tried: BTreeSet<String>,
     /// Number of engines that may have run the request.
@@ -129,6 +132,7 @@
             arrived: state.now(),
             counted: false,
             rank: Rank::new(None, route.priority),
+            version: None,
             tried: BTreeSet::new(),
             runs: 0,
             rejections: 0,
@@ -384,6 +388,7 @@
                     return Ok(picked);
                 }
                 Err(NoEngine::Tried) => return Err(self.give_up()),
+                Err(NoEngine::Version) => return Err(self.no_engine_of_version()),
                 Err(NoEngine::None) if self.has_left() => return Err(self.no_engine_left()),
                 Err(_) => {}
             }
@@ -406,6 +411,18 @@
         refusal
     }
 
+    /// Refuses a request whose stream only engines that are gone or out of reach may go on
+    /// with.
+    fn no_engine_of_version(&self) -> Refusal {
+        let left = self.deadline.since(self.state.now());
+        let refusal = self.no_engine_refusal(Some(left / 2));
+        info!(self.state.logger, "no engine of the version that began the stream";
+            "request" => &self.outbound.id, "service" => &self.service,
+            "version" => version_text(self.version.as_ref()),
+            "left_ms" => left.as_millis() as u64, "runs" => self.runs, "refusal" => ?refusal);
+        refusal
+    }
+
     fn enqueue(&self, start_by: Timestamp) -> Result<Waiter, Refusal> {
         let returned = self.runs + self.rejections > 0;
         let time_limit = self.deadline.since(self.arrived);
@@ -423,7 +440,10 @@
             },
             returned,
         };
-        let queue = self.state.queue(&self.service);
+        let queue = match &self.version {
+            Some(version) => self.state.version_queue(&self.service, version),
+            None => self.state.queue(&self.service),
+        };
         queue
             .enqueue(&request)
             .map_err(|refused| self.refused_by_queue(refused))
@@ -465,6 +485,7 @@
             prompt: PromptCost::of(&self.facts.prompt),
             tried: &self.tried,
             suspect: self.state.is_suspect(&self.outbound),
+            version: self.version.as_ref(),
         };
         let now = self.state.now();
         self.state.engines.borrow_mut().pick(&pick, now)
@@ -490,6 +511,7 @@
             prompt: PromptCost::of(&self.facts.prompt),
             tried: &tried,
             suspect: self.state.is_suspect(&self.outbound),
+            version: self.version.as_ref(),
         };
         let mut engines = self.state.engines.borrow_mut();
         engines.pick_alternative(&pick, first, now)
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -19,6 +19,8 @@
     Whole,
     /// The caller disconnected.
     CallerGone,
+    /// The engine broke off before the caller was sent anything; another may begin anew.
+    Unsent,
     /// The engine broke off; the caller's connection must be closed.
     EngineBroke,
     /// The request's time is over; the caller's connection must be closed.
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -202,6 +202,12 @@
                 }
                 ended
             };
+            if ended == Relayed::Unsent {
+                match self.may_run_again() {
+                    true => continue,
+                    false => return self.refuse(caller, Refusal::AnswerLost, keep_alive).await,
+                }
+            }
             if ended == Relayed::Whole {
                 self.state.note_complete(&self.outbound);
             }
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -2,7 +2,9 @@
 //!
 //! Only complete events are sent to the caller. If the engine breaks off, the next one is
 //! asked to continue after the last event sent; the head and the signature remain those of
-//! the first engine.
+//! the first engine. Only an engine of the same software version may continue: what two
+//! versions write does not fit together, and engines do not check it. Before the first
+//! event was sent, a stream begins anew at any version.
 
 use std::pin::pin;
 use std::time::Duration;
@@ -42,7 +44,9 @@
     caller: &'a Connection,
     framing: CallerFraming,
     deadline: Timestamp,
-    /// Bytes not yet sent; at first the head, which is sent with the first event.
+    /// The head, until it is sent with the first event.
+    head: Option<Vec<u8>>,
+    /// Events not yet sent.
     waiting: Vec<u8>,
     last_event: Option<u64>,
     inactivity_limit: Option<Duration>,
@@ -68,7 +72,8 @@
         caller,
         framing,
         deadline: dispatch.deadline,
-        waiting: head,
+        head: Some(head),
+        waiting: Vec::new(),
         last_event: dispatch.last_event_of_caller(),
         inactivity_limit: None,
     };
@@ -88,9 +93,13 @@
         }
         // Closing the connection stops the work at the first engine.
         drop(body);
-        if !dispatch.may_run_again() {
+        if progress.head.is_some() {
+            return Relayed::Unsent;
+        }
+        if version.is_none() || !dispatch.may_run_again() {
             return Relayed::EngineBroke;
         }
+        dispatch.version = version.clone();
         body = match dispatch.next_reply(progress.last_event).await {
             Ok(reply) if reply.head.status == 200 => reply.body,
             _ => return Relayed::EngineBroke,
@@ -135,6 +144,8 @@
                 return PartResult::Broken;
             }
             while let Some(event) = parser.next() {
+                let head = self.head.take().unwrap_or_default();
+                self.waiting.extend_from_slice(&head);
                 self.last_event = event.id.or(self.last_event);
                 append(&mut self.waiting, &event.bytes, self.framing);
             }
@@ -156,6 +167,8 @@
     }
 
     async fn close(&mut self) -> Relayed {
+        let head = self.head.take().unwrap_or_default();
+        self.waiting.extend_from_slice(&head);
         if self.framing == CallerFraming::Chunked {
             self.waiting.extend_from_slice(LAST_CHUNK);
         }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -21,7 +21,7 @@
 use molespan_routing::renewal::{Renewal, SendingChange};
 use molespan_routing::suspects::SuspectTable;
 use molespan_state::declared::{Route, RouteKind, ServingModel};
-use molespan_types::{NodeId, Timestamp, ZoneName};
+use molespan_types::{NodeId, SoftwareVersion, Timestamp, ZoneName};
 use slog::{Logger, info, warn};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -106,6 +106,9 @@
     pub batch_turns: Rc<Turns>,
     /// Waiting online requests by service.
     queues: RefCell<BTreeMap<String, Rc<ServiceQueue>>>,
+    /// Waiting streams that only one software version may go on with, by service and
+    /// version. Its engines may be full while others are free, and the other way round.
+    version_queues: RefCell<BTreeMap<(String, SoftwareVersion), Rc<ServiceQueue>>>,
     /// Services that lack engine capacity.
     pub shortages: Shortages,
     /// Client of the batch group.
@@ -160,6 +163,7 @@
             batch_runs: BatchRuns::default(),
             batch_turns: Rc::default(),
             queues: RefCell::default(),
+            version_queues: RefCell::default(),
             shortages: Shortages::default(),
             batch,
             renewal: Cell::new(Renewal::new(options.withdrawn_within)),
@@ -197,6 +201,18 @@
         queue
     }
 
+    /// Returns the queue of the streams that one software version of a service goes on with.
+    /// A queue is dropped once it is empty.
+    pub fn version_queue(&self, service: &str, version: &SoftwareVersion) -> Rc<ServiceQueue> {
+        let mut queues = self.version_queues.borrow_mut();
+        queues.retain(|_, queue| !queue.is_empty());
+        let key = (service.to_owned(), version.clone());
+        let queue = queues
+            .entry(key)
+            .or_insert_with(|| ServiceQueue::new(Limits::default(), self.clock.clone()));
+        queue.clone()
+    }
+
     /// Wakes the queue of a service whose engines may have capacity.
     pub fn wake_queue(&self, service: &str) {
         let queue = self.queues.borrow().get(service).cloned();
@@ -208,6 +224,8 @@
     /// Wakes the queues of all services, since any engine may have capacity.
     pub fn wake_all_queues(&self) {
         let queues: Vec<Rc<ServiceQueue>> = self.queues.borrow().values().cloned().collect();
+        let versions = self.version_queues.borrow().values().cloned().collect();
+        let queues = [queues, versions].concat();
         for queue in queues.iter().filter(|queue| !queue.is_empty()) {
             queue.wake_turn_holders();
         }
--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -1,7 +1,7 @@
 //! State of one engine as seen by this gateway.
 
 use std::cell::Cell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -191,8 +191,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Engine {
     pub facts: EngineFacts,
-    /// Control nodes that list it.
-    pub known_by: BTreeSet<NodeId>,
+    /// Control nodes that list it, with the software version that each reports.
+    pub known_by: BTreeMap<NodeId, Option<SoftwareVersion>>,
     /// When this gateway first learned of it.
     pub known_since: Timestamp,
     online: u32,
@@ -208,6 +208,8 @@
     /// End of the backoff after a failure; an engine that is only full does not count as
     /// failing.
     failing_until: Timestamp,
+    /// Until when it counts as unreachable after a failed connect.
+    unreachable_until: Timestamp,
     /// Until when its last answer counts as evidence that it works.
     answering_until: Timestamp,
     batch_holdoff_until: Timestamp,
@@ -225,7 +227,7 @@
     pub fn new(facts: EngineFacts, now: Timestamp) -> Self {
         Self {
             facts,
-            known_by: BTreeSet::new(),
+            known_by: BTreeMap::new(),
             known_since: now,
             online: 0,
             batch: 0,
@@ -236,6 +238,7 @@
             backoff: Backoff::default(),
             backoff_until: Timestamp::ZERO,
             failing_until: Timestamp::ZERO,
+            unreachable_until: Timestamp::ZERO,
             answering_until: Timestamp::ZERO,
             batch_holdoff_until: Timestamp::ZERO,
             next_preemption: Timestamp::ZERO,
@@ -246,6 +249,27 @@
         }
     }
 
+    /// Records that a control node lists it. While control nodes report different versions,
+    /// its version is unknown.
+    pub fn list(&mut self, from: NodeId, facts: EngineFacts) {
+        self.known_by.insert(from, facts.version.clone());
+        self.facts = facts;
+        self.facts.version = self.agreed_version();
+    }
+
+    /// Records that a control node does not list it any more.
+    pub fn unlist(&mut self, from: NodeId) -> bool {
+        let listed = self.known_by.remove(&from).is_some();
+        self.facts.version = self.agreed_version();
+        listed
+    }
+
+    fn agreed_version(&self) -> Option<SoftwareVersion> {
+        let mut reported = self.known_by.values().flatten();
+        let first = reported.next()?;
+        reported.all(|other| other == first).then(|| first.clone())
+    }
+
     pub fn own(&self) -> u32 {
         self.online + self.batch
     }
@@ -490,9 +514,17 @@
         let backoff = (INITIAL_BACKOFF * 2_u32.pow(doublings)).min(MAX_BACKOFF);
         self.backoff_until = self.backoff_until.max(now + backoff);
         self.failing_until = self.backoff_until;
+        if failure == Failure::Unreachable {
+            self.unreachable_until = self.backoff_until;
+        }
         self.answering_until = now;
     }
 
+    /// Whether it could not be reached and is not tried again yet.
+    pub fn is_unreachable(&self, now: Timestamp) -> bool {
+        now < self.unreachable_until
+    }
+
     /// Sends it no requests for a while.
     pub fn back_off(&mut self, backoff: Duration, now: Timestamp) {
         self.backoff_until = self.backoff_until.max(now + backoff);
@@ -504,6 +536,7 @@
         self.failures += 1;
         self.backoff_until = now + GONE_BACKOFF;
         self.failing_until = self.backoff_until;
+        self.unreachable_until = self.backoff_until;
         self.answering_until = now;
     }
 
@@ -511,6 +544,7 @@
         self.failures = 0;
         self.backoff = Backoff::default();
         self.failing_until = now;
+        self.unreachable_until = now;
         self.answering_until = now + ANSWER_TTL;
     }
     /// Ends the backoff after its zone became reachable again: the failures may have been
@@ -522,6 +556,7 @@
         self.failures = 0;
         self.backoff_until = self.backoff_until.min(now);
         self.failing_until = self.failing_until.min(now);
+        self.unreachable_until = self.unreachable_until.min(now);
     }
 
     /// Whether its last answer came after a time.
--- a/crates/routing/src/dispatch/room.rs
+++ b/crates/routing/src/dispatch/room.rs
@@ -122,6 +122,11 @@
         if self.slot_times.mean(pick.service) < START_VISIBILITY_DELAY {
             return true;
         }
+        // A stream that goes on has no other engines; the share of all free slots says
+        // nothing of those at its version.
+        if pick.version.is_some() {
+            return true;
+        }
         let others_report = self.others_report(now);
         let mut free_slots = 0.0;
         let mut own = 0.0;
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use molespan_types::{EngineIncarnation, NodeId, Timestamp, ZoneName};
+use molespan_types::{EngineIncarnation, NodeId, SoftwareVersion, Timestamp, ZoneName};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -81,6 +81,17 @@
     pub tried: &'a BTreeSet<String>,
     /// Whether engines ended while they ran it.
     pub suspect: bool,
+    /// The only software version that may run it, if its stream began at that version;
+    /// `None` for any.
+    pub version: Option<&'a SoftwareVersion>,
+}
+
+impl Pick<'_> {
+    /// Whether an engine's software may run the request. Unknown versions are never taken
+    /// for equal.
+    fn allows_version(&self, engine: &Engine) -> bool {
+        self.version.is_none() || self.version == engine.facts.version.as_ref()
+    }
 }
 
 /// An engine that was chosen.
@@ -104,6 +115,8 @@
 pub enum NoEngine {
     /// No engine of the service is known, or all of them are leaving.
     None,
+    /// No engine of the only version that may run the request is known and reachable.
+    Version,
     /// The request was already sent to all of them.
     Tried,
     /// All remaining engines fail or have no capacity.
@@ -186,15 +199,14 @@
             .engines
             .entry(id)
             .or_insert_with(|| Engine::new(facts.clone(), now));
-        engine.facts = facts;
-        engine.known_by.insert(from);
+        engine.list(from, facts);
     }
 
     /// Records that a control node no longer lists an engine. The engine is removed once no
     /// control node lists it.
     pub fn remove_report(&mut self, from: NodeId, id: &str) {
         if let Some(engine) = self.engines.get_mut(id) {
-            engine.known_by.remove(&from);
+            engine.unlist(from);
             if engine.known_by.is_empty() {
                 self.engines.remove(id);
             }
@@ -205,7 +217,7 @@
     /// removed, and it no longer delays the removal of others.
     pub fn remove_control_node(&mut self, from: NodeId) {
         self.engines.retain(|_, engine| {
-            let listed = engine.known_by.remove(&from);
+            let listed = engine.unlist(from);
             !listed || !engine.known_by.is_empty()
         });
     }
@@ -229,7 +241,7 @@
         };
         self.engines.retain(|id, engine| {
             if engine.facts.service == service && !subset.contains(id) {
-                engine.known_by.remove(&from);
+                engine.unlist(from);
             }
             !engine.known_by.is_empty()
         });
@@ -553,8 +565,12 @@
         if self.of_service(pick.service).next().is_none() {
             return Err(NoEngine::None);
         }
+        if !self.has_version(pick, now) {
+            return Err(NoEngine::Version);
+        }
         if self
             .of_service(pick.service)
+            .filter(|one| pick.allows_version(one))
             .all(|one| pick.tried.contains(&one.facts.id))
         {
             return Err(NoEngine::Tried);
@@ -571,6 +587,15 @@
         picked.ok_or(NoEngine::Busy)
     }
 
+    /// Whether an engine of the only version that may run a request can be reached.
+    fn has_version(&self, pick: &Pick<'_>, now: Timestamp) -> bool {
+        if pick.version.is_none() {
+            return true;
+        }
+        let mut engines = self.reachable_engines(pick.service);
+        engines.any(|engine| pick.allows_version(engine) && !engine.is_unreachable(now))
+    }
+
     /// Returns the engine that is likely to answer first among those with capacity.
     fn choose(&mut self, pick: &Pick<'_>, now: Timestamp) -> Option<Picked> {
         let others_report = self.others_report(now);
@@ -644,7 +669,8 @@
         let tried = pick.tried.contains(&facts.id);
         let batch_held_off = pick.class == WorkClass::Batch && engine.is_batch_held_off(now);
         let excluded = failing || tried || batch_held_off;
-        facts.service == pick.service && !excluded && !self.is_full(engine, pick, now)
+        let suitable = facts.service == pick.service && pick.allows_version(engine);
+        suitable && !excluded && !self.is_full(engine, pick, now)
     }
 
     /// Returns the engine that the shared part of a prompt is assigned to.
--- a/crates/routing/tests/demand.rs
+++ b/crates/routing/tests/demand.rs
@@ -166,6 +166,7 @@
         prompt: PromptCost::default(),
         tried: &tried,
         suspect: false,
+        version: None,
     };
     let mut started = 0;
     while let Ok(picked) = table.pick(&pick, at(at_ms)) {
--- a/crates/routing/tests/dispatch.rs
+++ b/crates/routing/tests/dispatch.rs
@@ -55,6 +55,7 @@
         prompt: PromptCost::default(),
         tried: &tried,
         suspect: false,
+        version: None,
     };
     table.pick(&pick, now(at))
 }
@@ -226,6 +227,7 @@
         prompt: PromptCost::of(parts),
         tried: &tried,
         suspect: false,
+        version: None,
     };
     let picked = table.pick(&pick, now(at)).expect("an engine");
     (picked.facts.id, picked.unread_tokens)
@@ -826,6 +828,7 @@
             prompt: PromptCost::default(),
             tried: &tried,
             suspect,
+            version: None,
         };
         table.pick(&pick, now(at)).map(|picked| picked.facts.id)
     };
--- a/crates/routing/tests/fleet_size.rs
+++ b/crates/routing/tests/fleet_size.rs
@@ -118,6 +118,7 @@
             prompt: PromptCost::default(),
             tried: &BTreeSet::new(),
             suspect: false,
+            version: None,
         };
         assert!(table.pick(&pick, now).is_ok());
         table.len()
--- a/crates/routing/tests/lives.rs
+++ b/crates/routing/tests/lives.rs
@@ -40,6 +40,7 @@
         prompt: PromptCost::default(),
         tried: &BTreeSet::new(),
         suspect: false,
+        version: None,
     };
     table.pick(&pick, now(at)).map(|picked| picked.facts.id)
 }
--- a/crates/routing/tests/many_gateways/mod.rs
+++ b/crates/routing/tests/many_gateways/mod.rs
@@ -665,6 +665,7 @@
             prompt: PromptCost::default(),
             tried: &request.tried,
             suspect: false,
+            version: None,
         };
         let Ok(picked) = self.tables[gateway].pick(&pick, now) else {
             return false;
--- a/crates/routing/tests/pace/fleet.rs
+++ b/crates/routing/tests/pace/fleet.rs
@@ -313,6 +313,7 @@
             prompt: PromptCost::of(&prompt),
             tried: &tried,
             suspect: false,
+            version: None,
         };
         self.tables[one.gateway].pick(&pick, at(now)).ok()
     }
--- a/crates/routing/tests/pace/main.rs
+++ b/crates/routing/tests/pace/main.rs
@@ -169,6 +169,7 @@
         prompt: PromptCost::default(),
         tried: &tried,
         suspect: false,
+        version: None,
     };
     let picked = table.pick(&pick, now(at)).expect("both have room");
     picked.facts.id
--- a/crates/routing/tests/reach/main.rs
+++ b/crates/routing/tests/reach/main.rs
@@ -204,6 +204,7 @@
         prompt: PromptCost::default(),
         tried: &tried,
         suspect: false,
+        version: None,
     };
     table.pick(&pick, at(now)).map(|picked| picked.facts.id)
 }
@@ -485,6 +486,7 @@
                 prompt: PromptCost::default(),
                 tried: &tried,
                 suspect: false,
+                version: None,
             };
             assert_eq!(one.pick_alternative(&beside, &id, at(now)), None);
             for class in [WorkClass::Online, WorkClass::Batch] {
--- a/crates/routing/tests/reach/world.rs
+++ b/crates/routing/tests/reach/world.rs
@@ -335,6 +335,7 @@
             prompt: PromptCost::default(),
             tried: &request.tried,
             suspect: false,
+            version: None,
         };
         let kept = self.random.random_bool(self.scenario.kept);
         let table = &mut self.gateways[request.gateway].table;
@@ -449,6 +450,7 @@
             prompt: PromptCost::default(),
             tried: &tried,
             suspect: false,
+            version: None,
         };
         let picked = gateway.table.pick_alternative(&pick, &id, at(now));
         if let Some(picked) = picked {
--- a/crates/routing/tests/short_requests.rs
+++ b/crates/routing/tests/short_requests.rs
@@ -141,6 +141,7 @@
         prompt: PromptCost::default(),
         tried: &BTreeSet::new(),
         suspect: false,
+        version: None,
     };
     table.pick(&pick, Timestamp::from_millis(at_ms)).is_ok()
 }
