A stream that a caller takes up goes on only at the version that began it

Callers that came back with the number of their last event got the rest of their stream from an engine of another software version (the bulk of the eight streams of the incident, within 1.2 s of four gateways' resets).

Cause: nothing that a gateway knew of a stream outlived one try, the id in Resumes was read nowhere, and Last-Event-Id went to any engine.

The gateway that sends a stream's first event now reports its service and version to two control nodes, in its own zone and in another, without waiting; running streams are reported again. Where a caller comes back, the gateway knows the stream itself or asks all members of the control group, and the attempts are bound to that service and version. What nobody knows is refused at once: 503, not run, with Retry-After. Why holders and not gateways, and what it costs: decision 0024.

--- a/crates/daemon/src/replica/service.rs
+++ b/crates/daemon/src/replica/service.rs
@@ -74,7 +74,9 @@
             | Request::WatchView(_)
             | Request::EnginesAnnounced { .. }
             | Request::TakeItems(_)
-            | Request::EngineWork { .. } => not_run("a replica does not answer this".to_owned(), 0),
+            | Request::EngineWork { .. }
+            | Request::StreamsBegan { .. }
+            | Request::FindStream { .. } => not_run("a replica does not answer this".to_owned(), 0),
         }
     }
 
--- a/crates/fleet/src/control/hub/state.rs
+++ b/crates/fleet/src/control/hub/state.rs
@@ -86,6 +86,7 @@
     ) -> Self {
         let topology = Topology {
             zone: Some(zone),
+            keeps_streams: true,
             ..Topology::default()
         };
         Self {
@@ -292,6 +293,7 @@
             gateway_count: self.topology.gateway_count,
             applied: self.topology.applied,
             zone: self.topology.zone.clone(),
+            keeps_streams: self.topology.keeps_streams,
         };
         if topology == self.topology {
             return false;
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod node;
 mod registry;
 mod relay;
+mod streams;
 
 pub use dialect::{CallError, ControlCall, ControlDialect, ControlOutcome, EngineHeartbeat};
 pub use hub::Hub;
--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -27,6 +27,7 @@
 use super::dialect::ControlDialect;
 use super::hub::Hub;
 use super::relay::{RelayState, relay_work};
+use super::streams::StreamKeeper;
 use crate::membership::{ClusterAddresses, cluster, replica_options, start_replica};
 use crate::view::EngineRecord;
 
@@ -99,6 +100,7 @@
     replica: Arc<ReplicaRole>,
     hub: Arc<Hub>,
     work: Arc<RelayState>,
+    streams: StreamKeeper,
     logger: Logger,
 }
 
@@ -106,6 +108,7 @@
     async fn call(&self, request: Request) -> Response {
         match request {
             Request::WatchView(watch) => self.hub.watch(&watch).await,
+            Request::FindStream { stream } => self.streams.find(&stream),
             other => self.replica.handle_peer(other).await,
         }
     }
@@ -145,6 +148,7 @@
                     self.work.record_gateway_count(from, gateways);
                 }
             }
+            Request::StreamsBegan { from, streams } => self.streams.record(from, &streams),
             other => self.replica.notify(other),
         }
     }
@@ -185,6 +189,7 @@
             replica: replica.clone(),
             hub: hub.clone(),
             work: work.clone(),
+            streams: StreamKeeper::new(logger.clone()),
             logger: logger.clone(),
         };
         executor
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use minicbor::{Decode, Encode};
+use molespan_routing::streams::Holder;
 use molespan_state::declared::{Bar, Departure, RequestDigest, ServingModel};
 use molespan_types::{NodeId, SoftwareVersion, Timestamp, ZoneName};
 
@@ -95,6 +96,11 @@
     #[n(7)]
     #[cbor(default)]
     pub gateway_count: u32,
+    /// Whether the reporting control node keeps the origins of streams; `false` from older
+    /// versions.
+    #[n(8)]
+    #[cbor(default)]
+    pub keeps_streams: bool,
 }
 
 impl Topology {
@@ -145,7 +151,7 @@
     /// Returns the merged topology. The replicated part comes from the control node that
     /// has applied the most entries. The gateways are the union over all recent reports,
     /// since a control node that has just started counts none yet. The zone is `None`,
-    /// because it describes a single control node.
+    /// because it describes a single control node, and so does `keeps_streams`.
     #[must_use]
     pub fn current(&self, now: Timestamp) -> Topology {
         let reports = self.reports.values();
@@ -164,9 +170,27 @@
             topology.gateway_count = topology.gateway_count.max(report.topology.gateway_count);
         }
         topology.zone = None;
+        topology.keeps_streams = false;
         topology
     }
 
+    /// Returns the members of the control group that keep the origins of streams, as far as
+    /// they were heard from recently.
+    #[must_use]
+    pub fn stream_holders(&self, now: Timestamp) -> Vec<Holder> {
+        let control = self.current(now).control;
+        let reports = self.reports.iter();
+        let holders = reports.filter(|(node, report)| {
+            let recent = now.since(report.received_at) < REPORT_TTL;
+            recent && report.topology.keeps_streams && control.contains(node)
+        });
+        let holders = holders.map(|(&node, report)| Holder {
+            node,
+            zone: report.topology.zone.clone(),
+        });
+        holders.collect()
+    }
+
     /// Whether a majority of the control nodes was heard from within `limit`, so that at
     /// least one of them has everything that was committed before. If there are many
     /// control nodes, the majority is taken of the number that a node watches.
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -94,6 +94,12 @@
         /// Delay before a retry.
         retry_after: Duration,
     },
+    /// It is not known which software version began the stream that the request takes up.
+    /// Not run.
+    StreamUnknown {
+        /// Delay before a retry.
+        retry_after: Duration,
+    },
     /// Engines ended while they ran the request, and no engine gets it any more. Not run.
     Barred {
         /// Delay before a retry; an earlier one would get the same answer.
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -16,6 +16,7 @@
 use crate::attempt::{AttemptFailure, AttemptLimits, EngineReply, Outbound, attempt, version_text};
 use crate::bars::Permit;
 use crate::dialect::{GatewayDialect, Refusal, RequestFacts};
+use crate::metrics::Resumed;
 use crate::queue::{Waiter, Woken};
 use crate::request::CallerRequest;
 use crate::state::GatewayState;
@@ -416,6 +417,7 @@
     fn no_engine_of_version(&self) -> Refusal {
         let left = self.deadline.since(self.state.now());
         let refusal = self.no_engine_refusal(Some(left / 2));
+        self.state.metrics.streams.count(Resumed::NoEngine);
         info!(self.state.logger, "no engine of the version that began the stream";
             "request" => &self.outbound.id, "service" => &self.service,
             "version" => version_text(self.version.as_ref()),
--- a/crates/proxy/src/gateway.rs
+++ b/crates/proxy/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::engine_ends::watch_engine_ends;
 use crate::reach::watch_reach;
 use crate::state::GatewayState;
+use crate::streams::report_streams;
 use crate::work_shares::exchange_work;
 
 /// Pause after an error of the listener.
@@ -116,7 +117,13 @@
         let seeds = &options.addresses.seeds;
         let control = cluster(wire.clone(), seeds.clone());
         let zone = options.zone.clone();
-        let state = Rc::new(GatewayState::new(&options, control, jobs, logger.clone()));
+        let state = Rc::new(GatewayState::new(
+            &options,
+            control,
+            jobs,
+            wire.clone(),
+            logger.clone(),
+        ));
         let identity = WatcherIdentity {
             node: own,
             zone,
@@ -133,6 +140,7 @@
             .spawn(watch_reach(state.clone(), local.clone()))
             .detach();
         local.spawn(request_bars(state.clone())).detach();
+        local.spawn(report_streams(state.clone())).detach();
         let dialect = Rc::new(dialect);
         let callers = listen(options.caller_address)?;
         let readiness = listen(options.readiness_address)?;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,7 +4,8 @@
 //! `request` finds its route and writes the answer, `dispatch` makes the attempts,
 //! [`queue`] decides when a waiting request may pick an engine, `attempt` sends it to
 //! one engine over a connection from `pool` or `race`, `relay` passes the answer to the
-//! caller, and `resume` continues a broken stream at another engine. `batch::api` accepts
+//! caller, and `resume` continues a broken stream at another engine, and
+//! `streams` finds out which software version may go on with it. `batch::api` accepts
 //! and reads batch jobs, and `batch::runner` runs their items. `state` holds the gateway's
 //! view of the cluster; `tenants` identifies the tenant of a request and applies its rate
 //! limit. `engine_ends` detects engines that ended while they ran requests, `bars` keeps
@@ -19,6 +20,7 @@
 mod dispatch;
 mod engine_ends;
 mod events;
+mod first;
 mod gateway;
 mod metrics;
 mod pace;
@@ -32,6 +34,7 @@
 mod room;
 mod silence;
 mod state;
+mod streams;
 mod tenants;
 mod work_shares;
 
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -7,6 +7,7 @@
 mod queue;
 mod reach;
 mod room;
+mod streams;
 
 use std::time::Duration;
 
@@ -20,6 +21,8 @@
 use self::queue::QueueMetrics;
 use self::reach::ReachMetrics;
 use self::room::CapacityMetrics;
+pub(crate) use self::streams::Resumed;
+use self::streams::StreamMetrics;
 use crate::dialect::Refusal;
 
 /// Upper bounds of the wait histograms' buckets, in seconds.
@@ -46,6 +49,8 @@
     pub reach: ReachMetrics,
     /// Requests that wait for an engine.
     pub queue: QueueMetrics,
+    /// Streams that callers take up.
+    pub streams: StreamMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -62,6 +67,7 @@
             pace: PaceMetrics::new(&registry),
             reach: ReachMetrics::new(&registry),
             queue: QueueMetrics::new(&registry),
+            streams: StreamMetrics::new(&registry),
             waits: registry.histogram(
                 "gateway_engine_wait_seconds",
                 "Time from a request's arrival until an engine was chosen for its first attempt",
@@ -119,6 +125,7 @@
         Refusal::UnknownKey => "unknown_key",
         Refusal::OverLimit { .. } => "over_limit",
         Refusal::Busy { .. } => "busy",
+        Refusal::StreamUnknown { .. } => "stream_unknown",
         Refusal::Barred { .. } => "barred",
         Refusal::TooLate => "too_late",
         Refusal::TimedOut => "timed_out",
--- a/crates/proxy/src/race.rs
+++ b/crates/proxy/src/race.rs
@@ -2,10 +2,9 @@
 //!
 //! Connecting writes no data, so the request runs at only one of them.
 
-use std::future::{Future, poll_fn};
-use std::pin::{Pin, pin};
+use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -17,6 +16,7 @@
 
 use crate::attempt::AttemptLimits;
 use crate::batch::preempt_batch_runs;
+use crate::first::first_deciding;
 use crate::state::{GatewayState, InFlightGuard};
 
 /// Timeout for a new connection to an engine.
@@ -57,7 +57,10 @@
     };
     let in_flight_beside = count_in_flight(state, &beside, class);
     let second = Box::pin(open(state, beside.facts.clone(), limits.deadline));
-    let up = first_up([first, second]).await;
+    let up = first_deciding(vec![first, second], |place, connected| {
+        connected.map(|connection| (place, connection))
+    })
+    .await;
     state
         .metrics
         .reach
@@ -101,34 +104,6 @@
     future::or(connected, late).await
 }
 
-/// Returns the first connection that succeeds, and its index.
-async fn first_up<F>(connects: [Pin<Box<F>>; 2]) -> Option<(usize, Connection)>
-where
-    F: Future<Output = Option<Connection>>,
-{
-    let mut open: Vec<(usize, Pin<Box<F>>)> = connects.into_iter().enumerate().collect();
-    poll_fn(|context| {
-        let mut up = None;
-        open.retain_mut(|(place, connect)| {
-            if up.is_some() {
-                return true;
-            }
-            match connect.as_mut().poll(context) {
-                Poll::Pending => true,
-                Poll::Ready(connected) => {
-                    up = connected.map(|connection| (*place, connection));
-                    false
-                }
-            }
-        });
-        match up {
-            None if !open.is_empty() => Poll::Pending,
-            up => Poll::Ready(up),
-        }
-    })
-    .await
-}
-
 /// Returns a pooled or new connection to an engine, and records a failed connect.
 async fn open(
     state: &Rc<GatewayState>,
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -5,7 +5,7 @@
 
 use futures_lite::future;
 use molespan_http::h1::{BodyReader, Connection, Headers, RequestHead};
-use molespan_state::declared::{Route, RouteKind};
+use molespan_state::declared::{Route, RouteKind, StreamKey};
 use molespan_types::Timestamp;
 use slog::info;
 
@@ -13,13 +13,18 @@
 use crate::batch;
 use crate::dialect::{GatewayDialect, Refusal, Resumption};
 use crate::dispatch::Dispatch;
+use crate::metrics::Resumed;
 use crate::relay::{Relayed, relay, write};
 use crate::resume::relay_resumable;
 use crate::state::{GatewayState, InForce};
+use crate::streams::KnownStream;
 
 /// Retry delay for a caller of a gateway without current configuration; an election and a
 /// watch take about as long.
 pub(crate) const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(1_200);
+/// Retry delay for a caller whose stream nobody knows: control nodes that were out of reach
+/// may know it by then.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Maximum size, in bytes, of an answer that is buffered completely before it is relayed,
 /// so that a repeatable request can be retried if its engine breaks off.
 const MAX_BUFFERED_ANSWER_BYTES: u64 = 256 << 10;
@@ -112,10 +117,6 @@
     if in_force.keys.is_some() {
         dialect.replace_key_with_tenant(&mut dispatch.outbound.headers, tenant.as_deref());
     }
-    if let Some(resumption) = dispatch.resumption() {
-        info!(state.logger, "caller takes up a stream"; "request" => &dispatch.facts.id,
-            "began_as" => &resumption.began_as, "after_event" => resumption.last_event);
-    }
     if let Some(tenant) = &tenant {
         state.admit(&dispatch.facts.id, tenant)?;
         dispatch.counted = true;
@@ -167,6 +168,45 @@
         resumption.filter(|_| self.is_resumable())
     }
 
+    /// Finds out which version may go on with the stream that the request takes up, if it
+    /// takes one up.
+    ///
+    /// # Errors
+    /// When that is not known, or the route no longer leads to the stream's service.
+    async fn take_up(&mut self) -> Result<(), Refusal> {
+        let Some(resumption) = self.resumption().cloned() else {
+            return Ok(());
+        };
+        let known = self.find_origin(&resumption).await;
+        let leads_there = |service: &str| {
+            let mut destinations = self.route.destinations.iter();
+            destinations.any(|one| one.service == service)
+        };
+        let usable = known.filter(|known| leads_there(&known.origin.service));
+        info!(self.state.logger, "caller takes up a stream"; "request" => &self.facts.id,
+            "began_as" => &resumption.began_as, "after_event" => resumption.last_event,
+            "version" => usable.as_ref().map(|known| known.origin.version.as_str()),
+            "known_by" => usable.as_ref().map(|known| known.source.to_string()),
+            "after_ms" => self.age().as_millis() as u64);
+        let Some(KnownStream { origin, .. }) = usable else {
+            self.state.metrics.streams.count(Resumed::Unknown);
+            return Err(Refusal::StreamUnknown {
+                retry_after: UNKNOWN_RETRY_AFTER,
+            });
+        };
+        self.state.metrics.streams.count(Resumed::TakenUp);
+        self.service = origin.service;
+        self.version = Some(origin.version);
+        Ok(())
+    }
+
+    async fn find_origin(&self, resumption: &Resumption) -> Option<KnownStream> {
+        let began_as = resumption.began_as.as_ref()?;
+        resumption.last_event?;
+        let key = StreamKey::of(self.outbound.tenant.as_deref(), began_as);
+        self.state.find_stream(key).await
+    }
+
     /// Whether another engine may go on with the request's stream.
     fn is_resumable(&self) -> bool {
         self.route.kind == RouteKind::Stream && self.route.resumable
@@ -179,6 +219,9 @@
         minor: u8,
         keep_alive: bool,
     ) -> ConnectionAction {
+        if let Err(refusal) = self.take_up().await {
+            return self.refuse(caller, refusal, keep_alive).await;
+        }
         loop {
             let reply = match self.next_reply(None).await {
                 Ok(reply) => reply,
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -7,20 +7,25 @@
 //! event was sent, a stream begins anew at any version.
 
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use futures_lite::future;
 use molespan_http::h1::{Connection, LAST_CHUNK};
-use molespan_types::Timestamp;
+use molespan_routing::streams::StreamOrigin;
+use molespan_state::declared::StreamKey;
+use molespan_types::{SoftwareVersion, Timestamp};
 use slog::info;
 
 use crate::attempt::{EngineBody, EngineReply, version_text};
 use crate::dialect::GatewayDialect;
 use crate::dispatch::Dispatch;
 use crate::events::EventParser;
+use crate::metrics::Resumed;
 use crate::relay::{CallerFraming, Next, Relayed, append, caller_head, next_piece, write};
 use crate::silence::InactivityTimer;
 use crate::state::GatewayState;
+use crate::streams::RunningStream;
 
 /// Multiple of the route's target gap between events after which a silent engine is
 /// replaced.
@@ -40,7 +45,7 @@
 
 /// Progress of the relayed stream.
 struct RelayProgress<'a> {
-    state: &'a GatewayState,
+    state: &'a Rc<GatewayState>,
     caller: &'a Connection,
     framing: CallerFraming,
     deadline: Timestamp,
@@ -50,6 +55,10 @@
     waiting: Vec<u8>,
     last_event: Option<u64>,
     inactivity_limit: Option<Duration>,
+    /// Where the stream began; `None` if the engine's version is unknown.
+    origin: Option<(StreamKey, StreamOrigin)>,
+    /// Held while the stream's events go to the caller.
+    running: Option<RunningStream>,
 }
 
 /// Relays a stream, from several engines if necessary.
@@ -76,6 +85,8 @@
         waiting: Vec::new(),
         last_event: dispatch.last_event_of_caller(),
         inactivity_limit: None,
+        origin: dispatch.origin(reply.body.version.as_ref()),
+        running: None,
     };
     let mut body = reply.body;
     loop {
@@ -104,6 +115,7 @@
             Ok(reply) if reply.head.status == 200 => reply.body,
             _ => return Relayed::EngineBroke,
         };
+        progress.state.metrics.streams.count(Resumed::SameAnswer);
         info!(progress.state.logger, "stream goes on at another engine";
             "request" => &dispatch.outbound.id, "after_event" => progress.last_event,
             "from" => engine, "from_version" => version_text(version.as_ref()),
@@ -112,6 +124,22 @@
 }
 
 impl<D: GatewayDialect> Dispatch<'_, D> {
+    /// Returns the key and the origin of the request's stream, which an engine of `version`
+    /// begins or goes on with.
+    fn origin(&self, version: Option<&SoftwareVersion>) -> Option<(StreamKey, StreamOrigin)> {
+        let origin = StreamOrigin {
+            service: self.service.clone(),
+            version: version?.clone(),
+        };
+        let resumption = self.facts.resumption.as_ref();
+        let began_as = match resumption {
+            Some(resumption) => resumption.began_as.as_ref()?,
+            None => &self.outbound.id,
+        };
+        let key = StreamKey::of(self.outbound.tenant.as_deref(), began_as);
+        Some((key, origin))
+    }
+
     /// Returns the last event that the caller has from an earlier answer.
     fn last_event_of_caller(&self) -> Option<u64> {
         self.facts.resumption.as_ref()?.last_event
@@ -144,8 +172,9 @@
                 return PartResult::Broken;
             }
             while let Some(event) = parser.next() {
-                let head = self.head.take().unwrap_or_default();
-                self.waiting.extend_from_slice(&head);
+                if let Some(head) = self.head.take() {
+                    self.begin(&head);
+                }
                 self.last_event = event.id.or(self.last_event);
                 append(&mut self.waiting, &event.bytes, self.framing);
             }
@@ -158,6 +187,14 @@
         }
     }
 
+    /// Begins the answer with its first event.
+    fn begin(&mut self, head: &[u8]) {
+        self.waiting.extend_from_slice(head);
+        if let Some((key, origin)) = self.origin.take() {
+            self.running = Some(self.state.note_stream(key, origin));
+        }
+    }
+
     async fn flush(&mut self) -> Result<(), Relayed> {
         if self.waiting.is_empty() {
             return Ok(());
@@ -167,8 +204,9 @@
     }
 
     async fn close(&mut self) -> Relayed {
-        let head = self.head.take().unwrap_or_default();
-        self.waiting.extend_from_slice(&head);
+        if let Some(head) = self.head.take() {
+            self.begin(&head);
+        }
         if self.framing == CallerFraming::Chunked {
             self.waiting.extend_from_slice(LAST_CHUNK);
         }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -8,7 +8,7 @@
 
 use async_channel::{Receiver, Sender};
 use molespan_daemon::boot_clock::BootClock;
-use molespan_daemon::cluster::Cluster;
+use molespan_daemon::cluster::{Cluster, WireTransport};
 use molespan_fleet::ViewSink;
 use molespan_fleet::refusals::RefusalLog;
 use molespan_fleet::view::{EngineRecord, ServiceSubset, Topology, TopologyView, ViewUpdate};
@@ -19,6 +19,7 @@
 use molespan_routing::queue::Limits;
 use molespan_routing::quota::TenantTable;
 use molespan_routing::renewal::{Renewal, SendingChange};
+use molespan_routing::streams::Holder;
 use molespan_routing::suspects::SuspectTable;
 use molespan_state::declared::{Route, RouteKind, ServingModel};
 use molespan_types::{NodeId, SoftwareVersion, Timestamp, ZoneName};
@@ -35,6 +36,7 @@
 use crate::queue::ServiceQueue;
 use crate::reach::Reach;
 use crate::room::Shortages;
+use crate::streams::Streams;
 use crate::tenants::{Keys, limits};
 
 /// The configuration in force.
@@ -102,6 +104,8 @@
     pub reach: Reach,
     /// Batch items that run here.
     pub batch_runs: BatchRuns,
+    /// Origins of streams.
+    pub streams: Streams,
     /// Turns of the batch items that wait for an engine.
     pub batch_turns: Rc<Turns>,
     /// Waiting online requests by service.
@@ -144,6 +148,7 @@
         options: &GatewayOptions,
         control: Arc<Cluster>,
         batch: Arc<Cluster>,
+        wire: Arc<WireTransport>,
         logger: Logger,
     ) -> Self {
         let zone = options.zone.clone();
@@ -161,6 +166,7 @@
             pool: Pool::default(),
             reach: Reach::default(),
             batch_runs: BatchRuns::default(),
+            streams: Streams::new(wire),
             batch_turns: Rc::default(),
             queues: RefCell::default(),
             version_queues: RefCell::default(),
@@ -312,6 +318,11 @@
         others.copied().collect()
     }
 
+    /// Returns the control nodes that keep the origins of streams.
+    pub fn stream_holders(&self) -> Vec<Holder> {
+        self.topology_view.borrow().stream_holders(self.now())
+    }
+
     /// Returns the relay in use, if any is known.
     pub fn relay_in_use(&self) -> Option<NodeId> {
         let control = &self.topology.borrow().control;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod readiness;
 pub mod renewal;
 pub mod retry;
+pub mod streams;
 pub mod subset;
 pub mod suspects;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -324,6 +324,24 @@
         #[n(7)]
         demand: Option<ByteVec>,
     },
+    /// Streams that a gateway began, with their origins; one-way, to control nodes that
+    /// keep them.
+    #[n(13)]
+    StreamsBegan {
+        /// Gateway.
+        #[n(0)]
+        from: NodeId,
+        /// Encoded reports.
+        #[n(1)]
+        streams: ByteVec,
+    },
+    /// Asks a control node where a stream began.
+    #[n(14)]
+    FindStream {
+        /// Encoded key of the stream.
+        #[n(0)]
+        stream: ByteVec,
+    },
 }
 
 /// Node and address of a group's leader.
@@ -448,4 +466,11 @@
         #[n(1)]
         stop: Vec<(u64, u32)>,
     },
+    /// The response to [`Request::FindStream`].
+    #[n(11)]
+    StreamOrigin {
+        /// Encoded origin; `None` if it is unknown here.
+        #[n(0)]
+        origin: Option<ByteVec>,
+    },
 }
