A batch item goes on only at the version that began its output, or starts anew

The text of an item could hold events of two software versions: items continue at any engine of their service after each preemption, crash, hand-over or lost gateway, and neither the gateway nor the stored progress knew which version wrote the first part.

The output at a gateway, checkpoints and stored progress hold where the output began (service and version). A run goes to engines of that origin; where there is none, or it is unknown (an older gateway or store, versions that control nodes disagree on), the item starts anew. What the stores accept is unchanged, so that old and new builds of one group agree. Turns of items bound to one of several versions are their own: one that waits for its version does not hold up the others.

A reply to a checkpoint of discarded output would have counted for the new one; it no longer does.

--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -4,8 +4,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use molespan_daemon::boot_clock::BootClock;
-use molespan_routing::streams::{OriginReport, Origins, StreamOrigin};
-use molespan_state::declared::StreamKey;
+use molespan_routing::streams::{OriginReport, Origins};
+use molespan_state::declared::{StreamKey, StreamOrigin};
 use molespan_types::{NodeId, RunOutcome};
 use molespan_wire::Response;
 use slog::{Logger, info};
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -10,7 +10,8 @@
 use molespan_http::h1::Headers;
 use molespan_routing::dispatch::{PromptCost, WorkClass};
 use molespan_state::batch::{ItemOutcome, ItemToRun, Output};
-use molespan_state::declared::Route;
+use molespan_state::declared::{Route, StreamOrigin};
+use molespan_types::SoftwareVersion;
 use slog::info;
 
 use super::preemption::RunGuard;
@@ -28,6 +29,9 @@
 const INACTIVITY_TIMEOUT: Duration = Duration::from_secs(3);
 /// Pause before a retry after engines rejected an item or failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Time for which an item waits for an engine of the version that began its output before it
+/// starts anew: longer than a gateway that has just started takes to know all engines.
+const VERSION_WAIT: Duration = Duration::from_secs(1);
 /// Time added to the route's retention, in milliseconds, to allow for clock differences.
 const CLOCK_SLACK_MS: u64 = 4_000;
 
@@ -66,13 +70,19 @@
         let Some(route) = in_force.model.route(&item.host, &item.item.path) else {
             return dead_letter(state, item, "its route is gone");
         };
-        let Some(service) = in_force.service(route) else {
+        let origin = usable_origin(state, route, item, output).await;
+        let service = match &origin {
+            Some(origin) => Some(origin.service.clone()),
+            None => in_force.service(route),
+        };
+        let Some(service) = service else {
             return dead_letter(state, item, "its route is gone");
         };
         if is_expired(route, item) {
             return dead_letter(state, item, "its retention expired");
         }
-        let run = run_once(state, dialect, route, service, item, output).await;
+        let version = origin.map(|origin| origin.version);
+        let run = run_once(state, dialect, route, service, version, item, output).await;
         match run {
             RunResult::Complete => {
                 let text = output.borrow().text();
@@ -107,11 +117,54 @@
     unix_millis() > deadline
 }
 
+/// Returns where the output so far began, if an engine may go on with it. Otherwise the
+/// output is discarded and the item starts anew: what two versions write does not fit
+/// together.
+async fn usable_origin(
+    state: &GatewayState,
+    route: &Route,
+    item: &ItemToRun,
+    output: &SharedOutput,
+) -> Option<StreamOrigin> {
+    let last_event = output.borrow().last_event()?;
+    let origin = output.borrow().origin().cloned();
+    let leads_there = |origin: &StreamOrigin| {
+        let mut destinations = route.destinations.iter();
+        destinations.any(|one| one.service == origin.service)
+    };
+    if let Some(origin) = &origin
+        && leads_there(origin)
+        && is_version_served(state, origin).await
+    {
+        return Some(origin.clone());
+    }
+    info!(state.logger, "item starts anew"; "item" => &item.item.id, "after_event" => last_event,
+        "service" => origin.as_ref().map(|origin| origin.service.as_str()),
+        "version" => version_text(origin.as_ref().map(|origin| &origin.version)));
+    output.borrow_mut().restart(rand::random());
+    None
+}
+
+/// Whether an engine of a version is known, also shortly after this gateway started, when it
+/// does not know all engines yet.
+async fn is_version_served(state: &GatewayState, origin: &StreamOrigin) -> bool {
+    let lists_version = || {
+        let engines = state.engines.borrow();
+        engines.lists_version(&origin.service, &origin.version)
+    };
+    let until = state.now() + VERSION_WAIT;
+    while !lists_version() && state.now() < until {
+        Timer::after(RETRY_PAUSE).await;
+    }
+    lists_version()
+}
+
 async fn run_once<D: GatewayDialect>(
     state: &Rc<GatewayState>,
     dialect: &D,
     route: &Route,
     service: String,
+    version: Option<SoftwareVersion>,
     item: &ItemToRun,
     output: &SharedOutput,
 ) -> RunResult {
@@ -142,6 +195,7 @@
     let guard = RunGuard::begin(state, item.due_ms, prompt_tokens, output);
     let after_event = output.borrow().last_event();
     dispatch.due_ms = item.due_ms;
+    dispatch.version = version;
     let running = async {
         let reply = match dispatch.next_reply(after_event).await {
             Ok(reply) => reply,
@@ -152,6 +206,11 @@
         let engine = reply.body.engine.clone();
         let version = reply.body.version.clone();
         guard.set_engine(&engine);
+        let origin = version.clone().map(|version| StreamOrigin {
+            service: dispatch.service.clone(),
+            version,
+        });
+        output.borrow_mut().continue_from(origin);
         let run = finish_run(state, reply, output).await;
         if matches!(
             run,
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -462,7 +462,11 @@
     /// Waits until this is the most urgent waiting batch item, and then until an engine has
     /// capacity.
     async fn pick_in_turn(&mut self) -> Result<Picked, Refusal> {
-        let _turn = self.state.batch_turns.acquire(self.due_ms).await;
+        let turns = match &self.version {
+            Some(version) => self.state.version_turns(&self.service, version),
+            None => self.state.batch_turns.clone(),
+        };
+        let _turn = turns.acquire(self.due_ms).await;
         let turn_ends = self.state.now() + MAX_TURN;
         loop {
             let picked = match self.state.may_start(WorkClass::Batch) {
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -12,8 +12,7 @@
 
 use futures_lite::future;
 use molespan_http::h1::{Connection, LAST_CHUNK};
-use molespan_routing::streams::StreamOrigin;
-use molespan_state::declared::StreamKey;
+use molespan_state::declared::{StreamKey, StreamOrigin};
 use molespan_types::{SoftwareVersion, Timestamp};
 use slog::info;
 
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -108,6 +108,8 @@
     pub streams: Streams,
     /// Turns of the batch items that wait for an engine.
     pub batch_turns: Rc<Turns>,
+    /// Turns of the items that only one software version may go on with.
+    version_turns: RefCell<BTreeMap<(String, SoftwareVersion), Rc<Turns>>>,
     /// Waiting online requests by service.
     queues: RefCell<BTreeMap<String, Rc<ServiceQueue>>>,
     /// Waiting streams that only one software version may go on with, by service and
@@ -168,6 +170,7 @@
             batch_runs: BatchRuns::default(),
             streams: Streams::new(wire),
             batch_turns: Rc::default(),
+            version_turns: RefCell::default(),
             queues: RefCell::default(),
             version_queues: RefCell::default(),
             shortages: Shortages::default(),
@@ -207,9 +210,12 @@
         queue
     }
 
-    /// Returns the queue of the streams that one software version of a service goes on with.
-    /// A queue is dropped once it is empty.
+    /// Returns the queue of the requests that only one software version of a service may
+    /// run: one of their own while other versions serve too.
     pub fn version_queue(&self, service: &str, version: &SoftwareVersion) -> Rc<ServiceQueue> {
+        if self.engines.borrow().is_only_version(service, version) {
+            return self.queue(service);
+        }
         let mut queues = self.version_queues.borrow_mut();
         queues.retain(|_, queue| !queue.is_empty());
         let key = (service.to_owned(), version.clone());
@@ -219,6 +225,19 @@
         queue.clone()
     }
 
+    /// Returns the turns of the batch items that only one software version of a service may
+    /// run: turns of their own while other versions serve too.
+    pub fn version_turns(&self, service: &str, version: &SoftwareVersion) -> Rc<Turns> {
+        if self.engines.borrow().is_only_version(service, version) {
+            return self.batch_turns.clone();
+        }
+        let mut turns = self.version_turns.borrow_mut();
+        // Turns that nobody waits for or holds.
+        turns.retain(|_, turns| Rc::strong_count(turns) > 1);
+        let key = (service.to_owned(), version.clone());
+        turns.entry(key).or_default().clone()
+    }
+
     /// Wakes the queue of a service whose engines may have capacity.
     pub fn wake_queue(&self, service: &str) {
         let queue = self.queues.borrow().get(service).cloned();
--- a/crates/proxy/src/streams.rs
+++ b/crates/proxy/src/streams.rs
@@ -12,10 +12,8 @@
 use derive_more::Display;
 use futures_lite::future;
 use molespan_daemon::cluster::{PeerTransport, WireTransport};
-use molespan_routing::streams::{
-    Found, OriginReport, Origins, Search, StreamOrigin, holders, report_interval,
-};
-use molespan_state::declared::StreamKey;
+use molespan_routing::streams::{Found, OriginReport, Origins, Search, holders, report_interval};
+use molespan_state::declared::{StreamKey, StreamOrigin};
 use molespan_types::NodeId;
 use molespan_wire::{Request, Response};
 use slog::warn;
--- a/crates/routing/src/dispatch/room.rs
+++ b/crates/routing/src/dispatch/room.rs
@@ -122,9 +122,11 @@
         if self.slot_times.mean(pick.service) < START_VISIBILITY_DELAY {
             return true;
         }
-        // A stream that goes on has no other engines; the share of all free slots says
-        // nothing of those at its version.
-        if pick.version.is_some() {
+        // The share of all free slots says nothing of those at one of several versions, and
+        // a stream that goes on has no others.
+        if let Some(version) = pick.version
+            && !self.is_only_version(pick.service, version)
+        {
             return true;
         }
         let others_report = self.others_report(now);
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -311,6 +311,20 @@
         }
     }
 
+    /// Whether an engine of a service is known that runs a software version.
+    #[must_use]
+    pub fn lists_version(&self, service: &str, version: &SoftwareVersion) -> bool {
+        let mut engines = self.of_service(service);
+        engines.any(|engine| engine.facts.version.as_ref() == Some(version))
+    }
+
+    /// Whether every engine of a service runs a software version.
+    #[must_use]
+    pub fn is_only_version(&self, service: &str, version: &SoftwareVersion) -> bool {
+        let mut engines = self.of_service(service);
+        engines.all(|engine| engine.facts.version.as_ref() == Some(version))
+    }
+
     /// Whether new work may still go to the engine.
     #[must_use]
     pub fn is_present(&self, id: &str) -> bool {
--- a/crates/routing/src/streams/mod.rs
+++ b/crates/routing/src/streams/mod.rs
@@ -10,5 +10,5 @@
 mod search;
 
 pub use holder::{Holder, holders, report_interval};
-pub use origin::{OriginReport, Origins, StreamOrigin};
+pub use origin::{OriginReport, Origins};
 pub use search::{Found, Search};
--- a/crates/routing/src/streams/origin.rs
+++ b/crates/routing/src/streams/origin.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use minicbor::{Decode, Encode};
-use molespan_state::declared::StreamKey;
-use molespan_types::{SoftwareVersion, Timestamp};
+use molespan_state::declared::{StreamKey, StreamOrigin};
+use molespan_types::Timestamp;
 
 /// Minimum time for which an origin is known after its last report: longer than a caller
 /// holds on to a stream.
@@ -14,17 +14,6 @@
 /// Maximum number of streams in each of the two generations of a table.
 const MAX_GENERATION: usize = 200_000;
 
-/// Where a stream began.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
-pub struct StreamOrigin {
-    /// Service of the engine that sent the first event.
-    #[n(0)]
-    pub service: String,
-    /// Software version of that engine.
-    #[n(1)]
-    pub version: SoftwareVersion,
-}
-
 /// Streams of one origin, as reported to other nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct OriginReport {
--- a/crates/routing/src/streams/search.rs
+++ b/crates/routing/src/streams/search.rs
@@ -1,6 +1,6 @@
 //! Search for the origin of a stream at several nodes.
 
-use super::origin::StreamOrigin;
+use molespan_state::declared::StreamOrigin;
 
 /// Answers of the nodes that were asked for the origin of a stream.
 #[derive(Clone, Debug, Default)]
--- a/crates/routing/tests/streams.rs
+++ b/crates/routing/tests/streams.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 
 use molespan_routing::streams::{
-    Found, Holder, OriginReport, Origins, Search, StreamOrigin, holders, report_interval,
+    Found, Holder, OriginReport, Origins, Search, holders, report_interval,
 };
-use molespan_state::declared::StreamKey;
+use molespan_state::declared::{StreamKey, StreamOrigin};
 use molespan_types::{NodeId, Timestamp};
 
 fn at(seconds: u64) -> Timestamp {
--- a/crates/state/src/batch/job.rs
+++ b/crates/state/src/batch/job.rs
@@ -8,6 +8,7 @@
 use super::command::{ItemCheckpoint, RunId, StoredProgress};
 use super::packed::CompressedText;
 use crate::codec::{decode, encode};
+use crate::declared::StreamOrigin;
 use crate::payload::{PayloadError, PayloadLocation, PayloadLog};
 
 /// A request of a batch job.
@@ -56,6 +57,10 @@
     #[n(2)]
     #[cbor(default)]
     pub run: RunId,
+    /// Where the output began; `None` if it is unknown, or stored by an older build.
+    #[n(3)]
+    #[cbor(default)]
+    pub origin: Option<StreamOrigin>,
 }
 
 impl ItemProgress {
@@ -306,8 +311,12 @@
         let is_longer = kept.is_none_or(|kept| checkpoint.last_event > kept);
         if is_longer && (continues || checkpoint.after.is_none()) {
             let progress = self.progress.entry(place).or_default();
-            if !continues {
+            if !continues || kept.is_none() {
                 progress.pieces.clear();
+                progress.origin = checkpoint.origin.clone();
+            } else if progress.origin != checkpoint.origin {
+                // The run does not know what it continued, so nobody may go on with it.
+                progress.origin = None;
             }
             progress.pieces.push(checkpoint.text.clone());
             progress.last_event = Some(checkpoint.last_event);
--- a/crates/state/src/batch/output.rs
+++ b/crates/state/src/batch/output.rs
@@ -4,6 +4,7 @@
 use super::command::{ItemCheckpoint, ItemReference, RunId, StoredProgress};
 use super::job::ItemProgress;
 use super::packed::CompressedText;
+use crate::declared::StreamOrigin;
 
 /// The output of an item so far.
 ///
@@ -18,6 +19,8 @@
     /// Data of the events in order. Data restored from the batch group is in pieces of
     /// several events each.
     data: Vec<String>,
+    /// Where the output began; `None` if there is none yet or it is unknown.
+    origin: Option<StreamOrigin>,
     prefix: StoredPrefix,
 }
 
@@ -36,10 +39,32 @@
             run,
             last_event: None,
             data: Vec::new(),
+            origin: None,
             prefix: StoredPrefix::default(),
         }
     }
 
+    /// Discards the output, since nothing may go on with it; `run` starts at the first
+    /// event.
+    pub fn restart(&mut self, run: RunId) {
+        *self = Self::begin(run);
+    }
+
+    /// Returns where the output began, if that is known.
+    #[must_use]
+    pub fn origin(&self) -> Option<&StreamOrigin> {
+        self.origin.as_ref()
+    }
+
+    /// Records the origin of the events that follow. The origin of an output with others
+    /// before them is unknown.
+    pub fn continue_from(&mut self, origin: Option<StreamOrigin>) {
+        match self.last_event {
+            Some(_) if self.origin != origin => self.origin = None,
+            _ => self.origin = origin,
+        }
+    }
+
     /// Restores the stored output of an earlier run, which `run` resumes. The output is
     /// empty if the stored data cannot be decoded; the item then runs from the start.
     #[must_use]
@@ -60,6 +85,7 @@
             run,
             last_event: progress.last_event,
             data,
+            origin: progress.origin.clone(),
             prefix,
         }
     }
@@ -98,6 +124,7 @@
             last_event,
             text: CompressedText::compress(&self.data[self.prefix.pieces..].join("\n")),
             run,
+            origin: self.origin.clone(),
         };
         let prefix = StoredPrefix {
             stored: Some(StoredProgress { last_event, run }),
@@ -107,9 +134,11 @@
     }
 
     /// Records the reply to a checkpoint: `prefix` is the expected prefix, `stored` the
-    /// progress that the batch group reports.
+    /// progress that the batch group reports. A reply to a checkpoint of an output that was
+    /// discarded says nothing of the present one.
     pub fn record_stored(&mut self, prefix: StoredPrefix, stored: Option<StoredProgress>) {
-        match stored == prefix.stored {
+        let of_this_run = stored.is_some_and(|stored| stored.run == self.run);
+        match of_this_run && stored == prefix.stored {
             true => self.prefix = prefix,
             false => self.reset_stored(),
         }
--- a/crates/state/src/declared/mod.rs
+++ b/crates/state/src/declared/mod.rs
@@ -16,7 +16,7 @@
 mod request_digest;
 mod state;
 mod stores;
-mod stream_key;
+mod stream;
 mod tenants;
 
 pub use bars::{BAR_DURATION, Bar, Bars};
@@ -29,5 +29,5 @@
 pub use request_digest::{RequestDigest, RequestParts};
 pub use state::{DeclaredConfiguration, DeclaredState};
 pub use stores::{Retirement, StoreNode, Stores};
-pub use stream_key::StreamKey;
+pub use stream::{StreamKey, StreamOrigin};
 pub use tenants::{KeyDigest, RateLimit, Tenant};
--- a/crates/state/src/declared/stream_key.rs
+++ b/crates/state/src/declared/stream.rs
@@ -1,10 +1,11 @@
-//! Identification of a stream over all tries of its caller.
+//! Identification and origin of a stream over all tries of its caller.
 
 use std::fmt;
 
 use derive_more::Display;
 use minicbor::bytes::ByteArray;
 use minicbor::{Decode, Encode};
+use molespan_types::SoftwareVersion;
 use sha2::{Digest, Sha256};
 
 /// Number of SHA-256 bytes that are kept: enough that nobody can find another stream with
@@ -40,3 +41,15 @@
         fmt::Display::fmt(self, formatter)
     }
 }
+
+/// Where a stream began; only engines of the same service and software version may go on
+/// with it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct StreamOrigin {
+    /// Service of the engine that sent the first event.
+    #[n(0)]
+    pub service: String,
+    /// Software version of that engine.
+    #[n(1)]
+    pub version: SoftwareVersion,
+}
--- a/crates/state/tests/batch.rs
+++ b/crates/state/tests/batch.rs
@@ -173,6 +173,7 @@
             last_event,
             text: CompressedText::compress(&text(after + 1..=last_event)),
             run: 1,
+            origin: None,
         }];
         BatchCommand::Checkpoint { items }
     };
--- a/crates/state/tests/batch_output.rs
+++ b/crates/state/tests/batch_output.rs
@@ -5,6 +5,7 @@
     BatchAnswer, BatchCommand, BatchItem, BatchMachine, BatchQuery, BatchReply, ItemCheckpoint,
     ItemProgress, ItemReference, Output, StoredPrefix, StoredProgress, SubmitJob,
 };
+use molespan_state::declared::StreamOrigin;
 use proptest::prelude::*;
 
 const ITEM: ItemReference = ItemReference { job: 1, place: 0 };
@@ -251,3 +252,62 @@
         prop_assert!(progress(&machine).last_event >= output.last_event());
     }
 }
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: "s".to_owned(),
+        version: version.into(),
+    }
+}
+
+#[test]
+fn progress_that_several_versions_produced_has_no_known_origin() {
+    let mut machine = machine();
+    let mut output = Output::begin(1);
+    output.continue_from(Some(origin("v1")));
+    produce_events(&mut output, 2);
+    let (checkpoint, kept) = output.checkpoint(ITEM).expect("unsaved output");
+    let answered = commit(&mut machine, checkpoint);
+    output.record_stored(kept, answered);
+    assert_eq!(progress(&machine).origin, Some(origin("v1")));
+    let mut resumed = Output::resume(&progress(&machine), 2);
+    assert_eq!(resumed.origin(), Some(&origin("v1")));
+    resumed.continue_from(Some(origin("v2")));
+    assert_eq!(resumed.origin(), None);
+    // A gateway of an older build goes on without naming any.
+    produce_events(&mut output, 1);
+    let (mut checkpoint, _) = output.checkpoint(ITEM).expect("unsaved output");
+    checkpoint.origin = None;
+    commit(&mut machine, checkpoint);
+    assert_eq!(progress(&machine).last_event, Some(3));
+    assert_eq!(progress(&machine).origin, None);
+}
+
+#[test]
+fn a_reply_to_a_checkpoint_of_discarded_output_does_not_count_for_the_new_one() {
+    let mut machine = machine();
+    let mut output = Output::begin(1);
+    output.continue_from(Some(origin("v1")));
+    produce_events(&mut output, 3);
+    let (checkpoint, kept) = output.checkpoint(ITEM).expect("unsaved output");
+    let answered = commit(&mut machine, checkpoint);
+    output.restart(2);
+    output.continue_from(Some(origin("v2")));
+    for event in 1..=3 {
+        output.push(Some(event), format!("new {event}"));
+    }
+    output.record_stored(kept, answered);
+    let (checkpoint, kept) = output.checkpoint(ITEM).expect("unsaved output");
+    assert_eq!(checkpoint.after, None);
+    let answered = commit(&mut machine, checkpoint);
+    output.record_stored(kept, answered);
+    assert_eq!(progress(&machine).origin, Some(origin("v1")));
+    // The longer output replaces the stored one as a whole.
+    output.push(Some(4), "new 4".to_owned());
+    let (checkpoint, _) = output.checkpoint(ITEM).expect("unsaved output");
+    commit(&mut machine, checkpoint);
+    let resumed = Output::resume(&progress(&machine), 3);
+    assert_eq!(resumed.origin(), Some(&origin("v2")));
+    let text = "new 1\nnew 2\nnew 3\nnew 4";
+    assert_eq!(resumed.text().decompress().as_deref(), Some(text));
+}
