A stream goes on at the last engine of its version while that leaves

In a rolling release the last engines of the old version announce their departure and serve on for seconds, while a stream of theirs whose gateway was lost was refused. Such an engine now goes on with streams that no other may go on with, for a second after the gateway learned of the departure (users bound it by two).

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -277,7 +277,7 @@
         in_flight,
     } = counted;
     // The engine may have left while the connection was established.
-    if !state.engines.borrow().is_present(&engine.id) {
+    if !state.engines.borrow().may_send(&engine.id, state.now()) {
         return Err(AttemptFailure::Unreachable);
     }
     if !state.may_start(outbound.class) {
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -366,7 +366,7 @@
     async fn pick(&mut self) -> Result<Picked, Refusal> {
         let target = Duration::from_millis(u64::from(self.route.target_latency_ms));
         let start_by = self.arrived + target.mul_f64(BEGIN_SHARE);
-        if self.has_left() {
+        if self.version.is_none() && self.has_left() {
             return Err(self.no_engine_left());
         }
         let waiter = self.enqueue(start_by)?;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -542,7 +542,8 @@
     }
 
     fn depart(&self, engine: &str) {
-        if self.engines.borrow_mut().depart(engine) {
+        let now = self.now();
+        if self.engines.borrow_mut().depart(engine, now) {
             info!(self.logger, "engine is leaving"; "engine" => engine);
             self.pool.forget_departed(engine);
         }
--- a/crates/proxy/src/streams.rs
+++ b/crates/proxy/src/streams.rs
@@ -12,7 +12,9 @@
 use derive_more::Display;
 use futures_lite::future;
 use molespan_daemon::cluster::{PeerTransport, WireTransport};
-use molespan_routing::streams::{Found, OriginReport, Origins, Search, holders, report_interval};
+use molespan_routing::streams::{
+    Found, HolderAnswer, OriginReport, Origins, Search, holders, report_interval,
+};
 use molespan_state::declared::{StreamKey, StreamOrigin};
 use molespan_types::NodeId;
 use molespan_wire::{Request, Response};
@@ -139,12 +141,14 @@
                 source: Source::Own,
             });
         }
-        let mut origin = self.search_stream(key).await;
-        if origin.is_none() {
+        let mut result = self.search_stream(key).await;
+        if result == Found::Unknown {
             Timer::after(SEARCH_PAUSE).await;
-            origin = self.search_stream(key).await;
+            result = self.search_stream(key).await;
         }
-        let origin = origin?;
+        let Found::Known(origin) = result else {
+            return None;
+        };
         self.streams
             .known
             .borrow_mut()
@@ -156,7 +160,7 @@
     }
 
     /// Asks all holders for the origin of a stream.
-    async fn search_stream(&self, key: StreamKey) -> Option<StreamOrigin> {
+    async fn search_stream(&self, key: StreamKey) -> Found {
         let holders = self.stream_holders();
         let mut search = Search::new(holders.len());
         let calls = holders.into_iter();
@@ -168,25 +172,32 @@
                 decided => Some(decided),
             }
         });
-        match result.await {
-            Some(Found::Known(origin)) => Some(origin),
-            _ => None,
-        }
+        let decided = result.await;
+        decided.unwrap_or(Found::Unanswered)
     }
 
-    async fn ask_holder(&self, holder: NodeId, key: StreamKey) -> Option<StreamOrigin> {
+    /// Asks one holder.
+    async fn ask_holder(&self, holder: NodeId, key: StreamKey) -> HolderAnswer {
         let request = Request::FindStream {
             stream: molespan_state::encode(&key).into(),
         };
         let call = self.streams.wire.call(holder, request, SEARCH_TIMEOUT);
         match call.await {
-            Ok(Response::StreamOrigin { origin }) => {
-                origin.and_then(|origin| molespan_state::decode(&origin).ok())
-            }
+            Ok(Response::StreamOrigin { origin: None }) => HolderAnswer::Unknown,
+            Ok(Response::StreamOrigin {
+                origin: Some(origin),
+            }) => match molespan_state::decode(&origin) {
+                Ok(origin) => HolderAnswer::Known(origin),
+                Err(error) => {
+                    warn!(self.logger, "malformed origin of a stream";
+                        "holder" => holder.address().to_string(), "error" => %error);
+                    HolderAnswer::None
+                }
+            },
             other => {
                 warn!(self.logger, "holder did not answer a search for a stream";
                     "holder" => holder.address().to_string(), "answer" => ?other.err());
-                None
+                HolderAnswer::None
             }
         }
     }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod demand;
 mod engine;
 mod errors;
+mod leaving;
 mod lives;
 mod load;
 mod loss;
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -12,6 +12,7 @@
 use super::candidate::{Candidate, answer_tokens};
 use super::demand::DemandTable;
 use super::engine::{Engine, EngineFacts, Failure, WorkShare};
+use super::leaving::LeavingEngines;
 use super::lives::{Departures, LatestIncarnations};
 use super::load::EngineLoad;
 use super::prompt::{PromptCost, PromptHolders, preferred_engine};
@@ -89,8 +90,8 @@
 impl Pick<'_> {
     /// Whether an engine's software may run the request. Unknown versions are never taken
     /// for equal.
-    fn allows_version(&self, engine: &Engine) -> bool {
-        self.version.is_none() || self.version == engine.facts.version.as_ref()
+    pub(super) fn allows_version(&self, engine: &EngineFacts) -> bool {
+        self.version.is_none() || self.version == engine.version.as_ref()
     }
 }
 
@@ -129,6 +130,7 @@
     pub(super) zone: ZoneName,
     pub(super) engines: BTreeMap<String, Engine>,
     departures: Departures,
+    leaving: LeavingEngines,
     /// Services whose last engine announced its departure.
     departed_services: BTreeSet<String>,
     latest: LatestIncarnations,
@@ -160,6 +162,7 @@
             zone,
             engines: BTreeMap::new(),
             departures: Departures::default(),
+            leaving: LeavingEngines::default(),
             departed_services: BTreeSet::new(),
             latest: LatestIncarnations::default(),
             holders: PromptHolders::default(),
@@ -192,6 +195,7 @@
                 !ended && engine.facts.address != facts.address
             });
             self.latest.note(&facts.id);
+            self.leaving.replace(&facts.id);
         }
         self.departed_services.remove(&facts.service);
         let id = facts.id.clone();
@@ -277,16 +281,17 @@
 
     /// Records that an engine leaves, in this incarnation and earlier ones. Returns whether
     /// that is new.
-    pub fn depart(&mut self, id: &str) -> bool {
+    pub fn depart(&mut self, id: &str, now: Timestamp) -> bool {
         let departed = EngineIncarnation::of(id);
-        let engines = self.engines.iter();
-        let leaving =
-            engines.filter(|(id, _)| EngineIncarnation::of(id).departure_applies(&departed));
-        let services: Vec<String> = leaving
-            .map(|(_, engine)| engine.facts.service.clone())
-            .collect();
-        self.engines
-            .retain(|id, _| !EngineIncarnation::of(id).departure_applies(&departed));
+        let mut services = BTreeSet::new();
+        self.engines.retain(|id, engine| {
+            let leaves = EngineIncarnation::of(id).departure_applies(&departed);
+            if leaves {
+                services.insert(engine.facts.service.clone());
+                self.leaving.note(engine.facts.clone(), now);
+            }
+            !leaves
+        });
         for service in services {
             if self.of_service(&service).next().is_none() {
                 self.departed_services.insert(service);
@@ -331,6 +336,13 @@
         self.engines.contains_key(id)
     }
 
+    /// Whether a request may still be sent to the engine that was picked for it: it is
+    /// present, or a stream may go on there although it leaves.
+    #[must_use]
+    pub fn may_send(&self, id: &str, now: Timestamp) -> bool {
+        self.is_present(id) || self.leaving.serves_on(id, now)
+    }
+
     /// Returns the address of an engine, if it is known.
     #[must_use]
     pub fn address(&self, id: &str) -> Option<SocketAddr> {
@@ -576,18 +588,8 @@
     /// # Errors
     /// Returns why there is none to choose.
     pub fn pick(&mut self, pick: &Pick<'_>, now: Timestamp) -> Result<Picked, NoEngine> {
-        if self.of_service(pick.service).next().is_none() {
-            return Err(NoEngine::None);
-        }
-        if !self.has_version(pick, now) {
-            return Err(NoEngine::Version);
-        }
-        if self
-            .of_service(pick.service)
-            .filter(|one| pick.allows_version(one))
-            .all(|one| pick.tried.contains(&one.facts.id))
-        {
-            return Err(NoEngine::Tried);
+        if let Some(none) = self.no_engine(pick, now) {
+            return self.leaving.pick(pick, now).ok_or(none);
         }
         let may_start = match pick.class {
             WorkClass::Batch => self.may_start_batch(pick.service, now),
@@ -601,13 +603,29 @@
         picked.ok_or(NoEngine::Busy)
     }
 
+    /// Returns why no present engine will ever get a request, if that is so.
+    fn no_engine(&self, pick: &Pick<'_>, now: Timestamp) -> Option<NoEngine> {
+        if !self.has_version(pick, now) {
+            return Some(NoEngine::Version);
+        }
+        let mut suitable = self
+            .of_service(pick.service)
+            .filter(|engine| pick.allows_version(&engine.facts))
+            .peekable();
+        if suitable.peek().is_none() {
+            return Some(NoEngine::None);
+        }
+        let tried = suitable.all(|engine| pick.tried.contains(&engine.facts.id));
+        tried.then_some(NoEngine::Tried)
+    }
+
     /// Whether an engine of the only version that may run a request can be reached.
     fn has_version(&self, pick: &Pick<'_>, now: Timestamp) -> bool {
         if pick.version.is_none() {
             return true;
         }
         let mut engines = self.reachable_engines(pick.service);
-        engines.any(|engine| pick.allows_version(engine) && !engine.is_unreachable(now))
+        engines.any(|engine| pick.allows_version(&engine.facts) && !engine.is_unreachable(now))
     }
 
     /// Returns the engine that is likely to answer first among those with capacity.
@@ -683,7 +701,7 @@
         let tried = pick.tried.contains(&facts.id);
         let batch_held_off = pick.class == WorkClass::Batch && engine.is_batch_held_off(now);
         let excluded = failing || tried || batch_held_off;
-        let suitable = facts.service == pick.service && pick.allows_version(engine);
+        let suitable = facts.service == pick.service && pick.allows_version(facts);
         suitable && !excluded && !self.is_full(engine, pick, now)
     }
 
--- a/crates/routing/src/streams/mod.rs
+++ b/crates/routing/src/streams/mod.rs
@@ -11,4 +11,4 @@
 
 pub use holder::{Holder, holders, report_interval};
 pub use origin::{OriginReport, Origins};
-pub use search::{Found, Search};
+pub use search::{Found, HolderAnswer, Search};
--- a/crates/routing/src/streams/search.rs
+++ b/crates/routing/src/streams/search.rs
@@ -2,11 +2,23 @@
 
 use molespan_state::declared::StreamOrigin;
 
+/// Answer of one node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HolderAnswer {
+    /// The node knows the origin.
+    Known(StreamOrigin),
+    /// The node does not know it.
+    Unknown,
+    /// The node did not answer.
+    None,
+}
+
 /// Answers of the nodes that were asked for the origin of a stream.
 #[derive(Clone, Debug, Default)]
 pub struct Search {
-    /// Nodes that have not answered.
+    /// Nodes whose answer is still awaited.
     open: usize,
+    answered: bool,
     found: Option<StreamOrigin>,
     contradicted: bool,
 }
@@ -16,9 +28,11 @@
 pub enum Found {
     /// A node knows the origin.
     Known(StreamOrigin),
-    /// No node knows it, or nodes contradict each other.
+    /// No node that answered knows it, or nodes contradict each other.
     Unknown,
-    /// Nodes that have not answered may know it.
+    /// No node answered.
+    Unanswered,
+    /// Nodes whose answer is still awaited may know it.
     Open,
 }
 
@@ -32,13 +46,16 @@
         }
     }
 
-    /// Records the answer of a node; `None` if it knows nothing or does not answer.
-    pub fn record(&mut self, answer: Option<StreamOrigin>) {
+    /// Records the answer of a node.
+    pub fn record(&mut self, answer: HolderAnswer) {
         self.open = self.open.saturating_sub(1);
-        match (&self.found, answer) {
-            (Some(found), Some(answer)) if *found != answer => self.contradicted = true,
-            (None, Some(answer)) => self.found = Some(answer),
-            _ => {}
+        self.answered |= answer != HolderAnswer::None;
+        let HolderAnswer::Known(origin) = answer else {
+            return;
+        };
+        match &self.found {
+            Some(found) => self.contradicted |= *found != origin,
+            None => self.found = Some(origin),
         }
     }
 
@@ -50,7 +67,8 @@
             _ if self.contradicted => Found::Unknown,
             Some(found) => Found::Known(found.clone()),
             None if self.open > 0 => Found::Open,
-            None => Found::Unknown,
+            None if self.answered => Found::Unknown,
+            None => Found::Unanswered,
         }
     }
 }
--- a/crates/routing/tests/dispatch.rs
+++ b/crates/routing/tests/dispatch.rs
@@ -170,8 +170,8 @@
     assert_eq!(online(&mut table, 0), Err(NoEngine::None));
     table.add_engine(CONTROL, facts(1, "near"), Timestamp::ZERO);
     assert!(table.is_present("e1"));
-    assert!(table.depart("e1"));
-    assert!(!table.depart("e1"));
+    assert!(table.depart("e1", now(0)));
+    assert!(!table.depart("e1", now(0)));
     table.add_engine(NodeId(2), facts(1, "near"), Timestamp::ZERO);
     assert_eq!(online(&mut table, 0), Err(NoEngine::None));
 }
--- a/crates/routing/tests/lives.rs
+++ b/crates/routing/tests/lives.rs
@@ -107,7 +107,7 @@
     table.add_engine(OTHER_CONTROL, facts("e#100", 2), now(2));
     table.add_engine(OTHER_CONTROL, facts("e", 2), now(2));
     table.remove_report(CONTROL, "e#100");
-    table.depart("e#100");
+    table.depart("e#100", now(0));
     assert_eq!(table.len(), 1);
     assert_eq!(table.slots("s"), 8);
     assert_eq!(table.occupancy(now(2)), 1.0 / 8.0);
@@ -129,8 +129,8 @@
 #[test]
 fn departed_engine_serves_again_as_later_incarnation() {
     let mut table = table_of("e#100");
-    assert!(table.depart("e#100"));
-    assert!(!table.depart("e#100"));
+    assert!(table.depart("e#100", now(0)));
+    assert!(!table.depart("e#100", now(0)));
     table.add_engine(CONTROL, facts("e#100", 1), now(1));
     assert_eq!(pick(&mut table, 1), Err(NoEngine::None));
     table.add_engine(CONTROL, facts("e#200", 1), now(1));
@@ -156,10 +156,10 @@
     ];
     for (end, incarnation, is_bound) in cases {
         let mut before = table_of(incarnation);
-        before.depart(end);
+        before.depart(end, now(0));
         assert_eq!(before.is_empty(), is_bound, "{incarnation} before {end}");
         let mut after = EngineTable::new("z".into(), 7);
-        after.depart(end);
+        after.depart(end, now(0));
         after.add_engine(CONTROL, facts(incarnation, 1), now(1));
         assert_eq!(after.is_empty(), is_bound, "{incarnation} after {end}");
         assert_eq!(
@@ -196,17 +196,17 @@
     let mut table = table_of("e#100");
     table.add_engine(CONTROL, facts("f", 2), now(0));
     assert!(!table.has_left("s"));
-    table.depart("e#100");
+    table.depart("e#100", now(0));
     assert!(!table.has_left("s"), "one engine is left");
     table.remove_report(CONTROL, "f");
     assert!(!table.has_left("s"), "it fell silent and may come back");
     table.add_engine(CONTROL, facts("f", 2), now(1));
-    table.depart("f");
+    table.depart("f", now(0));
     assert!(table.has_left("s"));
     table.add_engine(CONTROL, facts("e#101", 1), now(2));
     assert!(!table.has_left("s"));
     table.set_subset(CONTROL, "s", Some(32), None);
-    table.depart("e#101");
+    table.depart("e#101", now(0));
     assert!(
         !table.has_left("s"),
         "other gateways use other engines of it"
--- a/crates/routing/tests/many_gateways/mod.rs
+++ b/crates/routing/tests/many_gateways/mod.rs
@@ -326,8 +326,9 @@
         if let Some((from, Fault::Gone)) = self.load.engines.fault
             && self.now == from
         {
+            let now = at(self.now);
             for table in &mut self.tables {
-                table.depart(&name(0));
+                table.depart(&name(0), now);
             }
         }
     }
--- a/crates/routing/tests/streams.rs
+++ b/crates/routing/tests/streams.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use molespan_routing::streams::{
-    Found, Holder, OriginReport, Origins, Search, holders, report_interval,
+    Found, Holder, HolderAnswer, OriginReport, Origins, Search, holders, report_interval,
 };
 use molespan_state::declared::{StreamKey, StreamOrigin};
 use molespan_types::{NodeId, Timestamp};
@@ -80,16 +80,21 @@
 fn one_holder_that_knows_is_enough_and_silence_is_never_taken_for_knowledge() {
     let mut search = Search::new(3);
     assert_eq!(search.result(), Found::Open);
-    search.record(None);
+    search.record(HolderAnswer::Unknown);
     assert_eq!(search.result(), Found::Open);
-    search.record(Some(origin("v1")));
+    search.record(HolderAnswer::Known(origin("v1")));
     assert_eq!(search.result(), Found::Known(origin("v1")));
-    search.record(Some(origin("v2")));
+    search.record(HolderAnswer::Known(origin("v2")));
     assert_eq!(search.result(), Found::Unknown);
-    assert_eq!(Search::new(0).result(), Found::Unknown);
+    assert_eq!(Search::new(0).result(), Found::Unanswered);
     let mut search = Search::new(2);
-    search.record(None);
-    search.record(None);
+    search.record(HolderAnswer::None);
+    assert_eq!(search.result(), Found::Open);
+    search.record(HolderAnswer::None);
+    assert_eq!(search.result(), Found::Unanswered);
+    let mut search = Search::new(2);
+    search.record(HolderAnswer::None);
+    search.record(HolderAnswer::Unknown);
     assert_eq!(search.result(), Found::Unknown);
 }
 
--- a/crates/routing/tests/versions.rs
+++ b/crates/routing/tests/versions.rs
@@ -36,6 +36,15 @@
 }
 
 fn pick(table: &mut EngineTable, version: &str, tried: &[&str]) -> Result<String, NoEngine> {
+    pick_at(table, version, tried, 5_000)
+}
+
+fn pick_at(
+    table: &mut EngineTable,
+    version: &str,
+    tried: &[&str],
+    at_ms: u64,
+) -> Result<String, NoEngine> {
     let tried: BTreeSet<String> = tried.iter().map(|&one| one.to_owned()).collect();
     let pick = Pick {
         service: "s",
@@ -46,7 +55,7 @@
         suspect: false,
         version: Some(&version.into()),
     };
-    table.pick(&pick, now(1)).map(|picked| picked.facts.id)
+    table.pick(&pick, now(at_ms)).map(|picked| picked.facts.id)
 }
 
 #[test]
@@ -56,7 +65,7 @@
         assert_eq!(pick(&mut table, "v1", &[]), Ok("i-1".to_owned()));
     }
     for _ in 0..2 {
-        table.started("i-1", WorkClass::Online, 0, now(1));
+        table.started("i-1", WorkClass::Online, 0, now(5_000));
     }
     assert_eq!(pick(&mut table, "v1", &[]), Err(NoEngine::Busy));
     assert_eq!(pick(&mut table, "v2", &[]), Ok("i-2".to_owned()));
@@ -90,12 +99,36 @@
         pick(&mut table, "v1", &["i-1", "i-2"]),
         Err(NoEngine::Tried)
     );
-    table.failed("i-1", Failure::Unreachable, now(0));
+    table.failed("i-1", Failure::Unreachable, now(5_000));
     assert_eq!(pick(&mut table, "v1", &[]), Ok("i-2".to_owned()));
-    table.depart("i-2");
+    table.depart("i-2", now(0));
     assert_eq!(pick(&mut table, "v1", &[]), Err(NoEngine::Version));
-    table.succeeded("i-1", now(1));
+    table.succeeded("i-1", now(5_000));
     assert_ne!(pick(&mut table, "v1", &[]), Err(NoEngine::Version));
-    table.depart("i-1");
+    table.depart("i-1", now(0));
     assert_eq!(pick(&mut table, "v1", &[]), Err(NoEngine::Version));
 }
+
+#[test]
+fn a_stream_goes_on_at_an_engine_that_leaves_only_if_no_other_may_and_not_for_long() {
+    let mut table = table(&[Some("v1"), Some("v1"), Some("v2")]);
+    table.depart("i-1", now(0));
+    assert_eq!(pick_at(&mut table, "v1", &[], 100), Ok("i-2".to_owned()));
+    assert_eq!(
+        pick_at(&mut table, "v1", &["i-2"], 100),
+        Ok("i-1".to_owned())
+    );
+    table.depart("i-2", now(500));
+    assert_eq!(pick_at(&mut table, "v1", &[], 600), Ok("i-2".to_owned()));
+    assert!(table.may_send("i-2", now(600)));
+    assert_eq!(
+        pick_at(&mut table, "v1", &["i-2"], 1_000),
+        Err(NoEngine::Version)
+    );
+    assert_eq!(
+        pick_at(&mut table, "v1", &[], 1_500),
+        Err(NoEngine::Version)
+    );
+    assert!(!table.may_send("i-2", now(1_500)));
+    assert_eq!(pick_at(&mut table, "v2", &[], 600), Ok("i-3".to_owned()));
+}
