--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -442,10 +442,8 @@
             },
             returned,
         };
-        let queue = match &self.version {
-            Some(version) => self.state.version_queue(&self.service, version),
-            None => self.state.queue(&self.service),
-        };
+        let version = self.version.as_ref();
+        let queue = self.state.version_queue(&self.service, version);
         queue
             .enqueue(&request)
             .map_err(|refused| self.refused_by_queue(refused))
@@ -462,10 +460,7 @@
     /// Waits until this is the most urgent waiting batch item, and then until an engine has
     /// capacity.
     async fn pick_in_turn(&mut self) -> Result<Picked, Refusal> {
-        let turns = match &self.version {
-            Some(version) => self.state.version_turns(&self.service, version),
-            None => self.state.batch_turns.clone(),
-        };
+        let turns = self.state.turns(&self.service, self.version.as_ref());
         let _turn = turns.acquire(self.due_ms).await;
         let turn_ends = self.state.now() + MAX_TURN;
         loop {
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -1,7 +1,7 @@
 //! State and counters of a gateway, owned by one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,18 +16,17 @@
     EngineFacts, EngineTable, Picked, RelayChoice, WeightedSplit, WorkClass,
 };
 use molespan_routing::isolation::IsolationDetector;
-use molespan_routing::queue::Limits;
 use molespan_routing::quota::TenantTable;
 use molespan_routing::renewal::{Renewal, SendingChange};
 use molespan_routing::streams::Holder;
 use molespan_routing::suspects::SuspectTable;
 use molespan_state::declared::{Route, RouteKind, ServingModel};
-use molespan_types::{NodeId, SoftwareVersion, Timestamp, ZoneName};
+use molespan_types::{NodeId, Timestamp, ZoneName};
 use slog::{Logger, info, warn};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::bars::Bars;
-use crate::batch::{BatchRuns, Turns};
+use crate::batch::BatchRuns;
 use crate::engine_ends::BrokenRequests;
 use crate::gateway::GatewayOptions;
 use crate::metrics::GatewayMetrics;
@@ -38,6 +37,7 @@
 use crate::room::Shortages;
 use crate::streams::Streams;
 use crate::tenants::{Keys, limits};
+use crate::waiting::WaitingRequests;
 
 /// The configuration in force.
 #[derive(Debug)]
@@ -106,15 +106,8 @@
     pub batch_runs: BatchRuns,
     /// Origins of streams.
     pub streams: Streams,
-    /// Turns of the batch items that wait for an engine.
-    pub batch_turns: Rc<Turns>,
-    /// Turns of the items that only one software version may go on with.
-    version_turns: RefCell<BTreeMap<(String, SoftwareVersion), Rc<Turns>>>,
-    /// Waiting online requests by service.
-    queues: RefCell<BTreeMap<String, Rc<ServiceQueue>>>,
-    /// Waiting streams that only one software version may go on with, by service and
-    /// version. Its engines may be full while others are free, and the other way round.
-    version_queues: RefCell<BTreeMap<(String, SoftwareVersion), Rc<ServiceQueue>>>,
+    /// Requests that wait for an engine.
+    pub waiting: WaitingRequests,
     /// Services that lack engine capacity.
     pub shortages: Shortages,
     /// Client of the batch group.
@@ -169,10 +162,7 @@
             reach: Reach::default(),
             batch_runs: BatchRuns::default(),
             streams: Streams::new(wire),
-            batch_turns: Rc::default(),
-            version_turns: RefCell::default(),
-            queues: RefCell::default(),
-            version_queues: RefCell::default(),
+            waiting: WaitingRequests::default(),
             shortages: Shortages::default(),
             batch,
             renewal: Cell::new(Renewal::new(options.withdrawn_within)),
@@ -198,74 +188,6 @@
         self.clock.now()
     }
 
-    /// Returns the queue of a service. Each service has its own, so that one without an
-    /// engine does not block the others.
-    pub fn queue(&self, service: &str) -> Rc<ServiceQueue> {
-        let mut queues = self.queues.borrow_mut();
-        if let Some(queue) = queues.get(service) {
-            return queue.clone();
-        }
-        let queue = ServiceQueue::new(Limits::default(), self.clock.clone());
-        queues.insert(service.to_owned(), queue.clone());
-        queue
-    }
-
-    /// Returns the queue of the requests that only one software version of a service may
-    /// run: one of their own while other versions serve too.
-    pub fn version_queue(&self, service: &str, version: &SoftwareVersion) -> Rc<ServiceQueue> {
-        if self.engines.borrow().is_only_version(service, version) {
-            return self.queue(service);
-        }
-        let mut queues = self.version_queues.borrow_mut();
-        queues.retain(|_, queue| !queue.is_empty());
-        let key = (service.to_owned(), version.clone());
-        let queue = queues
-            .entry(key)
-            .or_insert_with(|| ServiceQueue::new(Limits::default(), self.clock.clone()));
-        queue.clone()
-    }
-
-    /// Returns the turns of the batch items that only one software version of a service may
-    /// run: turns of their own while other versions serve too.
-    pub fn version_turns(&self, service: &str, version: &SoftwareVersion) -> Rc<Turns> {
-        if self.engines.borrow().is_only_version(service, version) {
-            return self.batch_turns.clone();
-        }
-        let mut turns = self.version_turns.borrow_mut();
-        // Turns that nobody waits for or holds.
-        turns.retain(|_, turns| Rc::strong_count(turns) > 1);
-        let key = (service.to_owned(), version.clone());
-        turns.entry(key).or_default().clone()
-    }
-
-    /// Wakes the queue of a service whose engines may have capacity.
-    pub fn wake_queue(&self, service: &str) {
-        let queue = self.queues.borrow().get(service).cloned();
-        if let Some(queue) = queue {
-            queue.wake_turn_holders();
-        }
-    }
-
-    /// Wakes the queues of all services, since any engine may have capacity.
-    pub fn wake_all_queues(&self) {
-        let queues: Vec<Rc<ServiceQueue>> = self.queues.borrow().values().cloned().collect();
-        let versions = self.version_queues.borrow().values().cloned().collect();
-        let queues = [queues, versions].concat();
-        for queue in queues.iter().filter(|queue| !queue.is_empty()) {
-            queue.wake_turn_holders();
-        }
-    }
-
-    /// Updates the metrics of waiting requests.
-    pub fn update_queue_metrics(&self) {
-        let queues = self.queues.borrow();
-        let lengths = queues.values().map(|queue| queue.lengths());
-        let (waiting, in_time) = lengths.fold((0, 0), |(waiting, in_time), one| {
-            (waiting + one.0, in_time + one.1)
-        });
-        self.metrics.queue.set_lengths(waiting, in_time);
-    }
-
     /// Returns the configuration in force, if any is known.
     pub fn in_force(&self) -> Option<Rc<InForce>> {
         self.in_force.borrow().clone()
@@ -473,13 +395,9 @@
         self.engines.borrow_mut().serve(services(&model));
         self.metrics.capacity.clear_services();
         self.shortages.clear();
-        // Queues of removed services go unless requests wait in them. Remaining services
-        // keep their measurements.
+        // Remaining services keep their measurements.
         let services = model.services.iter().map(|service| service.name.as_str());
-        let services: BTreeSet<&str> = services.collect();
-        self.queues
-            .borrow_mut()
-            .retain(|service, queue| !queue.is_empty() || services.contains(service.as_str()));
+        self.waiting.retain_services(&services.collect());
         *self.in_force.borrow_mut() = Some(Rc::new(InForce::new(version, model)));
     }
 
