Lines of a resumed stream say how its version was known and how old that is

The on-call saw that a version was known by this gateway or by a control node, not how long ago it was last reported there, how many control nodes were asked and answered, or what the versions of one answer's engines rest on. Reports are kept with their time, an answer of a control node has its age, and where a stream goes on in its answer the line says how long ago control nodes listed both engines. What control nodes hold is called so everywhere.

--- a/crates/fleet/src/control/hub/state.rs
+++ b/crates/fleet/src/control/hub/state.rs
@@ -86,7 +86,7 @@
     ) -> Self {
         let topology = Topology {
             zone: Some(zone),
-            keeps_streams: true,
+            holds_streams: true,
             ..Topology::default()
         };
         Self {
@@ -293,7 +293,7 @@
             gateway_count: self.topology.gateway_count,
             applied: self.topology.applied,
             zone: self.topology.zone.clone(),
-            keeps_streams: self.topology.keeps_streams,
+            holds_streams: self.topology.holds_streams,
         };
         if topology == self.topology {
             return false;
--- a/crates/fleet/src/control/node.rs
+++ b/crates/fleet/src/control/node.rs
@@ -27,7 +27,7 @@
 use super::dialect::ControlDialect;
 use super::hub::Hub;
 use super::relay::{RelayState, relay_work};
-use super::streams::StreamKeeper;
+use super::streams::HeldStreams;
 use crate::membership::{ClusterAddresses, cluster, replica_options, start_replica};
 use crate::view::EngineRecord;
 
@@ -100,7 +100,7 @@
     replica: Arc<ReplicaRole>,
     hub: Arc<Hub>,
     work: Arc<RelayState>,
-    streams: StreamKeeper,
+    streams: HeldStreams,
     logger: Logger,
 }
 
@@ -189,7 +189,7 @@
             replica: replica.clone(),
             hub: hub.clone(),
             work: work.clone(),
-            streams: StreamKeeper::new(logger.clone()),
+            streams: HeldStreams::new(logger.clone()),
             logger: logger.clone(),
         };
         executor
--- a/crates/fleet/src/control/streams.rs
+++ b/crates/fleet/src/control/streams.rs
@@ -1,27 +1,27 @@
-//! Keeps the origins of streams that gateways report, for the gateways at which callers
-//! take those streams up. Kept in memory only: gateways repeat their running streams.
+//! Holds the origins of streams that gateways report, for the gateways at which callers
+//! take those streams up. In memory only: gateways repeat their running streams.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use molespan_daemon::boot_clock::BootClock;
 use molespan_routing::streams::{OriginReport, Origins};
-use molespan_state::declared::{StreamKey, StreamOrigin};
+use molespan_state::declared::StreamKey;
 use molespan_types::{NodeId, RunOutcome};
 use molespan_wire::Response;
 use slog::{Logger, info};
 
 use crate::notification;
 
-/// The origins that this node keeps.
+/// The origins that this node holds.
 #[derive(Debug)]
-pub(super) struct StreamKeeper {
+pub(super) struct HeldStreams {
     clock: BootClock,
     origins: Mutex<Origins>,
     logger: Logger,
 }
 
-impl StreamKeeper {
-    /// Creates a keeper without any origin.
+impl HeldStreams {
+    /// Creates a holder without any origin.
     pub fn new(logger: Logger) -> Self {
         Self {
             clock: BootClock::start(),
@@ -58,12 +58,14 @@
                 retry_after_ms: 0,
             };
         };
-        let origin = self.lock().find(stream).cloned();
+        let known = self.lock().find(stream, self.clock.now());
+        let age_ms = known.as_ref().map(|known| known.age.as_millis() as u64);
         info!(self.logger, "stream searched"; "stream" => %stream,
-            "version" => origin.as_ref().map(|origin| origin.version.as_str()));
-        let encoded = |origin: StreamOrigin| molespan_state::encode(&origin).into();
+            "version" => known.as_ref().map(|known| known.origin.version.as_str()),
+            "reported_ms_ago" => age_ms);
         Response::StreamOrigin {
-            origin: origin.map(encoded),
+            origin: known.map(|known| molespan_state::encode(&known.origin).into()),
+            age_ms: age_ms.unwrap_or_default(),
         }
     }
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -96,11 +96,11 @@
     #[n(7)]
     #[cbor(default)]
     pub gateway_count: u32,
-    /// Whether the reporting control node keeps the origins of streams; `false` from older
+    /// Whether the reporting control node holds the origins of streams; `false` from older
     /// versions.
     #[n(8)]
     #[cbor(default)]
-    pub keeps_streams: bool,
+    pub holds_streams: bool,
 }
 
 impl Topology {
@@ -151,7 +151,7 @@
     /// Returns the merged topology. The replicated part comes from the control node that
     /// has applied the most entries. The gateways are the union over all recent reports,
     /// since a control node that has just started counts none yet. The zone is `None`,
-    /// because it describes a single control node, and so does `keeps_streams`.
+    /// because it describes a single control node, and so does `holds_streams`.
     #[must_use]
     pub fn current(&self, now: Timestamp) -> Topology {
         let reports = self.reports.values();
@@ -170,11 +170,11 @@
             topology.gateway_count = topology.gateway_count.max(report.topology.gateway_count);
         }
         topology.zone = None;
-        topology.keeps_streams = false;
+        topology.holds_streams = false;
         topology
     }
 
-    /// Returns the members of the control group that keep the origins of streams, as far as
+    /// Returns the members of the control group that hold the origins of streams, as far as
     /// they were heard from recently.
     #[must_use]
     pub fn stream_holders(&self, now: Timestamp) -> Vec<Holder> {
@@ -182,7 +182,7 @@
         let reports = self.reports.iter();
         let holders = reports.filter(|(node, report)| {
             let recent = now.since(report.received_at) < REPORT_TTL;
-            recent && report.topology.keeps_streams && control.contains(node)
+            recent && report.topology.holds_streams && control.contains(node)
         });
         let holders = holders.map(|(&node, report)| Holder {
             node,
--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -7,12 +7,14 @@
 use std::time::Duration;
 
 use futures_lite::future::block_on;
+use minicbor::{Decode, Encode};
 use molespan_daemon::boot_clock::BootClock;
 use molespan_fleet::control::{Hub, Registry};
 use molespan_fleet::view::{EngineRecord, Topology, TopologyView, ViewUpdate};
 use molespan_state::control::{ControlCommand, ControlMachine};
 use molespan_state::declared::{Declaration, DeclaredCommand, Departure, ServingModel};
-use molespan_types::{NodeId, Timestamp};
+use molespan_state::{decode, encode};
+use molespan_types::{NodeId, Timestamp, ZoneName};
 use molespan_wire::{Response, ViewPosition, WatchView, WatcherKind};
 
 const SILENCE: Duration = Duration::from_secs(10);
@@ -344,3 +346,56 @@
     assert_eq!(hub.zone_of(NodeId(4)), None);
     assert_eq!(hub.own_zone(), Some("a".into()));
 }
+
+/// An engine record as builds without software versions encode and decode it.
+#[derive(Debug, PartialEq, Eq, Encode, Decode)]
+struct OlderRecord {
+    #[n(0)]
+    id: String,
+    #[n(1)]
+    service: String,
+    #[n(2)]
+    address: String,
+    #[n(3)]
+    zone: ZoneName,
+    #[n(4)]
+    slots: u32,
+    #[n(5)]
+    sequence: u64,
+    #[n(6)]
+    cold_left_ms: u32,
+}
+
+#[test]
+fn a_record_of_an_older_build_has_an_unknown_version_and_an_older_build_reads_the_new() {
+    let newer = EngineRecord {
+        version: Some("v1".into()),
+        ..record("e", "10.0.0.1:1", 3)
+    };
+    let older: OlderRecord = decode(&encode(&newer)).expect("a newer record");
+    assert_eq!((older.id.as_str(), older.sequence), ("e", 3));
+    let read: EngineRecord = decode(&encode(&older)).expect("an older record");
+    assert_eq!(read.version, None);
+    let as_older = EngineRecord {
+        version: None,
+        ..newer
+    };
+    assert_eq!(read, as_older);
+}
+
+#[test]
+fn a_control_node_of_an_older_build_holds_no_streams() {
+    let mut view = TopologyView::default();
+    let holds = |holds_streams| Topology {
+        control: [NodeId(1), NodeId(2)].into(),
+        holds_streams,
+        ..Topology::default()
+    };
+    view.record(NodeId(1), Some(holds(false)), Timestamp::ZERO);
+    view.record(NodeId(2), Some(holds(true)), Timestamp::ZERO);
+    let holders = view.stream_holders(Timestamp::ZERO);
+    assert_eq!(holders.len(), 1);
+    assert_eq!(holders[0].node, NodeId(2));
+    let later = Timestamp::from_millis(60_000);
+    assert!(view.stream_holders(later).is_empty(), "a silent node");
+}
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -9,7 +9,7 @@
 use molespan_types::Timestamp;
 use slog::info;
 
-use crate::attempt::EngineReply;
+use crate::attempt::{EngineReply, version_text};
 use crate::batch;
 use crate::dialect::{GatewayDialect, Refusal, Resumption};
 use crate::dispatch::Dispatch;
@@ -17,7 +17,7 @@
 use crate::relay::{Relayed, relay, write};
 use crate::resume::relay_resumable;
 use crate::state::{GatewayState, InForce};
-use crate::streams::KnownStream;
+use crate::streams::Lookup;
 
 /// Retry delay for a caller of a gateway without current configuration; an election and a
 /// watch take about as long.
@@ -177,34 +177,42 @@
         let Some(resumption) = self.resumption().cloned() else {
             return Ok(());
         };
-        let known = self.find_origin(&resumption).await;
-        let leads_there = |service: &str| {
+        let lookup = self.find_origin(&resumption).await;
+        let known = lookup.as_ref().and_then(|lookup| lookup.known.as_ref());
+        let leads_there = known.is_some_and(|known| {
             let mut destinations = self.route.destinations.iter();
-            destinations.any(|one| one.service == service)
-        };
-        let usable = known.filter(|known| leads_there(&known.origin.service));
+            destinations.any(|one| one.service == known.origin.service)
+        });
         info!(self.state.logger, "caller takes up a stream"; "request" => &self.facts.id,
             "began_as" => &resumption.began_as, "after_event" => resumption.last_event,
-            "version" => usable.as_ref().map(|known| known.origin.version.as_str()),
-            "known_by" => usable.as_ref().map(|known| known.source.to_string()),
-            "after_ms" => self.age().as_millis() as u64);
-        let Some(KnownStream { origin, .. }) = usable else {
+            "service" => known.map(|known| known.origin.service.as_str()),
+            "version" => version_text(known.map(|known| &known.origin.version)),
+            "known_by" => lookup.as_ref().map(|lookup| lookup.source.to_string()),
+            "reported_ms_ago" => known.map(|known| known.age.as_millis() as u64),
+            "asked" => lookup.as_ref().map(|lookup| lookup.asked),
+            "answered" => lookup.as_ref().map(|lookup| lookup.answered),
+            "route_leads_there" => leads_there, "after_ms" => self.age().as_millis() as u64);
+        let Some(known) = lookup
+            .and_then(|lookup| lookup.known)
+            .filter(|_| leads_there)
+        else {
             self.state.metrics.streams.count(Resumed::Unknown);
             return Err(Refusal::StreamUnknown {
                 retry_after: UNKNOWN_RETRY_AFTER,
             });
         };
         self.state.metrics.streams.count(Resumed::TakenUp);
-        self.service = origin.service;
-        self.version = Some(origin.version);
+        self.service = known.origin.service;
+        self.version = Some(known.origin.version);
         Ok(())
     }
 
-    async fn find_origin(&self, resumption: &Resumption) -> Option<KnownStream> {
+    /// Finds out where a stream began; `None` if the caller does not say which stream it is.
+    async fn find_origin(&self, resumption: &Resumption) -> Option<Lookup> {
         let began_as = resumption.began_as.as_ref()?;
         resumption.last_event?;
         let key = StreamKey::of(self.outbound.tenant.as_deref(), began_as);
-        self.state.find_stream(key).await
+        Some(self.state.find_stream(key).await)
     }
 
     /// Whether another engine may go on with the request's stream.
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -115,10 +115,7 @@
             _ => return Relayed::EngineBroke,
         };
         progress.state.metrics.streams.count(Resumed::SameAnswer);
-        info!(progress.state.logger, "stream goes on at another engine";
-            "request" => &dispatch.outbound.id, "after_event" => progress.last_event,
-            "from" => engine, "from_version" => version_text(version.as_ref()),
-            "engine" => &body.engine, "version" => version_text(body.version.as_ref()));
+        progress.log_next_engine(dispatch, &engine, &body);
     }
 }
 
@@ -146,6 +143,21 @@
 }
 
 impl RelayProgress<'_> {
+    /// Logs that another engine goes on with the stream. The versions are those that control
+    /// nodes listed that long ago.
+    fn log_next_engine<D>(&self, dispatch: &Dispatch<'_, D>, from: &str, to: &EngineBody) {
+        let engines = self.state.engines.borrow();
+        let listed = |engine: &str| {
+            let age = engines.listing_age(engine, self.state.now());
+            age.map(|age| age.as_millis() as u64)
+        };
+        info!(self.state.logger, "stream goes on at another engine";
+            "request" => &dispatch.outbound.id, "after_event" => self.last_event,
+            "version" => version_text(to.version.as_ref()),
+            "from" => from, "from_listed_ms_ago" => listed(from),
+            "engine" => &to.engine, "listed_ms_ago" => listed(&to.engine));
+    }
+
     /// Relays the events of one engine.
     async fn relay_events(&mut self, body: &mut EngineBody) -> PartResult {
         let mut parser = EventParser::default();
--- a/crates/proxy/src/streams.rs
+++ b/crates/proxy/src/streams.rs
@@ -13,7 +13,8 @@
 use futures_lite::future;
 use molespan_daemon::cluster::{PeerTransport, WireTransport};
 use molespan_routing::streams::{
-    Found, HolderAnswer, OriginReport, Origins, Search, holders, report_interval,
+    Found, HOLDERS, Holder, HolderAnswer, KnownOrigin, OriginReport, Origins, Search, in_order,
+    report_interval,
 };
 use molespan_state::declared::{StreamKey, StreamOrigin};
 use molespan_types::NodeId;
@@ -41,7 +42,8 @@
     running: RefCell<BTreeMap<StreamKey, (StreamOrigin, usize)>>,
     /// Streams to report next.
     unreported: RefCell<BTreeMap<StreamOrigin, Vec<StreamKey>>>,
-    began: (Sender<()>, Receiver<()>),
+    /// Signalled when there is something to report.
+    reports_due: (Sender<()>, Receiver<()>),
 }
 
 impl Streams {
@@ -52,7 +54,7 @@
             known: RefCell::default(),
             running: RefCell::default(),
             unreported: RefCell::default(),
-            began: async_channel::bounded(1),
+            reports_due: async_channel::bounded(1),
         }
     }
 
@@ -97,11 +99,16 @@
     }
 }
 
-/// The origin of a stream that a caller takes up.
+/// What was found out about a stream that a caller takes up.
 #[derive(Clone, Debug)]
-pub(crate) struct KnownStream {
-    pub origin: StreamOrigin,
+pub(crate) struct Lookup {
+    /// Its origin, if anybody knows it.
+    pub known: Option<KnownOrigin>,
+    /// Who knows it.
     pub source: Source,
+    /// Holders that were asked last, and how many of them answered by then.
+    pub asked: usize,
+    pub answered: usize,
 }
 
 /// Who knew the origin of a stream.
@@ -113,6 +120,9 @@
     /// A control node.
     #[display("holder")]
     Holder,
+    /// Nobody.
+    #[display("nobody")]
+    Nobody,
 }
 
 impl GatewayState {
@@ -125,55 +135,65 @@
         running.entry(key).or_insert_with(|| (origin.clone(), 0)).1 += 1;
         drop(running);
         streams.report_later(key, origin);
-        let _already_signalled = streams.began.0.try_send(());
+        let _already_signalled = streams.reports_due.0.try_send(());
         RunningStream {
             state: self.clone(),
             key,
         }
     }
 
-    /// Returns where a stream began and who knew it, if any node does.
-    pub async fn find_stream(&self, key: StreamKey) -> Option<KnownStream> {
-        let known = self.streams.known.borrow().find(key).cloned();
-        if let Some(origin) = known {
-            return Some(KnownStream {
-                origin,
+    /// Finds out where a stream began: this gateway knows it, or a holder.
+    pub async fn find_stream(&self, key: StreamKey) -> Lookup {
+        let known = self.streams.known.borrow().find(key, self.now());
+        if known.is_some() {
+            return Lookup {
+                known,
                 source: Source::Own,
-            });
+                asked: 0,
+                answered: 0,
+            };
         }
-        let mut result = self.search_stream(key).await;
-        if result == Found::Unknown {
+        let holders = self.stream_holders().into_iter();
+        let holders: Vec<NodeId> = holders.map(|holder| holder.node).collect();
+        let (mut lookup, responsive) = self.search_stream(key, &holders).await;
+        if lookup.known.is_none() && !responsive.is_empty() {
             Timer::after(SEARCH_PAUSE).await;
-            result = self.search_stream(key).await;
+            let (again, _) = self.search_stream(key, &holders).await;
+            lookup.known = again.known;
+            lookup.source = again.source;
         }
-        let Found::Known(origin) = result else {
-            return None;
-        };
-        self.streams
-            .known
-            .borrow_mut()
-            .record(key, &origin, self.now());
-        Some(KnownStream {
-            origin,
-            source: Source::Holder,
-        })
+        if let Some(known) = &lookup.known {
+            let mut own = self.streams.known.borrow_mut();
+            own.record(key, &known.origin, self.now());
+        }
+        lookup
     }
 
-    /// Asks all holders for the origin of a stream.
-    async fn search_stream(&self, key: StreamKey) -> Found {
-        let holders = self.stream_holders();
+    /// Asks holders for the origin of a stream. Returns also those that answered.
+    async fn search_stream(&self, key: StreamKey, holders: &[NodeId]) -> (Lookup, Vec<NodeId>) {
         let mut search = Search::new(holders.len());
-        let calls = holders.into_iter();
-        let calls = calls.map(|holder| Box::pin(self.ask_holder(holder.node, key)));
-        let result = first_deciding(calls.collect(), |_, answer| {
-            search.record(answer);
-            match search.result() {
-                Found::Open => None,
-                decided => Some(decided),
+        let mut responsive = Vec::new();
+        let calls = holders.iter();
+        let calls = calls.map(|&holder| Box::pin(self.ask_holder(holder, key)));
+        let decided = first_deciding(calls.collect(), |place, answer| {
+            if answer != HolderAnswer::None {
+                responsive.push(holders[place]);
             }
+            search.record(answer);
+            (search.result() != Found::Open).then_some(())
         });
-        let decided = result.await;
-        decided.unwrap_or(Found::Unanswered)
+        decided.await;
+        let (known, source) = match search.result() {
+            Found::Known(known) => (Some(known), Source::Holder),
+            Found::Unknown | Found::Open => (None, Source::Nobody),
+        };
+        let lookup = Lookup {
+            known,
+            source,
+            asked: holders.len(),
+            answered: responsive.len(),
+        };
+        (lookup, responsive)
     }
 
     /// Asks one holder.
@@ -183,11 +203,15 @@
         };
         let call = self.streams.wire.call(holder, request, SEARCH_TIMEOUT);
         match call.await {
-            Ok(Response::StreamOrigin { origin: None }) => HolderAnswer::Unknown,
+            Ok(Response::StreamOrigin { origin: None, .. }) => HolderAnswer::Unknown,
             Ok(Response::StreamOrigin {
                 origin: Some(origin),
+                age_ms,
             }) => match molespan_state::decode(&origin) {
-                Ok(origin) => HolderAnswer::Known(origin),
+                Ok(origin) => HolderAnswer::Known(KnownOrigin {
+                    origin,
+                    age: Duration::from_millis(age_ms),
+                }),
                 Err(error) => {
                     warn!(self.logger, "malformed origin of a stream";
                         "holder" => holder.address().to_string(), "error" => %error);
@@ -208,27 +232,35 @@
     let streams = &state.streams;
     let mut repeated = state.now();
     loop {
-        let began = async {
-            let _began = streams.began.1.recv().await;
+        let signalled = async {
+            let _signalled = streams.reports_due.1.recv().await;
         };
         let due = async {
             Timer::after(REPEAT_INTERVAL).await;
         };
-        future::or(began, due).await;
+        future::or(signalled, due).await;
         if state.now().since(repeated) >= REPEAT_INTERVAL {
             repeated = state.now();
             streams.repeat_running();
         }
         let nodes = state.stream_holders();
         if let Some(reports) = streams.take_reports() {
-            for node in holders(state.own, state.zone(), &nodes) {
-                let request = Request::StreamsBegan {
-                    from: state.own,
-                    streams: reports.clone().into(),
-                };
-                let _queued = streams.wire.send(node, request);
-            }
+            send_reports(&state, &nodes, &reports);
         }
         Timer::after(report_interval(state.gateways(), nodes.len())).await;
     }
 }
+
+/// Sends reports to the first holders that can be sent to.
+fn send_reports(state: &GatewayState, nodes: &[Holder], reports: &[u8]) {
+    let order = in_order(state.own, state.zone(), nodes);
+    let sent = order.into_iter().filter(|&node| {
+        let request = Request::StreamsBegan {
+            from: state.own,
+            streams: reports.to_vec().into(),
+        };
+        let _queued = state.streams.wire.send(node, request);
+        true
+    });
+    let _sent = sent.take(HOLDERS).count();
+}
--- a/crates/routing/src/dispatch/engine.rs
+++ b/crates/routing/src/dispatch/engine.rs
@@ -195,6 +195,8 @@
     pub known_by: BTreeMap<NodeId, Option<SoftwareVersion>>,
     /// When this gateway first learned of it.
     pub known_since: Timestamp,
+    /// When a control node last listed it, or changed what it lists.
+    pub listed_at: Timestamp,
     online: u32,
     batch: u32,
     /// Prompt tokens of this gateway's requests that have not begun to answer.
@@ -229,6 +231,7 @@
             facts,
             known_by: BTreeMap::new(),
             known_since: now,
+            listed_at: now,
             online: 0,
             batch: 0,
             unread_tokens: 0,
@@ -251,7 +254,8 @@
 
     /// Records that a control node lists it. While control nodes report different versions,
     /// its version is unknown.
-    pub fn list(&mut self, from: NodeId, facts: EngineFacts) {
+    pub fn list(&mut self, from: NodeId, facts: EngineFacts, now: Timestamp) {
+        self.listed_at = now;
         self.known_by.insert(from, facts.version.clone());
         self.facts = facts;
         self.facts.version = self.agreed_version();
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -203,7 +203,7 @@
             .engines
             .entry(id)
             .or_insert_with(|| Engine::new(facts.clone(), now));
-        engine.list(from, facts);
+        engine.list(from, facts, now);
     }
 
     /// Records that a control node no longer lists an engine. The engine is removed once no
@@ -343,6 +343,13 @@
         self.is_present(id) || self.leaving.serves_on(id, now)
     }
 
+    /// Returns how long ago a control node last listed an engine, with its version.
+    #[must_use]
+    pub fn listing_age(&self, id: &str, now: Timestamp) -> Option<Duration> {
+        let engine = self.engines.get(id);
+        engine.map(|engine| now.since(engine.listed_at))
+    }
+
     /// Returns the address of an engine, if it is known.
     #[must_use]
     pub fn address(&self, id: &str) -> Option<SocketAddr> {
--- a/crates/routing/src/streams/holder.rs
+++ b/crates/routing/src/streams/holder.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Nodes that hold each stream: one may be lost.
-const HOLDERS: usize = 2;
+pub const HOLDERS: usize = 2;
 /// Reports that one holder receives per second: about 4% of a core at 25 microseconds each.
 const REPORTS_PER_SECOND: f64 = 1_600.0;
 /// Shortest interval between two reports of a gateway. Streams that began since the last
@@ -22,10 +22,11 @@
     pub zone: Option<ZoneName>,
 }
 
-/// Returns the nodes that hold the streams of the gateway `own` in `zone`: first one in its
-/// zone, which it reaches longest, then one in another zone. Gateways spread over them.
+/// Returns the nodes in the order in which the gateway `own` in `zone` takes them for its
+/// holders, [`HOLDERS`] of those that it can send to: first one in its zone, which it reaches
+/// longest, then those in other zones. Gateways spread over them.
 #[must_use]
-pub fn holders(own: NodeId, zone: &ZoneName, nodes: &[Holder]) -> Vec<NodeId> {
+pub fn in_order(own: NodeId, zone: &ZoneName, nodes: &[Holder]) -> Vec<NodeId> {
     let mut order: Vec<&Holder> = nodes.iter().collect();
     order.sort_by_key(|holder| {
         let draw = xxh3_64_with_seed(&holder.node.0.to_be_bytes(), u64::from(own.0));
@@ -37,8 +38,8 @@
     let (elsewhere, beside): (Vec<&Holder>, Vec<&Holder>) =
         others.iter().partition(|holder| holder.zone != first.zone);
     let others = elsewhere.into_iter().chain(beside);
-    let chosen = std::iter::once(*first).chain(others).take(HOLDERS);
-    chosen.map(|holder| holder.node).collect()
+    let order = std::iter::once(*first).chain(others);
+    order.map(|holder| holder.node).collect()
 }
 
 /// Returns the interval between two reports of a gateway, one of `gateways` that share
--- a/crates/routing/src/streams/mod.rs
+++ b/crates/routing/src/streams/mod.rs
@@ -9,6 +9,6 @@
 mod origin;
 mod search;
 
-pub use holder::{Holder, holders, report_interval};
-pub use origin::{OriginReport, Origins};
+pub use holder::{HOLDERS, Holder, in_order, report_interval};
+pub use origin::{KnownOrigin, OriginReport, Origins};
 pub use search::{Found, HolderAnswer, Search};
--- a/crates/routing/src/streams/origin.rs
+++ b/crates/routing/src/streams/origin.rs
@@ -33,11 +33,27 @@
     began: Timestamp,
 }
 
+/// What was reported of one stream.
+#[derive(Clone, Debug)]
+struct Entry {
+    /// Its origin; `None` after reports of different ones.
+    origin: Option<Arc<StreamOrigin>>,
+    reported: Timestamp,
+}
+
+/// An origin, and how long ago it was last reported.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownOrigin {
+    /// The origin.
+    pub origin: StreamOrigin,
+    /// Time since the last report.
+    pub age: Duration,
+}
+
 /// Streams reported within the same period.
 #[derive(Debug, Default)]
 struct Generation {
-    /// The origin of each stream; `None` after reports of different ones.
-    streams: HashMap<StreamKey, Option<Arc<StreamOrigin>>>,
+    streams: HashMap<StreamKey, Entry>,
     /// One copy of each origin.
     origins: BTreeSet<Arc<StreamOrigin>>,
 }
@@ -61,10 +77,13 @@
             self.previous = std::mem::take(&mut self.current);
             self.began = now;
         }
-        let known = self.known(stream);
-        let agrees = known.is_none_or(|known| known.is_some_and(|known| **known == *origin));
-        let origin = agrees.then(|| self.current.shared(origin));
-        self.current.streams.insert(stream, origin);
+        let known = self.entry(stream);
+        let agrees = known.is_none_or(|known| known.origin.as_deref() == Some(origin));
+        let entry = Entry {
+            origin: agrees.then(|| self.current.shared(origin)),
+            reported: now,
+        };
+        self.current.streams.insert(stream, entry);
     }
 
     /// Records a report of another node.
@@ -76,13 +95,16 @@
 
     /// Returns where a stream began, if that is known.
     #[must_use]
-    pub fn find(&self, stream: StreamKey) -> Option<&StreamOrigin> {
-        self.known(stream).flatten().map(Arc::as_ref)
+    pub fn find(&self, stream: StreamKey, now: Timestamp) -> Option<KnownOrigin> {
+        let entry = self.entry(stream)?;
+        Some(KnownOrigin {
+            origin: entry.origin.as_deref()?.clone(),
+            age: now.since(entry.reported),
+        })
     }
 
-    fn known(&self, stream: StreamKey) -> Option<Option<&Arc<StreamOrigin>>> {
+    fn entry(&self, stream: StreamKey) -> Option<&Entry> {
         let current = self.current.streams.get(&stream);
-        let known = current.or_else(|| self.previous.streams.get(&stream))?;
-        Some(known.as_ref())
+        current.or_else(|| self.previous.streams.get(&stream))
     }
 }
--- a/crates/routing/src/streams/search.rs
+++ b/crates/routing/src/streams/search.rs
@@ -1,12 +1,12 @@
 //! Search for the origin of a stream at several nodes.
 
-use molespan_state::declared::StreamOrigin;
+use super::origin::KnownOrigin;
 
 /// Answer of one node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HolderAnswer {
     /// The node knows the origin.
-    Known(StreamOrigin),
+    Known(KnownOrigin),
     /// The node does not know it.
     Unknown,
     /// The node did not answer.
@@ -18,8 +18,7 @@
 pub struct Search {
     /// Nodes whose answer is still awaited.
     open: usize,
-    answered: bool,
-    found: Option<StreamOrigin>,
+    found: Option<KnownOrigin>,
     contradicted: bool,
 }
 
@@ -27,11 +26,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Found {
     /// A node knows the origin.
-    Known(StreamOrigin),
+    Known(KnownOrigin),
     /// No node that answered knows it, or nodes contradict each other.
     Unknown,
-    /// No node answered.
-    Unanswered,
     /// Nodes whose answer is still awaited may know it.
     Open,
 }
@@ -49,13 +46,12 @@
     /// Records the answer of a node.
     pub fn record(&mut self, answer: HolderAnswer) {
         self.open = self.open.saturating_sub(1);
-        self.answered |= answer != HolderAnswer::None;
-        let HolderAnswer::Known(origin) = answer else {
+        let HolderAnswer::Known(known) = answer else {
             return;
         };
         match &self.found {
-            Some(found) => self.contradicted |= *found != origin,
-            None => self.found = Some(origin),
+            Some(found) => self.contradicted |= found.origin != known.origin,
+            None => self.found = Some(known),
         }
     }
 
@@ -67,8 +63,7 @@
             _ if self.contradicted => Found::Unknown,
             Some(found) => Found::Known(found.clone()),
             None if self.open > 0 => Found::Open,
-            None if self.answered => Found::Unknown,
-            None => Found::Unanswered,
+            None => Found::Unknown,
         }
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -325,7 +325,7 @@
         demand: Option<ByteVec>,
     },
     /// Streams that a gateway began, with their origins; one-way, to control nodes that
-    /// keep them.
+    /// hold them.
     #[n(13)]
     StreamsBegan {
         /// Gateway.
@@ -472,5 +472,8 @@
         /// Encoded origin; `None` if it is unknown here.
         #[n(0)]
         origin: Option<ByteVec>,
+        /// Time since a gateway last reported it, in milliseconds.
+        #[n(1)]
+        age_ms: u64,
     },
 }
