A stream stays known when one control node restarts and another falls silent

By the lines: a stream was reported to control node 1, which was down, and to 3, which was suspended when its gateway was killed; node 1 was back but blank, node 2 never told.

A report now goes to the first two control nodes that can be sent to, so that one known to be gone costs none; running streams are reported again as soon as a control node sends its whole view, as it does after a start, and not only each 2 s; the second question of a search goes to those that answered the first, so that a silent one costs 250 ms once and not twice (the refusal came after 561 ms).

--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -403,6 +403,10 @@
 
     fn apply_topology(&self, from: NodeId, reported: Option<Topology>) {
         let now = self.now();
+        // A control node that started again sends its whole view.
+        if reported.is_some() {
+            self.streams.repeat_soon();
+        }
         let mut view = self.topology_view.borrow_mut();
         view.record(from, reported, now);
         let topology = view.current(now);
--- a/crates/proxy/src/streams.rs
+++ b/crates/proxy/src/streams.rs
@@ -1,7 +1,7 @@
 //! The origins of this gateway's streams, reported to control nodes, and the search for
 //! those of streams that callers take up here.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -19,7 +19,7 @@
 use molespan_state::declared::{StreamKey, StreamOrigin};
 use molespan_types::NodeId;
 use molespan_wire::{Request, Response};
-use slog::warn;
+use slog::{debug, warn};
 
 use crate::first::first_deciding;
 use crate::state::GatewayState;
@@ -42,6 +42,8 @@
     running: RefCell<BTreeMap<StreamKey, (StreamOrigin, usize)>>,
     /// Streams to report next.
     unreported: RefCell<BTreeMap<StreamOrigin, Vec<StreamKey>>>,
+    /// Whether a holder may have lost what it held.
+    repeat: Cell<bool>,
     /// Signalled when there is something to report.
     reports_due: (Sender<()>, Receiver<()>),
 }
@@ -54,6 +56,7 @@
             known: RefCell::default(),
             running: RefCell::default(),
             unreported: RefCell::default(),
+            repeat: Cell::new(false),
             reports_due: async_channel::bounded(1),
         }
     }
@@ -73,6 +76,13 @@
         (!reports.is_empty()).then(|| molespan_state::encode(&reports))
     }
 
+    /// Reports the running streams again, since a control node that may have lost them is
+    /// back.
+    pub fn repeat_soon(&self) {
+        self.repeat.set(true);
+        let _already_signalled = self.reports_due.0.try_send(());
+    }
+
     /// Queues a report of each running stream.
     fn repeat_running(&self) {
         for (key, (origin, _)) in self.running.borrow().iter() {
@@ -158,7 +168,7 @@
         let (mut lookup, responsive) = self.search_stream(key, &holders).await;
         if lookup.known.is_none() && !responsive.is_empty() {
             Timer::after(SEARCH_PAUSE).await;
-            let (again, _) = self.search_stream(key, &holders).await;
+            let (again, _) = self.search_stream(key, &responsive).await;
             lookup.known = again.known;
             lookup.source = again.source;
         }
@@ -239,7 +249,7 @@
             Timer::after(REPEAT_INTERVAL).await;
         };
         future::or(signalled, due).await;
-        if state.now().since(repeated) >= REPEAT_INTERVAL {
+        if streams.repeat.take() || state.now().since(repeated) >= REPEAT_INTERVAL {
             repeated = state.now();
             streams.repeat_running();
         }
@@ -259,8 +269,10 @@
             from: state.own,
             streams: reports.to_vec().into(),
         };
-        let _queued = state.streams.wire.send(node, request);
-        true
+        state.streams.wire.send(node, request)
     });
-    let _sent = sent.take(HOLDERS).count();
+    let sent = sent.take(HOLDERS).count();
+    if sent == 0 {
+        debug!(state.logger, "no holder for the streams that began"; "known" => nodes.len());
+    }
 }
