--- a/crates/routing/tests/versions.rs
+++ b/crates/routing/tests/versions.rs
@@ -132,3 +132,35 @@
     assert!(!table.may_send("i-2", now(1_500)));
     assert_eq!(pick_at(&mut table, "v2", &[], 600), Ok("i-3".to_owned()));
 }
+
+#[test]
+fn a_connect_that_is_raced_stays_at_the_version() {
+    let mut table = EngineTable::new("a".into(), 7);
+    let engines = [("a", "v1"), ("b", "v2"), ("b", "v2"), ("c", "v1")];
+    for (place, (zone, version)) in engines.into_iter().enumerate() {
+        let engine = EngineFacts {
+            address: SocketAddr::from(([127, 0, 0, place as u8 + 1], 1)),
+            zone: zone.into(),
+            ..facts(place as u16 + 1, Some(version))
+        };
+        table.add_engine(CONTROL, engine, now(0));
+    }
+    let tried = BTreeSet::from(["i-1".to_owned()]);
+    let mut second = |version: &str| {
+        let pick = Pick {
+            service: "s",
+            class: WorkClass::Online,
+            standing: Standing::Late,
+            prompt: PromptCost::default(),
+            tried: &tried,
+            suspect: false,
+            version: Some(&version.into()),
+        };
+        let second = table.pick_alternative(&pick, "i-1", now(1));
+        second.map(|picked| picked.facts.id)
+    };
+    for _ in 0..20 {
+        assert_eq!(second("v1"), Some("i-4".to_owned()));
+    }
+    assert_eq!(second("v3"), None);
+}
