Log how the body of an answer ended

Each answer that breaks off, and each that ends with its connection, now leaves a line with its framing, bytes, events and whether it ended inside an event.

Where events end is found by one scanner, which knows all three line endings; the pace of engines is measured with it, in place of a count of its own that missed empty lines between two pieces. No decision changes.

--- a/crates/http/src/events/mod.rs
+++ b/crates/http/src/events/mod.rs
@@ -1,9 +1,11 @@
 //! Reading and writing of server-sent events.
 
 mod reader;
+mod scanner;
 mod writer;
 
 pub use reader::{EventError, EventStream};
+pub use scanner::EventScanner;
 pub use writer::{EventWriter, StreamClosed, event_response};
 
 /// A server-sent event.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -18,7 +18,9 @@
 pub use client::{
     BodyError, ClientResponse, FailureCause, Pool, PoolLimits, SendError, new_request,
 };
-pub use events::{EventError, EventStream, EventWriter, ServerEvent, StreamClosed, event_response};
+pub use events::{
+    EventError, EventScanner, EventStream, EventWriter, ServerEvent, StreamClosed, event_response,
+};
 pub use reply::{JsonError, error_response, json_body, json_response, read_json, text_response};
 pub use server::{
     ClientPresence, LargeBody, Server, ServerCounters, ServerError, ServerHandle, ServerLimits,
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -13,7 +13,9 @@
 use molespan_routing::reach::ReturnEvidence;
 use molespan_state::declared::{RequestDigest, RequestParts};
 use molespan_types::{EngineIncarnation, SoftwareVersion, Timestamp};
+use slog::info;
 
+use crate::answer_progress::{AnswerProgress, framing_text};
 use crate::dialect::{EngineAnswer, EngineCall, GatewayDialect};
 use crate::pace::{EventTimes, note_fault};
 use crate::race::{CountedConnection, connect_engine};
@@ -84,6 +86,8 @@
 
 /// The body of an answer.
 pub(crate) struct EngineBody {
+    /// Identifier of the request that it answers.
+    request: String,
     pub engine: String,
     /// Version of the engine's software; `None` if it is unknown.
     pub version: Option<SoftwareVersion>,
@@ -95,6 +99,7 @@
     keep_alive: Option<Duration>,
     in_flight: InFlightGuard,
     times: EventTimes,
+    progress: AnswerProgress,
 }
 
 impl EngineBody {
@@ -105,15 +110,31 @@
     /// body.
     pub async fn next(&mut self) -> Result<Option<Vec<u8>>, BodyError> {
         self.times.wait_started(self.in_flight.now());
-        let piece = self.reader.next(&mut self.connection).await?;
-        let measured = piece.as_deref().and_then(|piece| {
-            let now = self.in_flight.now();
-            self.times.piece_arrived(piece, now)
-        });
-        if let Some((events, took)) = measured {
-            self.in_flight.note_events(events, took);
+        let piece = self.reader.next(&mut self.connection).await;
+        match &piece {
+            Ok(Some(piece)) => self.note_piece(piece),
+            Ok(None) if self.framing == Framing::UntilClose => {
+                self.log_end("answer ended with its connection");
+            }
+            Ok(None) => {}
+            Err(_) => self.log_end("engine broke its answer off"),
+        }
+        piece
+    }
+
+    fn note_piece(&mut self, piece: &[u8]) {
+        let events = self.progress.advance(piece);
+        let now = self.in_flight.now();
+        if let Some(took) = self.times.piece_arrived(events, now) {
+            self.in_flight.note_events(events as u32, took);
         }
-        Ok(piece)
+    }
+
+    fn log_end(&self, message: &'static str) {
+        info!(self.in_flight.logger(), "{}", message; "request" => &self.request,
+            "engine" => &self.engine, "framing" => framing_text(self.framing),
+            "bytes" => self.progress.bytes, "events" => self.progress.events(),
+            "inside_event" => self.progress.is_inside_event());
     }
 
     /// Returns the connection to the pool if the answer was read to its end.
@@ -311,6 +332,7 @@
         return Err(AttemptFailure::Broken);
     };
     let body = EngineBody {
+        request: outbound.id.clone(),
         engine: engine.id.clone(),
         version: engine.version.clone(),
         reader: BodyReader::new(framing),
@@ -320,6 +342,7 @@
         connection,
         in_flight,
         times: EventTimes::default(),
+        progress: AnswerProgress::default(),
     };
     Ok(EngineReply { head, facts, body })
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -12,6 +12,7 @@
 //! the requests that cause this away from all engines, and `reach` detects unreachable
 //! zones. `metrics` exports the figures for operators.
 
+mod answer_progress;
 mod attempt;
 mod bars;
 mod batch;
--- a/crates/proxy/src/pace.rs
+++ b/crates/proxy/src/pace.rs
@@ -30,37 +30,17 @@
         self.slow_caller = last.is_some_and(|last| now.since(last) > SLOW_CALLER_AFTER);
     }
 
-    /// Records a piece; returns how many events end in it and the time they took, or `None`
-    /// if the time is unknown or measures the caller.
-    pub fn piece_arrived(&mut self, piece: &[u8], now: Timestamp) -> Option<(u32, Duration)> {
-        let events = event_ends(piece);
+    /// Records a piece in which `events` events end; returns the time that they took, or
+    /// `None` if it is unknown or measures the caller.
+    pub fn piece_arrived(&mut self, events: u64, now: Timestamp) -> Option<Duration> {
         if events == 0 {
             return None;
         }
         let last = self.last.replace(now)?;
-        (!self.slow_caller).then(|| (events, now.since(last)))
+        (!self.slow_caller).then(|| now.since(last))
     }
 }
 
-/// Counts the empty lines in a piece of a stream. One that is split across two pieces is
-/// missed, and its time is counted for the next event.
-fn event_ends(piece: &[u8]) -> u32 {
-    let mut ends = 0;
-    let mut line_is_empty = false;
-    for byte in piece {
-        match byte {
-            b'\n' if line_is_empty => {
-                ends += 1;
-                line_is_empty = false;
-            }
-            b'\n' => line_is_empty = true,
-            b'\r' => {}
-            _ => line_is_empty = false,
-        }
-    }
-    ends
-}
-
 /// What was reported to operators about engines' paces.
 #[derive(Debug, Default)]
 pub(crate) struct PaceWatch {
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -596,6 +596,11 @@
         self.state.now()
     }
 
+    /// Returns the gateway's log.
+    pub fn logger(&self) -> &Logger {
+        &self.state.logger
+    }
+
     fn clear_unread_tokens(&self) {
         let read = self.unread_tokens.replace(0);
         self.state.engines.borrow_mut().read(&self.engine, read);
