A stream that ends within an event has broken off, in whatever framing

An answer with neither length nor chunks was taken to end where its connection does, and the gateway wrote the last chunk behind it, so that what came without a framing went on better framed than it was. The same stood in each reader: relayed, resumable (the cut event was dropped, and no other engine asked), buffered and batch items (completed with part of their text).

Class: completeness inferred from the absence of an error. EngineBody::next now judges the end for all readers: where the body is a stream of events it may end behind an event only, and where its connection is all that ends it, not before the first one. A body without a type that ends with its connection is a stream if its route streams. A resumable relay no longer drops what stands behind the last event of a whole answer.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -15,7 +15,7 @@
 use molespan_types::{EngineIncarnation, SoftwareVersion, Timestamp};
 use slog::info;
 
-use crate::answer_progress::{AnswerProgress, framing_text};
+use crate::answer_progress::{AllowedEnd, AnswerProgress, framing_text};
 use crate::dialect::{EngineAnswer, EngineCall, GatewayDialect};
 use crate::pace::{EventTimes, note_fault};
 use crate::race::{CountedConnection, connect_engine};
@@ -43,6 +43,10 @@
     pub headers: Headers,
     pub body: Vec<u8>,
     pub class: WorkClass,
+    /// Whether the answer is to be a stream of events.
+    pub expects_events: bool,
+    /// Whether the caller takes up an earlier stream.
+    pub resumes: bool,
     /// Digest of the request, computed on first use: it hashes the whole body, and most
     /// requests never need it.
     pub digest: OnceCell<RequestDigest>,
@@ -91,9 +95,10 @@
     pub engine: String,
     /// Version of the engine's software; `None` if it is unknown.
     pub version: Option<SoftwareVersion>,
-    pub connection: Connection,
-    pub reader: BodyReader,
+    connection: Connection,
+    reader: BodyReader,
     pub framing: Framing,
+    allowed_end: AllowedEnd,
     /// Whether the connection may be reused.
     reusable: bool,
     keep_alive: Option<Duration>,
@@ -103,25 +108,57 @@
 }
 
 impl EngineBody {
-    /// Returns the next piece, or `None` at the end.
+    /// Returns the next piece, or `None` at the end of a whole answer. All readers of a body
+    /// learn here whether it is whole: a piece that ends the body where no whole answer ends
+    /// is an error.
     ///
     /// # Errors
-    /// When the engine closes or resets the connection before the end, or sends an invalid
-    /// body.
+    /// When the engine breaks the answer off or sends an invalid body.
     pub async fn next(&mut self) -> Result<Option<Vec<u8>>, BodyError> {
         self.times.wait_started(self.in_flight.now());
-        let piece = self.reader.next(&mut self.connection).await;
+        let piece = self.next_piece().await;
         match &piece {
-            Ok(Some(piece)) => self.note_piece(piece),
             Ok(None) if self.framing == Framing::UntilClose => {
                 self.log_end("answer ended with its connection");
             }
-            Ok(None) => {}
+            Ok(_) => {}
             Err(_) => self.log_end("engine broke its answer off"),
         }
         piece
     }
 
+    async fn next_piece(&mut self) -> Result<Option<Vec<u8>>, BodyError> {
+        let piece = self.reader.next(&mut self.connection).await?;
+        if let Some(piece) = &piece {
+            self.note_piece(piece);
+        }
+        let is_whole = !self.has_ended() || self.allowed_end.allows(&self.progress);
+        is_whole.then_some(piece).ok_or(BodyError::CutShort)
+    }
+
+    /// Reads the rest of the answer, of at most `limit` bytes.
+    ///
+    /// # Errors
+    /// As [`EngineBody::next`], and when the body is longer than `limit`.
+    pub async fn collect(&mut self, limit: u64) -> Result<Vec<u8>, BodyError> {
+        if matches!(self.framing, Framing::Length(length) if length > limit) {
+            return Err(BodyError::TooLong);
+        }
+        let mut body = Vec::new();
+        while let Some(piece) = self.next().await? {
+            body.extend_from_slice(&piece);
+            if body.len() as u64 > limit {
+                return Err(BodyError::TooLong);
+            }
+        }
+        Ok(body)
+    }
+
+    /// Whether the body was read to its end.
+    pub fn has_ended(&self) -> bool {
+        self.reader.has_ended()
+    }
+
     fn note_piece(&mut self, piece: &[u8]) {
         let events = self.progress.advance(piece);
         let now = self.in_flight.now();
@@ -139,7 +176,7 @@
 
     /// Returns the connection to the pool if the answer was read to its end.
     pub fn finish(self, state: &GatewayState) {
-        if self.reusable && self.reader.has_ended() {
+        if self.reusable && self.has_ended() {
             let now = state.now();
             state
                 .pool
@@ -337,6 +374,12 @@
         version: engine.version.clone(),
         reader: BodyReader::new(framing),
         framing,
+        allowed_end: AllowedEnd::of(
+            &head,
+            framing,
+            outbound.expects_events,
+            outbound.resumes || limits.after_event.is_some(),
+        ),
         reusable: sent && head.keeps_alive() && framing != Framing::UntilClose,
         keep_alive: facts.keep_alive,
         connection,
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -187,6 +187,8 @@
         headers,
         body: item.item.body.to_vec(),
         class: WorkClass::Batch,
+        expects_events: true,
+        resumes: false,
         digest: OnceCell::new(),
     };
     let deadline = state.now() + RUN_TIMEOUT;
@@ -274,7 +276,7 @@
             body.finish(state);
             return RunResult::Complete;
         }
-        if body.reader.has_ended() {
+        if body.has_ended() {
             body.finish(state);
             return RunResult::Complete;
         }
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -101,6 +101,8 @@
             headers,
             body: request.body,
             class: WorkClass::Online,
+            expects_events: route.kind == RouteKind::Stream,
+            resumes: facts.resumption.is_some(),
             digest: OnceCell::new(),
         };
         let deadline = request.arrived + time_limit;
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -1,5 +1,7 @@
 //! Parsing of server-sent events.
 
+use molespan_http::EventScanner;
+
 /// A complete event.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Event {
@@ -11,13 +13,18 @@
     pub data: String,
 }
 
+/// May stand before the first event of a stream.
+const BYTE_ORDER_MARK: char = '\u{feff}';
 /// Maximum length of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// Splits a stream into events. An incomplete event at the end is dropped with the cutter.
+/// Splits a stream into events.
 #[derive(Debug, Default)]
 pub(crate) struct EventParser {
     buffer: Vec<u8>,
+    /// Number of bytes of the buffer that the scanner has seen.
+    scanned: usize,
+    scanner: EventScanner,
 }
 
 impl EventParser {
@@ -29,26 +36,26 @@
 
     /// Returns the next complete event.
     pub fn next(&mut self) -> Option<Event> {
-        let length = event_length(&self.buffer)?;
-        let bytes: Vec<u8> = self.buffer.drain(..length).collect();
-        Some(parse(bytes))
+        while let Some(byte) = self.buffer.get(self.scanned).copied() {
+            self.scanned += 1;
+            if !self.scanner.push(byte) {
+                continue;
+            }
+            if byte == b'\r' && self.buffer.get(self.scanned) == Some(&b'\n') {
+                self.scanner.push(b'\n');
+                self.scanned += 1;
+            }
+            let bytes = self.buffer.drain(..self.scanned).collect();
+            self.scanned = 0;
+            return Some(parse(bytes));
+        }
+        None
     }
-}
 
-/// Returns the length of the first event, including the empty line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (place, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..place];
-        if line.is_empty() || line == b"\r" {
-            return Some(place + 1);
-        }
-        line_start = place + 1;
+    /// Returns the bytes behind the last complete event.
+    pub fn into_rest(self) -> Vec<u8> {
+        self.buffer
     }
-    None
 }
 
 fn parse(bytes: Vec<u8>) -> Event {
@@ -58,7 +65,8 @@
         ..Event::default()
     };
     let mut data: Vec<&str> = Vec::new();
-    for line in text.lines() {
+    let text = text.strip_prefix(BYTE_ORDER_MARK).unwrap_or(&text);
+    for line in text.split(['\n', '\r']) {
         let (field, value) = line.split_once(':').unwrap_or((line, ""));
         let value = value.strip_prefix(' ').unwrap_or(value);
         match field {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -132,7 +132,7 @@
             }
             Next::TimeOver => return Relayed::TimeOver,
         };
-        let ended = piece.is_none() || body.reader.has_ended();
+        let ended = piece.is_none() || body.has_ended();
         if let Some(piece) = piece {
             append(&mut waiting, &piece, framing);
         }
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures_lite::future;
-use molespan_http::h1::{BodyReader, Connection, Headers, RequestHead};
+use molespan_http::h1::{Connection, Headers, RequestHead};
 use molespan_state::declared::{Route, RouteKind, StreamKey};
 use molespan_types::Timestamp;
 use slog::info;
@@ -283,14 +283,7 @@
         keep_alive: bool,
     ) -> Option<ConnectionAction> {
         let EngineReply { head, mut body, .. } = reply;
-        let mut reader = std::mem::replace(&mut body.reader, BodyReader::new(body.framing));
-        let reading = async {
-            Some(
-                reader
-                    .collect(&mut body.connection, MAX_BUFFERED_ANSWER_BYTES)
-                    .await,
-            )
-        };
+        let reading = async { Some(body.collect(MAX_BUFFERED_ANSWER_BYTES).await) };
         let late = async {
             self.state.clock.wait_until(self.deadline).await;
             None
@@ -303,7 +296,6 @@
             }
             _ => return Some(ConnectionAction::Close),
         };
-        body.reader = reader;
         body.finish(self.state);
         self.state.note_complete(&self.outbound);
         let mut headers = Headers::new();
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -177,6 +177,7 @@
                 Some(Next::Piece(Ok(piece))) => piece,
             };
             let Some(piece) = piece else {
+                self.add_rest(parser);
                 return PartResult::Whole;
             };
             if !parser.push(&piece) {
@@ -192,12 +193,26 @@
             if let Err(ended) = self.flush().await {
                 return PartResult::Ended(ended);
             }
-            if body.reader.has_ended() {
+            if body.has_ended() {
+                self.add_rest(parser);
                 return PartResult::Whole;
             }
         }
     }
 
+    /// Adds what a whole answer holds behind its last event, so that the caller gets each of
+    /// its bytes also where it is no stream of events.
+    fn add_rest(&mut self, parser: EventParser) {
+        let rest = parser.into_rest();
+        if rest.is_empty() {
+            return;
+        }
+        if let Some(head) = self.head.take() {
+            self.begin(&head);
+        }
+        append(&mut self.waiting, &rest, self.framing);
+    }
+
     /// Begins the answer with its first event.
     fn begin(&mut self, head: &[u8]) {
         self.waiting.extend_from_slice(head);
