An answer that breaks off resets the connection of an HTTP/1.0 caller

The connection is set to reset on close before the head goes out, and set back once the end of a whole answer is written. So it holds whatever ends the answer: the engine, the time, a stop or the loss of the gateway's process.

--- a/crates/http/src/h1/connection.rs
+++ b/crates/http/src/h1/connection.rs
@@ -4,11 +4,13 @@
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_io::Async;
 use derive_more::{Display, Error, From};
 use futures_lite::future;
 use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
+use socket2::SockRef;
 
 use super::head::{Parsed, RequestHead, ResponseHead, parse_request, parse_response};
 
@@ -121,6 +123,16 @@
         write(&self.stream, bytes).await
     }
 
+    /// Whether the connection is reset when it is closed, also by the end of the process: its
+    /// peer then knows that what it got is not whole.
+    ///
+    /// # Errors
+    /// When the connection has failed already.
+    pub fn reset_on_close(&self, reset: bool) -> io::Result<()> {
+        let linger = reset.then_some(Duration::ZERO);
+        SockRef::from(self.stream.get_ref()).set_linger(linger)
+    }
+
     /// Reads the head of the next request.
     ///
     /// # Errors
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -8,6 +8,7 @@
 use molespan_http::h1::{self, BodyError, Connection, Framing, Headers, LAST_CHUNK, ResponseHead};
 
 use molespan_types::Timestamp;
+use slog::info;
 
 use crate::attempt::{EngineBody, EngineReply};
 use crate::state::GatewayState;
@@ -80,6 +81,22 @@
     )
 }
 
+/// Records whether the caller's answer is unfinished. Where only the end of the connection
+/// tells the caller that the answer is whole, a close is a reset until then.
+pub(crate) fn set_unfinished(
+    state: &GatewayState,
+    caller: &Connection,
+    framing: CallerFraming,
+    unfinished: bool,
+) {
+    if framing != CallerFraming::UntilClose {
+        return;
+    }
+    if let Err(error) = caller.reset_on_close(unfinished) {
+        info!(state.logger, "cannot set how a caller's connection closes"; "error" => %error);
+    }
+}
+
 /// Returns the next piece of an answer, unless the request's time is over. Disconnects of
 /// the caller are detected for the request as a whole, not here.
 pub(crate) async fn next_piece(
@@ -109,6 +126,21 @@
     future::or(writing, late).await
 }
 
+/// Writes the end of a whole answer to the caller within the request's time.
+pub(crate) async fn finish(
+    state: &GatewayState,
+    caller: &Connection,
+    bytes: &[u8],
+    framing: CallerFraming,
+    deadline: Timestamp,
+) -> Relayed {
+    if let Err(ended) = write(state, caller, bytes, deadline).await {
+        return ended;
+    }
+    set_unfinished(state, caller, framing, false);
+    Relayed::Whole
+}
+
 /// Relays a whole answer unchanged.
 pub(crate) async fn relay(
     state: &Rc<GatewayState>,
@@ -120,6 +152,7 @@
 ) -> Relayed {
     let EngineReply { head, mut body, .. } = reply;
     let (bytes, framing) = caller_head(&head, body.framing, caller_minor, keep_alive);
+    set_unfinished(state, caller, framing, true);
     let mut waiting = bytes;
     let mut time = pin!(state.clock.wait_until(deadline));
     loop {
@@ -141,10 +174,7 @@
         }
         if ended {
             body.finish(state);
-            return match write(state, caller, &waiting, deadline).await {
-                Ok(()) => Relayed::Whole,
-                Err(ended) => ended,
-            };
+            return finish(state, caller, &waiting, framing, deadline).await;
         }
         if let Err(ended) = write(state, caller, &waiting, deadline).await {
             return ended;
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -21,7 +21,9 @@
 use crate::dispatch::Dispatch;
 use crate::events::EventParser;
 use crate::metrics::Resumed;
-use crate::relay::{CallerFraming, Next, Relayed, append, caller_head, next_piece, write};
+use crate::relay::{
+    CallerFraming, Next, Relayed, append, caller_head, finish, next_piece, set_unfinished, write,
+};
 use crate::silence::InactivityTimer;
 use crate::state::GatewayState;
 use crate::streams::RunningStream;
@@ -215,6 +217,7 @@
 
     /// Begins the answer with its first event.
     fn begin(&mut self, head: &[u8]) {
+        set_unfinished(self.state, self.caller, self.framing, true);
         self.waiting.extend_from_slice(head);
         if let Some((key, origin)) = self.origin.take() {
             self.running = Some(self.state.note_stream(key, origin));
@@ -236,9 +239,7 @@
         if self.framing == CallerFraming::Chunked {
             self.waiting.extend_from_slice(LAST_CHUNK);
         }
-        match self.flush().await {
-            Ok(()) => Relayed::Whole,
-            Err(ended) => ended,
-        }
+        let bytes = std::mem::take(&mut self.waiting);
+        finish(self.state, self.caller, &bytes, self.framing, self.deadline).await
     }
 }
