An answer without length is whole only if its engine lives

An engine that ends in the pause between two events closes its connections in an orderly way, so that a stream without length or chunks ended as whole for its caller, the engine was not looked at, and the request not blamed (two failing tests of before).

Before the caller is told of such an end, the gateway connects to the engine once more: at once, and again 20 ms later if the port refuses. Two refusals, or an engine that control nodes list no longer and that never said that it leaves, mean that the answer is cut. One that cannot be asked counts as alive: a whole answer is not refused for a lost packet. The connection serves the next request, in place of the one that has ended; the events have gone out before, so that none waits.

What stays: an engine that lives and closes between two events, or within a body that is no stream of events, without a length: by its own word that answer is whole.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -132,8 +132,18 @@
         if let Some(piece) = &piece {
             self.note_piece(piece);
         }
-        let is_whole = !self.has_ended() || self.allowed_end.allows(&self.progress);
-        is_whole.then_some(piece).ok_or(BodyError::CutShort)
+        match self.has_ended() && !self.is_whole().await {
+            true => Err(BodyError::CutShort),
+            false => Ok(piece),
+        }
+    }
+
+    /// Whether the answer is whole where its body ends by its framing.
+    async fn is_whole(&self) -> bool {
+        if !self.allowed_end.allows(&self.progress) {
+            return false;
+        }
+        self.framing != Framing::UntilClose || !self.in_flight.engine_has_ended().await
     }
 
     /// Reads the rest of the answer, of at most `limit` bytes.
--- a/crates/proxy/src/engine_ends.rs
+++ b/crates/proxy/src/engine_ends.rs
@@ -7,6 +7,9 @@
 //! that announced its departure ends as planned, and one that still answers is alive. A
 //! machine that stops responding does not break connections off, so its requests are not
 //! blamed.
+//!
+//! An answer without a length also ends with its connection when it is whole, so that its
+//! end is checked before the caller is told of it.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -18,7 +21,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use molespan_http::h1::{self, SocketOptions};
+use molespan_http::h1::{self, Connection, SocketOptions};
 use molespan_routing::suspects::engine_key;
 use molespan_state::declared::RequestDigest;
 use molespan_types::Timestamp;
@@ -37,6 +40,9 @@
     Duration::from_millis(500),
     Duration::from_millis(1_000),
 ];
+/// Pauses before the checks of an engine whose answer ended with its connection. The end of
+/// the answer waits for them, so the first is made at once.
+const ANSWER_END_CHECK_DELAYS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(20)];
 /// Number of checks that must find the port refusing connections.
 const DEAD_CHECKS: u32 = 2;
 /// Timeout for a connection.
@@ -121,6 +127,24 @@
         let mut checks = self.broken_requests.checks.borrow_mut();
         *checks.entry(digest).or_default() += 1;
     }
+
+    /// Whether an engine whose answer ended with its connection has itself ended, so that the
+    /// answer may be cut. One that cannot be asked counts as alive.
+    pub async fn has_ended_with_answer(&self, engine: &str) -> bool {
+        let address = self.engines.borrow().address(engine);
+        let answer_ended_at = self.now();
+        for pause in ANSWER_END_CHECK_DELAYS {
+            Timer::after(pause).await;
+            match check(self, engine, address, answer_ended_at).await {
+                CheckResult::Dead => {}
+                CheckResult::Ended => return true,
+                CheckResult::NotCrashed | CheckResult::Reached | CheckResult::Inconclusive => {
+                    return false;
+                }
+            }
+        }
+        true
+    }
 }
 
 /// Result of one check of an engine.
@@ -235,7 +259,11 @@
     };
     let connected = h1::connect(address, CONNECT_TIMEOUT, SocketOptions::default()).await;
     match connected.map_err(|error| error.kind()) {
-        Ok(_) => CheckResult::Reached,
+        Ok(stream) => {
+            let connection = Connection::new(stream);
+            state.pool.put(engine, connection, None, state.now());
+            CheckResult::Reached
+        }
         Err(ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset) => CheckResult::Dead,
         Err(_) => CheckResult::Inconclusive,
     }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -596,6 +596,11 @@
         self.state.now()
     }
 
+    /// Whether the engine has ended together with its answer, so that the answer may be cut.
+    pub async fn engine_has_ended(&self) -> bool {
+        self.state.has_ended_with_answer(&self.engine).await
+    }
+
     /// Returns the gateway's log.
     pub fn logger(&self) -> &Logger {
         &self.state.logger
