Only a whole answer clears a request of the engines that ended under it

A failure that a safe request's next attempt replaces, and the failures of batch items, cleared the request on their head alone: an engine that ends within its failure proved the innocence of what ended it. Their bodies are read now (50 ms at most) and the connection is kept; one that breaks off has its engine looked at. It still counts as a failed attempt of an item, as its status was told.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -28,6 +28,11 @@
 /// Maximum size of a late answer that is skipped, in bytes.
 const MAX_LATE_ANSWER_BYTES: u64 = 1 << 20;
 
+/// Maximum size, in bytes, of a failure's body that is read though nobody gets it.
+const MAX_DISCARDED_BYTES: u64 = 64 << 10;
+/// Timeout for reading such a body, which comes with its head; a retry waits for it.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// A request as it is sent to engines.
 #[derive(Clone, Debug)]
 pub(crate) struct Outbound {
@@ -164,6 +169,19 @@
         Ok(body)
     }
 
+    /// Reads the rest of a failure that nobody gets, and returns whether it was whole.
+    pub async fn discard(mut self, state: &GatewayState) -> bool {
+        let until = state.now() + DISCARD_TIMEOUT;
+        let rest = async { self.collect(MAX_DISCARDED_BYTES).await.is_ok() };
+        let late = async {
+            state.clock.wait_until(until).await;
+            false
+        };
+        let is_whole = future::or(rest, late).await;
+        self.finish(state);
+        is_whole
+    }
+
     /// Whether the body was read to its end.
     pub fn has_ended(&self) -> bool {
         self.reader.has_ended()
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -213,14 +213,10 @@
             version,
         });
         output.borrow_mut().continue_from(origin);
-        let run = finish_run(state, reply, output).await;
-        if matches!(
-            run,
-            RunResult::Complete | RunResult::Failed | RunResult::Impossible
-        ) {
+        let (run, is_whole) = finish_run(state, reply, output).await;
+        if is_whole {
             state.note_complete(&dispatch.outbound);
-        }
-        if matches!(run, RunResult::Broken) {
+        } else {
             state.check_engine(&engine, &dispatch.outbound);
             info!(state.logger, "run of an item was broken off by its engine"; "item" => &item.item.id,
                 "digest" => %dispatch.outbound.digest(), "engine" => engine,
@@ -235,15 +231,23 @@
     future::or(running, preempted).await
 }
 
-/// Processes the answer of an engine.
-async fn finish_run(state: &GatewayState, reply: EngineReply, output: &SharedOutput) -> RunResult {
-    if reply.facts.never_executable {
-        return RunResult::Impossible;
-    }
-    if reply.head.status != 200 {
-        return RunResult::Failed;
+/// Processes the answer of an engine; returns also whether that was whole.
+async fn finish_run(
+    state: &GatewayState,
+    reply: EngineReply,
+    output: &SharedOutput,
+) -> (RunResult, bool) {
+    let failure = match reply.head.status {
+        _ if reply.facts.never_executable => Some(RunResult::Impossible),
+        200 => None,
+        _ => Some(RunResult::Failed),
+    };
+    if let Some(failure) = failure {
+        return (failure, reply.body.discard(state).await);
     }
-    read_events(state, reply.body, output).await
+    let run = read_events(state, reply.body, output).await;
+    let is_whole = matches!(run, RunResult::Complete);
+    (run, is_whole)
 }
 
 /// Reads events until the stream ends.
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -218,7 +218,7 @@
                         "after_ms" => self.age().as_millis() as u64);
                     let failed = matches!(reply.head.status, 500 | 502 | 504);
                     if failed && self.route.kind == RouteKind::Safe && self.may_run_again() {
-                        self.state.note_complete(&self.outbound);
+                        self.discard(reply).await;
                         continue;
                     }
                     return Ok(reply);
@@ -233,6 +233,16 @@
         }
     }
 
+    /// Discards a failure in place of which another engine is asked.
+    async fn discard(&mut self, reply: EngineReply) {
+        let engine = reply.body.engine.clone();
+        let version = reply.body.version.clone();
+        match reply.body.discard(self.state).await {
+            true => self.state.note_complete(&self.outbound),
+            false => self.note_broken(&engine, version.as_ref()),
+        }
+    }
+
     /// Records that an engine did not run the request. An engine without capacity may have
     /// some soon and is asked again while there is time; any other engine is not.
     fn note_rejection(&mut self, engine: &str, reply: &EngineReply) -> Result<(), Refusal> {
