Log the shared parts of prompts under which engines end

The line now names the digests of the prompt's parts, without the last one, which is the request's own. No decision changes.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -9,8 +9,11 @@
 use molespan_http::h1::{
     self, BodyError, BodyReader, Connection, Framing, HeadError, Headers, ResponseHead,
 };
-use molespan_routing::dispatch::{EngineFacts, Failure, Picked, SuspectReason, WorkClass};
+use molespan_routing::dispatch::{
+    EngineFacts, Failure, Picked, PromptPart, SuspectReason, WorkClass,
+};
 use molespan_routing::reach::ReturnEvidence;
+use molespan_routing::suspects::{Features, Shared};
 use molespan_state::declared::{RequestDigest, RequestParts};
 use molespan_types::{EngineIncarnation, SoftwareVersion, Timestamp};
 use slog::info;
@@ -52,23 +55,30 @@
     pub expects_events: bool,
     /// Whether the caller takes up an earlier stream.
     pub resumes: bool,
-    /// Digest of the request, computed on first use: it hashes the whole body, and most
-    /// requests never need it.
-    pub digest: OnceCell<RequestDigest>,
+    /// Parts of the prompt, in order.
+    pub prompt: Rc<[PromptPart]>,
+    /// Computed on first use: the whole body is hashed, and most requests never need it.
+    pub features: OnceCell<Features>,
 }
 
 impl Outbound {
     /// Returns the digest that identifies the request when it is sent again under another
     /// identifier.
     pub fn digest(&self) -> RequestDigest {
-        *self.digest.get_or_init(|| {
-            RequestDigest::of(&RequestParts {
+        self.features().request
+    }
+
+    /// Returns the digest, and what the request has in common with others.
+    pub fn features(&self) -> &Features {
+        self.features.get_or_init(|| Features {
+            request: RequestDigest::of(&RequestParts {
                 tenant: self.tenant.as_deref(),
                 host: &self.host,
                 method: &self.method,
                 target: &self.target,
                 body: &self.body,
-            })
+            }),
+            shared: Shared::of(self.tenant.as_deref(), &self.prompt),
         })
     }
 }
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -189,7 +189,8 @@
         class: WorkClass::Batch,
         expects_events: true,
         resumes: false,
-        digest: OnceCell::new(),
+        prompt: facts.prompt.clone(),
+        features: OnceCell::new(),
     };
     let deadline = state.now() + RUN_TIMEOUT;
     let mut dispatch = Dispatch::new(state, dialect, route, service, outbound, facts, deadline);
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -1,6 +1,7 @@
 //! The information that the gateway needs from the interface of callers and engines,
 //! independent of its names and formats.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use molespan_http::h1::{Answer, Headers, RequestHead, ResponseHead};
@@ -16,7 +17,7 @@
     /// How long the caller waits.
     pub time_left: Option<Duration>,
     /// Parts of the prompt, in order.
-    pub prompt: Vec<PromptPart>,
+    pub prompt: Rc<[PromptPart]>,
     /// Expected number of answer tokens.
     pub answer_tokens: Option<u64>,
     /// The earlier stream that the request takes up, if it is not a new one.
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -103,7 +103,8 @@
             class: WorkClass::Online,
             expects_events: route.kind == RouteKind::Stream,
             resumes: facts.resumption.is_some(),
-            digest: OnceCell::new(),
+            prompt: facts.prompt.clone(),
+            features: OnceCell::new(),
         };
         let deadline = request.arrived + time_limit;
         state
--- a/crates/proxy/src/engine_ends.rs
+++ b/crates/proxy/src/engine_ends.rs
@@ -22,7 +22,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use molespan_http::h1::{self, Connection, SocketOptions};
-use molespan_routing::suspects::engine_key;
+use molespan_routing::suspects::{Features, Shared, engine_key};
 use molespan_state::declared::RequestDigest;
 use molespan_types::Timestamp;
 use slog::{info, warn};
@@ -64,8 +64,8 @@
     engine: String,
     /// Address of the engine, if still known.
     address: Option<SocketAddr>,
-    /// Digest that identifies the request when it is sent again.
-    digest: RequestDigest,
+    /// Identifies the request when it is sent again, and what it has in common with others.
+    features: Features,
     /// Identifier of the request in this attempt.
     id: String,
 }
@@ -116,7 +116,7 @@
         let broken = BrokenRequest {
             engine: engine.to_owned(),
             address: self.engines.borrow().address(engine),
-            digest,
+            features: request.features().clone(),
             id: request.id.clone(),
         };
         if self.broken_requests.waiting.0.try_send(broken).is_err() {
@@ -179,7 +179,7 @@
         let mut ended = ends.ended.borrow_mut();
         ended.retain(|_, at| now.since(*at) < BLAME_PERIOD);
         if ended.contains_key(&broken.engine) {
-            state.broken_requests.end_check(&broken.digest);
+            state.broken_requests.end_check(&broken.features.request);
             blame(&state, &[broken]);
             continue;
         }
@@ -207,7 +207,7 @@
     let broken = ends.open.borrow_mut().remove(&engine).unwrap_or_default();
     broken
         .iter()
-        .for_each(|one| state.broken_requests.end_check(&one.digest));
+        .for_each(|one| state.broken_requests.end_check(&one.features.request));
     if !ended {
         info!(state.logger, "engine broke requests off but did not end"; "engine" => engine,
             "requests" => broken.len());
@@ -269,18 +269,25 @@
     }
 }
 
+/// Returns the digests of the parts that a prompt shares with others, as they are logged.
+fn parts_text(shared: &Shared) -> String {
+    let parts: Vec<String> = shared.parts.iter().map(ToString::to_string).collect();
+    parts.join(",")
+}
+
 /// Blames the requests that an engine was running when it ended.
 fn blame(state: &GatewayState, broken: &[BrokenRequest]) {
     let now = state.now();
     for one in broken {
         let engine = engine_key(&one.engine);
         let mut suspects = state.suspects.borrow_mut();
-        let Some(crashes) = suspects.blame(one.digest, engine, now) else {
+        let Features { request, shared } = &one.features;
+        let Some(crashes) = suspects.blame(*request, engine, now) else {
             continue;
         };
         info!(state.logger, "engine ended under a request"; "request" => &one.id,
-            "digest" => %one.digest, "engine" => &one.engine, "crashes" => crashes,
-            "requests_there" => broken.len());
+            "digest" => %request, "parts" => parts_text(shared), "engine" => &one.engine,
+            "crashes" => crashes, "requests_there" => broken.len());
     }
     state.request_report();
     state.bars.request_check();
--- a/crates/routing/src/suspects/mod.rs
+++ b/crates/routing/src/suspects/mod.rs
@@ -11,8 +11,10 @@
 //! The module does no I/O: the caller passes in the time and delivers the blames.
 
 mod blame;
+mod features;
 mod suspect;
 mod table;
 
 pub use blame::{Blame, EngineKey, engine_key};
+pub use features::{FeatureDigest, Features, Shared};
 pub use table::{SuspectTable, Verdict};
--- a/crates/state/src/declared/request_digest.rs
+++ b/crates/state/src/declared/request_digest.rs
@@ -29,7 +29,13 @@
     pub body: &'a [u8],
 }
 
-/// Identifies a request by its content: the first half of a SHA-256.
+/// First byte of what is hashed. A request begins with 0 or 1, for one with a tenant.
+const PROMPT_PART: u8 = 2;
+const TENANT: u8 = 3;
+const PROMPT_PART_OF_TENANT: u8 = 4;
+
+/// Identifies a request by its content, or something that requests have in common: the first
+/// half of a SHA-256.
 #[derive(Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
 #[display("{:032x}", u128::from_be_bytes(**_0))]
 #[cbor(transparent)]
@@ -48,6 +54,37 @@
             hash.update(part);
         }
         hash.update(parts.body);
+        Self::from_hash(hash)
+    }
+
+    /// Returns the digest of a part of prompts, by its identifier.
+    #[must_use]
+    pub fn of_prompt_part(id: &str) -> Self {
+        Self::of_feature(PROMPT_PART, &[id.as_bytes()])
+    }
+
+    /// Returns the digest of a tenant.
+    #[must_use]
+    pub fn of_tenant(tenant: &str) -> Self {
+        Self::of_feature(TENANT, &[tenant.as_bytes()])
+    }
+
+    /// Returns the digest of a part of prompts in the requests of one tenant.
+    #[must_use]
+    pub fn of_prompt_part_of_tenant(part: &Self, tenant: &Self) -> Self {
+        Self::of_feature(PROMPT_PART_OF_TENANT, &[&part.0[..], &tenant.0[..]])
+    }
+
+    fn of_feature(kind: u8, contents: &[&[u8]]) -> Self {
+        let mut hash = Sha256::new();
+        hash.update([kind]);
+        for content in contents {
+            hash.update(content);
+        }
+        Self::from_hash(hash)
+    }
+
+    fn from_hash(hash: Sha256) -> Self {
         let whole: [u8; 32] = hash.finalize().into();
         let mut kept = [0; BYTES];
         kept.copy_from_slice(&whole[..BYTES]);
