--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: sends a request to one engine and reads the head of its answer.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -57,6 +57,8 @@
     pub resumes: bool,
     /// Parts of the prompt, in order.
     pub prompt: Rc<[PromptPart]>,
+    /// Number of whole events of the latest answer that have arrived.
+    pub answered_events: Rc<Cell<u64>>,
     /// Computed on first use: the whole body is hashed, and most requests never need it.
     pub features: OnceCell<Features>,
 }
@@ -120,6 +122,8 @@
     in_flight: InFlightGuard,
     times: EventTimes,
     progress: AnswerProgress,
+    /// Where the request's number of whole events is kept.
+    answered_events: Rc<Cell<u64>>,
 }
 
 impl EngineBody {
@@ -199,6 +203,7 @@
 
     fn note_piece(&mut self, piece: &[u8]) {
         let events = self.progress.advance(piece);
+        self.answered_events.set(self.progress.events());
         let now = self.in_flight.now();
         if let Some(took) = self.times.piece_arrived(events, now) {
             self.in_flight.note_events(events as u32, took);
@@ -290,6 +295,7 @@
     let counted = counted.ok_or(AttemptFailure::Unreachable)?;
     let engine = &picked.facts;
     let began = state.now();
+    outbound.answered_events.set(0);
     let result = try_attempt(state, dialect, engine, outbound, limits, counted).await;
     match &result {
         Ok(reply) => {
@@ -424,6 +430,7 @@
         in_flight,
         times: EventTimes::default(),
         progress: AnswerProgress::default(),
+        answered_events: outbound.answered_events.clone(),
     };
     Ok(EngineReply { head, facts, body })
 }
--- a/crates/proxy/src/bars.rs
+++ b/crates/proxy/src/bars.rs
@@ -1,7 +1,7 @@
 //! Barring requests that cause engines to end.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 use async_io::Timer;
 use molespan_daemon::wall_clock::unix_millis;
 use molespan_routing::dispatch::WorkClass;
-use molespan_routing::suspects::{SuspectTable, Verdict};
+use molespan_routing::suspects::{FeatureDigest, SuspectTable, Verdict};
 use molespan_state::declared::{Bar, DeclaredCommand, RequestDigest};
 use molespan_types::Timestamp;
 use slog::{info, warn};
@@ -24,6 +24,8 @@
 const MAX_BARS: usize = 2_048;
 /// Interval between checks whether an engine that broke a request off has ended.
 const ENGINE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval at which a batch item asks again whether a part of its prompt is barred.
+const ITEM_BAR_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout for committing a bar, after which the bar is requested again.
 const BAR_COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -76,11 +78,37 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Permit {
     Granted,
+    /// As the only one with this part in its prompt.
+    Trial(FeatureDigest),
     /// Decided later; ask again at this time.
     Later(Timestamp),
     Denied,
 }
 
+/// Parts of prompts of which a request is at an engine that has not begun to write.
+#[derive(Debug, Default)]
+pub(crate) struct Trials {
+    open: RefCell<BTreeSet<FeatureDigest>>,
+}
+
+impl Trials {
+    fn is_open(&self, part: &FeatureDigest) -> bool {
+        self.open.borrow().contains(part)
+    }
+}
+
+/// Keeps other requests with the same part from engines until dropped.
+pub(crate) struct TrialGuard {
+    state: Rc<GatewayState>,
+    part: FeatureDigest,
+}
+
+impl Drop for TrialGuard {
+    fn drop(&mut self) {
+        self.state.trials.open.borrow_mut().remove(&self.part);
+    }
+}
+
 /// Number of engines that may have ended under a request from which on the request waits
 /// for the open checks. It counts engines that did end and engines being checked. An online
 /// request whose engine broke off is retried at another one at once, so that its caller
@@ -97,7 +125,7 @@
     /// is barred.
     pub fn permit(&self, request: &Outbound) -> Permit {
         let suspects = self.suspects.borrow();
-        let open = self.broken_requests.open_checks(request);
+        let open = self.broken_requests.open_checks(|| request.digest());
         if open > 0 && open + self.crashes(&suspects, request) >= wait_threshold(request.class) {
             return Permit::Later(self.now() + ENGINE_CHECK_INTERVAL);
         }
@@ -105,13 +133,22 @@
             return Permit::Granted;
         }
         let now = self.now();
-        match suspects.verdict(&request.digest(), now) {
+        match suspects.verdict(request.features(), now) {
             Verdict::Suspect { .. } if request.class == WorkClass::Batch => {
                 let waits = suspects.item_waits(&request.digest(), now);
-                waits.map_or(Permit::Granted, Permit::Later)
+                waits.map_or_else(|| self.permit_trial(&suspects, request), Permit::Later)
             }
-            Verdict::Free | Verdict::Suspect { .. } => Permit::Granted,
+            Verdict::Free | Verdict::Suspect { .. } => self.permit_trial(&suspects, request),
             Verdict::Unsettled { until } => Permit::Later(until),
+            // An accepted item is given up only for what it did itself, or once the control
+            // group has barred a part of its prompt: until then a part may be cleared.
+            Verdict::Barred { crashes }
+                if request.class == WorkClass::Batch
+                    && crashes > suspects.crashes(&request.digest())
+                    && !suspects.has_bar(request.features(), now) =>
+            {
+                Permit::Later(now + ITEM_BAR_INTERVAL)
+            }
             Verdict::Barred { crashes } => {
                 info!(self.logger, "request barred"; "request" => &request.id,
                     "digest" => %request.digest(), "crashes" => crashes,
@@ -122,6 +159,28 @@
         }
     }
 
+    /// Whether a request may be sent now beside others with a part of prompts under which
+    /// engines have ended: one at a time, until its engine has begun to write.
+    fn permit_trial(&self, suspects: &SuspectTable, request: &Outbound) -> Permit {
+        let Some(part) = suspects.trial(request.features(), self.now()) else {
+            return Permit::Granted;
+        };
+        let is_open = self.broken_requests.open_checks(|| part) > 0;
+        match is_open || self.trials.is_open(&part) {
+            true => Permit::Later(self.now() + ENGINE_CHECK_INTERVAL),
+            false => Permit::Trial(part),
+        }
+    }
+
+    /// Begins the trial of a part of prompts, which ends with the returned guard.
+    pub fn begin_trial(self: &Rc<Self>, part: FeatureDigest) -> TrialGuard {
+        self.trials.open.borrow_mut().insert(part);
+        TrialGuard {
+            state: self.clone(),
+            part,
+        }
+    }
+
     fn crashes(&self, suspects: &SuspectTable, request: &Outbound) -> usize {
         match suspects.is_empty() {
             true => 0,
@@ -160,7 +219,8 @@
         if self.suspects.borrow().is_empty() {
             return;
         }
-        if self.suspects.borrow_mut().answered(&request.digest()) {
+        let now = self.now();
+        if self.suspects.borrow_mut().answered(request.features(), now) {
             info!(self.logger, "request cleared"; "request" => &request.id,
                 "digest" => %request.digest());
             self.request_report();
@@ -175,8 +235,8 @@
         let _requested = state.bars.check_requests.1.recv().await;
         while state.suspects.borrow().has_candidates(state.now()) {
             let guilty = state.suspects.borrow().to_bar(state.now());
-            for (request, crashes) in guilty {
-                request_bar(&state, request, crashes).await;
+            for (barred, crashes) in guilty {
+                request_bar(&state, barred, crashes).await;
             }
             Timer::after(BAR_CHECK_INTERVAL).await;
         }
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -190,6 +190,7 @@
         expects_events: true,
         resumes: false,
         prompt: facts.prompt.clone(),
+        answered_events: Rc::default(),
         features: OnceCell::new(),
     };
     let deadline = state.now() + RUN_TIMEOUT;
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -104,6 +104,7 @@
             expects_events: route.kind == RouteKind::Stream,
             resumes: facts.resumption.is_some(),
             prompt: facts.prompt.clone(),
+            answered_events: Rc::default(),
             features: OnceCell::new(),
         };
         let deadline = request.arrived + time_limit;
@@ -182,9 +183,11 @@
             };
             // Engines elsewhere may have ended under the request while it waited for its
             // turn.
-            if self.state.permit(&self.outbound) != Permit::Granted {
-                continue;
-            }
+            let trial = match self.state.permit(&self.outbound) {
+                Permit::Granted => None,
+                Permit::Trial(part) => Some(self.state.begin_trial(part)),
+                Permit::Later(_) | Permit::Denied => continue,
+            };
             let limits = AttemptLimits {
                 deadline: self.deadline,
                 head_timeout: self.head_timeout(),
@@ -203,6 +206,7 @@
             let (state, dialect) = (self.state, self.dialect);
             let outbound = &self.outbound;
             let result = attempt(state, dialect, &mut picked, another, outbound, limits).await;
+            drop(trial);
             let engine = &picked.facts;
             match result {
                 Ok(reply) if reply.facts.not_run || reply.facts.misdirected => {
@@ -288,7 +292,7 @@
     async fn wait_until_permitted(&self) -> Result<(), Refusal> {
         loop {
             match self.state.permit(&self.outbound) {
-                Permit::Granted => return Ok(()),
+                Permit::Granted | Permit::Trial(_) => return Ok(()),
                 Permit::Later(until) => self.state.wait_until_settled(until).await,
                 Permit::Denied if self.runs > 0 => return Err(Refusal::AnswerLost),
                 Permit::Denied => {
--- a/crates/proxy/src/engine_ends.rs
+++ b/crates/proxy/src/engine_ends.rs
@@ -22,8 +22,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use molespan_http::h1::{self, Connection, SocketOptions};
-use molespan_routing::suspects::{Features, Shared, engine_key};
-use molespan_state::declared::RequestDigest;
+use molespan_routing::suspects::{FeatureDigest, Features, Shared, engine_key};
 use molespan_types::Timestamp;
 use slog::{info, warn};
 
@@ -53,6 +52,10 @@
 /// longer than a gateway starved of processor time takes to read the end of a connection.
 const BLAME_PERIOD: Duration = Duration::from_secs(10);
 
+/// Maximum number of events behind which the parts of a request's prompt are still blamed for
+/// the end of its engine: a part that ends engines does so as they begin to write.
+const MAX_SUSPECT_EVENTS: u64 = 2;
+
 /// Maximum number of broken-off requests that wait for a check; several times as many as
 /// all engines of a service run.
 const MAX_WAITING: usize = 4_096;
@@ -73,8 +76,8 @@
 /// Requests that engines broke off, until it is known whether the engines ended.
 pub(crate) struct BrokenRequests {
     waiting: (Sender<BrokenRequest>, Receiver<BrokenRequest>),
-    /// Number of open checks by the request that broke off.
-    checks: RefCell<BTreeMap<RequestDigest, usize>>,
+    /// Number of open checks by the request that broke off, and by the parts of its prompt.
+    checks: RefCell<BTreeMap<FeatureDigest, usize>>,
 }
 
 impl Default for BrokenRequests {
@@ -87,36 +90,56 @@
 }
 
 impl BrokenRequests {
-    /// Returns the number of open checks of engines that broke the request off.
-    pub fn open_checks(&self, request: &Outbound) -> usize {
+    /// Returns the number of open checks of engines that broke off requests with this digest
+    /// or with this part of their prompts; `feature` is computed only if there are any.
+    pub fn open_checks(&self, feature: impl FnOnce() -> FeatureDigest) -> usize {
         let checks = self.checks.borrow();
         match checks.is_empty() {
             true => 0,
-            false => checks.get(&request.digest()).copied().unwrap_or_default(),
+            false => checks.get(&feature()).copied().unwrap_or_default(),
+        }
+    }
+
+    /// Records that a check has started.
+    fn start_check(&self, features: &Features) {
+        let mut checks = self.checks.borrow_mut();
+        for feature in checked_features(features) {
+            *checks.entry(*feature).or_default() += 1;
         }
     }
 
     /// Records that a check has ended.
-    fn end_check(&self, request: &RequestDigest) {
+    fn end_check(&self, features: &Features) {
         let mut checks = self.checks.borrow_mut();
-        let Some(open) = checks.get_mut(request) else {
-            return;
-        };
-        *open -= 1;
-        if *open == 0 {
-            checks.remove(request);
+        for feature in checked_features(features) {
+            let Some(open) = checks.get_mut(feature) else {
+                continue;
+            };
+            *open -= 1;
+            if *open == 0 {
+                checks.remove(feature);
+            }
         }
     }
 }
 
+fn checked_features(features: &Features) -> impl Iterator<Item = &FeatureDigest> {
+    [&features.request]
+        .into_iter()
+        .chain(&features.shared.parts)
+}
+
 impl GatewayState {
     /// Starts a check whether an engine that broke a request off has ended.
     pub fn check_engine(&self, engine: &str, request: &Outbound) {
-        let digest = request.digest();
+        let mut features = request.features().clone();
+        if request.answered_events.get() > MAX_SUSPECT_EVENTS {
+            features.shared.parts.clear();
+        }
         let broken = BrokenRequest {
             engine: engine.to_owned(),
             address: self.engines.borrow().address(engine),
-            features: request.features().clone(),
+            features: features.clone(),
             id: request.id.clone(),
         };
         if self.broken_requests.waiting.0.try_send(broken).is_err() {
@@ -124,8 +147,7 @@
                 "request" => &request.id, "engine" => engine);
             return;
         }
-        let mut checks = self.broken_requests.checks.borrow_mut();
-        *checks.entry(digest).or_default() += 1;
+        self.broken_requests.start_check(&features);
     }
 
     /// Whether an engine whose answer ended with its connection has itself ended, so that the
@@ -179,7 +201,7 @@
         let mut ended = ends.ended.borrow_mut();
         ended.retain(|_, at| now.since(*at) < BLAME_PERIOD);
         if ended.contains_key(&broken.engine) {
-            state.broken_requests.end_check(&broken.features.request);
+            state.broken_requests.end_check(&broken.features);
             blame(&state, &[broken]);
             continue;
         }
@@ -207,7 +229,7 @@
     let broken = ends.open.borrow_mut().remove(&engine).unwrap_or_default();
     broken
         .iter()
-        .for_each(|one| state.broken_requests.end_check(&one.features.request));
+        .for_each(|one| state.broken_requests.end_check(&one.features));
     if !ended {
         info!(state.logger, "engine broke requests off but did not end"; "engine" => engine,
             "requests" => broken.len());
@@ -282,7 +304,7 @@
         let engine = engine_key(&one.engine);
         let mut suspects = state.suspects.borrow_mut();
         let Features { request, shared } = &one.features;
-        let Some(crashes) = suspects.blame(*request, engine, now) else {
+        let Some(crashes) = suspects.blame(&one.features, engine, now) else {
             continue;
         };
         info!(state.logger, "engine ended under a request"; "request" => &one.id,
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -25,7 +25,7 @@
 use slog::{Logger, info, warn};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::bars::Bars;
+use crate::bars::{Bars, Trials};
 use crate::batch::BatchRuns;
 use crate::engine_ends::BrokenRequests;
 use crate::gateway::GatewayOptions;
@@ -90,6 +90,8 @@
     pub tenants: RefCell<TenantTable>,
     /// Requests that ran at engines when these ended.
     pub suspects: RefCell<SuspectTable>,
+    /// Requests that try out a part of their prompts.
+    pub trials: Trials,
     /// Requests that engines broke off.
     pub broken_requests: BrokenRequests,
     /// Bars of the control group.
@@ -154,6 +156,7 @@
             tenants: RefCell::new(TenantTable::new(Timestamp::ZERO)),
             zone,
             suspects: RefCell::default(),
+            trials: Trials::default(),
             broken_requests: BrokenRequests::default(),
             bars: Bars::default(),
             control,
--- a/crates/routing/src/suspects/blame.rs
+++ b/crates/routing/src/suspects/blame.rs
@@ -4,6 +4,8 @@
 use molespan_state::declared::RequestDigest;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::features::Shared;
+
 /// Identifies an incarnation of an engine between gateways, in eight bytes.
 pub type EngineKey = u64;
 
@@ -14,7 +16,7 @@
 }
 
 /// A request that was running on an engine when the engine ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Blame {
     /// Digest of the request.
     #[n(0)]
@@ -29,4 +31,47 @@
     /// Whether the request was answered completely since, and is no longer blamed.
     #[n(3)]
     pub cleared: bool,
+    /// What the request shares with others, if that may have ended the engine; `None` from
+    /// nodes of an older build.
+    #[n(4)]
+    pub shared: Option<SharedBlame>,
+}
+
+/// What a request shares with others and may have ended an engine.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct SharedBlame {
+    /// What it shares.
+    #[n(0)]
+    pub shared: Shared,
+    /// Parts that are no longer blamed, as bits: an engine answered a request with them
+    /// completely since.
+    #[n(1)]
+    pub cleared: u32,
+}
+
+impl From<Shared> for SharedBlame {
+    fn from(shared: Shared) -> Self {
+        Self { shared, cleared: 0 }
+    }
+}
+
+impl SharedBlame {
+    /// Returns the parts that are still blamed.
+    pub fn blamed(&self) -> impl Iterator<Item = &RequestDigest> {
+        let parts = self.shared.parts.iter().enumerate();
+        parts
+            .filter(|(place, _)| self.cleared & (1 << place) == 0)
+            .map(|(_, part)| part)
+    }
+
+    /// Clears a part; returns whether it was blamed.
+    pub(super) fn clear(&mut self, part: &RequestDigest) -> bool {
+        let before = self.cleared;
+        for (place, known) in self.shared.parts.iter().enumerate() {
+            if known == part {
+                self.cleared |= 1 << place;
+            }
+        }
+        self.cleared != before
+    }
 }
--- a/crates/routing/src/suspects/features.rs
+++ b/crates/routing/src/suspects/features.rs
@@ -54,3 +54,15 @@
         }
     }
 }
+
+impl From<&RequestDigest> for Features {
+    fn from(request: &RequestDigest) -> Self {
+        Self::from(*request)
+    }
+}
+
+impl From<&Features> for Features {
+    fn from(features: &Features) -> Self {
+        features.clone()
+    }
+}
--- a/crates/routing/src/suspects/mod.rs
+++ b/crates/routing/src/suspects/mod.rs
@@ -8,13 +8,23 @@
 //! A request that is left with three crashes that nothing else explains is guilty, and is
 //! not sent to any engine any more.
 //!
+//! What ends an engine may also be a part of a prompt, in requests that are otherwise
+//! different. Therefore the parts of a request's prompt are blamed with it, and a complete
+//! answer clears them too, so that a part that many requests share is cleared all the time.
+//! Parts that are blamed for the same crashes cannot be told apart: they are guilty
+//! together, and only requests with all of them are kept from engines. A request with some
+//! of them is sent, and its outcome tells which of them it is.
+//!
 //! The module does no I/O: the caller passes in the time and delivers the blames.
 
 mod blame;
 mod features;
+mod guilt;
+mod parts;
 mod suspect;
 mod table;
 
-pub use blame::{Blame, EngineKey, engine_key};
+pub use blame::{Blame, EngineKey, SharedBlame, engine_key};
 pub use features::{FeatureDigest, Features, Shared};
-pub use table::{SuspectTable, Verdict};
+pub use guilt::Verdict;
+pub use table::SuspectTable;
--- a/crates/routing/src/suspects/suspect.rs
+++ b/crates/routing/src/suspects/suspect.rs
@@ -4,14 +4,15 @@
 
 use molespan_types::Timestamp;
 
-use super::blame::EngineKey;
+use super::blame::{EngineKey, SharedBlame};
+use super::features::FeatureDigest;
 
 /// Maximum number of crashes kept per request. A guilty request is not sent any more, so
 /// further crashes come only from copies of it that ran at the same time.
 const MAX_CRASHES: usize = 16;
 
 /// The end of an engine that was running a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Crash {
     /// When the engine ended, on the clock of this node.
     pub at: Timestamp,
@@ -21,6 +22,46 @@
     pub cleared: bool,
     /// Whether this gateway observed the crash itself.
     pub own: bool,
+    /// What the request shares with others, if that is blamed too.
+    pub shared: Option<SharedBlame>,
+}
+
+impl Crash {
+    /// Returns the parts of the request's prompt that may have ended the engine, cleared
+    /// ones too.
+    pub fn parts(&self) -> impl Iterator<Item = &FeatureDigest> {
+        let shared = self.shared.iter();
+        shared.flat_map(|blame| &blame.shared.parts)
+    }
+
+    /// Returns those of them that are still blamed.
+    pub fn blamed_parts(&self) -> impl Iterator<Item = &FeatureDigest> {
+        self.shared.iter().flat_map(SharedBlame::blamed)
+    }
+
+    /// Returns the tenant of the request, if it is known.
+    pub fn tenant(&self) -> Option<&FeatureDigest> {
+        self.shared.as_ref()?.shared.tenant.as_ref()
+    }
+
+    /// Adds what another report of the same crash says. Returns whether that is new.
+    fn merge(&mut self, other: Self) -> bool {
+        let mut is_new = other.cleared && !self.cleared;
+        self.cleared |= other.cleared;
+        self.own |= other.own;
+        match (&mut self.shared, other.shared) {
+            (Some(known), Some(reported)) if known.shared == reported.shared => {
+                is_new |= reported.cleared & !known.cleared != 0;
+                known.cleared |= reported.cleared;
+            }
+            (known @ None, Some(reported)) => {
+                *known = Some(reported);
+                is_new = true;
+            }
+            _ => {}
+        }
+        is_new
+    }
 }
 
 /// A request that was running on engines when they ended.
@@ -34,10 +75,7 @@
     /// blamed again, in whatever order reports arrive.
     pub fn note(&mut self, engine: EngineKey, crash: Crash) -> bool {
         if let Some(known) = self.crashes.get_mut(&engine) {
-            let newly_cleared = crash.cleared && !known.cleared;
-            known.cleared |= crash.cleared;
-            known.own |= crash.own;
-            return newly_cleared;
+            return known.merge(crash);
         }
         if self.crashes.len() >= MAX_CRASHES {
             return false;
--- a/crates/routing/src/suspects/table.rs
+++ b/crates/routing/src/suspects/table.rs
@@ -8,25 +8,11 @@
 use molespan_types::Timestamp;
 
 use super::blame::{Blame, EngineKey};
+use super::features::{FeatureDigest, Features};
+use super::guilt::{GUILTY_CRASHES, Verdict};
+use super::parts::{Case, PartCrashes};
 use super::suspect::{Crash, Suspect};
 
-/// Number of crashes without another explanation after which a request is guilty: as many
-/// as operators allow one request. A lower number would refuse requests that ran beside a
-/// guilty one twice.
-const GUILTY_CRASHES: usize = 3;
-/// Number of crashes after which a request is guilty whatever else may explain them.
-/// Operators allow three sends after the third crash; this uses up two of them at most.
-const ALWAYS_GUILTY_CRASHES: usize = 5;
-/// Number of recent crashes without an explanation for which a request needs one more
-/// crash to be guilty. At such times engines end for other reasons, such as a flapping
-/// machine or a lost rack, or other requests are about to be found guilty.
-const UNEXPLAINED_PER_EXTRA_CRASH: usize = 2;
-/// How long such crashes count as recent: flapping engines are up for some seconds at a
-/// time.
-const UNEXPLAINED_WINDOW: Duration = Duration::from_secs(60);
-/// Time until every gateway has reported what it had at an engine that ended: two checks
-/// of the engine's port, 0.12 s, and a report through two relays.
-const SETTLED_AFTER: Duration = Duration::from_millis(400);
 /// Number of crashes from which a batch item waits, and how long. Items run for seconds,
 /// so that several crashing requests can hit the same item before they are identified.
 /// With four such requests at once, no item among the 190,000 requests beside them was
@@ -50,38 +36,20 @@
 const REPEATED_BLAMES: usize = 8;
 /// Time between two of these repetitions.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without another crash of a part after which its bar is asked for: longer than most
+/// answers take.
+const PART_BAR_DELAY: Duration = Duration::from_secs(1);
 /// Time after which a gateway that observed no crash of a guilty request asks for its
 /// bar: gateways that observed one ask first.
 const NON_OBSERVER_DELAY: Duration = Duration::from_secs(3);
 
-/// Whether a request may be sent to an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// The request is not blamed for any crash.
-    Free,
-    /// The request was running on engines when they ended.
-    Suspect {
-        /// Number of these engines.
-        crashes: usize,
-    },
-    /// The request may be guilty, which is not decided yet.
-    Unsettled {
-        /// When it can be decided.
-        until: Timestamp,
-    },
-    /// The request must not be sent to any engine.
-    Barred {
-        /// Number of engines that ended while running it, as far as this node knows.
-        crashes: usize,
-    },
-}
-
 /// Crashes known to one node, and the requests blamed for them.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
-    suspects: BTreeMap<RequestDigest, Suspect>,
+    pub(super) suspects: BTreeMap<RequestDigest, Suspect>,
     /// Requests by the engine that ended while running them.
-    at_engine: BTreeMap<EngineKey, BTreeSet<RequestDigest>>,
+    pub(super) at_engine: BTreeMap<EngineKey, BTreeSet<RequestDigest>>,
+    pub(super) parts: PartCrashes,
     /// Bars held by the control group, which keep a request from all engines, with the
     /// time at which they end.
     bars: BTreeMap<RequestDigest, Timestamp>,
@@ -115,15 +83,17 @@
     /// number of crashes that the request is now blamed for, if this one is new.
     pub fn blame(
         &mut self,
-        request: RequestDigest,
+        request: impl Into<Features>,
         engine: EngineKey,
         now: Timestamp,
     ) -> Option<usize> {
+        let Features { request, shared } = request.into();
         let crash = Crash {
             at: now,
             learned_at: now,
             cleared: false,
             own: true,
+            shared: (!shared.parts.is_empty()).then(|| shared.into()),
         };
         let is_new = self.insert(request, engine, crash);
         is_new.then(|| self.crashes(&request))
@@ -139,18 +109,27 @@
                 learned_at: now,
                 cleared: blame.cleared,
                 own: false,
+                shared: blame.shared.clone(),
             };
             is_new |= self.insert(blame.request, blame.engine, crash);
         }
         is_new
     }
 
-    fn insert(&mut self, request: RequestDigest, engine: EngineKey, crash: Crash) -> bool {
+    fn insert(&mut self, request: RequestDigest, engine: EngineKey, mut crash: Crash) -> bool {
+        if let Some(blame) = &mut crash.shared {
+            for part in blame.shared.parts.clone() {
+                if self.parts.completed_after(&part, crash.at) {
+                    blame.clear(&part);
+                }
+            }
+        }
         let suspect = self.suspects.entry(request).or_default();
         if !suspect.note(engine, crash) {
             return false;
         }
         self.at_engine.entry(engine).or_default().insert(request);
+        self.index_parts(request, engine);
         self.pending_sends
             .push_back((request, engine, SENDS_PER_BLAME));
         if self.suspects.len() > MAX_SUSPECTS {
@@ -159,9 +138,33 @@
         true
     }
 
-    /// Records that an engine answered a request completely. Returns whether the request
-    /// was blamed.
-    pub fn answered(&mut self, request: &RequestDigest) -> bool {
+    /// Updates for which parts a crash counts.
+    fn index_parts(&mut self, request: RequestDigest, engine: EngineKey) {
+        let crash = self.suspects.get(&request);
+        let crash = crash.and_then(|suspect| suspect.crashes.get(&engine));
+        let Some(blame) = crash.and_then(|crash| crash.shared.as_ref()) else {
+            return;
+        };
+        let blamed: BTreeSet<FeatureDigest> = blame.blamed().copied().collect();
+        for part in &blame.shared.parts {
+            self.parts
+                .set(*part, (engine, request), blamed.contains(part));
+        }
+    }
+
+    /// Records that an engine answered a request completely. Returns whether the request, or
+    /// a part of it, was blamed.
+    pub fn answered(&mut self, request: impl Into<Features>, now: Timestamp) -> bool {
+        let features = request.into();
+        let mut changed = self.clear_request(&features.request);
+        for part in &features.shared.parts {
+            self.parts.note_completed(*part, now);
+            changed |= self.clear_part(part);
+        }
+        changed
+    }
+
+    fn clear_request(&mut self, request: &RequestDigest) -> bool {
         let Some(suspect) = self.suspects.get_mut(request) else {
             return false;
         };
@@ -175,16 +178,69 @@
         true
     }
 
+    /// Clears a part of all crashes known here.
+    fn clear_part(&mut self, part: &FeatureDigest) -> bool {
+        let cases: Vec<Case> = self.parts.cases(part).copied().collect();
+        for (engine, request) in &cases {
+            let suspect = self.suspects.get_mut(request);
+            let crash = suspect.and_then(|suspect| suspect.crashes.get_mut(engine));
+            let Some(blame) = crash.and_then(|crash| crash.shared.as_mut()) else {
+                continue;
+            };
+            blame.clear(part);
+            self.index_parts(*request, *engine);
+            self.pending_sends
+                .push_back((*request, *engine, SENDS_PER_BLAME));
+        }
+        !cases.is_empty()
+    }
+
     /// Records that the control group holds a bar until `ends`.
     pub fn bar(&mut self, request: RequestDigest, ends: Timestamp) {
         self.bars.insert(request, ends);
     }
 
-    /// Records that an operator lifted a bar: what was known of the request no longer
-    /// counts.
-    pub fn lift(&mut self, request: &RequestDigest) {
-        self.bars.remove(request);
-        self.answered(request);
+    /// Records that an operator lifted a bar: what was known of the request, or of the part,
+    /// no longer counts.
+    pub fn lift(&mut self, barred: &FeatureDigest) {
+        self.bars.remove(barred);
+        self.clear_request(barred);
+        for part in self.parts_of_bar(barred) {
+            self.clear_part(&part);
+        }
+    }
+
+    /// Returns the blamed parts that a bar is about, for all tenants or for one.
+    fn parts_of_bar(&self, barred: &FeatureDigest) -> Vec<FeatureDigest> {
+        let is_of_tenant = |part: &FeatureDigest| {
+            let mut cases = self.parts.cases(part);
+            cases.any(|(engine, request)| {
+                let crash = self.crash(request, *engine);
+                let tenant = crash.and_then(Crash::tenant);
+                tenant.is_some_and(|one| {
+                    FeatureDigest::of_prompt_part_of_tenant(part, one) == *barred
+                })
+            })
+        };
+        let parts = self.parts.parts();
+        parts
+            .filter(|part| *part == barred || is_of_tenant(part))
+            .copied()
+            .collect()
+    }
+
+    /// Returns the crash of an engine that a request is or was blamed for.
+    pub(super) fn crash(&self, request: &RequestDigest, engine: EngineKey) -> Option<&Crash> {
+        self.suspects.get(request)?.crashes.get(&engine)
+    }
+
+    /// Returns the requests that were running on an engine when it ended.
+    pub(super) fn cases_at(
+        &self,
+        engine: EngineKey,
+    ) -> impl Iterator<Item = (&RequestDigest, &Crash)> {
+        let requests = self.at_engine.get(&engine).into_iter().flatten();
+        requests.filter_map(move |request| Some((request, self.crash(request, engine)?)))
     }
 
     /// Number of crashes that a request is blamed for.
@@ -193,30 +249,6 @@
         self.suspects.get(request).map_or(0, Suspect::count)
     }
 
-    /// Whether a request may be sent to an engine.
-    #[must_use]
-    pub fn verdict(&self, request: &RequestDigest, now: Timestamp) -> Verdict {
-        let crashes = self.crashes(request);
-        if self.is_barred(request, now) {
-            return Verdict::Barred { crashes };
-        }
-        let Some(suspect) = self.suspects.get(request).filter(|_| crashes > 0) else {
-            return Verdict::Free;
-        };
-        if crashes < GUILTY_CRASHES {
-            return Verdict::Suspect { crashes };
-        }
-        // Other requests that were running there may not have been reported yet.
-        let until = suspect.last_learned_at() + SETTLED_AFTER;
-        if now < until {
-            return Verdict::Unsettled { until };
-        }
-        match self.is_guilty(request, suspect, now) {
-            true => Verdict::Barred { crashes },
-            false => Verdict::Suspect { crashes },
-        }
-    }
-
     /// Returns until when a batch item has to wait after several engines ended while
     /// running it: by then, another request that was the cause has been found. `None` if
     /// it need not wait.
@@ -227,59 +259,53 @@
         (suspect.count() >= ITEM_WAIT_CRASHES && now < until).then_some(until)
     }
 
-    fn is_barred(&self, request: &RequestDigest, now: Timestamp) -> bool {
+    pub(super) fn is_barred(&self, request: &RequestDigest, now: Timestamp) -> bool {
         self.bars.get(request).is_some_and(|&ends| now < ends)
     }
 
-    /// Whether a request is the cause of its crashes. Of the requests at the same engine,
-    /// the one with the most crashes explains its end. If two have as many, neither does,
-    /// and the next crash distinguishes them.
-    fn is_guilty(&self, request: &RequestDigest, suspect: &Suspect, now: Timestamp) -> bool {
-        let count = suspect.count();
-        if count >= ALWAYS_GUILTY_CRASHES {
-            return true;
-        }
-        let attributed = suspect.blamed().filter(|&(engine, _)| {
-            let at_engine = self.at_engine.get(&engine).into_iter().flatten();
-            let mut others = at_engine.filter(|other| *other != request);
-            others.all(|other| !self.is_barred(other, now) && self.crashes(other) < count)
-        });
-        attributed.count()
-            >= GUILTY_CRASHES + self.unexplained(suspect, now) / UNEXPLAINED_PER_EXTRA_CRASH
-    }
-
-    /// Number of engines that ended recently without this request, and without any
-    /// request that is barred or has as many crashes as a guilty one.
-    fn unexplained(&self, except: &Suspect, now: Timestamp) -> usize {
-        let engines = self.at_engine.iter();
-        let unexplained = engines.filter(|(engine, requests)| {
-            let recent = requests.iter().any(|request| {
-                let crash = self.suspects.get(request);
-                let crash = crash.and_then(|suspect| suspect.crashes.get(engine));
-                crash.is_some_and(|crash| now.since(crash.at) < UNEXPLAINED_WINDOW)
-            });
-            let explained = requests
-                .iter()
-                .any(|one| self.crashes(one) >= GUILTY_CRASHES || self.is_barred(one, now));
-            recent && !explained && !except.crashes.contains_key(engine)
-        });
-        unexplained.count()
-    }
-
-    /// Returns the guilty requests without a bar and the number of their crashes, if this
-    /// gateway is to ask for the bar.
+    /// Returns the guilty requests and parts without a bar and the number of their crashes,
+    /// if this gateway is to ask for the bar.
     #[must_use]
-    pub fn to_bar(&self, now: Timestamp) -> Vec<(RequestDigest, usize)> {
+    pub fn to_bar(&self, now: Timestamp) -> Vec<(FeatureDigest, usize)> {
         let candidates = self.suspects.iter();
         let candidates = candidates.filter(|(_, suspect)| suspect.count() >= GUILTY_CRASHES);
         let due = candidates.filter(|(request, suspect)| {
             let own = suspect.crashes.values().any(|crash| crash.own);
             let late = now.since(suspect.last_learned_at()) >= NON_OBSERVER_DELAY;
             let open = !self.is_barred(request, now) && (own || late);
-            open && matches!(self.verdict(request, now), Verdict::Barred { .. })
+            open && matches!(self.verdict(*request, now), Verdict::Barred { .. })
         });
-        due.map(|(request, suspect)| (*request, suspect.count()))
-            .collect()
+        let mut to_bar: Vec<(FeatureDigest, usize)> = due
+            .map(|(request, suspect)| (*request, suspect.count()))
+            .collect();
+        let parts = self.guilty_parts(now).into_iter();
+        to_bar.extend(parts.filter(|(part, _)| !self.is_barred(part, now)));
+        to_bar
+    }
+
+    /// Returns the bars of guilty parts, for all tenants or for those who alone sent them,
+    /// and the number of their crashes.
+    fn guilty_parts(&self, now: Timestamp) -> Vec<(FeatureDigest, usize)> {
+        let mut bars = Vec::new();
+        for part in self.candidate_parts() {
+            let learned_at = self.part_learned_at(part);
+            // Until then, answers may show which of several parts it is.
+            if now.since(learned_at) < PART_BAR_DELAY {
+                continue;
+            }
+            let own = self.parts.cases(part).any(|(engine, request)| {
+                self.crash(request, *engine).is_some_and(|crash| crash.own)
+            });
+            if own || now.since(learned_at) >= NON_OBSERVER_DELAY {
+                bars.extend(self.bars_of_part(part, now));
+            }
+        }
+        bars
+    }
+
+    fn candidate_parts(&self) -> impl Iterator<Item = &FeatureDigest> {
+        let parts = self.parts.parts();
+        parts.filter(|part| self.parts.count(part) >= GUILTY_CRASHES)
     }
 
     /// Whether a request without a bar may be guilty, now or once that is decided.
@@ -288,6 +314,9 @@
         let suspects = self.suspects.iter();
         let mut candidates = suspects.filter(|(_, suspect)| suspect.count() >= GUILTY_CRASHES);
         candidates.any(|(request, _)| !self.is_barred(request, now))
+            || self
+                .candidate_parts()
+                .any(|part| !self.is_barred(part, now))
     }
 
     /// Time since this node learned of the latest crash of a request.
@@ -360,12 +389,14 @@
             engine,
             age_ms: now.since(crash.at).as_millis() as u64,
             cleared: crash.cleared,
+            shared: crash.shared.clone(),
         })
     }
 
     /// Drops bars that ended and requests that are remembered no longer.
     pub fn expire(&mut self, now: Timestamp) {
         self.bars.retain(|_, ends| now < *ends);
+        self.parts.expire(now);
         let suspects = self.suspects.iter();
         let old = suspects.filter(|(_, suspect)| now.since(suspect.last_crash_at()) >= SUSPECT_TTL);
         let old: Vec<RequestDigest> = old.map(|(request, _)| *request).collect();
@@ -390,7 +421,10 @@
         let Some(suspect) = self.suspects.remove(request) else {
             return;
         };
-        for engine in suspect.crashes.keys() {
+        for (engine, crash) in &suspect.crashes {
+            for part in crash.parts() {
+                self.parts.set(*part, (*engine, *request), false);
+            }
             if let Some(there) = self.at_engine.get_mut(engine) {
                 there.remove(request);
                 if there.is_empty() {
--- a/crates/routing/tests/suspect_schedules/main.rs
+++ b/crates/routing/tests/suspect_schedules/main.rs
@@ -5,14 +5,25 @@
 
 mod world;
 
-use world::{Outcome, Place, Plan, Rule, Simulation};
+use world::{BadPlace, Outcome, Place, Plan, Prompts, Rule, Simulation};
 
 /// Number of schedules of each kind, unless the environment variable sets another.
 const DEFAULT_SCHEDULES: u64 = 6;
 /// Number of sends that operators allow after the third crash and the grace period.
 const ALLOWED_SENDS: usize = 3;
 
+const PROMPTS: Prompts = Prompts {
+    firsts: 40,
+    middles: 444,
+    lasts: 50,
+    bad: 1,
+    place: BadPlace::Middle,
+    behind: 1,
+    pause_ms: 300,
+};
+
 const PLAN: Plan = Plan {
+    prompts: None,
     rule: Rule::Table,
     place: Place::Settled,
     gateways: 8,
@@ -85,6 +96,83 @@
     ]
 }
 
+/// The kinds of schedules in which parts of prompts crash engines.
+fn part_plans() -> Vec<(&'static str, Plan)> {
+    let plan = |prompts: Prompts| Plan {
+        crashers: 0,
+        prompts: Some(prompts),
+        ..PLAN
+    };
+    vec![
+        (
+            "no bad part, a quarter of the engines flaps",
+            Plan {
+                flapping: 0.25,
+                ..plan(Prompts { bad: 0, ..PROMPTS })
+            },
+        ),
+        ("behind one first part", plan(PROMPTS)),
+        (
+            "behind five first parts",
+            plan(Prompts {
+                behind: 5,
+                ..PROMPTS
+            }),
+        ),
+        (
+            "in the first place",
+            plan(Prompts {
+                place: BadPlace::First,
+                ..PROMPTS
+            }),
+        ),
+        (
+            "in the last place",
+            plan(Prompts {
+                place: BadPlace::Last,
+                ..PROMPTS
+            }),
+        ),
+        ("two at once", plan(Prompts { bad: 2, ..PROMPTS })),
+        (
+            "two at once, one first part for all",
+            plan(Prompts {
+                bad: 2,
+                firsts: 1,
+                ..PROMPTS
+            }),
+        ),
+        (
+            "in bursts",
+            plan(Prompts {
+                pause_ms: 60,
+                ..PROMPTS
+            }),
+        ),
+        (
+            "beside two requests that crash engines",
+            Plan {
+                crashers: 2,
+                ..plan(PROMPTS)
+            },
+        ),
+        (
+            "beside engines that flap",
+            Plan {
+                flapping: 0.25,
+                ..plan(PROMPTS)
+            },
+        ),
+        (
+            "gateways cut off",
+            Plan {
+                cuts: true,
+                ..plan(PROMPTS)
+            },
+        ),
+    ]
+}
+
 fn schedule_count() -> u64 {
     let set = std::env::var("SUSPECT_SCHEDULES").ok();
     set.and_then(|text| text.parse().ok())
@@ -114,6 +202,22 @@
     assert!(all.refused * 100_000 <= all.innocents, "{all:?}");
 }
 
+#[test]
+fn no_innocent_in_100_000_is_refused_for_a_part_and_bad_parts_stay_within_the_allowed_sends() {
+    let mut all = Outcome::default();
+    for (name, plan) in part_plans() {
+        let outcome = run_schedules(plan);
+        println!("{name}: {outcome:?}");
+        assert!(
+            outcome.max_sends_after_grace <= ALLOWED_SENDS
+                && outcome.max_part_sends_after_grace <= ALLOWED_SENDS,
+            "{name}: {outcome:?}"
+        );
+        all.add(&outcome);
+    }
+    assert!(all.refused * 100_000 <= all.innocents, "{all:?}");
+}
+
 #[test]
 fn without_a_rule_crashers_continue_and_a_mere_count_refuses_innocents() {
     let plan = Plan {
--- a/crates/routing/tests/suspect_schedules/world.rs
+++ b/crates/routing/tests/suspect_schedules/world.rs
@@ -6,7 +6,9 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::Duration;
 
-use molespan_routing::suspects::{Blame, SuspectTable, Verdict, engine_key};
+use molespan_routing::suspects::{
+    Blame, FeatureDigest, Features, Shared, SuspectTable, Verdict, engine_key,
+};
 use molespan_state::declared::{RequestDigest, RequestParts};
 use molespan_types::Timestamp;
 use rand::seq::IndexedRandom;
@@ -26,6 +28,11 @@
 const BAR_DELAY_MS: u64 = 200;
 /// How long an engine has to be up to count as settled.
 const SETTLED_MS: u64 = 10_000;
+/// Time after which an engine has begun to write the answer to a request that does not crash
+/// it.
+const BEGUN_MS: u64 = 150;
+/// Interval at which a request asks whether the one on trial before it has begun.
+const TRIAL_POLL_MS: u64 = 20;
 /// Grace period that operators grant after the third crash, and to a gateway that was cut
 /// off, before sends count.
 pub const GRACE_MS: u64 = 3_000;
@@ -52,9 +59,33 @@
     Settled,
 }
 
+/// Where a part that crashes engines stands in a prompt of three shared parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BadPlace {
+    First,
+    Middle,
+    Last,
+}
+
+/// Prompts of requests: each has a first, a middle and a last shared part, drawn from as many.
+#[derive(Clone, Copy, Debug)]
+pub struct Prompts {
+    pub firsts: usize,
+    pub middles: usize,
+    pub lasts: usize,
+    /// Number of parts that crash engines, each in requests of which no two are alike.
+    pub bad: usize,
+    pub place: BadPlace,
+    /// Number of first parts behind which a bad part comes.
+    pub behind: usize,
+    /// Mean pause between two requests with a bad part.
+    pub pause_ms: u64,
+}
+
 /// Parameters of a schedule.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
+    pub prompts: Option<Prompts>,
     pub rule: Rule,
     pub place: Place,
     pub gateways: usize,
@@ -92,6 +123,9 @@
     pub max_sends_after_grace: usize,
     /// Interruptions of innocent requests by crashers.
     pub broken: usize,
+    /// Maximum number of requests with one bad part that were sent to engines after its fifth
+    /// crash and the grace period.
+    pub max_part_sends_after_grace: usize,
 }
 
 impl Outcome {
@@ -103,6 +137,9 @@
         self.ended += other.ended;
         self.max_sends_after_grace = self.max_sends_after_grace.max(other.max_sends_after_grace);
         self.broken += other.broken;
+        self.max_part_sends_after_grace = self
+            .max_part_sends_after_grace
+            .max(other.max_part_sends_after_grace);
     }
 }
 
@@ -138,7 +175,14 @@
         report: usize,
     },
     Barred {
-        request: usize,
+        barred: FeatureDigest,
+    },
+    PartSent {
+        bad: usize,
+    },
+    TrialEnds {
+        gateway: usize,
+        part: FeatureDigest,
     },
     Cut {
         gateway: usize,
@@ -154,8 +198,10 @@
 }
 
 struct Request {
-    digest: RequestDigest,
+    features: Features,
     kind: Kind,
+    /// Number of the bad part in its prompt.
+    bad: Option<usize>,
     attempts: u32,
     sends: u32,
     crashes: Vec<u64>,
@@ -172,8 +218,16 @@
     since_ms: u64,
 }
 
+/// A part of prompts that crashes engines.
+#[derive(Clone, Debug, Default)]
+struct BadPart {
+    crashes: Vec<u64>,
+    sends_after_grace: usize,
+}
+
 struct Run {
     request: usize,
+    sent_ms: u64,
     gateway: usize,
     engine: usize,
     incarnation: u32,
@@ -184,7 +238,9 @@
     cut: bool,
     cut_until_ms: u64,
     /// Requests that were interrupted, by the engine to be checked.
-    unchecked: BTreeMap<(usize, u32), Vec<usize>>,
+    unchecked: BTreeMap<(usize, u32), Vec<(usize, bool)>>,
+    /// Parts of which a request is on its way alone.
+    trials: BTreeSet<FeatureDigest>,
 }
 
 pub struct Simulation {
@@ -194,13 +250,13 @@
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     count: u64,
     requests: Vec<Request>,
-    by_digest: BTreeMap<RequestDigest, usize>,
+    bad_parts: Vec<BadPart>,
     engines: Vec<Engine>,
     runs: BTreeMap<usize, Run>,
     next_run: usize,
     gateways: Vec<Gateway>,
     reports: Vec<Vec<Blame>>,
-    barred: BTreeSet<usize>,
+    barred: BTreeSet<FeatureDigest>,
     outcome: Outcome,
 }
 
@@ -220,6 +276,7 @@
             cut: false,
             cut_until_ms: 0,
             unchecked: BTreeMap::new(),
+            trials: BTreeSet::new(),
         });
         let tick = random.random_range(0..REPORT_INTERVAL_MS);
         let mut simulation = Self {
@@ -228,7 +285,7 @@
             events: BinaryHeap::new(),
             count: 0,
             requests: Vec::new(),
-            by_digest: BTreeMap::new(),
+            bad_parts: vec![BadPart::default(); plan.prompts.map_or(0, |prompts| prompts.bad)],
             engines: engines.collect(),
             runs: BTreeMap::new(),
             next_run: 0,
@@ -247,8 +304,15 @@
             simulation.now_ms = at;
             simulation.handle(event);
         }
+        for bad in &simulation.bad_parts {
+            simulation.outcome.max_part_sends_after_grace = simulation
+                .outcome
+                .max_part_sends_after_grace
+                .max(bad.sends_after_grace);
+        }
         for request in &simulation.requests {
             match request.kind {
+                Kind::Crasher if request.bad.is_some() => {}
                 Kind::Crasher => {
                     simulation.outcome.max_sends_after_grace = simulation
                         .outcome
@@ -277,6 +341,10 @@
             let first = self.random.random_range(500..8_000);
             self.schedule(first, Event::Sent { request });
         }
+        for bad in 0..self.bad_parts.len() {
+            let first = self.random.random_range(500..8_000);
+            self.schedule(first, Event::PartSent { bad });
+        }
         for engine in 0..self.plan.engines {
             if self.engines[engine].flaps {
                 let first = self.random.random_range(500..6_000);
@@ -330,19 +398,31 @@
     }
 
     fn request(&mut self, kind: Kind) -> usize {
+        self.request_with(kind, None)
+    }
+
+    /// Creates a request, with a bad part if a number is given.
+    fn request_with(&mut self, kind: Kind, bad: Option<usize>) -> usize {
         let number = self.requests.len();
         let body = (number as u64).to_be_bytes();
-        let digest = RequestDigest::of(&RequestParts {
+        let request = RequestDigest::of(&RequestParts {
             tenant: None,
             host: "h",
             method: "POST",
             target: "/",
             body: &body,
         });
-        self.by_digest.insert(digest, number);
+        let parts = self.parts(bad);
         self.requests.push(Request {
-            digest,
+            features: Features {
+                request,
+                shared: Shared {
+                    tenant: None,
+                    parts,
+                },
+            },
             kind,
+            bad,
             attempts: 0,
             sends: 0,
             crashes: Vec::new(),
@@ -353,6 +433,36 @@
         number
     }
 
+    /// Draws the shared parts of a prompt.
+    fn parts(&mut self, bad: Option<usize>) -> Vec<FeatureDigest> {
+        let Some(prompts) = self.plan.prompts else {
+            return Vec::new();
+        };
+        let firsts = bad.map_or(prompts.firsts, |_| prompts.behind);
+        let mut names = [
+            format!("first-{}", self.random.random_range(0..firsts)),
+            format!("middle-{}", self.random.random_range(0..prompts.middles)),
+            format!("last-{}", self.random.random_range(0..prompts.lasts)),
+        ];
+        if let Some(bad) = bad {
+            names[prompts.place as usize] = format!("bad-{bad}");
+        }
+        names
+            .iter()
+            .map(|name| FeatureDigest::of_prompt_part(name))
+            .collect()
+    }
+
+    /// Sends a new request with a bad part.
+    fn part_sent(&mut self, bad: usize) {
+        let request = self.request_with(Kind::Crasher, Some(bad));
+        let gateway = self.random.random_range(0..self.plan.gateways);
+        self.tried(request, gateway);
+        let pause = self.plan.prompts.map_or(1, |prompts| prompts.pause_ms);
+        let pause = self.random.random_range(1..pause * 2);
+        self.schedule_after(pause, Event::PartSent { bad });
+    }
+
     /// Creates a request. Arrivals take up half of the slots, with requests of 0.8 s and
     /// items of 4 s.
     fn arrives(&mut self) {
@@ -394,13 +504,16 @@
             } => self.port_checked(gateway, incarnation),
             Event::ReportDue { gateway } => self.report_due(gateway),
             Event::Received { to, report } => self.receive(to, report),
-            Event::Barred { request } => {
+            Event::Barred { barred } => {
                 let ends = self.now() + Duration::from_secs(3_600);
-                let digest = self.requests[request].digest;
                 for gateway in self.gateways.iter_mut().filter(|one| !one.cut) {
-                    gateway.table.bar(digest, ends);
+                    gateway.table.bar(barred, ends);
                 }
             }
+            Event::PartSent { bad } => self.part_sent(bad),
+            Event::TrialEnds { gateway, part } => {
+                self.gateways[gateway].trials.remove(&part);
+            }
             Event::Cut { gateway, cut } => self.cut(gateway, cut),
         }
     }
@@ -412,21 +525,20 @@
         }
         self.gateways[gateway].cut_until_ms = self.now_ms;
         let ends = self.now() + Duration::from_secs(3_600);
-        for request in &self.barred {
-            let digest = self.requests[*request].digest;
-            self.gateways[gateway].table.bar(digest, ends);
+        for barred in &self.barred {
+            self.gateways[gateway].table.bar(*barred, ends);
         }
     }
 
     fn verdict(&self, request: usize, gateway: usize) -> Verdict {
         let table = &self.gateways[gateway].table;
-        let digest = &self.requests[request].digest;
-        let crashes = table.crashes(digest);
+        let features = &self.requests[request].features;
+        let crashes = table.crashes(&features.request);
         match self.plan.rule {
             Rule::None => Verdict::Free,
             Rule::Count if crashes >= 3 => Verdict::Barred { crashes },
             Rule::Count => Verdict::Free,
-            Rule::Table => table.verdict(digest, self.now()),
+            Rule::Table => table.verdict(features, self.now()),
         }
     }
 
@@ -448,10 +560,21 @@
             self.schedule_after(wait, Event::Tried { request, gateway });
             return;
         }
+        let features = &self.requests[request].features;
+        let trial = self.gateways[gateway].table.trial(features, self.now());
+        if trial.is_some_and(|part| self.gateways[gateway].trials.contains(&part)) {
+            self.schedule_after(TRIAL_POLL_MS, Event::Tried { request, gateway });
+            return;
+        }
         let Some(engine) = self.choose(request, gateway) else {
             self.schedule_after(50, Event::Tried { request, gateway });
             return;
         };
+        if let Some(part) = trial {
+            self.gateways[gateway].trials.insert(part);
+            let ends = BEGUN_MS + PORT_CHECK_MS.end;
+            self.schedule_after(ends, Event::TrialEnds { gateway, part });
+        }
         self.requests[request].attempts += 1;
         let run = self.next_run;
         self.next_run += 1;
@@ -461,6 +584,7 @@
             run,
             Run {
                 request,
+                sent_ms: self.now_ms,
                 gateway,
                 engine,
                 incarnation,
@@ -469,7 +593,12 @@
         match self.requests[request].kind {
             Kind::Crasher => {
                 self.count_send_after_grace(request, gateway);
-                let after = self.random.random_range(30..400);
+                let begins = if self.requests[request].bad.is_some() {
+                    30..BEGUN_MS
+                } else {
+                    30..400
+                };
+                let after = self.random.random_range(begins);
                 self.schedule_after(
                     after,
                     Event::Ends {
@@ -492,7 +621,7 @@
         let request = &self.requests[request];
         let item = request.kind == Kind::Batch && self.plan.items_wait;
         let table = &self.gateways[gateway].table;
-        item.then(|| table.item_waits(&request.digest, self.now()))?
+        item.then(|| table.item_waits(&request.features.request, self.now()))?
     }
 
     fn count_send_after_grace(&mut self, request: usize, gateway: usize) {
@@ -500,6 +629,13 @@
             let gateway = &self.gateways[gateway];
             !gateway.cut && self.now_ms >= gateway.cut_until_ms + GRACE_MS
         };
+        if let Some(bad) = self.requests[request].bad {
+            let bad = &mut self.bad_parts[bad];
+            let fifth = bad.crashes.get(4).copied();
+            let counts = fifth.is_some_and(|fifth| self.now_ms > fifth + GRACE_MS);
+            bad.sends_after_grace += usize::from(counts && in_touch);
+            return;
+        }
         let request = &mut self.requests[request];
         let third = request.crashes.get(2).copied();
         let counts = third.is_some_and(|third| self.now_ms > third + GRACE_MS);
@@ -513,7 +649,7 @@
             .filter(|&one| self.engines[one].up)
             .filter(|&one| self.engines[one].running.len() < self.plan.slots)
             .collect();
-        let digest = self.requests[request].digest;
+        let digest = self.requests[request].features.request;
         let suspect = self.gateways[gateway].table.crashes(&digest) > 0;
         let settled = available.iter().filter(|&&one| {
             let since_ms = self.engines[one].since_ms;
@@ -541,8 +677,11 @@
             return;
         };
         self.engines[finished.engine].running.remove(&run);
-        let digest = self.requests[finished.request].digest;
-        self.gateways[finished.gateway].table.answered(&digest);
+        let now = self.now();
+        let features = &self.requests[finished.request].features;
+        self.gateways[finished.gateway]
+            .table
+            .answered(features, now);
     }
 
     fn ends(&mut self, engine: usize, incarnation: u32) {
@@ -558,6 +697,9 @@
             if self.requests[run.request].kind == Kind::Crasher {
                 by_crasher = true;
                 self.requests[run.request].crashes.push(self.now_ms);
+                if let Some(bad) = self.requests[run.request].bad {
+                    self.bad_parts[bad].crashes.push(self.now_ms);
+                }
             }
             broken.push(run);
         }
@@ -577,12 +719,13 @@
             self.outcome.broken += usize::from(by_crasher);
         }
         let incarnation = (run.engine, run.incarnation);
+        let begun = self.now_ms > run.sent_ms + BEGUN_MS;
         let unchecked = self.gateways[gateway]
             .unchecked
             .entry(incarnation)
             .or_default();
         if unchecked.is_empty() {
-            unchecked.push(request);
+            unchecked.push((request, begun));
             let check = self.random.random_range(PORT_CHECK_MS);
             self.schedule_after(
                 check,
@@ -592,7 +735,7 @@
                 },
             );
         } else {
-            unchecked.push(request);
+            unchecked.push((request, begun));
         }
         match kind {
             Kind::Crasher => {}
@@ -639,9 +782,13 @@
             .remove(&incarnation)
             .unwrap_or_default();
         let key = engine_key(&format!("i-{}-{}", incarnation.0, incarnation.1));
-        for request in broken {
-            let digest = self.requests[request].digest;
-            self.gateways[gateway].table.blame(digest, key, now);
+        for (request, begun) in broken {
+            let features = &self.requests[request].features;
+            let table = &mut self.gateways[gateway].table;
+            match begun {
+                true => table.blame(features.request, key, now),
+                false => table.blame(features, key, now),
+            };
         }
         self.send_report(gateway);
     }
@@ -653,10 +800,9 @@
         if self.plan.rule != Rule::Table || self.gateways[gateway].cut {
             return;
         }
-        for (digest, _) in self.gateways[gateway].table.to_bar(now) {
-            let request = self.by_digest[&digest];
-            if self.barred.insert(request) {
-                self.schedule_after(BAR_DELAY_MS, Event::Barred { request });
+        for (barred, _) in self.gateways[gateway].table.to_bar(now) {
+            if self.barred.insert(barred) {
+                self.schedule_after(BAR_DELAY_MS, Event::Barred { barred });
             }
         }
     }
--- a/crates/routing/tests/suspects.rs
+++ b/crates/routing/tests/suspects.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use molespan_routing::suspects::{Blame, SuspectTable, Verdict, engine_key};
+use minicbor::{Decode, Encode};
+use molespan_routing::suspects::{
+    Blame, FeatureDigest, Features, Shared, SharedBlame, SuspectTable, Verdict, engine_key,
+};
 use molespan_state::declared::{RequestDigest, RequestParts};
 use molespan_types::Timestamp;
 use proptest::prelude::*;
@@ -40,7 +43,7 @@
 
 fn is_barred(table: &SuspectTable, one: u64, millis: u64) -> bool {
     matches!(
-        table.verdict(&request(one), now(millis)),
+        table.verdict(request(one), now(millis)),
         Verdict::Barred { .. }
     )
 }
@@ -49,16 +52,16 @@
 fn three_crashes_not_shared_with_others_make_a_request_guilty_and_two_do_not() {
     let mut table = table(&[(1, 1, 0), (1, 2, 1_000)]);
     assert_eq!(
-        table.verdict(&request(1), now(5_000)),
+        table.verdict(request(1), now(5_000)),
         Verdict::Suspect { crashes: 2 }
     );
     assert_eq!(table.blame(request(1), engine(3), now(6_000)), Some(3));
     assert_eq!(
-        table.verdict(&request(1), now(6_000)),
+        table.verdict(request(1), now(6_000)),
         Verdict::Unsettled { until: now(6_400) }
     );
     assert!(is_barred(&table, 1, 6_000 + SETTLED_MS));
-    assert_eq!(table.verdict(&request(2), now(9_000)), Verdict::Free);
+    assert_eq!(table.verdict(request(2), now(9_000)), Verdict::Free);
 }
 
 #[test]
@@ -69,9 +72,10 @@
         engine: engine(1),
         age_ms: 50,
         cleared: false,
+        shared: None,
     };
     for millis in [100, 200, 90_000] {
-        assert!(!table.note(&[reported, reported], now(millis)));
+        assert!(!table.note(&[reported.clone(), reported.clone()], now(millis)));
     }
     assert_eq!(table.blame(request(1), engine(1), now(300)), None);
     assert_eq!(table.crashes(&request(1)), 1);
@@ -81,10 +85,13 @@
 fn a_complete_answer_clears_a_request_and_late_reports_do_not_blame_it_again() {
     let mut table = table(&[(1, 1, 0), (1, 2, 10)]);
     let before = table.blames_to_send(now(20));
-    assert!(table.answered(&request(1)));
-    assert!(!table.answered(&request(1)), "nothing was left to clear");
+    assert!(table.answered(request(1), now(25)));
+    assert!(
+        !table.answered(request(1), now(25)),
+        "nothing was left to clear"
+    );
     table.note(&before, now(30));
-    assert_eq!(table.verdict(&request(1), now(40)), Verdict::Free);
+    assert_eq!(table.verdict(request(1), now(40)), Verdict::Free);
     // Others learn that it is cleared, including those that blame it themselves.
     let mut other = self::table(&[(1, 1, 0), (1, 2, 10), (1, 3, 20)]);
     other.note(&table.blames_to_send(now(50)), now(60));
@@ -269,13 +276,262 @@
     assert_eq!(format!("{same:?}"), same.to_string());
 }
 
+fn part(name: &str) -> FeatureDigest {
+    FeatureDigest::of_prompt_part(name)
+}
+
+/// A request with these shared parts in its prompt.
+fn with_parts(number: u64, parts: &[&str]) -> Features {
+    Features {
+        request: request(number),
+        shared: Shared {
+            tenant: None,
+            parts: parts.iter().copied().map(part).collect(),
+        },
+    }
+}
+
+fn of_tenant(tenant: &str, features: Features) -> Features {
+    let tenant = Some(FeatureDigest::of_tenant(tenant));
+    Features {
+        shared: Shared {
+            tenant,
+            ..features.shared
+        },
+        ..features
+    }
+}
+
+fn is_kept_off(table: &SuspectTable, features: &Features, millis: u64) -> bool {
+    matches!(table.verdict(features, now(millis)), Verdict::Barred { .. })
+}
+
+/// A table of engines that ended under different requests, one each, with these parts.
+fn table_of_parts<P: AsRef<[&'static str]>>(requests: &[P]) -> SuspectTable {
+    let mut table = SuspectTable::default();
+    for (number, parts) in (1_u64..).zip(requests) {
+        let features = with_parts(number, parts.as_ref());
+        table.blame(features, engine(number), now(number));
+    }
+    table
+}
+
+#[test]
+fn three_crashes_under_one_part_bar_requests_with_it_and_no_others() {
+    let table = table_of_parts(&[["a", "bad"], ["b", "bad"], ["c", "bad"]]);
+    assert!(is_kept_off(&table, &with_parts(9, &["d", "bad"]), 1_000));
+    assert!(!is_kept_off(&table, &with_parts(9, &["a", "sound"]), 1_000));
+    assert!(!is_kept_off(&table, &with_parts(9, &[]), 1_000));
+    assert_eq!(table.to_bar(now(2_000)), [(part("bad"), 3)]);
+}
+
+#[test]
+fn parts_that_cannot_be_told_apart_bar_only_requests_with_all_of_them() {
+    let mut table = table_of_parts(&[["first", "bad"]; 3]);
+    assert!(is_kept_off(
+        &table,
+        &with_parts(9, &["first", "bad"]),
+        1_000
+    ));
+    for some in [&["first", "sound"], &["other", "bad"]] {
+        assert!(
+            !is_kept_off(&table, &with_parts(9, some), 1_000),
+            "{some:?}"
+        );
+    }
+    // A sound request completes: the other part is left.
+    table.answered(with_parts(9, &["first", "sound"]), now(1_000));
+    assert!(is_kept_off(
+        &table,
+        &with_parts(9, &["other", "bad"]),
+        1_000
+    ));
+    // Or others with part of them crash as well.
+    let mut table = table_of_parts(&[["first", "bad"]; 3]);
+    for (number, first) in (4..).zip(["second", "third", "fourth"]) {
+        table.blame(
+            with_parts(number, &[first, "bad"]),
+            engine(number),
+            now(500),
+        );
+    }
+    assert!(is_kept_off(
+        &table,
+        &with_parts(9, &["third", "bad"]),
+        1_000
+    ));
+}
+
+#[test]
+fn a_part_that_completes_is_cleared_of_earlier_crashes_and_blamed_for_later_ones() {
+    let mut table = table_of_parts(&[["a", "turns"], ["b", "turns"], ["c", "turns"]]);
+    let mut other = table.clone();
+    let completed = with_parts(9, &["d", "turns"]);
+    assert!(table.answered(&completed, now(600)));
+    assert!(!is_kept_off(&table, &completed, 1_000));
+    // Others hear of it, and reports that were under way do not blame it again.
+    other.note(&table.blames_to_send(now(700)), now(750));
+    assert!(!is_kept_off(&other, &completed, 2_000));
+    let late = Blame {
+        request: request(5),
+        engine: engine(5),
+        age_ms: 400,
+        cleared: false,
+        shared: Some(with_parts(5, &["e", "turns"]).shared.into()),
+    };
+    table.note(&[late], now(800));
+    assert!(!is_kept_off(&table, &completed, 2_000));
+    // The crashes that nothing explains any more ask for more proof.
+    for (number, first) in (11..).zip(["f", "g", "h", "i", "j"]) {
+        let features = with_parts(number, &[first, "turns"]);
+        table.blame(features, engine(number), now(1_000));
+    }
+    assert!(is_kept_off(&table, &completed, 2_000));
+}
+
+#[test]
+fn repeats_of_one_request_bar_none_of_its_parts() {
+    let mut table = SuspectTable::default();
+    for at in 1..=3 {
+        table.blame(with_parts(1, &["a", "b"]), engine(at), now(at));
+    }
+    assert!(is_kept_off(&table, &with_parts(1, &["a", "b"]), 2_000));
+    assert!(!is_kept_off(&table, &with_parts(2, &["a", "b"]), 2_000));
+    assert_eq!(table.to_bar(now(2_000)), [(request(1), 3)]);
+}
+
+#[test]
+fn a_request_that_was_at_the_crashes_of_a_part_is_not_guilty() {
+    let mut table = table_of_parts(&[["a", "bad"], ["b", "bad"], ["c", "bad"]]);
+    for at in 1..=3 {
+        table.blame(with_parts(7, &["x", "y"]), engine(at), now(at));
+    }
+    assert!(!is_kept_off(&table, &with_parts(7, &["x", "y"]), 1_000));
+    table.blame(with_parts(4, &["d", "bad"]), engine(4), now(500));
+    assert!(is_kept_off(&table, &with_parts(9, &["e", "bad"]), 1_000));
+    assert!(!is_kept_off(&table, &with_parts(7, &["x", "y"]), 1_000));
+}
+
+#[test]
+fn a_tenant_bars_no_part_for_others() {
+    let mut table = SuspectTable::default();
+    for at in 1..=4 {
+        let crashing = of_tenant("one", with_parts(at, &["shared"]));
+        table.blame(crashing, engine(at), now(at));
+    }
+    let of_one = of_tenant("one", with_parts(9, &["shared"]));
+    let of_other = of_tenant("other", with_parts(9, &["shared"]));
+    assert!(is_kept_off(&table, &of_one, 1_000));
+    assert!(!is_kept_off(&table, &of_other, 1_000));
+    let bars = table.to_bar(now(2_000));
+    let mut elsewhere = SuspectTable::default();
+    for (barred, _) in &bars {
+        elsewhere.bar(*barred, now(3_600_000));
+    }
+    assert!(is_kept_off(&elsewhere, &of_one, 3_000));
+    assert!(!is_kept_off(&elsewhere, &of_other, 3_000));
+    // Engines end under the part in requests of another tenant too.
+    table.blame(
+        of_tenant("other", with_parts(5, &["shared"])),
+        engine(5),
+        now(3_000),
+    );
+    assert!(is_kept_off(&table, &of_other, 4_000));
+    // An operator lifts the bar.
+    for (barred, _) in &bars {
+        table.bar(*barred, now(3_600_000));
+        table.lift(barred);
+    }
+    assert!(!is_kept_off(&table, &of_one, 5_000));
+}
+
+#[test]
+fn requests_with_a_suspected_part_are_tried_one_at_a_time() {
+    let mut table = table_of_parts(&[["a", "bad"]]);
+    let features = with_parts(9, &["b", "bad"]);
+    assert_eq!(table.trial(&features, now(10)), None);
+    table.blame(with_parts(2, &["c", "bad"]), engine(2), now(20));
+    assert_eq!(table.trial(&features, now(30)), Some(part("bad")));
+    assert_eq!(table.trial(&with_parts(9, &["a"]), now(30)), None);
+}
+
+#[test]
+fn a_prompt_of_many_parts_costs_no_more_than_one_of_some() {
+    let prompt: Vec<_> = (0..10_000)
+        .map(|number| molespan_routing::dispatch::PromptPart {
+            id: number.to_string(),
+            tokens: 1,
+        })
+        .collect();
+    assert_eq!(Shared::of(None, &prompt).parts.len(), 16);
+    assert_eq!(Shared::of(None, &prompt[..1]).parts, []);
+    assert_eq!(Shared::of(None, &prompt[..3]).parts.len(), 2);
+}
+
+/// A blame as nodes of the build before parts were blamed encode it.
+#[derive(Debug, PartialEq, Eq, Encode, Decode)]
+struct BlameBeforeParts {
+    #[n(0)]
+    request: RequestDigest,
+    #[n(1)]
+    engine: u64,
+    #[n(2)]
+    age_ms: u64,
+    #[n(3)]
+    cleared: bool,
+}
+
+fn before_parts(blame: &Blame) -> BlameBeforeParts {
+    BlameBeforeParts {
+        request: blame.request,
+        engine: blame.engine,
+        age_ms: blame.age_ms,
+        cleared: blame.cleared,
+    }
+}
+
+#[test]
+fn blames_of_nodes_without_parts_are_read_and_they_read_those_with_parts() {
+    let with = Blame {
+        request: request(1),
+        engine: engine(1),
+        age_ms: 7,
+        cleared: true,
+        shared: Some(SharedBlame {
+            shared: of_tenant("one", with_parts(1, &["a", "b"])).shared,
+            cleared: 2,
+        }),
+    };
+    let bytes = molespan_state::encode(&vec![with.clone()]);
+    let read: Vec<BlameBeforeParts> = minicbor::decode(&bytes).expect("a blame");
+    assert_eq!(read, [before_parts(&with)]);
+    let read: Vec<Blame> = minicbor::decode(&bytes).expect("a blame");
+    assert_eq!(read, std::slice::from_ref(&with));
+    let bytes = molespan_state::encode(&vec![before_parts(&with)]);
+    let read: Vec<Blame> = minicbor::decode(&bytes).expect("a blame");
+    assert_eq!(
+        read,
+        [Blame {
+            shared: None,
+            ..with
+        }]
+    );
+}
+
 fn blames() -> impl Strategy<Value = Vec<Blame>> {
-    let blame = (0..4_u64, 0..6_u64, any::<bool>()).prop_map(|(one, at, cleared)| Blame {
-        request: request(one),
-        engine: engine(at),
-        age_ms: 0,
-        cleared,
-    });
+    let parts = (any::<bool>(), 0..4_u32);
+    let blame = (0..4_u64, 0..6_u64, any::<bool>(), parts).prop_map(
+        |(one, at, cleared, (has_parts, parts_cleared))| Blame {
+            request: request(one),
+            engine: engine(at),
+            age_ms: 0,
+            cleared,
+            shared: has_parts.then(|| SharedBlame {
+                shared: with_parts(one, &["first", ["a", "b"][one as usize % 2]]).shared,
+                cleared: parts_cleared,
+            }),
+        },
+    );
     proptest::collection::vec(blame, 0..30)
 }
 
@@ -287,17 +543,19 @@
         reported in blames(),
         shuffled in blames().prop_shuffle(),
     ) {
-        let all: Vec<Blame> = reported.iter().chain(&shuffled).copied().collect();
+        let all: Vec<Blame> = reported.iter().chain(&shuffled).cloned().collect();
         let mut one = SuspectTable::default();
         one.note(&all, now(0));
         let mut other = SuspectTable::default();
         for blame in all.iter().rev().chain(&all) {
-            other.note(&[*blame], now(0));
+            other.note(std::slice::from_ref(blame), now(0));
         }
         for number in 0..4 {
             prop_assert_eq!(one.crashes(&request(number)), other.crashes(&request(number)));
             let at = now(10_000);
-            prop_assert_eq!(one.verdict(&request(number), at), other.verdict(&request(number), at));
+            prop_assert_eq!(one.verdict(request(number), at), other.verdict(request(number), at));
+            let features = with_parts(number, &["first", ["a", "b"][number as usize % 2]]);
+            prop_assert_eq!(one.verdict(&features, at), other.verdict(&features, at));
         }
     }
 }
