--- a/crates/routing/tests/suspect_schedules/main.rs
+++ b/crates/routing/tests/suspect_schedules/main.rs
@@ -18,6 +18,7 @@
     lasts: 50,
     bad: 1,
     place: BadPlace::Middle,
+    shared: 3,
     behind: 1,
     pause_ms: 300,
 };
@@ -111,6 +112,46 @@
                 ..plan(Prompts { bad: 0, ..PROMPTS })
             },
         ),
+        (
+            "18 engines lost at once, one first part for all",
+            Plan {
+                engines: 60,
+                slots: 6,
+                lost_at_once: 18,
+                ..plan(Prompts {
+                    bad: 0,
+                    firsts: 1,
+                    ..PROMPTS
+                })
+            },
+        ),
+        (
+            "18 engines lost at once, one part for all, 40 gateways",
+            Plan {
+                engines: 60,
+                slots: 6,
+                gateways: 40,
+                lost_at_once: 18,
+                ..plan(Prompts {
+                    bad: 0,
+                    firsts: 1,
+                    shared: 1,
+                    ..PROMPTS
+                })
+            },
+        ),
+        (
+            "half of the engines flaps, one of two parts for all",
+            Plan {
+                flapping: 0.5,
+                ..plan(Prompts {
+                    bad: 0,
+                    firsts: 2,
+                    shared: 1,
+                    ..PROMPTS
+                })
+            },
+        ),
         ("behind one first part", plan(PROMPTS)),
         (
             "behind five first parts",
--- a/crates/routing/tests/suspect_schedules/world.rs
+++ b/crates/routing/tests/suspect_schedules/world.rs
@@ -31,6 +31,8 @@
 /// Time after which an engine has begun to write the answer to a request that does not crash
 /// it.
 const BEGUN_MS: u64 = 150;
+/// Time from which on a held request counts.
+const HELD_MS: u64 = 300;
 /// Interval at which a request asks whether the one on trial before it has begun.
 const TRIAL_POLL_MS: u64 = 20;
 /// Grace period that operators grant after the third crash, and to a gateway that was cut
@@ -67,7 +69,7 @@
     Last,
 }
 
-/// Prompts of requests: each has a first, a middle and a last shared part, drawn from as many.
+/// Prompts of requests, with a first, a middle and a last shared part, drawn from as many.
 #[derive(Clone, Copy, Debug)]
 pub struct Prompts {
     pub firsts: usize,
@@ -76,6 +78,8 @@
     /// Number of parts that crash engines, each in requests of which no two are alike.
     pub bad: usize,
     pub place: BadPlace,
+    /// Number of shared parts that a sound prompt has: the first of the three.
+    pub shared: usize,
     /// Number of first parts behind which a bad part comes.
     pub behind: usize,
     /// Mean pause between two requests with a bad part.
@@ -123,6 +127,8 @@
     pub max_sends_after_grace: usize,
     /// Interruptions of innocent requests by crashers.
     pub broken: usize,
+    /// Innocent requests that were held for [`HELD_MS`] or longer until they could be judged.
+    pub held: usize,
     /// Maximum number of requests with one bad part that were sent to engines after its fifth
     /// crash and the grace period.
     pub max_part_sends_after_grace: usize,
@@ -137,6 +143,7 @@
         self.ended += other.ended;
         self.max_sends_after_grace = self.max_sends_after_grace.max(other.max_sends_after_grace);
         self.broken += other.broken;
+        self.held += other.held;
         self.max_part_sends_after_grace = self
             .max_part_sends_after_grace
             .max(other.max_part_sends_after_grace);
@@ -202,6 +209,8 @@
     kind: Kind,
     /// Number of the bad part in its prompt.
     bad: Option<usize>,
+    /// Time for which it was held until it could be judged.
+    held_ms: u64,
     attempts: u32,
     sends: u32,
     crashes: Vec<u64>,
@@ -323,6 +332,7 @@
                     simulation.outcome.innocents += 1;
                     simulation.outcome.blamed += usize::from(request.blamed);
                     simulation.outcome.refused += usize::from(request.refused);
+                    simulation.outcome.held += usize::from(request.held_ms >= HELD_MS);
                     let item = request.kind == Kind::Batch;
                     simulation.outcome.refused_items += usize::from(request.refused && item);
                 }
@@ -423,6 +433,7 @@
             },
             kind,
             bad,
+            held_ms: 0,
             attempts: 0,
             sends: 0,
             crashes: Vec::new(),
@@ -447,7 +458,8 @@
         if let Some(bad) = bad {
             names[prompts.place as usize] = format!("bad-{bad}");
         }
-        names
+        let shared = bad.map_or(prompts.shared, |_| names.len());
+        names[..shared]
             .iter()
             .map(|name| FeatureDigest::of_prompt_part(name))
             .collect()
@@ -550,6 +562,7 @@
             }
             Verdict::Unsettled { until } => {
                 let wait = until.since(self.now()).as_millis() as u64 + 1;
+                self.requests[request].held_ms += wait;
                 self.schedule_after(wait, Event::Tried { request, gateway });
                 return;
             }
@@ -563,6 +576,7 @@
         let features = &self.requests[request].features;
         let trial = self.gateways[gateway].table.trial(features, self.now());
         if trial.is_some_and(|part| self.gateways[gateway].trials.contains(&part)) {
+            self.requests[request].held_ms += TRIAL_POLL_MS;
             self.schedule_after(TRIAL_POLL_MS, Event::Tried { request, gateway });
             return;
         }
