--- a/crates/routing/src/suspects/mod.rs
+++ b/crates/routing/src/suspects/mod.rs
@@ -20,6 +20,7 @@
 mod blame;
 mod features;
 mod guilt;
+mod part_guilt;
 mod parts;
 mod suspect;
 mod table;
--- /dev/null
+++ b/crates/routing/src/suspects/part_guilt.rs
@@ -0,0 +1,260 @@
+//! Which parts of prompts are the cause of the crashes that they are blamed for.
+
+use molespan_state::declared::RequestDigest;
+use molespan_types::Timestamp;
+
+use super::blame::EngineKey;
+use super::features::{FeatureDigest, Features, Shared};
+use super::guilt::{
+    ALWAYS_GUILTY_CRASHES, GUILTY_CRASHES, SETTLED_AFTER, UNEXPLAINED_PER_EXTRA_CRASH, Verdict,
+};
+use super::suspect::Crash;
+use super::table::SuspectTable;
+
+/// Number of crashes from which requests with a part are sent one at a time.
+const TRIAL_CRASHES: usize = 2;
+/// Crashes that one part of a request is blamed for.
+pub(super) struct PartCase<'a> {
+    pub part: FeatureDigest,
+    /// The request that is judged. What it has in common with the requests that ran at the
+    /// engines cannot be told apart by them, and is no excuse for the part.
+    features: &'a Features,
+    engines: Vec<EngineKey>,
+}
+
+impl PartCase<'_> {
+    fn crashes(&self) -> usize {
+        self.engines.len()
+    }
+
+    fn has(&self, part: &FeatureDigest) -> bool {
+        self.features.shared.parts.contains(part)
+    }
+}
+
+impl SuspectTable {
+    /// Returns a part for which the request may only be sent while no other one with that
+    /// part is on its way: each of them may end an engine.
+    #[must_use]
+    pub fn trial(&self, features: &Features, now: Timestamp) -> Option<FeatureDigest> {
+        let mut cases = self.part_cases(features);
+        let tried = cases.find(|case| {
+            let unexplained = |engine: &&EngineKey| !self.neighbour_explains(case, **engine, now);
+            case.engines.iter().filter(unexplained).count() >= TRIAL_CRASHES
+        });
+        tried.map(|case| case.part)
+    }
+
+    /// Returns the crashes that each part of a request is blamed for.
+    pub(super) fn part_cases<'a>(
+        &'a self,
+        features: &'a Features,
+    ) -> impl Iterator<Item = PartCase<'a>> {
+        features.shared.parts.iter().filter_map(move |part| {
+            let engines = self.parts.engines(part);
+            (engines.len() >= TRIAL_CRASHES).then_some(PartCase {
+                part: *part,
+                features,
+                engines,
+            })
+        })
+    }
+
+    pub(super) fn part_verdict(&self, case: &PartCase<'_>, now: Timestamp) -> Verdict {
+        let crashes = case.crashes();
+        if crashes < GUILTY_CRASHES || !self.is_part_guilty(case, now) {
+            return Verdict::Suspect { crashes };
+        }
+        let until = self.part_learned_at(&case.part) + SETTLED_AFTER;
+        match now < until {
+            true => Verdict::Unsettled { until },
+            false => Verdict::Barred { crashes },
+        }
+    }
+
+    /// Whether a part, with the others of the request that is judged, is the cause of its
+    /// crashes.
+    fn is_part_guilty(&self, case: &PartCase<'_>, now: Timestamp) -> bool {
+        let tenants = self.tenants_at_each(case);
+        if !tenants.is_empty()
+            && !tenants
+                .iter()
+                .any(|one| Some(one) == case.features.shared.tenant.as_ref())
+        {
+            return false;
+        }
+        let mut engines = case.engines.iter();
+        if !engines.any(|engine| self.has_witness(case, *engine)) {
+            return false;
+        }
+        let attributed = case.engines.iter().filter(|engine| {
+            !self.neighbour_explains(case, **engine, now) && self.carrier_fits(case, **engine)
+        });
+        let attributed = attributed.count();
+        if attributed < GUILTY_CRASHES || case.crashes() >= ALWAYS_GUILTY_CRASHES {
+            return attributed >= GUILTY_CRASHES;
+        }
+        let is_own = |engine: &EngineKey| case.engines.contains(engine);
+        attributed >= GUILTY_CRASHES + self.unexplained(is_own, now) / UNEXPLAINED_PER_EXTRA_CRASH
+    }
+
+    /// Whether a request without the part, or a part that only such requests have, explains
+    /// the end of an engine: it is barred, or has as many crashes. Behind several crashes it
+    /// needs more.
+    fn neighbour_explains(&self, case: &PartCase<'_>, engine: EngineKey, now: Timestamp) -> bool {
+        let crashes = case.crashes();
+        let needed = match crashes >= ALWAYS_GUILTY_CRASHES {
+            true => crashes + 1,
+            false => crashes,
+        };
+        let neighbours = self
+            .cases_at(engine)
+            .filter(|(_, crash)| !crash.blamed_parts().any(|part| *part == case.part));
+        neighbours
+            .filter(|(other, _)| **other != case.features.request)
+            .any(|(other, crash)| {
+                let by_itself =
+                    !crash.cleared && (self.is_barred(other, now) || self.crashes(other) >= needed);
+                let tenant = crash.tenant();
+                let mut parts = crash.blamed_parts().filter(|part| !case.has(part));
+                by_itself
+                    || parts.any(|part| {
+                        self.is_part_barred(part, tenant, now) || self.parts.count(part) >= needed
+                    })
+            })
+    }
+
+    /// Whether a request that had the part at an engine has no other part, absent from the
+    /// judged request, that was at another crash too: then the part ended this engine also
+    /// without those that it came with elsewhere.
+    fn has_witness(&self, case: &PartCase<'_>, engine: EngineKey) -> bool {
+        self.has_carrier(case, engine, |part| self.parts.count(part) <= 1)
+    }
+
+    /// Whether a request that had the part at an engine has no other part, absent from the
+    /// judged request, that explains most of the part's crashes: parts that many sound
+    /// requests share were at engines that ended for several reasons.
+    fn carrier_fits(&self, case: &PartCase<'_>, engine: EngineKey) -> bool {
+        let crashes = case.crashes();
+        self.has_carrier(case, engine, |part| self.parts.count(part) * 2 <= crashes)
+            && !self.repeats_explain(case, engine)
+    }
+
+    fn has_carrier(
+        &self,
+        case: &PartCase<'_>,
+        engine: EngineKey,
+        allows: impl Fn(&FeatureDigest) -> bool,
+    ) -> bool {
+        let mut carriers = self.carriers(case, engine);
+        carriers.any(|(_, crash)| {
+            let mut others = crash.blamed_parts().filter(|part| !case.has(part));
+            others.all(&allows)
+        })
+    }
+
+    /// Whether repeats of one request, other than the judged one, had the part at most of
+    /// its crashes: then the request is the cause, and not the part.
+    fn repeats_explain(&self, case: &PartCase<'_>, engine: EngineKey) -> bool {
+        let crashes = case.crashes();
+        self.carriers(case, engine)
+            .filter(|(request, _)| **request != case.features.request)
+            .any(|(request, crash)| !crash.cleared && self.crashes(request) * 2 > crashes)
+    }
+
+    /// Returns the requests that had the part at an engine.
+    fn carriers<'a>(
+        &'a self,
+        case: &'a PartCase<'_>,
+        engine: EngineKey,
+    ) -> impl Iterator<Item = (&'a RequestDigest, &'a Crash)> {
+        self.cases_at(engine)
+            .filter(|(_, crash)| crash.blamed_parts().any(|part| *part == case.part))
+    }
+
+    /// Returns the tenants who had a request with the part at each of its crashes. Others
+    /// are not kept from it: what one tenant sends bars no part for them.
+    fn tenants_at_each(&self, case: &PartCase<'_>) -> Vec<FeatureDigest> {
+        let mut tenants: Option<Vec<FeatureDigest>> = None;
+        for engine in &case.engines {
+            let here = self.carriers(case, *engine);
+            let here: Vec<FeatureDigest> = here
+                .filter_map(|(_, crash)| crash.tenant().copied())
+                .collect();
+            tenants = Some(match tenants {
+                None => here,
+                Some(known) => known.into_iter().filter(|one| here.contains(one)).collect(),
+            });
+        }
+        let mut tenants = tenants.unwrap_or_default();
+        tenants.sort_unstable();
+        tenants.dedup();
+        tenants
+    }
+
+    /// Returns the bars that keep a guilty part from engines: of those parts that cannot be
+    /// told apart, the last, since sound requests rather share the first.
+    pub(super) fn bars_of_part(
+        &self,
+        part: &FeatureDigest,
+        now: Timestamp,
+    ) -> Vec<(FeatureDigest, usize)> {
+        let carriers = self.parts.cases(part);
+        let mut carriers = carriers.filter_map(|(engine, request)| {
+            let blame = self.crash(request, *engine)?.shared.as_ref()?;
+            Some(Features {
+                request: *request,
+                shared: blame.shared.clone(),
+            })
+        });
+        let Some(features) = carriers.next() else {
+            return Vec::new();
+        };
+        let engines = self.parts.engines(part);
+        let same = features.shared.parts.iter();
+        let same = same.filter(|other| self.parts.engines(other) == engines);
+        let same: Vec<FeatureDigest> = same.copied().collect();
+        if same.last() != Some(part) {
+            return Vec::new();
+        }
+        // Judged as another request would be: repeats of a single one are barred by themselves.
+        let features = Features {
+            request: *part,
+            shared: Shared {
+                tenant: features.shared.tenant,
+                parts: same,
+            },
+        };
+        let case = PartCase {
+            part: *part,
+            features: &features,
+            engines,
+        };
+        if !self.is_part_guilty(&case, now) {
+            return Vec::new();
+        }
+        let crashes = case.crashes();
+        let tenants = self.tenants_at_each(&case);
+        match tenants.is_empty() {
+            true => vec![(*part, crashes)],
+            false => tenants
+                .iter()
+                .map(|tenant| {
+                    (
+                        FeatureDigest::of_prompt_part_of_tenant(part, tenant),
+                        crashes,
+                    )
+                })
+                .collect(),
+        }
+    }
+
+    /// When this node last learned of another crash of a part.
+    pub(super) fn part_learned_at(&self, part: &FeatureDigest) -> Timestamp {
+        let crashes = self.parts.cases(part);
+        let learned_at = crashes.filter_map(|(engine, request)| {
+            self.crash(request, *engine).map(|crash| crash.learned_at)
+        });
+        learned_at.max().unwrap_or(Timestamp::ZERO)
+    }
+}
