--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -288,12 +288,21 @@
         }
     }
 
-    /// Waits until it is decided whether engines may get the request.
+    /// Waits until it is decided whether engines may get the request, while time is left for
+    /// its answer.
     async fn wait_until_permitted(&self) -> Result<(), Refusal> {
+        let time_limit = self.deadline.since(self.arrived);
+        let waits_until = self.arrived + time_limit.mul_f64(WAIT_SHARE);
         loop {
             match self.state.permit(&self.outbound) {
                 Permit::Granted | Permit::Trial(_) => return Ok(()),
-                Permit::Later(until) => self.state.wait_until_settled(until).await,
+                Permit::Later(_) if self.state.now() >= waits_until => {
+                    return Err(self.give_up());
+                }
+                Permit::Later(until) => {
+                    let until = until.min(waits_until);
+                    self.state.wait_until_settled(until).await;
+                }
                 Permit::Denied if self.runs > 0 => return Err(Refusal::AnswerLost),
                 Permit::Denied => {
                     return Err(Refusal::Barred {
