Engines that end together bar no part until others have been served for a while

A part is guilty only once another request has been answered since its third crash; where the ends came together (150 ms), for a second, as long as most answers take. The bar of the control group waits for that second in any case.

--- a/crates/routing/src/suspects/part_guilt.rs
+++ b/crates/routing/src/suspects/part_guilt.rs
@@ -1,5 +1,7 @@
 //! Which parts of prompts are the cause of the crashes that they are blamed for.
 
+use std::time::Duration;
+
 use molespan_state::declared::RequestDigest;
 use molespan_types::Timestamp;
 
@@ -13,6 +15,13 @@
 
 /// Number of crashes from which requests with a part are sent one at a time.
 const TRIAL_CRASHES: usize = 2;
+/// Least time between the ends of engines that did not end together: gateways find the end
+/// of one engine within that time.
+const TOGETHER: Duration = Duration::from_millis(150);
+/// How long other requests have to be answered behind ends that came together before a part
+/// is guilty: as long as most answers take, so that one with the part would be among them.
+const SERVED_FOR: Duration = Duration::from_secs(1);
+
 /// Crashes that one part of a request is blamed for.
 pub(super) struct PartCase<'a> {
     pub part: FeatureDigest,
@@ -68,10 +77,45 @@
         let until = self.part_learned_at(&case.part) + SETTLED_AFTER;
         match now < until {
             true => Verdict::Unsettled { until },
-            false => Verdict::Barred { crashes },
+            false if self.others_are_served(case, now) => Verdict::Barred { crashes },
+            false => Verdict::Suspect { crashes },
         }
     }
 
+    /// Whether other requests have been answered since the crashes, while none with the part
+    /// was; for some time where engines ended together, which says little of what ran there.
+    fn others_are_served(&self, case: &PartCase<'_>, now: Timestamp) -> bool {
+        let ended = self.ended_at(case);
+        let apart = ended
+            .windows(2)
+            .filter(|pair| pair[1].since(pair[0]) >= TOGETHER)
+            .count();
+        let needed = match apart + 1 >= GUILTY_CRASHES {
+            true => Duration::ZERO,
+            false => SERVED_FOR,
+        };
+        self.others_are_served_for(needed, &ended, now)
+    }
+
+    /// Whether other requests have been answered since the third of these ends, first at
+    /// least `needed` ago.
+    fn others_are_served_for(&self, needed: Duration, ended: &[Timestamp], now: Timestamp) -> bool {
+        let third = ended.get(GUILTY_CRASHES - 1);
+        let answered = third.and_then(|third| self.parts.answered_after(*third));
+        answered.is_some_and(|answered| now.since(answered) >= needed)
+    }
+
+    /// Returns when the engines ended, in order.
+    fn ended_at(&self, case: &PartCase<'_>) -> Vec<Timestamp> {
+        let ended = case.engines.iter().filter_map(|engine| {
+            let carriers = self.carriers(case, *engine);
+            carriers.map(|(_, crash)| crash.at).min()
+        });
+        let mut ended: Vec<Timestamp> = ended.collect();
+        ended.sort_unstable();
+        ended
+    }
+
     /// Whether a part, with the others of the request that is judged, is the cause of its
     /// crashes.
     fn is_part_guilty(&self, case: &PartCase<'_>, now: Timestamp) -> bool {
@@ -230,7 +274,9 @@
             features: &features,
             engines,
         };
-        if !self.is_part_guilty(&case, now) {
+        let ended = self.ended_at(&case);
+        if !self.is_part_guilty(&case, now) || !self.others_are_served_for(SERVED_FOR, &ended, now)
+        {
             return Vec::new();
         }
         let crashes = case.crashes();
--- a/crates/routing/src/suspects/parts.rs
+++ b/crates/routing/src/suspects/parts.rs
@@ -1,6 +1,6 @@
 //! Crashes by the parts of prompts that the requests at the engines had in common.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use molespan_state::declared::RequestDigest;
@@ -18,11 +18,19 @@
 /// A request that was running on an engine when the engine ended.
 pub(super) type Case = (EngineKey, RequestDigest);
 
+/// Maximum number of remembered times of complete answers: over the time that parts are
+/// judged for, several a second.
+const MAX_ANSWER_TIMES: usize = 256;
+/// Least time between two remembered ones.
+const ANSWER_TIME_STEP: Duration = Duration::from_millis(50);
+
 /// Cases that parts of prompts are blamed for, and complete answers with parts.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PartCrashes {
     blamed: BTreeMap<FeatureDigest, BTreeSet<Case>>,
     completed: BTreeMap<FeatureDigest, Timestamp>,
+    /// When engines answered any requests completely.
+    answers: VecDeque<Timestamp>,
 }
 
 impl PartCrashes {
@@ -71,6 +79,23 @@
         }
     }
 
+    /// Records that an engine answered a request completely.
+    pub fn note_answer(&mut self, now: Timestamp) {
+        let last = self.answers.back().copied();
+        if last.is_some_and(|last| now.since(last) < ANSWER_TIME_STEP) {
+            return;
+        }
+        self.answers.push_back(now);
+        if self.answers.len() > MAX_ANSWER_TIMES {
+            self.answers.pop_front();
+        }
+    }
+
+    /// Returns when an engine first answered a request completely later than `at`.
+    pub fn answered_after(&self, at: Timestamp) -> Option<Timestamp> {
+        self.answers.iter().find(|answer| **answer > at).copied()
+    }
+
     /// Whether a part was completed later than `at`, as far as is remembered.
     pub fn completed_after(&self, part: &FeatureDigest, at: Timestamp) -> bool {
         self.completed.get(part).is_some_and(|done| *done > at)
--- a/crates/routing/src/suspects/table.rs
+++ b/crates/routing/src/suspects/table.rs
@@ -156,6 +156,7 @@
     /// a part of it, was blamed.
     pub fn answered(&mut self, request: impl Into<Features>, now: Timestamp) -> bool {
         let features = request.into();
+        self.parts.note_answer(now);
         let mut changed = self.clear_request(&features.request);
         for part in &features.shared.parts {
             self.parts.note_completed(*part, now);
--- a/crates/routing/tests/suspect_schedules/main.rs
+++ b/crates/routing/tests/suspect_schedules/main.rs
@@ -140,6 +140,18 @@
                 })
             },
         ),
+        (
+            "all engines lost at once, two first parts for all",
+            Plan {
+                lost_at_once: 12,
+                ..plan(Prompts {
+                    bad: 0,
+                    firsts: 2,
+                    shared: 1,
+                    ..PROMPTS
+                })
+            },
+        ),
         (
             "half of the engines flaps, one of two parts for all",
             Plan {
