--- a/crates/routing/src/suspects/part_guilt.rs
+++ b/crates/routing/src/suspects/part_guilt.rs
@@ -245,9 +245,9 @@
     ) -> Vec<(FeatureDigest, usize)> {
         let carriers = self.parts.cases(part);
         let mut carriers = carriers.filter_map(|(engine, request)| {
-            let blame = self.crash(request, *engine)?.shared.as_ref()?;
+            let blame = self.crash(&request, engine)?.shared.as_ref()?;
             Some(Features {
-                request: *request,
+                request,
                 shared: blame.shared.clone(),
             })
         });
@@ -299,7 +299,7 @@
     pub(super) fn part_learned_at(&self, part: &FeatureDigest) -> Timestamp {
         let crashes = self.parts.cases(part);
         let learned_at = crashes.filter_map(|(engine, request)| {
-            self.crash(request, *engine).map(|crash| crash.learned_at)
+            self.crash(&request, engine).map(|crash| crash.learned_at)
         });
         learned_at.max().unwrap_or(Timestamp::ZERO)
     }
--- a/crates/routing/src/suspects/parts.rs
+++ b/crates/routing/src/suspects/parts.rs
@@ -27,7 +27,8 @@
 /// Cases that parts of prompts are blamed for, and complete answers with parts.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PartCrashes {
-    blamed: BTreeMap<FeatureDigest, BTreeSet<Case>>,
+    /// Requests that had the part at engines that ended, by engine.
+    blamed: BTreeMap<FeatureDigest, BTreeMap<EngineKey, BTreeSet<RequestDigest>>>,
     completed: BTreeMap<FeatureDigest, Timestamp>,
     /// When engines answered any requests completely.
     answers: VecDeque<Timestamp>,
@@ -35,32 +36,36 @@
 
 impl PartCrashes {
     /// Blames a part for a case, or no longer blames it.
-    pub fn set(&mut self, part: FeatureDigest, case: Case, blamed: bool) {
-        let cases = self.blamed.entry(part).or_default();
+    pub fn set(&mut self, part: FeatureDigest, (engine, request): Case, blamed: bool) {
+        let engines = self.blamed.entry(part).or_default();
+        let requests = engines.entry(engine).or_default();
         match blamed {
-            true => cases.insert(case),
-            false => cases.remove(&case),
+            true => requests.insert(request),
+            false => requests.remove(&request),
         };
-        if cases.is_empty() {
+        if requests.is_empty() {
+            engines.remove(&engine);
+        }
+        if engines.is_empty() {
             self.blamed.remove(&part);
         }
     }
 
-    /// Returns the cases that a part is blamed for, in the order of the engines.
-    pub fn cases(&self, part: &FeatureDigest) -> impl Iterator<Item = &Case> {
-        self.blamed.get(part).into_iter().flatten()
+    /// Returns the cases that a part is blamed for.
+    pub fn cases(&self, part: &FeatureDigest) -> impl Iterator<Item = Case> {
+        let engines = self.blamed.get(part).into_iter().flatten();
+        engines.flat_map(|(engine, requests)| requests.iter().map(|request| (*engine, *request)))
     }
 
-    /// Returns the engines that ended and for which a part is blamed.
+    /// Returns the engines that ended and for which a part is blamed, in order.
     pub fn engines(&self, part: &FeatureDigest) -> Vec<EngineKey> {
-        let mut engines: Vec<EngineKey> = self.cases(part).map(|(engine, _)| *engine).collect();
-        engines.dedup();
-        engines
+        let engines = self.blamed.get(part).into_iter();
+        engines.flat_map(BTreeMap::keys).copied().collect()
     }
 
     /// Number of engines that ended and for which a part is blamed.
     pub fn count(&self, part: &FeatureDigest) -> usize {
-        self.engines(part).len()
+        self.blamed.get(part).map_or(0, BTreeMap::len)
     }
 
     /// Returns all blamed parts.
--- a/crates/routing/src/suspects/table.rs
+++ b/crates/routing/src/suspects/table.rs
@@ -181,7 +181,7 @@
 
     /// Clears a part of all crashes known here.
     fn clear_part(&mut self, part: &FeatureDigest) -> bool {
-        let cases: Vec<Case> = self.parts.cases(part).copied().collect();
+        let cases: Vec<Case> = self.parts.cases(part).collect();
         for (engine, request) in &cases {
             let suspect = self.suspects.get_mut(request);
             let crash = suspect.and_then(|suspect| suspect.crashes.get_mut(engine));
@@ -216,7 +216,7 @@
         let is_of_tenant = |part: &FeatureDigest| {
             let mut cases = self.parts.cases(part);
             cases.any(|(engine, request)| {
-                let crash = self.crash(request, *engine);
+                let crash = self.crash(&request, engine);
                 let tenant = crash.and_then(Crash::tenant);
                 tenant.is_some_and(|one| {
                     FeatureDigest::of_prompt_part_of_tenant(part, one) == *barred
@@ -295,7 +295,7 @@
                 continue;
             }
             let own = self.parts.cases(part).any(|(engine, request)| {
-                self.crash(request, *engine).is_some_and(|crash| crash.own)
+                self.crash(&request, engine).is_some_and(|crash| crash.own)
             });
             if own || now.since(learned_at) >= NON_OBSERVER_DELAY {
                 bars.extend(self.bars_of_part(part, now));
