--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -13,7 +13,7 @@
     EngineFacts, Failure, Picked, PromptPart, SuspectReason, WorkClass,
 };
 use molespan_routing::reach::ReturnEvidence;
-use molespan_routing::suspects::{Features, Shared};
+use molespan_routing::suspects::{FeatureDigest, Features, Progress, Shared};
 use molespan_state::declared::{RequestDigest, RequestParts};
 use molespan_types::{EngineIncarnation, SoftwareVersion, Timestamp};
 use slog::info;
@@ -59,6 +59,10 @@
     pub prompt: Rc<[PromptPart]>,
     /// Number of whole events of the latest answer that have arrived.
     pub answered_events: Rc<Cell<u64>>,
+    /// Number of the last event before the latest answer, or 0.
+    pub resumed_after: Cell<u64>,
+    /// What the request is barred for, if it was sent as a trial.
+    pub bar_trial: Cell<Option<FeatureDigest>>,
     /// Computed on first use: the whole body is hashed, and most requests never need it.
     pub features: OnceCell<Features>,
 }
@@ -70,6 +74,14 @@
         self.features().request
     }
 
+    /// Returns how far the latest answer has got.
+    pub fn progress(&self) -> Progress {
+        Progress {
+            resumed_after: self.resumed_after.get(),
+            events: self.answered_events.get(),
+        }
+    }
+
     /// Returns the digest, and what the request has in common with others.
     pub fn features(&self) -> &Features {
         self.features.get_or_init(|| Features {
@@ -296,6 +308,9 @@
     let engine = &picked.facts;
     let began = state.now();
     outbound.answered_events.set(0);
+    outbound
+        .resumed_after
+        .set(limits.after_event.unwrap_or_default());
     let result = try_attempt(state, dialect, engine, outbound, limits, counted).await;
     match &result {
         Ok(reply) => {
--- /dev/null
+++ b/crates/proxy/src/bar_trials.rs
@@ -0,0 +1,212 @@
+//! Trials of barred requests. A bar rests on evidence that may be wrong, and while it stands no
+//! answer can show that. So the control group grants a few sends of what is barred, one at a
+//! time over all gateways, and an engine that stays up lifts the bar.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use molespan_daemon::wall_clock::unix_millis;
+use molespan_routing::suspects::{Cause, FeatureDigest};
+use molespan_state::declared::{DeclaredCommand, DeclaredReply, TrialOutcome, TrialReply};
+use molespan_types::Timestamp;
+use slog::{info, warn};
+
+use crate::attempt::Outbound;
+use crate::state::GatewayState;
+
+/// Time without a crash that is blamed on the same cause, before a trial of it: what ends many
+/// engines at once is over, and others are back.
+const CALM: Duration = Duration::from_secs(2);
+/// Timeout of a call for a trial, for which a caller waits.
+const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time until a call is repeated that got no answer.
+const ASK_INTERVAL: Duration = Duration::from_secs(2);
+/// Maximum number of causes whose next trial is remembered.
+const MAX_CAUSES: usize = 1_024;
+/// Maximum number of outcomes that wait to be reported.
+const MAX_OUTCOMES: usize = 1_024;
+/// Timeout for committing an outcome, and pause before it is tried again.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+const REPORT_PAUSE: Duration = Duration::from_millis(250);
+/// Number of tries to commit an outcome: longer than an election of a leader takes.
+const REPORT_TRIES: u32 = 30;
+
+/// A cause and how its trial ended.
+type Report = (FeatureDigest, TrialOutcome);
+
+/// What this gateway knows of trials.
+pub(crate) struct BarTrials {
+    /// When a trial may be asked for again.
+    due: RefCell<BTreeMap<FeatureDigest, Timestamp>>,
+    reports: (Sender<Report>, Receiver<Report>),
+}
+
+impl Default for BarTrials {
+    fn default() -> Self {
+        Self {
+            due: RefCell::default(),
+            reports: async_channel::bounded(MAX_OUTCOMES),
+        }
+    }
+}
+
+impl BarTrials {
+    fn due(&self, cause: &FeatureDigest) -> Option<Timestamp> {
+        self.due.borrow().get(cause).copied()
+    }
+
+    fn set_due(&self, cause: FeatureDigest, at: Timestamp) {
+        let mut due = self.due.borrow_mut();
+        due.insert(cause, at);
+        while due.len() > MAX_CAUSES {
+            due.pop_first();
+        }
+    }
+
+    /// Forgets when a cause may be tried, since it is no longer barred.
+    pub fn forget(&self, cause: &FeatureDigest) {
+        self.due.borrow_mut().remove(cause);
+    }
+}
+
+/// The right to send one barred request to an engine, returned on drop unless an engine may
+/// have run it.
+pub(crate) struct BarTrial {
+    state: Rc<GatewayState>,
+    cause: FeatureDigest,
+    asked_ms: u64,
+    may_have_run: Cell<bool>,
+}
+
+impl BarTrial {
+    /// Records that the request is being sent.
+    pub fn begin_send(&self, request: &Outbound) {
+        self.may_have_run.set(true);
+        request.bar_trial.set(Some(self.cause));
+    }
+
+    /// Records that the engine did not run it.
+    pub fn note_not_run(&self) {
+        self.may_have_run.set(false);
+    }
+
+    /// Whether the request may still be sent.
+    pub fn is_open(&self) -> bool {
+        !self.may_have_run.get()
+    }
+}
+
+impl Drop for BarTrial {
+    fn drop(&mut self) {
+        if self.is_open() {
+            let asked_ms = self.asked_ms;
+            self.state
+                .end_trial(self.cause, TrialOutcome::NotRun { asked_ms });
+        }
+    }
+}
+
+impl GatewayState {
+    /// Asks the control group for a trial of what is barred.
+    ///
+    /// # Errors
+    /// The time until a trial may be asked for again.
+    pub async fn try_barred(self: &Rc<Self>, cause: &Cause) -> Result<BarTrial, Duration> {
+        let now = self.now();
+        let wait = self.trial_due(cause).since(now);
+        if !wait.is_zero() {
+            return Err(wait);
+        }
+        let digest = *cause.digest();
+        // Until the answer comes, no other request asks.
+        self.bar_trials.set_due(digest, now + ASK_INTERVAL);
+        let asked_ms = unix_millis();
+        let command = DeclaredCommand::Try {
+            request: digest,
+            now_ms: asked_ms,
+        };
+        let again_in = match self.control.change_declared(command, ASK_TIMEOUT).await {
+            Ok(DeclaredReply::Trial(TrialReply::Granted)) => {
+                info!(self.logger, "trial of a bar granted"; "digest" => %digest, "cause" => ?cause);
+                return Ok(BarTrial {
+                    state: self.clone(),
+                    cause: digest,
+                    asked_ms,
+                    may_have_run: Cell::new(false),
+                });
+            }
+            Ok(DeclaredReply::Trial(TrialReply::Denied { again_in_ms })) => {
+                Duration::from_millis(again_in_ms)
+            }
+            other => {
+                warn!(self.logger, "no answer to a call for a trial"; "digest" => %digest,
+                    "answer" => ?other.err());
+                // It may have been granted.
+                self.end_trial(digest, TrialOutcome::NotRun { asked_ms });
+                ASK_INTERVAL
+            }
+        };
+        self.bar_trials.set_due(digest, self.now() + again_in);
+        Err(again_in)
+    }
+
+    /// Returns when a trial may be asked for.
+    fn trial_due(&self, cause: &Cause) -> Timestamp {
+        let crashed = self.suspects.borrow().last_learned_at(cause);
+        let calm = crashed.map_or(Timestamp::ZERO, |at| at + CALM);
+        let due = self.bar_trials.due(cause.digest());
+        due.map_or(calm, |due| due.max(calm))
+    }
+
+    /// Records that an engine stayed up while it ran a request: what the request was tried or
+    /// is barred for is not the cause of earlier crashes.
+    pub fn note_sound(&self, request: &Outbound) {
+        let tried = request.bar_trial.take();
+        let barred = self
+            .suspects
+            .borrow()
+            .bars_on(request.features(), self.now());
+        for cause in tried.into_iter().chain(barred) {
+            self.suspects.borrow_mut().lift(&cause);
+            self.end_trial(cause, TrialOutcome::Sound);
+        }
+    }
+
+    /// Queues the outcome of a trial for the control group.
+    fn end_trial(&self, cause: FeatureDigest, outcome: TrialOutcome) {
+        info!(self.logger, "trial of a bar ended"; "digest" => %cause, "outcome" => ?outcome);
+        if self
+            .bar_trials
+            .reports
+            .0
+            .try_send((cause, outcome))
+            .is_err()
+        {
+            warn!(self.logger, "too many outcomes of trials; one is dropped"; "digest" => %cause);
+        }
+    }
+}
+
+/// Reports the outcomes of trials to the control group. Runs until dropped.
+pub(crate) async fn report_trials(state: Rc<GatewayState>) {
+    while let Ok((cause, outcome)) = state.bar_trials.reports.1.recv().await {
+        for _ in 0..REPORT_TRIES {
+            let command = DeclaredCommand::TrialEnded {
+                request: cause,
+                outcome,
+            };
+            match state.control.change_declared(command, REPORT_TIMEOUT).await {
+                Ok(_) => break,
+                Err(error) => {
+                    warn!(state.logger, "outcome of a trial not committed"; "digest" => %cause,
+                        "outcome" => ?outcome, "error" => %error);
+                    Timer::after(REPORT_PAUSE).await;
+                }
+            }
+        }
+    }
+}
--- a/crates/proxy/src/bars.rs
+++ b/crates/proxy/src/bars.rs
@@ -9,7 +9,7 @@
 use async_io::Timer;
 use molespan_daemon::wall_clock::unix_millis;
 use molespan_routing::dispatch::WorkClass;
-use molespan_routing::suspects::{FeatureDigest, SuspectTable, Verdict};
+use molespan_routing::suspects::{Cause, FeatureDigest, SuspectTable, Verdict};
 use molespan_state::declared::{Bar, DeclaredCommand, RequestDigest};
 use molespan_types::Timestamp;
 use slog::{info, warn};
@@ -24,8 +24,6 @@
 const MAX_BARS: usize = 2_048;
 /// Interval between checks whether an engine that broke a request off has ended.
 const ENGINE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Interval at which a batch item asks again whether a part of its prompt is barred.
-const ITEM_BAR_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout for committing a bar, after which the bar is requested again.
 const BAR_COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -82,7 +80,8 @@
     Trial(FeatureDigest),
     /// Decided later; ask again at this time.
     Later(Timestamp),
-    Denied,
+    /// No engine gets it, for this reason, unless the control group grants a trial.
+    Barred(Cause),
 }
 
 /// Parts of prompts of which a request is at an engine that has not begun to write.
@@ -121,8 +120,7 @@
 }
 
 impl GatewayState {
-    /// Returns whether a request may be sent to an engine now, and logs it if the request
-    /// is barred.
+    /// Returns whether a request may be sent to an engine now.
     pub fn permit(&self, request: &Outbound) -> Permit {
         let suspects = self.suspects.borrow();
         let open = self.broken_requests.open_checks(|| request.digest());
@@ -140,25 +138,22 @@
             }
             Verdict::Free | Verdict::Suspect { .. } => self.permit_trial(&suspects, request),
             Verdict::Unsettled { until } => Permit::Later(until),
-            // An accepted item is given up only for what it did itself, or once the control
-            // group has barred a part of its prompt: until then a part may be cleared.
-            Verdict::Barred { crashes }
-                if request.class == WorkClass::Batch
-                    && crashes > suspects.crashes(&request.digest())
-                    && !suspects.has_bar(request.features(), now) =>
-            {
-                Permit::Later(now + ITEM_BAR_INTERVAL)
-            }
-            Verdict::Barred { crashes } => {
-                info!(self.logger, "request barred"; "request" => &request.id,
-                    "digest" => %request.digest(), "crashes" => crashes,
-                    "heard_ms_ago" => suspects.last_learned_age(&request.digest(), now)
-                        .map_or(0, |ago| ago.as_millis() as u64));
-                Permit::Denied
-            }
+            Verdict::Barred { cause, .. } => Permit::Barred(cause),
         }
     }
 
+    /// Logs that a request is barred.
+    pub fn log_barred(&self, request: &Outbound, cause: &Cause, again_in: Duration) {
+        let suspects = self.suspects.borrow();
+        let now = self.now();
+        let learned_at = suspects.last_learned_at(cause);
+        info!(self.logger, "request barred"; "request" => &request.id,
+            "digest" => %request.digest(), "cause" => ?cause,
+            "crashes" => suspects.crashes_of(cause),
+            "heard_ms_ago" => learned_at.map(|at| now.since(at).as_millis() as u64),
+            "again_in_ms" => again_in.as_millis() as u64);
+    }
+
     /// Whether a request may be sent now beside others with a part of prompts under which
     /// engines have ended: one at a time, until its engine has begun to write.
     fn permit_trial(&self, suspects: &SuspectTable, request: &Outbound) -> Permit {
@@ -204,7 +199,10 @@
         let mut suspects = self.suspects.borrow_mut();
         match left {
             Some(left) => suspects.bar(request, self.now() + left),
-            None => suspects.lift(&request),
+            None => {
+                suspects.lift(&request);
+                self.bar_trials.forget(&request);
+            }
         }
     }
 
@@ -219,6 +217,7 @@
         if self.suspects.borrow().is_empty() {
             return;
         }
+        self.note_sound(request);
         let now = self.now();
         if self.suspects.borrow_mut().answered(request.features(), now) {
             info!(self.logger, "request cleared"; "request" => &request.id,
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -1,6 +1,6 @@
 //! Running one batch item until it has an outcome.
 
-use std::cell::{OnceCell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,6 +32,8 @@
 /// Time for which an item waits for an engine of the version that began its output before it
 /// starts anew: longer than a gateway that has just started takes to know all engines.
 const VERSION_WAIT: Duration = Duration::from_secs(1);
+/// Interval at which an item that no engine may run looks whether it is still to run.
+const HELD_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time added to the route's retention, in milliseconds, to allow for clock differences.
 const CLOCK_SLACK_MS: u64 = 4_000;
 
@@ -50,8 +52,11 @@
     Deferred,
     /// Engines rejected the item.
     Rejected,
-    /// Engines end when they run the item.
-    Barred,
+    /// No engine may run the item now, since engines ended under it.
+    Barred {
+        /// Time until that is decided anew.
+        again_in: Duration,
+    },
 }
 
 /// Runs an item until it has an outcome.
@@ -62,6 +67,7 @@
     output: &SharedOutput,
 ) -> ItemOutcome {
     let mut failures = 0;
+    let mut was_held_back = false;
     loop {
         let Some(in_force) = state.in_force() else {
             Timer::after(RETRY_PAUSE).await;
@@ -89,7 +95,14 @@
                 return ItemOutcome::Completed { text };
             }
             RunResult::Impossible => return dead_letter(state, item, "no engine can run it"),
-            RunResult::Barred => return dead_letter(state, item, "engines end under it"),
+            RunResult::Barred { again_in } => {
+                if !std::mem::replace(&mut was_held_back, true) {
+                    info!(state.logger, "item held back"; "item" => &item.item.id,
+                        "again_in_ms" => again_in.as_millis() as u64);
+                }
+                let _held = state.batch_runs.hold_back(state);
+                Timer::after(again_in.min(HELD_CHECK_INTERVAL)).await;
+            }
             RunResult::Failed => {
                 failures += 1;
                 if failures >= route.max_attempts.max(1) {
@@ -191,6 +204,8 @@
         resumes: false,
         prompt: facts.prompt.clone(),
         answered_events: Rc::default(),
+        resumed_after: Cell::default(),
+        bar_trial: Cell::default(),
         features: OnceCell::new(),
     };
     let deadline = state.now() + RUN_TIMEOUT;
@@ -203,7 +218,11 @@
     let running = async {
         let reply = match dispatch.next_reply(after_event).await {
             Ok(reply) => reply,
-            Err(Refusal::Barred { .. }) => return RunResult::Barred,
+            Err(Refusal::Barred { retry_after }) => {
+                return RunResult::Barred {
+                    again_in: retry_after,
+                };
+            }
             Err(_) if dispatch.rejections + dispatch.runs == 0 => return RunResult::Deferred,
             Err(_) => return RunResult::Rejected,
         };
@@ -219,6 +238,9 @@
         if is_whole {
             state.note_complete(&dispatch.outbound);
         } else {
+            if dispatch.outbound.progress().has_lived() {
+                state.note_sound(&dispatch.outbound);
+            }
             state.check_engine(&engine, &dispatch.outbound);
             info!(state.logger, "run of an item was broken off by its engine"; "item" => &item.item.id,
                 "digest" => %dispatch.outbound.digest(), "engine" => engine,
--- a/crates/proxy/src/batch/preemption.rs
+++ b/crates/proxy/src/batch/preemption.rs
@@ -42,9 +42,40 @@
 pub(crate) struct BatchRuns {
     runs: RefCell<BTreeMap<u64, Run>>,
     last: Cell<u64>,
+    /// Number of items that no engine may run for now.
+    held_back: Cell<u32>,
+}
+
+/// Maximum number of items held back here that leave their share of the slots to other items,
+/// some 10 KB each. Beyond it, the batch group keeps the rest.
+const MAX_HELD_BACK: u32 = 64;
+
+/// Registration of an item that no engine may run for now, removed on drop.
+pub(super) struct HeldBack {
+    state: Rc<GatewayState>,
+}
+
+impl Drop for HeldBack {
+    fn drop(&mut self) {
+        let held_back = &self.state.batch_runs.held_back;
+        held_back.set(held_back.get() - 1);
+    }
 }
 
 impl BatchRuns {
+    /// Registers an item that no engine may run for now.
+    pub(super) fn hold_back(&self, state: &Rc<GatewayState>) -> HeldBack {
+        self.held_back.set(self.held_back.get() + 1);
+        HeldBack {
+            state: state.clone(),
+        }
+    }
+
+    /// Returns the number of items held back that take up no slots.
+    pub(super) fn count_held_back(&self) -> u32 {
+        self.held_back.get().min(MAX_HELD_BACK)
+    }
+
     /// Returns the number of runs that an engine has begun to answer.
     pub fn count_at_engines(&self) -> u32 {
         let runs = self.runs.borrow();
--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -158,7 +158,8 @@
             .sum();
         // Items waiting here for an engine come first. The fraction is rounded randomly, so
         // that all gateways together take as many items as there is capacity for.
-        let running = self.running.borrow().len() as u32;
+        let held_back = self.state.batch_runs.count_held_back();
+        let running = (self.running.borrow().len() as u32).saturating_sub(held_back);
         let waiting = running.saturating_sub(self.state.batch_runs.count_at_engines());
         let headroom = (headroom - f64::from(waiting) + rand::random::<f64>()).max(0.0) as u32;
         let share: f64 = services.iter().map(|one| engines.fair_slots(one)).sum();
@@ -193,6 +194,7 @@
         self.state.metrics.batch.set_reserved_slots(kept);
         info!(self.state.logger, "batch work"; "items" => items,
             "at_engines" => self.state.batch_runs.count_at_engines(),
+            "held_back" => self.state.batch_runs.count_held_back(),
             "occupancy" => format!("{occupancy:.2}"), "kept" => format!("{kept:.1}"));
     }
 
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -1,6 +1,6 @@
 //! The attempts of a request, until one engine answers.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,11 +9,13 @@
 use molespan_http::h1::Headers;
 use molespan_routing::dispatch::{NoEngine, Pick, Picked, PromptCost, Standing, WorkClass};
 use molespan_routing::queue::{QueueRequest, Rank, Refused, retry_after};
+use molespan_routing::suspects::Cause;
 use molespan_state::declared::{Route, RouteKind};
 use molespan_types::{SoftwareVersion, Timestamp};
 use slog::{debug, info};
 
 use crate::attempt::{AttemptFailure, AttemptLimits, EngineReply, Outbound, attempt, version_text};
+use crate::bar_trials::BarTrial;
 use crate::bars::Permit;
 use crate::dialect::{GatewayDialect, Refusal, RequestFacts};
 use crate::metrics::Resumed;
@@ -32,6 +34,8 @@
 /// Retry delay for a caller whose request engines end under. A bar lasts for hours unless
 /// an operator lifts it, and a waiting caller notices that within this time.
 const BARRED_RETRY_AFTER: Duration = Duration::from_secs(600);
+/// Least retry delay of a barred request, within which another one may lift its bar.
+const MIN_BARRED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Share of the target latency within which an engine has to begin a request; the rest is
 /// for producing and passing on its first output.
 const BEGIN_SHARE: f64 = 0.8;
@@ -74,6 +78,8 @@
     capacity_rejections: u32,
     /// Rejections for lack of capacity that do not count towards [`MAX_REJECTIONS`].
     uncounted_rejections: u32,
+    /// The right to send the request though it is barred.
+    bar_trial: Option<BarTrial>,
 }
 
 impl<'a, D: GatewayDialect> Dispatch<'a, D> {
@@ -105,6 +111,8 @@
             resumes: facts.resumption.is_some(),
             prompt: facts.prompt.clone(),
             answered_events: Rc::default(),
+            resumed_after: Cell::default(),
+            bar_trial: Cell::default(),
             features: OnceCell::new(),
         };
         let deadline = request.arrived + time_limit;
@@ -143,6 +151,7 @@
             rejections: 0,
             capacity_rejections: 0,
             uncounted_rejections: 0,
+            bar_trial: None,
         }
     }
 
@@ -186,8 +195,12 @@
             let trial = match self.state.permit(&self.outbound) {
                 Permit::Granted => None,
                 Permit::Trial(part) => Some(self.state.begin_trial(part)),
-                Permit::Later(_) | Permit::Denied => continue,
+                Permit::Barred(_) if self.has_bar_trial() => None,
+                Permit::Later(_) | Permit::Barred(_) => continue,
             };
+            if let Some(trial) = &self.bar_trial {
+                trial.begin_send(&self.outbound);
+            }
             let limits = AttemptLimits {
                 deadline: self.deadline,
                 head_timeout: self.head_timeout(),
@@ -210,6 +223,7 @@
             let engine = &picked.facts;
             match result {
                 Ok(reply) if reply.facts.not_run || reply.facts.misdirected => {
+                    self.note_not_run();
                     self.note_rejection(&engine.id, &reply)?;
                 }
                 Ok(reply) => {
@@ -229,8 +243,11 @@
                     return Ok(reply);
                 }
                 // The item waits for its turn again; the engine is not at fault.
-                Err(AttemptFailure::Withheld) => {}
+                Err(AttemptFailure::Withheld) => self.note_not_run(),
                 Err(failure) => {
+                    if !failure.may_have_run() {
+                        self.note_not_run();
+                    }
                     self.tried.insert(engine.id.clone());
                     self.note_failure(&engine.id, failure)?;
                 }
@@ -288,11 +305,62 @@
         }
     }
 
+    /// Whether the request holds a trial of its bar that it has not used.
+    fn has_bar_trial(&self) -> bool {
+        self.bar_trial.as_ref().is_some_and(BarTrial::is_open)
+    }
+
+    /// Records that an engine did not run the request.
+    fn note_not_run(&self) {
+        if let Some(trial) = &self.bar_trial {
+            trial.note_not_run();
+        }
+    }
+
+    /// Asks for a trial of a barred request. Only batch items get one for what they are
+    /// themselves: they were accepted, while a caller comes again.
+    async fn seek_trial(&mut self, cause: Cause) -> Result<(), Refusal> {
+        if self.outbound.class == WorkClass::Online && matches!(cause, Cause::Request(_)) {
+            return Err(self.barred(&cause, BARRED_RETRY_AFTER));
+        }
+        match self.state.try_barred(&cause).await {
+            Ok(trial) => {
+                self.bar_trial = Some(trial);
+                Ok(())
+            }
+            Err(again_in) => Err(self.barred(&cause, again_in)),
+        }
+    }
+
+    /// Returns the refusal of a barred request, which may be tried again after `again_in`.
+    fn barred(&self, cause: &Cause, again_in: Duration) -> Refusal {
+        if self.runs > 0 {
+            return Refusal::AnswerLost;
+        }
+        if self.outbound.class == WorkClass::Online {
+            self.state.log_barred(&self.outbound, cause, again_in);
+        }
+        Refusal::Barred {
+            retry_after: again_in.clamp(MIN_BARRED_RETRY_AFTER, BARRED_RETRY_AFTER),
+        }
+    }
+
+    /// Returns until when the request waits for the decision whether engines may get it. A
+    /// batch item looks in between whether it is still to run.
+    fn permit_waits_until(&self) -> Timestamp {
+        match self.outbound.class {
+            WorkClass::Online => {
+                let time_limit = self.deadline.since(self.arrived);
+                self.arrived + time_limit.mul_f64(WAIT_SHARE)
+            }
+            WorkClass::Batch => self.state.now() + MAX_TURN,
+        }
+    }
+
     /// Waits until it is decided whether engines may get the request, while time is left for
     /// its answer.
-    async fn wait_until_permitted(&self) -> Result<(), Refusal> {
-        let time_limit = self.deadline.since(self.arrived);
-        let waits_until = self.arrived + time_limit.mul_f64(WAIT_SHARE);
+    async fn wait_until_permitted(&mut self) -> Result<(), Refusal> {
+        let waits_until = self.permit_waits_until();
         loop {
             match self.state.permit(&self.outbound) {
                 Permit::Granted | Permit::Trial(_) => return Ok(()),
@@ -303,12 +371,8 @@
                     let until = until.min(waits_until);
                     self.state.wait_until_settled(until).await;
                 }
-                Permit::Denied if self.runs > 0 => return Err(Refusal::AnswerLost),
-                Permit::Denied => {
-                    return Err(Refusal::Barred {
-                        retry_after: BARRED_RETRY_AFTER,
-                    });
-                }
+                Permit::Barred(_) if self.has_bar_trial() => return Ok(()),
+                Permit::Barred(cause) => return self.seek_trial(cause).await,
             }
         }
     }
--- a/crates/proxy/src/engine_ends.rs
+++ b/crates/proxy/src/engine_ends.rs
@@ -22,7 +22,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use molespan_http::h1::{self, Connection, SocketOptions};
-use molespan_routing::suspects::{FeatureDigest, Features, Shared, engine_key};
+use molespan_routing::suspects::{FeatureDigest, Features, Progress, Shared, engine_key};
 use molespan_types::Timestamp;
 use slog::{info, warn};
 
@@ -52,10 +52,6 @@
 /// longer than a gateway starved of processor time takes to read the end of a connection.
 const BLAME_PERIOD: Duration = Duration::from_secs(10);
 
-/// Maximum number of events behind which the parts of a request's prompt are still blamed for
-/// the end of its engine: a part that ends engines does so as they begin to write.
-const MAX_SUSPECT_EVENTS: u64 = 2;
-
 /// Maximum number of broken-off requests that wait for a check; several times as many as
 /// all engines of a service run.
 const MAX_WAITING: usize = 4_096;
@@ -69,6 +65,8 @@
     address: Option<SocketAddr>,
     /// Identifies the request when it is sent again, and what it has in common with others.
     features: Features,
+    /// How far its answer had got.
+    progress: Progress,
     /// Identifier of the request in this attempt.
     id: String,
 }
@@ -132,14 +130,17 @@
 impl GatewayState {
     /// Starts a check whether an engine that broke a request off has ended.
     pub fn check_engine(&self, engine: &str, request: &Outbound) {
+        let progress = request.progress();
         let mut features = request.features().clone();
-        if request.answered_events.get() > MAX_SUSPECT_EVENTS {
+        // Not blamed for a run that had lived.
+        if progress.has_lived() {
             features.shared.parts.clear();
         }
         let broken = BrokenRequest {
             engine: engine.to_owned(),
             address: self.engines.borrow().address(engine),
             features: features.clone(),
+            progress,
             id: request.id.clone(),
         };
         if self.broken_requests.waiting.0.try_send(broken).is_err() {
@@ -304,11 +305,12 @@
         let engine = engine_key(&one.engine);
         let mut suspects = state.suspects.borrow_mut();
         let Features { request, shared } = &one.features;
-        let Some(crashes) = suspects.blame(&one.features, engine, now) else {
+        let Some(crashes) = suspects.blame_within(&one.features, engine, one.progress, now) else {
             continue;
         };
         info!(state.logger, "engine ended under a request"; "request" => &one.id,
             "digest" => %request, "parts" => parts_text(shared), "engine" => &one.engine,
+            "resumed_after" => one.progress.resumed_after, "events" => one.progress.events,
             "crashes" => crashes, "requests_there" => broken.len());
     }
     state.request_report();
--- a/crates/proxy/src/gateway.rs
+++ b/crates/proxy/src/gateway.rs
@@ -19,6 +19,7 @@
 use molespan_wire::WatcherKind;
 use slog::{Logger, info};
 
+use crate::bar_trials::report_trials;
 use crate::bars::request_bars;
 use crate::batch;
 use crate::connection::serve_connection;
@@ -140,6 +141,7 @@
             .spawn(watch_reach(state.clone(), local.clone()))
             .detach();
         local.spawn(request_bars(state.clone())).detach();
+        local.spawn(report_trials(state.clone())).detach();
         local.spawn(report_streams(state.clone())).detach();
         let dialect = Rc::new(dialect);
         let callers = listen(options.caller_address)?;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod answer_progress;
 mod attempt;
+mod bar_trials;
 mod bars;
 mod batch;
 mod connection;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -25,6 +25,7 @@
 use slog::{Logger, info, warn};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::bar_trials::BarTrials;
 use crate::bars::{Bars, Trials};
 use crate::batch::BatchRuns;
 use crate::engine_ends::BrokenRequests;
@@ -96,6 +97,8 @@
     pub broken_requests: BrokenRequests,
     /// Bars of the control group.
     pub bars: Bars,
+    /// Trials of what is barred.
+    pub bar_trials: BarTrials,
     /// Client of the control group.
     pub control: Arc<Cluster>,
     /// Choice of the relay that forwards this gateway's reports where there are many
@@ -159,6 +162,7 @@
             trials: Trials::default(),
             broken_requests: BrokenRequests::default(),
             bars: Bars::default(),
+            bar_trials: BarTrials::default(),
             control,
             relay: RefCell::default(),
             pool: Pool::default(),
--- a/crates/routing/src/suspects/blame.rs
+++ b/crates/routing/src/suspects/blame.rs
@@ -35,6 +35,38 @@
     /// nodes of an older build.
     #[n(4)]
     pub shared: Option<SharedBlame>,
+    /// How far the answer had got when the engine ended; `None` from nodes of an older build.
+    #[n(5)]
+    pub progress: Option<Progress>,
+}
+
+/// How far the answer to a request had got when its engine ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Progress {
+    /// Number of the last event of the answer before this run, or 0.
+    #[n(0)]
+    pub resumed_after: u64,
+    /// Number of events in this run.
+    #[n(1)]
+    pub events: u64,
+}
+
+/// Number of events behind which an engine that ends is not counted against what it had
+/// begun to run: a request that ends engines does so as they begin to write.
+const MAX_SUSPECT_EVENTS: u64 = 2;
+
+impl Progress {
+    /// Whether the engine had run the request for a while before it ended.
+    #[must_use]
+    pub fn has_lived(self) -> bool {
+        self.events > MAX_SUSPECT_EVENTS
+    }
+
+    /// Returns the number of the last event.
+    #[must_use]
+    pub fn reached(self) -> u64 {
+        self.resumed_after.saturating_add(self.events)
+    }
 }
 
 /// What a request shares with others and may have ended an engine.
--- a/crates/routing/src/suspects/guilt.rs
+++ b/crates/routing/src/suspects/guilt.rs
@@ -7,7 +7,7 @@
 use molespan_types::Timestamp;
 
 use super::blame::EngineKey;
-use super::features::{FeatureDigest, Features};
+use super::features::{FeatureDigest, Features, Shared};
 use super::suspect::Suspect;
 use super::table::SuspectTable;
 
@@ -50,9 +50,30 @@
         /// Number of engines that ended while running it, or requests with its parts, as
         /// far as this node knows.
         crashes: usize,
+        /// What ends the engines.
+        cause: Cause,
     },
 }
 
+/// What ends engines: a request, or what it has in common with others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The request itself.
+    Request(RequestDigest),
+    /// A part of its prompt.
+    Part(FeatureDigest),
+}
+
+impl Cause {
+    /// Returns the digest under which the control group counts trials.
+    #[must_use]
+    pub fn digest(&self) -> &FeatureDigest {
+        match self {
+            Self::Request(digest) | Self::Part(digest) => digest,
+        }
+    }
+}
+
 impl SuspectTable {
     /// Whether a request may be sent to an engine.
     #[must_use]
@@ -65,7 +86,7 @@
         let mut unsettled = None;
         for case in self.part_cases(&features) {
             match self.part_verdict(&case, now) {
-                Verdict::Barred { crashes } => return Verdict::Barred { crashes },
+                barred @ Verdict::Barred { .. } => return barred,
                 Verdict::Unsettled { until } => unsettled = unsettled.max(Some(until)),
                 Verdict::Free | Verdict::Suspect { .. } => {}
             }
@@ -83,8 +104,8 @@
     fn verdict_alone(&self, features: &Features, now: Timestamp) -> Verdict {
         let request = &features.request;
         let crashes = self.crashes(request);
-        if self.has_bar(features, now) {
-            return Verdict::Barred { crashes };
+        if let Some(cause) = self.barred_cause(features, now) {
+            return Verdict::Barred { crashes, cause };
         }
         let Some(suspect) = self.suspects.get(request).filter(|_| crashes > 0) else {
             return Verdict::Free;
@@ -98,18 +119,49 @@
             return Verdict::Unsettled { until };
         }
         match self.is_guilty(request, suspect, now) {
-            true => Verdict::Barred { crashes },
+            true => Verdict::Barred {
+                crashes,
+                cause: Cause::Request(*request),
+            },
             false => Verdict::Suspect { crashes },
         }
     }
 
-    /// Whether the control group bars a request, or a part of its prompt.
-    #[must_use]
-    pub fn has_bar(&self, features: &Features, now: Timestamp) -> bool {
+    /// Returns what the control group bars a request for: itself, or a part of its prompt.
+    fn barred_cause(&self, features: &Features, now: Timestamp) -> Option<Cause> {
+        if self.is_barred(&features.request, now) {
+            return Some(Cause::Request(features.request));
+        }
         let tenant = features.shared.tenant.as_ref();
         let mut parts = features.shared.parts.iter();
-        self.is_barred(&features.request, now)
-            || parts.any(|part| self.is_part_barred(part, tenant, now))
+        let barred = parts.find(|part| self.is_part_barred(part, tenant, now));
+        barred.map(|part| Cause::Part(*part))
+    }
+
+    /// Returns the bars of the control group that hold for a request.
+    #[must_use]
+    pub fn bars_on(&self, features: &Features, now: Timestamp) -> Vec<FeatureDigest> {
+        let Shared { tenant, parts } = &features.shared;
+        let of_tenant = tenant.iter().flat_map(|tenant| {
+            let parts = parts.iter();
+            parts.map(|part| FeatureDigest::of_prompt_part_of_tenant(part, tenant))
+        });
+        let all = [features.request].into_iter().chain(parts.iter().copied());
+        all.chain(of_tenant)
+            .filter(|one| self.is_barred(one, now))
+            .collect()
+    }
+
+    /// When this node last learned of a crash with this cause; `None` if it knows of none.
+    #[must_use]
+    pub fn last_learned_at(&self, cause: &Cause) -> Option<Timestamp> {
+        match cause {
+            Cause::Request(request) => {
+                let suspect = self.suspects.get(request)?;
+                Some(suspect.last_learned_at())
+            }
+            Cause::Part(part) => self.part_learned_at(part),
+        }
     }
 
     pub(super) fn is_part_barred(
--- a/crates/routing/src/suspects/mod.rs
+++ b/crates/routing/src/suspects/mod.rs
@@ -15,6 +15,10 @@
 //! together, and only requests with all of them are kept from engines. A request with some
 //! of them is sent, and its outcome tells which of them it is.
 //!
+//! A request whose answer goes on behind the point at which an earlier engine ended is not the
+//! cause of that end: the same work did not end the later engine. So a long batch item that
+//! engines end under for other reasons collects no crashes while it makes progress.
+//!
 //! The module does no I/O: the caller passes in the time and delivers the blames.
 
 mod blame;
@@ -25,7 +29,7 @@
 mod suspect;
 mod table;
 
-pub use blame::{Blame, EngineKey, SharedBlame, engine_key};
+pub use blame::{Blame, EngineKey, Progress, SharedBlame, engine_key};
 pub use features::{FeatureDigest, Features, Shared};
-pub use guilt::Verdict;
+pub use guilt::{Cause, Verdict};
 pub use table::SuspectTable;
--- a/crates/routing/src/suspects/part_guilt.rs
+++ b/crates/routing/src/suspects/part_guilt.rs
@@ -8,7 +8,8 @@
 use super::blame::EngineKey;
 use super::features::{FeatureDigest, Features, Shared};
 use super::guilt::{
-    ALWAYS_GUILTY_CRASHES, GUILTY_CRASHES, SETTLED_AFTER, UNEXPLAINED_PER_EXTRA_CRASH, Verdict,
+    ALWAYS_GUILTY_CRASHES, Cause, GUILTY_CRASHES, SETTLED_AFTER, UNEXPLAINED_PER_EXTRA_CRASH,
+    Verdict,
 };
 use super::suspect::Crash;
 use super::table::SuspectTable;
@@ -74,10 +75,14 @@
         if crashes < GUILTY_CRASHES || !self.is_part_guilty(case, now) {
             return Verdict::Suspect { crashes };
         }
-        let until = self.part_learned_at(&case.part) + SETTLED_AFTER;
+        let learned_at = self.part_learned_at(&case.part);
+        let until = learned_at.unwrap_or_default() + SETTLED_AFTER;
         match now < until {
             true => Verdict::Unsettled { until },
-            false if self.others_are_served(case, now) => Verdict::Barred { crashes },
+            false if self.others_are_served(case, now) => Verdict::Barred {
+                crashes,
+                cause: Cause::Part(case.part),
+            },
             false => Verdict::Suspect { crashes },
         }
     }
@@ -296,11 +301,11 @@
     }
 
     /// When this node last learned of another crash of a part.
-    pub(super) fn part_learned_at(&self, part: &FeatureDigest) -> Timestamp {
+    pub(super) fn part_learned_at(&self, part: &FeatureDigest) -> Option<Timestamp> {
         let crashes = self.parts.cases(part);
         let learned_at = crashes.filter_map(|(engine, request)| {
             self.crash(&request, engine).map(|crash| crash.learned_at)
         });
-        learned_at.max().unwrap_or(Timestamp::ZERO)
+        learned_at.max()
     }
 }
--- a/crates/routing/src/suspects/suspect.rs
+++ b/crates/routing/src/suspects/suspect.rs
@@ -4,7 +4,7 @@
 
 use molespan_types::Timestamp;
 
-use super::blame::{EngineKey, SharedBlame};
+use super::blame::{EngineKey, Progress, SharedBlame};
 use super::features::FeatureDigest;
 
 /// Maximum number of crashes kept per request. A guilty request is not sent any more, so
@@ -24,6 +24,8 @@
     pub own: bool,
     /// What the request shares with others, if that is blamed too.
     pub shared: Option<SharedBlame>,
+    /// How far the answer had got, if it is known.
+    pub progress: Option<Progress>,
 }
 
 impl Crash {
@@ -95,11 +97,19 @@
         changed
     }
 
-    /// Crashes that the request is still blamed for.
+    /// Crashes that the request is still blamed for: those that no whole answer cleared, and
+    /// that no later run got beyond.
     pub fn blamed(&self) -> impl Iterator<Item = (EngineKey, &Crash)> {
+        let lived = self.crashes.values().filter_map(|crash| crash.progress);
+        let lived = lived.filter(|progress| progress.has_lived());
+        let furthest = lived.map(Progress::reached).max().unwrap_or_default();
+        let is_passed = move |crash: &Crash| {
+            let progress = crash.progress;
+            progress.is_some_and(|progress| progress.reached() < furthest)
+        };
         let crashes = self.crashes.iter();
         crashes
-            .filter(|(_, crash)| !crash.cleared)
+            .filter(move |(_, crash)| !crash.cleared && !is_passed(crash))
             .map(|(&engine, crash)| (engine, crash))
     }
 
--- a/crates/routing/src/suspects/table.rs
+++ b/crates/routing/src/suspects/table.rs
@@ -7,9 +7,9 @@
 use molespan_state::declared::RequestDigest;
 use molespan_types::Timestamp;
 
-use super::blame::{Blame, EngineKey};
+use super::blame::{Blame, EngineKey, Progress};
 use super::features::{FeatureDigest, Features};
-use super::guilt::{GUILTY_CRASHES, Verdict};
+use super::guilt::{Cause, GUILTY_CRASHES, Verdict};
 use super::parts::{Case, PartCrashes};
 use super::suspect::{Crash, Suspect};
 
@@ -79,13 +79,25 @@
         self.bars.len()
     }
 
-    /// Records that this gateway had a request at an engine that ended. Returns the
-    /// number of crashes that the request is now blamed for, if this one is new.
+    /// Records that this gateway had a request at an engine that ended before it began to
+    /// answer. Returns the number of crashes that the request is now blamed for, if this one
+    /// is new.
     pub fn blame(
         &mut self,
         request: impl Into<Features>,
         engine: EngineKey,
         now: Timestamp,
+    ) -> Option<usize> {
+        self.blame_within(request, engine, Progress::default(), now)
+    }
+
+    /// The same, for a request whose answer had got so far.
+    pub fn blame_within(
+        &mut self,
+        request: impl Into<Features>,
+        engine: EngineKey,
+        progress: Progress,
+        now: Timestamp,
     ) -> Option<usize> {
         let Features { request, shared } = request.into();
         let crash = Crash {
@@ -94,6 +106,7 @@
             cleared: false,
             own: true,
             shared: (!shared.parts.is_empty()).then(|| shared.into()),
+            progress: Some(progress),
         };
         let is_new = self.insert(request, engine, crash);
         is_new.then(|| self.crashes(&request))
@@ -110,6 +123,7 @@
                 cleared: blame.cleared,
                 own: false,
                 shared: blame.shared.clone(),
+                progress: blame.progress,
             };
             is_new |= self.insert(blame.request, blame.engine, crash);
         }
@@ -250,6 +264,15 @@
         self.suspects.get(request).map_or(0, Suspect::count)
     }
 
+    /// Number of crashes that are blamed on a cause.
+    #[must_use]
+    pub fn crashes_of(&self, cause: &Cause) -> usize {
+        match cause {
+            Cause::Request(request) => self.crashes(request),
+            Cause::Part(part) => self.parts.count(part),
+        }
+    }
+
     /// Returns until when a batch item has to wait after several engines ended while
     /// running it: by then, another request that was the cause has been found. `None` if
     /// it need not wait.
@@ -289,7 +312,7 @@
     fn guilty_parts(&self, now: Timestamp) -> Vec<(FeatureDigest, usize)> {
         let mut bars = Vec::new();
         for part in self.candidate_parts() {
-            let learned_at = self.part_learned_at(part);
+            let learned_at = self.part_learned_at(part).unwrap_or_default();
             // Until then, answers may show which of several parts it is.
             if now.since(learned_at) < PART_BAR_DELAY {
                 continue;
@@ -320,13 +343,6 @@
                 .any(|part| !self.is_barred(part, now))
     }
 
-    /// Time since this node learned of the latest crash of a request.
-    #[must_use]
-    pub fn last_learned_age(&self, request: &RequestDigest, now: Timestamp) -> Option<Duration> {
-        let suspect = self.suspects.get(request)?;
-        Some(now.since(suspect.last_learned_at()))
-    }
-
     /// Whether there are new blames to send.
     #[must_use]
     pub fn has_news(&self) -> bool {
@@ -391,6 +407,7 @@
             age_ms: now.since(crash.at).as_millis() as u64,
             cleared: crash.cleared,
             shared: crash.shared.clone(),
+            progress: crash.progress,
         })
     }
 
--- a/crates/routing/tests/suspect_schedules/world.rs
+++ b/crates/routing/tests/suspect_schedules/world.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use molespan_routing::suspects::{
-    Blame, FeatureDigest, Features, Shared, SuspectTable, Verdict, engine_key,
+    Blame, Cause, FeatureDigest, Features, Shared, SuspectTable, Verdict, engine_key,
 };
 use molespan_state::declared::{RequestDigest, RequestParts};
 use molespan_types::Timestamp;
@@ -548,7 +548,10 @@
         let crashes = table.crashes(&features.request);
         match self.plan.rule {
             Rule::None => Verdict::Free,
-            Rule::Count if crashes >= 3 => Verdict::Barred { crashes },
+            Rule::Count if crashes >= 3 => Verdict::Barred {
+                crashes,
+                cause: Cause::Request(features.request),
+            },
             Rule::Count => Verdict::Free,
             Rule::Table => table.verdict(features, self.now()),
         }
--- a/crates/routing/tests/suspects.rs
+++ b/crates/routing/tests/suspects.rs
@@ -4,7 +4,8 @@
 
 use minicbor::{Decode, Encode};
 use molespan_routing::suspects::{
-    Blame, FeatureDigest, Features, Shared, SharedBlame, SuspectTable, Verdict, engine_key,
+    Blame, FeatureDigest, Features, Progress, Shared, SharedBlame, SuspectTable, Verdict,
+    engine_key,
 };
 use molespan_state::declared::{RequestDigest, RequestParts};
 use molespan_types::Timestamp;
@@ -73,6 +74,7 @@
         age_ms: 50,
         cleared: false,
         shared: None,
+        progress: None,
     };
     for millis in [100, 200, 90_000] {
         assert!(!table.note(&[reported.clone(), reported.clone()], now(millis)));
@@ -98,6 +100,52 @@
     assert_eq!(other.crashes(&request(1)), 1);
 }
 
+/// A table of engines that ended one after another under one request, whose answer had got so
+/// far: (number of the last event before the run, number of events in the run).
+fn table_of_runs(runs: &[(u64, u64)]) -> SuspectTable {
+    let mut table = SuspectTable::default();
+    for (number, &(resumed_after, events)) in (1_u64..).zip(runs) {
+        let progress = Progress {
+            resumed_after,
+            events,
+        };
+        table.blame_within(request(1), engine(number), progress, now(number * 1_000));
+    }
+    table
+}
+
+// Guards against giving up a sound item that goes on from engine to engine as each one ends.
+#[test]
+fn a_request_that_gets_further_at_each_engine_that_ends_collects_no_crashes() {
+    let mut table = table_of_runs(&[(0, 11), (11, 18), (29, 11), (40, 9), (49, 4), (53, 30)]);
+    assert_eq!(table.crashes(&request(1)), 1);
+    assert!(!is_barred(&table, 1, 9_000));
+    // Others learn of it, in whatever order the reports arrive.
+    let mut blames = table.blames_to_send(now(9_000));
+    blames.reverse();
+    let mut other = SuspectTable::default();
+    other.note(&blames, now(9_100));
+    assert!(!is_barred(&other, 1, 99_000));
+}
+
+// Guards against taking the first events of each run for progress: what ends engines as it
+// begins to write would never be barred.
+#[test]
+fn a_request_that_ends_engines_as_it_begins_to_write_is_guilty_wherever_it_goes_on() {
+    assert!(is_barred(
+        &table_of_runs(&[(0, 2), (2, 2), (4, 1)]),
+        1,
+        9_000
+    ));
+    assert!(is_barred(
+        &table_of_runs(&[(0, 50), (50, 0), (50, 1)]),
+        1,
+        9_000
+    ));
+    let again = table_of_runs(&[(0, 50), (0, 50), (0, 50)]);
+    assert!(is_barred(&again, 1, 9_000), "always at the same event");
+}
+
 #[test]
 fn a_request_that_ran_beside_a_guilty_one_each_time_is_not_guilty() {
     // The same three engines ended with both requests: neither can be identified yet.
@@ -377,6 +425,7 @@
         age_ms: 400,
         cleared: false,
         shared: Some(with_parts(5, &["e", "turns"]).shared.into()),
+        progress: None,
     };
     table.note(&[late], now(800));
     assert!(!is_kept_off(&table, &completed, 2_000));
@@ -520,6 +569,7 @@
             shared: of_tenant("one", with_parts(1, &["a", "b"])).shared,
             cleared: 2,
         }),
+        progress: None,
     };
     let bytes = molespan_state::encode(&vec![with.clone()]);
     let read: Vec<BlameBeforeParts> = minicbor::decode(&bytes).expect("a blame");
@@ -549,6 +599,7 @@
                 shared: with_parts(one, &["first", ["a", "b"][one as usize % 2]]).shared,
                 cleared: parts_cleared,
             }),
+            progress: None,
         },
     );
     proptest::collection::vec(blame, 0..30)
--- a/crates/state/src/declared/bars.rs
+++ b/crates/state/src/declared/bars.rs
@@ -24,7 +24,7 @@
     /// Number of engines that had crashed on the request by then.
     #[n(1)]
     pub crashes: u32,
-    /// Whether an operator lifted the bar.
+    /// Whether an operator or a trial lifted the bar.
     #[n(2)]
     pub lifted: bool,
     /// Change counter over all bars, used to detect outdated information.
@@ -95,6 +95,20 @@
         true
     }
 
+    /// Lifts the bar on a request that an engine ran and survived, also if there is none.
+    pub(super) fn clear(&mut self, request: RequestDigest) {
+        self.changes += 1;
+        let known = self.known.get(&request);
+        let bar = Bar {
+            since_ms: known.map_or(0, |bar| bar.since_ms),
+            crashes: known.map_or(0, |bar| bar.crashes),
+            lifted: true,
+            change: self.changes,
+        };
+        self.known.insert(request, bar);
+        self.evict_oldest();
+    }
+
     fn evict_oldest(&mut self) {
         while self.known.len() > MAX_BARS {
             let oldest = self.known.iter().min_by_key(|(_, bar)| bar.change);
--- a/crates/state/src/declared/command.rs
+++ b/crates/state/src/declared/command.rs
@@ -10,6 +10,7 @@
 use super::model::ServingModel;
 use super::request_digest::RequestDigest;
 use super::stores::Retirement;
+use super::trials::{TrialOutcome, TrialReply};
 
 /// A complete configuration sent by an operator. It has already been validated.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -108,6 +109,26 @@
         #[n(0)]
         request: RequestDigest,
     },
+    /// Asks for a trial of a barred request, or of a part of prompts.
+    #[n(7)]
+    Try {
+        /// Request or part.
+        #[n(0)]
+        request: RequestDigest,
+        /// Current time at the proposer, in milliseconds since 1970.
+        #[n(1)]
+        now_ms: u64,
+    },
+    /// Records how a trial ended.
+    #[n(8)]
+    TrialEnded {
+        /// Request or part.
+        #[n(0)]
+        request: RequestDigest,
+        /// Outcome.
+        #[n(1)]
+        outcome: TrialOutcome,
+    },
 }
 
 /// Reply to [`DeclaredCommand::Retire`].
@@ -144,4 +165,7 @@
     /// Reply to [`DeclaredCommand::Retire`].
     #[n(2)]
     Retire(#[n(0)] RetireReply),
+    /// Reply to [`DeclaredCommand::Try`].
+    #[n(3)]
+    Trial(#[n(0)] TrialReply),
 }
--- a/crates/state/src/declared/mod.rs
+++ b/crates/state/src/declared/mod.rs
@@ -18,6 +18,7 @@
 mod stores;
 mod stream;
 mod tenants;
+mod trials;
 
 pub use bars::{BAR_DURATION, Bar, Bars};
 pub use command::{Declaration, DeclaredCommand, DeclaredReply, RegisterStore, RetireReply};
@@ -31,3 +32,4 @@
 pub use stores::{Retirement, StoreNode, Stores};
 pub use stream::{StreamKey, StreamOrigin};
 pub use tenants::{KeyDigest, RateLimit, Tenant};
+pub use trials::{MAX_TRIALS, TrialOutcome, TrialReply, Trials};
--- a/crates/state/src/declared/state.rs
+++ b/crates/state/src/declared/state.rs
@@ -7,7 +7,9 @@
 use super::departures::Departures;
 use super::document::Document;
 use super::model::ServingModel;
+use super::request_digest::RequestDigest;
 use super::stores::Stores;
+use super::trials::{TrialOutcome, Trials};
 
 /// The declared configuration in force.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -39,6 +41,10 @@
     #[n(4)]
     #[cbor(default)]
     bars: Bars,
+    /// Trials of barred requests; absent in older snapshots.
+    #[n(5)]
+    #[cbor(default)]
+    trials: Trials,
 }
 
 impl DeclaredState {
@@ -113,8 +119,16 @@
             }
             DeclaredCommand::LiftBar { request } => {
                 let changed = self.bars.lift(request);
+                self.trials.remove(request);
                 self.count_change(changed)
             }
+            DeclaredCommand::Try { request, now_ms } => {
+                DeclaredReply::Trial(self.trials.grant(*request, *now_ms))
+            }
+            DeclaredCommand::TrialEnded { request, outcome } => {
+                self.end_trial(request, *outcome);
+                DeclaredReply::Noted
+            }
         }
     }
 
@@ -132,6 +146,19 @@
         }
     }
 
+    /// A sound request is no longer barred, and all gateways are told, also those that found
+    /// it guilty by themselves.
+    fn end_trial(&mut self, request: &RequestDigest, outcome: TrialOutcome) {
+        match outcome {
+            TrialOutcome::Sound => {
+                self.bars.clear(*request);
+                self.trials.remove(request);
+                self.revision += 1;
+            }
+            TrialOutcome::NotRun { asked_ms } => self.trials.take_back(request, asked_ms),
+        }
+    }
+
     fn count_change(&mut self, changed: bool) -> DeclaredReply {
         self.revision += u64::from(changed);
         DeclaredReply::Noted
--- /dev/null
+++ b/crates/state/src/declared/trials.rs
@@ -0,0 +1,122 @@
+//! Trials of barred requests: single sends that show whether a bar is still justified.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use minicbor::{Decode, Encode};
+
+use super::bars::BAR_DURATION;
+use super::request_digest::RequestDigest;
+
+/// Number of trials within the duration of a bar, over all gateways. Operators allow three
+/// sends after the crashes that lead to a bar; one of them is left for a gateway that has
+/// not heard of the bar.
+pub const MAX_TRIALS: u32 = 2;
+/// Least time between two trials: longer than an answer takes, and than an engine that the
+/// first one ended takes to return.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(8);
+/// The same behind a trial in which no engine ran the request.
+const RETURNED_INTERVAL: Duration = Duration::from_secs(2);
+/// Maximum number of retained entries; those with the oldest trials are evicted first. Each
+/// takes about 30 bytes.
+const MAX_ENTRIES: usize = 1_024;
+
+/// How a trial ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum TrialOutcome {
+    /// An engine stayed up while it ran the request, which is therefore not the cause of
+    /// earlier crashes.
+    #[n(0)]
+    Sound,
+    /// No engine ran the request.
+    #[n(1)]
+    NotRun {
+        /// When the trial was asked for, in milliseconds since 1970.
+        #[n(0)]
+        asked_ms: u64,
+    },
+}
+
+/// Reply to a gateway that asks for a trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum TrialReply {
+    /// The gateway may send one request.
+    #[n(0)]
+    Granted,
+    /// No request may be sent now.
+    #[n(1)]
+    Denied {
+        /// Time until the next trial may be granted, in milliseconds.
+        #[n(0)]
+        again_in_ms: u64,
+    },
+}
+
+/// Trials of one barred request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+struct Granted {
+    #[n(0)]
+    count: u32,
+    /// When the latest trial was asked for, in milliseconds since 1970.
+    #[n(1)]
+    asked_ms: u64,
+    /// When the next one may be granted.
+    #[n(2)]
+    due_ms: u64,
+}
+
+/// Trials of barred requests. One count for all gateways, so that those that start anew do
+/// not grant themselves more.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Trials {
+    #[n(0)]
+    granted: BTreeMap<RequestDigest, Granted>,
+}
+
+impl Trials {
+    /// Grants or denies a trial at `now_ms`, in milliseconds since 1970.
+    pub(super) fn grant(&mut self, request: RequestDigest, now_ms: u64) -> TrialReply {
+        let known = self.granted.get(&request);
+        let again_in_ms = known.map_or(0, |known| known.due_ms.saturating_sub(now_ms));
+        if again_in_ms > 0 {
+            return TrialReply::Denied { again_in_ms };
+        }
+        let count = known.map_or(0, |known| known.count % MAX_TRIALS) + 1;
+        let pause = match count < MAX_TRIALS {
+            true => TRIAL_INTERVAL,
+            false => BAR_DURATION,
+        };
+        let granted = Granted {
+            count,
+            asked_ms: now_ms,
+            due_ms: now_ms + pause.as_millis() as u64,
+        };
+        self.granted.insert(request, granted);
+        self.evict_oldest();
+        TrialReply::Granted
+    }
+
+    /// Takes back a trial in which no engine ran the request.
+    pub(super) fn take_back(&mut self, request: &RequestDigest, asked_ms: u64) {
+        let granted = self.granted.get_mut(request);
+        if let Some(granted) = granted.filter(|one| one.asked_ms == asked_ms && one.count > 0) {
+            granted.count -= 1;
+            granted.due_ms = asked_ms + RETURNED_INTERVAL.as_millis() as u64;
+        }
+    }
+
+    /// Forgets the trials of a request that is no longer barred.
+    pub(super) fn remove(&mut self, request: &RequestDigest) {
+        self.granted.remove(request);
+    }
+
+    fn evict_oldest(&mut self) {
+        while self.granted.len() > MAX_ENTRIES {
+            let oldest = self.granted.iter().min_by_key(|(_, one)| one.asked_ms);
+            let Some(request) = oldest.map(|(request, _)| *request) else {
+                return;
+            };
+            self.granted.remove(&request);
+        }
+    }
+}
--- a/crates/state/tests/bars.rs
+++ b/crates/state/tests/bars.rs
@@ -5,6 +5,7 @@
 };
 use molespan_state::declared::{
     BAR_DURATION, Bar, DeclaredCommand, DeclaredReply, DeclaredState, RequestDigest, RequestParts,
+    TrialOutcome, TrialReply, Trials,
 };
 use molespan_state::{decode, encode};
 
@@ -104,11 +105,99 @@
     let bytes = encode(machine.declared());
     let read: DeclaredState = decode(&bytes).expect("a state");
     assert_eq!(&read, machine.declared());
-    // The encoding before bars were introduced: four fields, without the last one.
+    // The encodings before trials and bars were introduced, without the last fields.
     let mut old = encode(&DeclaredState::default());
-    assert_eq!(old[0], 0x85, "an array of five");
-    old[0] = 0x84;
-    old.truncate(old.len() - encode(DeclaredState::default().bars()).len());
-    let read: DeclaredState = decode(&old).expect("a state written before bars existed");
-    assert_eq!(read, DeclaredState::default());
+    assert_eq!(old[0], 0x86, "an array of six");
+    for (fields, last) in [
+        (0x85, encode(&Trials::default())),
+        (0x84, encode(DeclaredState::default().bars())),
+    ] {
+        old[0] = fields;
+        old.truncate(old.len() - last.len());
+        let read: DeclaredState = decode(&old).expect("a state written before they existed");
+        assert_eq!(read, DeclaredState::default());
+    }
+}
+
+fn ask_for_trial(machine: &mut ControlMachine, number: u64, now_ms: u64) -> TrialReply {
+    let command = DeclaredCommand::Try {
+        request: request(number),
+        now_ms,
+    };
+    match machine.apply(&ControlCommand::Declared(command)) {
+        ControlReply::Declared(DeclaredReply::Trial(reply)) => reply,
+        other => panic!("unexpected reply {other:?}"),
+    }
+}
+
+fn end_trial(machine: &mut ControlMachine, number: u64, outcome: TrialOutcome) {
+    let request = request(number);
+    apply(machine, DeclaredCommand::TrialEnded { request, outcome });
+}
+
+fn is_granted(machine: &mut ControlMachine, number: u64, now_ms: u64) -> bool {
+    ask_for_trial(machine, number, now_ms) == TrialReply::Granted
+}
+
+// Guards against a new count at each gateway: operators allow three sends over all of them.
+#[test]
+fn trials_are_granted_one_at_a_time_and_twice_a_day_over_all_gateways() {
+    let mut machine = ControlMachine::default();
+    assert!(is_granted(&mut machine, 1, NOW));
+    let TrialReply::Denied { again_in_ms } = ask_for_trial(&mut machine, 1, NOW + 1_000) else {
+        panic!("a second trial beside the first");
+    };
+    assert!((1_000..20_000).contains(&again_in_ms), "{again_in_ms}");
+    let second = NOW + 1_000 + again_in_ms;
+    assert!(is_granted(&mut machine, 1, second));
+    let day = BAR_DURATION.as_millis() as u64;
+    assert!(!is_granted(&mut machine, 1, second + day - 1));
+    assert!(is_granted(&mut machine, 2, second), "another request");
+    assert!(is_granted(&mut machine, 1, second + day));
+    let bytes = encode(machine.declared());
+    let read: DeclaredState = decode(&bytes).expect("a state");
+    assert_eq!(&read, machine.declared());
+}
+
+// Guards against a request that waits for a day because gateways were too busy to send it.
+#[test]
+fn a_trial_in_which_no_engine_ran_the_request_is_not_counted() {
+    let mut machine = ControlMachine::default();
+    let mut now_ms = NOW;
+    for _ in 0..5 {
+        assert!(is_granted(&mut machine, 1, now_ms));
+        end_trial(&mut machine, 1, TrialOutcome::NotRun { asked_ms: now_ms });
+        // Reported again, or about a trial that was granted to another gateway.
+        end_trial(
+            &mut machine,
+            1,
+            TrialOutcome::NotRun {
+                asked_ms: now_ms - 7,
+            },
+        );
+        now_ms += 2_000;
+    }
+    assert!(is_granted(&mut machine, 1, now_ms));
+    assert!(!is_granted(&mut machine, 1, now_ms + 2_000));
+}
+
+// Guards against a bar that holds for a day though an engine ran the request and stayed up.
+#[test]
+fn a_request_that_an_engine_survived_is_no_longer_barred() {
+    let mut machine = ControlMachine::default();
+    bar_request(&mut machine, 1, NOW);
+    let held = bar(&machine, 1).expect("a bar");
+    let revision = machine.declared().revision();
+    assert!(is_granted(&mut machine, 1, NOW));
+    end_trial(&mut machine, 1, TrialOutcome::Sound);
+    let lifted = bar(&machine, 1).expect("the lifted bar is retained");
+    assert!(lifted.lifted && lifted.change > held.change);
+    assert!(
+        machine.declared().revision() > revision,
+        "gateways are told"
+    );
+    assert!(is_granted(&mut machine, 1, NOW + 1), "counted anew");
+    // One that only gateways found guilty is reported to them too.
+    end_trial(&mut machine, 2, TrialOutcome::Sound);
+    assert!(bar(&machine, 2).is_some_and(|bar| bar.lifted));
 }
