A gateway gives up no items of routes that it has not heard of

Cause: a gateway that lacks the newest configuration took "my copy has no such route" for "the route is gone". Evidence: the lines "item dead-lettered, its route is gone" are of the gateway whose zone's control node stands still, 0.4 s before it gets that version.

Why this works: before it gives an item up, the gateway asks the control group, behind the taking of the item, for the newest version, and gives the item back if that is not its own. The job was accepted under a version that was acknowledged before, so none is missed; jobs of older builds are covered, since nothing about them has to be stored.

--- a/crates/daemon/src/cluster/declared.rs
+++ b/crates/daemon/src/cluster/declared.rs
@@ -38,4 +38,18 @@
             other => Err(unexpected(&other)),
         }
     }
+
+    /// Returns the version of the declared configuration in force, including every change
+    /// acknowledged before the call; 0 before the first declaration.
+    ///
+    /// # Errors
+    /// When no leader answered before the deadline.
+    pub async fn declared_version(&self, deadline: Duration) -> Result<u64, ClusterError> {
+        let query = ControlQuery::DeclaredVersion;
+        let answer = self.query_within(GroupId::CONTROL, &query, deadline);
+        match answer.await? {
+            ControlAnswer::DeclaredVersion(version) => Ok(version),
+            other => Err(unexpected(&other)),
+        }
+    }
 }
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -10,8 +10,8 @@
 use molespan_http::h1::Headers;
 use molespan_routing::dispatch::{PromptCost, WorkClass};
 use molespan_state::batch::{ItemOutcome, ItemToRun, Output};
-use molespan_state::declared::{Route, StreamOrigin};
-use molespan_types::SoftwareVersion;
+use molespan_state::declared::{Route, RouteKind, StreamOrigin};
+use molespan_types::{SoftwareVersion, Timestamp};
 use slog::info;
 
 use super::preemption::RunGuard;
@@ -20,7 +20,7 @@
 use crate::dispatch::Dispatch;
 use crate::events::EventParser;
 use crate::silence::InactivityTimer;
-use crate::state::GatewayState;
+use crate::state::{GatewayState, InForce};
 
 /// Maximum time of one run, far longer than an item takes.
 const RUN_TIMEOUT: Duration = Duration::from_secs(60);
@@ -59,22 +59,42 @@
     },
 }
 
-/// Runs an item until it has an outcome.
+/// Returns the route of an item, if its configuration has one that runs items.
+fn item_route<'a>(in_force: &'a InForce, item: &ItemToRun) -> Option<&'a Route> {
+    let route = in_force.model.route(&item.host, &item.item.path)?;
+    (route.kind == RouteKind::Batch).then_some(route)
+}
+
+/// Returns the outcome of an item without a route; `None` if this gateway may only lack the
+/// route because its configuration is older than the job.
+async fn without_route(
+    state: &GatewayState,
+    item: &ItemToRun,
+    version: u64,
+    taken_at: Timestamp,
+) -> Option<ItemOutcome> {
+    if state.is_newest_version(version, taken_at).await {
+        return Some(dead_letter(state, item, "its route is gone"));
+    }
+    info!(state.logger, "item given back, its route is not known here"; "item" => &item.item.id,
+        "version" => version);
+    None
+}
+
+/// Runs an item until it has an outcome; returns `None` if another gateway is to run it.
 pub(super) async fn run_item<D: GatewayDialect>(
     state: &Rc<GatewayState>,
     dialect: &D,
     item: &ItemToRun,
     output: &SharedOutput,
-) -> ItemOutcome {
+) -> Option<ItemOutcome> {
+    let taken_at = state.now();
     let mut failures = 0;
     let mut was_held_back = false;
     loop {
-        let Some(in_force) = state.in_force() else {
-            Timer::after(RETRY_PAUSE).await;
-            continue;
-        };
-        let Some(route) = in_force.model.route(&item.host, &item.item.path) else {
-            return dead_letter(state, item, "its route is gone");
+        let in_force = state.in_force()?;
+        let Some(route) = item_route(&in_force, item) else {
+            return without_route(state, item, in_force.version, taken_at).await;
         };
         let origin = usable_origin(state, route, item, output).await;
         let service = match &origin {
@@ -82,19 +102,19 @@
             None => in_force.service(route),
         };
         let Some(service) = service else {
-            return dead_letter(state, item, "its route is gone");
+            return without_route(state, item, in_force.version, taken_at).await;
         };
         if is_expired(route, item) {
-            return dead_letter(state, item, "its retention expired");
+            return Some(dead_letter(state, item, "its retention expired"));
         }
         let version = origin.map(|origin| origin.version);
         let run = run_once(state, dialect, route, service, version, item, output).await;
         match run {
             RunResult::Complete => {
                 let text = output.borrow().text();
-                return ItemOutcome::Completed { text };
+                return Some(ItemOutcome::Completed { text });
             }
-            RunResult::Impossible => return dead_letter(state, item, "no engine can run it"),
+            RunResult::Impossible => return Some(dead_letter(state, item, "no engine can run it")),
             RunResult::Barred { again_in } => {
                 if !std::mem::replace(&mut was_held_back, true) {
                     info!(state.logger, "item held back"; "item" => &item.item.id,
@@ -106,7 +126,11 @@
             RunResult::Failed => {
                 failures += 1;
                 if failures >= route.max_attempts.max(1) {
-                    return dead_letter(state, item, "it failed the maximum number of times");
+                    return Some(dead_letter(
+                        state,
+                        item,
+                        "it failed the maximum number of times",
+                    ));
                 }
             }
             RunResult::Broken | RunResult::Deferred => {}
--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -41,6 +41,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Minimum time between two calls.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which no items are taken after one was given back, in which a newer configuration
+/// arrives; other gateways run such items meanwhile.
+const GIVEN_BACK_PAUSE: Duration = Duration::from_secs(1);
 /// Maximum number of items taken at once, so that a large backlog spreads over the
 /// gateways.
 const MAX_ITEMS_PER_CALL: u32 = 4;
@@ -65,6 +68,8 @@
     life: u64,
     /// Number of the latest call for items.
     calls: Cell<u64>,
+    /// When items are taken again after one was given back.
+    takes_after: Cell<Timestamp>,
 }
 
 /// An item that runs here.
@@ -86,6 +91,7 @@
         running: RefCell::default(),
         life: rand::random(),
         calls: Cell::new(0),
+        takes_after: Cell::new(Timestamp::ZERO),
     });
     let mut renewed = runner.state.now();
     let mut answered = true;
@@ -149,6 +155,9 @@
         let Some(in_force) = self.state.in_force().filter(|_| !self.state.is_stopping()) else {
             return 0;
         };
+        if self.state.now() < self.takes_after.get() {
+            return 0;
+        }
         let services = batch_services(&in_force.model);
         let engines = self.state.engines.borrow();
         let now = self.state.now();
@@ -274,7 +283,12 @@
         let shared = output.clone();
         let work = async move {
             let outcome = run_item(&runner.state, &*runner.dialect, &item, &shared).await;
-            runner.record(reference, outcome).await;
+            match outcome {
+                Some(outcome) => runner.record(reference, outcome).await,
+                None => runner
+                    .takes_after
+                    .set(runner.state.now() + GIVEN_BACK_PAUSE),
+            }
             // The task must not drop itself while it runs.
             let own = runner.running.borrow_mut().remove(&reference);
             if let Some(own) = own {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -25,6 +25,7 @@
 mod first;
 mod gateway;
 mod metrics;
+mod newest_version;
 mod pace;
 mod pool;
 pub mod queue;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -31,6 +31,7 @@
 use crate::engine_ends::BrokenRequests;
 use crate::gateway::GatewayOptions;
 use crate::metrics::GatewayMetrics;
+use crate::newest_version::NewestVersion;
 use crate::pace::PaceWatch;
 use crate::pool::Pool;
 use crate::queue::ServiceQueue;
@@ -127,6 +128,8 @@
     /// Clock that keeps running while the machine is suspended.
     pub clock: BootClock,
     in_force: RefCell<Option<Rc<InForce>>>,
+    /// The newest version of the configuration, as the control group answered.
+    pub newest_version: NewestVersion,
     /// Reported engines that cannot be used.
     unusable: RefCell<RefusalLog>,
     topology: RefCell<Topology>,
@@ -178,6 +181,7 @@
             pace: PaceWatch::default(),
             clock: options.clock.clone(),
             in_force: RefCell::default(),
+            newest_version: NewestVersion::default(),
             unusable: RefCell::default(),
             topology: RefCell::default(),
             topology_view: RefCell::default(),
--- a/crates/state/src/control/machine.rs
+++ b/crates/state/src/control/machine.rs
@@ -104,6 +104,9 @@
             }
             ControlQuery::Nodes => ControlAnswer::Nodes(self.nodes.records()),
             ControlQuery::Declared => ControlAnswer::Declared(Box::new(self.declared.clone())),
+            ControlQuery::DeclaredVersion => {
+                ControlAnswer::DeclaredVersion(self.declared.version())
+            }
             ControlQuery::Orders => ControlAnswer::Orders(self.orders.latest().clone()),
         }
     }
--- a/crates/state/src/control/query.rs
+++ b/crates/state/src/control/query.rs
@@ -42,6 +42,9 @@
     /// Everything declared and registered; see [`crate::declared`].
     #[n(5)]
     Declared,
+    /// The version of the declared configuration in force.
+    #[n(6)]
+    DeclaredVersion,
 }
 
 /// One line of a plan.
@@ -113,6 +116,9 @@
     /// Answer to [`ControlQuery::Declared`].
     #[n(5)]
     Declared(#[n(0)] Box<DeclaredState>),
+    /// Answer to [`ControlQuery::DeclaredVersion`]; 0 before the first declaration.
+    #[n(6)]
+    DeclaredVersion(#[n(0)] u64),
 }
 
 /// An order and its token.
