Items that wait are ended though no gateway has room for them

Callers who read a job waited for ever: when a configuration dropped the last batch route, 23 or 24 of 40 items were listed neither as completed nor as given up.

Cause: an item ends by a record that only a gateway that holds it makes, and gateways took items as room to run them: none without a batch route in force, none without free slots. Evidence: no call for items follows the change in any gateway's lines, and with another batch route in force the same leader hands the same items out and they are listed.

Why this works: a gateway that cannot run items asks for some to look at, one of each job and others in the next call, gives up those whose route is gone in the newest configuration or whose retention is over, and gives the rest back. All gateways together do so five times a second at most, so the leader's load does not grow with them. Leases of items in hand are renewed whatever the configuration.

--- a/crates/daemon/tests/cluster_calls.rs
+++ b/crates/daemon/tests/cluster_calls.rs
@@ -61,6 +61,7 @@
             wait_ms,
             life: 1,
             number: 1,
+            inspects: false,
         };
         let taken = cluster.take_items(&ask, Duration::from_millis(1_900));
         let taken = async_io::block_on(taken).expect("an answer");
@@ -109,6 +110,7 @@
         wait_ms: 0,
         life: 1,
         number: 1,
+        inspects: false,
     };
     // The deadline is too short to try all nodes in one call, on any machine.
     let calls = (0..=SILENT).map(|_| {
@@ -187,6 +189,7 @@
                 wait_ms: 0,
                 life: 1,
                 number: 1,
+                inspects: false,
             };
             let taken = cluster.take_items(&ask, Duration::from_secs(10));
             async_io::block_on(taken).expect("an answer");
--- a/crates/fleet/src/store/handout.rs
+++ b/crates/fleet/src/store/handout.rs
@@ -37,6 +37,8 @@
     /// Open items without a lease, by due time, so that selecting items does not scan the
     /// leased ones.
     available: BTreeSet<(u64, ItemReference)>,
+    /// Job of the latest item that was handed out for inspection.
+    inspected: u64,
     /// Run times of the latest completed items, oldest first.
     run_times: VecDeque<Duration>,
 }
@@ -52,6 +54,7 @@
             leases: BTreeMap::new(),
             open: Arc::default(),
             available: BTreeSet::new(),
+            inspected: 0,
             run_times: VecDeque::new(),
         }
     }
@@ -135,14 +138,50 @@
             .by_urgency(unix_ms, run_time_ms)
             .take(capacity)
             .collect();
-        for &item in &items {
-            let until = now + self.lease_duration;
-            let since = now;
-            self.insert_lease(item, ItemLease { node, until, since });
+        self.lease(now, node, &items);
+        items
+    }
+
+    /// Leases up to `capacity` available items to a gateway that looks whether they are to be
+    /// given up: the first one of each job, going on behind the jobs of the last time, and if
+    /// there is room for more, others in the order of their due times.
+    pub fn take_to_inspect(
+        &mut self,
+        now: Timestamp,
+        node: NodeId,
+        capacity: usize,
+        open: &Arc<OpenIndex>,
+    ) -> Vec<ItemReference> {
+        if now < self.warm_until {
+            return Vec::new();
+        }
+        self.update_open_items(open);
+        self.release(|_, lease| lease.until <= now);
+        let mut first: BTreeMap<u64, ItemReference> = BTreeMap::new();
+        for (_, item) in &self.available {
+            first.entry(item.job).or_insert(*item);
         }
+        let behind = first.range(self.inspected + 1..);
+        let all = behind.chain(first.range(..=self.inspected));
+        let mut items: Vec<ItemReference> = all.take(capacity).map(|(_, item)| *item).collect();
+        if let Some(last) = items.last() {
+            self.inspected = last.job;
+        }
+        let others = self.available.iter().map(|(_, item)| *item);
+        let others = others.filter(|item| first.get(&item.job) != Some(item));
+        items.extend(others.take(capacity - items.len()));
+        self.lease(now, node, &items);
         items
     }
 
+    fn lease(&mut self, now: Timestamp, node: NodeId, items: &[ItemReference]) {
+        let until = now + self.lease_duration;
+        let since = now;
+        for &item in items {
+            self.insert_lease(item, ItemLease { node, until, since });
+        }
+    }
+
     /// Returns the available items in the order of `Urgency`, for items that take
     /// `run_time_ms` at a current time of `unix_ms`.
     fn by_urgency(&self, unix_ms: u64, run_time_ms: u64) -> impl Iterator<Item = ItemReference> {
--- a/crates/fleet/src/store/peer.rs
+++ b/crates/fleet/src/store/peer.rs
@@ -226,13 +226,11 @@
         let mut leases = self.leases.lock().unwrap_or_else(PoisonError::into_inner);
         let leases = leases.get_or_insert_with(|| LeaseTable::new(now, LEASE, WARM_UP));
         let stop = leases.renew(now, items_request.node, &running, open);
-        let taken = leases.take(
-            now,
-            unix_millis(),
-            items_request.node,
-            items_request.capacity as usize,
-            open,
-        );
+        let (node, capacity) = (items_request.node, items_request.capacity as usize);
+        let taken = match items_request.inspects {
+            true => leases.take_to_inspect(now, node, capacity, open),
+            false => leases.take(now, unix_millis(), node, capacity, open),
+        };
         Some((taken, stop))
     }
 
--- a/crates/fleet/tests/handout.rs
+++ b/crates/fleet/tests/handout.rs
@@ -238,3 +238,26 @@
         prop_assert!(first_late.is_none_or(|first| first == in_time.len()));
     }
 }
+
+// Guards against items that nobody looks at, behind those of other jobs that are due before.
+#[test]
+fn gateways_that_inspect_items_see_each_job_in_turn() {
+    let items: Vec<ItemReference> = (1..=5)
+        .flat_map(|job| (0..3).map(move |place| item(job, place)))
+        .collect();
+    let open = open(&items);
+    let mut table = warmed_up_table();
+    let nothing = BTreeSet::new();
+    let mut seen = BTreeSet::new();
+    for step in 0..3 {
+        let taken = table.take_to_inspect(at(step), ONE, 2, &open);
+        assert_eq!(taken.len(), 2);
+        seen.extend(taken.iter().map(|item| item.job));
+        assert!(table.renew(at(step), ONE, &nothing, &open).is_empty());
+    }
+    assert_eq!(seen, (1..=5).collect());
+    // Where there are fewer jobs than room, more of their items are inspected.
+    assert_eq!(table.take_to_inspect(at(9), ONE, 9, &open).len(), 9);
+    // What another gateway runs is left to it.
+    assert_eq!(table.take_to_inspect(at(9), TWO, 99, &open).len(), 6);
+}
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -81,6 +81,20 @@
     None
 }
 
+/// Returns the outcome of an item that is to be given up without a run: its route is gone, or
+/// its retention is over.
+pub(super) async fn inspect_item(state: &GatewayState, item: &ItemToRun) -> Option<ItemOutcome> {
+    let taken_at = state.now();
+    let in_force = state.in_force()?;
+    match item_route(&in_force, item) {
+        None => without_route(state, item, in_force.version, taken_at).await,
+        Some(route) if is_expired(route, item) => {
+            Some(dead_letter(state, item, "its retention expired"))
+        }
+        Some(_) => None,
+    }
+}
+
 /// Runs an item until it has an outcome; returns `None` if another gateway is to run it.
 pub(super) async fn run_item<D: GatewayDialect>(
     state: &Rc<GatewayState>,
--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -16,7 +16,7 @@
 use molespan_wire::TakeItems;
 use slog::{info, warn};
 
-use super::item::{SharedOutput, run_item};
+use super::item::{SharedOutput, inspect_item, run_item};
 use crate::dialect::GatewayDialect;
 use crate::state::GatewayState;
 
@@ -44,6 +44,14 @@
 /// Time for which no items are taken after one was given back, in which a newer configuration
 /// arrives; other gateways run such items meanwhile.
 const GIVEN_BACK_PAUSE: Duration = Duration::from_secs(1);
+/// Mean time between two inspections of waiting items, over all gateways, for some that are to
+/// be given up though no gateway has capacity to run them. Each gateway inspects less often the
+/// more of them there are.
+const INSPECTION_INTERVAL: Duration = Duration::from_millis(200);
+/// Least mean time between two inspections of one gateway.
+const MIN_INSPECTION_INTERVAL: Duration = Duration::from_secs(2);
+/// Maximum number of items inspected at once.
+const MAX_INSPECTED_ITEMS: u32 = 8;
 /// Maximum number of items taken at once, so that a large backlog spreads over the
 /// gateways.
 const MAX_ITEMS_PER_CALL: u32 = 4;
@@ -70,6 +78,8 @@
     calls: Cell<u64>,
     /// When items are taken again after one was given back.
     takes_after: Cell<Timestamp>,
+    /// When waiting items are inspected next.
+    inspects_at: Cell<Timestamp>,
 }
 
 /// An item that runs here.
@@ -92,6 +102,7 @@
         life: rand::random(),
         calls: Cell::new(0),
         takes_after: Cell::new(Timestamp::ZERO),
+        inspects_at: Cell::new(Timestamp::ZERO),
     });
     let mut renewed = runner.state.now();
     let mut answered = true;
@@ -114,13 +125,11 @@
             runner.hand_over().await;
             return;
         }
-        if runner.has_batch_routes() {
-            answered = runner.call_leader(answered).await;
-            if answered {
-                renewed = runner.state.now();
-            } else {
-                Timer::after(RETRY_PAUSE).await;
-            }
+        answered = runner.call_leader(answered).await;
+        if answered {
+            renewed = runner.state.now();
+        } else {
+            Timer::after(RETRY_PAUSE).await;
         }
         if runner.state.now().since(renewed) > LEASE {
             runner.stop_all();
@@ -141,14 +150,6 @@
 }
 
 impl<D: GatewayDialect> Runner<D> {
-    fn has_batch_routes(&self) -> bool {
-        let in_force = self.state.in_force();
-        in_force.is_some_and(|in_force| {
-            let mut routes = in_force.model.routes.iter();
-            routes.any(|route| route.kind == RouteKind::Batch)
-        })
-    }
-
     /// Returns the number of items that this gateway may take now, limited by the engines'
     /// capacity and by this gateway's share of it.
     fn capacity(&self) -> u32 {
@@ -176,6 +177,21 @@
         headroom.min(left).min(MAX_ITEMS_PER_CALL)
     }
 
+    /// Whether waiting items are to be inspected if this gateway can run none.
+    fn inspection_is_due(&self) -> bool {
+        let may_take = self.state.in_force().is_some() && !self.state.is_stopping();
+        may_take && self.state.now() >= self.inspects_at.get().max(self.takes_after.get())
+    }
+
+    /// Sets the time of the next inspection.
+    fn plan_inspection(&self) {
+        let interval = INSPECTION_INTERVAL * self.state.gateways();
+        let interval = interval.max(MIN_INSPECTION_INTERVAL);
+        let spread = 0.5 + rand::random::<f64>();
+        self.inspects_at
+            .set(self.state.now() + interval.mul_f64(spread));
+    }
+
     /// Waits until there is capacity or the running items need a renewal. Waiting at the
     /// leader instead would load it most when all gateways are full.
     async fn wait_for_capacity(&self) -> u32 {
@@ -183,7 +199,8 @@
         let ends = Instant::now() + renewed_after;
         loop {
             let capacity = self.capacity();
-            if capacity > 0 || Instant::now() >= ends || self.state.is_closing_idle() {
+            let is_over = Instant::now() >= ends || self.inspection_is_due();
+            if capacity > 0 || is_over || self.state.is_closing_idle() {
                 return capacity;
             }
             Timer::after(MIN_CALL_INTERVAL).await;
@@ -219,7 +236,7 @@
             .sum()
     }
 
-    /// Returns the next call for items.
+    /// Returns the next call for items to run.
     fn next_call(&self, capacity: u32, held: Vec<(u64, u32)>, wait: Duration) -> TakeItems {
         let number = self.calls.get() + 1;
         self.calls.set(number);
@@ -230,6 +247,7 @@
             wait_ms: wait.as_millis() as u32,
             life: self.life,
             number,
+            inspects: false,
         }
     }
 
@@ -244,7 +262,9 @@
             let running = self.running.borrow();
             running.keys().map(|item| (item.job, item.place)).collect()
         };
+        let inspects = capacity == 0 && self.inspection_is_due();
         let wait = match (capacity, held.is_empty()) {
+            _ if inspects => Duration::ZERO,
             (0, true) => return true,
             (0, false) => Duration::ZERO,
             // While the leader is unknown, a node that does not answer would cost the hold
@@ -254,7 +274,12 @@
             (_, false) => MAX_RUNNING_HOLD,
         };
         let wait = wait.min(self.state.renewal.get().longest_silence());
-        let ask = self.next_call(capacity, held, wait);
+        let mut ask = self.next_call(capacity, held, wait);
+        if inspects {
+            self.plan_inspection();
+            ask.inspects = true;
+            ask.capacity = MAX_INSPECTED_ITEMS;
+        }
         let called = self.state.now();
         let taken = match self.state.batch.take_items(&ask, TAKE_TIMEOUT).await {
             Ok(taken) => taken,
@@ -271,7 +296,10 @@
         }
         self.state.renewed(called);
         for item in taken.items {
-            self.start(item);
+            match inspects {
+                true => self.inspect(item),
+                false => self.start(item),
+            }
         }
         true
     }
@@ -289,6 +317,35 @@
                     .takes_after
                     .set(runner.state.now() + GIVEN_BACK_PAUSE),
             }
+        };
+        self.spawn(reference, output, work);
+    }
+
+    /// Gives an item up if it is to be, and gives it back otherwise.
+    fn inspect(self: &Rc<Self>, item: ItemToRun) {
+        let reference = item.reference;
+        let runner = self.clone();
+        let output = Rc::new(RefCell::new(Output::resume(&item.progress, rand::random())));
+        let work = async move {
+            if let Some(outcome) = inspect_item(&runner.state, &item).await {
+                runner.record(reference, outcome).await;
+                // Others of its job are probably to be given up too.
+                runner.inspects_at.set(Timestamp::ZERO);
+            }
+        };
+        self.spawn(reference, output, work);
+    }
+
+    /// Spawns the work on an item, which is held until that ends.
+    fn spawn(
+        self: &Rc<Self>,
+        reference: ItemReference,
+        output: SharedOutput,
+        work: impl Future<Output = ()> + 'static,
+    ) {
+        let runner = self.clone();
+        let work = async move {
+            work.await;
             // The task must not drop itself while it runs.
             let own = runner.running.borrow_mut().remove(&reference);
             if let Some(own) = own {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -201,6 +201,12 @@
     #[n(5)]
     #[cbor(default)]
     pub number: u64,
+    /// Whether the node only looks whether the items are to be given up: one of each job, of
+    /// other jobs in the next request. Leaders of an older build hand out items to run, which
+    /// the node gives back.
+    #[n(6)]
+    #[cbor(default)]
+    pub inspects: bool,
 }
 
 /// A request between processes.
