Gateways get configurations however quickly changes come

Cause: the delay after which another control node sends a configuration counted from the newest version, so that each change began it anew; and the source that a gateway prefers was chosen by its zone alone, also where it is no member of the group any more and sends none. Evidence: the hub alone, with a clock moved by hand, sends nothing while changes come each 0.2 s; the gateway's lines show no configuration from the first change to the last.

Why this works: the delay counts from the oldest version that the gateway lacks, so it ends while changes go on. A watch from before then is answered without the configuration, and the next one says what is still lacking, so that gateways whose source sends get no second copy (they got one from each other control node before). A source is preferred if it is a member, answers, and was not preceded lately.

--- a/crates/fleet/src/control/hub/answer.rs
+++ b/crates/fleet/src/control/hub/answer.rs
@@ -14,6 +14,26 @@
 /// rather than from every control node; a response takes less time than this.
 const CONFIGURATION_FALLBACK_DELAY: Duration = Duration::from_millis(400);
 
+/// When a watch that lacks the configuration has to be answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfigurationDue {
+    /// At once, with the configuration.
+    Now,
+    /// At this time without it, so that the watcher says in its next request whether it still
+    /// lacks it.
+    AskedAgain(Timestamp),
+}
+
+impl ConfigurationDue {
+    /// Returns the latest time of the answer.
+    pub fn at(self, now: Timestamp) -> Timestamp {
+        match self {
+            Self::Now => now,
+            Self::AskedAgain(due) => due,
+        }
+    }
+}
+
 /// Interval between responses to a gateway that has just started and is receiving its
 /// first engines.
 const FIRST_ENGINES_INTERVAL: Duration = Duration::from_millis(500);
@@ -24,17 +44,16 @@
         self.is_member && watch.kind == WatcherKind::Gateway
     }
 
-    /// Whether a change after `since` must be sent to a watcher now. The departure of an
+    /// Whether a change after `since` must be sent now to a watcher whose watch arrived at
+    /// `began`. The departure of an
     /// engine that only few gateways use does not wake the other gateways, but is part of
     /// their next update: it must reach them too, because a partitioned control node may
     /// still announce the engine to them.
-    pub fn has_changes(&self, watch: &WatchView, since: u64, now: Timestamp) -> bool {
+    pub fn has_changes(&self, watch: &WatchView, since: u64, began: Timestamp) -> bool {
         if !self.sends_full_view(watch) {
             return self.topology_changed > since;
         }
-        let due = self
-            .configuration_due(watch, since)
-            .is_some_and(|due| now >= due);
+        let due = self.sends_configuration(watch, since, began);
         let global_changes = [
             self.topology_changed,
             self.shared_departure_changed,
@@ -47,25 +66,35 @@
                 .any(|service| self.registry.changed_since(service, since))
     }
 
-    /// Returns the time from which this node may send its configuration to a watcher;
-    /// `None` if the watcher has it already or needs none.
-    pub fn configuration_due(&self, watch: &WatchView, since: u64) -> Option<Timestamp> {
+    /// Returns when this node has to answer a watch that lacks its configuration; `None` if
+    /// the watcher has it already or needs none. The watch arrived at `began`.
+    pub fn configuration_due(
+        &self,
+        watch: &WatchView,
+        since: u64,
+        began: Timestamp,
+    ) -> Option<ConfigurationDue> {
         if !self.sends_full_view(watch) {
             return None;
         }
         let configuration = self.configuration.as_ref()?;
         let Some(version) = watch.version else {
-            return (self.configuration_changed > since).then_some(self.configuration_since);
+            return (self.configuration_changed > since).then_some(ConfigurationDue::Now);
         };
         if version >= configuration.version {
             return None;
         }
         if !watch.other_node_sends_first {
-            return Some(self.configuration_since);
+            return Some(ConfigurationDue::Now);
         }
+        let lacking = self.configuration_times.lacking_since(version)?;
         let watcher = self.watchers.get(&watch.node)?;
-        let behind = watcher.behind_since.unwrap_or(watcher.last_seen);
-        Some(behind.max(self.configuration_since) + CONFIGURATION_FALLBACK_DELAY)
+        let due = lacking.max(watcher.since) + CONFIGURATION_FALLBACK_DELAY;
+        Some(match began >= due {
+            true => ConfigurationDue::Now,
+            // What the watcher has received since it sent this watch is not known here.
+            false => ConfigurationDue::AskedAgain(due),
+        })
     }
 
     /// Returns the services of which every gateway uses every engine.
@@ -74,8 +103,13 @@
         services.filter(|service| self.subsets.breadth(service).0 == Breadth::All)
     }
 
-    /// Builds the update with all changes after `since` that concern a watcher.
-    pub fn update_after(&self, watch: &WatchView, since: u64, now: Timestamp) -> ViewUpdate {
+    fn sends_configuration(&self, watch: &WatchView, since: u64, began: Timestamp) -> bool {
+        self.configuration_due(watch, since, began) == Some(ConfigurationDue::Now)
+    }
+
+    /// Builds the update with all changes after `since` that concern a watcher, whose watch
+    /// arrived at `began`.
+    pub fn update_after(&self, watch: &WatchView, since: u64, began: Timestamp) -> ViewUpdate {
         let topology = (self.topology_changed > since).then(|| self.topology.clone());
         let mut update = ViewUpdate {
             topology,
@@ -84,10 +118,7 @@
         if !self.sends_full_view(watch) {
             return update;
         }
-        if self
-            .configuration_due(watch, since)
-            .is_some_and(|due| now >= due)
-        {
+        if self.sends_configuration(watch, since, began) {
             update.configuration.clone_from(&self.configuration);
         }
         let departures = self.departure_log.after(since);
--- a/crates/fleet/src/control/hub/mod.rs
+++ b/crates/fleet/src/control/hub/mod.rs
@@ -1,6 +1,7 @@
 //! The cluster view of one control node, and the watches that wait for its changes.
 
 mod answer;
+mod configuration_times;
 mod state;
 
 use std::collections::BTreeSet;
@@ -270,22 +271,23 @@
                 let mut state = self.lock();
                 let now = self.now();
                 state.record_watch_request(now);
-                state.record_watcher(watch, now);
+                state.record_watcher(watch, began, now);
                 let since = match watch.position.session == state.session {
                     true => watch.position.revision.min(state.revision),
                     false => 0,
                 };
-                if state.has_changes(watch, since, now) || now >= deadline {
-                    return Self::response(&state, watch, since, now);
+                if state.has_changes(watch, since, began) || now >= deadline {
+                    return Self::response(&state, watch, since, began);
                 }
-                let due = state.configuration_due(watch, since);
+                let due = state.configuration_due(watch, since, began);
+                let due = due.map(|due| due.at(now));
                 let first = state.first_engines_due(watch, began);
                 let deadline = [due, first]
                     .into_iter()
                     .flatten()
                     .fold(deadline, Timestamp::min);
                 if now >= deadline {
-                    return Self::response(&state, watch, since, now);
+                    return Self::response(&state, watch, since, began);
                 }
                 (state.wakeup.waiter(), deadline)
             };
@@ -296,8 +298,8 @@
         }
     }
 
-    fn response(state: &State, watch: &WatchView, since: u64, now: Timestamp) -> Response {
-        let update = state.update_after(watch, since, now);
+    fn response(state: &State, watch: &WatchView, since: u64, began: Timestamp) -> Response {
+        let update = state.update_after(watch, since, began);
         Response::View {
             position: ViewPosition {
                 session: state.session,
--- a/crates/fleet/src/control/hub/state.rs
+++ b/crates/fleet/src/control/hub/state.rs
@@ -9,6 +9,7 @@
 use molespan_types::{EngineIncarnation, NodeId, Timestamp, ZoneName, incarnations_of};
 use molespan_wire::{ViewPosition, WatchView, WatcherKind};
 
+use super::configuration_times::ConfigurationTimes;
 use super::{LIVE_TTL, MAX_WATCH_GAP};
 use crate::control::change_log::ChangeLog;
 use crate::control::registry::{Registry, RegistryEvent};
@@ -29,8 +30,8 @@
     pub kind: WatcherKind,
     pub zone: Option<ZoneName>,
     pub last_seen: Timestamp,
-    /// Since when the watcher has been sending requests with an outdated configuration.
-    pub behind_since: Option<Timestamp>,
+    /// When it began to watch this node.
+    pub since: Timestamp,
     /// Whether its first request to this node had an empty position, so that it may know no
     /// engines yet.
     pub started_empty: bool,
@@ -50,8 +51,8 @@
     pub subsets: Subsets,
     pub configuration: Option<ConfigurationInForce>,
     pub configuration_changed: u64,
-    /// When the configuration came into force on this node.
-    pub configuration_since: Timestamp,
+    /// When recent configurations came into force on this node, by version.
+    pub configuration_times: ConfigurationTimes,
     pub departures: BTreeMap<String, (Departure, u64)>,
     pub departure_log: ChangeLog<String>,
     /// Revision of the latest departure of an engine that any gateway may use.
@@ -97,7 +98,7 @@
             subsets: Subsets::default(),
             configuration: None,
             configuration_changed: 0,
-            configuration_since: now,
+            configuration_times: ConfigurationTimes::default(),
             departures: BTreeMap::new(),
             departure_log: ChangeLog::default(),
             shared_departure_changed: 0,
@@ -126,21 +127,18 @@
         self.last_watch_at = now;
     }
 
-    pub fn record_watcher(&mut self, watch: &WatchView, now: Timestamp) {
-        let newest = self
-            .configuration
-            .as_ref()
-            .map_or(0, |current| current.version);
-        let is_behind = watch.version.is_some_and(|version| version < newest);
+    /// Records a watch that arrived at `began` and is open now.
+    pub fn record_watcher(&mut self, watch: &WatchView, began: Timestamp, now: Timestamp) {
         let before = self.watchers.get(&watch.node);
-        let started_empty = watch.position == ViewPosition::default()
-            || before.is_some_and(|watcher| watcher.started_empty);
-        let before = before.and_then(|watcher| watcher.behind_since);
+        let starts = watch.position == ViewPosition::default();
+        let started_empty = starts || before.is_some_and(|watcher| watcher.started_empty);
         let watcher = Watcher {
             kind: watch.kind,
             zone: watch.zone.clone(),
             last_seen: now,
-            behind_since: is_behind.then_some(before.unwrap_or(now)),
+            since: before
+                .filter(|_| !starts)
+                .map_or(began, |watcher| watcher.since),
             started_empty,
         };
         self.watchers.insert(watch.node, watcher);
@@ -216,7 +214,7 @@
             model: newest.model.clone(),
         });
         self.configuration_changed = change;
-        self.configuration_since = now;
+        self.configuration_times.record(newest.version, now);
         true
     }
 
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -4,18 +4,18 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use molespan_daemon::cluster::PeerTransport;
 use molespan_types::{NodeId, ZoneName};
 use molespan_wire::{Request, Response, ViewPosition, WatchView, WatcherKind};
-use slog::{Logger, debug};
+use slog::{Logger, debug, info};
 use std::cell::RefCell;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::view::ViewUpdate;
+use crate::view::{Topology, ViewUpdate};
 
 /// Longest time for which a control node holds a watch open.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
@@ -23,6 +23,9 @@
 const WATCH_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay before a failed watch is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time for which a control node is not relied on after it failed to answer, or after another
+/// one sent a configuration first: longer than a node takes to join the group or catch up.
+const UNRELIABLE_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of control group members that a node watches. Seeds that are not
 /// members are watched in addition.
 pub(crate) const MAX_WATCHED_NODES: usize = 5;
@@ -67,6 +70,10 @@
     logger: Logger,
     sink: Rc<S>,
     watches: RefCell<BTreeMap<NodeId, Task<()>>>,
+    /// Members of the control group, by the node that had applied the most, and how much.
+    members: RefCell<(u64, BTreeSet<NodeId>)>,
+    /// Nodes that did not send what they should have, and until when they are not relied on.
+    unreliable: RefCell<BTreeMap<NodeId, Instant>>,
 }
 
 impl<S: ViewSink> ViewWatcher<S> {
@@ -87,6 +94,8 @@
             logger,
             sink,
             watches: RefCell::default(),
+            members: RefCell::default(),
+            unreliable: RefCell::default(),
         });
         watcher.watch_nodes(&seeds.iter().copied().collect());
         watcher
@@ -115,6 +124,23 @@
         }
     }
 
+    /// Keeps the members that the node which has applied the most reports: one that was replaced
+    /// reports those of its time.
+    fn note_members(&self, topology: &Topology) {
+        let mut members = self.members.borrow_mut();
+        if topology.applied >= members.0 {
+            *members = (topology.applied, topology.control.clone());
+        }
+    }
+
+    fn note_unreliable(&self, node: NodeId, reason: &str) {
+        let until = Instant::now() + UNRELIABLE_TIME;
+        let known = self.unreliable.borrow_mut().insert(node, until);
+        if known.is_none_or(|until| until <= Instant::now()) {
+            info!(self.logger, "control node not relied on"; "node" => node.0, "reason" => reason);
+        }
+    }
+
     async fn watch(self: Rc<Self>, node: NodeId) {
         let mut position = ViewPosition::default();
         loop {
@@ -137,21 +163,28 @@
                 }
                 other => {
                     debug!(self.logger, "cannot fetch view"; "from" => node.0, "answer" => ?other);
+                    self.note_unreliable(node, "no answer");
                     Timer::after(RETRY_DELAY).await;
                 }
             }
         }
     }
 
-    /// Returns the control node that should send a new configuration first: one in the
-    /// same zone if possible. Watchers are distributed over the candidates by hash.
+    /// Returns the control node that should send a new configuration first: a member of the
+    /// group that is relied on, in the same zone if possible. A node that is no member sends
+    /// no configuration. Watchers are distributed over the candidates by hash.
     fn preferred_source(&self) -> Option<NodeId> {
         let same_zone = self.sink.same_zone_control_nodes();
         let watches = self.watches.borrow();
         let watched = watches.keys().copied();
+        let (_, members) = &*self.members.borrow();
+        let unreliable = self.unreliable.borrow();
+        let now = Instant::now();
         watched.min_by_key(|node| {
             let hash = xxh3_64_with_seed(&node.0.to_be_bytes(), u64::from(self.identity.node.0));
-            (!same_zone.contains(node), hash)
+            let is_relied_on = unreliable.get(node).is_none_or(|until| *until <= now);
+            let is_member = members.is_empty() || members.contains(node);
+            (!is_member, !is_relied_on, !same_zone.contains(node), hash)
         })
     }
 
@@ -166,9 +199,27 @@
             // this code.
             let watcher = self.clone();
             let control = topology.control.clone();
+            self.note_members(topology);
             let follow = async move { watcher.watch_nodes(&control) };
             self.executor.spawn(follow).detach();
         }
+        self.note_first_source(from, &update);
         self.sink.update(from, update);
     }
+
+    /// Stops relying on the preferred source if another node sends a newer configuration
+    /// before it.
+    fn note_first_source(&self, from: NodeId, update: &ViewUpdate) {
+        let Some(sent) = &update.configuration else {
+            return;
+        };
+        let known = self.sink.version().unwrap_or_default();
+        let preferred = self.preferred_source().filter(|node| *node != from);
+        if let Some(preferred) = preferred
+            && known > 0
+            && sent.version > known
+        {
+            self.note_unreliable(preferred, "another node sent a configuration first");
+        }
+    }
 }
--- a/crates/fleet/tests/subsets.rs
+++ b/crates/fleet/tests/subsets.rs
@@ -136,25 +136,30 @@
     }
 
     fn declare(&mut self, version: u64) {
-        let declaration = Declaration {
-            version,
-            document: Vec::new().into(),
-            model: ServingModel::default(),
-        };
-        let command = DeclaredCommand::Declare(Box::new(declaration));
-        self.machine.apply(&ControlCommand::Declared(command));
-        self.publish_declared();
+        declare_at(&self.hub, &mut self.machine, version);
     }
 
     fn publish_declared(&mut self) {
-        self.hub.apply_declared(
-            self.machine.declared(),
-            BTreeSet::from([NodeId(900_000)]),
-            1,
-        );
+        publish_at(&self.hub, &self.machine);
     }
 }
 
+fn declare_at(hub: &Hub, machine: &mut ControlMachine, version: u64) {
+    let declaration = Declaration {
+        version,
+        document: Vec::new().into(),
+        model: ServingModel::default(),
+    };
+    let command = DeclaredCommand::Declare(Box::new(declaration));
+    machine.apply(&ControlCommand::Declared(command));
+    publish_at(hub, machine);
+}
+
+fn publish_at(hub: &Hub, machine: &ControlMachine) {
+    let control = BTreeSet::from([NodeId(900_000)]);
+    hub.apply_declared(machine.declared(), control, 1);
+}
+
 #[test]
 fn updates_of_a_gateway_do_not_grow_with_the_fleet() {
     let bytes_at_start = |gateways: usize, engines: usize| {
@@ -377,6 +382,78 @@
     assert_eq!(sent_version(&mut fleet, 7, false), None);
 }
 
+// Guards against a delay that begins anew with each change, so that it never ends while changes
+// come faster than it is long.
+#[test]
+fn a_gateway_whose_source_sends_nothing_gets_configurations_while_changes_go_on() {
+    const STEP: Duration = Duration::from_millis(100);
+    let mut fleet = Fleet::settled(1, 0);
+    let (mut newest, mut known) = (7, 7);
+    fleet.declare(newest);
+    fleet.watch(0, known, true);
+    let mut behind = Duration::ZERO;
+    for step in 1..100 {
+        fleet.wait(STEP);
+        if step % 2 == 0 {
+            newest += 3;
+            fleet.declare(newest);
+        }
+        let (update, _) = fleet.watch(0, known, true);
+        behind = match update.configuration {
+            Some(sent) => {
+                assert_eq!(sent.version, newest);
+                known = sent.version;
+                Duration::ZERO
+            }
+            None if known < newest => behind + STEP,
+            None => Duration::ZERO,
+        };
+        assert!(behind < Duration::from_secs(1), "step {step}: {behind:?}");
+    }
+    assert!(known > 7);
+}
+
+// Guards against a second copy for a gateway that got the configuration from its source while
+// it waited here.
+#[test]
+fn a_gateway_that_its_source_keeps_up_to_date_gets_no_second_copy() {
+    // Waits need a clock that advances by itself.
+    let mut fleet = Fleet::settled_by(BootClock::with_offset, 1, 0);
+    fleet.declare(1);
+    let mut watch = WatchView {
+        node: node(0),
+        kind: WatcherKind::Gateway,
+        position: fleet.positions[&node(0)],
+        wait_ms: 2_000,
+        zone: Some(zone(0)),
+        version: Some(1),
+        other_node_sends_first: true,
+    };
+    let mut copies = 0;
+    for newest in 2..8 {
+        // The change comes while this watch waits. Until it is answered, the source has sent it.
+        let hub = &fleet.hub;
+        let machine = &mut fleet.machine;
+        let answer = block_on(future::zip(hub.watch(&watch), async {
+            async_io::Timer::after(Duration::from_millis(50)).await;
+            declare_at(hub, machine, newest);
+            // Wakes the watch, as `Hub::announce` does.
+            future::or(hub.announce(), async {
+                async_io::Timer::after(Duration::from_millis(10)).await;
+            })
+            .await;
+        }));
+        let Response::View { position, update } = answer.0 else {
+            panic!("no view");
+        };
+        let update: ViewUpdate = molespan_state::decode(&update).expect("an update");
+        copies += usize::from(update.configuration.is_some());
+        watch.position = position;
+        watch.version = Some(newest);
+    }
+    assert_eq!(copies, 0);
+}
+
 #[test]
 fn stores_receive_only_the_topology() {
     let mut fleet = Fleet::settled(3, 100);
