Engines that end together bar no part on the word of another service

Cause: a part of prompts counts as the cause of crashes only once others have been answered since, for a second; answers of any service counted, and another service answered all the time while none of the part's own was there. Evidence: the bar was asked for 1.3 s behind the moment, before any engine was back.

Why this works: only answers of the part's own service count, so that the second begins when its engines are back, and answers with the part come in it. Lines name the evidence, a counter the refusals by service.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -41,6 +41,8 @@
 pub(crate) struct Outbound {
     /// Identifier of the request.
     pub id: String,
+    /// Service that runs the request.
+    pub service: String,
     /// Tenant of the request; `None` if there are no tenants or the request is anonymous.
     pub tenant: Option<Rc<str>>,
     /// Host named by the caller.
@@ -82,7 +84,7 @@
                 target: &self.target,
                 body: &self.body,
             }),
-            shared: Shared::of(self.tenant.as_deref(), &self.prompt),
+            shared: Shared::of(&self.service, self.tenant.as_deref(), &self.prompt),
         })
     }
 }
--- a/crates/proxy/src/bars.rs
+++ b/crates/proxy/src/bars.rs
@@ -144,11 +144,12 @@
 
     /// Logs that a request is barred.
     pub fn log_barred(&self, request: &Outbound, cause: &Cause, again_in: Duration) {
+        self.metrics.count_barred(&request.service);
         let suspects = self.suspects.borrow();
         let now = self.now();
         let learned_at = suspects.last_learned_at(cause);
         info!(self.logger, "request barred"; "request" => &request.id,
-            "digest" => %request.digest(), "cause" => ?cause,
+            "digest" => %request.digest(), "service" => &request.service, "cause" => ?cause,
             "crashes" => suspects.crashes_of(cause),
             "heard_ms_ago" => learned_at.map(|at| now.since(at).as_millis() as u64),
             "again_in_ms" => again_in.as_millis() as u64);
@@ -254,7 +255,12 @@
         .await
     {
         Ok(_) => {
-            info!(state.logger, "asked the control group for a bar"; "digest" => %request, "crashes" => crashes)
+            let evidence = state.suspects.borrow().evidence(&request, state.now());
+            info!(state.logger, "asked the control group for a bar"; "digest" => %request, "crashes" => crashes,
+                "together" => evidence.map(|evidence| evidence.together),
+                "service" => evidence.and_then(|evidence| evidence.service).map(|one| one.to_string()),
+                "served_for_ms" => evidence.and_then(|evidence| evidence.served_for)
+                    .map(|time| time.as_millis() as u64));
         }
         Err(error) => warn!(state.logger, "bar not committed"; "digest" => %request,
             "crashes" => crashes, "error" => %error),
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -231,6 +231,7 @@
     let facts = dialect.request_facts(&headers);
     let outbound = Outbound {
         id: item.item.id.clone(),
+        service: service.clone(),
         tenant: item.tenant.as_deref().map(Into::into),
         host: item.host.clone(),
         method: "POST".to_owned(),
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -100,6 +100,7 @@
         headers.remove("expect");
         let outbound = Outbound {
             id: facts.id.clone(),
+            service: service.clone(),
             tenant,
             host: request.head.host(),
             method: request.head.method,
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -31,12 +31,16 @@
 /// One label of a counter.
 type Label = [(&'static str, &'static str); 1];
 
+/// The service of a counter.
+type ServiceLabel = [(&'static str, String); 1];
+
 /// Metrics of a gateway.
 #[derive(Clone, Debug)]
 pub(crate) struct GatewayMetrics {
     registry: Metrics,
     refusals: Family<Label, Counter>,
     waits: Histogram,
+    barred: Family<ServiceLabel, Counter>,
     held_back: Counter,
     unusable_engines: Counter,
     /// Capacity of engines.
@@ -73,6 +77,11 @@
                 "Time from a request's arrival until an engine was chosen for its first attempt",
                 &WAIT_BOUNDS,
             ),
+            barred: registry.register(
+                "gateway_barred_requests",
+                "Online requests refused since they or parts of their prompts are barred, by service",
+                Family::default(),
+            ),
             held_back: registry.register(
                 "gateway_batch_held_back",
                 "Times that batch items were held back since the stores were silent",
@@ -102,6 +111,12 @@
             .inc();
     }
 
+    /// Counts a request of a service that was refused since it is barred.
+    pub fn count_barred(&self, service: &str) {
+        let label = [("service", service.to_owned())];
+        self.barred.get_or_create(&label).inc();
+    }
+
     /// Counts that batch items were held back because the stores were silent.
     pub fn batch_held_back(&self) {
         self.held_back.inc();
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -202,6 +202,7 @@
             });
         };
         self.state.metrics.streams.count(Resumed::TakenUp);
+        self.outbound.service.clone_from(&known.origin.service);
         self.service = known.origin.service;
         self.version = Some(known.origin.version);
         Ok(())
--- a/crates/routing/src/suspects/features.rs
+++ b/crates/routing/src/suspects/features.rs
@@ -20,6 +20,9 @@
     /// Parts of its prompt in order, without the last one, which is the request's own.
     #[n(1)]
     pub parts: Vec<FeatureDigest>,
+    /// Service that runs it; `None` from nodes of an older build.
+    #[n(2)]
+    pub service: Option<FeatureDigest>,
 }
 
 /// A request and what it has in common with others.
@@ -32,9 +35,10 @@
 }
 
 impl Shared {
-    /// Returns what a request of a tenant with this prompt has in common with others.
+    /// Returns what a request of a tenant to a service, with this prompt, has in common with
+    /// others.
     #[must_use]
-    pub fn of(tenant: Option<&str>, prompt: &[PromptPart]) -> Self {
+    pub fn of(service: &str, tenant: Option<&str>, prompt: &[PromptPart]) -> Self {
         let shared = prompt.split_last().map_or(&[][..], |(_own, shared)| shared);
         let parts = shared.iter().take(MAX_PARTS);
         Self {
@@ -42,6 +46,7 @@
             parts: parts
                 .map(|part| FeatureDigest::of_prompt_part(&part.id))
                 .collect(),
+            service: Some(FeatureDigest::of_service(service)),
         }
     }
 }
--- a/crates/routing/src/suspects/guilt.rs
+++ b/crates/routing/src/suspects/guilt.rs
@@ -141,7 +141,7 @@
     /// Returns the bars of the control group that hold for a request.
     #[must_use]
     pub fn bars_on(&self, features: &Features, now: Timestamp) -> Vec<FeatureDigest> {
-        let Shared { tenant, parts } = &features.shared;
+        let Shared { tenant, parts, .. } = &features.shared;
         let of_tenant = tenant.iter().flat_map(|tenant| {
             let parts = parts.iter();
             parts.map(|part| FeatureDigest::of_prompt_part_of_tenant(part, tenant))
--- a/crates/routing/src/suspects/mod.rs
+++ b/crates/routing/src/suspects/mod.rs
@@ -32,4 +32,5 @@
 pub use blame::{Blame, EngineKey, Progress, SharedBlame, engine_key};
 pub use features::{FeatureDigest, Features, Shared};
 pub use guilt::{Cause, Verdict};
+pub use part_guilt::Evidence;
 pub use table::SuspectTable;
--- a/crates/routing/src/suspects/part_guilt.rs
+++ b/crates/routing/src/suspects/part_guilt.rs
@@ -19,10 +19,24 @@
 /// Least time between the ends of engines that did not end together: gateways find the end
 /// of one engine within that time.
 const TOGETHER: Duration = Duration::from_millis(150);
-/// How long other requests have to be answered behind ends that came together before a part
+/// How long other requests of the service have to be answered behind ends that came together before a part
 /// is guilty: as long as most answers take, so that one with the part would be among them.
 const SERVED_FOR: Duration = Duration::from_secs(1);
 
+/// What speaks for a bar, for operators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Evidence {
+    /// Number of crashes.
+    pub crashes: usize,
+    /// How many of them came together with another one.
+    pub together: usize,
+    /// Service of the requests; `None` if it is unknown.
+    pub service: Option<FeatureDigest>,
+    /// How long that service has been answering others behind the third crash; `None` if it
+    /// has not.
+    pub served_for: Option<Duration>,
+}
+
 /// Crashes that one part of a request is blamed for.
 pub(super) struct PartCase<'a> {
     pub part: FeatureDigest,
@@ -87,27 +101,29 @@
         }
     }
 
-    /// Whether other requests have been answered since the crashes, while none with the part
-    /// was; for some time where engines ended together, which says little of what ran there.
+    /// Whether the service has answered other requests since the crashes, and none with the part; for some time where engines ended together, which says little of what ran there.
     fn others_are_served(&self, case: &PartCase<'_>, now: Timestamp) -> bool {
         let ended = self.ended_at(case);
-        let apart = ended
-            .windows(2)
-            .filter(|pair| pair[1].since(pair[0]) >= TOGETHER)
-            .count();
-        let needed = match apart + 1 >= GUILTY_CRASHES {
+        let needed = match count_apart(&ended) >= GUILTY_CRASHES {
             true => Duration::ZERO,
             false => SERVED_FOR,
         };
-        self.others_are_served_for(needed, &ended, now)
+        self.served_for(case, &ended, now)
+            .is_some_and(|served| served >= needed)
     }
 
-    /// Whether other requests have been answered since the third of these ends, first at
-    /// least `needed` ago.
-    fn others_are_served_for(&self, needed: Duration, ended: &[Timestamp], now: Timestamp) -> bool {
-        let third = ended.get(GUILTY_CRASHES - 1);
-        let answered = third.and_then(|third| self.parts.answered_after(*third));
-        answered.is_some_and(|answered| now.since(answered) >= needed)
+    /// Returns how long ago the service first answered another request behind the third of
+    /// these ends.
+    fn served_for(
+        &self,
+        case: &PartCase<'_>,
+        ended: &[Timestamp],
+        now: Timestamp,
+    ) -> Option<Duration> {
+        let third = ended.get(GUILTY_CRASHES - 1)?;
+        let service = case.features.shared.service.as_ref();
+        let answered = self.parts.answered_after(service, *third)?;
+        Some(now.since(answered))
     }
 
     /// Returns when the engines ended, in order.
@@ -270,8 +286,8 @@
         let features = Features {
             request: *part,
             shared: Shared {
-                tenant: features.shared.tenant,
                 parts: same,
+                ..features.shared
             },
         };
         let case = PartCase {
@@ -280,8 +296,8 @@
             engines,
         };
         let ended = self.ended_at(&case);
-        if !self.is_part_guilty(&case, now) || !self.others_are_served_for(SERVED_FOR, &ended, now)
-        {
+        let served_for = self.served_for(&case, &ended, now);
+        if !self.is_part_guilty(&case, now) || served_for.is_none_or(|time| time < SERVED_FOR) {
             return Vec::new();
         }
         let crashes = case.crashes();
@@ -300,6 +316,31 @@
         }
     }
 
+    /// Returns what speaks for the bar of a part, for all tenants or for one; `None` if this node
+    /// knows of no crash with it.
+    #[must_use]
+    pub fn evidence(&self, barred: &FeatureDigest, now: Timestamp) -> Option<Evidence> {
+        let part = self.parts_of_bar(barred).into_iter().next()?;
+        let (engine, request) = self.parts.cases(&part).next()?;
+        let shared = &self.crash(&request, engine)?.shared.as_ref()?.shared;
+        let features = Features {
+            request,
+            shared: shared.clone(),
+        };
+        let case = PartCase {
+            part,
+            features: &features,
+            engines: self.parts.engines(&part),
+        };
+        let ended = self.ended_at(&case);
+        Some(Evidence {
+            crashes: ended.len(),
+            together: ended.len() - count_apart(&ended),
+            service: features.shared.service,
+            served_for: self.served_for(&case, &ended, now),
+        })
+    }
+
     /// When this node last learned of another crash of a part.
     pub(super) fn part_learned_at(&self, part: &FeatureDigest) -> Option<Timestamp> {
         let crashes = self.parts.cases(part);
@@ -309,3 +350,10 @@
         learned_at.max()
     }
 }
+
+/// Returns the number of these ends, in order, that did not come together with the one before.
+fn count_apart(ended: &[Timestamp]) -> usize {
+    let pairs = ended.windows(2);
+    let apart = pairs.filter(|pair| pair[1].since(pair[0]) >= TOGETHER);
+    apart.count() + usize::from(!ended.is_empty())
+}
--- a/crates/routing/src/suspects/parts.rs
+++ b/crates/routing/src/suspects/parts.rs
@@ -21,6 +21,8 @@
 /// Maximum number of remembered times of complete answers: over the time that parts are
 /// judged for, several a second.
 const MAX_ANSWER_TIMES: usize = 256;
+/// Maximum number of services whose answers are remembered.
+const MAX_SERVICES: usize = 256;
 /// Least time between two remembered ones.
 const ANSWER_TIME_STEP: Duration = Duration::from_millis(50);
 
@@ -30,8 +32,8 @@
     /// Requests that had the part at engines that ended, by engine.
     blamed: BTreeMap<FeatureDigest, BTreeMap<EngineKey, BTreeSet<RequestDigest>>>,
     completed: BTreeMap<FeatureDigest, Timestamp>,
-    /// When engines answered any requests completely.
-    answers: VecDeque<Timestamp>,
+    /// When engines answered any requests completely, by their service.
+    answers: BTreeMap<Option<FeatureDigest>, VecDeque<Timestamp>>,
 }
 
 impl PartCrashes {
@@ -84,21 +86,31 @@
         }
     }
 
-    /// Records that an engine answered a request completely.
-    pub fn note_answer(&mut self, now: Timestamp) {
-        let last = self.answers.back().copied();
+    /// Records that an engine of a service answered a request completely.
+    pub fn note_answer(&mut self, service: Option<FeatureDigest>, now: Timestamp) {
+        if !self.answers.contains_key(&service) && self.answers.len() >= MAX_SERVICES {
+            return;
+        }
+        let answers = self.answers.entry(service).or_default();
+        let last = answers.back().copied();
         if last.is_some_and(|last| now.since(last) < ANSWER_TIME_STEP) {
             return;
         }
-        self.answers.push_back(now);
-        if self.answers.len() > MAX_ANSWER_TIMES {
-            self.answers.pop_front();
+        answers.push_back(now);
+        if answers.len() > MAX_ANSWER_TIMES {
+            answers.pop_front();
         }
     }
 
-    /// Returns when an engine first answered a request completely later than `at`.
-    pub fn answered_after(&self, at: Timestamp) -> Option<Timestamp> {
-        self.answers.iter().find(|answer| **answer > at).copied()
+    /// Returns when an engine of a service first answered a request completely later than
+    /// `at`. Engines of another service say nothing of this one's.
+    pub fn answered_after(
+        &self,
+        service: Option<&FeatureDigest>,
+        at: Timestamp,
+    ) -> Option<Timestamp> {
+        let answers = self.answers.get(&service.copied())?;
+        answers.iter().find(|answer| **answer > at).copied()
     }
 
     /// Whether a part was completed later than `at`, as far as is remembered.
--- a/crates/routing/src/suspects/table.rs
+++ b/crates/routing/src/suspects/table.rs
@@ -170,7 +170,7 @@
     /// a part of it, was blamed.
     pub fn answered(&mut self, request: impl Into<Features>, now: Timestamp) -> bool {
         let features = request.into();
-        self.parts.note_answer(now);
+        self.parts.note_answer(features.shared.service, now);
         let mut changed = self.clear_request(&features.request);
         for part in &features.shared.parts {
             self.parts.note_completed(*part, now);
@@ -226,7 +226,7 @@
     }
 
     /// Returns the blamed parts that a bar is about, for all tenants or for one.
-    fn parts_of_bar(&self, barred: &FeatureDigest) -> Vec<FeatureDigest> {
+    pub(super) fn parts_of_bar(&self, barred: &FeatureDigest) -> Vec<FeatureDigest> {
         let is_of_tenant = |part: &FeatureDigest| {
             let mut cases = self.parts.cases(part);
             cases.any(|(engine, request)| {
--- a/crates/routing/tests/suspect_schedules/main.rs
+++ b/crates/routing/tests/suspect_schedules/main.rs
@@ -34,6 +34,7 @@
     flapping: 0.0,
     lost_at_once: 0,
     all_lost_every_ms: None,
+    other_service: false,
     cuts: false,
     batch: 0.2,
     seconds: 40,
@@ -172,6 +173,28 @@
                 })
             },
         ),
+        // Guards against taking answers of another service for those of the engines that ended.
+        (
+            "all engines lost at once, two first parts for all, another service answers",
+            Plan {
+                lost_at_once: 12,
+                other_service: true,
+                ..plan(Prompts {
+                    bad: 0,
+                    firsts: 2,
+                    shared: 1,
+                    ..PROMPTS
+                })
+            },
+        ),
+        (
+            "all engines lost at once beside a bad part, another service answers",
+            Plan {
+                lost_at_once: 12,
+                other_service: true,
+                ..plan(PROMPTS)
+            },
+        ),
         (
             "half of the engines flaps, one of two parts for all",
             Plan {
--- a/crates/routing/tests/suspect_schedules/world.rs
+++ b/crates/routing/tests/suspect_schedules/world.rs
@@ -105,6 +105,8 @@
     pub lost_at_once: usize,
     /// Interval at which all engines end at once.
     pub all_lost_every_ms: Option<u64>,
+    /// Whether engines of another service answer all the time.
+    pub other_service: bool,
     /// Whether gateways are cut off for some seconds.
     pub cuts: bool,
     /// Fraction of the requests that are batch items, which are retried without limit.
@@ -444,6 +446,7 @@
                 shared: Shared {
                     tenant: None,
                     parts,
+                    service: Some(FeatureDigest::of_service("llm")),
                 },
             },
             kind,
@@ -857,6 +860,13 @@
         self.schedule_after(REPORT_INTERVAL_MS, Event::ReportDue { gateway });
         self.send_report(gateway);
         let now = self.now();
+        if self.plan.other_service {
+            let other = Features {
+                request: FeatureDigest::of_prompt_part("request to another service"),
+                shared: Shared::of("app", None, &[]),
+            };
+            self.gateways[gateway].table.answered(other, now);
+        }
         if self.plan.rule != Rule::Table || self.gateways[gateway].cut {
             return;
         }
--- a/crates/routing/tests/suspects.rs
+++ b/crates/routing/tests/suspects.rs
@@ -337,6 +337,7 @@
         shared: Shared {
             tenant: None,
             parts: parts.iter().copied().map(part).collect(),
+            service: None,
         },
     }
 }
@@ -458,6 +459,35 @@
     assert!(is_kept_off(&table, &popular, 61_000));
 }
 
+// Guards against a kind of request that is refused since all engines of its service ended
+// together, while another service went on answering.
+#[test]
+fn answers_of_another_service_prove_nothing_about_engines_that_end_together() {
+    let of_service = |name: &str, features: Features| Features {
+        shared: Shared {
+            service: Some(FeatureDigest::of_service(name)),
+            ..features.shared
+        },
+        ..features
+    };
+    let mut table = SuspectTable::default();
+    for at in 1..=6 {
+        let features = of_service("llm", with_parts(at, &["popular"]));
+        table.blame(features, engine(at), now(at));
+    }
+    let popular = of_service("llm", with_parts(9, &["popular"]));
+    for millis in (100..5_000).step_by(100) {
+        table.answered(of_service("app", with_parts(20, &[])), now(millis));
+        assert!(!is_kept_off(&table, &popular, millis + 50), "{millis}");
+        assert_eq!(table.to_bar(now(millis + 50)), []);
+    }
+    // Once engines of its own service answer others for a while, and none with the part, it is
+    // the cause.
+    table.answered(of_service("llm", with_parts(21, &["other"])), now(5_000));
+    assert!(!is_kept_off(&table, &popular, 5_900));
+    assert!(is_kept_off(&table, &popular, 6_000));
+}
+
 #[test]
 fn repeats_of_one_request_bar_none_of_its_parts() {
     let mut table = SuspectTable::default();
@@ -533,9 +563,9 @@
             tokens: 1,
         })
         .collect();
-    assert_eq!(Shared::of(None, &prompt).parts.len(), 16);
-    assert_eq!(Shared::of(None, &prompt[..1]).parts, []);
-    assert_eq!(Shared::of(None, &prompt[..3]).parts.len(), 2);
+    assert_eq!(Shared::of("s", None, &prompt).parts.len(), 16);
+    assert_eq!(Shared::of("s", None, &prompt[..1]).parts, []);
+    assert_eq!(Shared::of("s", None, &prompt[..3]).parts.len(), 2);
 }
 
 /// A blame as nodes of the build before parts were blamed encode it.
--- a/crates/state/src/declared/request_digest.rs
+++ b/crates/state/src/declared/request_digest.rs
@@ -33,6 +33,7 @@
 const PROMPT_PART: u8 = 2;
 const TENANT: u8 = 3;
 const PROMPT_PART_OF_TENANT: u8 = 4;
+const SERVICE: u8 = 5;
 
 /// Identifies a request by its content, or something that requests have in common: the first
 /// half of a SHA-256.
@@ -69,6 +70,12 @@
         Self::of_feature(TENANT, &[tenant.as_bytes()])
     }
 
+    /// Returns the digest of a service.
+    #[must_use]
+    pub fn of_service(service: &str) -> Self {
+        Self::of_feature(SERVICE, &[service.as_bytes()])
+    }
+
     /// Returns the digest of a part of prompts in the requests of one tenant.
     #[must_use]
     pub fn of_prompt_part_of_tenant(part: &Self, tenant: &Self) -> Self {
