A connection is not used twice for one request identifier

A caller saw an item given up after one failure where two attempts are allowed: the engine sent its 500 once more where the next answer should come, and the item's next run, under the same identifier on the same connection, took it for its own.

An identifier cannot tell two runs of one item apart, so the connection has to: it remembers the last eight requests that it carried, and the pool gives it to none of them again.

Before: a_failure_that_an_engine_sends_twice_counts_once fails (dead_lettered); after: passes.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::answer_progress::{AllowedEnd, AnswerProgress, framing_text};
 use crate::dialect::{EngineAnswer, EngineCall, GatewayDialect};
 use crate::pace::{EventTimes, note_fault};
+use crate::pool::EngineConnection;
 use crate::race::{CountedConnection, connect_engine};
 use crate::state::{GatewayState, InFlightGuard};
 
@@ -116,7 +117,7 @@
     pub engine: String,
     /// Version of the engine's software; `None` if it is unknown.
     pub version: Option<SoftwareVersion>,
-    connection: Connection,
+    connection: EngineConnection,
     reader: BodyReader,
     pub framing: Framing,
     allowed_end: AllowedEnd,
@@ -153,7 +154,7 @@
     }
 
     async fn next_piece(&mut self) -> Result<Option<Vec<u8>>, BodyError> {
-        let piece = self.reader.next(&mut self.connection).await?;
+        let piece = self.reader.next(&mut self.connection.connection).await?;
         if let Some(piece) = &piece {
             self.note_piece(piece);
         }
@@ -310,7 +311,7 @@
     outbound: &Outbound,
     limits: AttemptLimits,
 ) -> Result<EngineReply, AttemptFailure> {
-    let counted = connect_engine(state, picked, another, outbound.class, limits).await;
+    let counted = connect_engine(state, picked, another, outbound, limits).await;
     // `connect_engine` has already recorded which engines could not be reached.
     let counted = counted.ok_or(AttemptFailure::Unreachable)?;
     let engine = &picked.facts;
@@ -411,7 +412,14 @@
     let left = limits.deadline.since(state.now());
     let message = message(dialect, engine, outbound, limits.after_event, left);
     let mut sent = false;
-    let exchange = exchange(dialect, outbound, &mut connection, &message, &mut sent);
+    connection.note_carried(&outbound.id);
+    let exchange = exchange(
+        dialect,
+        outbound,
+        &mut connection.connection,
+        &message,
+        &mut sent,
+    );
     let late = async {
         let silent = limits
             .head_timeout
--- a/crates/proxy/src/engine_ends.rs
+++ b/crates/proxy/src/engine_ends.rs
@@ -283,7 +283,7 @@
     match connected.map_err(|error| error.kind()) {
         Ok(stream) => {
             let connection = Connection::new(stream);
-            state.pool.put(engine, connection, None, state.now());
+            state.pool.put(engine, connection.into(), None, state.now());
             CheckResult::Reached
         }
         Err(ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset) => CheckResult::Dead,
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -20,9 +20,45 @@
 /// from this gateway would otherwise hold a descriptor here forever.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Number of requests that a connection remembers: an engine may send the answer to one of the
+/// last once more.
+const REMEMBERED_REQUESTS: usize = 8;
+
+/// A connection to an engine, and the requests that it carried last.
+#[derive(Debug)]
+pub(crate) struct EngineConnection {
+    pub connection: Connection,
+    carried: Vec<String>,
+}
+
+impl EngineConnection {
+    /// Whether it carried a request with this identifier. An extra answer to that one could not
+    /// be told from the answer to this one.
+    fn has_carried(&self, request: &str) -> bool {
+        self.carried.iter().any(|carried| carried == request)
+    }
+
+    /// Records a request that is sent on the connection.
+    pub fn note_carried(&mut self, request: &str) {
+        if self.carried.len() >= REMEMBERED_REQUESTS {
+            self.carried.remove(0);
+        }
+        self.carried.push(request.to_owned());
+    }
+}
+
+impl From<Connection> for EngineConnection {
+    fn from(connection: Connection) -> Self {
+        Self {
+            connection,
+            carried: Vec::new(),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
-    connection: Connection,
+    connection: EngineConnection,
     until: Timestamp,
 }
 
@@ -34,27 +70,42 @@
 }
 
 impl Pool {
-    /// Returns a usable idle connection to an engine.
-    pub async fn take(&self, engine: &str, clock: &BootClock) -> Option<Connection> {
+    /// Returns a usable idle connection to an engine for a request with this identifier: one
+    /// without waiting bytes, that did not carry a request of that identifier before.
+    pub async fn take(
+        &self,
+        engine: &str,
+        request: &str,
+        clock: &BootClock,
+    ) -> Option<EngineConnection> {
         loop {
-            let idle = self.idle.borrow_mut().get_mut(engine)?.pop()?;
+            let idle = self.take_newest(engine, request)?;
             let usable = clock.now() < idle.until;
-            if usable && idle.connection.presence().await == PeerState::Idle {
+            if usable && idle.connection.connection.presence().await == PeerState::Idle {
                 return Some(idle.connection);
             }
         }
     }
 
+    fn take_newest(&self, engine: &str, request: &str) -> Option<Idle> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(engine)?;
+        let place = connections
+            .iter()
+            .rposition(|idle| !idle.connection.has_carried(request))?;
+        Some(connections.remove(place))
+    }
+
     /// Keeps a connection whose answer was read to its end.
     pub fn put(
         &self,
         engine: &str,
-        connection: Connection,
+        connection: EngineConnection,
         keep_alive: Option<Duration>,
         now: Timestamp,
     ) {
         let lifetime = keep_alive.map_or(DEFAULT_IDLE, |lifetime| lifetime.mul_f64(REUSE_SHARE));
-        if !connection.buffered().is_empty() || lifetime.is_zero() {
+        if !connection.connection.buffered().is_empty() || lifetime.is_zero() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
--- a/crates/proxy/src/race.rs
+++ b/crates/proxy/src/race.rs
@@ -14,9 +14,10 @@
 use molespan_routing::reach::ReturnEvidence;
 use molespan_types::Timestamp;
 
-use crate::attempt::AttemptLimits;
+use crate::attempt::{AttemptLimits, Outbound};
 use crate::batch::preempt_batch_runs;
 use crate::first::first_deciding;
+use crate::pool::EngineConnection;
 use crate::state::{GatewayState, InFlightGuard};
 
 /// Timeout for a new connection to an engine.
@@ -24,22 +25,23 @@
 
 /// A connection to an engine at which the request is counted.
 pub(crate) struct CountedConnection {
-    pub connection: Connection,
+    pub connection: EngineConnection,
     pub in_flight: InFlightGuard,
 }
 
-/// Returns a connection to the picked engine, or to one picked by `another` if that
-/// connects first; `picked` is then replaced. Returns `None` if no engine could be reached.
+/// Returns a connection to the picked engine for a request with this identifier, or to one
+/// picked by `another` if that connects first; `picked` is then replaced. Returns `None` if no engine could be reached.
 pub(crate) async fn connect_engine(
     state: &Rc<GatewayState>,
     picked: &mut Picked,
     another: impl FnOnce(&Picked) -> Option<Picked>,
-    class: WorkClass,
+    outbound: &Outbound,
     limits: AttemptLimits,
 ) -> Option<CountedConnection> {
+    let (class, request) = (outbound.class, outbound.id.as_str());
     let in_flight = count_in_flight(state, picked, class);
     let engine = picked.facts.clone();
-    let mut first = Box::pin(open(state, engine.clone(), limits.deadline));
+    let mut first = Box::pin(open(state, engine.clone(), request, limits.deadline));
     if let Some(opened) = connect_unless_slow(&mut first, limits.slow_after).await {
         let connection = opened?;
         return Some(CountedConnection {
@@ -56,7 +58,7 @@
         });
     };
     let in_flight_beside = count_in_flight(state, &beside, class);
-    let second = Box::pin(open(state, beside.facts.clone(), limits.deadline));
+    let second = Box::pin(open(state, beside.facts.clone(), request, limits.deadline));
     let up = first_deciding(vec![first, second], |place, connected| {
         connected.map(|connection| (place, connection))
     })
@@ -108,9 +110,10 @@
 async fn open(
     state: &Rc<GatewayState>,
     engine: EngineFacts,
+    request: &str,
     deadline: Timestamp,
-) -> Option<Connection> {
-    if let Some(connection) = state.pool.take(&engine.id, &state.clock).await {
+) -> Option<EngineConnection> {
+    if let Some(connection) = state.pool.take(&engine.id, request, &state.clock).await {
         return Some(connection);
     }
     let began = state.now();
@@ -129,7 +132,7 @@
             let took = state.now().since(began);
             state.engines.borrow_mut().connected(&engine.id, took);
             state.note_reached(&engine.id, began, ReturnEvidence::Connect);
-            Some(Connection::new(stream))
+            Some(Connection::new(stream).into())
         }
         Err(_) => {
             let now = state.now();
