A deadline that cannot be read gets a 400

A caller that sent `X-Deadline-Ms: NaN` got no answer: its connection ended, since no time can be made of it. A value that is no finite time of zero or more, and two values that differ, are refused with 400 now; a time beyond an hour counts as an hour, as before.

Other numbers that callers, engines and operators send are not looked at here.

--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -16,6 +16,8 @@
     pub id: String,
     /// How long the caller waits.
     pub time_left: Option<Duration>,
+    /// Whether a header says something that cannot be read, so that the request is refused.
+    pub is_malformed: bool,
     /// Parts of the prompt, in order.
     pub prompt: Rc<[PromptPart]>,
     /// Expected number of answer tokens.
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -102,7 +102,7 @@
 /// Prepares the attempts of a request, if its tenant may send it.
 ///
 /// # Errors
-/// When the tenant may not, or no service is left for the request.
+/// When the request is malformed, its tenant may not send it, or no service is left for it.
 fn dispatch<'a, D: GatewayDialect>(
     state: &'a Rc<GatewayState>,
     dialect: &'a D,
@@ -113,6 +113,9 @@
 ) -> Result<Dispatch<'a, D>, Refusal> {
     let service = in_force.service(route).ok_or(Refusal::NoRoute)?;
     let mut dispatch = Dispatch::online(state, dialect, route, service, tenant.clone(), request);
+    if dispatch.facts.is_malformed {
+        return Err(Refusal::Malformed);
+    }
     dispatch.rank = in_force.rank(route, tenant.as_deref());
     if in_force.keys.is_some() {
         dialect.replace_key_with_tenant(&mut dispatch.outbound.headers, tenant.as_deref());
