Each attempt of a batch item has an end

Attempts of items are not numbered by the route (they go on until a failure counts), so each has a limit now: four times the target at first, doubled each time up to 10 s, since all engines may be slow.

Before: an_item_at_engines_that_hang_goes_on_to_one_that_answers fails (nothing within 20 s); after: passes.

--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -48,6 +48,11 @@
 /// Minimum time without an answer after which a repeatable request goes to another engine.
 const MIN_HEAD_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum time without an answer after which a batch item goes to another engine, and how
+/// often the first limit is doubled until then.
+const MAX_ITEM_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+const MAX_DOUBLINGS: u32 = 8;
+
 /// The attempts of one request.
 pub(crate) struct Dispatch<'a, D> {
     pub state: &'a Rc<GatewayState>,
@@ -619,11 +624,18 @@
         Some(engines.connect_is_slow_after(&picked.facts.id, target))
     }
 
-    /// Returns the maximum time to wait for the head of the answer. If no other attempt is
-    /// left, only the request's time counts: a silent engine may still answer.
+    /// Returns the maximum time to wait for the head of the answer. If no other attempt of a
+    /// caller's request is left, only the request's time counts: a silent engine may still
+    /// answer. A batch item may always go on elsewhere, so each of its attempts has an end; it
+    /// waits longer each time, since all engines may be slow.
     fn head_timeout(&self) -> Option<Duration> {
-        let another = self.route.is_repeatable() && self.runs + 1 < self.route.max_attempts;
         let target = Duration::from_millis(u64::from(self.route.target_latency_ms));
+        if self.outbound.class == WorkClass::Batch {
+            let first = (target * 4).max(MIN_HEAD_TIMEOUT);
+            let doubled = first * 2_u32.pow(self.runs.min(MAX_DOUBLINGS));
+            return Some(doubled.min(MAX_ITEM_HEAD_TIMEOUT.max(first)));
+        }
+        let another = self.route.is_repeatable() && self.runs + 1 < self.route.max_attempts;
         another.then(|| match self.route.kind {
             RouteKind::Safe => (target * 3 / 2).max(MIN_HEAD_TIMEOUT),
             _ => target * 4,
