A trial of a bar waits for engines that stay

Its lines: three ends under each item, barred, trial granted 1.6 s later, ended with its engine 0.15 s behind its begin, and no trial since.

Cause: the time behind the last crash said nothing, since a held item is not sent and sees no end; and the trial's own crash, the fourth, lowered the number of trials that were allowed to one.

Now a trial also waits until no engine of the service is new, 8 s at the longest, and the allowance is fixed at the first trial: three late sends less the crashes beyond a bar's, two at most.

--- a/crates/proxy/src/bar_trials.rs
+++ b/crates/proxy/src/bar_trials.rs
@@ -18,9 +18,11 @@
 use crate::attempt::Outbound;
 use crate::state::GatewayState;
 
-/// Time without a crash that is blamed on the same cause, before a trial of it: what ends many
-/// engines at once is over, and others are back.
+/// Time before a trial without a crash that is blamed on the same cause, and without a new
+/// engine of the service: what ends engines for other reasons is over.
 const CALM: Duration = Duration::from_secs(2);
+/// Time after the last crash behind which a trial no longer waits for the service to be calm.
+const MAX_CALM_WAIT: Duration = Duration::from_secs(8);
 /// Timeout of a call for a trial, for which a caller waits.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time until a call is repeated that got no answer.
@@ -85,13 +87,18 @@
 impl BarTrial {
     /// Records that the request is being sent.
     pub fn begin_send(&self, request: &Outbound) {
+        if !self.is_open() {
+            return;
+        }
         self.may_have_run.set(true);
         request.bar_trial.set(Some(self.cause));
     }
 
     /// Records that the engine did not run it.
-    pub fn note_not_run(&self) {
-        self.may_have_run.set(false);
+    pub fn note_not_run(&self, request: &Outbound) {
+        if request.bar_trial.take().is_some() {
+            self.may_have_run.set(false);
+        }
     }
 
     /// Whether the request may still be sent.
@@ -115,9 +122,13 @@
     ///
     /// # Errors
     /// The time until a trial may be asked for again.
-    pub async fn try_barred(self: &Rc<Self>, cause: &Cause) -> Result<BarTrial, Duration> {
+    pub async fn try_barred(
+        self: &Rc<Self>,
+        service: &str,
+        cause: &Cause,
+    ) -> Result<BarTrial, Duration> {
         let now = self.now();
-        let wait = self.trial_due(cause).since(now);
+        let wait = self.trial_due(service, cause).since(now);
         if !wait.is_zero() {
             return Err(wait);
         }
@@ -156,9 +167,12 @@
     }
 
     /// Returns when a trial may be asked for.
-    fn trial_due(&self, cause: &Cause) -> Timestamp {
+    fn trial_due(&self, service: &str, cause: &Cause) -> Timestamp {
         let crashed = self.suspects.borrow().last_learned_at(cause);
-        let calm = crashed.map_or(Timestamp::ZERO, |at| at + CALM);
+        let crashed = crashed.unwrap_or_default();
+        let newest = self.engines.borrow().latest_known_since(service);
+        let calm = crashed.max(newest.unwrap_or_default()) + CALM;
+        let calm = calm.min(crashed + MAX_CALM_WAIT);
         let due = self.bar_trials.due(cause.digest());
         due.map_or(calm, |due| due.max(calm))
     }
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -318,7 +318,7 @@
     /// Records that an engine did not run the request.
     fn note_not_run(&self) {
         if let Some(trial) = &self.bar_trial {
-            trial.note_not_run();
+            trial.note_not_run(&self.outbound);
         }
     }
 
@@ -328,7 +328,7 @@
         if self.outbound.class == WorkClass::Online && matches!(cause, Cause::Request(_)) {
             return Err(self.barred(&cause, BARRED_RETRY_AFTER));
         }
-        match self.state.try_barred(&cause).await {
+        match self.state.try_barred(&self.service, &cause).await {
             Ok(trial) => {
                 self.bar_trial = Some(trial);
                 Ok(())
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -316,6 +316,14 @@
         }
     }
 
+    /// Returns when the latest engine of a service became known; `None` if there is none.
+    #[must_use]
+    pub fn latest_known_since(&self, service: &str) -> Option<Timestamp> {
+        self.of_service(service)
+            .map(|engine| engine.known_since)
+            .max()
+    }
+
     /// Whether an engine of a service is known that runs a software version.
     #[must_use]
     pub fn lists_version(&self, service: &str, version: &SoftwareVersion) -> bool {
--- a/crates/routing/src/suspects/guilt.rs
+++ b/crates/routing/src/suspects/guilt.rs
@@ -19,6 +19,8 @@
 /// Operators allow three sends after the third crash; this uses up two of them at most. A
 /// part is guilty then unless another one has more crashes.
 pub(super) const ALWAYS_GUILTY_CRASHES: usize = 5;
+/// Number of sends that operators allow behind the crashes that lead to a bar.
+const ALLOWED_LATE_SENDS: u32 = 3;
 /// Number of recent crashes without an explanation for which a request needs one more
 /// crash to be guilty. At such times engines end for other reasons, such as a flapping
 /// machine or a lost rack, or other requests are about to be found guilty.
@@ -160,10 +162,8 @@
             Cause::Request(_) => GUILTY_CRASHES,
             Cause::Part(_) => ALWAYS_GUILTY_CRASHES,
         };
-        match self.crashes_of(cause) <= barred_after {
-            true => MAX_TRIALS,
-            false => 1,
-        }
+        let late = self.crashes_of(cause).saturating_sub(barred_after) as u32;
+        ALLOWED_LATE_SENDS.saturating_sub(late).clamp(1, MAX_TRIALS)
     }
 
     /// When this node last learned of a crash with this cause; `None` if it knows of none.
--- a/crates/state/src/declared/trials.rs
+++ b/crates/state/src/declared/trials.rs
@@ -63,6 +63,9 @@
     /// When the next one may be granted.
     #[n(2)]
     due_ms: u64,
+    /// Number of trials that were left at the first one, whose own crashes do not count.
+    #[n(3)]
+    allowed: u32,
 }
 
 /// Trials of barred requests. One count for all gateways, so that those that start anew do
@@ -74,8 +77,8 @@
 }
 
 impl Trials {
-    /// Grants or denies a trial at `now_ms`, in milliseconds since 1970, if fewer than `allowed`
-    /// were granted within the duration of a bar.
+    /// Grants or denies a trial at `now_ms`, in milliseconds since 1970, if fewer were granted
+    /// within the duration of a bar than were `allowed` at the first one.
     pub(super) fn grant(
         &mut self,
         request: RequestDigest,
@@ -85,7 +88,8 @@
         let known = self.granted.get(&request).copied();
         let known = known.filter(|known| known.forgotten_ms() > now_ms);
         let count = known.map_or(0, |known| known.count);
-        let due_ms = known.map_or(0, |known| match count < allowed.min(MAX_TRIALS) {
+        let allowed = known.map_or(allowed.min(MAX_TRIALS), |known| known.allowed);
+        let due_ms = known.map_or(0, |known| match count < allowed {
             true => known.due_ms,
             false => known.forgotten_ms(),
         });
@@ -97,6 +101,7 @@
             count: count + 1,
             asked_ms: now_ms,
             due_ms: now_ms + TRIAL_INTERVAL.as_millis() as u64,
+            allowed,
         };
         self.granted.insert(request, granted);
         self.evict_oldest();
--- a/crates/state/tests/bars.rs
+++ b/crates/state/tests/bars.rs
@@ -179,6 +179,12 @@
         ask_for_one_of(&mut machine, 1, later, 1),
         TrialReply::Granted
     );
+    // The crash of a trial is no reason to grant fewer.
+    assert!(is_granted(&mut machine, 2, NOW));
+    assert_eq!(
+        ask_for_one_of(&mut machine, 2, later, 1),
+        TrialReply::Granted
+    );
 }
 
 // Guards against a request that waits for a day because gateways were too busy to send it.
