--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -1,5 +1,7 @@
 //! The attempts of a request, until one engine answers.
 
+mod permission;
+
 use std::cell::{Cell, OnceCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -9,7 +11,6 @@
 use molespan_http::h1::Headers;
 use molespan_routing::dispatch::{NoEngine, Pick, Picked, PromptCost, Standing, WorkClass};
 use molespan_routing::queue::{QueueRequest, Rank, Refused, retry_after};
-use molespan_routing::suspects::Cause;
 use molespan_state::declared::{Route, RouteKind};
 use molespan_types::{SoftwareVersion, Timestamp};
 use slog::{debug, info};
@@ -31,11 +32,6 @@
 /// Maximum length of a batch item's turn; afterwards its route is looked up again, and
 /// another item may be more urgent.
 const MAX_TURN: Duration = Duration::from_secs(1);
-/// Retry delay for a caller whose request engines end under. A bar lasts for hours unless
-/// an operator lifts it, and a waiting caller notices that within this time.
-const BARRED_RETRY_AFTER: Duration = Duration::from_secs(600);
-/// Least retry delay of a barred request, within which another one may lift its bar.
-const MIN_BARRED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Share of the target latency within which an engine has to begin a request; the rest is
 /// for producing and passing on its first output.
 const BEGIN_SHARE: f64 = 0.8;
@@ -310,78 +306,6 @@
         }
     }
 
-    /// Whether the request holds a trial of its bar that it has not used.
-    fn has_bar_trial(&self) -> bool {
-        self.bar_trial.as_ref().is_some_and(BarTrial::is_open)
-    }
-
-    /// Records that an engine did not run the request.
-    fn note_not_run(&self) {
-        if let Some(trial) = &self.bar_trial {
-            trial.note_not_run(&self.outbound);
-        }
-    }
-
-    /// Asks for a trial of a barred request. Only batch items get one for what they are
-    /// themselves: they were accepted, while a caller comes again.
-    async fn seek_trial(&mut self, cause: Cause) -> Result<(), Refusal> {
-        if self.outbound.class == WorkClass::Online && matches!(cause, Cause::Request(_)) {
-            return Err(self.barred(&cause, BARRED_RETRY_AFTER));
-        }
-        match self.state.try_barred(&self.service, &cause).await {
-            Ok(trial) => {
-                self.bar_trial = Some(trial);
-                Ok(())
-            }
-            Err(again_in) => Err(self.barred(&cause, again_in)),
-        }
-    }
-
-    /// Returns the refusal of a barred request, which may be tried again after `again_in`.
-    fn barred(&self, cause: &Cause, again_in: Duration) -> Refusal {
-        if self.runs > 0 {
-            return Refusal::AnswerLost;
-        }
-        if self.outbound.class == WorkClass::Online {
-            self.state.log_barred(&self.outbound, cause, again_in);
-        }
-        Refusal::Barred {
-            retry_after: again_in.clamp(MIN_BARRED_RETRY_AFTER, BARRED_RETRY_AFTER),
-        }
-    }
-
-    /// Returns until when the request waits for the decision whether engines may get it. A
-    /// batch item looks in between whether it is still to run.
-    fn permit_waits_until(&self) -> Timestamp {
-        match self.outbound.class {
-            WorkClass::Online => {
-                let time_limit = self.deadline.since(self.arrived);
-                self.arrived + time_limit.mul_f64(WAIT_SHARE)
-            }
-            WorkClass::Batch => self.state.now() + MAX_TURN,
-        }
-    }
-
-    /// Waits until it is decided whether engines may get the request, while time is left for
-    /// its answer.
-    async fn wait_until_permitted(&mut self) -> Result<(), Refusal> {
-        let waits_until = self.permit_waits_until();
-        loop {
-            match self.state.permit(&self.outbound) {
-                Permit::Granted | Permit::Trial(_) => return Ok(()),
-                Permit::Later(_) if self.state.now() >= waits_until => {
-                    return Err(self.give_up());
-                }
-                Permit::Later(until) => {
-                    let until = until.min(waits_until);
-                    self.state.wait_until_settled(until).await;
-                }
-                Permit::Barred(_) if self.has_bar_trial() => return Ok(()),
-                Permit::Barred(cause) => return self.seek_trial(cause).await,
-            }
-        }
-    }
-
     /// Records that the engine has read the prompt and caches its shared part.
     fn note_cached_prompt(&self, engine: &str) {
         if let Some(shared) = PromptCost::of(&self.facts.prompt).shared {
