A gateway that knows a bar alone waits for calm before its trial

A gateway that had just started, and so knew no crash of a barred cause, asked for a trial at once, also while engines of the service came and went. It counts from when it met the bar now, with the same end of 8 s.

--- a/crates/proxy/src/bar_trials.rs
+++ b/crates/proxy/src/bar_trials.rs
@@ -40,38 +40,54 @@
 /// A cause and how its trial ended.
 type Report = (FeatureDigest, TrialOutcome);
 
+/// What this gateway knows of the trials of one cause.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    /// When a request with the cause was first barred here.
+    met_at: Timestamp,
+    /// When a trial may be asked for again.
+    due: Timestamp,
+}
+
 /// What this gateway knows of trials.
 pub(crate) struct BarTrials {
-    /// When a trial may be asked for again.
-    due: RefCell<BTreeMap<FeatureDigest, Timestamp>>,
+    causes: RefCell<BTreeMap<FeatureDigest, Known>>,
     reports: (Sender<Report>, Receiver<Report>),
 }
 
 impl Default for BarTrials {
     fn default() -> Self {
         Self {
-            due: RefCell::default(),
+            causes: RefCell::default(),
             reports: async_channel::bounded(MAX_OUTCOMES),
         }
     }
 }
 
 impl BarTrials {
-    fn due(&self, cause: &FeatureDigest) -> Option<Timestamp> {
-        self.due.borrow().get(cause).copied()
+    /// Returns what is known of a cause, which a request is barred for now.
+    fn meet(&self, cause: &FeatureDigest, now: Timestamp) -> Known {
+        let first = Known {
+            met_at: now,
+            due: now,
+        };
+        let mut causes = self.causes.borrow_mut();
+        let known = *causes.entry(*cause).or_insert(first);
+        while causes.len() > MAX_CAUSES {
+            causes.pop_first();
+        }
+        known
     }
 
-    fn set_due(&self, cause: FeatureDigest, at: Timestamp) {
-        let mut due = self.due.borrow_mut();
-        due.insert(cause, at);
-        while due.len() > MAX_CAUSES {
-            due.pop_first();
+    fn set_due(&self, cause: &FeatureDigest, at: Timestamp) {
+        if let Some(known) = self.causes.borrow_mut().get_mut(cause) {
+            known.due = at;
         }
     }
 
     /// Forgets when a cause may be tried, since it is no longer barred.
     pub fn forget(&self, cause: &FeatureDigest) {
-        self.due.borrow_mut().remove(cause);
+        self.causes.borrow_mut().remove(cause);
     }
 }
 
@@ -128,13 +144,13 @@
         cause: &Cause,
     ) -> Result<BarTrial, Duration> {
         let now = self.now();
-        let wait = self.trial_due(service, cause).since(now);
+        let wait = self.trial_due(service, cause, now).since(now);
         if !wait.is_zero() {
             return Err(wait);
         }
         let digest = *cause.digest();
         // Until the answer comes, no other request asks.
-        self.bar_trials.set_due(digest, now + ASK_INTERVAL);
+        self.bar_trials.set_due(&digest, now + ASK_INTERVAL);
         let asked_ms = unix_millis();
         let command = DeclaredCommand::Try {
             request: digest,
@@ -162,19 +178,20 @@
                 ASK_INTERVAL
             }
         };
-        self.bar_trials.set_due(digest, self.now() + again_in);
+        self.bar_trials.set_due(&digest, self.now() + again_in);
         Err(again_in)
     }
 
-    /// Returns when a trial may be asked for.
-    fn trial_due(&self, service: &str, cause: &Cause) -> Timestamp {
+    /// Returns when a trial may be asked for. The wait for the service to be calm counts from the
+    /// last crash, or from when the bar was met by a gateway that knows of no crash, and has an
+    /// end: some services are never calm.
+    fn trial_due(&self, service: &str, cause: &Cause, now: Timestamp) -> Timestamp {
+        let known = self.bar_trials.meet(cause.digest(), now);
         let crashed = self.suspects.borrow().last_learned_at(cause);
-        let crashed = crashed.unwrap_or_default();
+        let since = crashed.unwrap_or(known.met_at);
         let newest = self.engines.borrow().latest_known_since(service);
-        let calm = crashed.max(newest.unwrap_or_default()) + CALM;
-        let calm = calm.min(crashed + MAX_CALM_WAIT);
-        let due = self.bar_trials.due(cause.digest());
-        due.map_or(calm, |due| due.max(calm))
+        let calm = newest.map_or(since, |newest| newest.max(since)) + CALM;
+        calm.min(since + MAX_CALM_WAIT).max(known.due)
     }
 
     /// Records that an engine stayed up while it ran a request: what the request was tried or
