--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -213,7 +213,7 @@
         let now = self.in_flight.now();
         let first = *self.first_event_at.get_or_insert(now);
         progress.events = events;
-        progress.lived_ms = now.since(first).as_millis() as u64;
+        progress.written_ms = now.since(first).as_millis() as u64;
         self.request_progress.set(progress);
     }
 
--- a/crates/proxy/src/bar_trials.rs
+++ b/crates/proxy/src/bar_trials.rs
@@ -44,7 +44,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Known {
     /// When a request with the cause was first barred here.
-    met_at: Timestamp,
+    first_seen_at: Timestamp,
     /// When a trial may be asked for again.
     due: Timestamp,
 }
@@ -66,9 +66,9 @@
 
 impl BarTrials {
     /// Returns what is known of a cause, which a request is barred for now.
-    fn meet(&self, cause: &FeatureDigest, now: Timestamp) -> Known {
+    fn note_seen(&self, cause: &FeatureDigest, now: Timestamp) -> Known {
         let first = Known {
-            met_at: now,
+            first_seen_at: now,
             due: now,
         };
         let mut causes = self.causes.borrow_mut();
@@ -186,9 +186,9 @@
     /// last crash, or from when the bar was met by a gateway that knows of no crash, and has an
     /// end: some services are never calm.
     fn trial_due(&self, service: &str, cause: &Cause, now: Timestamp) -> Timestamp {
-        let known = self.bar_trials.meet(cause.digest(), now);
+        let known = self.bar_trials.note_seen(cause.digest(), now);
         let crashed = self.suspects.borrow().last_learned_at(cause);
-        let since = crashed.unwrap_or(known.met_at);
+        let since = crashed.unwrap_or(known.first_seen_at);
         let newest = self.engines.borrow().latest_known_since(service);
         let calm = newest.map_or(since, |newest| newest.max(since)) + CALM;
         calm.min(since + MAX_CALM_WAIT).max(known.due)
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -276,7 +276,7 @@
         if is_whole {
             state.note_complete(&dispatch.outbound);
         } else {
-            if dispatch.outbound.progress.get().has_lived() {
+            if dispatch.outbound.progress.get().has_written_long() {
                 state.note_sound(&dispatch.outbound);
             }
             state.check_engine(&engine, &dispatch.outbound);
--- a/crates/proxy/src/engine_ends.rs
+++ b/crates/proxy/src/engine_ends.rs
@@ -310,7 +310,7 @@
         info!(state.logger, "engine ended under a request"; "request" => &one.id,
             "digest" => %request, "parts" => parts_text(shared), "engine" => &one.engine,
             "resumed_after" => one.progress.resumed_after, "events" => one.progress.events,
-            "lived_ms" => one.progress.lived_ms,
+            "written_ms" => one.progress.written_ms,
             "crashes" => crashes, "requests_there" => broken.len());
     }
     state.request_report();
--- a/crates/routing/src/suspects/blame.rs
+++ b/crates/routing/src/suspects/blame.rs
@@ -51,7 +51,7 @@
     pub events: u64,
     /// Milliseconds between the first and the last event of this run.
     #[n(2)]
-    pub lived_ms: u64,
+    pub written_ms: u64,
 }
 
 /// Number of events behind which the end of an engine is not blamed on the parts of a prompt:
@@ -59,7 +59,7 @@
 const MAX_SUSPECT_EVENTS: u64 = 2;
 /// Time for which an engine writes an answer before its end says nothing of what it ran before:
 /// several times as long as requests that end engines take to do so.
-const MIN_LIVED_MS: u64 = 1_000;
+const MIN_WRITTEN_MS: u64 = 1_000;
 
 impl Progress {
     /// Whether the engine had begun to write for longer than a part that ends engines lets it.
@@ -70,8 +70,8 @@
 
     /// Whether the engine had run the request for a while before it ended.
     #[must_use]
-    pub fn has_lived(self) -> bool {
-        self.has_begun() && self.lived_ms >= MIN_LIVED_MS
+    pub fn has_written_long(self) -> bool {
+        self.has_begun() && self.written_ms >= MIN_WRITTEN_MS
     }
 
     /// Returns the number of the last event.
--- a/crates/routing/src/suspects/suspect.rs
+++ b/crates/routing/src/suspects/suspect.rs
@@ -101,7 +101,7 @@
     /// behind which no later run went on for a while.
     pub fn blamed(&self) -> impl Iterator<Item = (EngineKey, &Crash)> {
         let runs = self.crashes.values().filter_map(|crash| crash.progress);
-        let lived = runs.filter(|progress| progress.has_lived());
+        let lived = runs.filter(|progress| progress.has_written_long());
         let furthest = lived.map(|progress| progress.resumed_after).max();
         let is_passed = move |crash: &Crash| {
             let reached = crash.progress.map(Progress::reached);
--- a/crates/routing/tests/suspect_schedules/world.rs
+++ b/crates/routing/tests/suspect_schedules/world.rs
@@ -816,7 +816,7 @@
         Progress {
             resumed_after,
             events,
-            lived_ms: events.saturating_sub(1) * EVENT_MS,
+            written_ms: events.saturating_sub(1) * EVENT_MS,
         }
     }
 
--- a/crates/routing/tests/suspects.rs
+++ b/crates/routing/tests/suspects.rs
@@ -109,7 +109,7 @@
         let progress = Progress {
             resumed_after,
             events,
-            lived_ms: events.saturating_sub(1) * 50,
+            written_ms: events.saturating_sub(1) * 50,
         };
         let at = now(number * 1_000);
         table.blame_within(request(1), engine(number), progress, at);
