A trial of a bar keeps its slot until it has shown something

Cause: a barred item gets one or two trials. Online work preempted the trial like any run of an item, and a preempted trial counted as used: an engine may have run it.

Ruled out: the count of the control group (each granted once), an end of the engine (none reported).

Change: a run that is a trial isn't preempted before it has written for a second, and a run that has is evidence however it ends. Each send of a trial is logged.

--- a/crates/proxy/src/bar_trials.rs
+++ b/crates/proxy/src/bar_trials.rs
@@ -102,10 +102,12 @@
 
 impl BarTrial {
     /// Records that the request is being sent.
-    pub fn begin_send(&self, request: &Outbound) {
+    pub fn begin_send(&self, request: &Outbound, engine: &str) {
         if !self.is_open() {
             return;
         }
+        info!(self.state.logger, "barred request sent as a trial"; "request" => &request.id,
+            "engine" => engine, "digest" => %self.cause);
         self.may_have_run.set(true);
         request.bar_trial.set(Some(self.cause));
     }
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -253,7 +253,7 @@
     let after_event = output.borrow().last_event();
     dispatch.due_ms = item.due_ms;
     dispatch.version = version;
-    let running = async {
+    let run = async {
         let reply = match dispatch.next_reply(after_event).await {
             Ok(reply) => reply,
             Err(Refusal::Barred { retry_after }) => {
@@ -266,7 +266,7 @@
         };
         let engine = reply.body.engine.clone();
         let version = reply.body.version.clone();
-        guard.set_engine(&engine);
+        guard.set_engine(&engine, &dispatch.outbound);
         let origin = version.clone().map(|version| StreamOrigin {
             service: dispatch.service.clone(),
             version,
@@ -276,9 +276,7 @@
         if is_whole {
             state.note_complete(&dispatch.outbound);
         } else {
-            if dispatch.outbound.progress.get().has_written_long() {
-                state.note_sound(&dispatch.outbound);
-            }
+            note_sound_if_long(state, &dispatch.outbound);
             state.check_engine(&engine, &dispatch.outbound);
             info!(state.logger, "run of an item was broken off by its engine"; "item" => &item.item.id,
                 "digest" => %dispatch.outbound.digest(), "engine" => engine,
@@ -286,11 +284,23 @@
         }
         run
     };
+    let running = async { Some(run.await) };
     let preempted = async {
         guard.preempted().await;
-        RunResult::Deferred
+        None
+    };
+    let Some(result) = future::or(running, preempted).await else {
+        note_sound_if_long(state, &dispatch.outbound);
+        return RunResult::Deferred;
     };
-    future::or(running, preempted).await
+    result
+}
+
+/// Records that a run which got no whole answer has shown that its request ends no engine.
+fn note_sound_if_long(state: &GatewayState, request: &Outbound) {
+    if request.progress.get().has_written_long() {
+        state.note_sound(request);
+    }
 }
 
 /// Processes the answer of an engine; returns also whether that was whole.
--- a/crates/proxy/src/batch/preemption.rs
+++ b/crates/proxy/src/batch/preemption.rs
@@ -7,9 +7,11 @@
 use async_channel::{Receiver, Sender};
 use molespan_daemon::wall_clock::unix_millis;
 use molespan_routing::dispatch::{PreemptionCost, Urgency};
+use molespan_routing::suspects::Progress;
 use slog::info;
 
 use super::item::SharedOutput;
+use crate::attempt::Outbound;
 use crate::state::GatewayState;
 
 /// A run of a batch item that may be preempted.
@@ -23,10 +25,19 @@
     prompt_tokens: u64,
     /// Output of the item so far.
     output: SharedOutput,
+    /// How far the answer has got, if the run is a trial of a bar.
+    trial: Option<Rc<Cell<Progress>>>,
     preempt: Sender<()>,
 }
 
 impl Run {
+    /// Whether online work may have the slot. A trial keeps it until it has shown something:
+    /// there are few, and held items wait for their outcome.
+    fn may_be_preempted(&self) -> bool {
+        let progress = self.trial.as_ref().map(|progress| progress.get());
+        progress.is_none_or(Progress::has_written_long) && !self.preempt.is_closed()
+    }
+
     /// Returns the cost of preempting this run. Each event counts as one token, its
     /// minimum.
     fn preemption_cost(&self, number: u64, now_ms: u64) -> PreemptionCost {
@@ -108,6 +119,7 @@
             due_ms,
             prompt_tokens,
             output: output.clone(),
+            trial: None,
             preempt: sender,
         };
         runs.runs.borrow_mut().insert(number, run);
@@ -119,10 +131,12 @@
     }
 
     /// Records that the run is now at `engine`.
-    pub fn set_engine(&self, engine: &str) {
+    pub fn set_engine(&self, engine: &str, request: &Outbound) {
+        let is_trial = request.bar_trial.get().is_some();
         let mut runs = self.state.batch_runs.runs.borrow_mut();
         if let Some(run) = runs.get_mut(&self.number) {
             engine.clone_into(&mut run.engine);
+            run.trial = is_trial.then(|| request.progress.clone());
         }
     }
 
@@ -150,7 +164,7 @@
     for (engine, count) in preemptions {
         let mut running: Vec<(PreemptionCost, &Run)> = runs
             .iter()
-            .filter(|(_, run)| run.engine == engine && !run.preempt.is_closed())
+            .filter(|(_, run)| run.engine == engine && run.may_be_preempted())
             .map(|(number, run)| (run.preemption_cost(*number, now_ms), run))
             .collect();
         running.sort_unstable_by_key(|(cost, _)| *cost);
--- a/crates/proxy/src/dispatch.rs
+++ b/crates/proxy/src/dispatch.rs
@@ -200,7 +200,7 @@
                 Permit::Later(_) | Permit::Barred(_) => continue,
             };
             if let Some(trial) = &self.bar_trial {
-                trial.begin_send(&self.outbound);
+                trial.begin_send(&self.outbound, &picked.facts.id);
             }
             let limits = AttemptLimits {
                 deadline: self.deadline,
