The last trial of a bar waits until the service is calm

Cause: an item with five crashes has one trial left. Like the first of two, it went 8 s behind the last crash even if engines still ended: a third of them each 3.4 s.

Change: the control group doesn't grant the last trial before the gateway says that the service is calm, or that the last crash is 10 minutes ago. Calm: 2 s behind a crash of the cause, and all but the latest quarter of the service's engines are known for 5 s; before, the latest engine for 2 s, which neither a service of hundreds of engines that is being rolled out ever is, nor a small one beside a flapping engine. The count stays two, so the bound on sends does.

--- a/crates/proxy/src/bar_trials.rs
+++ b/crates/proxy/src/bar_trials.rs
@@ -18,15 +18,21 @@
 use crate::attempt::Outbound;
 use crate::state::GatewayState;
 
-/// Time before a trial without a crash that is blamed on the same cause, and without a new
-/// engine of the service: what ends engines for other reasons is over.
+/// Time before a trial without a crash that is blamed on the same cause.
 const CALM: Duration = Duration::from_secs(2);
+/// Time before a trial for which most engines of the service have been there: what ends engines
+/// for other reasons is over.
+const SETTLED: Duration = Duration::from_secs(5);
 /// Time after the last crash behind which a trial no longer waits for the service to be calm.
 const MAX_CALM_WAIT: Duration = Duration::from_secs(8);
+/// The same for the last trial, behind which nothing is left but the end of the bar.
+const MAX_LAST_CALM_WAIT: Duration = Duration::from_secs(600);
 /// Timeout of a call for a trial, for which a caller waits.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time until a call is repeated that got no answer.
 const ASK_INTERVAL: Duration = Duration::from_secs(2);
+/// Least time between two calls for a trial of a cause.
+const MIN_AGAIN_IN: Duration = Duration::from_millis(500);
 /// Maximum number of causes whose next trial is remembered.
 const MAX_CAUSES: usize = 1_024;
 /// Maximum number of outcomes that wait to be reported.
@@ -47,6 +53,8 @@
     first_seen_at: Timestamp,
     /// When a trial may be asked for again.
     due: Timestamp,
+    /// Whether the next trial is the last.
+    needs_calm: bool,
 }
 
 /// What this gateway knows of trials.
@@ -70,6 +78,7 @@
         let first = Known {
             first_seen_at: now,
             due: now,
+            needs_calm: false,
         };
         let mut causes = self.causes.borrow_mut();
         let known = *causes.entry(*cause).or_insert(first);
@@ -85,6 +94,12 @@
         }
     }
 
+    fn set_needs_calm(&self, cause: &FeatureDigest) {
+        if let Some(known) = self.causes.borrow_mut().get_mut(cause) {
+            known.needs_calm = true;
+        }
+    }
+
     /// Forgets when a cause may be tried, since it is no longer barred.
     pub fn forget(&self, cause: &FeatureDigest) {
         self.causes.borrow_mut().remove(cause);
@@ -146,9 +161,9 @@
         cause: &Cause,
     ) -> Result<BarTrial, Duration> {
         let now = self.now();
-        let wait = self.trial_due(service, cause, now).since(now);
-        if !wait.is_zero() {
-            return Err(wait);
+        let (due, calm_at) = self.trial_due(service, cause, now);
+        if due > now {
+            return Err(due.since(now));
         }
         let digest = *cause.digest();
         // Until the answer comes, no other request asks.
@@ -158,6 +173,7 @@
             request: digest,
             now_ms: asked_ms,
             allowed: self.suspects.borrow().trials_left(cause),
+            is_calm: calm_at <= now,
         };
         let again_in = match self.control.change_declared(command, ASK_TIMEOUT).await {
             Ok(DeclaredReply::Trial(TrialReply::Granted)) => {
@@ -169,8 +185,14 @@
                     may_have_run: Cell::new(false),
                 });
             }
-            Ok(DeclaredReply::Trial(TrialReply::Denied { again_in_ms })) => {
-                Duration::from_millis(again_in_ms)
+            Ok(DeclaredReply::Trial(TrialReply::Denied {
+                again_in_ms,
+                needs_calm,
+            })) => {
+                if needs_calm {
+                    self.bar_trials.set_needs_calm(&digest);
+                }
+                Duration::from_millis(again_in_ms).max(MIN_AGAIN_IN)
             }
             other => {
                 warn!(self.logger, "no answer to a call for a trial"; "digest" => %digest,
@@ -184,16 +206,21 @@
         Err(again_in)
     }
 
-    /// Returns when a trial may be asked for. The wait for the service to be calm counts from the
-    /// last crash, or from when the bar was met by a gateway that knows of no crash, and has an
-    /// end: some services are never calm.
-    fn trial_due(&self, service: &str, cause: &Cause, now: Timestamp) -> Timestamp {
+    /// Returns when a trial may be asked for, and from when on the service is calm, or is no
+    /// longer waited for. The wait counts from the last crash, or from when the bar was met by a
+    /// gateway that knows of no crash. It has an end, since some services are never calm.
+    fn trial_due(&self, service: &str, cause: &Cause, now: Timestamp) -> (Timestamp, Timestamp) {
         let known = self.bar_trials.note_seen(cause.digest(), now);
         let crashed = self.suspects.borrow().last_learned_at(cause);
         let since = crashed.unwrap_or(known.first_seen_at);
-        let newest = self.engines.borrow().latest_known_since(service);
-        let calm = newest.map_or(since, |newest| newest.max(since)) + CALM;
-        calm.min(since + MAX_CALM_WAIT).max(known.due)
+        let settled_since = self.engines.borrow().settled_since(service);
+        let settled_at = settled_since.map_or(since, |settled_since| settled_since + SETTLED);
+        let calm_at = settled_at.max(since + CALM).min(since + MAX_LAST_CALM_WAIT);
+        let due = match known.needs_calm {
+            true => calm_at,
+            false => calm_at.min(since + MAX_CALM_WAIT),
+        };
+        (due.max(known.due), calm_at)
     }
 
     /// Records that an engine stayed up while it ran a request: what the request was tried or
--- a/crates/routing/src/dispatch/table.rs
+++ b/crates/routing/src/dispatch/table.rs
@@ -42,6 +42,8 @@
 /// instead of 3, and beside two guilty ones, 7 either way (tests/suspect_schedules, 60
 /// schedules of seven kinds).
 const STABLE_AFTER: Duration = Duration::from_secs(10);
+/// One of so many engines of a service may have come lately in a service that counts as settled.
+const UNSETTLED_PER_ENGINES: usize = 4;
 /// Time for which a report of another gateway shows that gateways exchange reports.
 const REPORT_TTL: Duration = Duration::from_millis(1_200);
 
@@ -316,12 +318,15 @@
         }
     }
 
-    /// Returns when the latest engine of a service became known; `None` if there is none.
+    /// Returns since when a service's engines are known but for the latest quarter, so that one
+    /// that ends again and again does not count among several; `None` if there is no engine.
     #[must_use]
-    pub fn latest_known_since(&self, service: &str) -> Option<Timestamp> {
-        self.of_service(service)
-            .map(|engine| engine.known_since)
-            .max()
+    pub fn settled_since(&self, service: &str) -> Option<Timestamp> {
+        let engines = self.of_service(service);
+        let mut known_since: Vec<Timestamp> = engines.map(|engine| engine.known_since).collect();
+        known_since.sort_unstable();
+        let latest = known_since.len() / UNSETTLED_PER_ENGINES;
+        known_since.into_iter().rev().nth(latest)
     }
 
     /// Whether an engine of a service is known that runs a software version.
--- a/crates/routing/tests/dispatch.rs
+++ b/crates/routing/tests/dispatch.rs
@@ -39,6 +39,19 @@
     Timestamp::from_millis(millis)
 }
 
+#[test]
+fn a_service_is_settled_while_at_most_a_quarter_of_its_engines_come_anew() {
+    assert_eq!(table(&[]).settled_since("s"), None);
+    let mut few = table(&[(1, "near"), (2, "near")]);
+    few.add_engine(CONTROL, facts(3, "near"), now(1_000));
+    assert_eq!(few.settled_since("s"), Some(now(1_000)));
+    let mut more = table(&[(1, "near"), (2, "near"), (3, "near")]);
+    more.add_engine(CONTROL, facts(4, "near"), now(1_000));
+    assert_eq!(more.settled_since("s"), Some(Timestamp::ZERO));
+    more.add_engine(CONTROL, facts(5, "near"), now(2_000));
+    assert_eq!(more.settled_since("s"), Some(now(1_000)));
+}
+
 /// Picks an engine for a request without a prompt.
 fn choose(
     table: &mut EngineTable,
--- a/crates/state/src/declared/command.rs
+++ b/crates/state/src/declared/command.rs
@@ -121,6 +121,9 @@
         /// Number of trials that its crashes so far leave.
         #[n(2)]
         allowed: u32,
+        /// Whether engines of the service have not ended lately for other reasons.
+        #[n(3)]
+        is_calm: bool,
     },
     /// Records how a trial ended.
     #[n(8)]
--- a/crates/state/src/declared/state.rs
+++ b/crates/state/src/declared/state.rs
@@ -126,7 +126,11 @@
                 request,
                 now_ms,
                 allowed,
-            } => DeclaredReply::Trial(self.trials.grant(*request, *now_ms, *allowed)),
+                is_calm,
+            } => {
+                let reply = self.trials.grant(*request, *now_ms, *allowed, *is_calm);
+                DeclaredReply::Trial(reply)
+            }
             DeclaredCommand::TrialEnded { request, outcome } => {
                 self.end_trial(request, *outcome);
                 DeclaredReply::Noted
--- a/crates/state/src/declared/trials.rs
+++ b/crates/state/src/declared/trials.rs
@@ -49,6 +49,9 @@
         /// Time until the next trial may be granted, in milliseconds.
         #[n(0)]
         again_in_ms: u64,
+        /// Whether the next one is the last, which is not granted before the service is calm.
+        #[n(1)]
+        needs_calm: bool,
     },
 }
 
@@ -78,12 +81,14 @@
 
 impl Trials {
     /// Grants or denies a trial at `now_ms`, in milliseconds since 1970, if fewer were granted
-    /// within the duration of a bar than were `allowed` at the first one.
+    /// within the duration of a bar than were `allowed` at the first one. The last one needs a
+    /// calm service: if its engine ended for another reason, none would be left.
     pub(super) fn grant(
         &mut self,
         request: RequestDigest,
         now_ms: u64,
         allowed: u32,
+        is_calm: bool,
     ) -> TrialReply {
         let known = self.granted.get(&request).copied();
         let known = known.filter(|known| known.forgotten_ms() > now_ms);
@@ -94,8 +99,12 @@
             false => known.forgotten_ms(),
         });
         let again_in_ms = due_ms.saturating_sub(now_ms);
-        if again_in_ms > 0 {
-            return TrialReply::Denied { again_in_ms };
+        let needs_calm = count + 1 >= allowed;
+        if again_in_ms > 0 || needs_calm && !is_calm {
+            return TrialReply::Denied {
+                again_in_ms,
+                needs_calm,
+            };
         }
         let granted = Granted {
             count: count + 1,
--- a/crates/state/tests/bars.rs
+++ b/crates/state/tests/bars.rs
@@ -128,11 +128,22 @@
     number: u64,
     now_ms: u64,
     allowed: u32,
+) -> TrialReply {
+    ask(machine, number, now_ms, allowed, true)
+}
+
+fn ask(
+    machine: &mut ControlMachine,
+    number: u64,
+    now_ms: u64,
+    allowed: u32,
+    is_calm: bool,
 ) -> TrialReply {
     let command = DeclaredCommand::Try {
         request: request(number),
         now_ms,
         allowed,
+        is_calm,
     };
     match machine.apply(&ControlCommand::Declared(command)) {
         ControlReply::Declared(DeclaredReply::Trial(reply)) => reply,
@@ -154,7 +165,7 @@
 fn trials_are_granted_one_at_a_time_and_twice_a_day_over_all_gateways() {
     let mut machine = ControlMachine::default();
     assert!(is_granted(&mut machine, 1, NOW));
-    let TrialReply::Denied { again_in_ms } = ask_for_trial(&mut machine, 1, NOW + 1_000) else {
+    let TrialReply::Denied { again_in_ms, .. } = ask_for_trial(&mut machine, 1, NOW + 1_000) else {
         panic!("a second trial beside the first");
     };
     assert!((1_000..20_000).contains(&again_in_ms), "{again_in_ms}");
@@ -187,6 +198,26 @@
     );
 }
 
+// Guards against a last trial that is used up while engines end for other reasons: the request
+// waited for a day.
+#[test]
+fn the_last_trial_is_not_granted_before_the_service_is_calm() {
+    let mut machine = ControlMachine::default();
+    let mut try_at = |number, now_ms, allowed, is_calm| {
+        let reply = ask(&mut machine, number, now_ms, allowed, is_calm);
+        match reply {
+            TrialReply::Granted => Ok(()),
+            TrialReply::Denied { needs_calm, .. } => Err(needs_calm),
+        }
+    };
+    assert_eq!(try_at(1, NOW, 2, false), Ok(()), "the first of two");
+    let later = NOW + 60_000;
+    assert_eq!(try_at(1, later, 2, false), Err(true));
+    assert_eq!(try_at(1, later, 2, true), Ok(()));
+    assert_eq!(try_at(2, NOW, 1, false), Err(true), "the only one");
+    assert_eq!(try_at(2, NOW, 1, true), Ok(()));
+}
+
 // Guards against a request that waits for a day because gateways were too busy to send it.
 #[test]
 fn a_trial_in_which_no_engine_ran_the_request_is_not_counted() {
