The first streams behind a quiet time are reported at once

What callers saw: a stream whose gateway was killed right behind its first event was refused with 503, version unknown, for as long as its caller asked.

Cause: a gateway reported the first stream at once, then paused for 20 ms, so that streams that began right behind another one waited in it and were lost with it.

Change: eight reports go without a pause behind a time without any; the mean rate, and with it the bound of a holder, stays.

--- a/crates/proxy/src/streams.rs
+++ b/crates/proxy/src/streams.rs
@@ -13,8 +13,8 @@
 use futures_lite::future;
 use molespan_daemon::cluster::{PeerTransport, WireTransport};
 use molespan_routing::streams::{
-    Found, HOLDERS, Holder, HolderAnswer, KnownOrigin, OriginReport, Origins, Search, in_order,
-    report_interval,
+    Found, HOLDERS, Holder, HolderAnswer, KnownOrigin, OriginReport, Origins, ReportPace, Search,
+    in_order, report_interval,
 };
 use molespan_state::declared::{StreamKey, StreamOrigin};
 use molespan_types::NodeId;
@@ -241,6 +241,7 @@
 pub(crate) async fn report_streams(state: Rc<GatewayState>) {
     let streams = &state.streams;
     let mut repeated = state.now();
+    let mut pace = ReportPace::default();
     loop {
         let signalled = async {
             let _signalled = streams.reports_due.1.recv().await;
@@ -257,7 +258,11 @@
         if let Some(reports) = streams.take_reports() {
             send_reports(&state, &nodes, &reports);
         }
-        Timer::after(report_interval(state.gateways(), nodes.len())).await;
+        let interval = report_interval(state.gateways(), nodes.len());
+        let pause = pace.pause(interval, state.now());
+        if !pause.is_zero() {
+            Timer::after(pause).await;
+        }
     }
 }
 
--- a/crates/routing/src/streams/holder.rs
+++ b/crates/routing/src/streams/holder.rs
@@ -2,16 +2,18 @@
 
 use std::time::Duration;
 
-use molespan_types::{NodeId, ZoneName};
+use molespan_types::{NodeId, Timestamp, ZoneName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Nodes that hold each stream: one may be lost.
 pub const HOLDERS: usize = 2;
 /// Reports that one holder receives per second: about 4% of a core at 25 microseconds each.
 const REPORTS_PER_SECOND: f64 = 1_600.0;
-/// Shortest interval between two reports of a gateway. Streams that began since the last
+/// Shortest mean interval between two reports of a gateway. Streams that began since the last
 /// report are lost with the gateway.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
+/// Number of reports that a gateway sends without a pause behind a time without any.
+const REPORT_BURST: u32 = 8;
 
 /// A node that can hold streams.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,7 +44,24 @@
     order.map(|holder| holder.node).collect()
 }
 
-/// Returns the interval between two reports of a gateway, one of `gateways` that share
+/// Pace of the reports of a gateway: a bounded mean rate, at which few streams wait for the
+/// next report.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReportPace {
+    /// When the reports so far would have ended at the mean rate.
+    paid_until: Timestamp,
+}
+
+impl ReportPace {
+    /// Returns the pause behind a report at `now`, with a mean `interval` between two.
+    pub fn pause(&mut self, interval: Duration, now: Timestamp) -> Duration {
+        self.paid_until = self.paid_until.max(now) + interval;
+        let ahead = self.paid_until.since(now);
+        ahead.saturating_sub(interval * REPORT_BURST)
+    }
+}
+
+/// Returns the mean interval between two reports of a gateway, one of `gateways` that share
 /// `nodes` holders.
 #[must_use]
 pub fn report_interval(gateways: u32, nodes: usize) -> Duration {
--- a/crates/routing/src/streams/mod.rs
+++ b/crates/routing/src/streams/mod.rs
@@ -9,6 +9,6 @@
 mod origin;
 mod search;
 
-pub use holder::{HOLDERS, Holder, in_order, report_interval};
+pub use holder::{HOLDERS, Holder, ReportPace, in_order, report_interval};
 pub use origin::{KnownOrigin, OriginReport, Origins};
 pub use search::{Found, HolderAnswer, Search};
--- a/crates/routing/tests/streams.rs
+++ b/crates/routing/tests/streams.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use molespan_routing::streams::{
-    Found, HOLDERS, Holder, HolderAnswer, KnownOrigin, OriginReport, Origins, Search, in_order,
-    report_interval,
+    Found, HOLDERS, Holder, HolderAnswer, KnownOrigin, OriginReport, Origins, ReportPace, Search,
+    in_order, report_interval,
 };
 use molespan_state::declared::{StreamKey, StreamOrigin};
 use molespan_types::{NodeId, SoftwareVersion, Timestamp};
@@ -172,6 +172,32 @@
     );
 }
 
+// Guards against streams that are lost with their gateway since they began right behind another.
+#[test]
+fn a_few_streams_are_reported_without_a_pause_and_many_at_the_mean_rate() {
+    const INTERVAL: Duration = Duration::from_millis(20);
+    let mut pace = ReportPace::default();
+    let start = at(100);
+    let mut now = start;
+    let mut pauses = Vec::new();
+    for _ in 0..108 {
+        let pause = pace.pause(INTERVAL, now);
+        pauses.push(pause);
+        now = now + pause;
+    }
+    assert_eq!(pauses[..8], [Duration::ZERO; 8]);
+    assert_eq!(
+        now.since(start),
+        INTERVAL * 100,
+        "the mean rate of 100 reports more"
+    );
+    // Behind a pause there are as many again, and no more.
+    now = now + INTERVAL * 1_000;
+    let pauses: Vec<Duration> = (0..9).map(|_| pace.pause(INTERVAL, now)).collect();
+    assert_eq!(pauses[..8], [Duration::ZERO; 8]);
+    assert_eq!(pauses[8], INTERVAL);
+}
+
 #[test]
 fn reports_stay_within_a_holders_budget_at_the_target_size() {
     for (gateways, nodes) in [(8, 3), (117, 5), (836, 5), (1_800, 5)] {
