--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-stand-ins-2/release/review-2
 [ -x "$program" ] && [ -x target/release/molespan-platform ] || exit 2
-exec "$program" fraction review/8/record.txt
+exec "$program" other-service review/8/record.txt
--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -606,3 +606,55 @@
         false => Outcome::Unable("the cluster does not serve".to_owned()),
     }
 }
+
+/// The only engine of one batch service is lost for good; jobs of another service wait.
+pub fn other_service(trouble: bool) -> Outcome {
+    let cluster = match start() {
+        Ok(cluster) => cluster,
+        Err(unable) => return unable,
+    };
+    let more = format!(
+        r#",{{"name":"other","host":"{HOST}","pathPrefix":"/other/","routeKind":"batch","timeoutMs":25000,"targetLatencyMs":400,"completionTargetMs":20000,"retentionS":60,"priority":2,"service":"app","maxAttempts":3,"sticky":true,"resumable":true,"gapTargetMs":500}}"#
+    );
+    if !cluster.configure(&document(2, &more)) {
+        return Outcome::Unable("the configuration is not acknowledged".to_owned());
+    }
+    let engines: Vec<Engine> = (1..=3)
+        .map(|number| {
+            Engine::start(
+                kind(&cluster, &format!("i-{number}"), "llm", number),
+                cluster.controls(),
+            )
+        })
+        .collect();
+    let lost = Engine::start(kind(&cluster, "i-app", "app", 4), cluster.controls());
+    if !is_well(&cluster) || !eventually(Duration::from_secs(5), || lost.beats_taken() > 0) {
+        return Outcome::Unable("the first job does not run".to_owned());
+    }
+    let path = |prefix: &str, job: &str, place: usize| {
+        Item::new(
+            &format!("{job}{place:03}"),
+            &format!("/{prefix}/3/{job}{place:03}"),
+        )
+    };
+    let other: Vec<Item> = (0..100).map(|place| path("other", "gg", place)).collect();
+    let job: Vec<Item> = (0..20).map(|place| path("jobs", "hh", place)).collect();
+    let wanted = job.iter().map(|item| item.id.clone()).collect();
+    if trouble {
+        lost.crash();
+    }
+    if !cluster.submit_at("other", "gg", &job_body(&other)) {
+        return Outcome::Unable("the job gg is not taken".to_owned());
+    }
+    thread::sleep(Duration::from_secs(4));
+    if !cluster.submit("hh", &job_body(&job)) {
+        return Outcome::Unable("the job hh is not taken".to_owned());
+    }
+    // The traffic has ended; batch jobs get `finishS` more, of which the last 5 s are watched.
+    thread::sleep(FINISH - Duration::from_secs(4));
+    for number in 1..=2 {
+        ask(&cluster, number, &format!("q{number}"));
+    }
+    let engines: Vec<&Engine> = engines.iter().collect();
+    judge_items(&cluster, &engines, "hh", &wanted)
+}
--- a/review/stand-ins-2/src/cluster.rs
+++ b/review/stand-ins-2/src/cluster.rs
@@ -251,6 +251,11 @@
 
     /// Hands a batch job in as a client does: again at the other gateway until it is taken.
     pub fn submit(&self, job: &str, body: &str) -> bool {
+        self.submit_at("jobs", job, body)
+    }
+
+    /// The same, on the route with this prefix.
+    pub fn submit_at(&self, prefix: &str, job: &str, body: &str) -> bool {
         let headers = [
             ("Host", HOST),
             ("X-Request-Id", job),
@@ -258,7 +263,7 @@
         ];
         for attempt in 0..20u8 {
             let gateway = self.gateway(1 + attempt % 2);
-            let target = format!("/jobs/{job}");
+            let target = format!("/{prefix}/{job}");
             let answer = call(
                 gateway,
                 "POST",
--- a/review/stand-ins-2/src/engine.rs
+++ b/review/stand-ins-2/src/engine.rs
@@ -248,7 +248,10 @@
             "X-Response-Stamp: stamp-{}-{id}\r\nX-Weight-Versions: {}\r\n",
             kind.id, kind.weights
         );
-        let whole = match path.starts_with("/jobs/") {
+        let whole = match ["/jobs/", "/other/"]
+            .iter()
+            .any(|prefix| path.starts_with(prefix))
+        {
             true => send_events(&mut writer, state, &common, after),
             false => {
                 thread::sleep(Duration::from_millis(20));
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -43,6 +43,7 @@
         "expected-version" => cases::expected_version(trouble),
         "longer-prefix" => cases::longer_prefix(trouble),
         "fraction" => cases::fraction(trouble),
+        "other-service" => cases::other_service(trouble),
         "item-header" => cases::item_header(trouble),
         _ => Outcome::Unable("there is no such case".to_owned()),
     };
