--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -5,8 +5,8 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -428,17 +428,31 @@
         fs::create_dir_all(folder).expect("a folder");
     }
     let watches = Arc::new(AtomicBool::new(true));
+    // The segments of each store that were removed, each with the newest one at that time.
+    let removals: Arc<Mutex<Vec<BTreeMap<u64, u64>>>> =
+        Arc::new(Mutex::new(vec![BTreeMap::new(); 3]));
     let watching = {
         let (logs, before, watches) = (logs.clone(), before.clone(), watches.clone());
+        let removals = removals.clone();
         thread::spawn(move || {
             while watches.load(Ordering::SeqCst) {
-                for (log, before) in logs.iter().zip(&before) {
-                    for path in segments(log).values() {
+                for (store, (log, before)) in logs.iter().zip(&before).enumerate() {
+                    let now = segments(log);
+                    let newest = now.keys().next_back().copied().unwrap_or_default();
+                    for path in now.values() {
                         let kept = before.join(path.file_name().expect("a name"));
                         if !kept.exists() {
                             let _removed_meanwhile = fs::hard_link(path, kept);
                         }
                     }
+                    let gone = segments(before)
+                        .into_keys()
+                        .filter(|one| !now.contains_key(one));
+                    for segment in gone {
+                        removals.lock().unwrap()[store]
+                            .entry(segment)
+                            .or_insert(newest);
+                    }
                 }
                 thread::sleep(Duration::from_millis(10));
             }
@@ -468,17 +482,16 @@
         jobs.push(job);
     }
     let all = eventually(Duration::from_secs(10), || snapshots(&cluster) == 3);
-    let removed = |log: &PathBuf, before: &PathBuf| -> Vec<u64> {
-        let now = segments(log);
-        segments(before)
-            .into_keys()
-            .filter(|number| !now.contains_key(number))
-            .collect()
+    // A new segment is begun with a sync of the folder, which makes earlier removals last.
+    let unsynced = |store: usize| -> Vec<u64> {
+        let newest = segments(&logs[store]).into_keys().next_back();
+        let removals = removals.lock().unwrap();
+        let removed = removals[store].iter();
+        let removed = removed.filter(|(_, newest_then)| Some(**newest_then) == newest);
+        removed.map(|(segment, _)| *segment).collect()
     };
     let gone = eventually(Duration::from_secs(5), || {
-        logs.iter()
-            .zip(&before)
-            .all(|(log, before)| removed(log, before).len() >= 3)
+        (0..3).all(|store| unsynced(store).len() >= 3)
     });
     if !all || !gone {
         return Outcome::Unable(format!(
@@ -492,16 +505,21 @@
     }
     watches.store(false, Ordering::SeqCst);
     let _ended = watching.join();
-    for (log, before) in logs.iter().zip(&before) {
-        let removed = removed(log, before);
+    for (store, (log, before)) in logs.iter().zip(&before).enumerate() {
+        let removed = unsynced(store);
         note!(
-            "{}: segments {:?}, removed since the folder was synced last: {removed:?}",
+            "{}: segments {:?}, removed since the newest one was begun: {removed:?}",
             log.display(),
             segments(log).into_keys().collect::<Vec<_>>()
         );
         // Each name may be kept or lost on its own: the removal of the newest is kept, the
         // removals of the others are lost.
-        let (_newest, others) = removed.split_last().expect("some are removed");
+        let Some((_newest, others)) = removed
+            .split_last()
+            .filter(|(_, others)| !others.is_empty())
+        else {
+            return Outcome::Unable("the folder was synced meanwhile".to_owned());
+        };
         for number in others.iter().filter(|_| trouble) {
             let name = format!("{number:020}.segment");
             fs::rename(before.join(&name), log.join(&name)).expect("the name is back");
