--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -676,3 +676,23 @@
     let engines: Vec<&Engine> = engines.iter().collect();
     judge_items(&cluster, &engines, "hh", &wanted)
 }
+
+/// The first configuration has the version 0.
+pub fn first_version(trouble: bool) -> Outcome {
+    let Some(cluster) = Cluster::start("8") else {
+        return Outcome::Unable("no cluster".to_owned());
+    };
+    let engine = Engine::start(kind(&cluster, "i-1", "llm", 1), cluster.controls());
+    let version = if trouble { 0 } else { 1 };
+    if !cluster.configure(&document(version, "")) {
+        return Outcome::Unable("the configuration is not acknowledged".to_owned());
+    }
+    let served = eventually(Duration::from_secs(15), || {
+        ask(&cluster, 1, "q1") == Some(200)
+    });
+    drop(engine);
+    match served {
+        true => Outcome::Held,
+        false => Outcome::Broken,
+    }
+}
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -44,6 +44,7 @@
         "longer-prefix" => cases::longer_prefix(trouble),
         "fraction" => cases::fraction(trouble),
         "other-service" => cases::other_service(trouble),
+        "first-version" => cases::first_version(trouble),
         "item-header" => cases::item_header(trouble),
         _ => Outcome::Unable("there is no such case".to_owned()),
     };
