--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -26,6 +26,8 @@
         service: service.to_owned(),
         address: cluster.engine_address(number),
         slots: 12,
+        software: "v1",
+        born: None,
         weights: 1,
         events: 20,
         pause: Duration::from_millis(25),
@@ -266,11 +268,12 @@
     }
     // The traffic has ended; batch jobs get `finishS` more, of which the last 5 s are watched.
     thread::sleep(FINISH - Duration::from_secs(4));
+    let engines: Vec<&Engine> = engines.iter().collect();
+    let outcome = judge_items(&cluster, &engines, "cc", &wanted);
     for number in 1..=2 {
         ask(&cluster, number, &format!("q{number}"));
     }
-    let engines: Vec<&Engine> = engines.iter().collect();
-    judge_items(&cluster, &engines, "cc", &wanted)
+    outcome
 }
 
 /// A configuration adds a route whose prefix begins the paths of waiting items.
@@ -670,11 +673,12 @@
     }
     // The traffic has ended; batch jobs get `finishS` more, of which the last 5 s are watched.
     thread::sleep(FINISH - Duration::from_secs(4));
+    let engines: Vec<&Engine> = engines.iter().collect();
+    let outcome = judge_items(&cluster, &engines, "hh", &wanted);
     for number in 1..=2 {
         ask(&cluster, number, &format!("q{number}"));
     }
-    let engines: Vec<&Engine> = engines.iter().collect();
-    judge_items(&cluster, &engines, "hh", &wanted)
+    outcome
 }
 
 /// The first configuration has the version 0.
@@ -696,3 +700,80 @@
         false => Outcome::Broken,
     }
 }
+
+/// Streams while an engine is back under its id with other software, whose heartbeat is late.
+pub fn former_version(trouble: bool) -> Outcome {
+    let cluster = match start() {
+        Ok(cluster) => cluster,
+        Err(unable) => return unable,
+    };
+    let more = format!(
+        r#",{{"name":"walk","host":"{HOST}","pathPrefix":"/other/","routeKind":"streaming","timeoutMs":8000,"targetLatencyMs":500,"priority":0,"service":"llm","maxAttempts":2,"sticky":true,"resumable":true,"gapTargetMs":500}}"#
+    );
+    if !cluster.configure(&document(2, &more)) {
+        return Outcome::Unable("the configuration is not acknowledged".to_owned());
+    }
+    let born = || {
+        let since = std::time::SystemTime::UNIX_EPOCH
+            .elapsed()
+            .expect("a clock");
+        Some(since.as_millis() as u64)
+    };
+    let paced = |number: u8, software: &'static str| Kind {
+        software,
+        born: born(),
+        events: 60,
+        pause: Duration::from_millis(50),
+        ..kind(&cluster, &format!("i-{number}"), "llm", number)
+    };
+    let stays = Engine::start(paced(2, "v1"), cluster.controls());
+    let first = Engine::start(paced(1, "v1"), cluster.controls());
+    if !is_well(&cluster) || !eventually(Duration::from_secs(5), || !first.runs().is_empty()) {
+        return Outcome::Unable("the first job does not run at both engines".to_owned());
+    }
+    first.crash();
+    thread::sleep(Duration::from_millis(300));
+    // With the disruption, its heartbeats are still under way when it ends again.
+    let controls = if trouble {
+        Vec::new()
+    } else {
+        cluster.controls()
+    };
+    let second = Engine::start(paced(1, "v2"), controls);
+    thread::sleep(Duration::from_millis(700));
+    let callers: Vec<_> = (0..16)
+        .map(|number| {
+            let gateway = cluster.gateway(1 + number % 2);
+            thread::spawn(move || {
+                let id = format!("s{number:02}");
+                let headers = [
+                    ("Host", HOST),
+                    ("X-Request-Id", id.as_str()),
+                    ("X-Deadline-Ms", "8000"),
+                ];
+                let text =
+                    crate::http::stream(gateway, "/other/w", &headers, Duration::from_secs(9));
+                (id, text)
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(1_000));
+    second.crash();
+    let mut mixed = 0;
+    for caller in callers {
+        let (id, text) = caller.join().expect("a caller");
+        let counts = ["v1", "v2"].map(|software| text.matches(&format!(" {software}\n")).count());
+        note!(
+            "stream {id}: {} events of v1, {} of v2",
+            counts[0],
+            counts[1]
+        );
+        mixed += usize::from(counts.iter().all(|count| *count > 0));
+    }
+    note!("{mixed} streams hold events of two software versions");
+    drop(stays);
+    match mixed {
+        0..=2 => Outcome::Held,
+        _ => Outcome::Broken,
+    }
+}
--- a/review/stand-ins-2/src/engine.rs
+++ b/review/stand-ins-2/src/engine.rs
@@ -24,6 +24,10 @@
     pub service: String,
     pub address: SocketAddr,
     pub slots: u32,
+    /// Version of its software, which stands in each event.
+    pub software: &'static str,
+    /// When it started, in Unix milliseconds, if it says so.
+    pub born: Option<u64>,
     /// Version of its weights.
     pub weights: u64,
     /// Events of an answer to an item, and the pause before each.
@@ -129,11 +133,14 @@
             address,
             slots,
             weights,
+            software,
+            born,
             ..
         } = &self.kind;
+        let born = born.map_or(String::new(), |born| format!(r#","born":{born}"#));
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst);
         let body = format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"zone-1","version":"v1","slots":{slots},"state":"ready","coldLeftMs":0,"phase":"both","models":[{{"name":"m","version":{weights},"adapters":[]}}],"callSeq":{sequence}}}"#
+            r#"{{"service":"{service}","address":"{address}","zone":"zone-1","version":"{software}","slots":{slots},"state":"ready","coldLeftMs":0,"phase":"both","models":[{{"name":"m","version":{weights},"adapters":[]}}],"callSeq":{sequence}{born}}}"#
         );
         (format!("/api/instances/{id}"), body)
     }
@@ -275,7 +282,10 @@
     }
     for number in after + 1..=state.kind.events {
         thread::sleep(state.kind.pause);
-        let event = format!("id: {number}\ndata: p{number}\n\n");
+        let event = format!(
+            "id: {number}\ndata: p{number} {software}\n\n",
+            software = state.kind.software
+        );
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         if state.ended.load(Ordering::SeqCst) || writer.write_all(chunk.as_bytes()).is_err() {
             return false;
--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -108,3 +108,26 @@
     }
     text
 }
+
+/// Sends a request on a connection of its own and returns all that comes back.
+pub fn stream(
+    address: SocketAddr,
+    target: &str,
+    headers: &[(&str, &str)],
+    within: Duration,
+) -> String {
+    let mut bytes = Vec::new();
+    let ends = Instant::now() + within;
+    if let Ok(mut stream) = TcpStream::connect(address) {
+        let _unset = stream.set_read_timeout(Some(within));
+        let _gone = stream.write_all(&request("POST", target, headers, b"{}"));
+        let mut piece = [0; 4096];
+        while let Ok(count) = stream.read(&mut piece) {
+            bytes.extend_from_slice(&piece[..count]);
+            if count == 0 || Instant::now() > ends || bytes.ends_with(b"0\r\n\r\n") {
+                break;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -45,6 +45,7 @@
         "fraction" => cases::fraction(trouble),
         "other-service" => cases::other_service(trouble),
         "first-version" => cases::first_version(trouble),
+        "former-version" => cases::former_version(trouble),
         "item-header" => cases::item_header(trouble),
         _ => Outcome::Unable("there is no such case".to_owned()),
     };
