--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -511,8 +511,8 @@
     for (store, (log, before)) in logs.iter().zip(&before).enumerate() {
         let removed = unsynced(store);
         note!(
-            "{}: segments {:?}, removed since the newest one was begun: {removed:?}",
-            log.display(),
+            "store {}: segments {:?}, removed since the newest one was begun: {removed:?}",
+            store + 1,
             segments(log).into_keys().collect::<Vec<_>>()
         );
         // Each name may be kept or lost on its own: the removal of the newest is kept, the
--- a/review/stand-ins-2/src/cluster.rs
+++ b/review/stand-ins-2/src/cluster.rs
@@ -51,8 +51,11 @@
             let address = (Ipv4Addr::new(127, network, 0, 1), RESERVATION_PORT);
             Some((network, TcpListener::bind(address).ok()?))
         })?;
-        let folder =
-            std::env::temp_dir().join(format!("review-2-{}-{network}", std::process::id()));
+        let folder = match std::env::var_os("REVIEW_FOLDER") {
+            Some(folder) => PathBuf::from(folder),
+            None => std::env::temp_dir(),
+        };
+        let folder = folder.join(format!("review-2-{}-{network}", std::process::id()));
         fs::create_dir_all(&folder).ok()?;
         let mut cluster = Self {
             network,
@@ -102,7 +105,8 @@
 
     pub fn log_text(&self, role: Role, number: u8) -> String {
         let log = self.folder.join(format!("{}-{number}.log", role.name()));
-        fs::read_to_string(log).unwrap_or_default()
+        let text = fs::read_to_string(log).unwrap_or_default();
+        text.replace(&format!("{}/", self.folder.display()), "")
     }
 
     /// Fills in `deploy/molespand.toml` as the platform does for a small deployment.
@@ -177,7 +181,7 @@
             .spawn()
             .expect("the program of the deploy file");
         note!("process started: {name}");
-        record::PROCESSES.lock().unwrap().push(child.id());
+        record::started(child.id());
         self.nodes.insert((role, number), child);
     }
 
--- a/review/stand-ins-2/src/record.rs
+++ b/review/stand-ins-2/src/record.rs
@@ -45,3 +45,15 @@
         std::process::exit(2);
     });
 }
+
+/// Notes a process that was started, also for the shell script around this program.
+pub fn started(process: u32) {
+    PROCESSES.lock().unwrap().push(process);
+    let Some(folder) = std::env::var_os("REVIEW_FOLDER") else {
+        return;
+    };
+    let list = std::path::Path::new(&folder).join("processes");
+    if let Ok(mut list) = File::options().create(true).append(true).open(list) {
+        let _written = list.write_all(format!("{process}\n").as_bytes());
+    }
+}
