Removals of log segments are durable one by one, and a gap that nothing needs is read over

Cause: obsolete segments are removed one at each tick, and their folder was synced only with the next new segment. A loss of power may undo any of the removals since and keep others; the reader took each gap for damage. The simulated disk lost names only from some change on.

Why it works: each removal is synced before the next, so that what comes back adjoins the log.

Failing before: removals_of_segments_that_a_power_loss_undoes_in_part_leave_no_gap, a_gap_among_segments_that_nothing_needs_is_no_damage, and with the stricter disk any_crash_leaves_the_synced_state_or_the_one_in_progress (3 of 16).

A test was wrong: a_payload_log_whose_beginning_was_dropped_keeps_the_rest read what it had dropped itself, which held only with a seed whose loss of power brings every removal back. It now loses power in twenty ways in front of that.

--- a/crates/replica/src/api.rs
+++ b/crates/replica/src/api.rs
@@ -191,6 +191,12 @@
         /// Node of the replaced replica.
         node: NodeId,
     },
+    /// Segments of the log that had been removed were there again, and were removed anew.
+    #[display("{segments} removed log segments were found again")]
+    LeftoverSegments {
+        /// Number of segments.
+        segments: usize,
+    },
     /// The disk became full or has space again.
     #[display("disk is {}", if *full { "full" } else { "no longer full" })]
     DiskFull {
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -81,7 +81,11 @@
         let session = random.random();
         let (fleet, changes) = Fleet::open(disk.clone(), identity, &settings, session, now)?;
         let (log, recovery) = WriteAheadLog::open(disk.clone(), settings.log)?;
-        let shared = Shared::new(settings, fleet.own_id(), session, log);
+        let mut shared = Shared::new(settings, fleet.own_id(), session, log);
+        if recovery.leftover_segments > 0 {
+            let segments = recovery.leftover_segments;
+            shared.event(ReplicaEvent::LeftoverSegments { segments });
+        }
         let mut core = Self {
             disk,
             random,
--- a/crates/storage/src/log/mod.rs
+++ b/crates/storage/src/log/mod.rs
@@ -278,8 +278,8 @@
 
     /// Removes the oldest segment if no group needs it, and returns whether it did. Nothing
     /// is removed while there are unsynced changes. Only one segment is removed per call,
-    /// because a file system may take long to delete a file and the caller has other work
-    /// to do in between.
+    /// durably, because a file system may take long to delete a file and the caller has other
+    /// work to do in between.
     ///
     /// # Errors
     /// Fails if the disk operation fails.
@@ -295,6 +295,9 @@
             return Ok(false);
         }
         self.disk.remove(&segment_path(oldest))?;
+        // A power loss undoes any of the removals since the last sync, not only the latest:
+        // two of them could leave a gap between segments.
+        self.disk.sync_dir(DIRECTORY)?;
         self.segments.remove(&oldest);
         for tracker in self.trackers.values_mut() {
             tracker.remove_before(oldest + 1);
--- a/crates/storage/src/log/recovery.rs
+++ b/crates/storage/src/log/recovery.rs
@@ -1,6 +1,6 @@
 //! Recovery of the log after a restart.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use molespan_types::GroupId;
 
@@ -28,6 +28,8 @@
     pub groups: BTreeMap<GroupId, GroupRecovery>,
     /// Number of bytes of an incomplete write that were removed from the end.
     pub torn_bytes: u64,
+    /// Number of segments that had been removed before and were found again.
+    pub leftover_segments: usize,
 }
 
 impl GroupRecovery {
@@ -62,6 +64,17 @@
     }
 }
 
+/// Segments in front of a gap: a power loss may undo some of several removals and keep the
+/// others.
+#[derive(Debug)]
+struct Leftovers {
+    segments: BTreeSet<u64>,
+    /// Groups with records in them.
+    groups: BTreeSet<GroupId>,
+    /// First segment of the gap.
+    missing: u64,
+}
+
 /// Reads segments in order.
 pub(super) struct Reader<'a, D> {
     disk: &'a D,
@@ -71,6 +84,9 @@
     pub sequence: Option<u64>,
     /// Length of each segment.
     pub segments: BTreeMap<u64, u64>,
+    /// Index of the first entry that was read of each group.
+    first_entries: BTreeMap<GroupId, u64>,
+    leftovers: Option<Leftovers>,
 }
 
 impl<'a, D: Disk> Reader<'a, D> {
@@ -81,21 +97,72 @@
             trackers: BTreeMap::new(),
             sequence: None,
             segments: BTreeMap::new(),
+            first_entries: BTreeMap::new(),
+            leftovers: None,
         }
     }
 
-    /// Reads every segment and truncates a torn tail.
+    /// Reads every segment, truncates a torn tail and removes leftover segments.
     pub fn run(&mut self, segments: &[u64]) -> Result<(), StorageError> {
         for (position, &segment) in segments.iter().enumerate() {
             let follows = position == 0 || segments[position - 1] + 1 == segment;
             if !follows {
-                let missing = segment_path(segments[position - 1] + 1);
-                return Err(StorageError::corrupt(&missing, 0, "segment is missing"));
+                self.set_aside(segments[position - 1] + 1);
             }
             let last = position + 1 == segments.len();
             self.read_segment(segment, last)?;
         }
-        self.check_entries()
+        self.check_entries()?;
+        self.remove_leftovers()
+    }
+
+    /// Sets aside what was read in front of a gap, and reads on as if the log began behind it.
+    fn set_aside(&mut self, missing: u64) {
+        let recovered = std::mem::take(&mut self.recovery.groups);
+        let read = std::mem::take(&mut self.segments);
+        let earlier = self.leftovers.take();
+        let (mut segments, mut groups) = earlier
+            .map(|earlier| (earlier.segments, earlier.groups))
+            .unwrap_or_default();
+        segments.extend(read.into_keys());
+        groups.extend(recovered.into_keys());
+        self.leftovers = Some(Leftovers {
+            segments,
+            groups,
+            missing,
+        });
+        self.trackers.clear();
+        self.first_entries.clear();
+        self.sequence = None;
+    }
+
+    /// Removes the segments in front of a gap if none of them, and none of the gap, is needed.
+    fn remove_leftovers(&mut self) -> Result<(), StorageError> {
+        let Some(leftovers) = self.leftovers.take() else {
+            return Ok(());
+        };
+        let mut groups = leftovers.groups.iter().chain(self.recovery.groups.keys());
+        if !groups.all(|group| self.is_complete(*group)) {
+            let missing = segment_path(leftovers.missing);
+            return Err(StorageError::corrupt(&missing, 0, "segment is missing"));
+        }
+        for &segment in &leftovers.segments {
+            self.disk.remove(&segment_path(segment))?;
+        }
+        self.recovery.leftover_segments = leftovers.segments.len();
+        Ok(())
+    }
+
+    /// Whether a group needs nothing but what was read. That is certain if its first entry
+    /// there follows its snapshot or an earlier entry: all earlier records of entries are
+    /// covered by the snapshot or replaced, and the first frame of a segment repeats the rest.
+    fn is_complete(&self, group: GroupId) -> bool {
+        let Some(&first) = self.first_entries.get(&group) else {
+            return false;
+        };
+        let recovered = self.recovery.groups.get(&group);
+        let snapshot = recovered.and_then(|recovered| recovered.snapshot.as_ref());
+        first <= snapshot.map_or(0, |mark| mark.index) + 1
     }
 
     fn read_segment(&mut self, segment: u64, last: bool) -> Result<(), StorageError> {
@@ -130,8 +197,12 @@
         self.sequence = Some(frame.sequence);
         let recovery = &mut self.recovery.groups;
         let trackers = &mut self.trackers;
+        let first_entries = &mut self.first_entries;
         record::read_all(frame.body, |record| {
             let group = record.group();
+            if let Record::Entry { index, .. } = record {
+                first_entries.entry(group).or_insert(index);
+            }
             trackers
                 .entry(group)
                 .or_default()
--- a/crates/storage/src/simulated/mod.rs
+++ b/crates/storage/src/simulated/mod.rs
@@ -36,13 +36,18 @@
     }
 
     /// Simulates a power loss. Unsynced bytes and names are lost completely, partly or not
-    /// at all, and the last kept unsynced bytes may be damaged, depending on `seed`.
+    /// at all, and the last kept unsynced bytes may be damaged, depending on `seed`. Names are
+    /// lost from some change on, or each on its own.
     pub fn crash(&self, seed: u64) {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut state = self.state();
-        let kept = random.random_range(0..=state.pending.len());
-        let pending = std::mem::take(&mut state.pending);
-        for change in &pending[..kept] {
+        let mut pending = std::mem::take(&mut state.pending);
+        if random.random_bool(0.5) {
+            pending.truncate(random.random_range(0..=pending.len()));
+        } else {
+            pending.retain(|_| random.random_bool(0.5));
+        }
+        for change in &pending {
             change.apply(&mut state.durable_names);
         }
         state.names = state.durable_names.clone();
--- a/crates/storage/src/simulated/names.rs
+++ b/crates/storage/src/simulated/names.rs
@@ -5,9 +5,18 @@
 /// A change to file names that is not yet durable.
 #[derive(Clone, Debug)]
 pub(super) enum NameChange {
-    Create { file: String, content: u64 },
-    Rename { from: String, to: String },
-    Remove { file: String },
+    Create {
+        file: String,
+        content: u64,
+    },
+    Rename {
+        from: String,
+        to: String,
+        content: u64,
+    },
+    Remove {
+        file: String,
+    },
 }
 
 impl NameChange {
@@ -19,9 +28,14 @@
         }
     }
 
-    /// Whether the change creates the file with `content`.
-    pub(super) fn creates(&self, content: u64) -> bool {
-        matches!(self, Self::Create { content: created, .. } if *created == content)
+    /// Whether the change gives a name to `content`.
+    pub(super) fn names(&self, content: u64) -> bool {
+        match self {
+            Self::Create { content: named, .. } | Self::Rename { content: named, .. } => {
+                *named == content
+            }
+            Self::Remove { .. } => false,
+        }
     }
 
     /// Applies the change to `names`.
@@ -30,10 +44,9 @@
             Self::Create { file, content } => {
                 names.insert(file.clone(), *content);
             }
-            Self::Rename { from, to } => {
-                if let Some(content) = names.remove(from) {
-                    names.insert(to.clone(), content);
-                }
+            Self::Rename { from, to, content } => {
+                names.remove(from);
+                names.insert(to.clone(), *content);
             }
             Self::Remove { file } => {
                 names.remove(file);
--- a/crates/storage/src/simulated/operations.rs
+++ b/crates/storage/src/simulated/operations.rs
@@ -85,9 +85,11 @@
         let mut state = self.state();
         state.count_change(from)?;
         state.existing(from)?;
+        let content = state.names[from];
         state.change(NameChange::Rename {
             from: from.to_owned(),
             to: to.to_owned(),
+            content,
         });
         Ok(())
     }
--- a/crates/storage/src/simulated/state.rs
+++ b/crates/storage/src/simulated/state.rs
@@ -110,8 +110,8 @@
         self.contents.retain(|content, _| {
             let named = names.values().any(|named| named == content);
             let durable = durable.values().any(|named| named == content);
-            // A crash may keep the creation of a file and lose its removal.
-            named || durable || pending.iter().any(|change| change.creates(*content))
+            // A crash may keep the name of a file and lose its removal.
+            named || durable || pending.iter().any(|change| change.names(*content))
         });
     }
 
--- a/crates/storage/tests/files.rs
+++ b/crates/storage/tests/files.rs
@@ -156,8 +156,9 @@
     }
 }
 
-#[test]
-fn a_payload_log_whose_beginning_was_dropped_keeps_the_rest() {
+/// Drops the beginning of a payload log, loses the power if there is a seed for that, and
+/// checks the rest.
+fn keeps_the_rest(lost_power: Option<u64>) {
     let disk = SimulatedDisk::new();
     let mut log = FilePayloadLog::open_from(disk.clone(), GROUP, 0, 0).unwrap();
     let payload = vec![7; 1 << 20];
@@ -175,21 +176,25 @@
     let length = log.length();
     drop(log);
 
-    for crash in [false, true] {
-        if crash {
-            disk.crash(3);
-        }
-        let mut log = FilePayloadLog::open_from(disk.clone(), GROUP, needed, length).unwrap();
-        for location in &locations[11..] {
-            assert_eq!(log.read(*location).unwrap(), payload);
-        }
-        assert_eq!(log.length(), length);
-        let next = log.append(b"next").unwrap();
-        assert_eq!(next.offset, length);
-        log.remove_segments_before(length).unwrap();
-        assert_eq!(log.read(next).unwrap(), b"next", "the last segment stays");
-        log.truncate(length).unwrap();
+    if let Some(seed) = lost_power {
+        disk.crash(seed);
     }
+    let mut log = FilePayloadLog::open_from(disk.clone(), GROUP, needed, length).unwrap();
+    for location in &locations[11..] {
+        assert_eq!(log.read(*location).unwrap(), payload);
+    }
+    assert_eq!(log.length(), length);
+    let next = log.append(b"next").unwrap();
+    assert_eq!(next.offset, length);
+    log.remove_segments_before(length).unwrap();
+    assert_eq!(log.read(next).unwrap(), b"next", "the last segment stays");
+    log.truncate(length).unwrap();
+}
+
+#[test]
+fn a_payload_log_whose_beginning_was_dropped_keeps_the_rest() {
+    keeps_the_rest(None);
+    (0..20).map(Some).for_each(keeps_the_rest);
 }
 
 #[test]
--- a/crates/storage/tests/write_ahead_log.rs
+++ b/crates/storage/tests/write_ahead_log.rs
@@ -128,6 +128,90 @@
     assert!(matches!(error, StorageError::Corrupt { .. }));
 }
 
+/// Returns the files of the segments, oldest first.
+fn segments(disk: &SimulatedDisk) -> Vec<String> {
+    let mut files = disk.files();
+    files.retain(|file| file.ends_with(".segment"));
+    files
+}
+
+/// Returns a log of several segments whose first ones a snapshot has made obsolete, and a copy
+/// of its disk from before.
+fn log_with_obsolete_segments() -> (SimulatedDisk, WriteAheadLog<SimulatedDisk>, SimulatedDisk) {
+    let disk = SimulatedDisk::new();
+    let (mut log, _) = open(&disk);
+    log.set_hard_state(GROUP, b"vote");
+    for index in 1..=20 {
+        log.append_entry(GROUP, index, &[0; 64]);
+        log.sync().expect("syncs");
+    }
+    log.mark_snapshot(GROUP, 18, b"mark");
+    log.sync().expect("syncs");
+    let before = disk.backup();
+    (disk, log, before)
+}
+
+/// Guards against a log that cannot be opened any more after a power loss that undid some of
+/// the removals of its segments and kept others.
+#[test]
+fn removals_of_segments_that_a_power_loss_undoes_in_part_leave_no_gap() {
+    for seed in 0..200 {
+        let (disk, mut log, _) = log_with_obsolete_segments();
+        for _ in 0..seed % 5 {
+            log.remove_obsolete().expect("removes");
+        }
+        disk.crash(seed);
+        let (_, recovery) = open(&disk);
+        assert_eq!(indexes(&recovery, GROUP), [19, 20]);
+        assert_eq!(recovery.leftover_segments, 0, "seed {seed}");
+    }
+}
+
+/// Guards against a disk on which an earlier build has left such a gap, which must be readable
+/// whichever of the obsolete segments are there again.
+#[test]
+fn a_gap_among_segments_that_nothing_needs_is_no_damage() {
+    let (disk, mut log, before) = log_with_obsolete_segments();
+    while log.remove_obsolete().expect("removes") {}
+    let needed = segments(&disk);
+    let mut obsolete = segments(&before);
+    obsolete.retain(|file| !needed.contains(file));
+    assert!(obsolete.len() >= 3, "{obsolete:?}");
+    for kept in 0..1_u32 << obsolete.len() {
+        let copy = before.backup();
+        for (place, file) in obsolete.iter().enumerate() {
+            if kept & 1 << place == 0 {
+                copy.remove(file).expect("the file exists");
+            }
+        }
+        let (mut log, recovery) = open(&copy);
+        assert_eq!(indexes(&recovery, GROUP), [19, 20], "kept {kept:b}");
+        let group = &recovery.groups[&GROUP];
+        assert_eq!(group.hard_state.as_deref(), Some(&b"vote"[..]));
+        while log.remove_obsolete().expect("removes") {}
+        assert_eq!(segments(&copy), needed, "kept {kept:b}");
+    }
+}
+
+/// Guards against taking a lost segment that holds the only entries of a group for an obsolete
+/// one.
+#[test]
+fn a_gap_with_entries_of_a_group_that_is_silent_since_is_an_error() {
+    let (disk, mut log, _) = log_with_obsolete_segments();
+    log.set_hard_state(OTHER, b"vote");
+    log.append_entry(OTHER, 1, &[0; 256]);
+    log.sync().expect("syncs");
+    let of_other = segments(&disk).pop().expect("a segment");
+    log.mark_snapshot(GROUP, 20, b"mark");
+    for index in 21..=40 {
+        log.append_entry(GROUP, index, &[0; 64]);
+        log.sync().expect("syncs");
+    }
+    disk.remove(&of_other).expect("the file exists");
+    let opened = WriteAheadLog::open(disk, settings());
+    assert!(matches!(opened, Err(StorageError::Corrupt { .. })));
+}
+
 #[test]
 fn overwritten_and_truncated_entries_are_gone() {
     let disk = SimulatedDisk::new();
