The route of a batch item is that of its job

Cause: the route of an item was looked up by the item's own path, which is only what the engine is sent, and a route of another kind counted as none.

Why it works: the route is the batch route with the longest prefix of the path that the job was submitted to, so it follows the configuration as a new job would, and no other kind of route takes accepted work away.

--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -10,7 +10,7 @@
 use molespan_http::h1::Headers;
 use molespan_routing::dispatch::{PromptCost, WorkClass};
 use molespan_state::batch::{ItemOutcome, ItemToRun, Output};
-use molespan_state::declared::{Route, RouteKind, StreamOrigin};
+use molespan_state::declared::{Route, StreamOrigin};
 use molespan_types::{SoftwareVersion, Timestamp};
 use slog::info;
 
@@ -59,10 +59,9 @@
     },
 }
 
-/// Returns the route of an item, if its configuration has one that runs items.
+/// Returns the route of an item, which is that of its job.
 fn item_route<'a>(in_force: &'a InForce, item: &ItemToRun) -> Option<&'a Route> {
-    let route = in_force.model.route(&item.host, &item.item.path)?;
-    (route.kind == RouteKind::Batch).then_some(route)
+    in_force.model.batch_route(&item.host, &item.job_path)
 }
 
 /// Returns the outcome of an item without a route; `None` if this gateway may only lack the
--- a/crates/state/src/declared/model.rs
+++ b/crates/state/src/declared/model.rs
@@ -190,11 +190,24 @@
     /// matching prefix of `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let of_host = self.routes.iter().filter(|route| route.host == host);
-        let fitting = of_host.filter(|route| path.starts_with(&route.path_prefix));
+        let fitting = self.fitting_routes(host, path);
         fitting.max_by_key(|route| route.path_prefix.len())
     }
 
+    /// Returns the route of a job that was submitted to `path`, which all its items take
+    /// whatever their own paths. A route of another kind with a longer prefix is not its own.
+    #[must_use]
+    pub fn batch_route(&self, host: &str, path: &str) -> Option<&Route> {
+        let fitting = self.fitting_routes(host, path);
+        let batch = fitting.filter(|route| route.kind == RouteKind::Batch);
+        batch.max_by_key(|route| route.path_prefix.len())
+    }
+
+    fn fitting_routes(&self, host: &str, path: &str) -> impl Iterator<Item = &Route> {
+        let of_host = self.routes.iter().filter(move |route| route.host == host);
+        of_host.filter(move |route| path.starts_with(&route.path_prefix))
+    }
+
     /// Returns every reason why the configuration is invalid.
     #[must_use]
     pub fn problems(&self) -> Vec<String> {
--- a/crates/state/tests/declared.rs
+++ b/crates/state/tests/declared.rs
@@ -147,6 +147,34 @@
     }
 }
 
+// Guards against taking a job's items from it for a route of another kind.
+#[test]
+fn the_route_of_a_job_is_the_batch_route_with_the_longest_prefix() {
+    let batch = |prefix| Route {
+        kind: RouteKind::Batch,
+        ..route("a", prefix)
+    };
+    let model = model(vec![
+        route("a", "/"),
+        batch("/x/"),
+        route("a", "/x/y/"),
+        batch("/x/y/z/"),
+        route("b", "/x/"),
+    ]);
+    let cases = [
+        ("a", "/x/job", Some("a/x/")),
+        ("a", "/x/y/job", Some("a/x/")),
+        ("a", "/x/y/z/job", Some("a/x/y/z/")),
+        ("a", "/job", None),
+        ("b", "/x/job", None),
+    ];
+    for (host, path, expected) in cases {
+        let found = model.batch_route(host, path);
+        let found = found.map(|route| route.name.as_str());
+        assert_eq!(found, expected, "{host}{path}");
+    }
+}
+
 #[test]
 fn every_problem_of_a_configuration_is_reported_together() {
     assert!(model(vec![route("a", "/x/")]).problems().is_empty());
