Room for batch items is counted by service

Cause: a gateway's room for items was one number over all services, less all items held; the leader handed out the earliest due items of any service; and one turn a gateway served them all. Items that could not begin held the room.

Why it works: room is counted by service and stated by route, and the leader hands out the most urgent items that there is room for; turns are by service. Items that lack room are inspected for retention and route all the same. The leader considers open items of each directory alike. With one batch route, or several to the same services, calls are as before.

--- a/crates/daemon/tests/cluster_calls.rs
+++ b/crates/daemon/tests/cluster_calls.rs
@@ -62,6 +62,7 @@
             life: 1,
             number: 1,
             inspects: false,
+            rooms: Vec::new(),
         };
         let taken = cluster.take_items(&ask, Duration::from_millis(1_900));
         let taken = async_io::block_on(taken).expect("an answer");
@@ -111,6 +112,7 @@
         life: 1,
         number: 1,
         inspects: false,
+        rooms: Vec::new(),
     };
     // The deadline is too short to try all nodes in one call, on any machine.
     let calls = (0..=SILENT).map(|_| {
@@ -190,6 +192,7 @@
                 life: 1,
                 number: 1,
                 inspects: false,
+                rooms: Vec::new(),
             };
             let taken = cluster.take_items(&ask, Duration::from_secs(10));
             async_io::block_on(taken).expect("an answer");
--- a/crates/fleet/src/store/handout.rs
+++ b/crates/fleet/src/store/handout.rs
@@ -7,7 +7,9 @@
 
 use molespan_state::batch::ItemReference;
 use molespan_types::{NodeId, Timestamp};
+use molespan_wire::RouteRoom;
 
+use super::available::{Available, Room};
 use super::open_index::OpenIndex;
 
 /// Number of recently completed items from which the run time is estimated.
@@ -34,9 +36,7 @@
     leases: BTreeMap<ItemReference, ItemLease>,
     /// Latest index of open items.
     open: Arc<OpenIndex>,
-    /// Open items without a lease, by due time, so that selecting items does not scan the
-    /// leased ones.
-    available: BTreeSet<(u64, ItemReference)>,
+    available: Available,
     /// Job of the latest item that was handed out for inspection.
     inspected: u64,
     /// Run times of the latest completed items, oldest first.
@@ -53,7 +53,7 @@
             warm_until: now + warm_up,
             leases: BTreeMap::new(),
             open: Arc::default(),
-            available: BTreeSet::new(),
+            available: Available::default(),
             inspected: 0,
             run_times: VecDeque::new(),
         }
@@ -94,15 +94,13 @@
             return;
         }
         self.open = open.clone();
-        let available = open.items();
-        let available = available.filter(|(_, item)| !self.leases.contains_key(item));
-        self.available = available.collect();
+        self.available = Available::new(open, |item| self.leases.contains_key(item));
     }
 
     fn insert_lease(&mut self, item: ItemReference, lease: ItemLease) {
         self.leases.insert(item, lease);
         if let Some(due_ms) = self.open.due_ms(item) {
-            self.available.remove(&(due_ms, item));
+            self.available.remove(&self.open, due_ms, item);
         }
     }
 
@@ -113,7 +111,7 @@
             .extract_if(.., |item, lease| should_release(item, lease));
         for (item, _) in ended {
             if let Some(due_ms) = self.open.due_ms(item) {
-                self.available.insert((due_ms, item));
+                self.available.insert(&self.open, due_ms, item);
             }
         }
     }
@@ -127,6 +125,20 @@
         node: NodeId,
         capacity: usize,
         open: &Arc<OpenIndex>,
+    ) -> Vec<ItemReference> {
+        self.take_by_route(now, unix_ms, node, capacity, &[], open)
+    }
+
+    /// The same, with room for the items of some routes only: urgent items that there is no
+    /// room for must not keep others waiting.
+    pub fn take_by_route(
+        &mut self,
+        now: Timestamp,
+        unix_ms: u64,
+        node: NodeId,
+        capacity: usize,
+        routes: &[RouteRoom],
+        open: &Arc<OpenIndex>,
     ) -> Vec<ItemReference> {
         if now < self.warm_until {
             return Vec::new();
@@ -134,10 +146,8 @@
         self.update_open_items(open);
         self.release(|_, lease| lease.until <= now);
         let run_time_ms = self.run_time().as_millis() as u64;
-        let items: Vec<ItemReference> = self
-            .by_urgency(unix_ms, run_time_ms)
-            .take(capacity)
-            .collect();
+        let room = Room { capacity, routes };
+        let items = self.available.most_urgent(unix_ms, run_time_ms, open, room);
         self.lease(now, node, &items);
         items
     }
@@ -158,8 +168,8 @@
         self.update_open_items(open);
         self.release(|_, lease| lease.until <= now);
         let mut first: BTreeMap<u64, ItemReference> = BTreeMap::new();
-        for (_, item) in &self.available {
-            first.entry(item.job).or_insert(*item);
+        for (_, item) in self.available.iter() {
+            first.entry(item.job).or_insert(item);
         }
         let behind = first.range(self.inspected + 1..);
         let all = behind.chain(first.range(..=self.inspected));
@@ -167,8 +177,11 @@
         if let Some(last) = items.last() {
             self.inspected = last.job;
         }
-        let others = self.available.iter().map(|(_, item)| *item);
-        let others = others.filter(|item| first.get(&item.job) != Some(item));
+        let is_first = |item: &ItemReference| first.get(&item.job) == Some(item);
+        let others = self.available.iter().filter(|(_, item)| !is_first(item));
+        let mut others: Vec<(u64, ItemReference)> = others.collect();
+        others.sort_unstable();
+        let others = others.into_iter().map(|(_, item)| item);
         items.extend(others.take(capacity - items.len()));
         self.lease(now, node, &items);
         items
@@ -182,16 +195,6 @@
         }
     }
 
-    /// Returns the available items in the order of `Urgency`, for items that take
-    /// `run_time_ms` at a current time of `unix_ms`.
-    fn by_urgency(&self, unix_ms: u64, run_time_ms: u64) -> impl Iterator<Item = ItemReference> {
-        const FIRST: ItemReference = ItemReference { job: 0, place: 0 };
-        let in_time = (unix_ms.saturating_add(run_time_ms), FIRST);
-        let late = self.available.range(..in_time);
-        let items = self.available.range(in_time..).chain(late);
-        items.map(|&(_, item)| item)
-    }
-
     /// Records the run times of the items that a gateway completed.
     fn record_run_times(
         &mut self,
--- a/crates/fleet/src/store/mod.rs
+++ b/crates/fleet/src/store/mod.rs
@@ -1,5 +1,6 @@
 //! Store nodes.
 
+mod available;
 mod call_order;
 mod emptied;
 mod handout;
--- a/crates/fleet/src/store/peer.rs
+++ b/crates/fleet/src/store/peer.rs
@@ -23,9 +23,12 @@
 const LEASE: Duration = Duration::from_millis(2_500);
 /// Time for which a new leader collects renewals before it hands out items.
 const WARM_UP: Duration = Duration::from_millis(700);
-/// Maximum number of open items to consider, oldest jobs first. Items beyond the limit
-/// are not selected however urgent they are, so it covers many seconds of work. Each item
-/// takes about 50 bytes of memory.
+/// Time for which a request that was woken in vain leaves the wake tokens to others: the
+/// items that wait may be of routes that its gateway has no room for.
+const FRUITLESS_PAUSE: Duration = Duration::from_millis(200);
+/// Maximum number of open items to consider, oldest jobs of each directory first. Items beyond
+/// the limit are not selected however urgent they are, so it covers many seconds of work. Each
+/// item takes about 50 bytes of memory.
 pub const OPEN_LIMIT: u32 = 16_384;
 /// Maximum age of the index of open items that a request may use before the index is read
 /// again. An item that got an outcome in the meantime is dropped when its content is
@@ -139,6 +142,8 @@
         let Some(arrival) = self.admit(items_request) else {
             return superseded();
         };
+        let mut woken_by_token = false;
+        let mut tokens_from = Instant::now();
         loop {
             let stop_waiter = self.stop_wakeup.waiter();
             if self.replica.leader(GroupId::BATCH) != Some(self.own) {
@@ -161,19 +166,39 @@
             if !idle || Instant::now() >= deadline {
                 return self.items_response(taken, &stop).await;
             }
-            let timeout = async {
-                Timer::at(deadline).await;
+            if woken_by_token && !items_request.rooms.is_empty() {
+                self.pass_token_on(&open);
+                tokens_from = Instant::now() + FRUITLESS_PAUSE;
+            }
+            let other = async {
+                let timeout = async {
+                    Timer::at(deadline).await;
+                };
+                future::or(stop_waiter.wait(), timeout).await;
+                false
             };
             let token = async {
-                match items_request.capacity {
-                    0 => future::pending().await,
-                    _ => self.item_tokens.consume().await,
+                if items_request.capacity == 0 {
+                    return future::pending().await;
                 }
+                Timer::at(tokens_from).await;
+                self.item_tokens.consume().await;
+                true
             };
-            future::or(future::or(stop_waiter.wait(), token), timeout).await;
+            woken_by_token = future::or(other, token).await;
         }
     }
 
+    /// Makes a token available again that woke a request in vain, if there are items for
+    /// others.
+    fn pass_token_on(&self, open: &Arc<OpenIndex>) {
+        let now = self.now();
+        let mut leases = self.leases.lock().unwrap_or_else(PoisonError::into_inner);
+        let available = leases.as_mut().map(|one| one.available_count(now, open));
+        self.item_tokens
+            .ensure_available(available.unwrap_or_default().min(1));
+    }
+
     /// Whether a quorum confirmed within [`LEADER_CONFIRMATION_INTERVAL`] that no other node
     /// is the leader.
     async fn confirm_leadership(&self) -> bool {
@@ -229,7 +254,10 @@
         let (node, capacity) = (items_request.node, items_request.capacity as usize);
         let taken = match items_request.inspects {
             true => leases.take_to_inspect(now, node, capacity, open),
-            false => leases.take(now, unix_millis(), node, capacity, open),
+            false => {
+                let rooms = &items_request.rooms;
+                leases.take_by_route(now, unix_millis(), node, capacity, rooms, open)
+            }
         };
         Some((taken, stop))
     }
--- a/crates/fleet/tests/handout.rs
+++ b/crates/fleet/tests/handout.rs
@@ -6,10 +6,11 @@
 
 use molespan_fleet::store::{LeaseTable, OPEN_LIMIT, OpenIndex};
 use molespan_state::batch::{
-    BatchAnswer, BatchCommand, BatchItem, BatchMachine, BatchQuery, ItemReference, OpenItem,
-    OpenWork, SubmitJob,
+    BatchAnswer, BatchCommand, BatchItem, BatchMachine, BatchQuery, ItemReference, JobDirectory,
+    OpenItem, OpenWork, SubmitJob,
 };
 use molespan_types::{NodeId, Timestamp};
+use molespan_wire::RouteRoom;
 use proptest::prelude::*;
 
 const LEASE: Duration = Duration::from_secs(2);
@@ -31,6 +32,7 @@
             })
             .collect(),
         jobs: items.iter().map(|item| item.job).collect(),
+        directories: Vec::new(),
     };
     index(work)
 }
@@ -136,6 +138,7 @@
     OpenWork {
         jobs: items.iter().map(|open| open.item.job).collect(),
         items,
+        directories: Vec::new(),
     }
 }
 
@@ -215,6 +218,96 @@
     assert_eq!(taken, [item(21, 0), item(21, 1), item(21, 2)]);
 }
 
+/// Returns open items of one job each, where the first jobs were submitted to `/a/` and the
+/// others to `/a/b/`.
+fn work_of_two_routes(first: u64, others: u64) -> Arc<OpenIndex> {
+    let mut work = due_work(&vec![Some(5_000); (first + others) as usize]);
+    let directory = |path: &str, jobs: std::ops::RangeInclusive<u64>| JobDirectory {
+        host: "h".to_owned(),
+        path: path.to_owned(),
+        jobs: jobs.collect(),
+    };
+    work.directories = vec![
+        directory("/a/", 1..=first),
+        directory("/a/b/", first + 1..=first + others),
+    ];
+    index(work)
+}
+
+fn room(prefix: &str, capacity: u32) -> RouteRoom {
+    RouteRoom {
+        routes: vec![("h".to_owned(), prefix.to_owned())],
+        capacity,
+    }
+}
+
+fn taken_jobs(capacity: usize, rooms: &[RouteRoom], work: &Arc<OpenIndex>) -> Vec<u64> {
+    let taken = warmed_up_table().take_by_route(at(0), 0, ONE, capacity, rooms, work);
+    taken.iter().map(|item| item.job).collect()
+}
+
+// Guards against items of a service without engines that fill the places of all gateways, so
+// that no item of another service is run.
+#[test]
+fn items_that_there_is_no_room_for_keep_no_others_waiting() {
+    let work = work_of_two_routes(1_000, 3);
+    let rooms = [room("/a/", 0), room("/a/b/", 4)];
+    assert_eq!(taken_jobs(4, &rooms, &work), [1_001, 1_002, 1_003]);
+    let rooms = [room("/a/", 2), room("/a/b/", 1)];
+    assert_eq!(taken_jobs(4, &rooms, &work), [1, 2, 1_001]);
+    assert_eq!(taken_jobs(2, &rooms, &work), [1, 2]);
+    // Routes without a stated room, and gateways that state none.
+    assert_eq!(taken_jobs(3, &[room("/a/b/", 1)], &work), [1, 2, 3]);
+    assert_eq!(taken_jobs(3, &[room("/a/", 1)], &work), [1]);
+    assert_eq!(taken_jobs(3, &[], &work), [1, 2, 3]);
+}
+
+// Guards against items of one route that are so many that those of another are not considered.
+#[test]
+fn many_items_of_one_route_do_not_hide_those_of_another() {
+    let mut machine = BatchMachine::new();
+    let items = |count: u64| {
+        let one = |number| BatchItem {
+            id: format!("i-{number}"),
+            path: "/x/1".to_owned(),
+            headers: Vec::new(),
+            body: Vec::new().into(),
+            tokens: 1,
+        };
+        (0..count).map(one).collect::<Vec<BatchItem>>()
+    };
+    for (job, path, count) in [(1, "/a/one", 200), (2, "/a/two", 200), (3, "/b/three", 30)] {
+        let submit = SubmitJob {
+            tenant: None,
+            id: format!("job-{job}"),
+            host: "h".to_owned(),
+            path: path.to_owned(),
+            submitted_ms: 0,
+            due_ms: None,
+            queue: String::new(),
+            max_queued_tokens: None,
+            items: items(count),
+        };
+        machine.apply(&BatchCommand::Submit(Box::new(submit)));
+    }
+    let open = |limit| match machine.query(&BatchQuery::Open { limit }) {
+        BatchAnswer::Open(work) => {
+            let of = |job| {
+                work.items
+                    .iter()
+                    .filter(|open| open.item.job == job)
+                    .count()
+            };
+            [of(1), of(2), of(3)]
+        }
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(open(100), [70, 0, 30]);
+    assert_eq!(open(20), [10, 0, 10]);
+    assert_eq!(open(10_000), [200, 200, 30]);
+    assert_eq!(open(0), [0, 0, 0]);
+}
+
 proptest! {
     /// Among items that can be done in time, none is handed out before one that is due
     /// earlier. Every item is handed out eventually, however many are more urgent.
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -40,6 +40,10 @@
 /// The output of an item, shared with the checkpoint task while the item runs.
 pub(super) type SharedOutput = Rc<RefCell<Output>>;
 
+/// Service that an item runs or waits at, shared with the count of such items; `None` before
+/// that is chosen.
+pub(super) type CurrentService = Rc<RefCell<Option<String>>>;
+
 /// How one attempt ended.
 enum RunResult {
     Complete,
@@ -100,6 +104,7 @@
     dialect: &D,
     item: &ItemToRun,
     output: &SharedOutput,
+    current: &CurrentService,
 ) -> Option<ItemOutcome> {
     let taken_at = state.now();
     let mut failures = 0;
@@ -120,8 +125,9 @@
         if is_expired(route, item) {
             return Some(dead_letter(state, item, "its retention expired"));
         }
+        *current.borrow_mut() = Some(service.clone());
         let version = origin.map(|origin| origin.version);
-        let run = run_once(state, dialect, route, service, version, item, output).await;
+        let run = run_once(state, dialect, route, &service, version, item, output).await;
         match run {
             RunResult::Complete => {
                 let text = output.borrow().text();
@@ -133,7 +139,7 @@
                     info!(state.logger, "item held back"; "item" => &item.item.id,
                         "again_in_ms" => again_in.as_millis() as u64);
                 }
-                let _held = state.batch_runs.hold_back(state);
+                let _held = state.batch_runs.hold_back(state, &service);
                 Timer::after(again_in.min(HELD_CHECK_INTERVAL)).await;
             }
             RunResult::Failed => {
@@ -213,7 +219,7 @@
     state: &Rc<GatewayState>,
     dialect: &D,
     route: &Route,
-    service: String,
+    service: &str,
     version: Option<SoftwareVersion>,
     item: &ItemToRun,
     output: &SharedOutput,
@@ -230,7 +236,7 @@
     let facts = dialect.request_facts(&headers);
     let outbound = Outbound {
         id: item.item.id.clone(),
-        service: service.clone(),
+        service: service.to_owned(),
         tenant: item.tenant.as_deref().map(Into::into),
         host: item.host.clone(),
         method: "POST".to_owned(),
@@ -246,9 +252,10 @@
         features: OnceCell::new(),
     };
     let deadline = state.now() + RUN_TIMEOUT;
-    let mut dispatch = Dispatch::new(state, dialect, route, service, outbound, facts, deadline);
+    let chosen = service.to_owned();
+    let mut dispatch = Dispatch::new(state, dialect, route, chosen, outbound, facts, deadline);
     let prompt_tokens = PromptCost::of(&dispatch.facts.prompt).tokens;
-    let guard = RunGuard::begin(state, item.due_ms, prompt_tokens, output);
+    let guard = RunGuard::begin(state, service, item.due_ms, prompt_tokens, output);
     let after_event = output.borrow().last_event();
     dispatch.due_ms = item.due_ms;
     dispatch.version = version;
--- a/crates/proxy/src/batch/mod.rs
+++ b/crates/proxy/src/batch/mod.rs
@@ -1,6 +1,7 @@
 //! Batch jobs: submission and reading for callers, and running their items on idle engines.
 
 mod api;
+mod capacity;
 mod item;
 mod preemption;
 mod runner;
--- a/crates/proxy/src/batch/preemption.rs
+++ b/crates/proxy/src/batch/preemption.rs
@@ -17,6 +17,7 @@
 /// A run of a batch item that may be preempted.
 #[derive(Debug)]
 struct Run {
+    service: String,
     /// Engine of the run; empty until the engine has begun to answer.
     engine: String,
     /// Deadline of the item, in milliseconds since 1970.
@@ -53,38 +54,57 @@
 pub(crate) struct BatchRuns {
     runs: RefCell<BTreeMap<u64, Run>>,
     last: Cell<u64>,
-    /// Number of items that no engine may run for now.
-    held_back: Cell<u32>,
+    /// Number of items of each service that no engine may run for now.
+    held_back: RefCell<BTreeMap<String, u32>>,
 }
 
-/// Maximum number of items held back here that leave their share of the slots to other items,
-/// some 10 KB each. Beyond it, the batch group keeps the rest.
+/// Maximum number of items of a service held back here that leave their share of the slots to
+/// other items, some 10 KB each. Beyond it, the batch group keeps the rest.
 const MAX_HELD_BACK: u32 = 64;
 
 /// Registration of an item that no engine may run for now, removed on drop.
 pub(super) struct HeldBack {
     state: Rc<GatewayState>,
+    service: String,
 }
 
 impl Drop for HeldBack {
     fn drop(&mut self) {
-        let held_back = &self.state.batch_runs.held_back;
-        held_back.set(held_back.get() - 1);
+        let mut held_back = self.state.batch_runs.held_back.borrow_mut();
+        if let Some(count) = held_back.get_mut(&self.service) {
+            *count -= 1;
+        }
+        held_back.retain(|_, count| *count > 0);
     }
 }
 
 impl BatchRuns {
-    /// Registers an item that no engine may run for now.
-    pub(super) fn hold_back(&self, state: &Rc<GatewayState>) -> HeldBack {
-        self.held_back.set(self.held_back.get() + 1);
+    /// Registers an item that no engine of its service may run for now.
+    pub(super) fn hold_back(&self, state: &Rc<GatewayState>, service: &str) -> HeldBack {
+        let mut held_back = self.held_back.borrow_mut();
+        *held_back.entry(service.to_owned()).or_default() += 1;
         HeldBack {
             state: state.clone(),
+            service: service.to_owned(),
         }
     }
 
-    /// Returns the number of items held back that take up no slots.
+    /// Returns the number of items of a service held back that take up no slots.
+    pub(super) fn held_back_of(&self, service: &str) -> u32 {
+        let held_back = self.held_back.borrow().get(service).copied();
+        held_back.unwrap_or_default().min(MAX_HELD_BACK)
+    }
+
+    /// Returns the number of items held back.
     pub(super) fn count_held_back(&self) -> u32 {
-        self.held_back.get().min(MAX_HELD_BACK)
+        self.held_back.borrow().values().sum()
+    }
+
+    /// Returns the number of runs that an engine of a service has begun to answer.
+    pub(super) fn at_engines_of(&self, service: &str) -> u32 {
+        let runs = self.runs.borrow();
+        let of_service = runs.values().filter(|run| run.service == service);
+        of_service.filter(|run| !run.engine.is_empty()).count() as u32
     }
 
     /// Returns the number of runs that an engine has begun to answer.
@@ -106,6 +126,7 @@
     /// Registers a run that has no engine yet.
     pub fn begin(
         state: &Rc<GatewayState>,
+        service: &str,
         due_ms: Option<u64>,
         prompt_tokens: u64,
         output: &SharedOutput,
@@ -115,6 +136,7 @@
         let number = runs.last.get() + 1;
         runs.last.set(number);
         let run = Run {
+            service: service.to_owned(),
             engine: String::new(),
             due_ms,
             prompt_tokens,
--- a/crates/proxy/src/batch/runner.rs
+++ b/crates/proxy/src/batch/runner.rs
@@ -1,7 +1,7 @@
 //! Taking batch items while engines have capacity, and recording their outcomes.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -11,12 +11,12 @@
     BatchCommand, BatchReply, ItemOutcome, ItemRecord, ItemReference, ItemToRun, Output,
     RecordOutcome, StoredPrefix,
 };
-use molespan_state::declared::{RouteKind, ServingModel};
 use molespan_types::Timestamp;
 use molespan_wire::TakeItems;
 use slog::{info, warn};
 
-use super::item::{SharedOutput, inspect_item, run_item};
+use super::capacity::{Capacity, batch_services};
+use super::item::{CurrentService, SharedOutput, inspect_item, run_item};
 use crate::dialect::GatewayDialect;
 use crate::state::GatewayState;
 
@@ -88,6 +88,7 @@
 struct RunningItem {
     task: Task<()>,
     output: SharedOutput,
+    service: CurrentService,
 }
 
 /// Takes and runs items until dropped or a planned stop.
@@ -142,45 +143,45 @@
     }
 }
 
-/// Returns the services that batch routes lead to.
-fn batch_services(model: &ServingModel) -> BTreeSet<&str> {
-    let routes = model.routes.iter();
-    let batch = routes.filter(|route| route.kind == RouteKind::Batch);
-    let destinations = batch.flat_map(|route| &route.destinations);
-    destinations
-        .map(|destination| destination.service.as_str())
-        .collect()
-}
-
 impl<D: GatewayDialect> Runner<D> {
-    /// Returns the number of items that this gateway may take now, limited by the engines'
-    /// capacity and by this gateway's share of it.
-    fn capacity(&self) -> u32 {
-        let Some(in_force) = self.state.in_force().filter(|_| !self.state.is_stopping()) else {
-            return 0;
+    /// Returns the number of items that this gateway may take now.
+    fn capacity(&self) -> Capacity {
+        let in_force = self.state.in_force();
+        let Some(in_force) = in_force.filter(|_| !self.state.is_stopping()) else {
+            return Capacity::default();
         };
         if self.state.now() < self.takes_after.get() {
-            return 0;
+            return Capacity::default();
         }
-        let services = batch_services(&in_force.model);
+        Capacity::of(&in_force.model, MAX_ITEMS_PER_CALL, |one| self.room_at(one))
+    }
+
+    /// Returns the number of items of a service that this gateway may take now, limited by the
+    /// engines' capacity and by this gateway's share of it. Items of other services don't
+    /// count: their engines may all be gone.
+    fn room_at(&self, service: &str) -> u32 {
         let engines = self.state.engines.borrow();
-        let now = self.state.now();
-        let headroom: f64 = services
-            .iter()
-            .map(|one| engines.batch_headroom(one, now))
-            .sum();
+        let runs = &self.state.batch_runs;
         // Items waiting here for an engine come first. The fraction is rounded randomly, so
         // that all gateways together take as many items as there is capacity for.
-        let held_back = self.state.batch_runs.count_held_back();
-        let running = (self.running.borrow().len() as u32).saturating_sub(held_back);
-        let waiting = running.saturating_sub(self.state.batch_runs.count_at_engines());
+        let running = self.running_at(service);
+        let running = running.saturating_sub(runs.held_back_of(service));
+        let waiting = running.saturating_sub(runs.at_engines_of(service));
+        let headroom = engines.batch_headroom(service, self.state.now());
         let headroom = (headroom - f64::from(waiting) + rand::random::<f64>()).max(0.0) as u32;
-        let share: f64 = services.iter().map(|one| engines.fair_slots(one)).sum();
-        let left = (share.ceil() as u32).saturating_sub(running);
-        headroom.min(left).min(MAX_ITEMS_PER_CALL)
+        let share = engines.fair_slots(service).ceil() as u32;
+        headroom.min(share.saturating_sub(running))
     }
 
-    /// Whether waiting items are to be inspected if this gateway can run none.
+    /// Returns the number of items here that run or wait at a service, or may turn out to.
+    fn running_at(&self, service: &str) -> u32 {
+        let running = self.running.borrow();
+        let current = running.values().map(|item| item.service.borrow());
+        let here = current.filter(|current| current.as_ref().is_none_or(|one| one == service));
+        here.count() as u32
+    }
+
+    /// Whether waiting items are to be inspected if this gateway has no room for some.
     fn inspection_is_due(&self) -> bool {
         let may_take = self.state.in_force().is_some() && !self.state.is_stopping();
         may_take
@@ -199,14 +200,14 @@
 
     /// Waits until there is capacity or the running items need a renewal. Waiting at the
     /// leader instead would load it most when all gateways are full.
-    async fn wait_for_capacity(&self) -> u32 {
+    async fn wait_for_capacity(&self) -> Capacity {
         let renewed_after = RENEWAL_INTERVAL.min(self.state.renewal.get().longest_silence());
         let ends = Instant::now() + renewed_after;
         loop {
             let capacity = self.capacity();
             let is_over =
                 Instant::now() >= ends || self.inspection_is_due() || self.gave_back.get();
-            if capacity > 0 || is_over || self.state.is_closing_idle() {
+            if capacity.total > 0 || is_over || self.state.is_closing_idle() {
                 return capacity;
             }
             Timer::after(MIN_CALL_INTERVAL).await;
@@ -243,17 +244,18 @@
     }
 
     /// Returns the next call for items to run.
-    fn next_call(&self, capacity: u32, held: Vec<(u64, u32)>, wait: Duration) -> TakeItems {
+    fn next_call(&self, capacity: Capacity, held: Vec<(u64, u32)>, wait: Duration) -> TakeItems {
         let number = self.calls.get() + 1;
         self.calls.set(number);
         TakeItems {
             node: self.state.own,
-            capacity,
+            capacity: capacity.total,
             held,
             wait_ms: wait.as_millis() as u32,
             life: self.life,
             number,
             inspects: false,
+            rooms: capacity.rooms,
         }
     }
 
@@ -268,9 +270,9 @@
             let running = self.running.borrow();
             running.keys().map(|item| (item.job, item.place)).collect()
         };
-        let inspects = capacity == 0 && self.inspection_is_due();
+        let inspects = capacity.lacks_room() && self.inspection_is_due();
         let gave_back = self.gave_back.take();
-        let wait = match (capacity, held.is_empty()) {
+        let wait = match (capacity.total, held.is_empty()) {
             _ if inspects || gave_back => Duration::ZERO,
             (0, true) => return true,
             (0, false) => Duration::ZERO,
@@ -286,6 +288,7 @@
             self.plan_inspection();
             ask.inspects = true;
             ask.capacity = MAX_INSPECTED_ITEMS;
+            ask.rooms.clear();
         }
         let called = self.state.now();
         let taken = match self.state.batch.take_items(&ask, TAKE_TIMEOUT).await {
@@ -315,9 +318,11 @@
         let reference = item.reference;
         let runner = self.clone();
         let output = Rc::new(RefCell::new(Output::resume(&item.progress, rand::random())));
-        let shared = output.clone();
+        let service = CurrentService::default();
+        let (shared, current) = (output.clone(), service.clone());
         let work = async move {
-            let outcome = run_item(&runner.state, &*runner.dialect, &item, &shared).await;
+            let (state, dialect) = (&runner.state, &*runner.dialect);
+            let outcome = run_item(state, dialect, &item, &shared, &current).await;
             match outcome {
                 Some(outcome) => runner.record(reference, outcome).await,
                 None => {
@@ -328,7 +333,7 @@
                 }
             }
         };
-        self.spawn(reference, output, work);
+        self.spawn(reference, output, service, work);
     }
 
     /// Gives an item up if it is to be, and gives it back otherwise.
@@ -345,7 +350,7 @@
                 runner.gave_back.set(true);
             }
         };
-        self.spawn(reference, output, work);
+        self.spawn(reference, output, CurrentService::default(), work);
     }
 
     /// Spawns the work on an item, which is held until that ends.
@@ -353,6 +358,7 @@
         self: &Rc<Self>,
         reference: ItemReference,
         output: SharedOutput,
+        service: CurrentService,
         work: impl Future<Output = ()> + 'static,
     ) {
         let runner = self.clone();
@@ -365,7 +371,11 @@
             }
         };
         let task = self.local.spawn(work);
-        let running = RunningItem { task, output };
+        let running = RunningItem {
+            task,
+            output,
+            service,
+        };
         self.running.borrow_mut().insert(reference, running);
     }
 
@@ -450,7 +460,7 @@
         // stored state because an earlier checkpoint was still in flight.
         let noted = self.checkpoint(&outputs, HAND_OVER_TIMEOUT).await
             && self.checkpoint(&outputs, HAND_OVER_TIMEOUT).await;
-        let release = self.next_call(0, Vec::new(), Duration::ZERO);
+        let release = self.next_call(Capacity::default(), Vec::new(), Duration::ZERO);
         let released = self
             .state
             .batch
--- a/crates/proxy/src/waiting.rs
+++ b/crates/proxy/src/waiting.rs
@@ -17,6 +17,8 @@
 
 /// A service and one of its software versions.
 type VersionKey = (String, SoftwareVersion);
+/// A service and the only software version that may run an item, if there is one.
+type TurnKey = (String, Option<SoftwareVersion>);
 
 /// The waiting requests of a gateway.
 #[derive(Default)]
@@ -26,9 +28,7 @@
     /// Online requests that only one software version may run.
     version_queues: RefCell<BTreeMap<VersionKey, Rc<ServiceQueue>>>,
     /// Batch items.
-    turns: Rc<Turns>,
-    /// Batch items that only one software version may run.
-    version_turns: RefCell<BTreeMap<VersionKey, Rc<Turns>>>,
+    turns: RefCell<BTreeMap<TurnKey, Rc<Turns>>>,
 }
 
 impl WaitingRequests {
@@ -81,11 +81,11 @@
     }
 
     /// Returns the turns of the batch items that `version` alone may run, or any if `None`.
+    /// Each service has its own, so that one without an engine does not block the others.
     pub fn turns(&self, service: &str, version: Option<&SoftwareVersion>) -> Rc<Turns> {
-        let Some(key) = self.version_key(service, version) else {
-            return self.waiting.turns.clone();
-        };
-        let mut turns = self.waiting.version_turns.borrow_mut();
+        let only = self.version_key(service, version);
+        let key = (service.to_owned(), only.map(|(_, version)| version));
+        let mut turns = self.waiting.turns.borrow_mut();
         // Turns that nobody waits for or holds.
         turns.retain(|_, turns| Rc::strong_count(turns) > 1);
         turns.entry(key).or_default().clone()
--- a/crates/state/src/batch/machine.rs
+++ b/crates/state/src/batch/machine.rs
@@ -9,7 +9,7 @@
 };
 use super::job::{BatchJob, JobKey};
 use super::query::{
-    BatchAnswer, BatchQuery, ItemToRun, ListedResult, OpenItem, OpenWork, ResultPage,
+    BatchAnswer, BatchQuery, ItemToRun, JobDirectory, ListedResult, OpenItem, OpenWork, ResultPage,
 };
 use super::queue::QueuedTokens;
 use crate::error::StateError;
@@ -232,26 +232,31 @@
     }
 
     fn open(&self, limit: usize) -> OpenWork {
-        let mut work = OpenWork::default();
-        for (number, job) in self.jobs.iter().filter(|(_, job)| job.is_open()) {
-            work.jobs.insert(*number);
-            for place in job.open_places() {
-                if work.items.len() >= limit {
-                    break;
-                }
-                let item = ItemReference {
-                    job: *number,
-                    place,
-                };
-                let tokens = job.items[place as usize].tokens;
-                work.items.push(OpenItem {
-                    item,
-                    tokens,
-                    due_ms: job.due_ms,
-                });
-            }
+        let mut directories: BTreeMap<(&str, &str), Vec<u64>> = BTreeMap::new();
+        for (&number, job) in self.jobs.iter().filter(|(_, job)| job.is_open()) {
+            let key = (job.host.as_str(), directory(&job.path));
+            directories.entry(key).or_default().push(number);
+        }
+        let items = directories.values().map(|jobs| {
+            let jobs = jobs
+                .iter()
+                .filter_map(|&number| Some((number, self.jobs.get(&number)?)));
+            jobs.flat_map(|(number, job)| open_items(number, job))
+        });
+        let items = take_evenly(items.collect(), limit);
+        let jobs = directories.values().flatten().copied().collect();
+        let directories = directories
+            .into_iter()
+            .map(|((host, path), jobs)| JobDirectory {
+                host: host.to_owned(),
+                path: path.to_owned(),
+                jobs,
+            });
+        OpenWork {
+            items,
+            jobs,
+            directories: directories.collect(),
         }
-        work
     }
 
     fn item_to_run(&self, reference: ItemReference) -> Option<ItemToRun> {
@@ -289,6 +294,36 @@
     }
 }
 
+/// Returns a path up to its last slash, which any prefix of the path that ends with a slash
+/// begins.
+fn directory(path: &str) -> &str {
+    path.rfind('/').map_or("", |slash| &path[..=slash])
+}
+
+fn open_items(number: u64, job: &BatchJob) -> impl Iterator<Item = OpenItem> {
+    job.open_places().map(move |place| OpenItem {
+        item: ItemReference { job: number, place },
+        tokens: job.items[place as usize].tokens,
+        due_ms: job.due_ms,
+    })
+}
+
+/// Takes up to `limit` items, as many of each source where all have enough: many items of one
+/// must not hide those of another.
+fn take_evenly<T>(mut sources: Vec<impl Iterator<Item = T>>, limit: usize) -> Vec<T> {
+    let mut items = Vec::new();
+    while items.len() < limit && !sources.is_empty() {
+        let share = (limit - items.len()).div_ceil(sources.len());
+        sources.retain_mut(|source| {
+            let wanted = share.min(limit - items.len());
+            let before = items.len();
+            items.extend(source.take(wanted));
+            items.len() - before == wanted
+        });
+    }
+    items
+}
+
 fn page(
     job: &BatchJob,
     after: u32,
--- a/crates/state/src/batch/mod.rs
+++ b/crates/state/src/batch/mod.rs
@@ -20,4 +20,6 @@
 pub use machine::BatchMachine;
 pub use output::{Output, StoredPrefix};
 pub use packed::CompressedText;
-pub use query::{BatchAnswer, BatchQuery, ItemToRun, ListedResult, OpenItem, OpenWork, ResultPage};
+pub use query::{
+    BatchAnswer, BatchQuery, ItemToRun, JobDirectory, ListedResult, OpenItem, OpenWork, ResultPage,
+};
--- a/crates/state/src/batch/query.rs
+++ b/crates/state/src/batch/query.rs
@@ -95,15 +95,32 @@
     pub due_ms: Option<u64>,
 }
 
+/// Open jobs that were submitted to the same directory, and so take the same route.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct JobDirectory {
+    /// Host.
+    #[n(0)]
+    pub host: String,
+    /// Path up to its last slash.
+    #[n(1)]
+    pub path: String,
+    /// Numbers of the jobs.
+    #[n(2)]
+    pub jobs: Vec<u64>,
+}
+
 /// Items that still have to run.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct OpenWork {
-    /// Items, oldest job first.
+    /// Items, oldest job of each directory first.
     #[n(0)]
     pub items: Vec<OpenItem>,
     /// Numbers of all open jobs.
     #[n(1)]
     pub jobs: BTreeSet<u64>,
+    /// The same by directory.
+    #[n(2)]
+    pub directories: Vec<JobDirectory>,
 }
 
 /// An item with everything needed to run it.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,6 +18,7 @@
 };
 pub use message::{
     Consistency, Envelope, GroupMessage, LeaderHint, LoadDigest, NodeStatus, OnlineArrival,
-    Request, Response, TakeItems, ViewPosition, WatchConfiguration, WatchView, WatcherKind,
+    Request, Response, RouteRoom, TakeItems, ViewPosition, WatchConfiguration, WatchView,
+    WatcherKind,
 };
 pub use server::{Handler, Server, ServerCounters, ServerError, ServerHandle, ServerLimits};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -178,6 +178,17 @@
     pub other_node_sends_first: bool,
 }
 
+/// Room for the items of jobs on some routes.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct RouteRoom {
+    /// Host and path prefix of each route.
+    #[n(0)]
+    pub routes: Vec<(String, String)>,
+    /// Maximum number of items of all these routes.
+    #[n(1)]
+    pub capacity: u32,
+}
+
 /// Requests batch items to run.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct TakeItems {
@@ -207,6 +218,12 @@
     #[n(6)]
     #[cbor(default)]
     pub inspects: bool,
+    /// Room by route, within `capacity`. The route of a job is the one with the longest prefix
+    /// of its path; items of other jobs only count against `capacity`. Empty if all routes
+    /// share the same room, and in requests of an older build.
+    #[n(7)]
+    #[cbor(default)]
+    pub rooms: Vec<RouteRoom>,
 }
 
 /// A request between processes.
