A job keeps the route that accepted it when a longer one comes

Cause: the route of a job was still found by matching its path anew.

Why it works: the queue of a job is named after host and prefix of the route that accepted it, in jobs of earlier builds too, so the route is known by these and stands as long as the configuration has it.

--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -65,7 +65,10 @@
 
 /// Returns the route of an item, which is that of its job.
 fn item_route<'a>(in_force: &'a InForce, item: &ItemToRun) -> Option<&'a Route> {
-    in_force.model.batch_route(&item.host, &item.job_path)
+    let prefix = item.route_prefix.as_deref();
+    in_force
+        .model
+        .batch_route(&item.host, &item.job_path, prefix)
 }
 
 /// Returns the outcome of an item without a route; `None` if this gateway may only lack the
--- a/crates/state/src/batch/job.rs
+++ b/crates/state/src/batch/job.rs
@@ -325,6 +325,14 @@
         self.progress.get(&place).and_then(ItemProgress::stored)
     }
 
+    /// Returns the path prefix of the route that accepted the job, after which its queue is
+    /// named; `None` for a queue of another name.
+    pub(super) fn route_prefix(&self) -> Option<&str> {
+        let route = self.queue.rsplit('\n').next()?;
+        let prefix = route.strip_prefix(self.host.as_str())?;
+        self.path.starts_with(prefix).then_some(prefix)
+    }
+
     /// Iterates over the indexes of items that still have to run.
     pub(super) fn open_places(&self) -> impl Iterator<Item = u32> {
         let open = !self.ended;
--- a/crates/state/src/batch/machine.rs
+++ b/crates/state/src/batch/machine.rs
@@ -234,7 +234,8 @@
     fn open(&self, limit: usize) -> OpenWork {
         let mut directories: BTreeMap<(&str, &str), Vec<u64>> = BTreeMap::new();
         for (&number, job) in self.jobs.iter().filter(|(_, job)| job.is_open()) {
-            let key = (job.host.as_str(), directory(&job.path));
+            let path = job.route_prefix().unwrap_or(directory(&job.path));
+            let key = (job.host.as_str(), path);
             directories.entry(key).or_default().push(number);
         }
         let items = directories.values().map(|jobs| {
@@ -267,6 +268,7 @@
             reference,
             host: job.host.clone(),
             job_path: job.path.clone(),
+            route_prefix: job.route_prefix().map(str::to_owned),
             submitted_ms: job.submitted_ms,
             due_ms: job.due_ms,
             tenant: job.tenant.clone(),
--- a/crates/state/src/batch/query.rs
+++ b/crates/state/src/batch/query.rs
@@ -95,13 +95,14 @@
     pub due_ms: Option<u64>,
 }
 
-/// Open jobs that were submitted to the same directory, and so take the same route.
+/// Open jobs of the same route, or that were submitted to the same directory where the route is
+/// not known.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct JobDirectory {
     /// Host.
     #[n(0)]
     pub host: String,
-    /// Path up to its last slash.
+    /// Path prefix of the route, or the path up to its last slash.
     #[n(1)]
     pub path: String,
     /// Numbers of the jobs.
@@ -150,6 +151,9 @@
     /// Tenant that owns the job.
     #[n(7)]
     pub tenant: Option<String>,
+    /// Path prefix of the route that accepted the job, if it is known.
+    #[n(8)]
+    pub route_prefix: Option<String>,
 }
 
 /// Answer to a [`BatchQuery`].
--- a/crates/state/src/declared/model.rs
+++ b/crates/state/src/declared/model.rs
@@ -194,13 +194,15 @@
         fitting.max_by_key(|route| route.path_prefix.len())
     }
 
-    /// Returns the route of a job that was submitted to `path`, which all its items take
-    /// whatever their own paths. A route of another kind with a longer prefix is not its own.
+    /// Returns the route of a job that was submitted to `path` and accepted by the route with
+    /// this prefix, if that is known. All its items take it, whatever their own paths and
+    /// whatever other routes have a longer prefix of the job's.
     #[must_use]
-    pub fn batch_route(&self, host: &str, path: &str) -> Option<&Route> {
+    pub fn batch_route(&self, host: &str, path: &str, prefix: Option<&str>) -> Option<&Route> {
         let fitting = self.fitting_routes(host, path);
         let batch = fitting.filter(|route| route.kind == RouteKind::Batch);
-        batch.max_by_key(|route| route.path_prefix.len())
+        let own = batch.filter(|route| prefix.is_none_or(|prefix| route.path_prefix == prefix));
+        own.max_by_key(|route| route.path_prefix.len())
     }
 
     fn fitting_routes(&self, host: &str, path: &str) -> impl Iterator<Item = &Route> {
--- a/crates/state/tests/declared.rs
+++ b/crates/state/tests/declared.rs
@@ -162,16 +162,20 @@
         route("b", "/x/"),
     ]);
     let cases = [
-        ("a", "/x/job", Some("a/x/")),
-        ("a", "/x/y/job", Some("a/x/")),
-        ("a", "/x/y/z/job", Some("a/x/y/z/")),
-        ("a", "/job", None),
-        ("b", "/x/job", None),
+        ("a", "/x/job", None, Some("a/x/")),
+        ("a", "/x/y/job", None, Some("a/x/")),
+        ("a", "/x/y/z/job", None, Some("a/x/y/z/")),
+        ("a", "/job", None, None),
+        ("b", "/x/job", None, None),
+        // Accepted before a route with a longer prefix came, or by one that has gone.
+        ("a", "/x/y/z/job", Some("/x/"), Some("a/x/")),
+        ("a", "/x/y/z/job", Some("/x/y/z/"), Some("a/x/y/z/")),
+        ("a", "/x/y/job", Some("/x/y/"), None),
     ];
-    for (host, path, expected) in cases {
-        let found = model.batch_route(host, path);
+    for (host, path, accepted_by, expected) in cases {
+        let found = model.batch_route(host, path, accepted_by);
         let found = found.map(|route| route.name.as_str());
-        assert_eq!(found, expected, "{host}{path}");
+        assert_eq!(found, expected, "{host}{path}, {accepted_by:?}");
     }
 }
 
