Items under which engines ended are tried until they are done

Why it works: accepted work is owed, so that its trials only keep their distance of 8 s, one at a time for each cause over all gateways; the first whole answer lifts the bar. Callers' requests are granted no more than before.

--- a/crates/proxy/src/bar_trials.rs
+++ b/crates/proxy/src/bar_trials.rs
@@ -10,8 +10,11 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use molespan_daemon::wall_clock::unix_millis;
+use molespan_routing::dispatch::WorkClass;
 use molespan_routing::suspects::{Cause, FeatureDigest};
-use molespan_state::declared::{DeclaredCommand, DeclaredReply, TrialOutcome, TrialReply};
+use molespan_state::declared::{
+    DeclaredCommand, DeclaredReply, TrialOutcome, TrialReply, UNLIMITED_TRIALS,
+};
 use molespan_types::Timestamp;
 use slog::{info, warn};
 
@@ -159,6 +162,7 @@
         self: &Rc<Self>,
         service: &str,
         cause: &Cause,
+        class: WorkClass,
     ) -> Result<BarTrial, Duration> {
         let now = self.now();
         let (due, calm_at) = self.trial_due(service, cause, now);
@@ -172,7 +176,10 @@
         let command = DeclaredCommand::Try {
             request: digest,
             now_ms: asked_ms,
-            allowed: self.suspects.borrow().trials_left(cause),
+            allowed: match class {
+                WorkClass::Online => self.suspects.borrow().trials_left(cause),
+                WorkClass::Batch => UNLIMITED_TRIALS,
+            },
             is_calm: calm_at <= now,
         };
         let again_in = match self.control.change_declared(command, ASK_TIMEOUT).await {
--- a/crates/proxy/src/dispatch/permission.rs
+++ b/crates/proxy/src/dispatch/permission.rs
@@ -31,12 +31,15 @@
     }
 
     /// Asks for a trial of a barred request. Only batch items get one for what they are
-    /// themselves: they were accepted, while a caller comes again.
+    /// themselves, and further ones until they are done: they were accepted, while a caller
+    /// comes again.
     async fn seek_trial(&mut self, cause: Cause) -> Result<(), Refusal> {
         if self.outbound.class == WorkClass::Online && matches!(cause, Cause::Request(_)) {
             return Err(self.barred(&cause, BARRED_RETRY_AFTER));
         }
-        match self.state.try_barred(&self.service, &cause).await {
+        let class = self.outbound.class;
+        let trial = self.state.try_barred(&self.service, &cause, class);
+        match trial.await {
             Ok(trial) => {
                 self.bar_trial = Some(trial);
                 Ok(())
--- a/crates/state/src/declared/command.rs
+++ b/crates/state/src/declared/command.rs
@@ -118,7 +118,8 @@
         /// Current time at the proposer, in milliseconds since 1970.
         #[n(1)]
         now_ms: u64,
-        /// Number of trials that its crashes so far leave.
+        /// Number of trials that its crashes so far leave, or
+        /// [`UNLIMITED_TRIALS`](super::UNLIMITED_TRIALS).
         #[n(2)]
         allowed: u32,
         /// Whether engines of the service have not ended lately for other reasons.
--- a/crates/state/src/declared/mod.rs
+++ b/crates/state/src/declared/mod.rs
@@ -32,4 +32,4 @@
 pub use stores::{Retirement, StoreNode, Stores};
 pub use stream::{StreamKey, StreamOrigin};
 pub use tenants::{KeyDigest, RateLimit, Tenant};
-pub use trials::{MAX_TRIALS, TrialOutcome, TrialReply, Trials};
+pub use trials::{MAX_TRIALS, TrialOutcome, TrialReply, Trials, UNLIMITED_TRIALS};
--- a/crates/state/src/declared/trials.rs
+++ b/crates/state/src/declared/trials.rs
@@ -12,6 +12,9 @@
 /// three sends after the crashes that lead to a bar; one of them is left for a gateway that has
 /// not heard of the bar.
 pub const MAX_TRIALS: u32 = 2;
+/// Number of trials that are allowed for accepted work: it is owed until it is done or given up,
+/// so that trials of it only have to keep their distance.
+pub const UNLIMITED_TRIALS: u32 = u32::MAX;
 /// Least time between two trials: longer than an answer takes, and than an engine that the
 /// first one ended takes to return.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(8);
@@ -81,8 +84,9 @@
 
 impl Trials {
     /// Grants or denies a trial at `now_ms`, in milliseconds since 1970, if fewer were granted
-    /// within the duration of a bar than were `allowed` at the first one. The last one needs a
-    /// calm service: if its engine ended for another reason, none would be left.
+    /// within the duration of a bar than were `allowed` at the first one, or if it is for work
+    /// that is owed. The last one needs a calm service: if its engine ended for another reason,
+    /// none would be left.
     pub(super) fn grant(
         &mut self,
         request: RequestDigest,
@@ -93,13 +97,14 @@
         let known = self.granted.get(&request).copied();
         let known = known.filter(|known| known.forgotten_ms() > now_ms);
         let count = known.map_or(0, |known| known.count);
+        let is_owed = allowed == UNLIMITED_TRIALS;
         let allowed = known.map_or(allowed.min(MAX_TRIALS), |known| known.allowed);
-        let due_ms = known.map_or(0, |known| match count < allowed {
+        let due_ms = known.map_or(0, |known| match is_owed || count < allowed {
             true => known.due_ms,
             false => known.forgotten_ms(),
         });
         let again_in_ms = due_ms.saturating_sub(now_ms);
-        let needs_calm = count + 1 >= allowed;
+        let needs_calm = !is_owed && count + 1 >= allowed;
         if again_in_ms > 0 || needs_calm && !is_calm {
             return TrialReply::Denied {
                 again_in_ms,
@@ -107,7 +112,7 @@
             };
         }
         let granted = Granted {
-            count: count + 1,
+            count: count.saturating_add(1),
             asked_ms: now_ms,
             due_ms: now_ms + TRIAL_INTERVAL.as_millis() as u64,
             allowed,
--- a/crates/state/tests/bars.rs
+++ b/crates/state/tests/bars.rs
@@ -5,7 +5,7 @@
 };
 use molespan_state::declared::{
     BAR_DURATION, Bar, DeclaredCommand, DeclaredReply, DeclaredState, MAX_TRIALS, RequestDigest,
-    RequestParts, TrialOutcome, TrialReply, Trials,
+    RequestParts, TrialOutcome, TrialReply, Trials, UNLIMITED_TRIALS,
 };
 use molespan_state::{decode, encode};
 
@@ -218,6 +218,31 @@
     assert_eq!(try_at(2, NOW, 1, true), Ok(()));
 }
 
+// Guards against accepted work that is never tried again, since the trials of a day are used up.
+#[test]
+fn trials_of_owed_work_only_keep_their_distance() {
+    let mut machine = ControlMachine::default();
+    let mut now_ms = NOW;
+    for _ in 0..20 {
+        let reply = ask(&mut machine, 1, now_ms, UNLIMITED_TRIALS, false);
+        assert_eq!(reply, TrialReply::Granted);
+        let again = ask(&mut machine, 1, now_ms + 1, UNLIMITED_TRIALS, false);
+        let TrialReply::Denied {
+            again_in_ms,
+            needs_calm,
+        } = again
+        else {
+            panic!("a second trial beside the first");
+        };
+        assert!(!needs_calm);
+        assert!((1_000..=10_000).contains(&again_in_ms), "{again_in_ms}");
+        now_ms += 1 + again_in_ms;
+    }
+    // Callers, whose requests come again, are granted no more than before.
+    assert!(!is_granted(&mut machine, 1, now_ms));
+    assert!(is_granted(&mut machine, 2, now_ms));
+}
+
 // Guards against a request that waits for a day because gateways were too busy to send it.
 #[test]
 fn a_trial_in_which_no_engine_ran_the_request_is_not_counted() {
