Peers that send without end get no more than their turn and their time

Cause: a read that finds bytes returns at once, and the time limits and other tasks of the thread had their turn only when no byte was there. An item's output had no bound in bytes, and its run none in time once its answer had begun.

Why it works: a connection lets other tasks run after 16 reads in a row that find bytes, and all bytes of callers and engines come through that one place, so that each limit that stands beside a read is looked at. An item's run has its end, its output 4 MiB; an event is 256 KB at most.

Evidence, failing before: answers_without_end_are_closed_in_time_and_others_served_beside_them (24 of 24 late, sound requests unanswered), items_at_engines_that_send_without_end_go_on_elsewhere (not completed in 20 s).

--- a/crates/http/src/h1/connection.rs
+++ b/crates/http/src/h1/connection.rs
@@ -16,6 +16,10 @@
 
 /// Size of a read from the socket in bytes.
 const READ_BYTES: usize = 16 << 10;
+/// Number of reads in a row that find bytes waiting after which other tasks run. A peer that
+/// sends without end would otherwise keep the reader from its time limits, and all other work
+/// from the thread.
+const READS_PER_TURN: u32 = 16;
 
 /// Why a head could not be read.
 #[derive(Debug, Display, Error, From)]
@@ -53,6 +57,8 @@
     stream: Rc<Async<TcpStream>>,
     buffer: Vec<u8>,
     start: usize,
+    /// Number of reads in a row that found bytes waiting.
+    reads_in_turn: u32,
 }
 
 /// Writes all of `bytes`. Can run while a [`Connection`] reads from the same socket.
@@ -71,6 +77,7 @@
             stream: Rc::new(stream),
             buffer: Vec::new(),
             start: 0,
+            reads_in_turn: 0,
         }
     }
 
@@ -104,11 +111,32 @@
             self.start = 0;
         }
         let mut piece = [0; READ_BYTES];
-        let count = (&*self.stream).read(&mut piece).await?;
+        let stream = self.stream.clone();
+        let mut stream = &*stream;
+        let mut reading = stream.read(&mut piece);
+        let count = match future::poll_once(&mut reading).await {
+            Some(count) => {
+                self.end_turn_if_due().await;
+                count?
+            }
+            None => {
+                self.reads_in_turn = 0;
+                reading.await?
+            }
+        };
         self.buffer.extend_from_slice(&piece[..count]);
         Ok(count)
     }
 
+    /// Lets other tasks run after many reads that found bytes waiting.
+    async fn end_turn_if_due(&mut self) {
+        self.reads_in_turn += 1;
+        if self.reads_in_turn >= READS_PER_TURN {
+            self.reads_in_turn = 0;
+            future::yield_now().await;
+        }
+    }
+
     /// Waits until there are received bytes; returns `false` when the connection ended
     /// first.
     pub async fn wait_for_bytes(&mut self) -> bool {
--- a/crates/proxy/src/batch/item.rs
+++ b/crates/proxy/src/batch/item.rs
@@ -1,6 +1,7 @@
 //! Running one batch item until it has an outcome.
 
 use std::cell::{Cell, OnceCell, RefCell};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,6 +28,8 @@
 /// Time without data within a run after which the run is ended and the item goes to another
 /// engine.
 const INACTIVITY_TIMEOUT: Duration = Duration::from_secs(3);
+/// Maximum size of an item's output, in bytes; an engine that sends more sends no answer.
+const MAX_OUTPUT_BYTES: u64 = 4 << 20;
 /// Pause before a retry after engines rejected an item or failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which an item waits for an engine of the version that began its output before it
@@ -52,6 +55,8 @@
     Failed,
     /// No engine can ever run the item.
     Impossible,
+    /// An engine sent more than an output may hold.
+    TooLong,
     /// No engine has capacity yet, or the run was preempted by online work.
     Deferred,
     /// Engines rejected the item.
@@ -155,6 +160,12 @@
                     ));
                 }
             }
+            RunResult::TooLong => {
+                info!(state.logger, "item starts anew, an engine sent without end";
+                    "item" => &item.item.id);
+                output.borrow_mut().restart(rand::random());
+                Timer::after(RETRY_PAUSE).await;
+            }
             RunResult::Broken | RunResult::Deferred => {}
             RunResult::Rejected => {
                 Timer::after(RETRY_PAUSE).await;
@@ -281,7 +292,7 @@
             version,
         });
         output.borrow_mut().continue_from(origin);
-        let (run, is_whole) = finish_run(state, reply, output).await;
+        let (run, is_whole) = finish_run(state, reply, output, deadline).await;
         if is_whole {
             state.note_complete(&dispatch.outbound);
         } else {
@@ -317,6 +328,7 @@
     state: &GatewayState,
     reply: EngineReply,
     output: &SharedOutput,
+    deadline: Timestamp,
 ) -> (RunResult, bool) {
     let failure = match reply.head.status {
         _ if reply.facts.never_executable => Some(RunResult::Impossible),
@@ -326,17 +338,20 @@
     if let Some(failure) = failure {
         return (failure, reply.body.discard(state).await);
     }
-    let run = read_events(state, reply.body, output).await;
+    let run = read_events(state, reply.body, output, deadline).await;
     let is_whole = matches!(run, RunResult::Complete);
     (run, is_whole)
 }
 
-/// Reads events until the stream ends.
+/// Reads events until the stream ends, or the time of the run.
 async fn read_events(
     state: &GatewayState,
     mut body: EngineBody,
     output: &SharedOutput,
+    deadline: Timestamp,
 ) -> RunResult {
+    let mut time = pin!(state.clock.wait_until(deadline));
+    let mut received = output.borrow().bytes();
     let mut parser = EventParser::default();
     let mut inactivity = InactivityTimer::new(Some(INACTIVITY_TIMEOUT));
     loop {
@@ -345,13 +360,19 @@
             (&mut inactivity).await;
             None
         };
-        let Some(piece) = future::or(piece, silent).await else {
+        let late = async {
+            (&mut time).await;
+            None
+        };
+        let Some(piece) = future::or(piece, future::or(silent, late)).await else {
             return RunResult::Broken;
         };
         inactivity.reset();
         if let Some(piece) = piece {
-            if !parser.push(&piece) {
-                return RunResult::Broken;
+            received += piece.len() as u64;
+            if received > MAX_OUTPUT_BYTES || !parser.push(&piece) {
+                state.note_broken(&body.engine);
+                return RunResult::TooLong;
             }
             let mut output = output.borrow_mut();
             while let Some(event) = parser.next() {
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -15,8 +15,9 @@
 
 /// May stand before the first event of a stream.
 const BYTE_ORDER_MARK: char = '\u{feff}';
-/// Maximum length of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum length of an event, in bytes. Many engines may send bytes without end at once, and
+/// what is held of each counts against the memory of the gateway.
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Splits a stream into events.
 #[derive(Debug, Default)]
--- a/crates/state/src/batch/output.rs
+++ b/crates/state/src/batch/output.rs
@@ -96,6 +96,12 @@
         self.last_event
     }
 
+    /// Returns the size of the output so far, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.data.iter().map(|data| data.len() as u64).sum()
+    }
+
     /// Appends an event.
     pub fn push(&mut self, id: Option<u64>, data: String) {
         self.last_event = id.or(self.last_event);
