A status that HTTP does not have is no answer

Cause: the parser takes any three digits, and nothing behind it asked further.

Why it works: a head with a status outside 100 to 599 is malformed where heads are parsed, so the attempt is broken off as for any bytes that are no answer.

--- a/crates/http/src/h1/head.rs
+++ b/crates/http/src/h1/head.rs
@@ -1,7 +1,12 @@
 //! Heads of requests and responses.
 
+use std::ops::RangeInclusive;
+
 /// Maximum number of header lines of a message.
 const MAX_HEADERS: usize = 96;
+/// Status codes that HTTP defines (RFC 9110, section 15). Others are no answer: they must be
+/// neither passed on nor counted as one.
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 
 /// Header lines in their original order.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -200,8 +205,12 @@
     let httparse::Status::Complete(length) = response.parse(bytes)? else {
         return Ok(None);
     };
+    let status = response.code.unwrap_or_default();
+    if !STATUS_CODES.contains(&status) {
+        return Err(httparse::Error::Status);
+    }
     let head = ResponseHead {
-        status: response.code.unwrap_or_default(),
+        status,
         reason: response.reason.unwrap_or_default().to_owned(),
         minor: response.version.unwrap_or(1),
         headers: collect(response.headers),
--- a/crates/http/tests/h1.rs
+++ b/crates/http/tests/h1.rs
@@ -48,6 +48,20 @@
     })
 }
 
+// Guards against taking bytes that are no answer, such as a status 000, for one.
+#[test]
+fn a_status_that_does_not_exist_is_malformed() {
+    for status in 0..1_000_u16 {
+        let bytes = format!("HTTP/1.1 {status:03} S\r\nContent-Length: 0\r\n\r\n");
+        let read = read_response(bytes.as_bytes(), bytes.len(), "GET");
+        assert_eq!(
+            read.is_ok(),
+            (100..600).contains(&status),
+            "{status}: {read:?}"
+        );
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(40))]
 
